--- /dev/null
+++ b/lib/testutils/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins.
--- /dev/null
+++ b/local/src/main.rs
@@ -0,0 +1,3 @@
+//! Placeholder.
+
+fn main() {}
