--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,6 +5,7 @@
 //! that says what to do next comes out. Sockets, clocks and random numbers stay
 //! in the programs and in the modules that speak to one outside system each.
 
+pub mod catalog;
 pub mod ids;
 pub mod objects;
 pub mod wire;
