bench: subcommand dispatch, help and typed usage errors

The bench was a placeholder. It is now a library with one module for each subcommand and a thin program, so that experiments can be added side by side and tested without a process.

--- /dev/null
+++ b/bench/src/command.rs
@@ -0,0 +1,105 @@
+//! The command line: finds the subcommand and hands it the rest of the arguments.
+
+use eyre::bail;
+use lexopt::Arg;
+use lexopt::Parser;
+
+/// One experiment.
+pub struct Subcommand {
+    /// What the user types.
+    pub name: &'static str,
+    /// One line for `--help`.
+    pub summary: &'static str,
+    /// Reads the rest of the arguments, and runs.
+    pub run: fn(Parser) -> eyre::Result<()>,
+}
+
+/// All experiments, in the order of `--help`.
+pub const SUBCOMMANDS: &[Subcommand] = &[];
+
+/// The command line is not understood.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum UsageError {
+    /// No experiment was named.
+    #[error("name a subcommand; `--help` lists them")]
+    MissingSubcommand,
+    /// No experiment has this name.
+    #[error("unknown subcommand {0:?}; `--help` lists them")]
+    UnknownSubcommand(String),
+}
+
+/// What the command line asks for.
+pub enum Request {
+    /// The text of `--help`.
+    Help,
+    /// An experiment.
+    Run(&'static Subcommand),
+}
+
+/// Runs what the arguments ask for.
+///
+/// # Errors
+///
+/// The arguments are not understood, or the experiment failed.
+///
+/// ```
+/// let parser = lexopt::Parser::from_iter(["sardinewood-bench", "--help"]);
+/// sardinewood_bench::command::run(parser).unwrap();
+/// ```
+pub fn run(mut parser: Parser) -> eyre::Result<()> {
+    match parse(&mut parser)? {
+        Request::Help => print!("{}", help_text()),
+        Request::Run(subcommand) => (subcommand.run)(parser)?,
+    }
+    Ok(())
+}
+
+/// Reads the arguments up to the subcommand.
+///
+/// # Errors
+///
+/// The arguments name no known subcommand.
+///
+/// ```
+/// use sardinewood_bench::command::Request;
+///
+/// let mut parser = lexopt::Parser::from_iter(["sardinewood-bench", "-h"]);
+/// let request = sardinewood_bench::command::parse(&mut parser).unwrap();
+/// assert!(matches!(request, Request::Help));
+/// ```
+pub fn parse(parser: &mut Parser) -> eyre::Result<Request> {
+    match parser.next()? {
+        None => bail!(UsageError::MissingSubcommand),
+        Some(Arg::Short('h') | Arg::Long("help")) => Ok(Request::Help),
+        Some(Arg::Value(value)) => {
+            let name = value.to_string_lossy();
+            let found = SUBCOMMANDS
+                .iter()
+                .find(|subcommand| subcommand.name == name);
+            match found {
+                Some(subcommand) => Ok(Request::Run(subcommand)),
+                None => bail!(UsageError::UnknownSubcommand(name.into_owned())),
+            }
+        }
+        Some(other) => bail!(other.unexpected()),
+    }
+}
+
+/// The text of `--help`.
+///
+/// ```
+/// assert!(sardinewood_bench::command::help_text().contains("SUBCOMMAND"));
+/// ```
+#[must_use]
+pub fn help_text() -> String {
+    let mut text = String::from("Usage: sardinewood-bench SUBCOMMAND [OPTIONS]\n\nSubcommands:\n");
+    for subcommand in SUBCOMMANDS {
+        text.push_str("  ");
+        text.push_str(subcommand.name);
+        text.push_str("  ");
+        text.push_str(subcommand.summary);
+        text.push('\n');
+    }
+    text.push_str("\n`sardinewood-bench SUBCOMMAND --help` lists the options of each.\n");
+    text
+}
--- /dev/null
+++ b/bench/src/lib.rs
@@ -0,0 +1,3 @@
+//! The experiments behind `sardinewood-bench`, one module for each subcommand.
+
+pub mod command;
--- /dev/null
+++ b/bench/tests/runner.rs
@@ -0,0 +1,3 @@
+//! One test program for all integration tests, so that it is linked once.
+
+mod test_command;
