wire: say who granted an attempt when settling it

A new incarnation could not tell an attempt that its predecessor may have sent from one that was meant for itself, so it could not know when `NeverSent` is true.

--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -91,6 +91,9 @@
     Dispatch {
         grant: GrantId,
         attempt: AttemptId,
+        /// Whether the whole answer is kept for a while, so that a repeated
+        /// `Idempotency-Key` can have it again.
+        retain: bool,
         call: Call,
     },
     /// Answers a grant with "gone".
@@ -103,7 +106,12 @@
         through_bytes: u64,
     },
     /// Asks what became of an attempt, and bars it if it has not begun.
-    Settle { attempt: AttemptId },
+    Settle {
+        attempt: AttemptId,
+        /// The incarnation that granted it. Another incarnation can't know what that one
+        /// sent, so it never answers [`Settlement::NeverSent`].
+        granted_by: Incarnation,
+    },
     /// Asks for the answer of an attempt again, from an offset, on this link.
     Resume { attempt: AttemptId, from_bytes: u64 },
 }
