--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 //! in the programs and in the modules that speak to one outside system each.
 
 pub mod catalog;
+pub mod frames;
 pub mod ids;
 pub mod objects;
 pub mod wire;
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -108,9 +108,10 @@
     /// Asks what became of an attempt, and bars it if it has not begun.
     Settle {
         attempt: AttemptId,
-        /// The incarnation that granted it. Another incarnation can't know what that one
-        /// sent, so it never answers [`Settlement::NeverSent`].
-        granted_by: Incarnation,
+        /// The grant that it was dispatched with. Another incarnation can't know what the
+        /// granting one sent, so it never answers [`Settlement::NeverSent`]. The granting
+        /// one sees by the sequence whether its record may have been dropped for age.
+        grant: GrantId,
     },
     /// Asks for the answer of an attempt again, from an offset, on this link.
     Resume { attempt: AttemptId, from_bytes: u64 },
@@ -129,6 +130,9 @@
     TooLate,
     /// The upstream does not answer.
     UpstreamDown,
+    /// An earlier attempt of the request was sent to this upstream, which gets each
+    /// request at most once.
+    AlreadySent,
 }
 
 /// What became of an attempt, as far as the agent can vouch for it.
@@ -151,7 +155,8 @@
 pub enum AnswerEnd {
     /// The whole answer: its length and the XXH64 of its bytes.
     Complete { length_bytes: u64, checksum: u64 },
-    /// The grant had lapsed or was unknown; the attempt was not sent and never will be.
+    /// The grant had lapsed or was unknown, or no connection to the upstream could be
+    /// made; the attempt was not sent and never will be.
     NotSent,
     /// The upstream stopped before the end, and the attempt is not running any more.
     Broken { reason: Arc<str> },
