--- /dev/null
+++ b/lib/src/candidates.rs
@@ -0,0 +1,315 @@
+//! What an entry knows of the agents, and which of them are asked for a grant.
+
+use std::hash::Hasher;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use twox_hash::XxHash64;
+
+use crate::catalog::Catalog;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::objects::Activity;
+use crate::objects::Serves;
+use crate::objects::Target;
+use crate::objects::Upstream;
+use crate::wire::Load;
+
+/// Added to the expected time at an upstream of another data centre, so that of two equal
+/// ones the near one is asked.
+const OTHER_DATA_CENTRE_US: u64 = 2_000;
+/// Taken for an upstream that has not reported its speed yet.
+const UNKNOWN_PREFILL_TOKENS_PER_S: u64 = 5_000;
+/// Taken for an upstream that has not reported its speed yet.
+const UNKNOWN_STEP_US: u64 = 10_000;
+
+/// What an entry knows of one agent.
+#[derive(Debug)]
+pub struct Agent {
+    /// The upstream beside it, as it was last configured.
+    pub upstream: Arc<Upstream>,
+    /// Whether the configuration still has it.
+    pub configured: bool,
+    /// The incarnation at the other end of the link, while there is one.
+    pub linked: Option<Incarnation>,
+    /// The load that it reported last; stale on arrival.
+    pub load: Load,
+    /// The newest configuration revision that it has.
+    pub revision: u64,
+    /// Requests with a reservation there.
+    pub reserved: IndexSet<RequestId>,
+    /// Requests with an attempt there.
+    pub running: IndexSet<RequestId>,
+    /// It is not asked before this time.
+    pub closed_until_ms: u64,
+    /// The incarnation and sequence of the newest grant that came from it.
+    pub newest_grant: Option<(Incarnation, u64)>,
+}
+
+impl Agent {
+    fn new(upstream: Arc<Upstream>) -> Self {
+        Self {
+            upstream,
+            configured: true,
+            linked: None,
+            load: Load::default(),
+            revision: 0,
+            reserved: IndexSet::new(),
+            running: IndexSet::new(),
+            closed_until_ms: 0,
+            newest_grant: None,
+        }
+    }
+
+    /// Whether it may get new work.
+    #[must_use]
+    pub fn takes_work(&self, now_ms: u64) -> bool {
+        self.configured
+            && self.linked.is_some()
+            && self.upstream.activity == Activity::Active
+            && self.closed_until_ms <= now_ms
+    }
+}
+
+/// What is to be placed.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// What the request asks for.
+    pub target: &'a Target,
+    /// Tokens of its prompt.
+    pub prompt_tokens: u32,
+    /// Output tokens that it is expected to take.
+    pub output_tokens: u32,
+    /// Fingerprint of the prompt's first block, if it has one.
+    pub prefix: Option<u64>,
+    /// How many agents to choose.
+    pub count: usize,
+    /// Breaks ties, so that entries with the same hints do not all ask the same agents.
+    pub nonce: u64,
+}
+
+/// How links are chosen.
+///
+/// ```
+/// use sardinewood::candidates::LinkChoice;
+///
+/// let choice = LinkChoice { entry: "entry-1".into(), data_centre: "wdh-1".into(), per_target: 24 };
+/// assert_eq!(choice.per_target, 24);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LinkChoice {
+    /// The name of this entry, which spreads the entries over the agents.
+    pub entry: Arc<str>,
+    /// Where this entry stands; near agents are linked first.
+    pub data_centre: Arc<str>,
+    /// Links kept for each target, so that many entries before many agents do not mean a
+    /// link for each pair.
+    pub per_target: usize,
+}
+
+/// All agents that an entry knows.
+#[derive(Debug)]
+pub struct AgentTable {
+    choice: LinkChoice,
+    agents: IndexMap<Arc<str>, Agent>,
+    linked_by_target: IndexMap<Target, Vec<Arc<str>>>,
+}
+
+impl AgentTable {
+    /// A table without agents.
+    #[must_use]
+    pub fn new(choice: LinkChoice) -> Self {
+        Self {
+            choice,
+            agents: IndexMap::new(),
+            linked_by_target: IndexMap::new(),
+        }
+    }
+
+    /// An agent by name.
+    #[must_use]
+    pub fn get(&self, name: &str) -> Option<&Agent> {
+        self.agents.get(name)
+    }
+
+    /// An agent by name, to change what is known of it.
+    pub fn get_mut(&mut self, name: &str) -> Option<&mut Agent> {
+        self.agents.get_mut(name)
+    }
+
+    /// All agents.
+    pub fn iter(&self) -> impl Iterator<Item = (&Arc<str>, &Agent)> {
+        self.agents.iter()
+    }
+
+    /// Whether the configuration has an upstream for `target`.
+    #[must_use]
+    pub fn serves(&self, target: &Target) -> bool {
+        self.linked_by_target.contains_key(target)
+    }
+
+    /// Whether `is_out` holds for each agent that could be asked for `target`.
+    pub fn are_all_out(&self, target: &Target, is_out: impl Fn(&str) -> bool) -> bool {
+        self.linked_by_target
+            .get(target)
+            .is_none_or(|names| names.iter().all(|name| is_out(name)))
+    }
+
+    /// Takes over a new configuration. An agent that is gone from it stays known until
+    /// [`Self::forget_gone`].
+    pub fn replace_catalog(&mut self, catalog: &Catalog) {
+        for agent in self.agents.values_mut() {
+            agent.configured = false;
+        }
+        for (name, upstream) in &catalog.upstreams {
+            let agent = self
+                .agents
+                .entry(name.clone())
+                .or_insert_with(|| Agent::new(upstream.clone()));
+            agent.configured = true;
+            agent.upstream = upstream.clone();
+        }
+        self.choose_links(catalog);
+    }
+
+    /// Forgets the agents that are gone from the configuration and have no attempts.
+    pub fn forget_gone(&mut self) {
+        self.agents
+            .retain(|_, agent| agent.configured || !agent.running.is_empty());
+    }
+
+    /// The agents to which a link is wanted.
+    #[must_use]
+    pub fn wanted_links(&self) -> IndexSet<Arc<str>> {
+        let busy = self
+            .agents
+            .iter()
+            .filter(|(_, agent)| !agent.running.is_empty())
+            .map(|(name, _)| name);
+        self.linked_by_target
+            .values()
+            .flatten()
+            .chain(busy)
+            .cloned()
+            .collect()
+    }
+
+    /// Chooses the agents to ask, the most promising first.
+    pub fn choose(
+        &self,
+        wanted: Wanted<'_>,
+        now_ms: u64,
+        excluded: impl Fn(&str) -> bool,
+    ) -> Vec<Arc<str>> {
+        let Some(names) = self.linked_by_target.get(wanted.target) else {
+            return Vec::new();
+        };
+        let mut scored: Vec<_> = names
+            .iter()
+            .filter(|name| !excluded(name))
+            .filter_map(|name| {
+                let agent = self.agents.get(name)?;
+                agent
+                    .takes_work(now_ms)
+                    .then(|| (self.score(name, agent, wanted), name))
+            })
+            .collect();
+        scored.sort_unstable();
+        prefer_prefix(&mut scored, wanted);
+        scored
+            .into_iter()
+            .take(wanted.count)
+            .map(|(_, name)| name.clone())
+            .collect()
+    }
+
+    /// Expected time to the end of the answer there in microseconds, and a tie breaker.
+    fn score(&self, name: &str, agent: &Agent, wanted: Wanted<'_>) -> (u64, u64) {
+        let load = agent.load;
+        let prefill_rate = nonzero_or(
+            u64::from(load.prefill_tokens_per_s),
+            UNKNOWN_PREFILL_TOKENS_PER_S,
+        );
+        let step_us = nonzero_or(u64::from(load.step_us), UNKNOWN_STEP_US);
+        let run_us = u64::from(wanted.prompt_tokens) * 1_000_000 / prefill_rate
+            + u64::from(wanted.output_tokens) * step_us;
+        let slots = u64::from(agent.upstream.slots.max(1));
+        let asked = agent.reserved.len() as u64 / wanted.count.max(1) as u64;
+        let queued_us = asked.saturating_sub(u64::from(load.free_slots)) * run_us / slots;
+        let backlog_us = if load.free_slots > 0 {
+            0
+        } else {
+            u64::from(load.backlog_ms) * 1_000
+        };
+        let far_us = if agent.upstream.data_centre == self.choice.data_centre {
+            0
+        } else {
+            OTHER_DATA_CENTRE_US
+        };
+        let total_us = run_us + queued_us + backlog_us + far_us;
+        (total_us, rendezvous(wanted.nonce, name))
+    }
+
+    fn choose_links(&mut self, catalog: &Catalog) {
+        let mut by_target: IndexMap<Target, Vec<&Arc<Upstream>>> = IndexMap::new();
+        for upstream in catalog.upstreams.values() {
+            for target in targets(&upstream.serves) {
+                by_target.entry(target).or_default().push(upstream);
+            }
+        }
+        self.linked_by_target = by_target
+            .into_iter()
+            .map(|(target, upstreams)| (target, self.nearest(upstreams)))
+            .collect();
+    }
+
+    fn nearest(&self, mut upstreams: Vec<&Arc<Upstream>>) -> Vec<Arc<str>> {
+        let mut hasher = XxHash64::with_seed(0);
+        hasher.write(self.choice.entry.as_bytes());
+        let entry = hasher.finish();
+        upstreams.sort_by_key(|upstream| {
+            (
+                upstream.activity != Activity::Active,
+                upstream.data_centre != self.choice.data_centre,
+                rendezvous(entry, &upstream.name),
+            )
+        });
+        upstreams
+            .into_iter()
+            .take(self.choice.per_target)
+            .map(|upstream| upstream.name.clone())
+            .collect()
+    }
+}
+
+/// Puts the agent that this prefix belongs to in front, so that requests with a shared
+/// prefix meet in one cache. It is one candidate of several: when it is busy another
+/// grants first, so a hot prefix does not starve one host and idle the rest.
+fn prefer_prefix(scored: &mut [((u64, u64), &Arc<str>)], wanted: Wanted<'_>) {
+    let Some(prefix) = wanted.prefix else {
+        return;
+    };
+    let home = (0..scored.len()).max_by_key(|index| rendezvous(prefix, scored[*index].1));
+    if let Some(home) = home {
+        scored[..=home].rotate_right(1);
+    }
+}
+
+/// Everything that an upstream can be asked for.
+fn targets(serves: &Serves) -> Vec<Target> {
+    match serves {
+        Serves::Models(models) => models.iter().cloned().map(Target::Model).collect(),
+        Serves::Service(service) => vec![Target::Service(service.clone())],
+    }
+}
+
+fn nonzero_or(value: u64, default: u64) -> u64 {
+    if value == 0 { default } else { value }
+}
+
+/// A number that depends on the key and the name only: the name with the greatest one is
+/// the key's home, and losing a name moves only the keys that had it as their home.
+fn rendezvous(key: u64, name: &str) -> u64 {
+    XxHash64::oneshot(key, name.as_bytes())
+}
--- /dev/null
+++ b/lib/src/entry_state.rs
@@ -0,0 +1,424 @@
+//! The decisions of an entry: which agent is asked, which grant is taken, and what a
+//! caller is told.
+//!
+//! Requests wait here, not at the agents. Of each there is at most one attempt that may
+//! be alive; `docs/design/protocol.md` says what may be concluded from which message.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::admission::Admission;
+use crate::admission::QueueLimits;
+use crate::admission::WaitingQueue;
+use crate::candidates::AgentTable;
+use crate::candidates::LinkChoice;
+use crate::candidates::Wanted;
+use crate::catalog::Catalog;
+use crate::ids::AttemptId;
+use crate::ids::Incarnation;
+use crate::ids::RequestId;
+use crate::retry_budget::RetryBudget;
+use crate::run::Gates;
+use crate::run::Phase;
+use crate::run::Run;
+use crate::submission::NamedBody;
+use crate::submission::Submission;
+use crate::timers::TimerKind;
+use crate::timers::Timers;
+use crate::verdict::Failure;
+use crate::verdict::FailureReason;
+use crate::verdict::Outcome;
+use crate::wire::AgentMessage;
+use crate::wire::AnswerEnd;
+use crate::wire::EntryMessage;
+
+mod attempts;
+mod links;
+mod waiting;
+
+/// What an entry's decisions depend on besides events.
+///
+/// ```
+/// use sardinewood::entry_state::EntryRules;
+///
+/// let rules = EntryRules::new("entry-1".into(), "wdh-1".into());
+/// assert_eq!(rules.candidates, 4);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntryRules {
+    /// Which agents are linked.
+    pub links: LinkChoice,
+    /// How much may wait.
+    pub queue: QueueLimits,
+    /// How many agents are asked for a grant at one time.
+    pub candidates: usize,
+    /// When candidates that refused are asked again, at the latest.
+    pub reserve_again_ms: u64,
+    /// How long an attempt that nobody waits for is remembered after its deadline.
+    pub forget_after_ms: u64,
+    /// When a caller that was refused for load may try again.
+    pub retry_after_ms: u64,
+    /// Whether named requests need a claim before their first dispatch.
+    pub claims: bool,
+    /// Whether requests with an order key need their turn before they are placed.
+    pub turns: bool,
+}
+
+impl EntryRules {
+    /// The rules with their defaults.
+    ///
+    /// ```
+    /// use sardinewood::entry_state::EntryRules;
+    ///
+    /// assert!(!EntryRules::new("entry-1".into(), "wdh-1".into()).claims);
+    /// ```
+    #[must_use]
+    pub fn new(entry: Arc<str>, data_centre: Arc<str>) -> Self {
+        Self {
+            links: LinkChoice {
+                entry,
+                data_centre,
+                per_target: 32,
+            },
+            queue: QueueLimits::default(),
+            candidates: 4,
+            reserve_again_ms: 100,
+            forget_after_ms: 30_000,
+            retry_after_ms: 1_000,
+            claims: false,
+            turns: false,
+        }
+    }
+}
+
+/// What the claim on a request's name came to.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum ClaimAnswer {
+    /// The request may be dispatched from here.
+    Won,
+    /// Another request of the same name has been dispatched; its answer is read instead.
+    Follow { attempt: AttemptId, agent: Arc<str> },
+    /// The request ends with this.
+    Fail(Failure),
+}
+
+/// What an entry's decisions react to.
+#[derive(Clone, Debug)]
+pub enum EntryEvent {
+    /// A caller's request, checked and complete.
+    Submitted(Box<Submission>),
+    /// The claim that [`EntryStep::Claim`] asked for is decided.
+    Claimed {
+        request: RequestId,
+        answer: ClaimAnswer,
+    },
+    /// The turn that [`EntryStep::AwaitTurn`] asked for has come, or never will.
+    Turn {
+        request: RequestId,
+        refused: Option<Failure>,
+    },
+    /// An agent said something that is not part of an answer with a reader.
+    Agent {
+        agent: Arc<str>,
+        message: AgentMessage,
+    },
+    /// A link is open and both sides have said hello.
+    LinkUp {
+        agent: Arc<str>,
+        incarnation: Incarnation,
+    },
+    /// A link is gone.
+    LinkLost { agent: Arc<str> },
+    /// The reader of an answer has come to its end.
+    Ended {
+        attempt: AttemptId,
+        end: AnswerEnd,
+        /// Whether the caller has got any part of it.
+        passed: bool,
+    },
+    /// The caller has gone away.
+    CallerGone { request: RequestId },
+    /// A host is gone for good, so nothing runs on it any more.
+    HostGone { agent: Arc<str> },
+    /// A new configuration is in force.
+    CatalogChanged(Arc<Catalog>),
+    /// No new requests; those that wait go on until [`EntryEvent::GraceOver`].
+    ShutDown,
+    /// What still waits is handed back.
+    GraceOver,
+    /// Time has passed.
+    Tick,
+}
+
+/// What an entry does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum EntryStep {
+    /// Send a message on the link to an agent; without a link it is lost.
+    Send {
+        agent: Arc<str>,
+        message: EntryMessage,
+    },
+    /// Read the answer of this attempt for the request's caller. Comes before its dispatch.
+    Begin {
+        request: RequestId,
+        attempt: AttemptId,
+        agent: Arc<str>,
+    },
+    /// Ask the agent for the answer from where its reader is.
+    Resume { attempt: AttemptId, agent: Arc<str> },
+    /// Tell the reader of this attempt how it ended.
+    End { attempt: AttemptId, end: AnswerEnd },
+    /// Tell the caller that there is no answer.
+    Fail {
+        request: RequestId,
+        failure: Failure,
+    },
+    /// Claim the name of a request.
+    Claim {
+        request: RequestId,
+        named: NamedBody,
+    },
+    /// Find out when the request's turn under its order key has come.
+    AwaitTurn {
+        request: RequestId,
+        customer: Arc<str>,
+        order_key: Arc<str>,
+    },
+    /// The request is over here; what was kept for it elsewhere can go.
+    Finished {
+        request: RequestId,
+        outcome: FinishedAs,
+    },
+    /// Keep a link to this agent.
+    Dial { agent: Arc<str> },
+    /// Close the link to this agent.
+    HangUp { agent: Arc<str> },
+}
+
+/// How a request ended, for those who keep its name or its order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum FinishedAs {
+    /// The whole answer went to the caller.
+    Answered,
+    /// It did not run and never will.
+    NotRun,
+    /// It may have run.
+    Unknown,
+}
+
+/// How many requests are where; for metrics, readiness and tests.
+///
+/// ```
+/// use sardinewood::entry_state::EntryCounts;
+///
+/// assert_eq!(EntryCounts::default().waiting, 0);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct EntryCounts {
+    /// Requests that wait for a grant.
+    pub waiting: usize,
+    /// Requests with an attempt that may be alive.
+    pub running: usize,
+    /// Reservations that agents hold.
+    pub reservations: usize,
+    /// Timers that are set.
+    pub links: usize,
+}
+
+/// The state of an entry.
+///
+/// ```
+/// use std::sync::Arc;
+/// use sardinewood::catalog::Catalog;
+/// use sardinewood::entry_state::{EntryEvent, EntryRules, EntryState};
+///
+/// let mut entry = EntryState::new(EntryRules::new("entry-1".into(), "wdh-1".into()), 1);
+/// let steps = entry.handle(0, EntryEvent::CatalogChanged(Arc::new(Catalog::default())));
+/// assert!(steps.is_empty());
+/// assert!(entry.is_drained());
+/// ```
+#[derive(Debug)]
+pub struct EntryState {
+    rules: EntryRules,
+    agents: AgentTable,
+    dialled: IndexSet<Arc<str>>,
+    runs: IndexMap<RequestId, Run>,
+    queue: WaitingQueue,
+    unplaced: IndexSet<RequestId>,
+    timers: Timers,
+    budget: RetryBudget,
+    nonce: u64,
+    shutting_down: bool,
+    revision: u64,
+    steps: Vec<EntryStep>,
+}
+
+impl EntryState {
+    /// An entry that knows no agents yet. The seed spreads ties between candidates.
+    #[must_use]
+    pub fn new(rules: EntryRules, seed: u64) -> Self {
+        Self {
+            agents: AgentTable::new(rules.links.clone()),
+            queue: WaitingQueue::new(rules.queue),
+            dialled: IndexSet::new(),
+            runs: IndexMap::new(),
+            unplaced: IndexSet::new(),
+            timers: Timers::default(),
+            budget: RetryBudget::default(),
+            nonce: seed,
+            shutting_down: false,
+            revision: 0,
+            steps: Vec::new(),
+            rules,
+        }
+    }
+
+    /// Takes an event and says what to do next, in order.
+    pub fn handle(&mut self, now_ms: u64, event: EntryEvent) -> Vec<EntryStep> {
+        match event {
+            EntryEvent::Submitted(submission) => self.submit(now_ms, *submission),
+            EntryEvent::Claimed { request, answer } => self.claimed(now_ms, request, answer),
+            EntryEvent::Turn { request, refused } => self.turn(now_ms, request, refused),
+            EntryEvent::Agent { agent, message } => self.agent_said(now_ms, &agent, message),
+            EntryEvent::LinkUp { agent, incarnation } => {
+                self.link_up(now_ms, &agent, incarnation);
+            }
+            EntryEvent::LinkLost { agent } => self.link_lost(now_ms, &agent),
+            EntryEvent::Ended {
+                attempt,
+                end,
+                passed,
+            } => self.ended(now_ms, attempt, &end, passed),
+            EntryEvent::CallerGone { request } => self.caller_gone(now_ms, request),
+            EntryEvent::HostGone { agent } => self.host_gone(now_ms, &agent),
+            EntryEvent::CatalogChanged(catalog) => self.catalog_changed(now_ms, &catalog),
+            EntryEvent::ShutDown => self.shutting_down = true,
+            EntryEvent::GraceOver => self.hand_back_waiting(),
+            EntryEvent::Tick => self.tick(now_ms),
+        }
+        std::mem::take(&mut self.steps)
+    }
+
+    /// When [`EntryEvent::Tick`] is due next.
+    #[must_use]
+    pub fn next_tick_ms(&self) -> Option<u64> {
+        self.timers.next_ms()
+    }
+
+    /// Whether no request is left whose caller waits.
+    #[must_use]
+    pub fn is_drained(&self) -> bool {
+        self.runs
+            .values()
+            .all(|run| matches!(run.phase, Phase::Abandoned(_)))
+    }
+
+    /// Whether new requests are taken.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.shutting_down && self.revision > 0
+    }
+
+    /// How many requests are where.
+    #[must_use]
+    pub fn counts(&self) -> EntryCounts {
+        EntryCounts {
+            waiting: self.queue.len(),
+            running: self.runs.len() - self.queue.len(),
+            reservations: self
+                .agents
+                .iter()
+                .map(|(_, agent)| agent.reserved.len())
+                .sum(),
+            links: self
+                .agents
+                .iter()
+                .filter(|(_, agent)| agent.linked.is_some())
+                .count(),
+        }
+    }
+
+    /// What is known of each agent: its name, whether it is linked, and the newest
+    /// configuration revision that it has.
+    pub fn agents(&self) -> impl Iterator<Item = (&Arc<str>, bool, u64)> {
+        self.agents
+            .iter()
+            .map(|(name, agent)| (name, agent.linked.is_some(), agent.revision))
+    }
+
+    fn send(&mut self, agent: &Arc<str>, message: EntryMessage) {
+        self.steps.push(EntryStep::Send {
+            agent: agent.clone(),
+            message,
+        });
+    }
+
+    fn tick(&mut self, now_ms: u64) {
+        while let Some((kind, request)) = self.timers.pop_due(now_ms) {
+            match kind {
+                TimerKind::Deadline => self.deadline_passed(now_ms, request),
+                TimerKind::Reserve => self.reserve_due(now_ms, request),
+                TimerKind::Forget => self.forget_abandoned(request),
+            }
+        }
+    }
+
+    /// Ends a request without an answer.
+    fn fail(&mut self, request: RequestId, reason: FailureReason, retry_after_ms: Option<u64>) {
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        let failure = Failure {
+            outcome: run.outcome(),
+            reason,
+            retry_after_ms,
+        };
+        self.steps.push(EntryStep::Fail { request, failure });
+        self.remove(request, failure.outcome.into());
+    }
+
+    /// Takes a request out of everything that refers to it.
+    fn remove(&mut self, request: RequestId, outcome: FinishedAs) {
+        self.leave_queue(request);
+        let Some(run) = self.runs.swap_remove(&request) else {
+            return;
+        };
+        if let Some(attempt) = run.phase.attempt() {
+            self.leave_agent(request, &attempt.agent);
+        }
+        let deadline_at_ms = run.submission.deadline_at_ms;
+        self.timers
+            .clear(deadline_at_ms, TimerKind::Deadline, request);
+        self.timers.clear(
+            deadline_at_ms + self.rules.forget_after_ms,
+            TimerKind::Forget,
+            request,
+        );
+        let kept_elsewhere = run.submission.named.is_some() || run.submission.order_key.is_some();
+        if kept_elsewhere {
+            self.steps.push(EntryStep::Finished { request, outcome });
+        }
+    }
+
+    /// Takes a request off the agent where its attempt was.
+    fn leave_agent(&mut self, request: RequestId, agent: &Arc<str>) {
+        let Some(known) = self.agents.get_mut(agent) else {
+            return;
+        };
+        known.running.swap_remove(&request);
+        if !known.configured && known.running.is_empty() {
+            self.follow_wanted_links();
+        }
+    }
+}
+
+impl From<Outcome> for FinishedAs {
+    fn from(outcome: Outcome) -> Self {
+        match outcome {
+            Outcome::NotRun => Self::NotRun,
+            Outcome::Unknown => Self::Unknown,
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/entry_state/attempts.rs
@@ -0,0 +1,312 @@
+//! Attempts: which grant is taken, and what follows from how an attempt ended.
+
+use super::AgentMessage;
+use super::AnswerEnd;
+use super::Arc;
+use super::AttemptId;
+use super::EntryMessage;
+use super::EntryState;
+use super::EntryStep;
+use super::FailureReason;
+use super::FinishedAs;
+use super::Phase;
+use super::RequestId;
+use crate::ids::GrantId;
+use crate::run::Attempt;
+use crate::wire::Settlement;
+
+impl EntryState {
+    pub(super) fn agent_said(&mut self, now_ms: u64, agent: &Arc<str>, message: AgentMessage) {
+        match message {
+            AgentMessage::Heartbeat { revision, load, .. } => {
+                if let Some(known) = self.agents.get_mut(agent) {
+                    known.load = load;
+                    known.revision = revision;
+                }
+            }
+            AgentMessage::Grant { request, grant, .. } => {
+                self.granted(now_ms, agent, request, grant);
+            }
+            AgentMessage::Refuse {
+                request,
+                reason,
+                retry_after_ms,
+            } => self.refused(now_ms, agent, request, reason, retry_after_ms),
+            AgentMessage::Settled {
+                attempt,
+                settlement,
+            } => self.settled(now_ms, agent, attempt, settlement),
+            AgentMessage::End { attempt, end } => self.end_came(attempt, end),
+            AgentMessage::Hello(_) | AgentMessage::Head { .. } | AgentMessage::Data { .. } => {}
+        }
+    }
+
+    fn granted(&mut self, now_ms: u64, agent: &Arc<str>, request: RequestId, grant: GrantId) {
+        if !self.is_new_grant(agent, grant) {
+            return;
+        }
+        if !self.may_dispatch(now_ms, request, agent, grant) {
+            self.send(agent, EntryMessage::Decline { grant });
+            return;
+        }
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if run.gates.are_open() {
+            self.dispatch(request, agent, grant);
+            return;
+        }
+        let earlier = run.held_grant.replace((agent.clone(), grant));
+        if let Some((agent, grant)) = earlier {
+            self.send(&agent, EntryMessage::Decline { grant });
+        }
+    }
+
+    pub(super) fn may_dispatch(
+        &self,
+        now_ms: u64,
+        request: RequestId,
+        agent: &str,
+        grant: GrantId,
+    ) -> bool {
+        let takes_work = self
+            .agents
+            .get(agent)
+            .is_some_and(|known| known.takes_work(now_ms) && known.linked == Some(grant.agent));
+        let waits = self.runs.get(&request).is_some_and(|run| {
+            run.phase == Phase::Waiting
+                && run.reserved.contains(agent)
+                && now_ms < run.submission.deadline_at_ms
+        });
+        takes_work && waits
+    }
+
+    /// Grants of one incarnation are numbered upwards, so a grant with a number that is not
+    /// above the newest is a repetition, or was overtaken and lapses unanswered. Answering
+    /// it could answer one grant twice, with two different requests.
+    fn is_new_grant(&mut self, agent: &Arc<str>, grant: GrantId) -> bool {
+        let Some(known) = self.agents.get_mut(agent) else {
+            return true;
+        };
+        if let Some((incarnation, sequence)) = known.newest_grant
+            && incarnation == grant.agent
+            && sequence >= grant.sequence
+        {
+            return false;
+        }
+        known.newest_grant = Some((grant.agent, grant.sequence));
+        true
+    }
+
+    pub(super) fn dispatch(&mut self, request: RequestId, agent: &Arc<str>, grant: GrantId) {
+        if let Some(run) = self.runs.get_mut(&request) {
+            run.reserved.swap_remove(agent);
+        }
+        if let Some(known) = self.agents.get_mut(agent) {
+            known.reserved.swap_remove(&request);
+            known.running.insert(request);
+        }
+        self.leave_queue(request);
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        run.attempts += 1;
+        run.tried.insert(agent.clone());
+        let id = AttemptId {
+            request,
+            number: run.attempts,
+        };
+        run.phase = Phase::Running(Attempt {
+            id,
+            agent: agent.clone(),
+            grant,
+        });
+        let message = EntryMessage::Dispatch {
+            grant,
+            attempt: id,
+            retain: run.submission.named.is_some(),
+            call: run.submission.call.clone(),
+        };
+        self.steps.push(EntryStep::Begin {
+            request,
+            attempt: id,
+            agent: agent.clone(),
+        });
+        self.send(agent, message);
+    }
+
+    /// The reader of an answer has come to its end.
+    pub(super) fn ended(&mut self, now_ms: u64, id: AttemptId, end: &AnswerEnd, passed: bool) {
+        let Some(run) = self.runs.get(&id.request) else {
+            return;
+        };
+        let Some(attempt) = run.phase.attempt().filter(|attempt| attempt.id == id) else {
+            return;
+        };
+        let attempt = attempt.clone();
+        if matches!(run.phase, Phase::Abandoned(_)) {
+            self.ended_abandoned(id, end);
+            return;
+        }
+        match end {
+            AnswerEnd::Complete { .. } => self.remove(id.request, FinishedAs::Answered),
+            AnswerEnd::NotSent => self.never_sent(now_ms, &attempt),
+            AnswerEnd::InDoubt { .. } => self.in_doubt(id.request, attempt, passed),
+            AnswerEnd::Broken { .. } | AnswerEnd::Cancelled | AnswerEnd::Preempted => {
+                let is_charged = *end != AnswerEnd::Preempted;
+                self.broken(now_ms, &attempt, passed, is_charged);
+            }
+        }
+    }
+
+    /// The end of an answer came over a link. The caller's reader comes to it in its own
+    /// time, or never when the caller leaves first; so it is kept until then.
+    fn end_came(&mut self, id: AttemptId, end: AnswerEnd) {
+        let Some(run) = self.runs.get_mut(&id.request) else {
+            return;
+        };
+        let is_current = run.phase.attempt().is_some_and(|attempt| attempt.id == id);
+        if !is_current {
+            return;
+        }
+        if matches!(run.phase, Phase::Abandoned(_)) {
+            self.ended_abandoned(id, &end);
+        } else {
+            run.unread_end = Some(end);
+        }
+    }
+
+    /// An attempt that nobody waits for has ended.
+    pub(super) fn ended_abandoned(&mut self, id: AttemptId, end: &AnswerEnd) {
+        let Some(run) = self.runs.get(&id.request) else {
+            return;
+        };
+        let outcome = match end {
+            AnswerEnd::NotSent if run.tried.len() == 1 => FinishedAs::NotRun,
+            _ => FinishedAs::Unknown,
+        };
+        self.remove(id.request, outcome);
+    }
+
+    /// The attempt was not sent to the upstream and never will be, so the agent may be
+    /// asked again, after a while in which others are, and the request still counts as not
+    /// run there.
+    fn never_sent(&mut self, now_ms: u64, attempt: &Attempt) {
+        let until_ms = now_ms + self.rules.reserve_again_ms;
+        if let Some(run) = self.runs.get_mut(&attempt.id.request) {
+            run.tried.swap_remove(&attempt.agent);
+            run.refused.insert(attempt.agent.clone(), until_ms);
+        }
+        self.wait_again(now_ms, attempt);
+    }
+
+    /// The attempt ran, in part or whole, and is not running any more.
+    ///
+    /// A preemption is not charged to the budget: it was decided here, and it lowers the
+    /// load where it happens.
+    fn broken(&mut self, now_ms: u64, attempt: &Attempt, passed: bool, is_charged: bool) {
+        let request = attempt.id.request;
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        let tier = run.submission.tier();
+        let affordable = !is_charged || self.budget.allows(tier);
+        if !passed && run.may_move(now_ms) && affordable {
+            if is_charged {
+                self.budget.spend(tier);
+            }
+            self.wait_again(now_ms, attempt);
+        } else {
+            self.fail(request, FailureReason::UpstreamFailed, None);
+        }
+    }
+
+    /// Nobody can tell whether the attempt is alive. An idempotent request waits until it
+    /// is settled, for two live attempts would be one too many; a request that may run at
+    /// most once is over.
+    fn in_doubt(&mut self, request: RequestId, attempt: Attempt, passed: bool) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if passed || run.submission.non_idempotent {
+            self.fail(request, FailureReason::InDoubt, None);
+        } else {
+            run.phase = Phase::InDoubt(attempt);
+        }
+    }
+
+    fn wait_again(&mut self, now_ms: u64, attempt: &Attempt) {
+        let request = attempt.id.request;
+        if let Some(known) = self.agents.get_mut(&attempt.agent) {
+            known.running.swap_remove(&request);
+        }
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        run.phase = Phase::Waiting;
+        run.unread_end = None;
+        self.queue.insert(run.place());
+        self.reserve(now_ms, request);
+    }
+
+    /// What an agent can vouch for goes to the reader of the answer as its end, because
+    /// only the reader knows what the caller has got.
+    fn settled(&mut self, now_ms: u64, agent: &Arc<str>, id: AttemptId, settlement: Settlement) {
+        let Some(run) = self.runs.get(&id.request) else {
+            return;
+        };
+        let Some(attempt) = run.phase.attempt() else {
+            return;
+        };
+        if attempt.id != id || attempt.agent != *agent {
+            return;
+        }
+        let same_incarnation = self
+            .agents
+            .get(agent)
+            .is_some_and(|known| known.linked == Some(attempt.grant.agent));
+        let attempt = attempt.clone();
+        let in_doubt = || AnswerEnd::InDoubt {
+            reason: "the agent was restarted".into(),
+        };
+        let end = match settlement {
+            Settlement::Running | Settlement::Finished => {
+                self.resume(&attempt);
+                return;
+            }
+            Settlement::NeverSent if same_incarnation => AnswerEnd::NotSent,
+            Settlement::NeverSent | Settlement::InDoubt => in_doubt(),
+            Settlement::Ended => AnswerEnd::Broken {
+                reason: "the agent or its upstream was restarted".into(),
+            },
+        };
+        match &run.phase {
+            Phase::Running(_) => self.steps.push(EntryStep::End { attempt: id, end }),
+            Phase::InDoubt(_) => self.ended(now_ms, id, &end, false),
+            Phase::Abandoned(_) => self.settled_abandoned(id, &end),
+            Phase::Waiting => {}
+        }
+    }
+
+    /// An attempt in doubt may still be alive, so it is remembered until its timer.
+    fn settled_abandoned(&mut self, id: AttemptId, end: &AnswerEnd) {
+        if !matches!(end, AnswerEnd::InDoubt { .. }) {
+            self.ended_abandoned(id, end);
+        }
+    }
+
+    /// Goes on with an attempt that turned out to be alive or finished.
+    fn resume(&mut self, attempt: &Attempt) {
+        let Some(run) = self.runs.get_mut(&attempt.id.request) else {
+            return;
+        };
+        if matches!(run.phase, Phase::Abandoned(_)) {
+            return;
+        }
+        run.phase = Phase::Running(attempt.clone());
+        self.steps.push(EntryStep::Resume {
+            attempt: attempt.id,
+            agent: attempt.agent.clone(),
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/entry_state/waiting.rs
@@ -0,0 +1,392 @@
+//! Requests that wait: admission, reservations, and what takes them out again.
+
+use super::Admission;
+use super::Arc;
+use super::ClaimAnswer;
+use super::EntryMessage;
+use super::EntryState;
+use super::EntryStep;
+use super::Failure;
+use super::FailureReason;
+use super::FinishedAs;
+use super::Gates;
+use super::Phase;
+use super::RequestId;
+use super::Run;
+use super::Submission;
+use super::TimerKind;
+use super::Wanted;
+use crate::run::Attempt;
+use crate::wire::RefusalReason;
+
+/// An agent that refused for this long is not asked again for the same request.
+const NEVER_MS: u64 = u64::MAX;
+
+impl EntryState {
+    pub(super) fn submit(&mut self, now_ms: u64, submission: Submission) {
+        let request = submission.request;
+        let gates = self.gates(&submission);
+        let run = Run::new(submission, now_ms, gates);
+        if let Some(failure) = self.refusal_at_once(now_ms, &run) {
+            self.steps.push(EntryStep::Fail { request, failure });
+            return;
+        }
+        let Admission::Admit { give_way } = self.queue.admit(run.place()) else {
+            let failure = Failure::not_run(FailureReason::QueueFull);
+            let failure = failure.retry_after(self.rules.retry_after_ms);
+            self.steps.push(EntryStep::Fail { request, failure });
+            return;
+        };
+        for other in give_way {
+            self.fail_waiting(other, FailureReason::GaveWay);
+        }
+        self.budget.earn(run.submission.tier());
+        self.queue.insert(run.place());
+        self.timers
+            .set(run.submission.deadline_at_ms, TimerKind::Deadline, request);
+        self.ask_gates(&run);
+        self.runs.insert(request, run);
+        self.reserve(now_ms, request);
+    }
+
+    fn gates(&self, submission: &Submission) -> Gates {
+        Gates {
+            claim: self.rules.claims && submission.named.is_some(),
+            turn: self.rules.turns && submission.order_key.is_some(),
+        }
+    }
+
+    fn refusal_at_once(&self, now_ms: u64, run: &Run) -> Option<Failure> {
+        if self.shutting_down {
+            let failure = Failure::not_run(FailureReason::ShuttingDown);
+            return Some(failure.retry_after(0));
+        }
+        if !self.agents.serves(&run.submission.target) {
+            return Some(Failure::not_run(FailureReason::NotServed));
+        }
+        if run.submission.deadline_at_ms <= now_ms {
+            return Some(Failure::not_run(FailureReason::DeadlinePassed));
+        }
+        None
+    }
+
+    fn ask_gates(&mut self, run: &Run) {
+        let request = run.submission.request;
+        if run.gates.claim
+            && let Some(named) = run.submission.named.clone()
+        {
+            self.steps.push(EntryStep::Claim { request, named });
+        }
+        if run.gates.turn
+            && let Some(order_key) = run.submission.order_key.clone()
+        {
+            self.steps.push(EntryStep::AwaitTurn {
+                request,
+                customer: run.submission.customer.name.clone(),
+                order_key,
+            });
+        }
+    }
+
+    pub(super) fn claimed(&mut self, now_ms: u64, request: RequestId, answer: ClaimAnswer) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if !run.gates.claim {
+            return;
+        }
+        run.gates.claim = false;
+        match answer {
+            ClaimAnswer::Won => self.gates_moved(now_ms, request),
+            ClaimAnswer::Follow { attempt, agent } => self.follow(request, attempt, agent),
+            ClaimAnswer::Fail(failure) => self.fail_with(request, failure),
+        }
+    }
+
+    pub(super) fn turn(&mut self, now_ms: u64, request: RequestId, refused: Option<Failure>) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if !run.gates.turn {
+            return;
+        }
+        run.gates.turn = false;
+        match refused {
+            Some(failure) => self.fail_with(request, failure),
+            None => self.gates_moved(now_ms, request),
+        }
+    }
+
+    /// Goes on with a request whose gates may be open now.
+    fn gates_moved(&mut self, now_ms: u64, request: RequestId) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        let held = if run.gates.are_open() {
+            run.held_grant.take()
+        } else {
+            None
+        };
+        let Some((agent, grant)) = held else {
+            self.reserve(now_ms, request);
+            return;
+        };
+        if self.may_dispatch(now_ms, request, &agent, grant) {
+            self.dispatch(request, &agent, grant);
+        } else {
+            self.send(&agent, EntryMessage::Decline { grant });
+            self.reserve(now_ms, request);
+        }
+    }
+
+    /// Reads the answer of another request's attempt for this caller.
+    fn follow(&mut self, request: RequestId, attempt: crate::ids::AttemptId, agent: Arc<str>) {
+        self.leave_queue(request);
+        self.steps.push(EntryStep::Begin {
+            request,
+            attempt,
+            agent: agent.clone(),
+        });
+        self.steps.push(EntryStep::Resume { attempt, agent });
+        self.remove(request, FinishedAs::Unknown);
+    }
+
+    /// Ends a request with a failure that was decided elsewhere.
+    fn fail_with(&mut self, request: RequestId, failure: Failure) {
+        self.leave_queue(request);
+        self.steps.push(EntryStep::Fail { request, failure });
+        self.remove(request, failure.outcome.into());
+    }
+
+    /// Ends a request that waits and may be tried again by its caller.
+    pub(super) fn fail_waiting(&mut self, request: RequestId, reason: FailureReason) {
+        self.leave_queue(request);
+        self.fail(request, reason, Some(self.rules.retry_after_ms));
+    }
+
+    /// Asks more candidates, up to the number that is wanted.
+    pub(super) fn reserve(&mut self, now_ms: u64, request: RequestId) {
+        self.nonce = self.nonce.wrapping_add(1);
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        if run.phase != Phase::Waiting || run.gates.turn {
+            return;
+        }
+        let missing = self.rules.candidates.saturating_sub(run.reserved.len());
+        let wanted = Wanted {
+            target: &run.submission.target,
+            prompt_tokens: run.submission.estimate.prompt_tokens,
+            output_tokens: run.submission.estimate.expected_output_tokens,
+            prefix: run.submission.estimate.prefix.first().copied(),
+            count: missing,
+            nonce: self.nonce,
+        };
+        let chosen = self
+            .agents
+            .choose(wanted, now_ms, |agent| run.excludes(agent, now_ms));
+        let short = chosen.len() < missing;
+        for agent in chosen {
+            self.reserve_at(now_ms, request, &agent);
+        }
+        self.note_shortage(now_ms, request, short);
+    }
+
+    fn reserve_at(&mut self, now_ms: u64, request: RequestId, agent: &Arc<str>) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        run.reserved.insert(agent.clone());
+        let started_appointment = false;
+        let reservation = run
+            .submission
+            .reservation(run.arrived_ms, started_appointment, now_ms);
+        if let Some(known) = self.agents.get_mut(agent) {
+            known.reserved.insert(request);
+        }
+        self.send(agent, EntryMessage::Reserve(reservation));
+    }
+
+    /// Sees to it that a request with too few candidates looks for more later.
+    fn note_shortage(&mut self, now_ms: u64, request: RequestId, short: bool) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if run.reserved.is_empty() {
+            self.unplaced.insert(request);
+        } else {
+            self.unplaced.swap_remove(&request);
+        }
+        if !short || run.reserve_at_ms.is_some() {
+            return;
+        }
+        let is_out = |agent: &str| run.tried.contains(agent);
+        let nowhere_left = run.reserved.is_empty()
+            && !run.tried.is_empty()
+            && self.agents.are_all_out(&run.submission.target, is_out);
+        if nowhere_left {
+            self.fail_waiting(request, FailureReason::UpstreamFailed);
+            return;
+        }
+        let at_ms = now_ms + self.rules.reserve_again_ms;
+        run.reserve_at_ms = Some(at_ms);
+        self.timers.set(at_ms, TimerKind::Reserve, request);
+    }
+
+    pub(super) fn reserve_due(&mut self, now_ms: u64, request: RequestId) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        run.reserve_at_ms = None;
+        self.reserve(now_ms, request);
+    }
+
+    pub(super) fn refused(
+        &mut self,
+        now_ms: u64,
+        agent: &Arc<str>,
+        request: RequestId,
+        reason: RefusalReason,
+        retry_after_ms: u64,
+    ) {
+        let until_ms = now_ms + retry_after_ms.max(self.rules.reserve_again_ms);
+        if let Some(known) = self.agents.get_mut(agent) {
+            known.reserved.swap_remove(&request);
+            if matches!(reason, RefusalReason::Leaving | RefusalReason::UpstreamDown) {
+                known.closed_until_ms = until_ms;
+            }
+        }
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if !run.reserved.swap_remove(agent) {
+            return;
+        }
+        let until_ms = match reason {
+            RefusalReason::TooLate | RefusalReason::NotServed | RefusalReason::AlreadySent => {
+                NEVER_MS
+            }
+            _ => until_ms,
+        };
+        run.refused.insert(agent.clone(), until_ms);
+        run.too_late += usize::from(reason == RefusalReason::TooLate);
+        if self.is_too_late(request) {
+            self.fail_waiting(request, FailureReason::TooLate);
+        } else {
+            self.reserve(now_ms, request);
+        }
+    }
+
+    /// Whether as many agents as are asked at one time, or all there are, said that the
+    /// deadline can't be met.
+    fn is_too_late(&self, request: RequestId) -> bool {
+        let Some(run) = self.runs.get(&request) else {
+            return false;
+        };
+        if !run.reserved.is_empty() || run.too_late == 0 {
+            return false;
+        }
+        let is_out = |agent: &str| run.refused.get(agent) == Some(&NEVER_MS);
+        run.too_late >= self.rules.candidates
+            || self.agents.are_all_out(&run.submission.target, is_out)
+    }
+
+    /// Takes a request out of the queue and its reservations back.
+    pub(super) fn leave_queue(&mut self, request: RequestId) {
+        self.unplaced.swap_remove(&request);
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        self.queue.remove(run.place());
+        if let Some(at_ms) = run.reserve_at_ms.take() {
+            self.timers.clear(at_ms, TimerKind::Reserve, request);
+        }
+        let reserved = std::mem::take(&mut run.reserved);
+        let held = run.held_grant.take();
+        for agent in reserved {
+            if let Some(known) = self.agents.get_mut(&agent) {
+                known.reserved.swap_remove(&request);
+            }
+            self.send(&agent, EntryMessage::Withdraw { request });
+        }
+        if let Some((agent, grant)) = held {
+            self.send(&agent, EntryMessage::Decline { grant });
+        }
+    }
+
+    pub(super) fn caller_gone(&mut self, now_ms: u64, request: RequestId) {
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        match run.phase.clone() {
+            Phase::Waiting => {
+                let outcome = run.outcome().into();
+                self.remove(request, outcome);
+            }
+            Phase::Running(attempt) | Phase::InDoubt(attempt) => {
+                self.abandon(now_ms, request, &attempt);
+            }
+            Phase::Abandoned(_) => {}
+        }
+    }
+
+    pub(super) fn deadline_passed(&mut self, now_ms: u64, request: RequestId) {
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        match run.phase.clone() {
+            Phase::Waiting => self.fail_waiting(request, FailureReason::DeadlinePassed),
+            Phase::Running(attempt) | Phase::InDoubt(attempt) => {
+                let failure = Failure::unknown(FailureReason::DeadlinePassed);
+                self.steps.push(EntryStep::Fail { request, failure });
+                self.abandon(now_ms, request, &attempt);
+            }
+            Phase::Abandoned(_) => {}
+        }
+    }
+
+    /// Lets an attempt go on, or not, that nobody waits for. One that may run at most once
+    /// is not cancelled: half of a letter or a refund is worse than the whole.
+    fn abandon(&mut self, now_ms: u64, request: RequestId, attempt: &Attempt) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if let Some(end) = run.unread_end.take() {
+            self.ended_abandoned(attempt.id, &end);
+            return;
+        }
+        let cancel = !run.submission.non_idempotent;
+        let forget_at_ms = run.submission.deadline_at_ms + self.rules.forget_after_ms;
+        run.phase = Phase::Abandoned(attempt.clone());
+        self.timers
+            .set(forget_at_ms.max(now_ms), TimerKind::Forget, request);
+        if cancel {
+            let message = EntryMessage::Cancel {
+                attempt: attempt.id,
+            };
+            self.send(&attempt.agent, message);
+        }
+    }
+
+    pub(super) fn forget_abandoned(&mut self, request: RequestId) {
+        let abandoned = self
+            .runs
+            .get(&request)
+            .is_some_and(|run| matches!(run.phase, Phase::Abandoned(_)));
+        if abandoned {
+            self.remove(request, FinishedAs::Unknown);
+        }
+    }
+
+    pub(super) fn hand_back_waiting(&mut self) {
+        let waiting: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| run.phase == Phase::Waiting)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in waiting {
+            self.fail_waiting(request, FailureReason::ShuttingDown);
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,8 +5,17 @@
 //! that says what to do next comes out. Sockets, clocks and random numbers stay
 //! in the programs and in the modules that speak to one outside system each.
 
+pub mod admission;
+pub mod answer_reader;
+pub mod candidates;
 pub mod catalog;
+pub mod entry_state;
 pub mod frames;
 pub mod ids;
 pub mod objects;
+pub mod retry_budget;
+pub mod run;
+pub mod submission;
+pub mod timers;
+pub mod verdict;
 pub mod wire;
--- a/lib/src/objects.rs
+++ b/lib/src/objects.rs
@@ -22,6 +22,22 @@
 #[serde(transparent)]
 pub struct Tier(pub u8);
 
+impl Tier {
+    /// Its place in a table of [`TIER_COUNT`] tiers. Tiers beyond the lowest, which a checked
+    /// configuration has not, count as the lowest.
+    ///
+    /// ```
+    /// use sardinewood::objects::Tier;
+    ///
+    /// assert_eq!(Tier(3).index(), 3);
+    /// assert_eq!(Tier(200).index(), 4);
+    /// ```
+    #[must_use]
+    pub fn index(self) -> usize {
+        usize::from(self.0).min(TIER_COUNT - 1)
+    }
+}
+
 /// A class of work that services choose by name.
 ///
 /// ```
--- /dev/null
+++ b/lib/tests/test_entry_state.rs
@@ -0,0 +1,741 @@
+//! The rules of an entry: one live attempt, exact words about "not run", tiers in order.
+
+use std::sync::Arc;
+
+use bytes::Bytes;
+use sardinewood::admission::QueueLimits;
+use sardinewood::catalog::Catalog;
+use sardinewood::entry_state::ClaimAnswer;
+use sardinewood::entry_state::EntryCounts;
+use sardinewood::entry_state::EntryEvent;
+use sardinewood::entry_state::EntryRules;
+use sardinewood::entry_state::EntryState;
+use sardinewood::entry_state::EntryStep;
+use sardinewood::entry_state::FinishedAs;
+use sardinewood::ids::AttemptId;
+use sardinewood::ids::GrantId;
+use sardinewood::ids::Incarnation;
+use sardinewood::ids::RequestId;
+use sardinewood::objects::Activity;
+use sardinewood::objects::Customer;
+use sardinewood::objects::Profile;
+use sardinewood::objects::Target;
+use sardinewood::objects::Upstream;
+use sardinewood::submission::NamedBody;
+use sardinewood::submission::RequestName;
+use sardinewood::submission::Submission;
+use sardinewood::submission::WorkEstimate;
+use sardinewood::verdict::Failure;
+use sardinewood::verdict::FailureReason;
+use sardinewood::verdict::Outcome;
+use sardinewood::wire::AgentMessage;
+use sardinewood::wire::AnswerEnd;
+use sardinewood::wire::Call;
+use sardinewood::wire::EntryMessage;
+use sardinewood::wire::RefusalReason;
+use sardinewood::wire::Settlement;
+
+const DEADLINE_MS: u64 = 8_000;
+
+/// An entry with two or more linked agents, and short ways to make things happen to it.
+struct Scene {
+    entry: EntryState,
+    catalog: Catalog,
+    grants: u64,
+    now_ms: u64,
+}
+
+impl Scene {
+    fn new(upstreams: &[&str], change: impl FnOnce(&mut EntryRules)) -> Self {
+        let mut rules = EntryRules::new("entry-1".into(), "wdh-1".into());
+        change(&mut rules);
+        let mut scene = Self {
+            entry: EntryState::new(rules, 1),
+            catalog: catalog(upstreams),
+            grants: 0,
+            now_ms: 0,
+        };
+        scene.take(EntryEvent::CatalogChanged(Arc::new(scene.catalog.clone())));
+        for upstream in upstreams {
+            scene.link_up(upstream, 1);
+        }
+        scene
+    }
+
+    fn take(&mut self, event: EntryEvent) -> Vec<EntryStep> {
+        self.entry.handle(self.now_ms, event)
+    }
+
+    fn link_up(&mut self, agent: &str, incarnation: u64) -> Vec<EntryStep> {
+        self.take(EntryEvent::LinkUp {
+            agent: agent.into(),
+            incarnation: Incarnation(incarnation),
+        })
+    }
+
+    fn link_lost(&mut self, agent: &str) -> Vec<EntryStep> {
+        self.take(EntryEvent::LinkLost {
+            agent: agent.into(),
+        })
+    }
+
+    fn say(&mut self, agent: &str, message: AgentMessage) -> Vec<EntryStep> {
+        self.take(EntryEvent::Agent {
+            agent: agent.into(),
+            message,
+        })
+    }
+
+    fn submit(&mut self, submission: Submission) -> Vec<EntryStep> {
+        self.take(EntryEvent::Submitted(Box::new(submission)))
+    }
+
+    fn grant(&mut self, agent: &str, request: u128) -> Vec<EntryStep> {
+        self.grants += 1;
+        let grant = self.last_grant();
+        self.say(agent, grant_message(request, grant))
+    }
+
+    fn last_grant(&self) -> GrantId {
+        GrantId {
+            agent: Incarnation(1),
+            sequence: self.grants,
+        }
+    }
+
+    fn end(&mut self, request: u128, number: u32, end: AnswerEnd, passed: bool) -> Vec<EntryStep> {
+        self.take(EntryEvent::Ended {
+            attempt: attempt(request, number),
+            end,
+            passed,
+        })
+    }
+
+    fn settled(&mut self, agent: &str, request: u128, settlement: Settlement) -> Vec<EntryStep> {
+        let attempt = attempt(request, 1);
+        self.say(
+            agent,
+            AgentMessage::Settled {
+                attempt,
+                settlement,
+            },
+        )
+    }
+
+    fn tick(&mut self, now_ms: u64) -> Vec<EntryStep> {
+        self.now_ms = now_ms;
+        self.take(EntryEvent::Tick)
+    }
+
+    fn assert_nothing_left(&self) {
+        let counts = self.entry.counts();
+        let none = EntryCounts {
+            links: counts.links,
+            ..EntryCounts::default()
+        };
+        assert_eq!(counts, none);
+        assert_eq!(self.entry.next_tick_ms(), None, "a timer is left");
+    }
+}
+
+fn catalog(upstreams: &[&str]) -> Catalog {
+    let upstreams = upstreams
+        .iter()
+        .map(|name| (Arc::from(*name), Arc::new(upstream(name))));
+    Catalog {
+        revision: 1,
+        upstreams: upstreams.collect(),
+        ..Catalog::default()
+    }
+}
+
+fn upstream(name: &str) -> Upstream {
+    serde_json::from_value(serde_json::json!({
+        "name": name, "data_centre": "wdh-1", "url": "http://127.0.0.1:1",
+        "agent_address": "127.0.0.1:1", "serves": {"models": ["small"]}, "slots": 8,
+    }))
+    .expect("a valid upstream")
+}
+
+fn submission(request: u128, tier: u8) -> Submission {
+    let profile: Profile = serde_json::from_value(serde_json::json!({
+        "name": "p", "tier": tier, "deadline_ms": DEADLINE_MS,
+    }))
+    .expect("a valid profile");
+    let customer: Customer = serde_json::from_value(serde_json::json!({
+        "name": "rundu", "weight": 1, "default_profile": "p", "key_sha256": [],
+    }))
+    .expect("a valid customer");
+    Submission {
+        request: RequestId(request),
+        target: Target::Model("small".into()),
+        profile: Arc::new(profile),
+        customer: Arc::new(customer),
+        deadline_at_ms: DEADLINE_MS,
+        non_idempotent: false,
+        named: None,
+        order_key: None,
+        appointment: None,
+        estimate: WorkEstimate::default(),
+        call: Call {
+            method: "POST".into(),
+            path: "/v1/chat/completions".into(),
+            headers: Vec::new(),
+            body: Bytes::from_static(b"{}"),
+        },
+    }
+}
+
+fn non_idempotent(request: u128) -> Submission {
+    Submission {
+        non_idempotent: true,
+        ..submission(request, 0)
+    }
+}
+
+fn named(request: u128) -> Submission {
+    let name = RequestName {
+        customer: "rundu".into(),
+        key: "refund-17".into(),
+    };
+    Submission {
+        named: Some(NamedBody {
+            name,
+            fingerprint: 1,
+        }),
+        ..submission(request, 0)
+    }
+}
+
+fn attempt(request: u128, number: u32) -> AttemptId {
+    AttemptId {
+        request: RequestId(request),
+        number,
+    }
+}
+
+fn grant_message(request: u128, grant: GrantId) -> AgentMessage {
+    AgentMessage::Grant {
+        request: RequestId(request),
+        grant,
+        valid_ms: 50,
+    }
+}
+
+fn broken() -> AnswerEnd {
+    AnswerEnd::Broken {
+        reason: "reset".into(),
+    }
+}
+
+fn complete() -> AnswerEnd {
+    AnswerEnd::Complete {
+        length_bytes: 0,
+        checksum: 0,
+    }
+}
+
+fn dispatches(steps: &[EntryStep]) -> Vec<(&str, AttemptId)> {
+    sent(steps, |agent, message| match message {
+        EntryMessage::Dispatch { attempt, .. } => Some((agent, *attempt)),
+        _ => None,
+    })
+}
+
+fn declines(steps: &[EntryStep]) -> Vec<GrantId> {
+    sent(steps, |_, message| match message {
+        EntryMessage::Decline { grant } => Some(*grant),
+        _ => None,
+    })
+}
+
+fn reserves(steps: &[EntryStep]) -> Vec<&str> {
+    sent(steps, |agent, message| {
+        matches!(message, EntryMessage::Reserve(_)).then_some(agent)
+    })
+}
+
+fn cancels(steps: &[EntryStep]) -> Vec<AttemptId> {
+    sent(steps, |_, message| match message {
+        EntryMessage::Cancel { attempt } => Some(*attempt),
+        _ => None,
+    })
+}
+
+fn sent<'a, T>(
+    steps: &'a [EntryStep],
+    pick: impl Fn(&'a str, &'a EntryMessage) -> Option<T>,
+) -> Vec<T> {
+    steps
+        .iter()
+        .filter_map(|step| match step {
+            EntryStep::Send { agent, message } => pick(agent, message),
+            _ => None,
+        })
+        .collect()
+}
+
+fn failures(steps: &[EntryStep]) -> Vec<(u128, Failure)> {
+    steps
+        .iter()
+        .filter_map(|step| match step {
+            EntryStep::Fail { request, failure } => Some((request.0, *failure)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn assert_failed(steps: &[EntryStep], outcome: Outcome, reason: FailureReason) {
+    let failed: Vec<_> = failures(steps)
+        .iter()
+        .map(|(_, failure)| (failure.outcome, failure.reason))
+        .collect();
+    assert_eq!(failed, [(outcome, reason)], "{steps:?}");
+}
+
+#[test]
+fn submit_asks_four_candidates() {
+    let mut scene = Scene::new(&["a", "b", "c", "d", "e", "f"], |_| {});
+    let steps = scene.submit(submission(1, 0));
+    assert_eq!(reserves(&steps).len(), 4);
+    assert_eq!(scene.entry.counts().reservations, 4);
+}
+
+#[test]
+fn submit_unknown_model_refused() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    let steps = scene.submit(Submission {
+        target: Target::Model("large".into()),
+        ..submission(1, 0)
+    });
+    assert_failed(&steps, Outcome::NotRun, FailureReason::NotServed);
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn grant_first_dispatched_second_declined() {
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    let first = scene.grant("a", 1);
+    assert_eq!(dispatches(&first), [("a", attempt(1, 1))]);
+    let withdrawn = sent(&first, |agent, message| {
+        matches!(message, EntryMessage::Withdraw { .. }).then_some(agent)
+    });
+    assert_eq!(withdrawn, ["b"]);
+    let second = scene.grant("b", 1);
+    assert_eq!(declines(&second), [scene.last_grant()]);
+    assert!(dispatches(&second).is_empty());
+}
+
+#[test]
+fn grant_repeated_answered_once() {
+    // The link repeats a grant after the request ended and another one waits. Answered
+    // again it would start a second request in one slot, or the first one twice.
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let again = scene.last_grant();
+    let steps = scene.say("a", grant_message(1, again));
+    assert!(steps.is_empty(), "{steps:?}");
+}
+
+#[test]
+fn grant_without_reservation_declined() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    let steps = scene.grant("a", 9);
+    assert_eq!(declines(&steps), [scene.last_grant()]);
+}
+
+#[test]
+fn grant_of_draining_upstream_declined() {
+    // The entry has heard that the upstream leaves, the agent has not. The upstream gets
+    // no new work even though its agent grants it.
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    let mut catalog = scene.catalog.clone();
+    let draining = Upstream {
+        activity: Activity::Draining,
+        ..upstream("a")
+    };
+    catalog.upstreams.insert("a".into(), Arc::new(draining));
+    scene.take(EntryEvent::CatalogChanged(Arc::new(catalog)));
+    let steps = scene.grant("a", 1);
+    assert!(dispatches(&steps).is_empty());
+    assert_eq!(declines(&steps), [scene.last_grant()]);
+}
+
+#[test]
+fn ended_not_sent_dispatched_again() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(non_idempotent(1));
+    scene.grant("a", 1);
+    assert!(scene.end(1, 1, AnswerEnd::NotSent, false).is_empty());
+    let steps = scene.tick(scene.entry.next_tick_ms().expect("a timer to ask again"));
+    assert_eq!(reserves(&steps), ["a"]);
+    assert_eq!(dispatches(&scene.grant("a", 1)), [("a", attempt(1, 2))]);
+}
+
+#[test]
+fn ended_broken_moves_to_other_upstream() {
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let steps = scene.end(1, 1, broken(), false);
+    assert_eq!(reserves(&steps), ["b"]);
+    assert_eq!(dispatches(&scene.grant("b", 1)), [("b", attempt(1, 2))]);
+    scene.end(1, 2, complete(), true);
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn ended_broken_after_bytes_fails() {
+    // The caller has a part of the first answer. A second answer in its place would be
+    // neither the one nor the other, so it hears of the failure.
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let steps = scene.end(1, 1, broken(), true);
+    assert_failed(&steps, Outcome::Unknown, FailureReason::UpstreamFailed);
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn ended_broken_non_idempotent_never_sent_again() {
+    for end in [
+        broken(),
+        AnswerEnd::Cancelled,
+        AnswerEnd::Preempted,
+        AnswerEnd::InDoubt {
+            reason: "timeout".into(),
+        },
+    ] {
+        let mut scene = Scene::new(&["a", "b"], |_| {});
+        scene.submit(non_idempotent(1));
+        scene.grant("a", 1);
+        let steps = scene.end(1, 1, end, false);
+        let failed = failures(&steps);
+        assert_eq!(failed.len(), 1);
+        assert_eq!(failed[0].1.outcome, Outcome::Unknown);
+        scene.assert_nothing_left();
+    }
+}
+
+#[test]
+fn ended_broken_everywhere_fails_at_once() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let steps = scene.end(1, 1, broken(), false);
+    assert_failed(&steps, Outcome::Unknown, FailureReason::UpstreamFailed);
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn ended_in_doubt_waits_for_settlement() {
+    // The agent was restarted and can't tell whether the engine still runs the attempt.
+    // A second attempt now could be a second live one, so the request waits; when the
+    // engine has confirmed the end it moves.
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let doubt = AnswerEnd::InDoubt {
+        reason: "restarted".into(),
+    };
+    assert!(scene.end(1, 1, doubt, false).is_empty());
+    let steps = scene.settled("a", 1, Settlement::Ended);
+    assert_eq!(reserves(&steps), ["b"]);
+}
+
+#[test]
+fn ended_in_doubt_resumes_when_running() {
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let doubt = AnswerEnd::InDoubt {
+        reason: "restarted".into(),
+    };
+    scene.end(1, 1, doubt, false);
+    let steps = scene.settled("a", 1, Settlement::Running);
+    let resume = EntryStep::Resume {
+        attempt: attempt(1, 1),
+        agent: "a".into(),
+    };
+    assert_eq!(steps, [resume]);
+}
+
+#[test]
+fn link_lost_reserves_elsewhere() {
+    let mut scene = Scene::new(&["a", "b"], |rules| rules.candidates = 1);
+    let steps = scene.submit(submission(1, 0));
+    let asked = reserves(&steps)[0].to_owned();
+    let steps = scene.link_lost(&asked);
+    let others = reserves(&steps);
+    assert_eq!(others.len(), 1);
+    assert_ne!(others[0], asked);
+}
+
+#[test]
+fn link_lost_running_is_settled_not_repeated() {
+    // The link goes silent after the dispatch. Nobody knows whether it arrived, so no
+    // other agent is asked; the same agent is asked after it on the next link.
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    assert!(scene.link_lost("a").is_empty());
+    let steps = scene.link_up("a", 1);
+    let settle = EntryMessage::Settle {
+        attempt: attempt(1, 1),
+        grant: scene.last_grant(),
+    };
+    let expected = EntryStep::Send {
+        agent: "a".into(),
+        message: settle,
+    };
+    assert_eq!(steps, [expected]);
+    let steps = scene.settled("a", 1, Settlement::NeverSent);
+    let end = EntryStep::End {
+        attempt: attempt(1, 1),
+        end: AnswerEnd::NotSent,
+    };
+    assert_eq!(steps, [end]);
+}
+
+#[test]
+fn settled_never_sent_by_new_incarnation_is_doubt() {
+    // The agent was restarted. The new process has not sent the attempt, but its
+    // predecessor may have; taking its word would start a second live attempt.
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    scene.link_lost("a");
+    scene.link_up("a", 2);
+    let steps = scene.settled("a", 1, Settlement::NeverSent);
+    assert!(
+        matches!(
+            steps.as_slice(),
+            [EntryStep::End {
+                end: AnswerEnd::InDoubt { .. },
+                ..
+            }]
+        ),
+        "{steps:?}"
+    );
+}
+
+#[test]
+fn host_gone_moves_idempotent() {
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    scene.link_lost("a");
+    let steps = scene.take(EntryEvent::HostGone { agent: "a".into() });
+    assert!(matches!(steps.as_slice(), [EntryStep::End { .. }]));
+    let steps = scene.end(1, 1, broken(), false);
+    assert_eq!(reserves(&steps), ["b"]);
+}
+
+#[test]
+fn deadline_waiting_is_not_run() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    let steps = scene.tick(DEADLINE_MS);
+    assert_failed(&steps, Outcome::NotRun, FailureReason::DeadlinePassed);
+    let late = scene.grant("a", 1);
+    assert!(dispatches(&late).is_empty(), "the word holds: {late:?}");
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn deadline_running_cancels_idempotent_only() {
+    for (submission, cancelled) in [(submission(1, 0), 1), (non_idempotent(1), 0)] {
+        let mut scene = Scene::new(&["a"], |_| {});
+        scene.submit(submission);
+        scene.grant("a", 1);
+        let steps = scene.tick(DEADLINE_MS);
+        assert_failed(&steps, Outcome::Unknown, FailureReason::DeadlinePassed);
+        assert_eq!(cancels(&steps).len(), cancelled);
+        let end = AgentMessage::End {
+            attempt: attempt(1, 1),
+            end: AnswerEnd::Cancelled,
+        };
+        scene.say("a", end);
+        scene.assert_nothing_left();
+    }
+}
+
+#[test]
+fn caller_gone_waiting_withdraws() {
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.take(EntryEvent::CallerGone {
+        request: RequestId(1),
+    });
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn caller_gone_running_cancels_and_forgets() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let steps = scene.take(EntryEvent::CallerGone {
+        request: RequestId(1),
+    });
+    assert_eq!(cancels(&steps), [attempt(1, 1)]);
+    let forget_ms = scene.entry.next_tick_ms().expect("a timer to forget it");
+    scene.tick(forget_ms);
+    let forget_ms = scene.entry.next_tick_ms();
+    if let Some(forget_ms) = forget_ms {
+        scene.tick(forget_ms);
+    }
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn caller_gone_after_unread_end_forgets_at_once() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    let end = AgentMessage::End {
+        attempt: attempt(1, 1),
+        end: complete(),
+    };
+    scene.say("a", end);
+    let steps = scene.take(EntryEvent::CallerGone {
+        request: RequestId(1),
+    });
+    assert!(cancels(&steps).is_empty());
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn submit_full_queue_lowest_tier_gives_way() {
+    // A burst of lookups fills the queue before dispute summaries come. The summaries are
+    // kept, the youngest lookups are told "not run" at once, and a lookup that comes later
+    // is refused while summaries wait.
+    let limits = QueueLimits {
+        max_requests: 2,
+        max_body_bytes: 1_000,
+    };
+    let mut scene = Scene::new(&["a"], |rules| rules.queue = limits);
+    scene.submit(submission(1, 3));
+    scene.now_ms = 1;
+    scene.submit(submission(2, 4));
+    for (request, gives_way) in [(3, 2), (4, 1)] {
+        let steps = scene.submit(submission(request, 0));
+        assert_failed(&steps, Outcome::NotRun, FailureReason::GaveWay);
+        assert_eq!(failures(&steps)[0].0, gives_way);
+        assert!(failures(&steps)[0].1.retry_after_ms.is_some());
+    }
+    let steps = scene.submit(submission(5, 1));
+    assert_failed(&steps, Outcome::NotRun, FailureReason::QueueFull);
+    let steps = scene.submit(submission(6, 0));
+    assert_failed(&steps, Outcome::NotRun, FailureReason::QueueFull);
+    assert_eq!(scene.entry.counts().waiting, 2);
+}
+
+#[test]
+fn refused_crowded_asks_again() {
+    let mut scene = Scene::new(&["a", "b"], |rules| rules.candidates = 1);
+    let steps = scene.submit(submission(1, 0));
+    let first = reserves(&steps)[0].to_owned();
+    let refuse = AgentMessage::Refuse {
+        request: RequestId(1),
+        reason: RefusalReason::Crowded,
+        retry_after_ms: 300,
+    };
+    let steps = scene.say(&first, refuse.clone());
+    let second = reserves(&steps)[0].to_owned();
+    assert_ne!(first, second);
+    assert!(failures(&scene.say(&second, refuse)).is_empty());
+    let steps = scene.tick(scene.entry.next_tick_ms().expect("a timer to ask again"));
+    assert!(reserves(&steps).is_empty(), "not before the time it named");
+    let steps = scene.tick(300);
+    assert_eq!(reserves(&steps).len(), 1);
+}
+
+#[test]
+fn refused_too_late_everywhere_fails() {
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(submission(1, 0));
+    let refuse = AgentMessage::Refuse {
+        request: RequestId(1),
+        reason: RefusalReason::TooLate,
+        retry_after_ms: 0,
+    };
+    assert!(failures(&scene.say("a", refuse.clone())).is_empty());
+    let steps = scene.say("b", refuse);
+    assert_failed(&steps, Outcome::NotRun, FailureReason::TooLate);
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn shut_down_keeps_waiting_until_grace_is_over() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.submit(submission(2, 0));
+    scene.take(EntryEvent::ShutDown);
+    assert!(!scene.entry.is_ready());
+    let steps = scene.submit(submission(3, 0));
+    assert_failed(&steps, Outcome::NotRun, FailureReason::ShuttingDown);
+    assert_eq!(dispatches(&scene.grant("a", 1)).len(), 1);
+    let steps = scene.take(EntryEvent::GraceOver);
+    assert_failed(&steps, Outcome::NotRun, FailureReason::ShuttingDown);
+    assert!(!scene.entry.is_drained(), "the first one still runs");
+    scene.end(1, 1, complete(), true);
+    assert!(scene.entry.is_drained());
+}
+
+#[test]
+fn claimed_grant_held_until_won() {
+    let mut scene = Scene::new(&["a"], |rules| rules.claims = true);
+    let steps = scene.submit(named(1));
+    assert!(matches!(steps[0], EntryStep::Claim { .. }));
+    assert!(scene.grant("a", 1).is_empty());
+    let steps = scene.take(EntryEvent::Claimed {
+        request: RequestId(1),
+        answer: ClaimAnswer::Won,
+    });
+    assert_eq!(dispatches(&steps), [("a", attempt(1, 1))]);
+    let steps = scene.end(1, 1, complete(), true);
+    let finished = EntryStep::Finished {
+        request: RequestId(1),
+        outcome: FinishedAs::Answered,
+    };
+    assert_eq!(steps, [finished]);
+}
+
+#[test]
+fn claimed_elsewhere_follows_and_declines() {
+    let mut scene = Scene::new(&["a"], |rules| rules.claims = true);
+    scene.submit(named(1));
+    scene.grant("a", 1);
+    let steps = scene.take(EntryEvent::Claimed {
+        request: RequestId(1),
+        answer: ClaimAnswer::Follow {
+            attempt: attempt(7, 1),
+            agent: "a".into(),
+        },
+    });
+    assert!(dispatches(&steps).is_empty());
+    assert_eq!(declines(&steps), [scene.last_grant()]);
+    let resume = EntryStep::Resume {
+        attempt: attempt(7, 1),
+        agent: "a".into(),
+    };
+    assert!(steps.contains(&resume));
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn catalog_removed_upstream_reserves_elsewhere() {
+    let mut scene = Scene::new(&["a", "b"], |rules| rules.candidates = 1);
+    let steps = scene.submit(submission(1, 0));
+    let asked = reserves(&steps)[0].to_owned();
+    let mut catalog = scene.catalog.clone();
+    catalog.upstreams.shift_remove(asked.as_str());
+    let steps = scene.take(EntryEvent::CatalogChanged(Arc::new(catalog)));
+    assert_eq!(reserves(&steps).len(), 1);
+    assert_ne!(reserves(&steps)[0], asked);
+    assert_eq!(scene.entry.counts().reservations, 1);
+}
