config: follow the store, versions only move forward

Cause: every process needs the configuration, and a lagging replica, a list that overtakes a watch or a peer with old news must not bring an older one back. Change: a narrow store client with typed answers, a sans-IO state with one version per object and bounded tombstones, a plan for list, watch, back-off and re-list, and a published catalog. Bad objects stay out; the last good version stays in force.

--- /dev/null
+++ b/lib/src/config.rs
@@ -0,0 +1,105 @@
+//! The configuration of one process: its state, shared by those who feed it, and the
+//! published picture that decisions read.
+
+use std::sync::Arc;
+
+use tokio::sync::watch;
+
+use crate::catalog::Catalog;
+use crate::config_state::ConfigState;
+use crate::store::StoredObject;
+
+/// A handle on the configuration of this process; clones share it.
+///
+/// ```
+/// use sardinewood::config::Config;
+///
+/// let config = Config::default();
+/// assert_eq!(config.catalog().borrow().revision, 0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Config {
+    state: Arc<watch::Sender<ConfigState>>,
+    catalog: Arc<watch::Sender<Arc<Catalog>>>,
+}
+
+impl Default for Config {
+    fn default() -> Self {
+        Self {
+            state: Arc::new(watch::Sender::default()),
+            catalog: Arc::new(watch::Sender::default()),
+        }
+    }
+}
+
+impl Config {
+    /// A configuration of these objects, which nothing changes.
+    ///
+    /// ```
+    /// use sardinewood::config::Config;
+    /// use sardinewood::store::StoredObject;
+    ///
+    /// let object: StoredObject = serde_json::from_str(r#"{
+    ///     "kind": "profiles", "name": "lookup", "version": 7,
+    ///     "value": {"name": "lookup", "tier": 2, "deadline_ms": 4000}
+    /// }"#).unwrap();
+    /// let config = Config::fixed(&[object]);
+    /// assert_eq!(config.catalog().borrow().profiles.len(), 1);
+    /// ```
+    #[must_use]
+    pub fn fixed(objects: &[StoredObject]) -> Self {
+        let config = Self::default();
+        config.apply(|state| {
+            for object in objects {
+                state.apply_object(object);
+            }
+        });
+        config
+    }
+
+    /// The picture in force, and a way to wait for the next.
+    ///
+    /// ```
+    /// let catalog = sardinewood::config::Config::default().catalog();
+    /// assert!(catalog.borrow().customers.is_empty());
+    /// ```
+    #[must_use]
+    pub fn catalog(&self) -> watch::Receiver<Arc<Catalog>> {
+        self.catalog.subscribe()
+    }
+
+    /// The whole state, and a way to wait for the next change of it.
+    ///
+    /// ```
+    /// let state = sardinewood::config::Config::default().state();
+    /// assert_eq!(state.borrow().digest().newest, 0);
+    /// ```
+    #[must_use]
+    pub fn state(&self) -> watch::Receiver<ConfigState> {
+        self.state.subscribe()
+    }
+
+    /// Changes the state, and publishes the picture if it is another one.
+    ///
+    /// ```
+    /// use sardinewood::config::Config;
+    /// use sardinewood::store::ObjectList;
+    ///
+    /// let config = Config::default();
+    /// config.apply(|state| {
+    ///     state.apply_list(&ObjectList { revision: 12, objects: vec![] });
+    /// });
+    /// assert_eq!(config.catalog().borrow().revision, 12);
+    /// ```
+    pub fn apply(&self, change: impl FnOnce(&mut ConfigState)) {
+        self.state.send_if_modified(|state| {
+            let before = state.digest();
+            change(state);
+            let modified = state.digest() != before;
+            if modified {
+                self.catalog.send_replace(Arc::new(state.catalog()));
+            }
+            modified
+        });
+    }
+}
--- /dev/null
+++ b/lib/src/config_state.rs
@@ -0,0 +1,570 @@
+//! The configuration objects that a process holds, whatever told it about them.
+//!
+//! Each object has the version that the store gave it, and an object here is only ever
+//! replaced by a newer one. So a replica that lags or was restored, a list that overtakes
+//! a watch, or a peer with old news changes nothing that is already known better.
+//!
+//! `complete_through` is the revision up to which this process knows every object. An
+//! object that is unknown here, but whose version is not above it, was deleted; so a deleted
+//! object stays deleted even after its tombstone is dropped, and tombstones need no limit in
+//! time. A peer that is so far behind that it needs a dropped tombstone is given everything,
+//! and takes what is missing from a complete list of the store as deleted.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde::Serialize;
+use serde_json::Value;
+use twox_hash::XxHash64;
+
+use crate::audit::Change;
+use crate::audit::Record;
+use crate::catalog::Catalog;
+use crate::catalog::ObjectFinding;
+use crate::config_object::Kind;
+use crate::config_object::ObjectKey;
+use crate::config_object::Spec;
+use crate::config_object::check;
+use crate::store::ObjectList;
+use crate::store::StoredObject;
+use crate::store::WatchBatch;
+use crate::store::WatchEvent;
+
+/// The most tombstones kept from before the last complete list. They only save a peer
+/// that is behind from being given everything; the oldest go first.
+pub const MAX_TOMBSTONES: usize = 1_024;
+
+/// One version of an object, as one process tells it to another.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ObjectVersion {
+    /// Which object.
+    pub key: ObjectKey,
+    /// The version that the store gave it.
+    pub version: u64,
+    /// The object proper and its last change as JSON; absent when the store removed it.
+    pub content: Option<Arc<str>>,
+}
+
+/// What one process tells another that knows everything up to a revision.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PeerAnswer {
+    /// The revision that the other asked from.
+    pub after: u64,
+    /// The revision up to which the sender knows every object.
+    pub complete_through: u64,
+    /// The revision of the last complete list of the store that the sender's knowledge
+    /// rests on.
+    pub listed_through: u64,
+    /// The sender has a tombstone for each deletion above this revision.
+    pub deletions_after: u64,
+    /// Whether these are all objects, and not only those above `after`.
+    pub whole: bool,
+    /// The objects and tombstones.
+    pub objects: Vec<ObjectVersion>,
+}
+
+/// The part of a record that each process keeps; the history stays in the store.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Content {
+    /// The object proper; absent once an operator removed it.
+    pub spec: Option<Value>,
+    /// The change that made it so.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub change: Option<Change>,
+}
+
+/// What a process holds, in few bytes. Two processes with equal digests hold the same.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The revision up to which every object is known.
+    pub complete_through: u64,
+    /// The highest version of any object.
+    pub newest: u64,
+    /// XXH64 over the names and versions of the objects, in any order.
+    pub hash: u64,
+}
+
+/// What a list from the store showed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListOutcome {
+    /// Everything up to its revision is known now.
+    Complete,
+    /// The replica lags behind what is known here; nothing was taken as deleted.
+    Lagging,
+    /// The store shows an older version of an object than it issued before: it was
+    /// restored. Nothing was taken as deleted.
+    WentBack,
+}
+
+/// What to do after a watch has answered.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum WatchOutcome {
+    /// Watch on from the answer's revision.
+    Continue,
+    /// The answer does not follow on from the question: list again.
+    ListAgain,
+}
+
+/// The newest known version of an object, and the newest good one.
+#[derive(Clone, Debug)]
+struct Held {
+    version: u64,
+    content: Option<Arc<str>>,
+    in_force: Option<Spec>,
+    findings: Vec<ObjectFinding>,
+    hash: u64,
+}
+
+/// What a process knows of the configuration.
+///
+/// ```
+/// use sardinewood::config_state::{ConfigState, ListOutcome};
+/// use sardinewood::store::ObjectList;
+///
+/// let list: ObjectList = serde_json::from_str(r#"{"revision": 8, "objects": [{
+///     "kind": "profiles", "name": "lookup", "version": 7,
+///     "value": {"name": "lookup", "tier": 2, "deadline_ms": 4000}
+/// }]}"#).unwrap();
+/// let mut state = ConfigState::default();
+/// assert_eq!(state.apply_list(&list), ListOutcome::Complete);
+/// assert_eq!(state.catalog().profiles["lookup"].deadline_ms, 4000);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct ConfigState {
+    objects: IndexMap<ObjectKey, Held>,
+    complete_through: u64,
+    listed_through: u64,
+    deletions_after: u64,
+    store_went_back: bool,
+}
+
+impl ConfigState {
+    /// Takes in a list of all kinds from the store.
+    ///
+    /// ```
+    /// use sardinewood::config_state::{ConfigState, ListOutcome};
+    /// use sardinewood::store::ObjectList;
+    ///
+    /// let mut state = ConfigState::default();
+    /// state.apply_list(&ObjectList { revision: 9, objects: vec![] });
+    /// let late = ObjectList { revision: 5, objects: vec![] };
+    /// assert_eq!(state.apply_list(&late), ListOutcome::Lagging);
+    /// ```
+    pub fn apply_list(&mut self, list: &ObjectList) -> ListOutcome {
+        let outcome = self.judge_list(list);
+        self.store_went_back = outcome == ListOutcome::WentBack;
+        if outcome == ListOutcome::Complete {
+            self.remove_unlisted(list);
+            if list.revision > self.complete_through {
+                // Objects that came and went since then were never seen here.
+                self.deletions_after = list.revision;
+            }
+            // From here on, what is unknown and in the list is new here, not deleted.
+            self.complete_through = 0;
+        }
+        for object in &list.objects {
+            self.offer_stored(object);
+        }
+        if outcome == ListOutcome::Complete {
+            self.complete_through = list.revision;
+            self.listed_through = list.revision;
+        }
+        self.drop_old_tombstones();
+        outcome
+    }
+
+    /// Takes in the answer of a watch that asked for the changes after `after`.
+    ///
+    /// ```
+    /// use sardinewood::config_state::{ConfigState, WatchOutcome};
+    /// use sardinewood::store::WatchBatch;
+    ///
+    /// let mut state = ConfigState::default();
+    /// let batch = WatchBatch { revision: 4, events: vec![] };
+    /// assert_eq!(state.apply_watch(5, &batch), WatchOutcome::ListAgain);
+    /// ```
+    pub fn apply_watch(&mut self, after: u64, batch: &WatchBatch) -> WatchOutcome {
+        for event in &batch.events {
+            match event {
+                WatchEvent::Put(object) => self.offer_stored(object),
+                WatchEvent::Delete {
+                    kind,
+                    name,
+                    version,
+                } => self.offer_removal(kind, name, *version),
+            }
+        }
+        let beyond = |event: &WatchEvent| event_version(event) > batch.revision;
+        if batch.revision < after || batch.events.iter().any(beyond) {
+            return WatchOutcome::ListAgain;
+        }
+        if after <= self.complete_through && !self.store_went_back {
+            self.complete_through = self.complete_through.max(batch.revision);
+        }
+        self.drop_old_tombstones();
+        WatchOutcome::Continue
+    }
+
+    /// Takes in what a peer holds.
+    ///
+    /// ```
+    /// use sardinewood::config_state::{ConfigState, PeerAnswer};
+    ///
+    /// let mut state = ConfigState::default();
+    /// state.apply_peer(&PeerAnswer { complete_through: 12, ..PeerAnswer::default() });
+    /// assert_eq!(state.digest().complete_through, 12);
+    /// ```
+    pub fn apply_peer(&mut self, answer: &PeerAnswer) {
+        if answer.whole {
+            self.remove_unknown_to_peer(answer);
+        }
+        for object in &answer.objects {
+            self.offer(&object.key, object.version, object.content.clone());
+        }
+        if answer.after <= self.complete_through {
+            self.complete_through = self.complete_through.max(answer.complete_through);
+        }
+        self.drop_old_tombstones();
+    }
+
+    /// Takes in an object that this process has just written, or read by name.
+    ///
+    /// ```
+    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::store::StoredObject;
+    ///
+    /// let written: StoredObject = serde_json::from_str(r#"{
+    ///     "kind": "profiles", "name": "lookup", "version": 7,
+    ///     "value": {"name": "lookup", "tier": 2, "deadline_ms": 4000}
+    /// }"#).unwrap();
+    /// let mut state = ConfigState::default();
+    /// state.apply_object(&written);
+    /// assert_eq!(state.digest().newest, 7);
+    /// ```
+    pub fn apply_object(&mut self, object: &StoredObject) {
+        self.offer_stored(object);
+    }
+
+    /// What to tell a peer that knows everything up to `after`.
+    ///
+    /// ```
+    /// use sardinewood::config_state::ConfigState;
+    ///
+    /// let answer = ConfigState::default().answer_peer(0);
+    /// assert!(answer.objects.is_empty());
+    /// ```
+    #[must_use]
+    pub fn answer_peer(&self, after: u64) -> PeerAnswer {
+        let whole = after < self.deletions_after;
+        let from = if whole { 0 } else { after };
+        let newer = self.objects.iter().filter(|(_, held)| held.version > from);
+        let objects = newer.map(|(key, held)| ObjectVersion {
+            key: key.clone(),
+            version: held.version,
+            content: held.content.clone(),
+        });
+        PeerAnswer {
+            after,
+            complete_through: self.complete_through,
+            listed_through: self.listed_through,
+            deletions_after: self.deletions_after,
+            whole,
+            objects: objects.collect(),
+        }
+    }
+
+    /// The newest known version of an object and its content.
+    ///
+    /// ```
+    /// use sardinewood::config_object::{Kind, ObjectKey};
+    /// use sardinewood::config_state::ConfigState;
+    ///
+    /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
+    /// assert_eq!(ConfigState::default().get(&key), None);
+    /// ```
+    #[must_use]
+    pub fn get(&self, key: &ObjectKey) -> Option<(u64, Option<Content>)> {
+        let held = self.objects.get(key)?;
+        let content = held
+            .content
+            .as_deref()
+            .and_then(|text| serde_json::from_str(text).ok());
+        Some((held.version, content))
+    }
+
+    /// The keys of a kind that have an object, in order of their names.
+    ///
+    /// ```
+    /// use sardinewood::config_object::Kind;
+    /// use sardinewood::config_state::ConfigState;
+    ///
+    /// assert!(ConfigState::default().keys(Kind::Profiles).is_empty());
+    /// ```
+    #[must_use]
+    pub fn keys(&self, kind: Kind) -> Vec<ObjectKey> {
+        let mut keys: Vec<_> = self
+            .objects
+            .iter()
+            .filter(|(key, held)| key.kind == kind && held.content.is_some())
+            .map(|(key, _)| key.clone())
+            .collect();
+        keys.sort();
+        keys
+    }
+
+    /// Whether a version of an object, or a newer one, is known here.
+    ///
+    /// ```
+    /// use sardinewood::config_object::{Kind, ObjectKey};
+    /// use sardinewood::config_state::ConfigState;
+    ///
+    /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
+    /// assert!(!ConfigState::default().has(&key, 7));
+    /// ```
+    #[must_use]
+    pub fn has(&self, key: &ObjectKey, version: u64) -> bool {
+        self.complete_through >= version
+            || self
+                .objects
+                .get(key)
+                .is_some_and(|held| held.version >= version)
+    }
+
+    /// What is held, in few bytes.
+    ///
+    /// ```
+    /// use sardinewood::config_state::{ConfigState, Digest};
+    ///
+    /// assert_eq!(ConfigState::default().digest(), Digest::default());
+    /// ```
+    #[must_use]
+    pub fn digest(&self) -> Digest {
+        let live = self.objects.values().filter(|held| held.content.is_some());
+        let newest = self.objects.values().map(|held| held.version).max();
+        Digest {
+            complete_through: self.complete_through,
+            newest: newest.unwrap_or(0),
+            hash: live.fold(0, |hash, held| hash ^ held.hash),
+        }
+    }
+
+    /// Whether the store was last seen with older versions than it issued before.
+    ///
+    /// ```
+    /// assert!(!sardinewood::config_state::ConfigState::default().store_went_back());
+    /// ```
+    #[must_use]
+    pub fn store_went_back(&self) -> bool {
+        self.store_went_back
+    }
+
+    /// The configuration in force.
+    ///
+    /// ```
+    /// use sardinewood::config_state::ConfigState;
+    ///
+    /// assert!(ConfigState::default().catalog().upstreams.is_empty());
+    /// ```
+    #[must_use]
+    pub fn catalog(&self) -> Catalog {
+        let mut catalog = Catalog {
+            revision: self.complete_through.max(self.digest().newest),
+            ..Catalog::default()
+        };
+        for (key, held) in &self.objects {
+            catalog.findings.extend(held.findings.iter().cloned());
+            let Some(in_force) = &held.in_force else {
+                continue;
+            };
+            insert_spec(&mut catalog, &key.name, in_force);
+        }
+        catalog
+    }
+
+    /// Compares a list with what is known.
+    fn judge_list(&self, list: &ObjectList) -> ListOutcome {
+        let older = |object: &StoredObject| {
+            stored_key(object)
+                .and_then(|key| self.objects.get(&key))
+                .is_some_and(|held| object.version < held.version && held.version <= list.revision)
+        };
+        if list.objects.iter().any(older) {
+            return ListOutcome::WentBack;
+        }
+        if list.revision < self.complete_through {
+            return ListOutcome::Lagging;
+        }
+        ListOutcome::Complete
+    }
+
+    /// Removes what a complete list no longer has. The store gives a new object a version
+    /// above the list's revision, so the revision serves as the version of the removal.
+    fn remove_unlisted(&mut self, list: &ObjectList) {
+        let listed: IndexSet<_> = list.objects.iter().filter_map(stored_key).collect();
+        for (key, held) in &mut self.objects {
+            let live = held.content.is_some();
+            if live && held.version <= list.revision && !listed.contains(key) {
+                *held = removed(list.revision);
+            }
+        }
+    }
+
+    /// Removes what a peer's whole knowledge does not have. Only a list of the store
+    /// vouches for the absence of an object: a watch may have skipped its creation.
+    fn remove_unknown_to_peer(&mut self, answer: &PeerAnswer) {
+        let live = answer
+            .objects
+            .iter()
+            .filter(|object| object.content.is_some());
+        let known: IndexSet<_> = live.map(|object| &object.key).collect();
+        for (key, held) in &mut self.objects {
+            let live = held.content.is_some();
+            if live && held.version <= answer.listed_through && !known.contains(key) {
+                *held = removed(answer.listed_through);
+            }
+        }
+        self.listed_through = self.listed_through.max(answer.listed_through);
+        self.deletions_after = self.deletions_after.max(answer.deletions_after);
+    }
+
+    fn offer_stored(&mut self, object: &StoredObject) {
+        let Some(key) = stored_key(object) else {
+            return;
+        };
+        let record = Record::from_value(object.value.clone());
+        let content = Content {
+            spec: record.spec,
+            change: record.change,
+        };
+        let text = serde_json::to_string(&content).unwrap_or_default();
+        self.offer(&key, object.version, Some(text.into()));
+    }
+
+    fn offer_removal(&mut self, kind: &str, name: &Arc<str>, version: u64) {
+        let Some(kind) = Kind::parse(kind) else {
+            return;
+        };
+        let name = Arc::clone(name);
+        self.offer(&ObjectKey { kind, name }, version, None);
+    }
+
+    /// Takes a version of an object if it is news.
+    fn offer(&mut self, key: &ObjectKey, version: u64, content: Option<Arc<str>>) {
+        let held = self.objects.get(key);
+        // A lagging peer or replica still shows objects that were deleted, also ones whose
+        // tombstone is dropped here or is of an earlier deletion. Taking them would bring back
+        // a deleted profile. All objects up to `complete_through` are known, so one that is
+        // not is deleted.
+        let newest_known = held.map_or(0, |held| held.version);
+        let live = held.is_some_and(|held| held.content.is_some());
+        let news = version > newest_known && (live || version > self.complete_through);
+        if !news {
+            return;
+        }
+        let last_good = held.and_then(|held| held.in_force.clone());
+        let new = match content {
+            Some(content) => checked(key, version, content, last_good),
+            None => removed(version),
+        };
+        self.objects.insert(key.clone(), new);
+    }
+
+    /// Keeps the number of tombstones bounded. Only those up to the last complete list are
+    /// dropped: these objects are refused without a tombstone, here and by every peer that
+    /// is given everything.
+    fn drop_old_tombstones(&mut self) {
+        let mut versions: Vec<_> = self
+            .objects
+            .values()
+            .filter(|held| held.content.is_none() && held.version <= self.listed_through)
+            .map(|held| held.version)
+            .collect();
+        if versions.len() <= MAX_TOMBSTONES {
+            return;
+        }
+        versions.sort_unstable();
+        let floor = versions[versions.len() - MAX_TOMBSTONES - 1];
+        self.objects
+            .retain(|_, held| held.content.is_some() || held.version > floor);
+        self.deletions_after = self.deletions_after.max(floor);
+    }
+}
+
+/// The key of an object of the store; `None` for kinds that are not configuration.
+fn stored_key(object: &StoredObject) -> Option<ObjectKey> {
+    let kind = Kind::parse(&object.kind)?;
+    let name = Arc::clone(&object.name);
+    Some(ObjectKey { kind, name })
+}
+
+fn event_version(event: &WatchEvent) -> u64 {
+    match event {
+        WatchEvent::Put(object) => object.version,
+        WatchEvent::Delete { version, .. } => *version,
+    }
+}
+
+fn removed(version: u64) -> Held {
+    Held {
+        version,
+        content: None,
+        in_force: None,
+        findings: Vec::new(),
+        hash: 0,
+    }
+}
+
+/// A new version, in force if it is good; otherwise the last good one stays in force.
+fn checked(key: &ObjectKey, version: u64, content: Arc<str>, last_good: Option<Spec>) -> Held {
+    let spec = serde_json::from_str::<Content>(&content).map(|content| content.spec);
+    let (in_force, findings) = match spec {
+        Ok(None) => (None, Vec::new()),
+        Ok(Some(spec)) => match check(key, &spec) {
+            Ok(spec) => (Some(spec), Vec::new()),
+            Err(findings) => (last_good, findings),
+        },
+        Err(error) => (last_good, vec![unreadable(key, &error)]),
+    };
+    Held {
+        version,
+        content: Some(content),
+        in_force,
+        findings,
+        hash: version_hash(key, version),
+    }
+}
+
+/// The share of one object in the digest.
+fn version_hash(key: &ObjectKey, version: u64) -> u64 {
+    let text = format!("{}/{}@{version}", key.kind.as_str(), key.name);
+    XxHash64::oneshot(0, text.as_bytes())
+}
+
+fn unreadable(key: &ObjectKey, error: &serde_json::Error) -> ObjectFinding {
+    ObjectFinding {
+        kind: key.kind.as_str().into(),
+        name: Arc::clone(&key.name),
+        place: "object".into(),
+        message: error.to_string().into(),
+    }
+}
+
+fn insert_spec(catalog: &mut Catalog, name: &Arc<str>, spec: &Spec) {
+    let name = Arc::clone(name);
+    match spec {
+        Spec::Profile(profile) => {
+            catalog.profiles.insert(name, Arc::clone(profile));
+        }
+        Spec::Upstream(upstream) => {
+            catalog.upstreams.insert(name, Arc::clone(upstream));
+        }
+        Spec::Customer(customer) => {
+            catalog.customers.insert(name, Arc::clone(customer));
+        }
+        Spec::Operator(operator) => {
+            catalog.operators.insert(name, Arc::clone(operator));
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -7,14 +7,20 @@
 
 pub mod admission;
 pub mod answer_reader;
+pub mod audit;
 pub mod candidates;
 pub mod catalog;
+pub mod config;
+pub mod config_object;
+pub mod config_state;
+pub mod config_watch;
 pub mod entry_state;
 pub mod frames;
 pub mod ids;
 pub mod objects;
 pub mod retry_budget;
 pub mod run;
+pub mod store;
 pub mod submission;
 pub mod timers;
 pub mod verdict;
--- a/lib/src/objects.rs
+++ b/lib/src/objects.rs
@@ -220,3 +220,53 @@
     /// SHA-256 of each valid key, in hexadecimal; the keys themselves are kept nowhere.
     pub key_sha256: Vec<Arc<str>>,
 }
+
+/// What an operator may do.
+///
+/// ```
+/// use sardinewood::objects::OperatorRole;
+///
+/// assert!(OperatorRole::Write.can_write());
+/// assert!(!OperatorRole::Read.can_write());
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum OperatorRole {
+    /// Queries.
+    Read,
+    /// Queries and commands.
+    Write,
+}
+
+impl OperatorRole {
+    /// Whether the role includes commands.
+    ///
+    /// ```
+    /// assert!(sardinewood::objects::OperatorRole::Write.can_write());
+    /// ```
+    #[must_use]
+    pub fn can_write(self) -> bool {
+        self == Self::Write
+    }
+}
+
+/// Somebody who may ask for the state of the system, and perhaps change it.
+///
+/// ```
+/// use sardinewood::objects::{Operator, OperatorRole};
+///
+/// let operator: Operator = serde_json::from_str(
+///     r#"{"name": "selma", "role": "write", "token_sha256": []}"#,
+/// ).unwrap();
+/// assert_eq!(operator.role, OperatorRole::Write);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Operator {
+    /// The name shown in the audit trail.
+    pub name: Arc<str>,
+    /// What the operator may do.
+    pub role: OperatorRole,
+    /// SHA-256 of each valid token, in hexadecimal; the tokens themselves are kept nowhere.
+    pub token_sha256: Vec<Arc<str>>,
+}
--- /dev/null
+++ b/lib/src/store.rs
@@ -0,0 +1,516 @@
+//! The client of the platform's object store, and the only module that speaks its protocol.
+//!
+//! Nothing is retried here. A write that is sent twice by a library could be reported as
+//! a conflict with itself, and a read that is retried out of sight breaks the call budget;
+//! so callers see each answer, and decide.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use reqwest::Method;
+use reqwest::RequestBuilder;
+use reqwest::Response;
+use reqwest::StatusCode;
+use reqwest::header;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+
+/// How long a call other than a watch may take.
+const DEFAULT_CALL_TIMEOUT_MS: u64 = 2_000;
+
+/// How much longer than its own wait a watch may take before its link counts as silent.
+const WATCH_GRACE_MS: u64 = 3_000;
+
+/// The pause when the store limits calls without saying for how long.
+const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
+
+/// An object as the store holds it.
+///
+/// ```
+/// use sardinewood::store::StoredObject;
+///
+/// let object: StoredObject = serde_json::from_str(
+///     r#"{"kind": "profiles", "name": "lookup", "version": 7, "value": {}}"#,
+/// ).unwrap();
+/// assert_eq!(object.version, 7);
+/// ```
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct StoredObject {
+    /// The collection that it belongs to.
+    pub kind: Arc<str>,
+    /// Its name within the collection.
+    pub name: Arc<str>,
+    /// The store's revision at its last write.
+    pub version: u64,
+    /// What was written.
+    pub value: Value,
+}
+
+/// All objects of some kinds at one revision.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct ObjectList {
+    /// The store's revision at which the list is complete.
+    pub revision: u64,
+    /// The objects, in no order that matters.
+    pub objects: Vec<StoredObject>,
+}
+
+/// One change seen by a watch.
+#[derive(Clone, Debug, PartialEq, Deserialize)]
+#[serde(tag = "type", rename_all = "lowercase")]
+pub enum WatchEvent {
+    /// An object was created or replaced.
+    Put(StoredObject),
+    /// An object was removed.
+    Delete {
+        /// The collection that it belonged to.
+        kind: Arc<str>,
+        /// Its name within the collection.
+        name: Arc<str>,
+        /// The store's revision at the removal.
+        version: u64,
+    },
+}
+
+/// The changes after a revision.
+#[derive(Clone, Debug, Default, PartialEq, Deserialize)]
+pub struct WatchBatch {
+    /// The revision to watch from next.
+    pub revision: u64,
+    /// The changes, oldest first.
+    pub events: Vec<WatchEvent>,
+}
+
+/// What state a host is in, as the platform's list says, late.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum HostState {
+    /// It is believed to run.
+    Live,
+    /// It is being taken away.
+    Leaving,
+}
+
+/// One host of the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+pub struct Host {
+    /// The name of the host.
+    pub host: Arc<str>,
+    /// Where it stands.
+    pub data_centre: Arc<str>,
+    /// Its address, with or without a port.
+    pub address: Arc<str>,
+    /// What the platform believes of it.
+    pub state: HostState,
+}
+
+/// What a conditional write expects to find.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Expect {
+    /// No object of this name.
+    Absent,
+    /// The object at this version.
+    Version(u64),
+}
+
+/// What is known after a write.
+#[derive(Clone, Debug, PartialEq)]
+pub enum WriteAnswer {
+    /// It took effect.
+    Written {
+        /// The version that the store gave it.
+        version: u64,
+    },
+    /// It did not take effect, because the object is not as expected.
+    Conflict {
+        /// The object as it is.
+        current: Option<StoredObject>,
+    },
+    /// It may or may not have taken effect: the answer is lost.
+    NotKnown {
+        /// What happened to the answer.
+        reason: Arc<str>,
+    },
+    /// It did not take effect, because the store was never reached.
+    Unavailable {
+        /// Why the store was not reached.
+        reason: Arc<str>,
+    },
+    /// It did not take effect, because the store limits calls.
+    Limited {
+        /// How long to leave the store alone.
+        retry_after_ms: u64,
+    },
+    /// It did not take effect, because the store does not accept it, now or later.
+    Rejected {
+        /// The status of the answer.
+        status: u16,
+    },
+}
+
+/// Why a read has no answer.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum ReadError {
+    /// The store was not reached, or did not answer in time.
+    #[error("the store does not answer: {reason}")]
+    Unavailable {
+        /// What was seen of it.
+        reason: Arc<str>,
+    },
+    /// The store limits calls.
+    #[error("the store limits calls for {retry_after_ms} ms")]
+    Limited {
+        /// How long to leave the store alone.
+        retry_after_ms: u64,
+    },
+    /// The store has forgotten the changes since the revision of the watch.
+    #[error("the store no longer has the changes since that revision")]
+    TooOld,
+    /// The answer is not of the store's protocol.
+    #[error("the store's answer is not understood: {reason}")]
+    Malformed {
+        /// What is wrong with it.
+        reason: Arc<str>,
+    },
+}
+
+/// How many calls of each type were made; a waiting watch is one.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct CallCounts {
+    /// Reads of one object.
+    pub gets: u64,
+    /// Conditional writes, removals among them.
+    pub writes: u64,
+    /// Reads of whole kinds.
+    pub lists: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Reads of the host list.
+    pub hosts: u64,
+}
+
+/// The counters behind [`CallCounts`].
+#[derive(Debug, Default)]
+struct Counters {
+    gets: AtomicU64,
+    writes: AtomicU64,
+    lists: AtomicU64,
+    watches: AtomicU64,
+    hosts: AtomicU64,
+}
+
+/// A client of one store; clones share their counters.
+///
+/// ```
+/// use sardinewood::store::StoreClient;
+///
+/// let store = StoreClient::new("http://127.0.0.1:9300").unwrap();
+/// assert_eq!(store.calls().watches, 0);
+/// ```
+#[derive(Clone, Debug)]
+pub struct StoreClient {
+    http: reqwest::Client,
+    base_url: Arc<str>,
+    call_timeout: Duration,
+    counters: Arc<Counters>,
+}
+
+impl StoreClient {
+    /// A client of the store at `base_url`.
+    ///
+    /// # Errors
+    ///
+    /// When no HTTP client can be set up on this machine.
+    ///
+    /// ```
+    /// assert!(sardinewood::store::StoreClient::new("http://127.0.0.1:9300/").is_ok());
+    /// ```
+    pub fn new(base_url: &str) -> Result<Self, reqwest::Error> {
+        // An idle connection that the peer closes makes the HTTP library send a call again.
+        // Without idle connections it has no reason to.
+        let http = reqwest::Client::builder()
+            .pool_max_idle_per_host(0)
+            .retry(reqwest::retry::never())
+            .redirect(reqwest::redirect::Policy::none())
+            .no_proxy()
+            .build()?;
+        Ok(Self {
+            http,
+            base_url: base_url.trim_end_matches('/').into(),
+            call_timeout: Duration::from_millis(DEFAULT_CALL_TIMEOUT_MS),
+            counters: Arc::default(),
+        })
+    }
+
+    /// The same client with another time limit for calls other than watches.
+    ///
+    /// ```
+    /// use sardinewood::store::StoreClient;
+    ///
+    /// let store = StoreClient::new("http://127.0.0.1:9300").unwrap().with_call_timeout_ms(500);
+    /// assert_eq!(store.calls().gets, 0);
+    /// ```
+    #[must_use]
+    pub fn with_call_timeout_ms(mut self, call_timeout_ms: u64) -> Self {
+        self.call_timeout = Duration::from_millis(call_timeout_ms);
+        self
+    }
+
+    /// How many calls this client and its clones have made.
+    ///
+    /// ```
+    /// # use sardinewood::store::{CallCounts, StoreClient};
+    /// let store = StoreClient::new("http://127.0.0.1:9300").unwrap();
+    /// assert_eq!(store.calls(), CallCounts::default());
+    /// ```
+    #[must_use]
+    pub fn calls(&self) -> CallCounts {
+        CallCounts {
+            gets: self.counters.gets.load(Ordering::Relaxed),
+            writes: self.counters.writes.load(Ordering::Relaxed),
+            lists: self.counters.lists.load(Ordering::Relaxed),
+            watches: self.counters.watches.load(Ordering::Relaxed),
+            hosts: self.counters.hosts.load(Ordering::Relaxed),
+        }
+    }
+
+    /// Reads one object; `None` when the store has none of this name.
+    ///
+    /// # Errors
+    ///
+    /// When the store gives no usable answer.
+    ///
+    /// ```no_run
+    /// # async fn read(store: sardinewood::store::StoreClient) {
+    /// let lookup = store.get("profiles", "lookup").await;
+    /// # }
+    /// ```
+    pub async fn get(&self, kind: &str, name: &str) -> Result<Option<StoredObject>, ReadError> {
+        self.counters.gets.fetch_add(1, Ordering::Relaxed);
+        let response = self
+            .read(&object_path(kind, name), self.call_timeout)
+            .await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        decode(response).await.map(Some)
+    }
+
+    /// Reads all objects of some kinds.
+    ///
+    /// # Errors
+    ///
+    /// When the store gives no usable answer.
+    ///
+    /// ```no_run
+    /// # async fn read(store: sardinewood::store::StoreClient) {
+    /// let list = store.list(&["profiles", "customers"]).await;
+    /// # }
+    /// ```
+    pub async fn list(&self, kinds: &[&str]) -> Result<ObjectList, ReadError> {
+        self.counters.lists.fetch_add(1, Ordering::Relaxed);
+        let path = format!("/v1/objects?kinds={}", kinds.join(","));
+        decode(self.read(&path, self.call_timeout).await?).await
+    }
+
+    /// Waits up to `wait_ms` for changes after a revision, of all kinds in one call.
+    ///
+    /// # Errors
+    ///
+    /// When the store gives no usable answer.
+    ///
+    /// ```no_run
+    /// # async fn read(store: sardinewood::store::StoreClient) {
+    /// let changes = store.watch(&["profiles"], 41, 30_000).await;
+    /// # }
+    /// ```
+    pub async fn watch(
+        &self,
+        kinds: &[&str],
+        after: u64,
+        wait_ms: u64,
+    ) -> Result<WatchBatch, ReadError> {
+        self.counters.watches.fetch_add(1, Ordering::Relaxed);
+        let kinds = kinds.join(",");
+        let path = format!("/v1/watch?kinds={kinds}&after={after}&wait_ms={wait_ms}");
+        let timeout = Duration::from_millis(wait_ms + WATCH_GRACE_MS);
+        decode(self.read(&path, timeout).await?).await
+    }
+
+    /// Reads the platform's list of hosts.
+    ///
+    /// # Errors
+    ///
+    /// When the store gives no usable answer.
+    ///
+    /// ```no_run
+    /// # async fn read(store: sardinewood::store::StoreClient) {
+    /// let hosts = store.hosts().await;
+    /// # }
+    /// ```
+    pub async fn hosts(&self) -> Result<Vec<Host>, ReadError> {
+        self.counters.hosts.fetch_add(1, Ordering::Relaxed);
+        decode(self.read("/v1/hosts", self.call_timeout).await?).await
+    }
+
+    /// Writes an object if it is as expected.
+    ///
+    /// ```no_run
+    /// # async fn write(store: sardinewood::store::StoreClient) {
+    /// use sardinewood::store::Expect;
+    /// let value = serde_json::json!({"weight": 3});
+    /// let answer = store.put("customers", "rundu", Expect::Version(7), &value).await;
+    /// # }
+    /// ```
+    pub async fn put(&self, kind: &str, name: &str, expect: Expect, value: &Value) -> WriteAnswer {
+        let request = self
+            .request(Method::PUT, &object_path(kind, name), self.call_timeout)
+            .json(value);
+        self.write(request, expect).await
+    }
+
+    /// Removes an object if it is at the expected version.
+    ///
+    /// ```no_run
+    /// # async fn write(store: sardinewood::store::StoreClient) {
+    /// let answer = store.delete("customers", "rundu", 7).await;
+    /// # }
+    /// ```
+    pub async fn delete(&self, kind: &str, name: &str, version: u64) -> WriteAnswer {
+        let path = object_path(kind, name);
+        let request = self.request(Method::DELETE, &path, self.call_timeout);
+        self.write(request, Expect::Version(version)).await
+    }
+
+    /// A request to the store, not yet sent.
+    fn request(&self, method: Method, path: &str, timeout: Duration) -> RequestBuilder {
+        self.http
+            .request(method, format!("{}{path}", self.base_url))
+            .timeout(timeout)
+    }
+
+    /// Sends a read and sorts its refusals.
+    async fn read(&self, path: &str, timeout: Duration) -> Result<Response, ReadError> {
+        let response = self
+            .request(Method::GET, path, timeout)
+            .send()
+            .await
+            .map_err(|error| ReadError::Unavailable {
+                reason: describe(&error),
+            })?;
+        let status = response.status();
+        match status {
+            StatusCode::TOO_MANY_REQUESTS => Err(ReadError::Limited {
+                retry_after_ms: retry_after_ms(&response),
+            }),
+            StatusCode::GONE => Err(ReadError::TooOld),
+            _ if status.is_success() || status == StatusCode::NOT_FOUND => Ok(response),
+            _ => Err(ReadError::Unavailable {
+                reason: status.as_str().into(),
+            }),
+        }
+    }
+
+    /// Sends a conditional write and says what is known of it.
+    async fn write(&self, request: RequestBuilder, expect: Expect) -> WriteAnswer {
+        self.counters.writes.fetch_add(1, Ordering::Relaxed);
+        let request = match expect {
+            Expect::Absent => request.header(header::IF_NONE_MATCH, "*"),
+            Expect::Version(version) => request.header(header::IF_MATCH, format!("\"{version}\"")),
+        };
+        match request.send().await {
+            Ok(response) => written(response).await,
+            // Without a connection not a byte of the write has left this process.
+            Err(error) if error.is_connect() => WriteAnswer::Unavailable {
+                reason: describe(&error),
+            },
+            Err(error) => WriteAnswer::NotKnown {
+                reason: describe(&error),
+            },
+        }
+    }
+}
+
+/// The body of an accepted write.
+#[derive(Deserialize)]
+struct Accepted {
+    version: u64,
+}
+
+/// What a write's answer says.
+async fn written(response: Response) -> WriteAnswer {
+    let status = response.status();
+    match status {
+        StatusCode::PRECONDITION_FAILED => match decode(response).await {
+            Ok(current) => WriteAnswer::Conflict { current },
+            Err(error) => WriteAnswer::NotKnown {
+                reason: error.to_string().into(),
+            },
+        },
+        StatusCode::TOO_MANY_REQUESTS => WriteAnswer::Limited {
+            retry_after_ms: retry_after_ms(&response),
+        },
+        _ if status.is_success() => match decode::<Accepted>(response).await {
+            Ok(accepted) => WriteAnswer::Written {
+                version: accepted.version,
+            },
+            Err(error) => WriteAnswer::NotKnown {
+                reason: error.to_string().into(),
+            },
+        },
+        _ if status.is_client_error() => WriteAnswer::Rejected {
+            status: status.as_u16(),
+        },
+        // An error of the server may come from something between here and the store, after
+        // the write went through; only a read tells.
+        _ => WriteAnswer::NotKnown {
+            reason: status.as_str().into(),
+        },
+    }
+}
+
+/// Reads a body as JSON.
+async fn decode<T: DeserializeOwned>(response: Response) -> Result<T, ReadError> {
+    let body = response
+        .bytes()
+        .await
+        .map_err(|error| ReadError::Unavailable {
+            reason: describe(&error),
+        })?;
+    serde_json::from_slice(&body).map_err(|error| ReadError::Malformed {
+        reason: error.to_string().into(),
+    })
+}
+
+/// The pause that a limiting answer asks for.
+fn retry_after_ms(response: &Response) -> u64 {
+    response
+        .headers()
+        .get(header::RETRY_AFTER)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|text| text.trim().parse::<u64>().ok())
+        .map_or(DEFAULT_RETRY_AFTER_MS, |seconds| {
+            seconds.saturating_mul(1_000)
+        })
+}
+
+/// The path of one object; names are checked before they get here, so they need no escapes.
+fn object_path(kind: &str, name: &str) -> String {
+    format!("/v1/objects/{kind}/{name}")
+}
+
+/// An error of the HTTP library without the URL, which the log line has already.
+fn describe(error: &reqwest::Error) -> Arc<str> {
+    let kind = if error.is_timeout() {
+        "timeout"
+    } else if error.is_connect() {
+        "no connection"
+    } else {
+        "connection lost"
+    };
+    kind.into()
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,8 @@
 //! One test program for all integration tests, so that it is linked once.
 
 mod test_answer_reader;
+mod test_config_state;
+mod test_config_watch;
 mod test_entry_state;
 mod test_frames;
 mod test_ids;
