settings: read flags and variables, log JSON lines, send metrics, check objects

Programs need one place where outside input is checked and everything wrong is reported together. Add the table of settings over lexopt, the settings of entry and agent, JSON log lines through a bounded queue, statsd metrics that never wait, key hashes compared in constant time, and checks of profiles, upstreams and customers.

Listening addresses, host, data centre and store must be given; the structs' own defaults suit servers inside a test, with ports taken free.

--- /dev/null
+++ b/lib/src/agent_settings.rs
@@ -0,0 +1,216 @@
+//! Settings of `sardinewood-agent`.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::findings::Findings;
+use crate::logging::LEVEL_WORDS;
+use crate::settings::Program;
+use crate::settings::Setting;
+
+/// Settings of one agent; the defaults suit an agent on loopback with a port taken free.
+///
+/// ```
+/// use sardinewood::agent_settings::AgentSettings;
+///
+/// let settings = AgentSettings { upstream: "lang-1".into(), ..AgentSettings::default() };
+/// assert_eq!(settings.listen.port(), 0);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct AgentSettings {
+    /// The upstream beside which this agent stands.
+    pub upstream: Arc<str>,
+    /// The name of this host.
+    pub host: Arc<str>,
+    /// The data centre in which this host stands.
+    pub data_centre: Arc<str>,
+    /// Where entries connect.
+    pub listen: SocketAddr,
+    /// The platform's store.
+    pub store_url: Arc<str>,
+    /// Where metrics go, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// The pause between two heartbeats on a link.
+    pub heartbeat_ms: u64,
+    /// How long a link may be silent before it is dropped.
+    pub silent_ms: u64,
+    /// How many reservations may wait.
+    pub queue_limit: usize,
+    /// How long a grant waits for its answer before it lapses.
+    pub grant_valid_ms: u64,
+    /// How many grants may be out beyond the free slots, so that a round trip idles nothing.
+    pub grant_ahead: usize,
+    /// How long the answer of a named request is kept.
+    pub retain_ms: u64,
+    /// How much of all kept answers is held together.
+    pub retain_bytes: usize,
+    /// How much of one answer may wait for acknowledgement.
+    pub window_bytes: usize,
+    /// How long a shutdown waits for what is in flight.
+    pub shutdown_grace_ms: u64,
+    /// Threads that carry traffic.
+    pub traffic_threads: usize,
+    /// The least important level that is logged.
+    pub log_level: Arc<str>,
+}
+
+impl Default for AgentSettings {
+    fn default() -> Self {
+        Self {
+            upstream: "upstream-1".into(),
+            host: "host-1".into(),
+            data_centre: "local".into(),
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            store_url: "http://127.0.0.1:7070".into(),
+            metrics: None,
+            heartbeat_ms: 500,
+            silent_ms: 2_000,
+            queue_limit: 1_000,
+            grant_valid_ms: 1_000,
+            grant_ahead: 1,
+            retain_ms: 120_000,
+            retain_bytes: 64 << 20,
+            window_bytes: 256 << 10,
+            shutdown_grace_ms: 30_000,
+            traffic_threads: 2,
+            log_level: "info".into(),
+        }
+    }
+}
+
+/// The table of an agent's settings.
+///
+/// ```
+/// assert_eq!(sardinewood::agent_settings::program().name, "sardinewood-agent");
+/// ```
+#[must_use]
+pub fn program() -> Program<AgentSettings> {
+    let mut settings = identity_and_addresses();
+    settings.extend(links_and_grants());
+    settings.extend(answers());
+    Program {
+        name: "sardinewood-agent",
+        about: "stands beside one upstream and is the only way to it",
+        settings,
+        check,
+    }
+}
+
+fn identity_and_addresses() -> Vec<Setting<AgentSettings>> {
+    vec![
+        Setting::name(
+            "upstream",
+            "Name of the upstream beside which this agent stands.",
+            |s: &mut AgentSettings| &mut s.upstream,
+        )
+        .required(),
+        Setting::name("host", "Name of this host.", |s: &mut AgentSettings| {
+            &mut s.host
+        })
+        .required(),
+        Setting::name(
+            "data-centre",
+            "Data centre of this host.",
+            |s: &mut AgentSettings| &mut s.data_centre,
+        )
+        .required(),
+        Setting::address(
+            "listen",
+            "Where entries connect.",
+            |s: &mut AgentSettings| &mut s.listen,
+        )
+        .required(),
+        Setting::url(
+            "store-url",
+            "The platform's store.",
+            |s: &mut AgentSettings| &mut s.store_url,
+        )
+        .required(),
+        Setting::optional_address(
+            "metrics",
+            "Where metrics are sent by UDP.",
+            |s: &mut AgentSettings| &mut s.metrics,
+        ),
+        Setting::choice(
+            "log-level",
+            &LEVEL_WORDS,
+            "The least important level that is logged.",
+            |s: &mut AgentSettings| &mut s.log_level,
+        ),
+    ]
+}
+
+fn links_and_grants() -> Vec<Setting<AgentSettings>> {
+    vec![
+        Setting::number(
+            "heartbeat-ms",
+            10..=60_000,
+            "Pause between two heartbeats on a link.",
+            |s: &mut AgentSettings| &mut s.heartbeat_ms,
+        ),
+        Setting::number(
+            "silent-ms",
+            20..=600_000,
+            "How long a link may be silent before it is dropped.",
+            |s: &mut AgentSettings| &mut s.silent_ms,
+        ),
+        Setting::number(
+            "queue-limit",
+            1..=1_000_000,
+            "How many reservations may wait.",
+            |s: &mut AgentSettings| &mut s.queue_limit,
+        ),
+        Setting::number(
+            "grant-valid-ms",
+            10..=60_000,
+            "How long a grant waits for its answer before it lapses.",
+            |s: &mut AgentSettings| &mut s.grant_valid_ms,
+        ),
+        Setting::number(
+            "grant-ahead",
+            0..=1_024,
+            "How many grants may be out beyond the free slots.",
+            |s: &mut AgentSettings| &mut s.grant_ahead,
+        ),
+        Setting::number(
+            "traffic-threads",
+            1..=256,
+            "Threads that carry traffic.",
+            |s: &mut AgentSettings| &mut s.traffic_threads,
+        ),
+    ]
+}
+
+fn answers() -> Vec<Setting<AgentSettings>> {
+    vec![
+        Setting::number(
+            "retain-ms",
+            0..=86_400_000,
+            "How long the answer of a named request is kept.",
+            |s: &mut AgentSettings| &mut s.retain_ms,
+        ),
+        Setting::number(
+            "retain-bytes",
+            0..=1 << 40,
+            "How much of all kept answers is held together.",
+            |s: &mut AgentSettings| &mut s.retain_bytes,
+        ),
+        Setting::number(
+            "window-bytes",
+            4_096..=1 << 30,
+            "How much of one answer may wait for acknowledgement.",
+            |s: &mut AgentSettings| &mut s.window_bytes,
+        ),
+        Setting::number(
+            "shutdown-grace-ms",
+            0..=3_600_000,
+            "How long a shutdown waits for what is in flight.",
+            |s: &mut AgentSettings| &mut s.shutdown_grace_ms,
+        ),
+    ]
+}
+
+fn check(settings: &AgentSettings, findings: &mut Findings) {
+    crate::settings::check_silence(settings.heartbeat_ms, settings.silent_ms, findings);
+}
--- /dev/null
+++ b/lib/src/entry_settings.rs
@@ -0,0 +1,238 @@
+//! Settings of `sardinewood-entry`.
+
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use crate::findings::Findings;
+use crate::logging::LEVEL_WORDS;
+use crate::settings::Program;
+use crate::settings::Setting;
+
+/// Settings of one entry; the defaults suit an entry on loopback with ports taken free.
+///
+/// ```
+/// use sardinewood::entry_settings::EntrySettings;
+///
+/// let settings = EntrySettings { candidates: 2, ..EntrySettings::default() };
+/// assert_eq!(settings.listen.port(), 0);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct EntrySettings {
+    /// The name of this host.
+    pub host: Arc<str>,
+    /// The data centre in which this host stands.
+    pub data_centre: Arc<str>,
+    /// Where callers connect.
+    pub listen: SocketAddr,
+    /// Where operators connect.
+    pub operator_listen: SocketAddr,
+    /// The platform's store.
+    pub store_url: Arc<str>,
+    /// Where metrics go, if anywhere.
+    pub metrics: Option<SocketAddr>,
+    /// The pause between two heartbeats on a link.
+    pub heartbeat_ms: u64,
+    /// How long a link may be silent before it is replaced.
+    pub silent_ms: u64,
+    /// How many agents are asked for a grant of one request.
+    pub candidates: usize,
+    /// How many requests may wait.
+    pub queue_limit: usize,
+    /// Longest body of a request.
+    pub max_body_bytes: usize,
+    /// Longest headers of a request, together.
+    pub max_header_bytes: usize,
+    /// How long a caller's connection may be idle.
+    pub idle_timeout_ms: u64,
+    /// How long a shutdown waits for what is in flight.
+    pub shutdown_grace_ms: u64,
+    /// How long the answer of a named request is kept.
+    pub retain_ms: u64,
+    /// How much of one answer is held for a slow caller.
+    pub window_bytes: usize,
+    /// Threads that carry traffic.
+    pub traffic_threads: usize,
+    /// The deadline of a request whose profile cannot be known yet, and its upper bound.
+    pub default_deadline_ms: u64,
+    /// The least important level that is logged.
+    pub log_level: Arc<str>,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self {
+            host: "entry-1".into(),
+            data_centre: "local".into(),
+            listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            operator_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            store_url: "http://127.0.0.1:7070".into(),
+            metrics: None,
+            heartbeat_ms: 500,
+            silent_ms: 2_000,
+            candidates: 4,
+            queue_limit: 10_000,
+            max_body_bytes: 4 << 20,
+            max_header_bytes: 16 << 10,
+            idle_timeout_ms: 60_000,
+            shutdown_grace_ms: 30_000,
+            retain_ms: 120_000,
+            window_bytes: 256 << 10,
+            traffic_threads: 2,
+            default_deadline_ms: 60_000,
+            log_level: "info".into(),
+        }
+    }
+}
+
+/// The table of an entry's settings.
+///
+/// ```
+/// assert_eq!(sardinewood::entry_settings::program().name, "sardinewood-entry");
+/// ```
+#[must_use]
+pub fn program() -> Program<EntrySettings> {
+    let mut settings = identity_and_addresses();
+    settings.extend(links_and_queue());
+    settings.extend(limits_of_callers());
+    Program {
+        name: "sardinewood-entry",
+        about: "takes callers' requests and brings them to upstreams",
+        settings,
+        check,
+    }
+}
+
+fn identity_and_addresses() -> Vec<Setting<EntrySettings>> {
+    vec![
+        Setting::name("host", "Name of this host.", |s: &mut EntrySettings| {
+            &mut s.host
+        })
+        .required(),
+        Setting::name(
+            "data-centre",
+            "Data centre of this host.",
+            |s: &mut EntrySettings| &mut s.data_centre,
+        )
+        .required(),
+        Setting::address(
+            "listen",
+            "Where callers connect.",
+            |s: &mut EntrySettings| &mut s.listen,
+        )
+        .required(),
+        Setting::address(
+            "operator-listen",
+            "Where operators connect.",
+            |s: &mut EntrySettings| &mut s.operator_listen,
+        )
+        .required(),
+        Setting::url(
+            "store-url",
+            "The platform's store.",
+            |s: &mut EntrySettings| &mut s.store_url,
+        )
+        .required(),
+        Setting::optional_address(
+            "metrics",
+            "Where metrics are sent by UDP.",
+            |s: &mut EntrySettings| &mut s.metrics,
+        ),
+        Setting::choice(
+            "log-level",
+            &LEVEL_WORDS,
+            "The least important level that is logged.",
+            |s: &mut EntrySettings| &mut s.log_level,
+        ),
+    ]
+}
+
+fn links_and_queue() -> Vec<Setting<EntrySettings>> {
+    vec![
+        Setting::number(
+            "heartbeat-ms",
+            10..=60_000,
+            "Pause between two heartbeats on a link.",
+            |s: &mut EntrySettings| &mut s.heartbeat_ms,
+        ),
+        Setting::number(
+            "silent-ms",
+            20..=600_000,
+            "How long a link may be silent before it is replaced.",
+            |s: &mut EntrySettings| &mut s.silent_ms,
+        ),
+        Setting::number(
+            "candidates",
+            1..=64,
+            "How many agents are asked for a grant of one request.",
+            |s: &mut EntrySettings| &mut s.candidates,
+        ),
+        Setting::number(
+            "queue-limit",
+            1..=1_000_000,
+            "How many requests may wait.",
+            |s: &mut EntrySettings| &mut s.queue_limit,
+        ),
+        Setting::number(
+            "retain-ms",
+            0..=86_400_000,
+            "How long the answer of a named request is kept.",
+            |s: &mut EntrySettings| &mut s.retain_ms,
+        ),
+        Setting::number(
+            "window-bytes",
+            4_096..=1 << 30,
+            "How much of one answer is held for a slow caller.",
+            |s: &mut EntrySettings| &mut s.window_bytes,
+        ),
+        Setting::number(
+            "traffic-threads",
+            1..=256,
+            "Threads that carry traffic.",
+            |s: &mut EntrySettings| &mut s.traffic_threads,
+        ),
+    ]
+}
+
+fn limits_of_callers() -> Vec<Setting<EntrySettings>> {
+    vec![
+        Setting::number(
+            "max-body-bytes",
+            1_024..=1 << 30,
+            "Longest body of a request.",
+            |s: &mut EntrySettings| &mut s.max_body_bytes,
+        ),
+        Setting::number(
+            "max-header-bytes",
+            1_024..=1 << 20,
+            "Longest headers of a request, together.",
+            |s: &mut EntrySettings| &mut s.max_header_bytes,
+        ),
+        Setting::number(
+            "idle-timeout-ms",
+            100..=3_600_000,
+            "How long a caller's connection may be idle.",
+            |s: &mut EntrySettings| &mut s.idle_timeout_ms,
+        ),
+        Setting::number(
+            "default-deadline-ms",
+            1..=86_400_000,
+            "Deadline of a request whose profile names none.",
+            |s: &mut EntrySettings| &mut s.default_deadline_ms,
+        ),
+        Setting::number(
+            "shutdown-grace-ms",
+            0..=3_600_000,
+            "How long a shutdown waits for what is in flight.",
+            |s: &mut EntrySettings| &mut s.shutdown_grace_ms,
+        ),
+    ]
+}
+
+fn check(settings: &EntrySettings, findings: &mut Findings) {
+    crate::settings::check_silence(settings.heartbeat_ms, settings.silent_ms, findings);
+    let same_port = settings.listen == settings.operator_listen;
+    if same_port && settings.listen.port() != 0 {
+        findings.add("--operator-listen", "is the same address as --listen");
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,6 +6,7 @@
 //! in the programs and in the modules that speak to one outside system each.
 
 pub mod admission;
+pub mod agent_settings;
 pub mod answer_reader;
 pub mod audit;
 pub mod candidates;
@@ -14,12 +15,19 @@
 pub mod config_object;
 pub mod config_state;
 pub mod config_watch;
+pub mod entry_settings;
 pub mod entry_state;
+pub mod findings;
 pub mod frames;
 pub mod ids;
+pub mod logging;
+pub mod metrics;
 pub mod objects;
+pub mod objects_check;
 pub mod retry_budget;
 pub mod run;
+pub mod secrets;
+pub mod settings;
 pub mod store;
 pub mod submission;
 pub mod timers;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -6,3 +6,8 @@
 mod test_entry_state;
 mod test_frames;
 mod test_ids;
+mod test_logging;
+mod test_metrics;
+mod test_objects_check;
+mod test_secrets;
+mod test_settings;
--- /dev/null
+++ b/lib/tests/test_logging.rs
@@ -0,0 +1,96 @@
+//! Log lines as another program reads them.
+
+use std::sync::Arc;
+
+use proptest::prelude::any;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+use sardinewood::ids::AttemptId;
+use sardinewood::ids::Incarnation;
+use sardinewood::ids::RequestId;
+use sardinewood::logging::Level;
+use sardinewood::logging::Line;
+use sardinewood::logging::LineFormatter;
+use sardinewood::logging::logger;
+use serde_json::Value;
+use spdlog::Logger;
+use spdlog::sink::WriteSink;
+
+/// A logger at level `info` and the memory into which it writes.
+fn capture(identity: &[(&str, &str)]) -> (Logger, Arc<WriteSink<Vec<u8>>>) {
+    let sink = WriteSink::builder()
+        .formatter(Box::new(LineFormatter::new(identity)))
+        .target(Vec::new())
+        .build()
+        .unwrap();
+    let sink = Arc::new(sink);
+    (logger("info", sink.clone()).unwrap(), sink)
+}
+
+fn lines(sink: &WriteSink<Vec<u8>>) -> Vec<Value> {
+    let text = String::from_utf8(sink.clone_target()).unwrap();
+    assert!(text.is_empty() || text.ends_with('\n'));
+    let parse = |line| serde_json::from_str(line).unwrap();
+    text.split_terminator('\n').map(parse).collect()
+}
+
+#[test]
+fn send_line_has_identity_and_typed_fields() {
+    let (logger, sink) = capture(&[("program", "sardinewood-agent"), ("host", "wdh-a1")]);
+    let attempt = AttemptId {
+        request: RequestId(10),
+        number: 2,
+    };
+    Line::new(Level::Warn, "link lost")
+        .attempt(attempt)
+        .incarnation(Incarnation(255))
+        .revision(42)
+        .send_to(&logger);
+    let [line] = lines(&sink).try_into().unwrap();
+    assert_eq!(line["level"], "warn");
+    assert_eq!(line["program"], "sardinewood-agent");
+    assert_eq!(line["host"], "wdh-a1");
+    assert_eq!(line["message"], "link lost");
+    assert_eq!(line["request"], "req-0000000000000000000000000000000a");
+    assert_eq!(line["attempt"], 2);
+    assert_eq!(line["incarnation"], "00000000000000ff");
+    assert_eq!(line["revision"], 42);
+    assert!(line["time_ms"].is_u64());
+}
+
+#[test]
+fn send_less_important_line_is_left_out() {
+    let (logger, sink) = capture(&[]);
+    Line::new(Level::Debug, "detail").send_to(&logger);
+    Line::new(Level::Error, "fault").send_to(&logger);
+    let messages: Vec<_> = lines(&sink)
+        .iter()
+        .map(|line| line["message"].clone())
+        .collect();
+    assert_eq!(messages, ["fault"]);
+}
+
+proptest! {
+    #[test]
+    fn send_any_text_stays_one_valid_line(message in any::<String>(), value in any::<String>()) {
+        let (logger, sink) = capture(&[("host", &value)]);
+        Line::new(Level::Info, &message).field("value", &value).send_to(&logger);
+        let lines = lines(&sink);
+        prop_assert_eq!(lines.len(), 1);
+        prop_assert_eq!(lines[0]["message"].as_str(), Some(message.as_str()));
+        prop_assert_eq!(lines[0]["value"].as_str(), Some(value.as_str()));
+        prop_assert_eq!(lines[0]["host"].as_str(), Some(value.as_str()));
+        prop_assert_eq!(lines[0].as_object().unwrap().len(), 5);
+    }
+
+    #[test]
+    fn format_plain_record_of_a_library_is_escaped(message in any::<String>()) {
+        let (lines_logger, sink) = capture(&[]);
+        let plain = Logger::builder().sinks(lines_logger.sinks().to_vec()).build().unwrap();
+        let message = format!("{{{message}");
+        spdlog::info!(logger: plain, "{message}");
+        let lines = lines(&sink);
+        prop_assert_eq!(lines.len(), 1);
+        prop_assert_eq!(lines[0]["message"].as_str(), Some(message.as_str()));
+    }
+}
