agent: decisions on reservations, grants and attempts

Entries need one place that orders work across them, since the engine knows no priorities, and that knows exactly what was sent. The state of an agent is sans-IO: a bounded queue (tier, started appointment, customer share, deadline), grants that lapse, attempts recorded before their call is opened, learned speeds, the health of the upstream with a careful return, preemption of undelivered idempotent work.

A repeated dispatch of an attempt that is known is answered with its settlement: `NotSent` would say of a running attempt that it does not run.

--- /dev/null
+++ b/lib/src/agent_events.rs
@@ -0,0 +1,158 @@
+//! What an agent's decisions are told, and what they ask to be done.
+
+use std::sync::Arc;
+
+use crate::ids::AttemptId;
+use crate::ids::RequestId;
+use crate::objects::Upstream;
+use crate::wire::AgentMessage;
+use crate::wire::AnswerEnd;
+use crate::wire::Call;
+use crate::wire::EntryMessage;
+use crate::wire::Settlement;
+
+/// Names one link of an agent; never used twice in a process.
+///
+/// ```
+/// use sardinewood::agent_events::LinkId;
+///
+/// assert!(LinkId(1) < LinkId(2));
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub struct LinkId(pub u64);
+
+/// Something that an agent learns.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AgentEvent {
+    /// An entry said hello on a new link.
+    LinkUp { link: LinkId },
+    /// A link closed or fell silent.
+    LinkLost { link: LinkId },
+    /// An entry sent a message.
+    Received {
+        link: LinkId,
+        message: Box<EntryMessage>,
+    },
+    /// The object of this agent's upstream is this now; `None` when it was deleted.
+    UpstreamChanged(Option<Arc<Upstream>>),
+    /// A call went on.
+    Call {
+        attempt: AttemptId,
+        progress: CallProgress,
+    },
+    /// Answers [`AgentStep::Probe`].
+    Probed(Probe),
+    /// Answers [`AgentStep::Investigate`].
+    Investigated { attempt: AttemptId, found: Found },
+    /// The process has been told to end.
+    ShutDown,
+    /// Time has passed.
+    Tick,
+}
+
+/// How a call to the upstream goes on.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum CallProgress {
+    /// The first token, or for a plain answer the head, came so long after the call was opened.
+    First { after_us: u64 },
+    /// So many tokens came since the last report, the last of them so long after it.
+    Tokens { count: u32, elapsed_us: u64 },
+    /// The first part of the answer is on its way to the entry: the call can't be moved
+    /// any more.
+    Delivered,
+    /// A cancellation to make room came too late, since the answer is already passed on.
+    KeptRunning,
+    /// The call is over.
+    Ended { end: AnswerEnd },
+    /// The entry has acknowledged the whole answer.
+    Acknowledged,
+}
+
+/// What a look at the upstream showed.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// It answers, and runs these requests as far as it tells.
+    Alive { running: Vec<RequestId> },
+    /// It does not answer.
+    Silent,
+}
+
+/// What the upstream says of an attempt that this incarnation did not send or lost sight of.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Found {
+    /// It runs, and its answer can be read.
+    Running,
+    /// It is finished, and its answer can be read.
+    Finished,
+    /// The upstream has confirmed that it does not run and never will.
+    Gone,
+    /// The upstream does not tell.
+    Unclear,
+}
+
+/// Why a call is cancelled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CancelCause {
+    /// The entry does not want the answer any more, or nobody waits for it.
+    Unwanted,
+    /// More important work needs the room, or the upstream is stopped. Only an answer of
+    /// which nothing was passed on is given up.
+    MakeRoom,
+}
+
+/// Something that an agent's decisions ask to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum AgentStep {
+    /// Send a message on a link; a lost link drops it.
+    Send { link: LinkId, message: AgentMessage },
+    /// Close a link whose peer breaks the protocol.
+    CloseLink { link: LinkId, reason: Arc<str> },
+    /// Open the call of an attempt, once, and send the answer on the link.
+    OpenCall {
+        attempt: AttemptId,
+        link: LinkId,
+        call: Call,
+        /// Whether the answer is read and kept to its end even if nobody takes it.
+        keep_whole: bool,
+    },
+    /// Read the answer of an attempt that runs or is finished at the upstream, from its
+    /// start, and keep it until an entry asks for it.
+    AdoptCall { attempt: AttemptId },
+    /// Stop a call and tell how it ended.
+    CancelCall {
+        attempt: AttemptId,
+        cause: CancelCause,
+    },
+    /// Send the answer on this link from here on, beginning with its head.
+    AttachCall {
+        attempt: AttemptId,
+        link: LinkId,
+        from_bytes: u64,
+    },
+    /// Drop the answer of an ended call.
+    ForgetCall { attempt: AttemptId },
+    /// Ask the upstream what it runs.
+    Probe,
+    /// Ask the upstream what became of a request, and unless it runs or is finished there,
+    /// cancel it by its id.
+    Investigate { attempt: AttemptId },
+}
+
+/// A message that tells the outcome of an attempt.
+///
+/// ```
+/// use sardinewood::agent_events::settled;
+/// use sardinewood::ids::{AttemptId, RequestId};
+/// use sardinewood::wire::{AgentMessage, Settlement};
+///
+/// let attempt = AttemptId { request: RequestId(1), number: 1 };
+/// let message = settled(attempt, Settlement::Ended);
+/// assert!(matches!(message, AgentMessage::Settled { .. }));
+/// ```
+#[must_use]
+pub fn settled(attempt: AttemptId, settlement: Settlement) -> AgentMessage {
+    AgentMessage::Settled {
+        attempt,
+        settlement,
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,8 +6,12 @@
 //! in the programs and in the modules that speak to one outside system each.
 
 pub mod admission;
+mod agent_calls;
+pub mod agent_events;
 pub mod agent_settings;
+pub mod agent_state;
 pub mod answer_reader;
+pub mod attempts;
 pub mod audit;
 pub mod candidates;
 pub mod catalog;
@@ -19,17 +23,22 @@
 pub mod entry_state;
 pub mod findings;
 pub mod frames;
+pub mod grants;
 pub mod ids;
+pub mod kept_answers;
 pub mod logging;
 pub mod metrics;
 pub mod objects;
 pub mod objects_check;
+pub mod reservation_queue;
 pub mod retry_budget;
 pub mod run;
 pub mod secrets;
 pub mod settings;
+pub mod speeds;
 pub mod store;
 pub mod submission;
 pub mod timers;
+pub mod upstream_health;
 pub mod verdict;
 pub mod wire;
--- /dev/null
+++ b/lib/src/speeds.rs
@@ -0,0 +1,152 @@
+//! The speed of an upstream, learned from the calls that its agent sees.
+
+use indexmap::IndexMap;
+
+use crate::objects::Target;
+
+/// Share of a new sample in the quick average, which follows a slowdown within two or
+/// three samples.
+const QUICK_SHARE: f64 = 0.5;
+
+/// Share of a new sample in the steady average, which forgets a slowdown slowly.
+const STEADY_SHARE: f64 = 0.08;
+
+/// Samples shorter than this say more about the clock and the socket than about the
+/// upstream.
+const MIN_PREFILL_TOKENS: u32 = 8;
+
+/// An average that follows a rise at once and a fall with care: the larger of a quick
+/// and a steady one. A slowdown that is seen too late costs missed deadlines; a recovery
+/// that is seen too late only costs a moment of less work.
+///
+/// ```
+/// use sardinewood::speeds::Average;
+///
+/// let mut step_us = Average::default();
+/// for _ in 0..20 {
+///     step_us.observe(4_000.0);
+/// }
+/// step_us.observe(16_000.0);
+/// step_us.observe(16_000.0);
+/// assert!(step_us.value().unwrap() > 12_000.0, "a slowdown shows at once");
+/// ```
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Average {
+    averages: Option<(f64, f64)>,
+}
+
+impl Average {
+    /// Takes a sample in.
+    pub fn observe(&mut self, sample: f64) {
+        let (quick, steady) = self.averages.unwrap_or((sample, sample));
+        self.averages = Some((
+            quick + (sample - quick) * QUICK_SHARE,
+            steady + (sample - steady) * STEADY_SHARE,
+        ));
+    }
+
+    /// The average, if there was a sample.
+    #[must_use]
+    pub fn value(&self) -> Option<f64> {
+        self.averages.map(|(quick, steady)| quick.max(steady))
+    }
+}
+
+/// What was learned of one model or service.
+#[derive(Clone, Copy, Debug, Default)]
+struct Speed {
+    prefill_us_per_token: Average,
+    step_us: Average,
+    /// Time to the first byte of a plain service's answer.
+    first_us: Average,
+}
+
+/// What was learned of an upstream, by what it serves.
+///
+/// ```
+/// use sardinewood::objects::Target;
+/// use sardinewood::speeds::Speeds;
+///
+/// let small = Target::Model("small".into());
+/// let mut speeds = Speeds::default();
+/// assert_eq!(speeds.work_us(&small, 100, 10), 0, "nothing is known yet");
+/// speeds.observe_first(&small, 100, 5_000);
+/// speeds.observe_tokens(&small, 10, 40_000);
+/// assert_eq!(speeds.work_us(&small, 100, 10), 45_000);
+/// ```
+#[derive(Debug, Default)]
+pub struct Speeds {
+    by_target: IndexMap<Target, Speed>,
+}
+
+impl Speeds {
+    /// The first token came so long after the call was opened.
+    pub fn observe_first(&mut self, target: &Target, prompt_tokens: u32, after_us: u64) {
+        let speed = self.by_target.entry(target.clone()).or_default();
+        if matches!(target, Target::Service(_)) {
+            speed.first_us.observe(micros(after_us));
+        } else if prompt_tokens >= MIN_PREFILL_TOKENS {
+            let sample = micros(after_us) / f64::from(prompt_tokens);
+            speed.prefill_us_per_token.observe(sample);
+        }
+    }
+
+    /// So many tokens of one request took so long.
+    pub fn observe_tokens(&mut self, target: &Target, count: u32, elapsed_us: u64) {
+        if count > 0 {
+            let speed = self.by_target.entry(target.clone()).or_default();
+            let sample = micros(elapsed_us) / f64::from(count);
+            speed.step_us.observe(sample);
+        }
+    }
+
+    /// The expected time of a request of this size; 0 where nothing is known.
+    #[must_use]
+    pub fn work_us(&self, target: &Target, prompt_tokens: u32, output_tokens: u32) -> u64 {
+        let Some(speed) = self.by_target.get(target) else {
+            return 0;
+        };
+        let prefill = speed.prefill_us_per_token.value().unwrap_or(0.0) * f64::from(prompt_tokens);
+        let steps = speed.step_us.value().unwrap_or(0.0) * f64::from(output_tokens);
+        let first = speed.first_us.value().unwrap_or(0.0);
+        whole(prefill + steps + first)
+    }
+
+    /// The expected time between two tokens, over all models; 0 where nothing is known.
+    #[must_use]
+    pub fn step_us(&self) -> u64 {
+        whole(self.slowest(|speed| speed.step_us.value()))
+    }
+
+    /// Prompt tokens per second, over all models; 0 where nothing is known.
+    #[must_use]
+    pub fn prefill_tokens_per_s(&self) -> u64 {
+        let us_per_token = self.slowest(|speed| speed.prefill_us_per_token.value());
+        if us_per_token > 0.0 {
+            whole(1_000_000.0 / us_per_token)
+        } else {
+            0
+        }
+    }
+
+    fn slowest(&self, of: impl Fn(&Speed) -> Option<f64>) -> f64 {
+        self.by_target.values().filter_map(of).fold(0.0, f64::max)
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times of centuries may lose microseconds"
+)]
+fn micros(us: u64) -> f64 {
+    us as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "averages of times are not negative, and the cast saturates"
+)]
+fn whole(us: f64) -> u64 {
+    us as u64
+}
