--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod metrics;
 pub mod objects;
 pub mod objects_check;
+pub mod operator_messages;
 pub mod reservation_queue;
 pub mod retry_budget;
 pub mod run;
