bench: policy subcommand with engine model, scenarios, baselines and bound

The policy has to be measured under load and faults, against what users have today and against what could be done at all. Adds virtual time around a small engine model (continuous batching, chunked prefill, KV limit, prefix cache, first come first served), workloads drawn from scenario files, the baselines round_robin, least_loaded and queue_at_agent, and an upper bound by relaxation. Scenario files are data and are checked with all findings at once.

--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -15,7 +15,11 @@
 }
 
 /// All experiments, in the order of `--help`.
-pub const SUBCOMMANDS: &[Subcommand] = &[];
+pub const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
+    name: "policy",
+    summary: "goodput and wasted prefill of each policy, in virtual time",
+    run: crate::policy::run,
+}];
 
 /// The command line is not understood.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -1,3 +1,9 @@
 //! One test program for all integration tests, so that it is linked once.
 
+mod fixtures;
+mod test_baseline;
+mod test_bound;
 mod test_command;
+mod test_engine_model;
+mod test_scenario;
+mod test_simulation;
