--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -275,6 +275,43 @@
         }
     }
 
+    /// A peer with this digest holds the same objects; what it knows about completeness
+    /// holds here too. Saves fetching an answer without objects.
+    ///
+    /// ```
+    /// use sardinewood::config_state::{ConfigState, Digest};
+    ///
+    /// let mut state = ConfigState::default();
+    /// state.agree(&Digest { complete_through: 12, ..Digest::default() });
+    /// assert_eq!(state.digest().complete_through, 12);
+    /// ```
+    pub fn agree(&mut self, peer: &Digest) {
+        let own = self.digest();
+        if peer.hash != own.hash || peer.complete_through <= own.complete_through {
+            return;
+        }
+        self.complete_through = peer.complete_through;
+        // Objects may have come and gone in between without being seen here.
+        if peer.newest > own.complete_through {
+            self.deletions_after = peer.complete_through;
+        }
+    }
+
+    /// The versions of objects above `complete_through`, the newest first.
+    ///
+    /// ```
+    /// assert!(sardinewood::config_state::ConfigState::default().above().is_empty());
+    /// ```
+    #[must_use]
+    pub fn above(&self) -> Vec<u64> {
+        let versions = self.objects.values().map(|held| held.version);
+        let mut above: Vec<_> = versions
+            .filter(|version| *version > self.complete_through)
+            .collect();
+        above.sort_unstable_by(|a, b| b.cmp(a));
+        above
+    }
+
     /// The newest known version of an object and its content.
     ///
     /// ```
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,8 +5,8 @@
 //! that says what to do next comes out. Sockets, clocks and random numbers stay
 //! in the programs and in the modules that speak to one outside system each.
 
-pub mod admission;
 mod agent_calls;
+pub mod admission;
 pub mod agent_events;
 pub mod agent_settings;
 pub mod agent_state;
@@ -17,6 +17,7 @@
 pub mod catalog;
 pub mod config;
 pub mod config_object;
+pub mod config_spread;
 pub mod config_state;
 pub mod config_watch;
 pub mod entry_settings;
@@ -38,6 +39,8 @@
 pub mod setting;
 pub mod settings;
 pub mod speeds;
+pub mod spread_link;
+pub mod spread_message;
 pub mod store;
 pub mod submission;
 pub mod timers;
