--- a/lib/src/config_spread.rs
+++ b/lib/src/config_spread.rs
@@ -349,19 +349,25 @@
             let later = theirs.complete_through > own.complete_through;
             return later.then_some(SpreadAction::Agree(*theirs));
         }
-        let same_reach =
-            theirs.newest == own.newest && theirs.complete_through == own.complete_through;
-        if same_reach && own.newest <= own.complete_through {
-            return self.list_again(now_ms);
+        let known = own.complete_through;
+        if theirs.complete_through.max(theirs.newest) > known {
+            return self.fetch(from, known);
         }
-        if (is_behind(own, theirs) || same_reach) && self.fetching.is_none() {
-            self.fetching = Some(from);
-            let after = own.complete_through;
-            return Some(SpreadAction::Fetch { from, after });
+        if theirs.complete_through == known && own.newest <= known {
+            return self.list_again(now_ms);
         }
         None
     }
 
+    /// Fetches from one process at a time; the others will be heard again.
+    fn fetch(&mut self, from: SocketAddr, after: u64) -> Option<SpreadAction> {
+        if self.fetching.is_some() {
+            return None;
+        }
+        self.fetching = Some(from);
+        Some(SpreadAction::Fetch { from, after })
+    }
+
     /// Two processes know everything up to the same revision, and it is not the same. One of
     /// them missed a change; only the store can tell which.
     fn list_again(&mut self, now_ms: u64) -> Option<SpreadAction> {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -5,8 +5,8 @@
 //! that says what to do next comes out. Sockets, clocks and random numbers stay
 //! in the programs and in the modules that speak to one outside system each.
 
-mod agent_calls;
 pub mod admission;
+mod agent_calls;
 pub mod agent_events;
 pub mod agent_settings;
 pub mod agent_state;
