--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,3 +1,76 @@
-//! Placeholder.
+//! `sardinewood-agent`: stands beside one upstream and is the only way to it.
 
-fn main() {}
+use std::process::ExitCode;
+
+use eyre::Context;
+use sardinewood::agent_server;
+use sardinewood::agent_settings;
+use sardinewood::agent_settings::AgentSettings;
+use sardinewood::config_watch;
+use sardinewood::logging;
+use sardinewood::logging::Level;
+use sardinewood::logging::Line;
+use sardinewood::metrics::Metrics;
+use sardinewood::settings::EXIT_USAGE;
+use sardinewood::settings::Sources;
+use sardinewood::settings::Start;
+use tokio::runtime;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
+
+fn main() -> eyre::Result<ExitCode> {
+    match agent_settings::program().read(Sources::of_process()) {
+        Start::Run(settings) => {
+            run(settings)?;
+            Ok(ExitCode::SUCCESS)
+        }
+        Start::Print(text) => {
+            print!("{text}");
+            Ok(ExitCode::SUCCESS)
+        }
+        Start::Refuse(report) => {
+            eprint!("{report}");
+            Ok(ExitCode::from(EXIT_USAGE))
+        }
+    }
+}
+
+fn run(settings: AgentSettings) -> eyre::Result<()> {
+    let identity = [
+        ("program", "sardinewood-agent"),
+        ("host", &*settings.host),
+        ("upstream", &*settings.upstream),
+    ];
+    logging::install(&settings.log_level, &identity).wrap_err("can't write logs")?;
+    let traffic = runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .enable_all()
+        .build()
+        .wrap_err("can't start the traffic threads")?;
+    let served = traffic.block_on(serve(settings));
+    traffic.shutdown_background();
+    logging::flush();
+    served
+}
+
+async fn serve(settings: AgentSettings) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
+    let metrics = Metrics::to(settings.metrics, &settings.host, &settings.data_centre)
+        .wrap_err("can't send metrics")?;
+    let catalog =
+        config_watch::spawn_config(&settings.store_url).wrap_err("can't follow the store")?;
+    let agent = agent_server::spawn(settings, catalog, metrics.clone()).await?;
+    Line::new(Level::Info, "started")
+        .field("address", agent.address())
+        .incarnation(agent.incarnation())
+        .send();
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+    }
+    agent.shut_down().await;
+    metrics.flush();
+    Line::new(Level::Info, "ended").send();
+    Ok(())
+}
--- a/lib/src/agent_calls.rs
+++ b/lib/src/agent_calls.rs
@@ -238,6 +238,7 @@
                     run.delivered = true;
                 }
             }
+            CallProgress::NoConnection => self.fail(now_ms),
             CallProgress::Ended { end } => self.end(now_ms, id, &end),
             CallProgress::Acknowledged => self.acknowledge(id),
         }
@@ -294,9 +295,6 @@
         if is_failure {
             self.next_probe_ms = now_ms;
         }
-        if *end == AnswerEnd::NotSent {
-            self.fail(now_ms);
-        }
     }
 
     fn acknowledge(&mut self, id: AttemptId) {
--- /dev/null
+++ b/lib/src/agent_link.rs
@@ -0,0 +1,176 @@
+//! The agent's end of one link: a reader and a writer on the traffic threads.
+
+use std::convert::Infallible;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::agent_events::LinkId;
+use crate::answer_pump::Outlet;
+use crate::answer_pump::PumpOrder;
+use crate::frames::AgentEnd;
+use crate::frames::FrameError;
+use crate::frames::FrameReader;
+use crate::frames::write_frames;
+use crate::pump_registry::PumpRegistry;
+use crate::wire::AgentMessage;
+use crate::wire::EntryMessage;
+use crate::wire::Hello;
+use crate::wire::PROTOCOL_VERSION;
+
+/// Control messages that may wait for the writer of a link. A link on which more wait is
+/// not read by its entry and is closed.
+const CONTROL_QUEUE: usize = 4_096;
+
+/// Frames of answers that may wait for the writer of a link; pumps wait for room.
+const BULK_QUEUE: usize = 256;
+
+/// What a link tells the control thread.
+#[derive(Debug)]
+pub enum LinkEvent {
+    /// An entry said hello.
+    Opened { link: LinkId, handle: LinkHandle },
+    /// An entry sent a message that needs a decision.
+    Received {
+        link: LinkId,
+        message: Box<EntryMessage>,
+    },
+    /// The link is gone.
+    Lost { link: LinkId, reason: Arc<str> },
+}
+
+/// What the control thread holds of a link.
+#[derive(Clone, Debug)]
+pub struct LinkHandle {
+    /// The entry's name.
+    pub entry: Arc<str>,
+    /// Where control messages go.
+    pub control: mpsc::Sender<AgentMessage>,
+    /// Where the frames of answers go.
+    pub bulk: Outlet,
+    /// Ends the link.
+    pub close: CancellationToken,
+}
+
+/// What a link works with.
+#[derive(Clone, Debug)]
+pub struct LinkParts {
+    /// What this agent says first.
+    pub hello: Hello,
+    /// How long the entry may be silent.
+    pub silent: Duration,
+    /// Where events go.
+    pub events: mpsc::Sender<LinkEvent>,
+    /// The pumps that acknowledgements go to.
+    pub pumps: PumpRegistry,
+    /// Ends all links.
+    pub stop: CancellationToken,
+}
+
+/// Why a link ended.
+#[derive(Debug, thiserror::Error)]
+enum LinkError {
+    #[error("the entry is silent")]
+    Silent,
+    #[error("the entry closed the link")]
+    Closed,
+    #[error("the first message is no hello")]
+    NoHello,
+    #[error("the entry speaks protocol {0}, this agent {PROTOCOL_VERSION}")]
+    OtherProtocol(u32),
+    #[error("the agent closed the link")]
+    ClosedHere,
+    #[error(transparent)]
+    Frames(#[from] FrameError),
+}
+
+/// Serves one connection until it is lost.
+pub async fn serve(stream: TcpStream, link: LinkId, parts: LinkParts) {
+    let Err(error) = run(stream, link, &parts).await;
+    let reason = error.to_string().into();
+    // Without a control thread nobody wants to know.
+    let _stopped = parts.events.send(LinkEvent::Lost { link, reason }).await;
+}
+
+async fn run(stream: TcpStream, link: LinkId, parts: &LinkParts) -> Result<Infallible, LinkError> {
+    stream.set_nodelay(true).map_err(FrameError::Io)?;
+    let (read, write) = stream.into_split();
+    let mut reader = FrameReader::new(read);
+    let hello = read_hello(&mut reader, parts.silent).await?;
+    let (control, control_queue) = mpsc::channel(CONTROL_QUEUE);
+    let (bulk, bulk_queue) = mpsc::channel(BULK_QUEUE);
+    let handle = LinkHandle {
+        entry: hello.name,
+        control,
+        bulk,
+        close: parts.stop.child_token(),
+    };
+    let close = handle.close.clone();
+    // The queue is empty, so there is room for the first message.
+    let _room = handle
+        .control
+        .try_send(AgentMessage::Hello(parts.hello.clone()));
+    let opened = LinkEvent::Opened { link, handle };
+    if parts.events.send(opened).await.is_err() {
+        return Err(LinkError::ClosedHere);
+    }
+    tokio::select! {
+        lost = read_messages(&mut reader, link, parts) => lost,
+        written = write_frames::<AgentEnd, _>(write, control_queue, bulk_queue) => {
+            written?;
+            Err(LinkError::ClosedHere)
+        }
+        () = close.cancelled() => Err(LinkError::ClosedHere),
+    }
+}
+
+async fn read_hello(
+    reader: &mut FrameReader<AgentEnd, OwnedReadHalf>,
+    silent: Duration,
+) -> Result<Hello, LinkError> {
+    match read_one(reader, silent).await? {
+        EntryMessage::Hello(hello) if hello.protocol == PROTOCOL_VERSION => Ok(hello),
+        EntryMessage::Hello(hello) => Err(LinkError::OtherProtocol(hello.protocol)),
+        _ => Err(LinkError::NoHello),
+    }
+}
+
+async fn read_one(
+    reader: &mut FrameReader<AgentEnd, OwnedReadHalf>,
+    silent: Duration,
+) -> Result<EntryMessage, LinkError> {
+    let message = timeout(silent, reader.next()).await;
+    let message = message.map_err(|_| LinkError::Silent)??;
+    message.ok_or(LinkError::Closed)
+}
+
+async fn read_messages(
+    reader: &mut FrameReader<AgentEnd, OwnedReadHalf>,
+    link: LinkId,
+    parts: &LinkParts,
+) -> Result<Infallible, LinkError> {
+    loop {
+        match read_one(reader, parts.silent).await? {
+            EntryMessage::Heartbeat { .. } => {}
+            EntryMessage::Acknowledge {
+                attempt,
+                through_bytes,
+            } => {
+                let order = PumpOrder::Acknowledge { through_bytes };
+                parts.pumps.order(attempt, order);
+            }
+            message => {
+                let message = Box::new(message);
+                let event = LinkEvent::Received { link, message };
+                if parts.events.send(event).await.is_err() {
+                    return Err(LinkError::ClosedHere);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/answer_log.rs
@@ -0,0 +1,184 @@
+//! The bytes of one answer while they are on their way to an entry.
+//!
+//! Sans-IO: the log says what to send next, whether there is room to read more, and what
+//! the answer's length and checksum are.
+
+use std::collections::VecDeque;
+use std::hash::Hasher;
+
+use bytes::Bytes;
+use twox_hash::XxHash64;
+
+use crate::answer_reader::CHECKSUM_SEED;
+use crate::wire::AnswerEnd;
+
+/// The most that is kept of one answer for later replays. A longer answer is passed on
+/// all the same, but what its entry has acknowledged can't be had again.
+const KEEP_LIMIT_BYTES: u64 = 16 * 1024 * 1024;
+
+/// The log no longer holds the bytes from the offset asked for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the answer is kept from {kept_from_bytes} on only")]
+pub struct NotKeptError {
+    /// Where the kept part begins.
+    pub kept_from_bytes: u64,
+}
+
+/// The bytes of one answer with their offsets.
+///
+/// ```
+/// use bytes::Bytes;
+/// use sardinewood::answer_log::AnswerLog;
+///
+/// let mut log = AnswerLog::new(1_000, false);
+/// log.append(Bytes::from_static(b"hello"));
+/// assert_eq!(log.next_unsent(), Some((0, Bytes::from_static(b"hello"))));
+/// log.mark_sent();
+/// assert_eq!(log.next_unsent(), None);
+/// log.rewind(2).unwrap();
+/// assert_eq!(log.next_unsent(), Some((2, Bytes::from_static(b"llo"))));
+/// ```
+#[derive(Debug)]
+pub struct AnswerLog {
+    chunks: VecDeque<Bytes>,
+    /// The offset of the first chunk.
+    start_bytes: u64,
+    end_bytes: u64,
+    sent_bytes: u64,
+    acknowledged_bytes: u64,
+    window_bytes: u64,
+    keep_whole: bool,
+    hash: XxHash64,
+}
+
+impl AnswerLog {
+    /// An empty log. If `keep_whole`, the answer is read and kept to its end even if no
+    /// entry takes it, up to a bound.
+    #[must_use]
+    pub fn new(window_bytes: u64, keep_whole: bool) -> Self {
+        AnswerLog {
+            chunks: VecDeque::new(),
+            start_bytes: 0,
+            end_bytes: 0,
+            sent_bytes: 0,
+            acknowledged_bytes: 0,
+            window_bytes,
+            keep_whole,
+            hash: XxHash64::with_seed(CHECKSUM_SEED),
+        }
+    }
+
+    /// How many bytes came so far.
+    #[must_use]
+    pub fn len_bytes(&self) -> u64 {
+        self.end_bytes
+    }
+
+    /// Whether more may be read from the upstream.
+    #[must_use]
+    pub fn has_room(&self) -> bool {
+        self.keep_whole || self.end_bytes - self.acknowledged_bytes < self.window_bytes
+    }
+
+    /// Whether an entry has acknowledged all that came.
+    #[must_use]
+    pub fn is_acknowledged(&self) -> bool {
+        self.acknowledged_bytes == self.end_bytes
+    }
+
+    /// Whether some bytes are not sent on the present link.
+    #[must_use]
+    pub fn has_unsent(&self) -> bool {
+        self.sent_bytes < self.end_bytes
+    }
+
+    /// How the whole answer ends.
+    #[must_use]
+    pub fn complete(&self) -> AnswerEnd {
+        AnswerEnd::Complete {
+            length_bytes: self.end_bytes,
+            checksum: self.hash.finish(),
+        }
+    }
+
+    /// What to send next, with its offset.
+    #[must_use]
+    pub fn next_unsent(&self) -> Option<(u64, Bytes)> {
+        let (offset, chunk) = self.chunk_at(self.sent_bytes)?;
+        let skip = usize::try_from(self.sent_bytes - offset).ok()?;
+        Some((self.sent_bytes, chunk.slice(skip..)))
+    }
+
+    /// Adds bytes of the answer.
+    pub fn append(&mut self, bytes: Bytes) {
+        if bytes.is_empty() {
+            return;
+        }
+        self.hash.write(&bytes);
+        self.end_bytes += bytes.len() as u64;
+        self.chunks.push_back(bytes);
+        if self.end_bytes - self.start_bytes > KEEP_LIMIT_BYTES {
+            self.keep_whole = false;
+            self.drop_acknowledged();
+        }
+    }
+
+    /// Notes that what [`Self::next_unsent`] returned was sent.
+    pub fn mark_sent(&mut self) {
+        if let Some((_, bytes)) = self.next_unsent() {
+            self.sent_bytes += bytes.len() as u64;
+        }
+    }
+
+    /// Notes that an entry has everything below `through_bytes`.
+    pub fn acknowledge(&mut self, through_bytes: u64) {
+        let through_bytes = through_bytes.min(self.end_bytes);
+        self.acknowledged_bytes = self.acknowledged_bytes.max(through_bytes);
+        if !self.keep_whole {
+            self.drop_acknowledged();
+        }
+    }
+
+    /// Sends again from an offset. What an earlier entry acknowledged counts for nothing
+    /// with the one that reads now.
+    ///
+    /// # Errors
+    ///
+    /// The bytes from there are not held any more; nothing changes.
+    pub fn rewind(&mut self, from_bytes: u64) -> Result<(), NotKeptError> {
+        if from_bytes < self.start_bytes || from_bytes > self.end_bytes {
+            return Err(NotKeptError {
+                kept_from_bytes: self.start_bytes,
+            });
+        }
+        self.sent_bytes = from_bytes;
+        self.acknowledged_bytes = from_bytes;
+        Ok(())
+    }
+
+    fn chunk_at(&self, offset: u64) -> Option<(u64, &Bytes)> {
+        if offset >= self.end_bytes {
+            return None;
+        }
+        // The last chunk is the usual one, so the search begins at the back.
+        let mut start = self.end_bytes;
+        for chunk in self.chunks.iter().rev() {
+            start -= chunk.len() as u64;
+            if start <= offset {
+                return Some((start, chunk));
+            }
+        }
+        None
+    }
+
+    fn drop_acknowledged(&mut self) {
+        while let Some(chunk) = self.chunks.front() {
+            let chunk_end = self.start_bytes + chunk.len() as u64;
+            if chunk_end > self.acknowledged_bytes {
+                return;
+            }
+            self.start_bytes = chunk_end;
+            self.chunks.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/answer_pump.rs
@@ -0,0 +1,624 @@
+//! Carries one call to the upstream and its answer to the entry.
+//!
+//! Each attempt has one task on a traffic thread. It tells the control thread how the
+//! call goes on, and takes orders from it; the bytes of the answer go straight to the
+//! writer of the entry's link.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
+use crate::agent_events::AgentEvent;
+use crate::agent_events::CallProgress;
+use crate::agent_events::CancelCause;
+use crate::agent_events::settled;
+use crate::answer_log::AnswerLog;
+use crate::call_recovery;
+use crate::call_recovery::ReadSoFar;
+use crate::call_recovery::Recovery;
+use crate::call_recovery::Trouble;
+use crate::call_recovery::in_doubt;
+use crate::event_scan::EventScan;
+use crate::ids::AttemptId;
+use crate::upstream_client::UpstreamClient;
+use crate::upstream_http::OpenError;
+use crate::upstream_http::UpstreamAnswer;
+use crate::wire::AgentMessage;
+use crate::wire::AnswerEnd;
+use crate::wire::Call;
+use crate::wire::Settlement;
+
+/// How long an engine may send nothing before it is asked about the request.
+const SILENCE: Duration = Duration::from_secs(2);
+
+/// How often the tokens of a call are reported.
+const REPORT_PERIOD: Duration = Duration::from_millis(100);
+
+/// How often in a row an answer is read on a new connection that brings no byte, before
+/// its outcome is given up as unknown.
+const MAX_REOPENS: u32 = 10;
+
+/// Where the frames of answers go: the bulk channel of a link.
+pub type Outlet = mpsc::Sender<AgentMessage>;
+
+/// An order to a pump.
+#[derive(Debug)]
+pub enum PumpOrder {
+    /// Send the answer to this outlet from here on.
+    Attach { outlet: Outlet, from_bytes: u64 },
+    /// The entry has everything below this offset.
+    Acknowledge { through_bytes: u64 },
+    /// Stop the call.
+    Cancel(CancelCause),
+    /// Drop the answer.
+    Forget,
+}
+
+/// What a pump works with.
+#[derive(Debug)]
+pub struct PumpParts {
+    /// The attempt that it carries.
+    pub attempt: AttemptId,
+    /// The upstream.
+    pub upstream: UpstreamClient,
+    /// What may be unacknowledged before it stops reading.
+    pub window_bytes: u64,
+    /// Whether the answer is read and kept to its end even if nobody takes it.
+    pub keep_whole: bool,
+    /// Where it reports to.
+    pub events: mpsc::Sender<AgentEvent>,
+    /// Where its orders come from. The sender being dropped means [`PumpOrder::Forget`].
+    pub orders: mpsc::UnboundedReceiver<PumpOrder>,
+}
+
+type Work<T> = Pin<Box<dyn Future<Output = T> + Send>>;
+
+/// Where the answer comes from.
+enum Source {
+    /// The call has been made and its answer has not begun.
+    Opening(Work<Result<UpstreamAnswer, OpenError>>),
+    /// The answer is read.
+    Reading(Box<UpstreamAnswer>),
+    /// The connection is gone; the engine is being asked.
+    Gone,
+}
+
+/// Something that the pump waits for.
+enum Input {
+    Order(Option<PumpOrder>),
+    Opened(Result<UpstreamAnswer, OpenError>),
+    Chunk(Result<Option<Bytes>, OpenError>),
+    Recovered(Recovery),
+    Cancelled(AnswerEnd),
+    Silence,
+    /// The link can take a frame, or is closed.
+    Outlet(bool),
+}
+
+/// What follows on an input.
+enum Next {
+    Continue,
+    End(AnswerEnd),
+    Quit,
+}
+
+/// The task of one attempt.
+pub struct AnswerPump {
+    parts: PumpParts,
+    source: Source,
+    log: AnswerLog,
+    scan: EventScan,
+    /// The begin of an event whose end has not come. Only whole events go on, so that a
+    /// stream that breaks inside one can be resumed after the last whole one.
+    partial: Vec<Bytes>,
+    /// Bytes of a plain answer that are in the log already when it is read again.
+    skip_bytes: u64,
+    recovery: Option<Work<Recovery>>,
+    reopens: u32,
+    cancellation: Option<Work<AnswerEnd>>,
+    delivery: Delivery,
+    opened: Instant,
+    silent_at: Instant,
+    tokens: TokenCount,
+}
+
+/// Status and headers of an answer.
+#[derive(Clone, Debug)]
+struct Head {
+    status: u16,
+    headers: Vec<(Arc<str>, Bytes)>,
+}
+
+/// What goes to the entry.
+#[derive(Debug, Default)]
+struct Delivery {
+    outlet: Option<Outlet>,
+    head: Option<Head>,
+    is_head_sent: bool,
+    has_begun: bool,
+    end: Option<AnswerEnd>,
+    is_end_sent: bool,
+}
+
+/// Counts tokens for the reports.
+#[derive(Debug)]
+struct TokenCount {
+    total: u64,
+    unreported: u32,
+    reported_at: Instant,
+    /// Whether reading has been held up since the last report, so that its time says
+    /// nothing about the engine.
+    is_held_up: bool,
+}
+
+impl AnswerPump {
+    /// A pump that sends `call` to the upstream, once.
+    #[must_use]
+    pub fn open(parts: PumpParts, outlet: Option<Outlet>, call: Call) -> Self {
+        let upstream = parts.upstream.clone();
+        let request = parts.attempt.request;
+        let opening = async move { upstream.open(request, call).await };
+        Self::new(parts, outlet, Source::Opening(Box::pin(opening)))
+    }
+
+    /// A pump that reads the answer of a request which the engine has already.
+    #[must_use]
+    pub fn adopt(parts: PumpParts) -> Self {
+        let mut pump = Self::new(parts, None, Source::Gone);
+        pump.start_recovery(Trouble::Broken);
+        pump
+    }
+
+    fn new(parts: PumpParts, outlet: Option<Outlet>, source: Source) -> Self {
+        let now = Instant::now();
+        AnswerPump {
+            log: AnswerLog::new(parts.window_bytes, parts.keep_whole),
+            parts,
+            source,
+            scan: EventScan::default(),
+            partial: Vec::new(),
+            skip_bytes: 0,
+            recovery: None,
+            reopens: 0,
+            cancellation: None,
+            delivery: Delivery {
+                outlet,
+                ..Delivery::default()
+            },
+            opened: now,
+            silent_at: now + SILENCE,
+            tokens: TokenCount {
+                total: 0,
+                unreported: 0,
+                reported_at: now,
+                is_held_up: false,
+            },
+        }
+    }
+
+    /// Works until the answer is forgotten.
+    pub async fn run(mut self) {
+        loop {
+            let input = self.next_input().await;
+            match self.take(input).await {
+                Next::Continue => {}
+                Next::End(end) => self.finish(end).await,
+                Next::Quit => return,
+            }
+            if self.has_nothing_left_to_do() {
+                return;
+            }
+        }
+    }
+
+    /// Waits for whatever comes first. Orders go before bytes, and bytes that can leave go
+    /// before bytes that can come.
+    async fn next_input(&mut self) -> Input {
+        let can_send = self.delivery.outlet.is_some() && self.has_frame();
+        let has_ended = self.delivery.end.is_some();
+        let is_cancelling = self.cancellation.is_some();
+        let can_read = !has_ended && !is_cancelling && self.log.has_room();
+        if !can_read {
+            self.tokens.is_held_up = true;
+        }
+        let is_engine = matches!(self.parts.upstream, UpstreamClient::Engine(_));
+        let asks = is_engine && self.recovery.is_none();
+        tokio::select! {
+            biased;
+            order = self.parts.orders.recv() => Input::Order(order),
+            is_open = outlet_ready(self.delivery.outlet.as_ref()), if can_send => {
+                Input::Outlet(is_open)
+            }
+            end = optional(self.cancellation.as_mut()), if is_cancelling => Input::Cancelled(end),
+            recovery = optional(self.recovery.as_mut()), if can_read && self.recovery.is_some() => {
+                Input::Recovered(recovery)
+            }
+            input = read(&mut self.source), if can_read => input,
+            () = tokio::time::sleep_until(self.silent_at), if can_read && asks => Input::Silence,
+        }
+    }
+
+    async fn take(&mut self, input: Input) -> Next {
+        match input {
+            Input::Order(None | Some(PumpOrder::Forget)) => Next::Quit,
+            Input::Order(Some(order)) => self.obey(order).await,
+            Input::Opened(result) => self.take_opened(result).await,
+            Input::Chunk(Ok(Some(bytes))) => {
+                self.take_bytes(bytes).await;
+                Next::Continue
+            }
+            Input::Chunk(Ok(None)) => self.take_body_end(),
+            Input::Chunk(Err(error)) => self.look_after(&error.to_string()),
+            Input::Recovered(recovery) => self.take_recovery(recovery),
+            Input::Cancelled(end) => Next::End(end),
+            Input::Silence => {
+                self.silent_at = Instant::now() + SILENCE;
+                self.start_recovery(Trouble::Silent);
+                Next::Continue
+            }
+            Input::Outlet(is_open) => {
+                self.send_frame(is_open).await;
+                Next::Continue
+            }
+        }
+    }
+
+    async fn report(&mut self, progress: CallProgress) {
+        let event = AgentEvent::Call {
+            attempt: self.parts.attempt,
+            progress,
+        };
+        // Without a control thread the process is ending, and nobody wants to know.
+        let _stopped = self.parts.events.send(event).await;
+    }
+
+    /// Nobody will ask for the rest of an answer that is not whole.
+    fn has_nothing_left_to_do(&self) -> bool {
+        match &self.delivery.end {
+            None | Some(AnswerEnd::Complete { .. }) => false,
+            Some(_) => self.delivery.is_end_sent || self.delivery.outlet.is_none(),
+        }
+    }
+}
+
+/// Orders.
+impl AnswerPump {
+    async fn obey(&mut self, order: PumpOrder) -> Next {
+        match order {
+            PumpOrder::Attach { outlet, from_bytes } => self.attach(outlet, from_bytes).await,
+            PumpOrder::Acknowledge { through_bytes } => self.acknowledge(through_bytes).await,
+            PumpOrder::Cancel(cause) => return self.cancel(cause).await,
+            PumpOrder::Forget => return Next::Quit,
+        }
+        Next::Continue
+    }
+
+    async fn attach(&mut self, outlet: Outlet, from_bytes: u64) {
+        // An adopted call has not read as far yet as its entry has.
+        let from_bytes = from_bytes.min(self.log.len_bytes());
+        if self.log.rewind(from_bytes).is_err() {
+            let message = settled(self.parts.attempt, Settlement::Ended);
+            // A link that is lost needs no answer.
+            let _lost = outlet.send(message).await;
+            return;
+        }
+        self.delivery.outlet = Some(outlet);
+        self.delivery.is_head_sent = false;
+        self.delivery.is_end_sent = false;
+    }
+
+    async fn acknowledge(&mut self, through_bytes: u64) {
+        self.log.acknowledge(through_bytes);
+        if self.delivery.is_end_sent && self.log.is_acknowledged() {
+            self.report(CallProgress::Acknowledged).await;
+        }
+    }
+
+    async fn cancel(&mut self, cause: CancelCause) -> Next {
+        if self.delivery.end.is_some() || self.cancellation.is_some() {
+            return Next::Continue;
+        }
+        if cause == CancelCause::MakeRoom && self.delivery.has_begun {
+            self.report(CallProgress::KeptRunning).await;
+            return Next::Continue;
+        }
+        match &self.parts.upstream {
+            UpstreamClient::Engine(engine) => {
+                let request = self.parts.attempt.request;
+                let cancelling = call_recovery::cancel(engine.clone(), request, cause);
+                self.cancellation = Some(Box::pin(cancelling));
+                self.source = Source::Gone;
+                self.recovery = None;
+                Next::Continue
+            }
+            // A plain service can't be told to stop. What it must not do twice is read to its
+            // end, so that the outcome is known.
+            UpstreamClient::Service(_) if self.parts.keep_whole => Next::Continue,
+            UpstreamClient::Service(_) => {
+                self.source = Source::Gone;
+                Next::End(in_doubt("a plain service does not confirm a cancellation"))
+            }
+        }
+    }
+}
+
+/// The answer comes in.
+impl AnswerPump {
+    async fn take_opened(&mut self, result: Result<UpstreamAnswer, OpenError>) -> Next {
+        match result {
+            Ok(answer) => {
+                if !answer.is_event_stream {
+                    self.report_first().await;
+                }
+                self.read_from(answer);
+                Next::Continue
+            }
+            Err(OpenError::NoConnection(_)) => {
+                self.report(CallProgress::NoConnection).await;
+                Next::End(AnswerEnd::NotSent)
+            }
+            Err(OpenError::Invalid(_)) => Next::End(AnswerEnd::NotSent),
+            Err(OpenError::Broke(reason)) => self.look_after(&reason),
+        }
+    }
+
+    fn read_from(&mut self, answer: UpstreamAnswer) {
+        self.silent_at = Instant::now() + SILENCE;
+        self.align_to(&answer);
+        if self.delivery.head.is_none() {
+            self.delivery.head = Some(Head {
+                status: answer.status,
+                headers: answer.headers.clone(),
+            });
+        }
+        self.source = Source::Reading(Box::new(answer));
+    }
+
+    fn is_event_stream(&self) -> bool {
+        matches!(&self.source, Source::Reading(answer) if answer.is_event_stream)
+    }
+
+    async fn take_bytes(&mut self, bytes: Bytes) {
+        self.silent_at = Instant::now() + SILENCE;
+        self.recovery = None;
+        self.reopens = 0;
+        if !self.is_event_stream() {
+            let skip = self.skip_bytes.min(bytes.len() as u64);
+            self.skip_bytes -= skip;
+            self.log
+                .append(bytes.slice(usize::try_from(skip).unwrap_or(0)..));
+            return;
+        }
+        let scanned = self.scan.scan(&bytes);
+        if scanned.whole_bytes == 0 {
+            self.partial.push(bytes);
+        } else {
+            for part in self.partial.drain(..) {
+                self.log.append(part);
+            }
+            self.log.append(bytes.slice(..scanned.whole_bytes));
+            let rest = bytes.slice(scanned.whole_bytes..);
+            if !rest.is_empty() {
+                self.partial.push(rest);
+            }
+        }
+        self.count(scanned.events).await;
+    }
+
+    async fn count(&mut self, tokens: u32) {
+        if tokens == 0 {
+            return;
+        }
+        let is_first = self.tokens.total == 0;
+        self.tokens.total += u64::from(tokens);
+        if is_first {
+            self.tokens.reported_at = Instant::now();
+            self.tokens.is_held_up = false;
+            return self.report_first().await;
+        }
+        self.tokens.unreported += tokens;
+        if self.tokens.reported_at.elapsed() >= REPORT_PERIOD {
+            self.report_tokens().await;
+        }
+    }
+
+    async fn report_first(&mut self) {
+        let after_us = micros(self.opened.elapsed());
+        self.report(CallProgress::First { after_us }).await;
+    }
+
+    async fn report_tokens(&mut self) {
+        if self.tokens.unreported == 0 {
+            return;
+        }
+        let elapsed_us = if self.tokens.is_held_up {
+            0
+        } else {
+            micros(self.tokens.reported_at.elapsed())
+        };
+        let count = self.tokens.unreported;
+        self.tokens.unreported = 0;
+        self.tokens.is_held_up = false;
+        self.tokens.reported_at = Instant::now();
+        self.report(CallProgress::Tokens { count, elapsed_us })
+            .await;
+    }
+
+    /// The body is over. A stream of events that ends without `[DONE]` was cut short,
+    /// however cleanly its connection was closed.
+    fn take_body_end(&mut self) -> Next {
+        if self.is_event_stream() && !self.scan.is_done() {
+            return self.look_after("the stream ended before its last event");
+        }
+        self.source = Source::Gone;
+        for part in std::mem::take(&mut self.partial) {
+            self.log.append(part);
+        }
+        Next::End(self.log.complete())
+    }
+
+    /// The connection is of no use any more.
+    fn look_after(&mut self, reason: &str) -> Next {
+        match self.parts.upstream {
+            UpstreamClient::Engine(_) => {
+                self.start_recovery(Trouble::Broken);
+                self.source = Source::Gone;
+                Next::Continue
+            }
+            UpstreamClient::Service(_) => Next::End(in_doubt(reason)),
+        }
+    }
+
+    fn start_recovery(&mut self, trouble: Trouble) {
+        let UpstreamClient::Engine(engine) = &self.parts.upstream else {
+            return;
+        };
+        let read = ReadSoFar {
+            tokens: self.tokens.total,
+            is_stream: self.is_event_stream(),
+        };
+        let request = self.parts.attempt.request;
+        let recovery = call_recovery::recover(engine.clone(), request, trouble, read);
+        self.recovery = Some(Box::pin(recovery));
+    }
+
+    fn take_recovery(&mut self, recovery: Recovery) -> Next {
+        self.recovery = None;
+        match recovery {
+            Recovery::Wait => Next::Continue,
+            Recovery::Over(end) => Next::End(end),
+            Recovery::Reopen => self.reopen(),
+        }
+    }
+
+    /// Reads the rest of the answer on a new connection.
+    fn reopen(&mut self) -> Next {
+        let UpstreamClient::Engine(engine) = &self.parts.upstream else {
+            return Next::Continue;
+        };
+        self.reopens += 1;
+        if self.reopens > MAX_REOPENS {
+            return Next::End(in_doubt("the engine does not give the answer again"));
+        }
+        let engine = engine.clone();
+        let request = self.parts.attempt.request;
+        let last_event_id = self.scan.last_id();
+        let opening = async move { engine.resume(request, last_event_id).await };
+        self.source = Source::Opening(Box::pin(opening));
+        self.silent_at = Instant::now() + SILENCE;
+        Next::Continue
+    }
+
+    /// A plain answer comes again from its start, a stream after its last whole event.
+    fn align_to(&mut self, answer: &UpstreamAnswer) {
+        self.scan.drop_partial();
+        self.partial.clear();
+        self.skip_bytes = if answer.is_event_stream {
+            0
+        } else {
+            self.log.len_bytes()
+        };
+    }
+
+    async fn finish(&mut self, end: AnswerEnd) {
+        self.report_tokens().await;
+        self.source = Source::Gone;
+        self.recovery = None;
+        self.cancellation = None;
+        self.delivery.end = Some(end.clone());
+        self.report(CallProgress::Ended { end }).await;
+    }
+}
+
+/// The answer goes out.
+impl AnswerPump {
+    fn has_frame(&self) -> bool {
+        let delivery = &self.delivery;
+        let has_head = delivery.head.is_some() && !delivery.is_head_sent;
+        let has_end = delivery.end.is_some() && !delivery.is_end_sent;
+        has_head || self.log.has_unsent() || has_end
+    }
+
+    async fn send_frame(&mut self, is_open: bool) {
+        let outlet = self.delivery.outlet.clone().filter(|_| is_open);
+        let Some(outlet) = outlet else {
+            self.delivery.outlet = None;
+            return;
+        };
+        let Some(message) = self.next_frame() else {
+            return;
+        };
+        if outlet.try_send(message).is_err() {
+            // Another pump took the place that was free a moment ago, or the link closed.
+            return;
+        }
+        self.mark_frame_sent();
+        if !self.delivery.has_begun {
+            self.delivery.has_begun = true;
+            self.report(CallProgress::Delivered).await;
+        }
+    }
+
+    fn next_frame(&self) -> Option<AgentMessage> {
+        let attempt = self.parts.attempt;
+        let delivery = &self.delivery;
+        if let Some(head) = delivery.head.as_ref().filter(|_| !delivery.is_head_sent) {
+            return Some(AgentMessage::Head {
+                attempt,
+                status: head.status,
+                headers: head.headers.clone(),
+            });
+        }
+        if let Some((offset_bytes, bytes)) = self.log.next_unsent() {
+            return Some(AgentMessage::Data {
+                attempt,
+                offset_bytes,
+                bytes,
+            });
+        }
+        let end = delivery.end.clone()?;
+        Some(AgentMessage::End { attempt, end })
+    }
+
+    fn mark_frame_sent(&mut self) {
+        if self.delivery.head.is_some() && !self.delivery.is_head_sent {
+            self.delivery.is_head_sent = true;
+        } else if self.log.has_unsent() {
+            self.log.mark_sent();
+        } else {
+            self.delivery.is_end_sent = true;
+        }
+    }
+}
+
+/// Waits until the link takes a frame; false if it is closed.
+async fn outlet_ready(outlet: Option<&Outlet>) -> bool {
+    match outlet {
+        Some(outlet) => outlet.reserve().await.is_ok(),
+        None => false,
+    }
+}
+
+async fn optional<T>(work: Option<&mut Work<T>>) -> T {
+    match work {
+        Some(work) => work.await,
+        None => std::future::pending().await,
+    }
+}
+
+async fn read(source: &mut Source) -> Input {
+    match source {
+        Source::Opening(opening) => Input::Opened(opening.await),
+        Source::Reading(answer) => Input::Chunk(answer.chunk().await),
+        Source::Gone => std::future::pending().await,
+    }
+}
+
+fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
--- a/lib/src/findings.rs
+++ b/lib/src/findings.rs
@@ -2,9 +2,6 @@
 
 use std::fmt;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 /// One problem and where it was found.
 ///
 /// ```
@@ -13,7 +10,7 @@
 /// let finding = Finding { place: "--heartbeat-ms".into(), problem: "is not a number".into() };
 /// assert_eq!(finding.to_string(), "--heartbeat-ms: is not a number");
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Finding {
     /// The flag, variable or field, written so that an operator finds it.
     pub place: String,
--- /dev/null
+++ b/lib/src/pump_registry.rs
@@ -0,0 +1,83 @@
+//! Where the tasks of attempts take their orders, shared by the control thread and the
+//! readers of links.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use indexmap::IndexMap;
+use tokio::sync::mpsc;
+
+use crate::answer_pump::PumpOrder;
+use crate::ids::AttemptId;
+
+type Orders = mpsc::UnboundedSender<PumpOrder>;
+
+/// The pumps of an agent; clones share it.
+///
+/// Orders need no bound: the control thread sends a few for each attempt, and an entry's
+/// acknowledgements are no more than the frames that it got.
+///
+/// ```
+/// use sardinewood::answer_pump::PumpOrder;
+/// use sardinewood::ids::{AttemptId, RequestId};
+/// use sardinewood::pump_registry::PumpRegistry;
+///
+/// let pumps = PumpRegistry::default();
+/// let attempt = AttemptId { request: RequestId(1), number: 1 };
+/// let mut orders = pumps.add(attempt);
+/// pumps.order(attempt, PumpOrder::Acknowledge { through_bytes: 3 });
+/// assert!(orders.try_recv().is_ok());
+/// pumps.order(attempt, PumpOrder::Forget);
+/// assert_eq!(pumps.len(), 0);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct PumpRegistry {
+    pumps: Arc<Mutex<IndexMap<AttemptId, Orders>>>,
+}
+
+impl PumpRegistry {
+    /// How many pumps there are.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.lock().len()
+    }
+
+    /// Whether there is no pump.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// Makes the channel of a new pump. The pump of an earlier call of the same attempt
+    /// is told to end by the loss of its sender.
+    #[must_use]
+    pub fn add(&self, attempt: AttemptId) -> mpsc::UnboundedReceiver<PumpOrder> {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        self.lock().insert(attempt, sender);
+        receiver
+    }
+
+    /// Passes an order on. One to a pump that has ended is dropped.
+    pub fn order(&self, attempt: AttemptId, order: PumpOrder) {
+        let is_last = matches!(order, PumpOrder::Forget);
+        let mut pumps = self.lock();
+        if let Some(orders) = pumps.get(&attempt) {
+            // A pump that has ended has nothing left to be told.
+            let _ended = orders.send(order);
+        }
+        if is_last {
+            pumps.swap_remove(&attempt);
+        }
+    }
+
+    /// Removes the pumps that have ended.
+    pub fn sweep(&self) {
+        self.lock().retain(|_, orders| !orders.is_closed());
+    }
+
+    fn lock(&self) -> MutexGuard<'_, IndexMap<AttemptId, Orders>> {
+        self.pumps.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/lib/src/service.rs
@@ -0,0 +1,59 @@
+//! The only module that speaks to a plain service. It offers neither resumption nor a
+//! question after a request, so an answer that breaks off leaves the outcome in doubt.
+
+use std::sync::Arc;
+
+use reqwest::Client;
+
+use crate::ids::RequestId;
+use crate::upstream_http;
+use crate::upstream_http::OpenError;
+use crate::upstream_http::UpstreamAnswer;
+use crate::wire::Call;
+
+/// A plain service.
+///
+/// ```
+/// use sardinewood::service::Service;
+/// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
+/// let http = sardinewood::upstream_http::client().unwrap();
+/// let service = Service::new(http, "http://127.0.0.1:1".into());
+/// assert!(!service.is_reachable().await, "nothing listens there");
+/// # });
+/// ```
+#[derive(Clone, Debug)]
+pub struct Service {
+    http: Client,
+    url: Arc<str>,
+}
+
+impl Service {
+    /// The service at a base URL. `http` has to come from [`upstream_http::client`].
+    #[must_use]
+    pub fn new(http: Client, url: Arc<str>) -> Self {
+        Service { http, url }
+    }
+
+    /// Sends a request, once.
+    ///
+    /// # Errors
+    ///
+    /// See [`OpenError`].
+    pub async fn open(&self, request: RequestId, call: Call) -> Result<UpstreamAnswer, OpenError> {
+        upstream_http::send(&self.http, &self.url, &request.to_string(), call).await
+    }
+
+    /// Whether it takes connections. Nothing is sent: a plain service has no call that is
+    /// sure to do nothing.
+    pub async fn is_reachable(&self) -> bool {
+        let Ok(url) = reqwest::Url::parse(&self.url) else {
+            return false;
+        };
+        let (Some(host), Some(port)) = (url.host_str(), url.port_or_known_default()) else {
+            return false;
+        };
+        let connecting = tokio::net::TcpStream::connect((host, port));
+        let answer = tokio::time::timeout(upstream_http::CONNECT_TIMEOUT, connecting).await;
+        matches!(answer, Ok(Ok(_)))
+    }
+}
--- a/lib/src/speeds.rs
+++ b/lib/src/speeds.rs
@@ -93,7 +93,7 @@
 
     /// So many tokens of one request took so long.
     pub fn observe_tokens(&mut self, target: &Target, count: u32, elapsed_us: u64) {
-        if count > 0 {
+        if count > 0 && elapsed_us > 0 {
             let speed = self.by_target.entry(target.clone()).or_default();
             let sample = micros(elapsed_us) / f64::from(count);
             speed.step_us.observe(sample);
--- /dev/null
+++ b/lib/src/upstream_client.rs
@@ -0,0 +1,69 @@
+//! The upstream of an agent, be it a model engine or a plain service.
+
+use reqwest::Client;
+
+use crate::agent_events::Found;
+use crate::agent_events::Probe;
+use crate::engine::Engine;
+use crate::ids::RequestId;
+use crate::objects::Serves;
+use crate::objects::Upstream;
+use crate::service::Service;
+use crate::upstream_http::OpenError;
+use crate::upstream_http::UpstreamAnswer;
+use crate::wire::Call;
+
+/// A way to the upstream.
+#[derive(Clone, Debug)]
+pub enum UpstreamClient {
+    /// A model engine, which can be asked about requests.
+    Engine(Engine),
+    /// A plain service, which can't.
+    Service(Service),
+}
+
+impl UpstreamClient {
+    /// The client for an upstream. `http` has to come from
+    /// [`crate::upstream_http::client`].
+    #[must_use]
+    pub fn new(http: Client, upstream: &Upstream) -> Self {
+        match upstream.serves {
+            Serves::Models(_) => Self::Engine(Engine::new(http, &upstream.url)),
+            Serves::Service(_) => Self::Service(Service::new(http, upstream.url.clone())),
+        }
+    }
+
+    /// Sends a request, once.
+    ///
+    /// # Errors
+    ///
+    /// See [`OpenError`].
+    pub async fn open(&self, request: RequestId, call: Call) -> Result<UpstreamAnswer, OpenError> {
+        match self {
+            Self::Engine(engine) => engine.open(request, call).await,
+            Self::Service(service) => service.open(request, call).await,
+        }
+    }
+
+    /// Whether it answers, and what it runs.
+    pub async fn probe(&self) -> Probe {
+        match self {
+            Self::Engine(engine) => match engine.running().await {
+                Ok(running) => Probe::Alive { running },
+                Err(_) => Probe::Silent,
+            },
+            Self::Service(service) if service.is_reachable().await => Probe::Alive {
+                running: Vec::new(),
+            },
+            Self::Service(_) => Probe::Silent,
+        }
+    }
+
+    /// What became of a request whose outcome is not known.
+    pub async fn investigate(&self, request: RequestId) -> Found {
+        match self {
+            Self::Engine(engine) => engine.investigate(request).await,
+            Self::Service(_) => Found::Unclear,
+        }
+    }
+}
--- a/lib/tests/test_agent_attempts.rs
+++ b/lib/tests/test_agent_attempts.rs
@@ -104,6 +104,7 @@
 fn end_not_sent_lets_the_request_come_again() {
     let mut fixture = Fixture::new(2);
     fixture.run(reservation(1, 0));
+    fixture.progress(attempt(1), CallProgress::NoConnection);
     fixture.end(attempt(1), AnswerEnd::NotSent);
     let steps = fixture.reserve(reservation(1, 0));
     assert_eq!(refused(&steps), [(1, RefusalReason::UpstreamDown)]);
--- /dev/null
+++ b/lib/tests/test_agent_server.rs
@@ -0,0 +1,522 @@
+//! A running agent on real sockets beside the stand-ins, judged by what they count.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use sardinewood::agent_server;
+use sardinewood::agent_server::AgentHandle;
+use sardinewood::agent_settings::AgentSettings;
+use sardinewood::answer_reader::AnswerFrame;
+use sardinewood::answer_reader::AnswerReader;
+use sardinewood::answer_reader::ReadStep;
+use sardinewood::catalog::Catalog;
+use sardinewood::frames::EntryEnd;
+use sardinewood::frames::FrameReader;
+use sardinewood::frames::write_frames;
+use sardinewood::ids::AttemptId;
+use sardinewood::ids::GrantId;
+use sardinewood::ids::Incarnation;
+use sardinewood::metrics::Metrics;
+use sardinewood::objects::Activity;
+use sardinewood::objects::Serves;
+use sardinewood::objects::Target;
+use sardinewood::objects::Upstream;
+use sardinewood::wire::AgentMessage;
+use sardinewood::wire::AnswerEnd;
+use sardinewood::wire::Call;
+use sardinewood::wire::EntryMessage;
+use sardinewood::wire::Hello;
+use sardinewood::wire::PROTOCOL_VERSION;
+use sardinewood::wire::RefusalReason;
+use sardinewood::wire::Reservation;
+use sardinewood::wire::Settlement;
+use testutils::engine_settings::EngineSettings;
+use testutils::engine_stand_in::EngineStandIn;
+use testutils::service_stand_in::ServiceStandIn;
+use tokio::net::TcpStream;
+use tokio::net::tcp::OwnedReadHalf;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+use crate::agent_fixture::attempt;
+use crate::agent_fixture::reservation;
+use crate::agent_fixture::upstream;
+
+/// Generous: a test that waits so long has failed.
+const CAP: Duration = Duration::from_secs(20);
+
+/// An agent and the configuration that it sees.
+struct Agent {
+    handle: AgentHandle,
+    catalog: watch::Sender<Arc<Catalog>>,
+}
+
+impl Agent {
+    async fn beside(upstream: Upstream) -> Self {
+        let (catalog, receiver) = watch::channel(catalog_of(upstream));
+        let settings = AgentSettings {
+            upstream: "lang-1".into(),
+            heartbeat_ms: 50,
+            // The entry of these tests sends no heartbeats.
+            silent_ms: 60_000,
+            ..AgentSettings::default()
+        };
+        let handle = agent_server::spawn(settings, receiver, Metrics::disabled());
+        Agent {
+            handle: handle.await.unwrap(),
+            catalog,
+        }
+    }
+
+    async fn beside_engine(engine: &EngineStandIn) -> Self {
+        Self::beside(Upstream {
+            url: engine.url().into(),
+            ..upstream(4)
+        })
+        .await
+    }
+}
+
+fn catalog_of(upstream: Upstream) -> Arc<Catalog> {
+    let mut catalog = Catalog::default();
+    catalog
+        .upstreams
+        .insert(Arc::clone(&upstream.name), Arc::new(upstream));
+    Arc::new(catalog)
+}
+
+/// The entry's end of a link, as simple as can be.
+struct Entry {
+    reader: FrameReader<EntryEnd, OwnedReadHalf>,
+    messages: mpsc::Sender<EntryMessage>,
+    agent: Incarnation,
+}
+
+impl Entry {
+    async fn connect(address: SocketAddr) -> Self {
+        let stream = TcpStream::connect(address).await.unwrap();
+        let (read, write) = stream.into_split();
+        let (messages, queue) = mpsc::channel(64);
+        let (_, no_bulk) = mpsc::channel(1);
+        tokio::spawn(write_frames::<EntryEnd, _>(write, queue, no_bulk));
+        let mut entry = Entry {
+            reader: FrameReader::new(read),
+            messages,
+            agent: Incarnation(0),
+        };
+        let hello = Hello {
+            protocol: PROTOCOL_VERSION,
+            incarnation: Incarnation(99),
+            name: "entry-1".into(),
+            data_centre: "wdh-1".into(),
+        };
+        entry.say(EntryMessage::Hello(hello)).await;
+        let AgentMessage::Hello(hello) = entry.hear().await else {
+            panic!("the agent says hello first");
+        };
+        entry.agent = hello.incarnation;
+        entry
+    }
+
+    async fn say(&self, message: EntryMessage) {
+        self.messages.send(message).await.unwrap();
+    }
+
+    /// The next message, heartbeats left out.
+    async fn hear(&mut self) -> AgentMessage {
+        loop {
+            let message = timeout(CAP, self.reader.next()).await.unwrap();
+            match message.unwrap().expect("the link is open") {
+                AgentMessage::Heartbeat { .. } => {}
+                message => return message,
+            }
+        }
+    }
+
+    /// Reserves until there is a grant; an agent that has just started refuses at first.
+    async fn granted(&mut self, reservation: Reservation) -> GrantId {
+        loop {
+            self.say(EntryMessage::Reserve(reservation.clone())).await;
+            match self.hear().await {
+                AgentMessage::Grant { grant, .. } => return grant,
+                AgentMessage::Refuse { reason, .. } => {
+                    assert_eq!(reason, RefusalReason::UpstreamDown);
+                    tokio::time::sleep(Duration::from_millis(50)).await;
+                }
+                other => panic!("{other:?}"),
+            }
+        }
+    }
+
+    async fn dispatch(&mut self, reservation: Reservation, call: Call) -> (AttemptId, GrantId) {
+        let attempt = attempt(reservation.request.0);
+        let grant = self.granted(reservation).await;
+        self.say(EntryMessage::Dispatch {
+            grant,
+            attempt,
+            retain: false,
+            call,
+        })
+        .await;
+        (attempt, grant)
+    }
+
+    /// Reads an answer to its end; its body and how it ended.
+    async fn read_answer(&mut self, reader: &mut AnswerReader) -> (Vec<u8>, ReadStep) {
+        let mut body = Vec::new();
+        loop {
+            let Some(frame) = answer_frame(self.hear().await) else {
+                continue;
+            };
+            match reader.read(frame) {
+                ReadStep::Pass(bytes) => body.extend_from_slice(&bytes),
+                ReadStep::Head { .. } | ReadStep::Ignore => {}
+                step => return (body, step),
+            }
+        }
+    }
+
+    async fn settle(&mut self, attempt: AttemptId, grant: GrantId) -> Settlement {
+        self.say(EntryMessage::Settle { attempt, grant }).await;
+        loop {
+            if let AgentMessage::Settled { settlement, .. } = self.hear().await {
+                return settlement;
+            }
+        }
+    }
+}
+
+fn answer_frame(message: AgentMessage) -> Option<AnswerFrame> {
+    match message {
+        AgentMessage::Head {
+            attempt,
+            status,
+            headers,
+        } => Some(AnswerFrame::Head {
+            attempt,
+            status,
+            headers,
+        }),
+        AgentMessage::Data {
+            attempt,
+            offset_bytes,
+            bytes,
+        } => Some(AnswerFrame::Data {
+            attempt,
+            offset_bytes,
+            bytes,
+        }),
+        AgentMessage::End { attempt, end } => Some(AnswerFrame::End { attempt, end }),
+        _ => None,
+    }
+}
+
+fn completion(max_tokens: u32, stream: bool) -> Call {
+    let body = format!(
+        r#"{{"model":"small","prompt":"a short prompt","max_tokens":{max_tokens},"stream":{stream}}}"#
+    );
+    Call {
+        method: "POST".into(),
+        path: "/v1/completions".into(),
+        headers: vec![(
+            "content-type".into(),
+            Bytes::from_static(b"application/json"),
+        )],
+        body: body.into(),
+    }
+}
+
+/// The answer that a direct call gets for the same request id.
+async fn direct_answer(max_tokens: u32, stream: bool, id: &str) -> Vec<u8> {
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let call = completion(max_tokens, stream);
+    let http = sardinewood::upstream_http::client().unwrap();
+    let answer = http
+        .post(format!("{}{}", engine.url(), call.path))
+        .header("x-request-id", id)
+        .body(call.body)
+        .send()
+        .await
+        .unwrap();
+    answer.bytes().await.unwrap().to_vec()
+}
+
+async fn wait_until(mut is_reached: impl FnMut() -> bool) {
+    let waiting = async {
+        while !is_reached() {
+            tokio::time::sleep(Duration::from_millis(5)).await;
+        }
+    };
+    timeout(CAP, waiting).await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn dispatch_answers_arrive_as_the_engine_gave_them() {
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let agent = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    for (id, stream) in [(1, true), (2, false)] {
+        let (attempt, _) = entry
+            .dispatch(reservation(id, 0), completion(20, stream))
+            .await;
+        let mut reader = AnswerReader::new(attempt);
+        let (body, end) = entry.read_answer(&mut reader).await;
+        assert_eq!(end, ReadStep::Whole);
+        let request = attempt.request.to_string();
+        assert_eq!(body, direct_answer(20, stream, &request).await);
+        assert_eq!(engine.dispatches(&request), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_connections_cut_or_silent_are_resumed_without_a_second_dispatch() {
+    // The connection between agent and engine closes, or is lost track of without a word,
+    // in the middle of a stream. The agent asks the engine, finds the request running and
+    // reads on after the last whole event; the caller sees one unbroken answer.
+    for is_cut in [true, false] {
+        let engine = EngineStandIn::spawn(EngineSettings::default())
+            .await
+            .unwrap();
+        let agent = Agent::beside_engine(&engine).await;
+        let mut entry = Entry::connect(agent.handle.address()).await;
+        let (attempt, _) = entry
+            .dispatch(reservation(1, 0), completion(200, true))
+            .await;
+        let mut reader = AnswerReader::new(attempt);
+        while reader.through_bytes() < 2_000 {
+            if let Some(frame) = answer_frame(entry.hear().await) {
+                reader.read(frame);
+            }
+        }
+        if is_cut {
+            engine.connections().close_all();
+        } else {
+            engine.connections().silence_all();
+        }
+        let (_, end) = entry.read_answer(&mut reader).await;
+        assert_eq!(end, ReadStep::Whole);
+        let request = attempt.request.to_string();
+        let whole = direct_answer(200, true, &request).await;
+        assert_eq!(reader.through_bytes(), whole.len() as u64);
+        assert_eq!(engine.dispatches(&request), 1);
+    }
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn link_lost_in_mid_answer_resumes_from_the_offset() {
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let agent = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    let (attempt, grant) = entry
+        .dispatch(reservation(1, 0), completion(200, true))
+        .await;
+    let mut reader = AnswerReader::new(attempt);
+    while reader.through_bytes() < 2_000 {
+        if let Some(frame) = answer_frame(entry.hear().await) {
+            reader.read(frame);
+        }
+    }
+    drop(entry);
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    assert_eq!(entry.settle(attempt, grant).await, Settlement::Running);
+    entry
+        .say(EntryMessage::Resume {
+            attempt,
+            from_bytes: reader.through_bytes(),
+        })
+        .await;
+    let (_, end) = entry.read_answer(&mut reader).await;
+    assert_eq!(end, ReadStep::Whole);
+    assert_eq!(engine.dispatches(&attempt.request.to_string()), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn agent_restarted_beside_a_living_engine_picks_the_stream_up() {
+    // The agent dies in the middle of a stream and its successor starts beside the same
+    // engine. The entry asks the new incarnation, which finds the request running, and
+    // reads on from where it was. The engine got the request once.
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let first = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(first.handle.address()).await;
+    let (attempt, grant) = entry
+        .dispatch(reservation(1, 0), completion(400, true))
+        .await;
+    let mut reader = AnswerReader::new(attempt);
+    while reader.through_bytes() < 2_000 {
+        if let Some(frame) = answer_frame(entry.hear().await) {
+            reader.read(frame);
+        }
+    }
+    drop(first);
+    let second = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(second.handle.address()).await;
+    assert_ne!(entry.agent, grant.agent);
+    assert_eq!(entry.settle(attempt, grant).await, Settlement::Running);
+    entry
+        .say(EntryMessage::Resume {
+            attempt,
+            from_bytes: reader.through_bytes(),
+        })
+        .await;
+    let (_, end) = entry.read_answer(&mut reader).await;
+    assert_eq!(end, ReadStep::Whole);
+    let request = attempt.request.to_string();
+    let whole = direct_answer(400, true, &request).await;
+    assert_eq!(reader.through_bytes(), whole.len() as u64);
+    assert_eq!(engine.dispatches(&request), 1);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_restarted_ends_the_attempt_as_broken_and_bars_it() {
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let agent = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    let (attempt, _) = entry
+        .dispatch(reservation(1, 0), completion(200, true))
+        .await;
+    wait_until(|| engine.counts().dispatches == 1).await;
+    engine.restart();
+    let mut reader = AnswerReader::new(attempt);
+    let (_, end) = entry.read_answer(&mut reader).await;
+    assert!(
+        matches!(end, ReadStep::Cut(AnswerEnd::Broken { .. })),
+        "{end:?}"
+    );
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn cancel_is_confirmed_by_the_engine() {
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let agent = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    let (attempt, _) = entry
+        .dispatch(reservation(1, 0), completion(5_000, true))
+        .await;
+    wait_until(|| engine.counts().dispatches == 1).await;
+    entry.say(EntryMessage::Cancel { attempt }).await;
+    let mut reader = AnswerReader::new(attempt);
+    let (_, end) = entry.read_answer(&mut reader).await;
+    assert_eq!(end, ReadStep::Cut(AnswerEnd::Cancelled));
+    assert_eq!(engine.counts().cancelled, 1);
+    assert_eq!(engine.load().running, 0);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn service_answer_lost_is_in_doubt_and_sent_once() {
+    // The service runs the call and its connection closes before the answer. No library
+    // may send the call again, and nobody may be told that it did not run.
+    let service = ServiceStandIn::spawn().await.unwrap();
+    let agent = Agent::beside(Upstream {
+        url: service.url().into(),
+        serves: Serves::Service("refunds".into()),
+        ..upstream(2)
+    })
+    .await;
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    let refund = |id| Reservation {
+        target: Target::Service("refunds".into()),
+        non_idempotent: true,
+        ..reservation(id, 0)
+    };
+    let call = || Call {
+        method: "PUT".into(),
+        path: "/refunds/7?day=2".into(),
+        headers: vec![("x-own".into(), Bytes::from_static(b"kept"))],
+        body: "credit 5".into(),
+    };
+    let (attempt, _) = entry.dispatch(refund(1), call()).await;
+    let (body, end) = entry.read_answer(&mut AnswerReader::new(attempt)).await;
+    assert_eq!((body, end), (b"credit 5".to_vec(), ReadStep::Whole));
+
+    service.lose_next_answers(1);
+    let (attempt, grant) = entry.dispatch(refund(2), call()).await;
+    let (_, end) = entry.read_answer(&mut AnswerReader::new(attempt)).await;
+    assert!(
+        matches!(end, ReadStep::Cut(AnswerEnd::InDoubt { .. })),
+        "{end:?}"
+    );
+    assert_eq!(entry.settle(attempt, grant).await, Settlement::InDoubt);
+    assert_eq!(service.calls_of(&attempt.request.to_string()), 1);
+    assert_eq!(service.calls()[0].path, "/refunds/7?day=2");
+    assert_eq!(service.calls()[0].headers["x-own"], "kept");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn upstream_gone_is_not_sent() {
+    let service = ServiceStandIn::spawn().await.unwrap();
+    let agent = Agent::beside(Upstream {
+        url: service.url().into(),
+        serves: Serves::Service("refunds".into()),
+        ..upstream(2)
+    })
+    .await;
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    let refund = Reservation {
+        target: Target::Service("refunds".into()),
+        ..reservation(1, 0)
+    };
+    let grant = entry.granted(refund).await;
+    drop(service);
+    entry
+        .say(EntryMessage::Dispatch {
+            grant,
+            attempt: attempt(1),
+            retain: false,
+            call: completion(1, false),
+        })
+        .await;
+    let (_, end) = entry.read_answer(&mut AnswerReader::new(attempt(1))).await;
+    assert_eq!(end, ReadStep::Cut(AnswerEnd::NotSent));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn drain_and_shut_down_cut_off_nothing_in_flight() {
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let Agent { handle, catalog } = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(handle.address()).await;
+    let (attempt, _) = entry
+        .dispatch(reservation(1, 0), completion(100, true))
+        .await;
+    wait_until(|| engine.counts().dispatches == 1).await;
+    let draining = Upstream {
+        url: engine.url().into(),
+        activity: Activity::Draining,
+        ..upstream(4)
+    };
+    catalog.send_replace(catalog_of(draining));
+    let ending = tokio::spawn(handle.shut_down());
+    let mut reader = AnswerReader::new(attempt);
+    let (_, end) = entry.read_answer(&mut reader).await;
+    assert_eq!(end, ReadStep::Whole);
+    assert!(!ending.is_finished(), "the answer is not acknowledged yet");
+    entry.say(EntryMessage::Reserve(reservation(2, 0))).await;
+    let AgentMessage::Refuse { reason, .. } = entry.hear().await else {
+        panic!("a leaving agent refuses");
+    };
+    assert_eq!(reason, RefusalReason::Leaving);
+    let through_bytes = reader.through_bytes();
+    entry
+        .say(EntryMessage::Acknowledge {
+            attempt,
+            through_bytes,
+        })
+        .await;
+    timeout(CAP, ending).await.unwrap().unwrap();
+}
