bench: processor time by role and a streaming caller

Cause: the measurements need the processor time of each role and a caller that costs little. Change: thread accounts by name, a streaming chat that notes arrivals, and the first slopes of entries and of configuration.

--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -15,11 +15,18 @@
 }
 
 /// All experiments, in the order of `--help`.
-pub const SUBCOMMANDS: &[Subcommand] = &[Subcommand {
-    name: "policy",
-    summary: "goodput and wasted prefill of each policy, in virtual time",
-    run: crate::policy::run,
-}];
+pub const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        name: "policy",
+        summary: "goodput and wasted prefill of each policy, in virtual time",
+        run: crate::policy::run,
+    },
+    Subcommand {
+        name: "slopes",
+        summary: "what one more request, link, object or change costs a role",
+        run: crate::slopes::run,
+    },
+];
 
 /// The command line is not understood.
 #[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,13 +4,16 @@
 pub mod baseline;
 pub mod bound;
 pub mod command;
+pub mod cpu_time;
 pub mod engine_model;
 pub mod fleet;
+pub mod load_client;
 pub mod message;
 pub mod policy;
 pub mod scenario;
 pub mod scenario_check;
 pub mod simulation;
+pub mod slopes;
 pub mod tally;
 pub mod workload;
 pub mod world;
--- /dev/null
+++ b/bench/src/slopes.rs
@@ -0,0 +1,112 @@
+//! `slopes`: what one more object, request, link or change costs a role.
+//!
+//! The states are the ones that ship, driven without sockets. Memory is the growth of this
+//! process's resident memory over many of the same thing; time is the mean over many.
+
+mod agent_slopes;
+mod config_slopes;
+mod entry_slopes;
+mod message_sizes;
+
+use std::time::Instant;
+
+use lexopt::Arg;
+use lexopt::Parser;
+use serde::Serialize;
+
+use crate::cpu_time::resident_bytes;
+
+/// What `slopes --help` prints.
+const HELP: &str = "\
+Usage: sardinewood-bench slopes
+
+Prints one JSON line for each slope: what one more of something costs a role in
+memory, processor time or bytes on the wire.
+";
+
+/// One measured slope.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct Slope {
+    /// The role that pays.
+    pub role: &'static str,
+    /// What there is one more of.
+    pub per: &'static str,
+    /// What it costs, with its unit.
+    pub cost: &'static str,
+    /// The figure.
+    pub value: f64,
+    /// Over how many it was measured.
+    pub count: usize,
+}
+
+/// Measures and prints all slopes.
+///
+/// # Errors
+///
+/// The arguments are not understood.
+pub fn run(mut parser: Parser) -> eyre::Result<()> {
+    match parser.next()? {
+        Some(Arg::Short('h') | Arg::Long("help")) => {
+            print!("{HELP}");
+            return Ok(());
+        }
+        Some(other) => return Err(other.unexpected().into()),
+        None => {}
+    }
+    for slope in measure_all() {
+        println!("{}", serde_json::to_string(&slope)?);
+    }
+    Ok(())
+}
+
+/// All slopes, in a fixed order.
+#[must_use]
+pub fn measure_all() -> Vec<Slope> {
+    let mut slopes = message_sizes::measure();
+    slopes.extend(config_slopes::measure());
+    slopes.extend(entry_slopes::measure());
+    slopes.extend(agent_slopes::measure());
+    slopes
+}
+
+/// The memory that `build` adds for each of `count` things. What it built is handed back,
+/// so that it is still there when the growth is read.
+fn memory_slope<T>(
+    role: &'static str,
+    per: &'static str,
+    count: usize,
+    build: impl FnOnce() -> T,
+) -> (Slope, T) {
+    let before_bytes = resident_bytes();
+    let built = build();
+    let grown_bytes = resident_bytes().saturating_sub(before_bytes);
+    let slope = Slope {
+        role,
+        per,
+        cost: "memory_bytes",
+        value: as_f64(grown_bytes) / as_f64(count as u64),
+        count,
+    };
+    (slope, built)
+}
+
+/// The time that `work` takes for each of the `count` things that it does.
+fn time_slope(role: &'static str, per: &'static str, count: usize, work: impl FnOnce()) -> Slope {
+    let begin = Instant::now();
+    work();
+    Slope {
+        role,
+        per,
+        cost: "cpu_us",
+        value: begin.elapsed().as_secs_f64() * 1e6 / as_f64(count as u64),
+        count,
+    }
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "figures for people need no 53 bits"
+)]
+fn as_f64(number: u64) -> f64 {
+    number as f64
+}
