--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -8,6 +8,7 @@
 mod entry_slopes;
 mod message_sizes;
 
+use std::any::Any;
 use std::time::Instant;
 
 use lexopt::Arg;
@@ -63,31 +64,51 @@
 #[must_use]
 pub fn measure_all() -> Vec<Slope> {
     let mut slopes = message_sizes::measure();
-    slopes.extend(config_slopes::measure());
-    slopes.extend(entry_slopes::measure());
-    slopes.extend(agent_slopes::measure());
+    slopes.extend(measure_memory());
+    slopes.extend(entry_slopes::measure_time());
+    slopes.extend(agent_slopes::measure_time());
+    slopes.extend(config_slopes::measure_time());
     slopes
 }
 
-/// The memory that `build` adds for each of `count` things. What it built is handed back,
-/// so that it is still there when the growth is read.
-fn memory_slope<T>(
-    role: &'static str,
-    per: &'static str,
-    count: usize,
-    build: impl FnOnce() -> T,
-) -> (Slope, T) {
-    let before_bytes = resident_bytes();
-    let built = build();
-    let grown_bytes = resident_bytes().saturating_sub(before_bytes);
-    let slope = Slope {
-        role,
-        per,
-        cost: "memory_bytes",
-        value: as_f64(grown_bytes) / as_f64(count as u64),
-        count,
-    };
-    (slope, built)
+fn measure_memory() -> Vec<Slope> {
+    let mut memory = Memory::default();
+    entry_slopes::measure_memory(&mut memory);
+    agent_slopes::measure_memory(&mut memory);
+    config_slopes::measure_memory(&mut memory);
+    memory.slopes
+}
+
+/// Measures growth of resident memory. What was built is kept until the end: memory that an
+/// earlier measurement frees would be used again by a later one, which would then seem to
+/// need none.
+#[derive(Default)]
+struct Memory {
+    slopes: Vec<Slope>,
+    built: Vec<Box<dyn Any>>,
+}
+
+impl Memory {
+    /// The memory that `build` adds for each of `count` things.
+    fn measure<T: 'static>(
+        &mut self,
+        role: &'static str,
+        per: &'static str,
+        count: usize,
+        build: impl FnOnce() -> T,
+    ) {
+        let before_bytes = resident_bytes();
+        let built = build();
+        let grown_bytes = resident_bytes().saturating_sub(before_bytes);
+        self.built.push(Box::new(built));
+        self.slopes.push(Slope {
+            role,
+            per,
+            cost: "memory_bytes",
+            value: as_f64(grown_bytes) / as_f64(count as u64),
+            count,
+        });
+    }
 }
 
 /// The time that `work` takes for each of the `count` things that it does.
--- a/bench/src/slopes/agent_slopes.rs
+++ b/bench/src/slopes/agent_slopes.rs
@@ -21,8 +21,8 @@
 use sardinewood::wire::Reservation;
 use serde_json::json;
 
+use super::Memory;
 use super::Slope;
-use super::memory_slope;
 use super::message_sizes;
 use super::time_slope;
 
@@ -41,22 +41,25 @@
 /// When the measurements happen.
 const NOW_MS: u64 = 1_000;
 
-pub(super) fn measure() -> Vec<Slope> {
-    let (waiting_memory, _agent) = memory_slope("agent", "reservation", WAITING, || {
+pub(super) fn measure_memory(memory: &mut Memory) {
+    memory.measure("agent", "reservation", WAITING, || {
         let mut agent = agent_with(0);
         for index in 0..WAITING {
             reserve(&mut agent, index);
         }
         agent
     });
-    let (record_memory, _agent) = memory_slope("agent", "attempt record", REQUESTS, || {
+    memory.measure("agent", "attempt record", REQUESTS, || {
         let mut agent = agent_with(1);
         for index in 0..REQUESTS {
             run_one(&mut agent, index);
         }
         agent
     });
-    vec![waiting_memory, record_memory, request_time()]
+}
+
+pub(super) fn measure_time() -> Vec<Slope> {
+    vec![request_time()]
 }
 
 /// From reservation over grant and dispatch to the end of the answer, while others wait.
@@ -82,6 +85,7 @@
             EntryMessage::Dispatch {
                 grant,
                 attempt,
+                retain: false,
                 call: call(),
             },
         );
--- a/bench/src/slopes/config_slopes.rs
+++ b/bench/src/slopes/config_slopes.rs
@@ -5,8 +5,8 @@
 use serde_json::Value;
 use serde_json::json;
 
+use super::Memory;
 use super::Slope;
-use super::memory_slope;
 use super::time_slope;
 
 /// Customers in steady use two years on.
@@ -18,14 +18,19 @@
 /// Changes that are timed.
 const CHANGES: usize = 100;
 
-pub(super) fn measure() -> Vec<Slope> {
-    let (customer_memory, _customers) = memory_slope("each", "customer object", CUSTOMERS, || {
-        Config::fixed(&objects(CUSTOMERS, customer))
+pub(super) fn measure_memory(memory: &mut Memory) {
+    let customers = objects(CUSTOMERS, customer);
+    let upstreams = objects(UPSTREAMS, upstream);
+    memory.measure("each", "customer object", CUSTOMERS, || {
+        Config::fixed(&customers)
     });
-    let (upstream_memory, _upstreams) = memory_slope("each", "upstream object", UPSTREAMS, || {
-        Config::fixed(&objects(UPSTREAMS, upstream))
+    memory.measure("each", "upstream object", UPSTREAMS, || {
+        Config::fixed(&upstreams)
     });
-    vec![customer_memory, upstream_memory, change_time()]
+}
+
+pub(super) fn measure_time() -> Vec<Slope> {
+    vec![change_time()]
 }
 
 /// The time of one change while everything of the future size is held.
--- a/bench/src/slopes/entry_slopes.rs
+++ b/bench/src/slopes/entry_slopes.rs
@@ -24,8 +24,8 @@
 use sardinewood::wire::Load;
 use serde_json::json;
 
+use super::Memory;
 use super::Slope;
-use super::memory_slope;
 use super::time_slope;
 
 /// Upstreams that the entry may link to.
@@ -46,15 +46,18 @@
 /// When the measurements happen, long before any deadline.
 const NOW_MS: u64 = 1_000;
 
-pub(super) fn measure() -> Vec<Slope> {
-    let (waiting_memory, _entry) = memory_slope("entry", "waiting request", WAITING, || {
+pub(super) fn measure_memory(memory: &mut Memory) {
+    memory.measure("entry", "waiting request", WAITING, || {
         let mut entry = linked_entry();
         for index in 0..WAITING {
             entry.handle(NOW_MS, submitted(index));
         }
         entry
     });
-    vec![waiting_memory, request_time(), heartbeat_time()]
+}
+
+pub(super) fn measure_time() -> Vec<Slope> {
+    vec![request_time(), heartbeat_time()]
 }
 
 /// From submission over grant and dispatch to the end of the answer.
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -7,3 +7,4 @@
 mod test_engine_model;
 mod test_scenario;
 mod test_simulation;
+mod test_slopes;
