--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -98,9 +98,9 @@
         build: impl FnOnce() -> T,
     ) {
         let before_bytes = resident_bytes();
-        let built = build();
+        let thing = build();
         let grown_bytes = resident_bytes().saturating_sub(before_bytes);
-        self.built.push(Box::new(built));
+        self.built.push(Box::new(thing));
         self.slopes.push(Slope {
             role,
             per,
