--- /dev/null
+++ b/lib/src/caller_api.rs
@@ -0,0 +1,445 @@
+//! What callers speak: the model API, plain services, and the balancer's checks.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::stream;
+use poem::Body;
+use poem::Endpoint;
+use poem::Request;
+use poem::Response;
+use poem::error::ReadBodyError;
+use poem::http::HeaderName;
+use poem::http::HeaderValue;
+use poem::http::Method;
+use poem::http::StatusCode;
+use poem::http::header;
+use serde_json::json;
+use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::caller_answer::AnswerHead;
+use crate::caller_answer::CallerAnswer;
+use crate::caller_answer::CallerContext;
+use crate::caller_answer::Part;
+use crate::caller_answer::Written;
+use crate::caller_body::ModelCall;
+use crate::caller_body::read_model_request;
+use crate::caller_connections::CallerConnections;
+use crate::caller_directory::CallerDirectory;
+use crate::caller_headers::CallerHeaders;
+use crate::caller_headers::forwarded;
+use crate::caller_headers::is_hop_by_hop;
+use crate::caller_headers::total_bytes;
+use crate::entry_control::EntryStatus;
+use crate::entry_control::elapsed_ms;
+use crate::entry_state::EntryEvent;
+use crate::ids::RequestId;
+use crate::objects::Customer;
+use crate::objects::Profile;
+use crate::objects::Target;
+use crate::openai_error::ApiError;
+use crate::openai_error::name_request;
+use crate::submission::NamedBody;
+use crate::submission::RequestName;
+use crate::submission::Submission;
+use crate::submission::WorkEstimate;
+use crate::verdict::Failure;
+use crate::wire::Call;
+
+const SERVICES: &str = "/services/";
+
+/// What a caller may send.
+///
+/// ```
+/// use sardinewood::caller_api::CallerLimits;
+///
+/// assert!(CallerLimits::default().max_body_bytes > 0);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CallerLimits {
+    /// Longest body.
+    pub max_body_bytes: usize,
+    /// Longest headers, together.
+    pub max_header_bytes: usize,
+    /// How long the whole body may take to come.
+    pub body_patience_ms: u64,
+    /// The longest deadline; longer ones are cut to it.
+    pub max_deadline_ms: u64,
+}
+
+impl Default for CallerLimits {
+    fn default() -> Self {
+        Self {
+            max_body_bytes: 4 << 20,
+            max_header_bytes: 16 << 10,
+            body_patience_ms: 60_000,
+            max_deadline_ms: 60_000,
+        }
+    }
+}
+
+/// The API for callers.
+#[derive(Clone, Debug)]
+pub struct CallerApi {
+    /// The way to the rest of the entry.
+    pub context: CallerContext,
+    /// The configuration.
+    pub directory: watch::Receiver<Arc<CallerDirectory>>,
+    /// The state of the entry.
+    pub status: watch::Receiver<EntryStatus>,
+    /// The open connections.
+    pub connections: CallerConnections,
+    /// What a caller may send.
+    pub limits: CallerLimits,
+    /// The start of the entry's time.
+    pub started: Instant,
+}
+
+/// A caller that may send requests, with the class of work that it chose.
+struct Admitted {
+    customer: Arc<Customer>,
+    profile: Arc<Profile>,
+    headers: CallerHeaders,
+}
+
+/// What a request asks for, read from its path and body.
+struct Work {
+    target: Target,
+    estimate: WorkEstimate,
+    call: Call,
+}
+
+impl Endpoint for CallerApi {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let id = RequestId(rand::random());
+        let answered = self.answer(id, request).await;
+        let mut response = answered.unwrap_or_else(|error| error.to_response(id));
+        name_request(&mut response, id);
+        Ok(response)
+    }
+}
+
+impl CallerApi {
+    async fn answer(&self, id: RequestId, request: Request) -> Result<Response, ApiError> {
+        let path = request.uri().path().to_owned();
+        match path.as_str() {
+            "/healthz" => Ok(plain(StatusCode::OK, "ok")),
+            "/readyz" => Ok(self.readiness()),
+            "/v1/models" => self.models(&request),
+            "/v1/chat/completions" => self.model_call(id, request, ModelCall::Chat).await,
+            "/v1/completions" => self.model_call(id, request, ModelCall::Completion).await,
+            _ => match service_of(&path) {
+                Some((service, rest)) => self.service_call(id, request, service, rest).await,
+                None => Err(ApiError::refused(
+                    StatusCode::NOT_FOUND,
+                    "unknown_path",
+                    format!("there is nothing at `{path}`"),
+                )),
+            },
+        }
+    }
+
+    fn readiness(&self) -> Response {
+        if self.status.borrow().is_ready {
+            plain(StatusCode::OK, "ready")
+        } else {
+            plain(StatusCode::SERVICE_UNAVAILABLE, "not ready")
+        }
+    }
+
+    fn models(&self, request: &Request) -> Result<Response, ApiError> {
+        expect_method(request, &Method::GET)?;
+        let directory = self.directory.borrow().clone();
+        let headers = CallerHeaders::read(request.headers())?;
+        directory.customer(headers.bearer.as_deref())?;
+        let models: Vec<_> = directory
+            .models()
+            .iter()
+            .map(|model| {
+                json!({"id": &**model, "object": "model", "created": 0, "owned_by": "sardinewood"})
+            })
+            .collect();
+        let list = json!({"object": "list", "data": models});
+        Ok(Response::builder()
+            .content_type("application/json")
+            .body(Body::from_string(list.to_string())))
+    }
+
+    async fn model_call(
+        &self,
+        id: RequestId,
+        mut request: Request,
+        call: ModelCall,
+    ) -> Result<Response, ApiError> {
+        expect_method(&request, &Method::POST)?;
+        let admitted = self.admit(&request)?;
+        let body = self.read_body(&mut request).await?;
+        let asked = read_model_request(call, body, &admitted.profile)?;
+        let gone = self.gone(&request);
+        let work = Work {
+            target: Target::Model(asked.model),
+            estimate: asked.estimate,
+            call: call_of(&request, request.uri().path().into(), asked.body),
+        };
+        self.run(id, admitted, work, gone).await
+    }
+
+    async fn service_call(
+        &self,
+        id: RequestId,
+        mut request: Request,
+        service: Arc<str>,
+        rest: String,
+    ) -> Result<Response, ApiError> {
+        let admitted = self.admit(&request)?;
+        let body = self.read_body(&mut request).await?;
+        let path = match request.uri().query() {
+            Some(query) => format!("{rest}?{query}"),
+            None => rest,
+        };
+        let gone = self.gone(&request);
+        let work = Work {
+            target: Target::Service(service),
+            estimate: WorkEstimate::default(),
+            call: call_of(&request, path.into(), body),
+        };
+        self.run(id, admitted, work, gone).await
+    }
+
+    fn admit(&self, request: &Request) -> Result<Admitted, ApiError> {
+        if total_bytes(request.headers()) > self.limits.max_header_bytes {
+            return Err(ApiError::refused(
+                StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE,
+                "headers_too_large",
+                format!("headers may take {} bytes", self.limits.max_header_bytes),
+            ));
+        }
+        let headers = CallerHeaders::read(request.headers())?;
+        let directory = self.directory.borrow().clone();
+        let customer = directory.customer(headers.bearer.as_deref())?;
+        let profile = directory.profile(headers.profile.as_ref(), &customer)?;
+        Ok(Admitted {
+            customer,
+            profile,
+            headers,
+        })
+    }
+
+    async fn read_body(&self, request: &mut Request) -> Result<Bytes, ApiError> {
+        let limit = self.limits.max_body_bytes;
+        let announced = request
+            .header(header::CONTENT_LENGTH)
+            .and_then(|length| length.parse::<usize>().ok());
+        if announced.is_some_and(|length| length > limit) {
+            return Err(body_too_large(limit));
+        }
+        let reading = request.take_body().into_bytes_limit(limit);
+        let patience = Duration::from_millis(self.limits.body_patience_ms);
+        match timeout(patience, reading).await {
+            Ok(Ok(body)) => Ok(body),
+            Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(body_too_large(limit)),
+            Ok(Err(error)) => Err(ApiError::bad_request(
+                "body_unreadable",
+                format!("the body can't be read: {error}"),
+            )),
+            Err(_) => Err(ApiError::refused(
+                StatusCode::REQUEST_TIMEOUT,
+                "body_too_slow",
+                "the body did not come in time",
+            )),
+        }
+    }
+
+    async fn run(
+        &self,
+        id: RequestId,
+        admitted: Admitted,
+        work: Work,
+        gone: CancellationToken,
+    ) -> Result<Response, ApiError> {
+        let is_head = &*work.call.method == Method::HEAD.as_str();
+        let submission = self.submission(id, admitted, work);
+        let non_idempotent = submission.non_idempotent;
+        let mut answer = CallerAnswer::open(id, self.context.clone());
+        let event = EntryEvent::Submitted(Box::new(submission));
+        // Without a control thread the answer's channel is closed, too.
+        let _stopped = self.context.events.send(event);
+        // A caller that has gone reads no answer; dropping this one here cancels its work.
+        let begun = gone.run_until_cancelled(answer.begin()).await;
+        match begun.ok_or_else(caller_gone)? {
+            Written::Whole { head, body } => Ok(whole_response(&head, body, is_head)),
+            Written::Begins { head } => {
+                let streamed = StreamedAnswer {
+                    answer,
+                    gone,
+                    non_idempotent,
+                    is_event_stream: head.is_event_stream(),
+                };
+                Ok(streamed_response(&head, streamed))
+            }
+            Written::Failed(failure) => Err(ApiError::from_failure(failure, non_idempotent)),
+        }
+    }
+
+    /// Cancelled when the caller goes away.
+    fn gone(&self, request: &Request) -> CancellationToken {
+        match request.remote_addr().as_socket_addr() {
+            Some(address) => self.connections.gone(*address),
+            None => CancellationToken::new(),
+        }
+    }
+
+    fn submission(&self, id: RequestId, admitted: Admitted, work: Work) -> Submission {
+        let Admitted {
+            customer,
+            profile,
+            headers,
+        } = admitted;
+        let deadline_ms = headers
+            .deadline_ms
+            .unwrap_or(profile.deadline_ms)
+            .min(self.limits.max_deadline_ms);
+        let named = headers.idempotency_key.map(|key| NamedBody {
+            name: RequestName {
+                customer: customer.name.clone(),
+                key,
+            },
+            fingerprint: 0,
+        });
+        Submission {
+            request: id,
+            target: work.target,
+            non_idempotent: headers.non_idempotent.unwrap_or(profile.non_idempotent),
+            profile,
+            customer,
+            deadline_at_ms: elapsed_ms(self.started) + deadline_ms,
+            named,
+            order_key: headers.order_key,
+            appointment: headers.appointment,
+            estimate: work.estimate,
+            call: work.call,
+        }
+    }
+}
+
+fn service_of(path: &str) -> Option<(Arc<str>, String)> {
+    let rest = path.strip_prefix(SERVICES)?;
+    let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
+    if service.is_empty() {
+        return None;
+    }
+    Some((service.into(), format!("/{rest}")))
+}
+
+fn call_of(request: &Request, path: Arc<str>, body: Bytes) -> Call {
+    Call {
+        method: request.method().as_str().into(),
+        path,
+        headers: forwarded(request.headers()),
+        body,
+    }
+}
+
+fn expect_method(request: &Request, method: &Method) -> Result<(), ApiError> {
+    if request.method() == method {
+        return Ok(());
+    }
+    Err(ApiError::refused(
+        StatusCode::METHOD_NOT_ALLOWED,
+        "method_not_allowed",
+        format!("this path takes {method}"),
+    ))
+}
+
+fn body_too_large(limit: usize) -> ApiError {
+    ApiError::refused(
+        StatusCode::PAYLOAD_TOO_LARGE,
+        "body_too_large",
+        format!("the body may have {limit} bytes"),
+    )
+}
+
+fn plain(status: StatusCode, text: &'static str) -> Response {
+    Response::builder()
+        .status(status)
+        .content_type("text/plain")
+        .body(text)
+}
+
+fn whole_response(head: &AnswerHead, body: Bytes, is_head: bool) -> Response {
+    let mut response = response_of(head);
+    if !is_head {
+        // The body itself tells its length.
+        response.headers_mut().remove(header::CONTENT_LENGTH);
+    }
+    response.set_body(Body::from_bytes(body));
+    response
+}
+
+/// An answer that is written as it comes.
+struct StreamedAnswer {
+    answer: CallerAnswer,
+    gone: CancellationToken,
+    non_idempotent: bool,
+    is_event_stream: bool,
+}
+
+impl StreamedAnswer {
+    /// The next bytes for the caller, and the answer itself if more may follow.
+    async fn next(mut self) -> Option<(io::Result<Bytes>, Option<Self>)> {
+        let next = self.answer.next_bytes();
+        let Some(part) = self.gone.clone().run_until_cancelled_owned(next).await else {
+            return Some((Err(io::ErrorKind::ConnectionAborted.into()), None));
+        };
+        match part {
+            Part::Bytes(bytes) => Some((Ok(bytes), Some(self))),
+            Part::Whole => None,
+            Part::Failed(failure) => Some((self.last_word(failure), None)),
+        }
+    }
+
+    /// Ends a body that is not whole. An event tells a client library of the failure; in
+    /// any other body the connection breaks, so that a half can't be taken for the whole.
+    fn last_word(&self, failure: Failure) -> io::Result<Bytes> {
+        let error = ApiError::from_failure(failure, self.non_idempotent);
+        if self.is_event_stream {
+            Ok(error.to_event(self.answer.request()))
+        } else {
+            Err(io::Error::other(error.message))
+        }
+    }
+}
+
+fn streamed_response(head: &AnswerHead, streamed: StreamedAnswer) -> Response {
+    let mut response = response_of(head);
+    let parts = stream::unfold(Some(streamed), |streamed| async { streamed?.next().await });
+    response.set_body(Body::from_bytes_stream(parts));
+    response
+}
+
+fn caller_gone() -> ApiError {
+    ApiError::bad_request("caller_gone", "the connection has ended")
+}
+
+fn response_of(head: &AnswerHead) -> Response {
+    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut response = Response::builder().status(status).finish();
+    for (name, value) in &head.headers {
+        if is_hop_by_hop(name) {
+            continue;
+        }
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_bytes(value);
+        if let (Ok(name), Ok(value)) = (name, value) {
+            response.headers_mut().append(name, value);
+        }
+    }
+    response
+}
--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of the agents, and which of them are asked for a grant.
 
 use std::hash::Hasher;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -179,9 +180,9 @@
             .retain(|_, agent| agent.configured || !agent.running.is_empty());
     }
 
-    /// The agents to which a link is wanted.
+    /// The agents to which a link is wanted, and where they are reached.
     #[must_use]
-    pub fn wanted_links(&self) -> IndexSet<Arc<str>> {
+    pub fn wanted_links(&self) -> IndexMap<Arc<str>, SocketAddr> {
         let busy = self
             .agents
             .iter()
@@ -191,7 +192,8 @@
             .values()
             .flatten()
             .chain(busy)
-            .cloned()
+            .filter_map(|name| Some((name.clone(), self.agents.get(name)?)))
+            .map(|(name, agent)| (name, agent.upstream.agent_address))
             .collect()
     }
 
--- /dev/null
+++ b/lib/src/entry_control.rs
@@ -0,0 +1,240 @@
+//! The thread of control of an entry: takes events, decides, and carries the decisions out.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
+use tokio_util::sync::CancellationToken;
+
+use crate::answer_routes::CallerNote;
+use crate::catalog::Catalog;
+use crate::entry_link::LinkContext;
+use crate::entry_link::keep_link;
+use crate::entry_state::EntryCounts;
+use crate::entry_state::EntryEvent;
+use crate::entry_state::EntryState;
+use crate::entry_state::EntryStep;
+
+/// Events taken together before timers are looked at.
+const BATCH_EVENTS: usize = 256;
+/// The longest sleep, when no timer is set.
+const IDLE: Duration = Duration::from_secs(3_600);
+
+/// What others may know of the entry's state.
+///
+/// ```
+/// use sardinewood::entry_control::EntryStatus;
+///
+/// assert!(!EntryStatus::default().is_ready);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct EntryStatus {
+    /// Whether new requests are taken.
+    pub is_ready: bool,
+    /// Whether no caller waits any more.
+    pub is_drained: bool,
+    /// How many requests are where.
+    pub counts: EntryCounts,
+    /// How many answers have a reader.
+    pub readers: usize,
+    /// The newest configuration revision that each agent is known to have; `None` for an
+    /// agent that is not linked.
+    pub agent_revisions: IndexMap<Arc<str>, Option<u64>>,
+}
+
+/// A question to the control thread.
+#[derive(Debug)]
+pub enum EntryQuery {
+    /// The status after all events that came before.
+    Status(oneshot::Sender<EntryStatus>),
+}
+
+/// Everything that the control thread works with.
+pub struct EntryControl {
+    /// The decisions.
+    pub state: EntryState,
+    /// Events from links, bounded: a link that brings too many waits.
+    pub link_events: mpsc::Receiver<EntryEvent>,
+    /// Events from callers, a few for each of a bounded number of connections.
+    pub caller_events: mpsc::UnboundedReceiver<EntryEvent>,
+    /// The configuration.
+    pub catalog: watch::Receiver<Arc<Catalog>>,
+    /// What links are made of.
+    pub link: LinkContext,
+    /// Where link tasks run.
+    pub traffic: Handle,
+    /// Questions that want an answer from the state as it is now.
+    pub queries: mpsc::Receiver<EntryQuery>,
+    /// Where the status is published.
+    pub status: watch::Sender<EntryStatus>,
+    /// The start of the entry's time.
+    pub started: Instant,
+    /// How often the status is published.
+    pub status_every: Duration,
+    /// Ends the thread.
+    pub stop: CancellationToken,
+}
+
+impl EntryControl {
+    /// Runs until it is stopped.
+    pub async fn run(mut self) {
+        let mut links = IndexMap::new();
+        let mut batch = Vec::with_capacity(BATCH_EVENTS);
+        let first = EntryEvent::CatalogChanged(self.catalog.borrow_and_update().clone());
+        batch.push(first);
+        let mut next_status = Instant::now();
+        loop {
+            for event in batch.drain(..) {
+                self.take(event, &mut links);
+            }
+            if Instant::now() >= next_status {
+                self.publish();
+                next_status = Instant::now() + self.status_every;
+            }
+            if !self.wait(&mut batch, next_status).await {
+                break;
+            }
+        }
+        for (_, link) in links {
+            link.abort();
+        }
+    }
+
+    /// Waits for events; false when the thread is to end.
+    async fn wait(&mut self, batch: &mut Vec<EntryEvent>, status_at: Instant) -> bool {
+        let tick_at = self.state.next_tick_ms().map_or_else(
+            || Instant::now() + IDLE,
+            |at_ms| self.started + Duration::from_millis(at_ms),
+        );
+        tokio::select! {
+            () = self.stop.cancelled() => false,
+            Some(event) = self.caller_events.recv() => {
+                batch.push(event);
+                self.take_ready(batch);
+                true
+            }
+            Some(event) = self.link_events.recv() => {
+                batch.push(event);
+                self.take_ready(batch);
+                true
+            }
+            Some(query) = self.queries.recv() => {
+                self.answer(query);
+                true
+            }
+            Ok(()) = self.catalog.changed() => {
+                let catalog = self.catalog.borrow_and_update().clone();
+                batch.push(EntryEvent::CatalogChanged(catalog));
+                true
+            }
+            () = sleep_until(tick_at) => {
+                batch.push(EntryEvent::Tick);
+                true
+            }
+            () = sleep_until(status_at) => true,
+        }
+    }
+
+    /// Takes what is ready of both channels, in turn.
+    fn take_ready(&mut self, batch: &mut Vec<EntryEvent>) {
+        while batch.len() < BATCH_EVENTS {
+            let from_caller = self.caller_events.try_recv().ok();
+            let from_link = self.link_events.try_recv().ok();
+            if from_caller.is_none() && from_link.is_none() {
+                return;
+            }
+            batch.extend(from_caller);
+            batch.extend(from_link);
+        }
+    }
+
+    fn take(&mut self, event: EntryEvent, links: &mut IndexMap<Arc<str>, JoinHandle<()>>) {
+        let now_ms = elapsed_ms(self.started);
+        let publishes = matches!(event, EntryEvent::ShutDown | EntryEvent::CatalogChanged(_));
+        for step in self.state.handle(now_ms, event) {
+            self.carry_out(step, links);
+        }
+        if publishes {
+            self.publish();
+        }
+    }
+
+    fn carry_out(&self, step: EntryStep, links: &mut IndexMap<Arc<str>, JoinHandle<()>>) {
+        let routes = &self.link.routes;
+        match step {
+            EntryStep::Send { agent, message } => self.link.links.send(&agent, message),
+            EntryStep::Begin {
+                request,
+                attempt,
+                agent,
+            } => {
+                routes.follow(request, attempt.request);
+                routes.tell(request, CallerNote::Begin { attempt, agent });
+            }
+            EntryStep::Resume { attempt, agent } => {
+                routes.tell_readers(attempt.request, &CallerNote::Resume { attempt, agent });
+            }
+            EntryStep::End { attempt, end } => {
+                routes.tell_readers(attempt.request, &CallerNote::End { attempt, end });
+            }
+            EntryStep::Fail { request, failure } => {
+                spdlog::info!("request {request} failed: {failure:?}");
+                routes.tell(request, CallerNote::Fail(failure));
+            }
+            EntryStep::Dial { agent, address } => {
+                let task = keep_link(agent.clone(), address, self.link.clone());
+                let earlier = links.insert(agent, self.traffic.spawn(task));
+                if let Some(earlier) = earlier {
+                    earlier.abort();
+                }
+            }
+            EntryStep::HangUp { agent } => {
+                if let Some(link) = links.swap_remove(&agent) {
+                    link.abort();
+                }
+            }
+            EntryStep::Claim { .. } | EntryStep::AwaitTurn { .. } | EntryStep::Finished { .. } => {}
+        }
+    }
+
+    fn answer(&self, query: EntryQuery) {
+        match query {
+            EntryQuery::Status(answer) => {
+                // Who has gone away does not want the answer.
+                let _gone = answer.send(self.current_status());
+            }
+        }
+    }
+
+    fn publish(&self) {
+        self.status.send_replace(self.current_status());
+    }
+
+    fn current_status(&self) -> EntryStatus {
+        let agent_revisions = self
+            .state
+            .agents()
+            .map(|(name, is_linked, revision)| (name.clone(), is_linked.then_some(revision)))
+            .collect();
+        EntryStatus {
+            is_ready: self.state.is_ready(),
+            is_drained: self.state.is_drained(),
+            counts: self.state.counts(),
+            readers: self.link.routes.len(),
+            agent_revisions,
+        }
+    }
+}
+
+/// Milliseconds since the entry's start.
+#[must_use]
+pub fn elapsed_ms(started: Instant) -> u64 {
+    u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX)
+}
--- /dev/null
+++ b/lib/src/entry_server.rs
@@ -0,0 +1,327 @@
+//! An entry as a whole: callers' listener, links and thread of control, in one process or
+//! beside other roles.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use poem::Server;
+use tokio::net::TcpListener;
+use tokio::runtime::Runtime;
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+use tokio::task::JoinHandle;
+use tokio::time::Instant;
+use tokio::time::timeout;
+use tokio_util::sync::CancellationToken;
+
+use crate::admission::QueueLimits;
+use crate::answer_routes::AnswerRoutes;
+use crate::caller_answer::CallerContext;
+use crate::caller_api::CallerApi;
+use crate::caller_api::CallerLimits;
+use crate::caller_connections::CallerConnections;
+use crate::caller_directory::CallerDirectory;
+use crate::caller_listener::CallerListener;
+use crate::catalog::Catalog;
+use crate::entry_control::EntryControl;
+use crate::entry_control::EntryQuery;
+use crate::entry_control::EntryStatus;
+use crate::entry_link::LinkContext;
+use crate::entry_link::LinkTimes;
+use crate::entry_link::OpenLinks;
+use crate::entry_settings::EntrySettings;
+use crate::entry_state::EntryEvent;
+use crate::entry_state::EntryRules;
+use crate::entry_state::EntryState;
+use crate::ids::Incarnation;
+use crate::wire::Hello;
+use crate::wire::PROTOCOL_VERSION;
+
+/// Events of links that may wait for the control thread.
+const LINK_EVENTS: usize = 8_192;
+/// Questions that may wait for the control thread.
+const QUERIES: usize = 64;
+/// How often the status is published when nothing changes its meaning.
+const STATUS_EVERY: Duration = Duration::from_millis(200);
+/// Callers' connections at one time.
+const MAX_CONNECTIONS: usize = 20_000;
+/// Added to the longest deadline before a connection counts as idle.
+const IDLE_MARGIN_MS: u64 = 5_000;
+
+/// An entry that runs.
+#[derive(Debug)]
+pub struct EntryHandle {
+    address: SocketAddr,
+    incarnation: Incarnation,
+    status: watch::Receiver<EntryStatus>,
+    events: mpsc::UnboundedSender<EntryEvent>,
+    queries: mpsc::Sender<EntryQuery>,
+    stop_listening: CancellationToken,
+    stop_control: CancellationToken,
+    server: Option<JoinHandle<()>>,
+    control: Option<oneshot::Receiver<()>>,
+    grace: Duration,
+    traffic: Option<Runtime>,
+}
+
+/// Starts an entry.
+///
+/// # Errors
+///
+/// The listener can't be opened, or a thread can't be started.
+///
+/// ```
+/// use sardinewood::config::Config;
+/// use sardinewood::entry_server::spawn;
+/// use sardinewood::entry_settings::EntrySettings;
+///
+/// let catalog = Config::default().catalog();
+/// let entry = spawn(&EntrySettings::default(), catalog).unwrap();
+/// assert_ne!(entry.address().port(), 0);
+/// ```
+pub fn spawn(
+    settings: &EntrySettings,
+    catalog: watch::Receiver<Arc<Catalog>>,
+) -> io::Result<EntryHandle> {
+    let traffic = traffic_runtime(settings)?;
+    let listener = open_listener(settings.listen)?;
+    let address = listener.local_addr()?;
+    let incarnation = Incarnation(rand::random());
+    let (link_sender, link_events) = mpsc::channel(LINK_EVENTS);
+    let (caller_sender, caller_events) = mpsc::unbounded_channel();
+    let (status_sender, status) = watch::channel(EntryStatus::default());
+    let link = LinkContext {
+        hello: Hello {
+            protocol: PROTOCOL_VERSION,
+            incarnation,
+            name: settings.host.clone(),
+            data_centre: settings.data_centre.clone(),
+        },
+        times: LinkTimes {
+            heartbeat_ms: settings.heartbeat_ms,
+            silent_ms: settings.silent_ms,
+        },
+        links: OpenLinks::default(),
+        routes: Arc::new(AnswerRoutes::new(settings.window_bytes * 2)),
+        events: link_sender,
+        catalog: catalog.clone(),
+    };
+    let context = CallerContext {
+        routes: link.routes.clone(),
+        links: link.links.clone(),
+        events: caller_sender.clone(),
+    };
+    let started = Instant::now();
+    let stop_control = CancellationToken::new();
+    let (query_sender, queries) = mpsc::channel(QUERIES);
+    let control = EntryControl {
+        state: EntryState::new(rules(settings), rand::random()),
+        link_events,
+        caller_events,
+        queries,
+        catalog: catalog.clone(),
+        link,
+        traffic: traffic.handle().clone(),
+        status: status_sender,
+        started,
+        status_every: STATUS_EVERY,
+        stop: stop_control.clone(),
+    };
+    let control = spawn_control(control)?;
+    let stop_listening = CancellationToken::new();
+    let directory = spawn_directory(&traffic, catalog);
+    let connections = CallerConnections::default();
+    let api = CallerApi {
+        context,
+        connections,
+        directory,
+        status: status.clone(),
+        limits: limits(settings),
+        started,
+    };
+    let server = spawn_server(&traffic, settings, listener, api, stop_listening.clone())?;
+    Ok(EntryHandle {
+        address,
+        incarnation,
+        status,
+        events: caller_sender,
+        queries: query_sender,
+        stop_listening,
+        stop_control,
+        server: Some(server),
+        control: Some(control),
+        grace: Duration::from_millis(settings.shutdown_grace_ms),
+        traffic: Some(traffic),
+    })
+}
+
+impl EntryHandle {
+    /// Where callers reach it.
+    #[must_use]
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// The process that it says it is.
+    #[must_use]
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
+    /// Asks it about itself as it is now; `None` once it has stopped.
+    pub async fn ask_status(&self) -> Option<EntryStatus> {
+        let (sender, answer) = oneshot::channel();
+        self.queries.send(EntryQuery::Status(sender)).await.ok()?;
+        answer.await.ok()
+    }
+
+    /// What it says about itself, a short while ago.
+    #[must_use]
+    pub fn status(&self) -> watch::Receiver<EntryStatus> {
+        self.status.clone()
+    }
+
+    /// Shuts down without cutting off what is in flight.
+    ///
+    /// Readiness goes first, so that the balancer sends nothing more. What runs finishes.
+    /// What waits may finish in the first half of the grace; in the second half it is
+    /// handed back as "not run". After the grace the rest is cut.
+    pub async fn shut_down(mut self) {
+        // Without a control thread there is nothing to shut down.
+        let _stopped = self.events.send(EntryEvent::ShutDown);
+        let half = self.grace / 2;
+        if timeout(half, self.drained()).await.is_err() {
+            let _stopped = self.events.send(EntryEvent::GraceOver);
+            let _late = timeout(half, self.drained()).await;
+        }
+        self.stop_listening.cancel();
+        if let Some(server) = self.server.take() {
+            // Answers that callers have not read to their end.
+            let _late = timeout(half, server).await;
+        }
+        self.stop_control.cancel();
+        if let Some(control) = self.control.take() {
+            let _ended = control.await;
+        }
+    }
+
+    async fn drained(&mut self) {
+        // A closed channel means that nothing is left to wait for.
+        let _closed = self
+            .status
+            .wait_for(|status| !status.is_ready && status.is_drained)
+            .await;
+    }
+}
+
+impl Drop for EntryHandle {
+    fn drop(&mut self) {
+        self.stop_listening.cancel();
+        self.stop_control.cancel();
+        if let Some(traffic) = self.traffic.take() {
+            traffic.shutdown_background();
+        }
+    }
+}
+
+fn traffic_runtime(settings: &EntrySettings) -> io::Result<Runtime> {
+    tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.traffic_threads)
+        .thread_name("entry-traffic")
+        .enable_all()
+        .build()
+}
+
+fn open_listener(address: SocketAddr) -> io::Result<std::net::TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    Ok(listener)
+}
+
+fn rules(settings: &EntrySettings) -> EntryRules {
+    let defaults = EntryRules::new(settings.host.clone(), settings.data_centre.clone());
+    EntryRules {
+        queue: QueueLimits {
+            max_requests: settings.queue_limit,
+            ..defaults.queue
+        },
+        candidates: settings.candidates,
+        ..defaults
+    }
+}
+
+fn limits(settings: &EntrySettings) -> CallerLimits {
+    CallerLimits {
+        max_body_bytes: settings.max_body_bytes,
+        max_header_bytes: settings.max_header_bytes,
+        body_patience_ms: settings.idle_timeout_ms,
+        max_deadline_ms: settings.default_deadline_ms,
+    }
+}
+
+/// Control state lives on a thread of its own, so that a burst of traffic does not hold a
+/// decision back and no lock is needed around the state.
+fn spawn_control(control: EntryControl) -> io::Result<oneshot::Receiver<()>> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_time()
+        .build()?;
+    let (ended_sender, ended) = oneshot::channel();
+    thread::Builder::new()
+        .name("entry-control".into())
+        .spawn(move || {
+            runtime.block_on(control.run());
+            // Nobody waits for the end unless the entry is being shut down.
+            let _unwatched = ended_sender.send(());
+        })?;
+    Ok(ended)
+}
+
+/// Keeps the index of customers up to date with the configuration.
+fn spawn_directory(
+    traffic: &Runtime,
+    mut catalog: watch::Receiver<Arc<Catalog>>,
+) -> watch::Receiver<Arc<CallerDirectory>> {
+    let first = CallerDirectory::new(catalog.borrow_and_update().clone());
+    let (sender, directory) = watch::channel(Arc::new(first));
+    traffic.spawn(async move {
+        while catalog.changed().await.is_ok() {
+            let newest = catalog.borrow_and_update().clone();
+            sender.send_replace(Arc::new(CallerDirectory::new(newest)));
+        }
+        // The last configuration stays in force when nothing feeds it any more.
+        sender.closed().await;
+    });
+    directory
+}
+
+fn spawn_server(
+    traffic: &Runtime,
+    settings: &EntrySettings,
+    listener: std::net::TcpListener,
+    api: CallerApi,
+    stop: CancellationToken,
+) -> io::Result<JoinHandle<()>> {
+    let guard = traffic.enter();
+    let listener = TcpListener::from_std(listener)?;
+    drop(guard);
+    // A connection whose caller waits for a late answer is silent, too, and must live.
+    let longest_ms = settings.idle_timeout_ms.max(settings.default_deadline_ms);
+    let idle = Duration::from_millis(longest_ms + IDLE_MARGIN_MS);
+    let server = Server::new_with_acceptor(CallerListener::new(
+        listener,
+        MAX_CONNECTIONS,
+        api.connections.clone(),
+    ))
+    .idle_timeout(idle);
+    Ok(traffic.spawn(async move {
+        let stopped = async move { stop.cancelled().await };
+        let ended = server.run_with_graceful_shutdown(api, stopped, None).await;
+        if let Err(error) = ended {
+            spdlog::error!("callers' listener failed: {error}");
+        }
+    }))
+}
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry_state.rs
@@ -4,6 +4,7 @@
 //! Requests wait here, not at the agents. Of each there is at most one attempt that may
 //! be alive; `docs/design/protocol.md` says what may be concluded from which message.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -192,7 +193,10 @@
         outcome: FinishedAs,
     },
     /// Keep a link to this agent.
-    Dial { agent: Arc<str> },
+    Dial {
+        agent: Arc<str>,
+        address: SocketAddr,
+    },
     /// Close the link to this agent.
     HangUp { agent: Arc<str> },
 }
@@ -243,7 +247,7 @@
 pub struct EntryState {
     rules: EntryRules,
     agents: AgentTable,
-    dialled: IndexSet<Arc<str>>,
+    dialled: IndexMap<Arc<str>, SocketAddr>,
     runs: IndexMap<RequestId, Run>,
     queue: WaitingQueue,
     unplaced: IndexSet<RequestId>,
@@ -252,6 +256,8 @@
     nonce: u64,
     shutting_down: bool,
     revision: u64,
+    /// Whether other links may be wanted than before.
+    links_changed: bool,
     steps: Vec<EntryStep>,
 }
 
@@ -262,7 +268,7 @@
         Self {
             agents: AgentTable::new(rules.links.clone()),
             queue: WaitingQueue::new(rules.queue),
-            dialled: IndexSet::new(),
+            dialled: IndexMap::new(),
             runs: IndexMap::new(),
             unplaced: IndexSet::new(),
             timers: Timers::default(),
@@ -270,6 +276,7 @@
             nonce: seed,
             shutting_down: false,
             revision: 0,
+            links_changed: false,
             steps: Vec::new(),
             rules,
         }
@@ -298,6 +305,10 @@
             EntryEvent::GraceOver => self.hand_back_waiting(),
             EntryEvent::Tick => self.tick(now_ms),
         }
+        if self.links_changed {
+            self.links_changed = false;
+            self.follow_wanted_links(now_ms);
+        }
         std::mem::take(&mut self.steps)
     }
 
@@ -409,7 +420,7 @@
         };
         known.running.swap_remove(&request);
         if !known.configured && known.running.is_empty() {
-            self.follow_wanted_links();
+            self.links_changed = true;
         }
     }
 }
--- a/lib/src/entry_state/links.rs
+++ b/lib/src/entry_state/links.rs
@@ -149,23 +149,34 @@
                 self.reserve_elsewhere(now_ms, &agent);
             }
         }
-        self.follow_wanted_links();
+        self.links_changed = false;
+        self.follow_wanted_links(now_ms);
         let unplaced: Vec<_> = self.unplaced.iter().copied().collect();
         for request in unplaced {
             self.reserve(now_ms, request);
         }
     }
 
-    pub(super) fn follow_wanted_links(&mut self) {
+    pub(super) fn follow_wanted_links(&mut self, now_ms: u64) {
         self.agents.forget_gone();
         let wanted = self.agents.wanted_links();
-        let unwanted: Vec<_> = self.dialled.difference(&wanted).cloned().collect();
+        let unwanted: Vec<_> = self
+            .dialled
+            .iter()
+            .filter(|(agent, address)| wanted.get(*agent) != Some(*address))
+            .map(|(agent, _)| agent.clone())
+            .collect();
         for agent in unwanted {
+            self.link_lost(now_ms, &agent);
             self.steps.push(EntryStep::HangUp { agent });
         }
-        let missing: Vec<_> = wanted.difference(&self.dialled).cloned().collect();
-        for agent in missing {
-            self.steps.push(EntryStep::Dial { agent });
+        for (agent, address) in &wanted {
+            if self.dialled.get(agent) != Some(address) {
+                self.steps.push(EntryStep::Dial {
+                    agent: agent.clone(),
+                    address: *address,
+                });
+            }
         }
         self.dialled = wanted;
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_agent_reservations;
 mod test_agent_server;
 mod test_answer_reader;
+mod test_caller_api;
 mod test_config_state;
 mod test_config_watch;
 mod test_entry_state;
--- /dev/null
+++ b/lib/tests/test_caller_api.rs
@@ -0,0 +1,558 @@
+//! The entry on real sockets, before an agent that grants everything at once.
+
+use std::sync::Arc;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::StreamExt;
+use reqwest::StatusCode;
+use sardinewood::answer_reader::checksum;
+use sardinewood::catalog::Catalog;
+use sardinewood::entry_control::EntryStatus;
+use sardinewood::entry_server::EntryHandle;
+use sardinewood::entry_server::spawn;
+use sardinewood::entry_settings::EntrySettings;
+use sardinewood::entry_state::EntryCounts;
+use sardinewood::frames::AgentEnd;
+use sardinewood::frames::FrameReader;
+use sardinewood::frames::write_frames;
+use sardinewood::ids::AttemptId;
+use sardinewood::ids::GrantId;
+use sardinewood::ids::Incarnation;
+use sardinewood::wire::AgentMessage;
+use sardinewood::wire::AnswerEnd;
+use sardinewood::wire::Call;
+use sardinewood::wire::EntryMessage;
+use sardinewood::wire::Hello;
+use sardinewood::wire::PROTOCOL_VERSION;
+use serde_json::Value;
+use serde_json::json;
+use sha2::Digest;
+use sha2::Sha256;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::sync::mpsc;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+const INCARNATION: Incarnation = Incarnation(7);
+const KEY: &str = "key-of-rundu";
+/// Generous, so that it is reached only when what is waited for never comes.
+const CAP: Duration = Duration::from_secs(20);
+
+/// How the agent answers a call.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Behaviour {
+    /// With the call as JSON, whole.
+    Echo,
+    /// With two events and `[DONE]`.
+    Stream,
+    /// With one event, and then nothing until it is cancelled.
+    Stuck,
+    /// With one event and a break.
+    Break,
+    /// With the whole answer of another length than it says.
+    Short,
+    /// Grants, and answers each dispatch as not sent.
+    Lapsed,
+    /// Says nothing to reservations.
+    Silent,
+}
+
+#[derive(Debug, Default)]
+struct Counts {
+    reserved: AtomicUsize,
+    withdrawn: AtomicUsize,
+    dispatched: AtomicUsize,
+    cancelled: AtomicUsize,
+}
+
+/// An entry and the agent that it links to.
+struct Setting {
+    entry: EntryHandle,
+    counts: Arc<Counts>,
+    client: reqwest::Client,
+    _catalog: watch::Sender<Arc<Catalog>>,
+}
+
+impl Setting {
+    async fn start(behaviour: Behaviour) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let counts = Arc::new(Counts::default());
+        tokio::spawn(serve_links(listener, behaviour, counts.clone()));
+        let catalog = Arc::new(catalog(&address.to_string()));
+        let (sender, receiver) = watch::channel(catalog);
+        let settings = EntrySettings {
+            max_body_bytes: 1_000,
+            max_header_bytes: 2_000,
+            shutdown_grace_ms: 10_000,
+            ..EntrySettings::default()
+        };
+        let entry = spawn(&settings, receiver).expect("an entry");
+        let setting = Self {
+            entry,
+            counts,
+            client: reqwest::Client::new(),
+            _catalog: sender,
+        };
+        setting
+            .wait("a link", |status| status.counts.links == 1)
+            .await;
+        setting
+    }
+
+    async fn wait(&self, what: &str, holds: impl Fn(&EntryStatus) -> bool) {
+        let asking = async {
+            while !self.entry.ask_status().await.is_some_and(|now| holds(&now)) {
+                tokio::task::yield_now().await;
+            }
+        };
+        assert!(timeout(CAP, asking).await.is_ok(), "no {what}");
+    }
+
+    async fn assert_nothing_left(&self) {
+        let none = EntryCounts {
+            links: 1,
+            ..EntryCounts::default()
+        };
+        self.wait("empty queues", |status| {
+            status.counts == none && status.readers == 0
+        })
+        .await;
+    }
+
+    fn post(&self, path: &str, body: impl Into<reqwest::Body>) -> reqwest::RequestBuilder {
+        self.client
+            .post(format!("http://{}{path}", self.entry.address()))
+            .bearer_auth(KEY)
+            .body(body)
+    }
+
+    fn chat(&self) -> reqwest::RequestBuilder {
+        self.post("/v1/chat/completions", chat_body().to_string())
+    }
+}
+
+fn chat_body() -> Value {
+    json!({"model": "small", "messages": [{"role": "user", "content": "hello"}]})
+}
+
+fn catalog(agent_address: &str) -> Catalog {
+    let mut catalog = Catalog {
+        revision: 1,
+        ..Catalog::default()
+    };
+    let upstream = json!({
+        "name": "lang-1", "data_centre": "local", "url": "http://127.0.0.1:1",
+        "agent_address": agent_address, "serves": {"models": ["small"]}, "slots": 8,
+    });
+    let upstream = serde_json::from_value(upstream).expect("an upstream");
+    catalog
+        .upstreams
+        .insert("lang-1".into(), Arc::new(upstream));
+    let profile = json!({"name": "lookup", "tier": 2, "deadline_ms": 15_000});
+    let profile = serde_json::from_value(profile).expect("a profile");
+    catalog.profiles.insert("lookup".into(), Arc::new(profile));
+    let digest = format!("{:x}", Sha256::digest(KEY.as_bytes()));
+    let customer = json!({
+        "name": "rundu", "weight": 1, "default_profile": "lookup", "key_sha256": [digest],
+    });
+    let customer = serde_json::from_value(customer).expect("a customer");
+    catalog.customers.insert("rundu".into(), Arc::new(customer));
+    catalog
+}
+
+async fn serve_links(listener: TcpListener, behaviour: Behaviour, counts: Arc<Counts>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        tokio::spawn(serve_link(stream, behaviour, counts.clone()));
+    }
+}
+
+async fn serve_link(stream: TcpStream, behaviour: Behaviour, counts: Arc<Counts>) {
+    let (read, write) = stream.into_split();
+    let mut reader = FrameReader::<AgentEnd, _>::new(read);
+    let (sender, queue) = mpsc::channel(1_000);
+    let (_bulk, bulk_queue) = mpsc::channel(1);
+    tokio::spawn(write_frames::<AgentEnd, _>(write, queue, bulk_queue));
+    let hello = Hello {
+        protocol: PROTOCOL_VERSION,
+        incarnation: INCARNATION,
+        name: "lang-1".into(),
+        data_centre: "local".into(),
+    };
+    let _sent = sender.send(AgentMessage::Hello(hello)).await;
+    let mut grants = 0;
+    while let Ok(Some(message)) = reader.next().await {
+        for answer in answers(message, behaviour, &mut grants, &counts) {
+            let _sent = sender.send(answer).await;
+        }
+    }
+}
+
+fn answers(
+    message: EntryMessage,
+    behaviour: Behaviour,
+    grants: &mut u64,
+    counts: &Counts,
+) -> Vec<AgentMessage> {
+    match message {
+        EntryMessage::Heartbeat { sequence, revision } => vec![AgentMessage::Heartbeat {
+            sequence,
+            revision,
+            load: sardinewood::wire::Load::default(),
+        }],
+        EntryMessage::Reserve(reservation) => {
+            counts.reserved.fetch_add(1, Ordering::SeqCst);
+            if behaviour == Behaviour::Silent {
+                return Vec::new();
+            }
+            *grants += 1;
+            let grant = GrantId {
+                agent: INCARNATION,
+                sequence: *grants,
+            };
+            vec![AgentMessage::Grant {
+                request: reservation.request,
+                grant,
+                valid_ms: 1_000,
+            }]
+        }
+        EntryMessage::Withdraw { .. } => {
+            counts.withdrawn.fetch_add(1, Ordering::SeqCst);
+            Vec::new()
+        }
+        EntryMessage::Dispatch { attempt, call, .. } => {
+            counts.dispatched.fetch_add(1, Ordering::SeqCst);
+            run(attempt, &call, behaviour)
+        }
+        EntryMessage::Cancel { attempt } => {
+            counts.cancelled.fetch_add(1, Ordering::SeqCst);
+            vec![AgentMessage::End {
+                attempt,
+                end: AnswerEnd::Cancelled,
+            }]
+        }
+        _ => Vec::new(),
+    }
+}
+
+fn run(attempt: AttemptId, call: &Call, behaviour: Behaviour) -> Vec<AgentMessage> {
+    match behaviour {
+        Behaviour::Echo => {
+            let headers: Vec<_> = call.headers.iter().map(|(name, _)| &**name).collect();
+            let body = json!({
+                "method": &*call.method, "path": &*call.path, "headers": headers,
+                "body": String::from_utf8_lossy(&call.body),
+            });
+            whole(attempt, "application/json", &body.to_string())
+        }
+        Behaviour::Stream => {
+            let body = "id: 0\ndata: {}\n\nid: 1\ndata: {}\n\ndata: [DONE]\n\n";
+            whole(attempt, "text/event-stream", body)
+        }
+        Behaviour::Stuck => begun(attempt),
+        Behaviour::Break => {
+            let mut messages = begun(attempt);
+            let reason = "reset".into();
+            messages.push(AgentMessage::End {
+                attempt,
+                end: AnswerEnd::Broken { reason },
+            });
+            messages
+        }
+        Behaviour::Short => {
+            let mut messages = whole(attempt, "application/json", "{}");
+            messages.pop();
+            let end = AnswerEnd::Complete {
+                length_bytes: 2,
+                checksum: checksum(b"{ "),
+            };
+            messages.push(AgentMessage::End { attempt, end });
+            messages
+        }
+        Behaviour::Lapsed => vec![AgentMessage::End {
+            attempt,
+            end: AnswerEnd::NotSent,
+        }],
+        Behaviour::Silent => Vec::new(),
+    }
+}
+
+fn head(attempt: AttemptId, content_type: &'static str) -> AgentMessage {
+    let value = Bytes::from_static(content_type.as_bytes());
+    AgentMessage::Head {
+        attempt,
+        status: 200,
+        headers: vec![("content-type".into(), value)],
+    }
+}
+
+fn data(attempt: AttemptId, offset_bytes: u64, bytes: &str) -> AgentMessage {
+    AgentMessage::Data {
+        attempt,
+        offset_bytes,
+        bytes: Bytes::copy_from_slice(bytes.as_bytes()),
+    }
+}
+
+fn begun(attempt: AttemptId) -> Vec<AgentMessage> {
+    vec![
+        head(attempt, "text/event-stream"),
+        data(attempt, 0, "id: 0\ndata: {}\n\n"),
+    ]
+}
+
+fn whole(attempt: AttemptId, content_type: &'static str, body: &str) -> Vec<AgentMessage> {
+    let (first, second) = body.split_at(body.len() / 2);
+    let end = AnswerEnd::Complete {
+        length_bytes: body.len() as u64,
+        checksum: checksum(body.as_bytes()),
+    };
+    vec![
+        head(attempt, content_type),
+        data(attempt, 0, first),
+        data(attempt, first.len() as u64, second),
+        AgentMessage::End { attempt, end },
+    ]
+}
+
+async fn error_of(response: reqwest::Response) -> (StatusCode, Value) {
+    let status = response.status();
+    let id = response.headers().get("x-sardinewood-request-id").cloned();
+    let body: Value = response.json().await.expect("a JSON error");
+    let named = body["error"]["request_id"].as_str().expect("a request id");
+    assert_eq!(id.expect("a request id"), named);
+    (status, body["error"].clone())
+}
+
+#[tokio::test]
+async fn chat_plain_is_whole() {
+    let setting = Setting::start(Behaviour::Echo).await;
+    let response = setting.chat().send().await.expect("an answer");
+    assert_eq!(response.status(), StatusCode::OK);
+    assert!(response.headers().contains_key("x-sardinewood-request-id"));
+    let echo: Value = response.json().await.expect("JSON");
+    assert_eq!(echo["path"], "/v1/chat/completions");
+    assert_eq!(echo["body"], chat_body().to_string(), "byte for byte");
+    let headers = echo["headers"].as_array().expect("headers");
+    assert!(!headers.contains(&json!("authorization")), "{headers:?}");
+    setting.assert_nothing_left().await;
+}
+
+#[tokio::test]
+async fn chat_stream_passes_events() {
+    let setting = Setting::start(Behaviour::Stream).await;
+    let response = setting.chat().send().await.expect("an answer");
+    assert_eq!(response.headers()["content-type"], "text/event-stream");
+    let body = response.text().await.expect("a whole body");
+    assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+    assert_eq!(body.matches("id: ").count(), 2);
+    setting.assert_nothing_left().await;
+}
+
+#[tokio::test]
+async fn chat_stream_broken_ends_with_error_event() {
+    // The engine breaks off after the first event went to the caller. The caller's
+    // library must not take the events for a whole answer, so an error event follows and
+    // `[DONE]` does not.
+    let setting = Setting::start(Behaviour::Break).await;
+    let response = setting.chat().send().await.expect("an answer");
+    let body = response.text().await.expect("a body");
+    let last = body.trim_end().lines().last().expect("a line");
+    let error: Value = last
+        .strip_prefix("data: ")
+        .and_then(|json| serde_json::from_str(json).ok())
+        .expect("an error event");
+    assert_eq!(error["error"]["outcome"], "unknown");
+    assert!(!body.contains("[DONE]"));
+    setting.assert_nothing_left().await;
+}
+
+#[tokio::test]
+async fn chat_wrong_checksum_is_error() {
+    let setting = Setting::start(Behaviour::Short).await;
+    let response = setting.chat().send().await.expect("an answer");
+    let (status, error) = error_of(response).await;
+    assert_eq!(status, StatusCode::BAD_GATEWAY);
+    assert_eq!(error["outcome"], "unknown");
+    assert_eq!(setting.counts.dispatched.load(Ordering::SeqCst), 1);
+    setting.assert_nothing_left().await;
+}
+
+#[tokio::test]
+async fn chat_caller_gone_cancels() {
+    // The caller leaves in the middle of a stream. The engine must not go on for nobody:
+    // the attempt is cancelled, and neither queue, slot nor route is left behind.
+    let setting = Setting::start(Behaviour::Stuck).await;
+    let response = setting.chat().send().await.expect("an answer");
+    let mut body = response.bytes_stream();
+    assert!(body.next().await.is_some_and(|bytes| bytes.is_ok()));
+    setting
+        .wait("a running request", |status| status.counts.running == 1)
+        .await;
+    drop(body);
+    setting.assert_nothing_left().await;
+    assert_eq!(setting.counts.cancelled.load(Ordering::SeqCst), 1);
+}
+
+#[tokio::test]
+async fn chat_caller_gone_while_waiting_withdraws() {
+    let setting = Setting::start(Behaviour::Silent).await;
+    let waiting = tokio::spawn(setting.chat().send());
+    setting
+        .wait("a waiting request", |status| status.counts.waiting == 1)
+        .await;
+    waiting.abort();
+    setting.assert_nothing_left().await;
+    let counts = &setting.counts;
+    let withdrawn = async {
+        while counts.withdrawn.load(Ordering::SeqCst) == 0 {
+            tokio::task::yield_now().await;
+        }
+    };
+    assert!(timeout(CAP, withdrawn).await.is_ok(), "no withdrawal");
+    assert_eq!(counts.dispatched.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn chat_deadline_is_not_run() {
+    let setting = Setting::start(Behaviour::Silent).await;
+    let request = setting.chat().header("x-sardinewood-deadline-ms", "30");
+    let response = request.send().await.expect("an answer");
+    assert!(response.headers().contains_key("retry-after"));
+    let (status, error) = error_of(response).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(error["outcome"], "not_run");
+    assert_eq!(setting.counts.dispatched.load(Ordering::SeqCst), 0);
+    setting.assert_nothing_left().await;
+}
+
+#[tokio::test]
+async fn chat_lapsed_grants_until_deadline_is_not_run() {
+    let setting = Setting::start(Behaviour::Lapsed).await;
+    let request = setting.chat().header("x-sardinewood-deadline-ms", "300");
+    let (status, error) = error_of(request.send().await.expect("an answer")).await;
+    assert_eq!(status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(error["outcome"], "not_run");
+    setting.assert_nothing_left().await;
+}
+
+#[tokio::test]
+async fn bad_input_is_refused_and_leaves_nothing() {
+    let setting = Setting::start(Behaviour::Echo).await;
+    let chat = "/v1/chat/completions";
+    let long = "x".repeat(2_100);
+    let other_model = json!({"model": "large", "messages": []}).to_string();
+    let no_messages = json!({"model": "small"}).to_string();
+    let wrong_key = setting.chat().bearer_auth("wrong");
+    let mut wrong_key = wrong_key.build().expect("a request");
+    wrong_key
+        .headers_mut()
+        .insert("authorization", "Bearer wrong".parse().expect("a value"));
+    let requests = [
+        (setting.post(chat, "{").build(), 400, "invalid_json"),
+        (
+            setting.post(chat, no_messages).build(),
+            400,
+            "field_missing",
+        ),
+        (setting.post(chat, other_model).build(), 404, "not_served"),
+        (
+            setting.post(chat, long.clone()).build(),
+            413,
+            "body_too_large",
+        ),
+        (Ok(wrong_key), 401, "invalid_api_key"),
+        (
+            setting
+                .chat()
+                .header("x-sardinewood-profile", "none")
+                .build(),
+            400,
+            "unknown_profile",
+        ),
+        (
+            setting.chat().header("x-other", long).build(),
+            431,
+            "headers_too_large",
+        ),
+        (
+            setting
+                .chat()
+                .header("x-sardinewood-deadline-ms", "-1")
+                .build(),
+            400,
+            "invalid_header",
+        ),
+        (
+            setting
+                .chat()
+                .header("x-sardinewood-non-idempotent", "yes")
+                .build(),
+            400,
+            "invalid_header",
+        ),
+        (setting.post("/v1/other", "").build(), 404, "unknown_path"),
+        (
+            setting.post("/v1/models", "").build(),
+            405,
+            "method_not_allowed",
+        ),
+        (
+            setting.post("/services/none/x", "").build(),
+            404,
+            "not_served",
+        ),
+    ];
+    for (request, expected_status, expected_code) in requests {
+        let request = request.expect("a request");
+        let response = setting.client.execute(request).await.expect("an answer");
+        let (status, error) = error_of(response).await;
+        assert_eq!(error["code"], expected_code);
+        assert_eq!(status.as_u16(), expected_status, "{expected_code}");
+        assert_eq!(error["outcome"], "not_run");
+    }
+    setting.assert_nothing_left().await;
+    assert_eq!(setting.counts.reserved.load(Ordering::SeqCst), 0);
+}
+
+#[tokio::test]
+async fn models_lists_what_is_served() {
+    let setting = Setting::start(Behaviour::Echo).await;
+    let url = format!("http://{}/v1/models", setting.entry.address());
+    let response = setting.client.get(url).bearer_auth(KEY).send().await;
+    let list: Value = response.expect("an answer").json().await.expect("JSON");
+    assert_eq!(list["data"][0]["id"], "small");
+}
+
+#[tokio::test]
+async fn shut_down_finishes_what_runs() {
+    // The entry is told to stop while a stream is open. Readiness goes off at once and
+    // new requests are refused as not run, but the open stream ends by its caller's
+    // wish and not by the shutdown.
+    let setting = Setting::start(Behaviour::Stuck).await;
+    let response = setting.chat().send().await.expect("an answer");
+    let mut body = response.bytes_stream();
+    assert!(body.next().await.is_some_and(|bytes| bytes.is_ok()));
+    let mut status = setting.entry.status();
+    let address = setting.entry.address();
+    let stopping = tokio::spawn(setting.entry.shut_down());
+    let off = status.wait_for(|status| !status.is_ready);
+    assert!(timeout(CAP, off).await.is_ok(), "readiness stays on");
+    let ready = setting.client.get(format!("http://{address}/readyz"));
+    let ready = ready.send().await.expect("an answer");
+    assert_eq!(ready.status(), StatusCode::SERVICE_UNAVAILABLE);
+    let refused = setting
+        .client
+        .post(format!("http://{address}/v1/chat/completions"))
+        .bearer_auth(KEY)
+        .body(chat_body().to_string());
+    let (_, error) = error_of(refused.send().await.expect("an answer")).await;
+    assert_eq!(error["code"], "shutting_down");
+    assert_eq!(setting.counts.cancelled.load(Ordering::SeqCst), 0);
+    drop(body);
+    assert!(timeout(CAP, stopping).await.is_ok(), "it does not end");
+}
