--- a/lib/src/agent_settings.rs
+++ b/lib/src/agent_settings.rs
@@ -93,6 +93,7 @@
         name: "sardinewood-agent",
         about: "stands beside one upstream and is the only way to it",
         settings,
+        words: None,
         check,
     }
 }
--- a/lib/src/catalog.rs
+++ b/lib/src/catalog.rs
@@ -1,52 +1,15 @@
 //! The configuration that a process holds, as its decisions read it.
 
-use std::fmt;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
+use crate::findings::Finding;
 use crate::objects::Customer;
 use crate::objects::Operator;
 use crate::objects::Profile;
 use crate::objects::Upstream;
 
-/// One thing that is wrong with an object, and where.
-///
-/// ```
-/// use sardinewood::catalog::ObjectFinding;
-///
-/// let finding = ObjectFinding {
-///     kind: "profiles".into(),
-///     name: "lookup".into(),
-///     place: "tier".into(),
-///     message: "is above 4".into(),
-/// };
-/// assert_eq!(finding.to_string(), "profiles/lookup: tier: is above 4");
-/// ```
-#[derive(Clone, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
-pub struct ObjectFinding {
-    /// The kind of the object.
-    pub kind: Arc<str>,
-    /// The name of the object.
-    pub name: Arc<str>,
-    /// The field.
-    pub place: Arc<str>,
-    /// What is wrong with it.
-    pub message: Arc<str>,
-}
-
-impl fmt::Display for ObjectFinding {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            kind,
-            name,
-            place,
-            message,
-        } = self;
-        write!(f, "{kind}/{name}: {place}: {message}")
-    }
-}
-
 /// A read-only picture of the configuration at one moment.
 ///
 /// ```
@@ -69,5 +32,5 @@
     /// Operators by name.
     pub operators: IndexMap<Arc<str>, Arc<Operator>>,
     /// What keeps the newest version of an object out of force.
-    pub findings: Vec<ObjectFinding>,
+    pub findings: Vec<Finding>,
 }
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use tokio::sync::Notify;
 use tokio::sync::watch;
 
 use crate::catalog::Catalog;
@@ -21,6 +22,7 @@
 pub struct Config {
     state: Arc<watch::Sender<ConfigState>>,
     catalog: Arc<watch::Sender<Arc<Catalog>>>,
+    list_wanted: Arc<Notify>,
 }
 
 impl Default for Config {
@@ -28,6 +30,7 @@
         Self {
             state: Arc::new(watch::Sender::default()),
             catalog: Arc::new(watch::Sender::default()),
+            list_wanted: Arc::default(),
         }
     }
 }
@@ -102,4 +105,27 @@
             modified
         });
     }
+
+    /// Asks whoever follows the store to list everything again.
+    ///
+    /// ```
+    /// sardinewood::config::Config::default().want_list();
+    /// ```
+    pub fn want_list(&self) {
+        self.list_wanted.notify_one();
+    }
+
+    /// Waits until [`Self::want_list`] is called.
+    ///
+    /// ```
+    /// # let runtime = tokio::runtime::Builder::new_current_thread().build().unwrap();
+    /// # runtime.block_on(async {
+    /// let config = sardinewood::config::Config::default();
+    /// config.want_list();
+    /// config.list_wanted().await;
+    /// # });
+    /// ```
+    pub async fn list_wanted(&self) {
+        self.list_wanted.notified().await;
+    }
 }
--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -22,11 +22,12 @@
 use crate::audit::Change;
 use crate::audit::Record;
 use crate::catalog::Catalog;
-use crate::catalog::ObjectFinding;
 use crate::config_object::Kind;
 use crate::config_object::ObjectKey;
 use crate::config_object::Spec;
 use crate::config_object::check;
+use crate::findings::Finding;
+use crate::findings::Findings;
 use crate::store::ObjectList;
 use crate::store::StoredObject;
 use crate::store::WatchBatch;
@@ -113,7 +114,7 @@
     version: u64,
     content: Option<Arc<str>>,
     in_force: Option<Spec>,
-    findings: Vec<ObjectFinding>,
+    findings: Vec<Finding>,
     hash: u64,
 }
 
@@ -275,6 +276,43 @@
         }
     }
 
+    /// A peer with this digest holds the same objects; what it knows about completeness
+    /// holds here too. Saves fetching an answer without objects.
+    ///
+    /// ```
+    /// use sardinewood::config_state::{ConfigState, Digest};
+    ///
+    /// let mut state = ConfigState::default();
+    /// state.agree(&Digest { complete_through: 12, ..Digest::default() });
+    /// assert_eq!(state.digest().complete_through, 12);
+    /// ```
+    pub fn agree(&mut self, peer: &Digest) {
+        let own = self.digest();
+        if peer.hash != own.hash || peer.complete_through <= own.complete_through {
+            return;
+        }
+        self.complete_through = peer.complete_through;
+        // Objects may have come and gone in between without being seen here.
+        if peer.newest > own.complete_through {
+            self.deletions_after = peer.complete_through;
+        }
+    }
+
+    /// The versions of objects above `complete_through`, the newest first.
+    ///
+    /// ```
+    /// assert!(sardinewood::config_state::ConfigState::default().above().is_empty());
+    /// ```
+    #[must_use]
+    pub fn above(&self) -> Vec<u64> {
+        let versions = self.objects.values().map(|held| held.version);
+        let mut above: Vec<_> = versions
+            .filter(|version| *version > self.complete_through)
+            .collect();
+        above.sort_unstable_by(|a, b| b.cmp(a));
+        above
+    }
+
     /// The newest known version of an object and its content.
     ///
     /// ```
@@ -518,39 +556,37 @@
 
 /// A new version, in force if it is good; otherwise the last good one stays in force.
 fn checked(key: &ObjectKey, version: u64, content: Arc<str>, last_good: Option<Spec>) -> Held {
-    let spec = serde_json::from_str::<Content>(&content).map(|content| content.spec);
-    let (in_force, findings) = match spec {
-        Ok(None) => (None, Vec::new()),
-        Ok(Some(spec)) => match check(key, &spec) {
-            Ok(spec) => (Some(spec), Vec::new()),
-            Err(findings) => (last_good, findings),
-        },
-        Err(error) => (last_good, vec![unreadable(key, &error)]),
+    let mut findings = Findings::default();
+    let in_force = match serde_json::from_str::<Content>(&content) {
+        Ok(Content { spec: None, .. }) => None,
+        Ok(Content {
+            spec: Some(spec), ..
+        }) => check(key, &spec, &|_| true, &mut findings),
+        Err(error) => {
+            findings.add(key.to_string(), error.to_string());
+            None
+        }
+    };
+    let in_force = if findings.is_empty() {
+        in_force
+    } else {
+        last_good
     };
     Held {
         version,
         content: Some(content),
         in_force,
-        findings,
+        findings: findings.iter().cloned().collect(),
         hash: version_hash(key, version),
     }
 }
 
 /// The share of one object in the digest.
 fn version_hash(key: &ObjectKey, version: u64) -> u64 {
-    let text = format!("{}/{}@{version}", key.kind.as_str(), key.name);
+    let text = format!("{key}@{version}");
     XxHash64::oneshot(0, text.as_bytes())
 }
 
-fn unreadable(key: &ObjectKey, error: &serde_json::Error) -> ObjectFinding {
-    ObjectFinding {
-        kind: key.kind.as_str().into(),
-        name: Arc::clone(&key.name),
-        place: "object".into(),
-        message: error.to_string().into(),
-    }
-}
-
 fn insert_spec(catalog: &mut Catalog, name: &Arc<str>, spec: &Spec) {
     let name = Arc::clone(name);
     match spec {
--- a/lib/src/config_watch.rs
+++ b/lib/src/config_watch.rs
@@ -8,7 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::sync::watch;
+use tokio::sync::watch as channel;
 use tokio::time::Instant;
 
 use crate::catalog::Catalog;
@@ -246,7 +246,7 @@
 /// # Ok(())
 /// # }
 /// ```
-pub fn spawn_config(store_url: &str) -> Result<watch::Receiver<Arc<Catalog>>, reqwest::Error> {
+pub fn spawn_config(store_url: &str) -> Result<channel::Receiver<Arc<Catalog>>, reqwest::Error> {
     let config = Config::default();
     let catalog = config.catalog();
     let store = StoreClient::new(store_url)?;
@@ -266,7 +266,6 @@
 /// # }
 /// ```
 pub async fn follow(store: StoreClient, config: Config, timings: WatchTimings) {
-    let kinds = Kind::ALL.map(Kind::as_str);
     let epoch = Instant::now();
     let mut plan = WatchPlan::new(timings);
     let mut started_ms = 0;
@@ -274,26 +273,49 @@
         let pause_ms = plan.start_in_ms(started_ms, elapsed_ms(epoch), rand::random());
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         started_ms = elapsed_ms(epoch);
-        match plan.next_call(started_ms) {
-            NextCall::List => match store.list(&kinds).await {
-                Ok(list) => {
-                    config.apply(|state| report_list(state.apply_list(&list), list.revision));
-                    plan.listed(elapsed_ms(epoch), list.revision);
-                }
-                Err(error) => report_failure(&mut plan, &error),
-            },
-            NextCall::Watch { after } => match store.watch(&kinds, after, timings.wait_ms).await {
-                Ok(batch) => {
-                    config.apply(|state| {
-                        plan.watched(state.apply_watch(after, &batch), batch.revision);
-                    });
+        let answered = match plan.next_call(started_ms) {
+            NextCall::List => list(&store, &config, &mut plan, epoch).await,
+            NextCall::Watch { after } => tokio::select! {
+                answered = watch(&store, &config, &mut plan, after) => answered,
+                () = config.list_wanted() => {
+                    plan.list_again();
+                    Ok(())
                 }
-                Err(error) => report_failure(&mut plan, &error),
             },
+        };
+        if let Err(error) = answered {
+            report_failure(&plan, &error);
+            plan.failed(&error);
         }
     }
 }
 
+/// Lists everything and takes it in.
+async fn list(
+    store: &StoreClient,
+    config: &Config,
+    plan: &mut WatchPlan,
+    epoch: Instant,
+) -> Result<(), ReadError> {
+    let list = store.list(&Kind::ALL.map(Kind::as_str)).await?;
+    config.apply(|state| report_list(state.apply_list(&list), list.revision));
+    plan.listed(elapsed_ms(epoch), list.revision);
+    Ok(())
+}
+
+/// Waits for changes and takes them in.
+async fn watch(
+    store: &StoreClient,
+    config: &Config,
+    plan: &mut WatchPlan,
+    after: u64,
+) -> Result<(), ReadError> {
+    let kinds = Kind::ALL.map(Kind::as_str);
+    let batch = store.watch(&kinds, after, plan.timings.wait_ms).await?;
+    config.apply(|state| plan.watched(state.apply_watch(after, &batch), batch.revision));
+    Ok(())
+}
+
 fn report_list(outcome: ListOutcome, revision: u64) {
     match outcome {
         ListOutcome::Complete => spdlog::debug!("configuration listed at revision {revision}"),
@@ -304,11 +326,11 @@
     }
 }
 
-fn report_failure(plan: &mut WatchPlan, error: &ReadError) {
+/// Says once in an outage that it began.
+fn report_failure(plan: &WatchPlan, error: &ReadError) {
     if plan.failures == 0 {
         spdlog::warn!("configuration is not followed: {error}");
     }
-    plan.failed(error);
 }
 
 fn elapsed_ms(epoch: Instant) -> u64 {
--- a/lib/src/entry_settings.rs
+++ b/lib/src/entry_settings.rs
@@ -99,6 +99,7 @@
         name: "sardinewood-entry",
         about: "takes callers' requests and brings them to upstreams",
         settings,
+        words: None,
         check,
     }
 }
--- a/lib/src/findings.rs
+++ b/lib/src/findings.rs
@@ -2,6 +2,9 @@
 
 use std::fmt;
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// One problem and where it was found.
 ///
 /// ```
@@ -10,7 +13,7 @@
 /// let finding = Finding { place: "--heartbeat-ms".into(), problem: "is not a number".into() };
 /// assert_eq!(finding.to_string(), "--heartbeat-ms: is not a number");
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Finding {
     /// The flag, variable or field, written so that an operator finds it.
     pub place: String,
--- a/lib/src/objects_check.rs
+++ b/lib/src/objects_check.rs
@@ -1,4 +1,4 @@
-//! Checks of profiles, upstreams and customers: every finding at once, with its place.
+//! Checks of profiles, upstreams, customers and operators: every finding at once, with its place.
 //!
 //! A place reads `customers/rundu: key_sha256[1]`. What a key field holds is never part of
 //! a finding, since an operator may have put the key itself there in place of its hash.
@@ -15,6 +15,7 @@
 use crate::findings::Findings;
 use crate::objects::Activity;
 use crate::objects::Customer;
+use crate::objects::Operator;
 use crate::objects::Profile;
 use crate::objects::ProfileLimits;
 use crate::objects::Serves;
@@ -308,7 +309,7 @@
             Err(format!("no profile `{profile}` exists"))
         })
     });
-    let key_sha256 = check_hashes(&mut fields);
+    let key_sha256 = check_hashes("key_sha256", &mut fields);
     fields.finish();
     Some(Customer {
         name: name?,
@@ -318,14 +319,38 @@
     })
 }
 
-fn check_hashes(fields: &mut Fields<'_>) -> Option<Vec<Arc<str>>> {
-    let Some(Value::Array(values)) = fields.map.remove("key_sha256") else {
-        fields.problem("key_sha256", "is missing or no list");
+/// Checks one operator; an answer without new findings is complete.
+///
+/// ```
+/// use sardinewood::findings::Findings;
+/// use sardinewood::objects_check::check_operator;
+///
+/// let mut findings = Findings::default();
+/// let value = serde_json::json!({"name": "selma", "role": "write", "token_sha256": []});
+/// assert!(check_operator("selma", &value, &mut findings).is_some());
+/// ```
+#[must_use]
+pub fn check_operator(name: &str, value: &Value, findings: &mut Findings) -> Option<Operator> {
+    let mut fields = Fields::new(format!("operators/{name}"), value, findings)?;
+    let name = fields.own_name(name);
+    let role = fields.required("role");
+    let token_sha256 = check_hashes("token_sha256", &mut fields);
+    fields.finish();
+    Some(Operator {
+        name: name?,
+        role: role?,
+        token_sha256: token_sha256?,
+    })
+}
+
+fn check_hashes(list: &str, fields: &mut Fields<'_>) -> Option<Vec<Arc<str>>> {
+    let Some(Value::Array(values)) = fields.map.remove(list) else {
+        fields.problem(list, "is missing or no list");
         return None;
     };
     let mut hashes: Vec<Arc<str>> = Vec::new();
     for (index, value) in values.iter().enumerate() {
-        let field = format!("key_sha256[{index}]");
+        let field = format!("{list}[{index}]");
         match value.as_str().filter(|text| is_sha256_hex(text)) {
             None => fields.problem(&field, "is no SHA-256 of 64 lower-case hexadecimal digits"),
             Some(hash) if hashes.iter().any(|other| **other == *hash) => {
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -4,361 +4,18 @@
 //! struct or one report of everything that is wrong, each with its place.
 
 use std::ffi::OsString;
-use std::fmt::Display;
 use std::fmt::Write;
-use std::net::SocketAddr;
-use std::ops::RangeInclusive;
-use std::path::PathBuf;
-use std::str::FromStr;
-use std::sync::Arc;
 
 use lexopt::Arg;
 use lexopt::Parser;
 
 use crate::findings::Findings;
-use crate::secrets::REDACTED;
-use crate::secrets::Secret;
-
-/// Prefix of every environment variable.
-const ENV_PREFIX: &str = "SARDINEWOOD_";
-/// Ending of the flag that names the file of a secret.
-const FILE_SUFFIX: &str = "-file";
-/// Longest name of a host, data centre, upstream, profile or customer.
-pub const NAME_MAX_BYTES: usize = 63;
-
-type SetFn<S> = Box<dyn Fn(&mut S, &str) -> Result<(), String>>;
-type ShowFn<S> = Box<dyn Fn(&mut S) -> String>;
-
-/// Where the text of a setting may come from.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    /// The flag, or else the variable.
-    Plain,
-    /// The variable, or else the file that the flag with [`FILE_SUFFIX`] names; never a
-    /// flag, because other users of the host can read a process's command line.
-    Secret,
-}
-
-/// One row of a program's table of settings.
-pub struct Setting<S> {
-    flag: &'static str,
-    help: &'static str,
-    required: bool,
-    source: Source,
-    set: SetFn<S>,
-    show: ShowFn<S>,
-}
-
-impl<S: 'static> Setting<S> {
-    fn new(flag: &'static str, help: &'static str, set: SetFn<S>, show: ShowFn<S>) -> Self {
-        Self {
-            flag,
-            help,
-            required: false,
-            source: Source::Plain,
-            set,
-            show,
-        }
-    }
-
-    /// A number within a range; the flag carries its unit as suffix.
-    ///
-    /// ```
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting = Setting::number("heartbeat-ms", 10..=60_000, "Pause.", |own: &mut u64| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_HEARTBEAT_MS");
-    /// ```
-    pub fn number<T>(
-        flag: &'static str,
-        range: RangeInclusive<T>,
-        help: &'static str,
-        field: fn(&mut S) -> &mut T,
-    ) -> Self
-    where
-        T: FromStr + Display + PartialOrd + 'static,
-    {
-        let set = move |settings: &mut S, text: &str| {
-            let (low, high) = (range.start(), range.end());
-            let problem = || format!("is not a number from {low} to {high}");
-            let value = text.parse::<T>().map_err(|_| problem())?;
-            if !range.contains(&value) {
-                return Err(problem());
-            }
-            *field(settings) = value;
-            Ok(())
-        };
-        let show = move |settings: &mut S| field(settings).to_string();
-        Self::new(flag, help, Box::new(set), Box::new(show))
-    }
-
-    /// A name as [`check_name`] allows it.
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting = Setting::name("host", "Name of this host.", |own: &mut Arc<str>| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_HOST");
-    /// ```
-    pub fn name(
-        flag: &'static str,
-        help: &'static str,
-        field: fn(&mut S) -> &mut Arc<str>,
-    ) -> Self {
-        let set = move |settings: &mut S, text: &str| {
-            check_name(text)?;
-            *field(settings) = text.into();
-            Ok(())
-        };
-        let show = move |settings: &mut S| field(settings).to_string();
-        Self::new(flag, help, Box::new(set), Box::new(show))
-    }
-
-    /// The base URL of an outside system.
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting = Setting::url("store-url", "The store.", |own: &mut Arc<str>| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_STORE_URL");
-    /// ```
-    pub fn url(flag: &'static str, help: &'static str, field: fn(&mut S) -> &mut Arc<str>) -> Self {
-        let set = move |settings: &mut S, text: &str| {
-            check_base_url(text)?;
-            *field(settings) = text.trim_end_matches('/').into();
-            Ok(())
-        };
-        let show = move |settings: &mut S| field(settings).to_string();
-        Self::new(flag, help, Box::new(set), Box::new(show))
-    }
-
-    /// An IP address with a port.
-    ///
-    /// ```
-    /// use std::net::SocketAddr;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting = Setting::address("listen", "Callers' port.", |own: &mut SocketAddr| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_LISTEN");
-    /// ```
-    pub fn address(
-        flag: &'static str,
-        help: &'static str,
-        field: fn(&mut S) -> &mut SocketAddr,
-    ) -> Self {
-        let set = move |settings: &mut S, text: &str| {
-            *field(settings) = parse_address(text)?;
-            Ok(())
-        };
-        let show = move |settings: &mut S| field(settings).to_string();
-        Self::new(flag, help, Box::new(set), Box::new(show))
-    }
-
-    /// An IP address with a port that may be left out.
-    ///
-    /// ```
-    /// use std::net::SocketAddr;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting =
-    ///     Setting::optional_address("metrics", "Metrics.", |own: &mut Option<SocketAddr>| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_METRICS");
-    /// ```
-    pub fn optional_address(
-        flag: &'static str,
-        help: &'static str,
-        field: fn(&mut S) -> &mut Option<SocketAddr>,
-    ) -> Self {
-        let set = move |settings: &mut S, text: &str| {
-            *field(settings) = Some(parse_address(text)?);
-            Ok(())
-        };
-        let show = move |settings: &mut S| show_optional(field(settings).as_ref());
-        Self::new(flag, help, Box::new(set), Box::new(show))
-    }
-
-    /// A file that may be left out.
-    ///
-    /// ```
-    /// use std::path::PathBuf;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting =
-    ///     Setting::optional_path("tls-key-file", "Key.", |own: &mut Option<PathBuf>| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_TLS_KEY_FILE");
-    /// ```
-    pub fn optional_path(
-        flag: &'static str,
-        help: &'static str,
-        field: fn(&mut S) -> &mut Option<PathBuf>,
-    ) -> Self {
-        let set = move |settings: &mut S, text: &str| {
-            *field(settings) = Some(text.into());
-            Ok(())
-        };
-        let show = move |settings: &mut S| {
-            let path = field(settings).as_ref();
-            show_optional(path.map(|path| path.display()))
-        };
-        Self::new(flag, help, Box::new(set), Box::new(show))
-    }
-
-    /// One of a few words.
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let words = &["table", "json"];
-    /// let setting = Setting::choice("output", words, "Form.", |own: &mut Arc<str>| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_OUTPUT");
-    /// ```
-    pub fn choice(
-        flag: &'static str,
-        words: &'static [&'static str],
-        help: &'static str,
-        field: fn(&mut S) -> &mut Arc<str>,
-    ) -> Self {
-        let set = move |settings: &mut S, text: &str| {
-            if !words.contains(&text) {
-                return Err(format!("is none of {}", words.join(", ")));
-            }
-            *field(settings) = text.into();
-            Ok(())
-        };
-        let show = move |settings: &mut S| field(settings).to_string();
-        Self::new(flag, help, Box::new(set), Box::new(show))
-    }
-
-    /// A secret: from the variable, or from the file that `--FLAG-file` names.
-    ///
-    /// ```
-    /// use sardinewood::secrets::Secret;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting = Setting::secret("peer-key", "Key.", |own: &mut Secret| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_PEER_KEY");
-    /// ```
-    pub fn secret(
-        flag: &'static str,
-        help: &'static str,
-        field: fn(&mut S) -> &mut Secret,
-    ) -> Self {
-        let set = move |settings: &mut S, text: &str| {
-            let text = text.trim();
-            if text.is_empty() {
-                return Err("is empty".to_owned());
-            }
-            *field(settings) = Secret::new(text);
-            Ok(())
-        };
-        let show = move |settings: &mut S| {
-            let given = !field(settings).is_empty();
-            show_optional(given.then_some(REDACTED))
-        };
-        let mut setting = Self::new(flag, help, Box::new(set), Box::new(show));
-        setting.source = Source::Secret;
-        setting
-    }
-
-    /// The same setting, but one that must be given.
-    ///
-    /// ```
-    /// use std::sync::Arc;
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let _ = Setting::name("host", "Name of this host.", |own: &mut Arc<str>| own).required();
-    /// ```
-    #[must_use]
-    pub fn required(mut self) -> Self {
-        self.required = true;
-        self
-    }
-
-    /// The environment variable of this setting.
-    ///
-    /// ```
-    /// use sardinewood::settings::Setting;
-    ///
-    /// let setting = Setting::number("slots", 1..=9, "Slots.", |own: &mut u64| own);
-    /// assert_eq!(setting.variable(), "SARDINEWOOD_SLOTS");
-    /// ```
-    #[must_use]
-    pub fn variable(&self) -> String {
-        variable_of(self.flag)
-    }
-
-    /// The flag on the command line, without dashes.
-    fn command_flag(&self) -> String {
-        match self.source {
-            Source::Plain => self.flag.to_owned(),
-            Source::Secret => format!("{}{FILE_SUFFIX}", self.flag),
-        }
-    }
-}
-
-fn variable_of(flag: &str) -> String {
-    let upper = flag.replace('-', "_").to_ascii_uppercase();
-    format!("{ENV_PREFIX}{upper}")
-}
-
-fn show_optional(value: Option<impl Display>) -> String {
-    value.map_or_else(|| "(none)".to_owned(), |value| value.to_string())
-}
-
-fn parse_address(text: &str) -> Result<SocketAddr, String> {
-    text.parse()
-        .map_err(|_| "is not an IP address with a port, such as 127.0.0.1:8080".to_owned())
-}
-
-/// Checks the name of a host, data centre, upstream, profile, service or customer: it is
-/// part of paths and log lines, so it holds no separators and nothing to escape.
-///
-/// ```
-/// use sardinewood::settings::check_name;
-///
-/// assert_eq!(check_name("wdh-1"), Ok(()));
-/// assert!(check_name("a/b").is_err());
-/// ```
-///
-/// # Errors
-///
-/// Says what a name may hold.
-pub fn check_name(text: &str) -> Result<(), String> {
-    let allowed = |byte: u8| byte.is_ascii_alphanumeric() || b"-_.".contains(&byte);
-    let starts_well = text.starts_with(|first: char| first.is_ascii_alphanumeric());
-    if starts_well && text.len() <= NAME_MAX_BYTES && text.bytes().all(allowed) {
-        return Ok(());
-    }
-    Err(format!(
-        "is not a name: 1 to {NAME_MAX_BYTES} letters, digits, `-`, `_` and `.`, \
-         beginning with a letter or digit"
-    ))
-}
-
-/// Checks the base URL of an outside system.
-///
-/// ```
-/// use sardinewood::settings::check_base_url;
-///
-/// assert_eq!(check_base_url("http://127.0.0.1:9000"), Ok(()));
-/// assert!(check_base_url("127.0.0.1:9000").is_err());
-/// ```
-///
-/// # Errors
-///
-/// Says what a base URL looks like.
-pub fn check_base_url(text: &str) -> Result<(), String> {
-    let problem = || "is not a base URL, such as http://127.0.0.1:7070".to_owned();
-    let url = reqwest::Url::parse(text).map_err(|_| problem())?;
-    let known_scheme = matches!(url.scheme(), "http" | "https");
-    if known_scheme && url.has_host() && url.query().is_none() && url.fragment().is_none() {
-        return Ok(());
-    }
-    Err(problem())
-}
+pub use crate::setting::Setting;
+use crate::setting::Source;
+use crate::setting::variable_of;
+pub use crate::value_check::check_base_url;
+pub use crate::value_check::check_name;
+pub use crate::value_check::check_silence;
 
 /// A program and its table of settings.
 pub struct Program<S> {
@@ -368,10 +25,20 @@
     pub about: &'static str,
     /// Its settings, in the order of the help.
     pub settings: Vec<Setting<S>>,
+    /// The words it takes besides flags, such as a command; absent if it takes none.
+    pub words: Option<Words<S>>,
     /// Checks that concern several settings together.
     pub check: fn(&S, &mut Findings),
 }
 
+/// The words that a program takes besides flags.
+pub struct Words<S> {
+    /// The lines of the help that describe them.
+    pub usage: &'static str,
+    /// Where they are put.
+    pub field: fn(&mut S) -> &mut Vec<String>,
+}
+
 /// What a program has to do after its command line was read.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Start<S> {
@@ -421,6 +88,8 @@
     check: bool,
     /// Flag without dashes and its text, in order.
     values: Vec<(String, String)>,
+    /// What is neither a flag nor the value of one.
+    words: Vec<String>,
 }
 
 impl<S: Default + 'static> Program<S> {
@@ -434,6 +103,7 @@
     ///     name: "example",
     ///     about: "An example.",
     ///     settings: vec![Setting::number("slots", 1..=9, "Slots.", |own: &mut u64| own)],
+    ///     words: None,
     ///     check: |_: &u64, _: &mut Findings| {},
     /// };
     /// let sources = Sources {
@@ -455,6 +125,9 @@
             return Start::Print(format!("{} {version}\n", self.name));
         }
         let mut settings = S::default();
+        if let Some(words) = &self.words {
+            (words.field)(&mut settings).clone_from(&line.words);
+        }
         for setting in &self.settings {
             let text = text_of(setting, &line, &sources.env, &sources.read_file);
             apply(setting, text, &mut settings, &mut findings);
@@ -465,6 +138,14 @@
         self.conclude(&line, settings, &findings)
     }
 
+    fn take_word(&self, word: String, line: &mut CommandLine, findings: &mut Findings) {
+        if self.words.is_some() {
+            line.words.push(word);
+        } else {
+            findings.add(word, "is not a flag");
+        }
+    }
+
     fn conclude(&self, line: &CommandLine, mut settings: S, findings: &Findings) -> Start<S> {
         match (line.check, findings.is_empty()) {
             (false, true) => Start::Run(settings),
@@ -492,7 +173,13 @@
 
     fn help(&self) -> String {
         let mut text = format!("{}: {}\n\n", self.name, self.about);
-        let _ = writeln!(text, "Usage: {} [--SETTING VALUE]...\n", self.name);
+        match &self.words {
+            Some(words) => text.push_str(words.usage),
+            None => {
+                let _ = writeln!(text, "Usage: {} [--SETTING VALUE]...", self.name);
+            }
+        }
+        text.push('\n');
         let mut defaults = S::default();
         for setting in &self.settings {
             let (flag, variable) = (setting.command_flag(), setting.variable());
@@ -530,7 +217,8 @@
                 }
                 Ok(Some(Arg::Short(flag))) => findings.add(format!("-{flag}"), "is no setting"),
                 Ok(Some(Arg::Value(text))) => {
-                    findings.add(text.to_string_lossy(), "is not a flag");
+                    let word = text.to_string_lossy().into_owned();
+                    self.take_word(word, &mut line, findings);
                 }
                 Err(error) => findings.add("command line", error.to_string()),
             }
@@ -545,14 +233,15 @@
         findings: &mut Findings,
     ) {
         let place = format!("--{flag}");
-        let known = self
-            .settings
-            .iter()
-            .any(|setting| setting.command_flag() == flag);
-        if !known {
+        let mut settings = self.settings.iter();
+        let Some(setting) = settings.find(|setting| setting.command_flag() == flag) else {
             findings.add(place, "is no setting");
             skip_value(parser);
             return;
+        };
+        if !setting.takes_value {
+            line.values.push((flag, true.to_string()));
+            return;
         }
         match parser.value().map(OsString::into_string) {
             Ok(Ok(text)) => line.values.push((flag, text)),
@@ -657,23 +346,3 @@
         Text::Absent => {}
     }
 }
-
-/// Checks that a link is not taken for silent after a single late heartbeat.
-///
-/// ```
-/// use sardinewood::findings::Findings;
-/// use sardinewood::settings::check_silence;
-///
-/// let mut findings = Findings::default();
-/// check_silence(500, 600, &mut findings);
-/// assert!(!findings.is_empty());
-/// ```
-pub fn check_silence(heartbeat_ms: u64, silent_ms: u64, findings: &mut Findings) {
-    let least_ms = heartbeat_ms.saturating_mul(2);
-    if silent_ms < least_ms {
-        findings.add(
-            "--silent-ms",
-            format!("is less than twice --heartbeat-ms ({least_ms})"),
-        );
-    }
-}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,11 +1,13 @@
 //! One test program for all integration tests, so that it is linked once.
 
 mod agent_fixture;
+mod spread_fixture;
 mod test_agent_attempts;
 mod test_agent_reservations;
 mod test_agent_server;
 mod test_answer_reader;
 mod test_caller_api;
+mod test_config_spread;
 mod test_config_state;
 mod test_config_watch;
 mod test_entry_state;
--- a/lib/tests/test_config_state.rs
+++ b/lib/tests/test_config_state.rs
@@ -1,7 +1,5 @@
 //! Versions that only move forward, whatever source an object comes from.
 
-use std::sync::Arc;
-
 use proptest::collection::vec;
 use proptest::prelude::*;
 use proptest::test_runner::RngSeed;
@@ -174,15 +172,15 @@
         json!({"name": "a", "tier": 9, "deadline": 1}),
     ));
     assert_eq!(deadline_ms(&state, "a"), Some(3));
-    let places: Vec<Arc<str>> = state
-        .catalog()
-        .findings
-        .iter()
-        .map(|finding| Arc::clone(&finding.place))
-        .collect();
+    let findings = state.catalog().findings;
+    let places: Vec<_> = findings.iter().map(|finding| &finding.place).collect();
     assert_eq!(
         places,
-        ["deadline".into(), "tier".into(), "deadline_ms".into()]
+        [
+            "profiles/a: tier",
+            "profiles/a: deadline_ms",
+            "profiles/a: deadline"
+        ]
     );
     state.apply_object(&profile("a", 5));
     assert_eq!(deadline_ms(&state, "a"), Some(5));
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -68,6 +68,7 @@
             "A key.",
             |s: &mut KeySettings| &mut s.peer_key,
         )],
+        words: None,
         check: |_, _: &mut Findings| {},
     }
 }
