operator api: carry out a change with its record in one write

Cause: two operators change one thing at once, answers of writes get lost, replicas lag. Change: each change is one conditional write of the object with its record; a lost answer is read back by the change's id; a dry run says what it would do and what capacity is left. A removed object stays as a record, so its trail stays too.

--- a/lib/src/audit.rs
+++ b/lib/src/audit.rs
@@ -110,6 +110,23 @@
         }
     }
 
+    /// The version that a change got, if this record of `version` still tells.
+    ///
+    /// ```
+    /// use sardinewood::audit::Record;
+    ///
+    /// assert_eq!(Record::default().version_of("c1", 9), None);
+    /// ```
+    #[must_use]
+    pub fn version_of(&self, id: &str, version: u64) -> Option<u64> {
+        let is_same = |change: &Option<Change>| change.as_ref().is_some_and(|c| *c.id == *id);
+        if is_same(&self.change) {
+            return Some(version);
+        }
+        let past = self.history.iter().find(|past| is_same(&past.change));
+        past.map(|past| past.version)
+    }
+
     /// The record that follows this one, which the store holds at `version`.
     ///
     /// ```
--- a/lib/src/catalog.rs
+++ b/lib/src/catalog.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use crate::config_object::Spec;
 use crate::findings::Finding;
 use crate::objects::Customer;
 use crate::objects::Operator;
@@ -34,3 +35,37 @@
     /// What keeps the newest version of an object out of force.
     pub findings: Vec<Finding>,
 }
+
+impl Catalog {
+    /// Puts an object into the picture.
+    ///
+    /// ```
+    /// use std::sync::Arc;
+    /// use sardinewood::catalog::Catalog;
+    /// use sardinewood::config_object::Spec;
+    ///
+    /// let operator = serde_json::from_str(
+    ///     r#"{"name": "selma", "role": "read", "token_sha256": []}"#,
+    /// ).unwrap();
+    /// let mut catalog = Catalog::default();
+    /// catalog.insert(&"selma".into(), &Spec::Operator(Arc::new(operator)));
+    /// assert!(catalog.operators.contains_key("selma"));
+    /// ```
+    pub fn insert(&mut self, name: &Arc<str>, spec: &Spec) {
+        let name = Arc::clone(name);
+        match spec {
+            Spec::Profile(profile) => {
+                self.profiles.insert(name, Arc::clone(profile));
+            }
+            Spec::Upstream(upstream) => {
+                self.upstreams.insert(name, Arc::clone(upstream));
+            }
+            Spec::Customer(customer) => {
+                self.customers.insert(name, Arc::clone(customer));
+            }
+            Spec::Operator(operator) => {
+                self.operators.insert(name, Arc::clone(operator));
+            }
+        }
+    }
+}
--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -416,7 +416,7 @@
             let Some(in_force) = &held.in_force else {
                 continue;
             };
-            insert_spec(&mut catalog, &key.name, in_force);
+            catalog.insert(&key.name, in_force);
         }
         catalog
     }
@@ -586,21 +586,3 @@
     let text = format!("{key}@{version}");
     XxHash64::oneshot(0, text.as_bytes())
 }
-
-fn insert_spec(catalog: &mut Catalog, name: &Arc<str>, spec: &Spec) {
-    let name = Arc::clone(name);
-    match spec {
-        Spec::Profile(profile) => {
-            catalog.profiles.insert(name, Arc::clone(profile));
-        }
-        Spec::Upstream(upstream) => {
-            catalog.upstreams.insert(name, Arc::clone(upstream));
-        }
-        Spec::Customer(customer) => {
-            catalog.customers.insert(name, Arc::clone(customer));
-        }
-        Spec::Operator(operator) => {
-            catalog.operators.insert(name, Arc::clone(operator));
-        }
-    }
-}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,7 +6,6 @@
 //! in the programs and in the modules that speak to one outside system each.
 
 pub mod admission;
-mod agent_calls;
 pub mod agent_calls;
 pub mod agent_control;
 pub mod agent_events;
@@ -53,6 +52,8 @@
 pub mod objects;
 pub mod objects_check;
 pub mod openai_error;
+pub mod operator_change;
+pub mod operator_effects;
 pub mod operator_messages;
 pub mod pump_registry;
 pub mod reservation_queue;
