--- a/lib/src/entry_control.rs
+++ b/lib/src/entry_control.rs
@@ -21,6 +21,12 @@
 use crate::entry_state::EntryEvent;
 use crate::entry_state::EntryState;
 use crate::entry_state::EntryStep;
+use crate::ids::RequestId;
+use crate::logging::Level;
+use crate::logging::Line;
+use crate::metrics::Metrics;
+use crate::verdict::Failure;
+use crate::verdict::Outcome;
 
 /// Events taken together before timers are looked at.
 const BATCH_EVENTS: usize = 256;
@@ -74,6 +80,8 @@
     pub queries: mpsc::Receiver<EntryQuery>,
     /// Where the status is published.
     pub status: watch::Sender<EntryStatus>,
+    /// Where figures go.
+    pub metrics: Metrics,
     /// The start of the entry's time.
     pub started: Instant,
     /// How often the status is published.
@@ -185,7 +193,7 @@
                 routes.tell_readers(attempt.request, &CallerNote::End { attempt, end });
             }
             EntryStep::Fail { request, failure } => {
-                spdlog::info!("request {request} failed: {failure:?}");
+                self.report_failure(request, failure);
                 routes.tell(request, CallerNote::Fail(failure));
             }
             EntryStep::Dial { agent, address } => {
@@ -213,7 +221,21 @@
         }
     }
 
+    fn report_failure(&self, request: RequestId, failure: Failure) {
+        Line::new(Level::Info, "request failed")
+            .request(request)
+            .field("outcome", failure.outcome)
+            .field("reason", failure.reason)
+            .revision(self.catalog.borrow().revision)
+            .send();
+        self.metrics.count(failure_metric(failure.outcome), 1);
+    }
+
     fn publish(&self) {
+        let counts = self.state.counts();
+        self.metrics.gauge("entry.waiting", counts.waiting as u64);
+        self.metrics.gauge("entry.running", counts.running as u64);
+        self.metrics.gauge("entry.links", counts.links as u64);
         self.status.send_replace(self.current_status());
     }
 
@@ -233,6 +255,13 @@
     }
 }
 
+fn failure_metric(outcome: Outcome) -> &'static str {
+    match outcome {
+        Outcome::NotRun => "entry.not_run",
+        Outcome::Unknown => "entry.unknown",
+    }
+}
+
 /// Milliseconds since the entry's start.
 #[must_use]
 pub fn elapsed_ms(started: Instant) -> u64 {
--- a/lib/src/entry_link.rs
+++ b/lib/src/entry_link.rs
@@ -28,6 +28,8 @@
 use crate::frames::FrameReader;
 use crate::frames::write_frames;
 use crate::ids::Incarnation;
+use crate::logging::Level;
+use crate::logging::Line;
 use crate::wire::AgentMessage;
 use crate::wire::EntryMessage;
 use crate::wire::Hello;
@@ -158,7 +160,11 @@
             }
             Err(error) => error,
         };
-        spdlog::info!("link to {agent} at {address} ended: {error}");
+        Line::new(Level::Info, "link ended")
+            .field("upstream", &*agent)
+            .field("address", address)
+            .field("error", error.to_string())
+            .send();
         let pause_ms = backoff.next_ms(rand::random());
         sleep(Duration::from_millis(pause_ms)).await;
     }
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -38,6 +38,9 @@
 use crate::entry_state::EntryRules;
 use crate::entry_state::EntryState;
 use crate::ids::Incarnation;
+use crate::logging::Level;
+use crate::logging::Line;
+use crate::metrics::Metrics;
 use crate::wire::Hello;
 use crate::wire::PROTOCOL_VERSION;
 
@@ -78,14 +81,16 @@
 /// use sardinewood::config::Config;
 /// use sardinewood::entry_server::spawn;
 /// use sardinewood::entry_settings::EntrySettings;
+/// use sardinewood::metrics::Metrics;
 ///
 /// let catalog = Config::default().catalog();
-/// let entry = spawn(&EntrySettings::default(), catalog).unwrap();
+/// let entry = spawn(&EntrySettings::default(), catalog, Metrics::disabled()).unwrap();
 /// assert_ne!(entry.address().port(), 0);
 /// ```
 pub fn spawn(
     settings: &EntrySettings,
     catalog: watch::Receiver<Arc<Catalog>>,
+    metrics: Metrics,
 ) -> io::Result<EntryHandle> {
     let traffic = traffic_runtime(settings)?;
     let listener = open_listener(settings.listen)?;
@@ -127,6 +132,7 @@
         link,
         traffic: traffic.handle().clone(),
         status: status_sender,
+        metrics,
         started,
         status_every: STATUS_EVERY,
         stop: stop_control.clone(),
@@ -321,7 +327,9 @@
         let stopped = async move { stop.cancelled().await };
         let ended = server.run_with_graceful_shutdown(api, stopped, None).await;
         if let Err(error) = ended {
-            spdlog::error!("callers' listener failed: {error}");
+            Line::new(Level::Error, "callers' listener failed")
+                .field("error", error.to_string())
+                .send();
         }
     }))
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -20,3 +20,4 @@
 mod test_operator_change;
 mod test_secrets;
 mod test_settings;
+mod test_whole_path;
--- a/lib/tests/test_caller_api.rs
+++ b/lib/tests/test_caller_api.rs
@@ -21,6 +21,7 @@
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
+use sardinewood::metrics::Metrics;
 use sardinewood::wire::AgentMessage;
 use sardinewood::wire::AnswerEnd;
 use sardinewood::wire::Call;
@@ -91,7 +92,7 @@
             shutdown_grace_ms: 10_000,
             ..EntrySettings::default()
         };
-        let entry = spawn(&settings, receiver).expect("an entry");
+        let entry = spawn(&settings, receiver, Metrics::disabled()).expect("an entry");
         let setting = Self {
             entry,
             counts,
