ctl: commands and queries of operators from the command line

Operators need to change objects and read the system's state from a script or a shell. Add sardinewoodctl: every change is conditional on a version, carries a reason and an id, and a lost answer is settled by sending the same id again, so that accepted, refused and not known yet are never confused.

--- /dev/null
+++ b/ctl/src/run.rs
@@ -0,0 +1,125 @@
+//! One run of the program, from its settings to its exit code.
+
+use std::io::Read;
+use std::path::Path;
+use std::sync::Arc;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use sardinewood::findings::Findings;
+use sardinewood::secrets::sha256_hex;
+use serde_json::Value;
+
+use crate::action::Action;
+use crate::action::Command;
+use crate::action::Edit;
+use crate::action::Query;
+use crate::action::read_action;
+use crate::command::run_command;
+use crate::ctl_settings::CtlSettings;
+use crate::exit_code::End;
+use crate::operator_client::OperatorClient;
+use crate::output::Output;
+use crate::query::run_query;
+
+/// The path that means standard input.
+const STANDARD_INPUT: &str = "-";
+
+/// Runs the command or query that the settings' words name.
+pub async fn run(settings: &CtlSettings, output: &mut Output) -> End {
+    let mut findings = Findings::default();
+    let Some(action) = read_action(settings, &mut findings) else {
+        output.note(findings.to_string().trim_end());
+        return End::Usage;
+    };
+    if action == Action::Query(Query::Hash) {
+        return print_hash(output);
+    }
+    let token = &settings.operator_token;
+    let client = match OperatorClient::new(&settings.entry_url, token, settings.timeout_ms) {
+        Ok(client) => client,
+        Err(error) => {
+            output.note(&error.to_string());
+            return End::NotReachable;
+        }
+    };
+    let result = match &action {
+        Action::Query(query) => run_query(query, now_ms(), settings, &client, output).await,
+        Action::Command(command) => {
+            let file = match read_object(command) {
+                Ok(file) => file,
+                Err(problem) => {
+                    output.note(&problem);
+                    return End::Usage;
+                }
+            };
+            run_command(
+                command,
+                file,
+                change_id(settings),
+                settings,
+                &client,
+                output,
+            )
+            .await
+        }
+    };
+    result.unwrap_or_else(|error| {
+        output.note(&error.to_string());
+        error.end()
+    })
+}
+
+fn now_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    let millis = since.unwrap_or_default().as_millis();
+    u64::try_from(millis).unwrap_or(u64::MAX)
+}
+
+/// The id of an earlier run that is settled, or a new one that no other run draws.
+fn change_id(settings: &CtlSettings) -> Arc<str> {
+    if settings.change_id.is_empty() {
+        return format!("ctl-{:032x}", rand::random::<u128>()).into();
+    }
+    Arc::clone(&settings.change_id)
+}
+
+fn read_object(command: &Command) -> Result<Option<Value>, String> {
+    let Edit::Replace(path) = &command.edit else {
+        return Ok(None);
+    };
+    let place = format!("--from-file {}", path.display());
+    let text = read_text(path).map_err(|error| format!("{place}: {error}"))?;
+    let object = serde_json::from_str(&text).map_err(|error| format!("{place}: {error}"))?;
+    Ok(Some(object))
+}
+
+fn read_text(path: &Path) -> std::io::Result<String> {
+    if path == Path::new(STANDARD_INPUT) {
+        return read_standard_input();
+    }
+    std::fs::read_to_string(path)
+}
+
+fn read_standard_input() -> std::io::Result<String> {
+    let mut text = String::new();
+    std::io::stdin().read_to_string(&mut text)?;
+    Ok(text)
+}
+
+fn print_hash(output: &mut Output) -> End {
+    match read_standard_input() {
+        Ok(key) if !key.trim().is_empty() => {
+            output.answer(&sha256_hex(key.trim()), |hash| format!("{hash}\n"));
+            End::Done
+        }
+        Ok(_) => {
+            output.note("standard input holds no key");
+            End::Usage
+        }
+        Err(error) => {
+            output.note(&format!("standard input: {error}"));
+            End::Usage
+        }
+    }
+}
