--- a/bench/src/baseline.rs
+++ b/bench/src/baseline.rs
@@ -130,6 +130,7 @@
                 }
             }
             Message::AgentHears { upstream, event } => self.agent_hears(world, upstream, &event),
+            _ => {}
         }
     }
 
--- a/bench/src/engine_model.rs
+++ b/bench/src/engine_model.rs
@@ -12,6 +12,9 @@
 
 use crate::scenario::EngineKind;
 
+/// Phases end after this time, so that those who watch see progress as a stream shows it.
+const LONGEST_PHASE_US: u64 = 100_000;
+
 /// A leading part of a prompt that other prompts may share.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PrefixPart {
@@ -413,10 +416,13 @@
             ),
             Some(s) => (s.prefill_tokens, 1),
         };
+        let step_us = self.step_us(count as u64, chunk_tokens);
+        let longest = u32::try_from(LONGEST_PHASE_US / step_us).unwrap_or(u32::MAX);
+        let steps = shortest.min(until_full).min(chunks);
         Some(Phase {
             start_us: now_us,
-            step_us: self.step_us(count as u64, chunk_tokens),
-            steps: shortest.min(until_full).min(chunks),
+            step_us,
+            steps: steps.min(longest.max(1)),
             chunk_tokens,
         })
     }
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod fleet;
 pub mod load_client;
 pub mod message;
+pub mod own_policy;
 pub mod policy;
 pub mod scenario;
 pub mod scenario_check;
--- a/bench/src/world.rs
+++ b/bench/src/world.rs
@@ -38,6 +38,8 @@
 struct Scheduled {
     at_us: u64,
     sequence: u64,
+    /// The process that has to run for it.
+    agent: Option<usize>,
     happening: Happening,
 }
 
@@ -127,9 +129,15 @@
 
     /// Takes the next happening and moves the time to it.
     pub fn next_happening(&mut self) -> Option<Happening> {
-        let Reverse(scheduled) = self.scheduled.pop()?;
-        self.now_us = scheduled.at_us;
-        Some(scheduled.happening)
+        loop {
+            let Reverse(scheduled) = self.scheduled.pop()?;
+            self.now_us = scheduled.at_us;
+            let Some(until_us) = self.paused_until_us(scheduled.agent) else {
+                return Some(scheduled.happening);
+            };
+            // Put off in the order of arrival, as a socket keeps it.
+            self.schedule_for(scheduled.agent, until_us, scheduled.happening);
+        }
     }
 
     /// Delivers a message later.
@@ -140,8 +148,7 @@
     /// Delivers a message to the process beside an engine, which reads it when it runs.
     pub fn send_to_agent(&mut self, upstream: usize, delay_us: u64, message: Message) {
         let at_us = self.now_us + delay_us;
-        let at_us = at_us.max(self.hosts[upstream].paused_until_us);
-        self.schedule(at_us, Happening::Message(message));
+        self.schedule_for(Some(upstream), at_us, Happening::Message(message));
     }
 
     /// Starts an attempt on an engine; returns its job, or `None` if the host is gone.
@@ -280,11 +287,21 @@
         self.schedule(next_us, Happening::EngineDue(upstream));
     }
 
+    fn paused_until_us(&self, agent: Option<usize>) -> Option<u64> {
+        let until_us = self.hosts[agent?].paused_until_us;
+        (until_us > self.now_us).then_some(until_us)
+    }
+
     fn schedule(&mut self, at_us: u64, happening: Happening) {
+        self.schedule_for(None, at_us, happening);
+    }
+
+    fn schedule_for(&mut self, agent: Option<usize>, at_us: u64, happening: Happening) {
         self.sequence += 1;
         self.scheduled.push(Reverse(Scheduled {
             at_us,
             sequence: self.sequence,
+            agent,
             happening,
         }));
     }
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -80,3 +80,4 @@
 pub mod value_check;
 pub mod verdict;
 pub mod wire;
+pub mod work_estimates;
