entry: remember what was decided about each request

An operator could not ask why a request waited, moved or failed. The entry keeps the decisions about the requests that came last, bounded in requests and in decisions of each, and answers from the control thread. Its status now carries what it knows of each agent and the waiting requests by tier.

--- a/lib/src/admission.rs
+++ b/lib/src/admission.rs
@@ -105,6 +105,18 @@
         self.requests
     }
 
+    /// How many requests of each tier wait.
+    ///
+    /// ```
+    /// use sardinewood::admission::{QueueLimits, WaitingQueue};
+    ///
+    /// assert_eq!(WaitingQueue::new(QueueLimits::default()).len_by_tier(), [0; 5]);
+    /// ```
+    #[must_use]
+    pub fn len_by_tier(&self) -> [usize; TIER_COUNT] {
+        std::array::from_fn(|tier| self.tiers[tier].len())
+    }
+
     /// Whether nothing waits.
     ///
     /// ```
--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -38,6 +38,8 @@
     pub load: Load,
     /// The newest configuration revision that it has.
     pub revision: u64,
+    /// When its last heartbeat came.
+    pub heard_at_ms: Option<u64>,
     /// Requests with a reservation there.
     pub reserved: IndexSet<RequestId>,
     /// Requests with an attempt there.
@@ -56,6 +58,7 @@
             linked: None,
             load: Load::default(),
             revision: 0,
+            heard_at_ms: None,
             reserved: IndexSet::new(),
             running: IndexSet::new(),
             closed_until_ms: 0,
--- a/lib/src/entry_control.rs
+++ b/lib/src/entry_control.rs
@@ -14,6 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_routes::CallerNote;
+use crate::candidates::Agent;
 use crate::catalog::Catalog;
 use crate::entry_link::LinkContext;
 use crate::entry_link::keep_link;
@@ -25,14 +26,37 @@
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
+use crate::operator_messages::Decision;
 use crate::verdict::Failure;
 use crate::verdict::Outcome;
+use crate::wire::Load;
 
 /// Events taken together before timers are looked at.
 const BATCH_EVENTS: usize = 256;
 /// The longest sleep, when no timer is set.
 const IDLE: Duration = Duration::from_secs(3_600);
 
+/// What an entry knows of one agent.
+///
+/// ```
+/// use sardinewood::entry_control::AgentStatus;
+///
+/// assert!(!AgentStatus::default().is_linked);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct AgentStatus {
+    /// Whether there is a link to it.
+    pub is_linked: bool,
+    /// Whether it gets new work from here.
+    pub takes_work: bool,
+    /// The newest configuration revision that it said it has.
+    pub revision: u64,
+    /// How long ago it was last heard; absent if it never was.
+    pub heard_ms_ago: Option<u64>,
+    /// The load that it reported last.
+    pub load: Load,
+}
+
 /// What others may know of the entry's state.
 ///
 /// ```
@@ -50,9 +74,8 @@
     pub counts: EntryCounts,
     /// How many answers have a reader.
     pub readers: usize,
-    /// The newest configuration revision that each agent is known to have; `None` for an
-    /// agent that is not linked.
-    pub agent_revisions: IndexMap<Arc<str>, Option<u64>>,
+    /// What is known of each agent.
+    pub agents: IndexMap<Arc<str>, AgentStatus>,
 }
 
 /// A question to the control thread.
@@ -60,6 +83,13 @@
 pub enum EntryQuery {
     /// The status after all events that came before.
     Status(oneshot::Sender<EntryStatus>),
+    /// What was decided about a request; nothing if it is not remembered.
+    Explain {
+        /// The request.
+        request: RequestId,
+        /// Where the answer goes.
+        answer: oneshot::Sender<Vec<Decision>>,
+    },
 }
 
 /// Everything that the control thread works with.
@@ -84,6 +114,8 @@
     pub metrics: Metrics,
     /// The start of the entry's time.
     pub started: Instant,
+    /// The same by the clock, in milliseconds since 1970, for operators to read.
+    pub started_unix_ms: u64,
     /// How often the status is published.
     pub status_every: Duration,
     /// Ends the thread.
@@ -218,6 +250,9 @@
                 // Who has gone away does not want the answer.
                 let _gone = answer.send(self.current_status());
             }
+            EntryQuery::Explain { request, answer } => {
+                let _gone = answer.send(self.decisions(request));
+            }
         }
     }
 
@@ -231,6 +266,32 @@
         self.metrics.count(failure_metric(failure.outcome), 1);
     }
 
+    fn decisions(&self, request: RequestId) -> Vec<Decision> {
+        let Some(remembered) = self.state.explain(request) else {
+            return Vec::new();
+        };
+        let mut decisions: Vec<_> = remembered
+            .decisions
+            .iter()
+            .map(|(at_ms, decided)| Decision {
+                at_ms: self.started_unix_ms + at_ms,
+                process: self.link.hello.name.clone(),
+                what: decided.what().into(),
+                why: decided.why().into(),
+            })
+            .collect();
+        if let Some(last) = decisions.last()
+            && remembered.more > 0
+        {
+            decisions.push(Decision {
+                what: format!("{} further decisions", remembered.more).into(),
+                why: "the memory of one request is bounded".into(),
+                ..last.clone()
+            });
+        }
+        decisions
+    }
+
     fn publish(&self) {
         let counts = self.state.counts();
         self.metrics.gauge("entry.waiting", counts.waiting as u64);
@@ -240,21 +301,33 @@
     }
 
     fn current_status(&self) -> EntryStatus {
-        let agent_revisions = self
+        let now_ms = elapsed_ms(self.started);
+        let agents = self
             .state
             .agents()
-            .map(|(name, is_linked, revision)| (name.clone(), is_linked.then_some(revision)))
+            .iter()
+            .map(|(name, agent)| (name.clone(), agent_status(agent, now_ms)))
             .collect();
         EntryStatus {
             is_ready: self.state.is_ready(),
             is_drained: self.state.is_drained(),
             counts: self.state.counts(),
             readers: self.link.routes.len(),
-            agent_revisions,
+            agents,
         }
     }
 }
 
+fn agent_status(agent: &Agent, now_ms: u64) -> AgentStatus {
+    AgentStatus {
+        is_linked: agent.linked.is_some(),
+        takes_work: agent.takes_work(now_ms),
+        revision: agent.revision,
+        heard_ms_ago: agent.heard_at_ms.map(|heard| now_ms.saturating_sub(heard)),
+        load: agent.load,
+    }
+}
+
 fn failure_metric(outcome: Outcome) -> &'static str {
     match outcome {
         Outcome::NotRun => "entry.not_run",
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -6,6 +6,8 @@
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
 
 use poem::Server;
 use tokio::net::TcpListener;
@@ -38,9 +40,11 @@
 use crate::entry_state::EntryRules;
 use crate::entry_state::EntryState;
 use crate::ids::Incarnation;
+use crate::ids::RequestId;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
+use crate::operator_messages::Decision;
 use crate::wire::Hello;
 use crate::wire::PROTOCOL_VERSION;
 
@@ -134,6 +138,7 @@
         status: status_sender,
         metrics,
         started,
+        started_unix_ms: unix_ms(),
         status_every: STATUS_EVERY,
         stop: stop_control.clone(),
     };
@@ -185,6 +190,22 @@
         answer.await.ok()
     }
 
+    /// Asks what was decided about a request; empty if it is not remembered here.
+    pub async fn explain(&self, request: RequestId) -> Vec<Decision> {
+        let (answer, decisions) = oneshot::channel();
+        let query = EntryQuery::Explain { request, answer };
+        if self.queries.send(query).await.is_err() {
+            return Vec::new();
+        }
+        decisions.await.unwrap_or_default()
+    }
+
+    /// A way to ask it without holding it.
+    #[must_use]
+    pub fn queries(&self) -> mpsc::Sender<EntryQuery> {
+        self.queries.clone()
+    }
+
     /// What it says about itself, a short while ago.
     #[must_use]
     pub fn status(&self) -> watch::Receiver<EntryStatus> {
@@ -234,6 +255,11 @@
     }
 }
 
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH);
+    u64::try_from(since.unwrap_or_default().as_millis()).unwrap_or(u64::MAX)
+}
+
 fn traffic_runtime(settings: &EntrySettings) -> io::Result<Runtime> {
     tokio::runtime::Builder::new_multi_thread()
         .worker_threads(settings.traffic_threads)
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry_state.rs
@@ -17,9 +17,13 @@
 use crate::candidates::LinkChoice;
 use crate::candidates::Wanted;
 use crate::catalog::Catalog;
+use crate::explanations::Decided;
+use crate::explanations::Explanations;
+use crate::explanations::Remembered;
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::objects::TIER_COUNT;
 use crate::retry_budget::RetryBudget;
 use crate::run::Gates;
 use crate::run::Phase;
@@ -61,6 +65,8 @@
     pub forget_after_ms: u64,
     /// When a caller that was refused for load may try again.
     pub retry_after_ms: u64,
+    /// Of how many requests the decisions are remembered.
+    pub remembered_requests: usize,
     /// Whether named requests need a claim before their first dispatch.
     pub claims: bool,
     /// Whether requests with an order key need their turn before they are placed.
@@ -88,6 +94,7 @@
             reserve_again_ms: 100,
             forget_after_ms: 30_000,
             retry_after_ms: 1_000,
+            remembered_requests: 4_096,
             claims: false,
             turns: false,
         }
@@ -223,11 +230,13 @@
 pub struct EntryCounts {
     /// Requests that wait for a grant.
     pub waiting: usize,
+    /// The same by tier.
+    pub waiting_by_tier: [usize; TIER_COUNT],
     /// Requests with an attempt that may be alive.
     pub running: usize,
     /// Reservations that agents hold.
     pub reservations: usize,
-    /// Timers that are set.
+    /// Links that are open.
     pub links: usize,
 }
 
@@ -253,6 +262,9 @@
     unplaced: IndexSet<RequestId>,
     timers: Timers,
     budget: RetryBudget,
+    memory: Explanations,
+    /// The time of the event that is handled.
+    now_ms: u64,
     nonce: u64,
     shutting_down: bool,
     revision: u64,
@@ -273,6 +285,8 @@
             unplaced: IndexSet::new(),
             timers: Timers::default(),
             budget: RetryBudget::default(),
+            memory: Explanations::new(rules.remembered_requests),
+            now_ms: 0,
             nonce: seed,
             shutting_down: false,
             revision: 0,
@@ -284,6 +298,7 @@
 
     /// Takes an event and says what to do next, in order.
     pub fn handle(&mut self, now_ms: u64, event: EntryEvent) -> Vec<EntryStep> {
+        self.now_ms = now_ms;
         match event {
             EntryEvent::Submitted(submission) => self.submit(now_ms, *submission),
             EntryEvent::Claimed { request, answer } => self.claimed(now_ms, request, answer),
@@ -337,6 +352,7 @@
     pub fn counts(&self) -> EntryCounts {
         EntryCounts {
             waiting: self.queue.len(),
+            waiting_by_tier: self.queue.len_by_tier(),
             running: self.runs.len() - self.queue.len(),
             reservations: self
                 .agents
@@ -351,12 +367,25 @@
         }
     }
 
-    /// What is known of each agent: its name, whether it is linked, and the newest
-    /// configuration revision that it has.
-    pub fn agents(&self) -> impl Iterator<Item = (&Arc<str>, bool, u64)> {
-        self.agents
-            .iter()
-            .map(|(name, agent)| (name, agent.linked.is_some(), agent.revision))
+    /// All agents that are known.
+    #[must_use]
+    pub fn agents(&self) -> &AgentTable {
+        &self.agents
+    }
+
+    /// What was decided about a request, if it is still remembered.
+    #[must_use]
+    pub fn explain(&self, request: RequestId) -> Option<&Remembered> {
+        self.memory.get(request)
+    }
+
+    fn record(&mut self, request: RequestId, decided: Decided) {
+        self.memory.record(self.now_ms, request, decided);
+    }
+
+    fn tell_failure(&mut self, request: RequestId, failure: Failure) {
+        self.record(request, Decided::Failed(failure));
+        self.steps.push(EntryStep::Fail { request, failure });
     }
 
     fn send(&mut self, agent: &Arc<str>, message: EntryMessage) {
@@ -386,7 +415,7 @@
             reason,
             retry_after_ms,
         };
-        self.steps.push(EntryStep::Fail { request, failure });
+        self.tell_failure(request, failure);
         self.remove(request, failure.outcome.into());
     }
 
--- a/lib/src/entry_state/attempts.rs
+++ b/lib/src/entry_state/attempts.rs
@@ -4,6 +4,7 @@
 use super::AnswerEnd;
 use super::Arc;
 use super::AttemptId;
+use super::Decided;
 use super::EntryMessage;
 use super::EntryState;
 use super::EntryStep;
@@ -22,6 +23,7 @@
                 if let Some(known) = self.agents.get_mut(agent) {
                     known.load = load;
                     known.revision = revision;
+                    known.heard_at_ms = Some(now_ms);
                 }
             }
             AgentMessage::Grant { request, grant, .. } => {
@@ -46,6 +48,7 @@
             return;
         }
         if !self.may_dispatch(now_ms, request, agent, grant) {
+            self.note_declined(request, agent);
             self.send(agent, EntryMessage::Decline { grant });
             return;
         }
@@ -57,6 +60,10 @@
             return;
         }
         let earlier = run.held_grant.replace((agent.clone(), grant));
+        let held = Decided::Held {
+            agent: agent.clone(),
+        };
+        self.record(request, held);
         if let Some((agent, grant)) = earlier {
             self.send(&agent, EntryMessage::Decline { grant });
         }
@@ -81,6 +88,17 @@
         takes_work && waits
     }
 
+    /// Remembers a declined grant of a request that is remembered; a grant for an unknown
+    /// one must not push others out of the memory.
+    fn note_declined(&mut self, request: RequestId, agent: &Arc<str>) {
+        if self.memory.get(request).is_some() {
+            let declined = Decided::Declined {
+                agent: agent.clone(),
+            };
+            self.record(request, declined);
+        }
+    }
+
     /// Grants of one incarnation are numbered upwards, so a grant with a number that is not
     /// above the newest is a repetition, or was overtaken and lapses unanswered. Answering
     /// it could answer one grant twice, with two different requests.
@@ -127,6 +145,11 @@
             retain: run.submission.named.is_some(),
             call: run.submission.call.clone(),
         };
+        let dispatched = Decided::Dispatched {
+            attempt: id,
+            agent: agent.clone(),
+        };
+        self.record(request, dispatched);
         self.steps.push(EntryStep::Begin {
             request,
             attempt: id,
@@ -144,7 +167,13 @@
             return;
         };
         let attempt = attempt.clone();
-        if matches!(run.phase, Phase::Abandoned(_)) {
+        let is_abandoned = matches!(run.phase, Phase::Abandoned(_));
+        let ended = Decided::Ended {
+            attempt: id,
+            end: end.clone(),
+        };
+        self.record(id.request, ended);
+        if is_abandoned {
             self.ended_abandoned(id, end);
             return;
         }
@@ -261,11 +290,17 @@
         if attempt.id != id || attempt.agent != *agent {
             return;
         }
+        let settled = Decided::Settled {
+            agent: agent.clone(),
+            settlement,
+        };
+        let attempt = attempt.clone();
+        let phase = run.phase.clone();
+        self.record(id.request, settled);
         let same_incarnation = self
             .agents
             .get(agent)
             .is_some_and(|known| known.linked == Some(attempt.grant.agent));
-        let attempt = attempt.clone();
         let in_doubt = || AnswerEnd::InDoubt {
             reason: "the agent was restarted".into(),
         };
@@ -280,7 +315,7 @@
                 reason: "the agent or its upstream was restarted".into(),
             },
         };
-        match &run.phase {
+        match phase {
             Phase::Running(_) => self.steps.push(EntryStep::End { attempt: id, end }),
             Phase::InDoubt(_) => self.ended(now_ms, id, &end, false),
             Phase::Abandoned(_) => self.settled_abandoned(id, &end),
--- a/lib/src/entry_state/links.rs
+++ b/lib/src/entry_state/links.rs
@@ -3,6 +3,7 @@
 use super::AnswerEnd;
 use super::Arc;
 use super::Catalog;
+use super::Decided;
 use super::EntryMessage;
 use super::EntryState;
 use super::EntryStep;
@@ -40,6 +41,10 @@
             };
             self.send(&attempt.agent, message);
         }
+        let asked_after = Decided::AskedAfter {
+            agent: attempt.agent.clone(),
+        };
+        self.record(request, asked_after);
         let message = EntryMessage::Settle {
             attempt: attempt.id,
             grant: attempt.grant,
--- a/lib/src/entry_state/waiting.rs
+++ b/lib/src/entry_state/waiting.rs
@@ -3,6 +3,7 @@
 use super::Admission;
 use super::Arc;
 use super::ClaimAnswer;
+use super::Decided;
 use super::EntryMessage;
 use super::EntryState;
 use super::EntryStep;
@@ -28,13 +29,13 @@
         let gates = self.gates(&submission);
         let run = Run::new(submission, now_ms, gates);
         if let Some(failure) = self.refusal_at_once(now_ms, &run) {
-            self.steps.push(EntryStep::Fail { request, failure });
+            self.tell_failure(request, failure);
             return;
         }
         let Admission::Admit { give_way } = self.queue.admit(run.place()) else {
             let failure = Failure::not_run(FailureReason::QueueFull);
             let failure = failure.retry_after(self.rules.retry_after_ms);
-            self.steps.push(EntryStep::Fail { request, failure });
+            self.tell_failure(request, failure);
             return;
         };
         for other in give_way {
@@ -44,6 +45,11 @@
         self.queue.insert(run.place());
         self.timers
             .set(run.submission.deadline_at_ms, TimerKind::Deadline, request);
+        let admitted = Decided::Admitted {
+            tier: run.submission.tier(),
+            customer: run.submission.customer.name.clone(),
+        };
+        self.record(request, admitted);
         self.ask_gates(&run);
         self.runs.insert(request, run);
         self.reserve(now_ms, request);
@@ -154,7 +160,7 @@
     /// Ends a request with a failure that was decided elsewhere.
     fn fail_with(&mut self, request: RequestId, failure: Failure) {
         self.leave_queue(request);
-        self.steps.push(EntryStep::Fail { request, failure });
+        self.tell_failure(request, failure);
         self.remove(request, failure.outcome.into());
     }
 
@@ -204,6 +210,12 @@
         if let Some(known) = self.agents.get_mut(agent) {
             known.reserved.insert(request);
         }
+        self.record(
+            request,
+            Decided::Asked {
+                agent: agent.clone(),
+            },
+        );
         self.send(agent, EntryMessage::Reserve(reservation));
     }
 
@@ -270,6 +282,11 @@
         };
         run.refused.insert(agent.clone(), until_ms);
         run.too_late += usize::from(reason == RefusalReason::TooLate);
+        let refused = Decided::Refused {
+            agent: agent.clone(),
+            reason,
+        };
+        self.record(request, refused);
         if self.is_too_late(request) {
             self.fail_waiting(request, FailureReason::TooLate);
         } else {
@@ -318,9 +335,12 @@
         let Some(run) = self.runs.get(&request) else {
             return;
         };
-        match run.phase.clone() {
+        let phase = run.phase.clone();
+        let outcome = run.outcome();
+        self.record(request, Decided::CallerGone);
+        match phase {
             Phase::Waiting => {
-                let outcome = run.outcome().into();
+                let outcome = outcome.into();
                 self.remove(request, outcome);
             }
             Phase::Running(attempt) | Phase::InDoubt(attempt) => {
@@ -338,7 +358,7 @@
             Phase::Waiting => self.fail_waiting(request, FailureReason::DeadlinePassed),
             Phase::Running(attempt) | Phase::InDoubt(attempt) => {
                 let failure = Failure::unknown(FailureReason::DeadlinePassed);
-                self.steps.push(EntryStep::Fail { request, failure });
+                self.tell_failure(request, failure);
                 self.abandon(now_ms, request, &attempt);
             }
             Phase::Abandoned(_) => {}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -44,6 +44,7 @@
 pub mod entry_settings;
 pub mod entry_state;
 pub mod event_scan;
+pub mod explanations;
 pub mod findings;
 pub mod frames;
 pub mod grants;
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -739,3 +739,33 @@
     assert_ne!(reserves(&steps)[0], asked);
     assert_eq!(scene.entry.counts().reservations, 1);
 }
+
+#[test]
+fn explain_names_each_decision() {
+    let mut scene = Scene::new(&["a"], |rules| rules.remembered_requests = 2);
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    scene.end(1, 1, broken(), false);
+    let remembered = scene.entry.explain(RequestId(1)).expect("it is remembered");
+    let words: Vec<_> = remembered
+        .decisions
+        .iter()
+        .map(|(_, decided)| decided.what())
+        .collect();
+    let expected = [
+        "admitted",
+        "asked a for a grant",
+        "dispatched attempt 1 to a",
+        "attempt 1 ended",
+        "failed",
+    ];
+    assert_eq!(words, expected);
+    scene.grant("a", 9);
+    assert!(scene.entry.explain(RequestId(9)).is_none());
+    scene.submit(submission(2, 0));
+    scene.submit(submission(3, 0));
+    assert!(
+        scene.entry.explain(RequestId(1)).is_none(),
+        "the oldest goes"
+    );
+}
