agent: speeds that short prompts don't spoil, preemption in turns

Cause: the time of a ten-token prompt is mostly step and socket; as a prefill rate it made long prompts look hopeless, and a rate learned in a bad moment refused everything, so that no sample could correct it. All agents with a reservation of one urgent request would have preempted for it at once. Change: samples weigh by prompt length, net of the step; an idle upstream tries one request whatever its estimate; agents take turns in making room; a stalled engine that goes on keeps what it carries; a 429 or 5xx of an engine moves an idempotent request elsewhere after its id is cancelled. Conclusion: refusal by estimate needs a way back.

--- a/lib/src/agent_calls.rs
+++ b/lib/src/agent_calls.rs
@@ -21,6 +21,7 @@
 use crate::objects::Activity;
 use crate::objects::Serves;
 use crate::objects::Upstream;
+use crate::upstream_health::UpstreamHealth;
 use crate::wire::AgentMessage;
 use crate::wire::AnswerEnd;
 use crate::wire::Call;
@@ -91,6 +92,7 @@
             link,
             call: (**call).clone(),
             keep_whole: attempt.facts.non_idempotent || attempt.facts.retain,
+            is_movable: !attempt.facts.non_idempotent,
         };
         self.attempts.set_phase(id, Phase::running(now_ms), now_ms);
         self.steps.push(step);
@@ -244,8 +246,16 @@
         }
     }
 
+    fn note_progress(&mut self) {
+        if self.health == UpstreamHealth::Stalled {
+            let running = self.attempts.running().count();
+            let running = u32::try_from(running).unwrap_or(u32::MAX);
+            self.health.progresses(running);
+        }
+    }
+
     fn see_first(&mut self, now_ms: u64, id: AttemptId, after_us: u64) {
-        self.health.progresses();
+        self.note_progress();
         if let Some(run) = self.progress_mut(id) {
             run.first_seen = true;
             run.last_progress_ms = now_ms;
@@ -259,7 +269,7 @@
     }
 
     fn see_tokens(&mut self, now_ms: u64, id: AttemptId, count: u32, elapsed_us: u64) {
-        self.health.progresses();
+        self.note_progress();
         if let Some(run) = self.progress_mut(id) {
             run.tokens = run.tokens.saturating_add(count);
             run.last_progress_ms = now_ms;
@@ -278,6 +288,7 @@
         let phase = match end {
             AnswerEnd::Complete { length_bytes, .. } => {
                 self.attempts.answers.keep(id, *length_bytes, now_ms);
+                self.note_progress();
                 self.health.serves();
                 self.health.settle(self.slots());
                 Phase::Finished
@@ -352,7 +363,7 @@
                     .filter(|request| self.is_foreign(*request))
                     .collect();
                 if self.attempts.running().next().is_none() {
-                    self.health.progresses();
+                    self.note_progress();
                 }
             }
         }
--- a/lib/src/agent_control.rs
+++ b/lib/src/agent_control.rs
@@ -143,10 +143,7 @@
                 Wake::Call(event) => self.decide(event),
                 Wake::Catalog => self.read_catalog(),
                 Wake::Heartbeat => self.send_heartbeats(),
-                Wake::Tick => {
-                    self.decide(AgentEvent::Tick);
-                    self.parts.pumps.sweep();
-                }
+                Wake::Tick => self.decide(AgentEvent::Tick),
                 Wake::ShutDown => {
                     leave_by = Some(Instant::now() + self.parts.shutdown_grace);
                     Line::new(Level::Info, "shutting down").send();
@@ -244,6 +241,7 @@
     }
 
     fn send_heartbeats(&mut self) {
+        self.parts.pumps.sweep();
         self.sequence += 1;
         let load = self.parts.state.load();
         let message = AgentMessage::Heartbeat {
@@ -274,9 +272,14 @@
                 link,
                 call,
                 keep_whole,
-            } => self.open_call(attempt, link, call, keep_whole),
+                is_movable,
+            } => {
+                if let Some(parts) = self.pump_parts(attempt, keep_whole, is_movable) {
+                    self.open_call(parts, link, call);
+                }
+            }
             AgentStep::AdoptCall { attempt } => {
-                if let Some(parts) = self.pump_parts(attempt, true) {
+                if let Some(parts) = self.pump_parts(attempt, true, false) {
                     self.spawn(AnswerPump::adopt(parts).run());
                 }
             }
@@ -319,23 +322,27 @@
         self.links.get(&link).map(|handle| handle.bulk.clone())
     }
 
-    fn open_call(&self, attempt: AttemptId, link: LinkId, call: Call, keep_whole: bool) {
+    fn open_call(&self, parts: PumpParts, link: LinkId, call: Call) {
         self.parts.metrics.count("agent.dispatched", 1);
         Line::new(Level::Debug, "call opened")
-            .attempt(attempt)
+            .attempt(parts.attempt)
             .send();
         let outlet = self.outlet(link);
-        if let Some(parts) = self.pump_parts(attempt, keep_whole) {
-            self.spawn(AnswerPump::open(parts, outlet, call).run());
-        }
+        self.spawn(AnswerPump::open(parts, outlet, call).run());
     }
 
-    fn pump_parts(&self, attempt: AttemptId, keep_whole: bool) -> Option<PumpParts> {
+    fn pump_parts(
+        &self,
+        attempt: AttemptId,
+        keep_whole: bool,
+        is_movable: bool,
+    ) -> Option<PumpParts> {
         Some(PumpParts {
             attempt,
             upstream: self.client.clone()?,
             window_bytes: self.parts.window_bytes,
             keep_whole,
+            is_movable,
             events: self.call_events.clone(),
             orders: self.parts.pumps.add(attempt),
         })
--- a/lib/src/agent_state.rs
+++ b/lib/src/agent_state.rs
@@ -39,6 +39,9 @@
 /// this: about a round trip to an entry, so that a grant made now is answered by then.
 const ABOUT_TO_END_US: u64 = 5_000;
 
+/// How many turns the agents that hold reservations of one request take in making room.
+const PREEMPT_TURNS: u8 = 4;
+
 /// The bounds and times that an agent works with.
 ///
 /// ```
@@ -81,7 +84,7 @@
             retain_bytes: 64 << 20,
             record_ms: 600_000,
             record_limit: 65_536,
-            preempt_margin_ms: 250,
+            preempt_margin_ms: 400,
             probe_ms: 1_000,
         }
     }
@@ -100,6 +103,7 @@
 /// ```
 #[derive(Debug)]
 pub struct AgentState {
+    incarnation: Incarnation,
     pub(crate) limits: AgentLimits,
     pub(crate) upstream: Option<Arc<Upstream>>,
     shutting_down: bool,
@@ -121,6 +125,7 @@
     #[must_use]
     pub fn new(incarnation: Incarnation, limits: AgentLimits) -> Self {
         AgentState {
+            incarnation,
             upstream: None,
             shutting_down: false,
             links: IndexSet::new(),
@@ -365,6 +370,15 @@
         );
     }
 
+    /// How long before its latest start a request makes others give way here. The agents
+    /// that hold reservations of one request take turns: the first one's grant withdraws
+    /// it from the others, where nothing then has to give way.
+    fn own_margin_ms(&self, waiting: &Waiting) -> u64 {
+        let mixed = waiting.reservation.request.0 ^ u128::from(self.incarnation.0);
+        let turn = mixed.to_le_bytes()[0] % PREEMPT_TURNS;
+        self.limits.preempt_margin_ms * u64::from(turn + 1) / u64::from(PREEMPT_TURNS)
+    }
+
     /// Cancels running work of lower tiers for reservations that would otherwise start too
     /// late. Only idempotent work of which nothing was passed on gives way: the entry can
     /// run it elsewhere. The lowest tier goes first, and in it what has computed least.
@@ -376,6 +390,7 @@
         let mut urgent: Vec<_> = self
             .queue
             .due(horizon_ms)
+            .filter(|waiting| now_ms + self.own_margin_ms(waiting) >= waiting.latest_start_ms)
             .filter(|waiting| !self.is_too_late(now_ms, waiting))
             .map(|waiting| waiting.reservation.tier)
             .collect();
@@ -506,13 +521,20 @@
         }
     }
 
+    /// Whether the deadline can't be met at the speed learned. While nothing runs there
+    /// are no samples, and a speed learned in a bad moment would refuse everything for
+    /// ever; so one request at a time is tried unless its deadline has passed.
     pub(crate) fn is_too_late(&self, now_ms: u64, waiting: &Waiting) -> bool {
         let reservation = &waiting.reservation;
-        let work_us = self.speeds.work_us(
-            &reservation.target,
-            reservation.prompt_tokens,
-            reservation.expected_output_tokens,
-        );
+        let work_us = if self.in_upstream() == 0 {
+            0
+        } else {
+            self.speeds.work_us(
+                &reservation.target,
+                reservation.prompt_tokens,
+                reservation.expected_output_tokens,
+            )
+        };
         now_ms + work_us / 1_000 > waiting.deadline_ms
     }
 
--- a/lib/src/answer_pump.rs
+++ b/lib/src/answer_pump.rs
@@ -22,6 +22,7 @@
 use crate::call_recovery::ReadSoFar;
 use crate::call_recovery::Recovery;
 use crate::call_recovery::Trouble;
+use crate::call_recovery::broken;
 use crate::call_recovery::in_doubt;
 use crate::event_scan::EventScan;
 use crate::ids::AttemptId;
@@ -43,6 +44,10 @@
 /// its outcome is given up as unknown.
 const MAX_REOPENS: u32 = 10;
 
+/// HTTP statuses with which an engine turns a request down.
+const TOO_MANY_REQUESTS: u16 = 429;
+const SERVER_ERROR: u16 = 500;
+
 /// Where the frames of answers go: the bulk channel of a link.
 pub type Outlet = mpsc::Sender<AgentMessage>;
 
@@ -70,6 +75,8 @@
     pub window_bytes: u64,
     /// Whether the answer is read and kept to its end even if nobody takes it.
     pub keep_whole: bool,
+    /// Whether the request may run elsewhere when the upstream turns it down.
+    pub is_movable: bool,
     /// Where it reports to.
     pub events: mpsc::Sender<AgentEvent>,
     /// Where its orders come from. The sender being dropped means [`PumpOrder::Forget`].
@@ -351,6 +358,7 @@
 impl AnswerPump {
     async fn take_opened(&mut self, result: Result<UpstreamAnswer, OpenError>) -> Next {
         match result {
+            Ok(answer) if self.is_turned_down(&answer) => self.give_up(answer.status),
             Ok(answer) => {
                 if !answer.is_event_stream {
                     self.report_first().await;
@@ -367,6 +375,31 @@
         }
     }
 
+    /// Whether the engine has no room or failed. Another engine may well answer, so the
+    /// caller of an idempotent request need not see this.
+    fn is_turned_down(&self, answer: &UpstreamAnswer) -> bool {
+        let is_engine = matches!(self.parts.upstream, UpstreamClient::Engine(_));
+        let is_failure = answer.status == TOO_MANY_REQUESTS || answer.status >= SERVER_ERROR;
+        is_engine && self.parts.is_movable && is_failure && self.delivery.head.is_none()
+    }
+
+    /// Cancels the request by its id, so that it does not run here after it was moved.
+    fn give_up(&mut self, status: u16) -> Next {
+        let UpstreamClient::Engine(engine) = &self.parts.upstream else {
+            return Next::Continue;
+        };
+        let request = self.parts.attempt.request;
+        let cancelling = call_recovery::cancel(engine.clone(), request, CancelCause::Unwanted);
+        self.cancellation = Some(Box::pin(async move {
+            match cancelling.await {
+                AnswerEnd::Cancelled => broken(&format!("the engine answered {status}")),
+                end => end,
+            }
+        }));
+        self.source = Source::Gone;
+        Next::Continue
+    }
+
     fn read_from(&mut self, answer: UpstreamAnswer) {
         self.silent_at = Instant::now() + SILENCE;
         self.align_to(&answer);
--- a/lib/src/speeds.rs
+++ b/lib/src/speeds.rs
@@ -11,9 +11,10 @@
 /// Share of a new sample in the steady average, which forgets a slowdown slowly.
 const STEADY_SHARE: f64 = 0.08;
 
-/// Samples shorter than this say more about the clock and the socket than about the
-/// upstream.
-const MIN_PREFILL_TOKENS: u32 = 8;
+/// A prompt of so many tokens counts half of a long one. The time of a short prompt is
+/// mostly that of the step and the socket; taken for prefill it would make a long prompt
+/// look hopeless.
+const HALF_WEIGHT_TOKENS: f64 = 256.0;
 
 /// An average that follows a rise at once and a fall with care: the larger of a quick
 /// and a steady one. A slowdown that is seen too late costs missed deadlines; a recovery
@@ -24,31 +25,34 @@
 ///
 /// let mut step_us = Average::default();
 /// for _ in 0..20 {
-///     step_us.observe(4_000.0);
+///     step_us.observe(4_000.0, 1.0);
 /// }
-/// step_us.observe(16_000.0);
-/// step_us.observe(16_000.0);
+/// step_us.observe(16_000.0, 1.0);
+/// step_us.observe(16_000.0, 1.0);
 /// assert!(step_us.value().unwrap() > 12_000.0, "a slowdown shows at once");
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Average {
-    averages: Option<(f64, f64)>,
+    quick: f64,
+    steady: f64,
+    weight: f64,
 }
 
 impl Average {
-    /// Takes a sample in.
-    pub fn observe(&mut self, sample: f64) {
-        let (quick, steady) = self.averages.unwrap_or((sample, sample));
-        self.averages = Some((
-            quick + (sample - quick) * QUICK_SHARE,
-            steady + (sample - steady) * STEADY_SHARE,
-        ));
+    /// Takes a sample of a weight up to 1 in. The first samples are averaged evenly, so
+    /// that none of them counts for long.
+    pub fn observe(&mut self, sample: f64, weight: f64) {
+        self.weight += weight;
+        let steady_share = (weight / self.weight).max(STEADY_SHARE * weight);
+        let quick_share = (weight / self.weight).max(QUICK_SHARE * weight);
+        self.steady += (sample - self.steady) * steady_share;
+        self.quick += (sample - self.quick) * quick_share;
     }
 
     /// The average, if there was a sample.
     #[must_use]
     pub fn value(&self) -> Option<f64> {
-        self.averages.map(|(quick, steady)| quick.max(steady))
+        (self.weight > 0.0).then(|| self.quick.max(self.steady))
     }
 }
 
@@ -84,10 +88,14 @@
     pub fn observe_first(&mut self, target: &Target, prompt_tokens: u32, after_us: u64) {
         let speed = self.by_target.entry(target.clone()).or_default();
         if matches!(target, Target::Service(_)) {
-            speed.first_us.observe(micros(after_us));
-        } else if prompt_tokens >= MIN_PREFILL_TOKENS {
-            let sample = micros(after_us) / f64::from(prompt_tokens);
-            speed.prefill_us_per_token.observe(sample);
+            speed.first_us.observe(micros(after_us), 1.0);
+        } else if prompt_tokens > 0 {
+            let prompt_tokens = f64::from(prompt_tokens);
+            let step_us = speed.step_us.value().unwrap_or(0.0);
+            let prefill_us = (micros(after_us) - step_us).max(0.0);
+            let weight = prompt_tokens / (prompt_tokens + HALF_WEIGHT_TOKENS);
+            let sample = prefill_us / prompt_tokens;
+            speed.prefill_us_per_token.observe(sample, weight);
         }
     }
 
@@ -96,7 +104,7 @@
         if count > 0 && elapsed_us > 0 {
             let speed = self.by_target.entry(target.clone()).or_default();
             let sample = micros(elapsed_us) / f64::from(count);
-            speed.step_us.observe(sample);
+            speed.step_us.observe(sample, 1.0);
         }
     }
 
--- a/lib/src/upstream_health.rs
+++ b/lib/src/upstream_health.rs
@@ -69,18 +69,18 @@
         };
     }
 
-    /// A request there made progress.
-    pub fn progresses(&mut self) {
+    /// A request there made progress, as one of so many. What it carries now it may keep;
+    /// that much is no risk.
+    pub fn progresses(&mut self, running: u32) {
         if *self == Self::Stalled {
             *self = Self::Returning {
-                slots: RETURN_SLOTS,
+                slots: running.max(RETURN_SLOTS),
             };
         }
     }
 
     /// A request there was answered.
     pub fn serves(&mut self) {
-        self.progresses();
         if let Self::Returning { slots } = *self {
             *self = Self::Returning {
                 slots: slots.saturating_add(RETURN_GROWTH),
