agent: split its state and its pump into modules with one job

Change: reservations, room, dispatch, calls, upstream and upkeep under agent_state; delivery and token report under answer_pump. No behaviour changes.

--- a/lib/src/agent_state.rs
+++ b/lib/src/agent_state.rs
@@ -10,15 +10,12 @@
 
 use indexmap::IndexSet;
 
-use crate::agent_calls::Dispatch;
 use crate::agent_events::AgentEvent;
 use crate::agent_events::AgentStep;
-use crate::agent_events::CancelCause;
 use crate::agent_events::LinkId;
 use crate::attempts::Attempt;
 use crate::attempts::Attempts;
 use crate::attempts::Phase;
-use crate::grants::Granted;
 use crate::grants::Grants;
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
@@ -26,21 +23,18 @@
 use crate::objects::Activity;
 use crate::objects::Upstream;
 use crate::reservation_queue::ReservationQueue;
-use crate::reservation_queue::Waiting;
 use crate::speeds::Speeds;
 use crate::upstream_health::UpstreamHealth;
-use crate::wire::AgentMessage;
-use crate::wire::EntryMessage;
 use crate::wire::Load;
 use crate::wire::RefusalReason;
 use crate::wire::Reservation;
 
-/// A running request is about to end when its longest remaining output takes less than
-/// this: about a round trip to an entry, so that a grant made now is answered by then.
-const ABOUT_TO_END_US: u64 = 5_000;
-
-/// How many turns the agents that hold reservations of one request take in making room.
-const PREEMPT_TURNS: u8 = 4;
+mod calls;
+mod dispatch;
+mod reservations;
+mod room;
+mod upkeep;
+mod upstream;
 
 /// The bounds and times that an agent works with.
 ///
@@ -104,20 +98,20 @@
 #[derive(Debug)]
 pub struct AgentState {
     incarnation: Incarnation,
-    pub(crate) limits: AgentLimits,
-    pub(crate) upstream: Option<Arc<Upstream>>,
+    limits: AgentLimits,
+    upstream: Option<Arc<Upstream>>,
     shutting_down: bool,
     links: IndexSet<LinkId>,
-    pub(crate) queue: ReservationQueue,
-    pub(crate) grants: Grants,
-    pub(crate) attempts: Attempts,
-    pub(crate) speeds: Speeds,
-    pub(crate) health: UpstreamHealth,
+    queue: ReservationQueue,
+    grants: Grants,
+    attempts: Attempts,
+    speeds: Speeds,
+    health: UpstreamHealth,
     /// What the upstream runs that this incarnation did not send: the work of an earlier
     /// one. It occupies slots until it is gone.
-    pub(crate) foreign: IndexSet<RequestId>,
-    pub(crate) next_probe_ms: u64,
-    pub(crate) steps: Vec<AgentStep>,
+    foreign: IndexSet<RequestId>,
+    next_probe_ms: u64,
+    steps: Vec<AgentStep>,
 }
 
 impl AgentState {
@@ -234,367 +228,6 @@
     }
 }
 
-/// Room in the upstream.
-impl AgentState {
-    pub(crate) fn slots(&self) -> u32 {
-        self.upstream.as_ref().map_or(0, |upstream| upstream.slots)
-    }
-
-    pub(crate) fn usable_slots(&self) -> usize {
-        self.health.usable_slots(self.slots()) as usize
-    }
-
-    /// Slots that the upstream is using now, as far as can be known.
-    pub(crate) fn in_upstream(&self) -> usize {
-        let own = self
-            .attempts
-            .live()
-            .filter(|(_, attempt)| attempt.phase.is_in_upstream())
-            .count();
-        own + self.foreign.len()
-    }
-
-    /// Slots in use or promised.
-    fn occupied(&self) -> usize {
-        let ready = self
-            .attempts
-            .live()
-            .filter(|(_, attempt)| matches!(attempt.phase, Phase::Ready(_)))
-            .count();
-        self.in_upstream() + ready + self.grants.len()
-    }
-
-    /// Running requests that are certain to end within [`ABOUT_TO_END_US`].
-    fn about_to_end(&self) -> usize {
-        let step_us = self.speeds.step_us();
-        if step_us == 0 {
-            return 0;
-        }
-        self.attempts
-            .running()
-            .filter(|(_, attempt, progress)| {
-                let left = attempt
-                    .facts
-                    .max_output_tokens
-                    .saturating_sub(progress.tokens);
-                u64::from(left) * step_us <= ABOUT_TO_END_US
-            })
-            .count()
-    }
-
-    fn has_room_to_grant(&self) -> bool {
-        let usable = self.usable_slots();
-        if usable == 0 {
-            return false;
-        }
-        let ahead = self.about_to_end().min(self.limits.grant_ahead);
-        self.occupied() < usable + ahead
-    }
-
-    /// Whether the KV cache holds `waiting` beside what runs and is promised. Where
-    /// nothing else runs it is tried in any case.
-    fn has_kv_for(&self, waiting: &Waiting) -> bool {
-        let Some(capacity) = self
-            .upstream
-            .as_ref()
-            .and_then(|one| one.kv_capacity_tokens)
-        else {
-            return true;
-        };
-        let live = self
-            .attempts
-            .live()
-            .map(|(_, attempt)| attempt.facts.kv_tokens());
-        let granted = self
-            .grants
-            .iter()
-            .map(|granted| kv_tokens(&granted.waiting.reservation));
-        let used: u64 = live.chain(granted).sum();
-        used == 0 || used + kv_tokens(&waiting.reservation) <= capacity
-    }
-
-    /// Opens what waits for a slot, then grants, then makes room for what is urgent.
-    fn use_room(&mut self, now_ms: u64) {
-        self.open_ready(now_ms);
-        self.grant_waiting(now_ms);
-        self.make_room(now_ms);
-    }
-
-    fn open_ready(&mut self, now_ms: u64) {
-        while self.in_upstream() < self.usable_slots() {
-            let ready = self
-                .attempts
-                .live()
-                .find(|(_, attempt)| matches!(attempt.phase, Phase::Ready(_)))
-                .map(|(id, _)| id);
-            let Some(id) = ready else { return };
-            self.open(now_ms, id);
-        }
-    }
-
-    fn grant_waiting(&mut self, now_ms: u64) {
-        while self.has_room_to_grant() {
-            let Some(first) = self.queue.first() else {
-                return;
-            };
-            let request = first.reservation.request;
-            if self.is_too_late(now_ms, first) {
-                self.turn_away(request, RefusalReason::TooLate);
-                continue;
-            }
-            if !self.has_kv_for(first) {
-                return;
-            }
-            self.grant_first(now_ms);
-        }
-    }
-
-    fn grant_first(&mut self, now_ms: u64) {
-        let Some(waiting) = self.queue.take_first() else {
-            return;
-        };
-        let link = waiting.link;
-        let request = waiting.reservation.request;
-        let grant = self.grants.issue(Granted {
-            waiting,
-            lapses_ms: now_ms + self.limits.grant_valid_ms,
-        });
-        let valid_ms = self.limits.grant_valid_ms;
-        self.send(
-            link,
-            AgentMessage::Grant {
-                request,
-                grant,
-                valid_ms,
-            },
-        );
-    }
-
-    /// How long before its latest start a request makes others give way here. The agents
-    /// that hold reservations of one request take turns: the first one's grant withdraws
-    /// it from the others, where nothing then has to give way.
-    fn own_margin_ms(&self, waiting: &Waiting) -> u64 {
-        let mixed = waiting.reservation.request.0 ^ u128::from(self.incarnation.0);
-        let turn = mixed.to_le_bytes()[0] % PREEMPT_TURNS;
-        self.limits.preempt_margin_ms * u64::from(turn + 1) / u64::from(PREEMPT_TURNS)
-    }
-
-    /// Cancels running work of lower tiers for reservations that would otherwise start too
-    /// late. Only idempotent work of which nothing was passed on gives way: the entry can
-    /// run it elsewhere. The lowest tier goes first, and in it what has computed least.
-    fn make_room(&mut self, now_ms: u64) {
-        if self.queue.is_empty() || self.usable_slots() == 0 {
-            return;
-        }
-        let horizon_ms = now_ms + self.limits.preempt_margin_ms;
-        let mut urgent: Vec<_> = self
-            .queue
-            .due(horizon_ms)
-            .filter(|waiting| now_ms + self.own_margin_ms(waiting) >= waiting.latest_start_ms)
-            .filter(|waiting| !self.is_too_late(now_ms, waiting))
-            .map(|waiting| waiting.reservation.tier)
-            .collect();
-        urgent.sort_unstable();
-        let freed = self
-            .attempts
-            .running()
-            .filter(|(_, _, progress)| progress.cancelling)
-            .count();
-        for tier in urgent.into_iter().skip(freed) {
-            let victim = self
-                .attempts
-                .running()
-                .filter(|(_, attempt, progress)| {
-                    let facts = &attempt.facts;
-                    facts.tier > tier
-                        && !facts.non_idempotent
-                        && !progress.delivered
-                        && !progress.cancelling
-                })
-                .max_by_key(|(_, attempt, progress)| (attempt.facts.tier, progress.opened_ms))
-                .map(|(id, _, _)| id);
-            let Some(victim) = victim else { return };
-            self.cancel(victim, CancelCause::MakeRoom);
-        }
-    }
-}
-
-/// Links and reservations.
-impl AgentState {
-    pub(crate) fn send(&mut self, link: LinkId, message: AgentMessage) {
-        if self.links.contains(&link) {
-            self.steps.push(AgentStep::Send { link, message });
-        }
-    }
-
-    fn receive(&mut self, now_ms: u64, link: LinkId, message: EntryMessage) {
-        if !self.links.contains(&link) {
-            return;
-        }
-        match message {
-            // Heartbeats and acknowledgements are met where the link is read.
-            EntryMessage::Heartbeat { .. } | EntryMessage::Acknowledge { .. } => {}
-            EntryMessage::Hello(_) => self.steps.push(AgentStep::CloseLink {
-                link,
-                reason: "second hello".into(),
-            }),
-            EntryMessage::Reserve(reservation) => self.reserve(now_ms, link, reservation),
-            EntryMessage::Withdraw { request } => self.withdraw(link, request),
-            EntryMessage::Decline { grant } => {
-                if let Some(granted) = self.grants.answer(grant, link) {
-                    self.queue.refund(&granted.waiting);
-                }
-            }
-            EntryMessage::Dispatch {
-                grant,
-                attempt,
-                retain,
-                call,
-            } => {
-                let dispatch = Dispatch {
-                    grant,
-                    attempt,
-                    retain,
-                    call,
-                };
-                self.dispatch(now_ms, link, dispatch);
-            }
-            EntryMessage::Cancel { attempt } => self.cancel_unwanted(now_ms, link, attempt),
-            EntryMessage::Settle { attempt, grant } => self.settle(now_ms, link, attempt, grant),
-            EntryMessage::Resume {
-                attempt,
-                from_bytes,
-            } => self.resume(link, attempt, from_bytes),
-        }
-    }
-
-    fn reserve(&mut self, now_ms: u64, link: LinkId, reservation: Reservation) {
-        let request = reservation.request;
-        if let Some(reason) = self.reason_to_refuse(&reservation) {
-            return self.refuse(link, request, reason);
-        }
-        let work_us = self.speeds.work_us(
-            &reservation.target,
-            reservation.prompt_tokens,
-            reservation.expected_output_tokens,
-        );
-        let deadline_ms = now_ms + reservation.deadline_in_ms;
-        let waiting = Waiting {
-            link,
-            deadline_ms,
-            latest_start_ms: deadline_ms.saturating_sub(work_us / 1_000),
-            // Shares are kept by tokens until a speed is known.
-            cost_us: work_us.max(kv_tokens(&reservation)).max(1),
-            reservation,
-        };
-        if self.is_too_late(now_ms, &waiting) {
-            return self.refuse(link, request, RefusalReason::TooLate);
-        }
-        self.queue.insert(waiting);
-        if self.queue.len() > self.limits.queue_limit
-            && let Some(last) = self.queue.last()
-        {
-            let request = last.reservation.request;
-            self.turn_away(request, RefusalReason::Crowded);
-        }
-    }
-
-    fn reason_to_refuse(&self, reservation: &Reservation) -> Option<RefusalReason> {
-        let Some(upstream) = &self.upstream else {
-            return Some(RefusalReason::Leaving);
-        };
-        let never_fits = upstream
-            .kv_capacity_tokens
-            .is_some_and(|capacity| kv_tokens(reservation) > capacity);
-        if self.is_leaving() {
-            Some(RefusalReason::Leaving)
-        } else if !upstream.can_serve(&reservation.target) || never_fits {
-            Some(RefusalReason::NotServed)
-        } else if self.attempts.was_sent(reservation.request)
-            || self.attempts.is_live(reservation.request)
-        {
-            Some(RefusalReason::AlreadySent)
-        } else if self.health.is_down() {
-            Some(RefusalReason::UpstreamDown)
-        } else {
-            None
-        }
-    }
-
-    /// Whether the deadline can't be met at the speed learned. While nothing runs there
-    /// are no samples, and a speed learned in a bad moment would refuse everything for
-    /// ever; so one request at a time is tried unless its deadline has passed.
-    pub(crate) fn is_too_late(&self, now_ms: u64, waiting: &Waiting) -> bool {
-        let reservation = &waiting.reservation;
-        let work_us = if self.in_upstream() == 0 {
-            0
-        } else {
-            self.speeds.work_us(
-                &reservation.target,
-                reservation.prompt_tokens,
-                reservation.expected_output_tokens,
-            )
-        };
-        now_ms + work_us / 1_000 > waiting.deadline_ms
-    }
-
-    fn withdraw(&mut self, link: LinkId, request: RequestId) {
-        let is_own = self.queue.get(request).is_some_and(|one| one.link == link);
-        if is_own {
-            self.queue.remove(request);
-        }
-    }
-
-    fn refuse(&mut self, link: LinkId, request: RequestId, reason: RefusalReason) {
-        let retry_after_ms = match reason {
-            RefusalReason::Crowded => u64::from(self.load().backlog_ms),
-            RefusalReason::UpstreamDown => self.limits.probe_ms,
-            RefusalReason::Leaving
-            | RefusalReason::NotServed
-            | RefusalReason::TooLate
-            | RefusalReason::AlreadySent => 0,
-        };
-        let message = AgentMessage::Refuse {
-            request,
-            reason,
-            retry_after_ms,
-        };
-        self.send(link, message);
-    }
-
-    /// Gives a reservation back.
-    pub(crate) fn turn_away(&mut self, request: RequestId, reason: RefusalReason) {
-        if let Some(waiting) = self.queue.remove(request) {
-            self.refuse(waiting.link, request, reason);
-        }
-    }
-
-    /// Gives all reservations back and revokes the grants, so that nothing more comes in: a
-    /// dispatch that is under way finds no grant and is answered with `NotSent`.
-    pub(crate) fn turn_away_all(&mut self, reason: RefusalReason) {
-        let mut requests: Vec<_> = self.queue.requests().collect();
-        requests.sort_unstable();
-        for (request, _) in requests {
-            self.turn_away(request, reason);
-        }
-        for granted in self.grants.revoke(|_| true) {
-            self.queue.refund(&granted.waiting);
-        }
-    }
-
-    fn lose_link(&mut self, now_ms: u64, link: LinkId) {
-        self.links.swap_remove(&link);
-        let lost: Vec<_> = self.queue.of_link(link).collect();
-        for request in lost {
-            self.queue.remove(request);
-        }
-        for granted in self.grants.revoke(|granted| granted.waiting.link == link) {
-            self.queue.refund(&granted.waiting);
-        }
-        self.detach(now_ms, link);
-    }
-}
-
 fn kv_tokens(reservation: &Reservation) -> u64 {
     u64::from(reservation.prompt_tokens) + u64::from(reservation.expected_output_tokens)
 }
--- /dev/null
+++ b/lib/src/agent_state/dispatch.rs
@@ -0,0 +1,212 @@
+//! Attempts: dispatched at most once, settled, resumed and cancelled.
+
+use super::AgentState;
+use crate::agent_events::AgentStep;
+use crate::agent_events::CancelCause;
+use crate::agent_events::LinkId;
+use crate::agent_events::settled;
+use crate::attempts::Attempt;
+use crate::attempts::AttemptFacts;
+use crate::attempts::Phase;
+use crate::attempts::RunProgress;
+use crate::ids::AttemptId;
+use crate::ids::GrantId;
+use crate::wire::AgentMessage;
+use crate::wire::AnswerEnd;
+use crate::wire::Call;
+use crate::wire::Settlement;
+
+/// An entry's answer to a grant.
+#[derive(Clone, Debug)]
+pub(super) struct Dispatch {
+    pub(super) grant: GrantId,
+    pub(super) attempt: AttemptId,
+    pub(super) retain: bool,
+    pub(super) call: Call,
+}
+
+impl AgentState {
+    pub(super) fn dispatch(&mut self, now_ms: u64, link: LinkId, dispatch: Dispatch) {
+        let Dispatch {
+            grant,
+            attempt,
+            retain,
+            call,
+        } = dispatch;
+        let granted = self.grants.answer(grant, link);
+        // A repeated dispatch is told what became of the first one. `NotSent` would say of
+        // a running attempt that it does not run.
+        if let Some(settlement) = self.attempts.settlement(attempt) {
+            return self.send(link, settled(attempt, settlement));
+        }
+        let Some(granted) = granted else {
+            return self.end_not_sent(link, attempt);
+        };
+        let reservation = &granted.waiting.reservation;
+        let is_first = reservation.request == attempt.request
+            && !self.attempts.was_sent(attempt.request)
+            && !self.attempts.is_live(attempt.request);
+        if !is_first || self.usable_slots() == 0 {
+            self.queue.refund(&granted.waiting);
+            return self.end_not_sent(link, attempt);
+        }
+        let record = Attempt {
+            facts: AttemptFacts::of(reservation, retain),
+            granted: Some(grant.sequence),
+            link: Some(link),
+            detached_ms: now_ms,
+            phase: Phase::Ready(Box::new(call)),
+        };
+        self.attempts.insert(attempt, record, now_ms);
+        if self.in_upstream() < self.usable_slots() {
+            self.open(now_ms, attempt);
+        }
+    }
+
+    pub(super) fn end_not_sent(&mut self, link: LinkId, attempt: AttemptId) {
+        let end = AnswerEnd::NotSent;
+        self.send(link, AgentMessage::End { attempt, end });
+    }
+
+    /// Opens the call of a recorded attempt. The record changes first, so that whatever
+    /// comes next cannot open it again.
+    pub(super) fn open(&mut self, now_ms: u64, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(id) else {
+            return;
+        };
+        let (Phase::Ready(call), Some(link)) = (&attempt.phase, attempt.link) else {
+            return;
+        };
+        let step = AgentStep::OpenCall {
+            attempt: id,
+            link,
+            call: (**call).clone(),
+            keep_whole: attempt.facts.non_idempotent || attempt.facts.retain,
+            is_movable: !attempt.facts.non_idempotent,
+        };
+        self.attempts.set_phase(id, Phase::running(now_ms), now_ms);
+        self.steps.push(step);
+    }
+
+    pub(super) fn settle(&mut self, now_ms: u64, link: LinkId, id: AttemptId, grant: GrantId) {
+        if let Some(attempt) = self.attempts.get_mut(id) {
+            attempt.link = Some(link);
+            return self.settle_known(now_ms, link, id);
+        }
+        let is_in_memory =
+            self.grants.is_own(grant) && !self.attempts.may_have_dropped(grant.sequence);
+        if is_in_memory {
+            // The dispatch may still be under way on an older link. Without its grant it
+            // is answered with `NotSent` whenever it comes.
+            for granted in self.grants.revoke_request(id.request) {
+                self.queue.refund(&granted.waiting);
+            }
+            return self.send(link, settled(id, Settlement::NeverSent));
+        }
+        let record = Attempt {
+            facts: AttemptFacts::unknown(),
+            granted: None,
+            link: Some(link),
+            detached_ms: now_ms,
+            phase: Phase::InDoubt {
+                holds_slot: false,
+                ask_ms: self.is_engine().then_some(now_ms),
+                reply_to: Some(link),
+            },
+        };
+        self.attempts.insert(id, record, now_ms);
+        self.investigate(now_ms, id);
+    }
+
+    fn settle_known(&mut self, now_ms: u64, link: LinkId, id: AttemptId) {
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return;
+        };
+        match &mut attempt.phase {
+            Phase::Ready(_) => self.attempts.set_phase(id, Phase::NotSent, now_ms),
+            Phase::InDoubt { reply_to, .. } => {
+                *reply_to = Some(link);
+                return self.investigate(now_ms, id);
+            }
+            _ => {}
+        }
+        if let Some(settlement) = self.attempts.settlement(id) {
+            self.send(link, settled(id, settlement));
+        }
+    }
+
+    pub(super) fn resume(&mut self, link: LinkId, id: AttemptId, from_bytes: u64) {
+        let settlement = self.attempts.settlement(id).unwrap_or(Settlement::InDoubt);
+        let is_readable = matches!(settlement, Settlement::Running | Settlement::Finished);
+        if !is_readable {
+            return self.send(link, settled(id, settlement));
+        }
+        let Some(attempt) = self.attempts.get_mut(id) else {
+            return;
+        };
+        attempt.link = Some(link);
+        // The call of an attempt that waits for its slot is opened on the new link.
+        if !matches!(attempt.phase, Phase::Ready(_)) {
+            self.steps.push(AgentStep::AttachCall {
+                attempt: id,
+                link,
+                from_bytes,
+            });
+        }
+    }
+
+    pub(super) fn cancel_unwanted(&mut self, now_ms: u64, link: LinkId, id: AttemptId) {
+        let Some(attempt) = self.attempts.get(id) else {
+            return;
+        };
+        match attempt.phase {
+            Phase::Ready(_) => {
+                self.attempts.set_phase(id, Phase::NotSent, now_ms);
+                self.end_not_sent(link, id);
+            }
+            Phase::Running(_) => self.cancel(id, CancelCause::Unwanted),
+            Phase::Finished => self.forget_answer(id),
+            Phase::InDoubt { .. } | Phase::Ended | Phase::NotSent => {}
+        }
+    }
+
+    pub(super) fn cancel(&mut self, id: AttemptId, cause: CancelCause) {
+        if let Some(progress) = self.progress_mut(id)
+            && !progress.cancelling
+        {
+            progress.cancelling = true;
+            self.steps
+                .push(AgentStep::CancelCall { attempt: id, cause });
+        }
+    }
+
+    /// No entry waits on `link` any more. What was dispatched and not opened is barred;
+    /// what runs goes on until the entry asks for it or the grace is over.
+    pub(super) fn detach(&mut self, now_ms: u64, link: LinkId) {
+        let lost: Vec<_> = self.attempts.ids_on(link).collect();
+        for id in lost {
+            let Some(attempt) = self.attempts.get_mut(id) else {
+                continue;
+            };
+            attempt.link = None;
+            attempt.detached_ms = now_ms;
+            if matches!(attempt.phase, Phase::Ready(_)) {
+                self.attempts.set_phase(id, Phase::NotSent, now_ms);
+            }
+        }
+    }
+
+    pub(super) fn progress_mut(&mut self, id: AttemptId) -> Option<&mut RunProgress> {
+        match &mut self.attempts.get_mut(id)?.phase {
+            Phase::Running(progress) => Some(progress),
+            _ => None,
+        }
+    }
+
+    pub(super) fn forget_answer(&mut self, id: AttemptId) {
+        if self.attempts.answers.is_kept(id) {
+            self.attempts.answers.forget(id);
+            self.steps.push(AgentStep::ForgetCall { attempt: id });
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/agent_state/reservations.rs
@@ -0,0 +1,188 @@
+//! What entries ask for: reservations come in, are given back, and go with their link.
+
+use super::AgentState;
+use super::dispatch::Dispatch;
+use super::kv_tokens;
+use crate::agent_events::AgentStep;
+use crate::agent_events::LinkId;
+use crate::ids::RequestId;
+use crate::reservation_queue::Waiting;
+use crate::wire::AgentMessage;
+use crate::wire::EntryMessage;
+use crate::wire::RefusalReason;
+use crate::wire::Reservation;
+
+impl AgentState {
+    pub(super) fn send(&mut self, link: LinkId, message: AgentMessage) {
+        if self.links.contains(&link) {
+            self.steps.push(AgentStep::Send { link, message });
+        }
+    }
+
+    pub(super) fn receive(&mut self, now_ms: u64, link: LinkId, message: EntryMessage) {
+        if !self.links.contains(&link) {
+            return;
+        }
+        match message {
+            // Heartbeats and acknowledgements are met where the link is read.
+            EntryMessage::Heartbeat { .. } | EntryMessage::Acknowledge { .. } => {}
+            EntryMessage::Hello(_) => self.steps.push(AgentStep::CloseLink {
+                link,
+                reason: "second hello".into(),
+            }),
+            EntryMessage::Reserve(reservation) => self.reserve(now_ms, link, reservation),
+            EntryMessage::Withdraw { request } => self.withdraw(link, request),
+            EntryMessage::Decline { grant } => {
+                if let Some(granted) = self.grants.answer(grant, link) {
+                    self.queue.refund(&granted.waiting);
+                }
+            }
+            EntryMessage::Dispatch {
+                grant,
+                attempt,
+                retain,
+                call,
+            } => {
+                let dispatch = Dispatch {
+                    grant,
+                    attempt,
+                    retain,
+                    call,
+                };
+                self.dispatch(now_ms, link, dispatch);
+            }
+            EntryMessage::Cancel { attempt } => self.cancel_unwanted(now_ms, link, attempt),
+            EntryMessage::Settle { attempt, grant } => self.settle(now_ms, link, attempt, grant),
+            EntryMessage::Resume {
+                attempt,
+                from_bytes,
+            } => self.resume(link, attempt, from_bytes),
+        }
+    }
+
+    fn reserve(&mut self, now_ms: u64, link: LinkId, reservation: Reservation) {
+        let request = reservation.request;
+        if let Some(reason) = self.reason_to_refuse(&reservation) {
+            return self.refuse(link, request, reason);
+        }
+        let work_us = self.speeds.work_us(
+            &reservation.target,
+            reservation.prompt_tokens,
+            reservation.expected_output_tokens,
+        );
+        let deadline_ms = now_ms + reservation.deadline_in_ms;
+        let waiting = Waiting {
+            link,
+            deadline_ms,
+            latest_start_ms: deadline_ms.saturating_sub(work_us / 1_000),
+            // Shares are kept by tokens until a speed is known.
+            cost_us: work_us.max(kv_tokens(&reservation)).max(1),
+            reservation,
+        };
+        if self.is_too_late(now_ms, &waiting) {
+            return self.refuse(link, request, RefusalReason::TooLate);
+        }
+        self.queue.insert(waiting);
+        if self.queue.len() > self.limits.queue_limit
+            && let Some(last) = self.queue.last()
+        {
+            let request = last.reservation.request;
+            self.turn_away(request, RefusalReason::Crowded);
+        }
+    }
+
+    fn reason_to_refuse(&self, reservation: &Reservation) -> Option<RefusalReason> {
+        let Some(upstream) = &self.upstream else {
+            return Some(RefusalReason::Leaving);
+        };
+        let never_fits = upstream
+            .kv_capacity_tokens
+            .is_some_and(|capacity| kv_tokens(reservation) > capacity);
+        if self.is_leaving() {
+            Some(RefusalReason::Leaving)
+        } else if !upstream.can_serve(&reservation.target) || never_fits {
+            Some(RefusalReason::NotServed)
+        } else if self.attempts.was_sent(reservation.request)
+            || self.attempts.is_live(reservation.request)
+        {
+            Some(RefusalReason::AlreadySent)
+        } else if self.health.is_down() {
+            Some(RefusalReason::UpstreamDown)
+        } else {
+            None
+        }
+    }
+
+    /// Whether the deadline can't be met at the speed learned. While nothing runs there
+    /// are no samples, and a speed learned in a bad moment would refuse everything for
+    /// ever; so one request at a time is tried unless its deadline has passed.
+    pub(super) fn is_too_late(&self, now_ms: u64, waiting: &Waiting) -> bool {
+        let reservation = &waiting.reservation;
+        let work_us = if self.in_upstream() == 0 {
+            0
+        } else {
+            self.speeds.work_us(
+                &reservation.target,
+                reservation.prompt_tokens,
+                reservation.expected_output_tokens,
+            )
+        };
+        now_ms + work_us / 1_000 > waiting.deadline_ms
+    }
+
+    fn withdraw(&mut self, link: LinkId, request: RequestId) {
+        let is_own = self.queue.get(request).is_some_and(|one| one.link == link);
+        if is_own {
+            self.queue.remove(request);
+        }
+    }
+
+    fn refuse(&mut self, link: LinkId, request: RequestId, reason: RefusalReason) {
+        let retry_after_ms = match reason {
+            RefusalReason::Crowded => u64::from(self.load().backlog_ms),
+            RefusalReason::UpstreamDown => self.limits.probe_ms,
+            RefusalReason::Leaving
+            | RefusalReason::NotServed
+            | RefusalReason::TooLate
+            | RefusalReason::AlreadySent => 0,
+        };
+        let message = AgentMessage::Refuse {
+            request,
+            reason,
+            retry_after_ms,
+        };
+        self.send(link, message);
+    }
+
+    /// Gives a reservation back.
+    pub(super) fn turn_away(&mut self, request: RequestId, reason: RefusalReason) {
+        if let Some(waiting) = self.queue.remove(request) {
+            self.refuse(waiting.link, request, reason);
+        }
+    }
+
+    /// Gives all reservations back and revokes the grants, so that nothing more comes in: a
+    /// dispatch that is under way finds no grant and is answered with `NotSent`.
+    pub(super) fn turn_away_all(&mut self, reason: RefusalReason) {
+        let mut requests: Vec<_> = self.queue.requests().collect();
+        requests.sort_unstable();
+        for (request, _) in requests {
+            self.turn_away(request, reason);
+        }
+        for granted in self.grants.revoke(|_| true) {
+            self.queue.refund(&granted.waiting);
+        }
+    }
+
+    pub(super) fn lose_link(&mut self, now_ms: u64, link: LinkId) {
+        self.links.swap_remove(&link);
+        let lost: Vec<_> = self.queue.of_link(link).collect();
+        for request in lost {
+            self.queue.remove(request);
+        }
+        for granted in self.grants.revoke(|granted| granted.waiting.link == link) {
+            self.queue.refund(&granted.waiting);
+        }
+        self.detach(now_ms, link);
+    }
+}
--- a/lib/src/answer_pump.rs
+++ b/lib/src/answer_pump.rs
@@ -6,13 +6,14 @@
 
 use std::future::Future;
 use std::pin::Pin;
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use self::delivery::Delivery;
+use self::token_report::TokenReport;
 use crate::agent_events::AgentEvent;
 use crate::agent_events::CallProgress;
 use crate::agent_events::CancelCause;
@@ -34,12 +35,12 @@
 use crate::wire::Call;
 use crate::wire::Settlement;
 
+mod delivery;
+mod token_report;
+
 /// How long an engine may send nothing before it is asked about the request.
 const SILENCE: Duration = Duration::from_secs(2);
 
-/// How often the tokens of a call are reported.
-const REPORT_PERIOD: Duration = Duration::from_millis(100);
-
 /// How often in a row an answer is read on a new connection that brings no byte, before
 /// its outcome is given up as unknown.
 const MAX_REOPENS: u32 = 10;
@@ -131,36 +132,7 @@
     delivery: Delivery,
     opened: Instant,
     silent_at: Instant,
-    tokens: TokenCount,
-}
-
-/// Status and headers of an answer.
-#[derive(Clone, Debug)]
-struct Head {
-    status: u16,
-    headers: Vec<(Arc<str>, Bytes)>,
-}
-
-/// What goes to the entry.
-#[derive(Debug, Default)]
-struct Delivery {
-    outlet: Option<Outlet>,
-    head: Option<Head>,
-    is_head_sent: bool,
-    has_begun: bool,
-    end: Option<AnswerEnd>,
-    is_end_sent: bool,
-}
-
-/// Counts tokens for the reports.
-#[derive(Debug)]
-struct TokenCount {
-    total: u64,
-    unreported: u32,
-    reported_at: Instant,
-    /// Whether reading has been held up since the last report, so that its time says
-    /// nothing about the engine.
-    is_held_up: bool,
+    tokens: TokenReport,
 }
 
 impl AnswerPump {
@@ -183,6 +155,7 @@
 
     fn new(parts: PumpParts, outlet: Option<Outlet>, source: Source) -> Self {
         let now = Instant::now();
+        let attempt = parts.attempt;
         AnswerPump {
             log: AnswerLog::new(parts.window_bytes, parts.keep_whole),
             parts,
@@ -193,18 +166,10 @@
             recovery: None,
             reopens: 0,
             cancellation: None,
-            delivery: Delivery {
-                outlet,
-                ..Delivery::default()
-            },
+            delivery: Delivery::new(attempt, outlet),
             opened: now,
             silent_at: now + SILENCE,
-            tokens: TokenCount {
-                total: 0,
-                unreported: 0,
-                reported_at: now,
-                is_held_up: false,
-            },
+            tokens: TokenReport::new(now),
         }
     }
 
@@ -217,7 +182,7 @@
                 Next::End(end) => self.finish(end).await,
                 Next::Quit => return,
             }
-            if self.has_nothing_left_to_do() {
+            if self.delivery.is_over() {
                 return;
             }
         }
@@ -226,19 +191,19 @@
     /// Waits for whatever comes first. Orders go before bytes, and bytes that can leave go
     /// before bytes that can come.
     async fn next_input(&mut self) -> Input {
-        let can_send = self.delivery.outlet.is_some() && self.has_frame();
-        let has_ended = self.delivery.end.is_some();
+        let can_send = self.delivery.can_send(&self.log);
+        let has_ended = self.delivery.has_ended();
         let is_cancelling = self.cancellation.is_some();
         let can_read = !has_ended && !is_cancelling && self.log.has_room();
         if !can_read {
-            self.tokens.is_held_up = true;
+            self.tokens.hold_up();
         }
         let is_engine = matches!(self.parts.upstream, UpstreamClient::Engine(_));
         let asks = is_engine && self.recovery.is_none();
         tokio::select! {
             biased;
             order = self.parts.orders.recv() => Input::Order(order),
-            is_open = outlet_ready(self.delivery.outlet.as_ref()), if can_send => {
+            is_open = self.delivery.ready(), if can_send => {
                 Input::Outlet(is_open)
             }
             end = optional(self.cancellation.as_mut()), if is_cancelling => Input::Cancelled(end),
@@ -283,14 +248,6 @@
         // Without a control thread the process is ending, and nobody wants to know.
         let _stopped = self.parts.events.send(event).await;
     }
-
-    /// Nobody will ask for the rest of an answer that is not whole.
-    fn has_nothing_left_to_do(&self) -> bool {
-        match &self.delivery.end {
-            None | Some(AnswerEnd::Complete { .. }) => false,
-            Some(_) => self.delivery.is_end_sent || self.delivery.outlet.is_none(),
-        }
-    }
 }
 
 /// Orders.
@@ -314,23 +271,21 @@
             let _lost = outlet.send(message).await;
             return;
         }
-        self.delivery.outlet = Some(outlet);
-        self.delivery.is_head_sent = false;
-        self.delivery.is_end_sent = false;
+        self.delivery.attach(outlet);
     }
 
     async fn acknowledge(&mut self, through_bytes: u64) {
         self.log.acknowledge(through_bytes);
-        if self.delivery.is_end_sent && self.log.is_acknowledged() {
+        if self.delivery.is_end_sent() && self.log.is_acknowledged() {
             self.report(CallProgress::Acknowledged).await;
         }
     }
 
     async fn cancel(&mut self, cause: CancelCause) -> Next {
-        if self.delivery.end.is_some() || self.cancellation.is_some() {
+        if self.delivery.has_ended() || self.cancellation.is_some() {
             return Next::Continue;
         }
-        if cause == CancelCause::MakeRoom && self.delivery.has_begun {
+        if cause == CancelCause::MakeRoom && self.delivery.has_begun() {
             self.report(CallProgress::KeptRunning).await;
             return Next::Continue;
         }
@@ -380,7 +335,7 @@
     fn is_turned_down(&self, answer: &UpstreamAnswer) -> bool {
         let is_engine = matches!(self.parts.upstream, UpstreamClient::Engine(_));
         let is_failure = answer.status == TOO_MANY_REQUESTS || answer.status >= SERVER_ERROR;
-        is_engine && self.parts.is_movable && is_failure && self.delivery.head.is_none()
+        is_engine && self.parts.is_movable && is_failure && !self.delivery.has_head()
     }
 
     /// Cancels the request by its id, so that it does not run here after it was moved.
@@ -403,11 +358,9 @@
     fn read_from(&mut self, answer: UpstreamAnswer) {
         self.silent_at = Instant::now() + SILENCE;
         self.align_to(&answer);
-        if self.delivery.head.is_none() {
-            self.delivery.head = Some(Head {
-                status: answer.status,
-                headers: answer.headers.clone(),
-            });
+        if !self.delivery.has_head() {
+            self.delivery
+                .set_head(answer.status, answer.headers.clone());
         }
         self.source = Source::Reading(Box::new(answer));
     }
@@ -444,19 +397,12 @@
     }
 
     async fn count(&mut self, tokens: u32) {
-        if tokens == 0 {
-            return;
-        }
-        let is_first = self.tokens.total == 0;
-        self.tokens.total += u64::from(tokens);
+        let is_first = self.tokens.total() == 0 && tokens > 0;
         if is_first {
-            self.tokens.reported_at = Instant::now();
-            self.tokens.is_held_up = false;
-            return self.report_first().await;
+            self.report_first().await;
         }
-        self.tokens.unreported += tokens;
-        if self.tokens.reported_at.elapsed() >= REPORT_PERIOD {
-            self.report_tokens().await;
+        if let Some(progress) = self.tokens.count(tokens, Instant::now()) {
+            self.report(progress).await;
         }
     }
 
@@ -465,23 +411,6 @@
         self.report(CallProgress::First { after_us }).await;
     }
 
-    async fn report_tokens(&mut self) {
-        if self.tokens.unreported == 0 {
-            return;
-        }
-        let elapsed_us = if self.tokens.is_held_up {
-            0
-        } else {
-            micros(self.tokens.reported_at.elapsed())
-        };
-        let count = self.tokens.unreported;
-        self.tokens.unreported = 0;
-        self.tokens.is_held_up = false;
-        self.tokens.reported_at = Instant::now();
-        self.report(CallProgress::Tokens { count, elapsed_us })
-            .await;
-    }
-
     /// The body is over. A stream of events that ends without `[DONE]` was cut short,
     /// however cleanly its connection was closed.
     fn take_body_end(&mut self) -> Next {
@@ -512,7 +441,7 @@
             return;
         };
         let read = ReadSoFar {
-            tokens: self.tokens.total,
+            tokens: self.tokens.total(),
             is_stream: self.is_event_stream(),
         };
         let request = self.parts.attempt.request;
@@ -559,82 +488,30 @@
     }
 
     async fn finish(&mut self, end: AnswerEnd) {
-        self.report_tokens().await;
+        if let Some(progress) = self.tokens.report(Instant::now()) {
+            self.report(progress).await;
+        }
         self.source = Source::Gone;
         self.recovery = None;
         self.cancellation = None;
-        self.delivery.end = Some(end.clone());
+        self.delivery.set_end(end.clone());
         self.report(CallProgress::Ended { end }).await;
     }
 }
 
 /// The answer goes out.
 impl AnswerPump {
-    fn has_frame(&self) -> bool {
-        let delivery = &self.delivery;
-        let has_head = delivery.head.is_some() && !delivery.is_head_sent;
-        let has_end = delivery.end.is_some() && !delivery.is_end_sent;
-        has_head || self.log.has_unsent() || has_end
-    }
-
     async fn send_frame(&mut self, is_open: bool) {
-        let outlet = self.delivery.outlet.clone().filter(|_| is_open);
-        let Some(outlet) = outlet else {
-            self.delivery.outlet = None;
-            return;
-        };
-        let Some(message) = self.next_frame() else {
-            return;
-        };
-        if outlet.try_send(message).is_err() {
-            // Another pump took the place that was free a moment ago, or the link closed.
+        if !is_open {
+            self.delivery.detach();
             return;
         }
-        self.mark_frame_sent();
-        if !self.delivery.has_begun {
-            self.delivery.has_begun = true;
+        let has_begun = self.delivery.has_begun();
+        self.delivery.send_next(&mut self.log);
+        if !has_begun && self.delivery.has_begun() {
             self.report(CallProgress::Delivered).await;
         }
     }
-
-    fn next_frame(&self) -> Option<AgentMessage> {
-        let attempt = self.parts.attempt;
-        let delivery = &self.delivery;
-        if let Some(head) = delivery.head.as_ref().filter(|_| !delivery.is_head_sent) {
-            return Some(AgentMessage::Head {
-                attempt,
-                status: head.status,
-                headers: head.headers.clone(),
-            });
-        }
-        if let Some((offset_bytes, bytes)) = self.log.next_unsent() {
-            return Some(AgentMessage::Data {
-                attempt,
-                offset_bytes,
-                bytes,
-            });
-        }
-        let end = delivery.end.clone()?;
-        Some(AgentMessage::End { attempt, end })
-    }
-
-    fn mark_frame_sent(&mut self) {
-        if self.delivery.head.is_some() && !self.delivery.is_head_sent {
-            self.delivery.is_head_sent = true;
-        } else if self.log.has_unsent() {
-            self.log.mark_sent();
-        } else {
-            self.delivery.is_end_sent = true;
-        }
-    }
-}
-
-/// Waits until the link takes a frame; false if it is closed.
-async fn outlet_ready(outlet: Option<&Outlet>) -> bool {
-    match outlet {
-        Some(outlet) => outlet.reserve().await.is_ok(),
-        None => false,
-    }
 }
 
 async fn optional<T>(work: Option<&mut Work<T>>) -> T {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,7 +6,6 @@
 //! in the programs and in the modules that speak to one outside system each.
 
 pub mod admission;
-pub mod agent_calls;
 pub mod agent_control;
 pub mod agent_events;
 pub mod agent_link;
