operator api: serve commands and queries on the operators' port

Cause: an operator must be able to change the configuration, see how far a change has got, and read the audit trail, from any entry. Change: one command and six queries over HTTP; tokens are kept as hashes in operator objects with a read or write role; 'in force' asks those who lack a version for a fresh report over the spread; the trail is read from the store, or in an outage from memory and said to be partial. Conclusion: entries only have to mount it.

--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -2,6 +2,8 @@
 //! published picture that decisions read.
 
 use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 
 use tokio::sync::Notify;
 use tokio::sync::watch;
@@ -23,6 +25,7 @@
     state: Arc<watch::Sender<ConfigState>>,
     catalog: Arc<watch::Sender<Arc<Catalog>>>,
     list_wanted: Arc<Notify>,
+    is_store_reachable: Arc<AtomicBool>,
 }
 
 impl Default for Config {
@@ -31,6 +34,7 @@
             state: Arc::new(watch::Sender::default()),
             catalog: Arc::new(watch::Sender::default()),
             list_wanted: Arc::default(),
+            is_store_reachable: Arc::default(),
         }
     }
 }
@@ -128,4 +132,25 @@
     pub async fn list_wanted(&self) {
         self.list_wanted.notified().await;
     }
+
+    /// Notes whether the store answered the last call of whoever follows it.
+    ///
+    /// ```
+    /// let config = sardinewood::config::Config::default();
+    /// config.set_store_reachable(true);
+    /// assert!(config.is_store_reachable());
+    /// ```
+    pub fn set_store_reachable(&self, reachable: bool) {
+        self.is_store_reachable.store(reachable, Ordering::Relaxed);
+    }
+
+    /// Whether the store answered the last call of whoever follows it.
+    ///
+    /// ```
+    /// assert!(!sardinewood::config::Config::default().is_store_reachable());
+    /// ```
+    #[must_use]
+    pub fn is_store_reachable(&self) -> bool {
+        self.is_store_reachable.load(Ordering::Relaxed)
+    }
 }
--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -332,6 +332,20 @@
         Some((held.version, content))
     }
 
+    /// What keeps the newest version of an object out of force.
+    ///
+    /// ```
+    /// use sardinewood::config_object::{Kind, ObjectKey};
+    /// use sardinewood::config_state::ConfigState;
+    ///
+    /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
+    /// assert!(ConfigState::default().findings(&key).is_empty());
+    /// ```
+    #[must_use]
+    pub fn findings(&self, key: &ObjectKey) -> &[Finding] {
+        self.objects.get(key).map_or(&[], |held| &held.findings)
+    }
+
     /// The keys of a kind that have an object, in order of their names.
     ///
     /// ```
--- a/lib/src/config_watch.rs
+++ b/lib/src/config_watch.rs
@@ -283,6 +283,7 @@
                 }
             },
         };
+        config.set_store_reachable(answered.is_ok());
         if let Err(error) = answered {
             report_failure(&plan, &error);
             plan.failed(&error);
--- a/lib/src/operator_messages.rs
+++ b/lib/src/operator_messages.rs
@@ -194,6 +194,10 @@
     /// How many older changes of these objects are no longer kept.
     #[serde(default)]
     pub forgotten: u64,
+    /// Whether only the last change of each object is shown, because the store, which keeps
+    /// the earlier ones, does not answer.
+    #[serde(default)]
+    pub is_partial: bool,
 }
 
 /// One thing that was decided about a request.
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! One test program for all integration tests, so that it is linked once.
 
 mod agent_fixture;
+mod operator_fixture;
 mod spread_fixture;
 mod test_agent_attempts;
 mod test_agent_reservations;
@@ -18,6 +19,7 @@
 mod test_logging;
 mod test_metrics;
 mod test_objects_check;
+mod test_operator_api;
 mod test_operator_change;
 mod test_ordering;
 mod test_request_names;
