--- a/lib/src/caller_answer.rs
+++ b/lib/src/caller_answer.rs
@@ -18,6 +18,7 @@
 use crate::entry_state::EntryEvent;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
+use crate::metrics::Metrics;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
 use crate::wire::AnswerEnd;
@@ -107,6 +108,8 @@
     pub links: OpenLinks,
     /// The way to the control thread.
     pub events: mpsc::UnboundedSender<EntryEvent>,
+    /// Where figures go.
+    pub metrics: Metrics,
 }
 
 /// The answer to one request, as its caller's task reads it. Dropping it before the end
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -22,6 +22,7 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
+use crate::answer_meter::AnswerMeter;
 use crate::caller_answer::AnswerHead;
 use crate::caller_answer::CallerAnswer;
 use crate::caller_answer::CallerContext;
@@ -267,24 +268,38 @@
         let is_head = &*work.call.method == Method::HEAD.as_str();
         let submission = self.submission(id, admitted, work);
         let non_idempotent = submission.non_idempotent;
+        let mut meter = AnswerMeter::start(self.context.metrics.clone(), submission.profile.tier);
         let mut answer = CallerAnswer::open(id, self.context.clone());
         let event = EntryEvent::Submitted(Box::new(submission));
         // Without a control thread the answer's channel is closed, too.
         let _stopped = self.context.events.send(event);
         // A caller that has gone reads no answer; dropping this one here cancels its work.
         let begun = gone.run_until_cancelled(answer.begin()).await;
-        match begun.ok_or_else(caller_gone)? {
-            Written::Whole { head, body } => Ok(whole_response(&head, body, is_head)),
+        let Some(begun) = begun else {
+            meter.caller_gone();
+            return Err(caller_gone());
+        };
+        match begun {
+            Written::Whole { head, body } => {
+                meter.begun(head.status);
+                meter.whole();
+                Ok(whole_response(&head, body, is_head))
+            }
             Written::Begins { head } => {
+                meter.begun(head.status);
                 let streamed = StreamedAnswer {
                     answer,
+                    meter,
                     gone,
                     non_idempotent,
                     is_event_stream: head.is_event_stream(),
                 };
                 Ok(streamed_response(&head, streamed))
             }
-            Written::Failed(failure) => Err(ApiError::from_failure(failure, non_idempotent)),
+            Written::Failed(failure) => {
+                meter.failed(failure);
+                Err(ApiError::from_failure(failure, non_idempotent))
+            }
         }
     }
 
@@ -386,6 +401,7 @@
 /// An answer that is written as it comes.
 struct StreamedAnswer {
     answer: CallerAnswer,
+    meter: AnswerMeter,
     gone: CancellationToken,
     non_idempotent: bool,
     is_event_stream: bool,
@@ -396,12 +412,19 @@
     async fn next(mut self) -> Option<(io::Result<Bytes>, Option<Self>)> {
         let next = self.answer.next_bytes();
         let Some(part) = self.gone.clone().run_until_cancelled_owned(next).await else {
+            self.meter.caller_gone();
             return Some((Err(io::ErrorKind::ConnectionAborted.into()), None));
         };
         match part {
             Part::Bytes(bytes) => Some((Ok(bytes), Some(self))),
-            Part::Whole => None,
-            Part::Failed(failure) => Some((self.last_word(failure), None)),
+            Part::Whole => {
+                self.meter.whole();
+                None
+            }
+            Part::Failed(failure) => {
+                self.meter.failed(failure);
+                Some((self.last_word(failure), None))
+            }
         }
     }
 
--- a/lib/src/entry_control.rs
+++ b/lib/src/entry_control.rs
@@ -28,7 +28,6 @@
 use crate::metrics::Metrics;
 use crate::operator_messages::Decision;
 use crate::verdict::Failure;
-use crate::verdict::Outcome;
 use crate::wire::Load;
 
 /// Events taken together before timers are looked at.
@@ -263,7 +262,6 @@
             .field("reason", failure.reason)
             .revision(self.catalog.borrow().revision)
             .send();
-        self.metrics.count(failure_metric(failure.outcome), 1);
     }
 
     fn decisions(&self, request: RequestId) -> Vec<Decision> {
@@ -328,13 +326,6 @@
     }
 }
 
-fn failure_metric(outcome: Outcome) -> &'static str {
-    match outcome {
-        Outcome::NotRun => "entry.not_run",
-        Outcome::Unknown => "entry.unknown",
-    }
-}
-
 /// Milliseconds since the entry's start.
 #[must_use]
 pub fn elapsed_ms(started: Instant) -> u64 {
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -123,6 +123,7 @@
         routes: link.routes.clone(),
         links: link.links.clone(),
         events: caller_sender.clone(),
+        metrics: metrics.clone(),
     };
     let started = Instant::now();
     let stop_control = CancellationToken::new();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod agent_settings;
 pub mod agent_state;
 pub mod answer_log;
+pub mod answer_meter;
 pub mod answer_pump;
 pub mod answer_reader;
 pub mod answer_routes;
