--- a/bench/src/loopback_fleet.rs
+++ b/bench/src/loopback_fleet.rs
@@ -79,8 +79,8 @@
             traffic_threads: size.entry_threads,
             ..EntrySettings::default()
         };
-        let entry =
-            entry_server::spawn(&settings, catalog.subscribe()).wrap_err("can't start the entry")?;
+        let entry = entry_server::spawn(&settings, catalog.subscribe(), Metrics::disabled())
+            .wrap_err("can't start the entry")?;
         engine_runtime.block_on(wait_for_links(&entry, size.engines))?;
         Ok(Self {
             entry,
