--- a/bench/src/overhead.rs
+++ b/bench/src/overhead.rs
@@ -244,8 +244,8 @@
         let mut through = Times::new()?;
         while let Some(done) = callers.join_next().await {
             let [to_direct, to_entry] = done??;
-            direct.add_all(to_direct);
-            through.add_all(to_entry);
+            direct.add_all(&to_direct);
+            through.add_all(&to_entry);
         }
         eyre::Ok((direct, through))
     })?;
@@ -421,8 +421,8 @@
         })
     }
 
-    fn add_all(&mut self, all: Vec<ChatTimes>) {
-        for one in &all {
+    fn add_all(&mut self, all: &[ChatTimes]) {
+        for one in all {
             self.add(one);
         }
     }
