entry, agent: follow the store, spread, and serve operators

Cause: the programs followed the store only; a change did not spread in an outage, and nothing served operators. Change: one call starts the configuration's part of a process: store, spread and the platform's list of hosts as addresses to try. The entry opens the operators' port, with its control thread for status and explanations, and a token from the environment for the first operators. Conclusion: the operators' API answers in a real entry.

--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -1,12 +1,14 @@
 //! `sardinewood-agent`: stands beside one upstream and is the only way to it.
 
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use eyre::Context;
 use sardinewood::agent_server;
 use sardinewood::agent_settings;
 use sardinewood::agent_settings::AgentSettings;
-use sardinewood::config_watch;
+use sardinewood::config_process;
+use sardinewood::ids::Incarnation;
 use sardinewood::logging;
 use sardinewood::logging::Level;
 use sardinewood::logging::Line;
@@ -14,6 +16,8 @@
 use sardinewood::settings::EXIT_USAGE;
 use sardinewood::settings::Sources;
 use sardinewood::settings::Start;
+use sardinewood::spread_message::Identity;
+use sardinewood::spread_message::Role;
 use tokio::runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -58,8 +62,16 @@
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
     let metrics = Metrics::to(settings.metrics, &settings.host, &settings.data_centre)
         .wrap_err("can't send metrics")?;
-    let catalog =
-        config_watch::spawn_config(&settings.store_url).wrap_err("can't follow the store")?;
+    let identity = Identity {
+        name: Arc::clone(&settings.upstream),
+        role: Role::Agent,
+        data_centre: Arc::clone(&settings.data_centre),
+        incarnation: Incarnation(rand::random()),
+    };
+    let configuration = config_process::spawn(&settings.store_url, identity, &settings.peers)
+        .await
+        .wrap_err("can't follow the configuration")?;
+    let catalog = configuration.config.catalog();
     let agent = agent_server::spawn(settings, catalog, metrics.clone()).await?;
     Line::new(Level::Info, "started")
         .field("address", agent.address())
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -1,22 +1,34 @@
 //! `sardinewood-entry`: takes callers' requests and brings them to upstreams.
 
+use std::net::SocketAddr;
 use std::process::ExitCode;
+use std::sync::Arc;
 
 use eyre::Context;
-use sardinewood::config_watch;
+use sardinewood::config_process;
+use sardinewood::config_process::ConfigProcess;
 use sardinewood::entry_server;
+use sardinewood::entry_server::EntryHandle;
 use sardinewood::entry_settings;
 use sardinewood::entry_settings::EntrySettings;
+use sardinewood::ids::Incarnation;
 use sardinewood::logging;
 use sardinewood::logging::Level;
 use sardinewood::logging::Line;
 use sardinewood::metrics::Metrics;
+use sardinewood::operator_api::EntryLink;
+use sardinewood::operator_api::OperatorApi;
+use sardinewood::operator_server;
+use sardinewood::secrets::sha256_hex;
 use sardinewood::settings::EXIT_USAGE;
 use sardinewood::settings::Sources;
 use sardinewood::settings::Start;
+use sardinewood::spread_message::Identity;
+use sardinewood::spread_message::Role;
 use tokio::runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio_util::sync::CancellationToken;
 
 fn main() -> eyre::Result<ExitCode> {
     match entry_settings::program().read(Sources::of_process()) {
@@ -53,12 +65,23 @@
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
     let metrics = Metrics::to(settings.metrics, &settings.host, &settings.data_centre)
         .wrap_err("can't send metrics")?;
-    let catalog =
-        config_watch::spawn_config(&settings.store_url).wrap_err("can't follow the store")?;
-    let entry = entry_server::spawn(settings, catalog, metrics.clone())
+    let incarnation = Incarnation(rand::random());
+    let identity = Identity {
+        name: Arc::clone(&settings.host),
+        role: Role::Entry,
+        data_centre: Arc::clone(&settings.data_centre),
+        incarnation,
+    };
+    let configuration = config_process::spawn(&settings.store_url, identity, &settings.peers)
+        .await
+        .wrap_err("can't follow the configuration")?;
+    let entry = entry_server::spawn(settings, configuration.config.catalog(), metrics.clone())
         .wrap_err_with(|| format!("can't serve callers on {}", settings.listen))?;
+    let stop_operators = CancellationToken::new();
+    let operators = serve_operators(settings, configuration, &entry, &stop_operators).await?;
     Line::new(Level::Info, "started")
         .field("address", entry.address())
+        .field("operator_address", operators)
         .incarnation(entry.incarnation())
         .send();
     tokio::select! {
@@ -66,7 +89,37 @@
         _ = interrupt.recv() => {}
     }
     entry.shut_down().await;
+    stop_operators.cancel();
     metrics.flush();
     Line::new(Level::Info, "ended").send();
     Ok(())
 }
+
+/// Opens the operators' port. Operators see a shutdown to its end, so it closes last.
+async fn serve_operators(
+    settings: &EntrySettings,
+    configuration: ConfigProcess,
+    entry: &EntryHandle,
+    stop: &CancellationToken,
+) -> eyre::Result<SocketAddr> {
+    let api = OperatorApi {
+        spread: Some(configuration.spread),
+        token_sha256: token_hashes(settings),
+        control: Some(EntryLink {
+            status: entry.status(),
+            queries: entry.queries(),
+        }),
+        ..OperatorApi::new(&settings.host, configuration.config, configuration.store)
+    };
+    operator_server::spawn(settings.operator_listen, api, stop.clone())
+        .await
+        .wrap_err_with(|| format!("can't serve operators on {}", settings.operator_listen))
+}
+
+fn token_hashes(settings: &EntrySettings) -> Vec<Arc<str>> {
+    let token = &settings.operator_token;
+    if token.is_empty() {
+        return Vec::new();
+    }
+    vec![sha256_hex(token.expose()).into()]
+}
--- a/lib/src/agent_settings.rs
+++ b/lib/src/agent_settings.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::config_process::PeerSettings;
 use crate::findings::Findings;
 use crate::logging::LEVEL_WORDS;
 use crate::settings::Program;
@@ -29,6 +30,8 @@
     pub listen: SocketAddr,
     /// The platform's store.
     pub store_url: Arc<str>,
+    /// How it finds the other processes.
+    pub peers: PeerSettings,
     /// Where metrics go, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// The pause between two heartbeats on a link.
@@ -63,6 +66,7 @@
             data_centre: "local".into(),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             store_url: "http://127.0.0.1:7070".into(),
+            peers: PeerSettings::default(),
             metrics: None,
             heartbeat_ms: 500,
             silent_ms: 2_000,
@@ -87,6 +91,7 @@
 #[must_use]
 pub fn program() -> Program<AgentSettings> {
     let mut settings = identity_and_addresses();
+    settings.extend(peers());
     settings.extend(links_and_grants());
     settings.extend(answers());
     Program {
@@ -142,6 +147,26 @@
     ]
 }
 
+fn peers() -> Vec<Setting<AgentSettings>> {
+    vec![
+        Setting::address(
+            "spread-listen",
+            "Where other processes tell what configuration they know.",
+            |s: &mut AgentSettings| &mut s.peers.listen,
+        ),
+        Setting::text(
+            "peers",
+            "Addresses of some other processes, with commas between.",
+            |s: &mut AgentSettings| &mut s.peers.peers,
+        ),
+        Setting::secret(
+            "peer-keys",
+            "Keys that all processes share; the first proves what is sent.",
+            |s: &mut AgentSettings| &mut s.peers.keys,
+        ),
+    ]
+}
+
 fn links_and_grants() -> Vec<Setting<AgentSettings>> {
     vec![
         Setting::number(
@@ -213,5 +238,6 @@
 }
 
 fn check(settings: &AgentSettings, findings: &mut Findings) {
+    settings.peers.check(findings);
     crate::settings::check_silence(settings.heartbeat_ms, settings.silent_ms, findings);
 }
--- a/lib/src/entry_settings.rs
+++ b/lib/src/entry_settings.rs
@@ -4,8 +4,10 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::config_process::PeerSettings;
 use crate::findings::Findings;
 use crate::logging::LEVEL_WORDS;
+use crate::secrets::Secret;
 use crate::settings::Program;
 use crate::settings::Setting;
 
@@ -27,8 +29,12 @@
     pub listen: SocketAddr,
     /// Where operators connect.
     pub operator_listen: SocketAddr,
+    /// A token of an operator who may change everything, to create the first operators.
+    pub operator_token: Secret,
     /// The platform's store.
     pub store_url: Arc<str>,
+    /// How it finds the other processes.
+    pub peers: PeerSettings,
     /// Where metrics go, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// The pause between two heartbeats on a link.
@@ -66,7 +72,9 @@
             data_centre: "local".into(),
             listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
             operator_listen: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            operator_token: Secret::default(),
             store_url: "http://127.0.0.1:7070".into(),
+            peers: PeerSettings::default(),
             metrics: None,
             heartbeat_ms: 500,
             silent_ms: 2_000,
@@ -93,6 +101,7 @@
 #[must_use]
 pub fn program() -> Program<EntrySettings> {
     let mut settings = identity_and_addresses();
+    settings.extend(peers());
     settings.extend(links_and_queue());
     settings.extend(limits_of_callers());
     Program {
@@ -128,6 +137,11 @@
             |s: &mut EntrySettings| &mut s.operator_listen,
         )
         .required(),
+        Setting::secret(
+            "operator-token",
+            "Token of an operator who may change everything.",
+            |s: &mut EntrySettings| &mut s.operator_token,
+        ),
         Setting::url(
             "store-url",
             "The platform's store.",
@@ -148,6 +162,26 @@
     ]
 }
 
+fn peers() -> Vec<Setting<EntrySettings>> {
+    vec![
+        Setting::address(
+            "spread-listen",
+            "Where other processes tell what configuration they know.",
+            |s: &mut EntrySettings| &mut s.peers.listen,
+        ),
+        Setting::text(
+            "peers",
+            "Addresses of some other processes, with commas between.",
+            |s: &mut EntrySettings| &mut s.peers.peers,
+        ),
+        Setting::secret(
+            "peer-keys",
+            "Keys that all processes share; the first proves what is sent.",
+            |s: &mut EntrySettings| &mut s.peers.keys,
+        ),
+    ]
+}
+
 fn links_and_queue() -> Vec<Setting<EntrySettings>> {
     vec![
         Setting::number(
@@ -231,6 +265,7 @@
 }
 
 fn check(settings: &EntrySettings, findings: &mut Findings) {
+    settings.peers.check(findings);
     crate::settings::check_silence(settings.heartbeat_ms, settings.silent_ms, findings);
     let same_port = settings.listen == settings.operator_listen;
     if same_port && settings.listen.port() != 0 {
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -4,9 +4,15 @@
 use std::time::Duration;
 use std::time::SystemTime;
 
+use tokio::sync::mpsc;
+use tokio::sync::oneshot;
+use tokio::sync::watch;
+
 use crate::config::Config;
 use crate::config_object::Kind;
 use crate::config_object::ObjectKey;
+use crate::entry_control::EntryQuery;
+use crate::entry_control::EntryStatus;
 use crate::operator_auth::Session;
 use crate::operator_auth::identify;
 use crate::operator_change::Author;
@@ -19,7 +25,6 @@
 use crate::operator_messages::InForce;
 use crate::operator_messages::ProcessView;
 use crate::operator_messages::Status;
-use crate::operator_messages::UpstreamView;
 use crate::operator_queries::AuditFilter;
 use crate::operator_queries::Believed;
 use crate::operator_queries::audit_trail;
@@ -27,6 +32,7 @@
 use crate::operator_queries::in_force;
 use crate::operator_queries::process_view;
 use crate::operator_queries::revision_of;
+use crate::operator_queries::upstream_views;
 use crate::spread_link::SpreadHandle;
 use crate::store::ReadError;
 use crate::store::StoreClient;
@@ -37,23 +43,15 @@
 /// The pause between two such rounds.
 const REPORT_PAUSE: Duration = Duration::from_millis(60);
 
-/// What the entry itself knows beside the configuration.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
-pub struct EntryFacts {
-    /// Requests that wait in this entry, by tier.
-    pub waiting_by_tier: Vec<u64>,
-    /// Requests that run for this entry.
-    pub running: u64,
-    /// Each upstream.
-    pub upstreams: Vec<UpstreamView>,
+/// A way to ask the thread of control of the entry.
+#[derive(Clone, Debug)]
+pub struct EntryLink {
+    /// What the entry says about itself.
+    pub status: watch::Receiver<EntryStatus>,
+    /// Questions to it.
+    pub queries: mpsc::Sender<EntryQuery>,
 }
 
-/// Tells the facts of the entry as they are now.
-pub type FactsSource = Arc<dyn Fn() -> EntryFacts + Send + Sync>;
-
-/// Tells what is remembered of a request.
-pub type ExplanationSource = Arc<dyn Fn(&str) -> Option<Explanation> + Send + Sync>;
-
 /// What the API works with.
 #[derive(Clone)]
 pub struct OperatorApi {
@@ -67,10 +65,8 @@
     pub spread: Option<SpreadHandle>,
     /// Hashes of tokens from the settings, for the first operators.
     pub token_sha256: Vec<Arc<str>>,
-    /// The entry's own facts.
-    pub facts: FactsSource,
-    /// The entry's memory of requests.
-    pub explain: ExplanationSource,
+    /// The entry itself; absent where only the configuration is served.
+    pub control: Option<EntryLink>,
 }
 
 impl OperatorApi {
@@ -93,8 +89,7 @@
             store,
             spread: None,
             token_sha256: Vec::new(),
-            facts: Arc::new(EntryFacts::default),
-            explain: Arc::new(|_| None),
+            control: None,
         }
     }
 
@@ -126,6 +121,28 @@
         answer
     }
 
+    /// What the entry says about itself.
+    pub(crate) fn entry_status(&self) -> EntryStatus {
+        let control = self.control.as_ref();
+        control.map_or_else(EntryStatus::default, |control| {
+            control.status.borrow().clone()
+        })
+    }
+
+    /// What this entry remembers of a request; `None` if it remembers nothing.
+    pub(crate) async fn explain(&self, id: &str) -> Option<Explanation> {
+        let request = id.parse().ok()?;
+        let (answer, decisions) = oneshot::channel();
+        let query = EntryQuery::Explain { request, answer };
+        self.control.as_ref()?.queries.send(query).await.ok()?;
+        let decisions = decisions.await.ok()?;
+        (!decisions.is_empty()).then(|| Explanation {
+            request: id.into(),
+            decisions,
+            unreachable: Vec::new(),
+        })
+    }
+
     /// The other processes that are believed to run.
     pub(crate) async fn believed(&self) -> indexmap::IndexMap<Arc<str>, Believed> {
         let members = match &self.spread {
@@ -209,7 +226,7 @@
     /// The state of the system as this entry knows it.
     pub(crate) async fn status(&self) -> Status {
         let processes = self.believed().await;
-        let facts = (self.facts)();
+        let entry = self.entry_status();
         let revision = revision_of(&self.config.state().borrow());
         let own = ProcessView {
             name: Arc::clone(&self.entry),
@@ -223,10 +240,14 @@
             entry: Arc::clone(&self.entry),
             revision,
             is_store_reachable: self.config.is_store_reachable(),
-            waiting_by_tier: facts.waiting_by_tier,
-            running: facts.running,
+            waiting_by_tier: entry
+                .counts
+                .waiting_by_tier
+                .map(|count| count as u64)
+                .to_vec(),
+            running: entry.counts.running as u64,
             processes: [own].into_iter().chain(others).collect(),
-            upstreams: facts.upstreams,
+            upstreams: upstream_views(&self.config.catalog().borrow(), &entry),
         }
     }
 }
--- a/lib/src/operator_queries.rs
+++ b/lib/src/operator_queries.rs
@@ -10,12 +10,17 @@
 use crate::config_object::ObjectKey;
 use crate::config_state::ConfigState;
 use crate::config_state::Content;
+use crate::entry_control::AgentStatus;
+use crate::entry_control::EntryStatus;
+use crate::objects::Activity;
+use crate::objects::Upstream;
 use crate::operator_messages::AuditEntry;
 use crate::operator_messages::AuditTrail;
 use crate::operator_messages::InForce;
 use crate::operator_messages::ObjectView;
 use crate::operator_messages::ObjectViews;
 use crate::operator_messages::ProcessView;
+use crate::operator_messages::UpstreamView;
 use crate::spread_link::Member;
 use crate::spread_message::Role;
 use crate::store::StoredObject;
@@ -220,6 +225,51 @@
     }
 }
 
+/// Every upstream, and why it gets no work from this entry.
+///
+/// ```
+/// use sardinewood::catalog::Catalog;
+/// use sardinewood::entry_control::EntryStatus;
+/// use sardinewood::operator_queries::upstream_views;
+///
+/// assert!(upstream_views(&Catalog::default(), &EntryStatus::default()).is_empty());
+/// ```
+#[must_use]
+pub fn upstream_views(catalog: &Catalog, entry: &EntryStatus) -> Vec<UpstreamView> {
+    let view = |upstream: &Arc<Upstream>| {
+        let agent = entry.agents.get(&upstream.name).copied();
+        let agent = agent.unwrap_or_default();
+        let activity = match upstream.activity {
+            Activity::Active => "active",
+            Activity::Draining => "draining",
+            Activity::Stopped => "stopped",
+        };
+        UpstreamView {
+            name: Arc::clone(&upstream.name),
+            activity: activity.into(),
+            slots: upstream.slots,
+            running: if agent.is_linked {
+                upstream.slots.saturating_sub(agent.load.free_slots)
+            } else {
+                0
+            },
+            waiting: agent.load.waiting,
+            no_work_because: why_no_work(upstream.activity, &agent).map(Arc::from),
+        }
+    };
+    catalog.upstreams.values().map(view).collect()
+}
+
+fn why_no_work(activity: Activity, agent: &AgentStatus) -> Option<&'static str> {
+    match activity {
+        Activity::Draining => Some("an operator drains it"),
+        Activity::Stopped => Some("an operator stopped it"),
+        Activity::Active if !agent.is_linked => Some("this entry has no link to its agent"),
+        Activity::Active if !agent.takes_work => Some("its agent takes no work at present"),
+        Activity::Active => None,
+    }
+}
+
 /// The audit trail of some objects of the store.
 ///
 /// ```
--- a/lib/src/operator_routes.rs
+++ b/lib/src/operator_routes.rs
@@ -158,11 +158,11 @@
 }
 
 #[handler]
-fn get_explanation(
+async fn get_explanation(
     Path(id): Path<String>,
     Data(api): Data<&Arc<OperatorApi>>,
 ) -> poem::Result<Response> {
-    let explanation = (api.explain)(&id);
+    let explanation = api.explain(&id).await;
     let nobody = || error(StatusCode::NOT_FOUND, "nobody remembers this request");
     Ok(ok(&explanation.ok_or_else(nobody)?))
 }
--- a/lib/src/secrets.rs
+++ b/lib/src/secrets.rs
@@ -59,6 +59,14 @@
     }
 }
 
+impl PartialEq for Secret {
+    fn eq(&self, other: &Self) -> bool {
+        self.0.as_bytes().ct_eq(other.0.as_bytes()).into()
+    }
+}
+
+impl Eq for Secret {}
+
 impl fmt::Debug for Secret {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(REDACTED)
