--- a/bench/src/own_policy.rs
+++ b/bench/src/own_policy.rs
@@ -287,7 +287,7 @@
             deadline_at_ms: now_ms + (offered.deadline_us - offered.arrival_us) / 1000,
             non_idempotent: offered.non_idempotent,
             named: None,
-            order_key: None,
+            order: None,
             appointment: offered.appointment.map(|number| number.to_string().into()),
             estimate: WorkEstimate {
                 prompt_tokens: offered.prompt_tokens,
--- a/bench/src/slopes/entry_slopes.rs
+++ b/bench/src/slopes/entry_slopes.rs
@@ -206,7 +206,7 @@
         deadline_at_ms: 60_000,
         non_idempotent: false,
         named: None,
-        order_key: None,
+        order: None,
         appointment: None,
         estimate: WorkEstimate {
             prompt_tokens: 1_200,
--- a/lib/src/agent_state/dispatch.rs
+++ b/lib/src/agent_state/dispatch.rs
@@ -159,6 +159,10 @@
         let Some(attempt) = self.attempts.get(id) else {
             return;
         };
+        // The answer has moved to another link, whose entry still wants it.
+        if attempt.link.is_some_and(|current| current != link) {
+            return;
+        }
         match attempt.phase {
             Phase::Ready(_) => {
                 self.attempts.set_phase(id, Phase::NotSent, now_ms);
--- a/lib/src/caller_answer.rs
+++ b/lib/src/caller_answer.rs
@@ -236,6 +236,10 @@
 
     fn take_note(&mut self, note: CallerNote) -> Progress {
         match note {
+            // A second answer behind a part of the first would be neither the one nor the other.
+            CallerNote::Begin { attempt, .. } if self.passed && !self.reads(attempt) => {
+                Progress::Failed(Failure::unknown(FailureReason::UpstreamFailed))
+            }
             CallerNote::Begin { attempt, agent } => {
                 self.start_reading(attempt, agent);
                 Progress::Going
@@ -252,6 +256,11 @@
         }
     }
 
+    fn reads(&self, attempt: AttemptId) -> bool {
+        let reader = self.reader.as_ref();
+        reader.is_some_and(|(reader, _)| reader.attempt() == attempt)
+    }
+
     fn start_reading(&mut self, attempt: AttemptId, agent: Arc<str>) {
         self.reader = Some((AnswerReader::new(attempt), agent));
         self.head = None;
@@ -329,10 +338,19 @@
     }
 
     fn report(&self, attempt: AttemptId, end: AnswerEnd) {
-        let event = EntryEvent::Ended {
-            attempt,
-            end,
-            passed: self.passed,
+        let passed = self.passed;
+        let event = if attempt.request == self.request {
+            EntryEvent::Ended {
+                attempt,
+                end,
+                passed,
+            }
+        } else {
+            EntryEvent::FollowerEnded {
+                request: self.request,
+                end,
+                passed,
+            }
         };
         // Without a control thread nobody wants to know.
         let _stopped = self.context.events.send(event);
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -45,8 +45,11 @@
 use crate::objects::Target;
 use crate::openai_error::ApiError;
 use crate::openai_error::name_request;
-use crate::submission::NamedBody;
-use crate::submission::RequestName;
+use crate::order_queue::OrderName;
+use crate::request_names::CallDigest;
+use crate::request_names::KeyError;
+use crate::request_names::RequestName;
+use crate::submission::Named;
 use crate::submission::Submission;
 use crate::submission::WorkEstimate;
 use crate::verdict::Failure;
@@ -266,7 +269,7 @@
         gone: CancellationToken,
     ) -> Result<Response, ApiError> {
         let is_head = &*work.call.method == Method::HEAD.as_str();
-        let submission = self.submission(id, admitted, work);
+        let submission = self.submission(id, admitted, work)?;
         let non_idempotent = submission.non_idempotent;
         let mut meter = AnswerMeter::start(self.context.metrics.clone(), submission.profile.tier);
         let mut answer = CallerAnswer::open(id, self.context.clone());
@@ -311,7 +314,12 @@
         }
     }
 
-    fn submission(&self, id: RequestId, admitted: Admitted, work: Work) -> Submission {
+    fn submission(
+        &self,
+        id: RequestId,
+        admitted: Admitted,
+        work: Work,
+    ) -> Result<Submission, ApiError> {
         let Admitted {
             customer,
             profile,
@@ -321,14 +329,9 @@
             .deadline_ms
             .unwrap_or(profile.deadline_ms)
             .min(self.limits.max_deadline_ms);
-        let named = headers.idempotency_key.map(|key| NamedBody {
-            name: RequestName {
-                customer: customer.name.clone(),
-                key,
-            },
-            fingerprint: 0,
-        });
-        Submission {
+        let named = named(id, &customer, &headers, &work.call)?;
+        let order = order(&customer, &headers)?;
+        Ok(Submission {
             request: id,
             target: work.target,
             non_idempotent: headers.non_idempotent.unwrap_or(profile.non_idempotent),
@@ -336,14 +339,45 @@
             customer,
             deadline_at_ms: elapsed_ms(self.started) + deadline_ms,
             named,
-            order_key: headers.order_key,
+            order,
             appointment: headers.appointment,
             estimate: work.estimate,
             call: work.call,
-        }
+        })
     }
 }
 
+/// The name of a request. One that has an order key and no name gets one of its own,
+/// because its successors find out by its claim whether it can still run.
+fn named(
+    id: RequestId,
+    customer: &Customer,
+    headers: &CallerHeaders,
+    call: &Call,
+) -> Result<Option<Named>, ApiError> {
+    let key = match (&headers.idempotency_key, &headers.order_key) {
+        (Some(key), _) => key.to_string(),
+        (None, Some(_)) => id.to_string(),
+        (None, None) => return Ok(None),
+    };
+    let name = RequestName::new(&customer.name, &key).map_err(|error| invalid_key(&error))?;
+    let digest = CallDigest::new(&call.method, &call.path, &call.body);
+    Ok(Some(Named { name, digest }))
+}
+
+fn order(customer: &Customer, headers: &CallerHeaders) -> Result<Option<OrderName>, ApiError> {
+    let Some(key) = &headers.order_key else {
+        return Ok(None);
+    };
+    OrderName::new(&customer.name, key)
+        .map(Some)
+        .map_err(|error| invalid_key(&error))
+}
+
+fn invalid_key(error: &KeyError) -> ApiError {
+    ApiError::bad_request("invalid_header", error.to_string())
+}
+
 fn service_of(path: &str) -> Option<(Arc<str>, String)> {
     let rest = path.strip_prefix(SERVICES)?;
     let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
--- a/lib/src/entry_control.rs
+++ b/lib/src/entry_control.rs
@@ -1,5 +1,7 @@
 //! The thread of control of an entry: takes events, decides, and carries the decisions out.
 
+use std::collections::VecDeque;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -27,7 +29,10 @@
 use crate::logging::Line;
 use crate::metrics::Metrics;
 use crate::operator_messages::Decision;
+use crate::store_records::RecordAnswer;
+use crate::store_records::StoreRecords;
 use crate::verdict::Failure;
+use crate::wire::AgentMessage;
 use crate::wire::Load;
 
 /// Events taken together before timers are looked at.
@@ -105,6 +110,10 @@
     pub link: LinkContext,
     /// Where link tasks run.
     pub traffic: Handle,
+    /// Claims and orders.
+    pub records: StoreRecords,
+    /// What came of calls to the store.
+    pub record_answers: mpsc::UnboundedReceiver<RecordAnswer>,
     /// Questions that want an answer from the state as it is now.
     pub queries: mpsc::Receiver<EntryQuery>,
     /// Where the status is published.
@@ -148,7 +157,8 @@
 
     /// Waits for events; false when the thread is to end.
     async fn wait(&mut self, batch: &mut Vec<EntryEvent>, status_at: Instant) -> bool {
-        let tick_at = self.state.next_tick_ms().map_or_else(
+        let ticks = [self.state.next_tick_ms(), self.records.next_tick_ms()];
+        let tick_at = ticks.into_iter().flatten().min().map_or_else(
             || Instant::now() + IDLE,
             |at_ms| self.started + Duration::from_millis(at_ms),
         );
@@ -164,6 +174,11 @@
                 self.take_ready(batch);
                 true
             }
+            Some(answer) = self.record_answers.recv() => {
+                let now_ms = elapsed_ms(self.started);
+                batch.extend(self.records.answered(now_ms, answer));
+                true
+            }
             Some(query) = self.queries.recv() => {
                 self.answer(query);
                 true
@@ -175,6 +190,7 @@
             }
             () = sleep_until(tick_at) => {
                 batch.push(EntryEvent::Tick);
+                batch.extend(self.records.tick(elapsed_ms(self.started)));
                 true
             }
             () = sleep_until(status_at) => true,
@@ -197,15 +213,76 @@
     fn take(&mut self, event: EntryEvent, links: &mut IndexMap<Arc<str>, JoinHandle<()>>) {
         let now_ms = elapsed_ms(self.started);
         let publishes = matches!(event, EntryEvent::ShutDown | EntryEvent::CatalogChanged(_));
-        for step in self.state.handle(now_ms, event) {
-            self.carry_out(step, links);
+        let mut events = VecDeque::from(self.hear_settled(now_ms, &event));
+        events.push_front(event);
+        while let Some(event) = events.pop_front() {
+            for step in self.state.handle(now_ms, event) {
+                events.extend(self.carry_out(now_ms, step, links));
+            }
         }
         if publishes {
             self.publish();
         }
     }
 
-    fn carry_out(&self, step: EntryStep, links: &mut IndexMap<Arc<str>, JoinHandle<()>>) {
+    /// Orders may wait for an agent's word about an attempt of another entry.
+    fn hear_settled(&mut self, now_ms: u64, event: &EntryEvent) -> Vec<EntryEvent> {
+        match event {
+            EntryEvent::Agent {
+                message:
+                    AgentMessage::Settled {
+                        attempt,
+                        settlement,
+                    },
+                ..
+            } => self.records.settled(now_ms, *attempt, *settlement),
+            _ => Vec::new(),
+        }
+    }
+
+    /// Carries a step out; what is decided at once comes back as events.
+    fn carry_out(
+        &mut self,
+        now_ms: u64,
+        step: EntryStep,
+        links: &mut IndexMap<Arc<str>, JoinHandle<()>>,
+    ) -> Vec<EntryEvent> {
+        match step {
+            EntryStep::Claim(asked) => return self.records.claim(now_ms, asked),
+            EntryStep::AwaitTurn { order, place } => {
+                return self.records.join(now_ms, order, place);
+            }
+            EntryStep::Finished {
+                request,
+                order,
+                outcome,
+            } => return self.records.finish(now_ms, request, order, outcome),
+            EntryStep::Dial { agent, address } => self.dial(agent, address, links),
+            EntryStep::HangUp { agent } => {
+                if let Some(link) = links.swap_remove(&agent) {
+                    link.abort();
+                }
+            }
+            other => self.pass_on(other),
+        }
+        Vec::new()
+    }
+
+    fn dial(
+        &self,
+        agent: Arc<str>,
+        address: SocketAddr,
+        links: &mut IndexMap<Arc<str>, JoinHandle<()>>,
+    ) {
+        let task = keep_link(agent.clone(), address, self.link.clone());
+        let earlier = links.insert(agent, self.traffic.spawn(task));
+        if let Some(earlier) = earlier {
+            earlier.abort();
+        }
+    }
+
+    /// Passes a step on to links and callers.
+    fn pass_on(&self, step: EntryStep) {
         let routes = &self.link.routes;
         match step {
             EntryStep::Send { agent, message } => self.link.links.send(&agent, message),
@@ -227,19 +304,11 @@
                 self.report_failure(request, failure);
                 routes.tell(request, CallerNote::Fail(failure));
             }
-            EntryStep::Dial { agent, address } => {
-                let task = keep_link(agent.clone(), address, self.link.clone());
-                let earlier = links.insert(agent, self.traffic.spawn(task));
-                if let Some(earlier) = earlier {
-                    earlier.abort();
-                }
-            }
-            EntryStep::HangUp { agent } => {
-                if let Some(link) = links.swap_remove(&agent) {
-                    link.abort();
-                }
-            }
-            EntryStep::Claim { .. } | EntryStep::AwaitTurn { .. } | EntryStep::Finished { .. } => {}
+            EntryStep::Dial { .. }
+            | EntryStep::HangUp { .. }
+            | EntryStep::Claim(_)
+            | EntryStep::AwaitTurn { .. }
+            | EntryStep::Finished { .. } => {}
         }
     }
 
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -45,6 +45,8 @@
 use crate::logging::Line;
 use crate::metrics::Metrics;
 use crate::operator_messages::Decision;
+use crate::store::StoreClient;
+use crate::store_records::StoreRecords;
 use crate::wire::Hello;
 use crate::wire::PROTOCOL_VERSION;
 
@@ -128,11 +130,16 @@
     let started = Instant::now();
     let stop_control = CancellationToken::new();
     let (query_sender, queries) = mpsc::channel(QUERIES);
+    let store = StoreClient::new(&settings.store_url).map_err(io::Error::other)?;
+    let (record_sender, record_answers) = mpsc::unbounded_channel();
+    let records = StoreRecords::new(store, traffic.handle().clone(), record_sender);
     let control = EntryControl {
         state: EntryState::new(rules(settings), rand::random()),
         link_events,
         caller_events,
         queries,
+        records,
+        record_answers,
         catalog: catalog.clone(),
         link,
         traffic: traffic.handle().clone(),
@@ -283,6 +290,9 @@
             ..defaults.queue
         },
         candidates: settings.candidates,
+        retain_names_ms: settings.retain_ms,
+        claims: true,
+        turns: true,
         ..defaults
     }
 }
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry_state.rs
@@ -17,6 +17,9 @@
 use crate::candidates::LinkChoice;
 use crate::candidates::Wanted;
 use crate::catalog::Catalog;
+use crate::claim_object::Holder;
+use crate::claims::ClaimDecision;
+use crate::claims::ClaimRequest;
 use crate::explanations::Decided;
 use crate::explanations::Explanations;
 use crate::explanations::Remembered;
@@ -24,11 +27,12 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::objects::TIER_COUNT;
+use crate::order_queue::OrderName;
+use crate::order_queue::Place;
+use crate::request_names::KnownNames;
 use crate::retry_budget::RetryBudget;
-use crate::run::Gates;
 use crate::run::Phase;
 use crate::run::Run;
-use crate::submission::NamedBody;
 use crate::submission::Submission;
 use crate::timers::TimerKind;
 use crate::timers::Timers;
@@ -41,6 +45,7 @@
 
 mod attempts;
 mod links;
+mod named;
 mod waiting;
 
 /// What an entry's decisions depend on besides events.
@@ -61,12 +66,18 @@
     pub candidates: usize,
     /// When candidates that refused are asked again, at the latest.
     pub reserve_again_ms: u64,
+    /// How long a named request runs on for a caller that may come back.
+    pub orphan_grace_ms: u64,
     /// How long an attempt that nobody waits for is remembered after its deadline.
     pub forget_after_ms: u64,
     /// When a caller that was refused for load may try again.
     pub retry_after_ms: u64,
     /// Of how many requests the decisions are remembered.
     pub remembered_requests: usize,
+    /// How many names are remembered.
+    pub max_names: usize,
+    /// How long a name is remembered after its request is over.
+    pub retain_names_ms: u64,
     /// Whether named requests need a claim before their first dispatch.
     pub claims: bool,
     /// Whether requests with an order key need their turn before they are placed.
@@ -92,26 +103,18 @@
             queue: QueueLimits::default(),
             candidates: 4,
             reserve_again_ms: 100,
+            orphan_grace_ms: 3_000,
             forget_after_ms: 30_000,
             retry_after_ms: 1_000,
             remembered_requests: 4_096,
+            max_names: 50_000,
+            retain_names_ms: 120_000,
             claims: false,
             turns: false,
         }
     }
 }
 
-/// What the claim on a request's name came to.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum ClaimAnswer {
-    /// The request may be dispatched from here.
-    Won,
-    /// Another request of the same name has been dispatched; its answer is read instead.
-    Follow { attempt: AttemptId, agent: Arc<str> },
-    /// The request ends with this.
-    Fail(Failure),
-}
-
 /// What an entry's decisions react to.
 #[derive(Clone, Debug)]
 pub enum EntryEvent {
@@ -120,7 +123,7 @@
     /// The claim that [`EntryStep::Claim`] asked for is decided.
     Claimed {
         request: RequestId,
-        answer: ClaimAnswer,
+        decision: ClaimDecision,
     },
     /// The turn that [`EntryStep::AwaitTurn`] asked for has come, or never will.
     Turn {
@@ -139,6 +142,15 @@
     },
     /// A link is gone.
     LinkLost { agent: Arc<str> },
+    /// The reader of an answer that belongs to another request of the same name has come
+    /// to its end.
+    FollowerEnded {
+        request: RequestId,
+        end: AnswerEnd,
+        passed: bool,
+    },
+    /// Ask the agent what became of an attempt that this entry did not dispatch.
+    Inquire { holder: Holder },
     /// The reader of an answer has come to its end.
     Ended {
         attempt: AttemptId,
@@ -183,20 +195,14 @@
         request: RequestId,
         failure: Failure,
     },
-    /// Claim the name of a request.
-    Claim {
-        request: RequestId,
-        named: NamedBody,
-    },
+    /// Claim the name of a request for the attempt that would be dispatched.
+    Claim(ClaimRequest),
     /// Find out when the request's turn under its order key has come.
-    AwaitTurn {
-        request: RequestId,
-        customer: Arc<str>,
-        order_key: Arc<str>,
-    },
+    AwaitTurn { order: OrderName, place: Place },
     /// The request is over here; what was kept for it elsewhere can go.
     Finished {
         request: RequestId,
+        order: Option<OrderName>,
         outcome: FinishedAs,
     },
     /// Keep a link to this agent.
@@ -215,8 +221,10 @@
     Answered,
     /// It did not run and never will.
     NotRun,
-    /// It may have run.
+    /// It may have run, and does not run any more.
     Unknown,
+    /// It may still run.
+    InDoubt,
 }
 
 /// How many requests are where; for metrics, readiness and tests.
@@ -259,6 +267,8 @@
     dialled: IndexMap<Arc<str>, SocketAddr>,
     runs: IndexMap<RequestId, Run>,
     queue: WaitingQueue,
+    names: KnownNames,
+    expire_names_at_ms: u64,
     unplaced: IndexSet<RequestId>,
     timers: Timers,
     budget: RetryBudget,
@@ -280,6 +290,8 @@
         Self {
             agents: AgentTable::new(rules.links.clone()),
             queue: WaitingQueue::new(rules.queue),
+            expire_names_at_ms: 0,
+            names: KnownNames::new(rules.max_names, rules.retain_names_ms),
             dialled: IndexMap::new(),
             runs: IndexMap::new(),
             unplaced: IndexSet::new(),
@@ -301,7 +313,7 @@
         self.now_ms = now_ms;
         match event {
             EntryEvent::Submitted(submission) => self.submit(now_ms, *submission),
-            EntryEvent::Claimed { request, answer } => self.claimed(now_ms, request, answer),
+            EntryEvent::Claimed { request, decision } => self.claimed(now_ms, request, decision),
             EntryEvent::Turn { request, refused } => self.turn(now_ms, request, refused),
             EntryEvent::Agent { agent, message } => self.agent_said(now_ms, &agent, message),
             EntryEvent::LinkUp { agent, incarnation } => {
@@ -313,6 +325,12 @@
                 end,
                 passed,
             } => self.ended(now_ms, attempt, &end, passed),
+            EntryEvent::FollowerEnded {
+                request,
+                end,
+                passed,
+            } => self.follower_ended(now_ms, request, &end, passed),
+            EntryEvent::Inquire { holder } => self.inquire(now_ms, &holder),
             EntryEvent::CallerGone { request } => self.caller_gone(now_ms, request),
             EntryEvent::HostGone { agent } => self.host_gone(now_ms, &agent),
             EntryEvent::CatalogChanged(catalog) => self.catalog_changed(now_ms, &catalog),
@@ -400,6 +418,8 @@
             match kind {
                 TimerKind::Deadline => self.deadline_passed(now_ms, request),
                 TimerKind::Reserve => self.reserve_due(now_ms, request),
+                TimerKind::Cancel => self.cancel_unwanted(request),
+                TimerKind::Ask => self.ask_again(now_ms, request),
                 TimerKind::Forget => self.forget_abandoned(request),
             }
         }
@@ -436,10 +456,7 @@
             TimerKind::Forget,
             request,
         );
-        let kept_elsewhere = run.submission.named.is_some() || run.submission.order_key.is_some();
-        if kept_elsewhere {
-            self.steps.push(EntryStep::Finished { request, outcome });
-        }
+        self.finish_named(&run, outcome);
     }
 
     /// Takes a request off the agent where its attempt was.
--- a/lib/src/entry_state/attempts.rs
+++ b/lib/src/entry_state/attempts.rs
@@ -8,10 +8,15 @@
 use super::EntryMessage;
 use super::EntryState;
 use super::EntryStep;
+use super::Failure;
 use super::FailureReason;
 use super::FinishedAs;
+use super::Holder;
 use super::Phase;
 use super::RequestId;
+use super::TimerKind;
+use super::named::ASK_AGAIN_MS;
+use super::named::NameCheck;
 use crate::ids::GrantId;
 use crate::run::Attempt;
 use crate::wire::Settlement;
@@ -50,22 +55,16 @@
         if !self.may_dispatch(now_ms, request, agent, grant) {
             self.note_declined(request, agent);
             self.send(agent, EntryMessage::Decline { grant });
+            self.lose_reservation(now_ms, request, agent);
             return;
         }
-        let Some(run) = self.runs.get_mut(&request) else {
-            return;
-        };
-        if run.gates.are_open() {
-            self.dispatch(request, agent, grant);
-            return;
-        }
-        let earlier = run.held_grant.replace((agent.clone(), grant));
-        let held = Decided::Held {
-            agent: agent.clone(),
-        };
-        self.record(request, held);
-        if let Some((agent, grant)) = earlier {
-            self.send(&agent, EntryMessage::Decline { grant });
+        match self.check_name(request, agent, grant) {
+            NameCheck::Free => self.dispatch(request, agent, grant),
+            NameCheck::Claim(asked) => self.hold_for_claim(request, agent, grant, asked),
+            NameCheck::Follow(holder) => {
+                self.send(agent, EntryMessage::Decline { grant });
+                self.follow(now_ms, request, &holder);
+            }
         }
     }
 
@@ -88,6 +87,19 @@
         takes_work && waits
     }
 
+    /// An agent that grants keeps the reservation no more, whatever the answer is.
+    pub(super) fn lose_reservation(&mut self, now_ms: u64, request: RequestId, agent: &Arc<str>) {
+        if let Some(known) = self.agents.get_mut(agent) {
+            known.reserved.swap_remove(&request);
+        }
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if run.reserved.swap_remove(agent) {
+            self.reserve(now_ms, request);
+        }
+    }
+
     /// Remembers a declined grant of a request that is remembered; a grant for an unknown
     /// one must not push others out of the memory.
     fn note_declined(&mut self, request: RequestId, agent: &Arc<str>) {
@@ -139,6 +151,14 @@
             agent: agent.clone(),
             grant,
         });
+        let holder = Holder {
+            attempt: id,
+            agent: agent.clone(),
+            grant,
+        };
+        if let Some(named) = run.submission.named {
+            self.names.hold(named.name, named.digest, holder);
+        }
         let message = EntryMessage::Dispatch {
             grant,
             attempt: id,
@@ -180,7 +200,7 @@
         match end {
             AnswerEnd::Complete { .. } => self.remove(id.request, FinishedAs::Answered),
             AnswerEnd::NotSent => self.never_sent(now_ms, &attempt),
-            AnswerEnd::InDoubt { .. } => self.in_doubt(id.request, attempt, passed),
+            AnswerEnd::InDoubt { .. } => self.in_doubt(now_ms, id.request, attempt, passed),
             AnswerEnd::Broken { .. } | AnswerEnd::Cancelled | AnswerEnd::Preempted => {
                 let is_charged = *end != AnswerEnd::Preempted;
                 self.broken(now_ms, &attempt, passed, is_charged);
@@ -253,14 +273,17 @@
     /// Nobody can tell whether the attempt is alive. An idempotent request waits until it
     /// is settled, for two live attempts would be one too many; a request that may run at
     /// most once is over.
-    fn in_doubt(&mut self, request: RequestId, attempt: Attempt, passed: bool) {
+    fn in_doubt(&mut self, now_ms: u64, request: RequestId, attempt: Attempt, passed: bool) {
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
         if passed || run.submission.non_idempotent {
-            self.fail(request, FailureReason::InDoubt, None);
+            self.tell_failure(request, Failure::unknown(FailureReason::InDoubt));
+            self.remove(request, FinishedAs::InDoubt);
         } else {
             run.phase = Phase::InDoubt(attempt);
+            self.timers
+                .set(now_ms + ASK_AGAIN_MS, TimerKind::Ask, request);
         }
     }
 
@@ -281,6 +304,7 @@
     /// What an agent can vouch for goes to the reader of the answer as its end, because
     /// only the reader knows what the caller has got.
     fn settled(&mut self, now_ms: u64, agent: &Arc<str>, id: AttemptId, settlement: Settlement) {
+        self.settled_for_followers(now_ms, agent, id, settlement);
         let Some(run) = self.runs.get(&id.request) else {
             return;
         };
@@ -319,7 +343,7 @@
             Phase::Running(_) => self.steps.push(EntryStep::End { attempt: id, end }),
             Phase::InDoubt(_) => self.ended(now_ms, id, &end, false),
             Phase::Abandoned(_) => self.settled_abandoned(id, &end),
-            Phase::Waiting => {}
+            Phase::Waiting | Phase::Following(_) => {}
         }
     }
 
--- a/lib/src/entry_state/links.rs
+++ b/lib/src/entry_state/links.rs
@@ -27,7 +27,7 @@
     }
 
     /// Asks what became of an attempt whose link was lost.
-    fn ask_after(&mut self, request: RequestId) {
+    pub(super) fn ask_after(&mut self, request: RequestId) {
         let Some(run) = self.runs.get(&request) else {
             return;
         };
@@ -35,12 +35,6 @@
             return;
         };
         let cancel = matches!(run.phase, Phase::Abandoned(_)) && !run.submission.non_idempotent;
-        if cancel {
-            let message = EntryMessage::Cancel {
-                attempt: attempt.id,
-            };
-            self.send(&attempt.agent, message);
-        }
         let asked_after = Decided::AskedAfter {
             agent: attempt.agent.clone(),
         };
@@ -50,6 +44,12 @@
             grant: attempt.grant,
         };
         self.send(&attempt.agent, message);
+        if cancel && !self.is_followed(&attempt) {
+            let message = EntryMessage::Cancel {
+                attempt: attempt.id,
+            };
+            self.send(&attempt.agent, message);
+        }
     }
 
     fn place_unplaced(&mut self, now_ms: u64, agent: &Arc<str>) {
@@ -131,6 +131,7 @@
                 Phase::InDoubt(attempt) | Phase::Abandoned(attempt) => {
                     self.ended(now_ms, attempt.id, &end, false);
                 }
+                Phase::Following(_) => self.follower_ended(now_ms, request, &end, false),
                 Phase::Waiting => {}
             }
         }
--- /dev/null
+++ b/lib/src/entry_state/named.rs
@@ -0,0 +1,428 @@
+//! Named requests: one attempt for a name, and repetitions that read its answer.
+
+use super::AnswerEnd;
+use super::Arc;
+use super::AttemptId;
+use super::ClaimDecision;
+use super::ClaimRequest;
+use super::Decided;
+use super::EntryMessage;
+use super::EntryState;
+use super::EntryStep;
+use super::Failure;
+use super::FailureReason;
+use super::FinishedAs;
+use super::Holder;
+use super::Phase;
+use super::Place;
+use super::RequestId;
+use super::Run;
+use super::TimerKind;
+use crate::ids::GrantId;
+use crate::request_names::Admission;
+use crate::run::Attempt;
+use crate::wire::Settlement;
+
+/// The pause before an agent is asked again about an attempt in doubt.
+pub(super) const ASK_AGAIN_MS: u64 = 1_000;
+
+/// Names are looked through for expired ones at most so often.
+const EXPIRE_EVERY_MS: u64 = 1_000;
+
+/// Whether a grant may be answered with a request, as far as its name goes.
+pub(super) enum NameCheck {
+    /// It has no name, or the name is its own.
+    Free,
+    /// The claim on the name has to be made first.
+    Claim(ClaimRequest),
+    /// This attempt has the name.
+    Follow(Holder),
+}
+
+impl EntryState {
+    /// Refuses a misused name, or a new one when too many are remembered.
+    pub(super) fn name_refusal(&self, run: &Run) -> Option<Failure> {
+        let named = run.submission.named?;
+        match self.names.admission(named.name, named.digest) {
+            Admission::New | Admission::Join(_) => None,
+            Admission::OtherCall => Some(Failure::not_run(FailureReason::KeyReused)),
+            Admission::Full => {
+                let failure = Failure::not_run(FailureReason::QueueFull);
+                Some(failure.retry_after(self.rules.retry_after_ms))
+            }
+        }
+    }
+
+    pub(super) fn await_turn(&mut self, run: &Run) {
+        let (Some(order), Some(named)) = (run.submission.order, run.submission.named) else {
+            return;
+        };
+        if !run.awaits_turn {
+            return;
+        }
+        let deadline_in_ms = run.submission.deadline_at_ms.saturating_sub(run.arrived_ms);
+        let place = Place {
+            request: run.submission.request,
+            claim: named.name.into(),
+            deadline_in_ms,
+        };
+        self.steps.push(EntryStep::AwaitTurn { order, place });
+    }
+
+    /// Notes the name of a new request, or follows the attempt that has it; says whether
+    /// it follows.
+    pub(super) fn follow_known(&mut self, now_ms: u64, request: RequestId) -> bool {
+        let Some(named) = self.runs.get(&request).and_then(|run| run.submission.named) else {
+            return false;
+        };
+        self.expire_names(now_ms);
+        if self.names.request(named.name).is_none() {
+            self.names.insert(named.name, named.digest, request);
+        }
+        let Some(holder) = self.names.holder(named.name).cloned() else {
+            return false;
+        };
+        self.follow(now_ms, request, &holder);
+        true
+    }
+
+    fn expire_names(&mut self, now_ms: u64) {
+        if now_ms >= self.expire_names_at_ms {
+            self.names.expire(now_ms);
+            self.expire_names_at_ms = now_ms + EXPIRE_EVERY_MS;
+        }
+    }
+
+    pub(super) fn check_name(
+        &self,
+        request: RequestId,
+        agent: &Arc<str>,
+        grant: GrantId,
+    ) -> NameCheck {
+        let Some(run) = self.runs.get(&request) else {
+            return NameCheck::Free;
+        };
+        let Some(named) = run.submission.named else {
+            return NameCheck::Free;
+        };
+        if let Some(holder) = self.names.holder(named.name)
+            && holder.attempt.request != request
+            && run.settled.as_ref() != Some(holder)
+        {
+            return NameCheck::Follow(holder.clone());
+        }
+        if !self.rules.claims {
+            return NameCheck::Free;
+        }
+        let attempt = AttemptId {
+            request,
+            number: run.attempts + 1,
+        };
+        NameCheck::Claim(ClaimRequest {
+            name: named.name,
+            digest: named.digest,
+            holder: Holder {
+                attempt,
+                agent: agent.clone(),
+                grant,
+            },
+            settled: run.settled.clone(),
+            required: run.submission.non_idempotent || run.submission.order.is_some(),
+        })
+    }
+
+    /// Keeps a grant until the claim is decided. Another one that comes meanwhile is
+    /// declined: the claim names the first, and nothing else may be dispatched by it.
+    pub(super) fn hold_for_claim(
+        &mut self,
+        request: RequestId,
+        agent: &Arc<str>,
+        grant: GrantId,
+        asked: ClaimRequest,
+    ) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if run.held_grant.is_some() {
+            run.reserved.swap_remove(agent);
+            if let Some(known) = self.agents.get_mut(agent) {
+                known.reserved.swap_remove(&request);
+            }
+            self.send(agent, EntryMessage::Decline { grant });
+            return;
+        }
+        run.held_grant = Some((agent.clone(), grant));
+        let held = Decided::Held {
+            agent: agent.clone(),
+        };
+        self.record(request, held);
+        self.steps.push(EntryStep::Claim(asked));
+    }
+
+    pub(super) fn claimed(&mut self, now_ms: u64, request: RequestId, decision: ClaimDecision) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if run.phase != Phase::Waiting {
+            return;
+        }
+        match decision {
+            ClaimDecision::Won => self.claim_won(now_ms, request),
+            ClaimDecision::Follow(holder) => self.follow(now_ms, request, &holder),
+            ClaimDecision::Fail(failure) => self.fail_with(request, failure),
+        }
+    }
+
+    /// Dispatches by the grant that was held. When it is gone meanwhile the request goes
+    /// on waiting, and its next grant renews the claim.
+    fn claim_won(&mut self, now_ms: u64, request: RequestId) {
+        let held = self
+            .runs
+            .get_mut(&request)
+            .and_then(|run| run.held_grant.take());
+        let Some((agent, grant)) = held else {
+            self.reserve(now_ms, request);
+            return;
+        };
+        if self.may_dispatch(now_ms, request, &agent, grant) {
+            self.dispatch(request, &agent, grant);
+        } else {
+            self.send(&agent, EntryMessage::Decline { grant });
+            self.lose_reservation(now_ms, request, &agent);
+        }
+    }
+
+    /// Reads the answer of another request's attempt for this caller, after the agent has
+    /// said what became of it.
+    pub(super) fn follow(&mut self, now_ms: u64, request: RequestId, holder: &Holder) {
+        self.leave_queue(request);
+        let Some(known) = self.agents.get_mut(&holder.agent) else {
+            self.fail_with(request, Failure::unknown(FailureReason::AnswerGone));
+            return;
+        };
+        known.running.insert(request);
+        let is_linked = known.linked.is_some();
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        run.phase = Phase::Following(Attempt {
+            id: holder.attempt,
+            agent: holder.agent.clone(),
+            grant: holder.grant,
+        });
+        self.links_changed = true;
+        if is_linked {
+            self.ask_after(request);
+        }
+        self.timers
+            .set(now_ms + ASK_AGAIN_MS, TimerKind::Ask, request);
+    }
+
+    /// An answer that has not come is asked for again: the agent may have been in doubt,
+    /// and then settled it with its own engine.
+    pub(super) fn ask_again(&mut self, now_ms: u64, request: RequestId) {
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        let in_doubt = matches!(run.phase, Phase::InDoubt(_));
+        if in_doubt || matches!(run.phase, Phase::Following(_)) && !run.reads {
+            self.ask_after(request);
+            self.timers
+                .set(now_ms + ASK_AGAIN_MS, TimerKind::Ask, request);
+        }
+    }
+
+    /// Whether another request here reads the answer of this attempt.
+    pub(super) fn is_followed(&self, attempt: &Attempt) -> bool {
+        self.followers(&attempt.agent, attempt.id).next().is_some()
+    }
+
+    fn followers(&self, agent: &str, id: AttemptId) -> impl Iterator<Item = RequestId> {
+        let running = self.agents.get(agent).map(|known| &known.running);
+        running
+            .into_iter()
+            .flatten()
+            .copied()
+            .filter(move |request| {
+                self.runs.get(request).is_some_and(
+                    |run| matches!(&run.phase, Phase::Following(attempt) if attempt.id == id),
+                )
+            })
+    }
+
+    pub(super) fn settled_for_followers(
+        &mut self,
+        now_ms: u64,
+        agent: &Arc<str>,
+        id: AttemptId,
+        settlement: Settlement,
+    ) {
+        let followers: Vec<_> = self.followers(agent, id).collect();
+        for request in followers {
+            self.follower_settled(now_ms, request, settlement);
+        }
+    }
+
+    fn follower_settled(&mut self, now_ms: u64, request: RequestId, settlement: Settlement) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        let Phase::Following(attempt) = run.phase.clone() else {
+            return;
+        };
+        let linked = self
+            .agents
+            .get(&attempt.agent)
+            .and_then(|known| known.linked);
+        let same_incarnation = linked == Some(attempt.grant.agent);
+        match settlement {
+            Settlement::Running | Settlement::Finished => self.read_followed(request, &attempt),
+            Settlement::NeverSent if same_incarnation => {
+                self.take_over(now_ms, request, &attempt);
+            }
+            Settlement::Ended => self.followed_ended(now_ms, request, &attempt),
+            Settlement::NeverSent | Settlement::InDoubt => self.followed_in_doubt(request),
+        }
+    }
+
+    fn read_followed(&mut self, request: RequestId, attempt: &Attempt) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        if !run.reads {
+            run.reads = true;
+            self.steps.push(EntryStep::Begin {
+                request,
+                attempt: attempt.id,
+                agent: attempt.agent.clone(),
+            });
+        }
+        self.steps.push(EntryStep::Resume {
+            attempt: attempt.id,
+            agent: attempt.agent.clone(),
+        });
+    }
+
+    /// The followed attempt does not run any more, and there is no whole answer.
+    fn followed_ended(&mut self, now_ms: u64, request: RequestId, attempt: &Attempt) {
+        let non_idempotent = self
+            .runs
+            .get(&request)
+            .is_some_and(|run| run.submission.non_idempotent);
+        if non_idempotent {
+            self.fail_with(request, Failure::unknown(FailureReason::AnswerGone));
+            return;
+        }
+        if let Some(run) = self.runs.get_mut(&request) {
+            run.tried.insert(attempt.agent.clone());
+        }
+        self.take_over(now_ms, request, attempt);
+    }
+
+    fn followed_in_doubt(&mut self, request: RequestId) {
+        let non_idempotent = self
+            .runs
+            .get(&request)
+            .is_some_and(|run| run.submission.non_idempotent);
+        if non_idempotent {
+            self.fail_with(request, Failure::unknown(FailureReason::InDoubt));
+        }
+    }
+
+    /// Runs the request from here after all: the attempt that had its name is settled.
+    fn take_over(&mut self, now_ms: u64, request: RequestId, attempt: &Attempt) {
+        if let Some(known) = self.agents.get_mut(&attempt.agent) {
+            known.running.swap_remove(&request);
+        }
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        run.settled = Some(Holder {
+            attempt: attempt.id,
+            agent: attempt.agent.clone(),
+            grant: attempt.grant,
+        });
+        run.reads = false;
+        run.phase = Phase::Waiting;
+        self.queue.insert(run.place());
+        self.reserve(now_ms, request);
+    }
+
+    /// The reader of a followed answer has come to its end.
+    pub(super) fn follower_ended(
+        &mut self,
+        now_ms: u64,
+        request: RequestId,
+        end: &AnswerEnd,
+        passed: bool,
+    ) {
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        let Phase::Following(attempt) = run.phase.clone() else {
+            return;
+        };
+        match end {
+            AnswerEnd::Complete { .. } => self.remove(request, FinishedAs::Answered),
+            _ if passed => {
+                self.fail_with(request, Failure::unknown(FailureReason::UpstreamFailed));
+            }
+            AnswerEnd::NotSent => self.take_over(now_ms, request, &attempt),
+            AnswerEnd::InDoubt { .. } => self.followed_in_doubt(request),
+            AnswerEnd::Broken { .. } | AnswerEnd::Cancelled | AnswerEnd::Preempted => {
+                self.followed_ended(now_ms, request, &attempt);
+            }
+        }
+    }
+
+    /// Asks an agent about an attempt that another entry dispatched.
+    pub(super) fn inquire(&mut self, _now_ms: u64, holder: &Holder) {
+        let message = EntryMessage::Settle {
+            attempt: holder.attempt,
+            grant: holder.grant,
+        };
+        self.send(&holder.agent, message);
+    }
+
+    /// A follower has left. The attempt goes on for nobody if its own caller has left too.
+    pub(super) fn follower_gone(&mut self, request: RequestId, attempt: &Attempt) {
+        self.remove(request, FinishedAs::NotRun);
+        self.cancel_unwanted(attempt.id.request);
+    }
+
+    /// Cancels an attempt that nobody waits for any more, unless it may run only once.
+    pub(super) fn cancel_unwanted(&mut self, request: RequestId) {
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
+        let Phase::Abandoned(attempt) = run.phase.clone() else {
+            return;
+        };
+        if run.submission.non_idempotent || self.is_followed(&attempt) {
+            return;
+        }
+        let message = EntryMessage::Cancel {
+            attempt: attempt.id,
+        };
+        self.send(&attempt.agent, message);
+    }
+
+    /// Tells those who keep names and orders that a request is over here.
+    pub(super) fn finish_named(&mut self, run: &Run, outcome: FinishedAs) {
+        let Some(named) = run.submission.named else {
+            return;
+        };
+        let request = run.submission.request;
+        let is_owner = self.names.request(named.name) == Some(request);
+        if is_owner && outcome == FinishedAs::NotRun {
+            self.names.remove(named.name);
+        } else if is_owner {
+            self.names.finish(named.name, self.now_ms);
+        }
+        self.steps.push(EntryStep::Finished {
+            request,
+            order: run.submission.order,
+            outcome,
+        });
+    }
+}
--- a/lib/src/entry_state/waiting.rs
+++ b/lib/src/entry_state/waiting.rs
@@ -2,15 +2,12 @@
 
 use super::Admission;
 use super::Arc;
-use super::ClaimAnswer;
 use super::Decided;
 use super::EntryMessage;
 use super::EntryState;
-use super::EntryStep;
 use super::Failure;
 use super::FailureReason;
 use super::FinishedAs;
-use super::Gates;
 use super::Phase;
 use super::RequestId;
 use super::Run;
@@ -26,8 +23,8 @@
 impl EntryState {
     pub(super) fn submit(&mut self, now_ms: u64, submission: Submission) {
         let request = submission.request;
-        let gates = self.gates(&submission);
-        let run = Run::new(submission, now_ms, gates);
+        let awaits_turn = self.rules.turns && submission.order.is_some();
+        let run = Run::new(submission, now_ms, awaits_turn);
         if let Some(failure) = self.refusal_at_once(now_ms, &run) {
             self.tell_failure(request, failure);
             return;
@@ -50,15 +47,10 @@
             customer: run.submission.customer.name.clone(),
         };
         self.record(request, admitted);
-        self.ask_gates(&run);
+        self.await_turn(&run);
         self.runs.insert(request, run);
-        self.reserve(now_ms, request);
-    }
-
-    fn gates(&self, submission: &Submission) -> Gates {
-        Gates {
-            claim: self.rules.claims && submission.named.is_some(),
-            turn: self.rules.turns && submission.order_key.is_some(),
+        if !self.follow_known(now_ms, request) {
+            self.reserve(now_ms, request);
         }
     }
 
@@ -73,92 +65,25 @@
         if run.submission.deadline_at_ms <= now_ms {
             return Some(Failure::not_run(FailureReason::DeadlinePassed));
         }
-        None
-    }
-
-    fn ask_gates(&mut self, run: &Run) {
-        let request = run.submission.request;
-        if run.gates.claim
-            && let Some(named) = run.submission.named.clone()
-        {
-            self.steps.push(EntryStep::Claim { request, named });
-        }
-        if run.gates.turn
-            && let Some(order_key) = run.submission.order_key.clone()
-        {
-            self.steps.push(EntryStep::AwaitTurn {
-                request,
-                customer: run.submission.customer.name.clone(),
-                order_key,
-            });
-        }
-    }
-
-    pub(super) fn claimed(&mut self, now_ms: u64, request: RequestId, answer: ClaimAnswer) {
-        let Some(run) = self.runs.get_mut(&request) else {
-            return;
-        };
-        if !run.gates.claim {
-            return;
-        }
-        run.gates.claim = false;
-        match answer {
-            ClaimAnswer::Won => self.gates_moved(now_ms, request),
-            ClaimAnswer::Follow { attempt, agent } => self.follow(request, attempt, agent),
-            ClaimAnswer::Fail(failure) => self.fail_with(request, failure),
-        }
+        self.name_refusal(run)
     }
 
     pub(super) fn turn(&mut self, now_ms: u64, request: RequestId, refused: Option<Failure>) {
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
-        if !run.gates.turn {
+        if !run.awaits_turn {
             return;
         }
-        run.gates.turn = false;
+        run.awaits_turn = false;
         match refused {
             Some(failure) => self.fail_with(request, failure),
-            None => self.gates_moved(now_ms, request),
-        }
-    }
-
-    /// Goes on with a request whose gates may be open now.
-    fn gates_moved(&mut self, now_ms: u64, request: RequestId) {
-        let Some(run) = self.runs.get_mut(&request) else {
-            return;
-        };
-        let held = if run.gates.are_open() {
-            run.held_grant.take()
-        } else {
-            None
-        };
-        let Some((agent, grant)) = held else {
-            self.reserve(now_ms, request);
-            return;
-        };
-        if self.may_dispatch(now_ms, request, &agent, grant) {
-            self.dispatch(request, &agent, grant);
-        } else {
-            self.send(&agent, EntryMessage::Decline { grant });
-            self.reserve(now_ms, request);
+            None => self.reserve(now_ms, request),
         }
     }
 
-    /// Reads the answer of another request's attempt for this caller.
-    fn follow(&mut self, request: RequestId, attempt: crate::ids::AttemptId, agent: Arc<str>) {
-        self.leave_queue(request);
-        self.steps.push(EntryStep::Begin {
-            request,
-            attempt,
-            agent: agent.clone(),
-        });
-        self.steps.push(EntryStep::Resume { attempt, agent });
-        self.remove(request, FinishedAs::Unknown);
-    }
-
     /// Ends a request with a failure that was decided elsewhere.
-    fn fail_with(&mut self, request: RequestId, failure: Failure) {
+    pub(super) fn fail_with(&mut self, request: RequestId, failure: Failure) {
         self.leave_queue(request);
         self.tell_failure(request, failure);
         self.remove(request, failure.outcome.into());
@@ -176,7 +101,7 @@
         let Some(run) = self.runs.get(&request) else {
             return;
         };
-        if run.phase != Phase::Waiting || run.gates.turn {
+        if run.phase != Phase::Waiting || run.awaits_turn {
             return;
         }
         let missing = self.rules.candidates.saturating_sub(run.reserved.len());
@@ -344,8 +269,9 @@
                 self.remove(request, outcome);
             }
             Phase::Running(attempt) | Phase::InDoubt(attempt) => {
-                self.abandon(now_ms, request, &attempt);
+                self.abandon(now_ms, request, &attempt, true);
             }
+            Phase::Following(attempt) => self.follower_gone(request, &attempt),
             Phase::Abandoned(_) => {}
         }
     }
@@ -359,15 +285,19 @@
             Phase::Running(attempt) | Phase::InDoubt(attempt) => {
                 let failure = Failure::unknown(FailureReason::DeadlinePassed);
                 self.tell_failure(request, failure);
-                self.abandon(now_ms, request, &attempt);
+                self.abandon(now_ms, request, &attempt, false);
             }
+            Phase::Following(_) => self.fail(request, FailureReason::DeadlinePassed, None),
             Phase::Abandoned(_) => {}
         }
     }
 
     /// Lets an attempt go on, or not, that nobody waits for. One that may run at most once
     /// is not cancelled: half of a letter or a refund is worse than the whole.
-    fn abandon(&mut self, now_ms: u64, request: RequestId, attempt: &Attempt) {
+    ///
+    /// The caller of a named request may come back for its answer, so that one is cancelled
+    /// only after a while.
+    fn abandon(&mut self, now_ms: u64, request: RequestId, attempt: &Attempt, may_come_back: bool) {
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
@@ -375,16 +305,16 @@
             self.ended_abandoned(attempt.id, &end);
             return;
         }
-        let cancel = !run.submission.non_idempotent;
+        let is_patient = may_come_back && run.submission.named.is_some();
         let forget_at_ms = run.submission.deadline_at_ms + self.rules.forget_after_ms;
         run.phase = Phase::Abandoned(attempt.clone());
         self.timers
             .set(forget_at_ms.max(now_ms), TimerKind::Forget, request);
-        if cancel {
-            let message = EntryMessage::Cancel {
-                attempt: attempt.id,
-            };
-            self.send(&attempt.agent, message);
+        if is_patient {
+            let cancel_at_ms = now_ms + self.rules.orphan_grace_ms;
+            self.timers.set(cancel_at_ms, TimerKind::Cancel, request);
+        } else {
+            self.cancel_unwanted(request);
         }
     }
 
@@ -394,7 +324,7 @@
             .get(&request)
             .is_some_and(|run| matches!(run.phase, Phase::Abandoned(_)));
         if abandoned {
-            self.remove(request, FinishedAs::Unknown);
+            self.remove(request, FinishedAs::InDoubt);
         }
     }
 
--- a/lib/src/request_names.rs
+++ b/lib/src/request_names.rs
@@ -10,6 +10,7 @@
 use sha2::Digest;
 use sha2::Sha256;
 
+use crate::claim_object::Holder;
 use crate::ids::RequestId;
 
 /// The longest `Idempotency-Key` that is accepted.
@@ -137,10 +138,11 @@
     Full,
 }
 
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 struct KnownName {
     request: RequestId,
     digest: CallDigest,
+    holder: Option<Holder>,
     finished_ms: Option<u64>,
 }
 
@@ -194,11 +196,30 @@
         let known = KnownName {
             request,
             digest,
+            holder: None,
             finished_ms: None,
         };
         self.names.insert(name, known);
     }
 
+    /// Notes the attempt that was dispatched under this name.
+    pub fn hold(&mut self, name: RequestName, digest: CallDigest, holder: Holder) {
+        if !self.names.contains_key(&name) {
+            self.insert(name, digest, holder.attempt.request);
+        }
+        if let Some(known) = self.names.get_mut(&name) {
+            known.request = holder.attempt.request;
+            known.holder = Some(holder);
+            known.finished_ms = None;
+        }
+    }
+
+    /// The attempt that was dispatched last under this name.
+    #[must_use]
+    pub fn holder(&self, name: RequestName) -> Option<&Holder> {
+        self.names.get(&name)?.holder.as_ref()
+    }
+
     /// Notes that the request of this name has its final answer.
     pub fn finish(&mut self, name: RequestName, now_ms: u64) {
         if let Some(known) = self.names.get_mut(&name) {
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexSet;
 
 use crate::admission::Place;
+use crate::claim_object::Holder;
 use crate::ids::AttemptId;
 use crate::ids::GrantId;
 use crate::submission::Submission;
@@ -34,6 +35,8 @@
     InDoubt(Attempt),
     /// An attempt may be alive, but nobody waits for it any more.
     Abandoned(Attempt),
+    /// Another request of the same name has this attempt, whose answer is read instead.
+    Following(Attempt),
 }
 
 impl Phase {
@@ -42,30 +45,14 @@
     pub fn attempt(&self) -> Option<&Attempt> {
         match self {
             Self::Waiting => None,
-            Self::Running(attempt) | Self::InDoubt(attempt) | Self::Abandoned(attempt) => {
-                Some(attempt)
-            }
+            Self::Running(attempt)
+            | Self::InDoubt(attempt)
+            | Self::Abandoned(attempt)
+            | Self::Following(attempt) => Some(attempt),
         }
     }
 }
 
-/// What has to be known before the first dispatch.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Gates {
-    /// The claim on its name is not decided yet.
-    pub claim: bool,
-    /// An earlier request of the same order key is not done yet.
-    pub turn: bool,
-}
-
-impl Gates {
-    /// Whether nothing stands before the first dispatch.
-    #[must_use]
-    pub fn are_open(self) -> bool {
-        !self.claim && !self.turn
-    }
-}
-
 /// A request and what has happened to it.
 #[derive(Debug)]
 pub struct Run {
@@ -75,10 +62,12 @@
     pub arrived_ms: u64,
     /// Where it is in its life.
     pub phase: Phase,
-    /// What has to be known before the first dispatch.
-    pub gates: Gates,
-    /// A grant that came before the gates were open.
+    /// Whether an earlier request of the same order key is not done yet.
+    pub awaits_turn: bool,
+    /// A grant that waits until the claim on the request's name is decided.
     pub held_grant: Option<(Arc<str>, GrantId)>,
+    /// The attempt of another request of the same name that is known not to be alive.
+    pub settled: Option<Holder>,
     /// Agents that hold a reservation.
     pub reserved: IndexSet<Arc<str>>,
     /// Agents that refused, and until when they are not asked again.
@@ -91,6 +80,8 @@
     pub attempts: u32,
     /// When candidates are asked again, if that is set.
     pub reserve_at_ms: Option<u64>,
+    /// Whether the caller's reader has begun on the answer that is followed.
+    pub reads: bool,
     /// The end of the attempt, while the caller's reader has not come to it.
     pub unread_end: Option<AnswerEnd>,
 }
@@ -98,19 +89,21 @@
 impl Run {
     /// A request that has just come.
     #[must_use]
-    pub fn new(submission: Submission, now_ms: u64, gates: Gates) -> Self {
+    pub fn new(submission: Submission, now_ms: u64, awaits_turn: bool) -> Self {
         Self {
             submission,
             arrived_ms: now_ms,
             phase: Phase::Waiting,
-            gates,
+            awaits_turn,
             held_grant: None,
+            settled: None,
             reserved: IndexSet::new(),
             refused: IndexMap::new(),
             too_late: 0,
             tried: IndexSet::new(),
             attempts: 0,
             reserve_at_ms: None,
+            reads: false,
             unread_end: None,
         }
     }
@@ -130,10 +123,11 @@
     ///
     /// No attempt is alive or may have reached an upstream exactly when this is
     /// [`Outcome::NotRun`]: `tried` keeps each agent that was sent a dispatch until that
-    /// dispatch is settled as never sent.
+    /// dispatch is settled as never sent, and a followed attempt may have run, too.
     #[must_use]
     pub fn outcome(&self) -> Outcome {
-        if self.tried.is_empty() {
+        let follows = matches!(self.phase, Phase::Following(_));
+        if self.tried.is_empty() && !follows {
             Outcome::NotRun
         } else {
             Outcome::Unknown
--- /dev/null
+++ b/lib/src/store_records.rs
@@ -0,0 +1,363 @@
+//! Carries out what claims and orders want of the platform's store, and brings their
+//! decisions to the entry.
+
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use serde_json::Value;
+use tokio::runtime::Handle;
+use tokio::sync::mpsc;
+
+use crate::claim_object::Claim;
+use crate::claim_object::ClaimState;
+use crate::claim_object::StoreAnswer;
+use crate::claim_object::StoreCall;
+use crate::claim_object::StoredClaim;
+use crate::claim_object::claim_kind;
+use crate::claims::ClaimRequest;
+use crate::claims::ClaimRules;
+use crate::claims::ClaimStep;
+use crate::claims::Claims;
+use crate::entry_state::EntryEvent;
+use crate::entry_state::FinishedAs;
+use crate::ids::AttemptId;
+use crate::ids::RequestId;
+use crate::order_queue::BarAnswer;
+use crate::order_queue::ORDER_KIND;
+use crate::order_queue::OrderAnswer;
+use crate::order_queue::OrderCall;
+use crate::order_queue::OrderName;
+use crate::order_queue::OrderRules;
+use crate::order_queue::OrderStep;
+use crate::order_queue::Place;
+use crate::order_queue::StoredQueue;
+use crate::ordering::Orders;
+use crate::store::Expect;
+use crate::store::ReadError;
+use crate::store::StoreClient;
+use crate::store::StoredObject;
+use crate::store::WriteAnswer;
+use crate::wire::Settlement;
+
+/// What came of a call to the store.
+#[derive(Debug)]
+pub enum RecordAnswer {
+    /// About a claim.
+    Claim {
+        /// The request that claims.
+        request: RequestId,
+        /// What is known.
+        answer: StoreAnswer,
+    },
+    /// About the queue of an order key.
+    Order {
+        /// Which queue.
+        order: OrderName,
+        /// What is known.
+        answer: OrderAnswer,
+    },
+    /// About a bar before a request that is overdue.
+    Bar {
+        /// In which queue.
+        order: OrderName,
+        /// What is known.
+        answer: BarAnswer,
+    },
+}
+
+/// The claims and orders of one entry, with the store that holds them.
+#[derive(Debug)]
+pub struct StoreRecords {
+    claims: Claims,
+    orders: Orders,
+    store: StoreClient,
+    traffic: Handle,
+    answers: mpsc::UnboundedSender<RecordAnswer>,
+}
+
+impl StoreRecords {
+    /// Claims and orders in `store`. Calls run on `traffic`; what comes of them goes to
+    /// `answers` and from there to [`Self::answered`].
+    #[must_use]
+    pub fn new(
+        store: StoreClient,
+        traffic: Handle,
+        answers: mpsc::UnboundedSender<RecordAnswer>,
+    ) -> Self {
+        Self {
+            claims: Claims::new(ClaimRules::default()),
+            orders: Orders::new(OrderRules::default()),
+            store,
+            traffic,
+            answers,
+        }
+    }
+
+    /// Claims a name for an attempt.
+    pub fn claim(&mut self, now_ms: u64, asked: ClaimRequest) -> Vec<EntryEvent> {
+        let steps = self.claims.claim(now_ms, asked);
+        self.follow_claims(steps)
+    }
+
+    /// Takes a place in an order.
+    pub fn join(&mut self, now_ms: u64, order: OrderName, place: Place) -> Vec<EntryEvent> {
+        let steps = self.orders.join(now_ms, order, place);
+        self.follow_orders(steps)
+    }
+
+    /// Gives up the claim and the place of a request that is over.
+    pub fn finish(
+        &mut self,
+        now_ms: u64,
+        request: RequestId,
+        order: Option<OrderName>,
+        outcome: FinishedAs,
+    ) -> Vec<EntryEvent> {
+        let may_have_run = outcome != FinishedAs::NotRun;
+        let steps = self.claims.finish(now_ms, request, may_have_run);
+        let mut events = self.follow_claims(steps);
+        if let Some(order) = order {
+            let may_still_run = outcome == FinishedAs::InDoubt;
+            let steps = self.orders.finish(now_ms, order, request, may_still_run);
+            events.extend(self.follow_orders(steps));
+        }
+        events
+    }
+
+    /// Takes what came of a call to the store.
+    pub fn answered(&mut self, now_ms: u64, answer: RecordAnswer) -> Vec<EntryEvent> {
+        match answer {
+            RecordAnswer::Claim { request, answer } => {
+                let steps = self.claims.answered(now_ms, request, answer);
+                self.follow_claims(steps)
+            }
+            RecordAnswer::Order { order, answer } => {
+                let steps = self.orders.answered(now_ms, order, answer);
+                self.follow_orders(steps)
+            }
+            RecordAnswer::Bar { order, answer } => {
+                let steps = self.orders.barred(now_ms, order, answer);
+                self.follow_orders(steps)
+            }
+        }
+    }
+
+    /// Takes an agent's word about an attempt.
+    pub fn settled(
+        &mut self,
+        now_ms: u64,
+        attempt: AttemptId,
+        settlement: Settlement,
+    ) -> Vec<EntryEvent> {
+        if !self.orders.awaits(attempt) {
+            return Vec::new();
+        }
+        let steps = self.orders.settled(now_ms, attempt, settlement);
+        self.follow_orders(steps)
+    }
+
+    /// Makes the calls that are due.
+    pub fn tick(&mut self, now_ms: u64) -> Vec<EntryEvent> {
+        let steps = self.claims.tick(now_ms);
+        let mut events = self.follow_claims(steps);
+        let steps = self.orders.tick(now_ms);
+        events.extend(self.follow_orders(steps));
+        events
+    }
+
+    /// When [`Self::tick`] is due next.
+    #[must_use]
+    pub fn next_tick_ms(&self) -> Option<u64> {
+        let claims = self.claims.next_tick_ms();
+        let orders = self.orders.next_tick_ms();
+        claims.into_iter().chain(orders).min()
+    }
+
+    fn follow_claims(&self, steps: Vec<ClaimStep>) -> Vec<EntryEvent> {
+        let mut events = Vec::new();
+        for step in steps {
+            match step {
+                ClaimStep::Call {
+                    request,
+                    name,
+                    call,
+                } => self.call_claim(request, name.to_string(), call),
+                ClaimStep::Decided { request, decision } => {
+                    events.push(EntryEvent::Claimed { request, decision });
+                }
+            }
+        }
+        events
+    }
+
+    fn follow_orders(&self, steps: Vec<OrderStep>) -> Vec<EntryEvent> {
+        let mut events = Vec::new();
+        for step in steps {
+            match step {
+                OrderStep::Call { order, call } => self.call_order(order, call),
+                OrderStep::Bar {
+                    order,
+                    place,
+                    replace,
+                } => self.call_bar(order, place, replace),
+                OrderStep::Settle { holder } => events.push(EntryEvent::Inquire { holder }),
+                OrderStep::Turn { request } => events.push(EntryEvent::Turn {
+                    request,
+                    refused: None,
+                }),
+                OrderStep::Refuse { request, failure } => events.push(EntryEvent::Turn {
+                    request,
+                    refused: Some(failure),
+                }),
+            }
+        }
+        events
+    }
+
+    fn call_claim(&self, request: RequestId, name: String, call: StoreCall) {
+        let store = self.store.clone();
+        let answers = self.answers.clone();
+        self.traffic.spawn(async move {
+            let kind = claim_kind(&name);
+            let answer = match call {
+                StoreCall::Read => claim_read(store.get(&kind, &name).await),
+                StoreCall::Write { expected, claim } => {
+                    let value = to_value(&claim);
+                    claim_written(store.put(&kind, &name, expect(expected), &value).await)
+                }
+                StoreCall::Delete { version } => {
+                    claim_written(store.delete(&kind, &name, version).await)
+                }
+            };
+            // Without a control thread nobody wants to know.
+            let _stopped = answers.send(RecordAnswer::Claim { request, answer });
+        });
+    }
+
+    fn call_order(&self, order: OrderName, call: OrderCall) {
+        let store = self.store.clone();
+        let answers = self.answers.clone();
+        self.traffic.spawn(async move {
+            let name = order.to_string();
+            let answer = match call {
+                OrderCall::Read => match store.get(ORDER_KIND, &name).await {
+                    Ok(current) => order_current(current),
+                    Err(_) => OrderAnswer::Lost,
+                },
+                OrderCall::Write { expected, queue } => {
+                    let value = to_value(&queue);
+                    let answer = store.put(ORDER_KIND, &name, expect(expected), &value);
+                    order_written(answer.await, false)
+                }
+                OrderCall::Delete { version } => {
+                    order_written(store.delete(ORDER_KIND, &name, version).await, true)
+                }
+            };
+            // Without a control thread nobody wants to know.
+            let _stopped = answers.send(RecordAnswer::Order { order, answer });
+        });
+    }
+
+    fn call_bar(&self, order: OrderName, place: Place, replace: Option<u64>) {
+        let store = self.store.clone();
+        let answers = self.answers.clone();
+        self.traffic.spawn(async move {
+            let kind = claim_kind(&place.claim);
+            let bar = Claim {
+                digest: None,
+                state: ClaimState::Barred {
+                    request: place.request,
+                },
+            };
+            let value = to_value(&bar);
+            let written = store.put(&kind, &place.claim, expect(replace), &value);
+            let answer = bar_written(written.await);
+            // Without a control thread nobody wants to know.
+            let _stopped = answers.send(RecordAnswer::Bar { order, answer });
+        });
+    }
+}
+
+fn expect(version: Option<u64>) -> Expect {
+    version.map_or(Expect::Absent, Expect::Version)
+}
+
+/// These objects hold texts and numbers only, which always have a JSON form.
+fn to_value(object: &impl Serialize) -> Value {
+    serde_json::to_value(object).unwrap_or(Value::Null)
+}
+
+fn from_object<T: DeserializeOwned>(object: &StoredObject) -> Option<T> {
+    serde_json::from_value(object.value.clone()).ok()
+}
+
+fn stored_claim(current: Option<StoredObject>) -> StoreAnswer {
+    StoreAnswer::Current(current.map(|object| StoredClaim {
+        version: object.version,
+        claim: from_object(&object),
+    }))
+}
+
+fn claim_read(read: Result<Option<StoredObject>, ReadError>) -> StoreAnswer {
+    match read {
+        Ok(current) => stored_claim(current),
+        Err(ReadError::Limited { retry_after_ms }) => StoreAnswer::Limited { retry_after_ms },
+        Err(_) => StoreAnswer::Lost,
+    }
+}
+
+fn claim_written(written: WriteAnswer) -> StoreAnswer {
+    match written {
+        WriteAnswer::Written { version } => StoreAnswer::Written { version },
+        WriteAnswer::Conflict { current } => stored_claim(current),
+        WriteAnswer::Limited { retry_after_ms } => StoreAnswer::Limited { retry_after_ms },
+        WriteAnswer::NotKnown { .. }
+        | WriteAnswer::Unavailable { .. }
+        | WriteAnswer::Rejected { .. } => StoreAnswer::Lost,
+    }
+}
+
+/// A queue that can't be read is no queue to write over: the order waits until somebody
+/// has repaired it.
+fn order_current(current: Option<StoredObject>) -> OrderAnswer {
+    let Some(object) = current else {
+        return OrderAnswer::Current(StoredQueue::default());
+    };
+    match from_object(&object) {
+        Some(queue) => OrderAnswer::Current(StoredQueue {
+            version: Some(object.version),
+            queue,
+        }),
+        None => OrderAnswer::Lost,
+    }
+}
+
+fn order_written(written: WriteAnswer, is_removal: bool) -> OrderAnswer {
+    match written {
+        WriteAnswer::Written { version } => OrderAnswer::Written {
+            version: (!is_removal).then_some(version),
+        },
+        WriteAnswer::Conflict { current } => order_current(current),
+        WriteAnswer::Limited { .. }
+        | WriteAnswer::NotKnown { .. }
+        | WriteAnswer::Unavailable { .. }
+        | WriteAnswer::Rejected { .. } => OrderAnswer::Lost,
+    }
+}
+
+fn bar_written(written: WriteAnswer) -> BarAnswer {
+    let current = match written {
+        WriteAnswer::Written { .. } => return BarAnswer::Barred,
+        WriteAnswer::Conflict {
+            current: Some(current),
+        } => current,
+        _ => return BarAnswer::Lost,
+    };
+    match from_object::<Claim>(&current).map(|claim| claim.state) {
+        Some(ClaimState::Held(holder)) => BarAnswer::Held {
+            holder,
+            version: current.version,
+        },
+        Some(ClaimState::Barred { .. }) => BarAnswer::Barred,
+        None => BarAnswer::Lost,
+    }
+}
--- a/lib/src/submission.rs
+++ b/lib/src/submission.rs
@@ -7,42 +7,30 @@
 use crate::objects::Profile;
 use crate::objects::Target;
 use crate::objects::Tier;
+use crate::order_queue::OrderName;
+use crate::request_names::CallDigest;
+use crate::request_names::RequestName;
 use crate::wire::Call;
 use crate::wire::Reservation;
 
-/// The name that a caller gave its request, so that a repetition finds it.
-///
-/// Keys belong to a customer: the same key of another customer is another name.
-///
-/// ```
-/// use sardinewood::submission::RequestName;
-///
-/// let name = RequestName { customer: "rundu".into(), key: "refund-17".into() };
-/// assert_ne!(name, RequestName { customer: "walvis".into(), ..name.clone() });
-/// ```
-#[derive(Clone, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub struct RequestName {
-    /// Whose key it is.
-    pub customer: Arc<str>,
-    /// The `Idempotency-Key`.
-    pub key: Arc<str>,
-}
-
 /// A named request: its name and what was asked under it.
 ///
 /// ```
-/// use sardinewood::submission::{NamedBody, RequestName};
+/// use sardinewood::request_names::{CallDigest, RequestName};
+/// use sardinewood::submission::Named;
 ///
-/// let name = RequestName { customer: "rundu".into(), key: "refund-17".into() };
-/// let body = NamedBody { name, fingerprint: 7 };
-/// assert_eq!(body.fingerprint, 7);
+/// let named = Named {
+///     name: RequestName::new("rundu", "refund-17").unwrap(),
+///     digest: CallDigest::new("POST", "/v1/refunds", b"100"),
+/// };
+/// assert_eq!(named, named.clone());
 /// ```
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct NamedBody {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Named {
     /// The name.
     pub name: RequestName,
-    /// Fingerprint of method, path and body, which tells a repetition from a misused key.
-    pub fingerprint: u64,
+    /// Tells a repetition from a misused key.
+    pub digest: CallDigest,
 }
 
 /// What a request is expected to cost.
@@ -80,9 +68,9 @@
     /// Whether it may run at most once.
     pub non_idempotent: bool,
     /// Its name, if the caller gave one.
-    pub named: Option<NamedBody>,
-    /// Requests of one customer under the same order key run one after another.
-    pub order_key: Option<Arc<str>>,
+    pub named: Option<Named>,
+    /// Requests under the same order key of a customer run one after another.
+    pub order: Option<OrderName>,
     /// The appointment that it belongs to.
     pub appointment: Option<Arc<str>>,
     /// What it is expected to cost.
--- a/lib/src/timers.rs
+++ b/lib/src/timers.rs
@@ -11,6 +11,10 @@
     Deadline,
     /// Candidates that refused may be asked again.
     Reserve,
+    /// The agent is asked again what became of an attempt.
+    Ask,
+    /// A caller that left has not come back for its answer.
+    Cancel,
     /// An attempt that nobody waits for is forgotten.
     Forget,
 }
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -5,7 +5,8 @@
 use bytes::Bytes;
 use sardinewood::admission::QueueLimits;
 use sardinewood::catalog::Catalog;
-use sardinewood::entry_state::ClaimAnswer;
+use sardinewood::claim_object::Holder;
+use sardinewood::claims::ClaimDecision;
 use sardinewood::entry_state::EntryCounts;
 use sardinewood::entry_state::EntryEvent;
 use sardinewood::entry_state::EntryRules;
@@ -21,8 +22,10 @@
 use sardinewood::objects::Profile;
 use sardinewood::objects::Target;
 use sardinewood::objects::Upstream;
-use sardinewood::submission::NamedBody;
-use sardinewood::submission::RequestName;
+use sardinewood::order_queue::OrderName;
+use sardinewood::request_names::CallDigest;
+use sardinewood::request_names::RequestName;
+use sardinewood::submission::Named;
 use sardinewood::submission::Submission;
 use sardinewood::submission::WorkEstimate;
 use sardinewood::verdict::Failure;
@@ -174,7 +177,7 @@
         deadline_at_ms: DEADLINE_MS,
         non_idempotent: false,
         named: None,
-        order_key: None,
+        order: None,
         appointment: None,
         estimate: WorkEstimate::default(),
         call: Call {
@@ -194,15 +197,10 @@
 }
 
 fn named(request: u128) -> Submission {
-    let name = RequestName {
-        customer: "rundu".into(),
-        key: "refund-17".into(),
-    };
+    let name = RequestName::new("rundu", "refund-17").expect("a key");
+    let digest = CallDigest::new("POST", "/v1/refunds", b"100");
     Submission {
-        named: Some(NamedBody {
-            name,
-            fingerprint: 1,
-        }),
+        named: Some(Named { name, digest }),
         ..submission(request, 0)
     }
 }
@@ -686,45 +684,238 @@
     assert!(scene.entry.is_drained());
 }
 
+/// The attempt that agent `a` granted last, as a claim names it.
+fn holder(scene: &Scene, request: u128, number: u32) -> Holder {
+    Holder {
+        attempt: attempt(request, number),
+        agent: "a".into(),
+        grant: scene.last_grant(),
+    }
+}
+
+fn claims(steps: &[EntryStep]) -> Vec<&Holder> {
+    steps
+        .iter()
+        .filter_map(|step| match step {
+            EntryStep::Claim(asked) => Some(&asked.holder),
+            _ => None,
+        })
+        .collect()
+}
+
+fn begins(steps: &[EntryStep]) -> Vec<(u128, AttemptId)> {
+    steps
+        .iter()
+        .filter_map(|step| match step {
+            EntryStep::Begin {
+                request, attempt, ..
+            } => Some((request.0, *attempt)),
+            _ => None,
+        })
+        .collect()
+}
+
+fn settles(steps: &[EntryStep]) -> Vec<AttemptId> {
+    sent(steps, |_, message| match message {
+        EntryMessage::Settle { attempt, .. } => Some(*attempt),
+        _ => None,
+    })
+}
+
+fn decided(request: u128, decision: ClaimDecision) -> EntryEvent {
+    EntryEvent::Claimed {
+        request: RequestId(request),
+        decision,
+    }
+}
+
+/// A request whose claim turned out to be another request's.
+fn following(submission: Submission) -> (Scene, Holder, Vec<EntryStep>) {
+    let mut scene = Scene::new(&["a"], |rules| rules.claims = true);
+    scene.submit(submission);
+    scene.grant("a", 1);
+    let other = holder(&scene, 7, 1);
+    let steps = scene.take(decided(1, ClaimDecision::Follow(other.clone())));
+    (scene, other, steps)
+}
+
 #[test]
 fn claimed_grant_held_until_won() {
     let mut scene = Scene::new(&["a"], |rules| rules.claims = true);
-    let steps = scene.submit(named(1));
-    assert!(matches!(steps[0], EntryStep::Claim { .. }));
-    assert!(scene.grant("a", 1).is_empty());
-    let steps = scene.take(EntryEvent::Claimed {
-        request: RequestId(1),
-        answer: ClaimAnswer::Won,
-    });
+    scene.submit(named(1));
+    let steps = scene.grant("a", 1);
+    assert!(dispatches(&steps).is_empty());
+    assert_eq!(claims(&steps), [&holder(&scene, 1, 1)]);
+    let steps = scene.take(decided(1, ClaimDecision::Won));
     assert_eq!(dispatches(&steps), [("a", attempt(1, 1))]);
     let steps = scene.end(1, 1, complete(), true);
     let finished = EntryStep::Finished {
         request: RequestId(1),
+        order: None,
         outcome: FinishedAs::Answered,
     };
     assert_eq!(steps, [finished]);
 }
 
 #[test]
-fn claimed_elsewhere_follows_and_declines() {
+fn claimed_link_lost_meanwhile_not_dispatched() {
+    // The store answers the claim after the link to the granting agent was lost. The
+    // grant is gone with the link, so nothing is dispatched by it; the next grant claims
+    // again.
     let mut scene = Scene::new(&["a"], |rules| rules.claims = true);
     scene.submit(named(1));
     scene.grant("a", 1);
-    let steps = scene.take(EntryEvent::Claimed {
+    scene.link_lost("a");
+    let steps = scene.take(decided(1, ClaimDecision::Won));
+    assert!(dispatches(&steps).is_empty());
+    scene.link_up("a", 1);
+    let steps = scene.grant("a", 1);
+    assert_eq!(claims(&steps), [&holder(&scene, 1, 1)]);
+}
+
+#[test]
+fn claimed_elsewhere_follows_and_settles_first() {
+    // The caller's first try runs through another entry. This entry must not dispatch: it
+    // declines the grant, asks the agent what became of the attempt, and reads its answer.
+    let (mut scene, _, steps) = following(named(1));
+    assert!(dispatches(&steps).is_empty());
+    assert_eq!(declines(&steps), [scene.last_grant()]);
+    assert_eq!(settles(&steps), [attempt(7, 1)]);
+    let steps = scene.settled("a", 7, Settlement::Finished);
+    assert_eq!(begins(&steps), [(1, attempt(7, 1))]);
+    let ended = EntryEvent::FollowerEnded {
         request: RequestId(1),
-        answer: ClaimAnswer::Follow {
-            attempt: attempt(7, 1),
-            agent: "a".into(),
-        },
+        end: complete(),
+        passed: true,
+    };
+    scene.take(ended);
+    assert_eq!(scene.entry.counts().running, 0);
+}
+
+#[test]
+fn followed_never_sent_is_taken_over() {
+    let (mut scene, other, _) = following(named(1));
+    let steps = scene.settled("a", 7, Settlement::NeverSent);
+    assert_eq!(reserves(&steps), ["a"]);
+    let steps = scene.grant("a", 1);
+    let settled = steps.iter().find_map(|step| match step {
+        EntryStep::Claim(asked) => asked.settled.clone(),
+        _ => None,
+    });
+    assert_eq!(settled, Some(other), "the claim says what it replaces");
+}
+
+#[test]
+fn followed_ended_non_idempotent_is_unknown() {
+    let (mut scene, ..) = following(Submission {
+        non_idempotent: true,
+        ..named(1)
     });
+    let steps = scene.settled("a", 7, Settlement::Ended);
+    assert_failed(&steps, Outcome::Unknown, FailureReason::AnswerGone);
+}
+
+#[test]
+fn followed_past_deadline_is_unknown() {
+    // Nothing was dispatched for this repetition, but the request that it repeats runs.
+    // "Not run" would be untrue of the request that the caller means.
+    let (mut scene, ..) = following(named(1));
+    let steps = scene.tick(DEADLINE_MS);
+    assert_failed(&steps, Outcome::Unknown, FailureReason::DeadlinePassed);
+}
+
+#[test]
+fn submit_repeated_name_follows_the_run() {
+    // The caller repeats its request through the same entry while the first runs, and
+    // again when it is finished. Each time it gets the one answer; nothing is dispatched.
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(named(1));
+    scene.grant("a", 1);
+    let steps = scene.submit(named(2));
+    assert!(reserves(&steps).is_empty());
+    assert_eq!(settles(&steps), [attempt(1, 1)]);
+    let steps = scene.settled("a", 1, Settlement::Running);
+    assert_eq!(begins(&steps), [(2, attempt(1, 1))]);
+    scene.end(1, 1, complete(), true);
+    let steps = scene.submit(named(3));
+    assert!(reserves(&steps).is_empty());
+    assert_eq!(settles(&steps), [attempt(1, 1)]);
+}
+
+#[test]
+fn submit_repeated_name_waiting_runs_once() {
+    let mut scene = Scene::new(&["a", "b"], |_| {});
+    scene.submit(named(1));
+    scene.submit(named(2));
+    assert_eq!(dispatches(&scene.grant("a", 1)).len(), 1);
+    let steps = scene.grant("b", 2);
     assert!(dispatches(&steps).is_empty());
     assert_eq!(declines(&steps), [scene.last_grant()]);
-    let resume = EntryStep::Resume {
-        attempt: attempt(7, 1),
-        agent: "a".into(),
+    assert_eq!(settles(&steps), [attempt(1, 1)]);
+}
+
+#[test]
+fn submit_name_with_other_body_refused() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(named(1));
+    let digest = CallDigest::new("POST", "/v1/refunds", b"900");
+    let named = named(2).named.map(|known| Named { digest, ..known });
+    let steps = scene.submit(Submission {
+        named,
+        ..submission(2, 0)
+    });
+    assert_failed(&steps, Outcome::NotRun, FailureReason::KeyReused);
+}
+
+#[test]
+fn caller_gone_named_cancelled_after_grace() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(named(1));
+    scene.grant("a", 1);
+    let steps = scene.take(EntryEvent::CallerGone {
+        request: RequestId(1),
+    });
+    assert!(cancels(&steps).is_empty(), "it may come back");
+    let steps = scene.tick(4_000);
+    assert_eq!(cancels(&steps), [attempt(1, 1)]);
+}
+
+#[test]
+fn caller_gone_named_goes_on_for_follower() {
+    // The caller's connection breaks; it sends the request again with the same key before
+    // the grace is over. The run that the first connection began must go on for it.
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(named(1));
+    scene.grant("a", 1);
+    scene.take(EntryEvent::CallerGone {
+        request: RequestId(1),
+    });
+    scene.submit(named(2));
+    scene.settled("a", 1, Settlement::Running);
+    let steps = scene.tick(4_000);
+    assert!(cancels(&steps).is_empty());
+    let steps = scene.take(EntryEvent::CallerGone {
+        request: RequestId(2),
+    });
+    assert_eq!(cancels(&steps), [attempt(1, 1)], "now nobody waits");
+}
+
+#[test]
+fn turn_awaited_before_reservation() {
+    let mut scene = Scene::new(&["a"], |rules| rules.turns = true);
+    let order = OrderName::new("kowalczyk", "counsellor-4").expect("a key");
+    let ordered = Submission {
+        order: Some(order),
+        ..named(1)
     };
-    assert!(steps.contains(&resume));
-    scene.assert_nothing_left();
+    let steps = scene.submit(ordered);
+    assert!(reserves(&steps).is_empty());
+    assert!(matches!(steps.as_slice(), [EntryStep::AwaitTurn { .. }]));
+    let steps = scene.take(EntryEvent::Turn {
+        request: RequestId(1),
+        refused: None,
+    });
+    assert_eq!(reserves(&steps), ["a"]);
 }
 
 #[test]
