tests: wait until a dropped service refuses connections

Cause: the listener of a dropped stand-in closes a moment after the drop; a call in between is accepted and reset, which is rightly in doubt, and the test failed about once in ten runs. Change: the test waits for the refusal before it dispatches; its assertion is the same.

--- a/lib/tests/test_agent_server.rs
+++ b/lib/tests/test_agent_server.rs
@@ -471,7 +471,12 @@
         ..reservation(1, 0)
     };
     let grant = entry.granted(refund).await;
+    let address = service.address();
     drop(service);
+    // Its listener closes a moment later; until then a connection is taken and reset.
+    while TcpStream::connect(address).await.is_ok() {
+        tokio::task::yield_now().await;
+    }
     entry
         .say(EntryMessage::Dispatch {
             grant,
