agent: an entry that asks is told what it may have read already

Cause: a pump reported the end of its call on one channel and sent it on another; an entry that read the end and asked at once could be told `Running`, since the control thread took the question first. Its resume then went to a pump that had ended, and nothing came. Seen once in a real-socket test on a busy machine. Change: the control thread takes reports of calls before messages of links; a pump that ends closes its orders and meets those that came before; an attach after that is answered in doubt. Besides: a grant that lapsed while the agent was paused is not honoured, and one unanswered probe of a busy engine does not give all its work back. Conclusion: order between channels has to be made, not assumed.

--- a/lib/src/agent_control.rs
+++ b/lib/src/agent_control.rs
@@ -17,6 +17,7 @@
 use crate::agent_events::AgentEvent;
 use crate::agent_events::AgentStep;
 use crate::agent_events::LinkId;
+use crate::agent_events::settled;
 use crate::agent_link::LinkEvent;
 use crate::agent_link::LinkHandle;
 use crate::agent_state::AgentState;
@@ -35,6 +36,7 @@
 use crate::upstream_health::UpstreamHealth;
 use crate::wire::AgentMessage;
 use crate::wire::Call;
+use crate::wire::Settlement;
 
 /// How often the decisions are told the time.
 const TICK: Duration = Duration::from_millis(25);
@@ -129,14 +131,17 @@
         heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut leave_by = None;
         loop {
+            // Calls go before links: a pump reports the end of its call before it sends it, so
+            // an entry that asks about an end which it has read is never told "running".
             let wake = tokio::select! {
+                biased;
                 () = self.parts.stop.cancelled() => Wake::Stop,
                 () = self.parts.shut_down.cancelled(), if leave_by.is_none() => Wake::ShutDown,
-                Some(event) = self.parts.link_events.recv() => Wake::Link(event),
-                Some(event) = calls.recv() => Wake::Call(event),
-                Ok(()) = self.parts.catalog.changed() => Wake::Catalog,
                 _ = heartbeats.tick() => Wake::Heartbeat,
                 _ = ticks.tick() => Wake::Tick,
+                Ok(()) = self.parts.catalog.changed() => Wake::Catalog,
+                Some(event) = calls.recv() => Wake::Call(event),
+                Some(event) = self.parts.link_events.recv() => Wake::Link(event),
             };
             match wake {
                 Wake::Link(event) => self.take_link_event(event),
@@ -284,20 +289,19 @@
                 }
             }
             AgentStep::CancelCall { attempt, cause } => {
-                self.parts.pumps.order(attempt, PumpOrder::Cancel(cause));
+                // What has ended needs no cancellation.
+                let _ended = self.parts.pumps.order(attempt, PumpOrder::Cancel(cause));
             }
             AgentStep::AttachCall {
                 attempt,
                 link,
                 from_bytes,
             } => {
-                if let Some(outlet) = self.outlet(link) {
-                    let order = PumpOrder::Attach { outlet, from_bytes };
-                    self.parts.pumps.order(attempt, order);
-                }
+                self.attach(attempt, link, from_bytes);
             }
             AgentStep::ForgetCall { attempt } => {
-                self.parts.pumps.order(attempt, PumpOrder::Forget);
+                // What has ended is forgotten already.
+                let _ended = self.parts.pumps.order(attempt, PumpOrder::Forget);
             }
             AgentStep::Probe => self.probe(),
             AgentStep::Investigate { attempt } => self.investigate(attempt),
@@ -322,6 +326,18 @@
         self.links.get(&link).map(|handle| handle.bulk.clone())
     }
 
+    /// A pump that has just ended can't take the link any more; its report is on the way
+    /// here, so the entry is told to ask again.
+    fn attach(&mut self, attempt: AttemptId, link: LinkId, from_bytes: u64) {
+        let Some(outlet) = self.outlet(link) else {
+            return;
+        };
+        let order = PumpOrder::Attach { outlet, from_bytes };
+        if self.parts.pumps.order(attempt, order).is_err() {
+            self.send(link, settled(attempt, Settlement::InDoubt));
+        }
+    }
+
     fn open_call(&self, parts: PumpParts, link: LinkId, call: Call) {
         self.parts.metrics.count("agent.dispatched", 1);
         Line::new(Level::Debug, "call opened")
--- a/lib/src/agent_events.rs
+++ b/lib/src/agent_events.rs
@@ -76,7 +76,9 @@
 pub enum Probe {
     /// It answers, and runs these requests as far as it tells.
     Alive { running: Vec<RequestId> },
-    /// It does not answer.
+    /// It takes no connections.
+    Refused,
+    /// It does not answer in time; it may be busy or paused.
     Silent,
 }
 
--- a/lib/src/agent_link.rs
+++ b/lib/src/agent_link.rs
@@ -162,7 +162,8 @@
                 through_bytes,
             } => {
                 let order = PumpOrder::Acknowledge { through_bytes };
-                parts.pumps.order(attempt, order);
+                // What has ended needs no acknowledgement.
+                let _ended = parts.pumps.order(attempt, order);
             }
             message => {
                 let message = Box::new(message);
--- a/lib/src/agent_state.rs
+++ b/lib/src/agent_state.rs
@@ -111,6 +111,7 @@
     /// one. It occupies slots until it is gone.
     foreign: IndexSet<RequestId>,
     next_probe_ms: u64,
+    silent_probes: u32,
     steps: Vec<AgentStep>,
 }
 
@@ -130,6 +131,7 @@
             health: UpstreamHealth::default(),
             foreign: IndexSet::new(),
             next_probe_ms: 0,
+            silent_probes: 0,
             steps: Vec::new(),
             limits,
         }
--- a/lib/src/agent_state/dispatch.rs
+++ b/lib/src/agent_state/dispatch.rs
@@ -46,7 +46,9 @@
         let is_first = reservation.request == attempt.request
             && !self.attempts.was_sent(attempt.request)
             && !self.attempts.is_live(attempt.request);
-        if !is_first || self.usable_slots() == 0 {
+        // An agent that was paused reads what came meanwhile before it notices the time.
+        let has_lapsed = granted.lapses_ms <= now_ms;
+        if has_lapsed || !is_first || self.usable_slots() == 0 {
             self.queue.refund(&granted.waiting);
             return self.end_not_sent(link, attempt);
         }
--- a/lib/src/answer_pump.rs
+++ b/lib/src/answer_pump.rs
@@ -183,11 +183,26 @@
                 Next::Quit => return,
             }
             if self.delivery.is_over() {
-                return;
+                return self.leave().await;
             }
         }
     }
 
+    /// Ends the pump of an answer that is not whole. An entry that attached to it in this
+    /// moment would wait for ever, so what was ordered before the channel closed is met,
+    /// and an order after that fails.
+    async fn leave(mut self) {
+        self.parts.orders.close();
+        while let Ok(order) = self.parts.orders.try_recv() {
+            if let PumpOrder::Attach { outlet, from_bytes } = order {
+                self.attach(outlet, from_bytes).await;
+            }
+        }
+        while self.delivery.can_send(&self.log) && self.delivery.ready().await {
+            self.delivery.send_next(&mut self.log);
+        }
+    }
+
     /// Waits for whatever comes first. Orders go before bytes, and bytes that can leave go
     /// before bytes that can come.
     async fn next_input(&mut self) -> Input {
@@ -197,6 +212,7 @@
         let can_read = !has_ended && !is_cancelling && self.log.has_room();
         if !can_read {
             self.tokens.hold_up();
+            self.silent_at = Instant::now() + SILENCE;
         }
         let is_engine = matches!(self.parts.upstream, UpstreamClient::Engine(_));
         let asks = is_engine && self.recovery.is_none();
--- a/lib/src/pump_registry.rs
+++ b/lib/src/pump_registry.rs
@@ -14,6 +14,11 @@
 
 type Orders = mpsc::UnboundedSender<PumpOrder>;
 
+/// The pump has ended and takes no order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("the attempt has no pump any more")]
+pub struct PumpEndedError;
+
 /// The pumps of an agent; clones share it.
 ///
 /// Orders need no bound: the control thread sends a few for each attempt, and an entry's
@@ -27,10 +32,10 @@
 /// let pumps = PumpRegistry::default();
 /// let attempt = AttemptId { request: RequestId(1), number: 1 };
 /// let mut orders = pumps.add(attempt);
-/// pumps.order(attempt, PumpOrder::Acknowledge { through_bytes: 3 });
+/// pumps.order(attempt, PumpOrder::Acknowledge { through_bytes: 3 }).unwrap();
 /// assert!(orders.try_recv().is_ok());
-/// pumps.order(attempt, PumpOrder::Forget);
-/// assert_eq!(pumps.len(), 0);
+/// pumps.order(attempt, PumpOrder::Forget).unwrap();
+/// assert!(pumps.order(attempt, PumpOrder::Forget).is_err());
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct PumpRegistry {
@@ -59,17 +64,20 @@
         receiver
     }
 
-    /// Passes an order on. One to a pump that has ended is dropped.
-    pub fn order(&self, attempt: AttemptId, order: PumpOrder) {
+    /// Passes an order on.
+    ///
+    /// # Errors
+    ///
+    /// The pump has ended.
+    pub fn order(&self, attempt: AttemptId, order: PumpOrder) -> Result<(), PumpEndedError> {
         let is_last = matches!(order, PumpOrder::Forget);
         let mut pumps = self.lock();
-        if let Some(orders) = pumps.get(&attempt) {
-            // A pump that has ended has nothing left to be told.
-            let _ended = orders.send(order);
-        }
+        let orders = pumps.get(&attempt).ok_or(PumpEndedError)?;
+        let sent = orders.send(order).map_err(|_| PumpEndedError);
         if is_last {
             pumps.swap_remove(&attempt);
         }
+        sent
     }
 
     /// Removes the pumps that have ended.
--- a/lib/src/upstream_client.rs
+++ b/lib/src/upstream_client.rs
@@ -5,6 +5,7 @@
 use crate::agent_events::Found;
 use crate::agent_events::Probe;
 use crate::engine::Engine;
+use crate::engine::EngineError;
 use crate::ids::RequestId;
 use crate::objects::Serves;
 use crate::objects::Upstream;
@@ -50,12 +51,13 @@
         match self {
             Self::Engine(engine) => match engine.running().await {
                 Ok(running) => Probe::Alive { running },
-                Err(_) => Probe::Silent,
+                Err(EngineError::Refused) => Probe::Refused,
+                Err(EngineError::NoAnswer(_)) => Probe::Silent,
             },
             Self::Service(service) if service.is_reachable().await => Probe::Alive {
                 running: Vec::new(),
             },
-            Self::Service(_) => Probe::Silent,
+            Self::Service(_) => Probe::Refused,
         }
     }
 
--- a/lib/tests/test_agent_reservations.rs
+++ b/lib/tests/test_agent_reservations.rs
@@ -270,6 +270,16 @@
     assert_eq!(opened(&steps), 0);
 }
 
+#[test]
+fn dispatch_read_after_a_pause_is_not_sent() {
+    // The agent is paused with the dispatch in its socket. When it wakes up it reads the
+    // dispatch before its clock's tick; the grant has lapsed all the same.
+    let mut fixture = Fixture::new(1);
+    let grant = only_grant(&fixture.reserve(reservation(1, 0)));
+    fixture.now_ms += 30_000;
+    assert!(is_not_sent(&fixture.dispatch(grant, attempt(1))));
+}
+
 #[test]
 fn decline_gives_the_slot_to_the_next() {
     let mut fixture = Fixture::new(1);
@@ -427,6 +437,8 @@
     }
     fixture.reserve(reservation(5, 0));
     let steps = fixture.step(AgentEvent::Probed(Probe::Silent));
+    assert_eq!(refused(&steps), [], "it may just be busy");
+    let steps = fixture.step(AgentEvent::Probed(Probe::Silent));
     assert_eq!(refused(&steps), [(5, RefusalReason::UpstreamDown)]);
     let reason = || AnswerEnd::Broken {
         reason: Arc::from("gone"),
