entry: say not ready, not wrong key, before the first configuration

Cause: an entry that had just started knew no customer and answered 401 to callers whose key was good; seen in 1 of 12 runs of the local fleet side by side, whose first requests came a moment before the index of keys. Change: 503 not_ready, not run, with Retry-After, until a configuration is there.

--- a/lib/src/caller_directory.rs
+++ b/lib/src/caller_directory.rs
@@ -15,6 +15,9 @@
 use crate::objects::Serves;
 use crate::openai_error::ApiError;
 
+/// The revision of the picture that a process starts with.
+const NO_CONFIGURATION: u64 = 0;
+
 /// A configuration with an index of its customers by key.
 ///
 /// ```
@@ -22,7 +25,8 @@
 /// use sardinewood::caller_directory::CallerDirectory;
 /// use sardinewood::catalog::Catalog;
 ///
-/// let directory = CallerDirectory::new(Arc::new(Catalog::default()));
+/// let first = Catalog { revision: 1, ..Catalog::default() };
+/// let directory = CallerDirectory::new(Arc::new(first));
 /// assert_eq!(directory.customer(Some("key")).unwrap_err().code, "invalid_api_key");
 /// ```
 #[derive(Clone, Debug)]
@@ -61,8 +65,13 @@
     ///
     /// # Errors
     ///
-    /// There is no key, or it is nobody's.
+    /// There is no key, or it is nobody's, or there is no configuration yet.
     pub fn customer(&self, key: Option<&str>) -> Result<Arc<Customer>, ApiError> {
+        // Before the first configuration every key is unknown. A caller that is told that its
+        // key is wrong gives up for good; told to come back, it is answered a moment later.
+        if self.catalog.revision == NO_CONFIGURATION {
+            return Err(ApiError::not_ready());
+        }
         let status = StatusCode::UNAUTHORIZED;
         let Some(key) = key else {
             return Err(ApiError::refused(
--- a/lib/src/openai_error.rs
+++ b/lib/src/openai_error.rs
@@ -23,6 +23,9 @@
 /// Tells `OpenAI` client libraries whether to try again on their own.
 const SHOULD_RETRY: HeaderName = HeaderName::from_static("x-should-retry");
 
+/// When a caller may try again at an entry that has no configuration yet.
+const NOT_READY_RETRY_MS: u64 = 1_000;
+
 /// Why a request was not answered, as its caller is told.
 ///
 /// ```
@@ -86,6 +89,23 @@
         Self::refused(StatusCode::BAD_REQUEST, code, message)
     }
 
+    /// The entry has no configuration yet, and so knows nobody.
+    ///
+    /// ```
+    /// use sardinewood::openai_error::ApiError;
+    ///
+    /// assert_eq!(ApiError::not_ready().status.as_u16(), 503);
+    /// ```
+    #[must_use]
+    pub fn not_ready() -> Self {
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Self {
+            kind: kind_of(status),
+            retry_after_ms: Some(NOT_READY_RETRY_MS),
+            ..Self::refused(status, "not_ready", "this entry has no configuration yet")
+        }
+    }
+
     /// What a caller is told about a failure.
     ///
     /// A client library that retries an unknown outcome on its own could double a request
--- a/lib/tests/test_caller_api.rs
+++ b/lib/tests/test_caller_api.rs
@@ -557,3 +557,32 @@
     drop(body);
     assert!(timeout(CAP, stopping).await.is_ok(), "it does not end");
 }
+
+// The caller, whose key is good, reaches an entry that has just started and has not heard from
+// the platform's store. It must not be told that its key is wrong, which would make it give
+// up: it is told to come back, and is answered once the configuration is there.
+#[tokio::test]
+async fn chat_before_first_configuration_is_not_ready() {
+    let (sender, receiver) = watch::channel(Arc::new(Catalog::default()));
+    let settings = EntrySettings::default();
+    let entry = spawn(&settings, receiver, Metrics::disabled()).expect("an entry");
+    let models = || {
+        reqwest::Client::new()
+            .get(format!("http://{}/v1/models", entry.address()))
+            .bearer_auth(KEY)
+            .send()
+    };
+    let early = models().await.expect("an answer");
+    assert_eq!(early.status(), StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(early.headers()["retry-after"], "1");
+    let error: Value = early.json().await.expect("an error");
+    assert_eq!(error["error"]["code"], "not_ready");
+    assert_eq!(error["error"]["outcome"], "not_run");
+    sender.send_replace(Arc::new(catalog("127.0.0.1:1")));
+    let answered = async {
+        while models().await.expect("an answer").status() != StatusCode::OK {
+            tokio::task::yield_now().await;
+        }
+    };
+    assert!(timeout(CAP, answered).await.is_ok(), "still not ready");
+}
--- a/local/src/fleet.rs
+++ b/local/src/fleet.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use reqwest::Client;
 use sardinewood::agent_server;
 use sardinewood::agent_server::AgentHandle;
 use sardinewood::agent_settings::AgentSettings;
@@ -38,6 +39,9 @@
 /// How long the roles may take to see the whole configuration.
 const CONFIG_TIMEOUT: Duration = Duration::from_secs(30);
 
+/// How often an entry is asked whether it answers callers.
+const ANSWER_POLL: Duration = Duration::from_millis(10);
+
 /// The whole system.
 #[derive(Debug)]
 pub struct Fleet {
@@ -71,6 +75,9 @@
         for catalog in &mut catalogs {
             wait_for_upstreams(catalog, fleet.agents.len()).await?;
         }
+        for url in fleet.entry_urls() {
+            wait_for_answers(&url).await?;
+        }
         Ok(fleet)
     }
 
@@ -289,3 +296,21 @@
         .wrap_err("the configuration did not come into force")??;
     Ok(())
 }
+
+/// An entry that holds the configuration needs a moment more to take it into use.
+async fn wait_for_answers(entry_url: &str) -> eyre::Result<()> {
+    let client = Client::new();
+    let answered = async {
+        loop {
+            let models = client.get(format!("{entry_url}/v1/models"));
+            let response = models.bearer_auth(RUNDU.key).send().await?;
+            if response.status().is_success() {
+                return Ok(());
+            }
+            tokio::time::sleep(ANSWER_POLL).await;
+        }
+    };
+    tokio::time::timeout(CONFIG_TIMEOUT, answered)
+        .await
+        .wrap_err_with(|| format!("{entry_url} knows no customer"))?
+}
