operator page: drain, stop, resume and change profiles from a phone

Cause: operators carry the pager on their phones and have no console. Change: plain pages without script: upstreams and why they get no work, a confirmation that says what a change will do, conflicts shown as what the other operator changed, a lost answer that can be asked after, profiles as a form, the last changes. Forms carry a key that other sites cannot know; nothing is loaded from elsewhere.

--- a/lib/src/operator_server.rs
+++ b/lib/src/operator_server.rs
@@ -11,6 +11,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::operator_api::OperatorApi;
+use crate::operator_page;
 use crate::operator_routes;
 
 /// How long an operator's connection may be idle; longer than the longest watch.
@@ -42,7 +43,9 @@
     let bound = listener.local_addr()?;
     let acceptor = TcpAcceptor::from_tokio(listener)?;
     let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE_TIMEOUT);
-    let routes = Route::new().nest("/v1", operator_routes::routes(api));
+    let routes = Route::new()
+        .nest("/v1", operator_routes::routes(api.clone()))
+        .nest("/", operator_page::routes(api));
     tokio::spawn(async move {
         let stopped = async move { stop.cancelled().await };
         let grace = Some(SHUTDOWN_GRACE);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_objects_check;
 mod test_operator_api;
 mod test_operator_change;
+mod test_operator_page;
 mod test_ordering;
 mod test_request_names;
 mod test_secrets;
