--- a/lib/src/config_process.rs
+++ b/lib/src/config_process.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use crate::config::Config;
+use crate::config_log::log_changes;
 use crate::config_spread::SpreadTimings;
 use crate::config_watch::WatchTimings;
 use crate::config_watch::follow;
@@ -165,6 +166,7 @@
         config.clone(),
         WatchTimings::default(),
     ));
+    tokio::spawn(log_changes(config.catalog()));
     let port = peers.listen.port();
     if port != 0 {
         tokio::spawn(hosts::follow(store.clone(), spread.clone(), seeds, port));
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -302,7 +302,7 @@
         max_body_bytes: settings.max_body_bytes,
         max_header_bytes: settings.max_header_bytes,
         body_patience_ms: settings.idle_timeout_ms,
-        max_deadline_ms: settings.default_deadline_ms,
+        max_deadline_ms: settings.max_deadline_ms,
     }
 }
 
@@ -352,7 +352,7 @@
     let listener = TcpListener::from_std(listener)?;
     drop(guard);
     // A connection whose caller waits for a late answer is silent, too, and must live.
-    let longest_ms = settings.idle_timeout_ms.max(settings.default_deadline_ms);
+    let longest_ms = settings.idle_timeout_ms.max(settings.max_deadline_ms);
     let idle = Duration::from_millis(longest_ms + IDLE_MARGIN_MS);
     let server = Server::new_with_acceptor(CallerListener::new(
         listener,
--- a/lib/src/entry_settings.rs
+++ b/lib/src/entry_settings.rs
@@ -59,8 +59,8 @@
     pub window_bytes: usize,
     /// Threads that carry traffic.
     pub traffic_threads: usize,
-    /// The deadline of a request whose profile cannot be known yet, and its upper bound.
-    pub default_deadline_ms: u64,
+    /// The longest deadline; a longer one of a header or profile is cut to it.
+    pub max_deadline_ms: u64,
     /// The least important level that is logged.
     pub log_level: Arc<str>,
 }
@@ -87,7 +87,7 @@
             retain_ms: 120_000,
             window_bytes: 256 << 10,
             traffic_threads: 2,
-            default_deadline_ms: 60_000,
+            max_deadline_ms: 60_000,
             log_level: "info".into(),
         }
     }
@@ -250,10 +250,10 @@
             |s: &mut EntrySettings| &mut s.idle_timeout_ms,
         ),
         Setting::number(
-            "default-deadline-ms",
+            "max-deadline-ms",
             1..=86_400_000,
-            "Deadline of a request whose profile names none.",
-            |s: &mut EntrySettings| &mut s.default_deadline_ms,
+            "Longest deadline; a longer one of a header or profile is cut to it.",
+            |s: &mut EntrySettings| &mut s.max_deadline_ms,
         ),
         Setting::number(
             "shutdown-grace-ms",
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod claim_object;
 pub mod claims;
 pub mod config;
+pub mod config_log;
 pub mod config_object;
 pub mod config_process;
 pub mod config_spread;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -10,6 +10,7 @@
 mod test_caller_api;
 mod test_claims;
 mod test_config_follow;
+mod test_config_log;
 mod test_config_spread;
 mod test_config_state;
 mod test_config_watch;
