--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -319,7 +319,14 @@
         .thread_pool(Arc::new(pool))
         .overflow_policy(OverflowPolicy::DropIncoming)
         .build()?;
-    let _ = LOGGER.set(logger(level, Arc::new(queue))?);
+    let queue = Arc::new(queue);
+    // Plain records of libraries take the same way and form.
+    let plain = Logger::builder()
+        .level_filter(LevelFilter::MoreSevereEqual(level_of(level)))
+        .sink(queue.clone())
+        .build()?;
+    spdlog::set_default_logger(Arc::new(plain));
+    let _ = LOGGER.set(logger(level, queue)?);
     Ok(())
 }
 
