--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -1,7 +1,9 @@
 //! Reading settings from flags, variables and files of secrets.
 
 use std::ffi::OsString;
+use std::fs;
 use std::io;
+use std::path::Path;
 
 use indexmap::IndexMap;
 use sardinewood::agent_settings;
@@ -210,3 +212,30 @@
         "{report}"
     );
 }
+
+/// A setting that operators do not find on their page is of no use to them.
+#[test]
+fn read_help_settings_are_on_the_operators_page() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = fs::read_to_string(root.join("../docs/operators.md")).unwrap();
+    let (Start::Print(entry), Start::Print(agent)) = (
+        read(&entry_settings::program(), &["--help"], &[]),
+        read(&agent_settings::program(), &["--help"], &[]),
+    ) else {
+        panic!("no help");
+    };
+    let sections = page.split("\n### ");
+    for (name, help) in [("sardinewood-entry", entry), ("sardinewood-agent", agent)] {
+        let section = sections.clone().find(|section| section.starts_with(name));
+        let flags = help
+            .lines()
+            .filter_map(|line| line.trim().strip_prefix("--"));
+        for (flag, _) in flags.filter_map(|line| line.split_once(", SARDINEWOOD_")) {
+            let row = format!("| `--{flag}` |");
+            assert!(
+                section.is_some_and(|section| section.contains(&row)),
+                "{name}: {row}"
+            );
+        }
+    }
+}
