link pace: idle links share a budget of bytes, busy ones are watched

Cause: each link was beaten every 500 ms by both sides, 480 bytes a second with headers and acknowledgements. An entry with 32 links for each of 15 models would spend 230,000 bytes a second on control, where 7,000 are allowed; even 33 links take 15,800. Change: heartbeats are decided by the control thread of each side. A link with work keeps the pace and the silence it had; the others share 3,500 bytes a second and are told of a new revision at once. Links are bounded in all (192) and no more only for each target. The silence of a link counts from when work was placed on it, so that one that died idle is found.

--- a/lib/src/agent_control.rs
+++ b/lib/src/agent_control.rs
@@ -27,6 +27,10 @@
 use crate::answer_pump::PumpParts;
 use crate::catalog::Catalog;
 use crate::ids::AttemptId;
+use crate::link_pace::LinkPace;
+use crate::link_pace::LinkView;
+use crate::link_pace::PaceRules;
+use crate::link_pace::PaceStep;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
@@ -53,8 +57,10 @@
     pub state: AgentState,
     /// The configuration in force.
     pub catalog: watch::Receiver<Arc<Catalog>>,
-    /// The pause between two heartbeats.
-    pub heartbeat: Duration,
+    /// The start of the agent's time.
+    pub started: Instant,
+    /// When heartbeats are due, and when a silent link is given up.
+    pub pace: PaceRules,
     /// How long a shutdown waits for what is in flight.
     pub shutdown_grace: Duration,
     /// The window of an answer.
@@ -79,8 +85,8 @@
 #[derive(Debug)]
 pub struct AgentControl {
     parts: ControlParts,
-    started: Instant,
     links: IndexMap<LinkId, LinkHandle>,
+    paces: IndexMap<LinkId, LinkPace>,
     object: Option<Arc<Upstream>>,
     client: Option<UpstreamClient>,
     call_events: mpsc::Sender<AgentEvent>,
@@ -107,7 +113,7 @@
     pub async fn run(parts: ControlParts) {
         let (call_events, mut calls) = mpsc::channel(CALL_EVENTS);
         let mut control = AgentControl {
-            started: Instant::now(),
+            paces: IndexMap::new(),
             links: IndexMap::new(),
             object: None,
             client: None,
@@ -127,7 +133,7 @@
     async fn serve(&mut self, calls: &mut mpsc::Receiver<AgentEvent>) {
         let mut ticks = interval(TICK);
         ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-        let mut heartbeats = interval(self.parts.heartbeat);
+        let mut heartbeats = interval(Duration::from_millis(self.parts.pace.heartbeat_ms));
         heartbeats.set_missed_tick_behavior(MissedTickBehavior::Delay);
         let mut leave_by = None;
         loop {
@@ -147,7 +153,7 @@
                 Wake::Link(event) => self.take_link_event(event),
                 Wake::Call(event) => self.decide(event),
                 Wake::Catalog => self.read_catalog(),
-                Wake::Heartbeat => self.send_heartbeats(),
+                Wake::Heartbeat => self.keep_pace(),
                 Wake::Tick => self.decide(AgentEvent::Tick),
                 Wake::ShutDown => {
                     leave_by = Some(Instant::now() + self.parts.shutdown_grace);
@@ -176,7 +182,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
+        u64::try_from(self.parts.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
     fn decide(&mut self, event: AgentEvent) {
@@ -236,6 +242,7 @@
         let Some(handle) = self.links.swap_remove(&link) else {
             return;
         };
+        self.paces.swap_remove(&link);
         handle.close.cancel();
         self.parts.metrics.count("agent.link_lost", 1);
         Line::new(Level::Warn, "link lost")
@@ -245,18 +252,22 @@
         self.decide(AgentEvent::LinkLost { link });
     }
 
-    fn send_heartbeats(&mut self) {
+    /// Sends the heartbeats that are due, and gives up links that are silent.
+    fn keep_pace(&mut self) {
         self.parts.pumps.sweep();
         self.sequence += 1;
         let load = self.parts.state.load();
-        let message = AgentMessage::Heartbeat {
+        let beat = AgentMessage::Heartbeat {
             sequence: self.sequence,
             revision: self.parts.catalog.borrow().revision,
             load,
         };
-        let links: Vec<_> = self.links.keys().copied().collect();
-        for link in links {
-            self.send(link, message.clone());
+        for (link, step) in self.due_on_links() {
+            match step {
+                PaceStep::Rest => {}
+                PaceStep::Beat => self.send(link, beat.clone()),
+                PaceStep::GiveUp => self.drop_link(link, "the entry is silent"),
+            }
         }
         let metrics = &self.parts.metrics;
         metrics.gauge("agent.running", self.parts.state.running() as u64);
@@ -264,6 +275,26 @@
         metrics.gauge("agent.free_slots", u64::from(load.free_slots));
         metrics.gauge("agent.step_us", u64::from(load.step_us));
     }
+
+    fn due_on_links(&mut self) -> Vec<(LinkId, PaceStep)> {
+        let now_ms = self.now_ms();
+        let busy = self.parts.state.busy_links();
+        let links = self.links.len();
+        let rules = self.parts.pace;
+        let revision = self.parts.catalog.borrow().revision;
+        let mut due = Vec::with_capacity(links);
+        for (link, handle) in &self.links {
+            let view = LinkView {
+                is_busy: busy.contains(link),
+                heard_at_ms: handle.heard.at_ms(),
+                links,
+                revision,
+            };
+            let pace = self.paces.entry(*link).or_default();
+            due.push((*link, pace.next(now_ms, view, rules)));
+        }
+        due
+    }
 }
 
 /// Steps.
--- a/lib/src/agent_link.rs
+++ b/lib/src/agent_link.rs
@@ -7,6 +7,7 @@
 use tokio::net::TcpStream;
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::sync::mpsc;
+use tokio::time::Instant;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
@@ -17,6 +18,7 @@
 use crate::frames::FrameError;
 use crate::frames::FrameReader;
 use crate::frames::write_frames;
+use crate::link_pace::Heard;
 use crate::pump_registry::PumpRegistry;
 use crate::wire::AgentMessage;
 use crate::wire::EntryMessage;
@@ -53,6 +55,8 @@
     pub control: mpsc::Sender<AgentMessage>,
     /// Where the frames of answers go.
     pub bulk: Outlet,
+    /// When the entry was last heard.
+    pub heard: Heard,
     /// Ends the link.
     pub close: CancellationToken,
 }
@@ -62,8 +66,10 @@
 pub struct LinkParts {
     /// What this agent says first.
     pub hello: Hello,
-    /// How long the entry may be silent.
+    /// How long an entry may take for its hello.
     pub silent: Duration,
+    /// The start of the agent's time.
+    pub started: Instant,
     /// Where events go.
     pub events: mpsc::Sender<LinkEvent>,
     /// The pumps that acknowledgements go to.
@@ -75,7 +81,7 @@
 /// Why a link ended.
 #[derive(Debug, thiserror::Error)]
 enum LinkError {
-    #[error("the entry is silent")]
+    #[error("the entry says no hello")]
     Silent,
     #[error("the entry closed the link")]
     Closed,
@@ -108,9 +114,11 @@
         entry: hello.name,
         control,
         bulk,
+        heard: Heard::new(parts.started),
         close: parts.stop.child_token(),
     };
     let close = handle.close.clone();
+    let heard = handle.heard.clone();
     // The queue is empty, so there is room for the first message.
     let _room = handle
         .control
@@ -120,7 +128,7 @@
         return Err(LinkError::ClosedHere);
     }
     tokio::select! {
-        lost = read_messages(&mut reader, link, parts) => lost,
+        lost = read_messages(&mut reader, link, &heard, parts) => lost,
         written = write_frames::<AgentEnd, _>(write, control_queue, bulk_queue) => {
             written?;
             Err(LinkError::ClosedHere)
@@ -133,7 +141,8 @@
     reader: &mut FrameReader<AgentEnd, OwnedReadHalf>,
     silent: Duration,
 ) -> Result<Hello, LinkError> {
-    match read_one(reader, silent).await? {
+    let first = timeout(silent, read_one(reader)).await;
+    match first.map_err(|_| LinkError::Silent)?? {
         EntryMessage::Hello(hello) if hello.protocol == PROTOCOL_VERSION => Ok(hello),
         EntryMessage::Hello(hello) => Err(LinkError::OtherProtocol(hello.protocol)),
         _ => Err(LinkError::NoHello),
@@ -142,20 +151,20 @@
 
 async fn read_one(
     reader: &mut FrameReader<AgentEnd, OwnedReadHalf>,
-    silent: Duration,
 ) -> Result<EntryMessage, LinkError> {
-    let message = timeout(silent, reader.next()).await;
-    let message = message.map_err(|_| LinkError::Silent)??;
-    message.ok_or(LinkError::Closed)
+    reader.next().await?.ok_or(LinkError::Closed)
 }
 
 async fn read_messages(
     reader: &mut FrameReader<AgentEnd, OwnedReadHalf>,
     link: LinkId,
+    heard: &Heard,
     parts: &LinkParts,
 ) -> Result<Infallible, LinkError> {
     loop {
-        match read_one(reader, parts.silent).await? {
+        let message = read_one(reader).await?;
+        heard.now();
+        match message {
             EntryMessage::Heartbeat { .. } => {}
             EntryMessage::Acknowledge {
                 attempt,
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -15,6 +15,7 @@
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
 use crate::agent_control::AgentControl;
@@ -27,6 +28,7 @@
 use crate::agent_state::AgentState;
 use crate::catalog::Catalog;
 use crate::ids::Incarnation;
+use crate::link_pace::PaceRules;
 use crate::metrics::Metrics;
 use crate::pump_registry::PumpRegistry;
 use crate::upstream_http;
@@ -103,6 +105,7 @@
         .map_err(listen_error)?;
     let address = listener.local_addr().map_err(listen_error)?;
     let incarnation = Incarnation(rand::rng().random());
+    let started = Instant::now();
     let shut_down = CancellationToken::new();
     let stop = CancellationToken::new();
     let pumps = PumpRegistry::default();
@@ -111,7 +114,11 @@
         upstream: Arc::clone(&settings.upstream),
         state: AgentState::new(incarnation, limits(&settings)),
         catalog,
-        heartbeat: Duration::from_millis(settings.heartbeat_ms),
+        started,
+        pace: PaceRules {
+            heartbeat_ms: settings.heartbeat_ms,
+            silent_ms: settings.silent_ms,
+        },
         shutdown_grace: Duration::from_millis(settings.shutdown_grace_ms),
         window_bytes: settings.window_bytes as u64,
         metrics,
@@ -131,6 +138,7 @@
             data_centre: settings.data_centre,
         },
         silent: Duration::from_millis(settings.silent_ms),
+        started,
         events,
         pumps,
         stop: stop.clone(),
--- a/lib/src/agent_state.rs
+++ b/lib/src/agent_state.rs
@@ -173,6 +173,15 @@
         }
     }
 
+    /// The links with work on them: a reservation, a grant, or an attempt that is not over.
+    #[must_use]
+    pub fn busy_links(&self) -> IndexSet<LinkId> {
+        let reserved = self.queue.requests().map(|(_, link)| link);
+        let granted = self.grants.iter().map(|granted| granted.waiting.link);
+        let attempted = self.attempts.live().filter_map(|(_, attempt)| attempt.link);
+        reserved.chain(granted).chain(attempted).collect()
+    }
+
     /// Whether new work is taken.
     #[must_use]
     pub fn is_leaving(&self) -> bool {
--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -98,8 +98,8 @@
 /// ```
 /// use sardinewood::candidates::LinkChoice;
 ///
-/// let choice = LinkChoice { entry: "entry-1".into(), data_centre: "wdh-1".into(), per_target: 24 };
-/// assert_eq!(choice.per_target, 24);
+/// let choice = LinkChoice { entry: "entry-1".into(), data_centre: "wdh-1".into(), max_links: 192 };
+/// assert_eq!(choice.per_target(2), 96);
 /// ```
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct LinkChoice {
@@ -107,9 +107,21 @@
     pub entry: Arc<str>,
     /// Where this entry stands; near agents are linked first.
     pub data_centre: Arc<str>,
-    /// Links kept for each target, so that many entries before many agents do not mean a
-    /// link for each pair.
-    pub per_target: usize,
+    /// Links kept for all targets together, so that many entries before many agents do not
+    /// mean a link for each pair.
+    pub max_links: usize,
+}
+
+/// Links kept for each target, however many targets there are: twice the usual number of
+/// candidates, so that there is a choice.
+const MIN_LINKS_PER_TARGET: usize = 8;
+
+impl LinkChoice {
+    /// Links kept for each of so many targets.
+    #[must_use]
+    pub fn per_target(&self, targets: usize) -> usize {
+        (self.max_links / targets.max(1)).max(MIN_LINKS_PER_TARGET)
+    }
 }
 
 /// All agents that an entry knows.
@@ -263,13 +275,14 @@
                 by_target.entry(target).or_default().push(upstream);
             }
         }
+        let count = self.choice.per_target(by_target.len());
         self.linked_by_target = by_target
             .into_iter()
-            .map(|(target, upstreams)| (target, self.nearest(upstreams)))
+            .map(|(target, upstreams)| (target, self.nearest(upstreams, count)))
             .collect();
     }
 
-    fn nearest(&self, mut upstreams: Vec<&Arc<Upstream>>) -> Vec<Arc<str>> {
+    fn nearest(&self, mut upstreams: Vec<&Arc<Upstream>>, count: usize) -> Vec<Arc<str>> {
         let mut hasher = XxHash64::with_seed(0);
         hasher.write(self.choice.entry.as_bytes());
         let entry = hasher.finish();
@@ -282,7 +295,7 @@
         });
         upstreams
             .into_iter()
-            .take(self.choice.per_target)
+            .take(count)
             .map(|upstream| upstream.name.clone())
             .collect()
     }
--- a/lib/src/entry_control.rs
+++ b/lib/src/entry_control.rs
@@ -25,6 +25,9 @@
 use crate::entry_state::EntryState;
 use crate::entry_state::EntryStep;
 use crate::ids::RequestId;
+use crate::link_pace::LinkPace;
+use crate::link_pace::LinkView;
+use crate::link_pace::PaceStep;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
@@ -33,6 +36,7 @@
 use crate::store_records::StoreRecords;
 use crate::verdict::Failure;
 use crate::wire::AgentMessage;
+use crate::wire::EntryMessage;
 use crate::wire::Load;
 
 /// Events taken together before timers are looked at.
@@ -40,6 +44,9 @@
 /// The longest sleep, when no timer is set.
 const IDLE: Duration = Duration::from_secs(3_600);
 
+/// The pace of each open link.
+type LinkPaces = IndexMap<Arc<str>, LinkPace>;
+
 /// What an entry knows of one agent.
 ///
 /// ```
@@ -120,6 +127,8 @@
     pub status: watch::Sender<EntryStatus>,
     /// Where figures go.
     pub metrics: Metrics,
+    /// Rounds of heartbeats so far.
+    pub beats: u64,
     /// The start of the entry's time.
     pub started: Instant,
     /// The same by the clock, in milliseconds since 1970, for operators to read.
@@ -138,6 +147,9 @@
         let first = EntryEvent::CatalogChanged(self.catalog.borrow_and_update().clone());
         batch.push(first);
         let mut next_status = Instant::now();
+        let mut paces = LinkPaces::default();
+        let heartbeat = Duration::from_millis(self.link.pace.heartbeat_ms);
+        let mut beat_at = Instant::now();
         loop {
             for event in batch.drain(..) {
                 self.take(event, &mut links);
@@ -146,7 +158,11 @@
                 self.publish();
                 next_status = Instant::now() + self.status_every;
             }
-            if !self.wait(&mut batch, next_status).await {
+            if Instant::now() >= beat_at {
+                self.keep_pace(&mut paces);
+                beat_at = Instant::now() + heartbeat;
+            }
+            if !self.wait(&mut batch, next_status.min(beat_at)).await {
                 break;
             }
         }
@@ -156,7 +172,7 @@
     }
 
     /// Waits for events; false when the thread is to end.
-    async fn wait(&mut self, batch: &mut Vec<EntryEvent>, status_at: Instant) -> bool {
+    async fn wait(&mut self, batch: &mut Vec<EntryEvent>, wake_at: Instant) -> bool {
         let ticks = [self.state.next_tick_ms(), self.records.next_tick_ms()];
         let tick_at = ticks.into_iter().flatten().min().map_or_else(
             || Instant::now() + IDLE,
@@ -193,7 +209,7 @@
                 batch.extend(self.records.tick(elapsed_ms(self.started)));
                 true
             }
-            () = sleep_until(status_at) => true,
+            () = sleep_until(wake_at) => true,
         }
     }
 
@@ -312,6 +328,38 @@
         }
     }
 
+    /// Sends the heartbeats that are due, and gives up links that are silent.
+    fn keep_pace(&mut self, paces: &mut LinkPaces) {
+        let now_ms = elapsed_ms(self.started);
+        let links = self.state.counts().links;
+        let revision = self.catalog.borrow().revision;
+        self.beats += 1;
+        paces.retain(|agent, _| self.state.agents().get(agent).is_some());
+        for (agent, known) in self.state.agents().iter() {
+            let Some(heard_at_ms) = self.link.links.heard_at_ms(agent) else {
+                paces.swap_remove(agent);
+                continue;
+            };
+            let is_busy = !known.reserved.is_empty() || !known.running.is_empty();
+            let view = LinkView {
+                is_busy,
+                heard_at_ms,
+                links,
+                revision,
+            };
+            let pace = paces.entry(agent.clone()).or_default();
+            match pace.next(now_ms, view, self.link.pace) {
+                PaceStep::Rest => {}
+                PaceStep::Beat => {
+                    let sequence = self.beats;
+                    let beat = EntryMessage::Heartbeat { sequence, revision };
+                    self.link.links.send(agent, beat);
+                }
+                PaceStep::GiveUp => self.link.links.close(agent),
+            }
+        }
+    }
+
     fn answer(&self, query: EntryQuery) {
         match query {
             EntryQuery::Status(answer) => {
--- a/lib/src/entry_link.rs
+++ b/lib/src/entry_link.rs
@@ -11,23 +11,21 @@
 use tokio::net::tcp::OwnedReadHalf;
 use tokio::net::tcp::OwnedWriteHalf;
 use tokio::sync::mpsc;
-use tokio::sync::watch;
 use tokio::time::Instant;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
 use crate::answer_reader::AnswerFrame;
 use crate::answer_routes::AnswerRoutes;
 use crate::backoff::Backoff;
-use crate::catalog::Catalog;
 use crate::entry_state::EntryEvent;
 use crate::frames::EntryEnd;
 use crate::frames::FrameError;
 use crate::frames::FrameReader;
 use crate::frames::write_frames;
 use crate::ids::Incarnation;
+use crate::link_pace::Heard;
+use crate::link_pace::PaceRules;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::wire::AgentMessage;
@@ -52,7 +50,14 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct OpenLinks {
-    by_agent: Arc<RwLock<IndexMap<Arc<str>, mpsc::Sender<EntryMessage>>>>,
+    by_agent: Arc<RwLock<IndexMap<Arc<str>, LinkEnd>>>,
+}
+
+/// What others hold of an open link.
+#[derive(Clone, Debug)]
+struct LinkEnd {
+    sender: mpsc::Sender<EntryMessage>,
+    heard: Heard,
 }
 
 impl OpenLinks {
@@ -62,32 +67,39 @@
     /// message that is silently dropped from the middle of a link that lives on could be
     /// the one that an attempt waits for. A closed link is settled when it is back.
     pub fn send(&self, agent: &str, message: EntryMessage) {
-        let sender = self.read(agent);
-        let is_stuck = sender.is_some_and(|sender| {
+        let link = self.read(agent);
+        let is_stuck = link.is_some_and(|link| {
             matches!(
-                sender.try_send(message),
+                link.sender.try_send(message),
                 Err(mpsc::error::TrySendError::Full(_))
             )
         });
         if is_stuck {
-            self.remove(agent);
+            self.close(agent);
         }
     }
 
-    fn read(&self, agent: &str) -> Option<mpsc::Sender<EntryMessage>> {
+    /// When anything was last heard on the link to an agent.
+    #[must_use]
+    pub fn heard_at_ms(&self, agent: &str) -> Option<u64> {
+        self.read(agent).map(|link| link.heard.at_ms())
+    }
+
+    fn read(&self, agent: &str) -> Option<LinkEnd> {
         let links = self.by_agent.read().unwrap_or_else(PoisonError::into_inner);
         links.get(agent).cloned()
     }
 
-    fn insert(&self, agent: Arc<str>, sender: mpsc::Sender<EntryMessage>) {
+    fn insert(&self, agent: Arc<str>, link: LinkEnd) {
         let mut links = self
             .by_agent
             .write()
             .unwrap_or_else(PoisonError::into_inner);
-        links.insert(agent, sender);
+        links.insert(agent, link);
     }
 
-    fn remove(&self, agent: &str) {
+    /// Closes a link; it is dialled again.
+    pub fn close(&self, agent: &str) {
         let mut links = self
             .by_agent
             .write()
@@ -96,37 +108,21 @@
     }
 }
 
-/// Timings of a link.
-///
-/// ```
-/// use sardinewood::entry_link::LinkTimes;
-///
-/// let times = LinkTimes { heartbeat_ms: 500, silent_ms: 2_000 };
-/// assert!(times.heartbeat_ms < times.silent_ms);
-/// ```
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct LinkTimes {
-    /// The pause between two heartbeats.
-    pub heartbeat_ms: u64,
-    /// How long the other side may be silent.
-    pub silent_ms: u64,
-}
-
 /// What all links of an entry share.
 #[derive(Clone, Debug)]
 pub struct LinkContext {
     /// What this entry says first.
     pub hello: Hello,
     /// Timings.
-    pub times: LinkTimes,
+    pub pace: PaceRules,
+    /// The start of the entry's time.
+    pub started: Instant,
     /// The open links.
     pub links: OpenLinks,
     /// Where the answers go.
     pub routes: Arc<AnswerRoutes>,
     /// Where everything else goes.
     pub events: mpsc::Sender<EntryEvent>,
-    /// The configuration whose revision heartbeats carry.
-    pub catalog: watch::Receiver<Arc<Catalog>>,
 }
 
 /// Why a link ended.
@@ -138,7 +134,9 @@
     Frame(#[from] FrameError),
     #[error("the agent closed the link")]
     Closed,
-    #[error("nothing was heard for {silent_ms} ms")]
+    #[error("the link was given up: silent, or not read")]
+    GivenUp,
+    #[error("no hello came within {silent_ms} ms")]
     Silent { silent_ms: u64 },
     #[error("the first message is not a hello")]
     NoHello,
@@ -181,7 +179,7 @@
     address: SocketAddr,
     context: &LinkContext,
 ) -> Result<OpenLink, LinkError> {
-    let silent_ms = context.times.silent_ms;
+    let silent_ms = context.pace.silent_ms;
     let patience = Duration::from_millis(silent_ms);
     let opening = async {
         let stream = TcpStream::connect(address).await?;
@@ -241,13 +239,18 @@
 
 impl Drop for Registered<'_> {
     fn drop(&mut self) {
-        self.links.remove(self.agent);
+        self.links.close(self.agent);
     }
 }
 
 async fn run(agent: &Arc<str>, link: OpenLink, context: &LinkContext) -> LinkError {
     let (sender, queue) = mpsc::channel(SEND_QUEUE);
-    context.links.insert(agent.clone(), sender);
+    let heard = Heard::new(context.started);
+    let end = LinkEnd {
+        sender,
+        heard: heard.clone(),
+    };
+    context.links.insert(agent.clone(), end);
     let registered = Registered {
         agent,
         links: &context.links,
@@ -260,9 +263,8 @@
         return LinkError::Closed;
     }
     let error = tokio::select! {
-        error = read_all(agent, link.reader, context) => error,
+        error = read_all(agent, link.reader, &heard, context) => error,
         error = write_all(link.writer, queue) => error,
-        () = beat(agent, context) => LinkError::Closed,
     };
     drop(registered);
     let lost = EntryEvent::LinkLost {
@@ -277,42 +279,23 @@
     // Everything goes through one queue: a cancel must not overtake its dispatch.
     let (_, bulk) = mpsc::channel(1);
     match write_frames::<EntryEnd, _>(writer, queue, bulk).await {
-        Ok(()) => LinkError::Closed,
+        Ok(()) => LinkError::GivenUp,
         Err(error) => error.into(),
     }
 }
 
-async fn beat(agent: &Arc<str>, context: &LinkContext) {
-    let mut ticks = interval(Duration::from_millis(context.times.heartbeat_ms));
-    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut sequence = 0;
-    loop {
-        ticks.tick().await;
-        sequence += 1;
-        let revision = context.catalog.borrow().revision;
-        let message = EntryMessage::Heartbeat { sequence, revision };
-        context.links.send(agent, message);
-    }
-}
-
 async fn read_all(
     agent: &Arc<str>,
     mut reader: FrameReader<EntryEnd, OwnedReadHalf>,
+    heard: &Heard,
     context: &LinkContext,
 ) -> LinkError {
-    let silent_ms = context.times.silent_ms;
-    let silence = sleep(Duration::from_millis(silent_ms));
-    tokio::pin!(silence);
     loop {
-        let received = tokio::select! {
-            received = reader.next() => received,
-            () = &mut silence => return LinkError::Silent { silent_ms },
-        };
-        silence
-            .as_mut()
-            .reset(Instant::now() + Duration::from_millis(silent_ms));
-        match received {
-            Ok(Some(message)) => take(agent, message, context).await,
+        match reader.next().await {
+            Ok(Some(message)) => {
+                heard.now();
+                take(agent, message, context).await;
+            }
             Ok(None) => return LinkError::Closed,
             Err(error) => return error.into(),
         }
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -33,7 +33,6 @@
 use crate::entry_control::EntryQuery;
 use crate::entry_control::EntryStatus;
 use crate::entry_link::LinkContext;
-use crate::entry_link::LinkTimes;
 use crate::entry_link::OpenLinks;
 use crate::entry_settings::EntrySettings;
 use crate::entry_state::EntryEvent;
@@ -41,6 +40,7 @@
 use crate::entry_state::EntryState;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::link_pace::PaceRules;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
@@ -105,6 +105,7 @@
     let (link_sender, link_events) = mpsc::channel(LINK_EVENTS);
     let (caller_sender, caller_events) = mpsc::unbounded_channel();
     let (status_sender, status) = watch::channel(EntryStatus::default());
+    let started = Instant::now();
     let link = LinkContext {
         hello: Hello {
             protocol: PROTOCOL_VERSION,
@@ -112,14 +113,14 @@
             name: settings.host.clone(),
             data_centre: settings.data_centre.clone(),
         },
-        times: LinkTimes {
+        pace: PaceRules {
             heartbeat_ms: settings.heartbeat_ms,
             silent_ms: settings.silent_ms,
         },
+        started,
         links: OpenLinks::default(),
         routes: Arc::new(AnswerRoutes::new(settings.window_bytes * 2)),
         events: link_sender,
-        catalog: catalog.clone(),
     };
     let context = CallerContext {
         routes: link.routes.clone(),
@@ -127,7 +128,6 @@
         events: caller_sender.clone(),
         metrics: metrics.clone(),
     };
-    let started = Instant::now();
     let stop_control = CancellationToken::new();
     let (query_sender, queries) = mpsc::channel(QUERIES);
     let store = StoreClient::new(&settings.store_url).map_err(io::Error::other)?;
@@ -145,6 +145,7 @@
         traffic: traffic.handle().clone(),
         status: status_sender,
         metrics,
+        beats: 0,
         started,
         started_unix_ms: unix_ms(),
         status_every: STATUS_EVERY,
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry_state.rs
@@ -98,7 +98,7 @@
             links: LinkChoice {
                 entry,
                 data_centre,
-                per_target: 32,
+                max_links: 192,
             },
             queue: QueueLimits::default(),
             candidates: 4,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -53,6 +53,7 @@
 pub mod hosts;
 pub mod ids;
 pub mod kept_answers;
+pub mod link_pace;
 pub mod logging;
 pub mod metrics;
 pub mod objects;
