entry: named and ordered requests tested across entries on sockets

An agent sends an answer to the link that asked last. Two callers of one named request at two entries: the first got nothing more once the second had asked, and ended with its deadline (504 in the test). The reader of a shared answer now asks again after 500 ms of silence. A run that goes on through another entry was remembered here until 30 s past its deadline; the agent now answers a cancel that it does not take with what it knows, and the entry forgets the run.

--- a/lib/src/agent_state/dispatch.rs
+++ b/lib/src/agent_state/dispatch.rs
@@ -161,8 +161,12 @@
         let Some(attempt) = self.attempts.get(id) else {
             return;
         };
-        // The answer has moved to another link, whose entry still wants it.
+        // The answer has moved to another link, whose entry still wants it. The one that
+        // wants it no more is told that it goes on.
         if attempt.link.is_some_and(|current| current != link) {
+            if let Some(settlement) = self.attempts.settlement(id) {
+                self.send(link, settled(id, settlement));
+            }
             return;
         }
         match attempt.phase {
--- a/lib/src/caller_answer.rs
+++ b/lib/src/caller_answer.rs
@@ -2,10 +2,12 @@
 
 use std::collections::VecDeque;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
 use bytes::BytesMut;
 use tokio::sync::mpsc;
+use tokio::time::timeout;
 
 use crate::answer_reader::AnswerFrame;
 use crate::answer_reader::AnswerReader;
@@ -29,6 +31,8 @@
 const HOLD_BYTES: usize = 256 << 10;
 /// Bytes are acknowledged in steps of this size.
 const ACKNOWLEDGE_BYTES: u64 = 32 << 10;
+/// How long the reader of a shared answer waits before it asks for it again.
+const SHARED_SILENCE: Duration = Duration::from_millis(500);
 /// The content type of a stream of events, whose parts are passed on as they come.
 const EVENT_STREAM: &str = "text/event-stream";
 
@@ -117,6 +121,7 @@
 #[derive(Debug)]
 pub struct CallerAnswer {
     request: RequestId,
+    is_shared: bool,
     context: CallerContext,
     route: RouteReceiver,
     reader: Option<(AnswerReader, Arc<str>)>,
@@ -140,10 +145,13 @@
 
 impl CallerAnswer {
     /// Opens the way of an answer. Do so before the request is submitted.
+    ///
+    /// An answer that `is_shared` may be read through other entries too.
     #[must_use]
-    pub fn open(request: RequestId, context: CallerContext) -> Self {
+    pub fn open(request: RequestId, is_shared: bool, context: CallerContext) -> Self {
         Self {
             request,
+            is_shared,
             route: context.routes.open(request),
             context,
             reader: None,
@@ -220,7 +228,7 @@
     }
 
     async fn advance(&mut self) -> Progress {
-        match self.route.next().await {
+        match self.next_delivery().await {
             Delivery::Note(note) => self.take_note(note),
             Delivery::Frame(frame) => self.take_frame(frame),
             Delivery::Missed => {
@@ -234,6 +242,17 @@
         }
     }
 
+    /// The next delivery. An agent sends an answer to one link only, the one that asked
+    /// last. When a repetition through another entry has taken a shared answer away, this
+    /// caller would wait for ever; so it asks again after a while of silence.
+    async fn next_delivery(&mut self) -> Delivery {
+        if !self.is_shared || self.reader.is_none() {
+            return self.route.next().await;
+        }
+        let delivery = timeout(SHARED_SILENCE, self.route.next()).await;
+        delivery.unwrap_or(Delivery::Missed)
+    }
+
     fn take_note(&mut self, note: CallerNote) -> Progress {
         match note {
             // A second answer behind a part of the first would be neither the one nor the other.
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -271,8 +271,9 @@
         let is_head = &*work.call.method == Method::HEAD.as_str();
         let submission = self.submission(id, admitted, work)?;
         let non_idempotent = submission.non_idempotent;
+        let is_shared = submission.named.is_some();
         let mut meter = AnswerMeter::start(self.context.metrics.clone(), submission.profile.tier);
-        let mut answer = CallerAnswer::open(id, self.context.clone());
+        let mut answer = CallerAnswer::open(id, is_shared, self.context.clone());
         let event = EntryEvent::Submitted(Box::new(submission));
         // Without a control thread the answer's channel is closed, too.
         let _stopped = self.context.events.send(event);
--- a/lib/src/entry_state/attempts.rs
+++ b/lib/src/entry_state/attempts.rs
@@ -328,6 +328,10 @@
         let in_doubt = || AnswerEnd::InDoubt {
             reason: "the agent was restarted".into(),
         };
+        if matches!(phase, Phase::Abandoned(_)) {
+            self.settled_abandoned(id, settlement, same_incarnation);
+            return;
+        }
         let end = match settlement {
             Settlement::Running | Settlement::Finished => {
                 self.resume(&attempt);
@@ -342,15 +346,31 @@
         match phase {
             Phase::Running(_) => self.steps.push(EntryStep::End { attempt: id, end }),
             Phase::InDoubt(_) => self.ended(now_ms, id, &end, false),
-            Phase::Abandoned(_) => self.settled_abandoned(id, &end),
-            Phase::Waiting | Phase::Following(_) => {}
+            Phase::Waiting | Phase::Following(_) | Phase::Abandoned(_) => {}
         }
     }
 
-    /// An attempt in doubt may still be alive, so it is remembered until its timer.
-    fn settled_abandoned(&mut self, id: AttemptId, end: &AnswerEnd) {
-        if !matches!(end, AnswerEnd::InDoubt { .. }) {
-            self.ended_abandoned(id, end);
+    /// What an agent says about an attempt that nobody waits for here. One that goes on
+    /// though it was cancelled has a reader at another entry, which answers for it now.
+    fn settled_abandoned(&mut self, id: AttemptId, settlement: Settlement, same_incarnation: bool) {
+        let Some(run) = self.runs.get(&id.request) else {
+            return;
+        };
+        let Phase::Abandoned(attempt) = &run.phase else {
+            return;
+        };
+        let goes_on_here = run.submission.non_idempotent || self.is_followed(attempt);
+        match settlement {
+            Settlement::NeverSent if same_incarnation => {
+                self.ended_abandoned(id, &AnswerEnd::NotSent);
+            }
+            Settlement::Finished | Settlement::Ended => {
+                self.remove(id.request, FinishedAs::Unknown);
+            }
+            Settlement::Running if !goes_on_here => {
+                self.remove(id.request, FinishedAs::InDoubt);
+            }
+            Settlement::Running | Settlement::NeverSent | Settlement::InDoubt => {}
         }
     }
 
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! One test program for all integration tests, so that it is linked once.
 
 mod agent_fixture;
+mod fleet_fixture;
 mod operator_fixture;
 mod spread_fixture;
 mod test_agent_attempts;
@@ -28,4 +29,5 @@
 mod test_request_names;
 mod test_secrets;
 mod test_settings;
+mod test_whole_once;
 mod test_whole_path;
--- a/lib/tests/test_whole_path.rs
+++ b/lib/tests/test_whole_path.rs
@@ -1,175 +1,18 @@
 //! Caller, entry, agent, upstream and back on real sockets, judged by the upstreams' own
 //! counts.
 
-use std::net::SocketAddr;
-use std::sync::Arc;
-use std::time::Duration;
-
 use futures_util::StreamExt;
-use indexmap::IndexMap;
 use reqwest::Method;
 use reqwest::StatusCode;
-use sardinewood::agent_server;
-use sardinewood::agent_server::AgentHandle;
-use sardinewood::agent_settings::AgentSettings;
-use sardinewood::catalog::Catalog;
-use sardinewood::entry_server;
-use sardinewood::entry_server::EntryHandle;
-use sardinewood::entry_settings::EntrySettings;
-use sardinewood::entry_state::EntryCounts;
-use sardinewood::metrics::Metrics;
-use sardinewood::objects::Upstream;
 use serde_json::Value;
 use serde_json::json;
-use sha2::Digest;
-use sha2::Sha256;
-use testutils::engine_settings::EngineSettings;
-use testutils::engine_stand_in::EngineStandIn;
 use testutils::service_stand_in::ServiceStandIn;
-use tokio::sync::watch;
 use tokio::time::timeout;
 
-const KEY: &str = "key-of-rundu";
-/// Generous, so that it is reached only when what is waited for never comes.
-const CAP: Duration = Duration::from_secs(30);
-
-/// An entry, agents, and the configuration that they share.
-struct Fleet {
-    entry: EntryHandle,
-    agents: IndexMap<String, AgentHandle>,
-    catalog: watch::Sender<Arc<Catalog>>,
-    client: reqwest::Client,
-}
-
-impl Fleet {
-    /// A fleet with an agent for each upstream: its name, URL and what it serves.
-    async fn start(upstreams: &[(&str, String, Value)]) -> Self {
-        let (catalog, receiver) = watch::channel(Arc::new(callers_catalog()));
-        for (name, url, serves) in upstreams {
-            let upstream = json!({
-                "name": name, "data_centre": "local", "url": url, "serves": serves,
-                "agent_address": "127.0.0.1:1", "slots": 4,
-            });
-            let upstream = serde_json::from_value(upstream).expect("an upstream");
-            change(&catalog, |known| {
-                known.upstreams.insert((*name).into(), Arc::new(upstream));
-            });
-        }
-        let settings = EntrySettings::default();
-        let entry = entry_server::spawn(&settings, receiver, Metrics::disabled());
-        let mut fleet = Self {
-            entry: entry.expect("an entry"),
-            agents: IndexMap::new(),
-            catalog,
-            client: reqwest::Client::new(),
-        };
-        for (name, ..) in upstreams {
-            fleet.start_agent(name).await;
-        }
-        fleet.wait_for_links(upstreams.len()).await;
-        fleet
-    }
-
-    async fn start_agent(&mut self, upstream: &str) {
-        let settings = AgentSettings {
-            upstream: upstream.into(),
-            ..AgentSettings::default()
-        };
-        let catalog = self.catalog.subscribe();
-        let agent = agent_server::spawn(settings, catalog, Metrics::disabled()).await;
-        let agent = agent.expect("an agent");
-        let agent_address = agent.address();
-        change(&self.catalog, |catalog| {
-            move_agent(catalog, upstream, agent_address);
-        });
-        self.agents.insert(upstream.into(), agent);
-    }
-
-    async fn wait_for_links(&self, count: usize) {
-        let links = async {
-            while self.counts().await.links != count {
-                tokio::task::yield_now().await;
-            }
-        };
-        assert!(timeout(CAP, links).await.is_ok(), "no links");
-    }
-
-    async fn counts(&self) -> EntryCounts {
-        let status = self.entry.ask_status().await;
-        status.expect("a running entry").counts
-    }
-
-    async fn assert_nothing_left(&self) {
-        let empty = async {
-            loop {
-                let counts = self.counts().await;
-                if counts.waiting + counts.running + counts.reservations == 0 {
-                    break;
-                }
-                tokio::task::yield_now().await;
-            }
-        };
-        assert!(timeout(CAP, empty).await.is_ok(), "something is left");
-    }
-
-    fn request(&self, method: Method, path: &str) -> reqwest::RequestBuilder {
-        let url = format!("http://{}{path}", self.entry.address());
-        self.client.request(method, url).bearer_auth(KEY)
-    }
-
-    fn chat(&self, max_tokens: u32, stream: bool) -> reqwest::RequestBuilder {
-        let body = json!({
-            "model": "small", "max_tokens": max_tokens, "stream": stream,
-            "messages": [{"role": "user", "content": "a summary of the dispute"}],
-        });
-        self.request(Method::POST, "/v1/chat/completions")
-            .json(&body)
-    }
-}
-
-fn change(catalog: &watch::Sender<Arc<Catalog>>, change: impl FnOnce(&mut Catalog)) {
-    catalog.send_modify(|catalog| {
-        let mut next = Catalog::clone(catalog);
-        next.revision += 1;
-        change(&mut next);
-        *catalog = Arc::new(next);
-    });
-}
-
-fn move_agent(catalog: &mut Catalog, upstream: &str, agent_address: SocketAddr) {
-    let known = catalog.upstreams.get(upstream).expect("an upstream");
-    let moved = Upstream {
-        agent_address,
-        ..Upstream::clone(known)
-    };
-    catalog.upstreams.insert(upstream.into(), Arc::new(moved));
-}
-
-fn callers_catalog() -> Catalog {
-    let mut catalog = Catalog {
-        revision: 1,
-        ..Catalog::default()
-    };
-    let profile = json!({"name": "summary", "tier": 0, "deadline_ms": 25_000});
-    let profile = serde_json::from_value(profile).expect("a profile");
-    catalog.profiles.insert("summary".into(), Arc::new(profile));
-    let digest = format!("{:x}", Sha256::digest(KEY.as_bytes()));
-    let customer = json!({
-        "name": "rundu", "weight": 1, "default_profile": "summary", "key_sha256": [digest],
-    });
-    let customer = serde_json::from_value(customer).expect("a customer");
-    catalog.customers.insert("rundu".into(), Arc::new(customer));
-    catalog
-}
-
-async fn engine() -> EngineStandIn {
-    let engine = EngineStandIn::spawn(EngineSettings::default()).await;
-    engine.expect("an engine")
-}
-
-fn models(engine: &EngineStandIn) -> (String, Value) {
-    (engine.url(), json!({"models": ["small"]}))
-}
+use crate::fleet_fixture::CAP;
+use crate::fleet_fixture::Fleet;
+use crate::fleet_fixture::engine;
+use crate::fleet_fixture::models;
 
 fn events(body: &str) -> usize {
     body.lines().filter(|line| line.starts_with("id: ")).count()
