entry: refuse service paths that a client would resolve

Cause: the HTTP client towards an upstream resolves . and .. segments and takes a backslash for a slash. A caller of /services/refunds/a/../../v1/x reached /v1/x, past the base URL of its upstream; the stand-in service showed the other path.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -80,6 +80,7 @@
 pub mod run;
 pub mod secrets;
 pub mod service;
+pub mod service_path;
 pub mod setting;
 pub mod settings;
 pub mod speeds;
