bench: measure how soon a change is in force everywhere

Cause: the users ask for 2 s at today's sizes, with and without the store. Change: a subcommand that runs 10 to 500 processes' configuration parts over real sockets; the spread counts its datagrams and bytes.

--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -16,6 +16,11 @@
 
 /// All experiments, in the order of `--help`.
 pub const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        name: "config",
+        summary: "how soon a change is in force everywhere, and what that costs",
+        run: crate::config::run,
+    },
     Subcommand {
         name: "overhead",
         summary: "what an entry and its agents add to a call, and what they carry",
