--- a/lib/src/agent_state/room.rs
+++ b/lib/src/agent_state/room.rs
@@ -173,6 +173,7 @@
             .queue
             .due(horizon_ms)
             .filter(|waiting| now_ms + self.own_margin_ms(waiting) >= waiting.latest_start_ms)
+            .filter(|waiting| now_ms >= waiting.came_ms + self.limits.preempt_after_ms)
             .filter(|waiting| !self.is_too_late(now_ms, waiting))
             .map(|waiting| waiting.reservation.tier)
             .collect();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -73,6 +73,7 @@
 pub mod operator_session;
 pub mod order_queue;
 pub mod ordering;
+pub mod prefix_hints;
 pub mod pump_registry;
 pub mod request_names;
 pub mod reservation_queue;
