--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -263,8 +263,8 @@
     fn score(&self, name: &str, agent: &Agent, wanted: Wanted<'_>) -> (u64, u64) {
         let load = agent.load;
         let step_us = nonzero_or(u64::from(load.step_us), UNKNOWN_STEP_US);
-        let run_us = prefill_us(agent, wanted.prompt_tokens)
-            + u64::from(wanted.output_tokens) * step_us;
+        let run_us =
+            prefill_us(agent, wanted.prompt_tokens) + u64::from(wanted.output_tokens) * step_us;
         let slots = u64::from(agent.upstream.slots.max(1));
         let occupied = agent.occupied_slots();
         // Each request of a batch slows the others down, so of two engines with room the
