store duty: a few dozen processes watch the store, the others hear of it

Cause: each process watched the store. A waiting watch is a call and each change ends all of them, so a change at 2,350 processes is 2,350 calls within the 250 ms between two calls of one process; the platform takes about 2,000 a second. Listing again each 300 s would besides take 1.5 MB each time, 5,000 of the 7,000 bytes a second for control. Change: each process draws for a minute at a time whether it watches, so that about 64 do, and rests otherwise. One that hears nobody, or whose last call failed, watches. Skipped changes are still found, by the digests that peers compare. Worked out: at most 256 calls a second however fast changes come, before 9,400.

--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -88,6 +88,7 @@
 pub mod spread_link;
 pub mod spread_message;
 pub mod store;
+pub mod store_duty;
 pub mod store_records;
 pub mod submission;
 pub mod timers;
--- a/lib/src/spread_link.rs
+++ b/lib/src/spread_link.rs
@@ -300,6 +300,7 @@
                     }
                 }
                 () = tokio::time::sleep_until(next_tick) => {
+                    self.config.set_others(self.spread.audible(self.now_ms()));
                     let actions = self.spread.tick();
                     self.carry_out(actions).await;
                     let tick_ms = self.spread.tick_ms(&state.borrow().digest());
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -30,6 +30,7 @@
 mod test_request_names;
 mod test_secrets;
 mod test_settings;
+mod test_store_duty;
 mod test_whole_once;
 mod test_whole_path;
 mod test_work_estimates;
