--- a/lib/src/config_state.rs
+++ b/lib/src/config_state.rs
@@ -14,79 +14,29 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
-use serde::Deserialize;
-use serde::Serialize;
-use serde_json::Value;
-use twox_hash::XxHash64;
 
-use crate::audit::Change;
 use crate::audit::Record;
 use crate::catalog::Catalog;
+use crate::config_held::Held;
+use crate::config_held::checked;
+use crate::config_held::removed;
 use crate::config_object::Kind;
 use crate::config_object::ObjectKey;
-use crate::config_object::Spec;
-use crate::config_object::check;
 use crate::findings::Finding;
-use crate::findings::Findings;
 use crate::store::ObjectList;
 use crate::store::StoredObject;
 use crate::store::WatchBatch;
 use crate::store::WatchEvent;
 
+pub use crate::config_version::Content;
+pub use crate::config_version::Digest;
+pub use crate::config_version::ObjectVersion;
+pub use crate::config_version::PeerAnswer;
+
 /// The most tombstones kept from before the last complete list. They only save a peer
 /// that is behind from being given everything; the oldest go first.
 pub const MAX_TOMBSTONES: usize = 1_024;
 
-/// One version of an object, as one process tells it to another.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ObjectVersion {
-    /// Which object.
-    pub key: ObjectKey,
-    /// The version that the store gave it.
-    pub version: u64,
-    /// The object proper and its last change as JSON; absent when the store removed it.
-    pub content: Option<Arc<str>>,
-}
-
-/// What one process tells another that knows everything up to a revision.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct PeerAnswer {
-    /// The revision that the other asked from.
-    pub after: u64,
-    /// The revision up to which the sender knows every object.
-    pub complete_through: u64,
-    /// The revision of the last complete list of the store that the sender's knowledge
-    /// rests on.
-    pub listed_through: u64,
-    /// The sender has a tombstone for each deletion above this revision.
-    pub deletions_after: u64,
-    /// Whether these are all objects, and not only those above `after`.
-    pub whole: bool,
-    /// The objects and tombstones.
-    pub objects: Vec<ObjectVersion>,
-}
-
-/// The part of a record that each process keeps; the history stays in the store.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Content {
-    /// The object proper; absent once an operator removed it.
-    pub spec: Option<Value>,
-    /// The change that made it so.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub change: Option<Change>,
-}
-
-/// What a process holds, in few bytes. Two processes with equal digests hold the same.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Digest {
-    /// The revision up to which every object is known.
-    pub complete_through: u64,
-    /// The highest version of any object.
-    pub newest: u64,
-    /// XXH64 over the names and versions of the objects, in any order.
-    pub hash: u64,
-}
-
 /// What a list from the store showed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListOutcome {
@@ -108,16 +58,6 @@
     ListAgain,
 }
 
-/// The newest known version of an object, and the newest good one.
-#[derive(Clone, Debug)]
-struct Held {
-    version: u64,
-    content: Option<Arc<str>>,
-    in_force: Option<Spec>,
-    findings: Vec<Finding>,
-    hash: u64,
-}
-
 /// What a process knows of the configuration.
 ///
 /// ```
@@ -557,46 +497,3 @@
         WatchEvent::Delete { version, .. } => *version,
     }
 }
-
-fn removed(version: u64) -> Held {
-    Held {
-        version,
-        content: None,
-        in_force: None,
-        findings: Vec::new(),
-        hash: 0,
-    }
-}
-
-/// A new version, in force if it is good; otherwise the last good one stays in force.
-fn checked(key: &ObjectKey, version: u64, content: Arc<str>, last_good: Option<Spec>) -> Held {
-    let mut findings = Findings::default();
-    let in_force = match serde_json::from_str::<Content>(&content) {
-        Ok(Content { spec: None, .. }) => None,
-        Ok(Content {
-            spec: Some(spec), ..
-        }) => check(key, &spec, &|_| true, &mut findings),
-        Err(error) => {
-            findings.add(key.to_string(), error.to_string());
-            None
-        }
-    };
-    let in_force = if findings.is_empty() {
-        in_force
-    } else {
-        last_good
-    };
-    Held {
-        version,
-        content: Some(content),
-        in_force,
-        findings: findings.iter().cloned().collect(),
-        hash: version_hash(key, version),
-    }
-}
-
-/// The share of one object in the digest.
-fn version_hash(key: &ObjectKey, version: u64) -> u64 {
-    let text = format!("{key}@{version}");
-    XxHash64::oneshot(0, text.as_bytes())
-}
