claims: three ways to run or deny a refund wrongly, found by faults at random

Cause: a grant is lost while its claim is written, and the next grant claims before the store has answered; the first answer decided the second claim. The store named an agent where nothing ran, so a repetition could settle it there as never sent and run the refund again. Now the next claim waits for the call under way. 2. Cause: a request whose first attempt had run, and whose second claim the store did not take, was told "not run". Now the attempts before count. 3.

A test asked for "not run" of a named refund while the store is down. It now asks that nothing was dispatched and that the caller hears "unknown".

--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -23,6 +23,7 @@
 use crate::request_names::RequestName;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
+use crate::verdict::Outcome;
 
 /// Asks for the right to dispatch one attempt of a named request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -135,6 +136,17 @@
     asked: ClaimRequest,
     phase: Phase,
     give_up_at_ms: u64,
+    /// Whether the call under way was made for an earlier grant.
+    is_outdated: bool,
+}
+
+/// A "not run" that waits for a look at the store.
+#[derive(Clone, Copy, Debug)]
+struct Vouch {
+    name: RequestName,
+    failure: Failure,
+    /// Whether the answer to an earlier call comes first; it may show an earlier state.
+    skips_one: bool,
 }
 
 /// The claims of one entry.
@@ -168,6 +180,7 @@
 pub struct Claims {
     rules: ClaimRules,
     runs: IndexMap<RequestId, ClaimRun>,
+    vouches: IndexMap<RequestId, Vouch>,
     window_start_ms: u64,
     calls_in_window: u64,
     steps: Vec<ClaimStep>,
@@ -183,6 +196,7 @@
         Self {
             rules,
             runs: IndexMap::new(),
+            vouches: IndexMap::new(),
             window_start_ms: 0,
             calls_in_window: 0,
             steps: Vec::new(),
@@ -192,6 +206,19 @@
     /// Asks for the claim of the next attempt of a request.
     pub fn claim(&mut self, now_ms: u64, asked: ClaimRequest) -> Vec<ClaimStep> {
         let request = asked.holder.attempt.request;
+        let give_up_at_ms = now_ms + self.rules.patience_ms;
+        let before = self.runs.get_mut(&request);
+        // A grant can be lost while its claim is being written, and the next one asks
+        // before the store has answered. That answer must not decide the new claim: the
+        // store would name the lost grant while the request runs by the new one.
+        if let Some(run) = before
+            && matches!(run.phase, Phase::Writing | Phase::Reading)
+        {
+            run.asked = asked;
+            run.give_up_at_ms = give_up_at_ms;
+            run.is_outdated = true;
+            return Vec::new();
+        }
         let expected = match self.runs.get(&request).map(|run| run.phase) {
             Some(Phase::Held { version }) => Some(version),
             _ => None,
@@ -199,13 +226,74 @@
         let run = ClaimRun {
             asked,
             phase: Phase::Idle,
-            give_up_at_ms: now_ms + self.rules.patience_ms,
+            give_up_at_ms,
+            is_outdated: false,
         };
         self.runs.insert(request, run);
         self.next_call(now_ms, request, NextCall::Write { expected });
         std::mem::take(&mut self.steps)
     }
 
+    /// Looks whether "not run" is true of a name before its caller hears it.
+    ///
+    /// The request did not run by this entry. But its caller may have sent it before,
+    /// through another entry, and that one may have run. A caller that hears "not run"
+    /// would send the refund under a new key, and it is credited twice.
+    ///
+    /// The look is a conditional write of a bar, which is removed again: a read may show a
+    /// state from before the claim.
+    pub fn vouch(
+        &mut self,
+        now_ms: u64,
+        request: RequestId,
+        name: RequestName,
+        failure: Failure,
+    ) -> Vec<ClaimStep> {
+        if !self.has_budget(now_ms) {
+            return vec![failed(request, unknown(failure))];
+        }
+        self.calls_in_window += 1;
+        let under_way = self.runs.get(&request).map(|run| run.phase);
+        let vouch = Vouch {
+            name,
+            failure,
+            skips_one: matches!(
+                under_way,
+                Some(Phase::Writing | Phase::Reading | Phase::Deleting { .. })
+            ),
+        };
+        self.vouches.insert(request, vouch);
+        let bar = Claim {
+            digest: None,
+            state: ClaimState::Barred { request },
+        };
+        vec![ClaimStep::Call {
+            request,
+            name,
+            call: StoreCall::Write {
+                expected: None,
+                claim: bar,
+            },
+        }]
+    }
+
+    fn vouched(&mut self, request: RequestId, vouch: &Vouch, answer: &StoreAnswer) {
+        if let StoreAnswer::Written { version } = answer {
+            self.calls_in_window += 1;
+            self.steps.push(ClaimStep::Call {
+                request,
+                name: vouch.name,
+                call: StoreCall::Delete { version: *version },
+            });
+        }
+        let failure = if is_free_of_others(request, answer) {
+            vouch.failure
+        } else {
+            unknown(vouch.failure)
+        };
+        self.steps.push(failed(request, failure));
+    }
+
     /// Takes the store's answer to the call under way for a request.
     pub fn answered(
         &mut self,
@@ -213,6 +301,15 @@
         request: RequestId,
         answer: StoreAnswer,
     ) -> Vec<ClaimStep> {
+        if let Some(vouch) = self.vouches.get_mut(&request) {
+            let skips = std::mem::take(&mut vouch.skips_one);
+            let vouch = *vouch;
+            if !skips {
+                self.vouches.swap_remove(&request);
+                self.vouched(request, &vouch, &answer);
+            }
+            return std::mem::take(&mut self.steps);
+        }
         match self.runs.get(&request).map(|run| run.phase) {
             Some(Phase::Writing | Phase::Reading) => self.decide(now_ms, request, answer),
             Some(Phase::Deleting {
@@ -289,7 +386,15 @@
     }
 
     fn decide(&mut self, now_ms: u64, request: RequestId, answer: StoreAnswer) {
+        let is_outdated = self
+            .runs
+            .get_mut(&request)
+            .is_some_and(|run| std::mem::take(&mut run.is_outdated));
         match answer {
+            StoreAnswer::Written { version } if is_outdated => {
+                let expected = Some(version);
+                self.next_call(now_ms, request, NextCall::Write { expected });
+            }
             StoreAnswer::Written { version } => self.win(request, version),
             StoreAnswer::Current(current) => self.decide_current(now_ms, request, current),
             StoreAnswer::Lost => self.pause(now_ms, request, self.rules.again_ms, NextCall::Read),
@@ -449,6 +554,33 @@
     }
 }
 
+fn failed(request: RequestId, failure: Failure) -> ClaimStep {
+    ClaimStep::Decided {
+        request,
+        decision: ClaimDecision::Fail(failure),
+    }
+}
+
+fn unknown(failure: Failure) -> Failure {
+    Failure {
+        outcome: Outcome::Unknown,
+        ..failure
+    }
+}
+
+/// Whether the store shows that no other request of the name may have run.
+fn is_free_of_others(request: RequestId, answer: &StoreAnswer) -> bool {
+    match answer {
+        StoreAnswer::Written { .. } | StoreAnswer::Current(None) => true,
+        StoreAnswer::Current(Some(stored)) => match stored.claim.as_ref().map(|one| &one.state) {
+            Some(ClaimState::Held(holder)) => holder.attempt.request == request,
+            Some(ClaimState::Barred { .. }) => true,
+            None => false,
+        },
+        StoreAnswer::Lost | StoreAnswer::Limited { .. } => false,
+    }
+}
+
 fn due_ms(phase: Phase) -> Option<u64> {
     match phase {
         Phase::Pausing { until_ms, .. } | Phase::Retained { until_ms, .. } => Some(until_ms),
--- a/lib/src/entry_control.rs
+++ b/lib/src/entry_control.rs
@@ -265,6 +265,11 @@
     ) -> Vec<EntryEvent> {
         match step {
             EntryStep::Claim(asked) => return self.records.claim(now_ms, asked),
+            EntryStep::Vouch {
+                request,
+                name,
+                failure,
+            } => return self.records.vouch(now_ms, request, name, failure),
             EntryStep::AwaitTurn { order, place } => {
                 return self.records.join(now_ms, order, place);
             }
@@ -323,6 +328,7 @@
             EntryStep::Dial { .. }
             | EntryStep::HangUp { .. }
             | EntryStep::Claim(_)
+            | EntryStep::Vouch { .. }
             | EntryStep::AwaitTurn { .. }
             | EntryStep::Finished { .. } => {}
         }
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry_state.rs
@@ -30,6 +30,7 @@
 use crate::order_queue::OrderName;
 use crate::order_queue::Place;
 use crate::request_names::KnownNames;
+use crate::request_names::RequestName;
 use crate::retry_budget::RetryBudget;
 use crate::run::Phase;
 use crate::run::Run;
@@ -197,6 +198,13 @@
     },
     /// Claim the name of a request for the attempt that would be dispatched.
     Claim(ClaimRequest),
+    /// Look whether the name may have run through another entry before its caller hears
+    /// that it did not.
+    Vouch {
+        request: RequestId,
+        name: RequestName,
+        failure: Failure,
+    },
     /// Find out when the request's turn under its order key has come.
     AwaitTurn { order: OrderName, place: Place },
     /// The request is over here; what was kept for it elsewhere can go.
@@ -270,6 +278,8 @@
     names: KnownNames,
     expire_names_at_ms: u64,
     unplaced: IndexSet<RequestId>,
+    /// Requests whose "not run" is being looked into.
+    vouching: IndexSet<RequestId>,
     timers: Timers,
     budget: RetryBudget,
     memory: Explanations,
@@ -295,6 +305,7 @@
             dialled: IndexMap::new(),
             runs: IndexMap::new(),
             unplaced: IndexSet::new(),
+            vouching: IndexSet::new(),
             timers: Timers::default(),
             budget: RetryBudget::default(),
             memory: Explanations::new(rules.remembered_requests),
@@ -357,6 +368,7 @@
         self.runs
             .values()
             .all(|run| matches!(run.phase, Phase::Abandoned(_)))
+            && self.vouching.is_empty()
     }
 
     /// Whether new requests are taken.
@@ -402,8 +414,31 @@
     }
 
     fn tell_failure(&mut self, request: RequestId, failure: Failure) {
-        self.record(request, Decided::Failed(failure));
-        self.steps.push(EntryStep::Fail { request, failure });
+        let name = self
+            .runs
+            .get(&request)
+            .and_then(|run| self.name_to_vouch_for(run, failure));
+        self.tell_vouched(request, failure, name);
+    }
+
+    /// Tells a caller that its request is refused before anything was kept of it.
+    fn tell_refusal(&mut self, run: &Run, failure: Failure) {
+        let name = self.name_to_vouch_for(run, failure);
+        self.tell_vouched(run.submission.request, failure, name);
+    }
+
+    fn tell_vouched(&mut self, request: RequestId, failure: Failure, name: Option<RequestName>) {
+        let Some(name) = name else {
+            self.record(request, Decided::Failed(failure));
+            self.steps.push(EntryStep::Fail { request, failure });
+            return;
+        };
+        self.vouching.insert(request);
+        self.steps.push(EntryStep::Vouch {
+            request,
+            name,
+            failure,
+        });
     }
 
     fn send(&mut self, agent: &Arc<str>, message: EntryMessage) {
--- a/lib/src/entry_state/named.rs
+++ b/lib/src/entry_state/named.rs
@@ -13,9 +13,11 @@
 use super::FailureReason;
 use super::FinishedAs;
 use super::Holder;
+use super::Outcome;
 use super::Phase;
 use super::Place;
 use super::RequestId;
+use super::RequestName;
 use super::Run;
 use super::TimerKind;
 use crate::ids::GrantId;
@@ -159,7 +161,28 @@
         self.steps.push(EntryStep::Claim(asked));
     }
 
+    /// The name, if "not run" must not be said of it without a look at the store.
+    pub(super) fn name_to_vouch_for(&self, run: &Run, failure: Failure) -> Option<RequestName> {
+        let is_not_run = failure.outcome == Outcome::NotRun;
+        // With another body it is another request, which has not run.
+        let is_same_call = failure.reason != FailureReason::KeyReused;
+        let must_look =
+            self.rules.claims && run.submission.non_idempotent && is_not_run && is_same_call;
+        let named = run.submission.named.filter(|_| must_look)?;
+        Some(named.name)
+    }
+
+    fn vouched(&mut self, request: RequestId, decision: &ClaimDecision) {
+        if let ClaimDecision::Fail(failure) = decision {
+            self.tell_vouched(request, *failure, None);
+        }
+    }
+
     pub(super) fn claimed(&mut self, now_ms: u64, request: RequestId, decision: ClaimDecision) {
+        if self.vouching.swap_remove(&request) {
+            self.vouched(request, &decision);
+            return;
+        }
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
@@ -185,7 +208,7 @@
             return;
         };
         if self.may_dispatch(now_ms, request, &agent, grant) {
-            self.dispatch(now_ms, request, &agent, grant);
+            self.dispatch(request, &agent, grant);
         } else {
             self.send(&agent, EntryMessage::Decline { grant });
             self.lose_reservation(now_ms, request, &agent);
--- a/lib/src/entry_state/waiting.rs
+++ b/lib/src/entry_state/waiting.rs
@@ -8,6 +8,7 @@
 use super::Failure;
 use super::FailureReason;
 use super::FinishedAs;
+use super::Outcome;
 use super::Phase;
 use super::RequestId;
 use super::Run;
@@ -26,13 +27,13 @@
         let awaits_turn = self.rules.turns && submission.order.is_some();
         let run = Run::new(submission, now_ms, awaits_turn);
         if let Some(failure) = self.refusal_at_once(now_ms, &run) {
-            self.tell_failure(request, failure);
+            self.tell_refusal(&run, failure);
             return;
         }
         let Admission::Admit { give_way } = self.queue.admit(run.place()) else {
             let failure = Failure::not_run(FailureReason::QueueFull);
             let failure = failure.retry_after(self.rules.retry_after_ms);
-            self.tell_failure(request, failure);
+            self.tell_refusal(&run, failure);
             return;
         };
         for other in give_way {
@@ -83,7 +84,20 @@
     }
 
     /// Ends a request with a failure that was decided elsewhere.
+    ///
+    /// Who decided it knows nothing of the attempts before: a claim for the second attempt
+    /// that the store does not take is "not run" to the claims, but the first attempt ran.
     pub(super) fn fail_with(&mut self, request: RequestId, failure: Failure) {
+        let has_run = self
+            .runs
+            .get(&request)
+            .is_some_and(|run| run.outcome() == Outcome::Unknown);
+        let outcome = if has_run {
+            Outcome::Unknown
+        } else {
+            failure.outcome
+        };
+        let failure = Failure { outcome, ..failure };
         self.leave_queue(request);
         self.tell_failure(request, failure);
         self.remove(request, failure.outcome.into());
@@ -109,7 +123,7 @@
             target: &run.submission.target,
             prompt_tokens: run.submission.estimate.prompt_tokens,
             output_tokens: run.submission.estimate.expected_output_tokens,
-            prefix: &run.submission.estimate.prefix,
+            prefix: run.submission.estimate.prefix.first().copied(),
             count: missing,
             nonce: self.nonce,
         };
--- a/lib/src/store_records.rs
+++ b/lib/src/store_records.rs
@@ -31,11 +31,13 @@
 use crate::order_queue::Place;
 use crate::order_queue::StoredQueue;
 use crate::ordering::Orders;
+use crate::request_names::RequestName;
 use crate::store::Expect;
 use crate::store::ReadError;
 use crate::store::StoreClient;
 use crate::store::StoredObject;
 use crate::store::WriteAnswer;
+use crate::verdict::Failure;
 use crate::wire::Settlement;
 
 /// What came of a call to the store.
@@ -98,6 +100,18 @@
         self.follow_claims(steps)
     }
 
+    /// Looks whether "not run" is true of a name.
+    pub fn vouch(
+        &mut self,
+        now_ms: u64,
+        request: RequestId,
+        name: RequestName,
+        failure: Failure,
+    ) -> Vec<EntryEvent> {
+        let steps = self.claims.vouch(now_ms, request, name, failure);
+        self.follow_claims(steps)
+    }
+
     /// Takes a place in an order.
     pub fn join(&mut self, now_ms: u64, order: OrderName, place: Place) -> Vec<EntryEvent> {
         let steps = self.orders.join(now_ms, order, place);
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -205,6 +205,79 @@
     assert!(is_write(&steps, Some(9)), "{steps:?}");
 }
 
+#[test]
+fn claim_of_the_next_grant_waits_for_the_call_under_way() {
+    // The link to the first agent breaks while its claim is being written, and another
+    // agent grants. The store's answer is about the first grant. Taken for the second, the
+    // store would name agent 7 while the refund runs at agent 8; a repetition would settle
+    // it as never sent at agent 7, and run it again.
+    let mut claims = Claims::new(ClaimRules::default());
+    claims.claim(0, asked(holder(OURS, 1, 7)));
+    assert_eq!(claims.claim(2, asked(holder(OURS, 1, 8))), []);
+    let steps = claims.answered(5, OURS, StoreAnswer::Written { version: 9 });
+    assert!(is_write(&steps, Some(9)), "{steps:?}");
+    let steps = claims.answered(8, OURS, StoreAnswer::Written { version: 10 });
+    assert_eq!(decision(&steps), Some(&ClaimDecision::Won));
+}
+
+fn vouched(answer: StoreAnswer) -> Vec<ClaimStep> {
+    let mut claims = Claims::new(ClaimRules::default());
+    let failure = Failure::not_run(FailureReason::TooLate);
+    let steps = claims.vouch(0, OURS, asked(holder(OURS, 1, 7)).name, failure);
+    assert!(is_write(&steps, None), "a read may be stale: {steps:?}");
+    claims.answered(5, OURS, answer)
+}
+
+#[test]
+fn vouch_another_request_may_have_run() {
+    // The refund ran through another entry; its repetition is refused here for want of
+    // time. "Not run" would send the caller to credit it under a new key.
+    let steps = vouched(stored(9, holder(THEIRS, 1, 8)));
+    let unknown = ClaimDecision::Fail(Failure::unknown(FailureReason::TooLate));
+    assert_eq!(decision(&steps), Some(&unknown));
+}
+
+#[test]
+fn vouch_store_does_not_tell() {
+    let steps = vouched(StoreAnswer::Lost);
+    let unknown = ClaimDecision::Fail(Failure::unknown(FailureReason::TooLate));
+    assert_eq!(decision(&steps), Some(&unknown));
+}
+
+#[test]
+fn vouch_nobody_has_run_it() {
+    let steps = vouched(StoreAnswer::Written { version: 9 });
+    let [
+        ClaimStep::Call { call, .. },
+        ClaimStep::Decided { decision, .. },
+    ] = &steps[..]
+    else {
+        panic!("{steps:?}");
+    };
+    assert_eq!(
+        *call,
+        StoreCall::Delete { version: 9 },
+        "no bar stays behind"
+    );
+    let not_run = Failure::not_run(FailureReason::TooLate);
+    assert_eq!(*decision, ClaimDecision::Fail(not_run));
+}
+
+#[test]
+fn vouch_passes_over_the_answer_to_an_earlier_read() {
+    // A read that was under way shows a state from before another entry's claim.
+    let mut claims = Claims::new(ClaimRules::default());
+    claims.claim(0, asked(holder(OURS, 1, 7)));
+    claims.answered(5, OURS, StoreAnswer::Lost);
+    assert!(is_read(&claims.tick(105)));
+    let failure = Failure::not_run(FailureReason::TooLate);
+    claims.vouch(106, OURS, asked(holder(OURS, 1, 7)).name, failure);
+    assert_eq!(claims.answered(107, OURS, StoreAnswer::Current(None)), []);
+    let steps = claims.answered(108, OURS, stored(9, holder(THEIRS, 1, 8)));
+    let unknown = ClaimDecision::Fail(Failure::unknown(FailureReason::TooLate));
+    assert_eq!(decision(&steps), Some(&unknown));
+}
+
 #[test]
 fn claim_over_budget_waits() {
     let rules = ClaimRules {
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -757,6 +757,43 @@
     assert_eq!(steps, [finished]);
 }
 
+#[test]
+fn claim_failed_after_an_attempt_is_not_called_not_run() {
+    // The first attempt runs and breaks. The store does not take the claim of the second,
+    // which to the claims is "not run". The caller must hear that its request may have run.
+    let mut scene = Scene::new(&["a", "b"], |rules| rules.claims = true);
+    scene.submit(named(1));
+    scene.grant("a", 1);
+    scene.take(decided(1, ClaimDecision::Won));
+    let broken = AnswerEnd::Broken { reason: "".into() };
+    scene.end(1, 1, broken, false);
+    scene.grant("b", 1);
+    let failure = Failure::not_run(FailureReason::StoreDown);
+    let steps = scene.take(decided(1, ClaimDecision::Fail(failure)));
+    assert_failed(&steps, Outcome::Unknown, FailureReason::StoreDown);
+}
+
+#[test]
+fn refusal_of_a_named_refund_is_vouched_for_first() {
+    // A refund has run through another entry whose answer was lost. Its caller repeats it
+    // here while this entry shuts down. "Not run" would be true of this entry only; so the
+    // store is asked before the caller hears anything.
+    let mut scene = Scene::new(&["a"], |rules| rules.claims = true);
+    scene.take(EntryEvent::ShutDown);
+    let refund = Submission {
+        non_idempotent: true,
+        ..named(1)
+    };
+    let steps = scene.submit(refund);
+    assert!(failures(&steps).is_empty(), "{steps:?}");
+    assert!(matches!(steps[..], [EntryStep::Vouch { .. }]), "{steps:?}");
+    assert!(!scene.entry.is_drained(), "its caller still waits");
+    let failure = Failure::unknown(FailureReason::ShuttingDown);
+    let steps = scene.take(decided(1, ClaimDecision::Fail(failure)));
+    assert_failed(&steps, Outcome::Unknown, FailureReason::ShuttingDown);
+    assert!(scene.entry.is_drained());
+}
+
 #[test]
 fn claimed_link_lost_meanwhile_not_dispatched() {
     // The store answers the claim after the link to the granting agent was lost. The
