bench: the promises under faults at random

Cause: nothing ran entries and agents together while processes die, stop and come back, so the promises were checked only one rule at a time. Change: `sardinewood-bench faults` runs the real entry and agent decisions, claims, orders, and the real reader and log of answers, with small upstreams, callers that ask again and a store, in virtual time, with sixteen kinds of faults drawn from a seed. A checker judges by what callers and upstreams saw. Property tests draw sizes and seeds; the checker is tested with agents that say what they did not decide, and with changed records.

--- /dev/null
+++ b/bench/src/faults/fleet_entry.rs
@@ -0,0 +1,148 @@
+//! An entry of the fleet: the real decisions and the real reader of answers, with callers
+//! that only note what they hear.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use sardinewood::answer_reader::AnswerReader;
+use sardinewood::catalog::Catalog;
+use sardinewood::claim_object::StoreAnswer;
+use sardinewood::claims::ClaimRules;
+use sardinewood::claims::Claims;
+use sardinewood::entry_state::EntryEvent;
+use sardinewood::entry_state::EntryRules;
+use sardinewood::entry_state::EntryState;
+use sardinewood::ids::Incarnation;
+use sardinewood::ids::RequestId;
+use sardinewood::order_queue::BarAnswer;
+use sardinewood::order_queue::OrderAnswer;
+use sardinewood::order_queue::OrderName;
+use sardinewood::order_queue::OrderRules;
+use sardinewood::ordering::Orders;
+use sardinewood::wire::AgentMessage;
+
+use super::process::Process;
+use super::work::WorkId;
+
+/// What reaches an entry.
+#[derive(Clone, Debug)]
+pub enum EntryInput {
+    /// A link to an agent is open.
+    LinkUp {
+        agent: usize,
+        link: u64,
+        incarnation: Incarnation,
+    },
+    /// A link is gone.
+    LinkLost { agent: usize, link: u64 },
+    /// A message from an agent.
+    Message {
+        agent: usize,
+        link: u64,
+        message: AgentMessage,
+    },
+    /// A caller sent a request.
+    Submit { request: RequestId, work: WorkId },
+    /// The store answered a call about a claim.
+    ClaimAnswer {
+        request: RequestId,
+        answer: StoreAnswer,
+    },
+    /// The store answered a call about an order.
+    OrderAnswer {
+        order: OrderName,
+        answer: OrderAnswer,
+    },
+    /// The store answered a bar.
+    BarAnswer { order: OrderName, answer: BarAnswer },
+    /// Claims and orders may have something to do.
+    RecordTick,
+    /// Something else.
+    Event(EntryEvent),
+}
+
+/// A caller whose request the entry has.
+#[derive(Debug)]
+pub struct Caller {
+    /// What it asked for.
+    pub work: WorkId,
+    /// Reads the answer.
+    pub reader: Option<(AnswerReader, usize)>,
+    /// What was read of the answer.
+    pub body: Vec<u8>,
+    /// Whether any of it was passed on.
+    pub passed: bool,
+}
+
+/// An entry.
+#[derive(Debug)]
+pub struct FleetEntry {
+    /// Whether it runs.
+    pub process: Process<EntryInput>,
+    /// Its decisions.
+    pub state: EntryState,
+    /// Its claims.
+    pub claims: Claims,
+    /// Its orders.
+    pub orders: Orders,
+    /// When claims and orders were to be looked at again.
+    pub record_tick_at_ms: Option<u64>,
+    /// The links that it has, by agent.
+    pub links: IndexMap<usize, u64>,
+    /// Which agents it wants links to.
+    pub dialled: Vec<bool>,
+    /// The callers that wait.
+    pub callers: IndexMap<RequestId, Caller>,
+    /// The newest revision of the configuration that it knows.
+    pub revision: u64,
+    /// When a tick was asked for last.
+    pub tick_at_ms: Option<u64>,
+}
+
+impl FleetEntry {
+    /// An entry that has just started.
+    #[must_use]
+    pub fn new(number: usize, agents: usize, seed: u64) -> Self {
+        Self {
+            process: Process::default(),
+            state: entry_state(number, seed),
+            claims: Claims::new(ClaimRules::default()),
+            orders: Orders::new(OrderRules::default()),
+            record_tick_at_ms: None,
+            links: IndexMap::new(),
+            dialled: vec![false; agents],
+            callers: IndexMap::new(),
+            revision: 0,
+            tick_at_ms: None,
+        }
+    }
+
+    /// Starts it again, with nothing remembered.
+    pub fn restart(&mut self, number: usize, seed: u64) {
+        self.state = entry_state(number, seed);
+        self.claims = Claims::new(ClaimRules::default());
+        self.orders = Orders::new(OrderRules::default());
+        self.record_tick_at_ms = None;
+        self.links.clear();
+        self.dialled.fill(false);
+        self.callers.clear();
+        self.revision = 0;
+        self.tick_at_ms = None;
+        self.process.condition = super::process::Condition::Running;
+    }
+}
+
+fn entry_state(number: usize, seed: u64) -> EntryState {
+    let rules = EntryRules {
+        claims: true,
+        turns: true,
+        ..EntryRules::new(format!("entry-{number}").into(), "wdh-1".into())
+    };
+    EntryState::new(rules, seed)
+}
+
+/// The event of a configuration.
+#[must_use]
+pub fn catalog_event(catalog: &Catalog) -> EntryEvent {
+    EntryEvent::CatalogChanged(Arc::new(catalog.clone()))
+}
--- /dev/null
+++ b/bench/src/faults/fleet_store.rs
@@ -0,0 +1,175 @@
+//! The store of the fleet: conditional writes, with outages, slow and lost answers, and
+//! reads of an earlier state.
+
+use indexmap::IndexMap;
+use sardinewood::claim_object::Claim;
+use sardinewood::claim_object::ClaimState;
+use sardinewood::claim_object::StoreAnswer;
+use sardinewood::claim_object::StoreCall;
+use sardinewood::claim_object::StoredClaim;
+use sardinewood::ids::RequestId;
+use sardinewood::order_queue::BarAnswer;
+use sardinewood::order_queue::OrderAnswer;
+use sardinewood::order_queue::OrderCall;
+use sardinewood::order_queue::OrderName;
+use sardinewood::order_queue::Place;
+use sardinewood::order_queue::StoredQueue;
+use sardinewood::request_names::RequestName;
+
+/// What is wrong with the store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    #[default]
+    None,
+    /// It answers nothing; some writes take effect all the same.
+    Down,
+    /// It takes long.
+    Slow,
+    /// Some answers are lost.
+    Forgetful,
+    /// Some reads show an earlier state.
+    Stale,
+}
+
+/// A call, with who waits for its answer.
+#[derive(Clone, Debug)]
+pub struct StoreRequest {
+    /// The entry that called.
+    pub entry: usize,
+    /// Its start.
+    pub start: u32,
+    /// What it wants.
+    pub call: FleetCall,
+    /// Whether its answer gets lost.
+    pub is_lost: bool,
+    /// Whether it reads an earlier state.
+    pub is_stale: bool,
+}
+
+/// What an entry wants of the store.
+#[derive(Clone, Debug)]
+pub enum FleetCall {
+    /// About a claim.
+    Claim {
+        request: RequestId,
+        name: RequestName,
+        call: StoreCall,
+    },
+    /// About a queue.
+    Order { order: OrderName, call: OrderCall },
+    /// A bar in place of a claim.
+    Bar {
+        order: OrderName,
+        place: Place,
+        replace: Option<u64>,
+    },
+}
+
+/// The store.
+#[derive(Debug, Default)]
+pub struct FleetStore {
+    /// What is wrong with it.
+    pub trouble: Trouble,
+    version: u64,
+    claims: IndexMap<String, Vec<Option<StoredClaim>>>,
+    orders: IndexMap<OrderName, Vec<StoredQueue>>,
+}
+
+impl FleetStore {
+    fn claim(&self, name: &str, is_stale: bool) -> Option<StoredClaim> {
+        let states = self.claims.get(name)?;
+        let back = if is_stale { 2 } else { 1 };
+        states.iter().rev().nth(back - 1).cloned().flatten()
+    }
+
+    fn next_version(&mut self) -> u64 {
+        self.version += 1;
+        self.version
+    }
+
+    fn put_claim(&mut self, name: &str, claim: Option<Claim>) -> u64 {
+        let version = self.next_version();
+        let stored = claim.map(|claim| StoredClaim {
+            version,
+            claim: Some(claim),
+        });
+        self.claims.entry(name.into()).or_default().push(stored);
+        version
+    }
+
+    /// Carries a call about a claim out.
+    pub fn claim_call(&mut self, name: &str, call: &StoreCall, is_stale: bool) -> StoreAnswer {
+        let (expected, claim) = match call {
+            StoreCall::Read => return StoreAnswer::Current(self.claim(name, is_stale)),
+            StoreCall::Write { expected, claim } => (*expected, Some(claim.clone())),
+            StoreCall::Delete { version } => (Some(*version), None),
+        };
+        let current = self.claim(name, false);
+        if current.as_ref().map(|current| current.version) != expected {
+            return StoreAnswer::Current(current);
+        }
+        let version = self.put_claim(name, claim);
+        StoreAnswer::Written { version }
+    }
+
+    /// Carries a call about a queue out.
+    pub fn order_call(
+        &mut self,
+        order: OrderName,
+        call: &OrderCall,
+        is_stale: bool,
+    ) -> OrderAnswer {
+        let states = self.orders.entry(order).or_default();
+        let current = states.last().cloned().unwrap_or_default();
+        let (expected, queue) = match call {
+            OrderCall::Read if is_stale => {
+                let earlier = states.iter().rev().nth(1).cloned().unwrap_or_default();
+                return OrderAnswer::Current(earlier);
+            }
+            OrderCall::Read => return OrderAnswer::Current(current),
+            OrderCall::Write { expected, queue } => (*expected, Some(queue)),
+            OrderCall::Delete { version } => (Some(*version), None),
+        };
+        if expected != current.version {
+            return OrderAnswer::Current(current);
+        }
+        self.version += 1;
+        let stored = match queue {
+            Some(queue) => StoredQueue {
+                version: Some(self.version),
+                queue: queue.clone(),
+            },
+            None => StoredQueue::default(),
+        };
+        let version = stored.version;
+        states.push(stored);
+        OrderAnswer::Written { version }
+    }
+
+    /// Bars a place's claim.
+    pub fn bar_call(&mut self, place: &Place, replace: Option<u64>) -> BarAnswer {
+        let current = self.claim(&place.claim, false);
+        if current.as_ref().map(|current| current.version) == replace {
+            let claim = Claim {
+                digest: None,
+                state: ClaimState::Barred {
+                    request: place.request,
+                },
+            };
+            self.put_claim(&place.claim, Some(claim));
+            return BarAnswer::Barred;
+        }
+        let Some(StoredClaim {
+            version,
+            claim: Some(claim),
+        }) = current
+        else {
+            return BarAnswer::Lost;
+        };
+        match claim.state {
+            ClaimState::Held(holder) => BarAnswer::Held { holder, version },
+            ClaimState::Barred { .. } => BarAnswer::Barred,
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/faults/world.rs
@@ -0,0 +1,704 @@
+//! The fleet in virtual time: what is on its way, and what happens when it arrives.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sardinewood::catalog::Catalog;
+use sardinewood::entry_state::EntryEvent;
+use sardinewood::ids::AttemptId;
+use sardinewood::ids::Incarnation;
+use sardinewood::ids::RequestId;
+use sardinewood::objects::Serves;
+use sardinewood::objects::Upstream as UpstreamObject;
+use sardinewood::wire::AgentMessage;
+
+use super::checker::Heard;
+use super::checker::Record;
+use super::checker::Seen;
+use super::checker::Verdict;
+use super::engine::Upstream;
+use super::fleet_agent::AgentInput;
+use super::fleet_agent::FleetAgent;
+use super::fleet_entry::EntryInput;
+use super::fleet_entry::FleetEntry;
+use super::fleet_entry::catalog_event;
+use super::fleet_store::FleetStore;
+use super::fleet_store::StoreRequest;
+use super::fleet_store::Trouble;
+use super::link::Links;
+use super::plan::Fault;
+use super::plan::FaultKind;
+use super::plan::Plan;
+use super::plan::SERVICES;
+use super::work::Work;
+use super::work::WorkId;
+
+/// How long a link may be silent before its ends give it up.
+const SILENT_MS: u64 = 2_000;
+/// The pause before an entry dials again.
+const REDIAL_MS: u64 = 50;
+/// The pause between two ticks of an agent.
+const AGENT_TICK_MS: u64 = 20;
+/// How long after the last request everything must be over.
+const SETTLING_MS: u64 = 60_000;
+/// How long a shutting entry waits before it hands back what waits.
+const GRACE_MS: u64 = 3_000;
+/// The pause between two looks at whether it is drained.
+const DRAIN_LOOK_MS: u64 = 100;
+/// How often a caller asks under one name.
+const MAX_ASKED: u32 = 4;
+/// How often the balancer knows that an entry is not ready.
+const BALANCER_KNOWS: f64 = 0.8;
+
+/// Something that is on its way.
+#[derive(Clone, Debug)]
+pub enum Event {
+    /// To an entry, if it is still the same process.
+    Entry {
+        entry: usize,
+        start: u32,
+        input: Box<EntryInput>,
+    },
+    /// To an agent, if it is still the same process.
+    Agent {
+        agent: usize,
+        start: u32,
+        input: Box<AgentInput>,
+    },
+    /// A call arrives at an upstream.
+    Open {
+        agent: usize,
+        start: u32,
+        attempt: AttemptId,
+        work: WorkId,
+    },
+    /// An upstream has worked on a request.
+    MakePart {
+        upstream: usize,
+        start: u32,
+        request: RequestId,
+    },
+    /// A call arrives at the store.
+    Store { call: Box<StoreRequest> },
+    /// A caller sends a request.
+    Submit { work: WorkId, entry: usize },
+    /// An entry dials an agent.
+    Dial { entry: usize, agent: usize },
+    /// Something goes wrong.
+    Fault(Fault),
+    /// A fault ends.
+    Heal(Fault),
+}
+
+/// The fleet.
+#[derive(Debug)]
+pub struct World {
+    pub(super) now_ms: u64,
+    pub(super) random: StdRng,
+    queue: BTreeMap<(u64, u64), Event>,
+    sequence: u64,
+    pub(super) entries: Vec<FleetEntry>,
+    pub(super) agents: Vec<FleetAgent>,
+    pub(super) upstreams: Vec<Upstream>,
+    pub(super) links: Links,
+    pub(super) catalog: Catalog,
+    pub(super) works: IndexMap<WorkId, Work>,
+    pub(super) record: Record,
+    pub(super) gone: Vec<bool>,
+    pub(super) store: FleetStore,
+    requests: u128,
+    asked: IndexMap<WorkId, u32>,
+    unanswered: IndexMap<RequestId, WorkId>,
+    pub(super) tamper: Tamper,
+    faults: IndexMap<FaultKind, u64>,
+    end_ms: u64,
+}
+
+/// Changes what agents say; for tests that see whether a broken rule is noticed.
+pub type Tamper = fn(AgentMessage) -> AgentMessage;
+
+impl World {
+    /// A fleet at rest, with a plan before it.
+    #[must_use]
+    pub fn new(plan: &Plan) -> Self {
+        let size = plan.size;
+        let mut random = StdRng::seed_from_u64(plan.seed ^ 0x5eed);
+        let objects: Vec<_> = (0..size.agents)
+            .map(|agent| upstream_object(agent, size.agents))
+            .collect();
+        let catalog = Catalog {
+            revision: 1,
+            upstreams: objects
+                .iter()
+                .map(|object| (object.name.clone(), Arc::new(object.clone())))
+                .collect(),
+            ..Catalog::default()
+        };
+        let upstreams = objects
+            .iter()
+            .map(|object| Upstream::new(matches!(object.serves, Serves::Service(_))))
+            .collect();
+        let agents = objects
+            .into_iter()
+            .map(|object| FleetAgent::new(object, Incarnation(random.random())))
+            .collect();
+        let entries = (0..size.entries)
+            .map(|entry| FleetEntry::new(entry, size.agents, random.random()))
+            .collect();
+        let last_ms = plan.works.last().map_or(0, |(work, _)| work.at_ms);
+        let mut world = Self {
+            now_ms: 0,
+            random,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            entries,
+            agents,
+            upstreams,
+            links: Links::default(),
+            catalog,
+            works: IndexMap::new(),
+            record: Record::default(),
+            gone: vec![false; size.agents],
+            store: FleetStore::default(),
+            requests: 0,
+            asked: IndexMap::new(),
+            unanswered: IndexMap::new(),
+            tamper: |message| message,
+            faults: IndexMap::new(),
+            end_ms: last_ms + SETTLING_MS,
+        };
+        world.start(plan);
+        world
+    }
+
+    fn start(&mut self, plan: &Plan) {
+        for agent in 0..self.agents.len() {
+            self.start_agent(agent);
+        }
+        for entry in 0..self.entries.len() {
+            self.post_to_entry(entry, 0, EntryInput::Event(catalog_event(&self.catalog)));
+        }
+        for (work, entry) in &plan.works {
+            self.works.insert(work.id, work.clone());
+            let submit = Event::Submit {
+                work: work.id,
+                entry: *entry,
+            };
+            self.schedule(work.at_ms, submit);
+        }
+        for fault in &plan.faults {
+            self.schedule(fault.at_ms, Event::Fault(*fault));
+        }
+    }
+
+    /// Lets everything happen, and judges it.
+    pub fn run(&mut self) -> Verdict {
+        while let Some(((at_ms, _), event)) = self.queue.pop_first() {
+            if at_ms > self.end_ms {
+                break;
+            }
+            self.now_ms = at_ms;
+            self.take(event);
+        }
+        self.record.verdict(&self.works)
+    }
+
+    /// Has agents say something else than they decided.
+    pub fn tamper_with_agents(&mut self, tamper: Tamper) {
+        self.tamper = tamper;
+    }
+
+    /// What callers and upstreams saw.
+    #[must_use]
+    pub fn record(&self) -> &Record {
+        &self.record
+    }
+
+    /// What the callers want.
+    #[must_use]
+    pub fn works(&self) -> &IndexMap<WorkId, Work> {
+        &self.works
+    }
+
+    /// How often each fault came.
+    #[must_use]
+    pub fn faults(&self) -> &IndexMap<FaultKind, u64> {
+        &self.faults
+    }
+
+    pub(super) fn schedule(&mut self, at_ms: u64, event: Event) {
+        self.sequence += 1;
+        let at_ms = at_ms.max(self.now_ms);
+        self.queue.insert((at_ms, self.sequence), event);
+    }
+
+    pub(super) fn post_to_entry(&mut self, entry: usize, after_ms: u64, input: EntryInput) {
+        let event = Event::Entry {
+            entry,
+            start: self.entries[entry].process.start,
+            input: Box::new(input),
+        };
+        self.schedule(self.now_ms + after_ms, event);
+    }
+
+    pub(super) fn post_to_agent(&mut self, agent: usize, after_ms: u64, input: AgentInput) {
+        let event = Event::Agent {
+            agent,
+            start: self.agents[agent].process.start,
+            input: Box::new(input),
+        };
+        self.schedule(self.now_ms + after_ms, event);
+    }
+
+    /// A time on the wire.
+    pub(super) fn latency_ms(&mut self) -> u64 {
+        self.random.random_range(1..=3)
+    }
+
+    fn take(&mut self, event: Event) {
+        match event {
+            Event::Entry {
+                entry,
+                start,
+                input,
+            } => {
+                if let Some(input) = self.entries[entry].process.admit(start, *input) {
+                    self.take_entry_input(entry, input);
+                }
+            }
+            Event::Agent {
+                agent,
+                start,
+                input,
+            } => {
+                if let Some(input) = self.agents[agent].process.admit(start, *input) {
+                    self.take_agent_input(agent, input);
+                }
+            }
+            Event::Open {
+                agent,
+                start,
+                attempt,
+                work,
+            } => self.call_arrives(agent, start, attempt, work),
+            Event::MakePart {
+                upstream,
+                start,
+                request,
+            } => self.make_part(upstream, start, request),
+            Event::Store { call } => self.store_takes(*call),
+            Event::Submit { work, entry } => self.submit_to(work, entry),
+            Event::Dial { entry, agent } => self.dial(entry, agent),
+            Event::Fault(fault) => self.fault(fault),
+            Event::Heal(fault) => self.heal(fault),
+        }
+    }
+
+    /// The entry that the platform's balancer chooses in place of one that is not ready.
+    fn balance(&mut self, entry: usize) -> usize {
+        let is_ready = |entry: &FleetEntry| {
+            entry.process.condition != super::process::Condition::Dead && entry.state.is_ready()
+        };
+        if is_ready(&self.entries[entry]) || !self.random.random_bool(BALANCER_KNOWS) {
+            return entry;
+        }
+        self.entries.iter().position(is_ready).unwrap_or(entry)
+    }
+
+    /// A caller's request reaches whatever process has the entry's address.
+    fn submit_to(&mut self, work: WorkId, entry: usize) {
+        let entry = self.balance(entry);
+        self.requests += 1;
+        let request = RequestId(self.requests);
+        *self.asked.entry(work).or_default() += 1;
+        self.unanswered.insert(request, work);
+        self.record.note(self.now_ms, Seen::Sent { request, work });
+        if self.entries[entry].process.condition == super::process::Condition::Dead {
+            self.hear(request, Heard::ConnectionLost);
+            return;
+        }
+        let input = EntryInput::Submit { request, work };
+        let start = self.entries[entry].process.start;
+        if let Some(input) = self.entries[entry].process.admit(start, input) {
+            self.take_entry_input(entry, input);
+        }
+    }
+
+    /// Opens a link, if both ends are there to open it.
+    fn dial(&mut self, entry: usize, agent: usize) {
+        let is_wanted =
+            self.entries[entry].dialled[agent] && !self.entries[entry].links.contains_key(&agent);
+        if !is_wanted || self.entries[entry].process.condition == super::process::Condition::Dead {
+            return;
+        }
+        let can_open =
+            self.entries[entry].process.is_running() && self.agents[agent].process.is_running();
+        if !can_open || self.gone[agent] {
+            self.schedule(self.now_ms + REDIAL_MS, Event::Dial { entry, agent });
+            return;
+        }
+        let link = self.links.open(entry, agent);
+        self.entries[entry].links.insert(agent, link);
+        let incarnation = self.agents[agent].incarnation;
+        self.post_to_agent(agent, 1, AgentInput::LinkUp { link });
+        let up = EntryInput::LinkUp {
+            agent,
+            link,
+            incarnation,
+        };
+        self.post_to_entry(entry, 2, up);
+    }
+
+    pub(super) fn start_agent(&mut self, agent: usize) {
+        let object = self.agents[agent].object.clone();
+        let revision = self.catalog.revision;
+        self.post_to_agent(agent, 0, AgentInput::Object { revision, object });
+        self.post_to_agent(agent, 0, AgentInput::Tick);
+    }
+
+    /// Breaks a link; each end learns of it in its own time.
+    fn cut(&mut self, link: u64, entry_after_ms: u64, agent_after_ms: u64) {
+        let Some((entry, agent)) = self.links.get(link).map(|one| (one.entry, one.agent)) else {
+            return;
+        };
+        self.links.cut(link);
+        self.post_to_entry(entry, entry_after_ms, EntryInput::LinkLost { agent, link });
+        self.post_to_agent(agent, agent_after_ms, AgentInput::LinkLost { link });
+    }
+
+    fn fault(&mut self, fault: Fault) {
+        if self.gone[fault.agent] && fault.kind != FaultKind::EntryKilled {
+            return;
+        }
+        *self.faults.entry(fault.kind).or_default() += 1;
+        match fault.kind {
+            FaultKind::EntryKilled => self.kill_entry(fault),
+            FaultKind::AgentKilled => self.kill_agent(fault),
+            FaultKind::EntryPaused => self.pause_entry(fault),
+            FaultKind::AgentPaused => self.pause_agent(fault),
+            FaultKind::LinkCut => self.cut_links(fault, false),
+            FaultKind::LinkSilent => self.cut_links(fault, true),
+            FaultKind::UpstreamKilled => {
+                self.kill_upstream(fault.agent);
+                self.heal_after(fault);
+            }
+            FaultKind::UpstreamSlow => {
+                self.upstreams[fault.agent].part_ms = 400;
+                self.heal_after(fault);
+            }
+            FaultKind::UpstreamLeaving => {
+                self.set_leaving(fault.agent, true);
+                let later = Fault {
+                    lasts_ms: fault.lasts_ms + 7_000,
+                    ..fault
+                };
+                self.heal_after(later);
+            }
+            FaultKind::HostGone => self.lose_host(fault),
+            FaultKind::CallerGone => self.lose_caller(fault.entry),
+            FaultKind::EntryShutDown => self.shut_entry_down(fault),
+            FaultKind::StoreDown => self.trouble_store(fault, Trouble::Down),
+            FaultKind::StoreSlow => self.trouble_store(fault, Trouble::Slow),
+            FaultKind::StoreForgetful => self.trouble_store(fault, Trouble::Forgetful),
+            FaultKind::StoreStale => self.trouble_store(fault, Trouble::Stale),
+        }
+    }
+
+    fn heal_after(&mut self, fault: Fault) {
+        self.schedule(self.now_ms + fault.lasts_ms, Event::Heal(fault));
+    }
+
+    fn heal(&mut self, fault: Fault) {
+        let Fault { entry, agent, .. } = fault;
+        match fault.kind {
+            FaultKind::EntryKilled => self.restart_entry(entry),
+            FaultKind::AgentKilled if !self.gone[agent] => self.restart_agent(agent),
+            FaultKind::EntryPaused => self.resume_entry(entry),
+            FaultKind::AgentPaused => self.resume_agent(agent),
+            FaultKind::UpstreamKilled if !self.gone[agent] => self.upstreams[agent].is_up = true,
+            FaultKind::UpstreamSlow => self.upstreams[agent].part_ms = 20,
+            FaultKind::UpstreamLeaving => self.set_leaving(agent, false),
+            FaultKind::EntryShutDown => self.end_drained(fault),
+            FaultKind::StoreDown
+            | FaultKind::StoreSlow
+            | FaultKind::StoreForgetful
+            | FaultKind::StoreStale => self.store.trouble = Trouble::None,
+            _ => {}
+        }
+    }
+
+    fn kill_entry(&mut self, fault: Fault) {
+        let entry = fault.entry;
+        if self.entries[entry].process.condition == super::process::Condition::Dead {
+            return;
+        }
+        // The requests that waited in the socket of a paused process are lost with it.
+        let unread: Vec<_> = self.entries[entry].process.inbox.drain(..).collect();
+        for input in unread {
+            if let EntryInput::Submit { request, .. } = input {
+                self.hear(request, Heard::ConnectionLost);
+            }
+        }
+        self.entries[entry].process.kill();
+        let callers: Vec<_> = self.entries[entry].callers.drain(..).collect();
+        for (request, _) in callers {
+            self.hear(request, Heard::ConnectionLost);
+        }
+        for link in self.links.carrying(Some(entry), None) {
+            let after_ms = self.random.random_range(1..=SILENT_MS);
+            self.cut(link, 0, after_ms);
+        }
+        self.heal_after(fault);
+    }
+
+    fn restart_entry(&mut self, entry: usize) {
+        if self.entries[entry].process.condition != super::process::Condition::Dead {
+            return;
+        }
+        let seed = self.random.random();
+        self.entries[entry].restart(entry, seed);
+        self.post_to_entry(entry, 0, EntryInput::Event(catalog_event(&self.catalog)));
+    }
+
+    fn kill_agent(&mut self, fault: Fault) {
+        self.agents[fault.agent].process.kill();
+        for link in self.links.carrying(None, Some(fault.agent)) {
+            let after_ms = self.random.random_range(1..=SILENT_MS);
+            self.cut(link, after_ms, 0);
+        }
+        self.heal_after(fault);
+    }
+
+    fn restart_agent(&mut self, agent: usize) {
+        if self.agents[agent].process.condition != super::process::Condition::Dead {
+            return;
+        }
+        let incarnation = Incarnation(self.random.random());
+        self.agents[agent].restart(incarnation);
+        self.start_agent(agent);
+    }
+
+    fn pause_entry(&mut self, fault: Fault) {
+        let process = &mut self.entries[fault.entry].process;
+        if !process.is_running() {
+            return;
+        }
+        process.condition = super::process::Condition::Paused;
+        if fault.lasts_ms > SILENT_MS {
+            for link in self.links.carrying(Some(fault.entry), None) {
+                self.cut_later(link, fault.lasts_ms);
+            }
+        }
+        self.heal_after(fault);
+    }
+
+    fn pause_agent(&mut self, fault: Fault) {
+        let process = &mut self.agents[fault.agent].process;
+        if !process.is_running() {
+            return;
+        }
+        process.condition = super::process::Condition::Paused;
+        if fault.lasts_ms > SILENT_MS {
+            for link in self.links.carrying(None, Some(fault.agent)) {
+                self.cut_later(link, fault.lasts_ms);
+            }
+        }
+        self.heal_after(fault);
+    }
+
+    /// The end that still runs gives the link up when it has been silent for too long; the
+    /// other learns of it when it goes on, after what had reached it before.
+    fn cut_later(&mut self, link: u64, paused_ms: u64) {
+        let Some((entry, agent)) = self.links.get(link).map(|one| (one.entry, one.agent)) else {
+            return;
+        };
+        let (entry_ms, agent_ms) = if self.entries[entry].process.is_running() {
+            (SILENT_MS, paused_ms + 5)
+        } else {
+            (paused_ms + 5, SILENT_MS)
+        };
+        self.post_to_entry(entry, entry_ms, EntryInput::LinkLost { agent, link });
+        self.post_to_agent(agent, agent_ms, AgentInput::LinkLost { link });
+    }
+
+    fn resume_entry(&mut self, entry: usize) {
+        if self.entries[entry].process.condition != super::process::Condition::Paused {
+            return;
+        }
+        self.entries[entry].process.condition = super::process::Condition::Running;
+        let inbox = std::mem::take(&mut self.entries[entry].process.inbox);
+        for input in inbox {
+            self.take_entry_input(entry, input);
+        }
+    }
+
+    fn resume_agent(&mut self, agent: usize) {
+        if self.agents[agent].process.condition != super::process::Condition::Paused {
+            return;
+        }
+        self.agents[agent].process.condition = super::process::Condition::Running;
+        let inbox = std::mem::take(&mut self.agents[agent].process.inbox);
+        for input in inbox {
+            self.take_agent_input(agent, input);
+        }
+    }
+
+    fn cut_links(&mut self, fault: Fault, is_silent: bool) {
+        for link in self.links.carrying(Some(fault.entry), Some(fault.agent)) {
+            let least_ms = if is_silent { SILENT_MS } else { 1 };
+            let entry_ms = least_ms + self.random.random_range(0..500);
+            let agent_ms = least_ms + self.random.random_range(0..1_500);
+            self.cut(link, entry_ms, agent_ms);
+        }
+    }
+
+    fn lose_host(&mut self, fault: Fault) {
+        self.gone[fault.agent] = true;
+        self.agents[fault.agent].process.kill();
+        self.kill_upstream(fault.agent);
+        for link in self.links.carrying(None, Some(fault.agent)) {
+            self.cut(link, SILENT_MS, 0);
+        }
+        let name = self.agents[fault.agent].object.name.clone();
+        for entry in 0..self.entries.len() {
+            let after_ms = self.random.random_range(2_000..6_000);
+            let gone = EntryEvent::HostGone {
+                agent: name.clone(),
+            };
+            self.post_to_entry(entry, after_ms, EntryInput::Event(gone));
+        }
+    }
+
+    fn lose_caller(&mut self, entry: usize) {
+        let count = self.entries[entry].callers.len();
+        if count == 0 || !self.entries[entry].process.is_running() {
+            return;
+        }
+        let chosen = self.random.random_range(0..count);
+        let Some((request, _)) = self.entries[entry].callers.swap_remove_index(chosen) else {
+            return;
+        };
+        self.hear(request, Heard::ConnectionLost);
+        let event = EntryEvent::CallerGone { request };
+        self.take_entry_input(entry, EntryInput::Event(event));
+    }
+
+    fn shut_entry_down(&mut self, fault: Fault) {
+        let entry = fault.entry;
+        self.post_to_entry(entry, 0, EntryInput::Event(EntryEvent::ShutDown));
+        let over = EntryInput::Event(EntryEvent::GraceOver);
+        self.post_to_entry(entry, GRACE_MS, over);
+        self.schedule(self.now_ms + DRAIN_LOOK_MS, Event::Heal(fault));
+    }
+
+    /// Ends an entry that was told to shut down once nothing is in flight there.
+    fn end_drained(&mut self, fault: Fault) {
+        let entry = &self.entries[fault.entry];
+        let is_shutting = entry.process.is_running() && !entry.state.is_ready();
+        if is_shutting && entry.state.is_drained() {
+            let cut: Vec<_> = entry.callers.keys().copied().collect();
+            for request in cut {
+                self.record.note(self.now_ms, Seen::CutOff { request });
+            }
+            self.kill_entry(Fault {
+                kind: FaultKind::EntryKilled,
+                lasts_ms: 500,
+                ..fault
+            });
+        } else if is_shutting {
+            self.schedule(self.now_ms + DRAIN_LOOK_MS, Event::Heal(fault));
+        }
+    }
+
+    /// Everybody learns of it within a few seconds.
+    fn set_leaving(&mut self, agent: usize, leaving: bool) {
+        use sardinewood::objects::Activity;
+        let activity = if leaving {
+            Activity::Draining
+        } else {
+            Activity::Active
+        };
+        let seen = Seen::Leaving {
+            upstream: agent,
+            leaving,
+        };
+        self.record.note(self.now_ms, seen);
+        self.agents[agent].object.activity = activity;
+        let object = self.agents[agent].object.clone();
+        self.catalog.revision += 1;
+        self.catalog
+            .upstreams
+            .insert(object.name.clone(), Arc::new(object.clone()));
+        let revision = self.catalog.revision;
+        let after_ms = self.random.random_range(10..4_000);
+        self.post_to_agent(agent, after_ms, AgentInput::Object { revision, object });
+        for entry in 0..self.entries.len() {
+            let after_ms = self.random.random_range(10..4_000);
+            let event = catalog_event(&self.catalog);
+            self.post_to_entry(entry, after_ms, EntryInput::Event(event));
+        }
+    }
+
+    fn trouble_store(&mut self, fault: Fault, trouble: Trouble) {
+        self.store.trouble = trouble;
+        self.heal_after(fault);
+    }
+
+    /// A caller gets its last word. One that named its work and lost its connection, or
+    /// heard "not run", asks again under the same name, through any entry.
+    pub(super) fn hear(&mut self, request: RequestId, heard: Heard) {
+        let work = self.unanswered.swap_remove(&request);
+        if let Some(work) = work
+            && matches!(heard, Heard::ConnectionLost | Heard::NotRun)
+            && self.works.get(&work).is_some_and(|work| work.is_named)
+            && self
+                .asked
+                .get(&work)
+                .is_some_and(|asked| *asked < MAX_ASKED)
+        {
+            let entry = self.random.random_range(0..self.entries.len());
+            let after_ms = self.random.random_range(1..1_500);
+            self.schedule(self.now_ms + after_ms, Event::Submit { work, entry });
+        }
+        self.record
+            .note(self.now_ms, Seen::Heard { request, heard });
+    }
+
+    pub(super) fn tick_agent_later(&mut self, agent: usize) {
+        self.post_to_agent(agent, AGENT_TICK_MS, AgentInput::Tick);
+    }
+
+    pub(super) fn redial_later(&mut self, entry: usize, agent: usize) {
+        self.schedule(self.now_ms + REDIAL_MS, Event::Dial { entry, agent });
+    }
+
+    /// The number of an agent by its name.
+    pub(super) fn agent_number(&self, name: &str) -> Option<usize> {
+        self.agents
+            .iter()
+            .position(|agent| *agent.object.name == *name)
+    }
+}
+
+fn upstream_object(agent: usize, agents: usize) -> UpstreamObject {
+    let serves = if agent + SERVICES >= agents {
+        Serves::Service("refunds".into())
+    } else {
+        Serves::Models(vec!["small".into()])
+    };
+    UpstreamObject {
+        name: format!("upstream-{agent}").into(),
+        data_centre: "wdh-1".into(),
+        url: "http://127.0.0.1:9000".into(),
+        agent_address: ([127, 0, 0, 1], 9_100).into(),
+        serves,
+        slots: 6,
+        kv_capacity_tokens: None,
+        activity: sardinewood::objects::Activity::Active,
+        checks_fencing: false,
+    }
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,9 +4,9 @@
 pub mod baseline;
 pub mod bound;
 pub mod command;
-pub mod config;
 pub mod cpu_time;
 pub mod engine_model;
+pub mod faults;
 pub mod fleet;
 pub mod load_client;
 pub mod loopback_fleet;
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -6,6 +6,7 @@
 mod test_command;
 mod test_engine_model;
 mod test_overhead;
+mod test_promises;
 mod test_scenario;
 mod test_simulation;
 mod test_slopes;
