--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -16,6 +16,11 @@
 
 /// All experiments, in the order of `--help`.
 pub const SUBCOMMANDS: &[Subcommand] = &[
+    Subcommand {
+        name: "config",
+        summary: "how soon a change is in force everywhere, and what that costs",
+        run: crate::config::run,
+    },
     Subcommand {
         name: "faults",
         summary: "the promises under faults at random, in virtual time",
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod baseline;
 pub mod bound;
 pub mod command;
+pub mod config;
 pub mod cpu_time;
 pub mod engine_model;
 pub mod faults;
--- a/bench/src/own_policy.rs
+++ b/bench/src/own_policy.rs
@@ -27,6 +27,7 @@
 use sardinewood::objects::Customer;
 use sardinewood::objects::Profile;
 use sardinewood::objects::Upstream;
+use sardinewood::prefix_hints::BLOCK_TOKENS;
 use sardinewood::submission::Submission;
 use sardinewood::submission::WorkEstimate;
 use sardinewood::wire::AgentMessage;
@@ -39,6 +40,7 @@
 use crate::message::Message;
 use crate::scenario::Experiment;
 use crate::scenario::Reports;
+use crate::workload::Request;
 use crate::world::World;
 
 /// How often an agent looks at the time.
@@ -51,6 +53,12 @@
 const DIAL_AGAIN_US: u64 = 500_000;
 /// How long an engine takes to answer a probe.
 const PROBE_US: u64 = 1_000;
+/// Blocks of a prompt that have a fingerprint.
+const MAX_BLOCKS: u32 = 16;
+/// Spreads the fingerprints of blocks that no other request shares (an odd constant).
+const OWN_BLOCK_FACTOR: u64 = 0x9e37_79b9_7f4a_7c15;
+/// Progress of a call is told to its agent when so much has gathered.
+const PROGRESS_US: u64 = 100_000;
 /// Taken for the answers of a profile of which too few were seen.
 const UNKNOWN_OUTPUT_TOKENS: u32 = 256;
 
@@ -71,7 +79,7 @@
     fn default() -> Self {
         Self {
             told_lengths: false,
-            quantile_percent: 50,
+            quantile_percent: 70,
             agent: AgentLimits::default(),
             candidates: 4,
         }
@@ -96,6 +104,8 @@
     cause: Option<CancelCause>,
     is_delivered: bool,
     end: Option<AnswerEnd>,
+    /// Tokens and time that the agent has not been told of.
+    untold: (u32, u64),
 }
 
 /// What reads the answer of an attempt for its caller.
@@ -293,7 +303,7 @@
                 prompt_tokens: offered.prompt_tokens,
                 expected_output_tokens: expected.min(offered.max_output_tokens),
                 max_output_tokens: offered.max_output_tokens,
-                prefix: offered.prefix.iter().map(|part| part.fingerprint).collect(),
+                prefix: blocks(offered, request),
             },
             call: Call {
                 method: "POST".into(),
@@ -551,6 +561,7 @@
             cause: None,
             is_delivered: false,
             end: None,
+            untold: (0, 0),
         };
         self.calls.insert(job, call);
         self.jobs.insert((upstream, attempt), job);
@@ -621,7 +632,15 @@
             EngineEvent::Tokens {
                 id, count, gap_us, ..
             } => {
-                let elapsed_us = u64::from(count) * gap_us;
+                let Some(call) = self.calls.get_mut(&id) else {
+                    return;
+                };
+                call.untold.0 += count;
+                call.untold.1 += u64::from(count) * gap_us;
+                if call.untold.1 < PROGRESS_US {
+                    return;
+                }
+                let (count, elapsed_us) = std::mem::take(&mut call.untold);
                 (id, CallProgress::Tokens { count, elapsed_us })
             }
             EngineEvent::Finished { id, .. } => {
@@ -832,6 +851,26 @@
     }
 }
 
+/// Fingerprints of the prompt's blocks as an entry computes them: those that lie within the
+/// shared parts are shared, the rest are the request's own.
+fn blocks(offered: &Request, request: usize) -> Vec<u64> {
+    let mut ends = Vec::new();
+    let mut end_tokens = 0;
+    for part in &*offered.prefix {
+        end_tokens += part.tokens;
+        ends.push((end_tokens, part.fingerprint));
+    }
+    let count = (offered.prompt_tokens / BLOCK_TOKENS).min(MAX_BLOCKS);
+    let block = |number: u32| {
+        let block_end = number * BLOCK_TOKENS;
+        let part = ends.iter().find(|(end_tokens, _)| block_end <= *end_tokens);
+        let own = (request as u64).wrapping_mul(OWN_BLOCK_FACTOR);
+        let base = part.map_or(own, |(_, fingerprint)| *fingerprint);
+        base ^ u64::from(number)
+    };
+    (1..=count).map(block).collect()
+}
+
 /// Links to a silent process are dropped after [`SILENT_US`].
 fn expect_silence(world: &mut World, upstream: usize) {
     world.send_after(SILENT_US, Message::Silent { upstream });
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -113,22 +113,61 @@
     let until = Instant::now() + Duration::from_millis(settings.timeout_ms);
     let mut may_have_begun = !settings.change_id.is_empty();
     loop {
-        let lost = match client.change(change).await {
-            Ok(ChangeAnswer::NotKnownYet) => "the store has not confirmed it".to_owned(),
-            Ok(answer) => return Ok(answer),
-            Err(error @ CallError::AnswerLost(_)) => error.to_string(),
-            Err(error @ CallError::NotReachable { .. }) if may_have_begun => error.to_string(),
-            Err(error) => return Err(error),
+        let problem = match judge(client.change(change).await, may_have_begun) {
+            Next::Answer(answer) => return Ok(answer),
+            Next::GiveUp(error) => return Err(error),
+            Next::AskAgain { problem, in_doubt } => {
+                may_have_begun |= in_doubt;
+                problem
+            }
         };
-        may_have_begun = true;
-        output.note(&format!("{lost}; asking again for change {}", change.id));
         if Instant::now() + SETTLE_PAUSE >= until {
-            return Ok(ChangeAnswer::NotKnownYet);
+            return if_over(problem, may_have_begun);
         }
+        output.note(&format!("{problem}; asking again for change {}", change.id));
         sleep(SETTLE_PAUSE).await;
     }
 }
 
+/// What to do after one call.
+enum Next {
+    /// The outcome is known.
+    Answer(ChangeAnswer),
+    /// The same change is sent again.
+    AskAgain {
+        /// What kept the answer away.
+        problem: CallError,
+        /// Whether this call may have changed something.
+        in_doubt: bool,
+    },
+    /// Asking again is of no use, and nothing was changed.
+    GiveUp(CallError),
+}
+
+fn judge(result: Result<ChangeAnswer, CallError>, may_have_begun: bool) -> Next {
+    let again = |problem, in_doubt| Next::AskAgain { problem, in_doubt };
+    match result {
+        Ok(ChangeAnswer::NotKnownYet) => again(
+            CallError::AnswerLost("the store has not confirmed it".into()),
+            true,
+        ),
+        Ok(answer) => Next::Answer(answer),
+        Err(error @ CallError::AnswerLost(_)) => again(error, true),
+        Err(error @ CallError::NotDone(_)) => again(error, false),
+        Err(error @ CallError::NotReachable { .. }) if may_have_begun => again(error, false),
+        Err(error) => Next::GiveUp(error),
+    }
+}
+
+/// The outcome when time is up.
+fn if_over(problem: CallError, may_have_begun: bool) -> Result<ChangeAnswer, CallError> {
+    if may_have_begun {
+        Ok(ChangeAnswer::NotKnownYet)
+    } else {
+        Err(problem)
+    }
+}
+
 async fn conclude(
     command: &Command,
     settings: &CtlSettings,
--- a/ctl/src/exit_code.rs
+++ b/ctl/src/exit_code.rs
@@ -22,7 +22,7 @@
     Conflict = 3,
     /// The change may be in force or come into force; the same change id settles it.
     NotKnownYet = 4,
-    /// No entry was reached, and nothing was changed.
+    /// No entry was reached, or not the store behind it, and nothing was changed.
     NotReachable = 5,
     /// What was asked for does not exist.
     NotFound = 6,
--- a/ctl/src/operator_client.rs
+++ b/ctl/src/operator_client.rs
@@ -39,6 +39,9 @@
     /// The connection broke or was too slow; the entry may have done what was asked.
     #[error("the entry's answer was lost ({0})")]
     AnswerLost(Box<str>),
+    /// The store behind the entry was not reached, and this call has changed nothing.
+    #[error("not done: {0}")]
+    NotDone(Arc<str>),
     /// There is no such thing.
     #[error("not found: {0}")]
     NotFound(Arc<str>),
@@ -65,7 +68,7 @@
     #[must_use]
     pub fn end(&self) -> End {
         match self {
-            Self::NotReachable { .. } | Self::AnswerLost(_) => End::NotReachable,
+            Self::NotReachable { .. } | Self::AnswerLost(_) | Self::NotDone(_) => End::NotReachable,
             Self::NotFound(_) => End::NotFound,
             Self::NotAllowed(_) => End::NotAllowed,
             Self::Refused(_) => End::Refused,
@@ -291,6 +294,7 @@
         match status {
             StatusCode::NOT_FOUND => CallError::NotFound(said),
             StatusCode::UNAUTHORIZED | StatusCode::FORBIDDEN => CallError::NotAllowed(said),
+            StatusCode::SERVICE_UNAVAILABLE => CallError::NotDone(said),
             status if status.is_client_error() => CallError::Refused(said),
             // The entry may have begun the change before it failed.
             status if status.is_server_error() => CallError::AnswerLost((&*said).into()),
--- a/ctl/src/query.rs
+++ b/ctl/src/query.rs
@@ -43,6 +43,10 @@
             let missing = || CallError::NotFound(format!("{}/{name}", kind.as_str()).into());
             let view = client.show(*kind, name).await?.ok_or_else(missing)?;
             output.answer(&view, shown_object);
+            // Who removed it, when and why is shown; for a script it does not exist.
+            if view.spec.is_none() {
+                return Ok(End::NotFound);
+            }
         }
         Query::Status => output.answer(&client.status().await?, shown_status),
         Query::Explain(request) => {
--- a/ctl/src/shown.rs
+++ b/ctl/src/shown.rs
@@ -184,6 +184,10 @@
             trail.forgotten
         ));
     }
+    if trail.is_partial {
+        lines
+            .push("the store does not answer; only the last change of each object is shown".into());
+    }
     as_text(&lines)
 }
 
--- a/ctl/tests/runner.rs
+++ b/ctl/tests/runner.rs
@@ -5,3 +5,4 @@
 mod test_action;
 mod test_command;
 mod test_query;
+mod test_with_entry;
--- a/lib/src/agent_state.rs
+++ b/lib/src/agent_state.rs
@@ -61,6 +61,10 @@
     pub record_ms: u64,
     /// How many records of attempts that are over are kept.
     pub record_limit: usize,
+    /// The part of its time, from its arrival to its deadline, that a request waits before
+    /// running work gives way to it. The slots of an engine free up many times a second, and
+    /// mostly one does before that; above 100 nothing ever gives way.
+    pub preempt_after_percent: u64,
     /// How long before a request has to start running work gives way to it.
     pub preempt_margin_ms: u64,
     /// The pause between two looks at the upstream.
@@ -78,6 +82,7 @@
             retain_bytes: 64 << 20,
             record_ms: 600_000,
             record_limit: 65_536,
+            preempt_after_percent: 20,
             preempt_margin_ms: 400,
             probe_ms: 1_000,
         }
--- a/lib/src/agent_state/reservations.rs
+++ b/lib/src/agent_state/reservations.rs
@@ -73,6 +73,7 @@
         let deadline_ms = now_ms + reservation.deadline_in_ms;
         let waiting = Waiting {
             link,
+            came_ms: now_ms,
             deadline_ms,
             latest_start_ms: deadline_ms.saturating_sub(work_us / 1_000),
             // Shares are kept by tokens until a speed is known.
--- a/lib/src/agent_state/room.rs
+++ b/lib/src/agent_state/room.rs
@@ -161,6 +161,14 @@
         self.limits.preempt_margin_ms * u64::from(turn + 1) / u64::from(PREEMPT_TURNS)
     }
 
+    /// Whether a request has waited so long that running work may give way to it.
+    fn has_waited(&self, now_ms: u64, waiting: &Waiting) -> bool {
+        let here_ms = now_ms.saturating_sub(waiting.came_ms);
+        let waited_ms = waiting.reservation.waited_ms + here_ms;
+        let patience_ms = waited_ms + waiting.deadline_ms.saturating_sub(now_ms);
+        waited_ms * 100 >= patience_ms * self.limits.preempt_after_percent
+    }
+
     /// Cancels running work of lower tiers for reservations that would otherwise start too
     /// late. Only idempotent work of which nothing was passed on gives way: the entry can
     /// run it elsewhere. The lowest tier goes first, and in it what has computed least.
@@ -173,6 +181,7 @@
             .queue
             .due(horizon_ms)
             .filter(|waiting| now_ms + self.own_margin_ms(waiting) >= waiting.latest_start_ms)
+            .filter(|waiting| self.has_waited(now_ms, waiting))
             .filter(|waiting| !self.is_too_late(now_ms, waiting))
             .map(|waiting| waiting.reservation.tier)
             .collect();
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -49,14 +49,13 @@
 use crate::request_names::CallDigest;
 use crate::request_names::KeyError;
 use crate::request_names::RequestName;
+use crate::service_path::ServicePath;
 use crate::submission::Named;
 use crate::submission::Submission;
 use crate::submission::WorkEstimate;
 use crate::verdict::Failure;
 use crate::wire::Call;
 
-const SERVICES: &str = "/services/";
-
 /// What a caller may send.
 ///
 /// ```
@@ -139,8 +138,8 @@
             "/v1/models" => self.models(&request),
             "/v1/chat/completions" => self.model_call(id, request, ModelCall::Chat).await,
             "/v1/completions" => self.model_call(id, request, ModelCall::Completion).await,
-            _ => match service_of(&path) {
-                Some((service, rest)) => self.service_call(id, request, service, rest).await,
+            _ => match ServicePath::split(&path) {
+                Some(path) => self.service_call(id, request, path).await,
                 None => Err(ApiError::refused(
                     StatusCode::NOT_FOUND,
                     "unknown_path",
@@ -199,18 +198,18 @@
         &self,
         id: RequestId,
         mut request: Request,
-        service: Arc<str>,
-        rest: String,
+        below: ServicePath,
     ) -> Result<Response, ApiError> {
         let admitted = self.admit(&request)?;
+        below.check()?;
         let body = self.read_body(&mut request).await?;
         let path = match request.uri().query() {
-            Some(query) => format!("{rest}?{query}"),
-            None => rest,
+            Some(query) => format!("{}?{query}", below.rest),
+            None => below.rest,
         };
         let gone = self.gone(&request);
         let work = Work {
-            target: Target::Service(service),
+            target: Target::Service(below.service),
             estimate: WorkEstimate::default(),
             call: call_of(&request, path.into(), body),
         };
@@ -379,15 +378,6 @@
     ApiError::bad_request("invalid_header", error.to_string())
 }
 
-fn service_of(path: &str) -> Option<(Arc<str>, String)> {
-    let rest = path.strip_prefix(SERVICES)?;
-    let (service, rest) = rest.split_once('/').unwrap_or((rest, ""));
-    if service.is_empty() {
-        return None;
-    }
-    Some((service.into(), format!("/{rest}")))
-}
-
 fn call_of(request: &Request, path: Arc<str>, body: Bytes) -> Call {
     Call {
         method: request.method().as_str().into(),
--- a/lib/src/caller_body.rs
+++ b/lib/src/caller_body.rs
@@ -78,6 +78,13 @@
     body: Bytes,
     profile: &Profile,
 ) -> Result<ModelRequest, ApiError> {
+    // The JSON library also reads a list as the fields in their order.
+    if body.trim_ascii_start().first() == Some(&b'[') {
+        return Err(ApiError::bad_request(
+            "invalid_json",
+            "the body is a list, not an object",
+        ));
+    }
     let fields: Fields = serde_json::from_slice(&body)
         .map_err(|error| ApiError::bad_request("invalid_json", format!("the body: {error}")))?;
     let prompt = match call {
--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -15,6 +15,8 @@
 use crate::objects::Serves;
 use crate::objects::Target;
 use crate::objects::Upstream;
+use crate::prefix_hints::BLOCK_TOKENS;
+use crate::prefix_hints::PrefixHints;
 use crate::wire::Load;
 
 /// Added to the expected time at an upstream of another data centre, so that of two equal
@@ -36,6 +38,8 @@
     pub linked: Option<Incarnation>,
     /// The load that it reported last; stale on arrival.
     pub load: Load,
+    /// Requests that ran there from here when the load came.
+    pub running_at_report: usize,
     /// The newest configuration revision that it has.
     pub revision: u64,
     /// When its last heartbeat came.
@@ -57,6 +61,7 @@
             configured: true,
             linked: None,
             load: Load::default(),
+            running_at_report: 0,
             revision: 0,
             heard_at_ms: None,
             reserved: IndexSet::new(),
@@ -66,6 +71,14 @@
         }
     }
 
+    /// Slots in use there: those of the report, corrected by what went there from here and
+    /// ended since. A report is stale on arrival, but one's own part is known exactly.
+    #[must_use]
+    pub fn occupied_slots(&self) -> u64 {
+        let reported = u64::from(self.upstream.slots.saturating_sub(self.load.free_slots));
+        (reported + self.running.len() as u64).saturating_sub(self.running_at_report as u64)
+    }
+
     /// Whether it may get new work.
     #[must_use]
     pub fn takes_work(&self, now_ms: u64) -> bool {
@@ -85,8 +98,8 @@
     pub prompt_tokens: u32,
     /// Output tokens that it is expected to take.
     pub output_tokens: u32,
-    /// Fingerprint of the prompt's first block, if it has one.
-    pub prefix: Option<u64>,
+    /// Fingerprints of the prompt's leading blocks.
+    pub prefix: &'a [u64],
     /// How many agents to choose.
     pub count: usize,
     /// Breaks ties, so that entries with the same hints do not all ask the same agents.
@@ -130,8 +143,12 @@
     choice: LinkChoice,
     agents: IndexMap<Arc<str>, Agent>,
     linked_by_target: IndexMap<Target, Vec<Arc<str>>>,
+    hints: PrefixHints,
 }
 
+/// An agent with its expected time and a tie breaker.
+type Scored<'a> = ((u64, u64), &'a Arc<str>, &'a Agent);
+
 impl AgentTable {
     /// A table without agents.
     #[must_use]
@@ -140,6 +157,7 @@
             choice,
             agents: IndexMap::new(),
             linked_by_target: IndexMap::new(),
+            hints: PrefixHints::default(),
         }
     }
 
@@ -229,31 +247,32 @@
                 let agent = self.agents.get(name)?;
                 agent
                     .takes_work(now_ms)
-                    .then(|| (self.score(name, agent, wanted), name))
+                    .then(|| (self.score(name, agent, wanted), name, agent))
             })
             .collect();
-        scored.sort_unstable();
-        prefer_prefix(&mut scored, wanted);
+        self.prefer_cached(&mut scored, wanted, now_ms);
+        scored.sort_unstable_by_key(|(score, _, _)| *score);
         scored
             .into_iter()
             .take(wanted.count)
-            .map(|(_, name)| name.clone())
+            .map(|(_, name, _)| name.clone())
             .collect()
     }
 
     /// Expected time to the end of the answer there in microseconds, and a tie breaker.
     fn score(&self, name: &str, agent: &Agent, wanted: Wanted<'_>) -> (u64, u64) {
         let load = agent.load;
-        let prefill_rate = nonzero_or(
-            u64::from(load.prefill_tokens_per_s),
-            UNKNOWN_PREFILL_TOKENS_PER_S,
-        );
         let step_us = nonzero_or(u64::from(load.step_us), UNKNOWN_STEP_US);
-        let run_us = u64::from(wanted.prompt_tokens) * 1_000_000 / prefill_rate
-            + u64::from(wanted.output_tokens) * step_us;
+        let run_us =
+            prefill_us(agent, wanted.prompt_tokens) + u64::from(wanted.output_tokens) * step_us;
         let slots = u64::from(agent.upstream.slots.max(1));
+        let occupied = agent.occupied_slots();
+        // Each request of a batch slows the others down, so of two engines with room the
+        // emptier one is done first, and the work there too.
+        let shared_us = run_us * occupied / slots;
         let asked = agent.reserved.len() as u64 / wanted.count.max(1) as u64;
-        let queued_us = asked.saturating_sub(u64::from(load.free_slots)) * run_us / slots;
+        let queued = (occupied + asked).saturating_sub(slots);
+        let queued_us = queued * run_us / slots;
         let backlog_us = if load.free_slots > 0 {
             0
         } else {
@@ -264,10 +283,46 @@
         } else {
             OTHER_DATA_CENTRE_US
         };
-        let total_us = run_us + queued_us + backlog_us + far_us;
+        let total_us = run_us + shared_us + queued_us + backlog_us + far_us;
         (total_us, rendezvous(wanted.nonce, name))
     }
 
+    /// Takes the prefill off that a cached beginning of the prompt saves. A prefix that is
+    /// cached nowhere has a home, so that entries that don't know of each other's requests
+    /// begin at the same agent. Either is worth no more than the prefill that it saves: a
+    /// hot prefix does not starve one host and idle the rest.
+    fn prefer_cached(&self, scored: &mut [Scored<'_>], wanted: Wanted<'_>, now_ms: u64) {
+        let Some(first_block) = wanted.prefix.first() else {
+            return;
+        };
+        let cached = self.hints.cached_blocks(wanted.prefix, now_ms);
+        if cached.is_empty() {
+            let home = scored
+                .iter_mut()
+                .max_by_key(|(_, name, _)| rendezvous(*first_block, name));
+            if let Some(((total_us, _), _, agent)) = home {
+                *total_us = total_us.saturating_sub(prefill_us(agent, BLOCK_TOKENS));
+            }
+            return;
+        }
+        for ((total_us, _), name, agent) in scored {
+            let blocks = cached.iter().find(|(known, _)| known == *name);
+            let blocks = blocks.map_or(0, |(_, blocks)| *blocks);
+            let saved_us = prefill_us(agent, blocks * BLOCK_TOKENS);
+            *total_us = total_us.saturating_sub(saved_us);
+        }
+    }
+
+    /// A prompt with these leading blocks is sent to `agent`.
+    pub fn note_prefix(&mut self, prefix: &[u64], agent: &Arc<str>, now_ms: u64) {
+        self.hints.note(prefix, agent, now_ms);
+    }
+
+    /// What the upstream of `agent` had cached is gone.
+    pub fn forget_prefixes(&mut self, agent: &str) {
+        self.hints.forget(agent);
+    }
+
     fn choose_links(&mut self, catalog: &Catalog) {
         let mut by_target: IndexMap<Target, Vec<&Arc<Upstream>>> = IndexMap::new();
         for upstream in catalog.upstreams.values() {
@@ -301,17 +356,13 @@
     }
 }
 
-/// Puts the agent that this prefix belongs to in front, so that requests with a shared
-/// prefix meet in one cache. It is one candidate of several: when it is busy another
-/// grants first, so a hot prefix does not starve one host and idle the rest.
-fn prefer_prefix(scored: &mut [((u64, u64), &Arc<str>)], wanted: Wanted<'_>) {
-    let Some(prefix) = wanted.prefix else {
-        return;
-    };
-    let home = (0..scored.len()).max_by_key(|index| rendezvous(prefix, scored[*index].1));
-    if let Some(home) = home {
-        scored[..=home].rotate_right(1);
-    }
+/// Expected time to compute a prompt there.
+fn prefill_us(agent: &Agent, prompt_tokens: u32) -> u64 {
+    let rate = nonzero_or(
+        u64::from(agent.load.prefill_tokens_per_s),
+        UNKNOWN_PREFILL_TOKENS_PER_S,
+    );
+    u64::from(prompt_tokens) * 1_000_000 / rate
 }
 
 /// Everything that an upstream can be asked for.
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
 use tokio::sync::Notify;
@@ -26,6 +27,7 @@
     catalog: Arc<watch::Sender<Arc<Catalog>>>,
     list_wanted: Arc<Notify>,
     is_store_reachable: Arc<AtomicBool>,
+    others: Arc<AtomicUsize>,
 }
 
 impl Default for Config {
@@ -35,6 +37,7 @@
             catalog: Arc::new(watch::Sender::default()),
             list_wanted: Arc::default(),
             is_store_reachable: Arc::default(),
+            others: Arc::default(),
         }
     }
 }
@@ -153,4 +156,25 @@
     pub fn is_store_reachable(&self) -> bool {
         self.is_store_reachable.load(Ordering::Relaxed)
     }
+
+    /// Tells how many other processes are known through the spread; 0 while none is heard.
+    ///
+    /// ```
+    /// let config = sardinewood::config::Config::default();
+    /// config.set_others(12);
+    /// assert_eq!(config.others(), 12);
+    /// ```
+    pub fn set_others(&self, count: usize) {
+        self.others.store(count, Ordering::Relaxed);
+    }
+
+    /// How many other processes would tell this one of a change.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::config::Config::default().others(), 0);
+    /// ```
+    #[must_use]
+    pub fn others(&self) -> usize {
+        self.others.load(Ordering::Relaxed)
+    }
 }
--- a/lib/src/config_spread.rs
+++ b/lib/src/config_spread.rs
@@ -25,6 +25,10 @@
 /// How many processes a datagram introduces to the receiver.
 pub const INTRODUCED: usize = 3;
 
+/// How long after the last datagram from anyone a process still counts on the others. Each
+/// gets about two a second, so that such a silence means that it is cut off.
+const AUDIBLE_MS: u64 = 10_000;
+
 /// How often and to how many processes to tell the configuration.
 ///
 /// ```
@@ -180,6 +184,24 @@
         &self.peers
     }
 
+    /// How many processes are known, or 0 if nothing was heard of any of them lately.
+    ///
+    /// ```
+    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::ids::Incarnation;
+    /// let seed = "10.0.0.2:7000".parse().unwrap();
+    /// let spread = Spread::new(Incarnation(1), &[seed], SpreadTimings::default(), 7);
+    /// assert_eq!(spread.audible(0), 0, "it was never heard");
+    /// ```
+    #[must_use]
+    pub fn audible(&self, now_ms: u64) -> usize {
+        let is_heard = self
+            .peers
+            .values()
+            .any(|peer| peer.report.is_some() && now_ms < peer.heard_at_ms + AUDIBLE_MS);
+        if is_heard { self.peers.len() } else { 0 }
+    }
+
     /// The time until the next [`Self::tick`] of a process that holds `own`.
     ///
     /// ```
--- a/lib/src/config_watch.rs
+++ b/lib/src/config_watch.rs
@@ -3,13 +3,15 @@
 //! Call budget of one process: a watch each `wait_ms` while nothing changes, one more for
 //! each change, never more than one call in `min_interval_ms`, a list each `relist_ms`, and
 //! in an outage one call in each back-off. The intervals are drawn with jitter, so that
-//! processes which lost the store together do not come back together.
+//! processes which lost the store together do not come back together. In a large fleet most
+//! processes leave the store to others; see [`crate::store_duty`].
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use tokio::sync::watch as channel;
 use tokio::time::Instant;
+use tokio::time::timeout;
 
 use crate::catalog::Catalog;
 use crate::config::Config;
@@ -18,10 +20,15 @@
 use crate::config_state::WatchOutcome;
 use crate::store::ReadError;
 use crate::store::StoreClient;
+use crate::store_duty::StoreDuty;
 
 /// The share of an interval that jitter may take away.
 const JITTER: f64 = 0.5;
 
+/// How long a process that leaves the store to others does so before it looks again whether
+/// there are others.
+const REST: Duration = Duration::from_secs(1);
+
 /// When to call the store.
 ///
 /// ```
@@ -146,6 +153,18 @@
         (started_ms + self.timings.min_interval_ms).saturating_sub(now_ms)
     }
 
+    /// Whether the calls can be left to other processes: the first list is taken in, and
+    /// nothing has failed since.
+    ///
+    /// ```
+    /// # use sardinewood::config_watch::{WatchPlan, WatchTimings};
+    /// assert!(!WatchPlan::new(WatchTimings::default()).may_rest());
+    /// ```
+    #[must_use]
+    pub fn may_rest(&self) -> bool {
+        self.cursor.is_some() && self.failures == 0
+    }
+
     /// A list was taken in.
     ///
     /// ```
@@ -269,7 +288,12 @@
     let epoch = Instant::now();
     let mut plan = WatchPlan::new(timings);
     let mut started_ms = 0;
+    let mut duty = StoreDuty::default();
     loop {
+        if plan.may_rest() && !duty.is_due(elapsed_ms(epoch), config.others(), rand::random()) {
+            rest(&config, &mut plan).await;
+            continue;
+        }
         let pause_ms = plan.start_in_ms(started_ms, elapsed_ms(epoch), rand::random());
         tokio::time::sleep(Duration::from_millis(pause_ms)).await;
         started_ms = elapsed_ms(epoch);
@@ -291,6 +315,14 @@
     }
 }
 
+/// Leaves the store to others for a moment: the spread tells what they see, and asks for a
+/// list where it finds that a change was skipped.
+async fn rest(config: &Config, plan: &mut WatchPlan) {
+    if timeout(REST, config.list_wanted()).await.is_ok() {
+        plan.list_again();
+    }
+}
+
 /// Lists everything and takes it in.
 async fn list(
     store: &StoreClient,
--- a/lib/src/entry_state/attempts.rs
+++ b/lib/src/entry_state/attempts.rs
@@ -27,6 +27,7 @@
             AgentMessage::Heartbeat { revision, load, .. } => {
                 if let Some(known) = self.agents.get_mut(agent) {
                     known.load = load;
+                    known.running_at_report = known.running.len();
                     known.revision = revision;
                     known.heard_at_ms = Some(now_ms);
                 }
@@ -59,7 +60,7 @@
             return;
         }
         match self.check_name(request, agent, grant) {
-            NameCheck::Free => self.dispatch(request, agent, grant),
+            NameCheck::Free => self.dispatch(now_ms, request, agent, grant),
             NameCheck::Claim(asked) => self.hold_for_claim(request, agent, grant, asked),
             NameCheck::Follow(holder) => {
                 self.send(agent, EntryMessage::Decline { grant });
@@ -128,7 +129,13 @@
         true
     }
 
-    pub(super) fn dispatch(&mut self, request: RequestId, agent: &Arc<str>, grant: GrantId) {
+    pub(super) fn dispatch(
+        &mut self,
+        now_ms: u64,
+        request: RequestId,
+        agent: &Arc<str>,
+        grant: GrantId,
+    ) {
         if let Some(run) = self.runs.get_mut(&request) {
             run.reserved.swap_remove(agent);
         }
@@ -140,6 +147,8 @@
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
+        self.agents
+            .note_prefix(&run.submission.estimate.prefix, agent, now_ms);
         run.attempts += 1;
         run.tried.insert(agent.clone());
         let id = AttemptId {
--- a/lib/src/entry_state/links.rs
+++ b/lib/src/entry_state/links.rs
@@ -112,6 +112,7 @@
 
     /// Nothing runs on a host that is gone for good, so its attempts are settled.
     pub(super) fn host_gone(&mut self, now_ms: u64, agent: &Arc<str>) {
+        self.agents.forget_prefixes(agent);
         let Some(known) = self.agents.get(agent) else {
             return;
         };
--- a/lib/src/entry_state/named.rs
+++ b/lib/src/entry_state/named.rs
@@ -208,7 +208,7 @@
             return;
         };
         if self.may_dispatch(now_ms, request, &agent, grant) {
-            self.dispatch(request, &agent, grant);
+            self.dispatch(now_ms, request, &agent, grant);
         } else {
             self.send(&agent, EntryMessage::Decline { grant });
             self.lose_reservation(now_ms, request, &agent);
--- a/lib/src/entry_state/waiting.rs
+++ b/lib/src/entry_state/waiting.rs
@@ -123,7 +123,7 @@
             target: &run.submission.target,
             prompt_tokens: run.submission.estimate.prompt_tokens,
             output_tokens: run.submission.estimate.expected_output_tokens,
-            prefix: run.submission.estimate.prefix.first().copied(),
+            prefix: &run.submission.estimate.prefix,
             count: missing,
             nonce: self.nonce,
         };
--- a/lib/src/reservation_queue.rs
+++ b/lib/src/reservation_queue.rs
@@ -28,6 +28,8 @@
     pub link: LinkId,
     /// What the entry sent.
     pub reservation: Reservation,
+    /// When it came.
+    pub came_ms: u64,
     /// When the answer is of no use any more.
     pub deadline_ms: u64,
     /// When it has to start to be done by then, at the speed learned when it came.
@@ -110,6 +112,7 @@
 ///         non_idempotent: false,
 ///         started_appointment: false,
 ///     },
+///     came_ms: 0,
 ///     deadline_ms: 1_000,
 ///     latest_start_ms: 900,
 ///     cost_us: 100,
--- a/lib/src/spread_link.rs
+++ b/lib/src/spread_link.rs
@@ -4,6 +4,8 @@
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -83,6 +85,43 @@
     pub heard_ago_ms: u64,
 }
 
+/// What the spread has sent and received, without the headers of IP, UDP and TCP.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct SpreadTraffic {
+    /// Datagrams sent.
+    pub datagrams_sent: u64,
+    /// Bytes of datagrams and of fetches, asked and answered, sent.
+    pub sent_bytes: u64,
+    /// Bytes of the same received.
+    pub received_bytes: u64,
+}
+
+/// The counters behind [`SpreadTraffic`].
+#[derive(Debug, Default)]
+struct TrafficCounters {
+    datagrams_sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+impl TrafficCounters {
+    fn sent(&self, bytes: usize) {
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn received(&self, bytes: usize) {
+        self.received_bytes
+            .fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
+
+/// What each end of a fetch works with.
+#[derive(Clone)]
+struct FetchContext {
+    keys: Arc<PeerKeys>,
+    traffic: Arc<TrafficCounters>,
+}
+
 /// What the rest of the process asks of the spread.
 #[derive(Debug)]
 enum Command {
@@ -96,9 +135,26 @@
 pub struct SpreadHandle {
     address: SocketAddr,
     commands: mpsc::Sender<Command>,
+    traffic: Arc<TrafficCounters>,
 }
 
 impl SpreadHandle {
+    /// What it has sent and received.
+    ///
+    /// ```no_run
+    /// # fn show(spread: sardinewood::spread_link::SpreadHandle) {
+    /// println!("{} bytes sent", spread.traffic().sent_bytes);
+    /// # }
+    /// ```
+    #[must_use]
+    pub fn traffic(&self) -> SpreadTraffic {
+        SpreadTraffic {
+            datagrams_sent: self.traffic.datagrams_sent.load(Ordering::Relaxed),
+            sent_bytes: self.traffic.sent_bytes.load(Ordering::Relaxed),
+            received_bytes: self.traffic.received_bytes.load(Ordering::Relaxed),
+        }
+    }
+
     /// Where this process is reached.
     ///
     /// ```no_run
@@ -171,8 +227,12 @@
     let (listener, socket) = bind(settings.address).await?;
     let address = socket.local_addr()?;
     let (commands, commanded) = mpsc::channel(COMMAND_QUEUE);
-    let keys = Arc::new(settings.keys);
-    tokio::spawn(answer_fetches(listener, Arc::clone(&keys), config.clone()));
+    let fetching = FetchContext {
+        keys: Arc::new(settings.keys),
+        traffic: Arc::default(),
+    };
+    let traffic = Arc::clone(&fetching.traffic);
+    tokio::spawn(answer_fetches(listener, fetching.clone(), config.clone()));
     let incarnation = settings.identity.incarnation;
     let (fetched, fetch_results) = mpsc::channel(1);
     let task = SpreadTask {
@@ -184,13 +244,17 @@
         ),
         identity: settings.identity,
         config,
-        keys,
+        fetching,
         socket,
         fetched,
         epoch: Instant::now(),
     };
     tokio::spawn(task.run(commanded, fetch_results));
-    Ok(SpreadHandle { address, commands })
+    Ok(SpreadHandle {
+        address,
+        commands,
+        traffic,
+    })
 }
 
 /// Binds both sockets to one port number.
@@ -211,7 +275,7 @@
     spread: Spread,
     identity: Identity,
     config: Config,
-    keys: Arc<PeerKeys>,
+    fetching: FetchContext,
     socket: UdpSocket,
     fetched: mpsc::Sender<Option<PeerAnswer>>,
     epoch: Instant,
@@ -236,6 +300,7 @@
                     }
                 }
                 () = tokio::time::sleep_until(next_tick) => {
+                    self.config.set_others(self.spread.audible(self.now_ms()));
                     let actions = self.spread.tick();
                     self.carry_out(actions).await;
                     let tick_ms = self.spread.tick_ms(&state.borrow().digest());
@@ -262,7 +327,8 @@
     }
 
     async fn hear(&mut self, sealed: &[u8], from: SocketAddr) {
-        let Ok(datagram) = self.keys.open::<Datagram>(sealed) else {
+        self.fetching.traffic.received(sealed.len());
+        let Ok(datagram) = self.fetching.keys.open::<Datagram>(sealed) else {
             spdlog::debug!("datagram from {from} is not taken");
             return;
         };
@@ -294,10 +360,10 @@
             match action {
                 SpreadAction::Send { to, purpose } => self.send(to, purpose).await,
                 SpreadAction::Fetch { from, after } => {
-                    let keys = Arc::clone(&self.keys);
+                    let fetching = self.fetching.clone();
                     let fetched = self.fetched.clone();
                     tokio::spawn(async move {
-                        let answer = fetch(from, after, &keys).await;
+                        let answer = fetch(from, after, &fetching).await;
                         // The receiver only ends with the process.
                         let _ = fetched.send(answer.ok()).await;
                     });
@@ -315,7 +381,10 @@
             purpose,
             introduced: self.spread.introduced(),
         };
-        if let Ok(sealed) = self.keys.seal(&datagram) {
+        if let Ok(sealed) = self.fetching.keys.seal(&datagram) {
+            let traffic = &self.fetching.traffic;
+            traffic.sent(sealed.len());
+            traffic.datagrams_sent.fetch_add(1, Ordering::Relaxed);
             // A datagram that is lost is made up for by the next tick.
             let _ = self.socket.send_to(&sealed, to).await;
         }
@@ -351,7 +420,7 @@
 }
 
 /// Answers the fetches of other processes, a bounded number at one time.
-async fn answer_fetches(listener: TcpListener, keys: Arc<PeerKeys>, config: Config) {
+async fn answer_fetches(listener: TcpListener, fetching: FetchContext, config: Config) {
     let permits = Arc::new(Semaphore::new(MAX_FETCHES));
     loop {
         let Ok(permit) = Arc::clone(&permits).acquire_owned().await else {
@@ -362,10 +431,10 @@
             tokio::time::sleep(Duration::from_millis(100)).await;
             continue;
         };
-        let keys = Arc::clone(&keys);
+        let fetching = fetching.clone();
         let config = config.clone();
         tokio::spawn(async move {
-            let answered = answer_fetch(stream, &keys, &config);
+            let answered = answer_fetch(stream, &fetching, &config);
             if !matches!(
                 tokio::time::timeout(FETCH_TIMEOUT, answered).await,
                 Ok(Ok(()))
@@ -377,19 +446,23 @@
     }
 }
 
-async fn answer_fetch(stream: TcpStream, keys: &PeerKeys, config: &Config) -> io::Result<()> {
+async fn answer_fetch(
+    stream: TcpStream,
+    fetching: &FetchContext,
+    config: &Config,
+) -> io::Result<()> {
     let mut frames = framed(stream, MAX_DATAGRAM_BYTES);
-    let request: FetchRequest = receive(&mut frames, keys).await?;
+    let request: FetchRequest = receive(&mut frames, fetching).await?;
     let answer = FetchAnswer {
         nonce: request.nonce,
         answer: config.state().borrow().answer_peer(request.after),
     };
     frames.codec_mut().set_max_frame_length(MAX_ANSWER_BYTES);
-    send(&mut frames, keys, &answer).await
+    send(&mut frames, fetching, &answer).await
 }
 
 /// Fetches what a peer has above a revision.
-async fn fetch(from: SocketAddr, after: u64, keys: &PeerKeys) -> io::Result<PeerAnswer> {
+async fn fetch(from: SocketAddr, after: u64, fetching: &FetchContext) -> io::Result<PeerAnswer> {
     let exchange = async {
         let mut frames = framed(TcpStream::connect(from).await?, MAX_ANSWER_BYTES);
         let request = FetchRequest {
@@ -397,8 +470,8 @@
             after,
             nonce: rand::random(),
         };
-        send(&mut frames, keys, &request).await?;
-        let answer: FetchAnswer = receive(&mut frames, keys).await?;
+        send(&mut frames, fetching, &request).await?;
+        let answer: FetchAnswer = receive(&mut frames, fetching).await?;
         if answer.nonce != request.nonce {
             return Err(io::ErrorKind::InvalidData.into());
         }
@@ -416,12 +489,21 @@
     Framed::new(stream, codec)
 }
 
-async fn send<T: Serialize>(frames: &mut Frames, keys: &PeerKeys, message: &T) -> io::Result<()> {
-    let sealed = keys.seal(message).map_err(io::Error::other)?;
+async fn send<T: Serialize>(
+    frames: &mut Frames,
+    fetching: &FetchContext,
+    message: &T,
+) -> io::Result<()> {
+    let sealed = fetching.keys.seal(message).map_err(io::Error::other)?;
+    fetching.traffic.sent(sealed.len());
     frames.send(Bytes::from(sealed)).await
 }
 
-async fn receive<T: DeserializeOwned>(frames: &mut Frames, keys: &PeerKeys) -> io::Result<T> {
+async fn receive<T: DeserializeOwned>(
+    frames: &mut Frames,
+    fetching: &FetchContext,
+) -> io::Result<T> {
     let sealed = frames.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    keys.open(&sealed).map_err(io::Error::other)
+    fetching.traffic.received(sealed.len());
+    fetching.keys.open(&sealed).map_err(io::Error::other)
 }
--- a/lib/src/upstream_http.rs
+++ b/lib/src/upstream_http.rs
@@ -24,6 +24,7 @@
 use reqwest::redirect;
 use reqwest::retry;
 
+use crate::service_path::is_resolved;
 use crate::wire::Call;
 
 /// The header that names a request towards its upstream.
@@ -153,7 +154,9 @@
 ) -> Result<RequestBuilder, OpenError> {
     let invalid = |what: &str| OpenError::Invalid(what.into());
     let method = Method::from_bytes(call.method.as_bytes()).map_err(|_| invalid("method"))?;
-    if !call.path.starts_with('/') {
+    // The entry refuses paths that the HTTP client would resolve; this holds also against an
+    // entry of another version.
+    if !call.path.starts_with('/') || is_resolved(&call.path) {
         return Err(invalid("path"));
     }
     let mut headers = HeaderMap::with_capacity(call.headers.len() + 1);
--- a/lib/tests/test_agent_attempts.rs
+++ b/lib/tests/test_agent_attempts.rs
@@ -344,7 +344,12 @@
         deadline_in_ms: 200,
         ..reservation(2, 0)
     };
-    assert_eq!(cancelled(&fixture.reserve(urgent)), [1]);
+    assert_eq!(
+        cancelled(&fixture.reserve(urgent)),
+        [],
+        "a slot may free up"
+    );
+    assert_eq!(cancelled(&fixture.tick(40)), [1]);
     let steps = fixture.progress(attempt(1), CallProgress::KeptRunning);
     assert_eq!(cancelled(&steps), [], "it is not tried again");
     assert_eq!(granted(&fixture.end(attempt(1), complete(1))), [2]);
--- a/lib/tests/test_caller_api.rs
+++ b/lib/tests/test_caller_api.rs
@@ -32,6 +32,8 @@
 use serde_json::json;
 use sha2::Digest;
 use sha2::Sha256;
+use tokio::io::AsyncReadExt;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::sync::mpsc;
@@ -448,6 +450,7 @@
     let long = "x".repeat(2_100);
     let other_model = json!({"model": "large", "messages": []}).to_string();
     let no_messages = json!({"model": "small"}).to_string();
+    let list = json!(["small", 1, 1, [], null]).to_string();
     let wrong_key = setting.chat().bearer_auth("wrong");
     let mut wrong_key = wrong_key.build().expect("a request");
     wrong_key
@@ -455,6 +458,7 @@
         .insert("authorization", "Bearer wrong".parse().expect("a value"));
     let requests = [
         (setting.post(chat, "{").build(), 400, "invalid_json"),
+        (setting.post(chat, list).build(), 400, "invalid_json"),
         (
             setting.post(chat, no_messages).build(),
             400,
@@ -586,3 +590,27 @@
     };
     assert!(timeout(CAP, answered).await.is_ok(), "still not ready");
 }
+
+// A caller of one service asks for a path with `..`, hoping for what else its server offers.
+// The HTTP client towards the upstream would resolve it, past the service's base URL, so the
+// entry refuses it. It is sent by hand since the test's own client would resolve it too.
+#[tokio::test]
+async fn service_dot_segments_are_refused() {
+    let setting = Setting::start(Behaviour::Echo).await;
+    for path in ["/a/../../v1/orders", "/%2e%2E/x", "/.", r"/a\..\b"] {
+        let mut stream = TcpStream::connect(setting.entry.address())
+            .await
+            .expect("a connection");
+        let request = format!(
+            "GET /services/refunds{path} HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\
+             Authorization: Bearer {KEY}\r\n\r\n"
+        );
+        stream.write_all(request.as_bytes()).await.expect("sent");
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).await.expect("an answer");
+        assert!(answer.starts_with("HTTP/1.1 400 "), "{path}: {answer}");
+        assert!(answer.contains(r#""code":"invalid_path""#), "{path}");
+    }
+    setting.assert_nothing_left().await;
+    assert_eq!(setting.counts.reserved.load(Ordering::SeqCst), 0);
+}
--- /dev/null
+++ b/lib/tests/test_work_estimates.rs
@@ -0,0 +1,34 @@
+//! Expected output lengths.
+
+use std::sync::Arc;
+
+use sardinewood::work_estimates::WorkEstimates;
+
+#[test]
+fn output_tokens_a_long_answer_does_not_move_the_quantile() {
+    let mut estimates = WorkEstimates::default();
+    let lookup: Arc<str> = "lookup".into();
+    for _ in 0..50 {
+        estimates.observe(&lookup, 60);
+    }
+    estimates.observe(&lookup, 6_000);
+    assert_eq!(estimates.output_tokens("lookup", 90), Some(60));
+}
+
+#[test]
+fn output_tokens_follows_the_latest_answers() {
+    let mut estimates = WorkEstimates::default();
+    let lookup: Arc<str> = "lookup".into();
+    for output_tokens in [60, 600] {
+        for _ in 0..300 {
+            estimates.observe(&lookup, output_tokens);
+        }
+    }
+    assert_eq!(estimates.output_tokens("lookup", 10), Some(600));
+}
+
+#[test]
+fn output_tokens_unknown_profile_is_unknown() {
+    let estimates = WorkEstimates::default();
+    assert_eq!(estimates.output_tokens("lookup", 50), None);
+}
--- a/local/src/fleet.rs
+++ b/local/src/fleet.rs
@@ -7,17 +7,13 @@
 use std::time::Duration;
 
 use eyre::WrapErr;
+use futures_util::future::join_all;
 use reqwest::Client;
-use sardinewood::agent_server;
-use sardinewood::agent_server::AgentHandle;
 use sardinewood::agent_settings::AgentSettings;
 use sardinewood::catalog::Catalog;
 use sardinewood::config_object::Kind;
-use sardinewood::config_watch::spawn_config;
-use sardinewood::entry_server;
-use sardinewood::entry_server::EntryHandle;
+use sardinewood::config_process::PeerSettings;
 use sardinewood::entry_settings::EntrySettings;
-use sardinewood::metrics::Metrics;
 use sardinewood::objects::Activity;
 use sardinewood::objects::Serves;
 use sardinewood::objects::Upstream;
@@ -31,8 +27,11 @@
 
 use crate::local_settings::LocalSettings;
 use crate::report::DispatchCounts;
+use crate::roles::LocalAgent;
+use crate::roles::LocalEntry;
 use crate::seed;
 use crate::seed::LANGUAGE_MODEL;
+use crate::seed::OPERATOR_TOKEN;
 use crate::seed::REFUND_SERVICE;
 use crate::seed::RUNDU;
 
@@ -45,16 +44,14 @@
 /// The whole system.
 #[derive(Debug)]
 pub struct Fleet {
-    entries: Vec<EntryHandle>,
-    agents: Vec<AgentHandle>,
+    entries: Vec<LocalEntry>,
+    agents: Vec<LocalAgent>,
     engines: Vec<(&'static str, EngineStandIn)>,
     service: ServiceStandIn,
     store: StoreStandIn,
+    shutdown_grace_ms: u64,
 }
 
-/// What one process of the fleet follows.
-type CatalogReceiver = watch::Receiver<Arc<Catalog>>;
-
 impl Fleet {
     /// Starts everything and waits until the configuration is in force in all of it.
     ///
@@ -68,26 +65,24 @@
             engines: Vec::new(),
             service: ServiceStandIn::spawn().await?,
             store: StoreStandIn::spawn().await?,
+            shutdown_grace_ms: settings.shutdown_grace_ms,
         };
-        fleet.put_callers_configuration();
-        let mut catalogs = fleet.start_upstreams(settings).await?;
-        catalogs.extend(fleet.start_entries(settings)?);
-        for catalog in &mut catalogs {
-            wait_for_upstreams(catalog, fleet.agents.len()).await?;
-        }
-        for url in fleet.entry_urls() {
-            wait_for_answers(&url).await?;
-        }
+        fleet.put_people_and_profiles();
+        fleet.start_upstreams().await?;
+        fleet.start_entries(settings).await?;
+        fleet.wait_until_in_force().await?;
         Ok(fleet)
     }
 
-    fn put_callers_configuration(&self) {
+    fn put_people_and_profiles(&self) {
         for profile in seed::profiles() {
             self.put(Kind::Profiles, &profile.name, &profile);
         }
         for customer in seed::CUSTOMERS {
             self.put(Kind::Customers, customer.name, &customer.object());
         }
+        let operator = seed::operator();
+        self.put(Kind::Operators, &operator.name, &operator);
     }
 
     fn put(&self, kind: Kind, name: &str, object: &impl Serialize) {
@@ -96,11 +91,7 @@
         self.store.seed(kind.as_str(), name, value);
     }
 
-    async fn start_upstreams(
-        &mut self,
-        settings: &LocalSettings,
-    ) -> eyre::Result<Vec<CatalogReceiver>> {
-        let mut catalogs = Vec::new();
+    async fn start_upstreams(&mut self) -> eyre::Result<()> {
         for seed in seed::engines() {
             let engine = EngineStandIn::spawn(seed.settings.clone()).await?;
             let upstream = Upstream {
@@ -115,7 +106,7 @@
                 checks_fencing: seed.settings.checks_fencing,
             };
             self.engines.push((seed.name, engine));
-            catalogs.push(self.start_agent(settings, upstream).await?);
+            self.start_agent(upstream).await?;
         }
         let service = Upstream {
             name: REFUND_SERVICE.into(),
@@ -128,67 +119,64 @@
             activity: Activity::Active,
             checks_fencing: false,
         };
-        catalogs.push(self.start_agent(settings, service).await?);
-        Ok(catalogs)
+        self.start_agent(service).await
     }
 
     /// Starts the agent of an upstream and puts the upstream into the store with its address.
-    async fn start_agent(
-        &mut self,
-        settings: &LocalSettings,
-        upstream: Upstream,
-    ) -> eyre::Result<CatalogReceiver> {
-        let agent_settings = AgentSettings {
+    async fn start_agent(&mut self, upstream: Upstream) -> eyre::Result<()> {
+        let agent = LocalAgent::start(AgentSettings {
             upstream: upstream.name.clone(),
             host: format!("host-{}", upstream.name).into(),
             data_centre: upstream.data_centre.clone(),
             store_url: self.store.url().into(),
-            shutdown_grace_ms: settings.shutdown_grace_ms,
+            peers: self.peers(),
+            shutdown_grace_ms: self.shutdown_grace_ms,
             ..AgentSettings::default()
-        };
-        let host = agent_settings.host.clone();
-        let catalog = spawn_config(&self.store.url())?;
-        let agent = agent_server::spawn(agent_settings, catalog.clone(), Metrics::disabled())
-            .await
-            .wrap_err_with(|| format!("agent of {}", upstream.name))?;
+        })
+        .await?;
         let upstream = Upstream {
-            agent_address: agent.address(),
+            agent_address: agent.handle.address(),
             ..upstream
         };
         self.put(Kind::Upstreams, &upstream.name, &upstream);
-        self.list_host(&host, &upstream.data_centre, agent.address());
+        let host = format!("host-{}", upstream.name);
+        self.list_host(&host, &upstream.data_centre, upstream.agent_address);
         self.agents.push(agent);
-        Ok(catalog)
+        Ok(())
     }
 
-    fn start_entries(&mut self, settings: &LocalSettings) -> eyre::Result<Vec<CatalogReceiver>> {
-        let mut catalogs = Vec::new();
+    async fn start_entries(&mut self, settings: &LocalSettings) -> eyre::Result<()> {
         for number in 0..settings.entries {
-            let any_port = EntrySettings::default().listen;
-            let entry_settings = EntrySettings {
+            let defaults = EntrySettings::default();
+            let entry = LocalEntry::start(EntrySettings {
                 host: format!("entry-{}", number + 1).into(),
                 data_centre: seed::service_data_centre().into(),
                 listen: if number == 0 {
                     settings.listen
                 } else {
-                    any_port
+                    defaults.listen
                 },
                 store_url: self.store.url().into(),
-                shutdown_grace_ms: settings.shutdown_grace_ms,
-                ..EntrySettings::default()
-            };
-            let catalog = spawn_config(&self.store.url())?;
-            let entry = entry_server::spawn(&entry_settings, catalog.clone(), Metrics::disabled())
-                .wrap_err_with(|| format!("{} on {}", entry_settings.host, settings.listen))?;
-            self.list_host(
-                &entry_settings.host,
-                &entry_settings.data_centre,
-                entry.address(),
-            );
+                peers: self.peers(),
+                shutdown_grace_ms: self.shutdown_grace_ms,
+                ..defaults
+            })
+            .await?;
+            let address = entry.handle.address();
+            self.list_host(&entry.host, seed::service_data_centre(), address);
             self.entries.push(entry);
-            catalogs.push(catalog);
         }
-        Ok(catalogs)
+        Ok(())
+    }
+
+    /// The process that was started first is enough to find all others.
+    fn peers(&self) -> PeerSettings {
+        let first = self.agents.first();
+        let address = first.map(|agent| agent.configuration.spread.address().to_string());
+        PeerSettings {
+            peers: address.unwrap_or_default().into(),
+            ..PeerSettings::default()
+        }
     }
 
     fn list_host(&self, host: &str, data_centre: &str, address: SocketAddr) {
@@ -200,18 +188,27 @@
         });
     }
 
+    async fn wait_until_in_force(&self) -> eyre::Result<()> {
+        let agents = self.agents.iter().map(LocalAgent::catalog);
+        let entries = self.entries.iter().map(LocalEntry::catalog);
+        for catalog in agents.chain(entries) {
+            wait_for_upstreams(catalog, self.agents.len()).await?;
+        }
+        for entry in &self.entries {
+            wait_for_answers(&entry.url()).await?;
+        }
+        Ok(())
+    }
+
     /// The base URLs of the entries.
     #[must_use]
     pub fn entry_urls(&self) -> Vec<String> {
-        let entries = self.entries.iter();
-        entries
-            .map(|entry| format!("http://{}", entry.address()))
-            .collect()
+        self.entries.iter().map(LocalEntry::url).collect()
     }
 
     /// The entries.
     #[must_use]
-    pub fn entries(&self) -> &[EntryHandle] {
+    pub fn entries(&self) -> &[LocalEntry] {
         &self.entries
     }
 
@@ -237,13 +234,13 @@
         counts
     }
 
-    /// Where everything listens, and a call that works.
+    /// Where everything listens, and calls that work.
     #[must_use]
     pub fn describe(&self) -> String {
         let mut text = String::new();
         let mut line = |role: &str, name: &str, address: &str| {
             // Writing to a string never fails.
-            let _ = writeln!(text, "{role:<8} {name:<12} {address}");
+            let _ = writeln!(text, "{role:<9} {name:<12} {address}");
         };
         line("store", "", &self.store.url());
         for (name, engine) in &self.engines {
@@ -251,17 +248,25 @@
         }
         line("service", REFUND_SERVICE, &self.service.url());
         for agent in &self.agents {
-            line("agent", "", &agent.address().to_string());
+            line(
+                "agent",
+                &agent.upstream,
+                &agent.handle.address().to_string(),
+            );
         }
-        for (number, url) in self.entry_urls().iter().enumerate() {
-            line("entry", &format!("entry-{}", number + 1), url);
+        for entry in &self.entries {
+            line("entry", &entry.host, &entry.url());
         }
-        let _ = write!(text, "\n{}\n", self.curl_line());
+        for entry in &self.entries {
+            let url = format!("http://{}", entry.operator_address);
+            line("operators", &entry.host, &url);
+        }
+        let _ = write!(text, "\n{}\n\n{}\n", self.curl_line(), self.ctl_line());
         text
     }
 
     fn curl_line(&self) -> String {
-        let url = self.entry_urls().swap_remove(0);
+        let url = self.entries[0].url();
         let body = serde_json::json!({
             "model": LANGUAGE_MODEL,
             "messages": [{"role": "user", "content": "Summarise the dispute over 12 kegs."}],
@@ -276,11 +281,20 @@
         )
     }
 
+    fn ctl_line(&self) -> String {
+        let address = self.entries[0].operator_address;
+        format!(
+            "SARDINEWOOD_OPERATOR_TOKEN={OPERATOR_TOKEN} cargo run -q --release --bin \
+             sardinewoodctl -- status --entry-url http://{address}"
+        )
+    }
+
     /// Lets what is in flight finish: first the entries, which the callers wait for, then the
     /// agents, which the entries wait for, and at last the stand-ins.
     pub async fn shut_down(self) {
-        futures_util::future::join_all(self.entries.into_iter().map(EntryHandle::shut_down)).await;
-        futures_util::future::join_all(self.agents.into_iter().map(AgentHandle::shut_down)).await;
+        join_all(self.entries.into_iter().map(LocalEntry::shut_down)).await;
+        let agents = self.agents.into_iter();
+        join_all(agents.map(|agent| agent.handle.shut_down())).await;
     }
 }
 
@@ -289,7 +303,10 @@
     SocketAddr::from((Ipv4Addr::LOCALHOST, 0))
 }
 
-async fn wait_for_upstreams(catalog: &mut CatalogReceiver, upstreams: usize) -> eyre::Result<()> {
+async fn wait_for_upstreams(
+    mut catalog: watch::Receiver<Arc<Catalog>>,
+    upstreams: usize,
+) -> eyre::Result<()> {
     let complete = catalog.wait_for(|catalog| catalog.upstreams.len() == upstreams);
     tokio::time::timeout(CONFIG_TIMEOUT, complete)
         .await
--- a/local/src/lib.rs
+++ b/local/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod fleet;
 pub mod local_settings;
 pub mod report;
+pub mod roles;
 pub mod sample_run;
 pub mod samples;
 pub mod seed;
--- a/local/src/seed.rs
+++ b/local/src/seed.rs
@@ -4,6 +4,8 @@
 use std::sync::Arc;
 
 use sardinewood::objects::Customer;
+use sardinewood::objects::Operator;
+use sardinewood::objects::OperatorRole;
 use sardinewood::objects::Profile;
 use sardinewood::objects::ProfileLimits;
 use sardinewood::objects::Tier;
@@ -150,6 +152,19 @@
 /// All senders.
 pub const CUSTOMERS: [CustomerSeed; 3] = [RUNDU, KEETMANSHOOP, COUNSELLOR];
 
+/// The token of the operator; good for this fleet alone.
+pub const OPERATOR_TOKEN: &str = "local-operator";
+
+/// Somebody who may change the configuration.
+#[must_use]
+pub fn operator() -> Operator {
+    Operator {
+        name: "operator".into(),
+        role: OperatorRole::Write,
+        token_sha256: vec![Arc::from(sha256_hex(OPERATOR_TOKEN))],
+    }
+}
+
 /// The classes of work of both users.
 ///
 /// ```
