--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -6,6 +6,7 @@
 mod agent_slopes;
 mod config_slopes;
 mod entry_slopes;
+mod idle_slopes;
 mod message_sizes;
 
 use std::any::Any;
@@ -54,13 +55,14 @@
         Some(other) => return Err(other.unexpected().into()),
         None => {}
     }
-    for slope in measure_all() {
+    for slope in measure_all().into_iter().chain(idle_slopes::measure()?) {
         println!("{}", serde_json::to_string(&slope)?);
     }
     Ok(())
 }
 
-/// All slopes, in a fixed order.
+/// All slopes of states and messages, in a fixed order; those that need sockets and some
+/// seconds are measured by [`run`] besides.
 #[must_use]
 pub fn measure_all() -> Vec<Slope> {
     let mut slopes = message_sizes::measure();
