link pace: watch each direction as closely as what depends on it

Cause: at the size of two years on an entry has about 73 requests running, on as many links. Beating those every 500 ms both ways takes 35,000 bytes a second, five times what a daemon may spend on control. Change: a flowing answer stands for the agent's heartbeats, and an entry speaks every 4 s on a link on which nothing waits for a grant; the agent is patient in turn. Idle links share 2,000 bytes a second in place of 3,500, and are beaten every 20 s at least. Result (worked out from frame sizes; tests count the beats): 180 links with 73 running attempts take 4,000 bytes a second, before 38,500. A silent agent is still found after 2 s. Conclusion: an entry that dies with its host now leaves idempotent work running for up to 16 s and its grace in place of 2 s and its grace; that is the price.

--- a/lib/src/agent_control.rs
+++ b/lib/src/agent_control.rs
@@ -278,14 +278,16 @@
 
     fn due_on_links(&mut self) -> Vec<(LinkId, PaceStep)> {
         let now_ms = self.now_ms();
-        let busy = self.parts.state.busy_links();
-        let links = self.links.len();
         let rules = self.parts.pace;
+        let watched = self.parts.state.watched_links(now_ms, rules.heartbeat_ms);
+        let links = self.links.len();
         let revision = self.parts.catalog.borrow().revision;
         let mut due = Vec::with_capacity(links);
         for (link, handle) in &self.links {
+            let (tell, hear) = watched.get(link).copied().unwrap_or_default();
             let view = LinkView {
-                is_busy: busy.contains(link),
+                tell,
+                hear,
                 heard_at_ms: handle.heard.at_ms(),
                 links,
                 revision,
--- a/lib/src/agent_state.rs
+++ b/lib/src/agent_state.rs
@@ -8,6 +8,7 @@
 use std::mem;
 use std::sync::Arc;
 
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use crate::agent_events::AgentEvent;
@@ -20,6 +21,7 @@
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::link_pace::Watch;
 use crate::objects::Activity;
 use crate::objects::Upstream;
 use crate::reservation_queue::ReservationQueue;
@@ -178,13 +180,36 @@
         }
     }
 
-    /// The links with work on them: a reservation, a grant, or an attempt that is not over.
+    /// How the links with work on them are watched: what this agent says, and what it hears.
+    ///
+    /// A reservation or a grant waits for what both sides say. An attempt waits for its
+    /// answer, and an answer that is being passed on says by itself that the link is alive;
+    /// without tokens for `quiet_ms`, heartbeats have to.
     #[must_use]
-    pub fn busy_links(&self) -> IndexSet<LinkId> {
-        let reserved = self.queue.requests().map(|(_, link)| link);
-        let granted = self.grants.iter().map(|granted| granted.waiting.link);
-        let attempted = self.attempts.live().filter_map(|(_, attempt)| attempt.link);
-        reserved.chain(granted).chain(attempted).collect()
+    pub fn watched_links(&self, now_ms: u64, quiet_ms: u64) -> IndexMap<LinkId, (Watch, Watch)> {
+        let mut watched: IndexMap<LinkId, (Watch, Watch)> = IndexMap::new();
+        let mut note = |link: LinkId, tell: Watch, hear: Watch| {
+            let known = watched.entry(link).or_default();
+            *known = (known.0.max(tell), known.1.max(hear));
+        };
+        for (_, link) in self.queue.requests() {
+            note(link, Watch::Closely, Watch::Closely);
+        }
+        for granted in self.grants.iter() {
+            note(granted.waiting.link, Watch::Closely, Watch::Closely);
+        }
+        for (_, attempt) in self.attempts.live() {
+            let Some(link) = attempt.link else {
+                continue;
+            };
+            let tell = if attempt.is_talking(now_ms, quiet_ms) {
+                Watch::Idly
+            } else {
+                Watch::Closely
+            };
+            note(link, tell, Watch::Loosely);
+        }
+        watched
     }
 
     /// Whether new work is taken.
--- a/lib/src/attempts.rs
+++ b/lib/src/attempts.rs
@@ -169,6 +169,19 @@
     pub phase: Phase,
 }
 
+impl Attempt {
+    /// Whether its answer is on its way to the entry, and went on within `quiet_ms`.
+    #[must_use]
+    pub fn is_talking(&self, now_ms: u64, quiet_ms: u64) -> bool {
+        match &self.phase {
+            Phase::Running(progress) => {
+                progress.delivered && now_ms < progress.last_progress_ms + quiet_ms
+            }
+            _ => false,
+        }
+    }
+}
+
 /// The records of attempts, those that are over within a bound.
 ///
 /// ```
--- a/lib/src/entry_control.rs
+++ b/lib/src/entry_control.rs
@@ -28,6 +28,7 @@
 use crate::link_pace::LinkPace;
 use crate::link_pace::LinkView;
 use crate::link_pace::PaceStep;
+use crate::link_pace::Watch;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
@@ -346,9 +347,10 @@
                 paces.swap_remove(agent);
                 continue;
             };
-            let is_busy = !known.reserved.is_empty() || !known.running.is_empty();
+            let (tell, hear) = watched(known);
             let view = LinkView {
-                is_busy,
+                tell,
+                hear,
                 heard_at_ms,
                 links,
                 revision,
@@ -439,6 +441,19 @@
     }
 }
 
+/// How a link is watched: what an agent says, by its heartbeats or by the answer itself, is
+/// missed by a caller at once. What this entry says of a running attempt is only missed when
+/// it has died, and then costs the upstream some work that nobody waits for.
+fn watched(agent: &Agent) -> (Watch, Watch) {
+    if !agent.reserved.is_empty() {
+        (Watch::Closely, Watch::Closely)
+    } else if !agent.running.is_empty() {
+        (Watch::Loosely, Watch::Closely)
+    } else {
+        (Watch::Idly, Watch::Idly)
+    }
+}
+
 fn agent_status(agent: &Agent, now_ms: u64) -> AgentStatus {
     AgentStatus {
         is_linked: agent.linked.is_some(),
--- a/lib/src/link_pace.rs
+++ b/lib/src/link_pace.rs
@@ -1,10 +1,10 @@
 //! When a heartbeat is due on a link, and when a silent link is given up.
 //!
-//! A link with work on it is watched closely, since a caller waits for what may be lost
-//! there. A link without work only has to be there when it is needed: its heartbeats are so
-//! far apart that those of all links together stay within a budget of bytes, however many
-//! links there are. Work that is placed on a link makes it a watched one, so that one that
-//! died while it was idle is found out as soon as it matters.
+//! A link on which a caller may be waiting for something is watched closely. A link without
+//! work only has to be there when it is needed: its heartbeats are so far apart that those of
+//! all links together stay within a budget of bytes, however many links there are. Work that
+//! is placed on a link makes it a watched one, so that one that died while it was idle is
+//! found out as soon as it matters.
 
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
@@ -15,63 +15,104 @@
 /// What a heartbeat each way and its acknowledgement take on the wire, headers included.
 const BEAT_BYTES: u64 = 240;
 
-/// Bytes a second for the heartbeats of all idle links of a process: half of what it may
-/// spend on control.
-const IDLE_BYTES_PER_S: u64 = 3_500;
+/// Bytes a second for the heartbeats of all idle links of a process.
+const IDLE_BYTES_PER_S: u64 = 2_000;
 
-/// An idle link is given up after so many times the silence that a watched one is allowed.
+/// A loosely watched link is beaten once in so many of the silences of a closely watched one,
+const LOOSE_PAUSE_FACTOR: u64 = 2;
+
+/// and given up after so many of them.
+const LOOSE_SILENCE_FACTOR: u64 = 8;
+
+/// An idle link is given up after so many of them.
 const IDLE_SILENCE_FACTOR: u64 = 30;
 
 /// How many heartbeats fit into the silence that is allowed on an idle link, at least.
-const IDLE_BEATS_IN_SILENCE: u64 = 4;
+const IDLE_BEATS_IN_SILENCE: u64 = 3;
 
-/// Timings of watched links; those of idle ones follow from them.
+/// How closely one direction of a link is watched.
 ///
 /// ```
-/// use sardinewood::link_pace::PaceRules;
+/// use sardinewood::link_pace::Watch;
+///
+/// assert!(Watch::Closely > Watch::Loosely);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Watch {
+    /// Nothing depends on it now.
+    #[default]
+    Idly,
+    /// What is lost there costs work, but nobody's time.
+    Loosely,
+    /// A caller may be waiting for what is lost there.
+    Closely,
+}
+
+/// Timings of closely watched links; the others follow from them.
+///
+/// ```
+/// use sardinewood::link_pace::{PaceRules, Watch};
 ///
 /// let rules = PaceRules { heartbeat_ms: 500, silent_ms: 2_000 };
-/// assert_eq!(rules.idle_pause_ms(1), 500, "few links are all beaten at full pace");
-/// assert!(rules.idle_pause_ms(100) > 5_000, "many are not");
-/// assert!(rules.idle_pause_ms(100_000) < rules.idle_silent_ms());
+/// assert_eq!(rules.pause_ms(Watch::Closely, 100), 500);
+/// assert_eq!(rules.pause_ms(Watch::Idly, 1), 500, "few links are all beaten at full pace");
+/// assert!(rules.pause_ms(Watch::Idly, 100) > 5_000, "many are not");
+/// assert!(rules.pause_ms(Watch::Idly, 100_000) < rules.longest_silence_ms(Watch::Idly));
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PaceRules {
-    /// The pause between two heartbeats on a watched link.
+    /// The pause between two heartbeats on a closely watched link.
     pub heartbeat_ms: u64,
-    /// How long a watched link may be silent.
+    /// How long a closely watched link may be silent.
     pub silent_ms: u64,
 }
 
 impl PaceRules {
-    /// The pause between two heartbeats on an idle link, with so many links in all.
+    /// The pause between two heartbeats on a link, with so many links in all.
     #[must_use]
-    pub fn idle_pause_ms(&self, links: usize) -> u64 {
-        let round_bytes = (links as u64).saturating_mul(BEAT_BYTES);
-        let within_budget_ms = round_bytes.saturating_mul(1_000) / IDLE_BYTES_PER_S;
-        let longest_ms = self.idle_silent_ms() / IDLE_BEATS_IN_SILENCE;
-        within_budget_ms.min(longest_ms).max(self.heartbeat_ms)
+    pub fn pause_ms(&self, watch: Watch, links: usize) -> u64 {
+        match watch {
+            Watch::Closely => self.heartbeat_ms,
+            Watch::Loosely => self.silent_ms.saturating_mul(LOOSE_PAUSE_FACTOR),
+            Watch::Idly => self.idle_pause_ms(links),
+        }
     }
 
-    /// How long an idle link may be silent.
+    /// How long a link may be silent.
     #[must_use]
-    pub fn idle_silent_ms(&self) -> u64 {
-        self.silent_ms.saturating_mul(IDLE_SILENCE_FACTOR)
+    pub fn longest_silence_ms(&self, watch: Watch) -> u64 {
+        let factor = match watch {
+            Watch::Closely => 1,
+            Watch::Loosely => LOOSE_SILENCE_FACTOR,
+            Watch::Idly => IDLE_SILENCE_FACTOR,
+        };
+        self.silent_ms.saturating_mul(factor)
+    }
+
+    fn idle_pause_ms(&self, links: usize) -> u64 {
+        let round_bytes = (links as u64).saturating_mul(BEAT_BYTES);
+        let within_budget_ms = round_bytes.saturating_mul(1_000) / IDLE_BYTES_PER_S;
+        let longest_ms = self.longest_silence_ms(Watch::Idly) / IDLE_BEATS_IN_SILENCE;
+        within_budget_ms.min(longest_ms).max(self.heartbeat_ms)
     }
 }
 
 /// What is known of a link when its pace is looked at.
 ///
 /// ```
-/// use sardinewood::link_pace::LinkView;
+/// use sardinewood::link_pace::{LinkView, Watch};
 ///
-/// let view = LinkView { is_busy: true, heard_at_ms: 100, links: 1, revision: 7 };
-/// assert!(view.is_busy);
+/// let view = LinkView {
+///     tell: Watch::Loosely, hear: Watch::Closely, heard_at_ms: 100, links: 1, revision: 7,
+/// };
+/// assert!(view.hear > view.tell);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LinkView {
-    /// Whether there is work on it.
-    pub is_busy: bool,
+    /// How closely the other side watches what this one says.
+    pub tell: Watch,
+    /// How closely this side watches what the other says.
+    pub hear: Watch,
     /// When anything was last heard on it.
     pub heard_at_ms: u64,
     /// How many links this process has.
@@ -95,10 +136,12 @@
 /// The pace of one link.
 ///
 /// ```
-/// use sardinewood::link_pace::{LinkPace, LinkView, PaceRules, PaceStep};
+/// use sardinewood::link_pace::{LinkPace, LinkView, PaceRules, PaceStep, Watch};
 ///
 /// let rules = PaceRules { heartbeat_ms: 500, silent_ms: 2_000 };
-/// let view = LinkView { is_busy: true, heard_at_ms: 0, links: 1, revision: 7 };
+/// let view = LinkView {
+///     tell: Watch::Closely, hear: Watch::Closely, heard_at_ms: 0, links: 1, revision: 7,
+/// };
 /// let mut pace = LinkPace::default();
 /// assert_eq!(pace.next(0, view, rules), PaceStep::Beat);
 /// assert_eq!(pace.next(100, view, rules), PaceStep::Rest);
@@ -106,58 +149,51 @@
 /// ```
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct LinkPace {
-    busy_since_ms: Option<u64>,
-    sent_at_ms: Option<u64>,
-    sent_revision: u64,
+    heard_as: Watch,
+    heard_as_since_ms: u64,
+    told_as: Watch,
+    told_at_ms: Option<u64>,
+    told_revision: u64,
 }
 
 impl LinkPace {
     /// Looks at the link and says what is due.
     pub fn next(&mut self, now_ms: u64, view: LinkView, rules: PaceRules) -> PaceStep {
-        let became_busy = view.is_busy && self.busy_since_ms.is_none();
-        self.note_work(now_ms, view.is_busy);
+        if view.hear != self.heard_as {
+            self.heard_as = view.hear;
+            self.heard_as_since_ms = now_ms;
+        }
         if self.is_silent(now_ms, view, rules) {
             return PaceStep::GiveUp;
         }
-        if became_busy || self.is_beat_due(now_ms, view, rules) {
-            self.sent_at_ms = Some(now_ms);
-            self.sent_revision = view.revision;
+        // The other side may have begun to count a shorter silence already.
+        let is_watched_more = view.tell > self.told_as;
+        self.told_as = view.tell;
+        if is_watched_more || self.is_beat_due(now_ms, view, rules) {
+            self.told_at_ms = Some(now_ms);
+            self.told_revision = view.revision;
             return PaceStep::Beat;
         }
         PaceStep::Rest
     }
 
-    fn note_work(&mut self, now_ms: u64, is_busy: bool) {
-        if !is_busy {
-            self.busy_since_ms = None;
-        } else if self.busy_since_ms.is_none() {
-            self.busy_since_ms = Some(now_ms);
-        }
-    }
-
-    /// The silence of a watched link counts from when it became one: until then the other
-    /// side was right to say little.
+    /// The silence counts from when the link came to be watched as it is: until then the
+    /// other side was right to say less.
     fn is_silent(&self, now_ms: u64, view: LinkView, rules: PaceRules) -> bool {
-        match self.busy_since_ms {
-            Some(busy_since_ms) => {
-                let since_ms = view.heard_at_ms.max(busy_since_ms);
-                now_ms.saturating_sub(since_ms) >= rules.silent_ms
-            }
-            None => now_ms.saturating_sub(view.heard_at_ms) >= rules.idle_silent_ms(),
-        }
+        let since_ms = view.heard_at_ms.max(self.heard_as_since_ms);
+        now_ms.saturating_sub(since_ms) >= rules.longest_silence_ms(view.hear)
     }
 
     /// Half a heartbeat early counts as due: the looks at a link come once a heartbeat, and
     /// one that comes a moment too early would otherwise skip a whole one.
     fn is_beat_due(&self, now_ms: u64, view: LinkView, rules: PaceRules) -> bool {
-        let is_watched = view.is_busy || view.revision != self.sent_revision;
-        let pause_ms = if is_watched {
-            rules.heartbeat_ms
+        let pause_ms = if view.revision == self.told_revision {
+            rules.pause_ms(view.tell, view.links)
         } else {
-            rules.idle_pause_ms(view.links)
+            rules.heartbeat_ms
         };
-        self.sent_at_ms
-            .is_none_or(|sent_at_ms| now_ms + rules.heartbeat_ms / 2 >= sent_at_ms + pause_ms)
+        self.told_at_ms
+            .is_none_or(|told_at_ms| now_ms + rules.heartbeat_ms / 2 >= told_at_ms + pause_ms)
     }
 }
 
--- a/lib/tests/test_link_pace.rs
+++ b/lib/tests/test_link_pace.rs
@@ -4,6 +4,7 @@
 use sardinewood::link_pace::LinkView;
 use sardinewood::link_pace::PaceRules;
 use sardinewood::link_pace::PaceStep;
+use sardinewood::link_pace::Watch;
 
 const RULES: PaceRules = PaceRules {
     heartbeat_ms: 500,
@@ -13,9 +14,10 @@
 /// Links of an entry at the size of two years on.
 const MANY_LINKS: usize = 180;
 
-fn view(is_busy: bool, heard_at_ms: u64) -> LinkView {
+fn view(watch: Watch, heard_at_ms: u64) -> LinkView {
     LinkView {
-        is_busy,
+        tell: watch,
+        hear: watch,
         heard_at_ms,
         links: MANY_LINKS,
         revision: 7,
@@ -23,24 +25,50 @@
 }
 
 /// Beats in a minute of looks, one each heartbeat, on a link that is heard all along.
-fn beats_in_a_minute(is_busy: bool) -> usize {
+fn beats_in_a_minute(watch: Watch) -> usize {
     let mut pace = LinkPace::default();
     (0..60_000)
         .step_by(500)
-        .filter(|now_ms| pace.next(*now_ms, view(is_busy, *now_ms), RULES) == PaceStep::Beat)
+        .filter(|now_ms| pace.next(*now_ms, view(watch, *now_ms), RULES) == PaceStep::Beat)
         .count()
 }
 
 #[test]
 fn next_idle_links_stay_within_the_budget() {
-    let sent_bytes = beats_in_a_minute(false) * MANY_LINKS * 240;
-    assert!(sent_bytes <= 60 * 3_800, "{sent_bytes} bytes in a minute");
-    assert!(beats_in_a_minute(false) >= 3, "an idle link is still alive");
+    let sent_bytes = beats_in_a_minute(Watch::Idly) * MANY_LINKS * 240;
+    assert!(sent_bytes <= 60 * 2_400, "{sent_bytes} bytes in a minute");
+    assert!(
+        beats_in_a_minute(Watch::Idly) >= 3,
+        "an idle link is still alive"
+    );
 }
 
 #[test]
 fn next_busy_link_is_beaten_each_heartbeat() {
-    assert_eq!(beats_in_a_minute(true), 120);
+    assert_eq!(beats_in_a_minute(Watch::Closely), 120);
+}
+
+#[test]
+fn next_loosely_watched_link_is_beaten_each_four_seconds() {
+    assert_eq!(beats_in_a_minute(Watch::Loosely), 15);
+}
+
+#[test]
+fn next_link_that_comes_to_be_watched_is_beaten_at_once() {
+    let mut pace = LinkPace::default();
+    assert_eq!(pace.next(0, view(Watch::Idly, 0), RULES), PaceStep::Beat);
+    assert_eq!(
+        pace.next(10, view(Watch::Loosely, 0), RULES),
+        PaceStep::Beat
+    );
+    assert_eq!(
+        pace.next(20, view(Watch::Closely, 0), RULES),
+        PaceStep::Beat
+    );
+    assert_eq!(
+        pace.next(30, view(Watch::Loosely, 0), RULES),
+        PaceStep::Rest
+    );
 }
 
 #[test]
@@ -49,11 +77,23 @@
     // would wait for a grant that never comes. The link was last heard long ago, as idle links
     // are, so its silence counts from when work was placed on it.
     let mut pace = LinkPace::default();
-    assert_eq!(pace.next(0, view(false, 0), RULES), PaceStep::Beat);
-    assert_eq!(pace.next(10_000, view(false, 0), RULES), PaceStep::Rest);
-    assert_eq!(pace.next(10_500, view(true, 0), RULES), PaceStep::Beat);
-    assert_eq!(pace.next(12_000, view(true, 0), RULES), PaceStep::Beat);
-    assert_eq!(pace.next(12_500, view(true, 0), RULES), PaceStep::GiveUp);
+    assert_eq!(pace.next(0, view(Watch::Idly, 0), RULES), PaceStep::Beat);
+    assert_eq!(
+        pace.next(10_000, view(Watch::Idly, 0), RULES),
+        PaceStep::Rest
+    );
+    assert_eq!(
+        pace.next(10_500, view(Watch::Closely, 0), RULES),
+        PaceStep::Beat
+    );
+    assert_eq!(
+        pace.next(12_000, view(Watch::Closely, 0), RULES),
+        PaceStep::Beat
+    );
+    assert_eq!(
+        pace.next(12_500, view(Watch::Closely, 0), RULES),
+        PaceStep::GiveUp
+    );
 }
 
 #[test]
@@ -62,7 +102,7 @@
     for now_ms in (0_u64..100_000).step_by(500) {
         let heard_at_ms = now_ms.saturating_sub(1_999);
         assert_ne!(
-            pace.next(now_ms, view(true, heard_at_ms), RULES),
+            pace.next(now_ms, view(Watch::Closely, heard_at_ms), RULES),
             PaceStep::GiveUp
         );
     }
@@ -71,8 +111,14 @@
 #[test]
 fn next_idle_link_that_is_never_heard_is_given_up_at_last() {
     let mut pace = LinkPace::default();
-    assert_ne!(pace.next(59_999, view(false, 0), RULES), PaceStep::GiveUp);
-    assert_eq!(pace.next(60_000, view(false, 0), RULES), PaceStep::GiveUp);
+    assert_ne!(
+        pace.next(59_999, view(Watch::Idly, 0), RULES),
+        PaceStep::GiveUp
+    );
+    assert_eq!(
+        pace.next(60_000, view(Watch::Idly, 0), RULES),
+        PaceStep::GiveUp
+    );
 }
 
 #[test]
@@ -80,9 +126,9 @@
     let mut pace = LinkPace::default();
     let newer = LinkView {
         revision: 8,
-        ..view(false, 1_000)
+        ..view(Watch::Idly, 1_000)
     };
-    assert_eq!(pace.next(0, view(false, 0), RULES), PaceStep::Beat);
+    assert_eq!(pace.next(0, view(Watch::Idly, 0), RULES), PaceStep::Beat);
     assert_eq!(pace.next(100, newer, RULES), PaceStep::Rest);
     assert_eq!(pace.next(500, newer, RULES), PaceStep::Beat);
     assert_eq!(pace.next(1_000, newer, RULES), PaceStep::Rest);
