agent: waits for the upstream come from settings

Cause: the times towards the upstream were constants, and modules with no use outside the crate were public.

--- a/lib/src/agent_control.rs
+++ b/lib/src/agent_control.rs
@@ -4,7 +4,6 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
-use reqwest::Client;
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -38,6 +37,7 @@
 use crate::pump_registry::PumpRegistry;
 use crate::upstream_client::UpstreamClient;
 use crate::upstream_health::UpstreamHealth;
+use crate::upstream_http::UpstreamHttp;
 use crate::wire::AgentMessage;
 use crate::wire::Call;
 use crate::wire::Settlement;
@@ -68,7 +68,7 @@
     /// Where metrics go.
     pub metrics: Metrics,
     /// Sends requests, once.
-    pub http: Client,
+    pub http: UpstreamHttp,
     /// Where traffic runs.
     pub traffic: Handle,
     /// The pumps of attempts.
@@ -390,6 +390,7 @@
             attempt,
             upstream: self.client.clone()?,
             window_bytes: self.parts.window_bytes,
+            silent: self.parts.http.timings.silent(),
             keep_whole,
             is_movable,
             events: self.call_events.clone(),
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -31,7 +31,7 @@
 use crate::link_pace::PaceRules;
 use crate::metrics::Metrics;
 use crate::pump_registry::PumpRegistry;
-use crate::upstream_http;
+use crate::upstream_http::UpstreamHttp;
 use crate::wire::Hello;
 use crate::wire::PROTOCOL_VERSION;
 
@@ -122,7 +122,7 @@
         shutdown_grace: Duration::from_millis(settings.shutdown_grace_ms),
         window_bytes: settings.window_bytes as u64,
         metrics,
-        http: upstream_http::client()?,
+        http: UpstreamHttp::new(settings.upstream_timings)?,
         traffic: Handle::current(),
         pumps: pumps.clone(),
         link_events,
@@ -195,6 +195,8 @@
         grant_ahead: settings.grant_ahead,
         retain_ms: settings.retain_ms,
         retain_bytes: settings.retain_bytes as u64,
+        orphan_grace_ms: settings.orphan_grace_ms,
+        probe_ms: settings.probe_ms,
         ..AgentLimits::default()
     }
 }
--- a/lib/src/agent_settings.rs
+++ b/lib/src/agent_settings.rs
@@ -9,6 +9,7 @@
 use crate::logging::LEVEL_WORDS;
 use crate::settings::Program;
 use crate::settings::Setting;
+use crate::upstream_http::UpstreamTimings;
 
 /// Settings of one agent; the defaults suit an agent on loopback with a port taken free.
 ///
@@ -44,6 +45,12 @@
     pub grant_valid_ms: u64,
     /// How many grants may be out beyond the free slots, so that a round trip idles nothing.
     pub grant_ahead: usize,
+    /// How long to wait for the upstream.
+    pub upstream_timings: UpstreamTimings,
+    /// The pause between two looks at the upstream.
+    pub probe_ms: u64,
+    /// How long an idempotent request runs on that no entry waits for.
+    pub orphan_grace_ms: u64,
     /// How long the answer of a named request is kept.
     pub retain_ms: u64,
     /// How much of all kept answers is held together.
@@ -73,6 +80,9 @@
             queue_limit: 1_000,
             grant_valid_ms: 1_000,
             grant_ahead: 1,
+            upstream_timings: UpstreamTimings::default(),
+            probe_ms: 1_000,
+            orphan_grace_ms: 10_000,
             retain_ms: 120_000,
             retain_bytes: 64 << 20,
             window_bytes: 256 << 10,
@@ -93,6 +103,7 @@
     let mut settings = identity_and_addresses();
     settings.extend(peers());
     settings.extend(links_and_grants());
+    settings.extend(upstream());
     settings.extend(answers());
     Program {
         name: "sardinewood-agent",
@@ -208,6 +219,41 @@
     ]
 }
 
+fn upstream() -> Vec<Setting<AgentSettings>> {
+    vec![
+        Setting::number(
+            "upstream-connect-ms",
+            1..=60_000,
+            "How long a connection to the upstream may take.",
+            |s: &mut AgentSettings| &mut s.upstream_timings.connect_ms,
+        ),
+        Setting::number(
+            "upstream-question-ms",
+            1..=60_000,
+            "How long an engine may take to say where a request stands.",
+            |s: &mut AgentSettings| &mut s.upstream_timings.question_ms,
+        ),
+        Setting::number(
+            "upstream-silent-ms",
+            10..=600_000,
+            "How long an engine may send nothing before it is asked about the request.",
+            |s: &mut AgentSettings| &mut s.upstream_timings.silent_ms,
+        ),
+        Setting::number(
+            "probe-ms",
+            10..=60_000,
+            "Pause between two looks at the upstream.",
+            |s: &mut AgentSettings| &mut s.probe_ms,
+        ),
+        Setting::number(
+            "orphan-grace-ms",
+            0..=3_600_000,
+            "How long an idempotent request runs on that no entry waits for.",
+            |s: &mut AgentSettings| &mut s.orphan_grace_ms,
+        ),
+    ]
+}
+
 fn answers() -> Vec<Setting<AgentSettings>> {
     vec![
         Setting::number(
--- a/lib/src/answer_pump.rs
+++ b/lib/src/answer_pump.rs
@@ -38,9 +38,6 @@
 mod delivery;
 mod token_report;
 
-/// How long an engine may send nothing before it is asked about the request.
-const SILENCE: Duration = Duration::from_secs(2);
-
 /// How often in a row an answer is read on a new connection that brings no byte, before
 /// its outcome is given up as unknown.
 const MAX_REOPENS: u32 = 10;
@@ -74,6 +71,8 @@
     pub upstream: UpstreamClient,
     /// What may be unacknowledged before it stops reading.
     pub window_bytes: u64,
+    /// How long an engine may send nothing before it is asked about the request.
+    pub silent: Duration,
     /// Whether the answer is read and kept to its end even if nobody takes it.
     pub keep_whole: bool,
     /// Whether the request may run elsewhere when the upstream turns it down.
@@ -156,6 +155,7 @@
     fn new(parts: PumpParts, outlet: Option<Outlet>, source: Source) -> Self {
         let now = Instant::now();
         let attempt = parts.attempt;
+        let silent_at = now + parts.silent;
         AnswerPump {
             log: AnswerLog::new(parts.window_bytes, parts.keep_whole),
             parts,
@@ -168,7 +168,7 @@
             cancellation: None,
             delivery: Delivery::new(attempt, outlet),
             opened: now,
-            silent_at: now + SILENCE,
+            silent_at,
             tokens: TokenReport::new(now),
         }
     }
@@ -212,7 +212,7 @@
         let can_read = !has_ended && !is_cancelling && self.log.has_room();
         if !can_read {
             self.tokens.hold_up();
-            self.silent_at = Instant::now() + SILENCE;
+            self.silent_at = Instant::now() + self.parts.silent;
         }
         let is_engine = matches!(self.parts.upstream, UpstreamClient::Engine(_));
         let asks = is_engine && self.recovery.is_none();
@@ -245,7 +245,7 @@
             Input::Recovered(recovery) => self.take_recovery(recovery),
             Input::Cancelled(end) => Next::End(end),
             Input::Silence => {
-                self.silent_at = Instant::now() + SILENCE;
+                self.silent_at = Instant::now() + self.parts.silent;
                 self.start_recovery(Trouble::Silent);
                 Next::Continue
             }
@@ -372,7 +372,7 @@
     }
 
     fn read_from(&mut self, answer: UpstreamAnswer) {
-        self.silent_at = Instant::now() + SILENCE;
+        self.silent_at = Instant::now() + self.parts.silent;
         self.align_to(&answer);
         if !self.delivery.has_head() {
             self.delivery
@@ -386,7 +386,7 @@
     }
 
     async fn take_bytes(&mut self, bytes: Bytes) {
-        self.silent_at = Instant::now() + SILENCE;
+        self.silent_at = Instant::now() + self.parts.silent;
         self.recovery = None;
         self.reopens = 0;
         if !self.is_event_stream() {
@@ -488,7 +488,7 @@
         let last_event_id = self.scan.last_id();
         let opening = async move { engine.resume(request, last_event_id).await };
         self.source = Source::Opening(Box::pin(opening));
-        self.silent_at = Instant::now() + SILENCE;
+        self.silent_at = Instant::now() + self.parts.silent;
         Next::Continue
     }
 
--- a/lib/src/engine.rs
+++ b/lib/src/engine.rs
@@ -1,9 +1,7 @@
 //! The only module that speaks to a model engine. Its protocol is in `docs/outside.md`.
 
 use std::sync::Arc;
-use std::time::Duration;
 
-use reqwest::Client;
 use reqwest::RequestBuilder;
 use reqwest::Response;
 use reqwest::StatusCode;
@@ -11,14 +9,11 @@
 
 use crate::agent_events::Found;
 use crate::ids::RequestId;
-use crate::upstream_http;
 use crate::upstream_http::OpenError;
 use crate::upstream_http::UpstreamAnswer;
+use crate::upstream_http::UpstreamHttp;
 use crate::wire::Call;
 
-/// How long the engine may take to answer a question about a request.
-const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// Where a request stands in the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -79,21 +74,22 @@
 /// use sardinewood::engine::Engine;
 /// use sardinewood::ids::RequestId;
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// let http = sardinewood::upstream_http::client().unwrap();
+/// use sardinewood::upstream_http::{UpstreamHttp, UpstreamTimings};
+/// let http = UpstreamHttp::new(UpstreamTimings::default()).unwrap();
 /// let engine = Engine::new(http, "http://127.0.0.1:1");
 /// assert!(engine.status(RequestId(1)).await.is_err(), "nothing listens there");
 /// # });
 /// ```
 #[derive(Clone, Debug)]
 pub struct Engine {
-    http: Client,
+    http: UpstreamHttp,
     url: Arc<str>,
 }
 
 impl Engine {
-    /// The engine at a base URL. `http` has to come from [`upstream_http::client`].
+    /// The engine at a base URL.
     #[must_use]
-    pub fn new(http: Client, url: &str) -> Self {
+    pub fn new(http: UpstreamHttp, url: &str) -> Self {
         let url = url.trim_end_matches('/').into();
         Engine { http, url }
     }
@@ -104,7 +100,8 @@
     ///
     /// See [`OpenError`].
     pub async fn open(&self, request: RequestId, call: Call) -> Result<UpstreamAnswer, OpenError> {
-        upstream_http::send(&self.http, &self.url, &request.to_string(), call).await
+        let id = request.to_string();
+        self.http.send(&self.url, &id, call).await
     }
 
     /// Reads the answer of a request on a new connection: the events after `last_event_id`,
@@ -119,7 +116,7 @@
         last_event_id: Option<u64>,
     ) -> Result<UpstreamAnswer, OpenError> {
         let url = format!("{}/stream", self.request_url(request));
-        let mut call = self.http.get(url);
+        let mut call = self.http.client.get(url);
         if let Some(id) = last_event_id {
             call = call.header("Last-Event-ID", id);
         }
@@ -139,7 +136,9 @@
     ///
     /// The engine does not answer.
     pub async fn status(&self, request: RequestId) -> Result<EngineStatus, EngineError> {
-        let response = ask(self.http.get(self.request_url(request))).await?;
+        let response = self
+            .ask(self.http.client.get(self.request_url(request)))
+            .await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(EngineStatus::Unknown);
         }
@@ -156,7 +155,9 @@
     ///
     /// The engine has not confirmed it.
     pub async fn cancel(&self, request: RequestId) -> Result<EngineState, EngineError> {
-        let response = ask(self.http.delete(self.request_url(request))).await?;
+        let response = self
+            .ask(self.http.client.delete(self.request_url(request)))
+            .await?;
         let body: StatusBody = read(response).await?;
         match body.state {
             state @ (EngineState::Finished | EngineState::Cancelled) => Ok(state),
@@ -171,7 +172,7 @@
     /// The engine does not answer.
     pub async fn running(&self) -> Result<Vec<RequestId>, EngineError> {
         let url = format!("{}/v1/requests", self.url);
-        let requests: Vec<RequestBody> = read(ask(self.http.get(url)).await?).await?;
+        let requests: Vec<RequestBody> = read(self.ask(self.http.client.get(url)).await?).await?;
         let is_running = |one: &RequestBody| {
             !matches!(one.state, EngineState::Finished | EngineState::Cancelled)
         };
@@ -203,16 +204,16 @@
         }
     }
 
+    async fn ask(&self, call: RequestBuilder) -> Result<Response, EngineError> {
+        let answer = call.timeout(self.http.timings.question()).send().await;
+        answer.map_err(|error| engine_error(&error))
+    }
+
     fn request_url(&self, request: RequestId) -> String {
         format!("{}/v1/requests/{request}", self.url)
     }
 }
 
-async fn ask(call: RequestBuilder) -> Result<Response, EngineError> {
-    let answer = call.timeout(QUESTION_TIMEOUT).send().await;
-    answer.map_err(|error| engine_error(&error))
-}
-
 async fn read<B: for<'de> Deserialize<'de>>(response: Response) -> Result<B, EngineError> {
     if response.status() != StatusCode::OK {
         return Err(no_answer(response.status().as_str()));
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -6,21 +6,21 @@
 //! in the programs and in the modules that speak to one outside system each.
 
 pub mod admission;
-pub mod agent_control;
+mod agent_control;
 pub mod agent_events;
-pub mod agent_link;
+mod agent_link;
 pub mod agent_server;
 pub mod agent_settings;
 pub mod agent_state;
 pub mod answer_log;
 pub mod answer_meter;
-pub mod answer_pump;
+mod answer_pump;
 pub mod answer_reader;
 pub mod answer_routes;
 pub mod attempts;
 pub mod audit;
 pub mod backoff;
-pub mod call_recovery;
+mod call_recovery;
 pub mod caller_answer;
 pub mod caller_api;
 pub mod caller_body;
@@ -79,7 +79,7 @@
 pub mod order_queue;
 pub mod ordering;
 pub mod prefix_hints;
-pub mod pump_registry;
+mod pump_registry;
 pub mod request_names;
 pub mod reservation_queue;
 pub mod retry_budget;
--- a/lib/src/pump_registry.rs
+++ b/lib/src/pump_registry.rs
@@ -23,38 +23,12 @@
 ///
 /// Orders need no bound: the control thread sends a few for each attempt, and an entry's
 /// acknowledgements are no more than the frames that it got.
-///
-/// ```
-/// use sardinewood::answer_pump::PumpOrder;
-/// use sardinewood::ids::{AttemptId, RequestId};
-/// use sardinewood::pump_registry::PumpRegistry;
-///
-/// let pumps = PumpRegistry::default();
-/// let attempt = AttemptId { request: RequestId(1), number: 1 };
-/// let mut orders = pumps.add(attempt);
-/// pumps.order(attempt, PumpOrder::Acknowledge { through_bytes: 3 }).unwrap();
-/// assert!(orders.try_recv().is_ok());
-/// pumps.order(attempt, PumpOrder::Forget).unwrap();
-/// assert!(pumps.order(attempt, PumpOrder::Forget).is_err());
-/// ```
 #[derive(Clone, Debug, Default)]
 pub struct PumpRegistry {
     pumps: Arc<Mutex<IndexMap<AttemptId, Orders>>>,
 }
 
 impl PumpRegistry {
-    /// How many pumps there are.
-    #[must_use]
-    pub fn len(&self) -> usize {
-        self.lock().len()
-    }
-
-    /// Whether there is no pump.
-    #[must_use]
-    pub fn is_empty(&self) -> bool {
-        self.lock().is_empty()
-    }
-
     /// Makes the channel of a new pump. The pump of an earlier call of the same attempt
     /// is told to end by the loss of its sender.
     #[must_use]
--- a/lib/src/service.rs
+++ b/lib/src/service.rs
@@ -3,12 +3,10 @@
 
 use std::sync::Arc;
 
-use reqwest::Client;
-
 use crate::ids::RequestId;
-use crate::upstream_http;
 use crate::upstream_http::OpenError;
 use crate::upstream_http::UpstreamAnswer;
+use crate::upstream_http::UpstreamHttp;
 use crate::wire::Call;
 
 /// A plain service.
@@ -16,21 +14,22 @@
 /// ```
 /// use sardinewood::service::Service;
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// let http = sardinewood::upstream_http::client().unwrap();
+/// use sardinewood::upstream_http::{UpstreamHttp, UpstreamTimings};
+/// let http = UpstreamHttp::new(UpstreamTimings::default()).unwrap();
 /// let service = Service::new(http, "http://127.0.0.1:1".into());
 /// assert!(!service.is_reachable().await, "nothing listens there");
 /// # });
 /// ```
 #[derive(Clone, Debug)]
 pub struct Service {
-    http: Client,
+    http: UpstreamHttp,
     url: Arc<str>,
 }
 
 impl Service {
-    /// The service at a base URL. `http` has to come from [`upstream_http::client`].
+    /// The service at a base URL.
     #[must_use]
-    pub fn new(http: Client, url: Arc<str>) -> Self {
+    pub fn new(http: UpstreamHttp, url: Arc<str>) -> Self {
         Service { http, url }
     }
 
@@ -40,7 +39,8 @@
     ///
     /// See [`OpenError`].
     pub async fn open(&self, request: RequestId, call: Call) -> Result<UpstreamAnswer, OpenError> {
-        upstream_http::send(&self.http, &self.url, &request.to_string(), call).await
+        let id = request.to_string();
+        self.http.send(&self.url, &id, call).await
     }
 
     /// Whether it takes connections. Nothing is sent: a plain service has no call that is
@@ -53,7 +53,7 @@
             return false;
         };
         let connecting = tokio::net::TcpStream::connect((host, port));
-        let answer = tokio::time::timeout(upstream_http::CONNECT_TIMEOUT, connecting).await;
+        let answer = tokio::time::timeout(self.http.timings.connect(), connecting).await;
         matches!(answer, Ok(Ok(_)))
     }
 }
--- a/lib/src/upstream_client.rs
+++ b/lib/src/upstream_client.rs
@@ -1,7 +1,5 @@
 //! The upstream of an agent, be it a model engine or a plain service.
 
-use reqwest::Client;
-
 use crate::agent_events::Found;
 use crate::agent_events::Probe;
 use crate::engine::Engine;
@@ -12,6 +10,7 @@
 use crate::service::Service;
 use crate::upstream_http::OpenError;
 use crate::upstream_http::UpstreamAnswer;
+use crate::upstream_http::UpstreamHttp;
 use crate::wire::Call;
 
 /// A way to the upstream.
@@ -24,10 +23,9 @@
 }
 
 impl UpstreamClient {
-    /// The client for an upstream. `http` has to come from
-    /// [`crate::upstream_http::client`].
+    /// The client for an upstream.
     #[must_use]
-    pub fn new(http: Client, upstream: &Upstream) -> Self {
+    pub fn new(http: UpstreamHttp, upstream: &Upstream) -> Self {
         match upstream.serves {
             Serves::Models(_) => Self::Engine(Engine::new(http, &upstream.url)),
             Serves::Service(_) => Self::Service(Service::new(http, upstream.url.clone())),
--- a/lib/src/upstream_http.rs
+++ b/lib/src/upstream_http.rs
@@ -30,9 +30,6 @@
 /// The header that names a request towards its upstream.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
 
-/// How long making a connection may take.
-pub const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-
 /// How often the kernel probes a connection on which nothing comes, so that a peer that
 /// is gone without a word is noticed in the end.
 const KEEPALIVE: Duration = Duration::from_secs(10);
@@ -66,26 +63,108 @@
     Broke(Arc<str>),
 }
 
-/// A client that sends each request once.
+/// How long to wait for an upstream.
 ///
-/// # Errors
+/// ```
+/// use sardinewood::upstream_http::UpstreamTimings;
 ///
-/// The platform offers no HTTP client, such as without random numbers.
+/// let timings = UpstreamTimings::default();
+/// assert!(timings.question_ms < timings.silent_ms);
+/// ```
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct UpstreamTimings {
+    /// For a connection.
+    pub connect_ms: u64,
+    /// For the answer to a question about a request.
+    pub question_ms: u64,
+    /// For the next bytes of an engine's answer before it is asked about the request.
+    pub silent_ms: u64,
+}
+
+impl Default for UpstreamTimings {
+    fn default() -> Self {
+        UpstreamTimings {
+            connect_ms: 1_000,
+            question_ms: 1_000,
+            silent_ms: 2_000,
+        }
+    }
+}
+
+impl UpstreamTimings {
+    /// The wait for a connection.
+    #[must_use]
+    pub fn connect(self) -> Duration {
+        Duration::from_millis(self.connect_ms)
+    }
+
+    /// The wait for the answer to a question.
+    #[must_use]
+    pub fn question(self) -> Duration {
+        Duration::from_millis(self.question_ms)
+    }
+
+    /// The wait for the next bytes.
+    #[must_use]
+    pub fn silent(self) -> Duration {
+        Duration::from_millis(self.silent_ms)
+    }
+}
+
+/// A client that sends each request once; clones share it.
 ///
 /// ```
-/// assert!(sardinewood::upstream_http::client().is_ok());
+/// use sardinewood::upstream_http::{UpstreamHttp, UpstreamTimings};
+///
+/// assert!(UpstreamHttp::new(UpstreamTimings::default()).is_ok());
 /// ```
-pub fn client() -> Result<Client, reqwest::Error> {
-    Client::builder()
-        .redirect(redirect::Policy::none())
-        .retry(retry::never())
-        .http1_only()
-        .pool_max_idle_per_host(0)
-        .no_proxy()
-        .connect_timeout(CONNECT_TIMEOUT)
-        .tcp_keepalive(KEEPALIVE)
-        .tcp_nodelay(true)
-        .build()
+#[derive(Clone, Debug)]
+pub struct UpstreamHttp {
+    /// The client; its settings are what keeps it from sending twice.
+    pub client: Client,
+    /// How long it waits.
+    pub timings: UpstreamTimings,
+}
+
+impl UpstreamHttp {
+    /// Makes a client.
+    ///
+    /// # Errors
+    ///
+    /// The platform offers no HTTP client, such as without random numbers.
+    pub fn new(timings: UpstreamTimings) -> Result<Self, reqwest::Error> {
+        let client = Client::builder()
+            .redirect(redirect::Policy::none())
+            .retry(retry::never())
+            .http1_only()
+            .pool_max_idle_per_host(0)
+            .no_proxy()
+            .connect_timeout(timings.connect())
+            .tcp_keepalive(KEEPALIVE)
+            .tcp_nodelay(true)
+            .build()?;
+        Ok(UpstreamHttp { client, timings })
+    }
+
+    /// Sends a call and waits for the head of its answer.
+    ///
+    /// # Errors
+    ///
+    /// See [`OpenError`]: it tells whether anything may have been sent.
+    pub async fn send(
+        &self,
+        base_url: &str,
+        request_id: &str,
+        call: Call,
+    ) -> Result<UpstreamAnswer, OpenError> {
+        let request = request(&self.client, base_url, request_id, call)?;
+        match request.send().await {
+            Ok(response) => Ok(UpstreamAnswer::new(response)),
+            Err(error) if error.is_connect() => Err(OpenError::NoConnection(reason(&error))),
+            Err(error) if error.is_builder() => Err(OpenError::Invalid(reason(&error))),
+            Err(error) => Err(broke(&error)),
+        }
+    }
 }
 
 /// An answer whose body is still to be read.
@@ -126,26 +205,6 @@
     }
 }
 
-/// Sends a call and waits for the head of its answer.
-///
-/// # Errors
-///
-/// See [`OpenError`]: it tells whether anything may have been sent.
-pub async fn send(
-    client: &Client,
-    base_url: &str,
-    request_id: &str,
-    call: Call,
-) -> Result<UpstreamAnswer, OpenError> {
-    let request = request(client, base_url, request_id, call)?;
-    match request.send().await {
-        Ok(response) => Ok(UpstreamAnswer::new(response)),
-        Err(error) if error.is_connect() => Err(OpenError::NoConnection(reason(&error))),
-        Err(error) if error.is_builder() => Err(OpenError::Invalid(reason(&error))),
-        Err(error) => Err(broke(&error)),
-    }
-}
-
 fn request(
     client: &Client,
     base_url: &str,
--- a/lib/tests/test_agent_server.rs
+++ b/lib/tests/test_agent_server.rs
@@ -23,6 +23,7 @@
 use sardinewood::objects::Serves;
 use sardinewood::objects::Target;
 use sardinewood::objects::Upstream;
+use sardinewood::upstream_http::UpstreamTimings;
 use sardinewood::wire::AgentMessage;
 use sardinewood::wire::AnswerEnd;
 use sardinewood::wire::Call;
@@ -62,6 +63,10 @@
             heartbeat_ms: 50,
             // The entry of these tests sends no heartbeats.
             silent_ms: 60_000,
+            upstream_timings: UpstreamTimings {
+                silent_ms: 200,
+                ..UpstreamTimings::default()
+            },
             ..AgentSettings::default()
         };
         let handle = agent_server::spawn(settings, receiver, Metrics::disabled());
@@ -235,7 +240,7 @@
         .await
         .unwrap();
     let call = completion(max_tokens, stream);
-    let http = sardinewood::upstream_http::client().unwrap();
+    let http = reqwest::Client::new();
     let answer = http
         .post(format!("{}{}", engine.url(), call.path))
         .header("x-request-id", id)
