--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -73,6 +73,7 @@
 mod operator_page_parts;
 mod operator_page_views;
 pub mod operator_queries;
+pub mod operator_retention;
 pub mod operator_routes;
 pub mod operator_server;
 pub mod operator_session;
--- a/lib/src/operator_change.rs
+++ b/lib/src/operator_change.rs
@@ -24,6 +24,7 @@
 use crate::operator_messages::ChangeRequest;
 use crate::operator_messages::Expected;
 use crate::operator_messages::ObjectView;
+use crate::operator_retention::take_away_expired;
 use crate::store::Expect;
 use crate::store::ReadError;
 use crate::store::StoreClient;
@@ -280,7 +281,12 @@
         });
     }
     let value = serde_json::to_value(&record).unwrap_or_default();
-    write(store, config, request, expect, value).await
+    let answer = write(store, config, request, expect, value).await;
+    let is_removed = matches!(answer, Ok(ChangeAnswer::Accepted { .. }));
+    if is_removed && request.action == Action::Delete {
+        take_away_expired(store, config, author.at_ms).await;
+    }
+    answer
 }
 
 /// Reads the object with its whole record from the store.
--- a/lib/src/operator_page_changes.rs
+++ b/lib/src/operator_page_changes.rs
@@ -20,6 +20,7 @@
 use crate::operator_html::conflict;
 use crate::operator_html::escape;
 use crate::operator_html::list;
+use crate::operator_messages::Action;
 use crate::operator_messages::ChangeAnswer;
 use crate::operator_messages::ChangeRequest;
 use crate::operator_messages::InForce;
@@ -192,7 +193,7 @@
         Ok(ChangeAnswer::Checked { effects }) => {
             let mut effects: Vec<String> = effects.iter().map(ToString::to_string).collect();
             effects.extend(in_flight(api, &asked));
-            let is_dangerous = asked.kind == Kind::Upstreams;
+            let is_dangerous = takes_capacity_away(&asked);
             format!(
                 "{}{}",
                 list(effects.iter().map(String::as_str)),
@@ -205,6 +206,17 @@
     html(StatusCode::OK, title, &body)
 }
 
+/// Whether a change is one that an operator should not make by a slip of the thumb.
+fn takes_capacity_away(asked: &ChangeRequest) -> bool {
+    let keeps_working = match &asked.action {
+        Action::Put(spec) => spec
+            .get("activity")
+            .is_none_or(|activity| activity == "active"),
+        Action::Delete => false,
+    };
+    asked.kind == Kind::Upstreams && !keeps_working
+}
+
 /// The work that an upstream has at present.
 fn in_flight(api: &OperatorApi, asked: &ChangeRequest) -> Option<String> {
     if asked.kind != Kind::Upstreams {
--- a/lib/tests/test_operator_change.rs
+++ b/lib/tests/test_operator_change.rs
@@ -15,6 +15,7 @@
 use sardinewood::operator_messages::ChangeAnswer;
 use sardinewood::operator_messages::ChangeRequest;
 use sardinewood::operator_messages::Expected;
+use sardinewood::operator_retention::RETENTION_MS;
 use sardinewood::store::StoreClient;
 use serde_json::Value;
 use serde_json::json;
@@ -309,6 +310,51 @@
     assert_eq!(findings, [in_use.into()]);
 }
 
+#[tokio::test]
+async fn carry_out_removal_takes_away_records_that_had_their_time() {
+    // Three objects were removed long ago and one yesterday. A removal today takes two of the
+    // oldest records away, and never one that was created anew.
+    let fixture = Fixture::new().await;
+    let day_ms = 24 * 60 * 60 * 1_000;
+    let today_ms = RETENTION_MS + 10 * day_ms;
+    let removals = [
+        ("a", 1),
+        ("b", 1),
+        ("c", 1),
+        ("d", today_ms - day_ms),
+        ("e", today_ms),
+    ];
+    for (name, at_ms) in removals {
+        let created = ChangeRequest {
+            name: name.into(),
+            action: Action::Put(json!({"name": name, "tier": 2, "deadline_ms": 1_000})),
+            ..put(&format!("new-{name}"), Expected::Absent, 0)
+        };
+        let Ok(ChangeAnswer::Accepted { version }) = fixture.ask("selma", &created).await else {
+            panic!("{name} was not created");
+        };
+        let removed = ChangeRequest {
+            id: format!("old-{name}").into(),
+            expected: Expected::Version(version),
+            action: Action::Delete,
+            ..created
+        };
+        let author = Author {
+            who: "selma".into(),
+            from: "10.0.0.7".into(),
+            at_ms,
+        };
+        let answer = carry_out(&fixture.client, &fixture.config, &removed, &author).await;
+        assert!(
+            matches!(answer, Ok(ChangeAnswer::Accepted { .. })),
+            "{answer:?}"
+        );
+    }
+    let kept = |name: &&str| fixture.store.object("profiles", name).is_some();
+    let kept: Vec<_> = ["a", "b", "c", "d", "e"].into_iter().filter(kept).collect();
+    assert_eq!(kept, ["c", "d", "e"]);
+}
+
 #[test]
 fn succeeded_by_keeps_the_history_bounded() {
     let mut record = Record::from_value(json!({"text": "a"}));
