tls: callers' and operators' ports, with certificates replaced while running

Callers and operators reach the entry over networks that others share. With a certificate and key both ports speak TLS by rustls; the files are looked at again and again, a pair that fits is taken up for new connections, and one that does not fit leaves the earlier one in use. sardinewoodctl trusts an authority of the operators' own.

Lines about the store and about changes carry typed fields like all others.

--- a/ctl/src/ctl_settings.rs
+++ b/ctl/src/ctl_settings.rs
@@ -53,6 +53,8 @@
     pub words: Vec<String>,
     /// The operators' port of an entry.
     pub entry_url: Arc<str>,
+    /// Certificates in PEM that are trusted besides the system's own.
+    pub ca_file: Option<PathBuf>,
     /// Who asks.
     pub operator_token: Secret,
     /// `table` or `json`.
@@ -90,6 +92,7 @@
         Self {
             words: Vec::new(),
             entry_url: "http://127.0.0.1:8081".into(),
+            ca_file: None,
             operator_token: Secret::default(),
             output: "table".into(),
             reason: "".into(),
@@ -138,6 +141,11 @@
             "Operators' port of an entry.",
             |s: &mut CtlSettings| &mut s.entry_url,
         ),
+        Setting::optional_path(
+            "ca-file",
+            "Certificates in PEM to trust besides the system's own.",
+            |s: &mut CtlSettings| &mut s.ca_file,
+        ),
         Setting::secret(
             "operator-token",
             "Token of the operator.",
--- a/ctl/src/operator_client.rs
+++ b/ctl/src/operator_client.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use reqwest::Certificate;
 use reqwest::Client;
 use reqwest::RequestBuilder;
 use reqwest::Response;
@@ -102,26 +103,36 @@
 }
 
 impl OperatorClient {
-    /// Calls the entry at `base_url`; a call is given up after `timeout_ms`.
+    /// Calls the entry at `base_url`; a call is given up after `timeout_ms`. Certificates of
+    /// `ca_pem` are trusted besides the system's own.
     ///
     /// ```
     /// use sardinewood::secrets::Secret;
     /// use sardinewoodctl::operator_client::OperatorClient;
     ///
-    /// let client = OperatorClient::new("http://127.0.0.1:8081", &Secret::new("t"), 1_000);
+    /// let token = Secret::new("t");
+    /// let client = OperatorClient::new("http://127.0.0.1:8081", &token, 1_000, &[]);
     /// assert!(client.is_ok());
     /// ```
     ///
     /// # Errors
     ///
-    /// When the HTTP client cannot be set up.
-    pub fn new(base_url: &str, token: &Secret, timeout_ms: u64) -> reqwest::Result<Self> {
+    /// When the certificates are wrong or the HTTP client cannot be set up.
+    pub fn new(
+        base_url: &str,
+        token: &Secret,
+        timeout_ms: u64,
+        ca_pem: &[u8],
+    ) -> reqwest::Result<Self> {
+        // A command is repeated by its change id alone, never behind our back.
+        let mut http = Client::builder()
+            .redirect(reqwest::redirect::Policy::none())
+            .retry(reqwest::retry::never());
+        for certificate in Certificate::from_pem_bundle(ca_pem)? {
+            http = http.add_root_certificate(certificate);
+        }
         Ok(Self {
-            // A command is repeated by its change id alone, never behind our back.
-            http: Client::builder()
-                .redirect(reqwest::redirect::Policy::none())
-                .retry(reqwest::retry::never())
-                .build()?,
+            http: http.build()?,
             base_url: base_url.into(),
             token: token.clone(),
             timeout: Duration::from_millis(timeout_ms),
--- a/ctl/src/run.rs
+++ b/ctl/src/run.rs
@@ -35,12 +35,11 @@
     if action == Action::Query(Query::Hash) {
         return print_hash(output);
     }
-    let token = &settings.operator_token;
-    let client = match OperatorClient::new(&settings.entry_url, token, settings.timeout_ms) {
+    let client = match open_client(settings) {
         Ok(client) => client,
-        Err(error) => {
-            output.note(&error.to_string());
-            return End::NotReachable;
+        Err(problem) => {
+            output.note(&problem);
+            return End::Usage;
         }
     };
     let result = match &action {
@@ -70,6 +69,19 @@
     })
 }
 
+fn open_client(settings: &CtlSettings) -> Result<OperatorClient, String> {
+    let ca_pem = match &settings.ca_file {
+        None => Vec::new(),
+        Some(path) => {
+            let place = format!("--ca-file {}", path.display());
+            std::fs::read(path).map_err(|error| format!("{place}: {error}"))?
+        }
+    };
+    let token = &settings.operator_token;
+    OperatorClient::new(&settings.entry_url, token, settings.timeout_ms, &ca_pem)
+        .map_err(|error| format!("cannot set up HTTP: {error}"))
+}
+
 fn now_ms() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
     let millis = since.unwrap_or_default().as_millis();
--- a/ctl/tests/test_with_entry.rs
+++ b/ctl/tests/test_with_entry.rs
@@ -7,6 +7,8 @@
 use sardinewood::operator_server;
 use sardinewood::secrets::sha256_hex;
 use sardinewood::store::StoreClient;
+use sardinewood::tls::TlsFeed;
+use sardinewood::tls::TlsSettings;
 use sardinewoodctl::exit_code::End;
 use serde_json::Value;
 use serde_json::json;
@@ -30,6 +32,10 @@
 
 impl Entry {
     async fn start() -> Self {
+        Self::start_with(None).await
+    }
+
+    async fn start_with(tls: Option<TlsFeed>) -> Self {
         let store = StoreStandIn::spawn().await.unwrap();
         store.seed(
             "profiles",
@@ -53,10 +59,9 @@
         drop(ready.await.unwrap());
         let api = OperatorApi::new("wdh-e1", config, client);
         let stop = CancellationToken::new();
-        let address = "127.0.0.1:0".parse().unwrap();
-        let address = operator_server::spawn(address, api, stop.clone())
-            .await
-            .unwrap();
+        let free = "127.0.0.1:0".parse().unwrap();
+        let address = operator_server::spawn_secured(free, api, tls, stop.clone());
+        let address = address.await.unwrap();
         let url = format!("http://{address}");
         Self { store, url, stop }
     }
@@ -232,3 +237,30 @@
         End::Done
     );
 }
+
+#[tokio::test]
+async fn status_over_tls_needs_a_trusted_certificate() {
+    let name = format!("sardinewoodctl-tls-{:016x}", rand::random::<u64>());
+    let directory = std::env::temp_dir().join(name);
+    std::fs::create_dir(&directory).unwrap();
+    let pair = rcgen::generate_simple_self_signed(vec!["127.0.0.1".to_owned()]).unwrap();
+    let (certificate, key) = (directory.join("cert.pem"), directory.join("key.pem"));
+    std::fs::write(&certificate, pair.cert.pem()).unwrap();
+    std::fs::write(&key, pair.signing_key.serialize_pem()).unwrap();
+    let tls = TlsSettings {
+        certificate_file: Some(certificate.clone()),
+        key_file: Some(key),
+        ..TlsSettings::default()
+    };
+    let entry = Entry::start_with(TlsFeed::open(&tls).unwrap()).await;
+    let url = entry.url.replace("http://", "https://");
+    let trusting = run_line(
+        &url,
+        &["status", "--ca-file", certificate.to_str().unwrap()],
+    )
+    .await;
+    let other = run_line(&url, &["status"]).await;
+    std::fs::remove_dir_all(&directory).unwrap();
+    assert_eq!(trusting.end, End::Done, "{trusting:?}");
+    assert_eq!(other.end, End::NotReachable, "{other:?}");
+}
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -25,6 +25,7 @@
 use sardinewood::settings::Start;
 use sardinewood::spread_message::Identity;
 use sardinewood::spread_message::Role;
+use sardinewood::tls::TlsFeed;
 use tokio::runtime;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
@@ -111,7 +112,8 @@
         }),
         ..OperatorApi::new(&settings.host, configuration.config, configuration.store)
     };
-    operator_server::spawn(settings.operator_listen, api, stop.clone())
+    let tls = TlsFeed::open(&settings.tls).wrap_err("can't use the certificate")?;
+    operator_server::spawn_secured(settings.operator_listen, api, tls, stop.clone())
         .await
         .wrap_err_with(|| format!("can't serve operators on {}", settings.operator_listen))
 }
--- a/lib/src/config_watch.rs
+++ b/lib/src/config_watch.rs
@@ -18,6 +18,8 @@
 use crate::config_object::Kind;
 use crate::config_state::ListOutcome;
 use crate::config_state::WatchOutcome;
+use crate::logging::Level;
+use crate::logging::Line;
 use crate::store::ReadError;
 use crate::store::StoreClient;
 use crate::store_duty::StoreDuty;
@@ -350,19 +352,23 @@
 }
 
 fn report_list(outcome: ListOutcome, revision: u64) {
-    match outcome {
-        ListOutcome::Complete => spdlog::debug!("configuration listed at revision {revision}"),
-        ListOutcome::Lagging => spdlog::warn!("the store's replica lags at revision {revision}"),
-        ListOutcome::WentBack => {
-            spdlog::error!("the store went back to revision {revision}; newer versions are kept");
-        }
-    }
+    let (level, message) = match outcome {
+        ListOutcome::Complete => (Level::Debug, "configuration listed"),
+        ListOutcome::Lagging => (Level::Warn, "store replica lags"),
+        ListOutcome::WentBack => (Level::Error, "store went back; newer versions are kept"),
+    };
+    Line::new(level, message).revision(revision).send();
 }
 
 /// Says once in an outage that it began.
 fn report_failure(plan: &WatchPlan, error: &ReadError) {
     if plan.failures == 0 {
-        spdlog::warn!("configuration is not followed: {error}");
+        Line::new(
+            Level::Warn,
+            "store not reached; configuration stays as it is",
+        )
+        .field("error", error.to_string())
+        .send();
     }
 }
 
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -47,6 +47,8 @@
 use crate::operator_messages::Decision;
 use crate::store::StoreClient;
 use crate::store_records::StoreRecords;
+use crate::tls::TlsFeed;
+use crate::tls::secured;
 use crate::wire::Hello;
 use crate::wire::PROTOCOL_VERSION;
 
@@ -351,16 +353,14 @@
 ) -> io::Result<JoinHandle<()>> {
     let guard = traffic.enter();
     let listener = TcpListener::from_std(listener)?;
+    let tls = TlsFeed::open(&settings.tls).map_err(io::Error::other)?;
     drop(guard);
     // A connection whose caller waits for a late answer is silent, too, and must live.
     let longest_ms = settings.idle_timeout_ms.max(settings.max_deadline_ms);
     let idle = Duration::from_millis(longest_ms + IDLE_MARGIN_MS);
-    let server = Server::new_with_acceptor(CallerListener::new(
-        listener,
-        MAX_CONNECTIONS,
-        api.connections.clone(),
-    ))
-    .idle_timeout(idle);
+    let acceptor = CallerListener::new(listener, MAX_CONNECTIONS, api.connections.clone());
+    let acceptor = secured(acceptor, tls.as_ref());
+    let server = Server::new_with_acceptor(acceptor).idle_timeout(idle);
     Ok(traffic.spawn(async move {
         let stopped = async move { stop.cancelled().await };
         let ended = server.run_with_graceful_shutdown(api, stopped, None).await;
--- a/lib/src/entry_settings.rs
+++ b/lib/src/entry_settings.rs
@@ -10,6 +10,7 @@
 use crate::secrets::Secret;
 use crate::settings::Program;
 use crate::settings::Setting;
+use crate::tls::TlsSettings;
 
 /// Settings of one entry; the defaults suit an entry on loopback with ports taken free.
 ///
@@ -35,6 +36,8 @@
     pub store_url: Arc<str>,
     /// How it finds the other processes.
     pub peers: PeerSettings,
+    /// Certificate and key of the ports for callers and operators.
+    pub tls: TlsSettings,
     /// Where metrics go, if anywhere.
     pub metrics: Option<SocketAddr>,
     /// The pause between two heartbeats on a link.
@@ -75,6 +78,7 @@
             operator_token: Secret::default(),
             store_url: "http://127.0.0.1:7070".into(),
             peers: PeerSettings::default(),
+            tls: TlsSettings::default(),
             metrics: None,
             heartbeat_ms: 500,
             silent_ms: 2_000,
@@ -102,6 +106,7 @@
 pub fn program() -> Program<EntrySettings> {
     let mut settings = identity_and_addresses();
     settings.extend(peers());
+    settings.extend(tls());
     settings.extend(links_and_queue());
     settings.extend(limits_of_callers());
     Program {
@@ -162,6 +167,27 @@
     ]
 }
 
+fn tls() -> Vec<Setting<EntrySettings>> {
+    vec![
+        Setting::optional_path(
+            "tls-certificate-file",
+            "Chain of certificates in PEM; makes callers' and operators' ports TLS.",
+            |s: &mut EntrySettings| &mut s.tls.certificate_file,
+        ),
+        Setting::optional_path(
+            "tls-key-file",
+            "Private key of the certificate in PEM.",
+            |s: &mut EntrySettings| &mut s.tls.key_file,
+        ),
+        Setting::number(
+            "tls-reload-ms",
+            10..=86_400_000,
+            "How often the two files are looked at for a new certificate.",
+            |s: &mut EntrySettings| &mut s.tls.reload_ms,
+        ),
+    ]
+}
+
 fn peers() -> Vec<Setting<EntrySettings>> {
     vec![
         Setting::address(
@@ -266,6 +292,7 @@
 
 fn check(settings: &EntrySettings, findings: &mut Findings) {
     settings.peers.check(findings);
+    settings.tls.check(findings);
     crate::settings::check_silence(settings.heartbeat_ms, settings.silent_ms, findings);
     let same_port = settings.listen == settings.operator_listen;
     if same_port && settings.listen.port() != 0 {
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -99,6 +99,7 @@
 mod store_types;
 pub mod submission;
 pub mod timers;
+pub mod tls;
 pub mod upstream_client;
 pub mod upstream_health;
 pub mod upstream_http;
--- a/lib/src/operator_api.rs
+++ b/lib/src/operator_api.rs
@@ -13,6 +13,8 @@
 use crate::config_object::ObjectKey;
 use crate::entry_control::EntryQuery;
 use crate::entry_control::EntryStatus;
+use crate::logging::Level;
+use crate::logging::Line;
 use crate::operator_auth::Session;
 use crate::operator_auth::identify;
 use crate::operator_change::Author;
@@ -114,9 +116,15 @@
         };
         let answer = carry_out(&self.store, &self.config, request, &author).await;
         if let Ok(ChangeAnswer::Accepted { version }) = &answer {
-            let (kind, name) = (request.kind.as_str(), &request.name);
-            let (who, id) = (&author.who, &request.id);
-            spdlog::info!("change {id} of {kind}/{name} by {who} is version {version}");
+            Line::new(Level::Info, "change accepted")
+                .field(
+                    "object",
+                    format!("{}/{}", request.kind.as_str(), request.name),
+                )
+                .field("version", version)
+                .field("change", &request.id)
+                .field("who", &author.who)
+                .send();
         }
         answer
     }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_settings;
 mod test_speeds;
 mod test_store_duty;
+mod test_tls;
 mod test_whole_once;
 mod test_whole_path;
 mod test_work_estimates;
