entry: limits of profiles, and appointments that have begun

A profile's limits were checked by nobody. Each entry now keeps its part: the limit divided by the entries that the agents see, which each heartbeat tells; no counter is shared. Rates are refused with 429 and the time to wait, requests over the concurrent limit wait for room. A reservation now says whether an earlier request of its appointment was dispatched from this entry; it always said no.

--- a/bench/src/slopes/message_sizes.rs
+++ b/bench/src/slopes/message_sizes.rs
@@ -100,6 +100,7 @@
         backlog_ms: 4_000,
         prefill_tokens_per_s: 20_000,
         step_us: 30_000,
+        entries: 350,
     };
     AgentMessage::Heartbeat {
         sequence: 1 << 20,
--- a/lib/src/agent_state.rs
+++ b/lib/src/agent_state.rs
@@ -177,6 +177,7 @@
             backlog_ms: saturate(backlog_us / 1_000),
             prefill_tokens_per_s: saturate(self.speeds.prefill_tokens_per_s()),
             step_us: saturate(self.speeds.step_us()),
+            entries: saturate(self.links.len() as u64),
         }
     }
 
--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -144,6 +144,8 @@
     agents: IndexMap<Arc<str>, Agent>,
     linked_by_target: IndexMap<Target, Vec<Arc<str>>>,
     hints: PrefixHints,
+    /// How many agents the configuration has for each target.
+    serving: IndexMap<Target, usize>,
 }
 
 /// An agent with its expected time and a tie breaker.
@@ -158,6 +160,7 @@
             agents: IndexMap::new(),
             linked_by_target: IndexMap::new(),
             hints: PrefixHints::default(),
+            serving: IndexMap::new(),
         }
     }
 
@@ -183,6 +186,24 @@
         self.linked_by_target.contains_key(target)
     }
 
+    /// About how many entries there are: as many as have a link to one agent, times the
+    /// agents for each of which an entry keeps only one link.
+    #[must_use]
+    pub fn entries(&self, target: &Target) -> u64 {
+        let Some(linked) = self.linked_by_target.get(target) else {
+            return 1;
+        };
+        let seen = linked
+            .iter()
+            .filter_map(|name| self.agents.get(name))
+            .filter(|agent| agent.linked.is_some())
+            .map(|agent| u64::from(agent.load.entries))
+            .max();
+        let serving = self.serving.get(target).copied().unwrap_or(1);
+        let spread = serving.div_ceil(linked.len().max(1)) as u64;
+        seen.unwrap_or(1).max(1) * spread.max(1)
+    }
+
     /// Whether `is_out` holds for each agent that could be asked for `target`.
     pub fn are_all_out(&self, target: &Target, is_out: impl Fn(&str) -> bool) -> bool {
         self.linked_by_target
@@ -331,6 +352,10 @@
             }
         }
         let count = self.choice.per_target(by_target.len());
+        self.serving = by_target
+            .iter()
+            .map(|(target, upstreams)| (target.clone(), upstreams.len()))
+            .collect();
         self.linked_by_target = by_target
             .into_iter()
             .map(|(target, upstreams)| (target, self.nearest(upstreams, count)))
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry_state.rs
@@ -13,6 +13,7 @@
 use crate::admission::Admission;
 use crate::admission::QueueLimits;
 use crate::admission::WaitingQueue;
+use crate::appointments::StartedAppointments;
 use crate::candidates::AgentTable;
 use crate::candidates::LinkChoice;
 use crate::candidates::Wanted;
@@ -29,6 +30,7 @@
 use crate::objects::TIER_COUNT;
 use crate::order_queue::OrderName;
 use crate::order_queue::Place;
+use crate::profile_limits::ProfileLimiter;
 use crate::request_names::KnownNames;
 use crate::request_names::RequestName;
 use crate::retry_budget::RetryBudget;
@@ -45,10 +47,14 @@
 use crate::wire::EntryMessage;
 
 mod attempts;
+mod limits;
 mod links;
 mod named;
 mod waiting;
 
+/// Appointments of which it is remembered that they have begun.
+const MAX_APPOINTMENTS: usize = 20_000;
+
 /// What an entry's decisions depend on besides events.
 ///
 /// ```
@@ -282,6 +288,10 @@
     vouching: IndexSet<RequestId>,
     timers: Timers,
     budget: RetryBudget,
+    limits: ProfileLimiter,
+    /// Requests that wait for room among the concurrent ones of their profile, by profile.
+    parked: IndexMap<Arc<str>, IndexSet<RequestId>>,
+    appointments: StartedAppointments,
     memory: Explanations,
     /// The time of the event that is handled.
     now_ms: u64,
@@ -308,6 +318,9 @@
             vouching: IndexSet::new(),
             timers: Timers::default(),
             budget: RetryBudget::default(),
+            limits: ProfileLimiter::default(),
+            parked: IndexMap::new(),
+            appointments: StartedAppointments::new(MAX_APPOINTMENTS),
             memory: Explanations::new(rules.remembered_requests),
             now_ms: 0,
             nonce: seed,
@@ -491,6 +504,7 @@
             TimerKind::Forget,
             request,
         );
+        self.leave_limits(&run);
         self.finish_named(&run, outcome);
     }
 
--- a/lib/src/entry_state/attempts.rs
+++ b/lib/src/entry_state/attempts.rs
@@ -149,6 +149,10 @@
         };
         self.agents
             .note_prefix(&run.submission.estimate.prefix, agent, now_ms);
+        if let Some(appointment) = &run.submission.appointment {
+            self.appointments
+                .insert(&run.submission.customer.name, appointment);
+        }
         run.attempts += 1;
         run.tried.insert(agent.clone());
         let id = AttemptId {
--- a/lib/src/entry_state/links.rs
+++ b/lib/src/entry_state/links.rs
@@ -158,7 +158,8 @@
         }
         self.links_changed = false;
         self.follow_wanted_links(now_ms);
-        let unplaced: Vec<_> = self.unplaced.iter().copied().collect();
+        let parked = self.parked.values().flatten();
+        let unplaced: Vec<_> = self.unplaced.iter().chain(parked).copied().collect();
         for request in unplaced {
             self.reserve(now_ms, request);
         }
--- a/lib/src/entry_state/waiting.rs
+++ b/lib/src/entry_state/waiting.rs
@@ -30,6 +30,10 @@
             self.tell_refusal(&run, failure);
             return;
         }
+        if let Some(failure) = self.limit_refusal(now_ms, &run.submission) {
+            self.tell_refusal(&run, failure);
+            return;
+        }
         let Admission::Admit { give_way } = self.queue.admit(run.place()) else {
             let failure = Failure::not_run(FailureReason::QueueFull);
             let failure = failure.retry_after(self.rules.retry_after_ms);
@@ -40,6 +44,7 @@
             self.fail_waiting(other, FailureReason::GaveWay);
         }
         self.budget.earn(run.submission.tier());
+        self.count_admitted(now_ms, &run.submission);
         self.queue.insert(run.place());
         self.timers
             .set(run.submission.deadline_at_ms, TimerKind::Deadline, request);
@@ -118,6 +123,12 @@
         if run.phase != Phase::Waiting || run.awaits_turn {
             return;
         }
+        if !self.take_room(now_ms, request) {
+            return;
+        }
+        let Some(run) = self.runs.get(&request) else {
+            return;
+        };
         let missing = self.rules.candidates.saturating_sub(run.reserved.len());
         let wanted = Wanted {
             target: &run.submission.target,
@@ -142,7 +153,10 @@
             return;
         };
         run.reserved.insert(agent.clone());
-        let started_appointment = false;
+        let customer = &run.submission.customer.name;
+        let appointment = run.submission.appointment.as_ref();
+        let started_appointment = appointment
+            .is_some_and(|appointment| self.appointments.contains(customer, appointment));
         let reservation = run
             .submission
             .reservation(run.arrived_ms, started_appointment, now_ms);
--- a/lib/src/run.rs
+++ b/lib/src/run.rs
@@ -80,6 +80,8 @@
     pub attempts: u32,
     /// When candidates are asked again, if that is set.
     pub reserve_at_ms: Option<u64>,
+    /// Whether it counts among the placed or running requests of its profile.
+    pub is_active: bool,
     /// Whether the caller's reader has begun on the answer that is followed.
     pub reads: bool,
     /// The end of the attempt, while the caller's reader has not come to it.
@@ -103,6 +105,7 @@
             tried: IndexSet::new(),
             attempts: 0,
             reserve_at_ms: None,
+            is_active: false,
             reads: false,
             unread_end: None,
         }
--- a/lib/src/wire.rs
+++ b/lib/src/wire.rs
@@ -181,6 +181,8 @@
     pub prefill_tokens_per_s: u32,
     /// Learned time between two tokens of one request.
     pub step_us: u32,
+    /// Entries that have a link to the agent; limits of profiles are shared by so many.
+    pub entries: u32,
 }
 
 /// What an agent tells an entry.
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -35,6 +35,7 @@
 use sardinewood::wire::AnswerEnd;
 use sardinewood::wire::Call;
 use sardinewood::wire::EntryMessage;
+use sardinewood::wire::Load;
 use sardinewood::wire::RefusalReason;
 use sardinewood::wire::Settlement;
 
@@ -997,3 +998,80 @@
         "the oldest goes"
     );
 }
+
+fn limited(request: u128, limits: &serde_json::Value) -> Submission {
+    let profile = serde_json::json!({
+        "name": "p", "tier": 0, "deadline_ms": DEADLINE_MS, "limits": limits,
+    });
+    Submission {
+        profile: Arc::new(serde_json::from_value(profile).expect("a valid profile")),
+        ..submission(request, 0)
+    }
+}
+
+#[test]
+fn submit_over_rate_refused() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    let limits = serde_json::json!({"requests_per_min": 12});
+    assert!(failures(&scene.submit(limited(1, &limits))).is_empty());
+    let steps = scene.submit(limited(2, &limits));
+    assert_failed(&steps, Outcome::NotRun, FailureReason::LimitReached);
+    assert_eq!(failures(&steps)[0].1.retry_after_ms, Some(5_000));
+    scene.now_ms = 5_000;
+    assert!(failures(&scene.submit(limited(3, &limits))).is_empty());
+}
+
+#[test]
+fn submit_over_concurrent_waits_for_room() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    let limits = serde_json::json!({"concurrent": 1});
+    scene.submit(limited(1, &limits));
+    let steps = scene.submit(limited(2, &limits));
+    assert!(reserves(&steps).is_empty());
+    scene.grant("a", 1);
+    let steps = scene.end(1, 1, complete(), true);
+    assert_eq!(reserves(&steps), ["a"]);
+    scene.grant("a", 2);
+    scene.end(2, 1, complete(), true);
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn limits_are_shared_by_entries() {
+    // The agent sees four entries, so each of them keeps a quarter of the limit.
+    let mut scene = Scene::new(&["a"], |_| {});
+    let load = Load {
+        entries: 4,
+        ..Load::default()
+    };
+    let heartbeat = AgentMessage::Heartbeat {
+        sequence: 1,
+        revision: 1,
+        load,
+    };
+    scene.say("a", heartbeat);
+    let limits = serde_json::json!({"concurrent": 8});
+    for request in 1..=2 {
+        assert_eq!(reserves(&scene.submit(limited(request, &limits))).len(), 1);
+    }
+    assert!(reserves(&scene.submit(limited(3, &limits))).is_empty());
+}
+
+#[test]
+fn reserve_names_started_appointment() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    let of_appointment = |request| Submission {
+        appointment: Some("household-9".into()),
+        ..submission(request, 0)
+    };
+    let started = |steps: &[EntryStep]| {
+        sent(steps, |_, message| match message {
+            EntryMessage::Reserve(reservation) => Some(reservation.started_appointment),
+            _ => None,
+        })
+    };
+    assert_eq!(started(&scene.submit(of_appointment(1))), [false]);
+    scene.grant("a", 1);
+    assert_eq!(started(&scene.submit(of_appointment(2))), [true]);
+    assert_eq!(started(&scene.submit(submission(3, 0))), [false]);
+}
