entry: streams go on after the caller's last event; links to other data centres

A caller that asked again for a named stream got it from its start, whatever Last-Event-ID said; events that it has are now left out. An entry with more near agents than links linked to none elsewhere, and had nowhere to go when its data centre was lost; a quarter of the links now goes to any data centre.

--- a/lib/src/caller_api.rs
+++ b/lib/src/caller_api.rs
@@ -1,18 +1,14 @@
 //! What callers speak: the model API, plain services, and the balancer's checks.
 
-use std::io;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
-use futures_util::stream;
 use poem::Body;
 use poem::Endpoint;
 use poem::Request;
 use poem::Response;
 use poem::error::ReadBodyError;
-use poem::http::HeaderName;
-use poem::http::HeaderValue;
 use poem::http::Method;
 use poem::http::StatusCode;
 use poem::http::header;
@@ -23,10 +19,8 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer_meter::AnswerMeter;
-use crate::caller_answer::AnswerHead;
 use crate::caller_answer::CallerAnswer;
 use crate::caller_answer::CallerContext;
-use crate::caller_answer::Part;
 use crate::caller_answer::Written;
 use crate::caller_body::ModelCall;
 use crate::caller_body::read_model_request;
@@ -34,11 +28,14 @@
 use crate::caller_directory::CallerDirectory;
 use crate::caller_headers::CallerHeaders;
 use crate::caller_headers::forwarded;
-use crate::caller_headers::is_hop_by_hop;
 use crate::caller_headers::total_bytes;
+use crate::caller_response::StreamedAnswer;
+use crate::caller_response::streamed_response;
+use crate::caller_response::whole_response;
 use crate::entry_control::EntryStatus;
 use crate::entry_control::elapsed_ms;
 use crate::entry_state::EntryEvent;
+use crate::event_skip::EventSkip;
 use crate::ids::RequestId;
 use crate::objects::Customer;
 use crate::objects::Profile;
@@ -53,7 +50,6 @@
 use crate::submission::Named;
 use crate::submission::Submission;
 use crate::submission::WorkEstimate;
-use crate::verdict::Failure;
 use crate::wire::Call;
 
 /// What a caller may send.
@@ -112,6 +108,8 @@
 
 /// What a request asks for, read from its path and body.
 struct Work {
+    /// The last event that the caller has already, when it asks for the answer again.
+    skip_after: Option<u64>,
     target: Target,
     estimate: WorkEstimate,
     call: Call,
@@ -187,6 +185,7 @@
         let asked = read_model_request(call, body, &admitted.profile)?;
         let gone = self.gone(&request);
         let work = Work {
+            skip_after: admitted.headers.skip_after(),
             target: Target::Model(asked.model),
             estimate: asked.estimate,
             call: call_of(&request, request.uri().path().into(), asked.body),
@@ -209,6 +208,7 @@
         };
         let gone = self.gone(&request);
         let work = Work {
+            skip_after: None,
             target: Target::Service(below.service),
             estimate: WorkEstimate::default(),
             call: call_of(&request, path.into(), body),
@@ -267,6 +267,7 @@
         work: Work,
         gone: CancellationToken,
     ) -> Result<Response, ApiError> {
+        let skip_after = work.skip_after;
         let is_head = &*work.call.method == Method::HEAD.as_str();
         let submission = self.submission(id, admitted, work)?;
         let non_idempotent = submission.non_idempotent;
@@ -286,7 +287,8 @@
             Written::Whole { head, body } => {
                 meter.begun(head.status);
                 meter.whole();
-                Ok(whole_response(&head, body, is_head))
+                let mut skip = EventSkip::after(skip_after.filter(|_| head.is_event_stream()));
+                Ok(whole_response(&head, skip.feed(body), is_head))
             }
             Written::Begins { head } => {
                 meter.begun(head.status);
@@ -296,6 +298,7 @@
                     gone,
                     non_idempotent,
                     is_event_stream: head.is_event_stream(),
+                    skip: EventSkip::after(skip_after),
                 };
                 Ok(streamed_response(&head, streamed))
             }
@@ -413,81 +416,6 @@
         .body(text)
 }
 
-fn whole_response(head: &AnswerHead, body: Bytes, is_head: bool) -> Response {
-    let mut response = response_of(head);
-    if !is_head {
-        // The body itself tells its length.
-        response.headers_mut().remove(header::CONTENT_LENGTH);
-    }
-    response.set_body(Body::from_bytes(body));
-    response
-}
-
-/// An answer that is written as it comes.
-struct StreamedAnswer {
-    answer: CallerAnswer,
-    meter: AnswerMeter,
-    gone: CancellationToken,
-    non_idempotent: bool,
-    is_event_stream: bool,
-}
-
-impl StreamedAnswer {
-    /// The next bytes for the caller, and the answer itself if more may follow.
-    async fn next(mut self) -> Option<(io::Result<Bytes>, Option<Self>)> {
-        let next = self.answer.next_bytes();
-        let Some(part) = self.gone.clone().run_until_cancelled_owned(next).await else {
-            self.meter.caller_gone();
-            return Some((Err(io::ErrorKind::ConnectionAborted.into()), None));
-        };
-        match part {
-            Part::Bytes(bytes) => Some((Ok(bytes), Some(self))),
-            Part::Whole => {
-                self.meter.whole();
-                None
-            }
-            Part::Failed(failure) => {
-                self.meter.failed(failure);
-                Some((self.last_word(failure), None))
-            }
-        }
-    }
-
-    /// Ends a body that is not whole. An event tells a client library of the failure; in
-    /// any other body the connection breaks, so that a half can't be taken for the whole.
-    fn last_word(&self, failure: Failure) -> io::Result<Bytes> {
-        let error = ApiError::from_failure(failure, self.non_idempotent);
-        if self.is_event_stream {
-            Ok(error.to_event(self.answer.request()))
-        } else {
-            Err(io::Error::other(error.message))
-        }
-    }
-}
-
-fn streamed_response(head: &AnswerHead, streamed: StreamedAnswer) -> Response {
-    let mut response = response_of(head);
-    let parts = stream::unfold(Some(streamed), |streamed| async { streamed?.next().await });
-    response.set_body(Body::from_bytes_stream(parts));
-    response
-}
-
 fn caller_gone() -> ApiError {
     ApiError::bad_request("caller_gone", "the connection has ended")
 }
-
-fn response_of(head: &AnswerHead) -> Response {
-    let status = StatusCode::from_u16(head.status).unwrap_or(StatusCode::BAD_GATEWAY);
-    let mut response = Response::builder().status(status).finish();
-    for (name, value) in &head.headers {
-        if is_hop_by_hop(name) {
-            continue;
-        }
-        let name = HeaderName::from_bytes(name.as_bytes());
-        let value = HeaderValue::from_bytes(value);
-        if let (Ok(name), Ok(value)) = (name, value) {
-            response.headers_mut().append(name, value);
-        }
-    }
-    response
-}
--- a/lib/src/caller_headers.rs
+++ b/lib/src/caller_headers.rs
@@ -19,6 +19,8 @@
 pub const DEADLINE_MS: &str = "x-sardinewood-deadline-ms";
 /// The appointment that the request belongs to.
 pub const APPOINTMENT: &str = "x-sardinewood-appointment";
+/// The last event that the caller has of an earlier stream.
+pub const LAST_EVENT_ID: &str = "last-event-id";
 /// Requests under one order key run one after another.
 pub const ORDER_KEY: &str = "x-sardinewood-order-key";
 
@@ -74,6 +76,8 @@
     pub appointment: Option<Arc<str>>,
     /// The order key.
     pub order_key: Option<Arc<str>>,
+    /// The last event that the caller has of an earlier stream.
+    pub last_event_id: Option<u64>,
 }
 
 impl CallerHeaders {
@@ -91,8 +95,16 @@
             deadline_ms: milliseconds(headers, DEADLINE_MS)?,
             appointment: name(headers, APPOINTMENT)?,
             order_key: name(headers, ORDER_KEY)?,
+            last_event_id: last_event_id(headers),
         })
     }
+
+    /// The event after which a repeated request's stream goes on. Without a name there is
+    /// no earlier stream to go on with.
+    #[must_use]
+    pub fn skip_after(&self) -> Option<u64> {
+        self.idempotency_key.as_ref().and(self.last_event_id)
+    }
 }
 
 /// The bytes that the headers of a request take.
@@ -217,6 +229,17 @@
     }
 }
 
+/// An id that is not a number belongs to somebody else's stream.
+fn last_event_id(headers: &HeaderMap) -> Option<u64> {
+    headers
+        .get(LAST_EVENT_ID)?
+        .to_str()
+        .ok()?
+        .trim()
+        .parse()
+        .ok()
+}
+
 fn milliseconds(headers: &HeaderMap, header: &str) -> Result<Option<u64>, ApiError> {
     let Some(value) = single(headers, header)? else {
         return Ok(None);
--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -19,6 +19,8 @@
 use crate::prefix_hints::PrefixHints;
 use crate::wire::Load;
 
+/// One link in so many goes to an agent of any data centre.
+const FAR_SHARE: usize = 4;
 /// Added to the expected time at an upstream of another data centre, so that of two equal
 /// ones the near one is asked.
 const OTHER_DATA_CENTRE_US: u64 = 2_000;
@@ -373,6 +375,14 @@
                 rendezvous(entry, &upstream.name),
             )
         });
+        // Some links go elsewhere, for the day when the whole data centre is lost.
+        let near = count - count / FAR_SHARE;
+        if upstreams.len() > near {
+            upstreams[near..].sort_by_key(|upstream| {
+                let is_leaving = upstream.activity != Activity::Active;
+                (is_leaving, rendezvous(entry, &upstream.name))
+            });
+        }
         upstreams
             .into_iter()
             .take(count)
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -1075,3 +1075,33 @@
     assert_eq!(started(&scene.submit(of_appointment(2))), [true]);
     assert_eq!(started(&scene.submit(submission(3, 0))), [false]);
 }
+
+#[test]
+fn links_go_to_other_data_centres_too() {
+    // All near agents are lost with their data centre. An entry that had linked only to
+    // them would have nowhere to go until the configuration changes.
+    let mut scene = Scene::new(&[], |rules| rules.links.max_links = 8);
+    let mut catalog = Catalog::default();
+    for number in 0..16 {
+        let name: Arc<str> = format!("lang-{number}").into();
+        let far = if number < 8 { "wdh-1" } else { "wdh-2" };
+        let upstream = Upstream {
+            data_centre: far.into(),
+            ..upstream(&name)
+        };
+        catalog.upstreams.insert(name, Arc::new(upstream));
+    }
+    let steps = scene.take(EntryEvent::CatalogChanged(Arc::new(catalog.clone())));
+    let dialled: Vec<_> = steps
+        .iter()
+        .filter_map(|step| match step {
+            EntryStep::Dial { agent, .. } => catalog.upstreams.get(agent),
+            _ => None,
+        })
+        .collect();
+    let far = dialled
+        .iter()
+        .filter(|upstream| &*upstream.data_centre == "wdh-2");
+    assert_eq!(dialled.len(), 8);
+    assert!((1..=2).contains(&far.count()));
+}
--- a/lib/tests/test_whole_once.rs
+++ b/lib/tests/test_whole_once.rs
@@ -179,7 +179,8 @@
 async fn chat_repeated_mid_stream_through_other_entry_is_whole() {
     // The caller's connection breaks in the middle of a stream, and it asks again through
     // another entry with the same key. The run goes on for it: the second stream is whole
-    // from its start, and the engine has got one request.
+    // from its start, and the engine has got one request. Asked once more with the last
+    // event that it has, it gets the rest alone.
     let engine = engine().await;
     let store = StoreStandIn::spawn().await.expect("a store");
     let (url, serves) = models(&engine);
@@ -199,6 +200,14 @@
         .expect("a whole body");
     assert!(body.starts_with("id: 0\n"), "{body}");
     assert!(body.ends_with("data: [DONE]\n\n"), "{body}");
+    let rest = fleet.chat_through(0, 200, true);
+    let rest = rest
+        .header("idempotency-key", "draft-1")
+        .header("last-event-id", "150");
+    let rest = rest.send().await.expect("an answer").text().await;
+    let rest = rest.expect("a whole body");
+    assert!(rest.starts_with("id: 151\n"), "{rest}");
+    assert!(body.ends_with(&rest), "{rest}");
     let dispatched: u64 = engine.dispatches_by_id().values().sum();
     assert_eq!(dispatched, 1);
     fleet.assert_nothing_left().await;
