--- a/lib/src/answer_pump.rs
+++ b/lib/src/answer_pump.rs
@@ -20,10 +20,8 @@
 use crate::agent_events::settled;
 use crate::answer_log::AnswerLog;
 use crate::call_recovery;
-use crate::call_recovery::ReadSoFar;
 use crate::call_recovery::Recovery;
 use crate::call_recovery::Trouble;
-use crate::call_recovery::broken;
 use crate::call_recovery::in_doubt;
 use crate::event_scan::EventScan;
 use crate::ids::AttemptId;
@@ -36,16 +34,10 @@
 use crate::wire::Settlement;
 
 mod delivery;
+mod intake;
+mod reopening;
 mod token_report;
 
-/// How often in a row an answer is read on a new connection that brings no byte, before
-/// its outcome is given up as unknown.
-const MAX_REOPENS: u32 = 10;
-
-/// HTTP statuses with which an engine turns a request down.
-const TOO_MANY_REQUESTS: u16 = 429;
-const SERVER_ERROR: u16 = 500;
-
 /// Where the frames of answers go: the bulk channel of a link.
 pub type Outlet = mpsc::Sender<AgentMessage>;
 
@@ -256,6 +248,17 @@
         }
     }
 
+    async fn finish(&mut self, end: AnswerEnd) {
+        if let Some(progress) = self.tokens.report(Instant::now()) {
+            self.report(progress).await;
+        }
+        self.source = Source::Gone;
+        self.recovery = None;
+        self.cancellation = None;
+        self.delivery.set_end(end.clone());
+        self.report(CallProgress::Ended { end }).await;
+    }
+
     async fn report(&mut self, progress: CallProgress) {
         let event = AgentEvent::Call {
             attempt: self.parts.attempt,
@@ -325,196 +328,6 @@
     }
 }
 
-/// The answer comes in.
-impl AnswerPump {
-    async fn take_opened(&mut self, result: Result<UpstreamAnswer, OpenError>) -> Next {
-        match result {
-            Ok(answer) if self.is_turned_down(&answer) => self.give_up(answer.status),
-            Ok(answer) => {
-                if !answer.is_event_stream {
-                    self.report_first().await;
-                }
-                self.read_from(answer);
-                Next::Continue
-            }
-            Err(OpenError::NoConnection(_)) => {
-                self.report(CallProgress::NoConnection).await;
-                Next::End(AnswerEnd::NotSent)
-            }
-            Err(OpenError::Invalid(_)) => Next::End(AnswerEnd::NotSent),
-            Err(OpenError::Broke(reason)) => self.look_after(&reason),
-        }
-    }
-
-    /// Whether the engine has no room or failed. Another engine may well answer, so the
-    /// caller of an idempotent request need not see this.
-    fn is_turned_down(&self, answer: &UpstreamAnswer) -> bool {
-        let is_engine = matches!(self.parts.upstream, UpstreamClient::Engine(_));
-        let is_failure = answer.status == TOO_MANY_REQUESTS || answer.status >= SERVER_ERROR;
-        is_engine && self.parts.is_movable && is_failure && !self.delivery.has_head()
-    }
-
-    /// Cancels the request by its id, so that it does not run here after it was moved.
-    fn give_up(&mut self, status: u16) -> Next {
-        let UpstreamClient::Engine(engine) = &self.parts.upstream else {
-            return Next::Continue;
-        };
-        let request = self.parts.attempt.request;
-        let cancelling = call_recovery::cancel(engine.clone(), request, CancelCause::Unwanted);
-        self.cancellation = Some(Box::pin(async move {
-            match cancelling.await {
-                AnswerEnd::Cancelled => broken(&format!("the engine answered {status}")),
-                end => end,
-            }
-        }));
-        self.source = Source::Gone;
-        Next::Continue
-    }
-
-    fn read_from(&mut self, answer: UpstreamAnswer) {
-        self.silent_at = Instant::now() + self.parts.silent;
-        self.align_to(&answer);
-        if !self.delivery.has_head() {
-            self.delivery
-                .set_head(answer.status, answer.headers.clone());
-        }
-        self.source = Source::Reading(Box::new(answer));
-    }
-
-    fn is_event_stream(&self) -> bool {
-        matches!(&self.source, Source::Reading(answer) if answer.is_event_stream)
-    }
-
-    async fn take_bytes(&mut self, bytes: Bytes) {
-        self.silent_at = Instant::now() + self.parts.silent;
-        self.recovery = None;
-        self.reopens = 0;
-        if !self.is_event_stream() {
-            let skip = self.skip_bytes.min(bytes.len() as u64);
-            self.skip_bytes -= skip;
-            self.log
-                .append(bytes.slice(usize::try_from(skip).unwrap_or(0)..));
-            return;
-        }
-        let scanned = self.scan.scan(&bytes);
-        if scanned.whole_bytes == 0 {
-            self.partial.push(bytes);
-        } else {
-            for part in self.partial.drain(..) {
-                self.log.append(part);
-            }
-            self.log.append(bytes.slice(..scanned.whole_bytes));
-            let rest = bytes.slice(scanned.whole_bytes..);
-            if !rest.is_empty() {
-                self.partial.push(rest);
-            }
-        }
-        self.count(scanned.events).await;
-    }
-
-    async fn count(&mut self, tokens: u32) {
-        let is_first = self.tokens.total() == 0 && tokens > 0;
-        if is_first {
-            self.report_first().await;
-        }
-        if let Some(progress) = self.tokens.count(tokens, Instant::now()) {
-            self.report(progress).await;
-        }
-    }
-
-    async fn report_first(&mut self) {
-        let after_us = micros(self.opened.elapsed());
-        self.report(CallProgress::First { after_us }).await;
-    }
-
-    /// The body is over. A stream of events that ends without `[DONE]` was cut short,
-    /// however cleanly its connection was closed.
-    fn take_body_end(&mut self) -> Next {
-        if self.is_event_stream() && !self.scan.is_done() {
-            return self.look_after("the stream ended before its last event");
-        }
-        self.source = Source::Gone;
-        for part in std::mem::take(&mut self.partial) {
-            self.log.append(part);
-        }
-        Next::End(self.log.complete())
-    }
-
-    /// The connection is of no use any more.
-    fn look_after(&mut self, reason: &str) -> Next {
-        match self.parts.upstream {
-            UpstreamClient::Engine(_) => {
-                self.start_recovery(Trouble::Broken);
-                self.source = Source::Gone;
-                Next::Continue
-            }
-            UpstreamClient::Service(_) => Next::End(in_doubt(reason)),
-        }
-    }
-
-    fn start_recovery(&mut self, trouble: Trouble) {
-        let UpstreamClient::Engine(engine) = &self.parts.upstream else {
-            return;
-        };
-        let read = ReadSoFar {
-            tokens: self.tokens.total(),
-            is_stream: self.is_event_stream(),
-        };
-        let request = self.parts.attempt.request;
-        let recovery = call_recovery::recover(engine.clone(), request, trouble, read);
-        self.recovery = Some(Box::pin(recovery));
-    }
-
-    fn take_recovery(&mut self, recovery: Recovery) -> Next {
-        self.recovery = None;
-        match recovery {
-            Recovery::Wait => Next::Continue,
-            Recovery::Over(end) => Next::End(end),
-            Recovery::Reopen => self.reopen(),
-        }
-    }
-
-    /// Reads the rest of the answer on a new connection.
-    fn reopen(&mut self) -> Next {
-        let UpstreamClient::Engine(engine) = &self.parts.upstream else {
-            return Next::Continue;
-        };
-        self.reopens += 1;
-        if self.reopens > MAX_REOPENS {
-            return Next::End(in_doubt("the engine does not give the answer again"));
-        }
-        let engine = engine.clone();
-        let request = self.parts.attempt.request;
-        let last_event_id = self.scan.last_id();
-        let opening = async move { engine.resume(request, last_event_id).await };
-        self.source = Source::Opening(Box::pin(opening));
-        self.silent_at = Instant::now() + self.parts.silent;
-        Next::Continue
-    }
-
-    /// A plain answer comes again from its start, a stream after its last whole event.
-    fn align_to(&mut self, answer: &UpstreamAnswer) {
-        self.scan.drop_partial();
-        self.partial.clear();
-        self.skip_bytes = if answer.is_event_stream {
-            0
-        } else {
-            self.log.len_bytes()
-        };
-    }
-
-    async fn finish(&mut self, end: AnswerEnd) {
-        if let Some(progress) = self.tokens.report(Instant::now()) {
-            self.report(progress).await;
-        }
-        self.source = Source::Gone;
-        self.recovery = None;
-        self.cancellation = None;
-        self.delivery.set_end(end.clone());
-        self.report(CallProgress::Ended { end }).await;
-    }
-}
-
 /// The answer goes out.
 impl AnswerPump {
     async fn send_frame(&mut self, is_open: bool) {
--- a/lib/tests/test_agent_server.rs
+++ b/lib/tests/test_agent_server.rs
@@ -530,3 +530,29 @@
         .await;
     timeout(CAP, ending).await.unwrap().unwrap();
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn engine_that_refuses_hands_back_only_what_may_run_elsewhere() {
+    // The engine answers 503. An idempotent request is cancelled by its id and handed back,
+    // so that its entry can try another engine; of any other the caller gets the 503, since
+    // "broken" would make its outcome unknown.
+    let engine = EngineStandIn::spawn(EngineSettings::default())
+        .await
+        .unwrap();
+    let agent = Agent::beside_engine(&engine).await;
+    let mut entry = Entry::connect(agent.handle.address()).await;
+    engine.refuse_with(Some(503));
+    let (attempt, _) = entry.dispatch(reservation(1, 0), completion(5, true)).await;
+    let (_, end) = entry.read_answer(&mut AnswerReader::new(attempt)).await;
+    assert!(
+        matches!(end, ReadStep::Cut(AnswerEnd::Broken { .. })),
+        "{end:?}"
+    );
+    let letter = Reservation {
+        non_idempotent: true,
+        ..reservation(2, 0)
+    };
+    let (attempt, _) = entry.dispatch(letter, completion(5, true)).await;
+    let (_, end) = entry.read_answer(&mut AnswerReader::new(attempt)).await;
+    assert_eq!(end, ReadStep::Whole);
+}
