--- a/bench/src/faults/plan.rs
+++ b/bench/src/faults/plan.rs
@@ -3,6 +3,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use serde::Deserialize;
 use serde::Serialize;
 
 use super::work::Path;
@@ -10,7 +11,7 @@
 use super::work::WorkId;
 
 /// What goes wrong.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum FaultKind {
     /// An entry dies and is started again.
--- a/bench/src/faults/world.rs
+++ b/bench/src/faults/world.rs
@@ -111,6 +111,7 @@
     pub(super) gone: Vec<bool>,
     pub(super) store: FleetStore,
     requests: u128,
+    max_asked: u32,
     asked: IndexMap<WorkId, u32>,
     unanswered: IndexMap<RequestId, WorkId>,
     pub(super) tamper: Tamper,
@@ -165,6 +166,7 @@
             gone: vec![false; size.agents],
             store: FleetStore::default(),
             requests: 0,
+            max_asked: MAX_ASKED,
             asked: IndexMap::new(),
             unanswered: IndexMap::new(),
             tamper: |message| message,
@@ -207,6 +209,43 @@
         self.record.verdict(&self.works)
     }
 
+    /// Sends a request for some work now.
+    pub fn send(&mut self, work: Work, entry: usize) {
+        let id = work.id;
+        self.works.insert(id, work);
+        self.submit_to(id, entry);
+    }
+
+    /// Lets something go wrong now.
+    pub fn inject(&mut self, fault: Fault) {
+        self.fault(fault);
+    }
+
+    /// Lets what is due in the next while happen.
+    pub fn advance(&mut self, for_ms: u64) {
+        let until_ms = self.now_ms + for_ms;
+        while let Some(next) = self.queue.first_entry() {
+            if next.key().0 > until_ms {
+                break;
+            }
+            self.now_ms = next.key().0;
+            let event = next.remove();
+            self.take(event);
+        }
+        self.now_ms = until_ms;
+    }
+
+    /// Leaves it to the test whether a caller asks again.
+    pub fn callers_give_up(&mut self) {
+        self.max_asked = 0;
+    }
+
+    /// The time of the run.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        self.now_ms
+    }
+
     /// Has agents say something else than they decided.
     pub fn tamper_with_agents(&mut self, tamper: Tamper) {
         self.tamper = tamper;
@@ -658,7 +697,7 @@
             && self
                 .asked
                 .get(&work)
-                .is_some_and(|asked| *asked < MAX_ASKED)
+                .is_some_and(|asked| *asked < self.max_asked)
         {
             let entry = self.random.random_range(0..self.entries.len());
             let after_ms = self.random.random_range(1..1_500);
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -8,5 +8,6 @@
 mod test_overhead;
 mod test_promises;
 mod test_scenario;
+mod test_scenarios;
 mod test_simulation;
 mod test_slopes;
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -88,6 +88,11 @@
     pub again_ms: u64,
     /// How long the store is asked before a request that needs a claim is refused.
     pub patience_ms: u64,
+    /// How long the store is waited for by a request that can go without a claim; well
+    /// below the life of a grant, or the grant would lapse each time.
+    pub optional_ms: u64,
+    /// How long no optional claim is tried after the store did not answer in time.
+    pub trouble_ms: u64,
     /// Calls to the store in a second.
     pub calls_per_s: u64,
 }
@@ -98,6 +103,8 @@
             retain_ms: 600_000,
             again_ms: 100,
             patience_ms: 2_000,
+            optional_ms: 250,
+            trouble_ms: 5_000,
             calls_per_s: 60,
         }
     }
@@ -138,6 +145,8 @@
     give_up_at_ms: u64,
     /// Whether the call under way was made for an earlier grant.
     is_outdated: bool,
+    /// When the request goes on without a claim, if it can.
+    unclaimed_at_ms: Option<u64>,
 }
 
 /// A "not run" that waits for a look at the store.
@@ -183,6 +192,8 @@
     vouches: IndexMap<RequestId, Vouch>,
     window_start_ms: u64,
     calls_in_window: u64,
+    /// Until when the store counts as out of order.
+    trouble_until_ms: u64,
     steps: Vec<ClaimStep>,
 }
 
@@ -199,6 +210,7 @@
             vouches: IndexMap::new(),
             window_start_ms: 0,
             calls_in_window: 0,
+            trouble_until_ms: 0,
             steps: Vec::new(),
         }
     }
@@ -206,7 +218,12 @@
     /// Asks for the claim of the next attempt of a request.
     pub fn claim(&mut self, now_ms: u64, asked: ClaimRequest) -> Vec<ClaimStep> {
         let request = asked.holder.attempt.request;
+        if !asked.required && now_ms < self.trouble_until_ms {
+            self.end(request, ClaimDecision::Won);
+            return std::mem::take(&mut self.steps);
+        }
         let give_up_at_ms = now_ms + self.rules.patience_ms;
+        let unclaimed_at_ms = (!asked.required).then_some(now_ms + self.rules.optional_ms);
         let before = self.runs.get_mut(&request);
         // A grant can be lost while its claim is being written, and the next one asks
         // before the store has answered. That answer must not decide the new claim: the
@@ -216,6 +233,7 @@
         {
             run.asked = asked;
             run.give_up_at_ms = give_up_at_ms;
+            run.unclaimed_at_ms = unclaimed_at_ms;
             run.is_outdated = true;
             return Vec::new();
         }
@@ -228,6 +246,7 @@
             phase: Phase::Idle,
             give_up_at_ms,
             is_outdated: false,
+            unclaimed_at_ms,
         };
         self.runs.insert(request, run);
         self.next_call(now_ms, request, NextCall::Write { expected });
@@ -352,7 +371,7 @@
         let due: Vec<(RequestId, Phase)> = self
             .runs
             .iter()
-            .filter(|(_, run)| due_ms(run.phase).is_some_and(|due_ms| due_ms <= now_ms))
+            .filter(|(_, run)| due_ms(run).is_some_and(|due_ms| due_ms <= now_ms))
             .map(|(request, run)| (*request, run.phase))
             .collect();
         for (request, phase) in due {
@@ -361,7 +380,8 @@
                 Phase::Retained { version, .. } => {
                     self.delete(now_ms, request, version, DELETE_TRIES);
                 }
-                _ => {}
+                Phase::Writing | Phase::Reading => self.go_unclaimed(now_ms, request),
+                Phase::Held { .. } | Phase::Idle | Phase::Deleting { .. } => {}
             }
         }
         std::mem::take(&mut self.steps)
@@ -370,7 +390,7 @@
     /// When [`Claims::tick`] is due next.
     #[must_use]
     pub fn next_tick_ms(&self) -> Option<u64> {
-        self.runs.values().filter_map(|run| due_ms(run.phase)).min()
+        self.runs.values().filter_map(due_ms).min()
     }
 
     /// How many claims are remembered.
@@ -472,7 +492,7 @@
         };
         let until_ms = now_ms + pause_ms.max(1);
         if !run.asked.required {
-            self.end(request, ClaimDecision::Won);
+            self.go_unclaimed(now_ms, request);
         } else if until_ms > run.give_up_at_ms {
             let failure = Failure::not_run(FailureReason::StoreDown).retry_after(pause_ms);
             self.fail(request, failure);
@@ -481,6 +501,13 @@
         }
     }
 
+    /// Goes on without a claim. Until the store has had time to recover, the next ones do not
+    /// even try: each would hold a grant, and a slot of an upstream, for nothing.
+    fn go_unclaimed(&mut self, now_ms: u64, request: RequestId) {
+        self.trouble_until_ms = now_ms + self.rules.trouble_ms;
+        self.end(request, ClaimDecision::Won);
+    }
+
     fn has_budget(&mut self, now_ms: u64) -> bool {
         if now_ms >= self.window_start_ms + BUDGET_WINDOW_MS {
             self.window_start_ms = now_ms;
@@ -581,10 +608,11 @@
     }
 }
 
-fn due_ms(phase: Phase) -> Option<u64> {
-    match phase {
+fn due_ms(run: &ClaimRun) -> Option<u64> {
+    match run.phase {
         Phase::Pausing { until_ms, .. } | Phase::Retained { until_ms, .. } => Some(until_ms),
-        _ => None,
+        Phase::Writing | Phase::Reading => run.unclaimed_at_ms,
+        Phase::Held { .. } | Phase::Idle | Phase::Deleting { .. } => None,
     }
 }
 
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -149,6 +149,29 @@
     assert_eq!(decision(&steps), Some(&ClaimDecision::Won));
 }
 
+#[test]
+fn claim_store_silent_does_not_outlast_a_grant() {
+    // A named summary may run twice, so it goes on without a claim. Waiting two seconds for
+    // the store's answer, its grant would lapse after one, and each next grant as well: its
+    // caller would hear "not run" at the deadline, with upstreams idle. The next summary
+    // does not wait at all.
+    let mut claims = Claims::new(ClaimRules::default());
+    let mut request = asked(holder(OURS, 1, 7));
+    request.required = false;
+    claims.claim(0, request);
+    assert_eq!(claims.next_tick_ms(), Some(250));
+    let steps = claims.tick(250);
+    assert_eq!(decision(&steps), Some(&ClaimDecision::Won));
+    let mut next = asked(holder(THEIRS, 1, 7));
+    next.required = false;
+    let steps = claims.claim(300, next.clone());
+    assert_eq!(decision(&steps), Some(&ClaimDecision::Won));
+    assert!(
+        is_write(&claims.claim(5_250, next), None),
+        "tried again later"
+    );
+}
+
 #[test]
 fn claim_other_call_is_refused() {
     let mut claims = Claims::new(ClaimRules::default());
