--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -7,6 +7,7 @@
 pub mod fleet_entry;
 pub mod fleet_store;
 pub mod link;
+pub mod lives;
 pub mod plan;
 pub mod process;
 pub mod run;
--- a/bench/src/faults/world.rs
+++ b/bench/src/faults/world.rs
@@ -30,6 +30,8 @@
 use super::fleet_store::StoreRequest;
 use super::fleet_store::Trouble;
 use super::link::Links;
+use super::lives::Lives;
+use super::lives::Step;
 use super::plan::Fault;
 use super::plan::FaultKind;
 use super::plan::Plan;
@@ -116,6 +118,7 @@
     unanswered: IndexMap<RequestId, WorkId>,
     pub(super) tamper: Tamper,
     faults: IndexMap<FaultKind, u64>,
+    pub(super) lives: Lives,
     end_ms: u64,
 }
 
@@ -171,6 +174,7 @@
             unanswered: IndexMap::new(),
             tamper: |message| message,
             faults: IndexMap::new(),
+            lives: Lives::default(),
             end_ms: last_ms + SETTLING_MS,
         };
         world.start(plan);
@@ -263,6 +267,12 @@
         &self.works
     }
 
+    /// Which steps of requests' lives each fault met.
+    #[must_use]
+    pub fn met(&self) -> &IndexMap<(FaultKind, Step), u64> {
+        self.lives.met()
+    }
+
     /// How often each fault came.
     #[must_use]
     pub fn faults(&self) -> &IndexMap<FaultKind, u64> {
@@ -355,6 +365,7 @@
         let request = RequestId(self.requests);
         *self.asked.entry(work).or_default() += 1;
         self.unanswered.insert(request, work);
+        self.lives.arrive(request, entry);
         self.record.note(self.now_ms, Seen::Sent { request, work });
         if self.entries[entry].process.condition == super::process::Condition::Dead {
             self.hear(request, Heard::ConnectionLost);
@@ -414,6 +425,7 @@
             return;
         }
         *self.faults.entry(fault.kind).or_default() += 1;
+        self.lives.meet(fault);
         match fault.kind {
             FaultKind::EntryKilled => self.kill_entry(fault),
             FaultKind::AgentKilled => self.kill_agent(fault),
@@ -690,6 +702,7 @@
     /// A caller gets its last word. One that named its work and lost its connection, or
     /// heard "not run", asks again under the same name, through any entry.
     pub(super) fn hear(&mut self, request: RequestId, heard: Heard) {
+        self.lives.reach(request, Step::Over);
         let work = self.unanswered.swap_remove(&request);
         if let Some(work) = work
             && matches!(heard, Heard::ConnectionLost | Heard::NotRun)
--- a/bench/src/faults/world_entries.rs
+++ b/bench/src/faults/world_entries.rs
@@ -280,6 +280,7 @@
         let Some(agent) = self.agent_number(agent) else {
             return;
         };
+        self.lives.dispatch(request, agent);
         if let Some(caller) = self.entries[entry].callers.get_mut(&request) {
             caller.reader = Some((AnswerReader::new(attempt), agent));
             caller.body.clear();
--- a/bench/src/faults/world_upstreams.rs
+++ b/bench/src/faults/world_upstreams.rs
@@ -7,6 +7,7 @@
 use super::engine::RunState;
 use super::fleet_agent::AgentInput;
 use super::fleet_agent::CallNews;
+use super::lives::Step;
 use super::work::WorkId;
 use super::world::Event;
 use super::world::World;
@@ -37,6 +38,7 @@
         };
         let at_ms = self.now_ms + upstream.part_ms;
         self.schedule(at_ms, event);
+        self.lives.reach(request, Step::Runs);
         let seen = Seen::Started {
             request,
             work,
@@ -81,6 +83,7 @@
             .is_some_and(|run| run.state == RunState::Finished);
         let next_ms = self.now_ms + one.part_ms;
         if is_finished {
+            self.lives.reach(request, Step::Answering);
             self.record
                 .note(self.now_ms, Seen::Stopped { request, upstream });
         } else {
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_bound;
 mod test_command;
 mod test_engine_model;
+mod test_fault_matrix;
 mod test_overhead;
 mod test_promises;
 mod test_scenario;
--- a/bench/tests/test_promises.rs
+++ b/bench/tests/test_promises.rs
@@ -10,6 +10,8 @@
 use sardinewood_bench::faults::checker::Heard;
 use sardinewood_bench::faults::checker::Seen;
 use sardinewood_bench::faults::checker::Verdict;
+use sardinewood_bench::faults::lives::STEPS;
+use sardinewood_bench::faults::plan::FAULT_KINDS;
 use sardinewood_bench::faults::plan::Plan;
 use sardinewood_bench::faults::plan::Size;
 use sardinewood_bench::faults::world::Tamper;
@@ -71,6 +73,34 @@
     }
 }
 
+#[test]
+fn faults_meet_every_step() {
+    // Every kind of fault comes while requests wait, are on their way to an upstream, run
+    // there, have their answer on the way back, and are over but still named. The promises
+    // hold through all of them; a pair that is never met would be proved by nothing.
+    let size = Size {
+        requests: 400,
+        gap_ms: 10,
+        fault_gap_ms: 60,
+        ..Size::default()
+    };
+    let mut met = indexmap::IndexMap::new();
+    for seed in 0..16 {
+        let mut world = World::new(&Plan::draw(seed, size));
+        let verdict = world.run();
+        assert_eq!(verdict.violations(), 0, "seed {seed}: {verdict:?}");
+        for (pair, count) in world.met() {
+            *met.entry(*pair).or_insert(0) += count;
+        }
+    }
+    for kind in FAULT_KINDS {
+        for step in STEPS {
+            let count = met.get(&(kind, step)).copied().unwrap_or(0);
+            assert!(count > 0, "{kind:?} never met a request that {step:?}");
+        }
+    }
+}
+
 fn loaded_world(seed: u64) -> World {
     let size = Size {
         requests: 200,
