--- /dev/null
+++ b/agent/tests/runner.rs
@@ -0,0 +1,3 @@
+//! One test program for the tests of the agent's program.
+
+mod test_program;
