links: entries and agents prove that they hold a shared key

Whoever could reach an agent's port could run work in its upstream past the entry's checks of keys, profiles and limits. Each link now opens with nonces and HMAC tags over role and nonces; recorded and reflected tags prove nothing, and keys are exchanged one process at a time. An agent that listens beyond its own machine needs a key to start.

--- a/lib/src/agent_link.rs
+++ b/lib/src/agent_link.rs
@@ -19,7 +19,10 @@
 use crate::frames::FrameReader;
 use crate::frames::write_frames;
 use crate::link_pace::Heard;
+use crate::link_proof::ProofError;
+use crate::link_proof::prove_as_agent;
 use crate::pump_registry::PumpRegistry;
+use crate::spread_message::PeerKeys;
 use crate::wire::AgentMessage;
 use crate::wire::EntryMessage;
 use crate::wire::Hello;
@@ -66,6 +69,8 @@
 pub struct LinkParts {
     /// What this agent says first.
     pub hello: Hello,
+    /// What proves entries and agents to each other.
+    pub keys: PeerKeys,
     /// How long an entry may take for its hello.
     pub silent: Duration,
     /// The start of the agent's time.
@@ -93,6 +98,8 @@
     ClosedHere,
     #[error(transparent)]
     Frames(#[from] FrameError),
+    #[error(transparent)]
+    Proof(#[from] ProofError),
 }
 
 /// Serves one connection until it is lost.
@@ -103,8 +110,18 @@
     let _stopped = parts.events.send(LinkEvent::Lost { link, reason }).await;
 }
 
-async fn run(stream: TcpStream, link: LinkId, parts: &LinkParts) -> Result<Infallible, LinkError> {
+async fn run(
+    mut stream: TcpStream,
+    link: LinkId,
+    parts: &LinkParts,
+) -> Result<Infallible, LinkError> {
     stream.set_nodelay(true).map_err(FrameError::Io)?;
+    // Whoever can reach this port could otherwise run work in the upstream past the entry's
+    // checks of keys, profiles and limits.
+    let nonce = rand::random();
+    let proof = prove_as_agent(&mut stream, &parts.keys, &nonce);
+    let proof = timeout(parts.silent, proof).await;
+    proof.map_err(|_| LinkError::Silent)??;
     let (read, write) = stream.into_split();
     let mut reader = FrameReader::new(read);
     let hello = read_hello(&mut reader, parts.silent).await?;
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent_server.rs
@@ -137,6 +137,7 @@
             name: settings.upstream,
             data_centre: settings.data_centre,
         },
+        keys: settings.peers.peer_keys(),
         silent: Duration::from_millis(settings.silent_ms),
         started,
         events,
--- a/lib/src/agent_settings.rs
+++ b/lib/src/agent_settings.rs
@@ -285,5 +285,8 @@
 
 fn check(settings: &AgentSettings, findings: &mut Findings) {
     settings.peers.check(findings);
+    if settings.peers.keys.is_empty() && !settings.listen.ip().is_loopback() {
+        findings.add("--listen", "needs peer keys beyond this machine");
+    }
     crate::settings::check_silence(settings.heartbeat_ms, settings.silent_ms, findings);
 }
--- a/lib/src/config_process.rs
+++ b/lib/src/config_process.rs
@@ -92,7 +92,18 @@
         parts.filter(|text| !text.is_empty())
     }
 
-    fn peer_keys(&self) -> PeerKeys {
+    /// The keys that all processes share.
+    ///
+    /// ```
+    /// use sardinewood::config_process::PeerSettings;
+    /// use sardinewood::secrets::Secret;
+    ///
+    /// let settings = |keys| PeerSettings { keys: Secret::new(keys), ..Default::default() };
+    /// let (old, both) = (settings("old").peer_keys(), settings("new old").peer_keys());
+    /// assert!(both.proves(b"bytes", &old.tag(b"bytes")));
+    /// ```
+    #[must_use]
+    pub fn peer_keys(&self) -> PeerKeys {
         let keys: Vec<_> = self.keys.expose().split_whitespace().collect();
         let keys: Vec<_> = keys.into_iter().map(str::as_bytes).collect();
         PeerKeys::new(&keys)
--- a/lib/src/entry_link.rs
+++ b/lib/src/entry_link.rs
@@ -26,8 +26,11 @@
 use crate::ids::Incarnation;
 use crate::link_pace::Heard;
 use crate::link_pace::PaceRules;
+use crate::link_proof::ProofError;
+use crate::link_proof::prove_as_entry;
 use crate::logging::Level;
 use crate::logging::Line;
+use crate::spread_message::PeerKeys;
 use crate::wire::AgentMessage;
 use crate::wire::EntryMessage;
 use crate::wire::Hello;
@@ -113,6 +116,8 @@
 pub struct LinkContext {
     /// What this entry says first.
     pub hello: Hello,
+    /// What proves entries and agents to each other.
+    pub keys: PeerKeys,
     /// Timings.
     pub pace: PaceRules,
     /// The start of the entry's time.
@@ -132,6 +137,8 @@
     Io(#[from] std::io::Error),
     #[error("{0}")]
     Frame(#[from] FrameError),
+    #[error("{0}")]
+    Proof(#[from] ProofError),
     #[error("the agent closed the link")]
     Closed,
     #[error("the link was given up: silent, or not read")]
@@ -182,8 +189,9 @@
     let silent_ms = context.pace.silent_ms;
     let patience = Duration::from_millis(silent_ms);
     let opening = async {
-        let stream = TcpStream::connect(address).await?;
+        let mut stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
+        prove_as_entry(&mut stream, &context.keys, &rand::random()).await?;
         let (read, mut writer) = stream.into_split();
         send_hello(&mut writer, context).await?;
         let mut reader = FrameReader::new(read);
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry_server.rs
@@ -115,6 +115,7 @@
             name: settings.host.clone(),
             data_centre: settings.data_centre.clone(),
         },
+        keys: settings.peers.peer_keys(),
         pace: PaceRules {
             heartbeat_ms: settings.heartbeat_ms,
             silent_ms: settings.silent_ms,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -59,6 +59,7 @@
 pub mod ids;
 pub mod kept_answers;
 pub mod link_pace;
+pub mod link_proof;
 pub mod logging;
 pub mod metrics;
 pub mod objects;
--- a/lib/src/spread_message.rs
+++ b/lib/src/spread_message.rs
@@ -5,6 +5,7 @@
 //! postcard values with a keyed hash (HMAC-SHA-256) behind them. An old datagram that is
 //! sent again does no harm: versions only move forward.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -18,12 +19,13 @@
 use crate::config_state::Digest;
 use crate::config_state::PeerAnswer;
 use crate::ids::Incarnation;
+use crate::secrets::REDACTED;
 
 /// Raised with each change of the messages that an older process could misread.
 pub const SPREAD_PROTOCOL: u32 = 1;
 
 /// The bytes of the keyed hash behind each message.
-const TAG_BYTES: usize = 32;
+pub const TAG_BYTES: usize = 32;
 
 /// What kind of process it is.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -155,6 +157,12 @@
     macs: Vec<Hmac<Sha256>>,
 }
 
+impl fmt::Debug for PeerKeys {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(REDACTED)
+    }
+}
+
 impl PeerKeys {
     /// Keys of any length, the one to send with first. Without a key, messages are only
     /// guarded against damage.
@@ -184,8 +192,8 @@
     /// ```
     pub fn seal<T: Serialize>(&self, message: &T) -> Result<Vec<u8>, postcard::Error> {
         let mut bytes = postcard::to_stdvec(message)?;
-        let tag = self.macs.first().map(|mac| tag(mac, &bytes));
-        bytes.extend(tag.unwrap_or_default());
+        let tag = self.tag(&bytes);
+        bytes.extend(tag);
         Ok(bytes)
     }
 
@@ -204,12 +212,35 @@
     pub fn open<T: DeserializeOwned>(&self, sealed: &[u8]) -> Result<T, OpenError> {
         let split = sealed.len().checked_sub(TAG_BYTES);
         let (bytes, tag) = sealed.split_at(split.ok_or(OpenError::NotProven)?);
-        let proven = |mac: &Hmac<Sha256>| mac.clone().chain_update(bytes).verify_slice(tag).is_ok();
-        if !self.macs.iter().any(proven) {
+        if !self.proves(bytes, tag) {
             return Err(OpenError::NotProven);
         }
         Ok(postcard::from_bytes(bytes)?)
     }
+
+    /// The proof of some bytes by the first key.
+    ///
+    /// ```
+    /// let keys = sardinewood::spread_message::PeerKeys::new(&[b"key".as_slice()]);
+    /// assert!(keys.proves(b"bytes", &keys.tag(b"bytes")));
+    /// ```
+    #[must_use]
+    pub fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
+        let tag = self.macs.first().map(|mac| tag(mac, bytes));
+        tag.unwrap_or_default()
+    }
+
+    /// Whether `tag` is the proof of `bytes` by any of the keys.
+    ///
+    /// ```
+    /// let keys = sardinewood::spread_message::PeerKeys::new(&[b"key".as_slice()]);
+    /// assert!(!keys.proves(b"other bytes", &keys.tag(b"bytes")));
+    /// ```
+    #[must_use]
+    pub fn proves(&self, bytes: &[u8], tag: &[u8]) -> bool {
+        let proven = |mac: &Hmac<Sha256>| mac.clone().chain_update(bytes).verify_slice(tag).is_ok();
+        self.macs.iter().any(proven)
+    }
 }
 
 fn tag(mac: &Hmac<Sha256>, bytes: &[u8]) -> [u8; TAG_BYTES] {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -20,6 +20,7 @@
 mod test_frames;
 mod test_ids;
 mod test_link_pace;
+mod test_link_proof;
 mod test_logging;
 mod test_metrics;
 mod test_objects_check;
--- a/lib/tests/test_agent_server.rs
+++ b/lib/tests/test_agent_server.rs
@@ -18,11 +18,13 @@
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
+use sardinewood::link_proof::prove_as_entry;
 use sardinewood::metrics::Metrics;
 use sardinewood::objects::Activity;
 use sardinewood::objects::Serves;
 use sardinewood::objects::Target;
 use sardinewood::objects::Upstream;
+use sardinewood::spread_message::PeerKeys;
 use sardinewood::upstream_http::UpstreamTimings;
 use sardinewood::wire::AgentMessage;
 use sardinewood::wire::AnswerEnd;
@@ -102,7 +104,9 @@
 
 impl Entry {
     async fn connect(address: SocketAddr) -> Self {
-        let stream = TcpStream::connect(address).await.unwrap();
+        let mut stream = TcpStream::connect(address).await.unwrap();
+        let keys = PeerKeys::new(&[]);
+        prove_as_entry(&mut stream, &keys, &[1; 32]).await.unwrap();
         let (read, write) = stream.into_split();
         let (messages, queue) = mpsc::channel(64);
         let (_, no_bulk) = mpsc::channel(1);
--- a/lib/tests/test_caller_api.rs
+++ b/lib/tests/test_caller_api.rs
@@ -21,7 +21,9 @@
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
+use sardinewood::link_proof::prove_as_agent;
 use sardinewood::metrics::Metrics;
+use sardinewood::spread_message::PeerKeys;
 use sardinewood::wire::AgentMessage;
 use sardinewood::wire::AnswerEnd;
 use sardinewood::wire::Call;
@@ -174,7 +176,11 @@
     }
 }
 
-async fn serve_link(stream: TcpStream, behaviour: Behaviour, counts: Arc<Counts>) {
+async fn serve_link(mut stream: TcpStream, behaviour: Behaviour, counts: Arc<Counts>) {
+    let keys = PeerKeys::new(&[]);
+    prove_as_agent(&mut stream, &keys, &[1; 32])
+        .await
+        .expect("an entry");
     let (read, write) = stream.into_split();
     let mut reader = FrameReader::<AgentEnd, _>::new(read);
     let (sender, queue) = mpsc::channel(1_000);
