--- a/lib/src/tls.rs
+++ b/lib/src/tls.rs
@@ -10,17 +10,21 @@
 
 use futures_util::Stream;
 use futures_util::stream;
+use poem::http::uri::Scheme;
 use poem::listener::Acceptor;
 use poem::listener::AcceptorExt;
 use poem::listener::BoxAcceptor;
 use poem::listener::RustlsCertificate;
 use poem::listener::RustlsConfig;
+use poem::web::LocalAddr;
+use poem::web::RemoteAddr;
 use rustls::crypto::aws_lc_rs;
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::PrivateKeyDer;
 use rustls::pki_types::pem::PemObject;
 use rustls::sign::CertifiedKey;
 use tokio::sync::watch;
+use tokio::task::yield_now;
 use tokio::time::sleep;
 
 use crate::findings::Findings;
@@ -278,8 +282,39 @@
 /// The acceptor itself, or TLS on top of it.
 #[must_use]
 pub fn secured(acceptor: impl Acceptor + 'static, tls: Option<&TlsFeed>) -> BoxAcceptor {
-    match tls {
-        Some(tls) => acceptor.rustls(tls.configs()).boxed(),
-        None => acceptor.boxed(),
+    let Some(tls) = tls else {
+        return acceptor.boxed();
+    };
+    let inner = AfterCertificate {
+        inner: acceptor,
+        is_first: true,
+    };
+    inner.rustls(tls.configs()).boxed()
+}
+
+/// Accepts nothing at its first poll.
+///
+/// The library's acceptor looks at its stream of certificates and at new connections in an
+/// order drawn at random, and drops a connection that it takes before the first
+/// certificate: a caller that connects right after a start would see a reset. The first
+/// certificate is ready at the first poll, so standing back once is enough.
+struct AfterCertificate<A> {
+    inner: A,
+    is_first: bool,
+}
+
+impl<A: Acceptor> Acceptor for AfterCertificate<A> {
+    type Io = A::Io;
+
+    fn local_addr(&self) -> Vec<LocalAddr> {
+        self.inner.local_addr()
+    }
+
+    async fn accept(&mut self) -> io::Result<(A::Io, LocalAddr, RemoteAddr, Scheme)> {
+        if self.is_first {
+            self.is_first = false;
+            yield_now().await;
+        }
+        self.inner.accept().await
     }
 }
