--- a/lib/src/candidates.rs
+++ b/lib/src/candidates.rs
@@ -24,6 +24,8 @@
 /// Added to the expected time at an upstream of another data centre, so that of two equal
 /// ones the near one is asked.
 const OTHER_DATA_CENTRE_US: u64 = 2_000;
+/// Of the requests that a prefill holds up, this part counts (1 of so many).
+const HELD_UP_DIVISOR: u64 = 2;
 /// Taken for an upstream that has not reported its speed yet.
 const UNKNOWN_PREFILL_TOKENS_PER_S: u64 = 5_000;
 /// Taken for an upstream that has not reported its speed yet.
@@ -150,8 +152,8 @@
     serving: IndexMap<Target, usize>,
 }
 
-/// An agent with its expected time and a tie breaker.
-type Scored<'a> = ((u64, u64), &'a Arc<str>, &'a Agent);
+/// Agents and how many leading blocks of a prompt they are likely to have cached.
+type Cached = Vec<(Arc<str>, u32)>;
 
 impl AgentTable {
     /// A table without agents.
@@ -263,6 +265,11 @@
         let Some(names) = self.linked_by_target.get(wanted.target) else {
             return Vec::new();
         };
+        let cached = self.cached_tokens(wanted, names, now_ms);
+        let cached_tokens = |name: &Arc<str>| {
+            let blocks = cached.iter().find(|(known, _)| known == name);
+            blocks.map_or(0, |(_, blocks)| blocks * BLOCK_TOKENS)
+        };
         let mut scored: Vec<_> = names
             .iter()
             .filter(|name| !excluded(name))
@@ -270,29 +277,33 @@
                 let agent = self.agents.get(name)?;
                 agent
                     .takes_work(now_ms)
-                    .then(|| (self.score(name, agent, wanted), name, agent))
+                    .then(|| (self.score(agent, wanted, cached_tokens(name)), name))
             })
             .collect();
-        self.prefer_cached(&mut scored, wanted, now_ms);
-        scored.sort_unstable_by_key(|(score, _, _)| *score);
+        scored.sort_unstable_by_key(|(total_us, name)| (*total_us, rendezvous(wanted.nonce, name)));
         scored
             .into_iter()
             .take(wanted.count)
-            .map(|(_, name, _)| name.clone())
+            .map(|(_, name)| name.clone())
             .collect()
     }
 
-    /// Expected time to the end of the answer there in microseconds, and a tie breaker.
-    fn score(&self, name: &str, agent: &Agent, wanted: Wanted<'_>) -> (u64, u64) {
+    /// Expected time to the end of the answer there in microseconds, with what it costs the
+    /// others.
+    fn score(&self, agent: &Agent, wanted: Wanted<'_>, cached_tokens: u32) -> u64 {
         let load = agent.load;
         let step_us = nonzero_or(u64::from(load.step_us), UNKNOWN_STEP_US);
-        let run_us =
-            prefill_us(agent, wanted.prompt_tokens) + u64::from(wanted.output_tokens) * step_us;
+        let missing_tokens = wanted.prompt_tokens.saturating_sub(cached_tokens);
+        let prompt_us = prefill_us(agent, missing_tokens);
+        let run_us = prompt_us + u64::from(wanted.output_tokens) * step_us;
         let slots = u64::from(agent.upstream.slots.max(1));
         let occupied = agent.occupied_slots();
         // Each request of a batch slows the others down, so of two engines with room the
         // emptier one is done first, and the work there too.
         let shared_us = run_us * occupied / slots;
+        // A prompt that is computed holds up every request of the batch, so what a cached
+        // prefix saves grows with the batch.
+        let held_up_us = prompt_us * occupied / HELD_UP_DIVISOR;
         let asked = agent.reserved.len() as u64 / wanted.count.max(1) as u64;
         let queued = (occupied + asked).saturating_sub(slots);
         let queued_us = queued * run_us / slots;
@@ -306,34 +317,24 @@
         } else {
             OTHER_DATA_CENTRE_US
         };
-        let total_us = run_us + shared_us + queued_us + backlog_us + far_us;
-        (total_us, rendezvous(wanted.nonce, name))
+        run_us + shared_us + held_up_us + queued_us + backlog_us + far_us
     }
 
-    /// Takes the prefill off that a cached beginning of the prompt saves. A prefix that is
-    /// cached nowhere has a home, so that entries that don't know of each other's requests
-    /// begin at the same agent. Either is worth no more than the prefill that it saves: a
-    /// hot prefix does not starve one host and idle the rest.
-    fn prefer_cached(&self, scored: &mut [Scored<'_>], wanted: Wanted<'_>, now_ms: u64) {
+    /// Tokens of the prompt that are likely to be cached, by agent. A prefix that is cached
+    /// nowhere has a home, so that entries that don't know of each other's requests begin
+    /// at the same agent.
+    fn cached_tokens(&self, wanted: Wanted<'_>, names: &[Arc<str>], now_ms: u64) -> Cached {
         let Some(first_block) = wanted.prefix.first() else {
-            return;
+            return Cached::new();
         };
         let cached = self.hints.cached_blocks(wanted.prefix, now_ms);
-        if cached.is_empty() {
-            let home = scored
-                .iter_mut()
-                .max_by_key(|(_, name, _)| rendezvous(*first_block, name));
-            if let Some(((total_us, _), _, agent)) = home {
-                *total_us = total_us.saturating_sub(prefill_us(agent, BLOCK_TOKENS));
-            }
-            return;
-        }
-        for ((total_us, _), name, agent) in scored {
-            let blocks = cached.iter().find(|(known, _)| known == *name);
-            let blocks = blocks.map_or(0, |(_, blocks)| *blocks);
-            let saved_us = prefill_us(agent, blocks * BLOCK_TOKENS);
-            *total_us = total_us.saturating_sub(saved_us);
+        if !cached.is_empty() {
+            return cached;
         }
+        let home = names
+            .iter()
+            .max_by_key(|name| rendezvous(*first_block, name));
+        home.map(|name| (name.clone(), 1)).into_iter().collect()
     }
 
     /// A prompt with these leading blocks is sent to `agent`.
