entry: expect what a profile's answers took

The expected length of an answer was a constant. The entry now counts the output tokens of each whole answer as it passes (events of a stream, or the usage of a plain answer) and expects the 70th percentile of the profile's last 256. The bench's policy uses just these.

bench: decisions, the processor time of one decision.

--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -21,6 +21,11 @@
         summary: "how soon a change is in force everywhere, and what that costs",
         run: crate::config::run,
     },
+    Subcommand {
+        name: "decisions",
+        summary: "processor time of one decision, and how it grows",
+        run: crate::decisions::run,
+    },
     Subcommand {
         name: "faults",
         summary: "the promises under faults at random, in virtual time",
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod command;
 pub mod config;
 pub mod cpu_time;
+pub mod decisions;
 pub mod engine_model;
 pub mod faults;
 pub mod fleet;
--- a/bench/src/own_policy.rs
+++ b/bench/src/own_policy.rs
@@ -34,7 +34,6 @@
 use sardinewood::wire::AnswerEnd;
 use sardinewood::wire::Call;
 use sardinewood::wire::EntryMessage;
-use sardinewood::work_estimates::WorkEstimates;
 
 use crate::engine_model::EngineEvent;
 use crate::message::Message;
@@ -67,8 +66,8 @@
 pub struct Variant {
     /// Whether the entries are told how long each answer will be.
     pub told_lengths: bool,
-    /// The quantile that is used as the expected length.
-    pub quantile_percent: usize,
+    /// What the entries' decisions depend on.
+    pub expected_percent: Option<usize>,
     /// The agents' bounds and times.
     pub agent: AgentLimits,
     /// How many agents are asked for a grant at one time.
@@ -79,7 +78,7 @@
     fn default() -> Self {
         Self {
             told_lengths: false,
-            quantile_percent: 70,
+            expected_percent: Some(70),
             agent: AgentLimits::default(),
             candidates: 4,
         }
@@ -126,7 +125,6 @@
     upstreams: IndexMap<Arc<str>, Arc<Upstream>>,
     profiles: IndexMap<Arc<str>, Arc<Profile>>,
     customers: IndexMap<Arc<str>, Arc<Customer>>,
-    estimates: Vec<WorkEstimates>,
     wanted: IndexSet<(usize, usize)>,
     links: IndexMap<(usize, usize), Link>,
     link_ends: IndexMap<LinkId, (usize, usize)>,
@@ -153,7 +151,6 @@
             upstreams,
             profiles: profiles(experiment),
             customers: customers(world),
-            estimates: vec![WorkEstimates::default(); world.fleet.entries.len()],
             wanted: IndexSet::new(),
             links: IndexMap::new(),
             link_ends: IndexMap::new(),
@@ -283,12 +280,10 @@
         let offered = &world.requests[request];
         let now_ms = world.now_us / 1000;
         let expected = if self.variant.told_lengths {
-            Some(offered.output_tokens)
+            offered.output_tokens
         } else {
-            self.estimates[offered.entry]
-                .output_tokens(&offered.profile, self.variant.quantile_percent)
+            UNKNOWN_OUTPUT_TOKENS
         };
-        let expected = expected.unwrap_or(UNKNOWN_OUTPUT_TOKENS);
         Submission {
             request: request_id(request),
             target: offered.target.clone(),
@@ -466,7 +461,11 @@
         let offered = &world.requests[request];
         let entry = offered.entry;
         let output_tokens = offered.output_tokens;
-        self.estimates[entry].observe(&offered.profile, output_tokens);
+        let event = EntryEvent::Measured {
+            request: attempt.request,
+            output_tokens,
+        };
+        self.entry_event(world, entry, event);
         let Some(upstream) = upstream else {
             return;
         };
@@ -893,6 +892,7 @@
             let data_centre = Arc::clone(&world.fleet.data_centres[*data_centre]);
             let mut rules = EntryRules::new(name, data_centre);
             rules.candidates = variant.candidates;
+            rules.expected_percent = variant.expected_percent;
             EntryState::new(rules, index as u64)
         })
         .collect()
--- a/bench/src/simulation.rs
+++ b/bench/src/simulation.rs
@@ -61,6 +61,7 @@
             PolicyKind::OwnTold => {
                 let variant = Variant {
                     told_lengths: true,
+                    expected_percent: None,
                     ..Variant::default()
                 };
                 Self::own(experiment, variant, world)
--- a/lib/src/caller_answer.rs
+++ b/lib/src/caller_answer.rs
@@ -9,6 +9,7 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+use crate::answer_length::AnswerLength;
 use crate::answer_reader::AnswerFrame;
 use crate::answer_reader::AnswerReader;
 use crate::answer_reader::ReadStep;
@@ -130,6 +131,7 @@
     ready_bytes: usize,
     passed: bool,
     acknowledged_bytes: u64,
+    length: AnswerLength,
     is_over: bool,
 }
 
@@ -160,6 +162,7 @@
             ready_bytes: 0,
             passed: false,
             acknowledged_bytes: 0,
+            length: AnswerLength::default(),
             is_over: false,
         }
     }
@@ -318,10 +321,13 @@
         match reader.read(frame) {
             ReadStep::Ignore => {}
             ReadStep::Head { status, headers } => {
-                self.head = Some(AnswerHead { status, headers });
+                let head = AnswerHead { status, headers };
+                self.length = AnswerLength::new(head.is_event_stream());
+                self.head = Some(head);
             }
             ReadStep::Pass(bytes) => {
                 self.ready_bytes += bytes.len();
+                self.length.read(&bytes);
                 self.ready.push_back(bytes);
             }
             ReadStep::Resume { from_bytes } => {
@@ -350,12 +356,27 @@
             length_bytes: reader.through_bytes(),
             checksum: 0,
         };
+        self.report_length(attempt);
         self.report(attempt, end);
         self.is_over = true;
         self.acknowledge(0);
         Progress::Whole
     }
 
+    fn report_length(&self, attempt: AttemptId) {
+        if attempt.request != self.request {
+            return;
+        }
+        let Some(output_tokens) = self.length.output_tokens() else {
+            return;
+        };
+        let event = EntryEvent::Measured {
+            request: self.request,
+            output_tokens,
+        };
+        let _stopped = self.context.events.send(event);
+    }
+
     fn report(&self, attempt: AttemptId, end: AnswerEnd) {
         let passed = self.passed;
         let event = if attempt.request == self.request {
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry_state.rs
@@ -45,6 +45,7 @@
 use crate::wire::AgentMessage;
 use crate::wire::AnswerEnd;
 use crate::wire::EntryMessage;
+use crate::work_estimates::WorkEstimates;
 
 mod attempts;
 mod limits;
@@ -55,6 +56,10 @@
 /// Appointments of which it is remembered that they have begun.
 const MAX_APPOINTMENTS: usize = 20_000;
 
+/// The expected length covers so many in a hundred answers of a profile. With fewer, work
+/// is begun that does not end in time; with more, work is refused that would have.
+const EXPECTED_PERCENT: usize = 70;
+
 /// What an entry's decisions depend on besides events.
 ///
 /// ```
@@ -71,6 +76,9 @@
     pub queue: QueueLimits,
     /// How many agents are asked for a grant at one time.
     pub candidates: usize,
+    /// The share of a profile's answers that the expected length covers; without one the
+    /// length that came with the request is believed.
+    pub expected_percent: Option<usize>,
     /// When candidates that refused are asked again, at the latest.
     pub reserve_again_ms: u64,
     /// How long a named request runs on for a caller that may come back.
@@ -109,6 +117,7 @@
             },
             queue: QueueLimits::default(),
             candidates: 4,
+            expected_percent: Some(EXPECTED_PERCENT),
             reserve_again_ms: 100,
             orphan_grace_ms: 3_000,
             forget_after_ms: 30_000,
@@ -165,6 +174,11 @@
         /// Whether the caller has got any part of it.
         passed: bool,
     },
+    /// The whole answer of a request had so many tokens. Comes before its end.
+    Measured {
+        request: RequestId,
+        output_tokens: u32,
+    },
     /// The caller has gone away.
     CallerGone { request: RequestId },
     /// A host is gone for good, so nothing runs on it any more.
@@ -291,6 +305,7 @@
     limits: ProfileLimiter,
     /// Requests that wait for room among the concurrent ones of their profile, by profile.
     parked: IndexMap<Arc<str>, IndexSet<RequestId>>,
+    estimates: WorkEstimates,
     appointments: StartedAppointments,
     memory: Explanations,
     /// The time of the event that is handled.
@@ -321,6 +336,7 @@
             limits: ProfileLimiter::default(),
             parked: IndexMap::new(),
             appointments: StartedAppointments::new(MAX_APPOINTMENTS),
+            estimates: WorkEstimates::default(),
             memory: Explanations::new(rules.remembered_requests),
             now_ms: 0,
             nonce: seed,
@@ -355,6 +371,10 @@
                 passed,
             } => self.follower_ended(now_ms, request, &end, passed),
             EntryEvent::Inquire { holder } => self.inquire(now_ms, &holder),
+            EntryEvent::Measured {
+                request,
+                output_tokens,
+            } => self.measured(request, output_tokens),
             EntryEvent::CallerGone { request } => self.caller_gone(now_ms, request),
             EntryEvent::HostGone { agent } => self.host_gone(now_ms, &agent),
             EntryEvent::CatalogChanged(catalog) => self.catalog_changed(now_ms, &catalog),
--- a/lib/src/entry_state/waiting.rs
+++ b/lib/src/entry_state/waiting.rs
@@ -22,7 +22,8 @@
 const NEVER_MS: u64 = u64::MAX;
 
 impl EntryState {
-    pub(super) fn submit(&mut self, now_ms: u64, submission: Submission) {
+    pub(super) fn submit(&mut self, now_ms: u64, mut submission: Submission) {
+        self.estimate(&mut submission);
         let request = submission.request;
         let awaits_turn = self.rules.turns && submission.order.is_some();
         let run = Run::new(submission, now_ms, awaits_turn);
@@ -114,6 +115,27 @@
         self.fail(request, reason, Some(self.rules.retry_after_ms));
     }
 
+    /// Expects of a request what its profile's answers took lately.
+    fn estimate(&self, submission: &mut Submission) {
+        let profile = &submission.profile.name;
+        let seen = self
+            .rules
+            .expected_percent
+            .and_then(|percent| self.estimates.output_tokens(profile, percent));
+        if let Some(output_tokens) = seen {
+            let estimate = &mut submission.estimate;
+            estimate.expected_output_tokens = output_tokens.min(estimate.max_output_tokens);
+        }
+    }
+
+    /// Learns from a whole answer.
+    pub(super) fn measured(&mut self, request: RequestId, output_tokens: u32) {
+        if let Some(run) = self.runs.get(&request) {
+            let profile = &run.submission.profile.name;
+            self.estimates.observe(profile, output_tokens);
+        }
+    }
+
     /// Asks more candidates, up to the number that is wanted.
     pub(super) fn reserve(&mut self, now_ms: u64, request: RequestId) {
         self.nonce = self.nonce.wrapping_add(1);
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod agent_server;
 pub mod agent_settings;
 pub mod agent_state;
+pub mod answer_length;
 pub mod answer_log;
 pub mod answer_meter;
 mod answer_pump;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_agent_attempts;
 mod test_agent_reservations;
 mod test_agent_server;
+mod test_answer_length;
 mod test_answer_log;
 mod test_answer_reader;
 mod test_caller_api;
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -499,6 +499,59 @@
     assert_eq!(steps, [end]);
 }
 
+#[test]
+fn submit_expects_what_the_profile_took() {
+    let mut scene = Scene::new(&["lang-1"], |_| {});
+    let sized = |request| Submission {
+        estimate: WorkEstimate {
+            expected_output_tokens: 128,
+            max_output_tokens: 1_000,
+            ..WorkEstimate::default()
+        },
+        ..submission(request, 0)
+    };
+    for request in 1..=10 {
+        let steps = scene.submit(sized(request));
+        let expected = sent(&steps, |_, message| match message {
+            EntryMessage::Reserve(reservation) => Some(reservation.expected_output_tokens),
+            _ => None,
+        });
+        assert_eq!(expected, [if request <= 8 { 128 } else { 40 }]);
+        scene.grant("lang-1", request);
+        scene.take(EntryEvent::Measured {
+            request: RequestId(request),
+            output_tokens: 40,
+        });
+        scene.end(request, 1, complete(), true);
+    }
+    scene.assert_nothing_left();
+}
+
+#[test]
+fn submit_prefers_the_agent_with_the_prefix() {
+    let mut scene = Scene::new(&["lang-1", "lang-2", "lang-3"], |rules| {
+        rules.candidates = 1;
+    });
+    let prompt = |request| Submission {
+        estimate: WorkEstimate {
+            prompt_tokens: 2_000,
+            prefix: vec![1, 2, 3, 4],
+            ..WorkEstimate::default()
+        },
+        ..submission(request, 0)
+    };
+    let first = scene.submit(prompt(1));
+    let home = reserves(&first)[0].to_owned();
+    scene.grant(&home, 1);
+    scene.end(1, 1, complete(), true);
+    for request in 2..=5 {
+        let steps = scene.submit(prompt(request));
+        assert_eq!(reserves(&steps), [home.as_str()]);
+        scene.grant(&home, request);
+        scene.end(request, 1, complete(), true);
+    }
+}
+
 #[test]
 fn settled_never_sent_by_new_incarnation_is_doubt() {
     // The agent was restarted. The new process has not sent the attempt, but its
