--- a/lib/testutils/src/engine_core.rs
+++ b/lib/testutils/src/engine_core.rs
@@ -68,6 +68,29 @@
 }
 
 /// The state of one engine.
+///
+/// ```
+/// use serde_json::json;
+/// use testutils::engine_core::{EngineCore, Submission};
+/// use testutils::engine_run::RunState;
+/// use testutils::engine_settings::EngineSettings;
+/// use testutils::engine_text::AnswerShape;
+///
+/// let mut core = EngineCore::new(EngineSettings::default());
+/// let submission = Submission {
+///     id: "r1".into(),
+///     shape: AnswerShape::Text,
+///     body: &json!({"model": "small", "prompt": "hello", "max_tokens": 2}),
+///     kv_handle: None,
+/// };
+/// let run = core.submit(&submission).unwrap();
+/// core.step(4_000, 4);
+/// assert_eq!(run.state(), RunState::Decode);
+/// core.step(4_000, 8);
+/// assert_eq!(run.state(), RunState::Finished);
+/// assert_eq!(core.cancel("r2"), RunState::Cancelled);
+/// assert!(core.is_idle());
+/// ```
 #[derive(Debug)]
 pub struct EngineCore {
     settings: EngineSettings,
--- a/lib/testutils/src/engine_run.rs
+++ b/lib/testutils/src/engine_run.rs
@@ -76,13 +76,12 @@
     }
 
     /// Tokens of KV that it holds while it runs.
-    #[must_use]
-    pub fn kv_tokens(&self) -> u64 {
+    pub(crate) fn kv_tokens(&self) -> u64 {
         self.prompt_tokens + self.output_tokens
     }
 
     /// Moves on to a state, unless nothing follows the present one.
-    pub fn set_state(&self, state: RunState) {
+    pub(crate) fn set_state(&self, state: RunState) {
         self.progress.send_if_modified(|progress| {
             let changed = !progress.state.is_over() && progress.state != state;
             if changed {
@@ -94,7 +93,7 @@
     }
 
     /// Shows readers the tokens that were generated, when it is time.
-    pub fn publish(&self, output_tokens: u64, every_tokens: u64) {
+    pub(crate) fn publish(&self, output_tokens: u64, every_tokens: u64) {
         let finished = output_tokens == self.output_tokens;
         let due = finished || output_tokens == 1 || output_tokens.is_multiple_of(every_tokens);
         if !due {
--- a/lib/testutils/src/engine_stand_in.rs
+++ b/lib/testutils/src/engine_stand_in.rs
@@ -44,7 +44,7 @@
 
 /// What the HTTP face, the step loop and the handle share.
 #[derive(Debug)]
-pub struct Shared {
+pub(crate) struct Shared {
     started: Instant,
     work: Notify,
     state: Mutex<State>,
@@ -52,15 +52,15 @@
 
 /// What changes.
 #[derive(Debug)]
-pub struct State {
+pub(crate) struct State {
     /// The batching.
-    pub core: EngineCore,
+    pub(crate) core: EngineCore,
     /// Answers each new request with this status, if set.
-    pub refuse_with: Option<u16>,
+    pub(crate) refuse_with: Option<u16>,
     /// The highest fencing number seen.
-    pub fencing: u64,
+    pub(crate) fencing: u64,
     /// The orders taken.
-    pub orders: Vec<AcceptedOrder>,
+    pub(crate) orders: Vec<AcceptedOrder>,
     speed: f64,
     stalled: bool,
     reported: (u64, EngineLoad),
@@ -69,26 +69,24 @@
 
 impl Shared {
     /// Milliseconds since the engine started.
-    #[must_use]
-    pub fn now_ms(&self) -> u64 {
+    pub(crate) fn now_ms(&self) -> u64 {
         u64::try_from(self.started.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
     /// The state, for a short time.
-    pub fn lock(&self) -> MutexGuard<'_, State> {
+    pub(crate) fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
     /// Wakes the step loop.
-    pub fn wake(&self) {
+    pub(crate) fn wake(&self) {
         self.work.notify_one();
     }
 }
 
 impl State {
     /// The load as it is reported, and its age.
-    #[must_use]
-    pub fn late_load(&mut self, now_ms: u64) -> (EngineLoad, u64) {
+    pub(crate) fn late_load(&mut self, now_ms: u64) -> (EngineLoad, u64) {
         self.sample_load(now_ms);
         (self.reported.1, now_ms - self.reported.0)
     }
@@ -120,7 +118,17 @@
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
 /// let engine = EngineStandIn::spawn(EngineSettings::default()).await.unwrap();
-/// assert_eq!(engine.counts().dispatches, 0);
+/// engine.set_speed(4.0);
+/// let body = serde_json::json!({"model": "small", "prompt": "hello", "max_tokens": 3});
+/// let request = reqwest::Client::new()
+///     .post(format!("{}/v1/completions", engine.url()))
+///     .header("X-Request-Id", "r1")
+///     .json(&body);
+/// assert!(request.send().await.unwrap().status().is_success());
+/// assert_eq!(engine.dispatches("r1"), 1);
+/// assert_eq!(engine.counts().output_tokens, 3);
+/// engine.restart();
+/// assert_eq!(engine.dispatches("r1"), 1, "the counts stay");
 /// # });
 /// ```
 #[derive(Debug)]
--- a/lib/testutils/src/engine_text.rs
+++ b/lib/testutils/src/engine_text.rs
@@ -4,7 +4,6 @@
 //! expects and an engine can repeat any event without having kept it.
 
 use std::fmt::Write as _;
-use std::sync::Arc;
 
 use serde_json::Value;
 use serde_json::json;
@@ -81,6 +80,12 @@
 }
 
 /// The text of one output token.
+///
+/// ```
+/// use testutils::engine_text::{answer_text, seed, token_text};
+///
+/// assert!(answer_text("hello", 3).starts_with(token_text(seed("hello"), 0)));
+/// ```
 #[must_use]
 pub fn token_text(seed: u64, index: u64) -> &'static str {
     // Multiplying by an odd constant and taking the top bits spreads neighbouring indices.
@@ -115,6 +120,19 @@
 }
 
 /// Writes the answer of one request, whole or as events.
+///
+/// ```
+/// use serde_json::json;
+/// use testutils::engine_text::{AnswerShape, AnswerWriter, answer_text};
+///
+/// let body = json!({"model": "small", "prompt": "hello", "max_tokens": 2});
+/// let writer = AnswerWriter::new("r1", AnswerShape::Text, &body, 2);
+/// assert_eq!(writer.whole()["choices"][0]["text"], answer_text("hello", 2));
+/// let mut event = String::new();
+/// writer.write_event(2, &mut event);
+/// assert!(event.starts_with("id: 2\n") && event.contains("finish_reason"));
+/// assert_eq!(writer.event_count(), 3);
+/// ```
 #[derive(Clone, Debug)]
 pub struct AnswerWriter {
     shape: AnswerShape,
@@ -243,15 +261,14 @@
 }
 
 /// The output limit that a body asks for.
+///
+/// ```
+/// let body = serde_json::json!({"max_tokens": 5});
+/// assert_eq!(testutils::engine_text::max_tokens(&body), Some(5));
+/// ```
 #[must_use]
 pub fn max_tokens(body: &Value) -> Option<u64> {
     body["max_completion_tokens"]
         .as_u64()
         .or_else(|| body["max_tokens"].as_u64())
 }
-
-/// A name as it stands in an object of the engine.
-#[must_use]
-pub fn name(value: &Value) -> Option<Arc<str>> {
-    value.as_str().map(Arc::from)
-}
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -6,16 +6,16 @@
 //! Nothing in the decisions may depend on what a stand-in does beyond that page.
 
 pub mod engine_core;
-pub mod engine_face;
+mod engine_face;
 pub mod engine_run;
 pub mod engine_settings;
 pub mod engine_stand_in;
 pub mod engine_text;
 pub mod faulty_listener;
 pub mod host_list_stand_in;
-pub mod http_server;
+mod http_server;
 pub mod prefix_cache;
 pub mod service_stand_in;
-pub mod store_face;
+mod store_face;
 pub mod store_stand_in;
 pub mod store_state;
--- a/lib/testutils/src/prefix_cache.rs
+++ b/lib/testutils/src/prefix_cache.rs
@@ -36,6 +36,16 @@
 }
 
 /// Least recently used blocks of prompts.
+///
+/// ```
+/// use testutils::prefix_cache::PrefixCache;
+///
+/// let mut cache = PrefixCache::new(8, 100, 0);
+/// cache.store("instructions, then a case", 1_000);
+/// assert_eq!(cache.cached_tokens("instructions, then another"), 4);
+/// let (events, last) = cache.events(0, 1_500, 500);
+/// assert_eq!((events.len(), last), (3, 3));
+/// ```
 #[derive(Debug)]
 pub struct PrefixCache {
     block_bytes: usize,
--- a/lib/testutils/src/service_stand_in.rs
+++ b/lib/testutils/src/service_stand_in.rs
@@ -66,7 +66,10 @@
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
 /// let service = ServiceStandIn::spawn().await.unwrap();
-/// assert!(service.calls().is_empty());
+/// service.lose_next_answers(1);
+/// let call = reqwest::Client::new().post(service.url()).header("X-Request-Id", "r1");
+/// assert!(call.send().await.is_err());
+/// assert_eq!(service.calls_of("r1"), 1, "it ran, and its answer was lost");
 /// # });
 /// ```
 #[derive(Debug)]
--- a/lib/testutils/src/store_stand_in.rs
+++ b/lib/testutils/src/store_stand_in.rs
@@ -41,7 +41,7 @@
 
 /// What the HTTP face and the handle share.
 #[derive(Debug)]
-pub struct Shared {
+pub(crate) struct Shared {
     pub(crate) started: Instant,
     pub(crate) connections: Connections,
     pub(crate) inner: Mutex<Inner>,
@@ -92,12 +92,16 @@
 ///
 /// ```
 /// use serde_json::json;
-/// use testutils::store_stand_in::StoreStandIn;
+/// use testutils::store_stand_in::{StoreFaults, StoreStandIn};
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
 /// let store = StoreStandIn::spawn().await.unwrap();
 /// store.seed("profile", "lookup", json!({"tier": 2}));
 /// assert_eq!(store.object("profile", "lookup").unwrap().version, 1);
+/// store.set_faults(StoreFaults { outage: true, ..StoreFaults::default() });
+/// let hosts = reqwest::get(format!("{}/v1/hosts", store.url())).await.unwrap();
+/// assert_eq!(hosts.status(), 503);
+/// assert_eq!(store.counts().refused, 1);
 /// # });
 /// ```
 #[derive(Debug)]
--- a/local/src/fleet.rs
+++ b/local/src/fleet.rs
@@ -42,6 +42,19 @@
 const ANSWER_POLL: Duration = Duration::from_millis(10);
 
 /// The whole system.
+///
+/// ```no_run
+/// # async fn run() -> eyre::Result<()> {
+/// use sardinewood_local::fleet::Fleet;
+/// use sardinewood_local::local_settings::LocalSettings;
+///
+/// let fleet = Fleet::start(&LocalSettings::default()).await?;
+/// println!("{}", fleet.describe());
+/// assert_eq!(fleet.entry_urls().len(), 2);
+/// fleet.shut_down().await;
+/// # Ok(())
+/// # }
+/// ```
 #[derive(Debug)]
 pub struct Fleet {
     entries: Vec<LocalEntry>,
--- a/local/src/report.rs
+++ b/local/src/report.rs
@@ -33,6 +33,15 @@
 }
 
 /// Sums up the results.
+///
+/// ```
+/// use sardinewood_local::report::{DispatchCounts, summarize};
+///
+/// let mut counts = DispatchCounts::default();
+/// assert!(summarize(&[], &counts).ok);
+/// counts.by_request.insert("stray".into(), 1);
+/// assert!(!summarize(&[], &counts).ok);
+/// ```
 #[must_use]
 pub fn summarize(results: &[SampleResult], counts: &DispatchCounts) -> Summary {
     let is_whole = |result: &&SampleResult| result.fault.is_none();
@@ -65,6 +74,10 @@
 }
 
 /// The table: a row for each profile, the most important tiers first.
+///
+/// ```
+/// assert!(sardinewood_local::report::table(&[]).starts_with("tier"));
+/// ```
 #[must_use]
 pub fn table(results: &[SampleResult]) -> String {
     let mut text = format!(
--- a/local/src/sample_run.rs
+++ b/local/src/sample_run.rs
@@ -37,6 +37,15 @@
 }
 
 /// Sends all samples, `concurrent` at a time, to the entries in turn.
+///
+/// ```no_run
+/// # async fn run(entry_urls: &[String]) {
+/// use sardinewood_local::{sample_run, samples};
+///
+/// let results = sample_run::run(entry_urls, samples::all(), 8).await;
+/// assert!(results.iter().all(|result| result.fault.is_none()));
+/// # }
+/// ```
 pub async fn run(
     entry_urls: &[String],
     samples: Vec<Sample>,
--- a/local/src/samples.rs
+++ b/local/src/samples.rs
@@ -15,6 +15,18 @@
 use crate::seed::RUNDU;
 
 /// How a sample calls the system, and what a whole answer to it is.
+///
+/// ```
+/// use sardinewood_local::samples::SampleCall;
+///
+/// let call = SampleCall::Service {
+///     method: reqwest::Method::PUT,
+///     path: "/credits/7",
+///     body: "12 kegs".into(),
+/// };
+/// assert_eq!(call.path(), "/services/refunds/credits/7");
+/// assert_eq!(call.expected_content(), call.body());
+/// ```
 #[derive(Clone, Debug)]
 pub enum SampleCall {
     /// A chat with a model.
--- a/local/src/seed.rs
+++ b/local/src/seed.rs
@@ -100,6 +100,11 @@
 }
 
 /// A sender of requests, with the key that its services use here.
+///
+/// ```
+/// let customer = sardinewood_local::seed::RUNDU.object();
+/// assert_eq!(&*customer.name, "rundu-depot");
+/// ```
 #[derive(Clone, Debug)]
 pub struct CustomerSeed {
     /// The customer's name.
