settings: one way from the command line into each program

Change: Start::carry_out and StopSignal; sardinewood-local listens for signals before it starts its roles, as the others did.

--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -13,30 +13,19 @@
 use sardinewood::logging::Level;
 use sardinewood::logging::Line;
 use sardinewood::metrics::Metrics;
-use sardinewood::settings::EXIT_USAGE;
 use sardinewood::settings::Sources;
-use sardinewood::settings::Start;
 use sardinewood::spread_message::Identity;
 use sardinewood::spread_message::Role;
+use sardinewood::stop_signal::StopSignal;
 use tokio::runtime;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 fn main() -> eyre::Result<ExitCode> {
-    match agent_settings::program().read(Sources::of_process()) {
-        Start::Run(settings) => {
+    agent_settings::program()
+        .read(Sources::of_process())
+        .carry_out(|settings| {
             run(settings)?;
             Ok(ExitCode::SUCCESS)
-        }
-        Start::Print(text) => {
-            print!("{text}");
-            Ok(ExitCode::SUCCESS)
-        }
-        Start::Refuse(report) => {
-            eprint!("{report}");
-            Ok(ExitCode::from(EXIT_USAGE))
-        }
-    }
+        })
 }
 
 fn run(settings: AgentSettings) -> eyre::Result<()> {
@@ -58,8 +47,7 @@
 }
 
 async fn serve(settings: AgentSettings) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
+    let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
     let metrics = Metrics::to(settings.metrics, &settings.host, &settings.data_centre)
         .wrap_err("can't send metrics")?;
     let identity = Identity {
@@ -77,10 +65,7 @@
         .field("address", agent.address())
         .incarnation(agent.incarnation())
         .send();
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    stop.wait().await;
     agent.shut_down().await;
     metrics.flush();
     Line::new(Level::Info, "ended").send();
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -20,32 +20,21 @@
 use sardinewood::operator_api::OperatorApi;
 use sardinewood::operator_server;
 use sardinewood::secrets::sha256_hex;
-use sardinewood::settings::EXIT_USAGE;
 use sardinewood::settings::Sources;
-use sardinewood::settings::Start;
 use sardinewood::spread_message::Identity;
 use sardinewood::spread_message::Role;
+use sardinewood::stop_signal::StopSignal;
 use sardinewood::tls::TlsFeed;
 use tokio::runtime;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 use tokio_util::sync::CancellationToken;
 
 fn main() -> eyre::Result<ExitCode> {
-    match entry_settings::program().read(Sources::of_process()) {
-        Start::Run(settings) => {
+    entry_settings::program()
+        .read(Sources::of_process())
+        .carry_out(|settings| {
             run(&settings)?;
             Ok(ExitCode::SUCCESS)
-        }
-        Start::Print(text) => {
-            print!("{text}");
-            Ok(ExitCode::SUCCESS)
-        }
-        Start::Refuse(report) => {
-            eprint!("{report}");
-            Ok(ExitCode::from(EXIT_USAGE))
-        }
-    }
+        })
 }
 
 fn run(settings: &EntrySettings) -> eyre::Result<()> {
@@ -62,8 +51,7 @@
 }
 
 async fn serve(settings: &EntrySettings) -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("can't wait for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("can't wait for SIGINT")?;
+    let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
     let metrics = Metrics::to(settings.metrics, &settings.host, &settings.data_centre)
         .wrap_err("can't send metrics")?;
     let incarnation = Incarnation(rand::random());
@@ -85,10 +73,7 @@
         .field("operator_address", operators)
         .incarnation(entry.incarnation())
         .send();
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
-    }
+    stop.wait().await;
     entry.shut_down().await;
     stop_operators.cancel();
     metrics.flush();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -99,6 +99,7 @@
 pub mod speeds;
 pub mod spread_link;
 pub mod spread_message;
+pub mod stop_signal;
 pub mod store;
 pub mod store_duty;
 pub mod store_records;
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -5,6 +5,7 @@
 
 use std::ffi::OsString;
 use std::fmt::Write;
+use std::process::ExitCode;
 
 use lexopt::Arg;
 use lexopt::Parser;
@@ -50,6 +51,41 @@
     Refuse(String),
 }
 
+impl<S> Start<S> {
+    /// Runs the program with its settings, or prints what was asked for or is wrong.
+    ///
+    /// # Errors
+    ///
+    /// What `run` fails with.
+    ///
+    /// ```
+    /// use std::process::ExitCode;
+    /// use sardinewood::settings::Start;
+    ///
+    /// let start = Start::Run(3);
+    /// let mut seen = 0;
+    /// let ended = start.carry_out(|settings| -> Result<ExitCode, String> {
+    ///     seen = settings;
+    ///     Ok(ExitCode::SUCCESS)
+    /// });
+    /// assert!(ended.is_ok());
+    /// assert_eq!(seen, 3);
+    /// ```
+    pub fn carry_out<E>(self, run: impl FnOnce(S) -> Result<ExitCode, E>) -> Result<ExitCode, E> {
+        match self {
+            Self::Run(settings) => run(settings),
+            Self::Print(text) => {
+                print!("{text}");
+                Ok(ExitCode::SUCCESS)
+            }
+            Self::Refuse(report) => {
+                eprint!("{report}");
+                Ok(ExitCode::from(EXIT_USAGE))
+            }
+        }
+    }
+}
+
 /// Exit code for wrong settings.
 pub const EXIT_USAGE: u8 = 2;
 
--- a/local/src/main.rs
+++ b/local/src/main.rs
@@ -3,9 +3,8 @@
 use std::process::ExitCode;
 
 use sardinewood::logging;
-use sardinewood::settings::EXIT_USAGE;
 use sardinewood::settings::Sources;
-use sardinewood::settings::Start;
+use sardinewood::stop_signal::StopSignal;
 use sardinewood_local::fleet::Fleet;
 use sardinewood_local::local_settings;
 use sardinewood_local::local_settings::LocalSettings;
@@ -13,33 +12,24 @@
 use sardinewood_local::report::Summary;
 use sardinewood_local::sample_run;
 use sardinewood_local::samples;
-use tokio::signal::unix::SignalKind;
-use tokio::signal::unix::signal;
 
 fn main() -> eyre::Result<ExitCode> {
-    match local_settings::program().read(Sources::of_process()) {
-        Start::Run(settings) => run(&settings),
-        Start::Print(text) => {
-            print!("{text}");
-            Ok(ExitCode::SUCCESS)
-        }
-        Start::Refuse(report) => {
-            eprint!("{report}");
-            Ok(ExitCode::from(EXIT_USAGE))
-        }
-    }
+    local_settings::program()
+        .read(Sources::of_process())
+        .carry_out(|settings| run(&settings))
 }
 
 #[tokio::main]
 async fn run(settings: &LocalSettings) -> eyre::Result<ExitCode> {
     logging::install(&settings.log_level, &[("program", "sardinewood-local")])?;
+    let mut stop = StopSignal::listen()?;
     let fleet = Fleet::start(settings).await?;
     println!("{}", fleet.describe());
     let ok = if settings.once {
         send_samples(&fleet, settings).await?.ok
     } else {
         println!("Serving until Ctrl-C.");
-        wait_for_stop_signal().await?;
+        stop.wait().await;
         true
     };
     fleet.shut_down().await;
@@ -58,12 +48,3 @@
     println!("{}", serde_json::to_string(&summary)?);
     Ok(summary)
 }
-
-async fn wait_for_stop_signal() -> eyre::Result<()> {
-    let mut terminate = signal(SignalKind::terminate())?;
-    tokio::select! {
-        interrupted = tokio::signal::ctrl_c() => interrupted?,
-        _ = terminate.recv() => {}
-    }
-    Ok(())
-}
