logging: the last plain lines carry fields; the operators' page lists every message

Three lines still put their figures into the message. A test now looks for each message on the operators' page, as one does for metrics and settings.

--- a/lib/src/operator_retention.rs
+++ b/lib/src/operator_retention.rs
@@ -10,6 +10,8 @@
 use crate::config_object::Kind;
 use crate::config_object::ObjectKey;
 use crate::config_state::ConfigState;
+use crate::logging::Level;
+use crate::logging::Line;
 use crate::store::StoreClient;
 
 /// How long the record of a removed object is kept: 90 days.
@@ -53,6 +55,10 @@
     for (key, version) in expired.into_iter().take(RECORDS_AT_A_TIME) {
         let name = Arc::clone(&key.name);
         let answer = store.delete(key.kind.as_str(), &name, version).await;
-        spdlog::info!("record of {key} at version {version} has had its time: {answer:?}");
+        Line::new(Level::Info, "record of a removed object ended")
+            .field("object", key.to_string())
+            .field("version", version)
+            .field("answer", format!("{answer:?}"))
+            .send();
     }
 }
--- a/lib/src/spread_link.rs
+++ b/lib/src/spread_link.rs
@@ -29,6 +29,8 @@
 use crate::config_spread::SpreadAction;
 use crate::config_spread::SpreadTimings;
 use crate::config_state::PeerAnswer;
+use crate::logging::Level;
+use crate::logging::Line;
 use crate::spread_message::Datagram;
 use crate::spread_message::FetchAnswer;
 use crate::spread_message::FetchRequest;
@@ -331,7 +333,9 @@
     async fn hear(&mut self, sealed: &[u8], from: SocketAddr) {
         self.fetching.traffic.received(sealed.len());
         let Ok(datagram) = self.fetching.keys.open::<Datagram>(sealed) else {
-            spdlog::debug!("datagram from {from} is not taken");
+            Line::new(Level::Debug, "datagram not taken")
+                .field("from", from)
+                .send();
             return;
         };
         if datagram.protocol != SPREAD_PROTOCOL {
@@ -441,7 +445,7 @@
                 tokio::time::timeout(FETCH_TIMEOUT, answered).await,
                 Ok(Ok(()))
             ) {
-                spdlog::debug!("fetch was not answered");
+                Line::new(Level::Debug, "fetch not answered").send();
             }
             drop(permit);
         });
--- a/lib/tests/test_logging.rs
+++ b/lib/tests/test_logging.rs
@@ -1,7 +1,10 @@
 //! Log lines as another program reads them.
 
+use std::fs;
+use std::path::Path;
 use std::sync::Arc;
 
+use indexmap::IndexSet;
 use proptest::prelude::any;
 use proptest::prop_assert_eq;
 use proptest::proptest;
@@ -16,6 +19,8 @@
 use spdlog::Logger;
 use spdlog::sink::WriteSink;
 
+use crate::test_metrics::source_files;
+
 /// A logger at level `info` and the memory into which it writes.
 fn capture(identity: &[(&str, &str)]) -> (Logger, Arc<WriteSink<Vec<u8>>>) {
     let sink = WriteSink::builder()
@@ -94,3 +99,32 @@
         prop_assert_eq!(lines[0]["message"].as_str(), Some(message.as_str()));
     }
 }
+
+/// A line that operators do not find on their page only puzzles them.
+#[test]
+fn messages_in_code_are_on_the_operators_page() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR"));
+    let page = fs::read_to_string(root.join("../docs/operators.md")).unwrap();
+    let mut missing = IndexSet::new();
+    let mut found = 0;
+    let files = source_files(&root.join("src"));
+    // The module of the lines itself names levels and writes no line.
+    let files = files.iter().filter(|file| !file.ends_with("logging.rs"));
+    for file in files {
+        let text = fs::read_to_string(file).unwrap();
+        let code = text
+            .lines()
+            .filter(|line| !line.trim_start().starts_with("//"));
+        for line in code.filter(|line| line.contains("Level::")) {
+            let Some(message) = line.split('"').nth(1) else {
+                continue;
+            };
+            found += 1;
+            if !page.contains(&format!("`{message}`")) {
+                missing.insert(message.to_owned());
+            }
+        }
+    }
+    assert!(found > 10, "the search finds the messages: {found}");
+    assert_eq!(missing, IndexSet::new());
+}
--- a/lib/tests/test_metrics.rs
+++ b/lib/tests/test_metrics.rs
@@ -133,7 +133,8 @@
     })
 }
 
-fn source_files(directory: &Path) -> Vec<PathBuf> {
+/// Every file below a directory.
+pub fn source_files(directory: &Path) -> Vec<PathBuf> {
     let mut files = Vec::new();
     for entry in fs::read_dir(directory).unwrap() {
         let path = entry.unwrap().path();
