--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod candidates;
 pub mod catalog;
 pub mod claim_object;
+pub mod claim_sweep;
 pub mod claims;
 pub mod config;
 mod config_held;
--- a/lib/src/store_records.rs
+++ b/lib/src/store_records.rs
@@ -1,6 +1,8 @@
 //! Carries out what claims and orders want of the platform's store, and brings their
 //! decisions to the entry.
 
+use std::sync::Arc;
+
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 use serde_json::Value;
@@ -13,6 +15,8 @@
 use crate::claim_object::StoreCall;
 use crate::claim_object::StoredClaim;
 use crate::claim_object::claim_kind;
+use crate::claim_sweep::ClaimSweep;
+use crate::claim_sweep::SweepStep;
 use crate::claims::ClaimRequest;
 use crate::claims::ClaimRules;
 use crate::claims::ClaimStep;
@@ -40,9 +44,18 @@
 use crate::verdict::Failure;
 use crate::wire::Settlement;
 
+/// How long a claim must have been unchanged before it is swept away: the longest deadline
+/// that can be set, a day, and the retention of a name.
+const SWEEP_AFTER_MS: u64 = 86_400_000 + 600_000;
+
 /// What came of a call to the store.
 #[derive(Debug)]
 pub enum RecordAnswer {
+    /// The claims of one kind: their names and versions.
+    Listed {
+        /// What the store has.
+        claims: Vec<(Arc<str>, u64)>,
+    },
     /// About a claim.
     Claim {
         /// The request that claims.
@@ -71,6 +84,7 @@
 pub struct StoreRecords {
     claims: Claims,
     orders: Orders,
+    sweep: ClaimSweep,
     store: StoreClient,
     traffic: Handle,
     answers: mpsc::UnboundedSender<RecordAnswer>,
@@ -88,6 +102,7 @@
         Self {
             claims: Claims::new(ClaimRules::default()),
             orders: Orders::new(OrderRules::default()),
+            sweep: ClaimSweep::new(rand::random(), SWEEP_AFTER_MS),
             store,
             traffic,
             answers,
@@ -140,6 +155,10 @@
     /// Takes what came of a call to the store.
     pub fn answered(&mut self, now_ms: u64, answer: RecordAnswer) -> Vec<EntryEvent> {
         match answer {
+            RecordAnswer::Listed { claims } => {
+                self.sweep.listed(now_ms, claims);
+                Vec::new()
+            }
             RecordAnswer::Claim { request, answer } => {
                 let steps = self.claims.answered(now_ms, request, answer);
                 self.follow_claims(steps)
@@ -175,6 +194,9 @@
         let mut events = self.follow_claims(steps);
         let steps = self.orders.tick(now_ms);
         events.extend(self.follow_orders(steps));
+        for step in self.sweep.tick(now_ms) {
+            self.sweep_claims(step);
+        }
         events
     }
 
@@ -183,7 +205,8 @@
     pub fn next_tick_ms(&self) -> Option<u64> {
         let claims = self.claims.next_tick_ms();
         let orders = self.orders.next_tick_ms();
-        claims.into_iter().chain(orders).min()
+        let sweep = self.sweep.next_tick_ms();
+        claims.into_iter().chain(orders).chain([sweep]).min()
     }
 
     fn follow_claims(&self, steps: Vec<ClaimStep>) -> Vec<EntryEvent> {
@@ -227,6 +250,35 @@
         events
     }
 
+    fn sweep_claims(&self, step: SweepStep) {
+        let store = self.store.clone();
+        let answers = self.answers.clone();
+        self.traffic.spawn(async move {
+            match step {
+                SweepStep::Remove {
+                    kind,
+                    name,
+                    version,
+                } => {
+                    // What is not removed now is seen again by the next sweep.
+                    let _removed = store.delete(&kind, &name, version).await;
+                }
+                SweepStep::List { kind } => {
+                    let Ok(list) = store.list(&[&kind]).await else {
+                        return;
+                    };
+                    let claims = list
+                        .objects
+                        .into_iter()
+                        .map(|object| (object.name, object.version))
+                        .collect();
+                    // Without a control thread nobody wants to know.
+                    let _stopped = answers.send(RecordAnswer::Listed { claims });
+                }
+            }
+        });
+    }
+
     fn call_claim(&self, request: RequestId, name: String, call: StoreCall) {
         let store = self.store.clone();
         let answers = self.answers.clone();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -11,6 +11,7 @@
 mod test_answer_log;
 mod test_answer_reader;
 mod test_caller_api;
+mod test_claim_sweep;
 mod test_claims;
 mod test_config_follow;
 mod test_config_log;
