bench: what claims cost and prevent; "outcome unknown" by its reason

Change: `sardinewood-bench faults` counts the reasons that callers were told with "outcome unknown", the calls to the store and the time to a request's start, and `--without-claims` runs the fleet without claims and orders. A test of the checker asks that such a fleet is caught running refunds twice and letters at once.

--- a/bench/src/faults/checker.rs
+++ b/bench/src/faults/checker.rs
@@ -4,6 +4,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use sardinewood::ids::RequestId;
+use sardinewood::verdict::FailureReason;
 use serde::Serialize;
 
 use super::work::Work;
@@ -16,8 +17,8 @@
     Answer(Vec<u8>),
     /// "Not run".
     NotRun,
-    /// "Outcome unknown".
-    Unknown,
+    /// "Outcome unknown", and why.
+    Unknown(FailureReason),
     /// Its entry died: the connection broke.
     ConnectionLost,
 }
@@ -54,6 +55,8 @@
     pub not_run: u64,
     /// Requests whose caller heard "outcome unknown".
     pub unknown: u64,
+    /// The same, by the reason that the caller was told.
+    pub unknown_by_reason: IndexMap<FailureReason, u64>,
     /// Requests whose entry died.
     pub connection_lost: u64,
     /// Requests begun twice by one upstream, or by two at a time.
@@ -100,6 +103,9 @@
         self.answered_once += other.answered_once;
         self.not_run += other.not_run;
         self.unknown += other.unknown;
+        for (reason, count) in &other.unknown_by_reason {
+            *self.unknown_by_reason.entry(*reason).or_default() += count;
+        }
         self.connection_lost += other.connection_lost;
         self.doubled_dispatches += other.doubled_dispatches;
         self.non_idempotent_doubles += other.non_idempotent_doubles;
@@ -140,6 +146,25 @@
         change(&mut self.seen);
     }
 
+    /// The time from a request to its first start, over all that were started.
+    #[must_use]
+    pub fn start_times_ms(&self) -> Vec<u64> {
+        let mut sent = IndexMap::new();
+        let mut times = Vec::new();
+        for (at_ms, seen) in &self.seen {
+            match seen {
+                Seen::Sent { request, .. } => {
+                    sent.insert(*request, *at_ms);
+                }
+                Seen::Started { request, .. } => {
+                    times.extend(sent.swap_remove(request).map(|sent_ms| at_ms - sent_ms));
+                }
+                _ => {}
+            }
+        }
+        times
+    }
+
     /// What is true of the run.
     #[must_use]
     pub fn verdict(&self, works: &IndexMap<WorkId, Work>) -> Verdict {
@@ -213,7 +238,10 @@
                 });
                 self.verdict.false_not_run_of_name += u64::from(has_run && !ran);
             }
-            Heard::Unknown => self.verdict.unknown += 1,
+            Heard::Unknown(reason) => {
+                self.verdict.unknown += 1;
+                *self.verdict.unknown_by_reason.entry(*reason).or_default() += 1;
+            }
             Heard::ConnectionLost => self.verdict.connection_lost += 1,
         }
     }
--- a/bench/src/faults/fleet_entry.rs
+++ b/bench/src/faults/fleet_entry.rs
@@ -81,6 +81,8 @@
     pub process: Process<EntryInput>,
     /// Its decisions.
     pub state: EntryState,
+    /// Whether it claims names and keeps orders.
+    has_claims: bool,
     /// Its claims.
     pub claims: Claims,
     /// Its orders.
@@ -102,10 +104,11 @@
 impl FleetEntry {
     /// An entry that has just started.
     #[must_use]
-    pub fn new(number: usize, agents: usize, seed: u64) -> Self {
+    pub fn new(number: usize, agents: usize, seed: u64, claims: bool) -> Self {
         Self {
             process: Process::default(),
-            state: entry_state(number, seed),
+            state: entry_state(number, seed, claims),
+            has_claims: claims,
             claims: Claims::new(ClaimRules::default()),
             orders: Orders::new(OrderRules::default()),
             record_tick_at_ms: None,
@@ -119,7 +122,7 @@
 
     /// Starts it again, with nothing remembered.
     pub fn restart(&mut self, number: usize, seed: u64) {
-        self.state = entry_state(number, seed);
+        self.state = entry_state(number, seed, self.has_claims);
         self.claims = Claims::new(ClaimRules::default());
         self.orders = Orders::new(OrderRules::default());
         self.record_tick_at_ms = None;
@@ -132,10 +135,10 @@
     }
 }
 
-fn entry_state(number: usize, seed: u64) -> EntryState {
+fn entry_state(number: usize, seed: u64, claims: bool) -> EntryState {
     let rules = EntryRules {
-        claims: true,
-        turns: true,
+        claims,
+        turns: claims,
         ..EntryRules::new(format!("entry-{number}").into(), "wdh-1".into())
     };
     EntryState::new(rules, seed)
--- a/bench/src/faults/plan.rs
+++ b/bench/src/faults/plan.rs
@@ -96,6 +96,8 @@
     pub gap_ms: u64,
     /// The pause between two faults, on average; 0 for none.
     pub fault_gap_ms: u64,
+    /// Whether names are claimed and orders kept in the store.
+    pub claims: bool,
 }
 
 impl Default for Size {
@@ -106,6 +108,7 @@
             requests: 500,
             gap_ms: 40,
             fault_gap_ms: 700,
+            claims: true,
         }
     }
 }
--- a/bench/src/faults/run.rs
+++ b/bench/src/faults/run.rs
@@ -18,6 +18,7 @@
   --seed N          seed of the first run (1)
   --seeds K         how many runs, with the seeds N, N+1, … (1)
   --requests R      requests of each run (500)
+  --without-claims  claim no names and keep no orders; shows what they cost, and prevent
   --trace           print what callers and upstreams saw, to standard error
   --fault-gap-ms G  pause between two faults, on average; 0 for none (700)
 ";
@@ -42,6 +43,10 @@
     violations: u64,
     /// The share of requests whose caller heard "outcome unknown".
     unknown_share: f64,
+    /// Calls to the store for each request, without faults the cost of claims and orders.
+    store_calls_per_request: f64,
+    /// The time from a request to its start, on average.
+    mean_start_ms: f64,
     faults: IndexMap<FaultKind, u64>,
     /// Seeds of runs in which a promise was broken.
     violating_seeds: Vec<u64>,
@@ -75,6 +80,7 @@
             Arg::Long("seed") => options.seed = parser.value()?.parse()?,
             Arg::Long("seeds") => options.seeds = parser.value()?.parse()?,
             Arg::Long("requests") => options.size.requests = parser.value()?.parse()?,
+            Arg::Long("without-claims") => options.size.claims = false,
             Arg::Long("trace") => options.trace = true,
             Arg::Long("fault-gap-ms") => options.size.fault_gap_ms = parser.value()?.parse()?,
             Arg::Short('h') | Arg::Long("help") => return Ok(None),
@@ -88,6 +94,8 @@
     let mut verdict = Verdict::default();
     let mut faults = IndexMap::new();
     let mut violating_seeds = Vec::new();
+    let mut store_calls = 0;
+    let mut start_times_ms = Vec::new();
     for seed in options.seed..options.seed + options.seeds {
         let mut world = World::new(&Plan::draw(seed, options.size));
         let of_run = world.run();
@@ -100,23 +108,28 @@
             violating_seeds.push(seed);
         }
         verdict.add(&of_run);
+        store_calls += world.store_calls();
+        start_times_ms.extend(world.record().start_times_ms());
         for (kind, count) in world.faults() {
             *faults.entry(*kind).or_default() += count;
         }
     }
-    #[expect(
-        clippy::cast_precision_loss,
-        reason = "a share of counts far below the precision"
-    )]
-    let unknown_share = verdict.unknown as f64 / verdict.requests.max(1) as f64;
     Figures {
         experiment: "faults",
         seed: options.seed,
         seeds: options.seeds,
         violations: verdict.violations(),
-        unknown_share,
+        unknown_share: ratio(verdict.unknown, verdict.requests),
+        store_calls_per_request: ratio(store_calls, verdict.requests),
+        mean_start_ms: ratio(start_times_ms.iter().sum(), start_times_ms.len() as u64),
         verdict,
         faults,
         violating_seeds,
     }
 }
+
+fn ratio(part: u64, whole: u64) -> f64 {
+    #[expect(clippy::cast_precision_loss, reason = "counts far below the precision")]
+    let ratio = part as f64 / whole.max(1) as f64;
+    ratio
+}
--- a/bench/src/faults/world.rs
+++ b/bench/src/faults/world.rs
@@ -112,6 +112,7 @@
     pub(super) record: Record,
     pub(super) gone: Vec<bool>,
     pub(super) store: FleetStore,
+    pub(super) store_calls: u64,
     requests: u128,
     max_asked: u32,
     asked: IndexMap<WorkId, u32>,
@@ -151,7 +152,7 @@
             .map(|object| FleetAgent::new(object, Incarnation(random.random())))
             .collect();
         let entries = (0..size.entries)
-            .map(|entry| FleetEntry::new(entry, size.agents, random.random()))
+            .map(|entry| FleetEntry::new(entry, size.agents, random.random(), size.claims))
             .collect();
         let last_ms = plan.works.last().map_or(0, |(work, _)| work.at_ms);
         let mut world = Self {
@@ -168,6 +169,7 @@
             record: Record::default(),
             gone: vec![false; size.agents],
             store: FleetStore::default(),
+            store_calls: 0,
             requests: 0,
             max_asked: MAX_ASKED,
             asked: IndexMap::new(),
@@ -267,6 +269,12 @@
         &self.works
     }
 
+    /// How often entries called the store.
+    #[must_use]
+    pub fn store_calls(&self) -> u64 {
+        self.store_calls
+    }
+
     /// Which steps of requests' lives each fault met.
     #[must_use]
     pub fn met(&self) -> &IndexMap<(FaultKind, Step), u64> {
--- a/bench/src/faults/world_entries.rs
+++ b/bench/src/faults/world_entries.rs
@@ -152,7 +152,7 @@
             EntryStep::Fail { request, failure } => {
                 let heard = match failure.outcome {
                     Outcome::NotRun => Heard::NotRun,
-                    Outcome::Unknown => Heard::Unknown,
+                    Outcome::Unknown => Heard::Unknown(failure.reason),
                 };
                 if self.entries[entry].callers.swap_remove(&request).is_some() {
                     self.hear(request, heard);
--- a/bench/src/faults/world_records.rs
+++ b/bench/src/faults/world_records.rs
@@ -131,6 +131,7 @@
     }
 
     fn call_store(&mut self, entry: usize, call: FleetCall) {
+        self.store_calls += 1;
         let trouble = self.store.trouble;
         let is_lost = match trouble {
             Trouble::Down => true,
--- a/bench/tests/test_promises.rs
+++ b/bench/tests/test_promises.rs
@@ -46,7 +46,7 @@
         gap_ms in 5u64..80,
         fault_gap_ms in 60u64..1_500,
     ) -> Size {
-        Size { entries, agents, requests, gap_ms, fault_gap_ms }
+        Size { entries, agents, requests, gap_ms, fault_gap_ms, claims: true }
     }
 }
 
@@ -161,6 +161,23 @@
     assert_eq!(verdict.answered_once, 0, "{verdict:?}");
 }
 
+#[test]
+fn checker_catches_a_fleet_without_claims() {
+    // Without claims an entry knows nothing of what its neighbours ran. Repetitions of
+    // refunds run again, and letters of one counsellor at the same time.
+    let mut verdict = Verdict::default();
+    for seed in 0..8 {
+        let size = Size {
+            claims: false,
+            fault_gap_ms: 200,
+            ..Size::default()
+        };
+        verdict.add(&World::new(&Plan::draw(seed, size)).run());
+    }
+    assert!(verdict.non_idempotent_doubles > 0, "{verdict:?}");
+    assert!(verdict.order_violations > 0, "{verdict:?}");
+}
+
 /// Runs one world, changes what was seen of it, and judges again.
 fn verdict_after(change: impl FnOnce(&mut Vec<(u64, Seen)>)) -> Verdict {
     let mut world = loaded_world(3);
--- a/bench/tests/test_scenarios.rs
+++ b/bench/tests/test_scenarios.rs
@@ -124,7 +124,7 @@
             let heard = match heard {
                 Heard::Answer(_) => "the whole answer",
                 Heard::NotRun => "not run",
-                Heard::Unknown => "outcome unknown",
+                Heard::Unknown(_) => "outcome unknown",
                 Heard::ConnectionLost => "a broken connection",
             };
             format!("caller of {} hears: {heard}", request.0)
