entry: events and steps, and repetitions, in modules of their own

What an entry reacts to and does next is in entry_events, and how a repetition reads another request's answer in entry_state/followed. No behaviour changes; tests as before.

--- a/lib/src/entry_state/named.rs
+++ b/lib/src/entry_state/named.rs
@@ -1,6 +1,5 @@
 //! Named requests: one attempt for a name, and repetitions that read its answer.
 
-use super::AnswerEnd;
 use super::Arc;
 use super::AttemptId;
 use super::ClaimDecision;
@@ -19,11 +18,9 @@
 use super::RequestId;
 use super::RequestName;
 use super::Run;
-use super::TimerKind;
 use crate::ids::GrantId;
 use crate::request_names::Admission;
 use crate::run::Attempt;
-use crate::wire::Settlement;
 
 /// The pause before an agent is asked again about an attempt in doubt.
 pub(super) const ASK_AGAIN_MS: u64 = 1_000;
@@ -215,191 +212,8 @@
         }
     }
 
-    /// Reads the answer of another request's attempt for this caller, after the agent has
-    /// said what became of it.
-    pub(super) fn follow(&mut self, now_ms: u64, request: RequestId, holder: &Holder) {
-        self.leave_queue(request);
-        let Some(known) = self.agents.get_mut(&holder.agent) else {
-            self.fail_with(request, Failure::unknown(FailureReason::AnswerGone));
-            return;
-        };
-        known.running.insert(request);
-        let is_linked = known.linked.is_some();
-        let Some(run) = self.runs.get_mut(&request) else {
-            return;
-        };
-        run.phase = Phase::Following(Attempt {
-            id: holder.attempt,
-            agent: holder.agent.clone(),
-            grant: holder.grant,
-        });
-        self.links_changed = true;
-        if is_linked {
-            self.ask_after(request);
-        }
-        self.timers
-            .set(now_ms + ASK_AGAIN_MS, TimerKind::Ask, request);
-    }
-
-    /// An answer that has not come is asked for again: the agent may have been in doubt,
-    /// and then settled it with its own engine.
-    pub(super) fn ask_again(&mut self, now_ms: u64, request: RequestId) {
-        let Some(run) = self.runs.get(&request) else {
-            return;
-        };
-        let in_doubt = matches!(run.phase, Phase::InDoubt(_));
-        if in_doubt || matches!(run.phase, Phase::Following(_)) && !run.reads {
-            self.ask_after(request);
-            self.timers
-                .set(now_ms + ASK_AGAIN_MS, TimerKind::Ask, request);
-        }
-    }
-
-    /// Whether another request here reads the answer of this attempt.
-    pub(super) fn is_followed(&self, attempt: &Attempt) -> bool {
-        self.followers(&attempt.agent, attempt.id).next().is_some()
-    }
-
-    fn followers(&self, agent: &str, id: AttemptId) -> impl Iterator<Item = RequestId> {
-        let running = self.agents.get(agent).map(|known| &known.running);
-        running
-            .into_iter()
-            .flatten()
-            .copied()
-            .filter(move |request| {
-                self.runs.get(request).is_some_and(
-                    |run| matches!(&run.phase, Phase::Following(attempt) if attempt.id == id),
-                )
-            })
-    }
-
-    pub(super) fn settled_for_followers(
-        &mut self,
-        now_ms: u64,
-        agent: &Arc<str>,
-        id: AttemptId,
-        settlement: Settlement,
-    ) {
-        let followers: Vec<_> = self.followers(agent, id).collect();
-        for request in followers {
-            self.follower_settled(now_ms, request, settlement);
-        }
-    }
-
-    fn follower_settled(&mut self, now_ms: u64, request: RequestId, settlement: Settlement) {
-        let Some(run) = self.runs.get_mut(&request) else {
-            return;
-        };
-        let Phase::Following(attempt) = run.phase.clone() else {
-            return;
-        };
-        let linked = self
-            .agents
-            .get(&attempt.agent)
-            .and_then(|known| known.linked);
-        let same_incarnation = linked == Some(attempt.grant.agent);
-        match settlement {
-            Settlement::Running | Settlement::Finished => self.read_followed(request, &attempt),
-            Settlement::NeverSent if same_incarnation => {
-                self.take_over(now_ms, request, &attempt);
-            }
-            Settlement::Ended => self.followed_ended(now_ms, request, &attempt),
-            Settlement::NeverSent | Settlement::InDoubt => self.followed_in_doubt(request),
-        }
-    }
-
-    fn read_followed(&mut self, request: RequestId, attempt: &Attempt) {
-        let Some(run) = self.runs.get_mut(&request) else {
-            return;
-        };
-        if !run.reads {
-            run.reads = true;
-            self.steps.push(EntryStep::Begin {
-                request,
-                attempt: attempt.id,
-                agent: attempt.agent.clone(),
-            });
-        }
-        self.steps.push(EntryStep::Resume {
-            attempt: attempt.id,
-            agent: attempt.agent.clone(),
-        });
-    }
-
-    /// The followed attempt does not run any more, and there is no whole answer.
-    fn followed_ended(&mut self, now_ms: u64, request: RequestId, attempt: &Attempt) {
-        let non_idempotent = self
-            .runs
-            .get(&request)
-            .is_some_and(|run| run.submission.non_idempotent);
-        if non_idempotent {
-            self.fail_with(request, Failure::unknown(FailureReason::AnswerGone));
-            return;
-        }
-        if let Some(run) = self.runs.get_mut(&request) {
-            run.tried.insert(attempt.agent.clone());
-        }
-        self.take_over(now_ms, request, attempt);
-    }
-
-    fn followed_in_doubt(&mut self, request: RequestId) {
-        let non_idempotent = self
-            .runs
-            .get(&request)
-            .is_some_and(|run| run.submission.non_idempotent);
-        if non_idempotent {
-            self.fail_with(request, Failure::unknown(FailureReason::InDoubt));
-        }
-    }
-
-    /// Runs the request from here after all: the attempt that had its name is settled.
-    fn take_over(&mut self, now_ms: u64, request: RequestId, attempt: &Attempt) {
-        if let Some(known) = self.agents.get_mut(&attempt.agent) {
-            known.running.swap_remove(&request);
-        }
-        let Some(run) = self.runs.get_mut(&request) else {
-            return;
-        };
-        run.settled = Some(Holder {
-            attempt: attempt.id,
-            agent: attempt.agent.clone(),
-            grant: attempt.grant,
-        });
-        run.reads = false;
-        run.phase = Phase::Waiting;
-        self.queue.insert(run.place());
-        self.reserve(now_ms, request);
-    }
-
-    /// The reader of a followed answer has come to its end.
-    pub(super) fn follower_ended(
-        &mut self,
-        now_ms: u64,
-        request: RequestId,
-        end: &AnswerEnd,
-        passed: bool,
-    ) {
-        let Some(run) = self.runs.get(&request) else {
-            return;
-        };
-        let Phase::Following(attempt) = run.phase.clone() else {
-            return;
-        };
-        match end {
-            AnswerEnd::Complete { .. } => self.remove(request, FinishedAs::Answered),
-            _ if passed => {
-                self.fail_with(request, Failure::unknown(FailureReason::UpstreamFailed));
-            }
-            AnswerEnd::NotSent => self.take_over(now_ms, request, &attempt),
-            AnswerEnd::InDoubt { .. } => self.followed_in_doubt(request),
-            AnswerEnd::Broken { .. } | AnswerEnd::Cancelled | AnswerEnd::Preempted => {
-                self.followed_ended(now_ms, request, &attempt);
-            }
-        }
-    }
-
     /// Asks an agent about an attempt that another entry dispatched.
-    pub(super) fn inquire(&mut self, _now_ms: u64, holder: &Holder) {
+    pub(super) fn inquire(&mut self, holder: &Holder) {
         let message = EntryMessage::Settle {
             attempt: holder.attempt,
             grant: holder.grant,
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod config_watch;
 pub mod engine;
 pub mod entry_control;
+pub mod entry_events;
 pub mod entry_link;
 pub mod entry_server;
 pub mod entry_settings;
