--- a/bench/src/policy.rs
+++ b/bench/src/policy.rs
@@ -33,7 +33,6 @@
   --scenario NAME|FILE   only this scenario (may be repeated; default: all that ship)
   --policy NAME          only this policy (may be repeated; default: all)
   --seed N               only this seed (may be repeated; default: 1 to 5)
-  --report DIR           write a page with plots there
 ";
 
 /// Seeds used where none is named.
@@ -53,7 +52,6 @@
     scenarios: Vec<String>,
     policies: Vec<(&'static str, PolicyKind)>,
     seeds: Vec<u64>,
-    report: Option<PathBuf>,
 }
 
 /// One policy on one experiment with one seed.
@@ -105,7 +103,7 @@
 ///
 /// # Errors
 ///
-/// The arguments or a scenario can't be used, or the report can't be written.
+/// The arguments or a scenario can't be used.
 pub fn run(parser: Parser) -> eyre::Result<()> {
     let Some(options) = parse(parser)? else {
         print!("{HELP}");
@@ -131,7 +129,6 @@
                 options.policies.push(find_policy(&name)?);
             }
             Arg::Long("seed") => options.seeds.push(parser.value()?.parse()?),
-            Arg::Long("report") => options.report = Some(parser.value()?.into()),
             other => return Err(other.unexpected().into()),
         }
     }
