bench: slopes of states that were asked whether they did the work

Cause: the test that each slope is above zero was red now and then. Resident memory of the test process shows what other tests free, so 1,700 customers could seem to cost nothing. Asking the states instead showed a real fault: the measured agent had never seen its upstream answer and granted nothing, so that its figures were those of reservations that wait. The agent sees its upstream.

--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -3,9 +3,9 @@
 //! The states are the ones that ship, driven without sockets. Memory is the growth of this
 //! process's resident memory over many of the same thing; time is the mean over many.
 
-mod agent_slopes;
+pub mod agent_slopes;
 mod config_slopes;
-mod entry_slopes;
+pub mod entry_slopes;
 mod idle_slopes;
 mod message_sizes;
 
--- a/bench/src/slopes/agent_slopes.rs
+++ b/bench/src/slopes/agent_slopes.rs
@@ -7,6 +7,7 @@
 use sardinewood::agent_events::AgentStep;
 use sardinewood::agent_events::CallProgress;
 use sardinewood::agent_events::LinkId;
+use sardinewood::agent_events::Probe;
 use sardinewood::agent_state::AgentLimits;
 use sardinewood::agent_state::AgentState;
 use sardinewood::ids::AttemptId;
@@ -42,22 +43,42 @@
 const NOW_MS: u64 = 1_000;
 
 pub(super) fn measure_memory(memory: &mut Memory) {
-    memory.measure("agent", "reservation", WAITING, || {
-        let mut agent = agent_with(0);
-        for index in 0..WAITING {
-            reserve(&mut agent, index);
-        }
-        agent
-    });
+    memory.measure("agent", "reservation", WAITING, || waiting_agent(WAITING));
     memory.measure("agent", "attempt record", REQUESTS, || {
-        let mut agent = agent_with(1);
-        for index in 0..REQUESTS {
-            run_one(&mut agent, index);
-        }
-        agent
+        agent_that_ran(REQUESTS)
     });
 }
 
+/// An agent with so many reservations and no room.
+///
+/// ```
+/// let agent = sardinewood_bench::slopes::agent_slopes::waiting_agent(3);
+/// assert_eq!(agent.load().waiting, 3);
+/// ```
+#[must_use]
+pub fn waiting_agent(count: usize) -> AgentState {
+    let mut agent = agent_with(0);
+    for index in 0..count {
+        reserve(&mut agent, index);
+    }
+    agent
+}
+
+/// An agent through which so many requests went, one after another.
+///
+/// ```
+/// let agent = sardinewood_bench::slopes::agent_slopes::agent_that_ran(3);
+/// assert_eq!(agent.load().waiting, 0);
+/// ```
+#[must_use]
+pub fn agent_that_ran(count: usize) -> AgentState {
+    let mut agent = agent_with(1);
+    for index in 0..count {
+        run_one(&mut agent, index);
+    }
+    agent
+}
+
 pub(super) fn measure_time() -> Vec<Slope> {
     vec![request_time()]
 }
@@ -140,6 +161,9 @@
     let mut agent = AgentState::new(Incarnation(1), limits);
     agent.step(0, AgentEvent::LinkUp { link: LINK });
     agent.step(0, AgentEvent::UpstreamChanged(Some(upstream(slots))));
+    // Nothing is granted before the upstream was seen to answer.
+    let running = Vec::new();
+    agent.step(0, AgentEvent::Probed(Probe::Alive { running }));
     agent
 }
 
--- a/bench/src/slopes/entry_slopes.rs
+++ b/bench/src/slopes/entry_slopes.rs
@@ -48,14 +48,25 @@
 
 pub(super) fn measure_memory(memory: &mut Memory) {
     memory.measure("entry", "waiting request", WAITING, || {
-        let mut entry = linked_entry();
-        for index in 0..WAITING {
-            entry.handle(NOW_MS, submitted(index));
-        }
-        entry
+        waiting_entry(WAITING)
     });
 }
 
+/// An entry in which so many requests wait.
+///
+/// ```
+/// let entry = sardinewood_bench::slopes::entry_slopes::waiting_entry(3);
+/// assert_eq!(entry.counts().waiting, 3);
+/// ```
+#[must_use]
+pub fn waiting_entry(count: usize) -> EntryState {
+    let mut entry = linked_entry();
+    for index in 0..count {
+        entry.handle(NOW_MS, submitted(index));
+    }
+    entry
+}
+
 pub(super) fn measure_time() -> Vec<Slope> {
     vec![request_time(), heartbeat_time()]
 }
