--- /dev/null
+++ b/lib/src/direct.rs
@@ -0,0 +1,29 @@
+//! The entry's direct mode: requests go straight to upstreams that have no agent.
+//!
+//! The entry knows the upstreams from the platform's list, holds what waits, and keeps one
+//! request at a time on each connection. Entries tell each other by datagram what they have
+//! running and what customers have spent, so that no process in the middle is needed.
+//!
+//! [`catalog`], [`directory`], [`dispatch`], [`allotment`], [`attempt_budget`] and [`health`]
+//! decide and know no socket. [`connections`], [`exchange`], [`front`] and [`peers`] carry
+//! bytes and decide nothing.
+
+pub mod allotment;
+pub mod answer_body;
+pub mod attempt_budget;
+pub mod caller;
+pub mod catalog;
+pub mod connections;
+pub mod directory;
+pub mod dispatch;
+pub mod exchange;
+pub mod follow;
+pub mod front;
+pub mod health;
+pub mod log_budget;
+pub mod peer_message;
+pub mod peers;
+pub mod pull;
+pub mod relay;
+pub mod server;
+pub mod traffic;
--- /dev/null
+++ b/lib/src/direct/answer_body.rs
@@ -0,0 +1,64 @@
+//! The body of an answer to a caller.
+
+use std::fmt;
+use std::pin::Pin;
+use std::task::Context;
+use std::task::Poll;
+
+use bytes::Bytes;
+use futures_util::Stream;
+use hyper::body::Body;
+use hyper::body::Frame;
+use hyper::body::SizeHint;
+
+use crate::direct::relay::Broken;
+
+type Events = Pin<Box<dyn Stream<Item = Result<Bytes, Broken>>>>;
+
+/// Either whole or a stream that is still coming.
+pub enum AnswerBody {
+    /// Bytes that are all there.
+    Whole(Bytes),
+    /// Bytes that come one after another. An error closes the caller's connection without
+    /// the end of the answer, so that what was cut never looks complete.
+    Stream(Events),
+}
+
+impl fmt::Debug for AnswerBody {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Whole(bytes) => write!(f, "Whole({} bytes)", bytes.len()),
+            Self::Stream(_) => write!(f, "Stream"),
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = Broken;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Broken>>> {
+        match self.get_mut() {
+            Self::Whole(bytes) if bytes.is_empty() => Poll::Ready(None),
+            Self::Whole(bytes) => Poll::Ready(Some(Ok(Frame::data(std::mem::take(bytes))))),
+            Self::Stream(events) => events
+                .as_mut()
+                .poll_next(context)
+                .map(|chunk| chunk.map(|chunk| chunk.map(Frame::data))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(bytes) if bytes.is_empty())
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.len() as u64),
+            Self::Stream(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/lib/src/direct/caller.rs
@@ -0,0 +1,81 @@
+//! What headers say, in the product's own words, and the functions that translate them.
+
+use std::sync::Arc;
+
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+
+/// What a caller's headers say of its request.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct CallerHeaders {
+    /// Names this attempt of the caller; a retry has another name.
+    pub request_id: Option<HeaderValue>,
+    /// How long the caller will wait.
+    pub remaining_ms: Option<u64>,
+    /// The key that the caller shows.
+    pub key: Option<HeaderValue>,
+    /// Tokens of the prompt, 0 if nothing is said.
+    pub prompt_tokens: u32,
+    /// The most tokens that the answer may have, 0 if nothing is said.
+    pub max_output_tokens: u32,
+    /// Whether the two counts of tokens were given.
+    pub has_tokens: bool,
+    /// The last event that the caller has, if it goes on with a stream.
+    pub last_event_id: Option<u64>,
+}
+
+impl CallerHeaders {
+    /// What the request counts against an allotment in tokens, if that was said.
+    ///
+    /// ```
+    /// let headers = sardinewood::direct::caller::CallerHeaders::default();
+    /// assert_eq!(headers.charged_tokens(), None);
+    /// ```
+    #[must_use]
+    pub fn charged_tokens(&self) -> Option<u64> {
+        self.has_tokens
+            .then(|| u64::from(self.prompt_tokens) + u64::from(self.max_output_tokens))
+    }
+}
+
+/// What the entry itself tells an upstream with a request.
+#[derive(Clone, Debug)]
+pub struct UpstreamHeaders {
+    /// How long the upstream may work.
+    pub remaining_ms: u64,
+    /// The start of the upstream that is meant; another one must not run the request.
+    pub instance: Arc<str>,
+    /// The customer that the key belongs to.
+    pub customer: Option<Arc<str>>,
+    /// The last event that the caller has.
+    pub last_event_id: Option<u64>,
+}
+
+/// What an upstream's headers say of its answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct AnswerHeaders {
+    /// The request that it answers.
+    pub request_id: Option<HeaderValue>,
+    /// Whether the upstream vouches for the answer.
+    pub is_signed: bool,
+    /// Whether the upstream says that it has not run the request and never will.
+    pub is_not_run: bool,
+    /// How long the connection may stay idle.
+    pub keep_alive_ms: Option<u64>,
+}
+
+/// How headers are read and written. The platform brings its own; the entry knows no names.
+#[derive(Clone, Copy, Debug)]
+pub struct Dialect {
+    /// Reads a caller's request.
+    pub read_caller: fn(&HeaderMap) -> CallerHeaders,
+    /// Takes out what a caller may not set, and adds what the entry says.
+    pub write_upstream: fn(&mut HeaderMap, &UpstreamHeaders),
+    /// Reads an upstream's answer.
+    pub read_answer: fn(StatusCode, &HeaderMap) -> AnswerHeaders,
+    /// Writes when a refused caller should come back.
+    pub write_retry_after: fn(&mut HeaderMap, u64),
+    /// Names the request in an answer of our own.
+    pub write_request_id: fn(&mut HeaderMap, &HeaderValue),
+}
--- /dev/null
+++ b/lib/src/direct/dispatch.rs
@@ -0,0 +1,437 @@
+//! Who waits, who is refused, and which upstream a request goes to.
+//!
+//! An upstream gets only what it can begin at once: engines admit in order of arrival and
+//! know no importance, so what waits, waits here, where it can still be put in order.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::direct::directory::Upstream;
+use crate::direct::health::Ended;
+use crate::direct::health::Health;
+use crate::direct::health::Moving;
+
+/// Worth of a request in relation to one that is a tier less important.
+const TIER_FACTOR: f64 = 0.25;
+/// Worth of an answer that comes after its objective, in relation to one in time. The
+/// operators' sheets put it at three tenths for all kinds.
+const LATE_FACTOR: f64 = 0.3;
+/// Events that a stream is expected to have where nothing is known of it.
+const EXPECTED_EVENTS: f64 = 20.0;
+/// Expected holding of a slot before any request has ended.
+const FIRST_HOLD_MS: f64 = 300.0;
+/// Part of the time that a request has left that it may be expected to wait.
+const WAIT_PART: f64 = 0.5;
+/// Shortest time that a refused caller is asked to stay away.
+const MIN_RETRY_AFTER_MS: u64 = 100;
+/// How much slower than the best an upstream with many failures counts.
+const BAD_FACTOR: f64 = 20.0;
+/// How long the load that a peer reported is believed.
+const PEER_LOAD_MS: u64 = 1_500;
+
+/// A request as far as its order and its place depend on it.
+#[derive(Clone, Debug)]
+pub struct Job {
+    /// Names it within this entry.
+    pub id: u64,
+    /// The service that it is for.
+    pub service: Arc<str>,
+    /// Importance, 0 the highest.
+    pub tier: u8,
+    /// Size of its prompt, 0 for plain calls.
+    pub prompt_tokens: u32,
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// Until when its answer is worth most.
+    pub objective_at_ms: u64,
+    /// When its caller gets an answer in any case.
+    pub give_up_at_ms: u64,
+    /// Upstreams that have had it.
+    pub tried: Vec<Arc<str>>,
+}
+
+/// What becomes of an offered request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Offer {
+    /// It waits; [`Dispatcher::next_start`] tells when it may go.
+    Waits,
+    /// It can't be served in time.
+    Refused {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+/// A request that may go to an upstream now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Start {
+    /// The request.
+    pub id: u64,
+    /// Where it goes.
+    pub upstream: Arc<Upstream>,
+}
+
+#[derive(Clone, Debug)]
+struct Place {
+    upstream: Arc<Upstream>,
+    is_listed: bool,
+    running: u32,
+    health: Health,
+}
+
+#[derive(Clone, Debug)]
+struct PeerLoad {
+    at_ms: u64,
+    running: IndexMap<u32, u16>,
+}
+
+/// The waiting requests and the upstreams of one entry.
+///
+/// ```
+/// use sardinewood::direct::dispatch::Dispatcher;
+///
+/// let mut dispatcher = Dispatcher::default();
+/// assert_eq!(dispatcher.next_start(0), None);
+/// ```
+#[derive(Debug, Default)]
+pub struct Dispatcher {
+    places: IndexMap<Arc<str>, Place>,
+    waiting: Vec<Job>,
+    holds: IndexMap<Arc<str>, Moving>,
+    peers: IndexMap<u64, PeerLoad>,
+}
+
+/// The short name under which entries tell each other of an upstream.
+///
+/// ```
+/// use sardinewood::direct::dispatch::short_name;
+///
+/// assert_ne!(short_name("i-1"), short_name("i-2"));
+/// ```
+#[must_use]
+pub fn short_name(instance: &str) -> u32 {
+    twox_hash::XxHash32::oneshot(0, instance.as_bytes())
+}
+
+impl Dispatcher {
+    /// Takes the upstreams that may be used; what runs at others goes on.
+    ///
+    /// ```
+    /// sardinewood::direct::dispatch::Dispatcher::default().set_upstreams(&[]);
+    /// ```
+    pub fn set_upstreams(&mut self, usable: &[Arc<Upstream>]) {
+        for place in self.places.values_mut() {
+            place.is_listed = false;
+        }
+        for upstream in usable {
+            let place = self
+                .places
+                .entry(Arc::clone(&upstream.instance))
+                .or_insert_with(|| Place {
+                    upstream: Arc::clone(upstream),
+                    is_listed: true,
+                    running: 0,
+                    health: Health::default(),
+                });
+            place.upstream = Arc::clone(upstream);
+            place.is_listed = true;
+        }
+        self.places
+            .retain(|_, place| place.is_listed || place.running > 0);
+    }
+
+    /// Takes what a peer has running.
+    ///
+    /// ```
+    /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// dispatcher.set_peer_load(1, [(7, 2)], 0);
+    /// ```
+    pub fn set_peer_load(
+        &mut self,
+        peer: u64,
+        running: impl IntoIterator<Item = (u32, u16)>,
+        now_ms: u64,
+    ) {
+        let load = PeerLoad {
+            at_ms: now_ms,
+            running: running.into_iter().collect(),
+        };
+        self.peers.insert(peer, load);
+        self.peers
+            .retain(|_, load| now_ms < load.at_ms + PEER_LOAD_MS);
+    }
+
+    /// What this entry has running, by upstream.
+    ///
+    /// ```
+    /// let dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// assert_eq!(dispatcher.running().count(), 0);
+    /// ```
+    pub fn running(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
+        self.places
+            .iter()
+            .filter(|(_, place)| place.running > 0)
+            .map(|(instance, place)| (instance, place.running))
+    }
+
+    /// Whether a service has any upstream that could take a request.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().is_served("s"));
+    /// ```
+    #[must_use]
+    pub fn is_served(&self, service: &str) -> bool {
+        self.places
+            .values()
+            .any(|place| place.is_listed && &*place.upstream.service == service)
+    }
+
+    /// Whether an upstream takes new work.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().is_listed("i-1"));
+    /// ```
+    #[must_use]
+    pub fn is_listed(&self, instance: &str) -> bool {
+        self.places
+            .get(instance)
+            .is_some_and(|place| place.is_listed)
+    }
+
+    /// Requests that wait.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().waiting(), 0);
+    /// ```
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Lets a request wait for its turn, or refuses it at once if its turn would come too late.
+    ///
+    /// ```
+    /// # use sardinewood::direct::dispatch::{Dispatcher, Job, Offer};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, tried: Vec::new() };
+    /// let mut dispatcher = Dispatcher::default();
+    /// assert!(matches!(dispatcher.offer(job, 0), Offer::Refused { .. }));
+    /// ```
+    pub fn offer(&mut self, job: Job, now_ms: u64) -> Offer {
+        let wait_ms = self.expected_wait_ms(&job, now_ms);
+        let left_ms = as_ms(job.give_up_at_ms.saturating_sub(now_ms));
+        if wait_ms > left_ms * WAIT_PART {
+            return Offer::Refused {
+                retry_after_ms: self.retry_after_ms(&job.service),
+            };
+        }
+        self.waiting.push(job);
+        Offer::Waits
+    }
+
+    /// Takes a request back that waits; true if it did.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().withdraw(1));
+    /// ```
+    pub fn withdraw(&mut self, id: u64) -> bool {
+        let before = self.waiting.len();
+        self.waiting.retain(|job| job.id != id);
+        self.waiting.len() != before
+    }
+
+    /// The request that may go next, and where.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().next_start(0), None);
+    /// ```
+    pub fn next_start(&mut self, now_ms: u64) -> Option<Start> {
+        let mut order: Vec<usize> = (0..self.waiting.len()).collect();
+        order.sort_by(|left, right| {
+            let left = &self.waiting[*left];
+            let right = &self.waiting[*right];
+            worth(right, now_ms)
+                .total_cmp(&worth(left, now_ms))
+                .then(left.arrived_ms.cmp(&right.arrived_ms))
+        });
+        let mut full: Vec<&Arc<str>> = Vec::new();
+        let mut found = None;
+        for index in order {
+            let job = &self.waiting[index];
+            if job.tried.is_empty() && full.contains(&&job.service) {
+                continue;
+            }
+            if let Some(instance) = self.best_place(job, now_ms) {
+                found = Some((index, instance));
+                break;
+            }
+            full.push(&job.service);
+        }
+        let (index, instance) = found?;
+        let job = self.waiting.remove(index);
+        let place = self.places.get_mut(&instance)?;
+        place.running += 1;
+        Some(Start {
+            id: job.id,
+            upstream: Arc::clone(&place.upstream),
+        })
+    }
+
+    /// Frees the room of a request that had started.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{dispatch::Dispatcher, health::Ended};
+    /// Dispatcher::default().finished("i-1", Ended::Answered, 40, 0);
+    /// ```
+    pub fn finished(&mut self, instance: &str, ended: Ended, held_ms: u64, now_ms: u64) {
+        let Some(place) = self.places.get_mut(instance) else {
+            return;
+        };
+        place.running = place.running.saturating_sub(1);
+        place.health.ended(ended, now_ms);
+        if ended == Ended::Answered {
+            self.holds
+                .entry(Arc::clone(&place.upstream.service))
+                .or_default()
+                .observe(as_ms(held_ms));
+        }
+        if !place.is_listed && place.running == 0 {
+            self.places.shift_remove(instance);
+        }
+    }
+
+    /// What this entry has learned of an upstream, to add to it.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::dispatch::Dispatcher::default().health_mut("i").is_none());
+    /// ```
+    pub fn health_mut(&mut self, instance: &str) -> Option<&mut Health> {
+        self.places.get_mut(instance).map(|place| &mut place.health)
+    }
+
+    /// How long a refused caller stays away: until about half of what waits is through.
+    ///
+    /// ```
+    /// let dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// assert!(dispatcher.retry_after_ms("s") > 0);
+    /// ```
+    #[must_use]
+    pub fn retry_after_ms(&self, service: &str) -> u64 {
+        let queued = self.waiting_for(service) / 2;
+        let wait_ms = as_ms(queued as u64) * self.ms_per_start(service);
+        (round_ms(wait_ms)).max(MIN_RETRY_AFTER_MS)
+    }
+
+    fn waiting_for(&self, service: &str) -> usize {
+        self.waiting
+            .iter()
+            .filter(|job| &*job.service == service)
+            .count()
+    }
+
+    /// Expected time until a request that arrives now has its turn.
+    fn expected_wait_ms(&self, job: &Job, now_ms: u64) -> f64 {
+        let own = worth(job, now_ms);
+        let ahead = self
+            .waiting
+            .iter()
+            .filter(|other| other.service == job.service && worth(other, now_ms) >= own)
+            .count();
+        if ahead == 0 && self.is_served(&job.service) {
+            return 0.0;
+        }
+        as_ms(ahead as u64) * self.ms_per_start(&job.service)
+    }
+
+    /// Time in which one slot of a service becomes free for this entry, which shares them
+    /// evenly with its peers. Infinite if there is none.
+    fn ms_per_start(&self, service: &str) -> f64 {
+        let slots: u32 = self
+            .places
+            .values()
+            .filter(|place| place.is_listed && &*place.upstream.service == service)
+            .map(|place| place.upstream.slots)
+            .sum();
+        let hold_ms = self
+            .holds
+            .get(service)
+            .and_then(Moving::value)
+            .unwrap_or(FIRST_HOLD_MS);
+        let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
+        if slots == 0 {
+            return f64::INFINITY;
+        }
+        hold_ms * f64::from(entries) / f64::from(slots)
+    }
+
+    fn best_place(&self, job: &Job, now_ms: u64) -> Option<Arc<str>> {
+        let mut best: Option<(f64, &Arc<str>)> = None;
+        for (instance, place) in &self.places {
+            let fits = place.is_listed
+                && place.upstream.service == job.service
+                && !place.health.is_paused(now_ms)
+                && !job.tried.contains(instance);
+            if !fits {
+                continue;
+            }
+            let running = place.running + self.running_elsewhere(instance, now_ms);
+            if running >= place.upstream.slots {
+                continue;
+            }
+            let cost = cost_ms(place, running, job.prompt_tokens);
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, instance));
+            }
+        }
+        best.map(|(_, instance)| Arc::clone(instance))
+    }
+
+    fn running_elsewhere(&self, instance: &str, now_ms: u64) -> u32 {
+        let name = short_name(instance);
+        self.peers
+            .values()
+            .filter(|load| now_ms < load.at_ms + PEER_LOAD_MS)
+            .filter_map(|load| load.running.get(&name))
+            .map(|running| u32::from(*running))
+            .sum()
+    }
+}
+
+/// What a start of this request now is worth, in relation to others.
+///
+/// Under overload, bare order of tiers makes all of a tier late: what is late anyway would
+/// hold up what can still be in time. So a late request counts three tenths, which puts it
+/// behind its own tier's but still before the next tier's.
+fn worth(job: &Job, now_ms: u64) -> f64 {
+    let in_time = if now_ms < job.objective_at_ms {
+        1.0
+    } else {
+        LATE_FACTOR
+    };
+    TIER_FACTOR.powi(i32::from(job.tier)) * in_time
+}
+
+/// Expected time that a request spends at an upstream, more if the upstream is fuller: each
+/// running request slows the others down.
+fn cost_ms(place: &Place, running: u32, prompt_tokens: u32) -> f64 {
+    let health = &place.health;
+    let alone_ms = health.first_ms(prompt_tokens) + health.event_ms() * EXPECTED_EVENTS;
+    let fullness = f64::from(running) / f64::from(place.upstream.slots.max(1));
+    let bad = if health.is_bad() { BAD_FACTOR } else { 1.0 };
+    (alone_ms + 1.0) * (1.0 + fullness) * bad
+}
+
+#[expect(clippy::cast_precision_loss, reason = "times and counts are far below 2^52")]
+fn as_ms(number: u64) -> f64 {
+    number as f64
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a positive time; an infinite one becomes the greatest number"
+)]
+fn round_ms(time_ms: f64) -> u64 {
+    time_ms.clamp(0.0, 5_000.0) as u64
+}
--- /dev/null
+++ b/lib/src/direct/health.rs
@@ -0,0 +1,179 @@
+//! What an entry has learned of one upstream from the answers that it gave.
+
+/// Part of a new sample in an average. Some ten answers make up a new opinion, which at a few
+/// answers a second is the "within seconds" that a slow-down may go unnoticed.
+const SAMPLE_PART: f64 = 0.1;
+/// Prompts below this size say nothing about the speed of reading.
+const MIN_PROMPT_TOKENS: u32 = 256;
+/// Time for which an upstream is left alone after a first failure to connect or to answer.
+const FIRST_PAUSE_MS: u64 = 300;
+/// The longest such time. A process that starts again is back in about a second.
+const MOST_PAUSE_MS: u64 = 2_000;
+/// Failures beyond this part of recent answers make an upstream the last choice.
+const BAD_PART: f64 = 0.25;
+
+/// A moving average that begins with its first sample.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Moving {
+    value: Option<f64>,
+}
+
+impl Moving {
+    /// Takes a sample in.
+    ///
+    /// ```
+    /// let mut average = sardinewood::direct::health::Moving::default();
+    /// average.observe(4.0);
+    /// assert_eq!(average.value(), Some(4.0));
+    /// ```
+    pub fn observe(&mut self, sample: f64) {
+        self.value = Some(match self.value {
+            None => sample,
+            Some(value) => value + (sample - value) * SAMPLE_PART,
+        });
+    }
+
+    /// The average, if there was a sample.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::health::Moving::default().value(), None);
+    /// ```
+    #[must_use]
+    pub fn value(&self) -> Option<f64> {
+        self.value
+    }
+}
+
+/// How a call at an upstream ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// It answered whole, whatever the answer said.
+    Answered,
+    /// It answered with a failure of its own.
+    Failed,
+    /// It answered that it has not run the request.
+    Declined,
+    /// The connection could not be had or broke.
+    Broken,
+    /// We left, so the upstream is not to blame.
+    Left,
+}
+
+/// One upstream as this entry sees it.
+///
+/// ```
+/// use sardinewood::direct::health::{Ended, Health};
+///
+/// let mut health = Health::default();
+/// health.ended(Ended::Broken, 0);
+/// assert!(health.is_paused(100) && !health.is_paused(400));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Health {
+    prefill_ms_per_token: Moving,
+    pause_ms: Moving,
+    answer_ms: Moving,
+    failures: f64,
+    strikes: u32,
+    paused_until_ms: u64,
+}
+
+impl Health {
+    /// Notes when the first event came.
+    ///
+    /// ```
+    /// sardinewood::direct::health::Health::default().first_event(1_000, 20.0);
+    /// ```
+    pub fn first_event(&mut self, prompt_tokens: u32, after_ms: f64) {
+        if prompt_tokens >= MIN_PROMPT_TOKENS {
+            self.prefill_ms_per_token
+                .observe(after_ms / f64::from(prompt_tokens));
+        }
+    }
+
+    /// Notes the time between two events.
+    ///
+    /// ```
+    /// sardinewood::direct::health::Health::default().next_event(15.0);
+    /// ```
+    pub fn next_event(&mut self, pause_ms: f64) {
+        self.pause_ms.observe(pause_ms);
+    }
+
+    /// Notes how long a whole answer took.
+    ///
+    /// ```
+    /// sardinewood::direct::health::Health::default().answered_after(30.0);
+    /// ```
+    pub fn answered_after(&mut self, answer_ms: f64) {
+        self.answer_ms.observe(answer_ms);
+    }
+
+    /// Notes how a call ended.
+    ///
+    /// ```
+    /// # use sardinewood::direct::health::{Ended, Health};
+    /// Health::default().ended(Ended::Answered, 0);
+    /// ```
+    pub fn ended(&mut self, ended: Ended, now_ms: u64) {
+        let failed = match ended {
+            Ended::Answered => 0.0,
+            Ended::Failed | Ended::Broken => 1.0,
+            Ended::Declined | Ended::Left => return,
+        };
+        self.failures += (failed - self.failures) * SAMPLE_PART;
+        if ended == Ended::Broken {
+            let pause_ms = (FIRST_PAUSE_MS << self.strikes.min(8)).min(MOST_PAUSE_MS);
+            self.strikes += 1;
+            self.paused_until_ms = now_ms + pause_ms;
+        } else {
+            self.strikes = 0;
+        }
+    }
+
+    /// Whether the upstream is left alone for now.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::health::Health::default().is_paused(0));
+    /// ```
+    #[must_use]
+    pub fn is_paused(&self, now_ms: u64) -> bool {
+        now_ms < self.paused_until_ms
+    }
+
+    /// Whether so many answers fail that others are to be preferred.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::health::Health::default().is_bad());
+    /// ```
+    #[must_use]
+    pub fn is_bad(&self) -> bool {
+        self.failures > BAD_PART
+    }
+
+    /// Expected time to the first event of a prompt, or to a plain answer.
+    ///
+    /// An upstream that nobody has asked yet counts as fast, so that it is tried.
+    ///
+    /// ```
+    /// let mut health = sardinewood::direct::health::Health::default();
+    /// health.first_event(1_000, 20.0);
+    /// assert!((health.first_ms(500) - 10.0).abs() < 0.1);
+    /// ```
+    #[must_use]
+    pub fn first_ms(&self, prompt_tokens: u32) -> f64 {
+        let read_ms = self.prefill_ms_per_token.value().unwrap_or_default();
+        read_ms * f64::from(prompt_tokens) + self.answer_ms.value().unwrap_or_default()
+    }
+
+    /// Expected time between two events.
+    ///
+    /// ```
+    /// let health = sardinewood::direct::health::Health::default();
+    /// assert!(health.event_ms().abs() < 0.1);
+    /// ```
+    #[must_use]
+    pub fn event_ms(&self) -> f64 {
+        self.pause_ms.value().unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/lib/src/direct/peer_message.rs
@@ -0,0 +1,286 @@
+//! What entries tell each other, and what each believes of the others.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// First byte of every datagram; another form of the message gets another number.
+const FORM: u8 = 1;
+/// Longest datagram that is sent: it fits into one packet of a common network.
+const MAX_BYTES: usize = 1_400;
+/// Silence after which a peer is not heard from any more: several beats of a large fleet.
+const HEARD_WITHIN_MS: u64 = 1_000;
+/// Silence after which a peer is forgotten. Cuts heal within seconds to a minute.
+const FORGOTTEN_AFTER_MS: u64 = 60_000;
+/// Addresses of peers in one beat.
+const MAX_ADDRESSES: usize = 8;
+
+/// What an entry has spent of a customer's allotment since its start.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spent {
+    /// The customer's name.
+    pub customer: Arc<str>,
+    /// Tokens or requests.
+    pub units: u64,
+}
+
+/// How far an entry has followed the platform's store.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Revisions {
+    /// Revision of the configuration in force.
+    pub catalog: u64,
+    /// Revision of the newest change in the list of upstreams.
+    pub directory: u64,
+}
+
+/// The state of one entry, sent to all others many times a second.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// A random number of this start of the process.
+    pub incarnation: u64,
+    /// Counts the beats of this start.
+    pub sequence: u64,
+    /// Whether the process ends now.
+    pub is_last: bool,
+    /// How far it has followed the store.
+    pub revisions: Revisions,
+    /// Other entries that it hears from.
+    pub others: Vec<SocketAddr>,
+    /// Requests that it runs, by short name of the upstream.
+    pub running: Vec<(u32, u16)>,
+    /// What its customers have spent.
+    pub spent: Vec<Spent>,
+}
+
+impl Beat {
+    /// The beat as a datagram; none if it would be too long.
+    ///
+    /// ```
+    /// use sardinewood::direct::peer_message::Beat;
+    ///
+    /// let bytes = Beat::default().encode().unwrap();
+    /// assert_eq!(Beat::decode(&bytes), Some(Beat::default()));
+    /// ```
+    #[must_use]
+    pub fn encode(&self) -> Option<Vec<u8>> {
+        let bytes = postcard::to_extend(self, vec![FORM]).ok()?;
+        (bytes.len() <= MAX_BYTES).then_some(bytes)
+    }
+
+    /// Reads a datagram; none if it is not a beat.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::peer_message::Beat::decode(b"?"), None);
+    /// ```
+    #[must_use]
+    pub fn decode(bytes: &[u8]) -> Option<Self> {
+        match bytes.split_first() {
+            Some((&FORM, beat)) => postcard::from_bytes(beat).ok(),
+            _ => None,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    incarnation: u64,
+    sequence: u64,
+    heard_at_ms: u64,
+    revisions: Revisions,
+    spent: IndexMap<Arc<str>, u64>,
+}
+
+/// What a beat changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Heard {
+    /// What customers have spent there since the beat before.
+    pub newly_spent: Vec<Spent>,
+    /// Whether the peer was not known, or has started anew.
+    pub is_new: bool,
+    /// Whether the beat was old, repeated or the peer's last.
+    pub is_idle: bool,
+}
+
+/// The other entries, as far as this one has heard of them.
+///
+/// ```
+/// use sardinewood::direct::peer_message::PeerTable;
+///
+/// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &["10.0.0.2:7".parse().unwrap()]);
+/// assert_eq!(table.targets().count(), 1);
+/// assert_eq!(table.heard_and_known(0), (1, 1));
+/// ```
+#[derive(Clone, Debug)]
+pub struct PeerTable {
+    own: SocketAddr,
+    seeds: Vec<SocketAddr>,
+    peers: IndexMap<SocketAddr, Peer>,
+}
+
+impl PeerTable {
+    /// A table that knows addresses to begin with.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let _ = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// ```
+    #[must_use]
+    pub fn new(own: SocketAddr, seeds: &[SocketAddr]) -> Self {
+        Self {
+            own,
+            seeds: seeds.iter().copied().filter(|seed| *seed != own).collect(),
+            peers: IndexMap::new(),
+        }
+    }
+
+    /// Takes a beat in.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::{Beat, PeerTable};
+    /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// let heard = table.heard("10.0.0.2:7".parse().unwrap(), &Beat::default(), 5);
+    /// assert!(heard.is_new);
+    /// assert_eq!(table.heard_and_known(5), (2, 2));
+    /// ```
+    pub fn heard(&mut self, from: SocketAddr, beat: &Beat, now_ms: u64) -> Heard {
+        for other in &beat.others {
+            if *other != self.own && !self.seeds.contains(other) {
+                self.seeds.push(*other);
+            }
+        }
+        if beat.is_last {
+            self.peers.shift_remove(&from);
+            return Heard {
+                is_idle: true,
+                ..Heard::default()
+            };
+        }
+        let known = self.peers.get(&from);
+        let known = known.filter(|peer| peer.incarnation == beat.incarnation);
+        if known.is_some_and(|peer| peer.sequence >= beat.sequence) {
+            return Heard {
+                is_idle: true,
+                ..Heard::default()
+            };
+        }
+        let newly_spent = newly_spent(known, beat);
+        let heard = Heard {
+            newly_spent,
+            is_new: known.is_none(),
+            is_idle: false,
+        };
+        let peer = Peer {
+            incarnation: beat.incarnation,
+            sequence: beat.sequence,
+            heard_at_ms: now_ms,
+            revisions: beat.revisions,
+            spent: beat
+                .spent
+                .iter()
+                .map(|spent| (Arc::clone(&spent.customer), spent.units))
+                .collect(),
+        };
+        self.peers.insert(from, peer);
+        heard
+    }
+
+    /// Forgets peers that have been silent for very long.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).sweep(0);
+    /// ```
+    pub fn sweep(&mut self, now_ms: u64) {
+        self.peers
+            .retain(|_, peer| now_ms < peer.heard_at_ms + FORGOTTEN_AFTER_MS);
+    }
+
+    /// Addresses that a beat goes to.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert_eq!(table.targets().count(), 0);
+    /// ```
+    pub fn targets(&self) -> impl Iterator<Item = SocketAddr> {
+        let unheard = self
+            .seeds
+            .iter()
+            .filter(|seed| !self.peers.contains_key(*seed));
+        self.peers.keys().chain(unheard).copied()
+    }
+
+    /// Addresses to name in a beat: as many peers as fit, others each time.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert!(table.named(3).is_empty());
+    /// ```
+    #[must_use]
+    pub fn named(&self, sequence: u64) -> Vec<SocketAddr> {
+        let count = self.peers.len().max(1);
+        let first = usize::try_from(sequence).unwrap_or_default() % count;
+        self.peers
+            .keys()
+            .cycle()
+            .skip(first)
+            .take(count.min(MAX_ADDRESSES).min(self.peers.len()))
+            .copied()
+            .collect()
+    }
+
+    /// How many entries are heard from, and how many there are, this one in both.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert_eq!(table.heard_and_known(0), (1, 1));
+    /// ```
+    #[must_use]
+    pub fn heard_and_known(&self, now_ms: u64) -> (usize, usize) {
+        let heard = self
+            .peers
+            .values()
+            .filter(|peer| now_ms < peer.heard_at_ms + HEARD_WITHIN_MS)
+            .count();
+        (heard + 1, self.peers.len() + 1)
+    }
+
+    /// A peer that is heard from and has followed the store further than this entry.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::{PeerTable, Revisions};
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert_eq!(table.ahead_of(Revisions::default(), 0), None);
+    /// ```
+    #[must_use]
+    pub fn ahead_of(&self, own: Revisions, now_ms: u64) -> Option<SocketAddr> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| now_ms < peer.heard_at_ms + HEARD_WITHIN_MS)
+            .find(|(_, peer)| {
+                peer.revisions.catalog > own.catalog || peer.revisions.directory > own.directory
+            })
+            .map(|(address, _)| *address)
+    }
+}
+
+fn newly_spent(known: Option<&Peer>, beat: &Beat) -> Vec<Spent> {
+    beat.spent
+        .iter()
+        .map(|spent| {
+            let before = known.and_then(|peer| peer.spent.get(&spent.customer));
+            Spent {
+                customer: Arc::clone(&spent.customer),
+                units: spent
+                    .units
+                    .saturating_sub(before.copied().unwrap_or_default()),
+            }
+        })
+        .filter(|spent| spent.units > 0)
+        .collect()
+}
--- /dev/null
+++ b/lib/src/direct/pull.rs
@@ -0,0 +1,175 @@
+//! One entry asks another for what the store did not give it.
+
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_util::SinkExt;
+use futures_util::StreamExt;
+use serde::Deserialize;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+use tokio::time::sleep;
+use tokio::time::timeout;
+use tokio_util::codec::Framed;
+use tokio_util::codec::LengthDelimitedCodec;
+
+use crate::direct::follow::Follower;
+use crate::direct::peer_message::Revisions;
+use crate::logging::Level;
+use crate::logging::Line;
+use crate::store::ObjectList;
+use crate::store::StoredObject;
+
+/// Longest time for a copy, which is at most some hundred kilobytes over a local network.
+const PULL_TIMEOUT: Duration = Duration::from_millis(800);
+/// Longest copy that is taken: twice the largest object of the store, and the upstreams.
+const MAX_COPY_BYTES: usize = 4 << 20;
+/// Pause after a connection could not be accepted, for example for want of descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What one entry gives another.
+#[derive(Clone, Debug, Default)]
+pub struct Copies {
+    /// The configuration, if it is newer.
+    pub catalog: Option<StoredObject>,
+    /// The upstreams, if their list is newer.
+    pub upstreams: Option<ObjectList>,
+}
+
+/// The same as sent: values are JSON text, since their form is not known here.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct SentCopies {
+    catalog: Option<SentObject>,
+    upstreams: Option<SentList>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct SentList {
+    revision: u64,
+    objects: Vec<SentObject>,
+}
+
+#[derive(Debug, Serialize, Deserialize)]
+struct SentObject {
+    kind: String,
+    name: String,
+    version: u64,
+    json: String,
+}
+
+impl From<&StoredObject> for SentObject {
+    fn from(object: &StoredObject) -> Self {
+        Self {
+            kind: object.kind.to_string(),
+            name: object.name.to_string(),
+            version: object.version,
+            json: object.value.to_string(),
+        }
+    }
+}
+
+impl TryFrom<SentObject> for StoredObject {
+    type Error = io::Error;
+
+    fn try_from(sent: SentObject) -> io::Result<Self> {
+        Ok(Self {
+            kind: sent.kind.into(),
+            name: sent.name.into(),
+            version: sent.version,
+            value: serde_json::from_str(&sent.json).map_err(io::Error::other)?,
+        })
+    }
+}
+
+type Channel = Framed<TcpStream, LengthDelimitedCodec>;
+
+fn channel(stream: TcpStream) -> Channel {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_COPY_BYTES)
+        .new_framed(stream)
+}
+
+async fn send(channel: &mut Channel, message: &impl Serialize) -> io::Result<()> {
+    let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
+    channel.send(Bytes::from(bytes)).await
+}
+
+async fn receive<T: DeserializeOwned>(channel: &mut Channel) -> io::Result<T> {
+    let frame = channel
+        .next()
+        .await
+        .ok_or(io::ErrorKind::UnexpectedEof)??;
+    postcard::from_bytes(&frame).map_err(io::Error::other)
+}
+
+/// Asks a peer for what it has beyond `own`.
+///
+/// # Errors
+///
+/// When the peer does not answer in time, or not as expected.
+pub async fn pull(peer: SocketAddr, own: Revisions) -> io::Result<Copies> {
+    let ask = async {
+        let mut channel = channel(TcpStream::connect(peer).await?);
+        send(&mut channel, &own).await?;
+        receive::<SentCopies>(&mut channel).await
+    };
+    let sent = timeout(PULL_TIMEOUT, ask).await??;
+    let upstreams = match sent.upstreams {
+        None => None,
+        Some(list) => Some(ObjectList {
+            revision: list.revision,
+            objects: list
+                .objects
+                .into_iter()
+                .map(StoredObject::try_from)
+                .collect::<io::Result<_>>()?,
+        }),
+    };
+    Ok(Copies {
+        catalog: sent.catalog.map(StoredObject::try_from).transpose()?,
+        upstreams,
+    })
+}
+
+/// Gives peers copies until the process ends.
+pub async fn serve(listener: TcpListener, follower: Follower) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let follower = follower.clone();
+                tokio::task::spawn_local(async move {
+                    if let Ok(Err(error)) = timeout(PULL_TIMEOUT, give(stream, follower)).await {
+                        Line::new(Level::Warn, "copy could not be given")
+                            .field("peer", peer)
+                            .field("error", error.to_string())
+                            .send();
+                    }
+                });
+            }
+            Err(error) => {
+                Line::new(Level::Warn, "peers can't be accepted")
+                    .field("error", error.to_string())
+                    .send();
+                sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn give(stream: TcpStream, follower: Follower) -> io::Result<()> {
+    let mut channel = channel(stream);
+    let theirs: Revisions = receive(&mut channel).await?;
+    let copies = follower.copies_after(theirs);
+    let sent = SentCopies {
+        catalog: copies.catalog.as_ref().map(SentObject::from),
+        upstreams: copies.upstreams.map(|list| SentList {
+            revision: list.revision,
+            objects: list.objects.iter().map(SentObject::from).collect(),
+        }),
+    };
+    send(&mut channel, &sent).await
+}
--- /dev/null
+++ b/lib/src/direct/relay.rs
@@ -0,0 +1,275 @@
+//! A stream of events on its way from upstream to caller, through a change of upstream.
+//!
+//! Only whole events are passed on. If the upstream breaks off, the stream may go on at
+//! another one after the last whole event, so a caller never sees a part twice or half.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::direct::connections::Connection;
+use crate::direct::exchange::Answer;
+use crate::direct::exchange::Attempt;
+use crate::direct::exchange::Call;
+use crate::direct::exchange::keep;
+use crate::direct::exchange::may_try_another;
+use crate::direct::exchange::send;
+use crate::direct::health::Ended;
+use crate::direct::traffic::Lease;
+use crate::direct::traffic::Traffic;
+use crate::direct::traffic::Turn;
+use crate::event_scan::EventScan;
+use crate::logging::Level;
+
+/// Silence of an upstream after which its stream goes on elsewhere, where it may. Callers
+/// give up after two seconds, and the new upstream has to read the prompt first.
+const SILENCE: Duration = Duration::from_millis(1_200);
+
+/// Why a stream ended before its end.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+pub enum Broken {
+    /// The upstream broke off and nobody else may go on.
+    #[error("the upstream broke off")]
+    Upstream,
+    /// The time of the request is up.
+    #[error("the time of the request is up")]
+    TimeUp,
+}
+
+/// A stream that is being passed on.
+#[derive(Debug)]
+pub struct Relay {
+    traffic: Rc<Traffic>,
+    call: Call,
+    parts: http::response::Parts,
+    source: Option<Source>,
+    scan: EventScan,
+    partial: BytesMut,
+    last_event: Option<Instant>,
+    is_done: bool,
+}
+
+/// Where the stream comes from at present.
+#[derive(Debug)]
+struct Source {
+    body: Incoming,
+    connection: Connection,
+    lease: Lease,
+    keep_alive_ms: Option<u64>,
+}
+
+/// What came next from the upstream.
+enum Came {
+    Bytes(Bytes),
+    End,
+    Broke(&'static str),
+    TimeUp,
+}
+
+impl Relay {
+    /// Begins with an upstream's answer.
+    #[must_use]
+    pub fn new(traffic: &Rc<Traffic>, call: Call, answer: Answer) -> Self {
+        Self {
+            traffic: Rc::clone(traffic),
+            call,
+            parts: answer.parts.clone(),
+            source: Some(Source::from(answer)),
+            scan: EventScan::default(),
+            partial: BytesMut::new(),
+            last_event: None,
+            is_done: false,
+        }
+    }
+
+    /// Status and headers of the answer: those of the first upstream.
+    #[must_use]
+    pub fn head(&self) -> http::response::Parts {
+        self.parts.clone()
+    }
+
+    /// The next whole events, or how the stream ended.
+    pub async fn next(&mut self) -> Option<Result<Bytes, Broken>> {
+        loop {
+            if self.is_done {
+                return None;
+            }
+            match self.receive().await {
+                Came::Bytes(bytes) => {
+                    if let Some(events) = self.whole_events(&bytes) {
+                        return Some(Ok(events));
+                    }
+                }
+                Came::End if self.partial.is_empty() => {
+                    self.end_whole();
+                    return None;
+                }
+                Came::End => {
+                    if let Some(broken) = self.go_on("stream ended within an event").await {
+                        return Some(Err(broken));
+                    }
+                }
+                Came::Broke(why) => {
+                    if let Some(broken) = self.go_on(why).await {
+                        return Some(Err(broken));
+                    }
+                }
+                Came::TimeUp => {
+                    self.is_done = true;
+                    self.log_cut("time is up within a stream");
+                    return Some(Err(Broken::TimeUp));
+                }
+            }
+        }
+    }
+
+    async fn receive(&mut self) -> Came {
+        let Some(source) = self.source.as_mut() else {
+            return Came::Broke("no upstream");
+        };
+        let give_up = self.traffic.instant_at(self.call.give_up_at_ms);
+        let silent = Instant::now() + SILENCE;
+        let may_move = self.call.route.repeat.is_idempotent() && self.last_event.is_some();
+        let until = if may_move { silent.min(give_up) } else { give_up };
+        match timeout_at(until, source.body.frame()).await {
+            Ok(Some(Ok(frame))) => Came::Bytes(frame.into_data().unwrap_or_default()),
+            Ok(Some(Err(_))) => Came::Broke("upstream broke off a stream"),
+            Ok(None) => Came::End,
+            Err(_) if Instant::now() >= give_up => Came::TimeUp,
+            Err(_) => Came::Broke("upstream fell silent within a stream"),
+        }
+    }
+
+    /// Takes bytes in; the events that are whole now.
+    fn whole_events(&mut self, bytes: &Bytes) -> Option<Bytes> {
+        let scanned = self.scan.scan(bytes);
+        if scanned.whole_bytes == 0 {
+            self.partial.extend_from_slice(bytes);
+            return None;
+        }
+        self.learn(scanned.events);
+        let whole = if self.partial.is_empty() {
+            bytes.slice(..scanned.whole_bytes)
+        } else {
+            self.partial.extend_from_slice(&bytes[..scanned.whole_bytes]);
+            self.partial.split().freeze()
+        };
+        self.partial.extend_from_slice(&bytes[scanned.whole_bytes..]);
+        Some(whole)
+    }
+
+    fn learn(&mut self, events: u32) {
+        let Some(source) = &self.source else {
+            return;
+        };
+        let now = Instant::now();
+        let prompt_tokens = self.call.prompt_tokens;
+        match self.last_event.replace(now) {
+            None => {
+                let since = self.traffic.instant_at(source.lease.since_ms());
+                let after_ms = as_ms(now - since);
+                source
+                    .lease
+                    .learn(|health| health.first_event(prompt_tokens, after_ms));
+            }
+            Some(last) => {
+                let pause_ms = as_ms(now - last) / f64::from(events.max(1));
+                source.lease.learn(|health| health.next_event(pause_ms));
+            }
+        }
+    }
+
+    fn end_whole(&mut self) {
+        self.is_done = true;
+        let Some(mut source) = self.source.take() else {
+            return;
+        };
+        source.lease.ended = Ended::Answered;
+        keep(
+            &self.traffic,
+            &source.lease,
+            source.connection,
+            source.keep_alive_ms,
+        );
+        self.traffic.count(|counts| counts.answered += 1);
+        self.traffic.log(Level::Info, "streamed", |line| {
+            line.field("request", self.call.name())
+                .field("upstream", &source.lease.upstream.instance)
+                .field("held_ms", self.traffic.now_ms() - source.lease.since_ms())
+                .field("last_event", self.scan.last_id())
+        });
+    }
+
+    /// Goes on at another upstream, if that is allowed; otherwise how the stream ended.
+    async fn go_on(&mut self, why: &'static str) -> Option<Broken> {
+        let instance = self.close_source();
+        self.traffic.log(Level::Warn, why, |line| {
+            line.field("request", self.call.name())
+                .field("upstream", &instance)
+                .field("last_event", self.scan.last_id())
+        });
+        self.partial.clear();
+        self.scan.drop_partial();
+        while self.call.route.repeat.is_idempotent() && may_try_another(&self.traffic, &self.call) {
+            if self.resume().await {
+                self.traffic.count(|counts| counts.resumed += 1);
+                return None;
+            }
+        }
+        self.is_done = true;
+        self.log_cut("stream was cut short");
+        Some(Broken::Upstream)
+    }
+
+    /// Asks another upstream to go on; true if it does.
+    async fn resume(&mut self) -> bool {
+        let Turn::Start(lease) = self.traffic.turn(self.call.job()).await else {
+            return false;
+        };
+        let last_event_id = self.scan.last_id().or(self.call.last_event_id);
+        match send(&self.traffic, &mut self.call, lease, last_event_id).await {
+            Attempt::Answer(answer) if answer.parts.status == self.parts.status => {
+                self.source = Some(Source::from(*answer));
+                true
+            }
+            _ => false,
+        }
+    }
+
+    /// Closes the connection to the upstream, so that it stops its work.
+    fn close_source(&mut self) -> Option<Arc<str>> {
+        let mut source = self.source.take()?;
+        source.lease.ended = Ended::Broken;
+        Some(Arc::clone(&source.lease.upstream.instance))
+    }
+
+    fn log_cut(&self, message: &'static str) {
+        self.traffic.count(|counts| counts.cut += 1);
+        self.traffic.log(Level::Warn, message, |line| {
+            line.field("request", self.call.name())
+                .field("last_event", self.scan.last_id())
+        });
+    }
+}
+
+impl From<Answer> for Source {
+    fn from(answer: Answer) -> Self {
+        Self {
+            body: answer.body,
+            connection: answer.connection,
+            lease: answer.lease,
+            keep_alive_ms: answer.headers.keep_alive_ms,
+        }
+    }
+}
+
+fn as_ms(time: Duration) -> f64 {
+    time.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/lib/src/direct/server.rs
@@ -0,0 +1,203 @@
+//! Puts the parts of an entry in direct mode together: one control and one traffic thread.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::thread;
+use std::time::Duration;
+
+use eyre::Context;
+use tokio::net::TcpListener;
+use tokio::runtime;
+use tokio::runtime::Runtime;
+use tokio::sync::watch;
+use tokio::task::LocalSet;
+use tokio::task::spawn_local;
+use tokio::time::Instant;
+use tokio::time::sleep;
+
+use crate::direct::attempt_budget::AttemptLimits;
+use crate::direct::caller::Dialect;
+use crate::direct::follow::Decoders;
+use crate::direct::follow::Follower;
+use crate::direct::follow::ObjectSource;
+use crate::direct::follow::View;
+use crate::direct::front;
+use crate::direct::peer_message::Revisions;
+use crate::direct::peers::Peers;
+use crate::direct::pull;
+use crate::direct::traffic::Traffic;
+use crate::logging::Level;
+use crate::logging::Line;
+use crate::stop_signal::StopSignal;
+
+/// How long new connections are still taken after the signal to stop. The balancer asks once
+/// a second and needs two misses; a third is for its way.
+const LINGER: Duration = Duration::from_millis(3_200);
+/// Kept back from the time that the platform allows for stopping.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// How often it is looked whether all requests have ended.
+const STOP_POLL: Duration = Duration::from_millis(50);
+/// How often idle connections to upstreams are looked after.
+const SWEEP_PERIOD: Duration = Duration::from_millis(1_000);
+
+/// Everything that an entry in direct mode is told at its start.
+#[derive(Clone, Debug)]
+pub struct DirectSettings {
+    /// Where callers connect.
+    pub callers: SocketAddr,
+    /// Where readiness and counters are asked.
+    pub readiness: SocketAddr,
+    /// Where other entries reach this one, by datagram and connection.
+    pub peers: SocketAddr,
+    /// Some other entries.
+    pub seeds: Vec<SocketAddr>,
+    /// Second attempts that all entries together may make.
+    pub attempts: AttemptLimits,
+    /// Time between the signal to stop and the end by force.
+    pub stop_within: Duration,
+}
+
+/// What differs between platforms.
+#[derive(Clone, Copy, Debug)]
+pub struct Adapter {
+    /// How headers are read and written.
+    pub dialect: Dialect,
+    /// How stored objects are read.
+    pub decoders: Decoders,
+}
+
+fn current_thread() -> io::Result<Runtime> {
+    runtime::Builder::new_current_thread().enable_all().build()
+}
+
+/// Serves callers until a signal asks the process to end.
+///
+/// # Errors
+///
+/// When an address can't be had or a thread can't be started.
+pub fn run<S>(settings: DirectSettings, adapter: Adapter, source: S) -> eyre::Result<()>
+where
+    S: ObjectSource + Send + 'static,
+{
+    let (view_sender, view) = watch::channel(View::default());
+    let (ahead_sender, ahead) = watch::channel(None);
+    let control = current_thread().wrap_err("can't start the control thread's runtime")?;
+    let peers = settings.peers;
+    thread::Builder::new()
+        .name("control".to_owned())
+        .spawn(move || {
+            let follower = || Follower::new(adapter.decoders, view_sender);
+            LocalSet::new().block_on(&control, follow(follower(), source, peers, ahead));
+        })
+        .wrap_err("can't start the control thread")?;
+    let traffic = current_thread().wrap_err("can't start the traffic thread's runtime")?;
+    LocalSet::new().block_on(&traffic, serve(settings, adapter, view, ahead_sender))
+}
+
+async fn follow<S: ObjectSource>(
+    follower: Follower,
+    source: S,
+    peers: SocketAddr,
+    ahead: watch::Receiver<Option<SocketAddr>>,
+) {
+    match TcpListener::bind(peers).await {
+        Ok(listener) => {
+            spawn_local(pull::serve(listener, follower.clone()));
+        }
+        Err(error) => Line::new(Level::Error, "peers can't be served")
+            .field("address", peers)
+            .field("error", error.to_string())
+            .send(),
+    }
+    tokio::join!(
+        follower.follow_catalog(&source),
+        follower.follow_upstreams(&source),
+        follower.follow_peers(ahead),
+        follower.sweep(),
+    );
+}
+
+async fn serve(
+    settings: DirectSettings,
+    adapter: Adapter,
+    view: watch::Receiver<View>,
+    ahead: watch::Sender<Option<SocketAddr>>,
+) -> eyre::Result<()> {
+    let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
+    let traffic = Traffic::new(adapter.dialect, settings.attempts);
+    let (own_sender, own) = watch::channel(Revisions::default());
+    let callers = listen(settings.callers, "callers").await?;
+    let readiness = listen(settings.readiness, "readiness").await?;
+    let peers = Peers::open(settings.peers, &settings.seeds, &traffic, own, ahead)
+        .await
+        .wrap_err_with(|| format!("can't hear peers on {}", settings.peers))?;
+    spawn_local(front::serve_callers(callers, Rc::clone(&traffic)));
+    spawn_local(front::serve_readiness(readiness, Rc::clone(&traffic)));
+    spawn_local(peers.run());
+    spawn_local(take_views(view, own_sender, Rc::clone(&traffic)));
+    spawn_local(sweep_connections(Rc::clone(&traffic)));
+    Line::new(Level::Info, "started")
+        .field("address", settings.callers)
+        .send();
+    stop.wait().await;
+    shut_down(&traffic, settings.stop_within).await;
+    Ok(())
+}
+
+async fn listen(address: SocketAddr, whom: &str) -> eyre::Result<TcpListener> {
+    TcpListener::bind(address)
+        .await
+        .wrap_err_with(|| format!("can't serve {whom} on {address}"))
+}
+
+/// Brings each new view into force.
+async fn take_views(
+    mut view: watch::Receiver<View>,
+    own: watch::Sender<Revisions>,
+    traffic: Rc<Traffic>,
+) {
+    while view.changed().await.is_ok() {
+        let view = view.borrow_and_update().clone();
+        *traffic.catalog.borrow_mut() = view.catalog;
+        traffic
+            .dispatcher
+            .borrow_mut()
+            .set_upstreams(&view.upstreams);
+        own.send_replace(view.revisions);
+        traffic.start_waiting();
+    }
+    Line::new(Level::Error, "the control thread has ended").send();
+}
+
+async fn sweep_connections(traffic: Rc<Traffic>) {
+    loop {
+        sleep(SWEEP_PERIOD).await;
+        let dispatcher = traffic.dispatcher.borrow();
+        traffic
+            .connections
+            .sweep(|instance| dispatcher.is_listed(instance));
+    }
+}
+
+/// Lets the balancer look elsewhere, serves what is open, and returns.
+async fn shut_down(traffic: &Traffic, within: Duration) {
+    let began = Instant::now();
+    traffic.is_stopping.set(true);
+    Line::new(Level::Info, "stopping")
+        .field("open_requests", traffic.open_requests.get())
+        .send();
+    let last = within.saturating_sub(STOP_MARGIN);
+    loop {
+        sleep(STOP_POLL).await;
+        let passed = began.elapsed();
+        let is_done = passed >= LINGER && traffic.open_requests.get() == 0;
+        if is_done || passed >= last {
+            break;
+        }
+    }
+    Line::new(Level::Info, "ended")
+        .field("open_requests", traffic.open_requests.get())
+        .field("after_ms", began.elapsed().as_millis())
+        .send();
+}
--- /dev/null
+++ b/lib/src/direct/traffic.rs
@@ -0,0 +1,255 @@
+//! What all requests of an entry share: the dispatcher, the budgets, the connections.
+//!
+//! It lives on the one traffic thread, so nothing here is locked.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+use tokio::time::Instant;
+
+use crate::direct::allotment::Allotments;
+use crate::direct::attempt_budget::AttemptBudget;
+use crate::direct::attempt_budget::AttemptLimits;
+use crate::direct::caller::Dialect;
+use crate::direct::catalog::Catalog;
+use crate::direct::connections::Connections;
+use crate::direct::directory::Upstream;
+use crate::direct::dispatch::Dispatcher;
+use crate::direct::dispatch::Job;
+use crate::direct::dispatch::Offer;
+use crate::direct::health::Ended;
+use crate::direct::health::Health;
+use crate::direct::log_budget::LogBudget;
+use crate::logging::Level;
+use crate::logging::Line;
+
+/// Counts since the start of the process, for the metrics page.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Counts {
+    /// Requests that were read.
+    pub requests: u64,
+    /// Requests answered by an upstream.
+    pub answered: u64,
+    /// Requests refused as not run.
+    pub refused: u64,
+    /// Requests whose outcome is unknown.
+    pub unknown: u64,
+    /// Requests sent to a second upstream.
+    pub second_attempts: u64,
+    /// Streams that went on at a second upstream.
+    pub resumed: u64,
+    /// Streams that were cut short.
+    pub cut: u64,
+    /// Callers that left before their answer.
+    pub left: u64,
+}
+
+/// The state of the traffic thread.
+#[derive(Debug)]
+pub struct Traffic {
+    /// How headers are read and written.
+    pub dialect: Dialect,
+    /// Connections to upstreams.
+    pub connections: Rc<Connections>,
+    /// Order and places of requests.
+    pub dispatcher: RefCell<Dispatcher>,
+    /// What customers may spend.
+    pub allotments: RefCell<Allotments>,
+    /// Second attempts that are left.
+    pub budget: RefCell<AttemptBudget>,
+    /// The configuration in force.
+    pub catalog: RefCell<Option<Arc<Catalog>>>,
+    /// Whether the process was asked to end.
+    pub is_stopping: Cell<bool>,
+    /// Requests that have no answer yet.
+    pub open_requests: Cell<usize>,
+    /// Counters.
+    pub counts: Cell<Counts>,
+    starts: RefCell<IndexMap<u64, oneshot::Sender<Lease>>>,
+    log: RefCell<LogBudget>,
+    next_id: Cell<u64>,
+    began: Instant,
+}
+
+/// A request's room at an upstream; dropping it gives the room back.
+#[derive(Debug)]
+pub struct Lease {
+    traffic: Rc<Traffic>,
+    /// Where the room is.
+    pub upstream: Arc<Upstream>,
+    /// How the call ended, as far as it has.
+    pub ended: Ended,
+    since_ms: u64,
+}
+
+impl Lease {
+    /// Adds to what is known of the upstream.
+    pub fn learn(&self, learn: impl FnOnce(&mut Health)) {
+        let mut dispatcher = self.traffic.dispatcher.borrow_mut();
+        if let Some(health) = dispatcher.health_mut(&self.upstream.instance) {
+            learn(health);
+        }
+    }
+
+    /// When the room was taken.
+    #[must_use]
+    pub fn since_ms(&self) -> u64 {
+        self.since_ms
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        let now_ms = self.traffic.now_ms();
+        let held_ms = now_ms - self.since_ms;
+        self.traffic.dispatcher.borrow_mut().finished(
+            &self.upstream.instance,
+            self.ended,
+            held_ms,
+            now_ms,
+        );
+        self.traffic.start_waiting();
+    }
+}
+
+/// Takes a request out of the queue if it is dropped while waiting.
+struct Waiting {
+    traffic: Rc<Traffic>,
+    id: u64,
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.traffic.dispatcher.borrow_mut().withdraw(self.id);
+        self.traffic.starts.borrow_mut().swap_remove(&self.id);
+    }
+}
+
+/// How waiting for room ended.
+#[derive(Debug)]
+pub enum Turn {
+    /// There is room.
+    Start(Lease),
+    /// There will be none in time.
+    Refused {
+        /// When to come back.
+        retry_after_ms: u64,
+    },
+}
+
+impl Traffic {
+    /// The state of an entry that has neither configuration nor upstreams yet.
+    #[must_use]
+    pub fn new(dialect: Dialect, limits: AttemptLimits) -> Rc<Self> {
+        Rc::new(Self {
+            dialect,
+            connections: Rc::default(),
+            dispatcher: RefCell::default(),
+            allotments: RefCell::default(),
+            budget: RefCell::new(AttemptBudget::new(limits)),
+            catalog: RefCell::default(),
+            is_stopping: Cell::new(false),
+            open_requests: Cell::new(0),
+            counts: Cell::default(),
+            starts: RefCell::default(),
+            log: RefCell::default(),
+            next_id: Cell::new(1),
+            began: Instant::now(),
+        })
+    }
+
+    /// Time since the start of the process.
+    #[must_use]
+    pub fn now_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// The moment that is so long after the start of the process.
+    #[must_use]
+    pub fn instant_at(&self, at_ms: u64) -> Instant {
+        self.began + std::time::Duration::from_millis(at_ms)
+    }
+
+    /// A number that no other request of this process has.
+    #[must_use]
+    pub fn next_id(&self) -> u64 {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        id
+    }
+
+    /// Changes the counters.
+    pub fn count(&self, change: impl FnOnce(&mut Counts)) {
+        let mut counts = self.counts.get();
+        change(&mut counts);
+        self.counts.set(counts);
+    }
+
+    /// Writes a line if its kind is within its budget.
+    pub fn log(&self, level: Level, message: &'static str, fill: impl FnOnce(Line) -> Line) {
+        let left_out = self.log.borrow_mut().take(message, self.now_ms());
+        match left_out {
+            None => {}
+            Some(0) => fill(Line::new(level, message)).send(),
+            Some(lines) => fill(Line::new(level, message))
+                .field("left_out_lines", lines)
+                .send(),
+        }
+    }
+
+    /// Whether requests can be served.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        !self.is_stopping.get() && self.catalog.borrow().is_some()
+    }
+
+    /// Waits for room at an upstream until the request's time is up.
+    pub async fn turn(self: &Rc<Self>, job: Job) -> Turn {
+        let id = job.id;
+        let service = Arc::clone(&job.service);
+        let until = self.instant_at(job.give_up_at_ms);
+        let (sender, receiver) = oneshot::channel();
+        let offer = self.dispatcher.borrow_mut().offer(job, self.now_ms());
+        if let Offer::Refused { retry_after_ms } = offer {
+            return Turn::Refused { retry_after_ms };
+        }
+        self.starts.borrow_mut().insert(id, sender);
+        let _waiting = Waiting {
+            traffic: Rc::clone(self),
+            id,
+        };
+        self.start_waiting();
+        match tokio::time::timeout_at(until, receiver).await {
+            Ok(Ok(lease)) => Turn::Start(lease),
+            Ok(Err(_)) | Err(_) => Turn::Refused {
+                retry_after_ms: self.dispatcher.borrow().retry_after_ms(&service),
+            },
+        }
+    }
+
+    /// Starts whatever waits and has room now.
+    pub fn start_waiting(self: &Rc<Self>) {
+        loop {
+            let now_ms = self.now_ms();
+            let start = self.dispatcher.borrow_mut().next_start(now_ms);
+            let Some(start) = start else {
+                return;
+            };
+            let lease = Lease {
+                traffic: Rc::clone(self),
+                upstream: start.upstream,
+                ended: Ended::Left,
+                since_ms: now_ms,
+            };
+            let sender = self.starts.borrow_mut().swap_remove(&start.id);
+            // A request that no longer waits gives its lease back here, by dropping it.
+            if let Some(sender) = sender {
+                let _ = sender.send(lease);
+            }
+        }
+    }
+}
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -45,6 +45,7 @@
 pub mod config_state;
 mod config_version;
 pub mod config_watch;
+pub mod direct;
 pub mod engine;
 pub mod entry_control;
 pub mod entry_events;
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -309,8 +309,25 @@
 ///
 /// When the library refuses to build the logger.
 pub fn install(level: &str, identity: &[(&str, &str)]) -> spdlog::Result<()> {
+    install_on(StdStream::Stderr, level, identity)
+}
+
+/// Sends the lines of this process to standard output, otherwise as [`install`] does.
+///
+/// ```
+/// sardinewood::logging::install_on_stdout("error", &[("program", "example")]).unwrap();
+/// ```
+///
+/// # Errors
+///
+/// When the library refuses to build the logger.
+pub fn install_on_stdout(level: &str, identity: &[(&str, &str)]) -> spdlog::Result<()> {
+    install_on(StdStream::Stdout, level, identity)
+}
+
+fn install_on(to: StdStream, level: &str, identity: &[(&str, &str)]) -> spdlog::Result<()> {
     let stream = StdStreamSink::builder()
-        .std_stream(StdStream::Stderr)
+        .std_stream(to)
         .formatter(Box::new(LineFormatter::new(identity)))
         .build()?;
     let pool = ThreadPool::builder().capacity(QUEUE_LINES).build()?;
