--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -47,6 +47,8 @@
 const DEFAULT_REMAINING_MS: u64 = 30_000;
 /// Pause asked of callers while there is no configuration yet; it usually comes within this.
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 300;
+/// Pause asked of callers of a process that is about to end: another one can take them now.
+const CLOSING_RETRY_AFTER_MS: u64 = 10;
 /// Time kept back from the caller's so that our answer reaches it before it leaves.
 const ANSWER_MARGIN_MS: u64 = 20;
 
@@ -253,6 +255,10 @@
 ) -> Result<Call, Refusal> {
     let arrived_ms = traffic.now_ms();
     let id = headers.request_id.as_ref();
+    if traffic.is_closing.get() {
+        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "about to end", id);
+        return Err(refusal.after(CLOSING_RETRY_AFTER_MS));
+    }
     let catalog = traffic.catalog.borrow().clone();
     let Some(catalog) = catalog else {
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", id);
--- a/lib/src/direct/front.rs
+++ b/lib/src/direct/front.rs
@@ -83,11 +83,12 @@
         tokio::select! {
             // How it ended shows in the request that was being answered.
             _ = connection.as_mut() => return,
+            () = traffic.closing.notified() => {}
             () = sleep(Duration::from_millis(idle_ms)) => {}
         }
         let is_idle = used.open_requests.get() == 0
             && traffic.now_ms() >= used.last_ms.get() + idle_timeout_ms(&traffic);
-        if is_idle {
+        if is_idle || traffic.is_closing.get() {
             connection.as_mut().graceful_shutdown();
         }
     }
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -31,9 +31,13 @@
 use crate::logging::Line;
 use crate::stop_signal::StopSignal;
 
-/// How long new connections are still taken after the signal to stop. The balancer asks once
-/// a second and needs two misses; a third is for its way.
-const LINGER: Duration = Duration::from_millis(3_200);
+/// How long requests are still taken after the signal to stop. The balancer asks once a
+/// second and sends nobody after two misses. Callers with an open connection would go on
+/// using it until the end, and a long answer that began late would be cut; so what is idle
+/// then is closed, and whoever comes after is told that its request has not run.
+const LINGER: Duration = Duration::from_millis(2_400);
+/// How long callers that are told so may still come.
+const FAREWELL: Duration = Duration::from_millis(500);
 /// Kept back from the time that the platform allows for stopping.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// How often it is looked whether all requests have ended.
@@ -191,7 +195,10 @@
     loop {
         sleep(STOP_POLL).await;
         let passed = began.elapsed();
-        let is_done = passed >= LINGER && traffic.open_requests.get() == 0;
+        if passed >= LINGER && !traffic.is_closing.get() {
+            traffic.close();
+        }
+        let is_done = passed >= LINGER + FAREWELL && traffic.open_requests.get() == 0;
         if is_done || passed >= last {
             break;
         }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
 
@@ -65,6 +66,10 @@
     pub catalog: RefCell<Option<Arc<Catalog>>>,
     /// Whether the process was asked to end.
     pub is_stopping: Cell<bool>,
+    /// Whether it takes no more requests, since it may not live to finish them.
+    pub is_closing: Cell<bool>,
+    /// Told when [`Self::is_closing`] begins.
+    pub closing: Notify,
     /// Requests that have no answer yet.
     pub open_requests: Cell<usize>,
     /// Counters.
@@ -153,6 +158,8 @@
             budget: RefCell::new(AttemptBudget::new(limits)),
             catalog: RefCell::default(),
             is_stopping: Cell::new(false),
+            is_closing: Cell::new(false),
+            closing: Notify::new(),
             open_requests: Cell::new(0),
             counts: Cell::default(),
             starts: RefCell::default(),
@@ -207,6 +214,12 @@
         !self.is_stopping.get() && self.catalog.borrow().is_some()
     }
 
+    /// Takes no more requests from now on, and closes callers' idle connections.
+    pub fn close(&self) {
+        self.is_closing.set(true);
+        self.closing.notify_waiters();
+    }
+
     /// Waits for room at an upstream until the request's time is up.
     pub async fn turn(self: &Rc<Self>, job: Job) -> Turn {
         let id = job.id;
