--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -4,7 +4,7 @@
 //! request at a time on each connection. Entries tell each other by datagram what they have
 //! running and what customers have spent, so that no process in the middle is needed.
 //!
-//! [`catalog`], [`directory`], [`dispatch`], [`allotment`], [`attempt_budget`] and [`health`]
+//! [`catalog`], [`directory`], [`dispatch`], [`door`], [`allotment`], [`attempt_budget`] and [`health`]
 //! decide and know no socket. [`connections`], [`exchange`], [`front`] and [`peers`] carry
 //! bytes and decide nothing.
 
@@ -16,6 +16,7 @@
 pub mod connections;
 pub mod directory;
 pub mod dispatch;
+pub mod door;
 pub mod exchange;
 pub mod follow;
 pub mod front;
@@ -25,5 +26,6 @@
 pub mod peers;
 pub mod pull;
 pub mod relay;
+pub mod rooms;
 pub mod server;
 pub mod traffic;
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -8,15 +8,11 @@
 use indexmap::IndexMap;
 
 use crate::direct::directory::Upstream;
+use crate::direct::door;
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
 use crate::direct::health::Moving;
 
-/// Worth of a request in relation to one that is a tier less important.
-const TIER_FACTOR: f64 = 0.25;
-/// Worth of an answer that comes after its objective, in relation to one in time. The
-/// operators' sheets put it at three tenths for all kinds.
-const LATE_FACTOR: f64 = 0.3;
 /// Events that a stream is expected to have where nothing is known of it.
 const EXPECTED_EVENTS: f64 = 20.0;
 /// Expected holding of a slot before any request has ended.
@@ -27,6 +23,10 @@
 const MIN_RETRY_AFTER_MS: u64 = 100;
 /// How much slower than the best an upstream with many failures counts.
 const BAD_FACTOR: f64 = 20.0;
+/// Upstreams of which the best is asked.
+const DRAWN_PLACES: usize = 4;
+/// How much slower than one with room a full upstream counts.
+const FULL_FACTOR: f64 = 4.0;
 /// How long the load that a peer reported is believed.
 const PEER_LOAD_MS: u64 = 1_500;
 
@@ -247,6 +247,9 @@
     /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().next_start(0), None);
     /// ```
     pub fn next_start(&mut self, now_ms: u64) -> Option<Start> {
+        if self.waiting.is_empty() {
+            return None;
+        }
         let mut order: Vec<usize> = (0..self.waiting.len()).collect();
         order.sort_by(|left, right| {
             let left = &self.waiting[*left];
@@ -278,6 +281,77 @@
         })
     }
 
+    /// The upstream whose door a request asks next: the best of a few drawn at random.
+    ///
+    /// If every entry asked the best one that it knows of, all of them would ask the same one.
+    /// Of four drawn, the best is among the best third in eight of ten cases.
+    ///
+    /// ```
+    /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, tried: Vec::new() };
+    /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
+    /// ```
+    pub fn choose(
+        &self,
+        job: &Job,
+        asked: &[Arc<str>],
+        now_ms: u64,
+        mut random: impl FnMut() -> usize,
+    ) -> Option<Arc<Upstream>> {
+        let fits = |place: &&Place| {
+            let instance = &place.upstream.instance;
+            place.is_listed
+                && place.upstream.service == job.service
+                && !place.health.is_paused(now_ms)
+                && !job.tried.contains(instance)
+                && !asked.contains(instance)
+        };
+        let mut places: Vec<&Place> = self.places.values().filter(fits).collect();
+        let mut best: Option<(f64, &Place)> = None;
+        for _ in 0..DRAWN_PLACES.min(places.len()) {
+            let place = places.swap_remove(random() % places.len());
+            let running = place.running + self.running_elsewhere(&place.upstream.instance, now_ms);
+            let full = if running < place.upstream.slots {
+                1.0
+            } else {
+                FULL_FACTOR
+            };
+            let cost = cost_ms(place, running, job.prompt_tokens) * full;
+            if best.is_none_or(|(least, _)| cost < least) {
+                best = Some((cost, place));
+            }
+        }
+        best.map(|(_, place)| Arc::clone(&place.upstream))
+    }
+
+    /// Whether an upstream has room, as far as this entry knows by itself.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().has_room("i-1", 0));
+    /// ```
+    #[must_use]
+    pub fn has_room(&self, instance: &str, now_ms: u64) -> bool {
+        self.places.get(instance).is_some_and(|place| {
+            let running = place.running + self.running_elsewhere(instance, now_ms);
+            place.is_listed && running < place.upstream.slots
+        })
+    }
+
+    /// Counts a request that starts at an upstream; none if the upstream is not listed.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::dispatch::Dispatcher::default().began("i-1").is_none());
+    /// ```
+    pub fn began(&mut self, instance: &str) -> Option<Arc<Upstream>> {
+        let place = self.places.get_mut(instance)?;
+        if !place.is_listed {
+            return None;
+        }
+        place.running += 1;
+        Some(Arc::clone(&place.upstream))
+    }
+
     /// Frees the room of a request that had started.
     ///
     /// ```
@@ -398,18 +472,8 @@
     }
 }
 
-/// What a start of this request now is worth, in relation to others.
-///
-/// Under overload, bare order of tiers makes all of a tier late: what is late anyway would
-/// hold up what can still be in time. So a late request counts three tenths, which puts it
-/// behind its own tier's but still before the next tier's.
 fn worth(job: &Job, now_ms: u64) -> f64 {
-    let in_time = if now_ms < job.objective_at_ms {
-        1.0
-    } else {
-        LATE_FACTOR
-    };
-    TIER_FACTOR.powi(i32::from(job.tier)) * in_time
+    door::worth(job.tier, now_ms < job.objective_at_ms)
 }
 
 /// Expected time that a request spends at an upstream, more if the upstream is fuller: each
--- /dev/null
+++ b/lib/src/direct/door.rs
@@ -0,0 +1,422 @@
+//! The doors of engines: one entry keeps the exact count of what an engine runs.
+//!
+//! Each engine has one door, kept by one of the entries that are heard, found by everybody in
+//! the same way. An entry asks the door for room; the door grants the most important request
+//! that asks, from whichever entry. Room is soft state: if a door is lost, entries find the
+//! next one, and its count comes from the beats of all. So a door that is wrong costs some
+//! waiting in an engine, never a request.
+//!
+//! Without doors, thirty entries that know each other's load a third of a second late send an
+//! engine several times what it can begin, and there the most important waits behind the least:
+//! an engine admits in order of arrival.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::direct::dispatch::short_name;
+use crate::direct::health::Moving;
+
+/// Worth of a request in relation to one that is a tier less important.
+pub const TIER_FACTOR: f64 = 0.25;
+/// Worth of an answer that comes after its objective, in relation to one in time. The
+/// operators' sheets put it at three tenths for all kinds.
+pub const LATE_FACTOR: f64 = 0.3;
+/// Expected holding of a slot before any request has ended.
+const FIRST_HOLD_MS: f64 = 300.0;
+/// Silence after which what a peer was granted counts as ended.
+const PEER_SILENCE_MS: u64 = 1_500;
+/// Doors that a waiting request asks, so that its place in one queue counts a part.
+const ASKS_PER_REQUEST: f64 = 3.0;
+
+/// Names one question to a door; numbered by the entry that asks.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct AskId(pub u64);
+
+/// A request that wants room, as a door needs to know it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ask {
+    /// Names the question.
+    pub id: AskId,
+    /// Short name of the engine.
+    pub upstream: u32,
+    /// Importance of the request, 0 the highest.
+    pub tier: u8,
+    /// How long its answer is still worth most; negative if that time is over.
+    pub in_time_for_ms: i64,
+    /// How long it has waited.
+    pub waited_ms: u64,
+}
+
+/// Whoever asks: this entry or another.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Asker {
+    /// The entry that keeps the door.
+    Own,
+    /// Another entry, by the address of its beats.
+    Peer(SocketAddr),
+}
+
+/// What a door says to a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Grant {
+    /// Who asked.
+    pub to: Asker,
+    /// The question.
+    pub ask: AskId,
+    /// Short name of the engine.
+    pub upstream: u32,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Queued {
+    from: Asker,
+    ask: Ask,
+    arrived_ms: u64,
+    in_time_until_ms: i64,
+}
+
+/// What one peer has at one engine.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tracked {
+    count: u32,
+    reported: u32,
+    /// Whether it was granted or gave back something since its last beat.
+    is_touched: bool,
+}
+
+#[derive(Clone, Debug, Default)]
+struct Door {
+    slots: u32,
+    own: u32,
+    peers: IndexMap<SocketAddr, Tracked>,
+    queue: Vec<Queued>,
+    hold: Moving,
+}
+
+impl Door {
+    fn used(&self) -> u32 {
+        self.own + self.peers.values().map(|peer| peer.count).sum::<u32>()
+    }
+
+    fn best(&self, now_ms: u64) -> Option<usize> {
+        let key = |queued: &Queued| {
+            let is_in_time = i64::try_from(now_ms).unwrap_or(i64::MAX) < queued.in_time_until_ms;
+            worth(queued.ask.tier, is_in_time)
+        };
+        (0..self.queue.len()).reduce(|best, index| {
+            let order = key(&self.queue[index]).total_cmp(&key(&self.queue[best]));
+            let is_earlier = self.queue[index].arrived_ms < self.queue[best].arrived_ms;
+            if order.is_gt() || (order.is_eq() && is_earlier) {
+                index
+            } else {
+                best
+            }
+        })
+    }
+}
+
+/// What a start now is worth, in relation to others.
+///
+/// Under overload, bare order of tiers makes all of a tier late: what is late anyway would
+/// hold up what can still be in time. A late request counts three tenths, which puts it
+/// behind its own tier but still before the next one.
+///
+/// ```
+/// use sardinewood::direct::door::worth;
+///
+/// assert!(worth(0, true) > worth(0, false) && worth(0, false) > worth(1, true));
+/// ```
+#[must_use]
+pub fn worth(tier: u8, is_in_time: bool) -> f64 {
+    let in_time = if is_in_time { 1.0 } else { LATE_FACTOR };
+    TIER_FACTOR.powi(i32::from(tier)) * in_time
+}
+
+/// The entry that keeps an engine's door, of those that are heard.
+///
+/// ```
+/// use sardinewood::direct::door::keeper;
+///
+/// let one = "10.0.0.1:7".parse().unwrap();
+/// assert_eq!(keeper(5, [one]), Some(one));
+/// ```
+#[must_use]
+pub fn keeper(
+    upstream: u32,
+    entries: impl IntoIterator<Item = SocketAddr>,
+) -> Option<SocketAddr> {
+    entries.into_iter().max_by_key(|entry| {
+        let seed = u64::from(upstream);
+        let SocketAddr::V4(entry) = entry else {
+            return 0;
+        };
+        let ip = entry.ip().octets();
+        let port = entry.port().to_be_bytes();
+        let bytes = [ip[0], ip[1], ip[2], ip[3], port[0], port[1]];
+        twox_hash::XxHash64::oneshot(seed, &bytes)
+    })
+}
+
+/// The doors that this entry keeps. It counts for all engines, so that it can take over any.
+///
+/// ```
+/// use sardinewood::direct::door::{Ask, AskId, Asker, Doors};
+///
+/// let mut doors = Doors::default();
+/// doors.set_engines([("i-1".into(), 1)]);
+/// let upstream = sardinewood::direct::dispatch::short_name("i-1");
+/// let ask = |id| Ask { id: AskId(id), upstream, tier: 0, in_time_for_ms: 9, waited_ms: 0 };
+/// doors.ask(Asker::Own, ask(1), 0);
+/// doors.ask(Asker::Own, ask(2), 0);
+/// assert_eq!(doors.next_grant(0).unwrap().ask, AskId(1));
+/// assert_eq!(doors.next_grant(0), None);
+/// doors.done(Asker::Own, upstream, Some(40));
+/// assert_eq!(doors.next_grant(0).unwrap().ask, AskId(2));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Doors {
+    doors: IndexMap<u32, Door>,
+    heard_ms: IndexMap<SocketAddr, u64>,
+    /// Doors that may have something to grant.
+    changed: Vec<u32>,
+}
+
+impl Doors {
+    /// Takes the engines that there are, and their slots.
+    ///
+    /// ```
+    /// sardinewood::direct::door::Doors::default().set_engines([("i-1".into(), 4)]);
+    /// ```
+    pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Arc<str>, u32)>) {
+        let mut before = std::mem::take(&mut self.doors);
+        for (instance, slots) in engines {
+            let name = short_name(&instance);
+            let mut door = before.swap_remove(&name).unwrap_or_default();
+            door.slots = slots;
+            self.changed.push(name);
+            self.doors.insert(name, door);
+        }
+        for (name, mut door) in before {
+            // A leaving engine takes nothing new; its count ends with what it runs.
+            door.queue.clear();
+            door.slots = 0;
+            if door.used() > 0 {
+                self.doors.insert(name, door);
+            }
+        }
+    }
+
+    /// Takes a question.
+    ///
+    /// ```
+    /// # use sardinewood::direct::door::{Ask, AskId, Asker, Doors};
+    /// let ask = Ask { id: AskId(1), upstream: 7, tier: 0, in_time_for_ms: 9, waited_ms: 0 };
+    /// Doors::default().ask(Asker::Own, ask, 0);
+    /// ```
+    pub fn ask(&mut self, from: Asker, ask: Ask, now_ms: u64) {
+        let Some(door) = self.doors.get_mut(&ask.upstream) else {
+            return;
+        };
+        let is_known = door
+            .queue
+            .iter()
+            .any(|queued| queued.from == from && queued.ask.id == ask.id);
+        if is_known {
+            return;
+        }
+        let now = i64::try_from(now_ms).unwrap_or(i64::MAX);
+        door.queue.push(Queued {
+            from,
+            ask,
+            arrived_ms: now_ms.saturating_sub(ask.waited_ms),
+            in_time_until_ms: now.saturating_add(ask.in_time_for_ms),
+        });
+        self.changed.push(ask.upstream);
+    }
+
+    /// Takes a question back.
+    ///
+    /// ```
+    /// # use sardinewood::direct::door::{AskId, Asker, Doors};
+    /// Doors::default().cancel(Asker::Own, 7, AskId(1));
+    /// ```
+    pub fn cancel(&mut self, from: Asker, upstream: u32, ask: AskId) {
+        if let Some(door) = self.doors.get_mut(&upstream) {
+            door.queue
+                .retain(|queued| queued.from != from || queued.ask.id != ask);
+        }
+    }
+
+    /// Notes that granted room is free again; with how long it was held, if it was used.
+    ///
+    /// ```
+    /// # use sardinewood::direct::door::{Asker, Doors};
+    /// Doors::default().done(Asker::Own, 7, None);
+    /// ```
+    pub fn done(&mut self, from: Asker, upstream: u32, held_ms: Option<u32>) {
+        let Some(door) = self.doors.get_mut(&upstream) else {
+            return;
+        };
+        match from {
+            Asker::Own => door.own = door.own.saturating_sub(1),
+            Asker::Peer(peer) => {
+                let tracked = door.peers.entry(peer).or_default();
+                tracked.count = tracked.count.saturating_sub(1);
+                tracked.is_touched = true;
+            }
+        }
+        if let Some(held_ms) = held_ms {
+            door.hold.observe(f64::from(held_ms));
+        }
+        self.changed.push(upstream);
+    }
+
+    /// Notes that this entry began something at an engine without having asked.
+    ///
+    /// ```
+    /// sardinewood::direct::door::Doors::default().began_unasked(7);
+    /// ```
+    pub fn began_unasked(&mut self, upstream: u32) {
+        if let Some(door) = self.doors.get_mut(&upstream) {
+            door.own += 1;
+        }
+    }
+
+    /// Takes what a peer says that it runs.
+    ///
+    /// A count that was not touched between two equal beats is replaced by them: what a lost
+    /// message left wrong lasts two beats.
+    ///
+    /// ```
+    /// # use sardinewood::direct::door::Doors;
+    /// Doors::default().reconcile("10.0.0.1:7".parse().unwrap(), &[(7, 2)], 0);
+    /// ```
+    pub fn reconcile(&mut self, peer: SocketAddr, running: &[(u32, u16)], now_ms: u64) {
+        self.heard_ms.insert(peer, now_ms);
+        let running: IndexMap<u32, u32> = running
+            .iter()
+            .map(|(name, count)| (*name, u32::from(*count)))
+            .collect();
+        for (name, door) in &mut self.doors {
+            let reported = running.get(name).copied().unwrap_or_default();
+            let tracked = match door.peers.get_mut(&peer) {
+                Some(tracked) => tracked,
+                None if reported == 0 => continue,
+                None => {
+                    let first = Tracked {
+                        count: reported,
+                        reported,
+                        is_touched: false,
+                    };
+                    door.peers.insert(peer, first);
+                    continue;
+                }
+            };
+            if !tracked.is_touched && tracked.reported == reported && tracked.count != reported {
+                tracked.count = reported;
+                self.changed.push(*name);
+            }
+            tracked.reported = reported;
+            tracked.is_touched = false;
+        }
+    }
+
+    /// Forgets what peers had that are gone: those named, and those that fell silent.
+    ///
+    /// ```
+    /// # use sardinewood::direct::door::Doors;
+    /// Doors::default().sweep(None, 0);
+    /// ```
+    pub fn sweep(&mut self, gone: Option<SocketAddr>, now_ms: u64) {
+        self.heard_ms.retain(|peer, heard_ms| {
+            Some(*peer) != gone && now_ms < *heard_ms + PEER_SILENCE_MS
+        });
+        for (name, door) in &mut self.doors {
+            let before = door.used();
+            door.peers.retain(|peer, _| self.heard_ms.contains_key(peer));
+            door.queue.retain(|queued| match queued.from {
+                Asker::Own => true,
+                Asker::Peer(peer) => self.heard_ms.contains_key(&peer),
+            });
+            if door.used() != before {
+                self.changed.push(*name);
+            }
+        }
+    }
+
+    /// The next grant, if a door has room and somebody asks.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::door::Doors::default().next_grant(0), None);
+    /// ```
+    pub fn next_grant(&mut self, now_ms: u64) -> Option<Grant> {
+        while let Some(name) = self.changed.last().copied() {
+            if let Some(grant) = self.grant_at(name, now_ms) {
+                return Some(grant);
+            }
+            self.changed.pop();
+        }
+        None
+    }
+
+    fn grant_at(&mut self, name: u32, now_ms: u64) -> Option<Grant> {
+        let door = self.doors.get_mut(&name)?;
+        if door.used() >= door.slots {
+            return None;
+        }
+        let best = door.best(now_ms)?;
+        let queued = door.queue.remove(best);
+        match queued.from {
+            Asker::Own => door.own += 1,
+            Asker::Peer(peer) => {
+                let tracked = door.peers.entry(peer).or_default();
+                tracked.count += 1;
+                tracked.is_touched = true;
+            }
+        }
+        Some(Grant {
+            to: queued.from,
+            ask: queued.ask.id,
+            upstream: name,
+        })
+    }
+
+    /// Expected wait of a question that is queued; none if it is not.
+    ///
+    /// ```
+    /// # use sardinewood::direct::door::{AskId, Asker, Doors};
+    /// assert_eq!(Doors::default().wait_ms(Asker::Own, 7, AskId(1), 0), None);
+    /// ```
+    #[must_use]
+    pub fn wait_ms(&self, from: Asker, upstream: u32, ask: AskId, now_ms: u64) -> Option<u32> {
+        let door = self.doors.get(&upstream)?;
+        let own = door
+            .queue
+            .iter()
+            .find(|queued| queued.from == from && queued.ask.id == ask)?;
+        let now = i64::try_from(now_ms).unwrap_or(i64::MAX);
+        let worth_of = |queued: &Queued| worth(queued.ask.tier, now < queued.in_time_until_ms);
+        let ahead = door
+            .queue
+            .iter()
+            .filter(|queued| worth_of(queued) >= worth_of(own))
+            .count();
+        let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
+        let hold_ms = door.hold.value().unwrap_or(FIRST_HOLD_MS);
+        let wait_ms = ahead / ASKS_PER_REQUEST * hold_ms / f64::from(door.slots.max(1));
+        Some(whole_ms(wait_ms))
+    }
+}
+
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "the value is clamped before"
+)]
+fn whole_ms(time_ms: f64) -> u32 {
+    time_ms.clamp(0.0, 60_000.0) as u32
+}
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -8,6 +8,8 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -32,8 +34,10 @@
 use crate::store::WatchEvent;
 
 /// How long a watch waits for a change. A connection may fall silent without closing; then
-/// the next change shows only after this time and the call's timeout.
-const WATCH_WAIT_MS: u64 = 2_500;
+/// the next change shows only after this time and the call's timeout, here or at the entry
+/// that takes over from this one. Together that stays below the two seconds that a change
+/// may take.
+const WATCH_WAIT_MS: u64 = 1_000;
 /// Pauses between calls to a store that does not answer. The longest is well within the two
 /// seconds that a change may take after the store's return.
 const FIRST_PAUSE_MS: u64 = 50;
@@ -41,6 +45,9 @@
 /// How long a peer must be ahead before it is asked; our own watch usually tells us sooner.
 const PEER_LEAD: Duration = Duration::from_millis(300);
 
+/// Pause between two copies from peers.
+const PULL_PAUSE: Duration = Duration::from_millis(50);
+
 /// Where objects are read: the platform's store, or a stand-in.
 pub trait ObjectSource {
     /// All objects of a kind.
@@ -78,6 +85,41 @@
     pub upstream: fn(&StoredObject) -> Result<Upstream, Findings>,
 }
 
+/// When the store last answered this entry; shared between the two threads.
+#[derive(Clone, Debug)]
+pub struct StoreAnswers {
+    began: Instant,
+    /// Milliseconds from the start to the last answer; 0 if there was none.
+    last_ms: Arc<AtomicU64>,
+}
+
+impl Default for StoreAnswers {
+    fn default() -> Self {
+        Self {
+            began: Instant::now(),
+            last_ms: Arc::default(),
+        }
+    }
+}
+
+impl StoreAnswers {
+    fn now_ms(&self) -> u64 {
+        u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
+    }
+
+    fn note(&self) {
+        self.last_ms.store(self.now_ms().max(1), Ordering::Relaxed);
+    }
+
+    /// How long ago the store answered; none if it never has.
+    #[must_use]
+    pub fn age_ms(&self) -> Option<u32> {
+        let last_ms = self.last_ms.load(Ordering::Relaxed);
+        let age_ms = self.now_ms().saturating_sub(last_ms);
+        (last_ms > 0).then(|| u32::try_from(age_ms).unwrap_or(u32::MAX))
+    }
+}
+
 /// What the traffic thread is told.
 #[derive(Clone, Debug, Default)]
 pub struct View {
@@ -105,12 +147,19 @@
 #[derive(Clone, Debug)]
 pub struct Follower {
     copy: Rc<RefCell<Copy>>,
+    asks_store: watch::Receiver<bool>,
+    answers: StoreAnswers,
 }
 
 impl Follower {
     /// A follower that knows nothing yet and tells `view` what it learns.
     #[must_use]
-    pub fn new(decoders: Decoders, view: watch::Sender<View>) -> Self {
+    pub fn new(
+        decoders: Decoders,
+        view: watch::Sender<View>,
+        asks_store: watch::Receiver<bool>,
+        answers: StoreAnswers,
+    ) -> Self {
         let copy = Copy {
             decoders,
             catalog: None,
@@ -122,6 +171,8 @@
         };
         Self {
             copy: Rc::new(RefCell::new(copy)),
+            asks_store,
+            answers,
         }
     }
 
@@ -141,7 +192,11 @@
         let mut backoff = Backoff::new(FIRST_PAUSE_MS, MOST_PAUSE_MS);
         let mut outage = Outage::default();
         let mut after = None;
+        let mut asks_store = self.asks_store.clone();
         loop {
+            if asks_store.wait_for(|asks| *asks).await.is_err() {
+                return;
+            }
             let read = match after {
                 None => source
                     .list(kind)
@@ -154,6 +209,7 @@
             };
             match read {
                 Ok(revision) => {
+                    self.answers.note();
                     outage.ended(kind);
                     backoff.reset();
                     after = Some(revision);
@@ -231,7 +287,9 @@
             let Ok(peer) = ahead.wait_for(Option::is_some).await.map(|peer| *peer) else {
                 return;
             };
-            sleep(PEER_LEAD).await;
+            if *self.asks_store.borrow() {
+                sleep(PEER_LEAD).await;
+            }
             let is_still_ahead = ahead.borrow().is_some();
             let (Some(peer), true) = (peer, is_still_ahead) else {
                 continue;
@@ -239,11 +297,16 @@
             let own = self.copy.borrow().revisions;
             match pull::pull(peer, own).await {
                 Ok(copies) => self.take_copies(peer, copies),
-                Err(error) => Line::new(Level::Warn, "peer gives no copy")
-                    .field("peer", peer)
-                    .field("error", error.to_string())
-                    .send(),
+                Err(error) => {
+                    Line::new(Level::Warn, "peer gives no copy")
+                        .field("peer", peer)
+                        .field("error", error.to_string())
+                        .send();
+                    sleep(PULL_PAUSE).await;
+                }
             }
+            // The beats tell whether the copy was enough only after it is in force.
+            sleep(PULL_PAUSE).await;
         }
     }
 
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -7,6 +7,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::direct::door::Ask;
+use crate::direct::door::AskId;
+
 /// First byte of every datagram; another form of the message gets another number.
 const FORM: u8 = 1;
 /// Longest datagram that is sent: it fits into one packet of a common network.
@@ -15,6 +18,11 @@
 const HEARD_WITHIN_MS: u64 = 1_000;
 /// Silence after which a peer is forgotten. Cuts heal within seconds to a minute.
 const FORGOTTEN_AFTER_MS: u64 = 60_000;
+/// Entries that ask the store. A third one is there for the case that two are cut off at once.
+const STORE_ASKERS: usize = 3;
+/// Age of the store's last answer beyond which an entry does not count as asking it: a watch's
+/// wait and its timeout.
+const STORE_AGE_MS: u32 = 1_500;
 /// Addresses of peers in one beat.
 const MAX_ADDRESSES: usize = 8;
 
@@ -47,6 +55,10 @@
     pub is_last: bool,
     /// How far it has followed the store.
     pub revisions: Revisions,
+    /// Whether the process will end soon, and keeps no door.
+    pub is_leaving: bool,
+    /// How long ago the store answered it, if it asks the store.
+    pub store_age_ms: Option<u32>,
     /// Other entries that it hears from.
     pub others: Vec<SocketAddr>,
     /// Requests that it runs, by short name of the upstream.
@@ -55,14 +67,52 @@
     pub spent: Vec<Spent>,
 }
 
-impl Beat {
-    /// The beat as a datagram; none if it would be too long.
+/// Everything that entries send each other by datagram.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Message {
+    /// The state of the sender.
+    Beat(Beat),
+    /// The sender wants room at an engine whose door the receiver keeps.
+    Ask(Ask),
+    /// The sender no longer wants it.
+    Cancel {
+        /// Short name of the engine.
+        upstream: u32,
+        /// The question that is taken back.
+        ask: AskId,
+    },
+    /// The receiver has room at the engine that it asked for.
+    Grant {
+        /// The question that is answered.
+        ask: AskId,
+        /// Short name of the engine.
+        upstream: u32,
+    },
+    /// The receiver's question waits.
+    Busy {
+        /// The question that is answered.
+        ask: AskId,
+        /// How long it is expected to wait.
+        wait_ms: u32,
+    },
+    /// Room that the receiver had granted is free again.
+    Done {
+        /// Short name of the engine.
+        upstream: u32,
+        /// How long it was held; none if it was not used.
+        held_ms: Option<u32>,
+    },
+}
+
+impl Message {
+    /// The message as a datagram; none if it would be too long.
     ///
     /// ```
-    /// use sardinewood::direct::peer_message::Beat;
+    /// use sardinewood::direct::peer_message::{Beat, Message};
     ///
-    /// let bytes = Beat::default().encode().unwrap();
-    /// assert_eq!(Beat::decode(&bytes), Some(Beat::default()));
+    /// let message = Message::Beat(Beat::default());
+    /// let bytes = message.encode().unwrap();
+    /// assert_eq!(Message::decode(&bytes), Some(message));
     /// ```
     #[must_use]
     pub fn encode(&self) -> Option<Vec<u8>> {
@@ -70,15 +120,15 @@
         (bytes.len() <= MAX_BYTES).then_some(bytes)
     }
 
-    /// Reads a datagram; none if it is not a beat.
+    /// Reads a datagram; none if it is not a message of ours.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::peer_message::Beat::decode(b"?"), None);
+    /// assert_eq!(sardinewood::direct::peer_message::Message::decode(b"?"), None);
     /// ```
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
         match bytes.split_first() {
-            Some((&FORM, beat)) => postcard::from_bytes(beat).ok(),
+            Some((&FORM, message)) => postcard::from_bytes(message).ok(),
             _ => None,
         }
     }
@@ -89,6 +139,8 @@
     incarnation: u64,
     sequence: u64,
     heard_at_ms: u64,
+    is_leaving: bool,
+    store_age_ms: Option<u32>,
     revisions: Revisions,
     spent: IndexMap<Arc<str>, u64>,
 }
@@ -136,6 +188,18 @@
         }
     }
 
+    /// The address of this entry.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let own = "10.0.0.1:7".parse().unwrap();
+    /// assert_eq!(PeerTable::new(own, &[]).own(), own);
+    /// ```
+    #[must_use]
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
     /// Takes a beat in.
     ///
     /// ```
@@ -176,6 +240,8 @@
             incarnation: beat.incarnation,
             sequence: beat.sequence,
             heard_at_ms: now_ms,
+            is_leaving: beat.is_leaving,
+            store_age_ms: beat.store_age_ms,
             revisions: beat.revisions,
             spent: beat
                 .spent
@@ -245,11 +311,49 @@
         let heard = self
             .peers
             .values()
-            .filter(|peer| now_ms < peer.heard_at_ms + HEARD_WITHIN_MS)
+            .filter(|peer| is_heard(peer, now_ms))
             .count();
         (heard + 1, self.peers.len() + 1)
     }
 
+    /// The entries that may keep doors: those that are heard and will not end soon.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let own = "10.0.0.1:7".parse().unwrap();
+    /// assert!(PeerTable::new(own, &[]).keepers(false, 0).eq([own]));
+    /// ```
+    pub fn keepers(&self, is_own_leaving: bool, now_ms: u64) -> impl Iterator<Item = SocketAddr> {
+        let own = (!is_own_leaving).then_some(self.own);
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| !peer.is_leaving && is_heard(peer, now_ms))
+            .map(|(address, _)| *address)
+            .chain(own)
+    }
+
+    /// Whether this entry should ask the store itself, and not only hear of it from others.
+    ///
+    /// Each change costs every entry that watches a call, so that a fleet in which all watch
+    /// pays for its size squared. A few do, in an order that all agree on; whoever has not had
+    /// an answer for some time is passed over.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// assert!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).asks_store(0));
+    /// ```
+    #[must_use]
+    pub fn asks_store(&self, now_ms: u64) -> bool {
+        let before = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| !peer.is_leaving && is_heard(peer, now_ms))
+            .filter(|(_, peer)| peer.store_age_ms.is_some_and(|age| age < STORE_AGE_MS))
+            .filter(|(address, _)| **address < self.own)
+            .count();
+        before < STORE_ASKERS
+    }
+
     /// A peer that is heard from and has followed the store further than this entry.
     ///
     /// ```
@@ -261,7 +365,7 @@
     pub fn ahead_of(&self, own: Revisions, now_ms: u64) -> Option<SocketAddr> {
         self.peers
             .iter()
-            .filter(|(_, peer)| now_ms < peer.heard_at_ms + HEARD_WITHIN_MS)
+            .filter(|(_, peer)| is_heard(peer, now_ms))
             .find(|(_, peer)| {
                 peer.revisions.catalog > own.catalog || peer.revisions.directory > own.directory
             })
@@ -269,6 +373,10 @@
     }
 }
 
+fn is_heard(peer: &Peer, now_ms: u64) -> bool {
+    now_ms < peer.heard_at_ms + HEARD_WITHIN_MS
+}
+
 fn newly_spent(known: Option<&Peer>, beat: &Beat) -> Vec<Spent> {
     beat.spent
         .iter()
--- a/lib/src/direct/peers.rs
+++ b/lib/src/direct/peers.rs
@@ -1,19 +1,19 @@
 //! Sends this entry's beats and takes in those of the others.
 
-use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::net::UdpSocket;
 use tokio::sync::watch;
-use tokio::time::MissedTickBehavior;
-use tokio::time::interval;
+use tokio::time::Instant;
+use tokio::time::sleep_until;
 
 use crate::direct::dispatch::short_name;
+use crate::direct::door::Asker;
+use crate::direct::follow::StoreAnswers;
 use crate::direct::peer_message::Beat;
-use crate::direct::peer_message::PeerTable;
+use crate::direct::peer_message::Message;
 use crate::direct::peer_message::Revisions;
 use crate::direct::peer_message::Spent;
 use crate::direct::traffic::Traffic;
@@ -30,139 +30,177 @@
 /// The beats of one entry.
 #[derive(Debug)]
 pub struct Peers {
-    socket: UdpSocket,
     traffic: Rc<Traffic>,
-    table: PeerTable,
     incarnation: u64,
     sequence: u64,
-    own: watch::Receiver<Revisions>,
-    ahead: watch::Sender<Option<SocketAddr>>,
+    links: ControlLinks,
+}
+
+/// What the traffic thread hears from the control thread and tells it.
+#[derive(Debug)]
+pub struct ControlLinks {
+    /// How far this entry has followed the store.
+    pub own: watch::Receiver<Revisions>,
+    /// When the store last answered.
+    pub store_answers: StoreAnswers,
+    /// A peer that has followed the store further.
+    pub ahead: watch::Sender<Option<SocketAddr>>,
+    /// Whether this entry asks the store itself.
+    pub asks_store: watch::Sender<bool>,
 }
 
 impl Peers {
-    /// Opens the socket for beats at the entry's own address.
-    ///
-    /// # Errors
-    ///
-    /// When the address can't be had.
-    pub async fn open(
-        address: SocketAddr,
-        seeds: &[SocketAddr],
-        traffic: &Rc<Traffic>,
-        own: watch::Receiver<Revisions>,
-        ahead: watch::Sender<Option<SocketAddr>>,
-    ) -> io::Result<Self> {
-        Ok(Self {
-            socket: UdpSocket::bind(address).await?,
+    /// The beats of a new start of the process.
+    #[must_use]
+    pub fn new(traffic: &Rc<Traffic>, links: ControlLinks) -> Self {
+        Self {
             traffic: Rc::clone(traffic),
-            table: PeerTable::new(address, seeds),
             incarnation: rand::random(),
             sequence: 0,
-            own,
-            ahead,
-        })
+            links,
+        }
     }
 
     /// Sends and receives until the process ends.
     pub async fn run(mut self) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        let mut period = MIN_BEAT;
-        let mut ticks = interval(period);
-        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut next_beat = Instant::now();
+        let traffic = Rc::clone(&self.traffic);
         loop {
             tokio::select! {
-                received = self.socket.recv_from(&mut buffer) => match received {
+                received = traffic.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from),
-                    Err(error) => self.log_error("beats can't be received", &error),
+                    Err(error) => traffic.log(Level::Warn, "peers can't be heard", |line| {
+                        line.field("error", error.to_string())
+                    }),
                 },
-                _ = ticks.tick() => {
-                    self.beat().await;
-                    let wanted = self.period();
-                    if wanted != period {
-                        period = wanted;
-                        ticks = interval(period);
-                        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-                        ticks.tick().await;
-                    }
+                () = sleep_until(next_beat) => {
+                    self.beat();
+                    next_beat = Instant::now() + self.period();
                 }
             }
         }
     }
 
     fn period(&self) -> Duration {
-        let peers = u32::try_from(self.table.targets().count()).unwrap_or(u32::MAX);
-        MIN_BEAT.max(BEAT_PER_PEER * peers)
+        let peers = self.traffic.peers.borrow().targets().count();
+        MIN_BEAT.max(BEAT_PER_PEER * u32::try_from(peers).unwrap_or(u32::MAX))
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
-        let Some(beat) = Beat::decode(bytes) else {
-            self.traffic
-                .log(Level::Warn, "datagram is no beat", |line| {
-                    line.field("from", from)
-                });
-            return;
-        };
-        let now_ms = self.traffic.now_ms();
-        let heard = self.table.heard(from, &beat, now_ms);
+        let traffic = &self.traffic;
+        match Message::decode(bytes) {
+            Some(Message::Beat(beat)) => self.hear(&beat, from),
+            Some(Message::Ask(ask)) => traffic.asked(Asker::Peer(from), ask),
+            Some(Message::Cancel { upstream, ask }) => {
+                traffic
+                    .doors
+                    .borrow_mut()
+                    .cancel(Asker::Peer(from), upstream, ask);
+            }
+            Some(Message::Grant { ask, upstream }) => traffic.granted(ask, upstream),
+            Some(Message::Busy { ask, wait_ms }) => traffic.busy(ask, wait_ms),
+            Some(Message::Done { upstream, held_ms }) => {
+                traffic
+                    .doors
+                    .borrow_mut()
+                    .done(Asker::Peer(from), upstream, held_ms);
+                traffic.grant_rooms();
+            }
+            None => traffic.log(Level::Warn, "datagram is not understood", |line| {
+                line.field("from", from)
+            }),
+        }
+    }
+
+    fn hear(&self, beat: &Beat, from: SocketAddr) {
+        let traffic = &self.traffic;
+        let now_ms = traffic.now_ms();
+        let heard = traffic.peers.borrow_mut().heard(from, beat, now_ms);
         if heard.is_new {
-            self.traffic
-                .log(Level::Info, "peer heard", |line| line.field("peer", from));
+            traffic.log(Level::Info, "peer heard", |line| line.field("peer", from));
+        }
+        if beat.is_last {
+            traffic.log(Level::Info, "peer has ended", |line| {
+                line.field("peer", from)
+            });
+            traffic.doors.borrow_mut().sweep(Some(from), now_ms);
         }
         if heard.is_idle {
             return;
         }
-        let mut allotments = self.traffic.allotments.borrow_mut();
+        let mut allotments = traffic.allotments.borrow_mut();
         for spent in heard.newly_spent {
             allotments.spent_elsewhere(&spent.customer, spent.units);
         }
         drop(allotments);
-        self.traffic.dispatcher.borrow_mut().set_peer_load(
-            beat.incarnation,
-            beat.running,
-            now_ms,
-        );
-        let ahead = self.table.ahead_of(*self.own.borrow(), now_ms);
-        self.ahead.send_if_modified(|known| {
-            let is_changed = *known != ahead;
-            *known = ahead;
-            is_changed
-        });
-        if self.traffic.dispatcher.borrow().waiting() > 0 {
-            self.traffic.start_waiting();
-        }
+        traffic
+            .doors
+            .borrow_mut()
+            .reconcile(from, &beat.running, now_ms);
+        let running = beat.running.iter().copied();
+        traffic
+            .dispatcher
+            .borrow_mut()
+            .set_peer_load(beat.incarnation, running, now_ms);
+        let own = *self.links.own.borrow();
+        let ahead = traffic.peers.borrow().ahead_of(own, now_ms);
+        set(&self.links.ahead, ahead);
+        traffic.grant_rooms();
+        traffic.start_waiting();
     }
 
-    async fn beat(&mut self) {
-        let now_ms = self.traffic.now_ms();
-        self.table.sweep(now_ms);
-        let (heard, known) = self.table.heard_and_known(now_ms);
-        self.traffic
+    fn beat(&mut self) {
+        let traffic = Rc::clone(&self.traffic);
+        let now_ms = traffic.now_ms();
+        traffic.peers.borrow_mut().sweep(now_ms);
+        traffic.doors.borrow_mut().sweep(None, now_ms);
+        let peers = traffic.peers.borrow();
+        let (heard, known) = peers.heard_and_known(now_ms);
+        traffic
             .allotments
             .borrow_mut()
             .set_heard(heard, known, now_ms);
-        self.traffic.budget.borrow_mut().set_entries(known);
+        traffic.budget.borrow_mut().set_entries(known);
+        set(&self.links.asks_store, peers.asks_store(now_ms));
+        drop(peers);
         self.sequence += 1;
-        let beat = self.own_beat();
-        let Some(bytes) = beat.encode() else {
-            self.traffic
-                .log(Level::Error, "beat is too long to send", |line| line);
-            return;
-        };
-        for target in self.table.targets() {
-            // An address that nobody listens at any more is no trouble of ours.
-            let _ = self.socket.send_to(&bytes, target).await;
+        self.tell_all(false);
+        traffic.grant_rooms();
+    }
+
+    fn tell_all(&self, is_last: bool) {
+        let beat = Message::Beat(self.own_beat(is_last));
+        let targets: Vec<SocketAddr> = self.traffic.peers.borrow().targets().collect();
+        for target in targets {
+            self.traffic.tell(target, &beat);
+        }
+    }
+
+    /// Tells all peers that this process ends, so that they need not wait for its silence.
+    pub fn say_goodbye(traffic: &Traffic) {
+        let goodbye = Message::Beat(Beat {
+            is_last: true,
+            ..Beat::default()
+        });
+        for target in traffic.peers.borrow().targets() {
+            traffic.tell(target, &goodbye);
         }
     }
 
-    fn own_beat(&self) -> Beat {
-        let dispatcher = self.traffic.dispatcher.borrow();
-        let allotments = self.traffic.allotments.borrow();
+    fn own_beat(&self, is_last: bool) -> Beat {
+        let traffic = &self.traffic;
+        let dispatcher = traffic.dispatcher.borrow();
+        let allotments = traffic.allotments.borrow();
+        let asks_store = *self.links.asks_store.borrow();
         Beat {
             incarnation: self.incarnation,
             sequence: self.sequence,
-            is_last: false,
-            revisions: *self.own.borrow(),
-            others: self.table.named(self.sequence),
+            is_last,
+            is_leaving: traffic.is_stopping.get(),
+            store_age_ms: self.links.store_answers.age_ms().filter(|_| asks_store),
+            revisions: *self.links.own.borrow(),
+            others: traffic.peers.borrow().named(self.sequence),
             running: dispatcher
                 .running()
                 .map(|(instance, running)| {
@@ -179,10 +217,12 @@
                 .collect(),
         }
     }
+}
 
-    fn log_error(&self, message: &'static str, error: &io::Error) {
-        self.traffic.log(Level::Warn, message, |line| {
-            line.field("error", error.to_string())
-        });
-    }
+fn set<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
+    sender.send_if_modified(|known| {
+        let is_changed = *known != value;
+        *known = value;
+        is_changed
+    });
 }
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -3,11 +3,13 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use eyre::Context;
 use tokio::net::TcpListener;
+use tokio::net::UdpSocket;
 use tokio::runtime;
 use tokio::runtime::Runtime;
 use tokio::sync::watch;
@@ -21,9 +23,12 @@
 use crate::direct::follow::Decoders;
 use crate::direct::follow::Follower;
 use crate::direct::follow::ObjectSource;
+use crate::direct::follow::StoreAnswers;
 use crate::direct::follow::View;
 use crate::direct::front;
+use crate::direct::peer_message::PeerTable;
 use crate::direct::peer_message::Revisions;
+use crate::direct::peers::ControlLinks;
 use crate::direct::peers::Peers;
 use crate::direct::pull;
 use crate::direct::traffic::Traffic;
@@ -86,17 +91,27 @@
 {
     let (view_sender, view) = watch::channel(View::default());
     let (ahead_sender, ahead) = watch::channel(None);
+    let (asks_sender, asks_store) = watch::channel(true);
+    let (own_sender, own) = watch::channel(Revisions::default());
+    let store_answers = StoreAnswers::default();
+    let links = ControlLinks {
+        own,
+        store_answers: store_answers.clone(),
+        ahead: ahead_sender,
+        asks_store: asks_sender,
+    };
     let control = current_thread().wrap_err("can't start the control thread's runtime")?;
     let peers = settings.peers;
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
-            let follower = || Follower::new(adapter.decoders, view_sender);
+            let follower =
+                || Follower::new(adapter.decoders, view_sender, asks_store, store_answers);
             LocalSet::new().block_on(&control, follow(follower(), source, peers, ahead));
         })
         .wrap_err("can't start the control thread")?;
     let traffic = current_thread().wrap_err("can't start the traffic thread's runtime")?;
-    LocalSet::new().block_on(&traffic, serve(settings, adapter, view, ahead_sender))
+    LocalSet::new().block_on(&traffic, serve(settings, adapter, view, own_sender, links))
 }
 
 async fn follow<S: ObjectSource>(
@@ -126,20 +141,21 @@
     settings: DirectSettings,
     adapter: Adapter,
     view: watch::Receiver<View>,
-    ahead: watch::Sender<Option<SocketAddr>>,
+    own: watch::Sender<Revisions>,
+    links: ControlLinks,
 ) -> eyre::Result<()> {
     let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
-    let traffic = Traffic::new(adapter.dialect, settings.attempts);
-    let (own_sender, own) = watch::channel(Revisions::default());
-    let callers = listen(settings.callers, "callers").await?;
-    let readiness = listen(settings.readiness, "readiness").await?;
-    let peers = Peers::open(settings.peers, &settings.seeds, &traffic, own, ahead)
+    let socket = UdpSocket::bind(settings.peers)
         .await
         .wrap_err_with(|| format!("can't hear peers on {}", settings.peers))?;
+    let peers = PeerTable::new(settings.peers, &settings.seeds);
+    let traffic = Traffic::new(adapter.dialect, settings.attempts, peers, socket);
+    let callers = listen(settings.callers, "callers").await?;
+    let readiness = listen(settings.readiness, "readiness").await?;
     spawn_local(front::serve_callers(callers, Rc::clone(&traffic)));
     spawn_local(front::serve_readiness(readiness, Rc::clone(&traffic)));
-    spawn_local(peers.run());
-    spawn_local(take_views(view, own_sender, Rc::clone(&traffic)));
+    spawn_local(Peers::new(&traffic, links).run());
+    spawn_local(take_views(view, own, Rc::clone(&traffic)));
     spawn_local(sweep_connections(Rc::clone(&traffic)));
     Line::new(Level::Info, "started")
         .field("address", settings.callers)
@@ -168,6 +184,12 @@
             .dispatcher
             .borrow_mut()
             .set_upstreams(&view.upstreams);
+        let engines = view
+            .upstreams
+            .iter()
+            .map(|upstream| (Arc::clone(&upstream.instance), upstream.slots));
+        traffic.doors.borrow_mut().set_engines(engines);
+        traffic.grant_rooms();
         own.send_replace(view.revisions);
         traffic.start_waiting();
     }
@@ -203,6 +225,7 @@
             break;
         }
     }
+    Peers::say_goodbye(traffic);
     Line::new(Level::Info, "ended")
         .field("open_requests", traffic.open_requests.get())
         .field("after_ms", began.elapsed().as_millis())
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -4,10 +4,12 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::sync::oneshot;
 use tokio::time::Instant;
@@ -22,9 +24,18 @@
 use crate::direct::dispatch::Dispatcher;
 use crate::direct::dispatch::Job;
 use crate::direct::dispatch::Offer;
+use crate::direct::dispatch::short_name;
+use crate::direct::door;
+use crate::direct::door::AskId;
+use crate::direct::door::Asker;
+use crate::direct::door::Doors;
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
 use crate::direct::log_budget::LogBudget;
+use crate::direct::peer_message::Message;
+use crate::direct::peer_message::PeerTable;
+use crate::direct::rooms;
+use crate::direct::rooms::AskedDoor;
 use crate::logging::Level;
 use crate::logging::Line;
 
@@ -58,6 +69,14 @@
     pub connections: Rc<Connections>,
     /// Order and places of requests.
     pub dispatcher: RefCell<Dispatcher>,
+    /// The doors that this entry keeps.
+    pub doors: RefCell<Doors>,
+    /// The other entries.
+    pub peers: RefCell<PeerTable>,
+    /// What this entry has asked at doors.
+    pub asks: RefCell<IndexMap<AskId, AskedDoor>>,
+    /// Where messages to peers leave.
+    pub socket: UdpSocket,
     /// What customers may spend.
     pub allotments: RefCell<Allotments>,
     /// Second attempts that are left.
@@ -88,10 +107,24 @@
     pub upstream: Arc<Upstream>,
     /// How the call ended, as far as it has.
     pub ended: Ended,
+    /// Whether the upstream's door granted the room.
+    is_granted: bool,
     since_ms: u64,
 }
 
 impl Lease {
+    /// Room that the dispatcher has counted.
+    #[must_use]
+    pub fn new(traffic: &Rc<Traffic>, upstream: Arc<Upstream>, is_granted: bool) -> Self {
+        Self {
+            traffic: Rc::clone(traffic),
+            upstream,
+            ended: Ended::Left,
+            is_granted,
+            since_ms: traffic.now_ms(),
+        }
+    }
+
     /// Adds to what is known of the upstream.
     pub fn learn(&self, learn: impl FnOnce(&mut Health)) {
         let mut dispatcher = self.traffic.dispatcher.borrow_mut();
@@ -117,7 +150,14 @@
             held_ms,
             now_ms,
         );
-        self.traffic.start_waiting();
+        if self.is_granted {
+            let held_ms = u32::try_from(held_ms).unwrap_or(u32::MAX);
+            let held_ms = (self.ended == Ended::Answered).then_some(held_ms);
+            let name = short_name(&self.upstream.instance);
+            self.traffic.give_back(name, held_ms);
+        } else {
+            self.traffic.start_waiting();
+        }
     }
 }
 
@@ -149,11 +189,20 @@
 impl Traffic {
     /// The state of an entry that has neither configuration nor upstreams yet.
     #[must_use]
-    pub fn new(dialect: Dialect, limits: AttemptLimits) -> Rc<Self> {
+    pub fn new(
+        dialect: Dialect,
+        limits: AttemptLimits,
+        peers: PeerTable,
+        socket: UdpSocket,
+    ) -> Rc<Self> {
         Rc::new(Self {
             dialect,
             connections: Rc::default(),
             dispatcher: RefCell::default(),
+            doors: RefCell::default(),
+            peers: RefCell::new(peers),
+            asks: RefCell::default(),
+            socket,
             allotments: RefCell::default(),
             budget: RefCell::new(AttemptBudget::new(limits)),
             catalog: RefCell::default(),
@@ -220,8 +269,49 @@
         self.closing.notify_waiters();
     }
 
+    /// Sends a message to a peer. A lost one is made up for by the next beat or question.
+    pub fn tell(&self, to: SocketAddr, message: &Message) {
+        let Some(bytes) = message.encode() else {
+            self.log(Level::Error, "message to a peer is too long", |line| line);
+            return;
+        };
+        if let Err(error) = self.socket.try_send_to(&bytes, to) {
+            self.log(Level::Warn, "message to a peer could not be sent", |line| {
+                line.field("peer", to).field("error", error.to_string())
+            });
+        }
+    }
+
+    /// Who keeps the door of an engine.
+    #[must_use]
+    pub fn keeper(&self, upstream: u32) -> Asker {
+        let peers = self.peers.borrow();
+        let keepers = peers.keepers(self.is_stopping.get(), self.now_ms());
+        match door::keeper(upstream, keepers) {
+            Some(address) if address != peers.own() => Asker::Peer(address),
+            Some(_) | None => Asker::Own,
+        }
+    }
+
     /// Waits for room at an upstream until the request's time is up.
     pub async fn turn(self: &Rc<Self>, job: Job) -> Turn {
+        if self.is_engine(&job.service) {
+            rooms::turn(self, job).await
+        } else {
+            self.own_turn(job).await
+        }
+    }
+
+    fn is_engine(&self, service: &str) -> bool {
+        let catalog = self.catalog.borrow();
+        catalog
+            .as_ref()
+            .and_then(|catalog| catalog.services.get(service))
+            .is_some_and(|service| service.is_engine)
+    }
+
+    /// Waits for room at a plain service, by what this entry knows itself.
+    async fn own_turn(self: &Rc<Self>, job: Job) -> Turn {
         let id = job.id;
         let service = Arc::clone(&job.service);
         let until = self.instant_at(job.give_up_at_ms);
@@ -252,12 +342,7 @@
             let Some(start) = start else {
                 return;
             };
-            let lease = Lease {
-                traffic: Rc::clone(self),
-                upstream: start.upstream,
-                ended: Ended::Left,
-                since_ms: now_ms,
-            };
+            let lease = Lease::new(self, start.upstream, false);
             let sender = self.starts.borrow_mut().swap_remove(&start.id);
             // A request that no longer waits gives its lease back here, by dropping it.
             if let Some(sender) = sender {
