--- a/lib/src/direct/attempt_budget.rs
+++ b/lib/src/direct/attempt_budget.rs
@@ -55,6 +55,18 @@
         }
     }
 
+    /// Takes other limits.
+    ///
+    /// ```
+    /// # use sardinewood::direct::attempt_budget::{AttemptBudget, AttemptLimits};
+    /// let mut budget = AttemptBudget::new(AttemptLimits { ratio: 0.2, slack: 50.0 });
+    /// budget.set_limits(AttemptLimits { ratio: 0.2, slack: 0.0 });
+    /// assert!(!budget.take(&"s".into()));
+    /// ```
+    pub fn set_limits(&mut self, limits: AttemptLimits) {
+        self.limits = limits;
+    }
+
     /// Sets between how many entries the slack is divided.
     ///
     /// ```
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -188,6 +188,22 @@
         }
     }
 
+    /// Adds addresses of other entries.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// table.add_seeds(&["10.0.0.2:7".parse().unwrap()]);
+    /// assert_eq!(table.targets().count(), 1);
+    /// ```
+    pub fn add_seeds(&mut self, seeds: &[SocketAddr]) {
+        for seed in seeds {
+            if *seed != self.own && !self.seeds.contains(seed) {
+                self.seeds.push(*seed);
+            }
+        }
+    }
+
     /// The address of this entry.
     ///
     /// ```
@@ -210,11 +226,7 @@
     /// assert_eq!(table.heard_and_known(5), (2, 2));
     /// ```
     pub fn heard(&mut self, from: SocketAddr, beat: &Beat, now_ms: u64) -> Heard {
-        for other in &beat.others {
-            if *other != self.own && !self.seeds.contains(other) {
-                self.seeds.push(*other);
-            }
-        }
+        self.add_seeds(&beat.others);
         if beat.is_last {
             self.peers.shift_remove(&from);
             return Heard {
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -1,5 +1,6 @@
 //! Puts the parts of an entry in direct mode together: one control and one traffic thread.
 
+use std::cell::Cell;
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -12,6 +13,9 @@
 use tokio::net::UdpSocket;
 use tokio::runtime;
 use tokio::runtime::Runtime;
+use tokio::signal::unix::Signal;
+use tokio::signal::unix::SignalKind;
+use tokio::signal::unix::signal;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -32,6 +36,7 @@
 use crate::direct::peers::Peers;
 use crate::direct::pull;
 use crate::direct::traffic::Traffic;
+use crate::findings::Findings;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::stop_signal::StopSignal;
@@ -50,8 +55,12 @@
 /// How often idle connections to upstreams are looked after.
 const SWEEP_PERIOD: Duration = Duration::from_millis(1_000);
 
+/// How often the settings are looked at without a signal. They change some times a day, and
+/// reading them costs some ten microseconds.
+const SETTINGS_PERIOD: Duration = Duration::from_secs(2);
+
 /// Everything that an entry in direct mode is told at its start.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct DirectSettings {
     /// Where callers connect.
     pub callers: SocketAddr,
@@ -67,6 +76,17 @@
     pub stop_within: Duration,
 }
 
+/// What reading the settings again brought.
+#[derive(Debug)]
+pub enum Reload {
+    /// Nothing has changed.
+    Same,
+    /// They have changed.
+    Changed(DirectSettings),
+    /// They can't be used; the last ones stay.
+    Bad(Findings),
+}
+
 /// What differs between platforms.
 #[derive(Clone, Copy, Debug)]
 pub struct Adapter {
@@ -80,14 +100,20 @@
     runtime::Builder::new_current_thread().enable_all().build()
 }
 
-/// Serves callers until a signal asks the process to end.
+/// Serves callers until a signal asks the process to end. `reload` reads the settings again.
 ///
 /// # Errors
 ///
 /// When an address can't be had or a thread can't be started.
-pub fn run<S>(settings: DirectSettings, adapter: Adapter, source: S) -> eyre::Result<()>
+pub fn run<S, R>(
+    settings: DirectSettings,
+    adapter: Adapter,
+    source: S,
+    reload: R,
+) -> eyre::Result<()>
 where
     S: ObjectSource + Send + 'static,
+    R: FnMut() -> Reload + 'static,
 {
     let (view_sender, view) = watch::channel(View::default());
     let (ahead_sender, ahead) = watch::channel(None);
@@ -111,7 +137,7 @@
         })
         .wrap_err("can't start the control thread")?;
     let traffic = current_thread().wrap_err("can't start the traffic thread's runtime")?;
-    LocalSet::new().block_on(&traffic, serve(settings, adapter, view, own_sender, links))
+    LocalSet::new().block_on(&traffic, serve(settings, adapter, view, own_sender, links, reload))
 }
 
 async fn follow<S: ObjectSource>(
@@ -143,8 +169,10 @@
     view: watch::Receiver<View>,
     own: watch::Sender<Revisions>,
     links: ControlLinks,
+    reload: impl FnMut() -> Reload + 'static,
 ) -> eyre::Result<()> {
     let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
+    let hang_up = signal(SignalKind::hangup()).wrap_err("can't wait for signals")?;
     let socket = UdpSocket::bind(settings.peers)
         .await
         .wrap_err_with(|| format!("can't hear peers on {}", settings.peers))?;
@@ -160,11 +188,62 @@
     Line::new(Level::Info, "started")
         .field("address", settings.callers)
         .send();
+    let stop_within = Rc::new(Cell::new(settings.stop_within));
+    spawn_local(follow_settings(
+        settings,
+        hang_up,
+        reload,
+        Rc::clone(&traffic),
+        Rc::clone(&stop_within),
+    ));
     stop.wait().await;
-    shut_down(&traffic, settings.stop_within).await;
+    shut_down(&traffic, stop_within.get()).await;
     Ok(())
 }
 
+/// Reads the settings again when a signal says so, and now and then without one.
+async fn follow_settings(
+    mut settings: DirectSettings,
+    mut hang_up: Signal,
+    mut reload: impl FnMut() -> Reload,
+    traffic: Rc<Traffic>,
+    stop_within: Rc<Cell<Duration>>,
+) {
+    loop {
+        let is_asked = tokio::select! {
+            _ = hang_up.recv() => true,
+            () = sleep(SETTINGS_PERIOD) => false,
+        };
+        match reload() {
+            Reload::Same if !is_asked => {}
+            Reload::Same => Line::new(Level::Info, "settings are as before").send(),
+            Reload::Bad(findings) => {
+                Line::new(Level::Error, "settings can't be used; the last ones stay")
+                    .field("findings", findings.to_string())
+                    .send();
+            }
+            Reload::Changed(new) => {
+                take_settings(&settings, &new, &traffic);
+                stop_within.set(new.stop_within);
+                settings = new;
+            }
+        }
+    }
+}
+
+/// Takes what can change without a new start, and says what can't.
+fn take_settings(old: &DirectSettings, new: &DirectSettings, traffic: &Traffic) {
+    traffic.budget.borrow_mut().set_limits(new.attempts);
+    traffic.peers.borrow_mut().add_seeds(&new.seeds);
+    let moved = old.callers != new.callers
+        || old.readiness != new.readiness
+        || old.peers != new.peers;
+    Line::new(Level::Info, "settings taken")
+        .field("seeds", &new.seeds)
+        .field("needs_restart", moved)
+        .send();
+}
+
 async fn listen(address: SocketAddr, whom: &str) -> eyre::Result<TcpListener> {
     TcpListener::bind(address)
         .await
