dispatch: place by expected length and by what a slot keeps from others

Cause: visits of several hundred events ran on engines four times slower than the best and were cut at their deadline after 12 s.

--- a/lib/src/direct/caller.rs
+++ b/lib/src/direct/caller.rs
@@ -19,6 +19,8 @@
     pub prompt_tokens: u32,
     /// The most tokens that the answer may have, 0 if nothing is said.
     pub max_output_tokens: u32,
+    /// Tokens that the caller expects of the answer; right at the median, often far off.
+    pub expected_output_tokens: Option<u32>,
     /// Whether the two counts of tokens were given.
     pub has_tokens: bool,
     /// The last event that the caller has, if it goes on with a stream.
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -15,6 +15,8 @@
 
 /// Events that a stream is expected to have where nothing is known of it.
 const EXPECTED_EVENTS: f64 = 20.0;
+/// Part of what is known of lengths that each answer's own length replaces.
+const LENGTH_PART: f64 = 0.02;
 /// Expected holding of a slot before any request has ended.
 const FIRST_HOLD_MS: f64 = 300.0;
 /// Part of the time that a request has left that it may be expected to wait.
@@ -25,8 +27,10 @@
 const BAD_FACTOR: f64 = 20.0;
 /// Upstreams of which the best is asked.
 const DRAWN_PLACES: usize = 4;
-/// How much slower than one with room a full upstream counts.
-const FULL_FACTOR: f64 = 4.0;
+/// What it costs to wait at a full upstream, in usual holdings of a slot.
+const FULL_HOLDS: f64 = 1.0;
+/// What the last slot of an upstream costs, in usual holdings of a slot.
+const CROWD_HOLDS: f64 = 1.0;
 /// How long the load that a peer reported is believed.
 const PEER_LOAD_MS: u64 = 1_500;
 
@@ -41,6 +45,8 @@
     pub tier: u8,
     /// Size of its prompt, 0 for plain calls.
     pub prompt_tokens: u32,
+    /// Tokens that its caller expects of the answer.
+    pub expected_output_tokens: Option<u32>,
     /// When it arrived.
     pub arrived_ms: u64,
     /// Until when its answer is worth most.
@@ -86,6 +92,13 @@
     running: IndexMap<u32, u16>,
 }
 
+/// How many events answers had, and how many tokens their callers expected; both fade.
+#[derive(Clone, Copy, Debug, Default)]
+struct Lengths {
+    events: f64,
+    tokens: f64,
+}
+
 /// The waiting requests and the upstreams of one entry.
 ///
 /// ```
@@ -99,6 +112,7 @@
     places: IndexMap<Arc<str>, Place>,
     waiting: Vec<Job>,
     holds: IndexMap<Arc<str>, Moving>,
+    lengths: IndexMap<Arc<str>, Lengths>,
     peers: IndexMap<u64, PeerLoad>,
 }
 
@@ -213,7 +227,8 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job, Offer};
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0, arrived_ms: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, tried: Vec::new() };
     /// let mut dispatcher = Dispatcher::default();
     /// assert!(matches!(dispatcher.offer(job, 0), Offer::Refused { .. }));
@@ -288,7 +303,8 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0, arrived_ms: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, tried: Vec::new() };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
     /// ```
@@ -312,12 +328,7 @@
         for _ in 0..DRAWN_PLACES.min(places.len()) {
             let place = places.swap_remove(random() % places.len());
             let running = place.running + self.running_elsewhere(&place.upstream.instance, now_ms);
-            let full = if running < place.upstream.slots {
-                1.0
-            } else {
-                FULL_FACTOR
-            };
-            let cost = cost_ms(place, running, job.prompt_tokens) * full;
+            let cost = self.cost_ms(place, running, job, now_ms);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, place));
             }
@@ -375,6 +386,29 @@
         }
     }
 
+    /// Notes how many events an answer had of which so many tokens were expected.
+    ///
+    /// ```
+    /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// dispatcher.learn_length(&"s".into(), 60, 20);
+    /// ```
+    pub fn learn_length(&mut self, service: &Arc<str>, tokens: u32, events: u64) {
+        let lengths = self.lengths.entry(Arc::clone(service)).or_default();
+        lengths.events += as_ms(events) - lengths.events * LENGTH_PART;
+        lengths.tokens += f64::from(tokens) - lengths.tokens * LENGTH_PART;
+    }
+
+    /// Events that a request's answer is expected to have.
+    fn expected_events(&self, job: &Job) -> f64 {
+        let lengths = self.lengths.get(&job.service);
+        match (job.expected_output_tokens, lengths) {
+            (Some(tokens), Some(lengths)) if lengths.tokens > 0.0 => {
+                f64::from(tokens) * lengths.events / lengths.tokens
+            }
+            _ => EXPECTED_EVENTS,
+        }
+    }
+
     /// What this entry has learned of an upstream, to add to it.
     ///
     /// ```
@@ -453,7 +487,7 @@
             if running >= place.upstream.slots {
                 continue;
             }
-            let cost = cost_ms(place, running, job.prompt_tokens);
+            let cost = self.cost_ms(place, running, job, now_ms);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, instance));
             }
@@ -476,14 +510,29 @@
     door::worth(job.tier, now_ms < job.objective_at_ms)
 }
 
-/// Expected time that a request spends at an upstream, more if the upstream is fuller: each
-/// running request slows the others down.
-fn cost_ms(place: &Place, running: u32, prompt_tokens: u32) -> f64 {
-    let health = &place.health;
-    let alone_ms = health.first_ms(prompt_tokens) + health.event_ms() * EXPECTED_EVENTS;
-    let fullness = f64::from(running) / f64::from(place.upstream.slots.max(1));
-    let bad = if health.is_bad() { BAD_FACTOR } else { 1.0 };
-    (alone_ms + 1.0) * (1.0 + fullness) * bad
+impl Dispatcher {
+    /// What it costs to run a request at an upstream where so many run already: its own time,
+    /// and the time for which it keeps the last slots from others.
+    ///
+    /// The second part is the same for a long and a short request, the first is not. So when
+    /// fast upstreams fill up, short requests go to slow ones first, and long ones, which a
+    /// slow upstream would not finish in time, keep to the fast ones.
+    fn cost_ms(&self, place: &Place, running: u32, job: &Job, now_ms: u64) -> f64 {
+        let health = &place.health;
+        let first_ms = health.first_ms(job.prompt_tokens);
+        let alone_ms = first_ms + health.event_ms() * self.expected_events(job);
+        let hold_ms = self
+            .holds
+            .get(&job.service)
+            .and_then(Moving::value)
+            .unwrap_or(FIRST_HOLD_MS);
+        let fullness = f64::from(running) / f64::from(place.upstream.slots.max(1));
+        let left_ms = as_ms(job.objective_at_ms.saturating_sub(now_ms));
+        let late_ms = if first_ms > left_ms { hold_ms } else { 0.0 };
+        let full_ms = if fullness < 1.0 { 0.0 } else { FULL_HOLDS * hold_ms };
+        let bad = if health.is_bad() { BAD_FACTOR } else { 1.0 };
+        (alone_ms + late_ms + full_ms + hold_ms * CROWD_HOLDS * fullness * fullness + 1.0) * bad
+    }
 }
 
 #[expect(clippy::cast_precision_loss, reason = "times and counts are far below 2^52")]
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -72,6 +72,8 @@
     body: Bytes,
     /// Size of its prompt.
     pub prompt_tokens: u32,
+    /// Tokens that its caller expects of the answer.
+    pub expected_output_tokens: Option<u32>,
     /// The last event that its caller has.
     pub last_event_id: Option<u64>,
     /// When it arrived.
@@ -99,6 +101,7 @@
             service: Arc::clone(&self.service),
             tier: self.tier,
             prompt_tokens: self.prompt_tokens,
+            expected_output_tokens: self.expected_output_tokens,
             arrived_ms: self.arrived_ms,
             objective_at_ms: self.arrived_ms + self.route.objective_ms,
             give_up_at_ms: self.give_up_at_ms,
@@ -299,6 +302,7 @@
         headers: end_to_end(parts.headers),
         body,
         prompt_tokens: headers.prompt_tokens,
+        expected_output_tokens: headers.expected_output_tokens,
         last_event_id: headers.last_event_id,
         arrived_ms,
         give_up_at_ms: arrived_ms + answer_within_ms,
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -192,6 +192,14 @@
             return;
         };
         source.lease.ended = Ended::Answered;
+        if let (Some(tokens), Some(events)) =
+            (self.call.expected_output_tokens, self.scan.last_id())
+        {
+            self.traffic
+                .dispatcher
+                .borrow_mut()
+                .learn_length(&self.call.service, tokens, events);
+        }
         keep(
             &self.traffic,
             &source.lease,
