--- a/lib/src/direct/catalog.rs
+++ b/lib/src/direct/catalog.rs
@@ -77,6 +77,8 @@
     pub is_open: bool,
     /// The longest pause between two events with which a stream is on time.
     pub pause_ms: Option<u64>,
+    /// How long callers wait for a first event before they leave.
+    pub patience_ms: Option<u64>,
 }
 
 impl Route {
@@ -85,7 +87,7 @@
     /// ```
     /// # use sardinewood::direct::catalog::{Repeat, Route, Target};
     /// # let route = Route { name: "r".into(), path_prefix: "/a/".into(), repeat: Repeat::Safe,
-    /// #     timeout_ms: 1, objective_ms: 1, tier: 0, max_upstreams: 1, is_open: true, pause_ms: None,
+    /// #     timeout_ms: 1, objective_ms: 1, tier: 0, max_upstreams: 1, is_open: true, pause_ms: None, patience_ms: None,
     /// #     targets: vec![Target { service: "x".into(), weight: 9 }, Target { service: "y".into(), weight: 1 }] };
     /// assert_eq!(&**route.service_for(8).unwrap(), "x");
     /// assert_eq!(&**route.service_for(9).unwrap(), "y");
@@ -180,7 +182,7 @@
     /// # use sardinewood::direct::catalog::{Admission, Catalog, Repeat, Route};
     /// # let route = |prefix: &str| Route { name: prefix.into(), path_prefix: prefix.into(),
     /// #     repeat: Repeat::Safe, timeout_ms: 1, objective_ms: 1, tier: 0, max_upstreams: 1,
-    /// #     is_open: true, pause_ms: None, targets: Vec::new() };
+    /// #     is_open: true, pause_ms: None, patience_ms: None, targets: Vec::new() };
     /// let mut catalog = Catalog::default();
     /// catalog.add_route("a.example".into(), route("/a/"));
     /// catalog.add_route("a.example".into(), route("/a/b/"));
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -12,6 +12,7 @@
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
 use crate::direct::health::Moving;
+use crate::direct::peer_message::Running;
 
 /// Events that a stream is expected to have where nothing is known of it.
 const EXPECTED_EVENTS: f64 = 20.0;
@@ -21,14 +22,26 @@
 const FIRST_HOLD_MS: f64 = 300.0;
 /// Part of the time that a request has left that it may be expected to wait.
 const WAIT_PART: f64 = 0.5;
+/// Part of the objective for which any request may wait, in percent: what starts later can
+/// hardly be in time.
+const LEAST_WAIT_PERCENT: u64 = 60;
+/// Part of the caller's patience for which the most important may wait, in percent: the first
+/// event has to come within the rest.
+const MOST_WAIT_PERCENT: u64 = 85;
 /// Shortest time that a refused caller is asked to stay away.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 /// How much slower than the best an upstream with many failures counts.
 const BAD_FACTOR: f64 = 20.0;
+const US_PER_MS: f64 = 1_000.0;
 /// Upstreams of which the best is asked.
 const DRAWN_PLACES: usize = 4;
 /// What it costs to wait at a full upstream, in usual holdings of a slot.
 const FULL_HOLDS: f64 = 1.0;
+/// How much longer than expected an answer may well be: callers' guesses are right at the
+/// median, and one in four answers is longer by this.
+const LENGTH_DOUBT: f64 = 1.4;
+/// What an answer costs that is likely to be cut at its deadline, in usual holdings.
+const CUT_HOLDS: f64 = 10.0;
 /// What the last slot of an upstream costs, in usual holdings of a slot.
 const CROWD_HOLDS: f64 = 1.0;
 /// How long the load that a peer reported is believed.
@@ -53,10 +66,54 @@
     pub objective_at_ms: u64,
     /// When its caller gets an answer in any case.
     pub give_up_at_ms: u64,
+    /// When its caller leaves if nothing has come yet.
+    pub leaves_at_ms: u64,
     /// Upstreams that have had it.
     pub tried: Vec<Arc<str>>,
 }
 
+impl Job {
+    /// Until when the request waits for room.
+    ///
+    /// The most important waits for as long as its caller does, since late is better than
+    /// never. What is worth less gives up its place the sooner: under overload it would be
+    /// passed by until its caller left, and its caller can come back in calmer time if it is
+    /// told so early.
+    ///
+    /// ```
+    /// # use sardinewood::direct::dispatch::Job;
+    /// # let job = |tier| Job { id: 1, service: "s".into(), tier, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, arrived_ms: 0, objective_at_ms: 100,
+    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// assert_eq!(job(0).waits_until_ms(), 850);
+    /// assert!(job(2).waits_until_ms() < 100);
+    /// ```
+    #[must_use]
+    pub fn waits_until_ms(&self) -> u64 {
+        let least_ms = (self.objective_at_ms - self.arrived_ms) * LEAST_WAIT_PERCENT / 100;
+        let leaves_at_ms = self.leaves_at_ms.min(self.give_up_at_ms);
+        let most_ms = leaves_at_ms.saturating_sub(self.arrived_ms) * MOST_WAIT_PERCENT / 100;
+        let beyond_ms = as_ms(most_ms.saturating_sub(least_ms)) * door::tier_worth(self.tier);
+        self.arrived_ms + least_ms.min(most_ms) + round_ms(beyond_ms)
+    }
+
+    /// When a refused caller should come back: within the third of its time for which callers
+    /// heed this, and rather late in it. Bursts last for seconds; whoever returns within the
+    /// same one is refused again.
+    ///
+    /// ```
+    /// # use sardinewood::direct::dispatch::Job;
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, arrived_ms: 0, objective_at_ms: 100,
+    /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// assert_eq!(job.retry_after_ms(0), 2_000);
+    /// ```
+    #[must_use]
+    pub fn retry_after_ms(&self, now_ms: u64) -> u64 {
+        (self.give_up_at_ms.saturating_sub(now_ms) / 4).max(MIN_RETRY_AFTER_MS)
+    }
+}
+
 /// What becomes of an offered request.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Offer {
@@ -155,38 +212,49 @@
             .retain(|_, place| place.is_listed || place.running > 0);
     }
 
-    /// Takes what a peer has running.
+    /// Takes what a peer has running, and how fast it is served.
     ///
     /// ```
+    /// # use sardinewood::direct::peer_message::Running;
     /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
-    /// dispatcher.set_peer_load(1, [(7, 2)], 0);
+    /// dispatcher.set_peer_load(1, &[Running { upstream: 7, count: 2, event_us: 0 }], 0);
     /// ```
-    pub fn set_peer_load(
-        &mut self,
-        peer: u64,
-        running: impl IntoIterator<Item = (u32, u16)>,
-        now_ms: u64,
-    ) {
+    pub fn set_peer_load(&mut self, peer: u64, running: &[Running], now_ms: u64) {
         let load = PeerLoad {
             at_ms: now_ms,
-            running: running.into_iter().collect(),
+            running: running
+                .iter()
+                .map(|running| (running.upstream, running.count))
+                .collect(),
         };
+        for place in self.places.values_mut() {
+            let name = short_name(&place.upstream.instance);
+            let told = running.iter().find(|running| running.upstream == name);
+            if let Some(told) = told.filter(|told| told.event_us > 0) {
+                let event_ms = f64::from(told.event_us) / US_PER_MS;
+                place.health.hear_event_ms(event_ms, now_ms);
+            }
+        }
         self.peers.insert(peer, load);
         self.peers
             .retain(|_, load| now_ms < load.at_ms + PEER_LOAD_MS);
     }
 
-    /// What this entry has running, by upstream.
+    /// What this entry has running, by upstream, and how fast it is served.
     ///
     /// ```
     /// let dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
     /// assert_eq!(dispatcher.running().count(), 0);
     /// ```
-    pub fn running(&self) -> impl Iterator<Item = (&Arc<str>, u32)> {
+    pub fn running(&self) -> impl Iterator<Item = Running> {
         self.places
             .iter()
             .filter(|(_, place)| place.running > 0)
-            .map(|(instance, place)| (instance, place.running))
+            .map(|(instance, place)| Running {
+                upstream: short_name(instance),
+                count: u16::try_from(place.running).unwrap_or(u16::MAX),
+                event_us: whole_us(place.health.event_ms()),
+            })
     }
 
     /// Whether a service has any upstream that could take a request.
@@ -229,7 +297,7 @@
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job, Offer};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// let mut dispatcher = Dispatcher::default();
     /// assert!(matches!(dispatcher.offer(job, 0), Offer::Refused { .. }));
     /// ```
@@ -305,7 +373,7 @@
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
     /// ```
     pub fn choose(
@@ -529,9 +597,12 @@
         let fullness = f64::from(running) / f64::from(place.upstream.slots.max(1));
         let left_ms = as_ms(job.objective_at_ms.saturating_sub(now_ms));
         let late_ms = if first_ms > left_ms { hold_ms } else { 0.0 };
+        let ends_in_ms = as_ms(job.give_up_at_ms.saturating_sub(now_ms));
+        let is_cut = alone_ms * LENGTH_DOUBT > ends_in_ms;
+        let cut_ms = if is_cut { CUT_HOLDS * hold_ms } else { 0.0 };
         let full_ms = if fullness < 1.0 { 0.0 } else { FULL_HOLDS * hold_ms };
         let bad = if health.is_bad() { BAD_FACTOR } else { 1.0 };
-        (alone_ms + late_ms + full_ms + hold_ms * CROWD_HOLDS * fullness * fullness + 1.0) * bad
+        (alone_ms + late_ms + cut_ms + full_ms + hold_ms * CROWD_HOLDS * fullness * fullness + 1.0) * bad
     }
 }
 
@@ -540,6 +611,15 @@
     number as f64
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a positive time that is clamped to a minute"
+)]
+fn whole_us(time_ms: f64) -> u32 {
+    (time_ms * US_PER_MS).clamp(0.0, 60e6) as u32
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -19,12 +19,14 @@
 
 use crate::direct::dispatch::short_name;
 use crate::direct::health::Moving;
+use crate::direct::peer_message::Running;
 
-/// Worth of a request in relation to one that is a tier less important.
-pub const TIER_FACTOR: f64 = 0.25;
+/// Worth of a request by its tier, in relation to the first. Both users' sheets put their
+/// second tier at about half of the first, and the third at a twentieth.
+const TIER_WORTH: [f64; 5] = [1.0, 0.5, 0.05, 0.02, 0.01];
 /// Worth of an answer that comes after its objective, in relation to one in time. The
 /// operators' sheets put it at three tenths for all kinds.
-pub const LATE_FACTOR: f64 = 0.3;
+const LATE_FACTOR: f64 = 0.3;
 /// Expected holding of a slot before any request has ended.
 const FIRST_HOLD_MS: f64 = 300.0;
 /// Silence after which what a peer was granted counts as ended.
@@ -123,17 +125,28 @@
 ///
 /// Under overload, bare order of tiers makes all of a tier late: what is late anyway would
 /// hold up what can still be in time. A late request counts three tenths, which puts it
-/// behind its own tier but still before the next one.
+/// behind the next tier's, but before a tier that is worth far less.
 ///
 /// ```
 /// use sardinewood::direct::door::worth;
 ///
-/// assert!(worth(0, true) > worth(0, false) && worth(0, false) > worth(1, true));
+/// assert!(worth(1, true) > worth(0, false) && worth(0, false) > worth(2, true));
 /// ```
 #[must_use]
 pub fn worth(tier: u8, is_in_time: bool) -> f64 {
     let in_time = if is_in_time { 1.0 } else { LATE_FACTOR };
-    TIER_FACTOR.powi(i32::from(tier)) * in_time
+    tier_worth(tier) * in_time
+}
+
+/// What a request of a tier is worth, in relation to the first tier.
+///
+/// ```
+/// assert!((sardinewood::direct::door::tier_worth(0) - 1.0).abs() < 1e-9);
+/// ```
+#[must_use]
+pub fn tier_worth(tier: u8) -> f64 {
+    let last = TIER_WORTH[TIER_WORTH.len() - 1];
+    TIER_WORTH.get(usize::from(tier)).copied().unwrap_or(last)
 }
 
 /// The entry that keeps an engine's door, of those that are heard.
@@ -293,13 +306,13 @@
     ///
     /// ```
     /// # use sardinewood::direct::door::Doors;
-    /// Doors::default().reconcile("10.0.0.1:7".parse().unwrap(), &[(7, 2)], 0);
+    /// Doors::default().reconcile("10.0.0.1:7".parse().unwrap(), &[], 0);
     /// ```
-    pub fn reconcile(&mut self, peer: SocketAddr, running: &[(u32, u16)], now_ms: u64) {
+    pub fn reconcile(&mut self, peer: SocketAddr, running: &[Running], now_ms: u64) {
         self.heard_ms.insert(peer, now_ms);
         let running: IndexMap<u32, u32> = running
             .iter()
-            .map(|(name, count)| (*name, u32::from(*count)))
+            .map(|running| (running.upstream, u32::from(running.count)))
             .collect();
         for (name, door) in &mut self.doors {
             let reported = running.get(name).copied().unwrap_or_default();
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -105,9 +105,29 @@
             arrived_ms: self.arrived_ms,
             objective_at_ms: self.arrived_ms + self.route.objective_ms,
             give_up_at_ms: self.give_up_at_ms,
+            leaves_at_ms: self
+                .route
+                .patience_ms
+                .map_or(self.give_up_at_ms, |patience_ms| {
+                    self.arrived_ms + patience_ms
+                }),
             tried: self.tried.clone(),
         }
     }
+
+    /// What the dispatcher needs to know to let another upstream go on with the stream: its
+    /// caller has begun to wait anew.
+    #[must_use]
+    pub fn resume_job(&self, now_ms: u64) -> Job {
+        let job = self.job();
+        let patience_ms = job.leaves_at_ms.saturating_sub(job.arrived_ms);
+        Job {
+            arrived_ms: now_ms,
+            objective_at_ms: now_ms + self.route.pause_ms.unwrap_or(self.route.objective_ms),
+            leaves_at_ms: now_ms + patience_ms / 2,
+            ..job
+        }
+    }
 }
 
 fn name_of(request_id: Option<&HeaderValue>) -> &str {
--- a/lib/src/direct/health.rs
+++ b/lib/src/direct/health.rs
@@ -9,6 +9,8 @@
 const FIRST_PAUSE_MS: u64 = 300;
 /// The longest such time. A process that starts again is back in about a second.
 const MOST_PAUSE_MS: u64 = 2_000;
+/// Age of this entry's last sample beyond which a peer's is preferred.
+const OWN_SAMPLE_MS: u64 = 2_000;
 /// Failures beyond this part of recent answers make an upstream the last choice.
 const BAD_PART: f64 = 0.25;
 
@@ -73,6 +75,7 @@
     prefill_ms_per_token: Moving,
     pause_ms: Moving,
     answer_ms: Moving,
+    sampled_at_ms: u64,
     failures: f64,
     strikes: u32,
     paused_until_ms: u64,
@@ -94,12 +97,27 @@
     /// Notes the time between two events.
     ///
     /// ```
-    /// sardinewood::direct::health::Health::default().next_event(15.0);
+    /// sardinewood::direct::health::Health::default().next_event(15.0, 0);
     /// ```
-    pub fn next_event(&mut self, pause_ms: f64) {
+    pub fn next_event(&mut self, pause_ms: f64, now_ms: u64) {
+        self.sampled_at_ms = now_ms;
         self.pause_ms.observe(pause_ms);
     }
 
+    /// Takes a peer's word for the time between two events, if this entry has no recent sample.
+    ///
+    /// ```
+    /// let mut health = sardinewood::direct::health::Health::default();
+    /// health.hear_event_ms(15.0, 0);
+    /// assert!((health.event_ms() - 15.0).abs() < 0.1);
+    /// ```
+    pub fn hear_event_ms(&mut self, event_ms: f64, now_ms: u64) {
+        if self.pause_ms.value().is_none() || now_ms > self.sampled_at_ms + OWN_SAMPLE_MS {
+            self.pause_ms = Moving::default();
+            self.pause_ms.observe(event_ms);
+        }
+    }
+
     /// Notes how long a whole answer took.
     ///
     /// ```
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -35,6 +35,17 @@
     pub units: u64,
 }
 
+/// What an entry runs at an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Running {
+    /// Short name of the upstream.
+    pub upstream: u32,
+    /// Requests.
+    pub count: u16,
+    /// Time between two events of a stream there, 0 if not known.
+    pub event_us: u32,
+}
+
 /// How far an entry has followed the platform's store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Revisions {
@@ -61,8 +72,8 @@
     pub store_age_ms: Option<u32>,
     /// Other entries that it hears from.
     pub others: Vec<SocketAddr>,
-    /// Requests that it runs, by short name of the upstream.
-    pub running: Vec<(u32, u16)>,
+    /// Requests that it runs, by upstream.
+    pub running: Vec<Running>,
     /// What its customers have spent.
     pub spent: Vec<Spent>,
 }
--- a/lib/src/direct/peers.rs
+++ b/lib/src/direct/peers.rs
@@ -9,7 +9,6 @@
 use tokio::time::Instant;
 use tokio::time::sleep_until;
 
-use crate::direct::dispatch::short_name;
 use crate::direct::door::Asker;
 use crate::direct::follow::StoreAnswers;
 use crate::direct::peer_message::Beat;
@@ -138,11 +137,10 @@
             .doors
             .borrow_mut()
             .reconcile(from, &beat.running, now_ms);
-        let running = beat.running.iter().copied();
         traffic
             .dispatcher
             .borrow_mut()
-            .set_peer_load(beat.incarnation, running, now_ms);
+            .set_peer_load(beat.incarnation, &beat.running, now_ms);
         let own = *self.links.own.borrow();
         let ahead = traffic.peers.borrow().ahead_of(own, now_ms);
         set(&self.links.ahead, ahead);
@@ -201,13 +199,7 @@
             store_age_ms: self.links.store_answers.age_ms().filter(|_| asks_store),
             revisions: *self.links.own.borrow(),
             others: traffic.peers.borrow().named(self.sequence),
-            running: dispatcher
-                .running()
-                .map(|(instance, running)| {
-                    let running = u16::try_from(running).unwrap_or(u16::MAX);
-                    (short_name(instance), running)
-                })
-                .collect(),
+            running: dispatcher.running().collect(),
             spent: allotments
                 .own_spent()
                 .map(|(customer, units)| Spent {
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -181,7 +181,10 @@
             }
             Some(last) => {
                 let pause_ms = as_ms(now - last) / f64::from(events.max(1));
-                source.lease.learn(|health| health.next_event(pause_ms));
+                let now_ms = self.traffic.now_ms();
+                source
+                    .lease
+                    .learn(|health| health.next_event(pause_ms, now_ms));
             }
         }
     }
@@ -238,7 +241,8 @@
 
     /// Asks another upstream to go on; true if it does.
     async fn resume(&mut self) -> bool {
-        let Turn::Start(lease) = self.traffic.turn(self.call.job()).await else {
+        let job = self.call.resume_job(self.traffic.now_ms());
+        let Turn::Start(lease) = self.traffic.turn(job).await else {
             return false;
         };
         let last_event_id = self.scan.last_id().or(self.call.last_event_id);
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -29,8 +29,6 @@
 const ANSWER_WITHIN: Duration = Duration::from_millis(40);
 /// Time after which a waiting question is sent again, in case its door has changed hands.
 const ASK_AGAIN: Duration = Duration::from_millis(250);
-/// Part of its time that a request may be expected to wait, in percent.
-const WAIT_PERCENT: u64 = 80;
 
 /// What the doors have to say to a waiting request.
 #[derive(Debug)]
@@ -219,9 +217,15 @@
         let shortest_ms = u64::from(waits?.into_iter().min()?);
         let left_ms = self
             .job
-            .give_up_at_ms
+            .waits_until_ms()
             .saturating_sub(self.traffic.now_ms());
-        (shortest_ms > left_ms * WAIT_PERCENT / 100).then_some(shortest_ms)
+        (shortest_ms > left_ms).then_some(shortest_ms)
+    }
+
+    fn refused(&self) -> Turn {
+        Turn::Refused {
+            retry_after_ms: self.job.retry_after_ms(self.traffic.now_ms()),
+        }
     }
 
     fn note_busy(&mut self, ask: AskId, wait_ms: u32) {
@@ -233,7 +237,7 @@
 
 /// Waits for room at an engine until the request's time is up.
 pub async fn turn(traffic: &Rc<Traffic>, job: Job) -> Turn {
-    let until = traffic.instant_at(job.give_up_at_ms);
+    let until = traffic.instant_at(job.waits_until_ms());
     let service = Arc::clone(&job.service);
     let (sender, mut words) = mpsc::unbounded_channel();
     let mut asking = Asking {
@@ -243,15 +247,12 @@
         asks: Vec::new(),
     };
     if !traffic.dispatcher.borrow().is_served(&service) {
-        let retry_after_ms = traffic.dispatcher.borrow().retry_after_ms(&service);
-        return Turn::Refused { retry_after_ms };
+        return asking.refused();
     }
     asking.ask_another();
     match wait(&mut asking, &mut words, until).await {
         Some(lease) => Turn::Start(lease),
-        None => Turn::Refused {
-            retry_after_ms: traffic.dispatcher.borrow().retry_after_ms(&service),
-        },
+        None => asking.refused(),
     }
 }
 
