doors: order by worth for the time taken, with the lead that a first event needs

Cause: a full queue served each request as it became late, and long answers kept slots from several short ones that were worth as much together.

--- a/lib/src/direct/caller.rs
+++ b/lib/src/direct/caller.rs
@@ -28,6 +28,37 @@
 }
 
 impl CallerHeaders {
+    /// How much work the request is, in tokens of a prompt: a token of the answer takes about
+    /// ten times as long as one of the prompt. None if nothing was said.
+    ///
+    /// ```
+    /// let headers = sardinewood::direct::caller::CallerHeaders::default();
+    /// assert_eq!(headers.size(), None);
+    /// ```
+    #[must_use]
+    pub fn size(&self) -> Option<f64> {
+        const OUTPUT_WEIGHT: f64 = 10.0;
+        let output = self
+            .expected_output_tokens
+            .unwrap_or(self.max_output_tokens);
+        self.has_tokens
+            .then(|| f64::from(self.prompt_tokens) + OUTPUT_WEIGHT * f64::from(output))
+    }
+
+    /// How long the request keeps an engine's slot, in tokens of the answer: reading a prompt
+    /// takes about a hundredth of that for each token.
+    ///
+    /// ```
+    /// let headers = sardinewood::direct::caller::CallerHeaders::default();
+    /// assert_eq!(headers.hold(), None);
+    /// ```
+    #[must_use]
+    pub fn hold(&self) -> Option<f64> {
+        const PROMPT_WEIGHT: f64 = 0.01;
+        let output = self.expected_output_tokens?;
+        Some(f64::from(output) + PROMPT_WEIGHT * f64::from(self.prompt_tokens))
+    }
+
     /// What the request counts against an allotment in tokens, if that was said.
     ///
     /// ```
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -22,6 +22,14 @@
 const FIRST_HOLD_MS: f64 = 300.0;
 /// Part of the time that a request has left that it may be expected to wait.
 const WAIT_PART: f64 = 0.5;
+/// Part of a request's worth that does not depend on its size, from the operators' sheets.
+const FIXED_WORTH: f64 = 0.3;
+/// The most that a large request is worth, in relation to a usual one of its kind.
+const MOST_WORTH: f64 = 4.0;
+/// Bounds of a request's worth for the time that it takes, in relation to a usual one of its
+/// kind. They keep order by size from starving any size.
+const LEAST_DENSITY: f64 = 0.5;
+const MOST_DENSITY: f64 = 2.0;
 /// Part of the objective for which any request may wait, in percent: what starts later can
 /// hardly be in time.
 const LEAST_WAIT_PERCENT: u64 = 60;
@@ -42,6 +50,10 @@
 const LENGTH_DOUBT: f64 = 1.4;
 /// What an answer costs that is likely to be cut at its deadline, in usual holdings.
 const CUT_HOLDS: f64 = 10.0;
+/// Time on the way to an upstream and back, and for a new connection, within one region.
+const WAY_MS: u64 = 15;
+/// How much longer than usual a first event may take beside other prompts.
+const LEAD_FACTOR: f64 = 1.3;
 /// What the last slot of an upstream costs, in usual holdings of a slot.
 const CROWD_HOLDS: f64 = 1.0;
 /// How long the load that a peer reported is believed.
@@ -60,6 +72,10 @@
     pub prompt_tokens: u32,
     /// Tokens that its caller expects of the answer.
     pub expected_output_tokens: Option<u32>,
+    /// Its size in relation to the mean of its route.
+    pub relative_size: f64,
+    /// Its expected time at an engine in relation to the mean of its route.
+    pub relative_hold: f64,
     /// When it arrived.
     pub arrived_ms: u64,
     /// Until when its answer is worth most.
@@ -73,6 +89,27 @@
 }
 
 impl Job {
+    /// What it is worth if it is in time, in thousandths of one of the first tier and of
+    /// usual size.
+    ///
+    /// A long document is worth more than a short one of the same kind, and keeps an engine
+    /// busy for longer: without this, what can't be in time for its very size comes last.
+    ///
+    /// ```
+    /// # use sardinewood::direct::dispatch::Job;
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// assert_eq!(job.worth_millis(), 1_000);
+    /// ```
+    #[must_use]
+    pub fn worth_millis(&self) -> u32 {
+        let size = (FIXED_WORTH + (1.0 - FIXED_WORTH) * self.relative_size).min(MOST_WORTH);
+        let density = (size / self.relative_hold).clamp(LEAST_DENSITY, MOST_DENSITY);
+        let millis = door::tier_worth(self.tier) * density * 1_000.0;
+        u32::try_from(round_ms(millis)).unwrap_or(u32::MAX)
+    }
+
     /// Until when the request waits for room.
     ///
     /// The most important waits for as long as its caller does, since late is better than
@@ -83,7 +120,7 @@
     /// ```
     /// # use sardinewood::direct::dispatch::Job;
     /// # let job = |tier| Job { id: 1, service: "s".into(), tier, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert_eq!(job(0).waits_until_ms(), 850);
     /// assert!(job(2).waits_until_ms() < 100);
@@ -104,7 +141,7 @@
     /// ```
     /// # use sardinewood::direct::dispatch::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert_eq!(job.retry_after_ms(0), 2_000);
     /// ```
@@ -296,7 +333,7 @@
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job, Offer};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// let mut dispatcher = Dispatcher::default();
     /// assert!(matches!(dispatcher.offer(job, 0), Offer::Refused { .. }));
@@ -372,7 +409,7 @@
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
     /// ```
@@ -404,6 +441,27 @@
         best.map(|(_, place)| Arc::clone(&place.upstream))
     }
 
+    /// How long before its objective a request has to start at an upstream to be in time.
+    ///
+    /// Without this lead a full queue serves each request just as it becomes late, and all
+    /// room goes to answers that are worth three tenths.
+    ///
+    /// ```
+    /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// assert!(Dispatcher::default().lead_ms("i-1", &job) > 0);
+    /// ```
+    #[must_use]
+    pub fn lead_ms(&self, instance: &str, job: &Job) -> u64 {
+        let first_ms = self
+            .places
+            .get(instance)
+            .map_or(0.0, |place| place.health.first_ms(job.prompt_tokens));
+        WAY_MS + round_ms(first_ms * LEAD_FACTOR)
+    }
+
     /// Whether an upstream has room, as far as this entry knows by itself.
     ///
     /// ```
@@ -575,7 +633,7 @@
 }
 
 fn worth(job: &Job, now_ms: u64) -> f64 {
-    door::worth(job.tier, now_ms < job.objective_at_ms)
+    door::worth(job.worth_millis(), now_ms < job.objective_at_ms)
 }
 
 impl Dispatcher {
@@ -626,5 +684,5 @@
     reason = "a positive time; an infinite one becomes the greatest number"
 )]
 fn round_ms(time_ms: f64) -> u64 {
-    time_ms.clamp(0.0, 5_000.0) as u64
+    time_ms.clamp(0.0, 60_000.0) as u64
 }
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -74,6 +74,10 @@
     pub prompt_tokens: u32,
     /// Tokens that its caller expects of the answer.
     pub expected_output_tokens: Option<u32>,
+    /// Its size in relation to the mean of its route.
+    pub relative_size: f64,
+    /// Its expected time at an engine in relation to the mean of its route.
+    pub relative_hold: f64,
     /// The last event that its caller has.
     pub last_event_id: Option<u64>,
     /// When it arrived.
@@ -102,6 +106,8 @@
             tier: self.tier,
             prompt_tokens: self.prompt_tokens,
             expected_output_tokens: self.expected_output_tokens,
+            relative_size: self.relative_size,
+            relative_hold: self.relative_hold,
             arrived_ms: self.arrived_ms,
             objective_at_ms: self.arrived_ms + self.route.objective_ms,
             give_up_at_ms: self.give_up_at_ms,
@@ -315,7 +321,6 @@
             .as_ref()
             .and_then(|customer| customer.tier)
             .unwrap_or(route.tier),
-        route,
         customer,
         method: parts.method,
         uri: origin_form(&parts.uri),
@@ -323,11 +328,14 @@
         body,
         prompt_tokens: headers.prompt_tokens,
         expected_output_tokens: headers.expected_output_tokens,
+        relative_size: traffic.relative_size(&route.name, headers.size()),
+        relative_hold: traffic.relative_hold(&route.name, headers.hold()),
         last_event_id: headers.last_event_id,
         arrived_ms,
         give_up_at_ms: arrived_ms + answer_within_ms,
         tried: Vec::new(),
         may_have_run: false,
+        route,
     })
 }
 
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -117,8 +117,10 @@
         let ask = Ask {
             id: asked.id,
             upstream,
-            tier: self.job.tier,
-            in_time_for_ms: signed(self.job.objective_at_ms) - signed(now_ms),
+            worth_millis: self.job.worth_millis(),
+            in_time_for_ms: signed(self.job.objective_at_ms)
+                - signed(now_ms)
+                - signed(traffic.dispatcher.borrow().lead_ms(&asked.instance, &self.job)),
             waited_ms: now_ms - self.job.arrived_ms,
         };
         let open = AskedDoor {
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -31,6 +31,7 @@
 use crate::direct::door::Doors;
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
+use crate::direct::health::Moving;
 use crate::direct::log_budget::LogBudget;
 use crate::direct::peer_message::Message;
 use crate::direct::peer_message::PeerTable;
@@ -93,6 +94,8 @@
     pub open_requests: Cell<usize>,
     /// Counters.
     pub counts: Cell<Counts>,
+    sizes: RefCell<IndexMap<Arc<str>, Moving>>,
+    expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     starts: RefCell<IndexMap<u64, oneshot::Sender<Lease>>>,
     log: RefCell<LogBudget>,
     next_id: Cell<u64>,
@@ -211,6 +214,8 @@
             closing: Notify::new(),
             open_requests: Cell::new(0),
             counts: Cell::default(),
+            sizes: RefCell::default(),
+            expected_holds: RefCell::default(),
             starts: RefCell::default(),
             log: RefCell::default(),
             next_id: Cell::new(1),
@@ -245,6 +250,18 @@
         self.counts.set(counts);
     }
 
+    /// The size of a request in relation to the mean of its route, which it becomes part of.
+    #[must_use]
+    pub fn relative_size(&self, route: &Arc<str>, size: Option<f64>) -> f64 {
+        relative(&mut self.sizes.borrow_mut(), route, size)
+    }
+
+    /// The expected time at an engine in relation to the mean of its route, likewise.
+    #[must_use]
+    pub fn relative_hold(&self, route: &Arc<str>, hold: Option<f64>) -> f64 {
+        relative(&mut self.expected_holds.borrow_mut(), route, hold)
+    }
+
     /// Writes a line if its kind is within its budget.
     pub fn log(&self, level: Level, message: &'static str, fill: impl FnOnce(Line) -> Line) {
         let left_out = self.log.borrow_mut().take(message, self.now_ms());
@@ -351,3 +368,13 @@
         }
     }
 }
+
+/// A figure in relation to the mean of its kind, which it becomes part of.
+fn relative(means: &mut IndexMap<Arc<str>, Moving>, kind: &Arc<str>, figure: Option<f64>) -> f64 {
+    let Some(figure) = figure.filter(|figure| *figure > 0.0) else {
+        return 1.0;
+    };
+    let mean = means.entry(Arc::clone(kind)).or_default();
+    mean.observe(figure);
+    mean.value().map_or(1.0, |mean| figure / mean)
+}
