allotments: a silent peer is taken to go on as it last spent

Cause: in a cut each side served only its even part of every customer's rate, so an entry with more than its even part of the traffic refused what it used to serve.

--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/allotment.rs
@@ -1,10 +1,11 @@
 //! What customers may spend across all entries, without a counter in the middle.
 //!
 //! Each entry keeps every customer's bucket and takes out of it what itself and, by their
-//! beats, its peers have spent. An entry that hears from only some of its peers lets in only
-//! the part of the rate that those and itself stand for, so that the two sides of a cut
-//! together spend what one fleet would.
+//! beats, its peers have spent. A peer that is no longer heard is taken to go on spending as it
+//! last did, and to use its even part of what nobody spent. Both sides of a cut reckon alike,
+//! so together they spend what one fleet would, and neither refuses what it used to serve.
 
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -12,8 +13,10 @@
 use crate::direct::catalog::Allotment;
 use crate::direct::catalog::Customer;
 
-/// A bucket that holds the whole burst is empty by at most this much when a customer appears.
 const MS_PER_S: f64 = 1_000.0;
+/// Time over which a peer's spending is averaged: long enough to smooth single large
+/// requests, short enough to follow a customer that grows several times its usual.
+const RATE_OVER_MS: f64 = 3_000.0;
 
 /// Whether a request may be charged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -34,6 +37,31 @@
     filled_at_ms: u64,
     /// What this entry has spent since its start.
     own_spent: u64,
+    /// What each peer spends a second.
+    peers: IndexMap<SocketAddr, Spending>,
+    own: Spending,
+    /// The income that is left for the entries that are heard.
+    income_per_s: f64,
+}
+
+/// How fast units are spent.
+#[derive(Clone, Copy, Debug, Default)]
+struct Spending {
+    per_s: f64,
+    at_ms: u64,
+}
+
+impl Spending {
+    fn add(&mut self, units: u64, now_ms: u64) {
+        self.fade(now_ms);
+        self.per_s += as_f64(units) * MS_PER_S / RATE_OVER_MS;
+    }
+
+    fn fade(&mut self, now_ms: u64) {
+        let passed_ms = as_f64(now_ms.saturating_sub(self.at_ms));
+        self.per_s *= (-passed_ms / RATE_OVER_MS).exp();
+        self.at_ms = now_ms;
+    }
 }
 
 impl Bucket {
@@ -43,15 +71,52 @@
             level: as_f64(allotment.burst),
             filled_at_ms: now_ms,
             own_spent: 0,
+            peers: IndexMap::new(),
+            own: Spending::default(),
+            income_per_s: as_f64(allotment.rate_per_s),
         }
     }
 
-    fn fill(&mut self, share: f64, now_ms: u64) {
+    fn fill(&mut self, now_ms: u64) {
         let passed_ms = as_f64(now_ms.saturating_sub(self.filled_at_ms));
-        let income = as_f64(self.allotment.rate_per_s) * share * passed_ms / MS_PER_S;
+        let income = self.income_per_s * passed_ms / MS_PER_S;
         self.level = (self.level + income).min(as_f64(self.allotment.burst));
         self.filled_at_ms = now_ms;
     }
+
+    /// Reckons the income anew, from what silent peers are taken to spend.
+    fn reckon(&mut self, fleet: &Fleet, now_ms: u64) {
+        self.fill(now_ms);
+        self.own.fade(now_ms);
+        for (peer, spending) in &mut self.peers {
+            if !fleet.silent.contains(peer) {
+                spending.fade(now_ms);
+            }
+        }
+        let rate = as_f64(self.allotment.rate_per_s);
+        if fleet.silent.is_empty() {
+            self.income_per_s = rate;
+            return;
+        }
+        let spent_per_s: f64 = self.peers.values().map(|peer| peer.per_s).sum();
+        let spare_per_s = (rate - spent_per_s - self.own.per_s).max(0.0);
+        let even_per_s = spare_per_s / as_f64(fleet.known.max(1) as u64);
+        let silent_per_s: f64 = fleet
+            .silent
+            .iter()
+            .map(|peer| self.peers.get(peer).map_or(0.0, |peer| peer.per_s) + even_per_s)
+            .sum();
+        self.income_per_s = (rate - silent_per_s).max(0.0);
+    }
+}
+
+/// Which entries there are, as far as allotments depend on it.
+#[derive(Clone, Debug, Default)]
+struct Fleet {
+    /// All entries, this one included.
+    known: usize,
+    /// Those that are not heard.
+    silent: Vec<SocketAddr>,
 }
 
 /// The buckets of all customers.
@@ -66,38 +131,27 @@
 /// assert_eq!(allotments.charge(&customer, Some(20), 0), Charge::Granted);
 /// assert_eq!(allotments.charge(&customer, None, 0), Charge::Exceeded { retry_after_ms: 500 });
 /// ```
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Allotments {
     buckets: IndexMap<Arc<str>, Bucket>,
-    /// The part of the fleet's entries that this entry hears from, itself included.
-    share: f64,
-}
-
-impl Default for Allotments {
-    fn default() -> Self {
-        Self {
-            buckets: IndexMap::new(),
-            share: 1.0,
-        }
-    }
+    fleet: Fleet,
 }
 
 impl Allotments {
-    /// Sets how many of the known entries are heard from, this one included in both.
+    /// Takes how many entries there are, this one included, and which of them are not heard.
     ///
     /// ```
     /// let mut allotments = sardinewood::direct::allotment::Allotments::default();
-    /// allotments.set_heard(3, 4, 0);
+    /// allotments.set_fleet(4, vec!["10.0.0.1:7".parse().unwrap()], 0);
     /// ```
-    pub fn set_heard(&mut self, heard: usize, known: usize, now_ms: u64) {
-        let share = as_f64(heard as u64) / as_f64(known.max(1) as u64);
-        if (share - self.share).abs() < f64::EPSILON {
+    pub fn set_fleet(&mut self, known: usize, silent: Vec<SocketAddr>, now_ms: u64) {
+        if self.fleet.silent.is_empty() && silent.is_empty() {
             return;
         }
+        self.fleet = Fleet { known, silent };
         for bucket in self.buckets.values_mut() {
-            bucket.fill(self.share, now_ms);
+            bucket.reckon(&self.fleet, now_ms);
         }
-        self.share = share;
     }
 
     /// Charges a request of so many tokens to a customer.
@@ -116,29 +170,31 @@
             None => 1,
             Some(unsized_tokens) => tokens.unwrap_or(unsized_tokens),
         };
-        let share = self.share;
         let bucket = self.bucket(&customer.name, allotment, now_ms);
-        bucket.fill(share, now_ms);
+        bucket.fill(now_ms);
         let lacking = as_f64(cost.min(allotment.burst)) - bucket.level;
         if lacking > 0.0 {
-            let rate = (as_f64(allotment.rate_per_s) * share).max(1.0);
+            let rate = bucket.income_per_s.max(1.0);
             return Charge::Exceeded {
                 retry_after_ms: as_u64((lacking / rate * MS_PER_S).ceil()),
             };
         }
         bucket.level -= as_f64(cost);
         bucket.own_spent += cost;
+        bucket.own.add(cost, now_ms);
         Charge::Granted
     }
 
     /// Takes out what a peer has spent.
     ///
     /// ```
-    /// sardinewood::direct::allotment::Allotments::default().spent_elsewhere("c", 5);
+    /// let peer = "10.0.0.1:7".parse().unwrap();
+    /// sardinewood::direct::allotment::Allotments::default().spent_elsewhere(peer, "c", 5, 0);
     /// ```
-    pub fn spent_elsewhere(&mut self, customer: &str, units: u64) {
+    pub fn spent_elsewhere(&mut self, peer: SocketAddr, customer: &str, units: u64, now_ms: u64) {
         if let Some(bucket) = self.buckets.get_mut(customer) {
             bucket.level -= as_f64(units);
+            bucket.peers.entry(peer).or_default().add(units, now_ms);
         }
     }
 
@@ -154,15 +210,15 @@
     }
 
     fn bucket(&mut self, name: &Arc<str>, allotment: Allotment, now_ms: u64) -> &mut Bucket {
-        let share = self.share;
         let bucket = self
             .buckets
             .entry(Arc::clone(name))
             .or_insert_with(|| Bucket::new(allotment, now_ms));
         if bucket.allotment != allotment {
-            bucket.fill(share, now_ms);
+            bucket.fill(now_ms);
             bucket.allotment = allotment;
             bucket.level = bucket.level.min(as_f64(allotment.burst));
+            bucket.reckon(&self.fleet, now_ms);
         }
         bucket
     }
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -174,7 +174,7 @@
 ///
 /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &["10.0.0.2:7".parse().unwrap()]);
 /// assert_eq!(table.targets().count(), 1);
-/// assert_eq!(table.heard_and_known(0), (1, 1));
+/// assert_eq!(table.known(), 1);
 /// ```
 #[derive(Clone, Debug)]
 pub struct PeerTable {
@@ -234,7 +234,7 @@
     /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// let heard = table.heard("10.0.0.2:7".parse().unwrap(), &Beat::default(), 5);
     /// assert!(heard.is_new);
-    /// assert_eq!(table.heard_and_known(5), (2, 2));
+    /// assert_eq!(table.known(), 2);
     /// ```
     pub fn heard(&mut self, from: SocketAddr, beat: &Beat, now_ms: u64) -> Heard {
         self.add_seeds(&beat.others);
@@ -322,21 +322,31 @@
             .collect()
     }
 
-    /// How many entries are heard from, and how many there are, this one in both.
+    /// How many entries there are, this one included.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// assert_eq!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).known(), 1);
+    /// ```
+    #[must_use]
+    pub fn known(&self) -> usize {
+        self.peers.len() + 1
+    }
+
+    /// Peers that were heard once and are not now.
     ///
     /// ```
     /// # use sardinewood::direct::peer_message::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
-    /// assert_eq!(table.heard_and_known(0), (1, 1));
+    /// assert!(table.silent(0).is_empty());
     /// ```
     #[must_use]
-    pub fn heard_and_known(&self, now_ms: u64) -> (usize, usize) {
-        let heard = self
-            .peers
-            .values()
-            .filter(|peer| is_heard(peer, now_ms))
-            .count();
-        (heard + 1, self.peers.len() + 1)
+    pub fn silent(&self, now_ms: u64) -> Vec<SocketAddr> {
+        self.peers
+            .iter()
+            .filter(|(_, peer)| !is_heard(peer, now_ms))
+            .map(|(address, _)| *address)
+            .collect()
     }
 
     /// The entries that may keep doors: those that are heard and will not end soon.
--- a/lib/src/direct/peers.rs
+++ b/lib/src/direct/peers.rs
@@ -130,7 +130,7 @@
         }
         let mut allotments = traffic.allotments.borrow_mut();
         for spent in heard.newly_spent {
-            allotments.spent_elsewhere(&spent.customer, spent.units);
+            allotments.spent_elsewhere(from, &spent.customer, spent.units, now_ms);
         }
         drop(allotments);
         traffic
@@ -154,11 +154,11 @@
         traffic.peers.borrow_mut().sweep(now_ms);
         traffic.doors.borrow_mut().sweep(None, now_ms);
         let peers = traffic.peers.borrow();
-        let (heard, known) = peers.heard_and_known(now_ms);
+        let known = peers.known();
         traffic
             .allotments
             .borrow_mut()
-            .set_heard(heard, known, now_ms);
+            .set_fleet(known, peers.silent(now_ms), now_ms);
         traffic.budget.borrow_mut().set_entries(known);
         set(&self.links.asks_store, peers.asks_store(now_ms));
         drop(peers);
