--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -36,6 +36,9 @@
 /// Part of the caller's patience for which the most important may wait, in percent: the first
 /// event has to come within the rest.
 const MOST_WAIT_PERCENT: u64 = 85;
+/// Part of its time after which a refused caller comes back. Of a quarter and a tenth, the
+/// tenth served more on heavy days (0.01 of the worth) and its callers a second sooner.
+const COME_BACK_PARTS: u64 = 10;
 /// Shortest time that a refused caller is asked to stay away.
 const MIN_RETRY_AFTER_MS: u64 = 100;
 /// How much slower than the best an upstream with many failures counts.
@@ -54,6 +57,13 @@
 const WAY_MS: u64 = 15;
 /// How much longer than usual a first event may take beside other prompts.
 const LEAD_FACTOR: f64 = 1.3;
+/// Time without any answer beyond several times the usual after which an upstream counts as
+/// stalled. Healthy ones begin within a few hundred milliseconds, since they get only what
+/// they can begin.
+const STALL_MS: u64 = 800;
+const STALL_FACTOR: f64 = 4.0;
+/// How long a peer's word that an upstream has stalled is believed; its beats repeat it.
+const PEER_STALL_MS: u64 = 700;
 /// What the last slot of an upstream costs, in usual holdings of a slot.
 const CROWD_HOLDS: f64 = 1.0;
 /// How long the load that a peer reported is believed.
@@ -134,20 +144,19 @@
         self.arrived_ms + least_ms.min(most_ms) + round_ms(beyond_ms)
     }
 
-    /// When a refused caller should come back: within the third of its time for which callers
-    /// heed this, and rather late in it. Bursts last for seconds; whoever returns within the
-    /// same one is refused again.
+    /// When a refused caller should come back: after a part of its time, so that whoever has
+    /// more time stays away for longer.
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
-    /// assert_eq!(job.retry_after_ms(0), 2_000);
+    /// assert_eq!(job.retry_after_ms(0), 800);
     /// ```
     #[must_use]
     pub fn retry_after_ms(&self, now_ms: u64) -> u64 {
-        (self.give_up_at_ms.saturating_sub(now_ms) / 4).max(MIN_RETRY_AFTER_MS)
+        (self.give_up_at_ms.saturating_sub(now_ms) / COME_BACK_PARTS).max(MIN_RETRY_AFTER_MS)
     }
 }
 
@@ -178,6 +187,24 @@
     is_listed: bool,
     running: u32,
     health: Health,
+    /// When a request there that has no answer yet becomes suspicious, by its number.
+    unanswered: IndexMap<u64, u64>,
+    /// Until when a peer's word that it answers nothing is believed.
+    peer_stalled_until_ms: u64,
+}
+
+impl Place {
+    /// Whether a request has had no answer there for much longer than it should take.
+    ///
+    /// An engine that hangs takes requests like any other and breaks nothing, so without this
+    /// each entry would go on feeding it until its callers have left.
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        now_ms < self.peer_stalled_until_ms || self.has_stalled_here(now_ms)
+    }
+
+    fn has_stalled_here(&self, now_ms: u64) -> bool {
+        self.unanswered.values().any(|at_ms| now_ms >= *at_ms)
+    }
 }
 
 #[derive(Clone, Debug)]
@@ -241,6 +268,8 @@
                     is_listed: true,
                     running: 0,
                     health: Health::default(),
+                    unanswered: IndexMap::new(),
+                    peer_stalled_until_ms: 0,
                 });
             place.upstream = Arc::clone(upstream);
             place.is_listed = true;
@@ -254,7 +283,7 @@
     /// ```
     /// # use sardinewood::direct::peer_message::Running;
     /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
-    /// dispatcher.set_peer_load(1, &[Running { upstream: 7, count: 2, event_us: 0 }], 0);
+    /// dispatcher.set_peer_load(1, &[Running { upstream: 7, count: 2, ..Running::default() }], 0);
     /// ```
     pub fn set_peer_load(&mut self, peer: u64, running: &[Running], now_ms: u64) {
         let load = PeerLoad {
@@ -267,6 +296,9 @@
         for place in self.places.values_mut() {
             let name = short_name(&place.upstream.instance);
             let told = running.iter().find(|running| running.upstream == name);
+            if told.is_some_and(|told| told.is_stalled) {
+                place.peer_stalled_until_ms = now_ms + PEER_STALL_MS;
+            }
             if let Some(told) = told.filter(|told| told.event_us > 0) {
                 let event_ms = f64::from(told.event_us) / US_PER_MS;
                 place.health.hear_event_ms(event_ms, now_ms);
@@ -281,16 +313,17 @@
     ///
     /// ```
     /// let dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
-    /// assert_eq!(dispatcher.running().count(), 0);
+    /// assert_eq!(dispatcher.running(0).count(), 0);
     /// ```
-    pub fn running(&self) -> impl Iterator<Item = Running> {
+    pub fn running(&self, now_ms: u64) -> impl Iterator<Item = Running> {
         self.places
             .iter()
             .filter(|(_, place)| place.running > 0)
-            .map(|(instance, place)| Running {
+            .map(move |(instance, place)| Running {
                 upstream: short_name(instance),
                 count: u16::try_from(place.running).unwrap_or(u16::MAX),
                 event_us: whole_us(place.health.event_ms()),
+                is_stalled: place.has_stalled_here(now_ms),
             })
     }
 
@@ -425,6 +458,7 @@
             place.is_listed
                 && place.upstream.service == job.service
                 && !place.health.is_paused(now_ms)
+                && !place.is_stalled(now_ms)
                 && !job.tried.contains(instance)
                 && !asked.contains(instance)
         };
@@ -489,17 +523,44 @@
         Some(Arc::clone(&place.upstream))
     }
 
+    /// Notes that a request was sent and has no answer yet.
+    ///
+    /// ```
+    /// sardinewood::direct::dispatch::Dispatcher::default().sent("i-1", 1, 4_000, 0);
+    /// ```
+    pub fn sent(&mut self, instance: &str, id: u64, prompt_tokens: u32, now_ms: u64) {
+        if let Some(place) = self.places.get_mut(instance) {
+            let usual_ms = round_ms(place.health.first_ms(prompt_tokens) * STALL_FACTOR);
+            place.unanswered.insert(id, now_ms + STALL_MS + usual_ms);
+        }
+    }
+
+    /// Notes that the first part of a request's answer has come.
+    ///
+    /// ```
+    /// sardinewood::direct::dispatch::Dispatcher::default().answered("i-1", 1);
+    /// ```
+    pub fn answered(&mut self, instance: &str, id: u64) {
+        if let Some(place) = self.places.get_mut(instance) {
+            place.unanswered.swap_remove(&id);
+            place.peer_stalled_until_ms = 0;
+        }
+    }
+
     /// Frees the room of a request that had started.
     ///
     /// ```
     /// # use sardinewood::direct::{dispatch::Dispatcher, health::Ended};
-    /// Dispatcher::default().finished("i-1", Ended::Answered, 40, 0);
+    /// Dispatcher::default().finished("i-1", 1, Ended::Answered, 40, 0);
     /// ```
-    pub fn finished(&mut self, instance: &str, ended: Ended, held_ms: u64, now_ms: u64) {
+    pub fn finished(&mut self, instance: &str, id: u64, ended: Ended, held_ms: u64, now_ms: u64) {
         let Some(place) = self.places.get_mut(instance) else {
             return;
         };
         place.running = place.running.saturating_sub(1);
+        let stalls_at_ms = place.unanswered.swap_remove(&id);
+        let has_stalled = stalls_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
+        let ended = if has_stalled { Ended::Broken } else { ended };
         place.health.ended(ended, now_ms);
         if ended == Ended::Answered {
             self.holds
@@ -605,6 +666,7 @@
             let fits = place.is_listed
                 && place.upstream.service == job.service
                 && !place.health.is_paused(now_ms)
+                && !place.is_stalled(now_ms)
                 && !job.tried.contains(instance);
             if !fits {
                 continue;
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -487,6 +487,7 @@
     };
     let request = upstream_request(traffic, call, &lease, last_event_id);
     call.tried.push(Arc::clone(&lease.upstream.instance));
+    lease.sent(call.prompt_tokens);
     match timeout_at(until, connection.send(request)).await {
         Err(_) => {
             lease.ended = Ended::Failed;
@@ -636,6 +637,7 @@
         }
     };
     keep(traffic, &lease, connection, headers.keep_alive_ms);
+    lease.answered();
     let has_failed = parts.status.is_server_error();
     lease.ended = if has_failed { Ended::Failed } else { Ended::Answered };
     let held_ms = traffic.now_ms() - lease.since_ms();
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -44,6 +44,8 @@
     pub count: u16,
     /// Time between two events of a stream there, 0 if not known.
     pub event_us: u32,
+    /// Whether a request has had no answer there for far too long.
+    pub is_stalled: bool,
 }
 
 /// How far an entry has followed the platform's store.
--- a/lib/src/direct/peers.rs
+++ b/lib/src/direct/peers.rs
@@ -199,7 +199,7 @@
             store_age_ms: self.links.store_answers.age_ms().filter(|_| asks_store),
             revisions: *self.links.own.borrow(),
             others: traffic.peers.borrow().named(self.sequence),
-            running: dispatcher.running().collect(),
+            running: dispatcher.running(traffic.now_ms()).collect(),
             spent: allotments
                 .own_spent()
                 .map(|(customer, units)| Spent {
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -175,6 +175,7 @@
             None => {
                 let since = self.traffic.instant_at(source.lease.since_ms());
                 let after_ms = as_ms(now - since);
+                source.lease.answered();
                 source
                     .lease
                     .learn(|health| health.first_event(prompt_tokens, after_ms));
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -112,6 +112,7 @@
     pub ended: Ended,
     /// Whether the upstream's door granted the room.
     is_granted: bool,
+    id: u64,
     since_ms: u64,
 }
 
@@ -124,6 +125,7 @@
             upstream,
             ended: Ended::Left,
             is_granted,
+            id: traffic.next_id(),
             since_ms: traffic.now_ms(),
         }
     }
@@ -136,6 +138,24 @@
         }
     }
 
+    /// Notes that a request was sent, and that an answer is due.
+    pub fn sent(&self, prompt_tokens: u32) {
+        self.traffic.dispatcher.borrow_mut().sent(
+            &self.upstream.instance,
+            self.id,
+            prompt_tokens,
+            self.traffic.now_ms(),
+        );
+    }
+
+    /// Notes that the first part of the answer has come.
+    pub fn answered(&self) {
+        self.traffic
+            .dispatcher
+            .borrow_mut()
+            .answered(&self.upstream.instance, self.id);
+    }
+
     /// When the room was taken.
     #[must_use]
     pub fn since_ms(&self) -> u64 {
@@ -149,6 +169,7 @@
         let held_ms = now_ms - self.since_ms;
         self.traffic.dispatcher.borrow_mut().finished(
             &self.upstream.instance,
+            self.id,
             self.ended,
             held_ms,
             now_ms,
