--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -453,16 +453,8 @@
         now_ms: u64,
         mut random: impl FnMut() -> usize,
     ) -> Option<Arc<Upstream>> {
-        let fits = |place: &&Place| {
-            let instance = &place.upstream.instance;
-            place.is_listed
-                && place.upstream.service == job.service
-                && !place.health.is_paused(now_ms)
-                && !place.is_stalled(now_ms)
-                && !job.tried.contains(instance)
-                && !asked.contains(instance)
-        };
-        let mut places: Vec<&Place> = self.places.values().filter(fits).collect();
+        let mut places = self.open_places(job, now_ms);
+        places.retain(|place| !asked.contains(&place.upstream.instance));
         let mut best: Option<(f64, &Place)> = None;
         for _ in 0..DRAWN_PLACES.min(places.len()) {
             let place = places.swap_remove(random() % places.len());
@@ -662,15 +654,8 @@
 
     fn best_place(&self, job: &Job, now_ms: u64) -> Option<Arc<str>> {
         let mut best: Option<(f64, &Arc<str>)> = None;
-        for (instance, place) in &self.places {
-            let fits = place.is_listed
-                && place.upstream.service == job.service
-                && !place.health.is_paused(now_ms)
-                && !place.is_stalled(now_ms)
-                && !job.tried.contains(instance);
-            if !fits {
-                continue;
-            }
+        for place in self.open_places(job, now_ms) {
+            let instance = &place.upstream.instance;
             let running = place.running + self.running_elsewhere(instance, now_ms);
             if running >= place.upstream.slots {
                 continue;
@@ -683,6 +668,23 @@
         best.map(|(_, instance)| Arc::clone(instance))
     }
 
+    /// Where a request could go: to all that work, or, if none does, to all there are. A
+    /// service's only upstream that is slow for a moment is still better than none.
+    fn open_places(&self, job: &Job, now_ms: u64) -> Vec<&Place> {
+        let fits = |place: &&Place| {
+            place.is_listed
+                && place.upstream.service == job.service
+                && !job.tried.contains(&place.upstream.instance)
+        };
+        let works =
+            |place: &&Place| !place.health.is_paused(now_ms) && !place.is_stalled(now_ms);
+        let working: Vec<&Place> = self.places.values().filter(fits).filter(works).collect();
+        if working.is_empty() {
+            return self.places.values().filter(fits).collect();
+        }
+        working
+    }
+
     fn running_elsewhere(&self, instance: &str, now_ms: u64) -> u32 {
         let name = short_name(instance);
         self.peers
