allotments: while nobody waits, customers get most of what the platform tolerates

Ruled out: a larger burst always (customers at several times their usual would take it from others while they wait).

--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/allotment.rs
@@ -14,10 +14,41 @@
 use crate::direct::catalog::Customer;
 
 const MS_PER_S: f64 = 1_000.0;
+/// Part of the tolerance that is given to customers. The rest covers what entries spend before
+/// they hear of each other: a third of a second in a fleet of thirty.
+const GIVEN_PART: f64 = 0.6;
 /// Time over which a peer's spending is averaged: long enough to smooth single large
 /// requests, short enough to follow a customer that grows several times its usual.
 const RATE_OVER_MS: f64 = 3_000.0;
 
+/// How far beyond an allotment the platform lets a customer get.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Tolerance {
+    /// The span over which the platform counts.
+    pub window_s: f64,
+    /// Part of what is allowed in a window that may come on top.
+    pub overage: f64,
+    /// Units that may come on top in any case.
+    pub slack: f64,
+}
+
+impl Tolerance {
+    fn given(&self, allotment: Allotment) -> f64 {
+        let allowed =
+            as_f64(allotment.rate_per_s) * self.window_s + as_f64(allotment.burst);
+        (allowed * self.overage + self.slack) * GIVEN_PART
+    }
+}
+
+/// Whether others wait for what a request would take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Demand {
+    /// Nobody waits.
+    Slack,
+    /// Somebody waits.
+    Pressing,
+}
+
 /// Whether a request may be charged.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Charge {
@@ -122,22 +153,35 @@
 /// The buckets of all customers.
 ///
 /// ```
-/// use sardinewood::direct::allotment::{Allotments, Charge};
+/// use sardinewood::direct::allotment::{Allotments, Charge, Demand};
 /// use sardinewood::direct::catalog::{Allotment, Customer};
 ///
 /// let allotment = Allotment { rate_per_s: 10, burst: 20, unsized_tokens: Some(5) };
 /// let customer = Customer { name: "c".into(), tier: None, allotment: Some(allotment) };
 /// let mut allotments = Allotments::default();
-/// assert_eq!(allotments.charge(&customer, Some(20), 0), Charge::Granted);
-/// assert_eq!(allotments.charge(&customer, None, 0), Charge::Exceeded { retry_after_ms: 500 });
+/// let pressing = Demand::Pressing;
+/// assert_eq!(allotments.charge(&customer, Some(20), pressing, 0), Charge::Granted);
+/// let refused = allotments.charge(&customer, None, pressing, 0);
+/// assert_eq!(refused, Charge::Exceeded { retry_after_ms: 500 });
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Allotments {
     buckets: IndexMap<Arc<str>, Bucket>,
     fleet: Fleet,
+    tolerance: Tolerance,
 }
 
 impl Allotments {
+    /// Takes what the platform tolerates.
+    ///
+    /// ```
+    /// # use sardinewood::direct::allotment::{Allotments, Tolerance};
+    /// Allotments::default().set_tolerance(Tolerance::default());
+    /// ```
+    pub fn set_tolerance(&mut self, tolerance: Tolerance) {
+        self.tolerance = tolerance;
+    }
+
     /// Takes how many entries there are, this one included, and which of them are not heard.
     ///
     /// ```
@@ -157,12 +201,24 @@
     /// Charges a request of so many tokens to a customer.
     ///
     /// ```
-    /// # use sardinewood::direct::allotment::{Allotments, Charge};
+    /// Limits keep one customer from taking what others need. So while nobody waits, a
+    /// customer gets most of what the platform tolerates beyond its allotment, and no
+    /// request is refused for what another entry has not told yet.
+    ///
+    /// ```
+    /// # use sardinewood::direct::allotment::{Allotments, Charge, Demand};
     /// # use sardinewood::direct::catalog::Customer;
     /// let unlimited = Customer { name: "c".into(), tier: None, allotment: None };
-    /// assert_eq!(Allotments::default().charge(&unlimited, None, 0), Charge::Granted);
+    /// let charge = Allotments::default().charge(&unlimited, None, Demand::Slack, 0);
+    /// assert_eq!(charge, Charge::Granted);
     /// ```
-    pub fn charge(&mut self, customer: &Customer, tokens: Option<u64>, now_ms: u64) -> Charge {
+    pub fn charge(
+        &mut self,
+        customer: &Customer,
+        tokens: Option<u64>,
+        demand: Demand,
+        now_ms: u64,
+    ) -> Charge {
         let Some(allotment) = customer.allotment else {
             return Charge::Granted;
         };
@@ -170,9 +226,13 @@
             None => 1,
             Some(unsized_tokens) => tokens.unwrap_or(unsized_tokens),
         };
+        let given = match demand {
+            Demand::Slack => self.tolerance.given(allotment),
+            Demand::Pressing => 0.0,
+        };
         let bucket = self.bucket(&customer.name, allotment, now_ms);
         bucket.fill(now_ms);
-        let lacking = as_f64(cost.min(allotment.burst)) - bucket.level;
+        let lacking = as_f64(cost.min(allotment.burst)) - bucket.level - given;
         if lacking > 0.0 {
             let rate = bucket.income_per_s.max(1.0);
             return Charge::Exceeded {
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -298,7 +298,12 @@
     let body = read_body(&catalog, body, id).await?;
     let charge = customer.as_ref().map_or(Charge::Granted, |customer| {
         let mut allotments = traffic.allotments.borrow_mut();
-        allotments.charge(customer, headers.charged_tokens(), traffic.now_ms())
+        allotments.charge(
+            customer,
+            headers.charged_tokens(),
+            traffic.demand(),
+            traffic.now_ms(),
+        )
     });
     if let Charge::Exceeded { retry_after_ms } = charge {
         let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "allotment is spent", id);
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -22,6 +22,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::direct::allotment::Tolerance;
 use crate::direct::attempt_budget::AttemptLimits;
 use crate::direct::caller::Dialect;
 use crate::direct::follow::Decoders;
@@ -72,6 +73,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Second attempts that all entries together may make.
     pub attempts: AttemptLimits,
+    /// How far beyond their allotments customers may get.
+    pub tolerance: Tolerance,
     /// Time between the signal to stop and the end by force.
     pub stop_within: Duration,
 }
@@ -178,6 +181,10 @@
         .wrap_err_with(|| format!("can't hear peers on {}", settings.peers))?;
     let peers = PeerTable::new(settings.peers, &settings.seeds);
     let traffic = Traffic::new(adapter.dialect, settings.attempts, peers, socket);
+    traffic
+        .allotments
+        .borrow_mut()
+        .set_tolerance(settings.tolerance);
     let callers = listen(settings.callers, "callers").await?;
     let readiness = listen(settings.readiness, "readiness").await?;
     spawn_local(front::serve_callers(callers, Rc::clone(&traffic)));
@@ -234,6 +241,10 @@
 /// Takes what can change without a new start, and says what can't.
 fn take_settings(old: &DirectSettings, new: &DirectSettings, traffic: &Traffic) {
     traffic.budget.borrow_mut().set_limits(new.attempts);
+    traffic
+        .allotments
+        .borrow_mut()
+        .set_tolerance(new.tolerance);
     traffic.peers.borrow_mut().add_seeds(&new.seeds);
     let moved = old.callers != new.callers
         || old.readiness != new.readiness
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -15,6 +15,7 @@
 use tokio::time::Instant;
 
 use crate::direct::allotment::Allotments;
+use crate::direct::allotment::Demand;
 use crate::direct::attempt_budget::AttemptBudget;
 use crate::direct::attempt_budget::AttemptLimits;
 use crate::direct::caller::Dialect;
@@ -264,6 +265,13 @@
         id
     }
 
+    /// Whether requests wait for room here.
+    #[must_use]
+    pub fn demand(&self) -> Demand {
+        let waits = !self.asks.borrow().is_empty() || self.dispatcher.borrow().waiting() > 0;
+        if waits { Demand::Pressing } else { Demand::Slack }
+    }
+
     /// Changes the counters.
     pub fn count(&self, change: impl FnOnce(&mut Counts)) {
         let mut counts = self.counts.get();
