--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/allotment.rs
@@ -34,8 +34,7 @@
 
 impl Tolerance {
     fn given(&self, allotment: Allotment) -> f64 {
-        let allowed =
-            as_f64(allotment.rate_per_s) * self.window_s + as_f64(allotment.burst);
+        let allowed = as_f64(allotment.rate_per_s) * self.window_s + as_f64(allotment.burst);
         (allowed * self.overage + self.slack) * GIVEN_PART
     }
 }
@@ -200,7 +199,6 @@
 
     /// Charges a request of so many tokens to a customer.
     ///
-    /// ```
     /// Limits keep one customer from taking what others need. So while nobody waits, a
     /// customer gets most of what the platform tolerates beyond its allotment, and no
     /// request is refused for what another entry has not told yet.
--- a/lib/src/direct/catalog.rs
+++ b/lib/src/direct/catalog.rs
@@ -207,11 +207,11 @@
     pub fn admit(&self, host: &str, path: &str, key: Option<&str>) -> Admission {
         let host = host.split_once(':').map_or(host, |(name, _)| name);
         let path = path.split_once('?').map_or(path, |(path, _)| path);
-        let Some(route) = self
-            .routes
-            .get(host)
-            .and_then(|routes| routes.iter().find(|route| path.starts_with(&*route.path_prefix)))
-        else {
+        let Some(route) = self.routes.get(host).and_then(|routes| {
+            routes
+                .iter()
+                .find(|route| path.starts_with(&*route.path_prefix))
+        }) else {
             return Admission::NoRoute;
         };
         let customer = key.and_then(|key| self.customers.get(key)).cloned();
--- a/lib/src/direct/connections.rs
+++ b/lib/src/direct/connections.rs
@@ -28,7 +28,7 @@
 /// packet is repeated by the system after a second, so another try is the faster way.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// How long a connection may stay idle if the upstream does not say.
-const DEFAULT_IDLE: Duration = Duration::from_millis(4_000);
+const DEFAULT_IDLE: Duration = Duration::from_secs(4);
 /// Part of the announced idle time after which a connection is not used any more, in percent.
 const IDLE_USED_PERCENT: u32 = 70;
 
@@ -119,9 +119,9 @@
 }
 
 async fn connect(upstream: &Upstream) -> Result<Connection, SendError> {
-    let stream = match timeout(CONNECT_TIMEOUT, TcpStream::connect(upstream.address)).await {
-        Ok(Ok(stream)) => stream,
-        Ok(Err(_)) | Err(_) => return Err(SendError::NotSent),
+    let connecting = TcpStream::connect(upstream.address);
+    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connecting).await else {
+        return Err(SendError::NotSent);
     };
     if stream.set_nodelay(true).is_err() {
         return Err(SendError::NotSent);
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -625,8 +625,8 @@
             .iter()
             .filter(|other| other.service == job.service && worth(other, now_ms) >= own)
             .count();
-        if ahead == 0 && self.is_served(&job.service) {
-            return 0.0;
+        if !self.is_served(&job.service) {
+            return f64::INFINITY;
         }
         as_ms(ahead as u64) * self.ms_per_start(&job.service)
     }
@@ -676,8 +676,7 @@
                 && place.upstream.service == job.service
                 && !job.tried.contains(&place.upstream.instance)
         };
-        let works =
-            |place: &&Place| !place.health.is_paused(now_ms) && !place.is_stalled(now_ms);
+        let works = |place: &&Place| !place.health.is_paused(now_ms) && !place.is_stalled(now_ms);
         let working: Vec<&Place> = self.places.values().filter(fits).filter(works).collect();
         if working.is_empty() {
             return self.places.values().filter(fits).collect();
@@ -722,13 +721,21 @@
         let ends_in_ms = as_ms(job.give_up_at_ms.saturating_sub(now_ms));
         let is_cut = alone_ms * LENGTH_DOUBT > ends_in_ms;
         let cut_ms = if is_cut { CUT_HOLDS * hold_ms } else { 0.0 };
-        let full_ms = if fullness < 1.0 { 0.0 } else { FULL_HOLDS * hold_ms };
+        let full_ms = if fullness < 1.0 {
+            0.0
+        } else {
+            FULL_HOLDS * hold_ms
+        };
         let bad = if health.is_bad() { BAD_FACTOR } else { 1.0 };
-        (alone_ms + late_ms + cut_ms + full_ms + hold_ms * CROWD_HOLDS * fullness * fullness + 1.0) * bad
+        (alone_ms + late_ms + cut_ms + full_ms + hold_ms * CROWD_HOLDS * fullness * fullness + 1.0)
+            * bad
     }
 }
 
-#[expect(clippy::cast_precision_loss, reason = "times and counts are far below 2^52")]
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "times and counts are far below 2^52"
+)]
 fn as_ms(number: u64) -> f64 {
     number as f64
 }
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -159,10 +159,7 @@
 /// assert_eq!(keeper(5, [one]), Some(one));
 /// ```
 #[must_use]
-pub fn keeper(
-    upstream: u32,
-    entries: impl IntoIterator<Item = SocketAddr>,
-) -> Option<SocketAddr> {
+pub fn keeper(upstream: u32, entries: impl IntoIterator<Item = SocketAddr>) -> Option<SocketAddr> {
     entries.into_iter().max_by_key(|entry| {
         let seed = u64::from(upstream);
         let SocketAddr::V4(entry) = entry else {
@@ -193,7 +190,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Doors {
-    doors: IndexMap<u32, Door>,
+    by_engine: IndexMap<u32, Door>,
     heard_ms: IndexMap<SocketAddr, u64>,
     /// Doors that may have something to grant.
     changed: Vec<u32>,
@@ -206,20 +203,20 @@
     /// sardinewood::direct::door::Doors::default().set_engines([("i-1".into(), 4)]);
     /// ```
     pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Arc<str>, u32)>) {
-        let mut before = std::mem::take(&mut self.doors);
+        let mut before = std::mem::take(&mut self.by_engine);
         for (instance, slots) in engines {
             let name = short_name(&instance);
             let mut door = before.swap_remove(&name).unwrap_or_default();
             door.slots = slots;
             self.changed.push(name);
-            self.doors.insert(name, door);
+            self.by_engine.insert(name, door);
         }
         for (name, mut door) in before {
             // A leaving engine takes nothing new; its count ends with what it runs.
             door.queue.clear();
             door.slots = 0;
             if door.used() > 0 {
-                self.doors.insert(name, door);
+                self.by_engine.insert(name, door);
             }
         }
     }
@@ -232,7 +229,7 @@
     /// Doors::default().ask(Asker::Own, ask, 0);
     /// ```
     pub fn ask(&mut self, from: Asker, ask: Ask, now_ms: u64) {
-        let Some(door) = self.doors.get_mut(&ask.upstream) else {
+        let Some(door) = self.by_engine.get_mut(&ask.upstream) else {
             return;
         };
         let is_known = door
@@ -242,6 +239,11 @@
         if is_known {
             return;
         }
+        if let Asker::Peer(peer) = from {
+            // A peer's first question may come before its first beat. Without this the next
+            // sweep would forget what it was granted, and the engine would get too much.
+            self.heard_ms.insert(peer, now_ms);
+        }
         let now = i64::try_from(now_ms).unwrap_or(i64::MAX);
         door.queue.push(Queued {
             from,
@@ -259,7 +261,7 @@
     /// Doors::default().cancel(Asker::Own, 7, AskId(1));
     /// ```
     pub fn cancel(&mut self, from: Asker, upstream: u32, ask: AskId) {
-        if let Some(door) = self.doors.get_mut(&upstream) {
+        if let Some(door) = self.by_engine.get_mut(&upstream) {
             door.queue
                 .retain(|queued| queued.from != from || queued.ask.id != ask);
         }
@@ -272,7 +274,7 @@
     /// Doors::default().done(Asker::Own, 7, None);
     /// ```
     pub fn done(&mut self, from: Asker, upstream: u32, held_ms: Option<u32>) {
-        let Some(door) = self.doors.get_mut(&upstream) else {
+        let Some(door) = self.by_engine.get_mut(&upstream) else {
             return;
         };
         match from {
@@ -295,7 +297,7 @@
     /// sardinewood::direct::door::Doors::default().began_unasked(7);
     /// ```
     pub fn began_unasked(&mut self, upstream: u32) {
-        if let Some(door) = self.doors.get_mut(&upstream) {
+        if let Some(door) = self.by_engine.get_mut(&upstream) {
             door.own += 1;
         }
     }
@@ -315,7 +317,7 @@
             .iter()
             .map(|running| (running.upstream, u32::from(running.count)))
             .collect();
-        for (name, door) in &mut self.doors {
+        for (name, door) in &mut self.by_engine {
             let reported = running.get(name).copied().unwrap_or_default();
             let tracked = match door.peers.get_mut(&peer) {
                 Some(tracked) => tracked,
@@ -346,12 +348,12 @@
     /// Doors::default().sweep(None, 0);
     /// ```
     pub fn sweep(&mut self, gone: Option<SocketAddr>, now_ms: u64) {
-        self.heard_ms.retain(|peer, heard_ms| {
-            Some(*peer) != gone && now_ms < *heard_ms + PEER_SILENCE_MS
-        });
-        for (name, door) in &mut self.doors {
+        self.heard_ms
+            .retain(|peer, heard_ms| Some(*peer) != gone && now_ms < *heard_ms + PEER_SILENCE_MS);
+        for (name, door) in &mut self.by_engine {
             let before = door.used();
-            door.peers.retain(|peer, _| self.heard_ms.contains_key(peer));
+            door.peers
+                .retain(|peer, _| self.heard_ms.contains_key(peer));
             door.queue.retain(|queued| match queued.from {
                 Asker::Own => true,
                 Asker::Peer(peer) => self.heard_ms.contains_key(&peer),
@@ -378,7 +380,7 @@
     }
 
     fn grant_at(&mut self, name: u32, now_ms: u64) -> Option<Grant> {
-        let door = self.doors.get_mut(&name)?;
+        let door = self.by_engine.get_mut(&name)?;
         if door.used() >= door.slots {
             return None;
         }
@@ -407,7 +409,7 @@
     /// ```
     #[must_use]
     pub fn wait_ms(&self, from: Asker, upstream: u32, ask: AskId, now_ms: u64) -> Option<u32> {
-        let door = self.doors.get(&upstream)?;
+        let door = self.by_engine.get(&upstream)?;
         let own = door
             .queue
             .iter()
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -379,11 +379,7 @@
             "body is too large",
             id,
         )),
-        Err(_) => Err(Refusal::new(
-            StatusCode::BAD_REQUEST,
-            "body broke off",
-            id,
-        )),
+        Err(_) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body broke off", id)),
     }
 }
 
@@ -644,7 +640,11 @@
     keep(traffic, &lease, connection, headers.keep_alive_ms);
     lease.answered();
     let has_failed = parts.status.is_server_error();
-    lease.ended = if has_failed { Ended::Failed } else { Ended::Answered };
+    lease.ended = if has_failed {
+        Ended::Failed
+    } else {
+        Ended::Answered
+    };
     let held_ms = traffic.now_ms() - lease.since_ms();
     if !has_failed {
         lease.learn(|health| health.answered_after(as_ms(held_ms)));
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -125,8 +125,8 @@
 pub struct View {
     /// The configuration in force.
     pub catalog: Option<Arc<Catalog>>,
-    /// Upstreams that take new work.
-    pub upstreams: Arc<[Arc<Upstream>]>,
+    /// Upstreams that take new work; none before the first list.
+    pub upstreams: Option<Arc<[Arc<Upstream>]>>,
     /// Their revisions.
     pub revisions: Revisions,
 }
@@ -138,6 +138,7 @@
     catalog: Option<(StoredObject, Arc<Catalog>)>,
     objects: IndexMap<Arc<str>, StoredObject>,
     directory: Directory,
+    is_listed: bool,
     revisions: Revisions,
     view: watch::Sender<View>,
     began: Instant,
@@ -165,6 +166,7 @@
             catalog: None,
             objects: IndexMap::new(),
             directory: Directory::default(),
+            is_listed: false,
             revisions: Revisions::default(),
             view,
             began: Instant::now(),
@@ -257,9 +259,12 @@
                     copy.drop_upstream(&name, version);
                 }
                 WatchEvent::Delete { name, .. } => {
-                    Line::new(Level::Error, "configuration was deleted; the last one stays")
-                        .field("name", name)
-                        .send();
+                    Line::new(
+                        Level::Error,
+                        "configuration was deleted; the last one stays",
+                    )
+                    .field("name", name)
+                    .send();
                 }
             }
         }
@@ -403,6 +408,7 @@
         let has_lost = self.objects.keys().any(|name| !kept.contains_key(name));
         self.revisions.directory = if has_lost { newest.max(at) } else { newest };
         self.objects = kept;
+        self.is_listed = true;
         self.directory.replace(decoded, now_ms);
         Line::new(Level::Info, "upstreams listed")
             .field("count", self.objects.len())
@@ -441,8 +447,13 @@
 
     fn publish(&self) {
         self.view.send_replace(View {
-            catalog: self.catalog.as_ref().map(|(_, catalog)| Arc::clone(catalog)),
-            upstreams: self.directory.usable().cloned().collect(),
+            catalog: self
+                .catalog
+                .as_ref()
+                .map(|(_, catalog)| Arc::clone(catalog)),
+            upstreams: self
+                .is_listed
+                .then(|| self.directory.usable().cloned().collect()),
             revisions: self.revisions,
         });
     }
--- a/lib/src/direct/pull.rs
+++ b/lib/src/direct/pull.rs
@@ -99,10 +99,7 @@
 }
 
 async fn receive<T: DeserializeOwned>(channel: &mut Channel) -> io::Result<T> {
-    let frame = channel
-        .next()
-        .await
-        .ok_or(io::ErrorKind::UnexpectedEof)??;
+    let frame = channel.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
     postcard::from_bytes(&frame).map_err(io::Error::other)
 }
 
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -137,7 +137,11 @@
         let give_up = self.traffic.instant_at(self.call.give_up_at_ms);
         let silent = Instant::now() + SILENCE;
         let may_move = self.call.route.repeat.is_idempotent() && self.last_event.is_some();
-        let until = if may_move { silent.min(give_up) } else { give_up };
+        let until = if may_move {
+            silent.min(give_up)
+        } else {
+            give_up
+        };
         match timeout_at(until, source.body.frame()).await {
             Ok(Some(Ok(frame))) => Came::Bytes(frame.into_data().unwrap_or_default()),
             Ok(Some(Err(_))) => Came::Broke("upstream broke off a stream"),
@@ -158,10 +162,12 @@
         let whole = if self.partial.is_empty() {
             bytes.slice(..scanned.whole_bytes)
         } else {
-            self.partial.extend_from_slice(&bytes[..scanned.whole_bytes]);
+            self.partial
+                .extend_from_slice(&bytes[..scanned.whole_bytes]);
             self.partial.split().freeze()
         };
-        self.partial.extend_from_slice(&bytes[scanned.whole_bytes..]);
+        self.partial
+            .extend_from_slice(&bytes[scanned.whole_bytes..]);
         Some(whole)
     }
 
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -89,12 +89,13 @@
             return false;
         }
         let now_ms = self.traffic.now_ms();
-        let chosen = self.traffic.dispatcher.borrow().choose(
-            &self.job,
-            &self.instances(),
-            now_ms,
-            || rand::random::<u16>().into(),
-        );
+        let chosen =
+            self.traffic
+                .dispatcher
+                .borrow()
+                .choose(&self.job, &self.instances(), now_ms, || {
+                    rand::random::<u16>().into()
+                });
         let Some(upstream) = chosen else {
             return false;
         };
@@ -120,7 +121,12 @@
             worth_millis: self.job.worth_millis(),
             in_time_for_ms: signed(self.job.objective_at_ms)
                 - signed(now_ms)
-                - signed(traffic.dispatcher.borrow().lead_ms(&asked.instance, &self.job)),
+                - signed(
+                    traffic
+                        .dispatcher
+                        .borrow()
+                        .lead_ms(&asked.instance, &self.job),
+                ),
             waited_ms: now_ms - self.job.arrived_ms,
         };
         let open = AskedDoor {
@@ -204,9 +210,11 @@
         }
         let upstream = dispatcher.began(&instance)?;
         drop(dispatcher);
-        traffic.log(Level::Warn, "door is silent, engine called unasked", |line| {
-            line.field("upstream", &instance)
-        });
+        traffic.log(
+            Level::Warn,
+            "door is silent, engine called unasked",
+            |line| line.field("upstream", &instance),
+        );
         Some(Lease::new(traffic, upstream, false))
     }
 
@@ -362,9 +370,7 @@
     pub fn give_back(self: &Rc<Self>, upstream: u32, held_ms: Option<u32>) {
         match self.keeper(upstream) {
             Asker::Own => {
-                self.doors
-                    .borrow_mut()
-                    .done(Asker::Own, upstream, held_ms);
+                self.doors.borrow_mut().done(Asker::Own, upstream, held_ms);
                 self.grant_rooms();
             }
             Asker::Peer(peer) => self.tell(peer, &Message::Done { upstream, held_ms }),
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -54,7 +54,7 @@
 /// How often it is looked whether all requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// How often idle connections to upstreams are looked after.
-const SWEEP_PERIOD: Duration = Duration::from_millis(1_000);
+const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 
 /// How often the settings are looked at without a signal. They change some times a day, and
 /// reading them costs some ten microseconds.
@@ -140,7 +140,10 @@
         })
         .wrap_err("can't start the control thread")?;
     let traffic = current_thread().wrap_err("can't start the traffic thread's runtime")?;
-    LocalSet::new().block_on(&traffic, serve(settings, adapter, view, own_sender, links, reload))
+    LocalSet::new().block_on(
+        &traffic,
+        serve(settings, adapter, view, own_sender, links, reload),
+    )
 }
 
 async fn follow<S: ObjectSource>(
@@ -241,14 +244,10 @@
 /// Takes what can change without a new start, and says what can't.
 fn take_settings(old: &DirectSettings, new: &DirectSettings, traffic: &Traffic) {
     traffic.budget.borrow_mut().set_limits(new.attempts);
-    traffic
-        .allotments
-        .borrow_mut()
-        .set_tolerance(new.tolerance);
+    traffic.allotments.borrow_mut().set_tolerance(new.tolerance);
     traffic.peers.borrow_mut().add_seeds(&new.seeds);
-    let moved = old.callers != new.callers
-        || old.readiness != new.readiness
-        || old.peers != new.peers;
+    let moved =
+        old.callers != new.callers || old.readiness != new.readiness || old.peers != new.peers;
     Line::new(Level::Info, "settings taken")
         .field("seeds", &new.seeds)
         .field("needs_restart", moved)
@@ -270,17 +269,17 @@
     while view.changed().await.is_ok() {
         let view = view.borrow_and_update().clone();
         *traffic.catalog.borrow_mut() = view.catalog;
-        traffic
-            .dispatcher
-            .borrow_mut()
-            .set_upstreams(&view.upstreams);
-        let engines = view
-            .upstreams
+        own.send_replace(view.revisions);
+        let Some(upstreams) = view.upstreams else {
+            continue;
+        };
+        traffic.has_upstreams.set(true);
+        traffic.dispatcher.borrow_mut().set_upstreams(&upstreams);
+        let engines = upstreams
             .iter()
             .map(|upstream| (Arc::clone(&upstream.instance), upstream.slots));
         traffic.doors.borrow_mut().set_engines(engines);
         traffic.grant_rooms();
-        own.send_replace(view.revisions);
         traffic.start_waiting();
     }
     Line::new(Level::Error, "the control thread has ended").send();
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -85,6 +85,8 @@
     pub budget: RefCell<AttemptBudget>,
     /// The configuration in force.
     pub catalog: RefCell<Option<Arc<Catalog>>>,
+    /// Whether the upstreams have been listed once.
+    pub has_upstreams: Cell<bool>,
     /// Whether the process was asked to end.
     pub is_stopping: Cell<bool>,
     /// Whether it takes no more requests, since it may not live to finish them.
@@ -231,6 +233,7 @@
             allotments: RefCell::default(),
             budget: RefCell::new(AttemptBudget::new(limits)),
             catalog: RefCell::default(),
+            has_upstreams: Cell::new(false),
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
             closing: Notify::new(),
@@ -269,7 +272,11 @@
     #[must_use]
     pub fn demand(&self) -> Demand {
         let waits = !self.asks.borrow().is_empty() || self.dispatcher.borrow().waiting() > 0;
-        if waits { Demand::Pressing } else { Demand::Slack }
+        if waits {
+            Demand::Pressing
+        } else {
+            Demand::Slack
+        }
     }
 
     /// Changes the counters.
@@ -303,10 +310,12 @@
         }
     }
 
-    /// Whether requests can be served.
+    /// Whether requests can be served: with a configuration but no upstreams yet, callers
+    /// would be sent here only to be refused.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.is_stopping.get() && self.catalog.borrow().is_some()
+        let knows_all = self.has_upstreams.get() && self.catalog.borrow().is_some();
+        knows_all && !self.is_stopping.get()
     }
 
     /// Takes no more requests from now on, and closes callers' idle connections.
--- /dev/null
+++ b/lib/tests/test_direct_directory.rs
@@ -0,0 +1,65 @@
+//! The list of upstreams through outages of the store.
+
+use sardinewood::direct::directory::Directory;
+use sardinewood::direct::directory::RETURN_GRACE_MS;
+use sardinewood::direct::directory::Upstream;
+
+fn upstream(name: &str, is_leaving: bool) -> Upstream {
+    Upstream {
+        instance: name.into(),
+        service: "pool".into(),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        data_centre: "hall".into(),
+        slots: 4,
+        is_leaving,
+    }
+}
+
+fn usable(directory: &Directory) -> Vec<&str> {
+    directory
+        .usable()
+        .map(|upstream| &*upstream.instance)
+        .collect()
+}
+
+#[test]
+fn vanished_goes_at_once_in_calm_time() {
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", false), upstream("b", false)], 0);
+    directory.remove("a", 10);
+    assert_eq!(usable(&directory), ["b"]);
+}
+
+#[test]
+fn lapsed_during_outage_kept_until_it_had_time() {
+    // Callers notice nothing. The store was away, live upstreams could not renew their
+    // entries, and the first list after its return is empty; they write themselves back
+    // within two seconds. The one that does not is gone then.
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", false), upstream("b", false)], 0);
+    directory.store_returned(9_000);
+    directory.replace(Vec::new(), 9_000);
+    assert_eq!(usable(&directory).len(), 2);
+    directory.put(upstream("a", false));
+    assert!(!directory.sweep(9_000 + RETURN_GRACE_MS - 1));
+    assert!(directory.sweep(9_000 + RETURN_GRACE_MS));
+    assert_eq!(usable(&directory), ["a"]);
+}
+
+#[test]
+fn leaving_one_not_kept_through_outage() {
+    let mut directory = Directory::default();
+    directory.replace(vec![upstream("a", true)], 0);
+    directory.store_returned(9_000);
+    directory.replace(Vec::new(), 9_000);
+    assert_eq!(directory.sweep_at_ms(), None);
+    assert!(usable(&directory).is_empty());
+}
+
+#[test]
+fn leaving_one_takes_nothing_new() {
+    let mut directory = Directory::default();
+    directory.put(upstream("a", false));
+    directory.put(upstream("a", true));
+    assert!(usable(&directory).is_empty());
+}
--- /dev/null
+++ b/lib/tests/test_direct_dispatch.rs
@@ -0,0 +1,250 @@
+//! Who waits, who is refused and where work goes, for the load patterns of heavy days.
+
+use std::sync::Arc;
+
+use sardinewood::direct::directory::Upstream;
+use sardinewood::direct::dispatch::Dispatcher;
+use sardinewood::direct::dispatch::Job;
+use sardinewood::direct::dispatch::Offer;
+use sardinewood::direct::dispatch::short_name;
+use sardinewood::direct::health::Ended;
+use sardinewood::direct::peer_message::Running;
+
+fn upstream(name: &str, slots: u32) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        instance: name.into(),
+        service: "pool".into(),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        data_centre: "hall".into(),
+        slots,
+        is_leaving: false,
+    })
+}
+
+fn job(id: u64, tier: u8) -> Job {
+    Job {
+        id,
+        service: "pool".into(),
+        tier,
+        prompt_tokens: 1_000,
+        expected_output_tokens: Some(30),
+        relative_size: 1.0,
+        relative_hold: 1.0,
+        arrived_ms: 0,
+        objective_at_ms: 500,
+        give_up_at_ms: 10_000,
+        leaves_at_ms: 2_400,
+        tried: Vec::new(),
+    }
+}
+
+fn starts(dispatcher: &mut Dispatcher, now_ms: u64) -> Vec<(u64, String)> {
+    std::iter::from_fn(|| dispatcher.next_start(now_ms))
+        .map(|start| (start.id, start.upstream.instance.to_string()))
+        .collect()
+}
+
+/// Draws that differ from call to call and are the same in each run of the test.
+fn draws() -> impl FnMut() -> usize {
+    let mut state = 7usize;
+    move || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        state >> 33
+    }
+}
+
+#[test]
+fn offer_without_upstream_refused_at_once() {
+    let mut dispatcher = Dispatcher::default();
+    let offer = dispatcher.offer(job(1, 0), 0);
+    assert!(matches!(offer, Offer::Refused { retry_after_ms } if retry_after_ms > 0));
+}
+
+#[test]
+fn room_filled_then_waited_for() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 2)]);
+    for id in 0..3 {
+        assert_eq!(dispatcher.offer(job(id, 0), 0), Offer::Waits);
+    }
+    assert_eq!(starts(&mut dispatcher, 0).len(), 2);
+    dispatcher.finished("i-1", 1, Ended::Answered, 50, 10);
+    assert_eq!(starts(&mut dispatcher, 10).len(), 1);
+}
+
+#[test]
+fn peers_load_leaves_less_room() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 2)]);
+    let running = Running {
+        upstream: short_name("i-1"),
+        count: 2,
+        ..Running::default()
+    };
+    dispatcher.set_peer_load(1, &[running], 0);
+    dispatcher.offer(job(1, 0), 0);
+    assert!(starts(&mut dispatcher, 0).is_empty());
+    // A peer that fell silent no longer counts.
+    assert_eq!(starts(&mut dispatcher, 5_000).len(), 1);
+}
+
+#[test]
+fn less_important_gives_up_its_place_sooner() {
+    // A burst of everything at once, for seconds. What is worth a twentieth would be passed
+    // by until its caller leaves; it is told early, and comes back in calmer time.
+    let first = job(1, 0).waits_until_ms();
+    let second = job(1, 1).waits_until_ms();
+    let third = job(1, 2).waits_until_ms();
+    assert!(first > second && second > third, "{first} {second} {third}");
+    assert_eq!(
+        first, 2_040,
+        "the most important waits for most of its caller's patience"
+    );
+    assert!(
+        third < 500,
+        "the least important gives up while it could still be in time"
+    );
+}
+
+#[test]
+fn short_answers_first_but_bounded() {
+    // A full fleet, and requests whose answers differ fifty-fold. Several short ones are worth
+    // more in the same time; the bound keeps the long ones from starving.
+    let short = Job {
+        relative_hold: 0.1,
+        ..job(1, 0)
+    };
+    let long = Job {
+        relative_hold: 5.0,
+        ..job(2, 0)
+    };
+    assert_eq!(short.worth_millis(), 2_000);
+    assert_eq!(long.worth_millis(), 500);
+    let large = Job {
+        relative_size: 9.0,
+        relative_hold: 1.5,
+        ..job(3, 0)
+    };
+    assert!(large.worth_millis() > job(4, 0).worth_millis());
+}
+
+#[test]
+fn unlike_engines_long_answers_keep_to_fast_ones() {
+    // Engines differ fourfold in speed, and the fast ones fill up. A short answer goes to a
+    // slow engine then; a long one would be cut at its deadline there.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("fast", 5), upstream("slow", 5)]);
+    dispatcher.learn_length(&"pool".into(), 30, 10);
+    for (name, event_ms, first_ms) in [("fast", 12.0, 20.0), ("slow", 55.0, 80.0)] {
+        let health = dispatcher.health_mut(name).expect("an upstream");
+        health.next_event(event_ms, 0);
+        health.first_event(1_000, first_ms);
+        dispatcher.began(name);
+        dispatcher.finished(name, 0, Ended::Answered, 600, 0);
+    }
+    for _ in 0..4 {
+        dispatcher.began("fast");
+    }
+    let brief = Job {
+        expected_output_tokens: Some(6),
+        ..job(1, 0)
+    };
+    let long = Job {
+        expected_output_tokens: Some(900),
+        ..job(2, 0)
+    };
+    let at = |job: &Job| {
+        let chosen = dispatcher.choose(job, &[], 0, draws());
+        chosen.expect("an upstream").instance.to_string()
+    };
+    assert_eq!(at(&brief), "slow");
+    assert_eq!(at(&long), "fast");
+}
+
+#[test]
+fn many_entries_do_not_all_ask_the_same() {
+    // Thirty entries know the same stale loads. Drawn at random, their choices spread.
+    let mut dispatcher = Dispatcher::default();
+    let engines: Vec<Arc<Upstream>> = (0..20)
+        .map(|number| upstream(&format!("i-{number}"), 5))
+        .collect();
+    dispatcher.set_upstreams(&engines);
+    let mut draw = draws();
+    let chosen: std::collections::BTreeSet<String> = (0..100)
+        .filter_map(|_| dispatcher.choose(&job(1, 0), &[], 0, &mut draw))
+        .map(|upstream| upstream.instance.to_string())
+        .collect();
+    assert!(chosen.len() > 12, "{chosen:?}");
+}
+
+#[test]
+fn broken_upstream_left_alone_for_a_while() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 5), upstream("i-2", 5)]);
+    dispatcher.began("i-1");
+    dispatcher.finished("i-1", 1, Ended::Broken, 5, 100);
+    for id in 0..5 {
+        dispatcher.offer(job(id, 0), 150);
+    }
+    let places = starts(&mut dispatcher, 150);
+    assert!(places.iter().all(|(_, place)| place == "i-2"), "{places:?}");
+}
+
+#[test]
+fn hung_upstream_gets_nothing_more() {
+    // Callers sent to a hung engine hear nothing until they leave. Once one request has had no
+    // answer for far too long, the next ones go elsewhere, also those of peers.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 5), upstream("i-2", 5)]);
+    dispatcher.began("i-1");
+    dispatcher.sent("i-1", 1, 1_000, 0);
+    let told: Vec<Running> = dispatcher.running(2_000).collect();
+    assert!(told[0].is_stalled);
+    for id in 0..5 {
+        dispatcher.offer(job(id, 0), 2_000);
+    }
+    let places = starts(&mut dispatcher, 2_000);
+    assert!(places.iter().all(|(_, place)| place == "i-2"), "{places:?}");
+    let mut peer = Dispatcher::default();
+    peer.set_upstreams(&[upstream("i-1", 5), upstream("i-2", 5)]);
+    peer.set_peer_load(1, &told, 2_000);
+    let chosen = peer.choose(&job(1, 0), &[], 2_000, draws());
+    assert_eq!(&*chosen.expect("an upstream").instance, "i-2");
+}
+
+#[test]
+fn last_upstream_used_although_it_stalls() {
+    // A service's only upstream is slow for a moment. Shutting it out would refuse everybody.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 5)]);
+    dispatcher.began("i-1");
+    dispatcher.sent("i-1", 1, 1_000, 0);
+    dispatcher.offer(job(2, 0), 2_000);
+    assert_eq!(starts(&mut dispatcher, 2_000).len(), 1);
+}
+
+#[test]
+fn second_try_never_to_the_same() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 5)]);
+    let again = Job {
+        tried: vec!["i-1".into()],
+        ..job(1, 0)
+    };
+    dispatcher.offer(again, 0);
+    assert!(starts(&mut dispatcher, 0).is_empty());
+}
+
+#[test]
+fn removed_upstream_forgotten_when_its_last_request_ends() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 5)]);
+    dispatcher.began("i-1");
+    dispatcher.set_upstreams(&[]);
+    assert_eq!(dispatcher.running(0).count(), 1);
+    dispatcher.finished("i-1", 1, Ended::Answered, 5, 1);
+    assert_eq!(dispatcher.running(1).count(), 0);
+    assert!(dispatcher.health_mut("i-1").is_none());
+}
--- /dev/null
+++ b/lib/tests/test_direct_door.rs
@@ -0,0 +1,265 @@
+//! The doors of engines: order, counts, and what lost messages leave behind.
+
+use std::net::SocketAddr;
+
+use proptest::prelude::*;
+use sardinewood::direct::dispatch::short_name;
+use sardinewood::direct::door::Ask;
+use sardinewood::direct::door::AskId;
+use sardinewood::direct::door::Asker;
+use sardinewood::direct::door::Doors;
+use sardinewood::direct::door::keeper;
+use sardinewood::direct::peer_message::Running;
+
+const SLOTS: u32 = 3;
+
+fn engine() -> u32 {
+    short_name("i-1")
+}
+
+fn doors() -> Doors {
+    let mut doors = Doors::default();
+    doors.set_engines([("i-1".into(), SLOTS)]);
+    doors
+}
+
+fn peer(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7))
+}
+
+fn ask(id: u64, worth_millis: u32, in_time_for_ms: i64) -> Ask {
+    Ask {
+        id: AskId(id),
+        upstream: engine(),
+        worth_millis,
+        in_time_for_ms,
+        waited_ms: 0,
+    }
+}
+
+fn granted(doors: &mut Doors, now_ms: u64) -> Vec<u64> {
+    std::iter::from_fn(|| doors.next_grant(now_ms))
+        .map(|grant| grant.ask.0)
+        .collect()
+}
+
+fn runs(count: u16) -> [Running; 1] {
+    [Running {
+        upstream: engine(),
+        count,
+        ..Running::default()
+    }]
+}
+
+#[test]
+fn grants_within_slots() {
+    let mut doors = doors();
+    for id in 0..5 {
+        doors.ask(Asker::Peer(peer(1)), ask(id, 1_000, 500), 0);
+    }
+    assert_eq!(granted(&mut doors, 0), [0, 1, 2]);
+    doors.done(Asker::Peer(peer(1)), engine(), Some(40));
+    assert_eq!(granted(&mut doors, 0), [3]);
+}
+
+#[test]
+fn more_important_first_whoever_asks() {
+    // Callers of the first entry pressed first, with what is worth little. The other entry's
+    // request is worth more and gets the next room.
+    let mut doors = doors();
+    for id in 0..5 {
+        doors.ask(Asker::Own, ask(id, 50, 500), 0);
+    }
+    assert_eq!(granted(&mut doors, 0).len(), 3);
+    doors.ask(Asker::Peer(peer(1)), ask(9, 1_000, 500), 10);
+    doors.done(Asker::Own, engine(), Some(40));
+    assert_eq!(granted(&mut doors, 10), [9]);
+}
+
+#[test]
+fn late_yields_to_in_time() {
+    // Under overload each request would be served just as it becomes late. What is late by
+    // now waits for what can still be in time, of its own tier and of the next.
+    let mut doors = doors();
+    for id in 0..3 {
+        doors.ask(Asker::Own, ask(id, 1_000, 500), 0);
+    }
+    granted(&mut doors, 0);
+    doors.ask(Asker::Own, ask(10, 1_000, 100), 0);
+    doors.ask(Asker::Own, ask(11, 500, 900), 50);
+    doors.done(Asker::Own, engine(), Some(40));
+    assert_eq!(granted(&mut doors, 200), [11]);
+}
+
+#[test]
+fn cancelled_question_not_granted() {
+    let mut doors = doors();
+    for id in 0..4 {
+        doors.ask(Asker::Own, ask(id, 1_000, 500), 0);
+    }
+    granted(&mut doors, 0);
+    doors.cancel(Asker::Own, engine(), AskId(3));
+    doors.done(Asker::Own, engine(), None);
+    assert!(granted(&mut doors, 0).is_empty());
+}
+
+#[test]
+fn repeated_question_counts_once() {
+    let mut doors = doors();
+    for _ in 0..4 {
+        doors.ask(Asker::Peer(peer(1)), ask(1, 1_000, 500), 0);
+    }
+    assert_eq!(granted(&mut doors, 0), [1]);
+}
+
+#[test]
+fn lost_end_made_good_by_beats() {
+    // A peer's word that it is done was lost, so the door thinks it full. The peer's beats say
+    // twice that it runs nothing, and the room is free again.
+    let mut doors = doors();
+    for id in 0..4 {
+        doors.ask(Asker::Peer(peer(1)), ask(id, 1_000, 500), 0);
+    }
+    assert_eq!(granted(&mut doors, 0).len(), 3);
+    for beat in 0..3 {
+        doors.reconcile(peer(1), &[], beat * 50);
+    }
+    assert_eq!(granted(&mut doors, 150), [3]);
+}
+
+#[test]
+fn grant_on_its_way_not_undone_by_a_beat() {
+    // The peer's beat left before the grant arrived there. It must not free the room.
+    let mut doors = doors();
+    doors.reconcile(peer(1), &[], 0);
+    for id in 0..4 {
+        doors.ask(Asker::Peer(peer(1)), ask(id, 1_000, 500), 0);
+    }
+    assert_eq!(granted(&mut doors, 0).len(), 3);
+    doors.reconcile(peer(1), &[], 1);
+    assert!(granted(&mut doors, 1).is_empty());
+}
+
+#[test]
+fn next_keeper_knows_what_runs() {
+    // The entry that kept the door is gone. The next one has never granted anything there,
+    // but the beats told it what its peers run.
+    let mut doors = doors();
+    doors.reconcile(peer(1), &runs(2), 0);
+    doors.reconcile(peer(2), &runs(1), 0);
+    doors.ask(Asker::Own, ask(1, 1_000, 500), 1);
+    assert!(granted(&mut doors, 1).is_empty());
+    doors.sweep(Some(peer(2)), 2);
+    assert_eq!(granted(&mut doors, 2), [1]);
+}
+
+#[test]
+fn silent_peers_room_freed() {
+    let mut doors = doors();
+    doors.reconcile(peer(1), &runs(3), 0);
+    doors.ask(Asker::Own, ask(1, 1_000, 500), 1);
+    assert!(granted(&mut doors, 1).is_empty());
+    doors.sweep(None, 5_000);
+    assert_eq!(granted(&mut doors, 5_000), [1]);
+}
+
+#[test]
+fn leaving_engine_grants_nothing() {
+    let mut doors = doors();
+    for id in 0..4 {
+        doors.ask(Asker::Own, ask(id, 1_000, 500), 0);
+    }
+    granted(&mut doors, 0);
+    doors.set_engines([]);
+    doors.done(Asker::Own, engine(), None);
+    assert!(granted(&mut doors, 0).is_empty());
+}
+
+#[test]
+fn keeper_same_in_any_order_and_moves_little() {
+    let entries: Vec<SocketAddr> = (1..9).map(peer).collect();
+    let backwards: Vec<SocketAddr> = entries.iter().rev().copied().collect();
+    let without: Vec<SocketAddr> = entries[1..].to_vec();
+    for engine in 0..200 {
+        let one = keeper(engine, entries.clone());
+        assert_eq!(one, keeper(engine, backwards.clone()));
+        if one != Some(entries[0]) {
+            assert_eq!(one, keeper(engine, without.clone()));
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Ask(u8, u32),
+    Done(u8),
+    Beat(u8),
+    Gone(u8),
+}
+
+fn steps() -> impl Strategy<Value = Vec<Step>> {
+    let step = prop_oneof![
+        4 => (0..4u8, 1..2_000u32).prop_map(|(from, worth)| Step::Ask(from, worth)),
+        4 => (0..4u8).prop_map(Step::Done),
+        1 => (0..4u8).prop_map(Step::Beat),
+        1 => (0..4u8).prop_map(Step::Gone),
+    ];
+    prop::collection::vec(step, 0..200)
+}
+
+#[test]
+fn grant_before_first_beat_not_forgotten() {
+    // A peer asks before its first beat has come. Another peer ends, and what the first one
+    // was granted still counts.
+    let mut doors = doors();
+    doors.ask(Asker::Peer(peer(1)), ask(1, 1, 500), 0);
+    granted(&mut doors, 0);
+    doors.sweep(Some(peer(2)), 1);
+    for id in 2..6 {
+        doors.ask(Asker::Peer(peer(1)), ask(id, 1, 500), 2);
+    }
+    assert_eq!(granted(&mut doors, 2), [2, 3]);
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    /// Whatever entries ask, end, repeat and however they vanish: what is granted and not
+    /// given back never exceeds the slots.
+    #[test]
+    fn slots_never_exceeded(steps in steps()) {
+        let mut doors = doors();
+        let mut running = [0u16; 4];
+        let mut id = 0;
+        for (now_ms, step) in (0u64..).zip(steps) {
+            match step {
+                Step::Ask(from, worth) => {
+                    id += 1;
+                    doors.ask(Asker::Peer(peer(from)), ask(id, worth, 500), now_ms);
+                }
+                Step::Done(from) if running[usize::from(from)] > 0 => {
+                    running[usize::from(from)] -= 1;
+                    doors.done(Asker::Peer(peer(from)), engine(), Some(9));
+                }
+                Step::Done(_) => {}
+                Step::Beat(from) => {
+                    doors.reconcile(peer(from), &runs(running[usize::from(from)]), now_ms);
+                }
+                Step::Gone(from) => {
+                    running[usize::from(from)] = 0;
+                    doors.sweep(Some(peer(from)), now_ms);
+                }
+            }
+            while let Some(grant) = doors.next_grant(now_ms) {
+                let Asker::Peer(to) = grant.to else { unreachable!() };
+                let SocketAddr::V4(to) = to else { unreachable!() };
+                running[usize::from(to.ip().octets()[3])] += 1;
+            }
+            let sum: u16 = running.iter().sum();
+            prop_assert!(u32::from(sum) <= SLOTS, "{running:?}");
+        }
+    }
+}
--- /dev/null
+++ b/lib/tests/test_direct_shares.rs
@@ -0,0 +1,303 @@
+//! What all entries share without a counter: allotments, second attempts, who asks the store.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sardinewood::direct::allotment::Allotments;
+use sardinewood::direct::allotment::Charge;
+use sardinewood::direct::allotment::Demand;
+use sardinewood::direct::allotment::Tolerance;
+use sardinewood::direct::attempt_budget::AttemptBudget;
+use sardinewood::direct::attempt_budget::AttemptLimits;
+use sardinewood::direct::catalog::Allotment;
+use sardinewood::direct::catalog::Customer;
+use sardinewood::direct::peer_message::Beat;
+use sardinewood::direct::peer_message::PeerTable;
+use sardinewood::direct::peer_message::Revisions;
+use sardinewood::direct::peer_message::Spent;
+
+const RATE_PER_S: u64 = 1_000;
+const COST: u64 = 10;
+
+fn customer() -> Customer {
+    Customer {
+        name: "c".into(),
+        tier: None,
+        allotment: Some(Allotment {
+            rate_per_s: RATE_PER_S,
+            burst: RATE_PER_S,
+            unsized_tokens: Some(COST),
+        }),
+    }
+}
+
+fn address(number: u8) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, number], 7))
+}
+
+/// Entries that tell each other every 50 ms what they have spent, unless they are cut.
+struct Fleet {
+    entries: Vec<Allotments>,
+    told: Vec<u64>,
+    spent: Vec<u64>,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        Self {
+            entries: vec![Allotments::default(); count],
+            told: vec![0; count],
+            spent: vec![0; count],
+        }
+    }
+
+    /// Each entry asks for as much as it is told to, each millisecond.
+    fn press(&mut self, now_ms: u64, wishes: &[u64]) {
+        for (index, wish) in wishes.iter().enumerate() {
+            for _ in 0..*wish {
+                let charge =
+                    self.entries[index].charge(&customer(), None, Demand::Pressing, now_ms);
+                if charge == Charge::Granted {
+                    self.spent[index] += COST;
+                }
+            }
+        }
+    }
+
+    fn tell(&mut self, now_ms: u64, is_cut: impl Fn(usize, usize) -> bool) {
+        let count = self.entries.len();
+        for from in 0..count {
+            let newly = self.spent[from] - self.told[from];
+            for to in (0..count).filter(|to| *to != from && !is_cut(from, *to)) {
+                let number = u8::try_from(from).expect("a small fleet");
+                self.entries[to].spent_elsewhere(address(number), "c", newly, now_ms);
+            }
+            self.told[from] = self.spent[from];
+        }
+        for to in 0..count {
+            let silent = (0..count)
+                .filter(|from| *from != to && is_cut(*from, to))
+                .map(|from| address(u8::try_from(from).expect("a small fleet")))
+                .collect();
+            self.entries[to].set_fleet(count, silent, now_ms);
+        }
+    }
+
+    fn total(&self) -> u64 {
+        self.spent.iter().sum()
+    }
+}
+
+#[test]
+fn one_customer_everywhere_spends_its_rate() {
+    // One customer presses on four entries at several times its rate. Together they serve its
+    // rate and its burst, and as much more as goes unheard for 50 ms.
+    let mut fleet = Fleet::new(4);
+    for now_ms in 0..10_000 {
+        fleet.press(now_ms, &[1, 1, 1, 1]);
+        if now_ms % 50 == 0 {
+            fleet.tell(now_ms, |_, _| false);
+        }
+    }
+    let allowed = RATE_PER_S * 10 + RATE_PER_S;
+    assert!(fleet.total() >= allowed * 95 / 100, "{}", fleet.total());
+    assert!(fleet.total() <= allowed * 125 / 100, "{}", fleet.total());
+}
+
+#[test]
+fn cut_fleet_spends_no_more_than_one() {
+    // After two seconds a cut parts the entries two and two. Callers press on all of them;
+    // both sides go by what they knew, and together stay within the rate.
+    let mut fleet = Fleet::new(4);
+    let cut = |from: usize, to: usize| (from < 2) != (to < 2);
+    for now_ms in 0..12_000 {
+        fleet.press(now_ms, &[1, 1, 1, 1]);
+        if now_ms % 50 == 0 {
+            fleet.tell(now_ms, |from, to| now_ms > 2_000 && cut(from, to));
+        }
+    }
+    let allowed = RATE_PER_S * 12 + RATE_PER_S;
+    assert!(fleet.total() <= allowed * 130 / 100, "{}", fleet.total());
+}
+
+#[test]
+fn cut_entry_keeps_what_it_used_to_serve() {
+    // One entry has most of a customer's traffic. It is cut off from the others, and its
+    // callers notice nothing: what it spent before is its own part.
+    let mut fleet = Fleet::new(4);
+    for now_ms in 0..20_000 {
+        let is_due = now_ms % 20 == 0;
+        fleet.press(now_ms, &[u64::from(is_due), 0, 0, 0]);
+        if now_ms % 50 == 0 {
+            fleet.tell(now_ms, |from, to| now_ms > 5_000 && (from == 0 || to == 0));
+        }
+    }
+    assert_eq!(fleet.spent[0], 20_000 / 20 * COST);
+}
+
+#[test]
+fn tolerance_given_only_while_nobody_waits() {
+    let mut allotments = Allotments::default();
+    allotments.set_tolerance(Tolerance {
+        window_s: 8.0,
+        overage: 0.1,
+        slack: 100.0,
+    });
+    let all = |allotments: &mut Allotments, demand| {
+        std::iter::from_fn(|| {
+            let charge = allotments.charge(&customer(), None, demand, 0);
+            (charge == Charge::Granted).then_some(COST)
+        })
+        .sum::<u64>()
+    };
+    assert_eq!(all(&mut allotments, Demand::Pressing), RATE_PER_S);
+    // Six tenths of a tenth of what a window allows, and of the slack.
+    assert_eq!(all(&mut allotments, Demand::Slack), 600);
+    assert_eq!(all(&mut allotments, Demand::Slack), 0);
+}
+
+#[test]
+fn lowered_limit_binds_at_once() {
+    let mut allotments = Allotments::default();
+    allotments.charge(&customer(), None, Demand::Pressing, 0);
+    let mut lowered = customer();
+    lowered.allotment = Some(Allotment {
+        rate_per_s: 10,
+        burst: 10,
+        unsized_tokens: Some(COST),
+    });
+    let first = allotments.charge(&lowered, None, Demand::Pressing, 0);
+    assert_eq!(first, Charge::Granted);
+    let second = allotments.charge(&lowered, None, Demand::Pressing, 0);
+    assert_eq!(
+        second,
+        Charge::Exceeded {
+            retry_after_ms: 1_000
+        }
+    );
+}
+
+#[test]
+fn second_attempts_of_all_entries_within_the_slack() {
+    // Everything fails at once on four entries that had no requests before.
+    let limits = AttemptLimits {
+        ratio: 0.2,
+        slack: 52.0,
+    };
+    let service: Arc<str> = "s".into();
+    let mut taken = 0;
+    for _ in 0..4 {
+        let mut budget = AttemptBudget::new(limits);
+        budget.set_entries(4);
+        while budget.take(&service) {
+            taken += 1;
+        }
+    }
+    assert!((40..=52).contains(&taken), "{taken}");
+}
+
+#[test]
+fn second_attempts_follow_requests() {
+    let mut budget = AttemptBudget::new(AttemptLimits {
+        ratio: 0.2,
+        slack: 4.0,
+    });
+    let service: Arc<str> = "s".into();
+    while budget.take(&service) {}
+    for _ in 0..12 {
+        budget.earn(&service);
+    }
+    let taken = std::iter::from_fn(|| budget.take(&service).then_some(())).count();
+    assert_eq!(taken, 2);
+}
+
+fn beat(sequence: u64) -> Beat {
+    Beat {
+        incarnation: 1,
+        sequence,
+        store_age_ms: Some(10),
+        ..Beat::default()
+    }
+}
+
+#[test]
+fn few_ask_the_store_and_others_take_over() {
+    // Three entries ask the store. One of them loses it: the next in order asks as well, and
+    // an entry with a high address never asks while three others do.
+    let mut table = PeerTable::new(address(9), &[]);
+    for number in 1..4 {
+        table.heard(address(number), &beat(1), 0);
+    }
+    assert!(!table.asks_store(0));
+    let lost = Beat {
+        store_age_ms: Some(9_000),
+        ..beat(2)
+    };
+    table.heard(address(2), &lost, 10);
+    assert!(table.asks_store(10));
+    let first = PeerTable::new(address(0), &[]);
+    assert!(first.asks_store(0), "whoever is alone asks");
+}
+
+#[test]
+fn spending_told_once_in_spite_of_repeats() {
+    let mut table = PeerTable::new(address(9), &[]);
+    let spent = |sequence, units| Beat {
+        spent: vec![Spent {
+            customer: "c".into(),
+            units,
+        }],
+        ..beat(sequence)
+    };
+    let units = |table: &mut PeerTable, beat: &Beat| -> u64 {
+        let heard = table.heard(address(1), beat, 0);
+        heard.newly_spent.iter().map(|spent| spent.units).sum()
+    };
+    assert_eq!(units(&mut table, &spent(1, 30)), 30);
+    assert_eq!(units(&mut table, &spent(1, 30)), 0, "a repeated datagram");
+    assert_eq!(
+        units(&mut table, &spent(3, 50)),
+        20,
+        "a lost one in between"
+    );
+    assert_eq!(units(&mut table, &spent(2, 40)), 0, "an old one");
+    let anew = Beat {
+        incarnation: 2,
+        ..spent(1, 5)
+    };
+    assert_eq!(units(&mut table, &anew), 5, "a new start counts from zero");
+}
+
+#[test]
+fn ended_peer_forgotten_at_once_silent_one_not() {
+    let mut table = PeerTable::new(address(9), &[]);
+    table.heard(address(1), &beat(1), 0);
+    table.heard(address(2), &beat(1), 0);
+    let last = Beat {
+        is_last: true,
+        ..Beat::default()
+    };
+    table.heard(address(1), &last, 10);
+    assert_eq!(table.known(), 2);
+    assert_eq!(table.silent(5_000), [address(2)]);
+    assert_eq!(table.keepers(false, 5_000).count(), 1);
+}
+
+#[test]
+fn peer_ahead_named() {
+    let mut table = PeerTable::new(address(9), &[]);
+    let ahead = Beat {
+        revisions: Revisions {
+            catalog: 5,
+            directory: 1,
+        },
+        ..beat(1)
+    };
+    table.heard(address(1), &ahead, 0);
+    let own = Revisions {
+        catalog: 4,
+        directory: 7,
+    };
+    assert_eq!(table.ahead_of(own, 0), Some(address(1)));
+    assert_eq!(table.ahead_of(own, 60_000), None);
+}
