direct: log lines carry what decided, histograms, a moment's wait for the first configuration

Lines of failures go before samples of successes; counters and histograms are served as text on a port of their own. Callers that come in the fifty milliseconds before the first configuration wait for it instead of coming back 300 ms later.

--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -18,6 +18,7 @@
 pub mod dispatch;
 pub mod door;
 pub mod exchange;
+pub mod figures;
 pub mod follow;
 pub mod front;
 pub mod health;
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -351,6 +351,44 @@
             .is_some_and(|place| place.is_listed)
     }
 
+    /// How many upstreams take new work.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().listed(), 0);
+    /// ```
+    #[must_use]
+    pub fn listed(&self) -> usize {
+        self.places.values().filter(|place| place.is_listed).count()
+    }
+
+    /// How many upstreams of a service take new work.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().listed_for("s"), 0);
+    /// ```
+    #[must_use]
+    pub fn listed_for(&self, service: &str) -> usize {
+        self.places_of(service).count()
+    }
+
+    /// How many upstreams of a service neither break nor hang, as far as is known here.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().working_for("s", 0), 0);
+    /// ```
+    #[must_use]
+    pub fn working_for(&self, service: &str, now_ms: u64) -> usize {
+        self.places_of(service)
+            .filter(|place| !place.health.is_paused(now_ms) && !place.is_stalled(now_ms))
+            .count()
+    }
+
+    fn places_of(&self, service: &str) -> impl Iterator<Item = &Place> {
+        self.places
+            .values()
+            .filter(move |place| place.is_listed && &*place.upstream.service == service)
+    }
+
     /// Requests that wait.
     ///
     /// ```
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -20,9 +20,12 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use serde_json::Value;
+use serde_json::json;
 use tokio::time::timeout_at;
 
 use crate::direct::allotment::Charge;
+use crate::direct::allotment::Demand;
 use crate::direct::answer_body::AnswerBody;
 use crate::direct::caller::AnswerHeaders;
 use crate::direct::caller::CallerHeaders;
@@ -35,6 +38,7 @@
 use crate::direct::connections::SendError;
 use crate::direct::dispatch::Job;
 use crate::direct::health::Ended;
+use crate::direct::log_budget::Outcome;
 use crate::direct::relay::Relay;
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
@@ -52,6 +56,9 @@
 /// Time kept back from the caller's so that our answer reaches it before it leaves.
 const ANSWER_MARGIN_MS: u64 = 20;
 
+const NOT_REACHED: &str = "no connection to upstream";
+const DECLINED: &str = "upstream declined";
+
 /// A caller's request, read whole.
 #[derive(Clone, Debug)]
 pub struct Call {
@@ -88,9 +95,22 @@
     pub tried: Vec<Arc<str>>,
     /// Whether one of them may have run it.
     pub may_have_run: bool,
+    /// How long it has waited for room, over all attempts.
+    pub waited_ms: u64,
 }
 
 impl Call {
+    /// Notes that the first part of the answer has come.
+    pub fn note_first(&self, traffic: &Traffic) {
+        let first_ms = traffic.now_ms() - self.arrived_ms;
+        let tier = self.tier.to_string();
+        traffic
+            .figures
+            .first_ms
+            .with_label_values(&[tier.as_str()])
+            .observe(as_ms(first_ms));
+    }
+
     /// The request as text, for logs.
     #[must_use]
     pub fn name(&self) -> &str {
@@ -193,7 +213,7 @@
     request: Request<Incoming>,
 ) -> Result<Response<AnswerBody>, Infallible> {
     let open = OpenRequest::new(&traffic);
-    traffic.count(|counts| counts.requests += 1);
+    traffic.figures.requests.inc();
     let headers = (traffic.dialect.read_caller)(request.headers());
     let request_id = headers.request_id.clone();
     let mut response = match read(&traffic, request, headers).await {
@@ -239,6 +259,8 @@
     why: &'static str,
     retry_after_ms: Option<u64>,
     name: String,
+    /// What decided it, for the log.
+    inputs: Value,
 }
 
 impl Refusal {
@@ -248,9 +270,15 @@
             why,
             retry_after_ms: None,
             name: name_of(request_id).to_owned(),
+            inputs: Value::Null,
         }
     }
 
+    fn because(mut self, inputs: Value) -> Self {
+        self.inputs = inputs;
+        self
+    }
+
     fn after(mut self, retry_after_ms: u64) -> Self {
         self.retry_after_ms = Some(retry_after_ms);
         self
@@ -261,11 +289,13 @@
             line.field("request", &self.name)
                 .field("status", self.status.as_u16())
                 .field("retry_after_ms", self.retry_after_ms)
+                .field("inputs", &self.inputs)
         });
-        traffic.count(|counts| match self.status {
-            StatusCode::BAD_GATEWAY | StatusCode::GATEWAY_TIMEOUT => counts.unknown += 1,
-            _ => counts.refused += 1,
-        });
+        traffic
+            .figures
+            .refusals
+            .with_label_values(&[self.why])
+            .inc();
         let body = Bytes::from_static(self.why.as_bytes());
         let mut response = Response::new(AnswerBody::Whole(body));
         *response.status_mut() = self.status;
@@ -284,12 +314,13 @@
 ) -> Result<Call, Refusal> {
     let arrived_ms = traffic.now_ms();
     let id = headers.request_id.as_ref();
+    let is_configured = traffic.wait_configured().await;
     if traffic.is_closing.get() {
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "about to end", id);
         return Err(refusal.after(CLOSING_RETRY_AFTER_MS));
     }
     let catalog = traffic.catalog.borrow().clone();
-    let Some(catalog) = catalog else {
+    let Some(catalog) = catalog.filter(|_| is_configured) else {
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", id);
         return Err(refusal.after(NO_CONFIG_RETRY_AFTER_MS));
     };
@@ -307,7 +338,13 @@
     });
     if let Charge::Exceeded { retry_after_ms } = charge {
         let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "allotment is spent", id);
-        return Err(refusal.after(retry_after_ms));
+        let inputs = json!({
+            "customer": customer.as_ref().map(|customer| &customer.name),
+            "tokens": headers.charged_tokens(),
+            "others_wait": traffic.demand() == Demand::Pressing,
+            "silent_peers": traffic.peers.borrow().silent(traffic.now_ms()).len(),
+        });
+        return Err(refusal.after(retry_after_ms).because(inputs));
     }
     let Some(service) = route.service_for(rand::random()) else {
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service", id);
@@ -340,6 +377,7 @@
         give_up_at_ms: arrived_ms + answer_within_ms,
         tried: Vec::new(),
         may_have_run: false,
+        waited_ms: 0,
         route,
     })
 }
@@ -358,8 +396,10 @@
     let id = headers.request_id.as_ref();
     match catalog.admit(host, request.uri().path(), key) {
         Admission::Allowed(route, customer) => Ok((route, customer)),
-        Admission::NoRoute => Err(Refusal::new(StatusCode::NOT_FOUND, "no route", id)),
-        Admission::BadKey => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key", id)),
+        Admission::NoRoute => Err(Refusal::new(StatusCode::NOT_FOUND, "no route", id)
+            .because(json!({"catalog_version": catalog.version, "host": host}))),
+        Admission::BadKey => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key", id)
+            .because(json!({"catalog_version": catalog.version, "has_key": key.is_some()}))),
     }
 }
 
@@ -431,7 +471,7 @@
             Ok(failed) => next_step(traffic, &mut call, &failed),
         };
         match next {
-            Next::TryAnother => traffic.count(|counts| counts.second_attempts += 1),
+            Next::TryAnother => traffic.figures.second_attempts.inc(),
             Next::RefuseNotRun => {
                 let retry_after_ms = traffic.dispatcher.borrow().retry_after_ms(&call.service);
                 return refuse(traffic, &call, retry_after_ms);
@@ -445,8 +485,20 @@
 fn refuse(traffic: &Traffic, call: &Call, retry_after_ms: u64) -> Response<AnswerBody> {
     if !call.may_have_run {
         let id = call.request_id.as_ref();
+        let dispatcher = traffic.dispatcher.borrow();
+        let inputs = json!({
+            "service": call.service,
+            "tier": call.tier,
+            "waited_ms": call.waited_ms,
+            "might_wait_ms": call.job().waits_until_ms().saturating_sub(call.arrived_ms),
+            "worth_millis": call.job().worth_millis(),
+            "upstreams_listed": dispatcher.listed_for(&call.service),
+            "upstreams_working": dispatcher.working_for(&call.service, traffic.now_ms()),
+        });
+        drop(dispatcher);
         return Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no room in time", id)
             .after(retry_after_ms)
+            .because(inputs)
             .response(traffic);
     }
     // An earlier upstream may have run it, so it can't be promised that it has not.
@@ -455,13 +507,26 @@
 
 fn unknown(traffic: &Traffic, call: &Call, status: StatusCode) -> Response<AnswerBody> {
     let id = call.request_id.as_ref();
-    Refusal::new(status, "outcome unknown", id).response(traffic)
+    let inputs = json!({
+        "route": call.route.name,
+        "upstreams": call.tried,
+        "may_have_run": call.may_have_run,
+        "waited_ms": call.waited_ms,
+        "is_idempotent": call.route.repeat.is_idempotent(),
+        "max_upstreams": call.route.max_upstreams,
+    });
+    Refusal::new(status, "outcome unknown", id)
+        .because(inputs)
+        .response(traffic)
 }
 
 /// Waits for room and sends the request there once. The error is when to come back, if
 /// there is no room.
 async fn attempt(traffic: &Rc<Traffic>, call: &mut Call) -> Result<Attempt, u64> {
-    let lease = match traffic.turn(call.job()).await {
+    let asked_ms = traffic.now_ms();
+    let turn = traffic.turn(call.job()).await;
+    call.waited_ms += traffic.now_ms() - asked_ms;
+    let lease = match turn {
         Turn::Start(lease) => lease,
         Turn::Refused { retry_after_ms } => return Err(retry_after_ms),
     };
@@ -481,7 +546,7 @@
         Ok(Ok(connection)) => connection,
         Ok(Err(_)) => {
             lease.ended = Ended::Broken;
-            log_attempt(traffic, call, &lease, "no connection to upstream");
+            log_attempt(traffic, call, &lease, NOT_REACHED);
             return Attempt::NotRun;
         }
         Err(_) => return Attempt::NotRun,
@@ -512,9 +577,20 @@
 }
 
 fn log_attempt(traffic: &Traffic, call: &Call, lease: &Lease, message: &'static str) {
+    let figures = &traffic.figures;
+    figures.failed_attempts.with_label_values(&[message]).inc();
     traffic.log(Level::Warn, message, |line| {
         line.field("request", call.name())
             .field("upstream", &lease.upstream.instance)
+            .field("attempt", call.tried.len())
+            .field(
+                "may_have_run",
+                message != NOT_REACHED && message != DECLINED,
+            )
+            .field(
+                "left_ms",
+                call.give_up_at_ms.saturating_sub(traffic.now_ms()),
+            )
             .field("held_ms", traffic.now_ms() - lease.since_ms())
     });
 }
@@ -555,7 +631,7 @@
     let headers = (traffic.dialect.read_answer)(parts.status, &parts.headers);
     if headers.is_not_run {
         lease.ended = Ended::Declined;
-        log_attempt(traffic, call, &lease, "upstream declined");
+        log_attempt(traffic, call, &lease, DECLINED);
         return Attempt::NotRun;
     }
     // An extra answer to an earlier request may lie on a kept connection. It names that
@@ -653,10 +729,24 @@
         return Finished::Not(Next::TryAnother);
     }
     drop(lease);
-    traffic.count(|counts| counts.answered += 1);
-    traffic.log(Level::Info, "answered", |line| {
+    call.note_first(traffic);
+    let status = parts.status;
+    traffic
+        .figures
+        .answers
+        .with_label_values(&[status.as_str()])
+        .inc();
+    let outcome = if has_failed {
+        Outcome::Failure
+    } else {
+        Outcome::Success
+    };
+    traffic.log_of(outcome, Level::Info, "answered", |line| {
         line.field("request", call.name())
-            .field("status", parts.status.as_u16())
+            .field("route", &call.route.name)
+            .field("status", status.as_u16())
+            .field("upstreams", &call.tried)
+            .field("waited_ms", call.waited_ms)
             .field("held_ms", held_ms)
     });
     let mut response = Response::from_parts(parts, AnswerBody::Whole(body));
--- a/lib/src/direct/front.rs
+++ b/lib/src/direct/front.rs
@@ -2,7 +2,6 @@
 
 use std::cell::Cell;
 use std::convert::Infallible;
-use std::fmt::Write;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,13 +20,12 @@
 use tokio::time::sleep;
 
 use crate::direct::exchange;
-use crate::direct::traffic::Counts;
 use crate::direct::traffic::Traffic;
 use crate::logging::Level;
 
 /// Pause after a connection could not be accepted, for example for want of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
-/// Path of the counters on the readiness port.
+/// Path of the counters and histograms.
 const METRICS_PATH: &str = "/metrics";
 
 /// Serves callers until the process ends.
@@ -101,20 +99,55 @@
         .map_or_else(|| 60_000, |catalog| catalog.idle_timeout_ms())
 }
 
-/// Serves the readiness and the counters until the process ends.
+/// Serves the readiness until the process ends.
 pub async fn serve_readiness(listener: TcpListener, traffic: Rc<Traffic>) {
+    serve_page(listener, traffic, |traffic, _| {
+        let mut response = Response::new(Full::default());
+        if !traffic.is_ready() {
+            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        }
+        response
+    })
+    .await;
+}
+
+/// Serves the counters and histograms until the process ends.
+pub async fn serve_figures(listener: TcpListener, traffic: Rc<Traffic>) {
+    serve_page(listener, traffic, |traffic, request| {
+        if request.uri().path() != METRICS_PATH {
+            let mut response = Response::new(Full::default());
+            *response.status_mut() = StatusCode::NOT_FOUND;
+            return response;
+        }
+        traffic.set_gauges();
+        Response::new(traffic.figures.text().into())
+    })
+    .await;
+}
+
+async fn serve_page(
+    listener: TcpListener,
+    traffic: Rc<Traffic>,
+    page: fn(&Traffic, &Request<Incoming>) -> Response<Full<Bytes>>,
+) {
     loop {
-        let Ok((stream, _)) = listener.accept().await else {
-            sleep(ACCEPT_PAUSE).await;
-            continue;
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                traffic.log(Level::Error, "page can't be served", |line| {
+                    line.field("error", error.to_string())
+                });
+                sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let traffic = Rc::clone(&traffic);
         tokio::task::spawn_local(async move {
             let service = service_fn(|request: Request<Incoming>| {
-                let response = readiness(&traffic, &request);
+                let response = page(&traffic, &request);
                 async move { Ok::<_, Infallible>(response) }
             });
-            // The platform asks again in a second if its connection broke.
+            // Whoever asked asks again if its connection broke.
             let _ = http1::Builder::new()
                 .auto_date_header(false)
                 .serve_connection(TokioIo::new(stream), service)
@@ -122,47 +155,3 @@
         });
     }
 }
-
-fn readiness(traffic: &Traffic, request: &Request<Incoming>) -> Response<Full<Bytes>> {
-    if request.uri().path() == METRICS_PATH {
-        return Response::new(metrics_text(traffic).into());
-    }
-    let mut response = Response::new(Full::default());
-    if !traffic.is_ready() {
-        *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-    }
-    response
-}
-
-fn metrics_text(traffic: &Traffic) -> String {
-    let Counts {
-        requests,
-        answered,
-        refused,
-        unknown,
-        second_attempts,
-        resumed,
-        cut,
-        left,
-    } = traffic.counts.get();
-    let waiting = traffic.dispatcher.borrow().waiting() as u64;
-    let open = traffic.open_requests.get() as u64;
-    let figures = [
-        ("requests_total", requests),
-        ("answered_total", answered),
-        ("refused_total", refused),
-        ("unknown_total", unknown),
-        ("second_attempts_total", second_attempts),
-        ("resumed_total", resumed),
-        ("cut_total", cut),
-        ("left_total", left),
-        ("waiting", waiting),
-        ("open_requests", open),
-    ];
-    let mut text = String::new();
-    for (name, value) in figures {
-        // Writing to a string can't fail.
-        let _ = writeln!(text, "sardinewood_{name} {value}");
-    }
-    text
-}
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -22,6 +22,7 @@
 use crate::direct::exchange::may_try_another;
 use crate::direct::exchange::send;
 use crate::direct::health::Ended;
+use crate::direct::log_budget::Outcome;
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
@@ -182,6 +183,7 @@
                 let since = self.traffic.instant_at(source.lease.since_ms());
                 let after_ms = as_ms(now - since);
                 source.lease.answered();
+                self.call.note_first(&self.traffic);
                 source
                     .lease
                     .learn(|health| health.first_event(prompt_tokens, after_ms));
@@ -216,28 +218,39 @@
             source.connection,
             source.keep_alive_ms,
         );
-        self.traffic.count(|counts| counts.answered += 1);
-        self.traffic.log(Level::Info, "streamed", |line| {
-            line.field("request", self.call.name())
-                .field("upstream", &source.lease.upstream.instance)
-                .field("held_ms", self.traffic.now_ms() - source.lease.since_ms())
-                .field("last_event", self.scan.last_id())
-        });
+        let figures = &self.traffic.figures;
+        let status = self.parts.status;
+        figures.answers.with_label_values(&[status.as_str()]).inc();
+        let success = Outcome::Success;
+        self.traffic
+            .log_of(success, Level::Info, "streamed", |line| {
+                line.field("request", self.call.name())
+                    .field("route", &self.call.route.name)
+                    .field("upstreams", &self.call.tried)
+                    .field("waited_ms", self.call.waited_ms)
+                    .field("held_ms", self.traffic.now_ms() - source.lease.since_ms())
+                    .field("last_event", self.scan.last_id())
+            });
     }
 
     /// Goes on at another upstream, if that is allowed; otherwise how the stream ended.
     async fn go_on(&mut self, why: &'static str) -> Option<Broken> {
         let instance = self.close_source();
+        let figures = &self.traffic.figures;
+        figures.failed_attempts.with_label_values(&[why]).inc();
         self.traffic.log(Level::Warn, why, |line| {
             line.field("request", self.call.name())
                 .field("upstream", &instance)
+                .field("attempt", self.call.tried.len())
+                .field("may_resume", self.call.route.repeat.is_idempotent())
+                .field("max_upstreams", self.call.route.max_upstreams)
                 .field("last_event", self.scan.last_id())
         });
         self.partial.clear();
         self.scan.drop_partial();
         while self.call.route.repeat.is_idempotent() && may_try_another(&self.traffic, &self.call) {
             if self.resume().await {
-                self.traffic.count(|counts| counts.resumed += 1);
+                self.traffic.figures.resumed.inc();
                 return None;
             }
         }
@@ -270,7 +283,7 @@
     }
 
     fn log_cut(&self, message: &'static str) {
-        self.traffic.count(|counts| counts.cut += 1);
+        self.traffic.figures.cut.inc();
         self.traffic.log(Level::Warn, message, |line| {
             line.field("request", self.call.name())
                 .field("last_event", self.scan.last_id())
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -25,6 +25,7 @@
 use crate::direct::allotment::Tolerance;
 use crate::direct::attempt_budget::AttemptLimits;
 use crate::direct::caller::Dialect;
+use crate::direct::figures::Figures;
 use crate::direct::follow::Decoders;
 use crate::direct::follow::Follower;
 use crate::direct::follow::ObjectSource;
@@ -65,8 +66,10 @@
 pub struct DirectSettings {
     /// Where callers connect.
     pub callers: SocketAddr,
-    /// Where readiness and counters are asked.
+    /// Where readiness is asked.
     pub readiness: SocketAddr,
+    /// Where counters and histograms are asked.
+    pub figures: SocketAddr,
     /// Where other entries reach this one, by datagram and connection.
     pub peers: SocketAddr,
     /// Some other entries.
@@ -183,20 +186,25 @@
         .await
         .wrap_err_with(|| format!("can't hear peers on {}", settings.peers))?;
     let peers = PeerTable::new(settings.peers, &settings.seeds);
-    let traffic = Traffic::new(adapter.dialect, settings.attempts, peers, socket);
+    let figures = Figures::new().wrap_err("can't count")?;
+    let traffic = Traffic::new(adapter.dialect, settings.attempts, peers, socket, figures);
     traffic
         .allotments
         .borrow_mut()
         .set_tolerance(settings.tolerance);
     let callers = listen(settings.callers, "callers").await?;
     let readiness = listen(settings.readiness, "readiness").await?;
+    let figures = listen(settings.figures, "figures").await?;
     spawn_local(front::serve_callers(callers, Rc::clone(&traffic)));
     spawn_local(front::serve_readiness(readiness, Rc::clone(&traffic)));
+    spawn_local(front::serve_figures(figures, Rc::clone(&traffic)));
     spawn_local(Peers::new(&traffic, links).run());
     spawn_local(take_views(view, own, Rc::clone(&traffic)));
     spawn_local(sweep_connections(Rc::clone(&traffic)));
     Line::new(Level::Info, "started")
         .field("address", settings.callers)
+        .field("figures_address", settings.figures)
+        .field("seeds", &settings.seeds)
         .send();
     let stop_within = Rc::new(Cell::new(settings.stop_within));
     spawn_local(follow_settings(
@@ -280,6 +288,7 @@
             .map(|upstream| (Arc::clone(&upstream.instance), upstream.slots));
         traffic.doors.borrow_mut().set_engines(engines);
         traffic.grant_rooms();
+        traffic.configured.notify_waiters();
         traffic.start_waiting();
     }
     Line::new(Level::Error, "the control thread has ended").send();
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -7,6 +7,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use indexmap::IndexMap;
 use tokio::net::UdpSocket;
@@ -30,10 +31,12 @@
 use crate::direct::door::AskId;
 use crate::direct::door::Asker;
 use crate::direct::door::Doors;
+use crate::direct::figures::Figures;
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
 use crate::direct::health::Moving;
 use crate::direct::log_budget::LogBudget;
+use crate::direct::log_budget::Outcome;
 use crate::direct::peer_message::Message;
 use crate::direct::peer_message::PeerTable;
 use crate::direct::rooms;
@@ -41,26 +44,9 @@
 use crate::logging::Level;
 use crate::logging::Line;
 
-/// Counts since the start of the process, for the metrics page.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct Counts {
-    /// Requests that were read.
-    pub requests: u64,
-    /// Requests answered by an upstream.
-    pub answered: u64,
-    /// Requests refused as not run.
-    pub refused: u64,
-    /// Requests whose outcome is unknown.
-    pub unknown: u64,
-    /// Requests sent to a second upstream.
-    pub second_attempts: u64,
-    /// Streams that went on at a second upstream.
-    pub resumed: u64,
-    /// Streams that were cut short.
-    pub cut: u64,
-    /// Callers that left before their answer.
-    pub left: u64,
-}
+/// How long callers wait for the first configuration. A store that answers at all does so
+/// well within this.
+const CONFIGURED_WITHIN: Duration = Duration::from_millis(250);
 
 /// The state of the traffic thread.
 #[derive(Debug)]
@@ -95,8 +81,10 @@
     pub closing: Notify,
     /// Requests that have no answer yet.
     pub open_requests: Cell<usize>,
-    /// Counters.
-    pub counts: Cell<Counts>,
+    /// Counters and histograms.
+    pub figures: Figures,
+    /// Told when the first configuration and the first upstreams are there.
+    pub configured: Notify,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
     expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     starts: RefCell<IndexMap<u64, oneshot::Sender<Lease>>>,
@@ -221,6 +209,7 @@
         limits: AttemptLimits,
         peers: PeerTable,
         socket: UdpSocket,
+        figures: Figures,
     ) -> Rc<Self> {
         Rc::new(Self {
             dialect,
@@ -238,7 +227,8 @@
             is_closing: Cell::new(false),
             closing: Notify::new(),
             open_requests: Cell::new(0),
-            counts: Cell::default(),
+            figures,
+            configured: Notify::new(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
             starts: RefCell::default(),
@@ -257,7 +247,7 @@
     /// The moment that is so long after the start of the process.
     #[must_use]
     pub fn instant_at(&self, at_ms: u64) -> Instant {
-        self.began + std::time::Duration::from_millis(at_ms)
+        self.began + Duration::from_millis(at_ms)
     }
 
     /// A number that no other request of this process has.
@@ -279,13 +269,6 @@
         }
     }
 
-    /// Changes the counters.
-    pub fn count(&self, change: impl FnOnce(&mut Counts)) {
-        let mut counts = self.counts.get();
-        change(&mut counts);
-        self.counts.set(counts);
-    }
-
     /// The size of a request in relation to the mean of its route, which it becomes part of.
     #[must_use]
     pub fn relative_size(&self, route: &Arc<str>, size: Option<f64>) -> f64 {
@@ -298,11 +281,22 @@
         relative(&mut self.expected_holds.borrow_mut(), route, hold)
     }
 
-    /// Writes a line if its kind is within its budget.
+    /// Writes a line of a failure or of a change if its kind is within its budget.
     pub fn log(&self, level: Level, message: &'static str, fill: impl FnOnce(Line) -> Line) {
-        let left_out = self.log.borrow_mut().take(message, self.now_ms());
+        self.log_of(Outcome::Failure, level, message, fill);
+    }
+
+    /// Writes a line if its kind is within its budget.
+    pub fn log_of(
+        &self,
+        outcome: Outcome,
+        level: Level,
+        message: &'static str,
+        fill: impl FnOnce(Line) -> Line,
+    ) {
+        let left_out = self.log.borrow_mut().take(message, outcome, self.now_ms());
         match left_out {
-            None => {}
+            None => self.figures.left_out_lines.inc(),
             Some(0) => fill(Line::new(level, message)).send(),
             Some(lines) => fill(Line::new(level, message))
                 .field("left_out_lines", lines)
@@ -310,12 +304,30 @@
         }
     }
 
+    /// Whether a configuration and the upstreams are known.
+    #[must_use]
+    pub fn is_configured(&self) -> bool {
+        self.has_upstreams.get() && self.catalog.borrow().is_some()
+    }
+
+    /// Waits a moment for the first configuration; whether there is one.
+    ///
+    /// After all processes were killed at once, callers come before the store has answered,
+    /// some fifty milliseconds after the start. Told to come back, each would come late.
+    pub async fn wait_configured(&self) -> bool {
+        let told = self.configured.notified();
+        if !self.is_configured() {
+            // Whether it came or not is asked below.
+            let _ = tokio::time::timeout(CONFIGURED_WITHIN, told).await;
+        }
+        self.is_configured()
+    }
+
     /// Whether requests can be served: with a configuration but no upstreams yet, callers
     /// would be sent here only to be refused.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        let knows_all = self.has_upstreams.get() && self.catalog.borrow().is_some();
-        knows_all && !self.is_stopping.get()
+        self.is_configured() && !self.is_stopping.get()
     }
 
     /// Takes no more requests from now on, and closes callers' idle connections.
@@ -348,13 +360,35 @@
         }
     }
 
+    /// Brings the gauges up to date, for whoever reads them.
+    pub fn set_gauges(&self) {
+        let figures = &self.figures;
+        let signed = |count: usize| i64::try_from(count).unwrap_or(i64::MAX);
+        let peers = self.peers.borrow();
+        let heard = peers.known() - 1 - peers.silent(self.now_ms()).len();
+        figures.open_requests.set(signed(self.open_requests.get()));
+        figures.open_asks.set(signed(self.asks.borrow().len()));
+        figures.peers.set(signed(heard));
+        figures
+            .upstreams
+            .set(signed(self.dispatcher.borrow().listed()));
+        if let Some(catalog) = self.catalog.borrow().as_ref() {
+            let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
+            figures.catalog_version.set(version);
+        }
+    }
+
     /// Waits for room at an upstream until the request's time is up.
     pub async fn turn(self: &Rc<Self>, job: Job) -> Turn {
-        if self.is_engine(&job.service) {
+        let began = Instant::now();
+        let turn = if self.is_engine(&job.service) {
             rooms::turn(self, job).await
         } else {
             self.own_turn(job).await
-        }
+        };
+        let waited_ms = began.elapsed().as_secs_f64() * 1_000.0;
+        self.figures.wait_ms.observe(waited_ms);
+        turn
     }
 
     fn is_engine(&self, service: &str) -> bool {
