--- /dev/null
+++ b/soak/src/checker.rs
@@ -0,0 +1,162 @@
+//! Holds the records against the promises.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use crate::record::Ended;
+use crate::record::Kind;
+use crate::record::Records;
+use crate::record::Request;
+use crate::record::Run;
+
+/// Events of every stream.
+pub const EVENTS: u64 = 12;
+/// Workers that one request may be sent to, by the configuration.
+const MAX_UPSTREAMS: usize = 2;
+/// Part of the requests after the last fault that has to be served, in percent.
+const SERVED_PERCENT: usize = 90;
+/// Name of the one customer.
+const CUSTOMER: &str = "rundu";
+
+/// A promise that was broken.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Broken {
+    /// A request that may run once ran more often.
+    RanTwice(String),
+    /// A request ran though its caller heard that it has not.
+    RanAfterRefusal(String),
+    /// An answer belongs to another request or was changed.
+    WrongAnswer(String),
+    /// A stream lacks events or has some twice, or looks whole and is not.
+    WrongStream(String),
+    /// A worker ran what nobody sent, or for the wrong customer.
+    Unasked(String),
+    /// A request went to more workers than it may.
+    TooManyWorkers(String),
+    /// A worker that had left got a request.
+    AfterLeaving(String),
+    /// After the last fault too few requests were served.
+    NotRecovered {
+        /// How many were.
+        served: usize,
+        /// Of how many.
+        asked: usize,
+    },
+}
+
+/// All promises that the records show to be broken.
+#[must_use]
+pub fn check(records: &Records) -> Vec<Broken> {
+    let mut runs: BTreeMap<&str, Vec<&Run>> = BTreeMap::new();
+    for run in &records.runs {
+        runs.entry(&run.id).or_default().push(run);
+    }
+    let mut broken = Vec::new();
+    let mut sent = BTreeSet::new();
+    for request in &records.requests {
+        sent.insert(request.id.as_str());
+        let runs = runs.get(request.id.as_str()).map_or(&[][..], Vec::as_slice);
+        check_runs(request, runs, &mut broken);
+        check_answer(request, &mut broken);
+    }
+    for run in &records.runs {
+        if !sent.contains(run.id.as_str()) || run.customer != CUSTOMER || run.has_key {
+            broken.push(Broken::Unasked(run.id.clone()));
+        }
+        let has_left = records
+            .leavings
+            .iter()
+            .any(|leaving| leaving.worker == run.worker && run.at > leaving.closed);
+        if has_left {
+            broken.push(Broken::AfterLeaving(run.id.clone()));
+        }
+    }
+    check_recovery(records, &mut broken);
+    broken.sort();
+    broken.dedup();
+    broken
+}
+
+fn check_runs(request: &Request, runs: &[&Run], broken: &mut Vec<Broken>) {
+    let id = || request.id.clone();
+    if !request.kind.is_idempotent() && runs.len() > 1 {
+        broken.push(Broken::RanTwice(id()));
+    }
+    let workers: BTreeSet<&str> = runs.iter().map(|run| run.worker.as_str()).collect();
+    if workers.len() > MAX_UPSTREAMS {
+        broken.push(Broken::TooManyWorkers(id()));
+    }
+    let is_refused = matches!(
+        &request.ended,
+        Ended::Answered {
+            status: 429 | 503,
+            ..
+        }
+    );
+    if is_refused && !runs.is_empty() {
+        broken.push(Broken::RanAfterRefusal(id()));
+    }
+}
+
+fn check_answer(request: &Request, broken: &mut Vec<Broken>) {
+    let id = &request.id;
+    match (&request.ended, request.kind.is_stream()) {
+        (Ended::Answered { status: 200, body }, false) if *body != format!("answer to {id}") => {
+            broken.push(Broken::WrongAnswer(id.clone()));
+        }
+        (Ended::Answered { status: 200, body }, true) if *body != events(EVENTS) => {
+            broken.push(Broken::WrongStream(id.clone()));
+        }
+        (Ended::BrokeOff { body }, true) if !events(EVENTS).starts_with(body.as_str()) => {
+            broken.push(Broken::WrongStream(id.clone()));
+        }
+        _ => {}
+    }
+}
+
+fn events(count: u64) -> String {
+    (1..=count)
+        .map(platform_testkit::worker_stand_in::event)
+        .collect()
+}
+
+fn check_recovery(records: &Records, broken: &mut Vec<Broken>) {
+    let Some(healed) = records.healed else {
+        return;
+    };
+    let late: Vec<&Request> = records
+        .requests
+        .iter()
+        .filter(|request| request.sent > healed)
+        .collect();
+    let is_served =
+        |request: &&&Request| matches!(request.ended, Ended::Answered { status: 200, .. });
+    let served = late.iter().filter(is_served).count();
+    if served * 100 < late.len() * SERVED_PERCENT {
+        broken.push(Broken::NotRecovered {
+            served,
+            asked: late.len(),
+        });
+    }
+}
+
+/// How the requests ended, for the report.
+#[must_use]
+pub fn tally(records: &Records) -> BTreeMap<String, usize> {
+    let mut tally = BTreeMap::new();
+    for request in &records.requests {
+        let kind = match request.kind {
+            Kind::Safe => "safe",
+            Kind::Unsafe => "unsafe",
+            Kind::Stream => "stream",
+            Kind::Resumable => "resumable",
+        };
+        let ended = match &request.ended {
+            Ended::Answered { status, .. } => status.to_string(),
+            Ended::BrokeOff { .. } => "broke off".to_owned(),
+            Ended::NoAnswer => "no answer".to_owned(),
+        };
+        *tally.entry(format!("{kind} {ended}")).or_default() += 1;
+    }
+    tally
+}
--- /dev/null
+++ b/soak/src/lib.rs
@@ -0,0 +1,11 @@
+//! A soak of the real programs: random faults from outside, and a check of what callers and
+//! workers see.
+//!
+//! [`plan`] draws the faults from a seed, [`world`] carries them out, [`callers`] press all
+//! the while, and [`checker`] reads the records and knows nothing of the rest.
+
+pub mod callers;
+pub mod checker;
+pub mod plan;
+pub mod record;
+pub mod world;
--- /dev/null
+++ b/soak/src/plan.rs
@@ -0,0 +1,115 @@
+//! The faults of a run, drawn from its seed.
+
+use std::time::Duration;
+
+use platform_testkit::fault_proxy::Link;
+use platform_testkit::store_stand_in::Mood;
+use platform_testkit::worker_stand_in::Manner;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+
+use crate::checker::EVENTS;
+
+/// What strikes, and whom: numbers are taken modulo how many there are.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// An entry is killed, and started again after a pause.
+    Kill(usize, Duration),
+    /// All entries are killed at once.
+    KillAll,
+    /// An entry stands still.
+    Pause(usize, Duration),
+    /// An entry is told to stop, and started again when it has ended.
+    Terminate(usize),
+    /// An entry's settings file is said to have changed.
+    HangUp(usize),
+    /// A worker behaves otherwise for a time.
+    Worker(usize, Manner, Duration),
+    /// The way to a worker changes for a time.
+    WayToWorker(usize, Link, Duration),
+    /// The way of an entry to the store changes for a time.
+    WayToStore(usize, Link, Duration),
+    /// The store behaves otherwise for a time.
+    Store(Mood, Duration),
+    /// The store forgets its history.
+    Forget,
+    /// A worker leaves with notice, and another one comes.
+    Replace(usize),
+    /// The configuration changes.
+    Configure,
+}
+
+/// A fault and the pause before it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// How long after the one before it strikes; less than most last, so that they overlap.
+    pub after: Duration,
+    /// What strikes.
+    pub fault: Fault,
+}
+
+/// Time between two faults.
+const PAUSE_MS: std::ops::Range<u64> = 50..600;
+/// How long a fault lasts.
+const LASTING_MS: std::ops::Range<u64> = 200..2_500;
+
+/// The steps that fill a time.
+#[must_use]
+pub fn draw(seed: u64, length: Duration) -> Vec<Step> {
+    let mut random = StdRng::seed_from_u64(seed);
+    let mut steps = Vec::new();
+    let mut at = Duration::ZERO;
+    loop {
+        let after = Duration::from_millis(random.random_range(PAUSE_MS));
+        at += after;
+        if at > length {
+            return steps;
+        }
+        let fault = fault(&mut random);
+        steps.push(Step { after, fault });
+    }
+}
+
+fn fault(random: &mut StdRng) -> Fault {
+    let whom = random.random_range(0..100);
+    let lasting = Duration::from_millis(random.random_range(LASTING_MS));
+    match random.random_range(0..20) {
+        0 | 1 => Fault::Kill(whom, lasting / 4),
+        2 => Fault::KillAll,
+        3 | 4 => Fault::Pause(whom, lasting),
+        5 | 6 => Fault::Terminate(whom),
+        7 => Fault::HangUp(whom),
+        8..=10 => Fault::Worker(whom, manner(random), lasting),
+        11 | 12 => Fault::WayToWorker(whom, link(random), lasting),
+        13 | 14 => Fault::WayToStore(whom, link(random), lasting),
+        15 => Fault::Store(Mood::Busy, lasting),
+        16 => Fault::Store(Mood::Silent, lasting),
+        17 => Fault::Forget,
+        18 => Fault::Replace(whom),
+        _ => Fault::Configure,
+    }
+}
+
+fn manner(random: &mut StdRng) -> Manner {
+    match random.random_range(0..6) {
+        0 => Manner::AnswerTwice,
+        1 => Manner::Fail,
+        2 => Manner::Decline,
+        3 => Manner::CloseUnanswered,
+        4 => Manner::BreakOff {
+            after_events: random.random_range(0..EVENTS),
+        },
+        _ => Manner::Hang,
+    }
+}
+
+fn link(random: &mut StdRng) -> Link {
+    match random.random_range(0..5) {
+        0 => Link::Delayed(Duration::from_millis(random.random_range(5..200))),
+        1 => Link::CutForth,
+        2 => Link::CutBack,
+        3 => Link::Silent,
+        _ => Link::Reset,
+    }
+}
--- /dev/null
+++ b/soak/src/record.rs
@@ -0,0 +1,113 @@
+//! What callers and workers saw of each request.
+
+use std::time::Instant;
+
+/// What a request is, and so what may happen to it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Kind {
+    /// It may run more than once.
+    Safe,
+    /// It may run once at most.
+    Unsafe,
+    /// A stream that runs once at most.
+    Stream,
+    /// A stream that another worker may go on with.
+    Resumable,
+}
+
+impl Kind {
+    /// All kinds.
+    pub const ALL: [Self; 4] = [Self::Safe, Self::Unsafe, Self::Stream, Self::Resumable];
+
+    /// The path of its route.
+    #[must_use]
+    pub fn path(self) -> &'static str {
+        match self {
+            Self::Safe => "/safe/a",
+            Self::Unsafe => "/unsafe/a",
+            Self::Stream => "/stream/a",
+            Self::Resumable => "/resumable/a",
+        }
+    }
+
+    /// Whether it may run more than once.
+    #[must_use]
+    pub fn is_idempotent(self) -> bool {
+        matches!(self, Self::Safe | Self::Resumable)
+    }
+
+    /// Whether its answer is a stream.
+    #[must_use]
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream | Self::Resumable)
+    }
+}
+
+/// How a request ended for its caller.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Ended {
+    /// With an answer that looked whole.
+    Answered {
+        /// Its status.
+        status: u16,
+        /// Its body.
+        body: String,
+    },
+    /// With an answer that broke off.
+    BrokeOff {
+        /// What had come of its body.
+        body: String,
+    },
+    /// Without an answer.
+    NoAnswer,
+}
+
+/// A request as its caller saw it.
+#[derive(Clone, Debug)]
+pub struct Request {
+    /// Its name.
+    pub id: String,
+    /// What it is.
+    pub kind: Kind,
+    /// When it was sent.
+    pub sent: Instant,
+    /// How it ended.
+    pub ended: Ended,
+}
+
+/// A request as a worker saw it.
+#[derive(Clone, Debug)]
+pub struct Run {
+    /// The request's name.
+    pub id: String,
+    /// The worker.
+    pub worker: String,
+    /// When it began.
+    pub at: Instant,
+    /// The customer that the worker was told.
+    pub customer: String,
+    /// Whether the caller's key came along.
+    pub has_key: bool,
+}
+
+/// A worker that was said to leave.
+#[derive(Clone, Debug)]
+pub struct Leaving {
+    /// The worker.
+    pub worker: String,
+    /// From when on nobody may send it anything.
+    pub closed: Instant,
+}
+
+/// Everything that was seen.
+#[derive(Clone, Debug, Default)]
+pub struct Records {
+    /// By callers.
+    pub requests: Vec<Request>,
+    /// By workers.
+    pub runs: Vec<Run>,
+    /// Workers that left in a calm time.
+    pub leavings: Vec<Leaving>,
+    /// When the last fault was over; requests sent later should be served.
+    pub healed: Option<Instant>,
+}
--- /dev/null
+++ b/soak/src/world.rs
@@ -0,0 +1,356 @@
+//! The fleet of a run, and how faults strike it.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+use std::time::Instant;
+
+use platform_testkit::fault_proxy::FaultProxy;
+use platform_testkit::fault_proxy::Link;
+use platform_testkit::node::Node;
+use platform_testkit::node::Ports;
+use platform_testkit::node::configuration;
+use platform_testkit::node::configure;
+use platform_testkit::store_stand_in::Mood;
+use platform_testkit::store_stand_in::StoreStandIn;
+use platform_testkit::worker_stand_in::Manner;
+use platform_testkit::worker_stand_in::WorkerStandIn;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::callers::Callers;
+use crate::checker::EVENTS;
+use crate::plan::Fault;
+use crate::plan::Step;
+use crate::record::Leaving;
+use crate::record::Records;
+use crate::record::Run;
+
+/// How a worker behaves when nothing is wrong with it.
+const WELL: Manner = Manner::ByRoute {
+    events: EVENTS,
+    pause_ms: 4,
+};
+/// Time for everything to be found again after the last fault: longer than the longest pause
+/// of an upstream, a peer's silence and the store's grace together.
+const RECOVERY: Duration = Duration::from_secs(6);
+/// How long callers press after that.
+const CALM: Duration = Duration::from_secs(2);
+/// Time after which a worker that has said that it leaves may get nothing more.
+const DRAIN: Duration = Duration::from_secs(2);
+
+/// How large a run is.
+#[derive(Clone, Copy, Debug)]
+pub struct Size {
+    /// Entries.
+    pub entries: usize,
+    /// Workers.
+    pub workers: usize,
+    /// Callers at each entry.
+    pub callers: usize,
+}
+
+struct Entry {
+    ports: Ports,
+    store: FaultProxy,
+    node: Option<Node>,
+    /// Whether it was told to stop and has to be started again when it has.
+    is_ending: bool,
+}
+
+struct Worker {
+    name: String,
+    stand_in: WorkerStandIn,
+    way: FaultProxy,
+    is_leaving: bool,
+}
+
+/// Something that ends by itself.
+enum Healing {
+    Start(usize),
+    Wake(usize),
+    Worker(usize),
+    WayToWorker(usize),
+    WayToStore(usize),
+    Store,
+}
+
+/// The fleet of one run.
+pub struct World {
+    store: StoreStandIn,
+    entries: Vec<Entry>,
+    workers: Vec<Worker>,
+    healings: Vec<(Instant, Healing)>,
+    leavings: Vec<(String, Instant)>,
+    last_fault: Instant,
+    version: u64,
+}
+
+impl World {
+    /// Starts a fleet and waits until it takes callers.
+    pub async fn start(size: Size) -> Self {
+        let store = StoreStandIn::start().await;
+        let mut world = Self {
+            store,
+            entries: Vec::new(),
+            workers: Vec::new(),
+            healings: Vec::new(),
+            leavings: Vec::new(),
+            last_fault: Instant::now(),
+            version: 0,
+        };
+        world.configure();
+        for _ in 0..size.workers {
+            world.add_worker().await;
+        }
+        for _ in 0..size.entries {
+            let proxy = FaultProxy::start(world.store.address).await;
+            world.entries.push(Entry {
+                ports: Ports::free(),
+                store: proxy,
+                node: None,
+                is_ending: false,
+            });
+        }
+        for index in 0..size.entries {
+            world.start_entry(index);
+        }
+        for entry in &world.entries {
+            if let Some(node) = &entry.node {
+                node.wait_ready().await;
+            }
+        }
+        world
+    }
+
+    /// Where callers connect.
+    #[must_use]
+    pub fn entries(&self) -> Vec<SocketAddr> {
+        self.entries
+            .iter()
+            .map(|entry| entry.ports.callers)
+            .collect()
+    }
+
+    /// Carries out the steps while callers press, heals everything, and returns the records.
+    pub async fn run(mut self, size: Size, steps: &[Step]) -> Records {
+        let callers = Callers::start(&self.entries(), size.callers);
+        for step in steps {
+            self.pass(step.after).await;
+            self.strike(step.fault).await;
+        }
+        self.heal_all().await;
+        sleep(RECOVERY).await;
+        let healed = Instant::now();
+        sleep(CALM).await;
+        let requests = callers.stop().await;
+        Records {
+            requests,
+            runs: self.runs(),
+            leavings: self.calm_leavings(),
+            healed: Some(healed),
+        }
+    }
+
+    fn runs(&self) -> Vec<Run> {
+        let run = |worker: &Worker| {
+            let name = worker.name.clone();
+            let runs = worker.stand_in.seen().into_iter().map(move |seen| Run {
+                id: seen.header("attempt-id").to_owned(),
+                worker: name.clone(),
+                at: seen.at,
+                customer: seen.header("tenant").to_owned(),
+                has_key: !seen.header("credential").is_empty(),
+            });
+            runs.collect::<Vec<_>>()
+        };
+        self.workers.iter().flat_map(run).collect()
+    }
+
+    /// Leavings that no fault of an entry or the store was near.
+    fn calm_leavings(&self) -> Vec<Leaving> {
+        self.leavings
+            .iter()
+            .filter(|(_, at)| *at > self.last_fault)
+            .map(|(worker, at)| Leaving {
+                worker: worker.clone(),
+                closed: *at + DRAIN,
+            })
+            .collect()
+    }
+
+    /// Lets time pass, and what ends by itself end.
+    async fn pass(&mut self, time: Duration) {
+        let until = Instant::now() + time;
+        while Instant::now() < until {
+            let now = Instant::now();
+            let (due, later) = std::mem::take(&mut self.healings)
+                .into_iter()
+                .partition(|(at, _)| *at <= now);
+            self.healings = later;
+            for (_, healing) in due {
+                self.heal(&healing);
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    async fn strike(&mut self, fault: Fault) {
+        println!("{fault:?}");
+        self.last_fault = Instant::now();
+        let entries = self.entries.len();
+        let workers = self.workers.len();
+        match fault {
+            Fault::Kill(whom, pause) => {
+                self.kill(whom % entries);
+                self.later(pause, Healing::Start(whom % entries));
+            }
+            Fault::KillAll => {
+                for index in 0..entries {
+                    self.kill(index);
+                    self.later(Duration::from_millis(100), Healing::Start(index));
+                }
+            }
+            Fault::Pause(whom, lasting) => {
+                self.signal(whom % entries, "STOP");
+                self.later(lasting, Healing::Wake(whom % entries));
+            }
+            Fault::Terminate(whom) => {
+                self.signal(whom % entries, "TERM");
+                self.entries[whom % entries].is_ending = true;
+                self.later(Duration::from_secs(4), Healing::Start(whom % entries));
+            }
+            Fault::HangUp(whom) => self.signal(whom % entries, "HUP"),
+            Fault::Worker(whom, manner, lasting) => {
+                self.workers[whom % workers].stand_in.set_manner(manner);
+                self.later(lasting, Healing::Worker(whom % workers));
+            }
+            Fault::WayToWorker(whom, link, lasting) => {
+                self.workers[whom % workers].way.set_link(link);
+                self.later(lasting, Healing::WayToWorker(whom % workers));
+            }
+            Fault::WayToStore(whom, link, lasting) => {
+                self.entries[whom % entries].store.set_link(link);
+                self.later(lasting, Healing::WayToStore(whom % entries));
+            }
+            Fault::Store(mood, lasting) => {
+                self.store.set_mood(mood);
+                self.later(lasting, Healing::Store);
+            }
+            Fault::Forget => self.store.forget_history(),
+            Fault::Replace(whom) => self.replace(whom % workers).await,
+            Fault::Configure => self.configure(),
+        }
+    }
+
+    fn later(&mut self, after: Duration, healing: Healing) {
+        self.healings.push((Instant::now() + after, healing));
+    }
+
+    fn heal(&mut self, healing: &Healing) {
+        match *healing {
+            Healing::Start(index) if self.is_ending(index) => {
+                self.later(Duration::from_millis(100), Healing::Start(index));
+            }
+            Healing::Start(index) => self.start_entry(index),
+            Healing::Wake(index) => self.signal(index, "CONT"),
+            Healing::Worker(index) => self.workers[index].stand_in.set_manner(WELL),
+            Healing::WayToWorker(index) => self.workers[index].way.set_link(Link::Whole),
+            Healing::WayToStore(index) => self.entries[index].store.set_link(Link::Whole),
+            Healing::Store => self.store.set_mood(Mood::Up),
+        }
+    }
+
+    async fn heal_all(&mut self) {
+        for (_, healing) in std::mem::take(&mut self.healings) {
+            self.heal(&healing);
+        }
+        for index in 0..self.entries.len() {
+            self.signal(index, "CONT");
+            while self.is_ending(index) {
+                sleep(Duration::from_millis(50)).await;
+            }
+            self.start_entry(index);
+        }
+        self.healings.clear();
+        // One more leaves now that all is calm, so that this is seen in every run.
+        self.pass(Duration::from_secs(3)).await;
+        self.replace(0).await;
+    }
+
+    fn kill(&mut self, index: usize) {
+        self.entries[index].node = None;
+    }
+
+    fn signal(&self, index: usize, name: &str) {
+        if let Some(node) = &self.entries[index].node {
+            node.signal(name);
+        }
+    }
+
+    fn is_ending(&mut self, index: usize) -> bool {
+        let entry = &mut self.entries[index];
+        entry.is_ending && entry.node.as_mut().is_some_and(Node::is_running)
+    }
+
+    /// Starts an entry that has ended.
+    fn start_entry(&mut self, index: usize) {
+        let seeds: Vec<SocketAddr> = self
+            .entries
+            .iter()
+            .map(|entry| entry.ports.peers)
+            .take(3)
+            .collect();
+        let entry = &mut self.entries[index];
+        if let Some(node) = &mut entry.node
+            && node.is_running()
+        {
+            return;
+        }
+        entry.is_ending = false;
+        entry.node = None;
+        entry.node = Some(Node::start_with(entry.ports, &seeds, entry.store.address));
+    }
+
+    async fn add_worker(&mut self) {
+        let stand_in = WorkerStandIn::start(WELL).await;
+        let way = FaultProxy::start(stand_in.address).await;
+        let worker = Worker {
+            name: format!("i-{}", self.workers.len()),
+            stand_in,
+            way,
+            is_leaving: false,
+        };
+        self.register(&worker, "ready");
+        self.workers.push(worker);
+    }
+
+    fn register(&self, worker: &Worker, state: &str) {
+        let entry = json!({"service": "pool", "address": worker.way.address.to_string(),
+            "zone": "hall-a", "slots": 4, "state": state});
+        self.store.put("servers", &worker.name, &entry);
+    }
+
+    async fn replace(&mut self, index: usize) {
+        let Some(index) = (0..self.workers.len())
+            .map(|step| (index + step) % self.workers.len())
+            .find(|index| !self.workers[*index].is_leaving)
+        else {
+            return;
+        };
+        self.workers[index].is_leaving = true;
+        self.register(&self.workers[index], "draining");
+        let name = self.workers[index].name.clone();
+        self.leavings.push((name, Instant::now()));
+        self.add_worker().await;
+    }
+
+    fn configure(&mut self) {
+        self.version += 3;
+        let mut configuration = configuration(self.version);
+        // Every other version has engines, so that doors come and go.
+        if self.version.is_multiple_of(2) {
+            configuration["services"][0]["engine"] = json!({"slots": 4});
+        }
+        configure(&self.store, &configuration);
+    }
+}
--- /dev/null
+++ b/soak/tests/runner.rs
@@ -0,0 +1,4 @@
+//! One test program for the soak's own tests.
+
+mod test_checker;
+mod test_short_run;
--- /dev/null
+++ b/soak/tests/test_short_run.rs
@@ -0,0 +1,34 @@
+//! A short run of the real programs, and the seeds that ever failed.
+
+use std::time::Duration;
+
+use soak::checker;
+use soak::plan;
+use soak::world::Size;
+use soak::world::World;
+
+const SIZE: Size = Size {
+    entries: 2,
+    workers: 3,
+    callers: 2,
+};
+
+async fn run(seed: u64) {
+    let steps = plan::draw(seed, Duration::from_secs(5));
+    let world = World::start(SIZE).await;
+    let records = world.run(SIZE, &steps).await;
+    assert!(records.requests.len() > 100);
+    assert_eq!(checker::check(&records), [], "seed {seed}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_one() {
+    run(1).await;
+}
+
+#[test]
+fn plan_same_for_the_same_seed() {
+    let length = Duration::from_secs(60);
+    assert_eq!(plan::draw(7, length), plan::draw(7, length));
+    assert_ne!(plan::draw(7, length), plan::draw(8, length));
+}
