direct: changes spread by deltas from any peer ahead; beats at a bounded rate

Beats came every 3 s while peers counted as silent after 1 s, so all entries asked the store; all who were behind asked the same peer for the whole list (398 MB there). Change: beats every second at most and silence reckoned from that; who hears of a change from the store tells at once; a random peer ahead gives only what has changed.

--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -5,6 +5,7 @@
 //! from the peer. A revision only moves forward, whatever the source.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -24,6 +25,8 @@
 use crate::direct::peer_message::Revisions;
 use crate::direct::pull;
 use crate::direct::pull::Copies;
+use crate::direct::pull::UpstreamChanges;
+use crate::direct::pull::UpstreamCopy;
 use crate::findings::Findings;
 use crate::logging::Level;
 use crate::logging::Line;
@@ -45,6 +48,8 @@
 /// How long a peer must be ahead before it is asked; our own watch usually tells us sooner.
 const PEER_LEAD: Duration = Duration::from_millis(300);
 
+/// Upstreams that are gone and remembered for peers that lag: some minutes of a large fleet.
+const MAX_GONE: usize = 1_000;
 /// Pause between two copies from peers.
 const PULL_PAUSE: Duration = Duration::from_millis(50);
 
@@ -135,8 +140,14 @@
 #[derive(Debug)]
 struct Copy {
     decoders: Decoders,
-    catalog: Option<(StoredObject, Arc<Catalog>)>,
+    catalog: Option<(Arc<StoredObject>, Arc<Catalog>)>,
+    /// The configuration's object as text, as peers get it.
+    catalog_json: Arc<str>,
     objects: IndexMap<Arc<str>, StoredObject>,
+    /// Names of objects that are gone, with the revision of that, the oldest first.
+    gone: VecDeque<(u64, Arc<str>)>,
+    /// Revision up to which [`Self::gone`] has been cut.
+    gone_cut_at: u64,
     directory: Directory,
     is_listed: bool,
     revisions: Revisions,
@@ -164,7 +175,10 @@
         let copy = Copy {
             decoders,
             catalog: None,
+            catalog_json: Arc::default(),
             objects: IndexMap::new(),
+            gone: VecDeque::new(),
+            gone_cut_at: 0,
             directory: Directory::default(),
             is_listed: false,
             revisions: Revisions::default(),
@@ -315,16 +329,31 @@
         }
     }
 
-    fn take_copies(&self, peer: SocketAddr, copies: Copies) {
+    /// Takes what a peer gave.
+    pub fn take_copies(&self, peer: SocketAddr, copies: Copies) {
         let mut copy = self.copy.borrow_mut();
         let before = copy.revisions;
         if let Some(object) = copies.catalog {
-            copy.take_catalog(object);
+            copy.take_catalog(Arc::unwrap_or_clone(object));
         }
-        if let Some(upstreams) = copies.upstreams
-            && upstreams.revision > copy.revisions.directory
-        {
-            copy.take_upstreams(upstreams.objects, upstreams.revision);
+        match copies.upstreams {
+            Some(UpstreamCopy::Whole(list)) if list.revision > copy.revisions.directory => {
+                copy.take_upstreams(list.objects, list.revision);
+            }
+            Some(UpstreamCopy::Changes(changes))
+                if changes.after <= copy.revisions.directory
+                    && changes.revision > copy.revisions.directory =>
+            {
+                for object in changes.objects {
+                    copy.take_upstream(object);
+                }
+                for (version, name) in changes.gone {
+                    copy.drop_if_older(&name, version);
+                }
+                copy.is_listed = true;
+                copy.revisions.directory = copy.revisions.directory.max(changes.revision);
+            }
+            Some(_) | None => {}
         }
         Line::new(Level::Info, "copy taken from a peer")
             .field("peer", peer)
@@ -340,18 +369,66 @@
     #[must_use]
     pub fn copies_after(&self, theirs: Revisions) -> Copies {
         let copy = self.copy.borrow();
-        let catalog = copy.catalog.as_ref().map(|(object, _)| object.clone());
+        let catalog = copy.catalog.as_ref().map(|(object, _)| Arc::clone(object));
         Copies {
             catalog: catalog.filter(|_| copy.revisions.catalog > theirs.catalog),
-            upstreams: (copy.revisions.directory > theirs.directory).then(|| ObjectList {
-                revision: copy.revisions.directory,
-                objects: copy.objects.values().cloned().collect(),
-            }),
+            upstreams: (copy.revisions.directory > theirs.directory)
+                .then(|| copy.upstreams_after(theirs.directory)),
         }
     }
+
+    /// The configuration's object as text.
+    #[must_use]
+    pub fn catalog_json(&self) -> Arc<str> {
+        Arc::clone(&self.copy.borrow().catalog_json)
+    }
 }
 
 impl Copy {
+    /// What has changed in the list of upstreams: whole lists of thousands, sent to hundreds of
+    /// peers at each change, would take hundreds of megabytes.
+    fn upstreams_after(&self, after: u64) -> UpstreamCopy {
+        let revision = self.revisions.directory;
+        if after == 0 || after < self.gone_cut_at {
+            return UpstreamCopy::Whole(ObjectList {
+                revision,
+                objects: self.objects.values().cloned().collect(),
+            });
+        }
+        UpstreamCopy::Changes(UpstreamChanges {
+            after,
+            revision,
+            objects: self
+                .objects
+                .values()
+                .filter(|object| object.version > after)
+                .cloned()
+                .collect(),
+            gone: self
+                .gone
+                .iter()
+                .filter(|(version, _)| *version > after)
+                .cloned()
+                .collect(),
+        })
+    }
+
+    fn note_gone(&mut self, name: Arc<str>, version: u64) {
+        self.gone.push_back((version, name));
+        if self.gone.len() > MAX_GONE
+            && let Some((version, _)) = self.gone.pop_front()
+        {
+            self.gone_cut_at = version;
+        }
+    }
+
+    fn drop_if_older(&mut self, name: &str, version: u64) {
+        let known = self.objects.get(name);
+        if known.is_some_and(|known| known.version < version) {
+            self.drop_upstream(name, version);
+        }
+    }
+
     fn now_ms(&self) -> u64 {
         u64::try_from(self.began.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
@@ -373,7 +450,8 @@
                     .field("version", catalog.version)
                     .send();
                 self.revisions.catalog = object.version;
-                self.catalog = Some((object, Arc::new(catalog)));
+                self.catalog_json = object.value.to_string().into();
+                self.catalog = Some((Arc::new(object), Arc::new(catalog)));
             }
             Err(findings) => Line::new(Level::Error, "configuration is not understood")
                 .revision(object.version)
@@ -405,8 +483,19 @@
             newest = newest.max(object.version);
             kept.insert(Arc::clone(&object.name), object);
         }
-        let has_lost = self.objects.keys().any(|name| !kept.contains_key(name));
-        self.revisions.directory = if has_lost { newest.max(at) } else { newest };
+        let lost: Vec<Arc<str>> = self
+            .objects
+            .keys()
+            .filter(|name| !kept.contains_key(*name))
+            .cloned()
+            .collect();
+        if !lost.is_empty() {
+            newest = newest.max(at);
+        }
+        for name in lost {
+            self.note_gone(name, newest);
+        }
+        self.revisions.directory = newest;
         self.objects = kept;
         self.is_listed = true;
         self.directory.replace(decoded, now_ms);
@@ -437,7 +526,9 @@
     fn drop_upstream(&mut self, name: &str, version: u64) {
         let now_ms = self.now_ms();
         self.revisions.directory = self.revisions.directory.max(version);
-        self.objects.shift_remove(name);
+        if let Some((name, _)) = self.objects.shift_remove_entry(name) {
+            self.note_gone(name, version);
+        }
         self.directory.remove(name, now_ms);
         Line::new(Level::Info, "upstream is gone")
             .field("upstream", name)
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -14,8 +14,21 @@
 const FORM: u8 = 1;
 /// Longest datagram that is sent: it fits into one packet of a common network.
 const MAX_BYTES: usize = 1_400;
-/// Silence after which a peer is not heard from any more: several beats of a large fleet.
-const HEARD_WITHIN_MS: u64 = 1_000;
+/// Shortest time between two beats. Within it, two entries may both take the last slot of an
+/// upstream; at some tens of requests a second on each that is rare.
+const MIN_BEAT_MS: u64 = 50;
+/// Time between two beats for each peer, so that a larger fleet costs each entry no more
+/// than some hundred datagrams a second.
+const BEAT_PER_PEER_MS: u64 = 10;
+/// Longest time between two beats, which bounds how long a dead peer is believed.
+const MAX_BEAT_MS: u64 = 1_000;
+/// Shortest time between two beats of an entry that asks the store, for each peer: the others
+/// depend on it for the configuration.
+const ASKER_BEAT_PER_PEER_MS: u64 = 1;
+/// Beats of a peer that may be missing before it is not heard from any more.
+const MISSED_BEATS: u64 = 3;
+/// Shortest silence after which a peer is not heard from any more.
+const MIN_HEARD_WITHIN_MS: u64 = 1_000;
 /// Silence after which a peer is forgotten. Cuts heal within seconds to a minute.
 const FORGOTTEN_AFTER_MS: u64 = 60_000;
 /// Entries that ask the store. A third one is there for the case that two are cut off at once.
@@ -346,7 +359,7 @@
     pub fn silent(&self, now_ms: u64) -> Vec<SocketAddr> {
         self.peers
             .iter()
-            .filter(|(_, peer)| !is_heard(peer, now_ms))
+            .filter(|(_, peer)| !self.is_heard(peer, now_ms))
             .map(|(address, _)| *address)
             .collect()
     }
@@ -362,7 +375,7 @@
         let own = (!is_own_leaving).then_some(self.own);
         self.peers
             .iter()
-            .filter(move |(_, peer)| !peer.is_leaving && is_heard(peer, now_ms))
+            .filter(move |(_, peer)| !peer.is_leaving && self.is_heard(peer, now_ms))
             .map(|(address, _)| *address)
             .chain(own)
     }
@@ -382,36 +395,59 @@
         let before = self
             .peers
             .iter()
-            .filter(|(_, peer)| !peer.is_leaving && is_heard(peer, now_ms))
+            .filter(|(_, peer)| !peer.is_leaving && self.is_heard(peer, now_ms))
             .filter(|(_, peer)| peer.store_age_ms.is_some_and(|age| age < STORE_AGE_MS))
             .filter(|(address, _)| **address < self.own)
             .count();
         before < STORE_ASKERS
     }
 
-    /// A peer that is heard from and has followed the store further than this entry.
+    /// Time until the next beat.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_message::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert_eq!(table.beat_ms(false), 50);
+    /// ```
+    #[must_use]
+    pub fn beat_ms(&self, asks_store: bool) -> u64 {
+        let per_peer_ms = if asks_store {
+            ASKER_BEAT_PER_PEER_MS
+        } else {
+            BEAT_PER_PEER_MS
+        };
+        let peers = self.peers.len() as u64;
+        (per_peer_ms * peers).clamp(MIN_BEAT_MS, MAX_BEAT_MS)
+    }
+
+    fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
+        let within_ms = MIN_HEARD_WITHIN_MS.max(self.beat_ms(false) * MISSED_BEATS);
+        now_ms < peer.heard_at_ms + within_ms
+    }
+
+    /// A peer that is heard from and has followed the store further than this entry, by a
+    /// random number: if all entries asked the same one, it would answer hundreds at once.
     ///
     /// ```
     /// # use sardinewood::direct::peer_message::{PeerTable, Revisions};
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
-    /// assert_eq!(table.ahead_of(Revisions::default(), 0), None);
+    /// assert_eq!(table.ahead_of(Revisions::default(), 7, 0), None);
     /// ```
     #[must_use]
-    pub fn ahead_of(&self, own: Revisions, now_ms: u64) -> Option<SocketAddr> {
-        self.peers
+    pub fn ahead_of(&self, own: Revisions, random: usize, now_ms: u64) -> Option<SocketAddr> {
+        let is_ahead = |peer: &Peer| {
+            peer.revisions.catalog > own.catalog || peer.revisions.directory > own.directory
+        };
+        let ahead: Vec<SocketAddr> = self
+            .peers
             .iter()
-            .filter(|(_, peer)| is_heard(peer, now_ms))
-            .find(|(_, peer)| {
-                peer.revisions.catalog > own.catalog || peer.revisions.directory > own.directory
-            })
+            .filter(|(_, peer)| is_ahead(peer) && self.is_heard(peer, now_ms))
             .map(|(address, _)| *address)
+            .collect();
+        ahead.get(random.checked_rem(ahead.len())?).copied()
     }
 }
 
-fn is_heard(peer: &Peer, now_ms: u64) -> bool {
-    now_ms < peer.heard_at_ms + HEARD_WITHIN_MS
-}
-
 fn newly_spent(known: Option<&Peer>, beat: &Beat) -> Vec<Spent> {
     beat.spent
         .iter()
--- a/lib/src/direct/peers.rs
+++ b/lib/src/direct/peers.rs
@@ -18,12 +18,6 @@
 use crate::direct::traffic::Traffic;
 use crate::logging::Level;
 
-/// Shortest time between two beats. Within it, two entries may both take the last slot of an
-/// upstream; at some tens of requests a second on each that is rare.
-const MIN_BEAT: Duration = Duration::from_millis(50);
-/// Time between two beats for each peer, so that a larger fleet costs each entry no more
-/// than some hundred datagrams a second.
-const BEAT_PER_PEER: Duration = Duration::from_millis(10);
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
 /// The beats of one entry.
@@ -73,6 +67,14 @@
                         line.field("error", error.to_string())
                     }),
                 },
+                // What the store has just told this entry, the others hear at once.
+                changed = self.links.own.changed(), if *self.links.asks_store.borrow() => {
+                    if changed.is_err() {
+                        return;
+                    }
+                    self.sequence += 1;
+                    self.tell_all(false);
+                }
                 () = sleep_until(next_beat) => {
                     self.beat();
                     next_beat = Instant::now() + self.period();
@@ -82,8 +84,8 @@
     }
 
     fn period(&self) -> Duration {
-        let peers = self.traffic.peers.borrow().targets().count();
-        MIN_BEAT.max(BEAT_PER_PEER * u32::try_from(peers).unwrap_or(u32::MAX))
+        let asks_store = *self.links.asks_store.borrow();
+        Duration::from_millis(self.traffic.peers.borrow().beat_ms(asks_store))
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
@@ -142,7 +144,8 @@
             .borrow_mut()
             .set_peer_load(beat.incarnation, &beat.running, now_ms);
         let own = *self.links.own.borrow();
-        let ahead = traffic.peers.borrow().ahead_of(own, now_ms);
+        let random = rand::random::<u16>().into();
+        let ahead = traffic.peers.borrow().ahead_of(own, random, now_ms);
         set(&self.links.ahead, ahead);
         traffic.grant_rooms();
         traffic.start_waiting();
--- a/lib/src/direct/pull.rs
+++ b/lib/src/direct/pull.rs
@@ -2,6 +2,7 @@
 
 use std::io;
 use std::net::SocketAddr;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -35,9 +36,31 @@
 #[derive(Clone, Debug, Default)]
 pub struct Copies {
     /// The configuration, if it is newer.
-    pub catalog: Option<StoredObject>,
+    pub catalog: Option<Arc<StoredObject>>,
     /// The upstreams, if their list is newer.
-    pub upstreams: Option<ObjectList>,
+    pub upstreams: Option<UpstreamCopy>,
+}
+
+/// The upstreams, whole or as far as they have changed.
+#[derive(Clone, Debug)]
+pub enum UpstreamCopy {
+    /// All of them.
+    Whole(ObjectList),
+    /// What is new since a revision.
+    Changes(UpstreamChanges),
+}
+
+/// What has changed in the list of upstreams.
+#[derive(Clone, Debug)]
+pub struct UpstreamChanges {
+    /// The revision that the changes follow.
+    pub after: u64,
+    /// The revision that they lead to.
+    pub revision: u64,
+    /// New and changed objects.
+    pub objects: Vec<StoredObject>,
+    /// Names of objects that are gone, with the revision of that.
+    pub gone: Vec<(u64, Arc<str>)>,
 }
 
 /// The same as sent: values are JSON text, since their form is not known here.
@@ -49,8 +72,53 @@
 
 #[derive(Debug, Serialize, Deserialize)]
 struct SentList {
+    /// None if the objects are all that there are.
+    after: Option<u64>,
     revision: u64,
     objects: Vec<SentObject>,
+    gone: Vec<(u64, Arc<str>)>,
+}
+
+impl From<&UpstreamCopy> for SentList {
+    fn from(copy: &UpstreamCopy) -> Self {
+        let sent = |objects: &[StoredObject]| objects.iter().map(SentObject::from).collect();
+        match copy {
+            UpstreamCopy::Whole(list) => Self {
+                after: None,
+                revision: list.revision,
+                objects: sent(&list.objects),
+                gone: Vec::new(),
+            },
+            UpstreamCopy::Changes(changes) => Self {
+                after: Some(changes.after),
+                revision: changes.revision,
+                objects: sent(&changes.objects),
+                gone: changes.gone.clone(),
+            },
+        }
+    }
+}
+
+impl TryFrom<SentList> for UpstreamCopy {
+    type Error = io::Error;
+
+    fn try_from(sent: SentList) -> io::Result<Self> {
+        let objects = sent
+            .objects
+            .into_iter()
+            .map(StoredObject::try_from)
+            .collect::<io::Result<_>>()?;
+        let revision = sent.revision;
+        Ok(match sent.after {
+            None => Self::Whole(ObjectList { revision, objects }),
+            Some(after) => Self::Changes(UpstreamChanges {
+                after,
+                revision,
+                objects,
+                gone: sent.gone,
+            }),
+        })
+    }
 }
 
 #[derive(Debug, Serialize, Deserialize)]
@@ -115,20 +183,13 @@
         receive::<SentCopies>(&mut channel).await
     };
     let sent = timeout(PULL_TIMEOUT, ask).await??;
-    let upstreams = match sent.upstreams {
-        None => None,
-        Some(list) => Some(ObjectList {
-            revision: list.revision,
-            objects: list
-                .objects
-                .into_iter()
-                .map(StoredObject::try_from)
-                .collect::<io::Result<_>>()?,
-        }),
-    };
     Ok(Copies {
-        catalog: sent.catalog.map(StoredObject::try_from).transpose()?,
-        upstreams,
+        catalog: sent
+            .catalog
+            .map(StoredObject::try_from)
+            .transpose()?
+            .map(Arc::new),
+        upstreams: sent.upstreams.map(UpstreamCopy::try_from).transpose()?,
     })
 }
 
@@ -162,11 +223,13 @@
     let theirs: Revisions = receive(&mut channel).await?;
     let copies = follower.copies_after(theirs);
     let sent = SentCopies {
-        catalog: copies.catalog.as_ref().map(SentObject::from),
-        upstreams: copies.upstreams.map(|list| SentList {
-            revision: list.revision,
-            objects: list.objects.iter().map(SentObject::from).collect(),
+        catalog: copies.catalog.map(|object| SentObject {
+            kind: object.kind.to_string(),
+            name: object.name.to_string(),
+            version: object.version,
+            json: follower.catalog_json().to_string(),
         }),
+        upstreams: copies.upstreams.as_ref().map(SentList::from),
     };
     send(&mut channel, &sent).await
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_direct_directory;
 mod test_direct_dispatch;
 mod test_direct_door;
+mod test_direct_follow;
 mod test_direct_shares;
 mod test_entry_state;
 mod test_frames;
--- /dev/null
+++ b/lib/tests/test_direct_follow.rs
@@ -0,0 +1,216 @@
+//! Copies of the configuration and of the upstreams that entries give each other.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sardinewood::direct::catalog::Catalog;
+use sardinewood::direct::directory::Upstream;
+use sardinewood::direct::follow::Decoders;
+use sardinewood::direct::follow::Follower;
+use sardinewood::direct::follow::ObjectSource;
+use sardinewood::direct::follow::StoreAnswers;
+use sardinewood::direct::follow::View;
+use sardinewood::direct::peer_message::Revisions;
+use sardinewood::direct::pull::UpstreamCopy;
+use sardinewood::findings::Findings;
+use sardinewood::store::ObjectList;
+use sardinewood::store::ReadError;
+use sardinewood::store::StoredObject;
+use sardinewood::store::WatchBatch;
+use sardinewood::store::WatchEvent;
+use serde_json::Value;
+use tokio::sync::watch;
+
+const DECODERS: Decoders = Decoders {
+    catalog_kind: "c",
+    catalog_name: "main",
+    upstream_kind: "u",
+    catalog: |object| {
+        Ok(Catalog {
+            version: object.version,
+            ..Catalog::default()
+        })
+    },
+    upstream,
+};
+
+#[expect(
+    clippy::unnecessary_wraps,
+    reason = "it stands in for a function that may fail"
+)]
+fn upstream(object: &StoredObject) -> Result<Upstream, Findings> {
+    Ok(Upstream {
+        instance: Arc::clone(&object.name),
+        service: "pool".into(),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        data_centre: "hall".into(),
+        slots: 4,
+        is_leaving: false,
+    })
+}
+
+fn object(kind: &str, name: &str, version: u64) -> StoredObject {
+    StoredObject {
+        kind: kind.into(),
+        name: name.into(),
+        version,
+        value: Value::Null,
+    }
+}
+
+/// A store that answers a list, then what it is given, then nothing more.
+struct Scripted {
+    list: ObjectList,
+    batches: RefCell<Vec<WatchBatch>>,
+}
+
+impl ObjectSource for Scripted {
+    async fn list(&self, _kind: &str) -> Result<ObjectList, ReadError> {
+        Ok(self.list.clone())
+    }
+
+    async fn watch(&self, _: &str, _: u64, _: u64) -> Result<WatchBatch, ReadError> {
+        let next = self.batches.borrow_mut().pop();
+        match next {
+            Some(batch) => Ok(batch),
+            None => std::future::pending().await,
+        }
+    }
+}
+
+fn follower() -> (Follower, watch::Receiver<View>) {
+    let (view_sender, view) = watch::channel(View::default());
+    // The sender may go: what it said last stays.
+    let (_asks, asks) = watch::channel(true);
+    let answers = StoreAnswers::default();
+    (Follower::new(DECODERS, view_sender, asks, answers), view)
+}
+
+fn peer() -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 7))
+}
+
+/// A follower that has seen a list of two upstreams, and then one more come and one go.
+async fn followed() -> (Follower, watch::Receiver<View>) {
+    let (follower, view) = follower();
+    let source = Scripted {
+        list: ObjectList {
+            revision: 5,
+            objects: vec![object("u", "a", 2), object("u", "b", 3)],
+        },
+        batches: RefCell::new(vec![WatchBatch {
+            revision: 9,
+            events: vec![
+                WatchEvent::Put(object("u", "c", 8)),
+                WatchEvent::Delete {
+                    kind: "u".into(),
+                    name: "a".into(),
+                    version: 9,
+                },
+            ],
+        }]),
+    };
+    let follow = follower.follow_upstreams(&source);
+    let seen = view.clone();
+    let wait = async move {
+        let mut seen = seen;
+        let is_done = |view: &View| view.revisions.directory == 9;
+        seen.wait_for(is_done).await.expect("a view").clone()
+    };
+    tokio::select! {
+        () = follow => unreachable!("it follows until the process ends"),
+        _ = wait => {}
+    }
+    (follower, view)
+}
+
+fn names(view: &watch::Receiver<View>) -> Vec<String> {
+    let view = view.borrow();
+    let upstreams = view.upstreams.as_ref().expect("a list");
+    upstreams
+        .iter()
+        .map(|upstream| upstream.instance.to_string())
+        .collect()
+}
+
+#[tokio::test]
+async fn list_then_changes_followed() {
+    let (_follower, view) = followed().await;
+    assert_eq!(names(&view), ["b", "c"]);
+}
+
+#[tokio::test]
+async fn peer_without_anything_gets_the_whole_list() {
+    let (follower, _view) = followed().await;
+    let copies = follower.copies_after(Revisions::default());
+    assert!(matches!(copies.upstreams, Some(UpstreamCopy::Whole(_))));
+    let (other, view) = self::follower();
+    other.take_copies(peer(), copies);
+    assert_eq!(names(&view), ["b", "c"]);
+}
+
+#[tokio::test]
+async fn lagging_peer_gets_the_changes_only() {
+    // A peer that knows the first list lacks one upstream and still has another that is gone.
+    let (follower, _view) = followed().await;
+    let copies = follower.copies_after(Revisions {
+        catalog: 0,
+        directory: 3,
+    });
+    let Some(UpstreamCopy::Changes(changes)) = &copies.upstreams else {
+        panic!("{copies:?}");
+    };
+    assert_eq!(changes.objects.len(), 1);
+    assert_eq!(changes.gone, [(9, "a".into())]);
+    let (other, view) = self::follower();
+    let first = ObjectList {
+        revision: 3,
+        objects: vec![object("u", "a", 2), object("u", "b", 3)],
+    };
+    other.take_copies(
+        peer(),
+        sardinewood::direct::pull::Copies {
+            catalog: None,
+            upstreams: Some(UpstreamCopy::Whole(first)),
+        },
+    );
+    other.take_copies(peer(), copies);
+    assert_eq!(names(&view), ["b", "c"]);
+}
+
+#[tokio::test]
+async fn older_copy_changes_nothing() {
+    // A revision never goes back, whatever source brings an older one.
+    let (follower, view) = followed().await;
+    let old = ObjectList {
+        revision: 4,
+        objects: vec![object("u", "z", 4)],
+    };
+    follower.take_copies(
+        peer(),
+        sardinewood::direct::pull::Copies {
+            catalog: None,
+            upstreams: Some(UpstreamCopy::Whole(old)),
+        },
+    );
+    assert_eq!(names(&view), ["b", "c"]);
+}
+
+#[tokio::test]
+async fn older_configuration_not_taken() {
+    let (follower, view) = follower();
+    for version in [7, 5] {
+        let copies = sardinewood::direct::pull::Copies {
+            catalog: Some(Arc::new(object("c", "main", version))),
+            upstreams: None,
+        };
+        follower.take_copies(peer(), copies);
+    }
+    let version = view
+        .borrow()
+        .catalog
+        .as_ref()
+        .map(|catalog| catalog.version);
+    assert_eq!(version, Some(7));
+}
--- a/lib/tests/test_direct_shares.rs
+++ b/lib/tests/test_direct_shares.rs
@@ -298,6 +298,6 @@
         catalog: 4,
         directory: 7,
     };
-    assert_eq!(table.ahead_of(own, 0), Some(address(1)));
-    assert_eq!(table.ahead_of(own, 60_000), None);
+    assert_eq!(table.ahead_of(own, 7, 0), Some(address(1)));
+    assert_eq!(table.ahead_of(own, 7, 60_000), None);
 }
