direct: a failure of an upstream's own is not hidden behind 'not run'

On the way: a request whose every upstream has had it waited until its time was up; now it is answered at once.

--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -327,16 +327,19 @@
             })
     }
 
-    /// Whether a service has any upstream that could take a request.
+    /// Whether there is an upstream that has not had a request yet. If not, waiting is in vain.
     ///
     /// ```
-    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().is_served("s"));
+    /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// assert!(!Dispatcher::default().has_untried(&job));
     /// ```
     #[must_use]
-    pub fn is_served(&self, service: &str) -> bool {
-        self.places
-            .values()
-            .any(|place| place.is_listed && &*place.upstream.service == service)
+    pub fn has_untried(&self, job: &Job) -> bool {
+        self.places_of(&job.service)
+            .any(|place| !job.tried.contains(&place.upstream.instance))
     }
 
     /// Whether an upstream takes new work.
@@ -410,6 +413,11 @@
     /// assert!(matches!(dispatcher.offer(job, 0), Offer::Refused { .. }));
     /// ```
     pub fn offer(&mut self, job: Job, now_ms: u64) -> Offer {
+        if !self.has_untried(&job) {
+            return Offer::Refused {
+                retry_after_ms: self.retry_after_ms(&job.service),
+            };
+        }
         let wait_ms = self.expected_wait_ms(&job, now_ms);
         let left_ms = as_ms(job.give_up_at_ms.saturating_sub(now_ms));
         if wait_ms > left_ms * WAIT_PART {
@@ -663,9 +671,6 @@
             .iter()
             .filter(|other| other.service == job.service && worth(other, now_ms) >= own)
             .count();
-        if !self.is_served(&job.service) {
-            return f64::INFINITY;
-        }
         as_ms(ahead as u64) * self.ms_per_start(&job.service)
     }
 
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -459,17 +459,31 @@
 }
 
 async fn serve(traffic: &Rc<Traffic>, mut call: Call, open: OpenRequest) -> Response<AnswerBody> {
+    // What an upstream said of its failure, if another one may still do better. If none can,
+    // it is the truest answer that there is.
+    let mut failure: Option<Response<AnswerBody>> = None;
     loop {
         let attempt = attempt(traffic, &mut call).await;
         let next = match attempt {
-            Err(retry_after_ms) => return refuse(traffic, &call, retry_after_ms),
+            Err(retry_after_ms) => {
+                return failure.unwrap_or_else(|| refuse(traffic, &call, retry_after_ms));
+            }
             Ok(Attempt::Answer(answer)) => match finish(traffic, &mut call, *answer).await {
                 Finished::Whole(response) => return response,
                 Finished::Stream(relay) => return stream_response(relay, open),
+                Finished::Failed(response) => {
+                    failure = Some(response);
+                    Next::TryAnother
+                }
                 Finished::Not(next) => next,
             },
             Ok(failed) => next_step(traffic, &mut call, &failed),
         };
+        if next != Next::TryAnother
+            && let Some(response) = failure
+        {
+            return response;
+        }
         match next {
             Next::TryAnother => traffic.figures.second_attempts.inc(),
             Next::RefuseNotRun => {
@@ -622,7 +636,7 @@
 /// Sorts an answer by what it says of the request.
 fn judge(
     traffic: &Traffic,
-    call: &Call,
+    call: &mut Call,
     response: Response<Incoming>,
     connection: Connection,
     mut lease: Lease,
@@ -641,6 +655,7 @@
         log_attempt(traffic, call, &lease, "answer belongs to no request");
         return Attempt::Unknown;
     }
+    call.may_have_run = true;
     Attempt::Answer(Box::new(Answer {
         parts,
         headers,
@@ -683,6 +698,8 @@
 
 enum Finished {
     Whole(Response<AnswerBody>),
+    /// A failure of the upstream's own, and another one may try.
+    Failed(Response<AnswerBody>),
     Stream(Box<Relay>),
     Not(Next),
 }
@@ -725,9 +742,6 @@
     if !has_failed {
         lease.learn(|health| health.answered_after(as_ms(held_ms)));
     }
-    if has_failed && call.route.repeat.is_idempotent() && may_try_another(traffic, call) {
-        return Finished::Not(Next::TryAnother);
-    }
     drop(lease);
     call.note_first(traffic);
     let status = parts.status;
@@ -751,6 +765,9 @@
     });
     let mut response = Response::from_parts(parts, AnswerBody::Whole(body));
     *response.headers_mut() = end_to_end(std::mem::take(response.headers_mut()));
+    if has_failed && call.route.repeat.is_idempotent() && may_try_another(traffic, call) {
+        return Finished::Failed(response);
+    }
     Finished::Whole(response)
 }
 
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -54,6 +54,8 @@
     scan: EventScan,
     partial: BytesMut,
     last_event: Option<Instant>,
+    /// The last event that the caller has, until the next upstream's first one has come.
+    goes_on_after: Option<u64>,
     is_done: bool,
 }
 
@@ -86,6 +88,7 @@
             scan: EventScan::default(),
             partial: BytesMut::new(),
             last_event: None,
+            goes_on_after: None,
             is_done: false,
         }
     }
@@ -104,9 +107,17 @@
             }
             match self.receive().await {
                 Came::Bytes(bytes) => {
-                    if let Some(events) = self.whole_events(&bytes) {
-                        return Some(Ok(events));
+                    let Some(events) = self.whole_events(&bytes) else {
+                        continue;
+                    };
+                    if !self.follows(&events) {
+                        // What it sent is dropped, and so is whoever sends it.
+                        self.is_done = true;
+                        self.close_source();
+                        self.log_cut("resumed stream began anew");
+                        return Some(Err(Broken::Upstream));
                     }
+                    return Some(Ok(events));
                 }
                 Came::End if self.partial.is_empty() => {
                     self.end_whole();
@@ -172,6 +183,15 @@
         Some(whole)
     }
 
+    /// Whether events come after those that the caller has. An upstream that does not go on
+    /// but begins anew would otherwise give the caller a part of the stream twice.
+    fn follows(&mut self, events: &[u8]) -> bool {
+        match (self.goes_on_after.take(), first_id(events)) {
+            (Some(last), Some(first)) => first > last,
+            _ => true,
+        }
+    }
+
     fn learn(&mut self, events: u32) {
         let Some(source) = &self.source else {
             return;
@@ -269,6 +289,7 @@
         match send(&self.traffic, &mut self.call, lease, last_event_id).await {
             Attempt::Answer(answer) if answer.parts.status == self.parts.status => {
                 self.source = Some(Source::from(*answer));
+                self.goes_on_after = self.scan.last_id();
                 true
             }
             _ => false,
@@ -302,6 +323,13 @@
     }
 }
 
+/// The `id` of the first event that has one.
+fn first_id(events: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(events).ok()?;
+    let id = text.lines().find_map(|line| line.strip_prefix("id:"))?;
+    id.trim().parse().ok()
+}
+
 fn as_ms(time: Duration) -> f64 {
     time.as_secs_f64() * 1_000.0
 }
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -248,7 +248,6 @@
 /// Waits for room at an engine until the request's time is up.
 pub async fn turn(traffic: &Rc<Traffic>, job: Job) -> Turn {
     let until = traffic.instant_at(job.waits_until_ms());
-    let service = Arc::clone(&job.service);
     let (sender, mut words) = mpsc::unbounded_channel();
     let mut asking = Asking {
         traffic: Rc::clone(traffic),
@@ -256,7 +255,7 @@
         words: sender,
         asks: Vec::new(),
     };
-    if !traffic.dispatcher.borrow().is_served(&service) {
+    if !traffic.dispatcher.borrow().has_untried(&asking.job) {
         return asking.refused();
     }
     asking.ask_another();
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -233,7 +233,8 @@
         tried: vec!["i-1".into()],
         ..job(1, 0)
     };
-    dispatcher.offer(again, 0);
+    // Nobody is left to try, so it does not wait either.
+    assert!(matches!(dispatcher.offer(again, 0), Offer::Refused { .. }));
     assert!(starts(&mut dispatcher, 0).is_empty());
 }
 
