dispatch: a customer's tier goes before the route's, and does not replace it

Cause: found in the incident's logs: every refusal said tier 1. All customers have the same tier, and it replaced the routes', so the whole fleet had one tier and its order was size and age alone.

--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -26,6 +26,11 @@
 const FIXED_WORTH: f64 = 0.3;
 /// The most that a large request is worth, in relation to a usual one of its kind.
 const MOST_WORTH: f64 = 4.0;
+/// Worth of a customer's requests in relation to those of a customer one tier before it. Any
+/// request of the first goes before any but the most important of the second.
+const CUSTOMER_FACTOR: f64 = 0.05;
+/// Unit of a request's worth: fine enough for the least important of a customer far behind.
+const WORTH_MICROS: f64 = 1_000_000.0;
 /// Bounds of a request's worth for the time that it takes, in relation to a usual one of its
 /// kind. They keep order by size from starving any size.
 const LEAST_DENSITY: f64 = 0.5;
@@ -76,8 +81,10 @@
     pub id: u64,
     /// The service that it is for.
     pub service: Arc<str>,
-    /// Importance, 0 the highest.
+    /// Importance of its route, 0 the highest.
     pub tier: u8,
+    /// Importance of its customer, which goes before that of the route.
+    pub customer_tier: u8,
     /// Size of its prompt, 0 for plain calls.
     pub prompt_tokens: u32,
     /// Tokens that its caller expects of the answer.
@@ -99,7 +106,7 @@
 }
 
 impl Job {
-    /// What it is worth if it is in time, in thousandths of one of the first tier and of
+    /// What it is worth if it is in time, in millionths of one of the first tier and of
     /// usual size.
     ///
     /// A long document is worth more than a short one of the same kind, and keeps an engine
@@ -107,17 +114,18 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::Job;
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
-    /// assert_eq!(job.worth_millis(), 1_000);
+    /// assert_eq!(job.worth_micros(), 1_000_000);
     /// ```
     #[must_use]
-    pub fn worth_millis(&self) -> u32 {
+    pub fn worth_micros(&self) -> u32 {
         let size = (FIXED_WORTH + (1.0 - FIXED_WORTH) * self.relative_size).min(MOST_WORTH);
         let density = (size / self.relative_hold).clamp(LEAST_DENSITY, MOST_DENSITY);
-        let millis = door::tier_worth(self.tier) * density * 1_000.0;
-        u32::try_from(round_ms(millis)).unwrap_or(u32::MAX)
+        let customer = CUSTOMER_FACTOR.powi(i32::from(self.customer_tier));
+        let micros = door::tier_worth(self.tier) * customer * density * WORTH_MICROS;
+        whole_worth(micros)
     }
 
     /// Until when the request waits for room.
@@ -129,7 +137,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::Job;
-    /// # let job = |tier| Job { id: 1, service: "s".into(), tier, prompt_tokens: 0,
+    /// # let job = |tier| Job { id: 1, service: "s".into(), tier, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert_eq!(job(0).waits_until_ms(), 850);
@@ -149,7 +157,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::Job;
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert_eq!(job.retry_after_ms(0), 800);
@@ -331,7 +339,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert!(!Dispatcher::default().has_untried(&job));
@@ -406,7 +414,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job, Offer};
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// let mut dispatcher = Dispatcher::default();
@@ -487,7 +495,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
@@ -520,7 +528,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::dispatch::{Dispatcher, Job};
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, prompt_tokens: 0,
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
     /// assert!(Dispatcher::default().lead_ms("i-1", &job) > 0);
@@ -739,7 +747,7 @@
 }
 
 fn worth(job: &Job, now_ms: u64) -> f64 {
-    door::worth(job.worth_millis(), now_ms < job.objective_at_ms)
+    door::worth(job.worth_micros(), now_ms < job.objective_at_ms)
 }
 
 impl Dispatcher {
@@ -783,6 +791,15 @@
     number as f64
 }
 
+#[expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "a positive number, bounded by the greatest density"
+)]
+fn whole_worth(micros: f64) -> u32 {
+    micros.clamp(1.0, 4e9) as u32
+}
+
 #[expect(
     clippy::cast_possible_truncation,
     clippy::cast_sign_loss,
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -45,9 +45,9 @@
     pub id: AskId,
     /// Short name of the engine.
     pub upstream: u32,
-    /// What the request is worth if it is in time, in thousandths of one of the first tier
+    /// What the request is worth if it is in time, in millionths of one of the first tier
     /// and of usual size.
-    pub worth_millis: u32,
+    pub worth_micros: u32,
     /// How long its answer is still worth most; negative if that time is over.
     pub in_time_for_ms: i64,
     /// How long it has waited.
@@ -108,7 +108,7 @@
     fn best(&self, now_ms: u64) -> Option<usize> {
         let key = |queued: &Queued| {
             let is_in_time = i64::try_from(now_ms).unwrap_or(i64::MAX) < queued.in_time_until_ms;
-            worth(queued.ask.worth_millis, is_in_time)
+            worth(queued.ask.worth_micros, is_in_time)
         };
         (0..self.queue.len()).reduce(|best, index| {
             let order = key(&self.queue[index]).total_cmp(&key(&self.queue[best]));
@@ -134,9 +134,9 @@
 /// assert!(worth(500, true) > worth(1_000, false));
 /// ```
 #[must_use]
-pub fn worth(worth_millis: u32, is_in_time: bool) -> f64 {
+pub fn worth(worth_micros: u32, is_in_time: bool) -> f64 {
     let in_time = if is_in_time { 1.0 } else { LATE_FACTOR };
-    f64::from(worth_millis) * in_time
+    f64::from(worth_micros) * in_time
 }
 
 /// What a request of a tier is worth, in relation to the first tier.
@@ -180,7 +180,7 @@
 /// let mut doors = Doors::default();
 /// doors.set_engines([("i-1".into(), 1)]);
 /// let upstream = sardinewood::direct::dispatch::short_name("i-1");
-/// let ask = |id| Ask { id: AskId(id), upstream, worth_millis: 1_000, in_time_for_ms: 9, waited_ms: 0 };
+/// let ask = |id| Ask { id: AskId(id), upstream, worth_micros: 1_000, in_time_for_ms: 9, waited_ms: 0 };
 /// doors.ask(Asker::Own, ask(1), 0);
 /// doors.ask(Asker::Own, ask(2), 0);
 /// assert_eq!(doors.next_grant(0).unwrap().ask, AskId(1));
@@ -225,7 +225,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::door::{Ask, AskId, Asker, Doors};
-    /// let ask = Ask { id: AskId(1), upstream: 7, worth_millis: 1_000, in_time_for_ms: 9, waited_ms: 0 };
+    /// let ask = Ask { id: AskId(1), upstream: 7, worth_micros: 1_000, in_time_for_ms: 9, waited_ms: 0 };
     /// Doors::default().ask(Asker::Own, ask, 0);
     /// ```
     pub fn ask(&mut self, from: Asker, ask: Ask, now_ms: u64) {
@@ -416,7 +416,7 @@
             .find(|queued| queued.from == from && queued.ask.id == ask)?;
         let now = i64::try_from(now_ms).unwrap_or(i64::MAX);
         let worth_of =
-            |queued: &Queued| worth(queued.ask.worth_millis, now < queued.in_time_until_ms);
+            |queued: &Queued| worth(queued.ask.worth_micros, now < queued.in_time_until_ms);
         let ahead = door
             .queue
             .iter()
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -70,8 +70,10 @@
     pub route: Arc<Route>,
     /// The service that the route led it to.
     pub service: Arc<str>,
-    /// Importance, 0 the highest.
+    /// Importance of its route, 0 the highest.
     pub tier: u8,
+    /// Importance of its customer, which goes before that of the route.
+    pub customer_tier: u8,
     customer: Option<Arc<Customer>>,
     method: Method,
     uri: Uri,
@@ -124,6 +126,7 @@
             id: self.id,
             service: Arc::clone(&self.service),
             tier: self.tier,
+            customer_tier: self.customer_tier,
             prompt_tokens: self.prompt_tokens,
             expected_output_tokens: self.expected_output_tokens,
             relative_size: self.relative_size,
@@ -359,10 +362,11 @@
         id: traffic.next_id(),
         request_id: headers.request_id.clone(),
         service: Arc::clone(service),
-        tier: customer
+        tier: route.tier,
+        customer_tier: customer
             .as_ref()
             .and_then(|customer| customer.tier)
-            .unwrap_or(route.tier),
+            .unwrap_or_default(),
         customer,
         method: parts.method,
         uri: origin_form(&parts.uri),
@@ -503,9 +507,10 @@
         let inputs = json!({
             "service": call.service,
             "tier": call.tier,
+            "customer_tier": call.customer_tier,
             "waited_ms": call.waited_ms,
             "might_wait_ms": call.job().waits_until_ms().saturating_sub(call.arrived_ms),
-            "worth_millis": call.job().worth_millis(),
+            "worth_micros": call.job().worth_micros(),
             "upstreams_listed": dispatcher.listed_for(&call.service),
             "upstreams_working": dispatcher.working_for(&call.service, traffic.now_ms()),
         });
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -118,7 +118,7 @@
         let ask = Ask {
             id: asked.id,
             upstream,
-            worth_millis: self.job.worth_millis(),
+            worth_micros: self.job.worth_micros(),
             in_time_for_ms: signed(self.job.objective_at_ms)
                 - signed(now_ms)
                 - signed(
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -26,6 +26,7 @@
         id,
         service: "pool".into(),
         tier,
+        customer_tier: 0,
         prompt_tokens: 1_000,
         expected_output_tokens: Some(30),
         relative_size: 1.0,
@@ -120,14 +121,30 @@
         relative_hold: 5.0,
         ..job(2, 0)
     };
-    assert_eq!(short.worth_millis(), 2_000);
-    assert_eq!(long.worth_millis(), 500);
+    assert_eq!(short.worth_micros(), 2_000_000);
+    assert_eq!(long.worth_micros(), 500_000);
     let large = Job {
         relative_size: 9.0,
         relative_hold: 1.5,
         ..job(3, 0)
     };
-    assert!(large.worth_millis() > job(4, 0).worth_millis());
+    assert!(large.worth_micros() > job(4, 0).worth_micros());
+}
+
+#[test]
+fn customers_tier_goes_before_the_routes() {
+    // All customers of a fleet have the same tier, and the routes' tiers decide. Where they
+    // differ, a short note of the first customer goes before the second one's report.
+    let of = |customer_tier, tier| {
+        let job = Job {
+            customer_tier,
+            ..job(1, tier)
+        };
+        job.worth_micros()
+    };
+    assert!(of(1, 0) > of(1, 1) && of(1, 1) > of(1, 2));
+    assert!(of(0, 1) > of(1, 0));
+    assert!(of(0, 2) >= of(1, 0));
 }
 
 #[test]
--- a/lib/tests/test_direct_door.rs
+++ b/lib/tests/test_direct_door.rs
@@ -27,11 +27,11 @@
     SocketAddr::from(([10, 0, 0, number], 7))
 }
 
-fn ask(id: u64, worth_millis: u32, in_time_for_ms: i64) -> Ask {
+fn ask(id: u64, worth_micros: u32, in_time_for_ms: i64) -> Ask {
     Ask {
         id: AskId(id),
         upstream: engine(),
-        worth_millis,
+        worth_micros,
         in_time_for_ms,
         waited_ms: 0,
     }
