--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -186,10 +186,10 @@
     /// Whether events come after those that the caller has. An upstream that does not go on
     /// but begins anew would otherwise give the caller a part of the stream twice.
     fn follows(&mut self, events: &[u8]) -> bool {
-        match (self.goes_on_after.take(), first_id(events)) {
-            (Some(last), Some(first)) => first > last,
-            _ => true,
-        }
+        let Some(last) = self.goes_on_after.take() else {
+            return true;
+        };
+        first_id(events).is_none_or(|first| first > last)
     }
 
     fn learn(&mut self, events: u32) {
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -29,7 +29,7 @@
     WrongAnswer(String),
     /// A stream lacks events or has some twice, or looks whole and is not.
     WrongStream(String),
-    /// A worker ran what nobody sent, or for the wrong customer.
+    /// A worker ran what nobody sent, or for the wrong customer: its name, method and path.
     Unasked(String),
     /// A request went to more workers than it may.
     TooManyWorkers(String),
@@ -61,7 +61,7 @@
     }
     for run in &records.runs {
         if !sent.contains(run.id.as_str()) || run.customer != CUSTOMER || run.has_key {
-            broken.push(Broken::Unasked(run.id.clone()));
+            broken.push(Broken::Unasked(format!("{} {}", run.id, run.target)));
         }
         let has_left = records
             .leavings
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod checker;
+pub mod kept;
 pub mod plan;
 pub mod record;
 pub mod world;
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -86,6 +86,8 @@
     pub at: Instant,
     /// The customer that the worker was told.
     pub customer: String,
+    /// Method and path.
+    pub target: String,
     /// Whether the caller's key came along.
     pub has_key: bool,
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -75,9 +75,12 @@
 }
 
 /// The fleet of one run.
+///
+/// Entries come first, so that they end first: an entry that outlives its store would call
+/// whoever is given the store's port next.
 pub struct World {
-    store: StoreStandIn,
     entries: Vec<Entry>,
+    store: StoreStandIn,
     workers: Vec<Worker>,
     healings: Vec<(Instant, Healing)>,
     leavings: Vec<(String, Instant)>,
@@ -159,6 +162,7 @@
                 worker: name.clone(),
                 at: seen.at,
                 customer: seen.header("tenant").to_owned(),
+                target: seen.target.clone(),
                 has_key: !seen.header("credential").is_empty(),
             });
             runs.collect::<Vec<_>>()
--- a/soak/tests/runner.rs
+++ b/soak/tests/runner.rs
@@ -1,4 +1,5 @@
 //! One test program for the soak's own tests.
 
 mod test_checker;
+mod test_kept;
 mod test_short_run;
--- a/soak/tests/test_checker.rs
+++ b/soak/tests/test_checker.rs
@@ -32,6 +32,7 @@
         worker: worker.to_owned(),
         at: Instant::now(),
         customer: "rundu".to_owned(),
+        target: "POST /a".to_owned(),
         has_key: false,
     }
 }
@@ -108,13 +109,14 @@
         runs: vec![run("i-1")],
         ..Records::default()
     };
-    assert_eq!(check(&nobody), [Broken::Unasked(id())]);
+    let unasked = || Broken::Unasked("try-1 POST /a".to_owned());
+    assert_eq!(check(&nobody), [unasked()]);
     let with_key = Run {
         has_key: true,
         ..run("i-1")
     };
     let records = records(request(Kind::Safe, 200, "answer to try-1"), vec![with_key]);
-    assert_eq!(check(&records), [Broken::Unasked(id())]);
+    assert_eq!(check(&records), [unasked()]);
 }
 
 #[test]
