--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -51,8 +51,9 @@
 
 struct Entry {
     ports: Ports,
-    store: FaultProxy,
+    /// Before its way to the store, so that it ends before the port of that is free.
     node: Option<Node>,
+    store: FaultProxy,
     /// Whether it was told to stop and has to be started again when it has.
     is_ending: bool,
 }
