--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/allotment.rs
@@ -1,7 +1,7 @@
 //! What customers may spend across all entries, without a counter in the middle.
 //!
 //! Each entry keeps every customer's bucket and takes out of it what itself and, by their
-//! beats, its peers have spent. A peer that is no longer heard is taken to go on spending as it
+//! heartbeats, its peers have spent. A peer that is no longer heard is taken to go on spending as it
 //! last did, and to use its even part of what nobody spent. Both sides of a cut reckon alike,
 //! so together they spend what one fleet would, and neither refuses what it used to serve.
 
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -46,7 +46,7 @@
 /// they can begin.
 const STALL_MS: u64 = 800;
 const STALL_FACTOR: f64 = 4.0;
-/// How long a peer's word that an upstream has stalled is believed; its beats repeat it.
+/// How long a peer's word that an upstream has stalled is believed; its heartbeats repeat it.
 const PEER_STALL_MS: u64 = 700;
 /// What the last slot of an upstream costs, in usual holdings of a slot.
 const CROWD_HOLDS: f64 = 1.0;
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -3,7 +3,7 @@
 //! Each engine has one door, kept by one of the entries that are heard, found by everybody in
 //! the same way. An entry asks the door for room; the door grants the most important request
 //! that asks, from whichever entry. Room is soft state: if a door is lost, entries find the
-//! next one, and its count comes from the beats of all. So a door that is wrong costs some
+//! next one, and its count comes from the heartbeats of all. So a door that is wrong costs some
 //! waiting in an engine, never a request.
 //!
 //! Without doors, thirty entries that know each other's load a third of a second late send an
@@ -60,7 +60,7 @@
 pub enum Asker {
     /// The entry that keeps the door.
     Own,
-    /// Another entry, by the address of its beats.
+    /// Another entry, by the address of its heartbeats.
     Peer(SocketAddr),
 }
 
@@ -88,7 +88,7 @@
 struct Tracked {
     count: u32,
     reported: u32,
-    /// Whether it was granted or gave back something since its last beat.
+    /// Whether it was granted or gave back something since its last heartbeat.
     is_touched: bool,
 }
 
@@ -154,13 +154,13 @@
 /// The entry that keeps an engine's door, of those that are heard.
 ///
 /// ```
-/// use sardinewood::direct::door::keeper;
+/// use sardinewood::direct::door::owner;
 ///
 /// let one = "10.0.0.1:7".parse().unwrap();
-/// assert_eq!(keeper(5, [one]), Some(one));
+/// assert_eq!(owner(5, [one]), Some(one));
 /// ```
 #[must_use]
-pub fn keeper(upstream: u32, entries: impl IntoIterator<Item = SocketAddr>) -> Option<SocketAddr> {
+pub fn owner(upstream: u32, entries: impl IntoIterator<Item = SocketAddr>) -> Option<SocketAddr> {
     entries.into_iter().max_by_key(|entry| {
         let seed = u64::from(upstream);
         let SocketAddr::V4(entry) = entry else {
@@ -241,7 +241,7 @@
             return;
         }
         if let Asker::Peer(peer) = from {
-            // A peer's first question may come before its first beat. Without this the next
+            // A peer's first question may come before its first heartbeat. Without this the next
             // sweep would forget what it was granted, and the engine would get too much.
             self.heard_ms.insert(peer, now_ms);
         }
@@ -305,8 +305,8 @@
 
     /// Takes what a peer says that it runs.
     ///
-    /// A count that was not touched between two equal beats is replaced by them: what a lost
-    /// message left wrong lasts two beats.
+    /// A count that was not touched between two equal heartbeats is replaced by them: what a lost
+    /// message left wrong lasts two heartbeats.
     ///
     /// ```
     /// # use sardinewood::direct::door::Doors;
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/follow.rs
@@ -324,7 +324,7 @@
                     sleep(PULL_PAUSE).await;
                 }
             }
-            // The beats tell whether the copy was enough only after it is in force.
+            // The heartbeats tell whether the copy was enough only after it is in force.
             sleep(PULL_PAUSE).await;
         }
     }
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -14,19 +14,19 @@
 const FORM: u8 = 1;
 /// Longest datagram that is sent: it fits into one packet of a common network.
 const MAX_BYTES: usize = 1_400;
-/// Shortest time between two beats. Within it, two entries may both take the last slot of an
+/// Shortest time between two heartbeats. Within it, two entries may both take the last slot of an
 /// upstream; at some tens of requests a second on each that is rare.
-const MIN_BEAT_MS: u64 = 50;
-/// Time between two beats for each peer, so that a larger fleet costs each entry no more
+const MIN_HEARTBEAT_MS: u64 = 50;
+/// Time between two heartbeats for each peer, so that a larger fleet costs each entry no more
 /// than some hundred datagrams a second.
-const BEAT_PER_PEER_MS: u64 = 10;
-/// Longest time between two beats, which bounds how long a dead peer is believed.
-const MAX_BEAT_MS: u64 = 1_000;
-/// Shortest time between two beats of an entry that asks the store, for each peer: the others
+const HEARTBEAT_PER_PEER_MS: u64 = 10;
+/// Longest time between two heartbeats, which bounds how long a dead peer is believed.
+const MAX_HEARTBEAT_MS: u64 = 1_000;
+/// Shortest time between two heartbeats of an entry that asks the store, for each peer: the others
 /// depend on it for the configuration.
-const ASKER_BEAT_PER_PEER_MS: u64 = 1;
-/// Beats of a peer that may be missing before it is not heard from any more.
-const MISSED_BEATS: u64 = 3;
+const ASKER_HEARTBEAT_PER_PEER_MS: u64 = 1;
+/// Heartbeats of a peer that may be missing before it is not heard from any more.
+const MISSED_HEARTBEATS: u64 = 3;
 /// Shortest silence after which a peer is not heard from any more.
 const MIN_HEARD_WITHIN_MS: u64 = 1_000;
 /// Silence after which a peer is forgotten. Cuts heal within seconds to a minute.
@@ -36,7 +36,7 @@
 /// Age of the store's last answer beyond which an entry does not count as asking it: a watch's
 /// wait and its timeout.
 const STORE_AGE_MS: u32 = 1_500;
-/// Addresses of peers in one beat.
+/// Addresses of peers in one heartbeat.
 const MAX_ADDRESSES: usize = 8;
 
 /// What an entry has spent of a customer's allotment since its start.
@@ -72,10 +72,10 @@
 
 /// The state of one entry, sent to all others many times a second.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Beat {
+pub struct Heartbeat {
     /// A random number of this start of the process.
     pub incarnation: u64,
-    /// Counts the beats of this start.
+    /// Counts the heartbeats of this start.
     pub sequence: u64,
     /// Whether the process ends now.
     pub is_last: bool,
@@ -97,7 +97,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
     /// The state of the sender.
-    Beat(Beat),
+    Heartbeat(Heartbeat),
     /// The sender wants room at an engine whose door the receiver keeps.
     Ask(Ask),
     /// The sender no longer wants it.
@@ -134,9 +134,9 @@
     /// The message as a datagram; none if it would be too long.
     ///
     /// ```
-    /// use sardinewood::direct::peer_message::{Beat, Message};
+    /// use sardinewood::direct::peer_message::{Heartbeat, Message};
     ///
-    /// let message = Message::Beat(Beat::default());
+    /// let message = Message::Heartbeat(Heartbeat::default());
     /// let bytes = message.encode().unwrap();
     /// assert_eq!(Message::decode(&bytes), Some(message));
     /// ```
@@ -171,14 +171,14 @@
     spent: IndexMap<Arc<str>, u64>,
 }
 
-/// What a beat changes.
+/// What a heartbeat changes.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Heard {
-    /// What customers have spent there since the beat before.
+    /// What customers have spent there since the heartbeat before.
     pub newly_spent: Vec<Spent>,
     /// Whether the peer was not known, or has started anew.
     pub is_new: bool,
-    /// Whether the beat was old, repeated or the peer's last.
+    /// Whether the heartbeat was old, repeated or the peer's last.
     pub is_idle: bool,
 }
 
@@ -242,18 +242,18 @@
         self.own
     }
 
-    /// Takes a beat in.
+    /// Takes a heartbeat in.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_message::{Beat, PeerTable};
+    /// # use sardinewood::direct::peer_message::{Heartbeat, PeerTable};
     /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
-    /// let heard = table.heard("10.0.0.2:7".parse().unwrap(), &Beat::default(), 5);
+    /// let heard = table.heard("10.0.0.2:7".parse().unwrap(), &Heartbeat::default(), 5);
     /// assert!(heard.is_new);
     /// assert_eq!(table.known(), 2);
     /// ```
-    pub fn heard(&mut self, from: SocketAddr, beat: &Beat, now_ms: u64) -> Heard {
-        self.add_seeds(&beat.others);
-        if beat.is_last {
+    pub fn heard(&mut self, from: SocketAddr, heartbeat: &Heartbeat, now_ms: u64) -> Heard {
+        self.add_seeds(&heartbeat.others);
+        if heartbeat.is_last {
             self.peers.shift_remove(&from);
             return Heard {
                 is_idle: true,
@@ -261,27 +261,27 @@
             };
         }
         let known = self.peers.get(&from);
-        let known = known.filter(|peer| peer.incarnation == beat.incarnation);
-        if known.is_some_and(|peer| peer.sequence >= beat.sequence) {
+        let known = known.filter(|peer| peer.incarnation == heartbeat.incarnation);
+        if known.is_some_and(|peer| peer.sequence >= heartbeat.sequence) {
             return Heard {
                 is_idle: true,
                 ..Heard::default()
             };
         }
-        let newly_spent = newly_spent(known, beat);
+        let newly_spent = newly_spent(known, heartbeat);
         let heard = Heard {
             newly_spent,
             is_new: known.is_none(),
             is_idle: false,
         };
         let peer = Peer {
-            incarnation: beat.incarnation,
-            sequence: beat.sequence,
+            incarnation: heartbeat.incarnation,
+            sequence: heartbeat.sequence,
             heard_at_ms: now_ms,
-            is_leaving: beat.is_leaving,
-            store_age_ms: beat.store_age_ms,
-            revisions: beat.revisions,
-            spent: beat
+            is_leaving: heartbeat.is_leaving,
+            store_age_ms: heartbeat.store_age_ms,
+            revisions: heartbeat.revisions,
+            spent: heartbeat
                 .spent
                 .iter()
                 .map(|spent| (Arc::clone(&spent.customer), spent.units))
@@ -302,7 +302,7 @@
             .retain(|_, peer| now_ms < peer.heard_at_ms + FORGOTTEN_AFTER_MS);
     }
 
-    /// Addresses that a beat goes to.
+    /// Addresses that a heartbeat goes to.
     ///
     /// ```
     /// # use sardinewood::direct::peer_message::PeerTable;
@@ -317,7 +317,7 @@
         self.peers.keys().chain(unheard).copied()
     }
 
-    /// Addresses to name in a beat: as many peers as fit, others each time.
+    /// Addresses to name in a heartbeat: as many peers as fit, others each time.
     ///
     /// ```
     /// # use sardinewood::direct::peer_message::PeerTable;
@@ -369,9 +369,9 @@
     /// ```
     /// # use sardinewood::direct::peer_message::PeerTable;
     /// let own = "10.0.0.1:7".parse().unwrap();
-    /// assert!(PeerTable::new(own, &[]).keepers(false, 0).eq([own]));
+    /// assert!(PeerTable::new(own, &[]).owners(false, 0).eq([own]));
     /// ```
-    pub fn keepers(&self, is_own_leaving: bool, now_ms: u64) -> impl Iterator<Item = SocketAddr> {
+    pub fn owners(&self, is_own_leaving: bool, now_ms: u64) -> impl Iterator<Item = SocketAddr> {
         let own = (!is_own_leaving).then_some(self.own);
         self.peers
             .iter()
@@ -402,26 +402,26 @@
         before < STORE_ASKERS
     }
 
-    /// Time until the next beat.
+    /// Time until the next heartbeat.
     ///
     /// ```
     /// # use sardinewood::direct::peer_message::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
-    /// assert_eq!(table.beat_ms(false), 50);
+    /// assert_eq!(table.heartbeat_ms(false), 50);
     /// ```
     #[must_use]
-    pub fn beat_ms(&self, asks_store: bool) -> u64 {
+    pub fn heartbeat_ms(&self, asks_store: bool) -> u64 {
         let per_peer_ms = if asks_store {
-            ASKER_BEAT_PER_PEER_MS
+            ASKER_HEARTBEAT_PER_PEER_MS
         } else {
-            BEAT_PER_PEER_MS
+            HEARTBEAT_PER_PEER_MS
         };
         let peers = self.peers.len() as u64;
-        (per_peer_ms * peers).clamp(MIN_BEAT_MS, MAX_BEAT_MS)
+        (per_peer_ms * peers).clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS)
     }
 
     fn is_heard(&self, peer: &Peer, now_ms: u64) -> bool {
-        let within_ms = MIN_HEARD_WITHIN_MS.max(self.beat_ms(false) * MISSED_BEATS);
+        let within_ms = MIN_HEARD_WITHIN_MS.max(self.heartbeat_ms(false) * MISSED_HEARTBEATS);
         now_ms < peer.heard_at_ms + within_ms
     }
 
@@ -448,8 +448,9 @@
     }
 }
 
-fn newly_spent(known: Option<&Peer>, beat: &Beat) -> Vec<Spent> {
-    beat.spent
+fn newly_spent(known: Option<&Peer>, heartbeat: &Heartbeat) -> Vec<Spent> {
+    heartbeat
+        .spent
         .iter()
         .map(|spent| {
             let before = known.and_then(|peer| peer.spent.get(&spent.customer));
--- a/lib/src/direct/peers.rs
+++ b/lib/src/direct/peers.rs
@@ -1,4 +1,4 @@
-//! Sends this entry's beats and takes in those of the others.
+//! Sends this entry's heartbeats and takes in those of the others.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -11,7 +11,7 @@
 
 use crate::direct::door::Asker;
 use crate::direct::follow::StoreAnswers;
-use crate::direct::peer_message::Beat;
+use crate::direct::peer_message::Heartbeat;
 use crate::direct::peer_message::Message;
 use crate::direct::peer_message::Revisions;
 use crate::direct::peer_message::Spent;
@@ -20,7 +20,7 @@
 
 const MAX_DATAGRAM_BYTES: usize = 2_048;
 
-/// The beats of one entry.
+/// The heartbeats of one entry.
 #[derive(Debug)]
 pub struct Peers {
     traffic: Rc<Traffic>,
@@ -43,7 +43,7 @@
 }
 
 impl Peers {
-    /// The beats of a new start of the process.
+    /// The heartbeats of a new start of the process.
     #[must_use]
     pub fn new(traffic: &Rc<Traffic>, links: ControlLinks) -> Self {
         Self {
@@ -57,7 +57,7 @@
     /// Sends and receives until the process ends.
     pub async fn run(mut self) {
         let mut buffer = vec![0; MAX_DATAGRAM_BYTES];
-        let mut next_beat = Instant::now();
+        let mut next_heartbeat = Instant::now();
         let traffic = Rc::clone(&self.traffic);
         loop {
             tokio::select! {
@@ -75,9 +75,9 @@
                     self.sequence += 1;
                     self.tell_all(false);
                 }
-                () = sleep_until(next_beat) => {
-                    self.beat();
-                    next_beat = Instant::now() + self.period();
+                () = sleep_until(next_heartbeat) => {
+                    self.heartbeat();
+                    next_heartbeat = Instant::now() + self.period();
                 }
             }
         }
@@ -85,13 +85,13 @@
 
     fn period(&self) -> Duration {
         let asks_store = *self.links.asks_store.borrow();
-        Duration::from_millis(self.traffic.peers.borrow().beat_ms(asks_store))
+        Duration::from_millis(self.traffic.peers.borrow().heartbeat_ms(asks_store))
     }
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let traffic = &self.traffic;
         match Message::decode(bytes) {
-            Some(Message::Beat(beat)) => self.hear(&beat, from),
+            Some(Message::Heartbeat(heartbeat)) => self.hear(&heartbeat, from),
             Some(Message::Ask(ask)) => traffic.asked(Asker::Peer(from), ask),
             Some(Message::Cancel { upstream, ask }) => {
                 traffic
@@ -114,14 +114,14 @@
         }
     }
 
-    fn hear(&self, beat: &Beat, from: SocketAddr) {
+    fn hear(&self, heartbeat: &Heartbeat, from: SocketAddr) {
         let traffic = &self.traffic;
         let now_ms = traffic.now_ms();
-        let heard = traffic.peers.borrow_mut().heard(from, beat, now_ms);
+        let heard = traffic.peers.borrow_mut().heard(from, heartbeat, now_ms);
         if heard.is_new {
             traffic.log(Level::Info, "peer heard", |line| line.field("peer", from));
         }
-        if beat.is_last {
+        if heartbeat.is_last {
             traffic.log(Level::Info, "peer has ended", |line| {
                 line.field("peer", from)
             });
@@ -138,11 +138,12 @@
         traffic
             .doors
             .borrow_mut()
-            .reconcile(from, &beat.running, now_ms);
-        traffic
-            .dispatcher
-            .borrow_mut()
-            .set_peer_load(beat.incarnation, &beat.running, now_ms);
+            .reconcile(from, &heartbeat.running, now_ms);
+        traffic.dispatcher.borrow_mut().set_peer_load(
+            heartbeat.incarnation,
+            &heartbeat.running,
+            now_ms,
+        );
         let own = *self.links.own.borrow();
         let random = rand::random::<u16>().into();
         let ahead = traffic.peers.borrow().ahead_of(own, random, now_ms);
@@ -151,7 +152,7 @@
         traffic.start_waiting();
     }
 
-    fn beat(&mut self) {
+    fn heartbeat(&mut self) {
         let traffic = Rc::clone(&self.traffic);
         let now_ms = traffic.now_ms();
         traffic.peers.borrow_mut().sweep(now_ms);
@@ -171,30 +172,30 @@
     }
 
     fn tell_all(&self, is_last: bool) {
-        let beat = Message::Beat(self.own_beat(is_last));
+        let heartbeat = Message::Heartbeat(self.own_heartbeat(is_last));
         let targets: Vec<SocketAddr> = self.traffic.peers.borrow().targets().collect();
         for target in targets {
-            self.traffic.tell(target, &beat);
+            self.traffic.tell(target, &heartbeat);
         }
     }
 
     /// Tells all peers that this process ends, so that they need not wait for its silence.
-    pub fn say_goodbye(traffic: &Traffic) {
-        let goodbye = Message::Beat(Beat {
+    pub fn announce_end(traffic: &Traffic) {
+        let last_heartbeat = Message::Heartbeat(Heartbeat {
             is_last: true,
-            ..Beat::default()
+            ..Heartbeat::default()
         });
         for target in traffic.peers.borrow().targets() {
-            traffic.tell(target, &goodbye);
+            traffic.tell(target, &last_heartbeat);
         }
     }
 
-    fn own_beat(&self, is_last: bool) -> Beat {
+    fn own_heartbeat(&self, is_last: bool) -> Heartbeat {
         let traffic = &self.traffic;
         let dispatcher = traffic.dispatcher.borrow();
         let allotments = traffic.allotments.borrow();
         let asks_store = *self.links.asks_store.borrow();
-        Beat {
+        Heartbeat {
             incarnation: self.incarnation,
             sequence: self.sequence,
             is_last,
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -49,7 +49,7 @@
 pub struct AskedDoor {
     words: UnboundedSender<Word>,
     instance: Arc<str>,
-    keeper: Asker,
+    owner: Asker,
 }
 
 /// A waiting request and its questions; dropping it takes them back.
@@ -114,7 +114,7 @@
         let traffic = &self.traffic;
         let upstream = short_name(&asked.instance);
         let now_ms = traffic.now_ms();
-        let keeper = traffic.keeper(upstream);
+        let owner = traffic.owner(upstream);
         let ask = Ask {
             id: asked.id,
             upstream,
@@ -132,10 +132,10 @@
         let open = AskedDoor {
             words: self.words.clone(),
             instance: Arc::clone(&asked.instance),
-            keeper,
+            owner,
         };
         traffic.asks.borrow_mut().insert(asked.id, open);
-        match keeper {
+        match owner {
             Asker::Own => traffic.asked(Asker::Own, ask),
             Asker::Peer(address) => traffic.tell(address, &Message::Ask(ask)),
         }
@@ -147,7 +147,7 @@
             return;
         };
         let upstream = short_name(&asked.instance);
-        match open.keeper {
+        match open.owner {
             Asker::Own => traffic
                 .doors
                 .borrow_mut()
@@ -367,7 +367,7 @@
 
     /// Gives room back to its door.
     pub fn give_back(self: &Rc<Self>, upstream: u32, held_ms: Option<u32>) {
-        match self.keeper(upstream) {
+        match self.owner(upstream) {
             Asker::Own => {
                 self.doors.borrow_mut().done(Asker::Own, upstream, held_ms);
                 self.grant_rooms();
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -49,7 +49,7 @@
 /// then is closed, and whoever comes after is told that its request has not run.
 const LINGER: Duration = Duration::from_millis(2_400);
 /// How long callers that are told so may still come.
-const FAREWELL: Duration = Duration::from_millis(500);
+const REFUSING: Duration = Duration::from_millis(500);
 /// Kept back from the time that the platform allows for stopping.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// How often it is looked whether all requests have ended.
@@ -318,12 +318,12 @@
         if passed >= LINGER && !traffic.is_closing.get() {
             traffic.close();
         }
-        let is_done = passed >= LINGER + FAREWELL && traffic.open_requests.get() == 0;
+        let is_done = passed >= LINGER + REFUSING && traffic.open_requests.get() == 0;
         if is_done || passed >= last {
             break;
         }
     }
-    Peers::say_goodbye(traffic);
+    Peers::announce_end(traffic);
     Line::new(Level::Info, "ended")
         .field("open_requests", traffic.open_requests.get())
         .field("after_ms", began.elapsed().as_millis())
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -336,7 +336,7 @@
         self.closing.notify_waiters();
     }
 
-    /// Sends a message to a peer. A lost one is made up for by the next beat or question.
+    /// Sends a message to a peer. A lost one is made up for by the next heartbeat or question.
     pub fn tell(&self, to: SocketAddr, message: &Message) {
         let Some(bytes) = message.encode() else {
             self.log(Level::Error, "message to a peer is too long", |line| line);
@@ -351,10 +351,10 @@
 
     /// Who keeps the door of an engine.
     #[must_use]
-    pub fn keeper(&self, upstream: u32) -> Asker {
+    pub fn owner(&self, upstream: u32) -> Asker {
         let peers = self.peers.borrow();
-        let keepers = peers.keepers(self.is_stopping.get(), self.now_ms());
-        match door::keeper(upstream, keepers) {
+        let owners = peers.owners(self.is_stopping.get(), self.now_ms());
+        match door::owner(upstream, owners) {
             Some(address) if address != peers.own() => Asker::Peer(address),
             Some(_) | None => Asker::Own,
         }
--- a/lib/tests/test_direct_door.rs
+++ b/lib/tests/test_direct_door.rs
@@ -8,7 +8,7 @@
 use sardinewood::direct::door::AskId;
 use sardinewood::direct::door::Asker;
 use sardinewood::direct::door::Doors;
-use sardinewood::direct::door::keeper;
+use sardinewood::direct::door::owner;
 use sardinewood::direct::peer_message::Running;
 
 const SLOTS: u32 = 3;
@@ -113,23 +113,23 @@
 }
 
 #[test]
-fn lost_end_made_good_by_beats() {
-    // A peer's word that it is done was lost, so the door thinks it full. The peer's beats say
+fn lost_end_made_good_by_heartbeats() {
+    // A peer's word that it is done was lost, so the door thinks it full. The peer's heartbeats say
     // twice that it runs nothing, and the room is free again.
     let mut doors = doors();
     for id in 0..4 {
         doors.ask(Asker::Peer(peer(1)), ask(id, 1_000, 500), 0);
     }
     assert_eq!(granted(&mut doors, 0).len(), 3);
-    for beat in 0..3 {
-        doors.reconcile(peer(1), &[], beat * 50);
+    for heartbeat in 0..3 {
+        doors.reconcile(peer(1), &[], heartbeat * 50);
     }
     assert_eq!(granted(&mut doors, 150), [3]);
 }
 
 #[test]
-fn grant_on_its_way_not_undone_by_a_beat() {
-    // The peer's beat left before the grant arrived there. It must not free the room.
+fn grant_on_its_way_not_undone_by_a_heartbeat() {
+    // The peer's heartbeat left before the grant arrived there. It must not free the room.
     let mut doors = doors();
     doors.reconcile(peer(1), &[], 0);
     for id in 0..4 {
@@ -141,9 +141,9 @@
 }
 
 #[test]
-fn next_keeper_knows_what_runs() {
+fn next_owner_knows_what_runs() {
     // The entry that kept the door is gone. The next one has never granted anything there,
-    // but the beats told it what its peers run.
+    // but the heartbeats told it what its peers run.
     let mut doors = doors();
     doors.reconcile(peer(1), &runs(2), 0);
     doors.reconcile(peer(2), &runs(1), 0);
@@ -176,15 +176,15 @@
 }
 
 #[test]
-fn keeper_same_in_any_order_and_moves_little() {
+fn owner_same_in_any_order_and_moves_little() {
     let entries: Vec<SocketAddr> = (1..9).map(peer).collect();
     let backwards: Vec<SocketAddr> = entries.iter().rev().copied().collect();
     let without: Vec<SocketAddr> = entries[1..].to_vec();
     for engine in 0..200 {
-        let one = keeper(engine, entries.clone());
-        assert_eq!(one, keeper(engine, backwards.clone()));
+        let one = owner(engine, entries.clone());
+        assert_eq!(one, owner(engine, backwards.clone()));
         if one != Some(entries[0]) {
-            assert_eq!(one, keeper(engine, without.clone()));
+            assert_eq!(one, owner(engine, without.clone()));
         }
     }
 }
@@ -193,7 +193,7 @@
 enum Step {
     Ask(u8, u32),
     Done(u8),
-    Beat(u8),
+    Heartbeat(u8),
     Gone(u8),
 }
 
@@ -201,15 +201,15 @@
     let step = prop_oneof![
         4 => (0..4u8, 1..2_000u32).prop_map(|(from, worth)| Step::Ask(from, worth)),
         4 => (0..4u8).prop_map(Step::Done),
-        1 => (0..4u8).prop_map(Step::Beat),
+        1 => (0..4u8).prop_map(Step::Heartbeat),
         1 => (0..4u8).prop_map(Step::Gone),
     ];
     prop::collection::vec(step, 0..200)
 }
 
 #[test]
-fn grant_before_first_beat_not_forgotten() {
-    // A peer asks before its first beat has come. Another peer ends, and what the first one
+fn grant_before_first_heartbeat_not_forgotten() {
+    // A peer asks before its first heartbeat has come. Another peer ends, and what the first one
     // was granted still counts.
     let mut doors = doors();
     doors.ask(Asker::Peer(peer(1)), ask(1, 1, 500), 0);
@@ -245,7 +245,7 @@
                     doors.done(Asker::Peer(peer(from)), engine(), Some(9));
                 }
                 Step::Done(_) => {}
-                Step::Beat(from) => {
+                Step::Heartbeat(from) => {
                     doors.reconcile(peer(from), &runs(running[usize::from(from)]), now_ms);
                 }
                 Step::Gone(from) => {
--- a/lib/tests/test_direct_shares.rs
+++ b/lib/tests/test_direct_shares.rs
@@ -11,7 +11,7 @@
 use sardinewood::direct::attempt_budget::AttemptLimits;
 use sardinewood::direct::catalog::Allotment;
 use sardinewood::direct::catalog::Customer;
-use sardinewood::direct::peer_message::Beat;
+use sardinewood::direct::peer_message::Heartbeat;
 use sardinewood::direct::peer_message::PeerTable;
 use sardinewood::direct::peer_message::Revisions;
 use sardinewood::direct::peer_message::Spent;
@@ -211,12 +211,12 @@
     assert_eq!(taken, 2);
 }
 
-fn beat(sequence: u64) -> Beat {
-    Beat {
+fn heartbeat(sequence: u64) -> Heartbeat {
+    Heartbeat {
         incarnation: 1,
         sequence,
         store_age_ms: Some(10),
-        ..Beat::default()
+        ..Heartbeat::default()
     }
 }
 
@@ -226,12 +226,12 @@
     // an entry with a high address never asks while three others do.
     let mut table = PeerTable::new(address(9), &[]);
     for number in 1..4 {
-        table.heard(address(number), &beat(1), 0);
+        table.heard(address(number), &heartbeat(1), 0);
     }
     assert!(!table.asks_store(0));
-    let lost = Beat {
+    let lost = Heartbeat {
         store_age_ms: Some(9_000),
-        ..beat(2)
+        ..heartbeat(2)
     };
     table.heard(address(2), &lost, 10);
     assert!(table.asks_store(10));
@@ -242,15 +242,15 @@
 #[test]
 fn spending_told_once_in_spite_of_repeats() {
     let mut table = PeerTable::new(address(9), &[]);
-    let spent = |sequence, units| Beat {
+    let spent = |sequence, units| Heartbeat {
         spent: vec![Spent {
             customer: "c".into(),
             units,
         }],
-        ..beat(sequence)
+        ..heartbeat(sequence)
     };
-    let units = |table: &mut PeerTable, beat: &Beat| -> u64 {
-        let heard = table.heard(address(1), beat, 0);
+    let units = |table: &mut PeerTable, heartbeat: &Heartbeat| -> u64 {
+        let heard = table.heard(address(1), heartbeat, 0);
         heard.newly_spent.iter().map(|spent| spent.units).sum()
     };
     assert_eq!(units(&mut table, &spent(1, 30)), 30);
@@ -261,7 +261,7 @@
         "a lost one in between"
     );
     assert_eq!(units(&mut table, &spent(2, 40)), 0, "an old one");
-    let anew = Beat {
+    let anew = Heartbeat {
         incarnation: 2,
         ..spent(1, 5)
     };
@@ -271,27 +271,27 @@
 #[test]
 fn ended_peer_forgotten_at_once_silent_one_not() {
     let mut table = PeerTable::new(address(9), &[]);
-    table.heard(address(1), &beat(1), 0);
-    table.heard(address(2), &beat(1), 0);
-    let last = Beat {
+    table.heard(address(1), &heartbeat(1), 0);
+    table.heard(address(2), &heartbeat(1), 0);
+    let last = Heartbeat {
         is_last: true,
-        ..Beat::default()
+        ..Heartbeat::default()
     };
     table.heard(address(1), &last, 10);
     assert_eq!(table.known(), 2);
     assert_eq!(table.silent(5_000), [address(2)]);
-    assert_eq!(table.keepers(false, 5_000).count(), 1);
+    assert_eq!(table.owners(false, 5_000).count(), 1);
 }
 
 #[test]
 fn peer_ahead_named() {
     let mut table = PeerTable::new(address(9), &[]);
-    let ahead = Beat {
+    let ahead = Heartbeat {
         revisions: Revisions {
             catalog: 5,
             directory: 1,
         },
-        ..beat(1)
+        ..heartbeat(1)
     };
     table.heard(address(1), &ahead, 0);
     let own = Revisions {
