--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -292,17 +292,6 @@
         self.changed.push(upstream);
     }
 
-    /// Notes that this entry began something at an engine without having asked.
-    ///
-    /// ```
-    /// sardinewood::direct::door::Doors::default().began_unasked(7);
-    /// ```
-    pub fn began_unasked(&mut self, upstream: u32) {
-        if let Some(door) = self.by_engine.get_mut(&upstream) {
-            door.own += 1;
-        }
-    }
-
     /// Takes what a peer says that it runs.
     ///
     /// A count that was not touched between two equal heartbeats is replaced by them: what a lost
