direct, platform: one copy of what stood twice

The list of hop-by-hop headers, the conversions of numbers, the first guess of a slot's holding, the number of doors asked and the default idle time were written a second time in the direct mode; now one place has each. An upstream's short name is reckoned once, not with every heartbeat and choice. Behaviour is as before.

--- a/lib/src/caller_headers.rs
+++ b/lib/src/caller_headers.rs
@@ -28,7 +28,7 @@
 const MAX_NAME_BYTES: usize = 255;
 
 /// Headers that belong to one connection and not to the request.
-const HOP_BY_HOP: [HeaderName; 8] = [
+pub const HOP_BY_HOP: [HeaderName; 8] = [
     header::CONNECTION,
     HeaderName::from_static("keep-alive"),
     header::PROXY_AUTHENTICATE,
@@ -169,7 +169,17 @@
 }
 
 /// Headers that the `Connection` header declares to be hop-by-hop.
-fn connection_names(headers: &HeaderMap) -> Vec<String> {
+///
+/// ```
+/// use poem::http::HeaderMap;
+/// use sardinewood::caller_headers::connection_names;
+///
+/// let mut headers = HeaderMap::new();
+/// headers.insert("connection", "close, X-Hop".parse().unwrap());
+/// assert_eq!(connection_names(&headers), ["close", "x-hop"]);
+/// ```
+#[must_use]
+pub fn connection_names(headers: &HeaderMap) -> Vec<String> {
     headers
         .get_all(header::CONNECTION)
         .iter()
--- a/lib/src/direct/call.rs
+++ b/lib/src/direct/call.rs
@@ -5,7 +5,6 @@
 
 use bytes::Bytes;
 use http::HeaderMap;
-use http::HeaderName;
 use http::HeaderValue;
 use http::Method;
 use http::Request;
@@ -18,6 +17,8 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
+use crate::caller_headers::HOP_BY_HOP;
+use crate::caller_headers::connection_names;
 use crate::direct::allotment::Charge;
 use crate::direct::allotment::Demand;
 use crate::direct::caller::CallerHeaders;
@@ -279,28 +280,15 @@
 /// Headers without those that concern one connection only.
 #[must_use]
 pub fn end_to_end(mut headers: HeaderMap) -> HeaderMap {
-    const ONE_CONNECTION: [HeaderName; 9] = [
-        header::CONNECTION,
-        header::CONTENT_LENGTH,
-        header::EXPECT,
-        header::PROXY_AUTHENTICATE,
-        header::PROXY_AUTHORIZATION,
-        header::TE,
-        header::TRAILER,
-        header::TRANSFER_ENCODING,
-        header::UPGRADE,
-    ];
-    let named: Vec<HeaderName> = headers
-        .get_all(header::CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| HeaderName::try_from(name.trim()).ok())
-        .collect();
-    for name in named.iter().chain(&ONE_CONNECTION) {
+    for name in connection_names(&headers) {
+        headers.remove(name.as_str());
+    }
+    for name in &HOP_BY_HOP {
+        headers.remove(name);
+    }
+    for name in [header::CONTENT_LENGTH, header::EXPECT] {
         headers.remove(name);
     }
-    headers.remove("keep-alive");
     headers.remove("proxy-connection");
     headers
 }
--- a/lib/src/direct/catalog.rs
+++ b/lib/src/direct/catalog.rs
@@ -4,6 +4,10 @@
 
 use indexmap::IndexMap;
 
+/// How long a caller's connection may stay without a request if no limit is set: as long as
+/// common HTTP servers keep one.
+pub const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
+
 /// Whether a request may run again after its outcome became unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Repeat {
@@ -228,8 +232,6 @@
     /// ```
     #[must_use]
     pub fn idle_timeout_ms(&self) -> u64 {
-        /// As long as common HTTP servers keep an idle connection.
-        const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
         self.limits
             .map_or(DEFAULT_IDLE_TIMEOUT_MS, |limits| limits.idle_timeout_ms)
     }
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -9,6 +9,7 @@
 
 use crate::direct::directory::Upstream;
 use crate::direct::door;
+use crate::direct::door::FIRST_HOLD_MS;
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
 use crate::direct::health::Moving;
@@ -21,8 +22,6 @@
 const EXPECTED_EVENTS: f64 = 20.0;
 /// Part of what is known of lengths that each answer's own length replaces.
 const LENGTH_PART: f64 = 0.02;
-/// Expected holding of a slot before any request has ended.
-const FIRST_HOLD_MS: f64 = 300.0;
 /// Part of the time that a request has left that it may be expected to wait.
 const WAIT_PART: f64 = 0.5;
 /// How much slower than the best an upstream with many failures counts.
@@ -77,6 +76,8 @@
 #[derive(Clone, Debug)]
 struct Place {
     upstream: Arc<Upstream>,
+    /// Its short name, which is asked for with each heartbeat and each choice.
+    name: u32,
     is_listed: bool,
     running: u32,
     health: Health,
@@ -87,6 +88,11 @@
 }
 
 impl Place {
+    /// Whether it neither breaks nor hangs.
+    fn works(&self, now_ms: u64) -> bool {
+        !self.health.is_paused(now_ms) && !self.is_stalled(now_ms)
+    }
+
     /// Whether a request has had no answer there for much longer than it should take.
     ///
     /// An engine that hangs takes requests like any other and breaks nothing, so without this
@@ -158,6 +164,7 @@
                 .entry(Arc::clone(&upstream.instance))
                 .or_insert_with(|| Place {
                     upstream: Arc::clone(upstream),
+                    name: short_name(&upstream.instance),
                     is_listed: true,
                     running: 0,
                     health: Health::default(),
@@ -186,9 +193,12 @@
                 .map(|running| (running.upstream, running.count))
                 .collect(),
         };
+        let by_name: IndexMap<u32, &Running> = running
+            .iter()
+            .map(|running| (running.upstream, running))
+            .collect();
         for place in self.places.values_mut() {
-            let name = short_name(&place.upstream.instance);
-            let told = running.iter().find(|running| running.upstream == name);
+            let told = by_name.get(&place.name);
             if told.is_some_and(|told| told.is_stalled) {
                 place.peer_stalled_until_ms = now_ms + PEER_STALL_MS;
             }
@@ -210,10 +220,10 @@
     /// ```
     pub fn running(&self, now_ms: u64) -> impl Iterator<Item = Running> {
         self.places
-            .iter()
-            .filter(|(_, place)| place.running > 0)
-            .map(move |(instance, place)| Running {
-                upstream: short_name(instance),
+            .values()
+            .filter(|place| place.running > 0)
+            .map(move |place| Running {
+                upstream: place.name,
                 count: u16::try_from(place.running).unwrap_or(u16::MAX),
                 event_us: numbers::whole_u32(place.health.event_ms() * US_PER_MS),
                 is_stalled: place.has_stalled_here(now_ms),
@@ -231,8 +241,12 @@
     /// ```
     #[must_use]
     pub fn has_untried(&self, job: &Job) -> bool {
+        self.untried(job).next().is_some()
+    }
+
+    fn untried(&self, job: &Job) -> impl Iterator<Item = &Place> {
         self.places_of(&job.service)
-            .any(|place| !job.tried.contains(&place.upstream.instance))
+            .filter(|place| !job.tried.contains(&place.upstream.instance))
     }
 
     /// Whether an upstream takes new work.
@@ -275,7 +289,7 @@
     #[must_use]
     pub fn working_for(&self, service: &str, now_ms: u64) -> usize {
         self.places_of(service)
-            .filter(|place| !place.health.is_paused(now_ms) && !place.is_stalled(now_ms))
+            .filter(|place| place.works(now_ms))
             .count()
     }
 
@@ -397,7 +411,7 @@
         let mut best: Option<(f64, &Place)> = None;
         for _ in 0..DRAWN_PLACES.min(places.len()) {
             let place = places.swap_remove(random() % places.len());
-            let running = place.running + self.running_elsewhere(&place.upstream.instance, now_ms);
+            let running = place.running + self.running_elsewhere(place, now_ms);
             let cost = self.cost_ms(place, running, job, now_ms);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, place));
@@ -435,7 +449,7 @@
     #[must_use]
     pub fn has_room(&self, instance: &str, now_ms: u64) -> bool {
         self.places.get(instance).is_some_and(|place| {
-            let running = place.running + self.running_elsewhere(instance, now_ms);
+            let running = place.running + self.running_elsewhere(place, now_ms);
             place.is_listed && running < place.upstream.slots
         })
     }
@@ -571,28 +585,29 @@
     /// evenly with its peers. Infinite if there is none.
     fn ms_per_start(&self, service: &str) -> f64 {
         let slots: u32 = self
-            .places
-            .values()
-            .filter(|place| place.is_listed && &*place.upstream.service == service)
+            .places_of(service)
             .map(|place| place.upstream.slots)
             .sum();
-        let hold_ms = self
-            .holds
-            .get(service)
-            .and_then(Moving::value)
-            .unwrap_or(FIRST_HOLD_MS);
         let entries = u32::try_from(self.peers.len() + 1).unwrap_or(u32::MAX);
         if slots == 0 {
             return f64::INFINITY;
         }
-        hold_ms * f64::from(entries) / f64::from(slots)
+        self.hold_ms(service) * f64::from(entries) / f64::from(slots)
+    }
+
+    /// How long a request usually holds a slot of a service.
+    fn hold_ms(&self, service: &str) -> f64 {
+        self.holds
+            .get(service)
+            .and_then(Moving::value)
+            .unwrap_or(FIRST_HOLD_MS)
     }
 
     fn best_place(&self, job: &Job, now_ms: u64) -> Option<Arc<str>> {
         let mut best: Option<(f64, &Arc<str>)> = None;
         for place in self.open_places(job, now_ms) {
             let instance = &place.upstream.instance;
-            let running = place.running + self.running_elsewhere(instance, now_ms);
+            let running = place.running + self.running_elsewhere(place, now_ms);
             if running >= place.upstream.slots {
                 continue;
             }
@@ -607,25 +622,17 @@
     /// Where a request could go: to all that work, or, if none does, to all there are. A
     /// service's only upstream that is slow for a moment is still better than none.
     fn open_places(&self, job: &Job, now_ms: u64) -> Vec<&Place> {
-        let fits = |place: &&Place| {
-            place.is_listed
-                && place.upstream.service == job.service
-                && !job.tried.contains(&place.upstream.instance)
-        };
-        let works = |place: &&Place| !place.health.is_paused(now_ms) && !place.is_stalled(now_ms);
-        let working: Vec<&Place> = self.places.values().filter(fits).filter(works).collect();
-        if working.is_empty() {
-            return self.places.values().filter(fits).collect();
-        }
-        working
+        let untried: Vec<&Place> = self.untried(job).collect();
+        let works = |place: &&Place| place.works(now_ms);
+        let working: Vec<&Place> = untried.iter().copied().filter(works).collect();
+        if working.is_empty() { untried } else { working }
     }
 
-    fn running_elsewhere(&self, instance: &str, now_ms: u64) -> u32 {
-        let name = short_name(instance);
+    fn running_elsewhere(&self, place: &Place, now_ms: u64) -> u32 {
         self.peers
             .values()
             .filter(|load| now_ms < load.at_ms + PEER_LOAD_MS)
-            .filter_map(|load| load.running.get(&name))
+            .filter_map(|load| load.running.get(&place.name))
             .map(|running| u32::from(*running))
             .sum()
     }
@@ -646,11 +653,7 @@
         let health = &place.health;
         let first_ms = health.first_ms(job.prompt_tokens);
         let alone_ms = first_ms + health.event_ms() * self.expected_events(job);
-        let hold_ms = self
-            .holds
-            .get(&job.service)
-            .and_then(Moving::value)
-            .unwrap_or(FIRST_HOLD_MS);
+        let hold_ms = self.hold_ms(&job.service);
         let fullness = f64::from(running) / f64::from(place.upstream.slots.max(1));
         let left_ms = numbers::as_f64(job.objective_at_ms.saturating_sub(now_ms));
         let late_ms = if first_ms > left_ms { hold_ms } else { 0.0 };
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -29,11 +29,13 @@
 /// operators' sheets put it at three tenths for all kinds.
 const LATE_FACTOR: f64 = 0.3;
 /// Expected holding of a slot before any request has ended.
-const FIRST_HOLD_MS: f64 = 300.0;
+pub const FIRST_HOLD_MS: f64 = 300.0;
 /// Silence after which what a peer was granted counts as ended.
 const PEER_SILENCE_MS: u64 = 1_500;
-/// Doors that a waiting request asks, so that its place in one queue counts a part.
-const ASKS_PER_REQUEST: f64 = 3.0;
+/// Doors at which one request waits at a time, so that its place in one queue counts a part.
+/// With one, it waits behind the wrong engine while another has room; each further one costs
+/// two messages.
+pub const ASKS_PER_REQUEST: u8 = 3;
 
 /// Names one question to a door; numbered by the entry that asks.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
@@ -414,7 +416,7 @@
             .count();
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
         let hold_ms = door.hold.value().unwrap_or(FIRST_HOLD_MS);
-        let wait_ms = ahead / ASKS_PER_REQUEST * hold_ms / f64::from(door.slots.max(1));
+        let wait_ms = ahead / f64::from(ASKS_PER_REQUEST) * hold_ms / f64::from(door.slots.max(1));
         Some(numbers::whole_u32(wait_ms))
     }
 }
--- a/lib/src/direct/front.rs
+++ b/lib/src/direct/front.rs
@@ -19,6 +19,7 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
+use crate::direct::catalog::DEFAULT_IDLE_TIMEOUT_MS;
 use crate::direct::exchange;
 use crate::direct::traffic::Traffic;
 use crate::logging::Level;
@@ -96,7 +97,7 @@
     let catalog = traffic.catalog.borrow();
     catalog
         .as_ref()
-        .map_or_else(|| 60_000, |catalog| catalog.idle_timeout_ms())
+        .map_or(DEFAULT_IDLE_TIMEOUT_MS, |catalog| catalog.idle_timeout_ms())
 }
 
 /// Serves the readiness until the process ends.
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -11,6 +11,7 @@
 use tokio::time::timeout_at;
 
 use crate::direct::dispatch::short_name;
+use crate::direct::door::ASKS_PER_REQUEST;
 use crate::direct::door::Ask;
 use crate::direct::door::AskId;
 use crate::direct::door::Asker;
@@ -21,9 +22,6 @@
 use crate::direct::traffic::Turn;
 use crate::logging::Level;
 
-/// Doors at which one request waits at a time. With one, it waits behind the wrong engine
-/// while another has room; each further one costs two messages.
-const MAX_ASKS: usize = 3;
 /// Silence of a door after which another one is asked, and at last the engine itself. Doors
 /// answer within a round trip of a few milliseconds; a lost datagram is rarer than this.
 const ANSWER_WITHIN: Duration = Duration::from_millis(40);
@@ -85,7 +83,7 @@
 
     /// Asks one more door; false if there is none to ask.
     fn ask_another(&mut self) -> bool {
-        if self.asks.len() >= MAX_ASKS {
+        if self.asks.len() >= usize::from(ASKS_PER_REQUEST) {
             return false;
         }
         let now_ms = self.traffic.now_ms();
@@ -218,18 +216,19 @@
         Some(Lease::new(traffic, upstream, false))
     }
 
-    /// Whether all doors expect the request to wait for too long; then the shortest wait.
-    fn is_hopeless(&self) -> Option<u64> {
-        if self.asks.len() < MAX_ASKS {
-            return None;
+    /// Whether all doors expect the request to wait for too long.
+    fn is_hopeless(&self) -> bool {
+        if self.asks.len() < usize::from(ASKS_PER_REQUEST) {
+            return false;
         }
-        let waits: Option<Vec<u32>> = self.asks.iter().map(|asked| asked.wait_ms).collect();
-        let shortest_ms = u64::from(waits?.into_iter().min()?);
         let left_ms = self
             .job
             .waits_until_ms()
             .saturating_sub(self.traffic.now_ms());
-        (shortest_ms > left_ms).then_some(shortest_ms)
+        let is_too_long = |wait_ms: u32| u64::from(wait_ms) > left_ms;
+        self.asks
+            .iter()
+            .all(|asked| asked.wait_ms.is_some_and(is_too_long))
     }
 
     fn refused(&self) -> Turn {
@@ -277,7 +276,7 @@
             Ok(Some(Word::Busy { ask, wait_ms })) => {
                 asking.note_busy(ask, wait_ms);
                 asking.ask_another();
-                if asking.is_hopeless().is_some() {
+                if asking.is_hopeless() {
                     return None;
                 }
             }
--- a/lib/src/speeds.rs
+++ b/lib/src/speeds.rs
@@ -2,6 +2,7 @@
 
 use indexmap::IndexMap;
 
+use crate::numbers;
 use crate::objects::Target;
 
 /// Share of a new sample in the quick average, which follows a slowdown within two or
@@ -88,11 +89,11 @@
     pub fn observe_first(&mut self, target: &Target, prompt_tokens: u32, after_us: u64) {
         let speed = self.by_target.entry(target.clone()).or_default();
         if matches!(target, Target::Service(_)) {
-            speed.first_us.observe(micros(after_us), 1.0);
+            speed.first_us.observe(numbers::as_f64(after_us), 1.0);
         } else if prompt_tokens > 0 {
             let prompt_tokens = f64::from(prompt_tokens);
             let step_us = speed.step_us.value().unwrap_or(0.0);
-            let prefill_us = (micros(after_us) - step_us).max(0.0);
+            let prefill_us = (numbers::as_f64(after_us) - step_us).max(0.0);
             let weight = prompt_tokens / (prompt_tokens + HALF_WEIGHT_TOKENS);
             let sample = prefill_us / prompt_tokens;
             speed.prefill_us_per_token.observe(sample, weight);
@@ -103,7 +104,7 @@
     pub fn observe_tokens(&mut self, target: &Target, count: u32, elapsed_us: u64) {
         if count > 0 && elapsed_us > 0 {
             let speed = self.by_target.entry(target.clone()).or_default();
-            let sample = micros(elapsed_us) / f64::from(count);
+            let sample = numbers::as_f64(elapsed_us) / f64::from(count);
             speed.step_us.observe(sample, 1.0);
         }
     }
@@ -117,13 +118,13 @@
         let prefill = speed.prefill_us_per_token.value().unwrap_or(0.0) * f64::from(prompt_tokens);
         let steps = speed.step_us.value().unwrap_or(0.0) * f64::from(output_tokens);
         let first = speed.first_us.value().unwrap_or(0.0);
-        whole(prefill + steps + first)
+        numbers::whole_u64(prefill + steps + first)
     }
 
     /// The expected time between two tokens, over all models; 0 where nothing is known.
     #[must_use]
     pub fn step_us(&self) -> u64 {
-        whole(self.slowest(|speed| speed.step_us.value()))
+        numbers::whole_u64(self.slowest(|speed| speed.step_us.value()))
     }
 
     /// Prompt tokens per second, over all models; 0 where nothing is known.
@@ -131,7 +132,7 @@
     pub fn prefill_tokens_per_s(&self) -> u64 {
         let us_per_token = self.slowest(|speed| speed.prefill_us_per_token.value());
         if us_per_token > 0.0 {
-            whole(1_000_000.0 / us_per_token)
+            numbers::whole_u64(1_000_000.0 / us_per_token)
         } else {
             0
         }
@@ -141,20 +142,3 @@
         self.by_target.values().filter_map(of).fold(0.0, f64::max)
     }
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "times of centuries may lose microseconds"
-)]
-fn micros(us: u64) -> f64 {
-    us as f64
-}
-
-#[expect(
-    clippy::cast_possible_truncation,
-    clippy::cast_sign_loss,
-    reason = "averages of times are not negative, and the cast saturates"
-)]
-fn whole(us: f64) -> u64 {
-    us as u64
-}
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use platform_testkit::node::KEY;
+use platform_testkit::node;
 use reqwest::Client;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
@@ -21,7 +21,7 @@
 /// Pause of a caller between two requests.
 const PAUSE: Duration = Duration::from_millis(15);
 /// How long callers wait for an answer, as they tell the entry.
-const DEADLINE: Duration = Duration::from_secs(3);
+const DEADLINE_MS: u64 = 3_000;
 
 /// Callers that run until they are told to stop.
 #[derive(Debug)]
@@ -84,7 +84,7 @@
         // It never sends by itself again what it has sent: each try has its own name.
         let client = Client::builder()
             .retry(reqwest::retry::never())
-            .timeout(DEADLINE + DEADLINE)
+            .timeout(2 * Duration::from_millis(DEADLINE_MS))
             .build()
             .expect("a client");
         while !self.is_over.load(Ordering::Relaxed) {
@@ -100,12 +100,7 @@
 
     async fn call(&self, client: &Client, kind: Kind, id: String) -> Request {
         let sent = Instant::now();
-        let call = client
-            .post(format!("http://{}{}", self.entry, kind.path()))
-            .header("Host", "returns.example")
-            .header("Attempt-Id", &id)
-            .header("Deadline-Ms", DEADLINE.as_millis().to_string())
-            .header("Credential", KEY);
+        let call = node::call(client, self.entry, kind.path(), &id, DEADLINE_MS);
         let ended = match call.send().await {
             Err(_) => Ended::NoAnswer,
             Ok(mut answer) => {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -159,12 +159,12 @@
         let run = |worker: &Worker| {
             let name = worker.name.clone();
             let runs = worker.stand_in.seen().into_iter().map(move |seen| Run {
-                id: seen.header("attempt-id").to_owned(),
+                id: seen.id().to_owned(),
                 worker: name.clone(),
                 at: seen.at,
-                customer: seen.header("tenant").to_owned(),
+                customer: seen.customer().to_owned(),
                 target: seen.target.clone(),
-                has_key: !seen.header("credential").is_empty(),
+                has_key: seen.has_key(),
             });
             runs.collect::<Vec<_>>()
         };
