attempt_budget: second attempts by the platform's own window

Cause: an entry kept no more than its part of the slack, three attempts on a fleet of thirty, so what calm seconds allowed was forgotten when half of the answers failed for four seconds. Ruled out: lending attempts between entries; the platform's sum needs no exactness that the window lacks. Streamed and answered lines also tell the tiers that decided their order.

--- a/lib/src/direct/attempt_budget.rs
+++ b/lib/src/direct/attempt_budget.rs
@@ -4,9 +4,12 @@
 
 use indexmap::IndexMap;
 
+use crate::direct::spending_window::SpendingWindow;
+
 /// Part of what is allowed that is used. The rest covers requests that are counted in
-/// another span than ours: the platform counts over a sliding window, we by a bucket.
+/// another span than ours, since the windows of the platform begin elsewhere.
 const USED_PART: f64 = 0.85;
+const MS_PER_S: f64 = 1_000.0;
 
 /// What the platform allows all entries together.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -15,28 +18,41 @@
     pub ratio: f64,
     /// Second attempts beyond that in one window.
     pub slack: f64,
+    /// The span over which the platform counts.
+    pub window_s: f64,
+}
+
+/// Requests and second attempts of the last window at one service.
+#[derive(Clone, Debug)]
+struct Counts {
+    requests: SpendingWindow,
+    attempts: SpendingWindow,
 }
 
 /// Second attempts that this entry may still make at each service.
 ///
-/// Each request earns a part of an attempt; the slack is divided evenly between the entries.
-/// Without it, an overload that breaks attempts makes more attempts, which keep the overload
-/// up after its cause is gone.
+/// Each request of the last window allows a part of an attempt; the slack is divided evenly
+/// between the entries. Without a budget, an overload that breaks attempts makes more
+/// attempts, which keep the overload up after its cause is gone.
+///
+/// The window is the platform's own. A budget that keeps no more than its part of the slack
+/// forgets what calm seconds earned: one entry of thirty could repeat three requests at once,
+/// when half of an engine's answers failed for four seconds.
 ///
 /// ```
 /// use sardinewood::direct::attempt_budget::{AttemptBudget, AttemptLimits};
 ///
-/// let limits = AttemptLimits { ratio: 0.2, slack: 4.0 };
+/// let limits = AttemptLimits { ratio: 0.2, slack: 4.0, window_s: 10.0 };
 /// let mut budget = AttemptBudget::new(limits);
 /// budget.set_entries(2);
-/// assert!(budget.take(&"s".into()));
-/// assert!(!budget.take(&"s".into()));
+/// assert!(budget.take(&"s".into(), 0));
+/// assert!(!budget.take(&"s".into(), 0));
 /// ```
 #[derive(Clone, Debug)]
 pub struct AttemptBudget {
     limits: AttemptLimits,
     entries: usize,
-    left: IndexMap<Arc<str>, f64>,
+    counts: IndexMap<Arc<str>, Counts>,
 }
 
 impl AttemptBudget {
@@ -44,14 +60,14 @@
     ///
     /// ```
     /// # use sardinewood::direct::attempt_budget::{AttemptBudget, AttemptLimits};
-    /// let _ = AttemptBudget::new(AttemptLimits { ratio: 0.2, slack: 50.0 });
+    /// let _ = AttemptBudget::new(AttemptLimits { ratio: 0.2, slack: 50.0, window_s: 10.0 });
     /// ```
     #[must_use]
     pub fn new(limits: AttemptLimits) -> Self {
         Self {
             limits,
             entries: 1,
-            left: IndexMap::new(),
+            counts: IndexMap::new(),
         }
     }
 
@@ -59,11 +75,15 @@
     ///
     /// ```
     /// # use sardinewood::direct::attempt_budget::{AttemptBudget, AttemptLimits};
-    /// let mut budget = AttemptBudget::new(AttemptLimits { ratio: 0.2, slack: 50.0 });
-    /// budget.set_limits(AttemptLimits { ratio: 0.2, slack: 0.0 });
-    /// assert!(!budget.take(&"s".into()));
+    /// # let limits = AttemptLimits { ratio: 0.2, slack: 50.0, window_s: 10.0 };
+    /// let mut budget = AttemptBudget::new(limits);
+    /// budget.set_limits(AttemptLimits { slack: 0.0, ..limits });
+    /// assert!(!budget.take(&"s".into(), 0));
     /// ```
     pub fn set_limits(&mut self, limits: AttemptLimits) {
+        if limits.window_s.total_cmp(&self.limits.window_s).is_ne() {
+            self.counts.clear();
+        }
         self.limits = limits;
     }
 
@@ -71,7 +91,8 @@
     ///
     /// ```
     /// # use sardinewood::direct::attempt_budget::{AttemptBudget, AttemptLimits};
-    /// AttemptBudget::new(AttemptLimits { ratio: 0.2, slack: 50.0 }).set_entries(4);
+    /// # let limits = AttemptLimits { ratio: 0.2, slack: 50.0, window_s: 10.0 };
+    /// AttemptBudget::new(limits).set_entries(4);
     /// ```
     pub fn set_entries(&mut self, entries: usize) {
         self.entries = entries.max(1);
@@ -81,35 +102,40 @@
     ///
     /// ```
     /// # use sardinewood::direct::attempt_budget::{AttemptBudget, AttemptLimits};
-    /// AttemptBudget::new(AttemptLimits { ratio: 0.2, slack: 50.0 }).earn(&"s".into());
+    /// # let limits = AttemptLimits { ratio: 0.2, slack: 50.0, window_s: 10.0 };
+    /// AttemptBudget::new(limits).earn(&"s".into(), 0);
     /// ```
-    pub fn earn(&mut self, service: &Arc<str>) {
-        let most = self.most();
-        let earned = self.limits.ratio * USED_PART;
-        let left = self.left.entry(Arc::clone(service)).or_insert(most);
-        *left = (*left + earned).min(most);
+    pub fn earn(&mut self, service: &Arc<str>, now_ms: u64) {
+        self.counts(service, now_ms).requests.spend(1.0, now_ms);
     }
 
     /// Takes a second attempt at a service out of the budget, if there is one left.
     ///
     /// ```
     /// # use sardinewood::direct::attempt_budget::{AttemptBudget, AttemptLimits};
-    /// let mut empty = AttemptBudget::new(AttemptLimits { ratio: 0.0, slack: 0.0 });
-    /// assert!(!empty.take(&"s".into()));
+    /// let none = AttemptLimits { ratio: 0.0, slack: 0.0, window_s: 10.0 };
+    /// assert!(!AttemptBudget::new(none).take(&"s".into(), 0));
     /// ```
-    pub fn take(&mut self, service: &Arc<str>) -> bool {
-        let most = self.most();
-        let left = self.left.entry(Arc::clone(service)).or_insert(most);
-        *left = left.min(most);
-        if *left < 1.0 {
+    pub fn take(&mut self, service: &Arc<str>, now_ms: u64) -> bool {
+        let entries = u32::try_from(self.entries).unwrap_or(u32::MAX);
+        let slack = self.limits.slack / f64::from(entries);
+        let ratio = self.limits.ratio;
+        let counts = self.counts(service, now_ms);
+        let allowed = (counts.requests.spent(now_ms) * ratio + slack) * USED_PART;
+        if counts.attempts.spent(now_ms) + 1.0 > allowed {
             return false;
         }
-        *left -= 1.0;
+        counts.attempts.spend(1.0, now_ms);
         true
     }
 
-    fn most(&self) -> f64 {
-        let entries = u32::try_from(self.entries).unwrap_or(u32::MAX);
-        self.limits.slack * USED_PART / f64::from(entries)
+    fn counts(&mut self, service: &Arc<str>, now_ms: u64) -> &mut Counts {
+        let window_ms = self.limits.window_s * MS_PER_S;
+        self.counts
+            .entry(Arc::clone(service))
+            .or_insert_with(|| Counts {
+                requests: SpendingWindow::new(window_ms, 0.0, now_ms),
+                attempts: SpendingWindow::new(window_ms, 0.0, now_ms),
+            })
     }
 }
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -364,7 +364,11 @@
         return true;
     }
     let sent = u32::try_from(call.tried.len()).unwrap_or(u32::MAX);
-    sent < call.route.max_upstreams && traffic.budget.borrow_mut().take(&call.service)
+    sent < call.route.max_upstreams
+        && traffic
+            .budget
+            .borrow_mut()
+            .take(&call.service, traffic.now_ms())
 }
 
 enum Finished {
@@ -429,6 +433,8 @@
     traffic.log_of(outcome, Level::Info, "answered", |line| {
         line.field("request", call.name())
             .field("route", &call.route.name)
+            .field("tier", call.tier)
+            .field("customer_tier", call.customer_tier)
             .field("status", status.as_u16())
             .field("upstreams", &call.tried)
             .field("waited_ms", call.waited_ms)
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -246,6 +246,8 @@
             .log_of(success, Level::Info, "streamed", |line| {
                 line.field("request", self.call.name())
                     .field("route", &self.call.route.name)
+                    .field("tier", self.call.tier)
+                    .field("customer_tier", self.call.customer_tier)
                     .field("upstreams", &self.call.tried)
                     .field("waited_ms", self.call.waited_ms)
                     .field("held_ms", self.traffic.now_ms() - source.lease.since_ms())
--- a/lib/tests/test_direct_shares.rs
+++ b/lib/tests/test_direct_shares.rs
@@ -253,13 +253,14 @@
     let limits = AttemptLimits {
         ratio: 0.2,
         slack: 52.0,
+        window_s: 10.0,
     };
     let service: Arc<str> = "s".into();
     let mut taken = 0;
     for _ in 0..4 {
         let mut budget = AttemptBudget::new(limits);
         budget.set_entries(4);
-        while budget.take(&service) {
+        while budget.take(&service, 0) {
             taken += 1;
         }
     }
@@ -271,16 +272,39 @@
     let mut budget = AttemptBudget::new(AttemptLimits {
         ratio: 0.2,
         slack: 4.0,
+        window_s: 10.0,
     });
     let service: Arc<str> = "s".into();
-    while budget.take(&service) {}
+    while budget.take(&service, 0) {}
     for _ in 0..12 {
-        budget.earn(&service);
+        budget.earn(&service, 0);
     }
-    let taken = std::iter::from_fn(|| budget.take(&service).then_some(())).count();
+    let taken = std::iter::from_fn(|| budget.take(&service, 0).then_some(())).count();
     assert_eq!(taken, 2);
 }
 
+#[test]
+fn calm_requests_pay_for_a_burst_of_failures() {
+    // One entry of thirty serves ten requests a second. Then half of the answers fail for
+    // four seconds, and their callers could be served by a second engine: what the calm
+    // seconds before allowed still counts, and no window gets more than its part.
+    let mut budget = AttemptBudget::new(AttemptLimits {
+        ratio: 0.2,
+        slack: 100.0,
+        window_s: 10.0,
+    });
+    budget.set_entries(30);
+    let service: Arc<str> = "s".into();
+    for now_ms in (0..10_000).step_by(100) {
+        budget.earn(&service, now_ms);
+    }
+    let taken = (10_000..14_000)
+        .step_by(200)
+        .filter(|now_ms| budget.take(&service, *now_ms))
+        .count();
+    assert!((14..=20).contains(&taken), "{taken}");
+}
+
 fn heartbeat(sequence: u64) -> Heartbeat {
     Heartbeat {
         incarnation: 1,
