place, usual: engines that are not known yet count as usual, and read as they write

Cause: in the first seconds, and after all entries were lost, an engine that this entry had not called yet counted as free of cost, and its reading was known only to whoever had sent it a prompt. Each of thirty entries sent long answers to engines four times slower to find out. Ruled out: asking engines for their reports (priced, and stale by seconds); waiting longer. Now an engine without samples counts as what is usual at its service, and one whose reading was not seen is judged by its writing, which peers tell.

--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -5,7 +5,7 @@
 //! running and what customers have spent, so that no process in the middle is needed.
 //!
 //! [`catalog`], [`directory`], [`dispatch`], [`door`], [`job`], [`allotment`], [`attempt_budget`], [`health`],
-//! [`peer_table`] and [`report`] decide and know no socket. [`connections`], [`exchange`], [`front`] and [`peers`] carry
+//! [`place`], [`usual`], [`peer_table`] and [`report`] decide and know no socket. [`connections`], [`exchange`], [`front`] and [`peers`] carry
 //! bytes and decide nothing.
 
 pub mod allotment;
@@ -28,6 +28,7 @@
 pub mod peer_message;
 pub mod peer_table;
 pub mod peers;
+pub mod place;
 pub mod pull;
 pub mod refusal;
 pub mod relay;
@@ -36,3 +37,4 @@
 pub mod server;
 pub mod spending_window;
 pub mod traffic;
+pub mod usual;
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -9,47 +9,24 @@
 
 use crate::direct::directory::Upstream;
 use crate::direct::door;
-use crate::direct::door::FIRST_HOLD_MS;
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
-use crate::direct::health::Moving;
 use crate::direct::job::Job;
 use crate::direct::job::MIN_RETRY_AFTER_MS;
 use crate::direct::peer_message::Running;
+use crate::direct::place::Place;
 use crate::direct::report::RunningPart;
+use crate::direct::usual::Usual;
 use crate::numbers;
 
-/// Events that a stream is expected to have where nothing is known of it.
-const EXPECTED_EVENTS: f64 = 20.0;
-/// Part of what is known of lengths that each answer's own length replaces.
-const LENGTH_PART: f64 = 0.02;
 /// Part of the time that a request has left that it may be expected to wait.
 const WAIT_PART: f64 = 0.5;
-/// How much slower than the best an upstream with many failures counts.
-const BAD_FACTOR: f64 = 20.0;
-const US_PER_MS: f64 = 1_000.0;
 /// Upstreams of which the best is asked.
 const DRAWN_PLACES: usize = 4;
-/// What it costs to wait at a full upstream, in usual holdings of a slot.
-const FULL_HOLDS: f64 = 1.0;
-/// How much longer than expected an answer may well be: callers' guesses are right at the
-/// median, and one in four answers is longer by this.
-const LENGTH_DOUBT: f64 = 1.4;
-/// What an answer costs that is likely to be cut at its deadline, in usual holdings.
-const CUT_HOLDS: f64 = 10.0;
 /// Time on the way to an upstream and back, and for a new connection, within one region.
 const WAY_MS: u64 = 15;
 /// How much longer than usual a first event may take beside other prompts.
 const LEAD_FACTOR: f64 = 1.3;
-/// Time without any answer beyond several times the usual after which an upstream counts as
-/// stalled. Healthy ones begin within a few hundred milliseconds, since they get only what
-/// they can begin.
-const STALL_MS: u64 = 800;
-const STALL_FACTOR: f64 = 4.0;
-/// How long a peer's word that an upstream has stalled is believed; its heartbeats repeat it.
-const PEER_STALL_MS: u64 = 700;
-/// What the last slot of an upstream costs, in usual holdings of a slot.
-const CROWD_HOLDS: f64 = 1.0;
 /// How long the load that a peer reported is believed.
 const PEER_LOAD_MS: u64 = 1_500;
 
@@ -74,52 +51,12 @@
     pub upstream: Arc<Upstream>,
 }
 
-#[derive(Clone, Debug)]
-struct Place {
-    upstream: Arc<Upstream>,
-    /// Its short name, which is asked for with each heartbeat and each choice.
-    name: u32,
-    is_listed: bool,
-    running: u32,
-    health: Health,
-    /// When a request there that has no answer yet becomes suspicious, by its number.
-    unanswered: IndexMap<u64, u64>,
-    /// Until when a peer's word that it answers nothing is believed.
-    peer_stalled_until_ms: u64,
-}
-
-impl Place {
-    /// Whether it neither breaks nor hangs.
-    fn works(&self, now_ms: u64) -> bool {
-        !self.health.is_paused(now_ms) && !self.is_stalled(now_ms)
-    }
-
-    /// Whether a request has had no answer there for much longer than it should take.
-    ///
-    /// An engine that hangs takes requests like any other and breaks nothing, so without this
-    /// each entry would go on feeding it until its callers have left.
-    fn is_stalled(&self, now_ms: u64) -> bool {
-        now_ms < self.peer_stalled_until_ms || self.has_stalled_here(now_ms)
-    }
-
-    fn has_stalled_here(&self, now_ms: u64) -> bool {
-        self.unanswered.values().any(|at_ms| now_ms >= *at_ms)
-    }
-}
-
 #[derive(Clone, Debug, Default)]
 struct PeerLoad {
     at_ms: u64,
     running: IndexMap<u32, u16>,
 }
 
-/// How many events answers had, and how many tokens their callers expected; both fade.
-#[derive(Clone, Copy, Debug, Default)]
-struct Lengths {
-    events: f64,
-    tokens: f64,
-}
-
 /// The waiting requests and the upstreams of one entry.
 ///
 /// ```
@@ -132,8 +69,7 @@
 pub struct Dispatcher {
     places: IndexMap<Arc<str>, Place>,
     waiting: Vec<Job>,
-    holds: IndexMap<Arc<str>, Moving>,
-    lengths: IndexMap<Arc<str>, Lengths>,
+    usual: IndexMap<Arc<str>, Usual>,
     peers: IndexMap<u64, PeerLoad>,
 }
 
@@ -163,15 +99,7 @@
             let place = self
                 .places
                 .entry(Arc::clone(&upstream.instance))
-                .or_insert_with(|| Place {
-                    upstream: Arc::clone(upstream),
-                    name: short_name(&upstream.instance),
-                    is_listed: true,
-                    running: 0,
-                    health: Health::default(),
-                    unanswered: IndexMap::new(),
-                    peer_stalled_until_ms: 0,
-                });
+                .or_insert_with(|| Place::new(upstream));
             place.upstream = Arc::clone(upstream);
             place.is_listed = true;
         }
@@ -202,13 +130,15 @@
             .map(|running| (running.upstream, running))
             .collect();
         for place in self.places.values_mut() {
-            let told = by_name.get(&place.name);
-            if told.is_some_and(|told| told.is_stalled) {
-                place.peer_stalled_until_ms = now_ms + PEER_STALL_MS;
-            }
-            if let Some(told) = told.filter(|told| told.event_us > 0) {
-                let event_ms = f64::from(told.event_us) / US_PER_MS;
-                place.health.hear_event_ms(event_ms, now_ms);
+            let Some(told) = by_name.get(&place.name) else {
+                continue;
+            };
+            if let Some(event_ms) = place.hear(told, now_ms) {
+                let service = Arc::clone(&place.upstream.service);
+                self.usual
+                    .entry(service)
+                    .or_default()
+                    .observe_event(event_ms);
             }
         }
         self.peers
@@ -228,7 +158,7 @@
             .map(move |place| Running {
                 upstream: place.name,
                 count: u16::try_from(place.running).unwrap_or(u16::MAX),
-                event_us: numbers::whole_u32(place.health.event_ms() * US_PER_MS),
+                event_us: place.event_us(),
                 is_stalled: place.has_stalled_here(now_ms),
             })
     }
@@ -415,7 +345,7 @@
         for _ in 0..DRAWN_PLACES.min(places.len()) {
             let place = places.swap_remove(random() % places.len());
             let running = place.running + self.running_elsewhere(place, now_ms);
-            let cost = self.cost_ms(place, running, job, now_ms);
+            let cost = place.cost_ms(running, job, self.usual_at(place), now_ms);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, place));
             }
@@ -437,10 +367,9 @@
     /// ```
     #[must_use]
     pub fn lead_ms(&self, instance: &str, job: &Job) -> u64 {
-        let first_ms = self
-            .places
-            .get(instance)
-            .map_or(0.0, |place| place.health.first_ms(job.prompt_tokens));
+        let first_ms = self.places.get(instance).map_or(0.0, |place| {
+            place.first_ms(job.prompt_tokens, self.usual_at(place))
+        });
         WAY_MS + whole_wait(first_ms * LEAD_FACTOR)
     }
 
@@ -477,10 +406,12 @@
     /// sardinewood::direct::dispatch::Dispatcher::default().sent("i-1", 1, 4_000, 0);
     /// ```
     pub fn sent(&mut self, instance: &str, id: u64, prompt_tokens: u32, now_ms: u64) {
-        if let Some(place) = self.places.get_mut(instance) {
-            let usual_ms = whole_wait(place.health.first_ms(prompt_tokens) * STALL_FACTOR);
-            place.unanswered.insert(id, now_ms + STALL_MS + usual_ms);
-        }
+        let Some(place) = self.places.get_mut(instance) else {
+            return;
+        };
+        let usual = self.usual.get(&place.upstream.service);
+        let first_ms = place.first_ms(prompt_tokens, usual.unwrap_or(&Usual::UNKNOWN));
+        place.sent(id, first_ms, now_ms);
     }
 
     /// Notes that the first part of a request's answer has come.
@@ -490,8 +421,7 @@
     /// ```
     pub fn answered(&mut self, instance: &str, id: u64) {
         if let Some(place) = self.places.get_mut(instance) {
-            place.unanswered.swap_remove(&id);
-            place.peer_stalled_until_ms = 0;
+            place.answered(id);
         }
     }
 
@@ -505,16 +435,11 @@
         let Some(place) = self.places.get_mut(instance) else {
             return;
         };
-        place.running = place.running.saturating_sub(1);
-        let stalls_at_ms = place.unanswered.swap_remove(&id);
-        let has_stalled = stalls_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
-        let ended = if has_stalled { Ended::Broken } else { ended };
-        place.health.ended(ended, now_ms);
+        let ended = place.finished(id, ended, now_ms);
         if ended == Ended::Answered {
-            self.holds
-                .entry(Arc::clone(&place.upstream.service))
-                .or_default()
-                .observe(numbers::as_f64(held_ms));
+            let service = Arc::clone(&place.upstream.service);
+            let usual = self.usual.entry(service).or_default();
+            usual.observe_hold(numbers::as_f64(held_ms));
         }
         if !place.is_listed && place.running == 0 {
             self.places.shift_remove(instance);
@@ -528,29 +453,29 @@
     /// dispatcher.learn_length(&"s".into(), 60, 20);
     /// ```
     pub fn learn_length(&mut self, service: &Arc<str>, tokens: u32, events: u64) {
-        let lengths = self.lengths.entry(Arc::clone(service)).or_default();
-        lengths.events += numbers::as_f64(events) - lengths.events * LENGTH_PART;
-        lengths.tokens += f64::from(tokens) - lengths.tokens * LENGTH_PART;
-    }
-
-    /// Events that a request's answer is expected to have.
-    fn expected_events(&self, job: &Job) -> f64 {
-        let lengths = self.lengths.get(&job.service);
-        match (job.expected_output_tokens, lengths) {
-            (Some(tokens), Some(lengths)) if lengths.tokens > 0.0 => {
-                f64::from(tokens) * lengths.events / lengths.tokens
-            }
-            _ => EXPECTED_EVENTS,
-        }
+        let usual = self.usual.entry(Arc::clone(service)).or_default();
+        usual.observe_length(tokens, events);
     }
 
-    /// What this entry has learned of an upstream, to add to it.
+    /// Adds to what this entry has learned of an upstream.
     ///
     /// ```
-    /// assert!(sardinewood::direct::dispatch::Dispatcher::default().health_mut("i").is_none());
+    /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// dispatcher.learn("i-1", |health| health.answered_after(30.0));
     /// ```
-    pub fn health_mut(&mut self, instance: &str) -> Option<&mut Health> {
-        self.places.get_mut(instance).map(|place| &mut place.health)
+    pub fn learn(&mut self, instance: &str, learn: impl FnOnce(&mut Health)) {
+        let Some(place) = self.places.get_mut(instance) else {
+            return;
+        };
+        learn(&mut place.health);
+        let service = Arc::clone(&place.upstream.service);
+        let usual = self.usual.entry(service).or_default();
+        usual.observe_speed(&place.health);
+    }
+
+    fn usual_at(&self, place: &Place) -> &Usual {
+        let usual = self.usual.get(&place.upstream.service);
+        usual.unwrap_or(&Usual::UNKNOWN)
     }
 
     /// How long a refused caller stays away: until about half of what waits is through.
@@ -600,10 +525,8 @@
 
     /// How long a request usually holds a slot of a service.
     fn hold_ms(&self, service: &str) -> f64 {
-        self.holds
-            .get(service)
-            .and_then(Moving::value)
-            .unwrap_or(FIRST_HOLD_MS)
+        let usual = self.usual.get(service);
+        usual.unwrap_or(&Usual::UNKNOWN).hold_ms()
     }
 
     fn best_place(&self, job: &Job, now_ms: u64) -> Option<Arc<str>> {
@@ -614,7 +537,7 @@
             if running >= place.upstream.slots {
                 continue;
             }
-            let cost = self.cost_ms(place, running, job, now_ms);
+            let cost = place.cost_ms(running, job, self.usual_at(place), now_ms);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, instance));
             }
@@ -645,35 +568,6 @@
     door::worth(job.worth_micros(), now_ms < job.objective_at_ms)
 }
 
-impl Dispatcher {
-    /// What it costs to run a request at an upstream where so many run already: its own time,
-    /// and the time for which it keeps the last slots from others.
-    ///
-    /// The second part is the same for a long and a short request, the first is not. So when
-    /// fast upstreams fill up, short requests go to slow ones first, and long ones, which a
-    /// slow upstream would not finish in time, keep to the fast ones.
-    fn cost_ms(&self, place: &Place, running: u32, job: &Job, now_ms: u64) -> f64 {
-        let health = &place.health;
-        let first_ms = health.first_ms(job.prompt_tokens);
-        let alone_ms = first_ms + health.event_ms() * self.expected_events(job);
-        let hold_ms = self.hold_ms(&job.service);
-        let fullness = f64::from(running) / f64::from(place.upstream.slots.max(1));
-        let left_ms = numbers::as_f64(job.objective_at_ms.saturating_sub(now_ms));
-        let late_ms = if first_ms > left_ms { hold_ms } else { 0.0 };
-        let ends_in_ms = numbers::as_f64(job.give_up_at_ms.saturating_sub(now_ms));
-        let is_cut = alone_ms * LENGTH_DOUBT > ends_in_ms;
-        let cut_ms = if is_cut { CUT_HOLDS * hold_ms } else { 0.0 };
-        let full_ms = if fullness < 1.0 {
-            0.0
-        } else {
-            FULL_HOLDS * hold_ms
-        };
-        let bad = if health.is_bad() { BAD_FACTOR } else { 1.0 };
-        (alone_ms + late_ms + cut_ms + full_ms + hold_ms * CROWD_HOLDS * fullness * fullness + 1.0)
-            * bad
-    }
-}
-
 /// A time in whole milliseconds; an infinite one becomes a minute.
 fn whole_wait(time_ms: f64) -> u64 {
     const MOST_MS: f64 = 60_000.0;
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -20,6 +20,7 @@
 use crate::direct::dispatch::short_name;
 use crate::direct::health::Moving;
 use crate::direct::report::RunningPart;
+use crate::direct::usual::FIRST_HOLD_MS;
 use crate::numbers;
 
 /// Worth of a request by its tier, in relation to the first. Both users' sheets put their
@@ -28,8 +29,6 @@
 /// Worth of an answer that comes after its objective, in relation to one in time. The
 /// operators' sheets put it at three tenths for all kinds.
 const LATE_FACTOR: f64 = 0.3;
-/// Expected holding of a slot before any request has ended.
-pub const FIRST_HOLD_MS: f64 = 300.0;
 /// Silence after which what a peer was granted counts as ended.
 const PEER_SILENCE_MS: u64 = 1_500;
 /// Doors at which one request waits at a time, so that its place in one queue counts a part.
--- a/lib/src/direct/health.rs
+++ b/lib/src/direct/health.rs
@@ -21,6 +21,9 @@
 }
 
 impl Moving {
+    /// An average without samples.
+    pub const NONE: Self = Self { value: None };
+
     /// Takes a sample in.
     ///
     /// ```
@@ -104,18 +107,22 @@
         self.pause_ms.observe(pause_ms);
     }
 
-    /// Takes a peer's word for the time between two events, if this entry has no recent sample.
+    /// Takes a peer's word for the time between two events, if this entry has no recent sample;
+    /// whether it did.
     ///
     /// ```
     /// let mut health = sardinewood::direct::health::Health::default();
-    /// health.hear_event_ms(15.0, 0);
-    /// assert!((health.event_ms() - 15.0).abs() < 0.1);
+    /// assert!(health.hear_event_ms(15.0, 0));
+    /// assert_eq!(health.event_ms(), Some(15.0));
     /// ```
-    pub fn hear_event_ms(&mut self, event_ms: f64, now_ms: u64) {
-        if self.pause_ms.value().is_none() || now_ms > self.sampled_at_ms + OWN_SAMPLE_MS {
+    pub fn hear_event_ms(&mut self, event_ms: f64, now_ms: u64) -> bool {
+        let is_news =
+            self.pause_ms.value().is_none() || now_ms > self.sampled_at_ms + OWN_SAMPLE_MS;
+        if is_news {
             self.pause_ms = Moving::default();
             self.pause_ms.observe(event_ms);
         }
+        is_news
     }
 
     /// Notes how long a whole answer took.
@@ -169,29 +176,36 @@
         self.failures > BAD_PART
     }
 
-    /// Expected time to the first event of a prompt, or to a plain answer.
-    ///
-    /// An upstream that nobody has asked yet counts as fast, so that it is tried.
+    /// Time to read a token of a prompt, if that was seen.
     ///
     /// ```
     /// let mut health = sardinewood::direct::health::Health::default();
     /// health.first_event(1_000, 20.0);
-    /// assert!((health.first_ms(500) - 10.0).abs() < 0.1);
+    /// assert_eq!(health.prefill_ms_per_token(), Some(0.02));
+    /// ```
+    #[must_use]
+    pub fn prefill_ms_per_token(&self) -> Option<f64> {
+        self.prefill_ms_per_token.value()
+    }
+
+    /// Time of a plain answer, 0 if none was seen: an upstream that nobody has asked yet
+    /// counts as fast, so that it is tried.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::health::Health::default().answer_ms() < 1e-9);
     /// ```
     #[must_use]
-    pub fn first_ms(&self, prompt_tokens: u32) -> f64 {
-        let read_ms = self.prefill_ms_per_token.value().unwrap_or_default();
-        read_ms * f64::from(prompt_tokens) + self.answer_ms.value().unwrap_or_default()
+    pub fn answer_ms(&self) -> f64 {
+        self.answer_ms.value().unwrap_or_default()
     }
 
-    /// Expected time between two events.
+    /// Time between two events, if it is known.
     ///
     /// ```
-    /// let health = sardinewood::direct::health::Health::default();
-    /// assert!(health.event_ms().abs() < 0.1);
+    /// assert_eq!(sardinewood::direct::health::Health::default().event_ms(), None);
     /// ```
     #[must_use]
-    pub fn event_ms(&self) -> f64 {
-        self.pause_ms.value().unwrap_or_default()
+    pub fn event_ms(&self) -> Option<f64> {
+        self.pause_ms.value()
     }
 }
--- /dev/null
+++ b/lib/src/direct/place.rs
@@ -0,0 +1,179 @@
+//! One upstream as an entry sees it: what runs there, whether it works, what a request costs.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::direct::directory::Upstream;
+use crate::direct::dispatch::short_name;
+use crate::direct::health::Ended;
+use crate::direct::health::Health;
+use crate::direct::job::Job;
+use crate::direct::peer_message::Running;
+use crate::direct::usual::Usual;
+use crate::numbers;
+
+/// How much slower than the best an upstream with many failures counts.
+const BAD_FACTOR: f64 = 20.0;
+const US_PER_MS: f64 = 1_000.0;
+/// What it costs to wait at a full upstream, in usual holdings of a slot.
+const FULL_HOLDS: f64 = 1.0;
+/// How much longer than expected an answer may well be: callers' guesses are right at the
+/// median, and one in four answers is longer by this.
+const LENGTH_DOUBT: f64 = 1.4;
+/// What an answer costs that is likely to be cut at its deadline, in usual holdings.
+const CUT_HOLDS: f64 = 10.0;
+/// What the last slot of an upstream costs, in usual holdings of a slot.
+const CROWD_HOLDS: f64 = 1.0;
+/// Time without any answer beyond several times the usual after which an upstream counts as
+/// stalled. Healthy ones begin within a few hundred milliseconds, since they get only what
+/// they can begin.
+const STALL_MS: u64 = 800;
+const STALL_FACTOR: f64 = 4.0;
+/// How long a peer's word that an upstream has stalled is believed; its heartbeats repeat it.
+const PEER_STALL_MS: u64 = 700;
+
+/// An upstream, and what this entry has to do with it.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// The upstream.
+    pub upstream: Arc<Upstream>,
+    /// Its short name, which is asked for with each heartbeat and each choice.
+    pub name: u32,
+    /// Whether it takes new work.
+    pub is_listed: bool,
+    /// Requests of this entry that run there.
+    pub running: u32,
+    /// What its answers have told.
+    pub health: Health,
+    /// When a request there that has no answer yet becomes suspicious, by its number.
+    unanswered: IndexMap<u64, u64>,
+    /// Until when a peer's word that it answers nothing is believed.
+    peer_stalled_until_ms: u64,
+}
+
+impl Place {
+    /// An upstream of which nothing is known.
+    #[must_use]
+    pub fn new(upstream: &Arc<Upstream>) -> Self {
+        Self {
+            upstream: Arc::clone(upstream),
+            name: short_name(&upstream.instance),
+            is_listed: true,
+            running: 0,
+            health: Health::default(),
+            unanswered: IndexMap::new(),
+            peer_stalled_until_ms: 0,
+        }
+    }
+
+    /// Whether it neither breaks nor hangs.
+    #[must_use]
+    pub fn works(&self, now_ms: u64) -> bool {
+        !self.health.is_paused(now_ms) && !self.is_stalled(now_ms)
+    }
+
+    /// Whether a request has had no answer there for much longer than it should take.
+    ///
+    /// An engine that hangs takes requests like any other and breaks nothing, so without this
+    /// each entry would go on feeding it until its callers have left.
+    fn is_stalled(&self, now_ms: u64) -> bool {
+        now_ms < self.peer_stalled_until_ms || self.has_stalled_here(now_ms)
+    }
+
+    /// Whether that is so with a request of this entry.
+    #[must_use]
+    pub fn has_stalled_here(&self, now_ms: u64) -> bool {
+        self.unanswered.values().any(|at_ms| now_ms >= *at_ms)
+    }
+
+    /// Takes a peer's word of it; the time between two events, if that was news.
+    pub fn hear(&mut self, told: &Running, now_ms: u64) -> Option<f64> {
+        if told.is_stalled {
+            self.peer_stalled_until_ms = now_ms + PEER_STALL_MS;
+        }
+        if told.event_us == 0 {
+            return None;
+        }
+        let event_ms = f64::from(told.event_us) / US_PER_MS;
+        self.health
+            .hear_event_ms(event_ms, now_ms)
+            .then_some(event_ms)
+    }
+
+    /// Notes that a request was sent whose answer usually begins after so long.
+    pub fn sent(&mut self, id: u64, first_ms: f64, now_ms: u64) {
+        let usual_ms = numbers::whole_u64(first_ms * STALL_FACTOR);
+        self.unanswered.insert(id, now_ms + STALL_MS + usual_ms);
+    }
+
+    /// Notes that the first part of a request's answer has come.
+    pub fn answered(&mut self, id: u64) {
+        self.unanswered.swap_remove(&id);
+        self.peer_stalled_until_ms = 0;
+    }
+
+    /// Frees the room of a request; how it ended, which is badly if it had stalled.
+    pub fn finished(&mut self, id: u64, ended: Ended, now_ms: u64) -> Ended {
+        self.running = self.running.saturating_sub(1);
+        let stalls_at_ms = self.unanswered.swap_remove(&id);
+        let has_stalled = stalls_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
+        let ended = if has_stalled { Ended::Broken } else { ended };
+        self.health.ended(ended, now_ms);
+        ended
+    }
+
+    /// Time between two events of a stream there, 0 if not known.
+    #[must_use]
+    pub fn event_us(&self) -> u32 {
+        let event_ms = self.health.event_ms().unwrap_or_default();
+        numbers::whole_u32(event_ms * US_PER_MS)
+    }
+
+    /// Expected time between two events: its own, or else what is usual at its service.
+    fn event_ms(&self, usual: &Usual) -> f64 {
+        let event_ms = self.health.event_ms();
+        event_ms.or(usual.event_ms()).unwrap_or_default()
+    }
+
+    /// Expected time to the first event of a prompt, or to a plain answer.
+    ///
+    /// An engine that is slow in writing is slow in reading. So one whose reading this entry
+    /// has not seen yet is judged by its writing, of which peers tell: otherwise each of
+    /// thirty entries sends it a long prompt to find out.
+    #[must_use]
+    pub fn first_ms(&self, prompt_tokens: u32, usual: &Usual) -> f64 {
+        let read_ms = self.health.prefill_ms_per_token();
+        let read_ms = read_ms.unwrap_or_else(|| self.event_ms(usual) * usual.prefill_per_event());
+        read_ms * f64::from(prompt_tokens) + self.health.answer_ms()
+    }
+
+    /// What it costs to run a request there while so many run already: its own time, and the
+    /// time for which it keeps the last slots from others.
+    ///
+    /// The second part is the same for a long and a short request, the first is not. So when
+    /// fast upstreams fill up, short requests go to slow ones first, and long ones, which a
+    /// slow upstream would not finish in time, keep to the fast ones.
+    #[must_use]
+    pub fn cost_ms(&self, running: u32, job: &Job, usual: &Usual, now_ms: u64) -> f64 {
+        let first_ms = self.first_ms(job.prompt_tokens, usual);
+        let events = usual.expected_events(job.expected_output_tokens);
+        let alone_ms = first_ms + self.event_ms(usual) * events;
+        let hold_ms = usual.hold_ms();
+        let fullness = f64::from(running) / f64::from(self.upstream.slots.max(1));
+        let left_ms = numbers::as_f64(job.objective_at_ms.saturating_sub(now_ms));
+        let late_ms = if first_ms > left_ms { hold_ms } else { 0.0 };
+        let ends_in_ms = numbers::as_f64(job.give_up_at_ms.saturating_sub(now_ms));
+        let is_cut = alone_ms * LENGTH_DOUBT > ends_in_ms;
+        let cut_ms = if is_cut { CUT_HOLDS * hold_ms } else { 0.0 };
+        let is_full = fullness >= 1.0;
+        let full_ms = if is_full { FULL_HOLDS * hold_ms } else { 0.0 };
+        let crowd_ms = hold_ms * CROWD_HOLDS * fullness * fullness;
+        let bad = if self.health.is_bad() {
+            BAD_FACTOR
+        } else {
+            1.0
+        };
+        (alone_ms + late_ms + cut_ms + full_ms + crowd_ms + 1.0) * bad
+    }
+}
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -124,9 +124,7 @@
     /// Adds to what is known of the upstream.
     pub fn learn(&self, learn: impl FnOnce(&mut Health)) {
         let mut dispatcher = self.traffic.dispatcher.borrow_mut();
-        if let Some(health) = dispatcher.health_mut(&self.upstream.instance) {
-            learn(health);
-        }
+        dispatcher.learn(&self.upstream.instance, learn);
     }
 
     /// Notes that a request was sent, and that an answer is due.
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -156,9 +156,10 @@
     dispatcher.set_upstreams(&[upstream("fast", 5), upstream("slow", 5)]);
     dispatcher.learn_length(&"pool".into(), 30, 10);
     for (name, event_ms, first_ms) in [("fast", 12.0, 20.0), ("slow", 55.0, 80.0)] {
-        let health = dispatcher.health_mut(name).expect("an upstream");
-        health.next_event(event_ms, 0);
-        health.first_event(1_000, first_ms);
+        dispatcher.learn(name, |health| {
+            health.next_event(event_ms, 0);
+            health.first_event(1_000, first_ms);
+        });
         dispatcher.began(name);
         dispatcher.finished(name, 0, Ended::Answered, 600, 0);
     }
@@ -181,6 +182,34 @@
     assert_eq!(at(&long), "fast");
 }
 
+#[test]
+fn long_prompt_not_sent_to_find_out_what_peers_know() {
+    // After a restart this entry has seen one engine read and write. Peers tell that another
+    // one writes four times as slowly, so it reads as slowly, and a long prompt would miss
+    // its first event there. An engine that nobody knows counts as usual, not as the best.
+    let mut dispatcher = Dispatcher::default();
+    let engines = ["known", "told", "unknown"].map(|name| upstream(name, 5));
+    dispatcher.set_upstreams(&engines);
+    dispatcher.learn("known", |health| {
+        health.first_event(1_000, 20.0);
+        health.next_event(12.0, 0);
+    });
+    let told = Running {
+        upstream: short_name("told"),
+        count: 1,
+        event_us: 48_000,
+        is_stalled: false,
+    };
+    dispatcher.set_peer_load(1, &RunningPart::whole(vec![told]), 0);
+    let long = Job {
+        prompt_tokens: 10_000,
+        ..job(1, 0)
+    };
+    let known_ms = dispatcher.lead_ms("known", &long);
+    assert!(dispatcher.lead_ms("told", &long) > known_ms * 3);
+    assert!(dispatcher.lead_ms("unknown", &long) >= known_ms);
+}
+
 #[test]
 fn many_entries_do_not_all_ask_the_same() {
     // Thirty entries know the same stale loads. Drawn at random, their choices spread.
@@ -261,9 +290,13 @@
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(&[upstream("i-1", 5)]);
     dispatcher.began("i-1");
+    dispatcher.learn("i-1", |health| health.answered_after(400.0));
+    let lead_ms = |dispatcher: &Dispatcher| dispatcher.lead_ms("i-1", &job(1, 0));
+    let known_ms = lead_ms(&dispatcher);
     dispatcher.set_upstreams(&[]);
+    assert_eq!(lead_ms(&dispatcher), known_ms);
     assert_eq!(dispatcher.running(0).count(), 1);
     dispatcher.finished("i-1", 1, Ended::Answered, 5, 1);
     assert_eq!(dispatcher.running(1).count(), 0);
-    assert!(dispatcher.health_mut("i-1").is_none());
+    assert!(lead_ms(&dispatcher) < known_ms);
 }
