--- a/agent/src/main.rs
+++ b/agent/src/main.rs
@@ -4,23 +4,22 @@
 use std::sync::Arc;
 
 use eyre::Context;
-use sardinewood::agent_server;
-use sardinewood::agent_settings;
-use sardinewood::agent_settings::AgentSettings;
-use sardinewood::config_process;
+use sardinewood::agent;
+use sardinewood::agent::settings::AgentSettings;
+use sardinewood::config;
+use sardinewood::config::spread_message::Identity;
+use sardinewood::config::spread_message::Role;
 use sardinewood::ids::Incarnation;
 use sardinewood::logging;
 use sardinewood::logging::Level;
 use sardinewood::logging::Line;
 use sardinewood::metrics::Metrics;
 use sardinewood::settings::Sources;
-use sardinewood::spread_message::Identity;
-use sardinewood::spread_message::Role;
 use sardinewood::stop_signal::StopSignal;
 use tokio::runtime;
 
 fn main() -> eyre::Result<ExitCode> {
-    agent_settings::program()
+    agent::settings::program()
         .read(Sources::of_process())
         .carry_out(|settings| {
             run(settings)?;
@@ -56,11 +55,11 @@
         data_centre: Arc::clone(&settings.data_centre),
         incarnation: Incarnation(rand::random()),
     };
-    let configuration = config_process::spawn(&settings.store_url, identity, &settings.peers)
+    let configuration = config::process::spawn(&settings.store_url, identity, &settings.peers)
         .await
         .wrap_err("can't follow the configuration")?;
     let catalog = configuration.config.catalog();
-    let agent = agent_server::spawn(settings, catalog, metrics.clone()).await?;
+    let agent = agent::server::spawn(settings, catalog, metrics.clone()).await?;
     Line::new(Level::Info, "started")
         .field("address", agent.address())
         .incarnation(agent.incarnation())
--- a/bench/src/bound.rs
+++ b/bench/src/bound.rs
@@ -13,9 +13,9 @@
 //! polymatroid, so taking requests by value per work, each as far as it fits, is optimal.
 
 use indexmap::IndexSet;
-use sardinewood::objects::Serves;
-use sardinewood::objects::TIER_COUNT;
-use sardinewood::objects::Target;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::TIER_COUNT;
+use sardinewood::config::objects::Target;
 
 use crate::fleet::Fleet;
 use crate::scenario::EngineKind;
--- a/bench/src/config.rs
+++ b/bench/src/config.rs
@@ -11,22 +11,22 @@
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
-use sardinewood::config_object::Kind;
-use sardinewood::config_object::ObjectKey;
-use sardinewood::config_process;
-use sardinewood::config_process::ConfigProcess;
-use sardinewood::config_process::PeerSettings;
-use sardinewood::config_state::ConfigState;
+use sardinewood::config::object::Kind;
+use sardinewood::config::object::ObjectKey;
+use sardinewood::config::process;
+use sardinewood::config::process::ConfigProcess;
+use sardinewood::config::process::PeerSettings;
+use sardinewood::config::spread_message::Identity;
+use sardinewood::config::spread_message::Role;
+use sardinewood::config::state::ConfigState;
 use sardinewood::ids::Incarnation;
-use sardinewood::operator_change::Author;
-use sardinewood::operator_change::carry_out;
-use sardinewood::operator_messages::Action;
-use sardinewood::operator_messages::ChangeAnswer;
-use sardinewood::operator_messages::ChangeRequest;
-use sardinewood::operator_messages::Expected;
+use sardinewood::operator::change::Author;
+use sardinewood::operator::change::carry_out;
+use sardinewood::operator::messages::Action;
+use sardinewood::operator::messages::ChangeAnswer;
+use sardinewood::operator::messages::ChangeRequest;
+use sardinewood::operator::messages::Expected;
 use sardinewood::secrets::Secret;
-use sardinewood::spread_message::Identity;
-use sardinewood::spread_message::Role;
 use sardinewood::store::StoredObject;
 use serde::Serialize;
 use serde_json::Value;
@@ -204,7 +204,7 @@
                 data_centre: "wdh-1".into(),
                 incarnation: Incarnation(index as u64),
             };
-            let process = config_process::spawn(&fleet.store.url(), identity, &peers).await?;
+            let process = process::spawn(&fleet.store.url(), identity, &peers).await?;
             fleet.processes.push(process);
         }
         Ok(fleet)
--- a/bench/src/faults/fleet_entry.rs
+++ b/bench/src/faults/fleet_entry.rs
@@ -4,22 +4,22 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use sardinewood::answer_reader::AnswerReader;
-use sardinewood::catalog::Catalog;
-use sardinewood::claim_object::StoreAnswer;
+use sardinewood::answer::reader::AnswerReader;
 use sardinewood::claims::ClaimRules;
 use sardinewood::claims::Claims;
-use sardinewood::entry_state::EntryEvent;
-use sardinewood::entry_state::EntryRules;
-use sardinewood::entry_state::EntryState;
+use sardinewood::claims::object::StoreAnswer;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::entry::state::EntryEvent;
+use sardinewood::entry::state::EntryRules;
+use sardinewood::entry::state::EntryState;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::order_queue::BarAnswer;
-use sardinewood::order_queue::OrderAnswer;
-use sardinewood::order_queue::OrderName;
-use sardinewood::order_queue::OrderRules;
+use sardinewood::link::wire::AgentMessage;
 use sardinewood::ordering::Orders;
-use sardinewood::wire::AgentMessage;
+use sardinewood::ordering::queue::BarAnswer;
+use sardinewood::ordering::queue::OrderAnswer;
+use sardinewood::ordering::queue::OrderName;
+use sardinewood::ordering::queue::OrderRules;
 
 use super::process::Process;
 use super::work::WorkId;
--- a/bench/src/faults/fleet_store.rs
+++ b/bench/src/faults/fleet_store.rs
@@ -2,19 +2,19 @@
 //! reads of an earlier state.
 
 use indexmap::IndexMap;
-use sardinewood::claim_object::Claim;
-use sardinewood::claim_object::ClaimState;
-use sardinewood::claim_object::StoreAnswer;
-use sardinewood::claim_object::StoreCall;
-use sardinewood::claim_object::StoredClaim;
+use sardinewood::caller::request_names::RequestName;
+use sardinewood::claims::object::Claim;
+use sardinewood::claims::object::ClaimState;
+use sardinewood::claims::object::StoreAnswer;
+use sardinewood::claims::object::StoreCall;
+use sardinewood::claims::object::StoredClaim;
 use sardinewood::ids::RequestId;
-use sardinewood::order_queue::BarAnswer;
-use sardinewood::order_queue::OrderAnswer;
-use sardinewood::order_queue::OrderCall;
-use sardinewood::order_queue::OrderName;
-use sardinewood::order_queue::Place;
-use sardinewood::order_queue::StoredQueue;
-use sardinewood::request_names::RequestName;
+use sardinewood::ordering::queue::BarAnswer;
+use sardinewood::ordering::queue::OrderAnswer;
+use sardinewood::ordering::queue::OrderCall;
+use sardinewood::ordering::queue::OrderName;
+use sardinewood::ordering::queue::Place;
+use sardinewood::ordering::queue::StoredQueue;
 
 /// What is wrong with the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/bench/src/faults/work.rs
+++ b/bench/src/faults/work.rs
@@ -3,18 +3,18 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
+use sardinewood::caller::request_names::CallDigest;
+use sardinewood::caller::request_names::RequestName;
+use sardinewood::caller::submission::Named;
+use sardinewood::caller::submission::Submission;
+use sardinewood::caller::submission::WorkEstimate;
+use sardinewood::config::objects::Customer;
+use sardinewood::config::objects::Profile;
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Tier;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Customer;
-use sardinewood::objects::Profile;
-use sardinewood::objects::Target;
-use sardinewood::objects::Tier;
-use sardinewood::order_queue::OrderName;
-use sardinewood::request_names::CallDigest;
-use sardinewood::request_names::RequestName;
-use sardinewood::submission::Named;
-use sardinewood::submission::Submission;
-use sardinewood::submission::WorkEstimate;
-use sardinewood::wire::Call;
+use sardinewood::link::wire::Call;
+use sardinewood::ordering::queue::OrderName;
 
 /// One thing that a caller wants done, through one or more requests.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -122,7 +122,7 @@
             deadline_ms: self.deadline_ms,
             model: None,
             non_idempotent: self.non_idempotent,
-            limits: sardinewood::objects::ProfileLimits::default(),
+            limits: sardinewood::config::objects::ProfileLimits::default(),
         }
     }
 }
--- a/bench/src/faults/world.rs
+++ b/bench/src/faults/world.rs
@@ -7,14 +7,14 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sardinewood::catalog::Catalog;
-use sardinewood::entry_state::EntryEvent;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::Upstream as UpstreamObject;
+use sardinewood::entry::state::EntryEvent;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Serves;
-use sardinewood::objects::Upstream as UpstreamObject;
-use sardinewood::wire::AgentMessage;
+use sardinewood::link::wire::AgentMessage;
 
 use super::checker::Heard;
 use super::checker::Record;
@@ -675,7 +675,7 @@
 
     /// Everybody learns of it within a few seconds.
     fn set_leaving(&mut self, agent: usize, leaving: bool) {
-        use sardinewood::objects::Activity;
+        use sardinewood::config::objects::Activity;
         let activity = if leaving {
             Activity::Draining
         } else {
@@ -758,7 +758,7 @@
         serves,
         slots: 6,
         kv_capacity_tokens: None,
-        activity: sardinewood::objects::Activity::Active,
+        activity: sardinewood::config::objects::Activity::Active,
         checks_fencing: false,
     }
 }
--- a/bench/src/faults/world_agents.rs
+++ b/bench/src/faults/world_agents.rs
@@ -2,18 +2,18 @@
 
 use std::sync::Arc;
 
-use sardinewood::agent_events::AgentEvent;
-use sardinewood::agent_events::AgentStep;
-use sardinewood::agent_events::CallProgress;
-use sardinewood::agent_events::CancelCause;
-use sardinewood::agent_events::Found;
-use sardinewood::agent_events::Probe;
-use sardinewood::agent_events::settled;
+use sardinewood::agent::events::AgentEvent;
+use sardinewood::agent::events::AgentStep;
+use sardinewood::agent::events::CallProgress;
+use sardinewood::agent::events::CancelCause;
+use sardinewood::agent::events::Found;
+use sardinewood::agent::events::Probe;
+use sardinewood::agent::events::settled;
 use sardinewood::ids::AttemptId;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::Settlement;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::Settlement;
 
 use super::engine::RunState;
 use super::fleet_agent::AgentInput;
--- a/bench/src/faults/world_entries.rs
+++ b/bench/src/faults/world_entries.rs
@@ -2,17 +2,17 @@
 
 use std::sync::Arc;
 
-use sardinewood::answer_reader::AnswerFrame;
-use sardinewood::answer_reader::AnswerReader;
-use sardinewood::answer_reader::ReadStep;
-use sardinewood::entry_state::EntryEvent;
-use sardinewood::entry_state::EntryStep;
+use sardinewood::answer::reader::AnswerFrame;
+use sardinewood::answer::reader::AnswerReader;
+use sardinewood::answer::reader::ReadStep;
+use sardinewood::entry::state::EntryEvent;
+use sardinewood::entry::state::EntryStep;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::RequestId;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::EntryMessage;
 use sardinewood::verdict::Outcome;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::EntryMessage;
 
 use super::checker::Heard;
 use super::fleet_agent::AgentInput;
--- a/bench/src/faults/world_records.rs
+++ b/bench/src/faults/world_records.rs
@@ -1,15 +1,15 @@
 //! Claims and orders of the fleet's entries, and the store that holds them.
 
 use rand::Rng;
-use sardinewood::claim_object::StoreAnswer;
 use sardinewood::claims::ClaimStep;
-use sardinewood::entry_state::EntryEvent;
-use sardinewood::entry_state::FinishedAs;
+use sardinewood::claims::object::StoreAnswer;
+use sardinewood::entry::state::EntryEvent;
+use sardinewood::entry::state::FinishedAs;
 use sardinewood::ids::RequestId;
-use sardinewood::order_queue::BarAnswer;
-use sardinewood::order_queue::OrderAnswer;
-use sardinewood::order_queue::OrderName;
-use sardinewood::order_queue::OrderStep;
+use sardinewood::ordering::queue::BarAnswer;
+use sardinewood::ordering::queue::OrderAnswer;
+use sardinewood::ordering::queue::OrderName;
+use sardinewood::ordering::queue::OrderStep;
 
 use super::fleet_entry::EntryInput;
 use super::fleet_store::FleetCall;
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use sardinewood::objects::Serves;
-use sardinewood::objects::Target;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::Target;
 
 use crate::scenario::Deployment;
 use crate::scenario::EngineKind;
--- a/bench/src/loopback_fleet.rs
+++ b/bench/src/loopback_fleet.rs
@@ -7,17 +7,17 @@
 use eyre::Context;
 use eyre::bail;
 use indexmap::IndexMap;
-use sardinewood::agent_server;
-use sardinewood::agent_server::AgentHandle;
-use sardinewood::agent_settings::AgentSettings;
-use sardinewood::catalog::Catalog;
-use sardinewood::entry_server;
-use sardinewood::entry_server::EntryHandle;
-use sardinewood::entry_settings::EntrySettings;
+use sardinewood::agent;
+use sardinewood::agent::server::AgentHandle;
+use sardinewood::agent::settings::AgentSettings;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::objects::Customer;
+use sardinewood::config::objects::Profile;
+use sardinewood::config::objects::Upstream;
+use sardinewood::entry;
+use sardinewood::entry::server::EntryHandle;
+use sardinewood::entry::settings::EntrySettings;
 use sardinewood::metrics::Metrics;
-use sardinewood::objects::Customer;
-use sardinewood::objects::Profile;
-use sardinewood::objects::Upstream;
 use sardinewood::secrets::sha256_hex;
 use serde_json::json;
 use testutils::engine_settings::EngineSettings;
@@ -79,7 +79,7 @@
             traffic_threads: size.entry_threads,
             ..EntrySettings::default()
         };
-        let entry = entry_server::spawn(&settings, catalog.subscribe(), Metrics::disabled())
+        let entry = entry::server::spawn(&settings, catalog.subscribe(), Metrics::disabled())
             .wrap_err("can't start the entry")?;
         engine_runtime.block_on(wait_for_links(&entry, size.engines))?;
         Ok(Self {
@@ -131,7 +131,7 @@
             upstream: upstream_name(index),
             ..AgentSettings::default()
         };
-        let agent = agent_server::spawn(settings, catalog.subscribe(), Metrics::disabled());
+        let agent = agent::server::spawn(settings, catalog.subscribe(), Metrics::disabled());
         agents.push(agent.await?);
     }
     Ok(agents)
--- a/bench/src/message.rs
+++ b/bench/src/message.rs
@@ -1,9 +1,9 @@
 //! What the processes of a policy tell each other in virtual time.
 
-use sardinewood::agent_events::LinkId;
+use sardinewood::agent::events::LinkId;
 use sardinewood::ids::AttemptId;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::EntryMessage;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::EntryMessage;
 
 use crate::engine_model::EngineEvent;
 
--- a/bench/src/own_policy.rs
+++ b/bench/src/own_policy.rs
@@ -6,34 +6,34 @@
 use bytes::Bytes;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
-use sardinewood::agent_events::AgentEvent;
-use sardinewood::agent_events::AgentStep;
-use sardinewood::agent_events::CallProgress;
-use sardinewood::agent_events::CancelCause;
-use sardinewood::agent_events::Found;
-use sardinewood::agent_events::LinkId;
-use sardinewood::agent_events::Probe;
-use sardinewood::agent_state::AgentLimits;
-use sardinewood::agent_state::AgentState;
-use sardinewood::catalog::Catalog;
-use sardinewood::entry_state::EntryEvent;
-use sardinewood::entry_state::EntryRules;
-use sardinewood::entry_state::EntryState;
-use sardinewood::entry_state::EntryStep;
+use sardinewood::agent::events::AgentEvent;
+use sardinewood::agent::events::AgentStep;
+use sardinewood::agent::events::CallProgress;
+use sardinewood::agent::events::CancelCause;
+use sardinewood::agent::events::Found;
+use sardinewood::agent::events::LinkId;
+use sardinewood::agent::events::Probe;
+use sardinewood::agent::state::AgentLimits;
+use sardinewood::agent::state::AgentState;
+use sardinewood::caller::submission::Submission;
+use sardinewood::caller::submission::WorkEstimate;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::objects::Activity;
+use sardinewood::config::objects::Customer;
+use sardinewood::config::objects::Profile;
+use sardinewood::config::objects::Upstream;
+use sardinewood::entry::prefix_hints::BLOCK_TOKENS;
+use sardinewood::entry::state::EntryEvent;
+use sardinewood::entry::state::EntryRules;
+use sardinewood::entry::state::EntryState;
+use sardinewood::entry::state::EntryStep;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Activity;
-use sardinewood::objects::Customer;
-use sardinewood::objects::Profile;
-use sardinewood::objects::Upstream;
-use sardinewood::prefix_hints::BLOCK_TOKENS;
-use sardinewood::submission::Submission;
-use sardinewood::submission::WorkEstimate;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::Call;
-use sardinewood::wire::EntryMessage;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::Call;
+use sardinewood::link::wire::EntryMessage;
 
 use crate::engine_model::EngineEvent;
 use crate::message::Message;
@@ -925,7 +925,7 @@
             deadline_ms: offered.deadline_ms,
             model: None,
             non_idempotent: offered.non_idempotent,
-            limits: sardinewood::objects::ProfileLimits::default(),
+            limits: sardinewood::config::objects::ProfileLimits::default(),
         };
         (Arc::clone(&offered.name), Arc::new(profile))
     });
--- a/bench/src/scenario.rs
+++ b/bench/src/scenario.rs
@@ -7,10 +7,10 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use sardinewood::objects::Serves;
-use sardinewood::objects::TIER_COUNT;
-use sardinewood::objects::Target;
-use sardinewood::objects::Tier;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::TIER_COUNT;
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Tier;
 use serde::Deserialize;
 
 /// How a kind of model engine computes; a plain service is one without prompts.
--- a/bench/src/scenario_check.rs
+++ b/bench/src/scenario_check.rs
@@ -10,9 +10,9 @@
 use crate::scenario::Reports;
 use crate::scenario::Scenario;
 use crate::scenario::Tokens;
-use sardinewood::objects::Serves;
-use sardinewood::objects::TIER_COUNT;
-use sardinewood::objects::Target;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::TIER_COUNT;
+use sardinewood::config::objects::Target;
 
 /// All that is wrong with a scenario and its deployment.
 ///
--- a/bench/src/slopes/entry_slopes.rs
+++ b/bench/src/slopes/entry_slopes.rs
@@ -3,25 +3,25 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use sardinewood::catalog::Catalog;
-use sardinewood::entry_state::EntryEvent;
-use sardinewood::entry_state::EntryRules;
-use sardinewood::entry_state::EntryState;
-use sardinewood::entry_state::EntryStep;
+use sardinewood::caller::submission::Submission;
+use sardinewood::caller::submission::WorkEstimate;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::objects::Customer;
+use sardinewood::config::objects::Profile;
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Upstream;
+use sardinewood::entry::state::EntryEvent;
+use sardinewood::entry::state::EntryRules;
+use sardinewood::entry::state::EntryState;
+use sardinewood::entry::state::EntryStep;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Customer;
-use sardinewood::objects::Profile;
-use sardinewood::objects::Target;
-use sardinewood::objects::Upstream;
-use sardinewood::submission::Submission;
-use sardinewood::submission::WorkEstimate;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::Call;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::Load;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::Call;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::Load;
 use serde_json::json;
 
 use super::Memory;
@@ -197,11 +197,11 @@
 fn submitted(index: usize) -> EntryEvent {
     let profile = Profile {
         name: "lookup".into(),
-        tier: sardinewood::objects::Tier(2),
+        tier: sardinewood::config::objects::Tier(2),
         deadline_ms: 60_000,
         model: None,
         non_idempotent: false,
-        limits: sardinewood::objects::ProfileLimits::default(),
+        limits: sardinewood::config::objects::ProfileLimits::default(),
     };
     let customer = Customer {
         name: "customer-0817".into(),
--- a/bench/src/slopes/message_sizes.rs
+++ b/bench/src/slopes/message_sizes.rs
@@ -2,17 +2,17 @@
 
 use std::sync::Arc;
 
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Tier;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Target;
-use sardinewood::objects::Tier;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::Load;
-use sardinewood::wire::RefusalReason;
-use sardinewood::wire::Reservation;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::Load;
+use sardinewood::link::wire::RefusalReason;
+use sardinewood::link::wire::Reservation;
 use serde::Serialize;
 
 use super::Slope;
--- a/bench/src/tally.rs
+++ b/bench/src/tally.rs
@@ -1,7 +1,7 @@
 //! Counts what became of each request.
 
 use hdrhistogram::Histogram;
-use sardinewood::objects::TIER_COUNT;
+use sardinewood::config::objects::TIER_COUNT;
 use serde::Serialize;
 
 use crate::engine_model::PrefillCount;
--- a/bench/src/workload.rs
+++ b/bench/src/workload.rs
@@ -9,8 +9,8 @@
 use rand_distr::Distribution;
 use rand_distr::Exp;
 use rand_distr::LogNormal;
-use sardinewood::objects::Target;
-use sardinewood::objects::Tier;
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Tier;
 
 use crate::engine_model::PrefixPart;
 use crate::scenario::CustomerGroup;
--- a/ctl/src/action.rs
+++ b/ctl/src/action.rs
@@ -3,9 +3,9 @@
 use std::path::PathBuf;
 use std::sync::Arc;
 
-use sardinewood::config_object::Kind;
+use sardinewood::config::object::Kind;
+use sardinewood::config::objects::Activity;
 use sardinewood::findings::Findings;
-use sardinewood::objects::Activity;
 use sardinewood::settings::check_name;
 use serde_json::Value;
 
@@ -100,7 +100,7 @@
 /// The kind that a word of a command line names.
 ///
 /// ```
-/// use sardinewood::config_object::Kind;
+/// use sardinewood::config::object::Kind;
 /// use sardinewoodctl::action::kind_of;
 ///
 /// assert_eq!(kind_of("upstream"), Some(Kind::Upstreams));
@@ -206,8 +206,8 @@
     /// The object after the change, from what it was before; `None` if it is removed.
     ///
     /// ```
-    /// use sardinewood::config_object::Kind;
-    /// use sardinewood::objects::Activity;
+    /// use sardinewood::config::object::Kind;
+    /// use sardinewood::config::objects::Activity;
     /// use sardinewoodctl::action::{Command, Edit};
     /// use serde_json::json;
     ///
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sardinewood::operator_messages::Action as ChangeAction;
-use sardinewood::operator_messages::ChangeAnswer;
-use sardinewood::operator_messages::ChangeRequest;
-use sardinewood::operator_messages::Expected;
-use sardinewood::operator_messages::ObjectView;
+use sardinewood::operator::messages::Action as ChangeAction;
+use sardinewood::operator::messages::ChangeAnswer;
+use sardinewood::operator::messages::ChangeRequest;
+use sardinewood::operator::messages::Expected;
+use sardinewood::operator::messages::ObjectView;
 use serde_json::Value;
 use tokio::time::Instant;
 use tokio::time::sleep;
--- a/ctl/src/command_report.rs
+++ b/ctl/src/command_report.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use sardinewood::operator_messages::ChangeAnswer;
-use sardinewood::operator_messages::InForce;
-use sardinewood::operator_messages::ObjectView;
+use sardinewood::operator::messages::ChangeAnswer;
+use sardinewood::operator::messages::InForce;
+use sardinewood::operator::messages::ObjectView;
 use serde::Serialize;
 
 use crate::difference::difference;
@@ -32,7 +32,7 @@
     /// The report as text; `seen` is the object that the command was based on.
     ///
     /// ```
-    /// use sardinewood::operator_messages::ChangeAnswer;
+    /// use sardinewood::operator::messages::ChangeAnswer;
     /// use sardinewoodctl::command_report::CommandReport;
     ///
     /// let report = CommandReport {
--- a/ctl/src/shown.rs
+++ b/ctl/src/shown.rs
@@ -1,16 +1,16 @@
 //! Answers to queries as an operator reads them.
 
-use sardinewood::audit::Change;
-use sardinewood::config_object::Kind;
-use sardinewood::operator_messages::AuditEntry;
-use sardinewood::operator_messages::AuditTrail;
-use sardinewood::operator_messages::Decision;
-use sardinewood::operator_messages::Explanation;
-use sardinewood::operator_messages::ObjectView;
-use sardinewood::operator_messages::ObjectViews;
-use sardinewood::operator_messages::ProcessView;
-use sardinewood::operator_messages::Status;
-use sardinewood::operator_messages::UpstreamView;
+use sardinewood::config::object::Kind;
+use sardinewood::operator::audit::Change;
+use sardinewood::operator::messages::AuditEntry;
+use sardinewood::operator::messages::AuditTrail;
+use sardinewood::operator::messages::Decision;
+use sardinewood::operator::messages::Explanation;
+use sardinewood::operator::messages::ObjectView;
+use sardinewood::operator::messages::ObjectViews;
+use sardinewood::operator::messages::ProcessView;
+use sardinewood::operator::messages::Status;
+use sardinewood::operator::messages::UpstreamView;
 use serde_json::Value;
 
 use crate::difference::difference;
--- a/ctl/src/waiting.rs
+++ b/ctl/src/waiting.rs
@@ -2,8 +2,8 @@
 
 use std::time::Duration;
 
-use sardinewood::config_object::Kind;
-use sardinewood::operator_messages::InForce;
+use sardinewood::config::object::Kind;
+use sardinewood::operator::messages::InForce;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -27,7 +27,7 @@
 /// How far a change has got, in a line.
 ///
 /// ```
-/// use sardinewood::operator_messages::InForce;
+/// use sardinewood::operator::messages::InForce;
 /// use sardinewoodctl::waiting::progress;
 ///
 /// let in_force = InForce { processes: 35, missing: vec!["lang-1".into()] };
--- a/ctl/tests/test_command.rs
+++ b/ctl/tests/test_command.rs
@@ -1,7 +1,7 @@
 //! Commands against a small operator API, and what the operator reads.
 
-use sardinewood::config_object::Kind;
-use sardinewood::operator_messages::InForce;
+use sardinewood::config::object::Kind;
+use sardinewood::operator::messages::InForce;
 use sardinewoodctl::exit_code::End;
 use serde_json::Value;
 use serde_json::json;
--- a/ctl/tests/test_query.rs
+++ b/ctl/tests/test_query.rs
@@ -1,6 +1,6 @@
 //! Queries against a small operator API, and what the operator reads.
 
-use sardinewood::config_object::Kind;
+use sardinewood::config::object::Kind;
 use sardinewoodctl::exit_code::End;
 use serde_json::Value;
 use serde_json::json;
--- a/ctl/tests/test_with_entry.rs
+++ b/ctl/tests/test_with_entry.rs
@@ -1,10 +1,10 @@
 //! Commands and queries against an entry's own operator API before a store that fails.
 
 use sardinewood::config::Config;
-use sardinewood::config_watch::WatchTimings;
-use sardinewood::config_watch::follow;
-use sardinewood::operator_api::OperatorApi;
-use sardinewood::operator_server;
+use sardinewood::config::follow::WatchTimings;
+use sardinewood::config::follow::follow;
+use sardinewood::operator;
+use sardinewood::operator::api::OperatorApi;
 use sardinewood::secrets::sha256_hex;
 use sardinewood::store::StoreClient;
 use sardinewood::tls::TlsFeed;
@@ -60,7 +60,7 @@
         let api = OperatorApi::new("wdh-e1", config, client);
         let stop = CancellationToken::new();
         let free = "127.0.0.1:0".parse().unwrap();
-        let address = operator_server::spawn_secured(free, api, tls, stop.clone());
+        let address = operator::server::spawn_secured(free, api, tls, stop.clone());
         let address = address.await.unwrap();
         let url = format!("http://{address}");
         Self { store, url, stop }
--- a/entry/src/main.rs
+++ b/entry/src/main.rs
@@ -5,31 +5,30 @@
 use std::sync::Arc;
 
 use eyre::Context;
-use sardinewood::config_process;
-use sardinewood::config_process::ConfigProcess;
-use sardinewood::entry_server;
-use sardinewood::entry_server::EntryHandle;
-use sardinewood::entry_settings;
-use sardinewood::entry_settings::EntrySettings;
+use sardinewood::config;
+use sardinewood::config::process::ConfigProcess;
+use sardinewood::config::spread_message::Identity;
+use sardinewood::config::spread_message::Role;
+use sardinewood::entry;
+use sardinewood::entry::server::EntryHandle;
+use sardinewood::entry::settings::EntrySettings;
 use sardinewood::ids::Incarnation;
 use sardinewood::logging;
 use sardinewood::logging::Level;
 use sardinewood::logging::Line;
 use sardinewood::metrics::Metrics;
-use sardinewood::operator_api::EntryLink;
-use sardinewood::operator_api::OperatorApi;
-use sardinewood::operator_server;
+use sardinewood::operator;
+use sardinewood::operator::api::EntryLink;
+use sardinewood::operator::api::OperatorApi;
 use sardinewood::secrets::sha256_hex;
 use sardinewood::settings::Sources;
-use sardinewood::spread_message::Identity;
-use sardinewood::spread_message::Role;
 use sardinewood::stop_signal::StopSignal;
 use sardinewood::tls::TlsFeed;
 use tokio::runtime;
 use tokio_util::sync::CancellationToken;
 
 fn main() -> eyre::Result<ExitCode> {
-    entry_settings::program()
+    entry::settings::program()
         .read(Sources::of_process())
         .carry_out(|settings| {
             run(&settings)?;
@@ -61,10 +60,10 @@
         data_centre: Arc::clone(&settings.data_centre),
         incarnation,
     };
-    let configuration = config_process::spawn(&settings.store_url, identity, &settings.peers)
+    let configuration = config::process::spawn(&settings.store_url, identity, &settings.peers)
         .await
         .wrap_err("can't follow the configuration")?;
-    let entry = entry_server::spawn(settings, configuration.config.catalog(), metrics.clone())
+    let entry = entry::server::spawn(settings, configuration.config.catalog(), metrics.clone())
         .wrap_err_with(|| format!("can't serve callers on {}", settings.listen))?;
     let stop_operators = CancellationToken::new();
     let operators = serve_operators(settings, configuration, &entry, &stop_operators).await?;
@@ -98,7 +97,7 @@
         ..OperatorApi::new(&settings.host, configuration.config, configuration.store)
     };
     let tls = TlsFeed::open(&settings.tls).wrap_err("can't use the certificate")?;
-    operator_server::spawn_secured(settings.operator_listen, api, tls, stop.clone())
+    operator::server::spawn_secured(settings.operator_listen, api, tls, stop.clone())
         .await
         .wrap_err_with(|| format!("can't serve operators on {}", settings.operator_listen))
 }
--- /dev/null
+++ b/lib/src/agent.rs
@@ -0,0 +1,18 @@
+//! One agent beside one upstream: the only way to it, and the exact count of its room.
+//!
+//! It decides which reservation is granted and what becomes of each attempt. Programs start it
+//! by [`server`]; entries reach it over [`crate::link`]. It knows no callers, no routes and
+//! nothing of the store.
+
+pub mod attempts;
+pub(crate) mod control;
+pub mod events;
+pub mod grants;
+pub mod kept_answers;
+pub(crate) mod link;
+pub(crate) mod pump_registry;
+pub mod reservation_queue;
+pub mod server;
+pub mod settings;
+pub mod speeds;
+pub mod state;
--- a/lib/src/attempts.rs
+++ b/lib/src/agent/attempts.rs
@@ -9,15 +9,15 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::agent_events::LinkId;
+use crate::agent::events::LinkId;
+use crate::agent::kept_answers::KeptAnswers;
+use crate::config::objects::Target;
+use crate::config::objects::Tier;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
-use crate::kept_answers::KeptAnswers;
-use crate::objects::Target;
-use crate::objects::Tier;
-use crate::wire::Call;
-use crate::wire::Reservation;
-use crate::wire::Settlement;
+use crate::link::wire::Call;
+use crate::link::wire::Reservation;
+use crate::link::wire::Settlement;
 
 /// What the agent has to know of a request while it runs.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -185,7 +185,7 @@
 /// The records of attempts, those that are over within a bound.
 ///
 /// ```
-/// use sardinewood::attempts::Attempts;
+/// use sardinewood::agent::attempts::Attempts;
 /// use sardinewood::ids::{AttemptId, RequestId};
 ///
 /// let attempts = Attempts::new(10);
--- a/lib/src/agent_events.rs
+++ b/lib/src/agent/events.rs
@@ -2,19 +2,19 @@
 
 use std::sync::Arc;
 
+use crate::config::objects::Upstream;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
-use crate::objects::Upstream;
-use crate::wire::AgentMessage;
-use crate::wire::AnswerEnd;
-use crate::wire::Call;
-use crate::wire::EntryMessage;
-use crate::wire::Settlement;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::AnswerEnd;
+use crate::link::wire::Call;
+use crate::link::wire::EntryMessage;
+use crate::link::wire::Settlement;
 
 /// Names one link of an agent; never used twice in a process.
 ///
 /// ```
-/// use sardinewood::agent_events::LinkId;
+/// use sardinewood::agent::events::LinkId;
 ///
 /// assert!(LinkId(1) < LinkId(2));
 /// ```
@@ -148,9 +148,9 @@
 /// A message that tells the outcome of an attempt.
 ///
 /// ```
-/// use sardinewood::agent_events::settled;
+/// use sardinewood::agent::events::settled;
 /// use sardinewood::ids::{AttemptId, RequestId};
-/// use sardinewood::wire::{AgentMessage, Settlement};
+/// use sardinewood::link::wire::{AgentMessage, Settlement};
 ///
 /// let attempt = AttemptId { request: RequestId(1), number: 1 };
 /// let message = settled(attempt, Settlement::Ended);
--- a/lib/src/grants.rs
+++ b/lib/src/agent/grants.rs
@@ -2,11 +2,11 @@
 
 use indexmap::IndexMap;
 
-use crate::agent_events::LinkId;
+use crate::agent::events::LinkId;
+use crate::agent::reservation_queue::Waiting;
 use crate::ids::GrantId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
-use crate::reservation_queue::Waiting;
 
 /// A grant that waits for its answer and holds a slot meanwhile.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -20,7 +20,7 @@
 /// Unanswered grants; there are never more of them than slots and grants ahead.
 ///
 /// ```
-/// use sardinewood::grants::Grants;
+/// use sardinewood::agent::grants::Grants;
 /// use sardinewood::ids::Incarnation;
 ///
 /// let grants = Grants::new(Incarnation(1));
--- a/lib/src/kept_answers.rs
+++ b/lib/src/agent/kept_answers.rs
@@ -15,7 +15,7 @@
 ///
 /// ```
 /// use sardinewood::ids::{AttemptId, RequestId};
-/// use sardinewood::kept_answers::KeptAnswers;
+/// use sardinewood::agent::kept_answers::KeptAnswers;
 ///
 /// let attempt = AttemptId { request: RequestId(1), number: 1 };
 /// let mut answers = KeptAnswers::default();
--- a/lib/src/agent_link.rs
+++ b/lib/src/agent/link.rs
@@ -11,22 +11,22 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use crate::agent_events::LinkId;
-use crate::answer_pump::Outlet;
-use crate::answer_pump::PumpOrder;
-use crate::frames::AgentEnd;
-use crate::frames::FrameError;
-use crate::frames::FrameReader;
-use crate::frames::write_frames;
-use crate::link_pace::Heard;
-use crate::link_proof::ProofError;
-use crate::link_proof::prove_as_agent;
-use crate::pump_registry::PumpRegistry;
-use crate::spread_message::PeerKeys;
-use crate::wire::AgentMessage;
-use crate::wire::EntryMessage;
-use crate::wire::Hello;
-use crate::wire::PROTOCOL_VERSION;
+use crate::agent::events::LinkId;
+use crate::agent::pump_registry::PumpRegistry;
+use crate::answer::pump::Outlet;
+use crate::answer::pump::PumpOrder;
+use crate::config::spread_message::PeerKeys;
+use crate::link::frames::AgentEnd;
+use crate::link::frames::FrameError;
+use crate::link::frames::FrameReader;
+use crate::link::frames::write_frames;
+use crate::link::pace::Heard;
+use crate::link::proof::ProofError;
+use crate::link::proof::prove_as_agent;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::EntryMessage;
+use crate::link::wire::Hello;
+use crate::link::wire::PROTOCOL_VERSION;
 
 /// Control messages that may wait for the writer of a link. A link on which more wait is
 /// not read by its entry and is closed.
--- a/lib/src/reservation_queue.rs
+++ b/lib/src/agent/reservation_queue.rs
@@ -9,10 +9,10 @@
 
 use indexmap::IndexMap;
 
-use crate::agent_events::LinkId;
+use crate::agent::events::LinkId;
+use crate::config::objects::TIER_COUNT;
 use crate::ids::RequestId;
-use crate::objects::TIER_COUNT;
-use crate::wire::Reservation;
+use crate::link::wire::Reservation;
 
 /// Service is divided by weight in these units, so that whole numbers keep the fraction.
 const SHARE_SCALE: u64 = 1_000;
@@ -89,11 +89,11 @@
 /// Reservations in the order in which they are granted.
 ///
 /// ```
-/// use sardinewood::agent_events::LinkId;
+/// use sardinewood::agent::events::LinkId;
 /// use sardinewood::ids::RequestId;
-/// use sardinewood::objects::{Target, Tier};
-/// use sardinewood::reservation_queue::{ReservationQueue, Waiting};
-/// use sardinewood::wire::Reservation;
+/// use sardinewood::config::objects::{Target, Tier};
+/// use sardinewood::agent::reservation_queue::{ReservationQueue, Waiting};
+/// use sardinewood::link::wire::Reservation;
 ///
 /// let waiting = |id, tier| Waiting {
 ///     link: LinkId(1),
--- a/lib/src/agent_server.rs
+++ b/lib/src/agent/server.rs
@@ -18,22 +18,22 @@
 use tokio::time::Instant;
 use tokio_util::sync::CancellationToken;
 
-use crate::agent_control::AgentControl;
-use crate::agent_control::ControlParts;
-use crate::agent_events::LinkId;
-use crate::agent_link;
-use crate::agent_link::LinkParts;
-use crate::agent_settings::AgentSettings;
-use crate::agent_state::AgentLimits;
-use crate::agent_state::AgentState;
-use crate::catalog::Catalog;
+use crate::agent::control::AgentControl;
+use crate::agent::control::ControlParts;
+use crate::agent::events::LinkId;
+use crate::agent::link;
+use crate::agent::link::LinkParts;
+use crate::agent::pump_registry::PumpRegistry;
+use crate::agent::settings::AgentSettings;
+use crate::agent::state::AgentLimits;
+use crate::agent::state::AgentState;
+use crate::config::catalog::Catalog;
 use crate::ids::Incarnation;
-use crate::link_pace::PaceRules;
+use crate::link::pace::PaceRules;
+use crate::link::wire::Hello;
+use crate::link::wire::PROTOCOL_VERSION;
 use crate::metrics::Metrics;
-use crate::pump_registry::PumpRegistry;
-use crate::upstream_http::UpstreamHttp;
-use crate::wire::Hello;
-use crate::wire::PROTOCOL_VERSION;
+use crate::upstream::http::UpstreamHttp;
 
 /// Events of links that may wait for the control thread; readers wait for room, and so
 /// do their entries.
@@ -79,9 +79,9 @@
 ///
 /// ```
 /// use std::sync::Arc;
-/// use sardinewood::agent_server::spawn;
-/// use sardinewood::agent_settings::AgentSettings;
-/// use sardinewood::catalog::Catalog;
+/// use sardinewood::agent::server::spawn;
+/// use sardinewood::agent::settings::AgentSettings;
+/// use sardinewood::config::catalog::Catalog;
 /// use sardinewood::metrics::Metrics;
 ///
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
@@ -224,7 +224,7 @@
         let links = links.clone();
         let stop = stop.clone();
         tokio::spawn(async move {
-            stop.run_until_cancelled(agent_link::serve(stream, link, links))
+            stop.run_until_cancelled(link::serve(stream, link, links))
                 .await
         });
     }
--- a/lib/src/agent_settings.rs
+++ b/lib/src/agent/settings.rs
@@ -4,17 +4,17 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::config_process::PeerSettings;
+use crate::config::process::PeerSettings;
 use crate::findings::Findings;
 use crate::logging::LEVEL_WORDS;
 use crate::settings::Program;
 use crate::settings::Setting;
-use crate::upstream_http::UpstreamTimings;
+use crate::upstream::http::UpstreamTimings;
 
 /// Settings of one agent; the defaults suit an agent on loopback with a port taken free.
 ///
 /// ```
-/// use sardinewood::agent_settings::AgentSettings;
+/// use sardinewood::agent::settings::AgentSettings;
 ///
 /// let settings = AgentSettings { upstream: "lang-1".into(), ..AgentSettings::default() };
 /// assert_eq!(settings.listen.port(), 0);
@@ -96,7 +96,7 @@
 /// The table of an agent's settings.
 ///
 /// ```
-/// assert_eq!(sardinewood::agent_settings::program().name, "sardinewood-agent");
+/// assert_eq!(sardinewood::agent::settings::program().name, "sardinewood-agent");
 /// ```
 #[must_use]
 pub fn program() -> Program<AgentSettings> {
--- a/lib/src/speeds.rs
+++ b/lib/src/agent/speeds.rs
@@ -2,8 +2,8 @@
 
 use indexmap::IndexMap;
 
+use crate::config::objects::Target;
 use crate::numbers;
-use crate::objects::Target;
 
 /// Share of a new sample in the quick average, which follows a slowdown within two or
 /// three samples.
@@ -22,7 +22,7 @@
 /// that is seen too late only costs a moment of less work.
 ///
 /// ```
-/// use sardinewood::speeds::Average;
+/// use sardinewood::agent::speeds::Average;
 ///
 /// let mut step_us = Average::default();
 /// for _ in 0..20 {
@@ -69,8 +69,8 @@
 /// What was learned of an upstream, by what it serves.
 ///
 /// ```
-/// use sardinewood::objects::Target;
-/// use sardinewood::speeds::Speeds;
+/// use sardinewood::config::objects::Target;
+/// use sardinewood::agent::speeds::Speeds;
 ///
 /// let small = Target::Model("small".into());
 /// let mut speeds = Speeds::default();
--- a/lib/src/agent_state.rs
+++ b/lib/src/agent/state.rs
@@ -11,25 +11,25 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::agent_events::AgentEvent;
-use crate::agent_events::AgentStep;
-use crate::agent_events::LinkId;
-use crate::attempts::Attempt;
-use crate::attempts::Attempts;
-use crate::attempts::Phase;
-use crate::grants::Grants;
+use crate::agent::attempts::Attempt;
+use crate::agent::attempts::Attempts;
+use crate::agent::attempts::Phase;
+use crate::agent::events::AgentEvent;
+use crate::agent::events::AgentStep;
+use crate::agent::events::LinkId;
+use crate::agent::grants::Grants;
+use crate::agent::reservation_queue::ReservationQueue;
+use crate::agent::speeds::Speeds;
+use crate::config::objects::Activity;
+use crate::config::objects::Upstream;
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
-use crate::link_pace::Watch;
-use crate::objects::Activity;
-use crate::objects::Upstream;
-use crate::reservation_queue::ReservationQueue;
-use crate::speeds::Speeds;
-use crate::upstream_health::UpstreamHealth;
-use crate::wire::Load;
-use crate::wire::RefusalReason;
-use crate::wire::Reservation;
+use crate::link::pace::Watch;
+use crate::link::wire::Load;
+use crate::link::wire::RefusalReason;
+use crate::link::wire::Reservation;
+use crate::upstream::health::UpstreamHealth;
 
 mod calls;
 mod dispatch;
@@ -41,7 +41,7 @@
 /// The bounds and times that an agent works with.
 ///
 /// ```
-/// use sardinewood::agent_state::AgentLimits;
+/// use sardinewood::agent::state::AgentLimits;
 ///
 /// assert_eq!(AgentLimits::default().queue_limit, 1_000);
 /// ```
@@ -94,8 +94,8 @@
 /// The state of one agent.
 ///
 /// ```
-/// use sardinewood::agent_events::{AgentEvent, AgentStep};
-/// use sardinewood::agent_state::{AgentLimits, AgentState};
+/// use sardinewood::agent::events::{AgentEvent, AgentStep};
+/// use sardinewood::agent::state::{AgentLimits, AgentState};
 /// use sardinewood::ids::Incarnation;
 ///
 /// let mut agent = AgentState::new(Incarnation(1), AgentLimits::default());
--- a/lib/src/agent_state/calls.rs
+++ b/lib/src/agent/state/calls.rs
@@ -1,11 +1,11 @@
 //! What the calls of attempts report, and what is learned from it.
 
 use super::AgentState;
-use crate::agent_events::CallProgress;
-use crate::attempts::Phase;
+use crate::agent::attempts::Phase;
+use crate::agent::events::CallProgress;
 use crate::ids::AttemptId;
-use crate::upstream_health::UpstreamHealth;
-use crate::wire::AnswerEnd;
+use crate::link::wire::AnswerEnd;
+use crate::upstream::health::UpstreamHealth;
 
 impl AgentState {
     pub(super) fn advance(&mut self, now_ms: u64, id: AttemptId, progress: CallProgress) {
--- a/lib/src/agent_state/dispatch.rs
+++ b/lib/src/agent/state/dispatch.rs
@@ -1,20 +1,20 @@
 //! Attempts: dispatched at most once, settled, resumed and cancelled.
 
 use super::AgentState;
-use crate::agent_events::AgentStep;
-use crate::agent_events::CancelCause;
-use crate::agent_events::LinkId;
-use crate::agent_events::settled;
-use crate::attempts::Attempt;
-use crate::attempts::AttemptFacts;
-use crate::attempts::Phase;
-use crate::attempts::RunProgress;
+use crate::agent::attempts::Attempt;
+use crate::agent::attempts::AttemptFacts;
+use crate::agent::attempts::Phase;
+use crate::agent::attempts::RunProgress;
+use crate::agent::events::AgentStep;
+use crate::agent::events::CancelCause;
+use crate::agent::events::LinkId;
+use crate::agent::events::settled;
 use crate::ids::AttemptId;
 use crate::ids::GrantId;
-use crate::wire::AgentMessage;
-use crate::wire::AnswerEnd;
-use crate::wire::Call;
-use crate::wire::Settlement;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::AnswerEnd;
+use crate::link::wire::Call;
+use crate::link::wire::Settlement;
 
 /// An entry's answer to a grant.
 #[derive(Clone, Debug)]
--- a/lib/src/agent_state/reservations.rs
+++ b/lib/src/agent/state/reservations.rs
@@ -3,14 +3,14 @@
 use super::AgentState;
 use super::dispatch::Dispatch;
 use super::kv_tokens;
-use crate::agent_events::AgentStep;
-use crate::agent_events::LinkId;
+use crate::agent::events::AgentStep;
+use crate::agent::events::LinkId;
+use crate::agent::reservation_queue::Waiting;
 use crate::ids::RequestId;
-use crate::reservation_queue::Waiting;
-use crate::wire::AgentMessage;
-use crate::wire::EntryMessage;
-use crate::wire::RefusalReason;
-use crate::wire::Reservation;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::EntryMessage;
+use crate::link::wire::RefusalReason;
+use crate::link::wire::Reservation;
 
 impl AgentState {
     pub(super) fn send(&mut self, link: LinkId, message: AgentMessage) {
--- a/lib/src/agent_state/room.rs
+++ b/lib/src/agent/state/room.rs
@@ -3,12 +3,12 @@
 
 use super::AgentState;
 use super::kv_tokens;
-use crate::agent_events::CancelCause;
-use crate::attempts::Phase;
-use crate::grants::Granted;
-use crate::reservation_queue::Waiting;
-use crate::wire::AgentMessage;
-use crate::wire::RefusalReason;
+use crate::agent::attempts::Phase;
+use crate::agent::events::CancelCause;
+use crate::agent::grants::Granted;
+use crate::agent::reservation_queue::Waiting;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::RefusalReason;
 
 /// A running request is about to end when its longest remaining output takes less than
 /// this: about a round trip to an entry, so that a grant made now is answered by then.
--- a/lib/src/agent_state/upkeep.rs
+++ b/lib/src/agent/state/upkeep.rs
@@ -1,10 +1,10 @@
 //! What time alone brings about.
 
 use super::AgentState;
-use crate::agent_events::AgentStep;
-use crate::agent_events::CancelCause;
-use crate::attempts::Phase;
-use crate::wire::RefusalReason;
+use crate::agent::attempts::Phase;
+use crate::agent::events::AgentStep;
+use crate::agent::events::CancelCause;
+use crate::link::wire::RefusalReason;
 
 /// How many steps without any token mean that the upstream has stalled.
 const STALL_STEPS: u64 = 50;
--- a/lib/src/agent_state/upstream.rs
+++ b/lib/src/agent/state/upstream.rs
@@ -3,19 +3,19 @@
 use std::sync::Arc;
 
 use super::AgentState;
-use crate::agent_events::AgentStep;
-use crate::agent_events::CancelCause;
-use crate::agent_events::Found;
-use crate::agent_events::Probe;
-use crate::agent_events::settled;
-use crate::attempts::Phase;
+use crate::agent::attempts::Phase;
+use crate::agent::events::AgentStep;
+use crate::agent::events::CancelCause;
+use crate::agent::events::Found;
+use crate::agent::events::Probe;
+use crate::agent::events::settled;
+use crate::config::objects::Activity;
+use crate::config::objects::Serves;
+use crate::config::objects::Upstream;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
-use crate::objects::Activity;
-use crate::objects::Serves;
-use crate::objects::Upstream;
-use crate::wire::RefusalReason;
-use crate::wire::Settlement;
+use crate::link::wire::RefusalReason;
+use crate::link::wire::Settlement;
 
 /// How many probes in a row may go unanswered. A busy engine misses one; giving all its
 /// waiting work back for that would cost more than the wait for the next.
--- a/lib/src/call_recovery.rs
+++ b/lib/src/answer/call_recovery.rs
@@ -2,13 +2,13 @@
 
 use std::time::Duration;
 
-use crate::agent_events::CancelCause;
-use crate::engine::Engine;
-use crate::engine::EngineError;
-use crate::engine::EngineState;
-use crate::engine::EngineStatus;
+use crate::agent::events::CancelCause;
 use crate::ids::RequestId;
-use crate::wire::AnswerEnd;
+use crate::link::wire::AnswerEnd;
+use crate::upstream::engine::Engine;
+use crate::upstream::engine::EngineError;
+use crate::upstream::engine::EngineState;
+use crate::upstream::engine::EngineStatus;
 
 /// How often the engine is asked before its silence is taken for an answer.
 const TRIES: u32 = 5;
--- a/lib/src/event_scan.rs
+++ b/lib/src/answer/event_scan.rs
@@ -18,7 +18,7 @@
 /// Where a stream stands.
 ///
 /// ```
-/// use sardinewood::event_scan::EventScan;
+/// use sardinewood::answer::event_scan::EventScan;
 ///
 /// let mut scan = EventScan::default();
 /// let scanned = scan.scan(b"id: 4\ndata: {}\n\nid: 5\nda");
--- a/lib/src/event_skip.rs
+++ b/lib/src/answer/event_skip.rs
@@ -12,7 +12,7 @@
 ///
 /// ```
 /// use bytes::Bytes;
-/// use sardinewood::event_skip::EventSkip;
+/// use sardinewood::answer::event_skip::EventSkip;
 ///
 /// let mut skip = EventSkip::after(Some(4));
 /// assert!(skip.feed(Bytes::from_static(b"id: 4\nda")).is_empty());
@@ -30,7 +30,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::event_skip::EventSkip;
+    /// use sardinewood::answer::event_skip::EventSkip;
     ///
     /// let bytes = Bytes::from_static(b"id: 0\n");
     /// assert_eq!(EventSkip::after(None).feed(bytes.clone()), bytes);
@@ -47,7 +47,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::event_skip::EventSkip;
+    /// use sardinewood::answer::event_skip::EventSkip;
     ///
     /// let mut skip = EventSkip::after(Some(9));
     /// let done = Bytes::from_static(b"data: [DONE]\n\n");
@@ -75,7 +75,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::event_skip::EventSkip;
+    /// use sardinewood::answer::event_skip::EventSkip;
     ///
     /// let mut skip = EventSkip::after(Some(9));
     /// skip.feed(Bytes::from_static(b"data: x\n"));
--- a/lib/src/answer_length.rs
+++ b/lib/src/answer/length.rs
@@ -1,6 +1,6 @@
 //! How many output tokens an answer had, read along while it passes through.
 
-use crate::event_scan::EventScan;
+use crate::answer::event_scan::EventScan;
 
 /// How much of the end of a plain answer is kept: its `usage` stands there.
 const TAIL_BYTES: usize = 1_024;
@@ -10,7 +10,7 @@
 /// Counts the output tokens of one answer.
 ///
 /// ```
-/// use sardinewood::answer_length::AnswerLength;
+/// use sardinewood::answer::length::AnswerLength;
 ///
 /// let mut stream = AnswerLength::new(true);
 /// stream.read(b"data: {}\n\ndata: {}\n\ndata: [DONE]\n\n");
--- a/lib/src/answer_log.rs
+++ b/lib/src/answer/log.rs
@@ -10,8 +10,8 @@
 use bytes::BytesMut;
 use twox_hash::XxHash64;
 
-use crate::answer_reader::CHECKSUM_SEED;
-use crate::wire::AnswerEnd;
+use crate::answer::reader::CHECKSUM_SEED;
+use crate::link::wire::AnswerEnd;
 
 /// The most bytes of piled-up chunks that leave in one frame.
 const FRAME_BYTES: usize = 16 << 10;
@@ -32,7 +32,7 @@
 ///
 /// ```
 /// use bytes::Bytes;
-/// use sardinewood::answer_log::AnswerLog;
+/// use sardinewood::answer::log::AnswerLog;
 ///
 /// let mut log = AnswerLog::new(1_000, false);
 /// log.append(Bytes::from_static(b"hello"));
--- a/lib/src/answer_meter.rs
+++ b/lib/src/answer/meter.rs
@@ -2,8 +2,8 @@
 
 use tokio::time::Instant;
 
+use crate::config::objects::Tier;
 use crate::metrics::Metrics;
-use crate::objects::Tier;
 use crate::verdict::Failure;
 use crate::verdict::Outcome;
 
@@ -13,9 +13,9 @@
 /// Follows one request from its arrival to the end of its answer.
 ///
 /// ```
-/// use sardinewood::answer_meter::AnswerMeter;
+/// use sardinewood::answer::meter::AnswerMeter;
 /// use sardinewood::metrics::Metrics;
-/// use sardinewood::objects::Tier;
+/// use sardinewood::config::objects::Tier;
 ///
 /// let mut meter = AnswerMeter::start(Metrics::disabled(), Tier(0));
 /// meter.begun(200);
@@ -34,9 +34,9 @@
     /// A request has arrived.
     ///
     /// ```
-    /// use sardinewood::answer_meter::AnswerMeter;
+    /// use sardinewood::answer::meter::AnswerMeter;
     /// use sardinewood::metrics::Metrics;
-    /// use sardinewood::objects::Tier;
+    /// use sardinewood::config::objects::Tier;
     ///
     /// let _meter = AnswerMeter::start(Metrics::disabled(), Tier(4));
     /// ```
@@ -54,7 +54,7 @@
     /// An answer of this status begins to go to the caller.
     ///
     /// ```
-    /// # use sardinewood::{answer_meter::AnswerMeter, metrics::Metrics, objects::Tier};
+    /// # use sardinewood::{answer::meter::AnswerMeter, metrics::Metrics, config::objects::Tier};
     /// AnswerMeter::start(Metrics::disabled(), Tier(0)).begun(200);
     /// ```
     pub fn begun(&mut self, status: u16) {
@@ -67,7 +67,7 @@
     /// is of no use and does not count as goodput.
     ///
     /// ```
-    /// # use sardinewood::{answer_meter::AnswerMeter, metrics::Metrics, objects::Tier};
+    /// # use sardinewood::{answer::meter::AnswerMeter, metrics::Metrics, config::objects::Tier};
     /// let mut meter = AnswerMeter::start(Metrics::disabled(), Tier(0));
     /// meter.begun(200);
     /// meter.whole();
@@ -89,7 +89,7 @@
     /// The caller has no whole answer.
     ///
     /// ```
-    /// # use sardinewood::{answer_meter::AnswerMeter, metrics::Metrics, objects::Tier};
+    /// # use sardinewood::{answer::meter::AnswerMeter, metrics::Metrics, config::objects::Tier};
     /// use sardinewood::verdict::{Failure, FailureReason};
     ///
     /// let failure = Failure::unknown(FailureReason::InDoubt);
@@ -106,7 +106,7 @@
     /// The caller went away before the end.
     ///
     /// ```
-    /// # use sardinewood::{answer_meter::AnswerMeter, metrics::Metrics, objects::Tier};
+    /// # use sardinewood::{answer::meter::AnswerMeter, metrics::Metrics, config::objects::Tier};
     /// AnswerMeter::start(Metrics::disabled(), Tier(0)).caller_gone();
     /// ```
     pub fn caller_gone(&self) {
--- a/lib/src/answer_pump/delivery.rs
+++ b/lib/src/answer/pump/delivery.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 
 use super::Outlet;
-use crate::answer_log::AnswerLog;
+use crate::answer::log::AnswerLog;
 use crate::ids::AttemptId;
-use crate::wire::AgentMessage;
-use crate::wire::AnswerEnd;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::AnswerEnd;
 
 /// Status and headers of an answer.
 #[derive(Clone, Debug)]
--- a/lib/src/answer_pump/intake.rs
+++ b/lib/src/answer/pump/intake.rs
@@ -7,14 +7,14 @@
 use super::Next;
 use super::Source;
 use super::micros;
-use crate::agent_events::CallProgress;
-use crate::agent_events::CancelCause;
-use crate::call_recovery;
-use crate::call_recovery::broken;
-use crate::upstream_client::UpstreamClient;
-use crate::upstream_http::OpenError;
-use crate::upstream_http::UpstreamAnswer;
-use crate::wire::AnswerEnd;
+use crate::agent::events::CallProgress;
+use crate::agent::events::CancelCause;
+use crate::answer::call_recovery;
+use crate::answer::call_recovery::broken;
+use crate::link::wire::AnswerEnd;
+use crate::upstream::client::UpstreamClient;
+use crate::upstream::http::OpenError;
+use crate::upstream::http::UpstreamAnswer;
 
 /// HTTP statuses with which an engine turns a request down.
 const TOO_MANY_REQUESTS: u16 = 429;
--- a/lib/src/answer_pump/reopening.rs
+++ b/lib/src/answer/pump/reopening.rs
@@ -5,13 +5,13 @@
 use super::AnswerPump;
 use super::Next;
 use super::Source;
-use crate::call_recovery;
-use crate::call_recovery::ReadSoFar;
-use crate::call_recovery::Recovery;
-use crate::call_recovery::Trouble;
-use crate::call_recovery::in_doubt;
-use crate::upstream_client::UpstreamClient;
-use crate::upstream_http::UpstreamAnswer;
+use crate::answer::call_recovery;
+use crate::answer::call_recovery::ReadSoFar;
+use crate::answer::call_recovery::Recovery;
+use crate::answer::call_recovery::Trouble;
+use crate::answer::call_recovery::in_doubt;
+use crate::upstream::client::UpstreamClient;
+use crate::upstream::http::UpstreamAnswer;
 
 /// How often in a row an answer is read on a new connection that brings no byte, before
 /// its outcome is given up as unknown.
--- a/lib/src/answer_pump/token_report.rs
+++ b/lib/src/answer/pump/token_report.rs
@@ -5,7 +5,7 @@
 use tokio::time::Instant;
 
 use super::micros;
-use crate::agent_events::CallProgress;
+use crate::agent::events::CallProgress;
 
 /// How often the tokens of a call are reported.
 const REPORT_PERIOD: Duration = Duration::from_millis(100);
--- a/lib/src/answer_reader.rs
+++ b/lib/src/answer/reader.rs
@@ -8,7 +8,7 @@
 use twox_hash::XxHash64;
 
 use crate::ids::AttemptId;
-use crate::wire::AnswerEnd;
+use crate::link::wire::AnswerEnd;
 
 /// Seed of the checksum over an answer's body, the same in every process.
 pub const CHECKSUM_SEED: u64 = 0;
@@ -36,9 +36,9 @@
     /// The attempt that the frame belongs to.
     ///
     /// ```
-    /// use sardinewood::answer_reader::AnswerFrame;
+    /// use sardinewood::answer::reader::AnswerFrame;
     /// use sardinewood::ids::{AttemptId, RequestId};
-    /// use sardinewood::wire::AnswerEnd;
+    /// use sardinewood::link::wire::AnswerEnd;
     ///
     /// let attempt = AttemptId { request: RequestId(1), number: 1 };
     /// let frame = AnswerFrame::End { attempt, end: AnswerEnd::Cancelled };
@@ -78,9 +78,9 @@
 ///
 /// ```
 /// use bytes::Bytes;
-/// use sardinewood::answer_reader::{AnswerFrame, AnswerReader, ReadStep, checksum};
+/// use sardinewood::answer::reader::{AnswerFrame, AnswerReader, ReadStep, checksum};
 /// use sardinewood::ids::{AttemptId, RequestId};
-/// use sardinewood::wire::AnswerEnd;
+/// use sardinewood::link::wire::AnswerEnd;
 ///
 /// let attempt = AttemptId { request: RequestId(1), number: 1 };
 /// let mut reader = AnswerReader::new(attempt);
@@ -105,7 +105,7 @@
     /// A reader for the frames of `attempt`.
     ///
     /// ```
-    /// use sardinewood::answer_reader::AnswerReader;
+    /// use sardinewood::answer::reader::AnswerReader;
     /// use sardinewood::ids::{AttemptId, RequestId};
     ///
     /// let reader = AnswerReader::new(AttemptId { request: RequestId(1), number: 1 });
@@ -126,7 +126,7 @@
     /// The attempt that is read.
     ///
     /// ```
-    /// use sardinewood::answer_reader::AnswerReader;
+    /// use sardinewood::answer::reader::AnswerReader;
     /// use sardinewood::ids::{AttemptId, RequestId};
     ///
     /// let attempt = AttemptId { request: RequestId(1), number: 1 };
@@ -140,7 +140,7 @@
     /// How many bytes of the body have been passed on.
     ///
     /// ```
-    /// use sardinewood::answer_reader::AnswerReader;
+    /// use sardinewood::answer::reader::AnswerReader;
     /// use sardinewood::ids::{AttemptId, RequestId};
     ///
     /// let reader = AnswerReader::new(AttemptId { request: RequestId(1), number: 1 });
@@ -155,7 +155,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::answer_reader::{AnswerFrame, AnswerReader, ReadStep};
+    /// use sardinewood::answer::reader::{AnswerFrame, AnswerReader, ReadStep};
     /// use sardinewood::ids::{AttemptId, RequestId};
     ///
     /// let attempt = AttemptId { request: RequestId(1), number: 1 };
@@ -184,7 +184,7 @@
     /// way is not asked for twice, and an end that was in doubt is not the last word.
     ///
     /// ```
-    /// use sardinewood::answer_reader::AnswerReader;
+    /// use sardinewood::answer::reader::AnswerReader;
     /// use sardinewood::ids::{AttemptId, RequestId};
     ///
     /// let mut reader = AnswerReader::new(AttemptId { request: RequestId(1), number: 1 });
@@ -257,7 +257,7 @@
 /// The checksum of a whole answer's body.
 ///
 /// ```
-/// use sardinewood::answer_reader::checksum;
+/// use sardinewood::answer::reader::checksum;
 ///
 /// assert_ne!(checksum(b"a"), checksum(b"b"));
 /// ```
--- a/lib/src/answer_routes.rs
+++ b/lib/src/answer/routes.rs
@@ -12,11 +12,11 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
-use crate::answer_reader::AnswerFrame;
+use crate::answer::reader::AnswerFrame;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
+use crate::link::wire::AnswerEnd;
 use crate::verdict::Failure;
-use crate::wire::AnswerEnd;
 
 /// The table is cut into this many parts, so that links seldom wait for one another.
 const SHARDS: u128 = 16;
@@ -123,7 +123,7 @@
 /// The routes of all callers of an entry.
 ///
 /// ```
-/// use sardinewood::answer_routes::AnswerRoutes;
+/// use sardinewood::answer::routes::AnswerRoutes;
 /// use sardinewood::ids::RequestId;
 ///
 /// let routes = AnswerRoutes::new(1 << 20);
--- a/lib/src/caller_answer.rs
+++ b/lib/src/caller/answer.rs
@@ -9,23 +9,23 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
-use crate::answer_length::AnswerLength;
-use crate::answer_reader::AnswerFrame;
-use crate::answer_reader::AnswerReader;
-use crate::answer_reader::ReadStep;
-use crate::answer_routes::AnswerRoutes;
-use crate::answer_routes::CallerNote;
-use crate::answer_routes::Delivery;
-use crate::answer_routes::RouteReceiver;
-use crate::entry_link::OpenLinks;
-use crate::entry_state::EntryEvent;
+use crate::answer::length::AnswerLength;
+use crate::answer::reader::AnswerFrame;
+use crate::answer::reader::AnswerReader;
+use crate::answer::reader::ReadStep;
+use crate::answer::routes::AnswerRoutes;
+use crate::answer::routes::CallerNote;
+use crate::answer::routes::Delivery;
+use crate::answer::routes::RouteReceiver;
+use crate::entry::link::OpenLinks;
+use crate::entry::state::EntryEvent;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
+use crate::link::wire::AnswerEnd;
+use crate::link::wire::EntryMessage;
 use crate::metrics::Metrics;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
-use crate::wire::AnswerEnd;
-use crate::wire::EntryMessage;
 
 /// An answer that is not a stream is held back up to this size until it is whole, so that
 /// a break before the end can be mended by another attempt and is never a half answer.
@@ -51,7 +51,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::caller_answer::AnswerHead;
+    /// use sardinewood::caller::answer::AnswerHead;
     ///
     /// let headers = vec![("Content-Type".into(), Bytes::from_static(b"text/plain"))];
     /// let head = AnswerHead { status: 200, headers };
@@ -70,7 +70,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::caller_answer::AnswerHead;
+    /// use sardinewood::caller::answer::AnswerHead;
     ///
     /// let headers = vec![("content-type".into(), Bytes::from_static(b"text/event-stream"))];
     /// assert!(AnswerHead { status: 200, headers }.is_event_stream());
--- a/lib/src/caller_api.rs
+++ b/lib/src/caller/api.rs
@@ -18,44 +18,44 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use crate::answer_meter::AnswerMeter;
-use crate::caller_answer::CallerAnswer;
-use crate::caller_answer::CallerContext;
-use crate::caller_answer::Written;
-use crate::caller_body::ModelCall;
-use crate::caller_body::read_model_request;
-use crate::caller_connections::CallerConnections;
-use crate::caller_directory::CallerDirectory;
-use crate::caller_headers::CallerHeaders;
-use crate::caller_headers::forwarded;
-use crate::caller_headers::total_bytes;
-use crate::caller_response::StreamedAnswer;
-use crate::caller_response::streamed_response;
-use crate::caller_response::whole_response;
-use crate::entry_control::EntryStatus;
-use crate::entry_control::elapsed_ms;
-use crate::entry_state::EntryEvent;
-use crate::event_skip::EventSkip;
+use crate::answer::event_skip::EventSkip;
+use crate::answer::meter::AnswerMeter;
+use crate::caller::answer::CallerAnswer;
+use crate::caller::answer::CallerContext;
+use crate::caller::answer::Written;
+use crate::caller::body::ModelCall;
+use crate::caller::body::read_model_request;
+use crate::caller::connections::CallerConnections;
+use crate::caller::directory::CallerDirectory;
+use crate::caller::headers::CallerHeaders;
+use crate::caller::headers::forwarded;
+use crate::caller::headers::total_bytes;
+use crate::caller::openai_error::ApiError;
+use crate::caller::openai_error::name_request;
+use crate::caller::request_names::CallDigest;
+use crate::caller::request_names::KeyError;
+use crate::caller::request_names::RequestName;
+use crate::caller::response::StreamedAnswer;
+use crate::caller::response::streamed_response;
+use crate::caller::response::whole_response;
+use crate::caller::service_path::ServicePath;
+use crate::caller::submission::Named;
+use crate::caller::submission::Submission;
+use crate::caller::submission::WorkEstimate;
+use crate::config::objects::Customer;
+use crate::config::objects::Profile;
+use crate::config::objects::Target;
+use crate::entry::control::EntryStatus;
+use crate::entry::control::elapsed_ms;
+use crate::entry::state::EntryEvent;
 use crate::ids::RequestId;
-use crate::objects::Customer;
-use crate::objects::Profile;
-use crate::objects::Target;
-use crate::openai_error::ApiError;
-use crate::openai_error::name_request;
-use crate::order_queue::OrderName;
-use crate::request_names::CallDigest;
-use crate::request_names::KeyError;
-use crate::request_names::RequestName;
-use crate::service_path::ServicePath;
-use crate::submission::Named;
-use crate::submission::Submission;
-use crate::submission::WorkEstimate;
-use crate::wire::Call;
+use crate::link::wire::Call;
+use crate::ordering::queue::OrderName;
 
 /// What a caller may send.
 ///
 /// ```
-/// use sardinewood::caller_api::CallerLimits;
+/// use sardinewood::caller::api::CallerLimits;
 ///
 /// assert!(CallerLimits::default().max_body_bytes > 0);
 /// ```
--- a/lib/src/caller_body.rs
+++ b/lib/src/caller/body.rs
@@ -8,9 +8,9 @@
 use serde_json::Value;
 use twox_hash::XxHash64;
 
-use crate::objects::Profile;
-use crate::openai_error::ApiError;
-use crate::submission::WorkEstimate;
+use crate::caller::openai_error::ApiError;
+use crate::caller::submission::WorkEstimate;
+use crate::config::objects::Profile;
 
 /// Characters that make a token, in the mean; the engine alone can count tokens.
 const BYTES_PER_TOKEN: usize = 4;
@@ -63,7 +63,7 @@
 /// profile allows.
 ///
 /// ```
-/// use sardinewood::caller_body::{ModelCall, read_model_request};
+/// use sardinewood::caller::body::{ModelCall, read_model_request};
 /// # let profile = serde_json::from_str(
 /// #     r#"{"name": "lookup", "tier": 3, "deadline_ms": 1000, "model": "small"}"#).unwrap();
 /// let body = br#"{"messages": [{"role": "user", "content": "hello"}], "max_tokens": 7}"#;
--- a/lib/src/caller_connections.rs
+++ b/lib/src/caller/connections.rs
@@ -19,7 +19,7 @@
 /// says so here; the request's task listens.
 ///
 /// ```
-/// use sardinewood::caller_connections::CallerConnections;
+/// use sardinewood::caller::connections::CallerConnections;
 ///
 /// let connections = CallerConnections::default();
 /// let address = "127.0.0.1:9".parse().unwrap();
--- a/lib/src/caller_directory.rs
+++ b/lib/src/caller/directory.rs
@@ -9,11 +9,11 @@
 use sha2::Sha256;
 use subtle::ConstantTimeEq;
 
-use crate::catalog::Catalog;
-use crate::objects::Customer;
-use crate::objects::Profile;
-use crate::objects::Serves;
-use crate::openai_error::ApiError;
+use crate::caller::openai_error::ApiError;
+use crate::config::catalog::Catalog;
+use crate::config::objects::Customer;
+use crate::config::objects::Profile;
+use crate::config::objects::Serves;
 
 /// The revision of the picture that a process starts with.
 const NO_CONFIGURATION: u64 = 0;
@@ -22,8 +22,8 @@
 ///
 /// ```
 /// use std::sync::Arc;
-/// use sardinewood::caller_directory::CallerDirectory;
-/// use sardinewood::catalog::Catalog;
+/// use sardinewood::caller::directory::CallerDirectory;
+/// use sardinewood::config::catalog::Catalog;
 ///
 /// let first = Catalog { revision: 1, ..Catalog::default() };
 /// let directory = CallerDirectory::new(Arc::new(first));
--- a/lib/src/caller_headers.rs
+++ b/lib/src/caller/headers.rs
@@ -7,7 +7,7 @@
 use poem::http::HeaderName;
 use poem::http::header;
 
-use crate::openai_error::ApiError;
+use crate::caller::openai_error::ApiError;
 
 /// Chooses the profile.
 pub const PROFILE: &str = "x-sardinewood-profile";
@@ -51,7 +51,7 @@
 ///
 /// ```
 /// use poem::http::HeaderMap;
-/// use sardinewood::caller_headers::CallerHeaders;
+/// use sardinewood::caller::headers::CallerHeaders;
 ///
 /// let mut headers = HeaderMap::new();
 /// headers.insert("x-sardinewood-deadline-ms", "1500".parse().unwrap());
@@ -111,7 +111,7 @@
 ///
 /// ```
 /// use poem::http::HeaderMap;
-/// use sardinewood::caller_headers::total_bytes;
+/// use sardinewood::caller::headers::total_bytes;
 ///
 /// let mut headers = HeaderMap::new();
 /// headers.insert("a", "bcd".parse().unwrap());
@@ -129,7 +129,7 @@
 ///
 /// ```
 /// use poem::http::HeaderMap;
-/// use sardinewood::caller_headers::forwarded;
+/// use sardinewood::caller::headers::forwarded;
 ///
 /// let mut headers = HeaderMap::new();
 /// headers.insert("connection", "x-hop".parse().unwrap());
@@ -156,7 +156,7 @@
 /// Whether a header of an upstream's answer belongs to that connection only.
 ///
 /// ```
-/// use sardinewood::caller_headers::is_hop_by_hop;
+/// use sardinewood::caller::headers::is_hop_by_hop;
 ///
 /// assert!(is_hop_by_hop("Transfer-Encoding"));
 /// assert!(!is_hop_by_hop("Content-Type"));
@@ -172,7 +172,7 @@
 ///
 /// ```
 /// use poem::http::HeaderMap;
-/// use sardinewood::caller_headers::connection_names;
+/// use sardinewood::caller::headers::connection_names;
 ///
 /// let mut headers = HeaderMap::new();
 /// headers.insert("connection", "close, X-Hop".parse().unwrap());
--- a/lib/src/caller_listener.rs
+++ b/lib/src/caller/listener.rs
@@ -21,8 +21,8 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
-use crate::caller_connections::CallerConnections;
-use crate::caller_connections::OpenConnection;
+use crate::caller::connections::CallerConnections;
+use crate::caller::connections::OpenConnection;
 
 /// The pause after a failed accept. Without it, a process that has no file descriptor left
 /// would try again as fast as it can and have no time to close any.
--- a/lib/src/openai_error.rs
+++ b/lib/src/caller/openai_error.rs
@@ -29,7 +29,7 @@
 /// Why a request was not answered, as its caller is told.
 ///
 /// ```
-/// use sardinewood::openai_error::ApiError;
+/// use sardinewood::caller::openai_error::ApiError;
 ///
 /// let error = ApiError::bad_request("not_json", "the body is not JSON");
 /// assert_eq!(error.status.as_u16(), 400);
@@ -57,7 +57,7 @@
     ///
     /// ```
     /// use poem::http::StatusCode;
-    /// use sardinewood::openai_error::ApiError;
+    /// use sardinewood::caller::openai_error::ApiError;
     /// use sardinewood::verdict::Outcome;
     ///
     /// let status = StatusCode::UNAUTHORIZED;
@@ -80,7 +80,7 @@
     /// An error of the caller's with status 400.
     ///
     /// ```
-    /// use sardinewood::openai_error::ApiError;
+    /// use sardinewood::caller::openai_error::ApiError;
     ///
     /// assert_eq!(ApiError::bad_request("a", "b").code, "a");
     /// ```
@@ -92,7 +92,7 @@
     /// The entry has no configuration yet, and so knows nobody.
     ///
     /// ```
-    /// use sardinewood::openai_error::ApiError;
+    /// use sardinewood::caller::openai_error::ApiError;
     ///
     /// assert_eq!(ApiError::not_ready().status.as_u16(), 503);
     /// ```
@@ -112,7 +112,7 @@
     /// that may run at most once, so it is told not to.
     ///
     /// ```
-    /// use sardinewood::openai_error::ApiError;
+    /// use sardinewood::caller::openai_error::ApiError;
     /// use sardinewood::verdict::{Failure, FailureReason};
     ///
     /// let failure = Failure::unknown(FailureReason::InDoubt);
@@ -138,7 +138,7 @@
     ///
     /// ```
     /// use sardinewood::ids::RequestId;
-    /// use sardinewood::openai_error::ApiError;
+    /// use sardinewood::caller::openai_error::ApiError;
     ///
     /// let json = ApiError::bad_request("a", "b").to_json(RequestId(1));
     /// assert_eq!(json["error"]["outcome"], "not_run");
@@ -163,7 +163,7 @@
     ///
     /// ```
     /// use sardinewood::ids::RequestId;
-    /// use sardinewood::openai_error::ApiError;
+    /// use sardinewood::caller::openai_error::ApiError;
     ///
     /// let event = ApiError::bad_request("a", "b").to_event(RequestId(1));
     /// assert!(event.starts_with(b"\n\ndata: {\"error\":"));
--- a/lib/src/caller_response.rs
+++ b/lib/src/caller/response.rs
@@ -12,13 +12,13 @@
 use poem::http::header;
 use tokio_util::sync::CancellationToken;
 
-use crate::answer_meter::AnswerMeter;
-use crate::caller_answer::AnswerHead;
-use crate::caller_answer::CallerAnswer;
-use crate::caller_answer::Part;
-use crate::caller_headers::is_hop_by_hop;
-use crate::event_skip::EventSkip;
-use crate::openai_error::ApiError;
+use crate::answer::event_skip::EventSkip;
+use crate::answer::meter::AnswerMeter;
+use crate::caller::answer::AnswerHead;
+use crate::caller::answer::CallerAnswer;
+use crate::caller::answer::Part;
+use crate::caller::headers::is_hop_by_hop;
+use crate::caller::openai_error::ApiError;
 use crate::verdict::Failure;
 
 /// The response with an answer that is whole.
--- a/lib/src/service_path.rs
+++ b/lib/src/caller/service_path.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use crate::openai_error::ApiError;
+use crate::caller::openai_error::ApiError;
 
 /// Callers reach plain services below this path.
 const SERVICES: &str = "/services/";
@@ -10,7 +10,7 @@
 /// A path of a caller, split into the service and what follows.
 ///
 /// ```
-/// use sardinewood::service_path::ServicePath;
+/// use sardinewood::caller::service_path::ServicePath;
 ///
 /// let path = ServicePath::split("/services/refunds/credits/7").unwrap();
 /// assert_eq!((&*path.service, path.rest.as_str()), ("refunds", "/credits/7"));
@@ -28,7 +28,7 @@
     /// Splits a path without its query; `None` when it names no service.
     ///
     /// ```
-    /// use sardinewood::service_path::ServicePath;
+    /// use sardinewood::caller::service_path::ServicePath;
     ///
     /// assert_eq!(ServicePath::split("/services/refunds").unwrap().rest, "/");
     /// assert_eq!(ServicePath::split("/services//x"), None);
@@ -53,7 +53,7 @@
     /// See [`is_resolved`].
     ///
     /// ```
-    /// use sardinewood::service_path::ServicePath;
+    /// use sardinewood::caller::service_path::ServicePath;
     ///
     /// let path = ServicePath::split("/services/refunds/../admin").unwrap();
     /// assert_eq!(path.check().unwrap_err().code, "invalid_path");
@@ -76,7 +76,7 @@
 /// `%2e` for a dot and a backslash for a slash, so that these count too.
 ///
 /// ```
-/// use sardinewood::service_path::is_resolved;
+/// use sardinewood::caller::service_path::is_resolved;
 ///
 /// assert!(is_resolved("/a/../b") && is_resolved("/a/%2E./b") && is_resolved(r"/a\b"));
 /// assert!(!is_resolved("/a/..b/c.d/") && !is_resolved("/a?b=../c"));
--- a/lib/src/submission.rs
+++ b/lib/src/caller/submission.rs
@@ -2,22 +2,22 @@
 
 use std::sync::Arc;
 
+use crate::caller::request_names::CallDigest;
+use crate::caller::request_names::RequestName;
+use crate::config::objects::Customer;
+use crate::config::objects::Profile;
+use crate::config::objects::Target;
+use crate::config::objects::Tier;
 use crate::ids::RequestId;
-use crate::objects::Customer;
-use crate::objects::Profile;
-use crate::objects::Target;
-use crate::objects::Tier;
-use crate::order_queue::OrderName;
-use crate::request_names::CallDigest;
-use crate::request_names::RequestName;
-use crate::wire::Call;
-use crate::wire::Reservation;
+use crate::link::wire::Call;
+use crate::link::wire::Reservation;
+use crate::ordering::queue::OrderName;
 
 /// A named request: its name and what was asked under it.
 ///
 /// ```
-/// use sardinewood::request_names::{CallDigest, RequestName};
-/// use sardinewood::submission::Named;
+/// use sardinewood::caller::request_names::{CallDigest, RequestName};
+/// use sardinewood::caller::submission::Named;
 ///
 /// let named = Named {
 ///     name: RequestName::new("rundu", "refund-17").unwrap(),
@@ -36,7 +36,7 @@
 /// What a request is expected to cost.
 ///
 /// ```
-/// use sardinewood::submission::WorkEstimate;
+/// use sardinewood::caller::submission::WorkEstimate;
 ///
 /// assert_eq!(WorkEstimate::default().prompt_tokens, 0);
 /// ```
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -10,17 +10,20 @@
 //! A claim is no lease: nothing here depends on how long a process was paused. An entry
 //! that wakes up late holds a claim whose version has moved on or whose attempt is barred.
 
+pub mod object;
+pub mod sweep;
+
 use indexmap::IndexMap;
 
-use crate::claim_object::Claim;
-use crate::claim_object::ClaimState;
-use crate::claim_object::Holder;
-use crate::claim_object::StoreAnswer;
-use crate::claim_object::StoreCall;
-use crate::claim_object::StoredClaim;
+use crate::caller::request_names::CallDigest;
+use crate::caller::request_names::RequestName;
+use crate::claims::object::Claim;
+use crate::claims::object::ClaimState;
+use crate::claims::object::Holder;
+use crate::claims::object::StoreAnswer;
+use crate::claims::object::StoreCall;
+use crate::claims::object::StoredClaim;
 use crate::ids::RequestId;
-use crate::request_names::CallDigest;
-use crate::request_names::RequestName;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
 use crate::verdict::Outcome;
@@ -162,9 +165,9 @@
 ///
 /// ```
 /// use sardinewood::claims::{ClaimDecision, ClaimRequest, ClaimRules, ClaimStep, Claims};
-/// use sardinewood::claim_object::{Holder, StoreAnswer};
+/// use sardinewood::claims::object::{Holder, StoreAnswer};
 /// use sardinewood::ids::{AttemptId, GrantId, Incarnation, RequestId};
-/// use sardinewood::request_names::{CallDigest, RequestName};
+/// use sardinewood::caller::request_names::{CallDigest, RequestName};
 ///
 /// let request = RequestId(1);
 /// let asked = ClaimRequest {
@@ -183,7 +186,7 @@
 /// assert!(matches!(steps[..], [ClaimStep::Call { .. }]));
 /// let steps = claims.answered(3, request, StoreAnswer::Written { version: 9 });
 /// assert_eq!(steps, [ClaimStep::Decided { request, decision: ClaimDecision::Won }]);
-/// # Ok::<(), sardinewood::request_names::KeyError>(())
+/// # Ok::<(), sardinewood::caller::request_names::KeyError>(())
 /// ```
 #[derive(Debug)]
 pub struct Claims {
--- a/lib/src/claim_sweep.rs
+++ b/lib/src/claims/sweep.rs
@@ -9,8 +9,8 @@
 
 use indexmap::IndexMap;
 
-use crate::claim_object::CLAIM_KINDS;
-use crate::claim_object::claim_kind;
+use crate::claims::object::CLAIM_KINDS;
+use crate::claims::object::claim_kind;
 
 /// The pause before the next kind, and before a list that failed is tried again.
 const PAUSE_MS: u64 = 60_000;
@@ -47,7 +47,7 @@
 /// The sweep of one entry.
 ///
 /// ```
-/// use sardinewood::claim_sweep::{ClaimSweep, SweepStep};
+/// use sardinewood::claims::sweep::{ClaimSweep, SweepStep};
 ///
 /// let mut sweep = ClaimSweep::new(0, 600_000);
 /// assert!(sweep.tick(0).is_empty(), "a new entry has more urgent things to ask for");
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -1,6 +1,20 @@
 //! The configuration of one process: its state, shared by those who feed it, and the
 //! published picture that decisions read.
 
+pub mod catalog;
+pub mod follow;
+pub(crate) mod held;
+pub mod log;
+pub mod object;
+pub mod objects;
+pub mod objects_check;
+pub mod process;
+pub mod spread;
+pub mod spread_link;
+pub mod spread_message;
+pub mod state;
+pub(crate) mod version;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
@@ -9,8 +23,8 @@
 use tokio::sync::Notify;
 use tokio::sync::watch;
 
-use crate::catalog::Catalog;
-use crate::config_state::ConfigState;
+use crate::config::catalog::Catalog;
+use crate::config::state::ConfigState;
 use crate::store::StoredObject;
 
 /// A handle on the configuration of this process; clones share it.
--- a/lib/src/catalog.rs
+++ b/lib/src/config/catalog.rs
@@ -4,17 +4,17 @@
 
 use indexmap::IndexMap;
 
-use crate::config_object::Spec;
+use crate::config::object::Spec;
+use crate::config::objects::Customer;
+use crate::config::objects::Operator;
+use crate::config::objects::Profile;
+use crate::config::objects::Upstream;
 use crate::findings::Finding;
-use crate::objects::Customer;
-use crate::objects::Operator;
-use crate::objects::Profile;
-use crate::objects::Upstream;
 
 /// A read-only picture of the configuration at one moment.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
+/// use sardinewood::config::catalog::Catalog;
 ///
 /// let catalog = Catalog::default();
 /// assert_eq!(catalog.revision, 0);
@@ -41,8 +41,8 @@
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use sardinewood::catalog::Catalog;
-    /// use sardinewood::config_object::Spec;
+    /// use sardinewood::config::catalog::Catalog;
+    /// use sardinewood::config::object::Spec;
     ///
     /// let operator = serde_json::from_str(
     ///     r#"{"name": "selma", "role": "read", "token_sha256": []}"#,
--- a/lib/src/config_watch.rs
+++ b/lib/src/config/follow.rs
@@ -4,7 +4,7 @@
 //! each change, never more than one call in `min_interval_ms`, a list each `relist_ms`, and
 //! in an outage one call in each back-off. The intervals are drawn with jitter, so that
 //! processes which lost the store together do not come back together. In a large fleet most
-//! processes leave the store to others; see [`crate::store_duty`].
+//! processes leave the store to others; see [`crate::store::duty`].
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,16 +13,16 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
-use crate::catalog::Catalog;
 use crate::config::Config;
-use crate::config_object::Kind;
-use crate::config_state::ListOutcome;
-use crate::config_state::WatchOutcome;
+use crate::config::catalog::Catalog;
+use crate::config::object::Kind;
+use crate::config::state::ListOutcome;
+use crate::config::state::WatchOutcome;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::store::ReadError;
 use crate::store::StoreClient;
-use crate::store_duty::StoreDuty;
+use crate::store::duty::StoreDuty;
 
 /// The share of an interval that jitter may take away.
 const JITTER: f64 = 0.5;
@@ -34,7 +34,7 @@
 /// When to call the store.
 ///
 /// ```
-/// let timings = sardinewood::config_watch::WatchTimings::default();
+/// let timings = sardinewood::config::follow::WatchTimings::default();
 /// assert!(timings.min_interval_ms < timings.wait_ms);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,7 +78,7 @@
 /// Decides which call to make, and when.
 ///
 /// ```
-/// use sardinewood::config_watch::{NextCall, WatchPlan, WatchTimings};
+/// use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
 ///
 /// let mut plan = WatchPlan::new(WatchTimings::default());
 /// assert_eq!(plan.next_call(0), NextCall::List);
@@ -99,7 +99,7 @@
     /// A plan that begins with a list.
     ///
     /// ```
-    /// # use sardinewood::config_watch::{WatchPlan, WatchTimings};
+    /// # use sardinewood::config::follow::{WatchPlan, WatchTimings};
     /// let plan = WatchPlan::new(WatchTimings::default());
     /// assert_eq!(plan.start_in_ms(0, 0, 0.0), 0, "the first call is made at once");
     /// ```
@@ -118,7 +118,7 @@
     /// The call to make at `now_ms`.
     ///
     /// ```
-    /// # use sardinewood::config_watch::{NextCall, WatchPlan, WatchTimings};
+    /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, 41);
     /// assert_eq!(plan.next_call(300_000), NextCall::List, "a list is due again");
@@ -136,7 +136,7 @@
     /// (0 before the first); `jitter` is drawn from 0 to 1.
     ///
     /// ```
-    /// # use sardinewood::config_watch::{WatchPlan, WatchTimings};
+    /// # use sardinewood::config::follow::{WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.failed(&sardinewood::store::ReadError::Limited { retry_after_ms: 3_000 });
     /// let back_off_ms = WatchTimings::default().backoff_first_ms;
@@ -159,7 +159,7 @@
     /// nothing has failed since.
     ///
     /// ```
-    /// # use sardinewood::config_watch::{WatchPlan, WatchTimings};
+    /// # use sardinewood::config::follow::{WatchPlan, WatchTimings};
     /// assert!(!WatchPlan::new(WatchTimings::default()).may_rest());
     /// ```
     #[must_use]
@@ -170,7 +170,7 @@
     /// A list was taken in.
     ///
     /// ```
-    /// # use sardinewood::config_watch::{NextCall, WatchPlan, WatchTimings};
+    /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, 5);
     /// assert_eq!(plan.next_call(1), NextCall::Watch { after: 5 });
@@ -185,8 +185,8 @@
     /// A watch was taken in.
     ///
     /// ```
-    /// # use sardinewood::config_state::WatchOutcome;
-    /// # use sardinewood::config_watch::{NextCall, WatchPlan, WatchTimings};
+    /// # use sardinewood::config::state::WatchOutcome;
+    /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, 5);
     /// plan.watched(WatchOutcome::ListAgain, 3);
@@ -207,7 +207,7 @@
     /// A call had no usable answer.
     ///
     /// ```
-    /// # use sardinewood::config_watch::{NextCall, WatchPlan, WatchTimings};
+    /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, 5);
     /// plan.failed(&sardinewood::store::ReadError::TooOld);
@@ -228,7 +228,7 @@
     /// A configuration peer disagrees at the same revision: a change was skipped.
     ///
     /// ```
-    /// # use sardinewood::config_watch::{NextCall, WatchPlan, WatchTimings};
+    /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, 5);
     /// plan.list_again();
@@ -262,7 +262,7 @@
 ///
 /// ```no_run
 /// # async fn start() -> Result<(), reqwest::Error> {
-/// let catalog = sardinewood::config_watch::spawn_config("http://127.0.0.1:9300")?;
+/// let catalog = sardinewood::config::follow::spawn_config("http://127.0.0.1:9300")?;
 /// println!("{} profiles", catalog.borrow().profiles.len());
 /// # Ok(())
 /// # }
@@ -280,7 +280,7 @@
 /// ```no_run
 /// # async fn start(store: sardinewood::store::StoreClient) {
 /// use sardinewood::config::Config;
-/// use sardinewood::config_watch::{WatchTimings, follow};
+/// use sardinewood::config::follow::{WatchTimings, follow};
 ///
 /// let config = Config::default();
 /// tokio::spawn(follow(store, config.clone(), WatchTimings::default()));
--- a/lib/src/config_held.rs
+++ b/lib/src/config/held.rs
@@ -4,10 +4,10 @@
 
 use twox_hash::XxHash64;
 
-use crate::config_object::ObjectKey;
-use crate::config_object::Spec;
-use crate::config_object::check;
-use crate::config_version::Content;
+use crate::config::object::ObjectKey;
+use crate::config::object::Spec;
+use crate::config::object::check;
+use crate::config::version::Content;
 use crate::findings::Finding;
 use crate::findings::Findings;
 
--- a/lib/src/config_log.rs
+++ b/lib/src/config/log.rs
@@ -5,7 +5,7 @@
 use indexmap::IndexMap;
 use tokio::sync::watch;
 
-use crate::catalog::Catalog;
+use crate::config::catalog::Catalog;
 use crate::logging::Level;
 use crate::logging::Line;
 
@@ -20,7 +20,7 @@
 /// let config = sardinewood::config::Config::default();
 /// let catalog = config.catalog();
 /// drop(config);
-/// sardinewood::config_log::log_changes(catalog).await;
+/// sardinewood::config::log::log_changes(catalog).await;
 /// # });
 /// ```
 pub async fn log_changes(mut catalog: watch::Receiver<Arc<Catalog>>) {
@@ -40,8 +40,8 @@
 /// The lines that a change of the configuration deserves; none if it is the same.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::config_log::change_lines;
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::config::log::change_lines;
 ///
 /// let before = Catalog::default();
 /// let after = Catalog { revision: 7, ..Catalog::default() };
--- a/lib/src/config_object.rs
+++ b/lib/src/config/object.rs
@@ -8,20 +8,20 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::config::objects::Customer;
+use crate::config::objects::Operator;
+use crate::config::objects::Profile;
+use crate::config::objects::Upstream;
+use crate::config::objects_check::check_customer;
+use crate::config::objects_check::check_operator;
+use crate::config::objects_check::check_profile;
+use crate::config::objects_check::check_upstream;
 use crate::findings::Findings;
-use crate::objects::Customer;
-use crate::objects::Operator;
-use crate::objects::Profile;
-use crate::objects::Upstream;
-use crate::objects_check::check_customer;
-use crate::objects_check::check_operator;
-use crate::objects_check::check_profile;
-use crate::objects_check::check_upstream;
 
 /// A kind of configuration object.
 ///
 /// ```
-/// use sardinewood::config_object::Kind;
+/// use sardinewood::config::object::Kind;
 ///
 /// assert_eq!(Kind::parse("profiles"), Some(Kind::Profiles));
 /// assert_eq!(Kind::Upstreams.as_str(), "upstreams");
@@ -51,7 +51,7 @@
     /// The name of the kind in the store.
     ///
     /// ```
-    /// assert_eq!(sardinewood::config_object::Kind::Customers.as_str(), "customers");
+    /// assert_eq!(sardinewood::config::object::Kind::Customers.as_str(), "customers");
     /// ```
     #[must_use]
     pub fn as_str(self) -> &'static str {
@@ -66,7 +66,7 @@
     /// The kind of this name.
     ///
     /// ```
-    /// assert_eq!(sardinewood::config_object::Kind::parse("pods"), None);
+    /// assert_eq!(sardinewood::config::object::Kind::parse("pods"), None);
     /// ```
     #[must_use]
     pub fn parse(text: &str) -> Option<Self> {
@@ -105,7 +105,7 @@
 /// Checks an object on its own. One that has a finding is not to be put in force.
 ///
 /// ```
-/// use sardinewood::config_object::{Kind, ObjectKey, check};
+/// use sardinewood::config::object::{Kind, ObjectKey, check};
 /// use sardinewood::findings::Findings;
 ///
 /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
--- a/lib/src/objects.rs
+++ b/lib/src/config/objects.rs
@@ -12,7 +12,7 @@
 /// The importance of a class of work; 0 is the most important.
 ///
 /// ```
-/// use sardinewood::objects::Tier;
+/// use sardinewood::config::objects::Tier;
 ///
 /// assert!(Tier(0) < Tier(4), "a smaller tier goes first");
 /// ```
@@ -27,7 +27,7 @@
     /// configuration has not, count as the lowest.
     ///
     /// ```
-    /// use sardinewood::objects::Tier;
+    /// use sardinewood::config::objects::Tier;
     ///
     /// assert_eq!(Tier(3).index(), 3);
     /// assert_eq!(Tier(200).index(), 4);
@@ -41,7 +41,7 @@
 /// A class of work that services choose by name.
 ///
 /// ```
-/// use sardinewood::objects::Profile;
+/// use sardinewood::config::objects::Profile;
 ///
 /// let profile: Profile = serde_json::from_str(
 ///     r#"{"name": "dispute-summary", "tier": 0, "deadline_ms": 8000}"#,
@@ -71,7 +71,7 @@
 /// What the work of one profile may cost, over the whole fleet; absent means no limit.
 ///
 /// ```
-/// use sardinewood::objects::ProfileLimits;
+/// use sardinewood::config::objects::ProfileLimits;
 ///
 /// assert_eq!(ProfileLimits::default().concurrent, None);
 /// ```
@@ -91,7 +91,7 @@
 /// What an operator wants of an upstream.
 ///
 /// ```
-/// use sardinewood::objects::Activity;
+/// use sardinewood::config::objects::Activity;
 ///
 /// assert_eq!(Activity::default(), Activity::Active);
 /// ```
@@ -110,7 +110,7 @@
 /// What an upstream serves.
 ///
 /// ```
-/// use sardinewood::objects::Serves;
+/// use sardinewood::config::objects::Serves;
 ///
 /// let serves: Serves = serde_json::from_str(r#"{"models": ["small"]}"#).unwrap();
 /// assert_eq!(serves, Serves::Models(vec!["small".into()]));
@@ -127,7 +127,7 @@
 /// One engine or plain service and the agent beside it.
 ///
 /// ```
-/// use sardinewood::objects::{Activity, Upstream};
+/// use sardinewood::config::objects::{Activity, Upstream};
 ///
 /// let upstream: Upstream = serde_json::from_str(r#"{
 ///     "name": "lang-1", "data_centre": "wdh-1", "url": "http://127.0.0.1:9000",
@@ -165,7 +165,7 @@
     /// Whether this upstream serves `target`.
     ///
     /// ```
-    /// use sardinewood::objects::{Serves, Target, Upstream};
+    /// use sardinewood::config::objects::{Serves, Target, Upstream};
     /// # let upstream: Upstream = serde_json::from_str(r#"{
     /// #     "name": "lang-1", "data_centre": "wdh-1", "url": "http://127.0.0.1:9000",
     /// #     "agent_address": "127.0.0.1:9100", "serves": {"models": ["small"]}, "slots": 8
@@ -186,7 +186,7 @@
 /// What a request asks for.
 ///
 /// ```
-/// use sardinewood::objects::Target;
+/// use sardinewood::config::objects::Target;
 ///
 /// assert_ne!(Target::Model("a".into()), Target::Service("a".into()));
 /// ```
@@ -201,7 +201,7 @@
 /// Somebody whose services send requests.
 ///
 /// ```
-/// use sardinewood::objects::Customer;
+/// use sardinewood::config::objects::Customer;
 ///
 /// let customer: Customer = serde_json::from_str(
 ///     r#"{"name": "rundu", "weight": 3, "default_profile": "lookup", "key_sha256": []}"#,
@@ -224,7 +224,7 @@
 /// What an operator may do.
 ///
 /// ```
-/// use sardinewood::objects::OperatorRole;
+/// use sardinewood::config::objects::OperatorRole;
 ///
 /// assert!(OperatorRole::Write.can_write());
 /// assert!(!OperatorRole::Read.can_write());
@@ -242,7 +242,7 @@
     /// Whether the role includes commands.
     ///
     /// ```
-    /// assert!(sardinewood::objects::OperatorRole::Write.can_write());
+    /// assert!(sardinewood::config::objects::OperatorRole::Write.can_write());
     /// ```
     #[must_use]
     pub fn can_write(self) -> bool {
@@ -253,7 +253,7 @@
 /// Somebody who may ask for the state of the system, and perhaps change it.
 ///
 /// ```
-/// use sardinewood::objects::{Operator, OperatorRole};
+/// use sardinewood::config::objects::{Operator, OperatorRole};
 ///
 /// let operator: Operator = serde_json::from_str(
 ///     r#"{"name": "selma", "role": "write", "token_sha256": []}"#,
--- a/lib/src/objects_check.rs
+++ b/lib/src/config/objects_check.rs
@@ -11,17 +11,17 @@
 use serde_json::Map;
 use serde_json::Value;
 
-use crate::catalog::Catalog;
+use crate::config::catalog::Catalog;
+use crate::config::objects::Activity;
+use crate::config::objects::Customer;
+use crate::config::objects::Operator;
+use crate::config::objects::Profile;
+use crate::config::objects::ProfileLimits;
+use crate::config::objects::Serves;
+use crate::config::objects::TIER_COUNT;
+use crate::config::objects::Tier;
+use crate::config::objects::Upstream;
 use crate::findings::Findings;
-use crate::objects::Activity;
-use crate::objects::Customer;
-use crate::objects::Operator;
-use crate::objects::Profile;
-use crate::objects::ProfileLimits;
-use crate::objects::Serves;
-use crate::objects::TIER_COUNT;
-use crate::objects::Tier;
-use crate::objects::Upstream;
 use crate::secrets::SHA256_HEX_DIGITS;
 use crate::settings::check_base_url;
 use crate::settings::check_name;
@@ -148,7 +148,7 @@
 ///
 /// ```
 /// use sardinewood::findings::Findings;
-/// use sardinewood::objects_check::check_profile;
+/// use sardinewood::config::objects_check::check_profile;
 ///
 /// let mut findings = Findings::default();
 /// let value = serde_json::json!({"name": "lookup", "tier": 5, "deadline_ms": 8000});
@@ -195,7 +195,7 @@
 ///
 /// ```
 /// use sardinewood::findings::Findings;
-/// use sardinewood::objects_check::check_upstream;
+/// use sardinewood::config::objects_check::check_upstream;
 ///
 /// let mut findings = Findings::default();
 /// let value = serde_json::json!({"name": "lang-1"});
@@ -281,7 +281,7 @@
 ///
 /// ```
 /// use sardinewood::findings::Findings;
-/// use sardinewood::objects_check::check_customer;
+/// use sardinewood::config::objects_check::check_customer;
 ///
 /// let mut findings = Findings::default();
 /// let value = serde_json::json!({
@@ -323,7 +323,7 @@
 ///
 /// ```
 /// use sardinewood::findings::Findings;
-/// use sardinewood::objects_check::check_operator;
+/// use sardinewood::config::objects_check::check_operator;
 ///
 /// let mut findings = Findings::default();
 /// let value = serde_json::json!({"name": "selma", "role": "write", "token_sha256": []});
@@ -371,9 +371,9 @@
 /// agents, and default profiles that do not exist.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
+/// use sardinewood::config::catalog::Catalog;
 /// use sardinewood::findings::Findings;
-/// use sardinewood::objects_check::check_catalog;
+/// use sardinewood::config::objects_check::check_catalog;
 ///
 /// let mut findings = Findings::default();
 /// check_catalog(&Catalog::default(), &mut findings);
--- a/lib/src/config_process.rs
+++ b/lib/src/config/process.rs
@@ -7,24 +7,24 @@
 use std::sync::Arc;
 
 use crate::config::Config;
-use crate::config_log::log_changes;
-use crate::config_spread::SpreadTimings;
-use crate::config_watch::WatchTimings;
-use crate::config_watch::follow;
+use crate::config::follow::WatchTimings;
+use crate::config::follow::follow;
+use crate::config::log::log_changes;
+use crate::config::spread::SpreadTimings;
+use crate::config::spread_link::SpreadHandle;
+use crate::config::spread_link::SpreadSettings;
+use crate::config::spread_link::spawn_spread;
+use crate::config::spread_message::Identity;
+use crate::config::spread_message::PeerKeys;
 use crate::findings::Findings;
-use crate::hosts;
 use crate::secrets::Secret;
-use crate::spread_link::SpreadHandle;
-use crate::spread_link::SpreadSettings;
-use crate::spread_link::spawn_spread;
-use crate::spread_message::Identity;
-use crate::spread_message::PeerKeys;
 use crate::store::StoreClient;
+use crate::store::hosts;
 
 /// How a process and the others find and prove each other.
 ///
 /// ```
-/// use sardinewood::config_process::PeerSettings;
+/// use sardinewood::config::process::PeerSettings;
 ///
 /// let settings = PeerSettings { peers: "10.0.0.2:7000, 10.0.0.3:7000".into(), ..Default::default() };
 /// assert_eq!(settings.seeds().len(), 2);
@@ -55,7 +55,7 @@
     /// The addresses of other processes.
     ///
     /// ```
-    /// use sardinewood::config_process::PeerSettings;
+    /// use sardinewood::config::process::PeerSettings;
     ///
     /// assert!(PeerSettings::default().seeds().is_empty());
     /// ```
@@ -68,7 +68,7 @@
     /// Collects what is wrong.
     ///
     /// ```
-    /// use sardinewood::config_process::PeerSettings;
+    /// use sardinewood::config::process::PeerSettings;
     /// use sardinewood::findings::Findings;
     ///
     /// let settings = PeerSettings { listen: "0.0.0.0:7000".parse().unwrap(), ..Default::default() };
@@ -95,7 +95,7 @@
     /// The keys that all processes share.
     ///
     /// ```
-    /// use sardinewood::config_process::PeerSettings;
+    /// use sardinewood::config::process::PeerSettings;
     /// use sardinewood::secrets::Secret;
     ///
     /// let settings = |keys| PeerSettings { keys: Secret::new(keys), ..Default::default() };
@@ -145,8 +145,8 @@
 /// other processes may know the configuration.
 ///
 /// ```no_run
-/// # async fn start(identity: sardinewood::spread_message::Identity) {
-/// use sardinewood::config_process::{PeerSettings, spawn};
+/// # async fn start(identity: sardinewood::config::spread_message::Identity) {
+/// use sardinewood::config::process::{PeerSettings, spawn};
 ///
 /// let process = spawn("http://127.0.0.1:9300", identity, &PeerSettings::default()).await.unwrap();
 /// let catalog = process.config.catalog();
--- a/lib/src/config_spread.rs
+++ b/lib/src/config/spread.rs
@@ -13,11 +13,11 @@
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 
-use crate::config_state::Digest;
+use crate::config::spread_message::Datagram;
+use crate::config::spread_message::Purpose;
+use crate::config::spread_message::Report;
+use crate::config::state::Digest;
 use crate::ids::Incarnation;
-use crate::spread_message::Datagram;
-use crate::spread_message::Purpose;
-use crate::spread_message::Report;
 
 /// The most processes remembered.
 pub const MAX_PEERS: usize = 4_096;
@@ -32,7 +32,7 @@
 /// How often and to how many processes to tell the configuration.
 ///
 /// ```
-/// let timings = sardinewood::config_spread::SpreadTimings::default();
+/// let timings = sardinewood::config::spread::SpreadTimings::default();
 /// assert!(timings.joining_tick_ms < timings.tick_ms);
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -108,10 +108,10 @@
 /// What one process knows of the others, and whom it tells what.
 ///
 /// ```
-/// use sardinewood::config_spread::{Spread, SpreadAction, SpreadTimings};
-/// use sardinewood::config_state::Digest;
+/// use sardinewood::config::spread::{Spread, SpreadAction, SpreadTimings};
+/// use sardinewood::config::state::Digest;
 /// use sardinewood::ids::Incarnation;
-/// use sardinewood::spread_message::Purpose;
+/// use sardinewood::config::spread_message::Purpose;
 ///
 /// let seed = "10.0.0.2:7000".parse().unwrap();
 /// let mut spread = Spread::new(Incarnation(1), &[seed], SpreadTimings::default(), 7);
@@ -135,7 +135,7 @@
     /// Begins with the processes at `seeds`; they are never forgotten.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let mut alone = Spread::new(Incarnation(1), &[], SpreadTimings::default(), 7);
     /// assert!(alone.tick().is_empty());
@@ -166,7 +166,7 @@
     /// seeds stay known for as long as they answer.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let mut spread = Spread::new(Incarnation(1), &[], SpreadTimings::default(), 7);
     /// spread.set_seeds(&["10.0.0.2:7000".parse().unwrap()]);
@@ -182,7 +182,7 @@
     /// The other processes.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let seed = "10.0.0.2:7000".parse().unwrap();
     /// let spread = Spread::new(Incarnation(1), &[seed], SpreadTimings::default(), 7);
@@ -196,7 +196,7 @@
     /// How many processes are known, or 0 if nothing was heard of any of them lately.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let seed = "10.0.0.2:7000".parse().unwrap();
     /// let spread = Spread::new(Incarnation(1), &[seed], SpreadTimings::default(), 7);
@@ -214,8 +214,8 @@
     /// The time until the next [`Self::tick`] of a process that holds `own`.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
-    /// # use sardinewood::config_state::Digest;
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::state::Digest;
     /// # use sardinewood::ids::Incarnation;
     /// let spread = Spread::new(Incarnation(1), &[], SpreadTimings::default(), 7);
     /// assert_eq!(spread.tick_ms(&Digest::default()), 200);
@@ -235,7 +235,7 @@
     /// not answer.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let seeds = ["10.0.0.2:7000".parse().unwrap(), "10.0.0.3:7000".parse().unwrap()];
     /// let mut spread = Spread::new(Incarnation(1), &seeds, SpreadTimings::default(), 7);
@@ -257,7 +257,7 @@
     /// Asks these processes for a report, as when an operator waits for a change.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let mut spread = Spread::new(Incarnation(1), &[], SpreadTimings::default(), 7);
     /// assert_eq!(spread.ask(&["10.0.0.2:7000".parse().unwrap()]).len(), 1);
@@ -278,7 +278,7 @@
     /// The own configuration has changed: whom to tell at once.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let seed = "10.0.0.2:7000".parse().unwrap();
     /// let mut spread = Spread::new(Incarnation(1), &[seed], SpreadTimings::default(), 7);
@@ -302,10 +302,10 @@
     /// Takes in a datagram, with the digest of what this process holds.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadAction, SpreadTimings};
-    /// # use sardinewood::config_state::Digest;
+    /// # use sardinewood::config::spread::{Spread, SpreadAction, SpreadTimings};
+    /// # use sardinewood::config::state::Digest;
     /// # use sardinewood::ids::Incarnation;
-    /// # use sardinewood::spread_message::{Datagram, Identity, Purpose, Report, Role};
+    /// # use sardinewood::config::spread_message::{Datagram, Identity, Purpose, Report, Role};
     /// # let identity = Identity {
     /// #     name: "entry-2".into(), role: Role::Entry, data_centre: "wdh-1".into(),
     /// #     incarnation: Incarnation(2),
@@ -358,7 +358,7 @@
     /// A fetch has ended, with an answer or without.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let mut spread = Spread::new(Incarnation(1), &[], SpreadTimings::default(), 7);
     /// spread.fetch_ended();
@@ -370,7 +370,7 @@
     /// Some processes heard lately, to be named in a datagram.
     ///
     /// ```
-    /// # use sardinewood::config_spread::{Spread, SpreadTimings};
+    /// # use sardinewood::config::spread::{Spread, SpreadTimings};
     /// # use sardinewood::ids::Incarnation;
     /// let mut spread = Spread::new(Incarnation(1), &[], SpreadTimings::default(), 7);
     /// assert!(spread.introduced().is_empty());
--- a/lib/src/spread_link.rs
+++ b/lib/src/config/spread_link.rs
@@ -24,21 +24,21 @@
 use tokio_util::codec::LengthDelimitedCodec;
 
 use crate::config::Config;
-use crate::config_spread::Peer;
-use crate::config_spread::Spread;
-use crate::config_spread::SpreadAction;
-use crate::config_spread::SpreadTimings;
-use crate::config_state::PeerAnswer;
+use crate::config::spread::Peer;
+use crate::config::spread::Spread;
+use crate::config::spread::SpreadAction;
+use crate::config::spread::SpreadTimings;
+use crate::config::spread_message::Datagram;
+use crate::config::spread_message::FetchAnswer;
+use crate::config::spread_message::FetchRequest;
+use crate::config::spread_message::Identity;
+use crate::config::spread_message::PeerKeys;
+use crate::config::spread_message::Purpose;
+use crate::config::spread_message::Report;
+use crate::config::spread_message::SPREAD_PROTOCOL;
+use crate::config::state::PeerAnswer;
 use crate::logging::Level;
 use crate::logging::Line;
-use crate::spread_message::Datagram;
-use crate::spread_message::FetchAnswer;
-use crate::spread_message::FetchRequest;
-use crate::spread_message::Identity;
-use crate::spread_message::PeerKeys;
-use crate::spread_message::Purpose;
-use crate::spread_message::Report;
-use crate::spread_message::SPREAD_PROTOCOL;
 
 /// The largest datagram: below the payload that every path carries in one packet.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -144,7 +144,7 @@
     /// What it has sent and received.
     ///
     /// ```no_run
-    /// # fn show(spread: sardinewood::spread_link::SpreadHandle) {
+    /// # fn show(spread: sardinewood::config::spread_link::SpreadHandle) {
     /// println!("{} bytes sent", spread.traffic().sent_bytes);
     /// # }
     /// ```
@@ -160,7 +160,7 @@
     /// Where this process is reached.
     ///
     /// ```no_run
-    /// # fn show(spread: sardinewood::spread_link::SpreadHandle) {
+    /// # fn show(spread: sardinewood::config::spread_link::SpreadHandle) {
     /// println!("{}", spread.address());
     /// # }
     /// ```
@@ -172,7 +172,7 @@
     /// The other processes that were heard.
     ///
     /// ```no_run
-    /// # async fn show(spread: sardinewood::spread_link::SpreadHandle) {
+    /// # async fn show(spread: sardinewood::config::spread_link::SpreadHandle) {
     /// for member in spread.members().await {
     ///     println!("{} at {}", member.report.identity.name, member.report.digest.newest);
     /// }
@@ -189,7 +189,7 @@
     /// Asks processes for a fresh report.
     ///
     /// ```no_run
-    /// # async fn ask(spread: sardinewood::spread_link::SpreadHandle) {
+    /// # async fn ask(spread: sardinewood::config::spread_link::SpreadHandle) {
     /// spread.ask(vec!["10.0.0.2:7000".parse().unwrap()]).await;
     /// # }
     /// ```
@@ -201,7 +201,7 @@
     /// Replaces the processes to begin with.
     ///
     /// ```no_run
-    /// # async fn ask(spread: sardinewood::spread_link::SpreadHandle) {
+    /// # async fn ask(spread: sardinewood::config::spread_link::SpreadHandle) {
     /// spread.set_seeds(vec!["10.0.0.2:7000".parse().unwrap()]).await;
     /// # }
     /// ```
@@ -218,9 +218,9 @@
 /// When the address cannot be bound.
 ///
 /// ```no_run
-/// # async fn start(settings: sardinewood::spread_link::SpreadSettings) -> std::io::Result<()> {
+/// # async fn start(settings: sardinewood::config::spread_link::SpreadSettings) -> std::io::Result<()> {
 /// let config = sardinewood::config::Config::default();
-/// let spread = sardinewood::spread_link::spawn_spread(settings, config).await?;
+/// let spread = sardinewood::config::spread_link::spawn_spread(settings, config).await?;
 /// println!("{}", spread.address());
 /// # Ok(())
 /// # }
--- a/lib/src/spread_message.rs
+++ b/lib/src/config/spread_message.rs
@@ -16,8 +16,8 @@
 use serde::de::DeserializeOwned;
 use sha2::Sha256;
 
-use crate::config_state::Digest;
-use crate::config_state::PeerAnswer;
+use crate::config::state::Digest;
+use crate::config::state::PeerAnswer;
 use crate::ids::Incarnation;
 use crate::secrets::REDACTED;
 
@@ -65,9 +65,9 @@
     /// Whether the sender certainly holds a version.
     ///
     /// ```
-    /// # use sardinewood::config_state::Digest;
+    /// # use sardinewood::config::state::Digest;
     /// # use sardinewood::ids::Incarnation;
-    /// # use sardinewood::spread_message::{Identity, Report, Role};
+    /// # use sardinewood::config::spread_message::{Identity, Report, Role};
     /// # let identity = Identity {
     /// #     name: "entry-1".into(), role: Role::Entry, data_centre: "wdh-1".into(),
     /// #     incarnation: Incarnation(1),
@@ -144,7 +144,7 @@
 /// While keys are exchanged, processes send with the first and take all of them.
 ///
 /// ```
-/// use sardinewood::spread_message::PeerKeys;
+/// use sardinewood::config::spread_message::PeerKeys;
 ///
 /// let old = PeerKeys::new(&[b"old".as_slice()]);
 /// let both = PeerKeys::new(&[b"new".as_slice(), b"old".as_slice()]);
@@ -168,7 +168,7 @@
     /// guarded against damage.
     ///
     /// ```
-    /// let keys = sardinewood::spread_message::PeerKeys::new(&[]);
+    /// let keys = sardinewood::config::spread_message::PeerKeys::new(&[]);
     /// assert_eq!(keys.open::<u64>(&keys.seal(&1_u64).unwrap()), Ok(1));
     /// ```
     #[must_use]
@@ -187,7 +187,7 @@
     /// When the message cannot be encoded.
     ///
     /// ```
-    /// let keys = sardinewood::spread_message::PeerKeys::new(&[b"key".as_slice()]);
+    /// let keys = sardinewood::config::spread_message::PeerKeys::new(&[b"key".as_slice()]);
     /// assert_eq!(keys.seal(&1_u8).unwrap().len(), 33);
     /// ```
     pub fn seal<T: Serialize>(&self, message: &T) -> Result<Vec<u8>, postcard::Error> {
@@ -204,7 +204,7 @@
     /// When the proof is not by one of the keys, or the message is not of the protocol.
     ///
     /// ```
-    /// use sardinewood::spread_message::{OpenError, PeerKeys};
+    /// use sardinewood::config::spread_message::{OpenError, PeerKeys};
     ///
     /// let keys = PeerKeys::new(&[b"key".as_slice()]);
     /// assert_eq!(keys.open::<u8>(b"short"), Err(OpenError::NotProven));
@@ -221,7 +221,7 @@
     /// The proof of some bytes by the first key.
     ///
     /// ```
-    /// let keys = sardinewood::spread_message::PeerKeys::new(&[b"key".as_slice()]);
+    /// let keys = sardinewood::config::spread_message::PeerKeys::new(&[b"key".as_slice()]);
     /// assert!(keys.proves(b"bytes", &keys.tag(b"bytes")));
     /// ```
     #[must_use]
@@ -233,7 +233,7 @@
     /// Whether `tag` is the proof of `bytes` by any of the keys.
     ///
     /// ```
-    /// let keys = sardinewood::spread_message::PeerKeys::new(&[b"key".as_slice()]);
+    /// let keys = sardinewood::config::spread_message::PeerKeys::new(&[b"key".as_slice()]);
     /// assert!(!keys.proves(b"other bytes", &keys.tag(b"bytes")));
     /// ```
     #[must_use]
--- a/lib/src/config_state.rs
+++ b/lib/src/config/state.rs
@@ -15,23 +15,23 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::audit::Record;
-use crate::catalog::Catalog;
-use crate::config_held::Held;
-use crate::config_held::checked;
-use crate::config_held::removed;
-use crate::config_object::Kind;
-use crate::config_object::ObjectKey;
+use crate::config::catalog::Catalog;
+use crate::config::held::Held;
+use crate::config::held::checked;
+use crate::config::held::removed;
+use crate::config::object::Kind;
+use crate::config::object::ObjectKey;
 use crate::findings::Finding;
+use crate::operator::audit::Record;
 use crate::store::ObjectList;
 use crate::store::StoredObject;
 use crate::store::WatchBatch;
 use crate::store::WatchEvent;
 
-pub use crate::config_version::Content;
-pub use crate::config_version::Digest;
-pub use crate::config_version::ObjectVersion;
-pub use crate::config_version::PeerAnswer;
+pub use crate::config::version::Content;
+pub use crate::config::version::Digest;
+pub use crate::config::version::ObjectVersion;
+pub use crate::config::version::PeerAnswer;
 
 /// The most tombstones kept from before the last complete list. They only save a peer
 /// that is behind from being given everything; the oldest go first.
@@ -61,7 +61,7 @@
 /// What a process knows of the configuration.
 ///
 /// ```
-/// use sardinewood::config_state::{ConfigState, ListOutcome};
+/// use sardinewood::config::state::{ConfigState, ListOutcome};
 /// use sardinewood::store::ObjectList;
 ///
 /// let list: ObjectList = serde_json::from_str(r#"{"revision": 8, "objects": [{
@@ -85,7 +85,7 @@
     /// Takes in a list of all kinds from the store.
     ///
     /// ```
-    /// use sardinewood::config_state::{ConfigState, ListOutcome};
+    /// use sardinewood::config::state::{ConfigState, ListOutcome};
     /// use sardinewood::store::ObjectList;
     ///
     /// let mut state = ConfigState::default();
@@ -119,7 +119,7 @@
     /// Takes in the answer of a watch that asked for the changes after `after`.
     ///
     /// ```
-    /// use sardinewood::config_state::{ConfigState, WatchOutcome};
+    /// use sardinewood::config::state::{ConfigState, WatchOutcome};
     /// use sardinewood::store::WatchBatch;
     ///
     /// let mut state = ConfigState::default();
@@ -151,7 +151,7 @@
     /// Takes in what a peer holds.
     ///
     /// ```
-    /// use sardinewood::config_state::{ConfigState, PeerAnswer};
+    /// use sardinewood::config::state::{ConfigState, PeerAnswer};
     ///
     /// let mut state = ConfigState::default();
     /// state.apply_peer(&PeerAnswer { complete_through: 12, ..PeerAnswer::default() });
@@ -173,7 +173,7 @@
     /// Takes in an object that this process has just written, or read by name.
     ///
     /// ```
-    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::config::state::ConfigState;
     /// use sardinewood::store::StoredObject;
     ///
     /// let written: StoredObject = serde_json::from_str(r#"{
@@ -191,7 +191,7 @@
     /// What to tell a peer that knows everything up to `after`.
     ///
     /// ```
-    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::config::state::ConfigState;
     ///
     /// let answer = ConfigState::default().answer_peer(0);
     /// assert!(answer.objects.is_empty());
@@ -220,7 +220,7 @@
     /// holds here too. Saves fetching an answer without objects.
     ///
     /// ```
-    /// use sardinewood::config_state::{ConfigState, Digest};
+    /// use sardinewood::config::state::{ConfigState, Digest};
     ///
     /// let mut state = ConfigState::default();
     /// state.agree(&Digest { complete_through: 12, ..Digest::default() });
@@ -241,7 +241,7 @@
     /// The versions of objects above `complete_through`, the newest first.
     ///
     /// ```
-    /// assert!(sardinewood::config_state::ConfigState::default().above().is_empty());
+    /// assert!(sardinewood::config::state::ConfigState::default().above().is_empty());
     /// ```
     #[must_use]
     pub fn above(&self) -> Vec<u64> {
@@ -256,8 +256,8 @@
     /// The newest known version of an object and its content.
     ///
     /// ```
-    /// use sardinewood::config_object::{Kind, ObjectKey};
-    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::config::object::{Kind, ObjectKey};
+    /// use sardinewood::config::state::ConfigState;
     ///
     /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
     /// assert_eq!(ConfigState::default().get(&key), None);
@@ -275,8 +275,8 @@
     /// What keeps the newest version of an object out of force.
     ///
     /// ```
-    /// use sardinewood::config_object::{Kind, ObjectKey};
-    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::config::object::{Kind, ObjectKey};
+    /// use sardinewood::config::state::ConfigState;
     ///
     /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
     /// assert!(ConfigState::default().findings(&key).is_empty());
@@ -289,8 +289,8 @@
     /// The keys of a kind that have an object, in order of their names.
     ///
     /// ```
-    /// use sardinewood::config_object::Kind;
-    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::config::object::Kind;
+    /// use sardinewood::config::state::ConfigState;
     ///
     /// assert!(ConfigState::default().keys(Kind::Profiles).is_empty());
     /// ```
@@ -309,8 +309,8 @@
     /// Whether a version of an object, or a newer one, is known here.
     ///
     /// ```
-    /// use sardinewood::config_object::{Kind, ObjectKey};
-    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::config::object::{Kind, ObjectKey};
+    /// use sardinewood::config::state::ConfigState;
     ///
     /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
     /// assert!(!ConfigState::default().has(&key, 7));
@@ -327,7 +327,7 @@
     /// What is held, in few bytes.
     ///
     /// ```
-    /// use sardinewood::config_state::{ConfigState, Digest};
+    /// use sardinewood::config::state::{ConfigState, Digest};
     ///
     /// assert_eq!(ConfigState::default().digest(), Digest::default());
     /// ```
@@ -345,7 +345,7 @@
     /// Whether the store was last seen with older versions than it issued before.
     ///
     /// ```
-    /// assert!(!sardinewood::config_state::ConfigState::default().store_went_back());
+    /// assert!(!sardinewood::config::state::ConfigState::default().store_went_back());
     /// ```
     #[must_use]
     pub fn store_went_back(&self) -> bool {
@@ -355,7 +355,7 @@
     /// The configuration in force.
     ///
     /// ```
-    /// use sardinewood::config_state::ConfigState;
+    /// use sardinewood::config::state::ConfigState;
     ///
     /// assert!(ConfigState::default().catalog().upstreams.is_empty());
     /// ```
--- a/lib/src/direct/call.rs
+++ b/lib/src/direct/call.rs
@@ -17,8 +17,8 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use crate::caller_headers::HOP_BY_HOP;
-use crate::caller_headers::connection_names;
+use crate::caller::headers::HOP_BY_HOP;
+use crate::caller::headers::connection_names;
 use crate::direct::allotment::Charge;
 use crate::direct::allotment::Demand;
 use crate::direct::caller::CallerHeaders;
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -14,6 +14,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::answer::event_scan::EventScan;
 use crate::direct::call::Call;
 use crate::direct::connections::Connection;
 use crate::direct::exchange::Answer;
@@ -26,7 +27,6 @@
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
-use crate::event_scan::EventScan;
 use crate::logging::Level;
 
 /// Silence of an upstream after which its stream goes on elsewhere, where it may. Callers
--- /dev/null
+++ b/lib/src/entry.rs
@@ -0,0 +1,21 @@
+//! One entry: callers' waiting requests, and which agent gets which of them.
+//!
+//! [`state`] decides and knows no socket; [`control`] carries out what it decides on a thread
+//! of its own. Programs start it by [`server`].
+
+pub mod admission;
+pub mod appointments;
+pub mod candidates;
+pub mod control;
+pub mod events;
+pub mod explanations;
+pub mod link;
+pub mod prefix_hints;
+pub mod profile_limits;
+pub mod retry_budget;
+pub mod run;
+pub mod server;
+pub mod settings;
+pub mod state;
+pub mod timers;
+pub mod work_estimates;
--- a/lib/src/admission.rs
+++ b/lib/src/entry/admission.rs
@@ -2,14 +2,14 @@
 
 use std::collections::BTreeSet;
 
+use crate::config::objects::TIER_COUNT;
+use crate::config::objects::Tier;
 use crate::ids::RequestId;
-use crate::objects::TIER_COUNT;
-use crate::objects::Tier;
 
 /// How much may wait in one entry.
 ///
 /// ```
-/// use sardinewood::admission::QueueLimits;
+/// use sardinewood::entry::admission::QueueLimits;
 ///
 /// assert!(QueueLimits::default().max_requests > 0);
 /// ```
@@ -55,9 +55,9 @@
 /// Requests that wait, by tier and then by arrival.
 ///
 /// ```
-/// use sardinewood::admission::{Admission, Place, QueueLimits, WaitingQueue};
+/// use sardinewood::entry::admission::{Admission, Place, QueueLimits, WaitingQueue};
 /// use sardinewood::ids::RequestId;
-/// use sardinewood::objects::Tier;
+/// use sardinewood::config::objects::Tier;
 ///
 /// let mut queue = WaitingQueue::new(QueueLimits { max_requests: 1, max_body_bytes: 100 });
 /// let lookup = Place { request: RequestId(1), tier: Tier(3), arrived_ms: 0, body_bytes: 10 };
@@ -79,7 +79,7 @@
     /// An empty queue.
     ///
     /// ```
-    /// use sardinewood::admission::{QueueLimits, WaitingQueue};
+    /// use sardinewood::entry::admission::{QueueLimits, WaitingQueue};
     ///
     /// assert_eq!(WaitingQueue::new(QueueLimits::default()).len(), 0);
     /// ```
@@ -96,7 +96,7 @@
     /// How many requests wait.
     ///
     /// ```
-    /// use sardinewood::admission::{QueueLimits, WaitingQueue};
+    /// use sardinewood::entry::admission::{QueueLimits, WaitingQueue};
     ///
     /// assert_eq!(WaitingQueue::new(QueueLimits::default()).len(), 0);
     /// ```
@@ -108,7 +108,7 @@
     /// How many requests of each tier wait.
     ///
     /// ```
-    /// use sardinewood::admission::{QueueLimits, WaitingQueue};
+    /// use sardinewood::entry::admission::{QueueLimits, WaitingQueue};
     ///
     /// assert_eq!(WaitingQueue::new(QueueLimits::default()).len_by_tier(), [0; 5]);
     /// ```
@@ -120,7 +120,7 @@
     /// Whether nothing waits.
     ///
     /// ```
-    /// use sardinewood::admission::{QueueLimits, WaitingQueue};
+    /// use sardinewood::entry::admission::{QueueLimits, WaitingQueue};
     ///
     /// assert!(WaitingQueue::new(QueueLimits::default()).is_empty());
     /// ```
--- a/lib/src/appointments.rs
+++ b/lib/src/entry/appointments.rs
@@ -19,7 +19,7 @@
 /// entries would cost each request a round trip.
 ///
 /// ```
-/// use sardinewood::appointments::StartedAppointments;
+/// use sardinewood::entry::appointments::StartedAppointments;
 ///
 /// let mut started = StartedAppointments::new(1);
 /// started.insert(&"kowalczyk".into(), &"a-1".into());
--- a/lib/src/candidates.rs
+++ b/lib/src/entry/candidates.rs
@@ -8,16 +8,16 @@
 use indexmap::IndexSet;
 use twox_hash::XxHash64;
 
-use crate::catalog::Catalog;
+use crate::config::catalog::Catalog;
+use crate::config::objects::Activity;
+use crate::config::objects::Serves;
+use crate::config::objects::Target;
+use crate::config::objects::Upstream;
+use crate::entry::prefix_hints::BLOCK_TOKENS;
+use crate::entry::prefix_hints::PrefixHints;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
-use crate::objects::Activity;
-use crate::objects::Serves;
-use crate::objects::Target;
-use crate::objects::Upstream;
-use crate::prefix_hints::BLOCK_TOKENS;
-use crate::prefix_hints::PrefixHints;
-use crate::wire::Load;
+use crate::link::wire::Load;
 
 /// One link in so many goes to an agent of any data centre.
 const FAR_SHARE: usize = 4;
@@ -113,7 +113,7 @@
 /// How links are chosen.
 ///
 /// ```
-/// use sardinewood::candidates::LinkChoice;
+/// use sardinewood::entry::candidates::LinkChoice;
 ///
 /// let choice = LinkChoice { entry: "entry-1".into(), data_centre: "wdh-1".into(), max_links: 192 };
 /// assert_eq!(choice.per_target(2), 96);
--- a/lib/src/entry_control.rs
+++ b/lib/src/entry/control.rs
@@ -15,30 +15,30 @@
 use tokio::time::sleep_until;
 use tokio_util::sync::CancellationToken;
 
-use crate::answer_routes::CallerNote;
-use crate::candidates::Agent;
-use crate::catalog::Catalog;
-use crate::entry_link::LinkContext;
-use crate::entry_link::keep_link;
-use crate::entry_state::EntryCounts;
-use crate::entry_state::EntryEvent;
-use crate::entry_state::EntryState;
-use crate::entry_state::EntryStep;
+use crate::answer::routes::CallerNote;
+use crate::config::catalog::Catalog;
+use crate::entry::candidates::Agent;
+use crate::entry::link::LinkContext;
+use crate::entry::link::keep_link;
+use crate::entry::state::EntryCounts;
+use crate::entry::state::EntryEvent;
+use crate::entry::state::EntryState;
+use crate::entry::state::EntryStep;
 use crate::ids::RequestId;
-use crate::link_pace::LinkPace;
-use crate::link_pace::LinkView;
-use crate::link_pace::PaceStep;
-use crate::link_pace::Watch;
+use crate::link::pace::LinkPace;
+use crate::link::pace::LinkView;
+use crate::link::pace::PaceStep;
+use crate::link::pace::Watch;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::EntryMessage;
+use crate::link::wire::Load;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
-use crate::operator_messages::Decision;
-use crate::store_records::RecordAnswer;
-use crate::store_records::StoreRecords;
+use crate::operator::messages::Decision;
+use crate::store::records::RecordAnswer;
+use crate::store::records::StoreRecords;
 use crate::verdict::Failure;
-use crate::wire::AgentMessage;
-use crate::wire::EntryMessage;
-use crate::wire::Load;
 
 /// Events taken together before timers are looked at.
 const BATCH_EVENTS: usize = 256;
@@ -51,7 +51,7 @@
 /// What an entry knows of one agent.
 ///
 /// ```
-/// use sardinewood::entry_control::AgentStatus;
+/// use sardinewood::entry::control::AgentStatus;
 ///
 /// assert!(!AgentStatus::default().is_linked);
 /// ```
@@ -72,7 +72,7 @@
 /// What others may know of the entry's state.
 ///
 /// ```
-/// use sardinewood::entry_control::EntryStatus;
+/// use sardinewood::entry::control::EntryStatus;
 ///
 /// assert!(!EntryStatus::default().is_ready);
 /// ```
--- a/lib/src/entry_events.rs
+++ b/lib/src/entry/events.rs
@@ -3,22 +3,22 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::catalog::Catalog;
-use crate::claim_object::Holder;
+use crate::caller::request_names::RequestName;
+use crate::caller::submission::Submission;
 use crate::claims::ClaimDecision;
 use crate::claims::ClaimRequest;
+use crate::claims::object::Holder;
+use crate::config::catalog::Catalog;
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
-use crate::order_queue::OrderName;
-use crate::order_queue::Place;
-use crate::request_names::RequestName;
-use crate::submission::Submission;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::AnswerEnd;
+use crate::link::wire::EntryMessage;
+use crate::ordering::queue::OrderName;
+use crate::ordering::queue::Place;
 use crate::verdict::Failure;
 use crate::verdict::Outcome;
-use crate::wire::AgentMessage;
-use crate::wire::AnswerEnd;
-use crate::wire::EntryMessage;
 
 /// What an entry's decisions react to.
 #[derive(Clone, Debug)]
--- a/lib/src/explanations.rs
+++ b/lib/src/entry/explanations.rs
@@ -6,13 +6,13 @@
 
 use indexmap::IndexMap;
 
+use crate::config::objects::Tier;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
-use crate::objects::Tier;
+use crate::link::wire::AnswerEnd;
+use crate::link::wire::RefusalReason;
+use crate::link::wire::Settlement;
 use crate::verdict::Failure;
-use crate::wire::AnswerEnd;
-use crate::wire::RefusalReason;
-use crate::wire::Settlement;
 
 /// Decisions kept for one request; what comes after them is counted.
 const MAX_DECISIONS: usize = 40;
@@ -54,7 +54,7 @@
     /// What happened, in a few words.
     ///
     /// ```
-    /// use sardinewood::explanations::Decided;
+    /// use sardinewood::entry::explanations::Decided;
     ///
     /// assert_eq!(Decided::Asked { agent: "lang-1".into() }.what(), "asked lang-1 for a grant");
     /// ```
@@ -80,7 +80,7 @@
     /// Why it happened, in a few words.
     ///
     /// ```
-    /// use sardinewood::explanations::Decided;
+    /// use sardinewood::entry::explanations::Decided;
     ///
     /// assert_eq!(Decided::CallerGone.why(), "the connection ended");
     /// ```
@@ -116,7 +116,7 @@
 /// A bounded memory of decisions: the requests that came last.
 ///
 /// ```
-/// use sardinewood::explanations::{Decided, Explanations};
+/// use sardinewood::entry::explanations::{Decided, Explanations};
 /// use sardinewood::ids::RequestId;
 ///
 /// let mut memory = Explanations::new(1);
@@ -136,7 +136,7 @@
     /// An empty memory of at most `max_requests` requests.
     ///
     /// ```
-    /// use sardinewood::explanations::Explanations;
+    /// use sardinewood::entry::explanations::Explanations;
     /// use sardinewood::ids::RequestId;
     ///
     /// assert!(Explanations::new(10).get(RequestId(1)).is_none());
--- a/lib/src/entry_link.rs
+++ b/lib/src/entry/link.rs
@@ -15,26 +15,26 @@
 use tokio::time::sleep;
 use tokio::time::timeout;
 
-use crate::answer_reader::AnswerFrame;
-use crate::answer_routes::AnswerRoutes;
+use crate::answer::reader::AnswerFrame;
+use crate::answer::routes::AnswerRoutes;
 use crate::backoff::Backoff;
-use crate::entry_state::EntryEvent;
-use crate::frames::EntryEnd;
-use crate::frames::FrameError;
-use crate::frames::FrameReader;
-use crate::frames::write_frames;
+use crate::config::spread_message::PeerKeys;
+use crate::entry::state::EntryEvent;
 use crate::ids::Incarnation;
-use crate::link_pace::Heard;
-use crate::link_pace::PaceRules;
-use crate::link_proof::ProofError;
-use crate::link_proof::prove_as_entry;
+use crate::link::frames::EntryEnd;
+use crate::link::frames::FrameError;
+use crate::link::frames::FrameReader;
+use crate::link::frames::write_frames;
+use crate::link::pace::Heard;
+use crate::link::pace::PaceRules;
+use crate::link::proof::ProofError;
+use crate::link::proof::prove_as_entry;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::EntryMessage;
+use crate::link::wire::Hello;
+use crate::link::wire::PROTOCOL_VERSION;
 use crate::logging::Level;
 use crate::logging::Line;
-use crate::spread_message::PeerKeys;
-use crate::wire::AgentMessage;
-use crate::wire::EntryMessage;
-use crate::wire::Hello;
-use crate::wire::PROTOCOL_VERSION;
 
 /// Messages that wait for the socket. A link that can't take more is replaced.
 const SEND_QUEUE: usize = 4_096;
@@ -44,9 +44,9 @@
 /// The sending sides of the open links, by agent.
 ///
 /// ```
-/// use sardinewood::entry_link::OpenLinks;
+/// use sardinewood::entry::link::OpenLinks;
 /// use sardinewood::ids::RequestId;
-/// use sardinewood::wire::EntryMessage;
+/// use sardinewood::link::wire::EntryMessage;
 ///
 /// let links = OpenLinks::default();
 /// links.send("lang-1", EntryMessage::Withdraw { request: RequestId(1) });
--- a/lib/src/prefix_hints.rs
+++ b/lib/src/entry/prefix_hints.rs
@@ -23,7 +23,7 @@
 /// Blocks and the agents whose upstreams computed them.
 ///
 /// ```
-/// use sardinewood::prefix_hints::PrefixHints;
+/// use sardinewood::entry::prefix_hints::PrefixHints;
 ///
 /// let mut hints = PrefixHints::default();
 /// hints.note(&[1, 2, 3], &"lang-1".into(), 1_000);
--- a/lib/src/profile_limits.rs
+++ b/lib/src/entry/profile_limits.rs
@@ -8,7 +8,7 @@
 
 use indexmap::IndexMap;
 
-use crate::objects::Profile;
+use crate::config::objects::Profile;
 
 const MINUTE_MS: u64 = 60_000;
 /// A bucket holds what its rate gives in this time, so that a profile that was quiet may
@@ -74,7 +74,7 @@
 /// The limits of all profiles in one entry.
 ///
 /// ```
-/// use sardinewood::profile_limits::ProfileLimiter;
+/// use sardinewood::entry::profile_limits::ProfileLimiter;
 /// # let profile = serde_json::from_str(r#"{"name": "lookup", "tier": 3, "deadline_ms": 1000,
 /// #     "limits": {"requests_per_min": 12}}"#).unwrap();
 /// let mut limits = ProfileLimiter::default();
--- a/lib/src/retry_budget.rs
+++ b/lib/src/entry/retry_budget.rs
@@ -1,7 +1,7 @@
 //! A budget for second attempts, so that a fleet under stress makes fewer of them.
 
-use crate::objects::TIER_COUNT;
-use crate::objects::Tier;
+use crate::config::objects::TIER_COUNT;
+use crate::config::objects::Tier;
 
 /// What one request adds to its tier's budget, in thousandths of an attempt.
 const EARNED_MILLIS: u64 = 200;
@@ -17,8 +17,8 @@
 /// overload up after its cause is gone. Second attempts stay below a fifth of the requests.
 ///
 /// ```
-/// use sardinewood::objects::Tier;
-/// use sardinewood::retry_budget::RetryBudget;
+/// use sardinewood::config::objects::Tier;
+/// use sardinewood::entry::retry_budget::RetryBudget;
 ///
 /// let mut budget = RetryBudget::default();
 /// assert!(budget.allows(Tier(0)));
@@ -41,8 +41,8 @@
     /// Counts a new request.
     ///
     /// ```
-    /// use sardinewood::objects::Tier;
-    /// use sardinewood::retry_budget::RetryBudget;
+    /// use sardinewood::config::objects::Tier;
+    /// use sardinewood::entry::retry_budget::RetryBudget;
     ///
     /// let mut budget = RetryBudget::default();
     /// budget.earn(Tier(4));
@@ -56,8 +56,8 @@
     /// Whether a second attempt may be made.
     ///
     /// ```
-    /// use sardinewood::objects::Tier;
-    /// use sardinewood::retry_budget::RetryBudget;
+    /// use sardinewood::config::objects::Tier;
+    /// use sardinewood::entry::retry_budget::RetryBudget;
     ///
     /// assert!(RetryBudget::default().allows(Tier(1)));
     /// ```
@@ -69,8 +69,8 @@
     /// Counts a second attempt.
     ///
     /// ```
-    /// use sardinewood::objects::Tier;
-    /// use sardinewood::retry_budget::RetryBudget;
+    /// use sardinewood::config::objects::Tier;
+    /// use sardinewood::entry::retry_budget::RetryBudget;
     ///
     /// let mut budget = RetryBudget::default();
     /// while budget.allows(Tier(2)) {
--- a/lib/src/run.rs
+++ b/lib/src/entry/run.rs
@@ -5,13 +5,13 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::admission::Place;
-use crate::claim_object::Holder;
+use crate::caller::submission::Submission;
+use crate::claims::object::Holder;
+use crate::entry::admission::Place;
 use crate::ids::AttemptId;
 use crate::ids::GrantId;
-use crate::submission::Submission;
+use crate::link::wire::AnswerEnd;
 use crate::verdict::Outcome;
-use crate::wire::AnswerEnd;
 
 /// The one attempt that may be alive.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/lib/src/entry_server.rs
+++ b/lib/src/entry/server.rs
@@ -20,37 +20,37 @@
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-use crate::admission::QueueLimits;
-use crate::answer_routes::AnswerRoutes;
-use crate::caller_answer::CallerContext;
-use crate::caller_api::CallerApi;
-use crate::caller_api::CallerLimits;
-use crate::caller_connections::CallerConnections;
-use crate::caller_directory::CallerDirectory;
-use crate::caller_listener::CallerListener;
-use crate::catalog::Catalog;
-use crate::entry_control::EntryControl;
-use crate::entry_control::EntryQuery;
-use crate::entry_control::EntryStatus;
-use crate::entry_link::LinkContext;
-use crate::entry_link::OpenLinks;
-use crate::entry_settings::EntrySettings;
-use crate::entry_state::EntryEvent;
-use crate::entry_state::EntryRules;
-use crate::entry_state::EntryState;
+use crate::answer::routes::AnswerRoutes;
+use crate::caller::answer::CallerContext;
+use crate::caller::api::CallerApi;
+use crate::caller::api::CallerLimits;
+use crate::caller::connections::CallerConnections;
+use crate::caller::directory::CallerDirectory;
+use crate::caller::listener::CallerListener;
+use crate::config::catalog::Catalog;
+use crate::entry::admission::QueueLimits;
+use crate::entry::control::EntryControl;
+use crate::entry::control::EntryQuery;
+use crate::entry::control::EntryStatus;
+use crate::entry::link::LinkContext;
+use crate::entry::link::OpenLinks;
+use crate::entry::settings::EntrySettings;
+use crate::entry::state::EntryEvent;
+use crate::entry::state::EntryRules;
+use crate::entry::state::EntryState;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
-use crate::link_pace::PaceRules;
+use crate::link::pace::PaceRules;
+use crate::link::wire::Hello;
+use crate::link::wire::PROTOCOL_VERSION;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
-use crate::operator_messages::Decision;
+use crate::operator::messages::Decision;
 use crate::store::StoreClient;
-use crate::store_records::StoreRecords;
+use crate::store::records::StoreRecords;
 use crate::tls::TlsFeed;
 use crate::tls::secured;
-use crate::wire::Hello;
-use crate::wire::PROTOCOL_VERSION;
 
 /// Events of links that may wait for the control thread.
 const LINK_EVENTS: usize = 8_192;
@@ -87,8 +87,8 @@
 ///
 /// ```
 /// use sardinewood::config::Config;
-/// use sardinewood::entry_server::spawn;
-/// use sardinewood::entry_settings::EntrySettings;
+/// use sardinewood::entry::server::spawn;
+/// use sardinewood::entry::settings::EntrySettings;
 /// use sardinewood::metrics::Metrics;
 ///
 /// let catalog = Config::default().catalog();
--- a/lib/src/entry_settings.rs
+++ b/lib/src/entry/settings.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::config_process::PeerSettings;
+use crate::config::process::PeerSettings;
 use crate::findings::Findings;
 use crate::logging::LEVEL_WORDS;
 use crate::secrets::Secret;
@@ -15,7 +15,7 @@
 /// Settings of one entry; the defaults suit an entry on loopback with ports taken free.
 ///
 /// ```
-/// use sardinewood::entry_settings::EntrySettings;
+/// use sardinewood::entry::settings::EntrySettings;
 ///
 /// let settings = EntrySettings { candidates: 2, ..EntrySettings::default() };
 /// assert_eq!(settings.listen.port(), 0);
@@ -100,7 +100,7 @@
 /// The table of an entry's settings.
 ///
 /// ```
-/// assert_eq!(sardinewood::entry_settings::program().name, "sardinewood-entry");
+/// assert_eq!(sardinewood::entry::settings::program().name, "sardinewood-entry");
 /// ```
 #[must_use]
 pub fn program() -> Program<EntrySettings> {
--- a/lib/src/entry_state.rs
+++ b/lib/src/entry/state.rs
@@ -10,44 +10,44 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::admission::Admission;
-use crate::admission::QueueLimits;
-use crate::admission::WaitingQueue;
-use crate::appointments::StartedAppointments;
-use crate::candidates::AgentTable;
-use crate::candidates::LinkChoice;
-use crate::candidates::Wanted;
-use crate::catalog::Catalog;
-use crate::claim_object::Holder;
+use crate::caller::request_names::KnownNames;
+use crate::caller::request_names::RequestName;
+use crate::caller::submission::Submission;
 use crate::claims::ClaimDecision;
 use crate::claims::ClaimRequest;
-pub use crate::entry_events::EntryEvent;
-pub use crate::entry_events::EntryStep;
-pub use crate::entry_events::FinishedAs;
-use crate::explanations::Decided;
-use crate::explanations::Explanations;
-use crate::explanations::Remembered;
+use crate::claims::object::Holder;
+use crate::config::catalog::Catalog;
+use crate::config::objects::TIER_COUNT;
+use crate::entry::admission::Admission;
+use crate::entry::admission::QueueLimits;
+use crate::entry::admission::WaitingQueue;
+use crate::entry::appointments::StartedAppointments;
+use crate::entry::candidates::AgentTable;
+use crate::entry::candidates::LinkChoice;
+use crate::entry::candidates::Wanted;
+pub use crate::entry::events::EntryEvent;
+pub use crate::entry::events::EntryStep;
+pub use crate::entry::events::FinishedAs;
+use crate::entry::explanations::Decided;
+use crate::entry::explanations::Explanations;
+use crate::entry::explanations::Remembered;
+use crate::entry::profile_limits::ProfileLimiter;
+use crate::entry::retry_budget::RetryBudget;
+use crate::entry::run::Phase;
+use crate::entry::run::Run;
+use crate::entry::timers::TimerKind;
+use crate::entry::timers::Timers;
+use crate::entry::work_estimates::WorkEstimates;
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
-use crate::objects::TIER_COUNT;
-use crate::order_queue::Place;
-use crate::profile_limits::ProfileLimiter;
-use crate::request_names::KnownNames;
-use crate::request_names::RequestName;
-use crate::retry_budget::RetryBudget;
-use crate::run::Phase;
-use crate::run::Run;
-use crate::submission::Submission;
-use crate::timers::TimerKind;
-use crate::timers::Timers;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::AnswerEnd;
+use crate::link::wire::EntryMessage;
+use crate::ordering::queue::Place;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
 use crate::verdict::Outcome;
-use crate::wire::AgentMessage;
-use crate::wire::AnswerEnd;
-use crate::wire::EntryMessage;
-use crate::work_estimates::WorkEstimates;
 
 mod attempts;
 mod followed;
@@ -66,7 +66,7 @@
 /// What an entry's decisions depend on besides events.
 ///
 /// ```
-/// use sardinewood::entry_state::EntryRules;
+/// use sardinewood::entry::state::EntryRules;
 ///
 /// let rules = EntryRules::new("entry-1".into(), "wdh-1".into());
 /// assert_eq!(rules.candidates, 4);
@@ -106,7 +106,7 @@
     /// The rules with their defaults.
     ///
     /// ```
-    /// use sardinewood::entry_state::EntryRules;
+    /// use sardinewood::entry::state::EntryRules;
     ///
     /// assert!(!EntryRules::new("entry-1".into(), "wdh-1".into()).claims);
     /// ```
@@ -137,7 +137,7 @@
 /// How many requests are where; for metrics, readiness and tests.
 ///
 /// ```
-/// use sardinewood::entry_state::EntryCounts;
+/// use sardinewood::entry::state::EntryCounts;
 ///
 /// assert_eq!(EntryCounts::default().waiting, 0);
 /// ```
@@ -159,8 +159,8 @@
 ///
 /// ```
 /// use std::sync::Arc;
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::entry_state::{EntryEvent, EntryRules, EntryState};
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::entry::state::{EntryEvent, EntryRules, EntryState};
 ///
 /// let mut entry = EntryState::new(EntryRules::new("entry-1".into(), "wdh-1".into()), 1);
 /// let steps = entry.handle(0, EntryEvent::CatalogChanged(Arc::new(Catalog::default())));
--- a/lib/src/entry_state/attempts.rs
+++ b/lib/src/entry/state/attempts.rs
@@ -17,9 +17,9 @@
 use super::TimerKind;
 use super::named::ASK_AGAIN_MS;
 use super::named::NameCheck;
+use crate::entry::run::Attempt;
 use crate::ids::GrantId;
-use crate::run::Attempt;
-use crate::wire::Settlement;
+use crate::link::wire::Settlement;
 
 impl EntryState {
     pub(super) fn agent_said(&mut self, now_ms: u64, agent: &Arc<str>, message: AgentMessage) {
--- a/lib/src/entry_state/followed.rs
+++ b/lib/src/entry/state/followed.rs
@@ -13,8 +13,8 @@
 use super::RequestId;
 use super::TimerKind;
 use super::named::ASK_AGAIN_MS;
-use crate::run::Attempt;
-use crate::wire::Settlement;
+use crate::entry::run::Attempt;
+use crate::link::wire::Settlement;
 
 impl EntryState {
     /// Reads the answer of another request's attempt for this caller, after the agent has
--- a/lib/src/entry_state/named.rs
+++ b/lib/src/entry/state/named.rs
@@ -18,9 +18,9 @@
 use super::RequestId;
 use super::RequestName;
 use super::Run;
+use crate::caller::request_names::Admission;
+use crate::entry::run::Attempt;
 use crate::ids::GrantId;
-use crate::request_names::Admission;
-use crate::run::Attempt;
 
 /// The pause before an agent is asked again about an attempt in doubt.
 pub(super) const ASK_AGAIN_MS: u64 = 1_000;
--- a/lib/src/entry_state/waiting.rs
+++ b/lib/src/entry/state/waiting.rs
@@ -15,8 +15,8 @@
 use super::Submission;
 use super::TimerKind;
 use super::Wanted;
-use crate::run::Attempt;
-use crate::wire::RefusalReason;
+use crate::entry::run::Attempt;
+use crate::link::wire::RefusalReason;
 
 /// An agent that refused for this long is not asked again for the same request.
 const NEVER_MS: u64 = u64::MAX;
--- a/lib/src/timers.rs
+++ b/lib/src/entry/timers.rs
@@ -23,7 +23,7 @@
 ///
 /// ```
 /// use sardinewood::ids::RequestId;
-/// use sardinewood::timers::{TimerKind, Timers};
+/// use sardinewood::entry::timers::{TimerKind, Timers};
 ///
 /// let mut timers = Timers::default();
 /// timers.set(20, TimerKind::Deadline, RequestId(1));
@@ -41,7 +41,7 @@
     ///
     /// ```
     /// use sardinewood::ids::RequestId;
-    /// use sardinewood::timers::{TimerKind, Timers};
+    /// use sardinewood::entry::timers::{TimerKind, Timers};
     ///
     /// let mut timers = Timers::default();
     /// timers.set(20, TimerKind::Reserve, RequestId(1));
@@ -55,7 +55,7 @@
     ///
     /// ```
     /// use sardinewood::ids::RequestId;
-    /// use sardinewood::timers::{TimerKind, Timers};
+    /// use sardinewood::entry::timers::{TimerKind, Timers};
     ///
     /// let mut timers = Timers::default();
     /// timers.set(20, TimerKind::Reserve, RequestId(1));
@@ -69,7 +69,7 @@
     /// When the next timer is due.
     ///
     /// ```
-    /// use sardinewood::timers::Timers;
+    /// use sardinewood::entry::timers::Timers;
     ///
     /// assert_eq!(Timers::default().next_ms(), None);
     /// ```
@@ -81,7 +81,7 @@
     /// Takes out the earliest timer that is due.
     ///
     /// ```
-    /// use sardinewood::timers::Timers;
+    /// use sardinewood::entry::timers::Timers;
     ///
     /// assert_eq!(Timers::default().pop_due(u64::MAX), None);
     /// ```
--- a/lib/src/work_estimates.rs
+++ b/lib/src/entry/work_estimates.rs
@@ -47,7 +47,7 @@
 /// Output lengths by profile.
 ///
 /// ```
-/// use sardinewood::work_estimates::WorkEstimates;
+/// use sardinewood::entry::work_estimates::WorkEstimates;
 ///
 /// let mut estimates = WorkEstimates::default();
 /// assert_eq!(estimates.output_tokens("lookup", 50), None, "nothing was seen");
--- a/lib/src/frames.rs
+++ b/lib/src/link/frames.rs
@@ -20,8 +20,8 @@
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::wire::AgentMessage;
-use crate::wire::EntryMessage;
+use crate::link::wire::AgentMessage;
+use crate::link::wire::EntryMessage;
 
 /// The largest frame that either end sends or takes. It bounds what a peer can make
 /// this process allocate, and so the body of a call.
@@ -86,9 +86,9 @@
 /// Encodes messages into frames, reusing its buffers.
 ///
 /// ```
-/// use sardinewood::frames::{AgentEnd, FrameEncoder, decode_message};
+/// use sardinewood::link::frames::{AgentEnd, FrameEncoder, decode_message};
 /// use sardinewood::ids::RequestId;
-/// use sardinewood::wire::{AgentMessage, RefusalReason};
+/// use sardinewood::link::wire::{AgentMessage, RefusalReason};
 ///
 /// let message = AgentMessage::Refuse {
 ///     request: RequestId(7),
@@ -163,8 +163,8 @@
 /// The bytes are no such message, or more bytes follow it.
 ///
 /// ```
-/// use sardinewood::frames::decode_message;
-/// use sardinewood::wire::EntryMessage;
+/// use sardinewood::link::frames::decode_message;
+/// use sardinewood::link::wire::EntryMessage;
 ///
 /// assert!(decode_message::<EntryMessage>(&[250]).is_err());
 /// ```
@@ -203,9 +203,9 @@
     /// The link failed or the peer does not speak the protocol; close it.
     ///
     /// ```
-    /// use sardinewood::frames::{AgentEnd, EntryEnd, FrameEncoder, FrameReader};
+    /// use sardinewood::link::frames::{AgentEnd, EntryEnd, FrameEncoder, FrameReader};
     /// use sardinewood::ids::RequestId;
-    /// use sardinewood::wire::EntryMessage;
+    /// use sardinewood::link::wire::EntryMessage;
     ///
     /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
     /// let message = EntryMessage::Withdraw { request: RequestId(1) };
@@ -236,9 +236,9 @@
 /// The link failed, or a message is too large for a frame; close it.
 ///
 /// ```
-/// use sardinewood::frames::{AgentEnd, EntryEnd, FrameReader, write_frames};
+/// use sardinewood::link::frames::{AgentEnd, EntryEnd, FrameReader, write_frames};
 /// use sardinewood::ids::RequestId;
-/// use sardinewood::wire::EntryMessage;
+/// use sardinewood::link::wire::EntryMessage;
 /// use tokio::sync::mpsc;
 ///
 /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
--- a/lib/src/link_pace.rs
+++ b/lib/src/link/pace.rs
@@ -33,7 +33,7 @@
 /// How closely one direction of a link is watched.
 ///
 /// ```
-/// use sardinewood::link_pace::Watch;
+/// use sardinewood::link::pace::Watch;
 ///
 /// assert!(Watch::Closely > Watch::Loosely);
 /// ```
@@ -51,7 +51,7 @@
 /// Timings of closely watched links; the others follow from them.
 ///
 /// ```
-/// use sardinewood::link_pace::{PaceRules, Watch};
+/// use sardinewood::link::pace::{PaceRules, Watch};
 ///
 /// let rules = PaceRules { heartbeat_ms: 500, silent_ms: 2_000 };
 /// assert_eq!(rules.pause_ms(Watch::Closely, 100), 500);
@@ -100,7 +100,7 @@
 /// What is known of a link when its pace is looked at.
 ///
 /// ```
-/// use sardinewood::link_pace::{LinkView, Watch};
+/// use sardinewood::link::pace::{LinkView, Watch};
 ///
 /// let view = LinkView {
 ///     tell: Watch::Loosely, hear: Watch::Closely, heard_at_ms: 100, links: 1, revision: 7,
@@ -136,7 +136,7 @@
 /// The pace of one link.
 ///
 /// ```
-/// use sardinewood::link_pace::{LinkPace, LinkView, PaceRules, PaceStep, Watch};
+/// use sardinewood::link::pace::{LinkPace, LinkView, PaceRules, PaceStep, Watch};
 ///
 /// let rules = PaceRules { heartbeat_ms: 500, silent_ms: 2_000 };
 /// let view = LinkView {
@@ -201,7 +201,7 @@
 /// decides. Frames of answers count, and do not have to pass the deciding thread for it.
 ///
 /// ```
-/// use sardinewood::link_pace::Heard;
+/// use sardinewood::link::pace::Heard;
 /// use tokio::time::Instant;
 ///
 /// let heard = Heard::new(Instant::now());
--- a/lib/src/link_proof.rs
+++ b/lib/src/link/proof.rs
@@ -13,8 +13,8 @@
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpStream;
 
-use crate::spread_message::PeerKeys;
-use crate::spread_message::TAG_BYTES;
+use crate::config::spread_message::PeerKeys;
+use crate::config::spread_message::TAG_BYTES;
 
 const NONCE_BYTES: usize = 32;
 const ENTRY: &[u8] = b"sardinewood link entry";
@@ -43,8 +43,8 @@
 ///
 /// ```
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// use sardinewood::link_proof::{prove_as_agent, prove_as_entry};
-/// use sardinewood::spread_message::PeerKeys;
+/// use sardinewood::link::proof::{prove_as_agent, prove_as_entry};
+/// use sardinewood::config::spread_message::PeerKeys;
 /// use tokio::net::{TcpListener, TcpStream};
 ///
 /// let keys = PeerKeys::new(&[b"key".as_slice()]);
@@ -82,8 +82,8 @@
 /// nonce of the agent's own choice is of no use on another link.
 ///
 /// ```no_run
-/// # use sardinewood::link_proof::{ProofError, prove_as_agent};
-/// # use sardinewood::spread_message::PeerKeys;
+/// # use sardinewood::link::proof::{ProofError, prove_as_agent};
+/// # use sardinewood::config::spread_message::PeerKeys;
 /// # async fn serve(mut stream: tokio::net::TcpStream, keys: PeerKeys) -> Result<(), ProofError> {
 /// prove_as_agent(&mut stream, &keys, &rand::random()).await?;
 /// # Ok(())
--- a/lib/src/wire.rs
+++ b/lib/src/link/wire.rs
@@ -9,12 +9,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::config::objects::Target;
+use crate::config::objects::Tier;
 use crate::ids::AttemptId;
 use crate::ids::GrantId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
-use crate::objects::Target;
-use crate::objects::Tier;
 
 /// Raised with each change of the messages that an older process could misread.
 pub const PROTOCOL_VERSION: u32 = 1;
--- a/lib/src/metrics.rs
+++ b/lib/src/metrics.rs
@@ -19,7 +19,7 @@
 use cadence::StatsdClient;
 use cadence::Timed;
 
-use crate::objects::Tier;
+use crate::config::objects::Tier;
 
 /// Prefix of every name.
 const PREFIX: &str = "sardinewood";
@@ -35,7 +35,7 @@
 ///
 /// ```
 /// use sardinewood::metrics::Metrics;
-/// use sardinewood::objects::Tier;
+/// use sardinewood::config::objects::Tier;
 ///
 /// let metrics = Metrics::disabled();
 /// metrics.count("entry.link_lost", 1);
@@ -132,7 +132,7 @@
     /// Adds to a counter that is kept by tier.
     ///
     /// ```
-    /// use sardinewood::objects::Tier;
+    /// use sardinewood::config::objects::Tier;
     ///
     /// sardinewood::metrics::Metrics::disabled().count_tier("entry.done", Tier(0), 1);
     /// ```
@@ -154,7 +154,7 @@
     /// Records a duration of something that is kept by tier.
     ///
     /// ```
-    /// use sardinewood::objects::Tier;
+    /// use sardinewood::config::objects::Tier;
     ///
     /// sardinewood::metrics::Metrics::disabled().time_tier("entry.first_byte", Tier(0), 42);
     /// ```
--- a/lib/src/operator_auth.rs
+++ b/lib/src/operator/auth.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use crate::catalog::Catalog;
-use crate::objects::OperatorRole;
+use crate::config::catalog::Catalog;
+use crate::config::objects::OperatorRole;
 use crate::secrets::matches_any;
 
 /// The name in the audit trail of who uses the token of the settings, with which the first
@@ -23,8 +23,8 @@
 /// the time of the answer tells nothing about them.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::operator_auth::identify;
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::operator::auth::identify;
 /// use sardinewood::secrets::sha256_hex;
 ///
 /// let catalog = Catalog::default();
@@ -52,7 +52,7 @@
 /// The token of an `Authorization` header.
 ///
 /// ```
-/// use sardinewood::operator_auth::bearer_token;
+/// use sardinewood::operator::auth::bearer_token;
 ///
 /// assert_eq!(bearer_token("Bearer abc"), Some("abc"));
 /// assert_eq!(bearer_token("Basic abc"), None);
--- a/lib/src/operator_change.rs
+++ b/lib/src/operator/change.rs
@@ -9,22 +9,22 @@
 
 use serde_json::Value;
 
-use crate::audit::Change;
-use crate::audit::Record;
-use crate::catalog::Catalog;
 use crate::config::Config;
-use crate::config_object::Kind;
-use crate::config_object::ObjectKey;
-use crate::config_object::check;
+use crate::config::catalog::Catalog;
+use crate::config::object::Kind;
+use crate::config::object::ObjectKey;
+use crate::config::object::check;
+use crate::config::objects_check::check_catalog;
 use crate::findings::Findings;
-use crate::objects_check::check_catalog;
-use crate::operator_effects::effects_of;
-use crate::operator_messages::Action;
-use crate::operator_messages::ChangeAnswer;
-use crate::operator_messages::ChangeRequest;
-use crate::operator_messages::Expected;
-use crate::operator_messages::ObjectView;
-use crate::operator_retention::take_away_expired;
+use crate::operator::audit::Change;
+use crate::operator::audit::Record;
+use crate::operator::effects::effects_of;
+use crate::operator::messages::Action;
+use crate::operator::messages::ChangeAnswer;
+use crate::operator::messages::ChangeRequest;
+use crate::operator::messages::Expected;
+use crate::operator::messages::ObjectView;
+use crate::operator::retention::take_away_expired;
 use crate::store::Expect;
 use crate::store::ReadError;
 use crate::store::StoreClient;
@@ -93,8 +93,8 @@
 /// Compares what is asked for with the object as the store shows it.
 ///
 /// ```
-/// use sardinewood::operator_change::{Author, Judgement, judge};
-/// use sardinewood::operator_messages::ChangeRequest;
+/// use sardinewood::operator::change::{Author, Judgement, judge};
+/// use sardinewood::operator::messages::ChangeRequest;
 ///
 /// let request: ChangeRequest = serde_json::from_str(r#"{
 ///     "id": "c1", "kind": "profiles", "name": "lookup", "expected": {"version": 7},
@@ -153,8 +153,8 @@
 /// Collects what is wrong with a change by itself, whatever else is in force.
 ///
 /// ```
-/// use sardinewood::operator_change::findings_of;
-/// use sardinewood::operator_messages::ChangeRequest;
+/// use sardinewood::operator::change::findings_of;
+/// use sardinewood::operator::messages::ChangeRequest;
 ///
 /// let request: ChangeRequest = serde_json::from_str(r#"{
 ///     "id": "c1", "kind": "profiles", "name": "lookup", "expected": "absent",
@@ -178,9 +178,9 @@
 /// Collects what is wrong with a change beside the other objects in force.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::operator_change::findings_beside;
-/// use sardinewood::operator_messages::ChangeRequest;
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::operator::change::findings_beside;
+/// use sardinewood::operator::messages::ChangeRequest;
 ///
 /// let request: ChangeRequest = serde_json::from_str(r#"{
 ///     "id": "c1", "kind": "customers", "name": "rundu", "expected": "absent", "reason": "new",
@@ -245,10 +245,10 @@
 /// When this call has changed nothing because of the store.
 ///
 /// ```no_run
-/// # use sardinewood::{config::Config, operator_change::Author, store::StoreClient};
-/// # use sardinewood::operator_messages::ChangeRequest;
+/// # use sardinewood::{config::Config, operator::change::Author, store::StoreClient};
+/// # use sardinewood::operator::messages::ChangeRequest;
 /// # async fn change(store: StoreClient, config: Config, request: ChangeRequest, author: Author) {
-/// let answer = sardinewood::operator_change::carry_out(&store, &config, &request, &author).await;
+/// let answer = sardinewood::operator::change::carry_out(&store, &config, &request, &author).await;
 /// # }
 /// ```
 pub async fn carry_out(
--- a/lib/src/operator_effects.rs
+++ b/lib/src/operator/effects.rs
@@ -2,21 +2,21 @@
 
 use std::sync::Arc;
 
-use crate::catalog::Catalog;
-use crate::config_object::Kind;
-use crate::objects::Activity;
-use crate::objects::Serves;
-use crate::objects::Target;
-use crate::objects::Upstream;
-use crate::operator_messages::Action;
-use crate::operator_messages::ChangeRequest;
+use crate::config::catalog::Catalog;
+use crate::config::object::Kind;
+use crate::config::objects::Activity;
+use crate::config::objects::Serves;
+use crate::config::objects::Target;
+use crate::config::objects::Upstream;
+use crate::operator::messages::Action;
+use crate::operator::messages::ChangeRequest;
 
 /// What a change would do, a sentence each.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::operator_effects::effects_of;
-/// use sardinewood::operator_messages::ChangeRequest;
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::operator::effects::effects_of;
+/// use sardinewood::operator::messages::ChangeRequest;
 ///
 /// let request: ChangeRequest = serde_json::from_str(r#"{
 ///     "id": "c1", "kind": "profiles", "name": "lookup", "expected": {"version": 7},
--- a/lib/src/operator_forms.rs
+++ b/lib/src/operator/forms.rs
@@ -7,15 +7,15 @@
 use serde_json::Value;
 use serde_json::json;
 
-use crate::config_object::Kind;
-use crate::objects::Activity;
-use crate::objects::TIER_COUNT;
-use crate::operator_html::field;
-use crate::operator_html::hidden;
-use crate::operator_messages::Action;
-use crate::operator_messages::ChangeRequest;
-use crate::operator_messages::Expected;
-use crate::operator_messages::ObjectView;
+use crate::config::object::Kind;
+use crate::config::objects::Activity;
+use crate::config::objects::TIER_COUNT;
+use crate::operator::html::field;
+use crate::operator::html::hidden;
+use crate::operator::messages::Action;
+use crate::operator::messages::ChangeRequest;
+use crate::operator::messages::Expected;
+use crate::operator::messages::ObjectView;
 
 /// The reason of a change that is only tried out.
 const DRY_RUN_REASON: &str = "dry run";
@@ -31,7 +31,7 @@
 /// A change as a form carries it from page to page.
 ///
 /// ```
-/// use sardinewood::operator_forms::ChangeForm;
+/// use sardinewood::operator::forms::ChangeForm;
 ///
 /// let form = ChangeForm { kind: "profiles".into(), version: "7".into(), ..Default::default() };
 /// assert!(form.request(false).is_some());
@@ -63,8 +63,8 @@
     /// A new change of an object that the operator looks at; `None` stands for no object.
     ///
     /// ```
-    /// use sardinewood::config_object::Kind;
-    /// use sardinewood::operator_forms::ChangeForm;
+    /// use sardinewood::config::object::Kind;
+    /// use sardinewood::operator::forms::ChangeForm;
     ///
     /// let form = ChangeForm::new(Kind::Profiles, "lookup", None, "c1".into());
     /// assert_eq!(form.version, "");
@@ -85,7 +85,7 @@
     /// What it asks for; `None` if it is not a form of ours.
     ///
     /// ```
-    /// assert!(sardinewood::operator_forms::ChangeForm::default().request(true).is_none());
+    /// assert!(sardinewood::operator::forms::ChangeForm::default().request(true).is_none());
     /// ```
     #[must_use]
     pub fn request(&self, dry_run: bool) -> Option<ChangeRequest> {
@@ -117,7 +117,7 @@
     /// The object that the operator looked at.
     ///
     /// ```
-    /// assert!(sardinewood::operator_forms::ChangeForm::default().seen_spec().is_null());
+    /// assert!(sardinewood::operator::forms::ChangeForm::default().seen_spec().is_null());
     /// ```
     #[must_use]
     pub fn seen_spec(&self) -> Value {
@@ -127,7 +127,7 @@
     /// Its hidden fields, all but the reason.
     ///
     /// ```
-    /// let html = sardinewood::operator_forms::ChangeForm::default().hidden_fields();
+    /// let html = sardinewood::operator::forms::ChangeForm::default().hidden_fields();
     /// assert!(html.contains(r#"name="version""#));
     /// ```
     #[must_use]
@@ -150,7 +150,7 @@
     /// The form that makes the change, with a button that says so.
     ///
     /// ```
-    /// use sardinewood::operator_forms::ChangeForm;
+    /// use sardinewood::operator::forms::ChangeForm;
     ///
     /// let html = ChangeForm::default().commit("Drain lang-1", false);
     /// assert!(html.contains("Drain lang-1</button>"));
@@ -166,14 +166,14 @@
             "<form method=\"post\" action=\"/change\">{}{}<button{class}>{}</button></form>",
             self.hidden_fields(),
             field("Why", "reason", &self.reason),
-            crate::operator_html::escape(button),
+            crate::operator::html::escape(button),
         )
     }
 
     /// The form that asks what became of the same change.
     ///
     /// ```
-    /// use sardinewood::operator_forms::ChangeForm;
+    /// use sardinewood::operator::forms::ChangeForm;
     ///
     /// assert!(ChangeForm::default().ask_again().contains("is_asked_again"));
     /// ```
@@ -191,8 +191,8 @@
 /// An upstream's object with another activity.
 ///
 /// ```
-/// use sardinewood::objects::Activity;
-/// use sardinewood::operator_forms::with_activity;
+/// use sardinewood::config::objects::Activity;
+/// use sardinewood::operator::forms::with_activity;
 /// use serde_json::json;
 ///
 /// let drained = with_activity(json!({"name": "lang-1"}), Activity::Draining);
@@ -212,7 +212,7 @@
 /// A profile's object from the fields of the form, on top of what the operator looked at.
 ///
 /// ```
-/// use sardinewood::operator_forms::{ProfileFields, profile_spec};
+/// use sardinewood::operator::forms::{ProfileFields, profile_spec};
 /// use serde_json::json;
 ///
 /// let mut fields = ProfileFields::default();
@@ -269,8 +269,8 @@
 /// The form of a profile.
 ///
 /// ```
-/// use sardinewood::config_object::Kind;
-/// use sardinewood::operator_forms::{ChangeForm, profile};
+/// use sardinewood::config::object::Kind;
+/// use sardinewood::operator::forms::{ChangeForm, profile};
 ///
 /// let form = ChangeForm::new(Kind::Profiles, "lookup", None, "c1".into());
 /// assert!(profile(&form).contains("Deadline"));
@@ -322,8 +322,8 @@
 /// The form of a new upstream: its object as JSON.
 ///
 /// ```
-/// use sardinewood::config_object::Kind;
-/// use sardinewood::operator_forms::{ChangeForm, new_upstream};
+/// use sardinewood::config::object::Kind;
+/// use sardinewood::operator::forms::{ChangeForm, new_upstream};
 ///
 /// let form = ChangeForm::new(Kind::Upstreams, "", None, "c1".into());
 /// assert!(new_upstream(&form).contains("textarea"));
@@ -343,14 +343,14 @@
         hidden("id", &form.id),
         hidden("kind", &form.kind),
         field("Name", "name", ""),
-        crate::operator_html::escape(&example),
+        crate::operator::html::escape(&example),
     )
 }
 
 /// The form to sign in.
 ///
 /// ```
-/// assert!(sardinewood::operator_forms::login().contains(r#"type="password""#));
+/// assert!(sardinewood::operator::forms::login().contains(r#"type="password""#));
 /// ```
 #[must_use]
 pub fn login() -> String {
@@ -363,8 +363,8 @@
 /// The name of an activity in a link, and what a button for it says.
 ///
 /// ```
-/// use sardinewood::objects::Activity;
-/// use sardinewood::operator_forms::activity_of;
+/// use sardinewood::config::objects::Activity;
+/// use sardinewood::operator::forms::activity_of;
 ///
 /// assert_eq!(activity_of("drain"), Some((Activity::Draining, "Drain")));
 /// assert_eq!(activity_of("sleep"), None);
@@ -382,7 +382,7 @@
 /// A fresh id for a change.
 ///
 /// ```
-/// use sardinewood::operator_forms::fresh_id;
+/// use sardinewood::operator::forms::fresh_id;
 ///
 /// assert_ne!(fresh_id(), fresh_id());
 /// ```
--- a/lib/src/operator_html.rs
+++ b/lib/src/operator/html.rs
@@ -5,8 +5,8 @@
 use serde_json::Map;
 use serde_json::Value;
 
-use crate::audit::Change;
-use crate::operator_messages::ObjectView;
+use crate::operator::audit::Change;
+use crate::operator::messages::ObjectView;
 
 /// Big targets, one column, the system's own fonts and colours; nothing is loaded besides.
 const STYLE: &str = "\
@@ -30,7 +30,7 @@
 /// Makes text safe between tags and in quoted attributes.
 ///
 /// ```
-/// use sardinewood::operator_html::escape;
+/// use sardinewood::operator::html::escape;
 ///
 /// assert_eq!(escape("<a href='x'>&\"</a>"), "&lt;a href=&#39;x&#39;&gt;&amp;&quot;&lt;/a&gt;");
 /// ```
@@ -53,7 +53,7 @@
 /// A whole page around its body, which is HTML already.
 ///
 /// ```
-/// use sardinewood::operator_html::page;
+/// use sardinewood::operator::html::page;
 ///
 /// assert!(page("Upstreams", "<p>none</p>").contains("<h1>Upstreams</h1>"));
 /// ```
@@ -72,7 +72,7 @@
 /// A list of sentences.
 ///
 /// ```
-/// use sardinewood::operator_html::list;
+/// use sardinewood::operator::html::list;
 ///
 /// assert_eq!(list(["a&b"]), "<ul><li>a&amp;b</li></ul>");
 /// ```
@@ -90,7 +90,7 @@
 /// A hidden field of a form.
 ///
 /// ```
-/// use sardinewood::operator_html::hidden;
+/// use sardinewood::operator::html::hidden;
 ///
 /// let field = hidden("version", "7");
 /// assert_eq!(field, r#"<input type="hidden" name="version" value="7">"#);
@@ -106,7 +106,7 @@
 /// A labelled field of a form.
 ///
 /// ```
-/// use sardinewood::operator_html::field;
+/// use sardinewood::operator::html::field;
 ///
 /// assert!(field("Tier", "tier", "2").contains(r#"name="tier" value="2""#));
 /// ```
@@ -122,7 +122,7 @@
 /// Who made a change and why, in a sentence.
 ///
 /// ```
-/// use sardinewood::operator_html::change_sentence;
+/// use sardinewood::operator::html::change_sentence;
 ///
 /// assert_eq!(change_sentence(None), "It was written without a record.");
 /// ```
@@ -137,7 +137,7 @@
 /// What another operator changed: each field that differs from what this one looked at.
 ///
 /// ```
-/// use sardinewood::operator_html::differences;
+/// use sardinewood::operator::html::differences;
 /// use serde_json::json;
 ///
 /// let seen = json!({"tier": 1, "deadline_ms": 8000});
@@ -169,7 +169,7 @@
 /// The part of a page that shows a conflict.
 ///
 /// ```
-/// use sardinewood::operator_html::conflict;
+/// use sardinewood::operator::html::conflict;
 ///
 /// assert!(conflict(&serde_json::json!({}), None).contains("does not exist"));
 /// ```
--- a/lib/src/operator_messages.rs
+++ b/lib/src/operator/messages.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
-use crate::audit::Change;
-use crate::config_object::Kind;
+use crate::config::object::Kind;
+use crate::operator::audit::Change;
 
 /// An object as operators see it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -42,7 +42,7 @@
 /// What the changed object must be like before the change.
 ///
 /// ```
-/// use sardinewood::operator_messages::Expected;
+/// use sardinewood::operator::messages::Expected;
 ///
 /// let expected = serde_json::to_string(&Expected::Version(7)).unwrap();
 /// assert_eq!(expected, r#"{"version":7}"#);
@@ -60,7 +60,7 @@
 /// What a change does.
 ///
 /// ```
-/// use sardinewood::operator_messages::Action;
+/// use sardinewood::operator::messages::Action;
 ///
 /// assert_eq!(serde_json::to_string(&Action::Delete).unwrap(), r#""delete""#);
 /// ```
@@ -76,7 +76,7 @@
 /// Asks for one change of one object.
 ///
 /// ```
-/// use sardinewood::operator_messages::ChangeRequest;
+/// use sardinewood::operator::messages::ChangeRequest;
 ///
 /// let change: ChangeRequest = serde_json::from_str(r#"{
 ///     "id": "c1", "kind": "profiles", "name": "lookup", "expected": {"version": 7},
@@ -108,7 +108,7 @@
 /// What became of a change; never two of these at once, and never a guess.
 ///
 /// ```
-/// use sardinewood::operator_messages::ChangeAnswer;
+/// use sardinewood::operator::messages::ChangeAnswer;
 ///
 /// let answer: ChangeAnswer = serde_json::from_str(r#"{"outcome": "not_known_yet"}"#).unwrap();
 /// assert_eq!(answer, ChangeAnswer::NotKnownYet);
@@ -144,7 +144,7 @@
 /// How far a version of an object has got.
 ///
 /// ```
-/// use sardinewood::operator_messages::InForce;
+/// use sardinewood::operator::messages::InForce;
 ///
 /// let in_force = InForce { processes: 35, missing: vec!["lang-1".into()] };
 /// assert_eq!(in_force.count(), 34);
@@ -161,7 +161,7 @@
     /// In how many processes it is in force.
     ///
     /// ```
-    /// assert_eq!(sardinewood::operator_messages::InForce::default().count(), 0);
+    /// assert_eq!(sardinewood::operator::messages::InForce::default().count(), 0);
     /// ```
     #[must_use]
     pub fn count(&self) -> usize {
--- a/lib/src/operator_page.rs
+++ b/lib/src/operator/page.rs
@@ -18,32 +18,32 @@
 use poem::web::Form;
 use serde::Deserialize;
 
-use crate::operator_api::OperatorApi;
-use crate::operator_forms;
-use crate::operator_page_changes::check_change;
-use crate::operator_page_changes::check_profile;
-use crate::operator_page_changes::make_change;
-use crate::operator_page_changes::show_confirmation;
-use crate::operator_page_changes::show_in_force;
-use crate::operator_page_parts::Visitor;
-use crate::operator_page_parts::html;
-use crate::operator_page_parts::redirect;
-use crate::operator_page_views::show_changes;
-use crate::operator_page_views::show_new_upstream;
-use crate::operator_page_views::show_profile;
-use crate::operator_page_views::show_profiles;
-use crate::operator_page_views::show_upstream;
-use crate::operator_page_views::show_upstreams;
-use crate::operator_session::sign_in;
-use crate::operator_session::sign_out;
-use crate::operator_session::token_of;
+use crate::operator::api::OperatorApi;
+use crate::operator::forms;
+use crate::operator::page_changes::check_change;
+use crate::operator::page_changes::check_profile;
+use crate::operator::page_changes::make_change;
+use crate::operator::page_changes::show_confirmation;
+use crate::operator::page_changes::show_in_force;
+use crate::operator::page_parts::Visitor;
+use crate::operator::page_parts::html;
+use crate::operator::page_parts::redirect;
+use crate::operator::page_views::show_changes;
+use crate::operator::page_views::show_new_upstream;
+use crate::operator::page_views::show_profile;
+use crate::operator::page_views::show_profiles;
+use crate::operator::page_views::show_upstream;
+use crate::operator::page_views::show_upstreams;
+use crate::operator::session::sign_in;
+use crate::operator::session::sign_out;
+use crate::operator::session::token_of;
 
 /// All pages.
 ///
 /// ```no_run
-/// # async fn serve(api: sardinewood::operator_api::OperatorApi) -> std::io::Result<()> {
+/// # async fn serve(api: sardinewood::operator::api::OperatorApi) -> std::io::Result<()> {
 /// let listener = poem::listener::TcpListener::bind("127.0.0.1:9400");
-/// poem::Server::new(listener).run(sardinewood::operator_page::routes(api)).await
+/// poem::Server::new(listener).run(sardinewood::operator::page::routes(api)).await
 /// # }
 /// ```
 pub fn routes(api: OperatorApi) -> impl Endpoint + 'static {
@@ -87,7 +87,7 @@
 
 #[handler]
 fn show_login() -> Response {
-    html(StatusCode::OK, "Sign in", &operator_forms::login())
+    html(StatusCode::OK, "Sign in", &forms::login())
 }
 
 #[derive(Deserialize)]
@@ -114,7 +114,7 @@
             "Sign in",
             &format!(
                 "<p class=\"bad\">This token is not known.</p>{}",
-                operator_forms::login()
+                forms::login()
             ),
         ),
     }
--- a/lib/src/operator_page_changes.rs
+++ b/lib/src/operator/page_changes.rs
@@ -12,29 +12,29 @@
 use poem::web::Data;
 use poem::web::Path;
 
-use crate::config_object::Kind;
-use crate::config_object::ObjectKey;
-use crate::operator_api::OperatorApi;
-use crate::operator_forms;
-use crate::operator_forms::ChangeForm;
-use crate::operator_html::conflict;
-use crate::operator_html::escape;
-use crate::operator_html::list;
-use crate::operator_messages::Action;
-use crate::operator_messages::ChangeAnswer;
-use crate::operator_messages::ChangeRequest;
-use crate::operator_messages::InForce;
-use crate::operator_page_parts::Visitor;
-use crate::operator_page_parts::find;
-use crate::operator_page_parts::form_bytes;
-use crate::operator_page_parts::fresh_form;
-use crate::operator_page_parts::html;
-use crate::operator_page_parts::parse_form;
-use crate::operator_page_parts::problem;
-use crate::operator_queries::upstream_views;
-use crate::operator_routes::remote_address;
-use crate::operator_session::form_key;
-use crate::operator_session::is_form_key;
+use crate::config::object::Kind;
+use crate::config::object::ObjectKey;
+use crate::operator::api::OperatorApi;
+use crate::operator::forms;
+use crate::operator::forms::ChangeForm;
+use crate::operator::html::conflict;
+use crate::operator::html::escape;
+use crate::operator::html::list;
+use crate::operator::messages::Action;
+use crate::operator::messages::ChangeAnswer;
+use crate::operator::messages::ChangeRequest;
+use crate::operator::messages::InForce;
+use crate::operator::page_parts::Visitor;
+use crate::operator::page_parts::find;
+use crate::operator::page_parts::form_bytes;
+use crate::operator::page_parts::fresh_form;
+use crate::operator::page_parts::html;
+use crate::operator::page_parts::parse_form;
+use crate::operator::page_parts::problem;
+use crate::operator::queries::upstream_views;
+use crate::operator::routes::remote_address;
+use crate::operator::session::form_key;
+use crate::operator::session::is_form_key;
 
 /// Shows what draining, stopping or resuming will do, and asks for the operator's word.
 #[handler]
@@ -45,14 +45,14 @@
     Data(api): Data<&Arc<OperatorApi>>,
 ) -> poem::Result<Response> {
     let view = find(api, Kind::Upstreams, &name)?;
-    let activity = operator_forms::activity_of(&word);
+    let activity = forms::activity_of(&word);
     let (activity, label) = activity.ok_or_else(|| problem(StatusCode::NOT_FOUND))?;
     let spec = view
         .spec
         .clone()
         .ok_or_else(|| problem(StatusCode::NOT_FOUND))?;
     let mut form = fresh_form(visitor, Kind::Upstreams, &name, Some(&view));
-    form.spec = operator_forms::with_activity(spec, activity).to_string();
+    form.spec = forms::with_activity(spec, activity).to_string();
     let title = format!("{label} {name}");
     Ok(confirm(request, api, visitor, form, &title).await)
 }
@@ -67,7 +67,7 @@
     let bytes = form_bytes(body).await?;
     let mut form: ChangeForm = parse_form(&bytes)?;
     let fields: IndexMap<String, String> = parse_form(&bytes)?;
-    let spec = operator_forms::profile_spec(&form.name, &form.seen_spec(), &fields);
+    let spec = forms::profile_spec(&form.name, &form.seen_spec(), &fields);
     form.spec = spec.to_string();
     let title = format!("Change {}", form.name);
     Ok(confirm(request, api, visitor, form, &title).await)
@@ -239,7 +239,7 @@
     let kind = Kind::parse(&kind).ok_or_else(|| problem(StatusCode::NOT_FOUND))?;
     let key = ObjectKey {
         kind,
-        name: operator_forms::name_of(&name),
+        name: forms::name_of(&name),
     };
     let in_force = api.in_force(&key, version).await;
     Ok(html(
--- a/lib/src/operator_page_parts.rs
+++ b/lib/src/operator/page_parts.rs
@@ -5,16 +5,16 @@
 use poem::http::StatusCode;
 use poem::http::header;
 
-use crate::config_object::Kind;
-use crate::config_object::ObjectKey;
-use crate::operator_api::OperatorApi;
-use crate::operator_auth::Session;
-use crate::operator_forms;
-use crate::operator_forms::ChangeForm;
-use crate::operator_html::page;
-use crate::operator_messages::ObjectView;
-use crate::operator_queries::view_of;
-use crate::operator_session::form_key;
+use crate::config::object::Kind;
+use crate::config::object::ObjectKey;
+use crate::operator::api::OperatorApi;
+use crate::operator::auth::Session;
+use crate::operator::forms;
+use crate::operator::forms::ChangeForm;
+use crate::operator::html::page;
+use crate::operator::messages::ObjectView;
+use crate::operator::queries::view_of;
+use crate::operator::session::form_key;
 
 /// The longest form: an object and some words.
 const MAX_FORM_BYTES: usize = 256 * 1024;
@@ -34,7 +34,7 @@
 pub(crate) fn find(api: &OperatorApi, kind: Kind, name: &str) -> poem::Result<ObjectView> {
     let key = ObjectKey {
         kind,
-        name: operator_forms::name_of(name),
+        name: forms::name_of(name),
     };
     let view = view_of(&api.config.state().borrow(), &key);
     view.ok_or_else(|| problem(StatusCode::NOT_FOUND))
@@ -46,7 +46,7 @@
     name: &str,
     view: Option<&ObjectView>,
 ) -> ChangeForm {
-    let form = ChangeForm::new(kind, name, view, operator_forms::fresh_id());
+    let form = ChangeForm::new(kind, name, view, forms::fresh_id());
     ChangeForm {
         key: form_key(&visitor.token),
         ..form
--- a/lib/src/operator_page_views.rs
+++ b/lib/src/operator/page_views.rs
@@ -11,23 +11,23 @@
 use poem::web::Query;
 use serde::Deserialize;
 
-use crate::config_object::Kind;
-use crate::operator_api::OperatorApi;
-use crate::operator_forms;
-use crate::operator_html::change_sentence;
-use crate::operator_html::differences;
-use crate::operator_html::escape;
-use crate::operator_html::field;
-use crate::operator_html::list;
-use crate::operator_messages::AuditEntry;
-use crate::operator_messages::ObjectView;
-use crate::operator_page_parts::Visitor;
-use crate::operator_page_parts::find;
-use crate::operator_page_parts::fresh_form;
-use crate::operator_page_parts::html;
-use crate::operator_queries::AuditFilter;
-use crate::operator_queries::upstream_views;
-use crate::operator_queries::views_of;
+use crate::config::object::Kind;
+use crate::operator::api::OperatorApi;
+use crate::operator::forms;
+use crate::operator::html::change_sentence;
+use crate::operator::html::differences;
+use crate::operator::html::escape;
+use crate::operator::html::field;
+use crate::operator::html::list;
+use crate::operator::messages::AuditEntry;
+use crate::operator::messages::ObjectView;
+use crate::operator::page_parts::Visitor;
+use crate::operator::page_parts::find;
+use crate::operator::page_parts::fresh_form;
+use crate::operator::page_parts::html;
+use crate::operator::queries::AuditFilter;
+use crate::operator::queries::upstream_views;
+use crate::operator::queries::views_of;
 
 /// How many changes the page of changes shows.
 const CHANGES_SHOWN: usize = 50;
@@ -80,7 +80,7 @@
     html(
         StatusCode::OK,
         "Add an upstream",
-        &operator_forms::new_upstream(&form),
+        &forms::new_upstream(&form),
     )
 }
 
@@ -92,7 +92,7 @@
     let view = find(api, Kind::Upstreams, &name)?;
     let mut body = shown(&view);
     for word in ["drain", "stop", "resume"] {
-        let label = operator_forms::activity_of(word).map_or("", |(_, label)| label);
+        let label = forms::activity_of(word).map_or("", |(_, label)| label);
         // Writing to a string cannot fail.
         let _ = write!(
             body,
@@ -143,7 +143,7 @@
     let view = find(api, Kind::Profiles, name).ok();
     let form = fresh_form(visitor, Kind::Profiles, name, view.as_ref());
     let mut body = view.as_ref().map_or(String::new(), shown);
-    body.push_str(&operator_forms::profile(&form));
+    body.push_str(&forms::profile(&form));
     html(StatusCode::OK, name, &body)
 }
 
--- a/lib/src/operator_queries.rs
+++ b/lib/src/operator/queries.rs
@@ -4,25 +4,25 @@
 
 use indexmap::IndexMap;
 
-use crate::audit::Record;
-use crate::catalog::Catalog;
-use crate::config_object::Kind;
-use crate::config_object::ObjectKey;
-use crate::config_state::ConfigState;
-use crate::config_state::Content;
-use crate::entry_control::AgentStatus;
-use crate::entry_control::EntryStatus;
-use crate::objects::Activity;
-use crate::objects::Upstream;
-use crate::operator_messages::AuditEntry;
-use crate::operator_messages::AuditTrail;
-use crate::operator_messages::InForce;
-use crate::operator_messages::ObjectView;
-use crate::operator_messages::ObjectViews;
-use crate::operator_messages::ProcessView;
-use crate::operator_messages::UpstreamView;
-use crate::spread_link::Member;
-use crate::spread_message::Role;
+use crate::config::catalog::Catalog;
+use crate::config::object::Kind;
+use crate::config::object::ObjectKey;
+use crate::config::objects::Activity;
+use crate::config::objects::Upstream;
+use crate::config::spread_link::Member;
+use crate::config::spread_message::Role;
+use crate::config::state::ConfigState;
+use crate::config::state::Content;
+use crate::entry::control::AgentStatus;
+use crate::entry::control::EntryStatus;
+use crate::operator::audit::Record;
+use crate::operator::messages::AuditEntry;
+use crate::operator::messages::AuditTrail;
+use crate::operator::messages::InForce;
+use crate::operator::messages::ObjectView;
+use crate::operator::messages::ObjectViews;
+use crate::operator::messages::ProcessView;
+use crate::operator::messages::UpstreamView;
 use crate::store::StoredObject;
 
 /// An entry that was not heard for so long is not believed to run.
@@ -58,9 +58,9 @@
 /// One object as this entry holds it.
 ///
 /// ```
-/// use sardinewood::config_object::{Kind, ObjectKey};
-/// use sardinewood::config_state::ConfigState;
-/// use sardinewood::operator_queries::view_of;
+/// use sardinewood::config::object::{Kind, ObjectKey};
+/// use sardinewood::config::state::ConfigState;
+/// use sardinewood::operator::queries::view_of;
 ///
 /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
 /// assert!(view_of(&ConfigState::default(), &key).is_none());
@@ -83,9 +83,9 @@
 /// The objects of a kind that are not removed.
 ///
 /// ```
-/// use sardinewood::config_object::Kind;
-/// use sardinewood::config_state::ConfigState;
-/// use sardinewood::operator_queries::views_of;
+/// use sardinewood::config::object::Kind;
+/// use sardinewood::config::state::ConfigState;
+/// use sardinewood::operator::queries::views_of;
 ///
 /// assert!(views_of(&ConfigState::default(), Kind::Profiles).objects.is_empty());
 /// ```
@@ -102,8 +102,8 @@
 /// The objects that changed after a revision.
 ///
 /// ```
-/// use sardinewood::config_state::ConfigState;
-/// use sardinewood::operator_queries::changed_after;
+/// use sardinewood::config::state::ConfigState;
+/// use sardinewood::operator::queries::changed_after;
 ///
 /// assert!(changed_after(&ConfigState::default(), 0).objects.is_empty());
 /// ```
@@ -122,8 +122,8 @@
 /// The newest revision of which something is known.
 ///
 /// ```
-/// let state = sardinewood::config_state::ConfigState::default();
-/// assert_eq!(sardinewood::operator_queries::revision_of(&state), 0);
+/// let state = sardinewood::config::state::ConfigState::default();
+/// assert_eq!(sardinewood::operator::queries::revision_of(&state), 0);
 /// ```
 #[must_use]
 pub fn revision_of(state: &ConfigState) -> u64 {
@@ -135,8 +135,8 @@
 /// entries that were heard lately.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::operator_queries::believed;
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::operator::queries::believed;
 ///
 /// assert!(believed(&Catalog::default(), &[]).is_empty());
 /// ```
@@ -170,8 +170,8 @@
 /// has that one is past the version that is asked about.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::operator_queries::{believed, in_force};
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::operator::queries::{believed, in_force};
 ///
 /// let alone = in_force(&believed(&Catalog::default(), &[]), None, 7, 7);
 /// assert_eq!((alone.processes, alone.count()), (1, 1));
@@ -201,8 +201,8 @@
 /// A process as operators see it.
 ///
 /// ```
-/// use sardinewood::operator_queries::{Believed, process_view};
-/// use sardinewood::spread_message::Role;
+/// use sardinewood::operator::queries::{Believed, process_view};
+/// use sardinewood::config::spread_message::Role;
 ///
 /// let view = process_view("lang-1", &Believed { role: Role::Agent, member: None });
 /// assert_eq!((&*view.role, view.revision), ("agent", None));
@@ -228,9 +228,9 @@
 /// Every upstream, and why it gets no work from this entry.
 ///
 /// ```
-/// use sardinewood::catalog::Catalog;
-/// use sardinewood::entry_control::EntryStatus;
-/// use sardinewood::operator_queries::upstream_views;
+/// use sardinewood::config::catalog::Catalog;
+/// use sardinewood::entry::control::EntryStatus;
+/// use sardinewood::operator::queries::upstream_views;
 ///
 /// assert!(upstream_views(&Catalog::default(), &EntryStatus::default()).is_empty());
 /// ```
@@ -273,7 +273,7 @@
 /// The audit trail of some objects of the store.
 ///
 /// ```
-/// use sardinewood::operator_queries::{AuditFilter, audit_trail};
+/// use sardinewood::operator::queries::{AuditFilter, audit_trail};
 ///
 /// assert!(audit_trail(&[], &AuditFilter::default()).entries.is_empty());
 /// ```
--- a/lib/src/operator_retention.rs
+++ b/lib/src/operator/retention.rs
@@ -7,9 +7,9 @@
 use std::sync::Arc;
 
 use crate::config::Config;
-use crate::config_object::Kind;
-use crate::config_object::ObjectKey;
-use crate::config_state::ConfigState;
+use crate::config::object::Kind;
+use crate::config::object::ObjectKey;
+use crate::config::state::ConfigState;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::store::StoreClient;
@@ -23,8 +23,8 @@
 /// The removed objects whose records have had their time, with their versions.
 ///
 /// ```
-/// use sardinewood::config_state::ConfigState;
-/// use sardinewood::operator_retention::expired;
+/// use sardinewood::config::state::ConfigState;
+/// use sardinewood::operator::retention::expired;
 ///
 /// assert!(expired(&ConfigState::default(), 0).is_empty());
 /// ```
@@ -46,7 +46,7 @@
 ///
 /// ```no_run
 /// # async fn clean(store: sardinewood::store::StoreClient, config: sardinewood::config::Config) {
-/// sardinewood::operator_retention::take_away_expired(&store, &config, 0).await;
+/// sardinewood::operator::retention::take_away_expired(&store, &config, 0).await;
 /// # }
 /// ```
 pub async fn take_away_expired(store: &StoreClient, config: &Config, now_ms: u64) {
--- a/lib/src/operator_routes.rs
+++ b/lib/src/operator/routes.rs
@@ -19,20 +19,20 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::config_object::Kind;
-use crate::config_object::ObjectKey;
-use crate::operator_api::OperatorApi;
-use crate::operator_auth::Session;
-use crate::operator_auth::bearer_token;
-use crate::operator_change::NotDone;
-use crate::operator_messages::ChangeAnswer;
-use crate::operator_messages::ChangeRequest;
-use crate::operator_messages::ErrorBody;
-use crate::operator_queries::AuditFilter;
-use crate::operator_queries::changed_after;
-use crate::operator_queries::revision_of;
-use crate::operator_queries::view_of;
-use crate::operator_queries::views_of;
+use crate::config::object::Kind;
+use crate::config::object::ObjectKey;
+use crate::operator::api::OperatorApi;
+use crate::operator::auth::Session;
+use crate::operator::auth::bearer_token;
+use crate::operator::change::NotDone;
+use crate::operator::messages::ChangeAnswer;
+use crate::operator::messages::ChangeRequest;
+use crate::operator::messages::ErrorBody;
+use crate::operator::queries::AuditFilter;
+use crate::operator::queries::changed_after;
+use crate::operator::queries::revision_of;
+use crate::operator::queries::view_of;
+use crate::operator::queries::views_of;
 
 /// The longest body of a call: the longest object and some words.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -43,9 +43,9 @@
 /// All calls of the API.
 ///
 /// ```no_run
-/// # async fn serve(api: sardinewood::operator_api::OperatorApi) -> std::io::Result<()> {
+/// # async fn serve(api: sardinewood::operator::api::OperatorApi) -> std::io::Result<()> {
 /// let listener = poem::listener::TcpListener::bind("127.0.0.1:9400");
-/// poem::Server::new(listener).run(sardinewood::operator_routes::routes(api)).await
+/// poem::Server::new(listener).run(sardinewood::operator::routes::routes(api)).await
 /// # }
 /// ```
 pub fn routes(api: OperatorApi) -> impl Endpoint + 'static {
--- a/lib/src/operator_server.rs
+++ b/lib/src/operator/server.rs
@@ -12,9 +12,9 @@
 
 use crate::logging::Level;
 use crate::logging::Line;
-use crate::operator_api::OperatorApi;
-use crate::operator_page;
-use crate::operator_routes;
+use crate::operator::api::OperatorApi;
+use crate::operator::page;
+use crate::operator::routes;
 use crate::tls::TlsFeed;
 use crate::tls::secured;
 
@@ -31,10 +31,10 @@
 /// When the address cannot be bound.
 ///
 /// ```no_run
-/// # async fn start(api: sardinewood::operator_api::OperatorApi) -> std::io::Result<()> {
+/// # async fn start(api: sardinewood::operator::api::OperatorApi) -> std::io::Result<()> {
 /// let stop = tokio_util::sync::CancellationToken::new();
 /// let address = "127.0.0.1:9400".parse().unwrap();
-/// sardinewood::operator_server::spawn(address, api, stop).await?;
+/// sardinewood::operator::server::spawn(address, api, stop).await?;
 /// # Ok(())
 /// # }
 /// ```
@@ -54,11 +54,11 @@
 ///
 /// ```no_run
 /// # use sardinewood::tls::{TlsFeed, TlsSettings};
-/// # async fn start(api: sardinewood::operator_api::OperatorApi, tls: TlsSettings) {
+/// # async fn start(api: sardinewood::operator::api::OperatorApi, tls: TlsSettings) {
 /// let stop = tokio_util::sync::CancellationToken::new();
 /// let address = "127.0.0.1:9400".parse().unwrap();
 /// let tls = TlsFeed::open(&tls).unwrap();
-/// sardinewood::operator_server::spawn_secured(address, api, tls, stop).await.unwrap();
+/// sardinewood::operator::server::spawn_secured(address, api, tls, stop).await.unwrap();
 /// # }
 /// ```
 pub async fn spawn_secured(
@@ -73,8 +73,8 @@
     let acceptor = secured(acceptor, tls.as_ref());
     let server = Server::new_with_acceptor(acceptor).idle_timeout(IDLE_TIMEOUT);
     let routes = Route::new()
-        .nest("/v1", operator_routes::routes(api.clone()))
-        .nest("/", operator_page::routes(api));
+        .nest("/v1", routes::routes(api.clone()))
+        .nest("/", page::routes(api));
     tokio::spawn(async move {
         let stopped = async move { stop.cancelled().await };
         let grace = Some(SHUTDOWN_GRACE);
--- a/lib/src/operator_session.rs
+++ b/lib/src/operator/session.rs
@@ -22,7 +22,7 @@
 /// the browser is told never to send it in the clear.
 ///
 /// ```
-/// use sardinewood::operator_session::sign_in;
+/// use sardinewood::operator::session::sign_in;
 ///
 /// assert!(sign_in("abc", true).unwrap().ends_with("HttpOnly; SameSite=Strict; Secure"));
 /// assert_eq!(sign_in("a;b", true), None);
@@ -40,7 +40,7 @@
 /// The header that signs an operator out.
 ///
 /// ```
-/// assert!(sardinewood::operator_session::sign_out().contains("Max-Age=0"));
+/// assert!(sardinewood::operator::session::sign_out().contains("Max-Age=0"));
 /// ```
 #[must_use]
 pub fn sign_out() -> String {
@@ -60,7 +60,7 @@
 /// What each form of an operator carries.
 ///
 /// ```
-/// use sardinewood::operator_session::{form_key, is_form_key};
+/// use sardinewood::operator::session::{form_key, is_form_key};
 ///
 /// assert!(is_form_key(&form_key("token"), "token"));
 /// assert!(!is_form_key(&form_key("other"), "token"));
@@ -73,7 +73,7 @@
 /// Whether a form comes from a page that was made for the operator.
 ///
 /// ```
-/// assert!(!sardinewood::operator_session::is_form_key("", "token"));
+/// assert!(!sardinewood::operator::session::is_form_key("", "token"));
 /// ```
 #[must_use]
 pub fn is_form_key(given: &str, token: &str) -> bool {
--- a/lib/src/ordering.rs
+++ b/lib/src/ordering.rs
@@ -10,23 +10,25 @@
 //! more, or has the agent that the claim names settle the attempt. An outcome that stays
 //! unknown keeps the key closed, and its successors hear "not run".
 
+pub mod queue;
+
 use indexmap::IndexMap;
 
-use crate::claim_object::Holder;
+use crate::claims::object::Holder;
 use crate::ids::AttemptId;
 use crate::ids::RequestId;
-use crate::order_queue::BarAnswer;
-use crate::order_queue::OrderAnswer;
-use crate::order_queue::OrderCall;
-use crate::order_queue::OrderName;
-use crate::order_queue::OrderQueue;
-use crate::order_queue::OrderRules;
-use crate::order_queue::OrderStep;
-use crate::order_queue::Place;
-use crate::order_queue::StoredQueue;
+use crate::link::wire::Settlement;
+use crate::ordering::queue::BarAnswer;
+use crate::ordering::queue::OrderAnswer;
+use crate::ordering::queue::OrderCall;
+use crate::ordering::queue::OrderName;
+use crate::ordering::queue::OrderQueue;
+use crate::ordering::queue::OrderRules;
+use crate::ordering::queue::OrderStep;
+use crate::ordering::queue::Place;
+use crate::ordering::queue::StoredQueue;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
-use crate::wire::Settlement;
 
 /// A request of this entry under a key.
 #[derive(Clone, Debug)]
@@ -111,7 +113,7 @@
 ///
 /// ```
 /// use sardinewood::ids::RequestId;
-/// use sardinewood::order_queue::{OrderAnswer, OrderName, OrderRules, OrderStep, Place};
+/// use sardinewood::ordering::queue::{OrderAnswer, OrderName, OrderRules, OrderStep, Place};
 /// use sardinewood::ordering::Orders;
 ///
 /// let order = OrderName::new("kowalczyk", "counsellor-4")?;
@@ -121,7 +123,7 @@
 /// orders.answered(2, order, OrderAnswer::Current(Default::default()));
 /// let steps = orders.answered(4, order, OrderAnswer::Written { version: Some(7) });
 /// assert_eq!(steps, [OrderStep::Turn { request: RequestId(1) }]);
-/// # Ok::<(), sardinewood::request_names::KeyError>(())
+/// # Ok::<(), sardinewood::caller::request_names::KeyError>(())
 /// ```
 #[derive(Debug)]
 pub struct Orders {
