--- a/lib/src/order_queue.rs
+++ b/lib/src/ordering/queue.rs
@@ -5,10 +5,10 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::claim_object::Holder;
+use crate::caller::request_names::KeyError;
+use crate::caller::request_names::RequestName;
+use crate::claims::object::Holder;
 use crate::ids::RequestId;
-use crate::request_names::KeyError;
-use crate::request_names::RequestName;
 use crate::verdict::Failure;
 
 /// The kind under which the queues are stored.
@@ -17,11 +17,11 @@
 /// The name of one order key of one customer.
 ///
 /// ```
-/// use sardinewood::order_queue::OrderName;
+/// use sardinewood::ordering::queue::OrderName;
 ///
 /// let one = OrderName::new("kowalczyk", "counsellor-4")?;
 /// assert_ne!(one, OrderName::new("rundu", "counsellor-4")?);
-/// # Ok::<(), sardinewood::request_names::KeyError>(())
+/// # Ok::<(), sardinewood::caller::request_names::KeyError>(())
 /// ```
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct OrderName(RequestName);
@@ -47,7 +47,7 @@
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Place {
     /// The request, as text.
-    #[serde(with = "crate::claim_object::request_text")]
+    #[serde(with = "crate::claims::object::request_text")]
     pub request: RequestId,
     /// The name of its claim, through which a successor can bar it.
     pub claim: Arc<str>,
@@ -162,7 +162,7 @@
 /// How orders are kept.
 ///
 /// ```
-/// use sardinewood::order_queue::OrderRules;
+/// use sardinewood::ordering::queue::OrderRules;
 ///
 /// assert!(OrderRules::default().overdue_ms > 0);
 /// ```
--- a/lib/src/settings.rs
+++ b/lib/src/settings.rs
@@ -3,6 +3,8 @@
 //! A program lists its settings in a table; reading the table gives either the filled
 //! struct or one report of everything that is wrong, each with its place.
 
+pub mod setting;
+
 use std::ffi::OsString;
 use std::fmt::Write;
 use std::process::ExitCode;
@@ -11,9 +13,9 @@
 use lexopt::Parser;
 
 use crate::findings::Findings;
-pub use crate::setting::Setting;
-use crate::setting::Source;
-use crate::setting::variable_of;
+pub use crate::settings::setting::Setting;
+use crate::settings::setting::Source;
+use crate::settings::setting::variable_of;
 pub use crate::value_check::check_base_url;
 pub use crate::value_check::check_name;
 pub use crate::value_check::check_silence;
--- a/lib/src/setting.rs
+++ b/lib/src/settings/setting.rs
@@ -57,7 +57,7 @@
     /// A number within a range; the flag carries its unit as suffix.
     ///
     /// ```
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::number("heartbeat-ms", 10..=60_000, "Pause.", |own: &mut u64| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_HEARTBEAT_MS");
@@ -83,7 +83,7 @@
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::name("host", "Name of this host.", |own: &mut Arc<str>| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_HOST");
@@ -106,7 +106,7 @@
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::url("store-url", "The store.", |own: &mut Arc<str>| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_STORE_URL");
@@ -125,7 +125,7 @@
     ///
     /// ```
     /// use std::net::SocketAddr;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::address("listen", "Callers' port.", |own: &mut SocketAddr| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_LISTEN");
@@ -147,7 +147,7 @@
     ///
     /// ```
     /// use std::net::SocketAddr;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting =
     ///     Setting::optional_address("metrics", "Metrics.", |own: &mut Option<SocketAddr>| own);
@@ -170,7 +170,7 @@
     ///
     /// ```
     /// use std::path::PathBuf;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting =
     ///     Setting::optional_path("tls-key-file", "Key.", |own: &mut Option<PathBuf>| own);
@@ -196,7 +196,7 @@
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let words = &["table", "json"];
     /// let setting = Setting::choice("output", words, "Form.", |own: &mut Arc<str>| own);
@@ -222,7 +222,7 @@
     /// Something that is on when the flag is given, or its variable is `true`.
     ///
     /// ```
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::switch("dry-run", "Change nothing.", |own: &mut bool| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_DRY_RUN");
@@ -243,7 +243,7 @@
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::text("reason", "Why.", |own: &mut Arc<str>| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_REASON");
@@ -264,7 +264,7 @@
     /// A number within a range that may be left out.
     ///
     /// ```
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting =
     ///     Setting::optional_number("limit", 1..=9, "Limit.", |own: &mut Option<u64>| own);
@@ -288,7 +288,7 @@
     ///
     /// ```
     /// use sardinewood::secrets::Secret;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::secret("peer-key", "Key.", |own: &mut Secret| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_PEER_KEY");
@@ -319,7 +319,7 @@
     ///
     /// ```
     /// use std::sync::Arc;
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let _ = Setting::name("host", "Name of this host.", |own: &mut Arc<str>| own).required();
     /// ```
@@ -332,7 +332,7 @@
     /// The environment variable of this setting.
     ///
     /// ```
-    /// use sardinewood::setting::Setting;
+    /// use sardinewood::settings::setting::Setting;
     ///
     /// let setting = Setting::number("slots", 1..=9, "Slots.", |own: &mut u64| own);
     /// assert_eq!(setting.variable(), "SARDINEWOOD_SLOTS");
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -4,6 +4,11 @@
 //! a conflict with itself, and a read that is retried out of sight breaks the call budget;
 //! so callers see each answer, and decide.
 
+pub mod duty;
+pub mod hosts;
+pub mod records;
+pub(crate) mod types;
+
 use std::sync::Arc;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -18,16 +23,16 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
-pub use crate::store_types::CallCounts;
-pub use crate::store_types::Expect;
-pub use crate::store_types::Host;
-pub use crate::store_types::HostState;
-pub use crate::store_types::ObjectList;
-pub use crate::store_types::ReadError;
-pub use crate::store_types::StoredObject;
-pub use crate::store_types::WatchBatch;
-pub use crate::store_types::WatchEvent;
-pub use crate::store_types::WriteAnswer;
+pub use crate::store::types::CallCounts;
+pub use crate::store::types::Expect;
+pub use crate::store::types::Host;
+pub use crate::store::types::HostState;
+pub use crate::store::types::ObjectList;
+pub use crate::store::types::ReadError;
+pub use crate::store::types::StoredObject;
+pub use crate::store::types::WatchBatch;
+pub use crate::store::types::WatchEvent;
+pub use crate::store::types::WriteAnswer;
 
 /// How long a call other than a watch may take.
 const DEFAULT_CALL_TIMEOUT_MS: u64 = 2_000;
--- a/lib/src/store_duty.rs
+++ b/lib/src/store/duty.rs
@@ -17,7 +17,7 @@
 /// Whether this process is one of those that watch the store.
 ///
 /// ```
-/// use sardinewood::store_duty::StoreDuty;
+/// use sardinewood::store::duty::StoreDuty;
 ///
 /// let mut duty = StoreDuty::default();
 /// assert!(duty.is_due(0, 10, 0.9), "each process of a small fleet watches");
--- a/lib/src/hosts.rs
+++ b/lib/src/store/hosts.rs
@@ -8,7 +8,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use crate::spread_link::SpreadHandle;
+use crate::config::spread_link::SpreadHandle;
 use crate::store::Host;
 use crate::store::HostState;
 use crate::store::StoreClient;
@@ -19,7 +19,7 @@
 /// Where the processes on live hosts are reached, all on the same port.
 ///
 /// ```
-/// use sardinewood::hosts::seeds_of;
+/// use sardinewood::store::hosts::seeds_of;
 /// use sardinewood::store::Host;
 ///
 /// let hosts: Vec<Host> = serde_json::from_str(r#"[
@@ -46,9 +46,9 @@
 /// settings, for as long as the process runs.
 ///
 /// ```no_run
-/// # use sardinewood::{spread_link::SpreadHandle, store::StoreClient};
+/// # use sardinewood::{config::spread_link::SpreadHandle, store::StoreClient};
 /// # async fn start(store: StoreClient, spread: SpreadHandle) {
-/// tokio::spawn(sardinewood::hosts::follow(store, spread, vec![], 7_000));
+/// tokio::spawn(sardinewood::store::hosts::follow(store, spread, vec![], 7_000));
 /// # }
 /// ```
 pub async fn follow(
--- a/lib/src/upstream_client.rs
+++ b/lib/src/upstream/client.rs
@@ -1,17 +1,17 @@
 //! The upstream of an agent, be it a model engine or a plain service.
 
-use crate::agent_events::Found;
-use crate::agent_events::Probe;
-use crate::engine::Engine;
-use crate::engine::EngineError;
+use crate::agent::events::Found;
+use crate::agent::events::Probe;
+use crate::config::objects::Serves;
+use crate::config::objects::Upstream;
 use crate::ids::RequestId;
-use crate::objects::Serves;
-use crate::objects::Upstream;
-use crate::service::Service;
-use crate::upstream_http::OpenError;
-use crate::upstream_http::UpstreamAnswer;
-use crate::upstream_http::UpstreamHttp;
-use crate::wire::Call;
+use crate::link::wire::Call;
+use crate::upstream::engine::Engine;
+use crate::upstream::engine::EngineError;
+use crate::upstream::http::OpenError;
+use crate::upstream::http::UpstreamAnswer;
+use crate::upstream::http::UpstreamHttp;
+use crate::upstream::service::Service;
 
 /// A way to the upstream.
 #[derive(Clone, Debug)]
--- a/lib/src/engine.rs
+++ b/lib/src/upstream/engine.rs
@@ -7,12 +7,12 @@
 use reqwest::StatusCode;
 use serde::Deserialize;
 
-use crate::agent_events::Found;
+use crate::agent::events::Found;
 use crate::ids::RequestId;
-use crate::upstream_http::OpenError;
-use crate::upstream_http::UpstreamAnswer;
-use crate::upstream_http::UpstreamHttp;
-use crate::wire::Call;
+use crate::link::wire::Call;
+use crate::upstream::http::OpenError;
+use crate::upstream::http::UpstreamAnswer;
+use crate::upstream::http::UpstreamHttp;
 
 /// Where a request stands in the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
@@ -71,10 +71,10 @@
 /// A model engine.
 ///
 /// ```
-/// use sardinewood::engine::Engine;
+/// use sardinewood::upstream::engine::Engine;
 /// use sardinewood::ids::RequestId;
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// use sardinewood::upstream_http::{UpstreamHttp, UpstreamTimings};
+/// use sardinewood::upstream::http::{UpstreamHttp, UpstreamTimings};
 /// let http = UpstreamHttp::new(UpstreamTimings::default()).unwrap();
 /// let engine = Engine::new(http, "http://127.0.0.1:1");
 /// assert!(engine.status(RequestId(1)).await.is_err(), "nothing listens there");
--- a/lib/src/upstream_health.rs
+++ b/lib/src/upstream/health.rs
@@ -13,7 +13,7 @@
 /// to fail again, and one that fails again then loses one request and not all of them.
 ///
 /// ```
-/// use sardinewood::upstream_health::UpstreamHealth;
+/// use sardinewood::upstream::health::UpstreamHealth;
 ///
 /// let mut health = UpstreamHealth::default();
 /// assert_eq!(health.usable_slots(8), 0, "nothing is known yet");
--- a/lib/src/upstream_http.rs
+++ b/lib/src/upstream/http.rs
@@ -24,8 +24,8 @@
 use reqwest::redirect;
 use reqwest::retry;
 
-use crate::service_path::is_resolved;
-use crate::wire::Call;
+use crate::caller::service_path::is_resolved;
+use crate::link::wire::Call;
 
 /// The header that names a request towards its upstream.
 pub const REQUEST_ID_HEADER: &str = "x-request-id";
@@ -66,7 +66,7 @@
 /// How long to wait for an upstream.
 ///
 /// ```
-/// use sardinewood::upstream_http::UpstreamTimings;
+/// use sardinewood::upstream::http::UpstreamTimings;
 ///
 /// let timings = UpstreamTimings::default();
 /// assert!(timings.question_ms < timings.silent_ms);
@@ -114,7 +114,7 @@
 /// A client that sends each request once; clones share it.
 ///
 /// ```
-/// use sardinewood::upstream_http::{UpstreamHttp, UpstreamTimings};
+/// use sardinewood::upstream::http::{UpstreamHttp, UpstreamTimings};
 ///
 /// assert!(UpstreamHttp::new(UpstreamTimings::default()).is_ok());
 /// ```
--- a/lib/src/service.rs
+++ b/lib/src/upstream/service.rs
@@ -4,17 +4,17 @@
 use std::sync::Arc;
 
 use crate::ids::RequestId;
-use crate::upstream_http::OpenError;
-use crate::upstream_http::UpstreamAnswer;
-use crate::upstream_http::UpstreamHttp;
-use crate::wire::Call;
+use crate::link::wire::Call;
+use crate::upstream::http::OpenError;
+use crate::upstream::http::UpstreamAnswer;
+use crate::upstream::http::UpstreamHttp;
 
 /// A plain service.
 ///
 /// ```
-/// use sardinewood::service::Service;
+/// use sardinewood::upstream::service::Service;
 /// # tokio::runtime::Builder::new_current_thread().enable_all().build().unwrap().block_on(async {
-/// use sardinewood::upstream_http::{UpstreamHttp, UpstreamTimings};
+/// use sardinewood::upstream::http::{UpstreamHttp, UpstreamTimings};
 /// let http = UpstreamHttp::new(UpstreamTimings::default()).unwrap();
 /// let service = Service::new(http, "http://127.0.0.1:1".into());
 /// assert!(!service.is_reachable().await, "nothing listens there");
--- a/lib/tests/agent_fixture.rs
+++ b/lib/tests/agent_fixture.rs
@@ -1,28 +1,28 @@
 //! An agent under test with short ways to tell it events and to read its steps.
 
-use sardinewood::agent_events::AgentEvent;
-use sardinewood::agent_events::AgentStep;
-use sardinewood::agent_events::CallProgress;
-use sardinewood::agent_events::LinkId;
-use sardinewood::agent_events::Probe;
-use sardinewood::agent_state::AgentLimits;
-use sardinewood::agent_state::AgentState;
+use sardinewood::agent::events::AgentEvent;
+use sardinewood::agent::events::AgentStep;
+use sardinewood::agent::events::CallProgress;
+use sardinewood::agent::events::LinkId;
+use sardinewood::agent::events::Probe;
+use sardinewood::agent::state::AgentLimits;
+use sardinewood::agent::state::AgentState;
+use sardinewood::config::objects::Activity;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Tier;
+use sardinewood::config::objects::Upstream;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Activity;
-use sardinewood::objects::Serves;
-use sardinewood::objects::Target;
-use sardinewood::objects::Tier;
-use sardinewood::objects::Upstream;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::Call;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::RefusalReason;
-use sardinewood::wire::Reservation;
-use sardinewood::wire::Settlement;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::Call;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::RefusalReason;
+use sardinewood::link::wire::Reservation;
+use sardinewood::link::wire::Settlement;
 
 pub const LINK: LinkId = LinkId(1);
 
--- a/lib/tests/fleet_fixture.rs
+++ b/lib/tests/fleet_fixture.rs
@@ -6,16 +6,16 @@
 
 use indexmap::IndexMap;
 use reqwest::Method;
-use sardinewood::agent_server;
-use sardinewood::agent_server::AgentHandle;
-use sardinewood::agent_settings::AgentSettings;
-use sardinewood::catalog::Catalog;
-use sardinewood::entry_server;
-use sardinewood::entry_server::EntryHandle;
-use sardinewood::entry_settings::EntrySettings;
-use sardinewood::entry_state::EntryCounts;
+use sardinewood::agent;
+use sardinewood::agent::server::AgentHandle;
+use sardinewood::agent::settings::AgentSettings;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::objects::Upstream;
+use sardinewood::entry;
+use sardinewood::entry::server::EntryHandle;
+use sardinewood::entry::settings::EntrySettings;
+use sardinewood::entry::state::EntryCounts;
 use sardinewood::metrics::Metrics;
-use sardinewood::objects::Upstream;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -82,7 +82,7 @@
             ..AgentSettings::default()
         };
         let catalog = self.catalog.subscribe();
-        let agent = agent_server::spawn(settings, catalog, Metrics::disabled()).await;
+        let agent = agent::server::spawn(settings, catalog, Metrics::disabled()).await;
         let agent = agent.expect("an agent");
         let agent_address = agent.address();
         change(&self.catalog, |catalog| {
@@ -163,7 +163,7 @@
         store_url: store_url.into(),
         ..EntrySettings::default()
     };
-    let entry = entry_server::spawn(&settings, catalog.clone(), Metrics::disabled());
+    let entry = entry::server::spawn(&settings, catalog.clone(), Metrics::disabled());
     entry.expect("an entry")
 }
 
--- a/lib/tests/operator_fixture.rs
+++ b/lib/tests/operator_fixture.rs
@@ -2,12 +2,12 @@
 
 use reqwest::RequestBuilder;
 use sardinewood::config::Config;
-use sardinewood::config_watch::WatchTimings;
-use sardinewood::config_watch::follow;
-use sardinewood::operator_api::OperatorApi;
-use sardinewood::operator_server;
+use sardinewood::config::follow::WatchTimings;
+use sardinewood::config::follow::follow;
+use sardinewood::config::spread_link::SpreadHandle;
+use sardinewood::operator;
+use sardinewood::operator::api::OperatorApi;
 use sardinewood::secrets::sha256_hex;
-use sardinewood::spread_link::SpreadHandle;
 use sardinewood::store::StoreClient;
 use serde_json::Value;
 use serde_json::json;
@@ -47,7 +47,7 @@
         };
         let stop = CancellationToken::new();
         let address = "127.0.0.1:0".parse().unwrap();
-        let address = operator_server::spawn(address, api, stop.clone())
+        let address = operator::server::spawn(address, api, stop.clone())
             .await
             .unwrap();
         let no_redirect = reqwest::redirect::Policy::none();
--- a/lib/tests/spread_fixture.rs
+++ b/lib/tests/spread_fixture.rs
@@ -6,17 +6,17 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sardinewood::config_spread::Spread;
-use sardinewood::config_spread::SpreadAction;
-use sardinewood::config_spread::SpreadTimings;
-use sardinewood::config_state::ConfigState;
+use sardinewood::config::spread::Spread;
+use sardinewood::config::spread::SpreadAction;
+use sardinewood::config::spread::SpreadTimings;
+use sardinewood::config::spread_message::Datagram;
+use sardinewood::config::spread_message::Identity;
+use sardinewood::config::spread_message::Purpose;
+use sardinewood::config::spread_message::Report;
+use sardinewood::config::spread_message::Role;
+use sardinewood::config::spread_message::SPREAD_PROTOCOL;
+use sardinewood::config::state::ConfigState;
 use sardinewood::ids::Incarnation;
-use sardinewood::spread_message::Datagram;
-use sardinewood::spread_message::Identity;
-use sardinewood::spread_message::Purpose;
-use sardinewood::spread_message::Report;
-use sardinewood::spread_message::Role;
-use sardinewood::spread_message::SPREAD_PROTOCOL;
 
 /// How long one step of the network takes.
 const STEP_MS: u64 = 5;
--- a/lib/tests/test_agent_attempts.rs
+++ b/lib/tests/test_agent_attempts.rs
@@ -1,23 +1,23 @@
 //! What an agent says about attempts: sent at most once, and never a wrong "not sent".
 
-use sardinewood::agent_events::AgentEvent;
-use sardinewood::agent_events::AgentStep;
-use sardinewood::agent_events::CallProgress;
-use sardinewood::agent_events::Found;
-use sardinewood::agent_events::LinkId;
-use sardinewood::agent_state::AgentLimits;
+use sardinewood::agent::events::AgentEvent;
+use sardinewood::agent::events::AgentStep;
+use sardinewood::agent::events::CallProgress;
+use sardinewood::agent::events::Found;
+use sardinewood::agent::events::LinkId;
+use sardinewood::agent::state::AgentLimits;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Upstream;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Serves;
-use sardinewood::objects::Target;
-use sardinewood::objects::Upstream;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::RefusalReason;
-use sardinewood::wire::Reservation;
-use sardinewood::wire::Settlement;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::RefusalReason;
+use sardinewood::link::wire::Reservation;
+use sardinewood::link::wire::Settlement;
 
 use crate::agent_fixture::Fixture;
 use crate::agent_fixture::LINK;
--- a/lib/tests/test_agent_reservations.rs
+++ b/lib/tests/test_agent_reservations.rs
@@ -2,18 +2,18 @@
 
 use std::sync::Arc;
 
-use sardinewood::agent_events::AgentEvent;
-use sardinewood::agent_events::CallProgress;
-use sardinewood::agent_events::LinkId;
-use sardinewood::agent_events::Probe;
-use sardinewood::agent_state::AgentLimits;
+use sardinewood::agent::events::AgentEvent;
+use sardinewood::agent::events::CallProgress;
+use sardinewood::agent::events::LinkId;
+use sardinewood::agent::events::Probe;
+use sardinewood::agent::state::AgentLimits;
+use sardinewood::config::objects::Activity;
+use sardinewood::config::objects::Target;
 use sardinewood::ids::RequestId;
-use sardinewood::objects::Activity;
-use sardinewood::objects::Target;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::RefusalReason;
-use sardinewood::wire::Reservation;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::RefusalReason;
+use sardinewood::link::wire::Reservation;
 
 use crate::agent_fixture::Fixture;
 use crate::agent_fixture::LINK;
@@ -153,7 +153,7 @@
 #[test]
 fn grant_kv_capacity_is_respected() {
     let mut fixture = Fixture::new(8);
-    fixture.change(sardinewood::objects::Upstream {
+    fixture.change(sardinewood::config::objects::Upstream {
         kv_capacity_tokens: Some(250),
         ..upstream(8)
     });
@@ -337,7 +337,7 @@
         });
         let grant = only_grant(&fixture.reserve(reservation(2, 0)));
         fixture.reserve(reservation(3, 0));
-        let steps = fixture.change(sardinewood::objects::Upstream {
+        let steps = fixture.change(sardinewood::config::objects::Upstream {
             activity,
             ..upstream(2)
         });
@@ -362,7 +362,7 @@
         non_idempotent: true,
         ..reservation(3, 0)
     });
-    let steps = fixture.change(sardinewood::objects::Upstream {
+    let steps = fixture.change(sardinewood::config::objects::Upstream {
         activity: Activity::Stopped,
         ..upstream(3)
     });
--- a/lib/tests/test_agent_server.rs
+++ b/lib/tests/test_agent_server.rs
@@ -5,36 +5,36 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use sardinewood::agent_server;
-use sardinewood::agent_server::AgentHandle;
-use sardinewood::agent_settings::AgentSettings;
-use sardinewood::answer_reader::AnswerFrame;
-use sardinewood::answer_reader::AnswerReader;
-use sardinewood::answer_reader::ReadStep;
-use sardinewood::catalog::Catalog;
-use sardinewood::frames::EntryEnd;
-use sardinewood::frames::FrameReader;
-use sardinewood::frames::write_frames;
+use sardinewood::agent;
+use sardinewood::agent::server::AgentHandle;
+use sardinewood::agent::settings::AgentSettings;
+use sardinewood::answer::reader::AnswerFrame;
+use sardinewood::answer::reader::AnswerReader;
+use sardinewood::answer::reader::ReadStep;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::objects::Activity;
+use sardinewood::config::objects::Serves;
+use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Upstream;
+use sardinewood::config::spread_message::PeerKeys;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
-use sardinewood::link_proof::prove_as_entry;
+use sardinewood::link::frames::EntryEnd;
+use sardinewood::link::frames::FrameReader;
+use sardinewood::link::frames::write_frames;
+use sardinewood::link::proof::prove_as_entry;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::Call;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::Hello;
+use sardinewood::link::wire::PROTOCOL_VERSION;
+use sardinewood::link::wire::RefusalReason;
+use sardinewood::link::wire::Reservation;
+use sardinewood::link::wire::Settlement;
 use sardinewood::metrics::Metrics;
-use sardinewood::objects::Activity;
-use sardinewood::objects::Serves;
-use sardinewood::objects::Target;
-use sardinewood::objects::Upstream;
-use sardinewood::spread_message::PeerKeys;
-use sardinewood::upstream_http::UpstreamTimings;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::Call;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::Hello;
-use sardinewood::wire::PROTOCOL_VERSION;
-use sardinewood::wire::RefusalReason;
-use sardinewood::wire::Reservation;
-use sardinewood::wire::Settlement;
+use sardinewood::upstream::http::UpstreamTimings;
 use testutils::engine_settings::EngineSettings;
 use testutils::engine_stand_in::EngineStandIn;
 use testutils::service_stand_in::ServiceStandIn;
@@ -71,7 +71,7 @@
             },
             ..AgentSettings::default()
         };
-        let handle = agent_server::spawn(settings, receiver, Metrics::disabled());
+        let handle = agent::server::spawn(settings, receiver, Metrics::disabled());
         Agent {
             handle: handle.await.unwrap(),
             catalog,
--- a/lib/tests/test_answer_length.rs
+++ b/lib/tests/test_answer_length.rs
@@ -1,6 +1,6 @@
 //! Output tokens counted while an answer passes through.
 
-use sardinewood::answer_length::AnswerLength;
+use sardinewood::answer::length::AnswerLength;
 
 #[test]
 fn output_tokens_stream_cut_anywhere_counts_whole_events() {
--- a/lib/tests/test_answer_log.rs
+++ b/lib/tests/test_answer_log.rs
@@ -1,10 +1,10 @@
 //! The bytes of an answer on their way, and what is read along in them.
 
 use bytes::Bytes;
-use sardinewood::answer_log::AnswerLog;
-use sardinewood::answer_reader::checksum;
-use sardinewood::event_scan::EventScan;
-use sardinewood::wire::AnswerEnd;
+use sardinewood::answer::event_scan::EventScan;
+use sardinewood::answer::log::AnswerLog;
+use sardinewood::answer::reader::checksum;
+use sardinewood::link::wire::AnswerEnd;
 
 const CHUNK: &[u8] = b"0123456789";
 
--- a/lib/tests/test_answer_reader.rs
+++ b/lib/tests/test_answer_reader.rs
@@ -1,13 +1,13 @@
 //! Every byte of an answer once, in order and whole, or an error.
 
 use bytes::Bytes;
-use sardinewood::answer_reader::AnswerFrame;
-use sardinewood::answer_reader::AnswerReader;
-use sardinewood::answer_reader::ReadStep;
-use sardinewood::answer_reader::checksum;
+use sardinewood::answer::reader::AnswerFrame;
+use sardinewood::answer::reader::AnswerReader;
+use sardinewood::answer::reader::ReadStep;
+use sardinewood::answer::reader::checksum;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::RequestId;
-use sardinewood::wire::AnswerEnd;
+use sardinewood::link::wire::AnswerEnd;
 
 const ATTEMPT: AttemptId = AttemptId {
     request: RequestId(1),
--- a/lib/tests/test_caller_api.rs
+++ b/lib/tests/test_caller_api.rs
@@ -8,28 +8,28 @@
 use bytes::Bytes;
 use futures_util::StreamExt;
 use reqwest::StatusCode;
-use sardinewood::answer_reader::checksum;
-use sardinewood::catalog::Catalog;
-use sardinewood::entry_control::EntryStatus;
-use sardinewood::entry_server::EntryHandle;
-use sardinewood::entry_server::spawn;
-use sardinewood::entry_settings::EntrySettings;
-use sardinewood::entry_state::EntryCounts;
-use sardinewood::frames::AgentEnd;
-use sardinewood::frames::FrameReader;
-use sardinewood::frames::write_frames;
+use sardinewood::answer::reader::checksum;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::spread_message::PeerKeys;
+use sardinewood::entry::control::EntryStatus;
+use sardinewood::entry::server::EntryHandle;
+use sardinewood::entry::server::spawn;
+use sardinewood::entry::settings::EntrySettings;
+use sardinewood::entry::state::EntryCounts;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
-use sardinewood::link_proof::prove_as_agent;
+use sardinewood::link::frames::AgentEnd;
+use sardinewood::link::frames::FrameReader;
+use sardinewood::link::frames::write_frames;
+use sardinewood::link::proof::prove_as_agent;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::Call;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::Hello;
+use sardinewood::link::wire::PROTOCOL_VERSION;
 use sardinewood::metrics::Metrics;
-use sardinewood::spread_message::PeerKeys;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::Call;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::Hello;
-use sardinewood::wire::PROTOCOL_VERSION;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -211,7 +211,7 @@
         EntryMessage::Heartbeat { sequence, revision } => vec![AgentMessage::Heartbeat {
             sequence,
             revision,
-            load: sardinewood::wire::Load::default(),
+            load: sardinewood::link::wire::Load::default(),
         }],
         EntryMessage::Reserve(reservation) => {
             counts.reserved.fetch_add(1, Ordering::SeqCst);
--- a/lib/tests/test_claim_sweep.rs
+++ b/lib/tests/test_claim_sweep.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use sardinewood::claim_sweep::ClaimSweep;
-use sardinewood::claim_sweep::SweepStep;
+use sardinewood::claims::sweep::ClaimSweep;
+use sardinewood::claims::sweep::SweepStep;
 
 const UNCHANGED_MS: u64 = 600_000;
 
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -1,22 +1,22 @@
 //! Claims against a store that loses answers, lags, conflicts and goes down.
 
-use sardinewood::claim_object::Claim;
-use sardinewood::claim_object::ClaimState;
-use sardinewood::claim_object::Holder;
-use sardinewood::claim_object::StoreAnswer;
-use sardinewood::claim_object::StoreCall;
-use sardinewood::claim_object::StoredClaim;
+use sardinewood::caller::request_names::CallDigest;
+use sardinewood::caller::request_names::RequestName;
 use sardinewood::claims::ClaimDecision;
 use sardinewood::claims::ClaimRequest;
 use sardinewood::claims::ClaimRules;
 use sardinewood::claims::ClaimStep;
 use sardinewood::claims::Claims;
+use sardinewood::claims::object::Claim;
+use sardinewood::claims::object::ClaimState;
+use sardinewood::claims::object::Holder;
+use sardinewood::claims::object::StoreAnswer;
+use sardinewood::claims::object::StoreCall;
+use sardinewood::claims::object::StoredClaim;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::request_names::CallDigest;
-use sardinewood::request_names::RequestName;
 use sardinewood::verdict::Failure;
 use sardinewood::verdict::FailureReason;
 
--- a/lib/tests/test_config_follow.rs
+++ b/lib/tests/test_config_follow.rs
@@ -3,10 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sardinewood::catalog::Catalog;
 use sardinewood::config::Config;
-use sardinewood::config_watch::WatchTimings;
-use sardinewood::config_watch::follow;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::follow::WatchTimings;
+use sardinewood::config::follow::follow;
 use sardinewood::store::StoreClient;
 use serde_json::json;
 use testutils::store_stand_in::StoreFaults;
--- a/lib/tests/test_config_log.rs
+++ b/lib/tests/test_config_log.rs
@@ -2,10 +2,10 @@
 
 use std::sync::Arc;
 
-use sardinewood::catalog::Catalog;
-use sardinewood::config_log::change_lines;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::log::change_lines;
+use sardinewood::config::objects::Profile;
 use sardinewood::logging::Line;
-use sardinewood::objects::Profile;
 use serde_json::json;
 
 fn catalog(revision: u64, profiles: &[(&str, u8)]) -> Catalog {
--- a/lib/tests/test_config_watch.rs
+++ b/lib/tests/test_config_watch.rs
@@ -1,9 +1,9 @@
 //! Which calls to the store are made, and when.
 
-use sardinewood::config_state::WatchOutcome;
-use sardinewood::config_watch::NextCall;
-use sardinewood::config_watch::WatchPlan;
-use sardinewood::config_watch::WatchTimings;
+use sardinewood::config::follow::NextCall;
+use sardinewood::config::follow::WatchPlan;
+use sardinewood::config::follow::WatchTimings;
+use sardinewood::config::state::WatchOutcome;
 use sardinewood::store::ReadError;
 
 fn unavailable() -> ReadError {
--- a/lib/tests/test_frames.rs
+++ b/lib/tests/test_frames.rs
@@ -3,19 +3,19 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use sardinewood::frames::AgentEnd;
-use sardinewood::frames::EntryEnd;
-use sardinewood::frames::FrameEncoder;
-use sardinewood::frames::FrameError;
-use sardinewood::frames::FrameReader;
-use sardinewood::frames::MAX_FRAME_BYTES;
-use sardinewood::frames::write_frames;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::RequestId;
-use sardinewood::wire::AgentMessage;
-use sardinewood::wire::AnswerEnd;
-use sardinewood::wire::EntryMessage;
-use sardinewood::wire::RefusalReason;
+use sardinewood::link::frames::AgentEnd;
+use sardinewood::link::frames::EntryEnd;
+use sardinewood::link::frames::FrameEncoder;
+use sardinewood::link::frames::FrameError;
+use sardinewood::link::frames::FrameReader;
+use sardinewood::link::frames::MAX_FRAME_BYTES;
+use sardinewood::link::frames::write_frames;
+use sardinewood::link::wire::AgentMessage;
+use sardinewood::link::wire::AnswerEnd;
+use sardinewood::link::wire::EntryMessage;
+use sardinewood::link::wire::RefusalReason;
 use tokio::sync::mpsc;
 
 fn attempt() -> AttemptId {
--- a/lib/tests/test_link_pace.rs
+++ b/lib/tests/test_link_pace.rs
@@ -1,10 +1,10 @@
 //! The pace of heartbeats, and when a silent link is given up.
 
-use sardinewood::link_pace::LinkPace;
-use sardinewood::link_pace::LinkView;
-use sardinewood::link_pace::PaceRules;
-use sardinewood::link_pace::PaceStep;
-use sardinewood::link_pace::Watch;
+use sardinewood::link::pace::LinkPace;
+use sardinewood::link::pace::LinkView;
+use sardinewood::link::pace::PaceRules;
+use sardinewood::link::pace::PaceStep;
+use sardinewood::link::pace::Watch;
 
 const RULES: PaceRules = PaceRules {
     heartbeat_ms: 500,
--- a/lib/tests/test_link_proof.rs
+++ b/lib/tests/test_link_proof.rs
@@ -3,20 +3,20 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use sardinewood::agent_server;
-use sardinewood::agent_settings;
-use sardinewood::agent_settings::AgentSettings;
+use sardinewood::agent::server;
+use sardinewood::agent::settings;
+use sardinewood::agent::settings::AgentSettings;
 use sardinewood::config::Config;
-use sardinewood::config_process::PeerSettings;
-use sardinewood::link_proof::Nonce;
-use sardinewood::link_proof::ProofError;
-use sardinewood::link_proof::prove_as_agent;
-use sardinewood::link_proof::prove_as_entry;
+use sardinewood::config::process::PeerSettings;
+use sardinewood::config::spread_message::PeerKeys;
+use sardinewood::link::proof::Nonce;
+use sardinewood::link::proof::ProofError;
+use sardinewood::link::proof::prove_as_agent;
+use sardinewood::link::proof::prove_as_entry;
 use sardinewood::metrics::Metrics;
 use sardinewood::secrets::Secret;
 use sardinewood::settings::Sources;
 use sardinewood::settings::Start;
-use sardinewood::spread_message::PeerKeys;
 use tokio::io::AsyncReadExt;
 use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
@@ -135,7 +135,7 @@
         ..AgentSettings::default()
     };
     let catalog = Config::default().catalog();
-    let agent = agent_server::spawn(settings, catalog, Metrics::disabled())
+    let agent = server::spawn(settings, catalog, Metrics::disabled())
         .await
         .unwrap();
     let mut stranger = TcpStream::connect(agent.address()).await.unwrap();
@@ -171,7 +171,7 @@
     ];
     let key: Arc<str> = "ours".into();
     for (has_key, starts) in [(false, false), (true, true)] {
-        let start = agent_settings::program().read(Sources {
+        let start = settings::program().read(Sources {
             args: args.iter().map(Into::into).collect(),
             env: &|name| (has_key && name == "SARDINEWOOD_PEER_KEYS").then(|| (&*key).into()),
             read_file: &|_| Err(std::io::ErrorKind::NotFound.into()),
--- a/lib/tests/test_metrics.rs
+++ b/lib/tests/test_metrics.rs
@@ -7,9 +7,9 @@
 use std::time::Duration;
 
 use indexmap::IndexSet;
-use sardinewood::answer_meter::AnswerMeter;
+use sardinewood::answer::meter::AnswerMeter;
+use sardinewood::config::objects::Tier;
 use sardinewood::metrics::Metrics;
-use sardinewood::objects::Tier;
 use sardinewood::verdict::Failure;
 use sardinewood::verdict::FailureReason;
 
--- a/lib/tests/test_operator_api.rs
+++ b/lib/tests/test_operator_api.rs
@@ -1,14 +1,14 @@
 //! The operators' API over HTTP: who may do what, and what each answer says.
 
 use sardinewood::config::Config;
-use sardinewood::config_spread::SpreadTimings;
+use sardinewood::config::spread::SpreadTimings;
+use sardinewood::config::spread_link::SpreadHandle;
+use sardinewood::config::spread_link::SpreadSettings;
+use sardinewood::config::spread_link::spawn_spread;
+use sardinewood::config::spread_message::Identity;
+use sardinewood::config::spread_message::PeerKeys;
+use sardinewood::config::spread_message::Role;
 use sardinewood::ids::Incarnation;
-use sardinewood::spread_link::SpreadHandle;
-use sardinewood::spread_link::SpreadSettings;
-use sardinewood::spread_link::spawn_spread;
-use sardinewood::spread_message::Identity;
-use sardinewood::spread_message::PeerKeys;
-use sardinewood::spread_message::Role;
 use serde_json::Value;
 use serde_json::json;
 use testutils::store_stand_in::StoreFaults;
--- a/lib/tests/test_operator_change.rs
+++ b/lib/tests/test_operator_change.rs
@@ -2,20 +2,20 @@
 
 use std::time::Duration;
 
-use sardinewood::audit::Change;
-use sardinewood::audit::MAX_HISTORY;
-use sardinewood::audit::MAX_HISTORY_BYTES;
-use sardinewood::audit::Record;
 use sardinewood::config::Config;
-use sardinewood::config_object::Kind;
-use sardinewood::operator_change::Author;
-use sardinewood::operator_change::NotDone;
-use sardinewood::operator_change::carry_out;
-use sardinewood::operator_messages::Action;
-use sardinewood::operator_messages::ChangeAnswer;
-use sardinewood::operator_messages::ChangeRequest;
-use sardinewood::operator_messages::Expected;
-use sardinewood::operator_retention::RETENTION_MS;
+use sardinewood::config::object::Kind;
+use sardinewood::operator::audit::Change;
+use sardinewood::operator::audit::MAX_HISTORY;
+use sardinewood::operator::audit::MAX_HISTORY_BYTES;
+use sardinewood::operator::audit::Record;
+use sardinewood::operator::change::Author;
+use sardinewood::operator::change::NotDone;
+use sardinewood::operator::change::carry_out;
+use sardinewood::operator::messages::Action;
+use sardinewood::operator::messages::ChangeAnswer;
+use sardinewood::operator::messages::ChangeRequest;
+use sardinewood::operator::messages::Expected;
+use sardinewood::operator::retention::RETENTION_MS;
 use sardinewood::store::StoreClient;
 use serde_json::Value;
 use serde_json::json;
--- a/lib/tests/test_operator_page.rs
+++ b/lib/tests/test_operator_page.rs
@@ -4,7 +4,7 @@
 
 use indexmap::IndexMap;
 use sardinewood::config::Config;
-use sardinewood::operator_html::escape;
+use sardinewood::operator::html::escape;
 use serde_json::json;
 
 use testutils::store_stand_in::StoreFaults;
--- a/lib/tests/test_ordering.rs
+++ b/lib/tests/test_ordering.rs
@@ -1,22 +1,22 @@
 //! Orders across entries, against a small queue object that conflicts and loses answers.
 
-use sardinewood::claim_object::Holder;
+use sardinewood::claims::object::Holder;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
-use sardinewood::order_queue::BarAnswer;
-use sardinewood::order_queue::OrderAnswer;
-use sardinewood::order_queue::OrderCall;
-use sardinewood::order_queue::OrderName;
-use sardinewood::order_queue::OrderRules;
-use sardinewood::order_queue::OrderStep;
-use sardinewood::order_queue::Place;
-use sardinewood::order_queue::StoredQueue;
+use sardinewood::link::wire::Settlement;
 use sardinewood::ordering::Orders;
+use sardinewood::ordering::queue::BarAnswer;
+use sardinewood::ordering::queue::OrderAnswer;
+use sardinewood::ordering::queue::OrderCall;
+use sardinewood::ordering::queue::OrderName;
+use sardinewood::ordering::queue::OrderRules;
+use sardinewood::ordering::queue::OrderStep;
+use sardinewood::ordering::queue::Place;
+use sardinewood::ordering::queue::StoredQueue;
 use sardinewood::verdict::Failure;
 use sardinewood::verdict::FailureReason;
-use sardinewood::wire::Settlement;
 
 const FIRST: RequestId = RequestId(1);
 const SECOND: RequestId = RequestId(2);
--- a/lib/tests/test_prefix_hints.rs
+++ b/lib/tests/test_prefix_hints.rs
@@ -1,6 +1,6 @@
 //! Hints of where the beginning of a prompt is cached.
 
-use sardinewood::prefix_hints::PrefixHints;
+use sardinewood::entry::prefix_hints::PrefixHints;
 
 #[test]
 fn cached_blocks_counts_the_longest_beginning_of_each_agent() {
--- a/lib/tests/test_request_names.rs
+++ b/lib/tests/test_request_names.rs
@@ -1,11 +1,11 @@
 //! Names of requests: whose they are, and what is refused.
 
+use sardinewood::caller::request_names::Admission;
+use sardinewood::caller::request_names::CallDigest;
+use sardinewood::caller::request_names::KeyError;
+use sardinewood::caller::request_names::KnownNames;
+use sardinewood::caller::request_names::RequestName;
 use sardinewood::ids::RequestId;
-use sardinewood::request_names::Admission;
-use sardinewood::request_names::CallDigest;
-use sardinewood::request_names::KeyError;
-use sardinewood::request_names::KnownNames;
-use sardinewood::request_names::RequestName;
 
 fn name(customer: &str, key: &str) -> RequestName {
     RequestName::new(customer, key).expect("a valid key")
--- a/lib/tests/test_settings.rs
+++ b/lib/tests/test_settings.rs
@@ -6,9 +6,9 @@
 use std::path::Path;
 
 use indexmap::IndexMap;
-use sardinewood::agent_settings;
-use sardinewood::entry_settings;
-use sardinewood::entry_settings::EntrySettings;
+use sardinewood::agent;
+use sardinewood::entry;
+use sardinewood::entry::settings::EntrySettings;
 use sardinewood::findings::Findings;
 use sardinewood::secrets::Secret;
 use sardinewood::settings::Program;
@@ -82,7 +82,7 @@
         ("SARDINEWOOD_CANDIDATES", "7"),
         ("SARDINEWOOD_QUEUE_LIMIT", "9"),
     ];
-    let settings = run(read(&entry_settings::program(), &args, &env));
+    let settings = run(read(&entry::settings::program(), &args, &env));
     assert_eq!((settings.candidates, settings.queue_limit), (3, 9));
     assert_eq!(&*settings.store_url, "http://127.0.0.1:7070");
 }
@@ -91,7 +91,7 @@
 fn read_equals_sign_is_taken() {
     let args = with_required(&["--candidates=3"]);
     assert_eq!(
-        run(read(&entry_settings::program(), &args, &[])).candidates,
+        run(read(&entry::settings::program(), &args, &[])).candidates,
         3
     );
 }
@@ -115,7 +115,7 @@
         ("SARDINEWOOD_STORE_URL", "127.0.0.1:7070"),
         ("SARDINEWOOD_LOG_LEVEL", "loud"),
     ];
-    let Start::Refuse(report) = read(&entry_settings::program(), &args, &env) else {
+    let Start::Refuse(report) = read(&entry::settings::program(), &args, &env) else {
         panic!("wrong settings were taken");
     };
     insta::assert_snapshot!("report_of_entry", report);
@@ -124,7 +124,7 @@
 #[test]
 fn read_check_prints_settings_in_force() {
     let args = with_required(&["--check"]);
-    let Start::Print(text) = read(&entry_settings::program(), &args, &[]) else {
+    let Start::Print(text) = read(&entry::settings::program(), &args, &[]) else {
         panic!("good settings were refused");
     };
     insta::assert_snapshot!("check_of_entry", text);
@@ -141,7 +141,7 @@
         "--operator-listen",
         "127.0.0.1:80",
     ]);
-    let Start::Refuse(report) = read(&entry_settings::program(), &args, &[]) else {
+    let Start::Refuse(report) = read(&entry::settings::program(), &args, &[]) else {
         panic!("wrong settings were taken");
     };
     assert!(report.contains("silent-ms = 600\n"));
@@ -151,11 +151,11 @@
 
 #[test]
 fn read_help_lists_every_setting() {
-    let Start::Print(entry) = read(&entry_settings::program(), &["--help"], &[]) else {
+    let Start::Print(entry) = read(&entry::settings::program(), &["--help"], &[]) else {
         panic!("no help");
     };
     insta::assert_snapshot!("help_of_entry", entry);
-    let Start::Print(agent) = read(&agent_settings::program(), &["--help"], &[]) else {
+    let Start::Print(agent) = read(&agent::settings::program(), &["--help"], &[]) else {
         panic!("no help");
     };
     insta::assert_snapshot!("help_of_agent", agent);
@@ -163,7 +163,7 @@
 
 #[test]
 fn read_version_names_program() {
-    let start = read(&agent_settings::program(), &["--version"], &[]);
+    let start = read(&agent::settings::program(), &["--version"], &[]);
     let version = format!("sardinewood-agent {}\n", env!("CARGO_PKG_VERSION"));
     assert_eq!(start, Start::Print(version));
 }
@@ -219,8 +219,8 @@
     let root = Path::new(env!("CARGO_MANIFEST_DIR"));
     let page = fs::read_to_string(root.join("../docs/operators.md")).unwrap();
     let (Start::Print(entry), Start::Print(agent)) = (
-        read(&entry_settings::program(), &["--help"], &[]),
-        read(&agent_settings::program(), &["--help"], &[]),
+        read(&entry::settings::program(), &["--help"], &[]),
+        read(&agent::settings::program(), &["--help"], &[]),
     ) else {
         panic!("no help");
     };
--- a/lib/tests/test_speeds.rs
+++ b/lib/tests/test_speeds.rs
@@ -1,7 +1,7 @@
 //! Learned speeds: quick to see a slowdown, not spoilt by short prompts.
 
-use sardinewood::objects::Target;
-use sardinewood::speeds::Speeds;
+use sardinewood::agent::speeds::Speeds;
+use sardinewood::config::objects::Target;
 
 fn model() -> Target {
     Target::Model("small".into())
--- a/lib/tests/test_store_duty.rs
+++ b/lib/tests/test_store_duty.rs
@@ -3,8 +3,8 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
-use sardinewood::store_duty::StoreDuty;
-use sardinewood::store_duty::WATCHERS;
+use sardinewood::store::duty::StoreDuty;
+use sardinewood::store::duty::WATCHERS;
 
 /// Entries and agents two years on.
 const FLEET: usize = 2_350;
--- a/lib/tests/test_tls.rs
+++ b/lib/tests/test_tls.rs
@@ -15,8 +15,8 @@
 use rustls::pki_types::CertificateDer;
 use rustls::pki_types::ServerName;
 use sardinewood::config::Config;
-use sardinewood::entry_server;
-use sardinewood::entry_settings::EntrySettings;
+use sardinewood::entry;
+use sardinewood::entry::settings::EntrySettings;
 use sardinewood::findings::Findings;
 use sardinewood::metrics::Metrics;
 use sardinewood::tls::Reload;
@@ -128,7 +128,7 @@
         ..EntrySettings::default()
     };
     let catalog = Config::default().catalog();
-    let entry = entry_server::spawn(&settings, catalog, Metrics::disabled()).unwrap();
+    let entry = entry::server::spawn(&settings, catalog, Metrics::disabled()).unwrap();
     let mut early = connect(entry.address(), first.cert.der()).await.unwrap();
     assert!(is_healthy(&mut early).await);
     assert!(connect(entry.address(), second.cert.der()).await.is_err());
--- a/lib/tests/test_work_estimates.rs
+++ b/lib/tests/test_work_estimates.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use sardinewood::work_estimates::WorkEstimates;
+use sardinewood::entry::work_estimates::WorkEstimates;
 
 #[test]
 fn output_tokens_a_long_answer_does_not_move_the_quantile() {
--- a/local/src/roles.rs
+++ b/local/src/roles.rs
@@ -4,22 +4,22 @@
 use std::sync::Arc;
 
 use eyre::WrapErr;
-use sardinewood::agent_server;
-use sardinewood::agent_server::AgentHandle;
-use sardinewood::agent_settings::AgentSettings;
-use sardinewood::catalog::Catalog;
-use sardinewood::config_process;
-use sardinewood::config_process::ConfigProcess;
-use sardinewood::entry_server;
-use sardinewood::entry_server::EntryHandle;
-use sardinewood::entry_settings::EntrySettings;
+use sardinewood::agent;
+use sardinewood::agent::server::AgentHandle;
+use sardinewood::agent::settings::AgentSettings;
+use sardinewood::config;
+use sardinewood::config::catalog::Catalog;
+use sardinewood::config::process::ConfigProcess;
+use sardinewood::config::spread_message::Identity;
+use sardinewood::config::spread_message::Role;
+use sardinewood::entry;
+use sardinewood::entry::server::EntryHandle;
+use sardinewood::entry::settings::EntrySettings;
 use sardinewood::ids::Incarnation;
 use sardinewood::metrics::Metrics;
-use sardinewood::operator_api::EntryLink;
-use sardinewood::operator_api::OperatorApi;
-use sardinewood::operator_server;
-use sardinewood::spread_message::Identity;
-use sardinewood::spread_message::Role;
+use sardinewood::operator;
+use sardinewood::operator::api::EntryLink;
+use sardinewood::operator::api::OperatorApi;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -58,9 +58,9 @@
         let upstream = settings.upstream.clone();
         let identity = identity(&upstream, Role::Agent, &settings.data_centre);
         let configuration =
-            config_process::spawn(&settings.store_url, identity, &settings.peers).await?;
+            config::process::spawn(&settings.store_url, identity, &settings.peers).await?;
         let catalog = configuration.config.catalog();
-        let handle = agent_server::spawn(settings, catalog, Metrics::disabled())
+        let handle = agent::server::spawn(settings, catalog, Metrics::disabled())
             .await
             .wrap_err_with(|| format!("agent of {upstream}"))?;
         Ok(Self {
@@ -86,9 +86,9 @@
     pub async fn start(settings: EntrySettings) -> eyre::Result<Self> {
         let identity = identity(&settings.host, Role::Entry, &settings.data_centre);
         let configuration =
-            config_process::spawn(&settings.store_url, identity, &settings.peers).await?;
+            config::process::spawn(&settings.store_url, identity, &settings.peers).await?;
         let catalog = configuration.config.catalog();
-        let handle = entry_server::spawn(&settings, catalog, Metrics::disabled())
+        let handle = entry::server::spawn(&settings, catalog, Metrics::disabled())
             .wrap_err_with(|| format!("{} on {}", settings.host, settings.listen))?;
         let config = configuration.config.clone();
         let api = OperatorApi {
@@ -101,7 +101,7 @@
         };
         let stop_operators = CancellationToken::new();
         let operator_address =
-            operator_server::spawn(settings.operator_listen, api, stop_operators.clone()).await?;
+            operator::server::spawn(settings.operator_listen, api, stop_operators.clone()).await?;
         Ok(Self {
             host: settings.host,
             handle,
--- a/local/src/seed.rs
+++ b/local/src/seed.rs
@@ -3,12 +3,12 @@
 
 use std::sync::Arc;
 
-use sardinewood::objects::Customer;
-use sardinewood::objects::Operator;
-use sardinewood::objects::OperatorRole;
-use sardinewood::objects::Profile;
-use sardinewood::objects::ProfileLimits;
-use sardinewood::objects::Tier;
+use sardinewood::config::objects::Customer;
+use sardinewood::config::objects::Operator;
+use sardinewood::config::objects::OperatorRole;
+use sardinewood::config::objects::Profile;
+use sardinewood::config::objects::ProfileLimits;
+use sardinewood::config::objects::Tier;
 use sardinewood::secrets::sha256_hex;
 use testutils::engine_settings::EngineSettings;
 
