ctl: explain from log files; lib: circles between folders taken out

Cause: the story of a failed request stands in the logs of several hosts, and the cause is often in lines that do not name the request. explain REQUEST FILE... prints both, in order, and asks no process, so it serves the direct mode, which has no operators' port. Also: what an agent does with answers moved to agent, what an entry does with callers' connections and the store to entry, audit records to config. Of the circles between folders, that of entry and operator is left.

--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -15,7 +15,6 @@
 use sardinewood::agent::events::AgentStep;
 use sardinewood::agent::events::CallProgress;
 use sardinewood::agent::events::LinkId;
-use sardinewood::agent::events::Probe;
 use sardinewood::agent::state::AgentLimits;
 use sardinewood::agent::state::AgentState;
 use sardinewood::caller::submission::Submission;
@@ -43,6 +42,7 @@
 use sardinewood::link::wire::EntryMessage;
 use sardinewood::link::wire::Load;
 use sardinewood::link::wire::Reservation;
+use sardinewood::upstream::report::Probe;
 use serde::Serialize;
 
 /// What `decisions --help` prints.
--- a/bench/src/faults/fleet_agent.rs
+++ b/bench/src/faults/fleet_agent.rs
@@ -2,20 +2,20 @@
 
 use bytes::Bytes;
 use indexmap::IndexMap;
+use sardinewood::agent::answer_log::AnswerLog;
 use sardinewood::agent::events::CallProgress;
 use sardinewood::agent::events::CancelCause;
-use sardinewood::agent::events::Found;
 use sardinewood::agent::events::LinkId;
-use sardinewood::agent::events::Probe;
 use sardinewood::agent::state::AgentLimits;
 use sardinewood::agent::state::AgentState;
-use sardinewood::answer::log::AnswerLog;
 use sardinewood::config::objects::Upstream;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::Incarnation;
 use sardinewood::link::wire::AgentMessage;
 use sardinewood::link::wire::AnswerEnd;
 use sardinewood::link::wire::EntryMessage;
+use sardinewood::upstream::report::Found;
+use sardinewood::upstream::report::Probe;
 
 use super::process::Process;
 use super::work::WorkId;
--- a/bench/src/faults/fleet_store.rs
+++ b/bench/src/faults/fleet_store.rs
@@ -2,12 +2,12 @@
 //! reads of an earlier state.
 
 use indexmap::IndexMap;
-use sardinewood::caller::request_names::RequestName;
 use sardinewood::claims::object::Claim;
 use sardinewood::claims::object::ClaimState;
 use sardinewood::claims::object::StoreAnswer;
 use sardinewood::claims::object::StoreCall;
 use sardinewood::claims::object::StoredClaim;
+use sardinewood::claims::request_names::RequestName;
 use sardinewood::ids::RequestId;
 use sardinewood::ordering::queue::BarAnswer;
 use sardinewood::ordering::queue::OrderAnswer;
--- a/bench/src/faults/work.rs
+++ b/bench/src/faults/work.rs
@@ -3,11 +3,11 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use sardinewood::caller::request_names::CallDigest;
-use sardinewood::caller::request_names::RequestName;
 use sardinewood::caller::submission::Named;
 use sardinewood::caller::submission::Submission;
 use sardinewood::caller::submission::WorkEstimate;
+use sardinewood::claims::request_names::CallDigest;
+use sardinewood::claims::request_names::RequestName;
 use sardinewood::config::objects::Customer;
 use sardinewood::config::objects::Profile;
 use sardinewood::config::objects::Target;
--- a/bench/src/faults/world_agents.rs
+++ b/bench/src/faults/world_agents.rs
@@ -6,14 +6,14 @@
 use sardinewood::agent::events::AgentStep;
 use sardinewood::agent::events::CallProgress;
 use sardinewood::agent::events::CancelCause;
-use sardinewood::agent::events::Found;
-use sardinewood::agent::events::Probe;
 use sardinewood::agent::events::settled;
 use sardinewood::ids::AttemptId;
 use sardinewood::link::wire::AgentMessage;
 use sardinewood::link::wire::AnswerEnd;
 use sardinewood::link::wire::EntryMessage;
 use sardinewood::link::wire::Settlement;
+use sardinewood::upstream::report::Found;
+use sardinewood::upstream::report::Probe;
 
 use super::engine::RunState;
 use super::fleet_agent::AgentInput;
--- a/bench/src/own_policy.rs
+++ b/bench/src/own_policy.rs
@@ -10,9 +10,7 @@
 use sardinewood::agent::events::AgentStep;
 use sardinewood::agent::events::CallProgress;
 use sardinewood::agent::events::CancelCause;
-use sardinewood::agent::events::Found;
 use sardinewood::agent::events::LinkId;
-use sardinewood::agent::events::Probe;
 use sardinewood::agent::state::AgentLimits;
 use sardinewood::agent::state::AgentState;
 use sardinewood::caller::submission::Submission;
@@ -34,6 +32,8 @@
 use sardinewood::link::wire::AnswerEnd;
 use sardinewood::link::wire::Call;
 use sardinewood::link::wire::EntryMessage;
+use sardinewood::upstream::report::Found;
+use sardinewood::upstream::report::Probe;
 
 use crate::engine_model::EngineEvent;
 use crate::message::Message;
--- a/bench/src/slopes/agent_slopes.rs
+++ b/bench/src/slopes/agent_slopes.rs
@@ -7,7 +7,6 @@
 use sardinewood::agent::events::AgentStep;
 use sardinewood::agent::events::CallProgress;
 use sardinewood::agent::events::LinkId;
-use sardinewood::agent::events::Probe;
 use sardinewood::agent::state::AgentLimits;
 use sardinewood::agent::state::AgentState;
 use sardinewood::config::objects::Upstream;
@@ -20,6 +19,7 @@
 use sardinewood::link::wire::Call;
 use sardinewood::link::wire::EntryMessage;
 use sardinewood::link::wire::Reservation;
+use sardinewood::upstream::report::Probe;
 use serde_json::json;
 
 use super::Memory;
--- a/ctl/src/action.rs
+++ b/ctl/src/action.rs
@@ -58,6 +58,8 @@
     Status,
     /// What was decided about a request.
     Explain(Arc<str>),
+    /// The same from log files, without asking an entry.
+    Story(Arc<str>, Vec<PathBuf>),
     /// Changes of the past.
     Audit,
     /// Changes as they come.
@@ -86,6 +88,10 @@
         ["watch"] => Some(Action::Query(Query::Watch)),
         ["hash"] => Some(Action::Query(Query::Hash)),
         ["explain", request] => Some(Action::Query(Query::Explain((*request).into()))),
+        ["explain", request, files @ ..] => {
+            let files = files.iter().map(PathBuf::from).collect();
+            Some(Action::Query(Query::Story((*request).into(), files)))
+        }
         [kind, rest @ ..] => match kind_of(kind) {
             Some(kind) => read_object_action(kind, rest, settings, findings),
             None => unknown_words(&words, findings),
--- a/ctl/src/ctl_settings.rs
+++ b/ctl/src/ctl_settings.rs
@@ -32,6 +32,7 @@
   KIND show NAME                 One object and its last change.
   status                         Processes, upstreams and why one gets no work.
   explain REQUEST_ID             What was decided about a request, and why.
+  explain REQUEST_ID LOG_FILE... The same from log files, also after its processes have ended.
   audit                          Changes, newest first.
   watch                          Changes as they come, until Ctrl-C.
   hash                           Hash of the key or token on standard input.
--- a/ctl/src/lib.rs
+++ b/ctl/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod query;
 pub mod run;
 mod shown;
+pub mod story;
 pub mod table;
 pub mod waiting;
--- a/ctl/src/query.rs
+++ b/ctl/src/query.rs
@@ -57,7 +57,8 @@
             output.answer(&trail, shown_trail);
         }
         Query::Watch => watch(settings, client, output).await?,
-        Query::Hash => {}
+        // These two ask no entry, and are answered before one is dialled.
+        Query::Hash | Query::Story(..) => {}
     }
     Ok(End::Done)
 }
--- a/ctl/src/run.rs
+++ b/ctl/src/run.rs
@@ -1,7 +1,12 @@
 //! One run of the program, from its settings to its exit code.
 
+use std::fs::File;
+use std::io;
+use std::io::BufRead;
+use std::io::BufReader;
 use std::io::Read;
 use std::path::Path;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
@@ -21,6 +26,8 @@
 use crate::operator_client::OperatorClient;
 use crate::output::Output;
 use crate::query::run_query;
+use crate::story::shown_story;
+use crate::story::tell;
 
 /// The path that means standard input.
 const STANDARD_INPUT: &str = "-";
@@ -35,6 +42,9 @@
     if action == Action::Query(Query::Hash) {
         return print_hash(output);
     }
+    if let Action::Query(Query::Story(request, files)) = &action {
+        return print_story(request, files, output);
+    }
     let client = match open_client(settings) {
         Ok(client) => client,
         Err(problem) => {
@@ -69,6 +79,37 @@
     })
 }
 
+fn print_story(request: &str, files: &[PathBuf], output: &mut Output) -> End {
+    match tell(request, || log_lines(files)) {
+        Ok(story) => {
+            output.answer(&story, shown_story);
+            if story.own.is_empty() {
+                End::NotFound
+            } else {
+                End::Done
+            }
+        }
+        Err(problem) => {
+            output.note(&problem.to_string());
+            End::Usage
+        }
+    }
+}
+
+/// The lines of all files, one file after the other.
+fn log_lines(files: &[PathBuf]) -> io::Result<impl Iterator<Item = io::Result<String>> + use<>> {
+    let open = |file: &PathBuf| {
+        File::open(file)
+            .map(BufReader::new)
+            .map_err(|error| io::Error::new(error.kind(), format!("{}: {error}", file.display())))
+    };
+    let files: Vec<BufReader<File>> = files.iter().map(open).collect::<io::Result<_>>()?;
+    // A process that was killed may leave half a character behind.
+    let text = |bytes: Vec<u8>| String::from_utf8_lossy(&bytes).into_owned();
+    let lines = move |file: BufReader<File>| file.split(b'\n').map(move |line| line.map(text));
+    Ok(files.into_iter().flat_map(lines))
+}
+
 fn open_client(settings: &CtlSettings) -> Result<OperatorClient, String> {
     let ca_pem = match &settings.ca_file {
         None => Vec::new(),
@@ -106,16 +147,16 @@
     Ok(Some(object))
 }
 
-fn read_text(path: &Path) -> std::io::Result<String> {
+fn read_text(path: &Path) -> io::Result<String> {
     if path == Path::new(STANDARD_INPUT) {
         return read_standard_input();
     }
     std::fs::read_to_string(path)
 }
 
-fn read_standard_input() -> std::io::Result<String> {
+fn read_standard_input() -> io::Result<String> {
     let mut text = String::new();
-    std::io::stdin().read_to_string(&mut text)?;
+    io::stdin().read_to_string(&mut text)?;
     Ok(text)
 }
 
--- a/ctl/src/shown.rs
+++ b/ctl/src/shown.rs
@@ -1,7 +1,7 @@
 //! Answers to queries as an operator reads them.
 
+use sardinewood::config::audit::Change;
 use sardinewood::config::object::Kind;
-use sardinewood::operator::audit::Change;
 use sardinewood::operator::messages::AuditEntry;
 use sardinewood::operator::messages::AuditTrail;
 use sardinewood::operator::messages::Decision;
--- a/ctl/src/table.rs
+++ b/ctl/src/table.rs
@@ -33,18 +33,32 @@
     text
 }
 
-/// A time in UTC.
+/// A time in UTC, to the millisecond.
+///
+/// ```
+/// assert_eq!(sardinewoodctl::table::time_ms_utc(7), "1970-01-01T00:00:00.007Z");
+/// ```
+#[must_use]
+pub fn time_ms_utc(at_ms: u64) -> String {
+    shown_time(at_ms, SecondsFormat::Millis)
+}
+
+/// A time in UTC, to the second.
 ///
 /// ```
 /// assert_eq!(sardinewoodctl::table::time_utc(0), "1970-01-01T00:00:00Z");
 /// ```
 #[must_use]
 pub fn time_utc(at_ms: u64) -> String {
+    shown_time(at_ms, SecondsFormat::Secs)
+}
+
+fn shown_time(at_ms: u64, format: SecondsFormat) -> String {
     let time = i64::try_from(at_ms)
         .ok()
         .and_then(DateTime::from_timestamp_millis);
     time.map_or_else(
         || format!("{at_ms} ms"),
-        |time| time.to_rfc3339_opts(SecondsFormat::Secs, true),
+        |time| time.to_rfc3339_opts(format, true),
     )
 }
--- a/ctl/tests/runner.rs
+++ b/ctl/tests/runner.rs
@@ -5,4 +5,5 @@
 mod test_action;
 mod test_command;
 mod test_query;
+mod test_story;
 mod test_with_entry;
--- /dev/null
+++ b/ctl/tests/test_story.rs
@@ -0,0 +1,91 @@
+//! The story of a request from log files.
+
+use sardinewoodctl::exit_code::End;
+use sardinewoodctl::story::LogLine;
+use sardinewoodctl::story::Story;
+use sardinewoodctl::story::tell;
+
+use crate::captured_run::Captured;
+use crate::captured_run::run_line;
+
+/// Two hosts' logs, one after the other: a request breaks at an engine that its host had not
+/// heard to have left, since the store did not answer that host.
+const LOGS: &str = r#"
+{"time_ms":100000,"level":"info","host":"edge-1","message":"started"}
+{"time_ms":199000,"level":"warn","host":"edge-1","message":"store does not answer","kind":"upstreams"}
+{"time_ms":200010,"level":"warn","host":"edge-1","message":"connection to upstream broke","request":"r1","upstream":"i-7","attempt":1,"may_have_run":true}
+{"time_ms":200020,"level":"info","host":"edge-1","message":"outcome unknown","request":"r1","status":502,"inputs":{"upstreams":["i-7"],"is_idempotent":false}}
+{"time_ms":200030,"level":"warn","host":"edge-1","message":"connection to upstream broke","request":"r2","upstream":"i-7"}
+{"time_ms":200500,"level":"info","host":"edge-1","message":"upstream is gone","upstream":"i-9"}
+{"time_ms":199500,"level":"info","host":"edge-2","message":"upstream is gone","upstream":"i-7"}
+{"time_ms":199600,"level":"info","host":"edge-2","message":"upstream is gone","upstream":"i-7"}
+{"time_ms":199700,"level":"info","host":"edge-2","message":"settings taken"}
+{"time_ms":1997"#;
+
+fn story(request: &str) -> Story {
+    let lines = || Ok(LOGS.lines().map(|line| Ok(line.to_owned())));
+    tell(request, lines).expect("readable logs")
+}
+
+fn messages(lines: &[LogLine]) -> Vec<&str> {
+    lines.iter().map(|line| &*line.message).collect()
+}
+
+#[test]
+fn own_lines_in_order_and_nobody_elses() {
+    let story = story("r1");
+    let expected = ["connection to upstream broke", "outcome unknown"];
+    assert_eq!(messages(&story.own), expected);
+    assert_eq!(story.unreadable_lines, 1, "a line cut by a kill");
+}
+
+#[test]
+fn why_stands_around_it() {
+    // The cause is on neither of its lines: its host had lost the store, and another host
+    // had already heard that the engine was gone.
+    let story = story("r1");
+    let expected = ["store does not answer", "upstream is gone"];
+    assert_eq!(messages(&story.around), expected);
+    assert_eq!(&*story.around[1].host, "edge-2");
+    assert_eq!(story.around[1].count, 2);
+}
+
+#[test]
+fn prefix_of_a_collector_skipped() {
+    let line = r#"Dec 02 21:00:01 edge-1 {"time_ms":5,"message":"no route","request":"r3"}"#;
+    let story = tell("r3", || Ok([Ok(line.to_owned())].into_iter())).expect("readable logs");
+    assert_eq!(messages(&story.own), ["no route"]);
+    assert_eq!(&*story.own[0].host, "-");
+}
+
+#[test]
+fn unknown_request_has_no_story() {
+    let story = story("r9");
+    assert!(story.own.is_empty() && story.around.is_empty());
+}
+
+/// No entry is asked, so the address need not exist.
+async fn explain(request: &str, file: &str) -> Captured {
+    run_line("http://127.0.0.1:1", &["explain", request, file]).await
+}
+
+#[tokio::test]
+async fn run_prints_the_story() {
+    let dir = tempfile::tempdir().expect("a directory");
+    let path = dir.path().join("edge.log");
+    std::fs::write(&path, LOGS).expect("a file");
+    let path = path.to_str().expect("a path");
+    let told = explain("r1", path).await;
+    assert_eq!(told.end, End::Done);
+    insta::assert_snapshot!(told.answer);
+    let unknown = explain("r9", path).await;
+    assert_eq!(unknown.end, End::NotFound);
+    assert!(unknown.answer.contains("no line names it"));
+}
+
+#[tokio::test]
+async fn run_missing_file_is_named() {
+    let told = explain("r1", "no-such.log").await;
+    assert_eq!(told.end, End::Usage);
+    assert!(told.notes.contains("no-such.log"), "{}", told.notes);
+}
--- a/lib/src/agent.rs
+++ b/lib/src/agent.rs
@@ -4,12 +4,15 @@
 //! by [`server`]; entries reach it over [`crate::link`]. It knows no callers, no routes and
 //! nothing of the store.
 
+pub mod answer_log;
 pub mod attempts;
+pub(crate) mod call_recovery;
 pub(crate) mod control;
 pub mod events;
 pub mod grants;
 pub mod kept_answers;
 pub(crate) mod link;
+pub(crate) mod pump;
 pub(crate) mod pump_registry;
 pub mod reservation_queue;
 pub mod server;
--- a/lib/src/answer/log.rs
+++ b/lib/src/agent/answer_log.rs
@@ -32,7 +32,7 @@
 ///
 /// ```
 /// use bytes::Bytes;
-/// use sardinewood::answer::log::AnswerLog;
+/// use sardinewood::agent::answer_log::AnswerLog;
 ///
 /// let mut log = AnswerLog::new(1_000, false);
 /// log.append(Bytes::from_static(b"hello"));
--- a/lib/src/agent/events.rs
+++ b/lib/src/agent/events.rs
@@ -4,12 +4,13 @@
 
 use crate::config::objects::Upstream;
 use crate::ids::AttemptId;
-use crate::ids::RequestId;
 use crate::link::wire::AgentMessage;
 use crate::link::wire::AnswerEnd;
 use crate::link::wire::Call;
 use crate::link::wire::EntryMessage;
 use crate::link::wire::Settlement;
+use crate::upstream::report::Found;
+use crate::upstream::report::Probe;
 
 /// Names one link of an agent; never used twice in a process.
 ///
@@ -71,30 +72,6 @@
     Acknowledged,
 }
 
-/// What a look at the upstream showed.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Probe {
-    /// It answers, and runs these requests as far as it tells.
-    Alive { running: Vec<RequestId> },
-    /// It takes no connections.
-    Refused,
-    /// It does not answer in time; it may be busy or paused.
-    Silent,
-}
-
-/// What the upstream says of an attempt that this incarnation did not send or lost sight of.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Found {
-    /// It runs, and its answer can be read.
-    Running,
-    /// It is finished, and its answer can be read.
-    Finished,
-    /// The upstream has confirmed that it does not run and never will.
-    Gone,
-    /// The upstream does not tell.
-    Unclear,
-}
-
 /// Why a call is cancelled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum CancelCause {
--- a/lib/src/agent/link.rs
+++ b/lib/src/agent/link.rs
@@ -12,9 +12,9 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::agent::events::LinkId;
+use crate::agent::pump::Outlet;
+use crate::agent::pump::PumpOrder;
 use crate::agent::pump_registry::PumpRegistry;
-use crate::answer::pump::Outlet;
-use crate::answer::pump::PumpOrder;
 use crate::config::spread_message::PeerKeys;
 use crate::link::frames::AgentEnd;
 use crate::link::frames::FrameError;
--- a/lib/src/answer/pump/delivery.rs
+++ b/lib/src/agent/pump/delivery.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 
 use super::Outlet;
-use crate::answer::log::AnswerLog;
+use crate::agent::answer_log::AnswerLog;
 use crate::ids::AttemptId;
 use crate::link::wire::AgentMessage;
 use crate::link::wire::AnswerEnd;
--- a/lib/src/answer/pump/reopening.rs
+++ b/lib/src/agent/pump/reopening.rs
@@ -5,11 +5,11 @@
 use super::AnswerPump;
 use super::Next;
 use super::Source;
-use crate::answer::call_recovery;
-use crate::answer::call_recovery::ReadSoFar;
-use crate::answer::call_recovery::Recovery;
-use crate::answer::call_recovery::Trouble;
-use crate::answer::call_recovery::in_doubt;
+use crate::agent::call_recovery;
+use crate::agent::call_recovery::ReadSoFar;
+use crate::agent::call_recovery::Recovery;
+use crate::agent::call_recovery::Trouble;
+use crate::agent::call_recovery::in_doubt;
 use crate::upstream::client::UpstreamClient;
 use crate::upstream::http::UpstreamAnswer;
 
--- a/lib/src/agent/pump_registry.rs
+++ b/lib/src/agent/pump_registry.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
 
-use crate::answer::pump::PumpOrder;
+use crate::agent::pump::PumpOrder;
 use crate::ids::AttemptId;
 
 type Orders = mpsc::UnboundedSender<PumpOrder>;
--- a/lib/src/agent/state/upstream.rs
+++ b/lib/src/agent/state/upstream.rs
@@ -6,8 +6,6 @@
 use crate::agent::attempts::Phase;
 use crate::agent::events::AgentStep;
 use crate::agent::events::CancelCause;
-use crate::agent::events::Found;
-use crate::agent::events::Probe;
 use crate::agent::events::settled;
 use crate::config::objects::Activity;
 use crate::config::objects::Serves;
@@ -16,6 +14,8 @@
 use crate::ids::RequestId;
 use crate::link::wire::RefusalReason;
 use crate::link::wire::Settlement;
+use crate::upstream::report::Found;
+use crate::upstream::report::Probe;
 
 /// How many probes in a row may go unanswered. A busy engine misses one; giving all its
 /// waiting work back for that would cost more than the wait for the next.
--- a/lib/src/answer.rs
+++ b/lib/src/answer.rs
@@ -2,12 +2,9 @@
 //!
 //! Nothing here decides where a request goes. Entries and agents both call it.
 
-pub(crate) mod call_recovery;
 pub mod event_scan;
 pub mod event_skip;
 pub mod length;
-pub mod log;
 pub mod meter;
-pub(crate) mod pump;
 pub mod reader;
 pub mod routes;
--- a/lib/src/caller.rs
+++ b/lib/src/caller.rs
@@ -3,15 +3,11 @@
 //! It turns a request into a [`submission`] and an answer into bytes, and knows nothing of
 //! agents or of the order in which requests are served.
 
-pub mod answer;
-pub mod api;
 pub mod body;
 pub mod connections;
 pub mod directory;
 pub mod headers;
 pub mod listener;
 pub mod openai_error;
-pub mod request_names;
-pub mod response;
 pub mod service_path;
 pub mod submission;
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -11,18 +11,19 @@
 //! that wakes up late holds a claim whose version has moved on or whose attempt is barred.
 
 pub mod object;
+pub mod request_names;
 pub mod sweep;
 
 use indexmap::IndexMap;
 
-use crate::caller::request_names::CallDigest;
-use crate::caller::request_names::RequestName;
 use crate::claims::object::Claim;
 use crate::claims::object::ClaimState;
 use crate::claims::object::Holder;
 use crate::claims::object::StoreAnswer;
 use crate::claims::object::StoreCall;
 use crate::claims::object::StoredClaim;
+use crate::claims::request_names::CallDigest;
+use crate::claims::request_names::RequestName;
 use crate::ids::RequestId;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
@@ -167,7 +168,7 @@
 /// use sardinewood::claims::{ClaimDecision, ClaimRequest, ClaimRules, ClaimStep, Claims};
 /// use sardinewood::claims::object::{Holder, StoreAnswer};
 /// use sardinewood::ids::{AttemptId, GrantId, Incarnation, RequestId};
-/// use sardinewood::caller::request_names::{CallDigest, RequestName};
+/// use sardinewood::claims::request_names::{CallDigest, RequestName};
 ///
 /// let request = RequestId(1);
 /// let asked = ClaimRequest {
@@ -186,7 +187,7 @@
 /// assert!(matches!(steps[..], [ClaimStep::Call { .. }]));
 /// let steps = claims.answered(3, request, StoreAnswer::Written { version: 9 });
 /// assert_eq!(steps, [ClaimStep::Decided { request, decision: ClaimDecision::Won }]);
-/// # Ok::<(), sardinewood::caller::request_names::KeyError>(())
+/// # Ok::<(), sardinewood::claims::request_names::KeyError>(())
 /// ```
 #[derive(Debug)]
 pub struct Claims {
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -1,9 +1,11 @@
 //! The configuration of one process: its state, shared by those who feed it, and the
 //! published picture that decisions read.
 
+pub mod audit;
 pub mod catalog;
 pub mod follow;
 pub(crate) mod held;
+pub mod hosts;
 pub mod log;
 pub mod object;
 pub mod objects;
--- a/lib/src/operator/audit.rs
+++ b/lib/src/config/audit.rs
@@ -19,7 +19,7 @@
 /// Who changed an object, when, why and from where.
 ///
 /// ```
-/// use sardinewood::operator::audit::Change;
+/// use sardinewood::config::audit::Change;
 ///
 /// let change: Change = serde_json::from_str(r#"{
 ///     "id": "c1", "who": "selma", "at_ms": 1, "why": "slow disk", "from": "10.0.0.7"
@@ -57,7 +57,7 @@
 /// What an object of the store holds: the object proper and the record of its changes.
 ///
 /// ```
-/// use sardinewood::operator::audit::Record;
+/// use sardinewood::config::audit::Record;
 /// use serde_json::json;
 ///
 /// let written_by_hand = Record::from_value(json!({"name": "lookup", "tier": 1}));
@@ -92,7 +92,7 @@
     /// as the object proper.
     ///
     /// ```
-    /// use sardinewood::operator::audit::Record;
+    /// use sardinewood::config::audit::Record;
     /// use serde_json::json;
     ///
     /// let removed = Record::from_value(json!({"spec": null}));
@@ -113,7 +113,7 @@
     /// The version that a change got, if this record of `version` still tells.
     ///
     /// ```
-    /// use sardinewood::operator::audit::Record;
+    /// use sardinewood::config::audit::Record;
     ///
     /// assert_eq!(Record::default().version_of("c1", 9), None);
     /// ```
@@ -130,7 +130,7 @@
     /// The record that follows this one, which the store holds at `version`.
     ///
     /// ```
-    /// use sardinewood::operator::audit::{Change, Record};
+    /// use sardinewood::config::audit::{Change, Record};
     /// use serde_json::json;
     ///
     /// let change = Change {
--- a/lib/src/store/hosts.rs
+++ b/lib/src/config/hosts.rs
@@ -19,7 +19,7 @@
 /// Where the processes on live hosts are reached, all on the same port.
 ///
 /// ```
-/// use sardinewood::store::hosts::seeds_of;
+/// use sardinewood::config::hosts::seeds_of;
 /// use sardinewood::store::Host;
 ///
 /// let hosts: Vec<Host> = serde_json::from_str(r#"[
@@ -48,7 +48,7 @@
 /// ```no_run
 /// # use sardinewood::{config::spread_link::SpreadHandle, store::StoreClient};
 /// # async fn start(store: StoreClient, spread: SpreadHandle) {
-/// tokio::spawn(sardinewood::store::hosts::follow(store, spread, vec![], 7_000));
+/// tokio::spawn(sardinewood::config::hosts::follow(store, spread, vec![], 7_000));
 /// # }
 /// ```
 pub async fn follow(
--- a/lib/src/config/process.rs
+++ b/lib/src/config/process.rs
@@ -9,6 +9,7 @@
 use crate::config::Config;
 use crate::config::follow::WatchTimings;
 use crate::config::follow::follow;
+use crate::config::hosts;
 use crate::config::log::log_changes;
 use crate::config::spread::SpreadTimings;
 use crate::config::spread_link::SpreadHandle;
@@ -19,7 +20,6 @@
 use crate::findings::Findings;
 use crate::secrets::Secret;
 use crate::store::StoreClient;
-use crate::store::hosts;
 
 /// How a process and the others find and prove each other.
 ///
--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::config::audit::Record;
 use crate::config::catalog::Catalog;
 use crate::config::held::Held;
 use crate::config::held::checked;
@@ -22,7 +23,6 @@
 use crate::config::object::Kind;
 use crate::config::object::ObjectKey;
 use crate::findings::Finding;
-use crate::operator::audit::Record;
 use crate::store::ObjectList;
 use crate::store::StoredObject;
 use crate::store::WatchBatch;
--- a/lib/src/config/version.rs
+++ b/lib/src/config/version.rs
@@ -6,8 +6,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::config::audit::Change;
 use crate::config::object::ObjectKey;
-use crate::operator::audit::Change;
 
 /// One version of an object, as one process tells it to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -4,9 +4,11 @@
 //! request at a time on each connection. Entries tell each other by datagram what they have
 //! running and what customers have spent, so that no process in the middle is needed.
 //!
-//! [`catalog`], [`directory`], [`dispatch`], [`door`], [`job`], [`allotment`], [`attempt_budget`], [`health`],
-//! [`place`], [`usual`], [`peer_table`] and [`report`] decide and know no socket. [`connections`], [`exchange`], [`front`] and [`peers`] carry
-//! bytes and decide nothing.
+//! These decide and know no socket: [`allotment`], [`attempt_budget`], [`catalog`], [`directory`],
+//! [`dispatch`], [`door`], [`health`], [`job`], [`peer_table`], [`place`], [`report`],
+//! [`spending_window`], [`usual`]. [`connections`], [`exchange`], [`front`] and [`peers`] carry bytes
+//! and decide nothing. It uses the library's store client, headers and logs, and no claims, agents
+//! or operators.
 
 pub mod allotment;
 pub mod answer_body;
--- a/lib/src/entry.rs
+++ b/lib/src/entry.rs
@@ -5,6 +5,9 @@
 
 pub mod admission;
 pub mod appointments;
+pub mod caller_answer;
+pub mod caller_api;
+pub mod caller_response;
 pub mod candidates;
 pub mod control;
 pub mod events;
@@ -17,5 +20,6 @@
 pub mod server;
 pub mod settings;
 pub mod state;
+pub mod store_records;
 pub mod timers;
 pub mod work_estimates;
--- a/lib/src/caller/answer.rs
+++ b/lib/src/entry/caller_answer.rs
@@ -51,7 +51,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::caller::answer::AnswerHead;
+    /// use sardinewood::entry::caller_answer::AnswerHead;
     ///
     /// let headers = vec![("Content-Type".into(), Bytes::from_static(b"text/plain"))];
     /// let head = AnswerHead { status: 200, headers };
@@ -70,7 +70,7 @@
     ///
     /// ```
     /// use bytes::Bytes;
-    /// use sardinewood::caller::answer::AnswerHead;
+    /// use sardinewood::entry::caller_answer::AnswerHead;
     ///
     /// let headers = vec![("content-type".into(), Bytes::from_static(b"text/event-stream"))];
     /// assert!(AnswerHead { status: 200, headers }.is_event_stream());
--- a/lib/src/caller/api.rs
+++ b/lib/src/entry/caller_api.rs
@@ -20,9 +20,6 @@
 
 use crate::answer::event_skip::EventSkip;
 use crate::answer::meter::AnswerMeter;
-use crate::caller::answer::CallerAnswer;
-use crate::caller::answer::CallerContext;
-use crate::caller::answer::Written;
 use crate::caller::body::ModelCall;
 use crate::caller::body::read_model_request;
 use crate::caller::connections::CallerConnections;
@@ -32,19 +29,22 @@
 use crate::caller::headers::total_bytes;
 use crate::caller::openai_error::ApiError;
 use crate::caller::openai_error::name_request;
-use crate::caller::request_names::CallDigest;
-use crate::caller::request_names::KeyError;
-use crate::caller::request_names::RequestName;
-use crate::caller::response::StreamedAnswer;
-use crate::caller::response::streamed_response;
-use crate::caller::response::whole_response;
 use crate::caller::service_path::ServicePath;
 use crate::caller::submission::Named;
 use crate::caller::submission::Submission;
 use crate::caller::submission::WorkEstimate;
+use crate::claims::request_names::CallDigest;
+use crate::claims::request_names::KeyError;
+use crate::claims::request_names::RequestName;
 use crate::config::objects::Customer;
 use crate::config::objects::Profile;
 use crate::config::objects::Target;
+use crate::entry::caller_answer::CallerAnswer;
+use crate::entry::caller_answer::CallerContext;
+use crate::entry::caller_answer::Written;
+use crate::entry::caller_response::StreamedAnswer;
+use crate::entry::caller_response::streamed_response;
+use crate::entry::caller_response::whole_response;
 use crate::entry::control::EntryStatus;
 use crate::entry::control::elapsed_ms;
 use crate::entry::state::EntryEvent;
@@ -55,7 +55,7 @@
 /// What a caller may send.
 ///
 /// ```
-/// use sardinewood::caller::api::CallerLimits;
+/// use sardinewood::entry::caller_api::CallerLimits;
 ///
 /// assert!(CallerLimits::default().max_body_bytes > 0);
 /// ```
--- a/lib/src/caller/response.rs
+++ b/lib/src/entry/caller_response.rs
@@ -14,11 +14,11 @@
 
 use crate::answer::event_skip::EventSkip;
 use crate::answer::meter::AnswerMeter;
-use crate::caller::answer::AnswerHead;
-use crate::caller::answer::CallerAnswer;
-use crate::caller::answer::Part;
 use crate::caller::headers::is_hop_by_hop;
 use crate::caller::openai_error::ApiError;
+use crate::entry::caller_answer::AnswerHead;
+use crate::entry::caller_answer::CallerAnswer;
+use crate::entry::caller_answer::Part;
 use crate::verdict::Failure;
 
 /// The response with an answer that is whole.
--- a/lib/src/entry/control.rs
+++ b/lib/src/entry/control.rs
@@ -24,6 +24,8 @@
 use crate::entry::state::EntryEvent;
 use crate::entry::state::EntryState;
 use crate::entry::state::EntryStep;
+use crate::entry::store_records::RecordAnswer;
+use crate::entry::store_records::StoreRecords;
 use crate::ids::RequestId;
 use crate::link::pace::LinkPace;
 use crate::link::pace::LinkView;
@@ -36,8 +38,6 @@
 use crate::logging::Line;
 use crate::metrics::Metrics;
 use crate::operator::messages::Decision;
-use crate::store::records::RecordAnswer;
-use crate::store::records::StoreRecords;
 use crate::verdict::Failure;
 
 /// Events taken together before timers are looked at.
--- a/lib/src/entry/events.rs
+++ b/lib/src/entry/events.rs
@@ -3,11 +3,11 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use crate::caller::request_names::RequestName;
 use crate::caller::submission::Submission;
 use crate::claims::ClaimDecision;
 use crate::claims::ClaimRequest;
 use crate::claims::object::Holder;
+use crate::claims::request_names::RequestName;
 use crate::config::catalog::Catalog;
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
--- a/lib/src/entry/state.rs
+++ b/lib/src/entry/state.rs
@@ -10,12 +10,12 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::caller::request_names::KnownNames;
-use crate::caller::request_names::RequestName;
 use crate::caller::submission::Submission;
 use crate::claims::ClaimDecision;
 use crate::claims::ClaimRequest;
 use crate::claims::object::Holder;
+use crate::claims::request_names::KnownNames;
+use crate::claims::request_names::RequestName;
 use crate::config::catalog::Catalog;
 use crate::config::objects::TIER_COUNT;
 use crate::entry::admission::Admission;
--- a/lib/src/store/records.rs
+++ b/lib/src/entry/store_records.rs
@@ -9,7 +9,6 @@
 use tokio::runtime::Handle;
 use tokio::sync::mpsc;
 
-use crate::caller::request_names::RequestName;
 use crate::claims::ClaimRequest;
 use crate::claims::ClaimRules;
 use crate::claims::ClaimStep;
@@ -20,6 +19,7 @@
 use crate::claims::object::StoreCall;
 use crate::claims::object::StoredClaim;
 use crate::claims::object::claim_kind;
+use crate::claims::request_names::RequestName;
 use crate::claims::sweep::ClaimSweep;
 use crate::claims::sweep::SweepStep;
 use crate::entry::state::EntryEvent;
--- a/lib/src/operator.rs
+++ b/lib/src/operator.rs
@@ -4,7 +4,6 @@
 //! configuration and the store, and knows nothing of requests.
 
 pub mod api;
-pub mod audit;
 pub mod auth;
 pub mod change;
 pub mod effects;
--- a/lib/src/operator/change.rs
+++ b/lib/src/operator/change.rs
@@ -10,14 +10,14 @@
 use serde_json::Value;
 
 use crate::config::Config;
+use crate::config::audit::Change;
+use crate::config::audit::Record;
 use crate::config::catalog::Catalog;
 use crate::config::object::Kind;
 use crate::config::object::ObjectKey;
 use crate::config::object::check;
 use crate::config::objects_check::check_catalog;
 use crate::findings::Findings;
-use crate::operator::audit::Change;
-use crate::operator::audit::Record;
 use crate::operator::effects::effects_of;
 use crate::operator::messages::Action;
 use crate::operator::messages::ChangeAnswer;
--- a/lib/src/operator/html.rs
+++ b/lib/src/operator/html.rs
@@ -5,7 +5,7 @@
 use serde_json::Map;
 use serde_json::Value;
 
-use crate::operator::audit::Change;
+use crate::config::audit::Change;
 use crate::operator::messages::ObjectView;
 
 /// Big targets, one column, the system's own fonts and colours; nothing is loaded besides.
--- a/lib/src/operator/messages.rs
+++ b/lib/src/operator/messages.rs
@@ -8,8 +8,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::config::audit::Change;
 use crate::config::object::Kind;
-use crate::operator::audit::Change;
 
 /// An object as operators see it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
--- a/lib/src/operator/queries.rs
+++ b/lib/src/operator/queries.rs
@@ -4,6 +4,7 @@
 
 use indexmap::IndexMap;
 
+use crate::config::audit::Record;
 use crate::config::catalog::Catalog;
 use crate::config::object::Kind;
 use crate::config::object::ObjectKey;
@@ -15,7 +16,6 @@
 use crate::config::state::Content;
 use crate::entry::control::AgentStatus;
 use crate::entry::control::EntryStatus;
-use crate::operator::audit::Record;
 use crate::operator::messages::AuditEntry;
 use crate::operator::messages::AuditTrail;
 use crate::operator::messages::InForce;
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -5,8 +5,6 @@
 //! so callers see each answer, and decide.
 
 pub mod duty;
-pub mod hosts;
-pub mod records;
 pub(crate) mod types;
 
 use std::sync::Arc;
--- a/lib/src/upstream.rs
+++ b/lib/src/upstream.rs
@@ -6,4 +6,5 @@
 pub mod engine;
 pub mod health;
 pub mod http;
+pub mod report;
 pub mod service;
--- a/lib/src/upstream/client.rs
+++ b/lib/src/upstream/client.rs
@@ -1,7 +1,5 @@
 //! The upstream of an agent, be it a model engine or a plain service.
 
-use crate::agent::events::Found;
-use crate::agent::events::Probe;
 use crate::config::objects::Serves;
 use crate::config::objects::Upstream;
 use crate::ids::RequestId;
@@ -11,6 +9,8 @@
 use crate::upstream::http::OpenError;
 use crate::upstream::http::UpstreamAnswer;
 use crate::upstream::http::UpstreamHttp;
+use crate::upstream::report::Found;
+use crate::upstream::report::Probe;
 use crate::upstream::service::Service;
 
 /// A way to the upstream.
--- a/lib/src/upstream/engine.rs
+++ b/lib/src/upstream/engine.rs
@@ -7,12 +7,12 @@
 use reqwest::StatusCode;
 use serde::Deserialize;
 
-use crate::agent::events::Found;
 use crate::ids::RequestId;
 use crate::link::wire::Call;
 use crate::upstream::http::OpenError;
 use crate::upstream::http::UpstreamAnswer;
 use crate::upstream::http::UpstreamHttp;
+use crate::upstream::report::Found;
 
 /// Where a request stands in the engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
--- a/lib/tests/agent_fixture.rs
+++ b/lib/tests/agent_fixture.rs
@@ -4,7 +4,6 @@
 use sardinewood::agent::events::AgentStep;
 use sardinewood::agent::events::CallProgress;
 use sardinewood::agent::events::LinkId;
-use sardinewood::agent::events::Probe;
 use sardinewood::agent::state::AgentLimits;
 use sardinewood::agent::state::AgentState;
 use sardinewood::config::objects::Activity;
@@ -23,6 +22,7 @@
 use sardinewood::link::wire::RefusalReason;
 use sardinewood::link::wire::Reservation;
 use sardinewood::link::wire::Settlement;
+use sardinewood::upstream::report::Probe;
 
 pub const LINK: LinkId = LinkId(1);
 
--- a/lib/tests/test_agent_attempts.rs
+++ b/lib/tests/test_agent_attempts.rs
@@ -3,7 +3,6 @@
 use sardinewood::agent::events::AgentEvent;
 use sardinewood::agent::events::AgentStep;
 use sardinewood::agent::events::CallProgress;
-use sardinewood::agent::events::Found;
 use sardinewood::agent::events::LinkId;
 use sardinewood::agent::state::AgentLimits;
 use sardinewood::config::objects::Serves;
@@ -18,6 +17,7 @@
 use sardinewood::link::wire::RefusalReason;
 use sardinewood::link::wire::Reservation;
 use sardinewood::link::wire::Settlement;
+use sardinewood::upstream::report::Found;
 
 use crate::agent_fixture::Fixture;
 use crate::agent_fixture::LINK;
--- a/lib/tests/test_agent_reservations.rs
+++ b/lib/tests/test_agent_reservations.rs
@@ -5,7 +5,6 @@
 use sardinewood::agent::events::AgentEvent;
 use sardinewood::agent::events::CallProgress;
 use sardinewood::agent::events::LinkId;
-use sardinewood::agent::events::Probe;
 use sardinewood::agent::state::AgentLimits;
 use sardinewood::config::objects::Activity;
 use sardinewood::config::objects::Target;
@@ -14,6 +13,7 @@
 use sardinewood::link::wire::EntryMessage;
 use sardinewood::link::wire::RefusalReason;
 use sardinewood::link::wire::Reservation;
+use sardinewood::upstream::report::Probe;
 
 use crate::agent_fixture::Fixture;
 use crate::agent_fixture::LINK;
--- a/lib/tests/test_answer_log.rs
+++ b/lib/tests/test_answer_log.rs
@@ -1,8 +1,8 @@
 //! The bytes of an answer on their way, and what is read along in them.
 
 use bytes::Bytes;
+use sardinewood::agent::answer_log::AnswerLog;
 use sardinewood::answer::event_scan::EventScan;
-use sardinewood::answer::log::AnswerLog;
 use sardinewood::answer::reader::checksum;
 use sardinewood::link::wire::AnswerEnd;
 
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -1,7 +1,5 @@
 //! Claims against a store that loses answers, lags, conflicts and goes down.
 
-use sardinewood::caller::request_names::CallDigest;
-use sardinewood::caller::request_names::RequestName;
 use sardinewood::claims::ClaimDecision;
 use sardinewood::claims::ClaimRequest;
 use sardinewood::claims::ClaimRules;
@@ -13,6 +11,8 @@
 use sardinewood::claims::object::StoreAnswer;
 use sardinewood::claims::object::StoreCall;
 use sardinewood::claims::object::StoredClaim;
+use sardinewood::claims::request_names::CallDigest;
+use sardinewood::claims::request_names::RequestName;
 use sardinewood::ids::AttemptId;
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -3,13 +3,13 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use sardinewood::caller::request_names::CallDigest;
-use sardinewood::caller::request_names::RequestName;
 use sardinewood::caller::submission::Named;
 use sardinewood::caller::submission::Submission;
 use sardinewood::caller::submission::WorkEstimate;
 use sardinewood::claims::ClaimDecision;
 use sardinewood::claims::object::Holder;
+use sardinewood::claims::request_names::CallDigest;
+use sardinewood::claims::request_names::RequestName;
 use sardinewood::config::catalog::Catalog;
 use sardinewood::config::objects::Activity;
 use sardinewood::config::objects::Customer;
--- a/lib/tests/test_operator_change.rs
+++ b/lib/tests/test_operator_change.rs
@@ -3,11 +3,11 @@
 use std::time::Duration;
 
 use sardinewood::config::Config;
+use sardinewood::config::audit::Change;
+use sardinewood::config::audit::MAX_HISTORY;
+use sardinewood::config::audit::MAX_HISTORY_BYTES;
+use sardinewood::config::audit::Record;
 use sardinewood::config::object::Kind;
-use sardinewood::operator::audit::Change;
-use sardinewood::operator::audit::MAX_HISTORY;
-use sardinewood::operator::audit::MAX_HISTORY_BYTES;
-use sardinewood::operator::audit::Record;
 use sardinewood::operator::change::Author;
 use sardinewood::operator::change::NotDone;
 use sardinewood::operator::change::carry_out;
--- a/lib/tests/test_request_names.rs
+++ b/lib/tests/test_request_names.rs
@@ -1,10 +1,10 @@
 //! Names of requests: whose they are, and what is refused.
 
-use sardinewood::caller::request_names::Admission;
-use sardinewood::caller::request_names::CallDigest;
-use sardinewood::caller::request_names::KeyError;
-use sardinewood::caller::request_names::KnownNames;
-use sardinewood::caller::request_names::RequestName;
+use sardinewood::claims::request_names::Admission;
+use sardinewood::claims::request_names::CallDigest;
+use sardinewood::claims::request_names::KeyError;
+use sardinewood::claims::request_names::KnownNames;
+use sardinewood::claims::request_names::RequestName;
 use sardinewood::ids::RequestId;
 
 fn name(customer: &str, key: &str) -> RequestName {
