--- a/bench/src/faults.rs
+++ b/bench/src/faults.rs
@@ -16,6 +16,7 @@
 
 mod world_agents;
 mod world_entries;
+mod world_faults;
 mod world_records;
 mod world_upstreams;
 
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -11,6 +11,7 @@
 //! that wakes up late holds a claim whose version has moved on or whose attempt is barred.
 
 pub mod object;
+mod progress;
 pub mod request_names;
 pub mod sweep;
 
@@ -22,6 +23,12 @@
 use crate::claims::object::StoreAnswer;
 use crate::claims::object::StoreCall;
 use crate::claims::object::StoredClaim;
+use crate::claims::progress::ClaimRun;
+use crate::claims::progress::NextCall;
+use crate::claims::progress::Phase;
+use crate::claims::progress::Relation;
+use crate::claims::progress::due_ms;
+use crate::claims::progress::relation;
 use crate::claims::request_names::CallDigest;
 use crate::claims::request_names::RequestName;
 use crate::ids::RequestId;
@@ -114,45 +121,9 @@
     }
 }
 
-/// Where a request's claim is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Phase {
-    /// A write is under way.
-    Writing,
-    /// A read is under way.
-    Reading,
-    /// The next call is made when this time comes.
-    Pausing { until_ms: u64, call: NextCall },
-    /// Ours at this version.
-    Held { version: u64 },
-    /// Not decided, or decided against us; nothing to remove.
-    Idle,
-    /// To be removed when this time comes.
-    Retained { until_ms: u64, version: u64 },
-    /// The removal is under way.
-    Deleting { version: u64, tries_left: u8 },
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NextCall {
-    Write { expected: Option<u64> },
-    Read,
-}
-
 /// How often a removal is tried before it is left to the sweep of old claims.
 const DELETE_TRIES: u8 = 3;
 
-#[derive(Clone, Debug)]
-struct ClaimRun {
-    asked: ClaimRequest,
-    phase: Phase,
-    give_up_at_ms: u64,
-    /// Whether the call under way was made for an earlier grant.
-    is_outdated: bool,
-    /// When the request goes on without a claim, if it can.
-    unclaimed_at_ms: Option<u64>,
-}
-
 /// A "not run" that waits for a look at the store.
 #[derive(Clone, Copy, Debug)]
 struct Vouch {
@@ -612,53 +583,9 @@
     }
 }
 
-fn due_ms(run: &ClaimRun) -> Option<u64> {
-    match run.phase {
-        Phase::Pausing { until_ms, .. } | Phase::Retained { until_ms, .. } => Some(until_ms),
-        Phase::Writing | Phase::Reading => run.unclaimed_at_ms,
-        Phase::Held { .. } | Phase::Idle | Phase::Deleting { .. } => None,
-    }
-}
-
 fn claim_of(asked: &ClaimRequest) -> Claim {
     Claim {
         digest: Some(asked.digest.to_string().into()),
         state: ClaimState::Held(asked.holder.clone()),
     }
 }
-
-/// How the stored claim relates to the one that is asked for.
-enum Relation {
-    /// It is the one: an earlier write took effect, though its answer was lost.
-    Ours,
-    /// Nothing can run under it any more; it may be replaced.
-    Free,
-    /// Another attempt may run.
-    Other(Holder),
-    /// The name stands for another call.
-    OtherCall,
-    /// A successor in the order has barred this request.
-    LostPlace,
-    /// Somebody wrote what this version cannot read.
-    NotUnderstood,
-}
-
-fn relation(asked: &ClaimRequest, current: Option<&Claim>) -> Relation {
-    let Some(claim) = current else {
-        return Relation::NotUnderstood;
-    };
-    let digest = asked.digest.to_string();
-    if claim.digest.as_deref().is_some_and(|other| other != digest) {
-        return Relation::OtherCall;
-    }
-    let ours = asked.holder.attempt;
-    match &claim.state {
-        ClaimState::Barred { request } if *request == ours.request => Relation::LostPlace,
-        ClaimState::Barred { .. } => Relation::Free,
-        ClaimState::Held(holder) if *holder == asked.holder => Relation::Ours,
-        // The entry numbers a next attempt only after the one before it is settled.
-        ClaimState::Held(holder) if holder.attempt.request == ours.request => Relation::Free,
-        ClaimState::Held(holder) if Some(holder) == asked.settled.as_ref() => Relation::Free,
-        ClaimState::Held(holder) => Relation::Other(holder.clone()),
-    }
-}
