asking: which doors a waiting request asks, decided without sockets

Cause: the choice of doors stood in the middle of the code that sends, so that it could be tried only with processes, and no model of load could run it. Also: names of questions are random. They were numbered from the start of the process, and a door that still held a question of the last start took the new one of that number for a repeat.

--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -4,14 +4,15 @@
 //! request at a time on each connection. Entries tell each other by datagram what they have
 //! running and what customers have spent, so that no process in the middle is needed.
 //!
-//! These decide and know no socket: [`allotment`], [`attempt_budget`], [`catalog`], [`directory`],
-//! [`dispatch`], [`door`], [`health`], [`job`], [`peer_table`], [`place`], [`report`],
+//! These decide and know no socket: [`allotment`], [`asking`], [`attempt_budget`], [`catalog`],
+//! [`directory`], [`dispatch`], [`door`], [`health`], [`job`], [`peer_table`], [`place`], [`report`],
 //! [`spending_window`], [`usual`]. [`connections`], [`exchange`], [`front`] and [`peers`] carry bytes
 //! and decide nothing. It uses the library's store client, headers and logs, and no claims, agents
 //! or operators.
 
 pub mod allotment;
 pub mod answer_body;
+pub mod asking;
 pub mod attempt_budget;
 pub mod call;
 pub mod caller;
--- /dev/null
+++ b/lib/src/direct/asking.rs
@@ -0,0 +1,258 @@
+//! Which doors a waiting request asks, and when it stops waiting.
+//!
+//! It decides and sends nothing: an event and the time go in, and what to do next comes out.
+
+use std::sync::Arc;
+
+use crate::direct::dispatch::Dispatcher;
+use crate::direct::door::ASKS_PER_REQUEST;
+use crate::direct::door::AskId;
+use crate::direct::job::Job;
+
+/// Silence of a door after which another one is asked, and at last the engine itself. Doors
+/// answer within a round trip of a few milliseconds; a lost datagram is rarer than this.
+pub const ANSWER_WITHIN_MS: u64 = 40;
+/// Time after which a waiting question is sent again, in case its door has changed hands.
+const ASK_AGAIN_MS: u64 = 250;
+
+/// Bits of a random number that choose among engines.
+const DRAW_BITS: u64 = 0xffff;
+/// Bits of a question's name. Names are random, so that a process that starts again does not use
+/// those that doors still hold of it; more bits would only make messages longer.
+const ID_BITS: u64 = 0xffff_ffff;
+
+/// What a waiting request does next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Asks the door of an engine, perhaps not for the first time.
+    Ask {
+        /// Names the question.
+        id: AskId,
+        /// The engine.
+        instance: Arc<str>,
+    },
+    /// Takes a question back.
+    TakeBack {
+        /// The question.
+        id: AskId,
+        /// The engine.
+        instance: Arc<str>,
+    },
+    /// Goes to an engine whose door does not answer.
+    GoUnasked {
+        /// The engine.
+        instance: Arc<str>,
+    },
+    /// Gives up.
+    Refuse,
+}
+
+#[derive(Clone, Debug)]
+struct Asked {
+    id: AskId,
+    instance: Arc<str>,
+    at_ms: u64,
+    wait_ms: Option<u32>,
+}
+
+/// A request that waits for room at an engine, and the doors that it has asked.
+///
+/// ```
+/// use sardinewood::direct::asking::{Asking, Next};
+/// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+/// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+/// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+/// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+///
+/// // There is no engine, so the request is refused at once.
+/// let mut asking = Asking::new(job);
+/// let next = asking.begin(&Dispatcher::default(), 0, || 1);
+/// assert_eq!(next, [Next::Refuse]);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Asking {
+    /// The request.
+    pub job: Job,
+    asks: Vec<Asked>,
+}
+
+impl Asking {
+    /// A request that has asked nobody yet; see [`Asking`].
+    #[must_use]
+    pub fn new(job: Job) -> Self {
+        Self {
+            job,
+            asks: Vec::new(),
+        }
+    }
+
+    /// Asks a first door. `random` gives a new number at each call.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// let next = Asking::new(job).begin(&Dispatcher::default(), 0, || 1);
+    /// assert_eq!(next, [Next::Refuse]);
+    /// ```
+    pub fn begin(
+        &mut self,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+        random: impl FnMut() -> u64,
+    ) -> Vec<Next> {
+        let asked = self.ask_another(dispatcher, now_ms, random);
+        vec![asked.unwrap_or(Next::Refuse)]
+    }
+
+    /// Takes a door's word that a question waits: others are asked as well, unless all of them
+    /// expect too long a wait.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// let next = Asking::new(job).busy(AskId(7), 20, &Dispatcher::default(), 0, || 1);
+    /// assert!(next.is_empty());
+    /// ```
+    pub fn busy(
+        &mut self,
+        ask: AskId,
+        wait_ms: u32,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+        random: impl FnMut() -> u64,
+    ) -> Vec<Next> {
+        if let Some(asked) = self.asks.iter_mut().find(|asked| asked.id == ask) {
+            asked.wait_ms = Some(wait_ms);
+        }
+        if self.is_hopeless(now_ms) {
+            return vec![Next::Refuse];
+        }
+        let another = self.ask_another(dispatcher, now_ms, random);
+        another.into_iter().collect()
+    }
+
+    /// What the time that has passed asks for: other doors, the same again, or no door at all.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// let next = Asking::new(job).silence(&Dispatcher::default(), 40, || 1);
+    /// assert!(next.is_empty());
+    /// ```
+    pub fn silence(
+        &mut self,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+        mut random: impl FnMut() -> u64,
+    ) -> Vec<Next> {
+        let mut next = self.drop_unlisted(dispatcher);
+        let is_silent =
+            |asked: &Asked| asked.wait_ms.is_none() && now_ms >= asked.at_ms + ANSWER_WITHIN_MS;
+        let all_silent = self.asks.iter().all(is_silent);
+        if all_silent && !self.asks.is_empty() {
+            match self.ask_another(dispatcher, now_ms, &mut random) {
+                Some(asked) => next.push(asked),
+                None => next.extend(self.unasked(dispatcher, now_ms)),
+            }
+        }
+        for asked in &mut self.asks {
+            if now_ms >= asked.at_ms + ASK_AGAIN_MS {
+                asked.at_ms = now_ms;
+                next.push(Next::Ask {
+                    id: asked.id,
+                    instance: Arc::clone(&asked.instance),
+                });
+            }
+        }
+        if self.asks.is_empty() {
+            next.extend(self.ask_another(dispatcher, now_ms, random));
+        }
+        next
+    }
+
+    /// Takes all questions back, when the request has room or waits no more.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// assert!(Asking::new(job).end().is_empty());
+    /// ```
+    pub fn end(&mut self) -> Vec<Next> {
+        self.asks.drain(..).map(take_back).collect()
+    }
+
+    /// Asks one more door; none if there is none to ask.
+    fn ask_another(
+        &mut self,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+        mut random: impl FnMut() -> u64,
+    ) -> Option<Next> {
+        if self.asks.len() >= usize::from(ASKS_PER_REQUEST) {
+            return None;
+        }
+        let asked: Vec<Arc<str>> = self
+            .asks
+            .iter()
+            .map(|asked| Arc::clone(&asked.instance))
+            .collect();
+        let draw = || usize::try_from(random() & DRAW_BITS).unwrap_or_default();
+        let upstream = dispatcher.choose(&self.job, &asked, now_ms, draw)?;
+        let asked = Asked {
+            id: AskId(random() & ID_BITS),
+            instance: Arc::clone(&upstream.instance),
+            at_ms: now_ms,
+            wait_ms: None,
+        };
+        let next = Next::Ask {
+            id: asked.id,
+            instance: Arc::clone(&asked.instance),
+        };
+        self.asks.push(asked);
+        Some(next)
+    }
+
+    /// Gives up questions about engines that have left, so that others are asked.
+    fn drop_unlisted(&mut self, dispatcher: &Dispatcher) -> Vec<Next> {
+        let (kept, dropped): (Vec<Asked>, Vec<Asked>) = std::mem::take(&mut self.asks)
+            .into_iter()
+            .partition(|asked| dispatcher.is_listed(&asked.instance));
+        self.asks = kept;
+        dropped.into_iter().map(take_back).collect()
+    }
+
+    /// Goes to an engine whose door is silent, if there seems to be room.
+    fn unasked(&self, dispatcher: &Dispatcher, now_ms: u64) -> Option<Next> {
+        let asked = self.asks.first()?;
+        let instance = Arc::clone(&asked.instance);
+        dispatcher
+            .has_room(&instance, now_ms)
+            .then_some(Next::GoUnasked { instance })
+    }
+
+    /// Whether all doors expect the request to wait for too long.
+    fn is_hopeless(&self, now_ms: u64) -> bool {
+        let left_ms = self.job.waits_until_ms().saturating_sub(now_ms);
+        let is_too_long = |wait_ms: u32| u64::from(wait_ms) > left_ms;
+        self.asks.len() == usize::from(ASKS_PER_REQUEST)
+            && self
+                .asks
+                .iter()
+                .all(|asked| asked.wait_ms.is_some_and(is_too_long))
+    }
+}
+
+fn take_back(asked: Asked) -> Next {
+    Next::TakeBack {
+        id: asked.id,
+        instance: asked.instance,
+    }
+}
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -10,8 +10,10 @@
 use tokio::time::Instant;
 use tokio::time::timeout_at;
 
+use crate::direct::asking::ANSWER_WITHIN_MS;
+use crate::direct::asking::Asking;
+use crate::direct::asking::Next;
 use crate::direct::dispatch::short_name;
-use crate::direct::door::ASKS_PER_REQUEST;
 use crate::direct::door::Ask;
 use crate::direct::door::AskId;
 use crate::direct::door::Asker;
@@ -22,12 +24,6 @@
 use crate::direct::traffic::Turn;
 use crate::logging::Level;
 
-/// Silence of a door after which another one is asked, and at last the engine itself. Doors
-/// answer within a round trip of a few milliseconds; a lost datagram is rarer than this.
-const ANSWER_WITHIN: Duration = Duration::from_millis(40);
-/// Time after which a waiting question is sent again, in case its door has changed hands.
-const ASK_AGAIN: Duration = Duration::from_millis(250);
-
 /// What the doors have to say to a waiting request.
 #[derive(Debug)]
 pub enum Word {
@@ -50,197 +46,138 @@
     owner: Asker,
 }
 
-/// A waiting request and its questions; dropping it takes them back.
-struct Asking {
+/// A waiting request; dropping it takes its questions back.
+struct Waiting {
     traffic: Rc<Traffic>,
-    job: Job,
+    asking: Asking,
     words: UnboundedSender<Word>,
-    asks: Vec<Asked>,
-}
-
-struct Asked {
-    id: AskId,
-    instance: Arc<str>,
-    at: Instant,
-    wait_ms: Option<u32>,
 }
 
-impl Drop for Asking {
+impl Drop for Waiting {
     fn drop(&mut self) {
-        for asked in std::mem::take(&mut self.asks) {
-            self.take_back(&asked);
+        for next in self.asking.end() {
+            self.carry_out(next);
         }
     }
 }
 
-impl Asking {
-    fn instances(&self) -> Vec<Arc<str>> {
-        self.asks
-            .iter()
-            .map(|asked| Arc::clone(&asked.instance))
-            .collect()
-    }
+/// How a wait ended.
+enum End {
+    Started(Lease),
+    Refused,
+}
 
-    /// Asks one more door; false if there is none to ask.
-    fn ask_another(&mut self) -> bool {
-        if self.asks.len() >= usize::from(ASKS_PER_REQUEST) {
-            return false;
+impl Waiting {
+    /// Carries out what was decided, and whether that ends the wait.
+    fn carry_out(&self, next: Next) -> Option<End> {
+        match next {
+            Next::Ask { id, instance } => self.ask(id, &instance),
+            Next::TakeBack { id, instance } => self.take_back(id, &instance),
+            Next::GoUnasked { instance } => return self.go_unasked(&instance).map(End::Started),
+            Next::Refuse => return Some(End::Refused),
         }
-        let now_ms = self.traffic.now_ms();
-        let chosen =
-            self.traffic
-                .dispatcher
-                .borrow()
-                .choose(&self.job, &self.instances(), now_ms, || {
-                    rand::random::<u16>().into()
-                });
-        let Some(upstream) = chosen else {
-            return false;
-        };
-        let asked = Asked {
-            id: AskId(self.traffic.next_id()),
-            instance: Arc::clone(&upstream.instance),
-            at: Instant::now(),
-            wait_ms: None,
-        };
-        self.send(&asked);
-        self.asks.push(asked);
-        true
+        None
     }
 
-    fn send(&self, asked: &Asked) {
+    fn carry_out_all(&self, all: Vec<Next>) -> Option<End> {
+        all.into_iter().find_map(|next| self.carry_out(next))
+    }
+
+    fn ask(&self, id: AskId, instance: &Arc<str>) {
         let traffic = &self.traffic;
-        let upstream = short_name(&asked.instance);
+        let job = &self.asking.job;
+        let upstream = short_name(instance);
         let now_ms = traffic.now_ms();
         let owner = traffic.owner(upstream);
+        let lead_ms = traffic.dispatcher.borrow().lead_ms(instance, job);
         let ask = Ask {
-            id: asked.id,
+            id,
             upstream,
-            worth_micros: self.job.worth_micros(),
-            in_time_for_ms: signed(self.job.objective_at_ms)
-                - signed(now_ms)
-                - signed(
-                    traffic
-                        .dispatcher
-                        .borrow()
-                        .lead_ms(&asked.instance, &self.job),
-                ),
-            waited_ms: now_ms - self.job.arrived_ms,
+            worth_micros: job.worth_micros(),
+            in_time_for_ms: signed(job.objective_at_ms) - signed(now_ms) - signed(lead_ms),
+            waited_ms: now_ms - job.arrived_ms,
         };
         let open = AskedDoor {
             words: self.words.clone(),
-            instance: Arc::clone(&asked.instance),
+            instance: Arc::clone(instance),
             owner,
         };
-        traffic.asks.borrow_mut().insert(asked.id, open);
+        traffic.asks.borrow_mut().insert(id, open);
         match owner {
             Asker::Own => traffic.asked(Asker::Own, ask),
             Asker::Peer(address) => traffic.tell(address, &Message::Ask(ask)),
         }
     }
 
-    fn take_back(&self, asked: &Asked) {
+    fn take_back(&self, id: AskId, instance: &str) {
         let traffic = &self.traffic;
-        let Some(open) = traffic.asks.borrow_mut().swap_remove(&asked.id) else {
+        let Some(open) = traffic.asks.borrow_mut().swap_remove(&id) else {
             return;
         };
-        let upstream = short_name(&asked.instance);
+        let upstream = short_name(instance);
         match open.owner {
-            Asker::Own => traffic
-                .doors
-                .borrow_mut()
-                .cancel(Asker::Own, upstream, asked.id),
+            Asker::Own => traffic.doors.borrow_mut().cancel(Asker::Own, upstream, id),
             Asker::Peer(address) => {
-                let cancel = Message::Cancel {
-                    upstream,
-                    ask: asked.id,
-                };
-                traffic.tell(address, &cancel);
+                traffic.tell(address, &Message::Cancel { upstream, ask: id });
             }
         }
     }
 
-    /// What the time that has passed asks for: other doors, the same again, or no door at all.
-    fn after_silence(&mut self) -> Option<Lease> {
-        self.drop_unlisted();
-        let now = Instant::now();
-        let silent: Vec<usize> = (0..self.asks.len())
-            .filter(|index| {
-                let asked = &self.asks[*index];
-                asked.wait_ms.is_none() && now >= asked.at + ANSWER_WITHIN
-            })
-            .collect();
-        if !silent.is_empty() && silent.len() == self.asks.len() && !self.ask_another() {
-            return self.go_unasked(silent[0]);
-        }
-        for index in 0..self.asks.len() {
-            if now >= self.asks[index].at + ASK_AGAIN {
-                self.asks[index].at = now;
-                self.send(&self.asks[index]);
-            }
-        }
-        if self.asks.is_empty() {
-            self.ask_another();
-        }
-        None
-    }
-
-    /// Gives up questions about engines that have left, so that others are asked.
-    fn drop_unlisted(&mut self) {
-        let dispatcher = self.traffic.dispatcher.borrow();
-        let (kept, dropped): (Vec<Asked>, Vec<Asked>) = std::mem::take(&mut self.asks)
-            .into_iter()
-            .partition(|asked| dispatcher.is_listed(&asked.instance));
-        drop(dispatcher);
-        self.asks = kept;
-        for asked in dropped {
-            self.take_back(&asked);
-        }
-    }
-
-    /// Takes room at an engine whose door does not answer, if there seems to be any.
-    fn go_unasked(&mut self, index: usize) -> Option<Lease> {
+    /// Takes room at an engine whose door does not answer.
+    fn go_unasked(&self, instance: &Arc<str>) -> Option<Lease> {
         let traffic = &self.traffic;
-        let instance = Arc::clone(&self.asks[index].instance);
-        let mut dispatcher = traffic.dispatcher.borrow_mut();
-        if !dispatcher.has_room(&instance, traffic.now_ms()) {
-            return None;
-        }
-        let upstream = dispatcher.began(&instance)?;
-        drop(dispatcher);
+        let upstream = traffic.dispatcher.borrow_mut().began(instance)?;
         traffic.log(
             Level::Warn,
             "door is silent, engine called unasked",
-            |line| line.field("upstream", &instance),
+            |line| line.field("upstream", instance),
         );
         Some(Lease::new(traffic, upstream, false))
     }
 
-    /// Whether all doors expect the request to wait for too long.
-    fn is_hopeless(&self) -> bool {
-        if self.asks.len() < usize::from(ASKS_PER_REQUEST) {
-            return false;
-        }
-        let left_ms = self
-            .job
-            .waits_until_ms()
-            .saturating_sub(self.traffic.now_ms());
-        let is_too_long = |wait_ms: u32| u64::from(wait_ms) > left_ms;
-        self.asks
-            .iter()
-            .all(|asked| asked.wait_ms.is_some_and(is_too_long))
+    fn begin(&mut self) -> Option<End> {
+        let dispatcher = self.traffic.dispatcher.borrow();
+        let now_ms = self.traffic.now_ms();
+        let next = self.asking.begin(&dispatcher, now_ms, rand::random);
+        drop(dispatcher);
+        self.carry_out_all(next)
     }
 
-    fn refused(&self) -> Turn {
-        Turn::Refused {
-            retry_after_ms: self.job.retry_after_ms(self.traffic.now_ms()),
-        }
+    fn busy(&mut self, ask: AskId, wait_ms: u32) -> Option<End> {
+        let dispatcher = self.traffic.dispatcher.borrow();
+        let now_ms = self.traffic.now_ms();
+        let next = self
+            .asking
+            .busy(ask, wait_ms, &dispatcher, now_ms, rand::random);
+        drop(dispatcher);
+        self.carry_out_all(next)
     }
 
-    fn note_busy(&mut self, ask: AskId, wait_ms: u32) {
-        if let Some(asked) = self.asks.iter_mut().find(|asked| asked.id == ask) {
-            asked.wait_ms = Some(wait_ms);
+    fn silence(&mut self) -> Option<End> {
+        let dispatcher = self.traffic.dispatcher.borrow();
+        let now_ms = self.traffic.now_ms();
+        let next = self.asking.silence(&dispatcher, now_ms, rand::random);
+        drop(dispatcher);
+        self.carry_out_all(next)
+    }
+
+    async fn wait(&mut self, words: &mut UnboundedReceiver<Word>, until: Instant) -> End {
+        if let Some(end) = self.begin() {
+            return end;
+        }
+        while Instant::now() < until {
+            let pause = (Instant::now() + Duration::from_millis(ANSWER_WITHIN_MS)).min(until);
+            let end = match timeout_at(pause, words.recv()).await {
+                Ok(Some(Word::Granted(lease))) => Some(End::Started(lease)),
+                Ok(Some(Word::Busy { ask, wait_ms })) => self.busy(ask, wait_ms),
+                Ok(None) => Some(End::Refused),
+                Err(_) => self.silence(),
+            };
+            if let Some(end) = end {
+                return end;
+            }
         }
+        End::Refused
     }
 }
 
@@ -248,47 +185,17 @@
 pub async fn turn(traffic: &Rc<Traffic>, job: Job) -> Turn {
     let until = traffic.instant_at(job.waits_until_ms());
     let (sender, mut words) = mpsc::unbounded_channel();
-    let mut asking = Asking {
+    let mut waiting = Waiting {
         traffic: Rc::clone(traffic),
-        job,
+        asking: Asking::new(job),
         words: sender,
-        asks: Vec::new(),
     };
-    if !traffic.dispatcher.borrow().has_untried(&asking.job) {
-        return asking.refused();
-    }
-    asking.ask_another();
-    match wait(&mut asking, &mut words, until).await {
-        Some(lease) => Turn::Start(lease),
-        None => asking.refused(),
-    }
-}
-
-async fn wait(
-    asking: &mut Asking,
-    words: &mut UnboundedReceiver<Word>,
-    until: Instant,
-) -> Option<Lease> {
-    while Instant::now() < until {
-        let pause = (Instant::now() + ANSWER_WITHIN).min(until);
-        match timeout_at(pause, words.recv()).await {
-            Ok(Some(Word::Granted(lease))) => return Some(lease),
-            Ok(Some(Word::Busy { ask, wait_ms })) => {
-                asking.note_busy(ask, wait_ms);
-                asking.ask_another();
-                if asking.is_hopeless() {
-                    return None;
-                }
-            }
-            Ok(None) => return None,
-            Err(_) => {
-                if let Some(lease) = asking.after_silence() {
-                    return Some(lease);
-                }
-            }
-        }
+    match waiting.wait(&mut words, until).await {
+        End::Started(lease) => Turn::Start(lease),
+        End::Refused => Turn::Refused {
+            retry_after_ms: waiting.asking.job.retry_after_ms(traffic.now_ms()),
+        },
     }
-    None
 }
 
 fn signed(time_ms: u64) -> i64 {
--- /dev/null
+++ b/lib/tests/direct_fixture.rs
@@ -0,0 +1,37 @@
+//! An engine and a request for the tests of the direct mode.
+
+use std::sync::Arc;
+
+use sardinewood::direct::directory::Upstream;
+use sardinewood::direct::job::Job;
+
+/// An engine with so many slots.
+pub fn upstream(name: &str, slots: u32) -> Arc<Upstream> {
+    Arc::new(Upstream {
+        instance: name.into(),
+        service: "pool".into(),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        data_centre: "hall".into(),
+        slots,
+        is_leaving: false,
+    })
+}
+
+/// A request of a tier that arrives at time 0.
+pub fn job(id: u64, tier: u8) -> Job {
+    Job {
+        id,
+        service: "pool".into(),
+        tier,
+        customer_tier: 0,
+        prompt_tokens: 1_000,
+        expected_output_tokens: Some(30),
+        relative_size: 1.0,
+        relative_hold: 1.0,
+        arrived_ms: 0,
+        objective_at_ms: 500,
+        give_up_at_ms: 10_000,
+        leaves_at_ms: 2_400,
+        tried: Vec::new(),
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! One test program for all integration tests, so that it is linked once.
 
 mod agent_fixture;
+mod direct_fixture;
 mod fleet_fixture;
 mod operator_fixture;
 mod spread_fixture;
@@ -18,6 +19,7 @@
 mod test_config_spread;
 mod test_config_state;
 mod test_config_watch;
+mod test_direct_asking;
 mod test_direct_directory;
 mod test_direct_dispatch;
 mod test_direct_door;
--- /dev/null
+++ b/lib/tests/test_direct_asking.rs
@@ -0,0 +1,133 @@
+//! Which doors a waiting request asks, without a network.
+
+use std::sync::Arc;
+
+use sardinewood::direct::asking::ANSWER_WITHIN_MS;
+use sardinewood::direct::asking::Asking;
+use sardinewood::direct::asking::Next;
+use sardinewood::direct::directory::Upstream;
+use sardinewood::direct::dispatch::Dispatcher;
+use sardinewood::direct::door::AskId;
+
+use crate::direct_fixture::job;
+use crate::direct_fixture::upstream;
+
+fn engines(count: u32) -> Vec<Arc<Upstream>> {
+    (0..count)
+        .map(|number| upstream(&format!("i-{number}"), 2))
+        .collect()
+}
+
+fn dispatcher(count: u32) -> Dispatcher {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&engines(count));
+    dispatcher
+}
+
+/// Numbers that differ, from 1 on.
+fn numbers() -> impl FnMut() -> u64 {
+    let mut number = 0;
+    move || {
+        number += 1;
+        number
+    }
+}
+
+fn asked(next: &[Next]) -> Vec<(AskId, Arc<str>)> {
+    next.iter()
+        .filter_map(|next| match next {
+            Next::Ask { id, instance } => Some((*id, Arc::clone(instance))),
+            _ => None,
+        })
+        .collect()
+}
+
+#[test]
+fn full_doors_make_it_ask_three() {
+    let dispatcher = dispatcher(8);
+    let mut numbers = numbers();
+    let mut asking = Asking::new(job(1, 0));
+    let mut asks = asked(&asking.begin(&dispatcher, 0, &mut numbers));
+    for _ in 0..4 {
+        let (last, _) = asks[asks.len() - 1];
+        asks.extend(asked(&asking.busy(last, 5, &dispatcher, 1, &mut numbers)));
+    }
+    assert_eq!(asks.len(), 3);
+    let engines: std::collections::BTreeSet<_> = asks.iter().map(|(_, engine)| engine).collect();
+    assert_eq!(engines.len(), 3, "each asked once");
+    assert_eq!(asking.end().len(), 3, "all are taken back");
+    assert!(asking.end().is_empty());
+}
+
+#[test]
+fn too_long_everywhere_refused_at_once() {
+    // All three doors expect the request to wait for longer than it may. Its caller is told
+    // so now, while it can still come back, and not when its time is over.
+    let dispatcher = dispatcher(8);
+    let mut numbers = numbers();
+    let mut asking = Asking::new(job(1, 0));
+    let mut next = asking.begin(&dispatcher, 0, &mut numbers);
+    let mut words = 0;
+    while let Some((id, _)) = asked(&next).first().cloned() {
+        next = asking.busy(id, 60_000, &dispatcher, 1, &mut numbers);
+        words += 1;
+    }
+    assert_eq!(words, 3);
+    assert_eq!(next, [Next::Refuse]);
+}
+
+#[test]
+fn silent_doors_passed_over_and_then_the_engine_called() {
+    // The entries that keep the doors are gone, and nobody has noticed yet.
+    let dispatcher = dispatcher(8);
+    let mut numbers = numbers();
+    let mut asking = Asking::new(job(1, 0));
+    let mut asks = asked(&asking.begin(&dispatcher, 0, &mut numbers)).len();
+    let mut now_ms = 0;
+    let unasked = loop {
+        now_ms += ANSWER_WITHIN_MS;
+        assert!(now_ms < 1_000, "it waits for ever");
+        let next = asking.silence(&dispatcher, now_ms, &mut numbers);
+        asks += asked(&next).len();
+        if let Some(Next::GoUnasked { instance }) = next.last() {
+            break Arc::clone(instance);
+        }
+    };
+    assert_eq!(asks, 3);
+    assert!(dispatcher.has_room(&unasked, now_ms));
+    assert_eq!(now_ms, 3 * ANSWER_WITHIN_MS);
+}
+
+#[test]
+fn engine_that_leaves_is_asked_no_more() {
+    let mut dispatcher = dispatcher(2);
+    let mut numbers = numbers();
+    let mut asking = Asking::new(job(1, 0));
+    let first = asked(&asking.begin(&dispatcher, 0, &mut numbers));
+    let (_, engine) = first[0].clone();
+    let left: Vec<Arc<Upstream>> = engines(2)
+        .into_iter()
+        .filter(|upstream| upstream.instance != engine)
+        .collect();
+    dispatcher.set_upstreams(&left);
+    let next = asking.silence(&dispatcher, ANSWER_WITHIN_MS, &mut numbers);
+    assert!(matches!(&next[0], Next::TakeBack { instance, .. } if *instance == engine));
+    assert_eq!(asked(&next)[0].1, left[0].instance);
+}
+
+#[test]
+fn waiting_question_repeated_under_its_name() {
+    // Its door may have passed to another entry meanwhile, which knows nothing of it.
+    let dispatcher = dispatcher(1);
+    let mut numbers = numbers();
+    let mut asking = Asking::new(job(1, 0));
+    let first = asked(&asking.begin(&dispatcher, 0, &mut numbers));
+    asking.busy(first[0].0, 5, &dispatcher, 1, &mut numbers);
+    let again: Vec<_> = (1..8)
+        .flat_map(|beat| {
+            let now_ms = beat * ANSWER_WITHIN_MS;
+            asked(&asking.silence(&dispatcher, now_ms, &mut numbers))
+        })
+        .collect();
+    assert_eq!(again, first);
+}
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -11,34 +11,8 @@
 use sardinewood::direct::peer_message::Running;
 use sardinewood::direct::report::RunningPart;
 
-fn upstream(name: &str, slots: u32) -> Arc<Upstream> {
-    Arc::new(Upstream {
-        instance: name.into(),
-        service: "pool".into(),
-        address: "127.0.0.1:80".parse().expect("an address"),
-        data_centre: "hall".into(),
-        slots,
-        is_leaving: false,
-    })
-}
-
-fn job(id: u64, tier: u8) -> Job {
-    Job {
-        id,
-        service: "pool".into(),
-        tier,
-        customer_tier: 0,
-        prompt_tokens: 1_000,
-        expected_output_tokens: Some(30),
-        relative_size: 1.0,
-        relative_hold: 1.0,
-        arrived_ms: 0,
-        objective_at_ms: 500,
-        give_up_at_ms: 10_000,
-        leaves_at_ms: 2_400,
-        tried: Vec::new(),
-    }
-}
+use crate::direct_fixture::job;
+use crate::direct_fixture::upstream;
 
 fn starts(dispatcher: &mut Dispatcher, now_ms: u64) -> Vec<(u64, String)> {
     std::iter::from_fn(|| dispatcher.next_start(now_ms))
