bench: direct, the direct mode under heavy load in virtual time; peers named in turn

The model plays the decisions that ship (asking, doors, places, peer table) before engines like those of the sheets, with bursts, uneven entries and lost engines, messages and entries, against a bound that knows everything. It found at once: heartbeats named nearly the same eight peers each time, so that a fleet of a hundred took tens of seconds to know itself, and engines got 12 requests for 5 slots meanwhile.

--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -26,6 +26,11 @@
         summary: "processor time of one decision, and how it grows",
         run: crate::decisions::run,
     },
+    Subcommand {
+        name: "direct",
+        summary: "what the direct mode earns under heavy load, mechanism by mechanism",
+        run: crate::direct::run,
+    },
     Subcommand {
         name: "faults",
         summary: "the promises under faults at random, in virtual time",
--- /dev/null
+++ b/bench/src/direct.rs
@@ -0,0 +1,216 @@
+//! `direct`: what the direct mode earns under heavy load, in virtual time, with each mechanism
+//! taken out in turn, against a bound.
+
+pub mod engine;
+pub mod fleet;
+pub mod load;
+
+use eyre::bail;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use sardinewood::numbers;
+use serde::Serialize;
+
+use self::fleet::End;
+use self::fleet::Fleet;
+use self::fleet::Outcome;
+use self::fleet::Setup;
+use self::fleet::Variant;
+use self::load::KINDS;
+use self::load::Offered;
+use self::load::Pattern;
+
+const HELP: &str = "\
+Usage: sardinewood-bench direct [--entries N] [--engines N] [--load PART] [--seconds S]
+                                [--seeds COUNT] [--lost PART] [--kills] [--pattern NAME]
+                                [--variant NAME]
+
+Plays entries of the direct mode in virtual time, by default 26 before 47 engines at 0.9 of
+what these can do, 20 s, seeds 1 to 3, without losses, all patterns and all variants, and prints
+one JSON line for each pattern and variant. Patterns: steady, burst, burst-of-one-kind, one-entry,
+half-lost. Variants: shipped, without-doors, without-order, without-sizes, without-returns.
+";
+
+/// What one pattern and variant gave, over all seeds.
+#[derive(Clone, Debug, Default, Serialize)]
+pub struct Report {
+    /// The pattern's name.
+    pub pattern: &'static str,
+    /// The variant's name.
+    pub variant: &'static str,
+    /// Requests sent.
+    pub requests: usize,
+    /// Worth earned, as a part of all that was offered.
+    pub worth: f64,
+    /// Worth earned, as a part of the bound.
+    pub of_bound: f64,
+    /// Worth earned by kind, as a part of what the kind offered.
+    pub worth_by_kind: [f64; KINDS.len()],
+    /// The worst of: each kind's largest tenth, by how many of them were served.
+    pub worst_size: f64,
+    /// Part that was told "not run".
+    pub refused: f64,
+    /// Part whose time was up in the middle.
+    pub cut: f64,
+    /// The most that any engine had at a time.
+    pub most_at_engine: usize,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct Sum {
+    earned: f64,
+    offered: f64,
+    bound: f64,
+}
+
+/// What a request earned.
+#[must_use]
+pub fn earned(offered: &Offered, ends: &[End]) -> f64 {
+    match ends {
+        [End::InTime] => offered.worth(true),
+        [End::Late] => offered.worth(false),
+        _ => 0.0,
+    }
+}
+
+/// Plays one pattern and variant with several seeds.
+#[must_use]
+pub fn report(setup: Setup, names: (&'static str, &'static str), seeds: u64) -> Report {
+    let mut all = Sum::default();
+    let mut kinds = [Sum::default(); KINDS.len()];
+    let mut ends_of = Vec::new();
+    let mut most_at_engine = 0;
+    for seed in 1..=seeds {
+        let fleet = Fleet::new(setup, seed);
+        let offered = fleet.offered().to_vec();
+        let outcome: Outcome = fleet.play();
+        let capacity_ms = setup.capacity() * numbers::as_f64(setup.for_ms);
+        all.bound += load::bound(&offered, capacity_ms);
+        most_at_engine = most_at_engine.max(outcome.most_at_engine);
+        for (offered, ends) in offered.into_iter().zip(outcome.ends) {
+            let worth = earned(&offered, &ends);
+            for sum in [&mut all, &mut kinds[offered.kind]] {
+                sum.earned += worth;
+                sum.offered += offered.worth(true);
+            }
+            ends_of.push((offered, ends));
+        }
+    }
+    let part_of = |wanted: End| {
+        part(
+            ends_of
+                .iter()
+                .filter(|(_, ends)| ends.contains(&wanted))
+                .count(),
+            ends_of.len(),
+        )
+    };
+    Report {
+        pattern: names.0,
+        variant: names.1,
+        requests: ends_of.len(),
+        worth: all.earned / all.offered,
+        of_bound: all.earned / all.bound,
+        worth_by_kind: kinds.map(|sum| sum.earned / sum.offered),
+        worst_size: worst_size(&ends_of),
+        refused: part_of(End::Refused),
+        cut: part_of(End::Cut),
+        most_at_engine,
+    }
+}
+
+/// How often the largest tenth of a kind was served, for the kind where that is least.
+fn worst_size(all: &[(Offered, Vec<End>)]) -> f64 {
+    let served = |ends: &[End]| matches!(ends, [End::InTime | End::Late]);
+    (0..KINDS.len())
+        .map(|kind| {
+            let mut of_kind: Vec<_> = all.iter().filter(|(one, _)| one.kind == kind).collect();
+            of_kind.sort_by(|(left, _), (right, _)| {
+                right.relative_size().total_cmp(&left.relative_size())
+            });
+            let largest = &of_kind[..of_kind.len().div_ceil(10)];
+            let count = largest.iter().filter(|(_, ends)| served(ends)).count();
+            part(count, largest.len())
+        })
+        .fold(1.0, f64::min)
+}
+
+fn part(count: usize, of: usize) -> f64 {
+    numbers::as_f64(count as u64) / numbers::as_f64(of.max(1) as u64)
+}
+
+/// Reads the arguments, plays, and prints a line for each pattern and variant.
+///
+/// # Errors
+///
+/// The arguments are not understood.
+pub fn run(mut parser: Parser) -> eyre::Result<()> {
+    let mut setup = Setup {
+        entries: 26,
+        engines: 47,
+        slots: 5,
+        load: 0.9,
+        pattern: Pattern::Steady,
+        for_ms: 20_000,
+        lost_part: 0.0,
+        has_kills: false,
+        variant: Variant::Shipped,
+    };
+    let mut seeds = 3;
+    let mut patterns = Pattern::ALL.to_vec();
+    let mut variants = Variant::ALL.to_vec();
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("entries") => setup.entries = at_least_one(parser.value()?.parse()?)?,
+            Arg::Long("engines") => setup.engines = at_least_one(parser.value()?.parse()?)?,
+            Arg::Long("load") => setup.load = positive(parser.value()?.parse()?)?,
+            Arg::Long("seconds") => setup.for_ms = parser.value()?.parse::<u64>()? * 1_000,
+            Arg::Long("seeds") => seeds = parser.value()?.parse()?,
+            Arg::Long("lost") => setup.lost_part = parser.value()?.parse()?,
+            Arg::Long("kills") => setup.has_kills = true,
+            Arg::Long("pattern") => only(&mut patterns, &parser.value()?.string()?)?,
+            Arg::Long("variant") => only(&mut variants, &parser.value()?.string()?)?,
+            Arg::Long("help") => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    for (pattern_name, pattern) in &patterns {
+        for (variant_name, variant) in &variants {
+            let setup = Setup {
+                pattern: *pattern,
+                variant: *variant,
+                ..setup
+            };
+            let report = report(setup, (*pattern_name, *variant_name), seeds);
+            println!("{}", serde_json::to_string(&report)?);
+        }
+    }
+    Ok(())
+}
+
+fn only<T>(known: &mut Vec<(&'static str, T)>, wanted: &str) -> eyre::Result<()> {
+    let names: Vec<&str> = known.iter().map(|(name, _)| *name).collect();
+    if !names.contains(&wanted) {
+        bail!("{wanted:?} is none of {}", names.join(", "));
+    }
+    known.retain(|(name, _)| *name == wanted);
+    Ok(())
+}
+
+fn at_least_one(count: usize) -> eyre::Result<usize> {
+    if count == 0 {
+        bail!("a fleet needs at least one entry and one engine");
+    }
+    Ok(count)
+}
+
+fn positive(load: f64) -> eyre::Result<f64> {
+    if !(load > 0.0 && load.is_finite()) {
+        bail!("--load has to be above 0");
+    }
+    Ok(load)
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod config;
 pub mod cpu_time;
 pub mod decisions;
+pub mod direct;
 pub mod engine_model;
 pub mod faults;
 pub mod fleet;
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -5,6 +5,7 @@
 mod test_bound;
 mod test_command;
 mod test_decisions;
+mod test_direct;
 mod test_engine_model;
 mod test_fault_matrix;
 mod test_overhead;
--- /dev/null
+++ b/bench/tests/test_direct.rs
@@ -0,0 +1,100 @@
+//! The direct mode in virtual time: what always holds, and what its mechanisms are for.
+
+use sardinewood_bench::direct::fleet::End;
+use sardinewood_bench::direct::fleet::Fleet;
+use sardinewood_bench::direct::fleet::Setup;
+use sardinewood_bench::direct::fleet::Variant;
+use sardinewood_bench::direct::load::Pattern;
+use sardinewood_bench::direct::report;
+
+const SLOTS: u32 = 5;
+
+fn setup() -> Setup {
+    Setup {
+        entries: 6,
+        engines: 9,
+        slots: SLOTS,
+        load: 0.9,
+        pattern: Pattern::Steady,
+        for_ms: 6_000,
+        lost_part: 0.0,
+        has_kills: false,
+        variant: Variant::Shipped,
+    }
+}
+
+#[test]
+fn every_request_ends_once_whatever_is_lost() {
+    // Messages between entries are lost, entries are killed and start again, engines vanish:
+    // each caller gets one answer, or none because its own entry was killed.
+    for seed in 1..=4 {
+        let fleet = Fleet::new(
+            Setup {
+                lost_part: 0.05,
+                has_kills: true,
+                pattern: Pattern::HalfLost,
+                ..setup()
+            },
+            seed,
+        );
+        let outcome = fleet.play();
+        assert!(
+            outcome.ends.iter().all(|ends| ends.len() == 1),
+            "seed {seed}"
+        );
+        let lost = outcome.ends.iter().filter(|ends| ends[0] == End::Lost);
+        assert!(lost.count() < outcome.ends.len() / 5, "seed {seed}");
+    }
+}
+
+#[test]
+fn engine_gets_only_what_it_can_begin() {
+    // Engines admit in order of arrival, so whatever waits inside one waits in no order.
+    let setup = Setup {
+        pattern: Pattern::Burst,
+        ..setup()
+    };
+    let outcome = Fleet::new(setup, 1).play();
+    assert_eq!(outcome.most_at_engine, SLOTS as usize);
+}
+
+#[test]
+fn lost_messages_overbook_an_engine_by_little() {
+    // A lost word that room is free, or taken, is made good by the next two heartbeats.
+    let setup = Setup {
+        lost_part: 0.05,
+        ..setup()
+    };
+    let outcome = Fleet::new(setup, 1).play();
+    assert!(outcome.most_at_engine <= 2 * SLOTS as usize);
+}
+
+#[test]
+fn burst_doors_earn_more_than_told_loads() {
+    let setup = Setup {
+        pattern: Pattern::Burst,
+        ..setup()
+    };
+    let told = Setup {
+        variant: Variant::WithoutDoors,
+        ..setup
+    };
+    let shipped = report(setup, ("burst", "shipped"), 2);
+    let told = report(told, ("burst", "without-doors"), 2);
+    assert!(shipped.of_bound > 0.9, "{shipped:?}");
+    assert!(shipped.of_bound > told.of_bound + 0.1, "{told:?}");
+}
+
+#[test]
+fn overload_no_kind_and_no_size_starved() {
+    // Half again as much as the engines can do. The most important is served in time, and of
+    // the least important still a part, its largest not much less often than the others.
+    let setup = Setup {
+        load: 1.5,
+        ..setup()
+    };
+    let report = report(setup, ("steady", "shipped"), 2);
+    assert!(report.worth_by_kind[0] > 0.95, "{report:?}");
+    assert!(report.worth_by_kind[2] > 0.25, "{report:?}");
+    assert!(report.worst_size > 0.25, "{report:?}");
+}
--- a/lib/src/direct/peer_table.rs
+++ b/lib/src/direct/peer_table.rs
@@ -233,7 +233,8 @@
     #[must_use]
     pub fn named(&self, sequence: u64) -> Vec<SocketAddr> {
         let count = self.peers.len().max(1);
-        let first = usize::try_from(sequence).unwrap_or_default() % count;
+        let turn = usize::try_from(sequence).unwrap_or_default();
+        let first = turn.wrapping_mul(MAX_ADDRESSES) % count;
         self.peers
             .keys()
             .cycle()
--- a/lib/tests/test_direct_report.rs
+++ b/lib/tests/test_direct_report.rs
@@ -180,3 +180,19 @@
     let heard = table.heard(peer(), &spent(9_001, 4_000_100), 50);
     assert_eq!(heard.newly_spent[0].units, 100);
 }
+
+#[test]
+fn all_peers_named_within_few_heartbeats() {
+    // A fleet of 200 starts, and most entries know one seed only. If its heartbeats named
+    // nearly the same peers each time, they would find each other after minutes, and until
+    // then several entries would keep the door of one engine.
+    let mut table = table();
+    for number in 1..=200 {
+        let peer = SocketAddr::from(([10, 0, 1, number], 7));
+        table.heard(peer, &Heartbeat::default(), 0);
+    }
+    let named: std::collections::BTreeSet<SocketAddr> = (1..=25)
+        .flat_map(|sequence| table.named(sequence))
+        .collect();
+    assert_eq!(named.len(), 200);
+}
