exchange: a failed try that is followed by another is not logged and counted as an answer

Cause: a request whose first upstream failed and whose second answered stood twice in the log and in answers_total, so that failures looked worse than callers saw them.

--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -131,18 +131,21 @@
 async fn serve(traffic: &Rc<Traffic>, mut call: Call, open: OpenRequest) -> Response<AnswerBody> {
     // What an upstream said of its failure, if another one may still do better. If none can,
     // it is the truest answer that there is.
-    let mut failure: Option<Response<AnswerBody>> = None;
+    let mut failure: Option<WholeAnswer> = None;
     loop {
         let attempt = attempt(traffic, &mut call).await;
         let next = match attempt {
             Err(retry_after_ms) => {
-                return failure.unwrap_or_else(|| refuse(traffic, &call, retry_after_ms));
+                return match failure {
+                    Some(answer) => answer.deliver(traffic, &call),
+                    None => refuse(traffic, &call, retry_after_ms),
+                };
             }
             Ok(Attempt::Answer(answer)) => match finish(traffic, &mut call, *answer).await {
-                Finished::Whole(response) => return response,
+                Finished::Whole(answer) => return answer.deliver(traffic, &call),
                 Finished::Stream(relay) => return stream_response(relay, open),
-                Finished::Failed(response) => {
-                    failure = Some(response);
+                Finished::Failed(answer) => {
+                    failure = Some(answer);
                     Next::TryAnother
                 }
                 Finished::Not(next) => next,
@@ -150,9 +153,9 @@
             Ok(failed) => next_step(traffic, &mut call, &failed),
         };
         if next != Next::TryAnother
-            && let Some(response) = failure
+            && let Some(answer) = failure
         {
-            return response;
+            return answer.deliver(traffic, &call);
         }
         match next {
             Next::TryAnother => traffic.figures.second_attempts.inc(),
@@ -372,13 +375,45 @@
 }
 
 enum Finished {
-    Whole(Response<AnswerBody>),
+    Whole(WholeAnswer),
     /// A failure of the upstream's own, and another one may try.
-    Failed(Response<AnswerBody>),
+    Failed(WholeAnswer),
     Stream(Box<Relay>),
     Not(Next),
 }
 
+/// An answer that was read whole, and has not been delivered yet.
+struct WholeAnswer {
+    response: Response<AnswerBody>,
+    held_ms: u64,
+}
+
+impl WholeAnswer {
+    /// Counts and logs the answer as the one that the caller gets.
+    fn deliver(self, traffic: &Traffic, call: &Call) -> Response<AnswerBody> {
+        call.note_first(traffic);
+        let status = self.response.status();
+        let answers = &traffic.figures.answers;
+        answers.with_label_values(&[status.as_str()]).inc();
+        let outcome = if status.is_server_error() {
+            Outcome::Failure
+        } else {
+            Outcome::Success
+        };
+        traffic.log_of(outcome, Level::Info, "answered", |line| {
+            line.field("request", call.name())
+                .field("route", &call.route.name)
+                .field("tier", call.tier)
+                .field("customer_tier", call.customer_tier)
+                .field("status", status.as_u16())
+                .field("upstreams", &call.tried)
+                .field("waited_ms", call.waited_ms)
+                .field("held_ms", self.held_ms)
+        });
+        self.response
+    }
+}
+
 /// Reads a short answer whole, or begins to pass a stream on.
 async fn finish(traffic: &Rc<Traffic>, call: &mut Call, answer: Answer) -> Finished {
     let is_stream = call.route.repeat.is_stream() && answer.parts.status.is_success();
@@ -417,35 +452,14 @@
     if !has_failed {
         lease.learn(|health| health.answered_after(numbers::as_f64(held_ms)));
     }
-    drop(lease);
-    call.note_first(traffic);
-    let status = parts.status;
-    traffic
-        .figures
-        .answers
-        .with_label_values(&[status.as_str()])
-        .inc();
-    let outcome = if has_failed {
-        Outcome::Failure
-    } else {
-        Outcome::Success
-    };
-    traffic.log_of(outcome, Level::Info, "answered", |line| {
-        line.field("request", call.name())
-            .field("route", &call.route.name)
-            .field("tier", call.tier)
-            .field("customer_tier", call.customer_tier)
-            .field("status", status.as_u16())
-            .field("upstreams", &call.tried)
-            .field("waited_ms", call.waited_ms)
-            .field("held_ms", held_ms)
-    });
     let mut response = Response::from_parts(parts, AnswerBody::Whole(body));
     *response.headers_mut() = end_to_end(std::mem::take(response.headers_mut()));
+    let answer = WholeAnswer { response, held_ms };
     if has_failed && call.route.repeat.is_idempotent() && may_try_another(traffic, call) {
-        return Finished::Failed(response);
+        log_attempt(traffic, call, &lease, "upstream answered with a failure");
+        return Finished::Failed(answer);
     }
-    Finished::Whole(response)
+    Finished::Whole(answer)
 }
 
 /// Keeps a connection for a next request if its answer was read whole.
