--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -305,7 +305,7 @@
         for entry in 0..self.setup.entries {
             let entry_state = self.started(entry, 1);
             self.entries.push(entry_state);
-            self.at(numbers_from(entry) % 50, Event::Heartbeat { entry });
+            self.at(first_heartbeat_ms(entry), Event::Heartbeat { entry });
         }
         for request in 0..self.offered.len() {
             let at_ms = self.offered[request].at_ms;
@@ -423,8 +423,10 @@
     }
 }
 
-fn numbers_from(entry: usize) -> u64 {
-    u64::try_from(entry).unwrap_or(u64::MAX).wrapping_mul(7)
+/// Entries start within a short time of each other, and their heartbeats fall apart.
+fn first_heartbeat_ms(entry: usize) -> u64 {
+    const WITHIN_MS: u64 = 50;
+    (entry as u64).wrapping_mul(7) % WITHIN_MS
 }
 
 /// Callers.
@@ -581,31 +583,16 @@
     }
 
     fn ask(&mut self, entry: usize, request: usize, id: AskId, instance: &Arc<str>) {
-        let upstream = short_name(instance);
-        let owner = self.owner(entry, upstream);
+        let owner = self.owner(entry, short_name(instance));
         let state = &mut self.entries[entry];
         let Some(asking) = state.waiting.get(&request) else {
             return;
         };
-        let job = &asking.job;
-        let signed = |time_ms: u64| i64::try_from(time_ms).unwrap_or(i64::MAX);
-        let lead_ms = state.dispatcher.lead_ms(instance, job);
-        let has_order = self.setup.variant != Variant::WithoutOrder;
-        let ask = Ask {
-            id,
-            upstream,
-            worth_micros: if has_order {
-                job.worth_micros()
-            } else {
-                EQUAL_WORTH
-            },
-            in_time_for_ms: if has_order {
-                signed(job.objective_at_ms) - signed(self.now_ms) - signed(lead_ms)
-            } else {
-                i64::MAX / 2
-            },
-            waited_ms: self.now_ms - job.arrived_ms,
-        };
+        let mut ask = asking.question(id, instance, &state.dispatcher, self.now_ms);
+        if self.setup.variant == Variant::WithoutOrder {
+            ask.worth_micros = EQUAL_WORTH;
+            ask.in_time_for_ms = i64::MAX / 2;
+        }
         state
             .asks
             .insert(id, (request, Arc::clone(instance), owner));
--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/allotment.rs
@@ -53,6 +53,7 @@
         let tolerated = allowed * self.overage + self.slack;
         // Each side of a cut gives its part of the tolerance only.
         let given = tolerated * fleet.heard_part();
+        // Without a window nothing is tolerated, and by what that is divided does not matter.
         let window_s = self.window_s.max(1.0);
         Limits {
             rate_per_s,
--- a/lib/src/direct/asking.rs
+++ b/lib/src/direct/asking.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use crate::direct::dispatch::Dispatcher;
+use crate::direct::dispatch::short_name;
 use crate::direct::door::ASKS_PER_REQUEST;
+use crate::direct::door::Ask;
 use crate::direct::door::AskId;
 use crate::direct::job::Job;
 
@@ -176,6 +178,29 @@
         next
     }
 
+    /// The question to an engine's door.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{asking::Asking, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// let ask = Asking::new(job).question(AskId(7), "i-1", &Dispatcher::default(), 60);
+    /// assert_eq!(ask.waited_ms, 60);
+    /// assert!(ask.in_time_for_ms < 40);
+    /// ```
+    #[must_use]
+    pub fn question(&self, id: AskId, instance: &str, dispatcher: &Dispatcher, now_ms: u64) -> Ask {
+        let lead_ms = dispatcher.lead_ms(instance, &self.job);
+        Ask {
+            id,
+            upstream: short_name(instance),
+            worth_micros: self.job.worth_micros(),
+            in_time_for_ms: signed(self.job.objective_at_ms) - signed(now_ms) - signed(lead_ms),
+            waited_ms: now_ms.saturating_sub(self.job.arrived_ms),
+        }
+    }
+
     /// Takes all questions back, when the request has room or waits no more.
     ///
     /// ```
@@ -250,6 +275,10 @@
     }
 }
 
+fn signed(time_ms: u64) -> i64 {
+    i64::try_from(time_ms).unwrap_or(i64::MAX)
+}
+
 fn take_back(asked: Asked) -> Next {
     Next::TakeBack {
         id: asked.id,
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -85,18 +85,12 @@
 
     fn ask(&self, id: AskId, instance: &Arc<str>) {
         let traffic = &self.traffic;
-        let job = &self.asking.job;
-        let upstream = short_name(instance);
-        let now_ms = traffic.now_ms();
-        let owner = traffic.owner(upstream);
-        let lead_ms = traffic.dispatcher.borrow().lead_ms(instance, job);
-        let ask = Ask {
-            id,
-            upstream,
-            worth_micros: job.worth_micros(),
-            in_time_for_ms: signed(job.objective_at_ms) - signed(now_ms) - signed(lead_ms),
-            waited_ms: now_ms - job.arrived_ms,
-        };
+        let dispatcher = traffic.dispatcher.borrow();
+        let ask = self
+            .asking
+            .question(id, instance, &dispatcher, traffic.now_ms());
+        drop(dispatcher);
+        let owner = traffic.owner(ask.upstream);
         let open = AskedDoor {
             words: self.words.clone(),
             instance: Arc::clone(instance),
@@ -198,10 +192,6 @@
     }
 }
 
-fn signed(time_ms: u64) -> i64 {
-    i64::try_from(time_ms).unwrap_or(i64::MAX)
-}
-
 impl Traffic {
     /// Takes a question to a door of ours.
     pub fn asked(self: &Rc<Self>, from: Asker, ask: Ask) {
