--- /dev/null
+++ b/bench/src/direct/fleet/callers.rs
@@ -0,0 +1,160 @@
+//! Callers of the fleet: they arrive, wait, are refused, and come back once.
+
+use rand::Rng;
+use sardinewood::direct::asking::ANSWER_WITHIN_MS;
+use sardinewood::direct::asking::Asking;
+use sardinewood::direct::asking::Next;
+use sardinewood::direct::job::Job;
+
+use super::End;
+use super::Event;
+use super::Fleet;
+use super::SERVICE;
+use super::Variant;
+
+/// Callers leave after this time without a first event.
+const PATIENCE_MS: u64 = 2_400;
+/// How often a waiting request looks for room where entries know loads only.
+const LOOK_MS: u64 = 10;
+
+impl Fleet {
+    pub(super) fn job(&self, request: usize) -> Job {
+        let offered = &self.offered[request];
+        let kind = offered.kind();
+        let usual_ms = kind.output_tokens + kind.prompt_tokens / 100.0;
+        let hold = f64::from(offered.hint_tokens) + f64::from(offered.prompt_tokens) / 100.0;
+        let knows_sizes = self.setup.variant != Variant::WithoutSizes;
+        let known = |size: f64| if knows_sizes { size } else { 1.0 };
+        Job {
+            id: request as u64,
+            service: SERVICE.into(),
+            tier: kind.tier,
+            customer_tier: 0,
+            prompt_tokens: offered.prompt_tokens,
+            expected_output_tokens: knows_sizes.then_some(offered.hint_tokens),
+            relative_size: known(offered.relative_size()),
+            relative_hold: known(hold / usual_ms),
+            arrived_ms: self.now_ms,
+            objective_at_ms: self.now_ms + kind.objective_ms,
+            give_up_at_ms: offered.at_ms + kind.deadline_ms,
+            leaves_at_ms: self.now_ms + PATIENCE_MS,
+            tried: Vec::new(),
+        }
+    }
+
+    pub(super) fn arrive(&mut self, request: usize, is_return: bool) {
+        // The balancer leads a caller to another entry if its own is away, and one that
+        // comes back always.
+        let shift = usize::from(is_return);
+        let up = (0..self.entries.len())
+            .map(|step| (self.offered[request].entry + shift + step) % self.entries.len())
+            .find(|entry| self.entries[*entry].is_up);
+        let Some(entry) = up else {
+            self.outcome.ends[request].push(End::Lost);
+            return;
+        };
+        self.offered[request].entry = entry;
+        let job = self.job(request);
+        let until_ms = job.waits_until_ms();
+        let life = self.entries[entry].life;
+        let asking = Asking::new(job);
+        self.entries[entry].waiting.insert(request, asking);
+        self.at(until_ms, Event::WaitOver { request, life });
+        if self.setup.variant == Variant::WithoutDoors {
+            self.look(request, life);
+            return;
+        }
+        let now_ms = self.now_ms;
+        let random = &mut self.random;
+        let state = &mut self.entries[entry];
+        let next = state.waiting[&request].begin(&state.dispatcher, now_ms, || random.random());
+        self.carry_out(entry, request, next);
+        self.at(now_ms + ANSWER_WITHIN_MS, Event::Silence { request, life });
+    }
+
+    /// Whether the request still waits in that life of its entry.
+    pub(super) fn waits(&self, request: usize, life: u64) -> bool {
+        let entry = &self.entries[self.offered[request].entry];
+        entry.is_up && entry.life == life && entry.waiting.contains_key(&request)
+    }
+
+    pub(super) fn silence(&mut self, request: usize, life: u64) {
+        if !self.waits(request, life) {
+            return;
+        }
+        let entry = self.offered[request].entry;
+        let now_ms = self.now_ms;
+        let random = &mut self.random;
+        let state = &mut self.entries[entry];
+        let next = state.waiting[&request].silence(&state.dispatcher, now_ms, || random.random());
+        self.carry_out(entry, request, next);
+        self.at(now_ms + ANSWER_WITHIN_MS, Event::Silence { request, life });
+    }
+
+    /// Looks for room by the loads that peers have told.
+    pub(super) fn look(&mut self, request: usize, life: u64) {
+        if !self.waits(request, life) {
+            return;
+        }
+        let entry = self.offered[request].entry;
+        let now_ms = self.now_ms;
+        let random = &mut self.random;
+        let state = &self.entries[entry];
+        let job = &state.waiting[&request].job;
+        let draw = || usize::from(random.random::<u16>());
+        let chosen = state.dispatcher.choose(job, &[], now_ms, draw);
+        let roomy = chosen.filter(|up| state.dispatcher.has_room(&up.instance, now_ms));
+        match roomy {
+            Some(upstream) => self.start(entry, request, &upstream.instance, false),
+            None => self.at(now_ms + LOOK_MS, Event::Look { request, life }),
+        }
+    }
+
+    pub(super) fn wait_over(&mut self, request: usize, life: u64) {
+        if self.waits(request, life) {
+            self.refuse(request);
+        }
+    }
+
+    pub(super) fn refuse(&mut self, request: usize) {
+        let entry = self.offered[request].entry;
+        let Some(asking) = self.entries[entry].waiting.get(&request) else {
+            return;
+        };
+        let comes_back_ms = self.now_ms + asking.job.retry_after_ms(self.now_ms);
+        self.stop_waiting(entry, request);
+        let may_return = !self.returned[request] && self.setup.variant != Variant::WithoutReturns;
+        if may_return {
+            self.returned[request] = true;
+            self.at(
+                comes_back_ms,
+                Event::Offer {
+                    request,
+                    is_return: true,
+                },
+            );
+        } else {
+            self.outcome.ends[request].push(End::Refused);
+        }
+    }
+
+    pub(super) fn stop_waiting(&mut self, entry: usize, request: usize) {
+        if let Some(mut asking) = self.entries[entry].waiting.swap_remove(&request) {
+            let next = asking.end();
+            self.carry_out(entry, request, next);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, entry: usize, request: usize, all: Vec<Next>) {
+        for next in all {
+            match next {
+                Next::Ask { id, instance } => self.ask(entry, request, id, &instance),
+                Next::TakeBack { id, instance } => self.take_back(entry, id, &instance),
+                Next::GoUnasked { instance } => {
+                    return self.start(entry, request, &instance, false);
+                }
+                Next::Refuse => return self.refuse(request),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/bench/src/direct/fleet/doors.rs
@@ -0,0 +1,182 @@
+//! Doors and heartbeats of the fleet, and the messages between entries.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use sardinewood::direct::dispatch::short_name;
+use sardinewood::direct::door;
+use sardinewood::direct::door::Ask;
+use sardinewood::direct::door::AskId;
+use sardinewood::direct::door::Asker;
+use sardinewood::direct::peer_message::Heartbeat;
+use sardinewood::direct::peer_message::Message;
+use sardinewood::direct::report::RunningPart;
+
+use super::Event;
+use super::Fleet;
+use super::Variant;
+use super::address;
+
+/// Unit of worth in questions to doors.
+const EQUAL_WORTH: u32 = 1_000;
+
+impl Fleet {
+    pub(super) fn owner(&self, entry: usize, upstream: u32) -> Asker {
+        let peers = &self.entries[entry].peers;
+        match door::owner(upstream, peers.owners(false, self.now_ms)) {
+            Some(owner) if owner != peers.own() => Asker::Peer(owner),
+            Some(_) | None => Asker::Own,
+        }
+    }
+
+    pub(super) fn ask(&mut self, entry: usize, request: usize, id: AskId, instance: &Arc<str>) {
+        let owner = self.owner(entry, short_name(instance));
+        let state = &mut self.entries[entry];
+        let Some(asking) = state.waiting.get(&request) else {
+            return;
+        };
+        let mut ask = asking.question(id, instance, &state.dispatcher, self.now_ms);
+        if self.setup.variant == Variant::WithoutOrder {
+            ask.worth_micros = EQUAL_WORTH;
+            ask.in_time_for_ms = i64::MAX / 2;
+        }
+        state
+            .asks
+            .insert(id, (request, Arc::clone(instance), owner));
+        match owner {
+            Asker::Own => self.asked(entry, Asker::Own, ask),
+            Asker::Peer(peer) => self.tell(entry, peer, Message::Ask(ask)),
+        }
+    }
+
+    pub(super) fn take_back(&mut self, entry: usize, id: AskId, instance: &str) {
+        let Some((_, _, owner)) = self.entries[entry].asks.swap_remove(&id) else {
+            return;
+        };
+        let upstream = short_name(instance);
+        match owner {
+            Asker::Own => self.entries[entry].doors.cancel(Asker::Own, upstream, id),
+            Asker::Peer(peer) => self.tell(entry, peer, Message::Cancel { upstream, ask: id }),
+        }
+    }
+
+    pub(super) fn asked(&mut self, entry: usize, from: Asker, ask: Ask) {
+        let now_ms = self.now_ms;
+        self.entries[entry].doors.ask(from, ask, now_ms);
+        self.grant(entry);
+        let doors = &self.entries[entry].doors;
+        let Some(wait_ms) = doors.wait_ms(from, ask.upstream, ask.id, now_ms) else {
+            return;
+        };
+        let ask = ask.id;
+        match from {
+            Asker::Own => self.busy(entry, ask, wait_ms),
+            Asker::Peer(peer) => self.tell(entry, peer, Message::Busy { ask, wait_ms }),
+        }
+    }
+
+    pub(super) fn grant(&mut self, entry: usize) {
+        while let Some(grant) = self.entries[entry].doors.next_grant(self.now_ms) {
+            let (ask, upstream) = (grant.ask, grant.upstream);
+            match grant.to {
+                Asker::Own => self.granted(entry, ask, upstream),
+                Asker::Peer(peer) => self.tell(entry, peer, Message::Grant { ask, upstream }),
+            }
+        }
+    }
+
+    pub(super) fn granted(&mut self, entry: usize, ask: AskId, upstream: u32) {
+        match self.entries[entry].asks.swap_remove(&ask) {
+            Some((request, instance, _)) => self.start(entry, request, &instance, true),
+            None => self.give_back(entry, upstream, None),
+        }
+    }
+
+    pub(super) fn busy(&mut self, entry: usize, ask: AskId, wait_ms: u32) {
+        let now_ms = self.now_ms;
+        let random = &mut self.random;
+        let state = &mut self.entries[entry];
+        let Some((request, _, _)) = state.asks.get(&ask) else {
+            return;
+        };
+        let request = *request;
+        let Some(asking) = state.waiting.get_mut(&request) else {
+            return;
+        };
+        let draw = || random.random();
+        let next = asking.busy(ask, wait_ms, &state.dispatcher, now_ms, draw);
+        self.carry_out(entry, request, next);
+    }
+
+    pub(super) fn give_back(&mut self, entry: usize, upstream: u32, held_ms: Option<u32>) {
+        match self.owner(entry, upstream) {
+            Asker::Own => {
+                let doors = &mut self.entries[entry].doors;
+                doors.done(Asker::Own, upstream, held_ms);
+                self.grant(entry);
+            }
+            Asker::Peer(peer) => self.tell(entry, peer, Message::Done { upstream, held_ms }),
+        }
+    }
+
+    pub(super) fn hear(&mut self, entry: usize, from: usize, message: Message) {
+        if !self.entries[entry].is_up {
+            return;
+        }
+        let peer = address(from);
+        match message {
+            Message::Heartbeat(heartbeat) => self.hear_heartbeat(entry, peer, &heartbeat),
+            Message::Ask(ask) => self.asked(entry, Asker::Peer(peer), ask),
+            Message::Cancel { upstream, ask } => {
+                let doors = &mut self.entries[entry].doors;
+                doors.cancel(Asker::Peer(peer), upstream, ask);
+            }
+            Message::Grant { ask, upstream } => self.granted(entry, ask, upstream),
+            Message::Busy { ask, wait_ms } => self.busy(entry, ask, wait_ms),
+            Message::Done { upstream, held_ms } => {
+                let doors = &mut self.entries[entry].doors;
+                doors.done(Asker::Peer(peer), upstream, held_ms);
+                self.grant(entry);
+            }
+        }
+    }
+
+    pub(super) fn hear_heartbeat(&mut self, entry: usize, peer: SocketAddr, heartbeat: &Heartbeat) {
+        let now_ms = self.now_ms;
+        let state = &mut self.entries[entry];
+        if state.peers.heard(peer, heartbeat, now_ms).is_idle {
+            return;
+        }
+        state.doors.reconcile(peer, &heartbeat.running, now_ms);
+        let life = heartbeat.incarnation;
+        let running = &heartbeat.running;
+        state.dispatcher.set_peer_load(life, running, now_ms);
+        self.grant(entry);
+    }
+
+    pub(super) fn heartbeat(&mut self, entry: usize) {
+        let now_ms = self.now_ms;
+        let state = &mut self.entries[entry];
+        if !state.is_up {
+            return;
+        }
+        state.peers.sweep(now_ms);
+        state.doors.sweep(None, now_ms);
+        state.sequence += 1;
+        let heartbeat = Heartbeat {
+            incarnation: (entry as u64) << 32 | state.life,
+            sequence: state.sequence,
+            others: state.peers.named(state.sequence),
+            running: RunningPart::of(state.dispatcher.running(now_ms).collect(), state.sequence),
+            ..Heartbeat::default()
+        };
+        let targets: Vec<SocketAddr> = state.peers.targets().collect();
+        let next_ms = now_ms + state.peers.heartbeat_ms(false);
+        for target in targets {
+            self.tell(entry, target, Message::Heartbeat(heartbeat.clone()));
+        }
+        self.grant(entry);
+        self.at(next_ms, Event::Heartbeat { entry });
+    }
+}
--- /dev/null
+++ b/bench/src/direct/fleet/runs.rs
@@ -0,0 +1,194 @@
+//! Runs at engines, and what ends them.
+
+use std::sync::Arc;
+
+use rand::Rng;
+use sardinewood::direct::directory::Upstream;
+use sardinewood::direct::dispatch::short_name;
+use sardinewood::direct::health::Ended;
+use sardinewood::numbers;
+
+use super::End;
+use super::Event;
+use super::Fleet;
+use super::Run;
+use super::SERVICE;
+use super::WAY_MS;
+use crate::direct::load::STEP_MS;
+
+/// Tokens in one event of a stream.
+const EVENT_TOKENS: f64 = 5.0;
+/// How long a killed entry is away.
+const AWAY_MS: u64 = 1_000;
+
+impl Fleet {
+    pub(super) fn start(
+        &mut self,
+        entry: usize,
+        request: usize,
+        instance: &Arc<str>,
+        is_granted: bool,
+    ) {
+        let state = &mut self.entries[entry];
+        if !state.waiting.contains_key(&request) || state.dispatcher.began(instance).is_none() {
+            if is_granted {
+                self.give_back(entry, short_name(instance), None);
+            }
+            return;
+        }
+        let prompt_tokens = self.offered[request].prompt_tokens;
+        let run = self.runs.len();
+        state
+            .dispatcher
+            .sent(instance, run as u64, prompt_tokens, self.now_ms);
+        let give_up_at_ms = state.waiting[&request].job.give_up_at_ms;
+        self.stop_waiting(entry, request);
+        let engine = self
+            .upstreams
+            .iter()
+            .position(|upstream| upstream.instance == *instance)
+            .unwrap_or_default();
+        self.runs.push(Run {
+            request,
+            entry,
+            engine,
+            is_granted,
+            since_ms: self.now_ms,
+            first_at_ms: None,
+            is_over: false,
+        });
+        self.at(self.now_ms + WAY_MS, Event::Reach { run });
+        self.at(give_up_at_ms.max(self.now_ms), Event::TimeUp { run });
+    }
+
+    pub(super) fn reach(&mut self, run: usize) {
+        if !self.runs[run].is_over && self.engines[self.runs[run].engine].take(run) {
+            self.begin_run(run);
+        }
+    }
+
+    pub(super) fn begin_run(&mut self, run: usize) {
+        let slowness = self.engines[self.runs[run].engine].slowness;
+        let offered = &self.offered[self.runs[run].request];
+        let first_ms = numbers::whole_u64(offered.prefill_ms() * slowness) + 1;
+        let whole_ms = numbers::whole_u64(offered.cost_ms() * slowness) + 2;
+        self.at(self.now_ms + first_ms, Event::First { run });
+        self.at(self.now_ms + whole_ms, Event::Last { run });
+    }
+
+    pub(super) fn first(&mut self, run: usize) {
+        let Run { entry, engine, .. } = self.runs[run];
+        if self.runs[run].is_over {
+            return;
+        }
+        let now_ms = self.now_ms + WAY_MS;
+        self.runs[run].first_at_ms = Some(now_ms);
+        let after_ms = numbers::as_f64(now_ms - self.runs[run].since_ms);
+        let prompt_tokens = self.offered[self.runs[run].request].prompt_tokens;
+        let event_ms = STEP_MS * EVENT_TOKENS * self.engines[engine].slowness;
+        let dispatcher = &mut self.entries[entry].dispatcher;
+        let instance = &self.upstreams[engine].instance;
+        dispatcher.answered(instance, run as u64);
+        dispatcher.learn(instance, |health| {
+            health.first_event(prompt_tokens, after_ms);
+            health.next_event(event_ms, now_ms);
+        });
+    }
+
+    pub(super) fn last(&mut self, run: usize) {
+        let offered = self.offered[self.runs[run].request];
+        let in_time_until_ms = offered.at_ms + offered.kind().objective_ms;
+        let first_at_ms = self.runs[run].first_at_ms;
+        let is_in_time = first_at_ms.is_some_and(|at_ms| at_ms <= in_time_until_ms);
+        let end = if is_in_time { End::InTime } else { End::Late };
+        if !self.runs[run].is_over {
+            let events = f64::from(offered.output_tokens) / EVENT_TOKENS;
+            let dispatcher = &mut self.entries[self.runs[run].entry].dispatcher;
+            let events = numbers::whole_u64(events.ceil());
+            dispatcher.learn_length(&SERVICE.into(), offered.hint_tokens, events);
+        }
+        self.end_run(run, Ended::Answered, end);
+    }
+
+    pub(super) fn end_run(&mut self, run: usize, ended: Ended, end: End) {
+        if self.runs[run].is_over {
+            return;
+        }
+        self.runs[run].is_over = true;
+        let Run {
+            request,
+            entry,
+            engine,
+            is_granted,
+            since_ms,
+            ..
+        } = self.runs[run];
+        self.outcome.ends[request].push(end);
+        if let Some(next) = self.engines[engine].end(run) {
+            self.begin_run(next);
+        }
+        let instance = Arc::clone(&self.upstreams[engine].instance);
+        let held_ms = self.now_ms - since_ms;
+        let state = &mut self.entries[entry];
+        state
+            .dispatcher
+            .finished(&instance, run as u64, ended, held_ms, self.now_ms);
+        if is_granted {
+            let held_ms = u32::try_from(held_ms).unwrap_or(u32::MAX);
+            let held_ms = (ended == Ended::Answered).then_some(held_ms);
+            self.give_back(entry, short_name(&instance), held_ms);
+        }
+    }
+
+    /// Kills an entry; its callers lose what it had, its engines stop.
+    pub(super) fn kill(&mut self) {
+        let entry = self.random.random_range(0..self.entries.len());
+        if !self.entries[entry].is_up {
+            return;
+        }
+        self.entries[entry].is_up = false;
+        let waiting: Vec<usize> = self.entries[entry].waiting.keys().copied().collect();
+        for request in waiting {
+            self.outcome.ends[request].push(End::Lost);
+        }
+        self.entries[entry].waiting.clear();
+        for run in 0..self.runs.len() {
+            if self.runs[run].entry != entry || self.runs[run].is_over {
+                continue;
+            }
+            self.runs[run].is_over = true;
+            self.outcome.ends[self.runs[run].request].push(End::Lost);
+            if let Some(next) = self.engines[self.runs[run].engine].end(run) {
+                self.begin_run(next);
+            }
+        }
+        self.at(self.now_ms + AWAY_MS, Event::Restart { entry });
+    }
+
+    pub(super) fn lose_engines(&mut self) {
+        for engine in (0..self.engines.len()).step_by(2) {
+            for run in self.engines[engine].lose_all() {
+                self.end_run(run, Ended::Broken, End::Lost);
+            }
+        }
+        let left: Vec<Arc<Upstream>> = self.upstreams.iter().skip(1).step_by(2).cloned().collect();
+        self.list(&left);
+    }
+
+    pub(super) fn list_engines(&mut self) {
+        let all = self.upstreams.clone();
+        self.list(&all);
+    }
+
+    pub(super) fn list(&mut self, upstreams: &[Arc<Upstream>]) {
+        for entry in 0..self.entries.len() {
+            let state = &mut self.entries[entry];
+            state.dispatcher.set_upstreams(upstreams);
+            let engines = upstreams.iter();
+            state
+                .doors
+                .set_engines(engines.map(|up| (Arc::clone(&up.instance), up.slots)));
+            self.grant(entry);
+        }
+    }
+}
