--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -151,15 +151,15 @@
     },
     Silence {
         request: usize,
-        life: u64,
+        incarnation: u64,
     },
     Look {
         request: usize,
-        life: u64,
+        incarnation: u64,
     },
     WaitOver {
         request: usize,
-        life: u64,
+        incarnation: u64,
     },
     Reach {
         run: usize,
@@ -185,7 +185,7 @@
 }
 
 struct Entry {
-    life: u64,
+    incarnation: u64,
     is_up: bool,
     sequence: u64,
     dispatcher: Dispatcher,
@@ -314,7 +314,7 @@
     }
 
     /// An entry that has just started; it knows the first entry's address.
-    fn started(&self, entry: usize, life: u64) -> Entry {
+    fn started(&self, entry: usize, incarnation: u64) -> Entry {
         let mut dispatcher = Dispatcher::default();
         dispatcher.set_upstreams(&self.upstreams);
         let mut doors = Doors::default();
@@ -322,7 +322,7 @@
         doors.set_engines(engines.map(|up| (Arc::clone(&up.instance), up.slots)));
         let seeds = [address(0), address(self.setup.entries / 2)];
         Entry {
-            life,
+            incarnation,
             is_up: true,
             sequence: 0,
             dispatcher,
@@ -387,9 +387,18 @@
         match event {
             Event::Offer { request, is_return } => self.arrive(request, is_return),
             Event::Deliver { to, from, message } => self.hear(to, from, message),
-            Event::Silence { request, life } => self.silence(request, life),
-            Event::Look { request, life } => self.look(request, life),
-            Event::WaitOver { request, life } => self.wait_over(request, life),
+            Event::Silence {
+                request,
+                incarnation,
+            } => self.silence(request, incarnation),
+            Event::Look {
+                request,
+                incarnation,
+            } => self.look(request, incarnation),
+            Event::WaitOver {
+                request,
+                incarnation,
+            } => self.wait_over(request, incarnation),
             Event::Reach { run } => self.reach(run),
             Event::First { run } => self.first(run),
             Event::Last { run } => self.last(run),
@@ -397,8 +406,8 @@
             Event::Heartbeat { entry } => self.heartbeat(entry),
             Event::Kill => self.kill(),
             Event::Restart { entry } => {
-                let life = self.entries[entry].life + 1;
-                self.entries[entry] = self.started(entry, life);
+                let incarnation = self.entries[entry].incarnation + 1;
+                self.entries[entry] = self.started(entry, incarnation);
                 self.heartbeat(entry);
             }
             Event::LoseEngines => self.lose_engines(),
--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -14,6 +14,8 @@
 
 /// Callers leave after this time without a first event.
 const PATIENCE_MS: u64 = 2_400;
+/// Prompt tokens that are read in the time of one output token, as the product reckons.
+const PROMPT_TOKENS_IN_A_STEP: f64 = 100.0;
 /// How often a waiting request looks for room where entries know loads only.
 const LOOK_MS: u64 = 10;
 
@@ -21,8 +23,11 @@
     pub(super) fn job(&self, request: usize) -> Job {
         let offered = &self.offered[request];
         let kind = offered.kind();
-        let usual_ms = kind.output_tokens + kind.prompt_tokens / 100.0;
-        let hold = f64::from(offered.hint_tokens) + f64::from(offered.prompt_tokens) / 100.0;
+        let hold = |prompt_tokens: f64, output_tokens: f64| {
+            output_tokens + prompt_tokens / PROMPT_TOKENS_IN_A_STEP
+        };
+        let usual_hold = hold(kind.prompt_tokens, kind.output_tokens);
+        let own_hold = hold(offered.prompt_tokens.into(), offered.hint_tokens.into());
         let knows_sizes = self.setup.variant != Variant::WithoutSizes;
         let known = |size: f64| if knows_sizes { size } else { 1.0 };
         Job {
@@ -33,7 +38,7 @@
             prompt_tokens: offered.prompt_tokens,
             expected_output_tokens: knows_sizes.then_some(offered.hint_tokens),
             relative_size: known(offered.relative_size()),
-            relative_hold: known(hold / usual_ms),
+            relative_hold: known(own_hold / usual_hold),
             arrived_ms: self.now_ms,
             objective_at_ms: self.now_ms + kind.objective_ms,
             give_up_at_ms: offered.at_ms + kind.deadline_ms,
@@ -56,12 +61,18 @@
         self.offered[request].entry = entry;
         let job = self.job(request);
         let until_ms = job.waits_until_ms();
-        let life = self.entries[entry].life;
+        let incarnation = self.entries[entry].incarnation;
         let asking = Asking::new(job);
         self.entries[entry].waiting.insert(request, asking);
-        self.at(until_ms, Event::WaitOver { request, life });
+        self.at(
+            until_ms,
+            Event::WaitOver {
+                request,
+                incarnation,
+            },
+        );
         if self.setup.variant == Variant::WithoutDoors {
-            self.look(request, life);
+            self.look(request, incarnation);
             return;
         }
         let now_ms = self.now_ms;
@@ -69,17 +80,23 @@
         let state = &mut self.entries[entry];
         let next = state.waiting[&request].begin(&state.dispatcher, now_ms, || random.random());
         self.carry_out(entry, request, next);
-        self.at(now_ms + ANSWER_WITHIN_MS, Event::Silence { request, life });
+        self.at(
+            now_ms + ANSWER_WITHIN_MS,
+            Event::Silence {
+                request,
+                incarnation,
+            },
+        );
     }
 
-    /// Whether the request still waits in that life of its entry.
-    pub(super) fn waits(&self, request: usize, life: u64) -> bool {
+    /// Whether the request still waits in that incarnation of its entry.
+    pub(super) fn waits(&self, request: usize, incarnation: u64) -> bool {
         let entry = &self.entries[self.offered[request].entry];
-        entry.is_up && entry.life == life && entry.waiting.contains_key(&request)
+        entry.is_up && entry.incarnation == incarnation && entry.waiting.contains_key(&request)
     }
 
-    pub(super) fn silence(&mut self, request: usize, life: u64) {
-        if !self.waits(request, life) {
+    pub(super) fn silence(&mut self, request: usize, incarnation: u64) {
+        if !self.waits(request, incarnation) {
             return;
         }
         let entry = self.offered[request].entry;
@@ -88,12 +105,18 @@
         let state = &mut self.entries[entry];
         let next = state.waiting[&request].silence(&state.dispatcher, now_ms, || random.random());
         self.carry_out(entry, request, next);
-        self.at(now_ms + ANSWER_WITHIN_MS, Event::Silence { request, life });
+        self.at(
+            now_ms + ANSWER_WITHIN_MS,
+            Event::Silence {
+                request,
+                incarnation,
+            },
+        );
     }
 
     /// Looks for room by the loads that peers have told.
-    pub(super) fn look(&mut self, request: usize, life: u64) {
-        if !self.waits(request, life) {
+    pub(super) fn look(&mut self, request: usize, incarnation: u64) {
+        if !self.waits(request, incarnation) {
             return;
         }
         let entry = self.offered[request].entry;
@@ -106,12 +129,18 @@
         let roomy = chosen.filter(|up| state.dispatcher.has_room(&up.instance, now_ms));
         match roomy {
             Some(upstream) => self.start(entry, request, &upstream.instance, false),
-            None => self.at(now_ms + LOOK_MS, Event::Look { request, life }),
+            None => self.at(
+                now_ms + LOOK_MS,
+                Event::Look {
+                    request,
+                    incarnation,
+                },
+            ),
         }
     }
 
-    pub(super) fn wait_over(&mut self, request: usize, life: u64) {
-        if self.waits(request, life) {
+    pub(super) fn wait_over(&mut self, request: usize, incarnation: u64) {
+        if self.waits(request, incarnation) {
             self.refuse(request);
         }
     }
--- a/bench/src/direct/fleet/doors.rs
+++ b/bench/src/direct/fleet/doors.rs
@@ -149,9 +149,9 @@
             return;
         }
         state.doors.reconcile(peer, &heartbeat.running, now_ms);
-        let life = heartbeat.incarnation;
+        let incarnation = heartbeat.incarnation;
         let running = &heartbeat.running;
-        state.dispatcher.set_peer_load(life, running, now_ms);
+        state.dispatcher.set_peer_load(incarnation, running, now_ms);
         self.grant(entry);
     }
 
@@ -165,7 +165,7 @@
         state.doors.sweep(None, now_ms);
         state.sequence += 1;
         let heartbeat = Heartbeat {
-            incarnation: (entry as u64) << 32 | state.life,
+            incarnation: (entry as u64) << 32 | state.incarnation,
             sequence: state.sequence,
             others: state.peers.named(state.sequence),
             running: RunningPart::of(state.dispatcher.running(now_ms).collect(), state.sequence),
