direct: one way to let a waiting request decide; nothing reckoned twice

The three ways to let a request decide and carry that out were copies with small differences. A charge filled its customer's buckets twice, and a choice of engine looked up what is usual at the service once an engine. The story's lines had a second key of order that changed nothing.

--- a/ctl/src/story.rs
+++ b/ctl/src/story.rs
@@ -4,7 +4,6 @@
 //! lost the store, its upstream had left. So the story also has what the request's hosts and
 //! upstreams logged shortly before and after, without the lines of other requests.
 
-use std::cmp::Reverse;
 use std::io;
 use std::sync::Arc;
 
@@ -181,7 +180,7 @@
             .or_insert(line);
     }
     let mut lines: Vec<LogLine> = first.into_values().collect();
-    lines.sort_by_key(|line| (line.time_ms, Reverse(line.count)));
+    lines.sort_by_key(|line| line.time_ms);
     lines
 }
 
--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/allotment.rs
@@ -163,8 +163,8 @@
     }
 
     /// Takes units, or tells how long until there are enough.
+    /// It has to be filled up to now.
     fn charge(&mut self, units: f64, demand: Demand, now_ms: u64) -> Charge {
-        self.fill(now_ms);
         let has_just_started = numbers::as_f64(now_ms) < self.limits.window_ms;
         let (level, per_s) = match demand {
             Demand::Slack if !has_just_started => (self.wide, self.limits.wide_per_s),
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -341,11 +341,12 @@
     ) -> Option<Arc<Upstream>> {
         let mut places = self.open_places(job, now_ms);
         places.retain(|place| !asked.contains(&place.upstream.instance));
+        let usual = self.usual_of(&job.service);
         let mut best: Option<(f64, &Place)> = None;
         for _ in 0..DRAWN_PLACES.min(places.len()) {
             let place = places.swap_remove(random() % places.len());
             let running = place.running + self.running_elsewhere(place, now_ms);
-            let cost = place.cost_ms(running, job, self.usual_at(place), now_ms);
+            let cost = place.cost_ms(running, job, usual, now_ms);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, place));
             }
@@ -368,7 +369,7 @@
     #[must_use]
     pub fn lead_ms(&self, instance: &str, job: &Job) -> u64 {
         let first_ms = self.places.get(instance).map_or(0.0, |place| {
-            place.first_ms(job.prompt_tokens, self.usual_at(place))
+            place.first_ms(job.prompt_tokens, self.usual_of(&place.upstream.service))
         });
         WAY_MS + whole_wait(first_ms * LEAD_FACTOR)
     }
@@ -473,9 +474,8 @@
         usual.observe_speed(&place.health);
     }
 
-    fn usual_at(&self, place: &Place) -> &Usual {
-        let usual = self.usual.get(&place.upstream.service);
-        usual.unwrap_or(&Usual::UNKNOWN)
+    fn usual_of(&self, service: &str) -> &Usual {
+        self.usual.get(service).unwrap_or(&Usual::UNKNOWN)
     }
 
     /// How long a refused caller stays away: until about half of what waits is through.
@@ -525,11 +525,11 @@
 
     /// How long a request usually holds a slot of a service.
     fn hold_ms(&self, service: &str) -> f64 {
-        let usual = self.usual.get(service);
-        usual.unwrap_or(&Usual::UNKNOWN).hold_ms()
+        self.usual_of(service).hold_ms()
     }
 
     fn best_place(&self, job: &Job, now_ms: u64) -> Option<Arc<str>> {
+        let usual = self.usual_of(&job.service);
         let mut best: Option<(f64, &Arc<str>)> = None;
         for place in self.open_places(job, now_ms) {
             let instance = &place.upstream.instance;
@@ -537,7 +537,7 @@
             if running >= place.upstream.slots {
                 continue;
             }
-            let cost = place.cost_ms(running, job, self.usual_at(place), now_ms);
+            let cost = place.cost_ms(running, job, usual, now_ms);
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, instance));
             }
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -13,6 +13,7 @@
 use crate::direct::asking::ANSWER_WITHIN_MS;
 use crate::direct::asking::Asking;
 use crate::direct::asking::Next;
+use crate::direct::dispatch::Dispatcher;
 use crate::direct::dispatch::short_name;
 use crate::direct::door::Ask;
 use crate::direct::door::AskId;
@@ -79,10 +80,6 @@
         None
     }
 
-    fn carry_out_all(&self, all: Vec<Next>) -> Option<End> {
-        all.into_iter().find_map(|next| self.carry_out(next))
-    }
-
     fn ask(&self, id: AskId, instance: &Arc<str>) {
         let traffic = &self.traffic;
         let dispatcher = traffic.dispatcher.borrow();
@@ -129,43 +126,38 @@
         Some(Lease::new(traffic, upstream, false))
     }
 
-    fn begin(&mut self) -> Option<End> {
+    /// Lets the request decide, and carries out what it decided; whether that ends the wait.
+    ///
+    /// Carrying it out may change the dispatcher, so that is not held meanwhile.
+    fn decide(
+        &mut self,
+        decide: impl FnOnce(&mut Asking, &Dispatcher, u64) -> Vec<Next>,
+    ) -> Option<End> {
         let dispatcher = self.traffic.dispatcher.borrow();
-        let now_ms = self.traffic.now_ms();
-        let next = self.asking.begin(&dispatcher, now_ms, rand::random);
+        let all = decide(&mut self.asking, &dispatcher, self.traffic.now_ms());
         drop(dispatcher);
-        self.carry_out_all(next)
-    }
-
-    fn busy(&mut self, ask: AskId, wait_ms: u32) -> Option<End> {
-        let dispatcher = self.traffic.dispatcher.borrow();
-        let now_ms = self.traffic.now_ms();
-        let next = self
-            .asking
-            .busy(ask, wait_ms, &dispatcher, now_ms, rand::random);
-        drop(dispatcher);
-        self.carry_out_all(next)
-    }
-
-    fn silence(&mut self) -> Option<End> {
-        let dispatcher = self.traffic.dispatcher.borrow();
-        let now_ms = self.traffic.now_ms();
-        let next = self.asking.silence(&dispatcher, now_ms, rand::random);
-        drop(dispatcher);
-        self.carry_out_all(next)
+        all.into_iter().find_map(|next| self.carry_out(next))
     }
 
     async fn wait(&mut self, words: &mut UnboundedReceiver<Word>, until: Instant) -> End {
-        if let Some(end) = self.begin() {
+        let begun = self
+            .decide(|asking, dispatcher, now_ms| asking.begin(dispatcher, now_ms, rand::random));
+        if let Some(end) = begun {
             return end;
         }
         while Instant::now() < until {
             let pause = (Instant::now() + Duration::from_millis(ANSWER_WITHIN_MS)).min(until);
             let end = match timeout_at(pause, words.recv()).await {
                 Ok(Some(Word::Granted(lease))) => Some(End::Started(lease)),
-                Ok(Some(Word::Busy { ask, wait_ms })) => self.busy(ask, wait_ms),
+                Ok(Some(Word::Busy { ask, wait_ms })) => {
+                    self.decide(|asking, dispatcher, now_ms| {
+                        asking.busy(ask, wait_ms, dispatcher, now_ms, rand::random)
+                    })
+                }
                 Ok(None) => Some(End::Refused),
-                Err(_) => self.silence(),
+                Err(_) => self.decide(|asking, dispatcher, now_ms| {
+                    asking.silence(dispatcher, now_ms, rand::random)
+                }),
             };
             if let Some(end) = end {
                 return end;
