--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -3,6 +3,7 @@
 use eyre::bail;
 use lexopt::Arg;
 use lexopt::Parser;
+use serde::Serialize;
 
 /// One experiment.
 pub struct Subcommand {
@@ -90,6 +91,42 @@
     Ok(())
 }
 
+/// Reads the arguments of an experiment that has none but `--help`; whether that was asked, and
+/// `help` printed.
+///
+/// # Errors
+///
+/// The arguments are not understood.
+///
+/// ```
+/// let mut parser = lexopt::Parser::from_args(Vec::<String>::new());
+/// assert!(!sardinewood_bench::command::asks_for_help(&mut parser, "").unwrap());
+/// ```
+pub fn asks_for_help(parser: &mut Parser, help: &str) -> eyre::Result<bool> {
+    match parser.next()? {
+        Some(Arg::Short('h') | Arg::Long("help")) => {
+            print!("{help}");
+            Ok(true)
+        }
+        Some(other) => Err(other.unexpected().into()),
+        None => Ok(false),
+    }
+}
+
+/// Prints a figure as one line of JSON.
+///
+/// # Errors
+///
+/// It can't be written as JSON.
+///
+/// ```
+/// sardinewood_bench::command::print_line(&[1, 2]).unwrap();
+/// ```
+pub fn print_line(line: &impl Serialize) -> eyre::Result<()> {
+    println!("{}", serde_json::to_string(line)?);
+    Ok(())
+}
+
 /// Reads the arguments up to the subcommand.
 ///
 /// # Errors
--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -9,7 +9,6 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use lexopt::Arg;
 use lexopt::Parser;
 use sardinewood::agent::events::AgentEvent;
 use sardinewood::agent::events::AgentStep;
@@ -45,6 +44,9 @@
 use sardinewood::upstream::report::Probe;
 use serde::Serialize;
 
+use crate::command::asks_for_help;
+use crate::command::print_line;
+
 /// What `decisions --help` prints.
 const HELP: &str = "\
 Usage: sardinewood-bench decisions
@@ -85,16 +87,11 @@
 ///
 /// The arguments are not understood.
 pub fn run(mut parser: Parser) -> eyre::Result<()> {
-    match parser.next()? {
-        Some(Arg::Short('h') | Arg::Long("help")) => {
-            print!("{HELP}");
-            return Ok(());
-        }
-        Some(other) => return Err(other.unexpected().into()),
-        None => {}
+    if asks_for_help(&mut parser, HELP)? {
+        return Ok(());
     }
     for decision in measure_all(&Sizes::default(), TIMED) {
-        println!("{}", serde_json::to_string(&decision)?);
+        print_line(&decision)?;
     }
     Ok(())
 }
--- a/bench/src/direct.rs
+++ b/bench/src/direct.rs
@@ -20,6 +20,7 @@
 use self::load::KINDS;
 use self::load::Offered;
 use self::load::Pattern;
+use crate::command::print_line;
 
 const HELP: &str = "\
 Usage: sardinewood-bench direct [--entries N] [--engines N] [--load PART] [--seconds S]
@@ -186,7 +187,7 @@
                 ..setup
             };
             let report = report(setup, (*pattern_name, *variant_name), seeds);
-            println!("{}", serde_json::to_string(&report)?);
+            print_line(&report)?;
         }
     }
     Ok(())
--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -1,9 +1,11 @@
 //! Callers of the fleet: they arrive, wait, are refused, and come back once.
 
 use rand::Rng;
+use rand::rngs::StdRng;
 use sardinewood::direct::asking::ANSWER_WITHIN_MS;
 use sardinewood::direct::asking::Asking;
 use sardinewood::direct::asking::Next;
+use sardinewood::direct::dispatch::Dispatcher;
 use sardinewood::direct::job::Job;
 
 use super::End;
@@ -75,18 +77,33 @@
             self.look(request, incarnation);
             return;
         }
-        let now_ms = self.now_ms;
-        let random = &mut self.random;
+        self.decide(entry, request, |asking, dispatcher, now_ms, random| {
+            asking.begin(dispatcher, now_ms, || random.random())
+        });
+        self.silence_later(request, incarnation);
+    }
+
+    /// Lets a waiting request decide, and carries out what it decided.
+    pub(super) fn decide(
+        &mut self,
+        entry: usize,
+        request: usize,
+        decide: impl FnOnce(&mut Asking, &Dispatcher, u64, &mut StdRng) -> Vec<Next>,
+    ) {
         let state = &mut self.entries[entry];
-        let next = state.waiting[&request].begin(&state.dispatcher, now_ms, || random.random());
-        self.carry_out(entry, request, next);
-        self.at(
-            now_ms + ANSWER_WITHIN_MS,
-            Event::Silence {
-                request,
-                incarnation,
-            },
-        );
+        let Some(asking) = state.waiting.get_mut(&request) else {
+            return;
+        };
+        let all = decide(asking, &state.dispatcher, self.now_ms, &mut self.random);
+        self.carry_out(entry, request, all);
+    }
+
+    fn silence_later(&mut self, request: usize, incarnation: u64) {
+        let event = Event::Silence {
+            request,
+            incarnation,
+        };
+        self.at(self.now_ms + ANSWER_WITHIN_MS, event);
     }
 
     /// Whether the request still waits in that incarnation of its entry.
@@ -100,18 +117,10 @@
             return;
         }
         let entry = self.offered[request].entry;
-        let now_ms = self.now_ms;
-        let random = &mut self.random;
-        let state = &mut self.entries[entry];
-        let next = state.waiting[&request].silence(&state.dispatcher, now_ms, || random.random());
-        self.carry_out(entry, request, next);
-        self.at(
-            now_ms + ANSWER_WITHIN_MS,
-            Event::Silence {
-                request,
-                incarnation,
-            },
-        );
+        self.decide(entry, request, |asking, dispatcher, now_ms, random| {
+            asking.silence(dispatcher, now_ms, || random.random())
+        });
+        self.silence_later(request, incarnation);
     }
 
     /// Looks for room by the loads that peers have told.
--- a/bench/src/direct/fleet/doors.rs
+++ b/bench/src/direct/fleet/doors.rs
@@ -94,19 +94,12 @@
     }
 
     pub(super) fn busy(&mut self, entry: usize, ask: AskId, wait_ms: u32) {
-        let now_ms = self.now_ms;
-        let random = &mut self.random;
-        let state = &mut self.entries[entry];
-        let Some((request, _, _)) = state.asks.get(&ask) else {
-            return;
-        };
-        let request = *request;
-        let Some(asking) = state.waiting.get_mut(&request) else {
+        let Some((request, _, _)) = self.entries[entry].asks.get(&ask) else {
             return;
         };
-        let draw = || random.random();
-        let next = asking.busy(ask, wait_ms, &state.dispatcher, now_ms, draw);
-        self.carry_out(entry, request, next);
+        self.decide(entry, *request, |asking, dispatcher, now_ms, random| {
+            asking.busy(ask, wait_ms, dispatcher, now_ms, || random.random())
+        });
     }
 
     pub(super) fn give_back(&mut self, entry: usize, upstream: u32, held_ms: Option<u32>) {
--- a/bench/src/overhead.rs
+++ b/bench/src/overhead.rs
@@ -8,11 +8,13 @@
 use lexopt::Parser;
 use lexopt::ValueExt;
 use reqwest::Client;
+use sardinewood::numbers::as_f64;
 use serde::Serialize;
 use testutils::engine_settings::EngineSettings;
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 
+use crate::command::print_line;
 use crate::cpu_time;
 use crate::cpu_time::CpuByRole;
 use crate::load_client;
@@ -210,11 +212,6 @@
     Ok(Some(options))
 }
 
-fn print_line(line: &impl Serialize) -> eyre::Result<()> {
-    println!("{}", serde_json::to_string(line)?);
-    Ok(())
-}
-
 /// Direct calls and calls through an entry take turns, so that both see the same machine.
 fn added_time(options: &Options) -> eyre::Result<TimeBeside> {
     let fleet = LoopbackFleet::start(&FleetSize {
@@ -440,11 +437,3 @@
         }
     }
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "figures for people need no 53 bits"
-)]
-fn as_f64(number: u64) -> f64 {
-    number as f64
-}
--- a/bench/src/slopes.rs
+++ b/bench/src/slopes.rs
@@ -12,10 +12,12 @@
 use std::any::Any;
 use std::time::Instant;
 
-use lexopt::Arg;
 use lexopt::Parser;
+use sardinewood::numbers::as_f64;
 use serde::Serialize;
 
+use crate::command::asks_for_help;
+use crate::command::print_line;
 use crate::cpu_time::resident_bytes;
 
 /// What `slopes --help` prints.
@@ -47,16 +49,11 @@
 ///
 /// The arguments are not understood.
 pub fn run(mut parser: Parser) -> eyre::Result<()> {
-    match parser.next()? {
-        Some(Arg::Short('h') | Arg::Long("help")) => {
-            print!("{HELP}");
-            return Ok(());
-        }
-        Some(other) => return Err(other.unexpected().into()),
-        None => {}
+    if asks_for_help(&mut parser, HELP)? {
+        return Ok(());
     }
     for slope in measure_all().into_iter().chain(idle_slopes::measure()?) {
-        println!("{}", serde_json::to_string(&slope)?);
+        print_line(&slope)?;
     }
     Ok(())
 }
@@ -125,11 +122,3 @@
         count,
     }
 }
-
-#[expect(
-    clippy::cast_precision_loss,
-    reason = "figures for people need no 53 bits"
-)]
-fn as_f64(number: u64) -> f64 {
-    number as f64
-}
