upstreams: incarnations by name and birth, foreign entries, misdirected upstreams

Cause: an upstream was known by its listed name alone, so a start under the same name inherited counts, health, tries and a drain of its former self; a delete that came late from the watch removed an entry that a peer had told of since; a list that was long on its way brought back what had gone; any state but draining counted as ready; one value that could not be read failed the whole list; and a dead upstream's late write drew a third of a service's calls to an address where another process declined them, request by request.

Ruled out: that restarts under the cut keep their name on these deployments (the declined calls went to the old name, whose last write was done after its entry had lapsed).

--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -245,6 +245,8 @@
             .map(|number| {
                 Arc::new(Upstream {
                     instance: format!("i-{number}").into(),
+                    name: format!("i-{number}").into(),
+                    born_ms: None,
                     service: SERVICE.into(),
                     address: SocketAddr::from(([10, 1, 0, 1], 80)),
                     data_centre: "hall".into(),
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -30,7 +30,9 @@
         is_granted: bool,
     ) {
         let state = &mut self.entries[entry];
-        if !state.waiting.contains_key(&request) || state.dispatcher.began(instance).is_none() {
+        if !state.waiting.contains_key(&request)
+            || state.dispatcher.began(instance, self.now_ms).is_none()
+        {
             if is_granted {
                 self.give_back(entry, short_name(instance), None);
             }
--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -5,8 +5,8 @@
 //! running and what customers have spent, so that no process in the middle is needed.
 //!
 //! These decide and know no socket: [`allotment`], [`asking`], [`attempt_budget`], [`catalog`],
-//! [`directory`], [`dispatch`], [`door`], [`health`], [`job`], [`peer_table`], [`place`], [`report`],
-//! [`spending_window`], [`usual`]. [`connections`], [`exchange`], [`front`] and [`peers`] carry bytes
+//! [`directory`], [`dispatch`], [`door`], [`health`], [`job`], [`peer_table`], [`place`], [`replica`],
+//! [`report`], [`spending_window`], [`usual`]. [`connections`], [`exchange`], [`front`] and [`peers`] carry bytes
 //! and decide nothing. It uses the library's store client, headers and logs, and no claims, agents
 //! or operators.
 
@@ -35,6 +35,7 @@
 pub mod pull;
 pub mod refusal;
 pub mod relay;
+pub mod replica;
 pub mod report;
 pub mod rooms;
 pub mod server;
--- a/lib/src/direct/asking.rs
+++ b/lib/src/direct/asking.rs
@@ -153,7 +153,7 @@
         now_ms: u64,
         mut random: impl FnMut() -> u64,
     ) -> Vec<Next> {
-        let mut next = self.drop_unlisted(dispatcher);
+        let mut next = self.drop_gone(dispatcher, now_ms);
         let is_silent =
             |asked: &Asked| asked.wait_ms.is_none() && now_ms >= asked.at_ms + ANSWER_WITHIN_MS;
         let all_silent = self.asks.iter().all(is_silent);
@@ -246,10 +246,10 @@
     }
 
     /// Gives up questions about engines that have left, so that others are asked.
-    fn drop_unlisted(&mut self, dispatcher: &Dispatcher) -> Vec<Next> {
+    fn drop_gone(&mut self, dispatcher: &Dispatcher, now_ms: u64) -> Vec<Next> {
         let (kept, dropped): (Vec<Asked>, Vec<Asked>) = std::mem::take(&mut self.asks)
             .into_iter()
-            .partition(|asked| dispatcher.is_listed(&asked.instance));
+            .partition(|asked| dispatcher.is_there(&asked.instance, now_ms));
         self.asks = kept;
         dropped.into_iter().map(take_back).collect()
     }
--- a/lib/src/direct/caller.rs
+++ b/lib/src/direct/caller.rs
@@ -77,8 +77,8 @@
 pub struct UpstreamHeaders {
     /// How long the upstream may work.
     pub remaining_ms: u64,
-    /// The start of the upstream that is meant; another one must not run the request.
-    pub instance: Arc<str>,
+    /// The listed name of the upstream that is meant; another one must not run the request.
+    pub name: Arc<str>,
     /// The customer that the key belongs to.
     pub customer: Option<Arc<str>>,
     /// The last event that the caller has.
@@ -94,6 +94,8 @@
     pub is_signed: bool,
     /// Whether the upstream says that it has not run the request and never will.
     pub is_not_run: bool,
+    /// Whether the answer comes from somebody else than the upstream that was meant.
+    pub is_misdirected: bool,
     /// How long the connection may stay idle.
     pub keep_alive_ms: Option<u64>,
 }
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -13,6 +13,7 @@
 use crate::direct::health::Health;
 use crate::direct::job::Job;
 use crate::direct::job::MIN_RETRY_AFTER_MS;
+use crate::direct::peer_message::Condition;
 use crate::direct::peer_message::Running;
 use crate::direct::place::Place;
 use crate::direct::report::RunningPart;
@@ -154,13 +155,13 @@
     pub fn running(&self, now_ms: u64) -> impl Iterator<Item = Running> {
         self.places
             .values()
-            .filter(|place| place.running > 0)
             .map(move |place| Running {
                 upstream: place.name,
                 count: u16::try_from(place.running).unwrap_or(u16::MAX),
                 event_us: place.event_us(),
-                is_stalled: place.has_stalled_here(now_ms),
+                condition: place.condition(now_ms),
             })
+            .filter(|told| told.count > 0 || told.condition == Condition::Gone)
     }
 
     /// Whether there is an upstream that has not had a request yet. If not, waiting is in vain.
@@ -170,15 +171,16 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
-    /// assert!(!Dispatcher::default().has_untried(&job));
+    /// assert!(!Dispatcher::default().has_untried(&job, 0));
     /// ```
     #[must_use]
-    pub fn has_untried(&self, job: &Job) -> bool {
-        self.untried(job).next().is_some()
+    pub fn has_untried(&self, job: &Job, now_ms: u64) -> bool {
+        self.untried(job, now_ms).next().is_some()
     }
 
-    fn untried(&self, job: &Job) -> impl Iterator<Item = &Place> {
+    fn untried(&self, job: &Job, now_ms: u64) -> impl Iterator<Item = &Place> {
         self.places_of(&job.service)
+            .filter(move |place| !place.is_gone(now_ms))
             .filter(|place| !job.tried.contains(&place.upstream.instance))
     }
 
@@ -194,6 +196,18 @@
             .is_some_and(|place| place.is_listed)
     }
 
+    /// Whether an upstream takes new work and is there.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().is_there("i-1", 0));
+    /// ```
+    #[must_use]
+    pub fn is_there(&self, instance: &str, now_ms: u64) -> bool {
+        self.places
+            .get(instance)
+            .is_some_and(|place| place.is_listed && !place.is_gone(now_ms))
+    }
+
     /// How many upstreams take new work.
     ///
     /// ```
@@ -253,7 +267,7 @@
     /// assert!(matches!(dispatcher.offer(job, 0), Offer::Refused { .. }));
     /// ```
     pub fn offer(&mut self, job: Job, now_ms: u64) -> Offer {
-        if !self.has_untried(&job) {
+        if !self.has_untried(&job, now_ms) {
             return Offer::Refused {
                 retry_after_ms: self.retry_after_ms(&job.service),
             };
@@ -387,16 +401,16 @@
         })
     }
 
-    /// Counts a request that starts at an upstream; none if the upstream is not listed.
+    /// Counts a request that starts at an upstream; none if the upstream is not there.
     ///
     /// ```
-    /// assert!(sardinewood::direct::dispatch::Dispatcher::default().began("i-1").is_none());
+    /// assert!(sardinewood::direct::dispatch::Dispatcher::default().began("i-1", 0).is_none());
     /// ```
-    pub fn began(&mut self, instance: &str) -> Option<Arc<Upstream>> {
-        let place = self.places.get_mut(instance)?;
-        if !place.is_listed {
+    pub fn began(&mut self, instance: &str, now_ms: u64) -> Option<Arc<Upstream>> {
+        if !self.is_there(instance, now_ms) {
             return None;
         }
+        let place = self.places.get_mut(instance)?;
         place.running += 1;
         Some(Arc::clone(&place.upstream))
     }
@@ -548,7 +562,7 @@
     /// Where a request could go: to all that work, or, if none does, to all there are. A
     /// service's only upstream that is slow for a moment is still better than none.
     fn open_places(&self, job: &Job, now_ms: u64) -> Vec<&Place> {
-        let untried: Vec<&Place> = self.untried(job).collect();
+        let untried: Vec<&Place> = self.untried(job, now_ms).collect();
         let works = |place: &&Place| place.works(now_ms);
         let working: Vec<&Place> = untried.iter().copied().filter(works).collect();
         if working.is_empty() { untried } else { working }
--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -37,6 +37,7 @@
 
 const NOT_REACHED: &str = "no connection to upstream";
 const DECLINED: &str = "upstream declined";
+const MISDIRECTED: &str = "another process answers in the upstream's place";
 
 /// How an attempt at an upstream ended.
 #[derive(Debug)]
@@ -273,7 +274,7 @@
             .field("attempt", call.tried.len())
             .field(
                 "may_have_run",
-                message != NOT_REACHED && message != DECLINED,
+                ![NOT_REACHED, DECLINED, MISDIRECTED].contains(&message),
             )
             .field(
                 "left_ms",
@@ -295,7 +296,7 @@
     let mut headers = call.headers.clone();
     let ours = UpstreamHeaders {
         remaining_ms: call.give_up_at_ms.saturating_sub(traffic.now_ms()).max(1),
-        instance: Arc::clone(&lease.upstream.instance),
+        name: Arc::clone(&lease.upstream.name),
         customer: call
             .customer
             .as_ref()
@@ -318,8 +319,13 @@
     let (parts, body) = response.into_parts();
     let headers = (traffic.dialect.read_answer)(parts.status, &parts.headers);
     if headers.is_not_run {
-        lease.ended = Ended::Declined;
-        log_attempt(traffic, call, &lease, DECLINED);
+        let (ended, why) = if headers.is_misdirected {
+            (Ended::Misdirected, MISDIRECTED)
+        } else {
+            (Ended::Declined, DECLINED)
+        };
+        lease.ended = ended;
+        log_attempt(traffic, call, &lease, why);
         return Attempt::NotRun;
     }
     // An extra answer to an earlier request may lie on a kept connection. It names that
--- a/lib/src/direct/health.rs
+++ b/lib/src/direct/health.rs
@@ -58,6 +58,8 @@
     Failed,
     /// It answered that it has not run the request.
     Declined,
+    /// Another process answered in its place, and has not run the request.
+    Misdirected,
     /// The connection could not be had or broke.
     Broken,
     /// We left, so the upstream is not to blame.
@@ -144,7 +146,7 @@
         let failed = match ended {
             Ended::Answered => 0.0,
             Ended::Failed | Ended::Broken => 1.0,
-            Ended::Declined | Ended::Left => return,
+            Ended::Declined | Ended::Misdirected | Ended::Left => return,
         };
         self.failures += (failed - self.failures) * SAMPLE_PART;
         if ended == Ended::Broken {
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -11,7 +11,7 @@
 use crate::direct::report::RunningPart;
 
 /// First byte of every datagram; another form of the message gets another number.
-const FORM: u8 = 2;
+const FORM: u8 = 3;
 /// Longest datagram that is sent: it fits into one packet of a common network.
 const MAX_BYTES: usize = 1_400;
 
@@ -33,8 +33,20 @@
     pub count: u16,
     /// Time between two events of a stream there, 0 if not known.
     pub event_us: u32,
-    /// Whether a request has had no answer there for far too long.
-    pub is_stalled: bool,
+    /// What is wrong there.
+    pub condition: Condition,
+}
+
+/// What an entry has found of an upstream that others should not have to find out.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Condition {
+    /// Nothing is wrong.
+    #[default]
+    Works,
+    /// A request has had no answer there for far too long.
+    Stalled,
+    /// Another process answers at its address.
+    Gone,
 }
 
 /// How far an entry has followed the platform's store.
--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -9,6 +9,7 @@
 use crate::direct::health::Ended;
 use crate::direct::health::Health;
 use crate::direct::job::Job;
+use crate::direct::peer_message::Condition;
 use crate::direct::peer_message::Running;
 use crate::direct::usual::Usual;
 use crate::numbers;
@@ -30,8 +31,14 @@
 /// they can begin.
 const STALL_MS: u64 = 800;
 const STALL_FACTOR: f64 = 4.0;
-/// How long a peer's word that an upstream has stalled is believed; its heartbeats repeat it.
-const PEER_STALL_MS: u64 = 700;
+/// How long a peer's word of what is wrong with an upstream is believed; its heartbeats repeat it.
+const PEER_WORD_MS: u64 = 700;
+
+/// How long an upstream is left alone at whose address another process answers. An incarnation
+/// that has ended may have written its entry late, over or beside that of its successor; the
+/// entry then stands until three heartbeats of 1.2 s have been missed, and a little is added for
+/// the way of that news. An entry that stands for longer is tried again, by one request each time.
+const GONE_MS: u64 = 4_000;
 
 /// An upstream, and what this entry has to do with it.
 #[derive(Clone, Debug)]
@@ -50,6 +57,10 @@
     unanswered: IndexMap<u64, u64>,
     /// Until when a peer's word that it answers nothing is believed.
     peer_stalled_until_ms: u64,
+    /// Until when it counts as gone, since another process has answered in its place.
+    gone_until_ms: u64,
+    /// Until when a peer's word of that is believed.
+    peer_gone_until_ms: u64,
 }
 
 impl Place {
@@ -64,13 +75,38 @@
             health: Health::default(),
             unanswered: IndexMap::new(),
             peer_stalled_until_ms: 0,
+            gone_until_ms: 0,
+            peer_gone_until_ms: 0,
         }
     }
 
     /// Whether it neither breaks nor hangs.
     #[must_use]
     pub fn works(&self, now_ms: u64) -> bool {
-        !self.health.is_paused(now_ms) && !self.is_stalled(now_ms)
+        !self.is_gone(now_ms) && !self.health.is_paused(now_ms) && !self.is_stalled(now_ms)
+    }
+
+    /// Whether another process answers in its place.
+    ///
+    /// Entries of ended upstreams come back into the list when their last write is done late.
+    /// Without this each request that goes there is declined, tried once more or refused, and
+    /// the next one goes there as well: its load is low, for it runs nothing.
+    #[must_use]
+    pub fn is_gone(&self, now_ms: u64) -> bool {
+        now_ms < self.gone_until_ms.max(self.peer_gone_until_ms)
+    }
+
+    /// What this entry itself has found wrong there; what it has from peers it does not repeat,
+    /// or they would tell each other for ever.
+    #[must_use]
+    pub fn condition(&self, now_ms: u64) -> Condition {
+        if now_ms < self.gone_until_ms {
+            Condition::Gone
+        } else if self.has_stalled_here(now_ms) {
+            Condition::Stalled
+        } else {
+            Condition::Works
+        }
     }
 
     /// Whether a request has had no answer there for much longer than it should take.
@@ -82,15 +118,16 @@
     }
 
     /// Whether that is so with a request of this entry.
-    #[must_use]
-    pub fn has_stalled_here(&self, now_ms: u64) -> bool {
+    fn has_stalled_here(&self, now_ms: u64) -> bool {
         self.unanswered.values().any(|at_ms| now_ms >= *at_ms)
     }
 
     /// Takes a peer's word of it; the time between two events, if that was news.
     pub fn hear(&mut self, told: &Running, now_ms: u64) -> Option<f64> {
-        if told.is_stalled {
-            self.peer_stalled_until_ms = now_ms + PEER_STALL_MS;
+        match told.condition {
+            Condition::Works => {}
+            Condition::Stalled => self.peer_stalled_until_ms = now_ms + PEER_WORD_MS,
+            Condition::Gone => self.peer_gone_until_ms = now_ms + PEER_WORD_MS,
         }
         if told.event_us == 0 {
             return None;
@@ -119,6 +156,9 @@
         let stalls_at_ms = self.unanswered.swap_remove(&id);
         let has_stalled = stalls_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
         let ended = if has_stalled { Ended::Broken } else { ended };
+        if ended == Ended::Misdirected {
+            self.gone_until_ms = now_ms + GONE_MS;
+        }
         self.health.ended(ended, now_ms);
         ended
     }
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -12,6 +12,7 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use tokio::time::Instant;
+use tokio::time::sleep;
 use tokio::time::timeout_at;
 
 use crate::answer::event_scan::EventScan;
@@ -32,6 +33,9 @@
 /// Silence of an upstream after which its stream goes on elsewhere, where it may. Callers
 /// give up after two seconds, and the new upstream has to read the prompt first.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Pause before a stream that found no upstream to go on at asks again: short beside the pause
+/// that callers notice, a fifth of a second and more on the sheets.
+const RESUME_PAUSE_MS: u64 = 50;
 
 /// Why a stream ended before its end.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
@@ -76,6 +80,16 @@
     TimeUp,
 }
 
+/// How asking another upstream to go on ended.
+enum Resumed {
+    /// It goes on.
+    GoesOn,
+    /// It did not.
+    Failed,
+    /// None had room while the caller waited.
+    NoRoom,
+}
+
 impl Relay {
     /// Begins with an upstream's answer.
     #[must_use]
@@ -271,9 +285,13 @@
         self.partial.clear();
         self.scan.drop_partial();
         while self.call.route.repeat.is_idempotent() && may_try_another(&self.traffic, &self.call) {
-            if self.resume().await {
-                self.traffic.figures.resumed.inc();
-                return None;
+            match self.resume().await {
+                Resumed::GoesOn => {
+                    self.traffic.figures.resumed.inc();
+                    return None;
+                }
+                Resumed::Failed => {}
+                Resumed::NoRoom => break,
             }
         }
         self.is_done = true;
@@ -281,20 +299,37 @@
         Some(Broken::Upstream)
     }
 
-    /// Asks another upstream to go on; true if it does.
-    async fn resume(&mut self) -> bool {
+    /// Waits for room at another upstream, for as long as the caller is likely to.
+    ///
+    /// An upstream that ends often starts again within a second. A refusal means "none just now",
+    /// and asking again costs nothing; taken for an end, it cut every stream of a service whose
+    /// only upstream had restarted.
+    async fn room_to_go_on(&self) -> Option<Lease> {
         let job = self.call.resume_job(self.traffic.now_ms());
-        let Turn::Start(lease) = self.traffic.turn(job).await else {
-            return false;
+        loop {
+            if let Turn::Start(lease) = self.traffic.turn(job.clone()).await {
+                return Some(lease);
+            }
+            if self.traffic.now_ms() + RESUME_PAUSE_MS >= job.waits_until_ms() {
+                return None;
+            }
+            sleep(Duration::from_millis(RESUME_PAUSE_MS)).await;
+        }
+    }
+
+    /// Asks another upstream to go on.
+    async fn resume(&mut self) -> Resumed {
+        let Some(lease) = self.room_to_go_on().await else {
+            return Resumed::NoRoom;
         };
         let last_event_id = self.scan.last_id().or(self.call.last_event_id);
         match send(&self.traffic, &mut self.call, lease, last_event_id).await {
             Attempt::Answer(answer) if answer.parts.status == self.parts.status => {
                 self.source = Some(Source::from(*answer));
                 self.goes_on_after = self.scan.last_id();
-                true
+                Resumed::GoesOn
             }
-            _ => false,
+            _ => Resumed::Failed,
         }
     }
 
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -117,7 +117,8 @@
     /// Takes room at an engine whose door does not answer.
     fn go_unasked(&self, instance: &Arc<str>) -> Option<Lease> {
         let traffic = &self.traffic;
-        let upstream = traffic.dispatcher.borrow_mut().began(instance)?;
+        let now_ms = traffic.now_ms();
+        let upstream = traffic.dispatcher.borrow_mut().began(instance, now_ms)?;
         traffic.log(
             Level::Warn,
             "door is silent, engine called unasked",
@@ -233,7 +234,8 @@
     pub fn granted(self: &Rc<Self>, ask: AskId, upstream: u32) {
         let asked = self.asks.borrow_mut().swap_remove(&ask);
         let started = asked.and_then(|asked| {
-            let upstream = self.dispatcher.borrow_mut().began(&asked.instance)?;
+            let mut dispatcher = self.dispatcher.borrow_mut();
+            let upstream = dispatcher.began(&asked.instance, self.now_ms())?;
             Some((asked.words, upstream))
         });
         match started {
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -9,6 +9,8 @@
 pub fn upstream(name: &str, slots: u32) -> Arc<Upstream> {
     Arc::new(Upstream {
         instance: name.into(),
+        name: name.into(),
+        born_ms: None,
         service: "pool".into(),
         address: "127.0.0.1:80".parse().expect("an address"),
         data_centre: "hall".into(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_direct_dispatch;
 mod test_direct_door;
 mod test_direct_follow;
+mod test_direct_replica;
 mod test_direct_report;
 mod test_direct_shares;
 mod test_entry_state;
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -7,6 +7,8 @@
 fn upstream(name: &str, is_leaving: bool) -> Upstream {
     Upstream {
         instance: name.into(),
+        name: name.into(),
+        born_ms: None,
         service: "pool".into(),
         address: "127.0.0.1:80".parse().expect("an address"),
         data_centre: "hall".into(),
@@ -40,7 +42,7 @@
     directory.store_returned(9_000);
     directory.replace(Vec::new(), 9_000);
     assert_eq!(usable(&directory).len(), 2);
-    directory.put(upstream("a", false));
+    directory.put(upstream("a", false), 0);
     assert!(!directory.sweep(9_000 + RETURN_GRACE_MS - 1));
     assert!(directory.sweep(9_000 + RETURN_GRACE_MS));
     assert_eq!(usable(&directory), ["a"]);
@@ -59,7 +61,47 @@
 #[test]
 fn leaving_one_takes_nothing_new() {
     let mut directory = Directory::default();
-    directory.put(upstream("a", false));
-    directory.put(upstream("a", true));
+    directory.put(upstream("a", false), 0);
+    directory.put(upstream("a", true), 0);
+    assert!(usable(&directory).is_empty());
+}
+
+fn born(name: &str, born_ms: u64) -> Upstream {
+    Upstream {
+        instance: Upstream::instance_of(name, Some(born_ms)),
+        born_ms: Some(born_ms),
+        ..upstream(name, false)
+    }
+}
+
+#[test]
+fn entry_without_birth_not_used_where_others_tell_it() {
+    // Work goes to upstreams only. Whoever wrote the entry is no upstream of this list, for each
+    // of them says when it was born; without any that says so, none is asked to.
+    let mut directory = Directory::default();
+    directory.put(upstream("a", false), 0);
+    assert_eq!(usable(&directory), ["a"]);
+    directory.put(born("b", 5), 0);
+    assert_eq!(usable(&directory), ["b@5"]);
+}
+
+#[test]
+fn restart_ends_the_former_selfs_drain() {
+    let mut directory = Directory::default();
+    let leaving = Upstream {
+        is_leaving: true,
+        ..born("a", 5)
+    };
+    directory.put(leaving, 0);
+    directory.put(born("a", 6), 0);
+    assert_eq!(usable(&directory), ["a@6"]);
+}
+
+#[test]
+fn disowned_goes_at_once_even_around_an_outage() {
+    let mut directory = Directory::default();
+    directory.put(born("a", 5), 0);
+    directory.store_returned(10);
+    assert!(directory.disown("a"));
     assert!(usable(&directory).is_empty());
 }
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -8,6 +8,7 @@
 use sardinewood::direct::dispatch::short_name;
 use sardinewood::direct::health::Ended;
 use sardinewood::direct::job::Job;
+use sardinewood::direct::peer_message::Condition;
 use sardinewood::direct::peer_message::Running;
 use sardinewood::direct::report::RunningPart;
 
@@ -134,11 +135,11 @@
             health.next_event(event_ms, 0);
             health.first_event(1_000, first_ms);
         });
-        dispatcher.began(name);
+        dispatcher.began(name, 0);
         dispatcher.finished(name, 0, Ended::Answered, 600, 0);
     }
     for _ in 0..4 {
-        dispatcher.began("fast");
+        dispatcher.began("fast", 0);
     }
     let brief = Job {
         expected_output_tokens: Some(6),
@@ -172,7 +173,7 @@
         upstream: short_name("told"),
         count: 1,
         event_us: 48_000,
-        is_stalled: false,
+        condition: Condition::Works,
     };
     dispatcher.set_peer_load(1, &RunningPart::whole(vec![told]), 0);
     let long = Job {
@@ -204,7 +205,7 @@
 fn broken_upstream_left_alone_for_a_while() {
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(&[upstream("i-1", 5), upstream("i-2", 5)]);
-    dispatcher.began("i-1");
+    dispatcher.began("i-1", 0);
     dispatcher.finished("i-1", 1, Ended::Broken, 5, 100);
     for id in 0..5 {
         dispatcher.offer(job(id, 0), 150);
@@ -219,10 +220,10 @@
     // answer for far too long, the next ones go elsewhere, also those of peers.
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(&[upstream("i-1", 5), upstream("i-2", 5)]);
-    dispatcher.began("i-1");
+    dispatcher.began("i-1", 0);
     dispatcher.sent("i-1", 1, 1_000, 0);
     let told: Vec<Running> = dispatcher.running(2_000).collect();
-    assert!(told[0].is_stalled);
+    assert_eq!(told[0].condition, Condition::Stalled);
     for id in 0..5 {
         dispatcher.offer(job(id, 0), 2_000);
     }
@@ -240,7 +241,7 @@
     // A service's only upstream is slow for a moment. Shutting it out would refuse everybody.
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(&[upstream("i-1", 5)]);
-    dispatcher.began("i-1");
+    dispatcher.began("i-1", 0);
     dispatcher.sent("i-1", 1, 1_000, 0);
     dispatcher.offer(job(2, 0), 2_000);
     assert_eq!(starts(&mut dispatcher, 2_000).len(), 1);
@@ -263,7 +264,7 @@
 fn removed_upstream_forgotten_when_its_last_request_ends() {
     let mut dispatcher = Dispatcher::default();
     dispatcher.set_upstreams(&[upstream("i-1", 5)]);
-    dispatcher.began("i-1");
+    dispatcher.began("i-1", 0);
     dispatcher.learn("i-1", |health| health.answered_after(400.0));
     let lead_ms = |dispatcher: &Dispatcher| dispatcher.lead_ms("i-1", &job(1, 0));
     let known_ms = lead_ms(&dispatcher);
@@ -274,3 +275,76 @@
     assert_eq!(dispatcher.running(1).count(), 0);
     assert!(lead_ms(&dispatcher) < known_ms);
 }
+
+#[test]
+fn misdirected_upstream_left_alone() {
+    // A dead upstream's entry has come back, and another process answers at its address. It runs
+    // nothing, so it looks like the best place of all: without this, each request would go there.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("dead", 4), upstream("live", 4)]);
+    dispatcher.began("dead", 0);
+    dispatcher.finished("dead", 1, Ended::Misdirected, 2, 10);
+    for id in 0..4 {
+        dispatcher.offer(job(id, 0), 10);
+    }
+    let started = starts(&mut dispatcher, 10);
+    assert_eq!(started.len(), 4);
+    assert!(started.iter().all(|(_, instance)| instance == "live"));
+    assert_eq!(dispatcher.began("dead", 10), None);
+    // The entry may after all be one of a live upstream: it is tried again later.
+    assert!(dispatcher.began("dead", 5_000).is_some());
+}
+
+#[test]
+fn peers_word_of_a_misdirected_upstream_believed_and_not_repeated() {
+    // Thirty entries need one such answer between them, not one each. Only who has had it tells
+    // of it, or they would confirm each other for ever.
+    let mut first = Dispatcher::default();
+    let mut second = Dispatcher::default();
+    for dispatcher in [&mut first, &mut second] {
+        dispatcher.set_upstreams(&[upstream("dead", 4)]);
+    }
+    first.began("dead", 0);
+    first.finished("dead", 1, Ended::Misdirected, 2, 10);
+    let told: Vec<Running> = first.running(20).collect();
+    assert_eq!(told[0].condition, Condition::Gone);
+    second.set_peer_load(1, &RunningPart::whole(told), 20);
+    assert!(!second.is_there("dead", 30));
+    assert_eq!(second.running(30).count(), 0);
+    assert!(
+        second.is_there("dead", 1_000),
+        "the peer has stopped saying so"
+    );
+}
+
+#[test]
+fn only_upstream_misdirected_refused_at_once() {
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("dead", 4)]);
+    dispatcher.began("dead", 0);
+    dispatcher.finished("dead", 1, Ended::Misdirected, 2, 10);
+    assert!(matches!(
+        dispatcher.offer(job(1, 0), 20),
+        Offer::Refused { .. }
+    ));
+}
+
+#[test]
+fn restarted_upstream_begins_with_empty_room() {
+    // The former self had all its slots taken, as this entry and a peer believe. What they
+    // believe is of that incarnation; the new one is given its full room at once.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1@1", 2)]);
+    let running = Running {
+        upstream: short_name("i-1@1"),
+        count: 1,
+        ..Running::default()
+    };
+    dispatcher.began("i-1@1", 0);
+    dispatcher.set_peer_load(1, &RunningPart::whole(vec![running]), 0);
+    dispatcher.set_upstreams(&[upstream("i-1@2", 2)]);
+    for id in 0..3 {
+        dispatcher.offer(job(id, 0), 10);
+    }
+    assert_eq!(starts(&mut dispatcher, 10).len(), 2);
+}
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -6,13 +6,13 @@
 
 use sardinewood::direct::catalog::Catalog;
 use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::follow::Decoders;
 use sardinewood::direct::follow::Follower;
 use sardinewood::direct::follow::ObjectSource;
 use sardinewood::direct::follow::StoreAnswers;
-use sardinewood::direct::follow::View;
 use sardinewood::direct::peer_message::Revisions;
 use sardinewood::direct::pull::UpstreamCopy;
+use sardinewood::direct::replica::Decoders;
+use sardinewood::direct::replica::View;
 use sardinewood::findings::Findings;
 use sardinewood::store::ObjectList;
 use sardinewood::store::ReadError;
@@ -42,6 +42,8 @@
 fn upstream(object: &StoredObject) -> Result<Upstream, Findings> {
     Ok(Upstream {
         instance: Arc::clone(&object.name),
+        name: Arc::clone(&object.name),
+        born_ms: None,
         service: "pool".into(),
         address: "127.0.0.1:80".parse().expect("an address"),
         data_centre: "hall".into(),
--- /dev/null
+++ b/lib/tests/test_direct_replica.rs
@@ -0,0 +1,198 @@
+//! The replica of the list of upstreams: what comes late, out of order or spoiled.
+
+use std::sync::Arc;
+
+use sardinewood::direct::catalog::Catalog;
+use sardinewood::direct::directory::Upstream;
+use sardinewood::direct::peer_message::Revisions;
+use sardinewood::direct::pull::Copies;
+use sardinewood::direct::pull::UpstreamChanges;
+use sardinewood::direct::pull::UpstreamCopy;
+use sardinewood::direct::replica::Decoders;
+use sardinewood::direct::replica::Replica;
+use sardinewood::findings::Findings;
+use sardinewood::store::ObjectList;
+use sardinewood::store::StoredObject;
+use sardinewood::store::WatchEvent;
+use serde_json::Value;
+
+const DECODERS: Decoders = Decoders {
+    catalog_kind: "c",
+    catalog_name: "main",
+    upstream_kind: "u",
+    catalog: |_| Ok(Catalog::default()),
+    upstream,
+};
+
+/// An upstream whose value is when it was born; any other value names none.
+fn upstream(object: &StoredObject) -> Result<Upstream, Findings> {
+    let born_ms = object.value.as_u64().ok_or_else(|| {
+        let mut findings = Findings::default();
+        findings.add(&*object.name, "is no upstream");
+        findings
+    })?;
+    Ok(Upstream {
+        instance: Upstream::instance_of(&object.name, Some(born_ms)),
+        name: Arc::clone(&object.name),
+        born_ms: Some(born_ms),
+        service: "pool".into(),
+        address: "127.0.0.1:80".parse().expect("an address"),
+        data_centre: "hall".into(),
+        slots: 4,
+        is_leaving: false,
+    })
+}
+
+fn object(name: &str, version: u64, born_ms: u64) -> StoredObject {
+    StoredObject {
+        kind: "u".into(),
+        name: name.into(),
+        version,
+        value: born_ms.into(),
+    }
+}
+
+fn list(revision: u64, objects: Vec<StoredObject>) -> ObjectList {
+    ObjectList { revision, objects }
+}
+
+fn gone(name: &str, version: u64) -> WatchEvent {
+    WatchEvent::Delete {
+        kind: "u".into(),
+        name: name.into(),
+        version,
+    }
+}
+
+/// Of a peer that has followed the list from `after` to `revision`.
+fn changes(after: u64, revision: u64, objects: Vec<StoredObject>) -> Copies {
+    Copies {
+        catalog: None,
+        upstreams: Some(UpstreamCopy::Changes(UpstreamChanges {
+            after,
+            revision,
+            objects,
+            gone: Vec::new(),
+        })),
+    }
+}
+
+fn instances(replica: &Replica) -> Vec<String> {
+    let upstreams = replica.view().upstreams.expect("a list");
+    let mut instances: Vec<String> = upstreams
+        .iter()
+        .map(|upstream| upstream.instance.to_string())
+        .collect();
+    instances.sort();
+    instances
+}
+
+/// A replica that has listed `a` and `b` at revision 5.
+fn listed() -> Replica {
+    let mut replica = Replica::new(DECODERS);
+    let first = list(5, vec![object("a", 2, 10), object("b", 3, 10)]);
+    replica.take_list("u", first, 0);
+    replica
+}
+
+#[test]
+fn restart_replaces_the_former_self() {
+    let mut replica = listed();
+    replica.take_event("u", WatchEvent::Put(object("a", 7, 20)), 0);
+    assert_eq!(instances(&replica), ["a@20", "b@10"]);
+}
+
+#[test]
+fn watch_behind_a_peer_removes_nothing_newer() {
+    // Callers go on being served by the restarted upstream. Its former self's entry lapsed at
+    // revision 6 and the new one's came at 7; a peer told of 7 before our own watch told of 6.
+    let mut replica = listed();
+    replica.take_copies(changes(3, 7, vec![object("a", 7, 20)]), 0);
+    replica.take_event("u", gone("a", 6), 0);
+    assert_eq!(instances(&replica), ["a@20", "b@10"]);
+    replica.take_event("u", gone("a", 8), 0);
+    assert_eq!(instances(&replica), ["b@10"]);
+}
+
+#[test]
+fn list_long_on_its_way_brings_nothing_back() {
+    // The store's list left it at revision 5 and comes after a peer's changes up to 9, in which
+    // `a` has started again, `b` is gone and `c` is new.
+    let mut replica = listed();
+    let mut newer = changes(3, 9, vec![object("a", 7, 20), object("c", 9, 10)]);
+    if let Some(UpstreamCopy::Changes(changes)) = &mut newer.upstreams {
+        changes.gone.push((8, "b".into()));
+    }
+    replica.take_copies(newer, 0);
+    let late = list(5, vec![object("a", 2, 10), object("b", 3, 10)]);
+    replica.take_list("u", late, 0);
+    assert_eq!(instances(&replica), ["a@20", "c@10"]);
+    assert_eq!(replica.revisions().directory, 9);
+}
+
+#[test]
+fn lagging_peer_brings_nothing_back() {
+    let mut replica = listed();
+    replica.take_event("u", WatchEvent::Put(object("a", 7, 20)), 0);
+    let stale = Copies {
+        catalog: None,
+        upstreams: Some(UpstreamCopy::Whole(list(5, vec![object("a", 2, 10)]))),
+    };
+    replica.take_copies(stale, 0);
+    assert_eq!(instances(&replica), ["a@20", "b@10"]);
+}
+
+#[test]
+fn late_write_of_the_former_self_not_believed() {
+    // The upstream has started again, and then a write of its former self is done over its entry:
+    // it takes an hour-old speed, drain and address with it. Its next heartbeat sets that right.
+    let mut replica = listed();
+    replica.take_event("u", WatchEvent::Put(object("a", 7, 20)), 0);
+    replica.take_event("u", WatchEvent::Put(object("a", 8, 10)), 100);
+    assert_eq!(instances(&replica), ["a@20", "b@10"]);
+    replica.take_event("u", WatchEvent::Put(object("a", 9, 20)), 1_200);
+    assert!(!replica.sweep(60_000));
+    assert_eq!(instances(&replica), ["a@20", "b@10"]);
+}
+
+#[test]
+fn clock_set_back_between_two_starts() {
+    // The host's clock was set back while the upstream was down, so the new start seems older.
+    // Nobody writes for the one that seems newer, so after three heartbeats the list is believed.
+    let mut replica = listed();
+    replica.take_event("u", WatchEvent::Put(object("a", 7, 4)), 1_000);
+    assert!(!replica.sweep(4_500));
+    assert!(replica.sweep(4_600));
+    assert_eq!(instances(&replica), ["a@4", "b@10"]);
+}
+
+#[test]
+fn removed_after_a_late_write() {
+    let mut replica = listed();
+    replica.take_event("u", WatchEvent::Put(object("a", 7, 4)), 1_000);
+    replica.take_event("u", gone("a", 8), 1_100);
+    assert_eq!(instances(&replica), ["b@10"]);
+    assert!(!replica.sweep(9_000));
+}
+
+#[test]
+fn spoiled_entry_names_no_upstream() {
+    let mut replica = listed();
+    let spoiled = StoredObject {
+        value: Value::Null,
+        ..object("a", 7, 0)
+    };
+    replica.take_event("u", WatchEvent::Put(spoiled.clone()), 0);
+    assert_eq!(instances(&replica), ["b@10"]);
+    // It is passed on to peers as it is: they know as well that it names nothing.
+    let theirs = Revisions {
+        catalog: 0,
+        directory: 5,
+    };
+    let Some(UpstreamCopy::Changes(changes)) = replica.copies_after(theirs).upstreams else {
+        panic!("changes were expected");
+    };
+    assert_eq!(changes.objects, [spoiled]);
+    replica.take_event("u", WatchEvent::Put(object("a", 8, 10)), 0);
+    assert_eq!(instances(&replica), ["a@10", "b@10"]);
+}
--- a/lib/tests/test_direct_report.rs
+++ b/lib/tests/test_direct_report.rs
@@ -9,6 +9,7 @@
 use sardinewood::direct::door::AskId;
 use sardinewood::direct::door::Asker;
 use sardinewood::direct::door::Doors;
+use sardinewood::direct::peer_message::Condition;
 use sardinewood::direct::peer_message::Heartbeat;
 use sardinewood::direct::peer_message::Message;
 use sardinewood::direct::peer_message::Running;
@@ -47,7 +48,7 @@
             upstream: short_name(&engine(number)),
             count: u16::MAX,
             event_us: u32::MAX,
-            is_stalled: false,
+            condition: Condition::Works,
         })
         .collect()
 }
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -36,6 +36,10 @@
     Forget,
     /// A worker leaves with notice, and another one comes.
     Replace(usize),
+    /// A worker ends with all that it runs and starts again under its name.
+    Restart(usize),
+    /// A worker's entry in the list is overwritten by another writer for a time.
+    Spoil(usize, Duration),
     /// The configuration changes.
     Configure,
 }
@@ -54,10 +58,22 @@
 /// How long a fault lasts.
 const LASTING_MS: std::ops::Range<u64> = 200..2_500;
 
+/// The first seed whose runs also restart workers and spoil entries. Seeds below keep the plans
+/// that they had before those faults came, or a kept seed would no longer play what it once found.
+pub const FIRST_SEED_WITH_RESTARTS: u64 = 10_000;
+/// Weights of the faults of all seeds, and of those with restarts as well.
+const OLDER_KINDS: u32 = 20;
+const ALL_KINDS: u32 = 23;
+
 /// The steps that fill a time.
 #[must_use]
 pub fn draw(seed: u64, length: Duration) -> Vec<Step> {
     let mut random = StdRng::seed_from_u64(seed);
+    let kinds = if seed < FIRST_SEED_WITH_RESTARTS {
+        OLDER_KINDS
+    } else {
+        ALL_KINDS
+    };
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
     loop {
@@ -66,15 +82,15 @@
         if at > length {
             return steps;
         }
-        let fault = fault(&mut random);
+        let fault = fault(&mut random, kinds);
         steps.push(Step { after, fault });
     }
 }
 
-fn fault(random: &mut StdRng) -> Fault {
+fn fault(random: &mut StdRng, kinds: u32) -> Fault {
     let whom = random.random_range(0..100);
     let lasting = Duration::from_millis(random.random_range(LASTING_MS));
-    match random.random_range(0..20) {
+    match random.random_range(0..kinds) {
         0 | 1 => Fault::Kill(whom, lasting / 4),
         2 => Fault::KillAll,
         3 | 4 => Fault::Pause(whom, lasting),
@@ -87,6 +103,8 @@
         16 => Fault::Store(Mood::Silent, lasting),
         17 => Fault::Forget,
         18 => Fault::Replace(whom),
+        20 | 21 => Fault::Restart(whom),
+        22 => Fault::Spoil(whom, lasting),
         _ => Fault::Configure,
     }
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -10,6 +10,7 @@
 use platform_testkit::node::Ports;
 use platform_testkit::node::configuration;
 use platform_testkit::node::configure;
+use platform_testkit::node::entry;
 use platform_testkit::store_stand_in::Mood;
 use platform_testkit::store_stand_in::StoreStandIn;
 use platform_testkit::worker_stand_in::Manner;
@@ -35,6 +36,8 @@
 const RECOVERY: Duration = Duration::from_secs(6);
 /// How long callers press after that.
 const CALM: Duration = Duration::from_secs(2);
+/// When workers start first; any number will do.
+const FIRST_BORN_MS: u64 = 1_000;
 /// Time after which a worker that has said that it leaves may get nothing more.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -61,10 +64,18 @@
 struct Worker {
     name: String,
     stand_in: WorkerStandIn,
+    /// When it started, in milliseconds of the run: only later than before, and never a time of day.
+    born_ms: u64,
     way: FaultProxy,
     is_leaving: bool,
 }
 
+impl Worker {
+    fn state(&self) -> &'static str {
+        if self.is_leaving { "draining" } else { "ready" }
+    }
+}
+
 /// Something that ends by itself.
 enum Healing {
     Start(usize),
@@ -73,6 +84,7 @@
     WayToWorker(usize),
     WayToStore(usize),
     Store,
+    Entry(usize),
 }
 
 /// The fleet of one run.
@@ -243,6 +255,11 @@
             }
             Fault::Forget => self.store.forget_history(),
             Fault::Replace(whom) => self.replace(whom % workers).await,
+            Fault::Restart(whom) => self.restart(whom % workers),
+            Fault::Spoil(whom, lasting) => {
+                self.spoil(whom % workers);
+                self.later(lasting, Healing::Entry(whom % workers));
+            }
             Fault::Configure => self.configure(),
         }
     }
@@ -261,6 +278,9 @@
             Healing::Worker(index) => self.workers[index].stand_in.set_manner(WELL),
             Healing::WayToWorker(index) => self.workers[index].way.set_link(Link::Whole),
             Healing::WayToStore(index) => self.entries[index].store.set_link(Link::Whole),
+            Healing::Entry(index) => {
+                self.register(&self.workers[index], self.workers[index].state());
+            }
             Healing::Store => self.store.set_mood(Mood::Up),
         }
     }
@@ -322,6 +342,7 @@
         let worker = Worker {
             name: format!("i-{}", self.workers.len()),
             stand_in,
+            born_ms: FIRST_BORN_MS,
             way,
             is_leaving: false,
         };
@@ -330,8 +351,25 @@
     }
 
     fn register(&self, worker: &Worker, state: &str) {
-        let entry = json!({"service": "pool", "address": worker.way.address.to_string(),
-            "zone": "hall-a", "slots": 4, "state": state});
+        let mut entry = entry(worker.way.address, state);
+        entry["born"] = worker.born_ms.into();
+        self.store.put("servers", &worker.name, &entry);
+    }
+
+    /// A worker ends with all that it runs and starts again under its name.
+    fn restart(&mut self, index: usize) {
+        let worker = &mut self.workers[index];
+        worker.stand_in.restart();
+        worker.born_ms += 1;
+        let worker = &self.workers[index];
+        self.register(worker, worker.state());
+    }
+
+    /// Another writer puts something that is no entry in a worker's place.
+    fn spoil(&self, index: usize) {
+        let worker = &self.workers[index];
+        let mut entry = entry(worker.way.address, "warming");
+        entry["slots"] = "four".into();
         self.store.put("servers", &worker.name, &entry);
     }
 
--- a/soak/tests/test_short_run.rs
+++ b/soak/tests/test_short_run.rs
@@ -26,6 +26,11 @@
     run(1).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_with_restarts() {
+    run(plan::FIRST_SEED_WITH_RESTARTS).await;
+}
+
 #[test]
 fn plan_same_for_the_same_seed() {
     let length = Duration::from_secs(60);
