--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -321,7 +321,7 @@
         dispatcher.set_upstreams(&self.upstreams);
         let mut doors = Doors::default();
         let engines = self.upstreams.iter();
-        doors.set_engines(engines.map(|up| (Arc::clone(&up.instance), up.slots)));
+        doors.set_upstreams(engines.map(|up| (Arc::clone(&up.instance), up.slots)));
         let seeds = [address(0), address(self.setup.entries / 2)];
         Entry {
             incarnation,
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -189,7 +189,7 @@
             let engines = upstreams.iter();
             state
                 .doors
-                .set_engines(engines.map(|up| (Arc::clone(&up.instance), up.slots)));
+                .set_upstreams(engines.map(|up| (Arc::clone(&up.instance), up.slots)));
             self.grant(entry);
         }
     }
--- a/lib/src/direct/asking.rs
+++ b/lib/src/direct/asking.rs
@@ -17,7 +17,7 @@
 /// Time after which a waiting question is sent again, in case its door has changed hands.
 const ASK_AGAIN_MS: u64 = 250;
 
-/// Bits of a random number that choose among engines.
+/// Bits of a random number that choose among upstreams.
 const DRAW_BITS: u64 = 0xffff;
 /// Bits of a question's name. Names are random, so that a process that starts again does not use
 /// those that doors still hold of it; more bits would only make messages longer.
@@ -57,7 +57,7 @@
     wait_ms: Option<u32>,
 }
 
-/// A request that waits for room at an engine, and the doors that it has asked.
+/// A request that waits for room at an upstream, and the doors that it has asked.
 ///
 /// ```
 /// use sardinewood::direct::asking::{Asking, Next};
@@ -178,7 +178,7 @@
         next
     }
 
-    /// The question to an engine's door.
+    /// The question to an upstream's door.
     ///
     /// ```
     /// # use sardinewood::direct::{asking::Asking, dispatch::Dispatcher, door::AskId, job::Job};
@@ -245,7 +245,7 @@
         Some(next)
     }
 
-    /// Gives up questions about engines that have left, so that others are asked.
+    /// Gives up questions about upstreams that have left, so that others are asked.
     fn drop_gone(&mut self, dispatcher: &Dispatcher, now_ms: u64) -> Vec<Next> {
         let (kept, dropped): (Vec<Asked>, Vec<Asked>) = std::mem::take(&mut self.asks)
             .into_iter()
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -1,4 +1,4 @@
-//! The doors of engines: one entry keeps the exact count of what an engine runs.
+//! The doors of upstreams: one entry keeps the exact count of what an upstream runs.
 //!
 //! Each engine has one door, kept by one of the entries that are heard, found by everybody in
 //! the same way. An entry asks the door for room; the door grants the most important request
@@ -169,7 +169,7 @@
     TIER_WORTH.get(usize::from(tier)).copied().unwrap_or(last)
 }
 
-/// The entry that keeps an engine's door, of those that are heard.
+/// The entry that keeps an upstream's door, of those that are heard.
 ///
 /// ```
 /// use sardinewood::direct::door::owner;
@@ -191,13 +191,13 @@
     })
 }
 
-/// The doors that this entry keeps. It counts for all engines, so that it can take over any.
+/// The doors that this entry keeps. It counts for all upstreams, so that it can take over any.
 ///
 /// ```
 /// use sardinewood::direct::door::{Ask, AskId, Asker, Doors};
 ///
 /// let mut doors = Doors::default();
-/// doors.set_engines([("i-1".into(), 1)]);
+/// doors.set_upstreams([("i-1".into(), 1)]);
 /// let upstream = sardinewood::direct::dispatch::short_name("i-1");
 /// let ask = |id| Ask { id: AskId(id), upstream, worth_micros: 1_000, in_time_for_ms: 9, waited_ms: 0 };
 /// doors.ask(Asker::Own, ask(1), 0);
@@ -209,33 +209,33 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Doors {
-    by_engine: IndexMap<u32, Door>,
+    by_upstream: IndexMap<u32, Door>,
     heard_ms: IndexMap<SocketAddr, u64>,
     /// Doors that may have something to grant.
     changed: Vec<u32>,
 }
 
 impl Doors {
-    /// Takes the engines that there are, and their slots.
+    /// Takes the upstreams that there are, and their slots.
     ///
     /// ```
-    /// sardinewood::direct::door::Doors::default().set_engines([("i-1".into(), 4)]);
+    /// sardinewood::direct::door::Doors::default().set_upstreams([("i-1".into(), 4)]);
     /// ```
-    pub fn set_engines(&mut self, engines: impl IntoIterator<Item = (Arc<str>, u32)>) {
-        let mut before = std::mem::take(&mut self.by_engine);
-        for (instance, slots) in engines {
+    pub fn set_upstreams(&mut self, upstreams: impl IntoIterator<Item = (Arc<str>, u32)>) {
+        let mut before = std::mem::take(&mut self.by_upstream);
+        for (instance, slots) in upstreams {
             let name = short_name(&instance);
             let mut door = before.swap_remove(&name).unwrap_or_default();
             door.slots = slots;
             self.changed.push(name);
-            self.by_engine.insert(name, door);
+            self.by_upstream.insert(name, door);
         }
         for (name, mut door) in before {
             // A leaving engine takes nothing new; its count ends with what it runs.
             door.queue.clear();
             door.slots = 0;
             if door.used() > 0 {
-                self.by_engine.insert(name, door);
+                self.by_upstream.insert(name, door);
             }
         }
     }
@@ -246,7 +246,7 @@
     /// sardinewood::direct::door::Doors::default().set_plain(&[7].into_iter().collect());
     /// ```
     pub fn set_plain(&mut self, plain: &IndexSet<u32>) {
-        for (name, door) in &mut self.by_engine {
+        for (name, door) in &mut self.by_upstream {
             door.is_plain = plain.contains(name);
         }
     }
@@ -259,7 +259,7 @@
     /// Doors::default().ask(Asker::Own, ask, 0);
     /// ```
     pub fn ask(&mut self, from: Asker, ask: Ask, now_ms: u64) {
-        let Some(door) = self.by_engine.get_mut(&ask.upstream) else {
+        let Some(door) = self.by_upstream.get_mut(&ask.upstream) else {
             return;
         };
         let is_known = door
@@ -291,7 +291,7 @@
     /// Doors::default().cancel(Asker::Own, 7, AskId(1));
     /// ```
     pub fn cancel(&mut self, from: Asker, upstream: u32, ask: AskId) {
-        if let Some(door) = self.by_engine.get_mut(&upstream) {
+        if let Some(door) = self.by_upstream.get_mut(&upstream) {
             door.queue
                 .retain(|queued| queued.from != from || queued.ask.id != ask);
         }
@@ -304,7 +304,7 @@
     /// Doors::default().done(Asker::Own, 7, None);
     /// ```
     pub fn done(&mut self, from: Asker, upstream: u32, held_ms: Option<u32>) {
-        let Some(door) = self.by_engine.get_mut(&upstream) else {
+        let Some(door) = self.by_upstream.get_mut(&upstream) else {
             return;
         };
         match from {
@@ -339,7 +339,7 @@
             .iter()
             .map(|running| (running.upstream, u32::from(running.count)))
             .collect();
-        let concerned = self.by_engine.iter_mut();
+        let concerned = self.by_upstream.iter_mut();
         for (name, door) in concerned.filter(|(name, _)| told.covers(**name)) {
             let reported = running.get(name).copied().unwrap_or_default();
             let tracked = match door.peers.get_mut(&peer) {
@@ -373,7 +373,7 @@
     pub fn sweep(&mut self, gone: Option<SocketAddr>, now_ms: u64) {
         self.heard_ms
             .retain(|peer, heard_ms| Some(*peer) != gone && now_ms < *heard_ms + PEER_SILENCE_MS);
-        for (name, door) in &mut self.by_engine {
+        for (name, door) in &mut self.by_upstream {
             let before = door.used();
             door.peers
                 .retain(|peer, _| self.heard_ms.contains_key(peer));
@@ -403,7 +403,7 @@
     }
 
     fn grant_at(&mut self, name: u32, now_ms: u64) -> Option<Grant> {
-        let door = self.by_engine.get_mut(&name)?;
+        let door = self.by_upstream.get_mut(&name)?;
         if door.used() >= door.room() {
             return None;
         }
@@ -432,7 +432,7 @@
     /// ```
     #[must_use]
     pub fn wait_ms(&self, from: Asker, upstream: u32, ask: AskId, now_ms: u64) -> Option<u32> {
-        let door = self.by_engine.get(&upstream)?;
+        let door = self.by_upstream.get(&upstream)?;
         let own = door
             .queue
             .iter()
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -1,4 +1,4 @@
-//! How a request gets room at an engine: it asks doors, and the first grant wins.
+//! How a request gets room at an upstream: it asks doors, and the first grant wins.
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Takes room at an engine whose door does not answer.
+    /// Takes room at an upstream whose door does not answer.
     fn go_unasked(&self, instance: &Arc<str>) -> Option<Lease> {
         let traffic = &self.traffic;
         let now_ms = traffic.now_ms();
@@ -171,7 +171,7 @@
     }
 }
 
-/// Waits for room at an engine until the request's time is up.
+/// Waits for room at an upstream until the request's time is up.
 pub async fn turn(traffic: &Rc<Traffic>, job: Job) -> Turn {
     let until = traffic.instant_at(job.waits_until_ms());
     let (sender, mut words) = mpsc::unbounded_channel();
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -287,11 +287,11 @@
         };
         traffic.has_upstreams.set(true);
         traffic.dispatcher.borrow_mut().set_upstreams(&upstreams);
-        let engines = upstreams
+        let slots = upstreams
             .iter()
             .map(|upstream| (Arc::clone(&upstream.instance), upstream.slots));
         let mut doors = traffic.doors.borrow_mut();
-        doors.set_engines(engines);
+        doors.set_upstreams(slots);
         doors.set_plain(&plain_services(
             &upstreams,
             traffic.catalog.borrow().as_deref(),
--- a/lib/tests/test_direct_door.rs
+++ b/lib/tests/test_direct_door.rs
@@ -20,7 +20,7 @@
 
 fn doors() -> Doors {
     let mut doors = Doors::default();
-    doors.set_engines([("i-1".into(), SLOTS)]);
+    doors.set_upstreams([("i-1".into(), SLOTS)]);
     doors
 }
 
@@ -171,7 +171,7 @@
         doors.ask(Asker::Own, ask(id, 1_000, 500), 0);
     }
     granted(&mut doors, 0);
-    doors.set_engines([]);
+    doors.set_upstreams([]);
     doors.done(Asker::Own, engine(), None);
     assert!(granted(&mut doors, 0).is_empty());
 }
@@ -272,7 +272,7 @@
     // idle; so it is given two more than it has slots. Without a door each entry would go by loads
     // a quarter of a second old, and the service would queue until everybody is late.
     let mut doors = Doors::default();
-    doors.set_engines([("i-1".into(), 6)]);
+    doors.set_upstreams([("i-1".into(), 6)]);
     doors.set_plain(&[engine()].into_iter().collect());
     let press = |doors: &mut Doors, first: u64| {
         for id in first..first + 20 {
--- a/lib/tests/test_direct_report.rs
+++ b/lib/tests/test_direct_report.rs
@@ -132,7 +132,7 @@
     // A peer runs the one slot of each of 400 engines and tells them in parts. A door must
     // not take an engine for free because this part leaves it out.
     let mut doors = Doors::default();
-    doors.set_engines((0..ENGINES).map(|number| (engine(number), 1)));
+    doors.set_upstreams((0..ENGINES).map(|number| (engine(number), 1)));
     let mut one_each = running();
     for running in &mut one_each {
         running.count = 1;
