direct, entry, tests: what the change left dead goes, what stood twice stands once

Read again as a whole. Dispatcher::has_untried and Directory::replace had no caller left but their own examples and tests. The match that sorts an agent's message into parts of an answer stood in the entry's link, in the model of faults and in a test; it is AnswerFrame's own now.

--- a/bench/src/faults/world_entries.rs
+++ b/bench/src/faults/world_entries.rs
@@ -217,32 +217,8 @@
     /// both, in either order, since in a real entry they are two threads.
     fn entry_hears(&mut self, entry: usize, agent: usize, message: AgentMessage) {
         let name = self.agents[agent].object.name.clone();
-        match message {
-            AgentMessage::Head {
-                attempt,
-                status,
-                headers,
-            } => self.entry_reads(
-                entry,
-                &AnswerFrame::Head {
-                    attempt,
-                    status,
-                    headers,
-                },
-            ),
-            AgentMessage::Data {
-                attempt,
-                offset_bytes,
-                bytes,
-            } => self.entry_reads(
-                entry,
-                &AnswerFrame::Data {
-                    attempt,
-                    offset_bytes,
-                    bytes,
-                },
-            ),
-            AgentMessage::End { attempt, end } => {
+        match AnswerFrame::try_from(message) {
+            Ok(AnswerFrame::End { attempt, end }) => {
                 let frame = AnswerFrame::End {
                     attempt,
                     end: end.clone(),
@@ -260,7 +236,8 @@
                     self.entry_reads(entry, &frame);
                 }
             }
-            message => self.decide_entry(
+            Ok(frame) => self.entry_reads(entry, &frame),
+            Err(message) => self.decide_entry(
                 entry,
                 EntryEvent::Agent {
                     agent: name,
--- a/bench/src/fleet.rs
+++ b/bench/src/fleet.rs
@@ -28,11 +28,7 @@
     /// Whether it serves `target`.
     #[must_use]
     pub fn can_serve(&self, target: &Target) -> bool {
-        match (&self.serves, target) {
-            (Serves::Models(models), Target::Model(model)) => models.contains(model),
-            (Serves::Service(own), Target::Service(service)) => own == service,
-            _ => false,
-        }
+        self.serves.includes(target)
     }
 }
 
--- a/lib/src/answer/reader.rs
+++ b/lib/src/answer/reader.rs
@@ -8,6 +8,7 @@
 use twox_hash::XxHash64;
 
 use crate::ids::AttemptId;
+use crate::link::wire::AgentMessage;
 use crate::link::wire::AnswerEnd;
 
 /// Seed of the checksum over an answer's body, the same in every process.
@@ -54,6 +55,36 @@
     }
 }
 
+impl TryFrom<AgentMessage> for AnswerFrame {
+    /// A message that is no part of an answer, as it came.
+    type Error = AgentMessage;
+
+    fn try_from(message: AgentMessage) -> Result<Self, AgentMessage> {
+        match message {
+            AgentMessage::Head {
+                attempt,
+                status,
+                headers,
+            } => Ok(Self::Head {
+                attempt,
+                status,
+                headers,
+            }),
+            AgentMessage::Data {
+                attempt,
+                offset_bytes,
+                bytes,
+            } => Ok(Self::Data {
+                attempt,
+                offset_bytes,
+                bytes,
+            }),
+            AgentMessage::End { attempt, end } => Ok(Self::End { attempt, end }),
+            other => Err(other),
+        }
+    }
+}
+
 /// What to do with a frame.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum ReadStep {
--- a/lib/src/config/objects.rs
+++ b/lib/src/config/objects.rs
@@ -124,6 +124,24 @@
     Service(Arc<str>),
 }
 
+impl Serves {
+    /// Whether `target` is among it.
+    ///
+    /// ```
+    /// use sardinewood::config::objects::{Serves, Target};
+    ///
+    /// assert!(Serves::Service("ledger".into()).includes(&Target::Service("ledger".into())));
+    /// ```
+    #[must_use]
+    pub fn includes(&self, target: &Target) -> bool {
+        match (self, target) {
+            (Self::Models(models), Target::Model(model)) => models.contains(model),
+            (Self::Service(own), Target::Service(service)) => own == service,
+            _ => false,
+        }
+    }
+}
+
 /// One engine or plain service and the agent beside it.
 ///
 /// ```
@@ -175,11 +193,7 @@
     /// ```
     #[must_use]
     pub fn can_serve(&self, target: &Target) -> bool {
-        match (&self.serves, target) {
-            (Serves::Models(models), Target::Model(model)) => models.contains(model),
-            (Serves::Service(own), Target::Service(service)) => own == service,
-            _ => false,
-        }
+        self.serves.includes(target)
     }
 }
 
--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/allotment.rs
@@ -117,9 +117,7 @@
         if self.tokens.is_none() {
             return 0.0;
         }
-        let last = RESERVE_PARTS[RESERVE_PARTS.len() - 1];
-        let tier = usize::from(self.tier);
-        RESERVE_PARTS.get(tier).copied().unwrap_or(last)
+        numbers::of_tier(&RESERVE_PARTS, self.tier)
     }
 }
 
--- a/lib/src/direct/directory.rs
+++ b/lib/src/direct/directory.rs
@@ -5,7 +5,6 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 /// How long an upstream that vanished around an outage of the store is still used. Live
 /// upstreams write themselves back within about two seconds of the store's return; a little
@@ -132,31 +131,6 @@
         self.doubt_until_ms = now_ms + RETURN_GRACE_MS;
     }
 
-    /// Takes the whole list.
-    ///
-    /// ```
-    /// let mut directory = sardinewood::direct::directory::Directory::default();
-    /// directory.replace(Vec::new(), 0);
-    /// ```
-    pub fn replace(&mut self, list: Vec<Upstream>, now_ms: u64) {
-        let listed: IndexSet<Arc<str>> = list
-            .iter()
-            .map(|upstream| Arc::clone(&upstream.name))
-            .collect();
-        for upstream in list {
-            self.put(upstream, now_ms);
-        }
-        let missing: Vec<Arc<str>> = self
-            .members
-            .keys()
-            .filter(|name| !listed.contains(*name))
-            .cloned()
-            .collect();
-        for name in missing {
-            self.remove(&name, now_ms);
-        }
-    }
-
     /// Takes one upstream's entry.
     ///
     /// ```
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -137,20 +137,6 @@
             .filter(|told| told.count > 0 || told.condition == Condition::Gone)
     }
 
-    /// Whether there is an upstream that has not had a request yet. If not, waiting is in vain.
-    ///
-    /// ```
-    /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
-    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
-    /// assert!(!Dispatcher::default().has_untried(&job, 0));
-    /// ```
-    #[must_use]
-    pub fn has_untried(&self, job: &Job, now_ms: u64) -> bool {
-        self.untried(job, now_ms).next().is_some()
-    }
-
     fn untried(&self, job: &Job, now_ms: u64) -> impl Iterator<Item = &Place> {
         self.places_of(&job.service)
             .filter(move |place| !place.is_gone(now_ms))
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -1,10 +1,10 @@
 //! The doors of upstreams: one entry keeps the exact count of what an upstream runs.
 //!
-//! Each engine has one door, kept by one of the entries that are heard, found by everybody in
+//! Each upstream has one door, kept by one of the entries that are heard, found by everybody in
 //! the same way. An entry asks the door for room; the door grants the most important request
 //! that asks, from whichever entry. Room is soft state: if a door is lost, entries find the
 //! next one, and its count comes from the heartbeats of all. So a door that is wrong costs some
-//! waiting in an engine, never a request.
+//! waiting in an upstream, never a request.
 //!
 //! Without doors, thirty entries that know each other's load a third of a second late send an
 //! engine several times what it can begin, and there the most important waits behind the least:
@@ -165,8 +165,7 @@
 /// ```
 #[must_use]
 pub fn tier_worth(tier: u8) -> f64 {
-    let last = TIER_WORTH[TIER_WORTH.len() - 1];
-    TIER_WORTH.get(usize::from(tier)).copied().unwrap_or(last)
+    numbers::of_tier(&TIER_WORTH, tier)
 }
 
 /// The entry that keeps an upstream's door, of those that are heard.
--- a/lib/src/entry/link.rs
+++ b/lib/src/entry/link.rs
@@ -311,26 +311,8 @@
 }
 
 async fn take(agent: &Arc<str>, message: AgentMessage, context: &LinkContext) {
-    match message {
-        AgentMessage::Head {
-            attempt,
-            status,
-            headers,
-        } => context.routes.deliver(AnswerFrame::Head {
-            attempt,
-            status,
-            headers,
-        }),
-        AgentMessage::Data {
-            attempt,
-            offset_bytes,
-            bytes,
-        } => context.routes.deliver(AnswerFrame::Data {
-            attempt,
-            offset_bytes,
-            bytes,
-        }),
-        AgentMessage::End { attempt, end } => {
+    match AnswerFrame::try_from(message) {
+        Ok(AnswerFrame::End { attempt, end }) => {
             let frame = AnswerFrame::End {
                 attempt,
                 end: end.clone(),
@@ -338,7 +320,8 @@
             context.routes.deliver(frame);
             control(agent, AgentMessage::End { attempt, end }, context).await;
         }
-        other => control(agent, other, context).await,
+        Ok(frame) => context.routes.deliver(frame),
+        Err(other) => control(agent, other, context).await,
     }
 }
 
--- a/lib/src/numbers.rs
+++ b/lib/src/numbers.rs
@@ -1,4 +1,4 @@
-//! Whole numbers to floating point and back, where the loss does not matter.
+//! Whole numbers to floating point and back, where the loss does not matter, and figures by tier.
 
 /// A count or a time as a floating point number; exact below 2^53.
 ///
@@ -41,3 +41,15 @@
 pub fn whole_u32(number: f64) -> u32 {
     u32::try_from(whole_u64(number)).unwrap_or(u32::MAX)
 }
+
+/// The figure of a tier, which is the last one for all tiers beyond.
+///
+/// ```
+/// use sardinewood::numbers::of_tier;
+///
+/// assert_eq!([0, 1, 7].map(|tier| of_tier(&[3.0, 2.0], tier)), [3.0, 2.0, 2.0]);
+/// ```
+#[must_use]
+pub fn of_tier<const COUNT: usize>(figures: &[f64; COUNT], tier: u8) -> f64 {
+    figures[usize::from(tier).min(COUNT - 1)]
+}
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -19,6 +19,15 @@
     })
 }
 
+/// An engine that says when it was born.
+pub fn born(name: &str, born_ms: u64) -> Upstream {
+    Upstream {
+        instance: Upstream::instance_of(name, Some(born_ms)),
+        born_ms: Some(born_ms),
+        ..Upstream::clone(&upstream(name, 4))
+    }
+}
+
 /// A request of a tier that arrives at time 0.
 pub fn job(id: u64, tier: u8) -> Job {
     Job {
--- a/lib/tests/test_agent_server.rs
+++ b/lib/tests/test_agent_server.rs
@@ -177,7 +177,7 @@
     async fn read_answer(&mut self, reader: &mut AnswerReader) -> (Vec<u8>, ReadStep) {
         let mut body = Vec::new();
         loop {
-            let Some(frame) = answer_frame(self.hear().await) else {
+            let Ok(frame) = AnswerFrame::try_from(self.hear().await) else {
                 continue;
             };
             match reader.read(frame) {
@@ -198,31 +198,6 @@
     }
 }
 
-fn answer_frame(message: AgentMessage) -> Option<AnswerFrame> {
-    match message {
-        AgentMessage::Head {
-            attempt,
-            status,
-            headers,
-        } => Some(AnswerFrame::Head {
-            attempt,
-            status,
-            headers,
-        }),
-        AgentMessage::Data {
-            attempt,
-            offset_bytes,
-            bytes,
-        } => Some(AnswerFrame::Data {
-            attempt,
-            offset_bytes,
-            bytes,
-        }),
-        AgentMessage::End { attempt, end } => Some(AnswerFrame::End { attempt, end }),
-        _ => None,
-    }
-}
-
 fn completion(max_tokens: u32, stream: bool) -> Call {
     let body = format!(
         r#"{{"model":"small","prompt":"a short prompt","max_tokens":{max_tokens},"stream":{stream}}}"#
@@ -300,7 +275,7 @@
             .await;
         let mut reader = AnswerReader::new(attempt);
         while reader.through_bytes() < 2_000 {
-            if let Some(frame) = answer_frame(entry.hear().await) {
+            if let Ok(frame) = AnswerFrame::try_from(entry.hear().await) {
                 reader.read(frame);
             }
         }
@@ -330,7 +305,7 @@
         .await;
     let mut reader = AnswerReader::new(attempt);
     while reader.through_bytes() < 2_000 {
-        if let Some(frame) = answer_frame(entry.hear().await) {
+        if let Ok(frame) = AnswerFrame::try_from(entry.hear().await) {
             reader.read(frame);
         }
     }
@@ -363,7 +338,7 @@
         .await;
     let mut reader = AnswerReader::new(attempt);
     while reader.through_bytes() < 2_000 {
-        if let Some(frame) = answer_frame(entry.hear().await) {
+        if let Ok(frame) = AnswerFrame::try_from(entry.hear().await) {
             reader.read(frame);
         }
     }
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -4,19 +4,25 @@
 use sardinewood::direct::directory::RETURN_GRACE_MS;
 use sardinewood::direct::directory::Upstream;
 
+use crate::direct_fixture;
+use crate::direct_fixture::born;
+
 fn upstream(name: &str, is_leaving: bool) -> Upstream {
     Upstream {
-        instance: name.into(),
-        name: name.into(),
-        born_ms: None,
-        service: "pool".into(),
-        address: "127.0.0.1:80".parse().expect("an address"),
-        data_centre: "hall".into(),
-        slots: 4,
         is_leaving,
+        ..Upstream::clone(&direct_fixture::upstream(name, 4))
     }
 }
 
+/// A directory of these upstreams.
+fn listed(upstreams: &[Upstream]) -> Directory {
+    let mut directory = Directory::default();
+    for upstream in upstreams {
+        directory.put(upstream.clone(), 0);
+    }
+    directory
+}
+
 fn usable(directory: &Directory) -> Vec<&str> {
     directory
         .usable()
@@ -26,8 +32,7 @@
 
 #[test]
 fn vanished_goes_at_once_in_calm_time() {
-    let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", false), upstream("b", false)], 0);
+    let mut directory = listed(&[upstream("a", false), upstream("b", false)]);
     directory.remove("a", 10);
     assert_eq!(usable(&directory), ["b"]);
 }
@@ -37,10 +42,10 @@
     // Callers notice nothing. The store was away, live upstreams could not renew their
     // entries, and the first list after its return is empty; they write themselves back
     // within two seconds. The one that does not is gone then.
-    let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", false), upstream("b", false)], 0);
+    let mut directory = listed(&[upstream("a", false), upstream("b", false)]);
     directory.store_returned(9_000);
-    directory.replace(Vec::new(), 9_000);
+    directory.remove("a", 9_000);
+    directory.remove("b", 9_000);
     assert_eq!(usable(&directory).len(), 2);
     directory.put(upstream("a", false), 0);
     assert!(!directory.sweep(9_000 + RETURN_GRACE_MS - 1));
@@ -50,10 +55,9 @@
 
 #[test]
 fn leaving_one_not_kept_through_outage() {
-    let mut directory = Directory::default();
-    directory.replace(vec![upstream("a", true)], 0);
+    let mut directory = listed(&[upstream("a", true)]);
     directory.store_returned(9_000);
-    directory.replace(Vec::new(), 9_000);
+    directory.remove("a", 9_000);
     assert_eq!(directory.sweep_at_ms(), None);
     assert!(usable(&directory).is_empty());
 }
@@ -66,14 +70,6 @@
     assert!(usable(&directory).is_empty());
 }
 
-fn born(name: &str, born_ms: u64) -> Upstream {
-    Upstream {
-        instance: Upstream::instance_of(name, Some(born_ms)),
-        born_ms: Some(born_ms),
-        ..upstream(name, false)
-    }
-}
-
 #[test]
 fn entry_without_birth_not_used_where_others_tell_it() {
     // Work goes to upstreams only. Whoever wrote the entry is no upstream of this list, for each
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -22,6 +22,8 @@
 use serde_json::Value;
 use tokio::sync::watch;
 
+use crate::direct_fixture;
+
 const DECODERS: Decoders = Decoders {
     catalog_kind: "c",
     catalog_name: "main",
@@ -40,16 +42,7 @@
     reason = "it stands in for a function that may fail"
 )]
 fn upstream(object: &StoredObject) -> Result<Upstream, Findings> {
-    Ok(Upstream {
-        instance: Arc::clone(&object.name),
-        name: Arc::clone(&object.name),
-        born_ms: None,
-        service: "pool".into(),
-        address: "127.0.0.1:80".parse().expect("an address"),
-        data_centre: "hall".into(),
-        slots: 4,
-        is_leaving: false,
-    })
+    Ok(Upstream::clone(&direct_fixture::upstream(&object.name, 4)))
 }
 
 fn object(kind: &str, name: &str, version: u64) -> StoredObject {
--- a/lib/tests/test_direct_replica.rs
+++ b/lib/tests/test_direct_replica.rs
@@ -1,7 +1,5 @@
 //! The replica of the list of upstreams: what comes late, out of order or spoiled.
 
-use std::sync::Arc;
-
 use sardinewood::direct::catalog::Catalog;
 use sardinewood::direct::directory::Upstream;
 use sardinewood::direct::peer_message::Revisions;
@@ -16,6 +14,8 @@
 use sardinewood::store::WatchEvent;
 use serde_json::Value;
 
+use crate::direct_fixture;
+
 const DECODERS: Decoders = Decoders {
     catalog_kind: "c",
     catalog_name: "main",
@@ -31,16 +31,7 @@
         findings.add(&*object.name, "is no upstream");
         findings
     })?;
-    Ok(Upstream {
-        instance: Upstream::instance_of(&object.name, Some(born_ms)),
-        name: Arc::clone(&object.name),
-        born_ms: Some(born_ms),
-        service: "pool".into(),
-        address: "127.0.0.1:80".parse().expect("an address"),
-        data_centre: "hall".into(),
-        slots: 4,
-        is_leaving: false,
-    })
+    Ok(direct_fixture::born(&object.name, born_ms))
 }
 
 fn object(name: &str, version: u64, born_ms: u64) -> StoredObject {
