allotments: each customer has a keeper that entries ask before they spend

Now one entry keeps a customer, found by hashing over those that are heard and have run for two seconds; others ask it, except for a tenth of the tolerance that all may spend between two heartbeats. A new keeper begins with nothing but what comes in. While the keeper does not answer an entry spends its part, and the parts add up to one. Overdue peers are taken to spend from 1.4 heartbeats on.

--- a/bench/src/direct/fleet/doors.rs
+++ b/bench/src/direct/fleet/doors.rs
@@ -132,6 +132,8 @@
                 doors.done(Asker::Peer(peer), upstream, held_ms);
                 self.grant(entry);
             }
+            // Customers of the model have no limits.
+            Message::ChargeAsk(_) | Message::Charged { .. } => {}
         }
     }
 
--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -17,6 +17,7 @@
 pub mod call;
 pub mod caller;
 pub mod catalog;
+pub mod charging;
 pub mod connections;
 pub mod directory;
 pub mod dispatch;
--- /dev/null
+++ b/lib/src/direct/allotment/fleet.rs
@@ -0,0 +1,91 @@
+//! Which entries there are, as far as allotments depend on it.
+
+use std::net::SocketAddr;
+
+use crate::direct::dispatch::short_name;
+use crate::direct::door;
+use crate::numbers;
+
+/// How long the entries have to stay the same until a keeper trusts what it knows of a customer
+/// that it was not asked about before. Within it every peer has told its spending at least twice,
+/// also in a fleet whose heartbeats are a second apart.
+const STEADY_MS: u64 = 3_000;
+/// Time between two looks at the fleet beyond which this process was held up, a heartbeat's
+/// period being a second at most. Others have kept its customers meanwhile.
+const HELD_UP_MS: u64 = 2_500;
+
+/// The entries as one of them sees them.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Fleet {
+    /// All entries that have been heard, this one included.
+    pub(super) known: usize,
+    /// Those that are not heard now.
+    pub(super) silent: Vec<SocketAddr>,
+    /// Entries that peers have heard and this one has not.
+    pub(super) unmet: usize,
+    own: Option<SocketAddr>,
+    /// Those that may keep customers.
+    keepers: Vec<SocketAddr>,
+    same_since_ms: u64,
+    looked_at_ms: u64,
+}
+
+impl Fleet {
+    /// How many entries there are.
+    pub(super) fn entries(&self) -> f64 {
+        numbers::as_f64((self.known + self.unmet).max(1) as u64)
+    }
+
+    /// Part of all entries that is heard.
+    pub(super) fn heard_part(&self) -> f64 {
+        let unheard = numbers::as_f64((self.silent.len() + self.unmet) as u64);
+        1.0 - (unheard / self.entries()).min(1.0)
+    }
+
+    /// Takes who may keep customers; whether it is anybody else than before.
+    pub(super) fn set_keepers(
+        &mut self,
+        own: SocketAddr,
+        mut keepers: Vec<SocketAddr>,
+        now_ms: u64,
+    ) -> Changed {
+        keepers.sort_unstable();
+        let is_held_up = now_ms > self.looked_at_ms + HELD_UP_MS;
+        let changed = if is_held_up {
+            Changed::HeldUp
+        } else if self.own != Some(own) || self.keepers != keepers {
+            Changed::Others
+        } else {
+            Changed::Nothing
+        };
+        if changed != Changed::Nothing {
+            self.same_since_ms = now_ms;
+        }
+        self.own = Some(own);
+        self.keepers = keepers;
+        self.looked_at_ms = now_ms;
+        changed
+    }
+
+    /// Whether the same entries have been there for some time.
+    pub(super) fn is_steady(&self, now_ms: u64) -> bool {
+        now_ms >= self.same_since_ms + STEADY_MS
+    }
+
+    /// The peer that keeps a customer; none if this entry does.
+    pub(super) fn keeper(&self, customer: &str) -> Option<SocketAddr> {
+        let keeper = door::owner(short_name(customer), self.keepers.iter().copied())?;
+        (Some(keeper) != self.own).then_some(keeper)
+    }
+}
+
+/// What has become of the entries that may keep customers.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Changed {
+    /// They are the same.
+    Nothing,
+    /// They are others.
+    Others,
+    /// This process stood still for so long that others may have kept its customers.
+    HeldUp,
+}
--- a/lib/src/direct/asking.rs
+++ b/lib/src/direct/asking.rs
@@ -19,9 +19,6 @@
 
 /// Bits of a random number that choose among upstreams.
 const DRAW_BITS: u64 = 0xffff;
-/// Bits of a question's name. Names are random, so that a process that starts again does not use
-/// those that doors still hold of it; more bits would only make messages longer.
-const ID_BITS: u64 = 0xffff_ffff;
 
 /// What a waiting request does next.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -232,7 +229,7 @@
         let draw = || usize::try_from(random() & DRAW_BITS).unwrap_or_default();
         let upstream = dispatcher.choose(&self.job, &asked, now_ms, draw)?;
         let asked = Asked {
-            id: AskId(random() & ID_BITS),
+            id: AskId::drawn(random()),
             instance: Arc::clone(&upstream.instance),
             at_ms: now_ms,
             wait_ms: None,
--- a/lib/src/direct/call.rs
+++ b/lib/src/direct/call.rs
@@ -27,6 +27,7 @@
 use crate::direct::catalog::Catalog;
 use crate::direct::catalog::Customer;
 use crate::direct::catalog::Route;
+use crate::direct::charging;
 use crate::direct::job::Job;
 use crate::direct::refusal::Refusal;
 use crate::direct::refusal::name_of;
@@ -178,18 +179,14 @@
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service", id);
         return Err(refusal);
     };
-    let charge = customer.as_ref().map_or(Charge::Granted, |customer| {
-        let mut allotments = traffic.allotments.borrow_mut();
-        allotments.charge(
-            customer,
-            Due {
-                tokens: headers.charged_tokens(),
-                tier: route.tier,
-            },
-            traffic.demand(service),
-            traffic.now_ms(),
-        )
-    });
+    let due = Due {
+        tokens: headers.charged_tokens(),
+        tier: route.tier,
+    };
+    let charge = match &customer {
+        None => Charge::Granted,
+        Some(customer) => charging::charge(traffic, customer, due, traffic.demand(service)).await,
+    };
     if let Charge::Exceeded { retry_after_ms } = charge {
         let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "allotment is spent", id);
         let inputs = json!({
--- a/lib/src/direct/catalog.rs
+++ b/lib/src/direct/catalog.rs
@@ -225,6 +225,18 @@
         Admission::Allowed(Arc::clone(route), customer)
     }
 
+    /// The customer of a name.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::catalog::Catalog::default().customer("c").is_none());
+    /// ```
+    #[must_use]
+    pub fn customer(&self, name: &str) -> Option<&Arc<Customer>> {
+        self.customers
+            .values()
+            .find(|customer| &*customer.name == name)
+    }
+
     /// How long a caller's connection may stay without a request.
     ///
     /// ```
--- /dev/null
+++ b/lib/src/direct/charging.rs
@@ -0,0 +1,134 @@
+//! How a request is charged to its customer: here, or by a question to the entry that keeps the
+//! customer's allotment.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use crate::direct::allotment::Begun;
+use crate::direct::allotment::Charge;
+use crate::direct::allotment::Demand;
+use crate::direct::allotment::Due;
+use crate::direct::asking::ANSWER_WITHIN_MS;
+use crate::direct::catalog::Customer;
+use crate::direct::door::AskId;
+use crate::direct::peer_message::ChargeAsk;
+use crate::direct::peer_message::Message;
+use crate::direct::traffic::Traffic;
+use crate::logging::Level;
+
+/// Questions to keepers that have no answer yet.
+#[derive(Debug, Default)]
+pub struct OpenCharges(RefCell<IndexMap<AskId, oneshot::Sender<Charge>>>);
+
+/// A question; dropping it forgets it, also when its caller has left.
+struct OpenCharge<'a> {
+    id: AskId,
+    open: &'a OpenCharges,
+}
+
+impl Drop for OpenCharge<'_> {
+    fn drop(&mut self) {
+        self.open.0.borrow_mut().swap_remove(&self.id);
+    }
+}
+
+/// Charges a request to its customer.
+pub async fn charge(
+    traffic: &Rc<Traffic>,
+    customer: &Customer,
+    due: Due,
+    demand: Demand,
+) -> Charge {
+    let begun = traffic
+        .allotments
+        .borrow_mut()
+        .begin(customer, due, demand, traffic.now_ms());
+    let keeper = match begun {
+        Begun::Settled(charge) => return charge,
+        Begun::Ask(keeper) => keeper,
+    };
+    let answer = ask(traffic, keeper, customer, due, demand).await;
+    let now_ms = traffic.now_ms();
+    let mut allotments = traffic.allotments.borrow_mut();
+    if let Some(charge) = answer {
+        allotments.answered(customer, due, charge, now_ms);
+        return charge;
+    }
+    let message = "keeper of an allotment is silent";
+    traffic.log(Level::Warn, message, |line| {
+        line.field("keeper", keeper)
+            .field("customer", &customer.name)
+    });
+    allotments.unanswered(keeper, customer, due, demand, now_ms)
+}
+
+async fn ask(
+    traffic: &Traffic,
+    keeper: SocketAddr,
+    customer: &Customer,
+    due: Due,
+    demand: Demand,
+) -> Option<Charge> {
+    let open = OpenCharge {
+        id: AskId::drawn(rand::random()),
+        open: &traffic.charges,
+    };
+    let (sender, answer) = oneshot::channel();
+    traffic.charges.0.borrow_mut().insert(open.id, sender);
+    let question = Message::ChargeAsk(ChargeAsk {
+        id: open.id,
+        customer: customer.name.clone(),
+        due,
+        demand,
+    });
+    traffic.tell(keeper, &question);
+    let within = Duration::from_millis(ANSWER_WITHIN_MS);
+    timeout(within, answer).await.ok()?.ok()
+}
+
+impl Traffic {
+    /// Charges a peer's request to a customer that is kept here.
+    pub fn lend(&self, to: SocketAddr, question: &ChargeAsk) {
+        let catalog = self.catalog.borrow();
+        let customer = catalog
+            .as_ref()
+            .and_then(|catalog| catalog.customer(&question.customer));
+        let Some(customer) = customer else {
+            // Another configuration is in force here, or none yet. The peer goes by itself.
+            self.log(
+                Level::Warn,
+                "asked about a customer that is not known",
+                |line| line.field("peer", to).field("customer", &question.customer),
+            );
+            return;
+        };
+        let charge = self.allotments.borrow_mut().lend(
+            to,
+            customer,
+            question.due,
+            question.demand,
+            self.now_ms(),
+        );
+        let answer = Message::Charged {
+            ask: question.id,
+            charge,
+        };
+        self.tell(to, &answer);
+    }
+
+    /// Takes a keeper's answer in. One that comes too late is not used: its request was charged
+    /// here meanwhile, and the keeper takes the units for told when this entry tells of them.
+    pub fn charged(&self, ask: AskId, charge: Charge) {
+        let asked = self.charges.0.borrow_mut().swap_remove(&ask);
+        if let Some(asked) = asked {
+            // Whoever asked may have just left.
+            let _ = asked.send(charge);
+        }
+    }
+}
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/door.rs
@@ -42,6 +42,24 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct AskId(pub u64);
 
+/// Bits of a question's name. Names are random, so that a process that starts again does not use
+/// those that peers still hold of it; more bits would only make messages longer.
+const ID_BITS: u64 = 0xffff_ffff;
+
+impl AskId {
+    /// The name that a random number gives.
+    ///
+    /// ```
+    /// use sardinewood::direct::door::AskId;
+    ///
+    /// assert_eq!(AskId::drawn(7), AskId(7));
+    /// ```
+    #[must_use]
+    pub fn drawn(random: u64) -> Self {
+        Self(random & ID_BITS)
+    }
+}
+
 /// A request that wants room, as a door needs to know it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ask {
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/peer_message.rs
@@ -6,12 +6,15 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::direct::allotment::Charge;
+use crate::direct::allotment::Demand;
+use crate::direct::allotment::Due;
 use crate::direct::door::Ask;
 use crate::direct::door::AskId;
 use crate::direct::report::RunningPart;
 
 /// First byte of every datagram; another form of the message gets another number.
-const FORM: u8 = 3;
+const FORM: u8 = 4;
 /// Longest datagram that is sent: it fits into one packet of a common network.
 const MAX_BYTES: usize = 1_400;
 
@@ -71,6 +74,10 @@
     pub revisions: Revisions,
     /// Whether the process will end soon, and keeps no door.
     pub is_leaving: bool,
+    /// Whether it has run long enough to know the others, and may keep customers' allotments.
+    pub is_settled: bool,
+    /// How many entries it has heard, itself included.
+    pub known: u16,
     /// How long ago the store answered it, if it asks the store.
     pub store_age_ms: Option<u32>,
     /// Other entries that it hears from.
@@ -81,6 +88,19 @@
     pub spent: Vec<Spent>,
 }
 
+/// A request that the receiver is asked to charge to a customer whose allotment it keeps.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ChargeAsk {
+    /// Names the question.
+    pub id: AskId,
+    /// The customer's name.
+    pub customer: Arc<str>,
+    /// What the request asks of the allotment.
+    pub due: Due,
+    /// Whether others wait at the sender.
+    pub demand: Demand,
+}
+
 /// Everything that entries send each other by datagram.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Message {
@@ -116,6 +136,15 @@
         /// How long it was held; none if it was not used.
         held_ms: Option<u32>,
     },
+    /// The sender wants to charge a request.
+    ChargeAsk(ChargeAsk),
+    /// The receiver's request was charged or not.
+    Charged {
+        /// The question that is answered.
+        ask: AskId,
+        /// The answer.
+        charge: Charge,
+    },
 }
 
 impl Message {
--- a/lib/src/direct/peer_table.rs
+++ b/lib/src/direct/peer_table.rs
@@ -22,6 +22,11 @@
 const ASKER_HEARTBEAT_PER_PEER_MS: u64 = 1;
 /// Heartbeats of a peer that may be missing before it is not heard from any more.
 const MISSED_HEARTBEATS: u64 = 3;
+/// Part of the time between two heartbeats, in percent, after which a peer's next one is overdue,
+/// and the shortest such time: entries have little processor time and may be late by some hundred
+/// milliseconds.
+const OVERDUE_PERCENT: u64 = 140;
+const MIN_OVERDUE_MS: u64 = 500;
 /// Shortest silence after which a peer is not heard from any more.
 const MIN_HEARD_WITHIN_MS: u64 = 1_000;
 /// Silence after which a peer is forgotten. Cuts heal within seconds to a minute.
@@ -35,6 +40,9 @@
 const MAX_ADDRESSES: usize = 8;
 /// Heartbeats within which a peer that was not known counts as just started: a second of them.
 const JUST_STARTED_HEARTBEATS: u64 = 20;
+/// Time after its start from which an entry may keep customers' allotments: until then it does not
+/// know all others, nor they it, and two would keep the same customer.
+const SETTLED_AFTER_MS: u64 = 2_000;
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -42,6 +50,8 @@
     sequence: u64,
     heard_at_ms: u64,
     is_leaving: bool,
+    is_settled: bool,
+    known: u16,
     store_age_ms: Option<u32>,
     revisions: Revisions,
     spent: IndexMap<Arc<str>, u64>,
@@ -186,6 +196,8 @@
             sequence: heartbeat.sequence,
             heard_at_ms: now_ms,
             is_leaving: heartbeat.is_leaving,
+            is_settled: heartbeat.is_settled,
+            known: heartbeat.known,
             store_age_ms: heartbeat.store_age_ms,
             revisions: heartbeat.revisions,
             spent,
@@ -274,6 +286,27 @@
             .collect()
     }
 
+    /// Peers whose last heartbeat is overdue, of which some are silent and some only late.
+    ///
+    /// What they spend meanwhile is not known, and what they are taken to spend is set off when they
+    /// are heard. So it does no harm to believe it early, while a cut that is noticed after three
+    /// heartbeats only lets both sides spend the same units for seconds.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert!(table.overdue(0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn overdue(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let within_ms = MIN_OVERDUE_MS.max(self.heartbeat_ms(false) * OVERDUE_PERCENT / 100);
+        self.peers
+            .iter()
+            .filter(|(_, peer)| now_ms >= peer.heard_at_ms + within_ms)
+            .map(|(address, _)| *address)
+            .collect()
+    }
+
     /// The entries that may keep doors: those that are heard and will not end soon.
     ///
     /// ```
@@ -290,6 +323,62 @@
             .chain(own)
     }
 
+    /// Whether this entry has run long enough to keep customers' allotments.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// assert!(!PeerTable::is_settled(0) && PeerTable::is_settled(60_000));
+    /// ```
+    #[must_use]
+    pub fn is_settled(now_ms: u64) -> bool {
+        now_ms >= SETTLED_AFTER_MS
+    }
+
+    /// The entries that may keep customers' allotments: those that keep doors and have run for
+    /// some time, or, if there is none, all that keep doors.
+    ///
+    /// ```
+    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// let own = "10.0.0.1:7".parse().unwrap();
+    /// assert_eq!(PeerTable::new(own, &[]).keepers(false, 0), [own]);
+    /// ```
+    #[must_use]
+    pub fn keepers(&self, is_own_leaving: bool, now_ms: u64) -> Vec<SocketAddr> {
+        let is_settled = |address: &SocketAddr| {
+            let peer = self.peers.get(address);
+            peer.map_or(Self::is_settled(now_ms), |peer| peer.is_settled)
+        };
+        let settled: Vec<SocketAddr> = self
+            .owners(is_own_leaving, now_ms)
+            .filter(is_settled)
+            .collect();
+        if settled.is_empty() {
+            return self.owners(is_own_leaving, now_ms).collect();
+        }
+        settled
+    }
+
+    /// How many entries peers have heard that this one has not. One that has just started learns
+    /// by it how large the fleet is before it has met all of it.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{peer_message::Heartbeat, peer_table::PeerTable};
+    /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// let heartbeat = Heartbeat { known: 9, ..Heartbeat::default() };
+    /// table.heard("10.0.0.2:7".parse().unwrap(), &heartbeat, 0);
+    /// assert_eq!(table.unmet(0), 7);
+    /// ```
+    #[must_use]
+    pub fn unmet(&self, now_ms: u64) -> usize {
+        let told = self
+            .peers
+            .values()
+            .filter(|peer| self.is_heard(peer, now_ms))
+            .map(|peer| usize::from(peer.known))
+            .max();
+        told.unwrap_or_default().saturating_sub(self.known())
+    }
+
     /// Whether this entry should ask the store itself, and not only hear of it from others.
     ///
     /// Each change costs every entry that watches a call, so that a fleet in which all watch
--- a/lib/src/direct/peers.rs
+++ b/lib/src/direct/peers.rs
@@ -13,6 +13,7 @@
 use crate::direct::peer_message::Heartbeat;
 use crate::direct::peer_message::Message;
 use crate::direct::peer_message::Revisions;
+use crate::direct::peer_table::PeerTable;
 use crate::direct::report::RunningPart;
 use crate::direct::report::SpentReport;
 use crate::direct::traffic::Traffic;
@@ -110,6 +111,8 @@
                     .done(Asker::Peer(from), upstream, held_ms);
                 traffic.grant_rooms();
             }
+            Some(Message::ChargeAsk(question)) => traffic.lend(from, &question),
+            Some(Message::Charged { ask, charge }) => traffic.charged(ask, charge),
             None => traffic.log(Level::Warn, "datagram is not understood", |line| {
                 line.field("from", from)
             }),
@@ -133,6 +136,9 @@
             return;
         }
         let mut allotments = traffic.allotments.borrow_mut();
+        if heard.is_new {
+            allotments.peer_started(from);
+        }
         for spent in heard.newly_spent {
             allotments.spent_elsewhere(from, &spent.customer, spent.units, now_ms);
         }
@@ -160,11 +166,13 @@
         traffic.doors.borrow_mut().sweep(None, now_ms);
         let peers = traffic.peers.borrow();
         let known = peers.known();
-        traffic
-            .allotments
-            .borrow_mut()
-            .set_fleet(known, peers.silent(now_ms), now_ms);
-        traffic.budget.borrow_mut().set_entries(known);
+        let unmet = peers.unmet(now_ms);
+        let keepers = peers.keepers(traffic.is_stopping.get(), now_ms);
+        let mut allotments = traffic.allotments.borrow_mut();
+        allotments.set_keepers(peers.own(), keepers, unmet, now_ms);
+        allotments.set_fleet(known, peers.overdue(now_ms), now_ms);
+        drop(allotments);
+        traffic.budget.borrow_mut().set_entries(known + unmet);
         set(&self.links.asks_store, peers.asks_store(now_ms));
         drop(peers);
         self.sequence += 1;
@@ -194,21 +202,26 @@
     fn own_heartbeat(&mut self) -> Heartbeat {
         let traffic = &self.traffic;
         let dispatcher = traffic.dispatcher.borrow();
-        let allotments = traffic.allotments.borrow();
+        let mut allotments = traffic.allotments.borrow_mut();
+        let spent = self.spent.next(allotments.own_spent());
+        allotments.told(&spent);
         let asks_store = *self.links.asks_store.borrow();
+        let peers = traffic.peers.borrow();
         Heartbeat {
             incarnation: self.incarnation,
             sequence: self.sequence,
             is_last: false,
             is_leaving: traffic.is_stopping.get(),
+            is_settled: PeerTable::is_settled(traffic.now_ms()),
+            known: u16::try_from(peers.known()).unwrap_or(u16::MAX),
             store_age_ms: self.links.store_answers.age_ms().filter(|_| asks_store),
             revisions: *self.links.own.borrow(),
-            others: traffic.peers.borrow().named(self.sequence),
+            others: peers.named(self.sequence),
             running: RunningPart::of(
                 dispatcher.running(traffic.now_ms()).collect(),
                 self.sequence,
             ),
-            spent: self.spent.next(allotments.own_spent()),
+            spent,
         }
     }
 }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -20,6 +20,7 @@
 use crate::direct::attempt_budget::AttemptLimits;
 use crate::direct::caller::Dialect;
 use crate::direct::catalog::Catalog;
+use crate::direct::charging::OpenCharges;
 use crate::direct::connections::Connections;
 use crate::direct::directory::Upstream;
 use crate::direct::dispatch::Dispatcher;
@@ -65,6 +66,8 @@
     pub socket: UdpSocket,
     /// What customers may spend.
     pub allotments: RefCell<Allotments>,
+    /// What keepers of allotments have been asked.
+    pub charges: OpenCharges,
     /// Second attempts that are left.
     pub budget: RefCell<AttemptBudget>,
     /// The configuration in force.
@@ -200,6 +203,7 @@
             asks: RefCell::default(),
             socket,
             allotments: RefCell::default(),
+            charges: OpenCharges::default(),
             budget: RefCell::new(AttemptBudget::new(limits)),
             catalog: RefCell::default(),
             has_upstreams: Cell::new(false),
--- /dev/null
+++ b/lib/tests/keeper_fleet.rs
@@ -0,0 +1,305 @@
+//! A fleet of entries in virtual time that share one customer's allotment: their real tables of
+//! peers and buckets, with entries that are killed, held up and cut off from each other.
+
+use std::net::SocketAddr;
+
+use sardinewood::direct::allotment::Allotments;
+use sardinewood::direct::allotment::Begun;
+use sardinewood::direct::allotment::Charge;
+use sardinewood::direct::allotment::Demand;
+use sardinewood::direct::allotment::Due;
+use sardinewood::direct::allotment::Tolerance;
+use sardinewood::direct::catalog::Allotment;
+use sardinewood::direct::catalog::Customer;
+use sardinewood::direct::peer_message::Heartbeat;
+use sardinewood::direct::peer_message::Spent;
+use sardinewood::direct::peer_table::PeerTable;
+
+/// What the platform's users tolerate, and the limit of a large customer of theirs.
+pub const TOLERANCE: Tolerance = Tolerance {
+    window_s: 8.0,
+    overage: 0.1,
+    slack: 190_000.0,
+};
+pub const RATE_PER_S: u64 = 437_000;
+/// The most that may be spent in any window: 8 s of the rate and a burst, a tenth and the slack
+/// more.
+pub const ALLOWED: u64 = RATE_PER_S * 9 * 11 / 10 + 190_000;
+
+const STEP_MS: u64 = 10;
+const WINDOW_MS: u64 = 8_000;
+
+pub struct Member {
+    table: PeerTable,
+    allotments: Allotments,
+    began_ms: u64,
+    next_heartbeat_ms: u64,
+    sequence: u64,
+    incarnation: u64,
+    /// Until when it is down; its state is lost.
+    down_until_ms: u64,
+    /// Until when it stands still; its state stays, and so does what was sent to it.
+    held_until_ms: u64,
+    missed: Vec<(usize, Heartbeat)>,
+}
+
+pub struct KeeperFleet {
+    pub members: Vec<Member>,
+    pub now_ms: u64,
+    customer: Customer,
+    demand: Demand,
+    /// Whether a message from one entry to another is lost.
+    pub is_cut: fn(usize, usize, u64) -> bool,
+    /// Units spent in each step.
+    pub spent: Vec<u64>,
+    pub asked: u64,
+    pub served: u64,
+    random: u64,
+}
+
+fn address(index: usize) -> SocketAddr {
+    let number = u8::try_from(index).expect("a fleet of 250 at most");
+    SocketAddr::from(([10, 0, 0, number], 7))
+}
+
+fn index_of(address: SocketAddr) -> usize {
+    match address.ip() {
+        std::net::IpAddr::V4(ip) => ip.octets()[3].into(),
+        std::net::IpAddr::V6(_) => unreachable!("entries of the fleet"),
+    }
+}
+
+fn member(index: usize, began_ms: u64, incarnation: u64) -> Member {
+    let mut allotments = Allotments::default();
+    allotments.set_tolerance(TOLERANCE);
+    Member {
+        table: PeerTable::new(address(index), &[address(0), address(1), address(2)]),
+        allotments,
+        began_ms,
+        next_heartbeat_ms: began_ms,
+        sequence: 0,
+        incarnation,
+        down_until_ms: 0,
+        held_until_ms: 0,
+        missed: Vec::new(),
+    }
+}
+
+impl KeeperFleet {
+    pub fn new(count: usize, demand: Demand) -> Self {
+        Self {
+            members: (0..count).map(|index| member(index, 0, 1)).collect(),
+            now_ms: 0,
+            customer: Customer {
+                name: "hot".into(),
+                tier: None,
+                allotment: Some(Allotment {
+                    rate_per_s: RATE_PER_S,
+                    burst: RATE_PER_S,
+                    unsized_tokens: Some(200),
+                }),
+            },
+            demand,
+            is_cut: |_, _, _| false,
+            spent: Vec::new(),
+            asked: 0,
+            served: 0,
+            random: 7,
+        }
+    }
+
+    /// The entry that keeps the customer, as the first entry that is up sees it.
+    pub fn keeper(&mut self) -> usize {
+        for index in 0..self.members.len() {
+            let now_ms = self.now_ms;
+            let member = &mut self.members[index];
+            if now_ms < member.down_until_ms {
+                continue;
+            }
+            let due = Due {
+                tokens: Some(RATE_PER_S),
+                tier: 0,
+            };
+            let own_ms = now_ms - member.began_ms;
+            let begun = member
+                .allotments
+                .clone()
+                .begin(&self.customer, due, self.demand, own_ms);
+            return match begun {
+                Begun::Ask(keeper) => index_of(keeper),
+                Begun::Settled(_) => index,
+            };
+        }
+        unreachable!("an entry is up")
+    }
+
+    pub fn kill(&mut self, index: usize, for_ms: u64) {
+        let incarnation = self.members[index].incarnation + 1;
+        let back_ms = self.now_ms + for_ms;
+        self.members[index] = member(index, back_ms, incarnation);
+        self.members[index].down_until_ms = back_ms;
+    }
+
+    pub fn hold_up(&mut self, index: usize, for_ms: u64) {
+        self.members[index].held_until_ms = self.now_ms + for_ms;
+    }
+
+    /// Lets time pass while callers ask for so many times the customer's rate, at random entries.
+    pub fn press(&mut self, for_ms: u64, times_rate: f64) {
+        let end_ms = self.now_ms + for_ms;
+        let mut due_units = 0.0;
+        #[expect(clippy::cast_precision_loss, reason = "a rate")]
+        let units_per_step = RATE_PER_S as f64 * times_rate * STEP_MS as f64 / 1_000.0;
+        while self.now_ms < end_ms {
+            self.heartbeats();
+            let mut spent = 0;
+            due_units += units_per_step;
+            while due_units > 0.0 {
+                let units = 200 + self.draw() % 7_600;
+                #[expect(clippy::cast_precision_loss, reason = "a request's units")]
+                let wanted = units as f64;
+                due_units -= wanted;
+                let at = usize::try_from(self.draw()).expect("an index") % self.members.len();
+                spent += self.request(at, units);
+            }
+            self.spent.push(spent);
+            self.now_ms += STEP_MS;
+        }
+    }
+
+    /// The most that was spent in any window so far.
+    pub fn most_in_a_window(&self) -> u64 {
+        let steps = usize::try_from(WINDOW_MS / STEP_MS).expect("a count");
+        let sums = self.spent.windows(steps).map(|window| window.iter().sum());
+        sums.max().unwrap_or_default()
+    }
+
+    fn draw(&mut self) -> u64 {
+        self.random = self
+            .random
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1_442_695_040_888_963_407);
+        self.random >> 33
+    }
+
+    fn is_running(&self, index: usize) -> bool {
+        let member = &self.members[index];
+        self.now_ms >= member.down_until_ms && self.now_ms >= member.held_until_ms
+    }
+
+    fn own_ms(&self, index: usize) -> u64 {
+        self.now_ms - self.members[index].began_ms
+    }
+
+    fn request(&mut self, at: usize, units: u64) -> u64 {
+        if !self.is_running(at) {
+            return 0;
+        }
+        let due = Due {
+            tokens: Some(units),
+            tier: 0,
+        };
+        let now_ms = self.own_ms(at);
+        let customer = self.customer.clone();
+        let demand = self.demand;
+        let begun = self.members[at]
+            .allotments
+            .begin(&customer, due, demand, now_ms);
+        let charge = match begun {
+            Begun::Settled(charge) => charge,
+            Begun::Ask(keeper) => {
+                let keeper = index_of(keeper);
+                let is_lost = (self.is_cut)(at, keeper, self.now_ms)
+                    || (self.is_cut)(keeper, at, self.now_ms);
+                self.asked += 1;
+                if is_lost || !self.is_running(keeper) {
+                    let own = &mut self.members[at].allotments;
+                    own.unanswered(address(keeper), &customer, due, demand, now_ms)
+                } else {
+                    let keeper_ms = self.own_ms(keeper);
+                    let kept = &mut self.members[keeper].allotments;
+                    let charge = kept.lend(address(at), &customer, due, demand, keeper_ms);
+                    let own = &mut self.members[at].allotments;
+                    own.answered(&customer, due, charge, now_ms);
+                    charge
+                }
+            }
+        };
+        if charge != Charge::Granted {
+            return 0;
+        }
+        self.served += units;
+        units
+    }
+
+    fn heartbeats(&mut self) {
+        for from in 0..self.members.len() {
+            if !self.is_running(from) {
+                continue;
+            }
+            for (sender, heartbeat) in std::mem::take(&mut self.members[from].missed) {
+                self.hear(from, sender, &heartbeat);
+            }
+            if self.now_ms < self.members[from].next_heartbeat_ms {
+                continue;
+            }
+            let (heartbeat, targets) = self.heartbeat(from);
+            for to in targets {
+                if (self.is_cut)(from, to, self.now_ms)
+                    || self.now_ms < self.members[to].down_until_ms
+                {
+                    continue;
+                }
+                if self.is_running(to) {
+                    self.hear(to, from, &heartbeat);
+                } else {
+                    self.members[to].missed.push((from, heartbeat.clone()));
+                }
+            }
+        }
+    }
+
+    fn heartbeat(&mut self, from: usize) -> (Heartbeat, Vec<usize>) {
+        let own_ms = self.own_ms(from);
+        let now_ms = self.now_ms;
+        let member = &mut self.members[from];
+        let table = &member.table;
+        let keepers = table.keepers(false, own_ms);
+        let own = &mut member.allotments;
+        own.set_keepers(address(from), keepers, table.unmet(own_ms), own_ms);
+        own.set_fleet(table.known(), table.overdue(own_ms), own_ms);
+        member.sequence += 1;
+        member.next_heartbeat_ms = now_ms + table.heartbeat_ms(false);
+        let spent: Vec<Spent> = own
+            .own_spent()
+            .map(|(customer, units)| Spent {
+                customer: customer.clone(),
+                units,
+            })
+            .collect();
+        own.told(&spent);
+        let heartbeat = Heartbeat {
+            incarnation: member.incarnation,
+            sequence: member.sequence,
+            is_settled: PeerTable::is_settled(own_ms),
+            known: u16::try_from(table.known()).expect("a fleet of 250 at most"),
+            others: table.named(member.sequence),
+            spent,
+            ..Heartbeat::default()
+        };
+        (heartbeat, table.targets().map(index_of).collect())
+    }
+
+    fn hear(&mut self, to: usize, from: usize, heartbeat: &Heartbeat) {
+        let own_ms = self.own_ms(to);
+        let member = &mut self.members[to];
+        let heard = member.table.heard(address(from), heartbeat, own_ms);
+        if heard.is_new {
+            member.allotments.peer_started(address(from));
+        }
+        for spent in heard.newly_spent {
+            let own = &mut member.allotments;
+            own.spent_elsewhere(address(from), &spent.customer, spent.units, own_ms);
+        }
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -3,6 +3,7 @@
 mod agent_fixture;
 mod direct_fixture;
 mod fleet_fixture;
+mod keeper_fleet;
 mod operator_fixture;
 mod spread_fixture;
 mod test_agent_attempts;
@@ -24,6 +25,7 @@
 mod test_direct_dispatch;
 mod test_direct_door;
 mod test_direct_follow;
+mod test_direct_keepers;
 mod test_direct_replica;
 mod test_direct_report;
 mod test_direct_shares;
