prompts: requests go to engines that keep the start of their prompt (trial)

Entries agree by hashing on the homes of each shared start, ask a home's door first where a tenth of a usual holding is saved, and wait there for twice the reading that is saved before they ask others.

--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -40,6 +40,7 @@
 pub mod report;
 pub mod rooms;
 pub mod server;
+pub mod shared_start;
 pub mod spending_window;
 pub mod traffic;
 pub mod usual;
--- a/lib/src/direct/asking.rs
+++ b/lib/src/direct/asking.rs
@@ -17,6 +17,9 @@
 /// Time after which a waiting question is sent again, in case its door has changed hands.
 const ASK_AGAIN_MS: u64 = 250;
 
+/// How long a request waits for an engine that keeps the start of its prompt, in times of the
+/// reading that is saved there.
+const WAITED_FOR_SAVED: u64 = 2;
 /// Bits of a random number that choose among upstreams.
 const DRAW_BITS: u64 = 0xffff;
 
@@ -61,7 +64,8 @@
 /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
 /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
 /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-/// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+/// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+/// #     shared_start: None, kept_at: Vec::new() };
 ///
 /// // There is no engine, so the request is refused at once.
 /// let mut asking = Asking::new(job);
@@ -91,7 +95,8 @@
     /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// let next = Asking::new(job).begin(&Dispatcher::default(), 0, || 1);
     /// assert_eq!(next, [Next::Refuse]);
     /// ```
@@ -101,6 +106,7 @@
         now_ms: u64,
         random: impl FnMut() -> u64,
     ) -> Vec<Next> {
+        self.job.kept_at = dispatcher.kept_at(&self.job, now_ms);
         let asked = self.ask_another(dispatcher, now_ms, random);
         vec![asked.unwrap_or(Next::Refuse)]
     }
@@ -112,7 +118,8 @@
     /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// let next = Asking::new(job).busy(AskId(7), 20, &Dispatcher::default(), 0, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -130,6 +137,9 @@
         if self.is_hopeless(now_ms) {
             return vec![Next::Refuse];
         }
+        if self.waits_for_what_is_kept(dispatcher) {
+            return Vec::new();
+        }
         let another = self.ask_another(dispatcher, now_ms, random);
         another.into_iter().collect()
     }
@@ -140,7 +150,8 @@
     /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// let next = Asking::new(job).silence(&Dispatcher::default(), 40, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -181,7 +192,8 @@
     /// # use sardinewood::direct::{asking::Asking, dispatch::Dispatcher, door::AskId, job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// let ask = Asking::new(job).question(AskId(7), "i-1", &Dispatcher::default(), 60);
     /// assert_eq!(ask.waited_ms, 60);
     /// assert!(ask.in_time_for_ms < 40);
@@ -204,7 +216,8 @@
     /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// assert!(Asking::new(job).end().is_empty());
     /// ```
     pub fn end(&mut self) -> Vec<Next> {
@@ -260,6 +273,19 @@
             .then_some(Next::GoUnasked { instance })
     }
 
+    /// Whether to wait at an engine that keeps the start of the prompt is the better choice.
+    ///
+    /// Another door might grant at once, and its engine would read all of the prompt: for longer
+    /// than the wait, and at the cost of whoever runs there and of whoever needs its memory.
+    fn waits_for_what_is_kept(&self, dispatcher: &Dispatcher) -> bool {
+        self.asks.iter().any(|asked| {
+            let saved_ms = dispatcher.saved_ms(&asked.instance, &self.job);
+            asked
+                .wait_ms
+                .is_some_and(|wait_ms| u64::from(wait_ms) < saved_ms * WAITED_FOR_SAVED)
+        })
+    }
+
     /// Whether all doors expect the request to wait for too long.
     fn is_hopeless(&self, now_ms: u64) -> bool {
         let left_ms = self.job.waits_until_ms().saturating_sub(now_ms);
--- a/lib/src/direct/call.rs
+++ b/lib/src/direct/call.rs
@@ -31,7 +31,9 @@
 use crate::direct::job::Job;
 use crate::direct::refusal::Refusal;
 use crate::direct::refusal::name_of;
+use crate::direct::shared_start::SharedStart;
 use crate::direct::traffic::Traffic;
+use crate::logging::Level;
 use crate::numbers;
 
 /// Longest body taken when the configuration sets no limit.
@@ -78,6 +80,8 @@
     pub relative_size: f64,
     /// Its expected time at an engine in relation to the mean of its route.
     pub relative_hold: f64,
+    /// The start of its prompt, if other requests may have it as well.
+    pub shared_start: Option<SharedStart>,
     /// The last event that its caller has.
     pub last_event_id: Option<u64>,
     /// When it arrived.
@@ -132,6 +136,8 @@
                     self.arrived_ms + patience_ms
                 }),
             tried: self.tried.clone(),
+            shared_start: self.shared_start,
+            kept_at: Vec::new(),
         }
     }
 
@@ -197,6 +203,11 @@
         });
         return Err(refusal.after(retry_after_ms).because(inputs));
     }
+    if headers.has_bad_parts {
+        traffic.log(Level::Warn, "parts of a prompt make no sense", |line| {
+            line.field("request", name_of(id))
+        });
+    }
     let remaining_ms = headers.remaining_ms.unwrap_or(DEFAULT_REMAINING_MS);
     let answer_within_ms = remaining_ms
         .saturating_sub(ANSWER_MARGIN_MS)
@@ -220,6 +231,10 @@
         expected_output_tokens: headers.expected_output_tokens,
         relative_size: traffic.relative_size(&route.name, headers.size()),
         relative_hold: traffic.relative_hold(&route.name, headers.hold()),
+        shared_start: headers.shared_start.map(|start| SharedStart {
+            share: traffic.starts.borrow_mut().note(start.name),
+            ..start
+        }),
         last_event_id: headers.last_event_id,
         arrived_ms,
         give_up_at_ms: arrived_ms + answer_within_ms,
--- a/lib/src/direct/caller.rs
+++ b/lib/src/direct/caller.rs
@@ -6,8 +6,10 @@
 use http::HeaderValue;
 use http::StatusCode;
 
+use crate::direct::shared_start::SharedStart;
+
 /// What a caller's headers say of its request.
-#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Debug, Default, PartialEq)]
 pub struct CallerHeaders {
     /// Names this attempt of the caller; a retry has another name.
     pub request_id: Option<HeaderValue>,
@@ -21,6 +23,10 @@
     pub max_output_tokens: u32,
     /// Tokens that the caller expects of the answer; right at the median, often far off.
     pub expected_output_tokens: Option<u32>,
+    /// The start of the prompt that other requests may have as well.
+    pub shared_start: Option<SharedStart>,
+    /// Whether the parts of the prompt were given and make no sense.
+    pub has_bad_parts: bool,
     /// Whether the two counts of tokens were given.
     pub has_tokens: bool,
     /// The last event that the caller has, if it goes on with a stream.
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -15,11 +15,17 @@
 use crate::direct::peer_message::Running;
 use crate::direct::place::Place;
 use crate::direct::report::RunningPart;
+use crate::direct::shared_start;
+use crate::direct::shared_start::Candidate;
+use crate::direct::shared_start::KeptAt;
 use crate::direct::usual::Usual;
 use crate::numbers;
 
 /// Upstreams of which the best is asked.
 const DRAWN_PLACES: usize = 4;
+/// Part of a usual holding of a slot that has to be saved at an engine, since it keeps the start
+/// of a prompt, for its door to be asked first. Below it, load decides more than what is kept.
+const HOME_FIRST_PART: f64 = 0.1;
 /// Time on the way to an upstream and back, and for a new connection, within one region.
 pub const WAY_MS: u64 = 15;
 /// How much longer than usual a first event may take beside other prompts.
@@ -214,7 +220,8 @@
     /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
-    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
     /// ```
     pub fn choose(
@@ -226,17 +233,93 @@
     ) -> Option<Arc<Upstream>> {
         let mut places = self.open_places(job, now_ms);
         places.retain(|place| !asked.contains(&place.upstream.instance));
-        let usual = self.usual_of(&job.service);
-        let mut best: Option<(f64, &Place)> = None;
+        let keeps = |place: &&Place| job.kept_tokens(&place.upstream.instance) > 0;
+        let mut drawn: Vec<&Place> = places.iter().copied().filter(keeps).collect();
+        if asked.is_empty()
+            && let Some(home) = self.home(job, &drawn, now_ms)
+        {
+            return Some(Arc::clone(&home.upstream));
+        }
+        places.retain(|place| !keeps(place));
         for _ in 0..DRAWN_PLACES.min(places.len()) {
-            let place = places.swap_remove(random() % places.len());
-            let running = place.running + self.running_elsewhere(place, now_ms);
-            let cost = place.cost_ms(running, job, usual, now_ms);
-            if best.is_none_or(|(least, _)| cost < least) {
-                best = Some((cost, place));
-            }
+            drawn.push(places.swap_remove(random() % places.len()));
         }
-        best.map(|(_, place)| Arc::clone(&place.upstream))
+        let best = self.cheapest(job, &drawn, now_ms)?;
+        Some(Arc::clone(&best.upstream))
+    }
+
+    fn cheapest<'a>(&self, job: &Job, places: &[&'a Place], now_ms: u64) -> Option<&'a Place> {
+        let usual = self.usual_of(&job.service);
+        let cost_ms = |place: &Place| {
+            let running = place.running + self.running_elsewhere(place, now_ms);
+            place.cost_ms(running, job, usual, now_ms)
+        };
+        let costs = places.iter().map(|place| (cost_ms(place), *place));
+        let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
+        best.map(|(_, place)| place)
+    }
+
+    /// The home of a prompt's start, if a good part of a usual holding is saved there. Its door is
+    /// asked first whatever its load seems to be: the door knows, and answers at once.
+    fn home<'a>(&self, job: &Job, keeping: &[&'a Place], now_ms: u64) -> Option<&'a Place> {
+        let start = job.shared_start?;
+        let usual = self.usual_of(&job.service);
+        let is_home = |place: &&Place| {
+            let tokens = job.kept_tokens(&place.upstream.instance);
+            let saved_ms = place.read_ms(tokens, usual);
+            tokens == start.tokens
+                && place.works(now_ms)
+                && !place.health.is_bad()
+                && saved_ms >= usual.hold_ms() * HOME_FIRST_PART
+        };
+        let homes: Vec<&Place> = keeping.iter().copied().filter(is_home).collect();
+        self.cheapest(job, &homes, now_ms)
+    }
+
+    /// The engines that are likely to keep the start of a request's prompt, the likeliest first.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
+    /// assert!(Dispatcher::default().kept_at(&job, 0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn kept_at(&self, job: &Job, now_ms: u64) -> Vec<KeptAt> {
+        let Some(start) = job.shared_start else {
+            return Vec::new();
+        };
+        let usual = self.usual_of(&job.service);
+        let engines = self
+            .places_of(&job.service)
+            .filter(|place| !place.is_gone(now_ms))
+            .map(|place| Candidate {
+                instance: Arc::clone(&place.upstream.instance),
+                name: place.name,
+                speed: place.speed(usual),
+            });
+        shared_start::homes(start, engines.collect())
+    }
+
+    /// Time that is saved at an engine since it is likely to keep a part of a request's prompt.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
+    /// assert_eq!(Dispatcher::default().saved_ms("i-1", &job), 0);
+    /// ```
+    #[must_use]
+    pub fn saved_ms(&self, instance: &str, job: &Job) -> u64 {
+        let tokens = job.kept_tokens(instance);
+        let saved_ms = self.places.get(instance).map_or(0.0, |place| {
+            place.read_ms(tokens, self.usual_of(&place.upstream.service))
+        });
+        whole_wait(saved_ms)
     }
 
     /// How long before its objective a request has to start at an upstream to be in time.
@@ -248,13 +331,17 @@
     /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
-    /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// assert!(Dispatcher::default().lead_ms("i-1", &job) > 0);
     /// ```
     #[must_use]
     pub fn lead_ms(&self, instance: &str, job: &Job) -> u64 {
         let first_ms = self.places.get(instance).map_or(0.0, |place| {
-            place.first_ms(job.prompt_tokens, self.usual_of(&place.upstream.service))
+            place.first_ms(
+                job.unread_tokens(instance),
+                self.usual_of(&place.upstream.service),
+            )
         });
         WAY_MS + whole_wait(first_ms * LEAD_FACTOR)
     }
--- a/lib/src/direct/job.rs
+++ b/lib/src/direct/job.rs
@@ -3,6 +3,8 @@
 use std::sync::Arc;
 
 use crate::direct::door;
+use crate::direct::shared_start::KeptAt;
+use crate::direct::shared_start::SharedStart;
 use crate::numbers;
 
 /// Part of a request's worth that does not depend on its size, from the operators' sheets.
@@ -62,9 +64,46 @@
     pub leaves_at_ms: u64,
     /// Upstreams that have had it.
     pub tried: Vec<Arc<str>>,
+    /// The start of its prompt, if other requests may have it as well.
+    pub shared_start: Option<SharedStart>,
+    /// Engines that are likely to keep that start, the likeliest first.
+    pub kept_at: Vec<KeptAt>,
 }
 
 impl Job {
+    /// Tokens of its prompt that an engine is likely to keep.
+    ///
+    /// ```
+    /// # use sardinewood::direct::job::Job;
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
+    /// assert_eq!(job.kept_tokens("i-1"), 0);
+    /// ```
+    #[must_use]
+    pub fn kept_tokens(&self, instance: &str) -> u32 {
+        self.kept_at
+            .iter()
+            .find(|kept| &*kept.instance == instance)
+            .map_or(0, |kept| kept.tokens.min(self.prompt_tokens))
+    }
+
+    /// Tokens of its prompt that an engine is likely to read.
+    ///
+    /// ```
+    /// # use sardinewood::direct::job::Job;
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 9,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
+    /// assert_eq!(job.unread_tokens("i-1"), 9);
+    /// ```
+    #[must_use]
+    pub fn unread_tokens(&self, instance: &str) -> u32 {
+        self.prompt_tokens - self.kept_tokens(instance)
+    }
+
     /// What it is worth if it is in time, in millionths of one of the first tier and of
     /// usual size.
     ///
@@ -75,7 +114,8 @@
     /// # use sardinewood::direct::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
-    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// assert_eq!(job.worth_micros(), 1_000_000);
     /// ```
     #[must_use]
@@ -98,7 +138,8 @@
     /// # use sardinewood::direct::job::Job;
     /// # let job = |tier| Job { id: 1, service: "s".into(), tier, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
-    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// assert_eq!(job(0).waits_until_ms(), 850);
     /// assert!(job(2).waits_until_ms() < 100);
     /// ```
@@ -119,7 +160,8 @@
     /// # use sardinewood::direct::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
-    /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new() };
+    /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new(),
+    /// #     shared_start: None, kept_at: Vec::new() };
     /// assert_eq!(job.retry_after_ms(0), 800);
     /// ```
     #[must_use]
--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -176,16 +176,32 @@
         event_ms.or(usual.event_ms()).unwrap_or_default()
     }
 
-    /// Expected time to the first event of a prompt, or to a plain answer.
+    /// Expected time to the first event of a prompt of which so much is to be read, or to a plain
+    /// answer.
+    #[must_use]
+    pub fn first_ms(&self, prompt_tokens: u32, usual: &Usual) -> f64 {
+        self.read_ms(prompt_tokens, usual) + self.health.answer_ms()
+    }
+
+    /// Its speed in relation to what is usual at its service.
+    #[must_use]
+    pub fn speed(&self, usual: &Usual) -> f64 {
+        match (self.health.event_ms(), usual.event_ms()) {
+            (Some(event_ms), Some(usual_ms)) if event_ms > 0.0 => usual_ms / event_ms,
+            _ => 1.0,
+        }
+    }
+
+    /// Expected time to read so many tokens of a prompt.
     ///
     /// An engine that is slow in writing is slow in reading. So one whose reading this entry
     /// has not seen yet is judged by its writing, of which peers tell: otherwise each of
     /// thirty entries sends it a long prompt to find out.
     #[must_use]
-    pub fn first_ms(&self, prompt_tokens: u32, usual: &Usual) -> f64 {
+    pub fn read_ms(&self, tokens: u32, usual: &Usual) -> f64 {
         let read_ms = self.health.prefill_ms_per_token();
         let read_ms = read_ms.unwrap_or_else(|| self.event_ms(usual) * usual.prefill_per_event());
-        read_ms * f64::from(prompt_tokens) + self.health.answer_ms()
+        read_ms * f64::from(tokens)
     }
 
     /// What it costs to run a request there while so many run already: its own time, and the
@@ -196,7 +212,7 @@
     /// slow upstream would not finish in time, keep to the fast ones.
     #[must_use]
     pub fn cost_ms(&self, running: u32, job: &Job, usual: &Usual, now_ms: u64) -> f64 {
-        let first_ms = self.first_ms(job.prompt_tokens, usual);
+        let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), usual);
         let events = usual.expected_events(job.expected_output_tokens);
         let alone_ms = first_ms + self.event_ms(usual) * events;
         let hold_ms = usual.hold_ms();
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -292,9 +292,14 @@
                 let after_ms = as_ms(now - since);
                 source.lease.answered();
                 self.call.note_first(&self.traffic);
-                source
-                    .lease
-                    .learn(|health| health.first_event(prompt_tokens, after_ms));
+                // What is kept is a guess. Where it may be most of the prompt, the time says little
+                // of the engine's reading.
+                let unread_tokens = prompt_tokens.saturating_sub(source.lease.kept_tokens);
+                if unread_tokens >= prompt_tokens / 2 {
+                    source
+                        .lease
+                        .learn(|health| health.first_event(unread_tokens, after_ms));
+                }
             }
             Some(last) => {
                 let pause_ms = as_ms(now - last) / f64::from(events.max(1));
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -46,6 +46,8 @@
     /// The service that the request is for.
     pub service: Arc<str>,
     instance: Arc<str>,
+    /// Tokens of the prompt that the upstream is likely to keep.
+    kept_tokens: u32,
     owner: Asker,
 }
 
@@ -94,6 +96,7 @@
             words: self.words.clone(),
             service: Arc::clone(&self.asking.job.service),
             instance: Arc::clone(instance),
+            kept_tokens: self.asking.job.kept_tokens(instance),
             owner,
         };
         traffic.asks.borrow_mut().insert(id, open);
@@ -127,7 +130,8 @@
             "door is silent, engine called unasked",
             |line| line.field("upstream", instance),
         );
-        Some(Lease::new(traffic, upstream, false))
+        let kept_tokens = self.asking.job.kept_tokens(instance);
+        Some(Lease::new(traffic, upstream, kept_tokens, false))
     }
 
     /// Lets the request decide, and carries out what it decided; whether that ends the wait.
@@ -239,12 +243,13 @@
         let started = asked.and_then(|asked| {
             let mut dispatcher = self.dispatcher.borrow_mut();
             let upstream = dispatcher.began(&asked.instance, self.now_ms())?;
-            Some((asked.words, upstream))
+            Some((asked.words, asked.kept_tokens, upstream))
         });
         match started {
             // A request that has just ended drops the lease, which gives the room back.
-            Some((words, upstream)) => {
-                let _ = words.send(Word::Granted(Lease::new(self, upstream, true)));
+            Some((words, kept_tokens, upstream)) => {
+                let lease = Lease::new(self, upstream, kept_tokens, true);
+                let _ = words.send(Word::Granted(lease));
             }
             None => self.give_back(upstream, None),
         }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -40,6 +40,7 @@
 use crate::direct::peer_table::PeerTable;
 use crate::direct::rooms;
 use crate::direct::rooms::AskedDoor;
+use crate::direct::shared_start::Popularity;
 use crate::logging::Level;
 use crate::logging::Line;
 
@@ -86,6 +87,8 @@
     pub figures: Figures,
     /// Told when the first configuration and the first upstreams are there.
     pub configured: Notify,
+    /// How many requests begin with the same parts.
+    pub starts: RefCell<Popularity>,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
     expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     log: RefCell<LogBudget>,
@@ -101,6 +104,8 @@
     pub upstream: Arc<Upstream>,
     /// How the call ended, as far as it has.
     pub ended: Ended,
+    /// Tokens of the prompt that the upstream is likely to keep.
+    pub kept_tokens: u32,
     /// Whether the upstream's door granted the room.
     is_granted: bool,
     id: u64,
@@ -110,11 +115,17 @@
 impl Lease {
     /// Room that the dispatcher has counted.
     #[must_use]
-    pub fn new(traffic: &Rc<Traffic>, upstream: Arc<Upstream>, is_granted: bool) -> Self {
+    pub fn new(
+        traffic: &Rc<Traffic>,
+        upstream: Arc<Upstream>,
+        kept_tokens: u32,
+        is_granted: bool,
+    ) -> Self {
         Self {
             traffic: Rc::clone(traffic),
             upstream,
             ended: Ended::Left,
+            kept_tokens,
             is_granted,
             id: traffic.next_id(),
             since_ms: traffic.now_ms(),
@@ -132,7 +143,7 @@
         self.traffic.dispatcher.borrow_mut().sent(
             &self.upstream.instance,
             self.id,
-            prompt_tokens,
+            prompt_tokens.saturating_sub(self.kept_tokens),
             self.traffic.now_ms(),
         );
     }
@@ -213,6 +224,7 @@
             open_requests: Cell::new(0),
             figures,
             configured: Notify::new(),
+            starts: RefCell::default(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
             log: RefCell::default(),
