--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -270,6 +270,7 @@
             tokens == start.tokens
                 && place.works(now_ms)
                 && !place.health.is_bad()
+                && place.ends_in_time(job, usual, now_ms)
                 && saved_ms >= usual.hold_ms() * HOME_FIRST_PART
         };
         let homes: Vec<&Place> = keeping.iter().copied().filter(is_home).collect();
--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -204,6 +204,25 @@
         read_ms * f64::from(tokens)
     }
 
+    /// Whether an answer of so much work is likely to be cut there when the request's time is up.
+    fn is_cut(&self, alone_ms: f64, job: &Job, now_ms: u64) -> bool {
+        let ends_in_ms = numbers::as_f64(job.give_up_at_ms.saturating_sub(now_ms));
+        alone_ms * LENGTH_DOUBT > ends_in_ms
+    }
+
+    /// Expected time of a request there with nobody beside it.
+    fn alone_ms(&self, job: &Job, usual: &Usual) -> f64 {
+        let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), usual);
+        let events = usual.expected_events(job.expected_output_tokens);
+        first_ms + self.event_ms(usual) * events
+    }
+
+    /// Whether a request is likely to end there within its time.
+    #[must_use]
+    pub fn ends_in_time(&self, job: &Job, usual: &Usual, now_ms: u64) -> bool {
+        !self.is_cut(self.alone_ms(job, usual), job, now_ms)
+    }
+
     /// What it costs to run a request there while so many run already: its own time, and the
     /// time for which it keeps the last slots from others.
     ///
@@ -213,14 +232,12 @@
     #[must_use]
     pub fn cost_ms(&self, running: u32, job: &Job, usual: &Usual, now_ms: u64) -> f64 {
         let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), usual);
-        let events = usual.expected_events(job.expected_output_tokens);
-        let alone_ms = first_ms + self.event_ms(usual) * events;
+        let alone_ms = self.alone_ms(job, usual);
         let hold_ms = usual.hold_ms();
         let fullness = f64::from(running) / f64::from(self.upstream.slots.max(1));
         let left_ms = numbers::as_f64(job.objective_at_ms.saturating_sub(now_ms));
         let late_ms = if first_ms > left_ms { hold_ms } else { 0.0 };
-        let ends_in_ms = numbers::as_f64(job.give_up_at_ms.saturating_sub(now_ms));
-        let is_cut = alone_ms * LENGTH_DOUBT > ends_in_ms;
+        let is_cut = self.is_cut(alone_ms, job, now_ms);
         let cut_ms = if is_cut { CUT_HOLDS * hold_ms } else { 0.0 };
         let is_full = fullness >= 1.0;
         let full_ms = if is_full { FULL_HOLDS * hold_ms } else { 0.0 };
--- a/lib/src/direct/relay.rs
+++ b/lib/src/direct/relay.rs
@@ -65,6 +65,8 @@
     scan: EventScan,
     partial: BytesMut,
     last_event: Option<Instant>,
+    /// Time from the request's arrival to its first event.
+    first_ms: Option<u64>,
     /// The last event that the caller has, until the next upstream's first one has come.
     goes_on_after: Option<u64>,
     is_done: bool,
@@ -121,6 +123,7 @@
             scan: EventScan::default(),
             partial: BytesMut::new(),
             last_event: None,
+            first_ms: None,
             goes_on_after: None,
             is_done: false,
         }
@@ -292,6 +295,7 @@
                 let after_ms = as_ms(now - since);
                 source.lease.answered();
                 self.call.note_first(&self.traffic);
+                self.first_ms = Some(self.traffic.now_ms() - self.call.arrived_ms);
                 // What is kept is a guess. Where it may be most of the prompt, the time says little
                 // of the engine's reading.
                 let unread_tokens = prompt_tokens.saturating_sub(source.lease.kept_tokens);
@@ -342,7 +346,10 @@
                     .field("tier", self.call.tier)
                     .field("customer_tier", self.call.customer_tier)
                     .field("upstreams", &self.call.tried)
+                    .field("prompt_tokens", self.call.prompt_tokens)
+                    .field("kept_tokens", source.lease.kept_tokens)
                     .field("waited_ms", self.call.waited_ms)
+                    .field("first_ms", self.first_ms)
                     .field("held_ms", self.traffic.now_ms() - source.lease.since_ms())
                     .field("last_event", self.scan.last_id())
             });
--- a/lib/src/direct/shared_start.rs
+++ b/lib/src/direct/shared_start.rs
@@ -16,6 +16,8 @@
 /// Homes of a start in relation to the engines that its requests keep busy. With fewer, its
 /// requests would wait for each other; with more, each home reads it once for fewer requests.
 const HOMES_PER_LOAD: f64 = 2.0;
+/// Speed of the slowest engine that is a home, in relation to the usual one.
+const SLOWEST_HOME: f64 = 0.35;
 /// Homes beyond this part of all engines: then they all keep the start, and none is preferred.
 const EVERYWHERE_PART: f64 = 0.5;
 /// Part of a start that is taken to be kept at the engine next in order after its homes, where
@@ -91,7 +93,7 @@
 
 /// The engines that are likely to keep a start, the likeliest first.
 ///
-/// Slow engines are chosen for fewer starts: their requests take as much longer there.
+/// Slow engines are chosen for fewer starts, and the slowest for none.
 ///
 /// ```
 /// use sardinewood::direct::shared_start::{Candidate, SharedStart, homes};
@@ -104,6 +106,10 @@
 /// ```
 #[must_use]
 pub fn homes(start: SharedStart, engines: Vec<Candidate>) -> Vec<KeptAt> {
+    let engines: Vec<Candidate> = engines
+        .into_iter()
+        .filter(|engine| weight(engine.speed) > 0.0)
+        .collect();
     if start.tokens < LEAST_TOKENS || engines.is_empty() {
         return Vec::new();
     }
@@ -142,12 +148,14 @@
     -uniform.ln() / weight(engine.speed)
 }
 
-/// Speeds in three classes: entries see them a little differently, and have to agree.
+/// Speeds in classes: entries see them a little differently, and have to agree. An engine several
+/// times slower than the usual one is no home: to read a long start for the first time takes it
+/// longer than callers wait.
 fn weight(speed: f64) -> f64 {
     match speed {
         speed if speed >= 0.7 => 1.0,
-        speed if speed >= 0.35 => 0.5,
-        _ => 0.2,
+        speed if speed >= SLOWEST_HOME => 0.5,
+        _ => 0.0,
     }
 }
 
