--- a/lib/src/direct/asking.rs
+++ b/lib/src/direct/asking.rs
@@ -19,7 +19,7 @@
 
 /// How long a request waits for an engine that keeps the start of its prompt, in times of the
 /// reading that is saved there.
-const WAITED_FOR_SAVED: u64 = 2;
+const WAITED_FOR_SAVED: u64 = 5;
 /// Bits of a random number that choose among upstreams.
 const DRAW_BITS: u64 = 0xffff;
 
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/dispatch.rs
@@ -18,6 +18,7 @@
 use crate::direct::shared_start;
 use crate::direct::shared_start::Candidate;
 use crate::direct::shared_start::KeptAt;
+use crate::direct::shared_start::SharedStart;
 use crate::direct::usual::Usual;
 use crate::numbers;
 
@@ -289,7 +290,7 @@
     /// ```
     #[must_use]
     pub fn kept_at(&self, job: &Job, now_ms: u64) -> Vec<KeptAt> {
-        let Some(start) = job.shared_start else {
+        let Some(start) = job.shared_start.filter(SharedStart::is_worth_placing) else {
             return Vec::new();
         };
         let usual = self.usual_of(&job.service);
--- a/lib/src/direct/shared_start.rs
+++ b/lib/src/direct/shared_start.rs
@@ -69,6 +69,18 @@
             share: 0.0,
         })
     }
+
+    /// Whether it is long enough for engines to be preferred that keep it.
+    ///
+    /// ```
+    /// use sardinewood::direct::shared_start::SharedStart;
+    ///
+    /// assert!(!SharedStart::of(&[("a1", 60), ("b2", 800)]).unwrap().is_worth_placing());
+    /// ```
+    #[must_use]
+    pub fn is_worth_placing(&self) -> bool {
+        self.tokens >= LEAST_TOKENS
+    }
 }
 
 /// An engine that is likely to keep a part of a prompt.
@@ -110,7 +122,7 @@
         .into_iter()
         .filter(|engine| weight(engine.speed) > 0.0)
         .collect();
-    if start.tokens < LEAST_TOKENS || engines.is_empty() {
+    if !start.is_worth_placing() || engines.is_empty() {
         return Vec::new();
     }
     let count = numbers::as_f64(engines.len() as u64);
