--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/place.rs
@@ -204,12 +204,6 @@
         read_ms * f64::from(tokens)
     }
 
-    /// Whether an answer of so much work is likely to be cut there when the request's time is up.
-    fn is_cut(&self, alone_ms: f64, job: &Job, now_ms: u64) -> bool {
-        let ends_in_ms = numbers::as_f64(job.give_up_at_ms.saturating_sub(now_ms));
-        alone_ms * LENGTH_DOUBT > ends_in_ms
-    }
-
     /// Expected time of a request there with nobody beside it.
     fn alone_ms(&self, job: &Job, usual: &Usual) -> f64 {
         let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), usual);
@@ -220,7 +214,7 @@
     /// Whether a request is likely to end there within its time.
     #[must_use]
     pub fn ends_in_time(&self, job: &Job, usual: &Usual, now_ms: u64) -> bool {
-        !self.is_cut(self.alone_ms(job, usual), job, now_ms)
+        !is_cut(self.alone_ms(job, usual), job, now_ms)
     }
 
     /// What it costs to run a request there while so many run already: its own time, and the
@@ -237,7 +231,7 @@
         let fullness = f64::from(running) / f64::from(self.upstream.slots.max(1));
         let left_ms = numbers::as_f64(job.objective_at_ms.saturating_sub(now_ms));
         let late_ms = if first_ms > left_ms { hold_ms } else { 0.0 };
-        let is_cut = self.is_cut(alone_ms, job, now_ms);
+        let is_cut = is_cut(alone_ms, job, now_ms);
         let cut_ms = if is_cut { CUT_HOLDS * hold_ms } else { 0.0 };
         let is_full = fullness >= 1.0;
         let full_ms = if is_full { FULL_HOLDS * hold_ms } else { 0.0 };
@@ -250,3 +244,9 @@
         (alone_ms + late_ms + cut_ms + full_ms + crowd_ms + 1.0) * bad
     }
 }
+
+/// Whether an answer of so much work is likely to be cut when the request's time is up.
+fn is_cut(alone_ms: f64, job: &Job, now_ms: u64) -> bool {
+    let ends_in_ms = numbers::as_f64(job.give_up_at_ms.saturating_sub(now_ms));
+    alone_ms * LENGTH_DOUBT > ends_in_ms
+}
