--- a/lib/src/direct/exchange.rs
+++ b/lib/src/direct/exchange.rs
@@ -243,6 +243,7 @@
     let request = upstream_request(traffic, call, &lease, last_event_id);
     call.tried.push(Arc::clone(&lease.upstream.instance));
     lease.sent(call.prompt_tokens);
+    count_tokens(traffic, call, &lease);
     match timeout_at(until, connection.send(request)).await {
         Err(_) => {
             lease.ended = Ended::Failed;
@@ -265,6 +266,18 @@
     }
 }
 
+fn count_tokens(traffic: &Traffic, call: &Call, lease: &Lease) {
+    if call.prompt_tokens == 0 {
+        return;
+    }
+    let figures = &traffic.figures;
+    let service: &[&str] = &[&call.service];
+    let sent = figures.prompt_tokens.with_label_values(service);
+    sent.inc_by(call.prompt_tokens.into());
+    let kept = figures.kept_tokens.with_label_values(service);
+    kept.inc_by(lease.kept_tokens.into());
+}
+
 fn log_attempt(traffic: &Traffic, call: &Call, lease: &Lease, message: &'static str) {
     let figures = &traffic.figures;
     figures.failed_attempts.with_label_values(&[message]).inc();
--- a/lib/src/direct/figures.rs
+++ b/lib/src/direct/figures.rs
@@ -34,6 +34,10 @@
     pub refusals: IntCounterVec,
     /// Attempts at upstreams that failed, by reason.
     pub failed_attempts: IntCounterVec,
+    /// Tokens of the prompts that were sent, by service.
+    pub prompt_tokens: IntCounterVec,
+    /// Tokens of them that the upstream was likely to keep, by service.
+    pub kept_tokens: IntCounterVec,
     /// Requests sent to a second upstream.
     pub second_attempts: IntCounter,
     /// Streams that went on at a second upstream.
@@ -91,6 +95,8 @@
             answers: counters("answers_total", "Requests answered.", "status")?,
             refusals: counters("refusals_total", "Answers of our own.", "reason")?,
             failed_attempts: counters("failed_attempts_total", "Failed attempts.", "reason")?,
+            prompt_tokens: counters("prompt_tokens_total", "Tokens of prompts sent.", "service")?,
+            kept_tokens: counters("kept_tokens_total", "Of them, likely kept.", "service")?,
             second_attempts: counter("second_attempts_total", "Second attempts.")?,
             resumed: counter("resumed_total", "Streams that went on elsewhere.")?,
             cut: counter("cut_total", "Streams that were cut short.")?,
@@ -117,7 +123,13 @@
         ] {
             self.registry.register(Box::new(counter.clone()))?;
         }
-        for counters in [&self.answers, &self.refusals, &self.failed_attempts] {
+        for counters in [
+            &self.answers,
+            &self.refusals,
+            &self.failed_attempts,
+            &self.prompt_tokens,
+            &self.kept_tokens,
+        ] {
             self.registry.register(Box::new(counters.clone()))?;
         }
         for gauge in [
