--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -2,11 +2,11 @@
 
 use rand::Rng;
 use rand::rngs::StdRng;
-use sardinewood::direct::asking::ANSWER_WITHIN_MS;
-use sardinewood::direct::asking::Asking;
-use sardinewood::direct::asking::Next;
-use sardinewood::direct::dispatch::Dispatcher;
-use sardinewood::direct::job::Job;
+use sardinewood::direct::placement::asking::ANSWER_WITHIN_MS;
+use sardinewood::direct::placement::asking::Asking;
+use sardinewood::direct::placement::asking::Next;
+use sardinewood::direct::placement::dispatch::Dispatcher;
+use sardinewood::direct::placement::job::Job;
 
 use super::End;
 use super::Event;
--- a/bench/src/direct/fleet/doors.rs
+++ b/bench/src/direct/fleet/doors.rs
@@ -4,14 +4,14 @@
 use std::sync::Arc;
 
 use rand::Rng;
-use sardinewood::direct::dispatch::short_name;
-use sardinewood::direct::door;
-use sardinewood::direct::door::Ask;
-use sardinewood::direct::door::AskId;
-use sardinewood::direct::door::Asker;
-use sardinewood::direct::peer_message::Heartbeat;
-use sardinewood::direct::peer_message::Message;
-use sardinewood::direct::report::RunningPart;
+use sardinewood::direct::membership::peer_message::Heartbeat;
+use sardinewood::direct::membership::peer_message::Message;
+use sardinewood::direct::membership::report::RunningPart;
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::sharing::door;
+use sardinewood::direct::sharing::door::Ask;
+use sardinewood::direct::sharing::door::AskId;
+use sardinewood::direct::sharing::door::Asker;
 
 use super::Event;
 use super::Fleet;
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -3,9 +3,9 @@
 use std::sync::Arc;
 
 use rand::Rng;
-use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::dispatch::short_name;
-use sardinewood::direct::health::Ended;
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::placement::health::Ended;
+use sardinewood::direct::view::directory::Upstream;
 use sardinewood::numbers;
 
 use super::End;
--- a/lib/src/direct/charging.rs
+++ b/lib/src/direct/charging.rs
@@ -10,16 +10,16 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use crate::direct::allotment::Begun;
-use crate::direct::allotment::Charge;
-use crate::direct::allotment::Demand;
-use crate::direct::allotment::Due;
-use crate::direct::asking::ANSWER_WITHIN_MS;
-use crate::direct::catalog::Customer;
-use crate::direct::door::AskId;
-use crate::direct::peer_message::ChargeAsk;
-use crate::direct::peer_message::Message;
+use crate::direct::membership::peer_message::ChargeAsk;
+use crate::direct::membership::peer_message::Message;
+use crate::direct::placement::asking::ANSWER_WITHIN_MS;
+use crate::direct::sharing::allotment::Begun;
+use crate::direct::sharing::allotment::Charge;
+use crate::direct::sharing::allotment::Demand;
+use crate::direct::sharing::allotment::Due;
+use crate::direct::sharing::door::AskId;
 use crate::direct::traffic::Traffic;
+use crate::direct::view::catalog::Customer;
 use crate::logging::Level;
 
 /// Questions to keepers that have no answer yet.
--- a/lib/src/direct/follow.rs
+++ b/lib/src/direct/links/follow.rs
@@ -17,12 +17,12 @@
 use tokio::time::sleep;
 
 use crate::backoff::Backoff;
-use crate::direct::peer_message::Revisions;
-use crate::direct::pull;
-use crate::direct::pull::Copies;
-use crate::direct::replica::Decoders;
-use crate::direct::replica::Replica;
-use crate::direct::replica::View;
+use crate::direct::links::pull;
+use crate::direct::links::pull::Copies;
+use crate::direct::membership::peer_message::Revisions;
+use crate::direct::view::replica::Decoders;
+use crate::direct::view::replica::Replica;
+use crate::direct::view::replica::View;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::store::ObjectList;
--- a/lib/src/direct/pull.rs
+++ b/lib/src/direct/links/pull.rs
@@ -18,8 +18,8 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
-use crate::direct::follow::Follower;
-use crate::direct::peer_message::Revisions;
+use crate::direct::links::follow::Follower;
+use crate::direct::membership::peer_message::Revisions;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::store::ObjectList;
--- /dev/null
+++ b/lib/src/direct/membership.rs
@@ -0,0 +1,5 @@
+//! Which entries there are, and what they tell each other. It decides and knows no socket.
+
+pub mod peer_message;
+pub mod peer_table;
+pub mod report;
--- a/lib/src/direct/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -6,12 +6,12 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::direct::allotment::Charge;
-use crate::direct::allotment::Demand;
-use crate::direct::allotment::Due;
-use crate::direct::door::Ask;
-use crate::direct::door::AskId;
-use crate::direct::report::RunningPart;
+use crate::direct::membership::report::RunningPart;
+use crate::direct::sharing::allotment::Charge;
+use crate::direct::sharing::allotment::Demand;
+use crate::direct::sharing::allotment::Due;
+use crate::direct::sharing::door::Ask;
+use crate::direct::sharing::door::AskId;
 
 /// First byte of every datagram; another form of the message gets another number.
 const FORM: u8 = 4;
@@ -151,7 +151,7 @@
     /// The message as a datagram; none if it would be too long.
     ///
     /// ```
-    /// use sardinewood::direct::peer_message::{Heartbeat, Message};
+    /// use sardinewood::direct::membership::peer_message::{Heartbeat, Message};
     ///
     /// let message = Message::Heartbeat(Heartbeat::default());
     /// let bytes = message.encode().unwrap();
@@ -166,7 +166,7 @@
     /// Reads a datagram; none if it is not a message of ours.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::peer_message::Message::decode(b"?"), None);
+    /// assert_eq!(sardinewood::direct::membership::peer_message::Message::decode(b"?"), None);
     /// ```
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
--- a/lib/src/direct/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -5,9 +5,9 @@
 
 use indexmap::IndexMap;
 
-use crate::direct::peer_message::Heartbeat;
-use crate::direct::peer_message::Revisions;
-use crate::direct::peer_message::Spent;
+use crate::direct::membership::peer_message::Heartbeat;
+use crate::direct::membership::peer_message::Revisions;
+use crate::direct::membership::peer_message::Spent;
 
 /// Shortest time between two heartbeats. Within it, two entries may both take the last slot of an
 /// upstream; at some tens of requests a second on each that is rare.
@@ -97,7 +97,7 @@
 /// The other entries, as far as this one has heard of them.
 ///
 /// ```
-/// use sardinewood::direct::peer_table::PeerTable;
+/// use sardinewood::direct::membership::peer_table::PeerTable;
 ///
 /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &["10.0.0.2:7".parse().unwrap()]);
 /// assert_eq!(table.targets().count(), 1);
@@ -114,7 +114,7 @@
     /// A table that knows addresses to begin with.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let _ = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// ```
     #[must_use]
@@ -129,7 +129,7 @@
     /// Adds addresses of other entries.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// table.add_seeds(&["10.0.0.2:7".parse().unwrap()]);
     /// assert_eq!(table.targets().count(), 1);
@@ -145,7 +145,7 @@
     /// The address of this entry.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let own = "10.0.0.1:7".parse().unwrap();
     /// assert_eq!(PeerTable::new(own, &[]).own(), own);
     /// ```
@@ -157,7 +157,7 @@
     /// Takes a heartbeat in.
     ///
     /// ```
-    /// # use sardinewood::direct::{peer_message::Heartbeat, peer_table::PeerTable};
+    /// # use sardinewood::direct::{membership::peer_message::Heartbeat, membership::peer_table::PeerTable};
     /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// let heard = table.heard("10.0.0.2:7".parse().unwrap(), &Heartbeat::default(), 5);
     /// assert!(heard.is_new);
@@ -215,7 +215,7 @@
     /// Forgets peers that have been silent for very long.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).sweep(0);
     /// ```
     pub fn sweep(&mut self, now_ms: u64) {
@@ -226,7 +226,7 @@
     /// Addresses that a heartbeat goes to.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// assert_eq!(table.targets().count(), 0);
     /// ```
@@ -241,7 +241,7 @@
     /// Addresses to name in a heartbeat: as many peers as fit, others each time.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// assert!(table.named(3).is_empty());
     /// ```
@@ -262,7 +262,7 @@
     /// How many entries there are, this one included.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// assert_eq!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).known(), 1);
     /// ```
     #[must_use]
@@ -273,7 +273,7 @@
     /// Peers that were heard once and are not now.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// assert!(table.silent(0).is_empty());
     /// ```
@@ -293,7 +293,7 @@
     /// heartbeats only lets both sides spend the same units for seconds.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// assert!(table.overdue(0).is_empty());
     /// ```
@@ -310,7 +310,7 @@
     /// The entries that may keep doors: those that are heard and will not end soon.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let own = "10.0.0.1:7".parse().unwrap();
     /// assert!(PeerTable::new(own, &[]).owners(false, 0).eq([own]));
     /// ```
@@ -326,7 +326,7 @@
     /// Whether this entry has run long enough to keep customers' allotments.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// assert!(!PeerTable::is_settled(0) && PeerTable::is_settled(60_000));
     /// ```
     #[must_use]
@@ -338,7 +338,7 @@
     /// some time, or, if there is none, all that keep doors.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let own = "10.0.0.1:7".parse().unwrap();
     /// assert_eq!(PeerTable::new(own, &[]).keepers(false, 0), [own]);
     /// ```
@@ -362,7 +362,7 @@
     /// by it how large the fleet is before it has met all of it.
     ///
     /// ```
-    /// # use sardinewood::direct::{peer_message::Heartbeat, peer_table::PeerTable};
+    /// # use sardinewood::direct::{membership::peer_message::Heartbeat, membership::peer_table::PeerTable};
     /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// let heartbeat = Heartbeat { known: 9, ..Heartbeat::default() };
     /// table.heard("10.0.0.2:7".parse().unwrap(), &heartbeat, 0);
@@ -386,7 +386,7 @@
     /// an answer for some time is passed over.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// assert!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).asks_store(0));
     /// ```
     #[must_use]
@@ -404,7 +404,7 @@
     /// Time until the next heartbeat.
     ///
     /// ```
-    /// # use sardinewood::direct::peer_table::PeerTable;
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// assert_eq!(table.heartbeat_ms(false), 50);
     /// ```
@@ -428,7 +428,7 @@
     /// random number: if all entries asked the same one, it would answer hundreds at once.
     ///
     /// ```
-    /// # use sardinewood::direct::{peer_message::Revisions, peer_table::PeerTable};
+    /// # use sardinewood::direct::{membership::peer_message::Revisions, membership::peer_table::PeerTable};
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
     /// assert_eq!(table.ahead_of(Revisions::default(), 7, 0), None);
     /// ```
--- a/lib/src/direct/report.rs
+++ b/lib/src/direct/membership/report.rs
@@ -10,8 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::direct::peer_message::Running;
-use crate::direct::peer_message::Spent;
+use crate::direct::membership::peer_message::Running;
+use crate::direct::membership::peer_message::Spent;
 
 /// Upstreams in one heartbeat. One takes 13 bytes at most, so that all take half a datagram.
 pub const MAX_RUNNING: usize = 50;
@@ -43,7 +43,7 @@
     /// All that an entry runs.
     ///
     /// ```
-    /// assert!(sardinewood::direct::report::RunningPart::whole(Vec::new()).covers(7));
+    /// assert!(sardinewood::direct::membership::report::RunningPart::whole(Vec::new()).covers(7));
     /// ```
     #[must_use]
     pub fn whole(running: Vec<Running>) -> Self {
@@ -57,8 +57,8 @@
     /// The part that goes into the heartbeat of this number; all parts take turns.
     ///
     /// ```
-    /// use sardinewood::direct::peer_message::Running;
-    /// use sardinewood::direct::report::RunningPart;
+    /// use sardinewood::direct::membership::peer_message::Running;
+    /// use sardinewood::direct::membership::report::RunningPart;
     ///
     /// let one = Running { upstream: 7, count: 2, ..Running::default() };
     /// assert_eq!(RunningPart::of(vec![one], 3), RunningPart::whole(vec![one]));
@@ -92,7 +92,7 @@
     /// Whether an upstream lies within the range.
     ///
     /// ```
-    /// let part = sardinewood::direct::report::RunningPart { from: 5, to: 9, running: Vec::new() };
+    /// let part = sardinewood::direct::membership::report::RunningPart { from: 5, to: 9, running: Vec::new() };
     /// assert!(part.covers(9) && !part.covers(10));
     /// ```
     #[must_use]
@@ -112,7 +112,7 @@
 /// told least often, so that a lost datagram is made up for.
 ///
 /// ```
-/// use sardinewood::direct::report::SpentReport;
+/// use sardinewood::direct::membership::report::SpentReport;
 ///
 /// let mut report = SpentReport::default();
 /// let customer = "c".into();
@@ -128,7 +128,7 @@
     /// What goes into the next heartbeat, of all that customers have spent here.
     ///
     /// ```
-    /// let mut report = sardinewood::direct::report::SpentReport::default();
+    /// let mut report = sardinewood::direct::membership::report::SpentReport::default();
     /// assert!(report.next(std::iter::empty()).is_empty());
     /// ```
     pub fn next<'a>(&mut self, spent: impl Iterator<Item = (&'a Arc<str>, u64)>) -> Vec<Spent> {
--- a/lib/src/direct/asking.rs
+++ b/lib/src/direct/placement/asking.rs
@@ -4,12 +4,12 @@
 
 use std::sync::Arc;
 
-use crate::direct::dispatch::Dispatcher;
-use crate::direct::dispatch::short_name;
-use crate::direct::door::ASKS_PER_REQUEST;
-use crate::direct::door::Ask;
-use crate::direct::door::AskId;
-use crate::direct::job::Job;
+use crate::direct::placement::dispatch::Dispatcher;
+use crate::direct::placement::dispatch::short_name;
+use crate::direct::placement::job::Job;
+use crate::direct::sharing::door::ASKS_PER_REQUEST;
+use crate::direct::sharing::door::Ask;
+use crate::direct::sharing::door::AskId;
 
 /// Silence of a door after which another one is asked, and at last the engine itself. Doors
 /// answer within a round trip of a few milliseconds; a lost datagram is rarer than this.
@@ -60,8 +60,8 @@
 /// A request that waits for room at an upstream, and the doors that it has asked.
 ///
 /// ```
-/// use sardinewood::direct::asking::{Asking, Next};
-/// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+/// use sardinewood::direct::placement::asking::{Asking, Next};
+/// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
 /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
 /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
 /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -92,7 +92,7 @@
     /// Asks a first door. `random` gives a new number at each call.
     ///
     /// ```
-    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # use sardinewood::direct::{placement::asking::{Asking, Next}, placement::dispatch::Dispatcher, sharing::door::AskId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -115,7 +115,7 @@
     /// expect too long a wait.
     ///
     /// ```
-    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # use sardinewood::direct::{placement::asking::{Asking, Next}, placement::dispatch::Dispatcher, sharing::door::AskId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -147,7 +147,7 @@
     /// What the time that has passed asks for: other doors, the same again, or no door at all.
     ///
     /// ```
-    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # use sardinewood::direct::{placement::asking::{Asking, Next}, placement::dispatch::Dispatcher, sharing::door::AskId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -189,7 +189,7 @@
     /// The question to an upstream's door.
     ///
     /// ```
-    /// # use sardinewood::direct::{asking::Asking, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # use sardinewood::direct::{placement::asking::Asking, placement::dispatch::Dispatcher, sharing::door::AskId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -213,7 +213,7 @@
     /// Takes all questions back, when the request has room or waits no more.
     ///
     /// ```
-    /// # use sardinewood::direct::{asking::{Asking, Next}, dispatch::Dispatcher, door::AskId, job::Job};
+    /// # use sardinewood::direct::{placement::asking::{Asking, Next}, placement::dispatch::Dispatcher, sharing::door::AskId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
--- a/lib/src/direct/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -7,19 +7,19 @@
 
 use indexmap::IndexMap;
 
-use crate::direct::directory::Upstream;
-use crate::direct::health::Ended;
-use crate::direct::health::Health;
-use crate::direct::job::Job;
-use crate::direct::peer_message::Condition;
-use crate::direct::peer_message::Running;
-use crate::direct::place::Place;
-use crate::direct::report::RunningPart;
-use crate::direct::shared_start;
-use crate::direct::shared_start::Candidate;
-use crate::direct::shared_start::KeptAt;
-use crate::direct::shared_start::SharedStart;
-use crate::direct::usual::Usual;
+use crate::direct::membership::peer_message::Condition;
+use crate::direct::membership::peer_message::Running;
+use crate::direct::membership::report::RunningPart;
+use crate::direct::placement::health::Ended;
+use crate::direct::placement::health::Health;
+use crate::direct::placement::job::Job;
+use crate::direct::placement::place::Place;
+use crate::direct::placement::shared_start;
+use crate::direct::placement::shared_start::Candidate;
+use crate::direct::placement::shared_start::KeptAt;
+use crate::direct::placement::shared_start::SharedStart;
+use crate::direct::placement::usual::Usual;
+use crate::direct::view::directory::Upstream;
 use crate::numbers;
 
 /// Upstreams of which the best is asked.
@@ -43,7 +43,7 @@
 /// The upstreams as one entry sees them.
 ///
 /// ```
-/// use sardinewood::direct::dispatch::Dispatcher;
+/// use sardinewood::direct::placement::dispatch::Dispatcher;
 ///
 /// assert_eq!(Dispatcher::default().listed(), 0);
 /// ```
@@ -57,7 +57,7 @@
 /// The short name under which entries tell each other of an upstream.
 ///
 /// ```
-/// use sardinewood::direct::dispatch::short_name;
+/// use sardinewood::direct::placement::dispatch::short_name;
 ///
 /// assert_ne!(short_name("i-1"), short_name("i-2"));
 /// ```
@@ -70,7 +70,7 @@
     /// Takes the upstreams that may be used; what runs at others goes on.
     ///
     /// ```
-    /// sardinewood::direct::dispatch::Dispatcher::default().set_upstreams(&[]);
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().set_upstreams(&[]);
     /// ```
     pub fn set_upstreams(&mut self, usable: &[Arc<Upstream>]) {
         for place in self.places.values_mut() {
@@ -91,8 +91,8 @@
     /// Takes what a peer has running, and how fast it is served.
     ///
     /// ```
-    /// # use sardinewood::direct::{peer_message::Running, report::RunningPart};
-    /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// # use sardinewood::direct::{membership::peer_message::Running, membership::report::RunningPart};
+    /// let mut dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
     /// let two = Running { upstream: 7, count: 2, ..Running::default() };
     /// dispatcher.set_peer_load(1, &RunningPart::whole(vec![two]), 0);
     /// ```
@@ -129,7 +129,7 @@
     /// What this entry has running, by upstream, and how fast it is served.
     ///
     /// ```
-    /// let dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// let dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
     /// assert_eq!(dispatcher.running(0).count(), 0);
     /// ```
     pub fn running(&self, now_ms: u64) -> impl Iterator<Item = Running> {
@@ -153,7 +153,7 @@
     /// Whether an upstream takes new work.
     ///
     /// ```
-    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().is_listed("i-1"));
+    /// assert!(!sardinewood::direct::placement::dispatch::Dispatcher::default().is_listed("i-1"));
     /// ```
     #[must_use]
     pub fn is_listed(&self, instance: &str) -> bool {
@@ -165,7 +165,7 @@
     /// Whether an upstream takes new work and is there.
     ///
     /// ```
-    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().is_there("i-1", 0));
+    /// assert!(!sardinewood::direct::placement::dispatch::Dispatcher::default().is_there("i-1", 0));
     /// ```
     #[must_use]
     pub fn is_there(&self, instance: &str, now_ms: u64) -> bool {
@@ -177,7 +177,7 @@
     /// How many upstreams take new work.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().listed(), 0);
+    /// assert_eq!(sardinewood::direct::placement::dispatch::Dispatcher::default().listed(), 0);
     /// ```
     #[must_use]
     pub fn listed(&self) -> usize {
@@ -187,7 +187,7 @@
     /// How many upstreams of a service take new work.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().listed_for("s"), 0);
+    /// assert_eq!(sardinewood::direct::placement::dispatch::Dispatcher::default().listed_for("s"), 0);
     /// ```
     #[must_use]
     pub fn listed_for(&self, service: &str) -> usize {
@@ -197,7 +197,7 @@
     /// How many upstreams of a service neither break nor hang, as far as is known here.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::dispatch::Dispatcher::default().working_for("s", 0), 0);
+    /// assert_eq!(sardinewood::direct::placement::dispatch::Dispatcher::default().working_for("s", 0), 0);
     /// ```
     #[must_use]
     pub fn working_for(&self, service: &str, now_ms: u64) -> usize {
@@ -218,7 +218,7 @@
     /// Of four drawn, the best is among the best third in eight of ten cases.
     ///
     /// ```
-    /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -281,7 +281,7 @@
     /// The engines that are likely to keep the start of a request's prompt, the likeliest first.
     ///
     /// ```
-    /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -308,7 +308,7 @@
     /// Time that is saved at an engine since it is likely to keep a part of a request's prompt.
     ///
     /// ```
-    /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -330,7 +330,7 @@
     /// room goes to answers that are worth three tenths.
     ///
     /// ```
-    /// # use sardinewood::direct::{dispatch::Dispatcher, job::Job};
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -351,7 +351,7 @@
     /// Whether an upstream has room, as far as this entry knows by itself.
     ///
     /// ```
-    /// assert!(!sardinewood::direct::dispatch::Dispatcher::default().has_room("i-1", 0));
+    /// assert!(!sardinewood::direct::placement::dispatch::Dispatcher::default().has_room("i-1", 0));
     /// ```
     #[must_use]
     pub fn has_room(&self, instance: &str, now_ms: u64) -> bool {
@@ -364,7 +364,7 @@
     /// Counts a request that starts at an upstream; none if the upstream is not there.
     ///
     /// ```
-    /// assert!(sardinewood::direct::dispatch::Dispatcher::default().began("i-1", 0).is_none());
+    /// assert!(sardinewood::direct::placement::dispatch::Dispatcher::default().began("i-1", 0).is_none());
     /// ```
     pub fn began(&mut self, instance: &str, now_ms: u64) -> Option<Arc<Upstream>> {
         if !self.is_there(instance, now_ms) {
@@ -378,7 +378,7 @@
     /// Notes that a request was sent and has no answer yet.
     ///
     /// ```
-    /// sardinewood::direct::dispatch::Dispatcher::default().sent("i-1", 1, 4_000, 0);
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().sent("i-1", 1, 4_000, 0);
     /// ```
     pub fn sent(&mut self, instance: &str, id: u64, prompt_tokens: u32, now_ms: u64) {
         let Some(place) = self.places.get_mut(instance) else {
@@ -392,7 +392,7 @@
     /// Notes that the first part of a request's answer has come.
     ///
     /// ```
-    /// sardinewood::direct::dispatch::Dispatcher::default().answered("i-1", 1);
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().answered("i-1", 1);
     /// ```
     pub fn answered(&mut self, instance: &str, id: u64) {
         if let Some(place) = self.places.get_mut(instance) {
@@ -403,7 +403,7 @@
     /// Frees the room of a request that had started.
     ///
     /// ```
-    /// # use sardinewood::direct::{dispatch::Dispatcher, health::Ended};
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::health::Ended};
     /// Dispatcher::default().finished("i-1", 1, Ended::Answered, 40, 0);
     /// ```
     pub fn finished(&mut self, instance: &str, id: u64, ended: Ended, held_ms: u64, now_ms: u64) {
@@ -424,7 +424,7 @@
     /// Notes how many events an answer had of which so many tokens were expected.
     ///
     /// ```
-    /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// let mut dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
     /// dispatcher.learn_length(&"s".into(), 60, 20);
     /// ```
     pub fn learn_length(&mut self, service: &Arc<str>, tokens: u32, events: u64) {
@@ -435,7 +435,7 @@
     /// Adds to what this entry has learned of an upstream.
     ///
     /// ```
-    /// let mut dispatcher = sardinewood::direct::dispatch::Dispatcher::default();
+    /// let mut dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
     /// dispatcher.learn("i-1", |health| health.answered_after(30.0));
     /// ```
     pub fn learn(&mut self, instance: &str, learn: impl FnOnce(&mut Health)) {
--- a/lib/src/direct/health.rs
+++ b/lib/src/direct/placement/health.rs
@@ -27,7 +27,7 @@
     /// Takes a sample in.
     ///
     /// ```
-    /// let mut average = sardinewood::direct::health::Moving::default();
+    /// let mut average = sardinewood::direct::placement::health::Moving::default();
     /// average.observe(4.0);
     /// assert_eq!(average.value(), Some(4.0));
     /// ```
@@ -41,7 +41,7 @@
     /// The average, if there was a sample.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::health::Moving::default().value(), None);
+    /// assert_eq!(sardinewood::direct::placement::health::Moving::default().value(), None);
     /// ```
     #[must_use]
     pub fn value(&self) -> Option<f64> {
@@ -69,7 +69,7 @@
 /// One upstream as this entry sees it.
 ///
 /// ```
-/// use sardinewood::direct::health::{Ended, Health};
+/// use sardinewood::direct::placement::health::{Ended, Health};
 ///
 /// let mut health = Health::default();
 /// health.ended(Ended::Broken, 0);
@@ -90,7 +90,7 @@
     /// Notes when the first event came.
     ///
     /// ```
-    /// sardinewood::direct::health::Health::default().first_event(1_000, 20.0);
+    /// sardinewood::direct::placement::health::Health::default().first_event(1_000, 20.0);
     /// ```
     pub fn first_event(&mut self, prompt_tokens: u32, after_ms: f64) {
         if prompt_tokens >= MIN_PROMPT_TOKENS {
@@ -102,7 +102,7 @@
     /// Notes the time between two events.
     ///
     /// ```
-    /// sardinewood::direct::health::Health::default().next_event(15.0, 0);
+    /// sardinewood::direct::placement::health::Health::default().next_event(15.0, 0);
     /// ```
     pub fn next_event(&mut self, pause_ms: f64, now_ms: u64) {
         self.sampled_at_ms = now_ms;
@@ -113,7 +113,7 @@
     /// whether it did.
     ///
     /// ```
-    /// let mut health = sardinewood::direct::health::Health::default();
+    /// let mut health = sardinewood::direct::placement::health::Health::default();
     /// assert!(health.hear_event_ms(15.0, 0));
     /// assert_eq!(health.event_ms(), Some(15.0));
     /// ```
@@ -130,7 +130,7 @@
     /// Notes how long a whole answer took.
     ///
     /// ```
-    /// sardinewood::direct::health::Health::default().answered_after(30.0);
+    /// sardinewood::direct::placement::health::Health::default().answered_after(30.0);
     /// ```
     pub fn answered_after(&mut self, answer_ms: f64) {
         self.answer_ms.observe(answer_ms);
@@ -139,7 +139,7 @@
     /// Notes how a call ended.
     ///
     /// ```
-    /// # use sardinewood::direct::health::{Ended, Health};
+    /// # use sardinewood::direct::placement::health::{Ended, Health};
     /// Health::default().ended(Ended::Answered, 0);
     /// ```
     pub fn ended(&mut self, ended: Ended, now_ms: u64) {
@@ -161,7 +161,7 @@
     /// Whether the upstream is left alone for now.
     ///
     /// ```
-    /// assert!(!sardinewood::direct::health::Health::default().is_paused(0));
+    /// assert!(!sardinewood::direct::placement::health::Health::default().is_paused(0));
     /// ```
     #[must_use]
     pub fn is_paused(&self, now_ms: u64) -> bool {
@@ -171,7 +171,7 @@
     /// Whether so many answers fail that others are to be preferred.
     ///
     /// ```
-    /// assert!(!sardinewood::direct::health::Health::default().is_bad());
+    /// assert!(!sardinewood::direct::placement::health::Health::default().is_bad());
     /// ```
     #[must_use]
     pub fn is_bad(&self) -> bool {
@@ -181,7 +181,7 @@
     /// Time to read a token of a prompt, if that was seen.
     ///
     /// ```
-    /// let mut health = sardinewood::direct::health::Health::default();
+    /// let mut health = sardinewood::direct::placement::health::Health::default();
     /// health.first_event(1_000, 20.0);
     /// assert_eq!(health.prefill_ms_per_token(), Some(0.02));
     /// ```
@@ -194,7 +194,7 @@
     /// counts as fast, so that it is tried.
     ///
     /// ```
-    /// assert!(sardinewood::direct::health::Health::default().answer_ms() < 1e-9);
+    /// assert!(sardinewood::direct::placement::health::Health::default().answer_ms() < 1e-9);
     /// ```
     #[must_use]
     pub fn answer_ms(&self) -> f64 {
@@ -204,7 +204,7 @@
     /// Time between two events, if it is known.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::health::Health::default().event_ms(), None);
+    /// assert_eq!(sardinewood::direct::placement::health::Health::default().event_ms(), None);
     /// ```
     #[must_use]
     pub fn event_ms(&self) -> Option<f64> {
--- a/lib/src/direct/job.rs
+++ b/lib/src/direct/placement/job.rs
@@ -2,9 +2,9 @@
 
 use std::sync::Arc;
 
-use crate::direct::door;
-use crate::direct::shared_start::KeptAt;
-use crate::direct::shared_start::SharedStart;
+use crate::direct::placement::shared_start::KeptAt;
+use crate::direct::placement::shared_start::SharedStart;
+use crate::direct::sharing::door;
 use crate::numbers;
 
 /// Part of a request's worth that does not depend on its size, from the operators' sheets.
@@ -74,7 +74,7 @@
     /// Tokens of its prompt that an engine is likely to keep.
     ///
     /// ```
-    /// # use sardinewood::direct::job::Job;
+    /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -92,7 +92,7 @@
     /// Tokens of its prompt that an engine is likely to read.
     ///
     /// ```
-    /// # use sardinewood::direct::job::Job;
+    /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 9,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -111,7 +111,7 @@
     /// busy for longer: without this, what can't be in time for its very size comes last.
     ///
     /// ```
-    /// # use sardinewood::direct::job::Job;
+    /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -135,7 +135,7 @@
     /// told so early.
     ///
     /// ```
-    /// # use sardinewood::direct::job::Job;
+    /// # use sardinewood::direct::placement::job::Job;
     /// # let job = |tier| Job { id: 1, service: "s".into(), tier, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
@@ -157,7 +157,7 @@
     /// more time stays away for longer.
     ///
     /// ```
-    /// # use sardinewood::direct::job::Job;
+    /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new(),
--- a/lib/src/direct/place.rs
+++ b/lib/src/direct/placement/place.rs
@@ -4,14 +4,14 @@
 
 use indexmap::IndexMap;
 
-use crate::direct::directory::Upstream;
-use crate::direct::dispatch::short_name;
-use crate::direct::health::Ended;
-use crate::direct::health::Health;
-use crate::direct::job::Job;
-use crate::direct::peer_message::Condition;
-use crate::direct::peer_message::Running;
-use crate::direct::usual::Usual;
+use crate::direct::membership::peer_message::Condition;
+use crate::direct::membership::peer_message::Running;
+use crate::direct::placement::dispatch::short_name;
+use crate::direct::placement::health::Ended;
+use crate::direct::placement::health::Health;
+use crate::direct::placement::job::Job;
+use crate::direct::placement::usual::Usual;
+use crate::direct::view::directory::Upstream;
 use crate::numbers;
 
 /// How much slower than the best an upstream with many failures counts.
--- a/lib/src/direct/shared_start.rs
+++ b/lib/src/direct/placement/shared_start.rs
@@ -45,7 +45,7 @@
     /// have more tokens than can be counted.
     ///
     /// ```
-    /// use sardinewood::direct::shared_start::SharedStart;
+    /// use sardinewood::direct::placement::shared_start::SharedStart;
     ///
     /// let start = SharedStart::of(&[("a1", 800), ("b2", 410), ("c3", 250)]).unwrap();
     /// assert_eq!(start.tokens, 1_210);
@@ -73,7 +73,7 @@
     /// Whether it is long enough for engines to be preferred that keep it.
     ///
     /// ```
-    /// use sardinewood::direct::shared_start::SharedStart;
+    /// use sardinewood::direct::placement::shared_start::SharedStart;
     ///
     /// assert!(!SharedStart::of(&[("a1", 60), ("b2", 800)]).unwrap().is_worth_placing());
     /// ```
@@ -108,7 +108,7 @@
 /// Slow engines are chosen for fewer starts, and the slowest for none.
 ///
 /// ```
-/// use sardinewood::direct::shared_start::{Candidate, SharedStart, homes};
+/// use sardinewood::direct::placement::shared_start::{Candidate, SharedStart, homes};
 ///
 /// let engine = |name: u32| Candidate { instance: format!("i-{name}").into(), name, speed: 1.0 };
 /// let start = SharedStart { name: 7, tokens: 4_000, share: 0.0 };
@@ -174,7 +174,7 @@
 /// How many of the recent requests began with each start, as far as one entry has seen.
 ///
 /// ```
-/// use sardinewood::direct::shared_start::Popularity;
+/// use sardinewood::direct::placement::shared_start::Popularity;
 ///
 /// let mut popularity = Popularity::default();
 /// assert!(popularity.note(7) < 1e-9);
@@ -192,7 +192,7 @@
     /// Notes a request that begins with a start; the part of recent requests that did before.
     ///
     /// ```
-    /// # use sardinewood::direct::shared_start::Popularity;
+    /// # use sardinewood::direct::placement::shared_start::Popularity;
     /// assert!(Popularity::default().note(7) < 1e-9);
     /// ```
     pub fn note(&mut self, start: u64) -> f64 {
--- /dev/null
+++ b/lib/src/direct/request.rs
@@ -0,0 +1,11 @@
+//! One request from its caller's connection to an upstream, and its answer back. It carries bytes
+//! and asks the other parts what to do.
+
+pub mod answer_body;
+pub mod call;
+pub mod caller;
+pub mod connections;
+pub mod exchange;
+pub mod front;
+pub mod refusal;
+pub mod relay;
--- a/lib/src/direct/answer_body.rs
+++ b/lib/src/direct/request/answer_body.rs
@@ -11,7 +11,7 @@
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
-use crate::direct::relay::Broken;
+use crate::direct::request::relay::Broken;
 
 type Events = Pin<Box<dyn Stream<Item = Result<Bytes, Broken>>>>;
 
--- a/lib/src/direct/caller.rs
+++ b/lib/src/direct/request/caller.rs
@@ -6,7 +6,7 @@
 use http::HeaderValue;
 use http::StatusCode;
 
-use crate::direct::shared_start::SharedStart;
+use crate::direct::placement::shared_start::SharedStart;
 
 /// What a caller's headers say of its request.
 #[derive(Clone, Debug, Default, PartialEq)]
@@ -38,7 +38,7 @@
     /// ten times as long as one of the prompt. None if nothing was said.
     ///
     /// ```
-    /// let headers = sardinewood::direct::caller::CallerHeaders::default();
+    /// let headers = sardinewood::direct::request::caller::CallerHeaders::default();
     /// assert_eq!(headers.size(), None);
     /// ```
     #[must_use]
@@ -55,7 +55,7 @@
     /// takes about a hundredth of that for each token.
     ///
     /// ```
-    /// let headers = sardinewood::direct::caller::CallerHeaders::default();
+    /// let headers = sardinewood::direct::request::caller::CallerHeaders::default();
     /// assert_eq!(headers.hold(), None);
     /// ```
     #[must_use]
@@ -68,7 +68,7 @@
     /// What the request counts against an allotment in tokens, if that was said.
     ///
     /// ```
-    /// let headers = sardinewood::direct::caller::CallerHeaders::default();
+    /// let headers = sardinewood::direct::request::caller::CallerHeaders::default();
     /// assert_eq!(headers.charged_tokens(), None);
     /// ```
     #[must_use]
--- a/lib/src/direct/connections.rs
+++ b/lib/src/direct/request/connections.rs
@@ -22,7 +22,7 @@
 use tokio::time::Instant;
 use tokio::time::timeout;
 
-use crate::direct::directory::Upstream;
+use crate::direct::view::directory::Upstream;
 
 /// How long a new connection may take. A healthy one takes a few milliseconds; a lost first
 /// packet is repeated by the system after a second, so another try is the faster way.
--- a/lib/src/direct/front.rs
+++ b/lib/src/direct/request/front.rs
@@ -19,9 +19,9 @@
 use tokio::net::TcpStream;
 use tokio::time::sleep;
 
-use crate::direct::catalog::DEFAULT_IDLE_TIMEOUT_MS;
-use crate::direct::exchange;
+use crate::direct::request::exchange;
 use crate::direct::traffic::Traffic;
+use crate::direct::view::catalog::DEFAULT_IDLE_TIMEOUT_MS;
 use crate::logging::Level;
 
 /// Pause after a connection could not be accepted, for example for want of descriptors.
--- a/lib/src/direct/refusal.rs
+++ b/lib/src/direct/request/refusal.rs
@@ -6,7 +6,7 @@
 use http::StatusCode;
 use serde_json::Value;
 
-use crate::direct::answer_body::AnswerBody;
+use crate::direct::request::answer_body::AnswerBody;
 use crate::direct::traffic::Traffic;
 use crate::logging::Level;
 
--- /dev/null
+++ b/lib/src/direct/sharing.rs
@@ -0,0 +1,7 @@
+//! What all entries share without a counter in the middle: room at upstreams, customers'
+//! allotments, second attempts. All of it decides and knows no socket.
+
+pub mod allotment;
+pub mod attempt_budget;
+pub mod door;
+pub mod spending_window;
--- a/lib/src/direct/allotment.rs
+++ b/lib/src/direct/sharing/allotment.rs
@@ -27,20 +27,20 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::direct::allotment::bucket::Bucket;
-use crate::direct::allotment::bucket::Spending;
-use crate::direct::allotment::bucket::Wanted;
-use crate::direct::allotment::fleet::Changed;
-use crate::direct::allotment::fleet::Fleet;
-use crate::direct::catalog::Allotment;
-use crate::direct::catalog::Customer;
-use crate::direct::peer_message::Spent;
+use crate::direct::membership::peer_message::Spent;
+use crate::direct::sharing::allotment::bucket::Bucket;
+use crate::direct::sharing::allotment::bucket::Spending;
+use crate::direct::sharing::allotment::bucket::Wanted;
+use crate::direct::sharing::allotment::fleet::Changed;
+use crate::direct::sharing::allotment::fleet::Fleet;
+use crate::direct::view::catalog::Allotment;
+use crate::direct::view::catalog::Customer;
 use crate::numbers;
 
 mod bucket;
 mod fleet;
 
-pub use crate::direct::allotment::bucket::Tolerance;
+pub use crate::direct::sharing::allotment::bucket::Tolerance;
 
 /// How long a keeper that has not answered is not asked again. Each question to it costs a caller
 /// the wait for an answer; a keeper that is back is asked soon enough.
@@ -115,8 +115,8 @@
 /// The buckets of all customers.
 ///
 /// ```
-/// use sardinewood::direct::allotment::{Allotments, Charge, Demand, Due};
-/// use sardinewood::direct::catalog::{Allotment, Customer};
+/// use sardinewood::direct::sharing::allotment::{Allotments, Charge, Demand, Due};
+/// use sardinewood::direct::view::catalog::{Allotment, Customer};
 ///
 /// let allotment = Allotment { rate_per_s: 10, burst: 20, unsized_tokens: Some(5) };
 /// let customer = Customer { name: "c".into(), tier: None, allotment: Some(allotment) };
@@ -142,7 +142,7 @@
     /// Takes what the platform tolerates.
     ///
     /// ```
-    /// # use sardinewood::direct::allotment::{Allotments, Tolerance};
+    /// # use sardinewood::direct::sharing::allotment::{Allotments, Tolerance};
     /// Allotments::default().set_tolerance(Tolerance::default());
     /// ```
     pub fn set_tolerance(&mut self, tolerance: Tolerance) {
@@ -152,7 +152,7 @@
     /// Takes how many entries have been heard, this one included, and which of them are not now.
     ///
     /// ```
-    /// let mut allotments = sardinewood::direct::allotment::Allotments::default();
+    /// let mut allotments = sardinewood::direct::sharing::allotment::Allotments::default();
     /// allotments.set_fleet(4, vec!["10.0.0.1:7".parse().unwrap()], 0);
     /// ```
     pub fn set_fleet(&mut self, known: usize, silent: Vec<SocketAddr>, now_ms: u64) {
@@ -172,8 +172,8 @@
     /// peers have heard that this one has not. It is told with each heartbeat.
     ///
     /// ```
-    /// use sardinewood::direct::allotment::{Allotments, Begun, Demand, Due};
-    /// use sardinewood::direct::catalog::{Allotment, Customer};
+    /// use sardinewood::direct::sharing::allotment::{Allotments, Begun, Demand, Due};
+    /// use sardinewood::direct::view::catalog::{Allotment, Customer};
     ///
     /// let allotment = Allotment { rate_per_s: 10, burst: 20, unsized_tokens: Some(5) };
     /// let customer = Customer { name: "c".into(), tier: None, allotment: Some(allotment) };
@@ -208,8 +208,8 @@
     /// Begins to charge a request of this entry to a customer.
     ///
     /// ```
-    /// # use sardinewood::direct::allotment::{Allotments, Begun, Charge, Demand, Due};
-    /// # use sardinewood::direct::catalog::Customer;
+    /// # use sardinewood::direct::sharing::allotment::{Allotments, Begun, Charge, Demand, Due};
+    /// # use sardinewood::direct::view::catalog::Customer;
     /// let unlimited = Customer { name: "c".into(), tier: None, allotment: None };
     /// let due = Due { tokens: None, tier: 0 };
     /// let begun = Allotments::default().begin(&unlimited, due, Demand::Slack, 0);
@@ -246,8 +246,8 @@
     /// Takes the keeper's answer to a question that [`Self::begin`] asked for.
     ///
     /// ```
-    /// # use sardinewood::direct::allotment::{Allotments, Charge, Demand, Due};
-    /// # use sardinewood::direct::catalog::{Allotment, Customer};
+    /// # use sardinewood::direct::sharing::allotment::{Allotments, Charge, Demand, Due};
+    /// # use sardinewood::direct::view::catalog::{Allotment, Customer};
     /// # let allotment = Allotment { rate_per_s: 10, burst: 20, unsized_tokens: Some(5) };
     /// # let customer = Customer { name: "c".into(), tier: None, allotment: Some(allotment) };
     /// let mut allotments = Allotments::default();
@@ -268,8 +268,8 @@
     /// Charges a request whose keeper has not answered, and leaves that keeper alone for a moment.
     ///
     /// ```
-    /// # use sardinewood::direct::allotment::{Allotments, Charge, Demand, Due};
-    /// # use sardinewood::direct::catalog::Customer;
+    /// # use sardinewood::direct::sharing::allotment::{Allotments, Charge, Demand, Due};
+    /// # use sardinewood::direct::view::catalog::Customer;
     /// # let unlimited = Customer { name: "c".into(), tier: None, allotment: None };
     /// let keeper = "10.0.0.2:7".parse().unwrap();
     /// let due = Due { tokens: None, tier: 0 };
@@ -296,8 +296,8 @@
     /// Charges a request of a peer to a customer that is kept here.
     ///
     /// ```
-    /// # use sardinewood::direct::allotment::{Allotments, Charge, Demand, Due};
-    /// # use sardinewood::direct::catalog::Customer;
+    /// # use sardinewood::direct::sharing::allotment::{Allotments, Charge, Demand, Due};
+    /// # use sardinewood::direct::view::catalog::Customer;
     /// # let unlimited = Customer { name: "c".into(), tier: None, allotment: None };
     /// let peer = "10.0.0.2:7".parse().unwrap();
     /// let due = Due { tokens: None, tier: 0 };
@@ -335,8 +335,8 @@
     /// refused for what another entry has not told yet.
     ///
     /// ```
-    /// # use sardinewood::direct::allotment::{Allotments, Charge, Demand, Due};
-    /// # use sardinewood::direct::catalog::Customer;
+    /// # use sardinewood::direct::sharing::allotment::{Allotments, Charge, Demand, Due};
+    /// # use sardinewood::direct::view::catalog::Customer;
     /// let unlimited = Customer { name: "c".into(), tier: None, allotment: None };
     /// let due = Due { tokens: None, tier: 0 };
     /// let charge = Allotments::default().charge(&unlimited, due, Demand::Slack, 0);
@@ -355,7 +355,7 @@
     ///
     /// ```
     /// let peer = "10.0.0.1:7".parse().unwrap();
-    /// sardinewood::direct::allotment::Allotments::default().spent_elsewhere(peer, &"c".into(), 5, 0);
+    /// sardinewood::direct::sharing::allotment::Allotments::default().spent_elsewhere(peer, &"c".into(), 5, 0);
     /// ```
     pub fn spent_elsewhere(
         &mut self,
@@ -376,7 +376,7 @@
     ///
     /// ```
     /// let peer = "10.0.0.1:7".parse().unwrap();
-    /// sardinewood::direct::allotment::Allotments::default().peer_started(peer);
+    /// sardinewood::direct::sharing::allotment::Allotments::default().peer_started(peer);
     /// ```
     pub fn peer_started(&mut self, peer: SocketAddr) {
         for bucket in self.buckets.values_mut() {
@@ -387,7 +387,7 @@
     /// What this entry has spent of each customer's allotment since its start.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::allotment::Allotments::default().own_spent().count(), 0);
+    /// assert_eq!(sardinewood::direct::sharing::allotment::Allotments::default().own_spent().count(), 0);
     /// ```
     pub fn own_spent(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
         self.buckets
@@ -398,7 +398,7 @@
     /// Notes that peers have been told of customers' spending here.
     ///
     /// ```
-    /// sardinewood::direct::allotment::Allotments::default().told(&[]);
+    /// sardinewood::direct::sharing::allotment::Allotments::default().told(&[]);
     /// ```
     pub fn told(&mut self, told: &[Spent]) {
         for spent in told {
--- a/lib/src/direct/allotment/bucket.rs
+++ b/lib/src/direct/sharing/allotment/bucket.rs
@@ -4,10 +4,10 @@
 
 use indexmap::IndexMap;
 
-use crate::direct::allotment::Charge;
-use crate::direct::allotment::Demand;
-use crate::direct::allotment::fleet::Fleet;
-use crate::direct::catalog::Allotment;
+use crate::direct::sharing::allotment::Charge;
+use crate::direct::sharing::allotment::Demand;
+use crate::direct::sharing::allotment::fleet::Fleet;
+use crate::direct::view::catalog::Allotment;
 use crate::numbers;
 
 const MS_PER_S: f64 = 1_000.0;
--- a/lib/src/direct/allotment/fleet.rs
+++ b/lib/src/direct/sharing/allotment/fleet.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 
-use crate::direct::dispatch::short_name;
-use crate::direct::door;
+use crate::direct::placement::dispatch::short_name;
+use crate::direct::sharing::door;
 use crate::numbers;
 
 /// How long the entries have to stay the same until a keeper trusts what it knows of a customer
--- a/lib/src/direct/door.rs
+++ b/lib/src/direct/sharing/door.rs
@@ -18,11 +18,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::direct::dispatch::WAY_MS;
-use crate::direct::dispatch::short_name;
-use crate::direct::health::Moving;
-use crate::direct::report::RunningPart;
-use crate::direct::usual::FIRST_HOLD_MS;
+use crate::direct::membership::report::RunningPart;
+use crate::direct::placement::dispatch::WAY_MS;
+use crate::direct::placement::dispatch::short_name;
+use crate::direct::placement::health::Moving;
+use crate::direct::placement::usual::FIRST_HOLD_MS;
 use crate::numbers;
 
 /// Worth of a request by its tier, in relation to the first. Both users' sheets put their
@@ -50,7 +50,7 @@
     /// The name that a random number gives.
     ///
     /// ```
-    /// use sardinewood::direct::door::AskId;
+    /// use sardinewood::direct::sharing::door::AskId;
     ///
     /// assert_eq!(AskId::drawn(7), AskId(7));
     /// ```
@@ -166,7 +166,7 @@
 /// behind the next tier's, but before a tier that is worth far less.
 ///
 /// ```
-/// use sardinewood::direct::door::worth;
+/// use sardinewood::direct::sharing::door::worth;
 ///
 /// assert!(worth(500, true) > worth(1_000, false));
 /// ```
@@ -179,7 +179,7 @@
 /// What a request of a tier is worth, in relation to the first tier.
 ///
 /// ```
-/// assert!((sardinewood::direct::door::tier_worth(0) - 1.0).abs() < 1e-9);
+/// assert!((sardinewood::direct::sharing::door::tier_worth(0) - 1.0).abs() < 1e-9);
 /// ```
 #[must_use]
 pub fn tier_worth(tier: u8) -> f64 {
@@ -189,7 +189,7 @@
 /// The entry that keeps an upstream's door, of those that are heard.
 ///
 /// ```
-/// use sardinewood::direct::door::owner;
+/// use sardinewood::direct::sharing::door::owner;
 ///
 /// let one = "10.0.0.1:7".parse().unwrap();
 /// assert_eq!(owner(5, [one]), Some(one));
@@ -211,11 +211,11 @@
 /// The doors that this entry keeps. It counts for all upstreams, so that it can take over any.
 ///
 /// ```
-/// use sardinewood::direct::door::{Ask, AskId, Asker, Doors};
+/// use sardinewood::direct::sharing::door::{Ask, AskId, Asker, Doors};
 ///
 /// let mut doors = Doors::default();
 /// doors.set_upstreams([("i-1".into(), 1)]);
-/// let upstream = sardinewood::direct::dispatch::short_name("i-1");
+/// let upstream = sardinewood::direct::placement::dispatch::short_name("i-1");
 /// let ask = |id| Ask { id: AskId(id), upstream, worth_micros: 1_000, in_time_for_ms: 9, waited_ms: 0 };
 /// doors.ask(Asker::Own, ask(1), 0);
 /// doors.ask(Asker::Own, ask(2), 0);
@@ -236,7 +236,7 @@
     /// Takes the upstreams that there are, and their slots.
     ///
     /// ```
-    /// sardinewood::direct::door::Doors::default().set_upstreams([("i-1".into(), 4)]);
+    /// sardinewood::direct::sharing::door::Doors::default().set_upstreams([("i-1".into(), 4)]);
     /// ```
     pub fn set_upstreams(&mut self, upstreams: impl IntoIterator<Item = (Arc<str>, u32)>) {
         let mut before = std::mem::take(&mut self.by_upstream);
@@ -260,7 +260,7 @@
     /// Takes which of the upstreams, by short name, are plain services; the others are engines.
     ///
     /// ```
-    /// sardinewood::direct::door::Doors::default().set_plain(&[7].into_iter().collect());
+    /// sardinewood::direct::sharing::door::Doors::default().set_plain(&[7].into_iter().collect());
     /// ```
     pub fn set_plain(&mut self, plain: &IndexSet<u32>) {
         for (name, door) in &mut self.by_upstream {
@@ -271,7 +271,7 @@
     /// Takes a question.
     ///
     /// ```
-    /// # use sardinewood::direct::door::{Ask, AskId, Asker, Doors};
+    /// # use sardinewood::direct::sharing::door::{Ask, AskId, Asker, Doors};
     /// let ask = Ask { id: AskId(1), upstream: 7, worth_micros: 1_000, in_time_for_ms: 9, waited_ms: 0 };
     /// Doors::default().ask(Asker::Own, ask, 0);
     /// ```
@@ -304,7 +304,7 @@
     /// Takes a question back.
     ///
     /// ```
-    /// # use sardinewood::direct::door::{AskId, Asker, Doors};
+    /// # use sardinewood::direct::sharing::door::{AskId, Asker, Doors};
     /// Doors::default().cancel(Asker::Own, 7, AskId(1));
     /// ```
     pub fn cancel(&mut self, from: Asker, upstream: u32, ask: AskId) {
@@ -317,7 +317,7 @@
     /// Notes that granted room is free again; with how long it was held, if it was used.
     ///
     /// ```
-    /// # use sardinewood::direct::door::{Asker, Doors};
+    /// # use sardinewood::direct::sharing::door::{Asker, Doors};
     /// Doors::default().done(Asker::Own, 7, None);
     /// ```
     pub fn done(&mut self, from: Asker, upstream: u32, held_ms: Option<u32>) {
@@ -344,8 +344,8 @@
     /// message left wrong lasts two heartbeats.
     ///
     /// ```
-    /// # use sardinewood::direct::door::Doors;
-    /// # use sardinewood::direct::report::RunningPart;
+    /// # use sardinewood::direct::sharing::door::Doors;
+    /// # use sardinewood::direct::membership::report::RunningPart;
     /// let nothing = RunningPart::whole(Vec::new());
     /// Doors::default().reconcile("10.0.0.1:7".parse().unwrap(), &nothing, 0);
     /// ```
@@ -384,7 +384,7 @@
     /// Forgets what peers had that are gone: those named, and those that fell silent.
     ///
     /// ```
-    /// # use sardinewood::direct::door::Doors;
+    /// # use sardinewood::direct::sharing::door::Doors;
     /// Doors::default().sweep(None, 0);
     /// ```
     pub fn sweep(&mut self, gone: Option<SocketAddr>, now_ms: u64) {
@@ -407,7 +407,7 @@
     /// The next grant, if a door has room and somebody asks.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::door::Doors::default().next_grant(0), None);
+    /// assert_eq!(sardinewood::direct::sharing::door::Doors::default().next_grant(0), None);
     /// ```
     pub fn next_grant(&mut self, now_ms: u64) -> Option<Grant> {
         while let Some(name) = self.changed.last().copied() {
@@ -444,7 +444,7 @@
     /// Expected wait of a question that is queued; none if it is not.
     ///
     /// ```
-    /// # use sardinewood::direct::door::{AskId, Asker, Doors};
+    /// # use sardinewood::direct::sharing::door::{AskId, Asker, Doors};
     /// assert_eq!(Doors::default().wait_ms(Asker::Own, 7, AskId(1), 0), None);
     /// ```
     #[must_use]
--- a/lib/src/direct/spending_window.rs
+++ b/lib/src/direct/sharing/spending_window.rs
@@ -11,7 +11,7 @@
 /// Units spent in a sliding window.
 ///
 /// ```
-/// use sardinewood::direct::spending_window::SpendingWindow;
+/// use sardinewood::direct::sharing::spending_window::SpendingWindow;
 ///
 /// let mut window = SpendingWindow::new(8_000.0, 0);
 /// window.spend(50.0, 100);
@@ -32,7 +32,7 @@
     /// An empty window that begins now.
     ///
     /// ```
-    /// # use sardinewood::direct::spending_window::SpendingWindow;
+    /// # use sardinewood::direct::sharing::spending_window::SpendingWindow;
     /// assert!(SpendingWindow::new(8_000.0, 0).spent(0) < 1e-9);
     /// ```
     #[must_use]
@@ -49,7 +49,7 @@
     /// Notes that units were spent.
     ///
     /// ```
-    /// # use sardinewood::direct::spending_window::SpendingWindow;
+    /// # use sardinewood::direct::sharing::spending_window::SpendingWindow;
     /// SpendingWindow::new(8_000.0, 0).spend(5.0, 10);
     /// ```
     pub fn spend(&mut self, units: f64, now_ms: u64) {
@@ -63,7 +63,7 @@
     /// What was spent in the window that ends now.
     ///
     /// ```
-    /// # use sardinewood::direct::spending_window::SpendingWindow;
+    /// # use sardinewood::direct::sharing::spending_window::SpendingWindow;
     /// assert!(SpendingWindow::new(8_000.0, 0).spent(10) < 1e-9);
     /// ```
     pub fn spent(&mut self, now_ms: u64) -> f64 {
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::job::Job;
+use sardinewood::direct::placement::job::Job;
+use sardinewood::direct::view::directory::Upstream;
 
 /// An engine with so many slots.
 pub fn upstream(name: &str, slots: u32) -> Arc<Upstream> {
--- a/lib/tests/keeper_fleet.rs
+++ b/lib/tests/keeper_fleet.rs
@@ -3,17 +3,17 @@
 
 use std::net::SocketAddr;
 
-use sardinewood::direct::allotment::Allotments;
-use sardinewood::direct::allotment::Begun;
-use sardinewood::direct::allotment::Charge;
-use sardinewood::direct::allotment::Demand;
-use sardinewood::direct::allotment::Due;
-use sardinewood::direct::allotment::Tolerance;
-use sardinewood::direct::catalog::Allotment;
-use sardinewood::direct::catalog::Customer;
-use sardinewood::direct::peer_message::Heartbeat;
-use sardinewood::direct::peer_message::Spent;
-use sardinewood::direct::peer_table::PeerTable;
+use sardinewood::direct::membership::peer_message::Heartbeat;
+use sardinewood::direct::membership::peer_message::Spent;
+use sardinewood::direct::membership::peer_table::PeerTable;
+use sardinewood::direct::sharing::allotment::Allotments;
+use sardinewood::direct::sharing::allotment::Begun;
+use sardinewood::direct::sharing::allotment::Charge;
+use sardinewood::direct::sharing::allotment::Demand;
+use sardinewood::direct::sharing::allotment::Due;
+use sardinewood::direct::sharing::allotment::Tolerance;
+use sardinewood::direct::view::catalog::Allotment;
+use sardinewood::direct::view::catalog::Customer;
 
 /// What the platform's users tolerate, and the limit of a large customer of theirs.
 pub const TOLERANCE: Tolerance = Tolerance {
--- a/lib/tests/test_direct_asking.rs
+++ b/lib/tests/test_direct_asking.rs
@@ -2,12 +2,12 @@
 
 use std::sync::Arc;
 
-use sardinewood::direct::asking::ANSWER_WITHIN_MS;
-use sardinewood::direct::asking::Asking;
-use sardinewood::direct::asking::Next;
-use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::dispatch::Dispatcher;
-use sardinewood::direct::door::AskId;
+use sardinewood::direct::placement::asking::ANSWER_WITHIN_MS;
+use sardinewood::direct::placement::asking::Asking;
+use sardinewood::direct::placement::asking::Next;
+use sardinewood::direct::placement::dispatch::Dispatcher;
+use sardinewood::direct::sharing::door::AskId;
+use sardinewood::direct::view::directory::Upstream;
 
 use crate::direct_fixture::job;
 use crate::direct_fixture::upstream;
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -2,16 +2,16 @@
 
 use std::sync::Arc;
 
-use sardinewood::direct::asking::Asking;
-use sardinewood::direct::asking::Next;
-use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::dispatch::Dispatcher;
-use sardinewood::direct::dispatch::short_name;
-use sardinewood::direct::health::Ended;
-use sardinewood::direct::job::Job;
-use sardinewood::direct::peer_message::Condition;
-use sardinewood::direct::peer_message::Running;
-use sardinewood::direct::report::RunningPart;
+use sardinewood::direct::membership::peer_message::Condition;
+use sardinewood::direct::membership::peer_message::Running;
+use sardinewood::direct::membership::report::RunningPart;
+use sardinewood::direct::placement::asking::Asking;
+use sardinewood::direct::placement::asking::Next;
+use sardinewood::direct::placement::dispatch::Dispatcher;
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::placement::health::Ended;
+use sardinewood::direct::placement::job::Job;
+use sardinewood::direct::view::directory::Upstream;
 
 use crate::direct_fixture::job;
 use crate::direct_fixture::upstream;
--- a/lib/tests/test_direct_door.rs
+++ b/lib/tests/test_direct_door.rs
@@ -3,14 +3,14 @@
 use std::net::SocketAddr;
 
 use proptest::prelude::*;
-use sardinewood::direct::dispatch::short_name;
-use sardinewood::direct::door::Ask;
-use sardinewood::direct::door::AskId;
-use sardinewood::direct::door::Asker;
-use sardinewood::direct::door::Doors;
-use sardinewood::direct::door::owner;
-use sardinewood::direct::peer_message::Running;
-use sardinewood::direct::report::RunningPart;
+use sardinewood::direct::membership::peer_message::Running;
+use sardinewood::direct::membership::report::RunningPart;
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::sharing::door::Ask;
+use sardinewood::direct::sharing::door::AskId;
+use sardinewood::direct::sharing::door::Asker;
+use sardinewood::direct::sharing::door::Doors;
+use sardinewood::direct::sharing::door::owner;
 
 const SLOTS: u32 = 3;
 
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -4,15 +4,15 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sardinewood::direct::catalog::Catalog;
-use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::follow::Follower;
-use sardinewood::direct::follow::ObjectSource;
-use sardinewood::direct::follow::StoreAnswers;
-use sardinewood::direct::peer_message::Revisions;
-use sardinewood::direct::pull::UpstreamCopy;
-use sardinewood::direct::replica::Decoders;
-use sardinewood::direct::replica::View;
+use sardinewood::direct::links::follow::Follower;
+use sardinewood::direct::links::follow::ObjectSource;
+use sardinewood::direct::links::follow::StoreAnswers;
+use sardinewood::direct::links::pull::UpstreamCopy;
+use sardinewood::direct::membership::peer_message::Revisions;
+use sardinewood::direct::view::catalog::Catalog;
+use sardinewood::direct::view::directory::Upstream;
+use sardinewood::direct::view::replica::Decoders;
+use sardinewood::direct::view::replica::View;
 use sardinewood::findings::Findings;
 use sardinewood::store::ObjectList;
 use sardinewood::store::ReadError;
@@ -165,7 +165,7 @@
     };
     other.take_copies(
         peer(),
-        sardinewood::direct::pull::Copies {
+        sardinewood::direct::links::pull::Copies {
             catalog: None,
             upstreams: Some(UpstreamCopy::Whole(first)),
         },
@@ -184,7 +184,7 @@
     };
     follower.take_copies(
         peer(),
-        sardinewood::direct::pull::Copies {
+        sardinewood::direct::links::pull::Copies {
             catalog: None,
             upstreams: Some(UpstreamCopy::Whole(old)),
         },
@@ -196,7 +196,7 @@
 async fn older_configuration_not_taken() {
     let (follower, view) = follower();
     for version in [7, 5] {
-        let copies = sardinewood::direct::pull::Copies {
+        let copies = sardinewood::direct::links::pull::Copies {
             catalog: Some(Arc::new(object("c", "main", version))),
             upstreams: None,
         };
--- a/lib/tests/test_direct_replica.rs
+++ b/lib/tests/test_direct_replica.rs
@@ -1,13 +1,13 @@
 //! The replica of the list of upstreams: what comes late, out of order or spoiled.
 
-use sardinewood::direct::catalog::Catalog;
-use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::peer_message::Revisions;
-use sardinewood::direct::pull::Copies;
-use sardinewood::direct::pull::UpstreamChanges;
-use sardinewood::direct::pull::UpstreamCopy;
-use sardinewood::direct::replica::Decoders;
-use sardinewood::direct::replica::Replica;
+use sardinewood::direct::links::pull::Copies;
+use sardinewood::direct::links::pull::UpstreamChanges;
+use sardinewood::direct::links::pull::UpstreamCopy;
+use sardinewood::direct::membership::peer_message::Revisions;
+use sardinewood::direct::view::catalog::Catalog;
+use sardinewood::direct::view::directory::Upstream;
+use sardinewood::direct::view::replica::Decoders;
+use sardinewood::direct::view::replica::Replica;
 use sardinewood::findings::Findings;
 use sardinewood::store::ObjectList;
 use sardinewood::store::StoredObject;
--- a/lib/tests/test_direct_report.rs
+++ b/lib/tests/test_direct_report.rs
@@ -4,19 +4,19 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use sardinewood::direct::dispatch::short_name;
-use sardinewood::direct::door::Ask;
-use sardinewood::direct::door::AskId;
-use sardinewood::direct::door::Asker;
-use sardinewood::direct::door::Doors;
-use sardinewood::direct::peer_message::Condition;
-use sardinewood::direct::peer_message::Heartbeat;
-use sardinewood::direct::peer_message::Message;
-use sardinewood::direct::peer_message::Running;
-use sardinewood::direct::peer_message::Spent;
-use sardinewood::direct::peer_table::PeerTable;
-use sardinewood::direct::report::RunningPart;
-use sardinewood::direct::report::SpentReport;
+use sardinewood::direct::membership::peer_message::Condition;
+use sardinewood::direct::membership::peer_message::Heartbeat;
+use sardinewood::direct::membership::peer_message::Message;
+use sardinewood::direct::membership::peer_message::Running;
+use sardinewood::direct::membership::peer_message::Spent;
+use sardinewood::direct::membership::peer_table::PeerTable;
+use sardinewood::direct::membership::report::RunningPart;
+use sardinewood::direct::membership::report::SpentReport;
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::sharing::door::Ask;
+use sardinewood::direct::sharing::door::AskId;
+use sardinewood::direct::sharing::door::Asker;
+use sardinewood::direct::sharing::door::Doors;
 
 const ENGINES: u32 = 400;
 const CUSTOMERS: u64 = 1_700;
@@ -116,7 +116,7 @@
 fn parts_cover_every_engine_once() {
     let parts = running()
         .len()
-        .div_ceil(sardinewood::direct::report::MAX_RUNNING) as u64;
+        .div_ceil(sardinewood::direct::membership::report::MAX_RUNNING) as u64;
     let parts: Vec<RunningPart> = (0..parts)
         .map(|sequence| RunningPart::of(running(), sequence))
         .collect();
--- a/lib/tests/test_direct_shared_start.rs
+++ b/lib/tests/test_direct_shared_start.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
-use sardinewood::direct::asking::Asking;
-use sardinewood::direct::asking::Next;
-use sardinewood::direct::directory::Upstream;
-use sardinewood::direct::dispatch::Dispatcher;
-use sardinewood::direct::health::Ended;
-use sardinewood::direct::job::Job;
-use sardinewood::direct::shared_start::SharedStart;
+use sardinewood::direct::placement::asking::Asking;
+use sardinewood::direct::placement::asking::Next;
+use sardinewood::direct::placement::dispatch::Dispatcher;
+use sardinewood::direct::placement::health::Ended;
+use sardinewood::direct::placement::job::Job;
+use sardinewood::direct::placement::shared_start::SharedStart;
+use sardinewood::direct::view::directory::Upstream;
 
 use crate::direct_fixture::job;
 use crate::direct_fixture::upstream;
--- a/lib/tests/test_direct_shares.rs
+++ b/lib/tests/test_direct_shares.rs
@@ -3,19 +3,19 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use sardinewood::direct::allotment::Allotments;
-use sardinewood::direct::allotment::Charge;
-use sardinewood::direct::allotment::Demand;
-use sardinewood::direct::allotment::Due;
-use sardinewood::direct::allotment::Tolerance;
-use sardinewood::direct::attempt_budget::AttemptBudget;
-use sardinewood::direct::attempt_budget::AttemptLimits;
-use sardinewood::direct::catalog::Allotment;
-use sardinewood::direct::catalog::Customer;
-use sardinewood::direct::peer_message::Heartbeat;
-use sardinewood::direct::peer_message::Revisions;
-use sardinewood::direct::peer_message::Spent;
-use sardinewood::direct::peer_table::PeerTable;
+use sardinewood::direct::membership::peer_message::Heartbeat;
+use sardinewood::direct::membership::peer_message::Revisions;
+use sardinewood::direct::membership::peer_message::Spent;
+use sardinewood::direct::membership::peer_table::PeerTable;
+use sardinewood::direct::sharing::allotment::Allotments;
+use sardinewood::direct::sharing::allotment::Charge;
+use sardinewood::direct::sharing::allotment::Demand;
+use sardinewood::direct::sharing::allotment::Due;
+use sardinewood::direct::sharing::allotment::Tolerance;
+use sardinewood::direct::sharing::attempt_budget::AttemptBudget;
+use sardinewood::direct::sharing::attempt_budget::AttemptLimits;
+use sardinewood::direct::view::catalog::Allotment;
+use sardinewood::direct::view::catalog::Customer;
 
 const RATE_PER_S: u64 = 1_000;
 const COST: u64 = 10;
