--- a/lib/src/direct/links/follow.rs
+++ b/lib/src/direct/links/follow.rs
@@ -38,6 +38,11 @@
 /// seconds that a change may take after the store's return.
 const FIRST_PAUSE_MS: u64 = 50;
 const MOST_PAUSE_MS: u64 = 500;
+/// Pause after a change until the next one is asked for. What happens meanwhile comes with one
+/// answer. Each answer is a call to the store, heartbeats to all entries and a copy for each of
+/// them; while the workers of a large service are replaced there are twenty changes a second. A
+/// leaving upstream gets new work for this much longer, of two seconds and more that it may.
+const GATHER: Duration = Duration::from_millis(200);
 /// How long a peer must be ahead before it is asked; our own watch usually tells us sooner.
 const PEER_LEAD: Duration = Duration::from_millis(300);
 
@@ -173,7 +178,11 @@
                     self.answers.note();
                     outage.ended(kind);
                     backoff.reset();
+                    let is_change = after.is_some_and(|after| after != revision);
                     after = Some(revision);
+                    if is_change {
+                        sleep(GATHER).await;
+                    }
                 }
                 Err(ReadError::TooOld) => after = None,
                 Err(error) => {
--- a/lib/tests/test_direct_follow.rs
+++ b/lib/tests/test_direct_follow.rs
@@ -1,8 +1,10 @@
 //! Copies of the configuration and of the upstreams that entries give each other.
 
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use sardinewood::direct::links::follow::Follower;
 use sardinewood::direct::links::follow::ObjectSource;
@@ -21,6 +23,9 @@
 use sardinewood::store::WatchEvent;
 use serde_json::Value;
 use tokio::sync::watch;
+use tokio::time::Instant;
+use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::direct_fixture;
 
@@ -209,3 +214,59 @@
         .map(|catalog| catalog.version);
     assert_eq!(version, Some(7));
 }
+
+/// A store in which an upstream changes every 20 ms.
+struct Busy {
+    began: Instant,
+    calls: Cell<u64>,
+}
+
+impl Busy {
+    const CHANGE_MS: u64 = 20;
+
+    fn revision(&self) -> u64 {
+        let passed = u64::try_from(self.began.elapsed().as_millis()).expect("a time");
+        1 + passed / Self::CHANGE_MS
+    }
+}
+
+impl ObjectSource for Busy {
+    async fn list(&self, _kind: &str) -> Result<ObjectList, ReadError> {
+        Ok(ObjectList {
+            revision: 1,
+            objects: Vec::new(),
+        })
+    }
+
+    async fn watch(&self, _: &str, after: u64, _: u64) -> Result<WatchBatch, ReadError> {
+        self.calls.set(self.calls.get() + 1);
+        while self.revision() <= after {
+            sleep(Duration::from_millis(Self::CHANGE_MS)).await;
+        }
+        let revision = self.revision();
+        let events = (after + 1..=revision)
+            .map(|version| WatchEvent::Put(object("u", "a", version)))
+            .collect();
+        Ok(WatchBatch { revision, events })
+    }
+}
+
+#[tokio::test(start_paused = true)]
+async fn changes_in_quick_succession_gathered() {
+    // The workers of a service are replaced, and their entries change fifty times a second. Every
+    // answer to a watch costs a call, and copies for all other entries; so changes are taken a few
+    // times a second, none is missed, and the newest is known within a quarter of a second.
+    let (follower, view) = follower();
+    let source = Busy {
+        began: Instant::now(),
+        calls: Cell::new(0),
+    };
+    let follow = follower.follow_upstreams(&source);
+    timeout(Duration::from_secs(2), follow)
+        .await
+        .expect_err("it never ends");
+    assert!(source.calls.get() <= 11, "{}", source.calls.get());
+    let known = view.borrow().revisions.directory;
+    let lag = source.revision() - known;
+    assert!(lag * Busy::CHANGE_MS <= 250, "{lag} changes");
+}
