--- a/lib/src/direct/links/follow.rs
+++ b/lib/src/direct/links/follow.rs
@@ -43,6 +43,10 @@
 /// them; while the workers of a large service are replaced there are twenty changes a second. A
 /// leaving upstream gets new work for this much longer, of two seconds and more that it may.
 const GATHER: Duration = Duration::from_millis(200);
+/// Pause between a first list and the watch that follows. An entry that starts lists by itself, so
+/// as to be ready soon, and hears meanwhile that others watch. Without it every entry of a fleet that
+/// starts also begins two watches, of which all but a few are in vain.
+const MEET: Duration = Duration::from_millis(400);
 /// How long a peer must be ahead before it is asked; our own watch usually tells us sooner.
 const PEER_LEAD: Duration = Duration::from_millis(300);
 
@@ -178,11 +182,9 @@
                     self.answers.note();
                     outage.ended(kind);
                     backoff.reset();
-                    let is_change = after.is_some_and(|after| after != revision);
+                    let pause = pause_after(after, revision);
                     after = Some(revision);
-                    if is_change {
-                        sleep(GATHER).await;
-                    }
+                    sleep(pause).await;
                 }
                 Err(ReadError::TooOld) => after = None,
                 Err(error) => {
@@ -293,6 +295,15 @@
     }
 }
 
+/// Pause before the next watch, by the revision that was known and the one that the store told.
+fn pause_after(known: Option<u64>, told: u64) -> Duration {
+    match known {
+        None => MEET,
+        Some(known) if known != told => GATHER,
+        Some(_) => Duration::ZERO,
+    }
+}
+
 /// Whether the store answers.
 #[derive(Debug, Default)]
 struct Outage {
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -24,6 +24,10 @@
 
 /// Upstreams of which the best is asked.
 const DRAWN_PLACES: usize = 4;
+/// Of so many requests that could go to an upstream of which nothing is known, one does. Unknown
+/// ones count as usual; where a known one is a little faster than that, and callers come one
+/// after the other, they would never be tried, however fast they are.
+const TRIED_ONCE_IN: usize = 8;
 /// Part of a usual holding of a slot that has to be saved at an engine, since it keeps the start
 /// of a prompt, for its door to be asked first. Below it, load decides more than what is kept.
 const HOME_FIRST_PART: f64 = 0.1;
@@ -245,6 +249,12 @@
         for _ in 0..DRAWN_PLACES.min(places.len()) {
             drawn.push(places.swap_remove(random() % places.len()));
         }
+        let unknown = drawn.iter().find(|place| place.is_unknown());
+        if let Some(unknown) = unknown
+            && random() % TRIED_ONCE_IN == 0
+        {
+            return Some(Arc::clone(&unknown.upstream));
+        }
         let best = self.cheapest(job, &drawn, now_ms)?;
         Some(Arc::clone(&best.upstream))
     }
--- a/lib/src/direct/placement/place.rs
+++ b/lib/src/direct/placement/place.rs
@@ -183,6 +183,12 @@
         self.read_ms(prompt_tokens, usual) + self.health.answer_ms()
     }
 
+    /// Whether neither this entry nor a peer has seen it answer.
+    #[must_use]
+    pub fn is_unknown(&self) -> bool {
+        self.health.event_ms().is_none() && self.health.answer_ms() <= 0.0
+    }
+
     /// Its speed in relation to what is usual at its service.
     #[must_use]
     pub fn speed(&self, usual: &Usual) -> f64 {
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -194,6 +194,24 @@
     assert!(dispatcher.lead_ms("unknown", &long) >= known_ms);
 }
 
+#[test]
+fn unknown_upstream_tried_although_another_is_better_than_usual() {
+    // One of two engines is known and has become faster than it used to be; the other, nobody has
+    // tried. Callers come one after the other, so neither is ever full. The unknown one counts as
+    // usual, which is slower, and would never be tried.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("known", 5), upstream("unknown", 5)]);
+    for event_ms in [40.0, 30.0, 10.0, 5.0, 5.0, 5.0] {
+        dispatcher.learn("known", |health| health.next_event(event_ms, 0));
+    }
+    let mut draw = draws();
+    let tried = (0..100)
+        .filter_map(|_| dispatcher.choose(&job(1, 0), &[], 0, &mut draw))
+        .filter(|upstream| &*upstream.instance == "unknown")
+        .count();
+    assert!((3..40).contains(&tried), "{tried}");
+}
+
 #[test]
 fn many_entries_do_not_all_ask_the_same() {
     // Thirty entries know the same stale loads. Drawn at random, their choices spread.
