--- a/lib/src/direct/links/peers.rs
+++ b/lib/src/direct/links/peers.rs
@@ -212,7 +212,7 @@
             sequence: self.sequence,
             is_last: false,
             is_leaving: traffic.is_stopping.get(),
-            is_settled: PeerTable::is_settled(traffic.now_ms()),
+            age_s: PeerTable::own_age_s(traffic.now_ms()),
             known: u16::try_from(peers.known()).unwrap_or(u16::MAX),
             store_age_ms: self.links.store_answers.age_ms().filter(|_| asks_store),
             revisions: *self.links.own.borrow(),
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -74,8 +74,8 @@
     pub revisions: Revisions,
     /// Whether the process will end soon, and keeps no door.
     pub is_leaving: bool,
-    /// Whether it has run long enough to know the others, and may keep customers' allotments.
-    pub is_settled: bool,
+    /// How long it has run.
+    pub age_s: u16,
     /// How many entries it has heard, itself included.
     pub known: u16,
     /// How long ago the store answered it, if it asks the store.
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -42,7 +42,12 @@
 const JUST_STARTED_HEARTBEATS: u64 = 20;
 /// Time after its start from which an entry may keep customers' allotments: until then it does not
 /// know all others, nor they it, and two would keep the same customer.
-const SETTLED_AFTER_MS: u64 = 2_000;
+const SETTLED_AFTER_S: u16 = 2;
+/// Age of the oldest entry until which all of them have started together. None knows more than the
+/// others then, so all may keep allotments, and none is passed over for a moment when the first ones
+/// are two seconds old.
+const STARTED_TOGETHER_S: u16 = 10;
+const MS_PER_S: u64 = 1_000;
 
 #[derive(Clone, Debug)]
 struct Peer {
@@ -50,7 +55,7 @@
     sequence: u64,
     heard_at_ms: u64,
     is_leaving: bool,
-    is_settled: bool,
+    age_s: u16,
     known: u16,
     store_age_ms: Option<u32>,
     revisions: Revisions,
@@ -94,6 +99,15 @@
     pub is_idle: bool,
 }
 
+/// The entries that may keep customers' allotments.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Keepers {
+    /// Their addresses; this entry's own may be one of them.
+    pub addresses: Vec<SocketAddr>,
+    /// Whether all entries have just started, so that none knows what was spent before.
+    pub have_started_together: bool,
+}
+
 /// The other entries, as far as this one has heard of them.
 ///
 /// ```
@@ -196,7 +210,7 @@
             sequence: heartbeat.sequence,
             heard_at_ms: now_ms,
             is_leaving: heartbeat.is_leaving,
-            is_settled: heartbeat.is_settled,
+            age_s: heartbeat.age_s,
             known: heartbeat.known,
             store_age_ms: heartbeat.store_age_ms,
             revisions: heartbeat.revisions,
@@ -323,43 +337,50 @@
             .chain(own)
     }
 
-    /// Whether this entry has run long enough to keep customers' allotments.
+    /// The age of this entry, as it tells it.
     ///
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
-    /// assert!(!PeerTable::is_settled(0) && PeerTable::is_settled(60_000));
+    /// assert_eq!(PeerTable::own_age_s(2_500), 2);
     /// ```
     #[must_use]
-    pub fn is_settled(now_ms: u64) -> bool {
-        now_ms >= SETTLED_AFTER_MS
+    pub fn own_age_s(now_ms: u64) -> u16 {
+        u16::try_from(now_ms / MS_PER_S).unwrap_or(u16::MAX)
     }
 
-    /// The entries that may keep customers' allotments: those that keep doors and have run for
-    /// some time, or, if there is none, all that keep doors.
+    /// The entries that may keep customers' allotments: of those that keep doors, the ones that have
+    /// run for some time, or all of them if they have started together.
     ///
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let own = "10.0.0.1:7".parse().unwrap();
-    /// assert_eq!(PeerTable::new(own, &[]).keepers(false, 0), [own]);
+    /// let keepers = PeerTable::new(own, &[]).keepers(false, 0);
+    /// assert_eq!(keepers.addresses, [own]);
+    /// assert!(keepers.have_started_together);
     /// ```
     #[must_use]
-    pub fn keepers(&self, is_own_leaving: bool, now_ms: u64) -> Vec<SocketAddr> {
-        let is_settled = |address: &SocketAddr| {
+    pub fn keepers(&self, is_own_leaving: bool, now_ms: u64) -> Keepers {
+        let age_s = |address: &SocketAddr| {
             let peer = self.peers.get(address);
-            peer.map_or(Self::is_settled(now_ms), |peer| peer.is_settled)
+            peer.map_or(Self::own_age_s(now_ms), |peer| peer.age_s)
         };
-        let settled: Vec<SocketAddr> = self
-            .owners(is_own_leaving, now_ms)
-            .filter(is_settled)
-            .collect();
-        if settled.is_empty() {
-            return self.owners(is_own_leaving, now_ms).collect();
+        let owners: Vec<SocketAddr> = self.owners(is_own_leaving, now_ms).collect();
+        let oldest_s = owners.iter().map(age_s).max().unwrap_or_default();
+        let have_started_together = oldest_s < STARTED_TOGETHER_S;
+        let addresses = if have_started_together {
+            owners
+        } else {
+            let is_settled = |address: &SocketAddr| age_s(address) >= SETTLED_AFTER_S;
+            owners.into_iter().filter(is_settled).collect()
+        };
+        Keepers {
+            addresses,
+            have_started_together,
         }
-        settled
     }
 
-    /// How many entries peers have heard that this one has not. One that has just started learns
-    /// by it how large the fleet is before it has met all of it.
+    /// How many entries there are that this one has not heard: seeds at least, and as many as peers
+    /// tell. One that has just started learns by it how large the fleet is before it has met all.
     ///
     /// ```
     /// # use sardinewood::direct::{membership::peer_message::Heartbeat, membership::peer_table::PeerTable};
@@ -376,7 +397,15 @@
             .filter(|peer| self.is_heard(peer, now_ms))
             .map(|peer| usize::from(peer.known))
             .max();
-        told.unwrap_or_default().saturating_sub(self.known())
+        let unheard_seeds = self
+            .seeds
+            .iter()
+            .filter(|seed| !self.peers.contains_key(*seed));
+        // Long after the start a seed that was never heard is an address of somebody who has left.
+        let is_new = Self::own_age_s(now_ms) < STARTED_TOGETHER_S;
+        let unheard_seeds = if is_new { unheard_seeds.count() } else { 0 };
+        let beyond = told.unwrap_or_default().saturating_sub(self.known());
+        beyond.max(unheard_seeds)
     }
 
     /// Whether this entry should ask the store itself, and not only hear of it from others.
--- a/lib/src/direct/sharing/allotment.rs
+++ b/lib/src/direct/sharing/allotment.rs
@@ -28,11 +28,13 @@
 use serde::Serialize;
 
 use crate::direct::membership::peer_message::Spent;
+use crate::direct::membership::peer_table::Keepers;
 use crate::direct::sharing::allotment::bucket::Bucket;
 use crate::direct::sharing::allotment::bucket::Spending;
 use crate::direct::sharing::allotment::bucket::Wanted;
 use crate::direct::sharing::allotment::fleet::Changed;
 use crate::direct::sharing::allotment::fleet::Fleet;
+use crate::direct::sharing::allotment::fleet::Standing;
 use crate::direct::view::catalog::Allotment;
 use crate::direct::view::catalog::Customer;
 use crate::numbers;
@@ -172,6 +174,7 @@
     /// peers have heard that this one has not. It is told with each heartbeat.
     ///
     /// ```
+    /// use sardinewood::direct::membership::peer_table::Keepers;
     /// use sardinewood::direct::sharing::allotment::{Allotments, Begun, Demand, Due};
     /// use sardinewood::direct::view::catalog::{Allotment, Customer};
     ///
@@ -179,18 +182,13 @@
     /// let customer = Customer { name: "c".into(), tier: None, allotment: Some(allotment) };
     /// let (own, other) = ("10.0.0.1:7".parse().unwrap(), "10.0.0.2:7".parse().unwrap());
     /// let mut allotments = Allotments::default();
-    /// allotments.set_keepers(own, vec![other], 0, 0);
+    /// let keepers = Keepers { addresses: vec![other], have_started_together: false };
+    /// allotments.set_keepers(own, keepers, 0, 0);
     /// let due = Due { tokens: None, tier: 0 };
     /// let begun = allotments.begin(&customer, due, Demand::Pressing, 0);
     /// assert_eq!(begun, Begun::Ask(other));
     /// ```
-    pub fn set_keepers(
-        &mut self,
-        own: SocketAddr,
-        keepers: Vec<SocketAddr>,
-        unmet: usize,
-        now_ms: u64,
-    ) {
+    pub fn set_keepers(&mut self, own: SocketAddr, keepers: Keepers, unmet: usize, now_ms: u64) {
         self.fleet.unmet = unmet;
         let changed = self.fleet.set_keepers(own, keepers, now_ms);
         if changed == Changed::Nothing {
@@ -221,13 +219,13 @@
         };
         let wanted = due.wanted(allotment, demand);
         let keeper = self.fleet.keeper(&customer.name);
-        let is_steady = self.fleet.is_steady(now_ms);
+        let standing = self.fleet.standing(now_ms);
         let is_unanswered = keeper
             .and_then(|keeper| self.unanswered.get(&keeper))
             .is_some_and(|until_ms| now_ms < *until_ms);
         let bucket = self.bucket(&customer.name, allotment, now_ms);
         let Some(keeper) = keeper else {
-            bucket.keep(is_steady);
+            bucket.keep(standing);
             return Begun::Settled(bucket.charge_own(wanted, now_ms));
         };
         bucket.release();
@@ -319,9 +317,13 @@
         // A peer that does not hear the keeper asks here in its place. This entry does not know what
         // the keeper has just granted, so it gives out of what comes in and keeps nothing.
         let is_kept_elsewhere = self.fleet.keeper(&customer.name).is_some();
-        let is_steady = self.fleet.is_steady(now_ms) && !is_kept_elsewhere;
+        let standing = if is_kept_elsewhere {
+            Standing::Changed
+        } else {
+            self.fleet.standing(now_ms)
+        };
         let bucket = self.bucket(&customer.name, allotment, now_ms);
-        bucket.keep(is_steady);
+        bucket.keep(standing);
         if is_kept_elsewhere {
             bucket.release();
         }
--- a/lib/src/direct/sharing/allotment/bucket.rs
+++ b/lib/src/direct/sharing/allotment/bucket.rs
@@ -7,21 +7,26 @@
 use crate::direct::sharing::allotment::Charge;
 use crate::direct::sharing::allotment::Demand;
 use crate::direct::sharing::allotment::fleet::Fleet;
+use crate::direct::sharing::allotment::fleet::Standing;
 use crate::direct::view::catalog::Allotment;
 use crate::numbers;
 
 const MS_PER_S: f64 = 1_000.0;
 /// Part of the tolerance that is given to customers at once, and in each window after that.
 ///
-/// What is left of the tolerance, a quarter, covers what entries spend without asking
-/// ([`UNASKED_PART`]), the overdraft of each new keeper and what is on its way while one follows
-/// another.
+/// What is left of the tolerance, a third, covers what entries spend without asking
+/// ([`UNASKED_PART`]), what a fleet that has just started gives ([`FRESH_PART`]), the overdraft of
+/// each new keeper and what is on its way while one follows another.
 const AT_ONCE_PART: f64 = 0.15;
 const WINDOW_PART: f64 = 0.5;
+/// Part of the tolerance that is left to a customer when all entries have just started. What was
+/// spent before is not known then; without this, three in ten requests were refused in the first two
+/// seconds of a fleet whose customers were within their rates, and one in ten for ten seconds.
+const FRESH_PART: f64 = 0.2;
 /// Part of the tolerance that all entries together may spend between two heartbeats without
 /// asking a customer's keeper. It spares small fleets most questions; in a fleet of a hundred an
 /// entry's part is less than one request, so there nearly every request is asked about.
-const UNASKED_PART: f64 = 0.1;
+const UNASKED_PART: f64 = 0.05;
 /// How far an entry's part of a customer is taken to be the even one, and for the rest what it has
 /// lately spent beside all others. In a large fleet an entry serves a customer every second or so,
 /// and what it has spent in the last three says little; a customer with all of its callers on one
@@ -67,6 +72,7 @@
             burst,
             wide_per_s: rate_per_s + given * WINDOW_PART / window_s,
             wide_burst: burst + given * AT_ONCE_PART,
+            fresh: given * FRESH_PART,
             unasked: tolerated * UNASKED_PART / fleet.entries(),
             even_part: 1.0 / fleet.entries(),
             window_ms: self.window_s * MS_PER_S,
@@ -82,6 +88,8 @@
     /// The same while nobody waits.
     wide_per_s: f64,
     wide_burst: f64,
+    /// What is left at first when all entries have just started.
+    fresh: f64,
     /// What one entry may spend between two heartbeats without asking.
     unasked: f64,
     /// One entry's part if all had the same.
@@ -222,14 +230,18 @@
         self.is_kept
     }
 
-    /// Makes this entry the customer's keeper. Unless the same entries have been there for some
-    /// time, another one kept it until now, and what that one has granted in the last second is
-    /// not known here. So nothing is left at first, and only what comes in is given.
-    pub(super) fn keep(&mut self, is_steady: bool) {
-        if !self.is_kept && !is_steady {
-            self.strict = self.strict.min(0.0);
-            self.wide = self.wide.min(0.0);
-        }
+    /// Makes this entry the customer's keeper. If another one kept it until now, what that one has
+    /// granted in the last second is not known here: then nothing is left at first, and only what
+    /// comes in is given. If all entries have just started, a part of the tolerance is kept for this
+    /// very case, so that customers within their rate are not refused for seconds.
+    pub(super) fn keep(&mut self, standing: Standing) {
+        let most = match standing {
+            Standing::Changed if !self.is_kept => 0.0,
+            Standing::StartedTogether if !self.is_kept => self.limits.fresh,
+            Standing::Steady | Standing::Changed | Standing::StartedTogether => f64::INFINITY,
+        };
+        self.strict = self.strict.min(most);
+        self.wide = self.wide.min(most);
         self.is_kept = true;
     }
 
--- a/lib/src/direct/sharing/allotment/fleet.rs
+++ b/lib/src/direct/sharing/allotment/fleet.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use crate::direct::membership::peer_table::Keepers;
 use crate::direct::placement::dispatch::short_name;
 use crate::direct::sharing::door;
 use crate::numbers;
@@ -26,6 +27,7 @@
     own: Option<SocketAddr>,
     /// Those that may keep customers.
     keepers: Vec<SocketAddr>,
+    have_started_together: bool,
     same_since_ms: u64,
     looked_at_ms: u64,
 }
@@ -46,14 +48,15 @@
     pub(super) fn set_keepers(
         &mut self,
         own: SocketAddr,
-        mut keepers: Vec<SocketAddr>,
+        keepers: Keepers,
         now_ms: u64,
     ) -> Changed {
-        keepers.sort_unstable();
+        let mut addresses = keepers.addresses;
+        addresses.sort_unstable();
         let is_held_up = now_ms > self.looked_at_ms + HELD_UP_MS;
         let changed = if is_held_up {
             Changed::HeldUp
-        } else if self.own != Some(own) || self.keepers != keepers {
+        } else if self.own != Some(own) || self.keepers != addresses {
             Changed::Others
         } else {
             Changed::Nothing
@@ -62,14 +65,21 @@
             self.same_since_ms = now_ms;
         }
         self.own = Some(own);
-        self.keepers = keepers;
+        self.keepers = addresses;
+        self.have_started_together = keepers.have_started_together;
         self.looked_at_ms = now_ms;
         changed
     }
 
-    /// Whether the same entries have been there for some time.
-    pub(super) fn is_steady(&self, now_ms: u64) -> bool {
-        now_ms >= self.same_since_ms + STEADY_MS
+    /// What a keeper may take from what it knows of a customer.
+    pub(super) fn standing(&self, now_ms: u64) -> Standing {
+        if now_ms >= self.same_since_ms + STEADY_MS {
+            Standing::Steady
+        } else if self.have_started_together {
+            Standing::StartedTogether
+        } else {
+            Standing::Changed
+        }
     }
 
     /// The peer that keeps a customer; none if this entry does.
@@ -89,3 +99,14 @@
     /// This process stood still for so long that others may have kept its customers.
     HeldUp,
 }
+
+/// How well the entries know what customers have spent.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Standing {
+    /// The same entries have been there for some time, and each knows what all have told.
+    Steady,
+    /// Some have come or gone, and what a former keeper granted in the last second is not known.
+    Changed,
+    /// All have just started, and nobody knows what was spent before.
+    StartedTogether,
+}
--- a/lib/tests/keeper_fleet.rs
+++ b/lib/tests/keeper_fleet.rs
@@ -281,7 +281,7 @@
         let heartbeat = Heartbeat {
             incarnation: member.incarnation,
             sequence: member.sequence,
-            is_settled: PeerTable::is_settled(own_ms),
+            age_s: PeerTable::own_age_s(own_ms),
             known: u16::try_from(table.known()).expect("a fleet of 250 at most"),
             others: table.named(member.sequence),
             spent,
--- a/lib/tests/test_direct_keepers.rs
+++ b/lib/tests/test_direct_keepers.rs
@@ -117,6 +117,23 @@
     }
 }
 
+#[test]
+fn customer_within_its_rate_served_after_all_were_killed() {
+    // All entries lose power, and are back after 0.7 s. A customer that asks for six tenths of its
+    // rate, in uneven pieces, is served from the start but for some requests while the entries have not
+    // met, although nobody knows what it has spent.
+    let mut fleet = calm_fleet(ENTRIES, Demand::Slack);
+    for index in 0..ENTRIES {
+        fleet.kill(index, 700);
+    }
+    fleet.press(700, 0.6);
+    let before = fleet.served;
+    fleet.press(2_000, 0.6);
+    #[expect(clippy::cast_precision_loss, reason = "units")]
+    let part = (fleet.served - before) as f64 / (RATE_PER_S as f64 * 2.0 * 0.6);
+    assert!(part > 0.82, "{part}");
+}
+
 #[test]
 fn half_of_the_fleet_killed_and_back() {
     // Half of all entries lose power for two seconds, the keeper among them or not.
