--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -251,7 +251,7 @@
         }
         let unknown = drawn.iter().find(|place| place.is_unknown());
         if let Some(unknown) = unknown
-            && random() % TRIED_ONCE_IN == 0
+            && random().is_multiple_of(TRIED_ONCE_IN)
         {
             return Some(Arc::clone(&unknown.upstream));
         }
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -184,12 +184,12 @@
     }
 
     async fn receive(&mut self) -> Came {
+        let may_move = self.may_move();
         let Some(source) = self.source.as_mut() else {
             return Came::Broke("no upstream");
         };
         let give_up = self.traffic.instant_at(self.call.give_up_at_ms);
         let silent = Instant::now() + SILENCE;
-        let may_move = self.call.route.repeat.is_idempotent() && self.last_event.is_some();
         let until = if may_move {
             silent.min(give_up)
         } else {
@@ -202,6 +202,14 @@
         }
     }
 
+    /// Whether another upstream may go on with what this one has begun.
+    fn may_move(&self) -> bool {
+        let sent = u32::try_from(self.call.tried.len()).unwrap_or(u32::MAX);
+        self.call.route.repeat.is_idempotent()
+            && self.last_event.is_some()
+            && sent < self.call.route.max_upstreams
+    }
+
     /// Looks for another upstream while one is silent, and still listens to it.
     ///
     /// A silent engine may hang, or read a long prompt beside this stream. Given up at once, a
--- a/lib/src/direct/sharing/allotment.rs
+++ b/lib/src/direct/sharing/allotment.rs
@@ -18,7 +18,8 @@
 //! strict one alone refused 4 of 100 requests that the platform would have let through.
 //!
 //! An entry that has just started does not know what was spent before, and all entries may have
-//! been killed at once. So for one window it uses the strict bucket only.
+//! been killed at once. So for one window it uses the strict bucket only, and a keeper of a fleet
+//! that has just started begins with a part of the tolerance that is kept for this.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -52,6 +53,7 @@
 /// bucket hovers near empty; without reserves its reports wait behind its tags, which ask as much
 /// of it for a twentieth of the worth. Twice these parts gained as much.
 const RESERVE_PARTS: [f64; 3] = [0.0, 0.05, 0.2];
+
 /// Whether others wait for what a request would take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Demand {
--- a/lib/src/direct/sharing/door.rs
+++ b/lib/src/direct/sharing/door.rs
@@ -38,7 +38,7 @@
 /// two messages.
 pub const ASKS_PER_REQUEST: u8 = 3;
 
-/// Names one question to a door; numbered by the entry that asks.
+/// Names one question to a peer: for room, or to charge a request. The entry that asks gives it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct AskId(pub u64);
 
