--- a/lib/src/direct/sharing/allotment/bucket.rs
+++ b/lib/src/direct/sharing/allotment/bucket.rs
@@ -20,8 +20,8 @@
 const AT_ONCE_PART: f64 = 0.15;
 const WINDOW_PART: f64 = 0.5;
 /// Part of the tolerance that is left to a customer when all entries have just started. What was
-/// spent before is not known then; without this, three in ten requests were refused in the first two
-/// seconds of a fleet whose customers were within their rates, and one in ten for ten seconds.
+/// spent before is not known then. Without this, 469 requests of customers within their rates were
+/// refused 199 times in the first two seconds of a small fleet, and some 36 times in each two after.
 const FRESH_PART: f64 = 0.2;
 /// Part of the tolerance that all entries together may spend between two heartbeats without
 /// asking a customer's keeper. It spares small fleets most questions; in a fleet of a hundred an
