relay: what a lost upstream had begun is dropped in one place, and it is left in one way

The part of an event was cleared before another upstream was asked and once more when it took over; closing an upstream stood twice. No behaviour changes.

--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -154,7 +154,7 @@
                     if !self.follows(&events) {
                         // What it sent is dropped, and so is whoever sends it.
                         self.is_done = true;
-                        self.close_source();
+                        leave(&mut self.source);
                         self.log_cut("resumed stream began anew");
                         return Some(Err(Broken::Upstream));
                     }
@@ -365,10 +365,8 @@
 
     /// Goes on at another upstream, if that is allowed; otherwise how the stream ended.
     async fn go_on(&mut self, why: &'static str) -> Option<Broken> {
-        let instance = self.close_source();
+        let instance = leave(&mut self.source);
         self.log_left(why, instance.as_deref().unwrap_or_default());
-        self.partial.clear();
-        self.scan.drop_partial();
         while self.call.route.repeat.is_idempotent() && may_try_another(&self.traffic, &self.call) {
             match self.resume().await {
                 Resumed::GoesOn => {
@@ -421,7 +419,8 @@
         self.scan.last_id().or(self.call.last_event_id)
     }
 
-    /// Lets another upstream go on with the stream, if it answers as the first one did.
+    /// Lets another upstream go on with the stream, if it answers as the first one did. What the one
+    /// before had sent of its next event is dropped.
     fn take_over(&mut self, attempt: Attempt) -> bool {
         match attempt {
             Attempt::Answer(answer) if answer.parts.status == self.parts.status => {
@@ -435,11 +434,6 @@
         }
     }
 
-    /// Closes the connection to the upstream, so that it stops its work.
-    fn close_source(&mut self) -> Option<Arc<str>> {
-        leave(&mut self.source)
-    }
-
     fn log_left(&self, why: &'static str, instance: &str) {
         let figures = &self.traffic.figures;
         figures.failed_attempts.with_label_values(&[why]).inc();
