shares by size: how requests ended, by route and size among those of their kind

Cause: neither logs nor figures could tell which of an incident's four hypotheses holds. Refusals for room named neither route nor size, those of allotments no tier, cut streams nothing. Added: ended_total by service, tier, size and end; a line every four seconds of the routes of which some requests were not served; route, tier, size and tokens on refusals and cut streams.

--- a/lib/src/direct/figures.rs
+++ b/lib/src/direct/figures.rs
@@ -32,6 +32,8 @@
     pub answers: IntCounterVec,
     /// Answers of our own, by reason.
     pub refusals: IntCounterVec,
+    /// How requests ended for their callers, by service, tier, and size among those of their kind.
+    pub ended: IntCounterVec,
     /// Attempts at upstreams that failed, by reason.
     pub failed_attempts: IntCounterVec,
     /// Tokens of the prompts that were sent, by service.
@@ -70,8 +72,8 @@
     IntGauge::new(format!("sardinewood_{name}"), help)
 }
 
-fn counters(name: &str, help: &str, label: &str) -> prometheus::Result<IntCounterVec> {
-    IntCounterVec::new(Opts::new(format!("sardinewood_{name}"), help), &[label])
+fn counters(name: &str, help: &str, labels: &[&str]) -> prometheus::Result<IntCounterVec> {
+    IntCounterVec::new(Opts::new(format!("sardinewood_{name}"), help), labels)
 }
 
 fn histogram(name: &str, help: &str) -> HistogramOpts {
@@ -92,11 +94,20 @@
         let figures = Self {
             registry: Registry::new(),
             requests: counter("requests_total", "Requests that were read.")?,
-            answers: counters("answers_total", "Requests answered.", "status")?,
-            refusals: counters("refusals_total", "Answers of our own.", "reason")?,
-            failed_attempts: counters("failed_attempts_total", "Failed attempts.", "reason")?,
-            prompt_tokens: counters("prompt_tokens_total", "Tokens of prompts sent.", "service")?,
-            kept_tokens: counters("kept_tokens_total", "Of them, likely kept.", "service")?,
+            answers: counters("answers_total", "Requests answered.", &["status"])?,
+            ended: counters(
+                "ended_total",
+                "Requests by how they ended.",
+                &["service", "tier", "size", "end"],
+            )?,
+            refusals: counters("refusals_total", "Answers of our own.", &["reason"])?,
+            failed_attempts: counters("failed_attempts_total", "Failed attempts.", &["reason"])?,
+            prompt_tokens: counters(
+                "prompt_tokens_total",
+                "Tokens of prompts sent.",
+                &["service"],
+            )?,
+            kept_tokens: counters("kept_tokens_total", "Of them, likely kept.", &["service"])?,
             second_attempts: counter("second_attempts_total", "Second attempts.")?,
             resumed: counter("resumed_total", "Streams that went on elsewhere.")?,
             cut: counter("cut_total", "Streams that were cut short.")?,
@@ -126,6 +137,7 @@
         for counters in [
             &self.answers,
             &self.refusals,
+            &self.ended,
             &self.failed_attempts,
             &self.prompt_tokens,
             &self.kept_tokens,
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -5,6 +5,7 @@
 pub mod call;
 pub mod caller;
 pub mod connections;
+pub mod ending;
 pub mod exchange;
 pub mod front;
 pub mod refusal;
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -23,11 +23,14 @@
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_start::SharedStart;
 use crate::direct::request::caller::CallerHeaders;
+use crate::direct::request::ending::Counted;
+use crate::direct::request::ending::Ending;
 use crate::direct::request::refusal::Refusal;
 use crate::direct::request::refusal::name_of;
 use crate::direct::sharing::allotment::Charge;
 use crate::direct::sharing::allotment::Demand;
 use crate::direct::sharing::allotment::Due;
+use crate::direct::sharing::size_shares::CallEnd;
 use crate::direct::traffic::Traffic;
 use crate::direct::view::catalog::Admission;
 use crate::direct::view::catalog::Catalog;
@@ -94,6 +97,8 @@
     pub may_have_run: bool,
     /// How long it has waited for room, over all attempts.
     pub waited_ms: u64,
+    /// Counts how it ends.
+    pub ending: Rc<Ending>,
 }
 
 impl Call {
@@ -108,6 +113,12 @@
             .observe(numbers::as_f64(first_ms));
     }
 
+    /// Whether an answer that begins now is worth most.
+    #[must_use]
+    pub fn is_in_time(&self, now_ms: u64) -> bool {
+        now_ms <= self.arrived_ms + self.route.objective_ms
+    }
+
     /// The request as text, for logs.
     #[must_use]
     pub fn name(&self) -> &str {
@@ -185,6 +196,16 @@
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service", id);
         return Err(refusal);
     };
+    let counted = Counted {
+        kind: Arc::clone(&route.name),
+        service: Arc::clone(service),
+        tier: route.tier,
+        size: traffic
+            .size_shares
+            .borrow_mut()
+            .rank(&route.name, headers.size()),
+    };
+    let ending = Ending::new(traffic, counted);
     let due = Due {
         tokens: headers.charged_tokens(),
         tier: route.tier,
@@ -194,8 +215,12 @@
         Some(customer) => charging::charge(traffic, customer, due, traffic.demand(service)).await,
     };
     if let Charge::Exceeded { retry_after_ms } = charge {
+        ending.set(CallEnd::AllotmentSpent);
         let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "allotment is spent", id);
         let inputs = json!({
+            "route": route.name,
+            "tier": route.tier,
+            "size": ending.size(),
             "customer": customer.as_ref().map(|customer| &customer.name),
             "tokens": headers.charged_tokens(),
             "others_wait": traffic.demand(service) == Demand::Pressing,
@@ -241,6 +266,7 @@
         tried: Vec::new(),
         may_have_run: false,
         waited_ms: 0,
+        ending,
         route,
     })
 }
--- /dev/null
+++ b/lib/src/direct/request/ending.rs
@@ -0,0 +1,84 @@
+//! How a request ended for its caller, counted once whichever way it ends.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use crate::direct::sharing::size_shares::CallEnd;
+use crate::direct::sharing::size_shares::SizeClass;
+use crate::direct::traffic::Traffic;
+
+/// What shares by size are counted by.
+#[derive(Clone, Debug)]
+pub struct Counted {
+    /// The route's name.
+    pub kind: Arc<str>,
+    /// The service that it is for.
+    pub service: Arc<str>,
+    /// Importance of its route.
+    pub tier: u8,
+    /// How large it is among those of its route.
+    pub size: SizeClass,
+}
+
+/// Counts a request when it is dropped, as not whole unless something else was said: so a caller
+/// that leaves and a stream that is cut count without a line of their own at each such place.
+#[derive(Debug)]
+pub struct Ending {
+    traffic: Rc<Traffic>,
+    counted: Counted,
+    end: Cell<CallEnd>,
+}
+
+impl Ending {
+    /// Of a request that has just been read.
+    #[must_use]
+    pub fn new(traffic: &Rc<Traffic>, counted: Counted) -> Rc<Self> {
+        Rc::new(Self {
+            traffic: Rc::clone(traffic),
+            counted,
+            end: Cell::new(CallEnd::NotWhole),
+        })
+    }
+
+    /// How large the request is among those of its route.
+    #[must_use]
+    pub fn size(&self) -> SizeClass {
+        self.counted.size
+    }
+
+    /// Says how the request ends.
+    pub fn set(&self, end: CallEnd) {
+        self.end.set(end);
+    }
+
+    /// Says that the caller has a whole answer.
+    pub fn set_whole(&self, is_in_time: bool) {
+        let end = if is_in_time {
+            CallEnd::InTime
+        } else {
+            CallEnd::Late
+        };
+        self.end.set(end);
+    }
+}
+
+impl Drop for Ending {
+    fn drop(&mut self) {
+        let Counted {
+            kind,
+            service,
+            tier,
+            size,
+        } = &self.counted;
+        let end = self.end.get();
+        let mut shares = self.traffic.size_shares.borrow_mut();
+        shares.ended(kind, *size, end);
+        let tier = tier.to_string();
+        self.traffic
+            .figures
+            .ended
+            .with_label_values(&[service, tier.as_str(), size.name(), end.name()])
+            .inc();
+    }
+}
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -29,6 +29,7 @@
 use crate::direct::request::connections::SendError;
 use crate::direct::request::refusal::Refusal;
 use crate::direct::request::relay::Relay;
+use crate::direct::sharing::size_shares::CallEnd;
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
@@ -174,9 +175,14 @@
     if !call.may_have_run {
         let id = call.request_id.as_ref();
         let dispatcher = traffic.dispatcher.borrow();
+        call.ending.set(CallEnd::NoRoom);
         let inputs = json!({
+            "route": call.route.name,
             "service": call.service,
             "tier": call.tier,
+            "size": call.ending.size(),
+            "prompt_tokens": call.prompt_tokens,
+            "expected_output_tokens": call.expected_output_tokens,
             "customer_tier": call.customer_tier,
             "waited_ms": call.waited_ms,
             "might_wait_ms": call.job().waits_until_ms().saturating_sub(call.arrived_ms),
@@ -412,6 +418,9 @@
     fn deliver(self, traffic: &Traffic, call: &Call) -> Response<AnswerBody> {
         call.note_first(traffic);
         let status = self.response.status();
+        if !status.is_server_error() {
+            call.ending.set_whole(call.is_in_time(traffic.now_ms()));
+        }
         let answers = &traffic.figures.answers;
         answers.with_label_values(&[status.as_str()]).inc();
         let outcome = if status.is_server_error() {
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -343,6 +343,11 @@
             source.connection,
             source.keep_alive_ms,
         );
+        let objective_ms = self.call.route.objective_ms;
+        let is_in_time = self
+            .first_ms
+            .is_some_and(|first_ms| first_ms <= objective_ms);
+        self.call.ending.set_whole(is_in_time);
         let figures = &self.traffic.figures;
         let status = self.parts.status;
         figures.answers.with_label_values(&[status.as_str()]).inc();
@@ -451,6 +456,14 @@
         self.traffic.figures.cut.inc();
         self.traffic.log(Level::Warn, message, |line| {
             line.field("request", self.call.name())
+                .field("route", &self.call.route.name)
+                .field("tier", self.call.tier)
+                .field("size", self.call.ending.size())
+                .field("prompt_tokens", self.call.prompt_tokens)
+                .field("expected_output_tokens", self.call.expected_output_tokens)
+                .field("upstreams", &self.call.tried)
+                .field("waited_ms", self.call.waited_ms)
+                .field("first_ms", self.first_ms)
                 .field("last_event", self.scan.last_id())
         });
     }
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -60,6 +60,9 @@
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// How often idle connections to upstreams are looked after.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+/// How often the log says how requests of each size ended, if some were not served: rare enough to
+/// cost nothing, and often enough to tell one burst from the next.
+const SHARES_PERIOD: Duration = Duration::from_secs(4);
 
 /// How often the settings are looked at without a signal. They change some times a day, and
 /// reading them costs some ten microseconds.
@@ -205,6 +208,7 @@
     spawn_local(Peers::new(&traffic, links).run());
     spawn_local(take_views(view, own, Rc::clone(&traffic)));
     spawn_local(sweep_connections(Rc::clone(&traffic)));
+    spawn_local(log_size_shares(Rc::clone(&traffic)));
     Line::new(Level::Info, "started")
         .field("address", settings.callers)
         .field("figures_address", settings.figures)
@@ -326,6 +330,19 @@
     }
 }
 
+/// Says how requests ended by size, of the kinds of which some were not served.
+async fn log_size_shares(traffic: Rc<Traffic>) {
+    loop {
+        sleep(SHARES_PERIOD).await;
+        let all = traffic.size_shares.borrow_mut().take_unserved();
+        for (route, ends) in all {
+            traffic.log(Level::Info, "ends by size", |line| {
+                line.field("route", route).field("ends", ends)
+            });
+        }
+    }
+}
+
 /// Lets the balancer look elsewhere, serves what is open, and returns.
 async fn shut_down(traffic: &Traffic, within: Duration) {
     let began = Instant::now();
--- a/lib/src/direct/sharing.rs
+++ b/lib/src/direct/sharing.rs
@@ -4,4 +4,5 @@
 pub mod allotment;
 pub mod attempt_budget;
 pub mod door;
+pub mod size_shares;
 pub mod spending_window;
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -39,6 +39,7 @@
 use crate::direct::sharing::door::AskId;
 use crate::direct::sharing::door::Asker;
 use crate::direct::sharing::door::Doors;
+use crate::direct::sharing::size_shares::SizeShares;
 use crate::direct::view::catalog::Catalog;
 use crate::direct::view::directory::Upstream;
 use crate::logging::Level;
@@ -89,6 +90,8 @@
     pub configured: Notify,
     /// How many requests begin with the same parts.
     pub starts: RefCell<Popularity>,
+    /// How requests ended, by kind and size.
+    pub size_shares: RefCell<SizeShares>,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
     expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     log: RefCell<LogBudget>,
@@ -225,6 +228,7 @@
             figures,
             configured: Notify::new(),
             starts: RefCell::default(),
+            size_shares: RefCell::default(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
             log: RefCell::default(),
