health: an engine's reading is learned without the time of its first event

Cause: the time to a first event was divided by the prompt's length. Short prompts wait for one event's tokens longer than for their reading, so long ones seemed several times as slow to read as they are: late on arrival, behind all that are in time, refused at once. Ruled out: order by size, for tags: refused large ones have the same worth as others. Conclusion: one of two causes; order by size is the other.

--- a/lib/src/direct/placement/health.rs
+++ b/lib/src/direct/placement/health.rs
@@ -66,6 +66,25 @@
     Left,
 }
 
+/// How fast an engine reads, over its latest prompts. Each counts by its length, since short ones
+/// say little: what else passes before their first event is as long as their reading.
+#[derive(Clone, Copy, Debug, Default)]
+struct Reading {
+    tokens: f64,
+    ms: f64,
+}
+
+impl Reading {
+    fn observe(&mut self, tokens: u32, read_ms: f64) {
+        self.tokens += f64::from(tokens) - self.tokens * SAMPLE_PART;
+        self.ms += read_ms - self.ms * SAMPLE_PART;
+    }
+
+    fn ms_per_token(self) -> Option<f64> {
+        (self.tokens > 0.0).then(|| self.ms / self.tokens)
+    }
+}
+
 /// One upstream as this entry sees it.
 ///
 /// ```
@@ -77,7 +96,7 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct Health {
-    prefill_ms_per_token: Moving,
+    reading: Reading,
     pause_ms: Moving,
     answer_ms: Moving,
     sampled_at_ms: u64,
@@ -93,10 +112,15 @@
     /// sardinewood::direct::placement::health::Health::default().first_event(1_000, 20.0);
     /// ```
     pub fn first_event(&mut self, prompt_tokens: u32, after_ms: f64) {
-        if prompt_tokens >= MIN_PROMPT_TOKENS {
-            self.prefill_ms_per_token
-                .observe(after_ms / f64::from(prompt_tokens));
+        if prompt_tokens < MIN_PROMPT_TOKENS {
+            return;
         }
+        // An event leaves when its tokens are made, the first one as well as each other. Taken for
+        // reading, the time of one event made a long prompt seem late before it was sent: short
+        // prompts, which are many, take longer to their first event than to be read.
+        let event_ms = self.event_ms().unwrap_or_default();
+        self.reading
+            .observe(prompt_tokens, (after_ms - event_ms).max(0.0));
     }
 
     /// Notes the time between two events.
@@ -187,7 +211,7 @@
     /// ```
     #[must_use]
     pub fn prefill_ms_per_token(&self) -> Option<f64> {
-        self.prefill_ms_per_token.value()
+        self.reading.ms_per_token()
     }
 
     /// Time of a plain answer, 0 if none was seen: an upstream that nobody has asked yet
--- a/lib/src/direct/placement/place.rs
+++ b/lib/src/direct/placement/place.rs
@@ -180,7 +180,8 @@
     /// answer.
     #[must_use]
     pub fn first_ms(&self, prompt_tokens: u32, usual: &Usual) -> f64 {
-        self.read_ms(prompt_tokens, usual) + self.health.answer_ms()
+        let answer_ms = self.event_ms(usual) + self.health.answer_ms();
+        self.read_ms(prompt_tokens, usual) + answer_ms
     }
 
     /// Whether neither this entry nor a peer has seen it answer.
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -194,6 +194,31 @@
     assert!(dispatcher.lead_ms("unknown", &long) >= known_ms);
 }
 
+#[test]
+fn long_prompt_not_late_by_what_short_ones_took() {
+    // A caller with a long document is refused at once, as if it were late on arrival, though an
+    // engine would read it in a third of its objective. Most prompts there are short, and their first
+    // event takes as long as any other event does; taken for reading, that made the long one seem
+    // four times as slow to read.
+    const EVENT_MS: f64 = 27.0;
+    const READ_MS_PER_TOKEN: f64 = 0.01;
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 5)]);
+    for prompt_tokens in [600, 500, 15_000, 700, 600, 900, 500, 600] {
+        let read_ms = f64::from(prompt_tokens) * READ_MS_PER_TOKEN;
+        dispatcher.learn("i-1", |health| {
+            health.next_event(EVENT_MS, 0);
+            health.first_event(prompt_tokens, read_ms + EVENT_MS);
+        });
+    }
+    let long = Job {
+        prompt_tokens: 15_000,
+        ..job(1, 0)
+    };
+    let lead_ms = dispatcher.lead_ms("i-1", &long);
+    assert!(lead_ms < long.objective_at_ms / 2, "{lead_ms}");
+}
+
 #[test]
 fn unknown_upstream_tried_although_another_is_better_than_usual() {
     // One of two engines is known and has become faster than it used to be; the other, nobody has
