shares by size: an entry owes each size of a kind a part of its kind's starts

Cause: doors grant in a strict order of worth over time, and late ones yield to all that are in time. In an overload that lasts, what comes last in a strict order hardly begins. The bound of order by size, and order without size, move who that is; neither is a floor. The account grows by 0.6 of the kind's share with each request of a large size and falls with each start; while it is owed one, a request goes first of its kind and is not late before its objective.

--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -22,6 +22,9 @@
 use sardinewood::direct::sharing::door::AskId;
 use sardinewood::direct::sharing::door::Asker;
 use sardinewood::direct::sharing::door::Doors;
+use sardinewood::direct::sharing::size_floor::SizeFloor;
+use sardinewood::direct::sharing::size_shares::SizeClass;
+use sardinewood::direct::sharing::size_shares::SizeShares;
 use sardinewood::direct::view::directory::Upstream;
 
 use super::engine::Engine;
@@ -197,6 +200,8 @@
     peers: PeerTable,
     asks: IndexMap<AskId, (usize, Arc<str>, Asker)>,
     waiting: IndexMap<usize, Asking>,
+    sizes: SizeShares,
+    floor: SizeFloor,
 }
 
 struct Run {
@@ -222,6 +227,7 @@
     upstreams: Vec<Arc<Upstream>>,
     offered: Vec<Offered>,
     returned: Vec<bool>,
+    size_classes: Vec<SizeClass>,
     runs: Vec<Run>,
     outcome: Outcome,
 }
@@ -274,6 +280,7 @@
                 .collect(),
             upstreams,
             returned: vec![false; offered.len()],
+            size_classes: vec![SizeClass::Usual; offered.len()],
             outcome: Outcome {
                 ends: vec![Vec::new(); offered.len()],
                 ..Outcome::default()
@@ -336,6 +343,8 @@
             peers: PeerTable::new(address(entry), &seeds),
             asks: IndexMap::new(),
             waiting: IndexMap::new(),
+            sizes: SizeShares::default(),
+            floor: SizeFloor::default(),
         }
     }
 
--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -1,5 +1,7 @@
 //! Callers of the fleet: they arrive, wait, are refused, and come back once.
 
+use std::sync::Arc;
+
 use rand::Rng;
 use rand::rngs::StdRng;
 use sardinewood::direct::placement::asking::ANSWER_WITHIN_MS;
@@ -48,6 +50,7 @@
             tried: Vec::new(),
             shared_start: None,
             kept_at: Vec::new(),
+            is_owed: false,
         }
     }
 
@@ -63,7 +66,12 @@
             return;
         };
         self.offered[request].entry = entry;
-        let job = self.job(request);
+        let mut job = self.job(request);
+        let kind: Arc<str> = self.offered[request].kind().name.into();
+        let state = &mut self.entries[entry];
+        let size = state.sizes.rank(&kind, Some(job.relative_size));
+        job.is_owed = state.floor.owes(&kind, size);
+        self.size_classes[request] = size;
         let until_ms = job.waits_until_ms();
         let incarnation = self.entries[entry].incarnation;
         let asking = Asking::new(job);
@@ -158,6 +166,12 @@
 
     pub(super) fn refuse(&mut self, request: usize) {
         let entry = self.offered[request].entry;
+        if !self.entries[entry].waiting.contains_key(&request) {
+            return;
+        }
+        let kind = self.offered[request].kind().name.into();
+        let floor = &mut self.entries[entry].floor;
+        floor.refused(&kind, self.size_classes[request]);
         let Some(asking) = self.entries[entry].waiting.get(&request) else {
             return;
         };
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -38,6 +38,8 @@
             }
             return;
         }
+        let kind = self.offered[request].kind().name.into();
+        state.floor.started(&kind, self.size_classes[request]);
         let prompt_tokens = self.offered[request].prompt_tokens;
         let run = self.runs.len();
         state
@@ -130,6 +132,11 @@
             ..
         } = self.runs[run];
         self.outcome.ends[request].push(end);
+        if end == End::Cut {
+            let kind = self.offered[request].kind().name.into();
+            let floor = &mut self.entries[entry].floor;
+            floor.broken_off(&kind, self.size_classes[request]);
+        }
         if let Some(next) = self.engines[engine].end(run) {
             self.begin_run(next);
         }
--- a/lib/src/direct/placement/asking.rs
+++ b/lib/src/direct/placement/asking.rs
@@ -65,7 +65,7 @@
 /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
 /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
 /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-/// #     shared_start: None, kept_at: Vec::new() };
+/// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
 ///
 /// // There is no engine, so the request is refused at once.
 /// let mut asking = Asking::new(job);
@@ -96,7 +96,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// let next = Asking::new(job).begin(&Dispatcher::default(), 0, || 1);
     /// assert_eq!(next, [Next::Refuse]);
     /// ```
@@ -119,7 +119,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// let next = Asking::new(job).busy(AskId(7), 20, &Dispatcher::default(), 0, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -151,7 +151,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// let next = Asking::new(job).silence(&Dispatcher::default(), 40, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -193,14 +193,19 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// let ask = Asking::new(job).question(AskId(7), "i-1", &Dispatcher::default(), 60);
     /// assert_eq!(ask.waited_ms, 60);
     /// assert!(ask.in_time_for_ms < 40);
     /// ```
     #[must_use]
     pub fn question(&self, id: AskId, instance: &str, dispatcher: &Dispatcher, now_ms: u64) -> Ask {
-        let lead_ms = dispatcher.lead_ms(instance, &self.job);
+        // What is owed to a size is not put off again for the time that this size takes to be read.
+        let lead_ms = if self.job.is_owed {
+            0
+        } else {
+            dispatcher.lead_ms(instance, &self.job)
+        };
         Ask {
             id,
             upstream: short_name(instance),
@@ -217,7 +222,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// assert!(Asking::new(job).end().is_empty());
     /// ```
     pub fn end(&mut self) -> Vec<Next> {
--- a/lib/src/direct/placement/job.rs
+++ b/lib/src/direct/placement/job.rs
@@ -17,10 +17,9 @@
 /// Unit of a request's worth: fine enough for the least important of a customer far behind.
 const WORTH_MICROS: f64 = 1_000_000.0;
 /// Bounds of a request's worth for the time that it takes, in relation to a usual one of its
-/// kind. They keep order by size from starving any size: in a fleet far beyond its capacity,
-/// whatever comes last in order is hardly served. With 0.8 the largest tenth of a kind was served
-/// 0.47 times as often as the whole kind, on two of two heavy days of a large fleet; with 1 never
-/// below half, for 0.002 of the worth.
+/// kind. Short ones first serves more callers in the same time, but in a fleet far beyond its
+/// capacity whatever comes last in a strict order is hardly served, and no bound helps that: what
+/// size is owed does, by the account that an entry keeps of it.
 const LEAST_DENSITY: f64 = 1.0;
 const MOST_DENSITY: f64 = 1.3;
 /// Part of the objective for which any request may wait, in percent: what starts later can
@@ -68,6 +67,8 @@
     pub shared_start: Option<SharedStart>,
     /// Engines that are likely to keep that start, the likeliest first.
     pub kept_at: Vec<KeptAt>,
+    /// Whether its size is owed a start, so that it goes first of its kind.
+    pub is_owed: bool,
 }
 
 impl Job {
@@ -78,7 +79,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// assert_eq!(job.kept_tokens("i-1"), 0);
     /// ```
     #[must_use]
@@ -96,7 +97,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 9,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// assert_eq!(job.unread_tokens("i-1"), 9);
     /// ```
     #[must_use]
@@ -115,13 +116,17 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// assert_eq!(job.worth_micros(), 1_000_000);
     /// ```
     #[must_use]
     pub fn worth_micros(&self) -> u32 {
         let size = (FIXED_WORTH + (1.0 - FIXED_WORTH) * self.relative_size).min(MOST_WORTH);
-        let density = (size / self.relative_hold).clamp(LEAST_DENSITY, MOST_DENSITY);
+        let density = if self.is_owed {
+            MOST_DENSITY
+        } else {
+            (size / self.relative_hold).clamp(LEAST_DENSITY, MOST_DENSITY)
+        };
         let customer = CUSTOMER_FACTOR.powi(i32::from(self.customer_tier));
         let micros = door::tier_worth(self.tier) * customer * density * WORTH_MICROS;
         numbers::whole_u32(micros).max(1)
@@ -139,7 +144,7 @@
     /// # let job = |tier| Job { id: 1, service: "s".into(), tier, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 9_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// assert_eq!(job(0).waits_until_ms(), 850);
     /// assert!(job(2).waits_until_ms() < 100);
     /// ```
@@ -161,7 +166,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new() };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
     /// assert_eq!(job.retry_after_ms(0), 800);
     /// ```
     #[must_use]
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -149,6 +149,7 @@
             tried: self.tried.clone(),
             shared_start: self.shared_start,
             kept_at: Vec::new(),
+            is_owed: self.ending.is_owed(),
         }
     }
 
--- a/lib/src/direct/request/ending.rs
+++ b/lib/src/direct/request/ending.rs
@@ -27,6 +27,7 @@
 pub struct Ending {
     traffic: Rc<Traffic>,
     counted: Counted,
+    has_started: Cell<bool>,
     end: Cell<CallEnd>,
 }
 
@@ -37,6 +38,7 @@
         Rc::new(Self {
             traffic: Rc::clone(traffic),
             counted,
+            has_started: Cell::new(false),
             end: Cell::new(CallEnd::NotWhole),
         })
     }
@@ -47,6 +49,22 @@
         self.counted.size
     }
 
+    /// Whether its size is owed a start.
+    #[must_use]
+    pub fn is_owed(&self) -> bool {
+        let floor = self.traffic.size_floor.borrow();
+        floor.owes(&self.counted.kind, self.counted.size)
+    }
+
+    /// Says that an upstream has room for the request. A second attempt is no second start.
+    pub fn set_started(&self) {
+        if self.has_started.replace(true) {
+            return;
+        }
+        let mut floor = self.traffic.size_floor.borrow_mut();
+        floor.started(&self.counted.kind, self.counted.size);
+    }
+
     /// Says how the request ends.
     pub fn set(&self, end: CallEnd) {
         self.end.set(end);
@@ -74,6 +92,12 @@
         let end = self.end.get();
         let mut shares = self.traffic.size_shares.borrow_mut();
         shares.ended(kind, *size, end);
+        let mut floor = self.traffic.size_floor.borrow_mut();
+        match (self.has_started.get(), end.is_served()) {
+            (false, _) => floor.refused(kind, *size),
+            (true, false) => floor.broken_off(kind, *size),
+            (true, true) => {}
+        }
         let tier = tier.to_string();
         self.traffic
             .figures
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -181,6 +181,7 @@
             "service": call.service,
             "tier": call.tier,
             "size": call.ending.size(),
+            "is_owed": call.ending.is_owed(),
             "prompt_tokens": call.prompt_tokens,
             "expected_output_tokens": call.expected_output_tokens,
             "customer_tier": call.customer_tier,
@@ -222,7 +223,10 @@
     let turn = traffic.turn(call.job()).await;
     call.waited_ms += traffic.now_ms() - asked_ms;
     let lease = match turn {
-        Turn::Start(lease) => lease,
+        Turn::Start(lease) => {
+            call.ending.set_started();
+            lease
+        }
         Turn::Refused { retry_after_ms } => return Err(retry_after_ms),
     };
     Ok(send(traffic, call, lease, call.last_event_id).await)
--- a/lib/src/direct/sharing.rs
+++ b/lib/src/direct/sharing.rs
@@ -4,5 +4,6 @@
 pub mod allotment;
 pub mod attempt_budget;
 pub mod door;
+pub mod size_floor;
 pub mod size_shares;
 pub mod spending_window;
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -39,6 +39,7 @@
 use crate::direct::sharing::door::AskId;
 use crate::direct::sharing::door::Asker;
 use crate::direct::sharing::door::Doors;
+use crate::direct::sharing::size_floor::SizeFloor;
 use crate::direct::sharing::size_shares::SizeShares;
 use crate::direct::view::catalog::Catalog;
 use crate::direct::view::directory::Upstream;
@@ -92,6 +93,8 @@
     pub starts: RefCell<Popularity>,
     /// How requests ended, by kind and size.
     pub size_shares: RefCell<SizeShares>,
+    /// What is owed to the sizes of each kind.
+    pub size_floor: RefCell<SizeFloor>,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
     expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     log: RefCell<LogBudget>,
@@ -229,6 +232,7 @@
             configured: Notify::new(),
             starts: RefCell::default(),
             size_shares: RefCell::default(),
+            size_floor: RefCell::default(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
             log: RefCell::default(),
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -46,5 +46,6 @@
         tried: Vec::new(),
         shared_start: None,
         kept_at: Vec::new(),
+        is_owed: false,
     }
 }
