--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -8,5 +8,6 @@
 pub mod ending;
 pub mod exchange;
 pub mod front;
+pub mod no_answer;
 pub mod refusal;
 pub mod relay;
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -37,6 +37,7 @@
 use crate::direct::view::catalog::Customer;
 use crate::direct::view::catalog::Route;
 use crate::logging::Level;
+use crate::logging::Line;
 use crate::numbers;
 
 /// Longest body taken when the configuration sets no limit.
@@ -119,6 +120,19 @@
         now_ms <= self.arrived_ms + self.route.objective_ms
     }
 
+    /// Adds to a log line what decides a request's order and place, and what became of it so far.
+    pub fn fields(&self, line: Line) -> Line {
+        line.field("request", self.name())
+            .field("route", &self.route.name)
+            .field("tier", self.tier)
+            .field("customer_tier", self.customer_tier)
+            .field("size", self.ending.size())
+            .field("prompt_tokens", self.prompt_tokens)
+            .field("expected_output_tokens", self.expected_output_tokens)
+            .field("upstreams", &self.tried)
+            .field("waited_ms", self.waited_ms)
+    }
+
     /// The request as text, for logs.
     #[must_use]
     pub fn name(&self) -> &str {
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -14,7 +14,6 @@
 use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use serde_json::json;
 use tokio::time::timeout_at;
 
 use crate::direct::log_budget::Outcome;
@@ -27,9 +26,9 @@
 use crate::direct::request::caller::UpstreamHeaders;
 use crate::direct::request::connections::Connection;
 use crate::direct::request::connections::SendError;
-use crate::direct::request::refusal::Refusal;
+use crate::direct::request::no_answer::refuse;
+use crate::direct::request::no_answer::unknown;
 use crate::direct::request::relay::Relay;
-use crate::direct::sharing::size_shares::CallEnd;
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
@@ -171,51 +170,6 @@
     }
 }
 
-fn refuse(traffic: &Traffic, call: &Call, retry_after_ms: u64) -> Response<AnswerBody> {
-    if !call.may_have_run {
-        let id = call.request_id.as_ref();
-        let dispatcher = traffic.dispatcher.borrow();
-        call.ending.set(CallEnd::NoRoom);
-        let inputs = json!({
-            "route": call.route.name,
-            "service": call.service,
-            "tier": call.tier,
-            "size": call.ending.size(),
-            "is_owed": call.ending.is_owed(),
-            "prompt_tokens": call.prompt_tokens,
-            "expected_output_tokens": call.expected_output_tokens,
-            "customer_tier": call.customer_tier,
-            "waited_ms": call.waited_ms,
-            "might_wait_ms": call.job().waits_until_ms().saturating_sub(call.arrived_ms),
-            "worth_micros": call.job().worth_micros(),
-            "upstreams_listed": dispatcher.listed_for(&call.service),
-            "upstreams_working": dispatcher.working_for(&call.service, traffic.now_ms()),
-        });
-        drop(dispatcher);
-        return Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no room in time", id)
-            .after(retry_after_ms)
-            .because(inputs)
-            .response(traffic);
-    }
-    // An earlier upstream may have run it, so it can't be promised that it has not.
-    unknown(traffic, call, StatusCode::BAD_GATEWAY)
-}
-
-fn unknown(traffic: &Traffic, call: &Call, status: StatusCode) -> Response<AnswerBody> {
-    let id = call.request_id.as_ref();
-    let inputs = json!({
-        "route": call.route.name,
-        "upstreams": call.tried,
-        "may_have_run": call.may_have_run,
-        "waited_ms": call.waited_ms,
-        "is_idempotent": call.route.repeat.is_idempotent(),
-        "max_upstreams": call.route.max_upstreams,
-    });
-    Refusal::new(status, "outcome unknown", id)
-        .because(inputs)
-        .response(traffic)
-}
-
 /// Waits for room and sends the request there once. The error is when to come back, if
 /// there is no room.
 async fn attempt(traffic: &Rc<Traffic>, call: &mut Call) -> Result<Attempt, u64> {
@@ -433,13 +387,8 @@
             Outcome::Success
         };
         traffic.log_of(outcome, Level::Info, "answered", |line| {
-            line.field("request", call.name())
-                .field("route", &call.route.name)
-                .field("tier", call.tier)
-                .field("customer_tier", call.customer_tier)
+            call.fields(line)
                 .field("status", status.as_u16())
-                .field("upstreams", &call.tried)
-                .field("waited_ms", call.waited_ms)
                 .field("held_ms", self.held_ms)
         });
         self.response
--- /dev/null
+++ b/lib/src/direct/request/no_answer.rs
@@ -0,0 +1,59 @@
+//! What a caller hears whose request no upstream has answered: that it has not run, or that nobody
+//! knows.
+
+use http::Response;
+use http::StatusCode;
+use serde_json::json;
+
+use crate::direct::request::answer_body::AnswerBody;
+use crate::direct::request::call::Call;
+use crate::direct::request::refusal::Refusal;
+use crate::direct::sharing::size_shares::CallEnd;
+use crate::direct::traffic::Traffic;
+
+/// Refuses a request that found no room. If an upstream may have run it, its outcome is unknown.
+pub fn refuse(traffic: &Traffic, call: &Call, retry_after_ms: u64) -> Response<AnswerBody> {
+    if !call.may_have_run {
+        let id = call.request_id.as_ref();
+        let dispatcher = traffic.dispatcher.borrow();
+        call.ending.set(CallEnd::NoRoom);
+        let inputs = json!({
+            "route": call.route.name,
+            "service": call.service,
+            "tier": call.tier,
+            "size": call.ending.size(),
+            "is_owed": call.ending.is_owed(),
+            "prompt_tokens": call.prompt_tokens,
+            "expected_output_tokens": call.expected_output_tokens,
+            "customer_tier": call.customer_tier,
+            "waited_ms": call.waited_ms,
+            "might_wait_ms": call.job().waits_until_ms().saturating_sub(call.arrived_ms),
+            "worth_micros": call.job().worth_micros(),
+            "upstreams_listed": dispatcher.listed_for(&call.service),
+            "upstreams_working": dispatcher.working_for(&call.service, traffic.now_ms()),
+        });
+        drop(dispatcher);
+        return Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no room in time", id)
+            .after(retry_after_ms)
+            .because(inputs)
+            .response(traffic);
+    }
+    // An earlier upstream may have run it, so it can't be promised that it has not.
+    unknown(traffic, call, StatusCode::BAD_GATEWAY)
+}
+
+/// Tells that a request may have run, and nobody knows.
+pub fn unknown(traffic: &Traffic, call: &Call, status: StatusCode) -> Response<AnswerBody> {
+    let id = call.request_id.as_ref();
+    let inputs = json!({
+        "route": call.route.name,
+        "upstreams": call.tried,
+        "may_have_run": call.may_have_run,
+        "waited_ms": call.waited_ms,
+        "is_idempotent": call.route.repeat.is_idempotent(),
+        "max_upstreams": call.route.max_upstreams,
+    });
+    Refusal::new(status, "outcome unknown", id)
+        .because(inputs)
+        .response(traffic)
+}
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -354,14 +354,9 @@
         let success = Outcome::Success;
         self.traffic
             .log_of(success, Level::Info, "streamed", |line| {
-                line.field("request", self.call.name())
-                    .field("route", &self.call.route.name)
-                    .field("tier", self.call.tier)
-                    .field("customer_tier", self.call.customer_tier)
-                    .field("upstreams", &self.call.tried)
-                    .field("prompt_tokens", self.call.prompt_tokens)
+                self.call
+                    .fields(line)
                     .field("kept_tokens", source.lease.kept_tokens)
-                    .field("waited_ms", self.call.waited_ms)
                     .field("first_ms", self.first_ms)
                     .field("held_ms", self.traffic.now_ms() - source.lease.since_ms())
                     .field("last_event", self.scan.last_id())
@@ -455,14 +450,8 @@
     fn log_cut(&self, message: &'static str) {
         self.traffic.figures.cut.inc();
         self.traffic.log(Level::Warn, message, |line| {
-            line.field("request", self.call.name())
-                .field("route", &self.call.route.name)
-                .field("tier", self.call.tier)
-                .field("size", self.call.ending.size())
-                .field("prompt_tokens", self.call.prompt_tokens)
-                .field("expected_output_tokens", self.call.expected_output_tokens)
-                .field("upstreams", &self.call.tried)
-                .field("waited_ms", self.call.waited_ms)
+            self.call
+                .fields(line)
                 .field("first_ms", self.first_ms)
                 .field("last_event", self.scan.last_id())
         });
