--- a/lib/src/direct/placement/job.rs
+++ b/lib/src/direct/placement/job.rs
@@ -18,8 +18,8 @@
 const WORTH_MICROS: f64 = 1_000_000.0;
 /// Bounds of a request's worth for the time that it takes, in relation to a usual one of its
 /// kind. Short ones first serves more callers in the same time, but in a fleet far beyond its
-/// capacity whatever comes last in a strict order is hardly served, and no bound helps that: what
-/// size is owed does, by the account that an entry keeps of it.
+/// capacity whatever comes last in a strict order is hardly served. No bound helps against that;
+/// the account of what each size is owed does.
 const LEAST_DENSITY: f64 = 1.0;
 const MOST_DENSITY: f64 = 1.3;
 /// Part of the objective for which any request may wait, in percent: what starts later can
