size floor: one start ahead at most, as before

Where nine in a hundred begin, three starts are paid back by fifty callers of that size, more than a small fleet's run has.

--- a/lib/src/direct/sharing/size_floor.rs
+++ b/lib/src/direct/sharing/size_floor.rs
@@ -24,10 +24,6 @@
 /// Part of a new decision in a kind's share: some fifty make up a new one, a few seconds of a busy
 /// entry, so that the share follows a burst and not a single refusal.
 const SHARE_PART: f64 = 0.02;
-/// Starts by which a size may be ahead where nothing of its kind begins. With one, two starts in quick
-/// succession count as one, and a size that begins often enough by itself is owed starts as well; each
-/// further one lets it wait for longer when its luck turns.
-const MOST_AHEAD: f64 = 3.0;
 /// Starts by which a size may be behind. More would be paid back in a burst of large requests when
 /// room returns, long after the callers who were refused have left.
 const MOST_BEHIND: f64 = 4.0;
@@ -55,7 +51,9 @@
         let owed = &mut self.owed[size as usize];
         // What begins while all begin is no start ahead of others. Saved up, it would pay for an
         // overload that follows, and the largest would wait for their floor until that is over.
-        let most_ahead = MOST_AHEAD * (1.0 - self.share);
+        // Nor does more than one start in an overload: where few begin, three make a size wait for fifty
+        // further callers of its own, and it falls below half of its kind.
+        let most_ahead = 1.0 - self.share;
         *owed = (*owed + starts).clamp(-most_ahead, MOST_BEHIND);
     }
 }
