request, bench: one look at a refused job, one answer to 'in time', one place that keeps a request's account

A refusal built its job twice and asked the account three times; a stream and a whole answer each had their own 'in time'; the fleet in virtual time noted starts, refusals and cuts by three copies of the same lines.

--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -9,6 +9,8 @@
 use sardinewood::direct::placement::asking::Next;
 use sardinewood::direct::placement::dispatch::Dispatcher;
 use sardinewood::direct::placement::job::Job;
+use sardinewood::direct::sharing::size_floor::SizeFloor;
+use sardinewood::direct::sharing::size_shares::SizeClass;
 
 use super::End;
 use super::Event;
@@ -166,16 +168,11 @@
 
     pub(super) fn refuse(&mut self, request: usize) {
         let entry = self.offered[request].entry;
-        if !self.entries[entry].waiting.contains_key(&request) {
-            return;
-        }
-        let kind = self.offered[request].kind().name.into();
-        let floor = &mut self.entries[entry].floor;
-        floor.refused(&kind, self.size_classes[request]);
         let Some(asking) = self.entries[entry].waiting.get(&request) else {
             return;
         };
         let comes_back_ms = self.now_ms + asking.job.retry_after_ms(self.now_ms);
+        self.account(entry, request, SizeFloor::refused);
         self.stop_waiting(entry, request);
         let may_return = !self.returned[request] && self.setup.variant != Variant::WithoutReturns;
         if may_return {
@@ -192,6 +189,18 @@
         }
     }
 
+    /// Notes in an entry's account of sizes what became of a request.
+    pub(super) fn account(
+        &mut self,
+        entry: usize,
+        request: usize,
+        note: fn(&mut SizeFloor, &Arc<str>, SizeClass),
+    ) {
+        let kind = self.offered[request].kind().name.into();
+        let floor = &mut self.entries[entry].floor;
+        note(floor, &kind, self.size_classes[request]);
+    }
+
     pub(super) fn stop_waiting(&mut self, entry: usize, request: usize) {
         if let Some(mut asking) = self.entries[entry].waiting.swap_remove(&request) {
             let next = asking.end();
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -5,6 +5,7 @@
 use rand::Rng;
 use sardinewood::direct::placement::dispatch::short_name;
 use sardinewood::direct::placement::health::Ended;
+use sardinewood::direct::sharing::size_floor::SizeFloor;
 use sardinewood::direct::view::directory::Upstream;
 use sardinewood::numbers;
 
@@ -38,14 +39,13 @@
             }
             return;
         }
-        let kind = self.offered[request].kind().name.into();
-        state.floor.started(&kind, self.size_classes[request]);
         let prompt_tokens = self.offered[request].prompt_tokens;
         let run = self.runs.len();
         state
             .dispatcher
             .sent(instance, run as u64, prompt_tokens, self.now_ms);
         let give_up_at_ms = state.waiting[&request].job.give_up_at_ms;
+        self.account(entry, request, SizeFloor::started);
         self.stop_waiting(entry, request);
         let engine = self
             .upstreams
@@ -133,9 +133,7 @@
         } = self.runs[run];
         self.outcome.ends[request].push(end);
         if end == End::Cut {
-            let kind = self.offered[request].kind().name.into();
-            let floor = &mut self.entries[entry].floor;
-            floor.broken_off(&kind, self.size_classes[request]);
+            self.account(entry, request, SizeFloor::broken_off);
         }
         if let Some(next) = self.engines[engine].end(run) {
             self.begin_run(next);
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -114,10 +114,10 @@
             .observe(numbers::as_f64(first_ms));
     }
 
-    /// Whether an answer that begins now is worth most.
+    /// Whether an answer that begins so long after the request's arrival is worth most.
     #[must_use]
-    pub fn is_in_time(&self, now_ms: u64) -> bool {
-        now_ms <= self.arrived_ms + self.route.objective_ms
+    pub fn is_in_time(&self, after_ms: u64) -> bool {
+        after_ms <= self.route.objective_ms
     }
 
     /// Adds to a log line what decides a request's order and place, and what became of it so far.
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -377,7 +377,8 @@
         call.note_first(traffic);
         let status = self.response.status();
         if !status.is_server_error() {
-            call.ending.set_whole(call.is_in_time(traffic.now_ms()));
+            let after_ms = traffic.now_ms() - call.arrived_ms;
+            call.ending.set_whole(call.is_in_time(after_ms));
         }
         let answers = &traffic.figures.answers;
         answers.with_label_values(&[status.as_str()]).inc();
--- a/lib/src/direct/request/no_answer.rs
+++ b/lib/src/direct/request/no_answer.rs
@@ -14,21 +14,22 @@
 /// Refuses a request that found no room. If an upstream may have run it, its outcome is unknown.
 pub fn refuse(traffic: &Traffic, call: &Call, retry_after_ms: u64) -> Response<AnswerBody> {
     if !call.may_have_run {
+        call.ending.set(CallEnd::NoRoom);
         let id = call.request_id.as_ref();
+        let job = call.job();
         let dispatcher = traffic.dispatcher.borrow();
-        call.ending.set(CallEnd::NoRoom);
         let inputs = json!({
             "route": call.route.name,
             "service": call.service,
             "tier": call.tier,
             "size": call.ending.size(),
-            "is_owed": call.ending.is_owed(),
+            "is_owed": job.is_owed,
             "prompt_tokens": call.prompt_tokens,
             "expected_output_tokens": call.expected_output_tokens,
             "customer_tier": call.customer_tier,
             "waited_ms": call.waited_ms,
-            "might_wait_ms": call.job().waits_until_ms().saturating_sub(call.arrived_ms),
-            "worth_micros": call.job().worth_micros(),
+            "might_wait_ms": job.waits_until_ms().saturating_sub(call.arrived_ms),
+            "worth_micros": job.worth_micros(),
             "upstreams_listed": dispatcher.listed_for(&call.service),
             "upstreams_working": dispatcher.working_for(&call.service, traffic.now_ms()),
         });
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -343,11 +343,9 @@
             source.connection,
             source.keep_alive_ms,
         );
-        let objective_ms = self.call.route.objective_ms;
-        let is_in_time = self
-            .first_ms
-            .is_some_and(|first_ms| first_ms <= objective_ms);
-        self.call.ending.set_whole(is_in_time);
+        let is_in_time = |first_ms| self.call.is_in_time(first_ms);
+        let ending = &self.call.ending;
+        ending.set_whole(self.first_ms.is_some_and(is_in_time));
         let figures = &self.traffic.figures;
         let status = self.parts.status;
         figures.answers.with_label_values(&[status.as_str()]).inc();
--- a/lib/src/direct/sharing/size_floor.rs
+++ b/lib/src/direct/sharing/size_floor.rs
@@ -51,8 +51,8 @@
         let owed = &mut self.owed[size as usize];
         // What begins while all begin is no start ahead of others. Saved up, it would pay for an
         // overload that follows, and the largest would wait for their floor until that is over.
-        // Nor does more than one start in an overload: where few begin, three make a size wait for fifty
-        // further callers of its own, and it falls below half of its kind.
+        // In an overload one start at most is kept: where few begin, three would make a size wait for
+        // fifty further callers of its own, and it falls below half of its kind.
         let most_ahead = 1.0 - self.share;
         *owed = (*owed + starts).clamp(-most_ahead, MOST_BEHIND);
     }
