quarantine: which broken connections prove an upstream's end, and what ran there

The logs could not tell that two tries are the same request, nor whether a broken connection was an end.

A fingerprint (method, path, customer, body) is the same for all tries of a request. After a break the address is tried after 30 and 500 ms: refused connections prove an end, as does another incarnation in its place. `no connection to upstream` says why (refused, timed out).

Nothing is decided by it yet. Ruled out as proofs: the vanished entry alone (a cut does the same).

--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -16,6 +16,8 @@
 pub mod log_budget;
 pub mod membership;
 pub mod placement;
+pub mod quarantine;
+pub mod quarantining;
 pub mod request;
 pub mod rooms;
 pub mod server;
--- a/lib/src/direct/figures.rs
+++ b/lib/src/direct/figures.rs
@@ -40,6 +40,8 @@
     pub prompt_tokens: IntCounterVec,
     /// Tokens of them that the upstream was likely to keep, by service.
     pub kept_tokens: IntCounterVec,
+    /// Upstreams that ended in the middle of this entry's runs, by service.
+    pub upstream_ends: IntCounterVec,
     /// Requests sent to a second upstream.
     pub second_attempts: IntCounter,
     /// Streams that went on at a second upstream.
@@ -108,6 +110,11 @@
                 &["service"],
             )?,
             kept_tokens: counters("kept_tokens_total", "Of them, likely kept.", &["service"])?,
+            upstream_ends: counters(
+                "upstream_ends_total",
+                "Upstreams that ended in the middle of runs.",
+                &["service"],
+            )?,
             second_attempts: counter("second_attempts_total", "Second attempts.")?,
             resumed: counter("resumed_total", "Streams that went on elsewhere.")?,
             cut: counter("cut_total", "Streams that were cut short.")?,
@@ -141,6 +148,7 @@
             &self.failed_attempts,
             &self.prompt_tokens,
             &self.kept_tokens,
+            &self.upstream_ends,
         ] {
             self.registry.register(Box::new(counters.clone()))?;
         }
--- /dev/null
+++ b/lib/src/direct/quarantine.rs
@@ -0,0 +1,4 @@
+//! Requests that end the upstreams that run them: how an end is proven, and which request it was.
+
+pub mod ends;
+pub mod fingerprint;
--- /dev/null
+++ b/lib/src/direct/quarantine/ends.rs
@@ -0,0 +1,277 @@
+//! Whether an upstream whose connections broke has ended, and what ran there.
+//!
+//! A broken connection alone proves nothing: networks reset connections, upstreams close idle ones,
+//! hosts stand still and come back. An end is proven when nobody listens at the address any more, when
+//! the list has another incarnation in that place, or when a peer has proven it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::direct::placement::dispatch::short_name;
+use crate::direct::quarantine::fingerprint::Fingerprint;
+use crate::direct::view::directory::Upstream;
+
+/// How long after a break an end may still be proven: until a new incarnation of the upstream has
+/// started and stands in the list.
+const PROVEN_WITHIN_MS: u64 = 10_000;
+/// Pauses before an address is tried after a break. A process that ends closes its connections
+/// in any order, so the first try may still find it listening.
+pub const PROBE_PAUSES_MS: [u64; 2] = [30, 500];
+
+/// A run that broke off.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Run {
+    /// The request.
+    pub request: Fingerprint,
+    /// Its name in logs.
+    pub name: Arc<str>,
+    /// When its room at the upstream was taken.
+    pub began_ms: u64,
+}
+
+/// How an end was proven.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// Nobody listens at its address.
+    Refused,
+    /// The list has another incarnation in its place.
+    Replaced,
+    /// A peer has proven it.
+    Told,
+}
+
+impl Proof {
+    /// Its name in logs.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::quarantine::ends::Proof::Refused.name(), "connections refused");
+    /// ```
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "connections refused",
+            Self::Replaced => "another incarnation in its place",
+            Self::Told => "told by a peer",
+        }
+    }
+}
+
+/// An upstream that has ended in the middle of runs.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct End {
+    /// The incarnation that ended.
+    pub instance: Arc<str>,
+    /// The service that it belonged to.
+    pub service: Arc<str>,
+    /// When this entry saw the first of its connections break.
+    pub broke_at_ms: u64,
+    /// What ran there, of this entry's requests, and was not reported before.
+    pub runs: Vec<Run>,
+    /// How it was proven.
+    pub proof: Proof,
+    /// Whether it was not reported before. Connections of the same upstream break one after the
+    /// other.
+    pub is_first: bool,
+}
+
+/// What to do after a connection broke.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// See whether anybody listens at the upstream's address.
+    Probe,
+    /// Somebody does already.
+    Wait,
+    /// The end was proven before.
+    Ended(End),
+    /// The run had begun after the connections broke, so it has never reached the upstream.
+    Nothing,
+}
+
+#[derive(Clone, Debug)]
+struct Break {
+    service: Arc<str>,
+    name: Arc<str>,
+    address: SocketAddr,
+    broke_at_ms: u64,
+    runs: Vec<Run>,
+    proof: Option<Proof>,
+}
+
+impl Break {
+    fn take_end(&mut self, instance: &Arc<str>, proof: Proof) -> End {
+        let is_first = self.proof.replace(proof).is_none();
+        End {
+            instance: Arc::clone(instance),
+            service: Arc::clone(&self.service),
+            broke_at_ms: self.broke_at_ms,
+            runs: std::mem::take(&mut self.runs),
+            proof,
+            is_first,
+        }
+    }
+}
+
+/// The upstreams of which connections broke lately, as one entry saw it.
+///
+/// ```
+/// use sardinewood::direct::quarantine::ends::Breaks;
+///
+/// assert!(Breaks::default().refused("i-1").is_none());
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Breaks {
+    by_instance: IndexMap<Arc<str>, Break>,
+}
+
+impl Breaks {
+    /// Notes that a run's connection broke.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::{Breaks, Next, Run};
+    /// # use sardinewood::direct::quarantine::fingerprint::{Asked, Fingerprint};
+    /// # use sardinewood::direct::view::directory::Upstream;
+    /// # let upstream = Upstream { instance: "i-1".into(), name: "i-1".into(), born_ms: None,
+    /// #     service: "s".into(), address: "127.0.0.1:80".parse().unwrap(),
+    /// #     data_centre: "d".into(), slots: 4, is_leaving: false };
+    /// # let request = Fingerprint::of(Asked { method: "GET", path: "/", customer: None, body: b"" });
+    /// let run = Run { request, name: "try-1".into(), began_ms: 5 };
+    /// let mut breaks = Breaks::default();
+    /// assert_eq!(breaks.broke(&upstream, run.clone(), 9), Next::Probe);
+    /// assert_eq!(breaks.refused("i-1").unwrap().runs, [run]);
+    /// ```
+    pub fn broke(&mut self, upstream: &Upstream, run: Run, now_ms: u64) -> Next {
+        let Some(known) = self.by_instance.get_mut(&upstream.instance) else {
+            let new = Break {
+                service: Arc::clone(&upstream.service),
+                name: Arc::clone(&upstream.name),
+                address: upstream.address,
+                broke_at_ms: now_ms,
+                runs: vec![run],
+                proof: None,
+            };
+            self.by_instance.insert(Arc::clone(&upstream.instance), new);
+            return Next::Probe;
+        };
+        if run.began_ms > known.broke_at_ms {
+            return Next::Nothing;
+        }
+        known.runs.push(run);
+        match known.proof {
+            Some(proof) => Next::Ended(known.take_end(&upstream.instance, proof)),
+            None => Next::Wait,
+        }
+    }
+
+    /// Notes that nobody listens at an upstream's address; its end, if connections broke before.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::Breaks;
+    /// assert_eq!(Breaks::default().refused("i-1"), None);
+    /// ```
+    pub fn refused(&mut self, instance: &str) -> Option<End> {
+        self.prove(instance, Proof::Refused)
+    }
+
+    /// Notes that peers have proven the end of upstreams, by their short names.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::Breaks;
+    /// assert!(Breaks::default().told(&[7]).is_empty());
+    /// ```
+    pub fn told(&mut self, ended: &[u32]) -> Vec<End> {
+        let is_told = |instance: &str, _: &Break| ended.contains(&short_name(instance));
+        self.prove_where(Proof::Told, is_told)
+    }
+
+    /// Compares what broke with the upstreams that are listed now: a new incarnation at the address
+    /// or under the name of one that broke proves that it has ended.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::Breaks;
+    /// assert!(Breaks::default().listed(&[]).is_empty());
+    /// ```
+    pub fn listed(&mut self, upstreams: &[Arc<Upstream>]) -> Vec<End> {
+        self.prove_where(Proof::Replaced, |instance, broken| {
+            let is_replaced = |upstream: &Arc<Upstream>| {
+                let is_in_place =
+                    upstream.address == broken.address || upstream.name == broken.name;
+                is_in_place && &*upstream.instance != instance
+            };
+            upstreams.iter().any(is_replaced)
+        })
+    }
+
+    /// Notes that an upstream answers a run that began at some time. If its connections had broken
+    /// before, it has not ended.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::Breaks;
+    /// Breaks::default().answered("i-1", 5);
+    /// ```
+    pub fn answered(&mut self, instance: &str, began_ms: u64) {
+        let is_later = |broken: &Break| broken.proof.is_none() && began_ms > broken.broke_at_ms;
+        if self.by_instance.get(instance).is_some_and(is_later) {
+            self.by_instance.swap_remove(instance);
+        }
+    }
+
+    /// Whether a request's connection to an upstream broke of which nobody knows yet whether it
+    /// has ended.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::Breaks;
+    /// # use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    /// let request = Fingerprint::parse("00112233445566778899aabbccddeeff").unwrap();
+    /// assert_eq!(Breaks::default().unproven(request), 0);
+    /// ```
+    #[must_use]
+    pub fn unproven(&self, request: Fingerprint) -> usize {
+        let is_of = |broken: &&Break| broken.runs.iter().any(|run| run.request == request);
+        let unproven = self
+            .by_instance
+            .values()
+            .filter(|broken| broken.proof.is_none());
+        unproven.filter(is_of).count()
+    }
+
+    /// Whether it is still open if an upstream has ended.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::Breaks;
+    /// assert!(!Breaks::default().is_open("i-1"));
+    /// ```
+    #[must_use]
+    pub fn is_open(&self, instance: &str) -> bool {
+        self.by_instance
+            .get(instance)
+            .is_some_and(|broken| broken.proof.is_none())
+    }
+
+    /// Forgets what broke long ago.
+    ///
+    /// ```
+    /// sardinewood::direct::quarantine::ends::Breaks::default().sweep(0);
+    /// ```
+    pub fn sweep(&mut self, now_ms: u64) {
+        self.by_instance
+            .retain(|_, broken| now_ms < broken.broke_at_ms + PROVEN_WITHIN_MS);
+    }
+
+    fn prove(&mut self, instance: &str, proof: Proof) -> Option<End> {
+        let (_, instance, broken) = self.by_instance.get_full_mut(instance)?;
+        broken
+            .proof
+            .is_none()
+            .then(|| broken.take_end(instance, proof))
+    }
+
+    fn prove_where(&mut self, proof: Proof, is_so: impl Fn(&str, &Break) -> bool) -> Vec<End> {
+        self.by_instance
+            .iter_mut()
+            .filter(|(instance, broken)| broken.proof.is_none() && is_so(instance, broken))
+            .map(|(instance, broken)| broken.take_end(instance, proof))
+            .collect()
+    }
+}
--- /dev/null
+++ b/lib/src/direct/quarantine/fingerprint.rs
@@ -0,0 +1,93 @@
+//! What makes two tries the same request.
+//!
+//! Each try of a caller has a name of its own, so a request that comes again is known by what it
+//! asks: method, path, customer and body.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use sha2::Digest;
+use sha2::Sha256;
+
+const BYTES: usize = 16;
+
+/// The same for all tries of one request, at every entry.
+///
+/// A cryptographic hash without a key: entries share no secret, and they all have to agree. With a
+/// faster, unkeyed one a customer could make a body that shuts out another customer's request. Of
+/// 128 bits nobody finds two alike.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Fingerprint([u8; BYTES]);
+
+/// What a request asks, and for whom.
+#[derive(Clone, Copy, Debug)]
+pub struct Asked<'a> {
+    /// Its method.
+    pub method: &'a str,
+    /// Path and query.
+    pub path: &'a str,
+    /// The customer that its key belongs to; none on routes without keys.
+    pub customer: Option<&'a str>,
+    /// Its body, whole.
+    pub body: &'a [u8],
+}
+
+impl Fingerprint {
+    /// Of a request; reads its whole body.
+    ///
+    /// ```
+    /// use sardinewood::direct::quarantine::fingerprint::{Asked, Fingerprint};
+    ///
+    /// let asked = Asked { method: "POST", path: "/a/b", customer: Some("c"), body: b"text" };
+    /// assert_eq!(Fingerprint::of(asked), Fingerprint::of(asked));
+    /// assert_ne!(Fingerprint::of(asked), Fingerprint::of(Asked { customer: None, ..asked }));
+    /// ```
+    #[must_use]
+    pub fn of(asked: Asked<'_>) -> Self {
+        let mut hash = Sha256::new();
+        let customer = asked.customer.map(str::as_bytes);
+        hash.update([u8::from(customer.is_some())]);
+        for part in [
+            asked.method.as_bytes(),
+            asked.path.as_bytes(),
+            customer.unwrap_or_default(),
+            asked.body,
+        ] {
+            // With its length, so that no byte can move from one part to the next.
+            hash.update((part.len() as u64).to_le_bytes());
+            hash.update(part);
+        }
+        let mut bytes = [0; BYTES];
+        bytes.copy_from_slice(&hash.finalize()[..BYTES]);
+        Self(bytes)
+    }
+
+    /// Reads one as the log writes it.
+    ///
+    /// ```
+    /// use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    ///
+    /// let text = "00112233445566778899aabbccddeeff";
+    /// assert_eq!(Fingerprint::parse(text).unwrap().to_string(), text);
+    /// assert!(Fingerprint::parse("0011").is_none());
+    /// ```
+    #[must_use]
+    pub fn parse(text: &str) -> Option<Self> {
+        let is_hex = text.len() == 2 * BYTES && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        let number = u128::from_str_radix(text, 16).ok()?;
+        is_hex.then(|| Self(number.to_be_bytes()))
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}", u128::from_be_bytes(self.0))
+    }
+}
+
+impl fmt::Debug for Fingerprint {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, formatter)
+    }
+}
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -1,5 +1,6 @@
 //! A caller's request: reading it whole, and what the configuration says of it.
 
+use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -11,6 +12,7 @@
 use http::StatusCode;
 use http::Uri;
 use http::header;
+use http::uri::PathAndQuery;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
@@ -22,6 +24,8 @@
 use crate::direct::charging;
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_start::SharedStart;
+use crate::direct::quarantine::fingerprint::Asked;
+use crate::direct::quarantine::fingerprint::Fingerprint;
 use crate::direct::request::caller::CallerHeaders;
 use crate::direct::request::ending::Counted;
 use crate::direct::request::ending::Ending;
@@ -76,6 +80,8 @@
     pub headers: HeaderMap,
     /// Its body, whole.
     pub body: Bytes,
+    /// Read by [`Self::fingerprint`].
+    pub known_fingerprint: OnceCell<Fingerprint>,
     /// Size of its prompt.
     pub prompt_tokens: u32,
     /// Tokens that its caller expects of the answer.
@@ -139,6 +145,20 @@
         name_of(self.request_id.as_ref())
     }
 
+    /// What all tries of the same request have in common. It is worked out when it is first asked
+    /// for, since most requests never need it.
+    #[must_use]
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.known_fingerprint.get_or_init(|| {
+            Fingerprint::of(Asked {
+                method: self.method.as_str(),
+                path: self.uri.path_and_query().map_or("/", PathAndQuery::as_str),
+                customer: self.customer.as_ref().map(|customer| &*customer.name),
+                body: &self.body,
+            })
+        })
+    }
+
     /// What the dispatcher needs to know of it.
     #[must_use]
     pub fn job(&self) -> Job {
@@ -267,6 +287,7 @@
         uri: origin_form(&parts.uri),
         headers: end_to_end(parts.headers),
         body,
+        known_fingerprint: OnceCell::new(),
         prompt_tokens: headers.prompt_tokens,
         expected_output_tokens: headers.expected_output_tokens,
         relative_size: traffic.relative_size(&route.name, headers.size()),
--- a/lib/src/direct/request/connections.rs
+++ b/lib/src/direct/request/connections.rs
@@ -4,6 +4,7 @@
 //! and tells whether a request had left when its connection broke.
 
 use std::cell::RefCell;
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,10 +33,43 @@
 /// Part of the announced idle time after which a connection is not used any more, in percent.
 const IDLE_USED_PERCENT: u32 = 70;
 
+/// Why there is no connection.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ConnectError {
+    /// Nobody listens at the address.
+    Refused,
+    /// Nobody answered in time.
+    TimedOut,
+    /// The connection came and is of no use.
+    Unusable,
+}
+
+impl ConnectError {
+    /// Its name in logs.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::TimedOut => "timed out",
+            Self::Unusable => "unusable",
+        }
+    }
+}
+
+impl From<io::Error> for ConnectError {
+    fn from(error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::ConnectionRefused => Self::Refused,
+            io::ErrorKind::TimedOut => Self::TimedOut,
+            _ => Self::Unusable,
+        }
+    }
+}
+
 /// Why a request got no answer.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum SendError {
-    /// No connection could be had, or the request never left. It has not run.
+    /// The request never left. It has not run.
     NotSent,
     /// The connection broke after the request may have left. It may have run.
     Broken,
@@ -78,7 +112,7 @@
     /// # Errors
     ///
     /// When none can be had in time; nothing was sent.
-    pub async fn get(&self, upstream: &Upstream) -> Result<Connection, SendError> {
+    pub async fn get(&self, upstream: &Upstream) -> Result<Connection, ConnectError> {
         if let Some(connection) = self.take_idle(&upstream.instance) {
             return Ok(connection);
         }
@@ -118,19 +152,23 @@
     }
 }
 
-async fn connect(upstream: &Upstream) -> Result<Connection, SendError> {
+/// A new connection to an upstream.
+///
+/// # Errors
+///
+/// When none can be had in time.
+pub async fn connect(upstream: &Upstream) -> Result<Connection, ConnectError> {
     let connecting = TcpStream::connect(upstream.address);
-    let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, connecting).await else {
-        return Err(SendError::NotSent);
+    let stream = match timeout(CONNECT_TIMEOUT, connecting).await {
+        Ok(stream) => stream?,
+        Err(_) => return Err(ConnectError::TimedOut),
     };
-    if stream.set_nodelay(true).is_err() {
-        return Err(SendError::NotSent);
-    }
+    stream.set_nodelay(true)?;
     let (sender, driver) = http1::Builder::new()
         .preserve_header_case(false)
         .handshake(TokioIo::new(stream))
         .await
-        .map_err(|_| SendError::NotSent)?;
+        .map_err(|_| ConnectError::Unusable)?;
     let task = tokio::task::spawn_local(async move {
         // How it ended shows in the answer that was being read.
         let _ = driver.await;
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -24,6 +24,7 @@
 use crate::direct::request::call::read;
 use crate::direct::request::caller::AnswerHeaders;
 use crate::direct::request::caller::UpstreamHeaders;
+use crate::direct::request::connections::ConnectError;
 use crate::direct::request::connections::Connection;
 use crate::direct::request::connections::SendError;
 use crate::direct::request::no_answer::refuse;
@@ -33,6 +34,7 @@
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
 use crate::logging::Level;
+use crate::logging::Line;
 use crate::numbers;
 
 const NOT_REACHED: &str = "no connection to upstream";
@@ -197,9 +199,9 @@
     let connection = timeout_at(until, traffic.connections.get(&lease.upstream)).await;
     let mut connection = match connection {
         Ok(Ok(connection)) => connection,
-        Ok(Err(_)) => {
+        Ok(Err(error)) => {
             lease.ended = Ended::Broken;
-            log_attempt(traffic, call, &lease, NOT_REACHED);
+            not_reached(traffic, call, &lease, error);
             return Attempt::NotRun;
         }
         Err(_) => return Attempt::NotRun,
@@ -224,6 +226,7 @@
                 lease.ended = Ended::Broken;
             }
             log_attempt(traffic, call, &lease, "connection to upstream broke");
+            traffic.run_broke(call, &lease);
             Attempt::Unknown
         }
         Ok(Ok(response)) => judge(traffic, call, response, connection, lease),
@@ -242,11 +245,31 @@
     kept.inc_by(lease.kept_tokens.into());
 }
 
+fn not_reached(traffic: &Rc<Traffic>, call: &Call, lease: &Lease, error: ConnectError) {
+    log_attempt_with(traffic, call, lease, NOT_REACHED, |line| {
+        line.field("error", error.name())
+    });
+    if error == ConnectError::Refused {
+        traffic.upstream_refused(&lease.upstream.instance);
+    }
+}
+
 fn log_attempt(traffic: &Traffic, call: &Call, lease: &Lease, message: &'static str) {
+    log_attempt_with(traffic, call, lease, message, |line| line);
+}
+
+fn log_attempt_with(
+    traffic: &Traffic,
+    call: &Call,
+    lease: &Lease,
+    message: &'static str,
+    fill: impl FnOnce(Line) -> Line,
+) {
     let figures = &traffic.figures;
     figures.failed_attempts.with_label_values(&[message]).inc();
     traffic.log(Level::Warn, message, |line| {
-        line.field("request", call.name())
+        let line = line
+            .field("request", call.name())
             .field("upstream", &lease.upstream.instance)
             .field("attempt", call.tried.len())
             .field(
@@ -257,7 +280,8 @@
                 "left_ms",
                 call.give_up_at_ms.saturating_sub(traffic.now_ms()),
             )
-            .field("held_ms", traffic.now_ms() - lease.since_ms())
+            .field("held_ms", traffic.now_ms() - lease.since_ms());
+        fill(line)
     });
 }
 
@@ -415,6 +439,7 @@
         Ok(Err(_)) => {
             lease.ended = Ended::Failed;
             log_attempt(traffic, call, &lease, "answer broke off");
+            traffic.run_broke(call, &lease);
             return Finished::Not(next_step(traffic, call, &Attempt::Unknown));
         }
         Err(_) => {
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -363,6 +363,9 @@
 
     /// Goes on at another upstream, if that is allowed; otherwise how the stream ended.
     async fn go_on(&mut self, why: &'static str) -> Option<Broken> {
+        if let Some(source) = &self.source {
+            self.traffic.run_broke(&self.call, &source.lease);
+        }
         let instance = leave(&mut self.source);
         self.log_left(why, instance.as_deref().unwrap_or_default());
         while self.call.route.repeat.is_idempotent() && may_try_another(&self.traffic, &self.call) {
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -290,6 +290,7 @@
             continue;
         };
         traffic.has_upstreams.set(true);
+        traffic.upstreams_listed(&upstreams);
         traffic.dispatcher.borrow_mut().set_upstreams(&upstreams);
         let slots = upstreams
             .iter()
@@ -323,6 +324,7 @@
 async fn sweep_connections(traffic: Rc<Traffic>) {
     loop {
         sleep(SWEEP_PERIOD).await;
+        traffic.breaks.borrow_mut().sweep(traffic.now_ms());
         let dispatcher = traffic.dispatcher.borrow();
         traffic
             .connections
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -27,6 +27,7 @@
 use crate::direct::placement::health::Moving;
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_start::Popularity;
+use crate::direct::quarantine::ends::Breaks;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::connections::Connections;
 use crate::direct::rooms;
@@ -95,6 +96,8 @@
     pub size_shares: RefCell<SizeShares>,
     /// What is owed to the sizes of each kind.
     pub size_floor: RefCell<SizeFloor>,
+    /// Upstreams of which connections broke lately.
+    pub breaks: RefCell<Breaks>,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
     expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     log: RefCell<LogBudget>,
@@ -156,6 +159,9 @@
 
     /// Notes that the first part of the answer has come.
     pub fn answered(&self) {
+        let instance = &self.upstream.instance;
+        let mut breaks = self.traffic.breaks.borrow_mut();
+        breaks.answered(instance, self.since_ms);
         self.traffic
             .dispatcher
             .borrow_mut()
@@ -233,6 +239,7 @@
             starts: RefCell::default(),
             size_shares: RefCell::default(),
             size_floor: RefCell::default(),
+            breaks: RefCell::default(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
             log: RefCell::default(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_direct_directory;
 mod test_direct_dispatch;
 mod test_direct_door;
+mod test_direct_ends;
 mod test_direct_follow;
 mod test_direct_keepers;
 mod test_direct_replica;
--- /dev/null
+++ b/lib/tests/test_direct_ends.rs
@@ -0,0 +1,160 @@
+//! Which broken connections prove that an upstream has ended.
+
+use std::sync::Arc;
+
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::quarantine::ends::Breaks;
+use sardinewood::direct::quarantine::ends::Next;
+use sardinewood::direct::quarantine::ends::Proof;
+use sardinewood::direct::quarantine::ends::Run;
+use sardinewood::direct::quarantine::fingerprint::Asked;
+use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+use sardinewood::direct::view::directory::Upstream;
+
+use crate::direct_fixture::born;
+use crate::direct_fixture::upstream;
+
+fn asked(body: &[u8]) -> Asked<'_> {
+    Asked {
+        method: "POST",
+        path: "/notes/1",
+        customer: Some("rundu"),
+        body,
+    }
+}
+
+fn run(body: &str, began_ms: u64) -> Run {
+    Run {
+        request: Fingerprint::of(asked(body.as_bytes())),
+        name: body.into(),
+        began_ms,
+    }
+}
+
+/// One run on `i-1` that broke at 100 ms.
+fn one_broken() -> (Breaks, Arc<Upstream>) {
+    let mut breaks = Breaks::default();
+    let one = upstream("i-1", 4);
+    assert_eq!(breaks.broke(&one, run("a", 10), 100), Next::Probe);
+    (breaks, one)
+}
+
+#[test]
+fn broken_connection_alone_proves_no_end() {
+    // A run is cut by the network, and the upstream answers the next one. It was taken for no end,
+    // so what ran there is not held against any request.
+    let (mut breaks, one) = one_broken();
+    breaks.answered(&one.instance, 150);
+    assert_eq!(breaks.refused(&one.instance), None);
+}
+
+#[test]
+fn answer_on_its_way_at_the_break_proves_no_life() {
+    // An answer of a run that began before the break may be read after it. The upstream may have
+    // ended all the same.
+    let (mut breaks, one) = one_broken();
+    breaks.answered(&one.instance, 50);
+    assert!(breaks.refused(&one.instance).is_some());
+}
+
+#[test]
+fn refused_connection_proves_the_end_once() {
+    let (mut breaks, one) = one_broken();
+    assert_eq!(breaks.broke(&one, run("b", 20), 101), Next::Wait);
+    let end = breaks.refused(&one.instance).expect("an end");
+    assert_eq!(end.runs, [run("a", 10), run("b", 20)]);
+    assert_eq!((end.proof, end.is_first), (Proof::Refused, true));
+    assert_eq!(breaks.refused(&one.instance), None);
+}
+
+#[test]
+fn run_whose_break_is_seen_after_the_proof_counts() {
+    // Connections of one upstream break one after the other, and the first refusal may come between.
+    let (mut breaks, one) = one_broken();
+    breaks.refused(&one.instance).expect("an end");
+    let Next::Ended(end) = breaks.broke(&one, run("b", 20), 102) else {
+        panic!("the end is known");
+    };
+    assert_eq!((end.runs, end.is_first), (vec![run("b", 20)], false));
+}
+
+#[test]
+fn run_sent_after_the_break_was_never_there() {
+    // A kept connection of an upstream that has ended takes one more request before anybody sees
+    // that it is dead. That request had no part in the end.
+    let (mut breaks, one) = one_broken();
+    assert_eq!(breaks.broke(&one, run("late", 101), 103), Next::Nothing);
+    assert_eq!(breaks.refused(&one.instance).expect("an end").runs.len(), 1);
+}
+
+#[test]
+fn another_incarnation_in_its_place_proves_the_end() {
+    // A host that loses power refuses nothing: its address is silent. The list tells of the end when
+    // another incarnation stands at the address, or under the name.
+    let other_name = upstream("i-2", 4);
+    let same_name = Arc::new(Upstream {
+        address: "127.0.0.1:81".parse().expect("an address"),
+        ..born("i-1", 7)
+    });
+    for next in [other_name, same_name] {
+        let (mut breaks, one) = one_broken();
+        assert!(breaks.listed(&[one]).is_empty(), "it is still there");
+        let ends = breaks.listed(&[next]);
+        assert_eq!(ends.len(), 1);
+        assert_eq!(ends[0].proof, Proof::Replaced);
+    }
+}
+
+#[test]
+fn vanished_entry_alone_proves_no_end() {
+    // A cut takes an upstream out of the list although it runs on.
+    let (mut breaks, _) = one_broken();
+    assert!(breaks.listed(&[]).is_empty());
+}
+
+#[test]
+fn peers_word_proves_the_end() {
+    let (mut breaks, one) = one_broken();
+    assert!(breaks.told(&[short_name("i-7")]).is_empty());
+    let ends = breaks.told(&[short_name(&one.instance)]);
+    assert_eq!(ends[0].proof, Proof::Told);
+}
+
+#[test]
+fn break_of_long_ago_forgotten() {
+    // An upstream that is replaced a minute after a reset did not end by what ran there then.
+    let (mut breaks, one) = one_broken();
+    breaks.sweep(10_099);
+    assert!(breaks.is_open(&one.instance));
+    breaks.sweep(10_100);
+    assert_eq!(breaks.refused(&one.instance), None);
+}
+
+#[test]
+fn fingerprint_same_for_tries_of_one_request_only() {
+    let one = Fingerprint::of(asked(b"text"));
+    assert_eq!(one, Fingerprint::of(asked(b"text")));
+    let others = [
+        asked(b"texts"),
+        Asked {
+            method: "GET",
+            ..asked(b"text")
+        },
+        Asked {
+            path: "/notes/1t",
+            body: b"ext",
+            ..asked(b"")
+        },
+        Asked {
+            customer: Some("oshi"),
+            ..asked(b"text")
+        },
+        Asked {
+            customer: None,
+            ..asked(b"text")
+        },
+    ];
+    for other in others {
+        assert_ne!(one, Fingerprint::of(other), "{other:?}");
+    }
+}
