quarantine: a request under which upstreams end again and again is held by all entries

Callers saw: every upstream that ran one request ended, with all that ran beside it, for as long as its caller came back.

Cause (class: a failure is blamed on where it shows and never on what brought it): an upstream's end was a broken connection like any other. Upstreams were paused, requests were not remembered.

Three ends, of which two in runs that followed each other, with no whole run between, hold the request everywhere: 503 with the time until its trial. Ends that a held request explains do not count for its neighbours. A whole run at any entry clears. Within a try no request goes on to another upstream once three breaks are known or likely.

Why it holds: state merges in any order (property test of three entries), so lost, late or repeated datagrams, restarts in turn and cuts end in the same verdict; a repeated push each second and a word to each newcomer make up for losses.

Ruled out: counting ends alone (condemns popular requests when a rack is lost); the request's name (each try has another); a status that ends the caller's tries (a verdict may be wrong).

--- a/bench/src/direct/fleet/doors.rs
+++ b/bench/src/direct/fleet/doors.rs
@@ -133,7 +133,7 @@
                 self.grant(entry);
             }
             // Customers of the model have no limits.
-            Message::ChargeAsk(_) | Message::Charged { .. } => {}
+            Message::ChargeAsk(_) | Message::Charged { .. } | Message::Suspects(_) => {}
         }
     }
 
--- a/lib/src/direct/figures.rs
+++ b/lib/src/direct/figures.rs
@@ -62,6 +62,10 @@
     pub peers: IntGauge,
     /// Upstreams that take new work.
     pub upstreams: IntGauge,
+    /// Requests under which upstreams ended, or that were cleared of it lately.
+    pub suspects: IntGauge,
+    /// Requests that are not run, since upstreams ended under them.
+    pub held_requests: IntGauge,
     /// Version of the configuration in force.
     pub catalog_version: IntGauge,
 }
@@ -125,6 +129,8 @@
             open_asks: gauge("open_asks", "Questions to doors without a grant.")?,
             peers: gauge("peers", "Other entries that are heard.")?,
             upstreams: gauge("upstreams", "Upstreams that take new work.")?,
+            suspects: gauge("suspects", "Requests under which upstreams ended.")?,
+            held_requests: gauge("held_requests", "Requests that are not run.")?,
             catalog_version: gauge("catalog_version", "Configuration in force.")?,
         };
         figures.register()?;
@@ -157,6 +163,8 @@
             &self.open_asks,
             &self.peers,
             &self.upstreams,
+            &self.suspects,
+            &self.held_requests,
             &self.catalog_version,
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
--- a/lib/src/direct/links/peers.rs
+++ b/lib/src/direct/links/peers.rs
@@ -113,6 +113,7 @@
             }
             Some(Message::ChargeAsk(question)) => traffic.lend(from, &question),
             Some(Message::Charged { ask, charge }) => traffic.charged(ask, charge),
+            Some(Message::Suspects(told)) => traffic.hear_suspects(&told),
             None => traffic.log(Level::Warn, "datagram is not understood", |line| {
                 line.field("from", from)
             }),
@@ -135,6 +136,9 @@
         if heard.is_idle {
             return;
         }
+        if heard.is_new || heard.is_back {
+            traffic.greet_with_suspects(from);
+        }
         let mut allotments = traffic.allotments.borrow_mut();
         if heard.is_new {
             allotments.peer_started(from);
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::direct::membership::report::RunningPart;
+use crate::direct::quarantine::suspects::Told;
 use crate::direct::sharing::allotment::Charge;
 use crate::direct::sharing::allotment::Demand;
 use crate::direct::sharing::allotment::Due;
@@ -145,6 +146,8 @@
         /// The answer.
         charge: Charge,
     },
+    /// What the sender knows of requests under which upstreams ended.
+    Suspects(Vec<Told>),
 }
 
 impl Message {
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -95,6 +95,8 @@
     pub newly_spent: Vec<Spent>,
     /// Whether the peer was not known, or has started anew.
     pub is_new: bool,
+    /// Whether it was silent before, and may have missed what was told meanwhile.
+    pub is_back: bool,
     /// Whether the heartbeat was old, repeated or the peer's last.
     pub is_idle: bool,
 }
@@ -186,6 +188,8 @@
                 ..Heard::default()
             };
         }
+        let known = self.peers.get(&from);
+        let is_back = known.is_some_and(|peer| !self.is_heard(peer, now_ms));
         let known = self.peers.get_mut(&from);
         let known = known.filter(|peer| peer.incarnation == heartbeat.incarnation);
         if known
@@ -222,6 +226,7 @@
         Heard {
             newly_spent,
             is_new,
+            is_back,
             is_idle: false,
         }
     }
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -2,3 +2,4 @@
 
 pub mod ends;
 pub mod fingerprint;
+pub mod suspects;
--- a/lib/src/direct/quarantine/ends.rs
+++ b/lib/src/direct/quarantine/ends.rs
@@ -236,6 +236,16 @@
         unproven.filter(is_of).count()
     }
 
+    /// Whether no connection broke lately.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::quarantine::ends::Breaks::default().is_empty());
+    /// ```
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.by_instance.is_empty()
+    }
+
     /// Whether it is still open if an upstream has ended.
     ///
     /// ```
--- /dev/null
+++ b/lib/src/direct/quarantine/suspects.rs
@@ -0,0 +1,645 @@
+//! Which requests ran where upstreams ended, and which of them are not run any more.
+//!
+//! All that runs on an upstream ends with it, so one end says little about a request. What tells a
+//! deadly request from its neighbours is that upstreams end under it again and again, in runs that follow
+//! each other, and that it never runs whole. Entries merge what they have seen, so that three ends seen
+//! by three entries are one verdict.
+
+use indexmap::IndexMap;
+use indexmap::map::Entry;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::direct::quarantine::fingerprint::Fingerprint;
+
+/// Ends after which a request is held, and of which two must lie in runs that followed each other. A
+/// rack that is lost ends many runs of a popular request at once, which is one coincidence.
+const ENDS: usize = 3;
+const GENERATIONS: u8 = 2;
+/// Ends that are remembered of a request.
+const MAX_ENDS: usize = 6;
+/// How long a request is held: the first time shortly, since the verdict may be wrong, and then for
+/// so long that few upstreams are spent on trials.
+const HOLDS_MS: [MomentMs; 4] = [60_000, 600_000, 7_200_000, 86_400_000];
+const LONGEST_HOLD_MS: MomentMs = HOLDS_MS[HOLDS_MS.len() - 1];
+/// How long others wait for the outcome of a trial. Upstreams that end do so soon after a run began.
+const TRIAL_MS: MomentMs = 2_000;
+/// How long an end is remembered of a request that is not held.
+const SUSPECT_MS: MomentMs = 600_000;
+/// How long it is remembered that a request was held, counted from the end of that time.
+const HELD_BEFORE_MS: MomentMs = 86_400_000;
+/// Requests that are remembered. Of 250 bytes each, and a caller may bring as many as it likes.
+const MAX_RECORDS: usize = 1_024;
+/// Two times told by peers that differ by less are the same: datagrams take some milliseconds, and
+/// a busy entry reads them late.
+const SAME_MOMENT_MS: MomentMs = 1_000;
+/// Requests in one message: 85 bytes each at most, so that they fit into one datagram.
+const MAX_TOLD: usize = 14;
+/// Held ones among them.
+const MAX_HELD_TOLD: usize = MAX_TOLD / 2;
+
+/// An upstream's end under a request, as entries tell it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldEnd {
+    /// Short name of the upstream.
+    pub upstream: u32,
+    /// How long ago it was.
+    pub ago_ms: i64,
+    /// How many runs that ended so had followed each other, this one included.
+    pub generation: u8,
+}
+
+/// How long a request is held yet, as entries tell it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ToldHold {
+    /// How long it is held yet; below zero if that is over.
+    pub left_ms: i64,
+    /// How often it was held, this time included.
+    pub times: u8,
+    /// Whether it is held because one entry tries it.
+    pub is_trial: bool,
+}
+
+/// What entries tell each other of a request.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Told {
+    /// The request.
+    pub request: Fingerprint,
+    /// How often it was cleared. What was seen before counts no more.
+    pub clears: u32,
+    /// How long ago something new was learned of it.
+    pub ago_ms: i64,
+    /// Upstreams that ended under it since it was cleared or tried.
+    pub ends: Vec<ToldEnd>,
+    /// Whether it is or was held.
+    pub hold: Option<ToldHold>,
+}
+
+/// Whether a request may be run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Verdict {
+    /// It may.
+    Free,
+    /// It was held and may be tried, by one entry at a time.
+    TrialDue,
+    /// It may not for so long.
+    Held {
+        /// Time until it may be tried.
+        left_ms: u64,
+    },
+}
+
+/// How many requests are known.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Counts {
+    /// Those under which upstreams ended, and those that were cleared lately.
+    pub remembered: usize,
+    /// Those of them that are or were held.
+    pub ever_held: usize,
+    /// Those that are held now.
+    pub held: usize,
+}
+
+/// What changed by an end or by a peer's word.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Change {
+    /// Requests of which something new is known.
+    pub changed: Vec<Fingerprint>,
+    /// Those of them that are held from now on.
+    pub held: Vec<Fingerprint>,
+    /// Short names of upstreams of whose end a peer told.
+    pub ended: Vec<u32>,
+}
+
+/// A moment by this entry's clock. What peers tell may have been before the process began.
+type MomentMs = i64;
+
+fn moment(now_ms: u64) -> MomentMs {
+    i64::try_from(now_ms).unwrap_or(i64::MAX)
+}
+
+/// What a peer's word does to what is known of a request.
+enum Merge {
+    /// The peer knows an older state.
+    Nothing,
+    /// The peer knows a later state.
+    Replace,
+    /// Both know the same state, and what either has seen counts.
+    Union,
+}
+
+impl Merge {
+    /// Clearing a request makes void what was seen before, and so does each trial of it.
+    fn of(known: &Record, heard: &Record) -> Self {
+        if known.clears == heard.clears && known.trials() == heard.trials() {
+            return Self::Union;
+        }
+        if (heard.clears, heard.trials()) > (known.clears, known.trials()) {
+            Self::Replace
+        } else {
+            Self::Nothing
+        }
+    }
+}
+
+impl Change {
+    /// Merges what a peer tells of a request into what is known.
+    fn hear(&mut self, request: Fingerprint, known: &mut Record, heard: Record) {
+        match Merge::of(known, &heard) {
+            Merge::Nothing => {}
+            Merge::Replace => {
+                self.replace(request, known.times(), &heard);
+                *known = heard;
+            }
+            Merge::Union => self.unite(request, known, &heard),
+        }
+    }
+
+    fn replace(&mut self, request: Fingerprint, known_times: u8, heard: &Record) {
+        self.ended.extend(heard.ends.iter().map(|end| end.upstream));
+        if heard.times() > known_times {
+            self.held.push(request);
+        }
+        self.changed.push(request);
+    }
+
+    fn unite(&mut self, request: Fingerprint, known: &mut Record, heard: &Record) {
+        let new_ends = heard.ends.iter().filter(|end| known.note(**end));
+        let new_ends: Vec<u32> = new_ends.map(|end| end.upstream).collect();
+        let was_held = known.hold.is_some();
+        let is_longer = known.hold_at_least(heard.hold);
+        if is_longer && !was_held {
+            self.held.push(request);
+        }
+        if is_longer || !new_ends.is_empty() {
+            self.changed.push(request);
+        }
+        self.ended.extend(new_ends);
+        known.changed_at_ms = known.changed_at_ms.max(heard.changed_at_ms);
+    }
+}
+
+#[derive(Clone, Copy, Debug)]
+struct SeenEnd {
+    upstream: u32,
+    at_ms: MomentMs,
+    generation: u8,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Hold {
+    until_ms: MomentMs,
+    times: u8,
+    is_trial: bool,
+}
+
+impl Hold {
+    fn new(times: u8, now_ms: MomentMs) -> Self {
+        let index = usize::from(times).clamp(1, HOLDS_MS.len()) - 1;
+        Self {
+            until_ms: now_ms + HOLDS_MS[index],
+            times,
+            is_trial: false,
+        }
+    }
+
+    fn is_over(self, now_ms: MomentMs) -> bool {
+        now_ms >= self.until_ms
+    }
+}
+
+#[derive(Clone, Debug, Default)]
+struct Record {
+    clears: u32,
+    ends: Vec<SeenEnd>,
+    hold: Option<Hold>,
+    changed_at_ms: MomentMs,
+}
+
+impl Record {
+    fn has(&self, upstream: u32) -> bool {
+        self.ends.iter().any(|end| end.upstream == upstream)
+    }
+
+    /// Notes an end; whether that changes what is known.
+    ///
+    /// Of more than can be remembered those of the last generations stay. All entries choose the same
+    /// ones, or they would tell each other of the others for ever.
+    fn note(&mut self, end: SeenEnd) -> bool {
+        match self
+            .ends
+            .iter_mut()
+            .find(|seen| seen.upstream == end.upstream)
+        {
+            Some(seen) if seen.generation >= end.generation => return false,
+            Some(seen) => seen.generation = end.generation,
+            None => self.ends.push(end),
+        }
+        if self.ends.len() <= MAX_ENDS {
+            return true;
+        }
+        let rank = |end: &SeenEnd| (end.generation, end.upstream);
+        self.ends.sort_by_key(|end| std::cmp::Reverse(rank(end)));
+        let dropped = self.ends.pop();
+        dropped.is_none_or(|dropped| dropped.upstream != end.upstream)
+    }
+
+    /// Number of a run among those that ended so and followed each other.
+    fn generation_of(&self, began_ms: MomentMs) -> u8 {
+        let before = self.ends.iter().filter(|end| end.at_ms < began_ms);
+        let last = before.map(|end| end.generation).max();
+        last.unwrap_or_default().saturating_add(1)
+    }
+
+    /// Whether the hold is over or an entry tries the request, so that the next end counts by itself.
+    fn is_tried(&self, now_ms: MomentMs) -> bool {
+        self.hold
+            .is_some_and(|hold| hold.is_trial || hold.is_over(now_ms))
+    }
+
+    fn times(&self) -> u8 {
+        self.hold.map_or(0, |hold| hold.times)
+    }
+
+    /// How many trials it failed.
+    fn trials(&self) -> u8 {
+        self.times().saturating_sub(1)
+    }
+
+    /// Holds a request for as long as a peer does; whether that is longer than before.
+    fn hold_at_least(&mut self, told: Option<Hold>) -> bool {
+        let is_longer = told.is_some_and(|told| {
+            let known = self.hold;
+            known.is_none_or(|known| known.until_ms + SAME_MOMENT_MS < told.until_ms)
+        });
+        if is_longer {
+            self.hold = told;
+        }
+        is_longer
+    }
+
+    fn forgotten_at_ms(&self) -> MomentMs {
+        match self.hold {
+            Some(hold) => hold.until_ms + HELD_BEFORE_MS,
+            None => self.changed_at_ms + SUSPECT_MS,
+        }
+    }
+
+    fn from_told(told: &Told, now_ms: MomentMs) -> Self {
+        let ago = |ago_ms: MomentMs| now_ms - ago_ms.clamp(0, HELD_BEFORE_MS);
+        let end = |end: &ToldEnd| SeenEnd {
+            upstream: end.upstream,
+            at_ms: ago(end.ago_ms),
+            generation: end.generation,
+        };
+        Self {
+            clears: told.clears,
+            ends: told.ends.iter().map(end).take(MAX_ENDS).collect(),
+            hold: told.hold.map(|hold| Hold {
+                until_ms: now_ms + hold.left_ms.clamp(-HELD_BEFORE_MS, LONGEST_HOLD_MS),
+                times: hold.times,
+                is_trial: hold.is_trial,
+            }),
+            changed_at_ms: ago(told.ago_ms),
+        }
+    }
+
+    fn told(&self, request: Fingerprint, now_ms: MomentMs) -> Told {
+        let end = |end: &SeenEnd| ToldEnd {
+            upstream: end.upstream,
+            ago_ms: now_ms - end.at_ms,
+            generation: end.generation,
+        };
+        Told {
+            request,
+            clears: self.clears,
+            ago_ms: now_ms - self.changed_at_ms,
+            ends: self.ends.iter().map(end).collect(),
+            hold: self.hold.map(|hold| ToldHold {
+                left_ms: hold.until_ms - now_ms,
+                times: hold.times,
+                is_trial: hold.is_trial,
+            }),
+        }
+    }
+}
+
+/// What one entry knows of requests under which upstreams ended.
+///
+/// ```
+/// use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+/// use sardinewood::direct::quarantine::suspects::{Suspects, Verdict};
+///
+/// let request = Fingerprint::parse("00112233445566778899aabbccddeeff").unwrap();
+/// let mut suspects = Suspects::default();
+/// for upstream in 1..=3 {
+///     assert_eq!(suspects.verdict(request, 0), Verdict::Free);
+///     let at_ms = u64::from(upstream) * 100;
+///     suspects.ended(upstream, at_ms, &[(request, at_ms - 50)], at_ms);
+/// }
+/// assert!(matches!(suspects.verdict(request, 300), Verdict::Held { .. }));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Suspects {
+    records: IndexMap<Fingerprint, Record>,
+    /// Where the next message goes on with those that are not held.
+    next_told: usize,
+}
+
+impl Suspects {
+    /// Whether nothing is known of any request, as on most days.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::quarantine::suspects::Suspects::default().is_empty());
+    /// ```
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.records.is_empty()
+    }
+
+    /// How many requests are remembered, and how many of them are held.
+    ///
+    /// ```
+    /// let suspects = sardinewood::direct::quarantine::suspects::Suspects::default();
+    /// assert_eq!(suspects.counts(0).remembered, 0);
+    /// ```
+    #[must_use]
+    pub fn counts(&self, now_ms: u64) -> Counts {
+        let now_ms = moment(now_ms);
+        let holds = self.records.values().filter_map(|record| record.hold);
+        let mut counts = Counts {
+            remembered: self.records.len(),
+            ..Counts::default()
+        };
+        for hold in holds {
+            counts.ever_held += 1;
+            counts.held += usize::from(!hold.is_over(now_ms));
+        }
+        counts
+    }
+
+    /// Whether a request may be run.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    /// # use sardinewood::direct::quarantine::suspects::{Suspects, Verdict};
+    /// let request = Fingerprint::parse("00112233445566778899aabbccddeeff").unwrap();
+    /// assert_eq!(Suspects::default().verdict(request, 0), Verdict::Free);
+    /// ```
+    #[must_use]
+    pub fn verdict(&self, request: Fingerprint, now_ms: u64) -> Verdict {
+        let now_ms = moment(now_ms);
+        match self.records.get(&request).and_then(|record| record.hold) {
+            None => Verdict::Free,
+            Some(hold) if hold.is_over(now_ms) => Verdict::TrialDue,
+            Some(hold) => Verdict::Held {
+                left_ms: hold.until_ms.abs_diff(now_ms),
+            },
+        }
+    }
+
+    /// Whether a request whose connection broke may be sent to one more upstream, if so many of its
+    /// breaks are not known to be ends yet. They are counted as ends, since the proof takes longer than
+    /// sending it on.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    /// # use sardinewood::direct::quarantine::suspects::Suspects;
+    /// let request = Fingerprint::parse("00112233445566778899aabbccddeeff").unwrap();
+    /// assert!(Suspects::default().may_go_on(request, 2));
+    /// assert!(!Suspects::default().may_go_on(request, 3));
+    /// ```
+    #[must_use]
+    pub fn may_go_on(&self, request: Fingerprint, unproven: usize) -> bool {
+        let record = self.records.get(&request);
+        let ends = record.map_or(0, |record| record.ends.len());
+        let was_held = record.is_some_and(|record| record.hold.is_some());
+        !was_held && ends + unproven < ENDS
+    }
+
+    /// Notes that an entry tries a request that was held. The others wait for the outcome, so that a
+    /// trial costs one upstream at most.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    /// # use sardinewood::direct::quarantine::suspects::Suspects;
+    /// let request = Fingerprint::parse("00112233445566778899aabbccddeeff").unwrap();
+    /// Suspects::default().begin_trial(request, 0);
+    /// ```
+    pub fn begin_trial(&mut self, request: Fingerprint, now_ms: u64) {
+        let record = self.records.get_mut(&request);
+        if let Some(hold) = record.and_then(|record| record.hold.as_mut()) {
+            hold.is_trial = true;
+            hold.until_ms = moment(now_ms) + TRIAL_MS;
+        }
+    }
+
+    /// Notes that an upstream ended, and what ran there since when.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    /// # use sardinewood::direct::quarantine::suspects::Suspects;
+    /// let request = Fingerprint::parse("00112233445566778899aabbccddeeff").unwrap();
+    /// let change = Suspects::default().ended(7, 100, &[(request, 50)], 100);
+    /// assert_eq!(change.changed, [request]);
+    /// assert!(change.held.is_empty());
+    /// ```
+    pub fn ended(
+        &mut self,
+        upstream: u32,
+        at_ms: u64,
+        runs: &[(Fingerprint, u64)],
+        now_ms: u64,
+    ) -> Change {
+        let now_ms = moment(now_ms);
+        let mut change = Change::default();
+        for (request, began_ms) in runs {
+            self.make_room(*request);
+            let record = self.records.entry(*request).or_default();
+            let end = SeenEnd {
+                upstream,
+                at_ms: moment(at_ms),
+                generation: record.generation_of(moment(*began_ms)),
+            };
+            if record.is_tried(now_ms) && !record.has(upstream) {
+                record.hold = Some(Hold::new(record.times().saturating_add(1), now_ms));
+                record.ends = vec![end];
+                change.held.push(*request);
+            } else if !record.note(end) {
+                continue;
+            }
+            record.changed_at_ms = now_ms;
+            change.changed.push(*request);
+        }
+        self.judge(&mut change, now_ms);
+        change
+    }
+
+    /// Notes that a request ran whole, or that an operator has let it go; whether anything was held
+    /// against it.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    /// # use sardinewood::direct::quarantine::suspects::Suspects;
+    /// let request = Fingerprint::parse("00112233445566778899aabbccddeeff").unwrap();
+    /// assert!(!Suspects::default().clear(request, 0));
+    /// ```
+    pub fn clear(&mut self, request: Fingerprint, now_ms: u64) -> bool {
+        let Some(record) = self.records.get_mut(&request) else {
+            return false;
+        };
+        if record.ends.is_empty() && record.hold.is_none() {
+            return false;
+        }
+        *record = Record {
+            clears: record.clears.saturating_add(1),
+            changed_at_ms: moment(now_ms),
+            ..Record::default()
+        };
+        true
+    }
+
+    /// Takes a peer's word.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::suspects::{Change, Suspects};
+    /// assert_eq!(Suspects::default().hear(&[], 0), Change::default());
+    /// ```
+    pub fn hear(&mut self, told: &[Told], now_ms: u64) -> Change {
+        let now_ms = moment(now_ms);
+        let mut change = Change::default();
+        for told in told {
+            let heard = Record::from_told(told, now_ms);
+            if now_ms >= heard.forgotten_at_ms() {
+                continue;
+            }
+            self.make_room(told.request);
+            match self.records.entry(told.request) {
+                Entry::Occupied(mut known) => change.hear(told.request, known.get_mut(), heard),
+                Entry::Vacant(place) => {
+                    change.replace(told.request, 0, &heard);
+                    place.insert(heard);
+                }
+            }
+        }
+        self.judge(&mut change, now_ms);
+        change
+    }
+
+    /// What to tell of some requests.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::suspects::Suspects;
+    /// assert!(Suspects::default().told(&[], 0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn told(&self, requests: &[Fingerprint], now_ms: u64) -> Vec<Told> {
+        let known = |request: &Fingerprint| {
+            let record = self.records.get(request)?;
+            Some(record.told(*request, moment(now_ms)))
+        };
+        requests.iter().filter_map(known).take(MAX_TOLD).collect()
+    }
+
+    /// What to tell a peer that may have missed something: what is held, and the others in turn.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::suspects::Suspects;
+    /// assert!(Suspects::default().next_told(0).is_empty());
+    /// ```
+    pub fn next_told(&mut self, now_ms: u64) -> Vec<Told> {
+        let (held, others): (Vec<_>, Vec<_>) = self
+            .records
+            .iter()
+            .partition(|(_, record)| record.hold.is_some());
+        let some_of = |all: Vec<(&Fingerprint, &Record)>, most: usize| {
+            let first = self.next_told % all.len().max(1);
+            let some = all.iter().cycle().skip(first).take(most.min(all.len()));
+            some.map(|(request, record)| record.told(**request, moment(now_ms)))
+                .collect::<Vec<Told>>()
+        };
+        let mut told = some_of(held, MAX_HELD_TOLD);
+        told.extend(some_of(others, MAX_TOLD - MAX_HELD_TOLD));
+        self.next_told = self.next_told.wrapping_add(MAX_HELD_TOLD);
+        told
+    }
+
+    /// What is known of a request, for operators.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::suspects::Suspects;
+    /// assert!(Suspects::default().all(0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn all(&self, now_ms: u64) -> Vec<Told> {
+        let told =
+            |(request, record): (&Fingerprint, &Record)| record.told(*request, moment(now_ms));
+        self.records.iter().map(told).collect()
+    }
+
+    /// Forgets what is long ago.
+    ///
+    /// ```
+    /// sardinewood::direct::quarantine::suspects::Suspects::default().sweep(0);
+    /// ```
+    pub fn sweep(&mut self, now_ms: u64) {
+        let now_ms = moment(now_ms);
+        self.records
+            .retain(|_, record| now_ms < record.forgotten_at_ms());
+    }
+
+    /// Holds those of the changed requests under which enough upstreams have ended.
+    fn judge(&mut self, change: &mut Change, now_ms: MomentMs) {
+        // All are judged before one is held: of two that were always together either may be the one.
+        let is_guilty = |request: &&Fingerprint| {
+            let record = self.records.get(*request);
+            record.is_some_and(|record| self.is_guilty(record))
+        };
+        let guilty: Vec<Fingerprint> = change.changed.iter().filter(is_guilty).copied().collect();
+        for request in guilty {
+            if let Some(record) = self.records.get_mut(&request) {
+                record.hold = Some(Hold::new(1, now_ms));
+                change.held.push(request);
+            }
+        }
+    }
+
+    fn is_guilty(&self, record: &Record) -> bool {
+        if record.hold.is_some() || record.ends.len() < ENDS {
+            return false;
+        }
+        let is_unexplained = |end: &&SeenEnd| !self.is_explained(end.upstream, record);
+        let unexplained: Vec<&SeenEnd> = record.ends.iter().filter(is_unexplained).collect();
+        let generations = unexplained.iter().map(|end| end.generation).max();
+        unexplained.len() >= ENDS && generations.is_some_and(|last| last >= GENERATIONS)
+    }
+
+    /// Whether an upstream's end is put down to another request, which is held. Otherwise what runs
+    /// beside a deadly request would gather its ends. One that was there each time is not excused so:
+    /// it may be the deadly one itself.
+    fn is_explained(&self, upstream: u32, record: &Record) -> bool {
+        let explains = |other: &&Record| {
+            other.hold.is_some()
+                && other.has(upstream)
+                && other.ends.iter().any(|end| !record.has(end.upstream))
+        };
+        self.records.values().any(|other| explains(&other))
+    }
+
+    /// Makes room for a request, so that a caller that brings new bodies without end costs no memory:
+    /// what is not held goes first, and the oldest.
+    fn make_room(&mut self, request: Fingerprint) {
+        if self.records.len() < MAX_RECORDS || self.records.contains_key(&request) {
+            return;
+        }
+        let rank = |record: &Record| (record.hold.map(|hold| hold.times), record.changed_at_ms);
+        let least = self
+            .records
+            .iter()
+            .min_by_key(|(_, record)| rank(record))
+            .map(|(request, _)| *request);
+        if let Some(least) = least {
+            self.records.swap_remove(&least);
+        }
+    }
+}
--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -1,19 +1,27 @@
-//! From a broken connection to the end of an upstream: carries out what [`quarantine`] decides.
+//! From a broken connection to a request that is not run any more: carries out what [`quarantine`]
+//! decides, and lets the other entries know.
 //!
 //! [`quarantine`]: crate::direct::quarantine
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::seq::IndexedRandom;
 use serde_json::json;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::direct::membership::peer_message::Message;
+use crate::direct::placement::dispatch::short_name;
 use crate::direct::quarantine::ends::End;
 use crate::direct::quarantine::ends::Next;
 use crate::direct::quarantine::ends::PROBE_PAUSES_MS;
 use crate::direct::quarantine::ends::Run;
+use crate::direct::quarantine::fingerprint::Fingerprint;
+use crate::direct::quarantine::suspects::Told;
+use crate::direct::quarantine::suspects::Verdict;
 use crate::direct::request::call::Call;
 use crate::direct::request::connections;
 use crate::direct::request::connections::ConnectError;
@@ -22,8 +30,25 @@
 use crate::direct::view::directory::Upstream;
 use crate::logging::Level;
 
+/// Peers to which an entry passes on what it has just heard.
+const RUMOUR_PEERS: usize = 2;
+/// Peers of which each newcomer hears at once what is held.
+const GREETERS: usize = 4;
+
+/// A request that is not run now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HeldRequest {
+    /// The request.
+    pub request: Fingerprint,
+    /// Time until it may be tried.
+    pub left_ms: u64,
+}
+
 impl Traffic {
     /// Notes that the connection broke on which a request ran.
+    ///
+    /// A request that ends whatever runs it was to each entry one of many broken connections. Its caller
+    /// sends it again, every try ends an upstream, and all that runs beside it is cut.
     pub fn run_broke(self: &Rc<Self>, call: &Call, lease: &Lease) {
         let upstream = &lease.upstream;
         // One that leaves ends when it has done its work, whatever was sent to it.
@@ -61,7 +86,145 @@
         }
     }
 
+    /// Notes that a request ran whole, which clears it of all ends that it was suspected of.
+    pub fn ran_whole(&self, call: &Call) {
+        if !self.suspects.borrow().is_empty() {
+            self.clear_request(call.fingerprint());
+        }
+    }
+
+    /// Holds nothing against a request any more; whether anything was.
+    pub fn clear_request(&self, request: Fingerprint) -> bool {
+        let is_cleared = self.suspects.borrow_mut().clear(request, self.now_ms());
+        if is_cleared {
+            self.tell_all_of(&[request]);
+        }
+        is_cleared
+    }
+
+    /// Whether a request whose connection broke may be sent to one more upstream.
+    #[must_use]
+    pub fn may_go_on(&self, call: &Call) -> bool {
+        let breaks = self.breaks.borrow();
+        let suspects = self.suspects.borrow();
+        if breaks.is_empty() && suspects.is_empty() {
+            return true;
+        }
+        let request = call.fingerprint();
+        suspects.may_go_on(request, breaks.unproven(request))
+    }
+
+    /// Whether a request may be run. Its fingerprint is only asked for if any request is held.
+    ///
+    /// # Errors
+    ///
+    /// When it is held.
+    pub fn admit_unheld(
+        &self,
+        fingerprint: impl FnOnce() -> Fingerprint,
+    ) -> Result<(), HeldRequest> {
+        let now_ms = self.now_ms();
+        if self.suspects.borrow().counts(now_ms).ever_held == 0 {
+            return Ok(());
+        }
+        let request = fingerprint();
+        let verdict = self.suspects.borrow().verdict(request, now_ms);
+        match verdict {
+            Verdict::Free => Ok(()),
+            Verdict::TrialDue => {
+                self.suspects.borrow_mut().begin_trial(request, now_ms);
+                self.tell_all_of(&[request]);
+                self.log(Level::Warn, "held request is tried", |line| {
+                    line.field("fingerprint", request.to_string())
+                });
+                Ok(())
+            }
+            Verdict::Held { left_ms } => Err(HeldRequest { request, left_ms }),
+        }
+    }
+
+    /// Takes a peer's word of requests under which upstreams ended.
+    pub fn hear_suspects(&self, told: &[Told]) {
+        let change = self.suspects.borrow_mut().hear(told, self.now_ms());
+        if !change.changed.is_empty() {
+            // Passed on, so that a lost datagram costs milliseconds and not a period.
+            let known = self.suspects.borrow().told(&change.changed, self.now_ms());
+            self.tell_some(known, RUMOUR_PEERS);
+        }
+        self.log_held(&change.held);
+        let ends = self.breaks.borrow_mut().told(&change.ended);
+        for end in &ends {
+            self.upstream_ended(end);
+        }
+    }
+
+    /// Forgets what is long ago, and tells one peer a part of the rest: it makes up for lost datagrams
+    /// and for what an entry missed that was cut off.
+    pub fn sweep_quarantine(&self) {
+        let now_ms = self.now_ms();
+        self.breaks.borrow_mut().sweep(now_ms);
+        let mut suspects = self.suspects.borrow_mut();
+        suspects.sweep(now_ms);
+        let told = suspects.next_told(now_ms);
+        drop(suspects);
+        self.tell_some(told, 1);
+    }
+
+    /// Tells a peer what is known that has started, or was silent.
+    pub fn greet_with_suspects(&self, peer: SocketAddr) {
+        if self.suspects.borrow().is_empty() {
+            return;
+        }
+        // All others hear of it as well. Were each to tell all it knows, hundreds would at once.
+        let known = self.peers.borrow().known();
+        if rand::random_range(0..known) < GREETERS {
+            let told = self.suspects.borrow_mut().next_told(self.now_ms());
+            self.tell(peer, &Message::Suspects(told));
+        }
+    }
+
+    fn tell_all_of(&self, requests: &[Fingerprint]) {
+        let told = self.suspects.borrow().told(requests, self.now_ms());
+        self.tell_some(told, usize::MAX);
+    }
+
+    /// Tells so many peers, drawn anew each time.
+    fn tell_some(&self, told: Vec<Told>, most: usize) {
+        if told.is_empty() {
+            return;
+        }
+        let message = Message::Suspects(told);
+        let targets: Vec<SocketAddr> = self.peers.borrow().targets().collect();
+        for target in targets.choose_multiple(&mut rand::rng(), most) {
+            self.tell(*target, &message);
+        }
+    }
+
+    fn log_held(&self, held: &[Fingerprint]) {
+        for request in held {
+            self.log(Level::Warn, "request is held", |line| {
+                line.field("fingerprint", request.to_string())
+            });
+        }
+    }
+
     fn upstream_ended(&self, end: &End) {
+        self.log_end(end);
+        let runs: Vec<(Fingerprint, u64)> = end
+            .runs
+            .iter()
+            .map(|run| (run.request, run.began_ms))
+            .collect();
+        let upstream = short_name(&end.instance);
+        let change =
+            self.suspects
+                .borrow_mut()
+                .ended(upstream, end.broke_at_ms, &runs, self.now_ms());
+        self.tell_all_of(&change.changed);
+        self.log_held(&change.held);
+    }
+
+    fn log_end(&self, end: &End) {
         if end.is_first {
             let ends = &self.figures.upstream_ends;
             ends.with_label_values(&[&*end.service]).inc();
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -26,6 +26,7 @@
 use crate::direct::placement::shared_start::SharedStart;
 use crate::direct::quarantine::fingerprint::Asked;
 use crate::direct::quarantine::fingerprint::Fingerprint;
+use crate::direct::quarantining::HeldRequest;
 use crate::direct::request::caller::CallerHeaders;
 use crate::direct::request::ending::Counted;
 use crate::direct::request::ending::Ending;
@@ -52,6 +53,8 @@
 const NO_CONFIG_RETRY_AFTER_MS: u64 = 300;
 /// Pause asked of callers of a process that is about to end: another one can take them now.
 const CLOSING_RETRY_AFTER_MS: u64 = 10;
+/// What the caller of a held request reads.
+const HELD: &str = "held: upstreams ended while they ran this request";
 /// Time kept back from the caller's so that our answer reaches it before it leaves.
 const ANSWER_MARGIN_MS: u64 = 20;
 
@@ -150,12 +153,7 @@
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
         *self.known_fingerprint.get_or_init(|| {
-            Fingerprint::of(Asked {
-                method: self.method.as_str(),
-                path: self.uri.path_and_query().map_or("/", PathAndQuery::as_str),
-                customer: self.customer.as_ref().map(|customer| &*customer.name),
-                body: &self.body,
-            })
+            fingerprint(&self.method, &self.uri, self.customer.as_ref(), &self.body)
         })
     }
 
@@ -231,6 +229,14 @@
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service", id);
         return Err(refusal);
     };
+    let known_fingerprint = OnceCell::new();
+    let held = traffic.admit_unheld(|| {
+        *known_fingerprint
+            .get_or_init(|| fingerprint(&parts.method, &parts.uri, customer.as_ref(), &body))
+    });
+    if let Err(held) = held {
+        return Err(refuse_held(&held, &route, customer.as_ref(), id));
+    }
     let counted = Counted {
         kind: Arc::clone(&route.name),
         service: Arc::clone(service),
@@ -241,27 +247,8 @@
             .rank(&route.name, headers.size()),
     };
     let ending = Ending::new(traffic, counted);
-    let due = Due {
-        tokens: headers.charged_tokens(),
-        tier: route.tier,
-    };
-    let charge = match &customer {
-        None => Charge::Granted,
-        Some(customer) => charging::charge(traffic, customer, due, traffic.demand(service)).await,
-    };
-    if let Charge::Exceeded { retry_after_ms } = charge {
-        ending.set(CallEnd::AllotmentSpent);
-        let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "allotment is spent", id);
-        let inputs = json!({
-            "route": route.name,
-            "tier": route.tier,
-            "size": ending.size(),
-            "customer": customer.as_ref().map(|customer| &customer.name),
-            "tokens": headers.charged_tokens(),
-            "others_wait": traffic.demand(service) == Demand::Pressing,
-            "silent_peers": traffic.peers.borrow().silent(traffic.now_ms()).len(),
-        });
-        return Err(refusal.after(retry_after_ms).because(inputs));
+    if let Some(customer) = &customer {
+        charge(traffic, customer, &route, service, &headers, &ending).await?;
     }
     if headers.has_bad_parts {
         traffic.log(Level::Warn, "parts of a prompt make no sense", |line| {
@@ -287,7 +274,7 @@
         uri: origin_form(&parts.uri),
         headers: end_to_end(parts.headers),
         body,
-        known_fingerprint: OnceCell::new(),
+        known_fingerprint,
         prompt_tokens: headers.prompt_tokens,
         expected_output_tokens: headers.expected_output_tokens,
         relative_size: traffic.relative_size(&route.name, headers.size()),
@@ -307,6 +294,70 @@
     })
 }
 
+fn fingerprint(
+    method: &Method,
+    uri: &Uri,
+    customer: Option<&Arc<Customer>>,
+    body: &Bytes,
+) -> Fingerprint {
+    Fingerprint::of(Asked {
+        method: method.as_str(),
+        path: uri.path_and_query().map_or("/", PathAndQuery::as_str),
+        customer: customer.map(|customer| &*customer.name),
+        body,
+    })
+}
+
+/// Charges a request to its customer's allotment; the error is that nothing is left.
+async fn charge(
+    traffic: &Rc<Traffic>,
+    customer: &Arc<Customer>,
+    route: &Route,
+    service: &str,
+    headers: &CallerHeaders,
+    ending: &Ending,
+) -> Result<(), Refusal> {
+    let due = Due {
+        tokens: headers.charged_tokens(),
+        tier: route.tier,
+    };
+    let charged = charging::charge(traffic, customer, due, traffic.demand(service)).await;
+    let Charge::Exceeded { retry_after_ms } = charged else {
+        return Ok(());
+    };
+    ending.set(CallEnd::AllotmentSpent);
+    let inputs = json!({
+        "route": route.name,
+        "tier": route.tier,
+        "size": ending.size(),
+        "customer": customer.name,
+        "tokens": headers.charged_tokens(),
+        "others_wait": traffic.demand(service) == Demand::Pressing,
+        "silent_peers": traffic.peers.borrow().silent(traffic.now_ms()).len(),
+    });
+    let id = headers.request_id.as_ref();
+    let refusal = Refusal::new(StatusCode::TOO_MANY_REQUESTS, "allotment is spent", id);
+    Err(refusal.after(retry_after_ms).because(inputs))
+}
+
+/// Says that the request has not run now, and when it may be tried. It is no mistake of its caller's
+/// that is certain, so no status is used that tells it never to come back.
+fn refuse_held(
+    held: &HeldRequest,
+    route: &Route,
+    customer: Option<&Arc<Customer>>,
+    id: Option<&HeaderValue>,
+) -> Refusal {
+    let inputs = json!({
+        "fingerprint": held.request.to_string(),
+        "route": route.name,
+        "customer": customer.map(|customer| &customer.name),
+    });
+    Refusal::new(StatusCode::SERVICE_UNAVAILABLE, HELD, id)
+        .after(held.left_ms)
+        .because(inputs)
+}
+
 fn admit(
     catalog: &Catalog,
     request: &Request<Incoming>,
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -375,6 +375,7 @@
     }
     let sent = u32::try_from(call.tried.len()).unwrap_or(u32::MAX);
     sent < call.route.max_upstreams
+        && traffic.may_go_on(call)
         && traffic
             .budget
             .borrow_mut()
@@ -449,6 +450,7 @@
     };
     keep(traffic, &lease, connection, headers.keep_alive_ms);
     lease.answered();
+    traffic.ran_whole(call);
     let has_failed = parts.status.is_server_error();
     lease.ended = if has_failed {
         Ended::Failed
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -329,6 +329,7 @@
             return;
         };
         source.lease.ended = Ended::Answered;
+        self.traffic.ran_whole(&self.call);
         if let (Some(tokens), Some(events)) =
             (self.call.expected_output_tokens, self.scan.last_id())
         {
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -58,7 +58,8 @@
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// How often it is looked whether all requests have ended.
 const STOP_POLL: Duration = Duration::from_millis(50);
-/// How often idle connections to upstreams are looked after.
+/// How often idle connections to upstreams are looked after, and what is known of requests under
+/// which upstreams ended is forgotten or repeated to a peer.
 const SWEEP_PERIOD: Duration = Duration::from_secs(1);
 /// How often the log says how requests of each size ended, if some were not served: rare enough to
 /// cost nothing, and often enough to tell one burst from the next.
@@ -207,7 +208,7 @@
     spawn_local(front::serve_figures(figures, Rc::clone(&traffic)));
     spawn_local(Peers::new(&traffic, links).run());
     spawn_local(take_views(view, own, Rc::clone(&traffic)));
-    spawn_local(sweep_connections(Rc::clone(&traffic)));
+    spawn_local(sweep(Rc::clone(&traffic)));
     spawn_local(log_size_shares(Rc::clone(&traffic)));
     Line::new(Level::Info, "started")
         .field("address", settings.callers)
@@ -321,10 +322,10 @@
         .collect()
 }
 
-async fn sweep_connections(traffic: Rc<Traffic>) {
+async fn sweep(traffic: Rc<Traffic>) {
     loop {
         sleep(SWEEP_PERIOD).await;
-        traffic.breaks.borrow_mut().sweep(traffic.now_ms());
+        traffic.sweep_quarantine();
         let dispatcher = traffic.dispatcher.borrow();
         traffic
             .connections
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -28,6 +28,7 @@
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_start::Popularity;
 use crate::direct::quarantine::ends::Breaks;
+use crate::direct::quarantine::suspects::Suspects;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::connections::Connections;
 use crate::direct::rooms;
@@ -98,6 +99,8 @@
     pub size_floor: RefCell<SizeFloor>,
     /// Upstreams of which connections broke lately.
     pub breaks: RefCell<Breaks>,
+    /// Requests that may be the cause of upstreams' ends.
+    pub suspects: RefCell<Suspects>,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
     expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     log: RefCell<LogBudget>,
@@ -240,6 +243,7 @@
             size_shares: RefCell::default(),
             size_floor: RefCell::default(),
             breaks: RefCell::default(),
+            suspects: RefCell::default(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
             log: RefCell::default(),
@@ -383,6 +387,9 @@
         figures
             .upstreams
             .set(signed(self.dispatcher.borrow().listed()));
+        let suspects = self.suspects.borrow().counts(self.now_ms());
+        figures.suspects.set(signed(suspects.remembered));
+        figures.held_requests.set(signed(suspects.held));
         if let Some(catalog) = self.catalog.borrow().as_ref() {
             let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
             figures.catalog_version.set(version);
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_direct_shared_start;
 mod test_direct_shares;
 mod test_direct_size_floor;
+mod test_direct_suspects;
 mod test_entry_state;
 mod test_frames;
 mod test_ids;
