quarantine, ctl: operators see what is held, let it go, and find the ends behind a refused try

`GET /quarantine` on the figures' port lists requests under which upstreams ended; `DELETE /quarantine/FINGERPRINT` lets one go at every entry. `sardinewoodctl explain` takes a fingerprint as well, and a story has the lines of all tries that share one, whenever and wherever they were written.

--- a/ctl/src/story.rs
+++ b/ctl/src/story.rs
@@ -3,6 +3,9 @@
 //! The lines that name the request say what was decided; why, often stands elsewhere: its host had
 //! lost the store, its upstream had left. So the story also has what the request's hosts and
 //! upstreams logged shortly before and after, without the lines of other requests.
+//!
+//! Tries of one request have names of their own and share a fingerprint, which lines about upstreams
+//! that ended under them give. Those lines belong to the story whenever they were written.
 
 use std::io;
 use std::sync::Arc;
@@ -65,8 +68,8 @@
     Unreadable,
 }
 
-/// Tells the story of a request. `open` opens the logs, which are read twice: first for the
-/// request's own lines, then for what happened around them.
+/// Tells the story of a request, which is given by its name or its fingerprint. `open` opens the
+/// logs, which are read twice: first for the request's own lines, then for what happened around them.
 ///
 /// # Errors
 ///
@@ -89,7 +92,7 @@
         ..Story::default()
     };
     for line in open()? {
-        match read(&line?, |name| name == Some(request)) {
+        match read(&line?, |fields| names(fields).contains(&request)) {
             Read::Line(line) => story.own.push(line),
             Read::Other => {}
             Read::Unreadable => story.unreadable_lines += 1,
@@ -107,11 +110,28 @@
         .map(|line| Arc::clone(&line.host))
         .collect();
     let upstreams: IndexSet<String> = story.own.iter().flat_map(upstreams).collect();
+    let fingerprints: IndexSet<String> = story
+        .own
+        .iter()
+        .filter_map(|line| fingerprint(&line.fields, request))
+        .collect();
     let mut around = Vec::new();
     for line in open()? {
-        let Read::Line(line) = read(&line?, |name| name.is_none()) else {
+        let is_of_the_same = |fields: &Map<String, Value>| {
+            let names = names(fields);
+            names.iter().any(|name| fingerprints.contains(*name))
+        };
+        let is_other = |fields: &Map<String, Value>| {
+            let is_of_nobody = !fields.contains_key("request");
+            !names(fields).contains(&request) && (is_of_nobody || is_of_the_same(fields))
+        };
+        let Read::Line(line) = read(&line?, is_other) else {
             continue;
         };
+        if is_of_the_same(&line.fields) {
+            around.push(line);
+            continue;
+        }
         let is_near = (from_ms..=to_ms).contains(&line.time_ms);
         let concerns = |upstream: &String| upstreams.contains(upstream);
         let mut named = self::upstreams(&line).into_iter().peekable();
@@ -128,6 +148,34 @@
     Ok(story)
 }
 
+/// Names and fingerprints of the requests that a line is about.
+fn names(fields: &Map<String, Value>) -> Vec<&str> {
+    let inputs = fields.get("inputs").and_then(Value::as_object);
+    let runs = fields.get("runs").and_then(Value::as_array);
+    let runs = runs.into_iter().flatten().filter_map(Value::as_object);
+    let places = [Some(fields), inputs].into_iter().flatten().chain(runs);
+    places
+        .flat_map(|place| [place.get("request"), place.get("fingerprint")])
+        .filter_map(|name| name.and_then(Value::as_str))
+        .collect()
+}
+
+/// The fingerprint that a line gives of a request: of the run of that name, or of the whole line.
+fn fingerprint(fields: &Map<String, Value>, request: &str) -> Option<String> {
+    let runs = fields.get("runs").and_then(Value::as_array);
+    let run = runs
+        .into_iter()
+        .flatten()
+        .find(|run| run["request"] == request);
+    let of_run = run.and_then(|run| run.get("fingerprint"));
+    let of_line = fields.get("fingerprint");
+    let of_inputs = fields
+        .get("inputs")
+        .and_then(|inputs| inputs.get("fingerprint"));
+    let found = of_run.or(of_line).or(of_inputs)?;
+    found.as_str().map(str::to_owned)
+}
+
 /// Upstreams that a line names, itself or among what decided it.
 fn upstreams(line: &LogLine) -> Vec<String> {
     let inputs = line.fields.get("inputs").and_then(Value::as_object);
@@ -143,7 +191,7 @@
 
 /// Reads a line whose request is wanted. What stands before the JSON object is skipped, since
 /// collectors put their own time there.
-fn read(line: &str, wants: impl Fn(Option<&str>) -> bool) -> Read {
+fn read(line: &str, wants: impl Fn(&Map<String, Value>) -> bool) -> Read {
     if line.trim().is_empty() {
         return Read::Other;
     }
@@ -151,7 +199,7 @@
     let Some(Ok(mut fields)) = json.map(serde_json::from_str::<Map<String, Value>>) else {
         return Read::Unreadable;
     };
-    if !wants(fields.get("request").and_then(Value::as_str)) {
+    if !wants(&fields) {
         return Read::Other;
     }
     let text = |name: &str| fields.get(name).and_then(Value::as_str).map(Arc::from);
--- a/ctl/tests/test_story.rs
+++ b/ctl/tests/test_story.rs
@@ -64,6 +64,50 @@
     assert!(story.own.is_empty() && story.around.is_empty());
 }
 
+/// Two tries of one request end two upstreams, at two hosts, minutes apart; the third is refused.
+const DEADLY: &str = r#"
+{"time_ms":100000,"level":"warn","host":"edge-1","message":"upstream ended in the middle of runs","upstream":"i-1","runs":[{"request":"r1","fingerprint":"f1"},{"request":"r8","fingerprint":"f8"}]}
+{"time_ms":500000,"level":"warn","host":"edge-2","message":"upstream ended in the middle of runs","upstream":"i-2","runs":[{"request":"r2","fingerprint":"f1"}]}
+{"time_ms":500001,"level":"warn","host":"edge-2","message":"request is held","fingerprint":"f1"}
+{"time_ms":600000,"level":"info","host":"edge-3","message":"held","request":"r3","inputs":{"fingerprint":"f1"}}
+{"time_ms":700000,"level":"info","host":"edge-3","message":"held","request":"r4","inputs":{"fingerprint":"f9"}}"#;
+
+fn deadly_story(request: &str) -> Story {
+    let lines = || Ok(DEADLY.lines().map(|line| Ok(line.to_owned())));
+    tell(request, lines).expect("readable logs")
+}
+
+#[test]
+fn refused_try_leads_to_the_ends_under_earlier_ones() {
+    // The caller's last try says nothing of the tries before it, which had other names and were minutes
+    // ago, at other hosts.
+    let story = deadly_story("r3");
+    assert_eq!(messages(&story.own), ["held"]);
+    let expected = [
+        "upstream ended in the middle of runs",
+        "upstream ended in the middle of runs",
+        "request is held",
+    ];
+    assert_eq!(messages(&story.around), expected);
+}
+
+#[test]
+fn neighbour_on_a_lost_upstream_has_its_own_story_only() {
+    let story = deadly_story("r8");
+    assert_eq!(
+        messages(&story.own),
+        ["upstream ended in the middle of runs"]
+    );
+    assert!(story.around.is_empty(), "{:?}", story.around);
+}
+
+#[test]
+fn fingerprint_names_all_tries() {
+    let story = deadly_story("f1");
+    assert_eq!(story.own.len(), 4);
+    assert!(story.around.is_empty(), "{:?}", story.around);
+}
+
 /// No entry is asked, so the address need not exist.
 async fn explain(request: &str, file: &str) -> Captured {
     run_line("http://127.0.0.1:1", &["explain", request, file]).await
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -9,5 +9,6 @@
 pub mod exchange;
 pub mod front;
 pub mod no_answer;
+pub mod quarantine_page;
 pub mod refusal;
 pub mod relay;
--- a/lib/src/direct/request/front.rs
+++ b/lib/src/direct/request/front.rs
@@ -20,6 +20,7 @@
 use tokio::time::sleep;
 
 use crate::direct::request::exchange;
+use crate::direct::request::quarantine_page;
 use crate::direct::traffic::Traffic;
 use crate::direct::view::catalog::DEFAULT_IDLE_TIMEOUT_MS;
 use crate::logging::Level;
@@ -28,6 +29,8 @@
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 /// Path of the counters and histograms.
 const METRICS_PATH: &str = "/metrics";
+/// Path of what is known of requests under which upstreams ended.
+const QUARANTINE_PATH: &str = "/quarantine";
 
 /// Serves callers until the process ends.
 pub async fn serve_callers(listener: TcpListener, traffic: Rc<Traffic>) {
@@ -103,29 +106,38 @@
 /// Serves the readiness until the process ends.
 pub async fn serve_readiness(listener: TcpListener, traffic: Rc<Traffic>) {
     serve_page(listener, traffic, |traffic, _| {
-        let mut response = Response::new(Full::default());
-        if !traffic.is_ready() {
-            *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        }
-        response
+        status_only(if traffic.is_ready() {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        })
     })
     .await;
 }
 
-/// Serves the counters and histograms until the process ends.
+/// Serves the counters and histograms, and what is known of requests under which upstreams ended,
+/// until the process ends.
 pub async fn serve_figures(listener: TcpListener, traffic: Rc<Traffic>) {
     serve_page(listener, traffic, |traffic, request| {
-        if request.uri().path() != METRICS_PATH {
-            let mut response = Response::new(Full::default());
-            *response.status_mut() = StatusCode::NOT_FOUND;
-            return response;
+        let path = request.uri().path();
+        if path == METRICS_PATH {
+            traffic.set_gauges();
+            return Response::new(traffic.figures.text().into());
+        }
+        match path.strip_prefix(QUARANTINE_PATH) {
+            Some(rest) => quarantine_page::answer(traffic, request.method(), rest),
+            None => status_only(StatusCode::NOT_FOUND),
         }
-        traffic.set_gauges();
-        Response::new(traffic.figures.text().into())
     })
     .await;
 }
 
+fn status_only(status: StatusCode) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::default());
+    *response.status_mut() = status;
+    response
+}
+
 async fn serve_page(
     listener: TcpListener,
     traffic: Rc<Traffic>,
--- /dev/null
+++ b/lib/src/direct/request/quarantine_page.rs
@@ -0,0 +1,87 @@
+//! What operators see of requests under which upstreams ended, and how they let one go.
+
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use serde::Serialize;
+
+use crate::direct::quarantine::fingerprint::Fingerprint;
+use crate::direct::quarantine::suspects::Told;
+use crate::direct::traffic::Traffic;
+use crate::logging::Level;
+
+/// One request under which upstreams ended.
+#[derive(Clone, Debug, Serialize)]
+struct Shown {
+    fingerprint: String,
+    /// Time until it may be tried; none if it is not held.
+    held_for_ms: Option<u64>,
+    times_held: u8,
+    is_being_tried: bool,
+    /// Short names of the upstreams; the log has the whole ones beside the fingerprint.
+    upstreams_ended: Vec<u32>,
+    last_change_ms_ago: i64,
+}
+
+impl From<&Told> for Shown {
+    fn from(told: &Told) -> Self {
+        let left_ms = told.hold.and_then(|hold| u64::try_from(hold.left_ms).ok());
+        Self {
+            fingerprint: told.request.to_string(),
+            held_for_ms: left_ms.filter(|left_ms| *left_ms > 0),
+            times_held: told.hold.map_or(0, |hold| hold.times),
+            is_being_tried: told.hold.is_some_and(|hold| hold.is_trial),
+            upstreams_ended: told.ends.iter().map(|end| end.upstream).collect(),
+            last_change_ms_ago: told.ago_ms,
+        }
+    }
+}
+
+/// Answers a call to the page: `GET` lists all, `DELETE` with a fingerprint lets one go, at every
+/// entry.
+pub fn answer(traffic: &Traffic, method: &Method, rest: &str) -> Response<Full<Bytes>> {
+    let request = rest.strip_prefix('/').and_then(Fingerprint::parse);
+    match (method, rest, request) {
+        (&Method::GET, "" | "/", _) => list(traffic),
+        (&Method::DELETE, _, Some(request)) => let_go(traffic, request),
+        (&Method::DELETE, _, None) => said(
+            StatusCode::BAD_REQUEST,
+            "DELETE /quarantine/FINGERPRINT, 32 hexadecimal digits\n",
+        ),
+        (&Method::GET, _, _) => said(StatusCode::NOT_FOUND, "GET /quarantine lists all\n"),
+        _ => said(StatusCode::METHOD_NOT_ALLOWED, "GET or DELETE\n"),
+    }
+}
+
+fn list(traffic: &Traffic) -> Response<Full<Bytes>> {
+    let mut all = traffic.suspects.borrow().all(traffic.now_ms());
+    // What was only cleared is kept for the other entries' sake.
+    all.retain(|told| told.hold.is_some() || !told.ends.is_empty());
+    all.sort_by_key(|told| std::cmp::Reverse(told.hold.map(|hold| hold.left_ms)));
+    let shown: Vec<Shown> = all.iter().map(Shown::from).collect();
+    match serde_json::to_string_pretty(&shown) {
+        Ok(text) => Response::new(format!("{text}\n").into()),
+        Err(error) => said(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+fn let_go(traffic: &Traffic, request: Fingerprint) -> Response<Full<Bytes>> {
+    if !traffic.clear_request(request) {
+        return said(StatusCode::NOT_FOUND, "nothing is held against it here\n");
+    }
+    traffic.log(Level::Warn, "operator let a request go", |line| {
+        line.field("fingerprint", request.to_string())
+    });
+    said(
+        StatusCode::OK,
+        "let go, here and at all entries that are heard\n",
+    )
+}
+
+fn said(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(text.to_owned()));
+    *response.status_mut() = status;
+    response
+}
