--- a/lib/src/direct/quarantine/ends.rs
+++ b/lib/src/direct/quarantine/ends.rs
@@ -97,6 +97,8 @@
     broke_at_ms: u64,
     runs: Vec<Run>,
     proof: Option<Proof>,
+    /// Whether somebody was seen to listen at its address since, so that an end is unlikely.
+    is_listening: bool,
 }
 
 impl Break {
@@ -150,6 +152,7 @@
                 broke_at_ms: now_ms,
                 runs: vec![run],
                 proof: None,
+                is_listening: false,
             };
             self.by_instance.insert(Arc::clone(&upstream.instance), new);
             return Next::Probe;
@@ -217,8 +220,20 @@
         }
     }
 
-    /// Whether a request's connection to an upstream broke of which nobody knows yet whether it
-    /// has ended.
+    /// Notes that somebody listens at an upstream's address: it may live, or another one may have
+    /// taken its place already.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::ends::Breaks;
+    /// Breaks::default().listens("i-1");
+    /// ```
+    pub fn listens(&mut self, instance: &str) {
+        if let Some(broken) = self.by_instance.get_mut(instance) {
+            broken.is_listening = true;
+        }
+    }
+
+    /// How many upstreams have likely ended under a request, without a proof so far.
     ///
     /// ```
     /// # use sardinewood::direct::quarantine::ends::Breaks;
@@ -229,11 +244,9 @@
     #[must_use]
     pub fn unproven(&self, request: Fingerprint) -> usize {
         let is_of = |broken: &&Break| broken.runs.iter().any(|run| run.request == request);
-        let unproven = self
-            .by_instance
-            .values()
-            .filter(|broken| broken.proof.is_none());
-        unproven.filter(is_of).count()
+        let is_likely = |broken: &&Break| broken.proof.is_none() && !broken.is_listening;
+        let likely = self.by_instance.values().filter(is_likely);
+        likely.filter(is_of).count()
     }
 
     /// Whether no connection broke lately.
--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -258,9 +258,12 @@
             return;
         }
         match connections::connect(&upstream).await {
-            Ok(connection) => traffic
-                .connections
-                .put(&upstream.instance, connection, None),
+            Ok(connection) => {
+                traffic.breaks.borrow_mut().listens(&upstream.instance);
+                traffic
+                    .connections
+                    .put(&upstream.instance, connection, None);
+            }
             Err(ConnectError::Refused) => traffic.upstream_refused(&upstream.instance),
             Err(ConnectError::TimedOut | ConnectError::Unusable) => {}
         }
--- a/lib/tests/test_direct_ends.rs
+++ b/lib/tests/test_direct_ends.rs
@@ -120,6 +120,18 @@
     assert_eq!(ends[0].proof, Proof::Told);
 }
 
+#[test]
+fn upstream_that_listens_has_likely_not_ended() {
+    // A network resets connections of a popular request at several upstreams. Each counted as a likely end,
+    // its callers' streams would not go on elsewhere.
+    let (mut breaks, one) = one_broken();
+    let request = run("a", 10).request;
+    assert_eq!(breaks.unproven(request), 1);
+    breaks.listens(&one.instance);
+    assert_eq!(breaks.unproven(request), 0);
+    assert!(breaks.refused(&one.instance).is_some(), "it may end yet");
+}
+
 #[test]
 fn break_of_long_ago_forgotten() {
     // An upstream that is replaced a minute after a reset did not end by what ran there then.
--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -23,6 +23,9 @@
 /// How long callers wait for an answer, as they tell the entry.
 const DEADLINE_MS: u64 = 3_000;
 
+/// What ends a worker that runs it, where a run has such requests.
+pub const DEADLY: &[u8] = b"a body that no worker survives";
+
 /// Callers that run until they are told to stop.
 #[derive(Debug)]
 pub struct Callers {
@@ -32,18 +35,22 @@
 }
 
 impl Callers {
-    /// Starts so many callers at each entry.
+    /// Starts so many callers at each entry, and one more there if workers are to end.
     #[must_use]
-    pub fn start(entries: &[SocketAddr], each: usize) -> Self {
+    pub fn start(entries: &[SocketAddr], each: usize, has_deadly: bool) -> Self {
         let requests = Arc::default();
         let is_over = Arc::new(AtomicBool::new(false));
         let numbers = Arc::new(AtomicU64::new(0));
         let tasks = entries
             .iter()
-            .flat_map(|entry| std::iter::repeat_n(*entry, each))
-            .map(|entry| {
+            .flat_map(|entry| {
+                let ordinary = std::iter::repeat_n((*entry, false), each);
+                ordinary.chain(has_deadly.then_some((*entry, true)))
+            })
+            .map(|(entry, is_deadly)| {
                 let caller = Caller {
                     entry,
+                    is_deadly,
                     requests: Arc::clone(&requests),
                     is_over: Arc::clone(&is_over),
                     numbers: Arc::clone(&numbers),
@@ -74,6 +81,8 @@
 
 struct Caller {
     entry: SocketAddr,
+    /// Whether all its requests have the body that ends workers.
+    is_deadly: bool,
     requests: Arc<Mutex<Vec<Request>>>,
     is_over: Arc<AtomicBool>,
     numbers: Arc<AtomicU64>,
@@ -100,7 +109,8 @@
 
     async fn call(&self, client: &Client, kind: Kind, id: String) -> Request {
         let sent = Instant::now();
-        let call = node::call(client, self.entry, kind.path(), &id, DEADLINE_MS);
+        let body = if self.is_deadly { DEADLY } else { b"" };
+        let call = node::call(client, self.entry, kind.path(), &id, DEADLINE_MS).body(body);
         let ended = match call.send().await {
             Err(_) => Ended::NoAnswer,
             Ok(mut answer) => {
@@ -124,6 +134,7 @@
         Request {
             id,
             kind,
+            is_deadly: self.is_deadly,
             sent,
             ended,
         }
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -15,6 +15,8 @@
 const MAX_UPSTREAMS: usize = 2;
 /// Part of the requests after the last fault that has to be served, in percent.
 const SERVED_PERCENT: usize = 90;
+/// Tries that may reach workers after the last fault, of each request that ends them.
+const DEADLY_TRIES: usize = 3;
 /// Name of the one customer.
 const CUSTOMER: &str = "rundu";
 
@@ -35,6 +37,8 @@
     TooManyWorkers(String),
     /// A worker that had left got a request.
     AfterLeaving(String),
+    /// After the last fault, so many tries still reached workers that end by them.
+    DeadlyStillRuns(usize),
     /// After the last fault too few requests were served.
     NotRecovered {
         /// How many were.
@@ -72,6 +76,7 @@
         }
     }
     check_recovery(records, &mut broken);
+    check_deadly(records, &mut broken);
     broken.sort();
     broken.dedup();
     broken
@@ -127,7 +132,7 @@
     let late: Vec<&Request> = records
         .requests
         .iter()
-        .filter(|request| request.sent > healed)
+        .filter(|request| request.sent > healed && !request.is_deadly)
         .collect();
     let is_served =
         |request: &&&Request| matches!(request.ended, Ended::Answered { status: 200, .. });
@@ -140,6 +145,30 @@
     }
 }
 
+/// Requests differ by their route, so that each kind is one that the fleet has to know.
+fn check_deadly(records: &Records, broken: &mut Vec<Broken>) {
+    let Some(healed) = records.healed else {
+        return;
+    };
+    let late: BTreeSet<&str> = records
+        .runs
+        .iter()
+        .filter(|run| run.at > healed)
+        .map(|run| run.id.as_str())
+        .collect();
+    for kind in Kind::ALL {
+        let tries = records
+            .requests
+            .iter()
+            .filter(|request| request.is_deadly && request.kind == kind)
+            .filter(|request| late.contains(request.id.as_str()))
+            .count();
+        if tries > DEADLY_TRIES {
+            broken.push(Broken::DeadlyStillRuns(tries));
+        }
+    }
+}
+
 /// How the requests ended, for the report.
 #[must_use]
 pub fn tally(records: &Records) -> BTreeMap<String, usize> {
@@ -151,6 +180,7 @@
             Kind::Stream => "stream",
             Kind::Resumable => "resumable",
         };
+        let kind = if request.is_deadly { "deadly" } else { kind };
         let ended = match &request.ended {
             Ended::Answered { status, .. } => status.to_string(),
             Ended::BrokeOff { .. } => "broke off".to_owned(),
--- a/soak/src/main.rs
+++ b/soak/src/main.rs
@@ -92,7 +92,7 @@
     for seed in seeds.iter().copied() {
         let steps = plan::draw(seed, Duration::from_secs(arguments.seconds));
         println!("seed {seed}: {} faults", steps.len());
-        let world = World::start(arguments.size).await;
+        let world = World::start(arguments.size, seed).await;
         let records = world.run(arguments.size, &steps).await;
         let broken = checker::check(&records);
         println!(
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -61,6 +61,8 @@
 /// The first seed whose runs also restart workers and spoil entries. Seeds below keep the plans
 /// that they had before those faults came, or a kept seed would no longer play what it once found.
 pub const FIRST_SEED_WITH_RESTARTS: u64 = 10_000;
+/// The first seed whose runs also have requests that end the workers that run them.
+pub const FIRST_SEED_WITH_DEADLY: u64 = 20_000;
 /// Weights of the faults of all seeds, and of those with restarts as well.
 const OLDER_KINDS: u32 = 20;
 const ALL_KINDS: u32 = 23;
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -69,6 +69,8 @@
     pub id: String,
     /// What it is.
     pub kind: Kind,
+    /// Whether it ends the workers that run it.
+    pub is_deadly: bool,
     /// When it was sent.
     pub sent: Instant,
     /// How it ended.
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -19,7 +19,9 @@
 use tokio::time::sleep;
 
 use crate::callers::Callers;
+use crate::callers::DEADLY;
 use crate::checker::EVENTS;
+use crate::plan::FIRST_SEED_WITH_DEADLY;
 use crate::plan::Fault;
 use crate::plan::Step;
 use crate::record::Leaving;
@@ -34,6 +36,8 @@
 /// Time for everything to be found again after the last fault: longer than the longest pause
 /// of an upstream, a peer's silence and the store's grace together.
 const RECOVERY: Duration = Duration::from_secs(6);
+/// How long a worker that ended by a request is gone.
+const GONE: Duration = Duration::from_millis(400);
 /// How long callers press after that.
 const CALM: Duration = Duration::from_secs(2);
 /// When workers start first; any number will do.
@@ -68,6 +72,8 @@
     born_ms: u64,
     way: FaultProxy,
     is_leaving: bool,
+    /// How often it had ended when its entry was last written.
+    known_ends: usize,
 }
 
 impl Worker {
@@ -85,6 +91,8 @@
     WayToStore(usize),
     Store,
     Entry(usize),
+    /// A worker that ended by a request is back.
+    Back(usize),
 }
 
 /// The fleet of one run.
@@ -99,11 +107,13 @@
     leavings: Vec<(String, Instant)>,
     last_fault: Instant,
     version: u64,
+    /// Whether some requests end the workers that run them.
+    has_deadly: bool,
 }
 
 impl World {
-    /// Starts a fleet and waits until it takes callers.
-    pub async fn start(size: Size) -> Self {
+    /// Starts the fleet of a seed and waits until it takes callers.
+    pub async fn start(size: Size, seed: u64) -> Self {
         let store = StoreStandIn::start().await;
         let mut world = Self {
             store,
@@ -113,6 +123,7 @@
             leavings: Vec::new(),
             last_fault: Instant::now(),
             version: 0,
+            has_deadly: seed >= FIRST_SEED_WITH_DEADLY,
         };
         world.configure();
         for _ in 0..size.workers {
@@ -149,15 +160,15 @@
 
     /// Carries out the steps while callers press, heals everything, and returns the records.
     pub async fn run(mut self, size: Size, steps: &[Step]) -> Records {
-        let callers = Callers::start(&self.entries(), size.callers);
+        let callers = Callers::start(&self.entries(), size.callers, self.has_deadly);
         for step in steps {
             self.pass(step.after).await;
             self.strike(step.fault).await;
         }
         self.heal_all().await;
-        sleep(RECOVERY).await;
+        self.pass(RECOVERY).await;
         let healed = Instant::now();
-        sleep(CALM).await;
+        self.pass(CALM).await;
         let requests = callers.stop().await;
         Records {
             requests,
@@ -207,6 +218,7 @@
             for (_, healing) in due {
                 self.heal(&healing);
             }
+            self.notice_ends();
             sleep(Duration::from_millis(10)).await;
         }
     }
@@ -282,6 +294,22 @@
                 self.register(&self.workers[index], self.workers[index].state());
             }
             Healing::Store => self.store.set_mood(Mood::Up),
+            Healing::Back(index) => {
+                self.workers[index].born_ms += 1;
+                self.register(&self.workers[index], self.workers[index].state());
+            }
+        }
+    }
+
+    /// Lets workers that ended by a request be back under their names after some time.
+    fn notice_ends(&mut self) {
+        for index in 0..self.workers.len() {
+            let worker = &mut self.workers[index];
+            let ends = worker.stand_in.ends().len();
+            if ends > worker.known_ends {
+                worker.known_ends = ends;
+                self.later(GONE, Healing::Back(index));
+            }
         }
     }
 
@@ -338,6 +366,9 @@
 
     async fn add_worker(&mut self) {
         let stand_in = WorkerStandIn::start(WELL).await;
+        if self.has_deadly {
+            stand_in.end_on(DEADLY, GONE);
+        }
         let way = FaultProxy::start(stand_in.address).await;
         let worker = Worker {
             name: format!("i-{}", self.workers.len()),
@@ -345,6 +376,7 @@
             born_ms: FIRST_BORN_MS,
             way,
             is_leaving: false,
+            known_ends: 0,
         };
         self.register(&worker, "ready");
         self.workers.push(worker);
--- a/soak/tests/test_checker.rs
+++ b/soak/tests/test_checker.rs
@@ -18,6 +18,7 @@
     Request {
         id: "try-1".to_owned(),
         kind,
+        is_deadly: false,
         sent: Instant::now(),
         ended: Ended::Answered {
             status,
@@ -153,3 +154,29 @@
     };
     assert_eq!(check(&records), [expected]);
 }
+
+#[test]
+fn deadly_request_that_still_runs_found() {
+    // Four tries reach workers after the last fault; three may.
+    let healed = Instant::now();
+    let mut found = Records {
+        healed: Some(healed),
+        ..Records::default()
+    };
+    for number in 0..4 {
+        assert_eq!(check(&found), [], "{number} tries");
+        let id = format!("try-{number}");
+        found.requests.push(Request {
+            id: id.clone(),
+            is_deadly: true,
+            ended: Ended::NoAnswer,
+            ..request(Kind::Safe, 0, "")
+        });
+        found.runs.push(Run {
+            id,
+            at: healed + Duration::from_millis(1),
+            ..run("i-1")
+        });
+    }
+    assert_eq!(check(&found), [Broken::DeadlyStillRuns(4)]);
+}
