--- a/bench/src/direct.rs
+++ b/bench/src/direct.rs
@@ -12,6 +12,7 @@
 use sardinewood::numbers;
 use serde::Serialize;
 
+use self::fleet::DeadlyOutcome;
 use self::fleet::End;
 use self::fleet::Fleet;
 use self::fleet::Outcome;
@@ -28,13 +29,14 @@
 const HELP: &str = "\
 Usage: sardinewood-bench direct [--entries N] [--engines N] [--load PART] [--seconds S]
                                 [--seeds COUNT] [--lost PART] [--kills] [--pattern NAME]
-                                [--variant NAME] [--mix NAME]
+                                [--variant NAME] [--mix NAME] [--deadly MS]
 
 Plays entries of the direct mode in virtual time, by default 26 before 47 engines at 0.9 of
 what these can do, 20 s, seeds 1 to 3, without losses, the mix disputes, all patterns and all
 variants, and prints one JSON line for each pattern and variant. Mixes: disputes, reports. Patterns:
 steady, burst, burst-of-one-kind, one-entry, half-lost. Variants: shipped, without-doors,
-without-order, without-sizes, without-returns.
+without-order, without-sizes, without-returns, without-quarantine. With --deadly, one caller sends a request that ends
+each engine that runs it every MS milliseconds.
 ";
 
 /// What one pattern and variant gave, over all seeds.
@@ -65,6 +67,13 @@
     pub cut: f64,
     /// The most that any engine had at a time.
     pub most_at_engine: usize,
+    /// Engines that ended by a request, over all seeds.
+    pub engines_ended: usize,
+    /// Tries of it that reached engines more than three seconds after the third end, at the worst
+    /// seed.
+    pub deadly_tries_late: usize,
+    /// Other requests that were refused as if they were deadly.
+    pub wrongly_held: usize,
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -91,6 +100,7 @@
     let mut kinds = [Sum::default(); KINDS];
     let mut ends_of = Vec::new();
     let mut most_at_engine = 0;
+    let mut deadly = Vec::new();
     for seed in 1..=seeds {
         let fleet = Fleet::new(setup, seed);
         let offered = fleet.offered().to_vec();
@@ -98,6 +108,7 @@
         let capacity_ms = setup.capacity() * numbers::as_f64(setup.for_ms);
         all.bound += load::bound(&offered, capacity_ms);
         most_at_engine = most_at_engine.max(outcome.most_at_engine);
+        deadly.push(outcome.deadly);
         for (offered, ends) in offered.into_iter().zip(outcome.ends) {
             let worth = earned(&offered, &ends);
             for sum in [&mut all, &mut kinds[offered.kind]] {
@@ -129,9 +140,19 @@
         refused: part_of(End::Refused),
         cut: part_of(End::Cut),
         most_at_engine,
+        engines_ended: deadly.iter().map(|one| one.ends_ms.len()).sum(),
+        deadly_tries_late: late_tries(&deadly),
+        wrongly_held: deadly.iter().map(|one| one.wrongly_held).sum(),
     }
 }
 
+/// Tries of a deadly request that reached engines when the fleet had to know better.
+fn late_tries(all: &[DeadlyOutcome]) -> usize {
+    const AGREED_WITHIN_MS: u64 = 3_000;
+    let late = all.iter().map(|one| one.tries_after(AGREED_WITHIN_MS));
+    late.max().unwrap_or_default()
+}
+
 type Ended = (Offered, Vec<End>);
 
 /// The requests of a kind, the largest first.
@@ -186,6 +207,7 @@
         for_ms: 20_000,
         lost_part: 0.0,
         has_kills: false,
+        deadly_every_ms: None,
         variant: Variant::Shipped,
     };
     let mut seeds = 3;
@@ -200,6 +222,9 @@
             Arg::Long("seeds") => seeds = parser.value()?.parse()?,
             Arg::Long("lost") => setup.lost_part = parser.value()?.parse()?,
             Arg::Long("kills") => setup.has_kills = true,
+            Arg::Long("deadly") => {
+                setup.deadly_every_ms = Some(above_zero(parser.value()?.parse()?)?);
+            }
             Arg::Long("mix") => setup.mix = mix(&parser.value()?.string()?)?,
             Arg::Long("pattern") => only(&mut patterns, &parser.value()?.string()?)?,
             Arg::Long("variant") => only(&mut variants, &parser.value()?.string()?)?,
@@ -246,6 +271,13 @@
     Ok(count)
 }
 
+fn above_zero(every_ms: u64) -> eyre::Result<u64> {
+    if every_ms == 0 {
+        bail!("--deadly has to be above 0");
+    }
+    Ok(every_ms)
+}
+
 fn positive(load: f64) -> eyre::Result<f64> {
     if !(load > 0.0 && load.is_finite()) {
         bail!("--load has to be above 0");
--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -2,6 +2,7 @@
 //! messages that take a millisecond, engines, and callers.
 
 mod callers;
+mod deadly;
 mod doors;
 mod runs;
 
@@ -19,6 +20,9 @@
 use sardinewood::direct::placement::asking::Asking;
 use sardinewood::direct::placement::dispatch::Dispatcher;
 use sardinewood::direct::placement::health::Ended;
+use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+use sardinewood::direct::quarantine::spread;
+use sardinewood::direct::quarantine::suspects::Suspects;
 use sardinewood::direct::sharing::door::AskId;
 use sardinewood::direct::sharing::door::Asker;
 use sardinewood::direct::sharing::door::Doors;
@@ -27,6 +31,7 @@
 use sardinewood::direct::sharing::size_shares::SizeShares;
 use sardinewood::direct::view::directory::Upstream;
 
+pub use self::deadly::DeadlyOutcome;
 use super::engine::Engine;
 use super::load::Mix;
 use super::load::Offer;
@@ -50,16 +55,19 @@
     WithoutSizes,
     /// A second try by callers that were refused.
     WithoutReturns,
+    /// What entries remember of requests under which engines ended.
+    WithoutQuarantine,
 }
 
 impl Variant {
     /// All variants and their names.
-    pub const ALL: [(&'static str, Self); 5] = [
+    pub const ALL: [(&'static str, Self); 6] = [
         ("shipped", Self::Shipped),
         ("without-doors", Self::WithoutDoors),
         ("without-order", Self::WithoutOrder),
         ("without-sizes", Self::WithoutSizes),
         ("without-returns", Self::WithoutReturns),
+        ("without-quarantine", Self::WithoutQuarantine),
     ];
 }
 
@@ -84,6 +92,8 @@
     pub lost_part: f64,
     /// Whether an entry is killed every two seconds.
     pub has_kills: bool,
+    /// How often a caller sends a request that ends the engines that run it, if one does.
+    pub deadly_every_ms: Option<u64>,
     /// Which mechanism is taken out.
     pub variant: Variant,
 }
@@ -143,6 +153,8 @@
     pub most_at_engine: usize,
     /// The same in the last quarter of the run.
     pub most_at_engine_late: usize,
+    /// What came of a request that ends engines.
+    pub deadly: DeadlyOutcome,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -189,6 +201,22 @@
     },
     LoseEngines,
     ReturnEngines,
+    EndEngine {
+        run: usize,
+    },
+    EngineBack {
+        engine: usize,
+    },
+    Proven {
+        entry: usize,
+        upstream: u32,
+        request: Fingerprint,
+        began_ms: u64,
+        broke_at_ms: u64,
+    },
+    Repeat {
+        entry: usize,
+    },
 }
 
 struct Entry {
@@ -202,6 +230,7 @@
     waiting: IndexMap<usize, Asking>,
     sizes: SizeShares,
     floor: SizeFloor,
+    suspects: Suspects,
 }
 
 struct Run {
@@ -225,7 +254,11 @@
     entries: Vec<Entry>,
     engines: Vec<Engine>,
     upstreams: Vec<Arc<Upstream>>,
+    /// Engines that have ended and are not back.
+    gone: Vec<usize>,
     offered: Vec<Offered>,
+    /// The first of those that end engines; they come after all others.
+    first_deadly: usize,
     returned: Vec<bool>,
     size_classes: Vec<SizeClass>,
     runs: Vec<Run>,
@@ -265,7 +298,11 @@
                 })
             })
             .collect();
-        let offered = setup.offer().draw(seed);
+        let mut offered = setup.offer().draw(seed);
+        let first_deadly = offered.len();
+        if let Some(every_ms) = setup.deadly_every_ms {
+            offered.extend(Self::draw_deadly(&setup, every_ms));
+        }
         let slots = usize::try_from(setup.slots).unwrap_or(usize::MAX);
         let mut fleet = Self {
             setup,
@@ -285,17 +322,19 @@
                 ends: vec![Vec::new(); offered.len()],
                 ..Outcome::default()
             },
+            gone: Vec::new(),
             offered,
+            first_deadly,
             runs: Vec::new(),
         };
         fleet.begin();
         fleet
     }
 
-    /// The requests of the run.
+    /// The requests of the run, without those that end engines.
     #[must_use]
     pub fn offered(&self) -> &[Offered] {
-        &self.offered
+        &self.offered[..self.first_deadly]
     }
 
     fn begin(&mut self) {
@@ -303,6 +342,10 @@
             let entry_state = self.started(entry, 1);
             self.entries.push(entry_state);
             self.at(first_heartbeat_ms(entry), Event::Heartbeat { entry });
+            if self.setup.deadly_every_ms.is_some() {
+                let first_ms = entry as u64 % spread::REPEAT_MS;
+                self.at(first_ms, Event::Repeat { entry });
+            }
         }
         for request in 0..self.offered.len() {
             let at_ms = self.offered[request].at_ms;
@@ -345,6 +388,7 @@
             waiting: IndexMap::new(),
             sizes: SizeShares::default(),
             floor: SizeFloor::default(),
+            suspects: Suspects::default(),
         }
     }
 
@@ -427,6 +471,16 @@
             }
             Event::LoseEngines => self.lose_engines(),
             Event::ReturnEngines => self.list_engines(),
+            Event::EndEngine { run } => self.end_engine(run),
+            Event::EngineBack { engine } => self.engine_back(engine),
+            Event::Proven {
+                entry,
+                upstream,
+                request,
+                began_ms,
+                broke_at_ms,
+            } => self.proven(entry, upstream, request, (began_ms, broke_at_ms)),
+            Event::Repeat { entry } => self.repeat_suspects(entry),
         }
     }
 }
--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -68,6 +68,9 @@
             return;
         };
         self.offered[request].entry = entry;
+        if !self.may_run(entry, request) {
+            return;
+        }
         let mut job = self.job(request);
         let kind: Arc<str> = self.offered[request].kind().name.into();
         let state = &mut self.entries[entry];
--- /dev/null
+++ b/bench/src/direct/fleet/deadly.rs
@@ -0,0 +1,236 @@
+//! A request that ends each engine that runs it, and what entries do about it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use rand::Rng;
+use rand::seq::IndexedRandom;
+use sardinewood::direct::membership::peer_message::Message;
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::placement::health::Ended;
+use sardinewood::direct::quarantine::fingerprint::Asked;
+use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+use sardinewood::direct::quarantine::spread;
+use sardinewood::direct::quarantine::suspects::Told;
+use sardinewood::direct::quarantine::suspects::Verdict;
+use sardinewood::direct::view::directory::Upstream;
+
+use super::End;
+use super::Event;
+use super::Fleet;
+use super::Setup;
+use super::Variant;
+use crate::direct::load::Offered;
+
+/// How long a deadly request runs until its engine ends.
+const ENDS_AFTER_MS: u64 = 60;
+/// How long it takes to see that nobody listens there any more.
+const PROVEN_AFTER_MS: u64 = 30;
+/// How long an engine that ended is gone.
+const GONE_MS: u64 = 3_000;
+/// The kind whose size a deadly request has, and its tokens.
+const DEADLY_KIND: usize = 1;
+const DEADLY_TOKENS: u32 = 200;
+
+/// What came of a deadly request.
+#[derive(Clone, Debug, Default)]
+pub struct DeadlyOutcome {
+    /// When engines ended by it.
+    pub ends_ms: Vec<u64>,
+    /// When tries of it reached engines.
+    pub reached_ms: Vec<u64>,
+    /// Other requests that were refused as if they were deadly.
+    pub wrongly_held: usize,
+}
+
+impl DeadlyOutcome {
+    /// Tries that reached engines so long after the third end.
+    #[must_use]
+    pub fn tries_after(&self, agreed_within_ms: u64) -> usize {
+        const THIRD: usize = 2;
+        let Some(third_ms) = self.ends_ms.get(THIRD) else {
+            return 0;
+        };
+        let is_late = |at_ms: &&u64| **at_ms > third_ms + agreed_within_ms;
+        self.reached_ms.iter().filter(is_late).count()
+    }
+}
+
+impl Fleet {
+    /// The tries of a caller that sends the same deadly request again and again, to any entry.
+    pub(super) fn draw_deadly(setup: &Setup, every_ms: u64) -> Vec<Offered> {
+        let from_ms = Setup::QUIET_MS + every_ms;
+        let to_ms = Setup::QUIET_MS + setup.for_ms;
+        let step = usize::try_from(every_ms.max(1)).unwrap_or(usize::MAX);
+        let one = |(number, at_ms)| Offered {
+            kind: DEADLY_KIND,
+            mix: setup.mix,
+            at_ms,
+            entry: number % setup.entries,
+            prompt_tokens: DEADLY_TOKENS,
+            output_tokens: DEADLY_TOKENS,
+            hint_tokens: DEADLY_TOKENS,
+        };
+        (from_ms..to_ms)
+            .step_by(step)
+            .enumerate()
+            .map(one)
+            .collect()
+    }
+
+    pub(super) fn is_deadly(&self, request: usize) -> bool {
+        request >= self.first_deadly
+    }
+
+    fn fingerprint(&self, request: usize) -> Fingerprint {
+        let number = request.min(self.first_deadly) as u64;
+        Fingerprint::of(Asked {
+            method: "POST",
+            path: "/",
+            customer: None,
+            body: &number.to_be_bytes(),
+        })
+    }
+
+    /// Whether an entry runs a request; if not, its caller is refused.
+    pub(super) fn may_run(&mut self, entry: usize, request: usize) -> bool {
+        if self.entries[entry].suspects.is_empty() {
+            return true;
+        }
+        let fingerprint = self.fingerprint(request);
+        match self.entries[entry]
+            .suspects
+            .verdict(fingerprint, self.now_ms)
+        {
+            Verdict::Free => true,
+            Verdict::TrialDue => {
+                let suspects = &mut self.entries[entry].suspects;
+                suspects.begin_trial(fingerprint, self.now_ms);
+                self.tell_all_of(entry, &[fingerprint]);
+                true
+            }
+            Verdict::Held { .. } => {
+                self.outcome.ends[request].push(End::Refused);
+                self.outcome.deadly.wrongly_held += usize::from(!self.is_deadly(request));
+                false
+            }
+        }
+    }
+
+    /// Lets a deadly request run until it ends its engine.
+    pub(super) fn begin_deadly(&mut self, run: usize) {
+        self.outcome.deadly.reached_ms.push(self.now_ms);
+        self.at(self.now_ms + ENDS_AFTER_MS, Event::EndEngine { run });
+    }
+
+    /// Ends an engine with all that it runs; it is back later under another name.
+    pub(super) fn end_engine(&mut self, run: usize) {
+        if self.runs[run].is_over {
+            return;
+        }
+        let engine = self.runs[run].engine;
+        self.outcome.deadly.ends_ms.push(self.now_ms);
+        let upstream = short_name(&self.upstreams[engine].instance);
+        for run in self.engines[engine].lose_all() {
+            let request = self.fingerprint(self.runs[run].request);
+            let proven = Event::Proven {
+                entry: self.runs[run].entry,
+                upstream,
+                request,
+                began_ms: self.runs[run].since_ms,
+                broke_at_ms: self.now_ms,
+            };
+            self.at(self.now_ms + PROVEN_AFTER_MS, proven);
+            self.end_run(run, Ended::Broken, End::Lost);
+        }
+        self.gone.push(engine);
+        self.list_engines();
+        self.at(self.now_ms + GONE_MS, Event::EngineBack { engine });
+    }
+
+    pub(super) fn engine_back(&mut self, engine: usize) {
+        self.gone.retain(|gone| *gone != engine);
+        let name: Arc<str> = format!("i-{engine}-{}", self.now_ms).into();
+        self.upstreams[engine] = Arc::new(Upstream {
+            instance: Arc::clone(&name),
+            name,
+            ..Upstream::clone(&self.upstreams[engine])
+        });
+        self.list_engines();
+    }
+
+    pub(super) fn proven(
+        &mut self,
+        entry: usize,
+        upstream: u32,
+        request: Fingerprint,
+        (began_ms, broke_at_ms): (u64, u64),
+    ) {
+        if !self.entries[entry].is_up || self.setup.variant == Variant::WithoutQuarantine {
+            return;
+        }
+        let suspects = &mut self.entries[entry].suspects;
+        let runs = [(request, began_ms)];
+        let change = suspects.ended(upstream, broke_at_ms, &runs, self.now_ms);
+        self.tell_all_of(entry, &change.changed);
+    }
+
+    /// Notes that a request ran whole.
+    pub(super) fn ran_whole(&mut self, entry: usize, request: usize) {
+        if self.entries[entry].suspects.is_empty() {
+            return;
+        }
+        let fingerprint = self.fingerprint(request);
+        let suspects = &mut self.entries[entry].suspects;
+        if suspects.clear(fingerprint, self.now_ms) {
+            self.tell_all_of(entry, &[fingerprint]);
+        }
+    }
+
+    pub(super) fn hear_suspects(&mut self, entry: usize, told: &[Told]) {
+        let suspects = &mut self.entries[entry].suspects;
+        let change = suspects.hear(told, self.now_ms);
+        let known = suspects.told(&change.changed, self.now_ms);
+        self.tell_some(entry, &known, spread::PASSED_ON_TO);
+    }
+
+    pub(super) fn greet(&mut self, entry: usize, peer: SocketAddr) {
+        if self.entries[entry].suspects.is_empty() {
+            return;
+        }
+        let known = self.entries[entry].peers.known();
+        if spread::greets(known, self.random.random::<u32>() as usize) {
+            let told = self.entries[entry].suspects.next_told(self.now_ms);
+            self.tell(entry, peer, Message::Suspects(told));
+        }
+    }
+
+    pub(super) fn repeat_suspects(&mut self, entry: usize) {
+        let suspects = &mut self.entries[entry].suspects;
+        suspects.sweep(self.now_ms);
+        let told = suspects.next_told(self.now_ms);
+        if self.entries[entry].is_up {
+            self.tell_some(entry, &told, spread::REPEATED_TO);
+        }
+        self.at(self.now_ms + spread::REPEAT_MS, Event::Repeat { entry });
+    }
+
+    fn tell_all_of(&mut self, entry: usize, requests: &[Fingerprint]) {
+        let told = self.entries[entry].suspects.told(requests, self.now_ms);
+        self.tell_some(entry, &told, usize::MAX);
+    }
+
+    fn tell_some(&mut self, entry: usize, told: &[Told], most: usize) {
+        if told.is_empty() {
+            return;
+        }
+        let targets: Vec<SocketAddr> = self.entries[entry].peers.targets().collect();
+        let chosen: Vec<SocketAddr> = targets
+            .choose_multiple(&mut self.random, most)
+            .copied()
+            .collect();
+        for target in chosen {
+            self.tell(entry, target, Message::Suspects(told.to_vec()));
+        }
+    }
+}
--- a/bench/src/direct/fleet/doors.rs
+++ b/bench/src/direct/fleet/doors.rs
@@ -133,20 +133,25 @@
                 self.grant(entry);
             }
             // Customers of the model have no limits.
-            Message::ChargeAsk(_) | Message::Charged { .. } | Message::Suspects(_) => {}
+            Message::ChargeAsk(_) | Message::Charged { .. } => {}
+            Message::Suspects(told) => self.hear_suspects(entry, &told),
         }
     }
 
     pub(super) fn hear_heartbeat(&mut self, entry: usize, peer: SocketAddr, heartbeat: &Heartbeat) {
         let now_ms = self.now_ms;
         let state = &mut self.entries[entry];
-        if state.peers.heard(peer, heartbeat, now_ms).is_idle {
+        let heard = state.peers.heard(peer, heartbeat, now_ms);
+        if heard.is_idle {
             return;
         }
         state.doors.reconcile(peer, &heartbeat.running, now_ms);
         let incarnation = heartbeat.incarnation;
         let running = &heartbeat.running;
         state.dispatcher.set_peer_load(incarnation, running, now_ms);
+        if heard.is_new || heard.is_back {
+            self.greet(entry, peer);
+        }
         self.grant(entry);
     }
 
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -72,6 +72,9 @@
     }
 
     pub(super) fn begin_run(&mut self, run: usize) {
+        if self.is_deadly(self.runs[run].request) {
+            return self.begin_deadly(run);
+        }
         let slowness = self.engines[self.runs[run].engine].slowness;
         let offered = &self.offered[self.runs[run].request];
         // The first event leaves when its tokens are made, so a short prompt takes longer than its
@@ -114,6 +117,7 @@
             let dispatcher = &mut self.entries[self.runs[run].entry].dispatcher;
             let events = numbers::whole_u64(events.ceil());
             dispatcher.learn_length(&SERVICE.into(), offered.hint_tokens, events);
+            self.ran_whole(self.runs[run].entry, self.runs[run].request);
         }
         self.end_run(run, Ended::Answered, end);
     }
@@ -187,8 +191,15 @@
     }
 
     pub(super) fn list_engines(&mut self) {
-        let all = self.upstreams.clone();
-        self.list(&all);
+        let is_there = |(number, _): &(usize, &Arc<Upstream>)| !self.gone.contains(number);
+        let there: Vec<Arc<Upstream>> = self
+            .upstreams
+            .iter()
+            .enumerate()
+            .filter(is_there)
+            .map(|(_, upstream)| Arc::clone(upstream))
+            .collect();
+        self.list(&there);
     }
 
     pub(super) fn list(&mut self, upstreams: &[Arc<Upstream>]) {
--- a/bench/tests/test_direct.rs
+++ b/bench/tests/test_direct.rs
@@ -1,5 +1,6 @@
 //! The direct mode in virtual time: what always holds, and what its mechanisms are for.
 
+use sardinewood_bench::direct::fleet::DeadlyOutcome;
 use sardinewood_bench::direct::fleet::End;
 use sardinewood_bench::direct::fleet::Fleet;
 use sardinewood_bench::direct::fleet::Setup;
@@ -22,6 +23,7 @@
         for_ms: 6_000,
         lost_part: 0.0,
         has_kills: false,
+        deadly_every_ms: None,
         variant: Variant::Shipped,
     }
 }
@@ -126,3 +128,31 @@
         }
     }
 }
+
+#[test]
+fn deadly_request_stopped_whatever_is_lost() {
+    // One caller sends a request that ends each engine that runs it, to one entry after the other. A tenth
+    // of all messages between entries are lost, and an entry is killed every two seconds and starts with
+    // nothing. No more than three tries may reach engines three seconds after the third end.
+    for seed in 1..=6 {
+        let deadly = deadly(Variant::Shipped, seed);
+        assert!(deadly.ends_ms.len() >= 3, "seed {seed}: {deadly:?}");
+        assert!(deadly.tries_after(3_000) <= 3, "seed {seed}: {deadly:?}");
+        assert!(deadly.wrongly_held <= 1, "seed {seed}: {deadly:?}");
+    }
+    let unchecked = deadly(Variant::WithoutQuarantine, 1);
+    assert!(unchecked.tries_after(3_000) > 3, "{unchecked:?}");
+}
+
+fn deadly(variant: Variant, seed: u64) -> DeadlyOutcome {
+    let setup = Setup {
+        load: 0.5,
+        for_ms: 12_000,
+        lost_part: 0.1,
+        has_kills: true,
+        deadly_every_ms: Some(200),
+        variant,
+        ..setup()
+    };
+    Fleet::new(setup, seed).play().deadly
+}
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -2,4 +2,5 @@
 
 pub mod ends;
 pub mod fingerprint;
+pub mod spread;
 pub mod suspects;
--- /dev/null
+++ b/lib/src/direct/quarantine/spread.rs
@@ -0,0 +1,28 @@
+//! Whom an entry tells what it knows of requests under which upstreams ended.
+//!
+//! What an entry has seen goes to all at once. Datagrams are lost, and entries start or are cut off:
+//! so each passes on what was news to it, repeats a part of all to somebody now and then, and tells
+//! those that start or come back.
+
+/// Peers to which an entry passes on what it has just heard.
+pub const PASSED_ON_TO: usize = 2;
+/// Peers to which it repeats a part of all that it knows, each time.
+pub const REPEATED_TO: usize = 1;
+/// Time between two repetitions.
+pub const REPEAT_MS: u64 = 1_000;
+/// How many entries tell a peer that has started or was silent. Were it all, hundreds would at
+/// once.
+const GREETERS: usize = 4;
+
+/// Whether this entry, of so many, tells a peer that has started or was silent, by a random number.
+///
+/// ```
+/// use sardinewood::direct::quarantine::spread::greets;
+///
+/// assert!(greets(3, 7));
+/// assert_eq!((0..100).filter(|random| greets(100, *random)).count(), 4);
+/// ```
+#[must_use]
+pub fn greets(entries: usize, random: usize) -> bool {
+    random % entries.max(1) < GREETERS
+}
--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -20,6 +20,7 @@
 use crate::direct::quarantine::ends::PROBE_PAUSES_MS;
 use crate::direct::quarantine::ends::Run;
 use crate::direct::quarantine::fingerprint::Fingerprint;
+use crate::direct::quarantine::spread;
 use crate::direct::quarantine::suspects::Told;
 use crate::direct::quarantine::suspects::Verdict;
 use crate::direct::request::call::Call;
@@ -30,11 +31,6 @@
 use crate::direct::view::directory::Upstream;
 use crate::logging::Level;
 
-/// Peers to which an entry passes on what it has just heard.
-const RUMOUR_PEERS: usize = 2;
-/// Peers of which each newcomer hears at once what is held.
-const GREETERS: usize = 4;
-
 /// A request that is not run now.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct HeldRequest {
@@ -147,9 +143,8 @@
     pub fn hear_suspects(&self, told: &[Told]) {
         let change = self.suspects.borrow_mut().hear(told, self.now_ms());
         if !change.changed.is_empty() {
-            // Passed on, so that a lost datagram costs milliseconds and not a period.
             let known = self.suspects.borrow().told(&change.changed, self.now_ms());
-            self.tell_some(known, RUMOUR_PEERS);
+            self.tell_some(known, spread::PASSED_ON_TO);
         }
         self.log_held(&change.held);
         let ends = self.breaks.borrow_mut().told(&change.ended);
@@ -167,7 +162,7 @@
         suspects.sweep(now_ms);
         let told = suspects.next_told(now_ms);
         drop(suspects);
-        self.tell_some(told, 1);
+        self.tell_some(told, spread::REPEATED_TO);
     }
 
     /// Tells a peer what is known that has started, or was silent.
@@ -175,9 +170,8 @@
         if self.suspects.borrow().is_empty() {
             return;
         }
-        // All others hear of it as well. Were each to tell all it knows, hundreds would at once.
         let known = self.peers.borrow().known();
-        if rand::random_range(0..known) < GREETERS {
+        if spread::greets(known, rand::random::<u32>() as usize) {
             let told = self.suspects.borrow_mut().next_told(self.now_ms());
             self.tell(peer, &Message::Suspects(told));
         }
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -33,6 +33,7 @@
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::placement::dispatch::short_name;
+use crate::direct::quarantine::spread;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::front;
 use crate::direct::sharing::allotment::Tolerance;
@@ -60,7 +61,7 @@
 const STOP_POLL: Duration = Duration::from_millis(50);
 /// How often idle connections to upstreams are looked after, and what is known of requests under
 /// which upstreams ended is forgotten or repeated to a peer.
-const SWEEP_PERIOD: Duration = Duration::from_secs(1);
+const SWEEP_PERIOD: Duration = Duration::from_millis(spread::REPEAT_MS);
 /// How often the log says how requests of each size ended, if some were not served: rare enough to
 /// cost nothing, and often enough to tell one burst from the next.
 const SHARES_PERIOD: Duration = Duration::from_secs(4);
