quarantine: a popular request beside deadly ones is trusted for its whole runs, and tried soon if held

Callers saw: with four bodies that end workers on four workers, an innocent request that all others send was refused for a minute at every entry, also when the fault was long over.

Cause: a request that runs everywhere is there at the ends of all deadly ones, so it has three before any of them, and while workers end every tenth of a second nothing runs whole to clear it. Then, held, it explained the deadly ones' ends, which needed three more.

Mend: an entry does not note an end against what it has itself run whole within ten seconds (fast local hash with a random seed, some 40 bytes a request). Of two held requests that share ends neither excuses the other; whoever has fewer than three ends of its own is tried after one to three seconds, each at its own moment. Why it holds: the trial is the one experiment that tells them apart, and costs one upstream at most.

--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -2,5 +2,6 @@
 
 pub mod ends;
 pub mod fingerprint;
+pub mod recent;
 pub mod spread;
 pub mod suspects;
--- a/lib/src/direct/quarantine/ends.rs
+++ b/lib/src/direct/quarantine/ends.rs
@@ -29,6 +29,8 @@
     pub name: Arc<str>,
     /// When its room at the upstream was taken.
     pub began_ms: u64,
+    /// Whether the same request had run whole a moment before, so that it is not the cause.
+    pub is_trusted: bool,
 }
 
 /// How an end was proven.
@@ -138,7 +140,7 @@
     /// #     service: "s".into(), address: "127.0.0.1:80".parse().unwrap(),
     /// #     data_centre: "d".into(), slots: 4, is_leaving: false };
     /// # let request = Fingerprint::of(Asked { method: "GET", path: "/", customer: None, body: b"" });
-    /// let run = Run { request, name: "try-1".into(), began_ms: 5 };
+    /// let run = Run { request, name: "try-1".into(), began_ms: 5, is_trusted: false };
     /// let mut breaks = Breaks::default();
     /// assert_eq!(breaks.broke(&upstream, run.clone(), 9), Next::Probe);
     /// assert_eq!(breaks.refused("i-1").unwrap().runs, [run]);
--- a/lib/src/direct/quarantine/fingerprint.rs
+++ b/lib/src/direct/quarantine/fingerprint.rs
@@ -33,6 +33,28 @@
     pub body: &'a [u8],
 }
 
+impl<'a> Asked<'a> {
+    /// All of it, in the order in which it is read.
+    ///
+    /// ```
+    /// use sardinewood::direct::quarantine::fingerprint::Asked;
+    ///
+    /// let asked = Asked { method: "GET", path: "/", customer: None, body: b"" };
+    /// assert_eq!(asked.parts()[1], b"GET");
+    /// ```
+    #[must_use]
+    pub fn parts(self) -> [&'a [u8]; 5] {
+        let is_keyed: &[u8] = if self.customer.is_some() { b"k" } else { b"" };
+        [
+            is_keyed,
+            self.method.as_bytes(),
+            self.path.as_bytes(),
+            self.customer.unwrap_or_default().as_bytes(),
+            self.body,
+        ]
+    }
+}
+
 impl Fingerprint {
     /// Of a request; reads its whole body.
     ///
@@ -46,14 +68,7 @@
     #[must_use]
     pub fn of(asked: Asked<'_>) -> Self {
         let mut hash = Sha256::new();
-        let customer = asked.customer.map(str::as_bytes);
-        hash.update([u8::from(customer.is_some())]);
-        for part in [
-            asked.method.as_bytes(),
-            asked.path.as_bytes(),
-            customer.unwrap_or_default(),
-            asked.body,
-        ] {
+        for part in asked.parts() {
             // With its length, so that no byte can move from one part to the next.
             hash.update((part.len() as u64).to_le_bytes());
             hash.update(part);
@@ -63,6 +78,20 @@
         Self(bytes)
     }
 
+    /// A number below a bound, the same at every entry, and spread evenly over requests.
+    ///
+    /// ```
+    /// use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    ///
+    /// let request = Fingerprint::parse("0000000000000000000000000000000c").unwrap();
+    /// assert_eq!(request.spread_over(10), 2);
+    /// ```
+    #[must_use]
+    pub fn spread_over(self, below: i64) -> i64 {
+        let [.., high, low] = self.0;
+        i64::from(u16::from_be_bytes([high, low])) % below.max(1)
+    }
+
     /// Reads one as the log writes it.
     ///
     /// ```
--- /dev/null
+++ b/lib/src/direct/quarantine/recent.rs
@@ -0,0 +1,98 @@
+//! Requests that ran whole at this entry a moment ago.
+//!
+//! Callers of a popular request run it on all upstreams at once, so it is there at each end, also at those
+//! that another request brings about. That it has just run whole tells it from a deadly one, which never
+//! does.
+
+use std::hash::Hasher;
+
+use indexmap::IndexMap;
+use twox_hash::XxHash64;
+
+use crate::direct::quarantine::fingerprint::Asked;
+
+/// How long a whole run speaks for a request: a popular one runs whole more often than that, and
+/// one that has become deadly is trusted no longer.
+const TRUSTED_MS: u64 = 10_000;
+/// Requests that are remembered, of 40 bytes each; the oldest make room.
+const MAX_REMEMBERED: usize = 4_096;
+
+/// What ran whole lately. It is asked for each request, so it goes by a fast hash, whose random seed no
+/// caller knows, and which means nothing to other entries.
+///
+/// ```
+/// use sardinewood::direct::quarantine::fingerprint::Asked;
+/// use sardinewood::direct::quarantine::recent::RanWhole;
+///
+/// let asked = Asked { method: "POST", path: "/a", customer: None, body: b"text" };
+/// let mut recent = RanWhole::new(7);
+/// recent.note(asked, 1_000);
+/// assert!(recent.has(asked, 2_000));
+/// assert!(!recent.has(asked, 20_000));
+/// ```
+#[derive(Clone, Debug)]
+pub struct RanWhole {
+    seed: u64,
+    at_ms: IndexMap<u64, u64>,
+}
+
+impl RanWhole {
+    /// Nothing has run yet. The seed is a random number of this process.
+    ///
+    /// ```
+    /// let _ = sardinewood::direct::quarantine::recent::RanWhole::new(7);
+    /// ```
+    #[must_use]
+    pub fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            at_ms: IndexMap::new(),
+        }
+    }
+
+    /// Notes that a request ran whole.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::{fingerprint::Asked, recent::RanWhole};
+    /// # let asked = Asked { method: "POST", path: "/a", customer: None, body: b"" };
+    /// RanWhole::new(7).note(asked, 0);
+    /// ```
+    pub fn note(&mut self, asked: Asked<'_>, now_ms: u64) {
+        let name = self.name(asked);
+        // Taken out first, so that the oldest stand at the beginning.
+        self.at_ms.shift_remove(&name);
+        if self.at_ms.len() >= MAX_REMEMBERED {
+            self.sweep(now_ms);
+        }
+        if self.at_ms.len() >= MAX_REMEMBERED {
+            self.at_ms.drain(..MAX_REMEMBERED / 2);
+        }
+        self.at_ms.insert(name, now_ms);
+    }
+
+    /// Whether a request ran whole a moment ago.
+    ///
+    /// ```
+    /// # use sardinewood::direct::quarantine::{fingerprint::Asked, recent::RanWhole};
+    /// # let asked = Asked { method: "POST", path: "/a", customer: None, body: b"" };
+    /// assert!(!RanWhole::new(7).has(asked, 0));
+    /// ```
+    #[must_use]
+    pub fn has(&self, asked: Asked<'_>, now_ms: u64) -> bool {
+        let at_ms = self.at_ms.get(&self.name(asked));
+        at_ms.is_some_and(|at_ms| now_ms < at_ms + TRUSTED_MS)
+    }
+
+    fn sweep(&mut self, now_ms: u64) {
+        self.at_ms.retain(|_, at_ms| now_ms < *at_ms + TRUSTED_MS);
+    }
+
+    fn name(&self, asked: Asked<'_>) -> u64 {
+        let mut hash = XxHash64::with_seed(self.seed);
+        for part in asked.parts() {
+            hash.write_usize(part.len());
+            hash.write(part);
+        }
+        hash.finish()
+    }
+}
--- a/lib/src/direct/quarantine/suspects.rs
+++ b/lib/src/direct/quarantine/suspects.rs
@@ -21,6 +21,12 @@
 /// How long a request is held: the first time shortly, since the verdict may be wrong, and then for
 /// so long that few upstreams are spent on trials.
 const HOLDS_MS: [MomentMs; 4] = [60_000, 600_000, 7_200_000, 86_400_000];
+/// The least time that a request is held whose ends are shared with another held one: nobody knows which
+/// of the two it was, and the trial tells.
+const SHARED_HOLD_MS: MomentMs = 1_000;
+/// Such trials fall into a time of this length, each at its own moment, or the deadly one would end
+/// the upstream on which the other is tried.
+const SHARED_SPREAD_MS: MomentMs = 2_000;
 const LONGEST_HOLD_MS: MomentMs = HOLDS_MS[HOLDS_MS.len() - 1];
 /// How long others wait for the outcome of a trial. Upstreams that end do so soon after a run began.
 const TRIAL_MS: MomentMs = 2_000;
@@ -143,6 +149,12 @@
 }
 
 impl Change {
+    fn note(&mut self, request: Fingerprint) {
+        if !self.changed.contains(&request) {
+            self.changed.push(request);
+        }
+    }
+
     /// Merges what a peer tells of a request into what is known.
     fn hear(&mut self, request: Fingerprint, known: &mut Record, heard: Record) {
         match Merge::of(known, &heard) {
@@ -167,11 +179,11 @@
         let new_ends = heard.ends.iter().filter(|end| known.note(**end));
         let new_ends: Vec<u32> = new_ends.map(|end| end.upstream).collect();
         let was_held = known.hold.is_some();
-        let is_longer = known.hold_at_least(heard.hold);
-        if is_longer && !was_held {
+        let is_better = known.take_hold(heard.hold);
+        if is_better && !was_held {
             self.held.push(request);
         }
-        if is_longer || !new_ends.is_empty() {
+        if is_better || !new_ends.is_empty() {
             self.changed.push(request);
         }
         self.ended.extend(new_ends);
@@ -206,6 +218,17 @@
     fn is_over(self, now_ms: MomentMs) -> bool {
         now_ms >= self.until_ms
     }
+
+    /// Whether it goes before another of the same number: a trial that has begun does, the latest
+    /// first, and otherwise the one that ends sooner, since a hold is only ever shortened.
+    fn goes_before(self, other: Self) -> bool {
+        match (self.is_trial, other.is_trial) {
+            (true, false) => true,
+            (false, true) => false,
+            (true, true) => self.until_ms > other.until_ms + SAME_MOMENT_MS,
+            (false, false) => self.until_ms + SAME_MOMENT_MS < other.until_ms,
+        }
+    }
 }
 
 #[derive(Clone, Debug, Default)]
@@ -257,6 +280,19 @@
             .is_some_and(|hold| hold.is_trial || hold.is_over(now_ms))
     }
 
+    fn is_guilty(&self) -> bool {
+        let last = self.ends.iter().map(|end| end.generation).max();
+        self.hold.is_none()
+            && self.ends.len() >= ENDS
+            && last.is_some_and(|last| last >= GENERATIONS)
+    }
+
+    /// Whether it is held for the first time and not tried yet.
+    fn is_held_first(&self) -> bool {
+        self.hold
+            .is_some_and(|hold| hold.times == 1 && !hold.is_trial)
+    }
+
     fn times(&self) -> u8 {
         self.hold.map_or(0, |hold| hold.times)
     }
@@ -266,16 +302,16 @@
         self.times().saturating_sub(1)
     }
 
-    /// Holds a request for as long as a peer does; whether that is longer than before.
-    fn hold_at_least(&mut self, told: Option<Hold>) -> bool {
-        let is_longer = told.is_some_and(|told| {
+    /// Takes a peer's hold if it knows better; whether it does.
+    fn take_hold(&mut self, told: Option<Hold>) -> bool {
+        let is_better = told.is_some_and(|told| {
             let known = self.hold;
-            known.is_none_or(|known| known.until_ms + SAME_MOMENT_MS < told.until_ms)
+            known.is_none_or(|known| told.goes_before(known))
         });
-        if is_longer {
+        if is_better {
             self.hold = told;
         }
-        is_longer
+        is_better
     }
 
     fn forgotten_at_ms(&self) -> MomentMs {
@@ -590,40 +626,55 @@
 
     /// Holds those of the changed requests under which enough upstreams have ended.
     fn judge(&mut self, change: &mut Change, now_ms: MomentMs) {
-        // All are judged before one is held: of two that were always together either may be the one.
-        let is_guilty = |request: &&Fingerprint| {
-            let record = self.records.get(*request);
-            record.is_some_and(|record| self.is_guilty(record))
-        };
-        let guilty: Vec<Fingerprint> = change.changed.iter().filter(is_guilty).copied().collect();
-        for request in guilty {
-            if let Some(record) = self.records.get_mut(&request) {
+        for request in change.changed.clone() {
+            let record = self.records.get_mut(&request);
+            if let Some(record) = record.filter(|record| record.is_guilty()) {
                 record.hold = Some(Hold::new(1, now_ms));
                 change.held.push(request);
             }
         }
+        if !change.held.is_empty() {
+            self.shorten_shared(change, now_ms);
+        }
     }
 
-    fn is_guilty(&self, record: &Record) -> bool {
-        if record.hold.is_some() || record.ends.len() < ENDS {
-            return false;
+    /// Lets those be tried soon of whose ends too few are their own: at the others, another held
+    /// request was there as well, and nobody knows which of the two it was.
+    ///
+    /// What runs beside a deadly request gathers its ends, and a popular request those of several
+    /// deadly ones, before any of them has three. Held for a minute, its callers would lose more than by
+    /// all these ends.
+    fn shorten_shared(&mut self, change: &mut Change, now_ms: MomentMs) {
+        let shared: Vec<Fingerprint> = self
+            .records
+            .iter()
+            .filter(|(_, record)| record.is_held_first())
+            .filter(|(request, record)| self.own_ends(request, record) < ENDS)
+            .map(|(request, _)| *request)
+            .collect();
+        for request in shared {
+            let soon_ms = now_ms + SHARED_HOLD_MS + request.spread_over(SHARED_SPREAD_MS);
+            let record = self.records.get_mut(&request);
+            let Some(hold) = record.and_then(|record| record.hold.as_mut()) else {
+                continue;
+            };
+            if hold.until_ms > soon_ms {
+                hold.until_ms = soon_ms;
+                change.note(request);
+            }
         }
-        let is_unexplained = |end: &&SeenEnd| !self.is_explained(end.upstream, record);
-        let unexplained: Vec<&SeenEnd> = record.ends.iter().filter(is_unexplained).collect();
-        let generations = unexplained.iter().map(|end| end.generation).max();
-        unexplained.len() >= ENDS && generations.is_some_and(|last| last >= GENERATIONS)
-    }
-
-    /// Whether an upstream's end is put down to another request, which is held. Otherwise what runs
-    /// beside a deadly request would gather its ends. One that was there each time is not excused so:
-    /// it may be the deadly one itself.
-    fn is_explained(&self, upstream: u32, record: &Record) -> bool {
-        let explains = |other: &&Record| {
-            other.hold.is_some()
-                && other.has(upstream)
-                && other.ends.iter().any(|end| !record.has(end.upstream))
-        };
-        self.records.values().any(|other| explains(&other))
+    }
+
+    /// How many upstreams ended under a request where no other held one ran.
+    fn own_ends(&self, request: &Fingerprint, record: &Record) -> usize {
+        let others: Vec<&Record> = self
+            .records
+            .iter()
+            .filter(|(other, record)| *other != request && record.hold.is_some())
+            .map(|(_, record)| record)
+            .collect();
+        let is_own = |end: &&SeenEnd| !others.iter().any(|other| other.has(end.upstream));
+        record.ends.iter().filter(is_own).count()
     }
 
     /// Makes room for a request, so that a caller that brings new bodies without end costs no memory:
--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -55,6 +55,7 @@
             request: call.fingerprint(),
             name: call.name().into(),
             began_ms: lease.since_ms(),
+            is_trusted: self.whole_lately.borrow().has(call.asked(), self.now_ms()),
         };
         let next = self.breaks.borrow_mut().broke(upstream, run, self.now_ms());
         match next {
@@ -84,6 +85,8 @@
 
     /// Notes that a request ran whole, which clears it of all ends that it was suspected of.
     pub fn ran_whole(&self, call: &Call) {
+        let mut lately = self.whole_lately.borrow_mut();
+        lately.note(call.asked(), self.now_ms());
         if !self.suspects.borrow().is_empty() {
             self.clear_request(call.fingerprint());
         }
@@ -207,6 +210,7 @@
         let runs: Vec<(Fingerprint, u64)> = end
             .runs
             .iter()
+            .filter(|run| !run.is_trusted)
             .map(|run| (run.request, run.began_ms))
             .collect();
         let upstream = short_name(&end.instance);
@@ -232,6 +236,7 @@
                         "request": run.name,
                         "fingerprint": run.request.to_string(),
                         "held_ms": end.broke_at_ms.saturating_sub(run.began_ms),
+                    "ran_whole_lately": run.is_trusted,
                     })
                 };
                 line.field("upstream", &end.instance)
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -152,9 +152,15 @@
     /// for, since most requests never need it.
     #[must_use]
     pub fn fingerprint(&self) -> Fingerprint {
-        *self.known_fingerprint.get_or_init(|| {
-            fingerprint(&self.method, &self.uri, self.customer.as_ref(), &self.body)
-        })
+        *self
+            .known_fingerprint
+            .get_or_init(|| Fingerprint::of(self.asked()))
+    }
+
+    /// What it asks, and for whom.
+    #[must_use]
+    pub fn asked(&self) -> Asked<'_> {
+        asked(&self.method, &self.uri, self.customer.as_ref(), &self.body)
     }
 
     /// What the dispatcher needs to know of it.
@@ -231,8 +237,8 @@
     };
     let known_fingerprint = OnceCell::new();
     let held = traffic.admit_unheld(|| {
-        *known_fingerprint
-            .get_or_init(|| fingerprint(&parts.method, &parts.uri, customer.as_ref(), &body))
+        let asked = asked(&parts.method, &parts.uri, customer.as_ref(), &body);
+        *known_fingerprint.get_or_init(|| Fingerprint::of(asked))
     });
     if let Err(held) = held {
         return Err(refuse_held(&held, &route, customer.as_ref(), id));
@@ -294,18 +300,18 @@
     })
 }
 
-fn fingerprint(
-    method: &Method,
-    uri: &Uri,
-    customer: Option<&Arc<Customer>>,
-    body: &Bytes,
-) -> Fingerprint {
-    Fingerprint::of(Asked {
+fn asked<'a>(
+    method: &'a Method,
+    uri: &'a Uri,
+    customer: Option<&'a Arc<Customer>>,
+    body: &'a Bytes,
+) -> Asked<'a> {
+    Asked {
         method: method.as_str(),
         path: uri.path_and_query().map_or("/", PathAndQuery::as_str),
         customer: customer.map(|customer| &*customer.name),
         body,
-    })
+    }
 }
 
 /// Charges a request to its customer's allotment; the error is that nothing is left.
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -28,6 +28,7 @@
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_start::Popularity;
 use crate::direct::quarantine::ends::Breaks;
+use crate::direct::quarantine::recent::RanWhole;
 use crate::direct::quarantine::suspects::Suspects;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::connections::Connections;
@@ -99,6 +100,8 @@
     pub size_floor: RefCell<SizeFloor>,
     /// Upstreams of which connections broke lately.
     pub breaks: RefCell<Breaks>,
+    /// Requests that ran whole a moment ago.
+    pub whole_lately: RefCell<RanWhole>,
     /// Requests that may be the cause of upstreams' ends.
     pub suspects: RefCell<Suspects>,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
@@ -243,6 +246,7 @@
             size_shares: RefCell::default(),
             size_floor: RefCell::default(),
             breaks: RefCell::default(),
+            whole_lately: RefCell::new(RanWhole::new(rand::random())),
             suspects: RefCell::default(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
--- a/lib/tests/test_direct_ends.rs
+++ b/lib/tests/test_direct_ends.rs
@@ -28,6 +28,7 @@
         request: Fingerprint::of(asked(body.as_bytes())),
         name: body.into(),
         began_ms,
+        is_trusted: false,
     }
 }
 
