--- a/lib/src/direct/quarantine/recent.rs
+++ b/lib/src/direct/quarantine/recent.rs
@@ -14,7 +14,7 @@
 /// How long a whole run speaks for a request: a popular one runs whole more often than that, and
 /// one that has become deadly is trusted no longer.
 const TRUSTED_MS: u64 = 10_000;
-/// Requests that are remembered, of 40 bytes each; the oldest make room.
+/// Requests that are remembered, of 40 bytes each; those that were first noted make room.
 const MAX_REMEMBERED: usize = 4_096;
 
 /// What ran whole lately. It is asked for each request, so it goes by a fast hash, whose random seed no
@@ -58,16 +58,10 @@
     /// RanWhole::new(7).note(asked, 0);
     /// ```
     pub fn note(&mut self, asked: Asked<'_>, now_ms: u64) {
-        let name = self.name(asked);
-        // Taken out first, so that the oldest stand at the beginning.
-        self.at_ms.shift_remove(&name);
         if self.at_ms.len() >= MAX_REMEMBERED {
-            self.sweep(now_ms);
+            self.make_room(now_ms);
         }
-        if self.at_ms.len() >= MAX_REMEMBERED {
-            self.at_ms.drain(..MAX_REMEMBERED / 2);
-        }
-        self.at_ms.insert(name, now_ms);
+        self.at_ms.insert(self.name(asked), now_ms);
     }
 
     /// Whether a request ran whole a moment ago.
@@ -83,8 +77,11 @@
         at_ms.is_some_and(|at_ms| now_ms < at_ms + TRUSTED_MS)
     }
 
-    fn sweep(&mut self, now_ms: u64) {
+    /// Drops what is trusted no longer, and at least half, so that this is rare.
+    fn make_room(&mut self, now_ms: u64) {
         self.at_ms.retain(|_, at_ms| now_ms < *at_ms + TRUSTED_MS);
+        let too_many = self.at_ms.len().saturating_sub(MAX_REMEMBERED / 2);
+        self.at_ms.drain(..too_many);
     }
 
     fn name(&self, asked: Asked<'_>) -> u64 {
