--- a/bench/src/direct/fleet/deadly.rs
+++ b/bench/src/direct/fleet/deadly.rs
@@ -10,8 +10,8 @@
 use sardinewood::direct::placement::health::Ended;
 use sardinewood::direct::quarantine::fingerprint::Asked;
 use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+use sardinewood::direct::quarantine::record::Told;
 use sardinewood::direct::quarantine::spread;
-use sardinewood::direct::quarantine::suspects::Told;
 use sardinewood::direct::quarantine::suspects::Verdict;
 use sardinewood::direct::view::directory::Upstream;
 
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -7,7 +7,7 @@
 use serde::Serialize;
 
 use crate::direct::membership::report::RunningPart;
-use crate::direct::quarantine::suspects::Told;
+use crate::direct::quarantine::record::Told;
 use crate::direct::sharing::allotment::Charge;
 use crate::direct::sharing::allotment::Demand;
 use crate::direct::sharing::allotment::Due;
--- a/lib/src/direct/quarantine.rs
+++ b/lib/src/direct/quarantine.rs
@@ -3,5 +3,6 @@
 pub mod ends;
 pub mod fingerprint;
 pub mod recent;
+pub mod record;
 pub mod spread;
 pub mod suspects;
--- a/lib/src/direct/quarantine/suspects.rs
+++ b/lib/src/direct/quarantine/suspects.rs
@@ -7,80 +7,31 @@
 
 use indexmap::IndexMap;
 use indexmap::map::Entry;
-use serde::Deserialize;
-use serde::Serialize;
 
 use crate::direct::quarantine::fingerprint::Fingerprint;
+use crate::direct::quarantine::record::ENDS;
+use crate::direct::quarantine::record::Hold;
+use crate::direct::quarantine::record::MomentMs;
+use crate::direct::quarantine::record::Record;
+use crate::direct::quarantine::record::SeenEnd;
+use crate::direct::quarantine::record::Told;
+use crate::direct::quarantine::record::moment;
 
-/// Ends after which a request is held, and of which two must lie in runs that followed each other. A
-/// rack that is lost ends many runs of a popular request at once, which is one coincidence.
-const ENDS: usize = 3;
-const GENERATIONS: u8 = 2;
-/// Ends that are remembered of a request.
-const MAX_ENDS: usize = 6;
-/// How long a request is held: the first time shortly, since the verdict may be wrong, and then for
-/// so long that few upstreams are spent on trials.
-const HOLDS_MS: [MomentMs; 4] = [60_000, 600_000, 7_200_000, 86_400_000];
 /// The least time that a request is held whose ends are shared with another held one: nobody knows which
 /// of the two it was, and the trial tells.
 const SHARED_HOLD_MS: MomentMs = 1_000;
 /// Such trials fall into a time of this length, each at its own moment, or the deadly one would end
 /// the upstream on which the other is tried.
 const SHARED_SPREAD_MS: MomentMs = 2_000;
-const LONGEST_HOLD_MS: MomentMs = HOLDS_MS[HOLDS_MS.len() - 1];
 /// How long others wait for the outcome of a trial. Upstreams that end do so soon after a run began.
 const TRIAL_MS: MomentMs = 2_000;
-/// How long an end is remembered of a request that is not held.
-const SUSPECT_MS: MomentMs = 600_000;
-/// How long it is remembered that a request was held, counted from the end of that time.
-const HELD_BEFORE_MS: MomentMs = 86_400_000;
 /// Requests that are remembered. Of 250 bytes each, and a caller may bring as many as it likes.
 const MAX_RECORDS: usize = 1_024;
-/// Two times told by peers that differ by less are the same: datagrams take some milliseconds, and
-/// a busy entry reads them late.
-const SAME_MOMENT_MS: MomentMs = 1_000;
 /// Requests in one message: 85 bytes each at most, so that they fit into one datagram.
 const MAX_TOLD: usize = 14;
 /// Held ones among them.
 const MAX_HELD_TOLD: usize = MAX_TOLD / 2;
 
-/// An upstream's end under a request, as entries tell it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldEnd {
-    /// Short name of the upstream.
-    pub upstream: u32,
-    /// How long ago it was.
-    pub ago_ms: i64,
-    /// How many runs that ended so had followed each other, this one included.
-    pub generation: u8,
-}
-
-/// How long a request is held yet, as entries tell it.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct ToldHold {
-    /// How long it is held yet; below zero if that is over.
-    pub left_ms: i64,
-    /// How often it was held, this time included.
-    pub times: u8,
-    /// Whether it is held because one entry tries it.
-    pub is_trial: bool,
-}
-
-/// What entries tell each other of a request.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Told {
-    /// The request.
-    pub request: Fingerprint,
-    /// How often it was cleared. What was seen before counts no more.
-    pub clears: u32,
-    /// How long ago something new was learned of it.
-    pub ago_ms: i64,
-    /// Upstreams that ended under it since it was cleared or tried.
-    pub ends: Vec<ToldEnd>,
-    /// Whether it is or was held.
-    pub hold: Option<ToldHold>,
-}
-
 /// Whether a request may be run.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Verdict {
@@ -117,13 +68,6 @@
     pub ended: Vec<u32>,
 }
 
-/// A moment by this entry's clock. What peers tell may have been before the process began.
-type MomentMs = i64;
-
-fn moment(now_ms: u64) -> MomentMs {
-    i64::try_from(now_ms).unwrap_or(i64::MAX)
-}
-
 /// What a peer's word does to what is known of a request.
 enum Merge {
     /// The peer knows an older state.
@@ -191,175 +135,6 @@
     }
 }
 
-#[derive(Clone, Copy, Debug)]
-struct SeenEnd {
-    upstream: u32,
-    at_ms: MomentMs,
-    generation: u8,
-}
-
-#[derive(Clone, Copy, Debug)]
-struct Hold {
-    until_ms: MomentMs,
-    times: u8,
-    is_trial: bool,
-}
-
-impl Hold {
-    fn new(times: u8, now_ms: MomentMs) -> Self {
-        let index = usize::from(times).clamp(1, HOLDS_MS.len()) - 1;
-        Self {
-            until_ms: now_ms + HOLDS_MS[index],
-            times,
-            is_trial: false,
-        }
-    }
-
-    fn is_over(self, now_ms: MomentMs) -> bool {
-        now_ms >= self.until_ms
-    }
-
-    /// Whether it goes before another of the same number: a trial that has begun does, the latest
-    /// first, and otherwise the one that ends sooner, since a hold is only ever shortened.
-    fn goes_before(self, other: Self) -> bool {
-        match (self.is_trial, other.is_trial) {
-            (true, false) => true,
-            (false, true) => false,
-            (true, true) => self.until_ms > other.until_ms + SAME_MOMENT_MS,
-            (false, false) => self.until_ms + SAME_MOMENT_MS < other.until_ms,
-        }
-    }
-}
-
-#[derive(Clone, Debug, Default)]
-struct Record {
-    clears: u32,
-    ends: Vec<SeenEnd>,
-    hold: Option<Hold>,
-    changed_at_ms: MomentMs,
-}
-
-impl Record {
-    fn has(&self, upstream: u32) -> bool {
-        self.ends.iter().any(|end| end.upstream == upstream)
-    }
-
-    /// Notes an end; whether that changes what is known.
-    ///
-    /// Of more than can be remembered those of the last generations stay. All entries choose the same
-    /// ones, or they would tell each other of the others for ever.
-    fn note(&mut self, end: SeenEnd) -> bool {
-        match self
-            .ends
-            .iter_mut()
-            .find(|seen| seen.upstream == end.upstream)
-        {
-            Some(seen) if seen.generation >= end.generation => return false,
-            Some(seen) => seen.generation = end.generation,
-            None => self.ends.push(end),
-        }
-        if self.ends.len() <= MAX_ENDS {
-            return true;
-        }
-        let rank = |end: &SeenEnd| (end.generation, end.upstream);
-        self.ends.sort_by_key(|end| std::cmp::Reverse(rank(end)));
-        let dropped = self.ends.pop();
-        dropped.is_none_or(|dropped| dropped.upstream != end.upstream)
-    }
-
-    /// Number of a run among those that ended so and followed each other.
-    fn generation_of(&self, began_ms: MomentMs) -> u8 {
-        let before = self.ends.iter().filter(|end| end.at_ms < began_ms);
-        let last = before.map(|end| end.generation).max();
-        last.unwrap_or_default().saturating_add(1)
-    }
-
-    /// Whether the hold is over or an entry tries the request, so that the next end counts by itself.
-    fn is_tried(&self, now_ms: MomentMs) -> bool {
-        self.hold
-            .is_some_and(|hold| hold.is_trial || hold.is_over(now_ms))
-    }
-
-    fn is_guilty(&self) -> bool {
-        let last = self.ends.iter().map(|end| end.generation).max();
-        self.hold.is_none()
-            && self.ends.len() >= ENDS
-            && last.is_some_and(|last| last >= GENERATIONS)
-    }
-
-    /// Whether it is held for the first time and not tried yet.
-    fn is_held_first(&self) -> bool {
-        self.hold
-            .is_some_and(|hold| hold.times == 1 && !hold.is_trial)
-    }
-
-    fn times(&self) -> u8 {
-        self.hold.map_or(0, |hold| hold.times)
-    }
-
-    /// How many trials it failed.
-    fn trials(&self) -> u8 {
-        self.times().saturating_sub(1)
-    }
-
-    /// Takes a peer's hold if it knows better; whether it does.
-    fn take_hold(&mut self, told: Option<Hold>) -> bool {
-        let is_better = told.is_some_and(|told| {
-            let known = self.hold;
-            known.is_none_or(|known| told.goes_before(known))
-        });
-        if is_better {
-            self.hold = told;
-        }
-        is_better
-    }
-
-    fn forgotten_at_ms(&self) -> MomentMs {
-        match self.hold {
-            Some(hold) => hold.until_ms + HELD_BEFORE_MS,
-            None => self.changed_at_ms + SUSPECT_MS,
-        }
-    }
-
-    fn from_told(told: &Told, now_ms: MomentMs) -> Self {
-        let ago = |ago_ms: MomentMs| now_ms - ago_ms.clamp(0, HELD_BEFORE_MS);
-        let end = |end: &ToldEnd| SeenEnd {
-            upstream: end.upstream,
-            at_ms: ago(end.ago_ms),
-            generation: end.generation,
-        };
-        Self {
-            clears: told.clears,
-            ends: told.ends.iter().map(end).take(MAX_ENDS).collect(),
-            hold: told.hold.map(|hold| Hold {
-                until_ms: now_ms + hold.left_ms.clamp(-HELD_BEFORE_MS, LONGEST_HOLD_MS),
-                times: hold.times,
-                is_trial: hold.is_trial,
-            }),
-            changed_at_ms: ago(told.ago_ms),
-        }
-    }
-
-    fn told(&self, request: Fingerprint, now_ms: MomentMs) -> Told {
-        let end = |end: &SeenEnd| ToldEnd {
-            upstream: end.upstream,
-            ago_ms: now_ms - end.at_ms,
-            generation: end.generation,
-        };
-        Told {
-            request,
-            clears: self.clears,
-            ago_ms: now_ms - self.changed_at_ms,
-            ends: self.ends.iter().map(end).collect(),
-            hold: self.hold.map(|hold| ToldHold {
-                left_ms: hold.until_ms - now_ms,
-                times: hold.times,
-                is_trial: hold.is_trial,
-            }),
-        }
-    }
-}
-
 /// What one entry knows of requests under which upstreams ended.
 ///
 /// ```
--- a/lib/tests/test_direct_suspects.rs
+++ b/lib/tests/test_direct_suspects.rs
@@ -7,8 +7,8 @@
 use sardinewood::direct::membership::peer_message::Message;
 use sardinewood::direct::quarantine::fingerprint::Asked;
 use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+use sardinewood::direct::quarantine::record::Told;
 use sardinewood::direct::quarantine::suspects::Suspects;
-use sardinewood::direct::quarantine::suspects::Told;
 use sardinewood::direct::quarantine::suspects::Verdict;
 
 const MINUTE_MS: u64 = 60_000;
