--- a/lib/tests/test_direct_suspects.rs
+++ b/lib/tests/test_direct_suspects.rs
@@ -8,6 +8,8 @@
 use sardinewood::direct::quarantine::fingerprint::Asked;
 use sardinewood::direct::quarantine::fingerprint::Fingerprint;
 use sardinewood::direct::quarantine::record::Told;
+use sardinewood::direct::quarantine::record::ToldEnd;
+use sardinewood::direct::quarantine::record::ToldHold;
 use sardinewood::direct::quarantine::suspects::Suspects;
 use sardinewood::direct::quarantine::suspects::Verdict;
 
@@ -450,9 +452,62 @@
     ]
 }
 
+fn nonsense() -> impl Strategy<Value = Told> {
+    let end =
+        (any::<u32>(), any::<i64>(), any::<u8>()).prop_map(|(upstream, ago_ms, generation)| {
+            ToldEnd {
+                upstream,
+                ago_ms,
+                generation,
+            }
+        });
+    let hold = (any::<i64>(), any::<u8>(), any::<bool>()).prop_map(|(left_ms, times, is_trial)| {
+        ToldHold {
+            left_ms,
+            times,
+            is_trial,
+        }
+    });
+    (
+        0..4_u32,
+        any::<u32>(),
+        any::<i64>(),
+        prop::collection::vec(end, 0..20),
+        prop::option::of(hold),
+    )
+        .prop_map(|(number, clears, ago_ms, ends, hold)| Told {
+            request: request(number),
+            clears,
+            ago_ms,
+            ends,
+            hold,
+        })
+}
+
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(300))]
 
+    #[test]
+    fn peer_that_tells_nonsense_breaks_nothing(told in prop::collection::vec(nonsense(), 1..40)) {
+        // A peer of another version, or with a broken clock, tells times and counts of any size. The entry
+        // goes on, tells nothing that does not fit into a datagram, and an operator can let all of it go.
+        let mut suspects = Suspects::default();
+        suspects.hear(&told, 5_000);
+        for number in 0..4 {
+            end(&mut suspects, 7, 6_000, &[number]);
+            let _verdict = suspects.verdict(request(number), 6_000);
+            suspects.begin_trial(request(number), 6_000);
+        }
+        let told = suspects.next_told(6_000);
+        prop_assert!(Message::Suspects(told).encode().is_some());
+        for number in 0..4 {
+            suspects.clear(request(number), 7_000);
+            prop_assert_eq!(suspects.verdict(request(number), 7_000), Verdict::Free);
+        }
+        suspects.sweep(7_000 + 24 * 60 * MINUTE_MS);
+        prop_assert!(suspects.is_empty());
+    }
+
     #[test]
     fn entries_that_have_told_each_other_agree(steps in prop::collection::vec(step(), 1..60)) {
         // Whatever was lost or came late: once each has heard the others, all refuse the same requests,
