--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -264,7 +264,13 @@
                     .put(&upstream.instance, connection, None);
             }
             Err(ConnectError::Refused) => traffic.upstream_refused(&upstream.instance),
-            Err(ConnectError::TimedOut | ConnectError::Unusable) => {}
+            // It proves neither an end nor that the upstream lives.
+            Err(error @ (ConnectError::TimedOut | ConnectError::Unusable)) => {
+                traffic.log(Level::Info, "broken upstream can't be reached", |line| {
+                    line.field("upstream", &upstream.instance)
+                        .field("error", error.name())
+                });
+            }
         }
     }
 }
