digest, quarantine: one digest of parts, and no hash of a body that nobody needs

The fingerprint had its own copy of the digest that claims make of a request; both use `digest_parts` now.

Each request counted all remembered ones to learn whether any is held, and each whole run hashed its body while any was only remembered as cleared, for ten minutes after the last. Both ask a predicate that stops at the first.

--- a/lib/src/claims/request_names.rs
+++ b/lib/src/claims/request_names.rs
@@ -7,10 +7,9 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
-use sha2::Digest;
-use sha2::Sha256;
 
 use crate::claims::object::Holder;
+use crate::digest::digest_parts;
 use crate::ids::RequestId;
 
 /// The longest `Idempotency-Key` that is accepted.
@@ -114,17 +113,6 @@
     Ok(())
 }
 
-/// Each part goes in with its length, so that moving a byte from one part to the
-/// next gives another digest.
-fn digest_parts(parts: &[&[u8]]) -> [u8; 32] {
-    let mut hasher = Sha256::new();
-    for part in parts {
-        hasher.update((part.len() as u64).to_be_bytes());
-        hasher.update(part);
-    }
-    hasher.finalize().into()
-}
-
 /// What an entry does with a request that has a name.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Admission {
--- a/lib/src/direct/quarantine/fingerprint.rs
+++ b/lib/src/direct/quarantine/fingerprint.rs
@@ -7,8 +7,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use sha2::Digest;
-use sha2::Sha256;
+
+use crate::digest::digest_parts;
 
 const BYTES: usize = 16;
 
@@ -67,14 +67,8 @@
     /// ```
     #[must_use]
     pub fn of(asked: Asked<'_>) -> Self {
-        let mut hash = Sha256::new();
-        for part in asked.parts() {
-            // With its length, so that no byte can move from one part to the next.
-            hash.update((part.len() as u64).to_le_bytes());
-            hash.update(part);
-        }
         let mut bytes = [0; BYTES];
-        bytes.copy_from_slice(&hash.finalize()[..BYTES]);
+        bytes.copy_from_slice(&digest_parts(&asked.parts())[..BYTES]);
         Self(bytes)
     }
 
--- a/lib/src/direct/quarantine/record.rs
+++ b/lib/src/direct/quarantine/record.rs
@@ -164,6 +164,11 @@
             .is_some_and(|hold| hold.is_trial || hold.is_over(now_ms))
     }
 
+    /// Whether anything is held against it: if not, it was only cleared.
+    pub(super) fn is_suspected(&self) -> bool {
+        self.hold.is_some() || !self.ends.is_empty()
+    }
+
     pub(super) fn is_guilty(&self) -> bool {
         let last = self.ends.iter().map(|end| end.generation).max();
         self.hold.is_none()
--- a/lib/src/direct/quarantine/suspects.rs
+++ b/lib/src/direct/quarantine/suspects.rs
@@ -51,8 +51,6 @@
 pub struct Counts {
     /// Those under which upstreams ended, and those that were cleared lately.
     pub remembered: usize,
-    /// Those of them that are or were held.
-    pub ever_held: usize,
     /// Those that are held now.
     pub held: usize,
 }
@@ -177,16 +175,32 @@
     #[must_use]
     pub fn counts(&self, now_ms: u64) -> Counts {
         let now_ms = moment(now_ms);
-        let holds = self.records.values().filter_map(|record| record.hold);
-        let mut counts = Counts {
+        let is_held = |record: &&Record| record.hold.is_some_and(|hold| !hold.is_over(now_ms));
+        Counts {
             remembered: self.records.len(),
-            ..Counts::default()
-        };
-        for hold in holds {
-            counts.ever_held += 1;
-            counts.held += usize::from(!hold.is_over(now_ms));
+            held: self.records.values().filter(is_held).count(),
         }
-        counts
+    }
+
+    /// Whether any request is or was held, and so might not be free.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::quarantine::suspects::Suspects::default().holds_any());
+    /// ```
+    #[must_use]
+    pub fn holds_any(&self) -> bool {
+        self.records.values().any(|record| record.hold.is_some())
+    }
+
+    /// Whether anything is held against any request. What was only cleared is kept for the other
+    /// entries' sake.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::quarantine::suspects::Suspects::default().suspects_any());
+    /// ```
+    #[must_use]
+    pub fn suspects_any(&self) -> bool {
+        self.records.values().any(Record::is_suspected)
     }
 
     /// Whether a request may be run.
@@ -299,7 +313,7 @@
         let Some(record) = self.records.get_mut(&request) else {
             return false;
         };
-        if record.ends.is_empty() && record.hold.is_none() {
+        if !record.is_suspected() {
             return false;
         }
         *record = Record {
--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -85,9 +85,10 @@
 
     /// Notes that a request ran whole, which clears it of all ends that it was suspected of.
     pub fn ran_whole(&self, call: &Call) {
-        let mut lately = self.whole_lately.borrow_mut();
-        lately.note(call.asked(), self.now_ms());
-        if !self.suspects.borrow().is_empty() {
+        self.whole_lately
+            .borrow_mut()
+            .note(call.asked(), self.now_ms());
+        if self.suspects.borrow().suspects_any() {
             self.clear_request(call.fingerprint());
         }
     }
@@ -123,7 +124,7 @@
         fingerprint: impl FnOnce() -> Fingerprint,
     ) -> Result<(), HeldRequest> {
         let now_ms = self.now_ms();
-        if self.suspects.borrow().counts(now_ms).ever_held == 0 {
+        if !self.suspects.borrow().holds_any() {
             return Ok(());
         }
         let request = fingerprint();
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod caller;
 pub mod claims;
 pub mod config;
+pub mod digest;
 pub mod direct;
 pub mod entry;
 pub mod findings;
