soak, quarantine: a worker's entry written anew in one place; comments and help text that were off

A restart and a return after an end each raised the birth and wrote the entry. One log field stood out of line, two comments said less than they should, and a line of help was too long.

--- a/bench/src/direct.rs
+++ b/bench/src/direct.rs
@@ -35,8 +35,8 @@
 what these can do, 20 s, seeds 1 to 3, without losses, the mix disputes, all patterns and all
 variants, and prints one JSON line for each pattern and variant. Mixes: disputes, reports. Patterns:
 steady, burst, burst-of-one-kind, one-entry, half-lost. Variants: shipped, without-doors,
-without-order, without-sizes, without-returns, without-quarantine. With --deadly, one caller sends a request that ends
-each engine that runs it every MS milliseconds.
+without-order, without-sizes, without-returns, without-quarantine. With --deadly, one caller sends
+a request that ends each engine that runs it every MS milliseconds.
 ";
 
 /// What one pattern and variant gave, over all seeds.
--- a/lib/src/direct/quarantine/ends.rs
+++ b/lib/src/direct/quarantine/ends.rs
@@ -83,7 +83,7 @@
 pub enum Next {
     /// See whether anybody listens at the upstream's address.
     Probe,
-    /// Somebody does already.
+    /// The address is being tried already.
     Wait,
     /// The end was proven before.
     Ended(End),
--- a/lib/src/direct/quarantine/suspects.rs
+++ b/lib/src/direct/quarantine/suspects.rs
@@ -151,7 +151,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Suspects {
     records: IndexMap<Fingerprint, Record>,
-    /// Where the next message goes on with those that are not held.
+    /// Where the next message goes on.
     next_told: usize,
 }
 
--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -237,7 +237,7 @@
                         "request": run.name,
                         "fingerprint": run.request.to_string(),
                         "held_ms": end.broke_at_ms.saturating_sub(run.began_ms),
-                    "ran_whole_lately": run.is_trusted,
+                        "ran_whole_lately": run.is_trusted,
                     })
                 };
                 line.field("upstream", &end.instance)
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -294,10 +294,7 @@
                 self.register(&self.workers[index], self.workers[index].state());
             }
             Healing::Store => self.store.set_mood(Mood::Up),
-            Healing::Back(index) => {
-                self.workers[index].born_ms += 1;
-                self.register(&self.workers[index], self.workers[index].state());
-            }
+            Healing::Back(index) => self.register_anew(index),
         }
     }
 
@@ -390,9 +387,13 @@
 
     /// A worker ends with all that it runs and starts again under its name.
     fn restart(&mut self, index: usize) {
-        let worker = &mut self.workers[index];
-        worker.stand_in.restart();
-        worker.born_ms += 1;
+        self.workers[index].stand_in.restart();
+        self.register_anew(index);
+    }
+
+    /// Writes the entry of a worker that has started again under its name.
+    fn register_anew(&mut self, index: usize) {
+        self.workers[index].born_ms += 1;
         let worker = &self.workers[index];
         self.register(worker, worker.state());
     }
