--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -294,6 +294,8 @@
                     address: SocketAddr::from(([10, 1, 0, 1], 80)),
                     data_centre: "hall".into(),
                     slots: setup.slots,
+                    version: "v1".into(),
+                    revision: 1,
                     is_leaving: false,
                 })
             })
--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -53,6 +53,7 @@
             shared_start: None,
             kept_at: Vec::new(),
             is_owed: false,
+            is_trial: false,
         }
     }
 
--- a/bench/src/direct/fleet/doors.rs
+++ b/bench/src/direct/fleet/doors.rs
@@ -132,8 +132,8 @@
                 doors.done(Asker::Peer(peer), upstream, held_ms);
                 self.grant(entry);
             }
-            // Customers of the model have no limits.
-            Message::ChargeAsk(_) | Message::Charged { .. } => {}
+            // Customers of the model have no limits, and its engines one version.
+            Message::ChargeAsk(_) | Message::Charged { .. } | Message::Rollout(_) => {}
             Message::Suspects(told) => self.hear_suspects(entry, &told),
         }
     }
--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -19,6 +19,8 @@
 pub mod quarantine;
 pub mod quarantining;
 pub mod request;
+pub mod rolling;
+pub mod rollout;
 pub mod rooms;
 pub mod server;
 pub mod sharing;
--- a/lib/src/direct/links/peers.rs
+++ b/lib/src/direct/links/peers.rs
@@ -114,6 +114,7 @@
             Some(Message::ChargeAsk(question)) => traffic.lend(from, &question),
             Some(Message::Charged { ask, charge }) => traffic.charged(ask, charge),
             Some(Message::Suspects(told)) => traffic.hear_suspects(&told),
+            Some(Message::Rollout(message)) => traffic.hear_rollout(from, &message),
             None => traffic.log(Level::Warn, "datagram is not understood", |line| {
                 line.field("from", from)
             }),
@@ -138,6 +139,7 @@
         }
         if heard.is_new || heard.is_back {
             traffic.greet_with_suspects(from);
+            traffic.greet_with_rollouts(from);
         }
         let mut allotments = traffic.allotments.borrow_mut();
         if heard.is_new {
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -8,6 +8,7 @@
 
 use crate::direct::membership::report::RunningPart;
 use crate::direct::quarantine::record::Told;
+use crate::direct::rollout::report::RolloutMessage;
 use crate::direct::sharing::allotment::Charge;
 use crate::direct::sharing::allotment::Demand;
 use crate::direct::sharing::allotment::Due;
@@ -15,7 +16,7 @@
 use crate::direct::sharing::door::AskId;
 
 /// First byte of every datagram; another form of the message gets another number.
-const FORM: u8 = 4;
+const FORM: u8 = 5;
 /// Longest datagram that is sent: it fits into one packet of a common network.
 const MAX_BYTES: usize = 1_400;
 
@@ -148,6 +149,8 @@
     },
     /// What the sender knows of requests under which upstreams ended.
     Suspects(Vec<Told>),
+    /// How far a roll-out has come, or what the sender has seen of it.
+    Rollout(RolloutMessage),
 }
 
 impl Message {
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -305,6 +305,22 @@
             .collect()
     }
 
+    /// Peers that are heard.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert!(table.heard_now(0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn heard_now(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let heard = self.peers.iter();
+        heard
+            .filter(|(_, peer)| self.is_heard(peer, now_ms))
+            .map(|(address, _)| *address)
+            .collect()
+    }
+
     /// Peers whose last heartbeat is overdue, of which some are silent and some only late.
     ///
     /// What they spend meanwhile is not known, and what they are taken to spend is set off when they
--- a/lib/src/direct/placement/asking.rs
+++ b/lib/src/direct/placement/asking.rs
@@ -65,7 +65,7 @@
 /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
 /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
 /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-/// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+/// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
 ///
 /// // There is no engine, so the request is refused at once.
 /// let mut asking = Asking::new(job);
@@ -96,7 +96,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// let next = Asking::new(job).begin(&Dispatcher::default(), 0, || 1);
     /// assert_eq!(next, [Next::Refuse]);
     /// ```
@@ -119,7 +119,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// let next = Asking::new(job).busy(AskId(7), 20, &Dispatcher::default(), 0, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -151,7 +151,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// let next = Asking::new(job).silence(&Dispatcher::default(), 40, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -193,7 +193,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// let ask = Asking::new(job).question(AskId(7), "i-1", &Dispatcher::default(), 60);
     /// assert_eq!(ask.waited_ms, 60);
     /// assert!(ask.in_time_for_ms < 40);
@@ -222,7 +222,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// assert!(Asking::new(job).end().is_empty());
     /// ```
     pub fn end(&mut self) -> Vec<Next> {
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::direct::membership::peer_message::Condition;
 use crate::direct::membership::peer_message::Running;
@@ -148,8 +149,20 @@
             .filter(|told| told.count > 0 || told.condition == Condition::Gone)
     }
 
+    /// Takes the instances of upstreams that only take requests that judge their version.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::dispatch::Dispatcher;
+    /// Dispatcher::default().set_trials(&["i-1".into()].into());
+    /// ```
+    pub fn set_trials(&mut self, trials: &IndexSet<Arc<str>>) {
+        for (instance, place) in &mut self.places {
+            place.is_on_trial = trials.contains(instance);
+        }
+    }
+
     fn untried(&self, job: &Job, now_ms: u64) -> impl Iterator<Item = &Place> {
-        self.places_of(&job.service)
+        self.places_for(job)
             .filter(move |place| !place.is_gone(now_ms))
             .filter(|place| !job.tried.contains(&place.upstream.instance))
     }
@@ -210,6 +223,13 @@
             .count()
     }
 
+    /// The upstreams that take a request of this kind.
+    fn places_for(&self, job: &Job) -> impl Iterator<Item = &Place> {
+        let is_trial = job.is_trial;
+        self.places_of(&job.service)
+            .filter(move |place| place.is_on_trial == is_trial)
+    }
+
     fn places_of(&self, service: &str) -> impl Iterator<Item = &Place> {
         self.places
             .values()
@@ -226,7 +246,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
     /// ```
     pub fn choose(
@@ -295,7 +315,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// assert!(Dispatcher::default().kept_at(&job, 0).is_empty());
     /// ```
     #[must_use]
@@ -305,7 +325,7 @@
         };
         let usual = self.usual_of(&job.service);
         let engines = self
-            .places_of(&job.service)
+            .places_for(job)
             .filter(|place| !place.is_gone(now_ms))
             .map(|place| Candidate {
                 instance: Arc::clone(&place.upstream.instance),
@@ -322,7 +342,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, give_up_at_ms: 1_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// assert_eq!(Dispatcher::default().saved_ms("i-1", &job), 0);
     /// ```
     #[must_use]
@@ -344,7 +364,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     give_up_at_ms: 8_000, leaves_at_ms: 1_000, tried: Vec::new(),
-    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false };
+    /// #     shared_start: None, kept_at: Vec::new(), is_owed: false, is_trial: false };
     /// assert!(Dispatcher::default().lead_ms("i-1", &job) > 0);
     /// ```
     #[must_use]
--- a/lib/src/direct/placement/place.rs
+++ b/lib/src/direct/placement/place.rs
@@ -49,6 +49,8 @@
     pub name: u32,
     /// Whether it takes new work.
     pub is_listed: bool,
+    /// Whether it only takes requests that judge its version.
+    pub is_on_trial: bool,
     /// Requests of this entry that run there.
     pub running: u32,
     /// What its answers have told.
@@ -71,6 +73,7 @@
             upstream: Arc::clone(upstream),
             name: short_name(&upstream.instance),
             is_listed: true,
+            is_on_trial: false,
             running: 0,
             health: Health::default(),
             unanswered: IndexMap::new(),
--- a/lib/src/direct/quarantine/ends.rs
+++ b/lib/src/direct/quarantine/ends.rs
@@ -138,7 +138,7 @@
     /// # use sardinewood::direct::view::directory::Upstream;
     /// # let upstream = Upstream { instance: "i-1".into(), name: "i-1".into(), born_ms: None,
     /// #     service: "s".into(), address: "127.0.0.1:80".parse().unwrap(),
-    /// #     data_centre: "d".into(), slots: 4, is_leaving: false };
+    /// #     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: 1, is_leaving: false };
     /// # let request = Fingerprint::of(Asked { method: "GET", path: "/", customer: None, body: b"" });
     /// let run = Run { request, name: "try-1".into(), began_ms: 5, is_trusted: false };
     /// let mut breaks = Breaks::default();
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -188,6 +188,7 @@
             shared_start: self.shared_start,
             kept_at: Vec::new(),
             is_owed: self.ending.is_owed(),
+            is_trial: false,
         }
     }
 
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -176,7 +176,11 @@
 /// there is no room.
 async fn attempt(traffic: &Rc<Traffic>, call: &mut Call) -> Result<Attempt, u64> {
     let asked_ms = traffic.now_ms();
-    let turn = traffic.turn(call.job()).await;
+    let turn = if call.tried.is_empty() {
+        traffic.first_turn(call).await
+    } else {
+        traffic.turn(call.job()).await
+    };
     call.waited_ms += traffic.now_ms() - asked_ms;
     let lease = match turn {
         Turn::Start(lease) => {
@@ -209,10 +213,12 @@
     let request = upstream_request(traffic, call, &lease, last_event_id);
     call.tried.push(Arc::clone(&lease.upstream.instance));
     lease.sent(call.prompt_tokens);
+    traffic.sent_to_version(call, &mut lease);
     count_tokens(traffic, call, &lease);
     match timeout_at(until, connection.send(request)).await {
         Err(_) => {
             lease.ended = Ended::Failed;
+            traffic.came_from_version(call, &lease, 1);
             log_attempt(traffic, call, &lease, "no answer from upstream in time");
             Attempt::TimeUp
         }
@@ -457,6 +463,7 @@
     } else {
         Ended::Answered
     };
+    traffic.came_from_version(call, &lease, 1);
     let held_ms = traffic.now_ms() - lease.since_ms();
     if !has_failed {
         lease.learn(|health| health.answered_after(numbers::as_f64(held_ms)));
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -329,6 +329,13 @@
             return;
         };
         source.lease.ended = Ended::Answered;
+        if self.call.tried.len() == 1 {
+            let events = self.scan.last_id().unwrap_or_default();
+            let before = self.call.last_event_id.unwrap_or_default();
+            let parts = events.saturating_sub(before);
+            self.traffic
+                .came_from_version(&self.call, &source.lease, parts);
+        }
         self.traffic.ran_whole(&self.call);
         if let (Some(tokens), Some(events)) =
             (self.call.expected_output_tokens, self.scan.last_id())
--- /dev/null
+++ b/lib/src/direct/rolling.rs
@@ -0,0 +1,328 @@
+//! Carries out what [`rollout`] decides: where requests go, what entries tell each other, and what
+//! is written to the store.
+//!
+//! [`rollout`]: crate::direct::rollout
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use serde_json::Value;
+use serde_json::json;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::sync::watch;
+use tokio::time::sleep;
+
+use crate::direct::links::orders::OrderView;
+use crate::direct::membership::peer_message::Message;
+use crate::direct::placement::dispatch::short_name;
+use crate::direct::placement::health::Ended;
+use crate::direct::placement::job::Job;
+use crate::direct::request::call::Call;
+use crate::direct::rollout::book::Came;
+use crate::direct::rollout::order::Order;
+use crate::direct::rollout::order::Status;
+use crate::direct::rollout::progress::Facts;
+use crate::direct::rollout::progress::Lane;
+use crate::direct::rollout::progress::Next;
+use crate::direct::rollout::progress::Progress;
+use crate::direct::rollout::report::Reason;
+use crate::direct::rollout::report::RolloutMessage;
+use crate::direct::rollout::report::judges;
+use crate::direct::rollout::verdict::Part;
+use crate::direct::server::plain_services;
+use crate::direct::traffic::Lease;
+use crate::direct::traffic::Traffic;
+use crate::direct::traffic::Turn;
+use crate::logging::Level;
+use crate::numbers;
+
+/// How often orders that are in progress are looked at, and others.
+const STEP: Duration = Duration::from_millis(50);
+const IDLE_STEP: Duration = Duration::from_millis(500);
+/// Longest wait for room at an upstream that is judged: its requests are few, and the others have
+/// room for them as well.
+const TRIAL_WAIT_MS: u64 = 60;
+
+/// The statuses that are to be written.
+pub type DueStatuses = UnboundedSender<(Order, Status)>;
+
+/// Looks after orders until the process ends.
+pub async fn run(
+    traffic: Rc<Traffic>,
+    mut view: watch::Receiver<Option<OrderView>>,
+    due: DueStatuses,
+) {
+    loop {
+        let pause = if traffic.rollouts.borrow().is_busy() {
+            STEP
+        } else {
+            IDLE_STEP
+        };
+        tokio::select! {
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                let view = view.borrow_and_update().clone();
+                if let Some(view) = view {
+                    traffic.take_orders(&view);
+                }
+            }
+            () = sleep(pause) => {}
+            () = traffic.rollouts_changed.notified() => {}
+        }
+        traffic.step_rollouts(&due);
+    }
+}
+
+impl Traffic {
+    fn take_orders(&self, view: &OrderView) {
+        let now_ms = self.now_ms();
+        let known: Vec<Order> = {
+            let book = self.rollouts.borrow();
+            let states = book.states(now_ms).into_iter();
+            states.map(|state| state.order).collect()
+        };
+        let new = self.rollouts.borrow_mut().take_orders(
+            &view.orders,
+            view.revision,
+            self.fleet_size(),
+            now_ms,
+        );
+        for id in new {
+            self.log(Level::Info, "roll-out ordered", |line| {
+                line.field("service", &id.service).field("to", &id.to)
+            });
+        }
+        for order in known {
+            let is_gone = self.rollouts.borrow().order(&order.id.service).is_none();
+            if is_gone {
+                self.log(Level::Warn, "roll-out withdrawn", |line| {
+                    line.field("service", &order.id.service)
+                        .field("to", &order.id.to)
+                });
+                self.tell_all_rollout(RolloutMessage::Withdrawn {
+                    id: order.id,
+                    revision: view.revision,
+                });
+            }
+        }
+        self.place_versions();
+    }
+
+    /// Takes a peer's message about a roll-out.
+    pub fn hear_rollout(&self, from: SocketAddr, message: &RolloutMessage) {
+        let now_ms = self.now_ms();
+        let entries = self.fleet_size();
+        let next = self
+            .rollouts
+            .borrow_mut()
+            .hear(from, message, entries, now_ms);
+        if next.contains(&Next::Place) {
+            self.place_versions();
+            self.rollouts_changed.notify_one();
+        }
+    }
+
+    /// Tells a peer how far all orders have come that has started, or was silent.
+    pub fn greet_with_rollouts(&self, peer: SocketAddr) {
+        for state in self.rollouts.borrow().states(self.now_ms()) {
+            self.tell(peer, &Message::Rollout(RolloutMessage::State(state)));
+        }
+    }
+
+    fn fleet_size(&self) -> usize {
+        let peers = self.peers.borrow();
+        peers.known() + peers.unmet(self.now_ms())
+    }
+
+    fn step_rollouts(&self, due: &DueStatuses) {
+        if self.rollouts.borrow().is_empty() {
+            return;
+        }
+        let now_ms = self.now_ms();
+        let judging = self.judges();
+        let peers = self.peers.borrow();
+        let own = peers.own();
+        let facts = Facts {
+            rank: judging.iter().position(|judge| *judge == own),
+            heard: peers.heard_now(now_ms),
+            are_some_silent: !peers.silent(now_ms).is_empty() || peers.unmet(now_ms) > 0,
+            ..Facts::default()
+        };
+        drop(peers);
+        let all = self.rollouts.borrow_mut().step(&facts, now_ms);
+        for (service, next) in all {
+            self.carry_out_rollout(&service, next, &judging, due);
+        }
+    }
+
+    /// The entries that judge, this one perhaps among them.
+    fn judges(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        judges(peers.owners(self.is_stopping.get(), self.now_ms()))
+    }
+
+    fn carry_out_rollout(
+        &self,
+        service: &str,
+        next: Next,
+        judging: &[SocketAddr],
+        due: &DueStatuses,
+    ) {
+        match next {
+            Next::Tell(state) => self.tell_all_rollout(RolloutMessage::State(state)),
+            Next::Report(report) => {
+                let own = self.peers.borrow().own();
+                let message = Message::Rollout(RolloutMessage::Report(report));
+                for judge in judging.iter().filter(|judge| **judge != own) {
+                    self.tell(*judge, &message);
+                }
+            }
+            Next::Write(status) => {
+                let book = self.rollouts.borrow();
+                let order = book.order(service).map(Progress::order);
+                if let Some(order) = order
+                    && due.send((order.clone(), status)).is_err()
+                {
+                    self.log(Level::Error, "roll-out status can't be written", |line| {
+                        line
+                    });
+                }
+            }
+            Next::Place => self.place_versions(),
+            Next::Log(reason) => self.log_rollout(service, reason),
+        }
+    }
+
+    fn tell_all_rollout(&self, message: RolloutMessage) {
+        let message = Message::Rollout(message);
+        let targets: Vec<SocketAddr> = self.peers.borrow().targets().collect();
+        for target in targets {
+            self.tell(target, &message);
+        }
+    }
+
+    fn log_rollout(&self, service: &str, reason: Reason) {
+        let page = self.rollout_page(service);
+        self.log(Level::Warn, "roll-out decided", |line| {
+            line.field("reason", reason.name()).field("rollout", page)
+        });
+    }
+
+    /// What operators see of a service's order; null if there is none.
+    #[must_use]
+    pub fn rollout_page(&self, service: &str) -> Value {
+        let book = self.rollouts.borrow();
+        let Some(progress) = book.order(service) else {
+            return Value::Null;
+        };
+        let evidence = progress.evidence();
+        let names = self.route_names();
+        let part = |part: Part| json!({"requests": part.requests, "failed": part.spoiled});
+        let routes: serde_json::Map<String, Value> = evidence
+            .by_route()
+            .into_iter()
+            .map(|(route, (new, old))| {
+                let named = names.iter().find(|name| short_name(name) == route);
+                let name = named.map_or_else(|| route.to_string(), ToString::to_string);
+                (name, json!({"new": part(new), "old": part(old)}))
+            })
+            .collect();
+        json!({
+            "service": service,
+            "to": progress.order().id.to,
+            "status": progress.order().status.name(),
+            "phase": format!("{:?}", progress.phase()).to_lowercase(),
+            "reason": progress.reason().name(),
+            "on_hold": progress.is_on_hold(),
+            "elapsed_ms": progress.elapsed_ms(self.now_ms()),
+            "window_ms": progress.order().window_ms,
+            "sent_by_this_entry": progress.exposure().total(),
+            "sent_to_new_by_this_entry": progress.exposure().at_new(),
+            "routes": routes,
+        })
+    }
+
+    fn route_names(&self) -> Vec<Arc<str>> {
+        let catalog = self.catalog.borrow();
+        let routes = catalog.iter().flat_map(|catalog| catalog.routes.values());
+        routes
+            .flatten()
+            .map(|route| Arc::clone(&route.name))
+            .collect()
+    }
+
+    /// Sends requests only where their service's version allows it.
+    pub fn place_versions(&self) {
+        let placement = self.rollouts.borrow_mut().placement(self.now_ms());
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_upstreams(&placement.usable);
+        dispatcher.set_trials(&placement.trials);
+        drop(dispatcher);
+        let slots = placement
+            .usable
+            .iter()
+            .map(|upstream| (Arc::clone(&upstream.instance), upstream.slots));
+        let mut doors = self.doors.borrow_mut();
+        doors.set_upstreams(slots);
+        doors.set_plain(&plain_services(
+            &placement.usable,
+            self.catalog.borrow().as_deref(),
+        ));
+    }
+
+    /// Waits for room for a request's first attempt, at an upstream of the version that is judged
+    /// if it is the request's turn.
+    pub async fn first_turn(self: &Rc<Self>, call: &Call) -> Turn {
+        let lane = self.rollouts.borrow_mut().lane(
+            &call.service,
+            &call.route.name,
+            !call.route.repeat.is_idempotent(),
+            self.now_ms(),
+            rand::random(),
+        );
+        if lane == Lane::Trial {
+            let job = call.job();
+            let trial = Job {
+                is_trial: true,
+                give_up_at_ms: job.give_up_at_ms.min(self.now_ms() + TRIAL_WAIT_MS),
+                ..job
+            };
+            if let Turn::Start(lease) = self.turn(trial).await {
+                return Turn::Start(lease);
+            }
+        }
+        self.turn(call.job()).await
+    }
+
+    /// Notes that a request goes to an upstream.
+    pub fn sent_to_version(&self, call: &Call, lease: &mut Lease) {
+        let is_fixed = !call.route.repeat.is_idempotent();
+        let mut book = self.rollouts.borrow_mut();
+        if !book.is_active() {
+            return;
+        }
+        book.sent(&lease.upstream, &call.route.name, is_fixed);
+        if is_fixed {
+            book.fix(&lease.upstream);
+            lease.is_fixed = true;
+        }
+    }
+
+    /// Notes how a request ended at its upstream, which took so long for so many parts.
+    pub fn came_from_version(&self, call: &Call, lease: &Lease, parts: u64) {
+        let held_ms = self.now_ms() - lease.since_ms();
+        let came = match lease.ended {
+            Ended::Answered => Came::Answered {
+                part_ms: numbers::as_f64(held_ms) / numbers::as_f64(parts.max(1)),
+            },
+            Ended::Failed => Came::Failed,
+            Ended::Declined | Ended::Misdirected | Ended::Broken | Ended::Left => return,
+        };
+        let mut book = self.rollouts.borrow_mut();
+        book.came(&lease.upstream, &call.route.name, came);
+    }
+}
--- /dev/null
+++ b/lib/src/direct/rollout.rs
@@ -0,0 +1,15 @@
+//! Roll-outs: an operator's order to move a service to another version of its upstreams' software.
+//!
+//! It decides and knows no socket and no clock: events, facts and the time go in, and what to do
+//! next comes out. A small part of each route's requests goes to the new version, which is judged
+//! beside the old one. [`progress`] is one order at one entry; [`versions`] says which version
+//! serves while there is none.
+
+pub mod book;
+pub mod exposure;
+pub mod order;
+pub mod progress;
+pub mod report;
+pub mod tally;
+pub mod verdict;
+pub mod versions;
--- /dev/null
+++ b/lib/src/direct/rollout/book.rs
@@ -0,0 +1,449 @@
+//! All orders that an entry knows, and what they mean for its requests.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+
+use crate::direct::placement::dispatch::short_name;
+use crate::direct::rollout::exposure::Allowance;
+use crate::direct::rollout::order::Order;
+use crate::direct::rollout::order::OrderId;
+use crate::direct::rollout::order::Status;
+use crate::direct::rollout::progress::Facts;
+use crate::direct::rollout::progress::Lane;
+use crate::direct::rollout::progress::Next;
+use crate::direct::rollout::progress::Progress;
+use crate::direct::rollout::report::Phase;
+use crate::direct::rollout::report::RolloutMessage;
+use crate::direct::rollout::report::State;
+use crate::direct::rollout::tally::Cell;
+use crate::direct::rollout::tally::Outcome;
+use crate::direct::rollout::versions::Versions;
+use crate::direct::view::directory::Upstream;
+
+/// Upstreams of the old version that are counted beside the new one.
+const CONTROL_UPSTREAMS: usize = 6;
+/// Least part of a new sample in a route's usual time, so that the usual follows the load.
+const LEAST_SAMPLE_PART: f64 = 0.02;
+/// Samples from which a route's usual time is known.
+const USUAL_SAMPLES: f64 = 4.0;
+/// Orders that were taken away and are remembered, so that a late message does not bring them back.
+const MAX_WITHDRAWN: usize = 100;
+
+/// Where requests may go.
+#[derive(Clone, Debug, Default)]
+pub struct Placement {
+    /// Upstreams that take requests.
+    pub usable: Vec<Arc<Upstream>>,
+    /// Instances of those among them that take only requests that judge their version.
+    pub trials: IndexSet<Arc<str>>,
+}
+
+/// How a request ended at its upstream, as far as its version is judged by it.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Came {
+    /// It failed.
+    Failed,
+    /// It was answered, and took so long for each part of the answer.
+    Answered {
+        /// Time for each part.
+        part_ms: f64,
+    },
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct UsualTime {
+    ln_ms: f64,
+    samples: f64,
+}
+
+impl UsualTime {
+    fn observe(&mut self, time_ms: f64) {
+        self.samples += 1.0;
+        let part = (1.0 / self.samples).max(LEAST_SAMPLE_PART);
+        self.ln_ms += (time_ms.max(0.1).ln() - self.ln_ms) * part;
+    }
+
+    fn times(&self, time_ms: f64) -> Option<f64> {
+        (self.samples >= USUAL_SAMPLES).then(|| time_ms.max(0.1) / self.ln_ms.exp())
+    }
+}
+
+/// The orders of all services at one entry.
+///
+/// ```
+/// use sardinewood::direct::rollout::book::Book;
+///
+/// let book = Book::new(None, 1);
+/// assert!(book.states(0).is_empty());
+/// ```
+#[derive(Clone, Debug)]
+pub struct Book {
+    /// None where versions mean nothing, so that all upstreams serve.
+    allowance: Option<Allowance>,
+    incarnation: u64,
+    versions: Versions,
+    orders: IndexMap<Arc<str>, Progress>,
+    withdrawn: IndexMap<OrderId, u64>,
+    upstreams: Vec<Arc<Upstream>>,
+    /// Short names of the old upstreams that are counted.
+    control: IndexSet<u32>,
+    usual: IndexMap<u32, UsualTime>,
+    /// Requests that run and can't be moved, by service and version.
+    fixed: IndexMap<(Arc<str>, Arc<str>), u32>,
+}
+
+impl Book {
+    /// An entry's that knows nothing yet. Without an allowance versions mean nothing.
+    #[must_use]
+    pub fn new(allowance: Option<Allowance>, incarnation: u64) -> Self {
+        Self {
+            allowance,
+            incarnation,
+            versions: Versions::default(),
+            orders: IndexMap::new(),
+            withdrawn: IndexMap::new(),
+            upstreams: Vec::new(),
+            control: IndexSet::new(),
+            usual: IndexMap::new(),
+            fixed: IndexMap::new(),
+        }
+    }
+
+    /// Whether versions are told apart here.
+    #[must_use]
+    pub fn is_active(&self) -> bool {
+        self.allowance.is_some()
+    }
+
+    /// Whether an order is neither completed nor reverted.
+    #[must_use]
+    pub fn is_busy(&self) -> bool {
+        self.orders.values().any(|progress| !progress.is_over())
+    }
+
+    /// Whether any order is known.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.orders.is_empty()
+    }
+
+    /// The order of a service.
+    #[must_use]
+    pub fn order(&self, service: &str) -> Option<&Progress> {
+        self.orders.get(service)
+    }
+
+    /// How far all orders have come.
+    #[must_use]
+    pub fn states(&self, now_ms: u64) -> Vec<State> {
+        let states = self.orders.values().map(|progress| progress.state(now_ms));
+        states.collect()
+    }
+
+    /// Takes the upstreams that are listed.
+    pub fn set_upstreams(&mut self, upstreams: &[Arc<Upstream>]) {
+        self.upstreams = upstreams.to_vec();
+        self.update_versions();
+    }
+
+    /// Takes the orders as the store lists them, with the revision of that; those that are new here.
+    pub fn take_orders(
+        &mut self,
+        orders: &[Order],
+        at: u64,
+        entries: usize,
+        now_ms: u64,
+    ) -> Vec<OrderId> {
+        if !self.is_active() {
+            return Vec::new();
+        }
+        let mut new = Vec::new();
+        for order in orders {
+            if self.take_order(order, entries, 0, now_ms) {
+                new.push(order.id.clone());
+            }
+        }
+        let gone: Vec<OrderId> = self
+            .orders
+            .values()
+            .map(Progress::order)
+            .filter(|known| known.revision < at)
+            .filter(|known| orders.iter().all(|order| order.id != known.id))
+            .map(|known| known.id.clone())
+            .collect();
+        for id in gone {
+            self.withdraw(&id, at);
+        }
+        self.update_versions();
+        new
+    }
+
+    /// Takes one order; whether it is new here.
+    fn take_order(&mut self, order: &Order, entries: usize, elapsed_ms: u64, now_ms: u64) -> bool {
+        let Some(allowance) = self.allowance else {
+            return false;
+        };
+        let withdrawn_at = self.withdrawn.get(&order.id);
+        if withdrawn_at.is_some_and(|revision| *revision >= order.revision) {
+            return false;
+        }
+        let known = self.orders.get_mut(&order.id.service);
+        match known {
+            Some(known) if known.order().id == order.id => {
+                known.take_order(order.clone(), now_ms);
+                false
+            }
+            Some(known) if known.order().revision >= order.revision => false,
+            Some(_) | None => {
+                let service = Arc::clone(&order.id.service);
+                let progress = Progress::new(
+                    order.clone(),
+                    allowance,
+                    self.incarnation,
+                    entries,
+                    elapsed_ms,
+                    now_ms,
+                );
+                self.orders.insert(service, progress);
+                true
+            }
+        }
+    }
+
+    /// Forgets an order that its operator took away; whether it was known.
+    pub fn withdraw(&mut self, id: &OrderId, revision: u64) -> bool {
+        let known = self.orders.get(&id.service);
+        let is_known =
+            known.is_some_and(|known| known.order().id == *id && known.order().revision < revision);
+        self.withdrawn.insert(id.clone(), revision);
+        if self.withdrawn.len() > MAX_WITHDRAWN {
+            self.withdrawn.shift_remove_index(0);
+        }
+        if is_known {
+            self.orders.shift_remove(&id.service);
+            self.update_versions();
+        }
+        is_known
+    }
+
+    /// Takes another entry's message.
+    pub fn hear(
+        &mut self,
+        from: SocketAddr,
+        message: &RolloutMessage,
+        entries: usize,
+        now_ms: u64,
+    ) -> Vec<Next> {
+        match message {
+            RolloutMessage::State(state) => {
+                let is_new = self.take_order(&state.order, entries, state.elapsed_ms, now_ms);
+                let known = self.orders.get_mut(&state.order.id.service);
+                let known = known.filter(|known| known.order().id == state.order.id);
+                let mut next = known
+                    .map(|known| known.hear_state(state, now_ms))
+                    .unwrap_or_default();
+                if is_new {
+                    next.push(Next::Place);
+                }
+                self.update_versions();
+                next
+            }
+            RolloutMessage::Report(report) => {
+                let known = self.orders.get_mut(&report.id.service);
+                if let Some(known) = known.filter(|known| known.order().id == report.id) {
+                    known.hear_report(from, report);
+                }
+                Vec::new()
+            }
+            RolloutMessage::Withdrawn { id, revision } => {
+                let is_known = self.withdraw(id, *revision);
+                is_known.then_some(Next::Place).into_iter().collect()
+            }
+        }
+    }
+
+    /// What the time that has passed asks for, by service. `around` is what is true of the entry.
+    pub fn step(&mut self, around: &Facts, now_ms: u64) -> Vec<(Arc<str>, Next)> {
+        let mut all = Vec::new();
+        for (service, progress) in &mut self.orders {
+            let to = &progress.order().id.to;
+            let mut facts = around.clone();
+            for upstream in self.upstreams.iter().filter(|up| up.service == *service) {
+                if upstream.version == *to {
+                    facts.new_upstreams += 1;
+                    facts.new_slots += upstream.slots;
+                } else {
+                    facts.old_slots += upstream.slots;
+                }
+            }
+            facts.fixed_at_old = fixed_at_old(&self.fixed, service, to);
+            let next = progress.step(&facts, now_ms);
+            all.extend(next.into_iter().map(|next| (Arc::clone(service), next)));
+        }
+        all
+    }
+
+    /// Keeps a service's order from being shifted, or lets it go on.
+    pub fn hold(&mut self, service: &str, is_on_hold: bool, now_ms: u64) -> Vec<Next> {
+        let progress = self.orders.get_mut(service);
+        progress.map_or_else(Vec::new, |progress| progress.hold(is_on_hold, now_ms))
+    }
+
+    /// Gives a service's new version up.
+    pub fn reject(&mut self, service: &str, now_ms: u64) -> Vec<Next> {
+        let progress = self.orders.get_mut(service);
+        progress.map_or_else(Vec::new, |progress| progress.reject(now_ms))
+    }
+
+    /// Where requests may go now.
+    pub fn placement(&mut self, now_ms: u64) -> Placement {
+        if !self.is_active() {
+            return Placement {
+                usable: self.upstreams.clone(),
+                trials: IndexSet::new(),
+            };
+        }
+        let mut placement = Placement::default();
+        self.control.clear();
+        let mut services: IndexMap<Arc<str>, Vec<Arc<Upstream>>> = IndexMap::new();
+        for upstream in &self.upstreams {
+            let all = services.entry(Arc::clone(&upstream.service)).or_default();
+            all.push(Arc::clone(upstream));
+        }
+        for (service, mut all) in services {
+            // The same order at all entries, and another one for each service.
+            all.sort_by_key(|upstream| {
+                (short_name(&upstream.instance), Arc::clone(&upstream.name))
+            });
+            let serving = self.versions.serving(&service);
+            let order = self.orders.get(&service);
+            let order = order.filter(|order| !order.is_over());
+            let is_new = |up: &&Arc<Upstream>| order.is_some_and(|o| o.order().id.to == up.version);
+            let new: Vec<Arc<Upstream>> = all.iter().filter(is_new).cloned().collect();
+            let old: Vec<Arc<Upstream>> = all
+                .iter()
+                .filter(|up| !is_new(up) && serving == Some(&up.version))
+                .cloned()
+                .collect();
+            let control = old.iter().take(CONTROL_UPSTREAMS);
+            self.control
+                .extend(control.map(|up| short_name(&up.instance)));
+            match order.map(Progress::phase) {
+                None | Some(Phase::Rejected) => placement.usable.extend(old),
+                Some(Phase::Shifting) => placement.usable.extend(new),
+                Some(Phase::Judging) => {
+                    placement.usable.extend(old);
+                    let loaded = order.map(|order| order.loaded(&new, now_ms));
+                    for upstream in loaded.unwrap_or_default() {
+                        placement.trials.insert(Arc::clone(&upstream.instance));
+                        placement.usable.push(Arc::clone(upstream));
+                    }
+                }
+            }
+        }
+        placement
+    }
+
+    /// Where a route's next request goes.
+    pub fn lane(
+        &mut self,
+        service: &str,
+        route: &str,
+        is_fixed: bool,
+        now_ms: u64,
+        random: f64,
+    ) -> Lane {
+        let progress = self.orders.get_mut(service);
+        progress.map_or(Lane::Serving, |progress| {
+            progress.lane(short_name(route), is_fixed, now_ms, random)
+        })
+    }
+
+    /// Notes that a request was sent. One that is fixed can't be moved once it runs.
+    pub fn sent(&mut self, upstream: &Upstream, route: &str, is_fixed: bool) {
+        if let Some(progress) = self.orders.get_mut(&upstream.service) {
+            let is_new = upstream.version == progress.order().id.to;
+            progress.sent(short_name(route), is_new, is_fixed);
+        }
+    }
+
+    /// Notes that a request runs that can't be moved.
+    pub fn fix(&mut self, upstream: &Upstream) {
+        *self.fixed.entry(version_of(upstream)).or_default() += 1;
+    }
+
+    /// Notes that such a request has ended.
+    pub fn unfix(&mut self, upstream: &Upstream) {
+        let version = version_of(upstream);
+        if let Some(fixed) = self.fixed.get_mut(&version) {
+            *fixed -= 1;
+            if *fixed == 0 {
+                self.fixed.swap_remove(&version);
+            }
+        }
+    }
+
+    /// Notes how a request ended at its upstream.
+    pub fn came(&mut self, upstream: &Upstream, route: &str, came: Came) {
+        if !self.is_active() {
+            return;
+        }
+        let route = short_name(route);
+        let name = short_name(&upstream.instance);
+        let progress = self.orders.get_mut(&upstream.service);
+        let progress = progress.filter(|progress| !progress.is_over());
+        let is_new = progress
+            .as_ref()
+            .is_some_and(|progress| progress.order().id.to == upstream.version);
+        let usual = self.usual.entry(route).or_default();
+        let outcome = match came {
+            Came::Failed => Outcome::Failed,
+            Came::Answered { part_ms } => {
+                usual.times(part_ms).map_or(Outcome::Untimed, Outcome::took)
+            }
+        };
+        if let (false, Came::Answered { part_ms }) = (is_new, came) {
+            usual.observe(part_ms);
+        }
+        if let Some(progress) = progress
+            && (is_new || self.control.contains(&name))
+        {
+            progress.observe(Cell {
+                is_new,
+                upstream: name,
+                route,
+                outcome,
+            });
+        }
+    }
+
+    fn update_versions(&mut self) {
+        let orders: Vec<Order> = self
+            .orders
+            .values()
+            .map(|progress| progress.order().clone())
+            .collect();
+        self.versions.update(&self.upstreams, &orders);
+    }
+
+    /// Whether the store shows the end of a service's order.
+    #[must_use]
+    pub fn is_over(&self, service: &str) -> bool {
+        let order = self.orders.get(service);
+        order.is_some_and(|order| order.order().status != Status::Ordered && order.is_over())
+    }
+}
+
+fn version_of(upstream: &Upstream) -> (Arc<str>, Arc<str>) {
+    (Arc::clone(&upstream.service), Arc::clone(&upstream.version))
+}
+
+fn fixed_at_old(fixed: &IndexMap<(Arc<str>, Arc<str>), u32>, service: &str, to: &str) -> u32 {
+    let at_old = fixed
+        .iter()
+        .filter(|((of, version), _)| &**of == service && &**version != to);
+    at_old.map(|(_, count)| count).sum()
+}
--- /dev/null
+++ b/lib/src/direct/rollout/exposure.rs
@@ -0,0 +1,204 @@
+//! How much of a service's work a version may have that may be bad, and when it gets the rest.
+//!
+//! The allowance is a part of the requests that reach the service within the whole window. Each
+//! entry spends in proportion to what it sends itself, so that the parts add up whatever entries are
+//! cut off, killed or started: one that has lost its memory has also lost what it might spend.
+
+use indexmap::IndexMap;
+
+use crate::numbers;
+
+/// Part of the allowance for the requests that judge the version.
+const JUDGING_PART: f64 = 0.3;
+/// Part of it for requests that could not end in time at the old version and can't be moved.
+const EARLY_PART: f64 = 0.2;
+/// Part of it for all requests between the shift and the end of the window.
+const SHIFT_PART: f64 = 0.4;
+/// Part of the fixed allowance that all entries together spend at the beginning, so that a service
+/// with few requests is judged as well.
+const FIRST_PART: f64 = 0.3;
+/// Longest time for which requests that can't be moved go to the new version before the shift.
+const MOST_EARLY_MS: u64 = 6_000;
+/// Shortest time from the shift to the end of the window.
+const LEAST_SHIFT_MS: u64 = 250;
+
+/// What a version may get that may be bad.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Allowance {
+    /// Part of the requests that reach the service within the window.
+    pub share: f64,
+    /// Requests beyond that.
+    pub slack: f64,
+}
+
+impl Allowance {
+    /// How long before the end of the window all requests go to the new version: as many as come
+    /// meanwhile are within the allowance, so that a version that turns bad at the last moment has
+    /// not had more.
+    ///
+    /// ```
+    /// use sardinewood::direct::rollout::exposure::Allowance;
+    ///
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert_eq!(allowance.shift_ms(60_000), 2_400);
+    /// ```
+    #[must_use]
+    pub fn shift_ms(&self, window_ms: u64) -> u64 {
+        let shift_ms = numbers::as_f64(window_ms) * self.share * SHIFT_PART;
+        numbers::whole_u64(shift_ms)
+            .max(LEAST_SHIFT_MS)
+            .min(window_ms / 4)
+    }
+
+    /// How long before the shift requests that can't be moved go to the new version, if so large a
+    /// part of all can't be.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::Allowance;
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert_eq!(allowance.early_ms(12_000, 0.25), 960);
+    /// assert_eq!(allowance.early_ms(60_000, 0.0), 6_000);
+    /// ```
+    #[must_use]
+    pub fn early_ms(&self, window_ms: u64, fixed_part: f64) -> u64 {
+        let early_ms = numbers::as_f64(window_ms) * self.share * EARLY_PART / fixed_part;
+        numbers::whole_u64(early_ms)
+            .min(MOST_EARLY_MS)
+            .min(window_ms / 4)
+    }
+}
+
+/// What one entry sends to the version that is judged.
+///
+/// ```
+/// use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+///
+/// let allowance = Allowance { share: 0.1, slack: 50.0 };
+/// let mut exposure = Exposure::new(allowance, 0.0);
+/// let trials = (0..1_000).filter(|_| {
+///     let is_trial = exposure.is_due(1, 0.5);
+///     exposure.sent(1, is_trial, true);
+///     is_trial
+/// });
+/// assert_eq!(trials.count(), 30);
+/// ```
+#[derive(Clone, Debug)]
+pub struct Exposure {
+    part: f64,
+    /// Requests of the fixed allowance that are left to this entry.
+    first: f64,
+    /// What each route may send, in requests.
+    credits: IndexMap<u32, f64>,
+    sent: u64,
+    sent_new: u64,
+    sent_fixed: u64,
+}
+
+impl Exposure {
+    /// Of an entry that may send so many requests of the fixed allowance.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert!(Exposure::new(allowance, 2.0).is_due(1, 0.0));
+    /// ```
+    #[must_use]
+    pub fn new(allowance: Allowance, first: f64) -> Self {
+        Self {
+            part: allowance.share * JUDGING_PART,
+            first,
+            credits: IndexMap::new(),
+            sent: 0,
+            sent_new: 0,
+            sent_fixed: 0,
+        }
+    }
+
+    /// Requests of the fixed allowance that one of so many entries may begin with.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert!((Exposure::first_of(allowance, 10) - 1.5).abs() < 1e-9);
+    /// ```
+    #[must_use]
+    pub fn first_of(allowance: Allowance, entries: usize) -> f64 {
+        allowance.slack * FIRST_PART / numbers::as_f64(entries.max(1) as u64)
+    }
+
+    /// Whether a route's next request may go to the new version. `random` is from 0 to 1; it is
+    /// where the route begins, so that routes with few requests at each entry have their part.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert!(!Exposure::new(allowance, 0.0).is_due(1, 0.0));
+    /// ```
+    pub fn is_due(&mut self, route: u32, random: f64) -> bool {
+        let part = self.part;
+        let credit = self.credits.entry(route).or_insert(random);
+        *credit + part >= 1.0 || self.first >= 1.0
+    }
+
+    /// Notes that a request was sent to an upstream of the service.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// let mut exposure = Exposure::new(allowance, 0.0);
+    /// exposure.sent(1, true, false);
+    /// assert_eq!((exposure.total(), exposure.at_new()), (1, 1));
+    /// ```
+    pub fn sent(&mut self, route: u32, is_new: bool, is_fixed: bool) {
+        self.sent += 1;
+        self.sent_fixed += u64::from(is_fixed);
+        let credit = self.credits.entry(route).or_default();
+        // What nobody could take is not saved up for a moment at which the version is worse.
+        *credit = (*credit + self.part).min(2.0);
+        if !is_new {
+            return;
+        }
+        self.sent_new += 1;
+        if *credit >= 1.0 {
+            *credit -= 1.0;
+        } else {
+            self.first = (self.first - 1.0).max(0.0);
+        }
+    }
+
+    /// Requests sent to any upstream of the service.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert_eq!(Exposure::new(allowance, 0.0).total(), 0);
+    /// ```
+    #[must_use]
+    pub fn total(&self) -> u64 {
+        self.sent
+    }
+
+    /// Those that went to the new version.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert_eq!(Exposure::new(allowance, 0.0).at_new(), 0);
+    /// ```
+    #[must_use]
+    pub fn at_new(&self) -> u64 {
+        self.sent_new
+    }
+
+    /// Part of the requests that could not be moved to another upstream.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
+    /// let allowance = Allowance { share: 0.1, slack: 50.0 };
+    /// assert!(Exposure::new(allowance, 0.0).fixed_part() < 1e-9);
+    /// ```
+    #[must_use]
+    pub fn fixed_part(&self) -> f64 {
+        numbers::as_f64(self.sent_fixed) / numbers::as_f64(self.sent.max(1))
+    }
+}
--- /dev/null
+++ b/lib/src/direct/rollout/progress.rs
@@ -0,0 +1,502 @@
+//! One order at one entry: from its first sight to a final state in the store.
+
+use std::net::SocketAddr;
+
+use indexmap::IndexMap;
+
+use crate::direct::rollout::exposure::Allowance;
+use crate::direct::rollout::exposure::Exposure;
+use crate::direct::rollout::order::Order;
+use crate::direct::rollout::order::Status;
+use crate::direct::rollout::report::NextCounts;
+use crate::direct::rollout::report::Phase;
+use crate::direct::rollout::report::Reason;
+use crate::direct::rollout::report::Report;
+use crate::direct::rollout::report::State;
+use crate::direct::rollout::tally::Cell;
+use crate::direct::rollout::tally::Tally;
+use crate::direct::rollout::verdict::Evidence;
+use crate::direct::rollout::verdict::Verdict;
+
+/// Requests at the new version without which nothing is known of it.
+const PROVEN_REQUESTS: u32 = 12;
+/// Silence of all judges after which an entry tries nothing: it would not hear that the version is
+/// bad.
+const JUDGED_WITHIN_MS: u64 = 2_200;
+/// Pause between two reports, and between two states if nothing has changed: at least, and for each
+/// entry that is heard.
+const REPORT_MS: u64 = 100;
+const STATE_MS: u64 = 300;
+const PER_ENTRY_MS: u64 = 2;
+/// How much later each judge writes than the one before it, so that usually one does.
+const TURN_MS: u64 = 400;
+/// Pause after a write whose outcome is not known.
+const WRITE_AGAIN_MS: u64 = 700;
+/// Time within which an order that nobody has begun is new to the whole fleet.
+const NEW_MS: u64 = 1_000;
+/// Slots of the new version's upstreams for each of the old one's, in percent, without which the
+/// service can't be moved.
+const SLOTS_PERCENT: u32 = 60;
+/// Upstreams of the new version that take requests at the same time while it is judged: few, so
+/// that they are loaded as they will be.
+const LOADED_UPSTREAMS: usize = 2;
+/// How often others take their place within a window.
+const TURNS: u64 = 6;
+
+/// What an entry sees around it.
+#[derive(Clone, Debug, Default)]
+pub struct Facts {
+    /// Its place among the judges, if it is one.
+    pub rank: Option<usize>,
+    /// Other entries that are heard.
+    pub heard: Vec<SocketAddr>,
+    /// Whether there are others that are not heard just now.
+    pub are_some_silent: bool,
+    /// Upstreams of the new version that take requests.
+    pub new_upstreams: usize,
+    /// Their slots.
+    pub new_slots: u32,
+    /// Slots of the old version's upstreams.
+    pub old_slots: u32,
+    /// Requests of this entry that run at the old version and can't be moved.
+    pub fixed_at_old: u32,
+}
+
+/// What to do next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Next {
+    /// Tells all entries how far the order has come.
+    Tell(State),
+    /// Tells the judges what this entry has seen.
+    Report(Report),
+    /// Writes a status, if the order has not changed meanwhile.
+    Write(Status),
+    /// Sends requests elsewhere than before.
+    Place,
+    /// Says why the order has reached another phase.
+    Log(Reason),
+}
+
+/// Where a request goes.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Lane {
+    /// To the upstreams that serve.
+    Serving,
+    /// To one of the new version, which is being judged.
+    Trial,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Stage {
+    is_shifted: bool,
+    fixed_at_old: u32,
+}
+
+/// An order as one entry sees it.
+#[derive(Clone, Debug)]
+pub struct Progress {
+    order: Order,
+    allowance: Allowance,
+    incarnation: u64,
+    /// When the order was first seen anywhere, by this entry's clock; it may lie before its start.
+    began_ms: i64,
+    phase: Phase,
+    reason: Reason,
+    /// Odd while an operator keeps it from being shifted; counts up with each change.
+    holds: u32,
+    exposure: Exposure,
+    own: Tally,
+    next_counts: NextCounts,
+    others: IndexMap<u64, Tally>,
+    stages: IndexMap<SocketAddr, Stage>,
+    verdict: Verdict,
+    is_evidence_new: bool,
+    judged_at_ms: u64,
+    entered_at_ms: u64,
+    state_at_ms: u64,
+    report_at_ms: u64,
+    wrote_at_ms: Option<u64>,
+    turn: u64,
+    is_early: bool,
+}
+
+impl Progress {
+    /// An order that this entry sees for the first time, so long after it was first seen anywhere.
+    #[must_use]
+    pub fn new(
+        order: Order,
+        allowance: Allowance,
+        incarnation: u64,
+        entries: usize,
+        elapsed_ms: u64,
+        now_ms: u64,
+    ) -> Self {
+        // An entry that starts in the middle can't know what was spent before.
+        let is_new = order.status == Status::Ordered && elapsed_ms < NEW_MS;
+        let first = if is_new {
+            Exposure::first_of(allowance, entries)
+        } else {
+            0.0
+        };
+        Self {
+            order,
+            allowance,
+            incarnation,
+            began_ms: signed(now_ms) - signed(elapsed_ms),
+            phase: Phase::Judging,
+            reason: Reason::Begun,
+            holds: 0,
+            exposure: Exposure::new(allowance, first),
+            own: Tally::default(),
+            next_counts: NextCounts::default(),
+            others: IndexMap::new(),
+            stages: IndexMap::new(),
+            verdict: Verdict::Clean,
+            is_evidence_new: false,
+            judged_at_ms: now_ms,
+            entered_at_ms: now_ms,
+            state_at_ms: 0,
+            report_at_ms: 0,
+            wrote_at_ms: None,
+            turn: 0,
+            is_early: false,
+        }
+    }
+
+    /// The order.
+    #[must_use]
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    /// How far it has come among the entries.
+    #[must_use]
+    pub fn phase(&self) -> Phase {
+        self.phase
+    }
+
+    /// Whether the store shows its end.
+    #[must_use]
+    pub fn is_over(&self) -> bool {
+        self.order.status.is_final()
+    }
+
+    /// Why it has reached its phase.
+    #[must_use]
+    pub fn reason(&self) -> Reason {
+        self.reason
+    }
+
+    /// Whether an operator keeps it from being shifted.
+    #[must_use]
+    pub fn is_on_hold(&self) -> bool {
+        !self.holds.is_multiple_of(2)
+    }
+
+    /// Time since the order was first seen.
+    #[must_use]
+    pub fn elapsed_ms(&self, now_ms: u64) -> u64 {
+        u64::try_from(signed(now_ms) - self.began_ms).unwrap_or_default()
+    }
+
+    /// What is sent where by this entry.
+    #[must_use]
+    pub fn exposure(&self) -> &Exposure {
+        &self.exposure
+    }
+
+    /// All evidence that this entry knows.
+    #[must_use]
+    pub fn evidence(&self) -> Evidence {
+        let mut evidence = Evidence::default();
+        for tally in self.others.values().chain([&self.own]) {
+            for (cell, count) in tally.iter() {
+                evidence.add(cell, count);
+            }
+        }
+        evidence
+    }
+
+    /// The upstreams of the new version that take requests now, of all in an order that entries
+    /// agree on.
+    #[must_use]
+    pub fn loaded<'a, T>(&self, all: &'a [T], now_ms: u64) -> Vec<&'a T> {
+        if self.is_early || all.len() <= LOADED_UPSTREAMS {
+            return all.iter().collect();
+        }
+        let turn = usize::try_from(self.turn_at(now_ms)).unwrap_or_default();
+        (0..LOADED_UPSTREAMS)
+            .map(|offset| &all[(turn + offset) % all.len()])
+            .collect()
+    }
+
+    fn turn_at(&self, now_ms: u64) -> u64 {
+        self.elapsed_ms(now_ms) / (self.order.window_ms / TURNS).max(1)
+    }
+
+    /// Where a route's next request goes. One that is fixed can't be moved once it runs.
+    pub fn lane(&mut self, route: u32, is_fixed: bool, now_ms: u64, random: f64) -> Lane {
+        let is_judged = now_ms < self.judged_at_ms + JUDGED_WITHIN_MS;
+        if self.phase != Phase::Judging || self.is_over() || !is_judged {
+            return Lane::Serving;
+        }
+        if (is_fixed && self.is_early) || self.exposure.is_due(route, random) {
+            return Lane::Trial;
+        }
+        Lane::Serving
+    }
+
+    /// Notes that a request was sent to an upstream of the service.
+    pub fn sent(&mut self, route: u32, is_new: bool, is_fixed: bool) {
+        self.exposure.sent(route, is_new, is_fixed);
+    }
+
+    /// Notes what a request came to.
+    pub fn observe(&mut self, cell: Cell) {
+        self.own.add(cell);
+        self.is_evidence_new |= cell.is_new;
+    }
+
+    /// Takes the order as the store shows it now.
+    pub fn take_order(&mut self, order: Order, now_ms: u64) {
+        if order.revision <= self.order.revision {
+            return;
+        }
+        self.order = order;
+        self.wrote_at_ms = None;
+        self.entered_at_ms = now_ms;
+        self.state_at_ms = 0;
+    }
+
+    /// Takes what another entry tells all.
+    pub fn hear_state(&mut self, state: &State, now_ms: u64) -> Vec<Next> {
+        let began_ms = signed(now_ms) - signed(state.elapsed_ms);
+        self.began_ms = self.began_ms.min(began_ms);
+        self.judged_at_ms = now_ms;
+        self.holds = self.holds.max(state.holds);
+        let status = self.order.status;
+        self.take_order(state.order.clone(), now_ms);
+        let mut next = Vec::new();
+        if self.order.status != status {
+            next.push(Next::Place);
+        }
+        if state.phase > self.phase {
+            self.enter(state.phase, state.reason, now_ms);
+            next.push(Next::Place);
+        }
+        next
+    }
+
+    /// Takes what another entry has seen.
+    pub fn hear_report(&mut self, from: SocketAddr, report: &Report) {
+        let tally = self.others.entry(report.incarnation).or_default();
+        tally.merge(report.counts.iter().copied());
+        self.is_evidence_new = true;
+        let stage = Stage {
+            is_shifted: report.is_shifted,
+            fixed_at_old: report.fixed_at_old,
+        };
+        self.stages.insert(from, stage);
+    }
+
+    /// Keeps the order from being shifted, or lets it go on.
+    pub fn hold(&mut self, is_on_hold: bool, now_ms: u64) -> Vec<Next> {
+        if is_on_hold == self.is_on_hold() {
+            return Vec::new();
+        }
+        self.holds += 1;
+        vec![Next::Tell(self.state(now_ms))]
+    }
+
+    /// Gives the new version up, as an operator wishes.
+    pub fn reject(&mut self, now_ms: u64) -> Vec<Next> {
+        if self.phase == Phase::Rejected || self.is_over() {
+            return Vec::new();
+        }
+        self.change(Phase::Rejected, Reason::Operator, now_ms)
+    }
+
+    /// What the time that has passed and what is known ask for.
+    pub fn step(&mut self, facts: &Facts, now_ms: u64) -> Vec<Next> {
+        if self.is_over() {
+            return self.repeat(facts, now_ms);
+        }
+        if facts.rank.is_some() {
+            self.judged_at_ms = now_ms;
+        }
+        if std::mem::take(&mut self.is_evidence_new) && self.phase != Phase::Rejected {
+            self.verdict = self.evidence().verdict(facts.new_upstreams);
+        }
+        let mut next = self.decide(facts, now_ms);
+        next.extend(self.write(facts, now_ms));
+        next.extend(self.turn(now_ms));
+        next.extend(self.repeat(facts, now_ms));
+        next
+    }
+
+    fn decide(&mut self, facts: &Facts, now_ms: u64) -> Vec<Next> {
+        if self.phase != Phase::Rejected && self.verdict.is_bad() {
+            let reason = match self.verdict {
+                Verdict::Failing => Reason::Failing,
+                Verdict::PartlySlow => Reason::PartlySlow,
+                _ => Reason::Slow,
+            };
+            return self.change(Phase::Rejected, reason, now_ms);
+        }
+        if self.phase != Phase::Judging || facts.rank.is_none() {
+            return Vec::new();
+        }
+        let elapsed_ms = self.elapsed_ms(now_ms);
+        let window_ms = self.order.window_ms;
+        if facts.old_slots == 0 && facts.new_slots > 0 {
+            return self.change(Phase::Shifting, Reason::NothingToMove, now_ms);
+        }
+        if elapsed_ms + self.allowance.shift_ms(window_ms) < window_ms {
+            return Vec::new();
+        }
+        let is_over = elapsed_ms >= window_ms;
+        let lacks = self.lacks(facts);
+        match lacks {
+            None if self.is_on_hold() || self.verdict == Verdict::Doubtful => {}
+            None => return self.change(Phase::Shifting, Reason::Clean, now_ms),
+            Some(_) => {}
+        }
+        if is_over && !self.is_on_hold() {
+            let reason = lacks.unwrap_or(Reason::NotProven);
+            return self.change(Phase::Rejected, reason, now_ms);
+        }
+        Vec::new()
+    }
+
+    /// What the new version lacks to be given all requests.
+    fn lacks(&self, facts: &Facts) -> Option<Reason> {
+        let evidence = self.evidence();
+        let is_tried = evidence.at_new().requests >= PROVEN_REQUESTS;
+        let wanted = u64::from(facts.old_slots) * u64::from(SLOTS_PERCENT);
+        if u64::from(facts.new_slots) * 100 < wanted {
+            Some(Reason::TooFewUpstreams)
+        } else if !is_tried {
+            Some(Reason::NotProven)
+        } else {
+            None
+        }
+    }
+
+    fn write(&mut self, facts: &Facts, now_ms: u64) -> Option<Next> {
+        let rank = facts.rank?;
+        let status = self.due_status(facts, now_ms)?;
+        let turn_ms = TURN_MS * rank as u64;
+        let is_turn = now_ms >= self.entered_at_ms + turn_ms;
+        let is_open = self
+            .wrote_at_ms
+            .is_some_and(|wrote_at_ms| now_ms < wrote_at_ms + WRITE_AGAIN_MS);
+        if !is_turn || is_open {
+            return None;
+        }
+        self.wrote_at_ms = Some(now_ms);
+        Some(Next::Write(status))
+    }
+
+    fn due_status(&self, facts: &Facts, now_ms: u64) -> Option<Status> {
+        match self.phase {
+            Phase::Judging if self.order.status == Status::Ordered => Some(Status::InProgress),
+            Phase::Judging => None,
+            Phase::Shifting => self.has_run_out(facts, now_ms).then_some(Status::Completed),
+            Phase::Rejected => Some(Status::Reverted),
+        }
+    }
+
+    /// Whether no entry sends the old version anything and nothing runs there that would be lost.
+    ///
+    /// An entry that is silent may still serve callers behind a cut, so the window is given to it.
+    fn has_run_out(&self, facts: &Facts, now_ms: u64) -> bool {
+        let is_over = self.elapsed_ms(now_ms) >= self.order.window_ms;
+        let all_done = facts.heard.iter().all(|entry| {
+            let stage = self.stages.get(entry);
+            stage.is_some_and(|stage| stage.is_shifted && stage.fixed_at_old == 0)
+        });
+        facts.fixed_at_old == 0 && all_done && (is_over || !facts.are_some_silent)
+    }
+
+    /// Lets other upstreams take the place of those that are judged.
+    fn turn(&mut self, now_ms: u64) -> Option<Next> {
+        if self.phase != Phase::Judging {
+            return None;
+        }
+        let turn = self.turn_at(now_ms);
+        let window_ms = self.order.window_ms;
+        let early_ms = self
+            .allowance
+            .early_ms(window_ms, self.exposure.fixed_part());
+        let shift_ms = self.allowance.shift_ms(window_ms);
+        let is_early = self.verdict == Verdict::Clean
+            && !self.is_on_hold()
+            && self.exposure.at_new() > 0
+            && self.elapsed_ms(now_ms) + shift_ms + early_ms >= window_ms
+            && self.elapsed_ms(now_ms) < window_ms;
+        if (turn, is_early) == (self.turn, self.is_early) {
+            return None;
+        }
+        self.turn = turn;
+        self.is_early = is_early;
+        Some(Next::Place)
+    }
+
+    fn repeat(&mut self, facts: &Facts, now_ms: u64) -> Vec<Next> {
+        let mut next = Vec::new();
+        let entries_ms = PER_ENTRY_MS * facts.heard.len() as u64;
+        if facts.rank.is_some() && now_ms >= self.state_at_ms + STATE_MS.max(entries_ms) {
+            self.state_at_ms = now_ms;
+            next.push(Next::Tell(self.state(now_ms)));
+        }
+        if !self.is_over() && now_ms >= self.report_at_ms + REPORT_MS.max(entries_ms) {
+            self.report_at_ms = now_ms;
+            next.push(Next::Report(self.report(facts.fixed_at_old)));
+        }
+        next
+    }
+
+    fn change(&mut self, phase: Phase, reason: Reason, now_ms: u64) -> Vec<Next> {
+        self.enter(phase, reason, now_ms);
+        self.state_at_ms = now_ms;
+        vec![
+            Next::Place,
+            Next::Tell(self.state(now_ms)),
+            Next::Log(reason),
+        ]
+    }
+
+    fn enter(&mut self, phase: Phase, reason: Reason, now_ms: u64) {
+        self.phase = phase;
+        self.reason = reason;
+        self.entered_at_ms = now_ms;
+        self.wrote_at_ms = None;
+        self.report_at_ms = 0;
+    }
+
+    /// How far the order has come, as all entries are told.
+    #[must_use]
+    pub fn state(&self, now_ms: u64) -> State {
+        State {
+            order: self.order.clone(),
+            elapsed_ms: self.elapsed_ms(now_ms),
+            phase: self.phase,
+            reason: self.reason,
+            holds: self.holds,
+        }
+    }
+
+    fn report(&mut self, fixed_at_old: u32) -> Report {
+        Report {
+            id: self.order.id.clone(),
+            incarnation: self.incarnation,
+            is_shifted: self.phase == Phase::Shifting,
+            fixed_at_old,
+            counts: self.next_counts.next(&self.own),
+        }
+    }
+}
+
+fn signed(time_ms: u64) -> i64 {
+    i64::try_from(time_ms).unwrap_or(i64::MAX)
+}
--- /dev/null
+++ b/lib/src/direct/rollout/tally.rs
@@ -0,0 +1,109 @@
+//! What requests at the old and the new version came to, counted in a form that can be merged.
+
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Half octaves below the usual time that are told apart.
+const STEPS_BELOW: f64 = 6.0;
+/// Steps of time that are told apart, each the square root of two times the one before.
+pub const STEPS: u8 = 18;
+/// Steps in an octave.
+pub const STEPS_PER_OCTAVE: f64 = 2.0;
+
+/// What a request came to at its upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Outcome {
+    /// The upstream answered with a failure, or not in time.
+    Failed,
+    /// It answered, and how long that usually takes is not known yet.
+    Untimed,
+    /// It answered within a step of the usual time on its route.
+    Took(u8),
+}
+
+impl Outcome {
+    /// An answer that took so many times as long as is usual on its route.
+    ///
+    /// ```
+    /// use sardinewood::direct::rollout::tally::Outcome;
+    ///
+    /// assert_eq!(Outcome::took(1.0), Outcome::Took(6));
+    /// assert_eq!(Outcome::took(2.0), Outcome::Took(8));
+    /// ```
+    #[must_use]
+    pub fn took(times_usual: f64) -> Self {
+        let step = (times_usual.max(f64::MIN_POSITIVE).log2() * STEPS_PER_OCTAVE + STEPS_BELOW)
+            .round()
+            .clamp(0.0, f64::from(STEPS - 1));
+        Self::Took(u8::try_from(crate::numbers::whole_u32(step)).unwrap_or(STEPS - 1))
+    }
+}
+
+/// What is counted apart.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Cell {
+    /// Whether the upstream is of the new version.
+    pub is_new: bool,
+    /// Short name of the upstream.
+    pub upstream: u32,
+    /// Short name of the route.
+    pub route: u32,
+    /// What the request came to.
+    pub outcome: Outcome,
+}
+
+/// Counts that only grow. Those of one entry are merged by taking the greater ones, so a message
+/// may be lost, repeated or late.
+///
+/// ```
+/// use sardinewood::direct::rollout::tally::{Cell, Outcome, Tally};
+///
+/// let cell = Cell { is_new: true, upstream: 1, route: 2, outcome: Outcome::Failed };
+/// let mut tally = Tally::default();
+/// tally.add(cell);
+/// let mut other = Tally::default();
+/// other.merge(tally.iter());
+/// other.merge(tally.iter());
+/// assert_eq!(other, tally);
+/// ```
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Tally {
+    counts: IndexMap<Cell, u32>,
+}
+
+impl Tally {
+    /// Counts a request.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::tally::{Cell, Outcome, Tally};
+    /// # let cell = Cell { is_new: true, upstream: 1, route: 2, outcome: Outcome::Failed };
+    /// let mut tally = Tally::default();
+    /// tally.add(cell);
+    /// assert_eq!(tally.iter().collect::<Vec<_>>(), [(cell, 1)]);
+    /// ```
+    pub fn add(&mut self, cell: Cell) {
+        *self.counts.entry(cell).or_default() += 1;
+    }
+
+    /// Takes the counts of a later or earlier state of the same tally.
+    ///
+    /// ```
+    /// sardinewood::direct::rollout::tally::Tally::default().merge(std::iter::empty());
+    /// ```
+    pub fn merge(&mut self, counts: impl Iterator<Item = (Cell, u32)>) {
+        for (cell, count) in counts {
+            let known = self.counts.entry(cell).or_default();
+            *known = (*known).max(count);
+        }
+    }
+
+    /// All counts.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::rollout::tally::Tally::default().iter().count(), 0);
+    /// ```
+    pub fn iter(&self) -> impl Iterator<Item = (Cell, u32)> {
+        self.counts.iter().map(|(cell, count)| (*cell, *count))
+    }
+}
--- /dev/null
+++ b/lib/src/direct/rollout/versions.rs
@@ -0,0 +1,87 @@
+//! Which version of a service's upstreams serves.
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::direct::rollout::order::Order;
+use crate::direct::rollout::order::Status;
+use crate::direct::view::directory::Upstream;
+
+/// The versions that serve, by service. One that nobody ordered gets nothing.
+///
+/// ```
+/// use sardinewood::direct::rollout::versions::Versions;
+///
+/// assert_eq!(Versions::default().serving("s"), None);
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct Versions {
+    serving: IndexMap<Arc<str>, Arc<str>>,
+}
+
+impl Versions {
+    /// The version that serves, if any upstream of the service was ever listed.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::versions::Versions;
+    /// assert_eq!(Versions::default().serving("s"), None);
+    /// ```
+    #[must_use]
+    pub fn serving(&self, service: &str) -> Option<&Arc<str>> {
+        self.serving.get(service)
+    }
+
+    /// Takes the upstreams that are listed, and the orders that are known.
+    ///
+    /// Of a service without a completed order the version serves whose entries are the oldest: new
+    /// upstreams are listed beside the old ones, at times before their order can be read.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::versions::Versions;
+    /// Versions::default().update(&[], &[]);
+    /// ```
+    pub fn update(&mut self, upstreams: &[Arc<Upstream>], orders: &[Order]) {
+        for order in orders {
+            let service = &order.id.service;
+            match order.status {
+                Status::Completed => {
+                    let to = Arc::clone(&order.id.to);
+                    self.serving.insert(Arc::clone(service), to);
+                }
+                // A version that is on trial, or was, never becomes the one that serves by its age.
+                Status::Ordered | Status::InProgress | Status::Reverted => {
+                    if self.serving.get(service) == Some(&order.id.to)
+                        && let Some(other) = oldest(upstreams, service, Some(&order.id.to))
+                    {
+                        self.serving.insert(Arc::clone(service), other);
+                    }
+                }
+            }
+        }
+        for upstream in upstreams {
+            let service = &upstream.service;
+            if self.serving.contains_key(service) {
+                continue;
+            }
+            let order = orders.iter().find(|order| order.id.service == *service);
+            let except = order.map(|order| &order.id.to);
+            let version = oldest(upstreams, service, except).or(oldest(upstreams, service, None));
+            if let Some(version) = version {
+                self.serving.insert(Arc::clone(service), version);
+            }
+        }
+    }
+}
+
+fn oldest(
+    upstreams: &[Arc<Upstream>],
+    service: &str,
+    except: Option<&Arc<str>>,
+) -> Option<Arc<str>> {
+    upstreams
+        .iter()
+        .filter(|upstream| &*upstream.service == service && Some(&upstream.version) != except)
+        .min_by_key(|upstream| upstream.revision)
+        .map(|upstream| Arc::clone(&upstream.version))
+}
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -17,6 +17,8 @@
 use tokio::signal::unix::Signal;
 use tokio::signal::unix::SignalKind;
 use tokio::signal::unix::signal;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -27,6 +29,9 @@
 use crate::direct::links::follow::Follower;
 use crate::direct::links::follow::ObjectSource;
 use crate::direct::links::follow::StoreAnswers;
+use crate::direct::links::orders::OrderFollower;
+use crate::direct::links::orders::OrderStore;
+use crate::direct::links::orders::OrderView;
 use crate::direct::links::peers::ControlLinks;
 use crate::direct::links::peers::Peers;
 use crate::direct::links::pull;
@@ -36,6 +41,12 @@
 use crate::direct::quarantine::spread;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::front;
+use crate::direct::rolling;
+use crate::direct::rolling::DueStatuses;
+use crate::direct::rollout::book::Book;
+use crate::direct::rollout::exposure::Allowance;
+use crate::direct::rollout::order::Order;
+use crate::direct::rollout::order::Status;
 use crate::direct::sharing::allotment::Tolerance;
 use crate::direct::sharing::attempt_budget::AttemptLimits;
 use crate::direct::traffic::Traffic;
@@ -87,6 +98,8 @@
     pub attempts: AttemptLimits,
     /// How far beyond their allotments customers may get.
     pub tolerance: Tolerance,
+    /// What a version may get that may be bad; none if versions mean nothing here.
+    pub rollouts: Option<Allowance>,
     /// Time between the signal to stop and the end by force.
     pub stop_within: Duration,
 }
@@ -127,7 +140,7 @@
     reload: R,
 ) -> eyre::Result<()>
 where
-    S: ObjectSource + Send + 'static,
+    S: ObjectSource + OrderStore + Send + 'static,
     R: FnMut() -> Reload + 'static,
 {
     let (view_sender, view) = watch::channel(View::default());
@@ -135,6 +148,9 @@
     let (asks_sender, asks_store) = watch::channel(true);
     let (own_sender, own) = watch::channel(Revisions::default());
     let store_answers = StoreAnswers::default();
+    let (orders_sender, orders) = watch::channel(None);
+    let (due_sender, due) = mpsc::unbounded_channel();
+    let tells_versions = settings.rollouts.is_some();
     let links = ControlLinks {
         own,
         store_answers: store_answers.clone(),
@@ -146,20 +162,30 @@
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
-            let follower =
-                || Follower::new(adapter.decoders, view_sender, asks_store, store_answers);
-            LocalSet::new().block_on(&control, follow(follower(), source, peers, ahead));
+            let orders = OrderFollower::new(orders_sender, asks_store.clone());
+            let orders = tells_versions.then_some((orders, due));
+            let follower = Follower::new(adapter.decoders, view_sender, asks_store, store_answers);
+            LocalSet::new().block_on(&control, follow(follower, orders, source, peers, ahead));
         })
         .wrap_err("can't start the control thread")?;
     let traffic = current_thread().wrap_err("can't start the traffic thread's runtime")?;
     LocalSet::new().block_on(
         &traffic,
-        serve(settings, adapter, view, own_sender, links, reload),
+        serve(
+            settings,
+            adapter,
+            view,
+            own_sender,
+            links,
+            (orders, due_sender),
+            reload,
+        ),
     )
 }
 
-async fn follow<S: ObjectSource>(
+async fn follow<S: ObjectSource + OrderStore>(
     follower: Follower,
+    orders: Option<(OrderFollower, UnboundedReceiver<(Order, Status)>)>,
     source: S,
     peers: SocketAddr,
     ahead: watch::Receiver<Option<SocketAddr>>,
@@ -173,7 +199,13 @@
             .field("error", error.to_string())
             .send(),
     }
+    let follow_orders = async {
+        if let Some((orders, due)) = orders {
+            tokio::join!(orders.follow(&source), orders.write(&source, due));
+        }
+    };
     tokio::join!(
+        follow_orders,
         follower.follow_catalog(&source),
         follower.follow_upstreams(&source),
         follower.follow_peers(ahead),
@@ -187,6 +219,7 @@
     view: watch::Receiver<View>,
     own: watch::Sender<Revisions>,
     links: ControlLinks,
+    (orders, due): (watch::Receiver<Option<OrderView>>, DueStatuses),
     reload: impl FnMut() -> Reload + 'static,
 ) -> eyre::Result<()> {
     let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
@@ -196,7 +229,15 @@
         .wrap_err_with(|| format!("can't hear peers on {}", settings.peers))?;
     let peers = PeerTable::new(settings.peers, &settings.seeds);
     let figures = Figures::new().wrap_err("can't count")?;
-    let traffic = Traffic::new(adapter.dialect, settings.attempts, peers, socket, figures);
+    let book = Book::new(settings.rollouts, rand::random());
+    let traffic = Traffic::new(
+        adapter.dialect,
+        settings.attempts,
+        peers,
+        socket,
+        figures,
+        book,
+    );
     traffic
         .allotments
         .borrow_mut()
@@ -210,6 +251,7 @@
     spawn_local(Peers::new(&traffic, links).run());
     spawn_local(take_views(view, own, Rc::clone(&traffic)));
     spawn_local(sweep(Rc::clone(&traffic)));
+    spawn_local(rolling::run(Rc::clone(&traffic), orders, due));
     spawn_local(log_size_shares(Rc::clone(&traffic)));
     Line::new(Level::Info, "started")
         .field("address", settings.callers)
@@ -293,17 +335,8 @@
         };
         traffic.has_upstreams.set(true);
         traffic.upstreams_listed(&upstreams);
-        traffic.dispatcher.borrow_mut().set_upstreams(&upstreams);
-        let slots = upstreams
-            .iter()
-            .map(|upstream| (Arc::clone(&upstream.instance), upstream.slots));
-        let mut doors = traffic.doors.borrow_mut();
-        doors.set_upstreams(slots);
-        doors.set_plain(&plain_services(
-            &upstreams,
-            traffic.catalog.borrow().as_deref(),
-        ));
-        drop(doors);
+        traffic.rollouts.borrow_mut().set_upstreams(&upstreams);
+        traffic.place_versions();
         traffic.grant_rooms();
         traffic.configured.notify_waiters();
     }
@@ -311,7 +344,7 @@
 }
 
 /// Short names of the upstreams that are no engines, as far as the configuration says so.
-fn plain_services(upstreams: &[Arc<Upstream>], catalog: Option<&Catalog>) -> IndexSet<u32> {
+pub fn plain_services(upstreams: &[Arc<Upstream>], catalog: Option<&Catalog>) -> IndexSet<u32> {
     let Some(catalog) = catalog else {
         return IndexSet::new();
     };
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -32,6 +32,7 @@
 use crate::direct::quarantine::suspects::Suspects;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::connections::Connections;
+use crate::direct::rollout::book::Book;
 use crate::direct::rooms;
 use crate::direct::rooms::AskedDoor;
 use crate::direct::sharing::allotment::Allotments;
@@ -104,6 +105,10 @@
     pub whole_lately: RefCell<RanWhole>,
     /// Requests that may be the cause of upstreams' ends.
     pub suspects: RefCell<Suspects>,
+    /// Orders to move services to other versions.
+    pub rollouts: RefCell<Book>,
+    /// Told when an order has come further than this entry has acted on.
+    pub rollouts_changed: Notify,
     sizes: RefCell<IndexMap<Arc<str>, Moving>>,
     expected_holds: RefCell<IndexMap<Arc<str>, Moving>>,
     log: RefCell<LogBudget>,
@@ -123,6 +128,8 @@
     pub kept_tokens: u32,
     /// Whether the upstream's door granted the room.
     is_granted: bool,
+    /// Whether it is counted as a request that can't be moved to another upstream.
+    pub is_fixed: bool,
     id: u64,
     since_ms: u64,
 }
@@ -142,6 +149,7 @@
             ended: Ended::Left,
             kept_tokens,
             is_granted,
+            is_fixed: false,
             id: traffic.next_id(),
             since_ms: traffic.now_ms(),
         }
@@ -192,6 +200,9 @@
             held_ms,
             now_ms,
         );
+        if self.is_fixed {
+            self.traffic.rollouts.borrow_mut().unfix(&self.upstream);
+        }
         if self.is_granted {
             let held_ms = u32::try_from(held_ms).unwrap_or(u32::MAX);
             let held_ms = (self.ended == Ended::Answered).then_some(held_ms);
@@ -222,6 +233,7 @@
         peers: PeerTable,
         socket: UdpSocket,
         figures: Figures,
+        rollouts: Book,
     ) -> Rc<Self> {
         Rc::new(Self {
             dialect,
@@ -248,6 +260,8 @@
             breaks: RefCell::default(),
             whole_lately: RefCell::new(RanWhole::new(rand::random())),
             suspects: RefCell::default(),
+            rollouts: RefCell::new(rollouts),
+            rollouts_changed: Notify::new(),
             sizes: RefCell::default(),
             expected_holds: RefCell::default(),
             log: RefCell::default(),
--- a/lib/src/direct/view/directory.rs
+++ b/lib/src/direct/view/directory.rs
@@ -29,6 +29,10 @@
     pub born_ms: Option<u64>,
     /// The service that it belongs to.
     pub service: Arc<str>,
+    /// The version of its software.
+    pub version: Arc<str>,
+    /// The store's revision of its entry.
+    pub revision: u64,
     /// Where it listens.
     pub address: SocketAddr,
     /// Where it stands.
@@ -138,7 +142,7 @@
     /// let mut directory = Directory::default();
     /// directory.put(Upstream { instance: "i-1".into(), name: "i-1".into(), born_ms: None,
     ///     service: "s".into(), address: "127.0.0.1:80".parse().unwrap(),
-    ///     data_centre: "d".into(), slots: 4, is_leaving: false }, 0);
+    ///     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: 1, is_leaving: false }, 0);
     /// assert_eq!(directory.usable().count(), 1);
     /// ```
     pub fn put(&mut self, upstream: Upstream, now_ms: u64) {
--- a/lib/src/direct/view/replica.rs
+++ b/lib/src/direct/view/replica.rs
@@ -280,6 +280,7 @@
                 .field("upstream", &name)
                 .field("born_ms", upstream.born_ms)
                 .field("service", &upstream.service)
+                .field("version", &upstream.version)
                 .field("is_leaving", upstream.is_leaving)
                 .revision(version)
                 .send();
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -15,6 +15,8 @@
         address: "127.0.0.1:80".parse().expect("an address"),
         data_centre: "hall".into(),
         slots,
+        version: "v1".into(),
+        revision: 1,
         is_leaving: false,
     })
 }
@@ -47,5 +49,6 @@
         shared_start: None,
         kept_at: Vec::new(),
         is_owed: false,
+        is_trial: false,
     }
 }
