rollout: versions judged on the real program; the latest turns are judged by themselves

Tests on the real program before stand-ins of two versions: good, failing, failing later, slow, bad on one route, without the store, with lost answers, all entries killed three times, not ordered. Found by them: a version that turned bad later was not found within 3 s (12 spoiled, no verdict), since the upstreams that had been judged while it was good were the better half.

--- a/lib/src/direct/rollout/book.rs
+++ b/lib/src/direct/rollout/book.rs
@@ -18,7 +18,6 @@
 use crate::direct::rollout::report::Phase;
 use crate::direct::rollout::report::RolloutMessage;
 use crate::direct::rollout::report::State;
-use crate::direct::rollout::tally::Cell;
 use crate::direct::rollout::tally::Outcome;
 use crate::direct::rollout::versions::Versions;
 use crate::direct::view::directory::Upstream;
@@ -411,12 +410,7 @@
         if let Some(progress) = progress
             && (is_new || self.control.contains(&name))
         {
-            progress.observe(Cell {
-                is_new,
-                upstream: name,
-                route,
-                outcome,
-            });
+            progress.observe(is_new, name, route, outcome);
         }
     }
 
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -14,6 +14,7 @@
 use crate::direct::rollout::report::Report;
 use crate::direct::rollout::report::State;
 use crate::direct::rollout::tally::Cell;
+use crate::direct::rollout::tally::Outcome;
 use crate::direct::rollout::tally::Tally;
 use crate::direct::rollout::verdict::Evidence;
 use crate::direct::rollout::verdict::Verdict;
@@ -42,6 +43,8 @@
 const LOADED_UPSTREAMS: usize = 2;
 /// How often others take their place within a window.
 const TURNS: u64 = 6;
+/// Of these, the latest that are judged by themselves.
+const LATEST_TURNS: u64 = 2;
 
 /// What an entry sees around it.
 #[derive(Clone, Debug, Default)]
@@ -208,9 +211,14 @@
     /// All evidence that this entry knows.
     #[must_use]
     pub fn evidence(&self) -> Evidence {
+        self.evidence_since(0)
+    }
+
+    fn evidence_since(&self, turn: u64) -> Evidence {
         let mut evidence = Evidence::default();
         for tally in self.others.values().chain([&self.own]) {
-            for (cell, count) in tally.iter() {
+            let cells = tally.iter();
+            for (cell, count) in cells.filter(|(cell, _)| u64::from(cell.turn) >= turn) {
                 evidence.add(cell, count);
             }
         }
@@ -252,9 +260,15 @@
     }
 
     /// Notes what a request came to.
-    pub fn observe(&mut self, cell: Cell) {
-        self.own.add(cell);
-        self.is_evidence_new |= cell.is_new;
+    pub fn observe(&mut self, is_new: bool, upstream: u32, route: u32, outcome: Outcome) {
+        self.own.add(Cell {
+            is_new,
+            upstream,
+            route,
+            turn: u8::try_from(self.turn).unwrap_or(u8::MAX),
+            outcome,
+        });
+        self.is_evidence_new |= is_new;
     }
 
     /// Takes the order as the store shows it now.
@@ -325,7 +339,7 @@
             self.judged_at_ms = now_ms;
         }
         if std::mem::take(&mut self.is_evidence_new) && self.phase != Phase::Rejected {
-            self.verdict = self.evidence().verdict(facts.new_upstreams);
+            self.verdict = self.judge(facts.new_upstreams);
         }
         let mut next = self.decide(facts, now_ms);
         next.extend(self.write(facts, now_ms));
@@ -334,6 +348,21 @@
         next
     }
 
+    /// Judges by all evidence and by the latest: a version that has turned bad was good before.
+    fn judge(&self, new_upstreams: usize) -> Verdict {
+        let all = self.evidence().verdict(new_upstreams);
+        if all.is_bad() {
+            return all;
+        }
+        let first = self.turn.saturating_sub(LATEST_TURNS - 1);
+        let latest = self.evidence_since(first).verdict(new_upstreams);
+        if latest == Verdict::Clean {
+            all
+        } else {
+            latest
+        }
+    }
+
     fn decide(&mut self, facts: &Facts, now_ms: u64) -> Vec<Next> {
         if self.phase != Phase::Rejected && self.verdict.is_bad() {
             let reason = match self.verdict {
--- a/lib/src/direct/rollout/tally.rs
+++ b/lib/src/direct/rollout/tally.rs
@@ -49,6 +49,8 @@
     pub upstream: u32,
     /// Short name of the route.
     pub route: u32,
+    /// The part of the window in which it ended, since a version may turn bad.
+    pub turn: u8,
     /// What the request came to.
     pub outcome: Outcome,
 }
@@ -59,7 +61,7 @@
 /// ```
 /// use sardinewood::direct::rollout::tally::{Cell, Outcome, Tally};
 ///
-/// let cell = Cell { is_new: true, upstream: 1, route: 2, outcome: Outcome::Failed };
+/// let cell = Cell { is_new: true, upstream: 1, route: 2, turn: 0, outcome: Outcome::Failed };
 /// let mut tally = Tally::default();
 /// tally.add(cell);
 /// let mut other = Tally::default();
@@ -77,7 +79,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::rollout::tally::{Cell, Outcome, Tally};
-    /// # let cell = Cell { is_new: true, upstream: 1, route: 2, outcome: Outcome::Failed };
+    /// # let cell = Cell { is_new: true, upstream: 1, route: 2, turn: 0, outcome: Outcome::Failed };
     /// let mut tally = Tally::default();
     /// tally.add(cell);
     /// assert_eq!(tally.iter().collect::<Vec<_>>(), [(cell, 1)]);
--- a/lib/src/direct/rollout/verdict.rs
+++ b/lib/src/direct/rollout/verdict.rs
@@ -23,6 +23,10 @@
 /// that a few good ones prove nothing.
 const PRIOR_REQUESTS: f64 = 30.0;
 const PRIOR_FAILED: f64 = 0.6;
+/// Failures at the new version after which it goes, if it fails so much more often than the old one.
+const MOST_FAILED: u32 = 25;
+const FAILED_FACTOR: f64 = 2.0;
+const FAILED_BEYOND: f64 = 0.05;
 /// Requests at one upstream from which its usual time is known.
 const TIMED_AT_LEAST: u32 = 8;
 /// Steps beyond an upstream's own usual time from which a request took several times as long.
@@ -166,7 +170,7 @@
 /// use sardinewood::direct::rollout::tally::{Cell, Outcome};
 /// use sardinewood::direct::rollout::verdict::{Evidence, Verdict};
 ///
-/// let cell = |upstream, outcome| Cell { is_new: true, upstream, route: 1, outcome };
+/// let cell = |upstream, outcome| Cell { is_new: true, upstream, route: 1, turn: 0, outcome };
 /// let mut evidence = Evidence::default();
 /// for upstream in [1, 2] {
 ///     evidence.add(cell(upstream, Outcome::Failed), 6);
@@ -185,7 +189,7 @@
     /// ```
     /// # use sardinewood::direct::rollout::{tally::{Cell, Outcome}, verdict::Evidence};
     /// let mut evidence = Evidence::default();
-    /// evidence.add(Cell { is_new: true, upstream: 1, route: 2, outcome: Outcome::Untimed }, 3);
+    /// evidence.add(Cell { is_new: true, upstream: 1, route: 2, turn: 0, outcome: Outcome::Untimed }, 3);
     /// assert_eq!(evidence.at_new().requests, 3);
     /// ```
     pub fn add(&mut self, cell: Cell, count: u32) {
@@ -245,7 +249,7 @@
     pub fn verdict(&self, listed: usize) -> Verdict {
         let failing = self.failing_ln(listed);
         let slow_part = self.slow_part_ln(listed);
-        if failing >= BAD_RATIO_LN {
+        if failing >= BAD_RATIO_LN || self.fails_too_often() {
             Verdict::Failing
         } else if slow_part >= BAD_RATIO_LN {
             Verdict::PartlySlow
@@ -279,6 +283,13 @@
         on_all.chain(on_one).fold(0.0, f64::max)
     }
 
+    /// Whether so many requests have failed that no more may be waited for, whichever upstreams it
+    /// was.
+    fn fails_too_often(&self) -> bool {
+        let (new, old) = (self.at_new(), self.at_old());
+        new.spoiled >= MOST_FAILED && new.share() >= FAILED_FACTOR * old.share() + FAILED_BEYOND
+    }
+
     /// How much likelier the long answers are if a part of them is slow by the version's fault.
     fn slow_part_ln(&self, listed: usize) -> f64 {
         let new = better_half(&self.new, listed, |at| at.long().share());
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -30,6 +30,7 @@
 
 /// How a worker behaves when nothing is wrong with it.
 const WELL: Manner = Manner::ByRoute {
+    after_ms: 0,
     events: EVENTS,
     pause_ms: 4,
 };
