--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -47,6 +47,11 @@
         summary: "goodput and wasted prefill of each policy, in virtual time",
         run: crate::policy::run,
     },
+    Subcommand {
+        name: "rollouts",
+        summary: "orders to move a service to another version, good and bad ones",
+        run: crate::rollouts::run,
+    },
     Subcommand {
         name: "slopes",
         summary: "what one more request, link, object or change costs a role",
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod overhead;
 pub mod own_policy;
 pub mod policy;
+pub mod rollouts;
 pub mod scenario;
 pub mod scenario_check;
 pub mod simulation;
--- a/lib/src/direct/rollout/book.rs
+++ b/lib/src/direct/rollout/book.rs
@@ -18,16 +18,20 @@
 use crate::direct::rollout::report::Phase;
 use crate::direct::rollout::report::RolloutMessage;
 use crate::direct::rollout::report::State;
+use crate::direct::rollout::tally::OTHERS;
 use crate::direct::rollout::tally::Outcome;
+use crate::direct::rollout::verdict::Part;
 use crate::direct::rollout::versions::Versions;
 use crate::direct::view::directory::Upstream;
 
 /// Upstreams of the old version that are counted beside the new one.
-const CONTROL_UPSTREAMS: usize = 6;
+const CONTROL_UPSTREAMS: usize = 12;
 /// Least part of a new sample in a route's usual time, so that the usual follows the load.
 const LEAST_SAMPLE_PART: f64 = 0.02;
 /// Samples from which a route's usual time is known.
-const USUAL_SAMPLES: f64 = 4.0;
+const USUAL_SAMPLES: f64 = 10.0;
+/// Requests of a route that are remembered for an order to come; then half of them are forgotten.
+const REMEMBERED: u32 = 2_000;
 /// Orders that were taken away and are remembered, so that a late message does not bring them back.
 const MAX_WITHDRAWN: usize = 100;
 
@@ -90,6 +94,8 @@
     /// Short names of the old upstreams that are counted.
     control: IndexSet<u32>,
     usual: IndexMap<u32, UsualTime>,
+    /// What came of the latest requests by route, while no order is in progress.
+    ends: IndexMap<u32, Part>,
     /// Requests that run and can't be moved, by service and version.
     fixed: IndexMap<(Arc<str>, Arc<str>), u32>,
 }
@@ -107,6 +113,7 @@
             upstreams: Vec::new(),
             control: IndexSet::new(),
             usual: IndexMap::new(),
+            ends: IndexMap::new(),
             fixed: IndexMap::new(),
         }
     }
@@ -204,6 +211,7 @@
                     self.incarnation,
                     entries,
                     elapsed_ms,
+                    &self.ends,
                     now_ms,
                 );
                 self.orders.insert(service, progress);
@@ -407,10 +415,13 @@
         if let (false, Came::Answered { part_ms }) = (is_new, came) {
             usual.observe(part_ms);
         }
-        if let Some(progress) = progress
-            && (is_new || self.control.contains(&name))
-        {
-            progress.observe(is_new, name, route, outcome);
+        let is_control = self.control.contains(&name);
+        match progress {
+            Some(progress) if is_new || is_control => {
+                progress.observe(is_new, name, route, outcome);
+            }
+            Some(progress) => progress.observe(false, OTHERS, route, outcome.untimed()),
+            None => remember(self.ends.entry(route).or_default(), came),
         }
     }
 
@@ -431,6 +442,15 @@
     }
 }
 
+fn remember(part: &mut Part, came: Came) {
+    part.requests += 1;
+    part.spoiled += u32::from(came == Came::Failed);
+    if part.requests >= REMEMBERED {
+        part.requests /= 2;
+        part.spoiled /= 2;
+    }
+}
+
 fn version_of(upstream: &Upstream) -> (Arc<str>, Arc<str>) {
     (Arc::clone(&upstream.service), Arc::clone(&upstream.version))
 }
--- a/lib/src/direct/rollout/exposure.rs
+++ b/lib/src/direct/rollout/exposure.rs
@@ -9,11 +9,11 @@
 use crate::numbers;
 
 /// Part of the allowance for the requests that judge the version.
-const JUDGING_PART: f64 = 0.3;
+const JUDGING_PART: f64 = 0.25;
 /// Part of it for requests that could not end in time at the old version and can't be moved.
-const EARLY_PART: f64 = 0.2;
+const EARLY_PART: f64 = 0.3;
 /// Part of it for all requests between the shift and the end of the window.
-const SHIFT_PART: f64 = 0.4;
+const SHIFT_PART: f64 = 0.35;
 /// Part of the fixed allowance that all entries together spend at the beginning, so that a service
 /// with few requests is judged as well.
 const FIRST_PART: f64 = 0.3;
@@ -40,7 +40,7 @@
     /// use sardinewood::direct::rollout::exposure::Allowance;
     ///
     /// let allowance = Allowance { share: 0.1, slack: 50.0 };
-    /// assert_eq!(allowance.shift_ms(60_000), 2_400);
+    /// assert_eq!(allowance.shift_ms(60_000), 2_100);
     /// ```
     #[must_use]
     pub fn shift_ms(&self, window_ms: u64) -> u64 {
@@ -56,7 +56,7 @@
     /// ```
     /// # use sardinewood::direct::rollout::exposure::Allowance;
     /// let allowance = Allowance { share: 0.1, slack: 50.0 };
-    /// assert_eq!(allowance.early_ms(12_000, 0.25), 960);
+    /// assert_eq!(allowance.early_ms(12_000, 0.25), 1_440);
     /// assert_eq!(allowance.early_ms(60_000, 0.0), 6_000);
     /// ```
     #[must_use]
@@ -80,7 +80,7 @@
 ///     exposure.sent(1, is_trial, true);
 ///     is_trial
 /// });
-/// assert_eq!(trials.count(), 30);
+/// assert_eq!(trials.count(), 25);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Exposure {
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -17,6 +17,7 @@
 use crate::direct::rollout::tally::Outcome;
 use crate::direct::rollout::tally::Tally;
 use crate::direct::rollout::verdict::Evidence;
+use crate::direct::rollout::verdict::Part;
 use crate::direct::rollout::verdict::Verdict;
 
 /// Requests at the new version without which nothing is known of it.
@@ -31,6 +32,8 @@
 const PER_ENTRY_MS: u64 = 2;
 /// How much later each judge writes than the one before it, so that usually one does.
 const TURN_MS: u64 = 400;
+/// Time before the end of the window at which the last status is written.
+const LAST_WRITE_MS: u64 = 200;
 /// Pause after a write whose outcome is not known.
 const WRITE_AGAIN_MS: u64 = 700;
 /// Time within which an order that nobody has begun is new to the whole fleet.
@@ -38,11 +41,11 @@
 /// Slots of the new version's upstreams for each of the old one's, in percent, without which the
 /// service can't be moved.
 const SLOTS_PERCENT: u32 = 60;
-/// Upstreams of the new version that take requests at the same time while it is judged: few, so
-/// that they are loaded as they will be.
-const LOADED_UPSTREAMS: usize = 2;
+/// Upstreams of the new version that take requests at the same time while it is judged: one, so
+/// that it is loaded as all will be.
+const LOADED_UPSTREAMS: usize = 1;
 /// How often others take their place within a window.
-const TURNS: u64 = 6;
+const TURNS: u64 = 8;
 /// Of these, the latest that are judged by themselves.
 const LATEST_TURNS: u64 = 2;
 
@@ -125,6 +128,7 @@
 
 impl Progress {
     /// An order that this entry sees for the first time, so long after it was first seen anywhere.
+    /// `before` is what came of requests by route until then.
     #[must_use]
     pub fn new(
         order: Order,
@@ -132,6 +136,7 @@
         incarnation: u64,
         entries: usize,
         elapsed_ms: u64,
+        before: &IndexMap<u32, Part>,
         now_ms: u64,
     ) -> Self {
         // An entry that starts in the middle can't know what was spent before.
@@ -141,6 +146,10 @@
         } else {
             0.0
         };
+        let mut own = Tally::default();
+        for (route, part) in before {
+            own.add_old(*route, *part);
+        }
         Self {
             order,
             allowance,
@@ -150,7 +159,7 @@
             reason: Reason::Begun,
             holds: 0,
             exposure: Exposure::new(allowance, first),
-            own: Tally::default(),
+            own,
             next_counts: NextCounts::default(),
             others: IndexMap::new(),
             stages: IndexMap::new(),
@@ -437,9 +446,15 @@
 
     /// Whether no entry sends the old version anything and nothing runs there that would be lost.
     ///
-    /// An entry that is silent may still serve callers behind a cut, so the window is given to it.
+    /// Whether a version bears the whole load is seen only now, so the time that is left is given to
+    /// that. An entry that is silent may still serve callers behind a cut, so the window is given to it.
     fn has_run_out(&self, facts: &Facts, now_ms: u64) -> bool {
-        let is_over = self.elapsed_ms(now_ms) >= self.order.window_ms;
+        let elapsed_ms = self.elapsed_ms(now_ms);
+        let is_over = elapsed_ms >= self.order.window_ms;
+        let is_seen = elapsed_ms + LAST_WRITE_MS >= self.order.window_ms;
+        if !is_seen && self.reason != Reason::NothingToMove {
+            return false;
+        }
         let all_done = facts.heard.iter().all(|entry| {
             let stage = self.stages.get(entry);
             stage.is_some_and(|stage| stage.is_shifted && stage.fixed_at_old == 0)
--- a/lib/src/direct/rollout/tally.rs
+++ b/lib/src/direct/rollout/tally.rs
@@ -4,6 +4,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::direct::rollout::verdict::Part;
+
 /// Half octaves below the usual time that are told apart.
 const STEPS_BELOW: f64 = 6.0;
 /// Steps of time that are told apart, each the square root of two times the one before.
@@ -11,6 +13,9 @@
 /// Steps in an octave.
 pub const STEPS_PER_OCTAVE: f64 = 2.0;
 
+/// Stands for all upstreams of the old version that are not told apart.
+pub const OTHERS: u32 = 0;
+
 /// What a request came to at its upstream.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Outcome {
@@ -40,6 +45,23 @@
     }
 }
 
+impl Outcome {
+    /// The same without the time.
+    ///
+    /// ```
+    /// use sardinewood::direct::rollout::tally::Outcome;
+    ///
+    /// assert_eq!(Outcome::Took(3).untimed(), Outcome::Untimed);
+    /// ```
+    #[must_use]
+    pub fn untimed(self) -> Self {
+        match self {
+            Self::Failed => Self::Failed,
+            Self::Untimed | Self::Took(_) => Self::Untimed,
+        }
+    }
+}
+
 /// What is counted apart.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Cell {
@@ -88,6 +110,32 @@
         *self.counts.entry(cell).or_default() += 1;
     }
 
+    /// Adds requests of a route at upstreams of the old version that are not told apart.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::{tally::Tally, verdict::Part};
+    /// let mut tally = Tally::default();
+    /// tally.add_old(1, Part { requests: 9, spoiled: 2 });
+    /// assert_eq!(tally.iter().map(|(_, count)| count).sum::<u32>(), 9);
+    /// ```
+    pub fn add_old(&mut self, route: u32, part: Part) {
+        for (outcome, count) in [
+            (Outcome::Failed, part.spoiled),
+            (Outcome::Untimed, part.requests - part.spoiled),
+        ] {
+            let cell = Cell {
+                is_new: false,
+                upstream: OTHERS,
+                route,
+                turn: u8::MAX,
+                outcome,
+            };
+            if count > 0 {
+                *self.counts.entry(cell).or_default() += count;
+            }
+        }
+    }
+
     /// Takes the counts of a later or earlier state of the same tally.
     ///
     /// ```
--- a/lib/src/direct/rollout/verdict.rs
+++ b/lib/src/direct/rollout/verdict.rs
@@ -1,9 +1,9 @@
 //! Whether a version is bad, from what requests came to there and at the old version.
 //!
 //! Upstreams of one version differ in speed several times over, and a few of them fail by
-//! themselves. A version is bad if it is so wherever it runs: the worst half of its upstreams says
-//! nothing, and speed is compared between each upstream's requests, or between the fastest
-//! upstreams of both versions.
+//! themselves. A version is bad if it is so wherever it runs: what one upstream does counts only
+//! up to the odds that it is that upstream's own fault, and speed is compared between each
+//! upstream's requests, or between the fastest upstreams of both versions.
 
 use indexmap::IndexMap;
 
@@ -11,14 +11,23 @@
 use crate::direct::rollout::tally::Outcome;
 use crate::direct::rollout::tally::STEPS;
 use crate::direct::rollout::tally::STEPS_PER_OCTAVE;
+use crate::numbers;
 
 /// Likelihood ratio, as a logarithm, at which the new version counts as bad: one good version in
-/// ten thousand reaches it by chance.
-const BAD_RATIO_LN: f64 = 9.2;
+/// three thousand reaches it by chance.
+const BAD_RATIO_LN: f64 = 8.0;
 /// The same at which more evidence is waited for.
-const DOUBT_RATIO_LN: f64 = 2.0;
+const DOUBT_RATIO_LN: f64 = 4.5;
 /// Parts of all requests that a bad version may spoil beyond those that the old one does.
 const SPOILED_PARTS: [f64; 3] = [0.08, 0.25, 0.7];
+/// Odds that an upstream fails by itself, before any of the old version has been seen to, and what
+/// these odds count for, in upstreams.
+const FAULTY_PART: f64 = 0.01;
+const FAULTY_PRIOR: f64 = 12.0;
+/// Likelihood ratio, as a logarithm, from which an upstream of the old version counts as faulty.
+const FAULTY_RATIO_LN: f64 = 3.0;
+/// Parts of its requests that a faulty upstream may fail.
+const FAULTY_FAILED: [f64; 4] = [0.15, 0.4, 0.8, 0.97];
 /// Requests that the old version's part of failures begins with, and how many of them failed, so
 /// that a few good ones prove nothing.
 const PRIOR_REQUESTS: f64 = 30.0;
@@ -31,10 +40,12 @@
 const TIMED_AT_LEAST: u32 = 8;
 /// Steps beyond an upstream's own usual time from which a request took several times as long.
 const LONG_STEPS: u8 = 4;
-/// Upstreams of each version that have to be known to compare the fastest ones.
-const COMPARED_UPSTREAMS: usize = 3;
 /// Octaves by which the fastest upstream of the new version may be slower than that of the old.
 const SLOWER_OCTAVES: f64 = 1.2;
+/// Octaves within which an upstream of the old version is as slow, and the odds, as a logarithm,
+/// against having drawn only such.
+const AS_SLOW_OCTAVES: f64 = 0.3;
+const SLOWER_RATIO_LN: f64 = 5.0;
 
 /// What the evidence says.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -249,13 +260,14 @@
     pub fn verdict(&self, listed: usize) -> Verdict {
         let failing = self.failing_ln(listed);
         let slow_part = self.slow_part_ln(listed);
+        let slower = self.slower_ln();
         if failing >= BAD_RATIO_LN || self.fails_too_often() {
             Verdict::Failing
         } else if slow_part >= BAD_RATIO_LN {
             Verdict::PartlySlow
-        } else if self.is_slower(listed) {
+        } else if slower >= SLOWER_RATIO_LN {
             Verdict::Slow
-        } else if failing.max(slow_part) >= DOUBT_RATIO_LN {
+        } else if failing.max(slow_part) >= DOUBT_RATIO_LN || slower > 0.0 {
             Verdict::Doubtful
         } else {
             Verdict::Clean
@@ -264,23 +276,30 @@
 
     /// How much likelier the failures are if the version is bad, on all routes or on one of them.
     fn failing_ln(&self, listed: usize) -> f64 {
-        let new = better_half(&self.new, listed, |at| at.failed().share());
+        let mut before: IndexMap<u32, Part> = IndexMap::new();
         let old = without_worst(&self.old, |at| at.failed().share());
-        let mut routes: IndexMap<u32, (Part, Part)> = IndexMap::new();
-        for (route, part) in new.iter().flat_map(|at| &at.failures) {
-            routes.entry(*route).or_default().0.add(*part);
-        }
         for (route, part) in old.iter().flat_map(|at| &at.failures) {
-            routes.entry(*route).or_default().1.add(*part);
+            before.entry(*route).or_default().add(*part);
         }
-        let one_of = crate::numbers::as_f64(routes.len().max(1) as u64).ln();
-        let per_route: Vec<[f64; 3]> = routes
-            .values()
-            .map(|(new, old)| SPOILED_PARTS.map(|spoiled| ratio_ln(*new, *old, spoiled)))
-            .collect();
-        let on_all = (0..SPOILED_PARTS.len()).map(|at| per_route.iter().map(|ln| ln[at]).sum());
-        let on_one = per_route.iter().flatten().map(|ln| ln - one_of);
-        on_all.chain(on_one).fold(0.0, f64::max)
+        let usual = |route: &u32| usual_share(before.get(route).copied().unwrap_or_default());
+        let parts = |at: &AtUpstream, only: Option<u32>| -> Vec<(Part, f64)> {
+            at.failures
+                .iter()
+                .filter(|(route, _)| only.is_none_or(|only| only == **route))
+                .map(|(route, part)| (*part, usual(route)))
+                .collect()
+        };
+        let at_old: Vec<_> = self.old.values().map(|at| parts(at, None)).collect();
+        let faulty_part = faulty_part(&at_old, listed);
+        let ratio = |only: Option<u32>| {
+            let all: Vec<_> = self.new.values().map(|at| parts(at, only)).collect();
+            ratio_ln(&all, faulty_part)
+        };
+        let mut routes: Vec<u32> = self.by_route().keys().copied().collect();
+        routes.sort_unstable();
+        let one_of = numbers::as_f64(routes.len().max(1) as u64).ln();
+        let on_one = routes.into_iter().map(|route| ratio(Some(route)) - one_of);
+        on_one.chain([ratio(None)]).fold(0.0, f64::max)
     }
 
     /// Whether so many requests have failed that no more may be waited for, whichever upstreams it
@@ -292,39 +311,46 @@
 
     /// How much likelier the long answers are if a part of them is slow by the version's fault.
     fn slow_part_ln(&self, listed: usize) -> f64 {
-        let new = better_half(&self.new, listed, |at| at.long().share());
-        let old = without_worst(&self.old, |at| at.long().share());
-        let sum = |all: &[&AtUpstream]| {
-            let mut part = Part::default();
-            for at in all {
-                part.add(at.long());
-            }
-            part
-        };
-        let (new, old) = (sum(&new), sum(&old));
-        if old.requests == 0 {
+        let mut before = Part::default();
+        for at in without_worst(&self.old, |at| at.long().share()) {
+            before.add(at.long());
+        }
+        if before.requests == 0 {
             return 0.0;
         }
-        let ratios = SPOILED_PARTS.map(|spoiled| ratio_ln(new, old, spoiled));
-        ratios.into_iter().fold(0.0, f64::max)
+        let usual = usual_share(before);
+        let all: Vec<_> = self
+            .new
+            .values()
+            .map(|at| vec![(at.long(), usual)])
+            .collect();
+        let at_old: Vec<_> = self
+            .old
+            .values()
+            .map(|at| vec![(at.long(), usual)])
+            .collect();
+        ratio_ln(&all, faulty_part(&at_old, listed))
     }
 
-    /// Whether the fastest upstream of the new version is several times slower than that of the old.
-    fn is_slower(&self, listed: usize) -> bool {
+    /// How unlikely it is, as a logarithm, that only upstreams have been tried that are as slow by
+    /// themselves; 0 if the fastest of the new version is not several times slower than the fastest
+    /// of the old one.
+    fn slower_ln(&self) -> f64 {
         let octaves = |side: &IndexMap<u32, AtUpstream>| -> Vec<f64> {
             side.values().filter_map(AtUpstream::octaves).collect()
         };
         let (new, old) = (octaves(&self.new), octaves(&self.old));
-        let enough = |known: &[f64], there: usize| known.len() >= COMPARED_UPSTREAMS.min(there);
-        if new.is_empty()
-            || old.is_empty()
-            || !enough(&new, listed)
-            || !enough(&old, self.old.len())
-        {
-            return false;
-        }
         let fastest = |all: &[f64]| all.iter().copied().fold(f64::INFINITY, f64::min);
-        fastest(&new) - fastest(&old) >= SLOWER_OCTAVES
+        let at_best = fastest(&new);
+        if new.is_empty() || old.is_empty() || at_best - fastest(&old) < SLOWER_OCTAVES {
+            return 0.0;
+        }
+        let as_slow = old
+            .iter()
+            .filter(|octaves| **octaves + AS_SLOW_OCTAVES >= at_best);
+        let as_slow = numbers::as_f64(as_slow.count() as u64) + 0.5;
+        let part = as_slow / (numbers::as_f64(old.len() as u64) + 1.0);
+        -numbers::as_f64(new.len() as u64) * part.ln()
     }
 }
 
@@ -336,46 +362,67 @@
     all
 }
 
-/// The upstreams without the worst half of those that have been tried, one at least: while only one
-/// of several has been, there are none.
-fn better_half(
-    side: &IndexMap<u32, AtUpstream>,
-    listed: usize,
-    spoiled: impl Fn(&AtUpstream) -> f64,
-) -> Vec<&AtUpstream> {
-    let worst = if listed > 1 {
-        (side.len() / 2).max(1)
-    } else {
-        0
-    };
-    without(side, worst.min(side.len()), spoiled)
-}
-
 /// The upstreams of the old version without the worst third.
 fn without_worst(
     side: &IndexMap<u32, AtUpstream>,
     spoiled: impl Fn(&AtUpstream) -> f64,
-) -> Vec<&AtUpstream> {
-    without(side, side.len() / 3, spoiled)
-}
-
-fn without(
-    side: &IndexMap<u32, AtUpstream>,
-    worst: usize,
-    spoiled: impl Fn(&AtUpstream) -> f64,
 ) -> Vec<&AtUpstream> {
     let mut all: Vec<&AtUpstream> = side.values().collect();
     all.sort_by(|one, other| spoiled(other).total_cmp(&spoiled(one)));
-    all.split_off(worst)
+    all.split_off(side.len() / 3)
+}
+
+/// The part that is usually spoiled, at least a little.
+fn usual_share(old: Part) -> f64 {
+    let requests = f64::from(old.requests) + PRIOR_REQUESTS;
+    let share = (f64::from(old.spoiled) + PRIOR_FAILED) / requests;
+    // It is known only so well.
+    (share + (share * (1.0 - share) / requests).sqrt()).clamp(0.01, 0.9)
+}
+
+/// How much likelier the requests at all upstreams are, as a logarithm, if the version spoils a part
+/// of them. Each upstream's come with the part that is usually spoiled.
+fn ratio_ln(upstreams: &[Vec<(Part, f64)>], faulty_part: f64) -> f64 {
+    let of_all = |spoiled: f64| -> f64 {
+        let ratios = upstreams.iter().map(|parts| {
+            let good_ln = likelihood_ln(parts, 0.0);
+            let bad_ln = likelihood_ln(parts, spoiled);
+            let faulty = FAULTY_FAILED.map(|failed| likelihood_ln(parts, failed));
+            let most = faulty.into_iter().fold(good_ln.max(bad_ln), f64::max);
+            let faulty: f64 = faulty.map(|ln| (ln - most).exp()).into_iter().sum();
+            let faulty = faulty_part * faulty / numbers::as_f64(FAULTY_FAILED.len() as u64);
+            let of = |ln: f64| (1.0 - faulty_part) * (ln - most).exp() + faulty;
+            // Neither becomes 0, however unlikely it is.
+            of(bad_ln).max(f64::MIN_POSITIVE).ln() - of(good_ln).max(f64::MIN_POSITIVE).ln()
+        });
+        ratios.sum()
+    };
+    SPOILED_PARTS.map(of_all).into_iter().fold(0.0, f64::max)
 }
 
-/// How much likelier the new version's requests are, as a logarithm, if it spoils a part of them
-/// beyond what the old one does.
-fn ratio_ln(new: Part, old: Part, spoiled: f64) -> f64 {
-    let before =
-        (f64::from(old.spoiled) + PRIOR_FAILED) / (f64::from(old.requests) + PRIOR_REQUESTS);
-    let before = before.clamp(0.01, 0.9);
-    let after = before + (1.0 - before) * spoiled;
-    let whole = f64::from(new.requests - new.spoiled);
-    f64::from(new.spoiled) * (after / before).ln() + whole * ((1.0 - after) / (1.0 - before)).ln()
+/// The odds that an upstream fails by itself, from those of the old version. While there is only one
+/// upstream of the new version, its faults are the version's.
+fn faulty_part(old: &[Vec<(Part, f64)>], listed: usize) -> f64 {
+    if listed <= 1 {
+        return 0.0;
+    }
+    let is_faulty = |parts: &&Vec<(Part, f64)>| {
+        let good_ln = likelihood_ln(parts, 0.0);
+        let ratios = FAULTY_FAILED.map(|failed| likelihood_ln(parts, failed) - good_ln);
+        ratios.into_iter().fold(f64::NEG_INFINITY, f64::max) >= FAULTY_RATIO_LN
+    };
+    let faulty = numbers::as_f64(old.iter().filter(is_faulty).count() as u64);
+    let seen = numbers::as_f64(old.len() as u64);
+    (faulty + FAULTY_PART * FAULTY_PRIOR) / (seen + FAULTY_PRIOR)
+}
+
+/// How likely the requests at one upstream are, as a logarithm, if so large a part of those is
+/// spoiled that usually are not.
+fn likelihood_ln(parts: &[(Part, f64)], beyond: f64) -> f64 {
+    let of = |(part, usual): &(Part, f64)| {
+        let spoiled = usual + (1.0 - usual) * beyond;
+        let whole = f64::from(part.requests - part.spoiled);
+        f64::from(part.spoiled) * spoiled.ln() + whole * (1.0 - spoiled).ln()
+    };
+    parts.iter().map(of).sum()
 }
