--- a/ctl/src/story.rs
+++ b/ctl/src/story.rs
@@ -148,14 +148,14 @@
     Ok(story)
 }
 
-/// Names and fingerprints of the requests that a line is about.
+/// Names and fingerprints of the requests that a line is about, and the name of its roll-out.
 fn names(fields: &Map<String, Value>) -> Vec<&str> {
     let inputs = fields.get("inputs").and_then(Value::as_object);
     let runs = fields.get("runs").and_then(Value::as_array);
     let runs = runs.into_iter().flatten().filter_map(Value::as_object);
     let places = [Some(fields), inputs].into_iter().flatten().chain(runs);
     places
-        .flat_map(|place| [place.get("request"), place.get("fingerprint")])
+        .flat_map(|place| ["request", "fingerprint", "rollout"].map(|name| place.get(name)))
         .filter_map(|name| name.and_then(Value::as_str))
         .collect()
 }
--- a/lib/src/direct/figures.rs
+++ b/lib/src/direct/figures.rs
@@ -42,6 +42,10 @@
     pub kept_tokens: IntCounterVec,
     /// Upstreams that ended in the middle of this entry's runs, by service.
     pub upstream_ends: IntCounterVec,
+    /// Requests that judged a new version, by service.
+    pub trials: IntCounterVec,
+    /// Roll-outs that left a phase, as this entry decided, by service and reason.
+    pub rollouts_decided: IntCounterVec,
     /// Requests sent to a second upstream.
     pub second_attempts: IntCounter,
     /// Streams that went on at a second upstream.
@@ -107,6 +111,16 @@
                 &["service", "tier", "size", "end"],
             )?,
             refusals: counters("refusals_total", "Answers of our own.", &["reason"])?,
+            trials: counters(
+                "trials_total",
+                "Requests that judged a new version.",
+                &["service"],
+            )?,
+            rollouts_decided: counters(
+                "rollouts_decided_total",
+                "Roll-outs that left a phase.",
+                &["service", "reason"],
+            )?,
             failed_attempts: counters("failed_attempts_total", "Failed attempts.", &["reason"])?,
             prompt_tokens: counters(
                 "prompt_tokens_total",
@@ -155,6 +169,8 @@
             &self.prompt_tokens,
             &self.kept_tokens,
             &self.upstream_ends,
+            &self.trials,
+            &self.rollouts_decided,
         ] {
             self.registry.register(Box::new(counters.clone()))?;
         }
--- a/lib/src/direct/links/orders.rs
+++ b/lib/src/direct/links/orders.rs
@@ -180,8 +180,7 @@
             }
             let line = |level, message| {
                 Line::new(level, message)
-                    .field("service", &order.id.service)
-                    .field("to", &order.id.to)
+                    .field("rollout", order.id.to_string())
                     .field("status", status.name())
                     .revision(order.revision)
             };
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -12,3 +12,4 @@
 pub mod quarantine_page;
 pub mod refusal;
 pub mod relay;
+pub mod rollout_page;
--- a/lib/src/direct/request/front.rs
+++ b/lib/src/direct/request/front.rs
@@ -21,6 +21,7 @@
 
 use crate::direct::request::exchange;
 use crate::direct::request::quarantine_page;
+use crate::direct::request::rollout_page;
 use crate::direct::traffic::Traffic;
 use crate::direct::view::catalog::DEFAULT_IDLE_TIMEOUT_MS;
 use crate::logging::Level;
@@ -31,6 +32,8 @@
 const METRICS_PATH: &str = "/metrics";
 /// Path of what is known of requests under which upstreams ended.
 const QUARANTINE_PATH: &str = "/quarantine";
+/// Path of the roll-outs.
+const ROLLOUTS_PATH: &str = "/rollouts";
 
 /// Serves callers until the process ends.
 pub async fn serve_callers(listener: TcpListener, traffic: Rc<Traffic>) {
@@ -115,8 +118,8 @@
     .await;
 }
 
-/// Serves the counters and histograms, and what is known of requests under which upstreams ended,
-/// until the process ends.
+/// Serves the counters and histograms, what is known of requests under which upstreams ended, and
+/// the roll-outs, until the process ends.
 pub async fn serve_figures(listener: TcpListener, traffic: Rc<Traffic>) {
     serve_page(listener, traffic, |traffic, request| {
         let path = request.uri().path();
@@ -124,8 +127,11 @@
             traffic.set_gauges();
             return Response::new(traffic.figures.text().into());
         }
-        match path.strip_prefix(QUARANTINE_PATH) {
-            Some(rest) => quarantine_page::answer(traffic, request.method(), rest),
+        if let Some(rest) = path.strip_prefix(QUARANTINE_PATH) {
+            return quarantine_page::answer(traffic, request.method(), rest);
+        }
+        match path.strip_prefix(ROLLOUTS_PATH) {
+            Some(rest) => rollout_page::answer(traffic, request.method(), rest),
             None => status_only(StatusCode::NOT_FOUND),
         }
     })
--- /dev/null
+++ b/lib/src/direct/request/rollout_page.rs
@@ -0,0 +1,67 @@
+//! What operators see of roll-outs, and how they hold one, let it go on, or give it up.
+
+use bytes::Bytes;
+use http::Method;
+use http::Response;
+use http::StatusCode;
+use http_body_util::Full;
+use serde_json::Value;
+
+use crate::direct::rolling::Command;
+use crate::direct::traffic::Traffic;
+
+const USAGE: &str = "GET /rollouts, or POST /rollouts/SERVICE/hold, /resume or /revert\n";
+
+/// Answers a call to the page: `GET` lists all; `POST` with a service and what to do does that, at
+/// every entry.
+pub fn answer(traffic: &Traffic, method: &Method, rest: &str) -> Response<Full<Bytes>> {
+    let command = rest.strip_prefix('/').and_then(parse);
+    match (method, rest, command) {
+        (&Method::GET, "" | "/", _) => list(traffic),
+        (&Method::POST, _, Some((service, command))) => {
+            if traffic.command_rollout(service, command) {
+                said(
+                    StatusCode::OK,
+                    "done, here and at all entries that are heard\n",
+                )
+            } else {
+                said(
+                    StatusCode::NOT_FOUND,
+                    "no roll-out of this service is in progress, or it is so already\n",
+                )
+            }
+        }
+        (&Method::POST, _, None) => said(StatusCode::BAD_REQUEST, USAGE),
+        (&Method::GET, _, _) => said(StatusCode::NOT_FOUND, USAGE),
+        _ => said(StatusCode::METHOD_NOT_ALLOWED, USAGE),
+    }
+}
+
+fn parse(rest: &str) -> Option<(&str, Command)> {
+    let (service, command) = rest.rsplit_once('/')?;
+    let command = match command {
+        "hold" => Command::Hold,
+        "resume" => Command::Resume,
+        "revert" => Command::Revert,
+        _ => return None,
+    };
+    Some((service, command))
+}
+
+fn list(traffic: &Traffic) -> Response<Full<Bytes>> {
+    let states = traffic.rollouts.borrow().states(traffic.now_ms());
+    let pages: Vec<Value> = states
+        .iter()
+        .map(|state| traffic.rollout_page(&state.order.id.service))
+        .collect();
+    match serde_json::to_string_pretty(&pages) {
+        Ok(text) => Response::new(format!("{text}\n").into()),
+        Err(error) => said(StatusCode::INTERNAL_SERVER_ERROR, &error.to_string()),
+    }
+}
+
+fn said(status: StatusCode, text: &str) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(text.to_owned()));
+    *response.status_mut() = status;
+    response
+}
--- a/lib/src/direct/rolling.rs
+++ b/lib/src/direct/rolling.rs
@@ -8,6 +8,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexSet;
 use serde_json::Value;
 use serde_json::json;
 use tokio::sync::mpsc::UnboundedSender;
@@ -31,10 +32,11 @@
 use crate::direct::rollout::report::RolloutMessage;
 use crate::direct::rollout::report::judges;
 use crate::direct::rollout::verdict::Part;
-use crate::direct::server::plain_services;
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
+use crate::direct::view::catalog::Catalog;
+use crate::direct::view::directory::Upstream;
 use crate::logging::Level;
 use crate::numbers;
 
@@ -45,6 +47,27 @@
 /// room for them as well.
 const TRIAL_WAIT_MS: u64 = 60;
 
+/// What an operator wants of a roll-out.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// It is not shifted until it is let go on.
+    Hold,
+    /// It goes on.
+    Resume,
+    /// The new version is given up.
+    Revert,
+}
+
+impl Command {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Hold => "hold",
+            Self::Resume => "resume",
+            Self::Revert => "revert",
+        }
+    }
+}
+
 /// The statuses that are to be written.
 pub type DueStatuses = UnboundedSender<(Order, Status)>;
 
@@ -93,15 +116,14 @@
         );
         for id in new {
             self.log(Level::Info, "roll-out ordered", |line| {
-                line.field("service", &id.service).field("to", &id.to)
+                line.field("rollout", id.to_string())
             });
         }
         for order in known {
             let is_gone = self.rollouts.borrow().order(&order.id.service).is_none();
             if is_gone {
                 self.log(Level::Warn, "roll-out withdrawn", |line| {
-                    line.field("service", &order.id.service)
-                        .field("to", &order.id.to)
+                    line.field("rollout", order.id.to_string())
                 });
                 self.tell_all_rollout(RolloutMessage::Withdrawn {
                     id: order.id,
@@ -197,6 +219,41 @@
         }
     }
 
+    /// Does what an operator wants of a service's roll-out; whether that changed anything.
+    pub fn command_rollout(&self, service: &str, command: Command) -> bool {
+        let now_ms = self.now_ms();
+        let mut book = self.rollouts.borrow_mut();
+        let all = match command {
+            Command::Hold => book.hold(service, true, now_ms),
+            Command::Resume => book.hold(service, false, now_ms),
+            Command::Revert => book.reject(service, now_ms),
+        };
+        drop(book);
+        if all.is_empty() {
+            return false;
+        }
+        self.log(Level::Warn, "operator decided on a roll-out", |line| {
+            line.field("rollout", self.rollout_name(service))
+                .field("command", command.name())
+        });
+        for next in all {
+            match next {
+                Next::Tell(state) => self.tell_all_rollout(RolloutMessage::State(state)),
+                Next::Place => self.place_versions(),
+                Next::Log(reason) => self.log_rollout(service, reason),
+                Next::Report(_) | Next::Write(_) => {}
+            }
+        }
+        true
+    }
+
+    /// A service's order as logs name it.
+    fn rollout_name(&self, service: &str) -> String {
+        let book = self.rollouts.borrow();
+        let order = book.order(service).map(Progress::order);
+        order.map_or_else(String::new, |order| order.id.to_string())
+    }
+
     fn tell_all_rollout(&self, message: RolloutMessage) {
         let message = Message::Rollout(message);
         let targets: Vec<SocketAddr> = self.peers.borrow().targets().collect();
@@ -207,8 +264,12 @@
 
     fn log_rollout(&self, service: &str, reason: Reason) {
         let page = self.rollout_page(service);
+        let decided = &self.figures.rollouts_decided;
+        decided.with_label_values(&[service, reason.name()]).inc();
         self.log(Level::Warn, "roll-out decided", |line| {
-            line.field("reason", reason.name()).field("rollout", page)
+            line.field("rollout", self.rollout_name(service))
+                .field("reason", reason.name())
+                .field("evidence", page)
         });
     }
 
@@ -226,8 +287,8 @@
             .by_route()
             .into_iter()
             .map(|(route, (new, old))| {
-                let named = names.iter().find(|name| short_name(name) == route);
-                let name = named.map_or_else(|| route.to_string(), ToString::to_string);
+                let known = names.iter().find(|name| short_name(name) == route);
+                let name = known.map_or_else(|| route.to_string(), ToString::to_string);
                 (name, json!({"new": part(new), "old": part(old)}))
             })
             .collect();
@@ -292,6 +353,8 @@
                 ..job
             };
             if let Turn::Start(lease) = self.turn(trial).await {
+                let trials = &self.figures.trials;
+                trials.with_label_values(&[&*call.service]).inc();
                 return Turn::Start(lease);
             }
         }
@@ -326,3 +389,16 @@
         book.came(&lease.upstream, &call.route.name, came);
     }
 }
+
+/// Short names of the upstreams that are no engines, as far as the configuration says so.
+fn plain_services(upstreams: &[Arc<Upstream>], catalog: Option<&Catalog>) -> IndexSet<u32> {
+    let Some(catalog) = catalog else {
+        return IndexSet::new();
+    };
+    let service_of = |upstream: &Upstream| catalog.services.get(&upstream.service);
+    upstreams
+        .iter()
+        .filter(|upstream| service_of(upstream).is_some_and(|service| !service.is_engine))
+        .map(|upstream| short_name(&upstream.instance))
+        .collect()
+}
--- a/lib/src/direct/rollout/order.rs
+++ b/lib/src/direct/rollout/order.rs
@@ -1,5 +1,6 @@
 //! What operators ask for, and how far it has come.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::Deserialize;
@@ -60,6 +61,12 @@
     pub created: u64,
 }
 
+impl fmt::Display for OrderId {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{}:{}", self.service, self.to)
+    }
+}
+
 /// An operator's order to move a service to another version.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -30,8 +30,13 @@
 const REPORT_MS: u64 = 100;
 const STATE_MS: u64 = 300;
 const PER_ENTRY_MS: u64 = 2;
+/// Shortest pause between two verdicts.
+const VERDICT_MS: u64 = 100;
 /// How much later each judge writes than the one before it, so that usually one does.
 const TURN_MS: u64 = 400;
+/// Time without any upstream of the old version after which there is nothing to move. Entries of
+/// live upstreams that an outage of the store took are back by then.
+const NO_OLD_MS: u64 = 3_000;
 /// Time before the end of the window at which the last status is written.
 const LAST_WRITE_MS: u64 = 200;
 /// Pause after a write whose outcome is not known.
@@ -117,6 +122,7 @@
     stages: IndexMap<SocketAddr, Stage>,
     verdict: Verdict,
     is_evidence_new: bool,
+    verdict_at_ms: u64,
     judged_at_ms: u64,
     entered_at_ms: u64,
     state_at_ms: u64,
@@ -124,6 +130,8 @@
     wrote_at_ms: Option<u64>,
     turn: u64,
     is_early: bool,
+    /// When an upstream of the old version was last listed, or the order first seen.
+    old_seen_ms: u64,
 }
 
 impl Progress {
@@ -165,6 +173,7 @@
             stages: IndexMap::new(),
             verdict: Verdict::Clean,
             is_evidence_new: false,
+            verdict_at_ms: 0,
             judged_at_ms: now_ms,
             entered_at_ms: now_ms,
             state_at_ms: 0,
@@ -172,6 +181,7 @@
             wrote_at_ms: None,
             turn: 0,
             is_early: false,
+            old_seen_ms: now_ms,
         }
     }
 
@@ -347,7 +357,10 @@
         if facts.rank.is_some() {
             self.judged_at_ms = now_ms;
         }
-        if std::mem::take(&mut self.is_evidence_new) && self.phase != Phase::Rejected {
+        let is_due = self.is_evidence_new && now_ms >= self.verdict_at_ms + VERDICT_MS;
+        if is_due && self.phase != Phase::Rejected {
+            self.is_evidence_new = false;
+            self.verdict_at_ms = now_ms;
             self.verdict = self.judge(facts.new_upstreams);
         }
         let mut next = self.decide(facts, now_ms);
@@ -386,7 +399,10 @@
         }
         let elapsed_ms = self.elapsed_ms(now_ms);
         let window_ms = self.order.window_ms;
-        if facts.old_slots == 0 && facts.new_slots > 0 {
+        if facts.old_slots > 0 {
+            self.old_seen_ms = now_ms;
+        }
+        if facts.new_slots > 0 && now_ms >= self.old_seen_ms + NO_OLD_MS {
             return self.change(Phase::Shifting, Reason::NothingToMove, now_ms);
         }
         if elapsed_ms + self.allowance.shift_ms(window_ms) < window_ms {
--- a/lib/src/direct/rollout/verdict.rs
+++ b/lib/src/direct/rollout/verdict.rs
@@ -14,8 +14,8 @@
 use crate::numbers;
 
 /// Likelihood ratio, as a logarithm, at which the new version counts as bad: one good version in
-/// three thousand reaches it by chance.
-const BAD_RATIO_LN: f64 = 8.0;
+/// ten thousand reaches it by chance at any one moment.
+const BAD_RATIO_LN: f64 = 9.5;
 /// The same at which more evidence is waited for.
 const DOUBT_RATIO_LN: f64 = 4.5;
 /// Parts of all requests that a bad version may spoil beyond those that the old one does.
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -4,12 +4,10 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
 use eyre::Context;
-use indexmap::IndexSet;
 use tokio::net::TcpListener;
 use tokio::net::UdpSocket;
 use tokio::runtime;
@@ -37,7 +35,6 @@
 use crate::direct::links::pull;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
-use crate::direct::placement::dispatch::short_name;
 use crate::direct::quarantine::spread;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::front;
@@ -50,8 +47,6 @@
 use crate::direct::sharing::allotment::Tolerance;
 use crate::direct::sharing::attempt_budget::AttemptLimits;
 use crate::direct::traffic::Traffic;
-use crate::direct::view::catalog::Catalog;
-use crate::direct::view::directory::Upstream;
 use crate::direct::view::replica::Decoders;
 use crate::direct::view::replica::View;
 use crate::findings::Findings;
@@ -110,7 +105,7 @@
     /// Nothing has changed.
     Same,
     /// They have changed.
-    Changed(DirectSettings),
+    Changed(Box<DirectSettings>),
     /// They can't be used; the last ones stay.
     Bad(Findings),
 }
@@ -295,7 +290,7 @@
             Reload::Changed(new) => {
                 take_settings(&settings, &new, &traffic);
                 stop_within.set(new.stop_within);
-                settings = new;
+                settings = *new;
             }
         }
     }
@@ -343,19 +338,6 @@
     Line::new(Level::Error, "the control thread has ended").send();
 }
 
-/// Short names of the upstreams that are no engines, as far as the configuration says so.
-pub fn plain_services(upstreams: &[Arc<Upstream>], catalog: Option<&Catalog>) -> IndexSet<u32> {
-    let Some(catalog) = catalog else {
-        return IndexSet::new();
-    };
-    let service_of = |upstream: &Upstream| catalog.services.get(&upstream.service);
-    upstreams
-        .iter()
-        .filter(|upstream| service_of(upstream).is_some_and(|service| !service.is_engine))
-        .map(|upstream| short_name(&upstream.instance))
-        .collect()
-}
-
 async fn sweep(traffic: Rc<Traffic>) {
     loop {
         sleep(SWEEP_PERIOD).await;
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -29,6 +29,7 @@
 mod test_direct_keepers;
 mod test_direct_replica;
 mod test_direct_report;
+mod test_direct_rollout;
 mod test_direct_shared_start;
 mod test_direct_shares;
 mod test_direct_size_floor;
--- /dev/null
+++ b/lib/tests/test_direct_rollout.rs
@@ -0,0 +1,490 @@
+//! Orders to move a service to another version, as one entry or a few decide, without a network.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use sardinewood::direct::placement::dispatch::short_name;
+use sardinewood::direct::rollout::book::Book;
+use sardinewood::direct::rollout::book::Came;
+use sardinewood::direct::rollout::exposure::Allowance;
+use sardinewood::direct::rollout::exposure::Exposure;
+use sardinewood::direct::rollout::order::Order;
+use sardinewood::direct::rollout::order::OrderId;
+use sardinewood::direct::rollout::order::Status;
+use sardinewood::direct::rollout::progress::Facts;
+use sardinewood::direct::rollout::progress::Lane;
+use sardinewood::direct::rollout::progress::Next;
+use sardinewood::direct::rollout::progress::Progress;
+use sardinewood::direct::rollout::report::Phase;
+use sardinewood::direct::rollout::report::Reason;
+use sardinewood::direct::rollout::report::RolloutMessage;
+use sardinewood::direct::rollout::tally::Cell;
+use sardinewood::direct::rollout::tally::Outcome;
+use sardinewood::direct::rollout::verdict::Evidence;
+use sardinewood::direct::rollout::verdict::Verdict;
+use sardinewood::direct::rollout::versions::Versions;
+use sardinewood::direct::view::directory::Upstream;
+
+use crate::direct_fixture;
+
+const ALLOWANCE: Allowance = Allowance {
+    share: 0.1,
+    slack: 50.0,
+};
+const WINDOW_MS: u64 = 12_000;
+
+/// An upstream of a version; its entry is as old as its number.
+fn upstream(number: u64, version: &str) -> Arc<Upstream> {
+    let name = format!("{version}-{number}");
+    Arc::new(Upstream {
+        version: version.into(),
+        revision: number,
+        ..Upstream::clone(&direct_fixture::upstream(&name, 4))
+    })
+}
+
+/// Upstreams of the old version, and as many of the new one.
+fn both(count: u64) -> Vec<Arc<Upstream>> {
+    let old = (1..=count).map(|number| upstream(number, "v1"));
+    let new = (1..=count).map(|number| upstream(100 + number, "v2"));
+    old.chain(new).collect()
+}
+
+fn order(revision: u64, status: Status) -> Order {
+    Order {
+        id: OrderId {
+            service: "pool".into(),
+            to: "v2".into(),
+            created: 7,
+        },
+        window_ms: WINDOW_MS,
+        revision,
+        status,
+    }
+}
+
+/// A book that knows four upstreams of each version, and the order.
+fn ordered() -> Book {
+    let mut book = Book::new(Some(ALLOWANCE), 1);
+    book.set_upstreams(&both(4));
+    book.take_orders(&[order(10, Status::Ordered)], 10, 1, 0);
+    book
+}
+
+/// An entry that judges, with these others.
+fn judge(heard: &[SocketAddr]) -> Facts {
+    Facts {
+        rank: Some(0),
+        heard: heard.to_vec(),
+        ..Facts::default()
+    }
+}
+
+fn versions_used(book: &mut Book, now_ms: u64) -> Vec<(Arc<str>, bool)> {
+    let placement = book.placement(now_ms);
+    let mut used: Vec<(Arc<str>, bool)> = placement
+        .usable
+        .iter()
+        .map(|up| {
+            (
+                Arc::clone(&up.version),
+                placement.trials.contains(&up.instance),
+            )
+        })
+        .collect();
+    used.sort();
+    used.dedup();
+    used
+}
+
+fn other() -> SocketAddr {
+    "10.0.0.2:7".parse().expect("an address")
+}
+
+/// Requests at upstreams of the new version, and as many at the old ones, all on one route.
+fn evidence(new: &[(u32, u32)], old: &[(u32, u32)]) -> Evidence {
+    let mut evidence = Evidence::default();
+    for (is_new, parts) in [(true, new), (false, old)] {
+        for (upstream, (whole, failed)) in (1..).zip(parts) {
+            let cell = |outcome| Cell {
+                is_new,
+                upstream,
+                route: 1,
+                turn: 0,
+                outcome,
+            };
+            evidence.add(cell(Outcome::Took(6)), *whole);
+            evidence.add(cell(Outcome::Failed), *failed);
+        }
+    }
+    evidence
+}
+
+#[test]
+fn verdict_one_faulty_upstream_is_no_version() {
+    // Guards against giving up a good version since one of its upstreams fails by itself.
+    let judged = evidence(
+        &[(2, 14), (15, 0), (15, 0)],
+        &[(100, 1), (100, 0), (100, 0)],
+    );
+    assert!(!judged.verdict(4).is_bad());
+}
+
+#[test]
+fn verdict_failing_everywhere_is_bad() {
+    // Guards against shifting to a version of which two in five requests fail.
+    let judged = evidence(&[(5, 4), (6, 3), (5, 4)], &[(100, 1), (100, 0), (100, 0)]);
+    assert_eq!(judged.verdict(4), Verdict::Failing);
+}
+
+#[test]
+fn verdict_failures_as_usual_are_no_fault() {
+    // Guards against a verdict from a route of which one in seven requests fails on any version.
+    let judged = evidence(
+        &[(26, 4), (25, 5), (27, 3)],
+        &[(86, 14), (85, 15), (88, 12)],
+    );
+    assert_eq!(judged.verdict(4), Verdict::Clean);
+}
+
+#[test]
+fn verdict_slow_upstreams_of_both_versions_are_no_fault() {
+    // Guards against a verdict from upstreams that are four times slower, as some of each version are.
+    let mut judged = Evidence::default();
+    for (is_new, upstream, step) in [
+        (true, 1, 10),
+        (true, 2, 10),
+        (true, 3, 6),
+        (false, 1, 6),
+        (false, 2, 6),
+        (false, 3, 10),
+    ] {
+        let cell = Cell {
+            is_new,
+            upstream,
+            route: 1,
+            turn: 0,
+            outcome: Outcome::Took(step),
+        };
+        judged.add(cell, 20);
+    }
+    assert_eq!(judged.verdict(4), Verdict::Clean);
+}
+
+#[test]
+fn verdict_all_slower_is_bad() {
+    // Guards against shifting to a version whose requests all take eight times as long.
+    let mut judged = Evidence::default();
+    for upstream in 1..=6 {
+        for (is_new, step) in [(true, 12), (false, 6)] {
+            let cell = Cell {
+                is_new,
+                upstream,
+                route: 1,
+                turn: 0,
+                outcome: Outcome::Took(step),
+            };
+            judged.add(cell, 20);
+        }
+    }
+    assert_eq!(judged.verdict(6), Verdict::Slow);
+}
+
+#[test]
+fn verdict_part_slower_is_bad() {
+    // Guards against shifting to a version of which two in five requests take six times as long.
+    let mut judged = Evidence::default();
+    for upstream in 1..=4 {
+        for (is_new, step, count) in [(true, 6, 12), (true, 11, 8), (false, 6, 60)] {
+            let cell = Cell {
+                is_new,
+                upstream,
+                route: 1,
+                turn: 0,
+                outcome: Outcome::Took(step),
+            };
+            judged.add(cell, count);
+        }
+    }
+    assert_eq!(judged.verdict(4), Verdict::PartlySlow);
+}
+
+#[test]
+fn versions_listed_before_its_order_gets_nothing() {
+    // Guards against requests at a version whose order can't be read yet, also after a restart.
+    let mut book = Book::new(Some(ALLOWANCE), 1);
+    book.set_upstreams(&both(4));
+    assert_eq!(versions_used(&mut book, 0), [("v1".into(), false)]);
+}
+
+#[test]
+fn versions_meaning_nothing_all_serve() {
+    // Guards against upstreams left out on a platform that knows no roll-outs.
+    let mut book = Book::new(None, 1);
+    book.set_upstreams(&both(4));
+    book.take_orders(&[order(10, Status::Completed)], 10, 1, 0);
+    let used = versions_used(&mut book, 0);
+    assert_eq!(used, [("v1".into(), false), ("v2".into(), false)]);
+}
+
+#[test]
+fn versions_completed_order_serves_alone() {
+    // Guards against an entry that starts after a roll-out and goes back to the old version.
+    let mut versions = Versions::default();
+    versions.update(&both(2), &[order(10, Status::Completed)]);
+    assert_eq!(
+        versions.serving("pool").map(|version| &**version),
+        Some("v2")
+    );
+}
+
+#[test]
+fn versions_reverted_order_never_serves() {
+    // Guards against a version that was given up and serves since the old one restarted.
+    let mut versions = Versions::default();
+    let restarted = [upstream(500, "v1"), upstream(101, "v2")];
+    versions.update(&restarted, &[order(10, Status::Reverted)]);
+    assert_eq!(
+        versions.serving("pool").map(|version| &**version),
+        Some("v1")
+    );
+}
+
+#[test]
+fn placement_judging_one_upstream_on_trial() {
+    // Guards against thin traces at many new upstreams, by which nothing under load is seen.
+    let mut book = ordered();
+    let placement = book.placement(0);
+    assert_eq!(placement.trials.len(), 1);
+    assert_eq!(placement.usable.len(), 5);
+}
+
+#[test]
+fn exposure_restarted_entries_stay_within_share() {
+    // Guards against an allowance that is spent anew by each start of an entry.
+    let mut sent = (0.0, 0.0);
+    for start in 0..200 {
+        let mut exposure = Exposure::new(ALLOWANCE, 0.0);
+        for _ in 0..30 {
+            let random = f64::from(start) / 200.0;
+            let is_trial = exposure.is_due(1, random);
+            exposure.sent(1, is_trial, false);
+            sent.0 += 1.0;
+            sent.1 += f64::from(u8::from(is_trial));
+        }
+    }
+    assert!(sent.1 / sent.0 < ALLOWANCE.share / 2.0, "{sent:?}");
+}
+
+#[test]
+fn lane_unheard_judges_no_trials() {
+    // Guards against an entry behind a cut that goes on trying a version found bad elsewhere.
+    let mut book = ordered();
+    let trials = |book: &mut Book, now_ms| {
+        let lanes = (0..100).map(|_| book.lane("pool", "a", false, now_ms, 0.999));
+        lanes.filter(|lane| *lane == Lane::Trial).count()
+    };
+    assert!(trials(&mut book, 1_000) > 0);
+    assert_eq!(trials(&mut book, 3_000), 0);
+}
+
+/// Lets requests come back well from both versions, so that the new one is proven.
+fn prove(book: &mut Book) {
+    for up in both(4) {
+        for _ in 0..20 {
+            book.came(&up, "a", Came::Answered { part_ms: 20.0 });
+        }
+    }
+}
+
+fn writes(all: &[(Arc<str>, Next)]) -> Vec<Status> {
+    let status = |(_, next): &(Arc<str>, Next)| match next {
+        Next::Write(status) => Some(*status),
+        _ => None,
+    };
+    all.iter().filter_map(status).collect()
+}
+
+#[test]
+fn progress_good_version_completed_before_the_end() {
+    // Guards against a window that passes without a decision.
+    let mut book = ordered();
+    prove(&mut book);
+    assert_eq!(writes(&book.step(&judge(&[]), 50)), [Status::InProgress]);
+    book.take_orders(&[order(11, Status::InProgress)], 11, 1, 60);
+    assert!(writes(&book.step(&judge(&[]), 11_000)).is_empty());
+    book.step(&judge(&[]), 11_600);
+    assert_eq!(versions_used(&mut book, 11_600), [("v2".into(), false)]);
+    assert_eq!(writes(&book.step(&judge(&[]), 11_850)), [Status::Completed]);
+}
+
+#[test]
+fn progress_fixed_request_at_old_waited_for() {
+    // Guards against `completed` while a request runs at the old version that can't be moved.
+    let mut book = ordered();
+    prove(&mut book);
+    book.fix(&upstream(1, "v1"));
+    book.step(&judge(&[]), 11_600);
+    assert!(writes(&book.step(&judge(&[]), 12_500)).is_empty());
+    book.unfix(&upstream(1, "v1"));
+    assert_eq!(writes(&book.step(&judge(&[]), 12_600)), [Status::Completed]);
+}
+
+#[test]
+fn progress_unshifted_peer_waited_for() {
+    // Guards against `completed` while another entry still sends the old version requests.
+    let mut book = ordered();
+    prove(&mut book);
+    let facts = judge(&[other()]);
+    book.step(&facts, 11_600);
+    assert!(writes(&book.step(&facts, 13_000)).is_empty());
+    let mut peer = ordered();
+    let state = book.states(13_000).remove(0);
+    peer.hear(other(), &RolloutMessage::State(state), 2, 13_000);
+    let told = peer.step(&Facts::default(), 13_010);
+    for (_, next) in told {
+        if let Next::Report(report) = next {
+            book.hear(other(), &RolloutMessage::Report(report), 2, 13_020);
+        }
+    }
+    assert_eq!(writes(&book.step(&facts, 13_800)), [Status::Completed]);
+}
+
+#[test]
+fn progress_no_upstreams_come_reverted() {
+    // Guards against an order whose upstreams never come and that stays open for ever.
+    let mut book = Book::new(Some(ALLOWANCE), 1);
+    book.set_upstreams(&both(4)[..4]);
+    book.take_orders(&[order(10, Status::InProgress)], 10, 1, 0);
+    let all = book.step(&judge(&[]), 12_050);
+    assert!(
+        all.iter()
+            .any(|(_, next)| *next == Next::Log(Reason::TooFewUpstreams))
+    );
+    assert_eq!(writes(&all), [Status::Reverted]);
+}
+
+#[test]
+fn progress_version_that_runs_already_completed_early() {
+    // Guards against a window's wait for a version that all upstreams have, and against taking a
+    // list without the old version for that while its entries may come back.
+    let mut book = Book::new(Some(ALLOWANCE), 1);
+    book.set_upstreams(&both(4)[4..]);
+    book.take_orders(&[order(10, Status::InProgress)], 10, 1, 0);
+    assert!(writes(&book.step(&judge(&[]), 2_000)).is_empty());
+    assert_eq!(writes(&book.step(&judge(&[]), 3_100)), [Status::Completed]);
+}
+
+#[test]
+fn progress_rejection_heard_stops_at_once() {
+    // Guards against an entry that goes on after another one has found the version bad.
+    let mut judging = ordered();
+    judging.reject("pool", 1_000);
+    let state = judging.states(1_000).remove(0);
+    let mut book = ordered();
+    let next = book.hear(other(), &RolloutMessage::State(state), 2, 1_000);
+    assert!(next.contains(&Next::Place));
+    assert_eq!(versions_used(&mut book, 1_000), [("v1".into(), false)]);
+}
+
+#[test]
+fn progress_shift_heard_late_does_not_undo_rejection() {
+    // Guards against a late or repeated message that brings a bad version back.
+    let mut book = ordered();
+    let mut state = book.states(0).remove(0);
+    state.phase = Phase::Shifting;
+    book.reject("pool", 1_000);
+    book.hear(other(), &RolloutMessage::State(state), 2, 1_100);
+    assert_eq!(
+        book.order("pool").map(Progress::phase),
+        Some(Phase::Rejected)
+    );
+}
+
+#[test]
+fn progress_final_state_of_the_store_holds() {
+    // Guards against two entries that decide differently behind a cut: the store's word ends both.
+    let mut book = ordered();
+    book.reject("pool", 1_000);
+    book.take_orders(&[order(12, Status::Completed)], 12, 1, 1_100);
+    assert!(writes(&book.step(&judge(&[]), 1_200)).is_empty());
+    assert_eq!(versions_used(&mut book, 1_200), [("v2".into(), false)]);
+}
+
+#[test]
+fn progress_held_order_not_shifted() {
+    // Guards against a shift that an operator has put off; it goes on when let.
+    let mut book = ordered();
+    prove(&mut book);
+    book.hold("pool", true, 100);
+    book.step(&judge(&[]), 11_600);
+    assert_eq!(
+        book.order("pool").map(Progress::phase),
+        Some(Phase::Judging)
+    );
+    book.hold("pool", false, 11_700);
+    book.step(&judge(&[]), 11_750);
+    assert_eq!(
+        book.order("pool").map(Progress::phase),
+        Some(Phase::Shifting)
+    );
+}
+
+#[test]
+fn book_withdrawn_order_not_brought_back() {
+    // Guards against a late message about an order that its operator took away.
+    let mut book = ordered();
+    let state = book.states(0).remove(0);
+    book.take_orders(&[], 20, 1, 1_000);
+    assert_eq!(versions_used(&mut book, 1_000), [("v1".into(), false)]);
+    book.hear(other(), &RolloutMessage::State(state), 2, 1_100);
+    assert!(book.order("pool").is_none());
+}
+
+#[test]
+fn book_order_given_again_is_another() {
+    // Guards against an order that was taken away and given anew and counts as over.
+    let mut book = Book::new(Some(ALLOWANCE), 1);
+    book.set_upstreams(&both(4));
+    book.take_orders(&[order(10, Status::Reverted)], 10, 1, 0);
+    let mut again = order(30, Status::Ordered);
+    again.id.created = 30;
+    book.take_orders(&[again], 30, 1, 1_000);
+    assert!(book.is_busy());
+}
+
+#[test]
+fn book_orders_for_two_services_apart() {
+    // Guards against a verdict on one service that ends the order of another.
+    let mut book = ordered();
+    let mut second = order(11, Status::Ordered);
+    second.id.service = "app".into();
+    book.take_orders(&[order(10, Status::Ordered), second], 11, 1, 0);
+    book.reject("pool", 1_000);
+    assert_eq!(book.order("app").map(Progress::phase), Some(Phase::Judging));
+}
+
+#[test]
+fn report_fits_into_a_datagram() {
+    // Guards against reports that are too long to be sent, whose entry would seem not to be shifted.
+    let mut book = ordered();
+    for up in both(4) {
+        for route in 0..40 {
+            let name = format!("route-{route}");
+            assert_ne!(short_name(&name), 0);
+            book.came(&up, &name, Came::Failed);
+        }
+    }
+    let facts = Facts::default();
+    let reports = book.step(&facts, 200);
+    let mut seen = 0;
+    for (_, next) in reports {
+        if let Next::Report(report) = next {
+            seen += 1;
+            let message = RolloutMessage::Report(report);
+            let message = sardinewood::direct::membership::peer_message::Message::Rollout(message);
+            assert!(message.encode().is_some());
+        }
+    }
+    assert_eq!(seen, 1);
+}
