--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -17,6 +17,9 @@
 const SERVED_PERCENT: usize = 90;
 /// Tries that may reach workers after the last fault, of each request that ends them.
 const DEADLY_TRIES: usize = 3;
+/// Part of the requests, in percent, and requests beyond it that a version may get that is bad.
+const EXPOSED_PERCENT: usize = 10;
+const EXPOSED_RUNS: usize = 50;
 /// Name of the one customer.
 const CUSTOMER: &str = "rundu";
 
@@ -39,6 +42,19 @@
     AfterLeaving(String),
     /// After the last fault, so many tries still reached workers that end by them.
     DeadlyStillRuns(usize),
+    /// A version that fails requests had so many of so many, or had them too late.
+    BadVersionUsed {
+        /// Requests that reached it within the window.
+        runs: usize,
+        /// Of all that reached workers.
+        of: usize,
+        /// Requests that reached it too late.
+        late: usize,
+    },
+    /// A version that fails requests was given all of them.
+    BadVersionServes,
+    /// States of an order that do not follow each other, or none at its end.
+    WrongStates(Vec<String>),
     /// After the last fault too few requests were served.
     NotRecovered {
         /// How many were.
@@ -77,6 +93,7 @@
     }
     check_recovery(records, &mut broken);
     check_deadly(records, &mut broken);
+    check_rollout(records, &mut broken);
     broken.sort();
     broken.dedup();
     broken
@@ -169,6 +186,35 @@
     }
 }
 
+fn check_rollout(records: &Records, broken: &mut Vec<Broken>) {
+    let Some(rollout) = &records.rollout else {
+        return;
+    };
+    let states: Vec<&str> = rollout.states.iter().map(String::as_str).collect();
+    let (last, before) = match states.split_last() {
+        Some((last, before)) => (*last, before),
+        None => ("", &states[..]),
+    };
+    let is_final = ["completed", "reverted"].contains(&last);
+    if !is_final || before.iter().any(|state| *state != "in_progress") {
+        broken.push(Broken::WrongStates(rollout.states.clone()));
+    }
+    if !rollout.is_bad {
+        return;
+    }
+    if last == "completed" {
+        broken.push(Broken::BadVersionServes);
+    }
+    let is_over = rollout.runs_at_new * 100 > rollout.runs * EXPOSED_PERCENT + EXPOSED_RUNS * 100;
+    if is_over || rollout.late_runs > 0 {
+        broken.push(Broken::BadVersionUsed {
+            runs: rollout.runs_at_new,
+            of: rollout.runs,
+            late: rollout.late_runs,
+        });
+    }
+}
+
 /// How the requests ended, for the report.
 #[must_use]
 pub fn tally(records: &Records) -> BTreeMap<String, usize> {
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -63,6 +63,9 @@
 pub const FIRST_SEED_WITH_RESTARTS: u64 = 10_000;
 /// The first seed whose runs also have requests that end the workers that run them.
 pub const FIRST_SEED_WITH_DEADLY: u64 = 20_000;
+/// The first seed whose runs also move the service to another version, which is bad at every other
+/// seed.
+pub const FIRST_SEED_WITH_ROLLOUT: u64 = 30_000;
 /// Weights of the faults of all seeds, and of those with restarts as well.
 const OLDER_KINDS: u32 = 20;
 const ALL_KINDS: u32 = 23;
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -103,6 +103,21 @@
     pub closed: Instant,
 }
 
+/// An order to move the service to another version, and what came of it.
+#[derive(Clone, Debug, Default)]
+pub struct Rollout {
+    /// Whether that version fails requests.
+    pub is_bad: bool,
+    /// The states that were written, in order.
+    pub states: Vec<String>,
+    /// Requests that reached workers within the window.
+    pub runs: usize,
+    /// Those of them at the new version.
+    pub runs_at_new: usize,
+    /// Requests that reached it later than it may be used after too many bad answers.
+    pub late_runs: usize,
+}
+
 /// Everything that was seen.
 #[derive(Clone, Debug, Default)]
 pub struct Records {
@@ -114,4 +129,6 @@
     pub leavings: Vec<Leaving>,
     /// When the last fault was over; requests sent later should be served.
     pub healed: Option<Instant>,
+    /// The order, if there was one.
+    pub rollout: Option<Rollout>,
 }
--- a/soak/tests/test_short_run.rs
+++ b/soak/tests/test_short_run.rs
@@ -36,6 +36,16 @@
     run(plan::FIRST_SEED_WITH_DEADLY).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_with_a_good_version_ordered() {
+    run(plan::FIRST_SEED_WITH_ROLLOUT).await;
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_with_a_bad_version_ordered() {
+    run(plan::FIRST_SEED_WITH_ROLLOUT + 1).await;
+}
+
 #[test]
 fn plan_same_for_the_same_seed() {
     let length = Duration::from_secs(60);
