--- a/bench/src/rollouts/play.rs
+++ b/bench/src/rollouts/play.rs
@@ -303,7 +303,7 @@
             let orders = [order.clone()];
             book.take_orders(&orders, order.revision, self.setup.entries, self.now_ms);
         }
-        let placement = book.placement(self.now_ms);
+        let placement = book.placement();
         Entry {
             book,
             incarnation,
@@ -382,7 +382,7 @@
             entry
                 .book
                 .take_orders(&orders, order.revision, entries, self.now_ms);
-            entry.placement = entry.book.placement(self.now_ms);
+            entry.placement = entry.book.placement();
         }
     }
 
@@ -431,7 +431,7 @@
             }
             Next::Place => {
                 let entry = &mut self.entries[number];
-                entry.placement = entry.book.placement(self.now_ms);
+                entry.placement = entry.book.placement();
             }
             Next::Log(reason) => self.ended.reason = reason.name(),
         }
@@ -454,7 +454,7 @@
             .book
             .hear(address(from), message, entries, self.now_ms);
         if next.contains(&Next::Place) {
-            entry.placement = entry.book.placement(self.now_ms);
+            entry.placement = entry.book.placement();
         }
     }
 
--- a/lib/src/direct/rolling.rs
+++ b/lib/src/direct/rolling.rs
@@ -318,7 +318,7 @@
 
     /// Sends requests only where their service's version allows it.
     pub fn place_versions(&self) {
-        let placement = self.rollouts.borrow_mut().placement(self.now_ms());
+        let placement = self.rollouts.borrow_mut().placement();
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.set_upstreams(&placement.usable);
         dispatcher.set_trials(&placement.trials);
--- a/lib/src/direct/rollout/book.rs
+++ b/lib/src/direct/rollout/book.rs
@@ -306,7 +306,7 @@
     }
 
     /// Where requests may go now.
-    pub fn placement(&mut self, now_ms: u64) -> Placement {
+    pub fn placement(&mut self) -> Placement {
         if !self.is_active() {
             return Placement {
                 usable: self.upstreams.clone(),
@@ -343,7 +343,7 @@
                 Some(Phase::Shifting) => placement.usable.extend(new),
                 Some(Phase::Judging) => {
                     placement.usable.extend(old);
-                    let loaded = order.map(|order| order.loaded(&new, now_ms));
+                    let loaded = order.map(|order| order.loaded(&new));
                     for upstream in loaded.unwrap_or_default() {
                         placement.trials.insert(Arc::clone(&upstream.instance));
                         placement.usable.push(Arc::clone(upstream));
--- a/lib/src/direct/rollout/exposure.rs
+++ b/lib/src/direct/rollout/exposure.rs
@@ -16,7 +16,9 @@
 const SHIFT_PART: f64 = 0.35;
 /// Part of the fixed allowance that all entries together spend at the beginning, so that a service
 /// with few requests is judged as well.
-const FIRST_PART: f64 = 0.3;
+const FIRST_PART: f64 = 0.6;
+/// How much sooner than the window these are over.
+const FIRST_SPEED: f64 = 1.6;
 /// Longest time for which requests that can't be moved go to the new version before the shift.
 const MOST_EARLY_MS: u64 = 6_000;
 /// Shortest time from the shift to the end of the window.
@@ -76,7 +78,7 @@
 /// let allowance = Allowance { share: 0.1, slack: 50.0 };
 /// let mut exposure = Exposure::new(allowance, 0.0);
 /// let trials = (0..1_000).filter(|_| {
-///     let is_trial = exposure.is_due(1, 0.5);
+///     let is_trial = exposure.is_due(1, 0.0, 0.5);
 ///     exposure.sent(1, is_trial, true);
 ///     is_trial
 /// });
@@ -87,6 +89,7 @@
     part: f64,
     /// Requests of the fixed allowance that are left to this entry.
     first: f64,
+    first_sent: f64,
     /// What each route may send, in requests.
     credits: IndexMap<u32, f64>,
     sent: u64,
@@ -100,13 +103,14 @@
     /// ```
     /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
     /// let allowance = Allowance { share: 0.1, slack: 50.0 };
-    /// assert!(Exposure::new(allowance, 2.0).is_due(1, 0.0));
+    /// assert!(Exposure::new(allowance, 2.0).is_due(1, 0.5, 0.0));
     /// ```
     #[must_use]
     pub fn new(allowance: Allowance, first: f64) -> Self {
         Self {
             part: allowance.share * JUDGING_PART,
             first,
+            first_sent: 0.0,
             credits: IndexMap::new(),
             sent: 0,
             sent_new: 0,
@@ -119,25 +123,26 @@
     /// ```
     /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
     /// let allowance = Allowance { share: 0.1, slack: 50.0 };
-    /// assert!((Exposure::first_of(allowance, 10) - 1.5).abs() < 1e-9);
+    /// assert!((Exposure::first_of(allowance, 10) - 3.0).abs() < 1e-9);
     /// ```
     #[must_use]
     pub fn first_of(allowance: Allowance, entries: usize) -> f64 {
         allowance.slack * FIRST_PART / numbers::as_f64(entries.max(1) as u64)
     }
 
-    /// Whether a route's next request may go to the new version. `random` is from 0 to 1; it is
-    /// where the route begins, so that routes with few requests at each entry have their part.
+    /// Whether a route's next request may go to the new version, when such a part of the window has
+    /// passed. `random` is from 0 to 1; it is where the route begins, so that routes with few requests at each entry have their part.
     ///
     /// ```
     /// # use sardinewood::direct::rollout::exposure::{Allowance, Exposure};
     /// let allowance = Allowance { share: 0.1, slack: 50.0 };
-    /// assert!(!Exposure::new(allowance, 0.0).is_due(1, 0.0));
+    /// assert!(!Exposure::new(allowance, 0.0).is_due(1, 0.5, 0.0));
     /// ```
-    pub fn is_due(&mut self, route: u32, random: f64) -> bool {
+    pub fn is_due(&mut self, route: u32, passed: f64, random: f64) -> bool {
         let part = self.part;
         let credit = self.credits.entry(route).or_insert(random);
-        *credit + part >= 1.0 || self.first >= 1.0
+        let first = self.first * (passed * FIRST_SPEED).min(1.0);
+        *credit + part >= 1.0 || first - self.first_sent >= 1.0
     }
 
     /// Notes that a request was sent to an upstream of the service.
@@ -162,7 +167,7 @@
         if *credit >= 1.0 {
             *credit -= 1.0;
         } else {
-            self.first = (self.first - 1.0).max(0.0);
+            self.first_sent += 1.0;
         }
     }
 
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -19,6 +19,7 @@
 use crate::direct::rollout::verdict::Evidence;
 use crate::direct::rollout::verdict::Part;
 use crate::direct::rollout::verdict::Verdict;
+use crate::numbers;
 
 /// Requests at the new version without which nothing is known of it.
 const PROVEN_REQUESTS: u32 = 12;
@@ -46,13 +47,22 @@
 /// Slots of the new version's upstreams for each of the old one's, in percent, without which the
 /// service can't be moved.
 const SLOTS_PERCENT: u32 = 60;
-/// Upstreams of the new version that take requests at the same time while it is judged: one, so
-/// that it is loaded as all will be.
-const LOADED_UPSTREAMS: usize = 1;
-/// How often others take their place within a window.
+/// How many upstreams of the new version are judged within a window, one after the other, so that
+/// each is loaded as all will be.
 const TURNS: u64 = 8;
 /// Of these, the latest that are judged by themselves.
-const LATEST_TURNS: u64 = 2;
+const LATEST_TURNS: u8 = 2;
+/// Requests are sent there in bursts, since the few that may be are no load: how long a burst takes,
+/// and how often there is one.
+const BURST_MS: u64 = 600;
+const BURST_EVERY_MS: u64 = 2_000;
+/// Upstreams that take requests at the same time once those that did seem slow: there may be fast
+/// ones.
+const WIDE: u8 = 4;
+/// Requests at a version that seems slow, and the time from then on, after which no more are sent
+/// there: each may have been a bad answer.
+const SEEMS_SLOW_REQUESTS: u32 = 45;
+const SEEMS_SLOW_MS: u64 = 3_500;
 
 /// What an entry sees around it.
 #[derive(Clone, Debug, Default)]
@@ -128,7 +138,11 @@
     state_at_ms: u64,
     report_at_ms: u64,
     wrote_at_ms: Option<u64>,
-    turn: u64,
+    spread: u8,
+    turn: u8,
+    turn_at_ms: u64,
+    /// Since when it has seemed slow and had many requests.
+    slow_since_ms: Option<u64>,
     is_early: bool,
     /// When an upstream of the old version was last listed, or the order first seen.
     old_seen_ms: u64,
@@ -179,7 +193,10 @@
             state_at_ms: 0,
             report_at_ms: 0,
             wrote_at_ms: None,
+            spread: 1,
             turn: 0,
+            turn_at_ms: now_ms,
+            slow_since_ms: None,
             is_early: false,
             old_seen_ms: now_ms,
         }
@@ -233,11 +250,11 @@
         self.evidence_since(0)
     }
 
-    fn evidence_since(&self, turn: u64) -> Evidence {
+    fn evidence_since(&self, turn: u8) -> Evidence {
         let mut evidence = Evidence::default();
         for tally in self.others.values().chain([&self.own]) {
             let cells = tally.iter();
-            for (cell, count) in cells.filter(|(cell, _)| u64::from(cell.turn) >= turn) {
+            for (cell, count) in cells.filter(|(cell, _)| cell.turn >= turn) {
                 evidence.add(cell, count);
             }
         }
@@ -247,27 +264,29 @@
     /// The upstreams of the new version that take requests now, of all in an order that entries
     /// agree on.
     #[must_use]
-    pub fn loaded<'a, T>(&self, all: &'a [T], now_ms: u64) -> Vec<&'a T> {
-        if self.is_early || all.len() <= LOADED_UPSTREAMS {
+    pub fn loaded<'a, T>(&self, all: &'a [T]) -> Vec<&'a T> {
+        if self.is_early || all.is_empty() {
             return all.iter().collect();
         }
-        let turn = usize::try_from(self.turn_at(now_ms)).unwrap_or_default();
-        (0..LOADED_UPSTREAMS)
-            .map(|offset| &all[(turn + offset) % all.len()])
+        let count = usize::from(self.spread).min(all.len());
+        (0..count)
+            .map(|offset| &all[(usize::from(self.turn) + offset) % all.len()])
             .collect()
     }
 
-    fn turn_at(&self, now_ms: u64) -> u64 {
-        self.elapsed_ms(now_ms) / (self.order.window_ms / TURNS).max(1)
-    }
-
     /// Where a route's next request goes. One that is fixed can't be moved once it runs.
     pub fn lane(&mut self, route: u32, is_fixed: bool, now_ms: u64, random: f64) -> Lane {
         let is_judged = now_ms < self.judged_at_ms + JUDGED_WITHIN_MS;
         if self.phase != Phase::Judging || self.is_over() || !is_judged {
             return Lane::Serving;
         }
-        if (is_fixed && self.is_early) || self.exposure.is_due(route, random) {
+        let elapsed_ms = self.elapsed_ms(now_ms);
+        let passed = numbers::as_f64(elapsed_ms) / numbers::as_f64(self.order.window_ms);
+        let is_burst = self.spread > 1 || elapsed_ms % BURST_EVERY_MS < BURST_MS;
+        if is_fixed && self.is_early {
+            return Lane::Trial;
+        }
+        if is_burst && self.exposure.is_due(route, passed, random) {
             return Lane::Trial;
         }
         Lane::Serving
@@ -284,7 +303,7 @@
             is_new,
             upstream,
             route,
-            turn: u8::try_from(self.turn).unwrap_or(u8::MAX),
+            turn: self.turn,
             outcome,
         });
         self.is_evidence_new |= is_new;
@@ -307,10 +326,14 @@
         self.began_ms = self.began_ms.min(began_ms);
         self.judged_at_ms = now_ms;
         self.holds = self.holds.max(state.holds);
+        let turn = self.turn.max(state.turn);
+        let mut has_turned = self.take_turn(turn, now_ms);
+        has_turned |= state.spread > self.spread;
+        self.spread = self.spread.max(state.spread);
         let status = self.order.status;
         self.take_order(state.order.clone(), now_ms);
         let mut next = Vec::new();
-        if self.order.status != status {
+        if self.order.status != status || has_turned {
             next.push(Next::Place);
         }
         if state.phase > self.phase {
@@ -365,7 +388,7 @@
         }
         let mut next = self.decide(facts, now_ms);
         next.extend(self.write(facts, now_ms));
-        next.extend(self.turn(now_ms));
+        next.extend(self.turn(facts, now_ms));
         next.extend(self.repeat(facts, now_ms));
         next
     }
@@ -386,7 +409,8 @@
     }
 
     fn decide(&mut self, facts: &Facts, now_ms: u64) -> Vec<Next> {
-        if self.phase != Phase::Rejected && self.verdict.is_bad() {
+        let is_slow = self.seems_slow_for_too_long(now_ms);
+        if self.phase != Phase::Rejected && (self.verdict.is_bad() || is_slow) {
             let reason = match self.verdict {
                 Verdict::Failing => Reason::Failing,
                 Verdict::PartlySlow => Reason::PartlySlow,
@@ -408,10 +432,10 @@
         if elapsed_ms + self.allowance.shift_ms(window_ms) < window_ms {
             return Vec::new();
         }
-        let is_over = elapsed_ms >= window_ms;
+        let is_over = elapsed_ms + LAST_WRITE_MS >= window_ms;
         let lacks = self.lacks(facts);
         match lacks {
-            None if self.is_on_hold() || self.verdict == Verdict::Doubtful => {}
+            None if self.is_on_hold() || self.verdict != Verdict::Clean => {}
             None => return self.change(Phase::Shifting, Reason::Clean, now_ms),
             Some(_) => {}
         }
@@ -422,6 +446,17 @@
         Vec::new()
     }
 
+    /// Whether so many requests were perhaps bad answers that no more may be sent there soon.
+    fn seems_slow_for_too_long(&mut self, now_ms: u64) -> bool {
+        let is_much = self.verdict == Verdict::SeemsSlow
+            && self.evidence().at_new().requests >= SEEMS_SLOW_REQUESTS;
+        if !is_much {
+            self.slow_since_ms = None;
+            return false;
+        }
+        now_ms >= *self.slow_since_ms.get_or_insert(now_ms) + SEEMS_SLOW_MS
+    }
+
     /// What the new version lacks to be given all requests.
     fn lacks(&self, facts: &Facts) -> Option<Reason> {
         let evidence = self.evidence();
@@ -479,12 +514,22 @@
     }
 
     /// Lets other upstreams take the place of those that are judged.
-    fn turn(&mut self, now_ms: u64) -> Option<Next> {
+    fn turn(&mut self, facts: &Facts, now_ms: u64) -> Option<Next> {
         if self.phase != Phase::Judging {
             return None;
         }
-        let turn = self.turn_at(now_ms);
         let window_ms = self.order.window_ms;
+        let is_due = facts.rank == Some(0) && self.is_turn_over(now_ms);
+        let turn = self.turn.saturating_add(u8::from(is_due));
+        let mut has_turned = self.take_turn(turn, now_ms);
+        if self.verdict == Verdict::SeemsSlow && self.spread < WIDE {
+            self.spread = WIDE;
+            has_turned = true;
+        }
+        if has_turned {
+            // All send their requests there from now on.
+            self.state_at_ms = 0;
+        }
         let early_ms = self
             .allowance
             .early_ms(window_ms, self.exposure.fixed_part());
@@ -494,14 +539,26 @@
             && self.exposure.at_new() > 0
             && self.elapsed_ms(now_ms) + shift_ms + early_ms >= window_ms
             && self.elapsed_ms(now_ms) < window_ms;
-        if (turn, is_early) == (self.turn, self.is_early) {
+        if !has_turned && is_early == self.is_early {
             return None;
         }
-        self.turn = turn;
         self.is_early = is_early;
         Some(Next::Place)
     }
 
+    fn is_turn_over(&self, now_ms: u64) -> bool {
+        now_ms >= self.turn_at_ms + (self.order.window_ms / TURNS).max(1)
+    }
+
+    fn take_turn(&mut self, turn: u8, now_ms: u64) -> bool {
+        let has_turned = turn > self.turn;
+        if has_turned {
+            self.turn = turn;
+            self.turn_at_ms = now_ms;
+        }
+        has_turned
+    }
+
     fn repeat(&mut self, facts: &Facts, now_ms: u64) -> Vec<Next> {
         let mut next = Vec::new();
         let entries_ms = PER_ENTRY_MS * facts.heard.len() as u64;
@@ -543,6 +600,8 @@
             phase: self.phase,
             reason: self.reason,
             holds: self.holds,
+            spread: self.spread,
+            turn: self.turn,
         }
     }
 
--- a/lib/src/direct/rollout/report.rs
+++ b/lib/src/direct/rollout/report.rs
@@ -86,6 +86,10 @@
     pub reason: Reason,
     /// Odd while an operator keeps it from being shifted; counts up with each change.
     pub holds: u32,
+    /// Upstreams of the new version that take requests at the same time; only grows.
+    pub spread: u8,
+    /// Counts those that have had their turn.
+    pub turn: u8,
 }
 
 /// What one entry has seen and does, as it tells the judges.
--- a/lib/src/direct/rollout/verdict.rs
+++ b/lib/src/direct/rollout/verdict.rs
@@ -36,11 +36,16 @@
 const MOST_FAILED: u32 = 25;
 const FAILED_FACTOR: f64 = 2.0;
 const FAILED_BEYOND: f64 = 0.05;
-/// Requests at one upstream from which its usual time is known.
-const TIMED_AT_LEAST: u32 = 8;
+/// Requests at one upstream from which its mean time is known, and from which its quicker requests
+/// are told from its slower ones.
+const TIMED_AT_LEAST: u32 = 4;
+const RANKED_AT_LEAST: u32 = 8;
 /// Steps beyond an upstream's own usual time from which a request took several times as long.
 const LONG_STEPS: u8 = 4;
-/// Octaves by which the fastest upstream of the new version may be slower than that of the old.
+/// The quarter of the old version's upstreams that counts as fast: the very fastest of many is so by
+/// chance.
+const FAST_PART: usize = 4;
+/// Octaves by which the fastest upstream of the new version may be slower than those.
 const SLOWER_OCTAVES: f64 = 1.2;
 /// Octaves within which an upstream of the old version is as slow, and the odds, as a logarithm,
 /// against having drawn only such.
@@ -54,6 +59,8 @@
     Clean,
     /// Something does, and may be chance.
     Doubtful,
+    /// All requests are slow so far, and it may be that only slow upstreams have been tried.
+    SeemsSlow,
     /// Its requests fail.
     Failing,
     /// A part of its requests takes several times as long.
@@ -85,6 +92,7 @@
         match self {
             Self::Clean => "clean",
             Self::Doubtful => "doubtful",
+            Self::SeemsSlow => "seems slow",
             Self::Failing => "requests fail",
             Self::PartlySlow => "a part of the requests is slow",
             Self::Slow => "all requests are slow",
@@ -149,7 +157,7 @@
     /// Answers that took several times as long as the quicker ones there.
     fn long(&self) -> Part {
         let timed = self.timed();
-        if timed < TIMED_AT_LEAST {
+        if timed < RANKED_AT_LEAST {
             return Part::default();
         }
         let mut seen = 0;
@@ -267,7 +275,9 @@
             Verdict::PartlySlow
         } else if slower >= SLOWER_RATIO_LN {
             Verdict::Slow
-        } else if failing.max(slow_part) >= DOUBT_RATIO_LN || slower > 0.0 {
+        } else if slower > 0.0 {
+            Verdict::SeemsSlow
+        } else if failing.max(slow_part) >= DOUBT_RATIO_LN {
             Verdict::Doubtful
         } else {
             Verdict::Clean
@@ -333,16 +343,20 @@
     }
 
     /// How unlikely it is, as a logarithm, that only upstreams have been tried that are as slow by
-    /// themselves; 0 if the fastest of the new version is not several times slower than the fastest
+    /// themselves; 0 if the fastest of the new version is not several times slower than the fast ones
     /// of the old one.
     fn slower_ln(&self) -> f64 {
         let octaves = |side: &IndexMap<u32, AtUpstream>| -> Vec<f64> {
             side.values().filter_map(AtUpstream::octaves).collect()
         };
         let (new, old) = (octaves(&self.new), octaves(&self.old));
-        let fastest = |all: &[f64]| all.iter().copied().fold(f64::INFINITY, f64::min);
-        let at_best = fastest(&new);
-        if new.is_empty() || old.is_empty() || at_best - fastest(&old) < SLOWER_OCTAVES {
+        let at_best = new.iter().copied().fold(f64::INFINITY, f64::min);
+        let mut ranked = old.clone();
+        ranked.sort_by(f64::total_cmp);
+        let Some(fast) = ranked.get(ranked.len() / FAST_PART) else {
+            return 0.0;
+        };
+        if new.is_empty() || at_best - fast < SLOWER_OCTAVES {
             return 0.0;
         }
         let as_slow = old
--- a/lib/tests/test_direct_rollout.rs
+++ b/lib/tests/test_direct_rollout.rs
@@ -81,7 +81,7 @@
 }
 
 fn versions_used(book: &mut Book, now_ms: u64) -> Vec<(Arc<str>, bool)> {
-    let placement = book.placement(now_ms);
+    let placement = book.placement();
     let mut used: Vec<(Arc<str>, bool)> = placement
         .usable
         .iter()
@@ -254,7 +254,7 @@
 fn placement_judging_one_upstream_on_trial() {
     // Guards against thin traces at many new upstreams, by which nothing under load is seen.
     let mut book = ordered();
-    let placement = book.placement(0);
+    let placement = book.placement();
     assert_eq!(placement.trials.len(), 1);
     assert_eq!(placement.usable.len(), 5);
 }
@@ -267,7 +267,7 @@
         let mut exposure = Exposure::new(ALLOWANCE, 0.0);
         for _ in 0..30 {
             let random = f64::from(start) / 200.0;
-            let is_trial = exposure.is_due(1, random);
+            let is_trial = exposure.is_due(1, 0.5, random);
             exposure.sent(1, is_trial, false);
             sent.0 += 1.0;
             sent.1 += f64::from(u8::from(is_trial));
