--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -137,6 +137,8 @@
     entered_at_ms: u64,
     state_at_ms: u64,
     report_at_ms: u64,
+    /// Requests that can't be moved, as last reported.
+    reported_fixed: u32,
     wrote_at_ms: Option<u64>,
     spread: u8,
     turn: u8,
@@ -192,6 +194,7 @@
             entered_at_ms: now_ms,
             state_at_ms: 0,
             report_at_ms: 0,
+            reported_fixed: 0,
             wrote_at_ms: None,
             spread: 1,
             turn: 0,
@@ -566,7 +569,11 @@
             self.state_at_ms = now_ms;
             next.push(Next::Tell(self.state(now_ms)));
         }
-        if !self.is_over() && now_ms >= self.report_at_ms + REPORT_MS.max(entries_ms) {
+        // The last that the old version waits for is told at once.
+        let has_run_out = self.reported_fixed > 0 && facts.fixed_at_old == 0;
+        let is_due = now_ms >= self.report_at_ms + REPORT_MS.max(entries_ms);
+        if !self.is_over() && (is_due || has_run_out) {
+            self.reported_fixed = facts.fixed_at_old;
             self.report_at_ms = now_ms;
             next.push(Next::Report(self.report(facts.fixed_at_old)));
         }
