--- a/bench/src/rollouts/play.rs
+++ b/bench/src/rollouts/play.rs
@@ -12,8 +12,8 @@
 use rand_distr::Distribution;
 use rand_distr::LogNormal;
 use sardinewood::direct::rollout::book::Book;
-use sardinewood::direct::rollout::book::Came;
 use sardinewood::direct::rollout::book::Placement;
+use sardinewood::direct::rollout::book::RunEnd;
 use sardinewood::direct::rollout::exposure::Allowance;
 use sardinewood::direct::rollout::order::Order;
 use sardinewood::direct::rollout::order::OrderId;
@@ -633,12 +633,14 @@
             entry.book.unfix(upstream);
         }
         let came = if run.has_failed {
-            Came::Failed
+            RunEnd::Failed
         } else {
-            Came::Answered {
+            RunEnd::Answered {
                 part_ms: numbers::as_f64(self.now_ms - run.began_ms),
             }
         };
-        entry.book.came(upstream, &format!("r{}", run.route), came);
+        entry
+            .book
+            .run_ended(upstream, &format!("r{}", run.route), came);
     }
 }
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -9,6 +9,7 @@
 pub mod exchange;
 pub mod front;
 pub mod no_answer;
+pub mod pace;
 pub mod quarantine_page;
 pub mod refusal;
 pub mod relay;
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -30,6 +30,7 @@
 use crate::direct::request::no_answer::refuse;
 use crate::direct::request::no_answer::unknown;
 use crate::direct::request::relay::Relay;
+use crate::direct::rollout::book::RunEnd;
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
@@ -218,7 +219,7 @@
     match timeout_at(until, connection.send(request)).await {
         Err(_) => {
             lease.ended = Ended::Failed;
-            traffic.came_from_version(call, &lease, 1);
+            traffic.run_ended_at_version(call, &lease, RunEnd::Failed);
             log_attempt(traffic, call, &lease, "no answer from upstream in time");
             Attempt::TimeUp
         }
@@ -463,8 +464,15 @@
     } else {
         Ended::Answered
     };
-    traffic.came_from_version(call, &lease, 1);
     let held_ms = traffic.now_ms() - lease.since_ms();
+    let came = if has_failed {
+        RunEnd::Failed
+    } else {
+        RunEnd::Answered {
+            part_ms: numbers::as_f64(held_ms),
+        }
+    };
+    traffic.run_ended_at_version(call, &lease, came);
     if !has_failed {
         lease.learn(|health| health.answered_after(numbers::as_f64(held_ms)));
     }
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -27,6 +27,7 @@
 use crate::direct::request::exchange::keep;
 use crate::direct::request::exchange::may_try_another;
 use crate::direct::request::exchange::send;
+use crate::direct::request::pace::Pace;
 use crate::direct::traffic::Lease;
 use crate::direct::traffic::Traffic;
 use crate::direct::traffic::Turn;
@@ -65,6 +66,7 @@
     scan: EventScan,
     partial: BytesMut,
     last_event: Option<Instant>,
+    pace: Pace,
     /// Time from the request's arrival to its first event.
     first_ms: Option<u64>,
     /// The last event that the caller has, until the next upstream's first one has come.
@@ -123,6 +125,7 @@
             scan: EventScan::default(),
             partial: BytesMut::new(),
             last_event: None,
+            pace: Pace::default(),
             first_ms: None,
             goes_on_after: None,
             is_done: false,
@@ -299,6 +302,7 @@
         let prompt_tokens = self.call.prompt_tokens;
         match self.last_event.replace(now) {
             None => {
+                self.pace.first(now);
                 let since = self.traffic.instant_at(source.lease.since_ms());
                 let after_ms = as_ms(now - since);
                 source.lease.answered();
@@ -314,6 +318,8 @@
                 }
             }
             Some(last) => {
+                self.pace
+                    .next(events, &self.traffic, &self.call, &source.lease);
                 let pause_ms = as_ms(now - last) / f64::from(events.max(1));
                 let now_ms = self.traffic.now_ms();
                 source
@@ -329,13 +335,7 @@
             return;
         };
         source.lease.ended = Ended::Answered;
-        if self.call.tried.len() == 1 {
-            let events = self.scan.last_id().unwrap_or_default();
-            let before = self.call.last_event_id.unwrap_or_default();
-            let parts = events.saturating_sub(before);
-            self.traffic
-                .came_from_version(&self.call, &source.lease, parts);
-        }
+        self.pace.end(&self.traffic, &self.call, &source.lease);
         self.traffic.ran_whole(&self.call);
         if let (Some(tokens), Some(events)) =
             (self.call.expected_output_tokens, self.scan.last_id())
--- a/lib/src/direct/rolling.rs
+++ b/lib/src/direct/rolling.rs
@@ -18,10 +18,9 @@
 use crate::direct::links::orders::OrderView;
 use crate::direct::membership::peer_message::Message;
 use crate::direct::placement::dispatch::short_name;
-use crate::direct::placement::health::Ended;
 use crate::direct::placement::job::Job;
 use crate::direct::request::call::Call;
-use crate::direct::rollout::book::Came;
+use crate::direct::rollout::book::RunEnd;
 use crate::direct::rollout::order::Order;
 use crate::direct::rollout::order::Status;
 use crate::direct::rollout::progress::Facts;
@@ -38,7 +37,6 @@
 use crate::direct::view::catalog::Catalog;
 use crate::direct::view::directory::Upstream;
 use crate::logging::Level;
-use crate::numbers;
 
 /// How often orders that are in progress are looked at, and others.
 const STEP: Duration = Duration::from_millis(50);
@@ -375,18 +373,10 @@
         }
     }
 
-    /// Notes how a request ended at its upstream, which took so long for so many parts.
-    pub fn came_from_version(&self, call: &Call, lease: &Lease, parts: u64) {
-        let held_ms = self.now_ms() - lease.since_ms();
-        let came = match lease.ended {
-            Ended::Answered => Came::Answered {
-                part_ms: numbers::as_f64(held_ms) / numbers::as_f64(parts.max(1)),
-            },
-            Ended::Failed => Came::Failed,
-            Ended::Declined | Ended::Misdirected | Ended::Broken | Ended::Left => return,
-        };
+    /// Notes how a request ended at its upstream, or how fast its answer comes.
+    pub fn run_ended_at_version(&self, call: &Call, lease: &Lease, came: RunEnd) {
         let mut book = self.rollouts.borrow_mut();
-        book.came(&lease.upstream, &call.route.name, came);
+        book.run_ended(&lease.upstream, &call.route.name, came);
     }
 }
 
--- a/lib/src/direct/rollout/book.rs
+++ b/lib/src/direct/rollout/book.rs
@@ -46,9 +46,11 @@
 
 /// How a request ended at its upstream, as far as its version is judged by it.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Came {
+pub enum RunEnd {
     /// It failed.
     Failed,
+    /// It was answered, and says nothing of speed.
+    Untimed,
     /// It was answered, and took so long for each part of the answer.
     Answered {
         /// Time for each part.
@@ -394,7 +396,7 @@
     }
 
     /// Notes how a request ended at its upstream.
-    pub fn came(&mut self, upstream: &Upstream, route: &str, came: Came) {
+    pub fn run_ended(&mut self, upstream: &Upstream, route: &str, came: RunEnd) {
         if !self.is_active() {
             return;
         }
@@ -407,12 +409,13 @@
             .is_some_and(|progress| progress.order().id.to == upstream.version);
         let usual = self.usual.entry(route).or_default();
         let outcome = match came {
-            Came::Failed => Outcome::Failed,
-            Came::Answered { part_ms } => {
+            RunEnd::Failed => Outcome::Failed,
+            RunEnd::Untimed => Outcome::Untimed,
+            RunEnd::Answered { part_ms } => {
                 usual.times(part_ms).map_or(Outcome::Untimed, Outcome::took)
             }
         };
-        if let (false, Came::Answered { part_ms }) = (is_new, came) {
+        if let (false, RunEnd::Answered { part_ms }) = (is_new, came) {
             usual.observe(part_ms);
         }
         let is_control = self.control.contains(&name);
@@ -442,9 +445,9 @@
     }
 }
 
-fn remember(part: &mut Part, came: Came) {
+fn remember(part: &mut Part, came: RunEnd) {
     part.requests += 1;
-    part.spoiled += u32::from(came == Came::Failed);
+    part.spoiled += u32::from(came == RunEnd::Failed);
     if part.requests >= REMEMBERED {
         part.requests /= 2;
         part.spoiled /= 2;
--- a/lib/src/direct/rollout/exposure.rs
+++ b/lib/src/direct/rollout/exposure.rs
@@ -9,9 +9,9 @@
 use crate::numbers;
 
 /// Part of the allowance for the requests that judge the version.
-const JUDGING_PART: f64 = 0.25;
+const JUDGING_PART: f64 = 0.3;
 /// Part of it for requests that could not end in time at the old version and can't be moved.
-const EARLY_PART: f64 = 0.3;
+const EARLY_PART: f64 = 0.25;
 /// Part of it for all requests between the shift and the end of the window.
 const SHIFT_PART: f64 = 0.35;
 /// Part of the fixed allowance that all entries together spend at the beginning, so that a service
@@ -58,7 +58,7 @@
     /// ```
     /// # use sardinewood::direct::rollout::exposure::Allowance;
     /// let allowance = Allowance { share: 0.1, slack: 50.0 };
-    /// assert_eq!(allowance.early_ms(12_000, 0.25), 1_440);
+    /// assert_eq!(allowance.early_ms(12_000, 0.25), 1_200);
     /// assert_eq!(allowance.early_ms(60_000, 0.0), 6_000);
     /// ```
     #[must_use]
@@ -82,7 +82,7 @@
 ///     exposure.sent(1, is_trial, true);
 ///     is_trial
 /// });
-/// assert_eq!(trials.count(), 25);
+/// assert_eq!(trials.count(), 30);
 /// ```
 #[derive(Clone, Debug)]
 pub struct Exposure {
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -54,8 +54,8 @@
 const LATEST_TURNS: u8 = 2;
 /// Requests are sent there in bursts, since the few that may be are no load: how long a burst takes,
 /// and how often there is one.
-const BURST_MS: u64 = 600;
-const BURST_EVERY_MS: u64 = 2_000;
+const BURST_MS: u64 = 300;
+const BURST_EVERY_MS: u64 = 1_000;
 /// Upstreams that take requests at the same time once those that did seem slow: there may be fast
 /// ones.
 const WIDE: u8 = 4;
--- a/lib/src/direct/rollout/verdict.rs
+++ b/lib/src/direct/rollout/verdict.rs
@@ -160,12 +160,8 @@
         if timed < RANKED_AT_LEAST {
             return Part::default();
         }
-        let mut seen = 0;
-        let usual = self.times.iter().position(|count| {
-            seen += count;
-            seen * 10 >= timed * 3
-        });
-        let from = usual.unwrap_or_default() + usize::from(LONG_STEPS);
+        let quick = quick_step(&self.times).unwrap_or_default();
+        let from = quick + usize::from(LONG_STEPS);
         Part {
             requests: timed,
             spoiled: self.times.iter().skip(from).sum(),
@@ -273,7 +269,7 @@
             Verdict::Failing
         } else if slow_part >= BAD_RATIO_LN {
             Verdict::PartlySlow
-        } else if slower >= SLOWER_RATIO_LN {
+        } else if slower >= SLOWER_RATIO_LN || self.slow_anywhere_ln(listed) >= BAD_RATIO_LN {
             Verdict::Slow
         } else if slower > 0.0 {
             Verdict::SeemsSlow
@@ -342,6 +338,34 @@
         ratio_ln(&all, faulty_part(&at_old, listed))
     }
 
+    /// How much likelier it is that answers are slow by the version's fault, wherever a few came from.
+    /// An upstream that is slow itself is taken for a faulty one.
+    fn slow_anywhere_ln(&self, listed: usize) -> f64 {
+        let mut times = [0; STEPS as usize];
+        for at in self.old.values() {
+            for (all, count) in times.iter_mut().zip(at.times) {
+                *all += count;
+            }
+        }
+        let Some(quick) = quick_step(&times) else {
+            return 0.0;
+        };
+        let from = quick + usize::from(LONG_STEPS);
+        let long = |at: &AtUpstream| Part {
+            requests: at.timed(),
+            spoiled: at.times.iter().skip(from).sum(),
+        };
+        let mut before = Part::default();
+        for at in self.old.values() {
+            before.add(long(at));
+        }
+        let usual = usual_share(before);
+        let parts = |side: &IndexMap<u32, AtUpstream>| -> Vec<_> {
+            side.values().map(|at| vec![(long(at), usual)]).collect()
+        };
+        ratio_ln(&parts(&self.new), faulty_part(&parts(&self.old), listed))
+    }
+
     /// How unlikely it is, as a logarithm, that only upstreams have been tried that are as slow by
     /// themselves; 0 if the fastest of the new version is not several times slower than the fast ones
     /// of the old one.
@@ -368,6 +392,17 @@
     }
 }
 
+/// The step by which three tenths of the answers have come.
+fn quick_step(times: &[u32; STEPS as usize]) -> Option<usize> {
+    let all: u32 = times.iter().sum();
+    let mut seen = 0;
+    let step = times.iter().position(|count| {
+        seen += count;
+        seen * 10 >= all * 3
+    });
+    step.filter(|_| all >= RANKED_AT_LEAST)
+}
+
 fn all_of(side: &IndexMap<u32, AtUpstream>) -> Part {
     let mut all = Part::default();
     for at in side.values() {
--- a/lib/tests/test_direct_rollout.rs
+++ b/lib/tests/test_direct_rollout.rs
@@ -5,7 +5,7 @@
 
 use sardinewood::direct::placement::dispatch::short_name;
 use sardinewood::direct::rollout::book::Book;
-use sardinewood::direct::rollout::book::Came;
+use sardinewood::direct::rollout::book::RunEnd;
 use sardinewood::direct::rollout::exposure::Allowance;
 use sardinewood::direct::rollout::exposure::Exposure;
 use sardinewood::direct::rollout::order::Order;
@@ -285,14 +285,14 @@
         lanes.filter(|lane| *lane == Lane::Trial).count()
     };
     assert!(trials(&mut book, 200) > 0);
-    assert_eq!(trials(&mut book, 4_200), 0);
+    assert_eq!(trials(&mut book, 4_100), 0);
 }
 
 /// Lets requests come back well from both versions, so that the new one is proven.
 fn prove(book: &mut Book) {
     for up in both(4) {
         for _ in 0..20 {
-            book.came(&up, "a", Came::Answered { part_ms: 20.0 });
+            book.run_ended(&up, "a", RunEnd::Answered { part_ms: 20.0 });
         }
     }
 }
@@ -470,7 +470,7 @@
     let mut book = ordered();
     for up in both(4) {
         for route in 0..10 {
-            book.came(&up, &format!("route-{route}"), Came::Failed);
+            book.run_ended(&up, &format!("route-{route}"), RunEnd::Failed);
         }
     }
     let mut cells = 0;
@@ -492,7 +492,7 @@
         for route in 0..40 {
             let name = format!("route-{route}");
             assert_ne!(short_name(&name), 0);
-            book.came(&up, &name, Came::Failed);
+            book.run_ended(&up, &name, RunEnd::Failed);
         }
     }
     let facts = Facts::default();
