--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -469,7 +469,7 @@
         RunEnd::Failed
     } else {
         RunEnd::Answered {
-            part_ms: numbers::as_f64(held_ms),
+            part_ms: numbers::as_f64(lease.worked_ms()),
         }
     };
     traffic.run_ended_at_version(call, &lease, came);
--- a/lib/src/direct/rolling.rs
+++ b/lib/src/direct/rolling.rs
@@ -296,6 +296,7 @@
             "status": progress.order().status.name(),
             "phase": format!("{:?}", progress.phase()).to_lowercase(),
             "reason": progress.reason().name(),
+            "evidence_is": progress.verdict().name(),
             "on_hold": progress.is_on_hold(),
             "elapsed_ms": progress.elapsed_ms(self.now_ms()),
             "window_ms": progress.order().window_ms,
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -229,6 +229,12 @@
         self.reason
     }
 
+    /// What the evidence says so far.
+    #[must_use]
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
     /// Whether an operator keeps it from being shifted.
     #[must_use]
     pub fn is_on_hold(&self) -> bool {
--- a/lib/src/direct/rollout/verdict.rs
+++ b/lib/src/direct/rollout/verdict.rs
@@ -47,6 +47,9 @@
 const FAST_PART: usize = 4;
 /// Octaves by which the fastest upstream of the new version may be slower than those.
 const SLOWER_OCTAVES: f64 = 1.2;
+/// Likelihood ratio, as a logarithm, at which answers from many upstreams are too slow. Those of one
+/// moment may be slow by whatever holds up this host, so four upstreams have to agree, each at its time.
+const SLOW_ANYWHERE_LN: f64 = 16.0;
 /// Octaves within which an upstream of the old version is as slow, and the odds, as a logarithm,
 /// against having drawn only such.
 const AS_SLOW_OCTAVES: f64 = 0.3;
@@ -269,7 +272,7 @@
             Verdict::Failing
         } else if slow_part >= BAD_RATIO_LN {
             Verdict::PartlySlow
-        } else if slower >= SLOWER_RATIO_LN || self.slow_anywhere_ln(listed) >= BAD_RATIO_LN {
+        } else if slower >= SLOWER_RATIO_LN || self.slow_anywhere_ln(listed) >= SLOW_ANYWHERE_LN {
             Verdict::Slow
         } else if slower > 0.0 {
             Verdict::SeemsSlow
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -132,6 +132,8 @@
     pub is_fixed: bool,
     id: u64,
     since_ms: u64,
+    /// When the request was sent there.
+    sent_at_ms: Cell<u64>,
 }
 
 impl Lease {
@@ -152,6 +154,7 @@
             is_fixed: false,
             id: traffic.next_id(),
             since_ms: traffic.now_ms(),
+            sent_at_ms: Cell::new(traffic.now_ms()),
         }
     }
 
@@ -163,6 +166,7 @@
 
     /// Notes that a request was sent, and that an answer is due.
     pub fn sent(&self, prompt_tokens: u32) {
+        self.sent_at_ms.set(self.traffic.now_ms());
         self.traffic.dispatcher.borrow_mut().sent(
             &self.upstream.instance,
             self.id,
@@ -182,6 +186,12 @@
             .answered(&self.upstream.instance, self.id);
     }
 
+    /// How long the upstream has had the request, without the time that a connection took.
+    #[must_use]
+    pub fn worked_ms(&self) -> u64 {
+        self.traffic.now_ms() - self.sent_at_ms.get()
+    }
+
     /// When the room was taken.
     #[must_use]
     pub fn since_ms(&self) -> u64 {
