--- a/lib/src/direct/placement/asking.rs
+++ b/lib/src/direct/placement/asking.rs
@@ -111,7 +111,7 @@
         vec![asked.unwrap_or(Next::Refuse)]
     }
 
-    /// Takes a door's word that a question waits: others are asked as well, unless all of them
+    /// Takes a door's reply that a question waits: others are asked as well, unless all of them
     /// expect too long a wait.
     ///
     /// ```
--- a/lib/src/direct/rooms.rs
+++ b/lib/src/direct/rooms.rs
@@ -25,9 +25,9 @@
 use crate::direct::traffic::Turn;
 use crate::logging::Level;
 
-/// What the doors have to say to a waiting request.
+/// What a door answers to a waiting request.
 #[derive(Debug)]
-pub enum Word {
+pub enum Reply {
     /// There is room.
     Granted(Lease),
     /// The question waits.
@@ -42,7 +42,7 @@
 /// A question that has no grant yet.
 #[derive(Debug)]
 pub struct AskedDoor {
-    words: UnboundedSender<Word>,
+    replies: UnboundedSender<Reply>,
     /// The service that the request is for.
     pub service: Arc<str>,
     instance: Arc<str>,
@@ -55,7 +55,7 @@
 struct Waiting {
     traffic: Rc<Traffic>,
     asking: Asking,
-    words: UnboundedSender<Word>,
+    replies: UnboundedSender<Reply>,
 }
 
 impl Drop for Waiting {
@@ -93,7 +93,7 @@
         drop(dispatcher);
         let owner = traffic.owner(ask.upstream);
         let open = AskedDoor {
-            words: self.words.clone(),
+            replies: self.replies.clone(),
             service: Arc::clone(&self.asking.job.service),
             instance: Arc::clone(instance),
             kept_tokens: self.asking.job.kept_tokens(instance),
@@ -147,7 +147,7 @@
         all.into_iter().find_map(|next| self.carry_out(next))
     }
 
-    async fn wait(&mut self, words: &mut UnboundedReceiver<Word>, until: Instant) -> End {
+    async fn wait(&mut self, replies: &mut UnboundedReceiver<Reply>, until: Instant) -> End {
         let begun = self
             .decide(|asking, dispatcher, now_ms| asking.begin(dispatcher, now_ms, rand::random));
         if let Some(end) = begun {
@@ -155,9 +155,9 @@
         }
         while Instant::now() < until {
             let pause = (Instant::now() + Duration::from_millis(ANSWER_WITHIN_MS)).min(until);
-            let end = match timeout_at(pause, words.recv()).await {
-                Ok(Some(Word::Granted(lease))) => Some(End::Started(lease)),
-                Ok(Some(Word::Busy { ask, wait_ms })) => {
+            let end = match timeout_at(pause, replies.recv()).await {
+                Ok(Some(Reply::Granted(lease))) => Some(End::Started(lease)),
+                Ok(Some(Reply::Busy { ask, wait_ms })) => {
                     self.decide(|asking, dispatcher, now_ms| {
                         asking.busy(ask, wait_ms, dispatcher, now_ms, rand::random)
                     })
@@ -178,13 +178,13 @@
 /// Waits for room at an upstream until the request's time is up.
 pub async fn turn(traffic: &Rc<Traffic>, job: Job) -> Turn {
     let until = traffic.instant_at(job.waits_until_ms());
-    let (sender, mut words) = mpsc::unbounded_channel();
+    let (sender, mut replies) = mpsc::unbounded_channel();
     let mut waiting = Waiting {
         traffic: Rc::clone(traffic),
         asking: Asking::new(job),
-        words: sender,
+        replies: sender,
     };
-    match waiting.wait(&mut words, until).await {
+    match waiting.wait(&mut replies, until).await {
         End::Started(lease) => Turn::Start(lease),
         End::Refused => Turn::Refused {
             retry_after_ms: waiting.asking.job.retry_after_ms(traffic.now_ms()),
@@ -243,23 +243,23 @@
         let started = asked.and_then(|asked| {
             let mut dispatcher = self.dispatcher.borrow_mut();
             let upstream = dispatcher.began(&asked.instance, self.now_ms())?;
-            Some((asked.words, asked.kept_tokens, upstream))
+            Some((asked.replies, asked.kept_tokens, upstream))
         });
         match started {
             // A request that has just ended drops the lease, which gives the room back.
-            Some((words, kept_tokens, upstream)) => {
+            Some((replies, kept_tokens, upstream)) => {
                 let lease = Lease::new(self, upstream, kept_tokens, true);
-                let _ = words.send(Word::Granted(lease));
+                let _ = replies.send(Reply::Granted(lease));
             }
             None => self.give_back(upstream, None),
         }
     }
 
-    /// Takes a door's word that a question waits.
+    /// Takes a door's reply that a question waits.
     pub fn busy(&self, ask: AskId, wait_ms: u32) {
         if let Some(asked) = self.asks.borrow().get(&ask) {
             // The receiver lives as long as the question is open.
-            let _ = asked.words.send(Word::Busy { ask, wait_ms });
+            let _ = asked.replies.send(Reply::Busy { ask, wait_ms });
         }
     }
 
