--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -117,7 +117,7 @@
             let dispatcher = &mut self.entries[self.runs[run].entry].dispatcher;
             let events = numbers::whole_u64(events.ceil());
             dispatcher.learn_length(&SERVICE.into(), offered.hint_tokens, events);
-            self.ran_whole(self.runs[run].entry, self.runs[run].request);
+            self.succeeded(self.runs[run].entry, self.runs[run].request);
         }
         self.end_run(run, Ended::Answered, end);
     }
--- a/lib/src/direct/quarantine/recent.rs
+++ b/lib/src/direct/quarantine/recent.rs
@@ -22,25 +22,25 @@
 ///
 /// ```
 /// use sardinewood::direct::quarantine::fingerprint::Asked;
-/// use sardinewood::direct::quarantine::recent::RanWhole;
+/// use sardinewood::direct::quarantine::recent::RecentSuccesses;
 ///
 /// let asked = Asked { method: "POST", path: "/a", customer: None, body: b"text" };
-/// let mut recent = RanWhole::new(7);
+/// let mut recent = RecentSuccesses::new(7);
 /// recent.note(asked, 1_000);
 /// assert!(recent.has(asked, 2_000));
 /// assert!(!recent.has(asked, 20_000));
 /// ```
 #[derive(Clone, Debug)]
-pub struct RanWhole {
+pub struct RecentSuccesses {
     seed: u64,
     at_ms: IndexMap<u64, u64>,
 }
 
-impl RanWhole {
+impl RecentSuccesses {
     /// Nothing has run yet. The seed is a random number of this process.
     ///
     /// ```
-    /// let _ = sardinewood::direct::quarantine::recent::RanWhole::new(7);
+    /// let _ = sardinewood::direct::quarantine::recent::RecentSuccesses::new(7);
     /// ```
     #[must_use]
     pub fn new(seed: u64) -> Self {
@@ -53,9 +53,9 @@
     /// Notes that a request ran whole.
     ///
     /// ```
-    /// # use sardinewood::direct::quarantine::{fingerprint::Asked, recent::RanWhole};
+    /// # use sardinewood::direct::quarantine::{fingerprint::Asked, recent::RecentSuccesses};
     /// # let asked = Asked { method: "POST", path: "/a", customer: None, body: b"" };
-    /// RanWhole::new(7).note(asked, 0);
+    /// RecentSuccesses::new(7).note(asked, 0);
     /// ```
     pub fn note(&mut self, asked: Asked<'_>, now_ms: u64) {
         if self.at_ms.len() >= MAX_REMEMBERED {
@@ -67,9 +67,9 @@
     /// Whether a request ran whole a moment ago.
     ///
     /// ```
-    /// # use sardinewood::direct::quarantine::{fingerprint::Asked, recent::RanWhole};
+    /// # use sardinewood::direct::quarantine::{fingerprint::Asked, recent::RecentSuccesses};
     /// # let asked = Asked { method: "POST", path: "/a", customer: None, body: b"" };
-    /// assert!(!RanWhole::new(7).has(asked, 0));
+    /// assert!(!RecentSuccesses::new(7).has(asked, 0));
     /// ```
     #[must_use]
     pub fn has(&self, asked: Asked<'_>, now_ms: u64) -> bool {
--- a/lib/src/direct/quarantining.rs
+++ b/lib/src/direct/quarantining.rs
@@ -55,7 +55,10 @@
             request: call.fingerprint(),
             name: call.name().into(),
             began_ms: lease.since_ms(),
-            is_trusted: self.whole_lately.borrow().has(call.asked(), self.now_ms()),
+            is_trusted: self
+                .recent_successes
+                .borrow()
+                .has(call.asked(), self.now_ms()),
         };
         let next = self.breaks.borrow_mut().broke(upstream, run, self.now_ms());
         match next {
@@ -84,8 +87,8 @@
     }
 
     /// Notes that a request ran whole, which clears it of all ends that it was suspected of.
-    pub fn ran_whole(&self, call: &Call) {
-        self.whole_lately
+    pub fn succeeded(&self, call: &Call) {
+        self.recent_successes
             .borrow_mut()
             .note(call.asked(), self.now_ms());
         if self.suspects.borrow().suspects_any() {
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -457,7 +457,7 @@
     };
     keep(traffic, &lease, connection, headers.keep_alive_ms);
     lease.answered();
-    traffic.ran_whole(call);
+    traffic.succeeded(call);
     let has_failed = parts.status.is_server_error();
     lease.ended = if has_failed {
         Ended::Failed
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -336,7 +336,7 @@
         };
         source.lease.ended = Ended::Answered;
         self.pace.end(&self.traffic, &self.call, &source.lease);
-        self.traffic.ran_whole(&self.call);
+        self.traffic.succeeded(&self.call);
         if let (Some(tokens), Some(events)) =
             (self.call.expected_output_tokens, self.scan.last_id())
         {
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -28,7 +28,7 @@
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_start::Popularity;
 use crate::direct::quarantine::ends::Breaks;
-use crate::direct::quarantine::recent::RanWhole;
+use crate::direct::quarantine::recent::RecentSuccesses;
 use crate::direct::quarantine::suspects::Suspects;
 use crate::direct::request::caller::Dialect;
 use crate::direct::request::connections::Connections;
@@ -102,7 +102,7 @@
     /// Upstreams of which connections broke lately.
     pub breaks: RefCell<Breaks>,
     /// Requests that ran whole a moment ago.
-    pub whole_lately: RefCell<RanWhole>,
+    pub recent_successes: RefCell<RecentSuccesses>,
     /// Requests that may be the cause of upstreams' ends.
     pub suspects: RefCell<Suspects>,
     /// Orders to move services to other versions.
@@ -268,7 +268,7 @@
             size_shares: RefCell::default(),
             size_floor: RefCell::default(),
             breaks: RefCell::default(),
-            whole_lately: RefCell::new(RanWhole::new(rand::random())),
+            recent_successes: RefCell::new(RecentSuccesses::new(rand::random())),
             suspects: RefCell::default(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
--- a/lib/tests/test_direct_ends.rs
+++ b/lib/tests/test_direct_ends.rs
@@ -9,7 +9,7 @@
 use sardinewood::direct::quarantine::ends::Run;
 use sardinewood::direct::quarantine::fingerprint::Asked;
 use sardinewood::direct::quarantine::fingerprint::Fingerprint;
-use sardinewood::direct::quarantine::recent::RanWhole;
+use sardinewood::direct::quarantine::recent::RecentSuccesses;
 use sardinewood::direct::view::directory::Upstream;
 
 use crate::direct_fixture::born;
@@ -176,7 +176,7 @@
 #[test]
 fn whole_run_trusted_for_a_moment_only() {
     // What ran whole long ago may have become deadly since, with a new version of the upstreams.
-    let mut recent = RanWhole::new(1);
+    let mut recent = RecentSuccesses::new(1);
     recent.note(asked(b"text"), 5_000);
     assert!(recent.has(asked(b"text"), 14_999));
     assert!(!recent.has(asked(b"text"), 15_000));
@@ -185,7 +185,7 @@
 
 #[test]
 fn requests_without_end_trusted_in_bounded_memory() {
-    let mut recent = RanWhole::new(1);
+    let mut recent = RecentSuccesses::new(1);
     for number in 0..20_000_u32 {
         recent.note(asked(&number.to_be_bytes()), 1_000);
     }
