--- a/lib/src/direct/placement.rs
+++ b/lib/src/direct/placement.rs
@@ -2,9 +2,9 @@
 //! doors it asks, and how long it waits. All of it decides and knows no socket.
 
 pub mod asking;
+pub mod baseline;
 pub mod dispatch;
 pub mod health;
 pub mod job;
 pub mod place;
 pub mod shared_start;
-pub mod usual;
--- a/lib/src/direct/placement/usual.rs
+++ b/lib/src/direct/placement/baseline.rs
@@ -1,4 +1,4 @@
-//! What is usual at a service, over all its upstreams: lengths, times, speeds.
+//! The baseline of a service, over all its upstreams: lengths, times, speeds.
 
 use crate::direct::placement::health::Health;
 use crate::direct::placement::health::Moving;
@@ -13,14 +13,14 @@
 /// What is usual at one service, as far as this entry has seen.
 ///
 /// ```
-/// use sardinewood::direct::placement::usual::Usual;
+/// use sardinewood::direct::placement::baseline::Baseline;
 ///
-/// let mut usual = Usual::default();
-/// usual.observe_length(100, 20);
-/// assert!((usual.expected_events(Some(50)) - 10.0).abs() < 1e-9);
+/// let mut baseline = Baseline::default();
+/// baseline.observe_length(100, 20);
+/// assert!((baseline.expected_events(Some(50)) - 10.0).abs() < 1e-9);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
-pub struct Usual {
+pub struct Baseline {
     hold_ms: Moving,
     event_ms: Moving,
     /// Time to read a token of a prompt, in relation to the time between two events.
@@ -31,7 +31,7 @@
     tokens: f64,
 }
 
-impl Usual {
+impl Baseline {
     /// A service that nobody has called yet.
     pub const UNKNOWN: Self = Self {
         hold_ms: Moving::NONE,
@@ -44,7 +44,7 @@
     /// Notes how long an answered request held its slot.
     ///
     /// ```
-    /// sardinewood::direct::placement::usual::Usual::default().observe_hold(300.0);
+    /// sardinewood::direct::placement::baseline::Baseline::default().observe_hold(300.0);
     /// ```
     pub fn observe_hold(&mut self, held_ms: f64) {
         self.hold_ms.observe(held_ms);
@@ -53,7 +53,7 @@
     /// Notes how many events an answer had of which so many tokens were expected.
     ///
     /// ```
-    /// sardinewood::direct::placement::usual::Usual::default().observe_length(100, 20);
+    /// sardinewood::direct::placement::baseline::Baseline::default().observe_length(100, 20);
     /// ```
     pub fn observe_length(&mut self, expected_tokens: u32, events: u64) {
         self.events += crate::numbers::as_f64(events) - self.events * LENGTH_PART;
@@ -63,7 +63,7 @@
     /// Notes the time between two events at one of its upstreams.
     ///
     /// ```
-    /// sardinewood::direct::placement::usual::Usual::default().observe_event(15.0);
+    /// sardinewood::direct::placement::baseline::Baseline::default().observe_event(15.0);
     /// ```
     pub fn observe_event(&mut self, event_ms: f64) {
         self.event_ms.observe(event_ms);
@@ -73,7 +73,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::placement::health::Health;
-    /// sardinewood::direct::placement::usual::Usual::default().observe_speed(&Health::default());
+    /// sardinewood::direct::placement::baseline::Baseline::default().observe_speed(&Health::default());
     /// ```
     pub fn observe_speed(&mut self, health: &Health) {
         let Some(event_ms) = health.event_ms().filter(|event_ms| *event_ms > 0.0) else {
@@ -88,7 +88,7 @@
     /// How long a request usually holds a slot.
     ///
     /// ```
-    /// assert!(sardinewood::direct::placement::usual::Usual::default().hold_ms() > 0.0);
+    /// assert!(sardinewood::direct::placement::baseline::Baseline::default().hold_ms() > 0.0);
     /// ```
     #[must_use]
     pub fn hold_ms(&self) -> f64 {
@@ -98,7 +98,7 @@
     /// Time between two events, if one was seen.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::placement::usual::Usual::default().event_ms(), None);
+    /// assert_eq!(sardinewood::direct::placement::baseline::Baseline::default().event_ms(), None);
     /// ```
     #[must_use]
     pub fn event_ms(&self) -> Option<f64> {
@@ -109,7 +109,7 @@
     /// not known.
     ///
     /// ```
-    /// assert!(sardinewood::direct::placement::usual::Usual::default().prefill_per_event() < 1e-9);
+    /// assert!(sardinewood::direct::placement::baseline::Baseline::default().prefill_per_event() < 1e-9);
     /// ```
     #[must_use]
     pub fn prefill_per_event(&self) -> f64 {
@@ -119,7 +119,7 @@
     /// Events that an answer is expected to have.
     ///
     /// ```
-    /// assert!(sardinewood::direct::placement::usual::Usual::default().expected_events(None) > 0.0);
+    /// assert!(sardinewood::direct::placement::baseline::Baseline::default().expected_events(None) > 0.0);
     /// ```
     #[must_use]
     pub fn expected_events(&self, expected_tokens: Option<u32>) -> f64 {
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -11,6 +11,7 @@
 use crate::direct::membership::peer_message::Condition;
 use crate::direct::membership::peer_message::Running;
 use crate::direct::membership::report::RunningPart;
+use crate::direct::placement::baseline::Baseline;
 use crate::direct::placement::health::Ended;
 use crate::direct::placement::health::Health;
 use crate::direct::placement::job::Job;
@@ -19,7 +20,6 @@
 use crate::direct::placement::shared_start::Candidate;
 use crate::direct::placement::shared_start::KeptAt;
 use crate::direct::placement::shared_start::SharedStart;
-use crate::direct::placement::usual::Usual;
 use crate::direct::view::directory::Upstream;
 use crate::numbers;
 
@@ -55,7 +55,7 @@
 #[derive(Debug, Default)]
 pub struct Dispatcher {
     places: IndexMap<Arc<str>, Place>,
-    usual: IndexMap<Arc<str>, Usual>,
+    baseline: IndexMap<Arc<str>, Baseline>,
     peers: IndexMap<u64, PeerLoad>,
 }
 
@@ -121,7 +121,7 @@
             };
             if let Some(event_ms) = place.hear(told, now_ms) {
                 let service = Arc::clone(&place.upstream.service);
-                self.usual
+                self.baseline
                     .entry(service)
                     .or_default()
                     .observe_event(event_ms);
@@ -280,10 +280,10 @@
     }
 
     fn cheapest<'a>(&self, job: &Job, places: &[&'a Place], now_ms: u64) -> Option<&'a Place> {
-        let usual = self.usual_of(&job.service);
+        let baseline = self.baseline_of(&job.service);
         let cost_ms = |place: &Place| {
             let running = place.running + self.running_elsewhere(place, now_ms);
-            place.cost_ms(running, job, usual, now_ms)
+            place.cost_ms(running, job, baseline, now_ms)
         };
         let costs = places.iter().map(|place| (cost_ms(place), *place));
         let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
@@ -294,15 +294,15 @@
     /// asked first whatever its load seems to be: the door knows, and answers at once.
     fn home<'a>(&self, job: &Job, keeping: &[&'a Place], now_ms: u64) -> Option<&'a Place> {
         let start = job.shared_start?;
-        let usual = self.usual_of(&job.service);
+        let baseline = self.baseline_of(&job.service);
         let is_home = |place: &&Place| {
             let tokens = job.kept_tokens(&place.upstream.instance);
-            let saved_ms = place.read_ms(tokens, usual);
+            let saved_ms = place.read_ms(tokens, baseline);
             tokens == start.tokens
                 && place.works(now_ms)
                 && !place.health.is_bad()
-                && place.ends_in_time(job, usual, now_ms)
-                && saved_ms >= usual.hold_ms() * HOME_FIRST_PART
+                && place.ends_in_time(job, baseline, now_ms)
+                && saved_ms >= baseline.hold_ms() * HOME_FIRST_PART
         };
         let homes: Vec<&Place> = keeping.iter().copied().filter(is_home).collect();
         self.cheapest(job, &homes, now_ms)
@@ -323,14 +323,14 @@
         let Some(start) = job.shared_start.filter(SharedStart::is_worth_placing) else {
             return Vec::new();
         };
-        let usual = self.usual_of(&job.service);
+        let baseline = self.baseline_of(&job.service);
         let engines = self
             .places_for(job)
             .filter(|place| !place.is_gone(now_ms))
             .map(|place| Candidate {
                 instance: Arc::clone(&place.upstream.instance),
                 name: place.name,
-                speed: place.speed(usual),
+                speed: place.speed(baseline),
             });
         shared_start::homes(start, engines.collect())
     }
@@ -349,7 +349,7 @@
     pub fn saved_ms(&self, instance: &str, job: &Job) -> u64 {
         let tokens = job.kept_tokens(instance);
         let saved_ms = self.places.get(instance).map_or(0.0, |place| {
-            place.read_ms(tokens, self.usual_of(&place.upstream.service))
+            place.read_ms(tokens, self.baseline_of(&place.upstream.service))
         });
         whole_wait(saved_ms)
     }
@@ -372,7 +372,7 @@
         let first_ms = self.places.get(instance).map_or(0.0, |place| {
             place.first_ms(
                 job.unread_tokens(instance),
-                self.usual_of(&place.upstream.service),
+                self.baseline_of(&place.upstream.service),
             )
         });
         WAY_MS + whole_wait(first_ms * LEAD_FACTOR)
@@ -414,8 +414,8 @@
         let Some(place) = self.places.get_mut(instance) else {
             return;
         };
-        let usual = self.usual.get(&place.upstream.service);
-        let first_ms = place.first_ms(prompt_tokens, usual.unwrap_or(&Usual::UNKNOWN));
+        let baseline = self.baseline.get(&place.upstream.service);
+        let first_ms = place.first_ms(prompt_tokens, baseline.unwrap_or(&Baseline::UNKNOWN));
         place.sent(id, first_ms, now_ms);
     }
 
@@ -443,8 +443,8 @@
         let ended = place.finished(id, ended, now_ms);
         if ended == Ended::Answered {
             let service = Arc::clone(&place.upstream.service);
-            let usual = self.usual.entry(service).or_default();
-            usual.observe_hold(numbers::as_f64(held_ms));
+            let baseline = self.baseline.entry(service).or_default();
+            baseline.observe_hold(numbers::as_f64(held_ms));
         }
         if !place.is_listed && place.running == 0 {
             self.places.shift_remove(instance);
@@ -458,8 +458,8 @@
     /// dispatcher.learn_length(&"s".into(), 60, 20);
     /// ```
     pub fn learn_length(&mut self, service: &Arc<str>, tokens: u32, events: u64) {
-        let usual = self.usual.entry(Arc::clone(service)).or_default();
-        usual.observe_length(tokens, events);
+        let baseline = self.baseline.entry(Arc::clone(service)).or_default();
+        baseline.observe_length(tokens, events);
     }
 
     /// Adds to what this entry has learned of an upstream.
@@ -474,12 +474,12 @@
         };
         learn(&mut place.health);
         let service = Arc::clone(&place.upstream.service);
-        let usual = self.usual.entry(service).or_default();
-        usual.observe_speed(&place.health);
+        let baseline = self.baseline.entry(service).or_default();
+        baseline.observe_speed(&place.health);
     }
 
-    fn usual_of(&self, service: &str) -> &Usual {
-        self.usual.get(service).unwrap_or(&Usual::UNKNOWN)
+    fn baseline_of(&self, service: &str) -> &Baseline {
+        self.baseline.get(service).unwrap_or(&Baseline::UNKNOWN)
     }
 
     /// Where a request could go: to all that work, or, if none does, to all there are. A
--- a/lib/src/direct/placement/place.rs
+++ b/lib/src/direct/placement/place.rs
@@ -6,11 +6,11 @@
 
 use crate::direct::membership::peer_message::Condition;
 use crate::direct::membership::peer_message::Running;
+use crate::direct::placement::baseline::Baseline;
 use crate::direct::placement::dispatch::short_name;
 use crate::direct::placement::health::Ended;
 use crate::direct::placement::health::Health;
 use crate::direct::placement::job::Job;
-use crate::direct::placement::usual::Usual;
 use crate::direct::view::directory::Upstream;
 use crate::numbers;
 
@@ -174,17 +174,17 @@
     }
 
     /// Expected time between two events: its own, or else what is usual at its service.
-    fn event_ms(&self, usual: &Usual) -> f64 {
+    fn event_ms(&self, baseline: &Baseline) -> f64 {
         let event_ms = self.health.event_ms();
-        event_ms.or(usual.event_ms()).unwrap_or_default()
+        event_ms.or(baseline.event_ms()).unwrap_or_default()
     }
 
     /// Expected time to the first event of a prompt of which so much is to be read, or to a plain
     /// answer.
     #[must_use]
-    pub fn first_ms(&self, prompt_tokens: u32, usual: &Usual) -> f64 {
-        let answer_ms = self.event_ms(usual) + self.health.answer_ms();
-        self.read_ms(prompt_tokens, usual) + answer_ms
+    pub fn first_ms(&self, prompt_tokens: u32, baseline: &Baseline) -> f64 {
+        let answer_ms = self.event_ms(baseline) + self.health.answer_ms();
+        self.read_ms(prompt_tokens, baseline) + answer_ms
     }
 
     /// Whether neither this entry nor a peer has seen it answer.
@@ -195,8 +195,8 @@
 
     /// Its speed in relation to what is usual at its service.
     #[must_use]
-    pub fn speed(&self, usual: &Usual) -> f64 {
-        match (self.health.event_ms(), usual.event_ms()) {
+    pub fn speed(&self, baseline: &Baseline) -> f64 {
+        match (self.health.event_ms(), baseline.event_ms()) {
             (Some(event_ms), Some(usual_ms)) if event_ms > 0.0 => usual_ms / event_ms,
             _ => 1.0,
         }
@@ -208,23 +208,24 @@
     /// has not seen yet is judged by its writing, of which peers tell: otherwise each of
     /// thirty entries sends it a long prompt to find out.
     #[must_use]
-    pub fn read_ms(&self, tokens: u32, usual: &Usual) -> f64 {
+    pub fn read_ms(&self, tokens: u32, baseline: &Baseline) -> f64 {
         let read_ms = self.health.prefill_ms_per_token();
-        let read_ms = read_ms.unwrap_or_else(|| self.event_ms(usual) * usual.prefill_per_event());
+        let read_ms =
+            read_ms.unwrap_or_else(|| self.event_ms(baseline) * baseline.prefill_per_event());
         read_ms * f64::from(tokens)
     }
 
     /// Expected time of a request there with nobody beside it.
-    fn alone_ms(&self, job: &Job, usual: &Usual) -> f64 {
-        let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), usual);
-        let events = usual.expected_events(job.expected_output_tokens);
-        first_ms + self.event_ms(usual) * events
+    fn alone_ms(&self, job: &Job, baseline: &Baseline) -> f64 {
+        let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), baseline);
+        let events = baseline.expected_events(job.expected_output_tokens);
+        first_ms + self.event_ms(baseline) * events
     }
 
     /// Whether a request is likely to end there within its time.
     #[must_use]
-    pub fn ends_in_time(&self, job: &Job, usual: &Usual, now_ms: u64) -> bool {
-        !is_cut(self.alone_ms(job, usual), job, now_ms)
+    pub fn ends_in_time(&self, job: &Job, baseline: &Baseline, now_ms: u64) -> bool {
+        !is_cut(self.alone_ms(job, baseline), job, now_ms)
     }
 
     /// What it costs to run a request there while so many run already: its own time, and the
@@ -234,10 +235,10 @@
     /// fast upstreams fill up, short requests go to slow ones first, and long ones, which a
     /// slow upstream would not finish in time, keep to the fast ones.
     #[must_use]
-    pub fn cost_ms(&self, running: u32, job: &Job, usual: &Usual, now_ms: u64) -> f64 {
-        let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), usual);
-        let alone_ms = self.alone_ms(job, usual);
-        let hold_ms = usual.hold_ms();
+    pub fn cost_ms(&self, running: u32, job: &Job, baseline: &Baseline, now_ms: u64) -> f64 {
+        let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), baseline);
+        let alone_ms = self.alone_ms(job, baseline);
+        let hold_ms = baseline.hold_ms();
         let fullness = f64::from(running) / f64::from(self.upstream.slots.max(1));
         let left_ms = numbers::as_f64(job.objective_at_ms.saturating_sub(now_ms));
         let is_late = first_ms > left_ms && !job.is_owed;
--- a/lib/src/direct/rollout/book.rs
+++ b/lib/src/direct/rollout/book.rs
@@ -59,12 +59,12 @@
 }
 
 #[derive(Clone, Copy, Debug, Default)]
-struct UsualTime {
+struct RouteBaseline {
     ln_ms: f64,
     samples: f64,
 }
 
-impl UsualTime {
+impl RouteBaseline {
     fn observe(&mut self, time_ms: f64) {
         self.samples += 1.0;
         let part = (1.0 / self.samples).max(LEAST_SAMPLE_PART);
@@ -95,7 +95,7 @@
     upstreams: Vec<Arc<Upstream>>,
     /// Short names of the old upstreams that are counted.
     control: IndexSet<u32>,
-    usual: IndexMap<u32, UsualTime>,
+    baselines: IndexMap<u32, RouteBaseline>,
     /// What came of the latest requests by route, while no order is in progress.
     ends: IndexMap<u32, Part>,
     /// Requests that run and can't be moved, by service and version.
@@ -114,7 +114,7 @@
             withdrawn: IndexMap::new(),
             upstreams: Vec::new(),
             control: IndexSet::new(),
-            usual: IndexMap::new(),
+            baselines: IndexMap::new(),
             ends: IndexMap::new(),
             fixed: IndexMap::new(),
         }
@@ -407,7 +407,7 @@
         let is_new = progress
             .as_ref()
             .is_some_and(|progress| progress.order().id.to == upstream.version);
-        let usual = self.usual.entry(route).or_default();
+        let usual = self.baselines.entry(route).or_default();
         let outcome = match came {
             RunEnd::Failed => Outcome::Failed,
             RunEnd::Untimed => Outcome::Untimed,
--- a/lib/src/direct/sharing/door.rs
+++ b/lib/src/direct/sharing/door.rs
@@ -19,10 +19,10 @@
 use serde::Serialize;
 
 use crate::direct::membership::report::RunningPart;
+use crate::direct::placement::baseline::FIRST_HOLD_MS;
 use crate::direct::placement::dispatch::WAY_MS;
 use crate::direct::placement::dispatch::short_name;
 use crate::direct::placement::health::Moving;
-use crate::direct::placement::usual::FIRST_HOLD_MS;
 use crate::numbers;
 
 /// Worth of a request by its tier, in relation to the first. Both users' sheets put their
