--- a/lib/src/direct/rollout/verdict.rs
+++ b/lib/src/direct/rollout/verdict.rs
@@ -190,7 +190,7 @@
 ///
 /// let cell = |upstream, outcome| Cell { is_new: true, upstream, route: 1, turn: 0, outcome };
 /// let mut evidence = Evidence::default();
-/// for upstream in [1, 2] {
+/// for upstream in [1, 2, 3] {
 ///     evidence.add(cell(upstream, Outcome::Failed), 6);
 /// }
 /// assert_eq!(evidence.verdict(2), Verdict::Failing);
