quota: wait longer for a slow owner, and name a short time where there is none

Cause: an owner on a host with .09 of a core is busy for longer than the 40 ms that its reply was awaited. Without it an entry spends its part of the quota, and of 357 entries the part of one (47,000 / 357 tokens a second) does not cover a request: refused, to come back after 4 to 70 s. Ruled out: waits for slots (p99 33 ms at the entries), slow first events (p99 .7 s there). The owner is asked again after 40 ms, under the same id so that nothing is charged twice, and has 250 ms in all; what is refused without it is told to come back in 1.5 s at most, when it is back or replaced.

--- a/lib/src/direct/quota_driver.rs
+++ b/lib/src/direct/quota_driver.rs
@@ -22,6 +22,11 @@
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
 
+/// How long a reply is awaited after each charge request to an owner. The second one is for a lost
+/// datagram, and its longer wait for an owner on a small host that is busy: without the owner, an
+/// entry of a large fleet has to refuse nearly every request.
+const REPLY_WAITS_MS: [u64; 2] = [REPLY_TIMEOUT_MS, 210];
+
 /// Charge requests to quota owners that have no reply yet.
 #[derive(Debug, Default)]
 pub struct PendingCharges(RefCell<IndexMap<PeerRequestId, oneshot::Sender<ChargeOutcome>>>);
@@ -81,7 +86,7 @@
         id: PeerRequestId::from_random(rand::random()),
         pending: &traffic.pending_charges,
     };
-    let (sender, reply) = oneshot::channel();
+    let (sender, mut reply) = oneshot::channel();
     traffic
         .pending_charges
         .0
@@ -93,9 +98,14 @@
         cost,
         contention,
     });
-    traffic.send_to_peer(owner, &request);
-    let within = Duration::from_millis(REPLY_TIMEOUT_MS);
-    timeout(within, reply).await.ok()?.ok()
+    for wait_ms in REPLY_WAITS_MS {
+        traffic.send_to_peer(owner, &request);
+        let within = Duration::from_millis(wait_ms);
+        if let Ok(reply) = timeout(within, &mut reply).await {
+            return reply.ok();
+        }
+    }
+    None
 }
 
 impl TrafficState {
@@ -115,13 +125,15 @@
             );
             return;
         };
-        let charge = self.quotas.borrow_mut().charge_for_peer(
-            to,
-            customer,
-            request.cost,
-            request.contention,
-            self.now_ms(),
-        );
+        let charge = self.recent_charges.borrow_mut().reply(to, request.id, || {
+            self.quotas.borrow_mut().charge_for_peer(
+                to,
+                customer,
+                request.cost,
+                request.contention,
+                self.now_ms(),
+            )
+        });
         let reply = PeerMessage::ChargeReply {
             request_id: request.id,
             charge,
--- a/lib/src/direct/sharing/quota.rs
+++ b/lib/src/direct/sharing/quota.rs
@@ -44,8 +44,10 @@
 
 mod bucket;
 mod fleet;
+mod recent_charges;
 
 pub use crate::direct::sharing::quota::bucket::Tolerance;
+pub use crate::direct::sharing::quota::recent_charges::RecentCharges;
 
 /// Time for which an owner that has not replied is not asked again. Each charge request to it costs
 /// a caller the wait for a reply; an owner that is back is asked again soon enough.
@@ -433,6 +435,19 @@
             .map(|(name, bucket)| (name, bucket.local_spending()))
     }
 
+    /// Brings reported figures up to date.
+    ///
+    /// ```
+    /// sardinewood::direct::sharing::quota::CustomerQuotas::default().update_report(&mut []);
+    /// ```
+    pub fn update_report(&self, report: &mut [CustomerSpending]) {
+        for spent in report {
+            if let Some(bucket) = self.buckets.get(&spent.customer) {
+                spent.units = bucket.local_spending();
+            }
+        }
+    }
+
     /// Records that the given spending of this entry was reported to its peers.
     ///
     /// ```
--- a/lib/src/direct/sharing/quota/bucket.rs
+++ b/lib/src/direct/sharing/quota/bucket.rs
@@ -37,6 +37,8 @@
 /// Time constant of spending rates: long enough to smooth single large requests, short enough to
 /// follow a customer whose load grows several times over.
 const AVERAGING_MS: f64 = 3_000.0;
+/// Time until an owner that does not reply has come back or been replaced, in most cases.
+const OWNER_REPLACED_AFTER_MS: u64 = 1_500;
 /// Maximum overdraft of a request, as a share of the burst.
 ///
 /// The bucket of a customer above its rate stays nearly empty. If all units of a request had to be
@@ -332,8 +334,8 @@
     ///
     /// The entry spends its share of the units that seem to be left and of those that come in; the
     /// share follows its recent spending relative to all others. The shares add up to one, so all
-    /// entries together spend what the owner would have granted, and a customer within its rate is
-    /// hardly ever refused.
+    /// entries together spend what the owner would have granted. In a large fleet, the share of one
+    /// entry seldom covers a request, so its caller is told to come back once there is an owner.
     pub(super) fn charge_from_fallback(&mut self, debit: Debit, now_ms: u64) -> ChargeOutcome {
         let fallback = match self.fallback {
             Some(fallback) => fallback,
@@ -349,7 +351,7 @@
         if missing_units > 0.0 {
             let wait_ms = (missing_units / fallback.per_s.max(1.0) * MS_PER_S).ceil();
             return ChargeOutcome::Exceeded {
-                retry_after_ms: numbers::whole_u64(wait_ms),
+                retry_after_ms: numbers::whole_u64(wait_ms).min(OWNER_REPLACED_AFTER_MS),
             };
         }
         let charge = self.charge_local(debit, now_ms);
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -44,6 +44,7 @@
 use crate::direct::sharing::admission::SlotRelease;
 use crate::direct::sharing::quota::Contention;
 use crate::direct::sharing::quota::CustomerQuotas;
+use crate::direct::sharing::quota::RecentCharges;
 use crate::direct::sharing::retry_budget::RetryBudget;
 use crate::direct::sharing::retry_budget::RetryLimits;
 use crate::direct::sharing::size_fairness::SizeFairness;
@@ -79,6 +80,8 @@
     pub socket: UdpSocket,
     /// Quotas of customers.
     pub quotas: RefCell<CustomerQuotas>,
+    /// Replies to the latest charge requests of peers.
+    pub recent_charges: RefCell<RecentCharges>,
     /// Charges that the owners of quotas have not answered yet.
     pub pending_charges: PendingCharges,
     /// Limits how many requests are retried at another upstream.
@@ -272,6 +275,7 @@
             pending_slot_requests: RefCell::default(),
             socket,
             quotas: RefCell::default(),
+            recent_charges: RefCell::default(),
             pending_charges: PendingCharges::default(),
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             catalog: RefCell::default(),
@@ -406,23 +410,28 @@
 
     /// Sends a message to a peer. Later heartbeats and messages make up for a lost one.
     pub fn send_to_peer(&self, to: SocketAddr, message: &PeerMessage) {
+        self.send_to_peers(&[to], message);
+    }
+
+    /// Sends a message to several peers.
+    pub fn send_to_peers(&self, targets: &[SocketAddr], message: &PeerMessage) {
         let Some(bytes) = message.encode() else {
             self.log(Level::Error, "message to a peer is too long", |line| line);
             return;
         };
-        if let Err(error) = self.socket.try_send_to(&bytes, to) {
-            self.log(Level::Warn, "message to a peer could not be sent", |line| {
-                line.field("peer", to).field("error", error.to_string())
-            });
+        for to in targets {
+            if let Err(error) = self.socket.try_send_to(&bytes, *to) {
+                self.log(Level::Warn, "message to a peer could not be sent", |line| {
+                    line.field("peer", to).field("error", error.to_string())
+                });
+            }
         }
     }
 
     /// Sends a message to all peers and to the seeds that have sent nothing yet.
     pub fn send_to_all_peers(&self, message: &PeerMessage) {
         let targets: Vec<SocketAddr> = self.peers.borrow().heartbeat_targets().collect();
-        for target in targets {
-            self.send_to_peer(target, message);
-        }
+        self.send_to_peers(&targets, message);
     }
 
     /// Sends a message to up to `count` peers, chosen at random on each call.
