membership: heartbeats spread over their interval, with less in them; watchers by host

Causes, each with its test: - entries that start together sent 356 datagrams at once, second after second: some 90 ms of a link of 20 Mbit/s and 300 ms of .09 of a core at each receiver (round_of_a_large_fleet_spread_over_its_interval); - each heartbeat repeated 450 bytes of spending that had not changed, to everybody: 46 MB a second between data centres (unchanged_spending_takes_few_bytes, changed_spending_reported_twice); and 8 addresses that all knew; - twenty heartbeats counted as a second also where they took twenty: a slice each 50 ms keeps it a second; - the three lowest addresses watched the store, all in one data centre and perhaps the smallest hosts (small_hosts_do_not_watch_the_store_for_larger_ones, watchers_in_different_data_centres); - a line for each peer discovered; now one a round, with counts. The host follows the message in the datagram, where builds before ignore it (heartbeat_understood_by_builds_that_know_no_hosts).

--- a/lib/src/direct/membership.rs
+++ b/lib/src/direct/membership.rs
@@ -2,5 +2,6 @@
 
 pub mod gossip;
 pub mod heartbeat_payload;
+pub mod heartbeat_round;
 pub mod peer_message;
 pub mod peer_table;
--- a/lib/src/direct/membership/heartbeat_payload.rs
+++ b/lib/src/direct/membership/heartbeat_payload.rs
@@ -20,6 +20,11 @@
 const MAX_SPENT_BYTES: usize = 450;
 /// Bytes of a customer's spending besides its name: a length and a 64-bit count.
 const SPENT_BYTES: usize = 12;
+/// Heartbeats that report a figure after a change, so that one lost datagram does no harm.
+const SENT_AFTER_CHANGE: u32 = 2;
+/// Bytes for figures that have been reported often enough, which repair further losses. All peers
+/// pay for these bytes in each heartbeat of each entry, so there are few.
+const MAX_REPAIR_BYTES: usize = 60;
 
 /// What an entry runs at the upstreams whose hashes lie within a range. It runs nothing at an
 /// upstream within the range that isn't listed.
@@ -101,7 +106,7 @@
 }
 
 /// Chooses the customers whose spending goes into the next heartbeat: those whose figure has
-/// changed, then those sent least often, so that lost datagrams are made up for.
+/// changed, and a few of the others, those sent least often, so that lost datagrams are made up for.
 ///
 /// ```
 /// use sardinewood::direct::membership::heartbeat_payload::SpendingReport;
@@ -136,6 +141,7 @@
         let mut order: Vec<usize> = (0..self.last_sent.len()).collect();
         order.sort_by_key(|index| self.last_sent[*index].times);
         let mut remaining_bytes = MAX_SPENT_BYTES;
+        let mut repair_bytes = MAX_REPAIR_BYTES;
         let mut chosen = Vec::new();
         for index in order {
             let Some((customer, last_sent)) = self.last_sent.get_index_mut(index) else {
@@ -145,6 +151,12 @@
             if bytes > remaining_bytes {
                 break;
             }
+            if last_sent.times >= SENT_AFTER_CHANGE {
+                if bytes > repair_bytes {
+                    break;
+                }
+                repair_bytes -= bytes;
+            }
             remaining_bytes -= bytes;
             last_sent.times = last_sent.times.saturating_add(1);
             chosen.push(CustomerSpending {
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -65,6 +65,47 @@
     pub directory: u64,
 }
 
+impl Revisions {
+    /// Returns whether a replica at these revisions has something that one at `other` lacks.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_message::Revisions;
+    ///
+    /// let newer = Revisions { catalog: 1, directory: 0 };
+    /// assert!(newer.is_ahead_of(Revisions::default()));
+    /// ```
+    #[must_use]
+    pub fn is_ahead_of(self, other: Self) -> bool {
+        self.catalog > other.catalog || self.directory > other.directory
+    }
+}
+
+/// The host of an entry, by which its peers choose who does work for the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EntryHost {
+    /// Hash of the data centre's name.
+    pub data_centre: u32,
+    /// The smaller one of the host's shares of a core and of a link of 1 Gbit/s, in hundredths.
+    pub capacity: u16,
+}
+
+impl EntryHost {
+    /// Returns a host of the data centre with this name.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_message::EntryHost;
+    ///
+    /// assert_ne!(EntryHost::new("east", 9), EntryHost::new("west", 9));
+    /// ```
+    #[must_use]
+    pub fn new(data_centre: &str, capacity: u16) -> Self {
+        Self {
+            data_centre: twox_hash::XxHash32::oneshot(0, data_centre.as_bytes()),
+            capacity,
+        }
+    }
+}
+
 /// The state of one entry, which it sends to all others many times a second.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -91,6 +132,10 @@
     /// What customers have spent at this entry. If there are many, it contains those that were sent
     /// least often since they changed.
     pub spent: Vec<CustomerSpending>,
+    /// The entry's host; none if the sender's build does not know the field. It follows the message
+    /// in the datagram, where such builds ignore it.
+    #[serde(skip)]
+    pub host: Option<EntryHost>,
 }
 
 /// Asks the receiver, who owns the customer's quota, to charge a request to it.
@@ -170,7 +215,13 @@
     /// ```
     #[must_use]
     pub fn encode(&self) -> Option<Vec<u8>> {
-        let bytes = postcard::to_extend(self, vec![FORMAT_VERSION]).ok()?;
+        let mut bytes = postcard::to_extend(self, vec![FORMAT_VERSION]).ok()?;
+        if let Self::Heartbeat(Heartbeat {
+            host: Some(host), ..
+        }) = self
+        {
+            bytes = postcard::to_extend(host, bytes).ok()?;
+        }
         (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
     }
 
@@ -181,9 +232,13 @@
     /// ```
     #[must_use]
     pub fn decode(bytes: &[u8]) -> Option<Self> {
-        match bytes.split_first() {
-            Some((&FORMAT_VERSION, message)) => postcard::from_bytes(message).ok(),
-            _ => None,
+        let (&FORMAT_VERSION, message) = bytes.split_first()? else {
+            return None;
+        };
+        let (mut message, extension) = postcard::take_from_bytes(message).ok()?;
+        if let Self::Heartbeat(heartbeat) = &mut message {
+            heartbeat.host = postcard::from_bytes(extension).ok();
         }
+        Some(message)
     }
 }
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -1,11 +1,13 @@
 //! What an entry knows about the others from their heartbeats.
 
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
 use crate::direct::membership::peer_message::CustomerSpending;
+use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::Revisions;
 
@@ -61,6 +63,7 @@
     known_entries: u16,
     store_age_ms: Option<u32>,
     revisions: Revisions,
+    host: Option<EntryHost>,
     spent: IndexMap<Arc<str>, u64>,
     /// Whether the peer had run for some time when its first heartbeat arrived.
     was_running_before: bool,
@@ -128,6 +131,7 @@
 #[derive(Clone, Debug)]
 pub struct PeerTable {
     own_address: SocketAddr,
+    own_host: EntryHost,
     seeds: Vec<SocketAddr>,
     peers: IndexMap<SocketAddr, Peer>,
 }
@@ -143,6 +147,7 @@
     pub fn new(own_address: SocketAddr, seeds: &[SocketAddr]) -> Self {
         Self {
             own_address,
+            own_host: EntryHost::default(),
             seeds: seeds
                 .iter()
                 .copied()
@@ -152,6 +157,31 @@
         }
     }
 
+    /// Sets the host of this entry.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{membership::peer_message::EntryHost, membership::peer_table::PeerTable};
+    /// let mut table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// let host = EntryHost { data_centre: 1, capacity: 9 };
+    /// table.set_own_host(host);
+    /// assert_eq!(table.own_host(), host);
+    /// ```
+    pub fn set_own_host(&mut self, host: EntryHost) {
+        self.own_host = host;
+    }
+
+    /// Returns the host of this entry.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{membership::peer_message::EntryHost, membership::peer_table::PeerTable};
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert_eq!(table.own_host(), EntryHost::default());
+    /// ```
+    #[must_use]
+    pub fn own_host(&self) -> EntryHost {
+        self.own_host
+    }
+
     /// Adds addresses of other entries.
     ///
     /// ```
@@ -233,6 +263,7 @@
             known_entries: heartbeat.known_entries,
             store_age_ms: heartbeat.store_age_ms,
             revisions: heartbeat.revisions,
+            host: heartbeat.host,
             spent,
             was_running_before,
         };
@@ -273,7 +304,8 @@
         self.peers.keys().chain(unheard).copied()
     }
 
-    /// Returns the addresses to send in a heartbeat: as many peers as fit, others each time.
+    /// Returns the addresses to send in a heartbeat, others each time: as many peers as fit, or one
+    /// if all live peers know as many entries as this one.
     ///
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
@@ -283,13 +315,20 @@
     #[must_use]
     pub fn addresses_to_share(&self, sequence: u64) -> Vec<SocketAddr> {
         let count = self.peers.len().max(1);
+        let known = self.known_entries();
+        let knows_fewer = |peer: &Peer| usize::from(peer.known_entries) < known;
+        let shared = if self.peers.values().any(knows_fewer) {
+            MAX_ADDRESSES
+        } else {
+            1
+        };
         let turn = usize::try_from(sequence).unwrap_or_default();
-        let first = turn.wrapping_mul(MAX_ADDRESSES) % count;
+        let first = turn.wrapping_mul(shared) % count;
         self.peers
             .keys()
             .cycle()
             .skip(first)
-            .take(count.min(MAX_ADDRESSES).min(self.peers.len()))
+            .take(shared.min(self.peers.len()))
             .copied()
             .collect()
     }
@@ -456,12 +495,13 @@
         missing.max(unknown_seeds)
     }
 
-    /// Returns whether this entry should watch the store itself, rather than pull changes from
-    /// peers.
+    /// Returns whether this entry should watch the store itself, rather than get changes from peers.
     ///
     /// Each change costs every entry that watches a call, so that the cost of a fleet in which all
     /// watch grows with the square of its size. So only a few watch, chosen in an order that all
-    /// agree on. An entry that the store hasn't answered for some time is passed over.
+    /// agree on: the hosts with most capacity, as they serve the others, and one in each data centre
+    /// first, since a data centre may be cut off. An entry that the store hasn't answered for some
+    /// time is passed over.
     ///
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
@@ -469,14 +509,29 @@
     /// ```
     #[must_use]
     pub fn watches_store(&self, now_ms: u64) -> bool {
-        let before = self
-            .peers
-            .iter()
-            .filter(|(_, peer)| !peer.is_leaving && self.is_live(peer, now_ms))
-            .filter(|(_, peer)| peer.store_age_ms.is_some_and(|age| age < MAX_STORE_AGE_MS))
-            .filter(|(address, _)| **address < self.own_address)
-            .count();
-        before < STORE_WATCHERS
+        let is_watching = |peer: &Peer| {
+            let store_age_ms = peer.store_age_ms.filter(|_| !peer.is_leaving);
+            store_age_ms.is_some_and(|age_ms| age_ms < MAX_STORE_AGE_MS)
+                && self.is_live(peer, now_ms)
+        };
+        let watching = self.peers.iter().filter(|(_, peer)| is_watching(peer));
+        let mut candidates: Vec<(EntryHost, SocketAddr)> = watching
+            .map(|(address, peer)| (peer.host.unwrap_or_default(), *address))
+            .collect();
+        candidates.push((self.own_host, self.own_address));
+        candidates.sort_unstable_by_key(|(host, address)| (Reverse(host.capacity), *address));
+        let mut ranked: IndexMap<u32, usize> = IndexMap::new();
+        let rank_in_data_centre = |(host, address): (EntryHost, SocketAddr)| {
+            let ranked = ranked.entry(host.data_centre).or_default();
+            *ranked += 1;
+            (*ranked, address)
+        };
+        let mut order: Vec<(usize, SocketAddr)> =
+            candidates.into_iter().map(rank_in_data_centre).collect();
+        // The sort is stable: within a rank, the hosts with most capacity stay first.
+        order.sort_by_key(|(rank, _)| *rank);
+        let mut watchers = order.iter().take(STORE_WATCHERS);
+        watchers.any(|(_, address)| *address == self.own_address)
     }
 
     /// Returns the time until the next heartbeat.
@@ -513,9 +568,7 @@
     /// ```
     #[must_use]
     pub fn peer_ahead_of(&self, own: Revisions, random: usize, now_ms: u64) -> Option<SocketAddr> {
-        let is_ahead = |peer: &Peer| {
-            peer.revisions.catalog > own.catalog || peer.revisions.directory > own.directory
-        };
+        let is_ahead = |peer: &Peer| peer.revisions.is_ahead_of(own);
         let ahead: Vec<SocketAddr> = self
             .peers
             .iter()
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
 
 use tokio::sync::watch;
-use tokio::time::Instant;
 use tokio::time::sleep_until;
 
 use crate::direct::membership::heartbeat_payload::LoadChunk;
 use crate::direct::membership::heartbeat_payload::SpendingReport;
+use crate::direct::membership::heartbeat_round::HeartbeatRound;
+use crate::direct::membership::peer_message::CustomerSpending;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::PeerMessage;
 use crate::direct::membership::peer_message::Revisions;
@@ -28,7 +28,13 @@
     traffic: Rc<TrafficState>,
     incarnation: u64,
     sequence: u64,
+    /// Number of the round, which selects the parts of a state that is too large for one heartbeat.
+    round: u64,
     spent: SpendingReport,
+    /// Spending that the heartbeats of this round report.
+    round_spent: Vec<CustomerSpending>,
+    /// Peers discovered since the last round, and the latest of them.
+    discovered: (usize, Option<SocketAddr>),
     channels: ControlChannels,
 }
 
@@ -53,7 +59,10 @@
             traffic: Rc::clone(traffic),
             incarnation: rand::random(),
             sequence: 0,
+            round: 0,
             spent: SpendingReport::default(),
+            round_spent: Vec::new(),
+            discovered: (0, None),
             channels,
         }
     }
@@ -61,9 +70,11 @@
     /// Sends and receives until the process ends.
     pub async fn run(mut self) {
         let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
-        let mut next_heartbeat = Instant::now();
         let traffic = Rc::clone(&self.traffic);
+        let mut round = self.begin_round();
+        self.send_due(&mut round);
         loop {
+            let next_due = traffic.instant_at(round.next_due_ms(traffic.now_ms()));
             tokio::select! {
                 received = traffic.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from),
@@ -78,22 +89,18 @@
                     if changed.is_err() {
                         return;
                     }
-                    self.sequence += 1;
                     self.broadcast_heartbeat();
                 }
-                () = sleep_until(next_heartbeat) => {
-                    self.send_heartbeat();
-                    next_heartbeat = Instant::now() + self.heartbeat_interval();
+                () = sleep_until(next_due) => {
+                    if round.is_over(traffic.now_ms()) {
+                        round = self.begin_round();
+                    }
+                    self.send_due(&mut round);
                 }
             }
         }
     }
 
-    fn heartbeat_interval(&self) -> Duration {
-        let watches_store = *self.channels.watches_store.borrow();
-        Duration::from_millis(self.traffic.peers.borrow().heartbeat_ms(watches_store))
-    }
-
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let traffic = &self.traffic;
         match PeerMessage::decode(bytes) {
@@ -140,17 +147,15 @@
         }
     }
 
-    fn handle_heartbeat(&self, heartbeat: &Heartbeat, from: SocketAddr) {
-        let traffic = &self.traffic;
+    fn handle_heartbeat(&mut self, heartbeat: &Heartbeat, from: SocketAddr) {
+        let traffic = Rc::clone(&self.traffic);
         let now_ms = traffic.now_ms();
         let effect = traffic
             .peers
             .borrow_mut()
             .record_heartbeat(from, heartbeat, now_ms);
         if effect.is_new {
-            traffic.log(Level::Info, "peer discovered", |line| {
-                line.field("peer", from)
-            });
+            self.discovered = (self.discovered.0 + 1, Some(from));
         }
         if heartbeat.is_last {
             traffic.log(Level::Info, "peer has exited", |line| {
@@ -186,18 +191,26 @@
             &heartbeat.loads,
             now_ms,
         );
-        let own_revisions = *self.channels.own_revisions.borrow();
+        self.update_peer_ahead(heartbeat.revisions, now_ms);
+        traffic.grant_slots();
+    }
+
+    /// Looks for a peer that is ahead of this entry, if the sender of a heartbeat is or one was
+    /// before.
+    fn update_peer_ahead(&self, sender: Revisions, now_ms: u64) {
+        let own = *self.channels.own_revisions.borrow();
+        let was_behind = self.channels.peer_ahead.borrow().is_some();
+        if !was_behind && !sender.is_ahead_of(own) {
+            return;
+        }
         let random = rand::random::<u16>().into();
-        let peer_ahead = traffic
-            .peers
-            .borrow()
-            .peer_ahead_of(own_revisions, random, now_ms);
+        let peers = self.traffic.peers.borrow();
+        let peer_ahead = peers.peer_ahead_of(own, random, now_ms);
         send_if_changed(&self.channels.peer_ahead, peer_ahead);
-        traffic.grant_slots();
     }
 
-    /// Passes on what has changed among the peers, and sends a heartbeat.
-    fn send_heartbeat(&mut self) {
+    /// Passes on what has changed among the peers, and begins a round of heartbeats.
+    fn begin_round(&mut self) -> HeartbeatRound {
         let traffic = Rc::clone(&self.traffic);
         let now_ms = traffic.now_ms();
         traffic.peers.borrow_mut().sweep(now_ms);
@@ -220,11 +233,46 @@
             .admission
             .borrow_mut()
             .set_limit_share(share, now_ms);
-        send_if_changed(&self.channels.watches_store, peers.watches_store(now_ms));
+        let watches_store = peers.watches_store(now_ms);
+        send_if_changed(&self.channels.watches_store, watches_store);
+        let targets = peers.heartbeat_targets().collect();
+        let interval_ms = peers.heartbeat_ms(watches_store);
         drop(peers);
-        self.sequence += 1;
-        self.broadcast_heartbeat();
+        self.log_discovered(known);
+        self.round += 1;
+        self.report_spending();
         traffic.grant_slots();
+        HeartbeatRound::new(targets, interval_ms, now_ms)
+    }
+
+    /// Logs how many peers were discovered since the last round: at the start of a large fleet, a
+    /// line for each would take most of a small host's processor time.
+    fn log_discovered(&mut self, known: usize) {
+        let (count, latest) = std::mem::take(&mut self.discovered);
+        if let Some(latest) = latest {
+            self.traffic.log(Level::Info, "peer discovered", |line| {
+                line.field("peer", latest)
+                    .field("discovered", count)
+                    .field("known_entries", known)
+            });
+        }
+    }
+
+    /// Chooses the customers whose spending this round reports.
+    fn report_spending(&mut self) {
+        let mut quotas = self.traffic.quotas.borrow_mut();
+        self.round_spent = self.spent.next(quotas.local_spending());
+        quotas.mark_reported(&self.round_spent);
+    }
+
+    /// Sends the heartbeats that are due.
+    fn send_due(&mut self, round: &mut HeartbeatRound) {
+        let due = round.take_due(self.traffic.now_ms());
+        if due.is_empty() {
+            return;
+        }
+        let heartbeat = PeerMessage::Heartbeat(self.own_heartbeat());
+        self.traffic.send_to_peers(&due, &heartbeat);
     }
 
     fn broadcast_heartbeat(&mut self) {
@@ -242,11 +290,10 @@
     }
 
     fn own_heartbeat(&mut self) -> Heartbeat {
+        self.sequence += 1;
         let traffic = &self.traffic;
         let dispatcher = traffic.dispatcher.borrow();
-        let mut quotas = traffic.quotas.borrow_mut();
-        let spent = self.spent.next(quotas.local_spending());
-        quotas.mark_reported(&spent);
+        traffic.quotas.borrow().update_report(&mut self.round_spent);
         let watches_store = *self.channels.watches_store.borrow();
         let peers = traffic.peers.borrow();
         Heartbeat {
@@ -262,12 +309,10 @@
                 .age_ms()
                 .filter(|_| watches_store),
             revisions: *self.channels.own_revisions.borrow(),
-            peer_addresses: peers.addresses_to_share(self.sequence),
-            loads: LoadChunk::of(
-                dispatcher.running(traffic.now_ms()).collect(),
-                self.sequence,
-            ),
-            spent,
+            peer_addresses: peers.addresses_to_share(self.round),
+            loads: LoadChunk::of(dispatcher.running(traffic.now_ms()).collect(), self.round),
+            spent: self.round_spent.clone(),
+            host: Some(peers.own_host()),
         }
     }
 }
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -24,6 +24,7 @@
 use tokio::time::sleep;
 
 use crate::direct::membership::gossip;
+use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::metrics::DirectMetrics;
@@ -92,6 +93,8 @@
     pub peer_address: SocketAddr,
     /// Addresses of some other entries, used to discover the rest.
     pub seeds: Vec<SocketAddr>,
+    /// The host that the entry runs on.
+    pub host: EntryHost,
     /// Limits of the retries that all entries together may make.
     pub retry_limits: RetryLimits,
     /// How far customers may exceed their quotas.
@@ -244,7 +247,8 @@
                 settings.peer_address
             )
         })?;
-    let peers = PeerTable::new(settings.peer_address, &settings.seeds);
+    let mut peers = PeerTable::new(settings.peer_address, &settings.seeds);
+    peers.set_own_host(settings.host);
     let metrics = DirectMetrics::new().wrap_err("can't register metrics")?;
     let table = RolloutTable::new(settings.rollouts, rand::random());
     let traffic = TrafficState::new(
@@ -331,7 +335,10 @@
         .set_limits(new.retry_limits);
     traffic.quotas.borrow_mut().set_tolerance(new.tolerance);
     traffic.set_max_backoff(new.max_backoff);
-    traffic.peers.borrow_mut().add_seeds(&new.seeds);
+    let mut peers = traffic.peers.borrow_mut();
+    peers.add_seeds(&new.seeds);
+    peers.set_own_host(new.host);
+    drop(peers);
     let needs_restart = old.caller_address != new.caller_address
         || old.readiness_address != new.readiness_address
         || old.peer_address != new.peer_address;
--- a/lib/tests/test_direct_heartbeat_payload.rs
+++ b/lib/tests/test_direct_heartbeat_payload.rs
@@ -6,6 +6,7 @@
 use indexmap::IndexMap;
 use sardinewood::direct::membership::heartbeat_payload::LoadChunk;
 use sardinewood::direct::membership::heartbeat_payload::SpendingReport;
+use sardinewood::direct::membership::heartbeat_round::HeartbeatRound;
 use sardinewood::direct::membership::peer_message::CustomerSpending;
 use sardinewood::direct::membership::peer_message::Heartbeat;
 use sardinewood::direct::membership::peer_message::PeerMessage;
@@ -115,6 +116,74 @@
     assert_eq!(reported[0].customer, name);
 }
 
+#[test]
+fn unchanged_spending_takes_few_bytes() {
+    // Guards against heartbeats that repeat what nobody has spent since: every entry pays for each
+    // of their bytes, and most of a fleet's bytes between data centres were such repeats.
+    let mut report = SpendingReport::default();
+    let spent = customers();
+    let mut next = || report.next(spent.iter().map(|(name, units)| (name, *units)));
+    for _ in 0..400 {
+        next();
+    }
+    let bytes: usize = next().iter().map(|spent| spent.customer.len() + 12).sum();
+    assert!((1..=60).contains(&bytes), "{bytes}");
+}
+
+#[test]
+fn changed_spending_reported_twice() {
+    // Guards against a change that is unknown to a peer because one datagram was lost.
+    let mut report = SpendingReport::default();
+    let mut spent = customers();
+    let next = |report: &mut SpendingReport, spent: &IndexMap<Arc<str>, u64>| {
+        report.next(spent.iter().map(|(name, units)| (name, *units)))
+    };
+    for _ in 0..400 {
+        next(&mut report, &spent);
+    }
+    spent[900] = 5;
+    for _ in 0..2 {
+        let reported = next(&mut report, &spent);
+        assert!(
+            reported.iter().any(|spent| spent.units == 5),
+            "{reported:?}"
+        );
+    }
+}
+
+#[test]
+fn round_of_a_large_fleet_spread_over_its_interval() {
+    // Guards against a burst of several hundred datagrams at the start of each second, during which
+    // a small host serves no request, and which all peers receive at the same moment.
+    let targets: Vec<SocketAddr> = (0..=255)
+        .map(|number| SocketAddr::from(([10, 0, 2, number], 7)))
+        .collect();
+    let mut round = HeartbeatRound::new(targets.clone(), 1_000, 0);
+    let mut sent = Vec::new();
+    for now_ms in 0..1_000 {
+        let due = round.take_due(now_ms);
+        assert!(due.len() <= 13, "{} at {now_ms} ms", due.len());
+        sent.extend(due);
+    }
+    assert_eq!(sent, targets);
+    assert!(round.is_over(1_000));
+}
+
+#[test]
+fn stalled_process_sends_what_is_left_of_its_round() {
+    let targets = vec![peer(); 40];
+    let mut round = HeartbeatRound::new(targets, 1_000, 0);
+    assert_eq!(round.take_due(0).len(), 2);
+    assert_eq!(round.take_due(3_000).len(), 38);
+}
+
+#[test]
+fn small_fleet_sends_a_round_at_once() {
+    let mut round = HeartbeatRound::new(vec![peer(); 9], 90, 5);
+    assert_eq!(round.take_due(5).len(), 9);
+    assert_eq!(round.next_due_ms(5), 95);
+}
+
 #[test]
 fn chunks_cover_every_engine_once() {
     let chunks = loads()
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -5,12 +5,16 @@
 use std::sync::Arc;
 
 use sardinewood::direct::membership::peer_message::CustomerSpending;
+use sardinewood::direct::membership::peer_message::EntryHost;
 use sardinewood::direct::membership::peer_message::Heartbeat;
+use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::membership::peer_message::Revisions;
 use sardinewood::direct::membership::peer_table::PeerTable;
+use sardinewood::direct::sharing::admission::PeerRequestId;
 use sardinewood::direct::sharing::quota::ChargeOutcome;
 use sardinewood::direct::sharing::quota::Contention;
 use sardinewood::direct::sharing::quota::CustomerQuotas;
+use sardinewood::direct::sharing::quota::RecentCharges;
 use sardinewood::direct::sharing::quota::RequestCost;
 use sardinewood::direct::sharing::quota::Tolerance;
 use sardinewood::direct::sharing::retry_budget::RetryBudget;
@@ -417,6 +421,94 @@
     assert!(first.watches_store(0), "a lone entry asks the store");
 }
 
+/// A heartbeat of an entry that watches the store, on a host of a data centre.
+fn watching(data_centre: u32, capacity: u16) -> Heartbeat {
+    Heartbeat {
+        host: Some(EntryHost {
+            data_centre,
+            capacity,
+        }),
+        ..heartbeat(1)
+    }
+}
+
+#[test]
+fn refusal_in_place_of_a_silent_owner_is_short() {
+    // Guards against entries of a large fleet that send callers away for as long as their own small
+    // share of a quota takes to cover the request, although there is an owner again in a second.
+    let mut quotas = CustomerQuotas::default();
+    quotas.set_membership(357, Vec::new(), 0);
+    let contention = Contention::Uncontended;
+    let request = cost(Some(RATE_PER_S / 2));
+    let charge = quotas.charge_without_owner(address(1), &customer(), request, contention, 0);
+    let ChargeOutcome::Exceeded { retry_after_ms } = charge else {
+        panic!("{charge:?}");
+    };
+    assert!(retry_after_ms <= 1_500, "{retry_after_ms}");
+}
+
+#[test]
+fn repeated_charge_request_charged_once() {
+    // Guards against a second charge of a request whose owner's reply was only late.
+    let mut recent = RecentCharges::default();
+    let mut charged = 0;
+    for id in [1, 2, 1, 2, 3] {
+        recent.reply(address(1), PeerRequestId(id), || {
+            charged += 1;
+            ChargeOutcome::Granted
+        });
+    }
+    assert_eq!(charged, 3);
+}
+
+#[test]
+fn small_hosts_do_not_watch_the_store_for_larger_ones() {
+    // Guards against watchers on hosts with a tenth of a core and slow links: all others wait for
+    // them at each change.
+    let host = |capacity| EntryHost {
+        data_centre: 1,
+        capacity,
+    };
+    let mut table = PeerTable::new(address(1), &[]);
+    for number in 2..5 {
+        table.record_heartbeat(address(number), &watching(1, 100), 0);
+    }
+    table.set_own_host(host(2));
+    assert!(!table.watches_store(0));
+    table.set_own_host(host(100));
+    assert!(table.watches_store(0));
+}
+
+#[test]
+fn watchers_in_different_data_centres() {
+    // Guards against a data centre whose cut separates all watchers from the others.
+    let mut table = PeerTable::new(address(9), &[]);
+    for number in 1..4 {
+        table.record_heartbeat(address(number), &watching(1, 100), 0);
+    }
+    let host = |data_centre| EntryHost {
+        data_centre,
+        capacity: 100,
+    };
+    table.set_own_host(host(1));
+    assert!(!table.watches_store(0));
+    table.set_own_host(host(2));
+    assert!(table.watches_store(0));
+}
+
+#[test]
+fn heartbeat_understood_by_builds_that_know_no_hosts() {
+    // Guards against a rolling upgrade in which old and new entries do not hear each other, and
+    // each part grants every customer's quota.
+    let message = PeerMessage::Heartbeat(watching(1, 100));
+    let plain = PeerMessage::Heartbeat(heartbeat(1));
+    let bytes = message.encode().expect("a datagram");
+    let plain_bytes = plain.encode().expect("a datagram");
+    assert!(bytes.starts_with(&plain_bytes));
+    assert_eq!(PeerMessage::decode(&plain_bytes), Some(plain));
+    assert_eq!(PeerMessage::decode(&bytes), Some(message));
+}
+
 #[test]
 fn spending_counted_once_in_spite_of_repeats() {
     let mut table = PeerTable::new(address(9), &[]);
