placement, admission: a heartbeat costs what it says, not what there is

Cause: each heartbeat walked all upstreams twice and all peers once: with 357 entries before 714 upstreams, 24.5 ms of processor time a second, of the 90 that a small host has; with 1,000, 257 ms.

--- a/bench/src/command.rs
+++ b/bench/src/command.rs
@@ -22,6 +22,11 @@
         summary: "how soon a change is in force everywhere, and what that costs",
         run: crate::config::run,
     },
+    Subcommand {
+        name: "control",
+        summary: "what an entry of the direct mode spends on the other entries, by size of the fleet",
+        run: crate::control::run,
+    },
     Subcommand {
         name: "decisions",
         summary: "processor time of one decision, and how it grows",
--- /dev/null
+++ b/bench/src/control.rs
@@ -0,0 +1,52 @@
+//! `control`: what an entry of the direct mode spends on the other entries, by size of the fleet.
+
+pub mod profile;
+
+use eyre::bail;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+
+use self::profile::FleetSize;
+use crate::command::print_line;
+
+const HELP: &str = "\
+Usage: sardinewood-bench control [--entries N] [--seconds S]
+
+Gives one entry the messages that a fleet of N entries before twice as many upstreams sends it, by
+default 30, 100, 357, 714 and 1,000 entries, and prints one JSON line for each size and purpose:
+messages, bytes and processor time a second.
+";
+
+/// Sizes of the fleet that are measured by default.
+const ENTRIES: [usize; 5] = [30, 100, 357, 714, 1_000];
+
+/// Measures what the arguments ask for.
+///
+/// # Errors
+///
+/// The arguments are not understood.
+pub fn run(mut parser: Parser) -> eyre::Result<()> {
+    let mut sizes = ENTRIES.to_vec();
+    let mut seconds = 5;
+    while let Some(argument) = parser.next()? {
+        match argument {
+            Arg::Long("help") | Arg::Short('h') => {
+                print!("{HELP}");
+                return Ok(());
+            }
+            Arg::Long("entries") => sizes = vec![parser.value()?.parse()?],
+            Arg::Long("seconds") => seconds = parser.value()?.parse()?,
+            other => return Err(other.unexpected().into()),
+        }
+    }
+    if sizes.iter().any(|entries| *entries < 2) || seconds == 0 {
+        bail!("--entries is at least 2, and --seconds at least 1");
+    }
+    for entries in sizes {
+        for cost in profile::measure(FleetSize::of(entries), seconds) {
+            print_line(&cost)?;
+        }
+    }
+    Ok(())
+}
--- a/bench/src/lib.rs
+++ b/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod bound;
 pub mod command;
 pub mod config;
+pub mod control;
 pub mod cpu_time;
 pub mod decisions;
 pub mod direct;
--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -4,6 +4,7 @@
 mod test_baseline;
 mod test_bound;
 mod test_command;
+mod test_control;
 mod test_decisions;
 mod test_direct;
 mod test_engine_model;
--- a/lib/src/direct/placement.rs
+++ b/lib/src/direct/placement.rs
@@ -6,6 +6,7 @@
 pub mod dispatch;
 pub mod health;
 pub mod job;
+pub mod peer_loads;
 pub mod shared_prefix;
 pub mod slot_search;
 pub mod tracked_upstream;
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -16,6 +16,7 @@
 use crate::direct::placement::health::AttemptOutcome;
 use crate::direct::placement::health::ObservedHealth;
 use crate::direct::placement::job::Job;
+use crate::direct::placement::peer_loads::PeerLoads;
 use crate::direct::placement::shared_prefix;
 use crate::direct::placement::shared_prefix::CachedPrefix;
 use crate::direct::placement::shared_prefix::Candidate;
@@ -39,14 +40,6 @@
 /// Factor by which the first event may take longer than expected when the engine also reads other
 /// prompts.
 const FIRST_EVENT_MARGIN: f64 = 1.3;
-/// Time for which a load report of a peer is used.
-const PEER_LOAD_TTL_MS: u64 = 1_500;
-
-#[derive(Clone, Debug, Default)]
-struct PeerLoad {
-    at_ms: u64,
-    running: IndexMap<u32, u16>,
-}
 
 /// Numbers of upstreams of a service by their state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -71,8 +64,10 @@
 #[derive(Debug, Default)]
 pub struct Dispatcher {
     upstreams: IndexMap<Arc<str>, TrackedUpstream>,
+    /// Instances of the upstreams, by the hashes that peers' reports name.
+    instances: IndexMap<u32, Arc<str>>,
     baselines: IndexMap<Arc<str>, ServiceBaseline>,
-    peers: IndexMap<u64, PeerLoad>,
+    peer_loads: PeerLoads,
 }
 
 /// Returns the hash by which entries refer to an upstream in messages.
@@ -107,6 +102,10 @@
         }
         self.upstreams
             .retain(|_, tracked| tracked.is_listed || tracked.running > 0);
+        let upstreams = self.upstreams.iter();
+        self.instances = upstreams
+            .map(|(instance, tracked)| (tracked.hash, Arc::clone(instance)))
+            .collect();
     }
 
     /// Applies a peer's report of its running requests and of the speeds that it measured.
@@ -118,21 +117,11 @@
     /// dispatcher.set_peer_load(1, &LoadChunk::whole(vec![two]), 0);
     /// ```
     pub fn set_peer_load(&mut self, peer: u64, report: &LoadChunk, now_ms: u64) {
-        let load = self.peers.entry(peer).or_default();
-        load.at_ms = now_ms;
-        load.running.retain(|hash, _| !report.covers(*hash));
-        let counts = report
-            .loads
-            .iter()
-            .map(|running| (running.upstream, running.requests));
-        load.running.extend(counts);
-        let by_hash: IndexMap<u32, &UpstreamLoad> = report
-            .loads
-            .iter()
-            .map(|running| (running.upstream, running))
-            .collect();
-        for tracked in self.upstreams.values_mut() {
-            let Some(report) = by_hash.get(&tracked.hash) else {
+        self.peer_loads.record(peer, report, now_ms);
+        for report in &report.loads {
+            let instance = self.instances.get(&report.upstream);
+            let tracked = instance.and_then(|instance| self.upstreams.get_mut(instance));
+            let Some(tracked) = tracked else {
                 continue;
             };
             if let Some(event_gap_ms) = tracked.merge_peer_report(report, now_ms) {
@@ -143,8 +132,6 @@
                     .observe_event_gap(event_gap_ms);
             }
         }
-        self.peers
-            .retain(|_, load| now_ms < load.at_ms + PEER_LOAD_TTL_MS);
     }
 
     /// Returns what this entry reports to peers: its running requests by upstream, and the measured
@@ -541,7 +528,10 @@
             baseline.observe_hold(numbers::as_f64(held_ms));
         }
         if !tracked.is_listed && tracked.running == 0 {
-            self.upstreams.shift_remove(instance);
+            let removed = self.upstreams.shift_remove(instance);
+            if let Some(removed) = removed {
+                self.instances.swap_remove(&removed.hash);
+            }
         }
     }
 
@@ -588,12 +578,7 @@
     }
 
     fn running_at_peers(&self, tracked: &TrackedUpstream, now_ms: u64) -> u32 {
-        self.peers
-            .values()
-            .filter(|load| now_ms < load.at_ms + PEER_LOAD_TTL_MS)
-            .filter_map(|load| load.running.get(&tracked.hash))
-            .map(|running| u32::from(*running))
-            .sum()
+        self.peer_loads.running_at(tracked.hash, now_ms)
     }
 }
 
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -134,6 +134,45 @@
     is_touched: bool,
 }
 
+/// What a heartbeat has changed in the slots counted for a peer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UsageChange {
+    /// The count stays as it was.
+    Kept,
+    /// The reported count has replaced the one that was kept.
+    Corrected,
+}
+
+impl PeerUsage {
+    /// Returns the usage of a peer of which nothing is counted, by its first report.
+    fn first(reported: u32) -> Self {
+        Self {
+            count: reported,
+            reported,
+            is_touched: false,
+        }
+    }
+
+    /// Applies the count of a heartbeat; see [`AdmissionController::reconcile`].
+    fn reconcile(&mut self, reported: u32) -> UsageChange {
+        let is_confirmed = !self.is_touched && self.reported == reported;
+        let change = if is_confirmed && self.count != reported {
+            self.count = reported;
+            UsageChange::Corrected
+        } else {
+            UsageChange::Kept
+        };
+        self.reported = reported;
+        self.is_touched = false;
+        change
+    }
+
+    /// Returns whether the peer uses nothing and has reported so.
+    fn is_empty(&self) -> bool {
+        self.count == 0 && self.reported == 0 && !self.is_touched
+    }
+}
+
 /// Used slots and waiting requests of one upstream.
 #[derive(Clone, Debug, Default)]
 struct AdmissionQueue {
@@ -272,6 +311,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct AdmissionController {
     queues: IndexMap<u32, AdmissionQueue>,
+    /// Upstreams at which slots of a peer are counted. A heartbeat concerns only these and the ones
+    /// that it reports, however many upstreams there are.
+    used_by_peer: IndexMap<SocketAddr, IndexSet<u32>>,
     last_heard_ms: IndexMap<SocketAddr, u64>,
     /// Upstreams whose queues may have a slot to grant.
     dirty_queues: Vec<u32>,
@@ -458,6 +500,7 @@
                 let usage = queue.peers.entry(peer).or_default();
                 usage.count = usage.count.saturating_sub(1);
                 usage.is_touched = true;
+                self.used_by_peer.entry(peer).or_default().insert(upstream);
             }
         }
         match release {
@@ -482,33 +525,30 @@
     /// ```
     pub fn reconcile(&mut self, peer: SocketAddr, reported_load: &LoadChunk, now_ms: u64) {
         self.last_heard_ms.insert(peer, now_ms);
-        let running: IndexMap<u32, u32> = reported_load
-            .loads
+        let used = self.used_by_peer.entry(peer).or_default();
+        let mut reported: IndexMap<u32, u32> = used
             .iter()
-            .map(|running| (running.upstream, u32::from(running.requests)))
+            .filter(|upstream| reported_load.covers(**upstream))
+            .map(|upstream| (*upstream, 0))
             .collect();
-        let queues = self.queues.iter_mut();
-        for (upstream, queue) in queues.filter(|(upstream, _)| reported_load.covers(**upstream)) {
-            let reported = running.get(upstream).copied().unwrap_or_default();
-            let usage = match queue.peers.get_mut(&peer) {
-                Some(usage) => usage,
-                None if reported == 0 => continue,
-                None => {
-                    let first = PeerUsage {
-                        count: reported,
-                        reported,
-                        is_touched: false,
-                    };
-                    queue.peers.insert(peer, first);
-                    continue;
-                }
+        let running = reported_load.loads.iter();
+        reported.extend(running.map(|running| (running.upstream, u32::from(running.requests))));
+        for (upstream, reported) in reported {
+            let Some(queue) = self.queues.get_mut(&upstream) else {
+                used.swap_remove(&upstream);
+                continue;
             };
-            if !usage.is_touched && usage.reported == reported && usage.count != reported {
-                usage.count = reported;
-                self.dirty_queues.push(*upstream);
+            let known = queue.peers.entry(peer);
+            let usage = known.or_insert_with(|| PeerUsage::first(reported));
+            if usage.reconcile(reported) == UsageChange::Corrected {
+                self.dirty_queues.push(upstream);
+            }
+            if usage.is_empty() {
+                queue.peers.swap_remove(&peer);
+                used.swap_remove(&upstream);
+            } else {
+                used.insert(upstream);
             }
-            usage.reported = reported;
-            usage.is_touched = false;
         }
     }
 
@@ -520,22 +560,32 @@
     /// AdmissionController::default().expire_peers(None, 0);
     /// ```
     pub fn expire_peers(&mut self, departed: Option<SocketAddr>, now_ms: u64) {
-        self.last_heard_ms.retain(|peer, last_heard_ms| {
-            Some(*peer) != departed && now_ms < *last_heard_ms + PEER_SILENCE_MS
-        });
-        for (upstream, queue) in &mut self.queues {
-            let previously_used = queue.used_slots();
-            queue
-                .peers
-                .retain(|peer, _| self.last_heard_ms.contains_key(peer));
-            queue.waiting.retain(|queued| match queued.from {
-                EntryRef::Local => true,
-                EntryRef::Peer(peer) => self.last_heard_ms.contains_key(&peer),
-            });
-            if queue.used_slots() != previously_used {
-                self.dirty_queues.push(*upstream);
+        let last_heard = self.last_heard_ms.iter();
+        let mut expired: IndexSet<SocketAddr> = last_heard
+            .filter(|(_, last_heard_ms)| now_ms >= **last_heard_ms + PEER_SILENCE_MS)
+            .map(|(peer, _)| *peer)
+            .collect();
+        expired.extend(departed);
+        // A release of a peer that is expired already leaves a record without a heartbeat.
+        let recorded = self.used_by_peer.keys();
+        expired.extend(recorded.filter(|peer| !self.last_heard_ms.contains_key(*peer)));
+        if expired.is_empty() {
+            return;
+        }
+        for peer in &expired {
+            self.last_heard_ms.swap_remove(peer);
+            for upstream in self.used_by_peer.swap_remove(peer).unwrap_or_default() {
+                if let Some(queue) = self.queues.get_mut(&upstream) {
+                    queue.peers.swap_remove(peer);
+                    self.dirty_queues.push(upstream);
+                }
             }
         }
+        for queue in self.queues.values_mut() {
+            queue.waiting.retain(
+                |queued| !matches!(queued.from, EntryRef::Peer(peer) if expired.contains(&peer)),
+            );
+        }
     }
 
     /// Returns the next grant, if an upstream has a free slot and a request waits for it.
@@ -580,6 +630,7 @@
                 let usage = queue.peers.entry(peer).or_default();
                 usage.count += 1;
                 usage.is_touched = true;
+                self.used_by_peer.entry(peer).or_default().insert(hash);
             }
         }
         Some(SlotGrant {
