--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -10,6 +10,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::direct::log_rate_limit::LogCategory;
+use crate::direct::log_rate_limit::LogRateLimiter;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::replication::peer_pull::ReplicaUpdate;
 use crate::direct::replication::peer_pull::UpstreamListDelta;
@@ -72,6 +74,8 @@
     directory: Directory,
     is_listed: bool,
     revisions: Revisions,
+    /// Limits the lines about upstreams, of which hundreds may change at once.
+    log_limiter: LogRateLimiter,
 }
 
 impl StoreReplica {
@@ -89,6 +93,7 @@
             directory: Directory::default(),
             is_listed: false,
             revisions: Revisions::default(),
+            log_limiter: LogRateLimiter::default(),
         }
     }
 
@@ -140,9 +145,18 @@
         let is_catalog = kind == self.decoders.catalog_kind;
         match event {
             WatchEvent::Put(object) if is_catalog => self.apply_catalog(object),
-            WatchEvent::Put(object) => self.apply_upstream(object, now_ms),
+            WatchEvent::Put(object) => {
+                let version = object.version;
+                if let Some(upstream) = self.put(object, now_ms) {
+                    self.log_changed(&upstream, version, now_ms);
+                }
+            }
             WatchEvent::Delete { name, version, .. } if !is_catalog => {
-                self.apply_removal(&name, version, now_ms);
+                if self.apply_removal(&name, version, now_ms) {
+                    self.log(now_ms, "upstream is gone", |line| {
+                        line.field("upstream", name).revision(version)
+                    });
+                }
             }
             WatchEvent::Delete { name, .. } => Line::new(
                 Level::Error,
@@ -172,9 +186,11 @@
         }
     }
 
+    /// Applies the changes that a peer sent. They are not logged one by one: the entries that watch
+    /// the store have done so, and each of hundreds of others would write the same lines.
     fn apply_changes(&mut self, changes: UpstreamListDelta, now_ms: u64) {
         for object in changes.objects {
-            self.apply_upstream(object, now_ms);
+            self.put(object, now_ms);
         }
         for (version, name) in changes.removed {
             self.apply_removal(&name, version, now_ms);
@@ -276,32 +292,38 @@
             .send();
     }
 
-    fn apply_upstream(&mut self, object: StoredObject, now_ms: u64) {
-        let name = Arc::clone(&object.name);
-        let version = object.version;
-        if let Some(upstream) = self.put(object, now_ms) {
-            Line::new(Level::Info, "upstream changed")
-                .field("upstream", &name)
+    fn log_changed(&mut self, upstream: &Upstream, version: u64, now_ms: u64) {
+        self.log(now_ms, "upstream changed", |line| {
+            line.field("upstream", &upstream.name)
                 .field("born_ms", upstream.born_ms)
                 .field("service", &upstream.service)
                 .field("version", &upstream.version)
                 .field("is_leaving", upstream.is_leaving)
                 .revision(version)
-                .send();
+        });
+    }
+
+    fn log(&mut self, now_ms: u64, message: &'static str, fill: impl FnOnce(Line) -> Line) {
+        let suppressed = self
+            .log_limiter
+            .admit(message, LogCategory::Failure, now_ms);
+        let line = || fill(Line::new(Level::Info, message));
+        match suppressed {
+            None => {}
+            Some(0) => line().send(),
+            Some(count) => line().field("left_out_lines", count).send(),
         }
     }
 
-    fn apply_removal(&mut self, name: &str, version: u64, now_ms: u64) {
+    /// Removes an upstream, unless nothing so old is known of it. Returns whether it was known.
+    fn apply_removal(&mut self, name: &str, version: u64, now_ms: u64) -> bool {
         let known = self.objects.get(name);
         if known.is_none_or(|known| known.version > version) {
             self.revisions.directory = self.revisions.directory.max(version);
-            return;
+            return false;
         }
         self.remove(name, version, now_ms);
-        Line::new(Level::Info, "upstream is gone")
-            .field("upstream", name)
-            .revision(version)
-            .send();
+        true
     }
 
     /// Applies an object if it is newer than the known one. Returns the upstream that it describes.
