--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -1,5 +1,6 @@
 //! `control`: what an entry of the direct mode spends on the other entries, by size of the fleet.
 
+pub mod play;
 pub mod profile;
 
 use eyre::bail;
@@ -7,17 +8,23 @@
 use lexopt::Parser;
 use lexopt::ValueExt;
 
+use self::play::Scene;
 use self::profile::FleetSize;
 use crate::command::print_line;
 
 const HELP: &str = "\
-Usage: sardinewood-bench control [--entries N] [--seconds S]
+Usage: sardinewood-bench control [--entries N] [--seconds S] [--scene NAME]
 
 Gives one entry the messages that a fleet of N entries before twice as many upstreams sends it, by
 default 30, 100, 357, 714 and 1,000 entries, and prints one JSON line for each size and purpose:
-messages, bytes and processor time a second.
+messages, bytes and processor time a second. Then plays what all N entries tell each other of
+liveness and changes in virtual time, and prints one JSON line for each size and scene. Scenes: calm,
+loss (one datagram in twenty), half-killed, cut (one of five data centres); none plays none of them.
 ";
 
+/// Name of a scene that stands for none.
+const NO_SCENE: &str = "none";
+const SEED: u64 = 1;
 /// Sizes of the fleet that are measured by default.
 const ENTRIES: [usize; 5] = [30, 100, 357, 714, 1_000];
 
@@ -29,6 +36,7 @@
 pub fn run(mut parser: Parser) -> eyre::Result<()> {
     let mut sizes = ENTRIES.to_vec();
     let mut seconds = 5;
+    let mut scenes = Scene::ALL.to_vec();
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("help") | Arg::Short('h') => {
@@ -36,6 +44,13 @@
                 return Ok(());
             }
             Arg::Long("entries") => sizes = vec![parser.value()?.parse()?],
+            Arg::Long("scene") => {
+                let name = parser.value()?.string()?;
+                scenes.retain(|(known, _)| *known == name);
+                if scenes.is_empty() && name != NO_SCENE {
+                    bail!("no scene is named {name:?}; `--help` lists them");
+                }
+            }
             Arg::Long("seconds") => seconds = parser.value()?.parse()?,
             other => return Err(other.unexpected().into()),
         }
@@ -43,10 +58,15 @@
     if sizes.iter().any(|entries| *entries < 2) || seconds == 0 {
         bail!("--entries is at least 2, and --seconds at least 1");
     }
-    for entries in sizes {
-        for cost in profile::measure(FleetSize::of(entries), seconds) {
+    for entries in &sizes {
+        for cost in profile::measure(FleetSize::of(*entries), seconds) {
             print_line(&cost)?;
         }
     }
+    for entries in sizes {
+        for scene in &scenes {
+            print_line(&play::play(entries, *scene, SEED))?;
+        }
+    }
     Ok(())
 }
--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -188,7 +188,8 @@
             // Customers of the model have no limits, and its engines one version.
             PeerMessage::ChargeRequest(_)
             | PeerMessage::ChargeReply { .. }
-            | PeerMessage::Rollout(_) => {}
+            | PeerMessage::Rollout(_)
+            | PeerMessage::Spread(_) => {}
             PeerMessage::UpstreamNotices(told) => self.merge_notice_updates(entry, &told),
             PeerMessage::SuspectRequests(told) => self.merge_suspect_updates(entry, &told),
         }
@@ -228,7 +229,7 @@
             ..Heartbeat::default()
         };
         let targets: Vec<SocketAddr> = state.peers.heartbeat_targets().collect();
-        let next_ms = now_ms + state.peers.heartbeat_ms(false);
+        let next_ms = now_ms + state.peers.heartbeat_ms();
         for target in targets {
             self.tell(entry, target, PeerMessage::Heartbeat(heartbeat.clone()));
         }
--- a/bench/tests/test_control.rs
+++ b/bench/tests/test_control.rs
@@ -1,6 +1,8 @@
 //! The control work of an entry, by size of the fleet.
 
 use indexmap::IndexMap;
+use sardinewood_bench::control::play::Scene;
+use sardinewood_bench::control::play::play;
 use sardinewood_bench::control::profile::FleetSize;
 use sardinewood_bench::control::profile::measure;
 
@@ -33,3 +35,31 @@
         );
     }
 }
+
+#[test]
+fn change_known_everywhere_within_its_target() {
+    // Guards against a spread of changes that grows with the fleet: 300 ms at 357 entries is the
+    // operators' target, and heartbeats alone take a second.
+    for entries in [30, 120, 357] {
+        let report = play(entries, ("calm", Scene::Calm), 1);
+        assert!(report.short_change_ms <= 300, "{report:?}");
+        assert!(report.long_change_ms <= 300, "{report:?}");
+    }
+}
+
+#[test]
+fn change_known_everywhere_despite_loss_kills_and_a_cut() {
+    // Guards against entries that never learn of a change whose datagrams, or relays, are lost.
+    for (name, scene) in Scene::ALL {
+        let report = play(120, (name, scene), 2);
+        assert!(report.short_change_ms <= 2_000, "{report:?}");
+        assert!(report.long_change_ms <= 2_000, "{report:?}");
+    }
+}
+
+#[test]
+fn heartbeats_of_a_large_fleet_sent_evenly() {
+    // Guards against bursts in which a small host serves no request.
+    let report = play(357, ("calm", Scene::Calm), 1);
+    assert!(report.most_in_10_ms <= 40, "{report:?}");
+}
--- a/lib/src/direct/membership.rs
+++ b/lib/src/direct/membership.rs
@@ -5,3 +5,4 @@
 pub mod heartbeat_round;
 pub mod peer_message;
 pub mod peer_table;
+pub mod spread_tree;
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -9,6 +9,7 @@
 use crate::direct::membership::heartbeat_payload::LoadChunk;
 use crate::direct::notices::upstream_state::NoticeUpdate;
 use crate::direct::quarantine::suspect::SuspectUpdate;
+use crate::direct::replication::spread::SpreadMessage;
 use crate::direct::rollout::message::RolloutMessage;
 use crate::direct::sharing::admission::PeerRequestId;
 use crate::direct::sharing::admission::SlotRelease;
@@ -57,7 +58,7 @@
 }
 
 /// How far an entry's replica of the platform's store has advanced.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Revisions {
     /// Revision of the configuration in force.
     pub catalog: u64,
@@ -201,6 +202,9 @@
     Rollout(RolloutMessage),
     /// What upstreams have announced about themselves.
     UpstreamNotices(Vec<NoticeUpdate>),
+    /// A change of the replica. It is sent only to peers whose heartbeats tell their host, as older
+    /// builds can't decode it.
+    Spread(SpreadMessage),
 }
 
 impl PeerMessage {
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -19,9 +19,6 @@
 const HEARTBEAT_MS_PER_PEER: u64 = 10;
 /// Longest time between two heartbeats, which limits how long a dead peer counts as live.
 const MAX_HEARTBEAT_MS: u64 = 1_000;
-/// Time between two heartbeats for each known peer, of an entry that watches the store. It is
-/// shorter, since the others depend on this entry for the configuration.
-const WATCHER_HEARTBEAT_MS_PER_PEER: u64 = 1;
 /// Heartbeats of a peer that may be missing before it counts as silent.
 const MISSED_HEARTBEATS: u64 = 3;
 /// Percentage of the time between two heartbeats after which a peer's next one is overdue, and the
@@ -39,6 +36,9 @@
 /// Age of the store's last answer beyond which an entry no longer counts as watching it: the wait
 /// of a watch plus its timeout.
 const MAX_STORE_AGE_MS: u32 = 1_500;
+/// Time after the start in which an entry that is no seed waits for a peer's list before it asks
+/// the store. Without it, a fleet that starts asks the store as often as it has entries.
+const FIRST_LIST_WAIT_MS: u64 = 800;
 /// Addresses of peers in one heartbeat.
 const MAX_ADDRESSES: usize = 8;
 /// Sequence number up to which an unknown peer counts as just started: a second of heartbeats.
@@ -132,6 +132,8 @@
 pub struct PeerTable {
     own_address: SocketAddr,
     own_host: EntryHost,
+    /// Whether the others are told to turn to this entry, or it knows of no other.
+    is_seed: bool,
     seeds: Vec<SocketAddr>,
     peers: IndexMap<SocketAddr, Peer>,
 }
@@ -148,6 +150,7 @@
         Self {
             own_address,
             own_host: EntryHost::default(),
+            is_seed: seeds.is_empty() || seeds.contains(&own_address),
             seeds: seeds
                 .iter()
                 .copied()
@@ -391,7 +394,7 @@
     /// ```
     #[must_use]
     pub fn overdue(&self, now_ms: u64) -> Vec<SocketAddr> {
-        let within_ms = MIN_OVERDUE_MS.max(self.heartbeat_ms(false) * OVERDUE_PERCENT / 100);
+        let within_ms = MIN_OVERDUE_MS.max(self.heartbeat_ms() * OVERDUE_PERCENT / 100);
         self.peers
             .iter()
             .filter(|(_, peer)| now_ms >= peer.last_heartbeat_ms + within_ms)
@@ -531,7 +534,8 @@
         // The sort is stable: within a rank, the hosts with most capacity stay first.
         order.sort_by_key(|(rank, _)| *rank);
         let mut watchers = order.iter().take(STORE_WATCHERS);
-        watchers.any(|(_, address)| *address == self.own_address)
+        let waits_for_list = !self.is_seed && now_ms < FIRST_LIST_WAIT_MS;
+        !waits_for_list && watchers.any(|(_, address)| *address == self.own_address)
     }
 
     /// Returns the time until the next heartbeat.
@@ -539,21 +543,32 @@
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
-    /// assert_eq!(table.heartbeat_ms(false), 50);
+    /// assert_eq!(table.heartbeat_ms(), 50);
     /// ```
     #[must_use]
-    pub fn heartbeat_ms(&self, watches_store: bool) -> u64 {
-        let per_peer_ms = if watches_store {
-            WATCHER_HEARTBEAT_MS_PER_PEER
-        } else {
-            HEARTBEAT_MS_PER_PEER
-        };
+    pub fn heartbeat_ms(&self) -> u64 {
         let peers = self.peers.len() as u64;
-        (per_peer_ms * peers).clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS)
+        (HEARTBEAT_MS_PER_PEER * peers).clamp(MIN_HEARTBEAT_MS, MAX_HEARTBEAT_MS)
+    }
+
+    /// Returns the live peers to which changes are sent, with their hosts. Builds that do not tell
+    /// their host learn of changes from heartbeats.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert!(table.spread_targets(0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn spread_targets(&self, now_ms: u64) -> Vec<(EntryHost, SocketAddr)> {
+        let live = self.peers.iter();
+        live.filter(|(_, peer)| self.is_live(peer, now_ms))
+            .filter_map(|(address, peer)| Some((peer.host?, *address)))
+            .collect()
     }
 
     fn is_live(&self, peer: &Peer, now_ms: u64) -> bool {
-        let within_ms = MIN_SILENCE_MS.max(self.heartbeat_ms(false) * MISSED_HEARTBEATS);
+        let within_ms = MIN_SILENCE_MS.max(self.heartbeat_ms() * MISSED_HEARTBEATS);
         now_ms < peer.last_heartbeat_ms + within_ms
     }
 
--- a/lib/src/direct/replication.rs
+++ b/lib/src/direct/replication.rs
@@ -4,4 +4,7 @@
 pub mod heartbeats;
 pub mod peer_pull;
 pub mod rollout_follower;
+pub mod spread;
 pub mod store_follower;
+pub mod update;
+pub mod update_codec;
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::sleep_until;
 
@@ -14,7 +15,12 @@
 use crate::direct::membership::peer_message::PeerMessage;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
+use crate::direct::membership::spread_tree;
+use crate::direct::replication::spread::SpreadMessage;
+use crate::direct::replication::spread::SpreadRelay;
+use crate::direct::replication::spread::SpreadStep;
 use crate::direct::replication::store_follower::LastStoreResponse;
+use crate::direct::replication::store_follower::ReplicaChange;
 use crate::direct::sharing::admission::EntryRef;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
@@ -33,6 +39,7 @@
     spent: SpendingReport,
     /// Spending that the heartbeats of this round report.
     round_spent: Vec<CustomerSpending>,
+    relay: SpreadRelay,
     /// Peers discovered since the last round, and the latest of them.
     discovered: (usize, Option<SocketAddr>),
     channels: ControlChannels,
@@ -49,6 +56,10 @@
     pub peer_ahead: watch::Sender<Option<SocketAddr>>,
     /// Whether this entry watches the store itself.
     pub watches_store: watch::Sender<bool>,
+    /// Changes that this entry has read from the store.
+    pub changes: mpsc::UnboundedReceiver<ReplicaChange>,
+    /// Receives the updates that peers send.
+    pub sent_updates: mpsc::UnboundedSender<(SocketAddr, Vec<u8>)>,
 }
 
 impl HeartbeatTask {
@@ -62,6 +73,7 @@
             round: 0,
             spent: SpendingReport::default(),
             round_spent: Vec::new(),
+            relay: SpreadRelay::default(),
             discovered: (0, None),
             channels,
         }
@@ -84,13 +96,13 @@
                     |line| line.field("error", error.to_string()),
                     ),
                 },
-                // A new revision from the store is announced to the other entries at once.
-                changed = self.channels.own_revisions.changed(), if *self.channels.watches_store.borrow() => {
+                changed = self.channels.own_revisions.changed() => {
                     if changed.is_err() {
                         return;
                     }
-                    self.broadcast_heartbeat();
+                    self.pass_on_reached();
                 }
+                Some(change) = self.channels.changes.recv() => self.spread(&change),
                 () = sleep_until(next_due) => {
                     if round.is_over(traffic.now_ms()) {
                         round = self.begin_round();
@@ -141,6 +153,7 @@
             Some(PeerMessage::UpstreamNotices(updates)) => {
                 traffic.merge_notice_updates(from, &updates);
             }
+            Some(PeerMessage::Spread(message)) => self.handle_spread(from, message),
             None => traffic.log(Level::Warn, "datagram can't be decoded", |line| {
                 line.field("from", from)
             }),
@@ -169,6 +182,11 @@
         if effect.is_ignored {
             return;
         }
+        if effect.is_new {
+            // The peer need not wait for the next round to learn of this entry and its revisions.
+            let reply = PeerMessage::Heartbeat(self.own_heartbeat());
+            traffic.send_to_peer(from, &reply);
+        }
         if effect.is_new || effect.is_back {
             traffic.sync_suspects_to(from);
             traffic.sync_rollouts_to(from);
@@ -236,7 +254,7 @@
         let watches_store = peers.watches_store(now_ms);
         send_if_changed(&self.channels.watches_store, watches_store);
         let targets = peers.heartbeat_targets().collect();
-        let interval_ms = peers.heartbeat_ms(watches_store);
+        let interval_ms = peers.heartbeat_ms();
         drop(peers);
         self.log_discovered(known);
         self.round += 1;
@@ -275,9 +293,51 @@
         self.traffic.send_to_peers(&due, &heartbeat);
     }
 
-    fn broadcast_heartbeat(&mut self) {
-        let heartbeat = PeerMessage::Heartbeat(self.own_heartbeat());
-        self.traffic.send_to_all_peers(&heartbeat);
+    /// Sends a change that this entry has read from the store to all peers, most of which get it
+    /// from relays.
+    fn spread(&self, change: &ReplicaChange) {
+        let traffic = &self.traffic;
+        let peers = traffic.peers.borrow().spread_targets(traffic.now_ms());
+        for group in spread_tree::relay_groups(peers, rand::random) {
+            let message = SpreadMessage {
+                revisions: change.revisions,
+                update: change.update.clone(),
+                pass_on_to: group.others,
+            };
+            traffic.send_to_peer(group.relay, &PeerMessage::Spread(message));
+        }
+    }
+
+    fn handle_spread(&mut self, from: SocketAddr, message: SpreadMessage) {
+        let own = *self.channels.own_revisions.borrow();
+        match self.relay.receive(message, own) {
+            SpreadStep::PassOn { to, message } => {
+                let is_new = message.revisions.is_ahead_of(own);
+                let update = message.update.clone();
+                let message = PeerMessage::Spread(message);
+                self.traffic.send_to_peers(&to, &message);
+                if is_new {
+                    // The control thread ends only with the process.
+                    let _ = self.channels.sent_updates.send((from, update));
+                }
+            }
+            SpreadStep::Pull => send_if_changed(&self.channels.peer_ahead, Some(from)),
+        }
+    }
+
+    /// Passes announcements on whose changes this entry has now.
+    fn pass_on_reached(&mut self) {
+        let own = *self.channels.own_revisions.borrow_and_update();
+        let to = self.relay.take_reached(own);
+        if !to.is_empty() {
+            let message = SpreadMessage {
+                revisions: own,
+                ..SpreadMessage::default()
+            };
+            self.traffic
+                .send_to_peers(&to, &PeerMessage::Spread(message));
+        }
+        self.update_peer_ahead(Revisions::default(), self.traffic.now_ms());
     }
 
     /// Tells all peers that this process exits, so that they need not wait for its silence.
@@ -309,7 +369,7 @@
                 .age_ms()
                 .filter(|_| watches_store),
             revisions: *self.channels.own_revisions.borrow(),
-            peer_addresses: peers.addresses_to_share(self.round),
+            peer_addresses: peers.addresses_to_share(rand::random::<u32>().into()),
             loads: LoadChunk::of(dispatcher.running(traffic.now_ms()).collect(), self.round),
             spent: self.round_spent.clone(),
             host: Some(peers.own_host()),
--- a/lib/src/direct/replication/peer_pull.rs
+++ b/lib/src/direct/replication/peer_pull.rs
@@ -1,8 +1,14 @@
 //! Pulls newer replica contents from a peer, over TCP.
+//!
+//! An entry serves few pulls at a time. Others are told who was served lately, so that the start of
+//! a whole fleet spreads from entry to entry and no link is shared by hundreds of lists.
 
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::io;
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,7 +16,6 @@
 use futures_util::StreamExt;
 use serde::Deserialize;
 use serde::Serialize;
-use serde::de::DeserializeOwned;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::time::sleep;
@@ -20,139 +25,41 @@
 
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::replication::store_follower::StoreFollower;
+use crate::direct::replication::update::ReplicaUpdate;
+use crate::direct::replication::update_codec;
+use crate::direct::replication::update_codec::Encoding;
+use crate::direct::replication::update_codec::MAX_UPDATE_BYTES;
 use crate::logging::Level;
 use crate::logging::Line;
-use crate::store::ObjectList;
-use crate::store::StoredObject;
 
 /// Longest time for one pull. An update has at most some hundred kilobytes, over a local network.
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
-/// Longest update that is accepted: twice the largest object of the store, and the upstreams.
-const MAX_UPDATE_BYTES: usize = 4 << 20;
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-
-/// What one entry has beyond the revisions of another.
-#[derive(Clone, Debug, Default)]
-pub struct ReplicaUpdate {
-    /// The configuration, if it is newer.
-    pub catalog: Option<Arc<StoredObject>>,
-    /// The upstreams, if their list is newer.
-    pub upstreams: Option<UpstreamListUpdate>,
-}
-
-/// The list of upstreams, or its changes.
+/// Long updates that are sent at a time. On a link of 20 Mbit/s, four lists of 2,000 upstreams take
+/// half of [`PULL_TIMEOUT`].
+const MAX_LONG_SENDS: usize = 4;
+/// Length from which an update counts as long.
+const LONG_UPDATE_BYTES: usize = 8 << 10;
+/// Peers served last, which are named to others.
+const MAX_NAMED_PEERS: usize = 16;
+/// First byte of the reply of a busy peer. An update begins with 0, 1 or 255.
+const BUSY: u8 = 0xfe;
+
+/// What follows the revisions in a pull, where earlier builds ignore it. A peer that sends it reads
+/// compressed updates and [`BUSY`].
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct Puller {
+    address: SocketAddr,
+}
+
+/// The reply to a pull.
 #[derive(Clone, Debug)]
-pub enum UpstreamListUpdate {
-    /// All upstreams.
-    Full(ObjectList),
-    /// The changes since a revision.
-    Delta(UpstreamListDelta),
-}
-
-/// Changes in the list of upstreams.
-#[derive(Clone, Debug)]
-pub struct UpstreamListDelta {
-    /// The revision that the changes follow.
-    pub after: u64,
-    /// The revision that the changes lead to.
-    pub revision: u64,
-    /// New and changed objects.
-    pub objects: Vec<StoredObject>,
-    /// Names of removed objects, each with the revision of its removal.
-    pub removed: Vec<(u64, Arc<str>)>,
-}
-
-/// A [`ReplicaUpdate`] as sent. Values are JSON text, since their structure is not known here.
-#[derive(Debug, Default, Serialize, Deserialize)]
-struct SentUpdate {
-    catalog: Option<SentObject>,
-    upstreams: Option<SentList>,
-}
-
-/// An [`UpstreamListUpdate`] as sent.
-#[derive(Debug, Serialize, Deserialize)]
-struct SentList {
-    /// None if this is the whole list.
-    after: Option<u64>,
-    revision: u64,
-    objects: Vec<SentObject>,
-    removed: Vec<(u64, Arc<str>)>,
-}
-
-impl From<&UpstreamListUpdate> for SentList {
-    fn from(update: &UpstreamListUpdate) -> Self {
-        let sent = |objects: &[StoredObject]| objects.iter().map(SentObject::from).collect();
-        match update {
-            UpstreamListUpdate::Full(list) => Self {
-                after: None,
-                revision: list.revision,
-                objects: sent(&list.objects),
-                removed: Vec::new(),
-            },
-            UpstreamListUpdate::Delta(changes) => Self {
-                after: Some(changes.after),
-                revision: changes.revision,
-                objects: sent(&changes.objects),
-                removed: changes.removed.clone(),
-            },
-        }
-    }
-}
-
-impl TryFrom<SentList> for UpstreamListUpdate {
-    type Error = io::Error;
-
-    fn try_from(sent: SentList) -> io::Result<Self> {
-        let objects = sent
-            .objects
-            .into_iter()
-            .map(StoredObject::try_from)
-            .collect::<io::Result<_>>()?;
-        let revision = sent.revision;
-        Ok(match sent.after {
-            None => Self::Full(ObjectList { revision, objects }),
-            Some(after) => Self::Delta(UpstreamListDelta {
-                after,
-                revision,
-                objects,
-                removed: sent.removed,
-            }),
-        })
-    }
-}
-
-/// A [`StoredObject`] as sent.
-#[derive(Debug, Serialize, Deserialize)]
-struct SentObject {
-    kind: String,
-    name: String,
-    version: u64,
-    json: String,
-}
-
-impl From<&StoredObject> for SentObject {
-    fn from(object: &StoredObject) -> Self {
-        Self {
-            kind: object.kind.to_string(),
-            name: object.name.to_string(),
-            version: object.version,
-            json: object.value.to_string(),
-        }
-    }
-}
-
-impl TryFrom<SentObject> for StoredObject {
-    type Error = io::Error;
-
-    fn try_from(sent: SentObject) -> io::Result<Self> {
-        Ok(Self {
-            kind: sent.kind.into(),
-            name: sent.name.into(),
-            version: sent.version,
-            value: serde_json::from_str(&sent.json).map_err(io::Error::other)?,
-        })
-    }
+pub enum PullReply {
+    /// What the peer has beyond the given revisions.
+    Update(ReplicaUpdate),
+    /// The peer serves others. It names peers that it has served.
+    Busy(Vec<SocketAddr>),
 }
 
 /// A connection to a peer that carries length-delimited messages.
@@ -164,51 +71,64 @@
         .new_framed(stream)
 }
 
-async fn send(channel: &mut Channel, message: &impl Serialize) -> io::Result<()> {
-    let bytes = postcard::to_stdvec(message).map_err(io::Error::other)?;
-    channel.send(Bytes::from(bytes)).await
-}
-
-async fn receive<T: DeserializeOwned>(channel: &mut Channel) -> io::Result<T> {
+async fn receive(channel: &mut Channel) -> io::Result<Bytes> {
     let frame = channel.next().await.ok_or(io::ErrorKind::UnexpectedEof)??;
-    postcard::from_bytes(&frame).map_err(io::Error::other)
+    Ok(frame.freeze())
 }
 
-/// Pulls from a peer what it has beyond `own_revisions`.
+/// Pulls from a peer what it has beyond `own_revisions`. `own_address` is where peers reach this
+/// entry.
 ///
 /// # Errors
 ///
 /// When the peer does not answer in time, or not as expected.
-pub async fn pull(peer: SocketAddr, own_revisions: Revisions) -> io::Result<ReplicaUpdate> {
-    let request = async {
+pub async fn pull(
+    peer: SocketAddr,
+    own_revisions: Revisions,
+    own_address: SocketAddr,
+) -> io::Result<PullReply> {
+    let puller = Puller {
+        address: own_address,
+    };
+    let request = postcard::to_stdvec(&own_revisions)
+        .and_then(|request| postcard::to_extend(&puller, request))
+        .map_err(io::Error::other)?;
+    let exchange = async {
         let mut channel = channel(TcpStream::connect(peer).await?);
-        send(&mut channel, &own_revisions).await?;
-        receive::<SentUpdate>(&mut channel).await
+        channel.send(Bytes::from(request)).await?;
+        receive(&mut channel).await
     };
-    let sent = timeout(PULL_TIMEOUT, request).await??;
-    Ok(ReplicaUpdate {
-        catalog: sent
-            .catalog
-            .map(StoredObject::try_from)
-            .transpose()?
-            .map(Arc::new),
-        upstreams: sent
-            .upstreams
-            .map(UpstreamListUpdate::try_from)
-            .transpose()?,
-    })
+    let reply = timeout(PULL_TIMEOUT, exchange).await??;
+    match reply.split_first() {
+        Some((&BUSY, served)) => postcard::from_bytes(served)
+            .map(PullReply::Busy)
+            .map_err(io::Error::other),
+        _ => update_codec::decode(&reply).map(PullReply::Update),
+    }
+}
+
+/// Serves pulls of peers.
+#[derive(Debug)]
+struct PullServer {
+    follower: StoreFollower,
+    long_sends: Cell<usize>,
+    served: RefCell<VecDeque<SocketAddr>>,
 }
 
 /// Serves updates to peers until the process ends.
 pub async fn serve(listener: TcpListener, follower: StoreFollower) {
+    let server = Rc::new(PullServer {
+        follower,
+        long_sends: Cell::new(0),
+        served: RefCell::default(),
+    });
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
-                let follower = follower.clone();
+                let server = Rc::clone(&server);
                 tokio::task::spawn_local(async move {
-                    if let Ok(Err(error)) =
-                        timeout(PULL_TIMEOUT, serve_update(stream, follower)).await
-                    {
+                    let result = timeout(PULL_TIMEOUT, server.serve(stream)).await;
+                    if let Err(error) = result.unwrap_or_else(|elapsed| Err(elapsed.into())) {
                         Line::new(Level::Warn, "update could not be sent to a peer")
                             .field("peer", peer)
                             .field("error", error.to_string())
@@ -226,19 +146,61 @@
     }
 }
 
-/// Reads a peer's revisions, and sends it what it lacks.
-async fn serve_update(stream: TcpStream, follower: StoreFollower) -> io::Result<()> {
-    let mut channel = channel(stream);
-    let theirs: Revisions = receive(&mut channel).await?;
-    let update = follower.update_since(theirs);
-    let sent = SentUpdate {
-        catalog: update.catalog.map(|object| SentObject {
-            kind: object.kind.to_string(),
-            name: object.name.to_string(),
-            version: object.version,
-            json: follower.catalog_json().to_string(),
-        }),
-        upstreams: update.upstreams.as_ref().map(SentList::from),
-    };
-    send(&mut channel, &sent).await
+/// A long update that is being sent, counted until it is dropped.
+struct LongSend<'a>(&'a Cell<usize>);
+
+impl<'a> LongSend<'a> {
+    fn begin(count: &'a Cell<usize>) -> Option<Self> {
+        if count.get() >= MAX_LONG_SENDS {
+            return None;
+        }
+        count.set(count.get() + 1);
+        Some(Self(count))
+    }
+}
+
+impl Drop for LongSend<'_> {
+    fn drop(&mut self) {
+        self.0.set(self.0.get() - 1);
+    }
+}
+
+impl PullServer {
+    /// Reads a peer's revisions, and sends it what it lacks.
+    async fn serve(&self, stream: TcpStream) -> io::Result<()> {
+        let mut channel = channel(stream);
+        let request = receive(&mut channel).await?;
+        let (theirs, extension) =
+            postcard::take_from_bytes::<Revisions>(&request).map_err(io::Error::other)?;
+        let Ok(puller) = postcard::from_bytes::<Puller>(extension) else {
+            let update = self.follower.encoded_update(theirs, Encoding::Plain)?;
+            return channel.send(update).await;
+        };
+        let update = self.follower.encoded_update(theirs, Encoding::Compressed)?;
+        let is_long = update.len() >= LONG_UPDATE_BYTES;
+        let long_send = is_long.then(|| LongSend::begin(&self.long_sends));
+        if matches!(long_send, Some(None)) {
+            return channel.send(self.busy_reply()?).await;
+        }
+        channel.send(update).await?;
+        // The peer closes the connection once it has read the update. Until then, the update may
+        // wait in a buffer and share the link with others.
+        let closed = channel.next().await;
+        self.record_served(puller.address);
+        closed.map_or(Ok(()), |unexpected| unexpected.map(drop))
+    }
+
+    fn busy_reply(&self) -> io::Result<Bytes> {
+        let served: Vec<SocketAddr> = self.served.borrow().iter().copied().collect();
+        let reply = postcard::to_extend(&served, vec![BUSY]).map_err(io::Error::other)?;
+        Ok(reply.into())
+    }
+
+    fn record_served(&self, peer: SocketAddr) {
+        let mut served = self.served.borrow_mut();
+        if served.len() >= MAX_NAMED_PEERS {
+            served.pop_front();
+        }
+        served.push_back(peer);
+    }
 }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -4,7 +4,9 @@
 //! traffic. It lists and watches the store, and pulls from a peer what the peer has and the store
 //! does not provide. Revisions only increase, whatever the source.
 
+use std::cell::Cell;
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -12,6 +14,10 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use bytes::Bytes;
+use indexmap::IndexMap;
+use rand::seq::IndexedRandom;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -19,7 +25,11 @@
 use crate::backoff::Backoff;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::replication::peer_pull;
-use crate::direct::replication::peer_pull::ReplicaUpdate;
+use crate::direct::replication::peer_pull::PullReply;
+use crate::direct::replication::update::ReplicaUpdate;
+use crate::direct::replication::update::UpstreamListUpdate;
+use crate::direct::replication::update_codec;
+use crate::direct::replication::update_codec::Encoding;
 use crate::direct::store_view::replica::ObjectDecoders;
 use crate::direct::store_view::replica::ReplicaSnapshot;
 use crate::direct::store_view::replica::StoreReplica;
@@ -53,6 +63,12 @@
 
 /// Pause between two pulls from peers.
 const PULL_PAUSE: Duration = Duration::from_millis(50);
+/// Peers asked in a row if each one is busy and names others.
+const MAX_BUSY_PEERS: usize = 4;
+/// Longest update that is sent in a datagram, which also names the peers that it is passed on to.
+const MAX_SPREAD_BYTES: usize = 1_000;
+/// Encoded updates that are kept. Peers that lag have few different revisions.
+const MAX_ENCODED_UPDATES: usize = 32;
 
 /// A source of objects: the platform's store, or a stand-in for tests.
 pub trait ObjectSource {
@@ -111,31 +127,60 @@
     }
 }
 
+/// A change that this entry has read from the store, for its peers.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplicaChange {
+    /// The revisions that the change leads to.
+    pub revisions: Revisions,
+    /// The encoded update; empty if it is too long for a datagram.
+    pub update: Vec<u8>,
+}
+
+/// What a follower shares with the rest of the entry.
+#[derive(Clone, Debug)]
+pub struct FollowerChannels {
+    /// Address at which peers reach this entry.
+    pub own_address: SocketAddr,
+    /// Receives the replica's view.
+    pub view: watch::Sender<ReplicaSnapshot>,
+    /// Receives the changes read from the store.
+    pub changes: mpsc::UnboundedSender<ReplicaChange>,
+    /// Whether this entry watches the store.
+    pub watches_store: watch::Receiver<bool>,
+    /// When the store last answered.
+    pub last_response: LastStoreResponse,
+}
+
+/// Encoded updates for peers, by the revisions that they follow. Hundreds of peers need the same
+/// ones at once, and encoding a list of thousands of upstreams takes a small host some 10 ms.
+#[derive(Debug, Default)]
+struct EncodedUpdates {
+    /// Revisions of the replica when the updates were encoded.
+    at: Revisions,
+    by_start: IndexMap<(Revisions, Encoding), Bytes>,
+}
+
 /// Follows the store and peers, and publishes the replica's view.
 #[derive(Clone, Debug)]
 pub struct StoreFollower {
     replica: Rc<RefCell<StoreReplica>>,
-    view: watch::Sender<ReplicaSnapshot>,
+    channels: FollowerChannels,
+    encoded_updates: Rc<RefCell<EncodedUpdates>>,
+    /// Revision of the list of upstreams before the last change sent to peers.
+    previous_directory: Rc<Cell<u64>>,
     started_at: Instant,
-    watches_store: watch::Receiver<bool>,
-    last_response: LastStoreResponse,
 }
 
 impl StoreFollower {
-    /// Creates a follower with an empty replica, which publishes its views to `view`.
+    /// Creates a follower with an empty replica.
     #[must_use]
-    pub fn new(
-        decoders: ObjectDecoders,
-        view: watch::Sender<ReplicaSnapshot>,
-        watches_store: watch::Receiver<bool>,
-        last_response: LastStoreResponse,
-    ) -> Self {
+    pub fn new(decoders: ObjectDecoders, channels: FollowerChannels) -> Self {
         Self {
             replica: Rc::new(RefCell::new(StoreReplica::new(decoders))),
-            view,
+            channels,
+            encoded_updates: Rc::default(),
+            previous_directory: Rc::default(),
             started_at: Instant::now(),
-            watches_store,
-            last_response,
         }
     }
 
@@ -144,7 +189,40 @@
     }
 
     fn publish(&self) {
-        self.view.send_replace(self.replica.borrow().snapshot());
+        let snapshot = self.replica.borrow().snapshot();
+        self.channels.view.send_replace(snapshot);
+    }
+
+    /// Hands what the store has changed since `before` to the peers.
+    ///
+    /// The update also holds the previous change of the list of upstreams, so that a peer that has
+    /// missed one datagram need not pull.
+    fn send_change(&self, before: Revisions) {
+        let replica = self.replica.borrow();
+        let revisions = replica.revisions();
+        if !revisions.is_ahead_of(before) {
+            return;
+        }
+        let update = replica.update_since(Revisions {
+            catalog: before.catalog,
+            directory: self.previous_directory.replace(before.directory),
+        });
+        let encoded = update_codec::encode(&update, &replica.catalog_json(), Encoding::Compressed);
+        let update = match encoded {
+            Ok(bytes) if bytes.len() <= MAX_SPREAD_BYTES => bytes,
+            Ok(_) => Vec::new(),
+            Err(error) => {
+                Line::new(Level::Error, "update can't be encoded")
+                    .field("error", error.to_string())
+                    .send();
+                Vec::new()
+            }
+        };
+        // The traffic thread ends only with the process.
+        let _ = self
+            .channels
+            .changes
+            .send(ReplicaChange { revisions, update });
     }
 
     /// Follows the configuration until the process ends.
@@ -163,7 +241,7 @@
         let mut backoff = Backoff::new(MIN_RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
         let mut outage = Outage::default();
         let mut after = None;
-        let mut watches_store = self.watches_store.clone();
+        let mut watches_store = self.channels.watches_store.clone();
         loop {
             if watches_store.wait_for(|watches| *watches).await.is_err() {
                 return;
@@ -180,7 +258,7 @@
             };
             match read {
                 Ok(revision) => {
-                    self.last_response.record();
+                    self.channels.last_response.record();
                     outage.ended(kind);
                     backoff.reset();
                     let pause = pause_after(after, revision);
@@ -200,10 +278,12 @@
     fn apply_list(&self, kind: &str, list: ObjectList, outage: &Outage) -> u64 {
         let revision = list.revision;
         self.note_store_return(kind, outage);
+        let before = self.replica.borrow().revisions();
         self.replica
             .borrow_mut()
             .apply_list(kind, list, self.now_ms());
         self.publish();
+        self.send_change(before);
         revision
     }
 
@@ -213,10 +293,12 @@
             return batch.revision;
         }
         let now_ms = self.now_ms();
+        let before = self.replica.borrow().revisions();
         for event in batch.events {
             self.replica.borrow_mut().apply_event(kind, event, now_ms);
         }
         self.publish();
+        self.send_change(before);
         batch.revision
     }
 
@@ -246,37 +328,81 @@
             let Ok(peer) = peer_ahead.wait_for(Option::is_some).await.map(|peer| *peer) else {
                 return;
             };
-            if *self.watches_store.borrow() {
+            if *self.channels.watches_store.borrow() {
                 sleep(PULL_DELAY).await;
             }
             let is_still_ahead = peer_ahead.borrow().is_some();
             let (Some(peer), true) = (peer, is_still_ahead) else {
                 continue;
             };
+            self.pull(peer).await;
+            // Heartbeats show whether the update was enough only after it is in force.
+            sleep(PULL_PAUSE).await;
+        }
+    }
+
+    /// Pulls from a peer, or from one that it names if it is busy.
+    async fn pull(&self, mut peer: SocketAddr) {
+        for _ in 0..MAX_BUSY_PEERS {
             let own_revisions = self.replica.borrow().revisions();
-            match peer_pull::pull(peer, own_revisions).await {
-                Ok(update) => self.apply_update(peer, update),
+            let own_address = self.channels.own_address;
+            let reply = peer_pull::pull(peer, own_revisions, own_address).await;
+            match reply {
+                Ok(PullReply::Update(update)) => return self.apply_update(peer, update),
+                Ok(PullReply::Busy(served)) => match served.choose(&mut rand::rng()) {
+                    Some(other) if *other != own_address => peer = *other,
+                    Some(_) | None => return,
+                },
                 Err(error) => {
                     Line::new(Level::Warn, "update can't be pulled from a peer")
                         .field("peer", peer)
                         .field("error", error.to_string())
                         .send();
-                    sleep(PULL_PAUSE).await;
+                    return sleep(PULL_PAUSE).await;
                 }
             }
-            // Heartbeats show whether the update was enough only after it is in force.
-            sleep(PULL_PAUSE).await;
         }
     }
 
-    /// Applies an update pulled from a peer.
+    /// Applies the updates that peers send by themselves, until the process ends.
+    pub async fn follow_sent_updates(
+        &self,
+        mut sent: mpsc::UnboundedReceiver<(SocketAddr, Vec<u8>)>,
+    ) {
+        while let Some((peer, bytes)) = sent.recv().await {
+            match update_codec::decode(&bytes) {
+                Ok(update) if self.is_next(&update) => self.apply_update(peer, update),
+                // Changes before this one are missing here.
+                Ok(_) => self.pull(peer).await,
+                Err(error) => Line::new(Level::Warn, "update of a peer can't be decoded")
+                    .field("peer", peer)
+                    .field("error", error.to_string())
+                    .send(),
+            }
+        }
+    }
+
+    /// Returns whether an update follows what this entry has, without a gap.
+    fn is_next(&self, update: &ReplicaUpdate) -> bool {
+        let own = self.replica.borrow().revisions();
+        match &update.upstreams {
+            Some(UpstreamListUpdate::Delta(changes)) => changes.after <= own.directory,
+            Some(UpstreamListUpdate::Full(_)) | None => true,
+        }
+    }
+
+    /// Applies an update of a peer.
     pub fn apply_update(&self, peer: SocketAddr, update: ReplicaUpdate) {
         let before = self.replica.borrow().revisions();
         self.replica
             .borrow_mut()
             .apply_update(update, self.now_ms());
         let after = self.replica.borrow().revisions();
-        Line::new(Level::Info, "update pulled from a peer")
+        if !after.is_ahead_of(before) {
+            return;
+        }
+        // Each of hundreds of entries would write a line at each change.
+        Line::new(Level::Debug, "update of a peer applied")
             .field("peer", peer)
             .field("catalog_revision", after.catalog)
             .field("catalog_revision_before", before.catalog)
@@ -286,17 +412,35 @@
         self.publish();
     }
 
+    /// Returns what a peer with these revisions lacks, encoded.
+    ///
+    /// # Errors
+    ///
+    /// When the update can't be encoded, which would be a bug here.
+    pub fn encoded_update(&self, theirs: Revisions, encoding: Encoding) -> io::Result<Bytes> {
+        let replica = self.replica.borrow();
+        let mut encoded = self.encoded_updates.borrow_mut();
+        if encoded.at != replica.revisions() {
+            encoded.at = replica.revisions();
+            encoded.by_start.clear();
+        }
+        if let Some(bytes) = encoded.by_start.get(&(theirs, encoding)) {
+            return Ok(bytes.clone());
+        }
+        let update = replica.update_since(theirs);
+        let bytes = update_codec::encode(&update, &replica.catalog_json(), encoding)?;
+        let bytes = Bytes::from(bytes);
+        if encoded.by_start.len() < MAX_ENCODED_UPDATES {
+            encoded.by_start.insert((theirs, encoding), bytes.clone());
+        }
+        Ok(bytes)
+    }
+
     /// Returns what a peer with these revisions lacks.
     #[must_use]
     pub fn update_since(&self, theirs: Revisions) -> ReplicaUpdate {
         self.replica.borrow().update_since(theirs)
     }
-
-    /// Returns the configuration object as JSON text, or an empty text if there is none.
-    #[must_use]
-    pub fn catalog_json(&self) -> Arc<str> {
-        self.replica.borrow().catalog_json()
-    }
 }
 
 /// Returns the pause before the next watch, given the known revision and the one that the store
--- /dev/null
+++ b/lib/src/direct/replication/update_codec.rs
@@ -0,0 +1,185 @@
+//! Encodes updates of the replica for peers.
+//!
+//! An update is a postcard value, compressed if the peer's build can read that. Its objects are JSON
+//! text with the same field names over and over, and some hosts have slow links.
+
+use std::io;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::direct::replication::update::ReplicaUpdate;
+use crate::direct::replication::update::UpstreamListDelta;
+use crate::direct::replication::update::UpstreamListUpdate;
+use crate::store::ObjectList;
+use crate::store::StoredObject;
+
+/// Longest update that is accepted: twice the largest object of the store, and the upstreams.
+pub const MAX_UPDATE_BYTES: usize = 4 << 20;
+/// First byte of a compressed update. A plain one begins with an option, whose byte is 0 or 1.
+const COMPRESSED: u8 = 0xff;
+
+/// How an update is encoded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Encoding {
+    /// All builds can read it.
+    Plain,
+    /// Compressed.
+    Compressed,
+}
+
+/// A [`ReplicaUpdate`] as sent. Values are JSON text, since their structure is not known here.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct SentUpdate {
+    catalog: Option<SentObject>,
+    upstreams: Option<SentList>,
+}
+
+/// An [`UpstreamListUpdate`] as sent.
+#[derive(Debug, Serialize, Deserialize)]
+struct SentList {
+    /// None if this is the whole list.
+    after: Option<u64>,
+    revision: u64,
+    objects: Vec<SentObject>,
+    removed: Vec<(u64, Arc<str>)>,
+}
+
+impl From<&UpstreamListUpdate> for SentList {
+    fn from(update: &UpstreamListUpdate) -> Self {
+        let sent = |objects: &[StoredObject]| objects.iter().map(SentObject::from).collect();
+        match update {
+            UpstreamListUpdate::Full(list) => Self {
+                after: None,
+                revision: list.revision,
+                objects: sent(&list.objects),
+                removed: Vec::new(),
+            },
+            UpstreamListUpdate::Delta(changes) => Self {
+                after: Some(changes.after),
+                revision: changes.revision,
+                objects: sent(&changes.objects),
+                removed: changes.removed.clone(),
+            },
+        }
+    }
+}
+
+impl TryFrom<SentList> for UpstreamListUpdate {
+    type Error = io::Error;
+
+    fn try_from(sent: SentList) -> io::Result<Self> {
+        let objects = sent
+            .objects
+            .into_iter()
+            .map(StoredObject::try_from)
+            .collect::<io::Result<_>>()?;
+        let revision = sent.revision;
+        Ok(match sent.after {
+            None => Self::Full(ObjectList { revision, objects }),
+            Some(after) => Self::Delta(UpstreamListDelta {
+                after,
+                revision,
+                objects,
+                removed: sent.removed,
+            }),
+        })
+    }
+}
+
+/// A [`StoredObject`] as sent.
+#[derive(Debug, Serialize, Deserialize)]
+struct SentObject {
+    kind: String,
+    name: String,
+    version: u64,
+    json: String,
+}
+
+impl From<&StoredObject> for SentObject {
+    fn from(object: &StoredObject) -> Self {
+        Self {
+            kind: object.kind.to_string(),
+            name: object.name.to_string(),
+            version: object.version,
+            json: object.value.to_string(),
+        }
+    }
+}
+
+impl TryFrom<SentObject> for StoredObject {
+    type Error = io::Error;
+
+    fn try_from(sent: SentObject) -> io::Result<Self> {
+        Ok(Self {
+            kind: sent.kind.into(),
+            name: sent.name.into(),
+            version: sent.version,
+            value: serde_json::from_str(&sent.json).map_err(io::Error::other)?,
+        })
+    }
+}
+
+/// Encodes an update. `catalog_json` is the text of its configuration object, which is kept apart
+/// since it may be long.
+///
+/// # Errors
+///
+/// When the update can't be represented, which would be a bug here.
+pub fn encode(
+    update: &ReplicaUpdate,
+    catalog_json: &str,
+    encoding: Encoding,
+) -> io::Result<Vec<u8>> {
+    let sent = SentUpdate {
+        catalog: update.catalog.as_ref().map(|object| SentObject {
+            kind: object.kind.to_string(),
+            name: object.name.to_string(),
+            version: object.version,
+            json: catalog_json.to_owned(),
+        }),
+        upstreams: update.upstreams.as_ref().map(SentList::from),
+    };
+    let plain = postcard::to_stdvec(&sent).map_err(io::Error::other)?;
+    if encoding == Encoding::Plain {
+        return Ok(plain);
+    }
+    let mut bytes = vec![COMPRESSED];
+    bytes.extend(lz4_flex::compress_prepend_size(&plain));
+    Ok(bytes)
+}
+
+/// Decodes an update.
+///
+/// # Errors
+///
+/// When the bytes are no update, or one that is too long.
+///
+/// ```
+/// assert!(sardinewood::direct::replication::update_codec::decode(b"?").is_err());
+/// ```
+pub fn decode(bytes: &[u8]) -> io::Result<ReplicaUpdate> {
+    let plain = match bytes.split_first() {
+        Some((&COMPRESSED, block)) => decompress(block)?,
+        _ => bytes.to_vec(),
+    };
+    let sent: SentUpdate = postcard::from_bytes(&plain).map_err(io::Error::other)?;
+    let catalog = sent.catalog.map(StoredObject::try_from).transpose()?;
+    Ok(ReplicaUpdate {
+        catalog: catalog.map(Arc::new),
+        upstreams: sent
+            .upstreams
+            .map(UpstreamListUpdate::try_from)
+            .transpose()?,
+    })
+}
+
+/// Decompresses a block, unless it states a length beyond [`MAX_UPDATE_BYTES`].
+fn decompress(block: &[u8]) -> io::Result<Vec<u8>> {
+    let (length, _) = lz4_flex::block::uncompressed_size(block).map_err(io::Error::other)?;
+    if length > MAX_UPDATE_BYTES {
+        return Err(io::Error::other("update is too long"));
+    }
+    lz4_flex::decompress_size_prepended(block).map_err(io::Error::other)
+}
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -34,6 +34,7 @@
 use crate::direct::replication::rollout_follower::RolloutFollower;
 use crate::direct::replication::rollout_follower::RolloutStore;
 use crate::direct::replication::rollout_follower::RolloutView;
+use crate::direct::replication::store_follower::FollowerChannels;
 use crate::direct::replication::store_follower::LastStoreResponse;
 use crate::direct::replication::store_follower::ObjectSource;
 use crate::direct::replication::store_follower::StoreFollower;
@@ -150,7 +151,9 @@
 {
     let (snapshot_sender, snapshots) = watch::channel(ReplicaSnapshot::default());
     let (peer_ahead_sender, peer_ahead) = watch::channel(None);
-    let (watches_store_sender, watches_store) = watch::channel(true);
+    let (changes_sender, changes) = mpsc::unbounded_channel();
+    let (sent_updates_sender, sent_updates) = mpsc::unbounded_channel();
+    let (watches_store_sender, watches_store) = watch::channel(false);
     let (own_revisions_sender, own_revisions) = watch::channel(Revisions::default());
     let last_store_response = LastStoreResponse::default();
     let (rollouts_sender, rollouts) = watch::channel(None);
@@ -161,6 +164,8 @@
         last_store_response: last_store_response.clone(),
         peer_ahead: peer_ahead_sender,
         watches_store: watches_store_sender,
+        changes,
+        sent_updates: sent_updates_sender,
     };
     let control_runtime = current_thread().wrap_err("can't start the control thread's runtime")?;
     let peer_address = settings.peer_address;
@@ -169,16 +174,20 @@
         .spawn(move || {
             let rollouts = RolloutFollower::new(rollouts_sender, watches_store.clone());
             let rollouts = has_rollouts.then_some((rollouts, statuses));
-            let follower = StoreFollower::new(
-                platform.decoders,
-                snapshot_sender,
+            let follower_channels = FollowerChannels {
+                own_address: peer_address,
+                view: snapshot_sender,
+                changes: changes_sender,
                 watches_store,
-                last_store_response,
-            );
-            LocalSet::new().block_on(
-                &control_runtime,
-                follow(follower, rollouts, source, peer_address, peer_ahead),
-            );
+                last_response: last_store_response,
+            };
+            let follower = StoreFollower::new(platform.decoders, follower_channels);
+            let peers = FromPeers {
+                address: peer_address,
+                ahead: peer_ahead,
+                sent_updates,
+            };
+            LocalSet::new().block_on(&control_runtime, follow(follower, rollouts, source, peers));
         })
         .wrap_err("can't start the control thread")?;
     let traffic_runtime = current_thread().wrap_err("can't start the traffic thread's runtime")?;
@@ -196,20 +205,29 @@
     )
 }
 
+/// What reaches the control thread from peers.
+struct FromPeers {
+    /// Address that accepts their connections.
+    address: SocketAddr,
+    /// A peer with later revisions, if there is one.
+    ahead: watch::Receiver<Option<SocketAddr>>,
+    /// Updates that they send by themselves.
+    sent_updates: UnboundedReceiver<(SocketAddr, Vec<u8>)>,
+}
+
 /// Runs the control thread, which follows the store and serves peers that pull from this entry.
 async fn follow<S: ObjectSource + RolloutStore>(
     follower: StoreFollower,
     rollouts: Option<(RolloutFollower, UnboundedReceiver<(Rollout, RolloutStatus)>)>,
     source: S,
-    peer_address: SocketAddr,
-    peer_ahead: watch::Receiver<Option<SocketAddr>>,
+    peers: FromPeers,
 ) {
-    match TcpListener::bind(peer_address).await {
+    match TcpListener::bind(peers.address).await {
         Ok(listener) => {
             spawn_local(peer_pull::serve(listener, follower.clone()));
         }
         Err(error) => Line::new(Level::Error, "can't listen for peers' connections")
-            .field("address", peer_address)
+            .field("address", peers.address)
             .field("error", error.to_string())
             .send(),
     }
@@ -222,7 +240,8 @@
         follow_rollouts,
         follower.follow_catalog(&source),
         follower.follow_upstreams(&source),
-        follower.follow_peers(peer_ahead),
+        follower.follow_peers(peers.ahead),
+        follower.follow_sent_updates(peers.sent_updates),
         follower.sweep(),
     );
 }
--- a/lib/tests/quota_fleet.rs
+++ b/lib/tests/quota_fleet.rs
@@ -281,7 +281,7 @@
         );
         own.set_membership(table.known_entries(), table.overdue(own_ms), own_ms);
         member.sequence += 1;
-        member.next_heartbeat_ms = now_ms + table.heartbeat_ms(false);
+        member.next_heartbeat_ms = now_ms + table.heartbeat_ms();
         let spent: Vec<CustomerSpending> = own
             .local_spending()
             .map(|(customer, units)| CustomerSpending {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -33,6 +33,7 @@
 mod test_direct_sharing;
 mod test_direct_size_fairness;
 mod test_direct_slot_search;
+mod test_direct_spread;
 mod test_direct_store_follower;
 mod test_direct_suspect_requests;
 mod test_entry_state;
--- a/lib/tests/test_direct_replica.rs
+++ b/lib/tests/test_direct_replica.rs
@@ -1,9 +1,9 @@
 //! Tests the replica of the list of upstreams with late, reordered and invalid updates.
 
 use sardinewood::direct::membership::peer_message::Revisions;
-use sardinewood::direct::replication::peer_pull::ReplicaUpdate;
-use sardinewood::direct::replication::peer_pull::UpstreamListDelta;
-use sardinewood::direct::replication::peer_pull::UpstreamListUpdate;
+use sardinewood::direct::replication::update::ReplicaUpdate;
+use sardinewood::direct::replication::update::UpstreamListDelta;
+use sardinewood::direct::replication::update::UpstreamListUpdate;
 use sardinewood::direct::store_view::catalog::Catalog;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::direct::store_view::replica::ObjectDecoders;
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -509,6 +509,16 @@
     assert_eq!(PeerMessage::decode(&bytes), Some(message));
 }
 
+#[test]
+fn only_seeds_ask_the_store_at_a_start() {
+    // Guards against a start of a whole fleet that costs the store a list for each entry.
+    let seeds = [address(1), address(2)];
+    assert!(PeerTable::new(address(1), &seeds).watches_store(0));
+    let other = PeerTable::new(address(9), &seeds);
+    assert!(!other.watches_store(0));
+    assert!(other.watches_store(800), "no seed has sent a list");
+}
+
 #[test]
 fn spending_counted_once_in_spite_of_repeats() {
     let mut table = PeerTable::new(address(9), &[]);
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -8,10 +8,14 @@
 use std::time::Duration;
 
 use sardinewood::direct::membership::peer_message::Revisions;
-use sardinewood::direct::replication::peer_pull::UpstreamListUpdate;
+use sardinewood::direct::replication::store_follower::FollowerChannels;
 use sardinewood::direct::replication::store_follower::LastStoreResponse;
 use sardinewood::direct::replication::store_follower::ObjectSource;
+use sardinewood::direct::replication::store_follower::ReplicaChange;
 use sardinewood::direct::replication::store_follower::StoreFollower;
+use sardinewood::direct::replication::update::ReplicaUpdate;
+use sardinewood::direct::replication::update::UpstreamListUpdate;
+use sardinewood::direct::replication::update_codec;
 use sardinewood::direct::store_view::catalog::Catalog;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::direct::store_view::replica::ObjectDecoders;
@@ -23,6 +27,7 @@
 use sardinewood::store::WatchBatch;
 use sardinewood::store::WatchEvent;
 use serde_json::Value;
+use tokio::sync::mpsc;
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -80,15 +85,26 @@
     }
 }
 
-fn follower() -> (StoreFollower, watch::Receiver<ReplicaSnapshot>) {
+pub fn follower() -> (StoreFollower, watch::Receiver<ReplicaSnapshot>) {
+    // Nobody receives the changes.
+    let (changes, _changes) = mpsc::unbounded_channel();
+    follower_with(changes)
+}
+
+fn follower_with(
+    changes: mpsc::UnboundedSender<ReplicaChange>,
+) -> (StoreFollower, watch::Receiver<ReplicaSnapshot>) {
     let (view_sender, view) = watch::channel(ReplicaSnapshot::default());
     // The sender may be dropped: its last value stays.
     let (_sender, watches_store) = watch::channel(true);
-    let last_response = LastStoreResponse::default();
-    (
-        StoreFollower::new(DECODERS, view_sender, watches_store, last_response),
-        view,
-    )
+    let channels = FollowerChannels {
+        own_address: SocketAddr::from(([10, 0, 0, 9], 7)),
+        view: view_sender,
+        changes,
+        watches_store,
+        last_response: LastStoreResponse::default(),
+    };
+    (StoreFollower::new(DECODERS, channels), view)
 }
 
 fn peer() -> SocketAddr {
@@ -177,7 +193,7 @@
     };
     other.apply_update(
         peer(),
-        sardinewood::direct::replication::peer_pull::ReplicaUpdate {
+        ReplicaUpdate {
             catalog: None,
             upstreams: Some(UpstreamListUpdate::Full(first)),
         },
@@ -186,6 +202,59 @@
     assert_eq!(names(&view), ["b", "c"]);
 }
 
+#[tokio::test]
+async fn change_of_the_store_sent_to_peers() {
+    // Guards against changes that each entry of a large fleet pulls from the few that watch the
+    // store. The update holds the last change as well, as a datagram may be lost.
+    let (changes, mut sent) = mpsc::unbounded_channel();
+    let (follower, view) = follower_with(changes);
+    let batch = |version| WatchBatch {
+        revision: version,
+        events: vec![WatchEvent::Put(object(
+            "u",
+            &format!("i-{version}"),
+            version,
+        ))],
+    };
+    let source = ScriptedStore {
+        list: ObjectList {
+            revision: 5,
+            objects: vec![object("u", "a", 5)],
+        },
+        batches: RefCell::new(vec![batch(7), batch(6)]),
+    };
+    let seen = view.clone();
+    let wait = async move {
+        let mut seen = seen;
+        let is_done = |view: &ReplicaSnapshot| view.revisions.directory == 7;
+        seen.wait_for(is_done).await.expect("a view").clone()
+    };
+    tokio::select! {
+        () = follower.follow_upstreams(&source) => unreachable!("it never ends"),
+        _ = wait => {}
+    }
+    let mut last = sent.recv().await.expect("a change");
+    while let Ok(change) = sent.try_recv() {
+        last = change;
+    }
+    assert_eq!(last.revisions.directory, 7);
+    let (other, other_view) = self::follower();
+    let first = ObjectList {
+        revision: 5,
+        objects: vec![object("u", "a", 5)],
+    };
+    other.apply_update(
+        peer(),
+        ReplicaUpdate {
+            catalog: None,
+            upstreams: Some(UpstreamListUpdate::Full(first)),
+        },
+    );
+    let update = update_codec::decode(&last.update).expect("an update");
+    other.apply_update(peer(), update);
+    assert_eq!(names(&other_view), ["a", "i-6", "i-7"]);
+}
+
 #[tokio::test]
 async fn older_update_changes_nothing() {
     // A revision never decreases, whichever source brings an older one.
@@ -196,7 +265,7 @@
     };
     follower.apply_update(
         peer(),
-        sardinewood::direct::replication::peer_pull::ReplicaUpdate {
+        ReplicaUpdate {
             catalog: None,
             upstreams: Some(UpstreamListUpdate::Full(old)),
         },
@@ -208,7 +277,7 @@
 async fn older_configuration_not_applied() {
     let (follower, view) = follower();
     for version in [7, 5] {
-        let update = sardinewood::direct::replication::peer_pull::ReplicaUpdate {
+        let update = ReplicaUpdate {
             catalog: Some(Arc::new(object("c", "main", version))),
             upstreams: None,
         };
