--- a/bench/src/control/play.rs
+++ b/bench/src/control/play.rs
@@ -347,12 +347,11 @@
         if !host.is_up {
             return;
         }
-        if host.round.is_over(now_ms) {
-            host.table.sweep(now_ms);
-            let targets = host.table.heartbeat_targets().collect();
-            host.round = HeartbeatRound::new(targets, host.table.heartbeat_ms(), now_ms);
-        }
-        let due = host.round.take_due(now_ms);
+        let table = &mut host.table;
+        let due = host.round.advance(now_ms, || {
+            table.sweep(now_ms);
+            (table.heartbeat_targets().collect(), table.heartbeat_ms())
+        });
         let next_ms = host.round.next_due_ms(now_ms);
         if !due.is_empty() {
             let message = self.heartbeat(number);
--- a/lib/src/direct/membership/heartbeat_round.rs
+++ b/lib/src/direct/membership/heartbeat_round.rs
@@ -65,6 +65,31 @@
         self.targets[first..due].to_vec()
     }
 
+    /// Returns the targets that are due, and begins the next round, with the given targets and
+    /// interval, if this one is over. A process that was late for the last slices of a round sends
+    /// them before the next round; its peers would take it for dead otherwise, the same ones each
+    /// time.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::heartbeat_round::HeartbeatRound;
+    /// let peer = "10.0.0.1:7".parse().unwrap();
+    /// let mut round = HeartbeatRound::new(vec![peer], 50, 0);
+    /// assert_eq!(round.advance(50, || (vec![peer], 50)).len(), 2);
+    /// ```
+    pub fn advance(
+        &mut self,
+        now_ms: u64,
+        next: impl FnOnce() -> (Vec<SocketAddr>, u64),
+    ) -> Vec<SocketAddr> {
+        let mut due = self.take_due(now_ms);
+        if self.is_over(now_ms) {
+            let (targets, interval_ms) = next();
+            *self = Self::new(targets, interval_ms, now_ms);
+            due.extend(self.take_due(now_ms));
+        }
+        due
+    }
+
     /// Returns when the next slice is due, or the next round if there is none left.
     ///
     /// ```
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::direct::placement::shared_prefix::CachedPrefix;
 use crate::direct::placement::shared_prefix::Candidate;
 use crate::direct::placement::shared_prefix::SharedPrefix;
+use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::placement::tracked_upstream::TrackedUpstream;
 use crate::direct::store_view::directory::Upstream;
 use crate::numbers;
@@ -68,6 +69,7 @@
     instances: IndexMap<u32, Arc<str>>,
     baselines: IndexMap<Arc<str>, ServiceBaseline>,
     peer_loads: PeerLoads,
+    intervals: ReportIntervals,
 }
 
 /// Returns the hash by which entries refer to an upstream in messages.
@@ -108,6 +110,18 @@
             .collect();
     }
 
+    /// Sets how often peers and upstreams report.
+    ///
+    /// ```
+    /// use sardinewood::direct::placement::tracked_upstream::ReportIntervals;
+    ///
+    /// let intervals = ReportIntervals { heartbeat_ms: 1_000, ..ReportIntervals::default() };
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().set_intervals(intervals);
+    /// ```
+    pub fn set_intervals(&mut self, intervals: ReportIntervals) {
+        self.intervals = intervals;
+    }
+
     /// Applies a peer's report of its running requests and of the speeds that it measured.
     ///
     /// ```
@@ -124,7 +138,7 @@
             let Some(tracked) = tracked else {
                 continue;
             };
-            if let Some(event_gap_ms) = tracked.merge_peer_report(report, now_ms) {
+            if let Some(event_gap_ms) = tracked.merge_peer_report(report, self.intervals, now_ms) {
                 let service = Arc::clone(&tracked.upstream.service);
                 self.baselines
                     .entry(service)
@@ -521,7 +535,7 @@
         let Some(tracked) = self.upstreams.get_mut(instance) else {
             return;
         };
-        let outcome = tracked.finished(id, outcome, now_ms);
+        let outcome = tracked.finished(id, outcome, self.intervals, now_ms);
         if outcome == AttemptOutcome::Answered {
             let service = Arc::clone(&tracked.upstream.service);
             let baseline = self.baselines.entry(service).or_default();
--- a/lib/src/direct/placement/tracked_upstream.rs
+++ b/lib/src/direct/placement/tracked_upstream.rs
@@ -12,6 +12,7 @@
 use crate::direct::placement::health::AttemptOutcome;
 use crate::direct::placement::health::ObservedHealth;
 use crate::direct::placement::job::Job;
+use crate::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use crate::direct::store_view::directory::Upstream;
 use crate::numbers;
 
@@ -32,15 +33,44 @@
 /// they get only requests that they can start.
 const STALL_MS: u64 = 800;
 const STALL_FACTOR: f64 = 4.0;
-/// Time for which a condition reported by a peer is used. The peer's heartbeats repeat it.
-const PEER_CONDITION_TTL_MS: u64 = 700;
+/// Shortest time for which a condition reported by a peer is used. The peer's heartbeats repeat it.
+const MIN_PEER_CONDITION_MS: u64 = 700;
+/// The same as a percentage of the time between two heartbeats.
+const PEER_CONDITION_PERCENT: u64 = 150;
+/// Time until entries learn that an entry of the list was removed.
+const REMOVAL_KNOWN_AFTER_MS: u64 = 400;
 
-/// Time for which an upstream is not used after another process has answered at its address. The
-/// late write of an incarnation that has ended can replace the entry of its successor or stand
-/// beside it. Such an entry stays in the list until three heartbeats of 1.2 s have been missed,
-/// plus a short time until entries learn of its removal. If the entry stays for longer, the
-/// upstream is tried again with one request at a time.
-const MISDIRECTED_PAUSE_MS: u64 = 4_000;
+/// Time between two reports of the same kind, on which it depends how long they are used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReportIntervals {
+    /// Between two heartbeats of a peer.
+    pub heartbeat_ms: u64,
+    /// Time after which the list drops an upstream that has ended without a word.
+    pub upstream_silence_ms: u64,
+}
+
+impl Default for ReportIntervals {
+    fn default() -> Self {
+        Self {
+            heartbeat_ms: 0,
+            upstream_silence_ms: DEFAULT_SILENCE_MS,
+        }
+    }
+}
+
+impl ReportIntervals {
+    fn peer_condition_ms(self) -> u64 {
+        MIN_PEER_CONDITION_MS.max(self.heartbeat_ms * PEER_CONDITION_PERCENT / 100)
+    }
+
+    /// Returns how long an upstream is not used after another process has answered at its address.
+    /// The late write of an incarnation that has ended can replace the entry of its successor or
+    /// stand beside it. If such an entry stays for longer, the upstream is tried again with one
+    /// request at a time.
+    fn misdirected_pause_ms(self) -> u64 {
+        self.upstream_silence_ms + REMOVAL_KNOWN_AFTER_MS
+    }
+}
 
 /// An upstream and this entry's state for it.
 #[derive(Clone, Debug)]
@@ -151,14 +181,20 @@
 
     /// Applies a peer's report of the upstream. Returns the reported event gap if it was newer than
     /// this entry's measurements.
-    pub fn merge_peer_report(&mut self, report: &UpstreamLoad, now_ms: u64) -> Option<f64> {
+    pub fn merge_peer_report(
+        &mut self,
+        report: &UpstreamLoad,
+        intervals: ReportIntervals,
+        now_ms: u64,
+    ) -> Option<f64> {
+        let until_ms = now_ms + intervals.peer_condition_ms();
         match report.condition {
             UpstreamCondition::Healthy => {}
             UpstreamCondition::Stalled => {
-                self.peer_stalled_until_ms = now_ms + PEER_CONDITION_TTL_MS;
+                self.peer_stalled_until_ms = until_ms;
             }
             UpstreamCondition::Replaced => {
-                self.peer_replaced_until_ms = now_ms + PEER_CONDITION_TTL_MS;
+                self.peer_replaced_until_ms = until_ms;
             }
         }
         if report.event_us == 0 {
@@ -184,7 +220,13 @@
 
     /// Frees the slot of a request. Returns how the attempt ended, which is a connection failure if
     /// it had stalled.
-    pub fn finished(&mut self, id: u64, outcome: AttemptOutcome, now_ms: u64) -> AttemptOutcome {
+    pub fn finished(
+        &mut self,
+        id: u64,
+        outcome: AttemptOutcome,
+        intervals: ReportIntervals,
+        now_ms: u64,
+    ) -> AttemptOutcome {
         self.running = self.running.saturating_sub(1);
         let stalls_at_ms = self.unanswered.swap_remove(&id);
         let has_stalled = stalls_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
@@ -194,7 +236,7 @@
             outcome
         };
         if outcome == AttemptOutcome::Misdirected {
-            self.replaced_until_ms = now_ms + MISDIRECTED_PAUSE_MS;
+            self.replaced_until_ms = now_ms + intervals.misdirected_pause_ms();
         }
         self.health.record_outcome(outcome, now_ms);
         outcome
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -5,6 +5,7 @@
 
 use tokio::sync::mpsc;
 use tokio::sync::watch;
+use tokio::time::Instant;
 use tokio::time::sleep_until;
 
 use crate::direct::membership::heartbeat_payload::LoadChunk;
@@ -16,6 +17,7 @@
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::membership::spread_tree;
+use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::replication::spread::SpreadMessage;
 use crate::direct::replication::spread::SpreadRelay;
 use crate::direct::replication::spread::SpreadStep;
@@ -83,10 +85,9 @@
     pub async fn run(mut self) {
         let mut buffer = vec![0; RECEIVE_BUFFER_BYTES];
         let traffic = Rc::clone(&self.traffic);
-        let mut round = self.begin_round();
-        self.send_due(&mut round);
+        let mut round = HeartbeatRound::new(Vec::new(), 0, 0);
+        let mut next_due = Instant::now();
         loop {
-            let next_due = traffic.instant_at(round.next_due_ms(traffic.now_ms()));
             tokio::select! {
                 received = traffic.socket.recv_from(&mut buffer) => match received {
                     Ok((length, from)) => self.receive(&buffer[..length], from),
@@ -104,10 +105,10 @@
                 }
                 Some(change) = self.channels.changes.recv() => self.spread(&change),
                 () = sleep_until(next_due) => {
-                    if round.is_over(traffic.now_ms()) {
-                        round = self.begin_round();
-                    }
-                    self.send_due(&mut round);
+                    let now_ms = traffic.now_ms();
+                    let due = round.advance(now_ms, || self.begin_round());
+                    self.send_heartbeat(&due);
+                    next_due = traffic.instant_at(round.next_due_ms(now_ms));
                 }
             }
         }
@@ -184,8 +185,7 @@
         }
         if effect.is_new {
             // The peer need not wait for the next round to learn of this entry and its revisions.
-            let reply = PeerMessage::Heartbeat(self.own_heartbeat());
-            traffic.send_to_peer(from, &reply);
+            self.send_heartbeat(&[from]);
         }
         if effect.is_new || effect.is_back {
             traffic.sync_suspects_to(from);
@@ -227,8 +227,9 @@
         send_if_changed(&self.channels.peer_ahead, peer_ahead);
     }
 
-    /// Passes on what has changed among the peers, and begins a round of heartbeats.
-    fn begin_round(&mut self) -> HeartbeatRound {
+    /// Passes on what has changed among the peers. Returns the targets of the next round of
+    /// heartbeats, and how long it takes.
+    fn begin_round(&mut self) -> (Vec<SocketAddr>, u64) {
         let traffic = Rc::clone(&self.traffic);
         let now_ms = traffic.now_ms();
         traffic.peers.borrow_mut().sweep(now_ms);
@@ -256,11 +257,17 @@
         let targets = peers.heartbeat_targets().collect();
         let interval_ms = peers.heartbeat_ms();
         drop(peers);
+        traffic.admission.borrow_mut().set_heartbeat_ms(interval_ms);
+        let intervals = ReportIntervals {
+            heartbeat_ms: interval_ms,
+            upstream_silence_ms: traffic.upstream_silence_ms.get(),
+        };
+        traffic.dispatcher.borrow_mut().set_intervals(intervals);
         self.log_discovered(known);
         self.round += 1;
         self.report_spending();
         traffic.grant_slots();
-        HeartbeatRound::new(targets, interval_ms, now_ms)
+        (targets, interval_ms)
     }
 
     /// Logs how many peers were discovered since the last round: at the start of a large fleet, a
@@ -283,14 +290,12 @@
         quotas.mark_reported(&self.round_spent);
     }
 
-    /// Sends the heartbeats that are due.
-    fn send_due(&mut self, round: &mut HeartbeatRound) {
-        let due = round.take_due(self.traffic.now_ms());
-        if due.is_empty() {
+    fn send_heartbeat(&mut self, to: &[SocketAddr]) {
+        if to.is_empty() {
             return;
         }
         let heartbeat = PeerMessage::Heartbeat(self.own_heartbeat());
-        self.traffic.send_to_peers(&due, &heartbeat);
+        self.traffic.send_to_peers(to, &heartbeat);
     }
 
     /// Sends a change that this entry has read from the store to all peers, most of which get it
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -149,6 +149,8 @@
     pub watches_store: watch::Receiver<bool>,
     /// When the store last answered.
     pub last_response: LastStoreResponse,
+    /// Time without a heartbeat after which an upstream is taken to have ended.
+    pub upstream_silence_ms: u64,
 }
 
 /// Encoded updates for peers, by the revisions that they follow. Hundreds of peers need the same
@@ -175,8 +177,10 @@
     /// Creates a follower with an empty replica.
     #[must_use]
     pub fn new(decoders: ObjectDecoders, channels: FollowerChannels) -> Self {
+        let mut replica = StoreReplica::new(decoders);
+        replica.set_upstream_silence_ms(channels.upstream_silence_ms);
         Self {
-            replica: Rc::new(RefCell::new(StoreReplica::new(decoders))),
+            replica: Rc::new(RefCell::new(replica)),
             channels,
             encoded_updates: Rc::default(),
             previous_directory: Rc::default(),
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -107,6 +107,14 @@
     pub shutdown_timeout: Duration,
     /// Longest backoff that an upstream gets, whatever it asks for.
     pub max_backoff: Duration,
+    /// Time without a heartbeat after which an upstream is taken to have ended.
+    pub upstream_silence: Duration,
+}
+
+impl DirectSettings {
+    fn upstream_silence_ms(&self) -> u64 {
+        u64::try_from(self.upstream_silence.as_millis()).unwrap_or(u64::MAX)
+    }
 }
 
 /// Result of rereading the settings.
@@ -169,6 +177,7 @@
     };
     let control_runtime = current_thread().wrap_err("can't start the control thread's runtime")?;
     let peer_address = settings.peer_address;
+    let upstream_silence_ms = settings.upstream_silence_ms();
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
@@ -180,6 +189,7 @@
                 changes: changes_sender,
                 watches_store,
                 last_response: last_store_response,
+                upstream_silence_ms,
             };
             let follower = StoreFollower::new(platform.decoders, follower_channels);
             let peers = FromPeers {
@@ -283,6 +293,9 @@
         .borrow_mut()
         .set_tolerance(settings.tolerance);
     traffic.set_max_backoff(settings.max_backoff);
+    traffic
+        .upstream_silence_ms
+        .set(settings.upstream_silence_ms());
     let callers = listen(settings.caller_address, "callers").await?;
     let readiness = listen(settings.readiness_address, "readiness").await?;
     let metrics = listen(settings.metrics_address, "metrics").await?;
@@ -354,13 +367,15 @@
         .set_limits(new.retry_limits);
     traffic.quotas.borrow_mut().set_tolerance(new.tolerance);
     traffic.set_max_backoff(new.max_backoff);
+    traffic.upstream_silence_ms.set(new.upstream_silence_ms());
     let mut peers = traffic.peers.borrow_mut();
     peers.add_seeds(&new.seeds);
     peers.set_own_host(new.host);
     drop(peers);
     let needs_restart = old.caller_address != new.caller_address
         || old.readiness_address != new.readiness_address
-        || old.peer_address != new.peer_address;
+        || old.peer_address != new.peer_address
+        || old.upstream_silence != new.upstream_silence;
     Line::new(Level::Info, "settings taken")
         .field("seeds", &new.seeds)
         .field("needs_restart", needs_restart)
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -34,8 +34,11 @@
 /// Worth of an answer that misses its latency objective, relative to one that meets it. The
 /// operators' sheets put it at three tenths for all routes.
 const LATE_FACTOR: f64 = 0.3;
-/// Time without a heartbeat after which the slots that a peer was granted count as free.
-const PEER_SILENCE_MS: u64 = 1_500;
+/// Shortest time without a heartbeat after which the slots that a peer was granted count as free.
+const MIN_PEER_SILENCE_MS: u64 = 1_500;
+/// The same as a percentage of the time between two heartbeats. In a large fleet, one heartbeat that
+/// is lost or late must not free the slots of requests that run.
+const PEER_SILENCE_PERCENT: u64 = 250;
 /// Admission queues in which one request waits at a time; its place in each queue therefore counts
 /// only in part. With a single queue, a request waits for a busy engine while another has a free
 /// slot; each further queue costs two messages.
@@ -321,6 +324,8 @@
     limits: IndexMap<u32, u32>,
     /// Share of each limit that this entry may grant; `None` means all of it.
     limit_share: Option<f64>,
+    /// Time between two heartbeats of a peer.
+    heartbeat_ms: u64,
 }
 
 impl AdmissionController {
@@ -398,6 +403,15 @@
         }
     }
 
+    /// Sets the time between two heartbeats of a peer, which grows with the fleet.
+    ///
+    /// ```
+    /// sardinewood::direct::sharing::admission::AdmissionController::default().set_heartbeat_ms(1_000);
+    /// ```
+    pub fn set_heartbeat_ms(&mut self, heartbeat_ms: u64) {
+        self.heartbeat_ms = heartbeat_ms;
+    }
+
     fn set_rates(&mut self, now_ms: u64) {
         let limit_share = self.limit_share.unwrap_or(1.0);
         for (upstream, queue) in &mut self.queues {
@@ -560,9 +574,10 @@
     /// AdmissionController::default().expire_peers(None, 0);
     /// ```
     pub fn expire_peers(&mut self, departed: Option<SocketAddr>, now_ms: u64) {
+        let silence_ms = MIN_PEER_SILENCE_MS.max(self.heartbeat_ms * PEER_SILENCE_PERCENT / 100);
         let last_heard = self.last_heard_ms.iter();
         let mut expired: IndexSet<SocketAddr> = last_heard
-            .filter(|(_, last_heard_ms)| now_ms >= **last_heard_ms + PEER_SILENCE_MS)
+            .filter(|(_, last_heard_ms)| now_ms >= **last_heard_ms + silence_ms)
             .map(|(peer, _)| *peer)
             .collect();
         expired.extend(departed);
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -11,11 +11,11 @@
 /// the delay until this process sees them.
 pub const RETURN_GRACE_MS: u64 = 2_300;
 
-/// Time after which an entry of an older incarnation is accepted if it is still in the list. The
-/// newer incarnation that it hides writes its own entry with each heartbeat, every 1.2 s on the
-/// deployments described. After three missed heartbeats the newer incarnation is taken to have
-/// ended.
-pub const OLDER_INCARNATION_GRACE_MS: u64 = 3_600;
+/// Heartbeats of an upstream that may be missing before it is taken to have ended.
+pub const MISSED_HEARTBEATS: u32 = 3;
+/// Time without a heartbeat after which an upstream is taken to have ended, if the platform does not
+/// say how often upstreams send one.
+pub const DEFAULT_SILENCE_MS: u64 = 3_600;
 
 /// One incarnation of an upstream, that is, one start of a process that runs requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -89,8 +89,8 @@
 
     /// Accepts the entry of an older incarnation if it has been in the list for long enough.
     /// Returns whether it was accepted.
-    fn accept_older(&mut self, now_ms: u64) -> bool {
-        let is_due = |older: &mut (Upstream, u64)| now_ms >= older.1 + OLDER_INCARNATION_GRACE_MS;
+    fn accept_older(&mut self, silence_ms: u64, now_ms: u64) -> bool {
+        let is_due = |older: &mut (Upstream, u64)| now_ms >= older.1 + silence_ms;
         let Some((upstream, _)) = self.older.take_if(is_due) else {
             return false;
         };
@@ -118,9 +118,11 @@
 ///
 /// assert!(Directory::default().usable().next().is_none());
 /// ```
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Directory {
     entries: IndexMap<Arc<str>, DirectoryEntry>,
+    /// Time without a heartbeat after which an upstream is taken to have ended.
+    silence_ms: u64,
     /// Time until which a missing entry may be due to the outage.
     grace_until_ms: u64,
     /// Whether upstreams in this list give their start time. An entry without one was then not
@@ -128,7 +130,29 @@
     reports_start_time: bool,
 }
 
+impl Default for Directory {
+    fn default() -> Self {
+        Self {
+            entries: IndexMap::new(),
+            silence_ms: DEFAULT_SILENCE_MS,
+            grace_until_ms: 0,
+            reports_start_time: false,
+        }
+    }
+}
+
 impl Directory {
+    /// Sets the time without a heartbeat after which an upstream is taken to have ended. The entry
+    /// of an older incarnation is accepted if it is in the list for that long: a newer one would
+    /// have written its own entry meanwhile.
+    ///
+    /// ```
+    /// sardinewood::direct::store_view::directory::Directory::default().set_silence_ms(9_000);
+    /// ```
+    pub fn set_silence_ms(&mut self, silence_ms: u64) {
+        self.silence_ms = silence_ms;
+    }
+
     /// Records that the store answers again after an outage.
     ///
     /// ```
@@ -207,7 +231,7 @@
         }
         let mut is_changed = self.entries.len() != before;
         for entry in self.entries.values_mut() {
-            is_changed |= entry.accept_older(now_ms);
+            is_changed |= entry.accept_older(self.silence_ms, now_ms);
         }
         is_changed
     }
@@ -221,10 +245,7 @@
     pub fn next_sweep_ms(&self) -> Option<u64> {
         let due_ms = |entry: &DirectoryEntry| {
             let missing_ms = entry.missing_since_ms.map(|_| self.grace_until_ms);
-            let older_ms = entry
-                .older
-                .as_ref()
-                .map(|older| older.1 + OLDER_INCARNATION_GRACE_MS);
+            let older_ms = entry.older.as_ref().map(|older| older.1 + self.silence_ms);
             missing_ms.into_iter().chain(older_ms).min()
         };
         self.entries.values().filter_map(due_ms).min()
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -97,6 +97,11 @@
         }
     }
 
+    /// Sets the time without a heartbeat after which an upstream is taken to have ended.
+    pub fn set_upstream_silence_ms(&mut self, silence_ms: u64) {
+        self.directory.set_silence_ms(silence_ms);
+    }
+
     /// Returns the decoders of the stored objects.
     #[must_use]
     pub fn decoders(&self) -> &ObjectDecoders {
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -52,6 +52,7 @@
 use crate::direct::slot_driver;
 use crate::direct::slot_driver::PendingSlotRequest;
 use crate::direct::store_view::catalog::Catalog;
+use crate::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use crate::direct::store_view::directory::Upstream;
 use crate::logging::Level;
 use crate::logging::Line;
@@ -88,6 +89,8 @@
     pub retry_budget: RefCell<RetryBudget>,
     /// Configuration in force, if there is one yet.
     pub catalog: RefCell<Option<Arc<Catalog>>>,
+    /// Time without a heartbeat after which an upstream is taken to have ended.
+    pub upstream_silence_ms: Cell<u64>,
     /// Whether a list of upstreams has arrived.
     pub has_upstreams: Cell<bool>,
     /// Whether a signal has asked the process to stop.
@@ -279,6 +282,7 @@
             pending_charges: PendingCharges::default(),
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             catalog: RefCell::default(),
+            upstream_silence_ms: Cell::new(DEFAULT_SILENCE_MS),
             has_upstreams: Cell::new(false),
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
--- a/lib/tests/test_direct_admission.rs
+++ b/lib/tests/test_direct_admission.rs
@@ -161,6 +161,20 @@
     assert_eq!(granted(&mut admission, 2), [1]);
 }
 
+#[test]
+fn late_heartbeat_of_a_large_fleet_frees_no_slots() {
+    // Guards against slots that are granted twice because a heartbeat was lost: in a large fleet
+    // they are a second apart, so the next one comes two seconds after the last.
+    let mut admission = admission();
+    admission.set_heartbeat_ms(1_000);
+    admission.reconcile(peer(1), &load(3), 0);
+    admission.enqueue(EntryRef::Local, slot_request(1, 1_000, 500), 1);
+    admission.expire_peers(None, 2_000);
+    assert!(granted(&mut admission, 2_000).is_empty());
+    admission.expire_peers(None, 3_000);
+    assert_eq!(granted(&mut admission, 3_000), [1]);
+}
+
 #[test]
 fn silent_peers_slots_freed() {
     let mut admission = admission();
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -30,6 +30,20 @@
         .collect()
 }
 
+#[test]
+fn late_write_hidden_for_as_long_as_upstreams_may_be_silent() {
+    // Guards against an ended incarnation that is used again because upstreams write less often
+    // than on other platforms.
+    let mut directory = Directory::default();
+    directory.set_silence_ms(9_000);
+    directory.put(born("a", 20), 0);
+    directory.put(born("a", 10), 1_000);
+    assert!(!directory.sweep(9_900));
+    assert_eq!(usable(&directory), ["a@20"]);
+    assert!(directory.sweep(10_000));
+    assert_eq!(usable(&directory), ["a@10"]);
+}
+
 #[test]
 fn removed_at_once_without_an_outage() {
     let mut directory = listed(&[upstream("a", false), upstream("b", false)]);
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -12,6 +12,7 @@
 use sardinewood::direct::placement::job::Job;
 use sardinewood::direct::placement::slot_search::SearchStep;
 use sardinewood::direct::placement::slot_search::SlotSearch;
+use sardinewood::direct::placement::tracked_upstream::ReportIntervals;
 use sardinewood::direct::store_view::directory::Upstream;
 
 use crate::direct_fixture::job;
@@ -77,6 +78,27 @@
     assert_eq!(starts(&mut dispatcher, 1, 5_000).len(), 1);
 }
 
+#[test]
+fn stall_reported_by_a_peer_of_a_large_fleet_stays_known() {
+    // Guards against an upstream that hangs and is used again between two heartbeats of the peer
+    // that reports it: in a large fleet they are a second apart.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[upstream("i-1", 2)]);
+    dispatcher.set_intervals(ReportIntervals {
+        heartbeat_ms: 1_000,
+        ..ReportIntervals::default()
+    });
+    let stalled = UpstreamLoad {
+        upstream: upstream_hash("i-1"),
+        requests: 1,
+        condition: UpstreamCondition::Stalled,
+        ..UpstreamLoad::default()
+    };
+    dispatcher.set_peer_load(1, &LoadChunk::whole(vec![stalled]), 0);
+    assert_eq!(dispatcher.service_counts("pool", 1_200).working, 0);
+    assert_eq!(dispatcher.service_counts("pool", 1_600).working, 1);
+}
+
 #[test]
 fn less_important_stops_waiting_sooner() {
     // A burst of requests of all tiers lasts for seconds. Requests worth a twentieth would be
--- a/lib/tests/test_direct_heartbeat_payload.rs
+++ b/lib/tests/test_direct_heartbeat_payload.rs
@@ -177,6 +177,17 @@
     assert_eq!(round.take_due(3_000).len(), 38);
 }
 
+#[test]
+fn late_end_of_a_round_leaves_out_nobody() {
+    // Guards against a busy host whose last slices are dropped: the same peers would hear nothing
+    // of it for seconds, and name other owners than all others.
+    let targets = vec![peer(); 40];
+    let mut round = HeartbeatRound::new(targets.clone(), 1_000, 0);
+    let sent: usize = (0..900).map(|now_ms| round.take_due(now_ms).len()).sum();
+    let due = round.advance(1_030, || (targets.clone(), 1_000));
+    assert_eq!(sent + due.len(), 40 + 2, "the rest, and the first slice");
+}
+
 #[test]
 fn small_fleet_sends_a_round_at_once() {
     let mut round = HeartbeatRound::new(vec![peer(); 9], 90, 5);
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -17,6 +17,7 @@
 use sardinewood::direct::replication::update::UpstreamListUpdate;
 use sardinewood::direct::replication::update_codec;
 use sardinewood::direct::store_view::catalog::Catalog;
+use sardinewood::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::direct::store_view::replica::ObjectDecoders;
 use sardinewood::direct::store_view::replica::ReplicaSnapshot;
@@ -103,6 +104,7 @@
         changes,
         watches_store,
         last_response: LastStoreResponse::default(),
+        upstream_silence_ms: DEFAULT_SILENCE_MS,
     };
     (StoreFollower::new(DECODERS, channels), view)
 }
