--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -39,6 +39,8 @@
 /// Time after the start in which an entry that is no seed waits for a peer's list before it asks
 /// the store. Without it, a fleet that starts asks the store as often as it has entries.
 const FIRST_LIST_WAIT_MS: u64 = 800;
+/// The same for an entry that has a list: after two rounds of heartbeats it knows who watches.
+const FIRST_WATCH_WAIT_MS: u64 = 3_000;
 /// Addresses of peers in one heartbeat.
 const MAX_ADDRESSES: usize = 8;
 /// Sequence number up to which an unknown peer counts as just started: a second of heartbeats.
@@ -504,14 +506,15 @@
     /// watch grows with the square of its size. So only a few watch, chosen in an order that all
     /// agree on: the hosts with most capacity, as they serve the others, and one in each data centre
     /// first, since a data centre may be cut off. An entry that the store hasn't answered for some
-    /// time is passed over.
+    /// time is passed over. `has_list` tells whether this entry has got the list of upstreams from a
+    /// peer or the store.
     ///
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
-    /// assert!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).watches_store(0));
+    /// assert!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).watches_store(false, 0));
     /// ```
     #[must_use]
-    pub fn watches_store(&self, now_ms: u64) -> bool {
+    pub fn watches_store(&self, has_list: bool, now_ms: u64) -> bool {
         let is_watching = |peer: &Peer| {
             let store_age_ms = peer.store_age_ms.filter(|_| !peer.is_leaving);
             store_age_ms.is_some_and(|age_ms| age_ms < MAX_STORE_AGE_MS)
@@ -534,8 +537,13 @@
         // The sort is stable: within a rank, the hosts with most capacity stay first.
         order.sort_by_key(|(rank, _)| *rank);
         let mut watchers = order.iter().take(STORE_WATCHERS);
-        let waits_for_list = !self.is_seed && now_ms < FIRST_LIST_WAIT_MS;
-        !waits_for_list && watchers.any(|(_, address)| *address == self.own_address)
+        let wait_ms = if has_list {
+            FIRST_WATCH_WAIT_MS
+        } else {
+            FIRST_LIST_WAIT_MS
+        };
+        let waits = !self.is_seed && now_ms < wait_ms;
+        !waits && watchers.any(|(_, address)| *address == self.own_address)
     }
 
     /// Returns the time until the next heartbeat.
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -252,7 +252,8 @@
             .admission
             .borrow_mut()
             .set_limit_share(share, now_ms);
-        let watches_store = peers.watches_store(now_ms);
+        let has_list = self.channels.own_revisions.borrow().directory > 0;
+        let watches_store = peers.watches_store(has_list, now_ms);
         send_if_changed(&self.channels.watches_store, watches_store);
         let targets = peers.heartbeat_targets().collect();
         let interval_ms = peers.heartbeat_ms();
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -410,15 +410,15 @@
     for number in 1..4 {
         table.record_heartbeat(address(number), &heartbeat(1), 0);
     }
-    assert!(!table.watches_store(0));
+    assert!(!table.watches_store(false, 0));
     let lost = Heartbeat {
         store_age_ms: Some(9_000),
         ..heartbeat(2)
     };
     table.record_heartbeat(address(2), &lost, 10);
-    assert!(table.watches_store(10));
+    assert!(table.watches_store(false, 10));
     let first = PeerTable::new(address(0), &[]);
-    assert!(first.watches_store(0), "a lone entry asks the store");
+    assert!(first.watches_store(false, 0), "a lone entry asks the store");
 }
 
 /// A heartbeat of an entry that watches the store, on a host of a data centre.
@@ -474,9 +474,9 @@
         table.record_heartbeat(address(number), &watching(1, 100), 0);
     }
     table.set_own_host(host(2));
-    assert!(!table.watches_store(0));
+    assert!(!table.watches_store(false, 0));
     table.set_own_host(host(100));
-    assert!(table.watches_store(0));
+    assert!(table.watches_store(false, 0));
 }
 
 #[test]
@@ -491,9 +491,9 @@
         capacity: 100,
     };
     table.set_own_host(host(1));
-    assert!(!table.watches_store(0));
+    assert!(!table.watches_store(false, 0));
     table.set_own_host(host(2));
-    assert!(table.watches_store(0));
+    assert!(table.watches_store(false, 0));
 }
 
 #[test]
@@ -513,10 +513,12 @@
 fn only_seeds_ask_the_store_at_a_start() {
     // Guards against a start of a whole fleet that costs the store a list for each entry.
     let seeds = [address(1), address(2)];
-    assert!(PeerTable::new(address(1), &seeds).watches_store(0));
+    assert!(PeerTable::new(address(1), &seeds).watches_store(false, 0));
     let other = PeerTable::new(address(9), &seeds);
-    assert!(!other.watches_store(0));
-    assert!(other.watches_store(800), "no seed has sent a list");
+    assert!(!other.watches_store(false, 0));
+    assert!(other.watches_store(false, 800), "no seed has sent a list");
+    assert!(!other.watches_store(true, 800), "a seed has sent one");
+    assert!(other.watches_store(true, 3_000), "nobody watches");
 }
 
 #[test]
