--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -1,5 +1,5 @@
-//! Entries of the direct mode in virtual time: the decisions that ship, and around them
-//! messages that take a millisecond, engines, and callers.
+//! Entries of the direct mode in virtual time. They decide by the modules that ship; messages,
+//! engines and callers are modelled.
 
 mod admission;
 mod callers;
@@ -42,28 +42,28 @@
 use super::load::Pattern;
 use crate::entry_address;
 
-/// Time of a message between two hosts of a region.
+/// Delay of a message between two hosts of a region.
 const ROUND_TRIP_MS: u64 = 1;
 /// Port of all entries.
 const PORT: u16 = 7_000;
 const SERVICE: &str = "pool";
 
-/// Which mechanism is taken out.
+/// The mechanism that is disabled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Variant {
-    /// None: what ships.
+    /// None.
     Shipped,
-    /// Doors: each entry goes by the loads that peers tell.
-    WithoutDoors,
-    /// Order by worth: doors grant who asked first.
+    /// Admission queues: each entry chooses by the loads that peers report.
+    WithoutAdmissionQueues,
+    /// Order by worth: admission queues grant in order of arrival.
     WithoutOrder,
-    /// What callers say of sizes and lengths.
+    /// Sizes and lengths that callers state.
     WithoutSizes,
-    /// A second try by callers that were refused.
+    /// Retries of refused callers.
     WithoutReturns,
-    /// What entries remember of requests under which engines ended.
+    /// The quarantine of requests under which engines crashed.
     WithoutQuarantine,
-    /// What engines say of themselves.
+    /// Notices of engines.
     WithoutNotices,
 }
 
@@ -71,7 +71,7 @@
     /// All variants and their names.
     pub const ALL: [(&'static str, Self); 7] = [
         ("shipped", Self::Shipped),
-        ("without-doors", Self::WithoutDoors),
+        ("without-doors", Self::WithoutAdmissionQueues),
         ("without-order", Self::WithoutOrder),
         ("without-sizes", Self::WithoutSizes),
         ("without-returns", Self::WithoutReturns),
@@ -80,44 +80,44 @@
     ];
 }
 
-/// What is played.
+/// Parameters of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Setup {
-    /// Entries.
+    /// Number of entries.
     pub entries: usize,
-    /// Engines; every third is 4.4 times slower than the others, as on the users' sites.
+    /// Number of engines. Every third is 4.4 times slower than the others.
     pub engines: usize,
-    /// Requests at a time at each engine.
+    /// Slots of each engine.
     pub slots: u32,
-    /// Part of the engines' capacity that is offered outside bursts.
+    /// Offered load outside bursts, as a share of the engines' capacity.
     pub load: f64,
-    /// Which kinds come.
+    /// The mix of request kinds.
     pub mix: &'static Mix,
-    /// How it comes.
+    /// The pattern of arrivals.
     pub pattern: Pattern,
-    /// How long callers send.
+    /// Time for which callers send requests.
     pub for_ms: u64,
-    /// Part of all messages that are lost.
+    /// Share of messages that are lost.
     pub lost_part: f64,
     /// Whether an entry is killed every two seconds.
     pub has_kills: bool,
-    /// How often a caller sends a request that ends the engines that run it, if one does.
+    /// Time between two attempts of a deadly request, if there is one.
     pub deadly_every_ms: Option<u64>,
-    /// What some engines say of themselves for a time, if they do.
+    /// The notice that some engines send for a time, if any.
     pub need: Option<Need>,
-    /// Which mechanism is taken out.
+    /// The mechanism that is disabled.
     pub variant: Variant,
 }
 
 impl Setup {
-    /// Time for entries to hear of each other before load begins.
+    /// Time before the first request, in which entries discover each other.
     pub const QUIET_MS: u64 = 5_000;
 
     fn slowness(number: usize) -> f64 {
         if number % 3 == 2 { 3.0 } else { 0.68 }
     }
 
-    /// Slot time of speed 1 that the engines have in a millisecond.
+    /// Returns the capacity of all engines: slot milliseconds at speed 1 per millisecond.
     #[must_use]
     pub fn capacity(&self) -> f64 {
         (0..self.engines)
@@ -125,7 +125,7 @@
             .sum()
     }
 
-    /// What callers send.
+    /// Returns the load that callers offer.
     #[must_use]
     pub fn offer(&self) -> Offer {
         Offer {
@@ -140,31 +140,31 @@
     }
 }
 
-/// How a request ended for its caller.
+/// The outcome of a request for its caller.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum End {
-    /// Whole, its first event in time.
+    /// Complete, with the first event in time.
     InTime,
-    /// Whole, its first event late.
+    /// Complete, with the first event late.
     Late,
-    /// Its time was up in the middle.
+    /// Cut at its deadline.
     Cut,
-    /// Told that it has not run.
+    /// Refused as not run.
     Refused,
-    /// Its entry or engine was lost.
+    /// Lost with its entry or engine.
     Lost,
 }
 
-/// What came of a run.
+/// Outcome of a run.
 #[derive(Clone, Debug, Default)]
 pub struct Outcome {
-    /// How each request ended; several ends would be several answers.
+    /// Outcomes of each request. More than one would be more than one answer.
     pub ends: Vec<Vec<End>>,
-    /// The most that any engine had at a time.
+    /// Maximum number of concurrent requests at any engine.
     pub most_at_engine: usize,
     /// The same in the last quarter of the run.
     pub most_at_engine_late: usize,
-    /// What came of a request that ends engines.
+    /// Outcome of the deadly request.
     pub deadly: DeadlyOutcome,
 }
 
@@ -260,7 +260,7 @@
     is_over: bool,
 }
 
-/// The fleet of one run.
+/// State of one run.
 pub struct Fleet {
     setup: Setup,
     now_ms: u64,
@@ -271,12 +271,12 @@
     entries: Vec<Entry>,
     engines: Vec<Engine>,
     upstreams: Vec<Arc<Upstream>>,
-    /// Those that the list names.
+    /// Upstreams that are listed.
     listed: Vec<Arc<Upstream>>,
-    /// Engines that have ended and are not back.
+    /// Engines that have crashed and not restarted.
     gone: Vec<usize>,
     offered: Vec<Offered>,
-    /// The first of those that end engines; they come after all others.
+    /// Index of the first deadly request; they follow all others.
     first_deadly: usize,
     returned: Vec<bool>,
     size_classes: Vec<SizeClass>,
@@ -289,7 +289,7 @@
 }
 
 impl Fleet {
-    /// A fleet that has not begun.
+    /// Creates a fleet before its first event.
     #[must_use]
     pub fn new(setup: Setup, seed: u64) -> Self {
         let upstreams: Vec<Arc<Upstream>> = (0..setup.engines)
@@ -342,7 +342,7 @@
         fleet
     }
 
-    /// The requests of the run, without those that end engines.
+    /// Returns the requests of the run, without the deadly ones.
     #[must_use]
     pub fn offered(&self) -> &[Offered] {
         &self.offered[..self.first_deadly]
@@ -384,7 +384,7 @@
         }
     }
 
-    /// An entry that has just started; it knows the first entry's address.
+    /// Creates the state of an entry that has just started and knows the seeds' addresses.
     fn started(&self, entry: usize, incarnation: u64) -> Entry {
         let mut dispatcher = Dispatcher::default();
         dispatcher.set_upstreams(&self.upstreams);
@@ -409,7 +409,7 @@
         }
     }
 
-    /// Plays to the end of the last request.
+    /// Runs until the last request has ended.
     #[must_use]
     pub fn play(mut self) -> Outcome {
         let late_from_ms = Setup::QUIET_MS + self.setup.for_ms * 3 / 4;
@@ -447,7 +447,7 @@
         self.events.push(Reverse((at_ms, self.order, body)));
     }
 
-    fn tell(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
+    fn send(&mut self, from: usize, to: SocketAddr, message: PeerMessage) {
         if self.random.random::<f64>() < self.setup.lost_part {
             return;
         }
@@ -462,7 +462,7 @@
     fn take(&mut self, event: Event) {
         match event {
             Event::Offer { request, is_return } => self.arrive(request, is_return),
-            Event::Deliver { to, from, message } => self.hear(to, from, message),
+            Event::Deliver { to, from, message } => self.receive(to, from, message),
             Event::Silence {
                 request,
                 incarnation,
@@ -504,7 +504,7 @@
     }
 }
 
-/// Entries start within a short time of each other, and their heartbeats fall apart.
+/// Returns when an entry sends its first heartbeat. Entries start at slightly different times.
 fn first_heartbeat_ms(entry: usize) -> u64 {
     const WITHIN_MS: u64 = 50;
     (entry as u64).wrapping_mul(7) % WITHIN_MS
--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -1,4 +1,4 @@
-//! Doors and heartbeats of the fleet, and the messages between entries.
+//! Admission queues, heartbeats and the messages between entries.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -19,7 +19,7 @@
 use super::Variant;
 use super::address;
 
-/// Unit of worth in questions to doors.
+/// Worth of every slot request if admission queues do not order them.
 const EQUAL_WORTH: u32 = 1_000;
 
 impl Fleet {
@@ -53,11 +53,11 @@
             .insert(id, (request, Arc::clone(instance), owner));
         match owner {
             EntryRef::Local => self.handle_slot_request(entry, EntryRef::Local, slot_request),
-            EntryRef::Peer(peer) => self.tell(entry, peer, PeerMessage::RequestSlot(slot_request)),
+            EntryRef::Peer(peer) => self.send(entry, peer, PeerMessage::RequestSlot(slot_request)),
         }
     }
 
-    pub(super) fn take_back(&mut self, entry: usize, id: PeerRequestId, instance: &str) {
+    pub(super) fn cancel(&mut self, entry: usize, id: PeerRequestId, instance: &str) {
         let Some((_, _, owner)) = self.entries[entry].asks.swap_remove(&id) else {
             return;
         };
@@ -66,7 +66,7 @@
             EntryRef::Local => self.entries[entry]
                 .admission
                 .cancel(EntryRef::Local, upstream, id),
-            EntryRef::Peer(peer) => self.tell(
+            EntryRef::Peer(peer) => self.send(
                 entry,
                 peer,
                 PeerMessage::Cancel {
@@ -97,7 +97,7 @@
         let request_id = slot_request.id;
         match from {
             EntryRef::Local => self.handle_queued(entry, request_id, wait_ms),
-            EntryRef::Peer(peer) => self.tell(
+            EntryRef::Peer(peer) => self.send(
                 entry,
                 peer,
                 PeerMessage::Queued {
@@ -113,7 +113,7 @@
             let (request_id, upstream) = (grant.request_id, grant.upstream);
             match grant.to {
                 EntryRef::Local => self.handle_grant(entry, request_id, upstream),
-                EntryRef::Peer(peer) => self.tell(
+                EntryRef::Peer(peer) => self.send(
                     entry,
                     peer,
                     PeerMessage::Grant {
@@ -150,18 +150,18 @@
                 self.grant(entry);
             }
             EntryRef::Peer(peer) => {
-                self.tell(entry, peer, PeerMessage::Released { upstream, release });
+                self.send(entry, peer, PeerMessage::Released { upstream, release });
             }
         }
     }
 
-    pub(super) fn hear(&mut self, entry: usize, from: usize, message: PeerMessage) {
+    pub(super) fn receive(&mut self, entry: usize, from: usize, message: PeerMessage) {
         if !self.entries[entry].is_up {
             return;
         }
         let peer = address(from);
         match message {
-            PeerMessage::Heartbeat(heartbeat) => self.hear_heartbeat(entry, peer, &heartbeat),
+            PeerMessage::Heartbeat(heartbeat) => self.receive_heartbeat(entry, peer, &heartbeat),
             PeerMessage::RequestSlot(slot_request) => {
                 self.handle_slot_request(entry, EntryRef::Peer(peer), slot_request);
             }
@@ -190,24 +190,29 @@
             | PeerMessage::ChargeReply { .. }
             | PeerMessage::Rollout(_)
             | PeerMessage::Spread(_) => {}
-            PeerMessage::UpstreamNotices(told) => self.merge_notice_updates(entry, &told),
-            PeerMessage::SuspectRequests(told) => self.merge_suspect_updates(entry, &told),
+            PeerMessage::UpstreamNotices(updates) => self.merge_notice_updates(entry, &updates),
+            PeerMessage::SuspectRequests(updates) => self.merge_suspect_updates(entry, &updates),
         }
     }
 
-    pub(super) fn hear_heartbeat(&mut self, entry: usize, peer: SocketAddr, heartbeat: &Heartbeat) {
+    pub(super) fn receive_heartbeat(
+        &mut self,
+        entry: usize,
+        peer: SocketAddr,
+        heartbeat: &Heartbeat,
+    ) {
         let now_ms = self.now_ms;
         let state = &mut self.entries[entry];
-        let heard = state.peers.record_heartbeat(peer, heartbeat, now_ms);
-        if heard.is_ignored {
+        let effect = state.peers.record_heartbeat(peer, heartbeat, now_ms);
+        if effect.is_ignored {
             return;
         }
         state.admission.reconcile(peer, &heartbeat.loads, now_ms);
         let incarnation = heartbeat.incarnation;
         let running = &heartbeat.loads;
         state.dispatcher.set_peer_load(incarnation, running, now_ms);
-        if heard.is_new || heard.is_back {
-            self.greet(entry, peer);
+        if effect.is_new || effect.is_back {
+            self.sync_peer(entry, peer);
         }
         self.grant(entry);
     }
@@ -231,7 +236,7 @@
         let targets: Vec<SocketAddr> = state.peers.heartbeat_targets().collect();
         let next_ms = now_ms + state.peers.heartbeat_ms();
         for target in targets {
-            self.tell(entry, target, PeerMessage::Heartbeat(heartbeat.clone()));
+            self.send(entry, target, PeerMessage::Heartbeat(heartbeat.clone()));
         }
         self.grant(entry);
         self.at(next_ms, Event::Heartbeat { entry });
--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -1,4 +1,4 @@
-//! Callers of the fleet: they arrive, wait, are refused, and come back once.
+//! Callers: their requests arrive, wait, are refused, and are sent once more.
 
 use std::sync::Arc;
 
@@ -18,11 +18,11 @@
 use super::SERVICE;
 use super::Variant;
 
-/// Callers leave after this time without a first event.
+/// Time without a first event after which callers disconnect.
 const PATIENCE_MS: u64 = 2_400;
-/// Prompt tokens that are read in the time of one output token, as the product reckons.
+/// Prompt tokens that an engine reads in the time of one output token, as the product assumes.
 const PROMPT_TOKENS_IN_A_STEP: f64 = 100.0;
-/// How often a waiting request looks for room where entries know loads only.
+/// Time between two searches for a free slot if entries know loads only.
 const LOOK_MS: u64 = 10;
 
 impl Fleet {
@@ -89,7 +89,7 @@
                 incarnation,
             },
         );
-        if self.setup.variant == Variant::WithoutDoors {
+        if self.setup.variant == Variant::WithoutAdmissionQueues {
             self.look(request, incarnation);
             return;
         }
@@ -99,7 +99,7 @@
         self.silence_later(request, incarnation);
     }
 
-    /// Lets a waiting request decide, and carries out what it decided.
+    /// Lets the slot search of a waiting request decide, and executes its steps.
     pub(super) fn decide(
         &mut self,
         entry: usize,
@@ -122,7 +122,7 @@
         self.at(self.now_ms + REPLY_TIMEOUT_MS, event);
     }
 
-    /// Whether the request still waits in that incarnation of its entry.
+    /// Returns whether a request still waits in that incarnation of its entry.
     pub(super) fn waits(&self, request: usize, incarnation: u64) -> bool {
         let entry = &self.entries[self.offered[request].entry];
         entry.is_up && entry.incarnation == incarnation && entry.waiting.contains_key(&request)
@@ -139,7 +139,7 @@
         self.silence_later(request, incarnation);
     }
 
-    /// Looks for room by the loads that peers have told.
+    /// Searches for a free slot by the loads that peers have reported.
     pub(super) fn look(&mut self, request: usize, incarnation: u64) {
         if !self.waits(request, incarnation) {
             return;
@@ -185,7 +185,7 @@
         self.come_back(request, comes_back_ms);
     }
 
-    /// Lets a refused caller come back, if it has not done so before.
+    /// Schedules the retry of a refused caller that has not retried yet.
     pub(super) fn come_back(&mut self, request: usize, at_ms: u64) {
         let may_return = !self.returned[request] && self.setup.variant != Variant::WithoutReturns;
         if may_return {
@@ -202,7 +202,7 @@
         }
     }
 
-    /// Notes in an entry's account of sizes what became of a request.
+    /// Records the outcome of a request in its entry's size statistics.
     pub(super) fn account(
         &mut self,
         entry: usize,
@@ -228,7 +228,7 @@
                     self.request_slot(entry, request, id, &instance);
                 }
                 SearchStep::CancelSlotRequest { id, instance } => {
-                    self.take_back(entry, id, &instance);
+                    self.cancel(entry, id, &instance);
                 }
                 SearchStep::StartWithoutGrant { instance } => {
                     return self.start(entry, request, &instance, false);
--- a/bench/src/direct/fleet/deadly.rs
+++ b/bench/src/direct/fleet/deadly.rs
@@ -1,4 +1,4 @@
-//! A request that ends each engine that runs it, and what entries do about it.
+//! A request that crashes each engine that runs it, and how entries quarantine it.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -22,29 +22,29 @@
 use super::Variant;
 use crate::direct::load::Offered;
 
-/// How long a deadly request runs until its engine ends.
+/// Time from the start of a deadly request to the crash of its engine.
 const ENDS_AFTER_MS: u64 = 60;
-/// How long it takes to see that nobody listens there any more.
+/// Time from a crash until connections to the engine are refused.
 const PROVEN_AFTER_MS: u64 = 30;
-/// How long an engine that ended is gone.
+/// Time from the crash of an engine to its restart.
 const GONE_MS: u64 = 3_000;
-/// The kind whose size a deadly request has, and its tokens.
+/// Kind and tokens of a deadly request.
 const DEADLY_KIND: usize = 1;
 const DEADLY_TOKENS: u32 = 200;
 
-/// What came of a deadly request.
+/// Outcome of a deadly request.
 #[derive(Clone, Debug, Default)]
 pub struct DeadlyOutcome {
-    /// When engines ended by it.
+    /// Times at which it crashed engines.
     pub ends_ms: Vec<u64>,
-    /// When tries of it reached engines.
+    /// Times at which attempts of it reached engines.
     pub reached_ms: Vec<u64>,
-    /// Other requests that were refused as if they were deadly.
+    /// Other requests that were refused as quarantined.
     pub wrongly_held: usize,
 }
 
 impl DeadlyOutcome {
-    /// Tries that reached engines so long after the third end.
+    /// Returns the number of attempts that reached engines this long after the third crash.
     #[must_use]
     pub fn tries_after(&self, agreed_within_ms: u64) -> usize {
         const THIRD: usize = 2;
@@ -57,7 +57,7 @@
 }
 
 impl Fleet {
-    /// The tries of a caller that sends the same deadly request again and again, to any entry.
+    /// Draws the attempts of a caller that keeps sending a deadly request, each to a random entry.
     pub(super) fn draw_deadly(setup: &Setup, every_ms: u64) -> Vec<Offered> {
         let from_ms = Setup::QUIET_MS + every_ms;
         let to_ms = Setup::QUIET_MS + setup.for_ms;
@@ -92,7 +92,7 @@
         })
     }
 
-    /// Whether an entry runs a request; if not, its caller is refused.
+    /// Returns whether an entry may run a request. If not, its caller is refused.
     pub(super) fn may_run(&mut self, entry: usize, request: usize) -> bool {
         if self.entries[entry].suspects.is_empty() {
             return true;
@@ -117,13 +117,13 @@
         }
     }
 
-    /// Lets a deadly request run until it ends its engine.
+    /// Schedules the crash of the engine that runs a deadly request.
     pub(super) fn begin_deadly(&mut self, run: usize) {
         self.outcome.deadly.reached_ms.push(self.now_ms);
         self.at(self.now_ms + ENDS_AFTER_MS, Event::EndEngine { run });
     }
 
-    /// Ends an engine with all that it runs; it is back later under another name.
+    /// Crashes an engine with all of its runs. It restarts later under another name.
     pub(super) fn end_engine(&mut self, run: usize) {
         if self.runs[run].is_over {
             return;
@@ -175,7 +175,7 @@
         self.tell_all_of(entry, &change.changed);
     }
 
-    /// Notes that a request ran whole.
+    /// Records that a request completed.
     pub(super) fn record_success(&mut self, entry: usize, request: usize) {
         if self.entries[entry].suspects.is_empty() {
             return;
@@ -187,30 +187,30 @@
         }
     }
 
-    pub(super) fn merge_suspect_updates(&mut self, entry: usize, told: &[SuspectUpdate]) {
+    pub(super) fn merge_suspect_updates(&mut self, entry: usize, updates: &[SuspectUpdate]) {
         let suspects = &mut self.entries[entry].suspects;
-        let change = suspects.merge(told, self.now_ms);
+        let change = suspects.merge(updates, self.now_ms);
         let known = suspects.updates_for(&change.changed, self.now_ms);
         self.tell_some(entry, &known, gossip::FORWARD_PEERS);
     }
 
-    pub(super) fn greet(&mut self, entry: usize, peer: SocketAddr) {
+    pub(super) fn sync_peer(&mut self, entry: usize, peer: SocketAddr) {
         if self.entries[entry].suspects.is_empty() {
             return;
         }
         let known = self.entries[entry].peers.known_entries();
         if gossip::should_sync(known, self.random.random::<u32>() as usize) {
-            let told = self.entries[entry].suspects.next_updates(self.now_ms);
-            self.tell(entry, peer, PeerMessage::SuspectRequests(told));
+            let updates = self.entries[entry].suspects.next_updates(self.now_ms);
+            self.send(entry, peer, PeerMessage::SuspectRequests(updates));
         }
     }
 
     pub(super) fn repeat_suspects(&mut self, entry: usize) {
         let suspects = &mut self.entries[entry].suspects;
         suspects.expire(self.now_ms);
-        let told = suspects.next_updates(self.now_ms);
+        let updates = suspects.next_updates(self.now_ms);
         if self.entries[entry].is_up {
-            self.tell_some(entry, &told, gossip::RESEND_PEERS);
+            self.tell_some(entry, &updates, gossip::RESEND_PEERS);
         }
         self.at(
             self.now_ms + gossip::RESEND_INTERVAL_MS,
@@ -219,14 +219,14 @@
     }
 
     fn tell_all_of(&mut self, entry: usize, requests: &[Fingerprint]) {
-        let told = self.entries[entry]
+        let updates = self.entries[entry]
             .suspects
             .updates_for(requests, self.now_ms);
-        self.tell_some(entry, &told, usize::MAX);
+        self.tell_some(entry, &updates, usize::MAX);
     }
 
-    fn tell_some(&mut self, entry: usize, told: &[SuspectUpdate], most: usize) {
-        if told.is_empty() {
+    fn tell_some(&mut self, entry: usize, updates: &[SuspectUpdate], most: usize) {
+        if updates.is_empty() {
             return;
         }
         let targets: Vec<SocketAddr> = self.entries[entry].peers.heartbeat_targets().collect();
@@ -235,7 +235,11 @@
             .copied()
             .collect();
         for target in chosen {
-            self.tell(entry, target, PeerMessage::SuspectRequests(told.to_vec()));
+            self.send(
+                entry,
+                target,
+                PeerMessage::SuspectRequests(updates.to_vec()),
+            );
         }
     }
 }
--- a/bench/src/direct/fleet/need.rs
+++ b/bench/src/direct/fleet/need.rs
@@ -1,4 +1,4 @@
-//! Engines that say something of themselves in their answers, and what entries do about it.
+//! Engines whose answers carry notices, and how entries follow these.
 
 use std::sync::Arc;
 
@@ -16,26 +16,26 @@
 use super::ROUND_TRIP_MS;
 use super::Variant;
 
-/// Of so many engines one is in need, in the middle third of a run.
+/// One in this many engines sends notices, in the middle third of a run.
 const IN_NEED_ONE_IN: usize = 3;
-/// The limit that it names, in requests in 1,000 seconds.
+/// The rate limit that it announces, in requests per 1,000 seconds.
 const LIMIT_PER_1000_S: u32 = 1_000;
-/// The rest that it asks for.
+/// The backoff that it asks for.
 const REST_MS: u32 = 3_000;
 
-/// What engines in need say.
+/// The notice that engines send.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Need {
-    /// They name a limit.
+    /// A rate limit.
     Limit,
-    /// They decline everything and ask for rest.
+    /// A backoff; they decline all requests.
     Rest,
-    /// They say that they leave, which the list does not, and end at the end of that time.
+    /// That they leave. The list does not say so, and they end after that time.
     Leaving,
 }
 
 impl Need {
-    /// All needs and their names.
+    /// All notices and their names.
     pub const ALL: [(&'static str, Self); 3] = [
         ("limit", Self::Limit),
         ("rest", Self::Rest),
@@ -44,7 +44,7 @@
 }
 
 impl Fleet {
-    /// What an engine is in need of now.
+    /// Returns the notice that an engine sends now.
     fn need_of(&self, engine: usize) -> Option<Need> {
         let (from_ms, to_ms) = self.setup.offer().middle_ms();
         let is_hit = engine.is_multiple_of(IN_NEED_ONE_IN);
@@ -52,7 +52,7 @@
         self.setup.need.filter(|_| is_hit && is_now)
     }
 
-    /// Lets an engine turn a run away if it wants rest; whether it did. Its caller is refused, as on
+    /// Returns whether an engine declines a run because it asked for a backoff. Its caller is refused, as on
     /// routes whose requests go to one upstream.
     pub(super) fn declines(&mut self, run: usize) -> bool {
         let engine = self.runs[run].engine;
@@ -67,7 +67,7 @@
         true
     }
 
-    /// Takes in what an engine says of itself in an answer.
+    /// Records the notice in an answer of an engine.
     pub(super) fn engine_said(&mut self, entry: usize, engine: usize) {
         let need = self.need_of(engine);
         let notice = UpstreamNotice {
@@ -90,16 +90,16 @@
         if changes.is_empty() {
             return;
         }
-        let told = notices.updates_for_instance(&instance, self.now_ms);
+        let updates = notices.updates_for_instance(&instance, self.now_ms);
         self.apply_notices(entry);
         let peers: Vec<_> = self.entries[entry].peers.heartbeat_targets().collect();
-        for peer in peers.into_iter().filter(|_| !told.is_empty()) {
-            self.tell(entry, peer, PeerMessage::UpstreamNotices(told.clone()));
+        for peer in peers.into_iter().filter(|_| !updates.is_empty()) {
+            self.send(entry, peer, PeerMessage::UpstreamNotices(updates.clone()));
         }
     }
 
-    pub(super) fn merge_notice_updates(&mut self, entry: usize, told: &[NoticeUpdate]) {
-        let changed = self.entries[entry].notices.merge(told, self.now_ms);
+    pub(super) fn merge_notice_updates(&mut self, entry: usize, updates: &[NoticeUpdate]) {
+        let changed = self.entries[entry].notices.merge(updates, self.now_ms);
         if !changed.is_empty() {
             self.apply_notices(entry);
         }
@@ -123,7 +123,7 @@
         self.grant(entry);
     }
 
-    /// Looks again when the rate of a limited engine allows a grant.
+    /// Schedules a check for when the rate limit of an engine allows a grant.
     pub(super) fn schedule_rate_limited_grant(&mut self, entry: usize) {
         let state = &mut self.entries[entry];
         let Some(after_ms) = state.admission.next_grant_in_ms(self.now_ms) else {
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Ends the engines that said that they leave, with all that runs there, and takes them off the
+    /// Ends the engines that announced that they leave, with all of their runs, and removes them from the
     /// list.
     pub(super) fn end_leaving(&mut self) {
         let is_leaving = |number: &usize| number.is_multiple_of(IN_NEED_ONE_IN);
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -1,4 +1,4 @@
-//! Runs at engines, and what ends them.
+//! Runs at engines and how they end.
 
 use std::sync::Arc;
 
@@ -20,7 +20,7 @@
 
 /// Tokens in one event of a stream.
 const EVENT_TOKENS: f64 = 5.0;
-/// How long a killed entry is away.
+/// Time from the kill of an entry to its restart.
 const AWAY_MS: u64 = 1_000;
 
 impl Fleet {
@@ -142,7 +142,7 @@
         self.free_room(run, ended);
     }
 
-    /// Ends a run and frees its room, whatever becomes of its request.
+    /// Ends a run and releases its slot.
     pub(super) fn free_room(&mut self, run: usize, ended: AttemptOutcome) {
         self.runs[run].is_over = true;
         let Run {
@@ -172,7 +172,7 @@
         }
     }
 
-    /// Kills an entry; its callers lose what it had, its engines stop.
+    /// Kills an entry. Its waiting requests are lost and its runs stop.
     pub(super) fn kill(&mut self) {
         let entry = self.random.random_range(0..self.entries.len());
         if !self.entries[entry].is_up {
--- a/bench/tests/test_direct.rs
+++ b/bench/tests/test_direct.rs
@@ -83,7 +83,7 @@
         ..setup()
     };
     let told = Setup {
-        variant: Variant::WithoutDoors,
+        variant: Variant::WithoutAdmissionQueues,
         ..setup
     };
     let shipped = report(setup, ("burst", "shipped"), 2);
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -515,6 +515,20 @@
     /// ```
     #[must_use]
     pub fn watches_store(&self, has_list: bool, now_ms: u64) -> bool {
+        let wait_ms = if has_list {
+            FIRST_WATCH_WAIT_MS
+        } else {
+            FIRST_LIST_WAIT_MS
+        };
+        let has_waited = self.is_seed || now_ms >= wait_ms;
+        let order = self.watcher_order(now_ms);
+        let mut watchers = order.iter().take(STORE_WATCHERS);
+        has_waited && watchers.any(|address| *address == self.own_address)
+    }
+
+    /// Returns the entries that watch the store, and this one, in the order in which they should:
+    /// the best host of each data centre, then the second best ones, and so on.
+    fn watcher_order(&self, now_ms: u64) -> Vec<SocketAddr> {
         let is_watching = |peer: &Peer| {
             let store_age_ms = peer.store_age_ms.filter(|_| !peer.is_leaving);
             store_age_ms.is_some_and(|age_ms| age_ms < MAX_STORE_AGE_MS)
@@ -536,14 +550,7 @@
             candidates.into_iter().map(rank_in_data_centre).collect();
         // The sort is stable: within a rank, the hosts with most capacity stay first.
         order.sort_by_key(|(rank, _)| *rank);
-        let mut watchers = order.iter().take(STORE_WATCHERS);
-        let wait_ms = if has_list {
-            FIRST_WATCH_WAIT_MS
-        } else {
-            FIRST_LIST_WAIT_MS
-        };
-        let waits = !self.is_seed && now_ms < wait_ms;
-        !waits && watchers.any(|(_, address)| *address == self.own_address)
+        order.into_iter().map(|(_, address)| address).collect()
     }
 
     /// Returns the time until the next heartbeat.
