--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -208,6 +208,30 @@
 }
 
 impl PeerMessage {
+    /// Returns what the message is for, as metrics name it.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_message::PeerMessage;
+    ///
+    /// assert_eq!(PeerMessage::SuspectRequests(Vec::new()).purpose(), "quarantine");
+    /// ```
+    #[must_use]
+    pub fn purpose(&self) -> &'static str {
+        match self {
+            Self::Heartbeat(_) => "heartbeats",
+            Self::RequestSlot(_)
+            | Self::Cancel { .. }
+            | Self::Grant { .. }
+            | Self::Queued { .. }
+            | Self::Released { .. } => "slots",
+            Self::ChargeRequest(_) | Self::ChargeReply { .. } => "quotas",
+            Self::SuspectRequests(_) => "quarantine",
+            Self::Rollout(_) => "rollouts",
+            Self::UpstreamNotices(_) => "notices",
+            Self::Spread(_) => "changes",
+        }
+    }
+
     /// Encodes the message as a datagram, or returns none if it would be too long.
     ///
     /// ```
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -381,6 +381,23 @@
             .collect()
     }
 
+    /// Returns the age of the oldest one of the live peers' latest heartbeats.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// assert_eq!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).oldest_heartbeat_ms(9), 0);
+    /// ```
+    #[must_use]
+    pub fn oldest_heartbeat_ms(&self, now_ms: u64) -> u64 {
+        let live = self
+            .peers
+            .values()
+            .filter(|peer| self.is_live(peer, now_ms));
+        live.map(|peer| now_ms.saturating_sub(peer.last_heartbeat_ms))
+            .max()
+            .unwrap_or_default()
+    }
+
     /// Returns the peers whose next heartbeat is overdue. Some of them are silent, others only
     /// late.
     ///
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -56,6 +56,16 @@
     pub cut: IntCounter,
     /// Log lines suppressed by the rate limit.
     pub left_out_lines: IntCounter,
+    /// Datagrams to and from peers, by direction and purpose.
+    pub peer_datagrams: IntCounterVec,
+    /// Bytes of these datagrams, without headers.
+    pub peer_bytes: IntCounterVec,
+    /// Updates pulled from peers, by result.
+    pub pulls: IntCounterVec,
+    /// Pulls of peers, by result.
+    pub pulls_served: IntCounterVec,
+    /// Age of the oldest heartbeat among the live peers' latest ones.
+    pub oldest_heartbeat_ms: IntGauge,
     /// Time that requests waited for a slot at an upstream.
     pub wait_ms: Histogram,
     /// Time from a request's arrival to the first part of its response, by tier.
@@ -150,6 +160,19 @@
             resumed: counter("resumed_total", "Streams that went on elsewhere.")?,
             cut: counter("cut_total", "Streams that were cut short.")?,
             left_out_lines: counter("left_out_lines_total", "Log lines that were left out.")?,
+            peer_datagrams: counters(
+                "peer_datagrams_total",
+                "Datagrams to and from other entries.",
+                &["direction", "purpose"],
+            )?,
+            peer_bytes: counters(
+                "peer_bytes_total",
+                "Bytes of these datagrams.",
+                &["direction", "purpose"],
+            )?,
+            pulls: counters("pulls_total", "Updates pulled from entries.", &["result"])?,
+            pulls_served: counters("pulls_served_total", "Pulls of entries.", &["result"])?,
+            oldest_heartbeat_ms: gauge("oldest_heartbeat_ms", "Age of the oldest heartbeat.")?,
             wait_ms: Histogram::with_opts(histogram("wait_ms", "Wait for room."))?,
             first_ms: HistogramVec::new(histogram("first_ms", "To the first part."), &["tier"])?,
             open_requests: gauge("open_requests", "Requests without an answer.")?,
@@ -188,6 +211,10 @@
             &self.notices,
             &self.trials,
             &self.rollouts_decided,
+            &self.peer_datagrams,
+            &self.peer_bytes,
+            &self.pulls,
+            &self.pulls_served,
         ] {
             self.registry.register(Box::new(counters.clone()))?;
         }
@@ -202,6 +229,7 @@
             &self.suspects,
             &self.held_requests,
             &self.catalog_version,
+            &self.oldest_heartbeat_ms,
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
@@ -209,6 +237,25 @@
         self.registry.register(Box::new(self.first_ms.clone()))
     }
 
+    /// Counts datagrams of one purpose and length to or from peers.
+    ///
+    /// ```
+    /// let metrics = sardinewood::direct::metrics::DirectMetrics::new().unwrap();
+    /// metrics.count_datagrams("sent", "heartbeats", 2, 100);
+    /// let sent = "sardinewood_peer_bytes_total{direction=\"sent\",purpose=\"heartbeats\"} 200";
+    /// assert!(metrics.text().contains(sent));
+    /// ```
+    pub fn count_datagrams(&self, direction: &str, purpose: &str, datagrams: usize, bytes: usize) {
+        let labels = [direction, purpose];
+        let datagrams = datagrams as u64;
+        self.peer_datagrams
+            .with_label_values(&labels)
+            .inc_by(datagrams);
+        self.peer_bytes
+            .with_label_values(&labels)
+            .inc_by(datagrams * bytes as u64);
+    }
+
     /// Returns all metrics as text, one sample a line.
     ///
     /// ```
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -116,7 +116,12 @@
 
     fn receive(&mut self, bytes: &[u8], from: SocketAddr) {
         let traffic = &self.traffic;
-        match PeerMessage::decode(bytes) {
+        let message = PeerMessage::decode(bytes);
+        let purpose = message.as_ref().map_or("unknown", PeerMessage::purpose);
+        traffic
+            .metrics
+            .count_datagrams("received", purpose, 1, bytes.len());
+        match message {
             Some(PeerMessage::Heartbeat(heartbeat)) => self.handle_heartbeat(&heartbeat, from),
             Some(PeerMessage::RequestSlot(slot_request)) => {
                 traffic.handle_slot_request(EntryRef::Peer(from), slot_request);
--- a/lib/src/direct/replication/peer_pull.rs
+++ b/lib/src/direct/replication/peer_pull.rs
@@ -129,6 +129,7 @@
                 tokio::task::spawn_local(async move {
                     let result = timeout(PULL_TIMEOUT, server.serve(stream)).await;
                     if let Err(error) = result.unwrap_or_else(|elapsed| Err(elapsed.into())) {
+                        server.follower.count_served("failed");
                         Line::new(Level::Warn, "update could not be sent to a peer")
                             .field("peer", peer)
                             .field("error", error.to_string())
@@ -174,18 +175,21 @@
             postcard::take_from_bytes::<Revisions>(&request).map_err(io::Error::other)?;
         let Ok(puller) = postcard::from_bytes::<Puller>(extension) else {
             let update = self.follower.encoded_update(theirs, Encoding::Plain)?;
+            self.follower.count_served("sent");
             return channel.send(update).await;
         };
         let update = self.follower.encoded_update(theirs, Encoding::Compressed)?;
         let is_long = update.len() >= LONG_UPDATE_BYTES;
         let long_send = is_long.then(|| LongSend::begin(&self.long_sends));
         if matches!(long_send, Some(None)) {
+            self.follower.count_served("busy");
             return channel.send(self.busy_reply()?).await;
         }
         channel.send(update).await?;
         // The peer closes the connection once it has read the update. Until then, the update may
         // wait in a buffer and share the link with others.
         let closed = channel.next().await;
+        self.follower.count_served("sent");
         self.record_served(puller.address);
         closed.map_or(Ok(()), |unexpected| unexpected.map(drop))
     }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -24,6 +24,7 @@
 
 use crate::backoff::Backoff;
 use crate::direct::membership::peer_message::Revisions;
+use crate::direct::metrics::DirectMetrics;
 use crate::direct::replication::peer_pull;
 use crate::direct::replication::peer_pull::PullReply;
 use crate::direct::replication::update::ReplicaUpdate;
@@ -151,6 +152,8 @@
     pub last_response: LastStoreResponse,
     /// Time without a heartbeat after which an upstream is taken to have ended.
     pub upstream_silence_ms: u64,
+    /// Counts pulls.
+    pub metrics: DirectMetrics,
 }
 
 /// Encoded updates for peers, by the revisions that they follow. Hundreds of peers need the same
@@ -351,6 +354,13 @@
             let own_revisions = self.replica.borrow().revisions();
             let own_address = self.channels.own_address;
             let reply = peer_pull::pull(peer, own_revisions, own_address).await;
+            let result = match &reply {
+                Ok(PullReply::Update(_)) => "updated",
+                Ok(PullReply::Busy(_)) => "busy",
+                Err(_) => "failed",
+            };
+            let pulls = &self.channels.metrics.pulls;
+            pulls.with_label_values(&[result]).inc();
             match reply {
                 Ok(PullReply::Update(update)) => return self.apply_update(peer, update),
                 Ok(PullReply::Busy(served)) => match served.choose(&mut rand::rng()) {
@@ -416,6 +426,12 @@
         self.publish();
     }
 
+    /// Counts a pull of a peer, by its result.
+    pub fn count_served(&self, result: &str) {
+        let served = &self.channels.metrics.pulls_served;
+        served.with_label_values(&[result]).inc();
+    }
+
     /// Returns what a peer with these revisions lacks, encoded.
     ///
     /// # Errors
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -178,6 +178,8 @@
     let control_runtime = current_thread().wrap_err("can't start the control thread's runtime")?;
     let peer_address = settings.peer_address;
     let upstream_silence_ms = settings.upstream_silence_ms();
+    let metrics = DirectMetrics::new().wrap_err("can't register metrics")?;
+    let control_metrics = metrics.clone();
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
@@ -190,6 +192,7 @@
                 watches_store,
                 last_response: last_store_response,
                 upstream_silence_ms,
+                metrics: control_metrics,
             };
             let follower = StoreFollower::new(platform.decoders, follower_channels);
             let peers = FromPeers {
@@ -210,7 +213,7 @@
             own_revisions_sender,
             channels,
             (rollouts, status_sender),
-            reload,
+            (metrics, reload),
         ),
     )
 }
@@ -264,7 +267,7 @@
     own_revisions: watch::Sender<Revisions>,
     channels: ControlChannels,
     (rollouts, statuses): (watch::Receiver<Option<RolloutView>>, StatusWriter),
-    reload: impl FnMut() -> SettingsReload + 'static,
+    (metrics, reload): (DirectMetrics, impl FnMut() -> SettingsReload + 'static),
 ) -> eyre::Result<()> {
     let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
     let hang_up = signal(SignalKind::hangup()).wrap_err("can't wait for signals")?;
@@ -278,7 +281,6 @@
         })?;
     let mut peers = PeerTable::new(settings.peer_address, &settings.seeds);
     peers.set_own_host(settings.host);
-    let metrics = DirectMetrics::new().wrap_err("can't register metrics")?;
     let table = RolloutTable::new(settings.rollouts, rand::random());
     let traffic = TrafficState::new(
         platform.header_codec,
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -423,6 +423,9 @@
             self.log(Level::Error, "message to a peer is too long", |line| line);
             return;
         };
+        let purpose = message.purpose();
+        self.metrics
+            .count_datagrams("sent", purpose, targets.len(), bytes.len());
         for to in targets {
             if let Err(error) = self.socket.try_send_to(&bytes, *to) {
                 self.log(Level::Warn, "message to a peer could not be sent", |line| {
@@ -477,6 +480,10 @@
             .open_asks
             .set(gauge_value(self.pending_slot_requests.borrow().len()));
         metrics.peers.set(gauge_value(live_peers));
+        let oldest_ms = peers.oldest_heartbeat_ms(self.now_ms());
+        metrics
+            .oldest_heartbeat_ms
+            .set(i64::try_from(oldest_ms).unwrap_or(i64::MAX));
         metrics
             .upstreams
             .set(gauge_value(self.dispatcher.borrow().listed_count()));
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use sardinewood::direct::membership::peer_message::Revisions;
+use sardinewood::direct::metrics::DirectMetrics;
 use sardinewood::direct::replication::store_follower::FollowerChannels;
 use sardinewood::direct::replication::store_follower::LastStoreResponse;
 use sardinewood::direct::replication::store_follower::ObjectSource;
@@ -105,6 +106,7 @@
         watches_store,
         last_response: LastStoreResponse::default(),
         upstream_silence_ms: DEFAULT_SILENCE_MS,
+        metrics: DirectMetrics::new().expect("metrics"),
     };
     (StoreFollower::new(DECODERS, channels), view)
 }
