--- a/lib/src/direct/sharing.rs
+++ b/lib/src/direct/sharing.rs
@@ -2,6 +2,7 @@
 //! quotas, and retries. The modules make decisions and do no I/O.
 
 pub mod admission;
+mod peer_usage;
 pub mod quota;
 pub mod rate;
 pub mod retry_budget;
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -25,6 +25,8 @@
 use crate::direct::placement::dispatch::ROUND_TRIP_MS;
 use crate::direct::placement::dispatch::upstream_hash;
 use crate::direct::placement::health::MovingAverage;
+use crate::direct::sharing::peer_usage::PeerUsage;
+use crate::direct::sharing::peer_usage::UsageChange;
 use crate::direct::sharing::rate::GrantRate;
 use crate::numbers;
 
@@ -126,56 +128,6 @@
     objective_at_ms: i64,
 }
 
-/// Slots that one peer holds at one upstream.
-#[derive(Clone, Copy, Debug, Default)]
-struct PeerUsage {
-    /// Slots counted as in use.
-    count: u32,
-    /// Count in the peer's last heartbeat.
-    reported: u32,
-    /// Whether the peer was granted a slot, or released one, since its last heartbeat.
-    is_touched: bool,
-}
-
-/// What a heartbeat has changed in the slots counted for a peer.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum UsageChange {
-    /// The count stays as it was.
-    Kept,
-    /// The reported count has replaced the one that was kept.
-    Corrected,
-}
-
-impl PeerUsage {
-    /// Returns the usage of a peer of which nothing is counted, by its first report.
-    fn first(reported: u32) -> Self {
-        Self {
-            count: reported,
-            reported,
-            is_touched: false,
-        }
-    }
-
-    /// Applies the count of a heartbeat; see [`AdmissionController::reconcile`].
-    fn reconcile(&mut self, reported: u32) -> UsageChange {
-        let is_confirmed = !self.is_touched && self.reported == reported;
-        let change = if is_confirmed && self.count != reported {
-            self.count = reported;
-            UsageChange::Corrected
-        } else {
-            UsageChange::Kept
-        };
-        self.reported = reported;
-        self.is_touched = false;
-        change
-    }
-
-    /// Returns whether the peer uses nothing and has reported so.
-    fn is_empty(&self) -> bool {
-        self.count == 0 && self.reported == 0 && !self.is_touched
-    }
-}
-
 /// Used slots and waiting requests of one upstream.
 #[derive(Clone, Debug, Default)]
 struct AdmissionQueue {
@@ -193,7 +145,7 @@
 
 impl AdmissionQueue {
     fn used_slots(&self) -> u32 {
-        self.local_count + self.peers.values().map(|peer| peer.count).sum::<u32>()
+        self.local_count + self.peers.values().map(PeerUsage::count).sum::<u32>()
     }
 
     /// Returns how many requests the upstream may be given at a time. An engine gets as many as it
@@ -511,9 +463,7 @@
         match from {
             EntryRef::Local => queue.local_count = queue.local_count.saturating_sub(1),
             EntryRef::Peer(peer) => {
-                let usage = queue.peers.entry(peer).or_default();
-                usage.count = usage.count.saturating_sub(1);
-                usage.is_touched = true;
+                queue.peers.entry(peer).or_default().release();
                 self.used_by_peer.entry(peer).or_default().insert(upstream);
             }
         }
@@ -642,9 +592,7 @@
         match queued.from {
             EntryRef::Local => queue.local_count += 1,
             EntryRef::Peer(peer) => {
-                let usage = queue.peers.entry(peer).or_default();
-                usage.count += 1;
-                usage.is_touched = true;
+                queue.peers.entry(peer).or_default().grant();
                 self.used_by_peer.entry(peer).or_default().insert(hash);
             }
         }
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -52,3 +52,14 @@
         is_canary: false,
     }
 }
+
+/// Returns a source of pseudo-random numbers that are the same in each run of a test.
+pub fn random_numbers() -> impl FnMut() -> u64 {
+    let mut state = 7_u64;
+    move || {
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
+        state >> 33
+    }
+}
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -16,6 +16,7 @@
 use sardinewood::direct::store_view::directory::Upstream;
 
 use crate::direct_fixture::job;
+use crate::direct_fixture::random_numbers;
 use crate::direct_fixture::upstream;
 
 /// Starts a request at its chosen upstream if that seems to have a free slot. Returns the upstream.
@@ -35,15 +36,9 @@
         .collect()
 }
 
-/// Returns a source of pseudo-random numbers that are the same in each run of the test.
 fn draws() -> impl FnMut() -> usize {
-    let mut state = 7usize;
-    move || {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        state >> 33
-    }
+    let mut random = random_numbers();
+    move || usize::try_from(random()).expect("a number of 31 bits")
 }
 
 #[test]
--- a/lib/tests/test_direct_spread.rs
+++ b/lib/tests/test_direct_spread.rs
@@ -31,6 +31,7 @@
 use tokio_util::codec::Framed;
 use tokio_util::codec::LengthDelimitedCodec;
 
+use crate::direct_fixture::random_numbers;
 use crate::test_direct_store_follower::follower;
 
 const DATA_CENTRES: u32 = 5;
@@ -49,16 +50,6 @@
         .collect()
 }
 
-fn random_numbers() -> impl FnMut() -> u64 {
-    let mut state = 7_u64;
-    move || {
-        state = state
-            .wrapping_mul(6_364_136_223_846_793_005)
-            .wrapping_add(1);
-        state >> 33
-    }
-}
-
 #[test]
 fn nobody_sends_a_change_to_the_whole_fleet() {
     // Guards against an entry that sends hundreds of datagrams at each change: a small host would
