replication, log limit: one encoder for updates, one way to send limited lines; less state in rounds and dispatch

StoreFollower::update_since was left to tests only; they decode the encoded update now, with the same assertions. - What the store sends is applied, published and told to peers in one place. - A message for nobody is not encoded: each leaf did so for each copy of a change. A change is copied only where it is new. - The line with the count of those left out was written twice, in traffic and replica. - A round counts slices in one type; the dispatcher's names by hash need no removal, as a name without an upstream is passed over.

--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -25,7 +25,7 @@
 /// Name of a scene that stands for none.
 const NO_SCENE: &str = "none";
 const SEED: u64 = 1;
-/// Sizes of the fleet that are measured by default.
+/// Default sizes of the fleet.
 const ENTRIES: [usize; 5] = [30, 100, 357, 714, 1_000];
 
 /// Measures what the arguments ask for.
--- a/lib/src/direct/log_rate_limit.rs
+++ b/lib/src/direct/log_rate_limit.rs
@@ -2,6 +2,8 @@
 
 use indexmap::IndexMap;
 
+use crate::logging::Line;
+
 /// Lines per second of one failure message. Ten messages at this rate cost about 1% of a small
 /// host's processor.
 const FAILURES_PER_S: u32 = 40;
@@ -91,3 +93,12 @@
             .is_some_and(|suppressed| second <= suppressed + 1)
     }
 }
+
+/// Writes a line that [`LogRateLimiter::admit`] has admitted, with the number of lines suppressed
+/// before it.
+pub(super) fn send(line: Line, suppressed: u64) {
+    match suppressed {
+        0 => line.send(),
+        count => line.field("left_out_lines", count).send(),
+    }
+}
--- a/lib/src/direct/membership/heartbeat_round.rs
+++ b/lib/src/direct/membership/heartbeat_round.rs
@@ -55,11 +55,9 @@
     /// assert!(HeartbeatRound::new(Vec::new(), 50, 0).take_due(0).is_empty());
     /// ```
     pub fn take_due(&mut self, now_ms: u64) -> Vec<SocketAddr> {
-        let begun = self.elapsed_slices(now_ms).saturating_add(1);
-        let due = match usize::try_from(begun.min(self.slices)) {
-            Ok(begun) => (self.targets.len() * begun).div_ceil(self.slice_count()),
-            Err(_) => self.targets.len(),
-        };
+        let begun = (self.elapsed_slices(now_ms) + 1).min(self.slices);
+        let due = (self.targets.len() as u64 * begun).div_ceil(self.slices);
+        let due = usize::try_from(due).unwrap_or(usize::MAX);
         let first = self.taken.min(due);
         self.taken = due;
         self.targets[first..due].to_vec()
@@ -116,8 +114,4 @@
     fn elapsed_slices(&self, now_ms: u64) -> u64 {
         now_ms.saturating_sub(self.started_at_ms) / self.slice_ms
     }
-
-    fn slice_count(&self) -> usize {
-        usize::try_from(self.slices).unwrap_or(usize::MAX)
-    }
 }
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -65,7 +65,8 @@
 #[derive(Debug, Default)]
 pub struct Dispatcher {
     upstreams: IndexMap<Arc<str>, TrackedUpstream>,
-    /// Instances of the upstreams, by the hashes that peers' reports name.
+    /// Instances of the upstreams, by the hashes that peers' reports name. An instance whose last
+    /// request has ended since [`Self::set_upstreams`] may be named without an upstream.
     instances: IndexMap<u32, Arc<str>>,
     baselines: IndexMap<Arc<str>, ServiceBaseline>,
     peer_loads: PeerLoads,
@@ -542,10 +543,7 @@
             baseline.observe_hold(numbers::as_f64(held_ms));
         }
         if !tracked.is_listed && tracked.running == 0 {
-            let removed = self.upstreams.shift_remove(instance);
-            if let Some(removed) = removed {
-                self.instances.swap_remove(&removed.hash);
-            }
+            self.upstreams.shift_remove(instance);
         }
     }
 
--- a/lib/src/direct/replication.rs
+++ b/lib/src/direct/replication.rs
@@ -1,5 +1,5 @@
 //! The I/O that keeps an entry's state current: it follows the platform's store, exchanges
-//! heartbeats with the other entries, and pulls updates from them.
+//! heartbeats with the other entries, passes changes on, and pulls updates.
 
 pub mod heartbeats;
 pub mod peer_pull;
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -323,11 +323,11 @@
         let own = *self.channels.own_revisions.borrow();
         match self.relay.receive(message, own) {
             SpreadStep::PassOn { to, message } => {
-                let is_new = message.revisions.is_ahead_of(own);
-                let update = message.update.clone();
-                let message = PeerMessage::Spread(message);
-                self.traffic.send_to_peers(&to, &message);
-                if is_new {
+                let new = message.revisions.is_ahead_of(own);
+                let new = new.then(|| message.update.clone());
+                self.traffic
+                    .send_to_peers(&to, &PeerMessage::Spread(message));
+                if let Some(update) = new {
                     // The control thread ends only with the process.
                     let _ = self.channels.sent_updates.send((from, update));
                 }
@@ -340,14 +340,12 @@
     fn pass_on_reached(&mut self) {
         let own = *self.channels.own_revisions.borrow_and_update();
         let to = self.relay.take_reached(own);
-        if !to.is_empty() {
-            let message = SpreadMessage {
-                revisions: own,
-                ..SpreadMessage::default()
-            };
-            self.traffic
-                .send_to_peers(&to, &PeerMessage::Spread(message));
-        }
+        let message = SpreadMessage {
+            revisions: own,
+            ..SpreadMessage::default()
+        };
+        self.traffic
+            .send_to_peers(&to, &PeerMessage::Spread(message));
         self.update_peer_ahead(Revisions::default(), self.traffic.now_ms());
     }
 
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -205,18 +205,16 @@
     /// The update also holds the previous change of the list of upstreams, so that a peer that has
     /// missed one datagram need not pull.
     fn send_change(&self, before: Revisions) {
-        let replica = self.replica.borrow();
-        let revisions = replica.revisions();
+        let revisions = self.replica.borrow().revisions();
         if !revisions.is_ahead_of(before) {
             return;
         }
-        let update = replica.update_since(Revisions {
+        let since = Revisions {
             catalog: before.catalog,
             directory: self.previous_directory.replace(before.directory),
-        });
-        let encoded = update_codec::encode(&update, &replica.catalog_json(), Encoding::Compressed);
-        let update = match encoded {
-            Ok(bytes) if bytes.len() <= MAX_SPREAD_BYTES => bytes,
+        };
+        let update = match self.encoded_update(since, Encoding::Compressed) {
+            Ok(bytes) if bytes.len() <= MAX_SPREAD_BYTES => bytes.to_vec(),
             Ok(_) => Vec::new(),
             Err(error) => {
                 Line::new(Level::Error, "update can't be encoded")
@@ -225,11 +223,9 @@
                 Vec::new()
             }
         };
+        let change = ReplicaChange { revisions, update };
         // The traffic thread ends only with the process.
-        let _ = self
-            .channels
-            .changes
-            .send(ReplicaChange { revisions, update });
+        let _ = self.channels.changes.send(change);
     }
 
     /// Follows the configuration until the process ends.
@@ -285,28 +281,28 @@
     fn apply_list(&self, kind: &str, list: ObjectList, outage: &Outage) -> u64 {
         let revision = list.revision;
         self.note_store_return(kind, outage);
-        let before = self.replica.borrow().revisions();
-        self.replica
-            .borrow_mut()
-            .apply_list(kind, list, self.now_ms());
-        self.publish();
-        self.send_change(before);
+        self.apply_from_store(|replica, now_ms| replica.apply_list(kind, list, now_ms));
         revision
     }
 
     fn apply_batch(&self, kind: &str, batch: WatchBatch, outage: &Outage) -> u64 {
         self.note_store_return(kind, outage);
-        if batch.events.is_empty() {
-            return batch.revision;
+        if !batch.events.is_empty() {
+            self.apply_from_store(|replica, now_ms| {
+                for event in batch.events {
+                    replica.apply_event(kind, event, now_ms);
+                }
+            });
         }
-        let now_ms = self.now_ms();
+        batch.revision
+    }
+
+    /// Changes the replica by what the store has sent, publishes it, and tells the peers.
+    fn apply_from_store(&self, change: impl FnOnce(&mut StoreReplica, u64)) {
         let before = self.replica.borrow().revisions();
-        for event in batch.events {
-            self.replica.borrow_mut().apply_event(kind, event, now_ms);
-        }
+        change(&mut self.replica.borrow_mut(), self.now_ms());
         self.publish();
         self.send_change(before);
-        batch.revision
     }
 
     /// Tells the replica if this is the first answer after an outage of the store.
@@ -455,12 +451,6 @@
         }
         Ok(bytes)
     }
-
-    /// Returns what a peer with these revisions lacks.
-    #[must_use]
-    pub fn update_since(&self, theirs: Revisions) -> ReplicaUpdate {
-        self.replica.borrow().update_since(theirs)
-    }
 }
 
 /// Returns the pause before the next watch, given the known revision and the one that the store
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::direct::log_rate_limit;
 use crate::direct::log_rate_limit::LogCategory;
 use crate::direct::log_rate_limit::LogRateLimiter;
 use crate::direct::membership::peer_message::Revisions;
@@ -312,11 +313,8 @@
         let suppressed = self
             .log_limiter
             .admit(message, LogCategory::Failure, now_ms);
-        let line = || fill(Line::new(Level::Info, message));
-        match suppressed {
-            None => {}
-            Some(0) => line().send(),
-            Some(count) => line().field("left_out_lines", count).send(),
+        if let Some(count) = suppressed {
+            log_rate_limit::send(fill(Line::new(Level::Info, message)), count);
         }
     }
 
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -16,6 +16,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
+use crate::direct::log_rate_limit;
 use crate::direct::log_rate_limit::LogCategory;
 use crate::direct::log_rate_limit::LogRateLimiter;
 use crate::direct::membership::gossip;
@@ -373,10 +374,7 @@
             .admit(message, category, self.now_ms());
         match suppressed {
             None => self.metrics.left_out_lines.inc(),
-            Some(0) => fill(Line::new(level, message)).send(),
-            Some(count) => fill(Line::new(level, message))
-                .field("left_out_lines", count)
-                .send(),
+            Some(count) => log_rate_limit::send(fill(Line::new(level, message)), count),
         }
     }
 
@@ -419,6 +417,9 @@
 
     /// Sends a message to several peers.
     pub fn send_to_peers(&self, targets: &[SocketAddr], message: &PeerMessage) {
+        if targets.is_empty() {
+            return;
+        }
         let Some(bytes) = message.encode() else {
             self.log(Level::Error, "message to a peer is too long", |line| line);
             return;
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -17,6 +17,7 @@
 use sardinewood::direct::replication::update::ReplicaUpdate;
 use sardinewood::direct::replication::update::UpstreamListUpdate;
 use sardinewood::direct::replication::update_codec;
+use sardinewood::direct::replication::update_codec::Encoding;
 use sardinewood::direct::store_view::catalog::Catalog;
 use sardinewood::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use sardinewood::direct::store_view::directory::Upstream;
@@ -111,6 +112,12 @@
     (StoreFollower::new(DECODERS, channels), view)
 }
 
+/// Returns what a peer with these revisions gets.
+fn update_since(follower: &StoreFollower, theirs: Revisions) -> ReplicaUpdate {
+    let bytes = follower.encoded_update(theirs, Encoding::Compressed);
+    update_codec::decode(&bytes.expect("bytes")).expect("an update")
+}
+
 fn peer() -> SocketAddr {
     SocketAddr::from(([10, 0, 0, 1], 7))
 }
@@ -167,7 +174,7 @@
 #[tokio::test]
 async fn peer_without_anything_gets_the_whole_list() {
     let (follower, _view) = followed().await;
-    let update = follower.update_since(Revisions::default());
+    let update = update_since(&follower, Revisions::default());
     assert!(matches!(
         update.upstreams,
         Some(UpstreamListUpdate::Full(_))
@@ -181,10 +188,13 @@
 async fn lagging_peer_gets_the_changes_only() {
     // A peer with the first list lacks one upstream and still has another that was removed.
     let (follower, _view) = followed().await;
-    let update = follower.update_since(Revisions {
-        catalog: 0,
-        directory: 3,
-    });
+    let update = update_since(
+        &follower,
+        Revisions {
+            catalog: 0,
+            directory: 3,
+        },
+    );
     let Some(UpstreamListUpdate::Delta(changes)) = &update.upstreams else {
         panic!("{update:?}");
     };
