store, platform: log the store's era and configurations that are not applied

Logs could not tell a change that was read and dropped from one that was never read, nor that the store had returned from an older copy. An era counts once two answers name it. Nothing is decided by it yet.

--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -247,6 +247,9 @@
 
     fn apply_catalog(&mut self, object: StoredObject) {
         let is_catalog = *object.name == *self.decoders.catalog_name;
+        if is_catalog && object.version <= self.revisions.catalog {
+            self.log_older_catalog(&object);
+        }
         if !is_catalog || object.version <= self.revisions.catalog {
             return;
         }
@@ -267,6 +270,17 @@
         }
     }
 
+    /// Logs a configuration that is not applied although it differs from the one in force.
+    fn log_older_catalog(&self, object: &StoredObject) {
+        let known = self.catalog.as_ref();
+        if known.is_some_and(|(known, _)| known.value != object.value) {
+            Line::new(Level::Info, "older configuration is not applied")
+                .revision(object.version)
+                .field("revision_in_force", self.revisions.catalog)
+                .send();
+        }
+    }
+
     /// Applies the whole list as of its revision.
     ///
     /// A peer may have sent later changes while the list was in transit. These changes are kept,
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -5,6 +5,7 @@
 //! so callers see each answer, and decide.
 
 pub mod duty;
+pub mod era;
 pub(crate) mod types;
 
 use std::sync::Arc;
--- /dev/null
+++ b/lib/src/store/era.rs
@@ -0,0 +1,109 @@
+//! The era of a store: how often the store has returned from an older copy of itself.
+//!
+//! In each era the store gives out revisions again that it has given out before, so revisions of
+//! different eras can't be compared. The store names its era in every answer.
+
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use crate::logging::Level;
+use crate::logging::Line;
+
+/// Largest rise of the era that is believed. The era rises by one each time the store returns from a
+/// copy, and a process that was cut off has missed a few of them.
+const MAX_ERA_RISE: u32 = 1_000;
+
+/// Whether an answer of the store may be used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EraCheck {
+    /// The answer is of this era, which is the latest one.
+    Current(u32),
+    /// The answer is the first one of a later era. The era counts once the next answer confirms it.
+    Unconfirmed(u32),
+    /// The answer is of an era that has ended.
+    Ended(u32),
+}
+
+#[derive(Debug, Default)]
+struct EraState {
+    current: u32,
+    /// A later era that one answer has named.
+    candidate: Option<u32>,
+    /// Whether an unusable era was logged in the current era.
+    has_logged_unusable: bool,
+}
+
+/// The era of one store, as known from its answers. Clones share what they know.
+///
+/// A later era counts only once two answers in a row name it: all that is known of an earlier era
+/// is older from then on, so one garbled answer would make a process ignore the store for good.
+///
+/// ```
+/// use sardinewood::store::era::{EraCheck, StoreEra};
+///
+/// let era = StoreEra::default();
+/// assert_eq!(era.observe(None), EraCheck::Current(0));
+/// assert_eq!(era.observe(Some("4")), EraCheck::Unconfirmed(4));
+/// assert_eq!(era.observe(Some("4")), EraCheck::Current(4));
+/// assert_eq!(era.observe(Some("3")), EraCheck::Ended(3));
+/// ```
+#[derive(Clone, Debug, Default)]
+pub struct StoreEra {
+    state: Arc<Mutex<EraState>>,
+}
+
+impl StoreEra {
+    /// Records the era that an answer names, and returns whether the answer may be used. An answer
+    /// that names none, or none that can be believed, is taken as one of the current era.
+    pub fn observe(&self, named: Option<&str>) -> EraCheck {
+        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let Some(text) = named else {
+            return EraCheck::Current(state.current);
+        };
+        let era = text.trim().parse().ok();
+        let Some(era) = era.filter(|era| state.is_plausible(*era)) else {
+            state.log_unusable(text);
+            return EraCheck::Current(state.current);
+        };
+        state.check(era)
+    }
+}
+
+impl EraState {
+    /// Any era may be the first one that is known.
+    fn is_plausible(&self, era: u32) -> bool {
+        self.current == 0 || era <= self.current.saturating_add(MAX_ERA_RISE)
+    }
+
+    fn check(&mut self, era: u32) -> EraCheck {
+        if era < self.current {
+            self.log_unusable(&era.to_string());
+            return EraCheck::Ended(era);
+        }
+        if era == self.current {
+            self.candidate = None;
+            return EraCheck::Current(era);
+        }
+        if self.candidate.replace(era) != Some(era) {
+            return EraCheck::Unconfirmed(era);
+        }
+        self.candidate = None;
+        Line::new(Level::Warn, "store has returned from an older copy")
+            .field("era", era)
+            .field("era_before", self.current)
+            .send();
+        self.current = era;
+        self.has_logged_unusable = false;
+        EraCheck::Current(era)
+    }
+
+    fn log_unusable(&mut self, named: &str) {
+        if !std::mem::replace(&mut self.has_logged_unusable, true) {
+            Line::new(Level::Warn, "store names an era that can't be used")
+                .field("named", named.chars().take(32).collect::<String>())
+                .field("era", self.current)
+                .send();
+        }
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -55,6 +55,7 @@
 mod test_settings;
 mod test_speeds;
 mod test_store_duty;
+mod test_store_era;
 mod test_tls;
 mod test_whole_once;
 mod test_whole_path;
--- /dev/null
+++ b/lib/tests/test_store_era.rs
@@ -0,0 +1,59 @@
+//! The era of a store, as read from its answers.
+
+use sardinewood::store::era::EraCheck;
+use sardinewood::store::era::StoreEra;
+
+fn known(era: &str) -> StoreEra {
+    let known = StoreEra::default();
+    known.observe(Some(era));
+    known.observe(Some(era));
+    known
+}
+
+#[test]
+fn answers_without_an_era_as_before() {
+    let era = StoreEra::default();
+    assert_eq!(era.observe(None), EraCheck::Current(0));
+    assert_eq!(era.observe(None), EraCheck::Current(0));
+    assert_eq!(known("3").observe(None), EraCheck::Current(3));
+}
+
+#[test]
+fn later_era_counts_once_confirmed() {
+    let era = known("3");
+    assert_eq!(era.observe(Some("4")), EraCheck::Unconfirmed(4));
+    assert_eq!(era.observe(Some("4")), EraCheck::Current(4));
+    assert_eq!(era.observe(Some("3")), EraCheck::Ended(3));
+}
+
+/// One garbled answer would end the era of all good ones.
+#[test]
+fn single_wrong_era_forgotten() {
+    let era = known("3");
+    assert_eq!(era.observe(Some("9")), EraCheck::Unconfirmed(9));
+    assert_eq!(era.observe(Some("3")), EraCheck::Current(3));
+    assert_eq!(era.observe(Some("9")), EraCheck::Unconfirmed(9));
+}
+
+#[test]
+fn unusable_eras_ignored() {
+    let era = known("3");
+    for named in [
+        "",
+        "three",
+        "-1",
+        "4.5",
+        "99999999999999999999",
+        "4000000000",
+    ] {
+        assert_eq!(era.observe(Some(named)), EraCheck::Current(3), "{named}");
+        assert_eq!(era.observe(Some(named)), EraCheck::Current(3), "{named}");
+    }
+}
+
+#[test]
+fn several_eras_missed() {
+    let era = known("3");
+    era.observe(Some("8"));
+    assert_eq!(era.observe(Some("8")), EraCheck::Current(8));
+}
