--- a/lib/src/store/era.rs
+++ b/lib/src/store/era.rs
@@ -89,7 +89,11 @@
             return EraCheck::Unconfirmed(era);
         }
         self.candidate = None;
-        Line::new(Level::Warn, "store has returned from an older copy")
+        let (level, message) = match self.current {
+            0 => (Level::Info, "store names its era"),
+            _ => (Level::Warn, "store has returned from an older copy"),
+        };
+        Line::new(level, message)
             .field("era", era)
             .field("era_before", self.current)
             .send();
