--- a/bench/src/config.rs
+++ b/bench/src/config.rs
@@ -28,6 +28,7 @@
 use sardinewood::operator::messages::Expected;
 use sardinewood::secrets::Secret;
 use sardinewood::store::StoredObject;
+use sardinewood::store::position::StorePosition;
 use serde::Serialize;
 use serde_json::Value;
 use serde_json::json;
@@ -146,7 +147,7 @@
     let started = Instant::now();
     let fleet = Fleet::start(store, count).await?;
     let last = key(Kind::Customers, &format!("customer-{}", CUSTOMERS - 1));
-    fleet.wait_for(&last, 1).await?;
+    fleet.wait_for(&last, StorePosition::new(0, 1)).await?;
     let joined_ms = millis(started.elapsed());
     // Until all have heard of each other, datagrams are sent more often.
     tokio::time::sleep(BETWEEN_CHANGES * 3).await;
@@ -211,7 +212,7 @@
     }
 
     /// Waits until all processes hold a version of an object.
-    async fn wait_for(&self, key: &ObjectKey, version: u64) -> eyre::Result<()> {
+    async fn wait_for(&self, key: &ObjectKey, version: StorePosition) -> eyre::Result<()> {
         let held = |state: &ConfigState| state.get(key).is_some_and(|(held, _)| held >= version);
         for process in &self.processes {
             let mut state = process.config.state();
@@ -277,7 +278,7 @@
             let object = StoredObject {
                 kind: key.kind.as_str().into(),
                 name: Arc::clone(&key.name),
-                version: revision + 1,
+                version: revision.following(),
                 value: profile(1, number as u64 + 1),
             };
             let accepted = Instant::now();
--- a/bench/src/control/play.rs
+++ b/bench/src/control/play.rs
@@ -14,6 +14,7 @@
 use rand::rngs::StdRng;
 use sardinewood::direct::membership::heartbeat_payload::LoadChunk;
 use sardinewood::direct::membership::heartbeat_round::HeartbeatRound;
+use sardinewood::direct::membership::peer_message::CatalogPosition;
 use sardinewood::direct::membership::peer_message::CustomerSpending;
 use sardinewood::direct::membership::peer_message::EntryHost;
 use sardinewood::direct::membership::peer_message::Heartbeat;
@@ -27,6 +28,7 @@
 use sardinewood::direct::replication::spread::SpreadRelay;
 use sardinewood::direct::replication::spread::SpreadStep;
 use sardinewood::numbers;
+use sardinewood::store::position::StorePosition;
 use serde::Serialize;
 
 use crate::entry_address;
@@ -285,7 +287,7 @@
         self.time_until(at_ms, has_all).unwrap_or(u64::MAX)
     }
 
-    fn newest(&self) -> u64 {
+    fn newest(&self) -> StorePosition {
         let revisions = self.hosts.iter().map(|host| host.revisions.directory);
         revisions.max().unwrap_or_default()
     }
@@ -511,8 +513,8 @@
     /// Three entries on large hosts read a change from the store.
     fn change(&mut self, bytes: usize) {
         let revisions = Revisions {
-            catalog: 0,
-            directory: self.newest() + 1,
+            catalog: CatalogPosition::default(),
+            directory: self.newest().following(),
         };
         let update = if bytes <= SHORT_CHANGE_BYTES {
             vec![7; bytes]
--- a/bench/src/control/profile.rs
+++ b/bench/src/control/profile.rs
@@ -10,6 +10,7 @@
 use indexmap::IndexMap;
 use sardinewood::direct::membership::heartbeat_payload::LoadChunk;
 use sardinewood::direct::membership::heartbeat_payload::SpendingReport;
+use sardinewood::direct::membership::peer_message::CatalogPosition;
 use sardinewood::direct::membership::peer_message::Heartbeat;
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::membership::peer_message::Revisions;
@@ -26,6 +27,7 @@
 use sardinewood::direct::store_view::catalog::Quota;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::numbers;
+use sardinewood::store::position::StorePosition;
 use serde::Serialize;
 
 use crate::entry_address;
@@ -137,7 +139,7 @@
         data_centre: "hall".into(),
         slots: SLOTS,
         version: "v1".into(),
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         is_leaving: false,
     })
 }
@@ -235,8 +237,11 @@
             incarnation: peer,
             sequence: second + 1,
             revisions: Revisions {
-                catalog: 1,
-                directory: 1,
+                catalog: CatalogPosition {
+                    at: StorePosition::new(0, 1),
+                    version: 1,
+                },
+                directory: StorePosition::new(0, 1),
             },
             age_s: u16::try_from(second).unwrap_or(u16::MAX),
             known_entries: u16::try_from(self.size.entries).unwrap_or(u16::MAX),
@@ -279,8 +284,11 @@
         });
         self.timed("compare revisions", |entry| {
             let own = Revisions {
-                catalog: 1,
-                directory: 1,
+                catalog: CatalogPosition {
+                    at: StorePosition::new(0, 1),
+                    version: 1,
+                },
+                directory: StorePosition::new(0, 1),
             };
             let is_ahead = heartbeat.revisions.is_ahead_of(own);
             is_ahead.then(|| entry.peers.peer_ahead_of(own, 7, now_ms))
--- a/bench/src/decisions.rs
+++ b/bench/src/decisions.rs
@@ -41,6 +41,7 @@
 use sardinewood::link::wire::EntryMessage;
 use sardinewood::link::wire::Load;
 use sardinewood::link::wire::Reservation;
+use sardinewood::store::position::StorePosition;
 use sardinewood::upstream::report::Probe;
 use serde::Serialize;
 
@@ -207,7 +208,7 @@
     rules.queue.max_requests = QUEUE_LIMIT;
     let mut entry = EntryState::new(rules, 1);
     let mut catalog = Catalog {
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         ..Catalog::default()
     };
     for number in 0..upstreams {
@@ -233,7 +234,7 @@
     entry.handle(0, up);
     let message = AgentMessage::Heartbeat {
         sequence: 1,
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         load: Load {
             free_slots: 4,
             prefill_tokens_per_s: 10_000,
--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -32,6 +32,7 @@
 use sardinewood::direct::sharing::size_stats::SizeClass;
 use sardinewood::direct::sharing::size_stats::SizeStats;
 use sardinewood::direct::store_view::directory::Upstream;
+use sardinewood::store::position::StorePosition;
 
 pub use self::deadly::DeadlyOutcome;
 pub use self::need::Need;
@@ -303,7 +304,7 @@
                     data_centre: "hall".into(),
                     slots: setup.slots,
                     version: "v1".into(),
-                    revision: 1,
+                    revision: StorePosition::new(0, 1),
                     is_leaving: false,
                 })
             })
--- a/bench/src/faults/fleet_agent.rs
+++ b/bench/src/faults/fleet_agent.rs
@@ -14,6 +14,7 @@
 use sardinewood::link::wire::AgentMessage;
 use sardinewood::link::wire::AnswerEnd;
 use sardinewood::link::wire::EntryMessage;
+use sardinewood::store::position::StorePosition;
 use sardinewood::upstream::report::Found;
 use sardinewood::upstream::report::Probe;
 
@@ -30,7 +31,10 @@
     /// A message from an entry.
     Message { link: u64, message: EntryMessage },
     /// The upstream's object at a revision of the configuration.
-    Object { revision: u64, object: Upstream },
+    Object {
+        revision: StorePosition,
+        object: Upstream,
+    },
     /// The process is told to end.
     ShutDown,
     /// The upstream said something about a call.
@@ -159,7 +163,7 @@
     /// The object of its upstream, as the agent knows it.
     pub object: Upstream,
     /// The newest revision that it knows. The configuration of a process never goes back.
-    pub revision: u64,
+    pub revision: StorePosition,
 }
 
 impl FleetAgent {
@@ -172,7 +176,7 @@
             incarnation,
             pumps: IndexMap::new(),
             object,
-            revision: 0,
+            revision: StorePosition::default(),
         }
     }
 
@@ -181,7 +185,7 @@
         self.state = AgentState::new(incarnation, AgentLimits::default());
         self.incarnation = incarnation;
         self.pumps.clear();
-        self.revision = 0;
+        self.revision = StorePosition::default();
         self.process.condition = super::process::Condition::Running;
     }
 }
--- a/bench/src/faults/fleet_entry.rs
+++ b/bench/src/faults/fleet_entry.rs
@@ -20,6 +20,7 @@
 use sardinewood::ordering::queue::OrderKey;
 use sardinewood::ordering::queue::OrderResponse;
 use sardinewood::ordering::queue::OrderRules;
+use sardinewood::store::position::StorePosition;
 
 use super::process::Process;
 use super::work::WorkId;
@@ -99,7 +100,7 @@
     /// The callers that wait.
     pub callers: IndexMap<RequestId, Caller>,
     /// The newest revision of the configuration that it knows.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// When a tick was asked for last.
     pub tick_at_ms: Option<u64>,
 }
@@ -118,7 +119,7 @@
             links: IndexMap::new(),
             dialled: vec![false; agents],
             callers: IndexMap::new(),
-            revision: 0,
+            revision: StorePosition::default(),
             tick_at_ms: None,
         }
     }
@@ -132,7 +133,7 @@
         self.links.clear();
         self.dialled.fill(false);
         self.callers.clear();
-        self.revision = 0;
+        self.revision = StorePosition::default();
         self.tick_at_ms = None;
         self.process.condition = super::process::Condition::Running;
     }
--- a/bench/src/faults/fleet_store.rs
+++ b/bench/src/faults/fleet_store.rs
@@ -15,6 +15,7 @@
 use sardinewood::ordering::queue::OrderResponse;
 use sardinewood::ordering::queue::Place;
 use sardinewood::ordering::queue::StoredQueue;
+use sardinewood::store::position::StorePosition;
 
 /// What is wrong with the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -62,7 +63,7 @@
     Bar {
         order: OrderKey,
         place: Place,
-        replace: Option<u64>,
+        replace: Option<StorePosition>,
     },
 }
 
@@ -91,7 +92,7 @@
     fn put_claim(&mut self, name: &str, claim: Option<Claim>) -> u64 {
         let version = self.next_version();
         let stored = claim.map(|claim| StoredClaim {
-            version,
+            version: StorePosition::new(0, version),
             claim: Some(claim),
         });
         self.claims.entry(name.into()).or_default().push(stored);
@@ -110,7 +111,9 @@
             return StoreResponse::Current(current);
         }
         let version = self.put_claim(name, claim);
-        StoreResponse::Written { version }
+        StoreResponse::Written {
+            version: StorePosition::new(0, version),
+        }
     }
 
     /// Carries a call about a queue out.
@@ -137,7 +140,7 @@
         self.version += 1;
         let stored = match queue {
             Some(queue) => StoredQueue {
-                version: Some(self.version),
+                version: Some(StorePosition::new(0, self.version)),
                 queue: queue.clone(),
             },
             None => StoredQueue::default(),
@@ -148,7 +151,7 @@
     }
 
     /// Bars a place's claim.
-    pub fn bar_call(&mut self, place: &Place, replace: Option<u64>) -> BarResponse {
+    pub fn bar_call(&mut self, place: &Place, replace: Option<StorePosition>) -> BarResponse {
         let current = self.claim(&place.claim, false);
         if current.as_ref().map(|current| current.version) == replace {
             let claim = Claim {
--- a/bench/src/faults/world.rs
+++ b/bench/src/faults/world.rs
@@ -14,6 +14,7 @@
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
 use sardinewood::link::wire::AgentMessage;
+use sardinewood::store::position::StorePosition;
 
 use super::checker::Heard;
 use super::checker::Record;
@@ -128,7 +129,7 @@
             .map(|agent| upstream_object(agent, size.agents))
             .collect();
         let catalog = Catalog {
-            revision: 1,
+            revision: StorePosition::new(0, 1),
             upstreams: objects
                 .iter()
                 .map(|object| (object.name.clone(), Arc::new(object.clone())))
--- a/bench/src/faults/world_faults.rs
+++ b/bench/src/faults/world_faults.rs
@@ -285,7 +285,7 @@
         self.record.note(self.now_ms, seen);
         self.agents[agent].object.activity = activity;
         let object = self.agents[agent].object.clone();
-        self.catalog.revision += 1;
+        self.catalog.revision = self.catalog.revision.following();
         self.catalog
             .upstreams
             .insert(object.name.clone(), Arc::new(object.clone()));
--- a/bench/src/loopback_fleet.rs
+++ b/bench/src/loopback_fleet.rs
@@ -19,6 +19,7 @@
 use sardinewood::entry::settings::EntrySettings;
 use sardinewood::metrics::Metrics;
 use sardinewood::secrets::sha256_hex;
+use sardinewood::store::position::StorePosition;
 use serde_json::json;
 use testutils::engine_settings::EngineSettings;
 use testutils::engine_stand_in::EngineStandIn;
@@ -163,7 +164,7 @@
         "key_sha256": [sha256_hex(KEY)],
     }))?;
     Ok(Catalog {
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         profiles: IndexMap::from([(profile.name.clone(), Arc::new(profile))]),
         upstreams,
         customers: IndexMap::from([(customer.name.clone(), Arc::new(customer))]),
--- a/bench/src/own_policy.rs
+++ b/bench/src/own_policy.rs
@@ -32,6 +32,7 @@
 use sardinewood::ids::RequestId;
 use sardinewood::link::wire::AnswerEnd;
 use sardinewood::link::wire::Call;
+use sardinewood::store::position::StorePosition;
 
 use crate::engine_model::EngineEvent;
 use crate::message::Message;
@@ -245,7 +246,7 @@
             world.send_to_agent(upstream, HEARTBEAT_US, Message::HeartbeatDue { upstream });
         }
         let catalog = Arc::new(Catalog {
-            revision: 1,
+            revision: StorePosition::new(0, 1),
             profiles: self.profiles.clone(),
             upstreams: self.upstreams.clone(),
             customers: self.customers.clone(),
--- a/bench/src/own_policy/agents.rs
+++ b/bench/src/own_policy/agents.rs
@@ -9,6 +9,7 @@
 use sardinewood::link::wire::AgentMessage;
 use sardinewood::link::wire::AnswerEnd;
 use sardinewood::link::wire::EntryMessage;
+use sardinewood::store::position::StorePosition;
 use sardinewood::upstream::report::Found;
 use sardinewood::upstream::report::Probe;
 
@@ -281,7 +282,7 @@
             if let Some(link) = self.links.get(&(entry, upstream)).copied() {
                 let message = Box::new(AgentMessage::Heartbeat {
                     sequence: 0,
-                    revision: 1,
+                    revision: StorePosition::new(0, 1),
                     load,
                 });
                 let delay_us = lag_us + world.fleet.latency_us(entry, upstream);
--- a/bench/src/rollouts/play.rs
+++ b/bench/src/rollouts/play.rs
@@ -26,6 +26,7 @@
 use sardinewood::direct::rollout::table::RunOutcome;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::numbers;
+use sardinewood::store::position::StorePosition;
 
 use crate::entry_address;
 
@@ -240,7 +241,7 @@
                 data_centre: "d".into(),
                 slots: SLOTS,
                 version: if is_new { "v2" } else { "v1" }.into(),
-                revision: number as u64,
+                revision: StorePosition::new(0, number as u64),
                 is_leaving: false,
             })
         };
@@ -360,7 +361,7 @@
                 created: 1,
             },
             window_ms: self.setup.window_s * 1_000,
-            revision: 1_000,
+            revision: StorePosition::new(0, 1_000),
             status: RolloutStatus::Ordered,
         };
         self.rollout = Some(rollout);
@@ -467,7 +468,7 @@
         if !self.entries[entry].is_up || known.revision != rollout.revision {
             return;
         }
-        known.revision += 1;
+        known.revision = known.revision.following();
         known.status = status;
         if status.is_final() {
             let deadline_ms = BEFORE_MS + self.setup.window_s * 1_000;
@@ -609,7 +610,7 @@
             .upstreams
             .iter()
             .filter(fits)
-            .filter_map(|upstream| usize::try_from(upstream.revision).ok())
+            .filter_map(|upstream| usize::try_from(upstream.revision.revision).ok())
             .collect();
         if all.is_empty() {
             return (target == RequestTarget::Canary)
--- a/bench/src/slopes/config_slopes.rs
+++ b/bench/src/slopes/config_slopes.rs
@@ -2,6 +2,7 @@
 
 use sardinewood::config::Config;
 use sardinewood::store::StoredObject;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 use serde_json::json;
 
@@ -61,7 +62,7 @@
     StoredObject {
         kind: kind.into(),
         name,
-        version,
+        version: StorePosition::new(0, version),
         value,
     }
 }
--- a/bench/src/slopes/entry_slopes.rs
+++ b/bench/src/slopes/entry_slopes.rs
@@ -22,6 +22,7 @@
 use sardinewood::link::wire::Call;
 use sardinewood::link::wire::EntryMessage;
 use sardinewood::link::wire::Load;
+use sardinewood::store::position::StorePosition;
 use serde_json::json;
 
 use super::Memory;
@@ -88,7 +89,7 @@
         for sequence in 0..HEARTBEATS as u64 {
             let message = AgentMessage::Heartbeat {
                 sequence,
-                revision: 1,
+                revision: StorePosition::new(0, 1),
                 load: Load::default(),
             };
             let agent = agent.clone();
@@ -149,7 +150,7 @@
 
 fn linked_entry() -> EntryState {
     let mut catalog = Catalog {
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         ..Catalog::default()
     };
     for index in 0..UPSTREAMS {
--- a/bench/src/slopes/message_sizes.rs
+++ b/bench/src/slopes/message_sizes.rs
@@ -13,6 +13,7 @@
 use sardinewood::link::wire::Load;
 use sardinewood::link::wire::RefusalReason;
 use sardinewood::link::wire::Reservation;
+use sardinewood::store::position::StorePosition;
 use serde::Serialize;
 
 use super::Slope;
@@ -45,7 +46,7 @@
             "heartbeat",
             &EntryMessage::Heartbeat {
                 sequence: 1 << 20,
-                revision: 1 << 20,
+                revision: StorePosition::new(0, 1 << 20),
             },
         ),
         size("entry", "reserve", &EntryMessage::Reserve(reservation())),
@@ -104,7 +105,7 @@
     };
     AgentMessage::Heartbeat {
         sequence: 1 << 20,
-        revision: 1 << 20,
+        revision: StorePosition::new(0, 1 << 20),
         load,
     }
 }
--- a/ctl/src/command.rs
+++ b/ctl/src/command.rs
@@ -92,8 +92,8 @@
         Edit::Add(_) => None,
         _ => settings.expect_version.or(seen),
     };
-    match version {
-        None | Some(0) => Expected::Absent,
+    match version.filter(|version| version.revision > 0) {
+        None => Expected::Absent,
         Some(version) => Expected::Version(version),
     }
 }
--- a/ctl/src/ctl_settings.rs
+++ b/ctl/src/ctl_settings.rs
@@ -8,6 +8,7 @@
 use sardinewood::settings::Program;
 use sardinewood::settings::Setting;
 use sardinewood::settings::Words;
+use sardinewood::store::position::StorePosition;
 
 use crate::action::kind_of;
 use crate::action::read_action;
@@ -65,7 +66,7 @@
     /// Whether a change is only checked.
     pub dry_run: bool,
     /// The version that a change replaces; 0 if the object must not exist.
-    pub expect_version: Option<u64>,
+    pub expect_version: Option<StorePosition>,
     /// The id of an earlier run whose outcome is to be settled.
     pub change_id: Arc<str>,
     /// The object, in place of fields.
@@ -179,9 +180,8 @@
             "Change nothing; say what the change would do.",
             |s: &mut CtlSettings| &mut s.dry_run,
         ),
-        Setting::optional_number(
+        Setting::optional_position(
             "expect-version",
-            0..=u64::MAX,
             "Version that the change replaces; 0 if the object must not exist.",
             |s: &mut CtlSettings| &mut s.expect_version,
         ),
--- a/ctl/src/operator_client.rs
+++ b/ctl/src/operator_client.rs
@@ -19,6 +19,7 @@
 use sardinewood::operator::messages::ObjectViews;
 use sardinewood::operator::messages::Status;
 use sardinewood::secrets::Secret;
+use sardinewood::store::position::StorePosition;
 use serde::de::DeserializeOwned;
 
 use crate::exit_code::End;
@@ -192,7 +193,7 @@
         &self,
         kind: Kind,
         name: &str,
-        version: u64,
+        version: StorePosition,
     ) -> Result<InForce, CallError> {
         let path = format!("/v1/in-force/{}/{name}", kind.as_str());
         self.get(&path, &[("version", version.to_string())]).await
@@ -242,7 +243,11 @@
     /// # Errors
     ///
     /// When there is no answer.
-    pub async fn watch(&self, after: u64, wait_ms: u64) -> Result<ObjectViews, CallError> {
+    pub async fn watch(
+        &self,
+        after: StorePosition,
+        wait_ms: u64,
+    ) -> Result<ObjectViews, CallError> {
         let query = [
             ("after", after.to_string()),
             ("wait_ms", wait_ms.to_string()),
--- a/ctl/src/query.rs
+++ b/ctl/src/query.rs
@@ -16,6 +16,7 @@
 use crate::shown::shown_object;
 use crate::shown::shown_status;
 use crate::shown::shown_trail;
+use sardinewood::store::position::StorePosition;
 
 /// How long one call of `watch` waits for a change.
 const WATCH_WAIT_MS: u64 = 25_000;
@@ -83,7 +84,7 @@
     output: &mut Output,
 ) -> Result<(), CallError> {
     let mut left = settings.limit.unwrap_or(u64::MAX);
-    let mut after = client.watch(0, 0).await?.revision;
+    let mut after = client.watch(StorePosition::default(), 0).await?.revision;
     loop {
         let views = client.watch(after, WATCH_WAIT_MS).await?;
         for view in &views.objects {
--- a/ctl/src/shown.rs
+++ b/ctl/src/shown.rs
@@ -147,7 +147,9 @@
         vec![
             process.name.to_string(),
             process.role.to_string(),
-            number(process.revision),
+            process
+                .revision
+                .map_or_else(|| "-".to_owned(), |revision| revision.to_string()),
             number(process.heard_ms_ago),
         ]
     };
--- a/ctl/src/waiting.rs
+++ b/ctl/src/waiting.rs
@@ -4,6 +4,7 @@
 
 use sardinewood::config::object::Kind;
 use sardinewood::operator::messages::InForce;
+use sardinewood::store::position::StorePosition;
 use tokio::time::Instant;
 use tokio::time::sleep;
 
@@ -59,7 +60,7 @@
     client: &OperatorClient,
     kind: Kind,
     name: &str,
-    version: u64,
+    version: StorePosition,
     timeout_ms: u64,
     output: &mut Output,
 ) -> Waiting {
--- a/ctl/tests/fake_operator_api.rs
+++ b/ctl/tests/fake_operator_api.rs
@@ -26,6 +26,7 @@
 use sardinewood::operator::messages::InForce;
 use sardinewood::operator::messages::ObjectView;
 use sardinewood::operator::messages::ObjectViews;
+use sardinewood::store::position::StorePosition;
 use serde::Serialize;
 use serde_json::Value;
 
@@ -69,7 +70,7 @@
         let view = ObjectView {
             kind,
             name: name.into(),
-            version: self.revision,
+            version: StorePosition::new(0, self.revision),
             spec,
             change: Some(change),
             findings: Vec::new(),
@@ -106,7 +107,7 @@
         }
         self.apply(request);
         ChangeAnswer::Accepted {
-            version: self.revision,
+            version: StorePosition::new(0, self.revision),
         }
     }
 
@@ -189,7 +190,7 @@
     if let Some(kind) = Kind::parse(key) {
         let of_kind = state.objects.values().filter(|view| view.kind == kind);
         let views = ObjectViews {
-            revision: state.revision,
+            revision: StorePosition::new(0, state.revision),
             objects: of_kind.cloned().collect(),
         };
         return json(StatusCode::OK, &views);
--- a/lib/src/caller/directory.rs
+++ b/lib/src/caller/directory.rs
@@ -14,9 +14,10 @@
 use crate::config::objects::Customer;
 use crate::config::objects::Profile;
 use crate::config::objects::Serves;
+use crate::store::position::StorePosition;
 
 /// The revision of the picture that a process starts with.
-const NO_CONFIGURATION: u64 = 0;
+const NO_CONFIGURATION: StorePosition = StorePosition::new(0, 0);
 
 /// A configuration with an index of its customers by key.
 ///
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -34,6 +34,7 @@
 use crate::claims::progress::due_ms;
 use crate::claims::progress::relation;
 use crate::ids::RequestId;
+use crate::store::position::StorePosition;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
 use crate::verdict::Outcome;
@@ -527,7 +528,7 @@
         self.calls_in_window < self.rules.calls_per_s
     }
 
-    fn set_held(&mut self, request: RequestId, version: u64) {
+    fn set_held(&mut self, request: RequestId, version: StorePosition) {
         if let Some(tracked_claim) = self.by_request.get_mut(&request) {
             tracked_claim.phase = Phase::Held { version };
         }
@@ -547,7 +548,13 @@
         self.steps.push(ClaimStep::Decided { request, decision });
     }
 
-    fn delete(&mut self, now_ms: u64, request: RequestId, version: u64, retries_left: u8) {
+    fn delete(
+        &mut self,
+        now_ms: u64,
+        request: RequestId,
+        version: StorePosition,
+        retries_left: u8,
+    ) {
         let has_budget = self.has_budget(now_ms);
         let Some(tracked_claim) = self.by_request.get_mut(&request) else {
             return;
@@ -580,7 +587,7 @@
         now_ms: u64,
         request: RequestId,
         response: &StoreResponse,
-        version: u64,
+        version: StorePosition,
         retries_left: u8,
     ) {
         let is_done = matches!(
--- a/lib/src/claims/object.rs
+++ b/lib/src/claims/object.rs
@@ -8,6 +8,7 @@
 use crate::ids::AttemptId;
 use crate::ids::GrantId;
 use crate::ids::RequestId;
+use crate::store::position::StorePosition;
 
 /// The number of object kinds that claims are divided among, so that each list stays small.
 pub const CLAIM_KINDS: u8 = 16;
@@ -115,7 +116,7 @@
     /// The write took effect.
     Written {
         /// The new version of the object.
-        version: u64,
+        version: StorePosition,
     },
     /// The stored claim, if any: the call was a read, or a write that did not take effect.
     Current(Option<StoredClaim>),
@@ -132,7 +133,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoredClaim {
     /// The version of the object.
-    pub version: u64,
+    pub version: StorePosition,
     /// The claim; absent if the object could not be decoded.
     pub claim: Option<Claim>,
 }
@@ -144,7 +145,7 @@
     /// `None`.
     Write {
         /// The version to replace.
-        expected: Option<u64>,
+        expected: Option<StorePosition>,
         /// The claim to write.
         claim: Claim,
     },
@@ -153,6 +154,6 @@
     /// Remove the claim if it is at this version.
     Delete {
         /// The version to remove.
-        version: u64,
+        version: StorePosition,
     },
 }
--- a/lib/src/claims/progress.rs
+++ b/lib/src/claims/progress.rs
@@ -4,6 +4,7 @@
 use crate::claims::object::Claim;
 use crate::claims::object::ClaimState;
 use crate::claims::object::Holder;
+use crate::store::position::StorePosition;
 
 /// The state of a request's claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -15,19 +16,25 @@
     /// The next call is delayed until this time.
     Pausing { until_ms: u64, call: NextCall },
     /// This entry holds the claim, stored at this version.
-    Held { version: u64 },
+    Held { version: StorePosition },
     /// No call has been made yet for the attempt.
     Idle,
     /// The request has ended, and the claim is removed at this time.
-    Retained { until_ms: u64, version: u64 },
+    Retained {
+        until_ms: u64,
+        version: StorePosition,
+    },
     /// The removal is in progress.
-    Deleting { version: u64, retries_left: u8 },
+    Deleting {
+        version: StorePosition,
+        retries_left: u8,
+    },
 }
 
 /// A call to the store that is yet to be made.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum NextCall {
-    Write { expected: Option<u64> },
+    Write { expected: Option<StorePosition> },
     Read,
 }
 
--- a/lib/src/claims/sweep.rs
+++ b/lib/src/claims/sweep.rs
@@ -12,6 +12,7 @@
 
 use crate::claims::object::CLAIM_KINDS;
 use crate::claims::object::claim_kind;
+use crate::store::position::StorePosition;
 
 /// The delay before the next kind is listed, and before a failed list call is retried.
 const LIST_INTERVAL_MS: u64 = 60_000;
@@ -35,14 +36,14 @@
         /// The name of the claim.
         name: Arc<str>,
         /// The version that was listed twice.
-        version: u64,
+        version: StorePosition,
     },
 }
 
 /// A claim in the first list of its kind.
 #[derive(Clone, Copy, Debug)]
 struct SeenClaim {
-    version: u64,
+    version: StorePosition,
     first_seen_ms: u64,
 }
 
@@ -65,7 +66,7 @@
     kind: u8,
     /// The claims in the first list of the kind.
     seen: IndexMap<Arc<str>, SeenClaim>,
-    to_remove: VecDeque<(Arc<str>, u64)>,
+    to_remove: VecDeque<(Arc<str>, StorePosition)>,
     next_list_ms: u64,
     next_removal_ms: u64,
 }
@@ -111,7 +112,7 @@
     }
 
     /// Applies a list of the names and versions of the claims of the current kind.
-    pub fn apply_list(&mut self, now_ms: u64, claims: Vec<(Arc<str>, u64)>) {
+    pub fn apply_list(&mut self, now_ms: u64, claims: Vec<(Arc<str>, StorePosition)>) {
         let is_second_list = !self.seen.is_empty();
         if is_second_list {
             let mut to_remove = claims;
@@ -137,7 +138,7 @@
     }
 
     /// Returns whether a claim has had the same version for long enough to be removed.
-    fn is_unchanged(&self, now_ms: u64, name: &Arc<str>, version: u64) -> bool {
+    fn is_unchanged(&self, now_ms: u64, name: &Arc<str>, version: StorePosition) -> bool {
         self.seen.get(name).is_some_and(|seen_claim| {
             seen_claim.version == version && now_ms >= seen_claim.first_seen_ms + self.unchanged_ms
         })
--- a/lib/src/config/audit.rs
+++ b/lib/src/config/audit.rs
@@ -9,6 +9,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::store::position::StorePosition;
+
 /// The most changes that an object keeps besides the last one.
 pub const MAX_HISTORY: usize = 32;
 
@@ -40,7 +42,7 @@
     pub from: Arc<str>,
     /// The version of the object that it replaced; absent when it created the object.
     #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub based_on_version: Option<u64>,
+    pub based_on_version: Option<StorePosition>,
 }
 
 /// A change that has been replaced since.
@@ -49,7 +51,7 @@
     /// The change; absent for an object that was written without a record.
     pub change: Option<Change>,
     /// The version that the store gave it.
-    pub version: u64,
+    pub version: StorePosition,
     /// The object after it; absent when it removed the object.
     pub after: Option<Value>,
 }
@@ -118,7 +120,7 @@
     /// assert_eq!(Record::default().version_of("c1", 9), None);
     /// ```
     #[must_use]
-    pub fn version_of(&self, id: &str, version: u64) -> Option<u64> {
+    pub fn version_of(&self, id: &str, version: StorePosition) -> Option<StorePosition> {
         let is_same = |change: &Option<Change>| change.as_ref().is_some_and(|c| *c.id == *id);
         if is_same(&self.change) {
             return Some(version);
@@ -143,7 +145,7 @@
     /// assert_eq!(second.history[0].after, Some(json!({"weight": 1})));
     /// ```
     #[must_use]
-    pub fn succeeded_by(self, version: u64, spec: Option<Value>, change: Change) -> Self {
+    pub fn succeeded_by(self, version: StorePosition, spec: Option<Value>, change: Change) -> Self {
         let mut history = self.history;
         history.push(PastChange {
             change: self.change,
--- a/lib/src/config/catalog.rs
+++ b/lib/src/config/catalog.rs
@@ -10,6 +10,7 @@
 use crate::config::objects::Profile;
 use crate::config::objects::Upstream;
 use crate::findings::Finding;
+use crate::store::position::StorePosition;
 
 /// A read-only picture of the configuration at one moment.
 ///
@@ -23,7 +24,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Catalog {
     /// The newest store revision that is part of it.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// Profiles by name.
     pub profiles: IndexMap<Arc<str>, Arc<Profile>>,
     /// Upstreams by name.
--- a/lib/src/config/follow.rs
+++ b/lib/src/config/follow.rs
@@ -23,6 +23,7 @@
 use crate::store::ReadError;
 use crate::store::StoreClient;
 use crate::store::duty::StoreDuty;
+use crate::store::position::StorePosition;
 
 /// The share of an interval that jitter may take away.
 const JITTER: f64 = 0.5;
@@ -71,7 +72,7 @@
     /// Watch all kinds from a revision.
     Watch {
         /// The revision whose changes are known.
-        after: u64,
+        after: StorePosition,
     },
 }
 
@@ -82,13 +83,13 @@
 ///
 /// let mut plan = WatchPlan::new(WatchTimings::default());
 /// assert_eq!(plan.next_call(0), NextCall::List);
-/// plan.listed(0, 41);
-/// assert_eq!(plan.next_call(10), NextCall::Watch { after: 41 });
+/// plan.listed(0, StorePosition::new(0, 41));
+/// assert_eq!(plan.next_call(10), NextCall::Watch { after: StorePosition::new(0, 41) });
 /// ```
 #[derive(Clone, Debug)]
 pub struct WatchPlan {
     timings: WatchTimings,
-    cursor: Option<u64>,
+    cursor: Option<StorePosition>,
     listed_at_ms: u64,
     failures: u32,
     lists_in_a_row: u32,
@@ -120,7 +121,7 @@
     /// ```
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
-    /// plan.listed(0, 41);
+    /// plan.listed(0, StorePosition::new(0, 41));
     /// assert_eq!(plan.next_call(300_000), NextCall::List, "a list is due again");
     /// ```
     #[must_use]
@@ -172,11 +173,11 @@
     /// ```
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
-    /// plan.listed(0, 5);
-    /// assert_eq!(plan.next_call(1), NextCall::Watch { after: 5 });
+    /// plan.listed(0, StorePosition::new(0, 5));
+    /// assert_eq!(plan.next_call(1), NextCall::Watch { after: StorePosition::new(0, 5) });
     /// ```
-    pub fn listed(&mut self, now_ms: u64, revision: u64) {
-        self.cursor = Some(revision);
+    pub fn listed(&mut self, now_ms: u64, position: StorePosition) {
+        self.cursor = Some(position);
         self.listed_at_ms = now_ms;
         self.store_pause_ms = 0;
         self.failures = self.lists_in_a_row;
@@ -188,15 +189,15 @@
     /// # use sardinewood::config::state::WatchOutcome;
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
-    /// plan.listed(0, 5);
-    /// plan.watched(WatchOutcome::ListAgain, 3);
+    /// plan.listed(0, StorePosition::new(0, 5));
+    /// plan.watched(WatchOutcome::ListAgain, StorePosition::new(0, 3));
     /// assert_eq!(plan.next_call(1), NextCall::List);
     /// ```
-    pub fn watched(&mut self, outcome: WatchOutcome, revision: u64) {
+    pub fn watched(&mut self, outcome: WatchOutcome, position: StorePosition) {
         self.store_pause_ms = 0;
         match outcome {
             WatchOutcome::Continue => {
-                self.cursor = Some(revision);
+                self.cursor = Some(position);
                 self.failures = 0;
                 self.lists_in_a_row = 0;
             }
@@ -209,7 +210,7 @@
     /// ```
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
-    /// plan.listed(0, 5);
+    /// plan.listed(0, StorePosition::new(0, 5));
     /// plan.failed(&sardinewood::store::ReadError::TooOld);
     /// assert_eq!(plan.next_call(1), NextCall::List);
     /// ```
@@ -230,7 +231,7 @@
     /// ```
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
-    /// plan.listed(0, 5);
+    /// plan.listed(0, StorePosition::new(0, 5));
     /// plan.list_again();
     /// assert_eq!(plan.next_call(1), NextCall::List);
     /// ```
@@ -333,8 +334,8 @@
     epoch: Instant,
 ) -> Result<(), ReadError> {
     let list = store.list(&Kind::ALL.map(Kind::as_str)).await?;
-    config.apply(|state| report_list(state.apply_list(&list), list.revision));
-    plan.listed(elapsed_ms(epoch), list.revision);
+    config.apply(|state| report_list(state.apply_list(&list), list.position));
+    plan.listed(elapsed_ms(epoch), list.position);
     Ok(())
 }
 
@@ -343,21 +344,21 @@
     store: &StoreClient,
     config: &Config,
     plan: &mut WatchPlan,
-    after: u64,
+    after: StorePosition,
 ) -> Result<(), ReadError> {
     let kinds = Kind::ALL.map(Kind::as_str);
     let batch = store.watch(&kinds, after, plan.timings.wait_ms).await?;
-    config.apply(|state| plan.watched(state.apply_watch(after, &batch), batch.revision));
+    config.apply(|state| plan.watched(state.apply_watch(after, &batch), batch.position));
     Ok(())
 }
 
-fn report_list(outcome: ListOutcome, revision: u64) {
+fn report_list(outcome: ListOutcome, position: StorePosition) {
     let (level, message) = match outcome {
         ListOutcome::Complete => (Level::Debug, "configuration listed"),
         ListOutcome::Lagging => (Level::Warn, "store replica lags"),
         ListOutcome::WentBack => (Level::Error, "store went back; newer versions are kept"),
     };
-    Line::new(level, message).revision(revision).send();
+    Line::new(level, message).revision(position).send();
 }
 
 /// Says once in an outage that it began.
--- a/lib/src/config/held.rs
+++ b/lib/src/config/held.rs
@@ -10,18 +10,19 @@
 use crate::config::version::Content;
 use crate::findings::Finding;
 use crate::findings::Findings;
+use crate::store::position::StorePosition;
 
 /// The newest known version of an object, and the newest good one.
 #[derive(Clone, Debug)]
 pub(crate) struct Held {
-    pub(crate) version: u64,
+    pub(crate) version: StorePosition,
     pub(crate) content: Option<Arc<str>>,
     pub(crate) in_force: Option<Spec>,
     pub(crate) findings: Vec<Finding>,
     pub(crate) hash: u64,
 }
 
-pub(crate) fn removed(version: u64) -> Held {
+pub(crate) fn removed(version: StorePosition) -> Held {
     Held {
         version,
         content: None,
@@ -34,7 +35,7 @@
 /// A new version, in force if it is good; otherwise the last good one stays in force.
 pub(crate) fn checked(
     key: &ObjectKey,
-    version: u64,
+    version: StorePosition,
     content: Arc<str>,
     last_good: Option<Spec>,
 ) -> Held {
@@ -64,7 +65,7 @@
 }
 
 /// The share of one object in the digest.
-fn version_hash(key: &ObjectKey, version: u64) -> u64 {
+fn version_hash(key: &ObjectKey, version: StorePosition) -> u64 {
     let text = format!("{key}@{version}");
     XxHash64::oneshot(0, text.as_bytes())
 }
--- a/lib/src/config/spread.rs
+++ b/lib/src/config/spread.rs
@@ -18,6 +18,7 @@
 use crate::config::spread_message::Report;
 use crate::config::state::Digest;
 use crate::ids::Incarnation;
+use crate::store::position::StorePosition;
 
 /// The most processes remembered.
 pub const MAX_PEERS: usize = 4_096;
@@ -86,7 +87,7 @@
         /// From whom.
         from: SocketAddr,
         /// What is already here.
-        after: u64,
+        after: StorePosition,
     },
     /// The peer holds the same objects and knows that they are complete up to a later revision.
     Agree(Digest),
@@ -404,7 +405,7 @@
     }
 
     /// Fetches from one process at a time; the others will be heard again.
-    fn fetch(&mut self, from: SocketAddr, after: u64) -> Option<SpreadAction> {
+    fn fetch(&mut self, from: SocketAddr, after: StorePosition) -> Option<SpreadAction> {
         if self.fetching.is_some() {
             return None;
         }
--- a/lib/src/config/spread_link.rs
+++ b/lib/src/config/spread_link.rs
@@ -39,6 +39,7 @@
 use crate::config::state::PeerAnswer;
 use crate::logging::Level;
 use crate::logging::Line;
+use crate::store::position::StorePosition;
 
 /// The largest datagram: below the payload that every path carries in one packet.
 const MAX_DATAGRAM_BYTES: usize = 1_200;
@@ -468,7 +469,11 @@
 }
 
 /// Fetches what a peer has above a revision.
-async fn fetch(from: SocketAddr, after: u64, fetching: &FetchContext) -> io::Result<PeerAnswer> {
+async fn fetch(
+    from: SocketAddr,
+    after: StorePosition,
+    fetching: &FetchContext,
+) -> io::Result<PeerAnswer> {
     let exchange = async {
         let mut frames = framed(TcpStream::connect(from).await?, MAX_ANSWER_BYTES);
         let request = FetchRequest {
--- a/lib/src/config/spread_message.rs
+++ b/lib/src/config/spread_message.rs
@@ -20,9 +20,10 @@
 use crate::config::state::PeerAnswer;
 use crate::ids::Incarnation;
 use crate::secrets::REDACTED;
+use crate::store::position::StorePosition;
 
 /// Raised with each change of the messages that an older process could misread.
-pub const SPREAD_PROTOCOL: u32 = 1;
+pub const SPREAD_PROTOCOL: u32 = 2;
 
 /// The bytes of the keyed hash behind each message.
 pub const TAG_BYTES: usize = 32;
@@ -58,7 +59,7 @@
     /// What it holds.
     pub digest: Digest,
     /// Versions that it holds above the digest's `complete_through`, the newest few.
-    pub above: Vec<u64>,
+    pub above: Vec<StorePosition>,
 }
 
 impl Report {
@@ -78,7 +79,7 @@
     /// assert!(!report.has(7));
     /// ```
     #[must_use]
-    pub fn has(&self, version: u64) -> bool {
+    pub fn has(&self, version: StorePosition) -> bool {
         version <= self.digest.complete_through || self.above.contains(&version)
     }
 }
@@ -114,7 +115,7 @@
     /// [`SPREAD_PROTOCOL`] of the sender.
     pub protocol: u32,
     /// The sender knows everything up to this revision.
-    pub after: u64,
+    pub after: StorePosition,
     /// Drawn anew for each request, so that an old answer does not pass for a new one.
     pub nonce: u64,
 }
--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -27,6 +27,7 @@
 use crate::store::StoredObject;
 use crate::store::WatchBatch;
 use crate::store::WatchEvent;
+use crate::store::position::StorePosition;
 
 pub use crate::config::version::Content;
 pub use crate::config::version::Digest;
@@ -75,9 +76,9 @@
 #[derive(Clone, Debug, Default)]
 pub struct ConfigState {
     objects: IndexMap<ObjectKey, Held>,
-    complete_through: u64,
-    listed_through: u64,
-    deletions_after: u64,
+    complete_through: StorePosition,
+    listed_through: StorePosition,
+    deletions_after: StorePosition,
     store_went_back: bool,
 }
 
@@ -89,8 +90,8 @@
     /// use sardinewood::store::ObjectList;
     ///
     /// let mut state = ConfigState::default();
-    /// state.apply_list(&ObjectList { revision: 9, objects: vec![] });
-    /// let late = ObjectList { revision: 5, objects: vec![] };
+    /// state.apply_list(&ObjectList { position: StorePosition::new(0, 9), objects: vec![] });
+    /// let late = ObjectList { position: StorePosition::new(0, 5), objects: vec![] };
     /// assert_eq!(state.apply_list(&late), ListOutcome::Lagging);
     /// ```
     pub fn apply_list(&mut self, list: &ObjectList) -> ListOutcome {
@@ -98,19 +99,19 @@
         self.store_went_back = outcome == ListOutcome::WentBack;
         if outcome == ListOutcome::Complete {
             self.remove_unlisted(list);
-            if list.revision > self.complete_through {
+            if list.position > self.complete_through {
                 // Objects that came and went since then were never seen here.
-                self.deletions_after = list.revision;
+                self.deletions_after = list.position;
             }
             // From here on, what is unknown and in the list is new here, not deleted.
-            self.complete_through = 0;
+            self.complete_through = StorePosition::default();
         }
         for object in &list.objects {
             self.offer_stored(object);
         }
         if outcome == ListOutcome::Complete {
-            self.complete_through = list.revision;
-            self.listed_through = list.revision;
+            self.complete_through = list.position;
+            self.listed_through = list.position;
         }
         self.drop_old_tombstones();
         outcome
@@ -123,10 +124,10 @@
     /// use sardinewood::store::WatchBatch;
     ///
     /// let mut state = ConfigState::default();
-    /// let batch = WatchBatch { revision: 4, events: vec![] };
-    /// assert_eq!(state.apply_watch(5, &batch), WatchOutcome::ListAgain);
+    /// let batch = WatchBatch { position: StorePosition::new(0, 4), events: vec![] };
+    /// assert_eq!(state.apply_watch(StorePosition::new(0, 5), &batch), WatchOutcome::ListAgain);
     /// ```
-    pub fn apply_watch(&mut self, after: u64, batch: &WatchBatch) -> WatchOutcome {
+    pub fn apply_watch(&mut self, after: StorePosition, batch: &WatchBatch) -> WatchOutcome {
         for event in &batch.events {
             match event {
                 WatchEvent::Put(object) => self.offer_stored(object),
@@ -137,12 +138,12 @@
                 } => self.offer_removal(kind, name, *version),
             }
         }
-        let beyond = |event: &WatchEvent| event_version(event) > batch.revision;
-        if batch.revision < after || batch.events.iter().any(beyond) {
+        let beyond = |event: &WatchEvent| event_version(event) > batch.position;
+        if batch.position < after || batch.events.iter().any(beyond) {
             return WatchOutcome::ListAgain;
         }
         if after <= self.complete_through && !self.store_went_back {
-            self.complete_through = self.complete_through.max(batch.revision);
+            self.complete_through = self.complete_through.max(batch.position);
         }
         self.drop_old_tombstones();
         WatchOutcome::Continue
@@ -154,8 +155,8 @@
     /// use sardinewood::config::state::{ConfigState, PeerAnswer};
     ///
     /// let mut state = ConfigState::default();
-    /// state.apply_peer(&PeerAnswer { complete_through: 12, ..PeerAnswer::default() });
-    /// assert_eq!(state.digest().complete_through, 12);
+    /// state.apply_peer(&PeerAnswer { complete_through: StorePosition::new(0, 12), ..PeerAnswer::default() });
+    /// assert_eq!(state.digest().complete_through.revision, 12);
     /// ```
     pub fn apply_peer(&mut self, answer: &PeerAnswer) {
         if answer.whole {
@@ -182,7 +183,7 @@
     /// }"#).unwrap();
     /// let mut state = ConfigState::default();
     /// state.apply_object(&written);
-    /// assert_eq!(state.digest().newest, 7);
+    /// assert_eq!(state.digest().newest.revision, 7);
     /// ```
     pub fn apply_object(&mut self, object: &StoredObject) {
         self.offer_stored(object);
@@ -193,13 +194,17 @@
     /// ```
     /// use sardinewood::config::state::ConfigState;
     ///
-    /// let answer = ConfigState::default().answer_peer(0);
+    /// let answer = ConfigState::default().answer_peer(StorePosition::default());
     /// assert!(answer.objects.is_empty());
     /// ```
     #[must_use]
-    pub fn answer_peer(&self, after: u64) -> PeerAnswer {
+    pub fn answer_peer(&self, after: StorePosition) -> PeerAnswer {
         let whole = after < self.deletions_after;
-        let from = if whole { 0 } else { after };
+        let from = if whole {
+            StorePosition::default()
+        } else {
+            after
+        };
         let newer = self.objects.iter().filter(|(_, held)| held.version > from);
         let objects = newer.map(|(key, held)| ObjectVersion {
             key: key.clone(),
@@ -223,8 +228,8 @@
     /// use sardinewood::config::state::{ConfigState, Digest};
     ///
     /// let mut state = ConfigState::default();
-    /// state.agree(&Digest { complete_through: 12, ..Digest::default() });
-    /// assert_eq!(state.digest().complete_through, 12);
+    /// state.agree(&Digest { complete_through: StorePosition::new(0, 12), ..Digest::default() });
+    /// assert_eq!(state.digest().complete_through.revision, 12);
     /// ```
     pub fn agree(&mut self, peer: &Digest) {
         let own = self.digest();
@@ -244,7 +249,7 @@
     /// assert!(sardinewood::config::state::ConfigState::default().above().is_empty());
     /// ```
     #[must_use]
-    pub fn above(&self) -> Vec<u64> {
+    pub fn above(&self) -> Vec<StorePosition> {
         let versions = self.objects.values().map(|held| held.version);
         let mut above: Vec<_> = versions
             .filter(|version| *version > self.complete_through)
@@ -263,7 +268,7 @@
     /// assert_eq!(ConfigState::default().get(&key), None);
     /// ```
     #[must_use]
-    pub fn get(&self, key: &ObjectKey) -> Option<(u64, Option<Content>)> {
+    pub fn get(&self, key: &ObjectKey) -> Option<(StorePosition, Option<Content>)> {
         let held = self.objects.get(key)?;
         let content = held
             .content
@@ -313,10 +318,10 @@
     /// use sardinewood::config::state::ConfigState;
     ///
     /// let key = ObjectKey { kind: Kind::Profiles, name: "lookup".into() };
-    /// assert!(!ConfigState::default().has(&key, 7));
+    /// assert!(!ConfigState::default().has(&key, StorePosition::new(0, 7)));
     /// ```
     #[must_use]
-    pub fn has(&self, key: &ObjectKey, version: u64) -> bool {
+    pub fn has(&self, key: &ObjectKey, version: StorePosition) -> bool {
         self.complete_through >= version
             || self
                 .objects
@@ -337,7 +342,7 @@
         let newest = self.objects.values().map(|held| held.version).max();
         Digest {
             complete_through: self.complete_through,
-            newest: newest.unwrap_or(0),
+            newest: newest.unwrap_or_default(),
             hash: live.fold(0, |hash, held| hash ^ held.hash),
         }
     }
@@ -380,12 +385,12 @@
         let older = |object: &StoredObject| {
             stored_key(object)
                 .and_then(|key| self.objects.get(&key))
-                .is_some_and(|held| object.version < held.version && held.version <= list.revision)
+                .is_some_and(|held| object.version < held.version && held.version <= list.position)
         };
         if list.objects.iter().any(older) {
             return ListOutcome::WentBack;
         }
-        if list.revision < self.complete_through {
+        if list.position < self.complete_through {
             return ListOutcome::Lagging;
         }
         ListOutcome::Complete
@@ -397,8 +402,8 @@
         let listed: IndexSet<_> = list.objects.iter().filter_map(stored_key).collect();
         for (key, held) in &mut self.objects {
             let live = held.content.is_some();
-            if live && held.version <= list.revision && !listed.contains(key) {
-                *held = removed(list.revision);
+            if live && held.version <= list.position && !listed.contains(key) {
+                *held = removed(list.position);
             }
         }
     }
@@ -434,7 +439,7 @@
         self.offer(&key, object.version, Some(text.into()));
     }
 
-    fn offer_removal(&mut self, kind: &str, name: &Arc<str>, version: u64) {
+    fn offer_removal(&mut self, kind: &str, name: &Arc<str>, version: StorePosition) {
         let Some(kind) = Kind::parse(kind) else {
             return;
         };
@@ -443,13 +448,13 @@
     }
 
     /// Takes a version of an object if it is news.
-    fn offer(&mut self, key: &ObjectKey, version: u64, content: Option<Arc<str>>) {
+    fn offer(&mut self, key: &ObjectKey, version: StorePosition, content: Option<Arc<str>>) {
         let held = self.objects.get(key);
         // A lagging peer or replica still shows objects that were deleted, also ones whose
         // tombstone is dropped here or is of an earlier deletion. Taking them would bring back
         // a deleted profile. All objects up to `complete_through` are known, so one that is
         // not is deleted.
-        let newest_known = held.map_or(0, |held| held.version);
+        let newest_known = held.map_or(StorePosition::default(), |held| held.version);
         let live = held.is_some_and(|held| held.content.is_some());
         let news = version > newest_known && (live || version > self.complete_through);
         if !news {
@@ -491,7 +496,7 @@
     Some(ObjectKey { kind, name })
 }
 
-fn event_version(event: &WatchEvent) -> u64 {
+fn event_version(event: &WatchEvent) -> StorePosition {
     match event {
         WatchEvent::Put(object) => object.version,
         WatchEvent::Delete { version, .. } => *version,
--- a/lib/src/config/version.rs
+++ b/lib/src/config/version.rs
@@ -8,6 +8,7 @@
 
 use crate::config::audit::Change;
 use crate::config::object::ObjectKey;
+use crate::store::position::StorePosition;
 
 /// One version of an object, as one process tells it to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -15,7 +16,7 @@
     /// Which object.
     pub key: ObjectKey,
     /// The version that the store gave it.
-    pub version: u64,
+    pub version: StorePosition,
     /// The object proper and its last change as JSON; absent when the store removed it.
     pub content: Option<Arc<str>>,
 }
@@ -24,14 +25,14 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct PeerAnswer {
     /// The revision that the other asked from.
-    pub after: u64,
+    pub after: StorePosition,
     /// The revision up to which the sender knows every object.
-    pub complete_through: u64,
+    pub complete_through: StorePosition,
     /// The revision of the last complete list of the store that the sender's knowledge
     /// rests on.
-    pub listed_through: u64,
+    pub listed_through: StorePosition,
     /// The sender has a tombstone for each deletion above this revision.
-    pub deletions_after: u64,
+    pub deletions_after: StorePosition,
     /// Whether these are all objects, and not only those above `after`.
     pub whole: bool,
     /// The objects and tombstones.
@@ -52,9 +53,9 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Digest {
     /// The revision up to which every object is known.
-    pub complete_through: u64,
+    pub complete_through: StorePosition,
     /// The highest version of any object.
-    pub newest: u64,
+    pub newest: StorePosition,
     /// XXH64 over the names and versions of the objects, in any order.
     pub hash: u64,
 }
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -17,6 +17,7 @@
 use crate::direct::sharing::quota::ChargeOutcome;
 use crate::direct::sharing::quota::Contention;
 use crate::direct::sharing::quota::RequestCost;
+use crate::store::position::StorePosition;
 
 /// First byte of every datagram: the version of the message format.
 const FORMAT_VERSION: u8 = 5;
@@ -57,22 +58,105 @@
     Replaced,
 }
 
+/// Position of a configuration.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct CatalogPosition {
+    /// Position of its object in the store.
+    pub at: StorePosition,
+    /// The operator's version number. It decides between two configurations at one position: one
+    /// that entries had in force, and the older one that the store has returned with.
+    pub version: u64,
+}
+
 /// How far an entry's replica of the platform's store has advanced.
+///
+/// Builds without eras read and write the two revisions alone; the rest is sent beside the message,
+/// as [`RevisionEras`].
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(from = "BareRevisions", into = "BareRevisions")]
 pub struct Revisions {
-    /// Revision of the configuration in force.
-    pub catalog: u64,
-    /// Revision of the newest change in the list of upstreams.
-    pub directory: u64,
+    /// Position of the configuration in force.
+    pub catalog: CatalogPosition,
+    /// Position of the newest change in the list of upstreams.
+    pub directory: StorePosition,
+}
+
+/// [`Revisions`] as builds without eras know them.
+#[derive(Clone, Copy, Serialize, Deserialize)]
+struct BareRevisions {
+    catalog: u64,
+    directory: u64,
+}
+
+impl From<BareRevisions> for Revisions {
+    fn from(bare: BareRevisions) -> Self {
+        Self {
+            catalog: CatalogPosition {
+                at: StorePosition::new(0, bare.catalog),
+                version: 0,
+            },
+            directory: StorePosition::new(0, bare.directory),
+        }
+    }
+}
+
+impl From<Revisions> for BareRevisions {
+    fn from(revisions: Revisions) -> Self {
+        Self {
+            catalog: revisions.catalog.at.revision,
+            directory: revisions.directory.revision,
+        }
+    }
+}
+
+/// The part of [`Revisions`] that builds without eras do not know.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RevisionEras {
+    catalog: u32,
+    catalog_version: u64,
+    directory: u32,
 }
 
 impl Revisions {
+    /// Returns what is sent beside the revisions.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_message::{RevisionEras, Revisions};
+    ///
+    /// assert_eq!(Revisions::default().eras(), RevisionEras::default());
+    /// ```
+    #[must_use]
+    pub fn eras(self) -> RevisionEras {
+        RevisionEras {
+            catalog: self.catalog.at.era,
+            catalog_version: self.catalog.version,
+            directory: self.directory.era,
+        }
+    }
+
+    /// Returns the revisions with what was sent beside them.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_message::{RevisionEras, Revisions};
+    ///
+    /// let revisions = Revisions::default().with_eras(RevisionEras::default());
+    /// assert_eq!(revisions, Revisions::default());
+    /// ```
+    #[must_use]
+    pub fn with_eras(mut self, eras: RevisionEras) -> Self {
+        self.catalog.at.era = eras.catalog;
+        self.catalog.version = eras.catalog_version;
+        self.directory.era = eras.directory;
+        self
+    }
+
     /// Returns whether a replica at these revisions has something that one at `other` lacks.
     ///
     /// ```
     /// use sardinewood::direct::membership::peer_message::Revisions;
+    /// use sardinewood::store::position::StorePosition;
     ///
-    /// let newer = Revisions { catalog: 1, directory: 0 };
+    /// let newer = Revisions { directory: StorePosition::new(0, 1), ..Revisions::default() };
     /// assert!(newer.is_ahead_of(Revisions::default()));
     /// ```
     #[must_use]
@@ -137,6 +221,9 @@
     /// in the datagram, where such builds ignore it.
     #[serde(skip)]
     pub host: Option<EntryHost>,
+    /// Whether the sender's build knows the store's eras. Without them, its revisions are of era 0.
+    #[serde(skip)]
+    pub knows_eras: bool,
 }
 
 /// Asks the receiver, who owns the customer's quota, to charge a request to it.
@@ -234,6 +321,8 @@
 
     /// Encodes the message as a datagram, or returns none if it would be too long.
     ///
+    /// What older builds do not know follows the message, where they ignore it.
+    ///
     /// ```
     /// use sardinewood::direct::membership::peer_message::{Heartbeat, PeerMessage};
     ///
@@ -243,13 +332,13 @@
     /// ```
     #[must_use]
     pub fn encode(&self) -> Option<Vec<u8>> {
-        let mut bytes = postcard::to_extend(self, vec![FORMAT_VERSION]).ok()?;
-        if let Self::Heartbeat(Heartbeat {
-            host: Some(host), ..
-        }) = self
-        {
-            bytes = postcard::to_extend(host, bytes).ok()?;
-        }
+        let bytes = postcard::to_extend(self, vec![FORMAT_VERSION]).ok()?;
+        let bytes = match self {
+            Self::Heartbeat(heartbeat) => encode_heartbeat_extension(heartbeat, bytes)?,
+            Self::Spread(message) => postcard::to_extend(&message.revisions.eras(), bytes).ok()?,
+            Self::Rollout(message) => postcard::to_extend(&message.position_era(), bytes).ok()?,
+            _ => bytes,
+        };
         (bytes.len() <= MAX_DATAGRAM_BYTES).then_some(bytes)
     }
 
@@ -264,9 +353,39 @@
             return None;
         };
         let (mut message, extension) = postcard::take_from_bytes(message).ok()?;
-        if let Self::Heartbeat(heartbeat) = &mut message {
-            heartbeat.host = postcard::from_bytes(extension).ok();
+        match &mut message {
+            Self::Heartbeat(heartbeat) => decode_heartbeat_extension(heartbeat, extension),
+            Self::Spread(message) => {
+                let eras = postcard::from_bytes(extension).unwrap_or_default();
+                message.revisions = message.revisions.with_eras(eras);
+            }
+            Self::Rollout(message) => {
+                message.set_position_era(postcard::from_bytes(extension).unwrap_or_default());
+            }
+            _ => {}
         }
         Some(message)
     }
 }
+
+fn encode_heartbeat_extension(heartbeat: &Heartbeat, bytes: Vec<u8>) -> Option<Vec<u8>> {
+    let Some(host) = heartbeat.host else {
+        return Some(bytes);
+    };
+    let bytes = postcard::to_extend(&host, bytes).ok()?;
+    if !heartbeat.knows_eras {
+        return Some(bytes);
+    }
+    postcard::to_extend(&heartbeat.revisions.eras(), bytes).ok()
+}
+
+fn decode_heartbeat_extension(heartbeat: &mut Heartbeat, extension: &[u8]) {
+    let Ok((host, eras)) = postcard::take_from_bytes(extension) else {
+        return;
+    };
+    heartbeat.host = Some(host);
+    if let Ok(eras) = postcard::from_bytes(eras) {
+        heartbeat.revisions = heartbeat.revisions.with_eras(eras);
+        heartbeat.knows_eras = true;
+    }
+}
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -27,6 +27,7 @@
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
 use crate::numbers;
+use crate::store::position::StorePosition;
 
 const RECEIVE_BUFFER_BYTES: usize = 2_048;
 
@@ -257,7 +258,7 @@
             .admission
             .borrow_mut()
             .set_limit_share(share, now_ms);
-        let has_list = self.channels.own_revisions.borrow().directory > 0;
+        let has_list = self.channels.own_revisions.borrow().directory > StorePosition::default();
         let watches_store = peers.watches_store(has_list, now_ms);
         send_if_changed(&self.channels.watches_store, watches_store);
         let targets = peers.heartbeat_targets().collect();
@@ -382,6 +383,7 @@
             loads: LoadChunk::of(dispatcher.running(traffic.now_ms()).collect(), self.round),
             spent: self.round_spent.clone(),
             host: Some(peers.own_host()),
+            knows_eras: true,
         }
     }
 }
--- a/lib/src/direct/replication/peer_pull.rs
+++ b/lib/src/direct/replication/peer_pull.rs
@@ -92,6 +92,7 @@
     };
     let request = postcard::to_stdvec(&own_revisions)
         .and_then(|request| postcard::to_extend(&puller, request))
+        .and_then(|request| postcard::to_extend(&own_revisions.eras(), request))
         .map_err(io::Error::other)?;
     let exchange = async {
         let mut channel = channel(TcpStream::connect(peer).await?);
@@ -173,11 +174,13 @@
         let request = receive(&mut channel).await?;
         let (theirs, extension) =
             postcard::take_from_bytes::<Revisions>(&request).map_err(io::Error::other)?;
-        let Ok(puller) = postcard::from_bytes::<Puller>(extension) else {
+        let Ok((puller, eras)) = postcard::take_from_bytes::<Puller>(extension) else {
             let update = self.follower.encoded_update(theirs, Encoding::Plain)?;
             self.follower.count_served("sent");
             return channel.send(update).await;
         };
+        // Builds without eras send none.
+        let theirs = theirs.with_eras(postcard::from_bytes(eras).unwrap_or_default());
         let update = self.follower.encoded_update(theirs, Encoding::Compressed)?;
         let is_long = update.len() >= LONG_UPDATE_BYTES;
         let long_send = is_long.then(|| LongSend::begin(&self.long_sends));
--- a/lib/src/direct/replication/rollout_follower.rs
+++ b/lib/src/direct/replication/rollout_follower.rs
@@ -19,6 +19,7 @@
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::store::ReadError;
+use crate::store::position::StorePosition;
 
 /// How long a watch waits for a change. A connection that falls silent is noticed only after this
 /// time and the call's timeout, which is soon enough for rollouts with windows of several seconds.
@@ -33,16 +34,16 @@
     Removed {
         /// The name of the object.
         name: Arc<str>,
-        /// The store's revision of the removal.
-        revision: u64,
+        /// The store's position at the removal.
+        revision: StorePosition,
     },
 }
 
 /// A batch of changes of rollouts.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct RolloutBatch {
-    /// The revision from which to watch next.
-    pub revision: u64,
+    /// The position from which to watch next.
+    pub position: StorePosition,
     /// The changes, or all rollouts if this is a list.
     pub events: Vec<RolloutEvent>,
 }
@@ -73,14 +74,14 @@
     /// When the store does not answer, or not as expected.
     fn list_rollouts(&self) -> impl Future<Output = Result<RolloutBatch, ReadError>>;
 
-    /// Waits for changes after a revision, and returns them.
+    /// Waits for changes after a position, and returns them.
     ///
     /// # Errors
     ///
     /// When the store does not answer, or no longer has the changes after that revision.
     fn watch_rollouts(
         &self,
-        after: u64,
+        after: StorePosition,
         wait_ms: u64,
     ) -> impl Future<Output = Result<RolloutBatch, ReadError>>;
 
@@ -101,8 +102,8 @@
 pub struct RolloutView {
     /// All rollouts.
     pub rollouts: Vec<Rollout>,
-    /// The store's revision of the list.
-    pub revision: u64,
+    /// The store's position of the list.
+    pub position: StorePosition,
 }
 
 /// Follows the rollouts in the store, and publishes them.
@@ -146,7 +147,7 @@
                     is_unavailable = false;
                     backoff.reset();
                     let is_first = after.is_none();
-                    after = Some(batch.revision);
+                    after = Some(batch.position);
                     self.apply(batch, is_first);
                     if is_first {
                         sleep(STARTUP_PAUSE).await;
@@ -185,9 +186,9 @@
             match store.write_status(&rollout, status).await {
                 Ok(written) => {
                     line(Level::Info, "roll-out status written").send();
-                    let revision = written.revision;
+                    let position = written.revision;
                     let events = vec![RolloutEvent::Put(written)];
-                    self.apply(RolloutBatch { revision, events }, false);
+                    self.apply(RolloutBatch { position, events }, false);
                 }
                 Err(error) => {
                     line(Level::Warn, "roll-out status not written")
@@ -220,18 +221,19 @@
     /// Applies a batch of changes, or all rollouts if `is_whole`, and publishes the result.
     fn apply(&self, batch: RolloutBatch, is_whole: bool) {
         let mut known = self.known.borrow_mut();
-        let is_newer = |known: &IndexMap<Arc<str>, Rollout>, name: &str, revision: u64| {
-            known
-                .get(name)
-                .is_none_or(|rollout| rollout.revision < revision)
-        };
+        let is_newer =
+            |known: &IndexMap<Arc<str>, Rollout>, name: &str, revision: StorePosition| {
+                known
+                    .get(name)
+                    .is_none_or(|rollout| rollout.revision < revision)
+            };
         if is_whole {
             let listed = |name: &Arc<str>| {
                 batch.events.iter().any(
                     |event| matches!(event, RolloutEvent::Put(rollout) if rollout.id.service == *name),
                 )
             };
-            known.retain(|name, rollout| rollout.revision > batch.revision || listed(name));
+            known.retain(|name, rollout| rollout.revision > batch.position || listed(name));
         }
         for event in batch.events {
             match event {
@@ -253,7 +255,7 @@
         self.view.send_modify(|view| {
             let view = view.get_or_insert_default();
             view.rollouts = rollouts;
-            view.revision = view.revision.max(batch.revision);
+            view.position = view.position.max(batch.position);
         });
     }
 }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -39,6 +39,7 @@
 use crate::store::ObjectList;
 use crate::store::ReadError;
 use crate::store::WatchBatch;
+use crate::store::position::StorePosition;
 
 /// How long a watch waits for a change. If a connection falls silent without closing, the next
 /// change is seen only after this time and the call's timeout, here or at the entry that takes
@@ -80,15 +81,15 @@
     /// When the store does not answer, or not as expected.
     fn list(&self, kind: &str) -> impl Future<Output = Result<ObjectList, ReadError>>;
 
-    /// Waits for changes of a kind after a revision, and returns them.
+    /// Waits for changes of a kind after a position, and returns them.
     ///
     /// # Errors
     ///
-    /// When the store does not answer, or no longer has the changes after that revision.
+    /// When the store does not answer, or no longer has the changes after that position.
     fn watch(
         &self,
         kind: &str,
-        after: u64,
+        after: StorePosition,
         wait_ms: u64,
     ) -> impl Future<Output = Result<WatchBatch, ReadError>>;
 }
@@ -171,8 +172,8 @@
     replica: Rc<RefCell<StoreReplica>>,
     channels: FollowerChannels,
     encoded_updates: Rc<RefCell<EncodedUpdates>>,
-    /// Revision of the list of upstreams before the last change sent to peers.
-    previous_directory: Rc<Cell<u64>>,
+    /// Position of the list of upstreams before the last change sent to peers.
+    previous_directory: Rc<Cell<StorePosition>>,
     started_at: Instant,
 }
 
@@ -260,12 +261,12 @@
                     .map(|batch| self.apply_batch(kind, batch, &outage)),
             };
             match read {
-                Ok(revision) => {
+                Ok(position) => {
                     self.channels.last_response.record();
                     outage.ended(kind);
                     backoff.reset();
-                    let pause = pause_after(after, revision);
-                    after = Some(revision);
+                    let pause = pause_after(after, position);
+                    after = Some(position);
                     sleep(pause).await;
                 }
                 Err(ReadError::TooOld) => after = None,
@@ -278,14 +279,14 @@
         }
     }
 
-    fn apply_list(&self, kind: &str, list: ObjectList, outage: &Outage) -> u64 {
-        let revision = list.revision;
+    fn apply_list(&self, kind: &str, list: ObjectList, outage: &Outage) -> StorePosition {
+        let position = list.position;
         self.note_store_return(kind, outage);
         self.apply_from_store(|replica, now_ms| replica.apply_list(kind, list, now_ms));
-        revision
+        position
     }
 
-    fn apply_batch(&self, kind: &str, batch: WatchBatch, outage: &Outage) -> u64 {
+    fn apply_batch(&self, kind: &str, batch: WatchBatch, outage: &Outage) -> StorePosition {
         self.note_store_return(kind, outage);
         if !batch.events.is_empty() {
             self.apply_from_store(|replica, now_ms| {
@@ -294,7 +295,7 @@
                 }
             });
         }
-        batch.revision
+        batch.position
     }
 
     /// Changes the replica by what the store has sent, publishes it, and tells the peers.
@@ -414,8 +415,8 @@
         // Each of hundreds of entries would write a line at each change.
         Line::new(Level::Debug, "update of a peer applied")
             .field("peer", peer)
-            .field("catalog_revision", after.catalog)
-            .field("catalog_revision_before", before.catalog)
+            .field("catalog_revision", after.catalog.at)
+            .field("catalog_revision_before", before.catalog.at)
             .field("directory_revision", after.directory)
             .field("directory_revision_before", before.directory)
             .send();
@@ -453,9 +454,9 @@
     }
 }
 
-/// Returns the pause before the next watch, given the known revision and the one that the store
+/// Returns the pause before the next watch, given the known position and the one that the store
 /// sent.
-fn pause_after(known: Option<u64>, received: u64) -> Duration {
+fn pause_after(known: Option<StorePosition>, received: StorePosition) -> Duration {
     match known {
         None => STARTUP_PAUSE,
         Some(known) if known != received => BATCH_PAUSE,
--- a/lib/src/direct/replication/update.rs
+++ b/lib/src/direct/replication/update.rs
@@ -4,6 +4,7 @@
 
 use crate::store::ObjectList;
 use crate::store::StoredObject;
+use crate::store::position::StorePosition;
 
 /// What one entry has beyond the revisions of another.
 #[derive(Clone, Debug, Default)]
@@ -26,12 +27,12 @@
 /// Changes in the list of upstreams.
 #[derive(Clone, Debug)]
 pub struct UpstreamListDelta {
-    /// The revision that the changes follow.
-    pub after: u64,
-    /// The revision that the changes lead to.
-    pub revision: u64,
+    /// The position that the changes follow.
+    pub after: StorePosition,
+    /// The position that the changes lead to.
+    pub position: StorePosition,
     /// New and changed objects.
     pub objects: Vec<StoredObject>,
-    /// Names of removed objects, each with the revision of its removal.
-    pub removed: Vec<(u64, Arc<str>)>,
+    /// Names of removed objects, each with the position of its removal.
+    pub removed: Vec<(StorePosition, Arc<str>)>,
 }
--- a/lib/src/direct/replication/update_codec.rs
+++ b/lib/src/direct/replication/update_codec.rs
@@ -14,6 +14,7 @@
 use crate::direct::replication::update::UpstreamListUpdate;
 use crate::store::ObjectList;
 use crate::store::StoredObject;
+use crate::store::position::StorePosition;
 
 /// Longest update that is accepted: twice the largest object of the store, and the upstreams.
 pub const MAX_UPDATE_BYTES: usize = 4 << 20;
@@ -36,6 +37,28 @@
     upstreams: Option<SentList>,
 }
 
+/// The eras of the positions in a [`SentUpdate`]. It follows the update, where builds without eras
+/// ignore it.
+#[derive(Clone, Copy, Debug, Default, Serialize, Deserialize)]
+struct SentEras {
+    catalog: u32,
+    upstreams: u32,
+}
+
+impl SentEras {
+    fn of(update: &ReplicaUpdate) -> Self {
+        let catalog = update.catalog.as_ref();
+        let upstreams = update.upstreams.as_ref().map(|upstreams| match upstreams {
+            UpstreamListUpdate::Full(list) => list.position.era,
+            UpstreamListUpdate::Delta(changes) => changes.position.era,
+        });
+        Self {
+            catalog: catalog.map_or(0, |object| object.version.era),
+            upstreams: upstreams.unwrap_or_default(),
+        }
+    }
+}
+
 /// An [`UpstreamListUpdate`] as sent.
 #[derive(Debug, Serialize, Deserialize)]
 struct SentList {
@@ -52,37 +75,44 @@
         match update {
             UpstreamListUpdate::Full(list) => Self {
                 after: None,
-                revision: list.revision,
+                revision: list.position.revision,
                 objects: sent(&list.objects),
                 removed: Vec::new(),
             },
             UpstreamListUpdate::Delta(changes) => Self {
-                after: Some(changes.after),
-                revision: changes.revision,
+                after: Some(changes.after.revision),
+                revision: changes.position.revision,
                 objects: sent(&changes.objects),
-                removed: changes.removed.clone(),
+                removed: changes
+                    .removed
+                    .iter()
+                    .map(|(position, name)| (position.revision, Arc::clone(name)))
+                    .collect(),
             },
         }
     }
 }
 
-impl TryFrom<SentList> for UpstreamListUpdate {
-    type Error = io::Error;
-
-    fn try_from(sent: SentList) -> io::Result<Self> {
-        let objects = sent
+impl SentList {
+    fn decode(self, era: u32) -> io::Result<UpstreamListUpdate> {
+        let objects = self
             .objects
             .into_iter()
-            .map(StoredObject::try_from)
+            .map(|object| object.decode(era))
             .collect::<io::Result<_>>()?;
-        let revision = sent.revision;
-        Ok(match sent.after {
-            None => Self::Full(ObjectList { revision, objects }),
-            Some(after) => Self::Delta(UpstreamListDelta {
-                after,
-                revision,
+        let at = |revision| StorePosition::new(era, revision);
+        let position = at(self.revision);
+        Ok(match self.after {
+            None => UpstreamListUpdate::Full(ObjectList { position, objects }),
+            Some(after) => UpstreamListUpdate::Delta(UpstreamListDelta {
+                after: at(after),
+                position,
                 objects,
-                removed: sent.removed,
+                removed: self
+                    .removed
+                    .into_iter()
+                    .map(|(revision, name)| (at(revision), name))
+                    .collect(),
             }),
         })
     }
@@ -102,21 +132,19 @@
         Self {
             kind: object.kind.to_string(),
             name: object.name.to_string(),
-            version: object.version,
+            version: object.version.revision,
             json: object.value.to_string(),
         }
     }
 }
 
-impl TryFrom<SentObject> for StoredObject {
-    type Error = io::Error;
-
-    fn try_from(sent: SentObject) -> io::Result<Self> {
-        Ok(Self {
-            kind: sent.kind.into(),
-            name: sent.name.into(),
-            version: sent.version,
-            value: serde_json::from_str(&sent.json).map_err(io::Error::other)?,
+impl SentObject {
+    fn decode(self, era: u32) -> io::Result<StoredObject> {
+        Ok(StoredObject {
+            kind: self.kind.into(),
+            name: self.name.into(),
+            version: StorePosition::new(era, self.version),
+            value: serde_json::from_str(&self.json).map_err(io::Error::other)?,
         })
     }
 }
@@ -136,12 +164,14 @@
         catalog: update.catalog.as_ref().map(|object| SentObject {
             kind: object.kind.to_string(),
             name: object.name.to_string(),
-            version: object.version,
+            version: object.version.revision,
             json: catalog_json.to_owned(),
         }),
         upstreams: update.upstreams.as_ref().map(SentList::from),
     };
-    let plain = postcard::to_stdvec(&sent).map_err(io::Error::other)?;
+    let plain = postcard::to_stdvec(&sent)
+        .and_then(|plain| postcard::to_extend(&SentEras::of(update), plain))
+        .map_err(io::Error::other)?;
     if encoding == Encoding::Plain {
         return Ok(plain);
     }
@@ -164,14 +194,15 @@
         Some((&COMPRESSED, block)) => decompress(block)?,
         _ => bytes.to_vec(),
     };
-    let sent: SentUpdate = postcard::from_bytes(&plain).map_err(io::Error::other)?;
-    let catalog = sent.catalog.map(StoredObject::try_from).transpose()?;
+    let (sent, extension): (SentUpdate, _) =
+        postcard::take_from_bytes(&plain).map_err(io::Error::other)?;
+    // Builds without eras send none.
+    let eras: SentEras = postcard::from_bytes(extension).unwrap_or_default();
+    let catalog = sent.catalog.map(|object| object.decode(eras.catalog));
+    let upstreams = sent.upstreams.map(|list| list.decode(eras.upstreams));
     Ok(ReplicaUpdate {
-        catalog: catalog.map(Arc::new),
-        upstreams: sent
-            .upstreams
-            .map(UpstreamListUpdate::try_from)
-            .transpose()?,
+        catalog: catalog.transpose()?.map(Arc::new),
+        upstreams: upstreams.transpose()?,
     })
 }
 
--- a/lib/src/direct/rollout/message.rs
+++ b/lib/src/direct/rollout/message.rs
@@ -9,6 +9,8 @@
 use crate::direct::rollout::object::RolloutId;
 use crate::direct::rollout::outcome_counts::OutcomeCounts;
 use crate::direct::rollout::outcome_counts::OutcomeKey;
+use crate::store::position::StorePosition;
+use crate::store::position::revision_only;
 
 /// Entries that collect the evidence of all others and write to the store. One would suffice; the
 /// others take over if it is killed or cut off.
@@ -183,7 +185,48 @@
     Withdrawn {
         /// The rollout.
         id: RolloutId,
-        /// The store's revision of the removal.
-        revision: u64,
+        /// The store's position at the removal.
+        #[serde(with = "revision_only")]
+        revision: StorePosition,
     },
 }
+
+impl RolloutMessage {
+    /// Returns the era of the position in the message, which is sent beside it: builds without eras
+    /// read the message as well.
+    ///
+    /// ```
+    /// use sardinewood::direct::rollout::{message::RolloutMessage, object::RolloutId};
+    /// use sardinewood::store::position::StorePosition;
+    ///
+    /// let id = RolloutId { service: "s".into(), to: "v2".into(), created: 7 };
+    /// let revision = StorePosition::new(2, 9);
+    /// assert_eq!(RolloutMessage::Withdrawn { id, revision }.position_era(), 2);
+    /// ```
+    #[must_use]
+    pub fn position_era(&self) -> u32 {
+        match self {
+            Self::State(state) => state.rollout.revision.era,
+            Self::Report(_) => 0,
+            Self::Withdrawn { revision, .. } => revision.era,
+        }
+    }
+
+    /// Sets the era that was sent beside the message.
+    ///
+    /// ```
+    /// # use sardinewood::direct::rollout::{message::RolloutMessage, object::RolloutId};
+    /// # use sardinewood::store::position::StorePosition;
+    /// # let id = RolloutId { service: "s".into(), to: "v2".into(), created: 7 };
+    /// let mut message = RolloutMessage::Withdrawn { id, revision: StorePosition::new(0, 9) };
+    /// message.set_position_era(2);
+    /// assert_eq!(message.position_era(), 2);
+    /// ```
+    pub fn set_position_era(&mut self, era: u32) {
+        match self {
+            Self::State(state) => state.rollout.revision.era = era,
+            Self::Report(_) => {}
+            Self::Withdrawn { revision, .. } => revision.era = era,
+        }
+    }
+}
--- a/lib/src/direct/rollout/object.rs
+++ b/lib/src/direct/rollout/object.rs
@@ -6,6 +6,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::store::position::StorePosition;
+use crate::store::position::revision_only;
+
 /// The status of a rollout in the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub enum RolloutStatus {
@@ -74,8 +77,9 @@
     pub id: RolloutId,
     /// The time that the rollout may take.
     pub window_ms: u64,
-    /// Revision of the object in the store.
-    pub revision: u64,
+    /// Position of the object in the store.
+    #[serde(with = "revision_only")]
+    pub revision: StorePosition,
     /// The status in the store.
     pub status: RolloutStatus,
 }
--- a/lib/src/direct/rollout/table.rs
+++ b/lib/src/direct/rollout/table.rs
@@ -22,6 +22,7 @@
 use crate::direct::rollout::serving_versions::ServingVersions;
 use crate::direct::rollout::verdict::RequestCounts;
 use crate::direct::store_view::directory::Upstream;
+use crate::store::position::StorePosition;
 
 /// Upstreams of the old version whose requests are compared with those of the new one.
 const CONTROL_UPSTREAMS: usize = 12;
@@ -92,7 +93,7 @@
     incarnation: u64,
     versions: ServingVersions,
     rollouts: IndexMap<Arc<str>, RolloutProgress>,
-    withdrawn: IndexMap<RolloutId, u64>,
+    withdrawn: IndexMap<RolloutId, StorePosition>,
     upstreams: Vec<Arc<Upstream>>,
     /// Hashes of the old version's upstreams that are compared with the new version.
     control: IndexSet<u32>,
@@ -189,7 +190,7 @@
     pub fn apply_stored(
         &mut self,
         rollouts: &[Rollout],
-        at: u64,
+        at: StorePosition,
         entries: usize,
         now_ms: u64,
     ) -> Vec<RolloutId> {
@@ -257,7 +258,7 @@
     }
 
     /// Removes a rollout that an operator has removed, and returns whether it was known.
-    pub fn withdraw(&mut self, id: &RolloutId, revision: u64) -> bool {
+    pub fn withdraw(&mut self, id: &RolloutId, revision: StorePosition) -> bool {
         let known = self.rollouts.get(&id.service);
         let is_known = known
             .is_some_and(|known| known.rollout().id == *id && known.rollout().revision < revision);
--- a/lib/src/direct/rollout_driver.rs
+++ b/lib/src/direct/rollout_driver.rs
@@ -109,7 +109,7 @@
         };
         let new = self.rollouts.borrow_mut().apply_stored(
             &view.rollouts,
-            view.revision,
+            view.position,
             self.fleet_size(),
             now_ms,
         );
@@ -130,7 +130,7 @@
                 });
                 self.broadcast_rollout(RolloutMessage::Withdrawn {
                     id: rollout.id,
-                    revision: view.revision,
+                    revision: view.position,
                 });
             }
         }
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -6,6 +6,8 @@
 
 use indexmap::IndexMap;
 
+use crate::store::position::StorePosition;
+
 /// Time for which an upstream that disappeared around an outage of the store is still used. Live
 /// upstreams rewrite their entries within about two seconds of the store's return; the rest is for
 /// the delay until this process sees them.
@@ -32,8 +34,8 @@
     pub service: Arc<str>,
     /// Version of the upstream's software.
     pub version: Arc<str>,
-    /// Revision of the upstream's entry in the store.
-    pub revision: u64,
+    /// Position of the upstream's entry in the store.
+    pub revision: StorePosition,
     /// Address that the upstream listens on.
     pub address: SocketAddr,
     /// Data centre of the upstream.
@@ -169,7 +171,7 @@
     /// let mut directory = Directory::default();
     /// directory.put(Upstream { instance: "i-1".into(), name: "i-1".into(), born_ms: None,
     ///     service: "s".into(), address: "127.0.0.1:80".parse().unwrap(),
-    ///     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: 1, is_leaving: false }, 0);
+    ///     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: Default::default(), is_leaving: false }, 0);
     /// assert_eq!(directory.usable().count(), 1);
     /// ```
     pub fn put(&mut self, upstream: Upstream, now_ms: u64) {
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -13,6 +13,7 @@
 use crate::direct::log_rate_limit;
 use crate::direct::log_rate_limit::LogCategory;
 use crate::direct::log_rate_limit::LogRateLimiter;
+use crate::direct::membership::peer_message::CatalogPosition;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::replication::update::ReplicaUpdate;
 use crate::direct::replication::update::UpstreamListDelta;
@@ -26,6 +27,7 @@
 use crate::store::ObjectList;
 use crate::store::StoredObject;
 use crate::store::WatchEvent;
+use crate::store::position::StorePosition;
 
 /// Maximum number of tombstones of removed upstreams, kept for peers that lag. Covers some minutes
 /// in a large fleet.
@@ -65,10 +67,10 @@
     /// The configuration's object as JSON text, as sent to peers.
     catalog_json: Arc<str>,
     objects: IndexMap<Arc<str>, StoredObject>,
-    /// Names of removed objects with the revisions of their removal, the oldest first.
-    tombstones: VecDeque<(u64, Arc<str>)>,
-    /// Revision up to which [`Self::tombstones`] has been truncated.
-    tombstones_cut_at: u64,
+    /// Names of removed objects with the positions of their removal, the oldest first.
+    tombstones: VecDeque<(StorePosition, Arc<str>)>,
+    /// Position up to which [`Self::tombstones`] has been truncated.
+    tombstones_cut_at: StorePosition,
     /// Names of objects that describe no upstream, so that each is logged once and not at each
     /// change.
     invalid_names: IndexSet<Arc<str>>,
@@ -89,7 +91,7 @@
             catalog_json: Arc::default(),
             objects: IndexMap::new(),
             tombstones: VecDeque::new(),
-            tombstones_cut_at: 0,
+            tombstones_cut_at: StorePosition::default(),
             invalid_names: IndexSet::new(),
             directory: Directory::default(),
             is_listed: false,
@@ -179,12 +181,12 @@
             self.apply_catalog(Arc::unwrap_or_clone(object));
         }
         match update.upstreams {
-            Some(UpstreamListUpdate::Full(list)) if list.revision > self.revisions.directory => {
+            Some(UpstreamListUpdate::Full(list)) if list.position > self.revisions.directory => {
                 self.apply_upstreams(list, now_ms);
             }
             Some(UpstreamListUpdate::Delta(changes))
                 if changes.after <= self.revisions.directory
-                    && changes.revision > self.revisions.directory =>
+                    && changes.position > self.revisions.directory =>
             {
                 self.apply_changes(changes, now_ms);
             }
@@ -202,7 +204,7 @@
             self.apply_removal(&name, version, now_ms);
         }
         self.is_listed = true;
-        self.revisions.directory = self.revisions.directory.max(changes.revision);
+        self.revisions.directory = self.revisions.directory.max(changes.position);
     }
 
     /// Returns the state that a peer lacks.
@@ -219,17 +221,17 @@
     /// Returns the changes in the list of upstreams after a revision, because lists of thousands of
     /// upstreams, sent to hundreds of peers at each change, would take hundreds of megabytes.
     /// Returns the whole list if the changes are not known back to the revision.
-    fn upstreams_since(&self, after: u64) -> UpstreamListUpdate {
-        let revision = self.revisions.directory;
-        if after == 0 || after < self.tombstones_cut_at {
+    fn upstreams_since(&self, after: StorePosition) -> UpstreamListUpdate {
+        let position = self.revisions.directory;
+        if after == StorePosition::default() || after < self.tombstones_cut_at {
             return UpstreamListUpdate::Full(ObjectList {
-                revision,
+                position,
                 objects: self.objects.values().cloned().collect(),
             });
         }
         UpstreamListUpdate::Delta(UpstreamListDelta {
             after,
-            revision,
+            position,
             objects: self
                 .objects
                 .values()
@@ -247,10 +249,10 @@
 
     fn apply_catalog(&mut self, object: StoredObject) {
         let is_catalog = *object.name == *self.decoders.catalog_name;
-        if is_catalog && object.version <= self.revisions.catalog {
+        if is_catalog && object.version <= self.revisions.catalog.at {
             self.log_older_catalog(&object);
         }
-        if !is_catalog || object.version <= self.revisions.catalog {
+        if !is_catalog || object.version <= self.revisions.catalog.at {
             return;
         }
         match (self.decoders.catalog)(&object) {
@@ -259,7 +261,10 @@
                     .revision(object.version)
                     .field("version", catalog.version)
                     .send();
-                self.revisions.catalog = object.version;
+                self.revisions.catalog = CatalogPosition {
+                    at: object.version,
+                    version: catalog.version,
+                };
                 self.catalog_json = object.value.to_string().into();
                 self.catalog = Some((Arc::new(object), Arc::new(catalog)));
             }
@@ -276,7 +281,7 @@
         if known.is_some_and(|(known, _)| known.value != object.value) {
             Line::new(Level::Info, "older configuration is not applied")
                 .revision(object.version)
-                .field("revision_in_force", self.revisions.catalog)
+                .field("revision_in_force", self.revisions.catalog.at)
                 .send();
         }
     }
@@ -287,7 +292,7 @@
     /// because otherwise an upstream that was removed would return, and one that restarted would be
     /// replaced by its previous incarnation.
     fn apply_upstreams(&mut self, list: ObjectList, now_ms: u64) {
-        let list_revision = list.revision;
+        let list_position = list.position;
         let listed: IndexSet<Arc<str>> = list
             .objects
             .iter()
@@ -299,20 +304,20 @@
         let missing: Vec<Arc<str>> = self
             .objects
             .values()
-            .filter(|object| object.version <= list_revision && !listed.contains(&object.name))
+            .filter(|object| object.version <= list_position && !listed.contains(&object.name))
             .map(|object| Arc::clone(&object.name))
             .collect();
         for name in missing {
-            self.remove(&name, list_revision, now_ms);
+            self.remove(&name, list_position, now_ms);
         }
         self.is_listed = true;
         Line::new(Level::Info, "upstreams listed")
             .field("count", self.objects.len())
-            .revision(list_revision)
+            .revision(list_position)
             .send();
     }
 
-    fn log_changed(&mut self, upstream: &Upstream, version: u64, now_ms: u64) {
+    fn log_changed(&mut self, upstream: &Upstream, version: StorePosition, now_ms: u64) {
         self.log(now_ms, "upstream changed", |line| {
             line.field("upstream", &upstream.name)
                 .field("born_ms", upstream.born_ms)
@@ -333,7 +338,7 @@
     }
 
     /// Removes an upstream, unless nothing so old is known of it. Returns whether it was known.
-    fn apply_removal(&mut self, name: &str, version: u64, now_ms: u64) -> bool {
+    fn apply_removal(&mut self, name: &str, version: StorePosition, now_ms: u64) -> bool {
         let known = self.objects.get(name);
         if known.is_none_or(|known| known.version > version) {
             self.revisions.directory = self.revisions.directory.max(version);
@@ -379,7 +384,7 @@
         }
     }
 
-    fn remove(&mut self, name: &str, version: u64, now_ms: u64) {
+    fn remove(&mut self, name: &str, version: StorePosition, now_ms: u64) {
         self.revisions.directory = self.revisions.directory.max(version);
         self.invalid_names.swap_remove(name);
         if let Some((name, _)) = self.objects.shift_remove_entry(name) {
@@ -388,7 +393,7 @@
         self.directory.remove(name, now_ms);
     }
 
-    fn add_tombstone(&mut self, name: Arc<str>, version: u64) {
+    fn add_tombstone(&mut self, name: Arc<str>, version: StorePosition) {
         self.tombstones.push_back((version, name));
         if self.tombstones.len() > MAX_TOMBSTONES
             && let Some((version, _)) = self.tombstones.pop_front()
--- a/lib/src/entry/candidates.rs
+++ b/lib/src/entry/candidates.rs
@@ -18,6 +18,7 @@
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::link::wire::Load;
+use crate::store::position::StorePosition;
 
 /// One link in this many may go to an agent of any data centre, so that the entry still has
 /// links when its own data centre is lost.
@@ -47,7 +48,7 @@
     /// Requests of this entry that ran there when the load report arrived.
     pub running_at_report: usize,
     /// The configuration revision that the agent reported last.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// When its last heartbeat arrived.
     pub heard_at_ms: Option<u64>,
     /// Requests of this entry with a reservation there.
@@ -68,7 +69,7 @@
             linked: None,
             load: Load::default(),
             running_at_report: 0,
-            revision: 0,
+            revision: StorePosition::default(),
             heard_at_ms: None,
             reserved: IndexSet::new(),
             running: IndexSet::new(),
--- a/lib/src/entry/control.rs
+++ b/lib/src/entry/control.rs
@@ -39,6 +39,7 @@
 use crate::logging::Line;
 use crate::metrics::Metrics;
 use crate::operator::messages::Decision;
+use crate::store::position::StorePosition;
 use crate::verdict::Failure;
 
 /// The maximum number of events handled in one batch before timers are checked.
@@ -63,7 +64,7 @@
     /// Whether this entry sends new work to the agent.
     pub takes_work: bool,
     /// The newest configuration revision that the agent reported.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// How long ago the last message from the agent arrived; absent if none has.
     pub heard_ms_ago: Option<u64>,
     /// The load that the agent last reported.
--- a/lib/src/entry/state.rs
+++ b/lib/src/entry/state.rs
@@ -45,6 +45,7 @@
 use crate::link::wire::AnswerEnd;
 use crate::link::wire::EntryMessage;
 use crate::ordering::queue::Place;
+use crate::store::position::StorePosition;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
 use crate::verdict::Outcome;
@@ -197,7 +198,7 @@
     /// Differs for each placement; breaks ties between agents with equal scores.
     nonce: u64,
     shutting_down: bool,
-    revision: u64,
+    revision: StorePosition,
     /// Whether the set of wanted links may have changed.
     links_changed: bool,
     steps: Vec<EntryStep>,
@@ -227,7 +228,7 @@
             now_ms: 0,
             nonce: seed,
             shutting_down: false,
-            revision: 0,
+            revision: StorePosition::default(),
             links_changed: false,
             steps: Vec::new(),
             rules,
@@ -299,7 +300,7 @@
     /// Returns whether new requests are accepted.
     #[must_use]
     pub fn is_ready(&self) -> bool {
-        !self.shutting_down && self.revision > 0
+        !self.shutting_down && self.revision > StorePosition::default()
     }
 
     /// Returns the current counts.
--- a/lib/src/entry/store_records.rs
+++ b/lib/src/entry/store_records.rs
@@ -42,6 +42,7 @@
 use crate::store::StoreClient;
 use crate::store::StoredObject;
 use crate::store::WriteAnswer;
+use crate::store::position::StorePosition;
 use crate::verdict::Failure;
 
 /// Time for which a claim must be unchanged before the sweep removes it: the longest deadline
@@ -54,7 +55,7 @@
     /// Names and versions of all claims of one kind.
     Listed {
         /// Name and version of each claim in the store.
-        claims: Vec<(Arc<str>, u64)>,
+        claims: Vec<(Arc<str>, StorePosition)>,
     },
     /// Result of a call about a claim.
     Claim {
@@ -329,7 +330,7 @@
         });
     }
 
-    fn spawn_bar_write(&self, order: OrderKey, place: Place, replace: Option<u64>) {
+    fn spawn_bar_write(&self, order: OrderKey, place: Place, replace: Option<StorePosition>) {
         let store = self.store.clone();
         let answers = self.answers.clone();
         self.traffic.spawn(async move {
@@ -349,7 +350,7 @@
     }
 }
 
-fn expected_version(version: Option<u64>) -> Expect {
+fn expected_version(version: Option<StorePosition>) -> Expect {
     version.map_or(Expect::Absent, Expect::Version)
 }
 
--- a/lib/src/link/pace.rs
+++ b/lib/src/link/pace.rs
@@ -12,6 +12,8 @@
 
 use tokio::time::Instant;
 
+use crate::store::position::StorePosition;
+
 /// What a heartbeat each way and its acknowledgement take on the wire, headers included.
 const BEAT_BYTES: u64 = 240;
 
@@ -119,7 +121,7 @@
     pub links: usize,
     /// The newest configuration revision that this process has. The other side is told of
     /// each new one within a heartbeat, on idle links as well.
-    pub revision: u64,
+    pub revision: StorePosition,
 }
 
 /// What to do about a link.
@@ -153,7 +155,7 @@
     heard_as_since_ms: u64,
     told_as: Watch,
     told_at_ms: Option<u64>,
-    told_revision: u64,
+    told_revision: StorePosition,
 }
 
 impl LinkPace {
--- a/lib/src/link/wire.rs
+++ b/lib/src/link/wire.rs
@@ -15,6 +15,8 @@
 use crate::ids::GrantId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::store::position::StorePosition;
+use crate::store::position::revision_only;
 
 /// Raised with each change of the messages that an older process could misread.
 pub const PROTOCOL_VERSION: u32 = 1;
@@ -82,7 +84,11 @@
     /// Opens the link.
     Hello(Hello),
     /// The link is alive; carries the newest configuration revision the sender knows.
-    Heartbeat { sequence: u64, revision: u64 },
+    Heartbeat {
+        sequence: u64,
+        #[serde(with = "revision_only")]
+        revision: StorePosition,
+    },
     /// Asks for a grant.
     Reserve(Reservation),
     /// Takes a reservation back; a grant under way is answered with [`Self::Decline`].
@@ -193,7 +199,8 @@
     /// The link is alive.
     Heartbeat {
         sequence: u64,
-        revision: u64,
+        #[serde(with = "revision_only")]
+        revision: StorePosition,
         load: Load,
     },
     /// There is room for the request; lapses unless it is answered in time.
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -30,6 +30,7 @@
 use crate::ids::AttemptId;
 use crate::ids::Incarnation;
 use crate::ids::RequestId;
+use crate::store::position::StorePosition;
 
 pub use spdlog::Level;
 
@@ -207,10 +208,14 @@
     /// ```
     /// use sardinewood::logging::{Level, Line};
     ///
-    /// assert!(Line::new(Level::Info, "applied").revision(3).json().contains("\"revision\":3"));
+    /// assert!(Line::new(Level::Info, "applied").revision(StorePosition::new(0, 3)).json().contains("\"revision\":3"));
     /// ```
-    pub fn revision(self, revision: u64) -> Self {
-        self.field("revision", revision)
+    pub fn revision(self, position: StorePosition) -> Self {
+        let line = self.field("revision", position.revision);
+        match position.era {
+            0 => line,
+            era => line.field("era", era),
+        }
     }
 
     /// The line's own fields as a JSON object.
--- a/lib/src/operator/api.rs
+++ b/lib/src/operator/api.rs
@@ -39,6 +39,7 @@
 use crate::store::ReadError;
 use crate::store::StoreClient;
 use crate::store::StoredObject;
+use crate::store::position::StorePosition;
 
 /// How often and how long fresh reports are waited for before "in force" is answered.
 const REPORT_ROUNDS: usize = 5;
@@ -161,7 +162,7 @@
     }
 
     /// How far a version has got, after those that lack it were asked for fresh reports.
-    pub(crate) async fn in_force(&self, key: &ObjectKey, version: u64) -> InForce {
+    pub(crate) async fn in_force(&self, key: &ObjectKey, version: StorePosition) -> InForce {
         let mut answer = self.in_force_as_heard(key, version).await;
         for _ in 0..REPORT_ROUNDS {
             let Some(spread) = &self.spread else {
@@ -182,11 +183,13 @@
         answer
     }
 
-    async fn in_force_as_heard(&self, key: &ObjectKey, version: u64) -> InForce {
+    async fn in_force_as_heard(&self, key: &ObjectKey, version: StorePosition) -> InForce {
         let processes = self.believed().await;
         let state = self.config.state();
         let state = state.borrow();
-        let current = state.get(key).map_or(0, |(version, _)| version);
+        let current = state
+            .get(key)
+            .map_or(StorePosition::default(), |(version, _)| version);
         let lacking = (!state.has(key, version)).then_some(&self.entry);
         in_force(&processes, lacking, version, current.max(version))
     }
--- a/lib/src/operator/change.rs
+++ b/lib/src/operator/change.rs
@@ -30,6 +30,7 @@
 use crate::store::StoreClient;
 use crate::store::StoredObject;
 use crate::store::WriteAnswer;
+use crate::store::position::StorePosition;
 
 /// The pauses before the reads that settle a lost answer. Together they fit into the time
 /// that an operator waits for a page; after them the operator asks again.
@@ -77,7 +78,7 @@
     /// An earlier call with the same id has done it.
     AlreadyDone {
         /// The version that the store gave it.
-        version: u64,
+        version: StorePosition,
     },
     /// The object is not as expected.
     Conflict,
@@ -111,7 +112,7 @@
 ) -> Judgement {
     let version = current.map(|object| object.version);
     let record = current.map_or_else(Record::default, record_of);
-    if let Some(version) = record.version_of(&request.id, version.unwrap_or(0)) {
+    if let Some(version) = record.version_of(&request.id, version.unwrap_or_default()) {
         return Judgement::AlreadyDone { version };
     }
     let exists = record.spec.is_some();
@@ -298,11 +299,14 @@
     let read = store.get(request.kind.as_str(), &request.name).await;
     let current = read.map_err(NotDone::Store)?;
     let held = config.state().borrow().get(&key_of(request));
-    let shown = current.as_ref().map_or(0, |object| object.version);
+    let shown = current
+        .as_ref()
+        .map_or(StorePosition::default(), |object| object.version);
     // A replica that lags or was restored shows an old record. To write on top of it would
     // drop the changes in between from the audit trail. An object that the store removed
     // without a record is held without content, and may be absent.
-    let is_behind = |(version, content): (u64, Option<_>)| content.is_some() && shown < version;
+    let is_behind =
+        |(version, content): (StorePosition, Option<_>)| content.is_some() && shown < version;
     if held.is_some_and(is_behind) {
         return Err(NotDone::Behind);
     }
--- a/lib/src/operator/messages.rs
+++ b/lib/src/operator/messages.rs
@@ -10,6 +10,7 @@
 
 use crate::config::audit::Change;
 use crate::config::object::Kind;
+use crate::store::position::StorePosition;
 
 /// An object as operators see it.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -19,7 +20,7 @@
     /// Its name within the kind.
     pub name: Arc<str>,
     /// The store's version of it.
-    pub version: u64,
+    pub version: StorePosition,
     /// The object proper; absent once it is removed.
     pub spec: Option<Value>,
     /// The change that made it so, if it was recorded.
@@ -34,7 +35,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct ObjectViews {
     /// The newest revision that is part of it.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// The objects in order of their names; a removed one has no `spec`.
     pub objects: Vec<ObjectView>,
 }
@@ -54,7 +55,7 @@
     /// It does not exist.
     Absent,
     /// It exists in this version.
-    Version(u64),
+    Version(StorePosition),
 }
 
 /// What a change does.
@@ -119,7 +120,7 @@
     /// The store holds it. It will be in force everywhere and will not revert.
     Accepted {
         /// The version that the store gave it.
-        version: u64,
+        version: StorePosition,
     },
     /// A dry run found nothing wrong.
     Checked {
@@ -177,7 +178,7 @@
     /// Its name.
     pub name: Arc<str>,
     /// The version that the store gave the change.
-    pub version: u64,
+    pub version: StorePosition,
     /// Who, when, why and from where; absent if the object was written without a record.
     pub change: Option<Change>,
     /// The object before; absent when the change created it or the record is not kept.
@@ -233,7 +234,7 @@
     /// `entry` or `agent`.
     pub role: Arc<str>,
     /// The configuration revision in force there, as far as it is known.
-    pub revision: Option<u64>,
+    pub revision: Option<StorePosition>,
     /// How long ago it was last heard; absent if it never was.
     pub heard_ms_ago: Option<u64>,
 }
@@ -261,7 +262,7 @@
     /// The entry that answers.
     pub entry: Arc<str>,
     /// The configuration revision in force there.
-    pub revision: u64,
+    pub revision: StorePosition,
     /// Whether the store answered the last call.
     pub is_store_reachable: bool,
     /// Requests that wait in this entry, by tier.
--- a/lib/src/operator/page_changes.rs
+++ b/lib/src/operator/page_changes.rs
@@ -35,6 +35,7 @@
 use crate::operator::routes::remote_address;
 use crate::operator::session::form_key;
 use crate::operator::session::is_form_key;
+use crate::store::position::StorePosition;
 
 /// Shows what draining, stopping or resuming will do, and asks for the operator's word.
 #[handler]
@@ -117,7 +118,7 @@
     Ok(html(StatusCode::OK, &form.name, &body))
 }
 
-async fn accepted(api: &OperatorApi, asked: &ChangeRequest, version: u64) -> String {
+async fn accepted(api: &OperatorApi, asked: &ChangeRequest, version: StorePosition) -> String {
     let key = ObjectKey {
         kind: asked.kind,
         name: Arc::clone(&asked.name),
@@ -130,7 +131,7 @@
 }
 
 /// How far a version has got, and a link to look again.
-fn progress(key: &ObjectKey, version: u64, in_force: &InForce) -> String {
+fn progress(key: &ObjectKey, version: StorePosition, in_force: &InForce) -> String {
     let mut html = format!(
         "<p>In force on <b>{} of {}</b> processes.</p>",
         in_force.count(),
@@ -233,7 +234,7 @@
 
 #[handler]
 pub(crate) async fn show_in_force(
-    Path((kind, name, version)): Path<(String, String, u64)>,
+    Path((kind, name, version)): Path<(String, String, StorePosition)>,
     Data(api): Data<&Arc<OperatorApi>>,
 ) -> poem::Result<Response> {
     let kind = Kind::parse(&kind).ok_or_else(|| problem(StatusCode::NOT_FOUND))?;
--- a/lib/src/operator/queries.rs
+++ b/lib/src/operator/queries.rs
@@ -24,6 +24,7 @@
 use crate::operator::messages::ProcessView;
 use crate::operator::messages::UpstreamView;
 use crate::store::StoredObject;
+use crate::store::position::StorePosition;
 
 /// An entry that was not heard for so long is not believed to run.
 const ENTRY_GONE_MS: u64 = 60_000;
@@ -108,7 +109,7 @@
 /// assert!(changed_after(&ConfigState::default(), 0).objects.is_empty());
 /// ```
 #[must_use]
-pub fn changed_after(state: &ConfigState, after: u64) -> ObjectViews {
+pub fn changed_after(state: &ConfigState, after: StorePosition) -> ObjectViews {
     let newer = state.answer_peer(after).objects.into_iter();
     let newer = newer.filter(|object| object.version > after);
     ObjectViews {
@@ -126,7 +127,7 @@
 /// assert_eq!(sardinewood::operator::queries::revision_of(&state), 0);
 /// ```
 #[must_use]
-pub fn revision_of(state: &ConfigState) -> u64 {
+pub fn revision_of(state: &ConfigState) -> StorePosition {
     let digest = state.digest();
     digest.complete_through.max(digest.newest)
 }
@@ -180,8 +181,8 @@
 pub fn in_force(
     processes: &IndexMap<Arc<str>, Believed>,
     lacking: Option<&Arc<str>>,
-    version: u64,
-    current: u64,
+    version: StorePosition,
+    current: StorePosition,
 ) -> InForce {
     let has = |process: &Believed| {
         let report = process.member.as_ref().map(|member| &member.report);
@@ -326,7 +327,7 @@
 }
 
 /// The changes of one object, oldest first.
-fn entries_of(key: &ObjectKey, version: u64, record: Record) -> Vec<AuditEntry> {
+fn entries_of(key: &ObjectKey, version: StorePosition, record: Record) -> Vec<AuditEntry> {
     let mut before = None;
     let mut entries = Vec::new();
     let past = record.history.into_iter();
--- a/lib/src/operator/retention.rs
+++ b/lib/src/operator/retention.rs
@@ -13,6 +13,7 @@
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::store::StoreClient;
+use crate::store::position::StorePosition;
 
 /// How long the record of a removed object is kept: 90 days.
 pub const RETENTION_MS: u64 = 90 * 24 * 60 * 60 * 1_000;
@@ -29,7 +30,7 @@
 /// assert!(expired(&ConfigState::default(), 0).is_empty());
 /// ```
 #[must_use]
-pub fn expired(state: &ConfigState, now_ms: u64) -> Vec<(ObjectKey, u64)> {
+pub fn expired(state: &ConfigState, now_ms: u64) -> Vec<(ObjectKey, StorePosition)> {
     let keys = Kind::ALL.into_iter().flat_map(|kind| state.keys(kind));
     let expired = keys.filter_map(|key| {
         let (version, content) = state.get(&key)?;
--- a/lib/src/operator/routes.rs
+++ b/lib/src/operator/routes.rs
@@ -33,6 +33,7 @@
 use crate::operator::queries::revision_of;
 use crate::operator::queries::view_of;
 use crate::operator::queries::views_of;
+use crate::store::position::StorePosition;
 
 /// The longest body of a call: the longest object and some words.
 const MAX_BODY_BYTES: usize = 1 << 20;
@@ -118,7 +119,7 @@
 
 #[derive(Deserialize)]
 struct VersionQuery {
-    version: u64,
+    version: StorePosition,
 }
 
 #[handler]
@@ -133,7 +134,7 @@
 
 #[derive(Deserialize)]
 struct WatchQuery {
-    after: u64,
+    after: StorePosition,
     #[serde(default)]
     wait_ms: u64,
 }
--- a/lib/src/ordering.rs
+++ b/lib/src/ordering.rs
@@ -27,6 +27,7 @@
 use crate::ordering::queue::OrderStep;
 use crate::ordering::queue::Place;
 use crate::ordering::queue::StoredQueue;
+use crate::store::position::StorePosition;
 use crate::verdict::Failure;
 use crate::verdict::FailureReason;
 
@@ -53,7 +54,7 @@
     Settling {
         holder: Holder,
         /// The version of the head's claim.
-        version: u64,
+        version: StorePosition,
         /// When the agent is asked again.
         retry_at_ms: u64,
     },
@@ -134,7 +135,7 @@
 /// let mut orders = OrderQueues::new(OrderRules::default());
 /// orders.join(0, order, place);
 /// orders.handle_response(2, order, OrderResponse::Current(Default::default()));
-/// let steps = orders.handle_response(4, order, OrderResponse::Written { version: Some(7) });
+/// let steps = orders.handle_response(4, order, OrderResponse::Written { version: Some(StorePosition::new(0, 7)) });
 /// assert_eq!(steps, [OrderStep::Turn { request: RequestId(1) }]);
 /// # Ok::<(), sardinewood::claims::idempotency::KeyError>(())
 /// ```
@@ -438,7 +439,7 @@
 
     /// Starts to bar the head; `replace` is the version of its claim if the claim's attempt was
     /// settled as never sent.
-    fn bar_head(&mut self, order: OrderKey, place: Place, replace: Option<u64>) {
+    fn bar_head(&mut self, order: OrderKey, place: Place, replace: Option<StorePosition>) {
         if let Some(state) = self.queues.get_mut(&order) {
             state.head_check = HeadCheck::Barring;
             self.steps.push(OrderStep::Bar {
--- a/lib/src/ordering/queue.rs
+++ b/lib/src/ordering/queue.rs
@@ -9,6 +9,7 @@
 use crate::claims::idempotency::KeyError;
 use crate::claims::object::Holder;
 use crate::ids::RequestId;
+use crate::store::position::StorePosition;
 use crate::verdict::Failure;
 
 /// The object kind under which order queues are stored.
@@ -66,7 +67,7 @@
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct StoredQueue {
     /// The version of the object; absent if there is none.
-    pub version: Option<u64>,
+    pub version: Option<StorePosition>,
     /// The queue; empty if there is no object.
     pub queue: OrderQueue,
 }
@@ -80,14 +81,14 @@
     /// `None`.
     Write {
         /// The version to replace.
-        expected: Option<u64>,
+        expected: Option<StorePosition>,
         /// The queue to write.
         queue: OrderQueue,
     },
     /// Remove the object of an empty queue if it is at this version.
     Delete {
         /// The version to remove.
-        version: u64,
+        version: StorePosition,
     },
 }
 
@@ -97,7 +98,7 @@
     /// The write took effect; the version is absent after a removal.
     Written {
         /// The new version.
-        version: Option<u64>,
+        version: Option<StorePosition>,
     },
     /// The stored queue: the call was a read, or a write that did not take effect.
     Current(StoredQueue),
@@ -115,7 +116,7 @@
         /// The attempt that may run, and its agent.
         holder: Holder,
         /// The version of the claim.
-        version: u64,
+        version: StorePosition,
     },
     /// No usable response.
     Lost,
@@ -141,7 +142,7 @@
         place: Place,
         /// The version of the claim to replace, whose attempt was settled as never sent; if
         /// absent, the bar is written only if there is no claim.
-        replace: Option<u64>,
+        replace: Option<StorePosition>,
     },
     /// Ask the agent to settle an attempt, and pass the settlement to
     /// [`crate::ordering::OrderQueues::handle_settlement`].
--- a/lib/src/settings/setting.rs
+++ b/lib/src/settings/setting.rs
@@ -9,6 +9,8 @@
 
 use crate::secrets::REDACTED;
 use crate::secrets::Secret;
+use crate::store::position::PositionError;
+use crate::store::position::StorePosition;
 use crate::value_check::check_base_url;
 use crate::value_check::check_name;
 
@@ -284,6 +286,35 @@
         Self::new(flag, help, Box::new(set), Box::new(show))
     }
 
+    /// A position of a store that may be left out.
+    ///
+    /// ```
+    /// use sardinewood::settings::setting::Setting;
+    /// use sardinewood::store::position::StorePosition;
+    ///
+    /// let setting = Setting::optional_position(
+    ///     "expect-version",
+    ///     "Version.",
+    ///     |own: &mut Option<StorePosition>| own,
+    /// );
+    /// assert_eq!(setting.variable(), "SARDINEWOOD_EXPECT_VERSION");
+    /// ```
+    pub fn optional_position(
+        flag: &'static str,
+        help: &'static str,
+        field: fn(&mut S) -> &mut Option<StorePosition>,
+    ) -> Self {
+        let set = move |settings: &mut S, text: &str| {
+            let position = text
+                .parse()
+                .map_err(|error: PositionError| error.to_string())?;
+            *field(settings) = Some(position);
+            Ok(())
+        };
+        let show = move |settings: &mut S| show_optional(field(settings).as_ref());
+        Self::new(flag, help, Box::new(set), Box::new(show))
+    }
+
     /// A secret: from the variable, or from the file that `--FLAG-file` names.
     ///
     /// ```
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -6,6 +6,7 @@
 
 pub mod duty;
 pub mod era;
+pub mod position;
 pub(crate) mod types;
 
 use std::sync::Arc;
@@ -22,6 +23,8 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::store::position::StorePosition;
+
 pub use crate::store::types::CallCounts;
 pub use crate::store::types::Expect;
 pub use crate::store::types::Host;
@@ -174,18 +177,19 @@
     ///
     /// ```no_run
     /// # async fn read(store: sardinewood::store::StoreClient) {
-    /// let changes = store.watch(&["profiles"], 41, 30_000).await;
+    /// let changes = store.watch(&["profiles"], StorePosition::new(0, 41), 30_000).await;
     /// # }
     /// ```
     pub async fn watch(
         &self,
         kinds: &[&str],
-        after: u64,
+        after: StorePosition,
         wait_ms: u64,
     ) -> Result<WatchBatch, ReadError> {
         self.counters.watches.fetch_add(1, Ordering::Relaxed);
         let kinds = kinds.join(",");
-        let path = format!("/v1/watch?kinds={kinds}&after={after}&wait_ms={wait_ms}");
+        let revision = after.revision;
+        let path = format!("/v1/watch?kinds={kinds}&after={revision}&wait_ms={wait_ms}");
         let timeout = Duration::from_millis(wait_ms + WATCH_GRACE_MS);
         decode(self.read(&path, timeout).await?).await
     }
@@ -212,7 +216,7 @@
     /// # async fn write(store: sardinewood::store::StoreClient) {
     /// use sardinewood::store::Expect;
     /// let value = serde_json::json!({"weight": 3});
-    /// let answer = store.put("customers", "rundu", Expect::Version(7), &value).await;
+    /// let answer = store.put("customers", "rundu", Expect::Version(StorePosition::new(0, 7)), &value).await;
     /// # }
     /// ```
     pub async fn put(&self, kind: &str, name: &str, expect: Expect, value: &Value) -> WriteAnswer {
@@ -226,10 +230,10 @@
     ///
     /// ```no_run
     /// # async fn write(store: sardinewood::store::StoreClient) {
-    /// let answer = store.delete("customers", "rundu", 7).await;
+    /// let answer = store.delete("customers", "rundu", StorePosition::new(0, 7)).await;
     /// # }
     /// ```
-    pub async fn delete(&self, kind: &str, name: &str, version: u64) -> WriteAnswer {
+    pub async fn delete(&self, kind: &str, name: &str, version: StorePosition) -> WriteAnswer {
         let path = object_path(kind, name);
         let request = self.request(Method::DELETE, &path, self.call_timeout);
         self.write(request, Expect::Version(version)).await
@@ -269,7 +273,9 @@
         self.counters.writes.fetch_add(1, Ordering::Relaxed);
         let request = match expect {
             Expect::Absent => request.header(header::IF_NONE_MATCH, "*"),
-            Expect::Version(version) => request.header(header::IF_MATCH, format!("\"{version}\"")),
+            Expect::Version(version) => {
+                request.header(header::IF_MATCH, format!("\"{}\"", version.revision))
+            }
         };
         match request.send().await {
             Ok(response) => written(response).await,
@@ -287,7 +293,7 @@
 /// The body of an accepted write.
 #[derive(Deserialize)]
 struct Accepted {
-    version: u64,
+    version: StorePosition,
 }
 
 /// What a write's answer says.
--- a/lib/src/store/types.rs
+++ b/lib/src/store/types.rs
@@ -6,6 +6,8 @@
 use serde::Serialize;
 use serde_json::Value;
 
+use crate::store::position::StorePosition;
+
 /// An object as the store holds it.
 ///
 /// ```
@@ -14,7 +16,7 @@
 /// let object: StoredObject = serde_json::from_str(
 ///     r#"{"kind": "profiles", "name": "lookup", "version": 7, "value": {}}"#,
 /// ).unwrap();
-/// assert_eq!(object.version, 7);
+/// assert_eq!(object.version.revision, 7);
 /// ```
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct StoredObject {
@@ -22,17 +24,18 @@
     pub kind: Arc<str>,
     /// Its name within the collection.
     pub name: Arc<str>,
-    /// The store's revision at its last write.
-    pub version: u64,
+    /// The store's position at its last write.
+    pub version: StorePosition,
     /// What was written.
     pub value: Value,
 }
 
-/// All objects of some kinds at one revision.
+/// All objects of some kinds at one position.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct ObjectList {
-    /// The store's revision at which the list is complete.
-    pub revision: u64,
+    /// The store's position at which the list is complete.
+    #[serde(rename = "revision")]
+    pub position: StorePosition,
     /// The objects, in no order that matters.
     pub objects: Vec<StoredObject>,
 }
@@ -49,16 +52,17 @@
         kind: Arc<str>,
         /// Its name within the collection.
         name: Arc<str>,
-        /// The store's revision at the removal.
-        version: u64,
+        /// The store's position at the removal.
+        version: StorePosition,
     },
 }
 
 /// The changes after a revision.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct WatchBatch {
-    /// The revision to watch from next.
-    pub revision: u64,
+    /// The position to watch from next.
+    #[serde(rename = "revision")]
+    pub position: StorePosition,
     /// The changes, oldest first.
     pub events: Vec<WatchEvent>,
 }
@@ -92,7 +96,7 @@
     /// No object of this name.
     Absent,
     /// The object at this version.
-    Version(u64),
+    Version(StorePosition),
 }
 
 /// What is known after a write.
@@ -101,7 +105,7 @@
     /// It took effect.
     Written {
         /// The version that the store gave it.
-        version: u64,
+        version: StorePosition,
     },
     /// It did not take effect, because the object is not as expected.
     Conflict {
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -4,6 +4,7 @@
 
 use sardinewood::direct::placement::job::Job;
 use sardinewood::direct::store_view::directory::Upstream;
+use sardinewood::store::position::StorePosition;
 
 /// Returns an engine with this many slots.
 pub fn upstream(name: &str, slots: u32) -> Arc<Upstream> {
@@ -16,7 +17,7 @@
         data_centre: "hall".into(),
         slots,
         version: "v1".into(),
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         is_leaving: false,
     })
 }
--- a/lib/tests/fleet_fixture.rs
+++ b/lib/tests/fleet_fixture.rs
@@ -16,6 +16,7 @@
 use sardinewood::entry::settings::EntrySettings;
 use sardinewood::entry::state::EntryCounts;
 use sardinewood::metrics::Metrics;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -170,7 +171,7 @@
 fn change(catalog: &watch::Sender<Arc<Catalog>>, change: impl FnOnce(&mut Catalog)) {
     catalog.send_modify(|catalog| {
         let mut next = Catalog::clone(catalog);
-        next.revision += 1;
+        next.revision = next.revision.following();
         change(&mut next);
         *catalog = Arc::new(next);
     });
@@ -187,7 +188,7 @@
 
 fn callers_catalog() -> Catalog {
     let mut catalog = Catalog {
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         ..Catalog::default()
     };
     let profile = json!({"name": "summary", "tier": 0, "deadline_ms": 25_000});
--- a/lib/tests/spread_fixture.rs
+++ b/lib/tests/spread_fixture.rs
@@ -17,6 +17,7 @@
 use sardinewood::config::spread_message::SPREAD_PROTOCOL;
 use sardinewood::config::state::ConfigState;
 use sardinewood::ids::Incarnation;
+use sardinewood::store::position::StorePosition;
 
 /// How long one step of the network takes.
 const STEP_MS: u64 = 5;
@@ -31,7 +32,7 @@
 
 enum Message {
     Datagram(Datagram),
-    Fetch { after: u64 },
+    Fetch { after: StorePosition },
 }
 
 pub struct Network {
@@ -154,7 +155,7 @@
         self.carry_out(to, actions);
     }
 
-    fn fetch(&mut self, asker: usize, answerer: usize, after: u64, cut: bool) {
+    fn fetch(&mut self, asker: usize, answerer: usize, after: StorePosition, cut: bool) {
         self.processes[asker].spread.fetch_ended();
         if !cut {
             let answer = self.processes[answerer].state.answer_peer(after);
--- a/lib/tests/test_caller_api.rs
+++ b/lib/tests/test_caller_api.rs
@@ -31,6 +31,7 @@
 use sardinewood::link::wire::Hello;
 use sardinewood::link::wire::PROTOCOL_VERSION;
 use sardinewood::metrics::Metrics;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 use serde_json::json;
 use sha2::Digest;
@@ -151,7 +152,7 @@
 
 fn catalog(agent_address: &str) -> Catalog {
     let mut catalog = Catalog {
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         ..Catalog::default()
     };
     let upstream = json!({
--- a/lib/tests/test_claim_sweep.rs
+++ b/lib/tests/test_claim_sweep.rs
@@ -4,13 +4,14 @@
 
 use sardinewood::claims::sweep::ClaimSweep;
 use sardinewood::claims::sweep::SweepStep;
+use sardinewood::store::position::StorePosition;
 
 const UNCHANGED_MS: u64 = 600_000;
 
-fn claims(versions: &[(&str, u64)]) -> Vec<(Arc<str>, u64)> {
+fn claims(versions: &[(&str, u64)]) -> Vec<(Arc<str>, StorePosition)> {
     versions
         .iter()
-        .map(|(name, version)| (Arc::from(*name), *version))
+        .map(|(name, version)| (Arc::from(*name), StorePosition::new(0, *version)))
         .collect()
 }
 
@@ -18,7 +19,7 @@
     steps
         .iter()
         .filter_map(|step| match step {
-            SweepStep::Remove { name, version, .. } => Some((&**name, *version)),
+            SweepStep::Remove { name, version, .. } => Some((&**name, version.revision)),
             SweepStep::List { .. } => None,
         })
         .collect()
--- a/lib/tests/test_claims.rs
+++ b/lib/tests/test_claims.rs
@@ -17,6 +17,7 @@
 use sardinewood::ids::GrantId;
 use sardinewood::ids::Incarnation;
 use sardinewood::ids::RequestId;
+use sardinewood::store::position::StorePosition;
 use sardinewood::verdict::Failure;
 use sardinewood::verdict::FailureReason;
 
@@ -47,7 +48,7 @@
 fn stored(version: u64, holder: Holder) -> StoreResponse {
     let digest = claim_request(holder.clone()).digest.to_string().into();
     StoreResponse::Current(Some(StoredClaim {
-        version,
+        version: StorePosition::new(0, version),
         claim: Some(Claim {
             digest: Some(digest),
             state: ClaimState::Held(holder),
@@ -63,7 +64,7 @@
 }
 
 fn is_write(steps: &[ClaimStep], at: Option<u64>) -> bool {
-    matches!(steps, [ClaimStep::Call { call: StoreCall::Write { expected, .. }, .. }] if *expected == at)
+    matches!(steps, [ClaimStep::Call { call: StoreCall::Write { expected, .. }, .. }] if expected.map(|expected| expected.revision) == at)
 }
 
 fn is_read(steps: &[ClaimStep]) -> bool {
@@ -213,7 +214,7 @@
 fn claim_barred_loses_its_place_and_a_repetition_does_not() {
     let bar = |request| {
         StoreResponse::Current(Some(StoredClaim {
-            version: 9,
+            version: StorePosition::new(0, 9),
             claim: Some(Claim {
                 digest: None,
                 state: ClaimState::Barred { request },
@@ -239,9 +240,21 @@
     let mut claims = Claims::new(ClaimRules::default());
     claims.claim(0, claim_request(holder(OURS, 1, 7)));
     assert_eq!(claims.claim(2, claim_request(holder(OURS, 1, 8))), []);
-    let steps = claims.handle_response(5, OURS, StoreResponse::Written { version: 9 });
+    let steps = claims.handle_response(
+        5,
+        OURS,
+        StoreResponse::Written {
+            version: StorePosition::new(0, 9),
+        },
+    );
     assert!(is_write(&steps, Some(9)), "{steps:?}");
-    let steps = claims.handle_response(8, OURS, StoreResponse::Written { version: 10 });
+    let steps = claims.handle_response(
+        8,
+        OURS,
+        StoreResponse::Written {
+            version: StorePosition::new(0, 10),
+        },
+    );
     assert_eq!(decision(&steps), Some(&ClaimDecision::Dispatch));
 }
 
@@ -272,7 +285,9 @@
 
 #[test]
 fn confirm_not_run_nobody_has_run_it() {
-    let steps = check_not_run(StoreResponse::Written { version: 9 });
+    let steps = check_not_run(StoreResponse::Written {
+        version: StorePosition::new(0, 9),
+    });
     let [
         ClaimStep::Call { call, .. },
         ClaimStep::Decided { decision, .. },
@@ -282,7 +297,9 @@
     };
     assert_eq!(
         *call,
-        StoreCall::Delete { version: 9 },
+        StoreCall::Delete {
+            version: StorePosition::new(0, 9)
+        },
         "the bar is removed"
     );
     let not_run = Failure::not_run(FailureReason::TooLate);
@@ -326,7 +343,13 @@
 fn finish_keeps_the_name_for_its_retention() {
     let mut claims = Claims::new(ClaimRules::default());
     claims.claim(0, claim_request(holder(OURS, 1, 7)));
-    claims.handle_response(5, OURS, StoreResponse::Written { version: 9 });
+    claims.handle_response(
+        5,
+        OURS,
+        StoreResponse::Written {
+            version: StorePosition::new(0, 9),
+        },
+    );
     assert_eq!(claims.finish(1_000, OURS, true), []);
     assert_eq!(claims.tick(600_999), []);
     let steps = claims.tick(601_000);
@@ -334,13 +357,21 @@
         matches!(
             steps[..],
             [ClaimStep::Call {
-                call: StoreCall::Delete { version: 9 },
+                call: StoreCall::Delete {
+                    version: StorePosition { revision: 9, .. }
+                },
                 ..
             }]
         ),
         "{steps:?}"
     );
-    claims.handle_response(601_005, OURS, StoreResponse::Written { version: 10 });
+    claims.handle_response(
+        601_005,
+        OURS,
+        StoreResponse::Written {
+            version: StorePosition::new(0, 10),
+        },
+    );
     assert!(claims.is_empty());
 }
 
@@ -348,12 +379,20 @@
 fn finish_not_run_frees_the_name_at_once() {
     let mut claims = Claims::new(ClaimRules::default());
     claims.claim(0, claim_request(holder(OURS, 1, 7)));
-    claims.handle_response(5, OURS, StoreResponse::Written { version: 9 });
+    claims.handle_response(
+        5,
+        OURS,
+        StoreResponse::Written {
+            version: StorePosition::new(0, 9),
+        },
+    );
     let steps = claims.finish(1_000, OURS, false);
     assert!(matches!(
         steps[..],
         [ClaimStep::Call {
-            call: StoreCall::Delete { version: 9 },
+            call: StoreCall::Delete {
+                version: StorePosition { revision: 9, .. }
+            },
             ..
         }]
     ));
--- a/lib/tests/test_config_log.rs
+++ b/lib/tests/test_config_log.rs
@@ -6,11 +6,12 @@
 use sardinewood::config::log::change_lines;
 use sardinewood::config::objects::Profile;
 use sardinewood::logging::Line;
+use sardinewood::store::position::StorePosition;
 use serde_json::json;
 
 fn catalog(revision: u64, profiles: &[(&str, u8)]) -> Catalog {
     let mut catalog = Catalog {
-        revision,
+        revision: StorePosition::new(0, revision),
         ..Catalog::default()
     };
     for (name, tier) in profiles {
--- a/lib/tests/test_config_spread.rs
+++ b/lib/tests/test_config_spread.rs
@@ -25,6 +25,7 @@
 use sardinewood::store::StoredObject;
 use sardinewood::store::WatchBatch;
 use sardinewood::store::WatchEvent;
+use sardinewood::store::position::StorePosition;
 use serde_json::json;
 use sha2::Sha256;
 use std::time::Duration;
@@ -45,29 +46,32 @@
     StoredObject {
         kind: "profiles".into(),
         name: "lookup".into(),
-        version,
+        version: StorePosition::new(0, version),
         value: json!({"name": "lookup", "tier": 2, "deadline_ms": version}),
     }
 }
 
 fn listed(revision: u64, objects: Vec<StoredObject>) -> ConfigState {
     let mut state = ConfigState::default();
-    state.apply_list(&ObjectList { revision, objects });
+    state.apply_list(&ObjectList {
+        position: StorePosition::new(0, revision),
+        objects,
+    });
     state
 }
 
 fn version(state: &ConfigState) -> u64 {
-    state.get(&key()).map_or(0, |(version, _)| version)
+    state.get(&key()).map_or(0, |(version, _)| version.revision)
 }
 
 fn deleted(version: u64) -> WatchBatch {
     let event = WatchEvent::Delete {
         kind: "profiles".into(),
         name: "lookup".into(),
-        version,
+        version: StorePosition::new(0, version),
     };
     WatchBatch {
-        revision: version,
+        position: StorePosition::new(0, version),
         events: vec![event],
     }
 }
@@ -144,7 +148,7 @@
     network.run_until(5_000, |_| false);
     network.processes[4].unreachable = true;
     network.change(1, |state| {
-        state.apply_watch(10, &deleted(12));
+        state.apply_watch(StorePosition::new(0, 10), &deleted(12));
     });
     network.run_until(5_000, |_| false);
     for index in 0..4 {
@@ -166,10 +170,12 @@
     network.processes[0].state = listed(12, vec![profile(9)]);
     network.processes[1].state = listed(10, Vec::new());
     let skipped = WatchBatch {
-        revision: 12,
+        position: StorePosition::new(0, 12),
         events: Vec::new(),
     };
-    network.processes[1].state.apply_watch(10, &skipped);
+    network.processes[1]
+        .state
+        .apply_watch(StorePosition::new(0, 10), &skipped);
     network.run_until(5_000, |_| false);
     assert!(network.processes.iter().any(|process| process.wants_list));
     assert_eq!(
@@ -204,13 +210,13 @@
     let middle = spawn(2, &[&first], b"key", Config::default()).await;
     let _last = spawn(3, &[&middle], b"key", target.clone()).await;
     let mut catalog = target.catalog();
-    let arrived = catalog.wait_for(|catalog| catalog.revision == 9);
+    let arrived = catalog.wait_for(|catalog| catalog.revision == StorePosition::new(0, 9));
     tokio::time::timeout(PATIENCE, arrived)
         .await
         .unwrap()
         .unwrap();
     source.apply(|state| state.apply_object(&profile(11)));
-    let arrived = catalog.wait_for(|catalog| catalog.revision == 11);
+    let arrived = catalog.wait_for(|catalog| catalog.revision == StorePosition::new(0, 11));
     tokio::time::timeout(PATIENCE, arrived)
         .await
         .unwrap()
@@ -233,12 +239,12 @@
     )
     .await;
     let mut catalog = config.catalog();
-    let arrived = catalog.wait_for(|catalog| catalog.revision > 0);
+    let arrived = catalog.wait_for(|catalog| catalog.revision > StorePosition::new(0, 0));
     tokio::time::timeout(PATIENCE, arrived)
         .await
         .unwrap()
         .unwrap();
-    assert_eq!(catalog.borrow().revision, 9);
+    assert_eq!(catalog.borrow().revision, StorePosition::new(0, 9));
     assert!(stranger.members().await.is_empty());
 }
 
--- a/lib/tests/test_config_state.rs
+++ b/lib/tests/test_config_state.rs
@@ -13,6 +13,7 @@
 use sardinewood::store::StoredObject;
 use sardinewood::store::WatchBatch;
 use sardinewood::store::WatchEvent;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 use serde_json::json;
 
@@ -27,7 +28,7 @@
     StoredObject {
         kind: "profiles".into(),
         name: name.into(),
-        version,
+        version: StorePosition::new(0, version),
         value,
     }
 }
@@ -40,7 +41,7 @@
 
 fn list(revision: u64, objects: &[StoredObject]) -> ObjectList {
     ObjectList {
-        revision,
+        position: StorePosition::new(0, revision),
         objects: objects.to_vec(),
     }
 }
@@ -49,7 +50,7 @@
     WatchEvent::Delete {
         kind: "profiles".into(),
         name: name.into(),
-        version,
+        version: StorePosition::new(0, version),
     }
 }
 
@@ -84,7 +85,7 @@
     assert_eq!(deadline_ms(&state, "a"), Some(8));
     assert_eq!(deadline_ms(&state, "b"), Some(9));
     assert_eq!(deadline_ms(&state, "c"), Some(30));
-    assert_eq!(state.digest().complete_through, 9);
+    assert_eq!(state.digest().complete_through, StorePosition::new(0, 9));
 }
 
 #[test]
@@ -104,10 +105,13 @@
     let mut state = ConfigState::default();
     state.apply_list(&list(4, &[]));
     let skipped = WatchBatch {
-        revision: 9,
+        position: StorePosition::new(0, 9),
         events: Vec::new(),
     };
-    assert_eq!(state.apply_watch(4, &skipped), WatchOutcome::Continue);
+    assert_eq!(
+        state.apply_watch(StorePosition::new(0, 4), &skipped),
+        WatchOutcome::Continue
+    );
     state.apply_list(&list(9, &[profile("a", 6)]));
     assert_eq!(deadline_ms(&state, "a"), Some(6));
 }
@@ -117,10 +121,13 @@
     let mut state = ConfigState::default();
     state.apply_list(&list(9, &[profile("a", 8)]));
     let batch = WatchBatch {
-        revision: 5,
+        position: StorePosition::new(0, 5),
         events: vec![WatchEvent::Put(profile("a", 5))],
     };
-    assert_eq!(state.apply_watch(9, &batch), WatchOutcome::ListAgain);
+    assert_eq!(
+        state.apply_watch(StorePosition::new(0, 9), &batch),
+        WatchOutcome::ListAgain
+    );
     assert_eq!(deadline_ms(&state, "a"), Some(8));
 }
 
@@ -143,22 +150,22 @@
         assert_eq!(state.apply_list(&listed), ListOutcome::Complete);
         let version = 2 * number + 2;
         let batch = WatchBatch {
-            revision: version + 1,
+            position: StorePosition::new(0, version + 1),
             events: vec![
                 deleted(&format!("p{number}"), version),
                 WatchEvent::Put(profile(&format!("p{}", number + 1), version + 1)),
             ],
         };
         assert_eq!(
-            state.apply_watch(version - 1, &batch),
+            state.apply_watch(StorePosition::new(0, version - 1), &batch),
             WatchOutcome::Continue
         );
     }
     assert_eq!(state.get(&key("p0")), None, "its tombstone is dropped");
     let digest = state.digest();
-    state.apply_peer(&lagging.answer_peer(0));
+    state.apply_peer(&lagging.answer_peer(StorePosition::new(0, 0)));
     assert_eq!(state.digest(), digest);
-    lagging.apply_peer(&state.answer_peer(1));
+    lagging.apply_peer(&state.answer_peer(StorePosition::new(0, 1)));
     assert_eq!(lagging.catalog(), state.catalog());
 }
 
@@ -218,7 +225,7 @@
         }
     });
     WatchBatch {
-        revision: through as u64,
+        position: StorePosition::new(0, through as u64),
         events: events.collect(),
     }
 }
@@ -244,7 +251,10 @@
                 positions[0].min(positions[1]),
                 positions[0].max(positions[1]),
             ];
-            states[own].apply_watch(after as u64, &changes(history, after, through));
+            states[own].apply_watch(
+                StorePosition::new(0, after as u64),
+                &changes(history, after, through),
+            );
         }
         _ => {
             let after = states[own].digest().complete_through;
@@ -275,8 +285,8 @@
                 prop_assert!(old.digest().complete_through <= new.digest().complete_through);
                 for name in 0..4 {
                     let key = key(&format!("p{name}"));
-                    let old_version = old.get(&key).map_or(0, |(version, _)| version);
-                    let new_version = new.get(&key).map_or(0, |(version, _)| version);
+                    let old_version = old.get(&key).map(|(version, _)| version);
+                    let new_version = new.get(&key).map(|(version, _)| version);
                     prop_assert!(old_version <= new_version, "{name} went back");
                 }
             }
--- a/lib/tests/test_direct_replica.rs
+++ b/lib/tests/test_direct_replica.rs
@@ -1,5 +1,6 @@
 //! Tests the replica of the list of upstreams with late, reordered and invalid updates.
 
+use sardinewood::direct::membership::peer_message::CatalogPosition;
 use sardinewood::direct::membership::peer_message::Revisions;
 use sardinewood::direct::replication::update::ReplicaUpdate;
 use sardinewood::direct::replication::update::UpstreamListDelta;
@@ -12,6 +13,7 @@
 use sardinewood::store::ObjectList;
 use sardinewood::store::StoredObject;
 use sardinewood::store::WatchEvent;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 
 use crate::direct_fixture;
@@ -38,20 +40,23 @@
     StoredObject {
         kind: "u".into(),
         name: name.into(),
-        version,
+        version: StorePosition::new(0, version),
         value: born_ms.into(),
     }
 }
 
 fn list(revision: u64, objects: Vec<StoredObject>) -> ObjectList {
-    ObjectList { revision, objects }
+    ObjectList {
+        position: StorePosition::new(0, revision),
+        objects,
+    }
 }
 
 fn deletion(name: &str, version: u64) -> WatchEvent {
     WatchEvent::Delete {
         kind: "u".into(),
         name: name.into(),
-        version,
+        version: StorePosition::new(0, version),
     }
 }
 
@@ -60,8 +65,8 @@
     ReplicaUpdate {
         catalog: None,
         upstreams: Some(UpstreamListUpdate::Delta(UpstreamListDelta {
-            after,
-            revision,
+            after: StorePosition::new(0, after),
+            position: StorePosition::new(0, revision),
             objects,
             removed: Vec::new(),
         })),
@@ -113,13 +118,13 @@
     let mut replica = listed();
     let mut newer = changes(3, 9, vec![object("a", 7, 20), object("c", 9, 10)]);
     if let Some(UpstreamListUpdate::Delta(changes)) = &mut newer.upstreams {
-        changes.removed.push((8, "b".into()));
+        changes.removed.push((StorePosition::new(0, 8), "b".into()));
     }
     replica.apply_update(newer, 0);
     let late = list(5, vec![object("a", 2, 10), object("b", 3, 10)]);
     replica.apply_list("u", late, 0);
     assert_eq!(instances(&replica), ["a@20", "c@10"]);
-    assert_eq!(replica.revisions().directory, 9);
+    assert_eq!(replica.revisions().directory, StorePosition::new(0, 9));
 }
 
 #[test]
@@ -180,8 +185,11 @@
     // The entry is forwarded to peers unchanged, since they also find that it describes no
     // upstream.
     let theirs = Revisions {
-        catalog: 0,
-        directory: 5,
+        catalog: CatalogPosition {
+            at: StorePosition::new(0, 0),
+            version: 0,
+        },
+        directory: StorePosition::new(0, 5),
     };
     let Some(UpstreamListUpdate::Delta(changes)) = replica.update_since(theirs).upstreams else {
         panic!("changes were expected");
--- a/lib/tests/test_direct_rollout.rs
+++ b/lib/tests/test_direct_rollout.rs
@@ -24,6 +24,7 @@
 use sardinewood::direct::rollout::verdict::VersionEvidence;
 use sardinewood::direct::rollout::verdict::VersionVerdict;
 use sardinewood::direct::store_view::directory::Upstream;
+use sardinewood::store::position::StorePosition;
 
 use crate::direct_fixture;
 
@@ -38,7 +39,7 @@
     let name = format!("{version}-{number}");
     Arc::new(Upstream {
         version: version.into(),
-        revision: number,
+        revision: StorePosition::new(0, number),
         ..Upstream::clone(&direct_fixture::upstream(&name, 4))
     })
 }
@@ -58,7 +59,7 @@
             created: 7,
         },
         window_ms: WINDOW_MS,
-        revision,
+        revision: StorePosition::new(0, revision),
         status,
     }
 }
@@ -67,7 +68,12 @@
 fn table_with_rollout() -> RolloutTable {
     let mut table = RolloutTable::new(Some(EXPOSURE_LIMIT), 1);
     table.set_upstreams(&both_versions(4));
-    table.apply_stored(&[rollout(10, RolloutStatus::Ordered)], 10, 1, 0);
+    table.apply_stored(
+        &[rollout(10, RolloutStatus::Ordered)],
+        StorePosition::new(0, 10),
+        1,
+        0,
+    );
     table
 }
 
@@ -210,7 +216,12 @@
     // Guards against leaving out upstreams on a platform without rollouts.
     let mut table = RolloutTable::new(None, 1);
     table.set_upstreams(&both_versions(4));
-    table.apply_stored(&[rollout(10, RolloutStatus::Completed)], 10, 1, 0);
+    table.apply_stored(
+        &[rollout(10, RolloutStatus::Completed)],
+        StorePosition::new(0, 10),
+        1,
+        0,
+    );
     let used = versions_used(&mut table);
     assert_eq!(used, [("v1".into(), false), ("v2".into(), false)]);
 }
@@ -306,7 +317,12 @@
         written_statuses(&table.step(&coordinator(&[]), 50)),
         [RolloutStatus::InProgress]
     );
-    table.apply_stored(&[rollout(11, RolloutStatus::InProgress)], 11, 1, 60);
+    table.apply_stored(
+        &[rollout(11, RolloutStatus::InProgress)],
+        StorePosition::new(0, 11),
+        1,
+        60,
+    );
     assert!(written_statuses(&table.step(&coordinator(&[]), 11_000)).is_empty());
     table.step(&coordinator(&[]), 11_600);
     assert_eq!(versions_used(&mut table), [("v2".into(), false)]);
@@ -359,7 +375,12 @@
     // Guards against a rollout that never ends because its upstreams never appear.
     let mut table = RolloutTable::new(Some(EXPOSURE_LIMIT), 1);
     table.set_upstreams(&both_versions(4)[..4]);
-    table.apply_stored(&[rollout(10, RolloutStatus::InProgress)], 10, 1, 0);
+    table.apply_stored(
+        &[rollout(10, RolloutStatus::InProgress)],
+        StorePosition::new(0, 10),
+        1,
+        0,
+    );
     let all = table.step(&coordinator(&[]), 12_050);
     assert!(
         all.iter()
@@ -374,7 +395,12 @@
     // against assuming so from a list in which the old upstreams are only missing for a moment.
     let mut table = RolloutTable::new(Some(EXPOSURE_LIMIT), 1);
     table.set_upstreams(&both_versions(4)[4..]);
-    table.apply_stored(&[rollout(10, RolloutStatus::InProgress)], 10, 1, 0);
+    table.apply_stored(
+        &[rollout(10, RolloutStatus::InProgress)],
+        StorePosition::new(0, 10),
+        1,
+        0,
+    );
     assert!(written_statuses(&table.step(&coordinator(&[]), 2_000)).is_empty());
     assert_eq!(
         written_statuses(&table.step(&coordinator(&[]), 3_100)),
@@ -414,7 +440,12 @@
     // store decides.
     let mut table = table_with_rollout();
     table.reject("pool", 1_000);
-    table.apply_stored(&[rollout(12, RolloutStatus::Completed)], 12, 1, 1_100);
+    table.apply_stored(
+        &[rollout(12, RolloutStatus::Completed)],
+        StorePosition::new(0, 12),
+        1,
+        1_100,
+    );
     assert!(written_statuses(&table.step(&coordinator(&[]), 1_200)).is_empty());
     assert_eq!(versions_used(&mut table), [("v2".into(), false)]);
 }
@@ -443,7 +474,7 @@
     // Guards against a late message that brings back a rollout removed by its operator.
     let mut table = table_with_rollout();
     let state = table.states(0).remove(0);
-    table.apply_stored(&[], 20, 1, 1_000);
+    table.apply_stored(&[], StorePosition::new(0, 20), 1, 1_000);
     assert_eq!(versions_used(&mut table), [("v1".into(), false)]);
     table.handle_message(other(), &RolloutMessage::State(state), 2, 1_100);
     assert!(table.progress("pool").is_none());
@@ -454,10 +485,15 @@
     // Guards against a rollout that counts as over because it was removed and created again.
     let mut table = RolloutTable::new(Some(EXPOSURE_LIMIT), 1);
     table.set_upstreams(&both_versions(4));
-    table.apply_stored(&[rollout(10, RolloutStatus::Reverted)], 10, 1, 0);
+    table.apply_stored(
+        &[rollout(10, RolloutStatus::Reverted)],
+        StorePosition::new(0, 10),
+        1,
+        0,
+    );
     let mut again = rollout(30, RolloutStatus::Ordered);
     again.id.created = 30;
-    table.apply_stored(&[again], 30, 1, 1_000);
+    table.apply_stored(&[again], StorePosition::new(0, 30), 1, 1_000);
     assert!(table.has_open_rollouts());
 }
 
@@ -467,7 +503,12 @@
     let mut table = table_with_rollout();
     let mut second = rollout(11, RolloutStatus::Ordered);
     second.id.service = "app".into();
-    table.apply_stored(&[rollout(10, RolloutStatus::Ordered), second], 11, 1, 0);
+    table.apply_stored(
+        &[rollout(10, RolloutStatus::Ordered), second],
+        StorePosition::new(0, 11),
+        1,
+        0,
+    );
     table.reject("pool", 1_000);
     assert_eq!(
         table.progress("app").map(RolloutProgress::phase),
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use sardinewood::direct::membership::peer_message::CatalogPosition;
 use sardinewood::direct::membership::peer_message::CustomerSpending;
 use sardinewood::direct::membership::peer_message::EntryHost;
 use sardinewood::direct::membership::peer_message::Heartbeat;
@@ -21,6 +22,7 @@
 use sardinewood::direct::sharing::retry_budget::RetryLimits;
 use sardinewood::direct::store_view::catalog::Customer;
 use sardinewood::direct::store_view::catalog::Quota;
+use sardinewood::store::position::StorePosition;
 
 const RATE_PER_S: u64 = 1_000;
 const COST: u64 = 10;
@@ -574,15 +576,21 @@
     let mut table = PeerTable::new(address(9), &[]);
     let ahead = Heartbeat {
         revisions: Revisions {
-            catalog: 5,
-            directory: 1,
+            catalog: CatalogPosition {
+                at: StorePosition::new(0, 5),
+                version: 5,
+            },
+            directory: StorePosition::new(0, 1),
         },
         ..heartbeat(1)
     };
     table.record_heartbeat(address(1), &ahead, 0);
     let own = Revisions {
-        catalog: 4,
-        directory: 7,
+        catalog: CatalogPosition {
+            at: StorePosition::new(0, 4),
+            version: 4,
+        },
+        directory: StorePosition::new(0, 7),
     };
     assert_eq!(table.peer_ahead_of(own, 7, 0), Some(address(1)));
     assert_eq!(table.peer_ahead_of(own, 7, 60_000), None);
--- a/lib/tests/test_direct_spread.rs
+++ b/lib/tests/test_direct_spread.rs
@@ -7,6 +7,7 @@
 use futures_util::StreamExt;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use sardinewood::direct::membership::peer_message::CatalogPosition;
 use sardinewood::direct::membership::peer_message::EntryHost;
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::membership::peer_message::Revisions;
@@ -23,6 +24,7 @@
 use sardinewood::direct::replication::update_codec::Encoding;
 use sardinewood::store::ObjectList;
 use sardinewood::store::StoredObject;
+use sardinewood::store::position::StorePosition;
 use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
@@ -93,8 +95,11 @@
 fn change_with_many_receivers_fits_into_a_datagram() {
     let message = SpreadMessage {
         revisions: Revisions {
-            catalog: u64::MAX,
-            directory: u64::MAX,
+            catalog: CatalogPosition {
+                at: StorePosition::new(u32::MAX, u64::MAX),
+                version: u64::MAX,
+            },
+            directory: StorePosition::new(u32::MAX, u64::MAX),
         },
         update: vec![7; 1_000],
         pass_on_to: peers(40).into_iter().map(|(_, address)| address).collect(),
@@ -106,8 +111,11 @@
 fn announcement_passed_on_once_the_change_is_here() {
     // Guards against receivers that pull a change from a relay that does not have it yet.
     let new = Revisions {
-        catalog: 9,
-        directory: 4,
+        catalog: CatalogPosition {
+            at: StorePosition::new(0, 9),
+            version: 9,
+        },
+        directory: StorePosition::new(0, 4),
     };
     let others: Vec<SocketAddr> = peers(3).into_iter().map(|(_, address)| address).collect();
     let announced = SpreadMessage {
@@ -117,8 +125,11 @@
     };
     let mut relay = SpreadRelay::default();
     let old = Revisions {
-        catalog: 8,
-        directory: 4,
+        catalog: CatalogPosition {
+            at: StorePosition::new(0, 8),
+            version: 8,
+        },
+        directory: StorePosition::new(0, 4),
     };
     assert_eq!(relay.receive(announced.clone(), old), SpreadStep::Pull);
     assert!(relay.take_reached(old).is_empty());
@@ -132,7 +143,7 @@
     StoredObject {
         kind: "u".into(),
         name: format!("i-{number:010x}").into(),
-        version: number + 1,
+        version: StorePosition::new(0, number + 1),
         value: json!({
             "service": "sardine-pool",
             "address": format!("10.{}.{}.7:8082", number % 5, number % 250),
@@ -149,7 +160,7 @@
     ReplicaUpdate {
         catalog: None,
         upstreams: Some(UpstreamListUpdate::Full(ObjectList {
-            revision: 5_000,
+            position: StorePosition::new(0, 5_000),
             objects,
         })),
     }
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use sardinewood::direct::membership::peer_message::CatalogPosition;
 use sardinewood::direct::membership::peer_message::Revisions;
 use sardinewood::direct::metrics::DirectMetrics;
 use sardinewood::direct::replication::store_follower::FollowerChannels;
@@ -29,6 +30,7 @@
 use sardinewood::store::StoredObject;
 use sardinewood::store::WatchBatch;
 use sardinewood::store::WatchEvent;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -44,7 +46,7 @@
     upstream_kind: "u",
     catalog: |object| {
         Ok(Catalog {
-            version: object.version,
+            version: object.version.revision,
             ..Catalog::default()
         })
     },
@@ -63,7 +65,7 @@
     StoredObject {
         kind: kind.into(),
         name: name.into(),
-        version,
+        version: StorePosition::new(0, version),
         value: Value::Null,
     }
 }
@@ -79,7 +81,7 @@
         Ok(self.list.clone())
     }
 
-    async fn watch(&self, _: &str, _: u64, _: u64) -> Result<WatchBatch, ReadError> {
+    async fn watch(&self, _: &str, _: StorePosition, _: u64) -> Result<WatchBatch, ReadError> {
         let next = self.batches.borrow_mut().pop();
         match next {
             Some(batch) => Ok(batch),
@@ -127,17 +129,17 @@
     let (follower, view) = follower();
     let source = ScriptedStore {
         list: ObjectList {
-            revision: 5,
+            position: StorePosition::new(0, 5),
             objects: vec![object("u", "a", 2), object("u", "b", 3)],
         },
         batches: RefCell::new(vec![WatchBatch {
-            revision: 9,
+            position: StorePosition::new(0, 9),
             events: vec![
                 WatchEvent::Put(object("u", "c", 8)),
                 WatchEvent::Delete {
                     kind: "u".into(),
                     name: "a".into(),
-                    version: 9,
+                    version: StorePosition::new(0, 9),
                 },
             ],
         }]),
@@ -146,7 +148,7 @@
     let seen = view.clone();
     let wait = async move {
         let mut seen = seen;
-        let is_done = |view: &ReplicaSnapshot| view.revisions.directory == 9;
+        let is_done = |view: &ReplicaSnapshot| view.revisions.directory == StorePosition::new(0, 9);
         seen.wait_for(is_done).await.expect("a view").clone()
     };
     tokio::select! {
@@ -191,18 +193,21 @@
     let update = update_since(
         &follower,
         Revisions {
-            catalog: 0,
-            directory: 3,
+            catalog: CatalogPosition {
+                at: StorePosition::new(0, 0),
+                version: 0,
+            },
+            directory: StorePosition::new(0, 3),
         },
     );
     let Some(UpstreamListUpdate::Delta(changes)) = &update.upstreams else {
         panic!("{update:?}");
     };
     assert_eq!(changes.objects.len(), 1);
-    assert_eq!(changes.removed, [(9, "a".into())]);
+    assert_eq!(changes.removed, [(StorePosition::new(0, 9), "a".into())]);
     let (other, view) = self::follower();
     let first = ObjectList {
-        revision: 3,
+        position: StorePosition::new(0, 3),
         objects: vec![object("u", "a", 2), object("u", "b", 3)],
     };
     other.apply_update(
@@ -223,7 +228,7 @@
     let (changes, mut sent) = mpsc::unbounded_channel();
     let (follower, view) = follower_with(changes);
     let batch = |version| WatchBatch {
-        revision: version,
+        position: StorePosition::new(0, version),
         events: vec![WatchEvent::Put(object(
             "u",
             &format!("i-{version}"),
@@ -232,7 +237,7 @@
     };
     let source = ScriptedStore {
         list: ObjectList {
-            revision: 5,
+            position: StorePosition::new(0, 5),
             objects: vec![object("u", "a", 5)],
         },
         batches: RefCell::new(vec![batch(7), batch(6)]),
@@ -240,7 +245,7 @@
     let seen = view.clone();
     let wait = async move {
         let mut seen = seen;
-        let is_done = |view: &ReplicaSnapshot| view.revisions.directory == 7;
+        let is_done = |view: &ReplicaSnapshot| view.revisions.directory == StorePosition::new(0, 7);
         seen.wait_for(is_done).await.expect("a view").clone()
     };
     tokio::select! {
@@ -251,10 +256,10 @@
     while let Ok(change) = sent.try_recv() {
         last = change;
     }
-    assert_eq!(last.revisions.directory, 7);
+    assert_eq!(last.revisions.directory, StorePosition::new(0, 7));
     let (other, other_view) = self::follower();
     let first = ObjectList {
-        revision: 5,
+        position: StorePosition::new(0, 5),
         objects: vec![object("u", "a", 5)],
     };
     other.apply_update(
@@ -274,7 +279,7 @@
     // A revision never decreases, whichever source brings an older one.
     let (follower, view) = followed().await;
     let old = ObjectList {
-        revision: 4,
+        position: StorePosition::new(0, 4),
         objects: vec![object("u", "z", 4)],
     };
     follower.apply_update(
@@ -323,21 +328,24 @@
 impl ObjectSource for BusyStore {
     async fn list(&self, _kind: &str) -> Result<ObjectList, ReadError> {
         Ok(ObjectList {
-            revision: 1,
+            position: StorePosition::new(0, 1),
             objects: Vec::new(),
         })
     }
 
-    async fn watch(&self, _: &str, after: u64, _: u64) -> Result<WatchBatch, ReadError> {
+    async fn watch(&self, _: &str, after: StorePosition, _: u64) -> Result<WatchBatch, ReadError> {
         self.calls.set(self.calls.get() + 1);
-        while self.revision() <= after {
+        while self.revision() <= after.revision {
             sleep(Duration::from_millis(Self::CHANGE_MS)).await;
         }
         let revision = self.revision();
-        let events = (after + 1..=revision)
+        let events = (after.revision + 1..=revision)
             .map(|version| WatchEvent::Put(object("u", "a", version)))
             .collect();
-        Ok(WatchBatch { revision, events })
+        Ok(WatchBatch {
+            position: StorePosition::new(0, revision),
+            events,
+        })
     }
 }
 
@@ -357,6 +365,6 @@
         .expect_err("it never ends");
     assert!(source.calls.get() <= 11, "{}", source.calls.get());
     let known = view.borrow().revisions.directory;
-    let lag = source.revision() - known;
+    let lag = source.revision() - known.revision;
     assert!(lag * BusyStore::CHANGE_MS <= 250, "{lag} changes");
 }
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -36,6 +36,7 @@
 use sardinewood::link::wire::RefusalReason;
 use sardinewood::link::wire::Settlement;
 use sardinewood::ordering::queue::OrderKey;
+use sardinewood::store::position::StorePosition;
 use sardinewood::verdict::Failure;
 use sardinewood::verdict::FailureReason;
 use sardinewood::verdict::Outcome;
@@ -148,7 +149,7 @@
         .iter()
         .map(|name| (Arc::from(*name), Arc::new(upstream(name))));
     Catalog {
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         upstreams: upstreams.collect(),
         ..Catalog::default()
     }
@@ -1104,7 +1105,7 @@
     };
     let heartbeat = AgentMessage::Heartbeat {
         sequence: 1,
-        revision: 1,
+        revision: StorePosition::new(0, 1),
         load,
     };
     scene.deliver("a", heartbeat);
--- a/lib/tests/test_link_pace.rs
+++ b/lib/tests/test_link_pace.rs
@@ -5,6 +5,7 @@
 use sardinewood::link::pace::PaceRules;
 use sardinewood::link::pace::PaceStep;
 use sardinewood::link::pace::Watch;
+use sardinewood::store::position::StorePosition;
 
 const RULES: PaceRules = PaceRules {
     heartbeat_ms: 500,
@@ -20,7 +21,7 @@
         hear: watch,
         heard_at_ms,
         links: MANY_LINKS,
-        revision: 7,
+        revision: StorePosition::new(0, 7),
     }
 }
 
@@ -125,7 +126,7 @@
 fn next_new_revision_is_told_within_a_heartbeat_on_idle_links() {
     let mut pace = LinkPace::default();
     let newer = LinkView {
-        revision: 8,
+        revision: StorePosition::new(0, 8),
         ..view(Watch::Idly, 1_000)
     };
     assert_eq!(pace.next(0, view(Watch::Idly, 0), RULES), PaceStep::Beat);
--- a/lib/tests/test_logging.rs
+++ b/lib/tests/test_logging.rs
@@ -15,6 +15,7 @@
 use sardinewood::logging::Line;
 use sardinewood::logging::LineFormatter;
 use sardinewood::logging::logger;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 use spdlog::Logger;
 use spdlog::sink::WriteSink;
@@ -49,7 +50,7 @@
     Line::new(Level::Warn, "link lost")
         .attempt(attempt)
         .incarnation(Incarnation(255))
-        .revision(42)
+        .revision(StorePosition::new(0, 42))
         .send_to(&logger);
     let [line] = lines(&sink).try_into().unwrap();
     assert_eq!(line["level"], "warn");
--- a/lib/tests/test_operator_change.rs
+++ b/lib/tests/test_operator_change.rs
@@ -17,6 +17,7 @@
 use sardinewood::operator::messages::Expected;
 use sardinewood::operator::retention::RETENTION_MS;
 use sardinewood::store::StoreClient;
+use sardinewood::store::position::StorePosition;
 use serde_json::Value;
 use serde_json::json;
 use testutils::store_stand_in::StoreFaults;
@@ -92,7 +93,9 @@
     reason = "it is compared with what a call returns"
 )]
 fn accepted(version: u64) -> Result<ChangeAnswer, NotDone> {
-    Ok(ChangeAnswer::Accepted { version })
+    Ok(ChangeAnswer::Accepted {
+        version: StorePosition::new(0, version),
+    })
 }
 
 fn change(id: &str) -> Change {
@@ -113,13 +116,23 @@
     let fixture = Fixture::new().await;
     let created = put("c0", Expected::Absent, 1_000);
     assert_eq!(fixture.ask("selma", &created).await, accepted(1));
-    let first = put("c1", Expected::Version(1), 2_000);
-    let second = put("c2", Expected::Version(1), 3_000);
+    let first = put("c1", Expected::Version(StorePosition::new(0, 1)), 2_000);
+    let second = put("c2", Expected::Version(StorePosition::new(0, 1)), 3_000);
     let (first, second) =
         tokio::join!(fixture.ask("selma", &first), fixture.ask("petrus", &second));
     let (conflict, winner, deadline_ms) = match (first, second) {
-        (Ok(ChangeAnswer::Accepted { version: 2 }), Ok(conflict)) => (conflict, "selma", 2_000),
-        (Ok(conflict), Ok(ChangeAnswer::Accepted { version: 2 })) => (conflict, "petrus", 3_000),
+        (
+            Ok(ChangeAnswer::Accepted {
+                version: StorePosition { revision: 2, .. },
+            }),
+            Ok(conflict),
+        ) => (conflict, "selma", 2_000),
+        (
+            Ok(conflict),
+            Ok(ChangeAnswer::Accepted {
+                version: StorePosition { revision: 2, .. },
+            }),
+        ) => (conflict, "petrus", 3_000),
         other => panic!("{other:?}"),
     };
     let ChangeAnswer::Conflict {
@@ -160,7 +173,7 @@
         lose_answers: 1,
         ..StoreFaults::default()
     });
-    let request = put("c1", Expected::Version(1), 2_000);
+    let request = put("c1", Expected::Version(StorePosition::new(0, 1)), 2_000);
     assert_eq!(
         fixture.ask("selma", &request).await,
         Ok(ChangeAnswer::NotKnownYet)
@@ -178,7 +191,7 @@
     let fixture = Fixture::new().await;
     let request = put("c0", Expected::Absent, 1_000);
     assert_eq!(fixture.ask("selma", &request).await, accepted(1));
-    let replaced = put("c1", Expected::Version(1), 2_000);
+    let replaced = put("c1", Expected::Version(StorePosition::new(0, 1)), 2_000);
     assert_eq!(fixture.ask("petrus", &replaced).await, accepted(2));
     assert_eq!(fixture.ask("selma", &request).await, accepted(1));
     assert_eq!(fixture.deadline_in_force_ms(), Some(2_000));
@@ -226,9 +239,9 @@
         accepted(1)
     );
     fixture.stop_replica().await;
-    let second = put("c1", Expected::Version(1), 2_000);
+    let second = put("c1", Expected::Version(StorePosition::new(0, 1)), 2_000);
     assert_eq!(fixture.ask("selma", &second).await, accepted(2));
-    let third = put("c2", Expected::Version(2), 3_000);
+    let third = put("c2", Expected::Version(StorePosition::new(0, 2)), 3_000);
     assert_eq!(fixture.ask("selma", &third).await, Err(NotDone::Behind));
     fixture.store.set_read_lag(Duration::ZERO);
     assert_eq!(fixture.ask("selma", &third).await, accepted(3));
@@ -246,7 +259,7 @@
     );
     let removal = ChangeRequest {
         action: Action::Delete,
-        ..put("c1", Expected::Version(1), 0)
+        ..put("c1", Expected::Version(StorePosition::new(0, 1)), 0)
     };
     assert_eq!(fixture.ask("petrus", &removal).await, accepted(2));
     assert_eq!(fixture.deadline_in_force_ms(), None);
@@ -301,7 +314,7 @@
     assert_eq!(fixture.ask("selma", &customer("lookup")).await, accepted(2));
     let removal = ChangeRequest {
         action: Action::Delete,
-        ..put("c1", Expected::Version(1), 0)
+        ..put("c1", Expected::Version(StorePosition::new(0, 1)), 0)
     };
     let Ok(ChangeAnswer::Refused { findings }) = fixture.ask("selma", &removal).await else {
         panic!("a profile in use was removed");
@@ -360,15 +373,29 @@
     let mut record = Record::from_value(json!({"text": "a"}));
     for version in 1..=100_u64 {
         let spec = json!({"text": "a", "number": version});
-        record = record.succeeded_by(version, Some(spec), change(&format!("c{version}")));
+        record = record.succeeded_by(
+            StorePosition::new(0, version),
+            Some(spec),
+            change(&format!("c{version}")),
+        );
     }
     assert_eq!(record.history.len(), MAX_HISTORY);
     assert_eq!(record.forgotten, 100 - MAX_HISTORY as u64);
-    assert_eq!(record.version_of("c99", 101), Some(100));
-    assert_eq!(record.version_of("c100", 101), Some(101));
+    assert_eq!(
+        record.version_of("c99", StorePosition::new(0, 101)),
+        Some(StorePosition::new(0, 100))
+    );
+    assert_eq!(
+        record.version_of("c100", StorePosition::new(0, 101)),
+        Some(StorePosition::new(0, 101))
+    );
     let long = json!({"text": "a".repeat(MAX_HISTORY_BYTES / 3)});
     for version in 101..=110_u64 {
-        record = record.succeeded_by(version, Some(long.clone()), change("long"));
+        record = record.succeeded_by(
+            StorePosition::new(0, version),
+            Some(long.clone()),
+            change("long"),
+        );
     }
     let bytes = serde_json::to_string(&record.history).unwrap().len();
     assert!(bytes <= MAX_HISTORY_BYTES, "{bytes}");
--- a/lib/tests/test_ordering.rs
+++ b/lib/tests/test_ordering.rs
@@ -15,6 +15,7 @@
 use sardinewood::ordering::queue::OrderStep;
 use sardinewood::ordering::queue::Place;
 use sardinewood::ordering::queue::StoredQueue;
+use sardinewood::store::position::StorePosition;
 use sardinewood::verdict::Failure;
 use sardinewood::verdict::FailureReason;
 
@@ -53,7 +54,7 @@
         self.newest += 1;
         self.stored = match queue {
             Some(queue) => StoredQueue {
-                version: Some(self.newest),
+                version: Some(StorePosition::new(0, self.newest)),
                 queue: queue.clone(),
             },
             None => StoredQueue::default(),
@@ -188,7 +189,7 @@
     shared.tick(2_060, &mut other);
     let response = BarResponse::Held {
         holder: head_holder(),
-        version: 40,
+        version: StorePosition::new(0, 40),
     };
     let steps = other.handle_bar_response(2_070, order(), response);
     let steps = shared.serve(2_070, &mut other, steps);
@@ -234,7 +235,7 @@
     let bar = OrderStep::Bar {
         order: order(),
         place: place(FIRST),
-        replace: Some(40),
+        replace: Some(StorePosition::new(0, 40)),
     };
     assert_eq!(steps, [bar]);
 }
