store view, platform: the store's era orders what entries know

Callers of all entries were handled by a configuration that had been replaced eight seconds before: a revoked key was served, and versions that had been acknowledged were in force nowhere until the store's revisions had passed the old ones again. A removed worker got calls for as long.

Cause: the store had returned from an older copy and gave its revisions out again. Everything that orders what an entry hears went by the bare revision, which "only increases", so each write after the loss was taken for an older one and dropped; nobody read the era that the store names in its answers. Evidence: the record's revisions go back from 41 to 37, versions 57 to 66 have 38 to 41 and are logged nowhere, version 70 has 43 and is in force; in the test the line "older configuration is not applied" names the new version.

Positions now carry the era of the answer that they come from, so that whatever is said in a later era is newer, from the store, a peer or a pull. An era counts once two answers name it, and one call that hears of it ends the watches of the others, as a watch from an old revision may succeed and skip changes. The copy by itself takes nothing away: the configuration with the higher version stays in force, at the position of the one in the copy, until the next write; upstreams that the copy lacks are used for a heartbeat and 1.1 s; upstreams that had left get nothing for three heartbeats. An entry that starts asks its peers before it lists the store. Watchers are only chosen among builds that know eras, once there is one.

Weighed and left: the configuration by its own version alone (one object only, and another number that an operator may set back); the revision's step back as the sign (others may have written past the old one before an entry calls).

only_seeds_ask_the_store_at_a_start asserted that a seed lists at once; it now asserts that it does so as soon as the other seeds are heard and know nothing, or after 300 ms.

--- a/lib/src/config/follow.rs
+++ b/lib/src/config/follow.rs
@@ -217,7 +217,9 @@
     pub fn failed(&mut self, error: &ReadError) {
         self.store_pause_ms = 0;
         match error {
-            ReadError::TooOld | ReadError::Malformed { .. } => self.list_again(),
+            ReadError::TooOld | ReadError::OtherEra { .. } | ReadError::Malformed { .. } => {
+                self.list_again();
+            }
             ReadError::Limited { retry_after_ms } => {
                 self.store_pause_ms = *retry_after_ms;
                 self.failures += 1;
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -150,6 +150,19 @@
         self
     }
 
+    /// Returns the revisions as if no configuration at this position had a later version.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_message::Revisions;
+    ///
+    /// assert_eq!(Revisions::default().with_latest_version().catalog.version, u64::MAX);
+    /// ```
+    #[must_use]
+    pub fn with_latest_version(mut self) -> Self {
+        self.catalog.version = u64::MAX;
+        self
+    }
+
     /// Returns whether a replica at these revisions has something that one at `other` lacks.
     ///
     /// ```
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -10,6 +10,7 @@
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::Revisions;
+use crate::store::position::StorePosition;
 
 /// Shortest time between two heartbeats. Within it, two entries may both use the last slot of an
 /// upstream, which is rare at some tens of requests a second on each.
@@ -39,6 +40,10 @@
 /// Time after the start in which an entry that is no seed waits for a peer's list before it asks
 /// the store. Without it, a fleet that starts asks the store as often as it has entries.
 const FIRST_LIST_WAIT_MS: u64 = 800;
+/// Time after its start for which a seed without a list waits to hear from the other seeds. A store
+/// that has just returned from an older copy would give it a configuration that they know to be out
+/// of date.
+const FIRST_HEARTBEATS_WAIT_MS: u64 = 300;
 /// The same for an entry that has a list: after two rounds of heartbeats it knows who watches.
 const FIRST_WATCH_WAIT_MS: u64 = 3_000;
 /// Addresses of peers in one heartbeat.
@@ -65,6 +70,7 @@
     known_entries: u16,
     store_age_ms: Option<u32>,
     revisions: Revisions,
+    knows_eras: bool,
     host: Option<EntryHost>,
     spent: IndexMap<Arc<str>, u64>,
     /// Whether the peer had run for some time when its first heartbeat arrived.
@@ -268,6 +274,7 @@
             known_entries: heartbeat.known_entries,
             store_age_ms: heartbeat.store_age_ms,
             revisions: heartbeat.revisions,
+            knows_eras: heartbeat.knows_eras,
             host: heartbeat.host,
             spent,
             was_running_before,
@@ -523,32 +530,52 @@
     /// watch grows with the square of its size. So only a few watch, chosen in an order that all
     /// agree on: the hosts with most capacity, as they serve the others, and one in each data centre
     /// first, since a data centre may be cut off. An entry that the store hasn't answered for some
-    /// time is passed over. `has_list` tells whether this entry has got the list of upstreams from a
-    /// peer or the store.
+    /// time is passed over. `own` tells what this entry has got from a peer or the store. An entry
+    /// that has nothing asks its peers first.
     ///
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
-    /// assert!(PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]).watches_store(false, 0));
+    /// # use sardinewood::direct::membership::peer_message::Revisions;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert!(table.watches_store(Revisions::default(), 0));
     /// ```
     #[must_use]
-    pub fn watches_store(&self, has_list: bool, now_ms: u64) -> bool {
-        let wait_ms = if has_list {
+    pub fn watches_store(&self, own: Revisions, now_ms: u64) -> bool {
+        let order = self.watcher_order(own.directory.era, now_ms);
+        let mut watchers = order.iter().take(STORE_WATCHERS);
+        now_ms >= self.first_call_ms(own) && watchers.any(|address| *address == self.own_address)
+    }
+
+    /// Returns the time from which this entry may call the store.
+    fn first_call_ms(&self, own: Revisions) -> u64 {
+        let has_list = own.directory > StorePosition::default();
+        let is_unheard = |seed: &SocketAddr| !self.peers.contains_key(seed);
+        if has_list && self.is_seed {
+            0
+        } else if has_list {
             FIRST_WATCH_WAIT_MS
-        } else {
+        } else if !self.is_seed
+            || self
+                .peers
+                .values()
+                .any(|peer| peer.revisions.is_ahead_of(own))
+        {
             FIRST_LIST_WAIT_MS
-        };
-        let has_waited = self.is_seed || now_ms >= wait_ms;
-        let order = self.watcher_order(now_ms);
-        let mut watchers = order.iter().take(STORE_WATCHERS);
-        has_waited && watchers.any(|address| *address == self.own_address)
+        } else if self.seeds.iter().any(is_unheard) {
+            FIRST_HEARTBEATS_WAIT_MS
+        } else {
+            0
+        }
     }
 
     /// Returns the entries that watch the store, and this one, in the order in which they should:
-    /// the best host of each data centre, then the second best ones, and so on.
-    fn watcher_order(&self, now_ms: u64) -> Vec<SocketAddr> {
+    /// the best host of each data centre, then the second best ones, and so on. Once the store names
+    /// its era, builds without eras are passed over, as their changes tell nothing.
+    fn watcher_order(&self, era: u32, now_ms: u64) -> Vec<SocketAddr> {
         let is_watching = |peer: &Peer| {
             let store_age_ms = peer.store_age_ms.filter(|_| !peer.is_leaving);
             store_age_ms.is_some_and(|age_ms| age_ms < MAX_STORE_AGE_MS)
+                && (era == 0 || peer.knows_eras)
                 && self.is_live(peer, now_ms)
         };
         let watching = self.peers.iter().filter(|(_, peer)| is_watching(peer));
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -27,7 +27,6 @@
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
 use crate::numbers;
-use crate::store::position::StorePosition;
 
 const RECEIVE_BUFFER_BYTES: usize = 2_048;
 
@@ -258,8 +257,8 @@
             .admission
             .borrow_mut()
             .set_limit_share(share, now_ms);
-        let has_list = self.channels.own_revisions.borrow().directory > StorePosition::default();
-        let watches_store = peers.watches_store(has_list, now_ms);
+        let own_revisions = *self.channels.own_revisions.borrow();
+        let watches_store = peers.watches_store(own_revisions, now_ms);
         send_if_changed(&self.channels.watches_store, watches_store);
         let targets = peers.heartbeat_targets().collect();
         let interval_ms = peers.heartbeat_ms();
--- a/lib/src/direct/replication/peer_pull.rs
+++ b/lib/src/direct/replication/peer_pull.rs
@@ -179,8 +179,11 @@
             self.follower.count_served("sent");
             return channel.send(update).await;
         };
-        // Builds without eras send none.
-        let theirs = theirs.with_eras(postcard::from_bytes(eras).unwrap_or_default());
+        let theirs = match postcard::from_bytes(eras) {
+            Ok(eras) => theirs.with_eras(eras),
+            // Builds without eras do not tell the configuration's version either.
+            Err(_) => theirs.with_latest_version(),
+        };
         let update = self.follower.encoded_update(theirs, Encoding::Compressed)?;
         let is_long = update.len() >= LONG_UPDATE_BYTES;
         let long_send = is_long.then(|| LongSend::begin(&self.long_sends));
--- a/lib/src/direct/replication/rollout_follower.rs
+++ b/lib/src/direct/replication/rollout_follower.rs
@@ -154,6 +154,11 @@
                     }
                 }
                 Err(ReadError::TooOld) => after = None,
+                Err(ReadError::OtherEra { .. }) => {
+                    after = None;
+                    let pause_ms = backoff.next_ms(rand::random());
+                    sleep(Duration::from_millis(pause_ms)).await;
+                }
                 Err(error) => {
                     if !std::mem::replace(&mut is_unavailable, true) {
                         Line::new(Level::Warn, "roll-outs can't be read from the store")
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -245,6 +245,7 @@
         let mut backoff = Backoff::new(MIN_RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
         let mut outage = Outage::default();
         let mut after = None;
+        let mut has_listed = false;
         let mut watches_store = self.channels.watches_store.clone();
         loop {
             if watches_store.wait_for(|watches| *watches).await.is_err() {
@@ -265,11 +266,17 @@
                     self.channels.last_response.record();
                     outage.ended(kind);
                     backoff.reset();
-                    let pause = pause_after(after, position);
+                    let pause = pause_after(after, position, has_listed);
+                    has_listed = true;
                     after = Some(position);
                     sleep(pause).await;
                 }
                 Err(ReadError::TooOld) => after = None,
+                Err(ReadError::OtherEra { .. }) => {
+                    after = None;
+                    let pause_ms = backoff.next_ms(rand::random());
+                    sleep(Duration::from_millis(pause_ms)).await;
+                }
                 Err(error) => {
                     outage.record_error(kind, &error);
                     let pause_ms = backoff.next_ms(rand::random());
@@ -454,10 +461,15 @@
     }
 }
 
-/// Returns the pause before the next watch, given the known position and the one that the store
-/// sent.
-fn pause_after(known: Option<StorePosition>, received: StorePosition) -> Duration {
+/// Returns the pause before the next watch, given the known position, the one that the store sent,
+/// and whether it has been listed before.
+fn pause_after(
+    known: Option<StorePosition>,
+    received: StorePosition,
+    has_listed: bool,
+) -> Duration {
     match known {
+        None if has_listed => Duration::ZERO,
         None => STARTUP_PAUSE,
         Some(known) if known != received => BATCH_PAUSE,
         Some(_) => Duration::ZERO,
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -1,6 +1,7 @@
 //! The upstreams in the platform's list, kept usable through outages of the store, restarts under
 //! the same name, and entries that no upstream wrote.
 
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -12,6 +13,14 @@
 /// upstreams rewrite their entries within about two seconds of the store's return; the rest is for
 /// the delay until this process sees them.
 pub const RETURN_GRACE_MS: u64 = 2_300;
+/// Time, beyond that between two heartbeats of an upstream, for which an upstream is still used that
+/// a new era of the store lacks. Upstreams write their entries again with their next heartbeat.
+const REWRITE_DELAY_MS: u64 = 1_100;
+/// Time for which removed upstreams are remembered, in case the store returns from a copy that has
+/// them. Such copies are some seconds old.
+const REMOVED_MEMORY_MS: u64 = 60_000;
+/// Removed upstreams that are remembered at a time.
+const MAX_REMOVED: usize = 1_000;
 
 /// Heartbeats of an upstream that may be missing before it is taken to have ended.
 pub const MISSED_HEARTBEATS: u32 = 3;
@@ -76,8 +85,9 @@
     upstream: Arc<Upstream>,
     /// Time at which the entry disappeared around an outage, if it has not returned.
     missing_since_ms: Option<u64>,
-    /// Entry of an older incarnation that is in the list, and the time at which it appeared.
-    older: Option<(Upstream, u64)>,
+    /// What the list says instead, and since when: an older incarnation, or that an upstream takes
+    /// requests that was leaving or removed before the store returned from a copy.
+    doubted: Option<(Upstream, u64)>,
 }
 
 impl DirectoryEntry {
@@ -85,15 +95,28 @@
         Self {
             upstream: Arc::new(upstream),
             missing_since_ms: None,
-            older: None,
+            doubted: None,
         }
     }
 
-    /// Accepts the entry of an older incarnation if it has been in the list for long enough.
-    /// Returns whether it was accepted.
-    fn accept_older(&mut self, silence_ms: u64, now_ms: u64) -> bool {
-        let is_due = |older: &mut (Upstream, u64)| now_ms >= older.1 + silence_ms;
-        let Some((upstream, _)) = self.older.take_if(is_due) else {
+    /// Creates the entry of an upstream that is not used until the list has said for long enough
+    /// that it takes requests.
+    fn withheld(upstream: Upstream, now_ms: u64) -> Self {
+        let leaving = Upstream {
+            is_leaving: true,
+            ..upstream.clone()
+        };
+        Self {
+            doubted: Some((upstream, now_ms)),
+            ..Self::new(leaving)
+        }
+    }
+
+    /// Accepts what the list says if it has said so for long enough. Returns whether it was
+    /// accepted.
+    fn accept_doubted(&mut self, silence_ms: u64, now_ms: u64) -> bool {
+        let is_due = |doubted: &mut (Upstream, u64)| now_ms >= doubted.1 + silence_ms;
+        let Some((upstream, _)) = self.doubted.take_if(is_due) else {
             return false;
         };
         *self = Self::new(upstream);
@@ -127,6 +150,8 @@
     silence_ms: u64,
     /// Time until which a missing entry may be due to the outage.
     grace_until_ms: u64,
+    /// Instances that were removed, and when, the oldest first.
+    removed: VecDeque<(Arc<str>, u64)>,
     /// Whether upstreams in this list give their start time. An entry without one was then not
     /// written by an upstream.
     reports_start_time: bool,
@@ -138,6 +163,7 @@
             entries: IndexMap::new(),
             silence_ms: DEFAULT_SILENCE_MS,
             grace_until_ms: 0,
+            removed: VecDeque::new(),
             reports_start_time: false,
         }
     }
@@ -161,7 +187,97 @@
     /// sardinewood::direct::store_view::directory::Directory::default().store_recovered(1_000);
     /// ```
     pub fn store_recovered(&mut self, now_ms: u64) {
-        self.grace_until_ms = now_ms + RETURN_GRACE_MS;
+        self.grace_until_ms = self.grace_until_ms.max(now_ms + RETURN_GRACE_MS);
+    }
+
+    /// Returns the time for which an upstream is still used that a new era of the store lacks.
+    ///
+    /// ```
+    /// use sardinewood::direct::store_view::directory::{Directory, RETURN_GRACE_MS};
+    ///
+    /// assert_eq!(Directory::default().era_grace_ms(), RETURN_GRACE_MS);
+    /// ```
+    #[must_use]
+    pub fn era_grace_ms(&self) -> u64 {
+        let heartbeat_ms = self.silence_ms / u64::from(MISSED_HEARTBEATS);
+        RETURN_GRACE_MS.max(heartbeat_ms + REWRITE_DELAY_MS)
+    }
+
+    /// Records that the store has returned from an older copy of itself, before the entries of the
+    /// copy are applied by [`Self::put_of_copy`].
+    ///
+    /// Upstreams that the copy lacks registered after it was taken. They are still used for
+    /// [`Self::era_grace_ms`], in which they write their entries again.
+    ///
+    /// ```
+    /// sardinewood::direct::store_view::directory::Directory::default().begin_era(1_000);
+    /// ```
+    pub fn begin_era(&mut self, now_ms: u64) {
+        self.grace_until_ms = self.grace_until_ms.max(now_ms + self.era_grace_ms());
+    }
+
+    /// Applies an upstream's entry in the copy that the store has returned from.
+    ///
+    /// The copy has entries of upstreams that have been removed or have announced their end since.
+    /// These are not used before they write their entries again, or have been in the list for longer
+    /// than the store keeps the entry of a silent upstream.
+    ///
+    /// ```
+    /// # use sardinewood::direct::store_view::directory::{Directory, Upstream};
+    /// let mut directory = Directory::default();
+    /// let upstream = Upstream { instance: "i-1".into(), name: "i-1".into(), born_ms: None,
+    ///     service: "s".into(), address: "127.0.0.1:80".parse().unwrap(),
+    ///     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: Default::default(),
+    ///     is_leaving: false };
+    /// directory.put(upstream.clone(), 0);
+    /// directory.remove("i-1", 0);
+    /// directory.begin_era(1_000);
+    /// directory.put_of_copy(upstream, 1_000);
+    /// assert_eq!(directory.usable().count(), 0);
+    /// assert!(directory.sweep(9_000));
+    /// assert_eq!(directory.usable().count(), 1);
+    /// ```
+    pub fn put_of_copy(&mut self, upstream: Upstream, now_ms: u64) {
+        let known = self.entries.get(&upstream.name);
+        let was_leaving = known.is_some_and(|known| {
+            known.upstream.is_leaving && known.upstream.instance == upstream.instance
+        });
+        let was_removed = self.was_removed(&upstream.instance, now_ms);
+        if upstream.is_leaving || !(was_leaving || was_removed) {
+            return self.put(upstream, now_ms);
+        }
+        self.reports_start_time |= upstream.born_ms.is_some();
+        let name = Arc::clone(&upstream.name);
+        self.entries
+            .insert(name, DirectoryEntry::withheld(upstream, now_ms));
+    }
+
+    /// Returns the names of the upstreams that are in the list and not used, as they were leaving or
+    /// removed before the store returned from a copy.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::store_view::directory::Directory::default().withheld_names().is_empty());
+    /// ```
+    #[must_use]
+    pub fn withheld_names(&self) -> Vec<&Arc<str>> {
+        let withheld = self
+            .entries
+            .iter()
+            .filter(|(_, entry)| entry.upstream.is_leaving && entry.doubted.is_some());
+        withheld.map(|(name, _)| name).collect()
+    }
+
+    fn was_removed(&self, instance: &str, now_ms: u64) -> bool {
+        self.removed
+            .iter()
+            .any(|(removed, at_ms)| **removed == *instance && now_ms < at_ms + REMOVED_MEMORY_MS)
+    }
+
+    fn remember_removed(&mut self, instance: Arc<str>, now_ms: u64) {
+        if self.removed.len() >= MAX_REMOVED {
+            self.removed.pop_front();
+        }
+        self.removed.push_back((instance, now_ms));
     }
 
     /// Applies an upstream's entry.
@@ -179,8 +295,9 @@
         match self.entries.get_mut(&upstream.name) {
             Some(entry) if upstream.is_older_than(&entry.upstream) => {
                 entry.missing_since_ms = None;
-                let since_ms = entry.older.take().map_or(now_ms, |(_, since_ms)| since_ms);
-                entry.older = Some((upstream, since_ms));
+                let doubted = entry.doubted.take();
+                let since_ms = doubted.map_or(now_ms, |(_, since_ms)| since_ms);
+                entry.doubted = Some((upstream, since_ms));
             }
             Some(entry) => *entry = DirectoryEntry::new(upstream),
             None => {
@@ -201,8 +318,8 @@
         };
         if now_ms < self.grace_until_ms && !entry.upstream.is_leaving {
             entry.missing_since_ms.get_or_insert(now_ms);
-        } else {
-            self.entries.shift_remove(name);
+        } else if let Some(entry) = self.entries.shift_remove(name) {
+            self.remember_removed(Arc::clone(&entry.upstream.instance), now_ms);
         }
     }
 
@@ -226,14 +343,18 @@
     /// assert!(!sardinewood::direct::store_view::directory::Directory::default().sweep(0));
     /// ```
     pub fn sweep(&mut self, now_ms: u64) -> bool {
-        let before = self.entries.len();
+        let mut is_changed = false;
         if now_ms >= self.grace_until_ms {
-            self.entries
-                .retain(|_, entry| entry.missing_since_ms.is_none());
+            let is_lost =
+                |_: &Arc<str>, entry: &mut DirectoryEntry| entry.missing_since_ms.is_some();
+            let lost: Vec<_> = self.entries.extract_if(.., is_lost).collect();
+            is_changed = !lost.is_empty();
+            for (_, entry) in lost {
+                self.remember_removed(Arc::clone(&entry.upstream.instance), now_ms);
+            }
         }
-        let mut is_changed = self.entries.len() != before;
         for entry in self.entries.values_mut() {
-            is_changed |= entry.accept_older(self.silence_ms, now_ms);
+            is_changed |= entry.accept_doubted(self.silence_ms, now_ms);
         }
         is_changed
     }
@@ -247,8 +368,9 @@
     pub fn next_sweep_ms(&self) -> Option<u64> {
         let due_ms = |entry: &DirectoryEntry| {
             let missing_ms = entry.missing_since_ms.map(|_| self.grace_until_ms);
-            let older_ms = entry.older.as_ref().map(|older| older.1 + self.silence_ms);
-            missing_ms.into_iter().chain(older_ms).min()
+            let doubted = entry.doubted.as_ref();
+            let doubted_ms = doubted.map(|(_, since_ms)| since_ms + self.silence_ms);
+            missing_ms.into_iter().chain(doubted_ms).min()
         };
         self.entries.values().filter_map(due_ms).min()
     }
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -1,8 +1,13 @@
 //! This entry's replica of the configuration and of the list of upstreams.
 //!
 //! It applies lists and events of the store and updates of peers in any order, and does no I/O.
-//! Revisions only increase: a delayed list, a watch that lags behind a peer, or a peer that lags
+//! Positions only increase: a delayed list, a watch that lags behind a peer, or a peer that lags
 //! behind the store never replaces newer state.
+//!
+//! A store that returns from an older copy of itself begins a new era. What the copy lacks was
+//! acknowledged before, so the copy by itself takes nothing away: the newer configuration stays in
+//! force until it is written again in the new era, and [`Directory::begin_era`] says what holds for
+//! upstreams.
 
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -223,7 +228,8 @@
     /// Returns the whole list if the changes are not known back to the revision.
     fn upstreams_since(&self, after: StorePosition) -> UpstreamListUpdate {
         let position = self.revisions.directory;
-        if after == StorePosition::default() || after < self.tombstones_cut_at {
+        let is_known_from = after.era == position.era && after >= self.tombstones_cut_at;
+        if after == StorePosition::default() || !is_known_from {
             return UpstreamListUpdate::Full(ObjectList {
                 position,
                 objects: self.objects.values().cloned().collect(),
@@ -248,26 +254,11 @@
     }
 
     fn apply_catalog(&mut self, object: StoredObject) {
-        let is_catalog = *object.name == *self.decoders.catalog_name;
-        if is_catalog && object.version <= self.revisions.catalog.at {
-            self.log_older_catalog(&object);
-        }
-        if !is_catalog || object.version <= self.revisions.catalog.at {
+        if *object.name != *self.decoders.catalog_name || !self.may_be_newer(&object) {
             return;
         }
         match (self.decoders.catalog)(&object) {
-            Ok(catalog) => {
-                Line::new(Level::Info, "configuration in force")
-                    .revision(object.version)
-                    .field("version", catalog.version)
-                    .send();
-                self.revisions.catalog = CatalogPosition {
-                    at: object.version,
-                    version: catalog.version,
-                };
-                self.catalog_json = object.value.to_string().into();
-                self.catalog = Some((Arc::new(object), Arc::new(catalog)));
-            }
+            Ok(catalog) => self.apply_decoded_catalog(object, catalog),
             Err(findings) => Line::new(Level::Error, "configuration is not understood")
                 .revision(object.version)
                 .field("findings", findings.to_string())
@@ -275,14 +266,57 @@
         }
     }
 
-    /// Logs a configuration that is not applied although it differs from the one in force.
+    /// Returns whether a configuration may be newer than the one in force, and logs one that differs
+    /// from it and is not.
+    fn may_be_newer(&self, object: &StoredObject) -> bool {
+        let Some((known, _)) = &self.catalog else {
+            return true;
+        };
+        if object.version > self.revisions.catalog.at {
+            return true;
+        }
+        let is_different = known.value != object.value;
+        if object.version < self.revisions.catalog.at && is_different {
+            self.log_older_catalog(object);
+        }
+        object.version == self.revisions.catalog.at && is_different
+    }
+
     fn log_older_catalog(&self, object: &StoredObject) {
-        let known = self.catalog.as_ref();
-        if known.is_some_and(|(known, _)| known.value != object.value) {
-            Line::new(Level::Info, "older configuration is not applied")
-                .revision(object.version)
-                .field("revision_in_force", self.revisions.catalog.at)
+        Line::new(Level::Info, "older configuration is not applied")
+            .revision(object.version)
+            .field("revision_in_force", self.revisions.catalog.at)
+            .field("version_in_force", self.revisions.catalog.version)
+            .send();
+    }
+
+    /// Applies a configuration, unless it is the older one that the store has returned with.
+    ///
+    /// The position alone does not tell in the first configuration of a new era whether it was
+    /// written before the store was lost or since. The operator's version number does. If it is
+    /// lower, the configuration in force takes the other one's position, so that peers that start
+    /// with the copy lag behind, and the next write of the era is newer for all.
+    fn apply_decoded_catalog(&mut self, object: StoredObject, catalog: Catalog) {
+        let in_force = self.revisions.catalog;
+        let candidate = CatalogPosition {
+            at: object.version,
+            version: catalog.version,
+        };
+        let is_of_copy = candidate.at.era > in_force.at.era && candidate.version < in_force.version;
+        if is_of_copy {
+            self.log_older_catalog(&object);
+            self.revisions.catalog.at = candidate.at;
+            if let Some((known, _)) = &mut self.catalog {
+                Arc::make_mut(known).version = candidate.at;
+            }
+        } else if candidate > in_force || self.catalog.is_none() {
+            Line::new(Level::Info, "configuration in force")
+                .revision(candidate.at)
+                .field("version", candidate.version)
                 .send();
+            self.revisions.catalog = candidate;
+            self.catalog_json = object.value.to_string().into();
+            self.catalog = Some((Arc::new(object), Arc::new(catalog)));
         }
     }
 
@@ -292,6 +326,13 @@
     /// because otherwise an upstream that was removed would return, and one that restarted would be
     /// replaced by its previous incarnation.
     fn apply_upstreams(&mut self, list: ObjectList, now_ms: u64) {
+        let era = self.revisions.directory.era;
+        if self.is_listed && list.position.era != era {
+            if list.position.era > era {
+                self.apply_upstreams_of_new_era(list, now_ms);
+            }
+            return;
+        }
         let list_position = list.position;
         let listed: IndexSet<Arc<str>> = list
             .objects
@@ -317,6 +358,40 @@
             .send();
     }
 
+    /// Applies the first list of a new era.
+    ///
+    /// The position reached is that of the newest object, whenever the list was read. Entries that
+    /// read it at different times then agree, and need not pull it from each other.
+    fn apply_upstreams_of_new_era(&mut self, list: ObjectList, now_ms: u64) {
+        self.directory.begin_era(now_ms);
+        let mut missing = std::mem::take(&mut self.objects);
+        let mut newest = StorePosition::new(list.position.era, 0);
+        for object in list.objects {
+            missing.shift_remove(&object.name);
+            newest = newest.max(object.version);
+            match (self.decoders.upstream)(&object) {
+                Ok(upstream) => self.directory.put_of_copy(upstream, now_ms),
+                Err(findings) => self.mark_invalid(&object.name, &findings),
+            }
+            self.objects.insert(Arc::clone(&object.name), object);
+        }
+        for name in missing.keys() {
+            self.invalid_names.swap_remove(name);
+            self.directory.remove(name, now_ms);
+        }
+        self.tombstones.clear();
+        self.tombstones_cut_at = newest;
+        Line::new(Level::Warn, "upstreams listed in a new era of the store")
+            .field("count", self.objects.len())
+            .field("not_listed", missing.len())
+            .field("kept_for_ms", self.directory.era_grace_ms())
+            .field("withheld", self.directory.withheld_names())
+            .field("era_before", self.revisions.directory.era)
+            .revision(list.position)
+            .send();
+        self.revisions.directory = newest;
+    }
+
     fn log_changed(&mut self, upstream: &Upstream, version: StorePosition, now_ms: u64) {
         self.log(now_ms, "upstream changed", |line| {
             line.field("upstream", &upstream.name)
--- a/lib/src/store/era.rs
+++ b/lib/src/store/era.rs
@@ -5,10 +5,14 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use tokio::sync::watch;
+
 use crate::logging::Level;
 use crate::logging::Line;
+use crate::store::ReadError;
 
 /// Largest rise of the era that is believed. The era rises by one each time the store returns from a
 /// copy, and a process that was cut off has missed a few of them.
@@ -34,6 +38,14 @@
     has_logged_unusable: bool,
 }
 
+/// What the clones of a [`StoreEra`] share.
+#[derive(Debug, Default)]
+struct SharedEra {
+    state: Mutex<EraState>,
+    /// The latest era, for those that wait for a change.
+    current: watch::Sender<u32>,
+}
+
 /// The era of one store, as known from its answers. Clones share what they know.
 ///
 /// A later era counts only once two answers in a row name it: all that is known of an earlier era
@@ -50,14 +62,15 @@
 /// ```
 #[derive(Clone, Debug, Default)]
 pub struct StoreEra {
-    state: Arc<Mutex<EraState>>,
+    shared: Arc<SharedEra>,
 }
 
 impl StoreEra {
     /// Records the era that an answer names, and returns whether the answer may be used. An answer
     /// that names none, or none that can be believed, is taken as one of the current era.
+    #[must_use]
     pub fn observe(&self, named: Option<&str>) -> EraCheck {
-        let mut state = self.state.lock().unwrap_or_else(PoisonError::into_inner);
+        let mut state = self.lock();
         let Some(text) = named else {
             return EraCheck::Current(state.current);
         };
@@ -66,7 +79,59 @@
             state.log_unusable(text);
             return EraCheck::Current(state.current);
         };
-        state.check(era)
+        let check = state.check(era);
+        let current = state.current;
+        self.shared.current.send_if_modified(|known| {
+            let is_changed = *known != current;
+            *known = current;
+            is_changed
+        });
+        check
+    }
+
+    /// Waits for a call that is meant for an era, or until another call hears of a later one.
+    ///
+    /// # Errors
+    ///
+    /// When the call fails, or the era has ended.
+    ///
+    /// ```
+    /// # use sardinewood::store::era::StoreEra;
+    /// # tokio::runtime::Builder::new_current_thread().build().unwrap().block_on(async {
+    /// let answer = StoreEra::default().call_within(0, async { Ok(7) }).await;
+    /// assert_eq!(answer, Ok(7));
+    /// # });
+    /// ```
+    pub async fn call_within<T>(
+        &self,
+        era: u32,
+        call: impl Future<Output = Result<T, ReadError>>,
+    ) -> Result<T, ReadError> {
+        let mut current = self.shared.current.subscribe();
+        tokio::select! {
+            answer = call => answer,
+            changed = current.wait_for(|current| *current != era) => Err(ReadError::OtherEra {
+                // The sender lives as long as this value.
+                era: changed.map_or(era, |current| *current),
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, EraState> {
+        self.shared
+            .state
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the latest era, or 0 if none is known.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::store::era::StoreEra::default().current(), 0);
+    /// ```
+    #[must_use]
+    pub fn current(&self) -> u32 {
+        self.lock().current
     }
 }
 
--- a/lib/src/store/types.rs
+++ b/lib/src/store/types.rs
@@ -152,6 +152,12 @@
     /// The store has forgotten the changes since the revision of the watch.
     #[error("the store no longer has the changes since that revision")]
     TooOld,
+    /// The answer is of another era of the store than the call was meant for.
+    #[error("the store answers in era {era}")]
+    OtherEra {
+        /// The era of the answer.
+        era: u32,
+    },
     /// The answer is not of the store's protocol.
     #[error("the store's answer is not understood: {reason}")]
     Malformed {
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -24,6 +24,7 @@
 mod test_direct_crash_detector;
 mod test_direct_directory;
 mod test_direct_dispatch;
+mod test_direct_eras;
 mod test_direct_heartbeat_payload;
 mod test_direct_notices;
 mod test_direct_quota_owners;
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -412,15 +412,18 @@
     for number in 1..4 {
         table.record_heartbeat(address(number), &heartbeat(1), 0);
     }
-    assert!(!table.watches_store(false, 0));
+    assert!(!table.watches_store(Revisions::default(), 0));
     let lost = Heartbeat {
         store_age_ms: Some(9_000),
         ..heartbeat(2)
     };
     table.record_heartbeat(address(2), &lost, 10);
-    assert!(table.watches_store(false, 10));
+    assert!(table.watches_store(Revisions::default(), 10));
     let first = PeerTable::new(address(0), &[]);
-    assert!(first.watches_store(false, 0), "a lone entry asks the store");
+    assert!(
+        first.watches_store(Revisions::default(), 0),
+        "a lone entry asks the store"
+    );
 }
 
 /// A heartbeat of an entry that watches the store, on a host of a data centre.
@@ -476,9 +479,9 @@
         table.record_heartbeat(address(number), &watching(1, 100), 0);
     }
     table.set_own_host(host(2));
-    assert!(!table.watches_store(false, 0));
+    assert!(!table.watches_store(Revisions::default(), 0));
     table.set_own_host(host(100));
-    assert!(table.watches_store(false, 0));
+    assert!(table.watches_store(Revisions::default(), 0));
 }
 
 #[test]
@@ -493,9 +496,9 @@
         capacity: 100,
     };
     table.set_own_host(host(1));
-    assert!(!table.watches_store(false, 0));
+    assert!(!table.watches_store(Revisions::default(), 0));
     table.set_own_host(host(2));
-    assert!(table.watches_store(false, 0));
+    assert!(table.watches_store(Revisions::default(), 0));
 }
 
 #[test]
@@ -511,16 +514,39 @@
     assert_eq!(PeerMessage::decode(&bytes), Some(message));
 }
 
+fn with_list() -> Revisions {
+    Revisions {
+        directory: StorePosition::new(0, 1),
+        ..Revisions::default()
+    }
+}
+
 #[test]
 fn only_seeds_ask_the_store_at_a_start() {
     // Guards against a start of a whole fleet that costs the store a list for each entry.
     let seeds = [address(1), address(2)];
-    assert!(PeerTable::new(address(1), &seeds).watches_store(false, 0));
+    let mut seed = PeerTable::new(address(1), &seeds);
+    assert!(
+        !seed.watches_store(Revisions::default(), 299),
+        "the other seed may know a list"
+    );
+    assert!(
+        seed.watches_store(Revisions::default(), 300),
+        "it is not heard"
+    );
+    seed.record_heartbeat(address(2), &Heartbeat::default(), 0);
+    assert!(seed.watches_store(Revisions::default(), 0), "it knows none");
     let other = PeerTable::new(address(9), &seeds);
-    assert!(!other.watches_store(false, 0));
-    assert!(other.watches_store(false, 800), "no seed has sent a list");
-    assert!(!other.watches_store(true, 800), "a seed has sent one");
-    assert!(other.watches_store(true, 3_000), "nobody watches");
+    assert!(!other.watches_store(Revisions::default(), 0));
+    assert!(
+        other.watches_store(Revisions::default(), 800),
+        "no seed has sent a list"
+    );
+    assert!(
+        !other.watches_store(with_list(), 800),
+        "a seed has sent one"
+    );
+    assert!(other.watches_store(with_list(), 3_000), "nobody watches");
 }
 
 #[test]
@@ -665,3 +691,46 @@
     let charge = quotas.charge_locally(&customer(), cost, Contention::Contended, 0);
     assert_eq!(charge, ChargeOutcome::Granted);
 }
+
+#[test]
+fn restarted_seed_asks_its_peers_first() {
+    // Guards against an entry that starts just after the store has returned from an older copy, and
+    // serves by the copy's configuration while its peers know a newer one.
+    let seeds = [address(1), address(2)];
+    let mut table = PeerTable::new(address(1), &seeds);
+    let peer = Heartbeat {
+        revisions: with_list(),
+        ..Heartbeat::default()
+    };
+    table.record_heartbeat(address(2), &peer, 0);
+    assert!(!table.watches_store(Revisions::default(), 300));
+    assert!(table.watches_store(with_list(), 300));
+    assert!(
+        table.watches_store(Revisions::default(), 800),
+        "the peer has sent nothing"
+    );
+}
+
+#[test]
+fn builds_without_eras_no_watchers_once_the_store_names_one() {
+    // Guards against a rolling upgrade in which only old entries watch the store: their changes name
+    // no era, so that new entries take none of them.
+    let mut table = PeerTable::new(address(9), &[]);
+    for number in 1..4 {
+        table.record_heartbeat(address(number), &heartbeat(1), 0);
+    }
+    let in_era = Revisions {
+        directory: StorePosition::new(2, 1),
+        ..Revisions::default()
+    };
+    assert!(!table.watches_store(with_list(), 0));
+    assert!(table.watches_store(in_era, 0));
+    for number in 1..4 {
+        let heartbeat = Heartbeat {
+            knows_eras: true,
+            ..heartbeat(2)
+        };
+        table.record_heartbeat(address(number), &heartbeat, 0);
+    }
+    assert!(!table.watches_store(in_era, 0));
+}
--- a/lib/tests/test_store_era.rs
+++ b/lib/tests/test_store_era.rs
@@ -5,8 +5,9 @@
 
 fn known(era: &str) -> StoreEra {
     let known = StoreEra::default();
-    known.observe(Some(era));
-    known.observe(Some(era));
+    let first = known.observe(Some(era));
+    assert!(matches!(first, EraCheck::Unconfirmed(_)));
+    assert!(matches!(known.observe(Some(era)), EraCheck::Current(_)));
     known
 }
 
@@ -54,6 +55,6 @@
 #[test]
 fn several_eras_missed() {
     let era = known("3");
-    era.observe(Some("8"));
+    assert_eq!(era.observe(Some("8")), EraCheck::Unconfirmed(8));
     assert_eq!(era.observe(Some("8")), EraCheck::Current(8));
 }
