rollout: what the store has lost of a roll-out is written again

The status of a roll-out whose verdict was written and lost with the store's older copy stayed in_progress for good, and a completed version would have lost its requests to the one before it as soon as the store's word was believed. An order that the copy lacks would have counted as withdrawn, and one that was withdrawn would have begun again.

It now keeps what was reached. A status of a later era that comes before it is written again by the first coordinator that can, nothing is judged anew, and the exposure that was spent stays spent. A roll-out of an earlier era that is not listed is kept, and is the same when it is ordered again for the same version; a withdrawn one that is in the copy does not start until it is written.

--- a/lib/src/direct/rollout/object.rs
+++ b/lib/src/direct/rollout/object.rs
@@ -36,6 +36,23 @@
         matches!(self, Self::Completed | Self::Reverted)
     }
 
+    /// Returns whether a store that shows this status has lost `known`, which follows it.
+    ///
+    /// ```
+    /// use sardinewood::direct::rollout::object::RolloutStatus;
+    ///
+    /// assert!(RolloutStatus::InProgress.lacks(RolloutStatus::Reverted));
+    /// assert!(!RolloutStatus::Completed.lacks(RolloutStatus::Reverted));
+    /// ```
+    #[must_use]
+    pub fn lacks(self, known: Self) -> bool {
+        match self {
+            Self::Ordered => known != Self::Ordered,
+            Self::InProgress => known.is_final(),
+            Self::Completed | Self::Reverted => false,
+        }
+    }
+
     /// Returns the name used in logs and on operators' pages.
     ///
     /// ```
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -118,7 +118,10 @@
 /// The state of a rollout at one entry.
 #[derive(Clone, Debug)]
 pub struct RolloutProgress {
+    /// The rollout as last read from the store.
     rollout: Rollout,
+    /// The status that the store had and has lost, until it is written again.
+    lost_status: Option<RolloutStatus>,
     exposure_limit: ExposureLimit,
     incarnation: u64,
     /// When any entry first saw the rollout, by this entry's clock. It may lie before the start of
@@ -179,6 +182,7 @@
         }
         Self {
             rollout,
+            lost_status: None,
             exposure_limit,
             incarnation,
             first_seen_ms: signed(now_ms) - signed(elapsed_ms),
@@ -220,10 +224,16 @@
         self.phase
     }
 
-    /// Returns whether the store has a final status.
+    /// Returns the status that was reached, also if the store has lost it since.
+    #[must_use]
+    pub fn status(&self) -> RolloutStatus {
+        self.lost_status.unwrap_or(self.rollout.status)
+    }
+
+    /// Returns whether a final status was written to the store.
     #[must_use]
     pub fn is_over(&self) -> bool {
-        self.rollout.status.is_final()
+        self.status().is_final()
     }
 
     /// Returns why the phase was entered.
@@ -330,10 +340,18 @@
     }
 
     /// Applies the rollout as last read from the store, if it is newer than the known one.
+    ///
+    /// A store that returns from an older copy may show an earlier status than it had, or lack the
+    /// rollout until an operator orders it again. What was decided stands: the lost status is
+    /// written again, and nothing is judged anew.
     pub fn apply_rollout(&mut self, rollout: Rollout, now_ms: u64) {
         if rollout.revision <= self.rollout.revision {
             return;
         }
+        let is_of_new_era = rollout.revision.era > self.rollout.revision.era;
+        let may_lack = is_of_new_era || self.lost_status.is_some();
+        let reached = self.status();
+        self.lost_status = (may_lack && rollout.status.lacks(reached)).then_some(reached);
         self.rollout = rollout;
         self.written_at_ms = None;
         self.entered_at_ms = now_ms;
@@ -350,10 +368,10 @@
         let mut has_rotated = self.advance_rotation(rotation, now_ms);
         has_rotated |= state.concurrent_canaries > self.concurrent_canaries;
         self.concurrent_canaries = self.concurrent_canaries.max(state.concurrent_canaries);
-        let status = self.rollout.status;
+        let status = self.status();
         self.apply_rollout(state.rollout.clone(), now_ms);
         let mut actions = Vec::new();
-        if self.rollout.status != status || has_rotated {
+        if self.status() != status || has_rotated {
             actions.push(RolloutAction::UpdateEligibleUpstreams);
         }
         if state.phase > self.phase {
@@ -395,7 +413,9 @@
     /// Advances the rollout, and returns the actions that are due.
     pub fn step(&mut self, snapshot: &FleetSnapshot, now_ms: u64) -> Vec<RolloutAction> {
         if self.is_over() {
-            return self.due_messages(snapshot, now_ms);
+            let mut actions: Vec<_> = self.due_write(snapshot, now_ms).into_iter().collect();
+            actions.extend(self.due_messages(snapshot, now_ms));
+            return actions;
         }
         if snapshot.coordinator_rank.is_some() {
             self.coordinator_seen_at_ms = now_ms;
@@ -518,6 +538,9 @@
     }
 
     fn status_to_write(&self, snapshot: &FleetSnapshot, now_ms: u64) -> Option<RolloutStatus> {
+        if self.lost_status.is_some() || self.is_over() {
+            return self.lost_status;
+        }
         match self.phase {
             RolloutPhase::Judging if self.rollout.status == RolloutStatus::Ordered => {
                 Some(RolloutStatus::InProgress)
--- a/lib/src/direct/rollout/table.rs
+++ b/lib/src/direct/rollout/table.rs
@@ -207,7 +207,8 @@
             .rollouts
             .values()
             .map(RolloutProgress::rollout)
-            .filter(|known| known.revision < at)
+            // A rollout of an earlier era was not removed. The store has lost it.
+            .filter(|known| known.revision.era == at.era && known.revision < at)
             .filter(|known| rollouts.iter().all(|rollout| rollout.id != known.id))
             .map(|known| known.id.clone())
             .collect();
@@ -229,13 +230,12 @@
         let Some(exposure_limit) = self.exposure_limit else {
             return false;
         };
-        let withdrawn_at = self.withdrawn.get(&rollout.id);
-        if withdrawn_at.is_some_and(|revision| *revision >= rollout.revision) {
+        if self.is_withdrawn(rollout) {
             return false;
         }
         let known = self.rollouts.get_mut(&rollout.id.service);
         match known {
-            Some(known) if known.rollout().id == rollout.id => {
+            Some(known) if is_same(known.rollout(), rollout) => {
                 known.apply_rollout(rollout.clone(), now_ms);
                 false
             }
@@ -257,6 +257,20 @@
         }
     }
 
+    /// Returns whether an operator has removed a rollout.
+    ///
+    /// A store that returns from an older copy may still have it. It is not started again unless it
+    /// is written after that.
+    fn is_withdrawn(&mut self, rollout: &Rollout) -> bool {
+        let Some(withdrawn_at) = self.withdrawn.get_mut(&rollout.id) else {
+            return false;
+        };
+        if withdrawn_at.era < rollout.revision.era {
+            *withdrawn_at = rollout.revision;
+        }
+        *withdrawn_at >= rollout.revision
+    }
+
     /// Removes a rollout that an operator has removed, and returns whether it was known.
     pub fn withdraw(&mut self, id: &RolloutId, revision: StorePosition) -> bool {
         let known = self.rollouts.get(&id.service);
@@ -495,7 +509,10 @@
         let rollouts: Vec<Rollout> = self
             .rollouts
             .values()
-            .map(|progress| progress.rollout().clone())
+            .map(|progress| Rollout {
+                status: progress.status(),
+                ..progress.rollout().clone()
+            })
             .collect();
         self.versions.update(&self.upstreams, &rollouts);
     }
@@ -523,3 +540,9 @@
         .filter(|((of, version), _)| &**of == service && &**version != to);
     at_old.map(|(_, count)| count).sum()
 }
+
+/// Returns whether `later` is the same rollout as `known`. One that the store has lost, and that an
+/// operator orders again in a later era, has another creation mark.
+fn is_same(known: &Rollout, later: &Rollout) -> bool {
+    known.id == later.id || (known.id.to == later.id.to && known.revision.era < later.revision.era)
+}
--- a/lib/src/direct/rollout_driver.rs
+++ b/lib/src/direct/rollout_driver.rs
@@ -314,7 +314,7 @@
         json!({
             "service": service,
             "to": progress.rollout().id.to,
-            "status": progress.rollout().status.name(),
+            "status": progress.status().name(),
             "phase": format!("{:?}", progress.phase()).to_lowercase(),
             "reason": progress.reason().name(),
             "evidence_is": progress.verdict().name(),
--- a/lib/tests/test_direct_rollout.rs
+++ b/lib/tests/test_direct_rollout.rs
@@ -562,3 +562,102 @@
     }
     assert_eq!(seen, 1);
 }
+
+/// The rollout as the store shows it after it has returned from an older copy.
+fn of_copy(revision: u64, status: RolloutStatus) -> Rollout {
+    Rollout {
+        revision: StorePosition::new(1, revision),
+        ..rollout(revision, status)
+    }
+}
+
+fn apply_in_new_era(table: &mut RolloutTable, rollouts: &[Rollout], revision: u64) {
+    table.apply_stored(rollouts, StorePosition::new(1, revision), 1, 0);
+}
+
+/// Returns the statuses that a coordinator writes within a second.
+fn statuses_written(table: &mut RolloutTable) -> Vec<RolloutStatus> {
+    let steps = (0..10).flat_map(|step| table.step(&coordinator(&[]), 20_000 + step * 100));
+    let status = |action| match action {
+        RolloutAction::WriteStatus(status) => Some(status),
+        _ => None,
+    };
+    let mut statuses: Vec<_> = steps.filter_map(|(_, action)| status(action)).collect();
+    statuses.dedup();
+    statuses
+}
+
+#[test]
+fn lost_verdicts_written_again_as_they_were() {
+    // Guards against a verdict that is reversed, or never written again, because the store has lost
+    // it: a version that is completed would get no more requests.
+    for verdict in [RolloutStatus::Completed, RolloutStatus::Reverted] {
+        let mut table = table_with_rollout();
+        table.apply_stored(&[rollout(12, verdict)], StorePosition::new(0, 12), 1, 0);
+        let used = versions_used(&mut table);
+        apply_in_new_era(&mut table, &[of_copy(11, RolloutStatus::InProgress)], 11);
+        assert_eq!(versions_used(&mut table), used);
+        assert_eq!(statuses_written(&mut table), [verdict]);
+        apply_in_new_era(&mut table, &[of_copy(13, verdict)], 13);
+        assert!(statuses_written(&mut table).is_empty());
+        assert_eq!(versions_used(&mut table), used);
+    }
+}
+
+#[test]
+fn begun_rollout_goes_on_after_a_loss() {
+    // Guards against a rollout that begins anew after a loss, and exposes callers twice.
+    let mut table = table_with_rollout();
+    let begun = rollout(11, RolloutStatus::InProgress);
+    table.apply_stored(&[begun], StorePosition::new(0, 11), 1, 0);
+    let new = upstream(101, "v2");
+    for _ in 0..30 {
+        table.record_dispatch(&new, "r", false);
+    }
+    let sent = |table: &RolloutTable| {
+        table
+            .progress("pool")
+            .map(|known| known.exposure().at_new())
+    };
+    let before = sent(&table);
+    apply_in_new_era(&mut table, &[of_copy(10, RolloutStatus::Ordered)], 10);
+    assert_eq!(sent(&table), before);
+    let known = table.progress("pool").expect("a rollout");
+    assert_eq!(known.status(), RolloutStatus::InProgress);
+    assert_eq!(known.elapsed_ms(5_000), 5_000);
+    assert_eq!(statuses_written(&mut table)[0], RolloutStatus::InProgress);
+}
+
+#[test]
+fn rollout_that_the_copy_lacks_goes_on() {
+    // Guards against a rollout that counts as withdrawn because the store has lost it, and as another
+    // one when it is ordered again.
+    let mut table = table_with_rollout();
+    apply_in_new_era(&mut table, &[], 8);
+    assert!(table.progress("pool").is_some());
+    let mut again = of_copy(9, RolloutStatus::Ordered);
+    again.id.created = 9;
+    apply_in_new_era(&mut table, &[again.clone()], 9);
+    let known = table.progress("pool").expect("a rollout");
+    assert_eq!(known.rollout().id, again.id);
+    assert_eq!(known.elapsed_ms(5_000), 5_000);
+    apply_in_new_era(&mut table, &[], 10);
+    assert!(
+        table.progress("pool").is_none(),
+        "it was removed in this era"
+    );
+}
+
+#[test]
+fn withdrawn_rollout_in_the_copy_not_started() {
+    // Guards against a rollout that an operator has withdrawn and that the store has again.
+    let mut table = table_with_rollout();
+    table.apply_stored(&[], StorePosition::new(0, 12), 1, 0);
+    apply_in_new_era(&mut table, &[of_copy(10, RolloutStatus::Ordered)], 10);
+    assert!(table.progress("pool").is_none());
+    apply_in_new_era(&mut table, &[of_copy(13, RolloutStatus::Ordered)], 13);
+    assert!(
+        table.progress("pool").is_some(),
+        "it was ordered after that"
+    );
+}
