--- a/lib/tests/test_direct_eras.rs
+++ b/lib/tests/test_direct_eras.rs
@@ -12,7 +12,6 @@
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::direct::store_view::replica::ObjectDecoders;
 use sardinewood::direct::store_view::replica::StoreReplica;
-use sardinewood::findings::Findings;
 use sardinewood::store::ObjectList;
 use sardinewood::store::StoredObject;
 use sardinewood::store::WatchEvent;
@@ -24,27 +23,22 @@
     catalog_kind: "c",
     catalog_name: "main",
     upstream_kind: "u",
-    catalog,
-    upstream,
+    catalog: |object| {
+        Ok(Catalog {
+            version: object.value.as_u64().unwrap_or_default(),
+            ..Catalog::default()
+        })
+    },
+    upstream: |object| {
+        Ok(Upstream {
+            is_leaving: object.value == "leaving",
+            ..direct_fixture::born(&object.name, 10)
+        })
+    },
 };
 /// Longer than any time for which upstreams are kept or withheld.
 const LONG_MS: u64 = 20_000;
 
-fn catalog(object: &StoredObject) -> Result<Catalog, Findings> {
-    Ok(Catalog {
-        version: object.value.as_u64().unwrap_or_default(),
-        ..Catalog::default()
-    })
-}
-
-/// Decodes an upstream, which is leaving if its value says so.
-fn upstream(object: &StoredObject) -> Result<Upstream, Findings> {
-    Ok(Upstream {
-        is_leaving: object.value == "leaving",
-        ..direct_fixture::born(&object.name, 10)
-    })
-}
-
 fn at(era: u32, revision: u64) -> StorePosition {
     StorePosition::new(era, revision)
 }
