membership, store follower: the age of the configuration is known, shown and acted on

An entry could go on with an old configuration for as long as nobody told it of a newer one, and no line or figure said so. Each entry now keeps when it last had the word of the store, or of a peer that watches it and has nothing newer. The age is a gauge and stands with the version in each line about a request; beyond bounds.configMs of the settings, which was read nowhere, a line says so and the entry calls the store itself.

Waits on the way of a change, for a bound of 2 s: a watch waited 1 s and was given up after another, which alone used up the bound when a connection fell silent; both are three eighths of the bound now, 0.75 s, and at most 1 s. An entry counted as watching if either of its two watches was answered; now the older answer counts.

When nobody watches the store, each entry called it up to twice a second, hundreds at once as soon as it was back. Beyond 16 entries, all but the first three now call at random times, at a rate that is the same for any number of entries, and at least once within the bound.

--- a/lib/src/direct/membership.rs
+++ b/lib/src/direct/membership.rs
@@ -6,3 +6,4 @@
 pub mod peer_message;
 pub mod peer_table;
 pub mod spread_tree;
+pub mod store_role;
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -10,6 +10,7 @@
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::Revisions;
+use crate::direct::membership::store_role::StoreRole;
 use crate::store::position::StorePosition;
 
 /// Shortest time between two heartbeats. Within it, two entries may both use the last slot of an
@@ -524,26 +525,43 @@
         missing.max(unknown_seeds)
     }
 
-    /// Returns whether this entry should watch the store itself, rather than get changes from peers.
+    /// Returns whether this entry calls the store itself, rather than get changes from peers.
     ///
     /// Each change costs every entry that watches a call, so that the cost of a fleet in which all
     /// watch grows with the square of its size. So only a few watch, chosen in an order that all
     /// agree on: the hosts with most capacity, as they serve the others, and one in each data centre
     /// first, since a data centre may be cut off. An entry that the store hasn't answered for some
     /// time is passed over. `own` tells what this entry has got from a peer or the store. An entry
-    /// that has nothing asks its peers first.
+    /// that has nothing asks its peers first. `is_served` tells whether the store has answered it
+    /// lately, and `longest_ms` is the time within which an entry has to
+    /// be up to date that the store serves while it turns the first ones away.
     ///
     /// ```
     /// # use sardinewood::direct::membership::peer_table::PeerTable;
     /// # use sardinewood::direct::membership::peer_message::Revisions;
     /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
-    /// assert!(table.watches_store(Revisions::default(), 0));
+    /// # use sardinewood::direct::membership::store_role::StoreRole;
+    /// assert_eq!(table.store_role(Revisions::default(), false, 2_000, 0), StoreRole::Watches);
     /// ```
     #[must_use]
-    pub fn watches_store(&self, own: Revisions, now_ms: u64) -> bool {
-        let order = self.watcher_order(own.directory.era, now_ms);
-        let mut watchers = order.iter().take(STORE_WATCHERS);
-        now_ms >= self.first_call_ms(own) && watchers.any(|address| *address == self.own_address)
+    pub fn store_role(
+        &self,
+        own: Revisions,
+        is_served: bool,
+        longest_ms: u64,
+        now_ms: u64,
+    ) -> StoreRole {
+        let era = own.directory.era;
+        let is_watching = |peer: &Peer| self.is_watching(peer, era, now_ms);
+        if now_ms < self.first_call_ms(own) || !self.is_among_first(is_watching) {
+            return StoreRole::Listens;
+        }
+        // The store may answer nobody, and then all would call it.
+        let is_spare = |peer: &Peer| self.is_live(peer, now_ms) && !is_watching(peer);
+        if is_served || self.is_among_first(is_spare) {
+            return StoreRole::Watches;
+        }
+        StoreRole::spare(self.live_peers(now_ms).len() + 1, longest_ms)
     }
 
     /// Returns the time from which this entry may call the store.
@@ -568,18 +586,33 @@
         }
     }
 
-    /// Returns the entries that watch the store, and this one, in the order in which they should:
-    /// the best host of each data centre, then the second best ones, and so on. Once the store names
-    /// its era, builds without eras are passed over, as their changes tell nothing.
-    fn watcher_order(&self, era: u32, now_ms: u64) -> Vec<SocketAddr> {
-        let is_watching = |peer: &Peer| {
-            let store_age_ms = peer.store_age_ms.filter(|_| !peer.is_leaving);
-            store_age_ms.is_some_and(|age_ms| age_ms < MAX_STORE_AGE_MS)
-                && (era == 0 || peer.knows_eras)
-                && self.is_live(peer, now_ms)
-        };
-        let watching = self.peers.iter().filter(|(_, peer)| is_watching(peer));
-        let mut candidates: Vec<(EntryHost, SocketAddr)> = watching
+    /// Returns whether an answer of the store of this age means that it serves the entry.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_table::PeerTable;
+    ///
+    /// assert!(PeerTable::is_recent_answer(10) && !PeerTable::is_recent_answer(9_000));
+    /// ```
+    #[must_use]
+    pub fn is_recent_answer(age_ms: u32) -> bool {
+        age_ms < MAX_STORE_AGE_MS
+    }
+
+    /// Returns whether a peer watches the store. Once the store names its era, builds without eras
+    /// are passed over, as their changes tell nothing.
+    fn is_watching(&self, peer: &Peer, era: u32, now_ms: u64) -> bool {
+        let store_age_ms = peer.store_age_ms.filter(|_| !peer.is_leaving);
+        store_age_ms.is_some_and(Self::is_recent_answer)
+            && (era == 0 || peer.knows_eras)
+            && self.is_live(peer, now_ms)
+    }
+
+    /// Returns whether this entry is among the first that should watch the store, of itself and some
+    /// of its peers. The order has the best host of each data centre first, then the second best
+    /// ones, and so on.
+    fn is_among_first(&self, is_candidate: impl Fn(&Peer) -> bool) -> bool {
+        let peers = self.peers.iter().filter(|(_, peer)| is_candidate(peer));
+        let mut candidates: Vec<(EntryHost, SocketAddr)> = peers
             .map(|(address, peer)| (peer.host.unwrap_or_default(), *address))
             .collect();
         candidates.push((self.own_host, self.own_address));
@@ -594,7 +627,8 @@
             candidates.into_iter().map(rank_in_data_centre).collect();
         // The sort is stable: within a rank, the hosts with most capacity stay first.
         order.sort_by_key(|(rank, _)| *rank);
-        order.into_iter().map(|(_, address)| address).collect()
+        let mut first = order.iter().take(STORE_WATCHERS);
+        first.any(|(_, address)| *address == self.own_address)
     }
 
     /// Returns the time until the next heartbeat.
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -90,6 +90,8 @@
     pub held_requests: IntGauge,
     /// Version of the configuration that is in force.
     pub catalog_version: IntGauge,
+    /// Time since the configuration was last known to be the newest one.
+    pub catalog_age_ms: IntGauge,
 }
 
 fn counter(name: &str, help: &str) -> prometheus::Result<IntCounter> {
@@ -185,6 +187,7 @@
             suspects: gauge("suspects", "Requests under which upstreams ended.")?,
             held_requests: gauge("held_requests", "Requests that are not run.")?,
             catalog_version: gauge("catalog_version", "Configuration in force.")?,
+            catalog_age_ms: gauge("catalog_age_ms", "Age of the word that it is the newest.")?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -229,6 +232,7 @@
             &self.suspects,
             &self.held_requests,
             &self.catalog_version,
+            &self.catalog_age_ms,
             &self.oldest_heartbeat_ms,
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -17,6 +17,7 @@
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::membership::spread_tree;
+use crate::direct::membership::store_role::StoreRole;
 use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::replication::spread::SpreadMessage;
 use crate::direct::replication::spread::SpreadRelay;
@@ -56,8 +57,8 @@
     pub last_store_response: LastStoreResponse,
     /// A peer with later revisions, if there is one.
     pub peer_ahead: watch::Sender<Option<SocketAddr>>,
-    /// Whether this entry watches the store itself.
-    pub watches_store: watch::Sender<bool>,
+    /// Whether this entry calls the store itself.
+    pub role: watch::Sender<StoreRole>,
     /// Changes that this entry has read from the store.
     pub changes: mpsc::UnboundedReceiver<ReplicaChange>,
     /// Receives the updates that peers send.
@@ -215,9 +216,23 @@
             now_ms,
         );
         self.update_peer_ahead(heartbeat.revisions, now_ms);
+        self.take_word(heartbeat, now_ms);
         traffic.grant_slots();
     }
 
+    /// Takes the word of a peer that watches the store and has no newer configuration.
+    fn take_word(&self, heartbeat: &Heartbeat, now_ms: u64) {
+        let own = *self.channels.own_revisions.borrow();
+        let knows_era = own.directory.era == 0 || heartbeat.knows_eras;
+        if let Some(age_ms) = heartbeat.store_age_ms
+            && knows_era
+            && heartbeat.revisions.catalog <= own.catalog
+        {
+            self.traffic
+                .confirm_catalog(now_ms.saturating_sub(age_ms.into()));
+        }
+    }
+
     /// Looks for a peer that is ahead of this entry, if the sender of a heartbeat is or one was
     /// before.
     fn update_peer_ahead(&self, sender: Revisions, now_ms: u64) {
@@ -258,8 +273,18 @@
             .borrow_mut()
             .set_limit_share(share, now_ms);
         let own_revisions = *self.channels.own_revisions.borrow();
-        let watches_store = peers.watches_store(own_revisions, now_ms);
-        send_if_changed(&self.channels.watches_store, watches_store);
+        let store_age_ms = self.store_age_ms();
+        let bound_ms = traffic.config_bound_ms.get();
+        let is_served = store_age_ms.is_some_and(PeerTable::is_recent_answer);
+        let mut role = peers.store_role(own_revisions, is_served, bound_ms, now_ms);
+        if let Some(age_ms) = store_age_ms {
+            traffic.confirm_catalog(now_ms.saturating_sub(age_ms.into()));
+        }
+        if traffic.is_catalog_stale() && role == StoreRole::Listens {
+            // Nobody who watches the store has said for some time that nothing has changed.
+            role = StoreRole::spare(live, bound_ms);
+        }
+        send_if_changed(&self.channels.role, role);
         let targets = peers.heartbeat_targets().collect();
         let interval_ms = peers.heartbeat_ms();
         drop(peers);
@@ -358,12 +383,17 @@
         traffic.send_to_all_peers(&last_heartbeat);
     }
 
+    /// Returns how long ago the store answered this entry, if it calls the store.
+    fn store_age_ms(&self) -> Option<u32> {
+        let age_ms = self.channels.last_store_response.age_ms();
+        age_ms.filter(|_| *self.channels.role.borrow() != StoreRole::Listens)
+    }
+
     fn own_heartbeat(&mut self) -> Heartbeat {
         self.sequence += 1;
         let traffic = &self.traffic;
         let dispatcher = traffic.dispatcher.borrow();
         traffic.quotas.borrow().update_report(&mut self.round_spent);
-        let watches_store = *self.channels.watches_store.borrow();
         let peers = traffic.peers.borrow();
         Heartbeat {
             incarnation: self.incarnation,
@@ -372,11 +402,7 @@
             is_leaving: traffic.is_stopping.get(),
             age_s: PeerTable::own_age_s(traffic.now_ms()),
             known_entries: u16::try_from(peers.known_entries()).unwrap_or(u16::MAX),
-            store_age_ms: self
-                .channels
-                .last_store_response
-                .age_ms()
-                .filter(|_| watches_store),
+            store_age_ms: self.store_age_ms(),
             revisions: *self.channels.own_revisions.borrow(),
             peer_addresses: peers.addresses_to_share(rand::random::<u32>().into()),
             loads: LoadChunk::of(dispatcher.running(traffic.now_ms()).collect(), self.round),
--- a/lib/src/direct/replication/rollout_follower.rs
+++ b/lib/src/direct/replication/rollout_follower.rs
@@ -11,6 +11,8 @@
 use tokio::time::sleep;
 
 use crate::backoff::Backoff;
+use crate::direct::membership::store_role;
+use crate::direct::membership::store_role::StoreRole;
 use crate::direct::replication::store_follower::MAX_RETRY_PAUSE_MS;
 use crate::direct::replication::store_follower::MIN_RETRY_PAUSE_MS;
 use crate::direct::replication::store_follower::STARTUP_PAUSE;
@@ -111,33 +113,27 @@
 pub struct RolloutFollower {
     known: Rc<RefCell<IndexMap<Arc<str>, Rollout>>>,
     view: watch::Sender<Option<RolloutView>>,
-    watches_store: watch::Receiver<bool>,
+    role: watch::Receiver<StoreRole>,
 }
 
 impl RolloutFollower {
     /// Creates a follower that knows no rollouts yet, and publishes them to `view`.
     #[must_use]
-    pub fn new(
-        view: watch::Sender<Option<RolloutView>>,
-        watches_store: watch::Receiver<bool>,
-    ) -> Self {
+    pub fn new(view: watch::Sender<Option<RolloutView>>, role: watch::Receiver<StoreRole>) -> Self {
         Self {
             known: Rc::default(),
             view,
-            watches_store,
+            role,
         }
     }
 
     /// Follows the rollouts until the process ends.
     pub async fn follow(&self, store: &impl RolloutStore) {
         let mut backoff = Backoff::new(MIN_RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
-        let mut watches_store = self.watches_store.clone();
+        let mut role = self.role.clone();
         let mut after = None;
         let mut is_unavailable = false;
-        loop {
-            if watches_store.wait_for(|watches| *watches).await.is_err() {
-                return;
-            }
+        while store_role::wait_for_call(&mut role).await {
             let read = match after {
                 None => store.list_rollouts().await,
                 Some(after) => store.watch_rollouts(after, WATCH_WAIT_MS).await,
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -24,6 +24,8 @@
 
 use crate::backoff::Backoff;
 use crate::direct::membership::peer_message::Revisions;
+use crate::direct::membership::store_role;
+use crate::direct::membership::store_role::StoreRole;
 use crate::direct::metrics::DirectMetrics;
 use crate::direct::replication::peer_pull;
 use crate::direct::replication::peer_pull::PullReply;
@@ -41,10 +43,12 @@
 use crate::store::WatchBatch;
 use crate::store::position::StorePosition;
 
-/// How long a watch waits for a change. If a connection falls silent without closing, the next
-/// change is seen only after this time and the call's timeout, here or at the entry that takes
-/// over. Together they stay below the two seconds that a change may take.
-const WATCH_WAIT_MS: u64 = 1_000;
+/// Longest wait of a watch for a change.
+const MAX_WATCH_WAIT_MS: u64 = 1_000;
+/// Part of the time within which a change has to be in force, in eighths, for which a watch waits. A
+/// connection that falls silent without closing is noticed after twice the wait; the rest of the
+/// time is for a list, and for passing the change on.
+const WATCH_WAIT_EIGHTHS: u64 = 3;
 /// Shortest and longest pause between calls to a store that does not answer. The longest is well
 /// within the two seconds that a change may take once the store is back.
 pub(super) const MIN_RETRY_PAUSE_MS: u64 = 50;
@@ -98,15 +102,18 @@
 #[derive(Clone, Debug)]
 pub struct LastStoreResponse {
     started_at: Instant,
-    /// Milliseconds from the start to the last answer; 0 if there was none.
-    last_ms: Arc<AtomicU64>,
+    /// Milliseconds from the start to the last answer about the configuration; 0 if there was none.
+    catalog_ms: Arc<AtomicU64>,
+    /// The same for the upstreams.
+    upstreams_ms: Arc<AtomicU64>,
 }
 
 impl Default for LastStoreResponse {
     fn default() -> Self {
         Self {
             started_at: Instant::now(),
-            last_ms: Arc::default(),
+            catalog_ms: Arc::default(),
+            upstreams_ms: Arc::default(),
         }
     }
 }
@@ -116,14 +123,27 @@
         u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
     }
 
-    fn record(&self) {
-        self.last_ms.store(self.now_ms().max(1), Ordering::Relaxed);
+    fn record(&self, is_catalog: bool) {
+        let last_ms = if is_catalog {
+            &self.catalog_ms
+        } else {
+            &self.upstreams_ms
+        };
+        last_ms.store(self.now_ms().max(1), Ordering::Relaxed);
     }
 
-    /// Returns how long ago the store last answered, or none if it never has.
+    /// Returns how long ago the store last answered about the configuration or about the upstreams,
+    /// whichever is longer, or none if it never has.
+    ///
+    /// ```
+    /// use sardinewood::direct::replication::store_follower::LastStoreResponse;
+    ///
+    /// assert_eq!(LastStoreResponse::default().age_ms(), None);
+    /// ```
     #[must_use]
     pub fn age_ms(&self) -> Option<u32> {
-        let last_ms = self.last_ms.load(Ordering::Relaxed);
+        let last_ms = self.catalog_ms.load(Ordering::Relaxed);
+        let last_ms = last_ms.min(self.upstreams_ms.load(Ordering::Relaxed));
         let age_ms = self.now_ms().saturating_sub(last_ms);
         (last_ms > 0).then(|| u32::try_from(age_ms).unwrap_or(u32::MAX))
     }
@@ -147,8 +167,10 @@
     pub view: watch::Sender<ReplicaSnapshot>,
     /// Receives the changes read from the store.
     pub changes: mpsc::UnboundedSender<ReplicaChange>,
-    /// Whether this entry watches the store.
-    pub watches_store: watch::Receiver<bool>,
+    /// Whether this entry calls the store.
+    pub role: watch::Receiver<StoreRole>,
+    /// Time within which a change has to be in force.
+    pub config_bound_ms: u64,
     /// When the store last answered.
     pub last_response: LastStoreResponse,
     /// Time without a heartbeat after which an upstream is taken to have ended.
@@ -246,24 +268,23 @@
         let mut outage = Outage::default();
         let mut after = None;
         let mut has_listed = false;
-        let mut watches_store = self.channels.watches_store.clone();
-        loop {
-            if watches_store.wait_for(|watches| *watches).await.is_err() {
-                return;
-            }
+        let mut role = self.channels.role.clone();
+        let wait_ms = watch_wait_ms(self.channels.config_bound_ms);
+        let is_catalog = kind == self.replica.borrow().decoders().catalog_kind;
+        while store_role::wait_for_call(&mut role).await {
             let read = match after {
                 None => source
                     .list(kind)
                     .await
                     .map(|list| self.apply_list(kind, list, &outage)),
                 Some(after) => source
-                    .watch(kind, after, WATCH_WAIT_MS)
+                    .watch(kind, after, wait_ms)
                     .await
                     .map(|batch| self.apply_batch(kind, batch, &outage)),
             };
             match read {
                 Ok(position) => {
-                    self.channels.last_response.record();
+                    self.channels.last_response.record(is_catalog);
                     outage.ended(kind);
                     backoff.reset();
                     let pause = pause_after(after, position, has_listed);
@@ -339,7 +360,7 @@
             let Ok(peer) = peer_ahead.wait_for(Option::is_some).await.map(|peer| *peer) else {
                 return;
             };
-            if *self.channels.watches_store.borrow() {
+            if *self.channels.role.borrow() == StoreRole::Watches {
                 sleep(PULL_DELAY).await;
             }
             let is_still_ahead = peer_ahead.borrow().is_some();
@@ -461,6 +482,11 @@
     }
 }
 
+/// Returns how long a watch waits, given the time within which a change has to be in force.
+fn watch_wait_ms(config_bound_ms: u64) -> u64 {
+    (config_bound_ms * WATCH_WAIT_EIGHTHS / 8).min(MAX_WATCH_WAIT_MS)
+}
+
 /// Returns the pause before the next watch, given the known position, the one that the store sent,
 /// and whether it has been listed before.
 fn pause_after(
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -40,6 +40,7 @@
 use crate::direct::store_view::catalog::Customer;
 use crate::direct::store_view::catalog::Route;
 use crate::direct::store_view::catalog::RouteLookup;
+use crate::direct::store_view::freshness::CatalogMark;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
 use crate::logging::Line;
@@ -100,6 +101,8 @@
     pub shared_prefix: Option<SharedPrefix>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// The configuration by which the request is handled.
+    pub catalog: CatalogMark,
     /// When the request arrived.
     pub arrived_ms: u64,
     /// Latest time at which the caller gets a response.
@@ -135,7 +138,9 @@
 
     /// Adds the fields to a log line that describe the request and its attempts so far.
     pub fn add_log_fields(&self, line: Line) -> Line {
-        line.field("request", self.name())
+        let line = line.field("request", self.name());
+        self.catalog
+            .add_log_fields(line)
             .field("route", &self.route.name)
             .field("tier", self.tier)
             .field("customer_tier", self.customer_tier)
@@ -228,6 +233,7 @@
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "about to end", id);
         return Err(refusal.retry_after(CLOSING_RETRY_AFTER_MS));
     }
+    let catalog_mark = traffic.catalog_mark();
     let catalog = traffic.catalog.borrow().clone();
     let Some(catalog) = catalog.filter(|_| is_configured) else {
         let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "no configuration yet", id);
@@ -282,6 +288,7 @@
         .record_request(service, arrived_ms);
     Ok(Call {
         id: traffic.next_id(),
+        catalog: catalog_mark,
         request_id: headers.request_id.clone(),
         service: Arc::clone(service),
         tier: route.tier,
@@ -392,10 +399,12 @@
     let id = headers.request_id.as_ref();
     match catalog.look_up(host, request.uri().path(), key) {
         RouteLookup::Found(route, customer) => Ok((route, customer)),
-        RouteLookup::NoRoute => Err(Refusal::new(StatusCode::NOT_FOUND, "no route", id)
-            .with_inputs(json!({"catalog_version": catalog.version, "host": host}))),
+        RouteLookup::NoRoute => {
+            Err(Refusal::new(StatusCode::NOT_FOUND, "no route", id)
+                .with_inputs(json!({"host": host})))
+        }
         RouteLookup::UnknownKey => Err(Refusal::new(StatusCode::UNAUTHORIZED, "unknown key", id)
-            .with_inputs(json!({"catalog_version": catalog.version, "has_key": key.is_some()}))),
+            .with_inputs(json!({"has_key": key.is_some()}))),
     }
 }
 
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -314,8 +314,10 @@
     let metrics = &traffic.metrics;
     metrics.failed_attempts.with_label_values(&[message]).inc();
     traffic.log(Level::Warn, message, |line| {
-        let line = line
-            .field("request", call.name())
+        let line = line.field("request", call.name());
+        let line = call
+            .catalog
+            .add_log_fields(line)
             .field("upstream", &lease.upstream.instance)
             .field("attempt", call.tried_upstreams.len())
             .field(
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -461,7 +461,10 @@
         let metrics = &self.traffic.metrics;
         metrics.failed_attempts.with_label_values(&[reason]).inc();
         self.traffic.log(Level::Warn, reason, |line| {
-            line.field("request", self.call.name())
+            let line = line.field("request", self.call.name());
+            self.call
+                .catalog
+                .add_log_fields(line)
                 .field("upstream", instance)
                 .field("attempt", self.call.tried_upstreams.len())
                 .field("may_resume", self.call.route.retry_policy.is_idempotent())
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -27,6 +27,7 @@
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
+use crate::direct::membership::store_role::StoreRole;
 use crate::direct::metrics::DirectMetrics;
 use crate::direct::replication::heartbeats::ControlChannels;
 use crate::direct::replication::heartbeats::HeartbeatTask;
@@ -109,12 +110,18 @@
     pub max_backoff: Duration,
     /// Time without a heartbeat after which an upstream is taken to have ended.
     pub upstream_silence: Duration,
+    /// Time within which a change of the configuration has to be in force.
+    pub config_bound: Duration,
 }
 
 impl DirectSettings {
     fn upstream_silence_ms(&self) -> u64 {
         u64::try_from(self.upstream_silence.as_millis()).unwrap_or(u64::MAX)
     }
+
+    fn config_bound_ms(&self) -> u64 {
+        u64::try_from(self.config_bound.as_millis()).unwrap_or(u64::MAX)
+    }
 }
 
 /// Result of rereading the settings.
@@ -161,7 +168,7 @@
     let (peer_ahead_sender, peer_ahead) = watch::channel(None);
     let (changes_sender, changes) = mpsc::unbounded_channel();
     let (sent_updates_sender, sent_updates) = mpsc::unbounded_channel();
-    let (watches_store_sender, watches_store) = watch::channel(false);
+    let (role_sender, role) = watch::channel(StoreRole::default());
     let (own_revisions_sender, own_revisions) = watch::channel(Revisions::default());
     let last_store_response = LastStoreResponse::default();
     let (rollouts_sender, rollouts) = watch::channel(None);
@@ -171,25 +178,27 @@
         own_revisions,
         last_store_response: last_store_response.clone(),
         peer_ahead: peer_ahead_sender,
-        watches_store: watches_store_sender,
+        role: role_sender,
         changes,
         sent_updates: sent_updates_sender,
     };
     let control_runtime = current_thread().wrap_err("can't start the control thread's runtime")?;
     let peer_address = settings.peer_address;
     let upstream_silence_ms = settings.upstream_silence_ms();
+    let config_bound_ms = settings.config_bound_ms();
     let metrics = DirectMetrics::new().wrap_err("can't register metrics")?;
     let control_metrics = metrics.clone();
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
-            let rollouts = RolloutFollower::new(rollouts_sender, watches_store.clone());
+            let rollouts = RolloutFollower::new(rollouts_sender, role.clone());
             let rollouts = has_rollouts.then_some((rollouts, statuses));
             let follower_channels = FollowerChannels {
                 own_address: peer_address,
                 view: snapshot_sender,
                 changes: changes_sender,
-                watches_store,
+                role,
+                config_bound_ms,
                 last_response: last_store_response,
                 upstream_silence_ms,
                 metrics: control_metrics,
@@ -298,6 +307,7 @@
     traffic
         .upstream_silence_ms
         .set(settings.upstream_silence_ms());
+    traffic.config_bound_ms.set(settings.config_bound_ms());
     let callers = listen(settings.caller_address, "callers").await?;
     let readiness = listen(settings.readiness_address, "readiness").await?;
     let metrics = listen(settings.metrics_address, "metrics").await?;
@@ -370,6 +380,7 @@
     traffic.quotas.borrow_mut().set_tolerance(new.tolerance);
     traffic.set_max_backoff(new.max_backoff);
     traffic.upstream_silence_ms.set(new.upstream_silence_ms());
+    traffic.config_bound_ms.set(new.config_bound_ms());
     let mut peers = traffic.peers.borrow_mut();
     peers.add_seeds(&new.seeds);
     peers.set_own_host(new.host);
@@ -377,7 +388,8 @@
     let needs_restart = old.caller_address != new.caller_address
         || old.readiness_address != new.readiness_address
         || old.peer_address != new.peer_address
-        || old.upstream_silence != new.upstream_silence;
+        || old.upstream_silence != new.upstream_silence
+        || old.config_bound != new.config_bound;
     Line::new(Level::Info, "settings taken")
         .field("seeds", &new.seeds)
         .field("needs_restart", needs_restart)
--- a/lib/src/direct/store_view.rs
+++ b/lib/src/direct/store_view.rs
@@ -3,4 +3,5 @@
 
 pub mod catalog;
 pub mod directory;
+pub mod freshness;
 pub mod replica;
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -55,6 +55,10 @@
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use crate::direct::store_view::directory::Upstream;
+use crate::direct::store_view::freshness::CatalogFreshness;
+use crate::direct::store_view::freshness::CatalogMark;
+use crate::direct::store_view::freshness::DEFAULT_CONFIG_BOUND_MS;
+use crate::direct::store_view::freshness::FreshnessStep;
 use crate::logging::Level;
 use crate::logging::Line;
 
@@ -92,6 +96,10 @@
     pub catalog: RefCell<Option<Arc<Catalog>>>,
     /// Time without a heartbeat after which an upstream is taken to have ended.
     pub upstream_silence_ms: Cell<u64>,
+    /// Time within which a change of the configuration has to be in force.
+    pub config_bound_ms: Cell<u64>,
+    /// When the configuration was last known to be the newest one.
+    pub catalog_freshness: Cell<CatalogFreshness>,
     /// Whether a list of upstreams has arrived.
     pub has_upstreams: Cell<bool>,
     /// Whether a signal has asked the process to stop.
@@ -284,6 +292,8 @@
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             catalog: RefCell::default(),
             upstream_silence_ms: Cell::new(DEFAULT_SILENCE_MS),
+            config_bound_ms: Cell::new(DEFAULT_CONFIG_BOUND_MS),
+            catalog_freshness: Cell::default(),
             has_upstreams: Cell::new(false),
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
@@ -468,6 +478,42 @@
         }
     }
 
+    /// Records that the configuration was the newest one at a time.
+    pub fn confirm_catalog(&self, at_ms: u64) {
+        let mut freshness = self.catalog_freshness.get();
+        freshness.confirm(at_ms);
+        self.catalog_freshness.set(freshness);
+    }
+
+    /// Returns whether the configuration is older than changes may take, and logs when that changes.
+    pub fn is_catalog_stale(&self) -> bool {
+        let mut freshness = self.catalog_freshness.get();
+        let bound_ms = self.config_bound_ms.get();
+        match freshness.check(self.now_ms(), bound_ms) {
+            FreshnessStep::Unchanged => {}
+            FreshnessStep::BecameStale { age_ms } => {
+                self.log(Level::Warn, "configuration may be out of date", |line| {
+                    line.field("age_ms", age_ms).field("bound_ms", bound_ms)
+                });
+            }
+            FreshnessStep::BecameFresh => {
+                self.log(Level::Info, "configuration is confirmed again", |line| line);
+            }
+        }
+        self.catalog_freshness.set(freshness);
+        freshness.is_stale()
+    }
+
+    /// Returns the version and the age of the configuration in force, for logs.
+    #[must_use]
+    pub fn catalog_mark(&self) -> CatalogMark {
+        let catalog = self.catalog.borrow();
+        CatalogMark {
+            version: catalog.as_ref().map(|catalog| catalog.version),
+            age_ms: self.catalog_freshness.get().age_ms(self.now_ms()),
+        }
+    }
+
     /// Updates the gauges before the metrics are read.
     pub fn update_gauges(&self) {
         let metrics = &self.metrics;
@@ -504,6 +550,10 @@
             let version = i64::try_from(catalog.version).unwrap_or(i64::MAX);
             metrics.catalog_version.set(version);
         }
+        if let Some(age_ms) = self.catalog_mark().age_ms {
+            let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
+            metrics.catalog_age_ms.set(age_ms);
+        }
     }
 
     /// Waits for a slot at an upstream, for as long as the request may wait, and measures the wait.
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -11,6 +11,7 @@
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::membership::peer_message::Revisions;
 use sardinewood::direct::membership::peer_table::PeerTable;
+use sardinewood::direct::membership::store_role::StoreRole;
 use sardinewood::direct::sharing::admission::PeerRequestId;
 use sardinewood::direct::sharing::quota::ChargeOutcome;
 use sardinewood::direct::sharing::quota::Contention;
@@ -412,16 +413,16 @@
     for number in 1..4 {
         table.record_heartbeat(address(number), &heartbeat(1), 0);
     }
-    assert!(!table.watches_store(Revisions::default(), 0));
+    assert!(!calls_store(&table, Revisions::default(), 0));
     let lost = Heartbeat {
         store_age_ms: Some(9_000),
         ..heartbeat(2)
     };
     table.record_heartbeat(address(2), &lost, 10);
-    assert!(table.watches_store(Revisions::default(), 10));
+    assert!(calls_store(&table, Revisions::default(), 10));
     let first = PeerTable::new(address(0), &[]);
     assert!(
-        first.watches_store(Revisions::default(), 0),
+        calls_store(&first, Revisions::default(), 0),
         "a lone entry asks the store"
     );
 }
@@ -479,9 +480,9 @@
         table.record_heartbeat(address(number), &watching(1, 100), 0);
     }
     table.set_own_host(host(2));
-    assert!(!table.watches_store(Revisions::default(), 0));
+    assert!(!calls_store(&table, Revisions::default(), 0));
     table.set_own_host(host(100));
-    assert!(table.watches_store(Revisions::default(), 0));
+    assert!(calls_store(&table, Revisions::default(), 0));
 }
 
 #[test]
@@ -496,9 +497,9 @@
         capacity: 100,
     };
     table.set_own_host(host(1));
-    assert!(!table.watches_store(Revisions::default(), 0));
+    assert!(!calls_store(&table, Revisions::default(), 0));
     table.set_own_host(host(2));
-    assert!(table.watches_store(Revisions::default(), 0));
+    assert!(calls_store(&table, Revisions::default(), 0));
 }
 
 #[test]
@@ -514,6 +515,11 @@
     assert_eq!(PeerMessage::decode(&bytes), Some(message));
 }
 
+/// Returns whether an entry that the store has not answered lately calls the store.
+fn calls_store(table: &PeerTable, own: Revisions, now_ms: u64) -> bool {
+    table.store_role(own, false, 2_000, now_ms) != StoreRole::Listens
+}
+
 fn with_list() -> Revisions {
     Revisions {
         directory: StorePosition::new(0, 1),
@@ -527,26 +533,26 @@
     let seeds = [address(1), address(2)];
     let mut seed = PeerTable::new(address(1), &seeds);
     assert!(
-        !seed.watches_store(Revisions::default(), 299),
+        !calls_store(&seed, Revisions::default(), 299),
         "the other seed may know a list"
     );
     assert!(
-        seed.watches_store(Revisions::default(), 300),
+        calls_store(&seed, Revisions::default(), 300),
         "it is not heard"
     );
     seed.record_heartbeat(address(2), &Heartbeat::default(), 0);
-    assert!(seed.watches_store(Revisions::default(), 0), "it knows none");
+    assert!(calls_store(&seed, Revisions::default(), 0), "it knows none");
     let other = PeerTable::new(address(9), &seeds);
-    assert!(!other.watches_store(Revisions::default(), 0));
+    assert!(!calls_store(&other, Revisions::default(), 0));
     assert!(
-        other.watches_store(Revisions::default(), 800),
+        calls_store(&other, Revisions::default(), 800),
         "no seed has sent a list"
     );
     assert!(
-        !other.watches_store(with_list(), 800),
+        !calls_store(&other, with_list(), 800),
         "a seed has sent one"
     );
-    assert!(other.watches_store(with_list(), 3_000), "nobody watches");
+    assert!(calls_store(&other, with_list(), 3_000), "nobody watches");
 }
 
 #[test]
@@ -703,10 +709,10 @@
         ..Heartbeat::default()
     };
     table.record_heartbeat(address(2), &peer, 0);
-    assert!(!table.watches_store(Revisions::default(), 300));
-    assert!(table.watches_store(with_list(), 300));
+    assert!(!calls_store(&table, Revisions::default(), 300));
+    assert!(calls_store(&table, with_list(), 300));
     assert!(
-        table.watches_store(Revisions::default(), 800),
+        calls_store(&table, Revisions::default(), 800),
         "the peer has sent nothing"
     );
 }
@@ -723,8 +729,8 @@
         directory: StorePosition::new(2, 1),
         ..Revisions::default()
     };
-    assert!(!table.watches_store(with_list(), 0));
-    assert!(table.watches_store(in_era, 0));
+    assert!(!calls_store(&table, with_list(), 0));
+    assert!(calls_store(&table, in_era, 0));
     for number in 1..4 {
         let heartbeat = Heartbeat {
             knows_eras: true,
@@ -732,5 +738,32 @@
         };
         table.record_heartbeat(address(number), &heartbeat, 0);
     }
-    assert!(!table.watches_store(in_era, 0));
+    assert!(!calls_store(&table, in_era, 0));
+}
+
+#[test]
+fn large_fleet_probes_a_store_that_answers_nobody() {
+    // Guards against hundreds of entries that all call a store which has just returned: together they
+    // exceed its rate, and each costs it a list.
+    let mut table = PeerTable::new(address(200), &[]);
+    for number in 1..=150 {
+        table.record_heartbeat(address(number), &Heartbeat::default(), 9_000);
+    }
+    let role =
+        |table: &PeerTable, is_served| table.store_role(with_list(), is_served, 13_000, 9_000);
+    assert_eq!(role(&table, false), StoreRole::Probes { pause_ms: 4_718 });
+    assert_eq!(
+        role(&table, true),
+        StoreRole::Watches,
+        "the store serves it"
+    );
+    let mut first = PeerTable::new(address(0), &[]);
+    for number in 1..=150 {
+        first.record_heartbeat(address(number), &Heartbeat::default(), 9_000);
+    }
+    assert_eq!(role(&first, false), StoreRole::Watches, "one of the first");
+    for number in 1..4 {
+        table.record_heartbeat(address(number), &heartbeat(2), 9_000);
+    }
+    assert_eq!(role(&table, false), StoreRole::Listens, "three watch it");
 }
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -9,6 +9,7 @@
 
 use sardinewood::direct::membership::peer_message::CatalogPosition;
 use sardinewood::direct::membership::peer_message::Revisions;
+use sardinewood::direct::membership::store_role::StoreRole;
 use sardinewood::direct::metrics::DirectMetrics;
 use sardinewood::direct::replication::store_follower::FollowerChannels;
 use sardinewood::direct::replication::store_follower::LastStoreResponse;
@@ -22,6 +23,7 @@
 use sardinewood::direct::store_view::catalog::Catalog;
 use sardinewood::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use sardinewood::direct::store_view::directory::Upstream;
+use sardinewood::direct::store_view::freshness::DEFAULT_CONFIG_BOUND_MS;
 use sardinewood::direct::store_view::replica::ObjectDecoders;
 use sardinewood::direct::store_view::replica::ReplicaSnapshot;
 use sardinewood::findings::Findings;
@@ -101,12 +103,13 @@
 ) -> (StoreFollower, watch::Receiver<ReplicaSnapshot>) {
     let (view_sender, view) = watch::channel(ReplicaSnapshot::default());
     // The sender may be dropped: its last value stays.
-    let (_sender, watches_store) = watch::channel(true);
+    let (_sender, role) = watch::channel(StoreRole::Watches);
     let channels = FollowerChannels {
         own_address: SocketAddr::from(([10, 0, 0, 9], 7)),
         view: view_sender,
         changes,
-        watches_store,
+        role,
+        config_bound_ms: DEFAULT_CONFIG_BOUND_MS,
         last_response: LastStoreResponse::default(),
         upstream_silence_ms: DEFAULT_SILENCE_MS,
         metrics: DirectMetrics::new().expect("metrics"),
