soak: a store that returns from copies, and the bound of the configuration

From seed 50,000 on the store also goes away and returns from a copy up to five seconds old, over the other faults and in series; workers and the operator write again what it has lost, 0.8 s later. In the calm time after the last fault a configuration adds a key and revokes one, and each entry is asked with both after two seconds. Plans of lower seeds are as before.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -57,6 +57,8 @@
     BeyondLimit(usize),
     /// A worker that asked entries for rest got so many requests more in it.
     BeyondRest(usize),
+    /// A configuration was not in force in time at so many entries.
+    LateConfiguration(usize),
     /// States of an order that do not follow each other, or none at its end.
     WrongStates(Vec<String>),
     /// After the last fault too few requests were served.
@@ -104,6 +106,9 @@
     if records.beyond_rest > 0 {
         broken.push(Broken::BeyondRest(records.beyond_rest));
     }
+    if records.late_entries > 0 {
+        broken.push(Broken::LateConfiguration(records.late_entries));
+    }
     broken.sort();
     broken.dedup();
     broken
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod callers;
 pub mod checker;
+pub mod copies;
 pub mod kept;
 pub mod notices;
 pub mod plan;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -34,6 +34,9 @@
     Store(Mood, Duration),
     /// The store forgets its history.
     Forget,
+    /// The store is away for a time and returns from a copy some seconds old. Workers and the operator
+    /// write again what it has lost.
+    Lose(Duration),
     /// A worker leaves with notice, and another one comes.
     Replace(usize),
     /// A worker ends with all that it runs and starts again under its name.
@@ -75,10 +78,13 @@
 /// The first seed whose runs also have workers that limit their requests, ask for rest, and say in
 /// their answers that they leave.
 pub const FIRST_SEED_WITH_NOTICES: u64 = 40_000;
-/// Weights of the faults of all seeds, of those with restarts as well, and of all.
+/// The first seed whose runs also have a store that returns from older copies.
+pub const FIRST_SEED_WITH_COPIES: u64 = 50_000;
+/// Weights of the faults of all seeds, of those with restarts and notices as well, and of all.
 const OLDER_KINDS: u32 = 20;
 const KINDS_WITH_RESTARTS: u32 = 23;
-const ALL_KINDS: u32 = 28;
+const KINDS_WITH_NOTICES: u32 = 28;
+const ALL_KINDS: u32 = 31;
 
 /// The steps that fill a time.
 #[must_use]
@@ -88,6 +94,8 @@
         OLDER_KINDS
     } else if seed < FIRST_SEED_WITH_NOTICES {
         KINDS_WITH_RESTARTS
+    } else if seed < FIRST_SEED_WITH_COPIES {
+        KINDS_WITH_NOTICES
     } else {
         ALL_KINDS
     };
@@ -125,6 +133,7 @@
         23 | 24 => Fault::Say(whom, said(random), lasting),
         25 | 26 => Fault::Rest(whom, lasting),
         27 => Fault::LeaveUnlisted(whom),
+        28..=30 => Fault::Lose(lasting / 2),
         _ => Fault::Configure,
     }
 }
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -135,4 +135,6 @@
     pub beyond_limit: usize,
     /// Of a worker that asked for rest in a calm time, arrivals in it beyond what is allowed.
     pub beyond_rest: usize,
+    /// Entries at which a configuration of a calm time was not in force in time.
+    pub late_entries: usize,
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -6,6 +6,7 @@
 
 use platform_testkit::fault_proxy::FaultProxy;
 use platform_testkit::fault_proxy::Link;
+use platform_testkit::node::KEY;
 use platform_testkit::node::Node;
 use platform_testkit::node::Ports;
 use platform_testkit::node::configuration;
@@ -24,7 +25,10 @@
 use crate::callers::Callers;
 use crate::callers::DEADLY;
 use crate::checker::EVENTS;
+use crate::copies;
+use crate::copies::Copies;
 use crate::notices::Notices;
+use crate::plan::FIRST_SEED_WITH_COPIES;
 use crate::plan::FIRST_SEED_WITH_DEADLY;
 use crate::plan::FIRST_SEED_WITH_NOTICES;
 use crate::plan::FIRST_SEED_WITH_ROLLOUT;
@@ -48,6 +52,8 @@
 const GONE: Duration = Duration::from_millis(400);
 /// How long callers press after that.
 const CALM: Duration = Duration::from_secs(2);
+/// Time after the store's return at which what it has lost is written again.
+const REWRITTEN_AFTER: Duration = Duration::from_millis(800);
 /// When workers start first; any number will do.
 const FIRST_BORN_MS: u64 = 1_000;
 /// The version that serves first, and the one that is ordered.
@@ -118,6 +124,10 @@
     WayToWorker(usize),
     WayToStore(usize),
     Store,
+    /// The store returns from a copy.
+    Return,
+    /// Workers and the operator write again what the store has lost.
+    Rewrite,
     Entry(usize),
     /// A worker that ended by a request is back.
     Back(usize),
@@ -143,12 +153,15 @@
     order: Option<(bool, Instant)>,
     /// What workers say of themselves when all is calm, if they do.
     notices: Option<Notices>,
+    /// Copies of the store, if it returns from them.
+    copies: Option<Copies>,
 }
 
 impl World {
     /// Starts the fleet of a seed and waits until it takes callers.
     pub async fn start(size: Size, seed: u64) -> Self {
         let store = StoreStandIn::start().await;
+        let copies = (seed >= FIRST_SEED_WITH_COPIES).then(|| Copies::of(&store));
         let mut world = Self {
             store,
             entries: Vec::new(),
@@ -163,6 +176,7 @@
                 .contains(&seed)
                 .then(|| (seed % 2 == 1, Instant::now())),
             notices: (seed >= FIRST_SEED_WITH_NOTICES).then(Notices::default),
+            copies,
         };
         world.configure();
         for _ in 0..size.workers {
@@ -213,6 +227,7 @@
         self.say_when_calm().await;
         self.pass(RECOVERY).await;
         let healed = Instant::now();
+        let late_entries = self.late_entries().await;
         self.pass(CALM).await;
         let requests = callers.stop().await;
         let (beyond_limit, beyond_rest) = self.beyond_notices();
@@ -224,9 +239,20 @@
             rollout: self.rollout(),
             beyond_limit,
             beyond_rest,
+            late_entries,
         }
     }
 
+    /// Changes the configuration, and returns at how many entries it is not in force in time.
+    async fn late_entries(&mut self) -> usize {
+        if self.copies.is_none() {
+            return 0;
+        }
+        let before = self.version;
+        self.configure();
+        copies::late_entries(&self.entries(), self.version, before).await
+    }
+
     /// Lets three workers say something of themselves: that they leave, a limit, and that they want
     /// rest.
     async fn say_when_calm(&mut self) {
@@ -336,7 +362,9 @@
     fn runs(&self) -> Vec<Run> {
         let run = |worker: &Worker| {
             let name = worker.name.clone();
-            let runs = worker.stand_in.seen().into_iter().map(move |seen| Run {
+            let seen = worker.stand_in.seen().into_iter();
+            let seen = seen.filter(|seen| !copies::is_of_check(seen.id()));
+            let runs = seen.map(move |seen| Run {
                 id: seen.id().to_owned(),
                 worker: name.clone(),
                 at: seen.at,
@@ -375,6 +403,9 @@
             }
             self.notice_ends();
             self.notice_states();
+            if let Some(copies) = &mut self.copies {
+                copies.keep(&self.store);
+            }
             sleep(Duration::from_millis(10)).await;
         }
     }
@@ -422,6 +453,10 @@
                 self.later(lasting, Healing::Store);
             }
             Fault::Forget => self.store.forget_history(),
+            Fault::Lose(away) => {
+                self.store.set_mood(Mood::Away);
+                self.later(away, Healing::Return);
+            }
             Fault::Replace(whom) => self.replace(whom % workers).await,
             Fault::Restart(whom) => self.restart(whom % workers),
             Fault::Spoil(whom, lasting) => {
@@ -467,10 +502,28 @@
                 self.register(&self.workers[index], self.workers[index].state());
             }
             Healing::Store => self.store.set_mood(Mood::Up),
+            Healing::Return => {
+                if let Some(copies) = &mut self.copies {
+                    copies.lose(&self.store);
+                }
+                self.later(REWRITTEN_AFTER, Healing::Rewrite);
+            }
+            Healing::Rewrite => self.rewrite(),
             Healing::Back(index) => self.register_anew(index),
         }
     }
 
+    /// Workers and the operator write again what the store has lost.
+    fn rewrite(&self) {
+        for worker in &self.workers {
+            if worker.is_stopped {
+                self.store.delete("servers", &worker.name);
+            }
+            self.register(worker, worker.state());
+        }
+        self.write_configuration();
+    }
+
     /// Lets workers that ended by a request be back under their names after some time.
     fn notice_ends(&mut self) {
         for index in 0..self.workers.len() {
@@ -487,6 +540,9 @@
         for (_, healing) in std::mem::take(&mut self.healings) {
             self.heal(&healing);
         }
+        if self.copies.is_some() {
+            self.rewrite();
+        }
         for index in 0..self.entries.len() {
             self.signal(index, "CONT");
             while self.is_ending(index) {
@@ -606,11 +662,19 @@
 
     fn configure(&mut self) {
         self.version += 3;
+        self.write_configuration();
+    }
+
+    fn write_configuration(&self) {
         let mut configuration = configuration(self.version);
         // Every other version has engines, so that doors come and go.
         if self.version.is_multiple_of(2) {
             configuration["services"][0]["engine"] = json!({"slots": 4});
         }
+        if self.copies.is_some() {
+            let keys = json!([KEY, copies::key_of(self.version)]);
+            configuration["tenants"][0]["apiKeys"] = keys;
+        }
         configure(&self.store, &configuration);
     }
 }
