store follower: the first watch after an outage is answered at once

A store may return from a copy whose revision equals the one that an entry watches from. The watch then succeeds, and the header that tells of the new era came with its answer, up to a second later. The first call after an outage waits for nothing.

--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -278,7 +278,9 @@
                     .await
                     .map(|list| self.apply_list(kind, list, &outage)),
                 Some(after) => source
-                    .watch(kind, after, wait_ms)
+                    // The first answer after an outage tells whether the store has returned from a
+                    // copy, and is not waited for.
+                    .watch(kind, after, if outage.is_ongoing() { 0 } else { wait_ms })
                     .await
                     .map(|batch| self.apply_batch(kind, batch, &outage)),
             };
