config, store: the other mode follows the store through its eras

The configuration's follower of the mode with agents kept what it had after a loss, and took nothing written later until the revisions had passed the old ones again: the same cause as in the direct mode. The client stamps each answer with the era that it names. The first word of a new era on an object is weighed by the time of its change, which the record has: the later change stays in force, at the new position, so that its next write is newer for all; at the same position the later change wins among peers. What an earlier era had and a list lacks counts as lost and not as removed, whoever lists it. A write that expects a version of another era is not sent, as its revision may stand for another write: the answer is a conflict with the object as it is. The first watch after a failure waits for nothing.

store_that_returns_from_a_copy, write_that_expects_a_version_of_an_ended_era, and three cases of test_config_state.

--- a/lib/src/config/follow.rs
+++ b/lib/src/config/follow.rs
@@ -156,6 +156,16 @@
         (started_ms + self.timings.min_interval_ms).saturating_sub(now_ms)
     }
 
+    /// How long the next watch waits. The first answer after a failure tells whether the store has
+    /// returned from an older copy, and is not waited for.
+    fn watch_wait_ms(&self) -> u64 {
+        if self.failures > 0 {
+            0
+        } else {
+            self.timings.wait_ms
+        }
+    }
+
     /// Whether the calls can be left to other processes: the first list is taken in, and
     /// nothing has failed since.
     ///
@@ -349,7 +359,7 @@
     after: StorePosition,
 ) -> Result<(), ReadError> {
     let kinds = Kind::ALL.map(Kind::as_str);
-    let batch = store.watch(&kinds, after, plan.timings.wait_ms).await?;
+    let batch = store.watch(&kinds, after, plan.watch_wait_ms()).await?;
     config.apply(|state| plan.watched(state.apply_watch(after, &batch), batch.position));
     Ok(())
 }
--- a/lib/src/config/held.rs
+++ b/lib/src/config/held.rs
@@ -22,6 +22,41 @@
     pub(crate) hash: u64,
 }
 
+impl Held {
+    /// Whether what is held outlasts the content that is offered at a position of a later era, or at the
+    /// same one. The content is then of an older copy of the store, or the same.
+    pub(crate) fn outlasts(&self, offered: &str, version: StorePosition) -> bool {
+        let is_same = version.era > 0 && version == self.version;
+        let may_be_of_copy = version.era > self.version.era || is_same;
+        let Some(held) = self.content.as_deref().filter(|_| may_be_of_copy) else {
+            return false;
+        };
+        changed_at_ms(held) >= changed_at_ms(offered)
+    }
+
+    /// Whether the content that is offered at the same position of a later era was changed after what
+    /// is held.
+    pub(crate) fn is_outlasted_by(&self, offered: &str, version: StorePosition) -> bool {
+        let is_same = version.era > 0 && version == self.version;
+        let held = self.content.as_deref().filter(|_| is_same);
+        held.is_some_and(|held| changed_at_ms(offered) > changed_at_ms(held))
+    }
+
+    /// Moves what is held to the position of an older content that it outlasts.
+    pub(crate) fn move_to(&mut self, key: &ObjectKey, version: StorePosition) {
+        self.version = version;
+        self.hash = version_hash(key, version, self.content.as_deref());
+    }
+}
+
+/// The time of the change that led to a content, by the clock of the entry that took it; 0 if the
+/// content does not say.
+fn changed_at_ms(content: &str) -> u64 {
+    let content = serde_json::from_str::<Content>(content).ok();
+    let change = content.and_then(|content| content.change);
+    change.map_or(0, |change| change.at_ms)
+}
+
 pub(crate) fn removed(version: StorePosition) -> Held {
     Held {
         version,
@@ -57,15 +92,20 @@
     };
     Held {
         version,
+        hash: version_hash(key, version, Some(&content)),
         content: Some(content),
         in_force,
         findings: findings.iter().cloned().collect(),
-        hash: version_hash(key, version),
     }
 }
 
-/// The share of one object in the digest.
-fn version_hash(key: &ObjectKey, version: StorePosition) -> u64 {
-    let text = format!("{key}@{version}");
+/// The share of one object in the digest. At one position of a later era there may be two contents:
+/// the one of the store's older copy, and one that outlasts it.
+fn version_hash(key: &ObjectKey, version: StorePosition, content: Option<&str>) -> u64 {
+    let changed_at_ms = match version.era {
+        0 => 0,
+        _ => content.map_or(0, changed_at_ms),
+    };
+    let text = format!("{key}@{version}@{changed_at_ms}");
     XxHash64::oneshot(0, text.as_bytes())
 }
--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -4,6 +4,10 @@
 //! replaced by a newer one. So a replica that lags or was restored, a list that overtakes
 //! a watch, or a peer with old news changes nothing that is already known better.
 //!
+//! A store that returns from an older copy of itself begins a new era, and positions of it are newer
+//! than all before. Its first word on an object may still be older than what is known: then the
+//! newer content stays in force, at the new position, until it is written again.
+//!
 //! `complete_through` is the revision up to which this process knows every object. An
 //! object that is unknown here, but whose version is not above it, was deleted; so a deleted
 //! object stays deleted even after its tombstone is dropped, and tombstones need no limit in
@@ -402,7 +406,9 @@
         let listed: IndexSet<_> = list.objects.iter().filter_map(stored_key).collect();
         for (key, held) in &mut self.objects {
             let live = held.content.is_some();
-            if live && held.version <= list.position && !listed.contains(key) {
+            // What an earlier era had and the list lacks was lost, and not removed.
+            let is_of_era = held.version.era == list.position.era;
+            if live && is_of_era && held.version <= list.position && !listed.contains(key) {
                 *held = removed(list.position);
             }
         }
@@ -418,7 +424,8 @@
         let known: IndexSet<_> = live.map(|object| &object.key).collect();
         for (key, held) in &mut self.objects {
             let live = held.content.is_some();
-            if live && held.version <= answer.listed_through && !known.contains(key) {
+            let is_of_era = held.version.era == answer.listed_through.era;
+            if live && is_of_era && held.version <= answer.listed_through && !known.contains(key) {
                 *held = removed(answer.listed_through);
             }
         }
@@ -449,6 +456,18 @@
 
     /// Takes a version of an object if it is news.
     fn offer(&mut self, key: &ObjectKey, version: StorePosition, content: Option<Arc<str>>) {
+        // What is written after a complete list of its era is no content of the copy.
+        let known = self.complete_through;
+        let may_be_of_copy = version.era != known.era || version <= known;
+        if let Some(held) = self.objects.get_mut(key)
+            && let Some(content) = &content
+            && may_be_of_copy
+            && version >= held.version
+            && held.outlasts(content, version)
+        {
+            held.move_to(key, version);
+            return;
+        }
         let held = self.objects.get(key);
         // A lagging peer or replica still shows objects that were deleted, also ones whose
         // tombstone is dropped here or is of an earlier deletion. Taking them would bring back
@@ -457,7 +476,10 @@
         let newest_known = held.map_or(StorePosition::default(), |held| held.version);
         let live = held.is_some_and(|held| held.content.is_some());
         let news = version > newest_known && (live || version > self.complete_through);
-        if !news {
+        let outlasts = held
+            .zip(content.as_deref())
+            .is_some_and(|(held, content)| held.is_outlasted_by(content, version));
+        if !news && !outlasts {
             return;
         }
         let last_good = held.and_then(|held| held.in_force.clone());
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -23,6 +23,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::store::era::StoreEra;
 use crate::store::position::StorePosition;
 
 pub use crate::store::types::CallCounts;
@@ -42,6 +43,9 @@
 /// How much longer than its own wait a watch may take before its link counts as silent.
 const WATCH_GRACE_MS: u64 = 3_000;
 
+/// Header of each answer with the store's era, if it has one.
+const ERA_HEADER: &str = "Store-Era";
+
 /// The pause when the store limits calls without saying for how long.
 const DEFAULT_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -69,6 +73,7 @@
     base_url: Arc<str>,
     call_timeout: Duration,
     counters: Arc<Counters>,
+    era: StoreEra,
 }
 
 impl StoreClient {
@@ -95,6 +100,7 @@
             base_url: base_url.trim_end_matches('/').into(),
             call_timeout: Duration::from_millis(DEFAULT_CALL_TIMEOUT_MS),
             counters: Arc::default(),
+            era: StoreEra::default(),
         })
     }
 
@@ -143,13 +149,14 @@
     /// ```
     pub async fn get(&self, kind: &str, name: &str) -> Result<Option<StoredObject>, ReadError> {
         self.counters.gets.fetch_add(1, Ordering::Relaxed);
-        let response = self
+        let (response, era) = self
             .read(&object_path(kind, name), self.call_timeout)
             .await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        decode(response).await.map(Some)
+        let object: StoredObject = decode(response).await?;
+        Ok(Some(object.in_era(era)))
     }
 
     /// Reads all objects of some kinds.
@@ -166,7 +173,13 @@
     pub async fn list(&self, kinds: &[&str]) -> Result<ObjectList, ReadError> {
         self.counters.lists.fetch_add(1, Ordering::Relaxed);
         let path = format!("/v1/objects?kinds={}", kinds.join(","));
-        decode(self.read(&path, self.call_timeout).await?).await
+        let (response, era) = self.read(&path, self.call_timeout).await?;
+        let list: ObjectList = decode(response).await?;
+        let objects = list.objects.into_iter();
+        Ok(ObjectList {
+            position: StorePosition::new(era, list.position.revision),
+            objects: objects.map(|object| object.in_era(era)).collect(),
+        })
     }
 
     /// Waits up to `wait_ms` for changes after a revision, of all kinds in one call.
@@ -191,7 +204,18 @@
         let revision = after.revision;
         let path = format!("/v1/watch?kinds={kinds}&after={revision}&wait_ms={wait_ms}");
         let timeout = Duration::from_millis(wait_ms + WATCH_GRACE_MS);
-        decode(self.read(&path, timeout).await?).await
+        let call = self.read(&path, timeout);
+        let (response, era) = self.era.call_within(after.era, call).await?;
+        // The store may have passed the revision again since it returned from a copy.
+        if era != after.era {
+            return Err(ReadError::OtherEra { era });
+        }
+        let batch: WatchBatch = decode(response).await?;
+        let events = batch.events.into_iter();
+        Ok(WatchBatch {
+            position: StorePosition::new(era, batch.position.revision),
+            events: events.map(|event| event.in_era(era)).collect(),
+        })
     }
 
     /// Reads the platform's list of hosts.
@@ -207,7 +231,8 @@
     /// ```
     pub async fn hosts(&self) -> Result<Vec<Host>, ReadError> {
         self.counters.hosts.fetch_add(1, Ordering::Relaxed);
-        decode(self.read("/v1/hosts", self.call_timeout).await?).await
+        let (response, _) = self.read("/v1/hosts", self.call_timeout).await?;
+        decode(response).await
     }
 
     /// Writes an object if it is as expected.
@@ -220,6 +245,9 @@
     /// # }
     /// ```
     pub async fn put(&self, kind: &str, name: &str, expect: Expect, value: &Value) -> WriteAnswer {
+        if self.is_of_other_era(expect) {
+            return self.conflict(kind, name).await;
+        }
         let request = self
             .request(Method::PUT, &object_path(kind, name), self.call_timeout)
             .json(value);
@@ -234,11 +262,30 @@
     /// # }
     /// ```
     pub async fn delete(&self, kind: &str, name: &str, version: StorePosition) -> WriteAnswer {
+        if self.is_of_other_era(Expect::Version(version)) {
+            return self.conflict(kind, name).await;
+        }
         let path = object_path(kind, name);
         let request = self.request(Method::DELETE, &path, self.call_timeout);
         self.write(request, Expect::Version(version)).await
     }
 
+    /// Whether a write expects a version of another era. The same revision may stand for another
+    /// write by now.
+    fn is_of_other_era(&self, expect: Expect) -> bool {
+        matches!(expect, Expect::Version(version) if version.era != self.era.current())
+    }
+
+    /// The answer to a write that is not sent, as the object can't be as expected.
+    async fn conflict(&self, kind: &str, name: &str) -> WriteAnswer {
+        match self.get(kind, name).await {
+            Ok(current) => WriteAnswer::Conflict { current },
+            Err(error) => WriteAnswer::Unavailable {
+                reason: error.to_string().into(),
+            },
+        }
+    }
+
     /// A request to the store, not yet sent.
     fn request(&self, method: Method, path: &str, timeout: Duration) -> RequestBuilder {
         self.http
@@ -246,8 +293,8 @@
             .timeout(timeout)
     }
 
-    /// Sends a read and sorts its refusals.
-    async fn read(&self, path: &str, timeout: Duration) -> Result<Response, ReadError> {
+    /// Sends a read and sorts its refusals. Returns the answer and its era.
+    async fn read(&self, path: &str, timeout: Duration) -> Result<(Response, u32), ReadError> {
         let response = self
             .request(Method::GET, path, timeout)
             .send()
@@ -255,13 +302,14 @@
             .map_err(|error| ReadError::Unavailable {
                 reason: describe(&error),
             })?;
+        let era = self.era.check(response.headers().get(ERA_HEADER))?;
         let status = response.status();
         match status {
             StatusCode::TOO_MANY_REQUESTS => Err(ReadError::Limited {
                 retry_after_ms: retry_after_ms(&response),
             }),
             StatusCode::GONE => Err(ReadError::TooOld),
-            _ if status.is_success() || status == StatusCode::NOT_FOUND => Ok(response),
+            _ if status.is_success() || status == StatusCode::NOT_FOUND => Ok((response, era)),
             _ => Err(ReadError::Unavailable {
                 reason: status.as_str().into(),
             }),
@@ -278,7 +326,12 @@
             }
         };
         match request.send().await {
-            Ok(response) => written(response).await,
+            Ok(response) => match self.era.check(response.headers().get(ERA_HEADER)) {
+                Ok(era) => written(response, era).await,
+                Err(error) => WriteAnswer::NotKnown {
+                    reason: error.to_string().into(),
+                },
+            },
             // Without a connection not a byte of the write has left this process.
             Err(error) if error.is_connect() => WriteAnswer::Unavailable {
                 reason: describe(&error),
@@ -297,11 +350,13 @@
 }
 
 /// What a write's answer says.
-async fn written(response: Response) -> WriteAnswer {
+async fn written(response: Response, era: u32) -> WriteAnswer {
     let status = response.status();
     match status {
-        StatusCode::PRECONDITION_FAILED => match decode(response).await {
-            Ok(current) => WriteAnswer::Conflict { current },
+        StatusCode::PRECONDITION_FAILED => match decode::<Option<StoredObject>>(response).await {
+            Ok(current) => WriteAnswer::Conflict {
+                current: current.map(|object| object.in_era(era)),
+            },
             Err(error) => WriteAnswer::NotKnown {
                 reason: error.to_string().into(),
             },
@@ -311,7 +366,10 @@
         },
         _ if status.is_success() => match decode::<Accepted>(response).await {
             Ok(accepted) => WriteAnswer::Written {
-                version: accepted.version,
+                version: StorePosition {
+                    era,
+                    ..accepted.version
+                },
             },
             Err(error) => WriteAnswer::NotKnown {
                 reason: error.to_string().into(),
--- a/lib/src/store/era.rs
+++ b/lib/src/store/era.rs
@@ -8,6 +8,7 @@
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
 
+use http::HeaderValue;
 use tokio::sync::watch;
 
 use crate::logging::Level;
@@ -89,6 +90,24 @@
         check
     }
 
+    /// Returns the era of an answer with this header, if it is the latest one.
+    ///
+    /// # Errors
+    ///
+    /// When the answer is of another era, or the first one of a later one.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::store::era::StoreEra::default().check(None), Ok(0));
+    /// ```
+    pub fn check(&self, header: Option<&HeaderValue>) -> Result<u32, ReadError> {
+        // A value that is no text names no era, and is logged as one that can't be used.
+        let named = header.map(|value| value.to_str().unwrap_or("?"));
+        match self.observe(named) {
+            EraCheck::Current(era) => Ok(era),
+            EraCheck::Unconfirmed(era) | EraCheck::Ended(era) => Err(ReadError::OtherEra { era }),
+        }
+    }
+
     /// Waits for a call that is meant for an era, or until another call hears of a later one.
     ///
     /// # Errors
--- a/lib/src/store/types.rs
+++ b/lib/src/store/types.rs
@@ -40,6 +40,22 @@
     pub objects: Vec<StoredObject>,
 }
 
+impl StoredObject {
+    /// Returns the object as an answer of an era has it.
+    ///
+    /// ```
+    /// # use sardinewood::store::StoredObject;
+    /// # let object: StoredObject = serde_json::from_str(
+    /// #     r#"{"kind": "profiles", "name": "lookup", "version": 7, "value": {}}"#).unwrap();
+    /// assert_eq!(object.in_era(2).version.era, 2);
+    /// ```
+    #[must_use]
+    pub fn in_era(mut self, era: u32) -> Self {
+        self.version.era = era;
+        self
+    }
+}
+
 /// One change seen by a watch.
 #[derive(Clone, Debug, PartialEq, Deserialize)]
 #[serde(tag = "type", rename_all = "lowercase")]
@@ -57,6 +73,32 @@
     },
 }
 
+impl WatchEvent {
+    /// Returns the change as an answer of an era has it.
+    ///
+    /// ```
+    /// # use sardinewood::store::{WatchEvent, position::StorePosition};
+    /// let version = StorePosition::new(0, 7);
+    /// let event = WatchEvent::Delete { kind: "profiles".into(), name: "lookup".into(), version };
+    /// assert!(matches!(event.in_era(2), WatchEvent::Delete { version, .. } if version.era == 2));
+    /// ```
+    #[must_use]
+    pub fn in_era(self, era: u32) -> Self {
+        match self {
+            Self::Put(object) => Self::Put(object.in_era(era)),
+            Self::Delete {
+                kind,
+                name,
+                version,
+            } => Self::Delete {
+                kind,
+                name,
+                version: StorePosition { era, ..version },
+            },
+        }
+    }
+}
+
 /// The changes after a revision.
 #[derive(Clone, Debug, Default, PartialEq, Deserialize)]
 pub struct WatchBatch {
--- a/lib/tests/test_config_follow.rs
+++ b/lib/tests/test_config_follow.rs
@@ -7,7 +7,9 @@
 use sardinewood::config::catalog::Catalog;
 use sardinewood::config::follow::WatchTimings;
 use sardinewood::config::follow::follow;
+use sardinewood::store::Expect;
 use sardinewood::store::StoreClient;
+use sardinewood::store::WriteAnswer;
 use serde_json::json;
 use testutils::store_stand_in::StoreFaults;
 use testutils::store_stand_in::StoreStandIn;
@@ -170,3 +172,64 @@
     };
     tokio::time::timeout(PATIENCE, listed).await.unwrap();
 }
+
+#[tokio::test]
+async fn store_that_returns_from_a_copy() {
+    // Guards against a configuration that goes back with the store, and against later writes that
+    // are taken for older ones because their revisions were given out before.
+    let fixture = Fixture::new(WatchTimings::default()).await;
+    fixture.store.set_era(1);
+    fixture.seed("lookup", 100);
+    fixture
+        .wait_for(|catalog| has(catalog, "lookup", 100))
+        .await;
+    let copy = fixture.store.copy();
+    for deadline_ms in 200..220 {
+        fixture.seed("lookup", deadline_ms);
+    }
+    fixture
+        .wait_for(|catalog| has(catalog, "lookup", 219))
+        .await;
+    fixture.store.return_from(&copy, 2);
+    fixture.seed("other", 5);
+    fixture.wait_for(|catalog| has(catalog, "other", 5)).await;
+    assert!(has(&fixture.config.catalog().borrow(), "lookup", 219));
+    fixture.seed("lookup", 300);
+    fixture
+        .wait_for(|catalog| has(catalog, "lookup", 300))
+        .await;
+}
+
+#[tokio::test]
+async fn write_that_expects_a_version_of_an_ended_era() {
+    // Guards against a write over another one that the store has given the same revision since.
+    let fixture = Fixture::new(WatchTimings::default()).await;
+    fixture.store.set_era(1);
+    let copy = fixture.store.copy();
+    fixture.seed("lookup", 100);
+    fixture
+        .wait_for(|catalog| has(catalog, "lookup", 100))
+        .await;
+    let known = fixture
+        .client
+        .get("profiles", "lookup")
+        .await
+        .unwrap()
+        .unwrap();
+    fixture.store.return_from(&copy, 2);
+    fixture.seed("other", 5);
+    fixture.wait_for(|catalog| has(catalog, "other", 5)).await;
+    fixture.seed("lookup", 200);
+    fixture
+        .wait_for(|catalog| has(catalog, "lookup", 200))
+        .await;
+    let value = json!({"name": "lookup", "tier": 2, "deadline_ms": 300});
+    let written = fixture
+        .client
+        .put("profiles", "lookup", Expect::Version(known.version), &value)
+        .await;
+    assert!(
+        matches!(written, WriteAnswer::Conflict { current: Some(_) }),
+        "{written:?}"
+    );
+}
--- a/lib/tests/test_config_state.rs
+++ b/lib/tests/test_config_state.rs
@@ -302,3 +302,70 @@
         prop_assert_eq!(second.catalog(), expected.catalog());
     }
 }
+
+/// A profile as an entry wrote it at a time.
+fn changed(name: &str, position: StorePosition, at_ms: u64) -> StoredObject {
+    let change = json!({"id": format!("c{at_ms}"), "who": "selma", "at_ms": at_ms, "why": "",
+        "from": "10.0.0.7"});
+    let spec = json!({"name": name, "tier": 1, "deadline_ms": at_ms});
+    StoredObject {
+        version: position,
+        ..stored(name, 0, json!({"spec": spec, "change": change}))
+    }
+}
+
+fn list_at(position: StorePosition, objects: &[StoredObject]) -> ObjectList {
+    ObjectList {
+        position,
+        objects: objects.to_vec(),
+    }
+}
+
+fn at(era: u32, revision: u64) -> StorePosition {
+    StorePosition::new(era, revision)
+}
+
+/// Returns a process that has listed two profiles in the first era.
+fn listed_in_first_era() -> ConfigState {
+    let mut state = ConfigState::default();
+    let objects = [changed("a", at(1, 5), 500), changed("b", at(1, 41), 600)];
+    state.apply_list(&list_at(at(1, 41), &objects));
+    state
+}
+
+#[test]
+fn apply_list_older_copy_takes_nothing_back() {
+    // Guards against a process that goes back, or drops a profile, when the store has returned from
+    // a copy; and against one that takes no later write.
+    let mut state = listed_in_first_era();
+    let copy = list_at(at(2, 30), &[changed("a", at(2, 4), 100)]);
+    assert_eq!(state.apply_list(&copy), ListOutcome::Complete);
+    assert_eq!(deadline_ms(&state, "a"), Some(500));
+    assert_eq!(deadline_ms(&state, "b"), Some(600));
+    state.apply_object(&changed("a", at(2, 31), 900));
+    assert_eq!(deadline_ms(&state, "a"), Some(900));
+}
+
+#[test]
+fn apply_peer_only_with_the_copy_removes_nothing() {
+    // Guards against a process that has started with the copy alone and tells the others that what
+    // it lacks was removed.
+    let mut state = listed_in_first_era();
+    let mut started = ConfigState::default();
+    started.apply_list(&list_at(at(2, 30), &[changed("a", at(2, 4), 100)]));
+    state.apply_peer(&started.answer_peer(at(1, 41)));
+    assert_eq!(deadline_ms(&state, "a"), Some(500));
+    assert_eq!(deadline_ms(&state, "b"), Some(600));
+    assert_ne!(state.digest().hash, started.digest().hash);
+    started.apply_peer(&state.answer_peer(at(2, 0)));
+    assert_eq!(deadline_ms(&started, "a"), Some(500));
+}
+
+#[test]
+fn apply_list_of_an_ended_era_changes_nothing() {
+    let mut state = listed_in_first_era();
+    state.apply_list(&list_at(at(2, 30), &[changed("a", at(2, 30), 700)]));
+    let late = list_at(at(1, 90), &[changed("a", at(1, 90), 650)]);
+    assert_eq!(state.apply_list(&late), ListOutcome::Lagging);
+    assert_eq!(deadline_ms(&state, "a"), Some(700));
+}
--- a/lib/testutils/src/host_list_stand_in.rs
+++ b/lib/testutils/src/host_list_stand_in.rs
@@ -31,7 +31,7 @@
     pub state: HostState,
 }
 
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 enum Change {
     Set(Host),
     Remove(Arc<str>),
@@ -54,7 +54,7 @@
 /// assert!(hosts.shown(999).is_empty());
 /// assert_eq!(hosts.shown(1_000).len(), 1);
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct HostList {
     lag_ms: u64,
     shown: IndexMap<Arc<str>, Host>,
--- a/lib/testutils/src/store_face.rs
+++ b/lib/testutils/src/store_face.rs
@@ -35,6 +35,7 @@
 
 /// All calls of the store.
 pub(crate) fn routes(shared: &Arc<Shared>) -> impl Endpoint + 'static {
+    let named = Arc::clone(shared);
     Route::new()
         .at(
             "/v1/objects/:kind/:name",
@@ -44,6 +45,16 @@
         .at("/v1/watch", get(watch_objects))
         .at("/v1/hosts", get(list_hosts))
         .data(shared.clone())
+        .around(move |endpoint, request| {
+            let shared = Arc::clone(&named);
+            async move {
+                let mut response = endpoint.get_response(request).await;
+                if let Some(era) = shared.lock().era {
+                    response.headers_mut().insert("Store-Era", era.into());
+                }
+                Ok(response)
+            }
+        })
 }
 
 /// Whose limit a call counts against.
--- a/lib/testutils/src/store_stand_in.rs
+++ b/lib/testutils/src/store_stand_in.rs
@@ -54,6 +54,8 @@
 pub(crate) struct Inner {
     pub(crate) store: StoreState,
     pub(crate) faults: StoreFaults,
+    /// The era that each answer names, if any.
+    pub(crate) era: Option<u32>,
     pub(crate) writes: Window,
     pub(crate) reads: Window,
 }
@@ -88,6 +90,10 @@
     }
 }
 
+/// What a store held at some moment, to return from later.
+#[derive(Clone, Debug)]
+pub struct StoreCopy(StoreState);
+
 /// A running store; dropping it is the end of the platform.
 ///
 /// ```
@@ -157,6 +163,28 @@
         self.shared.lock().store.current(kind, name).cloned()
     }
 
+    /// Names an era in all answers from now on.
+    pub fn set_era(&self, era: u32) {
+        self.shared.lock().era = Some(era);
+    }
+
+    /// A copy of all that the store holds now.
+    #[must_use]
+    pub fn copy(&self) -> StoreCopy {
+        StoreCopy(self.shared.lock().store.clone())
+    }
+
+    /// Closes all connections, forgets all that was written since a copy, and gives its revisions out
+    /// again.
+    pub fn return_from(&self, copy: &StoreCopy, era: u32) {
+        let mut inner = self.shared.lock();
+        inner.store = copy.0.clone();
+        inner.era = Some(era);
+        self.shared.revision.send_replace(inner.store.revision());
+        drop(inner);
+        self.connections().close_all();
+    }
+
     /// Adds or changes a host of the host list.
     pub fn set_host(&self, host: Host) {
         let now_ms = self.shared.now_ms();
--- a/lib/testutils/src/store_state.rs
+++ b/lib/testutils/src/store_state.rs
@@ -98,7 +98,7 @@
 /// assert!(store.put("profile", "a", Precondition::Absent, json!(2), 0).is_err());
 /// assert!(store.put("profile", "a", Precondition::Version(version), json!(2), 0).is_ok());
 /// ```
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 pub struct StoreState {
     /// The platform's hosts.
     pub hosts: HostList,
@@ -114,7 +114,7 @@
 }
 
 /// A copy that applies changes late.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Replica {
     lag_ms: u64,
     revision: u64,
