--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -12,6 +12,7 @@
 use platform_testkit::node::configuration;
 use platform_testkit::node::configure;
 use platform_testkit::node::entry;
+use platform_testkit::node::with_keys;
 use platform_testkit::rollout_scene::SERVICE;
 use platform_testkit::store_stand_in::Mood;
 use platform_testkit::store_stand_in::StoreStandIn;
@@ -672,8 +673,7 @@
             configuration["services"][0]["engine"] = json!({"slots": 4});
         }
         if self.copies.is_some() {
-            let keys = json!([KEY, copies::key_of(self.version)]);
-            configuration["tenants"][0]["apiKeys"] = keys;
+            configuration = with_keys(configuration, &[KEY, &copies::key_of(self.version)]);
         }
         configure(&self.store, &configuration);
     }
