directory: the copy withholds no upstream that is listed now

Found by reading the change. An upstream that had been removed and had registered again would have been withheld for three heartbeats after a loss, and a restarted one would have been replaced by its former incarnation in the copy. Whether it left counts only by what is known of that incarnation now.

The log says when an entry leaves the store to others, in place of "store answers again" half a minute after the outage.

upstream_removed_and_registered_again_used_after_a_loss, former_incarnation_in_the_copy_replaces_no_live_one.

--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -271,7 +271,14 @@
         let mut role = self.channels.role.clone();
         let wait_ms = watch_wait_ms(self.channels.config_bound_ms);
         let is_catalog = kind == self.replica.borrow().decoders().catalog_kind;
-        while store_role::wait_for_call(&mut role).await {
+        loop {
+            if *role.borrow() == StoreRole::Listens {
+                // Others watch the store now, whatever it answered here.
+                outage.left(kind);
+            }
+            if !store_role::wait_for_call(&mut role).await {
+                return;
+            }
             let read = match after {
                 None => source
                     .list(kind)
@@ -525,6 +532,14 @@
         }
     }
 
+    fn left(&mut self, kind: &str) {
+        if self.since.take().is_some() {
+            Line::new(Level::Info, "store is left to other entries")
+                .field("kind", kind)
+                .send();
+        }
+    }
+
     fn ended(&mut self, kind: &str) {
         if let Some(since) = self.since.take() {
             Line::new(Level::Info, "store answers again")
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -238,12 +238,13 @@
     /// assert_eq!(directory.usable().count(), 1);
     /// ```
     pub fn put_of_copy(&mut self, upstream: Upstream, now_ms: u64) {
-        let known = self.entries.get(&upstream.name);
-        let was_leaving = known.is_some_and(|known| {
-            known.upstream.is_leaving && known.upstream.instance == upstream.instance
-        });
-        let was_removed = self.was_removed(&upstream.instance, now_ms);
-        if upstream.is_leaving || !(was_leaving || was_removed) {
+        let has_left = match self.entries.get(&upstream.name) {
+            Some(known) => {
+                known.upstream.is_leaving && known.upstream.instance == upstream.instance
+            }
+            None => self.was_removed(&upstream.instance, now_ms),
+        };
+        if upstream.is_leaving || !has_left {
             return self.put(upstream, now_ms);
         }
         self.reports_start_time |= upstream.born_ms.is_some();
--- a/lib/tests/test_direct_eras.rs
+++ b/lib/tests/test_direct_eras.rs
@@ -32,7 +32,7 @@
     upstream: |object| {
         Ok(Upstream {
             is_leaving: object.value == "leaving",
-            ..direct_fixture::born(&object.name, 10)
+            ..direct_fixture::born(&object.name, object.value.as_u64().unwrap_or(10))
         })
     },
 };
@@ -61,6 +61,14 @@
     }
 }
 
+/// An upstream whose value is its start time.
+fn started_at(name: &str, position: StorePosition, born_ms: u64) -> StoredObject {
+    StoredObject {
+        value: born_ms.into(),
+        ..ready(name, position)
+    }
+}
+
 fn leaving(name: &str, position: StorePosition) -> StoredObject {
     StoredObject {
         value: "leaving".into(),
@@ -229,6 +237,33 @@
     assert_eq!(usable(&entry), ["a", "b"]);
 }
 
+#[test]
+fn upstream_removed_and_registered_again_used_after_a_loss() {
+    // Guards against a live upstream that is withheld because it was removed once before.
+    let mut entry = entry();
+    entry.apply_event("u", removal("b", at(1, 42)), 0);
+    entry.apply_event("u", WatchEvent::Put(ready("b", at(1, 43))), 0);
+    let copy = vec![ready("a", at(2, 2)), ready("b", at(2, 43))];
+    entry.apply_list("u", list(at(2, 43), copy), 0);
+    assert_eq!(usable(&entry), ["a", "b"]);
+}
+
+#[test]
+fn former_incarnation_in_the_copy_replaces_no_live_one() {
+    // Guards against a restarted upstream that gets nothing because the copy has its former self.
+    let mut entry = entry();
+    entry.apply_event("u", removal("b", at(1, 42)), 0);
+    entry.apply_event("u", WatchEvent::Put(started_at("b", at(1, 43), 20)), 0);
+    let copy = vec![ready("a", at(2, 2)), ready("b", at(2, 40))];
+    entry.apply_list("u", list(at(2, 40), copy), 0);
+    let upstreams = entry.snapshot().upstreams.expect("a list");
+    assert!(
+        upstreams
+            .iter()
+            .any(|upstream| &*upstream.instance == "b@20")
+    );
+}
+
 #[test]
 fn entries_that_hear_of_the_era_from_peers() {
     let mut entries = [entry(), entry(), entry()];
