--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -280,7 +280,7 @@
         if let Some(age_ms) = store_age_ms {
             traffic.confirm_catalog(now_ms.saturating_sub(age_ms.into()));
         }
-        if traffic.is_catalog_stale() && role == StoreRole::Listens {
+        if traffic.check_catalog_age() && role == StoreRole::Listens {
             // Nobody who watches the store has said for some time that nothing has changed.
             role = StoreRole::spare(live, bound_ms);
         }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -504,7 +504,8 @@
     has_listed: bool,
 ) -> Duration {
     match known {
-        None if has_listed => Duration::ZERO,
+        // A store that forgets its history all the time is listed a few times a second.
+        None if has_listed => BATCH_PAUSE,
         None => STARTUP_PAUSE,
         Some(known) if known != received => BATCH_PAUSE,
         Some(_) => Duration::ZERO,
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -485,8 +485,9 @@
         self.catalog_freshness.set(freshness);
     }
 
-    /// Returns whether the configuration is older than changes may take, and logs when that changes.
-    pub fn is_catalog_stale(&self) -> bool {
+    /// Compares the configuration's age with the time that changes may take, and logs when it passes
+    /// that or no longer does. Returns whether it is older.
+    pub fn check_catalog_age(&self) -> bool {
         let mut freshness = self.catalog_freshness.get();
         let bound_ms = self.config_bound_ms.get();
         match freshness.check(self.now_ms(), bound_ms) {
