--- a/bench/src/control/play.rs
+++ b/bench/src/control/play.rs
@@ -61,6 +61,10 @@
 const SHORT_CHANGE_BYTES: usize = 300;
 const LONG_CHANGE_BYTES: usize = 15_000;
 
+/// Bytes of an upstream in a compressed list, and upstreams of each entry.
+const LISTED_UPSTREAM_BYTES: usize = 125;
+const UPSTREAMS_OF_ENTRY: usize = 2;
+
 /// Loads and customers' spending in a heartbeat, of three requests a second.
 const LOADS: usize = 3;
 const SPENT: usize = 7;
@@ -113,6 +117,9 @@
     pub short_change_ms: u64,
     /// Time until they have a long one, which is pulled.
     pub long_change_ms: u64,
+    /// Time until they have the whole list of a new era of the store, in which revisions are given out
+    /// again.
+    pub new_era_ms: u64,
     /// Time after a kill or a cut until no reachable entry counts a lost one as live.
     pub loss_known_ms: Option<u64>,
 }
@@ -158,6 +165,7 @@
     Change {
         bytes: usize,
     },
+    NewEra,
     Strike,
 }
 
@@ -174,6 +182,8 @@
     is_struck: bool,
     is_measuring: bool,
     cross_bytes: u64,
+    /// Bytes of what is pulled.
+    pulled_bytes: usize,
 }
 
 /// Plays one size and scene.
@@ -195,8 +205,11 @@
     let struck_ms = QUIET_MS + MEASURED_MS;
     fleet.at(struck_ms * US_PER_MS, Event::Strike);
     let first_ms = struck_ms + 1_000;
-    report.short_change_ms = fleet.time_change(first_ms, SHORT_CHANGE_BYTES);
-    report.long_change_ms = fleet.time_change(first_ms + 5_000, LONG_CHANGE_BYTES);
+    let change = |bytes| Event::Change { bytes };
+    report.short_change_ms = fleet.time_until_all(first_ms, change(SHORT_CHANGE_BYTES));
+    report.long_change_ms = fleet.time_until_all(first_ms + 5_000, change(LONG_CHANGE_BYTES));
+    fleet.pulled_bytes = LISTED_UPSTREAM_BYTES * UPSTREAMS_OF_ENTRY * entries;
+    report.new_era_ms = fleet.time_until_all(first_ms + 10_000, Event::NewEra);
     if matches!(scene, Scene::HalfKilled | Scene::Cut) {
         let mut again = Play::new(entries, scene, seed);
         again.run_until(QUIET_MS);
@@ -227,6 +240,7 @@
             is_struck: false,
             is_measuring: false,
             cross_bytes: 0,
+            pulled_bytes: LONG_CHANGE_BYTES,
         };
         for number in 0..entries {
             let started_us = random.random_range(0..300 * US_PER_MS);
@@ -274,10 +288,11 @@
         })
     }
 
-    fn time_change(&mut self, at_ms: u64, bytes: usize) -> u64 {
+    /// Returns how long it takes until all that are reachable have what a change leads to.
+    fn time_until_all(&mut self, at_ms: u64, change: Event) -> u64 {
         self.run_until(at_ms);
         let newest = self.newest();
-        self.at(at_ms * US_PER_MS, Event::Change { bytes });
+        self.at(at_ms * US_PER_MS, change);
         let has_all = |play: &Self| {
             play.newest() > newest
                 && play
@@ -329,7 +344,11 @@
                 from,
                 revisions,
             } => self.pulled(to, from, revisions),
-            Event::Change { bytes } => self.change(bytes),
+            Event::Change { bytes } => self.change(self.newest().following(), bytes),
+            Event::NewEra => {
+                let position = StorePosition::new(self.newest().era + 1, 1);
+                self.change(position, self.pulled_bytes);
+            }
             Event::Strike => self.strike(),
         }
     }
@@ -376,6 +395,7 @@
             loads: LoadChunk::whole(vec![LOAD; LOADS]),
             spent: vec![host.spent.clone(); SPENT],
             host: Some(host.kind),
+            knows_eras: true,
             ..Heartbeat::default()
         })
     }
@@ -482,7 +502,7 @@
     fn pull(&mut self, to: usize, from: usize, revisions: Revisions) {
         let now_us = self.now_us;
         let peer = &mut self.hosts[from];
-        let link_us = LONG_CHANGE_BYTES as u64 * peer.link_ns() / 1_000;
+        let link_us = self.pulled_bytes as u64 * peer.link_ns() / 1_000;
         peer.sending_until_us = peer.sending_until_us.max(now_us) + link_us;
         let done_us = peer.sending_until_us + PULL_US;
         self.at(
@@ -511,10 +531,10 @@
     }
 
     /// Three entries on large hosts read a change from the store.
-    fn change(&mut self, bytes: usize) {
+    fn change(&mut self, position: StorePosition, bytes: usize) {
         let revisions = Revisions {
             catalog: CatalogPosition::default(),
-            directory: self.newest().following(),
+            directory: position,
         };
         let update = if bytes <= SHORT_CHANGE_BYTES {
             vec![7; bytes]
--- a/bench/tests/test_control.rs
+++ b/bench/tests/test_control.rs
@@ -57,6 +57,19 @@
     }
 }
 
+#[test]
+fn new_era_known_everywhere_in_time() {
+    // Guards against entries that stay in an ended era of the store, whose revisions were higher, and
+    // against a spread of whole lists that grows with the fleet. Two seconds is the shortest time
+    // within which a change has to be in force.
+    for (name, scene) in Scene::ALL {
+        let report = play(120, (name, scene), 3);
+        assert!(report.new_era_ms <= 2_000, "{report:?}");
+    }
+    let report = play(357, ("calm", Scene::Calm), 3);
+    assert!(report.new_era_ms <= 2_000, "{report:?}");
+}
+
 #[test]
 fn heartbeats_of_a_large_fleet_sent_evenly() {
     // Guards against bursts in which a small host serves no request.
