rollout, store: a verdict's first write needs no earlier call to the store

Found by reading the change: an entry that coordinates a roll-out and does not watch the store knew no era, so it took its own order for one of another era. Its first write came after two more calls and pauses of 0.7 s, though a verdict has 0.2 s to the end of its window. It takes the era of the order, which an entry that watches has confirmed.

era_learnt_from_others.

--- a/lib/src/store/era.rs
+++ b/lib/src/store/era.rs
@@ -143,6 +143,24 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Takes an era that another process has confirmed, if it is a later one. A process that seldom
+    /// calls the store would otherwise have to call it twice more before it can write.
+    ///
+    /// ```
+    /// use sardinewood::store::era::{EraCheck, StoreEra};
+    ///
+    /// let era = StoreEra::default();
+    /// era.learn(4);
+    /// assert_eq!(era.observe(Some("4")), EraCheck::Current(4));
+    /// ```
+    pub fn learn(&self, era: u32) {
+        let mut state = self.lock();
+        if era > state.current && state.is_plausible(era) {
+            state.begin(era);
+            self.shared.current.send_replace(era);
+        }
+    }
+
     /// Returns the latest era, or 0 if none is known.
     ///
     /// ```
@@ -172,6 +190,11 @@
         if self.candidate.replace(era) != Some(era) {
             return EraCheck::Unconfirmed(era);
         }
+        self.begin(era);
+        EraCheck::Current(era)
+    }
+
+    fn begin(&mut self, era: u32) {
         self.candidate = None;
         let (level, message) = match self.current {
             0 => (Level::Info, "store names its era"),
@@ -183,7 +206,6 @@
             .send();
         self.current = era;
         self.has_logged_unusable = false;
-        EraCheck::Current(era)
     }
 
     fn log_unusable(&mut self, named: &str) {
--- a/lib/tests/test_store_era.rs
+++ b/lib/tests/test_store_era.rs
@@ -58,3 +58,15 @@
     assert_eq!(era.observe(Some("8")), EraCheck::Unconfirmed(8));
     assert_eq!(era.observe(Some("8")), EraCheck::Current(8));
 }
+
+#[test]
+fn era_learnt_from_others() {
+    // Guards against an entry that never calls the store but to write a verdict, and needs two more
+    // calls before its first write.
+    let era = StoreEra::default();
+    era.learn(3);
+    assert_eq!(era.observe(Some("3")), EraCheck::Current(3));
+    era.learn(2);
+    era.learn(4_000_000_000);
+    assert_eq!(era.current(), 3);
+}
