--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -556,9 +556,11 @@
         if now_ms < self.first_call_ms(own) || !self.is_among_first(is_watching) {
             return StoreRole::Listens;
         }
-        // The store may answer nobody, and then all would call it.
+        // The store may answer nobody, and then all would call it. An entry that has nothing yet can
+        // serve nobody, and does not wait for its turn.
+        let has_list = own.directory > StorePosition::default();
         let is_spare = |peer: &Peer| self.is_live(peer, now_ms) && !is_watching(peer);
-        if is_served || self.is_among_first(is_spare) {
+        if is_served || !has_list || self.is_among_first(is_spare) {
             return StoreRole::Watches;
         }
         StoreRole::spare(self.live_peers(now_ms).len() + 1, longest_ms)
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -757,6 +757,8 @@
         StoreRole::Watches,
         "the store serves it"
     );
+    let without_list = table.store_role(Revisions::default(), false, 13_000, 9_000);
+    assert_eq!(without_list, StoreRole::Watches, "it serves nobody yet");
     let mut first = PeerTable::new(address(0), &[]);
     for number in 1..=150 {
         first.record_heartbeat(address(number), &Heartbeat::default(), 9_000);
