store follower: an entry takes the era from its peers before its first call

An entry lists the store for the first time when the ones that watch it are turned away or cut off. Peers have confirmed the era.

--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -78,6 +78,10 @@
 
 /// A source of objects: the platform's store, or a stand-in for tests.
 pub trait ObjectSource {
+    /// Takes the store's era from entries that have confirmed it, so that the first answer of that era
+    /// can be used.
+    fn learn_era(&self, _era: u32) {}
+
     /// Lists all objects of a kind.
     ///
     /// # Errors
@@ -279,6 +283,7 @@
             if !store_role::wait_for_call(&mut role).await {
                 return;
             }
+            source.learn_era(self.replica.borrow().revisions().directory.era);
             let read = match after {
                 None => source
                     .list(kind)
