--- a/lib/src/caller/directory.rs
+++ b/lib/src/caller/directory.rs
@@ -22,11 +22,12 @@
 /// A configuration with an index of its customers by key.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use std::sync::Arc;
 /// use sardinewood::caller::directory::CallerDirectory;
 /// use sardinewood::config::catalog::Catalog;
 ///
-/// let first = Catalog { revision: 1, ..Catalog::default() };
+/// let first = Catalog { revision: StorePosition::new(0, 1), ..Catalog::default() };
 /// let directory = CallerDirectory::new(Arc::new(first));
 /// assert_eq!(directory.customer(Some("key")).unwrap_err().code, "invalid_api_key");
 /// ```
--- a/lib/src/claims.rs
+++ b/lib/src/claims.rs
@@ -145,6 +145,7 @@
 /// The claims of one entry, as a state machine without I/O.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::claims::{ClaimDecision, ClaimRequest, ClaimRules, ClaimStep, Claims};
 /// use sardinewood::claims::object::{Holder, StoreResponse};
 /// use sardinewood::ids::{AttemptId, GrantId, Incarnation, RequestId};
@@ -165,7 +166,7 @@
 /// let mut claims = Claims::new(ClaimRules::default());
 /// let steps = claims.claim(0, claim_request);
 /// assert!(matches!(steps[..], [ClaimStep::Call { .. }]));
-/// let steps = claims.handle_response(3, request, StoreResponse::Written { version: 9 });
+/// let steps = claims.handle_response(3, request, StoreResponse::Written { version: StorePosition::new(0, 9) });
 /// assert_eq!(steps, [ClaimStep::Decided { request, decision: ClaimDecision::Dispatch }]);
 /// # Ok::<(), sardinewood::claims::idempotency::KeyError>(())
 /// ```
--- a/lib/src/config.rs
+++ b/lib/src/config.rs
@@ -32,10 +32,11 @@
 /// A handle on the configuration of this process; clones share it.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::config::Config;
 ///
 /// let config = Config::default();
-/// assert_eq!(config.catalog().borrow().revision, 0);
+/// assert_eq!(config.catalog().borrow().revision, StorePosition::default());
 /// ```
 #[derive(Clone, Debug)]
 pub struct Config {
@@ -97,8 +98,9 @@
     /// The whole state, and a way to wait for the next change of it.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// let state = sardinewood::config::Config::default().state();
-    /// assert_eq!(state.borrow().digest().newest, 0);
+    /// assert_eq!(state.borrow().digest().newest, StorePosition::default());
     /// ```
     #[must_use]
     pub fn state(&self) -> watch::Receiver<ConfigState> {
@@ -108,14 +110,15 @@
     /// Changes the state, and publishes the picture if it is another one.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::Config;
     /// use sardinewood::store::ObjectList;
     ///
     /// let config = Config::default();
     /// config.apply(|state| {
-    ///     state.apply_list(&ObjectList { revision: 12, objects: vec![] });
+    ///     state.apply_list(&ObjectList { position: StorePosition::new(0, 12), objects: vec![] });
     /// });
-    /// assert_eq!(config.catalog().borrow().revision, 12);
+    /// assert_eq!(config.catalog().borrow().revision, StorePosition::new(0, 12));
     /// ```
     pub fn apply(&self, change: impl FnOnce(&mut ConfigState)) {
         self.state.send_if_modified(|state| {
--- a/lib/src/config/audit.rs
+++ b/lib/src/config/audit.rs
@@ -115,9 +115,10 @@
     /// The version that a change got, if this record of `version` still tells.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::audit::Record;
     ///
-    /// assert_eq!(Record::default().version_of("c1", 9), None);
+    /// assert_eq!(Record::default().version_of("c1", StorePosition::new(0, 9)), None);
     /// ```
     #[must_use]
     pub fn version_of(&self, id: &str, version: StorePosition) -> Option<StorePosition> {
@@ -132,16 +133,17 @@
     /// The record that follows this one, which the store holds at `version`.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::audit::{Change, Record};
     /// use serde_json::json;
     ///
     /// let change = Change {
     ///     id: "c2".into(), who: "selma".into(), at_ms: 5, why: "too slow".into(),
-    ///     from: "10.0.0.7".into(), based_on_version: Some(9),
+    ///     from: "10.0.0.7".into(), based_on_version: Some(StorePosition::new(0, 9)),
     /// };
     /// let first = Record::from_value(json!({"weight": 1}));
-    /// let second = first.succeeded_by(9, Some(json!({"weight": 2})), change);
-    /// assert_eq!(second.history[0].version, 9);
+    /// let second = first.succeeded_by(StorePosition::new(0, 9), Some(json!({"weight": 2})), change);
+    /// assert_eq!(second.history[0].version, StorePosition::new(0, 9));
     /// assert_eq!(second.history[0].after, Some(json!({"weight": 1})));
     /// ```
     #[must_use]
--- a/lib/src/config/catalog.rs
+++ b/lib/src/config/catalog.rs
@@ -15,10 +15,11 @@
 /// A read-only picture of the configuration at one moment.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::config::catalog::Catalog;
 ///
 /// let catalog = Catalog::default();
-/// assert_eq!(catalog.revision, 0);
+/// assert_eq!(catalog.revision, StorePosition::default());
 /// assert!(catalog.profiles.is_empty());
 /// ```
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
--- a/lib/src/config/follow.rs
+++ b/lib/src/config/follow.rs
@@ -79,6 +79,7 @@
 /// Decides which call to make, and when.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
 ///
 /// let mut plan = WatchPlan::new(WatchTimings::default());
@@ -119,6 +120,7 @@
     /// The call to make at `now_ms`.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, StorePosition::new(0, 41));
@@ -181,6 +183,7 @@
     /// A list was taken in.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, StorePosition::new(0, 5));
@@ -196,6 +199,7 @@
     /// A watch was taken in.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// # use sardinewood::config::state::WatchOutcome;
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
@@ -218,6 +222,7 @@
     /// A call had no usable answer.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, StorePosition::new(0, 5));
@@ -241,6 +246,7 @@
     /// A configuration peer disagrees at the same revision: a change was skipped.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// # use sardinewood::config::follow::{NextCall, WatchPlan, WatchTimings};
     /// let mut plan = WatchPlan::new(WatchTimings::default());
     /// plan.listed(0, StorePosition::new(0, 5));
--- a/lib/src/config/log.rs
+++ b/lib/src/config/log.rs
@@ -40,11 +40,12 @@
 /// The lines that a change of the configuration deserves; none if it is the same.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::config::catalog::Catalog;
 /// use sardinewood::config::log::change_lines;
 ///
 /// let before = Catalog::default();
-/// let after = Catalog { revision: 7, ..Catalog::default() };
+/// let after = Catalog { revision: StorePosition::new(0, 7), ..Catalog::default() };
 /// assert_eq!(change_lines(&before, &after).len(), 1);
 /// assert_eq!(change_lines(&after, &after).len(), 0);
 /// ```
--- a/lib/src/config/spread.rs
+++ b/lib/src/config/spread.rs
@@ -303,25 +303,26 @@
     /// Takes in a datagram, with the digest of what this process holds.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// # use sardinewood::config::spread::{Spread, SpreadAction, SpreadTimings};
     /// # use sardinewood::config::state::Digest;
     /// # use sardinewood::ids::Incarnation;
-    /// # use sardinewood::config::spread_message::{Datagram, Identity, Purpose, Report, Role};
+    /// # use sardinewood::config::spread_message::{Datagram, Identity, Purpose, Report, Role, SPREAD_PROTOCOL};
     /// # let identity = Identity {
     /// #     name: "entry-2".into(), role: Role::Entry, data_centre: "wdh-1".into(),
     /// #     incarnation: Incarnation(2),
     /// # };
     /// let mut spread = Spread::new(Incarnation(1), &[], SpreadTimings::default(), 7);
-    /// let newer = Digest { complete_through: 9, newest: 9, hash: 3 };
+    /// let newer = Digest { complete_through: StorePosition::new(0, 9), hash: 3, ..Digest::default() };
     /// let datagram = Datagram {
-    ///     protocol: 1,
+    ///     protocol: SPREAD_PROTOCOL,
     ///     report: Report { identity, digest: newer, above: vec![] },
     ///     purpose: Purpose::Answer,
     ///     introduced: vec![],
     /// };
     /// let from = "10.0.0.2:7000".parse().unwrap();
     /// let actions = spread.heard(0, from, datagram, &Digest::default());
-    /// assert_eq!(actions, [SpreadAction::Fetch { from, after: 0 }]);
+    /// assert_eq!(actions, [SpreadAction::Fetch { from, after: StorePosition::default() }]);
     /// ```
     pub fn heard(
         &mut self,
--- a/lib/src/config/spread_message.rs
+++ b/lib/src/config/spread_message.rs
@@ -66,6 +66,7 @@
     /// Whether the sender certainly holds a version.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// # use sardinewood::config::state::Digest;
     /// # use sardinewood::ids::Incarnation;
     /// # use sardinewood::config::spread_message::{Identity, Report, Role};
@@ -73,10 +74,11 @@
     /// #     name: "entry-1".into(), role: Role::Entry, data_centre: "wdh-1".into(),
     /// #     incarnation: Incarnation(1),
     /// # };
-    /// let digest = Digest { complete_through: 5, newest: 8, hash: 0 };
-    /// let report = Report { identity, digest, above: vec![8] };
-    /// assert!(report.has(4) && report.has(8));
-    /// assert!(!report.has(7));
+    /// let at = |revision| StorePosition::new(0, revision);
+    /// let digest = Digest { complete_through: at(5), newest: at(8), hash: 0 };
+    /// let report = Report { identity, digest, above: vec![at(8)] };
+    /// assert!(report.has(at(4)) && report.has(at(8)));
+    /// assert!(!report.has(at(7)));
     /// ```
     #[must_use]
     pub fn has(&self, version: StorePosition) -> bool {
--- a/lib/src/config/state.rs
+++ b/lib/src/config/state.rs
@@ -90,6 +90,7 @@
     /// Takes in a list of all kinds from the store.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::state::{ConfigState, ListOutcome};
     /// use sardinewood::store::ObjectList;
     ///
@@ -124,6 +125,7 @@
     /// Takes in the answer of a watch that asked for the changes after `after`.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::state::{ConfigState, WatchOutcome};
     /// use sardinewood::store::WatchBatch;
     ///
@@ -156,6 +158,7 @@
     /// Takes in what a peer holds.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::state::{ConfigState, PeerAnswer};
     ///
     /// let mut state = ConfigState::default();
@@ -196,6 +199,7 @@
     /// What to tell a peer that knows everything up to `after`.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::state::ConfigState;
     ///
     /// let answer = ConfigState::default().answer_peer(StorePosition::default());
@@ -229,6 +233,7 @@
     /// holds here too. Saves fetching an answer without objects.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::state::{ConfigState, Digest};
     ///
     /// let mut state = ConfigState::default();
@@ -318,6 +323,7 @@
     /// Whether a version of an object, or a newer one, is known here.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::config::object::{Kind, ObjectKey};
     /// use sardinewood::config::state::ConfigState;
     ///
--- a/lib/src/direct/quarantine/crash_detector.rs
+++ b/lib/src/direct/quarantine/crash_detector.rs
@@ -140,7 +140,7 @@
     /// # use sardinewood::direct::store_view::directory::Upstream;
     /// # let upstream = Upstream { instance: "i-1".into(), name: "i-1".into(), born_ms: None,
     /// #     service: "s".into(), address: "127.0.0.1:80".parse().unwrap(),
-    /// #     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: 1, is_leaving: false };
+    /// #     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: Default::default(), is_leaving: false };
     /// # let fingerprint = Fingerprint::of(FingerprintInput { method: "GET", path: "/", customer: None, body: b"" });
     /// let run = BrokenRun { fingerprint, request_id: "try-1".into(), started_at_ms: 5, has_succeeded_recently: false };
     /// let mut crash_detector = CrashDetector::default();
--- a/lib/src/direct/replication/spread.rs
+++ b/lib/src/direct/replication/spread.rs
@@ -48,10 +48,11 @@
 /// The part of an entry in passing changes on.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::direct::membership::peer_message::Revisions;
 /// use sardinewood::direct::replication::spread::{SpreadMessage, SpreadRelay, SpreadStep};
 ///
-/// let new = Revisions { catalog: 5, directory: 0 };
+/// let new = Revisions { directory: StorePosition::new(0, 5), ..Revisions::default() };
 /// let peer = "10.0.0.2:7".parse().unwrap();
 /// let announced = SpreadMessage { revisions: new, update: Vec::new(), pass_on_to: vec![peer] };
 /// let mut relay = SpreadRelay::default();
--- a/lib/src/link/pace.rs
+++ b/lib/src/link/pace.rs
@@ -102,10 +102,12 @@
 /// What is known of a link when its pace is looked at.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::link::pace::{LinkView, Watch};
 ///
 /// let view = LinkView {
-///     tell: Watch::Loosely, hear: Watch::Closely, heard_at_ms: 100, links: 1, revision: 7,
+///     tell: Watch::Loosely, hear: Watch::Closely, heard_at_ms: 100, links: 1,
+///     revision: StorePosition::new(0, 7),
 /// };
 /// assert!(view.hear > view.tell);
 /// ```
@@ -138,11 +140,13 @@
 /// The pace of one link.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::link::pace::{LinkPace, LinkView, PaceRules, PaceStep, Watch};
 ///
 /// let rules = PaceRules { heartbeat_ms: 500, silent_ms: 2_000 };
 /// let view = LinkView {
-///     tell: Watch::Closely, hear: Watch::Closely, heard_at_ms: 0, links: 1, revision: 7,
+///     tell: Watch::Closely, hear: Watch::Closely, heard_at_ms: 0, links: 1,
+///     revision: StorePosition::new(0, 7),
 /// };
 /// let mut pace = LinkPace::default();
 /// assert_eq!(pace.next(0, view, rules), PaceStep::Beat);
--- a/lib/src/logging.rs
+++ b/lib/src/logging.rs
@@ -206,6 +206,7 @@
     /// Adds the revision of the configuration in force.
     ///
     /// ```
+    /// # use sardinewood::store::position::StorePosition;
     /// use sardinewood::logging::{Level, Line};
     ///
     /// assert!(Line::new(Level::Info, "applied").revision(StorePosition::new(0, 3)).json().contains("\"revision\":3"));
--- a/lib/src/operator/messages.rs
+++ b/lib/src/operator/messages.rs
@@ -43,9 +43,10 @@
 /// What the changed object must be like before the change.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::operator::messages::Expected;
 ///
-/// let expected = serde_json::to_string(&Expected::Version(7)).unwrap();
+/// let expected = serde_json::to_string(&Expected::Version(StorePosition::new(0, 7))).unwrap();
 /// assert_eq!(expected, r#"{"version":7}"#);
 /// assert_eq!(serde_json::to_string(&Expected::Absent).unwrap(), r#""absent""#);
 /// ```
--- a/lib/src/operator/queries.rs
+++ b/lib/src/operator/queries.rs
@@ -103,10 +103,11 @@
 /// The objects that changed after a revision.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::config::state::ConfigState;
 /// use sardinewood::operator::queries::changed_after;
 ///
-/// assert!(changed_after(&ConfigState::default(), 0).objects.is_empty());
+/// assert!(changed_after(&ConfigState::default(), StorePosition::default()).objects.is_empty());
 /// ```
 #[must_use]
 pub fn changed_after(state: &ConfigState, after: StorePosition) -> ObjectViews {
@@ -123,8 +124,9 @@
 /// The newest revision of which something is known.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// let state = sardinewood::config::state::ConfigState::default();
-/// assert_eq!(sardinewood::operator::queries::revision_of(&state), 0);
+/// assert_eq!(sardinewood::operator::queries::revision_of(&state), StorePosition::default());
 /// ```
 #[must_use]
 pub fn revision_of(state: &ConfigState) -> StorePosition {
@@ -171,10 +173,12 @@
 /// has that one is past the version that is asked about.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::config::catalog::Catalog;
 /// use sardinewood::operator::queries::{believed, in_force};
 ///
-/// let alone = in_force(&believed(&Catalog::default(), &[]), None, 7, 7);
+/// let at = StorePosition::new(0, 7);
+/// let alone = in_force(&believed(&Catalog::default(), &[]), None, at, at);
 /// assert_eq!((alone.processes, alone.count()), (1, 1));
 /// ```
 #[must_use]
--- a/lib/src/ordering.rs
+++ b/lib/src/ordering.rs
@@ -126,6 +126,7 @@
 /// The order queues that one entry takes part in, as a state machine without I/O.
 ///
 /// ```
+/// # use sardinewood::store::position::StorePosition;
 /// use sardinewood::ids::RequestId;
 /// use sardinewood::ordering::queue::{OrderKey, OrderResponse, OrderRules, OrderStep, Place};
 /// use sardinewood::ordering::OrderQueues;
--- a/lib/src/store.rs
+++ b/lib/src/store.rs
@@ -189,6 +189,7 @@
     /// When the store gives no usable answer.
     ///
     /// ```no_run
+    /// # use sardinewood::store::position::StorePosition;
     /// # async fn read(store: sardinewood::store::StoreClient) {
     /// let changes = store.watch(&["profiles"], StorePosition::new(0, 41), 30_000).await;
     /// # }
@@ -238,6 +239,7 @@
     /// Writes an object if it is as expected.
     ///
     /// ```no_run
+    /// # use sardinewood::store::position::StorePosition;
     /// # async fn write(store: sardinewood::store::StoreClient) {
     /// use sardinewood::store::Expect;
     /// let value = serde_json::json!({"weight": 3});
@@ -257,6 +259,7 @@
     /// Removes an object if it is at the expected version.
     ///
     /// ```no_run
+    /// # use sardinewood::store::position::StorePosition;
     /// # async fn write(store: sardinewood::store::StoreClient) {
     /// let answer = store.delete("customers", "rundu", StorePosition::new(0, 7)).await;
     /// # }
