--- a/ctl/src/command_report.rs
+++ b/ctl/src/command_report.rs
@@ -33,12 +33,13 @@
     ///
     /// ```
     /// use sardinewood::operator::messages::ChangeAnswer;
+    /// use sardinewood::store::position::StorePosition;
     /// use sardinewoodctl::command_report::CommandReport;
     ///
     /// let report = CommandReport {
     ///     object: "profiles/lookup".to_owned(),
     ///     change_id: "c1".into(),
-    ///     answer: ChangeAnswer::Accepted { version: 7 },
+    ///     answer: ChangeAnswer::Accepted { version: StorePosition::new(0, 7) },
     ///     alters: vec!["tier: 2 -> 1".to_owned()],
     ///     in_force: None,
     /// };
