store view: log a leaving that the list takes back, and upstreams kept for their return

The hypotheses of the incident can't be told apart by what an entry writes: neither that an incarnation which has announced its end is listed as ready, nor that an upstream is used whose entry is gone, and for how long. Both have a line now, and the gauge missing_upstreams counts the latter. Nothing that is done changes.

--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -82,6 +82,8 @@
     pub limited_upstreams: IntGauge,
     /// Upstreams that have announced that they will leave.
     pub leaving_upstreams: IntGauge,
+    /// Upstreams that are used though their entries have disappeared from the list.
+    pub missing_upstreams: IntGauge,
     /// Upstreams that have asked for a backoff that is not over.
     pub upstreams_at_rest: IntGauge,
     /// Requests that may have crashed upstreams, or were cleared of the suspicion recently.
@@ -183,6 +185,7 @@
             upstreams: gauge("upstreams", "Upstreams that take new work.")?,
             limited_upstreams: gauge("limited_upstreams", "Upstreams that limit their requests.")?,
             leaving_upstreams: gauge("leaving_upstreams", "Upstreams that said they will end.")?,
+            missing_upstreams: gauge("missing_upstreams", "Upstreams used and not listed.")?,
             upstreams_at_rest: gauge("upstreams_at_rest", "Upstreams that asked for rest.")?,
             suspects: gauge("suspects", "Requests under which upstreams ended.")?,
             held_requests: gauge("held_requests", "Requests that are not run.")?,
@@ -228,6 +231,7 @@
             &self.upstreams,
             &self.limited_upstreams,
             &self.leaving_upstreams,
+            &self.missing_upstreams,
             &self.upstreams_at_rest,
             &self.suspects,
             &self.held_requests,
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -223,8 +223,10 @@
     }
 
     fn publish(&self) {
-        let snapshot = self.replica.borrow().snapshot();
-        self.channels.view.send_replace(snapshot);
+        let replica = self.replica.borrow();
+        let missing = i64::try_from(replica.missing_upstream_count()).unwrap_or(i64::MAX);
+        self.channels.metrics.missing_upstreams.set(missing);
+        self.channels.view.send_replace(replica.snapshot());
     }
 
     /// Hands what the store has changed since `before` to the peers.
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -80,6 +80,26 @@
     }
 }
 
+/// What applying an upstream's entry found.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum PutEffect {
+    /// The entry was applied.
+    Applied,
+    /// The entry says that an incarnation takes requests that has announced its end.
+    LeavingRevoked,
+}
+
+/// What the removal of an upstream's entry led to.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RemoveEffect {
+    /// The upstream was not known.
+    Unknown,
+    /// The upstream is not used any more.
+    Removed,
+    /// The upstream is used until this time, as its entry may have lapsed in an outage.
+    KeptUntil(u64),
+}
+
 #[derive(Clone, Debug)]
 struct DirectoryEntry {
     upstream: Arc<Upstream>,
@@ -237,7 +257,7 @@
     /// assert!(directory.sweep(9_000));
     /// assert_eq!(directory.usable().count(), 1);
     /// ```
-    pub fn put_of_copy(&mut self, upstream: Upstream, now_ms: u64) {
+    pub fn put_of_copy(&mut self, upstream: Upstream, now_ms: u64) -> PutEffect {
         let has_left = match self.entries.get(&upstream.name) {
             Some(known) => {
                 known.upstream.is_leaving && known.upstream.instance == upstream.instance
@@ -251,6 +271,7 @@
         let name = Arc::clone(&upstream.name);
         self.entries
             .insert(name, DirectoryEntry::withheld(upstream, now_ms));
+        PutEffect::Applied
     }
 
     /// Returns the names of the upstreams that are in the list and not used, as they were leaving or
@@ -291,8 +312,14 @@
     ///     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: Default::default(), is_leaving: false }, 0);
     /// assert_eq!(directory.usable().count(), 1);
     /// ```
-    pub fn put(&mut self, upstream: Upstream, now_ms: u64) {
+    pub fn put(&mut self, upstream: Upstream, now_ms: u64) -> PutEffect {
         self.reports_start_time |= upstream.born_ms.is_some();
+        let known = self.entries.get(&upstream.name);
+        let is_revoked = known.is_some_and(|known| {
+            known.upstream.instance == upstream.instance
+                && known.upstream.is_leaving
+                && !upstream.is_leaving
+        });
         match self.entries.get_mut(&upstream.name) {
             Some(entry) if upstream.is_older_than(&entry.upstream) => {
                 entry.missing_since_ms = None;
@@ -306,6 +333,11 @@
                 self.entries.insert(name, DirectoryEntry::new(upstream));
             }
         }
+        if is_revoked {
+            PutEffect::LeavingRevoked
+        } else {
+            PutEffect::Applied
+        }
     }
 
     /// Records that an upstream's entry was removed.
@@ -313,15 +345,31 @@
     /// ```
     /// sardinewood::direct::store_view::directory::Directory::default().remove("i-1", 0);
     /// ```
-    pub fn remove(&mut self, name: &str, now_ms: u64) {
+    pub fn remove(&mut self, name: &str, now_ms: u64) -> RemoveEffect {
         let Some(entry) = self.entries.get_mut(name) else {
-            return;
+            return RemoveEffect::Unknown;
         };
         if now_ms < self.grace_until_ms && !entry.upstream.is_leaving {
             entry.missing_since_ms.get_or_insert(now_ms);
-        } else if let Some(entry) = self.entries.shift_remove(name) {
+            return RemoveEffect::KeptUntil(self.grace_until_ms);
+        }
+        if let Some(entry) = self.entries.shift_remove(name) {
             self.remember_removed(Arc::clone(&entry.upstream.instance), now_ms);
         }
+        RemoveEffect::Removed
+    }
+
+    /// Returns the number of upstreams that are used though their entries have disappeared.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::store_view::directory::Directory::default().missing_count(), 0);
+    /// ```
+    #[must_use]
+    pub fn missing_count(&self) -> usize {
+        let entries = self.entries.values();
+        entries
+            .filter(|entry| entry.missing_since_ms.is_some())
+            .count()
     }
 
     /// Removes an upstream whose entry was replaced by one that describes no upstream. Returns
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -25,6 +25,8 @@
 use crate::direct::replication::update::UpstreamListUpdate;
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::store_view::directory::Directory;
+use crate::direct::store_view::directory::PutEffect;
+use crate::direct::store_view::directory::RemoveEffect;
 use crate::direct::store_view::directory::Upstream;
 use crate::findings::Findings;
 use crate::logging::Level;
@@ -370,7 +372,9 @@
             missing.shift_remove(&object.name);
             newest = newest.max(object.version);
             match (self.decoders.upstream)(&object) {
-                Ok(upstream) => self.directory.put_of_copy(upstream, now_ms),
+                Ok(upstream) => {
+                    self.directory.put_of_copy(upstream, now_ms);
+                }
                 Err(findings) => self.mark_invalid(&object.name, &findings),
             }
             self.objects.insert(Arc::clone(&object.name), object);
@@ -403,6 +407,14 @@
         });
     }
 
+    fn log_leaving_revoked(&mut self, upstream: &Upstream, now_ms: u64) {
+        self.log(now_ms, "leaving upstream is listed as ready", |line| {
+            line.field("upstream", &upstream.instance)
+                .field("service", &upstream.service)
+                .revision(upstream.revision)
+        });
+    }
+
     fn log(&mut self, now_ms: u64, message: &'static str, fill: impl FnOnce(Line) -> Line) {
         let suppressed = self
             .log_limiter
@@ -437,7 +449,9 @@
         match decoded {
             Ok(upstream) => {
                 self.invalid_names.swap_remove(&name);
-                self.directory.put(upstream.clone(), now_ms);
+                if self.directory.put(upstream.clone(), now_ms) == PutEffect::LeavingRevoked {
+                    self.log_leaving_revoked(&upstream, now_ms);
+                }
                 Some(upstream)
             }
             Err(findings) => {
@@ -465,7 +479,13 @@
         if let Some((name, _)) = self.objects.shift_remove_entry(name) {
             self.add_tombstone(name, version);
         }
-        self.directory.remove(name, now_ms);
+        if let RemoveEffect::KeptUntil(until_ms) = self.directory.remove(name, now_ms) {
+            self.log(now_ms, "upstream is missing after an outage", |line| {
+                line.field("upstream", name)
+                    .field("kept_for_ms", until_ms.saturating_sub(now_ms))
+                    .revision(version)
+            });
+        }
     }
 
     fn add_tombstone(&mut self, name: Arc<str>, version: StorePosition) {
@@ -483,6 +503,12 @@
             .any(|(version, name)| *version > object.version && *name == object.name)
     }
 
+    /// Returns the number of upstreams that are used though their entries have disappeared.
+    #[must_use]
+    pub fn missing_upstream_count(&self) -> usize {
+        self.directory.missing_count()
+    }
+
     /// Returns the state of the replica that is passed to the traffic thread.
     #[must_use]
     pub fn snapshot(&self) -> ReplicaSnapshot {
