tests: a leaving upstream whose earlier write is carried out late, red

The list says that a worker leaves; 0.4 s later an earlier write of the same worker is carried out, as the platform allows for a call that got no answer. The same in the list of upstreams alone.

--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -115,3 +115,24 @@
     assert!(directory.remove_invalid("a"));
     assert!(usable(&directory).is_empty());
 }
+
+/// Returns an upstream as its entry in the list says.
+fn starting(name: &str, born_ms: u64, is_leaving: bool) -> Upstream {
+    Upstream {
+        is_leaving,
+        ..born(name, born_ms)
+    }
+}
+
+/// Guards against a leaving upstream that gets requests again because an earlier write of it is
+/// carried out late.
+#[test]
+fn put_late_write_of_a_leaving_upstream_not_used() {
+    let mut directory = listed(&[starting("a", 5, false), starting("a", 5, true)]);
+    directory.put(starting("a", 5, false), 400);
+    assert!(usable(&directory).is_empty());
+    directory.remove("a", 1_000);
+    directory.put(starting("a", 5, false), 2_000);
+    directory.sweep(60_000);
+    assert!(usable(&directory).is_empty(), "created anew");
+}
