store view: an incarnation that has announced its end is never used again

Callers' requests reached an upstream seconds after the store had recorded that it leaves.

Cause: the list of upstreams held what came last of an incarnation. A write that got no answer may be carried out seconds later, so an earlier `ready` of the same start took the announcement back, at all entries alike, until the upstream wrote again; after the removal of the entry it brought the upstream back as a new one.

The announcement holds for the incarnation now, whatever the list says of it later: while it is listed, for a minute after, and over a new era of the store. A process that ends does not stay, and each start is another incarnation, so nobody is left out who could serve. A removal alone is weaker evidence, as a host that was cut off lapses as well: the incarnation is used again when its entry has stayed for longer than the store keeps one that is not renewed. One that lapsed in an outage is used at once when it returns, and an entry that can't be read says nothing of leaving.

Weighed and left: a removal as final (a host that was cut off for four seconds would get nothing for its whole life); the write's sequence number (a watch does not tell of it); only the latest word, with a pause (an upstream that drains for many seconds outlasts it).

upstream_removed_before_the_loss_not_used_by_the_copy asserted that an upstream which had announced its end is used again once it writes in a new era. It asserts the same of a removed one now, and leaving_upstream_not_used_in_a_new_era that one which leaves is not used, and its next start is at once.

--- a/lib/src/direct/store_view.rs
+++ b/lib/src/direct/store_view.rs
@@ -2,6 +2,7 @@
 //! upstreams, kept consistent through outages, restarts and late writes. These modules do no I/O.
 
 pub mod catalog;
+pub mod departures;
 pub mod directory;
 pub mod freshness;
 pub mod replica;
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -1,12 +1,13 @@
 //! The upstreams in the platform's list, kept usable through outages of the store, restarts under
 //! the same name, and entries that no upstream wrote.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
+use crate::direct::store_view::departures::Departure;
+use crate::direct::store_view::departures::Departures;
 use crate::store::position::StorePosition;
 
 /// Time for which an upstream that disappeared around an outage of the store is still used. Live
@@ -16,12 +17,6 @@
 /// Time, beyond that between two heartbeats of an upstream, for which an upstream is still used that
 /// a new era of the store lacks. Upstreams write their entries again with their next heartbeat.
 const REWRITE_DELAY_MS: u64 = 1_100;
-/// Time for which removed upstreams are remembered, in case the store returns from a copy that has
-/// them. Such copies are some seconds old.
-const REMOVED_MEMORY_MS: u64 = 60_000;
-/// Removed upstreams that are remembered at a time.
-const MAX_REMOVED: usize = 1_000;
-
 /// Heartbeats of an upstream that may be missing before it is taken to have ended.
 pub const MISSED_HEARTBEATS: u32 = 3;
 /// Time without a heartbeat after which an upstream is taken to have ended, if the platform does not
@@ -85,8 +80,12 @@
 pub enum PutEffect {
     /// The entry was applied.
     Applied,
-    /// The entry says that an incarnation takes requests that has announced its end.
+    /// The entry says that an incarnation takes requests that has announced its end. The incarnation
+    /// is not used.
     LeavingRevoked,
+    /// The entry says that an incarnation takes requests that was removed. The incarnation is used if
+    /// its entry stays in the list.
+    Withheld,
 }
 
 /// What the removal of an upstream's entry led to.
@@ -105,8 +104,8 @@
     upstream: Arc<Upstream>,
     /// Time at which the entry disappeared around an outage, if it has not returned.
     missing_since_ms: Option<u64>,
-    /// What the list says instead, and since when: an older incarnation, or that an upstream takes
-    /// requests that was leaving or removed before the store returned from a copy.
+    /// What the list says instead, and when that is accepted: an older incarnation, or that an upstream
+    /// takes requests that was removed.
     doubted: Option<(Upstream, u64)>,
 }
 
@@ -119,23 +118,33 @@
         }
     }
 
-    /// Creates the entry of an upstream that is not used until the list has said for long enough
-    /// that it takes requests.
-    fn withheld(upstream: Upstream, now_ms: u64) -> Self {
+    /// Creates the entry of an upstream that is not used until the list has said up to a time that it
+    /// takes requests.
+    fn withheld(upstream: Upstream, until_ms: u64) -> Self {
         let leaving = Upstream {
             is_leaving: true,
             ..upstream.clone()
         };
         Self {
-            doubted: Some((upstream, now_ms)),
+            doubted: Some((upstream, until_ms)),
             ..Self::new(leaving)
         }
     }
 
+    fn is_withheld(&self) -> bool {
+        let doubted = self.doubted.as_ref();
+        doubted.is_some_and(|(doubted, _)| doubted.instance == self.upstream.instance)
+    }
+
+    /// Returns whether this incarnation is listed and has announced its end.
+    fn has_announced(&self, instance: &str) -> bool {
+        *self.upstream.instance == *instance && self.upstream.is_leaving && !self.is_withheld()
+    }
+
     /// Accepts what the list says if it has said so for long enough. Returns whether it was
     /// accepted.
-    fn accept_doubted(&mut self, silence_ms: u64, now_ms: u64) -> bool {
-        let is_due = |doubted: &mut (Upstream, u64)| now_ms >= doubted.1 + silence_ms;
+    fn accept_doubted(&mut self, now_ms: u64) -> bool {
+        let is_due = |doubted: &mut (Upstream, u64)| now_ms >= doubted.1;
         let Some((upstream, _)) = self.doubted.take_if(is_due) else {
             return false;
         };
@@ -158,6 +167,12 @@
 /// is written again, which takes one heartbeat. Only if that does not happen, because the clock of
 /// the host was set back between the two starts, is the entry in the list accepted.
 ///
+/// Likewise, an earlier write of an incarnation that leaves may be applied after the one that
+/// announced its end, or after the removal of its entry. A process that ends does not stay, so the
+/// announcement holds whatever the list says of that incarnation later. A removal alone may be due to
+/// a host that was cut off for some time: the incarnation is used again once its entry has been in the
+/// list for longer than the store keeps one that is not renewed.
+///
 /// ```
 /// use sardinewood::direct::store_view::directory::Directory;
 ///
@@ -170,8 +185,7 @@
     silence_ms: u64,
     /// Time until which a missing entry may be due to the outage.
     grace_until_ms: u64,
-    /// Instances that were removed, and when, the oldest first.
-    removed: VecDeque<(Arc<str>, u64)>,
+    departures: Departures,
     /// Whether upstreams in this list give their start time. An entry without one was then not
     /// written by an upstream.
     reports_start_time: bool,
@@ -183,7 +197,7 @@
             entries: IndexMap::new(),
             silence_ms: DEFAULT_SILENCE_MS,
             grace_until_ms: 0,
-            removed: VecDeque::new(),
+            departures: Departures::default(),
             reports_start_time: false,
         }
     }
@@ -219,8 +233,12 @@
     /// ```
     #[must_use]
     pub fn era_grace_ms(&self) -> u64 {
-        let heartbeat_ms = self.silence_ms / u64::from(MISSED_HEARTBEATS);
-        RETURN_GRACE_MS.max(heartbeat_ms + REWRITE_DELAY_MS)
+        RETURN_GRACE_MS.max(self.heartbeat_ms() + REWRITE_DELAY_MS)
+    }
+
+    /// Returns the time between two heartbeats of an upstream.
+    fn heartbeat_ms(&self) -> u64 {
+        self.silence_ms / u64::from(MISSED_HEARTBEATS)
     }
 
     /// Records that the store has returned from an older copy of itself, before the entries of the
@@ -238,9 +256,9 @@
 
     /// Applies an upstream's entry in the copy that the store has returned from.
     ///
-    /// The copy has entries of upstreams that have been removed or have announced their end since.
-    /// These are not used before they write their entries again, or have been in the list for longer
-    /// than the store keeps the entry of a silent upstream.
+    /// The copy has entries of upstreams that have been removed since. These are not used before they
+    /// write their entries again, or have been in the list for longer than the store keeps the entry of
+    /// a silent upstream. Upstreams that have announced their end since are not used at all.
     ///
     /// ```
     /// # use sardinewood::direct::store_view::directory::{Directory, Upstream};
@@ -258,48 +276,49 @@
     /// assert_eq!(directory.usable().count(), 1);
     /// ```
     pub fn put_of_copy(&mut self, upstream: Upstream, now_ms: u64) -> PutEffect {
-        let has_left = match self.entries.get(&upstream.name) {
-            Some(known) => {
-                known.upstream.is_leaving && known.upstream.instance == upstream.instance
+        let is_unknown = !self.entries.contains_key(&upstream.name);
+        match self.departures.of(&upstream.instance, now_ms) {
+            Some(Departure::Lapsed | Departure::Removed) if is_unknown && !upstream.is_leaving => {
+                self.withhold(upstream, now_ms + self.silence_ms)
             }
-            None => self.was_removed(&upstream.instance, now_ms),
-        };
-        if upstream.is_leaving || !has_left {
-            return self.put(upstream, now_ms);
+            _ => self.put(upstream, now_ms),
         }
+    }
+
+    fn withhold(&mut self, upstream: Upstream, until_ms: u64) -> PutEffect {
         self.reports_start_time |= upstream.born_ms.is_some();
         let name = Arc::clone(&upstream.name);
         self.entries
-            .insert(name, DirectoryEntry::withheld(upstream, now_ms));
-        PutEffect::Applied
+            .insert(name, DirectoryEntry::withheld(upstream, until_ms));
+        PutEffect::Withheld
     }
 
-    /// Returns the names of the upstreams that are in the list and not used, as they were leaving or
-    /// removed before the store returned from a copy.
+    /// Returns the names of the upstreams that are in the list and not used, as they were removed
+    /// before.
     ///
     /// ```
     /// assert!(sardinewood::direct::store_view::directory::Directory::default().withheld_names().is_empty());
     /// ```
     #[must_use]
     pub fn withheld_names(&self) -> Vec<&Arc<str>> {
-        let withheld = self
-            .entries
-            .iter()
-            .filter(|(_, entry)| entry.upstream.is_leaving && entry.doubted.is_some());
+        let entries = self.entries.iter();
+        let withheld = entries.filter(|(_, entry)| entry.is_withheld());
         withheld.map(|(name, _)| name).collect()
     }
 
-    fn was_removed(&self, instance: &str, now_ms: u64) -> bool {
-        self.removed
-            .iter()
-            .any(|(removed, at_ms)| **removed == *instance && now_ms < at_ms + REMOVED_MEMORY_MS)
-    }
-
-    fn remember_removed(&mut self, instance: Arc<str>, now_ms: u64) {
-        if self.removed.len() >= MAX_REMOVED {
-            self.removed.pop_front();
-        }
-        self.removed.push_back((instance, now_ms));
+    /// Returns the incarnations that have announced their end, some of them twice, for as long as they
+    /// are listed or their entries may come back.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::store_view::directory::Directory::default().leaving().count(), 0);
+    /// ```
+    pub fn leaving(&self) -> impl Iterator<Item = &Arc<str>> {
+        let entries = self.entries.values();
+        let listed = entries.map(|entry| (&entry.upstream.instance, entry));
+        listed
+            .filter(|(instance, entry)| entry.has_announced(instance))
+            .map(|(instance, _)| instance)
+            .chain(self.departures.announced())
     }
 
     /// Applies an upstream's entry.
@@ -312,22 +331,33 @@
     ///     data_centre: "d".into(), slots: 4, version: "v1".into(), revision: Default::default(), is_leaving: false }, 0);
     /// assert_eq!(directory.usable().count(), 1);
     /// ```
-    pub fn put(&mut self, upstream: Upstream, now_ms: u64) -> PutEffect {
+    pub fn put(&mut self, mut upstream: Upstream, now_ms: u64) -> PutEffect {
+        let known = self.entries.get_mut(&upstream.name);
+        let departure = self.departures.of(&upstream.instance, now_ms);
+        let has_announced = departure == Some(Departure::Announced)
+            || known
+                .as_ref()
+                .is_some_and(|known| known.has_announced(&upstream.instance));
+        let is_revoked = has_announced && !upstream.is_leaving;
+        upstream.is_leaving |= has_announced;
+        if upstream.is_leaving {
+            let instance = &upstream.instance;
+            self.departures
+                .record(instance, Departure::Announced, now_ms);
+        } else if known.is_none() && departure == Some(Departure::Removed) {
+            // The store may drop the entry a moment after its upstream counts as silent.
+            let until_ms = now_ms + self.silence_ms + self.heartbeat_ms();
+            return self.withhold(upstream, until_ms);
+        }
         self.reports_start_time |= upstream.born_ms.is_some();
-        let known = self.entries.get(&upstream.name);
-        let is_revoked = known.is_some_and(|known| {
-            known.upstream.instance == upstream.instance
-                && known.upstream.is_leaving
-                && !upstream.is_leaving
-        });
-        match self.entries.get_mut(&upstream.name) {
-            Some(entry) if upstream.is_older_than(&entry.upstream) => {
-                entry.missing_since_ms = None;
-                let doubted = entry.doubted.take();
-                let since_ms = doubted.map_or(now_ms, |(_, since_ms)| since_ms);
-                entry.doubted = Some((upstream, since_ms));
+        match known {
+            Some(known) if upstream.is_older_than(&known.upstream) => {
+                known.missing_since_ms = None;
+                let doubted = known.doubted.take();
+                let until_ms = doubted.map_or(now_ms + self.silence_ms, |(_, until_ms)| until_ms);
+                known.doubted = Some((upstream, until_ms));
             }
-            Some(entry) => *entry = DirectoryEntry::new(upstream),
+            Some(known) => *known = DirectoryEntry::new(upstream),
             None => {
                 let name = Arc::clone(&upstream.name);
                 self.entries.insert(name, DirectoryEntry::new(upstream));
@@ -354,7 +384,13 @@
             return RemoveEffect::KeptUntil(self.grace_until_ms);
         }
         if let Some(entry) = self.entries.shift_remove(name) {
-            self.remember_removed(Arc::clone(&entry.upstream.instance), now_ms);
+            let instance = &entry.upstream.instance;
+            let departure = if entry.has_announced(instance) {
+                Departure::Announced
+            } else {
+                Departure::Removed
+            };
+            self.departures.record(instance, departure, now_ms);
         }
         RemoveEffect::Removed
     }
@@ -376,7 +412,7 @@
     /// whether the upstream was known.
     ///
     /// Unlike [`Self::remove`], it has no grace period: the store answers, and its list no longer
-    /// confirms this upstream.
+    /// confirms this upstream. It is no sign that the upstream leaves, which may write its entry again.
     ///
     /// ```
     /// assert!(!sardinewood::direct::store_view::directory::Directory::default().remove_invalid("i-1"));
@@ -399,11 +435,12 @@
             let lost: Vec<_> = self.entries.extract_if(.., is_lost).collect();
             is_changed = !lost.is_empty();
             for (_, entry) in lost {
-                self.remember_removed(Arc::clone(&entry.upstream.instance), now_ms);
+                let instance = &entry.upstream.instance;
+                self.departures.record(instance, Departure::Lapsed, now_ms);
             }
         }
         for entry in self.entries.values_mut() {
-            is_changed |= entry.accept_doubted(self.silence_ms, now_ms);
+            is_changed |= entry.accept_doubted(now_ms);
         }
         is_changed
     }
@@ -418,7 +455,7 @@
         let due_ms = |entry: &DirectoryEntry| {
             let missing_ms = entry.missing_since_ms.map(|_| self.grace_until_ms);
             let doubted = entry.doubted.as_ref();
-            let doubted_ms = doubted.map(|(_, since_ms)| since_ms + self.silence_ms);
+            let doubted_ms = doubted.map(|(_, until_ms)| *until_ms);
             missing_ms.into_iter().chain(doubted_ms).min()
         };
         self.entries.values().filter_map(due_ms).min()
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -136,3 +136,55 @@
     directory.sweep(60_000);
     assert!(usable(&directory).is_empty(), "created anew");
 }
+
+/// Guards against a removed upstream that gets requests because an earlier write of it creates its
+/// entry anew.
+#[test]
+fn put_after_a_removal_withheld_until_it_stays() {
+    let mut directory = listed(&[starting("a", 5, false)]);
+    directory.remove("a", 100);
+    directory.put(starting("a", 5, false), 1_000);
+    assert!(usable(&directory).is_empty());
+    assert!(!directory.sweep(5_799), "it may have lapsed meanwhile");
+    assert!(directory.sweep(5_800), "it is renewed, so it is alive");
+    assert_eq!(usable(&directory), ["a@5"]);
+}
+
+#[test]
+fn put_after_a_lapse_in_an_outage_used_at_once() {
+    let mut directory = listed(&[starting("a", 5, false)]);
+    directory.store_recovered(1_000);
+    directory.remove("a", 1_000);
+    assert!(directory.sweep(1_000 + RETURN_GRACE_MS));
+    directory.put(starting("a", 5, false), 4_000);
+    assert_eq!(usable(&directory), ["a@5"]);
+}
+
+/// Guards against a restarted upstream that is left out because its former start has left.
+#[test]
+fn put_of_a_restart_after_leaving_used_at_once() {
+    for restarted_ms in [6, 4] {
+        let mut directory = listed(&[starting("a", 5, true)]);
+        directory.remove("a", 100);
+        directory.put(starting("a", restarted_ms, false), 200);
+        assert_eq!(usable(&directory).len(), 1, "started at {restarted_ms}");
+    }
+}
+
+/// Guards against an upstream that is left out for good because of one invalid entry.
+#[test]
+fn put_after_an_invalid_entry_used_at_once() {
+    let mut directory = listed(&[starting("a", 5, false)]);
+    directory.remove_invalid("a");
+    directory.put(starting("a", 5, false), 100);
+    assert_eq!(usable(&directory), ["a@5"]);
+}
+
+/// Guards against an older start whose late write is accepted in the end, though it has left.
+#[test]
+fn put_late_write_of_a_former_start_that_left_never_used() {
+    let mut directory = listed(&[starting("a", 5, true), starting("a", 6, false)]);
+    directory.put(starting("a", 5, false), 100);
+    directory.sweep(60_000);
+    assert!(usable(&directory).is_empty());
+}
--- a/lib/tests/test_direct_eras.rs
+++ b/lib/tests/test_direct_eras.rs
@@ -210,10 +210,10 @@
 
 #[test]
 fn upstream_removed_before_the_loss_not_used_by_the_copy() {
-    // Guards against requests to upstreams that the copy brings back: they are gone, or leaving.
+    // Guards against requests to upstreams that the copy brings back, which are gone.
     let mut entry = entry();
     entry.apply_event("u", removal("b", at(1, 42)), 0);
-    entry.apply_event("u", WatchEvent::Put(leaving("a", at(1, 43))), 0);
+    entry.apply_event("u", removal("a", at(1, 43)), 0);
     let copy = vec![ready("a", at(2, 2)), ready("b", at(2, 40))];
     entry.apply_list("u", list(at(2, 40), copy), 0);
     entry.sweep(3_599);
@@ -225,6 +225,29 @@
     assert_eq!(usable(&entry), ["a"]);
 }
 
+/// Guards against an upstream that leaves and is used again, because the store has lost that.
+#[test]
+fn leaving_upstream_not_used_in_a_new_era() {
+    let mut entry = entry();
+    entry.apply_event("u", WatchEvent::Put(leaving("a", at(1, 43))), 0);
+    let copy = vec![ready("a", at(2, 2)), ready("b", at(2, 40))];
+    entry.apply_list("u", list(at(2, 40), copy), 0);
+    entry.apply_event("u", WatchEvent::Put(ready("a", at(2, 41))), 3_000);
+    entry.sweep(LONG_MS);
+    assert_eq!(usable(&entry), ["b"]);
+    entry.apply_event(
+        "u",
+        WatchEvent::Put(started_at("a", at(2, 42), 20)),
+        LONG_MS,
+    );
+    let upstreams = entry.snapshot().upstreams.expect("a list");
+    assert!(
+        upstreams
+            .iter()
+            .any(|upstream| &*upstream.instance == "a@20")
+    );
+}
+
 #[test]
 fn upstream_brought_back_and_alive_used_in_the_end() {
     // Guards against an upstream that is never used again: one that lives and has nothing to change
