notices: the state of an ended upstream is dropped by all entries

What an upstream had said stayed known for good once two entries knew it: each resends a part of what it knows every second, a peer's repetition counted as news, and what had expired at one was learned again from another. After 3,072 upstreams that had said something nothing new was taken from peers. Nobody was seen to suffer from it; it stands in the way of remembering every leaving upstream.

A repetition no longer renews a state, and the state of an unlisted upstream is sent for the first half of the time for which it is kept, so that it is not learned again after it was dropped.

expire_unlisted_upstream_known_to_several_entries failed before.

--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -11,6 +11,7 @@
 use crate::direct::notices::upstream_state::LimitChange;
 use crate::direct::notices::upstream_state::NoticeUpdate;
 use crate::direct::notices::upstream_state::NoticeView;
+use crate::direct::notices::upstream_state::UNLISTED_RETENTION_MS;
 use crate::direct::notices::upstream_state::UpstreamState;
 use crate::direct::placement::dispatch::upstream_hash;
 use crate::numbers::signed;
@@ -26,9 +27,6 @@
 pub const DEFAULT_MAX_BACKOFF_MS: u64 = 600_000;
 /// Minimum time between two resends of an upstream's state to the owner of its admission queue.
 const RESEND_INTERVAL_MS: InstantMs = 1_000;
-/// How long the state of an upstream that is not listed is kept. This entry may not know the
-/// upstream yet.
-const UNLISTED_RETENTION_MS: InstantMs = 60_000;
 /// How long it is remembered that a limit was lifted, until entries that were disconnected no longer
 /// send it as if it were in force.
 const LIFTED_RETENTION_MS: InstantMs = 60_000;
@@ -332,11 +330,12 @@
     /// ```
     pub fn expire(&mut self, listed: &IndexSet<u32>, now_ms: u64) {
         self.by_upstream.retain(|hash, state| {
+            state.is_listed = listed.contains(hash);
             if now_ms < state.backoff_until_ms {
                 return true;
             }
             let age_ms = state.age_ms(signed(now_ms));
-            if listed.contains(hash) {
+            if state.is_listed {
                 state.is_in_force() || age_ms < LIFTED_RETENTION_MS
             } else {
                 age_ms < UNLISTED_RETENTION_MS
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -41,6 +41,10 @@
     pub said_ms_ago: i64,
 }
 
+/// How long the state of an upstream that is not listed is kept. This entry may not know the
+/// upstream yet.
+pub(super) const UNLISTED_RETENTION_MS: InstantMs = 60_000;
+
 /// Time by this entry's clock, in milliseconds since its start. It is signed because peers report
 /// events from before the process started.
 pub(super) type InstantMs = i64;
@@ -63,8 +67,10 @@
     /// Until when the upstream wants no requests from this entry. The other entries were not asked to
     /// back off, so they are not informed.
     pub(super) backoff_until_ms: u64,
-    /// When the last answer or peer update arrived.
+    /// When the last answer arrived, or a peer update that said something new.
     updated_at_ms: InstantMs,
+    /// Whether the upstream was listed at the last expiry of states.
+    pub(super) is_listed: bool,
     /// When the state was last resent to the owner of the upstream's admission queue.
     pub(super) resent_at_ms: InstantMs,
 }
@@ -98,8 +104,12 @@
 
     /// Records that the upstream is shutting down. Returns whether that was unknown.
     pub(super) fn record_leaving(&mut self, now_ms: InstantMs) -> bool {
-        self.updated_at_ms = now_ms;
-        !std::mem::replace(&mut self.is_leaving, true)
+        let is_new = !self.is_leaving;
+        if is_new {
+            self.is_leaving = true;
+            self.updated_at_ms = now_ms;
+        }
+        is_new
     }
 
     /// Records that the upstream wants no requests from this entry for a time. Returns whether that
@@ -174,7 +184,13 @@
     }
 
     /// Converts the state to an update for peers, if anything concerns them.
+    ///
+    /// The state of an unlisted upstream is sent for a part of the time for which it is kept, so that
+    /// entries do not learn it again from each other after they have dropped it.
     pub(super) fn to_update(&self, upstream: u32, now_ms: InstantMs) -> Option<NoticeUpdate> {
+        if !self.is_listed && self.age_ms(now_ms) >= UNLISTED_RETENTION_MS / 2 {
+            return None;
+        }
         let limit = self.limit.map(|limit| LimitUpdate {
             per_1000_s: limit.per_1000_s,
             ago_ms: now_ms.saturating_sub(limit.at_ms),
--- a/lib/tests/test_direct_notices.rs
+++ b/lib/tests/test_direct_notices.rs
@@ -1,5 +1,6 @@
 //! Tests of upstream notices, as entries remember them and exchange updates.
 
+use indexmap::IndexSet;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
 use rand::seq::SliceRandom;
@@ -278,3 +279,22 @@
     notices.expire(&[7].into_iter().collect(), 200_000);
     assert_eq!(notices.backoffs(200_000).len(), 1);
 }
+
+/// Guards against notices of upstreams that have ended, which entries resend to each other for good,
+/// until there is no room for others.
+#[test]
+fn expire_unlisted_upstream_known_to_several_entries() {
+    let mut entries = [UpstreamNotices::default(), UpstreamNotices::default()];
+    let [one, other] = &mut entries;
+    one.record("i-1", &leaving(), 0);
+    one.record("i-2", &limited(1_400), 0);
+    for second in 1..=300 {
+        // The two clocks differ, as entries start at different times.
+        let (now_ms, other_now_ms) = (second * 1_000, second * 1_000 + 450);
+        other.merge(&one.next_updates(now_ms), other_now_ms);
+        one.merge(&other.next_updates(other_now_ms), now_ms);
+        one.expire(&IndexSet::new(), now_ms);
+        other.expire(&IndexSet::new(), other_now_ms);
+    }
+    assert!(one.is_empty() && other.is_empty());
+}
