notices: what the list says of leaving upstreams spreads and outlives a restart

Requests reached a leaving upstream from entries that had started after it announced its end: the list said `ready` by then, from an earlier write that was carried out late.

Cause: each entry kept the announcement in its own copy of the list, and what upstreams say in their answers in another place, which alone was told to other entries. Evidence: two of three entries restarted 0.6 s after the announcement, three workers: 0, 122 and 115 requests from 2 to 4 s after it.

UpstreamNotices is the one place now that every way to an upstream asks, through the eligible upstreams: list, answer and peer feed it. Entries that start or come back are told by their peers, as with answers; a leaving that the list takes back is sent to all at once, as an entry that got both writes in one update has not seen the first. Names are compared where they are known, since messages name upstreams by a hash of 32 bits. GET /notices tells operators who has said it.

--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -8,12 +8,14 @@
 use crate::direct::notices::notice::NoticeField;
 use crate::direct::notices::notice::UpstreamNotice;
 use crate::direct::notices::upstream_state::InstantMs;
+use crate::direct::notices::upstream_state::LeavingSource;
 use crate::direct::notices::upstream_state::LimitChange;
 use crate::direct::notices::upstream_state::NoticeUpdate;
 use crate::direct::notices::upstream_state::NoticeView;
 use crate::direct::notices::upstream_state::UNLISTED_RETENTION_MS;
 use crate::direct::notices::upstream_state::UpstreamState;
 use crate::direct::placement::dispatch::upstream_hash;
+use crate::direct::store_view::directory::LeavingUpstream;
 use crate::numbers::signed;
 
 /// Maximum number of tracked upstreams.
@@ -85,6 +87,8 @@
 pub struct UpstreamNotices {
     /// States by upstream hash.
     by_upstream: IndexMap<u32, UpstreamState>,
+    /// Hashes of the upstreams that the list shows to leave.
+    listed_leaving: IndexSet<u32>,
     max_backoff_ms: u64,
     /// Index at which the next resent message starts.
     resend_cursor: usize,
@@ -94,6 +98,7 @@
     fn default() -> Self {
         Self {
             by_upstream: IndexMap::new(),
+            listed_leaving: IndexSet::new(),
             max_backoff_ms: DEFAULT_MAX_BACKOFF_MS,
             resend_cursor: 0,
         }
@@ -144,6 +149,7 @@
         let Some(state) = self.get_or_insert(hash, MAX_UPSTREAMS) else {
             return Vec::new();
         };
+        state.instance.get_or_insert_with(|| instance.into());
         let limit = match state.record_limit(&notice.limit_per_1000_s, signed(now_ms)) {
             LimitChange::Unchanged => None,
             LimitChange::Changed(limit) => {
@@ -161,8 +167,9 @@
             }
             NoticeField::Invalid(text) => Some(NoticeChange::InvalidBackoff(Arc::clone(text))),
         };
-        let is_newly_leaving = (notice.is_leaving && state.record_leaving(signed(now_ms)))
-            .then_some(NoticeChange::Leaving);
+        let is_newly_leaving = (notice.is_leaving
+            && state.record_leaving(LeavingSource::Answer, signed(now_ms)))
+        .then_some(NoticeChange::Leaving);
         limit
             .into_iter()
             .chain(backoff)
@@ -170,6 +177,39 @@
             .collect()
     }
 
+    /// Records the upstreams that the list shows to leave. Returns the hashes of those that it has begun
+    /// to show as taking requests again, which the peers may take for true.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{notices::upstream_notices::UpstreamNotices, store_view::directory::LeavingUpstream};
+    /// let mut notices = UpstreamNotices::default();
+    /// let leaving = LeavingUpstream { instance: "i-1".into(), is_revoked: false };
+    /// assert!(notices.record_listed_leaving(&[leaving.clone()], 0).is_empty());
+    /// assert!(notices.is_leaving("i-1"));
+    /// let revoked = LeavingUpstream { is_revoked: true, ..leaving };
+    /// assert_eq!(notices.record_listed_leaving(&[revoked], 400).len(), 1);
+    /// ```
+    pub fn record_listed_leaving(&mut self, leaving: &[LeavingUpstream], now_ms: u64) -> Vec<u32> {
+        self.listed_leaving.clear();
+        let mut newly_revoked = Vec::new();
+        for upstream in leaving {
+            let hash = upstream_hash(&upstream.instance);
+            self.listed_leaving.insert(hash);
+            let Some(state) = self.get_or_insert(hash, MAX_UPSTREAMS) else {
+                continue;
+            };
+            state
+                .instance
+                .get_or_insert_with(|| Arc::clone(&upstream.instance));
+            state.record_leaving(LeavingSource::List, signed(now_ms));
+            let was_revoked = std::mem::replace(&mut state.is_revoked, upstream.is_revoked);
+            if upstream.is_revoked && !was_revoked {
+                newly_revoked.push(hash);
+            }
+        }
+        newly_revoked
+    }
+
     /// Merges a peer's updates. Returns the hashes of the upstreams whose state changed. See
     /// [`UpstreamNotices`].
     pub fn merge(&mut self, updates: &[NoticeUpdate], now_ms: u64) -> Vec<u32> {
@@ -181,7 +221,8 @@
             let is_limit_changed = update
                 .limit
                 .is_some_and(|limit| state.merge_limit(limit, signed(now_ms)));
-            let is_newly_leaving = update.is_leaving && state.record_leaving(signed(now_ms));
+            let is_newly_leaving =
+                update.is_leaving && state.record_leaving(LeavingSource::Peer, signed(now_ms));
             if is_limit_changed || is_newly_leaving {
                 changed.push(update.upstream);
             }
@@ -257,8 +298,9 @@
             .collect()
     }
 
-    /// Returns whether an upstream has announced that it is shutting down. This applies to the
-    /// incarnation for as long as it is listed, since a process that exits does not come back.
+    /// Returns whether an upstream has announced that it is shutting down, in an answer, in the list or
+    /// to a peer. This applies to the incarnation for as long as it is listed, since a process that
+    /// exits does not come back.
     ///
     /// ```
     /// # use sardinewood::direct::notices::{upstream_notices::UpstreamNotices, notice::UpstreamNotice};
@@ -271,7 +313,21 @@
     #[must_use]
     pub fn is_leaving(&self, instance: &str) -> bool {
         let state = self.by_upstream.get(&upstream_hash(instance));
-        state.is_some_and(|state| state.is_leaving)
+        state.is_some_and(|state| {
+            let is_same = |known: &Arc<str>| **known == *instance;
+            state.leaving.is_some() && state.instance.as_ref().is_none_or(is_same)
+        })
+    }
+
+    /// Returns the id of the incarnation with this hash, if this entry knows it from the list or from
+    /// an answer.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::notices::upstream_notices::UpstreamNotices::default().instance(7), None);
+    /// ```
+    #[must_use]
+    pub fn instance(&self, hash: u32) -> Option<&Arc<str>> {
+        self.by_upstream.get(&hash)?.instance.as_ref()
     }
 
     /// Returns what is in force for operators, by upstream hash.
@@ -309,7 +365,7 @@
     #[must_use]
     pub fn leaving_count(&self) -> usize {
         let states = self.by_upstream.values();
-        states.filter(|state| state.is_leaving).count()
+        states.filter(|state| state.leaving.is_some()).count()
     }
 
     /// Returns whether no upstream is tracked.
@@ -330,7 +386,7 @@
     /// ```
     pub fn expire(&mut self, listed: &IndexSet<u32>, now_ms: u64) {
         self.by_upstream.retain(|hash, state| {
-            state.is_listed = listed.contains(hash);
+            state.is_listed = listed.contains(hash) || self.listed_leaving.contains(hash);
             if now_ms < state.backoff_until_ms {
                 return true;
             }
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -28,6 +28,18 @@
     pub ago_ms: i64,
 }
 
+/// Who has told this entry first that an upstream leaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum LeavingSource {
+    /// The upstream, in an answer.
+    Answer,
+    /// The platform's list.
+    List,
+    /// Another entry.
+    Peer,
+}
+
 /// The state of one upstream, as operators see it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
 pub struct NoticeView {
@@ -37,6 +49,8 @@
     pub rests_for_ms: u64,
     /// Whether the upstream has announced that it is shutting down.
     pub is_leaving: bool,
+    /// Who has told this entry so first.
+    pub leaving_told_by: Option<LeavingSource>,
     /// Time since the last answer or peer update.
     pub said_ms_ago: i64,
 }
@@ -63,7 +77,11 @@
     limit: Option<StatedLimit>,
     /// The text of the latest invalid limit.
     invalid_limit: Option<Arc<str>>,
-    pub(super) is_leaving: bool,
+    pub(super) leaving: Option<LeavingSource>,
+    /// Whether the list says that the upstream takes requests though it leaves.
+    pub(super) is_revoked: bool,
+    /// Id of the incarnation, if this entry has heard of it from the list or from an answer.
+    pub(super) instance: Option<Arc<str>>,
     /// Until when the upstream wants no requests from this entry. The other entries were not asked to
     /// back off, so they are not informed.
     pub(super) backoff_until_ms: u64,
@@ -99,14 +117,14 @@
 
     /// Returns whether the state has to be kept for as long as the upstream is listed.
     pub(super) fn is_in_force(&self) -> bool {
-        self.limit_per_1000_s().is_some() || self.invalid_limit.is_some() || self.is_leaving
+        self.limit_per_1000_s().is_some() || self.invalid_limit.is_some() || self.leaving.is_some()
     }
 
     /// Records that the upstream is shutting down. Returns whether that was unknown.
-    pub(super) fn record_leaving(&mut self, now_ms: InstantMs) -> bool {
-        let is_new = !self.is_leaving;
+    pub(super) fn record_leaving(&mut self, source: LeavingSource, now_ms: InstantMs) -> bool {
+        let is_new = self.leaving.is_none();
         if is_new {
-            self.is_leaving = true;
+            self.leaving = Some(source);
             self.updated_at_ms = now_ms;
         }
         is_new
@@ -175,7 +193,8 @@
         let view = NoticeView {
             limit_per_1000_s: self.limit_per_1000_s(),
             rests_for_ms: self.backoff_until_ms.saturating_sub(now_ms),
-            is_leaving: self.is_leaving,
+            is_leaving: self.leaving.is_some(),
+            leaving_told_by: self.leaving,
             said_ms_ago: self.age_ms(signed(now_ms)),
         };
         let is_in_force =
@@ -195,10 +214,11 @@
             per_1000_s: limit.per_1000_s,
             ago_ms: now_ms.saturating_sub(limit.at_ms),
         });
-        (limit.is_some() || self.is_leaving).then_some(NoticeUpdate {
+        let is_leaving = self.leaving.is_some();
+        (limit.is_some() || is_leaving).then_some(NoticeUpdate {
             upstream,
             limit,
-            is_leaving: self.is_leaving,
+            is_leaving,
         })
     }
 }
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -22,6 +22,7 @@
 use crate::direct::request::call::Call;
 use crate::direct::request::headers::ResponseHeaders;
 use crate::direct::sharing::admission::EntryRef;
+use crate::direct::store_view::directory::LeavingUpstream;
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
@@ -69,6 +70,19 @@
         }
     }
 
+    /// Records the upstreams that the list shows to leave.
+    ///
+    /// All entries get the list, so only those are sent to the peers at once that the list has come to
+    /// show as taking requests. Entries that start later learn of all from their peers.
+    pub fn record_listed_leaving(&self, leaving: &[LeavingUpstream]) {
+        let now_ms = self.now_ms();
+        let mut notices = self.notices.borrow_mut();
+        let newly_revoked = notices.record_listed_leaving(leaving, now_ms);
+        let updates = notices.updates_for(&newly_revoked, now_ms);
+        drop(notices);
+        self.send_notice_updates(updates, usize::MAX);
+    }
+
     /// Merges a peer's updates of notices, acts on what changed, and forwards it.
     pub fn merge_notice_updates(self: &Rc<Self>, from: SocketAddr, updates: &[NoticeUpdate]) {
         let now_ms = self.now_ms();
@@ -143,6 +157,9 @@
 
     /// Returns the name of an upstream for logs, or its hash if it is not listed.
     fn upstream_name(&self, hash: u32) -> String {
+        if let Some(instance) = self.notices.borrow().instance(hash) {
+            return instance.to_string();
+        }
         let book = self.rollouts.borrow();
         let mut listed = book.upstreams().iter();
         let upstream = listed.find(|upstream| upstream_hash(&upstream.instance) == hash);
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -419,6 +419,7 @@
         traffic.has_upstreams.set(true);
         traffic.detect_replaced_upstreams(&upstreams);
         traffic.rollouts.borrow_mut().set_upstreams(&upstreams);
+        traffic.record_listed_leaving(&snapshot.leaving);
         traffic.update_eligible_upstreams();
         traffic.grant_slots();
         traffic.configured.notify_waiters();
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -75,6 +75,15 @@
     }
 }
 
+/// An incarnation whose entry in the list has announced its end.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LeavingUpstream {
+    /// Id of the incarnation.
+    pub instance: Arc<str>,
+    /// Whether the list says now that it takes requests, so that others may not know.
+    pub is_revoked: bool,
+}
+
 /// What applying an upstream's entry found.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum PutEffect {
@@ -107,6 +116,8 @@
     /// What the list says instead, and when that is accepted: an older incarnation, or that an upstream
     /// takes requests that was removed.
     doubted: Option<(Upstream, u64)>,
+    /// Whether the entry says that the upstream takes requests, which had announced its end before.
+    is_revoked: bool,
 }
 
 impl DirectoryEntry {
@@ -115,6 +126,7 @@
             upstream: Arc::new(upstream),
             missing_since_ms: None,
             doubted: None,
+            is_revoked: false,
         }
     }
 
@@ -306,19 +318,28 @@
         withheld.map(|(name, _)| name).collect()
     }
 
-    /// Returns the incarnations that have announced their end, some of them twice, for as long as they
-    /// are listed or their entries may come back.
+    /// Returns the incarnations that have announced their end, for as long as they are listed or their
+    /// entries may come back.
     ///
     /// ```
-    /// assert_eq!(sardinewood::direct::store_view::directory::Directory::default().leaving().count(), 0);
+    /// assert!(sardinewood::direct::store_view::directory::Directory::default().leaving().is_empty());
     /// ```
-    pub fn leaving(&self) -> impl Iterator<Item = &Arc<str>> {
+    #[must_use]
+    pub fn leaving(&self) -> Vec<LeavingUpstream> {
+        let unlisted = self.departures.announced();
+        let unlisted = unlisted.map(|instance| (Arc::clone(instance), false));
         let entries = self.entries.values();
-        let listed = entries.map(|entry| (&entry.upstream.instance, entry));
-        listed
-            .filter(|(instance, entry)| entry.has_announced(instance))
-            .map(|(instance, _)| instance)
-            .chain(self.departures.announced())
+        let listed = entries
+            .filter(|entry| entry.has_announced(&entry.upstream.instance))
+            .map(|entry| (Arc::clone(&entry.upstream.instance), entry.is_revoked));
+        let leaving: IndexMap<Arc<str>, bool> = unlisted.chain(listed).collect();
+        leaving
+            .into_iter()
+            .map(|(instance, is_revoked)| LeavingUpstream {
+                instance,
+                is_revoked,
+            })
+            .collect()
     }
 
     /// Applies an upstream's entry.
@@ -357,10 +378,13 @@
                 let until_ms = doubted.map_or(now_ms + self.silence_ms, |(_, until_ms)| until_ms);
                 known.doubted = Some((upstream, until_ms));
             }
-            Some(known) => *known = DirectoryEntry::new(upstream),
-            None => {
+            Some(_) | None => {
                 let name = Arc::clone(&upstream.name);
-                self.entries.insert(name, DirectoryEntry::new(upstream));
+                let entry = DirectoryEntry {
+                    is_revoked,
+                    ..DirectoryEntry::new(upstream)
+                };
+                self.entries.insert(name, entry);
             }
         }
         if is_revoked {
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -25,6 +25,7 @@
 use crate::direct::replication::update::UpstreamListUpdate;
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::store_view::directory::Directory;
+use crate::direct::store_view::directory::LeavingUpstream;
 use crate::direct::store_view::directory::PutEffect;
 use crate::direct::store_view::directory::RemoveEffect;
 use crate::direct::store_view::directory::Upstream;
@@ -62,6 +63,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Upstreams that accept new requests; `None` before the first list.
     pub upstreams: Option<Arc<[Arc<Upstream>]>>,
+    /// Upstreams that have announced their end in the list.
+    pub leaving: Arc<[LeavingUpstream]>,
     /// Revisions of the catalog and of the list of upstreams.
     pub revisions: Revisions,
 }
@@ -520,6 +523,7 @@
             upstreams: self
                 .is_listed
                 .then(|| self.directory.usable().cloned().collect()),
+            leaving: self.directory.leaving().into(),
             revisions: self.revisions,
         }
     }
