store follower: only an outage in which entries lapse keeps upstreams that disappear

Callers' requests reached upstreams long after their entries had been removed, from entries some of whose watches were cut.

Cause: one failed call of one entry counted as an outage of the store. An upstream whose entry disappeared within 2.3 s of the next answer was used until then, as it might have lapsed; each further failed call began that time anew.

The store drops an entry after three missing heartbeats, so no outage shorter than two can be why one whose upstream lives has disappeared. The time since the last answer, which is at least as long as the outage, decides now; an entry that has not called the store before can't tell and gives the time to return, as before.

Weighed and left: the time to return for each upstream by itself (the same bound, with more state); none at all beside the bound for leaving upstreams (upstreams that lapsed in an outage would refuse callers for two seconds).

--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -301,7 +301,7 @@
             match read {
                 Ok(position) => {
                     self.channels.last_response.record(is_catalog);
-                    outage.ended(kind);
+                    outage.record_answer(kind);
                     backoff.reset();
                     let pause = pause_after(after, position, has_listed);
                     has_listed = true;
@@ -354,7 +354,7 @@
     fn note_store_return(&self, kind: &str, outage: &Outage) {
         let mut replica = self.replica.borrow_mut();
         if outage.is_ongoing() && kind == replica.decoders().upstream_kind {
-            replica.store_recovered(self.now_ms());
+            replica.store_recovered(outage.unanswered_ms(), self.now_ms());
         }
     }
 
@@ -523,6 +523,8 @@
 #[derive(Debug, Default)]
 struct Outage {
     since: Option<Instant>,
+    /// Time of the last answer; none if this entry has not called the store before the outage.
+    last_answer: Option<Instant>,
 }
 
 impl Outage {
@@ -530,6 +532,14 @@
         self.since.is_some()
     }
 
+    /// Returns the time since the last answer, which is at least as long as the outage. It is unbounded
+    /// if this entry can't tell.
+    fn unanswered_ms(&self) -> u64 {
+        self.last_answer.map_or(u64::MAX, |last_answer| {
+            u64::try_from(last_answer.elapsed().as_millis()).unwrap_or(u64::MAX)
+        })
+    }
+
     fn record_error(&mut self, kind: &str, error: &ReadError) {
         if self.since.is_none() {
             self.since = Some(Instant::now());
@@ -541,6 +551,7 @@
     }
 
     fn left(&mut self, kind: &str) {
+        self.last_answer = None;
         if self.since.take().is_some() {
             Line::new(Level::Info, "store is left to other entries")
                 .field("kind", kind)
@@ -548,7 +559,8 @@
         }
     }
 
-    fn ended(&mut self, kind: &str) {
+    fn record_answer(&mut self, kind: &str) {
+        self.last_answer = Some(Instant::now());
         if let Some(since) = self.since.take() {
             Line::new(Level::Info, "store answers again")
                 .field("kind", kind)
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -227,13 +227,19 @@
         self.silence_ms = silence_ms;
     }
 
-    /// Records that the store answers again after an outage.
+    /// Records that the store answers again, after it has not answered for a time.
+    ///
+    /// The store drops an entry after [`MISSED_HEARTBEATS`]. In a shorter time without answers none can
+    /// have lapsed whose upstream lives, so entries that disappear then were removed.
     ///
     /// ```
-    /// sardinewood::direct::store_view::directory::Directory::default().store_recovered(1_000);
+    /// sardinewood::direct::store_view::directory::Directory::default().store_recovered(3_000, 9_000);
     /// ```
-    pub fn store_recovered(&mut self, now_ms: u64) {
-        self.grace_until_ms = self.grace_until_ms.max(now_ms + RETURN_GRACE_MS);
+    pub fn store_recovered(&mut self, unanswered_ms: u64, now_ms: u64) {
+        // The last heartbeat may have been due just when the store went away.
+        if unanswered_ms >= self.silence_ms - self.heartbeat_ms() {
+            self.grace_until_ms = self.grace_until_ms.max(now_ms + RETURN_GRACE_MS);
+        }
     }
 
     /// Returns the time for which an upstream is still used that a new era of the store lacks.
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -133,9 +133,9 @@
         Arc::clone(&self.catalog_json)
     }
 
-    /// Records that the store answers again after an outage.
-    pub fn store_recovered(&mut self, now_ms: u64) {
-        self.directory.store_recovered(now_ms);
+    /// Records that the store answers again, after it has not answered for a time.
+    pub fn store_recovered(&mut self, unanswered_ms: u64, now_ms: u64) {
+        self.directory.store_recovered(unanswered_ms, now_ms);
     }
 
     /// Applies changes that are due by time. Returns whether the upstreams have changed.
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -7,6 +7,9 @@
 use crate::direct_fixture;
 use crate::direct_fixture::born;
 
+/// An outage in which entries lapse.
+const OUTAGE_MS: u64 = 2_400;
+
 fn upstream(name: &str, is_leaving: bool) -> Upstream {
     Upstream {
         is_leaving,
@@ -57,7 +60,7 @@
     // first list is empty. Upstreams rewrite their entries within two seconds, so callers notice
     // nothing; one that does not is removed then.
     let mut directory = listed(&[upstream("a", false), upstream("b", false)]);
-    directory.store_recovered(9_000);
+    directory.store_recovered(OUTAGE_MS, 9_000);
     directory.remove("a", 9_000);
     directory.remove("b", 9_000);
     assert_eq!(usable(&directory).len(), 2);
@@ -70,7 +73,7 @@
 #[test]
 fn leaving_one_not_kept_through_outage() {
     let mut directory = listed(&[upstream("a", true)]);
-    directory.store_recovered(9_000);
+    directory.store_recovered(OUTAGE_MS, 9_000);
     directory.remove("a", 9_000);
     assert_eq!(directory.next_sweep_ms(), None);
     assert!(usable(&directory).is_empty());
@@ -111,7 +114,7 @@
 fn invalid_entry_removed_at_once_even_around_an_outage() {
     let mut directory = Directory::default();
     directory.put(born("a", 5), 0);
-    directory.store_recovered(10);
+    directory.store_recovered(OUTAGE_MS, 10);
     assert!(directory.remove_invalid("a"));
     assert!(usable(&directory).is_empty());
 }
@@ -153,7 +156,7 @@
 #[test]
 fn put_after_a_lapse_in_an_outage_used_at_once() {
     let mut directory = listed(&[starting("a", 5, false)]);
-    directory.store_recovered(1_000);
+    directory.store_recovered(OUTAGE_MS, 1_000);
     directory.remove("a", 1_000);
     assert!(directory.sweep(1_000 + RETURN_GRACE_MS));
     directory.put(starting("a", 5, false), 4_000);
@@ -188,3 +191,25 @@
     directory.sweep(60_000);
     assert!(usable(&directory).is_empty());
 }
+
+/// Guards against a removed upstream that is used on because a call to the store has failed.
+#[test]
+fn store_recovered_after_a_short_outage_begins_no_grace_period() {
+    let mut directory = listed(&[upstream("a", false), upstream("b", false)]);
+    directory.store_recovered(OUTAGE_MS - 1, 9_000);
+    directory.remove("a", 9_000);
+    assert_eq!(usable(&directory), ["b"]);
+}
+
+/// Guards against an upstream that is used for as long as calls to the store fail now and then.
+#[test]
+fn store_recovered_again_extends_no_grace_period() {
+    let mut directory = listed(&[upstream("a", false)]);
+    directory.store_recovered(OUTAGE_MS, 9_000);
+    directory.remove("a", 9_000);
+    for failed_at_ms in (9_200..9_000 + RETURN_GRACE_MS).step_by(200) {
+        directory.store_recovered(200, failed_at_ms);
+    }
+    assert!(directory.sweep(9_000 + RETURN_GRACE_MS));
+    assert!(usable(&directory).is_empty());
+}
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -371,3 +371,70 @@
     let lag = source.revision() - known.revision;
     assert!(lag * BusyStore::CHANGE_MS <= 250, "{lag} changes");
 }
+
+/// A store that lists two upstreams, does not answer for a time, and has removed one of them then.
+struct UnansweringStore {
+    outage: Duration,
+    fails_until: Cell<Option<Instant>>,
+}
+
+impl ObjectSource for UnansweringStore {
+    async fn list(&self, _kind: &str) -> Result<ObjectList, ReadError> {
+        Ok(ObjectList {
+            position: StorePosition::new(0, 5),
+            objects: vec![object("u", "a", 2), object("u", "b", 3)],
+        })
+    }
+
+    async fn watch(&self, _: &str, after: StorePosition, _: u64) -> Result<WatchBatch, ReadError> {
+        let fails_until = self.fails_until.get();
+        let fails_until = fails_until.unwrap_or_else(|| Instant::now() + self.outage);
+        self.fails_until.set(Some(fails_until));
+        if Instant::now() < fails_until {
+            return Err(ReadError::Unavailable {
+                reason: "no answer".into(),
+            });
+        }
+        if after.revision > 5 {
+            std::future::pending::<()>().await;
+        }
+        Ok(WatchBatch {
+            position: StorePosition::new(0, 6),
+            events: vec![WatchEvent::Delete {
+                kind: "u".into(),
+                name: "a".into(),
+                version: StorePosition::new(0, 6),
+            }],
+        })
+    }
+}
+
+/// Returns the upstreams that are used once the store answers again after an outage.
+async fn used_after(outage: Duration) -> Vec<String> {
+    let (follower, view) = follower();
+    let source = UnansweringStore {
+        outage,
+        fails_until: Cell::default(),
+    };
+    let mut seen = view.clone();
+    let wait = async move {
+        let is_done = |view: &ReplicaSnapshot| view.revisions.directory == StorePosition::new(0, 6);
+        seen.wait_for(is_done).await.expect("a view").clone()
+    };
+    tokio::select! {
+        () = follower.follow_upstreams(&source) => unreachable!("it follows until the process ends"),
+        _ = wait => {}
+    }
+    names(&view)
+}
+
+/// Guards against a removed upstream that is used on because one call to the store has failed.
+#[tokio::test(start_paused = true)]
+async fn removal_after_a_failed_call_in_force() {
+    assert_eq!(used_after(Duration::from_millis(300)).await, ["b"]);
+}
+
+#[tokio::test(start_paused = true)]
+async fn upstream_that_may_have_lapsed_in_an_outage_kept() {
+    assert_eq!(used_after(Duration::from_secs(3)).await, ["a", "b"]);
+}
