store follower: watches of the upstreams keep to the bound of a leaving

The settings name the time within which a leaving upstream may still get requests (drainMs), and nobody read it. The list of upstreams was watched by the bound of the configuration, which happened to be the same wherever it was seen; with a longer one a watch whose connection fell silent would have been noticed too late. No caller was seen to suffer from it.

watch_waits_by_the_bound_of_its_kind asserts what was not there before.

--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -173,8 +173,11 @@
     pub changes: mpsc::UnboundedSender<ReplicaChange>,
     /// Whether this entry calls the store.
     pub role: watch::Receiver<StoreRole>,
-    /// Time within which a change has to be in force.
+    /// Time within which a change of the configuration has to be in force.
     pub config_bound_ms: u64,
+    /// Time after an upstream's announcement that it leaves, or its removal, within which it may still
+    /// get requests.
+    pub drain_bound_ms: u64,
     /// When the store last answered.
     pub last_response: LastStoreResponse,
     /// Time without a heartbeat after which an upstream is taken to have ended.
@@ -275,8 +278,12 @@
         let mut after = None;
         let mut has_listed = false;
         let mut role = self.channels.role.clone();
-        let wait_ms = watch_wait_ms(self.channels.config_bound_ms);
         let is_catalog = kind == self.replica.borrow().decoders().catalog_kind;
+        let wait_ms = watch_wait_ms(if is_catalog {
+            self.channels.config_bound_ms
+        } else {
+            self.channels.drain_bound_ms
+        });
         loop {
             if *role.borrow() == StoreRole::Listens {
                 // Others watch the store now, whatever it answered here.
@@ -499,8 +506,24 @@
 }
 
 /// Returns how long a watch waits, given the time within which a change has to be in force.
-fn watch_wait_ms(config_bound_ms: u64) -> u64 {
-    (config_bound_ms * WATCH_WAIT_EIGHTHS / 8).min(MAX_WATCH_WAIT_MS)
+fn watch_wait_ms(bound_ms: u64) -> u64 {
+    (bound_ms * WATCH_WAIT_EIGHTHS / 8).min(MAX_WATCH_WAIT_MS)
+}
+
+/// Returns the longest time from a change at the store until an entry that watches it has it, given the
+/// time within which a change has to be in force. The longest wait is for a connection that falls silent
+/// just after a change has been read.
+///
+/// ```
+/// use sardinewood::direct::replication::store_follower::longest_delay_ms;
+///
+/// assert!(longest_delay_ms(2_000) <= 2_000);
+/// assert!(longest_delay_ms(500) > 500);
+/// ```
+#[must_use]
+pub fn longest_delay_ms(bound_ms: u64) -> u64 {
+    let batch_pause_ms = u64::try_from(BATCH_PAUSE.as_millis()).unwrap_or(u64::MAX);
+    batch_pause_ms + 2 * watch_wait_ms(bound_ms) + MIN_RETRY_PAUSE_MS
 }
 
 /// Returns the pause before the next watch, given the known position, the one that the store sent,
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -35,6 +35,7 @@
 use crate::direct::replication::rollout_follower::RolloutFollower;
 use crate::direct::replication::rollout_follower::RolloutStore;
 use crate::direct::replication::rollout_follower::RolloutView;
+use crate::direct::replication::store_follower;
 use crate::direct::replication::store_follower::FollowerChannels;
 use crate::direct::replication::store_follower::LastStoreResponse;
 use crate::direct::replication::store_follower::ObjectSource;
@@ -112,6 +113,9 @@
     pub upstream_silence: Duration,
     /// Time within which a change of the configuration has to be in force.
     pub config_bound: Duration,
+    /// Time after an upstream's announcement that it leaves, or its removal, within which it may still
+    /// get requests.
+    pub drain_bound: Duration,
 }
 
 impl DirectSettings {
@@ -122,6 +126,27 @@
     fn config_bound_ms(&self) -> u64 {
         u64::try_from(self.config_bound.as_millis()).unwrap_or(u64::MAX)
     }
+
+    fn drain_bound_ms(&self) -> u64 {
+        u64::try_from(self.drain_bound.as_millis()).unwrap_or(u64::MAX)
+    }
+
+    /// Logs each bound that is shorter than the news may take.
+    fn check_bounds(&self) {
+        for (change, bound_ms) in [
+            ("configuration", self.config_bound_ms()),
+            ("leaving upstream", self.drain_bound_ms()),
+        ] {
+            let longest_ms = store_follower::longest_delay_ms(bound_ms);
+            if longest_ms > bound_ms {
+                Line::new(Level::Warn, "a change may take longer than its bound")
+                    .field("change", change)
+                    .field("bound_ms", bound_ms)
+                    .field("longest_ms", longest_ms)
+                    .send();
+            }
+        }
+    }
 }
 
 /// Result of rereading the settings.
@@ -186,6 +211,8 @@
     let peer_address = settings.peer_address;
     let upstream_silence_ms = settings.upstream_silence_ms();
     let config_bound_ms = settings.config_bound_ms();
+    let drain_bound_ms = settings.drain_bound_ms();
+    settings.check_bounds();
     let metrics = DirectMetrics::new().wrap_err("can't register metrics")?;
     let control_metrics = metrics.clone();
     thread::Builder::new()
@@ -199,6 +226,7 @@
                 changes: changes_sender,
                 role,
                 config_bound_ms,
+                drain_bound_ms,
                 last_response: last_store_response,
                 upstream_silence_ms,
                 metrics: control_metrics,
@@ -389,7 +417,8 @@
         || old.readiness_address != new.readiness_address
         || old.peer_address != new.peer_address
         || old.upstream_silence != new.upstream_silence
-        || old.config_bound != new.config_bound;
+        || old.config_bound != new.config_bound
+        || old.drain_bound != new.drain_bound;
     Line::new(Level::Info, "settings taken")
         .field("seeds", &new.seeds)
         .field("needs_restart", needs_restart)
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -42,6 +42,9 @@
 
 use crate::direct_fixture;
 
+/// Shorter than the bound of the configuration.
+const DRAIN_BOUND_MS: u64 = 1_600;
+
 const DECODERS: ObjectDecoders = ObjectDecoders {
     catalog_kind: "c",
     catalog_name: "main",
@@ -110,6 +113,7 @@
         changes,
         role,
         config_bound_ms: DEFAULT_CONFIG_BOUND_MS,
+        drain_bound_ms: DRAIN_BOUND_MS,
         last_response: LastStoreResponse::default(),
         upstream_silence_ms: DEFAULT_SILENCE_MS,
         metrics: DirectMetrics::new().expect("metrics"),
@@ -372,6 +376,51 @@
     assert!(lag * BusyStore::CHANGE_MS <= 250, "{lag} changes");
 }
 
+/// A store that lists nothing and records how long watches wait.
+#[derive(Default)]
+struct WaitRecorder {
+    waits_ms: RefCell<Vec<u64>>,
+}
+
+impl ObjectSource for WaitRecorder {
+    async fn list(&self, _kind: &str) -> Result<ObjectList, ReadError> {
+        Ok(ObjectList {
+            position: StorePosition::new(0, 1),
+            objects: Vec::new(),
+        })
+    }
+
+    async fn watch(
+        &self,
+        _: &str,
+        _: StorePosition,
+        wait_ms: u64,
+    ) -> Result<WatchBatch, ReadError> {
+        self.waits_ms.borrow_mut().push(wait_ms);
+        std::future::pending().await
+    }
+}
+
+/// Guards against a watch of the upstreams that waits for longer than their leaving may take.
+#[tokio::test(start_paused = true)]
+async fn watch_waits_by_the_bound_of_its_kind() {
+    let (follower, _view) = follower();
+    let source = WaitRecorder::default();
+    for follow in [true, false] {
+        let follow = async {
+            if follow {
+                follower.follow_catalog(&source).await;
+            } else {
+                follower.follow_upstreams(&source).await;
+            }
+        };
+        timeout(Duration::from_secs(1), follow)
+            .await
+            .expect_err("it never ends");
+    }
+    assert_eq!(*source.waits_ms.borrow(), [750, 600]);
+}
+
 /// A store that lists two upstreams, does not answer for a time, and has removed one of them then.
 struct UnansweringStore {
     outage: Duration,
