relay, platform: log the versions of a resumed stream, and what a caller resumes

Neither which versions a stream has seen nor that a caller has taken one up could be told from an entry's log, so the hypotheses of the incident can't be told apart there. Nothing that is done changes.

--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -101,6 +101,8 @@
     pub shared_prefix: Option<SharedPrefix>,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<HeaderValue>,
     /// The configuration by which the request is handled.
     pub catalog: CatalogMark,
     /// When the request arrived.
@@ -139,9 +141,14 @@
     /// Adds the fields to a log line that describe the request and its attempts so far.
     pub fn add_log_fields(&self, line: Line) -> Line {
         let line = line.field("request", self.name());
-        self.catalog
-            .add_log_fields(line)
-            .field("route", &self.route.name)
+        let line = self.catalog.add_log_fields(line);
+        let line = match self.last_event_id {
+            Some(last_event_id) => line
+                .field("resumes", request_id_text(self.resumes.as_ref()))
+                .field("resumes_after_event", last_event_id),
+            None => line,
+        };
+        line.field("route", &self.route.name)
             .field("tier", self.tier)
             .field("customer_tier", self.customer_tier)
             .field("size", self.recorder.size())
@@ -311,6 +318,7 @@
             ..prefix
         }),
         last_event_id: headers.last_event_id,
+        resumes: headers.resumes.clone(),
         arrived_ms,
         deadline_at_ms: arrived_ms + timeout_ms,
         tried_upstreams: Vec::new(),
--- a/lib/src/direct/request/headers.rs
+++ b/lib/src/direct/request/headers.rs
@@ -34,6 +34,8 @@
     pub has_token_counts: bool,
     /// Id of the last event that the caller has received, if it resumes a stream.
     pub last_event_id: Option<u64>,
+    /// Id of the caller's attempt that brought the first event of the stream that it resumes.
+    pub resumes: Option<HeaderValue>,
 }
 
 impl CallerHeaders {
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -29,6 +29,7 @@
 use crate::direct::request::exchange::keep_connection;
 use crate::direct::request::exchange::send;
 use crate::direct::request::pace::EventPace;
+use crate::direct::store_view::directory::Upstream;
 use crate::direct::traffic::SlotLease;
 use crate::direct::traffic::SlotResult;
 use crate::direct::traffic::TrafficState;
@@ -70,6 +71,8 @@
     pace: EventPace,
     /// Time from the request's arrival to the first event.
     first_ms: Option<u64>,
+    /// Upstream that sent the first event.
+    began_at: Option<Arc<Upstream>>,
     /// Last event that the caller has, from a resumption until the new upstream's first event.
     resumed_after: Option<u64>,
     is_done: bool,
@@ -128,6 +131,7 @@
             last_event: None,
             pace: EventPace::default(),
             first_ms: None,
+            began_at: None,
             resumed_after: None,
             is_done: false,
         }
@@ -309,6 +313,7 @@
         let prompt_tokens = self.call.prompt_tokens;
         match self.last_event.replace(now) {
             None => {
+                self.began_at = Some(Arc::clone(&source.lease.upstream));
                 self.pace.start(now);
                 let since = self.traffic.instant_at(source.lease.acquired_at_ms());
                 let after_ms = millis(now - since);
@@ -371,6 +376,7 @@
             .log_with_category(category, Level::Info, "streamed", |line| {
                 self.call
                     .add_log_fields(line)
+                    .field("version", &source.lease.upstream.version)
                     .field("kept_tokens", source.lease.cached_tokens)
                     .field("first_ms", self.first_ms)
                     .field(
@@ -449,6 +455,7 @@
             AttemptResult::Response(response) if response.parts.status == self.parts.status => {
                 self.partial.clear();
                 self.scan.drop_partial();
+                self.log_resumed(&response.lease.upstream);
                 self.source = Some(Source::from(*response));
                 self.resumed_after = self.scan.last_id();
                 true
@@ -473,6 +480,22 @@
         });
     }
 
+    fn log_resumed(&self, upstream: &Upstream) {
+        let began_at = self.began_at.as_ref();
+        self.traffic
+            .log(Level::Info, "stream resumed at another upstream", |line| {
+                line.field("request", self.call.name())
+                    .field("began_at", began_at.map(|began_at| &began_at.instance))
+                    .field(
+                        "began_at_version",
+                        began_at.map(|began_at| &began_at.version),
+                    )
+                    .field("upstream", &upstream.instance)
+                    .field("version", &upstream.version)
+                    .field("last_event", self.scan.last_id())
+            });
+    }
+
     fn log_cut(&self, message: &'static str) {
         self.traffic.metrics.cut.inc();
         self.traffic.log(Level::Warn, message, |line| {
