relay, dispatch: a stream is resumed at the version that began it

Callers got answers that hold events of two versions of an upstream's software, which do not fit together.

Cause: a stream is work that goes on elsewhere, and what it needs there was its service alone. The entry that resumed it knew the version and asked for any slot.

The version is part of the job from the first whole event on, so every choice of an upstream is bound by it: resumption after a failure and on silence, retries, the engines that keep a prompt's parts. Before the first event the request may go anywhere. If none of the version has a slot in time, the stream is cut, as before where no upstream had one.

--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -54,6 +54,7 @@
             cached_at: Vec::new(),
             has_start_deficit: false,
             is_canary: false,
+            stream_version: None,
         }
     }
 
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -212,7 +212,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(Dispatcher::default().all_backed_off_for_ms(&job, 0), None);
     /// ```
     #[must_use]
@@ -294,9 +294,11 @@
 
     /// Returns the upstreams that accept a request of this kind.
     fn upstreams_for(&self, job: &Job) -> impl Iterator<Item = &TrackedUpstream> {
-        let is_canary = job.is_canary;
         self.upstreams_of(&job.service)
-            .filter(move |tracked| tracked.is_canary_only == is_canary)
+            .filter(move |tracked| match &job.stream_version {
+                Some(version) => tracked.upstream.version == *version,
+                None => tracked.is_canary_only == job.is_canary,
+            })
     }
 
     fn upstreams_of(&self, service: &str) -> impl Iterator<Item = &TrackedUpstream> {
@@ -316,7 +318,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
     /// ```
     pub fn choose(
@@ -400,7 +402,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(Dispatcher::default().cached_at(&job, 0).is_empty());
     /// ```
     #[must_use]
@@ -428,7 +430,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(Dispatcher::default().saved_ms("i-1", &job), 0);
     /// ```
     #[must_use]
@@ -450,7 +452,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 8_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(Dispatcher::default().lead_ms("i-1", &job) > 0);
     /// ```
     #[must_use]
--- a/lib/src/direct/placement/job.rs
+++ b/lib/src/direct/placement/job.rs
@@ -73,6 +73,9 @@
     pub has_start_deficit: bool,
     /// Whether this is a canary request, by which a new version of the upstream is judged.
     pub is_canary: bool,
+    /// Software version that wrote the events which the caller has; none if it has no event, so that
+    /// any version may serve it.
+    pub stream_version: Option<Arc<str>>,
 }
 
 impl Job {
@@ -83,7 +86,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.cached_tokens("i-1"), 0);
     /// ```
     #[must_use]
@@ -101,7 +104,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 9,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.unread_tokens("i-1"), 9);
     /// ```
     #[must_use]
@@ -121,7 +124,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.worth_micros(), 1_000_000);
     /// ```
     #[must_use]
@@ -150,7 +153,7 @@
     /// # let job = |tier| Job { id: 1, service: "s".into(), tier, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job(0).waits_until_ms(), 850);
     /// assert!(job(2).waits_until_ms() < 100);
     /// ```
@@ -172,7 +175,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 8_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.retry_after_ms(0), 800);
     /// ```
     #[must_use]
--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -69,7 +69,7 @@
 /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
 /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
 /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-/// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+/// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
 ///
 /// // There is no engine, so the request is refused at once.
 /// let mut search = SlotSearch::new(job);
@@ -100,7 +100,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let next = SlotSearch::new(job).start(&Dispatcher::default(), 0, || 1);
     /// assert_eq!(next, [SearchStep::Refuse]);
     /// ```
@@ -124,7 +124,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let next = SlotSearch::new(job).handle_queued(PeerRequestId(7), 20, &Dispatcher::default(), 0, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -161,7 +161,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let next = SlotSearch::new(job).handle_timeout(&Dispatcher::default(), 40, || 1);
     /// assert!(next.is_empty());
     /// ```
@@ -213,7 +213,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let slot_request = SlotSearch::new(job).slot_request(PeerRequestId(7), "i-1", &Dispatcher::default(), 60);
     /// assert_eq!(slot_request.waited_ms, 60);
     /// assert!(slot_request.objective_in_ms < 40);
@@ -249,7 +249,7 @@
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
     /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
-    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false };
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(SlotSearch::new(job).cancel_all().is_empty());
     /// ```
     pub fn cancel_all(&mut self) -> Vec<SearchStep> {
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -103,6 +103,9 @@
     pub last_event_id: Option<u64>,
     /// Id of the caller's attempt that brought the first event of the stream that it resumes.
     pub resumes: Option<HeaderValue>,
+    /// Software version that wrote the events which the caller has, once it has one. What two versions
+    /// write does not fit together, and upstreams do not check it.
+    pub stream_version: Option<Arc<str>>,
     /// The configuration by which the request is handled.
     pub catalog: CatalogMark,
     /// When the request arrived.
@@ -205,6 +208,7 @@
             cached_at: Vec::new(),
             has_start_deficit: self.recorder.has_start_deficit(),
             is_canary: false,
+            stream_version: self.stream_version.clone(),
         }
     }
 
@@ -319,6 +323,7 @@
         }),
         last_event_id: headers.last_event_id,
         resumes: headers.resumes.clone(),
+        stream_version: None,
         arrived_ms,
         deadline_at_ms: arrived_ms + timeout_ms,
         tried_upstreams: Vec::new(),
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -313,7 +313,10 @@
         let prompt_tokens = self.call.prompt_tokens;
         match self.last_event.replace(now) {
             None => {
-                self.began_at = Some(Arc::clone(&source.lease.upstream));
+                let upstream = &source.lease.upstream;
+                self.began_at = Some(Arc::clone(upstream));
+                let version = &mut self.call.stream_version;
+                version.get_or_insert_with(|| Arc::clone(&upstream.version));
                 self.pace.start(now);
                 let since = self.traffic.instant_at(source.lease.acquired_at_ms());
                 let after_ms = millis(now - since);
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -51,6 +51,7 @@
         cached_at: Vec::new(),
         has_start_deficit: false,
         is_canary: false,
+        stream_version: None,
     }
 }
 
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -406,3 +406,37 @@
     dispatcher.set_upstreams(&[upstream("i-1@2", 2)]);
     assert_eq!(starts(&mut dispatcher, 3, 10).len(), 2);
 }
+
+/// Guards against a stream that goes on at an upstream of another version than the one that began it.
+#[test]
+fn choose_for_a_stream_its_version_only() {
+    let version = |name: &str, version: &str| {
+        Arc::new(Upstream {
+            version: version.into(),
+            ..Upstream::clone(&upstream(name, 5))
+        })
+    };
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[
+        version("i-1", "v1"),
+        version("i-2", "v2"),
+        version("i-3", "v2"),
+    ]);
+    let stream = |version: &str| Job {
+        stream_version: Some(version.into()),
+        ..job(1, 0)
+    };
+    for draw in 0..8 {
+        let chosen = dispatcher.choose(&stream("v1"), &[], 0, || draw);
+        assert_eq!(&*chosen.expect("an upstream").instance, "i-1");
+    }
+    let tried = Job {
+        tried_upstreams: vec!["i-1".into()],
+        ..stream("v1")
+    };
+    assert!(
+        dispatcher.choose(&tried, &[], 0, || 1).is_none(),
+        "none of its version is left"
+    );
+    assert!(dispatcher.choose(&stream("v3"), &[], 0, || 1).is_none());
+}
