streams: a stream that its caller takes up goes on at the version that began it

Callers whose connection broke took their streams up at another entry and got events of another version of the upstream's software.

Cause: which version began a stream was known to the entry that relayed it alone, and nobody read which attempt a caller names as the first.

Any entry can find the version out now. As the first event is relayed, the entry tells three others, chosen by a hash of customer, route and attempt among those of different data centres; whoever gets a stream that is taken up looks at its own records, then asks these three, then all. A stream that nobody knows is refused as not run, as is one none of whose upstreams is left, and its caller can begin anew. Records end with their caller's deadline. Where the list has shown one version only for as long as a stream can last, and is known to be the newest, no record is told and nobody is asked; once a second version is listed, the entries tell the records of the streams that they have relayed before. An entry that has just started asks whether one of the others knows that.

Weighed and left: all entries asked each time (350 datagrams a stream, and the one who knows may be the one that died); a choice of version by the id (the set of versions changes just when streams break); the platform's store (850 writes a second). Entries of older builds are told and asked nothing, which the heartbeat's message level says.

--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -189,7 +189,10 @@
             PeerMessage::ChargeRequest(_)
             | PeerMessage::ChargeReply { .. }
             | PeerMessage::Rollout(_)
-            | PeerMessage::Spread(_) => {}
+            | PeerMessage::Spread(_)
+            | PeerMessage::StreamOrigins(_)
+            | PeerMessage::OriginRequest(_)
+            | PeerMessage::OriginReply { .. } => {}
             PeerMessage::UpstreamNotices(updates) => self.merge_notice_updates(entry, &updates),
             PeerMessage::SuspectRequests(updates) => self.merge_suspect_updates(entry, &updates),
         }
--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -31,4 +31,6 @@
 pub mod sharing;
 pub mod slot_driver;
 pub mod store_view;
+pub mod stream_origin_driver;
+pub mod streams;
 pub mod traffic;
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -17,10 +17,15 @@
 use crate::direct::sharing::quota::ChargeOutcome;
 use crate::direct::sharing::quota::Contention;
 use crate::direct::sharing::quota::RequestCost;
+use crate::direct::streams::origin::OriginRecord;
+use crate::direct::streams::origin::OriginReply;
+use crate::direct::streams::origin::OriginRequest;
 use crate::store::position::StorePosition;
 
 /// First byte of every datagram: the version of the message format.
 const FORMAT_VERSION: u8 = 5;
+/// Level of the builds that know messages about the origins of streams.
+pub const STREAM_ORIGINS_LEVEL: u8 = 1;
 /// Longest datagram that is sent. It fits into one packet of a common network.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -237,6 +242,10 @@
     /// Whether the sender's build knows the store's eras. Without them, its revisions are of era 0.
     #[serde(skip)]
     pub knows_eras: bool,
+    /// Messages that the sender's build knows besides those of the first builds; see
+    /// [`STREAM_ORIGINS_LEVEL`].
+    #[serde(skip)]
+    pub message_level: u8,
 }
 
 /// Asks the receiver, who owns the customer's quota, to charge a request to it.
@@ -305,6 +314,18 @@
     /// A change of the replica. It is sent only to peers whose heartbeats tell their host, as older
     /// builds can't decode it.
     Spread(SpreadMessage),
+    /// Where streams began, for an entry that keeps their records. This and the two below are sent only
+    /// to peers whose heartbeats say that they know them.
+    StreamOrigins(Vec<OriginRecord>),
+    /// The sender asks where a stream began.
+    OriginRequest(OriginRequest),
+    /// The reply to such a question.
+    OriginReply {
+        /// The question.
+        request_id: PeerRequestId,
+        /// What the sender knows.
+        reply: OriginReply,
+    },
 }
 
 impl PeerMessage {
@@ -329,6 +350,7 @@
             Self::Rollout(_) => "rollouts",
             Self::UpstreamNotices(_) => "notices",
             Self::Spread(_) => "changes",
+            Self::StreamOrigins(_) | Self::OriginRequest(_) | Self::OriginReply { .. } => "streams",
         }
     }
 
@@ -389,7 +411,11 @@
     if !heartbeat.knows_eras {
         return Some(bytes);
     }
-    postcard::to_extend(&heartbeat.revisions.eras(), bytes).ok()
+    let bytes = postcard::to_extend(&heartbeat.revisions.eras(), bytes).ok()?;
+    if heartbeat.message_level == 0 {
+        return Some(bytes);
+    }
+    postcard::to_extend(&heartbeat.message_level, bytes).ok()
 }
 
 fn decode_heartbeat_extension(heartbeat: &mut Heartbeat, extension: &[u8]) {
@@ -397,8 +423,10 @@
         return;
     };
     heartbeat.host = Some(host);
-    if let Ok(eras) = postcard::from_bytes(eras) {
-        heartbeat.revisions = heartbeat.revisions.with_eras(eras);
-        heartbeat.knows_eras = true;
-    }
+    let Ok((eras, message_level)) = postcard::take_from_bytes(eras) else {
+        return;
+    };
+    heartbeat.revisions = heartbeat.revisions.with_eras(eras);
+    heartbeat.knows_eras = true;
+    heartbeat.message_level = postcard::from_bytes(message_level).unwrap_or_default();
 }
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -10,6 +10,7 @@
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::Revisions;
+use crate::direct::membership::peer_message::STREAM_ORIGINS_LEVEL;
 use crate::direct::membership::store_role::StoreRole;
 use crate::store::position::StorePosition;
 
@@ -72,6 +73,7 @@
     store_age_ms: Option<u32>,
     revisions: Revisions,
     knows_eras: bool,
+    message_level: u8,
     host: Option<EntryHost>,
     spent: IndexMap<Arc<str>, u64>,
     /// Whether the peer had run for some time when its first heartbeat arrived.
@@ -276,6 +278,7 @@
             store_age_ms: heartbeat.store_age_ms,
             revisions: heartbeat.revisions,
             knows_eras: heartbeat.knows_eras,
+            message_level: heartbeat.message_level,
             host: heartbeat.host,
             spent,
             was_running_before,
@@ -450,6 +453,32 @@
             .chain(own_address)
     }
 
+    /// Returns the entries that may keep records of streams' origins, with the hashes of their data
+    /// centres.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// let own_address = "10.0.0.1:7".parse().unwrap();
+    /// let table = PeerTable::new(own_address, &[]);
+    /// assert!(table.record_candidates(false, 0).eq([(own_address, 0)]));
+    /// ```
+    pub fn record_candidates(
+        &self,
+        is_own_leaving: bool,
+        now_ms: u64,
+    ) -> impl Iterator<Item = (SocketAddr, u32)> {
+        let own = (self.own_address, self.own_host.data_centre);
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| {
+                peer.message_level >= STREAM_ORIGINS_LEVEL
+                    && !peer.is_leaving
+                    && self.is_live(peer, now_ms)
+            })
+            .map(|(address, peer)| (*address, peer.host.unwrap_or_default().data_centre))
+            .chain((!is_own_leaving).then_some(own))
+    }
+
     /// Returns the age of this entry, as sent in heartbeats.
     ///
     /// ```
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -52,6 +52,8 @@
     pub second_attempts: IntCounter,
     /// Streams resumed at another upstream.
     pub resumed: IntCounter,
+    /// Streams that callers took up, by how their origin became known or why they were refused.
+    pub taken_up: IntCounterVec,
     /// Streams that were cut short.
     pub cut: IntCounter,
     /// Log lines suppressed by the rate limit.
@@ -162,6 +164,11 @@
             )?,
             second_attempts: counter("second_attempts_total", "Second attempts.")?,
             resumed: counter("resumed_total", "Streams that went on elsewhere.")?,
+            taken_up: counters(
+                "taken_up_total",
+                "Streams that callers took up.",
+                &["result"],
+            )?,
             cut: counter("cut_total", "Streams that were cut short.")?,
             left_out_lines: counter("left_out_lines_total", "Log lines that were left out.")?,
             peer_datagrams: counters(
@@ -215,6 +222,7 @@
             &self.cached_tokens,
             &self.upstream_ends,
             &self.notices,
+            &self.taken_up,
             &self.trials,
             &self.rollouts_decided,
             &self.peer_datagrams,
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -261,6 +261,17 @@
             .is_some_and(|tracked| tracked.is_listed && tracked.accepts_requests(now_ms))
     }
 
+    /// Returns whether a service has an upstream of a version of its software.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::placement::dispatch::Dispatcher::default().has_version("s", "v1"));
+    /// ```
+    #[must_use]
+    pub fn has_version(&self, service: &str, version: &str) -> bool {
+        self.upstreams_of(service)
+            .any(|tracked| *tracked.upstream.version == *version)
+    }
+
     /// Returns the number of upstreams that accept new requests.
     ///
     /// ```
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -15,6 +15,7 @@
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::PeerMessage;
 use crate::direct::membership::peer_message::Revisions;
+use crate::direct::membership::peer_message::STREAM_ORIGINS_LEVEL;
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::membership::spread_tree;
 use crate::direct::membership::store_role::StoreRole;
@@ -161,6 +162,13 @@
                 traffic.merge_notice_updates(from, &updates);
             }
             Some(PeerMessage::Spread(message)) => self.handle_spread(from, message),
+            Some(PeerMessage::StreamOrigins(records)) => traffic.keep_origin_records(records),
+            Some(PeerMessage::OriginRequest(request)) => {
+                traffic.handle_origin_request(from, &request);
+            }
+            Some(PeerMessage::OriginReply { request_id, reply }) => {
+                traffic.handle_origin_reply(request_id, reply);
+            }
             None => traffic.log(Level::Warn, "datagram can't be decoded", |line| {
                 line.field("from", from)
             }),
@@ -220,16 +228,20 @@
         traffic.grant_slots();
     }
 
-    /// Takes the word of a peer that watches the store and has no newer configuration.
+    /// Takes the word of a peer that watches the store and has no newer configuration or list.
     fn take_word(&self, heartbeat: &Heartbeat, now_ms: u64) {
         let own = *self.channels.own_revisions.borrow();
         let knows_era = own.directory.era == 0 || heartbeat.knows_eras;
         if let Some(age_ms) = heartbeat.store_age_ms
             && knows_era
-            && heartbeat.revisions.catalog <= own.catalog
         {
-            self.traffic
-                .confirm_catalog(now_ms.saturating_sub(age_ms.into()));
+            let at_ms = now_ms.saturating_sub(age_ms.into());
+            if heartbeat.revisions.catalog <= own.catalog {
+                self.traffic.confirm_catalog(at_ms);
+            }
+            if heartbeat.revisions.directory <= own.directory {
+                self.traffic.confirm_list(at_ms);
+            }
         }
     }
 
@@ -278,7 +290,9 @@
         let is_served = store_age_ms.is_some_and(PeerTable::is_recent_answer);
         let mut role = peers.store_role(own_revisions, is_served, bound_ms, now_ms);
         if let Some(age_ms) = store_age_ms {
-            traffic.confirm_catalog(now_ms.saturating_sub(age_ms.into()));
+            let at_ms = now_ms.saturating_sub(age_ms.into());
+            traffic.confirm_catalog(at_ms);
+            traffic.confirm_list(at_ms);
         }
         if traffic.check_catalog_age() && role == StoreRole::Listens {
             // Nobody who watches the store has said for some time that nothing has changed.
@@ -409,6 +423,7 @@
             spent: self.round_spent.clone(),
             host: Some(peers.own_host()),
             knows_eras: true,
+            message_level: STREAM_ORIGINS_LEVEL,
         }
     }
 }
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -41,6 +41,7 @@
 use crate::direct::store_view::catalog::Route;
 use crate::direct::store_view::catalog::RouteLookup;
 use crate::direct::store_view::freshness::CatalogMark;
+use crate::direct::streams::origin::StreamKey;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
 use crate::logging::Line;
@@ -110,6 +111,8 @@
     pub catalog: CatalogMark,
     /// When the request arrived.
     pub arrived_ms: u64,
+    /// Time at which the caller gives up, over all its attempts from this one on.
+    pub caller_deadline_at_ms: u64,
     /// Latest time at which the caller gets a response.
     pub deadline_at_ms: u64,
     /// Upstreams to which the request was sent.
@@ -161,6 +164,19 @@
             .field("waited_ms", self.waited_ms)
     }
 
+    /// Returns the key of the stream that the request begins or resumes, if its caller names it.
+    #[must_use]
+    pub fn stream_key(&self) -> Option<StreamKey> {
+        let is_resumed = self.last_event_id.is_some_and(|id| id > 0);
+        let first_attempt = if is_resumed {
+            self.resumes.as_ref()
+        } else {
+            self.request_id.as_ref()
+        };
+        let customer = self.customer.as_ref().map(|customer| &*customer.name);
+        first_attempt.map(|attempt| StreamKey::new(customer, &self.route.name, attempt.as_bytes()))
+    }
+
     /// Returns the request id as text for logs.
     #[must_use]
     pub fn name(&self) -> &str {
@@ -253,10 +269,8 @@
     let (route, customer) = look_up(&catalog, &request, &headers)?;
     let (parts, body) = request.into_parts();
     let body = read_body(&catalog, body, id).await?;
-    let Some(service) = route.service_for(rand::random()) else {
-        let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service", id);
-        return Err(refusal);
-    };
+    let (service, stream_version) =
+        choose_service(traffic, &headers, &route, customer.as_ref()).await?;
     let cached_fingerprint = OnceCell::new();
     let quarantined = traffic.check_quarantine(|| {
         let fingerprint_input =
@@ -273,7 +287,7 @@
     }
     let labels = OutcomeLabels {
         route: Arc::clone(&route.name),
-        service: Arc::clone(service),
+        service: Arc::clone(&service),
         tier: route.tier,
         size: traffic
             .size_stats
@@ -282,7 +296,7 @@
     };
     let recorder = OutcomeRecorder::new(traffic, labels);
     if let Some(customer) = &customer {
-        charge(traffic, customer, &route, service, &headers, &recorder).await?;
+        charge(traffic, customer, &route, &service, &headers, &recorder).await?;
     }
     if headers.has_invalid_prompt_parts {
         traffic.log(Level::Warn, "parts of the prompt are invalid", |line| {
@@ -296,12 +310,12 @@
     traffic
         .retry_budget
         .borrow_mut()
-        .record_request(service, arrived_ms);
+        .record_request(&service, arrived_ms);
     Ok(Call {
         id: traffic.next_id(),
         catalog: catalog_mark,
         request_id: headers.request_id.clone(),
-        service: Arc::clone(service),
+        service,
         tier: route.tier,
         customer_tier: customer
             .as_ref()
@@ -323,8 +337,9 @@
         }),
         last_event_id: headers.last_event_id,
         resumes: headers.resumes.clone(),
-        stream_version: None,
+        stream_version,
         arrived_ms,
+        caller_deadline_at_ms: arrived_ms.saturating_add(remaining_ms),
         deadline_at_ms: arrived_ms + timeout_ms,
         tried_upstreams: Vec::new(),
         may_have_run: false,
@@ -334,6 +349,27 @@
     })
 }
 
+/// Chooses the service of a request. Returns it with the version that is needed there, if the request
+/// resumes a stream.
+async fn choose_service(
+    traffic: &TrafficState,
+    headers: &CallerHeaders,
+    route: &Route,
+    customer: Option<&Arc<Customer>>,
+) -> Result<(Arc<str>, Option<Arc<str>>), Refusal> {
+    let origin = traffic
+        .find_resumed_origin(headers, route, customer)
+        .await?;
+    if let Some(origin) = origin {
+        return Ok((origin.service, Some(origin.version)));
+    }
+    let service = route.service_for(rand::random()).ok_or_else(|| {
+        let id = headers.request_id.as_ref();
+        Refusal::new(StatusCode::SERVICE_UNAVAILABLE, "route has no service", id)
+    })?;
+    Ok((Arc::clone(service), None))
+}
+
 fn fingerprint_input<'a>(
     method: &'a Method,
     uri: &'a Uri,
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -30,6 +30,7 @@
 use crate::direct::request::exchange::send;
 use crate::direct::request::pace::EventPace;
 use crate::direct::store_view::directory::Upstream;
+use crate::direct::streams::origin::StreamOrigin;
 use crate::direct::traffic::SlotLease;
 use crate::direct::traffic::SlotResult;
 use crate::direct::traffic::TrafficState;
@@ -317,6 +318,11 @@
                 self.began_at = Some(Arc::clone(upstream));
                 let version = &mut self.call.stream_version;
                 version.get_or_insert_with(|| Arc::clone(&upstream.version));
+                let origin = StreamOrigin {
+                    service: Arc::clone(&upstream.service),
+                    version: Arc::clone(&upstream.version),
+                };
+                self.traffic.record_stream_origin(&self.call, origin);
                 self.pace.start(now);
                 let since = self.traffic.instant_at(source.lease.acquired_at_ms());
                 let after_ms = millis(now - since);
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -449,6 +449,7 @@
         traffic.detect_replaced_upstreams(&upstreams);
         traffic.rollouts.borrow_mut().set_upstreams(&upstreams);
         traffic.record_listed_leaving(&snapshot.leaving);
+        traffic.record_listed_versions(&snapshot.versions);
         traffic.update_eligible_upstreams();
         traffic.grant_slots();
         traffic.configured.notify_waiters();
@@ -462,6 +463,7 @@
         sleep(SWEEP_PERIOD).await;
         traffic.maintain_quarantine();
         traffic.maintain_notices();
+        traffic.stream_origins.borrow_mut().expire(traffic.now_ms());
         let dispatcher = traffic.dispatcher.borrow();
         traffic
             .connection_pool
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -234,16 +234,30 @@
 /// ```
 #[must_use]
 pub fn owner(name_hash: u32, entries: impl IntoIterator<Item = SocketAddr>) -> Option<SocketAddr> {
-    entries.into_iter().max_by_key(|entry| {
-        let seed = u64::from(name_hash);
-        let SocketAddr::V4(entry) = entry else {
-            return 0;
-        };
-        let ip = entry.ip().octets();
-        let port = entry.port().to_be_bytes();
-        let bytes = [ip[0], ip[1], ip[2], ip[3], port[0], port[1]];
-        twox_hash::XxHash64::oneshot(seed, &bytes)
-    })
+    let seed = u64::from(name_hash);
+    entries
+        .into_iter()
+        .max_by_key(|entry| owner_weight(seed, *entry))
+}
+
+/// Returns the weight of an entry among those that may own something with this hash; the highest one
+/// owns it.
+///
+/// ```
+/// use sardinewood::direct::sharing::admission::owner_weight;
+///
+/// let one = "10.0.0.1:7".parse().unwrap();
+/// assert_ne!(owner_weight(1, one), owner_weight(2, one));
+/// ```
+#[must_use]
+pub fn owner_weight(seed: u64, entry: SocketAddr) -> u64 {
+    let SocketAddr::V4(entry) = entry else {
+        return 0;
+    };
+    let ip = entry.ip().octets();
+    let port = entry.port().to_be_bytes();
+    let bytes = [ip[0], ip[1], ip[2], ip[3], port[0], port[1]];
+    twox_hash::XxHash64::oneshot(seed, &bytes)
 }
 
 /// Grants slots at the upstreams whose admission queues this entry owns. It counts slots at all
--- a/lib/src/direct/store_view/catalog.rs
+++ b/lib/src/direct/store_view/catalog.rs
@@ -109,6 +109,52 @@
         }
         None
     }
+
+    /// Returns the service of all requests, if the route has only one.
+    ///
+    /// ```
+    /// # use sardinewood::direct::store_view::catalog::{RetryPolicy, Route, WeightedService};
+    /// # let route = Route { name: "r".into(), path_prefix: "/a/".into(), retry_policy: RetryPolicy::Safe,
+    /// #     timeout_ms: 1, objective_ms: 1, tier: 0, max_upstreams: 1, allows_anonymous: true, gap_target_ms: None, caller_patience_ms: None,
+    /// #     services: vec![WeightedService { service: "x".into(), weight: 9 }] };
+    /// assert_eq!(&**route.only_service().unwrap(), "x");
+    /// ```
+    #[must_use]
+    pub fn only_service(&self) -> Option<&Arc<str>> {
+        match self.services.as_slice() {
+            [only] => Some(&only.service),
+            _ => None,
+        }
+    }
+
+    /// Returns whether the route has a service, whatever its weight.
+    ///
+    /// ```
+    /// # use sardinewood::direct::store_view::catalog::{RetryPolicy, Route, WeightedService};
+    /// # let route = Route { name: "r".into(), path_prefix: "/a/".into(), retry_policy: RetryPolicy::Safe,
+    /// #     timeout_ms: 1, objective_ms: 1, tier: 0, max_upstreams: 1, allows_anonymous: true, gap_target_ms: None, caller_patience_ms: None,
+    /// #     services: vec![WeightedService { service: "x".into(), weight: 9 }] };
+    /// assert!(route.leads_to("x") && !route.leads_to("y"));
+    /// ```
+    #[must_use]
+    pub fn leads_to(&self, service: &str) -> bool {
+        let mut services = self.services.iter();
+        services.any(|weighted| *weighted.service == *service)
+    }
+
+    /// Returns whether callers may take up a stream of the route where it broke.
+    ///
+    /// ```
+    /// # use sardinewood::direct::store_view::catalog::{RetryPolicy, Route, WeightedService};
+    /// # let route = Route { name: "r".into(), path_prefix: "/a/".into(), retry_policy: RetryPolicy::Safe,
+    /// #     timeout_ms: 1, objective_ms: 1, tier: 0, max_upstreams: 1, allows_anonymous: true, gap_target_ms: None, caller_patience_ms: None,
+    /// #     services: vec![WeightedService { service: "x".into(), weight: 9 }] };
+    /// assert!(!route.is_resumable());
+    /// ```
+    #[must_use]
+    pub fn is_resumable(&self) -> bool {
+        matches!(self.retry_policy, RetryPolicy::Stream { resumable: true })
+    }
 }
 
 /// Quota of a customer, in tokens or in requests.
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -5,9 +5,11 @@
 use std::sync::Arc;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::direct::store_view::departures::Departure;
 use crate::direct::store_view::departures::Departures;
+use crate::direct::streams::version_history::ServiceVersion;
 use crate::store::position::StorePosition;
 
 /// Time for which an upstream that disappeared around an outage of the store is still used. Live
@@ -491,6 +493,19 @@
         self.entries.values().filter_map(due_ms).min()
     }
 
+    /// Returns the versions of all listed upstreams, also of those that leave.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::store_view::directory::Directory::default().versions().is_empty());
+    /// ```
+    #[must_use]
+    pub fn versions(&self) -> IndexSet<ServiceVersion> {
+        let upstreams = self.entries.values().map(|entry| &entry.upstream);
+        upstreams
+            .map(|upstream| (Arc::clone(&upstream.service), Arc::clone(&upstream.version)))
+            .collect()
+    }
+
     /// Returns the upstreams that accept new requests.
     ///
     /// ```
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -29,6 +29,7 @@
 use crate::direct::store_view::directory::PutEffect;
 use crate::direct::store_view::directory::RemoveEffect;
 use crate::direct::store_view::directory::Upstream;
+use crate::direct::streams::version_history::ServiceVersion;
 use crate::findings::Findings;
 use crate::logging::Level;
 use crate::logging::Line;
@@ -65,6 +66,8 @@
     pub upstreams: Option<Arc<[Arc<Upstream>]>>,
     /// Upstreams that have announced their end in the list.
     pub leaving: Arc<[LeavingUpstream]>,
+    /// Versions of all listed upstreams, also of those that leave.
+    pub versions: Arc<IndexSet<ServiceVersion>>,
     /// Revisions of the catalog and of the list of upstreams.
     pub revisions: Revisions,
 }
@@ -524,6 +527,7 @@
                 .is_listed
                 .then(|| self.directory.usable().cloned().collect()),
             leaving: self.directory.leaving().into(),
+            versions: Arc::new(self.directory.versions()),
             revisions: self.revisions,
         }
     }
--- /dev/null
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -0,0 +1,362 @@
+//! Drives [`streams`]: tells other entries where streams began, and finds out where a stream began that
+//! a caller takes up.
+//!
+//! [`streams`]: crate::direct::streams
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use http::StatusCode;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
+use serde_json::json;
+use tokio::sync::mpsc;
+use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
+
+use crate::direct::membership::peer_message::PeerMessage;
+use crate::direct::placement::job::MIN_RETRY_AFTER_MS;
+use crate::direct::placement::slot_search::REPLY_TIMEOUT_MS;
+use crate::direct::request::call::Call;
+use crate::direct::request::headers::CallerHeaders;
+use crate::direct::request::refusal::Refusal;
+use crate::direct::request::refusal::request_id_text;
+use crate::direct::sharing::admission::PeerRequestId;
+use crate::direct::store_view::catalog::Customer;
+use crate::direct::store_view::catalog::Route;
+use crate::direct::streams::origin::OriginRecord;
+use crate::direct::streams::origin::OriginReply;
+use crate::direct::streams::origin::OriginRequest;
+use crate::direct::streams::origin::StreamKey;
+use crate::direct::streams::origin::StreamOrigin;
+use crate::direct::streams::origin_records;
+use crate::direct::streams::version_history::ServiceVersion;
+use crate::direct::traffic::TrafficState;
+use crate::logging::Level;
+
+/// How long all entries are waited for, once those that keep the record have not told the origin.
+const ALL_REPLIES_TIMEOUT_MS: u64 = 120;
+/// Streams a second for which all entries are asked. Callers that name streams which never were would
+/// otherwise make an entry send hundreds of datagrams for each.
+const MAX_ASKED_OF_ALL_PER_S: u32 = 20;
+/// Records in one message. Each takes some 40 bytes with names of usual length.
+const MAX_RECORDS_PER_MESSAGE: usize = 12;
+
+/// Body of the response to a caller whose stream can't be resumed.
+const ORIGIN_UNKNOWN: &str = "version of the resumed stream is unknown";
+const VERSION_GONE: &str = "no upstream of the resumed stream's version";
+
+/// Questions about streams' origins that wait for replies.
+#[derive(Debug, Default)]
+pub struct PendingOriginRequests {
+    replies: RefCell<IndexMap<PeerRequestId, UnboundedSender<OriginReply>>>,
+    /// The second, and the streams in it for which all entries were asked.
+    asked_of_all: Cell<(u64, u32)>,
+}
+
+impl PendingOriginRequests {
+    /// Returns whether all entries may be asked about one more stream now, and counts it.
+    fn try_ask_all(&self, now_ms: u64) -> bool {
+        const MS_PER_S: u64 = 1_000;
+        let second = now_ms / MS_PER_S;
+        let (counted_second, count) = self.asked_of_all.get();
+        let count = if counted_second == second { count } else { 0 };
+        self.asked_of_all.set((second, count + 1));
+        count < MAX_ASKED_OF_ALL_PER_S
+    }
+}
+
+/// A question that waits for replies; it is removed from [`PendingOriginRequests`] when dropped.
+struct PendingRequest<'a> {
+    id: PeerRequestId,
+    pending: &'a PendingOriginRequests,
+}
+
+impl Drop for PendingRequest<'_> {
+    fn drop(&mut self) {
+        self.pending.replies.borrow_mut().swap_remove(&self.id);
+    }
+}
+
+/// How the origin of a stream became known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum OriginSource {
+    /// This entry has its record.
+    OwnRecord,
+    /// The service has had one version only for as long as a stream can last.
+    OnlyVersion,
+    /// Another entry has told it.
+    Peer,
+}
+
+impl OriginSource {
+    fn name(self) -> &'static str {
+        match self {
+            Self::OwnRecord => "own_record",
+            Self::OnlyVersion => "only_version",
+            Self::Peer => "peer",
+        }
+    }
+}
+
+impl TrafficState {
+    /// Applies the versions of all listed upstreams. Once a service has another version, the entries
+    /// that keep records are told of the streams that began before.
+    pub fn record_listed_versions(&self, listed: &IndexSet<ServiceVersion>) {
+        let now_ms = self.now_ms();
+        let changed = self.version_history.borrow_mut().update(listed, now_ms);
+        for service in changed {
+            let records = self.stream_origins.borrow().of_service(&service, now_ms);
+            self.send_origin_records(records);
+        }
+    }
+
+    /// Records that the list of upstreams was the newest one at a time.
+    pub fn confirm_list(&self, at_ms: u64) {
+        self.list_confirmed_at_ms
+            .set(self.list_confirmed_at_ms.get().max(Some(at_ms)));
+    }
+
+    /// Returns the only version that a service has had for as long as a stream of a route can last. An
+    /// entry whose list may be old does not know.
+    fn only_version(&self, service: &str, longest_ms: u64) -> Option<Arc<str>> {
+        let now_ms = self.now_ms();
+        let age_ms = now_ms.saturating_sub(self.list_confirmed_at_ms.get()?);
+        let history = self.version_history.borrow();
+        (age_ms <= self.config_bound_ms.get())
+            .then(|| history.only_version(service, longest_ms, now_ms))?
+    }
+
+    /// Records where a stream began whose first event is relayed now, for callers that take it up.
+    pub fn record_stream_origin(&self, call: &Call, origin: StreamOrigin) {
+        let Some(key) = call.stream_key().filter(|_| call.route.is_resumable()) else {
+            return;
+        };
+        let now_ms = self.now_ms();
+        let until_ms = call.caller_deadline_at_ms;
+        let is_needed = call.route.only_service().is_none()
+            || self
+                .only_version(&origin.service, call.route.timeout_ms)
+                .is_none();
+        let mut records = self.stream_origins.borrow_mut();
+        records.insert(key, origin.clone(), until_ms, now_ms);
+        drop(records);
+        if is_needed {
+            let remaining_ms = until_ms.saturating_sub(now_ms);
+            self.send_origin_records(vec![OriginRecord {
+                key,
+                origin,
+                remaining_ms: u32::try_from(remaining_ms).unwrap_or(u32::MAX),
+            }]);
+        }
+    }
+
+    /// Tells records to the entries that keep them.
+    fn send_origin_records(&self, records: Vec<OriginRecord>) {
+        let mut by_owner: IndexMap<SocketAddr, Vec<OriginRecord>> = IndexMap::new();
+        for record in records {
+            for owner in self.record_owners(record.key) {
+                by_owner.entry(owner).or_default().push(record.clone());
+            }
+        }
+        for (owner, records) in by_owner {
+            for records in records.chunks(MAX_RECORDS_PER_MESSAGE) {
+                self.send_to_peer(owner, &PeerMessage::StreamOrigins(records.to_vec()));
+            }
+        }
+    }
+
+    /// Returns the other entries that keep a stream's record.
+    fn record_owners(&self, key: StreamKey) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        let entries = peers.record_candidates(self.is_stopping.get(), self.now_ms());
+        let mut owners = origin_records::record_owners(key, entries);
+        owners.retain(|owner| *owner != peers.own_address());
+        owners
+    }
+
+    /// Keeps records that a peer has told.
+    pub fn keep_origin_records(&self, records: Vec<OriginRecord>) {
+        let now_ms = self.now_ms();
+        let mut kept = self.stream_origins.borrow_mut();
+        for record in records {
+            let until_ms = now_ms + u64::from(record.remaining_ms);
+            kept.insert(record.key, record.origin, until_ms, now_ms);
+        }
+    }
+
+    fn recorded_origin(&self, key: StreamKey) -> Option<StreamOrigin> {
+        let records = self.stream_origins.borrow();
+        records.get(key, self.now_ms()).cloned()
+    }
+
+    /// Replies to a peer that asks where a stream began.
+    pub fn handle_origin_request(&self, from: SocketAddr, request: &OriginRequest) {
+        let recorded = self.recorded_origin(request.key);
+        let only_version = || {
+            let service = request.service.as_ref()?;
+            self.only_version(service, request.longest_ms.into())
+        };
+        let reply = match (recorded, only_version()) {
+            (Some(origin), _) => OriginReply::Recorded(origin),
+            (None, Some(version)) => OriginReply::OnlyVersion(version),
+            (None, None) => OriginReply::Unknown,
+        };
+        let request_id = request.id;
+        self.send_to_peer(from, &PeerMessage::OriginReply { request_id, reply });
+    }
+
+    /// Passes a peer's reply to the request that waits for it.
+    pub fn handle_origin_reply(&self, request_id: PeerRequestId, reply: OriginReply) {
+        let pending = self.pending_origins.replies.borrow();
+        if let Some(replies) = pending.get(&request_id) {
+            // The receiver exists as long as the question is pending.
+            let _ = replies.send(reply);
+        }
+    }
+
+    /// Finds out where a stream began that a caller takes up; none if the request begins a stream.
+    ///
+    /// # Errors
+    ///
+    /// Returns the refusal if the origin can't be found out, or none of its upstreams is left. The
+    /// caller may begin the stream anew at once.
+    pub async fn find_resumed_origin(
+        &self,
+        headers: &CallerHeaders,
+        route: &Route,
+        customer: Option<&Arc<Customer>>,
+    ) -> Result<Option<StreamOrigin>, Refusal> {
+        let Some(last_event_id) = headers.last_event_id.filter(|id| *id > 0) else {
+            return Ok(None);
+        };
+        if !route.is_resumable() {
+            return Ok(None);
+        }
+        let first_attempt = headers.resumes.as_ref();
+        let found = self.find_origin(first_attempt, route, customer).await;
+        let found = found.filter(|(origin, _)| route.leads_to(&origin.service));
+        let refusal = match &found {
+            None => Some(ORIGIN_UNKNOWN),
+            Some((origin, _)) if !self.has_upstream_of(origin) => Some(VERSION_GONE),
+            Some(_) => None,
+        };
+        let result = found
+            .as_ref()
+            .map_or("unknown", |(_, source)| source.name());
+        let label = refusal.unwrap_or(result);
+        self.metrics.taken_up.with_label_values(&[label]).inc();
+        let inputs = json!({
+            "resumes": request_id_text(first_attempt),
+            "last_event": last_event_id,
+            "known_by": result,
+            "service": found.as_ref().map(|(origin, _)| &origin.service),
+            "version": found.as_ref().map(|(origin, _)| &origin.version),
+        });
+        let id = headers.request_id.as_ref();
+        if let Some(reason) = refusal {
+            let refusal = Refusal::new(StatusCode::SERVICE_UNAVAILABLE, reason, id);
+            return Err(refusal.retry_after(MIN_RETRY_AFTER_MS).with_inputs(inputs));
+        }
+        self.log(Level::Info, "caller takes a stream up", |line| {
+            line.field("request", request_id_text(id))
+                .field("inputs", inputs)
+        });
+        Ok(found.map(|(origin, _)| origin))
+    }
+
+    fn has_upstream_of(&self, origin: &StreamOrigin) -> bool {
+        let dispatcher = self.dispatcher.borrow();
+        dispatcher.has_version(&origin.service, &origin.version)
+    }
+
+    async fn find_origin(
+        &self,
+        first_attempt: Option<&http::HeaderValue>,
+        route: &Route,
+        customer: Option<&Arc<Customer>>,
+    ) -> Option<(StreamOrigin, OriginSource)> {
+        let customer = customer.map(|customer| &*customer.name);
+        let key =
+            first_attempt.map(|attempt| StreamKey::new(customer, &route.name, attempt.as_bytes()));
+        if let Some(origin) = key.and_then(|key| self.recorded_origin(key)) {
+            return Some((origin, OriginSource::OwnRecord));
+        }
+        let service = route.only_service();
+        let only_version = service.and_then(|service| {
+            let version = self.only_version(service, route.timeout_ms)?;
+            let service = Arc::clone(service);
+            Some(StreamOrigin { service, version })
+        });
+        if let Some(origin) = only_version {
+            return Some((origin, OriginSource::OnlyVersion));
+        }
+        let origin = self.ask_origin(key?, route).await?;
+        Some((origin, OriginSource::Peer))
+    }
+
+    /// Asks the entries that keep a stream's record where it began, and then all others: the record may
+    /// have been lost on its way, or have been told to entries that have ended since.
+    async fn ask_origin(&self, key: StreamKey, route: &Route) -> Option<StreamOrigin> {
+        let request = OriginRequest {
+            id: PeerRequestId::from_random(rand::random()),
+            key,
+            service: route.only_service().cloned(),
+            longest_ms: u32::try_from(route.timeout_ms).unwrap_or(u32::MAX),
+        };
+        let pending = PendingRequest {
+            id: request.id,
+            pending: &self.pending_origins,
+        };
+        let (sender, mut replies) = mpsc::unbounded_channel();
+        let waiting = &self.pending_origins.replies;
+        waiting.borrow_mut().insert(pending.id, sender);
+        let owners = self.record_owners(key);
+        let found = self
+            .ask_entries(&owners, &request, REPLY_TIMEOUT_MS, &mut replies)
+            .await;
+        if found.is_some() || !self.pending_origins.try_ask_all(self.now_ms()) {
+            return found;
+        }
+        let others = self.other_record_candidates();
+        self.ask_entries(&others, &request, ALL_REPLIES_TIMEOUT_MS, &mut replies)
+            .await
+    }
+
+    /// Returns all other entries that may have records.
+    fn other_record_candidates(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.borrow();
+        // This entry is left out as if it were leaving.
+        let candidates = peers.record_candidates(true, self.now_ms());
+        candidates.map(|(entry, _)| entry).collect()
+    }
+
+    /// Asks some entries, and returns the first origin that one of them knows.
+    async fn ask_entries(
+        &self,
+        entries: &[SocketAddr],
+        request: &OriginRequest,
+        timeout_ms: u64,
+        replies: &mut UnboundedReceiver<OriginReply>,
+    ) -> Option<StreamOrigin> {
+        self.send_to_peers(entries, &PeerMessage::OriginRequest(request.clone()));
+        let until = Instant::now() + Duration::from_millis(timeout_ms);
+        let mut unknown = 0;
+        while unknown < entries.len() {
+            match timeout_at(until, replies.recv()).await.ok()?? {
+                OriginReply::Recorded(origin) => return Some(origin),
+                OriginReply::OnlyVersion(version) => {
+                    let service = request.service.clone()?;
+                    return Some(StreamOrigin { service, version });
+                }
+                OriginReply::Unknown => unknown += 1,
+            }
+        }
+        None
+    }
+}
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -59,6 +59,9 @@
 use crate::direct::store_view::freshness::CatalogMark;
 use crate::direct::store_view::freshness::DEFAULT_CONFIG_BOUND_MS;
 use crate::direct::store_view::freshness::FreshnessStep;
+use crate::direct::stream_origin_driver::PendingOriginRequests;
+use crate::direct::streams::origin_records::OriginRecords;
+use crate::direct::streams::version_history::VersionHistory;
 use crate::logging::Level;
 use crate::logging::Line;
 
@@ -128,6 +131,14 @@
     pub suspects: RefCell<SuspectRequests>,
     /// Limits, backoffs and leave notices that upstreams announced.
     pub notices: RefCell<UpstreamNotices>,
+    /// Where the streams began that callers may take up.
+    pub stream_origins: RefCell<OriginRecords>,
+    /// Questions to other entries about such streams.
+    pub pending_origins: PendingOriginRequests,
+    /// Versions of each service's software that were listed.
+    pub version_history: RefCell<VersionHistory>,
+    /// When the list of upstreams was last known to be the newest one.
+    pub list_confirmed_at_ms: Cell<Option<u64>>,
     /// Rollouts that move services to other versions.
     pub rollouts: RefCell<RolloutTable>,
     /// Notified when a rollout has advanced beyond what this entry has acted on.
@@ -308,6 +319,10 @@
             recent_successes: RefCell::new(RecentSuccesses::new(rand::random())),
             suspects: RefCell::default(),
             notices: RefCell::default(),
+            stream_origins: RefCell::default(),
+            pending_origins: PendingOriginRequests::default(),
+            version_history: RefCell::default(),
+            list_confirmed_at_ms: Cell::default(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
             rate_wakeup_at_ms: Cell::default(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -36,6 +36,7 @@
 mod test_direct_slot_search;
 mod test_direct_spread;
 mod test_direct_store_follower;
+mod test_direct_streams;
 mod test_direct_suspect_requests;
 mod test_entry_state;
 mod test_frames;
