rollout, dispatch: streams that a version has begun go on there after a roll-out has moved on

Resumable streams at the version that a roll-out leaves were moved to the other one in the middle, and, since they may not be, would have had nowhere to go: the old version's upstreams got nothing at all any more, and were stopped at `completed`.

A roll-out decides for a version, and a stream needs its own.

Upstreams of a version that gets no new requests take the streams that it has begun, until they leave: the dispatcher knows what each upstream takes (Intake), and a slot, its use and the request are checked against it. A stream counts as a request that can't be moved, so `completed` waits for it as it does for others. A rejected version is the exception, as what reaches it is bounded by a rule of its own.

--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::direct::placement::shared_prefix::CachedPrefix;
 use crate::direct::placement::shared_prefix::Candidate;
 use crate::direct::placement::shared_prefix::SharedPrefix;
+use crate::direct::placement::tracked_upstream::Intake;
 use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::placement::tracked_upstream::TrackedUpstream;
 use crate::direct::store_view::directory::Upstream;
@@ -168,15 +169,26 @@
             .filter(|report| report.requests > 0 || report.condition == UpstreamCondition::Replaced)
     }
 
-    /// Sets the instances that only accept canary requests.
+    /// Sets the instances that take canary requests, and those that take nothing but the streams that
+    /// their version has begun.
     ///
     /// ```
     /// # use sardinewood::direct::placement::dispatch::Dispatcher;
-    /// Dispatcher::default().set_canaries(&["i-1".into()].into());
+    /// Dispatcher::default().set_intakes(&["i-1".into()].into(), &["i-2".into()].into());
     /// ```
-    pub fn set_canaries(&mut self, canaries: &IndexSet<Arc<str>>) {
+    pub fn set_intakes(
+        &mut self,
+        canaries: &IndexSet<Arc<str>>,
+        for_begun_streams: &IndexSet<Arc<str>>,
+    ) {
         for (instance, tracked) in &mut self.upstreams {
-            tracked.is_canary_only = canaries.contains(instance);
+            tracked.intake = if canaries.contains(instance) {
+                Intake::Canaries
+            } else if for_begun_streams.contains(instance) {
+                Intake::BegunStreamsOnly
+            } else {
+                Intake::New
+            };
         }
     }
 
@@ -256,9 +268,30 @@
     /// ```
     #[must_use]
     pub fn is_available(&self, instance: &str, now_ms: u64) -> bool {
-        self.upstreams
-            .get(instance)
-            .is_some_and(|tracked| tracked.is_listed && tracked.accepts_requests(now_ms))
+        self.is_available_for(None, instance, now_ms)
+    }
+
+    /// Returns whether an upstream can be sent a request now that needs a version, if it resumes a
+    /// stream.
+    ///
+    /// ```
+    /// # let dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
+    /// assert!(!dispatcher.is_available_for(Some(&"v1".into()), "i-1", 0));
+    /// ```
+    #[must_use]
+    pub fn is_available_for(
+        &self,
+        stream_version: Option<&Arc<str>>,
+        instance: &str,
+        now_ms: u64,
+    ) -> bool {
+        self.upstreams.get(instance).is_some_and(|tracked| {
+            let serves = match stream_version {
+                Some(version) => tracked.upstream.version == *version,
+                None => tracked.intake != Intake::BegunStreamsOnly,
+            };
+            serves && tracked.is_listed && tracked.accepts_requests(now_ms)
+        })
     }
 
     /// Returns whether a service has an upstream of a version of its software.
@@ -281,7 +314,7 @@
     pub fn listed_count(&self) -> usize {
         self.upstreams
             .values()
-            .filter(|tracked| tracked.is_listed)
+            .filter(|tracked| tracked.is_listed && tracked.intake != Intake::BegunStreamsOnly)
             .count()
     }
 
@@ -294,7 +327,8 @@
     #[must_use]
     pub fn service_counts(&self, service: &str, now_ms: u64) -> ServiceCounts {
         let mut counts = ServiceCounts::default();
-        for tracked in self.upstreams_of(service) {
+        let serving = self.upstreams_of(service);
+        for tracked in serving.filter(|tracked| tracked.intake != Intake::BegunStreamsOnly) {
             counts.listed += 1;
             counts.working += usize::from(tracked.is_working(now_ms));
             counts.backed_off += usize::from(tracked.is_backing_off(now_ms));
@@ -308,7 +342,8 @@
         self.upstreams_of(&job.service)
             .filter(move |tracked| match &job.stream_version {
                 Some(version) => tracked.upstream.version == *version,
-                None => tracked.is_canary_only == job.is_canary,
+                None if job.is_canary => tracked.intake == Intake::Canaries,
+                None => tracked.intake == Intake::New,
             })
     }
 
@@ -498,7 +533,23 @@
     /// assert!(sardinewood::direct::placement::dispatch::Dispatcher::default().occupy_slot("i-1", 0).is_none());
     /// ```
     pub fn occupy_slot(&mut self, instance: &str, now_ms: u64) -> Option<Arc<Upstream>> {
-        if !self.is_available(instance, now_ms) {
+        self.occupy_slot_for(None, instance, now_ms)
+    }
+
+    /// Counts a request that starts at an upstream and needs a version, if it resumes a stream. Returns
+    /// the upstream, or `None` if it is not available.
+    ///
+    /// ```
+    /// # let mut dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
+    /// assert!(dispatcher.occupy_slot_for(Some(&"v1".into()), "i-1", 0).is_none());
+    /// ```
+    pub fn occupy_slot_for(
+        &mut self,
+        stream_version: Option<&Arc<str>>,
+        instance: &str,
+        now_ms: u64,
+    ) -> Option<Arc<Upstream>> {
+        if !self.is_available_for(stream_version, instance, now_ms) {
             return None;
         }
         let tracked = self.upstreams.get_mut(instance)?;
--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -289,10 +289,11 @@
 
     /// Cancels slot requests for upstreams that are no longer available, so that others are asked.
     fn cancel_unavailable(&mut self, dispatcher: &Dispatcher, now_ms: u64) -> Vec<SearchStep> {
+        let version = self.job.stream_version.as_ref();
         let (available, unavailable): (Vec<OpenSlotRequest>, Vec<OpenSlotRequest>) =
             std::mem::take(&mut self.open_requests)
                 .into_iter()
-                .partition(|open| dispatcher.is_available(&open.instance, now_ms));
+                .partition(|open| dispatcher.is_available_for(version, &open.instance, now_ms));
         self.open_requests = available;
         unavailable.into_iter().map(cancel).collect()
     }
--- a/lib/src/direct/placement/tracked_upstream.rs
+++ b/lib/src/direct/placement/tracked_upstream.rs
@@ -72,6 +72,17 @@
     }
 }
 
+/// Which requests an upstream takes, besides the streams that its version has begun.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Intake {
+    /// New requests.
+    New,
+    /// Canary requests.
+    Canaries,
+    /// None.
+    BegunStreamsOnly,
+}
+
 /// An upstream and this entry's state for it.
 #[derive(Clone, Debug)]
 pub struct TrackedUpstream {
@@ -81,8 +92,8 @@
     pub hash: u32,
     /// Whether the upstream accepts new requests.
     pub is_listed: bool,
-    /// Whether the upstream only accepts canary requests.
-    pub is_canary_only: bool,
+    /// Which requests the upstream takes.
+    pub intake: Intake,
     /// Whether the upstream limits its request rate, so that requests start only with a grant of
     /// its admission queue.
     pub is_limited: bool,
@@ -111,7 +122,7 @@
             upstream: Arc::clone(upstream),
             hash: upstream_hash(&upstream.instance),
             is_listed: true,
-            is_canary_only: false,
+            intake: Intake::New,
             is_limited: false,
             backoff_until_ms: 0,
             running: 0,
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -226,10 +226,11 @@
     // The upstream may have asked for a backoff, or announced that it leaves, while the connection
     // was being opened.
     let instance = &lease.upstream.instance;
+    let version = call.stream_version.as_ref();
     if !traffic
         .dispatcher
         .borrow()
-        .is_available(instance, traffic.now_ms())
+        .is_available_for(version, instance, traffic.now_ms())
     {
         keep_connection(traffic, &lease, connection, None);
         return AttemptResult::NotRun;
--- a/lib/src/direct/rollout/table.rs
+++ b/lib/src/direct/rollout/table.rs
@@ -13,6 +13,7 @@
 use crate::direct::rollout::message::RolloutState;
 use crate::direct::rollout::object::Rollout;
 use crate::direct::rollout::object::RolloutId;
+use crate::direct::rollout::object::RolloutStatus;
 use crate::direct::rollout::outcome_counts::OTHER_UPSTREAMS;
 use crate::direct::rollout::outcome_counts::OutcomeClass;
 use crate::direct::rollout::progress::FleetSnapshot;
@@ -42,6 +43,8 @@
     pub upstreams: Vec<Arc<Upstream>>,
     /// Instances of the upstreams among them that take only canary requests.
     pub canaries: IndexSet<Arc<str>>,
+    /// Upstreams that take nothing but the streams that their version has begun.
+    pub for_begun_streams: Vec<Arc<Upstream>>,
 }
 
 /// How a run ended at its upstream, as far as the version is judged by it.
@@ -374,7 +377,7 @@
         if !self.tracks_versions() {
             return EligibleUpstreams {
                 upstreams: self.upstreams.clone(),
-                canaries: IndexSet::new(),
+                ..EligibleUpstreams::default()
             };
         }
         let mut eligible = EligibleUpstreams::default();
@@ -403,6 +406,12 @@
                 .filter(|up| !is_new(up) && serving == Some(&up.version))
                 .cloned()
                 .collect();
+            eligible
+                .for_begun_streams
+                .extend(upstreams_for_begun_streams(
+                    &all,
+                    self.rollouts.get(&service),
+                ));
             let control = old.iter().take(CONTROL_UPSTREAMS);
             self.control
                 .extend(control.map(|up| upstream_hash(&up.instance)));
@@ -419,6 +428,13 @@
                 }
             }
         }
+        let chosen: IndexSet<Arc<str>> = eligible
+            .upstreams
+            .iter()
+            .map(|upstream| Arc::clone(&upstream.instance))
+            .collect();
+        let begun = &mut eligible.for_begun_streams;
+        begun.retain(|upstream| !chosen.contains(&upstream.instance));
         eligible
     }
 
@@ -528,6 +544,23 @@
     }
 }
 
+/// Returns the upstreams of a service at which streams may go on that began there: all but those of a
+/// version that was rejected, which gets nothing more.
+fn upstreams_for_begun_streams<'a>(
+    all: &'a [Arc<Upstream>],
+    progress: Option<&'a RolloutProgress>,
+) -> impl Iterator<Item = Arc<Upstream>> + 'a {
+    let rejected = progress.filter(|progress| {
+        progress.phase() == RolloutPhase::Rejected || progress.status() == RolloutStatus::Reverted
+    });
+    let is_rejected = move |upstream: &&Arc<Upstream>| {
+        rejected.is_some_and(|progress| progress.rollout().id.to == upstream.version)
+    };
+    all.iter()
+        .filter(move |upstream| !is_rejected(upstream))
+        .cloned()
+}
+
 /// Returns the service and the version of an upstream.
 fn service_and_version(upstream: &Upstream) -> (Arc<str>, Arc<str>) {
     (Arc::clone(&upstream.service), Arc::clone(&upstream.version))
--- a/lib/src/direct/rollout_driver.rs
+++ b/lib/src/direct/rollout_driver.rs
@@ -343,6 +343,12 @@
     /// outage of the store, an upstream would get requests until it stops, and cut them off.
     pub fn update_eligible_upstreams(&self) {
         let mut eligible = self.rollouts.borrow_mut().eligible_upstreams();
+        let for_begun_streams: IndexSet<Arc<str>> = eligible
+            .for_begun_streams
+            .iter()
+            .map(|upstream| Arc::clone(&upstream.instance))
+            .collect();
+        eligible.upstreams.append(&mut eligible.for_begun_streams);
         let notices = self.notices.borrow();
         eligible
             .upstreams
@@ -350,7 +356,7 @@
         drop(notices);
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.set_upstreams(&eligible.upstreams);
-        dispatcher.set_canaries(&eligible.canaries);
+        dispatcher.set_intakes(&eligible.canaries, &for_begun_streams);
         drop(dispatcher);
         let slots = eligible
             .upstreams
@@ -372,7 +378,7 @@
         let target = self.rollouts.borrow_mut().choose_target(
             &call.service,
             &call.route.name,
-            !call.route.retry_policy.is_idempotent(),
+            !call.route.retry_policy.can_change_version(),
             self.now_ms(),
             rand::random(),
         );
@@ -394,7 +400,7 @@
 
     /// Records that a request goes to an upstream.
     pub fn record_version_dispatch(&self, call: &Call, lease: &mut SlotLease) {
-        let is_pinned = !call.route.retry_policy.is_idempotent();
+        let is_pinned = !call.route.retry_policy.can_change_version();
         let mut table = self.rollouts.borrow_mut();
         if !table.tracks_versions() {
             return;
--- a/lib/src/direct/slot_driver.rs
+++ b/lib/src/direct/slot_driver.rs
@@ -48,6 +48,8 @@
     /// Service that the request is sent to.
     pub service: Arc<str>,
     instance: Arc<str>,
+    /// Version that the request needs, if it resumes a stream.
+    stream_version: Option<Arc<str>>,
     /// Number of prompt tokens that the upstream is likely to have cached.
     cached_tokens: u32,
     owner: EntryRef,
@@ -100,6 +102,7 @@
             replies: self.replies.clone(),
             service: Arc::clone(&self.search.job.service),
             instance: Arc::clone(instance),
+            stream_version: self.search.job.stream_version.clone(),
             cached_tokens: self.search.job.cached_tokens(instance),
             owner,
         };
@@ -142,10 +145,11 @@
     fn start_without_grant(&self, instance: &Arc<str>) -> Option<SlotLease> {
         let traffic = &self.traffic;
         let now_ms = traffic.now_ms();
-        let upstream = traffic
-            .dispatcher
-            .borrow_mut()
-            .occupy_slot(instance, now_ms)?;
+        let upstream = traffic.dispatcher.borrow_mut().occupy_slot_for(
+            self.search.job.stream_version.as_ref(),
+            instance,
+            now_ms,
+        )?;
         traffic.log(
             Level::Warn,
             "admission queue did not reply; request started without a grant",
@@ -286,7 +290,8 @@
             .swap_remove(&request_id);
         let started = pending.and_then(|pending| {
             let mut dispatcher = self.dispatcher.borrow_mut();
-            let upstream = dispatcher.occupy_slot(&pending.instance, self.now_ms())?;
+            let version = pending.stream_version.as_ref();
+            let upstream = dispatcher.occupy_slot_for(version, &pending.instance, self.now_ms())?;
             Some((pending.replies, pending.cached_tokens, upstream))
         });
         match started {
--- a/lib/src/direct/store_view/catalog.rs
+++ b/lib/src/direct/store_view/catalog.rs
@@ -37,6 +37,20 @@
         matches!(self, Self::Safe | Self::Stream { resumable: true })
     }
 
+    /// Returns whether a request that runs can go on at another version of its upstream's software.
+    /// What two versions write of one stream does not fit together.
+    ///
+    /// ```
+    /// use sardinewood::direct::store_view::catalog::RetryPolicy;
+    ///
+    /// assert!(RetryPolicy::Safe.can_change_version());
+    /// assert!(!RetryPolicy::Stream { resumable: true }.can_change_version());
+    /// ```
+    #[must_use]
+    pub fn can_change_version(self) -> bool {
+        matches!(self, Self::Safe)
+    }
+
     /// Returns whether the answer is a stream of events.
     ///
     /// ```
--- a/lib/tests/test_direct_rollout.rs
+++ b/lib/tests/test_direct_rollout.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use indexmap::IndexSet;
 use sardinewood::direct::placement::dispatch::upstream_hash;
 use sardinewood::direct::rollout::exposure::ExposureBudget;
 use sardinewood::direct::rollout::exposure::ExposureLimit;
@@ -332,6 +333,33 @@
     );
 }
 
+/// Returns the versions whose upstreams take nothing but the streams that they have begun.
+fn versions_for_begun_streams(table: &mut RolloutTable) -> Vec<Arc<str>> {
+    let eligible = table.eligible_upstreams();
+    let begun = eligible.for_begun_streams.iter();
+    let versions: IndexSet<Arc<str>> = begun.map(|up| Arc::clone(&up.version)).collect();
+    versions.into_iter().collect()
+}
+
+/// Guards against streams that have nowhere to go on once a roll-out has moved on.
+#[test]
+fn eligible_upstreams_old_version_for_its_streams_after_the_shift() {
+    let mut table = table_with_rollout();
+    prove_new_version(&mut table);
+    table.step(&coordinator(&[]), 11_600);
+    assert_eq!(versions_used(&mut table), [("v2".into(), false)]);
+    assert_eq!(versions_for_begun_streams(&mut table), ["v1".into()]);
+}
+
+/// Guards against a rejected version that gets requests because it has begun streams.
+#[test]
+fn eligible_upstreams_rejected_version_gets_nothing() {
+    let mut table = table_with_rollout();
+    table.reject("pool", 1_000);
+    assert_eq!(versions_used(&mut table), [("v1".into(), false)]);
+    assert!(versions_for_begun_streams(&mut table).is_empty());
+}
+
 #[test]
 fn progress_pinned_request_at_old_waited_for() {
     // Guards against `completed` while a pinned request runs at the old version.
