soak: versions side by side, streams taken up elsewhere, late writes of leaving workers

The checker asks for one version a stream: that of the last run that began it before its caller had an event.

--- a/soak/src/callers.rs
+++ b/soak/src/callers.rs
@@ -11,6 +11,7 @@
 
 use platform_testkit::node;
 use reqwest::Client;
+use reqwest::RequestBuilder;
 use tokio::task::JoinHandle;
 use tokio::time::sleep;
 
@@ -26,6 +27,17 @@
 /// What ends a worker that runs it, where a run has such requests.
 pub const DEADLY: &[u8] = b"a body that no worker survives";
 
+/// How callers press on the entries.
+#[derive(Clone, Copy, Debug)]
+pub struct Load {
+    /// Callers at each entry.
+    pub callers_each: usize,
+    /// Whether one more at each entry sends what ends workers.
+    pub has_deadly: bool,
+    /// Whether callers take up broken streams at another entry.
+    pub takes_up_streams: bool,
+}
+
 /// Callers that run until they are told to stop.
 #[derive(Debug)]
 pub struct Callers {
@@ -37,19 +49,23 @@
 impl Callers {
     /// Starts so many callers at each entry, and one more there if workers are to end.
     #[must_use]
-    pub fn start(entries: &[SocketAddr], each: usize, has_deadly: bool) -> Self {
+    pub fn start(entries: &[SocketAddr], load: Load) -> Self {
         let requests = Arc::default();
         let is_over = Arc::new(AtomicBool::new(false));
         let numbers = Arc::new(AtomicU64::new(0));
         let tasks = entries
             .iter()
-            .flat_map(|entry| {
-                let ordinary = std::iter::repeat_n((*entry, false), each);
-                ordinary.chain(has_deadly.then_some((*entry, true)))
+            .enumerate()
+            .flat_map(|(number, entry)| {
+                let next = entries[(number + 1) % entries.len()];
+                let next = load.takes_up_streams.then_some(next);
+                let ordinary = std::iter::repeat_n((*entry, next, false), load.callers_each);
+                ordinary.chain(load.has_deadly.then_some((*entry, None, true)))
             })
-            .map(|(entry, is_deadly)| {
+            .map(|(entry, next_entry, is_deadly)| {
                 let caller = Caller {
                     entry,
+                    next_entry,
                     is_deadly,
                     requests: Arc::clone(&requests),
                     is_over: Arc::clone(&is_over),
@@ -81,6 +97,8 @@
 
 struct Caller {
     entry: SocketAddr,
+    /// The entry at which it takes up broken streams, if it does.
+    next_entry: Option<SocketAddr>,
     /// Whether all its requests have the body that ends workers.
     is_deadly: bool,
     requests: Arc<Mutex<Vec<Request>>>,
@@ -102,7 +120,9 @@
             let request = self
                 .call(&client, Kind::ALL[index], self.name(number))
                 .await;
-            self.requests.lock().expect("the records").push(request);
+            let taken_up = self.take_up(&client, &request).await;
+            let sent = std::iter::once(request).chain(taken_up);
+            self.requests.lock().expect("the records").extend(sent);
             sleep(PAUSE).await;
         }
     }
@@ -113,9 +133,28 @@
     }
 
     async fn call(&self, client: &Client, kind: Kind, id: String) -> Request {
-        let sent = Instant::now();
         let body = if self.is_deadly { DEADLY } else { b"" };
         let call = node::call(client, self.entry, kind.path(), &id, DEADLINE_MS).body(body);
+        self.send(call, kind, id, "").await
+    }
+
+    /// Takes a resumable stream up that has broken off after some events.
+    async fn take_up(&self, client: &Client, broken: &Request) -> Option<Request> {
+        let entry = self.next_entry.filter(|_| broken.kind == Kind::Resumable)?;
+        let Ended::BrokeOff { body } = &broken.ended else {
+            return None;
+        };
+        let whole = &body[..body.rfind("\n\n")? + 2];
+        let id = format!("{}-again", broken.id);
+        let call = node::call(client, entry, broken.kind.path(), &id, DEADLINE_MS)
+            .header("Last-Event-Id", whole.matches("\n\n").count())
+            .header("Resumes", &broken.id);
+        Some(self.send(call, broken.kind, id, whole).await)
+    }
+
+    /// Sends a request, and returns it with what its caller has then, beside what it had before.
+    async fn send(&self, call: RequestBuilder, kind: Kind, id: String, before: &str) -> Request {
+        let sent = Instant::now();
         let ended = match call.send().await {
             Err(_) => Ended::NoAnswer,
             Ok(mut answer) => {
@@ -128,7 +167,7 @@
                         Err(_) => break false,
                     }
                 };
-                let body = String::from_utf8_lossy(&body).into_owned();
+                let body = format!("{before}{}", String::from_utf8_lossy(&body));
                 if is_whole {
                     Ended::Answered { status, body }
                 } else {
--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -8,6 +8,7 @@
 use crate::record::Records;
 use crate::record::Request;
 use crate::record::Run;
+use crate::versions;
 
 /// Events of every stream.
 pub const EVENTS: u64 = 12;
@@ -59,6 +60,8 @@
     BeyondRest(usize),
     /// A configuration was not in force in time at so many entries.
     LateConfiguration(usize),
+    /// A stream went on at another version than the one that began it.
+    MixedVersions(String),
     /// States of an order that do not follow each other, or none at its end.
     WrongStates(Vec<String>),
     /// After the last fault too few requests were served.
@@ -97,6 +100,8 @@
             broken.push(Broken::AfterLeaving(run.id.clone()));
         }
     }
+    let mixed = versions::mixed_streams(&records.runs).into_iter();
+    broken.extend(mixed.map(Broken::MixedVersions));
     check_recovery(records, &mut broken);
     check_deadly(records, &mut broken);
     check_rollout(records, &mut broken);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod notices;
 pub mod plan;
 pub mod record;
+pub mod versions;
 pub mod world;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -80,6 +80,10 @@
 pub const FIRST_SEED_WITH_NOTICES: u64 = 40_000;
 /// The first seed whose runs also have a store that returns from older copies.
 pub const FIRST_SEED_WITH_COPIES: u64 = 50_000;
+/// The first seed whose runs also have workers of two versions side by side, callers that take up
+/// streams elsewhere, and writes of leaving workers that are carried out late. Its store does not
+/// return from copies.
+pub const FIRST_SEED_WITH_VERSIONS: u64 = 60_000;
 /// Weights of the faults of all seeds, of those with restarts and notices as well, and of all.
 const OLDER_KINDS: u32 = 20;
 const KINDS_WITH_RESTARTS: u32 = 23;
@@ -96,8 +100,10 @@
         KINDS_WITH_RESTARTS
     } else if seed < FIRST_SEED_WITH_COPIES {
         KINDS_WITH_NOTICES
-    } else {
+    } else if seed < FIRST_SEED_WITH_VERSIONS {
         ALL_KINDS
+    } else {
+        KINDS_WITH_NOTICES
     };
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -92,6 +92,12 @@
     pub target: String,
     /// Whether the caller's key came along.
     pub has_key: bool,
+    /// The attempt that brought the first event, if the request resumes a stream; else its own name.
+    pub first_attempt: String,
+    /// The last event that its caller has; 0 if none.
+    pub after_event: u64,
+    /// Version of the worker.
+    pub version: &'static str,
 }
 
 /// A worker that was said to leave.
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -12,12 +12,14 @@
 use platform_testkit::node::configuration;
 use platform_testkit::node::configure;
 use platform_testkit::node::entry;
+use platform_testkit::node::settings;
 use platform_testkit::node::with_keys;
 use platform_testkit::rollout_scene::SERVICE;
 use platform_testkit::store_stand_in::Mood;
 use platform_testkit::store_stand_in::StoreStandIn;
 use platform_testkit::worker_stand_in::Flaw;
 use platform_testkit::worker_stand_in::Manner;
+use platform_testkit::worker_stand_in::Seen;
 use platform_testkit::worker_stand_in::WorkerStandIn;
 use serde_json::Value;
 use serde_json::json;
@@ -25,6 +27,7 @@
 
 use crate::callers::Callers;
 use crate::callers::DEADLY;
+use crate::callers::Load;
 use crate::checker::EVENTS;
 use crate::copies;
 use crate::copies::Copies;
@@ -33,6 +36,7 @@
 use crate::plan::FIRST_SEED_WITH_DEADLY;
 use crate::plan::FIRST_SEED_WITH_NOTICES;
 use crate::plan::FIRST_SEED_WITH_ROLLOUT;
+use crate::plan::FIRST_SEED_WITH_VERSIONS;
 use crate::plan::Fault;
 use crate::plan::Step;
 use crate::record::Leaving;
@@ -55,6 +59,8 @@
 const CALM: Duration = Duration::from_secs(2);
 /// Time after the store's return at which what it has lost is written again.
 const REWRITTEN_AFTER: Duration = Duration::from_millis(800);
+/// Time after a worker has said that it leaves at which an earlier write of it is carried out.
+const LATE_WRITE_AFTER: Duration = Duration::from_millis(400);
 /// When workers start first; any number will do.
 const FIRST_BORN_MS: u64 = 1_000;
 /// The version that serves first, and the one that is ordered.
@@ -132,6 +138,8 @@
     Entry(usize),
     /// A worker that ended by a request is back.
     Back(usize),
+    /// An earlier write of a worker that leaves is carried out.
+    LateWrite(usize),
 }
 
 /// The fleet of one run.
@@ -150,6 +158,8 @@
     version: u64,
     /// Whether some requests end the workers that run them.
     has_deadly: bool,
+    /// Whether workers of two versions serve side by side, without an order.
+    has_versions: bool,
     /// The version that new workers have.
     version_served: &'static str,
     /// Whether the ordered version fails requests, and when it was ordered; none if none is.
@@ -164,7 +174,9 @@
     /// Starts the fleet of a seed and waits until it takes callers.
     pub async fn start(size: Size, seed: u64) -> Self {
         let store = StoreStandIn::start().await;
-        let copies = (seed >= FIRST_SEED_WITH_COPIES).then(|| Copies::of(&store));
+        let copies = (FIRST_SEED_WITH_COPIES..FIRST_SEED_WITH_VERSIONS)
+            .contains(&seed)
+            .then(|| Copies::of(&store));
         let mut world = Self {
             store,
             entries: Vec::new(),
@@ -175,6 +187,7 @@
             last_fault: Instant::now(),
             version: 0,
             has_deadly: (FIRST_SEED_WITH_DEADLY..FIRST_SEED_WITH_ROLLOUT).contains(&seed),
+            has_versions: seed >= FIRST_SEED_WITH_VERSIONS,
             version_served: OLD,
             order: (FIRST_SEED_WITH_ROLLOUT..FIRST_SEED_WITH_NOTICES)
                 .contains(&seed)
@@ -218,7 +231,12 @@
     /// Carries out the steps while callers press, heals everything, and returns the records.
     pub async fn run(mut self, size: Size, steps: &[Step]) -> Records {
         let is_bad = self.order.take().map(|(is_bad, _)| is_bad);
-        let callers = Callers::start(&self.entries(), size.callers, self.has_deadly);
+        let load = Load {
+            callers_each: size.callers,
+            has_deadly: self.has_deadly,
+            takes_up_streams: self.has_versions,
+        };
+        let callers = Callers::start(&self.entries(), load);
         if let Some(is_bad) = is_bad {
             self.pass(BEFORE_ORDER).await;
             self.give_order(is_bad, size.workers).await;
@@ -365,6 +383,7 @@
     fn runs(&self) -> Vec<Run> {
         let run = |worker: &Worker| {
             let name = worker.name.clone();
+            let version = worker.version;
             let seen = worker.stand_in.seen().into_iter();
             let seen = seen.filter(|seen| !copies::is_of_check(seen.id()));
             let runs = seen.map(move |seen| Run {
@@ -374,6 +393,9 @@
                 customer: seen.customer().to_owned(),
                 target: seen.target.clone(),
                 has_key: seen.has_key(),
+                first_attempt: first_attempt(&seen),
+                after_event: seen.header("last-event-id").parse().unwrap_or(0),
+                version,
             });
             runs.collect::<Vec<_>>()
         };
@@ -524,6 +546,7 @@
             }
             Healing::Rewrite => self.rewrite(),
             Healing::Back(index) => self.register_anew(index),
+            Healing::LateWrite(index) => self.register(&self.workers[index], "ready"),
         }
     }
 
@@ -601,10 +624,20 @@
         }
         entry.is_ending = false;
         entry.node = None;
-        entry.node = Some(Node::start_with(entry.ports, &seeds, entry.store.address));
+        let mut settings = settings(entry.ports, &seeds, entry.store.address);
+        if self.has_versions {
+            settings["contracts"] = json!([]);
+        }
+        entry.node = Some(Node::start_from(entry.ports, &settings));
     }
 
     async fn add_worker(&mut self, version: &'static str, flaw: Option<Flaw>) {
+        let is_odd = !self.workers.len().is_multiple_of(2);
+        let version = if self.has_versions && is_odd {
+            NEW
+        } else {
+            version
+        };
         let stand_in = WorkerStandIn::start(WELL).await;
         stand_in.set_flaw(flaw);
         if self.has_deadly {
@@ -671,6 +704,9 @@
         self.register(&self.workers[index], "draining");
         let name = self.workers[index].name.clone();
         self.leavings.push((name, Instant::now()));
+        if self.has_versions {
+            self.later(LATE_WRITE_AFTER, Healing::LateWrite(index));
+        }
         self.add_worker(self.version_served, None).await;
     }
 
@@ -691,3 +727,14 @@
         configure(&self.store, &configuration);
     }
 }
+
+/// The attempt that brought the first event of the stream that a request is a part of.
+fn first_attempt(seen: &Seen) -> String {
+    let resumes = seen.header("resumes");
+    let first = if resumes.is_empty() {
+        seen.id()
+    } else {
+        resumes
+    };
+    first.to_owned()
+}
--- a/soak/tests/test_checker.rs
+++ b/soak/tests/test_checker.rs
@@ -35,6 +35,9 @@
         customer: "rundu".to_owned(),
         target: "POST /a".to_owned(),
         has_key: false,
+        first_attempt: "try-1".to_owned(),
+        after_event: 0,
+        version: "v1",
     }
 }
 
@@ -180,3 +183,28 @@
     }
     assert_eq!(check(&found), [Broken::DeadlyStillRuns(4)]);
 }
+
+#[test]
+fn stream_that_goes_on_at_another_version() {
+    let stream = request(
+        Kind::Resumable,
+        200,
+        &(1..=EVENTS).map(event).collect::<String>(),
+    );
+    let at = |after_event, version| Run {
+        after_event,
+        version,
+        at: Instant::now(),
+        ..run("i-1")
+    };
+    let before_the_first_event = [at(0, "v2"), at(0, "v1"), at(3, "v1")];
+    assert_eq!(
+        check(&records(stream.clone(), before_the_first_event.to_vec())),
+        []
+    );
+    let later = [at(0, "v1"), at(3, "v2")];
+    assert_eq!(
+        check(&records(stream, later.to_vec())),
+        [Broken::MixedVersions(id())]
+    );
+}
--- a/soak/tests/test_short_run.rs
+++ b/soak/tests/test_short_run.rs
@@ -56,6 +56,11 @@
     run(plan::FIRST_SEED_WITH_COPIES).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_with_versions_side_by_side() {
+    run(plan::FIRST_SEED_WITH_VERSIONS).await;
+}
+
 #[test]
 fn plan_same_for_the_same_seed() {
     let length = Duration::from_secs(60);
