--- a/lib/src/direct/streams/origin_records.rs
+++ b/lib/src/direct/streams/origin_records.rs
@@ -16,8 +16,8 @@
 
 /// Entries that keep the record of a stream besides the one that relays it.
 const RECORD_OWNERS: usize = 3;
-/// Records that an entry keeps at a time. A fleet of 350 entries with 850 streams a second of 12 s
-/// each needs about 120 at each entry.
+/// Records that an entry keeps at a time. A fleet of 350 entries with 850 streams a second of 30 s
+/// each needs about 300 at each entry.
 const MAX_RECORDS: usize = 16_384;
 /// Longest time for which a record is kept.
 const MAX_RETENTION_MS: u64 = 120_000;
