call, placement: a request waits from the moment at which it is read

Callers whose body took longer to arrive than their request may wait were refused, with "no room in time", while upstreams idled, each time.

Cause: the time for which a request may wait, and after which its caller is expected to have left, was counted from the arrival of its head. It is counted from the end of its body now; the objective and the deadline are the caller's and stay as they were, so the request comes late in the queue and is bounded as before.

--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -46,6 +46,7 @@
             relative_size: known(offered.relative_size()),
             relative_hold: known(own_hold / usual_hold),
             arrived_ms: self.now_ms,
+            read_at_ms: self.now_ms,
             objective_at_ms: self.now_ms + kind.objective_ms,
             deadline_at_ms: offered.at_ms + kind.deadline_ms,
             caller_leaves_at_ms: self.now_ms + PATIENCE_MS,
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -222,7 +222,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(Dispatcher::default().all_backed_off_for_ms(&job, 0), None);
@@ -362,7 +362,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(Dispatcher::default().choose(&job, &[], 0, || 1).is_none());
@@ -446,7 +446,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(Dispatcher::default().cached_at(&job, 0).is_empty());
@@ -474,7 +474,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(Dispatcher::default().saved_ms("i-1", &job), 0);
@@ -496,7 +496,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 8_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(Dispatcher::default().lead_ms("i-1", &job) > 0);
--- a/lib/src/direct/placement/job.rs
+++ b/lib/src/direct/placement/job.rs
@@ -55,8 +55,10 @@
     pub relative_size: f64,
     /// Expected hold time at an engine relative to the mean of the route.
     pub relative_hold: f64,
-    /// Arrival time.
+    /// Arrival time of the request's head.
     pub arrived_ms: u64,
+    /// Time at which the whole request had been read, from which on it waits.
+    pub read_at_ms: u64,
     /// Time until which the answer has its full worth.
     pub objective_at_ms: u64,
     /// Deadline, at which the caller gets an answer in any case.
@@ -84,7 +86,7 @@
     /// ```
     /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.cached_tokens("i-1"), 0);
@@ -102,7 +104,7 @@
     /// ```
     /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 9,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.unread_tokens("i-1"), 9);
@@ -122,7 +124,7 @@
     /// ```
     /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.worth_micros(), 1_000_000);
@@ -151,7 +153,7 @@
     /// ```
     /// # use sardinewood::direct::placement::job::Job;
     /// # let job = |tier| Job { id: 1, service: "s".into(), tier, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job(0).waits_until_ms(), 850);
@@ -161,10 +163,10 @@
     pub fn waits_until_ms(&self) -> u64 {
         let min_ms = (self.objective_at_ms - self.arrived_ms) * MIN_WAIT_PERCENT / 100;
         let caller_leaves_at_ms = self.caller_leaves_at_ms.min(self.deadline_at_ms);
-        let max_ms = caller_leaves_at_ms.saturating_sub(self.arrived_ms) * MAX_WAIT_PERCENT / 100;
+        let max_ms = caller_leaves_at_ms.saturating_sub(self.read_at_ms) * MAX_WAIT_PERCENT / 100;
         let extra_ms =
             numbers::as_f64(max_ms.saturating_sub(min_ms)) * admission::tier_worth(self.tier);
-        self.arrived_ms + min_ms.min(max_ms) + numbers::whole_u64(extra_ms)
+        self.read_at_ms + min_ms.min(max_ms) + numbers::whole_u64(extra_ms)
     }
 
     /// Returns the retry delay for a refused caller, a share of its remaining time. A caller with
@@ -173,7 +175,7 @@
     /// ```
     /// # use sardinewood::direct::placement::job::Job;
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, objective_at_ms: 100,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
     /// #     deadline_at_ms: 8_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert_eq!(job.retry_after_ms(0), 800);
--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -67,7 +67,7 @@
 /// use sardinewood::direct::placement::slot_search::{SlotSearch, SearchStep};
 /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
 /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-/// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+/// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
 /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
 /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
 ///
@@ -98,7 +98,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::slot_search::{SlotSearch, SearchStep}, placement::dispatch::Dispatcher, sharing::admission::PeerRequestId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let next = SlotSearch::new(job).start(&Dispatcher::default(), 0, || 1);
@@ -122,7 +122,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::slot_search::{SlotSearch, SearchStep}, placement::dispatch::Dispatcher, sharing::admission::PeerRequestId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let next = SlotSearch::new(job).handle_queued(PeerRequestId(7), 20, &Dispatcher::default(), 0, || 1);
@@ -159,7 +159,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::slot_search::{SlotSearch, SearchStep}, placement::dispatch::Dispatcher, sharing::admission::PeerRequestId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let next = SlotSearch::new(job).handle_timeout(&Dispatcher::default(), 40, || 1);
@@ -211,7 +211,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::slot_search::SlotSearch, placement::dispatch::Dispatcher, sharing::admission::PeerRequestId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// let slot_request = SlotSearch::new(job).slot_request(PeerRequestId(7), "i-1", &Dispatcher::default(), 60);
@@ -247,7 +247,7 @@
     /// ```
     /// # use sardinewood::direct::{placement::slot_search::{SlotSearch, SearchStep}, placement::dispatch::Dispatcher, sharing::admission::PeerRequestId, placement::job::Job};
     /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
-    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
     /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
     /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
     /// assert!(SlotSearch::new(job).cancel_all().is_empty());
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -111,6 +111,8 @@
     pub catalog: CatalogMark,
     /// When the request arrived.
     pub arrived_ms: u64,
+    /// When the whole request had been read.
+    pub read_at_ms: u64,
     /// Time at which the caller gives up, over all its attempts from this one on.
     pub caller_deadline_at_ms: u64,
     /// Latest time at which the caller gets a response.
@@ -211,13 +213,14 @@
             relative_size: self.relative_size,
             relative_hold: self.relative_hold,
             arrived_ms: self.arrived_ms,
+            read_at_ms: self.read_at_ms,
             objective_at_ms: self.arrived_ms + self.route.objective_ms,
             deadline_at_ms: self.deadline_at_ms,
             caller_leaves_at_ms: self
                 .route
                 .caller_patience_ms
                 .map_or(self.deadline_at_ms, |caller_patience_ms| {
-                    self.arrived_ms + caller_patience_ms
+                    self.read_at_ms + caller_patience_ms
                 }),
             tried_upstreams: self.tried_upstreams.clone(),
             shared_prefix: self.shared_prefix,
@@ -233,9 +236,10 @@
     #[must_use]
     pub fn resumption_job(&self, now_ms: u64) -> Job {
         let job = self.job();
-        let caller_patience_ms = job.caller_leaves_at_ms.saturating_sub(job.arrived_ms);
+        let caller_patience_ms = job.caller_leaves_at_ms.saturating_sub(job.read_at_ms);
         Job {
             arrived_ms: now_ms,
+            read_at_ms: now_ms,
             objective_at_ms: now_ms + self.route.gap_target_ms.unwrap_or(self.route.objective_ms),
             caller_leaves_at_ms: now_ms + caller_patience_ms / 2,
             ..job
@@ -269,6 +273,7 @@
     let (route, customer) = look_up(&catalog, &request, &headers)?;
     let (parts, body) = request.into_parts();
     let body = read_body(&catalog, body, id).await?;
+    let read_at_ms = traffic.now_ms();
     let (service, stream_version) =
         choose_service(traffic, &headers, &route, customer.as_ref()).await?;
     let cached_fingerprint = OnceCell::new();
@@ -339,6 +344,7 @@
         resumes: headers.resumes.clone(),
         stream_version,
         arrived_ms,
+        read_at_ms,
         caller_deadline_at_ms: arrived_ms.saturating_add(remaining_ms),
         deadline_at_ms: arrived_ms + timeout_ms,
         tried_upstreams: Vec::new(),
--- a/lib/src/direct/request/failure_responses.rs
+++ b/lib/src/direct/request/failure_responses.rs
@@ -36,7 +36,7 @@
             "expected_output_tokens": call.expected_output_tokens,
             "customer_tier": call.customer_tier,
             "waited_ms": call.waited_ms,
-            "might_wait_ms": job.waits_until_ms().saturating_sub(call.arrived_ms),
+            "might_wait_ms": job.waits_until_ms().saturating_sub(call.read_at_ms),
             "worth_micros": job.worth_micros(),
             "upstreams_listed": counts.listed,
             "upstreams_working": counts.working,
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -43,6 +43,7 @@
         relative_size: 1.0,
         relative_hold: 1.0,
         arrived_ms: 0,
+        read_at_ms: 0,
         objective_at_ms: 500,
         deadline_at_ms: 10_000,
         caller_leaves_at_ms: 2_400,
--- a/lib/tests/test_direct_dispatch.rs
+++ b/lib/tests/test_direct_dispatch.rs
@@ -440,3 +440,23 @@
     );
     assert!(dispatcher.choose(&stream("v3"), &[], 0, || 1).is_none());
 }
+
+/// Guards against a request whose body takes long to arrive, and that is refused while upstreams idle.
+#[test]
+fn waits_until_counts_from_the_whole_request() {
+    let prompt = job(1, 1);
+    let slow = Job {
+        read_at_ms: 2_800,
+        caller_leaves_at_ms: 2_800 + prompt.caller_leaves_at_ms,
+        ..job(1, 1)
+    };
+    assert_eq!(slow.waits_until_ms(), 2_800 + prompt.waits_until_ms());
+    let late = Job {
+        deadline_at_ms: 3_000,
+        ..slow
+    };
+    assert!(
+        (2_900..3_000).contains(&late.waits_until_ms()),
+        "the deadline bounds it"
+    );
+}
