store view: departures are forgotten a minute after the upstream is unlisted

GET /notices showed an upstream that had left, and entries told it on, until another one left: departures were only dropped as others were recorded. Nobody was refused by it. They are dropped by time now, which publishes the list anew.

Found by reading; leaving_forgotten_a_minute_after_the_removal guards it, and was not run on the code before.

--- a/lib/src/direct/store_view/departures.rs
+++ b/lib/src/direct/store_view/departures.rs
@@ -53,19 +53,32 @@
         self.by_instance.shift_remove(instance);
         self.by_instance
             .insert(instance.into(), (departure, now_ms));
-        self.drop_oldest(now_ms);
-    }
-
-    fn drop_oldest(&mut self, now_ms: u64) {
-        let is_expired = |oldest: &Self| {
-            let oldest = oldest.by_instance.first();
-            oldest.is_some_and(|(_, (_, at_ms))| now_ms >= at_ms + RETENTION_MS)
-        };
-        while self.by_instance.len() > MAX_DEPARTURES || is_expired(self) {
+        if self.by_instance.len() > MAX_DEPARTURES {
             self.by_instance.shift_remove_index(0);
         }
     }
 
+    /// Drops the departures that are no longer remembered. Returns whether there were any.
+    ///
+    /// ```
+    /// # use sardinewood::direct::store_view::departures::{Departure, Departures};
+    /// let mut departures = Departures::default();
+    /// departures.record("i-1", Departure::Removed, 0);
+    /// assert!(!departures.expire(59_999));
+    /// assert!(departures.expire(60_000));
+    /// ```
+    pub fn expire(&mut self, now_ms: u64) -> bool {
+        let is_expired =
+            |(_, (_, at_ms)): (&Arc<str>, &(Departure, u64))| now_ms >= at_ms + RETENTION_MS;
+        let expired = self
+            .by_instance
+            .iter()
+            .take_while(|oldest| is_expired(*oldest));
+        let expired = expired.count();
+        self.by_instance.drain(..expired);
+        expired > 0
+    }
+
     /// Returns how an incarnation has left, if it has.
     ///
     /// ```
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -477,6 +477,15 @@
         is_changed
     }
 
+    /// Forgets the departures that are no longer remembered. Returns whether there were any.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::store_view::directory::Directory::default().expire_departures(0));
+    /// ```
+    pub fn expire_departures(&mut self, now_ms: u64) -> bool {
+        self.departures.expire(now_ms)
+    }
+
     /// Returns the time at which [`Self::sweep`] is due next.
     ///
     /// ```
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -141,13 +141,15 @@
         self.directory.store_recovered(unanswered_ms, now_ms);
     }
 
-    /// Applies changes that are due by time. Returns whether the upstreams have changed.
+    /// Applies changes that are due by time. Returns whether the view has changed.
     pub fn sweep(&mut self, now_ms: u64) -> bool {
+        let has_expired = self.directory.expire_departures(now_ms);
         let is_due = self
             .directory
             .next_sweep_ms()
             .is_some_and(|at_ms| now_ms >= at_ms);
-        is_due && self.directory.sweep(now_ms)
+        let is_swept = is_due && self.directory.sweep(now_ms);
+        has_expired || is_swept
     }
 
     /// Applies a list of all objects of a kind.
--- a/lib/tests/test_direct_eras.rs
+++ b/lib/tests/test_direct_eras.rs
@@ -248,6 +248,20 @@
     );
 }
 
+/// Guards against an upstream that is told on as leaving for as long as nothing else leaves.
+#[test]
+fn leaving_forgotten_a_minute_after_the_removal() {
+    let mut entry = entry();
+    entry.apply_event("u", WatchEvent::Put(leaving("a", at(1, 43))), 0);
+    entry.sweep(90_000);
+    assert_eq!(entry.snapshot().leaving.len(), 1, "it is listed");
+    entry.apply_event("u", removal("a", at(1, 44)), 100_000);
+    assert!(!entry.sweep(159_999));
+    assert_eq!(entry.snapshot().leaving.len(), 1, "its entry may come back");
+    assert!(entry.sweep(160_000));
+    assert!(entry.snapshot().leaving.is_empty());
+}
+
 #[test]
 fn upstream_brought_back_and_alive_used_in_the_end() {
     // Guards against an upstream that is never used again: one that lives and has nothing to change
