ctl: the story of a stream has the tries that take it up

A stream that its caller takes up at another entry has another id there. explain of the first try's id left out what became of it; lines that name the first try (resumes) are its own now.

tries_that_take_a_stream_up_among_its_own_lines guards it.

--- a/ctl/src/story.rs
+++ b/ctl/src/story.rs
@@ -158,7 +158,7 @@
     let places = [Some(fields), inputs].into_iter().flatten().chain(runs);
     places
         .flat_map(|place| {
-            ["request", "fingerprint", "rollout", "upstream"].map(|name| place.get(name))
+            ["request", "resumes", "fingerprint", "rollout", "upstream"].map(|name| place.get(name))
         })
         .filter_map(|name| name.and_then(Value::as_str))
         .collect()
--- a/ctl/tests/test_story.rs
+++ b/ctl/tests/test_story.rs
@@ -148,3 +148,20 @@
         ["upstream limits its requests", "upstream asks for rest"]
     );
 }
+
+/// Guards against a stream whose later tries, at other entries, are missing from its story.
+#[test]
+fn tries_that_take_a_stream_up_among_its_own_lines() {
+    const LOGS: &str = r#"
+{"time_ms":1000,"host":"edge-1","message":"stream was cut short","request":"first"}
+{"time_ms":1200,"host":"edge-2","message":"caller takes a stream up","request":"second","inputs":{"resumes":"first","version":"v1"}}
+{"time_ms":1900,"host":"edge-2","message":"streamed","request":"second","resumes":"first"}"#;
+    let lines = || Ok(LOGS.lines().map(|line| Ok(line.to_owned())));
+    let story = tell("first", lines).expect("readable logs");
+    let expected = [
+        "stream was cut short",
+        "caller takes a stream up",
+        "streamed",
+    ];
+    assert_eq!(messages(&story.own), expected);
+}
