streams: one version for as long as a caller may take a stream up

An entry takes a service to have one version once no other was listed for as long as a stream can last. That was the time that its route allows for one try; a caller with a longer deadline may take the stream up once more after that, at an entry that goes on with the version that is left. Found by reading, not brought about.

The longest deadline that callers of such streams have named counts as well, two minutes at most.

--- a/lib/src/direct/stream_origin_driver.rs
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -47,6 +47,9 @@
 /// Records in one message. Each takes some 40 bytes with names of usual length.
 const MAX_RECORDS_PER_MESSAGE: usize = 12;
 
+/// Longest time that a stream is taken to last, whatever its caller says.
+const MAX_STREAM_MS: u64 = 120_000;
+
 /// Body of the response to a caller whose stream can't be resumed.
 const ORIGIN_UNKNOWN: &str = "version of the resumed stream is unknown";
 const VERSION_GONE: &str = "no upstream of the resumed stream's version";
@@ -122,8 +125,20 @@
             .set(self.list_confirmed_at_ms.get().max(Some(at_ms)));
     }
 
-    /// Returns the only version that a service has had for as long as a stream of a route can last. An
-    /// entry whose list may be old does not know.
+    /// Returns how long a stream of a route can last, over all tries of its caller.
+    fn longest_stream_ms(&self, route: &Route) -> u64 {
+        self.longest_deadline_ms.get().max(route.timeout_ms)
+    }
+
+    /// Notes how long the caller of a resumable stream waits over all its tries, which may be longer than
+    /// the time that a route allows for one of them.
+    fn note_deadline(&self, remaining_ms: u64) {
+        let longest_ms = self.longest_deadline_ms.get().max(remaining_ms);
+        self.longest_deadline_ms.set(longest_ms.min(MAX_STREAM_MS));
+    }
+
+    /// Returns the only version that a service has had for as long as a stream can last. An entry whose
+    /// list may be old does not know.
     fn only_version(&self, service: &str, longest_ms: u64) -> Option<Arc<str>> {
         let now_ms = self.now_ms();
         let age_ms = now_ms.saturating_sub(self.list_confirmed_at_ms.get()?);
@@ -139,10 +154,10 @@
         };
         let now_ms = self.now_ms();
         let until_ms = call.caller_deadline_at_ms;
+        self.note_deadline(until_ms.saturating_sub(call.arrived_ms));
+        let longest_ms = self.longest_stream_ms(&call.route);
         let is_needed = call.route.only_service().is_none()
-            || self
-                .only_version(&origin.service, call.route.timeout_ms)
-                .is_none();
+            || self.only_version(&origin.service, longest_ms).is_none();
         let mut records = self.stream_origins.borrow_mut();
         records.insert(key, origin.clone(), until_ms, now_ms);
         drop(records);
@@ -200,7 +215,8 @@
         let recorded = self.recorded_origin(request.key);
         let only_version = || {
             let service = request.service.as_ref()?;
-            self.only_version(service, request.longest_ms.into())
+            let longest_ms = self.longest_deadline_ms.get();
+            self.only_version(service, longest_ms.max(request.longest_ms.into()))
         };
         let reply = match (recorded, only_version()) {
             (Some(origin), _) => OriginReply::Recorded(origin),
@@ -289,7 +305,7 @@
         }
         let service = route.only_service();
         let only_version = service.and_then(|service| {
-            let version = self.only_version(service, route.timeout_ms)?;
+            let version = self.only_version(service, self.longest_stream_ms(route))?;
             let service = Arc::clone(service);
             Some(StreamOrigin { service, version })
         });
@@ -307,7 +323,7 @@
             id: PeerRequestId::from_random(rand::random()),
             key,
             service: route.only_service().cloned(),
-            longest_ms: u32::try_from(route.timeout_ms).unwrap_or(u32::MAX),
+            longest_ms: u32::try_from(self.longest_stream_ms(route)).unwrap_or(u32::MAX),
         };
         let pending = PendingRequest {
             id: request.id,
--- a/lib/src/direct/streams/version_history.rs
+++ b/lib/src/direct/streams/version_history.rs
@@ -6,7 +6,7 @@
 use indexmap::IndexSet;
 
 /// Time for which a version that is no longer listed is remembered. No stream lasts longer.
-const RETENTION_MS: u64 = 120_000;
+const RETENTION_MS: u64 = 180_000;
 
 /// A version of a service's software.
 pub type ServiceVersion = (Arc<str>, Arc<str>);
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -137,6 +137,8 @@
     pub pending_origins: PendingOriginRequests,
     /// Versions of each service's software that were listed.
     pub version_history: RefCell<VersionHistory>,
+    /// Longest time for which callers of resumable streams were ready to wait.
+    pub longest_deadline_ms: Cell<u64>,
     /// When the list of upstreams was last known to be the newest one.
     pub list_confirmed_at_ms: Cell<Option<u64>>,
     /// Rollouts that move services to other versions.
@@ -322,6 +324,7 @@
             stream_origins: RefCell::default(),
             pending_origins: PendingOriginRequests::default(),
             version_history: RefCell::default(),
+            longest_deadline_ms: Cell::default(),
             list_confirmed_at_ms: Cell::default(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
