findings: two weaknesses found by reading the change once more

Late replies of the first question about a stream count in the second one, and an upstream that is withheld has no log line. Both are listed, not mended. One blank line in the directory, no behaviour changed.

--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -19,6 +19,7 @@
 /// Time, beyond that between two heartbeats of an upstream, for which an upstream is still used that
 /// a new era of the store lacks. Upstreams write their entries again with their next heartbeat.
 const REWRITE_DELAY_MS: u64 = 1_100;
+
 /// Heartbeats of an upstream that may be missing before it is taken to have ended.
 pub const MISSED_HEARTBEATS: u32 = 3;
 /// Time without a heartbeat after which an upstream is taken to have ended, if the platform does not
