freshness: the age of the list of upstreams on lines of requests, when a leaving became known, requests sent by an old list

The configuration's age is on each line about a request; the list's is known as well (it decides which streams may go on) and was neither logged, counted nor shown. Lines about a request now give the revision, the age and who confirmed it; `upstream is not used any more` at each entry tells how long the leaving can have been unknown, with a histogram; `request is sent by an old list` and its counter tell of requests that an entry has sent by a list which nobody has confirmed for longer than an upstream may take to leave. Nothing is done otherwise than before.

--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -100,6 +100,13 @@
     pub catalog_version: IntGauge,
     /// Time since the configuration was last known to be the newest one.
     pub catalog_age_ms: IntGauge,
+    /// The same for the list of upstreams.
+    pub list_age_ms: IntGauge,
+    /// Age that the list of upstreams had reached when it became known that one is not used any more:
+    /// the longest time for which it can have been left.
+    pub leaving_known_within_ms: Histogram,
+    /// Requests sent by a list that is older than upstreams may take to leave.
+    pub sent_by_old_list: IntCounter,
 }
 
 fn counter(name: &str, help: &str) -> prometheus::Result<IntCounter> {
@@ -211,6 +218,15 @@
             )?,
             catalog_version: gauge("catalog_version", "Configuration in force.")?,
             catalog_age_ms: gauge("catalog_age_ms", "Age of the word that it is the newest.")?,
+            list_age_ms: gauge("list_age_ms", "The same for the list of upstreams.")?,
+            leaving_known_within_ms: Histogram::with_opts(histogram(
+                "leaving_known_within_ms",
+                "Age of the list when upstreams became known to have left.",
+            ))?,
+            sent_by_old_list: counter(
+                "sent_by_old_list_total",
+                "Requests sent by a list that is older than upstreams may take to leave.",
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -223,6 +239,7 @@
             &self.resumed,
             &self.cut,
             &self.left_out_lines,
+            &self.sent_by_old_list,
         ] {
             self.registry.register(Box::new(counter.clone()))?;
         }
@@ -260,11 +277,14 @@
             &self.held_parts,
             &self.catalog_version,
             &self.catalog_age_ms,
+            &self.list_age_ms,
             &self.oldest_heartbeat_ms,
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
         self.registry.register(Box::new(self.wait_ms.clone()))?;
+        self.registry
+            .register(Box::new(self.leaving_known_within_ms.clone()))?;
         self.registry.register(Box::new(self.first_ms.clone()))
     }
 
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -26,6 +26,7 @@
 use crate::direct::replication::store_follower::LastStoreResponse;
 use crate::direct::replication::store_follower::ReplicaChange;
 use crate::direct::sharing::admission::EntryRef;
+use crate::direct::store_view::freshness::ConfirmedBy;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
 use crate::numbers;
@@ -228,23 +229,24 @@
             now_ms,
         );
         self.update_peer_ahead(heartbeat.revisions, now_ms);
-        self.take_word(heartbeat, now_ms);
+        self.take_word(heartbeat, from, now_ms);
         traffic.grant_slots();
     }
 
     /// Takes the word of a peer that watches the store and has no newer configuration or list.
-    fn take_word(&self, heartbeat: &Heartbeat, now_ms: u64) {
+    fn take_word(&self, heartbeat: &Heartbeat, from: SocketAddr, now_ms: u64) {
         let own = *self.channels.own_revisions.borrow();
         let knows_era = own.directory.era == 0 || heartbeat.knows_eras;
         if let Some(age_ms) = heartbeat.store_age_ms
             && knows_era
         {
             let at_ms = now_ms.saturating_sub(age_ms.into());
+            let by = ConfirmedBy::Peer(from);
             if heartbeat.revisions.catalog <= own.catalog {
-                self.traffic.confirm_catalog(at_ms);
+                self.traffic.confirm_catalog(at_ms, by);
             }
             if heartbeat.revisions.directory <= own.directory {
-                self.traffic.confirm_list(at_ms);
+                self.traffic.confirm_list(at_ms, by);
             }
         }
     }
@@ -295,8 +297,8 @@
         let mut role = peers.store_role(own_revisions, is_served, bound_ms, now_ms);
         if let Some(age_ms) = store_age_ms {
             let at_ms = now_ms.saturating_sub(age_ms.into());
-            traffic.confirm_catalog(at_ms);
-            traffic.confirm_list(at_ms);
+            traffic.confirm_catalog(at_ms, ConfirmedBy::Store);
+            traffic.confirm_list(at_ms, ConfirmedBy::Store);
         }
         if traffic.check_catalog_age() && role == StoreRole::Listens {
             // Nobody who watches the store has said for some time that nothing has changed.
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -44,6 +44,7 @@
 use crate::direct::store_view::catalog::Route;
 use crate::direct::store_view::catalog::RouteLookup;
 use crate::direct::store_view::freshness::CatalogMark;
+use crate::direct::store_view::freshness::ListMark;
 use crate::direct::streams::origin::StreamKey;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
@@ -116,6 +117,8 @@
     pub stream_version: Option<Arc<str>>,
     /// The configuration by which the request is handled.
     pub catalog: CatalogMark,
+    /// The list of upstreams by which it was last sent, or by which it is handled until then.
+    pub list: ListMark,
     /// When the request arrived.
     pub arrived_ms: u64,
     /// When the whole request had been read.
@@ -146,6 +149,11 @@
             .observe(numbers::as_f64(first_ms));
     }
 
+    /// Adds the fields to a log line that tell by which configuration and list it is handled.
+    pub fn add_replica_fields(&self, line: Line) -> Line {
+        self.list.add_log_fields(self.catalog.add_log_fields(line))
+    }
+
     /// Returns whether a response that begins this long after the request's arrival meets the
     /// route's objective.
     #[must_use]
@@ -156,7 +164,7 @@
     /// Adds the fields to a log line that describe the request and its attempts so far.
     pub fn add_log_fields(&self, line: Line) -> Line {
         let line = line.field("request", self.name());
-        let line = self.catalog.add_log_fields(line);
+        let line = self.add_replica_fields(line);
         let line = match self.last_event_id {
             Some(last_event_id) => line
                 .field("resumes", request_id_text(self.resumes.as_ref()))
@@ -322,6 +330,7 @@
     Ok(Call {
         id: traffic.next_id(),
         catalog: catalog_mark,
+        list: traffic.list_mark(),
         request_id: headers.request_id.clone(),
         service,
         tier: route.tier,
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -265,6 +265,8 @@
         keep_connection(traffic, &lease, connection, None);
         return AttemptResult::NotRun;
     }
+    call.list = traffic.list_mark();
+    traffic.check_list_of_sent(call, &lease.upstream);
     let request = upstream_request(traffic, call, &lease, last_event_id);
     call.tried_upstreams
         .push(Arc::clone(&lease.upstream.instance));
@@ -347,8 +349,7 @@
     traffic.log(Level::Warn, message, |line| {
         let line = line.field("request", call.name());
         let line = call
-            .catalog
-            .add_log_fields(line)
+            .add_replica_fields(line)
             .field("upstream", &lease.upstream.instance)
             .field("attempt", call.tried_upstreams.len())
             .field(
--- a/lib/src/direct/request/refusal.rs
+++ b/lib/src/direct/request/refusal.rs
@@ -50,11 +50,11 @@
 
     /// Counts and logs the refusal and converts it to a response.
     pub fn response(self, traffic: &TrafficState) -> Response<ResponseBody> {
-        let catalog = traffic.catalog_mark();
+        let (catalog, list) = (traffic.catalog_mark(), traffic.list_mark());
         traffic.log(Level::Info, self.reason, |line| {
             let line = line.field("request", &self.request_id);
-            catalog
-                .add_log_fields(line)
+            let line = catalog.add_log_fields(line);
+            list.add_log_fields(line)
                 .field("status", self.status.as_u16())
                 .field("retry_after_ms", self.retry_after_ms)
                 .field("inputs", &self.inputs)
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -537,8 +537,7 @@
         self.traffic.log(Level::Warn, reason, |line| {
             let line = line.field("request", self.call.name());
             self.call
-                .catalog
-                .add_log_fields(line)
+                .add_replica_fields(line)
                 .field("upstream", instance)
                 .field("attempt", self.call.tried_upstreams.len())
                 .field("may_resume", self.call.route.retry_policy.is_idempotent())
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -336,6 +336,7 @@
         .upstream_silence_ms
         .set(settings.upstream_silence_ms());
     traffic.config_bound_ms.set(settings.config_bound_ms());
+    traffic.drain_bound_ms.set(settings.drain_bound_ms());
     let callers = listen(settings.caller_address, "callers").await?;
     let readiness = listen(settings.readiness_address, "readiness").await?;
     let metrics = listen(settings.metrics_address, "metrics").await?;
@@ -409,6 +410,7 @@
     traffic.set_max_backoff(new.max_backoff);
     traffic.upstream_silence_ms.set(new.upstream_silence_ms());
     traffic.config_bound_ms.set(new.config_bound_ms());
+    traffic.drain_bound_ms.set(new.drain_bound_ms());
     let mut peers = traffic.peers.borrow_mut();
     peers.add_seeds(&new.seeds);
     peers.set_own_host(new.host);
@@ -441,12 +443,14 @@
     while snapshots.changed().await.is_ok() {
         let snapshot = snapshots.borrow_and_update().clone();
         *traffic.catalog.borrow_mut() = snapshot.catalog;
+        traffic.revisions.set(snapshot.revisions);
         own_revisions.send_replace(snapshot.revisions);
         let Some(upstreams) = snapshot.upstreams else {
             continue;
         };
         traffic.has_upstreams.set(true);
         traffic.detect_replaced_upstreams(&upstreams);
+        traffic.record_departures(&upstreams);
         traffic.rollouts.borrow_mut().set_upstreams(&upstreams);
         traffic.record_listed_leaving(&snapshot.leaving);
         traffic.record_listed_versions(&snapshot.versions);
--- a/lib/src/direct/stream_origin_driver.rs
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -119,12 +119,6 @@
         }
     }
 
-    /// Records that the list of upstreams was the newest one at a time.
-    pub fn confirm_list(&self, at_ms: u64) {
-        self.list_confirmed_at_ms
-            .set(self.list_confirmed_at_ms.get().max(Some(at_ms)));
-    }
-
     /// Returns how long a stream of a route can last, over all tries of its caller.
     fn longest_stream_ms(&self, route: &Route) -> u64 {
         self.longest_deadline_ms.get().max(route.timeout_ms)
@@ -141,7 +135,7 @@
     /// list may be old does not know.
     fn only_version(&self, service: &str, longest_ms: u64) -> Option<Arc<str>> {
         let now_ms = self.now_ms();
-        let age_ms = now_ms.saturating_sub(self.list_confirmed_at_ms.get()?);
+        let age_ms = self.list_freshness.get().age_ms(now_ms)?;
         let history = self.version_history.borrow();
         (age_ms <= self.config_bound_ms.get())
             .then(|| history.only_version(service, longest_ms, now_ms))?
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -21,6 +21,7 @@
 use crate::direct::log_rate_limit::LogRateLimiter;
 use crate::direct::membership::gossip;
 use crate::direct::membership::peer_message::PeerMessage;
+use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::metrics::DirectMetrics;
 use crate::direct::notices::upstream_notices::UpstreamNotices;
@@ -55,10 +56,8 @@
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use crate::direct::store_view::directory::Upstream;
-use crate::direct::store_view::freshness::CatalogFreshness;
-use crate::direct::store_view::freshness::CatalogMark;
 use crate::direct::store_view::freshness::DEFAULT_CONFIG_BOUND_MS;
-use crate::direct::store_view::freshness::FreshnessStep;
+use crate::direct::store_view::freshness::Freshness;
 use crate::direct::stream_origin_driver::PendingOriginRequests;
 use crate::direct::streams::origin_records::OriginRecords;
 use crate::direct::streams::version_history::VersionHistory;
@@ -102,7 +101,14 @@
     /// Time within which a change of the configuration has to be in force.
     pub config_bound_ms: Cell<u64>,
     /// When the configuration was last known to be the newest one.
-    pub catalog_freshness: Cell<CatalogFreshness>,
+    pub catalog_freshness: Cell<Freshness>,
+    /// Time after an upstream's announcement that it leaves, or its removal, within which it may still
+    /// get requests.
+    pub drain_bound_ms: Cell<u64>,
+    /// When the list of upstreams was last known to be the newest one.
+    pub list_freshness: Cell<Freshness>,
+    /// Revisions of the configuration and of the list in force.
+    pub revisions: Cell<Revisions>,
     /// Whether a list of upstreams has arrived.
     pub has_upstreams: Cell<bool>,
     /// Whether a signal has asked the process to stop.
@@ -141,8 +147,6 @@
     pub version_history: RefCell<VersionHistory>,
     /// Longest time for which callers of resumable streams were ready to wait.
     pub longest_deadline_ms: Cell<u64>,
-    /// When the list of upstreams was last known to be the newest one.
-    pub list_confirmed_at_ms: Cell<Option<u64>>,
     /// Rollouts that move services to other versions.
     pub rollouts: RefCell<RolloutTable>,
     /// Notified when a rollout has advanced beyond what this entry has acted on.
@@ -309,6 +313,9 @@
             upstream_silence_ms: Cell::new(DEFAULT_SILENCE_MS),
             config_bound_ms: Cell::new(DEFAULT_CONFIG_BOUND_MS),
             catalog_freshness: Cell::default(),
+            drain_bound_ms: Cell::new(DEFAULT_CONFIG_BOUND_MS),
+            list_freshness: Cell::default(),
+            revisions: Cell::default(),
             has_upstreams: Cell::new(false),
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
@@ -328,7 +335,6 @@
             pending_origins: PendingOriginRequests::default(),
             version_history: RefCell::default(),
             longest_deadline_ms: Cell::default(),
-            list_confirmed_at_ms: Cell::default(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
             rate_wakeup_at_ms: Cell::default(),
@@ -507,43 +513,6 @@
         }
     }
 
-    /// Records that the configuration was the newest one at a time.
-    pub fn confirm_catalog(&self, at_ms: u64) {
-        let mut freshness = self.catalog_freshness.get();
-        freshness.confirm(at_ms);
-        self.catalog_freshness.set(freshness);
-    }
-
-    /// Compares the configuration's age with the time that changes may take, and logs when it passes
-    /// that or no longer does. Returns whether it is older.
-    pub fn check_catalog_age(&self) -> bool {
-        let mut freshness = self.catalog_freshness.get();
-        let bound_ms = self.config_bound_ms.get();
-        match freshness.check(self.now_ms(), bound_ms) {
-            FreshnessStep::Unchanged => {}
-            FreshnessStep::BecameStale { age_ms } => {
-                self.log(Level::Warn, "configuration may be out of date", |line| {
-                    line.field("age_ms", age_ms).field("bound_ms", bound_ms)
-                });
-            }
-            FreshnessStep::BecameFresh => {
-                self.log(Level::Info, "configuration is confirmed again", |line| line);
-            }
-        }
-        self.catalog_freshness.set(freshness);
-        freshness.is_stale()
-    }
-
-    /// Returns the version and the age of the configuration in force, for logs.
-    #[must_use]
-    pub fn catalog_mark(&self) -> CatalogMark {
-        let catalog = self.catalog.borrow();
-        CatalogMark {
-            version: catalog.as_ref().map(|catalog| catalog.version),
-            age_ms: self.catalog_freshness.get().age_ms(self.now_ms()),
-        }
-    }
-
     /// Updates the gauges before the metrics are read.
     pub fn update_gauges(&self) {
         let metrics = &self.metrics;
@@ -587,6 +556,10 @@
             let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
             metrics.catalog_age_ms.set(age_ms);
         }
+        if let Some(age_ms) = self.list_mark().age_ms {
+            let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
+            metrics.list_age_ms.set(age_ms);
+        }
     }
 
     /// Waits for a slot at an upstream, for as long as the request may wait, and measures the wait.
