store view: an entry does not tell others that it knows removals which it has never seen

What callers would see: requests at an upstream that was removed, from an entry that lags by a datagram and pulls from one that started after the removal, until the first one lists the store itself. Cause: a list tells what is there and not what has gone. An entry that had read a list told peers the changes after their positions as if its removals were complete back to the beginning; the first list, a list from a peer, a list after a gap of the history, and a removal of an upstream that it had not known left none behind. The peer's position then said that it knew. Evidence: test_direct_removals, four of five red before (a removed upstream stays usable at equal positions); the fifth holds that what is known whole is still told as changes. Why it holds: RemovalHistory keeps the spans in which removals may be missing; an entry whose position lies within one gets the whole list. What it knew at the span's start it still tells as changes, so a fleet that lags by one change after a list pulls no whole lists.

--- a/lib/src/direct/store_view.rs
+++ b/lib/src/direct/store_view.rs
@@ -5,4 +5,5 @@
 pub mod departures;
 pub mod directory;
 pub mod freshness;
+pub mod removals;
 pub mod replica;
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -9,7 +9,6 @@
 //! force until it is written again in the new era, and [`Directory::begin_era`] says what holds for
 //! upstreams.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
@@ -29,6 +28,7 @@
 use crate::direct::store_view::directory::PutEffect;
 use crate::direct::store_view::directory::RemoveEffect;
 use crate::direct::store_view::directory::Upstream;
+use crate::direct::store_view::removals::RemovalHistory;
 use crate::direct::streams::version_history::ServiceVersion;
 use crate::findings::Findings;
 use crate::logging::Level;
@@ -38,10 +38,6 @@
 use crate::store::WatchEvent;
 use crate::store::position::StorePosition;
 
-/// Maximum number of tombstones of removed upstreams, kept for peers that lag. Covers some minutes
-/// in a large fleet.
-const MAX_TOMBSTONES: usize = 1_000;
-
 /// Functions that decode the stored objects, and the objects' kinds and names.
 #[derive(Clone, Copy, Debug)]
 pub struct ObjectDecoders {
@@ -80,10 +76,7 @@
     /// The configuration's object as JSON text, as sent to peers.
     catalog_json: Arc<str>,
     objects: IndexMap<Arc<str>, StoredObject>,
-    /// Names of removed objects with the positions of their removal, the oldest first.
-    tombstones: VecDeque<(StorePosition, Arc<str>)>,
-    /// Position up to which [`Self::tombstones`] has been truncated.
-    tombstones_cut_at: StorePosition,
+    removals: RemovalHistory,
     /// Names of objects that describe no upstream, so that each is logged once and not at each
     /// change.
     invalid_names: IndexSet<Arc<str>>,
@@ -103,8 +96,7 @@
             catalog: None,
             catalog_json: Arc::default(),
             objects: IndexMap::new(),
-            tombstones: VecDeque::new(),
-            tombstones_cut_at: StorePosition::default(),
+            removals: RemovalHistory::default(),
             invalid_names: IndexSet::new(),
             directory: Directory::default(),
             is_listed: false,
@@ -238,8 +230,8 @@
     /// Returns the whole list if the changes are not known back to the revision.
     fn upstreams_since(&self, after: StorePosition) -> UpstreamListUpdate {
         let position = self.revisions.directory;
-        let is_known_from = after.era == position.era && after >= self.tombstones_cut_at;
-        if after == StorePosition::default() || !is_known_from {
+        let is_complete = after.era == position.era && self.removals.is_complete_since(after);
+        if after == StorePosition::default() || !is_complete {
             return UpstreamListUpdate::Full(ObjectList {
                 position,
                 objects: self.objects.values().cloned().collect(),
@@ -254,12 +246,7 @@
                 .filter(|object| object.version > after)
                 .cloned()
                 .collect(),
-            removed: self
-                .tombstones
-                .iter()
-                .filter(|(version, _)| *version > after)
-                .cloned()
-                .collect(),
+            removed: self.removals.since(after).cloned().collect(),
         })
     }
 
@@ -344,6 +331,7 @@
             return;
         }
         let list_position = list.position;
+        let before = self.revisions.directory;
         let listed: IndexSet<Arc<str>> = list
             .objects
             .iter()
@@ -361,6 +349,7 @@
         for name in missing {
             self.remove(&name, list_position, now_ms);
         }
+        self.removals.record_gap(before, self.revisions.directory);
         self.is_listed = true;
         Line::new(Level::Info, "upstreams listed")
             .field("count", self.objects.len())
@@ -391,8 +380,7 @@
             self.invalid_names.swap_remove(name);
             self.directory.remove(name, now_ms);
         }
-        self.tombstones.clear();
-        self.tombstones_cut_at = newest;
+        self.removals.restart(newest);
         Line::new(Level::Warn, "upstreams listed in a new era of the store")
             .field("count", self.objects.len())
             .field("not_listed", missing.len())
@@ -435,19 +423,22 @@
     /// Removes an upstream, unless nothing so old is known of it. Returns whether it was known.
     fn apply_removal(&mut self, name: &str, version: StorePosition, now_ms: u64) -> bool {
         let known = self.objects.get(name);
-        if known.is_none_or(|known| known.version > version) {
-            self.revisions.directory = self.revisions.directory.max(version);
-            return false;
+        if known.is_some_and(|known| known.version <= version) {
+            self.remove(name, version, now_ms);
+            return true;
+        }
+        if known.is_none() {
+            self.removals.record(name.into(), version);
         }
-        self.remove(name, version, now_ms);
-        true
+        self.revisions.directory = self.revisions.directory.max(version);
+        false
     }
 
     /// Applies an object if it is newer than the known one. Returns the upstream that it describes.
     fn put(&mut self, object: StoredObject, now_ms: u64) -> Option<Upstream> {
         let known = self.objects.get(&object.name);
         let is_known = known.is_some_and(|known| known.version >= object.version);
-        if is_known || self.is_removed(&object) {
+        if is_known || self.removals.is_removed(&object.name, object.version) {
             return None;
         }
         self.revisions.directory = self.revisions.directory.max(object.version);
@@ -485,7 +476,7 @@
         self.revisions.directory = self.revisions.directory.max(version);
         self.invalid_names.swap_remove(name);
         if let Some((name, _)) = self.objects.shift_remove_entry(name) {
-            self.add_tombstone(name, version);
+            self.removals.record(name, version);
         }
         if let RemoveEffect::KeptUntil(until_ms) = self.directory.remove(name, now_ms) {
             self.log(now_ms, "upstream is missing after an outage", |line| {
@@ -496,21 +487,6 @@
         }
     }
 
-    fn add_tombstone(&mut self, name: Arc<str>, version: StorePosition) {
-        self.tombstones.push_back((version, name));
-        if self.tombstones.len() > MAX_TOMBSTONES
-            && let Some((version, _)) = self.tombstones.pop_front()
-        {
-            self.tombstones_cut_at = version;
-        }
-    }
-
-    fn is_removed(&self, object: &StoredObject) -> bool {
-        self.tombstones
-            .iter()
-            .any(|(version, name)| *version > object.version && *name == object.name)
-    }
-
     /// Returns the number of upstreams that are used though their entries have disappeared.
     #[must_use]
     pub fn missing_upstream_count(&self) -> usize {
--- a/lib/tests/direct_fixture.rs
+++ b/lib/tests/direct_fixture.rs
@@ -3,9 +3,31 @@
 use std::sync::Arc;
 
 use sardinewood::direct::placement::job::Job;
+use sardinewood::direct::store_view::catalog::Catalog;
 use sardinewood::direct::store_view::directory::Upstream;
+use sardinewood::direct::store_view::replica::ObjectDecoders;
+use sardinewood::store::StoredObject;
 use sardinewood::store::position::StorePosition;
 
+/// Decoders of a store whose configuration is its version, and whose upstreams are start times, or
+/// `leaving`.
+pub const DECODERS: ObjectDecoders = ObjectDecoders {
+    catalog_kind: "c",
+    catalog_name: "main",
+    upstream_kind: "u",
+    catalog: |object| {
+        Ok(Catalog {
+            version: object.value.as_u64().unwrap_or_default(),
+            ..Catalog::default()
+        })
+    },
+    upstream: |object| {
+        Ok(Upstream {
+            is_leaving: object.value == "leaving",
+            ..born(&object.name, object.value.as_u64().unwrap_or(10))
+        })
+    },
+};
 /// Returns an engine with this many slots.
 pub fn upstream(name: &str, slots: u32) -> Arc<Upstream> {
     Arc::new(Upstream {
@@ -66,3 +88,13 @@
         state >> 33
     }
 }
+
+/// Returns an upstream as the store has it.
+pub fn stored_upstream(name: &str, version: StorePosition) -> StoredObject {
+    StoredObject {
+        kind: "u".into(),
+        name: name.into(),
+        version,
+        value: "ready".into(),
+    }
+}
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -29,6 +29,7 @@
 mod test_direct_heartbeat_payload;
 mod test_direct_notices;
 mod test_direct_quota_owners;
+mod test_direct_removals;
 mod test_direct_replica;
 mod test_direct_rollout;
 mod test_direct_shared_prefix;
--- a/lib/tests/test_direct_eras.rs
+++ b/lib/tests/test_direct_eras.rs
@@ -8,34 +8,14 @@
 use sardinewood::direct::replication::spread::SpreadMessage;
 use sardinewood::direct::replication::update_codec;
 use sardinewood::direct::replication::update_codec::Encoding;
-use sardinewood::direct::store_view::catalog::Catalog;
-use sardinewood::direct::store_view::directory::Upstream;
-use sardinewood::direct::store_view::replica::ObjectDecoders;
 use sardinewood::direct::store_view::replica::StoreReplica;
 use sardinewood::store::ObjectList;
 use sardinewood::store::StoredObject;
 use sardinewood::store::WatchEvent;
 use sardinewood::store::position::StorePosition;
 
-use crate::direct_fixture;
-
-const DECODERS: ObjectDecoders = ObjectDecoders {
-    catalog_kind: "c",
-    catalog_name: "main",
-    upstream_kind: "u",
-    catalog: |object| {
-        Ok(Catalog {
-            version: object.value.as_u64().unwrap_or_default(),
-            ..Catalog::default()
-        })
-    },
-    upstream: |object| {
-        Ok(Upstream {
-            is_leaving: object.value == "leaving",
-            ..direct_fixture::born(&object.name, object.value.as_u64().unwrap_or(10))
-        })
-    },
-};
+use crate::direct_fixture::DECODERS;
+
 /// Longer than any time for which upstreams are kept or withheld.
 const LONG_MS: u64 = 20_000;
 
