followers: a watch that fails again and again gives way to a list

Cause: a watch that fails was called again after the same position; only TooOld made an entry list. An answer that can't be decoded, or that is too long for its timeout, would do the same, and the roll-outs were followed likewise. Why it holds: after two failed watches in a row the cursor that both followers share lists. One failed watch, as a reset connection leaves, is followed by a watch as before, so no outage costs more calls. A stand-in is mended: its store answered lists in what it calls an outage; now it answers nothing, and lists what it has removed meanwhile. What the test asserts is the same.

--- a/lib/src/direct/replication.rs
+++ b/lib/src/direct/replication.rs
@@ -3,6 +3,7 @@
 
 pub mod heartbeats;
 pub mod peer_pull;
+pub mod read_cursor;
 pub mod rollout_follower;
 pub mod spread;
 pub mod store_follower;
--- a/lib/src/direct/replication/rollout_follower.rs
+++ b/lib/src/direct/replication/rollout_follower.rs
@@ -13,6 +13,7 @@
 use crate::backoff::Backoff;
 use crate::direct::membership::store_role;
 use crate::direct::membership::store_role::StoreRole;
+use crate::direct::replication::read_cursor::ReadCursor;
 use crate::direct::replication::store_follower::MAX_RETRY_PAUSE_MS;
 use crate::direct::replication::store_follower::MIN_RETRY_PAUSE_MS;
 use crate::direct::replication::store_follower::STARTUP_PAUSE;
@@ -131,9 +132,10 @@
     pub async fn follow(&self, store: &impl RolloutStore) {
         let mut backoff = Backoff::new(MIN_RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
         let mut role = self.role.clone();
-        let mut after = None;
+        let mut cursor = ReadCursor::default();
         let mut is_unavailable = false;
         while store_role::wait_for_call(&mut role).await {
+            let after = cursor.watch_after();
             let read = match after {
                 None => store.list_rollouts().await,
                 Some(after) => store.watch_rollouts(after, WATCH_WAIT_MS).await,
@@ -143,15 +145,15 @@
                     is_unavailable = false;
                     backoff.reset();
                     let is_first = after.is_none();
-                    after = Some(batch.position);
+                    cursor.advance(batch.position);
                     self.apply(batch, is_first);
                     if is_first {
                         sleep(STARTUP_PAUSE).await;
                     }
                 }
-                Err(ReadError::TooOld) => after = None,
+                Err(ReadError::TooOld) => cursor.restart(),
                 Err(ReadError::OtherEra { .. }) => {
-                    after = None;
+                    cursor.restart();
                     let pause_ms = backoff.next_ms(rand::random());
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
@@ -161,6 +163,7 @@
                             .field("error", error.to_string())
                             .send();
                     }
+                    cursor.record_failure();
                     let pause_ms = backoff.next_ms(rand::random());
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -29,6 +29,7 @@
 use crate::direct::metrics::DirectMetrics;
 use crate::direct::replication::peer_pull;
 use crate::direct::replication::peer_pull::PullReply;
+use crate::direct::replication::read_cursor::ReadCursor;
 use crate::direct::replication::update::ReplicaUpdate;
 use crate::direct::replication::update::UpstreamListUpdate;
 use crate::direct::replication::update_codec;
@@ -275,7 +276,7 @@
     async fn follow(&self, source: &impl ObjectSource, kind: &'static str) {
         let mut backoff = Backoff::new(MIN_RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
         let mut outage = Outage::default();
-        let mut after = None;
+        let mut cursor = ReadCursor::default();
         let mut has_listed = false;
         let mut role = self.channels.role.clone();
         let is_catalog = kind == self.replica.borrow().decoders().catalog_kind;
@@ -293,6 +294,7 @@
                 return;
             }
             source.learn_era(self.replica.borrow().revisions().directory.era);
+            let after = cursor.watch_after();
             let read = match after {
                 None => source
                     .list(kind)
@@ -312,17 +314,18 @@
                     backoff.reset();
                     let pause = pause_after(after, position, has_listed);
                     has_listed = true;
-                    after = Some(position);
+                    cursor.advance(position);
                     sleep(pause).await;
                 }
-                Err(ReadError::TooOld) => after = None,
+                Err(ReadError::TooOld) => cursor.restart(),
                 Err(ReadError::OtherEra { .. }) => {
-                    after = None;
+                    cursor.restart();
                     let pause_ms = backoff.next_ms(rand::random());
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
                 Err(error) => {
                     outage.record_error(kind, &error);
+                    cursor.record_failure();
                     let pause_ms = backoff.next_ms(rand::random());
                     sleep(Duration::from_millis(pause_ms)).await;
                 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -32,6 +32,7 @@
 mod test_direct_removals;
 mod test_direct_replica;
 mod test_direct_rollout;
+mod test_direct_rollout_follower;
 mod test_direct_shared_prefix;
 mod test_direct_sharing;
 mod test_direct_size_fairness;
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -427,23 +427,37 @@
     fails_until: Cell<Option<Instant>>,
 }
 
+impl UnansweringStore {
+    /// Begins the outage with the first watch.
+    fn check_outage(&self) -> Result<(), ReadError> {
+        match self.fails_until.get() {
+            Some(until) if Instant::now() < until => Err(ReadError::Unavailable {
+                reason: "no answer".into(),
+            }),
+            _ => Ok(()),
+        }
+    }
+}
+
 impl ObjectSource for UnansweringStore {
     async fn list(&self, _kind: &str) -> Result<ObjectList, ReadError> {
+        self.check_outage()?;
+        let mut objects = vec![object("u", "a", 2), object("u", "b", 3)];
+        let has_removed = self.fails_until.get().is_some();
+        if has_removed {
+            objects.remove(0);
+        }
         Ok(ObjectList {
-            position: StorePosition::new(0, 5),
-            objects: vec![object("u", "a", 2), object("u", "b", 3)],
+            position: StorePosition::new(0, if has_removed { 6 } else { 5 }),
+            objects,
         })
     }
 
     async fn watch(&self, _: &str, after: StorePosition, _: u64) -> Result<WatchBatch, ReadError> {
-        let fails_until = self.fails_until.get();
-        let fails_until = fails_until.unwrap_or_else(|| Instant::now() + self.outage);
-        self.fails_until.set(Some(fails_until));
-        if Instant::now() < fails_until {
-            return Err(ReadError::Unavailable {
-                reason: "no answer".into(),
-            });
+        if self.fails_until.get().is_none() {
+            self.fails_until.set(Some(Instant::now() + self.outage));
         }
+        self.check_outage()?;
         if after.revision > 5 {
             std::future::pending::<()>().await;
         }
