followers, heartbeats: what confirms a replica is dated by what the answer covers, beside the position it covers

What callers could see: requests at an upstream that has left, from an entry that takes its list for newer than it is. Cause: an age was counted from the arrival of an answer, however long that was on its way; and a heartbeat put the age of the control thread's last answer beside the revision that the traffic thread used, which may be the one before. A peer with that older revision took it as confirmed up to now. Why it holds: an answer covers up to its call, or, without changes, up to the end of its wait; it is recorded with the position that it leads to, and a reader names the position that it uses. Heartbeats carry both ages from level 3 on; the time since the last answer, by which watchers are chosen, stays as it was, so no role changes by this. After changes one call without a wait tells that there are no more: one call to the store a batch at each watcher.

--- a/lib/src/direct/freshness_driver.rs
+++ b/lib/src/direct/freshness_driver.rs
@@ -25,6 +25,17 @@
         self.catalog_freshness.set(freshness);
     }
 
+    /// Records up to when the store's answers to this entry cover what it uses.
+    pub fn take_store_response(&self) {
+        let own = self.revisions.get();
+        if let Some(as_of) = self.last_store_response.catalog_as_of(own) {
+            self.confirm_catalog(self.ms_at(as_of), ConfirmedBy::Store);
+        }
+        if let Some(as_of) = self.last_store_response.list_as_of(own) {
+            self.confirm_list(self.ms_at(as_of), ConfirmedBy::Store);
+        }
+    }
+
     /// Compares the configuration's age with the time that changes may take, and logs when it passes
     /// that or no longer does. Returns whether it is older.
     pub fn check_catalog_age(&self) -> bool {
@@ -48,6 +59,7 @@
     /// Returns the version and the age of the configuration in force, for logs.
     #[must_use]
     pub fn catalog_mark(&self) -> CatalogMark {
+        self.take_store_response();
         let catalog = self.catalog.borrow();
         CatalogMark {
             version: catalog.as_ref().map(|catalog| catalog.version),
@@ -65,6 +77,7 @@
     /// Returns the position and the age of the list of upstreams, for logs.
     #[must_use]
     pub fn list_mark(&self) -> ListMark {
+        self.take_store_response();
         let freshness = self.list_freshness.get();
         ListMark {
             revision: self.revisions.get().directory,
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -29,8 +29,10 @@
 pub const STREAM_ORIGINS_LEVEL: u8 = 1;
 /// Level of the builds that know messages about suspect features.
 pub const SUSPECTS_LEVEL: u8 = 2;
+/// Level of the builds that tell how old their replicas are.
+pub const REPLICA_AGES_LEVEL: u8 = 3;
 /// Level of this build.
-pub const MESSAGE_LEVEL: u8 = SUSPECTS_LEVEL;
+pub const MESSAGE_LEVEL: u8 = REPLICA_AGES_LEVEL;
 /// Longest datagram that is sent. It fits into one packet of a common network.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -251,6 +253,19 @@
     /// [`STREAM_ORIGINS_LEVEL`] and [`SUSPECTS_LEVEL`].
     #[serde(skip)]
     pub message_level: u8,
+    /// How old the store's word to the sender is that its revisions are the newest; sent from
+    /// [`REPLICA_AGES_LEVEL`] on.
+    #[serde(skip)]
+    pub replica_ages: ReplicaAges,
+}
+
+/// How long ago it was certain that an entry's replica was the newest.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReplicaAges {
+    /// Age of its configuration; none if the store has not told the entry of it.
+    pub catalog_ms: Option<u32>,
+    /// Age of its list of upstreams.
+    pub list_ms: Option<u32>,
 }
 
 /// Asks the receiver, who owns the customer's quota, to charge a request to it.
@@ -423,7 +438,11 @@
     if heartbeat.message_level == 0 {
         return Some(bytes);
     }
-    postcard::to_extend(&heartbeat.message_level, bytes).ok()
+    let bytes = postcard::to_extend(&heartbeat.message_level, bytes).ok()?;
+    if heartbeat.message_level < REPLICA_AGES_LEVEL {
+        return Some(bytes);
+    }
+    postcard::to_extend(&heartbeat.replica_ages, bytes).ok()
 }
 
 fn decode_heartbeat_extension(heartbeat: &mut Heartbeat, extension: &[u8]) {
@@ -436,5 +455,9 @@
     };
     heartbeat.revisions = heartbeat.revisions.with_eras(eras);
     heartbeat.knows_eras = true;
-    heartbeat.message_level = postcard::from_bytes(message_level).unwrap_or_default();
+    let Ok((message_level, replica_ages)) = postcard::take_from_bytes(message_level) else {
+        return;
+    };
+    heartbeat.message_level = message_level;
+    heartbeat.replica_ages = postcard::from_bytes(replica_ages).unwrap_or_default();
 }
--- a/lib/src/direct/replication.rs
+++ b/lib/src/direct/replication.rs
@@ -2,6 +2,7 @@
 //! heartbeats with the other entries, passes changes on, and pulls updates.
 
 pub mod heartbeats;
+pub mod last_response;
 pub mod peer_pull;
 pub mod read_cursor;
 pub mod rollout_follower;
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -15,6 +15,8 @@
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::MESSAGE_LEVEL;
 use crate::direct::membership::peer_message::PeerMessage;
+use crate::direct::membership::peer_message::REPLICA_AGES_LEVEL;
+use crate::direct::membership::peer_message::ReplicaAges;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::membership::spread_tree;
@@ -23,7 +25,6 @@
 use crate::direct::replication::spread::SpreadMessage;
 use crate::direct::replication::spread::SpreadRelay;
 use crate::direct::replication::spread::SpreadStep;
-use crate::direct::replication::store_follower::LastStoreResponse;
 use crate::direct::replication::store_follower::ReplicaChange;
 use crate::direct::sharing::admission::EntryRef;
 use crate::direct::store_view::freshness::ConfirmedBy;
@@ -55,8 +56,6 @@
 pub struct ControlChannels {
     /// The revisions that this entry has reached.
     pub own_revisions: watch::Receiver<Revisions>,
-    /// When the store last answered.
-    pub last_store_response: LastStoreResponse,
     /// A peer with later revisions, if there is one.
     pub peer_ahead: watch::Sender<Option<SocketAddr>>,
     /// Whether this entry calls the store itself.
@@ -233,21 +232,33 @@
         traffic.grant_slots();
     }
 
-    /// Takes the word of a peer that watches the store and has no newer configuration or list.
+    /// Takes the word of a peer that the store has told lately, and that has no newer configuration or
+    /// list.
     fn take_word(&self, heartbeat: &Heartbeat, from: SocketAddr, now_ms: u64) {
-        let own = *self.channels.own_revisions.borrow();
-        let knows_era = own.directory.era == 0 || heartbeat.knows_eras;
-        if let Some(age_ms) = heartbeat.store_age_ms
-            && knows_era
+        let own = self.traffic.revisions.get();
+        if own.directory.era != 0 && !heartbeat.knows_eras {
+            return;
+        }
+        let ages = if heartbeat.message_level >= REPLICA_AGES_LEVEL {
+            heartbeat.replica_ages
+        } else {
+            ReplicaAges {
+                catalog_ms: heartbeat.store_age_ms,
+                list_ms: heartbeat.store_age_ms,
+            }
+        };
+        let by = ConfirmedBy::Peer(from);
+        if let Some(age_ms) = ages.catalog_ms
+            && heartbeat.revisions.catalog <= own.catalog
         {
             let at_ms = now_ms.saturating_sub(age_ms.into());
-            let by = ConfirmedBy::Peer(from);
-            if heartbeat.revisions.catalog <= own.catalog {
-                self.traffic.confirm_catalog(at_ms, by);
-            }
-            if heartbeat.revisions.directory <= own.directory {
-                self.traffic.confirm_list(at_ms, by);
-            }
+            self.traffic.confirm_catalog(at_ms, by);
+        }
+        if let Some(age_ms) = ages.list_ms
+            && heartbeat.revisions.directory <= own.directory
+        {
+            let at_ms = now_ms.saturating_sub(age_ms.into());
+            self.traffic.confirm_list(at_ms, by);
         }
     }
 
@@ -295,11 +306,7 @@
         let bound_ms = traffic.config_bound_ms.get();
         let is_served = store_age_ms.is_some_and(PeerTable::is_recent_answer);
         let mut role = peers.store_role(own_revisions, is_served, bound_ms, now_ms);
-        if let Some(age_ms) = store_age_ms {
-            let at_ms = now_ms.saturating_sub(age_ms.into());
-            traffic.confirm_catalog(at_ms, ConfirmedBy::Store);
-            traffic.confirm_list(at_ms, ConfirmedBy::Store);
-        }
+        traffic.take_store_response();
         if traffic.check_catalog_age() && role == StoreRole::Listens {
             // Nobody who watches the store has said for some time that nothing has changed.
             role = StoreRole::spare(live, bound_ms);
@@ -405,7 +412,7 @@
 
     /// Returns how long ago the store answered this entry, if it calls the store.
     fn store_age_ms(&self) -> Option<u32> {
-        let age_ms = self.channels.last_store_response.age_ms();
+        let age_ms = self.traffic.last_store_response.answer_age_ms();
         age_ms.filter(|_| *self.channels.role.borrow() != StoreRole::Listens)
     }
 
@@ -423,13 +430,14 @@
             age_s: PeerTable::own_age_s(traffic.now_ms()),
             known_entries: u16::try_from(peers.known_entries()).unwrap_or(u16::MAX),
             store_age_ms: self.store_age_ms(),
-            revisions: *self.channels.own_revisions.borrow(),
+            revisions: traffic.revisions.get(),
             peer_addresses: peers.addresses_to_share(rand::random::<u32>().into()),
             loads: LoadChunk::of(dispatcher.running(traffic.now_ms()).collect(), self.round),
             spent: self.round_spent.clone(),
             host: Some(peers.own_host()),
             knows_eras: true,
             message_level: MESSAGE_LEVEL,
+            replica_ages: traffic.last_store_response.ages(traffic.revisions.get()),
         }
     }
 }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -9,9 +9,6 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::sync::Arc;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -27,6 +24,7 @@
 use crate::direct::membership::store_role;
 use crate::direct::membership::store_role::StoreRole;
 use crate::direct::metrics::DirectMetrics;
+use crate::direct::replication::last_response::LastStoreResponse;
 use crate::direct::replication::peer_pull;
 use crate::direct::replication::peer_pull::PullReply;
 use crate::direct::replication::read_cursor::ReadCursor;
@@ -103,57 +101,6 @@
     ) -> impl Future<Output = Result<WatchBatch, ReadError>>;
 }
 
-/// When the store last answered this entry. It is shared between the control and traffic threads.
-#[derive(Clone, Debug)]
-pub struct LastStoreResponse {
-    started_at: Instant,
-    /// Milliseconds from the start to the last answer about the configuration; 0 if there was none.
-    catalog_ms: Arc<AtomicU64>,
-    /// The same for the upstreams.
-    upstreams_ms: Arc<AtomicU64>,
-}
-
-impl Default for LastStoreResponse {
-    fn default() -> Self {
-        Self {
-            started_at: Instant::now(),
-            catalog_ms: Arc::default(),
-            upstreams_ms: Arc::default(),
-        }
-    }
-}
-
-impl LastStoreResponse {
-    fn now_ms(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
-    }
-
-    fn record(&self, is_catalog: bool) {
-        let last_ms = if is_catalog {
-            &self.catalog_ms
-        } else {
-            &self.upstreams_ms
-        };
-        last_ms.store(self.now_ms().max(1), Ordering::Relaxed);
-    }
-
-    /// Returns how long ago the store last answered about the configuration or about the upstreams,
-    /// whichever is longer, or none if it never has.
-    ///
-    /// ```
-    /// use sardinewood::direct::replication::store_follower::LastStoreResponse;
-    ///
-    /// assert_eq!(LastStoreResponse::default().age_ms(), None);
-    /// ```
-    #[must_use]
-    pub fn age_ms(&self) -> Option<u32> {
-        let last_ms = self.catalog_ms.load(Ordering::Relaxed);
-        let last_ms = last_ms.min(self.upstreams_ms.load(Ordering::Relaxed));
-        let age_ms = self.now_ms().saturating_sub(last_ms);
-        (last_ms > 0).then(|| u32::try_from(age_ms).unwrap_or(u32::MAX))
-    }
-}
-
 /// A change that this entry has read from the store, for its peers.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct ReplicaChange {
@@ -179,7 +126,7 @@
     /// Time after an upstream's announcement that it leaves, or its removal, within which it may still
     /// get requests.
     pub drain_bound_ms: u64,
-    /// When the store last answered.
+    /// Up to when the store's answers cover the replica.
     pub last_response: LastStoreResponse,
     /// Time without a heartbeat after which an upstream is taken to have ended.
     pub upstream_silence_ms: u64,
@@ -278,6 +225,7 @@
         let mut outage = Outage::default();
         let mut cursor = ReadCursor::default();
         let mut has_listed = false;
+        let mut has_news = false;
         let mut role = self.channels.role.clone();
         let is_catalog = kind == self.replica.borrow().decoders().catalog_kind;
         let wait_ms = watch_wait_ms(if is_catalog {
@@ -295,21 +243,29 @@
             }
             source.learn_era(self.replica.borrow().revisions().directory.era);
             let after = cursor.watch_after();
+            // The first answer after an outage tells whether the store has returned from a copy, and the
+            // one after changes that there are no more. Neither is waited for.
+            let wait_ms = if outage.is_ongoing() || has_news {
+                0
+            } else {
+                wait_ms
+            };
+            has_news = false;
+            let asked_at = Instant::now();
             let read = match after {
                 None => source
                     .list(kind)
                     .await
-                    .map(|list| self.apply_list(kind, list, &outage)),
-                Some(after) => source
-                    // The first answer after an outage tells whether the store has returned from a
-                    // copy, and is not waited for.
-                    .watch(kind, after, if outage.is_ongoing() { 0 } else { wait_ms })
-                    .await
-                    .map(|batch| self.apply_batch(kind, batch, &outage)),
+                    .map(|list| (self.apply_list(kind, list, &outage), asked_at)),
+                Some(after) => source.watch(kind, after, wait_ms).await.map(|batch| {
+                    let as_of = covered_until(&batch, asked_at, wait_ms);
+                    has_news = !batch.events.is_empty();
+                    (self.apply_batch(kind, batch, &outage), as_of)
+                }),
             };
             match read {
-                Ok(position) => {
-                    self.channels.last_response.record(is_catalog);
+                Ok((position, as_of)) => {
+                    self.record_response(is_catalog, as_of);
                     outage.record_answer(kind);
                     backoff.reset();
                     let pause = pause_after(after, position, has_listed);
@@ -333,6 +289,17 @@
         }
     }
 
+    /// Records that the store had nothing newer than the replica has now.
+    fn record_response(&self, is_catalog: bool, as_of: Instant) {
+        let revisions = self.replica.borrow().revisions();
+        let last_response = &self.channels.last_response;
+        if is_catalog {
+            last_response.record_catalog(revisions.catalog, as_of);
+        } else {
+            last_response.record_list(revisions.directory, as_of);
+        }
+    }
+
     fn apply_list(&self, kind: &str, list: ObjectList, outage: &Outage) -> StorePosition {
         let position = list.position;
         self.note_store_return(kind, outage);
@@ -508,6 +475,19 @@
     }
 }
 
+/// Returns the latest time of which it is certain that the answer to a watch tells all changes before it.
+///
+/// An answer may be long on its way, so the time at which it arrives says nothing. An answer without
+/// changes was made when the wait was over.
+fn covered_until(batch: &WatchBatch, asked_at: Instant, wait_ms: u64) -> Instant {
+    let waited_until = asked_at + Duration::from_millis(wait_ms);
+    if batch.events.is_empty() && waited_until <= Instant::now() {
+        waited_until
+    } else {
+        asked_at
+    }
+}
+
 /// Returns how long a watch waits, given the time within which a change has to be in force.
 fn watch_wait_ms(bound_ms: u64) -> u64 {
     (bound_ms * WATCH_WAIT_EIGHTHS / 8).min(MAX_WATCH_WAIT_MS)
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -31,13 +31,13 @@
 use crate::direct::metrics::DirectMetrics;
 use crate::direct::replication::heartbeats::ControlChannels;
 use crate::direct::replication::heartbeats::HeartbeatTask;
+use crate::direct::replication::last_response::LastStoreResponse;
 use crate::direct::replication::peer_pull;
 use crate::direct::replication::rollout_follower::RolloutFollower;
 use crate::direct::replication::rollout_follower::RolloutStore;
 use crate::direct::replication::rollout_follower::RolloutView;
 use crate::direct::replication::store_follower;
 use crate::direct::replication::store_follower::FollowerChannels;
-use crate::direct::replication::store_follower::LastStoreResponse;
 use crate::direct::replication::store_follower::ObjectSource;
 use crate::direct::replication::store_follower::StoreFollower;
 use crate::direct::request::headers::HeaderCodec;
@@ -201,7 +201,6 @@
     let has_rollouts = settings.rollouts.is_some();
     let channels = ControlChannels {
         own_revisions,
-        last_store_response: last_store_response.clone(),
         peer_ahead: peer_ahead_sender,
         role: role_sender,
         changes,
@@ -215,6 +214,7 @@
     settings.check_bounds();
     let metrics = DirectMetrics::new().wrap_err("can't register metrics")?;
     let control_metrics = metrics.clone();
+    let control_last_response = last_store_response.clone();
     thread::Builder::new()
         .name("control".to_owned())
         .spawn(move || {
@@ -227,7 +227,7 @@
                 role,
                 config_bound_ms,
                 drain_bound_ms,
-                last_response: last_store_response,
+                last_response: control_last_response,
                 upstream_silence_ms,
                 metrics: control_metrics,
             };
@@ -246,11 +246,11 @@
         serve(
             settings,
             platform,
-            snapshots,
-            own_revisions_sender,
+            (snapshots, own_revisions_sender),
             channels,
             (rollouts, status_sender),
             (metrics, reload),
+            last_store_response,
         ),
     )
 }
@@ -300,11 +300,11 @@
 async fn serve(
     settings: DirectSettings,
     platform: PlatformAdapter,
-    snapshots: watch::Receiver<ReplicaSnapshot>,
-    own_revisions: watch::Sender<Revisions>,
+    (snapshots, own_revisions): (watch::Receiver<ReplicaSnapshot>, watch::Sender<Revisions>),
     channels: ControlChannels,
     (rollouts, statuses): (watch::Receiver<Option<RolloutView>>, StatusWriter),
     (metrics, reload): (DirectMetrics, impl FnMut() -> SettingsReload + 'static),
+    last_response: LastStoreResponse,
 ) -> eyre::Result<()> {
     let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
     let hang_up = signal(SignalKind::hangup()).wrap_err("can't wait for signals")?;
@@ -321,6 +321,7 @@
     let table = RolloutTable::new(settings.rollouts, rand::random());
     let traffic = TrafficState::new(
         platform.header_codec,
+        last_response,
         settings.retry_limits,
         peers,
         socket,
--- a/lib/src/direct/stream_origin_driver.rs
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -135,7 +135,7 @@
     /// list may be old does not know.
     fn only_version(&self, service: &str, longest_ms: u64) -> Option<Arc<str>> {
         let now_ms = self.now_ms();
-        let age_ms = self.list_freshness.get().age_ms(now_ms)?;
+        let age_ms = self.list_mark().age_ms?;
         let history = self.version_history.borrow();
         (age_ms <= self.config_bound_ms.get())
             .then(|| history.only_version(service, longest_ms, now_ms))?
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -36,6 +36,7 @@
 use crate::direct::quarantine::recent_survivals::RecentSurvivals;
 use crate::direct::quarantine::suspects::Suspects;
 use crate::direct::quota_driver::PendingCharges;
+use crate::direct::replication::last_response::LastStoreResponse;
 use crate::direct::request::connection_pool::ConnectionPool;
 use crate::direct::request::headers::HeaderCodec;
 use crate::direct::rollout::table::RolloutTable;
@@ -107,6 +108,8 @@
     pub drain_bound_ms: Cell<u64>,
     /// When the list of upstreams was last known to be the newest one.
     pub list_freshness: Cell<Freshness>,
+    /// Up to when the store's answers to this entry cover its replica.
+    pub last_store_response: LastStoreResponse,
     /// Revisions of the configuration and of the list in force.
     pub revisions: Cell<Revisions>,
     /// Whether a list of upstreams has arrived.
@@ -291,6 +294,7 @@
     #[must_use]
     pub fn new(
         header_codec: HeaderCodec,
+        last_store_response: LastStoreResponse,
         limits: RetryLimits,
         peers: PeerTable,
         socket: UdpSocket,
@@ -299,6 +303,7 @@
     ) -> Rc<Self> {
         Rc::new(Self {
             header_codec,
+            last_store_response,
             connection_pool: Rc::default(),
             dispatcher: RefCell::default(),
             admission: RefCell::default(),
@@ -358,6 +363,13 @@
         self.started_at + Duration::from_millis(at_ms)
     }
 
+    /// Converts an instant to the time since the start of the process; 0 for earlier ones.
+    #[must_use]
+    pub fn ms_at(&self, at: Instant) -> u64 {
+        let since_start = at.saturating_duration_since(self.started_at);
+        u64::try_from(since_start.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Returns a number that is unique within this process.
     #[must_use]
     pub fn next_id(&self) -> u64 {
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -11,8 +11,8 @@
 use sardinewood::direct::membership::peer_message::Revisions;
 use sardinewood::direct::membership::store_role::StoreRole;
 use sardinewood::direct::metrics::DirectMetrics;
+use sardinewood::direct::replication::last_response::LastStoreResponse;
 use sardinewood::direct::replication::store_follower::FollowerChannels;
-use sardinewood::direct::replication::store_follower::LastStoreResponse;
 use sardinewood::direct::replication::store_follower::ObjectSource;
 use sardinewood::direct::replication::store_follower::ReplicaChange;
 use sardinewood::direct::replication::store_follower::StoreFollower;
@@ -103,6 +103,22 @@
 
 fn follower_with(
     changes: mpsc::UnboundedSender<ReplicaChange>,
+) -> (StoreFollower, watch::Receiver<ReplicaSnapshot>) {
+    follower_of(changes, LastStoreResponse::default())
+}
+
+/// A follower that records the store's answers there.
+pub fn follower_recording(
+    last_response: LastStoreResponse,
+) -> (StoreFollower, watch::Receiver<ReplicaSnapshot>) {
+    // Nobody receives the changes.
+    let (changes, _changes) = mpsc::unbounded_channel();
+    follower_of(changes, last_response)
+}
+
+fn follower_of(
+    changes: mpsc::UnboundedSender<ReplicaChange>,
+    last_response: LastStoreResponse,
 ) -> (StoreFollower, watch::Receiver<ReplicaSnapshot>) {
     let (view_sender, view) = watch::channel(ReplicaSnapshot::default());
     // The sender may be dropped: its last value stays.
@@ -114,7 +130,7 @@
         role,
         config_bound_ms: DEFAULT_CONFIG_BOUND_MS,
         drain_bound_ms: DRAIN_BOUND_MS,
-        last_response: LastStoreResponse::default(),
+        last_response,
         upstream_silence_ms: DEFAULT_SILENCE_MS,
         metrics: DirectMetrics::new().expect("metrics"),
     };
