dispatch: the list of upstreams is confirmed before a request is sent by an old one

Cause, and class: readiness is a fact with an age, and was used without one. The bound held by a table of delays that happened to add up for an entry that watches; nobody had added it up for one that listens or has just started. Why it holds: right before each request is sent, where all ways to an upstream meet (first choice, retry, resumption, hedge, granted slot, canary), the age of the list decides. Up to three quarters of drainMs it is used; up to nine tenths it is used and confirmed meanwhile; beyond that it is confirmed first, by a peer that watches the store, else by the store over a connection of its own, one question at a time. So whatever an entry does not hear, and why, what it sends goes by a list that was the newest within the bound.

--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -185,7 +185,8 @@
                 admission.release(EntryRef::Peer(peer), upstream, release);
                 self.grant(entry);
             }
-            // Customers of the model have no limits, its engines one version, and its entries one build.
+            // Customers of the model have no limits, its engines one version and never leave, and its
+            // entries one build.
             PeerMessage::SuspectRequests(_)
             | PeerMessage::ChargeRequest(_)
             | PeerMessage::ChargeReply { .. }
@@ -193,7 +194,9 @@
             | PeerMessage::Spread(_)
             | PeerMessage::StreamOrigins(_)
             | PeerMessage::OriginRequest(_)
-            | PeerMessage::OriginReply { .. } => {}
+            | PeerMessage::OriginReply { .. }
+            | PeerMessage::ListQuestion { .. }
+            | PeerMessage::ListWord(_) => {}
             PeerMessage::UpstreamNotices(updates) => self.merge_notice_updates(entry, &updates),
             PeerMessage::Suspects(updates) => self.merge_suspect_updates(entry, &updates),
         }
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -259,6 +259,19 @@
     pub replica_ages: ReplicaAges,
 }
 
+/// How old an entry's list of upstreams is, in reply to a question.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ListWord {
+    /// When the receiver has asked, by its own clock.
+    pub asked_ms: u32,
+    /// Era of the list's position.
+    pub era: u32,
+    /// Revision of the list's position.
+    pub revision: u64,
+    /// How long ago it was certain that the list was the newest.
+    pub age_ms: u32,
+}
+
 /// How long ago it was certain that an entry's replica was the newest.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReplicaAges {
@@ -349,6 +362,14 @@
     },
     /// What the sender knows about features of requests under which upstreams have crashed.
     Suspects(Vec<SuspectUpdate>),
+    /// The sender asks whether its list of upstreams is the newest. This and the reply are sent only to
+    /// peers that know [`REPLICA_AGES_LEVEL`].
+    ListQuestion {
+        /// When it asks, by a clock of its own.
+        asked_ms: u32,
+    },
+    /// The reply: the sender's list, and how old it was at the time of the question at most.
+    ListWord(ListWord),
 }
 
 impl PeerMessage {
@@ -373,6 +394,7 @@
             Self::Rollout(_) => "rollouts",
             Self::UpstreamNotices(_) => "notices",
             Self::Spread(_) => "changes",
+            Self::ListQuestion { .. } | Self::ListWord(_) => "confirmations",
             Self::StreamOrigins(_) | Self::OriginRequest(_) | Self::OriginReply { .. } => "streams",
         }
     }
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -9,6 +9,7 @@
 use crate::direct::membership::peer_message::CustomerSpending;
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
+use crate::direct::membership::peer_message::REPLICA_AGES_LEVEL;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_message::STREAM_ORIGINS_LEVEL;
 use crate::direct::membership::peer_message::SUSPECTS_LEVEL;
@@ -644,6 +645,23 @@
         age_ms < MAX_STORE_AGE_MS
     }
 
+    /// Returns the peers that watch the store and reply to questions about the list of upstreams.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_table::PeerTable;
+    ///
+    /// let table = PeerTable::new("127.0.0.1:7".parse().unwrap(), &[]);
+    /// assert!(table.list_witnesses(0, 0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn list_witnesses(&self, era: u32, now_ms: u64) -> Vec<SocketAddr> {
+        let is_witness = |peer: &Peer| {
+            peer.message_level >= REPLICA_AGES_LEVEL && self.is_watching(peer, era, now_ms)
+        };
+        let peers = self.peers.iter().filter(|(_, peer)| is_witness(peer));
+        peers.map(|(address, _)| *address).collect()
+    }
+
     /// Returns whether a peer watches the store. Once the store names its era, builds without eras
     /// are passed over, as their changes tell nothing.
     fn is_watching(&self, peer: &Peer, era: u32, now_ms: u64) -> bool {
--- a/lib/src/direct/membership/store_role.rs
+++ b/lib/src/direct/membership/store_role.rs
@@ -10,6 +10,20 @@
 /// Pause between the calls of one entry of so many. The rate of all stays the same in larger fleets.
 const PROBE_PAUSE_MS: u64 = 500;
 
+/// Returns the pause of an entry before it calls a store again that has not answered, in a fleet of so
+/// many. The rate of all stays the same in larger fleets.
+///
+/// ```
+/// use sardinewood::direct::membership::store_role::retry_pause_ms;
+///
+/// assert_eq!(retry_pause_ms(4), 500);
+/// assert_eq!(retry_pause_ms(160), 5_000);
+/// ```
+#[must_use]
+pub fn retry_pause_ms(entries: usize) -> u64 {
+    PROBE_PAUSE_MS * (entries as u64).max(ENTRIES_AT_FULL_RATE) / ENTRIES_AT_FULL_RATE
+}
+
 /// The part of an entry in following the store.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum StoreRole {
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -105,6 +105,8 @@
     /// Age that the list of upstreams had reached when it became known that one is not used any more:
     /// the longest time for which it can have been left.
     pub leaving_known_within_ms: Histogram,
+    /// Questions whether the list of upstreams is the newest, by who was asked.
+    pub list_questions: IntCounterVec,
     /// Requests sent by a list that is older than upstreams may take to leave.
     pub sent_by_old_list: IntCounter,
 }
@@ -223,6 +225,11 @@
                 "leaving_known_within_ms",
                 "Age of the list when upstreams became known to have left.",
             ))?,
+            list_questions: counters(
+                "list_questions_total",
+                "Questions whether the list of upstreams is the newest.",
+                &["asked"],
+            )?,
             sent_by_old_list: counter(
                 "sent_by_old_list_total",
                 "Requests sent by a list that is older than upstreams may take to leave.",
@@ -260,6 +267,7 @@
             &self.peer_bytes,
             &self.pulls,
             &self.pulls_served,
+            &self.list_questions,
         ] {
             self.registry.register(Box::new(counters.clone()))?;
         }
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -173,6 +173,10 @@
             Some(PeerMessage::OriginReply { request_id, reply }) => {
                 traffic.handle_origin_reply(request_id, reply);
             }
+            Some(PeerMessage::ListQuestion { asked_ms }) => {
+                traffic.answer_list_question(from, asked_ms);
+            }
+            Some(PeerMessage::ListWord(word)) => traffic.take_list_word(from, word),
             None => traffic.log(Level::Warn, "datagram can't be decoded", |line| {
                 line.field("from", from)
             }),
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -99,6 +99,45 @@
         after: StorePosition,
         wait_ms: u64,
     ) -> impl Future<Output = Result<WatchBatch, ReadError>>;
+
+    /// Returns the changes of a kind after a position that there are, over a connection of its own.
+    /// Connections that are kept may have fallen silent.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::watch`].
+    fn changes_now(
+        &self,
+        kind: &str,
+        after: StorePosition,
+    ) -> impl Future<Output = Result<WatchBatch, ReadError>> {
+        self.watch(kind, after, 0)
+    }
+
+    /// Lists all objects of a kind, over a connection of its own.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::list`].
+    fn list_now(&self, kind: &str) -> impl Future<Output = Result<ObjectList, ReadError>> {
+        self.list(kind)
+    }
+}
+
+/// A question to the store whether the list of upstreams is the newest.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ListCall {
+    /// Age of the list; none if it was never confirmed.
+    pub age_ms: Option<u64>,
+}
+
+/// How such a question ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ListCallOutcome {
+    /// The store has answered, and the answer is applied.
+    Answered,
+    /// The store has not answered, or not as expected.
+    Failed,
 }
 
 /// A change that this entry has read from the store, for its peers.
@@ -308,7 +347,13 @@
     }
 
     fn apply_batch(&self, kind: &str, batch: WatchBatch, outage: &Outage) -> StorePosition {
+        let position = batch.position;
         self.note_store_return(kind, outage);
+        self.apply_changes(kind, batch);
+        position
+    }
+
+    fn apply_changes(&self, kind: &str, batch: WatchBatch) {
         if !batch.events.is_empty() {
             self.apply_from_store(|replica, now_ms| {
                 for event in batch.events {
@@ -316,7 +361,6 @@
                 }
             });
         }
-        batch.position
     }
 
     /// Changes the replica by what the store has sent, publishes it, and tells the peers.
@@ -335,6 +379,65 @@
         }
     }
 
+    /// Asks the store whether the list of upstreams is the newest, each time that the traffic thread wants
+    /// to know, until the process ends.
+    pub async fn follow_list_calls(
+        &self,
+        source: &impl ObjectSource,
+        mut calls: mpsc::UnboundedReceiver<ListCall>,
+        outcomes: mpsc::UnboundedSender<ListCallOutcome>,
+    ) {
+        while let Some(call) = calls.recv().await {
+            let outcome = match self.confirm_list(source, call).await {
+                Ok(()) => ListCallOutcome::Answered,
+                Err(error) => {
+                    Line::new(Level::Warn, "list of upstreams can't be confirmed")
+                        .field("list_age_ms", call.age_ms)
+                        .field("error", error.to_string())
+                        .send();
+                    ListCallOutcome::Failed
+                }
+            };
+            // The traffic thread ends only with the process.
+            let _ = outcomes.send(outcome);
+        }
+    }
+
+    async fn confirm_list(
+        &self,
+        source: &impl ObjectSource,
+        call: ListCall,
+    ) -> Result<(), ReadError> {
+        let kind = self.replica.borrow().decoders().upstream_kind;
+        let own = self.replica.borrow().revisions().directory;
+        source.learn_era(own.era);
+        let asked_at = Instant::now();
+        if own > StorePosition::default()
+            && let Ok(batch) = source.changes_now(kind, own).await
+        {
+            self.note_unconfirmed(call);
+            self.apply_changes(kind, batch);
+            self.record_response(false, asked_at);
+            return Ok(());
+        }
+        // The history may be gone, or the changes be such that they can't be read.
+        let asked_at = Instant::now();
+        let list = source.list_now(kind).await?;
+        self.note_unconfirmed(call);
+        self.apply_from_store(|replica, now_ms| replica.apply_list(kind, list, now_ms));
+        self.record_response(false, asked_at);
+        Ok(())
+    }
+
+    /// Tells the replica for how long neither the store nor a peer has confirmed the list. In an outage
+    /// entries lapse whose upstreams live.
+    fn note_unconfirmed(&self, call: ListCall) {
+        if let Some(age_ms) = call.age_ms {
+            let mut replica = self.replica.borrow_mut();
+            replica.store_recovered(age_ms, self.now_ms());
+        }
+    }
+
     /// Applies the time limits of the list of upstreams until the process ends.
     pub async fn sweep(&self) {
         /// Time between two sweeps: a small part of the grace period after an outage.
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -255,6 +255,7 @@
         keep_connection(traffic, &lease, connection, None);
         return AttemptResult::Quarantined(quarantined);
     }
+    traffic.confirm_list_before_use().await;
     let instance = &lease.upstream.instance;
     let version = call.stream_version.as_ref();
     if !traffic
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -17,6 +17,7 @@
 use tokio::signal::unix::signal;
 use tokio::sync::mpsc;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::sync::mpsc::UnboundedSender;
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
@@ -38,6 +39,8 @@
 use crate::direct::replication::rollout_follower::RolloutView;
 use crate::direct::replication::store_follower;
 use crate::direct::replication::store_follower::FollowerChannels;
+use crate::direct::replication::store_follower::ListCall;
+use crate::direct::replication::store_follower::ListCallOutcome;
 use crate::direct::replication::store_follower::ObjectSource;
 use crate::direct::replication::store_follower::StoreFollower;
 use crate::direct::request::headers::HeaderCodec;
@@ -213,6 +216,8 @@
     let drain_bound_ms = settings.drain_bound_ms();
     settings.check_bounds();
     let metrics = DirectMetrics::new().wrap_err("can't register metrics")?;
+    let (list_calls_sender, list_calls) = mpsc::unbounded_channel();
+    let (list_outcomes_sender, list_outcomes) = mpsc::unbounded_channel();
     let control_metrics = metrics.clone();
     let control_last_response = last_store_response.clone();
     thread::Builder::new()
@@ -237,7 +242,9 @@
                 ahead: peer_ahead,
                 sent_updates,
             };
-            LocalSet::new().block_on(&control_runtime, follow(follower, rollouts, source, peers));
+            let list_calls = (list_calls, list_outcomes_sender);
+            let follow = follow(follower, rollouts, source, peers, list_calls);
+            LocalSet::new().block_on(&control_runtime, follow);
         })
         .wrap_err("can't start the control thread")?;
     let traffic_runtime = current_thread().wrap_err("can't start the traffic thread's runtime")?;
@@ -250,11 +257,22 @@
             channels,
             (rollouts, status_sender),
             (metrics, reload),
-            last_store_response,
+            ListChannels {
+                last_response: last_store_response,
+                calls: list_calls_sender,
+                outcomes: list_outcomes,
+            },
         ),
     )
 }
 
+/// What the traffic thread learns from the store's answers, and asks the store.
+struct ListChannels {
+    last_response: LastStoreResponse,
+    calls: UnboundedSender<ListCall>,
+    outcomes: UnboundedReceiver<ListCallOutcome>,
+}
+
 /// What reaches the control thread from peers.
 struct FromPeers {
     /// Address that accepts their connections.
@@ -271,6 +289,10 @@
     rollouts: Option<(RolloutFollower, UnboundedReceiver<(Rollout, RolloutStatus)>)>,
     source: S,
     peers: FromPeers,
+    (list_calls, list_outcomes): (
+        UnboundedReceiver<ListCall>,
+        UnboundedSender<ListCallOutcome>,
+    ),
 ) {
     match TcpListener::bind(peers.address).await {
         Ok(listener) => {
@@ -292,6 +314,7 @@
         follower.follow_upstreams(&source),
         follower.follow_peers(peers.ahead),
         follower.follow_sent_updates(peers.sent_updates),
+        follower.follow_list_calls(&source, list_calls, list_outcomes),
         follower.sweep(),
     );
 }
@@ -304,7 +327,7 @@
     channels: ControlChannels,
     (rollouts, statuses): (watch::Receiver<Option<RolloutView>>, StatusWriter),
     (metrics, reload): (DirectMetrics, impl FnMut() -> SettingsReload + 'static),
-    last_response: LastStoreResponse,
+    list: ListChannels,
 ) -> eyre::Result<()> {
     let mut stop = StopSignal::listen().wrap_err("can't wait for signals")?;
     let hang_up = signal(SignalKind::hangup()).wrap_err("can't wait for signals")?;
@@ -321,7 +344,7 @@
     let table = RolloutTable::new(settings.rollouts, rand::random());
     let traffic = TrafficState::new(
         platform.header_codec,
-        last_response,
+        (list.last_response, list.calls),
         settings.retry_limits,
         peers,
         socket,
@@ -350,6 +373,7 @@
         own_revisions,
         Rc::clone(&traffic),
     ));
+    spawn_local(Rc::clone(&traffic).follow_list_call_outcomes(list.outcomes));
     spawn_local(sweep(Rc::clone(&traffic)));
     spawn_local(rollout_driver::run(Rc::clone(&traffic), rollouts, statuses));
     spawn_local(log_outcomes_by_size(Rc::clone(&traffic)));
@@ -458,6 +482,7 @@
         traffic.update_eligible_upstreams();
         traffic.grant_slots();
         traffic.configured.notify_waiters();
+        traffic.list_may_be_confirmed();
     }
     Line::new(Level::Error, "control thread has stopped").send();
 }
--- a/lib/src/direct/store_view.rs
+++ b/lib/src/direct/store_view.rs
@@ -5,5 +5,6 @@
 pub mod departures;
 pub mod directory;
 pub mod freshness;
+pub mod list_use;
 pub mod removals;
 pub mod replica;
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -14,6 +14,7 @@
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
+use tokio::sync::mpsc;
 use tokio::time::Instant;
 
 use crate::direct::log_rate_limit;
@@ -37,6 +38,7 @@
 use crate::direct::quarantine::suspects::Suspects;
 use crate::direct::quota_driver::PendingCharges;
 use crate::direct::replication::last_response::LastStoreResponse;
+use crate::direct::replication::store_follower::ListCall;
 use crate::direct::request::connection_pool::ConnectionPool;
 use crate::direct::request::headers::HeaderCodec;
 use crate::direct::rollout::table::RolloutTable;
@@ -59,6 +61,7 @@
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::store_view::freshness::DEFAULT_CONFIG_BOUND_MS;
 use crate::direct::store_view::freshness::Freshness;
+use crate::direct::store_view::list_use::Confirmation;
 use crate::direct::stream_origin_driver::PendingOriginRequests;
 use crate::direct::streams::origin_records::OriginRecords;
 use crate::direct::streams::version_history::VersionHistory;
@@ -110,6 +113,14 @@
     pub list_freshness: Cell<Freshness>,
     /// Up to when the store's answers to this entry cover its replica.
     pub last_store_response: LastStoreResponse,
+    /// Asks the store, on the control thread, whether the list of upstreams is the newest.
+    pub list_calls: mpsc::UnboundedSender<ListCall>,
+    /// The open question whether the list is the newest.
+    pub list_confirmation: RefCell<Confirmation>,
+    /// Notified when the list may have been confirmed, or could not be.
+    pub list_confirmed: Notify,
+    /// Peers that have asked for the list's age, with the times of their questions.
+    pub list_askers: RefCell<IndexMap<SocketAddr, u32>>,
     /// Revisions of the configuration and of the list in force.
     pub revisions: Cell<Revisions>,
     /// Whether a list of upstreams has arrived.
@@ -294,7 +305,7 @@
     #[must_use]
     pub fn new(
         header_codec: HeaderCodec,
-        last_store_response: LastStoreResponse,
+        (last_store_response, list_calls): (LastStoreResponse, mpsc::UnboundedSender<ListCall>),
         limits: RetryLimits,
         peers: PeerTable,
         socket: UdpSocket,
@@ -304,6 +315,10 @@
         Rc::new(Self {
             header_codec,
             last_store_response,
+            list_calls,
+            list_confirmation: RefCell::default(),
+            list_confirmed: Notify::new(),
+            list_askers: RefCell::default(),
             connection_pool: Rc::default(),
             dispatcher: RefCell::default(),
             admission: RefCell::default(),
