peer table: an entry that gets no list from its peers calls the store, although others watch it

What callers saw: an entry that never becomes ready. Cause: an entry that starts leaves the store to those that watch it and pulls from peers; if their datagrams come and no pull succeeds, nothing ever made it call the store. A fixture of test_direct_sharing that has a list has a configuration now as well, as every entry does that got one.

--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -44,6 +44,9 @@
 /// Time after the start in which an entry that is no seed waits for a peer's list before it asks
 /// the store. Without it, a fleet that starts asks the store as often as it has entries.
 const FIRST_LIST_WAIT_MS: u64 = 800;
+/// Time after its start from which an entry that lacks the list or the configuration calls the store,
+/// although others watch it. Two pulls may have failed by then.
+const MISSING_REPLICA_WAIT_MS: u64 = 2_400;
 /// Time after its start for which a seed without a list waits to hear from the other seeds. A store
 /// that has just returned from an older copy would give it a configuration that they know to be out
 /// of date.
@@ -577,7 +580,7 @@
     /// agree on: the hosts with most capacity, as they serve the others, and one in each data centre
     /// first, since a data centre may be cut off. An entry that the store hasn't answered for some
     /// time is passed over. `own` tells what this entry has got from a peer or the store. An entry
-    /// that has nothing asks its peers first. `is_served` tells whether the store has answered it
+    /// that has nothing asks its peers first, and the store if they can't hand on what they have. `is_served` tells whether the store has answered it
     /// lately, and `longest_ms` is the time within which an entry has to
     /// be up to date that the store serves while it turns the first ones away.
     ///
@@ -598,9 +601,19 @@
     ) -> StoreRole {
         let era = own.directory.era;
         let is_watching = |peer: &Peer| self.is_watching(peer, era, now_ms);
-        if now_ms < self.first_call_ms(own) || !self.is_among_first(is_watching) {
+        if now_ms < self.first_call_ms(own) {
             return StoreRole::Listens;
         }
+        let entries = self.live_peers(now_ms).len() + 1;
+        if !self.is_among_first(is_watching) {
+            let lacks_replica = own.directory == StorePosition::default()
+                || own.catalog.at == StorePosition::default();
+            return if lacks_replica && now_ms >= MISSING_REPLICA_WAIT_MS {
+                StoreRole::spare(entries, longest_ms)
+            } else {
+                StoreRole::Listens
+            };
+        }
         // The store may answer nobody, and then all would call it. An entry that has nothing yet can
         // serve nobody, and does not wait for its turn.
         let has_list = own.directory > StorePosition::default();
@@ -608,7 +621,7 @@
         if is_served || !has_list || self.is_among_first(is_spare) {
             return StoreRole::Watches;
         }
-        StoreRole::spare(self.live_peers(now_ms).len() + 1, longest_ms)
+        StoreRole::spare(entries, longest_ms)
     }
 
     /// Returns the time from which this entry may call the store.
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -522,8 +522,11 @@
 
 fn with_list() -> Revisions {
     Revisions {
+        catalog: CatalogPosition {
+            at: StorePosition::new(0, 1),
+            version: 1,
+        },
         directory: StorePosition::new(0, 1),
-        ..Revisions::default()
     }
 }
 
