soak: entries linked by a switch, workers that leave often, each leaving held against its bound

Seeds from 90,000 on draw datagrams that are lost, late or cut one way, connections between entries that change, and workers that leave with and without a word, among the faults of the earlier seeds. A run that reaches a worker later than 2 s after its leaving counts if the store was stable, its entry in touch for 3 s, and the way to the worker whole.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -41,6 +41,8 @@
     TooManyWorkers(String),
     /// A worker that had left got a request.
     AfterLeaving(String),
+    /// An entry in touch sent a request to a worker too long after it had left.
+    LateAfterLeaving(String),
     /// After the last fault, so many tries still reached workers that end by them.
     DeadlyStillRuns(usize),
     /// A version that fails requests had so many of so many, or had them too late.
@@ -100,6 +102,8 @@
             broken.push(Broken::AfterLeaving(run.id.clone()));
         }
     }
+    let late = records.late_after_leaving.iter().cloned();
+    broken.extend(late.map(Broken::LateAfterLeaving));
     let mixed = versions::mixed_streams(&records.runs).into_iter();
     broken.extend(mixed.map(Broken::MixedVersions));
     check_recovery(records, &mut broken);
--- a/soak/src/lib.rs
+++ b/soak/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod checker;
 pub mod copies;
 pub mod kept;
+pub mod leavings;
 pub mod notices;
 pub mod plan;
 pub mod record;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -51,6 +51,13 @@
     Rest(usize, Duration),
     /// A worker says in its answers that it leaves, and another one comes. The list says nothing.
     LeaveUnlisted(usize),
+    /// A worker's entry is removed without a word, and another one comes.
+    Remove(usize),
+    /// Datagrams to and from an entry are lost or late for a time: percentages lost of those to it and of
+    /// those from it, and how late all are.
+    Datagrams(usize, [u8; 2], Duration, Duration),
+    /// Connections of other entries to one change for a time.
+    PeerConnections(usize, Link, Duration),
 }
 
 /// A fault and the pause before it.
@@ -91,6 +98,12 @@
 /// that accepts connections for a crashed worker, nothing tells the first part of a plain answer from all
 /// of it.
 pub const FIRST_SEED_WITH_TORN_STREAMS: u64 = 80_000;
+/// From this seed on, entries are linked by a switch that loses, delays and cuts what they tell each other,
+/// workers leave often, and each leaving is held against its bound. Neither requests nor parts crash
+/// workers.
+pub const FIRST_SEED_WITH_LINKS: u64 = 90_000;
+/// Weights of the faults between entries and of leavings, among those of the seeds with restarts.
+const LINK_KINDS: u32 = 14;
 /// Weights of the faults of all seeds, of those with restarts and notices as well, and of all.
 const OLDER_KINDS: u32 = 20;
 const KINDS_WITH_RESTARTS: u32 = 23;
@@ -120,7 +133,13 @@
         if at > length {
             return steps;
         }
-        let fault = fault(&mut random, kinds);
+        let is_link = seed >= FIRST_SEED_WITH_LINKS
+            && random.random_range(0..KINDS_WITH_RESTARTS + LINK_KINDS) < LINK_KINDS;
+        let fault = if is_link {
+            link_fault(&mut random)
+        } else {
+            fault(&mut random, kinds)
+        };
         steps.push(Step { after, fault });
     }
 }
@@ -151,6 +170,23 @@
     }
 }
 
+/// A fault between entries, or a leaving.
+fn link_fault(random: &mut StdRng) -> Fault {
+    let whom = random.random_range(0..100);
+    let lasting = Duration::from_millis(random.random_range(LASTING_MS));
+    let delay = Duration::from_millis(random.random_range(0..500));
+    match random.random_range(0..10) {
+        0 => Fault::Datagrams(whom, [100, 0], Duration::ZERO, lasting),
+        1 => Fault::Datagrams(whom, [0, 100], Duration::ZERO, lasting),
+        2 => Fault::Datagrams(whom, [100, 100], Duration::ZERO, lasting),
+        3 => Fault::Datagrams(whom, [random.random_range(5..80); 2], delay, lasting),
+        4 => Fault::Datagrams(whom, [0, 0], delay, lasting),
+        5 => Fault::PeerConnections(whom, link(random), lasting),
+        6 | 7 => Fault::Remove(whom),
+        _ => Fault::Replace(whom),
+    }
+}
+
 fn manner(random: &mut StdRng) -> Manner {
     match random.random_range(0..6) {
         0 => Manner::AnswerTwice,
--- a/soak/src/record.rs
+++ b/soak/src/record.rs
@@ -143,6 +143,8 @@
     pub beyond_limit: usize,
     /// Of a worker that asked for rest in a calm time, arrivals in it beyond what is allowed.
     pub beyond_rest: usize,
+    /// Runs that entries in touch sent to workers later after their leaving than they may.
+    pub late_after_leaving: Vec<String>,
     /// Entries at which a configuration of a calm time was not in force in time.
     pub late_entries: usize,
 }
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -14,6 +14,8 @@
 use platform_testkit::node::entry;
 use platform_testkit::node::settings;
 use platform_testkit::node::with_keys;
+use platform_testkit::peer_switch::Datagrams;
+use platform_testkit::peer_switch::PeerSwitch;
 use platform_testkit::rollout_scene::SERVICE;
 use platform_testkit::store_stand_in::Mood;
 use platform_testkit::store_stand_in::StoreStandIn;
@@ -35,9 +37,14 @@
 use crate::checker::EVENTS;
 use crate::copies;
 use crate::copies::Copies;
+use crate::leavings;
+use crate::leavings::Departure;
+use crate::leavings::Disturbances;
+use crate::leavings::Part;
 use crate::notices::Notices;
 use crate::plan::FIRST_SEED_WITH_COPIES;
 use crate::plan::FIRST_SEED_WITH_DEADLY;
+use crate::plan::FIRST_SEED_WITH_LINKS;
 use crate::plan::FIRST_SEED_WITH_NOTICES;
 use crate::plan::FIRST_SEED_WITH_PARTS;
 use crate::plan::FIRST_SEED_WITH_ROLLOUT;
@@ -84,6 +91,8 @@
 const FOR_GOOD: Duration = Duration::from_secs(600);
 /// Time until an answer has told the entries what a worker says.
 const CONTACT: Duration = Duration::from_millis(500);
+/// Time within which an entry that is told to stop has ended, unless a request holds it.
+const STOPPED_WITHIN: Duration = Duration::from_secs(4);
 /// Time after which a worker that has said that it leaves may get nothing more.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -136,6 +145,8 @@
     Unsaid(usize),
     WayToWorker(usize),
     WayToStore(usize),
+    Datagrams(usize),
+    PeerConnections(usize),
     Store,
     /// The store returns from a copy.
     Return,
@@ -176,6 +187,10 @@
     notices: Option<Notices>,
     /// Copies of the store, if it returns from them.
     copies: Option<Copies>,
+    /// Links the entries, if these are disturbed.
+    switch: Option<PeerSwitch>,
+    disturbances: Disturbances,
+    departures: Vec<Departure>,
 }
 
 impl World {
@@ -205,6 +220,9 @@
                 .contains(&seed)
                 .then(Notices::default),
             copies,
+            switch: None,
+            disturbances: Disturbances::default(),
+            departures: Vec::new(),
         };
         world.configure();
         for _ in 0..size.workers {
@@ -219,6 +237,11 @@
                 is_ending: false,
             });
         }
+        if seed >= FIRST_SEED_WITH_LINKS {
+            let entries = world.entries.iter();
+            let entries: Vec<SocketAddr> = entries.map(|entry| entry.ports.peers).collect();
+            world.switch = Some(PeerSwitch::start(&entries).await);
+        }
         for index in 0..size.entries {
             world.start_entry(index);
         }
@@ -264,9 +287,21 @@
         self.pass(CALM).await;
         let requests = callers.stop().await;
         let (beyond_limit, beyond_rest) = self.beyond_notices();
+        let runs = self.runs();
+        let entry_of = |request: &str| {
+            let port: u16 = request.split('-').next()?.parse().ok()?;
+            let mut entries = self.entries.iter();
+            entries.position(|entry| entry.ports.callers.port() == port)
+        };
         Records {
             requests,
-            runs: self.runs(),
+            late_after_leaving: leavings::late_runs(
+                &self.departures,
+                &self.disturbances,
+                &runs,
+                entry_of,
+            ),
+            runs,
             leavings: self.calm_leavings(),
             healed: Some(healed),
             has_deadly_part: self.deadly == Some(Deadly::Part),
@@ -463,6 +498,7 @@
         self.last_fault = Instant::now();
         let entries = self.entries.len();
         let workers = self.workers.len();
+        self.record_disturbance(fault);
         match fault {
             Fault::Kill(whom, pause) => {
                 self.kill(whom % entries);
@@ -481,7 +517,7 @@
             Fault::Terminate(whom) => {
                 self.signal(whom % entries, "TERM");
                 self.entries[whom % entries].is_ending = true;
-                self.later(Duration::from_secs(4), Healing::Start(whom % entries));
+                self.later(STOPPED_WITHIN, Healing::Start(whom % entries));
             }
             Fault::HangUp(whom) => self.signal(whom % entries, "HUP"),
             Fault::Worker(whom, manner, lasting) => {
@@ -527,6 +563,54 @@
                 self.leave_unlisted(whom % workers).await;
             }
             Fault::LeaveUnlisted(_) => {}
+            Fault::Remove(whom) => self.remove(whom % workers).await,
+            Fault::Datagrams(whom, [lost_in, lost_out], delay, lasting) => {
+                if let Some(switch) = &self.switch {
+                    let datagrams = Datagrams {
+                        lost_in: f64::from(lost_in) / 100.0,
+                        lost_out: f64::from(lost_out) / 100.0,
+                        delay,
+                    };
+                    switch.set_datagrams(whom % entries, datagrams);
+                }
+                self.later(lasting, Healing::Datagrams(whom % entries));
+            }
+            Fault::PeerConnections(whom, link, lasting) => {
+                if let Some(switch) = &self.switch {
+                    switch.set_connections(whom % entries, link);
+                }
+                self.later(lasting, Healing::PeerConnections(whom % entries));
+            }
+        }
+    }
+
+    /// Records whom a fault puts out of touch. A link between entries that is cut whole, or slow, does not.
+    fn record_disturbance(&mut self, fault: Fault) {
+        let entries = self.entries.len();
+        let disturbed: Vec<(Part, Duration)> = match fault {
+            Fault::Kill(whom, lasting)
+            | Fault::Pause(whom, lasting)
+            | Fault::WayToStore(whom, _, lasting) => {
+                vec![(Part::Entry(whom % entries), lasting)]
+            }
+            Fault::Terminate(whom) => vec![(Part::Entry(whom % entries), STOPPED_WITHIN)],
+            Fault::KillAll | Fault::PeerConnections(_, Link::Reset, _) => {
+                let all = (0..entries).map(Part::Entry);
+                all.map(|entry| (entry, Duration::ZERO)).collect()
+            }
+            Fault::Datagrams(whom, [lost_in, lost_out], _, lasting)
+                if (1..100).contains(&lost_in) || (1..100).contains(&lost_out) =>
+            {
+                vec![(Part::Entry(whom % entries), lasting)]
+            }
+            Fault::WayToWorker(whom, _, lasting) => {
+                vec![(Part::WayToWorker(whom % self.workers.len()), lasting)]
+            }
+            Fault::Store(_, lasting) => vec![(Part::Store, lasting)],
+            _ => Vec::new(),
+        };
+        for (part, lasting) in disturbed {
+            self.disturbances.record(part, lasting);
         }
     }
 
@@ -546,6 +630,16 @@
             Healing::Unsaid(index) => self.workers[index].stand_in.say(&[]),
             Healing::WayToWorker(index) => self.workers[index].way.set_link(Link::Whole),
             Healing::WayToStore(index) => self.entries[index].store.set_link(Link::Whole),
+            Healing::Datagrams(index) => {
+                if let Some(switch) = &self.switch {
+                    switch.set_datagrams(index, Datagrams::default());
+                }
+            }
+            Healing::PeerConnections(index) => {
+                if let Some(switch) = &self.switch {
+                    switch.set_connections(index, Link::Whole);
+                }
+            }
             Healing::Entry(index) => {
                 self.register(&self.workers[index], self.workers[index].state());
             }
@@ -620,20 +714,27 @@
         entry.is_ending && entry.node.as_mut().is_some_and(Node::is_running)
     }
 
+    /// The addresses of up to three entries, for one that starts. Behind a switch it does not know its own.
+    fn seeds_of(&self, index: usize) -> Vec<SocketAddr> {
+        let Some(switch) = &self.switch else {
+            let entries = self.entries.iter();
+            return entries.map(|entry| entry.ports.peers).take(3).collect();
+        };
+        let others = switch.addresses.iter().enumerate();
+        let others = others.filter(|(other, _)| *other != index);
+        others.map(|(_, address)| *address).take(3).collect()
+    }
+
     /// Starts an entry that has ended.
     fn start_entry(&mut self, index: usize) {
-        let seeds: Vec<SocketAddr> = self
-            .entries
-            .iter()
-            .map(|entry| entry.ports.peers)
-            .take(3)
-            .collect();
+        let seeds = self.seeds_of(index);
         let entry = &mut self.entries[index];
         if let Some(node) = &mut entry.node
             && node.is_running()
         {
             return;
         }
+        self.disturbances.record(Part::Entry(index), Duration::ZERO);
         entry.is_ending = false;
         entry.node = None;
         let mut settings = settings(entry.ports, &seeds, entry.store.address);
@@ -722,12 +823,36 @@
         self.register(&self.workers[index], "draining");
         let name = self.workers[index].name.clone();
         self.leavings.push((name, Instant::now()));
+        self.record_departure(index);
         if self.has_versions {
             self.later(LATE_WRITE_AFTER, Healing::LateWrite(index));
         }
         self.add_worker(self.version_served, None).await;
     }
 
+    /// A worker's entry is removed without a word, and another one comes.
+    async fn remove(&mut self, index: usize) {
+        if self.workers[index].is_leaving {
+            return;
+        }
+        self.workers[index].is_leaving = true;
+        self.workers[index].is_stopped = true;
+        self.store.delete("servers", &self.workers[index].name);
+        self.record_departure(index);
+        self.add_worker(self.version_served, None).await;
+    }
+
+    /// Records that a worker has left, if leavings are held against their bound while all goes on.
+    fn record_departure(&mut self, index: usize) {
+        if self.switch.is_some() {
+            self.departures.push(Departure {
+                worker: index,
+                name: self.workers[index].name.clone(),
+                at: Instant::now(),
+            });
+        }
+    }
+
     fn configure(&mut self) {
         self.version += 3;
         self.write_configuration();
@@ -750,7 +875,7 @@
 fn deadly(seed: u64) -> Option<Deadly> {
     match seed {
         FIRST_SEED_WITH_DEADLY..FIRST_SEED_WITH_ROLLOUT => Some(Deadly::Body),
-        FIRST_SEED_WITH_PARTS.. => Some(Deadly::Part),
+        FIRST_SEED_WITH_PARTS..FIRST_SEED_WITH_LINKS => Some(Deadly::Part),
         _ => None,
     }
 }
--- a/soak/tests/test_short_run.rs
+++ b/soak/tests/test_short_run.rs
@@ -13,10 +13,21 @@
     callers: 2,
 };
 
+/// Some entries watch the store and others listen to them.
+const SIZE_WITH_LINKS: Size = Size {
+    entries: 6,
+    workers: 5,
+    callers: 2,
+};
+
 async fn run(seed: u64) {
+    run_of(SIZE, seed).await;
+}
+
+async fn run_of(size: Size, seed: u64) {
     let steps = plan::draw(seed, Duration::from_secs(5));
-    let world = World::start(SIZE, seed).await;
-    let records = world.run(SIZE, &steps).await;
+    let world = World::start(size, seed).await;
+    let records = world.run(size, &steps).await;
     assert!(records.requests.len() > 100);
     assert_eq!(checker::check(&records), [], "seed {seed}");
 }
@@ -66,6 +77,11 @@
     run(plan::FIRST_SEED_WITH_TORN_STREAMS).await;
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_with_links_between_entries() {
+    run_of(SIZE_WITH_LINKS, plan::FIRST_SEED_WITH_LINKS).await;
+}
+
 #[test]
 fn plan_same_for_the_same_seed() {
     let length = Duration::from_secs(60);
