--- a/lib/src/direct/freshness_driver.rs
+++ b/lib/src/direct/freshness_driver.rs
@@ -159,7 +159,7 @@
         loop {
             let confirmed = self.list_confirmed.notified();
             match self.list_use() {
-                ListUse::Use => return,
+                ListUse::Use => return self.list_confirmation.borrow_mut().record_fresh(),
                 ListUse::Renew => return self.ask_for_list(),
                 ListUse::Confirm => self.ask_for_list(),
             }
--- a/lib/src/direct/store_view/list_use.rs
+++ b/lib/src/direct/store_view/list_use.rs
@@ -169,6 +169,23 @@
         };
     }
 
+    /// Records that the list is new enough, whoever has confirmed it. What has failed before is over; a question
+    /// to the store stays open until its outcome is known.
+    ///
+    /// ```
+    /// # use sardinewood::direct::store_view::list_use::{ConfirmStep, Confirmation};
+    /// let mut confirmation = Confirmation::default();
+    /// confirmation.record_failure(0, 10_000);
+    /// confirmation.record_fresh();
+    /// assert!(confirmation.is_promising(100));
+    /// assert_eq!(confirmation.next_step(100, true), ConfirmStep::AskPeer);
+    /// ```
+    pub fn record_fresh(&mut self) {
+        if self.asked != Asked::Store {
+            *self = Self::default();
+        }
+    }
+
     /// Returns whether requests wait for the answer. Once one question has failed or takes too long, the store
     /// is likely to be away, and they do not.
     ///
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -28,6 +28,7 @@
 mod test_direct_eras;
 mod test_direct_heartbeat_payload;
 mod test_direct_last_response;
+mod test_direct_list_use;
 mod test_direct_notices;
 mod test_direct_quota_owners;
 mod test_direct_removals;
