--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -21,6 +21,7 @@
 pub mod metrics;
 pub mod notices;
 pub mod notices_driver;
+pub mod pending_replies;
 pub mod placement;
 pub mod quarantine;
 pub mod quarantine_driver;
--- a/lib/src/direct/quota_driver.rs
+++ b/lib/src/direct/quota_driver.rs
@@ -1,14 +1,11 @@
 //! Charges requests to customers' quotas: locally, or by a charge request to the entry that owns
 //! the quota.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use indexmap::IndexMap;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
+use tokio::time::Instant;
 
 use crate::direct::membership::peer_message::ChargeRequest;
 use crate::direct::membership::peer_message::PeerMessage;
@@ -27,23 +24,6 @@
 /// entry of a large fleet has to refuse nearly every request.
 const REPLY_WAITS_MS: [u64; 2] = [REPLY_TIMEOUT_MS, 210];
 
-/// Charge requests to quota owners that have no reply yet.
-#[derive(Debug, Default)]
-pub struct PendingCharges(RefCell<IndexMap<PeerRequestId, oneshot::Sender<ChargeOutcome>>>);
-
-/// A charge request without a reply; it is removed from [`PendingCharges`] when dropped, also when
-/// its caller has disconnected.
-struct PendingCharge<'a> {
-    id: PeerRequestId,
-    pending: &'a PendingCharges,
-}
-
-impl Drop for PendingCharge<'_> {
-    fn drop(&mut self) {
-        self.pending.0.borrow_mut().swap_remove(&self.id);
-    }
-}
-
 /// Charges a request to its customer's quota.
 pub async fn charge(
     traffic: &Rc<TrafficState>,
@@ -82,16 +62,7 @@
     cost: RequestCost,
     contention: Contention,
 ) -> Option<ChargeOutcome> {
-    let pending = PendingCharge {
-        id: PeerRequestId::from_random(rand::random()),
-        pending: &traffic.pending_charges,
-    };
-    let (sender, mut reply) = oneshot::channel();
-    traffic
-        .pending_charges
-        .0
-        .borrow_mut()
-        .insert(pending.id, sender);
+    let mut pending = traffic.pending_charges.open(rand::random());
     let request = PeerMessage::ChargeRequest(ChargeRequest {
         id: pending.id,
         customer: customer.name.clone(),
@@ -100,9 +71,9 @@
     });
     for wait_ms in REPLY_WAITS_MS {
         traffic.send_to_peer(owner, &request);
-        let within = Duration::from_millis(wait_ms);
-        if let Ok(reply) = timeout(within, &mut reply).await {
-            return reply.ok();
+        let until = Instant::now() + Duration::from_millis(wait_ms);
+        if let Some(charge) = pending.next_until(until).await {
+            return Some(charge);
         }
     }
     None
@@ -145,10 +116,6 @@
     /// request was charged locally meanwhile, and the owner settles the units it granted when this
     /// entry reports its spending.
     pub fn complete_charge(&self, request_id: PeerRequestId, charge: ChargeOutcome) {
-        let sender = self.pending_charges.0.borrow_mut().swap_remove(&request_id);
-        if let Some(sender) = sender {
-            // The caller may have just disconnected.
-            let _ = sender.send(charge);
-        }
+        self.pending_charges.complete(request_id, charge);
     }
 }
--- a/lib/src/direct/stream_origin_driver.rs
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -3,8 +3,6 @@
 //!
 //! [`streams`]: crate::direct::streams
 
-use std::cell::Cell;
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::Duration;
@@ -13,11 +11,7 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 use serde_json::json;
-use tokio::sync::mpsc;
-use tokio::sync::mpsc::UnboundedReceiver;
-use tokio::sync::mpsc::UnboundedSender;
 use tokio::time::Instant;
-use tokio::time::timeout_at;
 
 use crate::direct::membership::peer_message::PeerMessage;
 use crate::direct::placement::job::MIN_RETRY_AFTER_MS;
@@ -54,38 +48,6 @@
 const ORIGIN_UNKNOWN: &str = "version of the resumed stream is unknown";
 const VERSION_GONE: &str = "no upstream of the resumed stream's version";
 
-/// Questions about streams' origins that wait for replies.
-#[derive(Debug, Default)]
-pub struct PendingOriginRequests {
-    replies: RefCell<IndexMap<PeerRequestId, UnboundedSender<OriginReply>>>,
-    /// The second, and the streams in it for which all entries were asked.
-    asked_of_all: Cell<(u64, u32)>,
-}
-
-impl PendingOriginRequests {
-    /// Returns whether all entries may be asked about one more stream now, and counts it.
-    fn try_ask_all(&self, now_ms: u64) -> bool {
-        const MS_PER_S: u64 = 1_000;
-        let second = now_ms / MS_PER_S;
-        let (counted_second, count) = self.asked_of_all.get();
-        let count = if counted_second == second { count } else { 0 };
-        self.asked_of_all.set((second, count + 1));
-        count < MAX_ASKED_OF_ALL_PER_S
-    }
-}
-
-/// A question that waits for replies; it is removed from [`PendingOriginRequests`] when dropped.
-struct PendingRequest<'a> {
-    id: PeerRequestId,
-    pending: &'a PendingOriginRequests,
-}
-
-impl Drop for PendingRequest<'_> {
-    fn drop(&mut self) {
-        self.pending.replies.borrow_mut().swap_remove(&self.id);
-    }
-}
-
 /// How the origin of a stream became known.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum OriginSource {
@@ -223,11 +185,7 @@
 
     /// Passes a peer's reply to the request that waits for it.
     pub fn handle_origin_reply(&self, request_id: PeerRequestId, reply: OriginReply) {
-        let pending = self.pending_origins.replies.borrow();
-        if let Some(replies) = pending.get(&request_id) {
-            // The receiver exists as long as the question is pending.
-            let _ = replies.send(reply);
-        }
+        self.pending_origins.complete(request_id, reply);
     }
 
     /// Finds out where a stream began that a caller takes up; none if the request begins a stream.
@@ -313,31 +271,28 @@
     /// Asks the entries that keep a stream's record where it began, and then all others: the record may
     /// have been lost on its way, or have been told to entries that have ended since.
     async fn ask_origin(&self, key: StreamKey, route: &Route) -> Option<StreamOrigin> {
-        let request = OriginRequest {
-            id: PeerRequestId::from_random(rand::random()),
-            key,
-            service: route.only_service().cloned(),
-            longest_ms: u32::try_from(self.longest_stream_ms(route)).unwrap_or(u32::MAX),
-        };
-        let pending = PendingRequest {
-            id: request.id,
-            pending: &self.pending_origins,
-        };
-        let (sender, mut replies) = mpsc::unbounded_channel();
-        let waiting = &self.pending_origins.replies;
-        waiting.borrow_mut().insert(pending.id, sender);
         let owners = self.record_owners(key);
         let found = self
-            .ask_entries(&owners, &request, REPLY_TIMEOUT_MS, &mut replies)
+            .ask_entries(&owners, key, route, REPLY_TIMEOUT_MS)
             .await;
-        if found.is_some() || !self.pending_origins.try_ask_all(self.now_ms()) {
+        if found.is_some() || !self.try_ask_all() {
             return found;
         }
         let others = self.other_record_candidates();
-        self.ask_entries(&others, &request, ALL_REPLIES_TIMEOUT_MS, &mut replies)
+        self.ask_entries(&others, key, route, ALL_REPLIES_TIMEOUT_MS)
             .await
     }
 
+    /// Returns whether all entries may be asked about one more stream now, and counts it.
+    fn try_ask_all(&self) -> bool {
+        const MS_PER_S: u64 = 1_000;
+        let second = self.now_ms() / MS_PER_S;
+        let (counted_second, count) = self.origins_asked_of_all.get();
+        let count = if counted_second == second { count } else { 0 };
+        self.origins_asked_of_all.set((second, count + 1));
+        count < MAX_ASKED_OF_ALL_PER_S
+    }
+
     /// Returns all other entries that may have records.
     fn other_record_candidates(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
@@ -346,22 +301,30 @@
         candidates.map(|(entry, _)| entry).collect()
     }
 
-    /// Asks some entries, and returns the first origin that one of them knows.
+    /// Asks some entries, and returns the first origin that one of them knows. Each question has an id of its
+    /// own: late replies to one say nothing of those who are asked next.
     async fn ask_entries(
         &self,
         entries: &[SocketAddr],
-        request: &OriginRequest,
+        key: StreamKey,
+        route: &Route,
         timeout_ms: u64,
-        replies: &mut UnboundedReceiver<OriginReply>,
     ) -> Option<StreamOrigin> {
-        self.send_to_peers(entries, &PeerMessage::OriginRequest(request.clone()));
+        let mut pending = self.pending_origins.open(rand::random());
+        let request = OriginRequest {
+            id: pending.id,
+            key,
+            service: route.only_service().cloned(),
+            longest_ms: u32::try_from(self.longest_stream_ms(route)).unwrap_or(u32::MAX),
+        };
+        self.send_to_peers(entries, &PeerMessage::OriginRequest(request));
         let until = Instant::now() + Duration::from_millis(timeout_ms);
         let mut unknown = 0;
         while unknown < entries.len() {
-            match timeout_at(until, replies.recv()).await.ok()?? {
+            match pending.next_until(until).await? {
                 OriginReply::Recorded(origin) => return Some(origin),
                 OriginReply::OnlyVersion(version) => {
-                    let service = request.service.clone()?;
+                    let service = route.only_service().cloned()?;
                     return Some(StreamOrigin { service, version });
                 }
                 OriginReply::Unknown => unknown += 1,
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -26,6 +26,7 @@
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::metrics::DirectMetrics;
 use crate::direct::notices::upstream_notices::UpstreamNotices;
+use crate::direct::pending_replies::PendingReplies;
 use crate::direct::placement::dispatch::Dispatcher;
 use crate::direct::placement::dispatch::upstream_hash;
 use crate::direct::placement::health::AttemptOutcome;
@@ -36,7 +37,6 @@
 use crate::direct::quarantine::crash_detector::CrashDetector;
 use crate::direct::quarantine::recent_survivals::RecentSurvivals;
 use crate::direct::quarantine::suspects::Suspects;
-use crate::direct::quota_driver::PendingCharges;
 use crate::direct::replication::last_response::LastStoreResponse;
 use crate::direct::replication::store_follower::ListCall;
 use crate::direct::request::connection_pool::ConnectionPool;
@@ -47,6 +47,7 @@
 use crate::direct::sharing::admission::EntryRef;
 use crate::direct::sharing::admission::PeerRequestId;
 use crate::direct::sharing::admission::SlotRelease;
+use crate::direct::sharing::quota::ChargeOutcome;
 use crate::direct::sharing::quota::Contention;
 use crate::direct::sharing::quota::CustomerQuotas;
 use crate::direct::sharing::quota::RecentCharges;
@@ -62,7 +63,7 @@
 use crate::direct::store_view::freshness::DEFAULT_CONFIG_BOUND_MS;
 use crate::direct::store_view::freshness::Freshness;
 use crate::direct::store_view::list_use::Confirmation;
-use crate::direct::stream_origin_driver::PendingOriginRequests;
+use crate::direct::streams::origin::OriginReply;
 use crate::direct::streams::origin_records::OriginRecords;
 use crate::direct::streams::version_history::VersionHistory;
 use crate::logging::Level;
@@ -95,7 +96,7 @@
     /// Replies to the latest charge requests of peers.
     pub recent_charges: RefCell<RecentCharges>,
     /// Charges that the owners of quotas have not answered yet.
-    pub pending_charges: PendingCharges,
+    pub pending_charges: PendingReplies<ChargeOutcome>,
     /// Limits how many requests are retried at another upstream.
     pub retry_budget: RefCell<RetryBudget>,
     /// Configuration in force, if there is one yet.
@@ -156,7 +157,9 @@
     /// Where the streams began that callers may take up.
     pub stream_origins: RefCell<OriginRecords>,
     /// Questions to other entries about such streams.
-    pub pending_origins: PendingOriginRequests,
+    pub pending_origins: PendingReplies<OriginReply>,
+    /// The second, and the streams in it for which all entries were asked where they began.
+    pub origins_asked_of_all: Cell<(u64, u32)>,
     /// Versions of each service's software that were listed.
     pub version_history: RefCell<VersionHistory>,
     /// Longest time for which callers of resumable streams were ready to wait.
@@ -327,7 +330,7 @@
             socket,
             quotas: RefCell::default(),
             recent_charges: RefCell::default(),
-            pending_charges: PendingCharges::default(),
+            pending_charges: PendingReplies::default(),
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             catalog: RefCell::default(),
             upstream_silence_ms: Cell::new(DEFAULT_SILENCE_MS),
@@ -352,7 +355,8 @@
             quarantine_changed: Notify::new(),
             notices: RefCell::default(),
             stream_origins: RefCell::default(),
-            pending_origins: PendingOriginRequests::default(),
+            pending_origins: PendingReplies::default(),
+            origins_asked_of_all: Cell::default(),
             version_history: RefCell::default(),
             longest_deadline_ms: Cell::default(),
             rollouts: RefCell::new(rollouts),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -31,6 +31,7 @@
 mod test_direct_list_use;
 mod test_direct_notices;
 mod test_direct_quota_owners;
+mod test_direct_pending_replies;
 mod test_direct_removals;
 mod test_direct_replica;
 mod test_direct_rollout;
