retries: entries lend each other what they do not use of the retry budget

Cause: the slack is divided evenly (.15 retries an entry at 350), the rest follows each entry's own requests. Change: an entry without a retry asks up to three peers in turn, 40 ms each; a peer lends if one more stays for itself, and takes it out of its own window at once, so the sum over all entries is what it was. After three refusals nobody is asked for .5 s. A hedge on silence borrows nothing: it is no failure.

--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -185,7 +185,7 @@
                 admission.release(EntryRef::Peer(peer), upstream, release);
                 self.grant(entry);
             }
-            // Customers of the model have no limits, its engines one version and never leave, and its
+            // Customers of the model have no limits, its engines one version, do not fail and never leave, and its
             // entries one build.
             PeerMessage::SuspectRequests(_)
             | PeerMessage::ChargeRequest(_)
@@ -195,6 +195,8 @@
             | PeerMessage::StreamOrigins(_)
             | PeerMessage::OriginRequest(_)
             | PeerMessage::OriginReply { .. }
+            | PeerMessage::BorrowRetry { .. }
+            | PeerMessage::RetryLent { .. }
             | PeerMessage::ListQuestion { .. }
             | PeerMessage::ListWord(_) => {}
             PeerMessage::UpstreamNotices(updates) => self.merge_notice_updates(entry, &updates),
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -29,7 +29,7 @@
 pub const STREAM_ORIGINS_LEVEL: u8 = 1;
 /// Level of the builds that know messages about suspect features.
 pub const SUSPECTS_LEVEL: u8 = 2;
-/// Level of the builds that tell how old their replicas are.
+/// Level of the builds that tell how old their replicas are, and lend retries.
 pub const REPLICA_AGES_LEVEL: u8 = 3;
 /// Level of this build.
 pub const MESSAGE_LEVEL: u8 = REPLICA_AGES_LEVEL;
@@ -370,6 +370,21 @@
     },
     /// The reply: the sender's list, and how old it was at the time of the question at most.
     ListWord(ListWord),
+    /// The sender asks for a retry of the receiver's share. This and the reply are sent only to peers that
+    /// know [`REPLICA_AGES_LEVEL`].
+    BorrowRetry {
+        /// Identifies this message in the reply.
+        request_id: PeerRequestId,
+        /// The service.
+        service: Arc<str>,
+    },
+    /// The reply: whether a retry is lent.
+    RetryLent {
+        /// The question.
+        request_id: PeerRequestId,
+        /// Whether the receiver may retry once.
+        is_lent: bool,
+    },
 }
 
 impl PeerMessage {
@@ -395,6 +410,7 @@
             Self::UpstreamNotices(_) => "notices",
             Self::Spread(_) => "changes",
             Self::ListQuestion { .. } | Self::ListWord(_) => "confirmations",
+            Self::BorrowRetry { .. } | Self::RetryLent { .. } => "retries",
             Self::StreamOrigins(_) | Self::OriginRequest(_) | Self::OriginReply { .. } => "streams",
         }
     }
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -658,6 +658,22 @@
         age_ms < MAX_STORE_AGE_MS
     }
 
+    /// Returns the peers that may lend retries.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_table::PeerTable;
+    ///
+    /// let table = PeerTable::new("127.0.0.1:7".parse().unwrap(), &[]);
+    /// assert!(table.retry_lenders(0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn retry_lenders(&self, now_ms: u64) -> Vec<SocketAddr> {
+        let is_lender =
+            |peer: &Peer| peer.message_level >= REPLICA_AGES_LEVEL && self.is_live(peer, now_ms);
+        let peers = self.peers.iter().filter(|(_, peer)| is_lender(peer));
+        peers.map(|(address, _)| *address).collect()
+    }
+
     /// Returns the peers that watch the store and reply to questions about the list of upstreams.
     ///
     /// ```
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -50,6 +50,8 @@
     pub rollouts_decided: IntCounterVec,
     /// Requests retried at another upstream.
     pub second_attempts: IntCounter,
+    /// Retries borrowed from other entries.
+    pub borrowed_retries: IntCounter,
     /// Streams resumed at another upstream.
     pub resumed: IntCounter,
     /// Streams that callers took up, by how their origin became known or why they were refused.
@@ -176,6 +178,7 @@
                 &["service"],
             )?,
             second_attempts: counter("second_attempts_total", "Second attempts.")?,
+            borrowed_retries: counter("borrowed_retries_total", "Retries borrowed from peers.")?,
             resumed: counter("resumed_total", "Streams that went on elsewhere.")?,
             taken_up: counters(
                 "taken_up_total",
@@ -243,6 +246,7 @@
         for counter in [
             &self.requests,
             &self.second_attempts,
+            &self.borrowed_retries,
             &self.resumed,
             &self.cut,
             &self.left_out_lines,
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -177,6 +177,14 @@
                 traffic.answer_list_question(from, asked_ms);
             }
             Some(PeerMessage::ListWord(word)) => traffic.take_list_word(from, word),
+            Some(PeerMessage::BorrowRetry {
+                request_id,
+                service,
+            }) => traffic.lend_retry(from, request_id, &service),
+            Some(PeerMessage::RetryLent {
+                request_id,
+                is_lent,
+            }) => traffic.pending_loans.complete(request_id, is_lent),
             None => traffic.log(Level::Warn, "datagram can't be decoded", |line| {
                 line.field("from", from)
             }),
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -174,7 +174,7 @@
                     ReadResponse::ReadFailed(next) => next,
                 }
             }
-            Ok(failed) => next_step(traffic, &mut call, &failed),
+            Ok(failed) => next_step(traffic, &mut call, &failed).await,
         };
         if next != NextStep::Retry
             && let Some(response) = error_response
@@ -431,7 +431,7 @@
 }
 
 /// Decides what to do with a request after a failed attempt.
-fn next_step(traffic: &TrafficState, call: &mut Call, failed: &AttemptResult) -> NextStep {
+async fn next_step(traffic: &TrafficState, call: &mut Call, failed: &AttemptResult) -> NextStep {
     call.may_have_run |= !matches!(
         failed,
         AttemptResult::NotRun | AttemptResult::Quarantined(_)
@@ -447,7 +447,7 @@
     if call.may_have_run && !call.route.retry_policy.is_idempotent() {
         return NextStep::RespondUnknown;
     }
-    if allow_retry(traffic, call) {
+    if allow_retry(traffic, call).await {
         return NextStep::Retry;
     }
     if call.may_have_run {
@@ -457,22 +457,46 @@
     }
 }
 
+/// Whether a request may be sent to one more upstream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RetryStep {
+    /// It may.
+    Allowed,
+    /// It may if a peer lends a retry: this entry's share of the budget is used up.
+    Borrow,
+    /// It may not.
+    Denied,
+}
+
 /// Returns whether a request may be sent to one more upstream. If it was sent before, this takes a
 /// retry from the budget.
-pub fn allow_retry(traffic: &TrafficState, call: &Call) -> bool {
+pub fn take_retry(traffic: &TrafficState, call: &Call) -> RetryStep {
     if traffic.now_ms() >= call.deadline_at_ms {
-        return false;
+        return RetryStep::Denied;
     }
     if call.tried_upstreams.is_empty() {
-        return true;
+        return RetryStep::Allowed;
     }
     let sent = u32::try_from(call.tried_upstreams.len()).unwrap_or(u32::MAX);
-    sent < call.route.max_upstreams
-        && traffic.may_retry(call)
-        && traffic
-            .retry_budget
-            .borrow_mut()
-            .try_take_retry(&call.service, traffic.now_ms())
+    if sent >= call.route.max_upstreams || !traffic.may_retry(call) {
+        return RetryStep::Denied;
+    }
+    let mut budget = traffic.retry_budget.borrow_mut();
+    if budget.try_take_retry(&call.service, traffic.now_ms()) {
+        RetryStep::Allowed
+    } else {
+        RetryStep::Borrow
+    }
+}
+
+/// Returns whether a request may be sent to one more upstream, after asking peers for a retry if this
+/// entry has none left.
+pub async fn allow_retry(traffic: &TrafficState, call: &Call) -> bool {
+    match take_retry(traffic, call) {
+        RetryStep::Allowed => true,
+        RetryStep::Borrow => traffic.borrow_retry(&call.service).await,
+        RetryStep::Denied => false,
+    }
 }
 
 /// Result of reading a response.
@@ -546,7 +570,8 @@
             lease.outcome = AttemptOutcome::Failed;
             log_failed_attempt(traffic, call, &lease, "answer broke off");
             traffic.record_broken_run(call, &lease, None);
-            return ReadResponse::ReadFailed(next_step(traffic, call, &AttemptResult::Unknown));
+            let next = next_step(traffic, call, &AttemptResult::Unknown).await;
+            return ReadResponse::ReadFailed(next);
         }
         Err(_) => {
             lease.outcome = AttemptOutcome::Failed;
@@ -558,7 +583,8 @@
         lease.outcome = AttemptOutcome::Broken;
         log_failed_attempt(traffic, call, &lease, CRASHED_AT_END);
         traffic.record_broken_run(call, &lease, None);
-        return ReadResponse::ReadFailed(next_step(traffic, call, &AttemptResult::Unknown));
+        let next = next_step(traffic, call, &AttemptResult::Unknown).await;
+        return ReadResponse::ReadFailed(next);
     }
     if !ends_with_connection {
         keep_connection(traffic, &lease, connection, headers.keep_alive_ms);
@@ -592,7 +618,7 @@
         held_ms,
         ends_with_connection,
     };
-    if has_failed && call.route.retry_policy.is_idempotent() && allow_retry(traffic, call) {
+    if has_failed && call.route.retry_policy.is_idempotent() && allow_retry(traffic, call).await {
         log_failed_attempt(traffic, call, &lease, "upstream answered with a failure");
         return ReadResponse::Failed(response);
     }
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -29,10 +29,12 @@
 use crate::direct::request::connection_pool::Connection;
 use crate::direct::request::exchange::AttemptResult;
 use crate::direct::request::exchange::CRASHED_AT_END;
+use crate::direct::request::exchange::RetryStep;
 use crate::direct::request::exchange::UpstreamResponse;
 use crate::direct::request::exchange::allow_retry;
 use crate::direct::request::exchange::keep_connection;
 use crate::direct::request::exchange::send;
+use crate::direct::request::exchange::take_retry;
 use crate::direct::request::pace::EventPace;
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::streams::origin::StreamOrigin;
@@ -255,7 +257,11 @@
             }
         };
         let lease = match outcome {
-            SilenceOutcome::Slot(lease) if allow_retry(&self.traffic, &self.call) => lease,
+            SilenceOutcome::Slot(lease)
+                if take_retry(&self.traffic, &self.call) == RetryStep::Allowed =>
+            {
+                lease
+            }
             SilenceOutcome::Slot(_) | SilenceOutcome::NoSlot => {
                 self.source = Some(source);
                 return Received::Silence;
@@ -460,7 +466,8 @@
         }
         let instance = disconnect(&mut self.source);
         self.log_failed_upstream(reason, instance.as_deref().unwrap_or_default());
-        while self.call.route.retry_policy.is_idempotent() && allow_retry(&self.traffic, &self.call)
+        while self.call.route.retry_policy.is_idempotent()
+            && allow_retry(&self.traffic, &self.call).await
         {
             match self.resume().await {
                 ResumeResult::Resumed => {
--- a/lib/src/direct/sharing/retry_budget.rs
+++ b/lib/src/direct/sharing/retry_budget.rs
@@ -32,7 +32,7 @@
 /// Retries that this entry may still make at each service.
 ///
 /// Each request of the last window allows a fraction of a retry; the slack is divided evenly among
-/// the entries. Without a budget, an overload that makes requests fail causes retries, which
+/// the entries, which lend what they do not use. Without a budget, an overload that makes requests fail causes retries, which
 /// prolong the overload after its cause is gone.
 ///
 /// The window is as long as the platform's. A budget that kept only its share of the slack would
@@ -117,12 +117,32 @@
     /// assert!(!RetryBudget::new(none).try_take_retry(&"s".into(), 0));
     /// ```
     pub fn try_take_retry(&mut self, service: &Arc<str>, now_ms: u64) -> bool {
+        self.take_if(service, 1.0, now_ms)
+    }
+
+    /// Takes a retry at a service out of the budget for another entry, and returns whether there was one.
+    /// One more stays for this entry's own requests.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
+    /// let limits = RetryLimits { ratio: 0.0, slack_retries: 3.0, window_s: 10.0 };
+    /// let mut budget = RetryBudget::new(limits);
+    /// assert!(budget.try_lend_retry(&"s".into(), 0));
+    /// assert!(!budget.try_lend_retry(&"s".into(), 0));
+    /// assert!(budget.try_take_retry(&"s".into(), 0));
+    /// ```
+    pub fn try_lend_retry(&mut self, service: &Arc<str>, now_ms: u64) -> bool {
+        self.take_if(service, 2.0, now_ms)
+    }
+
+    /// Takes a retry if so many are left.
+    fn take_if(&mut self, service: &Arc<str>, left: f64, now_ms: u64) -> bool {
         let entry_count = u32::try_from(self.entry_count).unwrap_or(u32::MAX);
         let slack_retries = self.limits.slack_retries / f64::from(entry_count);
         let ratio = self.limits.ratio;
         let counts = self.counts(service, now_ms);
         let allowed_retries = (counts.requests.sum(now_ms) * ratio + slack_retries) * USED_RATIO;
-        if counts.retries.sum(now_ms) + 1.0 > allowed_retries {
+        if counts.retries.sum(now_ms) + left > allowed_retries {
             return false;
         }
         counts.retries.add(1.0, now_ms);
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -97,6 +97,10 @@
     pub recent_charges: RefCell<RecentCharges>,
     /// Charges that the owners of quotas have not answered yet.
     pub pending_charges: PendingReplies<ChargeOutcome>,
+    /// Requests to peers for retries that they have not answered yet.
+    pub pending_loans: PendingReplies<bool>,
+    /// Time until which no retry is borrowed, as peers have none to lend.
+    pub no_loans_until_ms: Cell<u64>,
     /// Limits how many requests are retried at another upstream.
     pub retry_budget: RefCell<RetryBudget>,
     /// Configuration in force, if there is one yet.
@@ -331,6 +335,8 @@
             quotas: RefCell::default(),
             recent_charges: RefCell::default(),
             pending_charges: PendingReplies::default(),
+            pending_loans: PendingReplies::default(),
+            no_loans_until_ms: Cell::default(),
             retry_budget: RefCell::new(RetryBudget::new(limits)),
             catalog: RefCell::default(),
             upstream_silence_ms: Cell::new(DEFAULT_SILENCE_MS),
--- a/lib/tests/test_direct_sharing.rs
+++ b/lib/tests/test_direct_sharing.rs
@@ -744,6 +744,46 @@
     assert!(!calls_store(&table, in_era, 0));
 }
 
+/// Guards against requests that fail at an entry whose share of the retries is used up, while others have
+/// theirs.
+#[test]
+fn retries_lent_within_the_budget_of_all() {
+    const ENTRIES: usize = 350;
+    const REQUESTS: usize = 8_500;
+    let limits = RetryLimits {
+        ratio: 0.2,
+        slack_retries: 52.0,
+        window_s: 10.0,
+    };
+    let service = "pool".into();
+    let mut budgets = vec![RetryBudget::new(limits); ENTRIES];
+    for budget in &mut budgets {
+        budget.set_entry_count(ENTRIES);
+        for _ in 0..REQUESTS / ENTRIES {
+            budget.record_request(&service, 0);
+        }
+    }
+    let mut own = 0;
+    while budgets[0].try_take_retry(&service, 100) {
+        own += 1;
+    }
+    let mut lent = 0;
+    for lender in &mut budgets[1..] {
+        while lender.try_lend_retry(&service, 200) {
+            lent += 1;
+        }
+    }
+    assert_eq!(own, 4);
+    assert!(lent > 900, "{lent}");
+    let mut kept = 0;
+    for budget in &mut budgets[1..] {
+        assert!(budget.try_take_retry(&service, 300), "one stays at home");
+        kept += 1;
+    }
+    let allowed = 0.2 * 8_500.0 + 52.0;
+    assert!(f64::from(own + lent + kept) <= allowed);
+}
+
 #[test]
 fn large_fleet_probes_a_store_that_answers_nobody() {
     // Guards against hundreds of entries that all call a store which has just returned: together they
