--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -1,8 +1,11 @@
 //! `control`: what an entry of the direct mode spends on the other entries, by size of the fleet.
 
 pub mod play;
+pub mod plot;
 pub mod profile;
 
+use std::path::PathBuf;
+
 use eyre::bail;
 use lexopt::Arg;
 use lexopt::Parser;
@@ -13,13 +16,14 @@
 use crate::command::print_line;
 
 const HELP: &str = "\
-Usage: sardinewood-bench control [--entries N] [--seconds S] [--scene NAME]
+Usage: sardinewood-bench control [--entries N] [--seconds S] [--scene NAME] [--plot FILE]
 
 Gives one entry the messages that a fleet of N entries before twice as many upstreams sends it, by
 default 30, 100, 357, 714 and 1,000 entries, and prints one JSON line for each size and purpose:
 messages, bytes and processor time a second. Then plays what all N entries tell each other of
 liveness and changes in virtual time, and prints one JSON line for each size and scene. Scenes: calm,
 loss (one datagram in twenty), half-killed, cut (one of five data centres); none plays none of them.
+--plot also draws all of it, by the size of the fleet, as an SVG file.
 ";
 
 /// Name of a scene that stands for none.
@@ -37,6 +41,7 @@
     let mut sizes = ENTRIES.to_vec();
     let mut seconds = 5;
     let mut scenes = Scene::ALL.to_vec();
+    let mut plot_file: Option<PathBuf> = None;
     while let Some(argument) = parser.next()? {
         match argument {
             Arg::Long("help") | Arg::Short('h') => {
@@ -51,6 +56,7 @@
                     bail!("no scene is named {name:?}; `--help` lists them");
                 }
             }
+            Arg::Long("plot") => plot_file = Some(parser.value()?.into()),
             Arg::Long("seconds") => seconds = parser.value()?.parse()?,
             other => return Err(other.unexpected().into()),
         }
@@ -58,15 +64,23 @@
     if sizes.iter().any(|entries| *entries < 2) || seconds == 0 {
         bail!("--entries is at least 2, and --seconds at least 1");
     }
+    let mut costs = Vec::new();
     for entries in &sizes {
         for cost in profile::measure(FleetSize::of(*entries), seconds) {
             print_line(&cost)?;
+            costs.push(cost);
         }
     }
+    let mut reports = Vec::new();
     for entries in sizes {
         for scene in &scenes {
-            print_line(&play::play(entries, *scene, SEED))?;
+            let report = play::play(entries, *scene, SEED);
+            print_line(&report)?;
+            reports.push(report);
         }
     }
-    Ok(())
+    match plot_file {
+        Some(file) => plot::draw(&plot::panels(&costs, &reports), &file),
+        None => Ok(()),
+    }
 }
--- a/bench/tests/test_control.rs
+++ b/bench/tests/test_control.rs
@@ -3,6 +3,7 @@
 use indexmap::IndexMap;
 use sardinewood_bench::control::play::Scene;
 use sardinewood_bench::control::play::play;
+use sardinewood_bench::control::plot;
 use sardinewood_bench::control::profile::FleetSize;
 use sardinewood_bench::control::profile::measure;
 
@@ -76,3 +77,34 @@
     let report = play(357, ("calm", Scene::Calm), 1);
     assert!(report.most_in_10_ms <= 40, "{report:?}");
 }
+
+#[test]
+fn plot_shows_all_purposes_and_scenes() {
+    let costs = [measure(FleetSize::of(5), 1), measure(FleetSize::of(10), 1)].concat();
+    let scenes = Scene::ALL.iter();
+    let reports: Vec<_> = scenes.map(|scene| play(10, *scene, 1)).collect();
+    let panels = plot::panels(&costs, &reports);
+    let folder = tempfile::tempdir().expect("a folder");
+    let file = folder.path().join("control.svg");
+    plot::draw(&panels, &file).expect("a plot");
+    let drawn = std::fs::read_to_string(file).expect("the file");
+    for panel in &panels {
+        assert!(drawn.contains(panel.caption), "{}", panel.caption);
+        assert!(panel.lines.keys().all(|name| drawn.contains(name.as_str())));
+    }
+    assert!(panels[0].lines.len() > 3 && panels[1].lines.len() == 2 * Scene::ALL.len());
+}
+
+#[test]
+fn plot_that_cannot_be_written_says_so() {
+    let error = plot::draw(
+        &plot::panels(&[], &[]),
+        std::path::Path::new("/none/control.svg"),
+    );
+    assert!(
+        error
+            .expect_err("no such folder")
+            .to_string()
+            .contains("/none/control.svg")
+    );
+}
