--- a/lib/src/direct/replication.rs
+++ b/lib/src/direct/replication.rs
@@ -3,6 +3,7 @@
 
 pub mod heartbeats;
 pub mod last_response;
+mod outage;
 pub mod peer_pull;
 pub mod read_cursor;
 pub mod rollout_follower;
