--- a/bench/src/control/plot.rs
+++ b/bench/src/control/plot.rs
@@ -27,6 +27,9 @@
 const LABEL_AREA: u32 = 56;
 const MARGIN: u32 = 14;
 const LEGEND_LINE: i32 = 18;
+const X_LABELS: usize = 5;
+/// Room at the right, as a multiple of the largest fleet, for the names of the lines.
+const LEGEND_ROOM: f64 = 12.0;
 
 /// Lines of one panel by their names: entries of the fleet, and a value above 0.
 pub type Lines = IndexMap<String, Vec<(f64, f64)>>;
@@ -109,11 +112,14 @@
             .margin(MARGIN)
             .x_label_area_size(LABEL_AREA)
             .y_label_area_size(LABEL_AREA)
-            .build_cartesian_2d((x.0..x.1).log_scale(), (y.0..y.1).log_scale())
+            .build_cartesian_2d((x.0..x.1 * LEGEND_ROOM).log_scale(), (y.0..y.1).log_scale())
             .map_err(|error| failed(&error))?;
         chart
             .configure_mesh()
             .x_desc("entries")
+            .x_labels(X_LABELS)
+            .x_label_formatter(&|entries| format!("{entries:.0}"))
+            .y_label_formatter(&|value| format!("{value}"))
             .draw()
             .map_err(|error| failed(&error))?;
         for (number, (name, line)) in panel.lines.iter().enumerate() {
@@ -129,7 +135,7 @@
         }
         chart
             .configure_series_labels()
-            .position(SeriesLabelPosition::UpperLeft)
+            .position(SeriesLabelPosition::MiddleRight)
             .background_style(WHITE.mix(0.8))
             .border_style(BLACK.mix(0.3))
             .draw()
