--- a/soak/src/leavings.rs
+++ b/soak/src/leavings.rs
@@ -6,8 +6,14 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use platform_testkit::fault_proxy::Link;
+
+use crate::plan::Fault;
 use crate::record::Run;
 
+/// Time within which an entry that is told to stop has ended, unless a request holds it.
+pub const STOPPED_WITHIN: Duration = Duration::from_secs(4);
+
 /// Time after a worker has left in which requests may still reach it.
 const DRAIN: Duration = Duration::from_secs(2);
 /// Time after a disturbance until an entry is in touch again.
@@ -45,6 +51,32 @@
     }
 }
 
+/// What a fault puts out of touch, and for how long. A link between entries that is cut whole, or slow, puts
+/// nobody out of touch.
+#[must_use]
+pub fn disturbed_by(fault: Fault, entries: usize, workers: usize) -> Vec<(Part, Duration)> {
+    match fault {
+        Fault::Kill(whom, lasting)
+        | Fault::Pause(whom, lasting)
+        | Fault::WayToStore(whom, _, lasting) => vec![(Part::Entry(whom % entries), lasting)],
+        Fault::Terminate(whom) => vec![(Part::Entry(whom % entries), STOPPED_WITHIN)],
+        Fault::KillAll | Fault::PeerConnections(_, Link::Reset, _) => {
+            let all = (0..entries).map(Part::Entry);
+            all.map(|entry| (entry, Duration::ZERO)).collect()
+        }
+        Fault::Datagrams(whom, lost_percent, _, lasting)
+            if lost_percent.iter().any(|lost| (1..100).contains(lost)) =>
+        {
+            vec![(Part::Entry(whom % entries), lasting)]
+        }
+        Fault::WayToWorker(whom, _, lasting) => {
+            vec![(Part::WayToWorker(whom % workers), lasting)]
+        }
+        Fault::Store(_, lasting) => vec![(Part::Store, lasting)],
+        _ => Vec::new(),
+    }
+}
+
 /// A worker that left.
 #[derive(Clone, Debug)]
 pub struct Departure {
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -41,6 +41,7 @@
 use crate::leavings::Departure;
 use crate::leavings::Disturbances;
 use crate::leavings::Part;
+use crate::leavings::STOPPED_WITHIN;
 use crate::notices::Notices;
 use crate::plan::FIRST_SEED_WITH_COPIES;
 use crate::plan::FIRST_SEED_WITH_DEADLY;
@@ -91,8 +92,6 @@
 const FOR_GOOD: Duration = Duration::from_secs(600);
 /// Time until an answer has told the entries what a worker says.
 const CONTACT: Duration = Duration::from_millis(500);
-/// Time within which an entry that is told to stop has ended, unless a request holds it.
-const STOPPED_WITHIN: Duration = Duration::from_secs(4);
 /// Time after which a worker that has said that it leaves may get nothing more.
 const DRAIN: Duration = Duration::from_secs(2);
 
@@ -498,7 +497,9 @@
         self.last_fault = Instant::now();
         let entries = self.entries.len();
         let workers = self.workers.len();
-        self.record_disturbance(fault);
+        for (part, lasting) in leavings::disturbed_by(fault, entries, workers) {
+            self.disturbances.record(part, lasting);
+        }
         match fault {
             Fault::Kill(whom, pause) => {
                 self.kill(whom % entries);
@@ -584,36 +585,6 @@
         }
     }
 
-    /// Records whom a fault puts out of touch. A link between entries that is cut whole, or slow, does not.
-    fn record_disturbance(&mut self, fault: Fault) {
-        let entries = self.entries.len();
-        let disturbed: Vec<(Part, Duration)> = match fault {
-            Fault::Kill(whom, lasting)
-            | Fault::Pause(whom, lasting)
-            | Fault::WayToStore(whom, _, lasting) => {
-                vec![(Part::Entry(whom % entries), lasting)]
-            }
-            Fault::Terminate(whom) => vec![(Part::Entry(whom % entries), STOPPED_WITHIN)],
-            Fault::KillAll | Fault::PeerConnections(_, Link::Reset, _) => {
-                let all = (0..entries).map(Part::Entry);
-                all.map(|entry| (entry, Duration::ZERO)).collect()
-            }
-            Fault::Datagrams(whom, [lost_in, lost_out], _, lasting)
-                if (1..100).contains(&lost_in) || (1..100).contains(&lost_out) =>
-            {
-                vec![(Part::Entry(whom % entries), lasting)]
-            }
-            Fault::WayToWorker(whom, _, lasting) => {
-                vec![(Part::WayToWorker(whom % self.workers.len()), lasting)]
-            }
-            Fault::Store(_, lasting) => vec![(Part::Store, lasting)],
-            _ => Vec::new(),
-        };
-        for (part, lasting) in disturbed {
-            self.disturbances.record(part, lasting);
-        }
-    }
-
     fn later(&mut self, after: Duration, healing: Healing) {
         self.healings.push((Instant::now() + after, healing));
     }
--- a/soak/tests/runner.rs
+++ b/soak/tests/runner.rs
@@ -2,4 +2,5 @@
 
 mod test_checker;
 mod test_kept;
+mod test_leavings;
 mod test_short_run;
