--- a/lib/src/direct/pending_replies.rs
+++ b/lib/src/direct/pending_replies.rs
@@ -1,7 +1,6 @@
 //! Questions to other entries that wait for replies.
 
 use std::cell::RefCell;
-use std::future::Future;
 
 use indexmap::IndexMap;
 use tokio::sync::mpsc;
@@ -93,12 +92,20 @@
     ///
     /// ```
     /// # use sardinewood::direct::pending_replies::PendingReplies;
-    /// let pending = PendingReplies::<u32>::default();
-    /// let _ = pending.open(7).next_until(tokio::time::Instant::now());
+    /// # use tokio::time::Instant;
+    /// # let mut runtime = tokio::runtime::Builder::new_current_thread();
+    /// # let runtime = runtime.enable_time().build()?;
+    /// # runtime.block_on(async {
+    /// let pending = PendingReplies::default();
+    /// let mut question = pending.open(7);
+    /// pending.complete(question.id, 5);
+    /// assert_eq!(question.next_until(Instant::now()).await, Some(5));
+    /// assert_eq!(question.next_until(Instant::now()).await, None);
+    /// # });
+    /// # Ok::<(), std::io::Error>(())
     /// ```
-    pub fn next_until(&mut self, until: Instant) -> impl Future<Output = Option<T>> {
-        let reply = timeout_at(until, self.replies.recv());
-        async move { reply.await.ok().flatten() }
+    pub async fn next_until(&mut self, until: Instant) -> Option<T> {
+        timeout_at(until, self.replies.recv()).await.ok().flatten()
     }
 }
 
