testkit, soak: one function names the other nodes behind a switch

The fleet and the soak each filtered the addresses by the node's own number; behaviour is the same. clippy, test_leaving_links and the soak's suite passed.

--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -14,6 +14,7 @@
 use platform_testkit::node::entry;
 use platform_testkit::node::settings;
 use platform_testkit::node::with_keys;
+use platform_testkit::peer_switch;
 use platform_testkit::peer_switch::Datagrams;
 use platform_testkit::peer_switch::PeerSwitch;
 use platform_testkit::rollout_scene::SERVICE;
@@ -691,9 +692,8 @@
             let entries = self.entries.iter();
             return entries.map(|entry| entry.ports.peers).take(3).collect();
         };
-        let others = switch.addresses.iter().enumerate();
-        let others = others.filter(|(other, _)| *other != index);
-        others.map(|(_, address)| *address).take(3).collect()
+        let others = peer_switch::others(&switch.addresses, index);
+        others.into_iter().take(3).collect()
     }
 
     /// Starts an entry that has ended.
