store view: an outage of the store is a time in which it answered no entry

What callers saw: an entry that had lost its own way to the store for some seconds sent requests to upstreams that the store had removed without a word, up to 2.6 s after the removal; 2 s are allowed. After an outage of the store for all, entries that heard of the lapsed upstreams from others dropped all of them at once and left them out for four heartbeats more.

Cause: each follower took the failing of its own calls for an outage of the store, and kept what disappeared for 2,300 ms from its own first answer on, a constant that nobody compared with the time within which removed upstreams may get requests. Removals that peers told were never taken for lapses. A question to the store took the age of the list for an outage, though nobody had called the store.

Now entries keep when the store answered anybody (`AnswerHistory`): their own answers, and those of peers, whose heartbeats tell since when the store has answered them and up to when. Only a gap in all of these in which entries can lapse is an outage. Without one, what disappears is removed at once, whoever tells it; what was kept is given up as soon as a peer tells that there was none. With one, an upstream is used for nine tenths of `drainMs` from the start of the last call of this entry that failed: the store may have removed it from then on, and not earlier. Failed calls of peers do not count, as the ways of those that watch the store may be cut while it serves all others. An upstream that disappears after an outage and can't be kept counts as lapsed, and is used again as soon as it is listed.

The tests of the grace period are replaced: what one entry's outage is, and how long it lasts, are tested on `AnswerHistory`, with the same bounds on when an outage counts; that upstreams are kept no longer than that, on `Directory`. The era's grace, which used the same constant, has the same length as before, and now belongs to the upstreams that the copy lacks alone.

--- a/lib/src/direct/freshness_driver.rs
+++ b/lib/src/direct/freshness_driver.rs
@@ -12,6 +12,7 @@
 use indexmap::IndexSet;
 use rand::seq::IndexedRandom;
 use tokio::sync::mpsc::UnboundedReceiver;
+use tokio::time::Instant;
 use tokio::time::timeout;
 
 use crate::direct::membership::peer_message::ListWord;
@@ -20,11 +21,13 @@
 use crate::direct::replication::store_follower::ListCall;
 use crate::direct::replication::store_follower::ListCallOutcome;
 use crate::direct::request::call::Call;
+use crate::direct::store_view::answer_history::Lapses;
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::store_view::freshness::CatalogMark;
 use crate::direct::store_view::freshness::ConfirmedBy;
 use crate::direct::store_view::freshness::FreshnessStep;
 use crate::direct::store_view::freshness::ListMark;
+use crate::direct::store_view::list_use;
 use crate::direct::store_view::list_use::CONFIRM_WAIT_MS;
 use crate::direct::store_view::list_use::ConfirmStep;
 use crate::direct::store_view::list_use::ListUse;
@@ -152,6 +155,23 @@
         ListUse::at(self.list_mark().age_ms, self.drain_bound_ms.get())
     }
 
+    /// Returns whether upstreams may be used that the store does not list.
+    pub(super) fn may_use_missing(&self) -> bool {
+        let keep = Duration::from_millis(list_use::latest_use_ms(self.drain_bound_ms.get()));
+        let answers = &self.last_store_response;
+        let lapses = answers.with_answers(|answers| answers.lapses(Instant::now(), keep));
+        matches!(lapses, Lapses::Until(_))
+    }
+
+    /// Stops using upstreams that the store does not list, once they may have been removed for too long. The
+    /// control thread removes them from the list a moment later. Every request comes by here before it
+    /// is sent.
+    pub fn expire_missing_upstreams(&self) {
+        if !self.may_have_lapsed.borrow().is_empty() && !self.may_use_missing() {
+            self.update_eligible_upstreams();
+        }
+    }
+
     /// Has the list of upstreams confirmed if it is too old to send a request by it, as far as a peer or
     /// the store can tell. Every request comes by here before it is sent, whatever chose its upstream.
     pub async fn confirm_list_before_use(&self) {
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -2,9 +2,11 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::time::Instant;
 
 use crate::direct::membership::heartbeat_payload::LoadChunk;
 use crate::direct::notices::upstream_state::NoticeUpdate;
@@ -18,6 +20,7 @@
 use crate::direct::sharing::quota::ChargeOutcome;
 use crate::direct::sharing::quota::Contention;
 use crate::direct::sharing::quota::RequestCost;
+use crate::direct::store_view::answer_history::Answered;
 use crate::direct::streams::origin::OriginRecord;
 use crate::direct::streams::origin::OriginReply;
 use crate::direct::streams::origin::OriginRequest;
@@ -31,8 +34,13 @@
 pub const SUSPECTS_LEVEL: u8 = 2;
 /// Level of the builds that tell how old their replicas are, and lend retries.
 pub const REPLICA_AGES_LEVEL: u8 = 3;
+/// Level of the builds that tell since when the store has answered them.
+pub const ANSWERED_LEVEL: u8 = 4;
 /// Level of this build.
-pub const MESSAGE_LEVEL: u8 = REPLICA_AGES_LEVEL;
+pub const MESSAGE_LEVEL: u8 = ANSWERED_LEVEL;
+/// Age beyond which an answer of the store is not told any more. Upstreams that an outage has concerned
+/// are back or removed by then.
+const MAX_ANSWER_AGE_MS: u32 = 60_000;
 /// Longest datagram that is sent. It fits into one packet of a common network.
 const MAX_DATAGRAM_BYTES: usize = 1_400;
 
@@ -257,6 +265,9 @@
     /// [`REPLICA_AGES_LEVEL`] on.
     #[serde(skip)]
     pub replica_ages: ReplicaAges,
+    /// When the store answered the sender; sent from [`ANSWERED_LEVEL`] on.
+    #[serde(skip)]
+    pub answered_ages: Option<AnsweredAges>,
 }
 
 /// How old an entry's list of upstreams is, in reply to a question.
@@ -281,6 +292,63 @@
     pub list_ms: Option<u32>,
 }
 
+/// How long ago the store answered an entry.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AnsweredAges {
+    /// When the store began to answer it without a gap in which entries of upstreams lapse.
+    pub first_ms: u32,
+    /// Up to when its last answer holds.
+    pub latest_ms: u32,
+}
+
+impl AnsweredAges {
+    /// Returns the ages of a time in which the store answered, unless that was long ago.
+    ///
+    /// ```
+    /// use std::time::Duration;
+    /// use sardinewood::direct::membership::peer_message::AnsweredAges;
+    /// use sardinewood::direct::store_view::answer_history::Answered;
+    /// use tokio::time::Instant;
+    ///
+    /// let from = Instant::now();
+    /// let until = from + Duration::from_secs(2);
+    /// let now = from + Duration::from_secs(3);
+    /// let answered = Answered { from, until };
+    /// let ages = AnsweredAges::new(answered, now).expect("recent");
+    /// assert_eq!((ages.first_ms, ages.latest_ms), (3_000, 1_000));
+    /// assert_eq!(ages.answered(now), Some(answered));
+    /// ```
+    #[must_use]
+    pub fn new(answered: Answered, now: Instant) -> Option<Self> {
+        let ages = Self {
+            first_ms: whole_ms(now.duration_since(answered.from)),
+            latest_ms: whole_ms(now.duration_since(answered.until)),
+        };
+        (ages.latest_ms <= MAX_ANSWER_AGE_MS).then_some(ages)
+    }
+
+    /// Returns when the store answered, given when the ages have arrived; none if that was before the
+    /// clock of this host began.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_message::AnsweredAges;
+    /// let ages = AnsweredAges { first_ms: 0, latest_ms: 0 };
+    /// assert!(ages.answered(tokio::time::Instant::now()).is_some());
+    /// ```
+    #[must_use]
+    pub fn answered(self, now: Instant) -> Option<Answered> {
+        let at = |age_ms: u32| now.checked_sub(Duration::from_millis(age_ms.into()));
+        let until = at(self.latest_ms)?;
+        let from = at(self.first_ms).unwrap_or(until);
+        Some(Answered { from, until })
+    }
+}
+
+/// Returns a time in whole milliseconds, or the longest one that can be sent.
+pub(crate) fn whole_ms(time: Duration) -> u32 {
+    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
+}
+
 /// Asks the receiver, who owns the customer's quota, to charge a request to it.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ChargeRequest {
@@ -480,7 +548,11 @@
     if heartbeat.message_level < REPLICA_AGES_LEVEL {
         return Some(bytes);
     }
-    postcard::to_extend(&heartbeat.replica_ages, bytes).ok()
+    let bytes = postcard::to_extend(&heartbeat.replica_ages, bytes).ok()?;
+    if heartbeat.message_level < ANSWERED_LEVEL {
+        return Some(bytes);
+    }
+    postcard::to_extend(&heartbeat.answered_ages, bytes).ok()
 }
 
 fn decode_heartbeat_extension(heartbeat: &mut Heartbeat, extension: &[u8]) {
@@ -497,5 +569,9 @@
         return;
     };
     heartbeat.message_level = message_level;
-    heartbeat.replica_ages = postcard::from_bytes(replica_ages).unwrap_or_default();
+    let Ok((replica_ages, answered_ages)) = postcard::take_from_bytes(replica_ages) else {
+        return;
+    };
+    heartbeat.replica_ages = replica_ages;
+    heartbeat.answered_ages = postcard::from_bytes(answered_ages).unwrap_or_default();
 }
--- a/lib/src/direct/replication.rs
+++ b/lib/src/direct/replication.rs
@@ -8,6 +8,7 @@
 pub mod read_cursor;
 pub mod rollout_follower;
 pub mod spread;
+mod store_call;
 pub mod store_follower;
 pub mod update;
 pub mod update_codec;
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -11,6 +11,8 @@
 use crate::direct::membership::heartbeat_payload::LoadChunk;
 use crate::direct::membership::heartbeat_payload::SpendingReport;
 use crate::direct::membership::heartbeat_round::HeartbeatRound;
+use crate::direct::membership::peer_message::ANSWERED_LEVEL;
+use crate::direct::membership::peer_message::AnsweredAges;
 use crate::direct::membership::peer_message::CustomerSpending;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::MESSAGE_LEVEL;
@@ -247,6 +249,7 @@
     /// Takes the word of a peer that the store has told lately, and that has no newer configuration or
     /// list.
     fn take_word(&self, heartbeat: &Heartbeat, from: SocketAddr, now_ms: u64) {
+        self.take_answered(heartbeat);
         let own = self.traffic.revisions.get();
         if own.directory.era != 0 && !heartbeat.knows_eras {
             return;
@@ -274,6 +277,25 @@
         }
     }
 
+    /// Takes when the store answered a peer, whatever the peer's replica is like. Upstreams that were used as
+    /// their entries might have lapsed meanwhile may have to be given up.
+    fn take_answered(&self, heartbeat: &Heartbeat) {
+        let ages = if heartbeat.message_level >= ANSWERED_LEVEL {
+            heartbeat.answered_ages
+        } else {
+            heartbeat.store_age_ms.map(|age_ms| AnsweredAges {
+                first_ms: age_ms,
+                latest_ms: age_ms,
+            })
+        };
+        let Some(answered) = ages.and_then(|ages| ages.answered(Instant::now())) else {
+            return;
+        };
+        let last_response = &self.traffic.last_store_response;
+        last_response.with_answers(|answers| answers.record_peer_answer(answered));
+        self.traffic.expire_missing_upstreams();
+    }
+
     /// Looks for a peer that is ahead of this entry, if the sender of a heartbeat is or one was
     /// before.
     fn update_peer_ahead(&self, sender: Revisions, now_ms: u64) {
@@ -450,6 +472,10 @@
             knows_eras: true,
             message_level: MESSAGE_LEVEL,
             replica_ages: traffic.last_store_response.ages(traffic.revisions.get()),
+            answered_ages: traffic
+                .last_store_response
+                .with_answers(|answers| answers.own_answered())
+                .and_then(|answered| AnsweredAges::new(answered, Instant::now())),
         }
     }
 }
--- a/lib/src/direct/replication/last_response.rs
+++ b/lib/src/direct/replication/last_response.rs
@@ -1,17 +1,18 @@
-//! When the store last answered this entry, and up to when its answers cover the replica; shared between
-//! the control and the traffic thread.
+//! When the store last answered this entry or a peer, and up to when its answers cover the replica; shared
+//! between the control and the traffic thread.
 
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
-use std::time::Duration;
 
 use tokio::time::Instant;
 
 use crate::direct::membership::peer_message::CatalogPosition;
 use crate::direct::membership::peer_message::ReplicaAges;
 use crate::direct::membership::peer_message::Revisions;
+use crate::direct::membership::peer_message::whole_ms;
+use crate::direct::store_view::answer_history::AnswerHistory;
 use crate::store::position::StorePosition;
 
 /// A time at which the store had nothing newer than a position.
@@ -66,6 +67,7 @@
 struct Coverages {
     catalog: Coverage<CatalogPosition>,
     list: Coverage<StorePosition>,
+    answers: AnswerHistory,
 }
 
 /// When the store last answered this entry, and up to when its answers cover the configuration and the
@@ -161,6 +163,19 @@
         Some(whole_ms(answered_at.elapsed()))
     }
 
+    /// Reads or updates what is known of the store's answers to this entry and its peers.
+    ///
+    /// ```
+    /// # use sardinewood::direct::replication::last_response::LastStoreResponse;
+    /// # use tokio::time::Instant;
+    /// let response = LastStoreResponse::default();
+    /// response.with_answers(|answers| answers.record_failure(Instant::now()));
+    /// assert!(response.with_answers(|answers| answers.own()).unanswered_at.is_some());
+    /// ```
+    pub fn with_answers<T>(&self, use_answers: impl FnOnce(&mut AnswerHistory) -> T) -> T {
+        use_answers(&mut self.coverages().answers)
+    }
+
     /// Returns how old the store's word is that a reader uses the newest configuration and list.
     ///
     /// ```
@@ -177,7 +192,3 @@
         }
     }
 }
-
-fn whole_ms(time: Duration) -> u32 {
-    u32::try_from(time.as_millis()).unwrap_or(u32::MAX)
-}
--- a/lib/src/direct/replication/outage.rs
+++ b/lib/src/direct/replication/outage.rs
@@ -1,4 +1,4 @@
-//! Whether the store answers an entry, and since when it does not.
+//! Whether the store answers this entry, and since when it does not.
 
 use tokio::time::Instant;
 
@@ -6,12 +6,10 @@
 use crate::logging::Line;
 use crate::store::ReadError;
 
-/// Tracks and logs an outage of the store.
+/// Tracks and logs a time in which the store does not answer this entry, whether it answers others or not.
 #[derive(Debug, Default)]
 pub(super) struct Outage {
     since: Option<Instant>,
-    /// Time of the last answer; none if this entry has not called the store before the outage.
-    last_answer: Option<Instant>,
 }
 
 impl Outage {
@@ -19,14 +17,6 @@
         self.since.is_some()
     }
 
-    /// Returns the time since the last answer, which is at least as long as the outage. It is unbounded
-    /// if this entry can't tell.
-    pub(super) fn unanswered_ms(&self) -> u64 {
-        self.last_answer.map_or(u64::MAX, |last_answer| {
-            u64::try_from(last_answer.elapsed().as_millis()).unwrap_or(u64::MAX)
-        })
-    }
-
     pub(super) fn record_error(&mut self, kind: &str, error: &ReadError) {
         if self.since.is_none() {
             self.since = Some(Instant::now());
@@ -38,7 +28,6 @@
     }
 
     pub(super) fn left(&mut self, kind: &str) {
-        self.last_answer = None;
         if self.since.take().is_some() {
             Line::new(Level::Info, "store is left to other entries")
                 .field("kind", kind)
@@ -46,12 +35,14 @@
         }
     }
 
-    pub(super) fn record_answer(&mut self, kind: &str) {
-        self.last_answer = Some(Instant::now());
+    /// Records an answer, and logs for how long there was none. `kept_for_ms` is the time for which
+    /// upstreams are used that disappear now; none if others were answered meanwhile.
+    pub(super) fn record_answer(&mut self, kind: &str, kept_for_ms: Option<u64>) {
         if let Some(since) = self.since.take() {
             Line::new(Level::Info, "store answers again")
                 .field("kind", kind)
                 .field("after_ms", since.elapsed().as_millis())
+                .field("missing_upstreams_kept_for_ms", kept_for_ms)
                 .send();
         }
     }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -29,10 +29,15 @@
 use crate::direct::replication::peer_pull;
 use crate::direct::replication::peer_pull::PullReply;
 use crate::direct::replication::read_cursor::ReadCursor;
+use crate::direct::replication::store_call::StoreAnswer;
+use crate::direct::replication::store_call::StoreCall;
 use crate::direct::replication::update::ReplicaUpdate;
 use crate::direct::replication::update::UpstreamListUpdate;
 use crate::direct::replication::update_codec;
 use crate::direct::replication::update_codec::Encoding;
+use crate::direct::store_view::answer_history::Answered;
+use crate::direct::store_view::answer_history::Lapses;
+use crate::direct::store_view::list_use;
 use crate::direct::store_view::replica::ObjectDecoders;
 use crate::direct::store_view::replica::ReplicaSnapshot;
 use crate::direct::store_view::replica::StoreReplica;
@@ -199,7 +204,10 @@
     #[must_use]
     pub fn new(decoders: ObjectDecoders, channels: FollowerChannels) -> Self {
         let mut replica = StoreReplica::new(decoders);
-        replica.set_upstream_silence_ms(channels.upstream_silence_ms);
+        let silence_ms = channels.upstream_silence_ms;
+        replica.set_upstream_silence_ms(silence_ms);
+        let last_response = &channels.last_response;
+        last_response.with_answers(|answers| answers.set_upstream_silence_ms(silence_ms));
         Self {
             replica: Rc::new(RefCell::new(replica)),
             channels,
@@ -210,7 +218,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+        whole_ms(self.started_at.elapsed())
     }
 
     fn publish(&self) {
@@ -291,22 +299,18 @@
                 wait_ms
             };
             has_news = false;
-            let asked_at = Instant::now();
-            let read = match after {
-                None => source
-                    .list(kind)
-                    .await
-                    .map(|list| (self.apply_list(kind, list, &outage), asked_at)),
-                Some(after) => source.watch(kind, after, wait_ms).await.map(|batch| {
-                    let as_of = covered_until(&batch, asked_at, wait_ms);
-                    has_news = !batch.events.is_empty();
-                    (self.apply_batch(kind, batch, &outage), as_of)
-                }),
-            };
-            match read {
-                Ok((position, as_of)) => {
+            let call = StoreCall::make(read(source, kind, after, wait_ms)).await;
+            self.record_call(&call);
+            let asked_at = call.asked_at;
+            match call.result {
+                Ok(answer) => {
+                    let as_of = answer.covered_until(asked_at, wait_ms);
+                    let position = answer.position();
+                    has_news = answer.has_news();
+                    self.record_answered(asked_at, as_of);
+                    self.apply_answer(kind, answer);
                     self.record_response(is_catalog, as_of);
-                    outage.record_answer(kind);
+                    outage.record_answer(kind, self.replica.borrow().lapses_for_ms(self.now_ms()));
                     backoff.reset();
                     let pause = pause_after(after, position, has_listed);
                     has_listed = true;
@@ -340,18 +344,50 @@
         }
     }
 
-    fn apply_list(&self, kind: &str, list: ObjectList, outage: &Outage) -> StorePosition {
-        let position = list.position;
-        self.note_store_return(kind, outage);
-        self.apply_from_store(|replica, now_ms| replica.apply_list(kind, list, now_ms));
-        position
+    /// Records whether the store answered a call.
+    fn record_call(&self, call: &StoreCall) {
+        if call.is_answered() {
+            self.record_answered(call.asked_at, call.asked_at);
+        } else {
+            self.record_failure(call.asked_at);
+        }
+    }
+
+    /// Records that the store answered a call, and up to when the answer holds.
+    fn record_answered(&self, from: Instant, until: Instant) {
+        let answered = Answered { from, until };
+        let last_response = &self.channels.last_response;
+        last_response.with_answers(|answers| answers.record_answer(answered));
+    }
+
+    /// Records that the store did not answer a call.
+    fn record_failure(&self, asked_at: Instant) {
+        let last_response = &self.channels.last_response;
+        last_response.with_answers(|answers| answers.record_failure(asked_at));
+    }
+
+    /// Tells the replica whether entries of upstreams may have lapsed in an outage of the store. Returns
+    /// whether the view has changed.
+    fn update_lapses(&self) -> bool {
+        let now = Instant::now();
+        let keep = Duration::from_millis(list_use::latest_use_ms(self.channels.drain_bound_ms));
+        let last_response = &self.channels.last_response;
+        let lapses = match last_response.with_answers(|answers| answers.lapses(now, keep)) {
+            Lapses::Until(until) => Lapses::Until(whole_ms(until.duration_since(self.started_at))),
+            Lapses::Possible => Lapses::Possible,
+            Lapses::Excluded => Lapses::Excluded,
+        };
+        let mut replica = self.replica.borrow_mut();
+        replica.set_lapses(lapses, self.now_ms())
     }
 
-    fn apply_batch(&self, kind: &str, batch: WatchBatch, outage: &Outage) -> StorePosition {
-        let position = batch.position;
-        self.note_store_return(kind, outage);
-        self.apply_changes(kind, batch);
-        position
+    fn apply_answer(&self, kind: &str, answer: StoreAnswer) {
+        match answer {
+            StoreAnswer::List(list) => {
+                self.apply_from_store(|replica, now_ms| replica.apply_list(kind, list, now_ms));
+            }
+            StoreAnswer::Changes(batch) => self.apply_changes(kind, batch),
+        }
     }
 
     fn apply_changes(&self, kind: &str, batch: WatchBatch) {
@@ -366,20 +402,13 @@
 
     /// Changes the replica by what the store has sent, publishes it, and tells the peers.
     fn apply_from_store(&self, change: impl FnOnce(&mut StoreReplica, u64)) {
+        self.update_lapses();
         let before = self.replica.borrow().revisions();
         change(&mut self.replica.borrow_mut(), self.now_ms());
         self.publish();
         self.send_change(before);
     }
 
-    /// Tells the replica if this is the first answer after an outage of the store.
-    fn note_store_return(&self, kind: &str, outage: &Outage) {
-        let mut replica = self.replica.borrow_mut();
-        if outage.is_ongoing() && kind == replica.decoders().upstream_kind {
-            replica.store_recovered(outage.unanswered_ms(), self.now_ms());
-        }
-    }
-
     /// Asks the store whether the list of upstreams is the newest, each time that the traffic thread wants
     /// to know, until the process ends.
     pub async fn follow_list_calls(
@@ -389,7 +418,7 @@
         outcomes: mpsc::UnboundedSender<ListCallOutcome>,
     ) {
         while let Some(call) = calls.recv().await {
-            let outcome = match self.confirm_list(source, call).await {
+            let outcome = match self.confirm_list(source).await {
                 Ok(()) => ListCallOutcome::Answered,
                 Err(error) => {
                     Line::new(Level::Warn, "list of upstreams can't be confirmed")
@@ -404,48 +433,40 @@
         }
     }
 
-    async fn confirm_list(
-        &self,
-        source: &impl ObjectSource,
-        call: ListCall,
-    ) -> Result<(), ReadError> {
+    async fn confirm_list(&self, source: &impl ObjectSource) -> Result<(), ReadError> {
         let kind = self.replica.borrow().decoders().upstream_kind;
         let own = self.replica.borrow().revisions().directory;
         source.learn_era(own.era);
-        let asked_at = Instant::now();
-        if own > StorePosition::default()
-            && let Ok(batch) = source.changes_now(kind, own).await
-        {
-            self.note_unconfirmed(call);
-            self.apply_changes(kind, batch);
-            self.record_response(false, asked_at);
-            return Ok(());
+        if own > StorePosition::default() {
+            let changes = source.changes_now(kind, own);
+            let call = StoreCall::make(async { changes.await.map(StoreAnswer::Changes) }).await;
+            self.record_call(&call);
+            if let Ok(answer) = call.result {
+                self.apply_answer(kind, answer);
+                self.record_response(false, call.asked_at);
+                return Ok(());
+            }
         }
         // The history may be gone, or the changes be such that they can't be read.
-        let asked_at = Instant::now();
-        let list = source.list_now(kind).await?;
-        self.note_unconfirmed(call);
-        self.apply_from_store(|replica, now_ms| replica.apply_list(kind, list, now_ms));
-        self.record_response(false, asked_at);
+        let list = source.list_now(kind);
+        let call = StoreCall::make(async { list.await.map(StoreAnswer::List) }).await;
+        self.record_call(&call);
+        self.apply_answer(kind, call.result?);
+        self.record_response(false, call.asked_at);
         Ok(())
     }
 
-    /// Tells the replica for how long neither the store nor a peer has confirmed the list. In an outage
-    /// entries lapse whose upstreams live.
-    fn note_unconfirmed(&self, call: ListCall) {
-        if let Some(age_ms) = call.age_ms {
-            let mut replica = self.replica.borrow_mut();
-            replica.store_recovered(age_ms, self.now_ms());
-        }
-    }
-
     /// Applies the time limits of the list of upstreams until the process ends.
     pub async fn sweep(&self) {
-        /// Time between two sweeps: a small part of the grace period after an outage.
+        /// Longest time between two sweeps, as peers may tell meanwhile that there was no outage.
         const PERIOD: Duration = Duration::from_millis(200);
         loop {
-            sleep(PERIOD).await;
-            if self.replica.borrow_mut().sweep(self.now_ms()) {
+            let due_ms = self.replica.borrow().next_sweep_ms();
+            let until_due = due_ms.map(|due_ms| due_ms.saturating_sub(self.now_ms()).max(1));
+            sleep(until_due.map_or(PERIOD, Duration::from_millis).min(PERIOD)).await;
+            let is_revoked = self.update_lapses();
+            let is_swept = self.replica.borrow_mut().sweep(self.now_ms());
+            if is_revoked || is_swept {
                 self.publish();
             }
         }
@@ -529,12 +550,16 @@
 
     /// Applies an update of a peer.
     pub fn apply_update(&self, peer: SocketAddr, update: ReplicaUpdate) {
+        let is_revoked = self.update_lapses();
         let before = self.replica.borrow().revisions();
         self.replica
             .borrow_mut()
             .apply_update(update, self.now_ms());
         let after = self.replica.borrow().revisions();
         if !after.is_ahead_of(before) {
+            if is_revoked {
+                self.publish();
+            }
             return;
         }
         // Each of hundreds of entries would write a line at each change.
@@ -579,19 +604,26 @@
     }
 }
 
-/// Returns the latest time of which it is certain that the answer to a watch tells all changes before it.
-///
-/// An answer may be long on its way, so the time at which it arrives says nothing. An answer without
-/// changes was made when the wait was over.
-fn covered_until(batch: &WatchBatch, asked_at: Instant, wait_ms: u64) -> Instant {
-    let waited_until = asked_at + Duration::from_millis(wait_ms);
-    if batch.events.is_empty() && waited_until <= Instant::now() {
-        waited_until
-    } else {
-        asked_at
+/// Reads the changes of a kind after a position, or all objects if there is none.
+async fn read(
+    source: &impl ObjectSource,
+    kind: &str,
+    after: Option<StorePosition>,
+    wait_ms: u64,
+) -> Result<StoreAnswer, ReadError> {
+    match after {
+        None => source.list(kind).await.map(StoreAnswer::List),
+        Some(after) => {
+            let batch = source.watch(kind, after, wait_ms).await;
+            batch.map(StoreAnswer::Changes)
+        }
     }
 }
 
+fn whole_ms(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Returns how long a watch waits, given the time within which a change has to be in force.
 fn watch_wait_ms(bound_ms: u64) -> u64 {
     (bound_ms * WATCH_WAIT_EIGHTHS / 8).min(MAX_WATCH_WAIT_MS)
@@ -609,8 +641,7 @@
 /// ```
 #[must_use]
 pub fn longest_delay_ms(bound_ms: u64) -> u64 {
-    let batch_pause_ms = u64::try_from(BATCH_PAUSE.as_millis()).unwrap_or(u64::MAX);
-    batch_pause_ms + 2 * watch_wait_ms(bound_ms) + MIN_RETRY_PAUSE_MS
+    whole_ms(BATCH_PAUSE) + 2 * watch_wait_ms(bound_ms) + MIN_RETRY_PAUSE_MS
 }
 
 /// Returns the pause before the next watch, given the known position, the one that the store sent,
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -256,6 +256,7 @@
         return AttemptResult::Quarantined(quarantined);
     }
     traffic.confirm_list_before_use().await;
+    traffic.expire_missing_upstreams();
     let instance = &lease.upstream.instance;
     let version = call.stream_version.as_ref();
     if !traffic
--- a/lib/src/direct/store_view.rs
+++ b/lib/src/direct/store_view.rs
@@ -1,6 +1,7 @@
 //! What an entry knows of the platform's store: the configuration in force and the list of
 //! upstreams, kept consistent through outages, restarts and late writes. These modules do no I/O.
 
+pub mod answer_history;
 pub mod catalog;
 pub mod departures;
 pub mod directory;
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -7,15 +7,12 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::direct::store_view::answer_history::Lapses;
 use crate::direct::store_view::departures::Departure;
 use crate::direct::store_view::departures::Departures;
 use crate::direct::streams::version_history::ServiceVersion;
 use crate::store::position::StorePosition;
 
-/// Time for which an upstream that disappeared around an outage of the store is still used. Live
-/// upstreams rewrite their entries within about two seconds of the store's return; the rest is for
-/// the delay until this process sees them.
-pub const RETURN_GRACE_MS: u64 = 2_300;
 /// Time, beyond that between two heartbeats of an upstream, for which an upstream is still used that
 /// a new era of the store lacks. Upstreams write their entries again with their next heartbeat.
 const REWRITE_DELAY_MS: u64 = 1_100;
@@ -26,6 +23,24 @@
 /// say how often upstreams send one.
 pub const DEFAULT_SILENCE_MS: u64 = 3_600;
 
+/// Returns the shortest outage of the store in which the entry of an upstream that lives may lapse. The
+/// last heartbeat may have been due just when the store went away.
+///
+/// ```
+/// use sardinewood::direct::store_view::directory::lapse_after_ms;
+///
+/// assert_eq!(lapse_after_ms(3_600), 2_400);
+/// ```
+#[must_use]
+pub fn lapse_after_ms(silence_ms: u64) -> u64 {
+    silence_ms - heartbeat_ms(silence_ms)
+}
+
+/// Returns the time between two heartbeats of an upstream.
+fn heartbeat_ms(silence_ms: u64) -> u64 {
+    silence_ms / u64::from(MISSED_HEARTBEATS)
+}
+
 /// One incarnation of an upstream, that is, one start of a process that runs requests.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Upstream {
@@ -107,15 +122,24 @@
     Unknown,
     /// The upstream is not used any more.
     Removed,
-    /// The upstream is used until this time, as its entry may have lapsed in an outage.
-    KeptUntil(u64),
+    /// The upstream is used for now, as its entry may have lapsed in an outage.
+    Kept,
+}
+
+/// Why an upstream is used whose entry has disappeared.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Missing {
+    /// Its entry may have lapsed in an outage of the store.
+    MayHaveLapsed,
+    /// The store has lost its entry with the end of an era. It is used until this time.
+    Lost { until_ms: u64 },
 }
 
 #[derive(Clone, Debug)]
 struct DirectoryEntry {
     upstream: Arc<Upstream>,
-    /// Time at which the entry disappeared around an outage, if it has not returned.
-    missing_since_ms: Option<u64>,
+    /// Why the upstream is used although the entry has disappeared; none if it is there.
+    missing: Option<Missing>,
     /// What the list says instead, and when that is accepted: an older incarnation, or that an upstream
     /// takes requests that was removed.
     doubted: Option<(Upstream, u64)>,
@@ -127,7 +151,7 @@
     fn new(upstream: Upstream) -> Self {
         Self {
             upstream: Arc::new(upstream),
-            missing_since_ms: None,
+            missing: None,
             doubted: None,
             is_revoked: false,
         }
@@ -146,6 +170,16 @@
         }
     }
 
+    /// Returns until when the upstream is used if its entry has disappeared.
+    fn missing_until_ms(&self, lapses: Lapses<u64>) -> Option<u64> {
+        match (self.missing?, lapses) {
+            (Missing::MayHaveLapsed, Lapses::Until(until_ms)) | (Missing::Lost { until_ms }, _) => {
+                Some(until_ms)
+            }
+            (Missing::MayHaveLapsed, Lapses::Excluded | Lapses::Possible) => Some(0),
+        }
+    }
+
     fn is_withheld(&self) -> bool {
         let doubted = self.doubted.as_ref();
         doubted.is_some_and(|(doubted, _)| doubted.instance == self.upstream.instance)
@@ -172,9 +206,9 @@
 ///
 /// During an outage, the store loses the entries of live upstreams because they cannot renew them.
 /// If this process applied that list, it would drop all of its upstreams as soon as the store
-/// returns, and refuse all requests. Upstreams that disappear around an outage are therefore kept
-/// for [`RETURN_GRACE_MS`]. Upstreams that disappear at other times, or that had announced their
-/// end, are removed at once.
+/// returns, and refuse all requests. Upstreams that disappear while entries may have lapsed, which
+/// [`Self::set_lapses`] says, are therefore kept until then. Upstreams that disappear at other
+/// times, or that had announced their end, are removed at once.
 ///
 /// The last write of an incarnation that has ended may be applied seconds late and replace the
 /// entry of its successor. If it were accepted at once, the counts, the drain state and the speed
@@ -198,8 +232,8 @@
     entries: IndexMap<Arc<str>, DirectoryEntry>,
     /// Time without a heartbeat after which an upstream is taken to have ended.
     silence_ms: u64,
-    /// Time until which a missing entry may be due to the outage.
-    grace_until_ms: u64,
+    /// Whether a missing entry may be due to an outage.
+    lapses: Lapses<u64>,
     departures: Departures,
     /// Whether upstreams in this list give their start time. An entry without one was then not
     /// written by an upstream.
@@ -211,7 +245,7 @@
         Self {
             entries: IndexMap::new(),
             silence_ms: DEFAULT_SILENCE_MS,
-            grace_until_ms: 0,
+            lapses: Lapses::Excluded,
             departures: Departures::default(),
             reports_start_time: false,
         }
@@ -230,49 +264,80 @@
         self.silence_ms = silence_ms;
     }
 
-    /// Records that the store answers again, after it has not answered for a time.
+    /// Sets whether entries of upstreams that live may have disappeared in an outage of the store. Returns
+    /// whether upstreams are removed that were used for that reason.
     ///
-    /// The store drops an entry after [`MISSED_HEARTBEATS`]. In a shorter time without answers none can
-    /// have lapsed whose upstream lives, so entries that disappear then were removed.
+    /// ```
+    /// # use sardinewood::direct::store_view::{answer_history::Lapses, directory::Directory};
+    /// assert!(!Directory::default().set_lapses(Lapses::Until(9_000), 8_000));
+    /// ```
+    pub fn set_lapses(&mut self, lapses: Lapses<u64>, now_ms: u64) -> bool {
+        self.lapses = lapses;
+        lapses == Lapses::Excluded
+            && self.drop_missing(Departure::Removed, now_ms, |entry| {
+                entry.missing == Some(Missing::MayHaveLapsed)
+            })
+    }
+
+    /// Returns for how long upstreams whose entries disappear now are used; none if they are removed at
+    /// once.
     ///
     /// ```
-    /// sardinewood::direct::store_view::directory::Directory::default().store_recovered(3_000, 9_000);
+    /// # use sardinewood::direct::store_view::directory::Directory;
+    /// assert_eq!(Directory::default().lapses_for_ms(0), None);
     /// ```
-    pub fn store_recovered(&mut self, unanswered_ms: u64, now_ms: u64) {
-        // The last heartbeat may have been due just when the store went away.
-        if unanswered_ms >= self.silence_ms - self.heartbeat_ms() {
-            self.grace_until_ms = self.grace_until_ms.max(now_ms + RETURN_GRACE_MS);
+    #[must_use]
+    pub fn lapses_for_ms(&self, now_ms: u64) -> Option<u64> {
+        match self.lapses {
+            Lapses::Until(until_ms) => until_ms.checked_sub(now_ms),
+            Lapses::Excluded | Lapses::Possible => None,
         }
     }
 
+    /// Removes missing upstreams. Returns whether there were any.
+    fn drop_missing(
+        &mut self,
+        departure: Departure,
+        now_ms: u64,
+        is_dropped: impl Fn(&DirectoryEntry) -> bool,
+    ) -> bool {
+        let dropped = self.entries.extract_if(.., |_, entry| is_dropped(entry));
+        let dropped: Vec<_> = dropped.collect();
+        for (_, entry) in &dropped {
+            let instance = &entry.upstream.instance;
+            self.departures.record(instance, departure, now_ms);
+        }
+        !dropped.is_empty()
+    }
+
     /// Returns the time for which an upstream is still used that a new era of the store lacks.
     ///
     /// ```
-    /// use sardinewood::direct::store_view::directory::{Directory, RETURN_GRACE_MS};
+    /// use sardinewood::direct::store_view::directory::Directory;
     ///
-    /// assert_eq!(Directory::default().era_grace_ms(), RETURN_GRACE_MS);
+    /// assert_eq!(Directory::default().era_grace_ms(), 2_300);
     /// ```
     #[must_use]
     pub fn era_grace_ms(&self) -> u64 {
-        RETURN_GRACE_MS.max(self.heartbeat_ms() + REWRITE_DELAY_MS)
+        heartbeat_ms(self.silence_ms) + REWRITE_DELAY_MS
     }
 
-    /// Returns the time between two heartbeats of an upstream.
-    fn heartbeat_ms(&self) -> u64 {
-        self.silence_ms / u64::from(MISSED_HEARTBEATS)
-    }
-
-    /// Records that the store has returned from an older copy of itself, before the entries of the
-    /// copy are applied by [`Self::put_of_copy`].
-    ///
-    /// Upstreams that the copy lacks registered after it was taken. They are still used for
-    /// [`Self::era_grace_ms`], in which they write their entries again.
+    /// Records that the store has returned from an older copy of itself, which lacks an upstream. The
+    /// upstream registered after the copy was taken. It is still used for [`Self::era_grace_ms`], in which
+    /// it writes its entry again, unless it has announced its end.
     ///
     /// ```
-    /// sardinewood::direct::store_view::directory::Directory::default().begin_era(1_000);
+    /// sardinewood::direct::store_view::directory::Directory::default().lose("i-1", 1_000);
     /// ```
-    pub fn begin_era(&mut self, now_ms: u64) {
-        self.grace_until_ms = self.grace_until_ms.max(now_ms + self.era_grace_ms());
+    pub fn lose(&mut self, name: &str, now_ms: u64) {
+        let until_ms = now_ms + self.era_grace_ms();
+        match self.entries.get_mut(name) {
+            Some(entry) if !entry.upstream.is_leaving => {
+                entry.missing = Some(Missing::Lost { until_ms });
+            }
+            Some(_) => self.delete(name, now_ms),
+            None => {}
+        }
     }
 
     /// Applies an upstream's entry in the copy that the store has returned from.
@@ -290,7 +355,6 @@
     ///     is_leaving: false };
     /// directory.put(upstream.clone(), 0);
     /// directory.remove("i-1", 0);
-    /// directory.begin_era(1_000);
     /// directory.put_of_copy(upstream, 1_000);
     /// assert_eq!(directory.usable().count(), 0);
     /// assert!(directory.sweep(9_000));
@@ -376,13 +440,13 @@
                 .record(instance, Departure::Announced, now_ms);
         } else if known.is_none() && departure == Some(Departure::Removed) {
             // The store may drop the entry a moment after its upstream counts as silent.
-            let until_ms = now_ms + self.silence_ms + self.heartbeat_ms();
+            let until_ms = now_ms + self.silence_ms + heartbeat_ms(self.silence_ms);
             return self.withhold(upstream, until_ms);
         }
         self.reports_start_time |= upstream.born_ms.is_some();
         match known {
             Some(known) if upstream.is_older_than(&known.upstream) => {
-                known.missing_since_ms = None;
+                known.missing = None;
                 let doubted = known.doubted.take();
                 let until_ms = doubted.map_or(now_ms + self.silence_ms, |(_, until_ms)| until_ms);
                 known.doubted = Some((upstream, until_ms));
@@ -412,20 +476,25 @@
         let Some(entry) = self.entries.get_mut(name) else {
             return RemoveEffect::Unknown;
         };
-        if now_ms < self.grace_until_ms && !entry.upstream.is_leaving {
-            entry.missing_since_ms.get_or_insert(now_ms);
-            return RemoveEffect::KeptUntil(self.grace_until_ms);
+        let is_kept = matches!(self.lapses, Lapses::Until(until_ms) if now_ms < until_ms);
+        if is_kept && !entry.upstream.is_leaving {
+            entry.missing = Some(Missing::MayHaveLapsed);
+            return RemoveEffect::Kept;
         }
+        self.delete(name, now_ms);
+        RemoveEffect::Removed
+    }
+
+    fn delete(&mut self, name: &str, now_ms: u64) {
         if let Some(entry) = self.entries.shift_remove(name) {
             let instance = &entry.upstream.instance;
-            let departure = if entry.has_announced(instance) {
-                Departure::Announced
-            } else {
-                Departure::Removed
+            let departure = match self.lapses {
+                _ if entry.has_announced(instance) => Departure::Announced,
+                Lapses::Excluded => Departure::Removed,
+                Lapses::Possible | Lapses::Until(_) => Departure::Lapsed,
             };
             self.departures.record(instance, departure, now_ms);
         }
-        RemoveEffect::Removed
     }
 
     /// Returns the number of upstreams that are used though their entries have disappeared.
@@ -435,10 +504,22 @@
     /// ```
     #[must_use]
     pub fn missing_count(&self) -> usize {
+        let entries = self.entries.values();
+        entries.filter(|entry| entry.missing.is_some()).count()
+    }
+
+    /// Returns the incarnations that are used because their entries may have lapsed in an outage.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::store_view::directory::Directory::default().may_have_lapsed().is_empty());
+    /// ```
+    #[must_use]
+    pub fn may_have_lapsed(&self) -> IndexSet<Arc<str>> {
         let entries = self.entries.values();
         entries
-            .filter(|entry| entry.missing_since_ms.is_some())
-            .count()
+            .filter(|entry| entry.missing == Some(Missing::MayHaveLapsed))
+            .map(|entry| Arc::clone(&entry.upstream.instance))
+            .collect()
     }
 
     /// Removes an upstream whose entry was replaced by one that describes no upstream. Returns
@@ -461,17 +542,11 @@
     /// assert!(!sardinewood::direct::store_view::directory::Directory::default().sweep(0));
     /// ```
     pub fn sweep(&mut self, now_ms: u64) -> bool {
-        let mut is_changed = false;
-        if now_ms >= self.grace_until_ms {
-            let is_lost =
-                |_: &Arc<str>, entry: &mut DirectoryEntry| entry.missing_since_ms.is_some();
-            let lost: Vec<_> = self.entries.extract_if(.., is_lost).collect();
-            is_changed = !lost.is_empty();
-            for (_, entry) in lost {
-                let instance = &entry.upstream.instance;
-                self.departures.record(instance, Departure::Lapsed, now_ms);
-            }
-        }
+        let lapses = self.lapses;
+        let mut is_changed = self.drop_missing(Departure::Lapsed, now_ms, |entry| {
+            let until_ms = entry.missing_until_ms(lapses);
+            until_ms.is_some_and(|until_ms| now_ms >= until_ms)
+        });
         for entry in self.entries.values_mut() {
             is_changed |= entry.accept_doubted(now_ms);
         }
@@ -495,7 +570,7 @@
     #[must_use]
     pub fn next_sweep_ms(&self) -> Option<u64> {
         let due_ms = |entry: &DirectoryEntry| {
-            let missing_ms = entry.missing_since_ms.map(|_| self.grace_until_ms);
+            let missing_ms = entry.missing_until_ms(self.lapses);
             let doubted = entry.doubted.as_ref();
             let doubted_ms = doubted.map(|(_, until_ms)| *until_ms);
             missing_ms.into_iter().chain(doubted_ms).min()
--- a/lib/src/direct/store_view/list_use.rs
+++ b/lib/src/direct/store_view/list_use.rs
@@ -12,6 +12,19 @@
 /// Longest time for which requests wait for an answer. A peer and the store take some milliseconds each.
 pub const CONFIRM_WAIT_MS: u64 = 250;
 
+/// Returns for how long after an upstream's leaving requests may be sent to it, given the time within
+/// which they may still reach it.
+///
+/// ```
+/// use sardinewood::direct::store_view::list_use::latest_use_ms;
+///
+/// assert_eq!(latest_use_ms(2_000), 1_800);
+/// ```
+#[must_use]
+pub fn latest_use_ms(bound_ms: u64) -> u64 {
+    bound_ms * RENEW_TWENTIETHS / TWENTIETHS
+}
+
 /// What is done with the list before a request is sent.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ListUse {
@@ -39,7 +52,7 @@
     pub fn at(age_ms: Option<u64>, bound_ms: u64) -> Self {
         match age_ms {
             Some(age_ms) if age_ms * TWENTIETHS <= bound_ms * USE_TWENTIETHS => Self::Use,
-            Some(age_ms) if age_ms * TWENTIETHS <= bound_ms * RENEW_TWENTIETHS => Self::Renew,
+            Some(age_ms) if age_ms <= latest_use_ms(bound_ms) => Self::Renew,
             _ => Self::Confirm,
         }
     }
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -22,6 +22,7 @@
 use crate::direct::replication::update::ReplicaUpdate;
 use crate::direct::replication::update::UpstreamListDelta;
 use crate::direct::replication::update::UpstreamListUpdate;
+use crate::direct::store_view::answer_history::Lapses;
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::store_view::directory::Directory;
 use crate::direct::store_view::directory::LeavingUpstream;
@@ -60,6 +61,8 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Upstreams that accept new requests; `None` before the first list.
     pub upstreams: Option<Arc<[Arc<Upstream>]>>,
+    /// Incarnations among them whose entries may have lapsed in an outage of the store, or were removed.
+    pub may_have_lapsed: Arc<IndexSet<Arc<str>>>,
     /// Upstreams that have announced their end in the list.
     pub leaving: Arc<[LeavingUpstream]>,
     /// Versions of all listed upstreams, also of those that leave.
@@ -128,18 +131,29 @@
         Arc::clone(&self.catalog_json)
     }
 
-    /// Records that the store answers again, after it has not answered for a time.
-    pub fn store_recovered(&mut self, unanswered_ms: u64, now_ms: u64) {
-        self.directory.store_recovered(unanswered_ms, now_ms);
+    /// Sets whether entries of upstreams that live may have disappeared in an outage of the store. Returns
+    /// whether the view has changed.
+    pub fn set_lapses(&mut self, lapses: Lapses<u64>, now_ms: u64) -> bool {
+        self.directory.set_lapses(lapses, now_ms)
+    }
+
+    /// Returns for how long upstreams whose entries disappear now are used; none if they are removed at
+    /// once.
+    #[must_use]
+    pub fn lapses_for_ms(&self, now_ms: u64) -> Option<u64> {
+        self.directory.lapses_for_ms(now_ms)
+    }
+
+    /// Returns the time at which [`Self::sweep`] is due next.
+    #[must_use]
+    pub fn next_sweep_ms(&self) -> Option<u64> {
+        self.directory.next_sweep_ms()
     }
 
     /// Applies changes that are due by time. Returns whether the view has changed.
     pub fn sweep(&mut self, now_ms: u64) -> bool {
         let has_expired = self.directory.expire_departures(now_ms);
-        let is_due = self
-            .directory
-            .next_sweep_ms()
-            .is_some_and(|at_ms| now_ms >= at_ms);
+        let is_due = self.next_sweep_ms().is_some_and(|at_ms| now_ms >= at_ms);
         let is_swept = is_due && self.directory.sweep(now_ms);
         has_expired || is_swept
     }
@@ -362,7 +376,6 @@
     /// The position reached is that of the newest object, whenever the list was read. Entries that
     /// read it at different times then agree, and need not pull it from each other.
     fn apply_upstreams_of_new_era(&mut self, list: ObjectList, now_ms: u64) {
-        self.directory.begin_era(now_ms);
         let mut missing = std::mem::take(&mut self.objects);
         let mut newest = StorePosition::new(list.position.era, 0);
         for object in list.objects {
@@ -378,7 +391,7 @@
         }
         for name in missing.keys() {
             self.invalid_names.swap_remove(name);
-            self.directory.remove(name, now_ms);
+            self.directory.lose(name, now_ms);
         }
         self.removals.restart(newest);
         Line::new(Level::Warn, "upstreams listed in a new era of the store")
@@ -478,10 +491,11 @@
         if let Some((name, _)) = self.objects.shift_remove_entry(name) {
             self.removals.record(name, version);
         }
-        if let RemoveEffect::KeptUntil(until_ms) = self.directory.remove(name, now_ms) {
+        if self.directory.remove(name, now_ms) == RemoveEffect::Kept {
+            let kept_for_ms = self.lapses_for_ms(now_ms);
             self.log(now_ms, "upstream is missing after an outage", |line| {
                 line.field("upstream", name)
-                    .field("kept_for_ms", until_ms.saturating_sub(now_ms))
+                    .field("kept_for_ms", kept_for_ms)
                     .revision(version)
             });
         }
@@ -504,6 +518,7 @@
             upstreams: self
                 .is_listed
                 .then(|| self.directory.usable().cloned().collect()),
+            may_have_lapsed: Arc::new(self.directory.may_have_lapsed()),
             leaving: self.directory.leaving().into(),
             versions: Arc::new(self.directory.versions()),
             revisions: self.revisions,
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -11,6 +11,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 use rand::seq::IndexedRandom;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
@@ -116,7 +117,10 @@
     pub drain_bound_ms: Cell<u64>,
     /// When the list of upstreams was last known to be the newest one.
     pub list_freshness: Cell<Freshness>,
-    /// Up to when the store's answers to this entry cover its replica.
+    /// Incarnations that are used although the store does not list them, as their entries may have
+    /// lapsed in an outage.
+    pub may_have_lapsed: RefCell<Arc<IndexSet<Arc<str>>>>,
+    /// Up to when the store's answers to this entry cover its replica, and when it answered anybody.
     pub last_store_response: LastStoreResponse,
     /// Asks the store, on the control thread, whether the list of upstreams is the newest.
     pub list_calls: mpsc::UnboundedSender<ListCall>,
@@ -325,6 +329,7 @@
             list_calls,
             list_confirmation: RefCell::default(),
             list_confirmed: Notify::new(),
+            may_have_lapsed: RefCell::default(),
             list_askers: RefCell::default(),
             connection_pool: Rc::default(),
             dispatcher: RefCell::default(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -21,6 +21,7 @@
 mod test_config_state;
 mod test_config_watch;
 mod test_direct_admission;
+mod test_direct_answer_history;
 mod test_direct_chance_crashes;
 mod test_direct_crash_detector;
 mod test_direct_directory;
