--- a/lib/src/direct/replication/last_response.rs
+++ b/lib/src/direct/replication/last_response.rs
@@ -167,10 +167,8 @@
     ///
     /// ```
     /// # use sardinewood::direct::replication::last_response::LastStoreResponse;
-    /// # use tokio::time::Instant;
     /// let response = LastStoreResponse::default();
-    /// response.with_answers(|answers| answers.record_failure(Instant::now()));
-    /// assert!(response.with_answers(|answers| answers.own()).unanswered_at.is_some());
+    /// assert_eq!(response.with_answers(|answers| answers.own_answered()), None);
     /// ```
     pub fn with_answers<T>(&self, use_answers: impl FnOnce(&mut AnswerHistory) -> T) -> T {
         use_answers(&mut self.coverages().answers)
