store follower: calls to the store overlap while it does not answer

What callers saw: after an outage in which calls to the store hung, 51 to 55 of 120 callers of each entry were served until the upstreams had written their entries again, 1.2 s after the store's return.

Cause: an entry that waits for a call which hangs for 1.5 s knows nothing of the store meanwhile. The store may have been back since that call began, so upstreams that had lapsed could be used for .3 s after its return at most, and the first answer came 1.4 to 1.6 s after it. An entry that had only just begun to watch had no failed call at all.

Now a call begins beside one whose answer is .3 s late, up to five at a time, while the entry watches the store, for the upstreams only. A call that has hung is not followed by a pause. A first list is waited for alone, as others start as well. A calm store is called as often as before.

`lapsed_upstreams_kept_although_calls_hung` plays returns in steps of 70 ms: the return is noticed within .3 s, and lapsed upstreams are used until .9 of the bound less at most .32 s.

--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -18,6 +18,7 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
 use crate::backoff::Backoff;
 use crate::direct::membership::peer_message::Revisions;
@@ -292,22 +293,28 @@
             source.learn_era(self.replica.borrow().revisions().directory.era);
             let after = cursor.watch_after();
             // The first answer after an outage tells whether the store has returned from a copy, and the
-            // one after changes that there are no more. Neither is waited for.
-            let wait_ms = if outage.is_ongoing() || has_news {
+            // one after changes that there are no more. Neither is waited for, nor is a list.
+            let wait_ms = if outage.is_ongoing() || has_news || after.is_none() {
                 0
             } else {
                 wait_ms
             };
             has_news = false;
-            let call = StoreCall::make(read(source, kind, after, wait_ms)).await;
+            let read = async |wait_ms| read(source, kind, after, wait_ms).await;
+            // A first list may take long, as others start as well.
+            let call = if is_catalog || !has_listed {
+                StoreCall::make(read, wait_ms).await
+            } else {
+                let may_call = || *role.borrow() == StoreRole::Watches;
+                let on_failure = |asked_at| self.record_failure(asked_at);
+                StoreCall::make_overlapping(read, wait_ms, may_call, on_failure).await
+            };
             self.record_call(&call);
-            let asked_at = call.asked_at;
+            let (asked_at, as_of) = (call.asked_at, call.covered_until());
             match call.result {
                 Ok(answer) => {
-                    let as_of = answer.covered_until(asked_at, wait_ms);
                     let position = answer.position();
                     has_news = answer.has_news();
-                    self.record_answered(asked_at, as_of);
                     self.apply_answer(kind, answer);
                     self.record_response(is_catalog, as_of);
                     outage.record_answer(kind, self.replica.borrow().lapses_for_ms(self.now_ms()));
@@ -326,8 +333,9 @@
                 Err(error) => {
                     outage.record_error(kind, &error);
                     cursor.record_failure();
-                    let pause_ms = backoff.next_ms(rand::random());
-                    sleep(Duration::from_millis(pause_ms)).await;
+                    // A call that has hung needs no pause after it.
+                    let pause = Duration::from_millis(backoff.next_ms(rand::random()));
+                    sleep_until(asked_at + pause).await;
                 }
             }
         }
@@ -347,19 +355,17 @@
     /// Records whether the store answered a call.
     fn record_call(&self, call: &StoreCall) {
         if call.is_answered() {
-            self.record_answered(call.asked_at, call.asked_at);
+            let answered = Answered {
+                from: call.asked_at,
+                until: call.covered_until(),
+            };
+            let last_response = &self.channels.last_response;
+            last_response.with_answers(|answers| answers.record_answer(answered));
         } else {
             self.record_failure(call.asked_at);
         }
     }
 
-    /// Records that the store answered a call, and up to when the answer holds.
-    fn record_answered(&self, from: Instant, until: Instant) {
-        let answered = Answered { from, until };
-        let last_response = &self.channels.last_response;
-        last_response.with_answers(|answers| answers.record_answer(answered));
-    }
-
     /// Records that the store did not answer a call.
     fn record_failure(&self, asked_at: Instant) {
         let last_response = &self.channels.last_response;
@@ -438,8 +444,11 @@
         let own = self.replica.borrow().revisions().directory;
         source.learn_era(own.era);
         if own > StorePosition::default() {
-            let changes = source.changes_now(kind, own);
-            let call = StoreCall::make(async { changes.await.map(StoreAnswer::Changes) }).await;
+            let changes = async |_| {
+                let changes = source.changes_now(kind, own).await;
+                changes.map(StoreAnswer::Changes)
+            };
+            let call = StoreCall::make(changes, 0).await;
             self.record_call(&call);
             if let Ok(answer) = call.result {
                 self.apply_answer(kind, answer);
@@ -448,8 +457,8 @@
             }
         }
         // The history may be gone, or the changes be such that they can't be read.
-        let list = source.list_now(kind);
-        let call = StoreCall::make(async { list.await.map(StoreAnswer::List) }).await;
+        let list = async |_| source.list_now(kind).await.map(StoreAnswer::List);
+        let call = StoreCall::make(list, 0).await;
         self.record_call(&call);
         self.apply_answer(kind, call.result?);
         self.record_response(false, call.asked_at);
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -24,6 +24,7 @@
 use sardinewood::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::direct::store_view::freshness::DEFAULT_CONFIG_BOUND_MS;
+use sardinewood::direct::store_view::list_use;
 use sardinewood::direct::store_view::replica::ObjectDecoders;
 use sardinewood::direct::store_view::replica::ReplicaSnapshot;
 use sardinewood::findings::Findings;
@@ -517,3 +518,94 @@
 async fn upstream_that_may_have_lapsed_in_an_outage_kept() {
     assert_eq!(used_after(Duration::from_secs(3)).await, ["a", "b"]);
 }
+
+/// A store that lists two upstreams, lets each call hang for a time, and has lost both of them then.
+struct HangingStore {
+    /// When it begins to answer again.
+    returns_at: Instant,
+    asked: Cell<u32>,
+}
+
+impl HangingStore {
+    async fn check_outage(&self) -> Result<(), ReadError> {
+        self.asked.set(self.asked.get() + 1);
+        if self.asked.get() == 1 || Instant::now() >= self.returns_at {
+            return Ok(());
+        }
+        sleep(Duration::from_millis(1_500)).await;
+        Err(ReadError::Unavailable {
+            reason: "timeout".into(),
+        })
+    }
+}
+
+impl ObjectSource for HangingStore {
+    async fn list(&self, _kind: &str) -> Result<ObjectList, ReadError> {
+        let is_first = self.asked.get() == 0;
+        self.check_outage().await?;
+        let mut objects = vec![object("u", "a", 2), object("u", "b", 3)];
+        objects.retain(|_| is_first);
+        Ok(ObjectList {
+            position: StorePosition::new(0, if is_first { 5 } else { 7 }),
+            objects,
+        })
+    }
+
+    async fn watch(&self, _: &str, after: StorePosition, _: u64) -> Result<WatchBatch, ReadError> {
+        self.check_outage().await?;
+        if after.revision > 5 {
+            std::future::pending::<()>().await;
+        }
+        let lapsed = [("a", 6), ("b", 7)].into_iter();
+        let events = lapsed.map(|(name, revision)| WatchEvent::Delete {
+            kind: "u".into(),
+            name: name.into(),
+            version: StorePosition::new(0, revision),
+        });
+        Ok(WatchBatch {
+            position: StorePosition::new(0, 7),
+            events: events.collect(),
+        })
+    }
+}
+
+/// Guards against an entry that drops all upstreams when the store returns, as its calls hung for so long
+/// that the store may have been back all that time.
+#[tokio::test(start_paused = true)]
+async fn lapsed_upstreams_kept_although_calls_hung() {
+    for offset_ms in (0..2_000).step_by(70) {
+        let (follower, mut view) = follower();
+        let returns_at = Instant::now() + Duration::from_millis(6_000 + offset_ms);
+        let source = HangingStore {
+            returns_at,
+            asked: Cell::default(),
+        };
+        let seen_until = async {
+            let is_listed = |view: &ReplicaSnapshot| view.revisions.directory.revision == 7;
+            let back = view.wait_for(is_listed).await.expect("a view").clone();
+            let noticed_at = Instant::now();
+            let has_none =
+                |view: &ReplicaSnapshot| view.upstreams.as_ref().is_some_and(|all| all.is_empty());
+            view.wait_for(has_none).await.expect("a view");
+            (
+                back.upstreams.expect("a list").len(),
+                noticed_at,
+                Instant::now(),
+            )
+        };
+        let (kept, noticed_at, dropped_at) = tokio::select! {
+            () = follower.follow_upstreams(&source) => unreachable!("it follows until the process ends"),
+            () = follower.sweep() => unreachable!("it sweeps until the process ends"),
+            seen = seen_until => seen,
+        };
+        assert_eq!(kept, 2, "{offset_ms}");
+        assert!(
+            noticed_at - returns_at <= Duration::from_millis(300),
+            "{offset_ms}"
+        );
+        let kept_for = dropped_at - returns_at;
+        let longest_ms = list_use::latest_use_ms(DRAIN_BOUND_MS);
+        let allowed = Duration::from_millis(longest_ms - 320)..=Duration::from_millis(longest_ms);
+        assert!(allowed.contains(&kept_for), "{offset_ms}: {kept_for:?}");
+    }
+}
