directory: an upstream that may have lapsed has a deadline of its own

What callers saw, or might have: an upstream that had been removed was used for as long as calls to the store failed, if the store answered once and went away again, or a peer told of the removal meanwhile. Upstreams that came back late were left out for four heartbeats more, and a true outage of little more than two heartbeats counted as none, with the same result for all upstreams.

Cause: until when a missing upstream is used was looked up in what the entry knows at that moment, in place of what it knew when the upstream disappeared. The gap between two answers ended where the call of the second had begun, which may hang through the whole outage.

Now the deadline is set once, when the upstream disappears, and travels with the list to the traffic thread, which gives up each upstream once. A gap ends with the arrival of an answer, and calls that began after the answered one do not count as failed. A heartbeat that is late by a quarter counts. Upstreams that the store drops just after the beginning of an era count as lapsed as well; the era's grace is 2.3 s at least, as it was.

--- a/lib/src/direct/freshness_driver.rs
+++ b/lib/src/direct/freshness_driver.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use indexmap::IndexMap;
 use indexmap::IndexSet;
 use rand::seq::IndexedRandom;
 use tokio::sync::mpsc::UnboundedReceiver;
@@ -21,12 +22,12 @@
 use crate::direct::replication::store_follower::ListCall;
 use crate::direct::replication::store_follower::ListCallOutcome;
 use crate::direct::request::call::Call;
-use crate::direct::store_view::answer_history::Lapses;
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::store_view::freshness::CatalogMark;
 use crate::direct::store_view::freshness::ConfirmedBy;
 use crate::direct::store_view::freshness::FreshnessStep;
 use crate::direct::store_view::freshness::ListMark;
+use crate::direct::store_view::lapses::Lapses;
 use crate::direct::store_view::list_use;
 use crate::direct::store_view::list_use::CONFIRM_WAIT_MS;
 use crate::direct::store_view::list_use::ConfirmStep;
@@ -155,20 +156,31 @@
         ListUse::at(self.list_mark().age_ms, self.drain_bound_ms.get())
     }
 
-    /// Returns whether upstreams may be used that the store does not list.
-    pub(super) fn may_use_missing(&self) -> bool {
-        let keep = Duration::from_millis(list_use::latest_use_ms(self.drain_bound_ms.get()));
-        let answers = &self.last_store_response;
-        let lapses = answers.with_answers(|answers| answers.lapses(Instant::now(), keep));
-        matches!(lapses, Lapses::Until(_))
+    /// Takes the upstreams that are used until some time although the store does not list them.
+    pub fn set_missing_upstreams(&self, may_have_lapsed: Arc<IndexMap<Arc<str>, Instant>>) {
+        *self.may_have_lapsed.borrow_mut() = may_have_lapsed;
+        self.expired_missing.borrow_mut().clear();
     }
 
-    /// Stops using upstreams that the store does not list, once they may have been removed for too long. The
-    /// control thread removes them from the list a moment later. Every request comes by here before it
-    /// is sent.
-    pub fn expire_missing_upstreams(&self) {
-        if !self.may_have_lapsed.borrow().is_empty() && !self.may_use_missing() {
+    /// Stops using upstreams that the store does not list once their time is over, or a peer has told that
+    /// there was no outage in which they might have lapsed. The control thread removes them from the list
+    /// a moment later. Every request comes by here before it is sent.
+    pub fn expire_missing_upstreams(self: &Rc<Self>) {
+        let missing = Arc::clone(&self.may_have_lapsed.borrow());
+        if missing.is_empty() || self.expired_missing.borrow().len() == missing.len() {
+            return;
+        }
+        let now = Instant::now();
+        let keep = Duration::from_millis(list_use::latest_use_ms(self.drain_bound_ms.get()));
+        let answers = &self.last_store_response;
+        let lapses = answers.with_answers(|answers| answers.lapses(now, keep));
+        let is_over = |until: Instant| lapses == Lapses::Excluded || now >= until;
+        let over = missing.iter().filter(|(_, until)| is_over(**until));
+        let over: IndexSet<Arc<str>> = over.map(|(instance, _)| Arc::clone(instance)).collect();
+        if over.len() > self.expired_missing.borrow().len() {
+            *self.expired_missing.borrow_mut() = over;
             self.update_eligible_upstreams();
+            self.grant_slots();
         }
     }
 
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -9,6 +9,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -37,7 +38,6 @@
 use crate::direct::replication::update_codec;
 use crate::direct::replication::update_codec::Encoding;
 use crate::direct::store_view::answer_history::Answered;
-use crate::direct::store_view::answer_history::Lapses;
 use crate::direct::store_view::list_use;
 use crate::direct::store_view::replica::ObjectDecoders;
 use crate::direct::store_view::replica::ReplicaSnapshot;
@@ -226,7 +226,14 @@
         let replica = self.replica.borrow();
         let missing = i64::try_from(replica.missing_upstream_count()).unwrap_or(i64::MAX);
         self.channels.metrics.missing_upstreams.set(missing);
-        self.channels.view.send_replace(replica.snapshot());
+        let may_have_lapsed = replica.may_have_lapsed().map(|(instance, until_ms)| {
+            let until = self.started_at + Duration::from_millis(until_ms);
+            (Arc::clone(instance), until)
+        });
+        self.channels.view.send_replace(ReplicaSnapshot {
+            may_have_lapsed: Arc::new(may_have_lapsed.collect()),
+            ..replica.snapshot()
+        });
     }
 
     /// Hands what the store has changed since `before` to the peers.
@@ -356,11 +363,11 @@
     fn record_call(&self, call: &StoreCall) {
         if call.is_answered() {
             let answered = Answered {
-                from: call.asked_at,
+                from: Instant::now(),
                 until: call.covered_until(),
             };
             let last_response = &self.channels.last_response;
-            last_response.with_answers(|answers| answers.record_answer(answered));
+            last_response.with_answers(|answers| answers.record_answer(call.asked_at, answered));
         } else {
             self.record_failure(call.asked_at);
         }
@@ -378,11 +385,8 @@
         let now = Instant::now();
         let keep = Duration::from_millis(list_use::latest_use_ms(self.channels.drain_bound_ms));
         let last_response = &self.channels.last_response;
-        let lapses = match last_response.with_answers(|answers| answers.lapses(now, keep)) {
-            Lapses::Until(until) => Lapses::Until(whole_ms(until.duration_since(self.started_at))),
-            Lapses::Possible => Lapses::Possible,
-            Lapses::Excluded => Lapses::Excluded,
-        };
+        let lapses = last_response.with_answers(|answers| answers.lapses(now, keep));
+        let lapses = lapses.map(|until| whole_ms(until.duration_since(self.started_at)));
         let mut replica = self.replica.borrow_mut();
         replica.set_lapses(lapses, self.now_ms())
     }
--- a/lib/src/direct/rollout_driver.rs
+++ b/lib/src/direct/rollout_driver.rs
@@ -354,12 +354,11 @@
             .upstreams
             .retain(|upstream| !notices.is_leaving(&upstream.instance));
         drop(notices);
-        if !self.may_use_missing() {
-            let missing = self.may_have_lapsed.borrow();
-            eligible
-                .upstreams
-                .retain(|upstream| !missing.contains(&upstream.instance));
-        }
+        let expired = self.expired_missing.borrow();
+        eligible
+            .upstreams
+            .retain(|upstream| !expired.contains(&upstream.instance));
+        drop(expired);
         let mut dispatcher = self.dispatcher.borrow_mut();
         dispatcher.set_upstreams(&eligible.upstreams);
         dispatcher.set_intakes(&eligible.canaries, &for_begun_streams);
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -474,7 +474,7 @@
             continue;
         };
         traffic.has_upstreams.set(true);
-        *traffic.may_have_lapsed.borrow_mut() = snapshot.may_have_lapsed;
+        traffic.set_missing_upstreams(snapshot.may_have_lapsed);
         traffic.detect_replaced_upstreams(&upstreams);
         traffic.record_departures(&upstreams);
         traffic.rollouts.borrow_mut().set_upstreams(&upstreams);
--- a/lib/src/direct/store_view.rs
+++ b/lib/src/direct/store_view.rs
@@ -6,6 +6,7 @@
 pub mod departures;
 pub mod directory;
 pub mod freshness;
+pub mod lapses;
 pub mod list_use;
 pub mod removals;
 pub mod replica;
--- a/lib/src/direct/store_view/answer_history.rs
+++ b/lib/src/direct/store_view/answer_history.rs
@@ -12,6 +12,7 @@
 
 use crate::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use crate::direct::store_view::directory::lapse_after_ms;
+use crate::direct::store_view::lapses::Lapses;
 
 /// Times with answers that are remembered.
 const MAX_ANSWERED: usize = 8;
@@ -21,39 +22,27 @@
 /// A time in which the store answered an entry, without a gap in which entries of upstreams lapse.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Answered {
-    /// When the first answered call began.
+    /// When the first answer arrived.
     pub from: Instant,
-    /// Up to when the last answer holds.
+    /// Up to when the last answer holds. A single answer holds up to a time before it arrived.
     pub until: Instant,
 }
 
-/// Whether entries of upstreams that live may have disappeared from the store's list.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub enum Lapses<T> {
-    /// They have not, as the store answered some entry all the time.
-    #[default]
-    Excluded,
-    /// They may have. Upstreams that disappear are not used, as they may as well have been removed long
-    /// ago.
-    Possible,
-    /// They may have. Upstreams that disappear are used until this time.
-    Until(T),
-}
-
 /// When the store answered this entry and its peers, and when it did not answer this entry.
 ///
 /// ```
 /// use std::time::Duration;
-/// use sardinewood::direct::store_view::answer_history::{AnswerHistory, Answered, Lapses};
+/// use sardinewood::direct::store_view::answer_history::{AnswerHistory, Answered};
+/// use sardinewood::direct::store_view::lapses::Lapses;
 /// use tokio::time::Instant;
 ///
 /// let start = Instant::now();
 /// let at = |seconds| start + Duration::from_secs(seconds);
 /// let keep = Duration::from_secs(2);
 /// let mut history = AnswerHistory::default();
-/// history.record_answer(Answered { from: at(0), until: at(1) });
+/// history.record_answer(at(0), Answered { from: at(1), until: at(1) });
 /// history.record_failure(at(5));
-/// history.record_answer(Answered { from: at(6), until: at(6) });
+/// history.record_answer(at(6), Answered { from: at(6), until: at(6) });
 /// assert_eq!(history.lapses(at(6), keep), Lapses::Until(at(7)));
 ///
 /// history.record_peer_answer(Answered { from: at(0), until: at(6) });
@@ -93,16 +82,18 @@
         self.lapse_after = Duration::from_millis(lapse_after_ms(silence_ms));
     }
 
-    /// Records that the store answered this entry.
+    /// Records that the store answered a call of this entry that began at a time. Calls that began later and
+    /// have no answer yet do not tell that the store was away.
     ///
     /// ```
     /// # use sardinewood::direct::store_view::answer_history::{AnswerHistory, Answered};
     /// # let now = tokio::time::Instant::now();
     /// let mut history = AnswerHistory::default();
-    /// history.record_answer(Answered { from: now, until: now });
+    /// history.record_answer(now, Answered { from: now, until: now });
     /// assert!(history.own_answered().is_some());
     /// ```
-    pub fn record_answer(&mut self, answered: Answered) {
+    pub fn record_answer(&mut self, asked_at: Instant, answered: Answered) {
+        self.failed.retain(|failed_at| *failed_at < asked_at);
         let joined = self.own_answered.and_then(|own| self.joined(own, answered));
         self.own_answered = Some(joined.unwrap_or(answered));
         self.insert(answered);
@@ -154,7 +145,7 @@
     ///
     /// ```
     /// # use std::time::Duration;
-    /// # use sardinewood::direct::store_view::answer_history::{AnswerHistory, Lapses};
+    /// # use sardinewood::direct::store_view::{answer_history::AnswerHistory, lapses::Lapses};
     /// # let now = tokio::time::Instant::now();
     /// let lapses = AnswerHistory::default().lapses(now, Duration::from_secs(2));
     /// assert_eq!(lapses, Lapses::Excluded);
@@ -184,7 +175,10 @@
 
     /// Returns the time that covers both, unless entries may have lapsed between them.
     fn joined(&self, one: Answered, other: Answered) -> Option<Answered> {
-        let pause = one.from.max(other.from) - one.until.min(other.until);
+        let pause = one
+            .from
+            .max(other.from)
+            .duration_since(one.until.min(other.until));
         (pause < self.lapse_after).then(|| Answered {
             from: one.from.min(other.from),
             until: one.until.max(other.until),
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -7,12 +7,14 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
-use crate::direct::store_view::answer_history::Lapses;
 use crate::direct::store_view::departures::Departure;
 use crate::direct::store_view::departures::Departures;
+use crate::direct::store_view::lapses::Lapses;
 use crate::direct::streams::version_history::ServiceVersion;
 use crate::store::position::StorePosition;
 
+/// Shortest time for which an upstream is still used that a new era of the store lacks.
+const MIN_ERA_GRACE_MS: u64 = 2_300;
 /// Time, beyond that between two heartbeats of an upstream, for which an upstream is still used that
 /// a new era of the store lacks. Upstreams write their entries again with their next heartbeat.
 const REWRITE_DELAY_MS: u64 = 1_100;
@@ -24,16 +26,17 @@
 pub const DEFAULT_SILENCE_MS: u64 = 3_600;
 
 /// Returns the shortest outage of the store in which the entry of an upstream that lives may lapse. The
-/// last heartbeat may have been due just when the store went away.
+/// last heartbeat may have been due just when the store went away, and may have been late by a quarter.
 ///
 /// ```
 /// use sardinewood::direct::store_view::directory::lapse_after_ms;
 ///
-/// assert_eq!(lapse_after_ms(3_600), 2_400);
+/// assert_eq!(lapse_after_ms(3_600), 2_100);
 /// ```
 #[must_use]
 pub fn lapse_after_ms(silence_ms: u64) -> u64 {
-    silence_ms - heartbeat_ms(silence_ms)
+    let heartbeat_ms = heartbeat_ms(silence_ms);
+    silence_ms - heartbeat_ms - heartbeat_ms / 4
 }
 
 /// Returns the time between two heartbeats of an upstream.
@@ -130,11 +133,20 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Missing {
     /// Its entry may have lapsed in an outage of the store.
-    MayHaveLapsed,
-    /// The store has lost its entry with the end of an era. It is used until this time.
+    MayHaveLapsed { until_ms: u64 },
+    /// The store has lost its entry with the end of an era.
     Lost { until_ms: u64 },
 }
 
+impl Missing {
+    /// Returns until when the upstream is used.
+    fn until_ms(self) -> u64 {
+        match self {
+            Self::MayHaveLapsed { until_ms } | Self::Lost { until_ms } => until_ms,
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct DirectoryEntry {
     upstream: Arc<Upstream>,
@@ -170,13 +182,11 @@
         }
     }
 
-    /// Returns until when the upstream is used if its entry has disappeared.
-    fn missing_until_ms(&self, lapses: Lapses<u64>) -> Option<u64> {
-        match (self.missing?, lapses) {
-            (Missing::MayHaveLapsed, Lapses::Until(until_ms)) | (Missing::Lost { until_ms }, _) => {
-                Some(until_ms)
-            }
-            (Missing::MayHaveLapsed, Lapses::Excluded | Lapses::Possible) => Some(0),
+    /// Returns until when the upstream is used as its entry may have lapsed.
+    fn lapsed_until_ms(&self) -> Option<u64> {
+        match self.missing? {
+            Missing::MayHaveLapsed { until_ms } => Some(until_ms),
+            Missing::Lost { .. } => None,
         }
     }
 
@@ -234,6 +244,9 @@
     silence_ms: u64,
     /// Whether a missing entry may be due to an outage.
     lapses: Lapses<u64>,
+    /// Time until which the store may drop entries that it has returned with from an older copy, and whose
+    /// upstreams live.
+    era_settled_ms: u64,
     departures: Departures,
     /// Whether upstreams in this list give their start time. An entry without one was then not
     /// written by an upstream.
@@ -246,6 +259,7 @@
             entries: IndexMap::new(),
             silence_ms: DEFAULT_SILENCE_MS,
             lapses: Lapses::Excluded,
+            era_settled_ms: 0,
             departures: Departures::default(),
             reports_start_time: false,
         }
@@ -268,14 +282,15 @@
     /// whether upstreams are removed that were used for that reason.
     ///
     /// ```
-    /// # use sardinewood::direct::store_view::{answer_history::Lapses, directory::Directory};
+    /// # use sardinewood::direct::store_view::{directory::Directory, lapses::Lapses};
     /// assert!(!Directory::default().set_lapses(Lapses::Until(9_000), 8_000));
     /// ```
     pub fn set_lapses(&mut self, lapses: Lapses<u64>, now_ms: u64) -> bool {
         self.lapses = lapses;
         lapses == Lapses::Excluded
             && self.drop_missing(Departure::Removed, now_ms, |entry| {
-                entry.missing == Some(Missing::MayHaveLapsed)
+                let until_ms = entry.lapsed_until_ms();
+                until_ms.is_some_and(|until_ms| now_ms < until_ms)
             })
     }
 
@@ -319,7 +334,17 @@
     /// ```
     #[must_use]
     pub fn era_grace_ms(&self) -> u64 {
-        heartbeat_ms(self.silence_ms) + REWRITE_DELAY_MS
+        MIN_ERA_GRACE_MS.max(heartbeat_ms(self.silence_ms) + REWRITE_DELAY_MS)
+    }
+
+    /// Records that the store has returned from an older copy of itself, before the entries of the copy are
+    /// applied by [`Self::put_of_copy`], and what it lacks by [`Self::lose`].
+    ///
+    /// ```
+    /// sardinewood::direct::store_view::directory::Directory::default().begin_era(1_000);
+    /// ```
+    pub fn begin_era(&mut self, now_ms: u64) {
+        self.era_settled_ms = now_ms + self.era_grace_ms();
     }
 
     /// Records that the store has returned from an older copy of itself, which lacks an upstream. The
@@ -476,9 +501,11 @@
         let Some(entry) = self.entries.get_mut(name) else {
             return RemoveEffect::Unknown;
         };
-        let is_kept = matches!(self.lapses, Lapses::Until(until_ms) if now_ms < until_ms);
-        if is_kept && !entry.upstream.is_leaving {
-            entry.missing = Some(Missing::MayHaveLapsed);
+        if let Lapses::Until(until_ms) = self.lapses
+            && now_ms < until_ms
+            && !entry.upstream.is_leaving
+        {
+            entry.missing = Some(Missing::MayHaveLapsed { until_ms });
             return RemoveEffect::Kept;
         }
         self.delete(name, now_ms);
@@ -490,8 +517,8 @@
             let instance = &entry.upstream.instance;
             let departure = match self.lapses {
                 _ if entry.has_announced(instance) => Departure::Announced,
-                Lapses::Excluded => Departure::Removed,
-                Lapses::Possible | Lapses::Until(_) => Departure::Lapsed,
+                Lapses::Excluded if now_ms >= self.era_settled_ms => Departure::Removed,
+                Lapses::Excluded | Lapses::Possible | Lapses::Until(_) => Departure::Lapsed,
             };
             self.departures.record(instance, departure, now_ms);
         }
@@ -508,18 +535,16 @@
         entries.filter(|entry| entry.missing.is_some()).count()
     }
 
-    /// Returns the incarnations that are used because their entries may have lapsed in an outage.
+    /// Returns the incarnations that are used because their entries may have lapsed in an outage, and until
+    /// when.
     ///
     /// ```
-    /// assert!(sardinewood::direct::store_view::directory::Directory::default().may_have_lapsed().is_empty());
+    /// # use sardinewood::direct::store_view::directory::Directory;
+    /// assert_eq!(Directory::default().may_have_lapsed().count(), 0);
     /// ```
-    #[must_use]
-    pub fn may_have_lapsed(&self) -> IndexSet<Arc<str>> {
+    pub fn may_have_lapsed(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
         let entries = self.entries.values();
-        entries
-            .filter(|entry| entry.missing == Some(Missing::MayHaveLapsed))
-            .map(|entry| Arc::clone(&entry.upstream.instance))
-            .collect()
+        entries.filter_map(|entry| Some((&entry.upstream.instance, entry.lapsed_until_ms()?)))
     }
 
     /// Removes an upstream whose entry was replaced by one that describes no upstream. Returns
@@ -542,10 +567,9 @@
     /// assert!(!sardinewood::direct::store_view::directory::Directory::default().sweep(0));
     /// ```
     pub fn sweep(&mut self, now_ms: u64) -> bool {
-        let lapses = self.lapses;
         let mut is_changed = self.drop_missing(Departure::Lapsed, now_ms, |entry| {
-            let until_ms = entry.missing_until_ms(lapses);
-            until_ms.is_some_and(|until_ms| now_ms >= until_ms)
+            let missing = entry.missing;
+            missing.is_some_and(|missing| now_ms >= missing.until_ms())
         });
         for entry in self.entries.values_mut() {
             is_changed |= entry.accept_doubted(now_ms);
@@ -570,7 +594,7 @@
     #[must_use]
     pub fn next_sweep_ms(&self) -> Option<u64> {
         let due_ms = |entry: &DirectoryEntry| {
-            let missing_ms = entry.missing_until_ms(self.lapses);
+            let missing_ms = entry.missing.map(Missing::until_ms);
             let doubted = entry.doubted.as_ref();
             let doubted_ms = doubted.map(|(_, until_ms)| *until_ms);
             missing_ms.into_iter().chain(doubted_ms).min()
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -13,6 +13,7 @@
 
 use indexmap::IndexMap;
 use indexmap::IndexSet;
+use tokio::time::Instant;
 
 use crate::direct::log_rate_limit;
 use crate::direct::log_rate_limit::LogCategory;
@@ -22,13 +23,13 @@
 use crate::direct::replication::update::ReplicaUpdate;
 use crate::direct::replication::update::UpstreamListDelta;
 use crate::direct::replication::update::UpstreamListUpdate;
-use crate::direct::store_view::answer_history::Lapses;
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::store_view::directory::Directory;
 use crate::direct::store_view::directory::LeavingUpstream;
 use crate::direct::store_view::directory::PutEffect;
 use crate::direct::store_view::directory::RemoveEffect;
 use crate::direct::store_view::directory::Upstream;
+use crate::direct::store_view::lapses::Lapses;
 use crate::direct::store_view::removals::RemovalHistory;
 use crate::direct::streams::version_history::ServiceVersion;
 use crate::findings::Findings;
@@ -61,8 +62,9 @@
     pub catalog: Option<Arc<Catalog>>,
     /// Upstreams that accept new requests; `None` before the first list.
     pub upstreams: Option<Arc<[Arc<Upstream>]>>,
-    /// Incarnations among them whose entries may have lapsed in an outage of the store, or were removed.
-    pub may_have_lapsed: Arc<IndexSet<Arc<str>>>,
+    /// Incarnations among them that the store does not list, as their entries may have lapsed in an outage,
+    /// and until when they are used.
+    pub may_have_lapsed: Arc<IndexMap<Arc<str>, Instant>>,
     /// Upstreams that have announced their end in the list.
     pub leaving: Arc<[LeavingUpstream]>,
     /// Versions of all listed upstreams, also of those that leave.
@@ -376,6 +378,7 @@
     /// The position reached is that of the newest object, whenever the list was read. Entries that
     /// read it at different times then agree, and need not pull it from each other.
     fn apply_upstreams_of_new_era(&mut self, list: ObjectList, now_ms: u64) {
+        self.directory.begin_era(now_ms);
         let mut missing = std::mem::take(&mut self.objects);
         let mut newest = StorePosition::new(list.position.era, 0);
         for object in list.objects {
@@ -507,7 +510,14 @@
         self.directory.missing_count()
     }
 
-    /// Returns the state of the replica that is passed to the traffic thread.
+    /// Returns the incarnations that are used because their entries may have lapsed in an outage, and until
+    /// when.
+    pub fn may_have_lapsed(&self) -> impl Iterator<Item = (&Arc<str>, u64)> {
+        self.directory.may_have_lapsed()
+    }
+
+    /// Returns the state of the replica that is passed to the traffic thread, but for
+    /// [`ReplicaSnapshot::may_have_lapsed`], whose times are of another clock.
     #[must_use]
     pub fn snapshot(&self) -> ReplicaSnapshot {
         ReplicaSnapshot {
@@ -518,7 +528,7 @@
             upstreams: self
                 .is_listed
                 .then(|| self.directory.usable().cloned().collect()),
-            may_have_lapsed: Arc::new(self.directory.may_have_lapsed()),
+            may_have_lapsed: Arc::default(),
             leaving: self.directory.leaving().into(),
             versions: Arc::new(self.directory.versions()),
             revisions: self.revisions,
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -117,9 +117,11 @@
     pub drain_bound_ms: Cell<u64>,
     /// When the list of upstreams was last known to be the newest one.
     pub list_freshness: Cell<Freshness>,
-    /// Incarnations that are used although the store does not list them, as their entries may have
-    /// lapsed in an outage.
-    pub may_have_lapsed: RefCell<Arc<IndexSet<Arc<str>>>>,
+    /// Incarnations that are used until these times although the store does not list them, as their entries
+    /// may have lapsed in an outage.
+    pub may_have_lapsed: RefCell<Arc<IndexMap<Arc<str>, Instant>>>,
+    /// Those of them that are used no more, until the next list leaves them out.
+    pub expired_missing: RefCell<IndexSet<Arc<str>>>,
     /// Up to when the store's answers to this entry cover its replica, and when it answered anybody.
     pub last_store_response: LastStoreResponse,
     /// Asks the store, on the control thread, whether the list of upstreams is the newest.
@@ -330,6 +332,7 @@
             list_confirmation: RefCell::default(),
             list_confirmed: Notify::new(),
             may_have_lapsed: RefCell::default(),
+            expired_missing: RefCell::default(),
             list_askers: RefCell::default(),
             connection_pool: Rc::default(),
             dispatcher: RefCell::default(),
