rollout: the old version is gone when the store's list lacks it, not when it has no usable upstream

What callers saw: after outages of the store, `completed` was written for a version that nobody had judged to its end, and the platform stopped the old upstreams at once, which lived.

Cause: an entry that had no usable upstream of the old version for 3 s took it that the version was gone. It counted upstreams that were listed but withheld as not there, and time in which the store did not answer. Upstreams that have lapsed are back within two seconds of the store's return, but not if it goes away again meanwhile. Its constant claimed that they were listed again by then.

Now `OldVersionAbsence` takes the version for gone once the store's list has lacked it for as long as an upstream may be silent, from the settings, with confirmations of the list all that time and no gap between them in which entries lapse. Upstreams that leave, are kept though missing, or are withheld count as there. Every entry keeps this account, not only while it is a coordinator. If the old version is listed again after the decision, `completed` waits for the end of the window. Entries that no upstream wrote no longer count among the listed versions.

progress_version_that_runs_already_completed_early is stricter: no decision up to 10 ms before the upstream silence, instead of 1,000 ms before the constant.

--- a/bench/src/rollouts/play.rs
+++ b/bench/src/rollouts/play.rs
@@ -17,6 +17,7 @@
 use sardinewood::direct::rollout::object::Rollout;
 use sardinewood::direct::rollout::object::RolloutId;
 use sardinewood::direct::rollout::object::RolloutStatus;
+use sardinewood::direct::rollout::old_version::OldVersionSight;
 use sardinewood::direct::rollout::progress::FleetSnapshot;
 use sardinewood::direct::rollout::progress::RequestTarget;
 use sardinewood::direct::rollout::progress::RolloutAction;
@@ -24,6 +25,7 @@
 use sardinewood::direct::rollout::table::EligibleUpstreams;
 use sardinewood::direct::rollout::table::RolloutTable;
 use sardinewood::direct::rollout::table::RunOutcome;
+use sardinewood::direct::store_view::directory::DEFAULT_SILENCE_MS;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::numbers;
 use sardinewood::store::position::StorePosition;
@@ -404,6 +406,11 @@
                 .position(|coordinator| *coordinator == own),
             live_peers: up.iter().copied().filter(|other| *other != own).collect(),
             has_silent_peers: up.len() < self.entries.len(),
+            old_version: OldVersionSight {
+                list_as_of_ms: Some(self.now_ms),
+                upstream_silence_ms: DEFAULT_SILENCE_MS,
+                ..OldVersionSight::default()
+            },
             ..FleetSnapshot::default()
         };
         let all = self.entries[number].table.step(&facts, self.now_ms);
--- a/lib/src/direct/rollout.rs
+++ b/lib/src/direct/rollout.rs
@@ -9,6 +9,7 @@
 pub mod exposure;
 pub mod message;
 pub mod object;
+pub mod old_version;
 pub mod outcome_counts;
 pub mod progress;
 pub mod serving_versions;
--- a/lib/src/direct/rollout/progress.rs
+++ b/lib/src/direct/rollout/progress.rs
@@ -13,6 +13,8 @@
 use crate::direct::rollout::message::RolloutState;
 use crate::direct::rollout::object::Rollout;
 use crate::direct::rollout::object::RolloutStatus;
+use crate::direct::rollout::old_version::OldVersionAbsence;
+use crate::direct::rollout::old_version::OldVersionSight;
 use crate::direct::rollout::outcome_counts::OutcomeClass;
 use crate::direct::rollout::outcome_counts::OutcomeCounts;
 use crate::direct::rollout::outcome_counts::OutcomeKey;
@@ -37,9 +39,6 @@
 /// How much later each coordinator writes to the store than the one before it, so that usually only
 /// one does.
 const WRITE_STAGGER_MS: u64 = 400;
-/// Time without any listed upstream of the old version after which there is nothing to move.
-/// Upstreams that were lost from the list during an outage of the store are listed again by then.
-const OLD_VERSION_GONE_MS: u64 = 3_000;
 /// Time before the end of the window at which the final status is written.
 const FINAL_WRITE_LEAD_MS: u64 = 200;
 /// Pause before a status is written again if the outcome of the write is unknown.
@@ -74,12 +73,14 @@
     pub live_peers: Vec<SocketAddr>,
     /// Whether there are other entries that are not live.
     pub has_silent_peers: bool,
-    /// Listed upstreams of the new version.
+    /// Usable upstreams of the new version.
     pub new_upstreams: usize,
     /// Slots of these upstreams.
     pub new_slots: u32,
-    /// Slots of the listed upstreams of other versions.
+    /// Slots of the usable upstreams of other versions.
     pub old_slots: u32,
+    /// What is known of the store's list, about other versions.
+    pub old_version: OldVersionSight,
     /// Pinned requests of this entry that run at the old version.
     pub pinned_at_old: u32,
 }
@@ -152,8 +153,7 @@
     /// Since when the new version has seemed slow after many requests.
     slow_since_ms: Option<u64>,
     is_shifting_pinned: bool,
-    /// When an upstream of the old version was last listed, or the rollout was first seen here.
-    old_version_seen_ms: u64,
+    old_version_absence: OldVersionAbsence,
 }
 
 impl RolloutProgress {
@@ -208,7 +208,7 @@
             rotated_at_ms: now_ms,
             slow_since_ms: None,
             is_shifting_pinned: false,
-            old_version_seen_ms: now_ms,
+            old_version_absence: OldVersionAbsence::default(),
         }
     }
 
@@ -452,6 +452,9 @@
 
     /// Changes the phase if the evidence, the time or the lack of old upstreams calls for it.
     fn decide(&mut self, snapshot: &FleetSnapshot, now_ms: u64) -> Vec<RolloutAction> {
+        let is_old_version_gone = self
+            .old_version_absence
+            .observe(snapshot.old_version, now_ms);
         let is_slow = self.seems_slow_for_too_long(now_ms);
         if self.phase != RolloutPhase::Rejected && (self.verdict.is_bad() || is_slow) {
             let reason = match self.verdict {
@@ -466,10 +469,7 @@
         }
         let elapsed_ms = self.elapsed_ms(now_ms);
         let window_ms = self.rollout.window_ms;
-        if snapshot.old_slots > 0 {
-            self.old_version_seen_ms = now_ms;
-        }
-        if snapshot.new_slots > 0 && now_ms >= self.old_version_seen_ms + OLD_VERSION_GONE_MS {
+        if snapshot.new_slots > 0 && is_old_version_gone {
             return self.change_phase(
                 RolloutPhase::Shifting,
                 DecisionReason::NothingToMove,
@@ -557,13 +557,16 @@
     /// would be lost.
     ///
     /// Only after the shift does it show whether the new version bears the whole load, so it is
-    /// observed until the window ends. If there are silent entries, this waits for the end of the
-    /// window too, since they may still serve callers behind a network cut.
+    /// observed until the window ends, unless the store lists no upstream of the old version. If there
+    /// are silent entries, this waits for the end of the window too, since they may still serve
+    /// callers behind a network cut.
     fn is_old_version_drained(&self, snapshot: &FleetSnapshot, now_ms: u64) -> bool {
         let elapsed_ms = self.elapsed_ms(now_ms);
         let is_over = elapsed_ms >= self.rollout.window_ms;
         let is_near_end = elapsed_ms + FINAL_WRITE_LEAD_MS >= self.rollout.window_ms;
-        if !is_near_end && self.reason != DecisionReason::NothingToMove {
+        let has_nothing_to_move =
+            self.reason == DecisionReason::NothingToMove && !snapshot.old_version.is_listed;
+        if !is_near_end && !has_nothing_to_move {
             return false;
         }
         let all_done = snapshot.live_peers.iter().all(|entry| {
--- a/lib/src/direct/rollout/table.rs
+++ b/lib/src/direct/rollout/table.rs
@@ -23,6 +23,7 @@
 use crate::direct::rollout::serving_versions::ServingVersions;
 use crate::direct::rollout::verdict::RequestCounts;
 use crate::direct::store_view::directory::Upstream;
+use crate::direct::streams::version_history::ServiceVersion;
 use crate::store::position::StorePosition;
 
 /// Upstreams of the old version whose requests are compared with those of the new one.
@@ -98,6 +99,7 @@
     rollouts: IndexMap<Arc<str>, RolloutProgress>,
     withdrawn: IndexMap<RolloutId, StorePosition>,
     upstreams: Vec<Arc<Upstream>>,
+    listed_versions: Arc<IndexSet<ServiceVersion>>,
     /// Hashes of the old version's upstreams that are compared with the new version.
     control: IndexSet<u32>,
     baselines: IndexMap<u32, RouteBaseline>,
@@ -118,6 +120,7 @@
             rollouts: IndexMap::new(),
             withdrawn: IndexMap::new(),
             upstreams: Vec::new(),
+            listed_versions: Arc::default(),
             control: IndexSet::new(),
             baselines: IndexMap::new(),
             earlier_counts: IndexMap::new(),
@@ -159,13 +162,25 @@
         states.collect()
     }
 
-    /// Replaces the listed upstreams.
+    /// Replaces the usable upstreams.
     pub fn set_upstreams(&mut self, upstreams: &[Arc<Upstream>]) {
         self.upstreams = upstreams.to_vec();
         self.update_versions();
     }
 
-    /// Returns the listed upstreams.
+    /// Replaces the versions of all listed upstreams, also of those that leave or are not used.
+    ///
+    /// ```
+    /// use sardinewood::direct::rollout::table::RolloutTable;
+    ///
+    /// let listed = [("pool".into(), "v1".into())].into();
+    /// RolloutTable::new(None, 1).set_listed_versions(std::sync::Arc::new(listed));
+    /// ```
+    pub fn set_listed_versions(&mut self, listed: Arc<IndexSet<ServiceVersion>>) {
+        self.listed_versions = listed;
+    }
+
+    /// Returns the usable upstreams.
     ///
     /// ```
     /// assert!(sardinewood::direct::rollout::table::RolloutTable::new(None, 1).upstreams().is_empty());
@@ -175,7 +190,7 @@
         &self.upstreams
     }
 
-    /// Returns the hashes of the listed upstreams.
+    /// Returns the hashes of the usable upstreams.
     ///
     /// ```
     /// assert!(sardinewood::direct::rollout::table::RolloutTable::new(None, 1).upstream_names().is_empty());
@@ -348,6 +363,8 @@
                     service_snapshot.old_slots += upstream.slots;
                 }
             }
+            service_snapshot.old_version.is_listed = service_snapshot.old_slots > 0
+                || is_other_version_listed(&self.listed_versions, service, to);
             service_snapshot.pinned_at_old = pinned_at_old(&self.pinned, service, to);
             let actions = progress.step(&service_snapshot, now_ms);
             all.extend(
@@ -566,6 +583,12 @@
     (Arc::clone(&upstream.service), Arc::clone(&upstream.version))
 }
 
+/// Returns whether another version of a service than `to` is listed.
+fn is_other_version_listed(listed: &IndexSet<ServiceVersion>, service: &str, to: &str) -> bool {
+    let mut listed = listed.iter();
+    listed.any(|(of, version)| **of == *service && **version != *to)
+}
+
 /// Returns the pinned requests of a service that run at another version than `to`.
 fn pinned_at_old(pinned: &IndexMap<(Arc<str>, Arc<str>), u32>, service: &str, to: &str) -> u32 {
     let at_old = pinned
--- a/lib/src/direct/rollout_driver.rs
+++ b/lib/src/direct/rollout_driver.rs
@@ -25,6 +25,7 @@
 use crate::direct::rollout::message::coordinators;
 use crate::direct::rollout::object::Rollout;
 use crate::direct::rollout::object::RolloutStatus;
+use crate::direct::rollout::old_version::OldVersionSight;
 use crate::direct::rollout::progress::FleetSnapshot;
 use crate::direct::rollout::progress::RequestTarget;
 use crate::direct::rollout::progress::RolloutAction;
@@ -171,6 +172,7 @@
         }
         let now_ms = self.now_ms();
         let coordinators = self.coordinators();
+        let list_age_ms = self.list_mark().age_ms;
         let peers = self.peers.borrow();
         let own_address = peers.own_address();
         let snapshot = FleetSnapshot {
@@ -180,6 +182,11 @@
             live_peers: peers.live_peers(now_ms),
             has_silent_peers: !peers.silent_peers(now_ms).is_empty()
                 || peers.undiscovered(now_ms) > 0,
+            old_version: OldVersionSight {
+                list_as_of_ms: list_age_ms.map(|age_ms| now_ms.saturating_sub(age_ms)),
+                upstream_silence_ms: self.upstream_silence_ms.get(),
+                ..OldVersionSight::default()
+            },
             ..FleetSnapshot::default()
         };
         drop(peers);
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -4,6 +4,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
@@ -477,7 +478,10 @@
         traffic.set_missing_upstreams(snapshot.may_have_lapsed);
         traffic.detect_replaced_upstreams(&upstreams);
         traffic.record_departures(&upstreams);
-        traffic.rollouts.borrow_mut().set_upstreams(&upstreams);
+        let mut rollouts = traffic.rollouts.borrow_mut();
+        rollouts.set_upstreams(&upstreams);
+        rollouts.set_listed_versions(Arc::clone(&snapshot.versions));
+        drop(rollouts);
         traffic.record_listed_leaving(&snapshot.leaving);
         traffic.record_listed_versions(&snapshot.versions);
         traffic.update_eligible_upstreams();
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -602,15 +602,14 @@
         self.entries.values().filter_map(due_ms).min()
     }
 
-    /// Returns the versions of all listed upstreams, also of those that leave.
+    /// Returns the versions of all listed upstreams, also of those that leave or are not used for now.
     ///
     /// ```
     /// assert!(sardinewood::direct::store_view::directory::Directory::default().versions().is_empty());
     /// ```
     #[must_use]
     pub fn versions(&self) -> IndexSet<ServiceVersion> {
-        let upstreams = self.entries.values().map(|entry| &entry.upstream);
-        upstreams
+        self.written_by_upstreams()
             .map(|upstream| (Arc::clone(&upstream.service), Arc::clone(&upstream.version)))
             .collect()
     }
@@ -621,10 +620,14 @@
     /// assert_eq!(sardinewood::direct::store_view::directory::Directory::default().usable().count(), 0);
     /// ```
     pub fn usable(&self) -> impl Iterator<Item = &Arc<Upstream>> {
+        self.written_by_upstreams()
+            .filter(|upstream| !upstream.is_leaving)
+    }
+
+    fn written_by_upstreams(&self) -> impl Iterator<Item = &Arc<Upstream>> {
         self.entries
             .values()
             .map(|entry| &entry.upstream)
-            .filter(|upstream| !upstream.is_leaving)
             .filter(|upstream| !self.reports_start_time || upstream.born_ms.is_some())
     }
 }
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -157,6 +157,21 @@
     assert_eq!(usable(&directory), ["b@5"]);
 }
 
+/// Guards against a version that counts as listed because of an entry that no upstream wrote.
+#[test]
+fn versions_of_entries_without_start_time_not_listed_where_others_have_one() {
+    let of_version = |upstream: Upstream, version: &str| Upstream {
+        version: version.into(),
+        ..upstream
+    };
+    let mut directory = Directory::default();
+    directory.put(of_version(upstream("a", false), "v1"), 0);
+    directory.put(of_version(born("b", 5), "v2"), 0);
+    let versions = directory.versions();
+    let versions: Vec<_> = versions.iter().map(|(_, version)| &**version).collect();
+    assert_eq!(versions, ["v2"]);
+}
+
 #[test]
 fn restart_ends_the_drain_of_the_previous_incarnation() {
     let mut directory = Directory::default();
--- a/lib/tests/test_direct_rollout.rs
+++ b/lib/tests/test_direct_rollout.rs
@@ -13,6 +13,7 @@
 use sardinewood::direct::rollout::object::Rollout;
 use sardinewood::direct::rollout::object::RolloutId;
 use sardinewood::direct::rollout::object::RolloutStatus;
+use sardinewood::direct::rollout::old_version::OldVersionSight;
 use sardinewood::direct::rollout::outcome_counts::OutcomeClass;
 use sardinewood::direct::rollout::outcome_counts::OutcomeKey;
 use sardinewood::direct::rollout::progress::FleetSnapshot;
@@ -24,6 +25,7 @@
 use sardinewood::direct::rollout::table::RunOutcome;
 use sardinewood::direct::rollout::verdict::VersionEvidence;
 use sardinewood::direct::rollout::verdict::VersionVerdict;
+use sardinewood::direct::store_view::directory::Directory;
 use sardinewood::direct::store_view::directory::Upstream;
 use sardinewood::store::position::StorePosition;
 
@@ -34,6 +36,8 @@
     slack_requests: 50.0,
 };
 const WINDOW_MS: u64 = 12_000;
+/// Time without a heartbeat after which an upstream is taken to have ended.
+const SILENCE_MS: u64 = 3_600;
 
 /// An upstream of a version, listed at the revision `number`.
 fn upstream(number: u64, version: &str) -> Arc<Upstream> {
@@ -78,6 +82,19 @@
     table
 }
 
+/// A table with four upstreams of the new version alone, and a rollout in progress.
+fn table_without_old() -> RolloutTable {
+    let mut table = RolloutTable::new(Some(EXPOSURE_LIMIT), 1);
+    table.set_upstreams(&both_versions(4)[4..]);
+    table.apply_stored(
+        &[rollout(10, RolloutStatus::InProgress)],
+        StorePosition::new(0, 10),
+        1,
+        0,
+    );
+    table
+}
+
 /// The snapshot of a coordinator with these live peers.
 fn coordinator(live_peers: &[SocketAddr]) -> FleetSnapshot {
     FleetSnapshot {
@@ -87,6 +104,18 @@
     }
 }
 
+/// The snapshot of a coordinator whose list was confirmed at this time.
+fn coordinator_with_list_of(list_as_of_ms: u64) -> FleetSnapshot {
+    FleetSnapshot {
+        old_version: OldVersionSight {
+            list_as_of_ms: Some(list_as_of_ms),
+            upstream_silence_ms: SILENCE_MS,
+            ..OldVersionSight::default()
+        },
+        ..coordinator(&[])
+    }
+}
+
 fn versions_used(table: &mut RolloutTable) -> Vec<(Arc<str>, bool)> {
     let eligible = table.eligible_upstreams();
     let mut used: Vec<(Arc<str>, bool)> = eligible
@@ -301,6 +330,11 @@
     }
 }
 
+fn is_nothing_to_move(all: &[(Arc<str>, RolloutAction)]) -> bool {
+    let decided = RolloutAction::Log(DecisionReason::NothingToMove);
+    all.iter().any(|(_, action)| *action == decided)
+}
+
 fn written_statuses(all: &[(Arc<str>, RolloutAction)]) -> Vec<RolloutStatus> {
     let status = |(_, action): &(Arc<str>, RolloutAction)| match action {
         RolloutAction::WriteStatus(status) => Some(*status),
@@ -421,19 +455,106 @@
 fn progress_version_that_runs_already_completed_early() {
     // Guards against waiting for the end of the window if all upstreams have the new version, and
     // against assuming so from a list in which the old upstreams are only missing for a moment.
-    let mut table = RolloutTable::new(Some(EXPOSURE_LIMIT), 1);
-    table.set_upstreams(&both_versions(4)[4..]);
-    table.apply_stored(
-        &[rollout(10, RolloutStatus::InProgress)],
-        StorePosition::new(0, 10),
-        1,
-        0,
-    );
-    assert!(written_statuses(&table.step(&coordinator(&[]), 2_000)).is_empty());
-    assert_eq!(
-        written_statuses(&table.step(&coordinator(&[]), 3_100)),
-        [RolloutStatus::Completed]
-    );
+    let mut table = table_without_old();
+    for now_ms in [0, 2_000, SILENCE_MS - 10] {
+        let all = table.step(&coordinator_with_list_of(now_ms), now_ms);
+        assert!(written_statuses(&all).is_empty());
+    }
+    let all = table.step(&coordinator_with_list_of(SILENCE_MS), SILENCE_MS);
+    assert_eq!(written_statuses(&all), [RolloutStatus::Completed]);
+}
+
+/// Guards against taking it that the old version is gone because the store does not answer, after a list
+/// from which its upstreams had lapsed.
+#[test]
+fn progress_old_version_missing_in_an_unconfirmed_list_not_taken_for_gone() {
+    let mut table = table_without_old();
+    let mut decided_at_ms = None;
+    for now_ms in (50..12_000).step_by(50) {
+        let list_as_of_ms = match now_ms {
+            0..1_000 | 7_000.. => now_ms,
+            _ => 1_000,
+        };
+        let all = table.step(&coordinator_with_list_of(list_as_of_ms), now_ms);
+        if is_nothing_to_move(&all) {
+            decided_at_ms = Some(now_ms);
+        }
+    }
+    assert_eq!(decided_at_ms, Some(7_000 + SILENCE_MS));
+}
+
+/// Guards against taking it that the old version is gone because its upstreams leave, and against no
+/// decision once they are removed.
+#[test]
+fn progress_old_version_leaving_not_taken_for_gone() {
+    let mut table = table_without_old();
+    let versions = |names: &[&str]| {
+        let versions = names.iter().map(|name| ("pool".into(), (*name).into()));
+        Arc::new(versions.collect())
+    };
+    table.set_listed_versions(versions(&["v1", "v2"]));
+    for now_ms in (50..=6_000).step_by(50) {
+        let all = table.step(&coordinator_with_list_of(now_ms), now_ms);
+        assert!(!is_nothing_to_move(&all), "at {now_ms}");
+    }
+    table.set_listed_versions(versions(&["v2"]));
+    let mut times_ms = (6_050..12_000).step_by(50);
+    let decided_at_ms = times_ms.find(|now_ms| {
+        is_nothing_to_move(&table.step(&coordinator_with_list_of(*now_ms), *now_ms))
+    });
+    assert_eq!(decided_at_ms, Some(6_050 + SILENCE_MS));
+}
+
+/// Guards against `completed` before the window ends because the old version had been gone, though it is
+/// listed again.
+#[test]
+fn progress_old_version_back_after_the_shift_not_completed_early() {
+    let mut table = table_without_old();
+    let is_decided = (50..5_000).step_by(50).any(|now_ms| {
+        let snapshot = FleetSnapshot {
+            live_peers: vec![other()],
+            ..coordinator_with_list_of(now_ms)
+        };
+        is_nothing_to_move(&table.step(&snapshot, now_ms))
+    });
+    assert!(is_decided);
+    table.set_upstreams(&both_versions(4));
+    for now_ms in [5_000, 8_000, 11_750] {
+        let all = table.step(&coordinator_with_list_of(now_ms), now_ms);
+        assert!(written_statuses(&all).is_empty(), "at {now_ms}");
+    }
+    let all = table.step(&coordinator_with_list_of(11_850), 11_850);
+    assert_eq!(written_statuses(&all), [RolloutStatus::Completed]);
+}
+
+/// Guards against `completed`, at which the old upstreams are stopped, while they are listed and withheld
+/// because they were removed before.
+#[test]
+fn progress_old_version_withheld_not_taken_for_gone() {
+    let mut directory = Directory::default();
+    for upstream in both_versions(4) {
+        directory.put(Upstream::clone(&upstream), 0);
+    }
+    let mut table = table_with_rollout();
+    for now_ms in (0..9_000).step_by(50) {
+        for upstream in &both_versions(4)[..4] {
+            match now_ms {
+                1_000 => {
+                    directory.remove(&upstream.name, now_ms);
+                }
+                2_500 => {
+                    directory.put(Upstream::clone(upstream), now_ms);
+                }
+                _ => {}
+            }
+        }
+        directory.sweep(now_ms);
+        let usable: Vec<_> = directory.usable().cloned().collect();
+        table.set_upstreams(&usable);
+        table.set_listed_versions(Arc::new(directory.versions()));
+        let all = table.step(&coordinator_with_list_of(now_ms), now_ms);
+        assert!(!is_nothing_to_move(&all), "at {now_ms}");
+    }
 }
 
 #[test]
