--- a/bench/src/direct.rs
+++ b/bench/src/direct.rs
@@ -35,8 +35,8 @@
 
 Plays entries of the direct mode in virtual time, by default 26 before 47 engines at 0.9 of
 what these can do, 20 s, seeds 1 to 3, without losses, the mix disputes, all patterns and all
-variants, and prints one JSON line for each pattern and variant. Mixes: disputes, reports. Patterns:
-steady, burst, burst-of-one-kind, one-entry, half-lost. Variants: shipped, without-doors,
+variants, and prints one JSON line for each pattern and variant. Mixes: disputes, reports, skewed-reports.
+Patterns: steady, burst, burst-of-one-kind, one-entry, half-lost. Variants: shipped, without-doors,
 without-order, without-sizes, without-returns, without-quarantine, without-notices. With --deadly, one
 caller sends a request that ends each engine that runs it every MS milliseconds; with --deadly-part,
 many callers do, whose prompts share one part and nothing else does. With --in-need, every
--- a/bench/src/direct/load.rs
+++ b/bench/src/direct/load.rs
@@ -17,8 +17,12 @@
 const MOST_WORTH: f64 = 4.0;
 /// Weight of an output token in a request's size, likewise.
 const OUTPUT_WEIGHT: f64 = 10.0;
-/// Spread of prompts and of answers, as the sigma of a lognormal distribution.
+/// Spread of prompts, and of answers of usual kinds, as the sigma of a lognormal distribution.
 const SPREAD: f64 = 0.8;
+/// Spread of answers most of which are short and a few very long, as on the users' sheets.
+const SKEWED_SPREAD: f64 = 1.38;
+/// The longest of these in relation to a usual one, likewise.
+const SKEWED_MOST: f64 = 10.0;
 /// Spread of what callers guess of an answer's length around the truth, likewise.
 const HINT_SPREAD: f64 = 0.5;
 
@@ -39,6 +43,10 @@
     pub prompt_tokens: f64,
     /// Usual answer.
     pub output_tokens: f64,
+    /// Spread of answers, as the sigma of a lognormal distribution.
+    pub output_spread: f64,
+    /// The longest answer in relation to the usual one.
+    pub most_output: f64,
     /// Until when it is worth most.
     pub objective_ms: u64,
     /// When its caller leaves in any case.
@@ -58,7 +66,11 @@
 }
 
 /// All mixes and their names.
-pub const MIXES: [(&str, &Mix); 2] = [(DISPUTES.name, &DISPUTES), (REPORTS.name, &REPORTS)];
+pub const MIXES: [(&str, &Mix); 3] = [
+    (DISPUTES.name, &DISPUTES),
+    (REPORTS.name, &REPORTS),
+    (SKEWED_REPORTS.name, &SKEWED_REPORTS),
+];
 
 /// Streams that last for a second or more, whose objectives leave time for reading.
 pub const DISPUTES: Mix = Mix {
@@ -72,6 +84,8 @@
             part: 0.29,
             prompt_tokens: 3_720.0,
             output_tokens: 120.0,
+            output_spread: SPREAD,
+            most_output: f64::INFINITY,
             objective_ms: 600,
             deadline_ms: 10_000,
         },
@@ -83,6 +97,8 @@
             part: 0.22,
             prompt_tokens: 2_890.0,
             output_tokens: 52.0,
+            output_spread: SPREAD,
+            most_output: f64::INFINITY,
             objective_ms: 500,
             deadline_ms: 5_000,
         },
@@ -94,6 +110,8 @@
             part: 0.49,
             prompt_tokens: 1_110.0,
             output_tokens: 172.0,
+            output_spread: SPREAD,
+            most_output: f64::INFINITY,
             objective_ms: 400,
             deadline_ms: 10_000,
         },
@@ -114,6 +132,8 @@
             part: 0.23,
             prompt_tokens: 6_610.0,
             output_tokens: 380.0,
+            output_spread: SPREAD,
+            most_output: f64::INFINITY,
             objective_ms: 500,
             deadline_ms: 12_000,
         },
@@ -125,6 +145,8 @@
             part: 0.36,
             prompt_tokens: 628.0,
             output_tokens: 290.0,
+            output_spread: SPREAD,
+            most_output: f64::INFINITY,
             objective_ms: 300,
             deadline_ms: 10_000,
         },
@@ -136,12 +158,33 @@
             part: 0.41,
             prompt_tokens: 1_800.0,
             output_tokens: 27.0,
+            output_spread: SPREAD,
+            most_output: f64::INFINITY,
             objective_ms: 300,
             deadline_ms: 2_500,
         },
     ],
 };
 
+/// The same kinds with answers most of which are short and a few very long. Only fast engines end the
+/// longest before their callers leave.
+pub const SKEWED_REPORTS: Mix = Mix {
+    name: "skewed-reports",
+    kinds: [
+        skewed(REPORTS.kinds[0]),
+        skewed(REPORTS.kinds[1]),
+        skewed(REPORTS.kinds[2]),
+    ],
+};
+
+const fn skewed(kind: Kind) -> Kind {
+    Kind {
+        output_spread: SKEWED_SPREAD,
+        most_output: SKEWED_MOST,
+        ..kind
+    }
+}
+
 /// How load comes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Pattern {
@@ -305,7 +348,9 @@
 
     fn one(&self, kind: usize, at_ms: u64, random: &mut StdRng) -> Offered {
         let usual = &self.mix.kinds[kind];
-        let output = spread(usual.output_tokens, SPREAD, random);
+        let output = spread(usual.output_tokens, usual.output_spread, random);
+        let most = sardinewood::numbers::whole_u32(usual.output_tokens * usual.most_output);
+        let output = output.min(most);
         let hint = spread(f64::from(output), HINT_SPREAD, random);
         let is_at_first = self.pattern == Pattern::OneEntry && random.random::<bool>();
         Offered {
--- a/bench/tests/test_direct.rs
+++ b/bench/tests/test_direct.rs
@@ -9,6 +9,7 @@
 use sardinewood_bench::direct::load::DISPUTES;
 use sardinewood_bench::direct::load::Pattern;
 use sardinewood_bench::direct::load::REPORTS;
+use sardinewood_bench::direct::load::SKEWED_REPORTS;
 use sardinewood_bench::direct::report;
 
 const SLOTS: u32 = 5;
@@ -132,6 +133,25 @@
     }
 }
 
+/// Guards against long answers that are refused because they wait only at the engines that the
+/// kinds above fill, while short ones of their kind are served elsewhere.
+#[test]
+fn overload_with_skewed_answers_no_size_of_any_kind_starved() {
+    // Most answers are short and a few take longer than a slow engine has time for. A size that is
+    // owed starts goes first of its kind, but only in the queues that it is placed in.
+    for load in [1.5, 2.2, 3.0] {
+        let setup = Setup {
+            load,
+            mix: &SKEWED_REPORTS,
+            for_ms: 12_000,
+            ..setup()
+        };
+        let report = report(setup, ("steady", "shipped"), 6);
+        let least = report.large_served_by_kind.into_iter().fold(1.0, f64::min);
+        assert!(least >= 0.5, "load {load}: {report:?}");
+    }
+}
+
 #[test]
 fn deadly_request_stopped_whatever_is_lost() {
     // One caller sends a request that ends each engine that runs it, to one entry after the other. A tenth
