soak: ways of entries to the store cut for seconds while workers leave, from seed 100,000 on

Callers of an entry whose own way to the store was cut reached workers that had left more than two seconds before; no soak seed could show it, as a cut way put its entry out of touch for three seconds more. Each way is cut (silent, reset, refused) for 2.5 to 4.5 s, one after the other and at the same time, while workers leave with and without a word. An entry is judged from the moment at which its way is open. A leaving counts from the first moment at which some way is open and stays so for the bound: nobody may know of it before.

`late_runs` takes the number of entries; the test of the check passes it, and its cases are unchanged.

One green play proves no mend.

--- a/soak/src/leavings.rs
+++ b/soak/src/leavings.rs
@@ -1,7 +1,8 @@
 //! Workers that leave while all goes on, and what reaches them later than it may.
 //!
 //! The bound holds for what an entry in touch sends: one that was not disturbed, nor the store, for some
-//! time before. A link between entries that is cut whole disturbs neither.
+//! time before. A link between entries that is cut whole disturbs neither. An entry whose way to the store
+//! is cut is in touch from the moment at which that is open.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -18,6 +19,8 @@
 const DRAIN: Duration = Duration::from_secs(2);
 /// Time after a disturbance until an entry is in touch again.
 const CONTACT: Duration = Duration::from_secs(3);
+/// Longer than any run.
+const UNTIL_ENDED: Duration = Duration::from_secs(24 * 60 * 60);
 
 /// What may be disturbed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -26,6 +29,8 @@
     Entry(usize),
     /// The way to the worker of this number.
     WayToWorker(usize),
+    /// The way to the store of the entry of this number.
+    WayToStore(usize),
     /// The store.
     Store,
 }
@@ -43,6 +48,39 @@
         self.spans.push((part, now, now + lasting));
     }
 
+    /// Ends what disturbs a part.
+    pub fn end(&mut self, part: Part) {
+        let now = Instant::now();
+        for (disturbed, _, to) in &mut self.spans {
+            if *disturbed == part {
+                *to = now.min(*to);
+            }
+        }
+    }
+
+    /// Whether the way of an entry to the store is cut at some moment from one to another.
+    fn is_cut(&self, entry: usize, first: Instant, last: Instant) -> bool {
+        let part = Part::WayToStore(entry);
+        let mut spans = self.spans.iter();
+        spans.any(|(disturbed, from, to)| *disturbed == part && *from <= last && first < *to)
+    }
+
+    /// The first moment from a leaving on at which some entry has its way to the store open and keeps it for
+    /// as long as the bound. Nobody may know of the leaving before.
+    fn known_from(&self, left: Instant, entries: usize) -> Instant {
+        let is_open = |from: &Instant| {
+            let mut entries = 0..entries;
+            entries.any(|entry| !self.is_cut(entry, *from, *from + DRAIN))
+        };
+        let spans = self.spans.iter();
+        let opened = spans.filter_map(|(part, _, to)| match part {
+            Part::WayToStore(_) if *to > left => Some(*to),
+            _ => None,
+        });
+        let first = opened.chain([left]).filter(is_open).min();
+        first.unwrap_or(left)
+    }
+
     /// Whether a part was disturbed within the contact time before a moment.
     fn is_near(&self, part: Part, at: Instant) -> bool {
         self.spans
@@ -52,7 +90,7 @@
 }
 
 /// What a fault puts out of touch, and for how long. A link between entries that is cut whole, or slow, puts
-/// nobody out of touch.
+/// nobody out of touch. A way to the store is cut until that is ended.
 #[must_use]
 pub fn disturbed_by(fault: Fault, entries: usize, workers: usize) -> Vec<(Part, Duration)> {
     match fault {
@@ -69,6 +107,9 @@
         {
             vec![(Part::Entry(whom % entries), lasting)]
         }
+        Fault::CutFromStore(whom, ..) => {
+            vec![(Part::WayToStore(whom % entries), UNTIL_ENDED)]
+        }
         Fault::WayToWorker(whom, _, lasting) => {
             vec![(Part::WayToWorker(whom % workers), lasting)]
         }
@@ -88,13 +129,14 @@
     pub at: Instant,
 }
 
-/// The runs that reached workers later than they may. `entry_of` tells which entry sent a request, by its
-/// name.
+/// The runs that reached workers later than they may, sent by so many entries. `entry_of` tells which one
+/// sent a request, by its name.
 #[must_use]
 pub fn late_runs(
     departures: &[Departure],
     disturbances: &Disturbances,
     runs: &[Run],
+    entries: usize,
     entry_of: impl Fn(&str) -> Option<usize>,
 ) -> Vec<String> {
     let mut late = Vec::new();
@@ -102,12 +144,15 @@
         if disturbances.is_near(Part::Store, departure.at) {
             continue;
         }
+        let last_allowed = disturbances.known_from(departure.at, entries) + DRAIN;
         for run in runs.iter().filter(|run| run.worker == departure.name) {
             let is_held_up = disturbances.is_near(Part::WayToWorker(departure.worker), run.at);
             let is_core_stable = !disturbances.is_near(Part::Store, run.at);
-            let is_in_touch = entry_of(&run.id)
-                .is_some_and(|entry| !disturbances.is_near(Part::Entry(entry), run.at));
-            if run.at > departure.at + DRAIN && is_in_touch && is_core_stable && !is_held_up {
+            let is_in_touch = entry_of(&run.id).is_some_and(|entry| {
+                !disturbances.is_near(Part::Entry(entry), run.at)
+                    && !disturbances.is_cut(entry, run.at, run.at)
+            });
+            if run.at > last_allowed && is_in_touch && is_core_stable && !is_held_up {
                 late.push(format!(
                     "{} {} ms after {} left",
                     run.id,
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -53,6 +53,10 @@
     LeaveUnlisted(usize),
     /// A worker's entry is removed without a word, and another one comes.
     Remove(usize),
+    /// The same of the next worker that stays.
+    RemoveNext(usize),
+    /// The way of an entry to the store is cut for a time. What hangs on it when it opens goes on hanging.
+    CutFromStore(usize, Link, Duration),
     /// Datagrams to and from an entry are lost or late for a time: percentages lost of those to it and of
     /// those from it, and how late all are.
     Datagrams(usize, [u8; 2], Duration, Duration),
@@ -102,6 +106,14 @@
 /// workers leave often, and each leaving is held against its bound. Neither requests nor parts crash
 /// workers.
 pub const FIRST_SEED_WITH_LINKS: u64 = 90_000;
+/// From this seed on, the ways of entries to the store are cut for seconds, one after the other and at the
+/// same time, while workers leave, and each leaving is held against its bound from the moment at which a way
+/// is open.
+pub const FIRST_SEED_WITH_CUT_WAYS: u64 = 100_000;
+/// How long such a cut lasts.
+const CUT_MS: std::ops::Range<u64> = 2_500..4_500;
+/// Time between two faults of these seeds: some workers leave within the time that a return takes.
+const PAUSE_WITH_CUT_WAYS_MS: std::ops::Range<u64> = 30..200;
 /// Weights of the faults between entries and of leavings, among those of the seeds with restarts.
 const LINK_KINDS: u32 = 14;
 /// Weights of the faults of all seeds, of those with restarts and notices as well, and of all.
@@ -125,17 +137,24 @@
     } else {
         KINDS_WITH_NOTICES
     };
+    let pause_ms = if seed < FIRST_SEED_WITH_CUT_WAYS {
+        PAUSE_MS
+    } else {
+        PAUSE_WITH_CUT_WAYS_MS
+    };
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
     loop {
-        let after = Duration::from_millis(random.random_range(PAUSE_MS));
+        let after = Duration::from_millis(random.random_range(pause_ms.clone()));
         at += after;
         if at > length {
             return steps;
         }
-        let is_link = seed >= FIRST_SEED_WITH_LINKS
+        let is_link = (FIRST_SEED_WITH_LINKS..FIRST_SEED_WITH_CUT_WAYS).contains(&seed)
             && random.random_range(0..KINDS_WITH_RESTARTS + LINK_KINDS) < LINK_KINDS;
-        let fault = if is_link {
+        let fault = if seed >= FIRST_SEED_WITH_CUT_WAYS {
+            cut_fault(&mut random)
+        } else if is_link {
             link_fault(&mut random)
         } else {
             fault(&mut random, kinds)
@@ -187,6 +206,21 @@
     }
 }
 
+/// A cut of a way to the store, or a leaving.
+fn cut_fault(random: &mut StdRng) -> Fault {
+    let whom = random.random_range(0..100);
+    let lasting = Duration::from_millis(random.random_range(CUT_MS));
+    match random.random_range(0..32) {
+        0 => Fault::CutFromStore(whom, Link::Silent, lasting),
+        1 => Fault::CutFromStore(whom, Link::Reset, lasting),
+        2 => Fault::CutFromStore(whom, Link::Refused, lasting),
+        3..=20 => Fault::RemoveNext(whom),
+        21..=28 => Fault::Replace(whom),
+        29 => Fault::Forget,
+        _ => Fault::Configure,
+    }
+}
+
 fn manner(random: &mut StdRng) -> Manner {
     match random.random_range(0..6) {
         0 => Manner::AnswerTwice,
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -145,6 +145,8 @@
     Unsaid(usize),
     WayToWorker(usize),
     WayToStore(usize),
+    /// A way to the store that was cut opens.
+    OpenToStore(usize),
     Datagrams(usize),
     PeerConnections(usize),
     Store,
@@ -299,6 +301,7 @@
                 &self.departures,
                 &self.disturbances,
                 &runs,
+                self.entries.len(),
                 entry_of,
             ),
             runs,
@@ -566,6 +569,14 @@
             }
             Fault::LeaveUnlisted(_) => {}
             Fault::Remove(whom) => self.remove(whom % workers).await,
+            Fault::RemoveNext(whom) => {
+                if let Some(index) = self.staying_from(whom % workers) {
+                    self.remove(index).await;
+                }
+            }
+            Fault::CutFromStore(whom, link, lasting) => {
+                self.cut_from_store(whom % entries, link, lasting);
+            }
             Fault::Datagrams(whom, [lost_in, lost_out], delay, lasting) => {
                 if let Some(switch) = &self.switch {
                     let datagrams = Datagrams {
@@ -586,6 +597,22 @@
         }
     }
 
+    /// Cuts the way of an entry to the store. One that is cut already is cut for the new time.
+    fn cut_from_store(&mut self, index: usize, link: Link, lasting: Duration) {
+        self.healings
+            .retain(|(_, healing)| !matches!(healing, Healing::OpenToStore(cut) if *cut == index));
+        self.entries[index].store.set_link(link);
+        self.later(lasting, Healing::OpenToStore(index));
+    }
+
+    /// Opens the way of an entry to the store again. Calls that hung stay so until their caller gives up.
+    fn open_to_store(&mut self, index: usize) {
+        let way = &self.entries[index].store;
+        way.silence_open_connections();
+        way.set_link(Link::Whole);
+        self.disturbances.end(Part::WayToStore(index));
+    }
+
     fn later(&mut self, after: Duration, healing: Healing) {
         self.healings.push((Instant::now() + after, healing));
     }
@@ -602,6 +629,7 @@
             Healing::Unsaid(index) => self.workers[index].stand_in.say(&[]),
             Healing::WayToWorker(index) => self.workers[index].way.set_link(Link::Whole),
             Healing::WayToStore(index) => self.entries[index].store.set_link(Link::Whole),
+            Healing::OpenToStore(index) => self.open_to_store(index),
             Healing::Datagrams(index) => {
                 if let Some(switch) = &self.switch {
                     switch.set_datagrams(index, Datagrams::default());
@@ -783,11 +811,16 @@
         self.store.put("servers", &worker.name, &entry);
     }
 
-    async fn replace(&mut self, index: usize) {
-        let Some(index) = (0..self.workers.len())
-            .map(|step| (index + step) % self.workers.len())
+    /// The first worker from one on that does not leave.
+    fn staying_from(&self, index: usize) -> Option<usize> {
+        let workers = self.workers.len();
+        (0..workers)
+            .map(|step| (index + step) % workers)
             .find(|index| !self.workers[*index].is_leaving)
-        else {
+    }
+
+    async fn replace(&mut self, index: usize) {
+        let Some(index) = self.staying_from(index) else {
             return;
         };
         self.workers[index].is_leaving = true;
--- a/soak/tests/test_short_run.rs
+++ b/soak/tests/test_short_run.rs
@@ -20,12 +20,23 @@
     callers: 2,
 };
 
+/// Few workers under many callers: each gets requests at all times.
+const SIZE_WITH_CUT_WAYS: Size = Size {
+    entries: 6,
+    workers: 4,
+    callers: 6,
+};
+
 async fn run(seed: u64) {
     run_of(SIZE, seed).await;
 }
 
 async fn run_of(size: Size, seed: u64) {
-    let steps = plan::draw(seed, Duration::from_secs(5));
+    run_for(size, seed, Duration::from_secs(5)).await;
+}
+
+async fn run_for(size: Size, seed: u64, length: Duration) {
+    let steps = plan::draw(seed, length);
     let world = World::start(size, seed).await;
     let records = world.run(size, &steps).await;
     assert!(records.requests.len() > 100);
@@ -82,6 +93,18 @@
     run_of(SIZE_WITH_LINKS, plan::FIRST_SEED_WITH_LINKS).await;
 }
 
+/// Guards against entries that come back from a cut of their own and use on workers that have left.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_with_ways_to_the_store_that_are_cut() {
+    let length = Duration::from_secs(10);
+    run_for(
+        SIZE_WITH_CUT_WAYS,
+        plan::FIRST_SEED_WITH_CUT_WAYS + 4,
+        length,
+    )
+    .await;
+}
+
 #[test]
 fn plan_same_for_the_same_seed() {
     let length = Duration::from_secs(60);
