store follower: the first own call watches from what peers have told

Callers saw: requests to upstreams that had announced their end, for good, if all entries had started within some seconds and an earlier write replaced the announcement before their first own calls.

Cause: the cursor of a follower began empty although the replica had a position from a peer's list, so that the first own call was a whole list, which has only what was written last. It watches from the replica's position now, without waiting for changes, and lists if the store's history does not go back so far, or after two failed watches, as before. Of the configuration the last write is all that counts: it is listed.

--- a/lib/src/direct/replication/read_cursor.rs
+++ b/lib/src/direct/replication/read_cursor.rs
@@ -13,29 +13,52 @@
 /// use sardinewood::store::position::StorePosition;
 ///
 /// let mut cursor = ReadCursor::default();
-/// assert_eq!(cursor.watch_after(), None, "it lists first");
+/// assert_eq!(cursor.watch_after(None), None, "it lists first");
 /// cursor.advance(StorePosition::new(0, 7));
 /// cursor.record_failure();
-/// assert_eq!(cursor.watch_after(), Some(StorePosition::new(0, 7)));
+/// assert_eq!(cursor.watch_after(None), Some(StorePosition::new(0, 7)));
 /// cursor.record_failure();
-/// assert_eq!(cursor.watch_after(), None);
+/// assert_eq!(cursor.watch_after(None), None);
 /// ```
 #[derive(Clone, Copy, Debug, Default)]
 pub struct ReadCursor {
-    after: Option<StorePosition>,
+    next: NextRead,
     failed_watches: u32,
 }
 
+/// What a follower reads next.
+#[derive(Clone, Copy, Debug, Default)]
+enum NextRead {
+    /// The changes after the position of what peers have told, or the list if they have told nothing.
+    #[default]
+    AfterPeers,
+    /// The list.
+    List,
+    /// The changes after a position.
+    After(StorePosition),
+}
+
 impl ReadCursor {
-    /// Returns the position to watch from, or none if the list is to be read.
+    /// Returns the position to watch from, or none if the list is to be read. `told` is the position of
+    /// what peers have told. A list has only the last of the changes after it, which may have replaced
+    /// an upstream's announcement that it leaves.
     ///
     /// ```
     /// # use sardinewood::direct::replication::read_cursor::ReadCursor;
-    /// assert_eq!(ReadCursor::default().watch_after(), None);
+    /// # use sardinewood::store::position::StorePosition;
+    /// let told = Some(StorePosition::new(0, 7));
+    /// let mut cursor = ReadCursor::default();
+    /// assert_eq!(cursor.watch_after(told), told);
+    /// cursor.restart();
+    /// assert_eq!(cursor.watch_after(told), None, "the store has no history from there on");
     /// ```
     #[must_use]
-    pub fn watch_after(&self) -> Option<StorePosition> {
-        self.after
+    pub fn watch_after(&self, told: Option<StorePosition>) -> Option<StorePosition> {
+        match self.next {
+            NextRead::AfterPeers => told,
+            NextRead::List => None,
+            NextRead::After(position) => Some(position),
+        }
     }
 
     /// Records an answer that leads to a position.
@@ -46,7 +69,7 @@
     /// ```
     pub fn advance(&mut self, position: StorePosition) {
         *self = Self {
-            after: Some(position),
+            next: NextRead::After(position),
             failed_watches: 0,
         };
     }
@@ -58,7 +81,10 @@
     /// ReadCursor::default().restart();
     /// ```
     pub fn restart(&mut self) {
-        *self = Self::default();
+        *self = Self {
+            next: NextRead::List,
+            failed_watches: 0,
+        };
     }
 
     /// Records a call without an answer that can be used.
@@ -70,7 +96,7 @@
     pub fn record_failure(&mut self) {
         self.failed_watches += 1;
         if self.failed_watches >= MAX_FAILED_WATCHES {
-            self.after = None;
+            self.next = NextRead::List;
         }
     }
 }
--- a/lib/src/direct/replication/rollout_follower.rs
+++ b/lib/src/direct/replication/rollout_follower.rs
@@ -135,7 +135,7 @@
         let mut cursor = ReadCursor::default();
         let mut is_unavailable = false;
         while store_role::wait_for_call(&mut role).await {
-            let after = cursor.watch_after();
+            let after = cursor.watch_after(None);
             let read = match after {
                 None => store.list_rollouts().await,
                 Some(after) => store.watch_rollouts(after, WATCH_WAIT_MS).await,
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -280,7 +280,7 @@
         let mut backoff = Backoff::new(MIN_RETRY_PAUSE_MS, MAX_RETRY_PAUSE_MS);
         let mut outage = Outage::default();
         let mut cursor = ReadCursor::default();
-        let mut has_listed = false;
+        let mut has_answer = false;
         let mut has_news = false;
         let mut role = self.channels.role.clone();
         let is_catalog = kind == self.replica.borrow().decoders().catalog_kind;
@@ -298,18 +298,18 @@
                 return;
             }
             source.learn_era(self.replica.borrow().revisions().directory.era);
-            let after = cursor.watch_after();
+            let after = cursor.watch_after(self.told_position(kind));
             // The first answer after an outage tells whether the store has returned from a copy, and the
-            // one after changes that there are no more. Neither is waited for, nor is a list.
-            let wait_ms = if outage.is_ongoing() || has_news || after.is_none() {
+            // one after changes that there are no more. Neither is waited for, nor is a first answer.
+            let wait_ms = if outage.is_ongoing() || has_news || after.is_none() || !has_answer {
                 0
             } else {
                 wait_ms
             };
             has_news = false;
             let read = async |wait_ms| read(source, kind, after, wait_ms).await;
-            // A first list may take long, as others start as well.
-            let call = if is_catalog || !has_listed {
+            // A first answer may take long, as others start as well.
+            let call = if is_catalog || !has_answer {
                 StoreCall::make(read, wait_ms).await
             } else {
                 let may_call = || *role.borrow() == StoreRole::Watches;
@@ -326,8 +326,8 @@
                     self.record_response(is_catalog, as_of);
                     outage.record_answer(kind, self.replica.borrow().lapses_for_ms(self.now_ms()));
                     backoff.reset();
-                    let pause = pause_after(after, position, has_listed);
-                    has_listed = true;
+                    let pause = pause_after(after, position, has_answer);
+                    has_answer = true;
                     cursor.advance(position);
                     sleep(pause).await;
                 }
@@ -348,6 +348,15 @@
         }
     }
 
+    /// Returns the position of the list of upstreams if peers have told it. Of the configuration the last
+    /// change is all that counts, which a list has.
+    fn told_position(&self, kind: &str) -> Option<StorePosition> {
+        let replica = self.replica.borrow();
+        let position = replica.revisions().directory;
+        (kind == replica.decoders().upstream_kind && position > StorePosition::default())
+            .then_some(position)
+    }
+
     /// Records that the store had nothing newer than the replica has now.
     fn record_response(&self, is_catalog: bool, as_of: Instant) {
         let revisions = self.replica.borrow().revisions();
@@ -658,15 +667,15 @@
 }
 
 /// Returns the pause before the next watch, given the known position, the one that the store sent,
-/// and whether it has been listed before.
+/// and whether it has answered before.
 fn pause_after(
     known: Option<StorePosition>,
     received: StorePosition,
-    has_listed: bool,
+    has_answer: bool,
 ) -> Duration {
     match known {
         // A store that forgets its history all the time is listed a few times a second.
-        None if has_listed => BATCH_PAUSE,
+        None if has_answer => BATCH_PAUSE,
         None => STARTUP_PAUSE,
         Some(known) if known != received => BATCH_PAUSE,
         Some(_) => Duration::ZERO,
--- a/lib/tests/test_direct_store_follower.rs
+++ b/lib/tests/test_direct_store_follower.rs
@@ -298,6 +298,41 @@
     assert_eq!(names(&other_view), ["a", "i-6", "i-7"]);
 }
 
+/// Guards against an announcement that an entry does not read which has its list from a peer: a list of
+/// its own has only what was written last.
+#[tokio::test]
+async fn changes_after_a_list_of_a_peer_watched() {
+    let (follower, view) = follower();
+    let told = ObjectList {
+        position: StorePosition::new(0, 3),
+        objects: vec![object("u", "a", 2), object("u", "b", 3)],
+    };
+    follower.apply_update(
+        peer(),
+        ReplicaUpdate {
+            catalog: None,
+            upstreams: Some(UpstreamListUpdate::Full(told)),
+        },
+    );
+    let source = ScriptedStore {
+        list: ObjectList {
+            position: StorePosition::new(0, 8),
+            objects: Vec::new(),
+        },
+        batches: RefCell::new(vec![WatchBatch {
+            position: StorePosition::new(0, 8),
+            events: vec![WatchEvent::Put(object("u", "c", 8))],
+        }]),
+    };
+    let mut seen = view.clone();
+    let is_done = |view: &ReplicaSnapshot| view.revisions.directory == StorePosition::new(0, 8);
+    tokio::select! {
+        () = follower.follow_upstreams(&source) => unreachable!("it never ends"),
+        _ = seen.wait_for(is_done) => {}
+    }
+    assert_eq!(names(&view), ["a", "b", "c"], "the list is not read");
+}
+
 #[tokio::test]
 async fn older_update_changes_nothing() {
     // A revision never decreases, whichever source brings an older one.
