directory: a second late write of a removed upstream is withheld like the first

Callers saw: requests to upstreams that had been removed, if two earlier writes of them were carried out after the removal.

Cause: the second write found the withheld entry and replaced it by a used one. A removed incarnation stays withheld whatever is written, until its entry has stayed for as long as the store keeps one that is not renewed. That time counts from the last write, as each one renews the entry: with the deadline of the first, a write just before it would be believed.

--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -230,7 +230,7 @@
 /// announced its end, or after the removal of its entry. A process that ends does not stay, so the
 /// announcement holds whatever the list says of that incarnation later. A removal alone may be due to
 /// a host that was cut off for some time: the incarnation is used again once its entry has been in the
-/// list for longer than the store keeps one that is not renewed.
+/// list, without being written anew, for longer than the store keeps one that is not renewed.
 ///
 /// ```
 /// use sardinewood::direct::store_view::directory::Directory;
@@ -463,8 +463,10 @@
             let instance = &upstream.instance;
             self.departures
                 .record(instance, Departure::Announced, now_ms);
-        } else if known.is_none() && departure == Some(Departure::Removed) {
-            // The store may drop the entry a moment after its upstream counts as silent.
+        } else if departure == Some(Departure::Removed)
+            && known.as_ref().is_none_or(|known| known.is_withheld())
+        {
+            // Each write renews the entry. The store may drop the entry a moment after its upstream counts as silent.
             let until_ms = now_ms + self.silence_ms + heartbeat_ms(self.silence_ms);
             return self.withhold(upstream, until_ms);
         }
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -227,6 +227,19 @@
     assert_eq!(usable(&directory), ["a@5"]);
 }
 
+/// Guards against a removed upstream that gets requests because two earlier writes of it are applied.
+#[test]
+fn late_writes_after_a_removal_withheld_until_the_last_one_stays() {
+    let mut directory = listed(&[starting("a", 5, false)]);
+    directory.remove("a", 100);
+    directory.put(starting("a", 5, false), 1_000);
+    directory.put(starting("a", 5, false), 2_000);
+    assert!(usable(&directory).is_empty());
+    assert!(!directory.sweep(6_799), "the second may lapse by then");
+    assert!(directory.sweep(6_800));
+    assert_eq!(usable(&directory), ["a@5"]);
+}
+
 #[test]
 fn put_after_a_lapse_in_an_outage_used_at_once() {
     let mut directory = listed(&[starting("a", 5, false)]);
