directory: upstreams that a copy brings back are withheld for as long as those written late

Callers saw: requests to removed upstreams that a copy of the store had brought back, just before the store dropped them once more.

Cause: put_of_copy withheld for the time in which an upstream may be silent, but the store may drop its entry a moment after that. put had added a heartbeat for this reason. One function counts the time for both.

The bounds in test_direct_eras that were 3,599 and 3,600 ms are 4,799 and 4,800 ms, and the lower one is asserted in both tests.

--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -367,9 +367,10 @@
 
     /// Applies an upstream's entry in the copy that the store has returned from.
     ///
-    /// The copy has entries of upstreams that have been removed since. These are not used before they
-    /// write their entries again, or have been in the list for longer than the store keeps the entry of
-    /// a silent upstream. Upstreams that have announced their end since are not used at all.
+    /// The copy has entries of upstreams that have been removed since. These are not used before they have
+    /// been in the list for longer than the store keeps the entry of a silent upstream, and those that
+    /// have lapsed not before they write their entries again, if that is sooner. Upstreams that have
+    /// announced their end since are not used at all.
     ///
     /// ```
     /// # use sardinewood::direct::store_view::directory::{Directory, Upstream};
@@ -389,13 +390,16 @@
         let is_unknown = !self.entries.contains_key(&upstream.name);
         match self.departures.of(&upstream.instance, now_ms) {
             Some(Departure::Lapsed | Departure::Removed) if is_unknown && !upstream.is_leaving => {
-                self.withhold(upstream, now_ms + self.silence_ms)
+                self.withhold(upstream, now_ms)
             }
             _ => self.put(upstream, now_ms),
         }
     }
 
-    fn withhold(&mut self, upstream: Upstream, until_ms: u64) -> PutEffect {
+    /// Does not use an upstream until its entry has stayed. Each write renews the entry, and the store may
+    /// drop it a moment after its upstream counts as silent.
+    fn withhold(&mut self, upstream: Upstream, now_ms: u64) -> PutEffect {
+        let until_ms = now_ms + self.silence_ms + heartbeat_ms(self.silence_ms);
         self.reports_start_time |= upstream.born_ms.is_some();
         let name = Arc::clone(&upstream.name);
         self.entries
@@ -466,9 +470,7 @@
         } else if departure == Some(Departure::Removed)
             && known.as_ref().is_none_or(|known| known.is_withheld())
         {
-            // Each write renews the entry. The store may drop the entry a moment after its upstream counts as silent.
-            let until_ms = now_ms + self.silence_ms + heartbeat_ms(self.silence_ms);
-            return self.withhold(upstream, until_ms);
+            return self.withhold(upstream, now_ms);
         }
         self.reports_start_time |= upstream.born_ms.is_some();
         match known {
--- a/lib/tests/test_direct_eras.rs
+++ b/lib/tests/test_direct_eras.rs
@@ -196,11 +196,11 @@
     entry.apply_event("u", removal("a", at(1, 43)), 0);
     let copy = vec![ready("a", at(2, 2)), ready("b", at(2, 40))];
     entry.apply_list("u", list(at(2, 40), copy), 0);
-    entry.sweep(3_599);
+    entry.sweep(4_799);
     assert!(usable(&entry).is_empty());
     // `a` writes its entry again, and the store drops that of `b`, which has ended.
-    entry.apply_event("u", WatchEvent::Put(ready("a", at(2, 41))), 3_599);
-    entry.apply_event("u", removal("b", at(2, 42)), 3_599);
+    entry.apply_event("u", WatchEvent::Put(ready("a", at(2, 41))), 4_799);
+    entry.apply_event("u", removal("b", at(2, 42)), 4_799);
     entry.sweep(LONG_MS);
     assert_eq!(usable(&entry), ["a"]);
 }
@@ -250,7 +250,8 @@
     entry.apply_event("u", removal("b", at(1, 42)), 0);
     let copy = vec![ready("a", at(2, 2)), ready("b", at(2, 40))];
     entry.apply_list("u", list(at(2, 40), copy), 0);
-    assert!(entry.sweep(3_600));
+    assert!(!entry.sweep(4_799));
+    assert!(entry.sweep(4_800));
     assert_eq!(usable(&entry), ["a", "b"]);
 }
 
