replica: a line when a removed upstream is listed as ready

An upstream that is withheld since its entry was removed and came back was named by no line: the effect of its entry was read by nobody.

--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -419,8 +419,9 @@
         });
     }
 
-    fn log_leaving_revoked(&mut self, upstream: &Upstream, now_ms: u64) {
-        self.log(now_ms, "leaving upstream is listed as ready", |line| {
+    /// Logs that an upstream is listed as ready and not used.
+    fn log_doubted(&mut self, upstream: &Upstream, message: &'static str, now_ms: u64) {
+        self.log(now_ms, message, |line| {
             line.field("upstream", &upstream.instance)
                 .field("service", &upstream.service)
                 .revision(upstream.revision)
@@ -464,8 +465,14 @@
         match decoded {
             Ok(upstream) => {
                 self.invalid_names.swap_remove(&name);
-                if self.directory.put(upstream.clone(), now_ms) == PutEffect::LeavingRevoked {
-                    self.log_leaving_revoked(&upstream, now_ms);
+                match self.directory.put(upstream.clone(), now_ms) {
+                    PutEffect::Applied => {}
+                    PutEffect::LeavingRevoked => {
+                        self.log_doubted(&upstream, "leaving upstream is listed as ready", now_ms);
+                    }
+                    PutEffect::Withheld => {
+                        self.log_doubted(&upstream, "removed upstream is listed as ready", now_ms);
+                    }
                 }
                 Some(upstream)
             }
