removals: peers tell an entry that starts, or was silent, which upstreams they know as removed

Callers saw: requests from an entry that had restarted to upstreams that were removed without a word and that an earlier write, or a copy of the store, had brought back, until the store dropped them; the other entries withheld them.

Cause: what an entry knows of removals was its own. Peers tell it now with their first heartbeat, beside the notices, the incarnations that were removed in the last minute and that they do not use. It withholds them from then on as if it had read the removal, and ignores the word where it knows a departure of its own, so that an upstream that lives is not withheld again. The message is sent to builds that know it (level 5).

Names beside lists would not reach an entry that has read the same position itself; when an object was created does not tell a late write from a new start.

--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -198,7 +198,8 @@
             | PeerMessage::BorrowRetry { .. }
             | PeerMessage::RetryLent { .. }
             | PeerMessage::ListQuestion { .. }
-            | PeerMessage::ListWord(_) => {}
+            | PeerMessage::ListWord(_)
+            | PeerMessage::RemovedUpstreams(_) => {}
             PeerMessage::UpstreamNotices(updates) => self.merge_notice_updates(entry, &updates),
             PeerMessage::Suspects(updates) => self.merge_suspect_updates(entry, &updates),
         }
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -36,8 +36,10 @@
 pub const REPLICA_AGES_LEVEL: u8 = 3;
 /// Level of the builds that tell since when the store has answered them.
 pub const ANSWERED_LEVEL: u8 = 4;
+/// The level from which on a build knows [`PeerMessage::RemovedUpstreams`].
+pub const REMOVALS_LEVEL: u8 = 5;
 /// Level of this build.
-pub const MESSAGE_LEVEL: u8 = ANSWERED_LEVEL;
+pub const MESSAGE_LEVEL: u8 = REMOVALS_LEVEL;
 /// Age beyond which an answer of the store is not told any more. Upstreams that an outage has concerned
 /// are back or removed by then.
 const MAX_ANSWER_AGE_MS: u32 = 60_000;
@@ -453,6 +455,9 @@
         /// Whether the receiver may retry once.
         is_lent: bool,
     },
+    /// Incarnations of upstreams that were removed lately and that the sender does not use. Sent only to
+    /// peers that know [`REMOVALS_LEVEL`].
+    RemovedUpstreams(Vec<Arc<str>>),
 }
 
 impl PeerMessage {
@@ -475,7 +480,7 @@
             Self::ChargeRequest(_) | Self::ChargeReply { .. } => "quotas",
             Self::SuspectRequests(_) | Self::Suspects(_) => "quarantine",
             Self::Rollout(_) => "rollouts",
-            Self::UpstreamNotices(_) => "notices",
+            Self::UpstreamNotices(_) | Self::RemovedUpstreams(_) => "notices",
             Self::Spread(_) => "changes",
             Self::ListQuestion { .. } | Self::ListWord(_) => "confirmations",
             Self::BorrowRetry { .. } | Self::RetryLent { .. } => "retries",
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -28,6 +28,10 @@
 use crate::logging::Level;
 use crate::numbers;
 
+/// Removed upstreams that a peer is told in a datagram, and in all.
+const REMOVALS_PER_DATAGRAM: usize = 16;
+const MAX_TOLD_REMOVALS: usize = 128;
+
 /// Number of seconds to which a limit refers.
 const LIMIT_PERIOD_S: f64 = 1_000.0;
 
@@ -118,6 +122,18 @@
         }
     }
 
+    /// Sends the incarnations that were removed lately to a peer that has started or was silent.
+    pub fn sync_removals_to(&self, peer: SocketAddr) {
+        let removed = self.removed_upstreams.borrow();
+        if removed.is_empty() || !self.should_sync_peer() {
+            return;
+        }
+        let told = &removed[..removed.len().min(MAX_TOLD_REMOVALS)];
+        for instances in told.chunks(REMOVALS_PER_DATAGRAM) {
+            self.send_to_peer(peer, &PeerMessage::RemovedUpstreams(instances.to_vec()));
+        }
+    }
+
     /// Drops expired state, and resends a part of the remaining state to one peer. That makes up for
     /// lost datagrams and for updates that a disconnected entry missed.
     pub fn maintain_notices(&self) {
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::sync::Arc;
 
 use tokio::sync::mpsc;
 use tokio::sync::watch;
@@ -17,6 +18,7 @@
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::MESSAGE_LEVEL;
 use crate::direct::membership::peer_message::PeerMessage;
+use crate::direct::membership::peer_message::REMOVALS_LEVEL;
 use crate::direct::membership::peer_message::REPLICA_AGES_LEVEL;
 use crate::direct::membership::peer_message::ReplicaAges;
 use crate::direct::membership::peer_message::Revisions;
@@ -66,6 +68,8 @@
     pub changes: mpsc::UnboundedReceiver<ReplicaChange>,
     /// Receives the updates that peers send.
     pub sent_updates: mpsc::UnboundedSender<(SocketAddr, Vec<u8>)>,
+    /// Receives the incarnations that peers know as removed.
+    pub told_removals: mpsc::UnboundedSender<(SocketAddr, Vec<Arc<str>>)>,
 }
 
 impl HeartbeatTask {
@@ -167,6 +171,10 @@
             Some(PeerMessage::UpstreamNotices(updates)) => {
                 traffic.merge_notice_updates(from, &updates);
             }
+            Some(PeerMessage::RemovedUpstreams(instances)) => {
+                // The control thread ends only with the process.
+                let _ = self.channels.told_removals.send((from, instances));
+            }
             Some(PeerMessage::Spread(message)) => self.handle_spread(from, message),
             Some(PeerMessage::StreamOrigins(records)) => traffic.keep_origin_records(records),
             Some(PeerMessage::OriginRequest(request)) => {
@@ -223,6 +231,9 @@
             traffic.sync_suspects_to(from);
             traffic.sync_rollouts_to(from);
             traffic.sync_notices_to(from);
+            if heartbeat.message_level >= REMOVALS_LEVEL {
+                traffic.sync_removals_to(from);
+            }
         }
         let mut quotas = traffic.quotas.borrow_mut();
         if effect.is_new {
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -561,6 +561,29 @@
         }
     }
 
+    /// Applies the removals that peers tell an entry that has started or was silent, until the process
+    /// ends.
+    pub async fn follow_told_removals(
+        &self,
+        mut told: mpsc::UnboundedReceiver<(SocketAddr, Vec<Arc<str>>)>,
+    ) {
+        while let Some((peer, instances)) = told.recv().await {
+            let now_ms = self.now_ms();
+            let news = self
+                .replica
+                .borrow_mut()
+                .record_told_removals(instances, now_ms);
+            if news.is_empty() {
+                continue;
+            }
+            Line::new(Level::Info, "received removed upstreams from a peer")
+                .field("peer", peer)
+                .field("upstreams", news)
+                .send();
+            self.publish();
+        }
+    }
+
     /// Returns whether an update follows what this entry has, without a gap.
     fn is_next(&self, update: &ReplicaUpdate) -> bool {
         let own = self.replica.borrow().revisions();
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -197,6 +197,7 @@
     let (peer_ahead_sender, peer_ahead) = watch::channel(None);
     let (changes_sender, changes) = mpsc::unbounded_channel();
     let (sent_updates_sender, sent_updates) = mpsc::unbounded_channel();
+    let (told_removals_sender, told_removals) = mpsc::unbounded_channel();
     let (role_sender, role) = watch::channel(StoreRole::default());
     let (own_revisions_sender, own_revisions) = watch::channel(Revisions::default());
     let last_store_response = LastStoreResponse::default();
@@ -209,6 +210,7 @@
         role: role_sender,
         changes,
         sent_updates: sent_updates_sender,
+        told_removals: told_removals_sender,
     };
     let control_runtime = current_thread().wrap_err("can't start the control thread's runtime")?;
     let peer_address = settings.peer_address;
@@ -242,6 +244,7 @@
                 address: peer_address,
                 ahead: peer_ahead,
                 sent_updates,
+                told_removals,
             };
             let list_calls = (list_calls, list_outcomes_sender);
             let follow = follow(follower, rollouts, source, peers, list_calls);
@@ -282,6 +285,8 @@
     ahead: watch::Receiver<Option<SocketAddr>>,
     /// Updates that they send by themselves.
     sent_updates: UnboundedReceiver<(SocketAddr, Vec<u8>)>,
+    /// Incarnations of upstreams that they know as removed.
+    told_removals: UnboundedReceiver<(SocketAddr, Vec<Arc<str>>)>,
 }
 
 /// Runs the control thread, which follows the store and serves peers that pull from this entry.
@@ -315,6 +320,7 @@
         follower.follow_upstreams(&source),
         follower.follow_peers(peers.ahead),
         follower.follow_sent_updates(peers.sent_updates),
+        follower.follow_told_removals(peers.told_removals),
         follower.follow_list_calls(&source, list_calls, list_outcomes),
         follower.sweep(),
     );
@@ -470,6 +476,7 @@
         let snapshot = snapshots.borrow_and_update().clone();
         *traffic.catalog.borrow_mut() = snapshot.catalog;
         traffic.revisions.set(snapshot.revisions);
+        *traffic.removed_upstreams.borrow_mut() = snapshot.removed;
         own_revisions.send_replace(snapshot.revisions);
         let Some(upstreams) = snapshot.upstreams else {
             continue;
--- a/lib/src/direct/store_view/departures.rs
+++ b/lib/src/direct/store_view/departures.rs
@@ -91,18 +91,17 @@
         (now_ms < at_ms + RETENTION_MS).then_some(*departure)
     }
 
-    /// Returns the incarnations that have announced their end.
+    /// Returns the incarnations that have left in this way, the earliest record first.
     ///
     /// ```
-    /// # use sardinewood::direct::store_view::departures::Departures;
-    /// assert_eq!(Departures::default().announced().count(), 0);
+    /// # use sardinewood::direct::store_view::departures::{Departure, Departures};
+    /// assert_eq!(Departures::default().having(Departure::Announced).count(), 0);
     /// ```
-    pub fn announced(&self) -> impl Iterator<Item = &Arc<str>> {
-        let announced =
-            |(_, (departure, _)): &(_, &(Departure, u64))| *departure == Departure::Announced;
+    #[must_use]
+    pub fn having(&self, departure: Departure) -> impl DoubleEndedIterator<Item = &Arc<str>> {
         self.by_instance
             .iter()
-            .filter(announced)
+            .filter(move |(_, (known, _))| *known == departure)
             .map(|(instance, _)| instance)
     }
 }
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -428,7 +428,7 @@
     /// ```
     #[must_use]
     pub fn leaving(&self) -> Vec<LeavingUpstream> {
-        let unlisted = self.departures.announced();
+        let unlisted = self.departures.having(Departure::Announced);
         let unlisted = unlisted.map(|instance| (Arc::clone(instance), false));
         let entries = self.entries.values();
         let listed = entries
@@ -444,6 +444,48 @@
             .collect()
     }
 
+    /// Returns the incarnations that were removed lately and are not used, the latest first.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::store_view::directory::Directory::default().removed().is_empty());
+    /// ```
+    #[must_use]
+    pub fn removed(&self) -> Vec<Arc<str>> {
+        let entries = self.entries.values().filter(|entry| !entry.is_withheld());
+        let used: IndexSet<&str> = entries.map(|entry| &*entry.upstream.instance).collect();
+        let removed = self.departures.having(Departure::Removed).rev();
+        removed
+            .filter(|instance| !used.contains(&***instance))
+            .cloned()
+            .collect()
+    }
+
+    /// Records that a peer knows an incarnation as removed and does not use it. If nothing is known of
+    /// that here and the list has its entry, an earlier write or a copy of the store has brought it
+    /// back. Returns whether it was news.
+    ///
+    /// ```
+    /// # use sardinewood::direct::store_view::directory::Directory;
+    /// let mut directory = Directory::default();
+    /// assert!(directory.record_told_removal("i-1", 0));
+    /// assert!(!directory.record_told_removal("i-1", 0));
+    /// ```
+    pub fn record_told_removal(&mut self, instance: &str, now_ms: u64) -> bool {
+        if self.departures.of(instance, now_ms).is_some() {
+            return false;
+        }
+        self.departures.record(instance, Departure::Removed, now_ms);
+        let is_listed = |entry: &&DirectoryEntry| {
+            *entry.upstream.instance == *instance
+                && !entry.upstream.is_leaving
+                && entry.missing.is_none()
+        };
+        if let Some(listed) = self.entries.values().find(is_listed) {
+            self.withhold(Upstream::clone(&listed.upstream), now_ms);
+        }
+        true
+    }
+
     /// Applies an upstream's entry.
     ///
     /// ```
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -67,6 +67,8 @@
     pub may_have_lapsed: Arc<IndexMap<Arc<str>, Instant>>,
     /// Upstreams that have announced their end in the list.
     pub leaving: Arc<[LeavingUpstream]>,
+    /// Incarnations that were removed lately and are not used, the latest first.
+    pub removed: Arc<[Arc<str>]>,
     /// Versions of all listed upstreams, also of those that leave.
     pub versions: Arc<IndexSet<ServiceVersion>>,
     /// Revisions of the catalog and of the list of upstreams.
@@ -217,6 +219,13 @@
         }
     }
 
+    /// Records the incarnations that a peer knows as removed. Returns those that were not known so here.
+    pub fn record_told_removals(&mut self, instances: Vec<Arc<str>>, now_ms: u64) -> Vec<Arc<str>> {
+        let mut news = instances;
+        news.retain(|instance| self.directory.record_told_removal(instance, now_ms));
+        news
+    }
+
     /// Applies the changes that a peer sent. They are not logged one by one: the entries that watch
     /// the store have done so, and each of hundreds of others would write the same lines.
     fn apply_changes(&mut self, changes: UpstreamListDelta, now_ms: u64) {
@@ -537,6 +546,7 @@
                 .then(|| self.directory.usable().cloned().collect()),
             may_have_lapsed: Arc::default(),
             leaving: self.directory.leaving().into(),
+            removed: self.directory.removed().into(),
             versions: Arc::new(self.directory.versions()),
             revisions: self.revisions,
         }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -164,6 +164,8 @@
     pub quarantine_changed: Notify,
     /// Limits, backoffs and leave notices that upstreams announced.
     pub notices: RefCell<UpstreamNotices>,
+    /// Incarnations of upstreams that were removed lately and are not used, the latest first.
+    pub removed_upstreams: RefCell<Arc<[Arc<str>]>>,
     /// Where the streams began that callers may take up.
     pub stream_origins: RefCell<OriginRecords>,
     /// Questions to other entries about such streams.
@@ -368,6 +370,7 @@
             suspects: RefCell::default(),
             quarantine_changed: Notify::new(),
             notices: RefCell::default(),
+            removed_upstreams: RefCell::default(),
             stream_origins: RefCell::default(),
             pending_origins: PendingReplies::default(),
             origins_asked_of_all: Cell::default(),
--- a/lib/tests/test_direct_directory.rs
+++ b/lib/tests/test_direct_directory.rs
@@ -240,6 +240,45 @@
     assert_eq!(usable(&directory), ["a@5"]);
 }
 
+/// Guards against a removed upstream that gets requests from an entry that has started since.
+#[test]
+fn told_removal_withholds_what_is_listed_and_what_comes_back() {
+    let mut teller = listed(&[starting("a", 5, false), starting("b", 5, false)]);
+    teller.remove("a", 100);
+    teller.remove("b", 200);
+    teller.put(starting("a", 5, false), 300);
+    let told = teller.removed();
+    assert_eq!(told, ["b@5".into(), "a@5".into()]);
+    let mut directory = listed(&[starting("a", 5, false), starting("c", 5, false)]);
+    for instance in &told {
+        assert!(directory.record_told_removal(instance, 1_000));
+    }
+    directory.put(starting("b", 5, false), 2_000);
+    assert_eq!(usable(&directory), ["c@5"]);
+    assert!(!directory.sweep(5_799));
+    assert!(directory.sweep(5_800), "the first has stayed");
+    assert!(directory.sweep(6_800), "and the second");
+    assert_eq!(usable(&directory).len(), 3);
+    assert!(directory.removed().is_empty(), "all are used");
+}
+
+/// Guards against an upstream that is withheld again each time that a peer comes back which has not heard that
+/// it lives.
+#[test]
+fn told_removal_of_a_known_departure_ignored() {
+    let mut directory = listed(&[starting("a", 5, false), starting("b", 5, false)]);
+    directory.remove("a", 100);
+    directory.put(starting("a", 5, false), 200);
+    assert!(directory.sweep(5_000));
+    directory.set_lapses(Lapses::Until(LAPSES_UNTIL_MS), 9_000);
+    directory.remove("b", 9_000);
+    assert!(directory.sweep(LAPSES_UNTIL_MS));
+    directory.put(starting("b", 5, false), 12_000);
+    assert!(!directory.record_told_removal("a@5", 13_000));
+    assert!(!directory.record_told_removal("b@5", 13_000));
+    assert_eq!(usable(&directory).len(), 2);
+}
+
 #[test]
 fn put_after_a_lapse_in_an_outage_used_at_once() {
     let mut directory = listed(&[starting("a", 5, false)]);
