bench: control plays a restart of all entries in turn

Changes have to reach callers while entries are replaced. The model did not play it.

The scene rolling-restart stops and starts all entries in 20 steps over a minute, while the list of upstreams changes twice a second.

--- a/bench/src/control.rs
+++ b/bench/src/control.rs
@@ -24,7 +24,8 @@
 messages, bytes and processor time a second. Then plays what all N entries tell each other of
 liveness and changes in virtual time, and prints one JSON line for each size and scene. Scenes: calm,
 loss (one datagram in twenty), half-killed, cut (one of five data centres), all-started (all start
-within 0.3 s, and nobody has a list); none plays none of them.
+within 0.3 s, and nobody has a list), rolling-restart (all are restarted in turn within a minute, while
+the list changes; above 357 entries only if named); none plays none of them.
 --plot also draws all of it, by the size of the fleet, as an SVG file.
 ";
 
@@ -34,6 +35,10 @@
 /// Default sizes of the fleet.
 const ENTRIES: [usize; 5] = [30, 100, 357, 714, 1_000];
 
+/// Entries up to which a rolling restart is played unless it is asked for by name. It takes over
+/// 100 s at twice as many.
+const MAX_RESTARTED: usize = 357;
+
 /// Measures what the arguments ask for.
 ///
 /// # Errors
@@ -44,6 +49,7 @@
     let mut seconds = 5;
     let mut scenes = Scene::ALL.to_vec();
     let mut plays_all_started = true;
+    let mut plays_rolling_restart = true;
     let mut plot_file: Option<PathBuf> = None;
     while let Some(argument) = parser.next()? {
         match argument {
@@ -56,7 +62,9 @@
                 let name = parser.value()?.string()?;
                 scenes.retain(|(known, _)| *known == name);
                 plays_all_started = name == starts::ALL_STARTED;
-                let is_known = !scenes.is_empty() || plays_all_started;
+                plays_rolling_restart = name == starts::ROLLING_RESTART;
+                let plays_starts = plays_all_started || plays_rolling_restart;
+                let is_known = !scenes.is_empty() || plays_starts;
                 if !is_known && name != NO_SCENE {
                     bail!("no scene is named {name:?}; `--help` lists them");
                 }
@@ -86,6 +94,10 @@
         if plays_all_started {
             print_line(&starts::all_started(entries, SEED))?;
         }
+        let is_named = scenes.is_empty();
+        if plays_rolling_restart && (is_named || entries <= MAX_RESTARTED) {
+            print_line(&starts::rolling_restart(entries, SEED))?;
+        }
     }
     match plot_file {
         Some(file) => plot::draw(&plot::panels(&costs, &reports), &file),
--- a/bench/src/control/play/starts.rs
+++ b/bench/src/control/play/starts.rs
@@ -11,6 +11,7 @@
 use rand::rngs::StdRng;
 use sardinewood::direct::membership::heartbeat_round::HeartbeatRound;
 use sardinewood::direct::membership::peer_message::CatalogPosition;
+use sardinewood::direct::membership::peer_message::Heartbeat;
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::membership::peer_message::Revisions;
 use sardinewood::direct::membership::peer_table::PeerTable;
@@ -28,6 +29,7 @@
 use super::LONG_CHANGE_BYTES;
 use super::PULL_US;
 use super::Play;
+use super::QUIET_MS;
 use super::SHORT_CHANGE_BYTES;
 use super::Scene;
 use super::UPSTREAMS_OF_ENTRY;
@@ -38,6 +40,15 @@
 /// Time within which all entries start.
 const START_SPAN_MS: u64 = 300;
 const LONGEST_START_MS: u64 = 20_000;
+/// Rounds in which the whole fleet is restarted, and their time in all.
+const STEPS: usize = 20;
+const RESTART_MS: u64 = 60_000;
+const DOWN_MS: u64 = 500;
+const CHANGE_INTERVAL_MS: usize = 500;
+/// Time of the first change after the first stop, so that changes fall on all phases of a step.
+const FIRST_CHANGE_MS: u64 = 50;
+/// Time for the last change and the last restarted entries.
+const TAIL_MS: u64 = 5_000;
 const US_PER_S: u64 = 1_000 * US_PER_MS;
 
 /// Kinds of objects that are listed and watched, each by calls of its own.
@@ -177,6 +188,12 @@
     calls: u64,
     /// Entries that have called it.
     callers: BTreeSet<usize>,
+    /// Revision of the list before the changes.
+    first_revision: u64,
+    /// When each change of the list was made.
+    changed_us: Vec<u64>,
+    /// Time from the start of each entry until it had a list.
+    listed_after_us: Vec<u64>,
 }
 
 /// A process of an entry.
@@ -189,6 +206,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) enum StartEvent {
     Start(usize),
+    Stop(usize),
+    Change,
     /// A call is due, is answered, or its pause is over.
     Call {
         by: Process,
@@ -255,6 +274,84 @@
 /// Name of the scene of [`all_started`].
 pub const ALL_STARTED: &str = "all-started";
 
+/// Name of the scene of [`rolling_restart`].
+pub const ROLLING_RESTART: &str = "rolling-restart";
+
+/// What a restart of all entries in turn came to.
+#[derive(Clone, Debug, Serialize)]
+pub struct RestartReport {
+    /// Entries of the fleet.
+    pub entries: usize,
+    /// The scene's name.
+    pub scene: &'static str,
+    /// Rounds in which a part of the fleet is stopped, over a minute.
+    pub steps: usize,
+    /// Entries that have come back.
+    pub restarted: usize,
+    /// Changes of the store meanwhile.
+    pub changes: usize,
+    /// Middle and longest time from a change until no entry with a list lacks it any more.
+    pub change_ms: [u64; 2],
+    /// Middle and longest time from the start of an entry until it has the lists.
+    pub listed_ms: [u64; 2],
+    /// Calls to the store in that time.
+    pub store_calls: u64,
+    /// Entries that have made them.
+    pub store_callers: usize,
+    /// Traffic in that time.
+    pub worst_second: WorstSecond,
+}
+
+/// Plays a restart of all entries in turn, over a minute in which the list of upstreams changes
+/// twice a second. Each announces its exit and comes back half a second later under its address.
+///
+/// ```
+/// use sardinewood_bench::control::play::starts::rolling_restart;
+///
+/// assert_eq!(rolling_restart(10, 1).restarted, 10);
+/// ```
+#[must_use]
+pub fn rolling_restart(entries: usize, seed: u64) -> RestartReport {
+    let mut fleet = Play::starting(entries, seed);
+    fleet.run_until(QUIET_MS);
+    if let Some(store) = fleet.store.as_mut() {
+        store.calls = 0;
+        store.callers.clear();
+        store.listed_after_us.clear();
+    }
+    for number in 0..entries {
+        let step = (number * STEPS / entries) as u64;
+        let stopped_ms = QUIET_MS + step * RESTART_MS / STEPS as u64;
+        fleet.at(
+            stopped_ms * US_PER_MS,
+            Event::Start(StartEvent::Stop(number)),
+        );
+    }
+    for changed_ms in (0..RESTART_MS).step_by(CHANGE_INTERVAL_MS) {
+        let changed_us = (QUIET_MS + FIRST_CHANGE_MS + changed_ms) * US_PER_MS;
+        fleet.at(changed_us, Event::Start(StartEvent::Change));
+    }
+    let mut lags_ms: Vec<u64> = Vec::new();
+    for now_ms in QUIET_MS..QUIET_MS + RESTART_MS + TAIL_MS {
+        fleet.run_until(now_ms + 1);
+        fleet.record_lags(&mut lags_ms);
+    }
+    let store = fleet.store.take().unwrap_or_default();
+    let listed_ms = store.listed_after_us.iter().map(|us| us / US_PER_MS);
+    RestartReport {
+        entries,
+        scene: ROLLING_RESTART,
+        steps: STEPS.min(entries),
+        restarted: store.listed_after_us.len(),
+        changes: lags_ms.len(),
+        change_ms: middle_and_most(lags_ms.into_iter()),
+        listed_ms: middle_and_most(listed_ms),
+        store_calls: store.calls,
+        store_callers: store.callers.len(),
+        worst_second: fleet.worst_second(QUIET_MS),
+    }
+}
+
 /// Returns the middle and the highest value.
 fn middle_and_most(values: impl Iterator<Item = u64>) -> [u64; 2] {
     let mut values: Vec<u64> = values.collect();
@@ -278,6 +375,7 @@
                 },
                 directory: position,
             },
+            first_revision: position.revision,
             ..Store::default()
         });
         play.pulled_bytes =
@@ -296,6 +394,25 @@
         store.map(|store| store.revisions).unwrap_or_default()
     }
 
+    /// Records for each change of the list for how long some running entry with a list lacks it.
+    fn record_lags(&self, lags_ms: &mut Vec<u64>) {
+        let Some(store) = &self.store else {
+            return;
+        };
+        let first = usize::try_from(store.first_revision).unwrap_or_default();
+        lags_ms.resize(store.changed_us.len(), 0);
+        let running = self.hosts.iter().filter(|host| host.is_up);
+        let listed = running.filter(|host| has_list(host.revisions));
+        let revisions = listed.map(|host| host.revisions.directory.revision);
+        let Some(lowest) = revisions.min() else {
+            return;
+        };
+        let known = usize::try_from(lowest).unwrap_or_default() - first;
+        for (lag_ms, changed_us) in lags_ms.iter_mut().zip(&store.changed_us).skip(known) {
+            *lag_ms = (self.now_us - changed_us) / US_PER_MS;
+        }
+    }
+
     /// Returns the worst second of each entry from a time on.
     fn worst_second(&self, from_ms: u64) -> WorstSecond {
         let first = usize::try_from(from_ms / 1_000).unwrap_or_default();
@@ -332,6 +449,8 @@
     pub(super) fn handle_start(&mut self, event: StartEvent) {
         match event {
             StartEvent::Start(number) => self.start(number),
+            StartEvent::Stop(number) => self.stop(number),
+            StartEvent::Change => self.change_store(),
             StartEvent::Call { by, kind, step } => {
                 let calls = &self.hosts[by.number].follower.calls[kind];
                 if self.is_running(by) && calls.step == step {
@@ -372,6 +491,32 @@
         self.slice(number);
     }
 
+    fn stop(&mut self, number: usize) {
+        let last = PeerMessage::Heartbeat(Heartbeat {
+            is_last: true,
+            ..Heartbeat::default()
+        });
+        let targets: Vec<_> = self.hosts[number].table.heartbeat_targets().collect();
+        self.send(number, &targets, &last);
+        self.hosts[number].is_up = false;
+        self.after(DOWN_MS * US_PER_MS, StartEvent::Start(number));
+    }
+
+    fn change_store(&mut self) {
+        let now_us = self.now_us;
+        let Some(store) = self.store.as_mut() else {
+            return;
+        };
+        store.revisions.directory = store.revisions.directory.following();
+        store.changed_us.push(now_us);
+        for number in 0..self.hosts.len() {
+            let calls = &self.hosts[number].follower.calls[UPSTREAMS];
+            if self.hosts[number].is_up && calls.state == CallState::Open && calls.has_listed {
+                self.await_step(number, UPSTREAMS, CallState::Open, STORE_CALL_US / 2);
+            }
+        }
+    }
+
     /// Decides at the begin of a round of heartbeats who calls the store.
     pub(super) fn update_role(&mut self, number: usize) {
         let now_us = self.now_us;
@@ -477,12 +622,18 @@
 
     /// Records what an entry has, and tells those for which it is a relay.
     fn reach(&mut self, number: usize, revisions: Revisions) {
+        let now_us = self.now_us;
         let host = &mut self.hosts[number];
+        let had_all = has_list(host.revisions);
         let own = &mut host.revisions;
         own.directory = own.directory.max(revisions.directory);
         own.catalog = own.catalog.max(revisions.catalog);
         let own = host.revisions;
         let next = host.relay.take_reached(own);
+        let started_us = host.started_us;
+        if let Some(store) = self.store.as_mut().filter(|_| !had_all && has_list(own)) {
+            store.listed_after_us.push(now_us - started_us);
+        }
         let message = SpreadMessage {
             revisions: own,
             ..SpreadMessage::default()
--- a/bench/tests/test_control.rs
+++ b/bench/tests/test_control.rs
@@ -4,6 +4,7 @@
 use sardinewood_bench::control::play::Scene;
 use sardinewood_bench::control::play::play;
 use sardinewood_bench::control::play::starts::all_started;
+use sardinewood_bench::control::play::starts::rolling_restart;
 use sardinewood_bench::control::plot;
 use sardinewood_bench::control::profile::FleetSize;
 use sardinewood_bench::control::profile::measure;
@@ -91,6 +92,18 @@
     }
 }
 
+/// Guards against changes that wait for entries that have just been restarted, or that those never
+/// learn of: 300 ms is the target at 357 entries.
+#[test]
+fn change_known_everywhere_during_a_rolling_restart() {
+    for seed in 1..=3 {
+        let report = rolling_restart(30, seed);
+        assert_eq!((report.restarted, report.changes), (30, 120), "{report:?}");
+        assert!(report.change_ms[1] <= 300, "{report:?}");
+        assert!(report.listed_ms[1] <= 2_000, "{report:?}");
+    }
+}
+
 #[test]
 fn plot_shows_all_purposes_and_scenes() {
     let costs = [measure(FleetSize::of(5), 1), measure(FleetSize::of(10), 1)].concat();
