--- a/bench/src/direct/load.rs
+++ b/bench/src/direct/load.rs
@@ -19,7 +19,7 @@
 const OUTPUT_WEIGHT: f64 = 10.0;
 /// Spread of prompts, and of answers of usual kinds, as the sigma of a lognormal distribution.
 const SPREAD: f64 = 0.8;
-/// Spread of answers most of which are short and a few very long, as on the users' sheets.
+/// Spread of answers most of which are short and a few very long.
 const SKEWED_SPREAD: f64 = 1.38;
 /// The longest of these in relation to a usual one, likewise.
 const SKEWED_MOST: f64 = 10.0;
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -219,7 +219,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        whole_ms(self.started_at.elapsed())
+        as_ms(self.started_at.elapsed())
     }
 
     fn publish(&self) {
@@ -324,7 +324,10 @@
                     has_news = answer.has_news();
                     self.apply_answer(kind, answer);
                     self.record_response(is_catalog, as_of);
-                    outage.record_answer(kind, self.replica.borrow().lapses_for_ms(self.now_ms()));
+                    outage.record_answer(
+                        kind,
+                        self.replica.borrow().missing_kept_for_ms(self.now_ms()),
+                    );
                     backoff.reset();
                     let pause = pause_after(after, position, has_answer);
                     has_answer = true;
@@ -395,7 +398,7 @@
         let keep = Duration::from_millis(list_use::latest_use_ms(self.channels.drain_bound_ms));
         let last_response = &self.channels.last_response;
         let lapses = last_response.with_answers(|answers| answers.lapses(now, keep));
-        let lapses = lapses.map(|until| whole_ms(until.duration_since(self.started_at)));
+        let lapses = lapses.map(|until| as_ms(until.duration_since(self.started_at)));
         let mut replica = self.replica.borrow_mut();
         replica.set_lapses(lapses, self.now_ms())
     }
@@ -665,7 +668,7 @@
     }
 }
 
-fn whole_ms(time: Duration) -> u64 {
+fn as_ms(time: Duration) -> u64 {
     u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
 
@@ -686,7 +689,7 @@
 /// ```
 #[must_use]
 pub fn longest_delay_ms(bound_ms: u64) -> u64 {
-    whole_ms(BATCH_PAUSE) + 2 * watch_wait_ms(bound_ms) + MIN_RETRY_PAUSE_MS
+    as_ms(BATCH_PAUSE) + 2 * watch_wait_ms(bound_ms) + MIN_RETRY_PAUSE_MS
 }
 
 /// Returns the pause before the next watch, given the known position, the one that the store sent,
--- a/lib/src/direct/store_view/answer_history.rs
+++ b/lib/src/direct/store_view/answer_history.rs
@@ -139,9 +139,12 @@
         self.own_answered
     }
 
-    /// Returns whether upstreams that the store does not list may have lapsed in an outage. They may have
-    /// been removed as soon as the store was back, which is at the earliest when the last call failed in
-    /// the outage. `keep` is the time for which a removed upstream may still be used.
+    /// Returns whether upstreams that the store does not list may have lapsed in its latest outage, which is a
+    /// gap between its answers to anybody.
+    ///
+    /// When the last call of this entry began that failed in the gap, the store was still away. It may have
+    /// been back, and may have removed upstreams, right after that, so they are used for `keep` from then on:
+    /// the time for which a removed upstream may still be used.
     ///
     /// ```
     /// # use std::time::Duration;
--- a/lib/src/direct/store_view/directory.rs
+++ b/lib/src/direct/store_view/directory.rs
@@ -216,9 +216,9 @@
 ///
 /// During an outage, the store loses the entries of live upstreams because they cannot renew them.
 /// If this process applied that list, it would drop all of its upstreams as soon as the store
-/// returns, and refuse all requests. Upstreams that disappear while entries may have lapsed, which
-/// [`Self::set_lapses`] says, are therefore kept until then. Upstreams that disappear at other
-/// times, or that had announced their end, are removed at once.
+/// returns, and refuse all requests. Upstreams that disappear while entries may have lapsed are
+/// therefore kept until the deadline that [`Self::set_lapses`] has named. Upstreams that disappear at
+/// other times, or that had announced their end, are removed at once.
 ///
 /// The last write of an incarnation that has ended may be applied seconds late and replace the
 /// entry of its successor. If it were accepted at once, the counts, the drain state and the speed
@@ -299,10 +299,10 @@
     ///
     /// ```
     /// # use sardinewood::direct::store_view::directory::Directory;
-    /// assert_eq!(Directory::default().lapses_for_ms(0), None);
+    /// assert_eq!(Directory::default().missing_kept_for_ms(0), None);
     /// ```
     #[must_use]
-    pub fn lapses_for_ms(&self, now_ms: u64) -> Option<u64> {
+    pub fn missing_kept_for_ms(&self, now_ms: u64) -> Option<u64> {
         match self.lapses {
             Lapses::Until(until_ms) => until_ms.checked_sub(now_ms),
             Lapses::Excluded | Lapses::Possible => None,
@@ -338,7 +338,7 @@
     }
 
     /// Records that the store has returned from an older copy of itself, before the entries of the copy are
-    /// applied by [`Self::put_of_copy`], and what it lacks by [`Self::lose`].
+    /// applied by [`Self::put_of_copy`], and what it lacks by [`Self::keep_lost`].
     ///
     /// ```
     /// sardinewood::direct::store_view::directory::Directory::default().begin_era(1_000);
@@ -347,14 +347,14 @@
         self.era_settled_ms = now_ms + self.era_grace_ms();
     }
 
-    /// Records that the store has returned from an older copy of itself, which lacks an upstream. The
-    /// upstream registered after the copy was taken. It is still used for [`Self::era_grace_ms`], in which
-    /// it writes its entry again, unless it has announced its end.
+    /// Keeps an upstream that the older copy lacks from which the store has returned, as it registered after
+    /// the copy was taken. It is used for [`Self::era_grace_ms`], in which it writes its entry again. One
+    /// that has announced its end is removed.
     ///
     /// ```
-    /// sardinewood::direct::store_view::directory::Directory::default().lose("i-1", 1_000);
+    /// sardinewood::direct::store_view::directory::Directory::default().keep_lost("i-1", 1_000);
     /// ```
-    pub fn lose(&mut self, name: &str, now_ms: u64) {
+    pub fn keep_lost(&mut self, name: &str, now_ms: u64) {
         let until_ms = now_ms + self.era_grace_ms();
         match self.entries.get_mut(name) {
             Some(entry) if !entry.upstream.is_leaving => {
--- a/lib/src/direct/store_view/lapses.rs
+++ b/lib/src/direct/store_view/lapses.rs
@@ -3,7 +3,7 @@
 /// What is known of an outage in which entries of upstreams may have lapsed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Lapses<T> {
-    /// They have not lapsed, as the store answered some entry all the time.
+    /// They have not lapsed, as the store answered some entry all the time, or no outage is known.
     #[default]
     Excluded,
     /// They may have. Upstreams that disappear are not used, as they may as well have been removed long
--- a/lib/src/direct/store_view/replica.rs
+++ b/lib/src/direct/store_view/replica.rs
@@ -144,8 +144,8 @@
     /// Returns for how long upstreams whose entries disappear now are used; none if they are removed at
     /// once.
     #[must_use]
-    pub fn lapses_for_ms(&self, now_ms: u64) -> Option<u64> {
-        self.directory.lapses_for_ms(now_ms)
+    pub fn missing_kept_for_ms(&self, now_ms: u64) -> Option<u64> {
+        self.directory.missing_kept_for_ms(now_ms)
     }
 
     /// Returns the time at which [`Self::sweep`] is due next.
@@ -403,7 +403,7 @@
         }
         for name in missing.keys() {
             self.invalid_names.swap_remove(name);
-            self.directory.lose(name, now_ms);
+            self.directory.keep_lost(name, now_ms);
         }
         self.removals.restart(newest);
         Line::new(Level::Warn, "upstreams listed in a new era of the store")
@@ -511,7 +511,7 @@
             self.removals.record(name, version);
         }
         if self.directory.remove(name, now_ms) == RemoveEffect::Kept {
-            let kept_for_ms = self.lapses_for_ms(now_ms);
+            let kept_for_ms = self.missing_kept_for_ms(now_ms);
             self.log(now_ms, "upstream is missing after an outage", |line| {
                 line.field("upstream", name)
                     .field("kept_for_ms", kept_for_ms)
