--- a/bench/src/control/play.rs
+++ b/bench/src/control/play.rs
@@ -594,14 +594,20 @@
             let host = &mut self.hosts[number];
             host.revisions = revisions;
             let targets = host.table.spread_targets(now_ms);
-            for group in spread_tree::relay_groups(targets, || self.random.random()) {
-                let message = PeerMessage::Spread(SpreadMessage {
-                    revisions,
-                    update: update.clone(),
-                    pass_on_to: group.others,
-                });
-                self.send(number, &[group.relay], &message);
-            }
+            self.spread(number, targets, &update);
+        }
+    }
+
+    /// Sends a change that an entry has read from the store to all peers, most of which get it from relays.
+    fn spread(&mut self, number: usize, targets: Vec<(EntryHost, SocketAddr)>, update: &[u8]) {
+        let revisions = self.hosts[number].revisions;
+        for group in spread_tree::relay_groups(targets, || self.random.random()) {
+            let message = PeerMessage::Spread(SpreadMessage {
+                revisions,
+                update: update.to_vec(),
+                pass_on_to: group.others,
+            });
+            self.send(number, &[group.relay], &message);
         }
     }
 
--- a/bench/src/control/play/starts.rs
+++ b/bench/src/control/play/starts.rs
@@ -15,7 +15,6 @@
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::membership::peer_message::Revisions;
 use sardinewood::direct::membership::peer_table::PeerTable;
-use sardinewood::direct::membership::spread_tree;
 use sardinewood::direct::membership::store_role::StoreRole;
 use sardinewood::direct::replication::spread::SpreadMessage;
 use sardinewood::direct::replication::spread::SpreadStep;
@@ -643,18 +642,10 @@
 
     fn spread_from(&mut self, number: usize, before: Revisions) {
         let host = &self.hosts[number];
-        let revisions = host.revisions;
         let targets = host.table.spread_targets(host.clock_ms(self.now_us));
         let is_short = has_list(before);
         let update = vec![7; if is_short { SHORT_CHANGE_BYTES } else { 0 }];
-        for group in spread_tree::relay_groups(targets, || self.random.random()) {
-            let message = PeerMessage::Spread(SpreadMessage {
-                revisions,
-                update: update.clone(),
-                pass_on_to: group.others,
-            });
-            self.send(number, &[group.relay], &message);
-        }
+        self.spread(number, targets, &update);
     }
 
     pub(super) fn receive_spread(&mut self, to: usize, from: usize, spread: &SpreadMessage) {
--- a/lib/src/direct/freshness_driver.rs
+++ b/lib/src/direct/freshness_driver.rs
@@ -28,7 +28,6 @@
 use crate::direct::store_view::freshness::FreshnessStep;
 use crate::direct::store_view::freshness::ListMark;
 use crate::direct::store_view::lapses::Lapses;
-use crate::direct::store_view::list_use;
 use crate::direct::store_view::list_use::CONFIRM_WAIT_MS;
 use crate::direct::store_view::list_use::ConfirmStep;
 use crate::direct::store_view::list_use::ListUse;
@@ -171,9 +170,7 @@
             return;
         }
         let now = Instant::now();
-        let keep = Duration::from_millis(list_use::latest_use_ms(self.drain_bound_ms.get()));
-        let answers = &self.last_store_response;
-        let lapses = answers.with_answers(|answers| answers.lapses(now, keep));
+        let lapses = self.last_store_response.lapses(self.drain_bound_ms.get());
         let is_over = |until: Instant| lapses == Lapses::Excluded || now >= until;
         let over = missing.iter().filter(|(_, until)| is_over(**until));
         let over: IndexSet<Arc<str>> = over.map(|(instance, _)| Arc::clone(instance)).collect();
--- a/lib/src/direct/replication/last_response.rs
+++ b/lib/src/direct/replication/last_response.rs
@@ -5,6 +5,7 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::time::Duration;
 
 use tokio::time::Instant;
 
@@ -13,6 +14,8 @@
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_message::whole_ms;
 use crate::direct::store_view::answer_history::AnswerHistory;
+use crate::direct::store_view::lapses::Lapses;
+use crate::direct::store_view::list_use;
 use crate::store::position::StorePosition;
 
 /// A time at which the store had nothing newer than a position.
@@ -174,6 +177,20 @@
         use_answers(&mut self.coverages().answers)
     }
 
+    /// Returns whether upstreams that the store does not list may have lapsed in an outage, given the time after
+    /// an upstream's removal within which requests may still reach it.
+    ///
+    /// ```
+    /// # use sardinewood::direct::replication::last_response::LastStoreResponse;
+    /// # use sardinewood::direct::store_view::lapses::Lapses;
+    /// assert_eq!(LastStoreResponse::default().lapses(2_000), Lapses::Excluded);
+    /// ```
+    #[must_use]
+    pub fn lapses(&self, drain_bound_ms: u64) -> Lapses<Instant> {
+        let keep = Duration::from_millis(list_use::latest_use_ms(drain_bound_ms));
+        self.with_answers(|answers| answers.lapses(Instant::now(), keep))
+    }
+
     /// Returns how old the store's word is that a reader uses the newest configuration and list.
     ///
     /// ```
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -38,7 +38,6 @@
 use crate::direct::replication::update_codec;
 use crate::direct::replication::update_codec::Encoding;
 use crate::direct::store_view::answer_history::Answered;
-use crate::direct::store_view::list_use;
 use crate::direct::store_view::replica::ObjectDecoders;
 use crate::direct::store_view::replica::ReplicaSnapshot;
 use crate::direct::store_view::replica::StoreReplica;
@@ -394,10 +393,8 @@
     /// Tells the replica whether entries of upstreams may have lapsed in an outage of the store. Returns
     /// whether the view has changed.
     fn update_lapses(&self) -> bool {
-        let now = Instant::now();
-        let keep = Duration::from_millis(list_use::latest_use_ms(self.channels.drain_bound_ms));
-        let last_response = &self.channels.last_response;
-        let lapses = last_response.with_answers(|answers| answers.lapses(now, keep));
+        let channels = &self.channels;
+        let lapses = channels.last_response.lapses(channels.drain_bound_ms);
         let lapses = lapses.map(|until| as_ms(until.duration_since(self.started_at)));
         let mut replica = self.replica.borrow_mut();
         replica.set_lapses(lapses, self.now_ms())
