--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -16,6 +16,7 @@
 //! operators.
 
 pub mod freshness_driver;
+pub mod load_policy;
 pub mod log_rate_limit;
 pub mod membership;
 pub mod metrics;
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -25,6 +25,7 @@
 use tokio::time::Instant;
 use tokio::time::sleep;
 
+use crate::direct::load_policy::LoadPolicy;
 use crate::direct::membership::gossip;
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Revisions;
@@ -120,6 +121,8 @@
     /// Time after an upstream's announcement that it leaves, or its removal, within which it may still
     /// get requests.
     pub drain_bound: Duration,
+    /// The optional decisions under load.
+    pub load_policy: LoadPolicy,
 }
 
 impl DirectSettings {
@@ -368,6 +371,7 @@
         .set(settings.upstream_silence_ms());
     traffic.config_bound_ms.set(settings.config_bound_ms());
     traffic.drain_bound_ms.set(settings.drain_bound_ms());
+    traffic.load_policy.set(settings.load_policy);
     let callers = listen(settings.caller_address, "callers").await?;
     let readiness = listen(settings.readiness_address, "readiness").await?;
     let metrics = listen(settings.metrics_address, "metrics").await?;
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::direct::load_policy::LoadPolicy;
 use crate::direct::log_rate_limit;
 use crate::direct::log_rate_limit::LogCategory;
 use crate::direct::log_rate_limit::LogRateLimiter;
@@ -115,6 +116,8 @@
     /// Time after an upstream's announcement that it leaves, or its removal, within which it may still
     /// get requests.
     pub drain_bound_ms: Cell<u64>,
+    /// The optional decisions under load.
+    pub load_policy: Cell<LoadPolicy>,
     /// When the list of upstreams was last known to be the newest one.
     pub list_freshness: Cell<Freshness>,
     /// Incarnations that are used until these times although the store does not list them, as their entries
@@ -353,6 +356,7 @@
             config_bound_ms: Cell::new(DEFAULT_CONFIG_BOUND_MS),
             catalog_freshness: Cell::default(),
             drain_bound_ms: Cell::new(DEFAULT_CONFIG_BOUND_MS),
+            load_policy: Cell::default(),
             list_freshness: Cell::default(),
             revisions: Cell::default(),
             has_upstreams: Cell::new(false),
