direct: requests of a size with a start deficit wait in more queues, and longer

Cause: a size with a start deficit goes first of its kind only within the three queues in which its requests wait. The long answers of the second tier wait at fast engines only, where the tier above leaves a slot to them for short moments; the short ones of the same kind start at slow engines.

Change: such a request asks up to nine queues, the additional ones only at engines at which it ends in time and takes no more than twice as long as at the best one asked, and waits for most of the longest wait. Requests without a deficit ask and wait as before.

--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -42,6 +42,11 @@
 /// Factor by which the first event may take longer than expected when the engine also reads other
 /// prompts.
 const FIRST_EVENT_MARGIN: f64 = 1.3;
+/// Factor by which a request may take longer at an additional engine than at the best one whose
+/// queue it has asked. Engines that are 4.4 times slower than others would be held by large
+/// requests for as much longer: in virtual time at three times the capacity, the share of worth of
+/// the least important kind falls from 0.18 to 0.09 without this bound.
+const MAX_ADDITIONAL_SLOWNESS: f64 = 2.0;
 
 /// Numbers of upstreams of a service by their state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -399,6 +404,38 @@
         Some(Arc::clone(&best.upstream))
     }
 
+    /// Returns whether a request is likely to finish at an upstream in time, and does not take much
+    /// longer there than at the best one of those whose queues it has asked.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(!Dispatcher::default().is_about_as_fast("i-1", &[], &job, 0));
+    /// ```
+    #[must_use]
+    pub fn is_about_as_fast(
+        &self,
+        instance: &str,
+        asked: &[Arc<str>],
+        job: &Job,
+        now_ms: u64,
+    ) -> bool {
+        let Some(tracked) = self.upstreams.get(instance) else {
+            return false;
+        };
+        let baseline = self.baseline_for(&job.service);
+        let best_ms = asked
+            .iter()
+            .filter_map(|asked| self.upstreams.get(asked))
+            .map(|asked| asked.unloaded_ms(job, baseline))
+            .fold(f64::INFINITY, f64::min);
+        tracked.ends_in_time(job, baseline, now_ms)
+            && tracked.unloaded_ms(job, baseline) <= best_ms * MAX_ADDITIONAL_SLOWNESS
+    }
+
     fn cheapest<'a>(
         &self,
         job: &Job,
--- a/lib/src/direct/placement/job.rs
+++ b/lib/src/direct/placement/job.rs
@@ -29,6 +29,12 @@
 /// Share of the caller's patience, in percent, for which the most important requests may wait. The
 /// first event has to arrive within the rest.
 const MAX_WAIT_PERCENT: u64 = 85;
+/// Wait of a request with a start deficit between the least and the longest wait. Its size gets a
+/// slot only when no tier above waits for it, which takes longer than the less important tiers
+/// wait. With 1.0, three times as many answers are cut at their deadlines in virtual time (0.003
+/// of the requests instead of 0.001); with 0.5, the largest requests are served 0.61 instead of
+/// 0.67 times as often as all of their kind.
+const DEFICIT_WAIT_SHARE: f64 = 0.7;
 /// A refused caller is asked to retry after its remaining time divided by this. Compared with a
 /// quarter of the time, a tenth served more on heavy days (0.01 of the worth), and served the
 /// callers a second sooner.
@@ -148,7 +154,8 @@
     /// The most important requests wait for as long as their callers do, because a late answer is
     /// better than none. Less important requests stop waiting sooner: under overload they would be
     /// passed over until their callers leave. A caller that is refused early can retry at a calmer
-    /// time.
+    /// time. A request with a start deficit waits for most of the longest wait, because it goes first
+    /// among those of its kind.
     ///
     /// ```
     /// # use sardinewood::direct::placement::job::Job;
@@ -164,8 +171,13 @@
         let min_ms = (self.objective_at_ms - self.arrived_ms) * MIN_WAIT_PERCENT / 100;
         let caller_leaves_at_ms = self.caller_leaves_at_ms.min(self.deadline_at_ms);
         let max_ms = caller_leaves_at_ms.saturating_sub(self.read_at_ms) * MAX_WAIT_PERCENT / 100;
-        let extra_ms =
-            numbers::as_f64(max_ms.saturating_sub(min_ms)) * admission::tier_worth(self.tier);
+        let tier_share = admission::tier_worth(self.tier);
+        let extra_share = if self.has_start_deficit {
+            tier_share.max(DEFICIT_WAIT_SHARE)
+        } else {
+            tier_share
+        };
+        let extra_ms = numbers::as_f64(max_ms.saturating_sub(min_ms)) * extra_share;
         self.read_at_ms + min_ms.min(max_ms) + numbers::whole_u64(extra_ms)
     }
 
--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -21,6 +21,13 @@
 /// another owner.
 const RESEND_AFTER_MS: u64 = 250;
 
+/// Admission queues in which a request with a start deficit waits at a time. Higher tiers leave each
+/// queue to it for short moments only, so the more queues it waits in, the sooner it starts. In
+/// virtual time with nine engines at three times their capacity, the largest requests are served
+/// 0.41 times as often as all of their kind with three queues, 0.53 with six and 0.62 with nine.
+/// Each further queue costs two messages, for such requests only.
+const MAX_QUEUES_WITH_DEFICIT: usize = 9;
+
 /// The longest wait for an engine that has cached the request's shared prefix, as a multiple of the
 /// prefill time that the cache saves.
 const MAX_WAIT_PER_SAVED_TIME: u64 = 5;
@@ -256,6 +263,18 @@
         self.open_requests.drain(..).map(cancel).collect()
     }
 
+    /// Returns the number of admission queues in which the request may wait at a time. As long as
+    /// none has replied, a request with a start deficit asks as few as any other, so that it starts
+    /// without a grant as soon.
+    fn max_queues(&self) -> usize {
+        let has_reply = self.open_requests.iter().any(|open| open.wait_ms.is_some());
+        if self.job.has_start_deficit && has_reply {
+            MAX_QUEUES_WITH_DEFICIT
+        } else {
+            usize::from(MAX_QUEUES_PER_REQUEST)
+        }
+    }
+
     /// Asks one more admission queue. Returns `None` if there is none left to ask.
     fn ask_next_queue(
         &mut self,
@@ -263,7 +282,8 @@
         now_ms: u64,
         mut random: impl FnMut() -> u64,
     ) -> Option<SearchStep> {
-        if self.open_requests.len() >= usize::from(MAX_QUEUES_PER_REQUEST) {
+        let open_count = self.open_requests.len();
+        if open_count >= self.max_queues() {
             return None;
         }
         let asked_instances: Vec<Arc<str>> = self
@@ -273,6 +293,12 @@
             .collect();
         let draw = || usize::try_from(random() & DRAW_MASK).unwrap_or_default();
         let upstream = dispatcher.choose(&self.job, &asked_instances, now_ms, draw)?;
+        let is_additional = open_count >= usize::from(MAX_QUEUES_PER_REQUEST);
+        if is_additional
+            && !dispatcher.is_about_as_fast(&upstream.instance, &asked_instances, &self.job, now_ms)
+        {
+            return None;
+        }
         let open = OpenSlotRequest {
             id: PeerRequestId::from_random(random()),
             instance: Arc::clone(&upstream.instance),
@@ -325,7 +351,7 @@
     fn expects_too_long_waits(&self, now_ms: u64) -> bool {
         let left_ms = self.job.waits_until_ms().saturating_sub(now_ms);
         let is_too_long = |wait_ms: u32| u64::from(wait_ms) > left_ms;
-        self.open_requests.len() == usize::from(MAX_QUEUES_PER_REQUEST)
+        self.open_requests.len() == self.max_queues()
             && self
                 .open_requests
                 .iter()
--- a/lib/src/direct/placement/tracked_upstream.rs
+++ b/lib/src/direct/placement/tracked_upstream.rs
@@ -306,7 +306,8 @@
     }
 
     /// Returns the expected time of a request at the upstream if nothing else runs there.
-    fn unloaded_ms(&self, job: &Job, baseline: &ServiceBaseline) -> f64 {
+    #[must_use]
+    pub fn unloaded_ms(&self, job: &Job, baseline: &ServiceBaseline) -> f64 {
         let first_ms = self.first_ms(job.unread_tokens(&self.upstream.instance), baseline);
         let events = baseline.expected_events(job.expected_output_tokens);
         first_ms + self.event_gap_ms(baseline) * events
--- a/lib/tests/test_direct_slot_search.rs
+++ b/lib/tests/test_direct_slot_search.rs
@@ -5,6 +5,7 @@
 use indexmap::IndexMap;
 use sardinewood::direct::placement::dispatch::Dispatcher;
 use sardinewood::direct::placement::dispatch::upstream_hash;
+use sardinewood::direct::placement::job::Job;
 use sardinewood::direct::placement::slot_search::REPLY_TIMEOUT_MS;
 use sardinewood::direct::placement::slot_search::SearchStep;
 use sardinewood::direct::placement::slot_search::SlotSearch;
@@ -86,6 +87,94 @@
     assert_eq!(steps, [SearchStep::Refuse]);
 }
 
+/// Lets each admission queue that a request asks reply that it is queued. Returns the engines that
+/// it asks.
+fn asked_while_queued(dispatcher: &Dispatcher, job: Job) -> Vec<Arc<str>> {
+    let mut numbers = numbers();
+    let mut search = SlotSearch::new(job);
+    let mut requests = slot_requests(&search.start(dispatcher, 0, &mut numbers));
+    for position in 0..20 {
+        let Some((id, _)) = requests.get(position).cloned() else {
+            break;
+        };
+        let steps = search.handle_queued(id, 5, dispatcher, 1, &mut numbers);
+        requests.extend(slot_requests(&steps));
+    }
+    let engines = requests.into_iter().map(|(_, engine)| engine);
+    engines.collect()
+}
+
+fn with_start_deficit(tier: u8) -> Job {
+    Job {
+        has_start_deficit: true,
+        ..job(1, tier)
+    }
+}
+
+/// Guards against a size that is hardly ever started because its requests wait in few queues, each
+/// of which higher tiers leave to it for short moments only.
+#[test]
+fn start_deficit_asks_more_queues() {
+    let dispatcher = dispatcher(12);
+    assert_eq!(asked_while_queued(&dispatcher, job(1, 1)).len(), 3);
+    let mut asked = asked_while_queued(&dispatcher, with_start_deficit(1));
+    assert_eq!(asked.len(), 9);
+    asked.sort();
+    asked.dedup();
+    assert_eq!(asked.len(), 9, "each asked once");
+}
+
+/// Guards against large requests that hold the slots of slow engines for several times as long, and
+/// against those that are cut there at their deadlines.
+#[test]
+fn start_deficit_asks_no_slow_engine_in_addition() {
+    let mut dispatcher = dispatcher(12);
+    for number in 0..12 {
+        let slowness = if number < 6 { 1.0 } else { 4.0 };
+        dispatcher.learn(&format!("i-{number}"), |health| {
+            health.first_event(1_000, 20.0 * slowness);
+            health.next_event(10.0 * slowness, 0);
+        });
+    }
+    let asked = asked_while_queued(&dispatcher, with_start_deficit(1));
+    let is_slow = |engine: &&Arc<str>| engine[2..].parse::<u32>().is_ok_and(|number| number >= 6);
+    assert!(asked.len() > 3, "{asked:?}");
+    assert_eq!(asked.iter().skip(3).find(is_slow), None, "{asked:?}");
+    let short_of_time = Job {
+        deadline_at_ms: 200,
+        ..with_start_deficit(1)
+    };
+    assert_eq!(asked_while_queued(&dispatcher, short_of_time).len(), 3);
+}
+
+/// Guards against a request that asks nine lost owners, one after the other, before it starts.
+#[test]
+fn start_deficit_silent_queues_skipped_as_soon() {
+    let dispatcher = dispatcher(12);
+    let mut numbers = numbers();
+    let mut search = SlotSearch::new(with_start_deficit(1));
+    search.start(&dispatcher, 0, &mut numbers);
+    let steps = (1..=3).map(|tick| {
+        let now_ms = tick * REPLY_TIMEOUT_MS;
+        search.handle_timeout(&dispatcher, now_ms, &mut numbers)
+    });
+    assert!(matches!(
+        steps.last().as_deref(),
+        Some([SearchStep::StartWithoutGrant { .. }, ..])
+    ));
+}
+
+/// Guards against requests of a size that is owed starts but leaves before its turn, and against a
+/// change for any other request.
+#[test]
+fn start_deficit_waits_longer() {
+    let wait_ms = |job: Job| job.waits_until_ms();
+    assert_eq!(wait_ms(with_start_deficit(0)), wait_ms(job(1, 0)));
+    assert!(wait_ms(with_start_deficit(1)) > wait_ms(job(1, 1)));
+    assert!(wait_ms(with_start_deficit(2)) > wait_ms(job(1, 2)));
+    assert_eq!(wait_ms(with_start_deficit(2)), 1_518);
+}
+
 #[test]
 fn silent_queues_skipped_then_engine_called() {
     // The entries that own the admission queues have ended, and no entry has noticed yet.
