--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -38,8 +38,13 @@
 pub const ANSWERED_LEVEL: u8 = 4;
 /// The level from which on a build knows [`PeerMessage::RemovedUpstreams`].
 pub const REMOVALS_LEVEL: u8 = 5;
+/// Level of the builds that tell which upstreams they have excluded after invalid answers.
+pub const EXCLUSIONS_LEVEL: u8 = 6;
 /// Level of this build.
-pub const MESSAGE_LEVEL: u8 = REMOVALS_LEVEL;
+pub const MESSAGE_LEVEL: u8 = EXCLUSIONS_LEVEL;
+/// Most excluded upstreams in one heartbeat. One takes 5 bytes. If there are more, the next heartbeats
+/// name the others.
+pub const MAX_EXCLUSIONS: usize = 6;
 /// Age beyond which an answer of the store is not told any more. Upstreams that an outage has concerned
 /// are back or removed by then.
 const MAX_ANSWER_AGE_MS: u32 = 60_000;
@@ -270,6 +275,11 @@
     /// When the store answered the sender; sent from [`ANSWERED_LEVEL`] on.
     #[serde(skip)]
     pub answered_ages: Option<AnsweredAges>,
+    /// Hashes of upstreams that the sender has excluded after invalid answers; sent from
+    /// [`EXCLUSIONS_LEVEL`] on. They are no further [`UpstreamCondition`], as builds below that level
+    /// could not decode a message with one.
+    #[serde(skip)]
+    pub excluded: Vec<u32>,
 }
 
 /// How old an entry's list of upstreams is, in reply to a question.
@@ -557,7 +567,11 @@
     if heartbeat.message_level < ANSWERED_LEVEL {
         return Some(bytes);
     }
-    postcard::to_extend(&heartbeat.answered_ages, bytes).ok()
+    let bytes = postcard::to_extend(&heartbeat.answered_ages, bytes).ok()?;
+    if heartbeat.message_level < EXCLUSIONS_LEVEL {
+        return Some(bytes);
+    }
+    postcard::to_extend(&heartbeat.excluded, bytes).ok()
 }
 
 fn decode_heartbeat_extension(heartbeat: &mut Heartbeat, extension: &[u8]) {
@@ -578,5 +592,9 @@
         return;
     };
     heartbeat.replica_ages = replica_ages;
-    heartbeat.answered_ages = postcard::from_bytes(answered_ages).unwrap_or_default();
+    let Ok((answered_ages, excluded)) = postcard::take_from_bytes(answered_ages) else {
+        return;
+    };
+    heartbeat.answered_ages = answered_ages;
+    heartbeat.excluded = postcard::from_bytes(excluded).unwrap_or_default();
 }
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -16,6 +16,9 @@
     5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 6_400.0, 12_800.0,
 ];
 
+/// Labels of the counters of datagrams to and from peers.
+const PEER_LABELS: &[&str] = &["direction", "purpose"];
+
 /// Metrics of one entry, described in `docs/OPERATIONS.md`.
 ///
 /// ```
@@ -90,6 +93,10 @@
     pub missing_upstreams: IntGauge,
     /// Upstreams that have asked for a backoff that is not over.
     pub upstreams_at_rest: IntGauge,
+    /// Upstreams that are excluded after invalid answers, or get one trial request.
+    pub excluded_upstreams: IntGauge,
+    /// Bytes of upstreams' answers that requests hold.
+    pub held_answer_bytes: IntGauge,
     /// Requests that may have crashed upstreams, or were cleared of the suspicion recently.
     pub suspects: IntGauge,
     /// Quarantined features of requests.
@@ -190,13 +197,9 @@
             peer_datagrams: counters(
                 "peer_datagrams_total",
                 "Datagrams to and from other entries.",
-                &["direction", "purpose"],
-            )?,
-            peer_bytes: counters(
-                "peer_bytes_total",
-                "Bytes of these datagrams.",
-                &["direction", "purpose"],
+                PEER_LABELS,
             )?,
+            peer_bytes: counters("peer_bytes_total", "Bytes of these datagrams.", PEER_LABELS)?,
             pulls: counters("pulls_total", "Updates pulled from entries.", &["result"])?,
             pulls_served: counters("pulls_served_total", "Pulls of entries.", &["result"])?,
             oldest_heartbeat_ms: gauge("oldest_heartbeat_ms", "Age of the oldest heartbeat.")?,
@@ -210,6 +213,8 @@
             leaving_upstreams: gauge("leaving_upstreams", "Upstreams that said they will end.")?,
             missing_upstreams: gauge("missing_upstreams", "Upstreams used and not listed.")?,
             upstreams_at_rest: gauge("upstreams_at_rest", "Upstreams that asked for rest.")?,
+            excluded_upstreams: gauge("excluded_upstreams", "Upstreams with invalid answers.")?,
+            held_answer_bytes: gauge("held_answer_bytes", "Bytes of answers that are held.")?,
             suspects: gauge(
                 "suspects",
                 "Features of requests under which upstreams ended.",
@@ -284,6 +289,8 @@
             &self.leaving_upstreams,
             &self.missing_upstreams,
             &self.upstreams_at_rest,
+            &self.excluded_upstreams,
+            &self.held_answer_bytes,
             &self.suspects,
             &self.held_requests,
             &self.held_parts,
--- a/lib/src/direct/placement.rs
+++ b/lib/src/direct/placement.rs
@@ -4,6 +4,7 @@
 
 pub mod baseline;
 pub mod dispatch;
+pub mod exclusion;
 pub mod health;
 pub mod job;
 pub mod peer_loads;
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -21,6 +21,7 @@
 use crate::direct::placement::shared_prefix::CachedPrefix;
 use crate::direct::placement::shared_prefix::Candidate;
 use crate::direct::placement::shared_prefix::SharedPrefix;
+use crate::direct::placement::tracked_upstream::ExclusionChange;
 use crate::direct::placement::tracked_upstream::Intake;
 use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::placement::tracked_upstream::TrackedUpstream;
@@ -29,7 +30,8 @@
 
 /// Number of randomly sampled upstreams, of which the best is asked.
 const SAMPLED_UPSTREAMS: usize = 4;
-/// One in this many requests that could go to an upstream without measurements is sent there. Such
+/// One in this many requests that could go to an upstream without measurements, or whose trial is due,
+/// is sent there. Such
 /// an upstream is assumed to be typical. If a known one is slightly faster than that and requests
 /// come one after the other, the unmeasured upstream would otherwise never be tried, however fast
 /// it is.
@@ -169,6 +171,60 @@
             .filter(|report| report.requests > 0 || report.condition == UpstreamCondition::Replaced)
     }
 
+    /// Applies a peer's report of the upstreams, by hash, that it has excluded after invalid answers. The
+    /// peer has precedence if it is to try those that this entry has excluded as well.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::dispatch::Dispatcher;
+    /// Dispatcher::default().set_peer_exclusions(&[7], true, 0);
+    /// ```
+    pub fn set_peer_exclusions(&mut self, excluded: &[u32], has_precedence: bool, now_ms: u64) {
+        for hash in excluded {
+            let instance = self.instances.get(hash);
+            let tracked = instance.and_then(|instance| self.upstreams.get_mut(instance));
+            if let Some(tracked) = tracked {
+                tracked.merge_exclusion(has_precedence, self.intervals, now_ms);
+            }
+        }
+    }
+
+    /// Returns the hashes of the upstreams that this entry reports as excluded.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::dispatch::Dispatcher;
+    /// assert_eq!(Dispatcher::default().reported_exclusions(0).count(), 0);
+    /// ```
+    pub fn reported_exclusions(&self, now_ms: u64) -> impl Iterator<Item = u32> {
+        let upstreams = self.upstreams.values();
+        upstreams
+            .filter(move |tracked| tracked.is_exclusion_reported(now_ms))
+            .map(|tracked| tracked.hash)
+    }
+
+    /// Returns the number of upstreams that are excluded after invalid answers.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::dispatch::Dispatcher;
+    /// assert_eq!(Dispatcher::default().excluded_count(), 0);
+    /// ```
+    #[must_use]
+    pub fn excluded_count(&self) -> usize {
+        let upstreams = self.upstreams.values();
+        upstreams.filter(|tracked| tracked.is_excluded()).count()
+    }
+
+    /// Ends the exclusion of an upstream, as the request was the cause.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::dispatch::Dispatcher;
+    /// Dispatcher::default().lift_exclusion("i-1");
+    /// ```
+    pub fn lift_exclusion(&mut self, instance: &str) {
+        if let Some(tracked) = self.upstreams.get_mut(instance) {
+            tracked.lift_exclusion();
+        }
+    }
+
     /// Sets the instances that take canary requests, and those that take nothing but the streams that
     /// their version has begun.
     ///
@@ -216,7 +272,7 @@
         }
     }
 
-    /// Returns the time until the first backoff ends among the upstreams that accept a request of
+    /// Returns the time until the first backoff or exclusion ends among the upstreams that accept a request of
     /// this kind. Returns `None` if one of them can be sent requests now, or if there are none.
     ///
     /// ```
@@ -234,8 +290,12 @@
             if tracked.accepts_requests(now_ms) {
                 return None;
             }
-            if tracked.is_backing_off(now_ms) {
-                let backoff_ms = tracked.backoff_until_ms - now_ms;
+            let until_ms = tracked
+                .excluded_until_ms()
+                .unwrap_or_default()
+                .max(tracked.backoff_until_ms);
+            if now_ms < until_ms {
+                let backoff_ms = until_ms - now_ms;
                 first_end_ms =
                     Some(first_end_ms.map_or(backoff_ms, |known: u64| known.min(backoff_ms)));
             }
@@ -286,11 +346,26 @@
         now_ms: u64,
     ) -> bool {
         self.upstreams.get(instance).is_some_and(|tracked| {
-            let serves = match stream_version {
-                Some(version) => tracked.upstream.version == *version,
-                None => tracked.intake != Intake::BegunStreamsOnly,
-            };
-            serves && tracked.is_listed && tracked.accepts_requests(now_ms)
+            tracked.serves(stream_version) && tracked.accepts_requests(now_ms)
+        })
+    }
+
+    /// Returns whether a request that has a slot at an upstream can be sent there now.
+    ///
+    /// ```
+    /// # let dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
+    /// assert!(!dispatcher.may_send(None, "i-1", 1, 0));
+    /// ```
+    #[must_use]
+    pub fn may_send(
+        &self,
+        stream_version: Option<&Arc<str>>,
+        instance: &str,
+        lease: u64,
+        now_ms: u64,
+    ) -> bool {
+        self.upstreams.get(instance).is_some_and(|tracked| {
+            tracked.serves(stream_version) && tracked.accepts_lease(lease, now_ms)
         })
     }
 
@@ -389,7 +464,9 @@
         for _ in 0..SAMPLED_UPSTREAMS.min(upstreams.len()) {
             sampled.push(upstreams.swap_remove(random() % upstreams.len()));
         }
-        let unmeasured = sampled.iter().find(|tracked| tracked.is_unmeasured());
+        let is_unproven =
+            |tracked: &&&TrackedUpstream| tracked.is_unmeasured() || tracked.is_excluded();
+        let unmeasured = sampled.iter().find(is_unproven);
         if let Some(unmeasured) = unmeasured
             && random().is_multiple_of(EXPLORE_ONE_IN)
         {
@@ -553,10 +630,21 @@
             return None;
         }
         let tracked = self.upstreams.get_mut(instance)?;
-        tracked.running += 1;
+        tracked.occupy_slot();
         Some(Arc::clone(&tracked.upstream))
     }
 
+    /// Records the lease of a request that has just got a slot.
+    ///
+    /// ```
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().acquired("i-1", 1);
+    /// ```
+    pub fn acquired(&mut self, instance: &str, id: u64) {
+        if let Some(tracked) = self.upstreams.get_mut(instance) {
+            tracked.acquired(id);
+        }
+    }
+
     /// Records that a request was sent and has no answer yet.
     ///
     /// ```
@@ -583,7 +671,8 @@
         }
     }
 
-    /// Frees the slot of a request that had started.
+    /// Frees the slot of a request that had started. Returns whether that changes the exclusion of the
+    /// upstream.
     ///
     /// ```
     /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::health::AttemptOutcome};
@@ -596,11 +685,10 @@
         outcome: AttemptOutcome,
         held_ms: u64,
         now_ms: u64,
-    ) {
-        let Some(tracked) = self.upstreams.get_mut(instance) else {
-            return;
-        };
-        let outcome = tracked.finished(id, outcome, self.intervals, now_ms);
+    ) -> Option<ExclusionChange> {
+        let outcome = self.blamed_outcome(instance, outcome);
+        let tracked = self.upstreams.get_mut(instance)?;
+        let (outcome, change) = tracked.finished(id, outcome, self.intervals, now_ms);
         if outcome == AttemptOutcome::Answered {
             let service = Arc::clone(&tracked.upstream.service);
             let baseline = self.baselines.entry(service).or_default();
@@ -609,6 +697,32 @@
         if !tracked.is_listed && tracked.running == 0 {
             self.upstreams.shift_remove(instance);
         }
+        change
+    }
+
+    /// Returns an attempt's outcome as it counts for its upstream. Requests for answers that are too long
+    /// must not exclude most upstreams of a service, so that such an answer only excludes an upstream while
+    /// fewer than half of them are.
+    fn blamed_outcome(&self, instance: &str, outcome: AttemptOutcome) -> AttemptOutcome {
+        let AttemptOutcome::Invalid(part) = outcome else {
+            return outcome;
+        };
+        let Some(tracked) = self.upstreams.get(instance) else {
+            return outcome;
+        };
+        if tracked.is_excluded() || !part.may_depend_on_request() {
+            return outcome;
+        }
+        let (mut listed, mut excluded) = (0, 1);
+        for other in self.upstreams_of(&tracked.upstream.service) {
+            listed += 1;
+            excluded += usize::from(other.is_excluded());
+        }
+        if excluded * 2 <= listed {
+            outcome
+        } else {
+            AttemptOutcome::Failed
+        }
     }
 
     /// Records the number of events of an answer and the number of tokens that its caller expected.
--- a/lib/src/direct/placement/health.rs
+++ b/lib/src/direct/placement/health.rs
@@ -1,5 +1,7 @@
 //! Speed and health of one upstream, as observed from its answers.
 
+use crate::direct::request::answer_bounds::AnswerPart;
+
 /// Weight of a new sample in a moving average. About ten answers replace the previous value, which
 /// at a few answers per second meets the requirement that a slow-down is noticed within seconds.
 const SAMPLE_WEIGHT: f64 = 0.1;
@@ -63,6 +65,8 @@
     Misdirected,
     /// The connection failed or was lost.
     Broken,
+    /// This part of the answer was not valid or exceeded its bound.
+    Invalid(AnswerPart),
     /// This entry ended the attempt, so the upstream is not to blame.
     Abandoned,
 }
@@ -172,9 +176,12 @@
         let failed = match outcome {
             AttemptOutcome::Answered => 0.0,
             AttemptOutcome::Failed | AttemptOutcome::Broken => 1.0,
-            AttemptOutcome::Declined | AttemptOutcome::Misdirected | AttemptOutcome::Abandoned => {
-                return;
-            }
+            // An invalid answer excludes the upstream until a trial succeeds, and then it is used as
+            // before.
+            AttemptOutcome::Invalid(_)
+            | AttemptOutcome::Declined
+            | AttemptOutcome::Misdirected
+            | AttemptOutcome::Abandoned => return,
         };
         self.failure_rate += (failed - self.failure_rate) * SAMPLE_WEIGHT;
         if outcome == AttemptOutcome::Broken {
--- a/lib/src/direct/placement/tracked_upstream.rs
+++ b/lib/src/direct/placement/tracked_upstream.rs
@@ -9,6 +9,8 @@
 use crate::direct::membership::peer_message::UpstreamLoad;
 use crate::direct::placement::baseline::ServiceBaseline;
 use crate::direct::placement::dispatch::upstream_hash;
+use crate::direct::placement::exclusion::Exclusion;
+use crate::direct::placement::exclusion::TrialOutcome;
 use crate::direct::placement::health::AttemptOutcome;
 use crate::direct::placement::health::ObservedHealth;
 use crate::direct::placement::job::Job;
@@ -37,6 +39,11 @@
 const MIN_PEER_CONDITION_MS: u64 = 700;
 /// The same as a percentage of the time between two heartbeats.
 const PEER_CONDITION_PERCENT: u64 = 150;
+/// Shortest time for which a peer's report of an invalid answer is used. A heartbeat may name only some
+/// of the upstreams that its sender has excluded, so this covers several of them.
+const MIN_PEER_EXCLUSION_MS: u64 = 2_000;
+/// The same in times between two heartbeats.
+const PEER_EXCLUSION_HEARTBEATS: u64 = 3;
 /// Time until entries learn that an entry of the list was removed.
 const REMOVAL_KNOWN_AFTER_MS: u64 = 400;
 
@@ -63,6 +70,10 @@
         MIN_PEER_CONDITION_MS.max(self.heartbeat_ms * PEER_CONDITION_PERCENT / 100)
     }
 
+    fn peer_exclusion_ms(self) -> u64 {
+        MIN_PEER_EXCLUSION_MS.max(self.heartbeat_ms * PEER_EXCLUSION_HEARTBEATS)
+    }
+
     /// Returns how long an upstream is not used after another process has answered at its address.
     /// The late write of an incarnation that has ended can replace the entry of its successor or
     /// stand beside it. If such an entry stays for longer, the upstream is tried again with one
@@ -112,6 +123,17 @@
     replaced_until_ms: u64,
     /// End of the time for which a peer's report of that is used.
     peer_replaced_until_ms: u64,
+    /// The exclusion of the upstream after an invalid answer, until a trial succeeds.
+    exclusion: Option<Exclusion>,
+}
+
+/// A change of whether an upstream is excluded.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ExclusionChange {
+    /// It has sent an invalid answer, and gets no request until a trial is due.
+    Excluded,
+    /// A trial has succeeded.
+    Lifted,
 }
 
 impl TrackedUpstream {
@@ -131,6 +153,7 @@
             peer_stalled_until_ms: 0,
             replaced_until_ms: 0,
             peer_replaced_until_ms: 0,
+            exclusion: None,
         }
     }
 
@@ -157,11 +180,124 @@
         now_ms < self.backoff_until_ms
     }
 
+    /// Returns whether the upstream takes requests that need a version, if they resume a stream.
+    #[must_use]
+    pub fn serves(&self, stream_version: Option<&Arc<str>>) -> bool {
+        let is_served = match stream_version {
+            Some(version) => self.upstream.version == *version,
+            None => self.intake != Intake::BegunStreamsOnly,
+        };
+        is_served && self.is_listed
+    }
+
     /// Returns whether the upstream may be sent requests. One that fails or hangs may still be the
     /// best there is.
     #[must_use]
     pub fn accepts_requests(&self, now_ms: u64) -> bool {
-        !self.is_replaced(now_ms) && !self.is_backing_off(now_ms)
+        !self.is_replaced(now_ms) && !self.is_backing_off(now_ms) && self.may_be_tried(now_ms)
+    }
+
+    /// Returns whether a request that has a slot may be sent.
+    #[must_use]
+    pub fn accepts_lease(&self, id: u64, now_ms: u64) -> bool {
+        let is_allowed = self
+            .exclusion
+            .as_ref()
+            .is_none_or(|exclusion| exclusion.is_trial(id));
+        !self.is_replaced(now_ms) && !self.is_backing_off(now_ms) && is_allowed
+    }
+
+    fn may_be_tried(&self, now_ms: u64) -> bool {
+        let exclusion = self.exclusion.as_ref();
+        exclusion.is_none_or(|exclusion| exclusion.allows_trial(now_ms))
+    }
+
+    /// Returns whether the upstream is excluded, or its next request is a trial.
+    #[must_use]
+    pub fn is_excluded(&self) -> bool {
+        self.exclusion.is_some()
+    }
+
+    /// Returns until when the upstream gets no request because it is excluded.
+    #[must_use]
+    pub fn excluded_until_ms(&self) -> Option<u64> {
+        self.exclusion.as_ref().map(Exclusion::until_ms)
+    }
+
+    /// Returns whether peers are told that the upstream is excluded.
+    #[must_use]
+    pub fn is_exclusion_reported(&self, now_ms: u64) -> bool {
+        let exclusion = self.exclusion.as_ref();
+        exclusion.is_some_and(|exclusion| exclusion.is_reported(now_ms))
+    }
+
+    /// Applies a peer's report that it has excluded the upstream. Of two entries that have both observed
+    /// an invalid answer, the one with precedence goes on.
+    pub fn merge_exclusion(
+        &mut self,
+        has_precedence: bool,
+        intervals: ReportIntervals,
+        now_ms: u64,
+    ) {
+        let until_ms = now_ms + intervals.peer_exclusion_ms();
+        match &mut self.exclusion {
+            Some(exclusion) => exclusion.merge_report(until_ms, has_precedence, now_ms),
+            None => self.exclusion = Some(Exclusion::reported(until_ms)),
+        }
+    }
+
+    /// Ends the exclusion because the request was the cause: another upstream has sent a similar answer
+    /// to it.
+    pub fn lift_exclusion(&mut self) {
+        self.exclusion = None;
+    }
+
+    /// Counts a request that has a slot.
+    pub fn occupy_slot(&mut self) {
+        self.running += 1;
+        if let Some(exclusion) = &mut self.exclusion {
+            exclusion.choose_trial();
+        }
+    }
+
+    /// Records the lease of a request that has just got a slot.
+    pub fn acquired(&mut self, id: u64) {
+        if let Some(exclusion) = &mut self.exclusion {
+            exclusion.begin_trial(id);
+        }
+    }
+
+    fn update_exclusion(
+        &mut self,
+        id: u64,
+        outcome: AttemptOutcome,
+        now_ms: u64,
+    ) -> Option<ExclusionChange> {
+        let trial_outcome = match outcome {
+            AttemptOutcome::Answered | AttemptOutcome::Failed => TrialOutcome::Succeeded,
+            AttemptOutcome::Invalid(_) | AttemptOutcome::Broken => TrialOutcome::Failed,
+            AttemptOutcome::Declined | AttemptOutcome::Misdirected | AttemptOutcome::Abandoned => {
+                TrialOutcome::Undecided
+            }
+        };
+        match &mut self.exclusion {
+            Some(exclusion) => {
+                let is_invalid = matches!(outcome, AttemptOutcome::Invalid(_));
+                if is_invalid && !exclusion.is_trial(id) {
+                    exclusion.observe(now_ms);
+                }
+                if exclusion.end(id, trial_outcome, now_ms) {
+                    self.exclusion = None;
+                    return Some(ExclusionChange::Lifted);
+                }
+                None
+            }
+            None if matches!(outcome, AttemptOutcome::Invalid(_)) => {
+                self.exclusion = Some(Exclusion::observed(now_ms));
+                Some(ExclusionChange::Excluded)
+            }
+            None => None,
+        }
     }
 
     /// Returns the condition that this entry itself has observed. Conditions reported by peers are
@@ -230,18 +366,19 @@
     }
 
     /// Frees the slot of a request. Returns how the attempt ended, which is a connection failure if
-    /// it had stalled.
+    /// it had stalled, and whether that changes the exclusion of the upstream.
     pub fn finished(
         &mut self,
         id: u64,
         outcome: AttemptOutcome,
         intervals: ReportIntervals,
         now_ms: u64,
-    ) -> AttemptOutcome {
+    ) -> (AttemptOutcome, Option<ExclusionChange>) {
         self.running = self.running.saturating_sub(1);
         let stalls_at_ms = self.unanswered.swap_remove(&id);
         let has_stalled = stalls_at_ms.is_some_and(|at_ms| now_ms >= at_ms);
-        let outcome = if has_stalled {
+        let is_invalid = matches!(outcome, AttemptOutcome::Invalid(_));
+        let outcome = if has_stalled && !is_invalid {
             AttemptOutcome::Broken
         } else {
             outcome
@@ -250,7 +387,7 @@
             self.replaced_until_ms = now_ms + intervals.misdirected_pause_ms();
         }
         self.health.record_outcome(outcome, now_ms);
-        outcome
+        (outcome, self.update_exclusion(id, outcome, now_ms))
     }
 
     /// Returns the event gap of streams at the upstream, 0 if it is not known.
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -16,6 +16,7 @@
 use crate::direct::membership::peer_message::AnsweredAges;
 use crate::direct::membership::peer_message::CustomerSpending;
 use crate::direct::membership::peer_message::Heartbeat;
+use crate::direct::membership::peer_message::MAX_EXCLUSIONS;
 use crate::direct::membership::peer_message::MESSAGE_LEVEL;
 use crate::direct::membership::peer_message::PeerMessage;
 use crate::direct::membership::peer_message::REMOVALS_LEVEL;
@@ -25,6 +26,7 @@
 use crate::direct::membership::peer_table::PeerTable;
 use crate::direct::membership::spread_tree;
 use crate::direct::membership::store_role::StoreRole;
+use crate::direct::placement::dispatch::Dispatcher;
 use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::replication::spread::SpreadMessage;
 use crate::direct::replication::spread::SpreadRelay;
@@ -252,6 +254,11 @@
             &heartbeat.loads,
             now_ms,
         );
+        traffic.dispatcher.borrow_mut().set_peer_exclusions(
+            &heartbeat.excluded,
+            heartbeat.incarnation < self.incarnation,
+            now_ms,
+        );
         self.update_peer_ahead(heartbeat.revisions, now_ms);
         self.take_word(heartbeat, from, now_ms);
         traffic.grant_slots();
@@ -487,10 +494,25 @@
                 .last_store_response
                 .with_answers(|answers| answers.own_answered())
                 .and_then(|answered| AnsweredAges::new(answered, Instant::now())),
+            excluded: exclusions_of_round(&dispatcher, traffic.now_ms(), self.round),
         }
     }
 }
 
+/// Returns the excluded upstreams that the heartbeats of a round name. If there are many, they take
+/// turns.
+fn exclusions_of_round(dispatcher: &Dispatcher, now_ms: u64, round: u64) -> Vec<u32> {
+    let excluded: Vec<u32> = dispatcher.reported_exclusions(now_ms).collect();
+    let parts = excluded.chunks(MAX_EXCLUSIONS);
+    let count = parts.len().max(1) as u64;
+    let index = usize::try_from(round % count).unwrap_or_default();
+    excluded
+        .chunks(MAX_EXCLUSIONS)
+        .nth(index)
+        .map(<[u32]>::to_vec)
+        .unwrap_or_default()
+}
+
 /// Sends a value, and notifies receivers only if it has changed.
 fn send_if_changed<T: PartialEq>(sender: &watch::Sender<T>, value: T) {
     sender.send_if_modified(|known| {
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -2,12 +2,16 @@
 //!
 //! Other modules make the decisions, such as which upstream gets a request.
 
+pub mod answer_bounds;
 pub mod answer_ending;
+pub mod bounded_io;
 pub mod call;
+pub mod caller_io;
 pub mod connection_pool;
 pub mod exchange;
 pub mod failure_responses;
 pub mod headers;
+pub mod held_bytes;
 pub mod listeners;
 pub mod notices_page;
 pub mod operator_page;
@@ -18,3 +22,4 @@
 pub mod relay;
 pub mod response_body;
 pub mod rollout_page;
+pub mod whole_body;
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -3,8 +3,10 @@
 use std::cell::OnceCell;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use bytes::Bytes;
+use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -18,6 +20,8 @@
 use http_body_util::Limited;
 use hyper::body::Incoming;
 use serde_json::json;
+use tokio::time::Instant;
+use tokio::time::timeout_at;
 
 use crate::caller::headers::HOP_BY_HOP;
 use crate::caller::headers::connection_names;
@@ -51,8 +55,6 @@
 use crate::logging::Line;
 use crate::numbers;
 
-/// Largest body that is accepted if the configuration sets no limit.
-const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
 /// How long a caller waits for a response if its request doesn't say.
 const DEFAULT_REMAINING_MS: u64 = 30_000;
 /// Retry delay for callers while there is no configuration yet. It usually arrives within this
@@ -133,6 +135,8 @@
     pub may_have_run: bool,
     /// How long the request has waited for slots, over all attempts.
     pub waited_ms: u64,
+    /// Upstream whose answer to the request was too long.
+    pub overlong_at: Option<Arc<str>>,
     /// Counts how the request ends.
     pub recorder: Rc<OutcomeRecorder>,
 }
@@ -288,7 +292,9 @@
     };
     let (route, customer) = look_up(&catalog, &request, &headers)?;
     let (parts, body) = request.into_parts();
-    let body = read_body(&catalog, body, id).await?;
+    let remaining_ms = headers.remaining_ms.unwrap_or(DEFAULT_REMAINING_MS);
+    let body_until = traffic.instant_at(arrived_ms.saturating_add(remaining_ms));
+    let body = read_body(&catalog, body, body_until, id).await?;
     let read_at_ms = traffic.now_ms();
     let (service, stream_version) =
         choose_service(traffic, &headers, &route, customer.as_ref()).await?;
@@ -319,7 +325,6 @@
             line.field("request", request_id_text(id))
         });
     }
-    let remaining_ms = headers.remaining_ms.unwrap_or(DEFAULT_REMAINING_MS);
     let timeout_ms = remaining_ms
         .saturating_sub(RESPONSE_MARGIN_MS)
         .min(route.timeout_ms);
@@ -364,6 +369,7 @@
         tried_upstreams: Vec::new(),
         may_have_run: false,
         waited_ms: 0,
+        overlong_at: None,
         recorder,
         route,
     })
@@ -478,23 +484,38 @@
     }
 }
 
+/// Reads the body of a request, whose parts have to arrive within the idle timeout, and the whole of it
+/// while its caller waits.
 async fn read_body(
     catalog: &Catalog,
     body: Incoming,
+    until: Instant,
     id: Option<&HeaderValue>,
 ) -> Result<Bytes, Refusal> {
-    let max_bytes = catalog
-        .limits
-        .map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes);
-    let max_bytes = usize::try_from(max_bytes).unwrap_or(usize::MAX);
-    match Limited::new(body, max_bytes).collect().await {
-        Ok(body) => Ok(body.to_bytes()),
-        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::new(
-            StatusCode::PAYLOAD_TOO_LARGE,
-            "body is too large",
-            id,
-        )),
-        Err(_) => Err(Refusal::new(StatusCode::BAD_REQUEST, "body broke off", id)),
+    let max_bytes = usize::try_from(catalog.max_body_bytes()).unwrap_or(usize::MAX);
+    let idle_timeout = Duration::from_millis(catalog.idle_timeout_ms());
+    let mut body = Limited::new(body, max_bytes);
+    let mut bytes = BytesMut::new();
+    loop {
+        let frame_until = until.min(Instant::now() + idle_timeout);
+        let frame = match timeout_at(frame_until, body.frame()).await {
+            Ok(Some(Ok(frame))) => frame,
+            Ok(None) => return Ok(bytes.freeze()),
+            Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
+                let status = StatusCode::PAYLOAD_TOO_LARGE;
+                return Err(Refusal::new(status, "body is too large", id));
+            }
+            Ok(Some(Err(_))) => {
+                return Err(Refusal::new(StatusCode::BAD_REQUEST, "body broke off", id));
+            }
+            Err(_) => {
+                let status = StatusCode::REQUEST_TIMEOUT;
+                return Err(Refusal::new(status, "body came too slowly", id));
+            }
+        };
+        if let Ok(data) = frame.into_data() {
+            bytes.extend_from_slice(&data);
+        }
     }
 }
 
--- /dev/null
+++ b/lib/src/direct/request/caller_io.rs
@@ -0,0 +1,154 @@
+//! A caller's connection, with the state from which its time limits follow.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::task::Context;
+use std::task::Poll;
+use std::task::ready;
+use std::time::Duration;
+
+use tokio::io::AsyncRead;
+use tokio::io::AsyncWrite;
+use tokio::io::ReadBuf;
+use tokio::sync::Notify;
+use tokio::time::Instant;
+use tokio::time::Sleep;
+use tokio::time::sleep;
+
+/// How many times as long as its body a request may be with the framing, besides the next constant.
+const FRAMED_BODY_FACTOR: u64 = 2;
+/// Bytes of framing, and of the next request, that a request may have in any case.
+const MAX_FRAMING_BYTES: u64 = 256 << 10;
+
+/// Activity of a caller's connection, to find out whether it is idle and whether a head is late.
+#[derive(Debug, Default)]
+pub struct ConnectionActivity {
+    /// Requests whose response has not begun.
+    pub open_requests: Cell<u32>,
+    /// When the last response began.
+    pub last_ms: Cell<u64>,
+    /// When the first byte of the head arrived that is being received.
+    pub head_began: Cell<Option<Instant>>,
+    /// Notified when a head begins.
+    pub has_head_begun: Notify,
+    /// Bytes received since the head of the last request was read.
+    pub request_bytes: Cell<u64>,
+    /// The most that may be received until then.
+    pub max_request_bytes: Cell<u64>,
+}
+
+impl ConnectionActivity {
+    /// Records that the head of a request was read, whose body may have this many bytes.
+    pub fn start_request(&self, max_body_bytes: u64) {
+        self.head_began.set(None);
+        self.request_bytes.set(0);
+        let max_bytes = max_body_bytes.saturating_mul(FRAMED_BODY_FACTOR);
+        self.max_request_bytes
+            .set(max_bytes.saturating_add(MAX_FRAMING_BYTES));
+    }
+
+    /// Counts received bytes. Fails if a request has more of them than its body and framing may have: the
+    /// HTTP library hands on only the body.
+    fn receive(&self, bytes: usize) -> io::Result<()> {
+        let is_head = self.open_requests.get() == 0 && self.head_began.get().is_none();
+        if is_head && bytes > 0 {
+            self.head_began.set(Some(Instant::now()));
+            self.has_head_begun.notify_one();
+        }
+        let received = self.request_bytes.get() + bytes as u64;
+        self.request_bytes.set(received);
+        if self.open_requests.get() > 0 && received > self.max_request_bytes.get() {
+            return Err(io::Error::other("request is too long"));
+        }
+        Ok(())
+    }
+}
+
+/// A connection that records when a head begins, and fails if the caller takes nothing of a response
+/// for too long.
+#[derive(Debug)]
+pub struct CallerIo<T> {
+    io: T,
+    activity: Rc<ConnectionActivity>,
+    write_timeout: Duration,
+    /// Runs while the caller takes nothing.
+    write_timer: Option<Pin<Box<Sleep>>>,
+}
+
+impl<T> CallerIo<T> {
+    /// Creates the connection of a caller who has to take a part of a response within `write_timeout`.
+    #[must_use]
+    pub fn new(io: T, activity: Rc<ConnectionActivity>, write_timeout: Duration) -> Self {
+        Self {
+            io,
+            activity,
+            write_timeout,
+            write_timer: None,
+        }
+    }
+
+    /// Fails a write that has made no progress for too long.
+    fn bound<R>(
+        &mut self,
+        written: Poll<io::Result<R>>,
+        context: &mut Context<'_>,
+    ) -> Poll<io::Result<R>> {
+        if written.is_ready() {
+            self.write_timer = None;
+            return written;
+        }
+        let timeout = self.write_timeout;
+        let timer = self
+            .write_timer
+            .get_or_insert_with(|| Box::pin(sleep(timeout)));
+        let is_over = timer.as_mut().poll(context);
+        is_over.map(|()| Err(io::ErrorKind::TimedOut.into()))
+    }
+}
+
+impl<T: AsyncRead + Unpin> AsyncRead for CallerIo<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        buffer: &mut ReadBuf<'_>,
+    ) -> Poll<io::Result<()>> {
+        let known = buffer.filled().len();
+        ready!(Pin::new(&mut self.io).poll_read(context, buffer))?;
+        Poll::Ready(self.activity.receive(buffer.filled().len() - known))
+    }
+}
+
+impl<T: AsyncWrite + Unpin> AsyncWrite for CallerIo<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write(context, bytes);
+        self.bound(written, context)
+    }
+
+    fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_flush(context)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.io).poll_shutdown(context)
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.io.is_write_vectored()
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+        slices: &[io::IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.io).poll_write_vectored(context, slices);
+        self.bound(written, context)
+    }
+}
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -11,7 +11,6 @@
 use http::Response;
 use http::StatusCode;
 use http::header;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Incoming;
 use tokio::time::timeout_at;
@@ -19,6 +18,7 @@
 use crate::direct::log_rate_limit::LogCategory;
 use crate::direct::placement::health::AttemptOutcome;
 use crate::direct::quarantine_driver::QuarantinedRequest;
+use crate::direct::request::answer_bounds::AnswerPart;
 use crate::direct::request::answer_ending::AnswerEnding;
 use crate::direct::request::answer_ending::confirm_end;
 use crate::direct::request::answer_ending::ends_with_connection;
@@ -35,6 +35,8 @@
 use crate::direct::request::headers::UpstreamHeaders;
 use crate::direct::request::relay::Relay;
 use crate::direct::request::response_body::ResponseBody;
+use crate::direct::request::whole_body::ReadBodyError;
+use crate::direct::request::whole_body::read_whole;
 use crate::direct::rollout::table::RunOutcome;
 use crate::direct::sharing::size_stats::CallOutcome;
 use crate::direct::traffic::SlotLease;
@@ -48,6 +50,7 @@
 pub const CRASHED_AT_END: &str = "upstream crashed as its answer ended";
 const NOT_CONNECTED: &str = "no connection to upstream";
 const DECLINED: &str = "upstream declined";
+const NO_MEMORY: &str = "answers hold as much memory as they may";
 const MISDIRECTED: &str = "another process answers in the upstream's place";
 
 /// Result of one attempt at an upstream.
@@ -257,13 +260,7 @@
     }
     traffic.confirm_list_before_use().await;
     traffic.expire_missing_upstreams();
-    let instance = &lease.upstream.instance;
-    let version = call.stream_version.as_ref();
-    if !traffic
-        .dispatcher
-        .borrow()
-        .is_available_for(version, instance, traffic.now_ms())
-    {
+    if !lease.may_send(call.stream_version.as_ref()) {
         keep_connection(traffic, &lease, connection, None);
         return AttemptResult::NotRun;
     }
@@ -275,7 +272,8 @@
     lease.record_sent(call.prompt_tokens);
     traffic.record_version_dispatch(call, &mut lease);
     count_prompt_tokens(traffic, call, &lease);
-    match timeout_at(until, connection.send(request)).await {
+    let max_bytes = traffic.load_policy.get().max_answer_bytes;
+    match timeout_at(until, connection.send(request, max_bytes)).await {
         Err(_) => {
             lease.outcome = AttemptOutcome::Failed;
             traffic.record_version_outcome(call, &lease, RunOutcome::Failed);
@@ -296,10 +294,39 @@
             traffic.record_broken_run(call, &lease, None);
             AttemptResult::Unknown
         }
+        Ok(Err(SendError::Invalid(part))) => {
+            record_invalid_answer(traffic, call, &mut lease, part);
+            AttemptResult::Unknown
+        }
         Ok(Ok(response)) => classify_response(traffic, call, response, connection, lease),
     }
 }
 
+/// Records that a part of an answer was not valid or exceeded its bound, and whom that is blamed on.
+///
+/// If a second upstream answers the same request with too much, the request is the cause, and neither
+/// upstream is excluded for it.
+pub fn record_invalid_answer(
+    traffic: &Rc<TrafficState>,
+    call: &mut Call,
+    lease: &mut SlotLease,
+    part: AnswerPart,
+) {
+    let first = call.overlong_at.clone();
+    lease.outcome = match first {
+        Some(first) if part.may_depend_on_request() => {
+            traffic.dispatcher.borrow_mut().lift_exclusion(&first);
+            AttemptOutcome::Failed
+        }
+        _ => AttemptOutcome::Invalid(part),
+    };
+    if part.may_depend_on_request() {
+        call.overlong_at = Some(Arc::clone(&lease.upstream.instance));
+    }
+    log_failed_attempt(traffic, call, lease, part.reason());
+    traffic.record_version_outcome(call, lease, RunOutcome::Failed);
+}
+
 /// Counts the prompt tokens that are sent, and those that the upstream probably has in its cache.
 fn count_prompt_tokens(traffic: &TrafficState, call: &Call, lease: &SlotLease) {
     if call.prompt_tokens == 0 {
@@ -564,10 +591,24 @@
     } = response;
     let until = traffic.instant_at(call.deadline_at_ms);
     let ends_with_connection = ends_with_connection(&parts, &body);
-    let read = timeout_at(until, body.collect()).await;
-    let body = match read {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) => {
+    let max_bytes = traffic.load_policy.get().max_answer_bytes;
+    let read = read_whole(&connection, body, &traffic.held_answers, max_bytes);
+    let body = match timeout_at(until, read).await {
+        Ok(Ok(body)) => body,
+        Ok(Err(ReadBodyError::Invalid(part))) => {
+            record_invalid_answer(traffic, call, &mut lease, part);
+            // Closes the connection before the request is retried, and frees its slot.
+            drop((connection, lease));
+            let next = next_step(traffic, call, &AttemptResult::Unknown).await;
+            return ReadResponse::ReadFailed(next);
+        }
+        Ok(Err(ReadBodyError::NoneLeft)) => {
+            log_failed_attempt(traffic, call, &lease, NO_MEMORY);
+            drop((connection, lease));
+            let next = next_step(traffic, call, &AttemptResult::Unknown).await;
+            return ReadResponse::ReadFailed(next);
+        }
+        Ok(Err(ReadBodyError::Broken)) => {
             lease.outcome = AttemptOutcome::Failed;
             log_failed_attempt(traffic, call, &lease, "answer broke off");
             traffic.record_broken_run(call, &lease, None);
--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -1,6 +1,5 @@
 //! Accepts connections of callers, of the readiness check, and of operators.
 
-use std::cell::Cell;
 use std::convert::Infallible;
 use std::pin::pin;
 use std::rc::Rc;
@@ -17,13 +16,18 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::sleep_until;
 
+use crate::direct::request::answer_bounds::READ_BUFFER_BYTES;
+use crate::direct::request::caller_io::CallerIo;
+use crate::direct::request::caller_io::ConnectionActivity;
 use crate::direct::request::exchange;
 use crate::direct::request::notices_page;
 use crate::direct::request::quarantine_page;
 use crate::direct::request::rollout_page;
-use crate::direct::store_view::catalog::DEFAULT_IDLE_TIMEOUT_MS;
+use crate::direct::store_view::catalog::Catalog;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
 
@@ -55,13 +59,6 @@
     }
 }
 
-/// Activity of a caller's connection, to find out whether it is idle.
-#[derive(Debug, Default)]
-struct ConnectionActivity {
-    open_requests: Cell<u32>,
-    last_ms: Cell<u64>,
-}
-
 /// Serves the requests of one caller's connection, and closes it after the idle timeout or when the
 /// entry stops.
 async fn serve_caller(stream: TcpStream, traffic: Rc<TrafficState>) {
@@ -76,6 +73,7 @@
     let service = service_fn(|request| {
         let traffic = Rc::clone(&traffic);
         let activity = Rc::clone(&activity);
+        activity.start_request(ConnectionLimits::new(&traffic).max_body_bytes);
         async move {
             activity.open_requests.set(activity.open_requests.get() + 1);
             let response = exchange::handle(Rc::clone(&traffic), request).await;
@@ -84,31 +82,64 @@
             response
         }
     });
+    let limits = ConnectionLimits::new(&traffic);
+    let stream = CallerIo::new(stream, Rc::clone(&activity), limits.idle_timeout);
     let connection = http1::Builder::new()
         .auto_date_header(false)
+        .max_header_size(limits.max_header_bytes)
+        .max_buf_size(READ_BUFFER_BYTES.max(limits.max_header_bytes))
         .serve_connection(TokioIo::new(stream), service);
     let mut connection = pin!(connection);
     loop {
-        let idle_ms = idle_timeout_ms(&traffic);
+        let limits = ConnectionLimits::new(&traffic);
+        let head_due_at = activity
+            .head_began
+            .get()
+            .map(|began| began + limits.header_timeout);
+        let idle_until = Instant::now() + limits.idle_timeout;
         tokio::select! {
             // The request being served sees an error as well.
             _ = connection.as_mut() => return,
             () = traffic.closing.notified() => {}
-            () = sleep(Duration::from_millis(idle_ms)) => {}
+            () = activity.has_head_begun.notified() => continue,
+            () = sleep_until(head_due_at.unwrap_or(idle_until).min(idle_until)) => {}
+        }
+        let is_head_late = |due_at| Instant::now() >= due_at && activity.head_began.get().is_some();
+        if head_due_at.is_some_and(is_head_late) {
+            traffic.log(Level::Info, "head of a request came too slowly", |line| {
+                line
+            });
+            return;
         }
+        let idle_ms = u64::try_from(limits.idle_timeout.as_millis()).unwrap_or(u64::MAX);
         let is_idle = activity.open_requests.get() == 0
-            && traffic.now_ms() >= activity.last_ms.get() + idle_timeout_ms(&traffic);
+            && traffic.now_ms() >= activity.last_ms.get().saturating_add(idle_ms);
         if is_idle || traffic.is_closing.get() {
             connection.as_mut().graceful_shutdown();
         }
     }
 }
 
-fn idle_timeout_ms(traffic: &TrafficState) -> u64 {
-    let catalog = traffic.catalog.borrow();
-    catalog
-        .as_ref()
-        .map_or(DEFAULT_IDLE_TIMEOUT_MS, |catalog| catalog.idle_timeout_ms())
+/// Limits of a caller's connection by the configuration in force, or by default if there is none.
+struct ConnectionLimits {
+    max_header_bytes: usize,
+    max_body_bytes: u64,
+    header_timeout: Duration,
+    idle_timeout: Duration,
+}
+
+impl ConnectionLimits {
+    fn new(traffic: &TrafficState) -> Self {
+        let catalog = traffic.catalog.borrow();
+        let default = Catalog::default();
+        let catalog = catalog.as_deref().unwrap_or(&default);
+        Self {
+            max_header_bytes: usize::try_from(catalog.max_header_bytes()).unwrap_or(usize::MAX),
+            max_body_bytes: catalog.max_body_bytes(),
+            header_timeout: Duration::from_millis(catalog.header_timeout_ms()),
+            idle_timeout: Duration::from_millis(catalog.idle_timeout_ms()),
+        }
+    }
 }
 
 /// Serves the readiness check until the process ends.
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -11,8 +11,6 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
-use http_body_util::BodyExt;
-use hyper::body::Frame;
 use hyper::body::Incoming;
 use tokio::time::Instant;
 use tokio::time::sleep;
@@ -22,19 +20,25 @@
 use crate::direct::log_rate_limit::LogCategory;
 use crate::direct::placement::health::AttemptOutcome;
 use crate::direct::quarantine::recent_survivals::SURVIVED_AFTER_MS;
+use crate::direct::request::answer_bounds::AnswerPart;
+use crate::direct::request::answer_bounds::MAX_EVENT_BYTES;
+use crate::direct::request::answer_bounds::MAX_PART_MS;
 use crate::direct::request::answer_ending::AnswerEnding;
 use crate::direct::request::answer_ending::confirm_end;
 use crate::direct::request::answer_ending::ends_with_connection;
 use crate::direct::request::call::Call;
 use crate::direct::request::connection_pool::Connection;
+use crate::direct::request::connection_pool::PartError;
 use crate::direct::request::exchange::AttemptResult;
 use crate::direct::request::exchange::CRASHED_AT_END;
 use crate::direct::request::exchange::RetryStep;
 use crate::direct::request::exchange::UpstreamResponse;
 use crate::direct::request::exchange::allow_retry;
 use crate::direct::request::exchange::keep_connection;
+use crate::direct::request::exchange::record_invalid_answer;
 use crate::direct::request::exchange::send;
 use crate::direct::request::exchange::take_retry;
+use crate::direct::request::held_bytes::HeldShare;
 use crate::direct::request::pace::EventPace;
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::streams::origin::StreamOrigin;
@@ -75,6 +79,10 @@
     source: Option<Source>,
     scan: EventScan,
     partial: BytesMut,
+    /// What the unfinished event holds.
+    held: HeldShare,
+    /// Time spent waiting for the rest of an unfinished event.
+    event_waited: Duration,
     last_event: Option<Instant>,
     /// When the current upstream's first event arrived.
     source_first_event: Option<Instant>,
@@ -106,6 +114,8 @@
     Bytes(Bytes),
     End,
     Broke(&'static str),
+    /// This part of the answer is not valid or exceeds its bound.
+    Invalid(AnswerPart),
     /// Nothing arrived for [`SILENCE_TIMEOUT`].
     Silence,
     TimedOut,
@@ -142,6 +152,8 @@
             source: Some(Source::from(response)),
             scan: EventScan::default(),
             partial: BytesMut::new(),
+            held: traffic.held_answers.share(),
+            event_waited: Duration::ZERO,
             last_event: None,
             source_first_event: None,
             is_survival_recorded: false,
@@ -173,6 +185,9 @@
                 Received::Silence => {}
                 Received::Bytes(bytes) => {
                     let Some(events) = self.whole_events(&bytes) else {
+                        if let Some(error) = self.bound_event().await {
+                            return Some(Err(error));
+                        }
                         continue;
                     };
                     if !self.continues_stream(&events) {
@@ -200,6 +215,11 @@
                         return Some(Err(error));
                     }
                 }
+                Received::Invalid(part) => {
+                    if let Some(error) = self.fail_over_invalid(part).await {
+                        return Some(Err(error));
+                    }
+                }
                 Received::TimedOut => {
                     self.is_done = true;
                     self.log_cut("time is up within a stream");
@@ -223,13 +243,33 @@
         } else {
             deadline
         };
-        match timeout_at(until, source.body.frame()).await {
-            Ok(frame) => Received::of(frame),
+        let began_at = Instant::now();
+        let received = timeout_at(until, source.receive()).await;
+        if !self.partial.is_empty() {
+            self.event_waited += began_at.elapsed();
+        }
+        match received {
+            Ok(received) => received,
             Err(_) if Instant::now() >= deadline => Received::TimedOut,
             Err(_) => Received::Silence,
         }
     }
 
+    /// Checks the bounds of the event that has not ended. Returns the error that cut the stream short if
+    /// one is exceeded and the stream can't be resumed.
+    async fn bound_event(&mut self) -> Option<StreamError> {
+        let is_overdue = self.event_waited > Duration::from_millis(MAX_PART_MS);
+        if self.partial.len() > MAX_EVENT_BYTES || is_overdue {
+            return self.fail_over_invalid(AnswerPart::Event).await;
+        }
+        if !self.held.resize(self.partial.len()) {
+            return self
+                .fail_over("answers hold as much memory as they may")
+                .await;
+        }
+        None
+    }
+
     /// Returns whether the stream may be resumed at another upstream.
     fn may_resume(&self) -> bool {
         let sent = u32::try_from(self.call.tried_upstreams.len()).unwrap_or(u32::MAX);
@@ -251,7 +291,7 @@
         };
         let outcome = tokio::select! {
             biased;
-            frame = source.body.frame() => SilenceOutcome::Received(Received::of(frame)),
+            received = source.receive() => SilenceOutcome::Received(received),
             slot = self.acquire_resumption_slot() => {
                 slot.map_or(SilenceOutcome::NoSlot, SilenceOutcome::Slot)
             }
@@ -305,6 +345,7 @@
             return None;
         }
         self.record_events(scanned.events);
+        self.event_waited = Duration::ZERO;
         let whole = if self.partial.is_empty() {
             bytes.slice(..scanned.whole_bytes)
         } else {
@@ -314,6 +355,8 @@
         };
         self.partial
             .extend_from_slice(&bytes[scanned.whole_bytes..]);
+        // A share that shrinks is always granted.
+        let _ = self.held.resize(self.partial.len());
         Some(whole)
     }
 
@@ -466,6 +509,20 @@
         }
         let instance = disconnect(&mut self.source);
         self.log_failed_upstream(reason, instance.as_deref().unwrap_or_default());
+        self.resume_elsewhere().await
+    }
+
+    /// Closes the connection of an upstream that has sent something invalid, and resumes the stream as
+    /// [`Self::fail_over`] does.
+    async fn fail_over_invalid(&mut self, part: AnswerPart) -> Option<StreamError> {
+        if let Some(mut source) = self.source.take() {
+            record_invalid_answer(&self.traffic, &mut self.call, &mut source.lease, part);
+        }
+        self.resume_elsewhere().await
+    }
+
+    async fn resume_elsewhere(&mut self) -> Option<StreamError> {
+        self.event_waited = Duration::ZERO;
         while self.call.route.retry_policy.is_idempotent()
             && allow_retry(&self.traffic, &self.call).await
         {
@@ -526,6 +583,8 @@
         match attempt {
             AttemptResult::Response(response) if response.parts.status == self.parts.status => {
                 self.partial.clear();
+                // A share that shrinks is always granted.
+                let _ = self.held.resize(0);
                 self.scan.drop_partial();
                 self.log_resumed(&response.lease.upstream);
                 self.source = Some(Source::from(*response));
@@ -580,12 +639,13 @@
     }
 }
 
-impl Received {
-    fn of(frame: Option<Result<Frame<Bytes>, hyper::Error>>) -> Self {
-        match frame {
-            Some(Ok(frame)) => Self::Bytes(frame.into_data().unwrap_or_default()),
-            Some(Err(_)) => Self::Broke("upstream broke off a stream"),
-            None => Self::End,
+impl Source {
+    async fn receive(&mut self) -> Received {
+        match self.connection.next_part(&mut self.body).await {
+            Some(Ok(bytes)) => Received::Bytes(bytes),
+            Some(Err(PartError::Broken)) => Received::Broke("upstream broke off a stream"),
+            Some(Err(PartError::Invalid(part))) => Received::Invalid(part),
+            None => Received::End,
         }
     }
 }
--- a/lib/src/direct/store_view/catalog.rs
+++ b/lib/src/direct/store_view/catalog.rs
@@ -7,6 +7,12 @@
 /// Time for which a caller's connection may be idle if no limit is set, the same as in common HTTP
 /// servers.
 pub const DEFAULT_IDLE_TIMEOUT_MS: u64 = 60_000;
+/// Time within which the head of a request has to arrive if the configuration sets no limit.
+pub const DEFAULT_HEADER_TIMEOUT_MS: u64 = 5_000;
+/// Largest body of a request that is accepted if the configuration sets no limit.
+pub const DEFAULT_MAX_BODY_BYTES: u64 = 4 << 20;
+/// Largest head of a request that is accepted if the configuration sets no limit.
+pub const DEFAULT_MAX_HEADER_BYTES: u64 = 64 << 10;
 
 /// Whether a request may run again after its outcome became unknown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -205,9 +211,13 @@
 /// Limits on callers' requests and connections.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
+    /// Maximum size of a request's head.
+    pub max_header_bytes: u64,
     /// Maximum size of a request body.
     pub max_body_bytes: u64,
-    /// Time for which a connection may be idle.
+    /// Time within which the head of a request has to arrive, from its first byte on.
+    pub header_timeout_ms: u64,
+    /// Time for which a connection may be idle, between two parts of a request's body too.
     pub idle_timeout_ms: u64,
 }
 
@@ -298,6 +308,39 @@
             .find(|customer| &*customer.name == name)
     }
 
+    /// Returns the time within which the head of a request has to arrive.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::store_view::catalog::Catalog::default().header_timeout_ms() > 0);
+    /// ```
+    #[must_use]
+    pub fn header_timeout_ms(&self) -> u64 {
+        self.limits
+            .map_or(DEFAULT_HEADER_TIMEOUT_MS, |limits| limits.header_timeout_ms)
+    }
+
+    /// Returns the maximum size of a request's body.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::store_view::catalog::Catalog::default().max_body_bytes() > 0);
+    /// ```
+    #[must_use]
+    pub fn max_body_bytes(&self) -> u64 {
+        self.limits
+            .map_or(DEFAULT_MAX_BODY_BYTES, |limits| limits.max_body_bytes)
+    }
+
+    /// Returns the maximum size of a request's head.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::store_view::catalog::Catalog::default().max_header_bytes() > 0);
+    /// ```
+    #[must_use]
+    pub fn max_header_bytes(&self) -> u64 {
+        self.limits
+            .map_or(DEFAULT_MAX_HEADER_BYTES, |limits| limits.max_header_bytes)
+    }
+
     /// Returns the time for which a caller's connection may be idle.
     ///
     /// ```
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -36,6 +36,7 @@
 use crate::direct::placement::health::ObservedHealth;
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_prefix::PrefixPopularity;
+use crate::direct::placement::tracked_upstream::ExclusionChange;
 use crate::direct::quarantine::crash_detector::CrashDetector;
 use crate::direct::quarantine::recent_survivals::RecentSurvivals;
 use crate::direct::quarantine::suspects::Suspects;
@@ -43,6 +44,7 @@
 use crate::direct::replication::store_follower::ListCall;
 use crate::direct::request::connection_pool::ConnectionPool;
 use crate::direct::request::headers::HeaderCodec;
+use crate::direct::request::held_bytes::HeldBytes;
 use crate::direct::rollout::table::RolloutTable;
 use crate::direct::sharing::admission;
 use crate::direct::sharing::admission::AdmissionController;
@@ -118,6 +120,8 @@
     pub drain_bound_ms: Cell<u64>,
     /// The optional decisions under load.
     pub load_policy: Cell<LoadPolicy>,
+    /// What the answers of all requests hold.
+    pub held_answers: HeldBytes,
     /// When the list of upstreams was last known to be the newest one.
     pub list_freshness: Cell<Freshness>,
     /// Incarnations that are used until these times although the store does not list them, as their entries
@@ -222,6 +226,11 @@
         cached_tokens: u32,
         is_granted: bool,
     ) -> Self {
+        let id = traffic.next_id();
+        traffic
+            .dispatcher
+            .borrow_mut()
+            .acquired(&upstream.instance, id);
         Self {
             traffic: Rc::clone(traffic),
             upstream,
@@ -229,7 +238,7 @@
             cached_tokens,
             is_granted,
             is_pinned: false,
-            id: traffic.next_id(),
+            id,
             acquired_at_ms: traffic.now_ms(),
             sent_at_ms: Cell::new(traffic.now_ms()),
             is_sent: Cell::new(false),
@@ -271,6 +280,29 @@
         self.traffic.now_ms() - self.sent_at_ms.get()
     }
 
+    /// Returns whether the request can be sent now. It needs a version if it resumes a stream.
+    #[must_use]
+    pub fn may_send(&self, stream_version: Option<&Arc<str>>) -> bool {
+        let now_ms = self.traffic.now_ms();
+        let dispatcher = self.traffic.dispatcher.borrow();
+        dispatcher.may_send(stream_version, &self.upstream.instance, self.id, now_ms)
+    }
+
+    fn log_exclusion_change(&self, change: ExclusionChange) {
+        let (level, message) = match change {
+            ExclusionChange::Excluded => (Level::Warn, "upstream excluded after invalid answer"),
+            ExclusionChange::Lifted => (Level::Info, "upstream used again after a valid answer"),
+        };
+        let part = match self.outcome {
+            AttemptOutcome::Invalid(part) => Some(part.reason()),
+            _ => None,
+        };
+        self.traffic.log(level, message, |line| {
+            line.field("upstream", &self.upstream.instance)
+                .field("reason", part)
+        });
+    }
+
     /// Returns when the slot was acquired.
     #[must_use]
     pub fn acquired_at_ms(&self) -> u64 {
@@ -282,13 +314,16 @@
     fn drop(&mut self) {
         let now_ms = self.traffic.now_ms();
         let held_ms = now_ms - self.acquired_at_ms;
-        self.traffic.dispatcher.borrow_mut().finished(
+        let change = self.traffic.dispatcher.borrow_mut().finished(
             &self.upstream.instance,
             self.id,
             self.outcome,
             held_ms,
             now_ms,
         );
+        if let Some(change) = change {
+            self.log_exclusion_change(change);
+        }
         if self.is_pinned {
             self.traffic.rollouts.borrow_mut().unpin(&self.upstream);
         }
@@ -357,6 +392,7 @@
             catalog_freshness: Cell::default(),
             drain_bound_ms: Cell::new(DEFAULT_CONFIG_BOUND_MS),
             load_policy: Cell::default(),
+            held_answers: HeldBytes::default(),
             list_freshness: Cell::default(),
             revisions: Cell::default(),
             has_upstreams: Cell::new(false),
@@ -594,6 +630,11 @@
             .set(gauge_value(notices.leaving_count()));
         let backing_off = notices.backoffs(self.now_ms()).len();
         metrics.upstreams_at_rest.set(gauge_value(backing_off));
+        metrics
+            .excluded_upstreams
+            .set(gauge_value(self.dispatcher.borrow().excluded_count()));
+        let held_bytes = i64::try_from(self.held_answers.total()).unwrap_or(i64::MAX);
+        metrics.held_answer_bytes.set(held_bytes);
         let suspects = self.suspects.borrow().counts(self.now_ms());
         metrics.suspects.set(gauge_value(suspects.tracked));
         metrics.held_requests.set(gauge_value(suspects.quarantined));
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use platform_testkit::endless_answer::Endless;
 use platform_testkit::fault_proxy::Link;
 use platform_testkit::store_stand_in::Mood;
 use platform_testkit::worker_stand_in::Manner;
@@ -110,10 +111,15 @@
 /// same time, while workers leave, and each leaving is held against its bound from the moment at which a way
 /// is open.
 pub const FIRST_SEED_WITH_CUT_WAYS: u64 = 100_000;
+/// From this seed on, workers send bytes without end in place of answers, with the faults of the seeds
+/// before those with notices.
+pub const FIRST_SEED_WITH_ENDLESS: u64 = 110_000;
 /// How long such a cut lasts.
 const CUT_MS: std::ops::Range<u64> = 2_500..4_500;
 /// Time between two faults of these seeds: some workers leave within the time that a return takes.
 const PAUSE_WITH_CUT_WAYS_MS: std::ops::Range<u64> = 30..200;
+/// Weight of bytes without end among the faults of the seeds with restarts.
+const ENDLESS_KINDS: u32 = 10;
 /// Weights of the faults between entries and of leavings, among those of the seeds with restarts.
 const LINK_KINDS: u32 = 14;
 /// Weights of the faults of all seeds, of those with restarts and notices as well, and of all.
@@ -137,10 +143,11 @@
     } else {
         KINDS_WITH_NOTICES
     };
-    let pause_ms = if seed < FIRST_SEED_WITH_CUT_WAYS {
-        PAUSE_MS
-    } else {
+    let has_cut_ways = (FIRST_SEED_WITH_CUT_WAYS..FIRST_SEED_WITH_ENDLESS).contains(&seed);
+    let pause_ms = if has_cut_ways {
         PAUSE_WITH_CUT_WAYS_MS
+    } else {
+        PAUSE_MS
     };
     let mut steps = Vec::new();
     let mut at = Duration::ZERO;
@@ -152,7 +159,11 @@
         }
         let is_link = (FIRST_SEED_WITH_LINKS..FIRST_SEED_WITH_CUT_WAYS).contains(&seed)
             && random.random_range(0..KINDS_WITH_RESTARTS + LINK_KINDS) < LINK_KINDS;
-        let fault = if seed >= FIRST_SEED_WITH_CUT_WAYS {
+        let is_endless = seed >= FIRST_SEED_WITH_ENDLESS
+            && random.random_range(0..KINDS_WITH_RESTARTS + ENDLESS_KINDS) < ENDLESS_KINDS;
+        let fault = if is_endless {
+            endless_fault(&mut random)
+        } else if has_cut_ways {
             cut_fault(&mut random)
         } else if is_link {
             link_fault(&mut random)
@@ -189,6 +200,29 @@
     }
 }
 
+/// A worker that sends bytes without end in place of answers.
+fn endless_fault(random: &mut StdRng) -> Fault {
+    let whom = random.random_range(0..100);
+    let lasting = Duration::from_millis(random.random_range(LASTING_MS));
+    let endless = [
+        Endless::BodyUntilClosed,
+        Endless::ChunkedBody,
+        Endless::LongBody,
+        Endless::Comment,
+        Endless::Event,
+        Endless::InterimHeads,
+        Endless::ChunkSize,
+        Endless::ChunkExtension,
+        Endless::Trailers,
+        Endless::Garbage,
+        Endless::StatusLine,
+        Endless::HeaderLines,
+        Endless::HeaderName,
+    ];
+    let endless = endless[random.random_range(0..endless.len())];
+    Fault::Worker(whom, Manner::Endless(endless), lasting)
+}
+
 /// A fault between entries, or a leaving.
 fn link_fault(random: &mut StdRng) -> Fault {
     let whom = random.random_range(0..100);
