answer bounds: short framing has no time limit

The time limit of framing was checked when data arrived after it. An upstream that sends the end or the size of a chunk on its own, and the next data more than 0.7 s later, had its stream cut and was excluded.

--- a/lib/src/direct/request/answer_bounds.rs
+++ b/lib/src/direct/request/answer_bounds.rs
@@ -10,6 +10,9 @@
 /// Most bytes that may arrive between two parts of a body. It covers what the HTTP library reads
 /// ahead, two buffers of [`READ_BUFFER_BYTES`], so it is reached only by framing.
 pub const MAX_FRAMING_BYTES: u64 = 256 << 10;
+/// Framing that may take any time. Upstreams may send the end of one chunk right after it, and the size of
+/// the next one long before its data: what is between two chunks has some tens of bytes.
+pub const UNTIMED_FRAMING_BYTES: u64 = 1 << 10;
 /// Largest buffer of the HTTP library for one connection to an upstream.
 pub const READ_BUFFER_BYTES: usize = MAX_HEAD_BYTES;
 /// Longest event of a stream, comments included. Engines send events of some tens of bytes.
@@ -190,6 +193,9 @@
             return Ok(());
         }
         let body_bytes = self.receive_heads(bytes, now_ms)?;
+        // The bytes just received may be data, which ends the framing. Those before them were framing, as
+        // the HTTP library reads on only when it has handed on all data.
+        let is_untimed = self.phase == Phase::Body && self.framing_bytes <= UNTIMED_FRAMING_BYTES;
         if body_bytes > 0 {
             self.part_began_ms.get_or_insert(now_ms);
         }
@@ -203,7 +209,7 @@
             return self.exceed(AnswerPart::Body);
         }
         let began_ms = self.part_began_ms.unwrap_or(now_ms);
-        if now_ms.saturating_sub(began_ms) <= MAX_PART_MS {
+        if is_untimed || now_ms.saturating_sub(began_ms) <= MAX_PART_MS {
             return Ok(());
         }
         self.exceed(match self.phase {
