caller connections: bodies and streams are no late heads

A body that was read before its request was polled, and bytes that a caller sent while it received a stream, were taken for the beginning of a next head. The connection was closed after limits.headerTimeoutMs, with the request or the stream on it. A request now counts as open from the end of its head, and a stream until its end.

long_request_whose_body_follows_its_head_served and stream_goes_on_although_its_caller_sends_more fail without the change and pass with it.

--- a/lib/src/direct/request/caller_io.rs
+++ b/lib/src/direct/request/caller_io.rs
@@ -28,6 +28,8 @@
 pub struct ConnectionActivity {
     /// Requests whose response has not begun.
     pub open_requests: Cell<u32>,
+    /// Streams that are being sent.
+    pub open_streams: Cell<u32>,
     /// When the last response began.
     pub last_ms: Cell<u64>,
     /// When the first byte of the head arrived that is being received.
@@ -42,7 +44,10 @@
 
 impl ConnectionActivity {
     /// Records that the head of a request was read, whose body may have this many bytes.
+    ///
+    /// The HTTP library may read the body before it polls the request for the first time.
     pub fn start_request(&self, max_body_bytes: u64) {
+        self.open_requests.set(self.open_requests.get() + 1);
         self.head_began.set(None);
         self.request_bytes.set(0);
         let max_bytes = max_body_bytes.saturating_mul(FRAMED_BODY_FACTOR);
@@ -50,11 +55,18 @@
             .set(max_bytes.saturating_add(MAX_FRAMING_BYTES));
     }
 
+    /// Records that the response to a request begins.
+    pub fn begin_response(&self, now_ms: u64) {
+        self.open_requests.set(self.open_requests.get() - 1);
+        self.last_ms.set(now_ms);
+    }
+
     /// Counts received bytes. Fails if a request has more of them than its body and framing may have: the
     /// HTTP library hands on only the body.
     fn receive(&self, bytes: usize) -> io::Result<()> {
-        let is_head = self.open_requests.get() == 0 && self.head_began.get().is_none();
-        if is_head && bytes > 0 {
+        // A head that a caller sends before it has the whole response has to wait for its turn.
+        let is_busy = self.open_requests.get() > 0 || self.open_streams.get() > 0;
+        if !is_busy && self.head_began.get().is_none() && bytes > 0 {
             self.head_began.set(Some(Instant::now()));
             self.has_head_begun.notify_one();
         }
@@ -67,6 +79,25 @@
     }
 }
 
+/// Counts a stream as being sent until it is dropped.
+#[derive(Debug)]
+pub struct OpenStream(Rc<ConnectionActivity>);
+
+impl OpenStream {
+    /// Counts a stream.
+    #[must_use]
+    pub fn new(activity: &Rc<ConnectionActivity>) -> Self {
+        activity.open_streams.set(activity.open_streams.get() + 1);
+        Self(Rc::clone(activity))
+    }
+}
+
+impl Drop for OpenStream {
+    fn drop(&mut self) {
+        self.0.open_streams.set(self.0.open_streams.get() - 1);
+    }
+}
+
 /// A connection that records when a head begins, and fails if the caller takes nothing of a response
 /// for too long.
 #[derive(Debug)]
--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -23,6 +23,7 @@
 use crate::direct::request::answer_bounds::READ_BUFFER_BYTES;
 use crate::direct::request::caller_io::CallerIo;
 use crate::direct::request::caller_io::ConnectionActivity;
+use crate::direct::request::caller_io::OpenStream;
 use crate::direct::request::exchange;
 use crate::direct::request::notices_page;
 use crate::direct::request::quarantine_page;
@@ -75,11 +76,9 @@
         let activity = Rc::clone(&activity);
         activity.start_request(ConnectionLimits::new(&traffic).max_body_bytes);
         async move {
-            activity.open_requests.set(activity.open_requests.get() + 1);
             let response = exchange::handle(Rc::clone(&traffic), request).await;
-            activity.open_requests.set(activity.open_requests.get() - 1);
-            activity.last_ms.set(traffic.now_ms());
-            response
+            activity.begin_response(traffic.now_ms());
+            response.map(|response| response.map(|body| body.holding(OpenStream::new(&activity))))
         }
     });
     let limits = ConnectionLimits::new(&traffic);
--- a/lib/src/direct/request/response_body.rs
+++ b/lib/src/direct/request/response_body.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
+use futures_util::StreamExt;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
@@ -24,6 +25,19 @@
     Stream(Events),
 }
 
+impl ResponseBody {
+    /// Keeps a value until the body is dropped, if it is a stream. A whole body drops it at once.
+    #[must_use]
+    pub fn holding(self, held: impl Sized + 'static) -> Self {
+        match self {
+            Self::Whole(bytes) => Self::Whole(bytes),
+            Self::Stream(events) => Self::Stream(Box::pin(events.inspect(move |_| {
+                let _held = &held;
+            }))),
+        }
+    }
+}
+
 impl fmt::Debug for ResponseBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
