relay: comments of a stream are no event that takes too long

Comments that keep a connection open need no empty line after them. The time between them counted as the time of an event that does not end, so a stream with two of them more than 0.7 s apart was cut and its upstream excluded.

--- a/lib/src/answer/event_scan.rs
+++ b/lib/src/answer/event_scan.rs
@@ -32,6 +32,8 @@
     line_start: Vec<u8>,
     event_id: Option<u64>,
     has_data: bool,
+    /// Whether a line of the current event has ended that is not a comment.
+    has_lines: bool,
     last_id: Option<u64>,
     is_done: bool,
 }
@@ -49,6 +51,20 @@
         self.is_done
     }
 
+    /// Whether an event or a line has begun and not ended. Whole comments do not begin an event.
+    ///
+    /// ```
+    /// let mut scan = sardinewood::answer::event_scan::EventScan::default();
+    /// scan.scan(b": a comment\n");
+    /// assert!(!scan.has_begun());
+    /// scan.scan(b"id: 1\n");
+    /// assert!(scan.has_begun());
+    /// ```
+    #[must_use]
+    pub fn has_begun(&self) -> bool {
+        self.has_lines || !self.line_start.is_empty()
+    }
+
     /// Takes the next chunk in.
     pub fn scan(&mut self, chunk: &[u8]) -> Scanned {
         let mut scanned = Scanned::default();
@@ -69,6 +85,7 @@
         self.line_start.clear();
         self.event_id = None;
         self.has_data = false;
+        self.has_lines = false;
     }
 
     fn push(&mut self, byte: u8) {
@@ -88,6 +105,7 @@
             self.is_done |= is_done;
             self.has_data |= !is_done;
         }
+        self.has_lines = !is_empty && (self.has_lines || !line.starts_with(b":"));
         self.line_start.clear();
         is_empty
     }
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -245,7 +245,7 @@
         };
         let began_at = Instant::now();
         let received = timeout_at(until, source.receive()).await;
-        if !self.partial.is_empty() {
+        if self.scan.has_begun() {
             self.event_waited += began_at.elapsed();
         }
         match received {
