--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -31,8 +31,7 @@
 /// Number of randomly sampled upstreams, of which the best is asked.
 const SAMPLED_UPSTREAMS: usize = 4;
 /// One in this many requests that could go to an upstream without measurements, or whose trial is due,
-/// is sent there. Such
-/// an upstream is assumed to be typical. If a known one is slightly faster than that and requests
+/// is sent there. An upstream without measurements is assumed to be typical. If a known one is slightly faster than that and requests
 /// come one after the other, the unmeasured upstream would otherwise never be tried, however fast
 /// it is.
 const EXPLORE_ONE_IN: usize = 8;
--- a/lib/tests/test_direct_answer_bounds.rs
+++ b/lib/tests/test_direct_answer_bounds.rs
@@ -127,7 +127,7 @@
     bounds.part_taken();
     assert_eq!(bounds.receive(b"\r\n", 2), Ok(()));
     assert_eq!(bounds.receive(b"10000\r\n", 10_000), Ok(()));
-    assert_eq!(bounds.receive(&[b'x'; 0x10000], 20_000), Ok(()));
+    assert_eq!(bounds.receive(&vec![b'x'; 0x10000], 20_000), Ok(()));
     bounds.part_taken();
     assert_eq!(bounds.receive(b"\r\n0\r\n\r\n", 30_000), Ok(()));
 }
