exclusion: first trial after 0.3 s

Cause: upstreams that spoil a few of a hundred answers would be excluded for three seconds each time, many of them at once. Change: trials after 0.3, 0.9, 2.7, 8.1 s; an upstream that stays faulty gets three in its first ten seconds, in place of one.

--- a/lib/src/direct/placement/exclusion.rs
+++ b/lib/src/direct/placement/exclusion.rs
@@ -4,9 +4,11 @@
 //! answer. An upstream that fails fast has few running requests, so its load is low and it would be
 //! sent more and more requests. A pause alone, after which all entries use it again, is not enough.
 
-/// Time until the first trial. With the factor, an upstream that stays faulty gets two trials in its
-/// first ten seconds, and at most two a minute later.
-const FIRST_PAUSE_MS: u64 = 3_000;
+/// Time until the first trial. Some upstreams spoil a few of a hundred answers and are sound otherwise,
+/// many of them at once, so one invalid answer must not cost much of their capacity. With the factor,
+/// an upstream that stays faulty gets three trials in its first ten seconds, and at most two a minute
+/// later.
+const FIRST_PAUSE_MS: u64 = 300;
 /// Factor by which the pause grows with each failed trial.
 const PAUSE_FACTOR: u64 = 3;
 /// Longest time until the next trial.
@@ -45,11 +47,11 @@
 /// use sardinewood::direct::placement::exclusion::{Exclusion, TrialOutcome};
 ///
 /// let mut exclusion = Exclusion::observed(0);
-/// assert!(!exclusion.allows_trial(2_999) && exclusion.allows_trial(3_000));
+/// assert!(!exclusion.allows_trial(299) && exclusion.allows_trial(300));
 /// exclusion.choose_trial();
 /// exclusion.begin_trial(7);
-/// assert!(!exclusion.allows_trial(3_001));
-/// assert!(exclusion.end(7, TrialOutcome::Succeeded, 3_010));
+/// assert!(!exclusion.allows_trial(301));
+/// assert!(exclusion.end(7, TrialOutcome::Succeeded, 310));
 /// ```
 #[derive(Clone, Debug)]
 pub struct Exclusion {
