placement: decide when requests leave the data centre

Cause: engines were drawn from all data centres, so most requests left theirs without need. Change: with transfer_price_ms, a request asks a queue of its own data centre first and leaves when the wait there exceeds the one elsewhere by delay and price, in a damped share. Bytes are counted by purpose and destination. Nothing measured yet.

--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -7,14 +7,15 @@
 //!
 //! [`placement`], [`sharing`], [`membership`], [`store_view`], [`quarantine`], [`rollout`] and
 //! [`notices`] make decisions and do no I/O. The modules [`slot_driver`], [`quota_driver`],
-//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`] and [`rollout_driver`] carry their
-//! decisions out.
+//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`], [`rollout_driver`] and
+//! [`data_centre_driver`] carry their decisions out.
 //! [`request`] and [`replication`] transfer data over the network, and [`traffic`] holds the state
 //! that all requests of an entry share.
 //!
 //! Direct mode uses the library's store client, headers and logs, but no claims, agents or
 //! operators.
 
+pub mod data_centre_driver;
 pub mod freshness_driver;
 pub mod load_policy;
 pub mod log_rate_limit;
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -488,6 +488,23 @@
         }
     }
 
+    /// Returns the name under which metrics count the message's bytes by destination.
+    ///
+    /// ```
+    /// use sardinewood::direct::membership::peer_message::PeerMessage;
+    ///
+    /// let leaving = PeerMessage::RemovedUpstreams(Vec::new());
+    /// assert_eq!(leaving.bytes_purpose(), "others");
+    /// ```
+    #[must_use]
+    pub fn bytes_purpose(&self) -> &'static str {
+        match self.purpose() {
+            "changes" => "updates",
+            purpose @ ("heartbeats" | "slots") => purpose,
+            _ => "others",
+        }
+    }
+
     /// Encodes the message as a datagram, or returns none if it would be too long.
     ///
     /// What older builds do not know follows the message, where they ignore it.
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -484,6 +484,19 @@
             .chain((!is_own_leaving).then_some(own))
     }
 
+    /// Returns the hash of a peer's data centre; none if the peer has not told it.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[]);
+    /// assert_eq!(table.data_centre_of("10.0.0.2:7".parse().unwrap()), None);
+    /// ```
+    #[must_use]
+    pub fn data_centre_of(&self, peer: SocketAddr) -> Option<u32> {
+        let host = self.peers.get(&peer)?.host?;
+        Some(host.data_centre)
+    }
+
     /// Returns whether a peer's build knows messages about suspect features, as far as it was heard.
     ///
     /// ```
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters, gauges and latency histograms of an entry in the Prometheus format.
 
 use prometheus::Encoder;
+use prometheus::GaugeVec;
 use prometheus::Histogram;
 use prometheus::HistogramOpts;
 use prometheus::HistogramVec;
@@ -11,6 +12,8 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::direct::data_centre_driver::Destination;
+
 /// Upper bounds of the histogram buckets in milliseconds, from a local call to the longest request.
 const BUCKETS_MS: [f64; 12] = [
     5.0, 10.0, 25.0, 50.0, 100.0, 200.0, 400.0, 800.0, 1_600.0, 3_200.0, 6_400.0, 12_800.0,
@@ -64,6 +67,8 @@
     pub peer_datagrams: IntCounterVec,
     /// Bytes of these datagrams, without headers.
     pub peer_bytes: IntCounterVec,
+    /// Metrics by data centre.
+    pub data_centres: DataCentreMetrics,
     /// Updates pulled from peers, by result.
     pub pulls: IntCounterVec,
     /// Pulls of peers, by result.
@@ -113,6 +118,43 @@
     pub sent_by_old_list: IntCounter,
 }
 
+/// Metrics of one entry by data centre.
+#[derive(Clone, Debug)]
+pub struct DataCentreMetrics {
+    /// Bytes by purpose, and by whether they stay in the data centre: bodies of requests and answers,
+    /// and what is sent to peers.
+    pub bytes: IntCounterVec,
+    /// Share of the requests that leaves for another data centre, of those for which it pays, by
+    /// service and data centre.
+    pub leaving_share: GaugeVec,
+    /// Requests sent to upstreams, by service and data centre.
+    pub sent_to: IntCounterVec,
+}
+
+impl DataCentreMetrics {
+    fn new() -> prometheus::Result<Self> {
+        Ok(Self {
+            bytes: counters(
+                "bytes_total",
+                "Bytes by purpose and destination.",
+                &["purpose", "destination"],
+            )?,
+            leaving_share: GaugeVec::new(
+                Opts::new(
+                    "sardinewood_leaving_share",
+                    "Share of requests that leaves for another data centre.",
+                ),
+                &["service", "data_centre"],
+            )?,
+            sent_to: counters(
+                "sent_to_total",
+                "Requests sent, by data centre of the upstream.",
+                &["service", "data_centre"],
+            )?,
+        })
+    }
+}
+
 fn counter(name: &str, help: &str) -> prometheus::Result<IntCounter> {
     IntCounter::new(format!("sardinewood_{name}"), help)
 }
@@ -166,11 +208,7 @@
                 &["service", "reason"],
             )?,
             failed_attempts: counters("failed_attempts_total", "Failed attempts.", &["reason"])?,
-            prompt_tokens: counters(
-                "prompt_tokens_total",
-                "Tokens of prompts sent.",
-                &["service"],
-            )?,
+            prompt_tokens: counters("prompt_tokens_total", "Prompt tokens sent.", &["service"])?,
             cached_tokens: counters("kept_tokens_total", "Of them, likely kept.", &["service"])?,
             upstream_ends: counters(
                 "upstream_ends_total",
@@ -197,6 +235,7 @@
                 "Bytes of these datagrams.",
                 &["direction", "purpose"],
             )?,
+            data_centres: DataCentreMetrics::new()?,
             pulls: counters("pulls_total", "Updates pulled from entries.", &["result"])?,
             pulls_served: counters("pulls_served_total", "Pulls of entries.", &["result"])?,
             oldest_heartbeat_ms: gauge("oldest_heartbeat_ms", "Age of the oldest heartbeat.")?,
@@ -269,6 +308,8 @@
             &self.quarantine_trials,
             &self.peer_datagrams,
             &self.peer_bytes,
+            &self.data_centres.bytes,
+            &self.data_centres.sent_to,
             &self.pulls,
             &self.pulls_served,
             &self.list_questions,
@@ -294,6 +335,8 @@
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
+        self.registry
+            .register(Box::new(self.data_centres.leaving_share.clone()))?;
         self.registry.register(Box::new(self.wait_ms.clone()))?;
         self.registry
             .register(Box::new(self.leaving_known_within_ms.clone()))?;
@@ -319,6 +362,24 @@
             .inc_by(datagrams * bytes as u64);
     }
 
+    /// Counts bytes of one purpose, by whether they stay in the data centre.
+    ///
+    /// ```
+    /// use sardinewood::direct::data_centre_driver::Destination;
+    ///
+    /// let metrics = sardinewood::direct::metrics::DirectMetrics::new().unwrap();
+    /// metrics.count_bytes("bodies", Destination::Other, 300);
+    /// let counted = "sardinewood_bytes_total{destination=\"other\",purpose=\"bodies\"} 300";
+    /// assert!(metrics.text().contains(counted));
+    /// ```
+    pub fn count_bytes(&self, purpose: &str, destination: Destination, bytes: usize) {
+        let counter = self
+            .data_centres
+            .bytes
+            .with_label_values(&[purpose, destination.name()]);
+        counter.inc_by(bytes as u64);
+    }
+
     /// Returns all metrics as text, one sample a line.
     ///
     /// ```
--- a/lib/src/direct/placement.rs
+++ b/lib/src/direct/placement.rs
@@ -3,6 +3,7 @@
 //! decisions only and do no I/O.
 
 pub mod baseline;
+pub mod data_centres;
 pub mod dispatch;
 pub mod health;
 pub mod job;
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -13,6 +13,11 @@
 use crate::direct::membership::peer_message::UpstreamCondition;
 use crate::direct::membership::peer_message::UpstreamLoad;
 use crate::direct::placement::baseline::ServiceBaseline;
+use crate::direct::placement::data_centres::DataCentres;
+use crate::direct::placement::data_centres::RequestView;
+use crate::direct::placement::data_centres::Supply;
+use crate::direct::placement::data_centres::data_centre_hash;
+use crate::direct::placement::data_centres::expected_wait_ms;
 use crate::direct::placement::health::AttemptOutcome;
 use crate::direct::placement::health::ObservedHealth;
 use crate::direct::placement::job::Job;
@@ -43,6 +48,9 @@
 /// prompts.
 const FIRST_EVENT_MARGIN: f64 = 1.3;
 
+/// Steps of a random number from 0 to 1.
+const RANDOM_STEPS: usize = 1 << 16;
+
 /// Numbers of upstreams of a service by their state.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ServiceCounts {
@@ -56,6 +64,18 @@
     pub limited: usize,
 }
 
+/// The upstreams among which one is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum CandidateScope {
+    /// Those of this entry's data centre; those of others if it has none for the request, or if they
+    /// have cached so much of the prompt that it pays. All, if the choice ignores data centres.
+    Here,
+    /// Those of all other data centres.
+    Elsewhere,
+    /// Those of a data centre, by the hash of its name.
+    DataCentre(u32),
+}
+
 /// The upstreams as seen by one entry, and the choice among them.
 ///
 /// ```
@@ -72,6 +92,7 @@
     baselines: IndexMap<Arc<str>, ServiceBaseline>,
     peer_loads: PeerLoads,
     intervals: ReportIntervals,
+    data_centres: DataCentres,
 }
 
 /// Returns the hash by which entries refer to an upstream in messages.
@@ -102,6 +123,7 @@
                 .entry(Arc::clone(&upstream.instance))
                 .or_insert_with(|| TrackedUpstream::new(upstream));
             tracked.upstream = Arc::clone(upstream);
+            tracked.data_centre = data_centre_hash(&upstream.data_centre);
             tracked.is_listed = true;
         }
         self.upstreams
@@ -122,6 +144,238 @@
     /// ```
     pub fn set_intervals(&mut self, intervals: ReportIntervals) {
         self.intervals = intervals;
+        self.data_centres.set_heartbeat_ms(intervals.heartbeat_ms);
+    }
+
+    /// Returns what is known of the data centres.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::placement::dispatch::Dispatcher::default().data_centres().is_on());
+    /// ```
+    #[must_use]
+    pub fn data_centres(&self) -> &DataCentres {
+        &self.data_centres
+    }
+
+    /// Returns what is known of the data centres, to change it.
+    ///
+    /// ```
+    /// let mut dispatcher = sardinewood::direct::placement::dispatch::Dispatcher::default();
+    /// dispatcher.data_centres_mut().set_policy(7, Some(25));
+    /// assert!(dispatcher.data_centres().is_on());
+    /// ```
+    pub fn data_centres_mut(&mut self) -> &mut DataCentres {
+        &mut self.data_centres
+    }
+
+    /// Returns the names of the data centres of all upstreams, by their hashes.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::placement::dispatch::Dispatcher::default().data_centre_names().is_empty());
+    /// ```
+    #[must_use]
+    pub fn data_centre_names(&self) -> IndexMap<u32, Arc<str>> {
+        let upstreams = self.upstreams.values();
+        upstreams
+            .map(|tracked| {
+                (
+                    tracked.data_centre,
+                    Arc::clone(&tracked.upstream.data_centre),
+                )
+            })
+            .collect()
+    }
+
+    /// Returns whether an upstream is in the data centre of this entry, or the choice ignores data
+    /// centres.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::placement::dispatch::Dispatcher::default().is_here("i-1"));
+    /// ```
+    #[must_use]
+    pub fn is_here(&self, instance: &str) -> bool {
+        !self.data_centres.is_on()
+            || self
+                .upstreams
+                .get(instance)
+                .is_some_and(|tracked| self.data_centres.is_own(tracked.data_centre))
+    }
+
+    /// Records the wait that an upstream's admission queue has reported to a request, 0 if it granted
+    /// a slot at once.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// Dispatcher::default().record_wait(&job, "i-1", 40, 0);
+    /// ```
+    pub fn record_wait(&mut self, job: &Job, instance: &str, reported_ms: u32, now_ms: u64) {
+        if !self.data_centres.is_on() {
+            return;
+        }
+        let Some(tracked) = self.upstreams.get(instance) else {
+            return;
+        };
+        let data_centre = tracked.data_centre;
+        let request = self.request_view(job, now_ms);
+        let lead_ms = self.full_lead_ms(tracked, job);
+        let has_reason = reported_ms > 0
+            || lead_ms > request.objective_in_ms
+            || self.data_centres.has_flow(&job.service);
+        let supplies = if has_reason {
+            self.supplies(job, now_ms)
+        } else {
+            Vec::new()
+        };
+        let wait_ms = expected_wait_ms(reported_ms, upstreams_in(&supplies, data_centre));
+        self.data_centres
+            .record_wait(&request, data_centre, wait_ms, lead_ms, &supplies, now_ms);
+    }
+
+    /// Returns the data centre that a request leaves for, given the shortest wait that an admission
+    /// queue here has reported, with the upstream of the queue; none if it stays.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert_eq!(Dispatcher::default().destination(&job, "i-1", 40, 0, || 1), None);
+    /// ```
+    pub fn destination(
+        &self,
+        job: &Job,
+        instance: &str,
+        reported_ms: u32,
+        now_ms: u64,
+        mut random: impl FnMut() -> usize,
+    ) -> Option<u32> {
+        if !self.data_centres.is_on() {
+            return None;
+        }
+        let tracked = self.upstreams.get(instance)?;
+        let request = self.request_view(job, now_ms);
+        let lead_ms = self.full_lead_ms(tracked, job);
+        if reported_ms == 0 && lead_ms <= request.objective_in_ms {
+            return None;
+        }
+        let supplies = self.supplies(job, now_ms);
+        let here = upstreams_in(&supplies, tracked.data_centre);
+        let wait_ms = expected_wait_ms(reported_ms, here);
+        let random = || numbers::ratio(random() % RANDOM_STEPS, RANDOM_STEPS);
+        self.data_centres
+            .destination(&request, wait_ms, lead_ms, &supplies, now_ms, random)
+    }
+
+    /// Returns whether it still pays for a request to wait in an admission queue of another data
+    /// centre, given the waits that this queue and the best one here have reported.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(Dispatcher::default().still_pays(&job, ("i-1", 40), ("i-2", 10), 0));
+    /// ```
+    #[must_use]
+    pub fn still_pays(
+        &self,
+        job: &Job,
+        here: (&str, u32),
+        there: (&str, u32),
+        now_ms: u64,
+    ) -> bool {
+        let supplies = self.supplies(job, now_ms);
+        let wait_and_lead_ms = |(instance, reported_ms): (&str, u32)| {
+            let tracked = self.upstreams.get(instance)?;
+            let upstreams = upstreams_in(&supplies, tracked.data_centre);
+            let wait_ms = expected_wait_ms(reported_ms, upstreams);
+            Some((wait_ms, self.full_lead_ms(tracked, job)))
+        };
+        let request = self.request_view(job, now_ms);
+        match (wait_and_lead_ms(here), wait_and_lead_ms(there)) {
+            (Some(here), Some(there)) => self.data_centres.pays(&request, here, there),
+            _ => true,
+        }
+    }
+
+    /// Records that a request asks the admission queue of an upstream.
+    ///
+    /// ```
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().record_asked("i-1", true, 0);
+    /// ```
+    pub fn record_asked(&mut self, instance: &str, is_forced: bool, now_ms: u64) {
+        if let Some(tracked) = self.upstreams.get(instance) {
+            let service = Arc::clone(&tracked.upstream.service);
+            self.data_centres
+                .record_asked(&service, tracked.data_centre, is_forced, now_ms);
+        }
+    }
+
+    /// Returns whether no upstream here can serve a request while others can.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(!Dispatcher::default().is_forced_elsewhere(&job, 0));
+    /// ```
+    #[must_use]
+    pub fn is_forced_elsewhere(&self, job: &Job, now_ms: u64) -> bool {
+        let upstreams = self.usable_upstreams(job, now_ms);
+        self.data_centres.is_on()
+            && !upstreams.is_empty()
+            && !upstreams.iter().any(|tracked| self.serves_here(tracked))
+    }
+
+    fn serves_here(&self, tracked: &TrackedUpstream) -> bool {
+        self.data_centres.is_own(tracked.data_centre) && !tracked.health.is_failing()
+    }
+
+    fn request_view(&self, job: &Job, now_ms: u64) -> RequestView {
+        let until_ms = |at_ms: u64| numbers::as_f64(at_ms.saturating_sub(now_ms));
+        RequestView {
+            service: Arc::clone(&job.service),
+            tier: job.tier,
+            prompt_tokens: job.prompt_tokens,
+            objective_in_ms: until_ms(job.objective_at_ms),
+            patience_ms: until_ms(job.waits_until_ms()),
+            hold_ms: self.baseline_for(&job.service).hold_ms(),
+        }
+    }
+
+    fn full_lead_ms(&self, tracked: &TrackedUpstream, job: &Job) -> f64 {
+        let unread_tokens = job.unread_tokens(&tracked.upstream.instance);
+        tracked.first_ms(unread_tokens, self.baseline_for(&job.service)) * FIRST_EVENT_MARGIN
+    }
+
+    /// Returns what the upstreams of each data centre offer to a request.
+    fn supplies(&self, job: &Job, now_ms: u64) -> Vec<Supply> {
+        let mut supplies: IndexMap<u32, Supply> = IndexMap::new();
+        for tracked in self.usable_upstreams(job, now_ms) {
+            let lead_ms = self.full_lead_ms(tracked, job);
+            let used = tracked.running + self.running_at_peers(tracked, now_ms);
+            let slots = tracked.upstream.slots;
+            let supply = supplies.entry(tracked.data_centre).or_insert(Supply {
+                data_centre: tracked.data_centre,
+                upstreams: 0,
+                slots: 0,
+                used: 0,
+                lead_ms,
+            });
+            supply.upstreams += 1;
+            supply.slots += slots;
+            supply.used += used.min(slots);
+            supply.lead_ms = supply.lead_ms.min(lead_ms);
+        }
+        supplies.into_values().collect()
     }
 
     /// Applies a peer's report of its running requests and of the speeds that it measured.
@@ -372,9 +626,33 @@
         job: &Job,
         asked: &[Arc<str>],
         now_ms: u64,
+        random: impl FnMut() -> usize,
+    ) -> Option<Arc<Upstream>> {
+        self.choose_within(CandidateScope::Here, job, asked, now_ms, random)
+    }
+
+    /// Returns the upstream within a scope whose admission queue a request asks next; see
+    /// [`Self::choose`].
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::{CandidateScope, Dispatcher}, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// let chosen = Dispatcher::default().choose_within(CandidateScope::Elsewhere, &job, &[], 0, || 1);
+    /// assert!(chosen.is_none());
+    /// ```
+    pub fn choose_within(
+        &self,
+        scope: CandidateScope,
+        job: &Job,
+        asked: &[Arc<str>],
+        now_ms: u64,
         mut random: impl FnMut() -> usize,
     ) -> Option<Arc<Upstream>> {
         let mut upstreams = self.usable_upstreams(job, now_ms);
+        self.restrict(&mut upstreams, scope, job, now_ms);
         upstreams.retain(|tracked| !asked.contains(&tracked.upstream.instance));
         let has_cached =
             |tracked: &&TrackedUpstream| job.cached_tokens(&tracked.upstream.instance) > 0;
@@ -399,6 +677,50 @@
         Some(Arc::clone(&best.upstream))
     }
 
+    /// Keeps the upstreams within a scope.
+    fn restrict(
+        &self,
+        upstreams: &mut Vec<&TrackedUpstream>,
+        scope: CandidateScope,
+        job: &Job,
+        now_ms: u64,
+    ) {
+        let is_own = |tracked: &&TrackedUpstream| self.data_centres.is_own(tracked.data_centre);
+        if !self.data_centres.is_on() || upstreams.iter().all(is_own) {
+            return;
+        }
+        let may_be_asked = |tracked: &&TrackedUpstream| {
+            self.data_centres.may_be_asked(tracked.data_centre, now_ms)
+        };
+        match scope {
+            CandidateScope::DataCentre(data_centre) => {
+                upstreams.retain(|tracked| tracked.data_centre == data_centre);
+            }
+            CandidateScope::Here if upstreams.iter().any(|tracked| self.serves_here(tracked)) => {
+                upstreams.retain(|tracked| {
+                    is_own(tracked) || (may_be_asked(tracked) && self.cache_pays(tracked, job))
+                });
+            }
+            CandidateScope::Here | CandidateScope::Elsewhere => {
+                // Without an answer from any other data centre, a request is better sent to one of
+                // them than refused.
+                let can_be_asked =
+                    |tracked: &&TrackedUpstream| !is_own(tracked) && may_be_asked(tracked);
+                if upstreams.iter().any(can_be_asked) {
+                    upstreams.retain(can_be_asked);
+                }
+            }
+        }
+    }
+
+    /// Returns whether an engine of another data centre has cached so much of the prompt that sending
+    /// the request there takes less time than reading the prompt here.
+    fn cache_pays(&self, tracked: &TrackedUpstream, job: &Job) -> bool {
+        let tokens = job.cached_tokens(&tracked.upstream.instance);
+        let saved_ms = tracked.read_ms(tokens, self.baseline_for(&job.service));
+        saved_ms > self.data_centres.transfer_ms(job.prompt_tokens)
+    }
+
     fn cheapest<'a>(
         &self,
         job: &Job,
@@ -408,7 +730,12 @@
         let baseline = self.baseline_for(&job.service);
         let cost_ms = |tracked: &TrackedUpstream| {
             let running = tracked.running + self.running_at_peers(tracked, now_ms);
-            tracked.cost_ms(running, job, baseline, now_ms)
+            let cost_ms = tracked.cost_ms(running, job, baseline, now_ms);
+            if self.is_here(&tracked.upstream.instance) {
+                cost_ms
+            } else {
+                cost_ms + self.data_centres.transfer_ms(job.prompt_tokens)
+            }
         };
         let costs = upstreams.iter().map(|tracked| (cost_ms(tracked), *tracked));
         let best = costs.min_by(|(one, _), (other, _)| one.total_cmp(other));
@@ -575,11 +902,12 @@
     /// Records that the first part of a request's answer has arrived.
     ///
     /// ```
-    /// sardinewood::direct::placement::dispatch::Dispatcher::default().answered("i-1", 1);
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().answered("i-1", 1, 0);
     /// ```
-    pub fn answered(&mut self, instance: &str, id: u64) {
+    pub fn answered(&mut self, instance: &str, id: u64, now_ms: u64) {
         if let Some(tracked) = self.upstreams.get_mut(instance) {
             tracked.answered(id);
+            self.data_centres.heard(tracked.data_centre, now_ms);
         }
     }
 
@@ -658,6 +986,13 @@
     }
 }
 
+/// Returns the number of upstreams of a data centre; all that are asked if it is not known.
+fn upstreams_in(supplies: &[Supply], data_centre: u32) -> u32 {
+    let mut supplies = supplies.iter();
+    let supply = supplies.find(|supply| supply.data_centre == data_centre);
+    supply.map_or(u32::MAX, |supply| supply.upstreams)
+}
+
 /// Rounds a time to whole milliseconds, at most one minute.
 fn whole_ms(time_ms: f64) -> u64 {
     const MAX_MS: f64 = 60_000.0;
--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -5,12 +5,14 @@
 
 use std::sync::Arc;
 
+use crate::direct::placement::dispatch::CandidateScope;
 use crate::direct::placement::dispatch::Dispatcher;
 use crate::direct::placement::dispatch::upstream_hash;
 use crate::direct::placement::job::Job;
 use crate::direct::sharing::admission::MAX_QUEUES_PER_REQUEST;
 use crate::direct::sharing::admission::PeerRequestId;
 use crate::direct::sharing::admission::SlotRequest;
+use crate::direct::store_view::directory::Upstream;
 use crate::numbers::signed;
 
 /// Time without a reply from an admission queue after which another one is asked, and finally the
@@ -59,6 +61,22 @@
     instance: Arc<str>,
     sent_at_ms: u64,
     wait_ms: Option<u32>,
+    replied_at_ms: u64,
+}
+
+impl OpenSlotRequest {
+    /// Returns how long the request is still expected to wait, by the queue's last reply. If it has
+    /// waited for longer than that, it is expected to wait for as long again.
+    fn remaining_ms(&self, now_ms: u64) -> Option<u32> {
+        let wait_ms = self.wait_ms?;
+        let waited_ms = now_ms.saturating_sub(self.replied_at_ms);
+        let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
+        Some(if waited_ms <= wait_ms {
+            wait_ms - waited_ms
+        } else {
+            waited_ms
+        })
+    }
 }
 
 /// A request that waits for a slot, and its open slot requests.
@@ -115,6 +133,49 @@
         vec![step.unwrap_or(SearchStep::Refuse)]
     }
 
+    /// Records the reply that a slot request is queued, for the choice between data centres. Called
+    /// before [`Self::handle_queued`].
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::slot_search::SlotSearch, placement::dispatch::Dispatcher, sharing::admission::PeerRequestId, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// SlotSearch::new(job).record_queued(PeerRequestId(7), 20, &mut Dispatcher::default(), 0);
+    /// ```
+    pub fn record_queued(
+        &self,
+        request_id: PeerRequestId,
+        wait_ms: u32,
+        dispatcher: &mut Dispatcher,
+        now_ms: u64,
+    ) {
+        let open = self.open_requests.iter().find(|open| open.id == request_id);
+        if let Some(open) = open {
+            dispatcher.record_wait(&self.job, &open.instance, wait_ms, now_ms);
+        }
+    }
+
+    /// Records that a slot was granted, for the choice between data centres.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::slot_search::SlotSearch, placement::dispatch::Dispatcher, sharing::admission::PeerRequestId, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// SlotSearch::new(job).record_granted("i-1", &mut Dispatcher::default(), 0);
+    /// ```
+    pub fn record_granted(&self, instance: &str, dispatcher: &mut Dispatcher, now_ms: u64) {
+        let mut open_requests = self.open_requests.iter();
+        let open = open_requests.find(|open| *open.instance == *instance);
+        // A grant after a wait is no news: the queue has reported the wait.
+        if open.is_some_and(|open| open.wait_ms.is_none()) {
+            dispatcher.record_wait(&self.job, instance, 0, now_ms);
+        }
+    }
+
     /// Handles the reply that a slot request is queued. Asks another admission queue, unless it is
     /// better to wait for a cached prefix, and refuses the request if all queues expect too long a
     /// wait.
@@ -134,7 +195,7 @@
         wait_ms: u32,
         dispatcher: &Dispatcher,
         now_ms: u64,
-        random: impl FnMut() -> u64,
+        mut random: impl FnMut() -> u64,
     ) -> Vec<SearchStep> {
         if let Some(open) = self
             .open_requests
@@ -142,15 +203,29 @@
             .find(|open| open.id == request_id)
         {
             open.wait_ms = Some(wait_ms);
+            open.replied_at_ms = now_ms;
         }
+        let mut steps = self.cancel_without_advantage(dispatcher, now_ms);
         if self.expects_too_long_waits(now_ms) {
-            return vec![SearchStep::Refuse];
+            let moved = self.ask_elsewhere(dispatcher, now_ms, random);
+            return if moved.is_empty() {
+                vec![SearchStep::Refuse]
+            } else {
+                moved
+            };
         }
         if self.prefers_to_wait_for_cache(dispatcher) {
-            return Vec::new();
+            return steps;
+        }
+        if self.open_requests.len() < usize::from(MAX_QUEUES_PER_REQUEST) {
+            let elsewhere = self.ask_elsewhere(dispatcher, now_ms, &mut random);
+            if elsewhere.is_empty() {
+                steps.extend(self.ask_next_queue(dispatcher, now_ms, random));
+            } else {
+                steps.extend(elsewhere);
+            }
         }
-        let another = self.ask_next_queue(dispatcher, now_ms, random);
-        another.into_iter().collect()
+        steps
     }
 
     /// Handles a timeout: asks other admission queues, sends slot requests again, or starts without
@@ -181,6 +256,8 @@
                 Some(step) => steps.push(step),
                 None => steps.extend(self.start_without_grant(dispatcher, now_ms)),
             }
+        } else {
+            steps.extend(self.ask_elsewhere(dispatcher, now_ms, &mut random));
         }
         for open in &mut self.open_requests {
             if now_ms >= open.sent_at_ms + RESEND_AFTER_MS {
@@ -266,25 +343,159 @@
         if self.open_requests.len() >= usize::from(MAX_QUEUES_PER_REQUEST) {
             return None;
         }
-        let asked_instances: Vec<Arc<str>> = self
-            .open_requests
-            .iter()
+        let asked_instances = self.asked_instances();
+        let mut draw = || usize::try_from(random() & DRAW_MASK).unwrap_or_default();
+        let upstream = dispatcher
+            .choose(&self.job, &asked_instances, now_ms, &mut draw)
+            .or_else(|| self.choose_behind_silent(dispatcher, now_ms, &mut draw))?;
+        let upstream = self.late_elsewhere(upstream, dispatcher, now_ms, draw);
+        Some(self.ask(&upstream, now_ms, random))
+    }
+
+    fn asked_instances(&self) -> Vec<Arc<str>> {
+        let open_requests = self.open_requests.iter();
+        open_requests
             .map(|open| Arc::clone(&open.instance))
-            .collect();
-        let draw = || usize::try_from(random() & DRAW_MASK).unwrap_or_default();
-        let upstream = dispatcher.choose(&self.job, &asked_instances, now_ms, draw)?;
+            .collect()
+    }
+
+    /// Returns an upstream of another data centre if all queues here have been asked and none has
+    /// replied.
+    fn choose_behind_silent(
+        &self,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+        draw: impl FnMut() -> usize,
+    ) -> Option<Arc<Upstream>> {
+        let is_silent = |open: &OpenSlotRequest| open.wait_ms.is_none();
+        if !dispatcher.data_centres().is_on() || !self.open_requests.iter().all(is_silent) {
+            return None;
+        }
+        let scope = CandidateScope::Elsewhere;
+        dispatcher.choose_within(scope, &self.job, &self.asked_instances(), now_ms, draw)
+    }
+
+    /// Replaces the first upstream here by one of another data centre if the request would be late
+    /// here, even without a wait, and not there.
+    fn late_elsewhere(
+        &self,
+        upstream: Arc<Upstream>,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+        mut draw: impl FnMut() -> usize,
+    ) -> Arc<Upstream> {
+        if !self.open_requests.is_empty() || !dispatcher.is_here(&upstream.instance) {
+            return upstream;
+        }
+        let destination =
+            dispatcher.destination(&self.job, &upstream.instance, 0, now_ms, &mut draw);
+        destination
+            .and_then(|data_centre| {
+                let scope = CandidateScope::DataCentre(data_centre);
+                dispatcher.choose_within(scope, &self.job, &[], now_ms, draw)
+            })
+            .unwrap_or(upstream)
+    }
+
+    /// Asks an admission queue of another data centre if the request leaves this one. If it waits in
+    /// as many queues as it may, the one here with the longest wait is left.
+    fn ask_elsewhere(
+        &mut self,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+        mut random: impl FnMut() -> u64,
+    ) -> Vec<SearchStep> {
+        let Some((here, wait_ms)) = self.shortest_wait_here(dispatcher, now_ms) else {
+            return Vec::new();
+        };
+        if self.open_elsewhere(dispatcher).is_some() {
+            return Vec::new();
+        }
+        let mut draw = || usize::try_from(random() & DRAW_MASK).unwrap_or_default();
+        let job = &self.job;
+        let destination = dispatcher.destination(job, &here, wait_ms, now_ms, &mut draw);
+        let upstream = destination.and_then(|data_centre| {
+            let scope = CandidateScope::DataCentre(data_centre);
+            dispatcher.choose_within(scope, job, &[], now_ms, draw)
+        });
+        let Some(upstream) = upstream else {
+            return Vec::new();
+        };
+        let mut steps = Vec::new();
+        if self.open_requests.len() >= usize::from(MAX_QUEUES_PER_REQUEST) {
+            let open_requests = self.open_requests.iter().enumerate();
+            let longest = open_requests.max_by_key(|(_, open)| open.remaining_ms(now_ms));
+            if let Some((index, _)) = longest {
+                steps.push(cancel(self.open_requests.remove(index)));
+            }
+        }
+        steps.push(self.ask(&upstream, now_ms, random));
+        steps
+    }
+
+    /// Returns the upstream here whose queue expects the shortest wait, with the wait; none if the
+    /// choice ignores data centres or no queue here has replied.
+    fn shortest_wait_here(&self, dispatcher: &Dispatcher, now_ms: u64) -> Option<(Arc<str>, u32)> {
+        if !dispatcher.data_centres().is_on() {
+            return None;
+        }
+        let here = self.open_requests.iter();
+        here.filter(|open| dispatcher.is_here(&open.instance))
+            .filter_map(|open| Some((Arc::clone(&open.instance), open.remaining_ms(now_ms)?)))
+            .min_by_key(|(_, wait_ms)| *wait_ms)
+    }
+
+    /// Returns the slot request to another data centre, if there is one.
+    fn open_elsewhere(&self, dispatcher: &Dispatcher) -> Option<usize> {
+        let mut open_requests = self.open_requests.iter();
+        open_requests.position(|open| !dispatcher.is_here(&open.instance))
+    }
+
+    /// Cancels the slot request to another data centre once the waits show that it does not pay. Two
+    /// data centres that are both full would otherwise exchange their requests.
+    fn cancel_without_advantage(
+        &mut self,
+        dispatcher: &Dispatcher,
+        now_ms: u64,
+    ) -> Vec<SearchStep> {
+        let Some((here, here_ms)) = self.shortest_wait_here(dispatcher, now_ms) else {
+            return Vec::new();
+        };
+        let Some(index) = self.open_elsewhere(dispatcher) else {
+            return Vec::new();
+        };
+        let open = &self.open_requests[index];
+        let Some(there_ms) = open.remaining_ms(now_ms) else {
+            return Vec::new();
+        };
+        let is_for_cache = self.job.cached_tokens(&open.instance) > 0;
+        let there = (&*open.instance, there_ms);
+        if is_for_cache || dispatcher.still_pays(&self.job, (&here, here_ms), there, now_ms) {
+            return Vec::new();
+        }
+        vec![cancel(self.open_requests.remove(index))]
+    }
+
+    /// Asks an upstream's admission queue.
+    fn ask(
+        &mut self,
+        upstream: &Upstream,
+        now_ms: u64,
+        mut random: impl FnMut() -> u64,
+    ) -> SearchStep {
         let open = OpenSlotRequest {
             id: PeerRequestId::from_random(random()),
             instance: Arc::clone(&upstream.instance),
             sent_at_ms: now_ms,
             wait_ms: None,
+            replied_at_ms: now_ms,
         };
         let step = SearchStep::RequestSlot {
             id: open.id,
             instance: Arc::clone(&open.instance),
         };
         self.open_requests.push(open);
-        Some(step)
+        step
     }
 
     /// Cancels slot requests for upstreams that are no longer available, so that others are asked.
--- a/lib/src/direct/placement/tracked_upstream.rs
+++ b/lib/src/direct/placement/tracked_upstream.rs
@@ -8,6 +8,7 @@
 use crate::direct::membership::peer_message::UpstreamCondition;
 use crate::direct::membership::peer_message::UpstreamLoad;
 use crate::direct::placement::baseline::ServiceBaseline;
+use crate::direct::placement::data_centres::data_centre_hash;
 use crate::direct::placement::dispatch::upstream_hash;
 use crate::direct::placement::health::AttemptOutcome;
 use crate::direct::placement::health::ObservedHealth;
@@ -90,6 +91,8 @@
     pub upstream: Arc<Upstream>,
     /// Upstream hash, kept here because each heartbeat and each choice needs it.
     pub hash: u32,
+    /// Hash of the data centre's name.
+    pub data_centre: u32,
     /// Whether the upstream accepts new requests.
     pub is_listed: bool,
     /// Which requests the upstream takes.
@@ -121,6 +124,7 @@
         Self {
             upstream: Arc::clone(upstream),
             hash: upstream_hash(&upstream.instance),
+            data_centre: data_centre_hash(&upstream.data_centre),
             is_listed: true,
             intake: Intake::New,
             is_limited: false,
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -223,6 +223,7 @@
         if effect.is_ignored {
             return;
         }
+        traffic.record_heard(heartbeat.host);
         if effect.is_new {
             // The peer need not wait for the next round to learn of this entry and its revisions.
             self.send_heartbeat(&[from]);
@@ -366,6 +367,8 @@
             upstream_silence_ms: traffic.upstream_silence_ms.get(),
         };
         traffic.dispatcher.borrow_mut().set_intervals(intervals);
+        traffic.apply_data_centre_policy();
+        traffic.log_flow_changes();
         self.log_discovered(known);
         self.round += 1;
         self.report_spending();
--- a/lib/src/direct/replication/peer_pull.rs
+++ b/lib/src/direct/replication/peer_pull.rs
@@ -177,6 +177,7 @@
         let Ok((puller, eras)) = postcard::take_from_bytes::<Puller>(extension) else {
             let update = self.follower.encoded_update(theirs, Encoding::Plain)?;
             self.follower.count_served("sent");
+            self.follower.count_update_bytes(update.len());
             return channel.send(update).await;
         };
         let theirs = match postcard::from_bytes(eras) {
@@ -191,6 +192,7 @@
             self.follower.count_served("busy");
             return channel.send(self.busy_reply()?).await;
         }
+        self.follower.count_update_bytes(update.len());
         channel.send(update).await?;
         // The peer closes the connection once it has read the update. Until then, the update may
         // wait in a buffer and share the link with others.
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -22,6 +22,7 @@
 use tokio::time::sleep_until;
 
 use crate::backoff::Backoff;
+use crate::direct::data_centre_driver::Destination;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::store_role;
 use crate::direct::membership::store_role::StoreRole;
@@ -624,6 +625,13 @@
         served.with_label_values(&[result]).inc();
     }
 
+    /// Counts the bytes of an update that is sent to a peer. The control thread does not know the data
+    /// centres of peers.
+    pub fn count_update_bytes(&self, bytes: usize) {
+        let metrics = &self.channels.metrics;
+        metrics.count_bytes("updates", Destination::Unknown, bytes);
+    }
+
     /// Returns what a peer with these revisions lacks, encoded.
     ///
     /// # Errors
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -275,6 +275,7 @@
     lease.record_sent(call.prompt_tokens);
     traffic.record_version_dispatch(call, &mut lease);
     count_prompt_tokens(traffic, call, &lease);
+    traffic.count_sent_to(&lease.upstream, call.body.len());
     match timeout_at(until, connection.send(request)).await {
         Err(_) => {
             lease.outcome = AttemptOutcome::Failed;
@@ -579,6 +580,7 @@
             return ReadResponse::ReadFailed(NextStep::RespondTimedOut);
         }
     };
+    traffic.count_answer_bytes(&lease.upstream, body.len());
     let ending = confirm_end(traffic, &lease.upstream, ends_with_connection).await;
     if ending == AnswerEnding::Crashed {
         lease.outcome = AttemptOutcome::Broken;
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -172,6 +172,10 @@
             match received {
                 Received::Silence => {}
                 Received::Bytes(bytes) => {
+                    if let Some(source) = &self.source {
+                        self.traffic
+                            .count_answer_bytes(&source.lease.upstream, bytes.len());
+                    }
                     let Some(events) = self.whole_events(&bytes) else {
                         continue;
                     };
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -372,6 +372,7 @@
     traffic.config_bound_ms.set(settings.config_bound_ms());
     traffic.drain_bound_ms.set(settings.drain_bound_ms());
     traffic.load_policy.set(settings.load_policy);
+    traffic.apply_data_centre_policy();
     let callers = listen(settings.caller_address, "callers").await?;
     let readiness = listen(settings.readiness_address, "readiness").await?;
     let metrics = listen(settings.metrics_address, "metrics").await?;
--- a/lib/src/direct/slot_driver.rs
+++ b/lib/src/direct/slot_driver.rs
@@ -97,6 +97,7 @@
             .search
             .slot_request(id, instance, &dispatcher, traffic.now_ms());
         drop(dispatcher);
+        traffic.record_asked(&self.search.job, instance);
         let owner = traffic.owner(slot_request.upstream);
         let pending = PendingSlotRequest {
             replies: self.replies.clone(),
@@ -173,6 +174,15 @@
         steps.into_iter().find_map(|step| self.execute(step))
     }
 
+    /// Records a reply of an admission queue, for the choice between data centres.
+    fn record(&self, record: impl FnOnce(&SlotSearch, &mut Dispatcher, u64)) {
+        let now_ms = self.traffic.now_ms();
+        let mut dispatcher = self.traffic.dispatcher.borrow_mut();
+        record(&self.search, &mut dispatcher, now_ms);
+        drop(dispatcher);
+        self.traffic.log_flow_changes();
+    }
+
     async fn wait(
         &mut self,
         replies: &mut UnboundedReceiver<AdmissionReply>,
@@ -186,13 +196,23 @@
         while Instant::now() < until {
             let wait_until = (Instant::now() + Duration::from_millis(REPLY_TIMEOUT_MS)).min(until);
             let end = match timeout_at(wait_until, replies.recv()).await {
-                Ok(Some(AdmissionReply::Granted(lease))) => Some(WaitEnd::Started(lease)),
+                Ok(Some(AdmissionReply::Granted(lease))) => {
+                    self.record(|search, dispatcher, now_ms| {
+                        search.record_granted(&lease.upstream.instance, dispatcher, now_ms);
+                    });
+                    Some(WaitEnd::Started(lease))
+                }
                 Ok(Some(AdmissionReply::Queued {
                     request_id,
                     wait_ms,
-                })) => self.decide(|search, dispatcher, now_ms| {
-                    search.handle_queued(request_id, wait_ms, dispatcher, now_ms, rand::random)
-                }),
+                })) => {
+                    self.record(|search, dispatcher, now_ms| {
+                        search.record_queued(request_id, wait_ms, dispatcher, now_ms);
+                    });
+                    self.decide(|search, dispatcher, now_ms| {
+                        search.handle_queued(request_id, wait_ms, dispatcher, now_ms, rand::random)
+                    })
+                }
                 Ok(None) => Some(WaitEnd::Refused),
                 Err(_) => self.decide(|search, dispatcher, now_ms| {
                     search.handle_timeout(dispatcher, now_ms, rand::random)
@@ -209,6 +229,7 @@
 /// Waits for a slot at an upstream until the request's waiting time is over.
 pub async fn acquire_slot(traffic: &Rc<TrafficState>, job: Job) -> SlotResult {
     let until = traffic.instant_at(job.waits_until_ms());
+    traffic.record_request_size(job.prompt_tokens);
     let (sender, mut replies) = mpsc::unbounded_channel();
     let mut waiting = WaitingRequest {
         traffic: Rc::clone(traffic),
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -259,10 +259,11 @@
         let instance = &self.upstream.instance;
         let mut crash_detector = self.traffic.crash_detector.borrow_mut();
         crash_detector.on_answer(instance, self.acquired_at_ms);
-        self.traffic
-            .dispatcher
-            .borrow_mut()
-            .answered(&self.upstream.instance, self.id);
+        self.traffic.dispatcher.borrow_mut().answered(
+            &self.upstream.instance,
+            self.id,
+            self.traffic.now_ms(),
+        );
     }
 
     /// Returns how long the upstream has had the request, without the time to connect.
@@ -516,6 +517,7 @@
         let purpose = message.purpose();
         self.metrics
             .count_datagrams("sent", purpose, targets.len(), bytes.len());
+        self.count_bytes_to_peers(targets, message.bytes_purpose(), bytes.len());
         for to in targets {
             if let Err(error) = self.socket.try_send_to(&bytes, *to) {
                 self.log(Level::Warn, "message to a peer could not be sent", |line| {
@@ -608,6 +610,7 @@
             let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
             metrics.catalog_age_ms.set(age_ms);
         }
+        self.update_data_centre_gauges();
         if let Some(age_ms) = self.list_mark().age_ms {
             let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
             metrics.list_age_ms.set(age_ms);
