placement: damped flows between data centres, tests in virtual time

Cause: with a share drawn at each decision, waits compared by repeated replies and a step at the objective, full data centres exchanged a fifth to a third of their requests in the model.

--- a/lib/src/direct/data_centre_driver.rs
+++ b/lib/src/direct/data_centre_driver.rs
@@ -7,6 +7,7 @@
 use indexmap::IndexMap;
 
 use crate::direct::membership::peer_message::EntryHost;
+use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::placement::data_centres::FlowChange;
 use crate::direct::placement::job::Job;
 use crate::direct::store_view::directory::Upstream;
@@ -66,12 +67,12 @@
         dispatcher.data_centres_mut().set_policy(own, price_ms);
     }
 
-    /// Records that a peer was heard from, and thus its data centre.
-    pub fn record_heard(&self, host: Option<EntryHost>) {
-        if let Some(host) = host {
+    /// Records the data centre of a peer whose heartbeat was applied.
+    pub fn record_peer_data_centre(&self, heartbeat: &Heartbeat) {
+        if let Some(host) = heartbeat.host {
             let mut dispatcher = self.dispatcher.borrow_mut();
-            let data_centres = dispatcher.data_centres_mut();
-            data_centres.heard(host.data_centre, self.now_ms());
+            let (incarnation, data_centre) = (heartbeat.incarnation, host.data_centre);
+            dispatcher.record_peer_data_centre(incarnation, data_centre, self.now_ms());
         }
     }
 
--- a/lib/src/direct/placement/data_centres.rs
+++ b/lib/src/direct/placement/data_centres.rs
@@ -31,6 +31,15 @@
 /// Time constant with which a reported wait replaces earlier ones. Single queues of a data centre
 /// differ, and a request asks three of ten.
 const WAIT_SMOOTHING_MS: f64 = 100.0;
+/// Age up to which such a wait is used against leaving for a data centre whose slots are all in use
+/// still. Without it, requests would ask there every time that the wait has become too old.
+const FULL_WAIT_TTL_MS: u64 = 3_000;
+/// Part of the waits by which they differ by chance, between queues and data centres that are equally
+/// full.
+const CHANCE_PART: f64 = 0.3;
+/// Slots that requests of another data centre may use here, in percent of its slots, before it counts
+/// as sending requests: the rest of an earlier flow.
+const TOLERATED_PERCENT: u32 = 4;
 /// Least weight of a reported wait, which makes up for many replies at the same moment.
 const MIN_WAIT_WEIGHT: f64 = 0.1;
 /// Time constants of the share. A full data centre has to spill over within 300 ms, which is three
@@ -39,10 +48,15 @@
 const FALL_MS: f64 = 230.0;
 /// Advantage, beyond delay and price, at which the largest share leaves. Below it the share is in
 /// proportion, so that the flow settles where the advantage is small instead of switching on and off.
-const FULL_ADVANTAGE_MS: f64 = 60.0;
-/// Largest share of the requests that leave in one decision. A request decides anew with each reply
-/// and every 40 ms, so most requests of a data centre without free slots leave within 100 ms.
-const MAX_SHARE: f64 = 0.5;
+const FULL_ADVANTAGE_MS: f64 = 80.0;
+/// Largest share of the requests that leave, so that a data centre with few upstreams is still used and
+/// tells how long its waits are.
+const MAX_SHARE: f64 = 0.8;
+/// The same while hardly any slot is free there. Requests then only change places with others; without
+/// this bound, in an overload of a fifth everywhere, 0.2 to 0.35 of all requests left their data centre.
+const MAX_SHARE_TO_FULL: f64 = 0.15;
+/// Used slots, in percent, from which on a data centre counts as full.
+const FULL_PERCENT: u32 = 96;
 /// Shares from which on, and below which, a flow is logged as started and stopped.
 const STARTED_SHARE: f64 = 0.05;
 const STOPPED_SHARE: f64 = 0.01;
@@ -59,6 +73,9 @@
 const FIXED_TOKENS: f64 = 256.0;
 /// Weight of a request in the mean size.
 const SIZE_WEIGHT: f64 = 0.02;
+/// Range of expected waits, around the longest one that meets the objective, in which a request may
+/// turn out to be late or in time.
+const LATE_RANGE_MS: f64 = 200.0;
 /// Bounds of a request's price relative to the mean.
 const MIN_SIZE: f64 = 0.05;
 const MAX_SIZE: f64 = 10.0;
@@ -90,11 +107,27 @@
     pub slots: u32,
     /// Their slots in use, by the latest heartbeats.
     pub used: u32,
+    /// Of them, slots that requests of entries of this data centre use.
+    pub sent_there: u32,
+    /// Slots here that requests of that data centre's entries use.
+    pub sent_here: u32,
     /// Time that the request needs before its first event at the best one of them.
     pub lead_ms: f64,
 }
 
 impl Supply {
+    /// Returns whether the data centre sends more requests here than are sent there. Of two data
+    /// centres, only the one that sends more goes on, so that they do not exchange their requests.
+    fn sends_more(&self) -> bool {
+        let tolerated = self.slots * TOLERATED_PERCENT / 100;
+        self.sent_here > self.sent_there + tolerated.max(1)
+    }
+
+    /// Returns whether hardly any slot is free.
+    fn is_full(&self) -> bool {
+        self.used * 100 >= self.slots * FULL_PERCENT
+    }
+
     /// Returns the shortest wait that the slots in use allow for.
     fn wait_by_slots_ms(&self, hold_ms: f64) -> f64 {
         if self.used < self.slots {
@@ -133,11 +166,14 @@
     pub service: Arc<str>,
     /// Tier of its route.
     pub tier: u8,
+    /// The request's place, from 0 to 1, among those that may leave: it leaves once the share exceeds
+    /// it. If it were drawn anew at each decision, all requests that wait would leave within a few.
+    pub rank: f64,
     /// Its prompt tokens, by which its bytes are judged; 0 for plain calls.
     pub prompt_tokens: u32,
-    /// Time left until its objective.
+    /// Time from its arrival until its objective.
     pub objective_in_ms: f64,
-    /// Time for which it will still wait for a slot.
+    /// Time for which it waits for a slot in all.
     pub patience_ms: f64,
     /// Typical time for which a request of the service holds a slot.
     pub hold_ms: f64,
@@ -145,10 +181,13 @@
 
 impl RequestView {
     /// Returns what a wait costs the request: the wait, and a typical hold time if it makes the request
-    /// late, which is what a late answer is taken to cost in the choice of an upstream.
+    /// late, which is what a late answer is taken to cost in the choice of an upstream. With a step at
+    /// the objective, data centres whose waits are just that long would send each other requests by
+    /// turns: in an overload, all waits are.
     fn cost_ms(&self, wait_ms: f64, lead_ms: f64) -> f64 {
-        let is_late = wait_ms + lead_ms > self.objective_in_ms;
-        wait_ms + if is_late { self.hold_ms } else { 0.0 }
+        let late_by_ms = wait_ms + lead_ms - self.objective_in_ms;
+        let late_chance = (late_by_ms / LATE_RANGE_MS + 0.5).clamp(0.0, 1.0);
+        wait_ms + self.hold_ms * late_chance
     }
 }
 
@@ -246,6 +285,15 @@
     pub transfer_ms: f64,
 }
 
+impl FlowInputs {
+    /// Returns by how much the difference of the waits exceeds what leaving costs, and what the waits
+    /// may differ by chance.
+    fn advantage_ms(&self) -> f64 {
+        let by_chance_ms = CHANCE_PART * self.there_ms.min(self.here_ms);
+        self.here_ms - self.there_ms - by_chance_ms - self.transfer_ms
+    }
+}
+
 /// A flow of requests to another data centre that has started or stopped.
 #[derive(Clone, Debug, PartialEq)]
 pub struct FlowChange {
@@ -387,9 +435,10 @@
     /// let mut data_centres = DataCentres::default();
     /// data_centres.set_policy(1, Some(25));
     /// data_centres.heard(2, 0);
-    /// let request = RequestView { service: "s".into(), tier: 0, prompt_tokens: 0, objective_in_ms: 500.0,
+    /// let request = RequestView { service: "s".into(), tier: 0, rank: 0.9, prompt_tokens: 0, objective_in_ms: 500.0,
     ///     patience_ms: 900.0, hold_ms: 300.0 };
-    /// let there = Supply { data_centre: 2, upstreams: 4, slots: 20, used: 3, lead_ms: 50.0 };
+    /// let there = Supply { data_centre: 2, upstreams: 4, slots: 20, used: 3,
+    ///     sent_there: 0, sent_here: 0, lead_ms: 50.0 };
     /// for now_ms in (0..300).step_by(10) {
     ///     data_centres.record_wait(&request, 1, 200.0, 50.0, &[there], now_ms);
     /// }
@@ -419,12 +468,14 @@
         let own = self.own;
         for supply in supplies.iter().filter(|supply| supply.data_centre != own) {
             let inputs = self.inputs(request, supply, here_ms, now_ms);
-            let advantage_ms = if self.is_reachable(supply.data_centre, now_ms) {
-                inputs.here_ms - inputs.there_ms - inputs.transfer_ms
+            let may_send = self.is_reachable(supply.data_centre, now_ms) && !supply.sends_more();
+            let advantage_ms = if may_send { inputs.advantage_ms() } else { 0.0 };
+            let max_share = if supply.is_full() {
+                MAX_SHARE_TO_FULL
             } else {
-                0.0
+                MAX_SHARE
             };
-            let target = (advantage_ms / FULL_ADVANTAGE_MS).clamp(0.0, 1.0) * MAX_SHARE;
+            let target = (advantage_ms / FULL_ADVANTAGE_MS).clamp(0.0, 1.0) * max_share;
             let key = (Arc::clone(&request.service), supply.data_centre);
             let flow = self.flows.entry(key.clone()).or_default();
             flow.shares[tier_index(request.tier)].approach(target, now_ms);
@@ -445,11 +496,12 @@
     /// let mut data_centres = DataCentres::default();
     /// data_centres.set_policy(1, Some(25));
     /// data_centres.heard(2, 0);
-    /// let request = RequestView { service: "s".into(), tier: 0, prompt_tokens: 0, objective_in_ms: 500.0,
+    /// let request = RequestView { service: "s".into(), tier: 0, rank: 0.9, prompt_tokens: 0, objective_in_ms: 500.0,
     ///     patience_ms: 900.0, hold_ms: 300.0 };
-    /// let there = Supply { data_centre: 2, upstreams: 4, slots: 20, used: 3, lead_ms: 50.0 };
-    /// assert_eq!(data_centres.destination(&request, 2_000.0, 50.0, &[there], 0, || 0.9), Some(2));
-    /// assert_eq!(data_centres.destination(&request, 200.0, 50.0, &[there], 0, || 0.9), None);
+    /// let there = Supply { data_centre: 2, upstreams: 4, slots: 20, used: 3,
+    ///     sent_there: 0, sent_here: 0, lead_ms: 50.0 };
+    /// assert_eq!(data_centres.destination(&request, 2_000.0, 50.0, &[there], 0, || 0.5), Some(2));
+    /// assert_eq!(data_centres.destination(&request, 200.0, 50.0, &[there], 0, || 0.5), None);
     /// ```
     pub fn destination(
         &self,
@@ -471,12 +523,14 @@
             .filter(|supply| supply.data_centre != self.own)
         {
             let inputs = self.inputs(request, supply, here_ms, now_ms);
-            let pays = inputs.here_ms - inputs.there_ms > inputs.transfer_ms;
-            if !pays || !self.may_be_asked(supply.data_centre, now_ms) {
+            if inputs.advantage_ms() <= 0.0 || !self.may_be_asked(supply.data_centre, now_ms) {
                 continue;
             }
             let there_ms = self.wait_there_ms(request, supply, now_ms);
             let is_saved = is_refused_here && there_ms + HOP_MS * HOPS <= request.patience_ms;
+            if supply.sends_more() && !is_saved {
+                continue;
+            }
             let share = if is_saved {
                 1.0
             } else if self.is_reachable(supply.data_centre, now_ms) {
@@ -492,7 +546,7 @@
             .iter()
             .map(|(_, share, _)| *share)
             .fold(0.0, f64::max);
-        if share <= 0.0 || (share < 1.0 && random() >= share) {
+        if share <= request.rank {
             return None;
         }
         let weight = |(_, share, slots): &(u32, f64, f64)| share * slots;
@@ -550,7 +604,7 @@
     ///
     /// ```
     /// # use sardinewood::direct::placement::data_centres::{DataCentres, RequestView};
-    /// let request = RequestView { service: "s".into(), tier: 0, prompt_tokens: 0, objective_in_ms: 500.0,
+    /// let request = RequestView { service: "s".into(), tier: 0, rank: 0.9, prompt_tokens: 0, objective_in_ms: 500.0,
     ///     patience_ms: 900.0, hold_ms: 300.0 };
     /// let data_centres = DataCentres::default();
     /// assert!(data_centres.pays(&request, (200.0, 50.0), (100.0, 50.0)));
@@ -662,7 +716,7 @@
             tier: request.tier,
             here_ms,
             there_ms: request.cost_ms(wait_ms, supply.lead_ms + HOP_MS * HOPS),
-            there_age_ms: reported.map(|wait| now_ms - wait.at_ms),
+            there_age_ms: reported.map(|wait| now_ms.saturating_sub(wait.at_ms)),
             heard_age_ms: heard_at_ms.map(|at_ms| now_ms.saturating_sub(*at_ms)),
             transfer_ms: self.transfer_ms(request.prompt_tokens),
         }
@@ -671,8 +725,19 @@
     /// Returns the expected wait in another data centre: what its queues have replied lately, or what
     /// its slots in use allow for.
     fn wait_there_ms(&self, request: &RequestView, supply: &Supply, now_ms: u64) -> f64 {
-        let reported = self.reported_wait(request, supply.data_centre, now_ms);
-        reported.map_or_else(|| supply.wait_by_slots_ms(request.hold_ms), |wait| wait.ms)
+        if let Some(wait) = self.reported_wait(request, supply.data_centre, now_ms) {
+            return wait.ms;
+        }
+        let by_slots_ms = supply.wait_by_slots_ms(request.hold_ms);
+        if by_slots_ms <= 0.0 {
+            return by_slots_ms;
+        }
+        let waits = self
+            .waits
+            .get(&(Arc::clone(&request.service), supply.data_centre));
+        let earlier = waits.map(|waits| waits[tier_index(request.tier)]);
+        let earlier = earlier.filter(|wait| now_ms < wait.at_ms + FULL_WAIT_TTL_MS);
+        earlier.map_or(by_slots_ms, |wait| wait.ms.max(by_slots_ms))
     }
 
     fn reported_wait(&self, request: &RequestView, data_centre: u32, now_ms: u64) -> Option<Wait> {
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -220,7 +220,7 @@
             return;
         };
         let data_centre = tracked.data_centre;
-        let request = self.request_view(job, now_ms);
+        let request = self.request_view(job);
         let lead_ms = self.full_lead_ms(tracked, job);
         let has_reason = reported_ms > 0
             || lead_ms > request.objective_in_ms
@@ -258,7 +258,7 @@
             return None;
         }
         let tracked = self.upstreams.get(instance)?;
-        let request = self.request_view(job, now_ms);
+        let request = self.request_view(job);
         let lead_ms = self.full_lead_ms(tracked, job);
         if reported_ms == 0 && lead_ms <= request.objective_in_ms {
             return None;
@@ -297,7 +297,7 @@
             let wait_ms = expected_wait_ms(reported_ms, upstreams);
             Some((wait_ms, self.full_lead_ms(tracked, job)))
         };
-        let request = self.request_view(job, now_ms);
+        let request = self.request_view(job);
         match (wait_and_lead_ms(here), wait_and_lead_ms(there)) {
             (Some(here), Some(there)) => self.data_centres.pays(&request, here, there),
             _ => true,
@@ -339,11 +339,13 @@
         self.data_centres.is_own(tracked.data_centre) && !tracked.health.is_failing()
     }
 
-    fn request_view(&self, job: &Job, now_ms: u64) -> RequestView {
-        let until_ms = |at_ms: u64| numbers::as_f64(at_ms.saturating_sub(now_ms));
+    fn request_view(&self, job: &Job) -> RequestView {
+        let until_ms = |at_ms: u64| numbers::as_f64(at_ms.saturating_sub(job.read_at_ms));
         RequestView {
             service: Arc::clone(&job.service),
             tier: job.tier,
+            rank: f64::from(twox_hash::XxHash32::oneshot(0, &job.id.to_be_bytes()))
+                / f64::from(u32::MAX),
             prompt_tokens: job.prompt_tokens,
             objective_in_ms: until_ms(job.objective_at_ms),
             patience_ms: until_ms(job.waits_until_ms()),
@@ -359,6 +361,7 @@
     /// Returns what the upstreams of each data centre offer to a request.
     fn supplies(&self, job: &Job, now_ms: u64) -> Vec<Supply> {
         let mut supplies: IndexMap<u32, Supply> = IndexMap::new();
+        let mut sent_here: IndexMap<u32, u32> = IndexMap::new();
         for tracked in self.usable_upstreams(job, now_ms) {
             let lead_ms = self.full_lead_ms(tracked, job);
             let used = tracked.running + self.running_at_peers(tracked, now_ms);
@@ -368,12 +371,27 @@
                 upstreams: 0,
                 slots: 0,
                 used: 0,
+                sent_there: 0,
+                sent_here: 0,
                 lead_ms,
             });
             supply.upstreams += 1;
             supply.slots += slots;
             supply.used += used.min(slots);
             supply.lead_ms = supply.lead_ms.min(lead_ms);
+            let is_here = self.data_centres.is_own(tracked.data_centre);
+            supply.sent_there += tracked.running;
+            for (data_centre, running) in self.peer_loads.running_by(tracked.hash, now_ms) {
+                if is_here {
+                    *sent_here.entry(data_centre).or_default() += running;
+                } else if self.data_centres.is_own(data_centre) {
+                    supply.sent_there += running;
+                }
+            }
+        }
+        for supply in supplies.values_mut() {
+            let sent_here = sent_here.get(&supply.data_centre);
+            supply.sent_here = sent_here.copied().unwrap_or_default();
         }
         supplies.into_values().collect()
     }
@@ -404,6 +422,16 @@
         }
     }
 
+    /// Records the data centre of a peer whose report was applied, by the hash of its name.
+    ///
+    /// ```
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().record_peer_data_centre(1, 7, 0);
+    /// ```
+    pub fn record_peer_data_centre(&mut self, peer: u64, data_centre: u32, now_ms: u64) {
+        self.peer_loads.set_data_centre(peer, data_centre);
+        self.data_centres.heard(data_centre, now_ms);
+    }
+
     /// Returns what this entry reports to peers: its running requests by upstream, and the measured
     /// speeds.
     ///
--- a/lib/src/direct/placement/peer_loads.rs
+++ b/lib/src/direct/placement/peer_loads.rs
@@ -12,6 +12,8 @@
 #[derive(Clone, Debug, Default)]
 struct PeerLoad {
     at_ms: u64,
+    /// Hash of the peer's data centre, if it has told it.
+    data_centre: Option<u32>,
     running: IndexMap<u32, u16>,
 }
 
@@ -63,6 +65,36 @@
         }
     }
 
+    /// Sets the data centre of a peer that has sent a report, by the hash of its name.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::peer_loads::PeerLoads;
+    /// PeerLoads::default().set_data_centre(1, 7);
+    /// ```
+    pub fn set_data_centre(&mut self, peer: u64, data_centre: u32) {
+        if let Some(load) = self.peers.get_mut(&peer) {
+            load.data_centre = Some(data_centre);
+        }
+    }
+
+    /// Returns the numbers of requests that peers run at an upstream, with the data centre of each
+    /// peer.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::peer_loads::PeerLoads;
+    /// assert_eq!(PeerLoads::default().running_by(7, 0).count(), 0);
+    /// ```
+    pub fn running_by(&self, upstream: u32, now_ms: u64) -> impl Iterator<Item = (u32, u32)> {
+        let peers = self.peers_by_upstream.get(&upstream).into_iter().flatten();
+        peers
+            .filter_map(|peer| self.peers.get(peer))
+            .filter(move |load| load.is_current(now_ms))
+            .filter_map(move |load| {
+                let running = u32::from(*load.running.get(&upstream)?);
+                Some((load.data_centre?, running))
+            })
+    }
+
     /// Returns the number of requests that peers run at an upstream.
     ///
     /// ```
--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -61,21 +61,21 @@
     instance: Arc<str>,
     sent_at_ms: u64,
     wait_ms: Option<u32>,
-    replied_at_ms: u64,
+    /// The queue's first reply, and when it came.
+    first_reply: Option<(u32, u64)>,
 }
 
 impl OpenSlotRequest {
-    /// Returns how long the request is still expected to wait, by the queue's last reply. If it has
-    /// waited for longer than that, it is expected to wait for as long again.
-    fn remaining_ms(&self, now_ms: u64) -> Option<u32> {
-        let wait_ms = self.wait_ms?;
-        let waited_ms = now_ms.saturating_sub(self.replied_at_ms);
-        let waited_ms = u32::try_from(waited_ms).unwrap_or(u32::MAX);
-        Some(if waited_ms <= wait_ms {
-            wait_ms - waited_ms
-        } else {
-            waited_ms
-        })
+    /// Returns how long a request that arrives at the queue waits in all, to compare data centres: by
+    /// the first reply, or by how long the request has waited since.
+    ///
+    /// A queue counts all requests ahead that are worth as much. A request that has waited is granted
+    /// a slot before later ones, here and in any other queue, so that its time does not count in the
+    /// comparison, and later replies expect too long a wait for it.
+    fn total_wait_ms(&self, now_ms: u64) -> Option<u32> {
+        let (wait_ms, replied_at_ms) = self.first_reply?;
+        let waited_ms = now_ms.saturating_sub(replied_at_ms);
+        Some(wait_ms.max(u32::try_from(waited_ms).unwrap_or(u32::MAX)))
     }
 }
 
@@ -152,7 +152,7 @@
         now_ms: u64,
     ) {
         let open = self.open_requests.iter().find(|open| open.id == request_id);
-        if let Some(open) = open {
+        if let Some(open) = open.filter(|open| open.first_reply.is_none()) {
             dispatcher.record_wait(&self.job, &open.instance, wait_ms, now_ms);
         }
     }
@@ -171,9 +171,18 @@
         let mut open_requests = self.open_requests.iter();
         let open = open_requests.find(|open| *open.instance == *instance);
         // A grant after a wait is no news: the queue has reported the wait.
-        if open.is_some_and(|open| open.wait_ms.is_none()) {
-            dispatcher.record_wait(&self.job, instance, 0, now_ms);
+        if open.is_none_or(|open| open.wait_ms.is_some()) {
+            return;
         }
+        // A request that has waited elsewhere before goes ahead of others here, so that its grant says
+        // nothing about the wait of one that has just arrived.
+        let wait_ms = if self.open_requests.len() > 1 {
+            now_ms.saturating_sub(self.job.read_at_ms)
+        } else {
+            0
+        };
+        let wait_ms = u32::try_from(wait_ms).unwrap_or(u32::MAX);
+        dispatcher.record_wait(&self.job, instance, wait_ms, now_ms);
     }
 
     /// Handles the reply that a slot request is queued. Asks another admission queue, unless it is
@@ -203,7 +212,7 @@
             .find(|open| open.id == request_id)
         {
             open.wait_ms = Some(wait_ms);
-            open.replied_at_ms = now_ms;
+            open.first_reply.get_or_insert((wait_ms, now_ms));
         }
         let mut steps = self.cancel_without_advantage(dispatcher, now_ms);
         if self.expects_too_long_waits(now_ms) {
@@ -424,7 +433,7 @@
         let mut steps = Vec::new();
         if self.open_requests.len() >= usize::from(MAX_QUEUES_PER_REQUEST) {
             let open_requests = self.open_requests.iter().enumerate();
-            let longest = open_requests.max_by_key(|(_, open)| open.remaining_ms(now_ms));
+            let longest = open_requests.max_by_key(|(_, open)| open.total_wait_ms(now_ms));
             if let Some((index, _)) = longest {
                 steps.push(cancel(self.open_requests.remove(index)));
             }
@@ -441,7 +450,7 @@
         }
         let here = self.open_requests.iter();
         here.filter(|open| dispatcher.is_here(&open.instance))
-            .filter_map(|open| Some((Arc::clone(&open.instance), open.remaining_ms(now_ms)?)))
+            .filter_map(|open| Some((Arc::clone(&open.instance), open.total_wait_ms(now_ms)?)))
             .min_by_key(|(_, wait_ms)| *wait_ms)
     }
 
@@ -465,7 +474,7 @@
             return Vec::new();
         };
         let open = &self.open_requests[index];
-        let Some(there_ms) = open.remaining_ms(now_ms) else {
+        let Some(there_ms) = open.total_wait_ms(now_ms) else {
             return Vec::new();
         };
         let is_for_cache = self.job.cached_tokens(&open.instance) > 0;
@@ -488,7 +497,7 @@
             instance: Arc::clone(&upstream.instance),
             sent_at_ms: now_ms,
             wait_ms: None,
-            replied_at_ms: now_ms,
+            first_reply: None,
         };
         let step = SearchStep::RequestSlot {
             id: open.id,
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -223,7 +223,6 @@
         if effect.is_ignored {
             return;
         }
-        traffic.record_heard(heartbeat.host);
         if effect.is_new {
             // The peer need not wait for the next round to learn of this entry and its revisions.
             self.send_heartbeat(&[from]);
@@ -253,6 +252,7 @@
             &heartbeat.loads,
             now_ms,
         );
+        traffic.record_peer_data_centre(heartbeat);
         self.update_peer_ahead(heartbeat.revisions, now_ms);
         self.take_word(heartbeat, from, now_ms);
         traffic.grant_slots();
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -1,6 +1,7 @@
 //! One test program for all integration tests, so that it is linked once.
 
 mod agent_fixture;
+mod data_centre_model;
 mod direct_fixture;
 mod fleet_fixture;
 mod operator_fixture;
@@ -24,6 +25,7 @@
 mod test_direct_answer_history;
 mod test_direct_chance_crashes;
 mod test_direct_crash_detector;
+mod test_direct_data_centres;
 mod test_direct_directory;
 mod test_direct_dispatch;
 mod test_direct_eras;
