--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -110,7 +110,7 @@
         let event_ms = STEP_MS * EVENT_TOKENS * self.engines[engine].slowness;
         let dispatcher = &mut self.entries[entry].dispatcher;
         let instance = &self.upstreams[engine].instance;
-        dispatcher.answered(instance, run as u64);
+        dispatcher.answered(instance, run as u64, now_ms);
         dispatcher.learn(instance, |health| {
             health.first_event(prompt_tokens, after_ms);
             health.next_event(event_ms, now_ms);
--- a/lib/src/direct/placement/data_centres.rs
+++ b/lib/src/direct/placement/data_centres.rs
@@ -48,7 +48,7 @@
 const FALL_MS: f64 = 230.0;
 /// Advantage, beyond delay and price, at which the largest share leaves. Below it the share is in
 /// proportion, so that the flow settles where the advantage is small instead of switching on and off.
-const FULL_ADVANTAGE_MS: f64 = 80.0;
+const FULL_ADVANTAGE_MS: f64 = 50.0;
 /// Largest share of the requests that leave, so that a data centre with few upstreams is still used and
 /// tells how long its waits are.
 const MAX_SHARE: f64 = 0.8;
