--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -259,6 +259,7 @@
             heartbeat.incarnation < self.incarnation,
             now_ms,
         );
+        traffic.record_peer_data_centre(heartbeat);
         self.update_peer_ahead(heartbeat.revisions, now_ms);
         self.take_word(heartbeat, from, now_ms);
         traffic.grant_slots();
@@ -373,6 +374,8 @@
             upstream_silence_ms: traffic.upstream_silence_ms.get(),
         };
         traffic.dispatcher.borrow_mut().set_intervals(intervals);
+        traffic.apply_data_centre_policy();
+        traffic.log_flow_changes();
         self.log_discovered(known);
         self.round += 1;
         self.report_spending();
