--- a/bench/src/direct.rs
+++ b/bench/src/direct.rs
@@ -37,7 +37,8 @@
 what these can do, 20 s, seeds 1 to 3, without losses, the mix disputes, all patterns and all
 variants, and prints one JSON line for each pattern and variant. Mixes: disputes, reports, skewed-reports.
 Patterns: steady, burst, burst-of-one-kind, one-entry, half-lost. Variants: shipped, without-doors,
-without-order, without-sizes, without-returns, without-quarantine, without-notices. With --deadly, one
+without-order, without-sizes, without-returns, without-quarantine, without-notices, order-returns,
+skip-late-starts, hard-load (both of these). With --deadly, one
 caller sends a request that ends each engine that runs it every MS milliseconds; with --deadly-part,
 many callers do, whose prompts share one part and nothing else does. With --in-need, every
 third engine says something of itself in the middle third of the time: limit (it takes a request a
@@ -80,6 +81,53 @@
     pub deadly_tries_late: usize,
     /// Other requests that were refused as if they were deadly.
     pub wrongly_held: usize,
+    /// How requests ended, by kind.
+    pub ends_by_kind: [KindEnds; KINDS],
+}
+
+/// How the requests of a kind ended.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+pub struct KindEnds {
+    /// Requests sent.
+    pub requests: usize,
+    /// Answered in time, counted from the first attempt.
+    pub in_time: usize,
+    /// Answered late.
+    pub late: usize,
+    /// Of these, those whose callers were refused once.
+    pub late_returns: usize,
+    /// Of these, those that were in time if counted from the second attempt.
+    pub late_returns_in_time_again: usize,
+    /// Of the late ones whose callers were not refused, those known to be late as they were started.
+    pub late_starts: usize,
+    /// Cut at their deadlines.
+    pub cut: usize,
+    /// Refused in the end.
+    pub refused: usize,
+    /// Refused once and told to return.
+    pub told: usize,
+    /// Of these, those that were served when they returned.
+    pub served_on_return: usize,
+}
+
+impl KindEnds {
+    fn count(&mut self, outcome: &Outcome, request: usize) {
+        let ends = &outcome.ends[request];
+        let is = |end: End| usize::from(ends.contains(&end));
+        let told = usize::from(outcome.was_told[request]);
+        let late = is(End::Late);
+        self.requests += 1;
+        self.in_time += is(End::InTime);
+        self.late += late;
+        self.late_returns += late * told;
+        self.late_returns_in_time_again +=
+            late * told * usize::from(outcome.last_attempt_in_time[request]);
+        self.late_starts += late * (1 - told) * usize::from(outcome.was_late_at_start[request]);
+        self.cut += is(End::Cut);
+        self.refused += is(End::Refused);
+        self.told += told;
+        self.served_on_return += told * (late + is(End::InTime));
+    }
 }
 
 #[derive(Clone, Copy, Debug, Default)]
@@ -107,6 +155,7 @@
     let mut ends_of = Vec::new();
     let mut most_at_engine = 0;
     let mut deadly = Vec::new();
+    let mut ends_by_kind = [KindEnds::default(); KINDS];
     for seed in 1..=seeds {
         let fleet = Fleet::new(setup, seed);
         let offered = fleet.offered().to_vec();
@@ -114,6 +163,9 @@
         let capacity_ms = setup.capacity() * numbers::as_f64(setup.for_ms);
         all.bound += load::bound(&offered, capacity_ms);
         most_at_engine = most_at_engine.max(outcome.most_at_engine);
+        for (request, offered) in offered.iter().enumerate() {
+            ends_by_kind[offered.kind].count(&outcome, request);
+        }
         deadly.push(outcome.deadly);
         for (offered, ends) in offered.into_iter().zip(outcome.ends) {
             let worth = earned(&offered, &ends);
@@ -149,6 +201,7 @@
         engines_ended: deadly.iter().map(|one| one.ends_ms.len()).sum(),
         deadly_tries_late: late_tries(&deadly),
         wrongly_held: deadly.iter().map(|one| one.wrongly_held).sum(),
+        ends_by_kind,
     }
 }
 
--- a/bench/src/direct/fleet.rs
+++ b/bench/src/direct/fleet.rs
@@ -5,6 +5,7 @@
 mod callers;
 mod deadly;
 mod need;
+mod returns;
 mod runs;
 
 use std::cmp::Reverse;
@@ -16,6 +17,7 @@
 use rand::Rng;
 use rand::SeedableRng;
 use rand::rngs::StdRng;
+use sardinewood::direct::load_policy::LoadPolicy;
 use sardinewood::direct::membership::gossip;
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::membership::peer_table::PeerTable;
@@ -30,6 +32,8 @@
 use sardinewood::direct::sharing::admission::AdmissionController;
 use sardinewood::direct::sharing::admission::EntryRef;
 use sardinewood::direct::sharing::admission::PeerRequestId;
+use sardinewood::direct::sharing::return_order::ExpectedReturns;
+use sardinewood::direct::sharing::return_order::ReturnOrder;
 use sardinewood::direct::sharing::size_fairness::SizeFairness;
 use sardinewood::direct::sharing::size_stats::SizeClass;
 use sardinewood::direct::sharing::size_stats::SizeStats;
@@ -68,11 +72,17 @@
     WithoutQuarantine,
     /// Notices of engines.
     WithoutNotices,
+    /// None; retry delays are ordered and returning requests go first.
+    OrderReturns,
+    /// None; requests that can't be in time yield to those that can.
+    SkipLateStarts,
+    /// None; both of these.
+    HardLoad,
 }
 
 impl Variant {
     /// All variants and their names.
-    pub const ALL: [(&'static str, Self); 7] = [
+    pub const ALL: [(&'static str, Self); 10] = [
         ("shipped", Self::Shipped),
         ("without-doors", Self::WithoutAdmissionQueues),
         ("without-order", Self::WithoutOrder),
@@ -80,7 +90,20 @@
         ("without-returns", Self::WithoutReturns),
         ("without-quarantine", Self::WithoutQuarantine),
         ("without-notices", Self::WithoutNotices),
+        ("order-returns", Self::OrderReturns),
+        ("skip-late-starts", Self::SkipLateStarts),
+        ("hard-load", Self::HardLoad),
     ];
+
+    /// Returns the optional decisions under load that entries make.
+    #[must_use]
+    pub fn load_policy(self) -> LoadPolicy {
+        LoadPolicy {
+            orders_returns: matches!(self, Self::OrderReturns | Self::HardLoad),
+            skips_late_starts: matches!(self, Self::SkipLateStarts | Self::HardLoad),
+            ..LoadPolicy::default()
+        }
+    }
 }
 
 /// Parameters of a run.
@@ -171,6 +194,12 @@
     pub most_at_engine_late: usize,
     /// Outcome of the deadly request.
     pub deadly: DeadlyOutcome,
+    /// For each request, whether its caller was refused and told to return.
+    pub was_told: Vec<bool>,
+    /// For each request, whether it was started when its entry took it to be late.
+    pub was_late_at_start: Vec<bool>,
+    /// For each request, whether the first event came in time, counted from its caller's last attempt.
+    pub last_attempt_in_time: Vec<bool>,
 }
 
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -259,6 +288,9 @@
     survivals: RecentSurvivals,
     notices: UpstreamNotices,
     rate_wakeup_at_ms: Option<u64>,
+    return_order: ReturnOrder,
+    expected_returns: ExpectedReturns,
+    return_questions: IndexMap<PeerRequestId, usize>,
 }
 
 struct Run {
@@ -266,6 +298,8 @@
     entry: usize,
     engine: usize,
     is_granted: bool,
+    /// Until when the first event meets the objective of the caller's last attempt.
+    objective_at_ms: u64,
     since_ms: u64,
     first_at_ms: Option<u64>,
     is_over: bool,
@@ -344,6 +378,9 @@
             size_classes: vec![SizeClass::Usual; offered.len()],
             outcome: Outcome {
                 ends: vec![Vec::new(); offered.len()],
+                was_told: vec![false; offered.len()],
+                was_late_at_start: vec![false; offered.len()],
+                last_attempt_in_time: vec![false; offered.len()],
                 ..Outcome::default()
             },
             gone: Vec::new(),
@@ -403,6 +440,9 @@
         let mut dispatcher = Dispatcher::default();
         dispatcher.set_upstreams(&self.upstreams);
         let mut admission = AdmissionController::default();
+        let policy = self.setup.variant.load_policy();
+        dispatcher.set_places_by_length(policy.skips_late_starts);
+        admission.set_skips_late_starts(policy.skips_late_starts);
         let engines = self.upstreams.iter();
         admission.set_upstreams(engines.map(|up| (Arc::clone(&up.instance), up.slots)));
         let seeds = [address(0), address(self.setup.entries / 2)];
@@ -421,6 +461,9 @@
             survivals: RecentSurvivals::new(entry as u64),
             notices: UpstreamNotices::default(),
             rate_wakeup_at_ms: None,
+            return_order: ReturnOrder::default(),
+            expected_returns: ExpectedReturns::default(),
+            return_questions: IndexMap::new(),
         }
     }
 
--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -6,6 +6,7 @@
 use rand::Rng;
 use sardinewood::direct::membership::heartbeat_payload::LoadChunk;
 use sardinewood::direct::membership::peer_message::Heartbeat;
+use sardinewood::direct::membership::peer_message::MESSAGE_LEVEL;
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::placement::dispatch::upstream_hash;
 use sardinewood::direct::sharing::admission;
@@ -137,7 +138,9 @@
         let Some((request, _, _)) = self.entries[entry].asks.get(&request_id) else {
             return;
         };
-        self.decide(entry, *request, |asking, dispatcher, now_ms, random| {
+        let request = *request;
+        self.ask_expected_return(entry, request);
+        self.decide(entry, request, |asking, dispatcher, now_ms, random| {
             asking.handle_queued(request_id, wait_ms, dispatcher, now_ms, || random.random())
         });
     }
@@ -185,6 +188,17 @@
                 admission.release(EntryRef::Peer(peer), upstream, release);
                 self.grant(entry);
             }
+            PeerMessage::ExpectReturn(notice) => {
+                let expected = &mut self.entries[entry].expected_returns;
+                expected.expect(notice.key, notice.delay_ms.into(), self.now_ms);
+            }
+            PeerMessage::AskReturn { request_id, key } => {
+                self.handle_return_question(entry, peer, request_id, key);
+            }
+            PeerMessage::ReturnReply {
+                request_id,
+                is_expected,
+            } => self.handle_return_reply(entry, request_id, is_expected),
             // Customers of the model have no limits, its engines one version, do not fail and never leave, and its
             // entries one build.
             PeerMessage::SuspectRequests(_)
@@ -235,10 +249,12 @@
         }
         state.peers.sweep(now_ms);
         state.admission.expire_peers(None, now_ms);
+        state.expected_returns.remove_past(now_ms);
         state.sequence += 1;
         let heartbeat = Heartbeat {
             incarnation: (entry as u64) << 32 | state.incarnation,
             sequence: state.sequence,
+            message_level: MESSAGE_LEVEL,
             peer_addresses: state.peers.addresses_to_share(state.sequence),
             loads: LoadChunk::of(state.dispatcher.running(now_ms).collect(), state.sequence),
             ..Heartbeat::default()
--- a/bench/src/direct/fleet/callers.rs
+++ b/bench/src/direct/fleet/callers.rs
@@ -82,7 +82,8 @@
         self.size_classes[request] = size;
         let until_ms = job.waits_until_ms();
         let incarnation = self.entries[entry].incarnation;
-        let asking = SlotSearch::new(job);
+        let policy = self.setup.variant.load_policy();
+        let asking = SlotSearch::new(job).skipping_late_starts(policy.skips_late_starts);
         self.entries[entry].waiting.insert(request, asking);
         self.at(
             until_ms,
@@ -174,14 +175,10 @@
 
     pub(super) fn refuse(&mut self, request: usize) {
         let entry = self.offered[request].entry;
-        let Some(asking) = self.entries[entry].waiting.get(&request) else {
+        if !self.entries[entry].waiting.contains_key(&request) {
             return;
-        };
-        let rest_ms = self.entries[entry]
-            .dispatcher
-            .all_backed_off_for_ms(&asking.job, self.now_ms);
-        let retry_after_ms = rest_ms.unwrap_or_else(|| asking.job.retry_after_ms(self.now_ms));
-        let comes_back_ms = self.now_ms + retry_after_ms;
+        }
+        let comes_back_ms = self.now_ms + self.retry_delay_ms(entry, request);
         self.account(entry, request, SizeFairness::record_refusal);
         self.stop_waiting(entry, request);
         self.come_back(request, comes_back_ms);
@@ -192,6 +189,7 @@
         let may_return = !self.returned[request] && self.setup.variant != Variant::WithoutReturns;
         if may_return {
             self.returned[request] = true;
+            self.outcome.was_told[request] = true;
             self.at(
                 at_ms,
                 Event::Offer {
@@ -217,6 +215,8 @@
     }
 
     pub(super) fn stop_waiting(&mut self, entry: usize, request: usize) {
+        let questions = &mut self.entries[entry].return_questions;
+        questions.retain(|_, open| *open != request);
         if let Some(mut asking) = self.entries[entry].waiting.swap_remove(&request) {
             let next = asking.cancel_all();
             self.carry_out(entry, request, next);
--- a/bench/src/direct/fleet/runs.rs
+++ b/bench/src/direct/fleet/runs.rs
@@ -48,7 +48,14 @@
         state
             .dispatcher
             .sent(instance, run as u64, prompt_tokens, self.now_ms);
-        let deadline_at_ms = state.waiting[&request].job.deadline_at_ms;
+        let job = &state.waiting[&request].job;
+        let deadline_at_ms = job.deadline_at_ms;
+        if self.setup.variant.load_policy().orders_returns {
+            state.return_order.record_start(job, self.now_ms);
+        }
+        let lead_ms = state.dispatcher.lead_ms(instance, job);
+        self.outcome.was_late_at_start[request] = self.now_ms + lead_ms > job.objective_at_ms;
+        let objective_at_ms = job.objective_at_ms;
         self.account(entry, request, SizeFairness::record_start);
         self.stop_waiting(entry, request);
         let engine = self
@@ -61,6 +68,7 @@
             entry,
             engine,
             is_granted,
+            objective_at_ms,
             since_ms: self.now_ms,
             first_at_ms: None,
             is_over: false,
@@ -105,6 +113,8 @@
         }
         let now_ms = self.now_ms + ROUND_TRIP_MS;
         self.runs[run].first_at_ms = Some(now_ms);
+        self.outcome.last_attempt_in_time[self.runs[run].request] =
+            now_ms <= self.runs[run].objective_at_ms;
         let after_ms = numbers::as_f64(now_ms - self.runs[run].since_ms);
         let prompt_tokens = self.offered[self.runs[run].request].prompt_tokens;
         let event_ms = STEP_MS * EVENT_TOKENS * self.engines[engine].slowness;
--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -7,7 +7,7 @@
 //!
 //! [`placement`], [`sharing`], [`membership`], [`store_view`], [`quarantine`], [`rollout`] and
 //! [`notices`] make decisions and do no I/O. The modules [`slot_driver`], [`quota_driver`],
-//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`] and [`rollout_driver`] carry their
+//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`], [`return_driver`] and [`rollout_driver`] carry their
 //! decisions out.
 //! [`request`] and [`replication`] transfer data over the network, and [`traffic`] holds the state
 //! that all requests of an entry share.
@@ -30,6 +30,7 @@
 pub mod replication;
 pub mod request;
 pub mod retry_driver;
+pub mod return_driver;
 pub mod rollout;
 pub mod rollout_driver;
 pub mod server;
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -20,6 +20,7 @@
 use crate::direct::sharing::quota::ChargeOutcome;
 use crate::direct::sharing::quota::Contention;
 use crate::direct::sharing::quota::RequestCost;
+use crate::direct::sharing::return_order::ReturnKey;
 use crate::direct::store_view::answer_history::Answered;
 use crate::direct::streams::origin::OriginRecord;
 use crate::direct::streams::origin::OriginReply;
@@ -38,8 +39,10 @@
 pub const ANSWERED_LEVEL: u8 = 4;
 /// The level from which on a build knows [`PeerMessage::RemovedUpstreams`].
 pub const REMOVALS_LEVEL: u8 = 5;
+/// Level of the builds that know messages about expected returns.
+pub const RETURNS_LEVEL: u8 = 6;
 /// Level of this build.
-pub const MESSAGE_LEVEL: u8 = REMOVALS_LEVEL;
+pub const MESSAGE_LEVEL: u8 = RETURNS_LEVEL;
 /// Age beyond which an answer of the store is not told any more. Upstreams that an outage has concerned
 /// are back or removed by then.
 const MAX_ANSWER_AGE_MS: u32 = 60_000;
@@ -364,6 +367,15 @@
     pub contention: Contention,
 }
 
+/// When the caller of a refused request was told to return.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReturnNotice {
+    /// Identifies the request's content.
+    pub key: ReturnKey,
+    /// Time until the caller is expected.
+    pub delay_ms: u32,
+}
+
 /// A message from one entry to another.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum PeerMessage {
@@ -458,6 +470,23 @@
     /// Incarnations of upstreams that were removed lately and that the sender does not use. Sent only to
     /// peers that know [`REMOVALS_LEVEL`].
     RemovedUpstreams(Vec<Arc<str>>),
+    /// The receiver keeps the record that a caller was told to return. This and the two below are sent
+    /// only to peers that know [`RETURNS_LEVEL`].
+    ExpectReturn(ReturnNotice),
+    /// The sender asks whether a waiting request is one that returns as told.
+    AskReturn {
+        /// Identifies this message in the reply.
+        request_id: PeerRequestId,
+        /// Identifies the request's content.
+        key: ReturnKey,
+    },
+    /// The reply to such a question.
+    ReturnReply {
+        /// The question.
+        request_id: PeerRequestId,
+        /// Whether the caller was told to return about now.
+        is_expected: bool,
+    },
 }
 
 impl PeerMessage {
@@ -484,6 +513,7 @@
             Self::Spread(_) => "changes",
             Self::ListQuestion { .. } | Self::ListWord(_) => "confirmations",
             Self::BorrowRetry { .. } | Self::RetryLent { .. } => "retries",
+            Self::ExpectReturn(_) | Self::AskReturn { .. } | Self::ReturnReply { .. } => "returns",
             Self::StreamOrigins(_) | Self::OriginRequest(_) | Self::OriginReply { .. } => "streams",
         }
     }
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -10,6 +10,7 @@
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::REPLICA_AGES_LEVEL;
+use crate::direct::membership::peer_message::RETURNS_LEVEL;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_message::STREAM_ORIGINS_LEVEL;
 use crate::direct::membership::peer_message::SUSPECTS_LEVEL;
@@ -484,6 +485,30 @@
             .chain((!is_own_leaving).then_some(own))
     }
 
+    /// Returns the entries that may keep records of expected returns.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// let own_address = "10.0.0.1:7".parse().unwrap();
+    /// let table = PeerTable::new(own_address, &[]);
+    /// assert!(table.return_keepers(false, 0).eq([own_address]));
+    /// ```
+    pub fn return_keepers(
+        &self,
+        is_own_leaving: bool,
+        now_ms: u64,
+    ) -> impl Iterator<Item = SocketAddr> {
+        self.peers
+            .iter()
+            .filter(move |(_, peer)| {
+                peer.message_level >= RETURNS_LEVEL
+                    && !peer.is_leaving
+                    && self.is_live(peer, now_ms)
+            })
+            .map(|(address, _)| *address)
+            .chain((!is_own_leaving).then_some(self.own_address))
+    }
+
     /// Returns whether a peer's build knows messages about suspect features, as far as it was heard.
     ///
     /// ```
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -111,6 +111,10 @@
     pub list_questions: IntCounterVec,
     /// Requests sent by a list that is older than upstreams may take to leave.
     pub sent_by_old_list: IntCounter,
+    /// Refused callers that were told to return, and requests that returned, by result.
+    pub returns: IntCounterVec,
+    /// Requests refused because others could be in time and they could not, by tier.
+    pub refused_late: IntCounterVec,
 }
 
 fn counter(name: &str, help: &str) -> prometheus::Result<IntCounter> {
@@ -237,6 +241,16 @@
                 "sent_by_old_list_total",
                 "Requests sent by a list that is older than upstreams may take to leave.",
             )?,
+            returns: counters(
+                "returns_total",
+                "Callers told to return, and their returns.",
+                &["result"],
+            )?,
+            refused_late: counters(
+                "refused_late_total",
+                "Requests refused as others could be in time and they could not.",
+                &["tier"],
+            )?,
         };
         metrics.register()?;
         Ok(metrics)
@@ -272,6 +286,8 @@
             &self.pulls,
             &self.pulls_served,
             &self.list_questions,
+            &self.returns,
+            &self.refused_late,
         ] {
             self.registry.register(Box::new(counters.clone()))?;
         }
--- a/lib/src/direct/placement.rs
+++ b/lib/src/direct/placement.rs
@@ -10,3 +10,4 @@
 pub mod shared_prefix;
 pub mod slot_search;
 pub mod tracked_upstream;
+mod uneven_engines;
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -24,6 +24,7 @@
 use crate::direct::placement::tracked_upstream::Intake;
 use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::placement::tracked_upstream::TrackedUpstream;
+use crate::direct::placement::uneven_engines;
 use crate::direct::store_view::directory::Upstream;
 use crate::numbers;
 
@@ -72,6 +73,8 @@
     baselines: IndexMap<Arc<str>, ServiceBaseline>,
     peer_loads: PeerLoads,
     intervals: ReportIntervals,
+    /// Whether long answers go only to engines of known speed that end them in time.
+    places_by_length: bool,
 }
 
 /// Returns the hash by which entries refer to an upstream in messages.
@@ -124,6 +127,16 @@
         self.intervals = intervals;
     }
 
+    /// Sets whether long answers go only to engines whose speed is known and that end them before
+    /// their deadlines, as long as there is one.
+    ///
+    /// ```
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().set_places_by_length(true);
+    /// ```
+    pub fn set_places_by_length(&mut self, places_by_length: bool) {
+        self.places_by_length = places_by_length;
+    }
+
     /// Applies a peer's report of its running requests and of the speeds that it measured.
     ///
     /// ```
@@ -376,6 +389,10 @@
     ) -> Option<Arc<Upstream>> {
         let mut upstreams = self.usable_upstreams(job, now_ms);
         upstreams.retain(|tracked| !asked.contains(&tracked.upstream.instance));
+        if self.places_by_length {
+            let baseline = self.baseline_for(&job.service);
+            upstreams = uneven_engines::suitable(job, upstreams, baseline, now_ms);
+        }
         let has_cached =
             |tracked: &&TrackedUpstream| job.cached_tokens(&tracked.upstream.instance) > 0;
         let mut sampled: Vec<&TrackedUpstream> =
@@ -512,6 +529,24 @@
         ROUND_TRIP_MS + whole_ms(first_ms * FIRST_EVENT_MARGIN)
     }
 
+    /// Returns whether no upstream that a request can go to would answer it in time, if it started
+    /// there now.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
+    /// #     deadline_at_ms: 8_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(Dispatcher::default().is_late_everywhere(&job, 0));
+    /// ```
+    #[must_use]
+    pub fn is_late_everywhere(&self, job: &Job, now_ms: u64) -> bool {
+        self.usable_upstreams(job, now_ms).iter().all(|tracked| {
+            now_ms + self.lead_ms(&tracked.upstream.instance, job) >= job.objective_at_ms
+        })
+    }
+
     /// Returns whether an upstream has a free slot, as far as this entry knows. For an upstream
     /// that limits its request rate, only the admission queue knows.
     ///
--- a/lib/src/direct/placement/job.rs
+++ b/lib/src/direct/placement/job.rs
@@ -23,6 +23,12 @@
 /// tracks the start deficit of each size, does.
 const MIN_DENSITY: f64 = 1.0;
 const MAX_DENSITY: f64 = 1.3;
+/// Bound of that worth for a request that goes first among equals: just above the other one, so that
+/// it is first also among the shortest.
+const MAX_FIRST_DENSITY: f64 = 1.31;
+/// Steps of that range. Requests within a step are equals, among which those go first whose callers
+/// return as told. A step is as wide as the range of sizes that callers see as one.
+const DENSITY_STEP: f64 = 0.1;
 /// Share of the objective, in percent, for which any request may wait. A request that starts later
 /// can hardly be in time.
 const MIN_WAIT_PERCENT: u64 = 60;
@@ -138,6 +144,32 @@
         } else {
             (size / self.relative_hold).clamp(MIN_DENSITY, MAX_DENSITY)
         };
+        self.micros_of_density(density)
+    }
+
+    /// Returns the worth of the request in the order of admission if it goes first among equals:
+    /// requests of the same tier, the same customer tier and about the same worth for their time.
+    ///
+    /// The worth carries the precedence, so entries of older builds apply it as well.
+    ///
+    /// ```
+    /// # use sardinewood::direct::placement::job::Job;
+    /// # let job = |tier| Job { id: 1, service: "s".into(), tier, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
+    /// #     deadline_at_ms: 9_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(job(1).worth_micros_first_among_equals() > job(1).worth_micros());
+    /// assert!(job(1).worth_micros_first_among_equals() < job(0).worth_micros());
+    /// ```
+    #[must_use]
+    pub fn worth_micros_first_among_equals(&self) -> u32 {
+        let density = f64::from(self.worth_micros()) / f64::from(self.micros_of_density(1.0));
+        let step = ((density - MIN_DENSITY) / DENSITY_STEP).floor() + 1.0;
+        let top = (MIN_DENSITY + step * DENSITY_STEP).min(MAX_FIRST_DENSITY);
+        self.micros_of_density(top)
+    }
+
+    fn micros_of_density(&self, density: f64) -> u32 {
         let customer = CUSTOMER_FACTOR.powi(i32::from(self.customer_tier));
         let micros = admission::tier_worth(self.tier) * customer * density * MICROS_PER_WORTH;
         numbers::whole_u32(micros).max(1)
--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -11,6 +11,7 @@
 use crate::direct::sharing::admission::MAX_QUEUES_PER_REQUEST;
 use crate::direct::sharing::admission::PeerRequestId;
 use crate::direct::sharing::admission::SlotRequest;
+use crate::direct::sharing::late_start;
 use crate::numbers::signed;
 
 /// Time without a reply from an admission queue after which another one is asked, and finally the
@@ -81,6 +82,12 @@
     /// The waiting request.
     pub job: Job,
     open_requests: Vec<OpenSlotRequest>,
+    /// Whether the request goes first among equals, as its caller returns when it was told to.
+    is_expected_return: bool,
+    /// Whether the request gives up once it is late everywhere while others can be in time.
+    skips_late_starts: bool,
+    /// Whether the admission queues were asked again since the request has become late.
+    has_asked_late: bool,
 }
 
 impl SlotSearch {
@@ -90,9 +97,84 @@
         Self {
             job,
             open_requests: Vec::new(),
+            is_expected_return: false,
+            skips_late_starts: false,
+            has_asked_late: false,
         }
     }
 
+    /// Sets whether the request gives up once it is late at every upstream while others that can be
+    /// in time wait for the same slots.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::slot_search::SlotSearch, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// let _ = SlotSearch::new(job).skipping_late_starts(true);
+    /// ```
+    #[must_use]
+    pub fn skipping_late_starts(mut self, skips_late_starts: bool) -> Self {
+        self.skips_late_starts = skips_late_starts;
+        self
+    }
+
+    /// Returns the waits that the admission queues have replied.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::slot_search::SlotSearch, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert_eq!(SlotSearch::new(job).waits_ms().count(), 0);
+    /// ```
+    pub fn waits_ms(&self) -> impl Iterator<Item = u32> {
+        self.open_requests.iter().filter_map(|open| open.wait_ms)
+    }
+
+    /// Returns whether the request goes first among equals.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::slot_search::SlotSearch, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(!SlotSearch::new(job).is_expected_return());
+    /// ```
+    #[must_use]
+    pub fn is_expected_return(&self) -> bool {
+        self.is_expected_return
+    }
+
+    /// Puts the request first among equals, because its caller returns as it was told. The admission
+    /// queues are asked again, which keeps the request's place by its arrival.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::slot_search::SlotSearch, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0,
+    /// #     objective_at_ms: 100, deadline_at_ms: 1_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(SlotSearch::new(job).precede(0, || 1).is_empty());
+    /// ```
+    pub fn precede(&mut self, now_ms: u64, mut random: impl FnMut() -> u64) -> Vec<SearchStep> {
+        self.is_expected_return = true;
+        let mut steps = Vec::new();
+        for open in &mut self.open_requests {
+            steps.push(cancel(open.clone()));
+            open.id = PeerRequestId::from_random(random());
+            open.sent_at_ms = now_ms;
+            steps.push(SearchStep::RequestSlot {
+                id: open.id,
+                instance: Arc::clone(&open.instance),
+            });
+        }
+        steps
+    }
+
     /// Sends the first slot request. `random` returns a new number at each call.
     ///
     /// ```
@@ -143,7 +225,7 @@
         {
             open.wait_ms = Some(wait_ms);
         }
-        if self.expects_too_long_waits(now_ms) {
+        if self.expects_too_long_waits(now_ms) || self.yields_to_others(dispatcher, now_ms) {
             return vec![SearchStep::Refuse];
         }
         if self.prefers_to_wait_for_cache(dispatcher) {
@@ -182,8 +264,9 @@
                 None => steps.extend(self.start_without_grant(dispatcher, now_ms)),
             }
         }
+        let asks_again = self.asks_again_as_late(dispatcher, now_ms);
         for open in &mut self.open_requests {
-            if now_ms >= open.sent_at_ms + RESEND_AFTER_MS {
+            if asks_again || now_ms >= open.sent_at_ms + RESEND_AFTER_MS {
                 open.sent_at_ms = now_ms;
                 steps.push(SearchStep::RequestSlot {
                     id: open.id,
@@ -236,7 +319,11 @@
         SlotRequest {
             id,
             upstream: upstream_hash(instance),
-            worth_micros: self.job.worth_micros(),
+            worth_micros: if self.is_expected_return {
+                self.job.worth_micros_first_among_equals()
+            } else {
+                self.job.worth_micros()
+            },
             objective_in_ms: signed(self.job.objective_at_ms) - signed(now_ms) - signed(lead_ms),
             waited_ms: now_ms.saturating_sub(self.job.arrived_ms),
         }
@@ -321,6 +408,32 @@
         })
     }
 
+    /// Returns whether the request can't be in time anywhere. One whose size has a start deficit
+    /// counts as in time, so that early refusals do not starve it.
+    fn is_late_everywhere(&self, dispatcher: &Dispatcher, now_ms: u64) -> bool {
+        self.skips_late_starts
+            && !self.job.has_start_deficit
+            && dispatcher.is_late_everywhere(&self.job, now_ms)
+    }
+
+    /// Returns whether the admission queues are asked again because the request has become late. Their
+    /// replies tell whether others wait there that can be in time.
+    fn asks_again_as_late(&mut self, dispatcher: &Dispatcher, now_ms: u64) -> bool {
+        let asks_again = !self.has_asked_late && self.is_late_everywhere(dispatcher, now_ms);
+        self.has_asked_late |= asks_again;
+        asks_again
+    }
+
+    /// Returns whether the request can't be in time anywhere, and an admission queue says that another
+    /// one can that waits there.
+    fn yields_to_others(&self, dispatcher: &Dispatcher, now_ms: u64) -> bool {
+        let is_passed_over = |open: &OpenSlotRequest| {
+            open.wait_ms
+                .is_some_and(|wait_ms| !late_start::is_known_wait(wait_ms))
+        };
+        self.open_requests.iter().any(is_passed_over) && self.is_late_everywhere(dispatcher, now_ms)
+    }
+
     /// Returns whether all admission queues expect too long a wait for the request.
     fn expects_too_long_waits(&self, now_ms: u64) -> bool {
         let left_ms = self.job.waits_until_ms().saturating_sub(now_ms);
--- a/lib/src/direct/quarantine/fingerprint.rs
+++ b/lib/src/direct/quarantine/fingerprint.rs
@@ -9,6 +9,7 @@
 use serde::Serialize;
 
 use crate::digest::digest_parts;
+use crate::direct::sharing::return_order::ReturnKey;
 
 const BYTES: usize = 16;
 
@@ -88,6 +89,21 @@
         i64::from(u16::from_be_bytes([high, low])) % bound.max(1)
     }
 
+    /// Returns the key by which a request is recognised whose caller returns as it was told.
+    ///
+    /// ```
+    /// use sardinewood::direct::quarantine::fingerprint::Fingerprint;
+    /// use sardinewood::direct::sharing::return_order::ReturnKey;
+    ///
+    /// let request = Fingerprint::parse("000000000000000c0000000000000000").unwrap();
+    /// assert_eq!(request.return_key(), ReturnKey(12));
+    /// ```
+    #[must_use]
+    pub fn return_key(self) -> ReturnKey {
+        let [a, b, c, d, e, f, g, h, ..] = self.0;
+        ReturnKey(u64::from_be_bytes([a, b, c, d, e, f, g, h]))
+    }
+
     /// Returns a hash of one byte, by which a few requests can be told apart.
     ///
     /// ```
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -195,6 +195,16 @@
                 request_id,
                 is_lent,
             }) => traffic.pending_loans.complete(request_id, is_lent),
+            Some(PeerMessage::ExpectReturn(notice)) => {
+                traffic.expect_return(notice.key, notice.delay_ms.into());
+            }
+            Some(PeerMessage::AskReturn { request_id, key }) => {
+                traffic.handle_return_question(from, request_id, key);
+            }
+            Some(PeerMessage::ReturnReply {
+                request_id,
+                is_expected,
+            }) => traffic.handle_return_reply(request_id, is_expected),
             None => traffic.log(Level::Warn, "datagram can't be decoded", |line| {
                 line.field("from", from)
             }),
@@ -328,6 +338,7 @@
         let now_ms = traffic.now_ms();
         traffic.peers.borrow_mut().sweep(now_ms);
         traffic.admission.borrow_mut().expire_peers(None, now_ms);
+        traffic.expected_returns.borrow_mut().remove_past(now_ms);
         let peers = traffic.peers.borrow();
         let known = peers.known_entries();
         let undiscovered = peers.undiscovered(now_ms);
--- a/lib/src/direct/rollout_driver.rs
+++ b/lib/src/direct/rollout_driver.rs
@@ -407,7 +407,7 @@
                 return SlotResult::Acquired(lease);
             }
         }
-        self.acquire_slot(call.job()).await
+        self.acquire_slot_for(call.job(), Some(call)).await
     }
 
     /// Records that a request goes to an upstream.
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -371,7 +371,7 @@
         .set(settings.upstream_silence_ms());
     traffic.config_bound_ms.set(settings.config_bound_ms());
     traffic.drain_bound_ms.set(settings.drain_bound_ms());
-    traffic.load_policy.set(settings.load_policy);
+    traffic.set_load_policy(settings.load_policy);
     let callers = listen(settings.caller_address, "callers").await?;
     let readiness = listen(settings.readiness_address, "readiness").await?;
     let metrics = listen(settings.metrics_address, "metrics").await?;
--- a/lib/src/direct/sharing.rs
+++ b/lib/src/direct/sharing.rs
@@ -2,10 +2,12 @@
 //! quotas, and retries. The modules make decisions and do no I/O.
 
 pub mod admission;
+pub mod late_start;
 mod peer_usage;
 pub mod quota;
 pub mod rate;
 pub mod retry_budget;
+pub mod return_order;
 pub mod size_fairness;
 pub mod size_stats;
 pub mod sliding_window;
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -25,6 +25,8 @@
 use crate::direct::placement::dispatch::ROUND_TRIP_MS;
 use crate::direct::placement::dispatch::upstream_hash;
 use crate::direct::placement::health::MovingAverage;
+use crate::direct::sharing::late_start;
+use crate::direct::sharing::late_start::Waiting;
 use crate::direct::sharing::peer_usage::PeerUsage;
 use crate::direct::sharing::peer_usage::UsageChange;
 use crate::direct::sharing::rate::GrantRate;
@@ -128,6 +130,16 @@
     objective_at_ms: i64,
 }
 
+impl Queued {
+    fn compared(&self, now_ms: u64) -> Waiting {
+        let is_in_time = i64::try_from(now_ms).unwrap_or(i64::MAX) < self.objective_at_ms;
+        Waiting {
+            start_worth: start_worth(self.slot_request.worth_micros, is_in_time),
+            is_in_time,
+        }
+    }
+}
+
 /// Used slots and waiting requests of one upstream.
 #[derive(Clone, Debug, Default)]
 struct AdmissionQueue {
@@ -180,10 +192,7 @@
 
     /// Returns the index of the waiting request that is worth most, the earliest among equals.
     fn best_request(&self, now_ms: u64) -> Option<usize> {
-        let key = |queued: &Queued| {
-            let is_in_time = i64::try_from(now_ms).unwrap_or(i64::MAX) < queued.objective_at_ms;
-            start_worth(queued.slot_request.worth_micros, is_in_time)
-        };
+        let key = |queued: &Queued| queued.compared(now_ms).start_worth;
         (0..self.waiting.len()).reduce(|best, index| {
             let order = key(&self.waiting[index]).total_cmp(&key(&self.waiting[best]));
             let is_earlier = self.waiting[index].arrived_ms < self.waiting[best].arrived_ms;
@@ -292,6 +301,8 @@
     limit_share: Option<f64>,
     /// Time between two heartbeats of a peer.
     heartbeat_ms: u64,
+    /// Whether late requests are told to leave while others that can be in time wait.
+    skips_late_starts: bool,
 }
 
 impl AdmissionController {
@@ -378,6 +389,16 @@
         self.heartbeat_ms = heartbeat_ms;
     }
 
+    /// Sets whether the reply to a late request is [`late_start::NOT_IN_TIME_WAIT_MS`] while one that
+    /// can be in time waits for the same slots.
+    ///
+    /// ```
+    /// sardinewood::direct::sharing::admission::AdmissionController::default().set_skips_late_starts(true);
+    /// ```
+    pub fn set_skips_late_starts(&mut self, skips_late_starts: bool) {
+        self.skips_late_starts = skips_late_starts;
+    }
+
     fn set_rates(&mut self, now_ms: u64) {
         let limit_share = self.limit_share.unwrap_or(1.0);
         for (upstream, queue) in &mut self.queues {
@@ -636,17 +657,13 @@
             .waiting
             .iter()
             .find(|queued| queued.from == from && queued.slot_request.id == request_id)?;
-        let now = i64::try_from(now_ms).unwrap_or(i64::MAX);
-        let worth_of = |queued: &Queued| {
-            start_worth(
-                queued.slot_request.worth_micros,
-                now < queued.objective_at_ms,
-            )
-        };
-        let ahead = queue
-            .waiting
-            .iter()
-            .filter(|queued| worth_of(queued) >= worth_of(own))
+        let own = own.compared(now_ms);
+        let compared = queue.waiting.iter().map(|queued| queued.compared(now_ms));
+        if self.skips_late_starts && late_start::yields(own, compared.clone()) {
+            return Some(late_start::NOT_IN_TIME_WAIT_MS);
+        }
+        let ahead = compared
+            .filter(|other| other.start_worth >= own.start_worth)
             .count();
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
         let hold_ms = queue.average_hold_ms.value().unwrap_or(DEFAULT_HOLD_MS);
--- /dev/null
+++ b/lib/src/direct/sharing/late_start.rs
@@ -0,0 +1,51 @@
+//! Requests that can't meet their objective any more while others wait that can.
+//!
+//! The load that this addresses: more requests of a tier than slots. A request then waits until it
+//! is nearly late, and where its queue holds none that is better, a slot is spent on an answer that is
+//! worth three tenths, while the next request that comes waits until it is nearly late as well. So the
+//! owner of the queue tells a late request that it will not be started before those that can be in
+//! time, and the request is refused while its caller can still return. With free slots nothing is
+//! refused, since a request that is granted a slot at once never waits.
+
+/// The wait that an owner replies to a late request while one that can be in time waits for the same
+/// slots. It is not an estimate and longer than any request waits.
+pub const NOT_IN_TIME_WAIT_MS: u32 = u32::MAX;
+
+/// Returns whether a wait that a queue replied is an estimate.
+///
+/// ```
+/// use sardinewood::direct::sharing::late_start::{NOT_IN_TIME_WAIT_MS, is_known_wait};
+///
+/// assert!(is_known_wait(40) && !is_known_wait(NOT_IN_TIME_WAIT_MS));
+/// ```
+#[must_use]
+pub fn is_known_wait(wait_ms: u32) -> bool {
+    wait_ms != NOT_IN_TIME_WAIT_MS
+}
+
+/// A waiting request, as the owner of its queue compares it with others.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Waiting {
+    /// Worth of a start now, see [`start_worth`].
+    ///
+    /// [`start_worth`]: crate::direct::sharing::admission::start_worth
+    pub start_worth: f64,
+    /// Whether it meets its objective if it starts now.
+    pub is_in_time: bool,
+}
+
+/// Returns whether a request should leave its queue: it is late, and another one goes before it that
+/// is not.
+///
+/// ```
+/// use sardinewood::direct::sharing::late_start::{Waiting, yields};
+///
+/// let late = Waiting { start_worth: 0.3, is_in_time: false };
+/// let in_time = Waiting { start_worth: 1.0, is_in_time: true };
+/// assert!(yields(late, [in_time]) && !yields(late, [late]) && !yields(in_time, [in_time]));
+/// ```
+#[must_use]
+pub fn yields(own: Waiting, others: impl IntoIterator<Item = Waiting>) -> bool {
+    let goes_before = |other: Waiting| other.is_in_time && other.start_worth > own.start_worth;
+    !own.is_in_time && others.into_iter().any(goes_before)
+}
--- a/lib/src/direct/slot_driver.rs
+++ b/lib/src/direct/slot_driver.rs
@@ -18,10 +18,12 @@
 use crate::direct::placement::slot_search::REPLY_TIMEOUT_MS;
 use crate::direct::placement::slot_search::SearchStep;
 use crate::direct::placement::slot_search::SlotSearch;
+use crate::direct::request::call::Call;
 use crate::direct::sharing::admission::EntryRef;
 use crate::direct::sharing::admission::PeerRequestId;
 use crate::direct::sharing::admission::SlotRelease;
 use crate::direct::sharing::admission::SlotRequest;
+use crate::direct::sharing::late_start;
 use crate::direct::traffic::SlotLease;
 use crate::direct::traffic::SlotResult;
 use crate::direct::traffic::TrafficState;
@@ -39,6 +41,8 @@
         /// Expected time until the grant.
         wait_ms: u32,
     },
+    /// The request is one whose caller returns as it was told.
+    ReturnsAsTold,
 }
 
 /// A slot request without a grant.
@@ -56,14 +60,22 @@
 }
 
 /// A waiting request. Cancels its slot requests when dropped.
-struct WaitingRequest {
+struct WaitingRequest<'a> {
     traffic: Rc<TrafficState>,
     search: SlotSearch,
     replies: UnboundedSender<AdmissionReply>,
+    /// The caller's call, if its caller may return after a refusal and returns are ordered.
+    returning: Option<&'a Call>,
+    /// The question whether the request returns as told.
+    return_question: Option<PeerRequestId>,
 }
 
-impl Drop for WaitingRequest {
+impl Drop for WaitingRequest<'_> {
     fn drop(&mut self) {
+        if let Some(question) = self.return_question {
+            let mut pending = self.traffic.pending_return_questions.borrow_mut();
+            pending.swap_remove(&question);
+        }
         for step in self.search.cancel_all() {
             self.execute(step);
         }
@@ -76,7 +88,7 @@
     Refused,
 }
 
-impl WaitingRequest {
+impl WaitingRequest<'_> {
     /// Executes a step of the search. Returns how the wait ended if the step ends it.
     fn execute(&self, step: SearchStep) -> Option<WaitEnd> {
         match step {
@@ -173,6 +185,65 @@
         steps.into_iter().find_map(|step| self.execute(step))
     }
 
+    /// Asks once whether the request is one that returns as told, as it has to wait.
+    fn ask_expected_return(&mut self) {
+        let Some(call) = self.returning.filter(|_| self.return_question.is_none()) else {
+            return;
+        };
+        let may_claim = self
+            .traffic
+            .return_order
+            .borrow()
+            .may_claim(&self.search.job);
+        if may_claim {
+            let question = PeerRequestId::from_random(rand::random());
+            self.return_question = Some(question);
+            self.traffic
+                .ask_expected_return(call, question, &self.replies);
+        }
+    }
+
+    /// Records that the request got a slot.
+    fn record_start(&self) {
+        let traffic = &self.traffic;
+        if traffic.load_policy.get().orders_returns {
+            let mut order = traffic.return_order.borrow_mut();
+            order.record_start(&self.search.job, traffic.now_ms());
+        }
+        if self.search.is_expected_return() {
+            traffic.count_return("served");
+        }
+    }
+
+    /// Records that the request is refused. Returns the retry delay for its caller.
+    fn refuse(&self) -> u64 {
+        let traffic = &self.traffic;
+        let job = &self.search.job;
+        if self
+            .search
+            .waits_ms()
+            .any(|wait_ms| !late_start::is_known_wait(wait_ms))
+        {
+            let tier = job.tier.to_string();
+            let refused_late = &traffic.metrics.refused_late;
+            refused_late.with_label_values(&[tier.as_str()]).inc();
+        }
+        let Some(call) = self.returning else {
+            return traffic.retry_after_ms(job);
+        };
+        let now_ms = traffic.now_ms();
+        let backoff_ms = traffic
+            .dispatcher
+            .borrow()
+            .all_backed_off_for_ms(job, now_ms);
+        let retry_after_ms = backoff_ms.unwrap_or_else(|| {
+            let mut order = traffic.return_order.borrow_mut();
+            order.retry_after_ms(job, self.search.waits_ms(), now_ms)
+        });
+        traffic.tell_expected_return(call, retry_after_ms);
+        retry_after_ms
+    }
+
     async fn wait(
         &mut self,
         replies: &mut UnboundedReceiver<AdmissionReply>,
@@ -190,9 +261,19 @@
                 Ok(Some(AdmissionReply::Queued {
                     request_id,
                     wait_ms,
-                })) => self.decide(|search, dispatcher, now_ms| {
-                    search.handle_queued(request_id, wait_ms, dispatcher, now_ms, rand::random)
-                }),
+                })) => {
+                    self.ask_expected_return();
+                    self.decide(|search, dispatcher, now_ms| {
+                        search.handle_queued(request_id, wait_ms, dispatcher, now_ms, rand::random)
+                    })
+                }
+                Ok(Some(AdmissionReply::ReturnsAsTold)) => {
+                    if self.traffic.claim_return(&self.search.job) {
+                        self.decide(|search, _, now_ms| search.precede(now_ms, rand::random))
+                    } else {
+                        None
+                    }
+                }
                 Ok(None) => Some(WaitEnd::Refused),
                 Err(_) => self.decide(|search, dispatcher, now_ms| {
                     search.handle_timeout(dispatcher, now_ms, rand::random)
@@ -207,18 +288,27 @@
 }
 
 /// Waits for a slot at an upstream until the request's waiting time is over.
-pub async fn acquire_slot(traffic: &Rc<TrafficState>, job: Job) -> SlotResult {
+///
+/// A call whose caller may return if it is refused is recognised when it does, if returns are
+/// ordered.
+pub async fn acquire_slot(traffic: &Rc<TrafficState>, job: Job, call: Option<&Call>) -> SlotResult {
     let until = traffic.instant_at(job.waits_until_ms());
+    let policy = traffic.load_policy.get();
     let (sender, mut replies) = mpsc::unbounded_channel();
     let mut waiting = WaitingRequest {
         traffic: Rc::clone(traffic),
-        search: SlotSearch::new(job),
+        search: SlotSearch::new(job).skipping_late_starts(policy.skips_late_starts),
         replies: sender,
+        returning: call.filter(|_| policy.orders_returns),
+        return_question: None,
     };
     match waiting.wait(&mut replies, until).await {
-        WaitEnd::Started(lease) => SlotResult::Acquired(lease),
+        WaitEnd::Started(lease) => {
+            waiting.record_start();
+            SlotResult::Acquired(lease)
+        }
         WaitEnd::Refused => SlotResult::Refused {
-            retry_after_ms: traffic.retry_after_ms(&waiting.search.job),
+            retry_after_ms: waiting.refuse(),
         },
     }
 }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -41,6 +41,7 @@
 use crate::direct::quarantine::suspects::Suspects;
 use crate::direct::replication::last_response::LastStoreResponse;
 use crate::direct::replication::store_follower::ListCall;
+use crate::direct::request::call::Call;
 use crate::direct::request::connection_pool::ConnectionPool;
 use crate::direct::request::headers::HeaderCodec;
 use crate::direct::rollout::table::RolloutTable;
@@ -55,9 +56,12 @@
 use crate::direct::sharing::quota::RecentCharges;
 use crate::direct::sharing::retry_budget::RetryBudget;
 use crate::direct::sharing::retry_budget::RetryLimits;
+use crate::direct::sharing::return_order::ExpectedReturns;
+use crate::direct::sharing::return_order::ReturnOrder;
 use crate::direct::sharing::size_fairness::SizeFairness;
 use crate::direct::sharing::size_stats::SizeStats;
 use crate::direct::slot_driver;
+use crate::direct::slot_driver::AdmissionReply;
 use crate::direct::slot_driver::PendingSlotRequest;
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::store_view::directory::DEFAULT_SILENCE_MS;
@@ -157,6 +161,12 @@
     pub size_stats: RefCell<SizeStats>,
     /// Start deficits of the request sizes of each route.
     pub size_fairness: RefCell<SizeFairness>,
+    /// When refused callers are told to return, and how many of them go first.
+    pub return_order: RefCell<ReturnOrder>,
+    /// Returns that this entry keeps for all.
+    pub expected_returns: RefCell<ExpectedReturns>,
+    /// Questions to other entries whether waiting requests return as told.
+    pub pending_return_questions: RefCell<IndexMap<PeerRequestId, mpsc::UnboundedSender<AdmissionReply>>>,
     /// Detects upstreams that crash while they run requests.
     pub crash_detector: RefCell<CrashDetector>,
     /// Features of requests whose runs survived a short time ago.
@@ -369,6 +379,9 @@
             prefix_popularity: RefCell::default(),
             size_stats: RefCell::default(),
             size_fairness: RefCell::default(),
+            return_order: RefCell::default(),
+            expected_returns: RefCell::default(),
+            pending_return_questions: RefCell::default(),
             crash_detector: RefCell::default(),
             recent_survivals: RefCell::new(RecentSurvivals::new(rand::random())),
             suspects: RefCell::default(),
@@ -391,6 +404,16 @@
         })
     }
 
+    /// Sets which of the optional decisions under load are made.
+    pub fn set_load_policy(&self, policy: LoadPolicy) {
+        self.load_policy.set(policy);
+        let skips_late_starts = policy.skips_late_starts;
+        let mut admission = self.admission.borrow_mut();
+        admission.set_skips_late_starts(skips_late_starts);
+        let mut dispatcher = self.dispatcher.borrow_mut();
+        dispatcher.set_places_by_length(skips_late_starts);
+    }
+
     /// Returns the time since the start of the process.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
@@ -616,8 +639,13 @@
 
     /// Waits for a slot at an upstream, for as long as the request may wait, and measures the wait.
     pub async fn acquire_slot(self: &Rc<Self>, job: Job) -> SlotResult {
+        self.acquire_slot_for(job, None).await
+    }
+
+    /// Does the same for a caller's call, whose caller may return if it is refused.
+    pub async fn acquire_slot_for(self: &Rc<Self>, job: Job, call: Option<&Call>) -> SlotResult {
         let started_at = Instant::now();
-        let result = slot_driver::acquire_slot(self, job).await;
+        let result = slot_driver::acquire_slot(self, job, call).await;
         let waited_ms = started_at.elapsed().as_secs_f64() * 1_000.0;
         self.metrics.wait_ms.observe(waited_ms);
         result
