--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -128,7 +128,8 @@
     }
 
     /// Sets whether long answers go only to engines whose speed is known and that end them before
-    /// their deadlines, as long as there is one.
+    /// their deadlines, as long as there is one. Those whose size has a start deficit go anywhere, so that
+    /// no size waits only at the engines that higher tiers fill.
     ///
     /// ```
     /// sardinewood::direct::placement::dispatch::Dispatcher::default().set_places_by_length(true);
@@ -389,7 +390,7 @@
     ) -> Option<Arc<Upstream>> {
         let mut upstreams = self.usable_upstreams(job, now_ms);
         upstreams.retain(|tracked| !asked.contains(&tracked.upstream.instance));
-        if self.places_by_length {
+        if self.places_by_length && !job.has_start_deficit {
             let baseline = self.baseline_for(&job.service);
             upstreams = uneven_engines::suitable(job, upstreams, baseline, now_ms);
         }
--- a/lib/src/direct/sharing/late_start.rs
+++ b/lib/src/direct/sharing/late_start.rs
@@ -34,18 +34,24 @@
     pub is_in_time: bool,
 }
 
-/// Returns whether a request should leave its queue: it is late, and another one goes before it that
-/// is not.
+/// Returns whether a request should leave its queue: it is late, others wait that can be in time, and
+/// all of these go before it.
+///
+/// A late request of a higher tier is worth more than one of a lower tier that is in time. As long as
+/// such a one waits, the slot that the late one gives up would go there. In virtual time, requests of
+/// all tiers that left as soon as any other went before them cost 0.003 to 0.010 of the worth.
 ///
 /// ```
 /// use sardinewood::direct::sharing::late_start::{Waiting, yields};
 ///
 /// let late = Waiting { start_worth: 0.3, is_in_time: false };
-/// let in_time = Waiting { start_worth: 1.0, is_in_time: true };
-/// assert!(yields(late, [in_time]) && !yields(late, [late]) && !yields(in_time, [in_time]));
+/// let in_time = |start_worth| Waiting { start_worth, is_in_time: true };
+/// assert!(yields(late, [in_time(1.0)]) && !yields(late, [late]) && !yields(in_time(0.5), [in_time(1.0)]));
+/// assert!(!yields(late, [in_time(1.0), in_time(0.05)]));
 /// ```
 #[must_use]
 pub fn yields(own: Waiting, others: impl IntoIterator<Item = Waiting>) -> bool {
-    let goes_before = |other: Waiting| other.is_in_time && other.start_worth > own.start_worth;
-    !own.is_in_time && others.into_iter().any(goes_before)
+    let in_time = others.into_iter().filter(|other| other.is_in_time);
+    let least = in_time.map(|other| other.start_worth).reduce(f64::min);
+    !own.is_in_time && least.is_some_and(|least| least > own.start_worth)
 }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -166,7 +166,8 @@
     /// Returns that this entry keeps for all.
     pub expected_returns: RefCell<ExpectedReturns>,
     /// Questions to other entries whether waiting requests return as told.
-    pub pending_return_questions: RefCell<IndexMap<PeerRequestId, mpsc::UnboundedSender<AdmissionReply>>>,
+    pub pending_return_questions:
+        RefCell<IndexMap<PeerRequestId, mpsc::UnboundedSender<AdmissionReply>>>,
     /// Detects upstreams that crash while they run requests.
     pub crash_detector: RefCell<CrashDetector>,
     /// Features of requests whose runs survived a short time ago.
