--- a/bench/tests/runner.rs
+++ b/bench/tests/runner.rs
@@ -7,6 +7,7 @@
 mod test_control;
 mod test_decisions;
 mod test_direct;
+mod test_direct_hard_load;
 mod test_engine_model;
 mod test_fault_matrix;
 mod test_limits;
