--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -133,6 +133,21 @@
     HistogramOpts::new(format!("sardinewood_{name}"), help).buckets(BUCKETS_MS.to_vec())
 }
 
+fn sent_by_old_list_counter() -> prometheus::Result<IntCounter> {
+    let help = "Requests sent by a list that is older than upstreams may take to leave.";
+    counter("sent_by_old_list_total", help)
+}
+
+fn returns_counter() -> prometheus::Result<IntCounterVec> {
+    let help = "Callers told to return, and their returns.";
+    counters("returns_total", help, &["result"])
+}
+
+fn refused_late_counter() -> prometheus::Result<IntCounterVec> {
+    let help = "Requests refused as others could be in time and they could not.";
+    counters("refused_late_total", help, &["tier"])
+}
+
 impl DirectMetrics {
     /// Creates and registers metrics that are all zero.
     ///
@@ -237,20 +252,9 @@
                 "Questions whether the list of upstreams is the newest.",
                 &["asked"],
             )?,
-            sent_by_old_list: counter(
-                "sent_by_old_list_total",
-                "Requests sent by a list that is older than upstreams may take to leave.",
-            )?,
-            returns: counters(
-                "returns_total",
-                "Callers told to return, and their returns.",
-                &["result"],
-            )?,
-            refused_late: counters(
-                "refused_late_total",
-                "Requests refused as others could be in time and they could not.",
-                &["tier"],
-            )?,
+            sent_by_old_list: sent_by_old_list_counter()?,
+            returns: returns_counter()?,
+            refused_late: refused_late_counter()?,
         };
         metrics.register()?;
         Ok(metrics)
--- a/lib/src/direct/placement/uneven_engines.rs
+++ b/lib/src/direct/placement/uneven_engines.rs
@@ -32,10 +32,10 @@
     })
 }
 
-fn retain_if_any<'a>(
-    upstreams: Vec<&'a TrackedUpstream>,
+fn retain_if_any(
+    upstreams: Vec<&TrackedUpstream>,
     suits: impl Fn(&TrackedUpstream) -> bool,
-) -> Vec<&'a TrackedUpstream> {
+) -> Vec<&TrackedUpstream> {
     if !upstreams.iter().any(|tracked| suits(tracked)) {
         return upstreams;
     }
--- a/lib/src/direct/quarantine/fingerprint.rs
+++ b/lib/src/direct/quarantine/fingerprint.rs
@@ -100,8 +100,8 @@
     /// ```
     #[must_use]
     pub fn return_key(self) -> ReturnKey {
-        let [a, b, c, d, e, f, g, h, ..] = self.0;
-        ReturnKey(u64::from_be_bytes([a, b, c, d, e, f, g, h]))
+        let upper_half = u128::from_be_bytes(self.0) >> u64::BITS;
+        ReturnKey(u64::try_from(upper_half).unwrap_or_default())
     }
 
     /// Returns a hash of one byte, by which a few requests can be told apart.
--- a/lib/src/direct/sharing/return_order.rs
+++ b/lib/src/direct/sharing/return_order.rs
@@ -205,13 +205,11 @@
     ) -> u64 {
         let left_ms = job.deadline_at_ms.saturating_sub(now_ms);
         let longest_ms = (left_ms / HONOURED_DIVISOR).max(MIN_RETRY_AFTER_MS);
-        let known_waits = waits_ms
-            .into_iter()
-            .filter(|wait_ms| is_known_wait(*wait_ms));
-        let wait_ms = known_waits.min().map_or(0, u64::from);
+        let known = waits_ms.into_iter().filter(|wait| is_known_wait(*wait));
+        let shortest_ms = known.min().map_or(0, u64::from);
         let schedule = self.schedule(job);
         schedule
-            .next_place_ms(wait_ms, longest_ms, now_ms)
+            .next_place_ms(shortest_ms, longest_ms, now_ms)
             .unwrap_or_else(|| schedule.spread_ms(longest_ms))
     }
 
