--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -439,7 +439,8 @@
     /// Returns whether all admission queues expect too long a wait for the request.
     fn expects_too_long_waits(&self, now_ms: u64) -> bool {
         let left_ms = self.job.waits_until_ms().saturating_sub(now_ms);
-        let is_too_long = |wait_ms: u32| u64::from(wait_ms) > left_ms;
+        let is_too_long =
+            |wait_ms: u32| late_start::is_known_wait(wait_ms) && u64::from(wait_ms) > left_ms;
         self.open_requests.len() == usize::from(MAX_QUEUES_PER_REQUEST)
             && self
                 .open_requests
--- a/lib/tests/test_direct_late_start.rs
+++ b/lib/tests/test_direct_late_start.rs
@@ -182,6 +182,27 @@
     assert!(!told.contains(&SearchStep::Refuse), "{told:?}");
 }
 
+/// Guards against an entry without the setting, or a request that can be in time at an engine not asked,
+/// that takes the reply to late requests for an estimate and refuses.
+#[test]
+fn uneven_engines_late_at_all_queues_asked_waits_on() {
+    let mut engines = vec![("fast", Some(5.0))];
+    engines.extend(["s-1", "s-2", "s-3"].map(|name| (name, Some(300.0))));
+    let dispatcher = dispatcher(&engines);
+    for skips_late_starts in [false, true] {
+        let mut search = SlotSearch::new(job(1, 2)).skipping_late_starts(skips_late_starts);
+        let mut numbers = numbers();
+        let mut steps = search.start(&dispatcher, 0, &mut numbers);
+        let mut replies = 0;
+        while let Some(SearchStep::RequestSlot { id, .. }) = steps.first().cloned() {
+            let told = NOT_IN_TIME_WAIT_MS;
+            steps = search.handle_queued(id, told, &dispatcher, 1, &mut numbers);
+            replies += 1;
+        }
+        assert_eq!((replies, steps), (3, Vec::new()));
+    }
+}
+
 /// Guards against early refusals of the largest requests, whose prompts take longest to read, time
 /// after time.
 #[test]
