--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -7,8 +7,8 @@
 //!
 //! [`placement`], [`sharing`], [`membership`], [`store_view`], [`quarantine`], [`rollout`] and
 //! [`notices`] make decisions and do no I/O. The modules [`slot_driver`], [`quota_driver`],
-//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`], [`rollout_driver`] and
-//! [`data_centre_driver`] carry their decisions out.
+//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`], [`return_driver`], [`rollout_driver`]
+//! and [`data_centre_driver`] carry their decisions out.
 //! [`request`] and [`replication`] transfer data over the network, and [`traffic`] holds the state
 //! that all requests of an entry share.
 //!
@@ -31,6 +31,7 @@
 pub mod replication;
 pub mod request;
 pub mod retry_driver;
+pub mod return_driver;
 pub mod rollout;
 pub mod rollout_driver;
 pub mod server;
--- a/lib/src/direct/load_policy.rs
+++ b/lib/src/direct/load_policy.rs
@@ -21,8 +21,6 @@
     pub orders_returns: bool,
     /// Whether a request that can't be in time waits for those that can.
     pub skips_late_starts: bool,
-    /// Whether entries that start are told the speeds of upstreams.
-    pub tells_speeds: bool,
     /// Bound of a plain answer, whose connection is closed beyond it.
     pub max_answer_bytes: u64,
 }
@@ -33,7 +31,6 @@
             transfer_price_ms: None,
             orders_returns: false,
             skips_late_starts: false,
-            tells_speeds: false,
             max_answer_bytes: DEFAULT_MAX_ANSWER_BYTES,
         }
     }
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -30,6 +30,7 @@
 use crate::direct::placement::tracked_upstream::Intake;
 use crate::direct::placement::tracked_upstream::ReportIntervals;
 use crate::direct::placement::tracked_upstream::TrackedUpstream;
+use crate::direct::placement::uneven_engines;
 use crate::direct::store_view::directory::Upstream;
 use crate::numbers;
 
@@ -99,6 +100,8 @@
     peer_loads: PeerLoads,
     intervals: ReportIntervals,
     data_centres: DataCentres,
+    /// Whether long answers go only to engines of known speed that end them in time.
+    places_by_length: bool,
 }
 
 /// Returns the hash by which entries refer to an upstream in messages.
@@ -402,6 +405,17 @@
         supplies.into_values().collect()
     }
 
+    /// Sets whether long answers go only to engines whose speed is known and that end them before
+    /// their deadlines, as long as there is one. Those whose size has a start deficit go anywhere, so that
+    /// no size waits only at the engines that higher tiers fill.
+    ///
+    /// ```
+    /// sardinewood::direct::placement::dispatch::Dispatcher::default().set_places_by_length(true);
+    /// ```
+    pub fn set_places_by_length(&mut self, places_by_length: bool) {
+        self.places_by_length = places_by_length;
+    }
+
     /// Applies a peer's report of its running requests and of the speeds that it measured.
     ///
     /// ```
@@ -761,6 +775,10 @@
         let mut upstreams = self.usable_upstreams(job, now_ms);
         self.restrict(&mut upstreams, scope, job, now_ms);
         upstreams.retain(|tracked| !asked.contains(&tracked.upstream.instance));
+        if self.places_by_length && !job.has_start_deficit {
+            let baseline = self.baseline_for(&job.service);
+            upstreams = uneven_engines::suitable(job, upstreams, baseline, now_ms);
+        }
         let has_cached =
             |tracked: &&TrackedUpstream| job.cached_tokens(&tracked.upstream.instance) > 0;
         let mut sampled: Vec<&TrackedUpstream> =
@@ -980,6 +998,24 @@
         ROUND_TRIP_MS + whole_ms(first_ms * FIRST_EVENT_MARGIN)
     }
 
+    /// Returns whether no upstream that a request can go to would answer it in time, if it started
+    /// there now.
+    ///
+    /// ```
+    /// # use sardinewood::direct::{placement::dispatch::Dispatcher, placement::job::Job};
+    /// # let job = Job { id: 1, service: "s".into(), tier: 0, customer_tier: 0, prompt_tokens: 0,
+    /// #     expected_output_tokens: None, relative_size: 1.0, relative_hold: 1.0, arrived_ms: 0, read_at_ms: 0, objective_at_ms: 100,
+    /// #     deadline_at_ms: 8_000, caller_leaves_at_ms: 1_000, tried_upstreams: Vec::new(),
+    /// #     shared_prefix: None, cached_at: Vec::new(), has_start_deficit: false, is_canary: false, stream_version: None };
+    /// assert!(Dispatcher::default().is_late_everywhere(&job, 0));
+    /// ```
+    #[must_use]
+    pub fn is_late_everywhere(&self, job: &Job, now_ms: u64) -> bool {
+        self.usable_upstreams(job, now_ms).iter().all(|tracked| {
+            now_ms + self.lead_ms(&tracked.upstream.instance, job) >= job.objective_at_ms
+        })
+    }
+
     /// Returns whether an upstream has a free slot, as far as this entry knows. For an upstream
     /// that limits its request rate, only the admission queue knows.
     ///
