--- a/lib/src/direct/sharing/size_fairness.rs
+++ b/lib/src/direct/sharing/size_fairness.rs
@@ -6,7 +6,7 @@
 //! requests at the end of a strict order are hardly ever started: callers with large documents are
 //! refused time after time, while the route as a whole looks fine. Each entry therefore keeps a
 //! start deficit for each size. While a size has a deficit, its requests go first among those of
-//! their route, as if they were small. The deficit depends only on how often a size is refused, so
+//! their route, as if they were small, and wait in more queues and for longer. The deficit depends only on how often a size is refused, so
 //! the cause does not have to be known here. It counts only this entry's own callers, which is
 //! enough: if each entry keeps the minimum, all together do.
 
