--- a/lib/src/direct/placement/slot_search.rs
+++ b/lib/src/direct/placement/slot_search.rs
@@ -241,7 +241,9 @@
         now_ms: u64,
     ) {
         let open = self.open_requests.iter().find(|open| open.id == request_id);
-        if let Some(open) = open.filter(|open| open.first_reply.is_none()) {
+        if let Some(open) = open.filter(|open| open.first_reply.is_none())
+            && late_start::is_known_wait(wait_ms)
+        {
             dispatcher.record_wait(&self.job, &open.instance, wait_ms, now_ms);
         }
     }
@@ -301,7 +303,9 @@
             .find(|open| open.id == request_id)
         {
             open.wait_ms = Some(wait_ms);
-            open.first_reply.get_or_insert((wait_ms, now_ms));
+            if late_start::is_known_wait(wait_ms) {
+                open.first_reply.get_or_insert((wait_ms, now_ms));
+            }
         }
         let mut steps = self.cancel_without_advantage(dispatcher, now_ms);
         if self.yields_to_others(dispatcher, now_ms) {
@@ -318,7 +322,7 @@
         if self.prefers_to_wait_for_cache(dispatcher) {
             return steps;
         }
-        if self.open_requests.len() < usize::from(MAX_QUEUES_PER_REQUEST) {
+        if self.open_requests.len() < self.max_queues() {
             let elsewhere = self.ask_elsewhere(dispatcher, now_ms, &mut random);
             if elsewhere.is_empty() {
                 steps.extend(self.ask_next_queue(dispatcher, now_ms, random));
--- a/lib/tests/test_direct_data_centres.rs
+++ b/lib/tests/test_direct_data_centres.rs
@@ -9,6 +9,7 @@
 use sardinewood::direct::placement::shared_prefix::CachedPrefix;
 use sardinewood::direct::placement::slot_search::SearchStep;
 use sardinewood::direct::placement::slot_search::SlotSearch;
+use sardinewood::direct::sharing::late_start::NOT_IN_TIME_WAIT_MS;
 use sardinewood::direct::store_view::directory::Upstream;
 
 use crate::data_centre_model::Model;
@@ -362,6 +363,28 @@
     assert_ne!(played(&["hall", "yard"], PRICE), unpriced);
 }
 
+#[test]
+fn reply_to_a_late_request_is_no_wait_of_its_data_centre() {
+    // Guards against requests that all leave because one that could not be in time was told so: that reply is
+    // the longest wait, but no estimate.
+    let mut dispatcher = Dispatcher::default();
+    dispatcher.set_upstreams(&[engine("here", "hall"), engine("there", "yard")]);
+    let own = data_centre_hash("hall");
+    dispatcher.data_centres_mut().set_policy(own, PRICE);
+    let mut random = random_numbers();
+    for id in 0..20 {
+        let mut search = SlotSearch::new(job(id, 2));
+        let steps = search.start(&dispatcher, 0, &mut random);
+        let Some(SearchStep::RequestSlot { id: ask, instance }) = steps.first().cloned() else {
+            panic!("no slot request: {steps:?}");
+        };
+        assert_eq!(&*instance, "here");
+        search.record_queued(ask, NOT_IN_TIME_WAIT_MS, &mut dispatcher, 1);
+        let steps = search.handle_queued(ask, NOT_IN_TIME_WAIT_MS, &dispatcher, 1, &mut random);
+        assert_eq!(steps, [], "asks nobody elsewhere");
+    }
+}
+
 #[test]
 fn long_cached_prefix_elsewhere_is_worth_the_way() {
     // Guards against a prompt that is read again here although sending it costs less, and against a
