--- a/lib/src/direct/placement/exclusion.rs
+++ b/lib/src/direct/placement/exclusion.rs
@@ -6,11 +6,11 @@
 
 /// Time until the first trial. Some upstreams spoil a few of a hundred answers and are sound otherwise,
 /// many of them at once, so one invalid answer must not cost much of their capacity. With the factor,
-/// an upstream that stays faulty gets three trials in its first ten seconds, and at most two a minute
+/// an upstream that stays faulty gets two trials in its first ten seconds, and at most two a minute
 /// later.
 const FIRST_PAUSE_MS: u64 = 300;
 /// Factor by which the pause grows with each failed trial.
-const PAUSE_FACTOR: u64 = 3;
+const PAUSE_FACTOR: u64 = 10;
 /// Longest time until the next trial.
 const MAX_PAUSE_MS: u64 = 30_000;
 /// Pause after a trial that did not tell anything, for example because its caller left.
