reading: one piece where the change had written two

The hash of a data centre's name, the retry delay after backoffs and the reason of an answer beyond the memory for all answers stood twice. The data centre of the entry's host is applied when the settings are taken, not in every round of heartbeats. Two comments are put right. Behaviour is as it was.

--- a/lib/src/direct/data_centre_driver.rs
+++ b/lib/src/direct/data_centre_driver.rs
@@ -6,9 +6,9 @@
 
 use indexmap::IndexMap;
 
-use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::placement::data_centres::FlowChange;
+use crate::direct::placement::data_centres::data_centre_hash;
 use crate::direct::placement::job::Job;
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::traffic::TrafficState;
@@ -183,9 +183,6 @@
     #[must_use]
     pub fn destination_of(&self, upstream: &Upstream) -> Destination {
         let own = self.peers.borrow().own_host().data_centre;
-        Destination::of(
-            own,
-            Some(EntryHost::new(&upstream.data_centre, 0).data_centre),
-        )
+        Destination::of(own, Some(data_centre_hash(&upstream.data_centre)))
     }
 }
--- a/lib/src/direct/placement/dispatch.rs
+++ b/lib/src/direct/placement/dispatch.rs
@@ -37,9 +37,9 @@
 /// Number of randomly sampled upstreams, of which the best is asked.
 const SAMPLED_UPSTREAMS: usize = 4;
 /// One in this many requests that could go to an upstream without measurements, or whose trial is due,
-/// is sent there. An upstream without measurements is assumed to be typical. If a known one is slightly faster than that and requests
-/// come one after the other, the unmeasured upstream would otherwise never be tried, however fast
-/// it is.
+/// is sent there. An upstream without measurements is assumed to be typical. If a known one is slightly
+/// faster than that and requests come one after the other, the unmeasured upstream would otherwise
+/// never be tried, however fast it is.
 const EXPLORE_ONE_IN: usize = 8;
 /// Share of the typical hold time that a cached prefix has to save for an engine's admission queue
 /// to be asked first. Below it, load matters more than the cache.
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -385,7 +385,6 @@
             upstream_silence_ms: traffic.upstream_silence_ms.get(),
         };
         traffic.dispatcher.borrow_mut().set_intervals(intervals);
-        traffic.apply_data_centre_policy();
         traffic.log_flow_changes();
         self.log_discovered(known);
         self.round += 1;
@@ -517,14 +516,10 @@
 /// turns.
 fn exclusions_of_round(dispatcher: &Dispatcher, now_ms: u64, round: u64) -> Vec<u32> {
     let excluded: Vec<u32> = dispatcher.reported_exclusions(now_ms).collect();
-    let parts = excluded.chunks(MAX_EXCLUSIONS);
+    let mut parts = excluded.chunks(MAX_EXCLUSIONS);
     let count = parts.len().max(1) as u64;
     let index = usize::try_from(round % count).unwrap_or_default();
-    excluded
-        .chunks(MAX_EXCLUSIONS)
-        .nth(index)
-        .map(<[u32]>::to_vec)
-        .unwrap_or_default()
+    parts.nth(index).unwrap_or_default().to_vec()
 }
 
 /// Sends a value, and notifies receivers only if it has changed.
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -50,7 +50,8 @@
 pub const CRASHED_AT_END: &str = "upstream crashed as its answer ended";
 const NOT_CONNECTED: &str = "no connection to upstream";
 const DECLINED: &str = "upstream declined";
-const NO_MEMORY: &str = "answers hold as much memory as they may";
+/// Reason of an attempt whose answer would exceed what all answers together may hold.
+pub const NO_MEMORY: &str = "answers hold as much memory as they may";
 const MISDIRECTED: &str = "another process answers in the upstream's place";
 
 /// Result of one attempt at an upstream.
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -31,6 +31,7 @@
 use crate::direct::request::connection_pool::PartError;
 use crate::direct::request::exchange::AttemptResult;
 use crate::direct::request::exchange::CRASHED_AT_END;
+use crate::direct::request::exchange::NO_MEMORY;
 use crate::direct::request::exchange::RetryStep;
 use crate::direct::request::exchange::UpstreamResponse;
 use crate::direct::request::exchange::allow_retry;
@@ -267,9 +268,7 @@
             return self.fail_over_invalid(AnswerPart::Event).await;
         }
         if !self.held.resize(self.partial.len()) {
-            return self
-                .fail_over("answers hold as much memory as they may")
-                .await;
+            return self.fail_over(NO_MEMORY).await;
         }
         None
     }
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -452,6 +452,7 @@
     peers.add_seeds(&new.seeds);
     peers.set_own_host(new.host);
     drop(peers);
+    traffic.apply_data_centre_policy();
     let needs_restart = old.caller_address != new.caller_address
         || old.readiness_address != new.readiness_address
         || old.peer_address != new.peer_address
--- a/lib/src/direct/sharing/return_order.rs
+++ b/lib/src/direct/sharing/return_order.rs
@@ -308,7 +308,7 @@
         true
     }
 
-    /// Returns how many requests are expected.
+    /// Returns whether no request is expected.
     ///
     /// ```
     /// # use sardinewood::direct::sharing::return_order::ExpectedReturns;
--- a/lib/src/direct/slot_driver.rs
+++ b/lib/src/direct/slot_driver.rs
@@ -241,12 +241,7 @@
         let Some(call) = self.returning else {
             return traffic.retry_after_ms(job);
         };
-        let now_ms = traffic.now_ms();
-        let backoff_ms = traffic
-            .dispatcher
-            .borrow()
-            .all_backed_off_for_ms(job, now_ms);
-        let retry_after_ms = backoff_ms.unwrap_or_else(|| {
+        let retry_after_ms = traffic.retry_after_backoff_or(job, |now_ms| {
             let mut order = traffic.return_order.borrow_mut();
             order.retry_after_ms(job, self.search.waits_ms(), now_ms)
         });
@@ -337,9 +332,15 @@
     /// upstreams are backing off, and otherwise a share of the caller's remaining time.
     #[must_use]
     pub fn retry_after_ms(&self, job: &Job) -> u64 {
+        self.retry_after_backoff_or(job, |now_ms| job.retry_after_ms(now_ms))
+    }
+
+    /// Returns the time until the first backoff ends if all upstreams are backing off, and otherwise
+    /// what is given for the current time.
+    fn retry_after_backoff_or(&self, job: &Job, otherwise: impl FnOnce(u64) -> u64) -> u64 {
         let now_ms = self.now_ms();
         let backoff_ms = self.dispatcher.borrow().all_backed_off_for_ms(job, now_ms);
-        backoff_ms.unwrap_or_else(|| job.retry_after_ms(now_ms))
+        backoff_ms.unwrap_or_else(|| otherwise(now_ms))
     }
 
     /// Handles a slot request to an admission queue that this entry owns.
