retries: logs and metrics that tell why the budget of all is exceeded

second_attempts_total had no service, left out resumed streams and counted decisions. Nothing told what a budget held, among how many entries it divided the slack, or that a request was given up for want of a retry.

Added: second_attempts_total by service, counted when a request is sent; retry_decisions_total; gauges of each service's budget; retry_sent_after_ms; the lines 'retry budget is used up' and 'retry slack is divided anew'.

--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -54,10 +54,8 @@
     pub trials: IntCounterVec,
     /// Rollouts that left a phase by this entry's decision, by service and reason.
     pub rollouts_decided: IntCounterVec,
-    /// Requests retried at another upstream.
-    pub second_attempts: IntCounter,
-    /// Retries borrowed from other entries.
-    pub borrowed_retries: IntCounter,
+    /// Requests sent to one more upstream, and the budget that limits them.
+    pub retries: RetryMetrics,
     /// Streams resumed at another upstream.
     pub resumed: IntCounter,
     /// Streams that callers took up, by how their origin became known or why they were refused.
@@ -166,6 +164,44 @@
     }
 }
 
+/// Metrics of retries and of the budget that limits them.
+#[derive(Clone, Debug)]
+pub struct RetryMetrics {
+    /// Requests sent to one more upstream, by service.
+    pub sent: IntCounterVec,
+    /// Retries that were taken, borrowed, lent or denied, by service.
+    pub decisions: IntCounterVec,
+    /// Figures of this entry's budget, by service.
+    pub budget: GaugeVec,
+    /// Entries among which the slack is divided.
+    pub entries: IntGauge,
+    /// Time from the charge of a retry to its sending.
+    pub sent_after_ms: Histogram,
+}
+
+impl RetryMetrics {
+    fn new() -> prometheus::Result<Self> {
+        let budget = Opts::new("sardinewood_retry_budget", "Figures of the retry budget.");
+        Ok(Self {
+            sent: counters("second_attempts_total", "Second attempts.", &["service"])?,
+            decisions: counters(
+                "retry_decisions_total",
+                "Retries taken, borrowed, lent and denied.",
+                &["service", "decision"],
+            )?,
+            budget: GaugeVec::new(budget, &["service", "figure"])?,
+            entries: gauge(
+                "retry_budget_entries",
+                "Entries among which the slack is divided.",
+            )?,
+            sent_after_ms: Histogram::with_opts(histogram(
+                "retry_sent_after_ms",
+                "From the charge of a retry to its sending.",
+            ))?,
+        })
+    }
+}
+
 fn counter(name: &str, help: &str) -> prometheus::Result<IntCounter> {
     IntCounter::new(format!("sardinewood_{name}"), help)
 }
@@ -241,8 +277,7 @@
                 "Upstreams that ended in the middle of runs.",
                 &["service"],
             )?,
-            second_attempts: counter("second_attempts_total", "Second attempts.")?,
-            borrowed_retries: counter("borrowed_retries_total", "Retries borrowed from peers.")?,
+            retries: RetryMetrics::new()?,
             resumed: counter("resumed_total", "Streams that went on elsewhere.")?,
             taken_up: counters(
                 "taken_up_total",
@@ -307,8 +342,6 @@
     fn register(&self) -> prometheus::Result<()> {
         for counter in [
             &self.requests,
-            &self.second_attempts,
-            &self.borrowed_retries,
             &self.resumed,
             &self.cut,
             &self.left_out_lines,
@@ -329,6 +362,8 @@
             &self.trials,
             &self.rollouts_decided,
             &self.quarantine_trials,
+            &self.retries.sent,
+            &self.retries.decisions,
             &self.peer_datagrams,
             &self.peer_bytes,
             &self.data_centres.bytes,
@@ -359,11 +394,15 @@
             &self.catalog_age_ms,
             &self.list_age_ms,
             &self.oldest_heartbeat_ms,
+            &self.retries.entries,
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
+        for gauges in [&self.data_centres.leaving_share, &self.retries.budget] {
+            self.registry.register(Box::new(gauges.clone()))?;
+        }
         self.registry
-            .register(Box::new(self.data_centres.leaving_share.clone()))?;
+            .register(Box::new(self.retries.sent_after_ms.clone()))?;
         self.registry.register(Box::new(self.wait_ms.clone()))?;
         self.registry
             .register(Box::new(self.leaving_known_within_ms.clone()))?;
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -356,10 +356,7 @@
         quotas.set_owners(peers.own_address(), quota_owners, undiscovered, now_ms);
         quotas.set_membership(known, peers.overdue(now_ms), now_ms);
         drop(quotas);
-        traffic
-            .retry_budget
-            .borrow_mut()
-            .set_entry_count(known + undiscovered);
+        traffic.divide_retry_slack(known + undiscovered);
         let share = numbers::ratio(live, known + undiscovered);
         traffic
             .admission
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -131,6 +131,8 @@
     pub deadline_at_ms: u64,
     /// Upstreams to which the request was sent.
     pub tried_upstreams: Vec<Arc<str>>,
+    /// When the retry was charged that has not been sent yet.
+    pub retry_charged_ms: Option<u64>,
     /// Whether one of these upstreams may have run the request.
     pub may_have_run: bool,
     /// How long the request has waited for slots, over all attempts.
@@ -367,6 +369,7 @@
         caller_deadline_at_ms: arrived_ms.saturating_add(remaining_ms),
         deadline_at_ms: arrived_ms + timeout_ms,
         tried_upstreams: Vec::new(),
+        retry_charged_ms: None,
         may_have_run: false,
         waited_ms: 0,
         overlong_at: None,
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -186,7 +186,7 @@
             return response.deliver(traffic, &call);
         }
         match next {
-            NextStep::Retry => traffic.metrics.second_attempts.inc(),
+            NextStep::Retry => {}
             NextStep::RefuseNotRun => {
                 let retry_after_ms = traffic.retry_after_ms(&call.job());
                 return slot_refusal_response(traffic, &call, retry_after_ms);
@@ -270,6 +270,7 @@
     let request = upstream_request(traffic, call, &lease, last_event_id);
     call.tried_upstreams
         .push(Arc::clone(&lease.upstream.instance));
+    traffic.record_retry_sent(call);
     lease.record_sent(call.prompt_tokens);
     traffic.record_version_dispatch(call, &mut lease);
     count_prompt_tokens(traffic, call, &lease);
@@ -477,7 +478,7 @@
     if call.may_have_run && !call.route.retry_policy.is_idempotent() {
         return NextStep::RespondUnknown;
     }
-    if allow_retry(traffic, call).await {
+    if traffic.allow_retry(call).await {
         return NextStep::Retry;
     }
     if call.may_have_run {
@@ -487,48 +488,6 @@
     }
 }
 
-/// Whether a request may be sent to one more upstream.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum RetryStep {
-    /// It may.
-    Allowed,
-    /// It may if a peer lends a retry: this entry's share of the budget is used up.
-    Borrow,
-    /// It may not.
-    Denied,
-}
-
-/// Returns whether a request may be sent to one more upstream. If it was sent before, this takes a
-/// retry from the budget.
-pub fn take_retry(traffic: &TrafficState, call: &Call) -> RetryStep {
-    if traffic.now_ms() >= call.deadline_at_ms {
-        return RetryStep::Denied;
-    }
-    if call.tried_upstreams.is_empty() {
-        return RetryStep::Allowed;
-    }
-    let sent = u32::try_from(call.tried_upstreams.len()).unwrap_or(u32::MAX);
-    if sent >= call.route.max_upstreams || !traffic.may_retry(call) {
-        return RetryStep::Denied;
-    }
-    let mut budget = traffic.retry_budget.borrow_mut();
-    if budget.try_take_retry(&call.service, traffic.now_ms()) {
-        RetryStep::Allowed
-    } else {
-        RetryStep::Borrow
-    }
-}
-
-/// Returns whether a request may be sent to one more upstream, after asking peers for a retry if this
-/// entry has none left.
-pub async fn allow_retry(traffic: &TrafficState, call: &Call) -> bool {
-    match take_retry(traffic, call) {
-        RetryStep::Allowed => true,
-        RetryStep::Borrow => traffic.borrow_retry(&call.service).await,
-        RetryStep::Denied => false,
-    }
-}
-
 /// Result of reading a response.
 enum ReadResponse {
     /// The response for the caller.
@@ -663,7 +622,7 @@
         held_ms,
         ends_with_connection,
     };
-    if has_failed && call.route.retry_policy.is_idempotent() && allow_retry(traffic, call).await {
+    if has_failed && call.route.retry_policy.is_idempotent() && traffic.allow_retry(call).await {
         log_failed_attempt(traffic, call, &lease, "upstream answered with a failure");
         return ReadResponse::Failed(response);
     }
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -32,15 +32,13 @@
 use crate::direct::request::exchange::AttemptResult;
 use crate::direct::request::exchange::CRASHED_AT_END;
 use crate::direct::request::exchange::NO_MEMORY;
-use crate::direct::request::exchange::RetryStep;
 use crate::direct::request::exchange::UpstreamResponse;
-use crate::direct::request::exchange::allow_retry;
 use crate::direct::request::exchange::keep_connection;
 use crate::direct::request::exchange::record_invalid_answer;
 use crate::direct::request::exchange::send;
-use crate::direct::request::exchange::take_retry;
 use crate::direct::request::held_bytes::HeldShare;
 use crate::direct::request::pace::EventPace;
+use crate::direct::retry_driver::RetryStep;
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::streams::origin::StreamOrigin;
 use crate::direct::traffic::SlotLease;
@@ -301,7 +299,7 @@
         };
         let lease = match outcome {
             SilenceOutcome::Slot(lease)
-                if take_retry(&self.traffic, &self.call) == RetryStep::Allowed =>
+                if self.traffic.take_retry(&mut self.call) == RetryStep::Allowed =>
             {
                 lease
             }
@@ -527,7 +525,7 @@
     async fn resume_elsewhere(&mut self) -> Option<StreamError> {
         self.event_waited = Duration::ZERO;
         while self.call.route.retry_policy.is_idempotent()
-            && allow_retry(&self.traffic, &self.call).await
+            && self.traffic.allow_retry(&mut self.call).await
         {
             match self.resume().await {
                 ResumeResult::Resumed => {
--- a/lib/src/direct/sharing/retry_budget.rs
+++ b/lib/src/direct/sharing/retry_budget.rs
@@ -22,6 +22,19 @@
     pub window_s: f64,
 }
 
+/// State of a budget at one service, for logs and metrics.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct BudgetUsage {
+    /// Requests in the last window.
+    pub requests: f64,
+    /// Retries in the last window, those that were lent included.
+    pub retries: f64,
+    /// Retries that may still be made.
+    pub left: f64,
+    /// This entry's share of the slack.
+    pub slack_share: f64,
+}
+
 /// Requests and retries at one service in the last window.
 #[derive(Clone, Debug)]
 struct Counts {
@@ -135,17 +148,62 @@
         self.take_if(service, 2.0, now_ms)
     }
 
-    /// Takes a retry if so many are left.
-    fn take_if(&mut self, service: &Arc<str>, left: f64, now_ms: u64) -> bool {
+    /// Returns the number of entries among which the slack is divided.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
+    /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
+    /// assert_eq!(RetryBudget::new(limits).entry_count(), 1);
+    /// ```
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
+        self.entry_count
+    }
+
+    /// Returns the services with requests so far.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
+    /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
+    /// let mut budget = RetryBudget::new(limits);
+    /// budget.record_request(&"s".into(), 0);
+    /// assert_eq!(budget.services(), ["s".into()]);
+    /// ```
+    #[must_use]
+    pub fn services(&self) -> Vec<Arc<str>> {
+        self.counts.keys().cloned().collect()
+    }
+
+    /// Returns the state of the budget at a service.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
+    /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
+    /// let mut budget = RetryBudget::new(limits);
+    /// assert!(budget.try_take_retry(&"s".into(), 0));
+    /// assert_eq!(budget.usage(&"s".into(), 0).retries, 1.0);
+    /// ```
+    pub fn usage(&mut self, service: &Arc<str>, now_ms: u64) -> BudgetUsage {
         let entry_count = u32::try_from(self.entry_count).unwrap_or(u32::MAX);
-        let slack_retries = self.limits.slack_retries / f64::from(entry_count);
+        let slack_share = self.limits.slack_retries / f64::from(entry_count);
         let ratio = self.limits.ratio;
         let counts = self.counts(service, now_ms);
-        let allowed_retries = (counts.requests.sum(now_ms) * ratio + slack_retries) * USED_RATIO;
-        if counts.retries.sum(now_ms) + left > allowed_retries {
+        let requests = counts.requests.sum(now_ms);
+        let retries = counts.retries.sum(now_ms);
+        BudgetUsage {
+            requests,
+            retries,
+            left: (requests * ratio + slack_share) * USED_RATIO - retries,
+            slack_share,
+        }
+    }
+
+    /// Takes a retry if so many are left.
+    fn take_if(&mut self, service: &Arc<str>, left: f64, now_ms: u64) -> bool {
+        if self.usage(service, now_ms).left < left {
             return false;
         }
-        counts.retries.add(1.0, now_ms);
+        self.counts(service, now_ms).retries.add(1.0, now_ms);
         true
     }
 
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -676,6 +676,7 @@
             metrics.catalog_age_ms.set(age_ms);
         }
         self.update_data_centre_gauges();
+        self.update_retry_gauges();
         if let Some(age_ms) = self.list_mark().age_ms {
             let age_ms = i64::try_from(age_ms).unwrap_or(i64::MAX);
             metrics.list_age_ms.set(age_ms);
