known red: retries beyond the budget when entries end, join or are reloaded, or slots are short

Tests in virtual time (fleets of 1 to 350 entries, named cases and a property test over any order of events) and with four real entries, whose retries are counted at the upstreams in the platform's windows.

--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod host_list_stand_in;
 mod http_server;
 pub mod prefix_cache;
+pub mod retry_windows;
 pub mod service_stand_in;
 mod store_face;
 pub mod store_stand_in;
