retries: the budget of all is kept whoever starts, ends, joins or leaves, and whenever slots come

Cause: a bound over time was kept in memory that ends with its process, and its shares were taken anew by whoever came. An entry could spend at once what ten calm seconds allowed, and its successor earned anew from its first request; it had its whole share of the slack at once; those that stayed took the shares of those that had left. Besides, a retry was charged when it was decided and could arrive a window later, and settings with another window cleared the counts.

Now the retries since each moment of the last window are at most half of the ratio for each request since one window before that moment, and the share of the slack. So each request allows retries in two windows, half in each, and what an entry that has ended has spent is covered by requests that its successor does not count. The slack is divided among the most entries known in the last window and used from one window after the start on. A retry is reserved when it is decided and counts when it is sent; one that is not sent is released. No message, and nothing that lasts.

In a fleet of hundreds most entries have only a part of a retry left, so they lend parts (thousandths; peers of older builds neither lend to nor borrow from this one), six peers at most, and a part is to be used within a second, until which its lender counts it as unsent.

--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -211,6 +211,8 @@
             | PeerMessage::OriginReply { .. }
             | PeerMessage::BorrowRetry { .. }
             | PeerMessage::RetryLent { .. }
+            | PeerMessage::BorrowRetryPart { .. }
+            | PeerMessage::RetryPartLent { .. }
             | PeerMessage::ListQuestion { .. }
             | PeerMessage::ListWord(_)
             | PeerMessage::RemovedUpstreams(_) => {}
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -33,7 +33,7 @@
 pub const STREAM_ORIGINS_LEVEL: u8 = 1;
 /// Level of the builds that know messages about suspect features.
 pub const SUSPECTS_LEVEL: u8 = 2;
-/// Level of the builds that tell how old their replicas are, and lend retries.
+/// Level of the builds that tell how old their replicas are, and lend whole retries.
 pub const REPLICA_AGES_LEVEL: u8 = 3;
 /// Level of the builds that tell since when the store has answered them.
 pub const ANSWERED_LEVEL: u8 = 4;
@@ -46,8 +46,10 @@
 pub const MAX_EXCLUSIONS: usize = 6;
 /// Level of the builds that know messages about expected returns.
 pub const RETURNS_LEVEL: u8 = 7;
+/// Level of the builds that lend parts of a retry.
+pub const RETRY_PARTS_LEVEL: u8 = 8;
 /// Level of this build.
-pub const MESSAGE_LEVEL: u8 = RETURNS_LEVEL;
+pub const MESSAGE_LEVEL: u8 = RETRY_PARTS_LEVEL;
 /// Age beyond which an answer of the store is not told any more. Upstreams that an outage has concerned
 /// are back or removed by then.
 const MAX_ANSWER_AGE_MS: u32 = 60_000;
@@ -462,8 +464,8 @@
     },
     /// The reply: the sender's list, and how old it was at the time of the question at most.
     ListWord(ListWord),
-    /// The sender asks for a retry of the receiver's share. This and the reply are sent only to peers that
-    /// know [`REPLICA_AGES_LEVEL`].
+    /// The sender asks for a retry of the receiver's share. Only builds below [`RETRY_PARTS_LEVEL`] ask; they
+    /// may send it too late to be counted, so none is lent.
     BorrowRetry {
         /// Identifies this message in the reply.
         request_id: PeerRequestId,
@@ -497,6 +499,23 @@
         /// Whether the caller was told to return about now.
         is_expected: bool,
     },
+    /// The sender asks for a part of a retry of the receiver's share. This and the reply are sent only to
+    /// peers that know [`RETRY_PARTS_LEVEL`].
+    BorrowRetryPart {
+        /// Identifies this message in the reply.
+        request_id: PeerRequestId,
+        /// The service.
+        service: Arc<str>,
+        /// Thousandths of a retry that the sender lacks.
+        wanted_millis: u16,
+    },
+    /// The reply: how much is lent.
+    RetryPartLent {
+        /// The question.
+        request_id: PeerRequestId,
+        /// Thousandths of a retry.
+        millis: u16,
+    },
 }
 
 impl PeerMessage {
@@ -522,7 +541,10 @@
             Self::UpstreamNotices(_) | Self::RemovedUpstreams(_) => "notices",
             Self::Spread(_) => "changes",
             Self::ListQuestion { .. } | Self::ListWord(_) => "confirmations",
-            Self::BorrowRetry { .. } | Self::RetryLent { .. } => "retries",
+            Self::BorrowRetry { .. }
+            | Self::RetryLent { .. }
+            | Self::BorrowRetryPart { .. }
+            | Self::RetryPartLent { .. } => "retries",
             Self::ExpectReturn(_) | Self::AskReturn { .. } | Self::ReturnReply { .. } => "returns",
             Self::StreamOrigins(_) | Self::OriginRequest(_) | Self::OriginReply { .. } => "streams",
         }
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -10,6 +10,7 @@
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
 use crate::direct::membership::peer_message::REPLICA_AGES_LEVEL;
+use crate::direct::membership::peer_message::RETRY_PARTS_LEVEL;
 use crate::direct::membership::peer_message::RETURNS_LEVEL;
 use crate::direct::membership::peer_message::Revisions;
 use crate::direct::membership::peer_message::STREAM_ORIGINS_LEVEL;
@@ -696,7 +697,7 @@
         age_ms < MAX_STORE_AGE_MS
     }
 
-    /// Returns the peers that may lend retries.
+    /// Returns the peers that may lend parts of retries.
     ///
     /// ```
     /// use sardinewood::direct::membership::peer_table::PeerTable;
@@ -707,7 +708,7 @@
     #[must_use]
     pub fn retry_lenders(&self, now_ms: u64) -> Vec<SocketAddr> {
         let is_lender =
-            |peer: &Peer| peer.message_level >= REPLICA_AGES_LEVEL && self.is_live(peer, now_ms);
+            |peer: &Peer| peer.message_level >= RETRY_PARTS_LEVEL && self.is_live(peer, now_ms);
         let peers = self.peers.iter().filter(|(_, peer)| is_lender(peer));
         peers.map(|(address, _)| *address).collect()
     }
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -189,14 +189,19 @@
                 traffic.answer_list_question(from, asked_ms);
             }
             Some(PeerMessage::ListWord(word)) => traffic.take_list_word(from, word),
-            Some(PeerMessage::BorrowRetry {
+            Some(PeerMessage::BorrowRetry { request_id, .. }) => {
+                traffic.refuse_whole_retry(from, request_id);
+            }
+            Some(PeerMessage::BorrowRetryPart {
                 request_id,
                 service,
-            }) => traffic.lend_retry(from, request_id, &service),
-            Some(PeerMessage::RetryLent {
-                request_id,
-                is_lent,
-            }) => traffic.pending_loans.complete(request_id, is_lent),
+                wanted_millis,
+            }) => traffic.lend_retry(from, request_id, &service, wanted_millis),
+            Some(PeerMessage::RetryPartLent { request_id, millis }) => {
+                traffic.pending_loans.complete(request_id, millis);
+            }
+            // Whole retries are asked for by older builds only.
+            Some(PeerMessage::RetryLent { .. }) => {}
             Some(PeerMessage::ExpectReturn(notice)) => {
                 traffic.expect_return(notice.key, notice.delay_ms.into());
             }
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -39,6 +39,7 @@
 use crate::direct::request::outcome_recorder::OutcomeRecorder;
 use crate::direct::request::refusal::Refusal;
 use crate::direct::request::refusal::request_id_text;
+use crate::direct::retry_driver::RetryPermit;
 use crate::direct::sharing::quota::ChargeOutcome;
 use crate::direct::sharing::quota::Contention;
 use crate::direct::sharing::quota::RequestCost;
@@ -131,8 +132,8 @@
     pub deadline_at_ms: u64,
     /// Upstreams to which the request was sent.
     pub tried_upstreams: Vec<Arc<str>>,
-    /// When the retry was charged that has not been sent yet.
-    pub retry_charged_ms: Option<u64>,
+    /// The retry that was granted and has not been sent yet.
+    pub retry_permit: Option<Rc<RetryPermit>>,
     /// Whether one of these upstreams may have run the request.
     pub may_have_run: bool,
     /// How long the request has waited for slots, over all attempts.
@@ -369,7 +370,7 @@
         caller_deadline_at_ms: arrived_ms.saturating_add(remaining_ms),
         deadline_at_ms: arrived_ms + timeout_ms,
         tried_upstreams: Vec::new(),
-        retry_charged_ms: None,
+        retry_permit: None,
         may_have_run: false,
         waited_ms: 0,
         overlong_at: None,
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -259,6 +259,10 @@
         keep_connection(traffic, &lease, connection, None);
         return AttemptResult::Quarantined(quarantined);
     }
+    if !traffic.confirm_retry(call).await {
+        keep_connection(traffic, &lease, connection, None);
+        return AttemptResult::NotRun;
+    }
     traffic.confirm_list_before_use().await;
     traffic.expire_missing_upstreams();
     if !lease.may_send(call.stream_version.as_ref()) {
@@ -462,7 +466,11 @@
 }
 
 /// Decides what to do with a request after a failed attempt.
-async fn next_step(traffic: &TrafficState, call: &mut Call, failed: &AttemptResult) -> NextStep {
+async fn next_step(
+    traffic: &Rc<TrafficState>,
+    call: &mut Call,
+    failed: &AttemptResult,
+) -> NextStep {
     call.may_have_run |= !matches!(
         failed,
         AttemptResult::NotRun | AttemptResult::Quarantined(_)
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -326,6 +326,8 @@
                 }
             }
         };
+        // A retry that was not sent is released, as the stream may go on for long.
+        self.call.retry_permit = None;
         if self.adopt_response(attempt) {
             disconnect(&mut previous);
             self.traffic.metrics.resumed.inc();
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -442,7 +442,7 @@
     traffic
         .retry_budget
         .borrow_mut()
-        .set_limits(new.retry_limits);
+        .set_limits(new.retry_limits, traffic.now_ms());
     traffic.quotas.borrow_mut().set_tolerance(new.tolerance);
     traffic.set_max_backoff(new.max_backoff);
     traffic.upstream_silence_ms.set(new.upstream_silence_ms());
--- a/lib/src/direct/sharing.rs
+++ b/lib/src/direct/sharing.rs
@@ -3,6 +3,7 @@
 
 pub mod admission;
 pub mod late_start;
+pub mod part_counts;
 mod peer_usage;
 pub mod quota;
 pub mod rate;
@@ -10,4 +11,3 @@
 pub mod return_order;
 pub mod size_fairness;
 pub mod size_stats;
-pub mod sliding_window;
--- a/lib/src/direct/sharing/retry_budget.rs
+++ b/lib/src/direct/sharing/retry_budget.rs
@@ -1,14 +1,29 @@
 //! Retry budget: this entry's share of the retries that all entries may make at a service.
+//!
+//! A platform limits the retries of all entries together in each window, and an entry that starts
+//! knows nothing of what its predecessor has spent. So the budget keeps the limit without a message,
+//! whoever starts, ends, joins or leaves: see [`RetryBudget`] and `docs/design/retry-budget.md`.
 
+use std::collections::VecDeque;
 use std::sync::Arc;
 
 use indexmap::IndexMap;
 
-use crate::direct::sharing::sliding_window::SlidingWindow;
+use crate::direct::sharing::part_counts::PartCounts;
+use crate::numbers;
 
-/// Share of the allowed retries that is used. The rest covers requests that the platform counts in
-/// another window than this entry, because its windows begin at other times.
-const USED_RATIO: f64 = 0.85;
+/// One retry, in the unit of parts that entries lend. In a fleet of hundreds most entries have a part of
+/// a retry left.
+pub const RETRY_MILLIS: u64 = 1_000;
+/// Time within which a borrowed part of a retry has to be used. The lender counts it as unsent until then.
+pub const LOAN_MS: u64 = 1_000;
+/// Share of the allowed retries that is used. The rest covers retries that take longer from the entry
+/// to the upstream than others.
+const USED_RATIO: f64 = 0.95;
+/// Windows in which a request allows retries: that of its arrival and the next one.
+const WINDOWS_PER_REQUEST: f64 = 2.0;
+/// Parts of a window by which requests and retries are counted.
+const WINDOW_PARTS: usize = 32;
 const MS_PER_S: f64 = 1_000.0;
 
 /// Retries that the platform allows all entries together.
@@ -29,47 +44,154 @@
     pub requests: f64,
     /// Retries in the last window, those that were lent included.
     pub retries: f64,
-    /// Retries that may still be made.
+    /// Retries that were reserved or lent and are not counted as sent yet.
+    pub unsent: f64,
+    /// Retries that may still be reserved or lent.
     pub left: f64,
     /// This entry's share of the slack.
     pub slack_share: f64,
 }
 
-/// Requests and retries at one service in the last window.
+/// Requests and retries at one service in the last two windows.
 #[derive(Clone, Debug)]
 struct Counts {
-    requests: SlidingWindow,
-    retries: SlidingWindow,
+    requests: PartCounts,
+    retry_millis: PartCounts,
+    /// Reserved for this entry's requests and not sent.
+    reserved_millis: u64,
+    /// Loans that don't count as sent yet, the earliest first.
+    loans: VecDeque<Loan>,
+}
+
+/// Parts of a retry that were lent to a peer, and when they count as sent.
+#[derive(Clone, Copy, Debug)]
+struct Loan {
+    millis: u64,
+    until_ms: u64,
+}
+
+impl Counts {
+    fn new(window_ms: f64, now_ms: u64) -> Self {
+        let part_ms = numbers::whole_u64(window_ms) / WINDOW_PARTS as u64;
+        let parts = PartCounts::new(part_ms, 2 * WINDOW_PARTS + 1, now_ms);
+        Self {
+            requests: parts.clone(),
+            retry_millis: parts,
+            reserved_millis: 0,
+            loans: VecDeque::new(),
+        }
+    }
+
+    /// Begins the parts that have passed, and counts loans as sent whose time is over.
+    fn advance(&mut self, now_ms: u64) {
+        self.requests.advance(now_ms);
+        self.retry_millis.advance(now_ms);
+        let is_over = |loan: &Loan| loan.until_ms <= now_ms;
+        while let Some(loan) = self.loans.front().copied().filter(is_over) {
+            self.loans.pop_front();
+            self.retry_millis.add(loan.millis, now_ms);
+        }
+    }
+
+    fn unsent_millis(&self) -> u64 {
+        let lent: u64 = self.loans.iter().map(|loan| loan.millis).sum();
+        self.reserved_millis + lent
+    }
+
+    /// Returns the lowest allowance over all moments of the last window: what the requests since one
+    /// window before that moment allow, less the retries since then. A moment may lie anywhere in its
+    /// part, so that one window before it covers all but one of the parts.
+    fn lowest_allowance(&self, allowed: impl Fn(f64) -> f64) -> f64 {
+        let requests = self.requests.newest_first();
+        let mut requests_since: u64 = requests.take(WINDOW_PARTS - 1).sum();
+        let mut millis_since = 0;
+        let mut lowest = f64::INFINITY;
+        let earlier_requests = self.requests.newest_first().skip(WINDOW_PARTS - 1);
+        let moments = earlier_requests.zip(self.retry_millis.newest_first());
+        for (requests, millis) in moments.take(WINDOW_PARTS + 1) {
+            requests_since += requests;
+            millis_since += millis;
+            let left = allowed(numbers::as_f64(requests_since)) - retries(millis_since);
+            lowest = lowest.min(left);
+        }
+        lowest
+    }
+}
+
+/// How many entries there were at most in the last window.
+#[derive(Clone, Debug)]
+struct LargestFleet {
+    /// Numbers of entries, the largest first, each with the time until which it was known; the last
+    /// one is the current number.
+    counts: VecDeque<(usize, u64)>,
+}
+
+impl LargestFleet {
+    /// The number of entries is unknown until now.
+    fn unknown_until(now_ms: u64) -> Self {
+        Self {
+            counts: [(usize::MAX, now_ms), (1, u64::MAX)].into(),
+        }
+    }
+
+    fn current(&self) -> usize {
+        self.counts.back().map_or(1, |(count, _)| *count)
+    }
+
+    fn set(&mut self, count: usize, now_ms: u64) {
+        if let Some((_, until_ms)) = self.counts.back_mut() {
+            *until_ms = now_ms;
+        }
+        while self.counts.back().is_some_and(|(other, _)| *other <= count) {
+            self.counts.pop_back();
+        }
+        self.counts.push_back((count, u64::MAX));
+    }
+
+    fn since(&mut self, since_ms: u64) -> usize {
+        while self.counts.len() > 1 && self.counts[0].1 <= since_ms {
+            self.counts.pop_front();
+        }
+        self.counts[0].0
+    }
 }
 
 /// Retries that this entry may still make at each service.
 ///
-/// Each request of the last window allows a fraction of a retry; the slack is divided evenly among
-/// the entries, which lend what they do not use. Without a budget, an overload that makes requests fail causes retries, which
-/// prolong the overload after its cause is gone.
+/// Without a budget, an overload that makes requests fail causes retries, which prolong the overload
+/// after its cause is gone.
+///
+/// For each moment of the last window, the retries since then are at most this entry's share of the
+/// slack and half of the ratio for each request since one window before that moment. So in a window,
+/// an entry that lives through it makes no more retries than the requests of it and of the one before
+/// allow in the mean, one that ends has spent at most what both its own requests before and within the
+/// window allow, and one that starts in it makes do with half of the ratio until it has run for a
+/// window: the sum is within the limit, without any word from an entry that has ended.
 ///
-/// The window is as long as the platform's. A budget that kept only its share of the slack would
-/// lose what requests in calm seconds allowed: one entry of thirty could retry only three requests
-/// at once when half of an engine's answers failed for four seconds.
+/// The slack is divided among the largest number of entries that were known in the last window, since
+/// those that have left may have spent theirs, and is not used until a window has passed since the
+/// start. Entries lend each other what they do not use.
 ///
 /// ```
-/// use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
+/// use sardinewood::direct::sharing::retry_budget::{RETRY_MILLIS, RetryBudget, RetryLimits};
 ///
 /// let limits = RetryLimits { ratio: 0.2, slack_retries: 4.0, window_s: 10.0 };
 /// let mut budget = RetryBudget::new(limits);
-/// budget.set_entry_count(2);
-/// assert!(budget.try_take_retry(&"s".into(), 0));
-/// assert!(!budget.try_take_retry(&"s".into(), 0));
+/// budget.set_entry_count(2, 0);
+/// let service = "s".into();
+/// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 9_000), 0, "the slack may have been spent");
+/// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 11_000), RETRY_MILLIS);
+/// budget.record_sent(&service, RETRY_MILLIS, 11_300);
 /// ```
 #[derive(Clone, Debug)]
 pub struct RetryBudget {
     limits: RetryLimits,
-    entry_count: usize,
+    fleet: LargestFleet,
     counts: IndexMap<Arc<str>, Counts>,
 }
 
 impl RetryBudget {
-    /// Creates a budget with these limits for a fleet of one entry.
+    /// Creates a budget with these limits, at time zero.
     ///
     /// ```
     /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
@@ -79,23 +201,34 @@
     pub fn new(limits: RetryLimits) -> Self {
         Self {
             limits,
-            entry_count: 1,
+            fleet: LargestFleet::unknown_until(0),
             counts: IndexMap::new(),
         }
     }
 
-    /// Sets other limits; the counts start again if the window has changed.
+    /// Sets other limits. If the window has changed, the counts begin again as after a start.
     ///
     /// ```
     /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
     /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
     /// let mut budget = RetryBudget::new(limits);
-    /// budget.set_limits(RetryLimits { slack_retries: 0.0, ..limits });
-    /// assert!(!budget.try_take_retry(&"s".into(), 0));
+    /// budget.set_limits(RetryLimits { slack_retries: 0.0, ..limits }, 11_000);
+    /// assert_eq!(budget.reserve(&"s".into(), 1_000, 11_000), 0);
     /// ```
-    pub fn set_limits(&mut self, limits: RetryLimits) {
+    pub fn set_limits(&mut self, limits: RetryLimits, now_ms: u64) {
         if limits.window_s.total_cmp(&self.limits.window_s).is_ne() {
-            self.counts.clear();
+            let entry_count = self.entry_count();
+            self.fleet = LargestFleet::unknown_until(now_ms);
+            self.fleet.set(entry_count, now_ms);
+            let window_ms = limits.window_s * MS_PER_S;
+            for counts in self.counts.values_mut() {
+                let unsent = Counts {
+                    reserved_millis: counts.reserved_millis,
+                    loans: std::mem::take(&mut counts.loans),
+                    ..Counts::new(window_ms, now_ms)
+                };
+                *counts = unsent;
+            }
         }
         self.limits = limits;
     }
@@ -105,10 +238,26 @@
     /// ```
     /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
     /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
-    /// RetryBudget::new(limits).set_entry_count(4);
+    /// let mut budget = RetryBudget::new(limits);
+    /// budget.set_entry_count(4, 0);
+    /// assert_eq!(budget.entry_count(), 4);
     /// ```
-    pub fn set_entry_count(&mut self, entry_count: usize) {
-        self.entry_count = entry_count.max(1);
+    pub fn set_entry_count(&mut self, entry_count: usize, now_ms: u64) {
+        if entry_count != self.entry_count() {
+            self.fleet.set(entry_count.max(1), now_ms);
+        }
+    }
+
+    /// Returns the number of entries that was set last.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
+    /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
+    /// assert_eq!(RetryBudget::new(limits).entry_count(), 1);
+    /// ```
+    #[must_use]
+    pub fn entry_count(&self) -> usize {
+        self.fleet.current()
     }
 
     /// Records a request to a service.
@@ -119,45 +268,89 @@
     /// RetryBudget::new(limits).record_request(&"s".into(), 0);
     /// ```
     pub fn record_request(&mut self, service: &Arc<str>, now_ms: u64) {
-        self.counts(service, now_ms).requests.add(1.0, now_ms);
+        self.counts(service, now_ms).requests.add(1, now_ms);
     }
 
-    /// Takes a retry at a service out of the budget, and returns whether one was left.
+    /// Reserves so much of a retry at a service, or what is left of it, and returns how much. It is to be
+    /// recorded as sent, or to be released.
     ///
     /// ```
-    /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
-    /// let none = RetryLimits { ratio: 0.0, slack_retries: 0.0, window_s: 10.0 };
-    /// assert!(!RetryBudget::new(none).try_take_retry(&"s".into(), 0));
+    /// # use sardinewood::direct::sharing::retry_budget::{RETRY_MILLIS, RetryBudget, RetryLimits};
+    /// # let limits = RetryLimits { ratio: 1.0, slack_retries: 0.0, window_s: 10.0 };
+    /// # let service = "s".into();
+    /// let mut budget = RetryBudget::new(limits);
+    /// budget.record_request(&service, 0);
+    /// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 0), 475);
+    /// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 0), 0);
     /// ```
-    pub fn try_take_retry(&mut self, service: &Arc<str>, now_ms: u64) -> bool {
-        self.take_if(service, 1.0, now_ms)
+    pub fn reserve(&mut self, service: &Arc<str>, wanted_millis: u64, now_ms: u64) -> u64 {
+        let millis = wanted_millis.min(self.left_millis(service, now_ms));
+        self.counts(service, now_ms).reserved_millis += millis;
+        millis
     }
 
-    /// Takes a retry at a service out of the budget for another entry, and returns whether there was one.
-    /// One more stays for this entry's own requests.
+    /// Records that a retry is sent for which so much was reserved. A retry that has waited for a slot
+    /// counts in the window in which it is sent.
     ///
     /// ```
-    /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
-    /// let limits = RetryLimits { ratio: 0.0, slack_retries: 3.0, window_s: 10.0 };
+    /// # use sardinewood::direct::sharing::retry_budget::{RETRY_MILLIS, RetryBudget, RetryLimits};
+    /// # let limits = RetryLimits { ratio: 1.0, slack_retries: 0.0, window_s: 10.0 };
+    /// # let service = "s".into();
+    /// let mut budget = RetryBudget::new(limits);
+    /// (0..4).for_each(|_| budget.record_request(&service, 0));
+    /// let millis = budget.reserve(&service, RETRY_MILLIS, 0);
+    /// budget.record_sent(&service, millis, 700);
+    /// assert_eq!(budget.usage(&service, 700).retries, 1.0);
+    /// ```
+    pub fn record_sent(&mut self, service: &Arc<str>, reserved_millis: u64, now_ms: u64) {
+        self.release(service, reserved_millis);
+        let counts = self.counts(service, now_ms);
+        counts.retry_millis.add(reserved_millis, now_ms);
+    }
+
+    /// Releases what was reserved for a retry that is not sent.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::retry_budget::{RETRY_MILLIS, RetryBudget, RetryLimits};
+    /// # let limits = RetryLimits { ratio: 1.0, slack_retries: 0.0, window_s: 10.0 };
+    /// # let service = "s".into();
     /// let mut budget = RetryBudget::new(limits);
-    /// assert!(budget.try_lend_retry(&"s".into(), 0));
-    /// assert!(!budget.try_lend_retry(&"s".into(), 0));
-    /// assert!(budget.try_take_retry(&"s".into(), 0));
+    /// budget.record_request(&service, 0);
+    /// let millis = budget.reserve(&service, RETRY_MILLIS, 0);
+    /// budget.release(&service, millis);
+    /// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 0), millis);
     /// ```
-    pub fn try_lend_retry(&mut self, service: &Arc<str>, now_ms: u64) -> bool {
-        self.take_if(service, 2.0, now_ms)
+    pub fn release(&mut self, service: &Arc<str>, reserved_millis: u64) {
+        if let Some(counts) = self.counts.get_mut(service) {
+            counts.reserved_millis = counts.reserved_millis.saturating_sub(reserved_millis);
+        }
     }
 
-    /// Returns the number of entries among which the slack is divided.
+    /// Takes so much of a retry at a service, or what is left of it, out of the budget for another entry,
+    /// which has to use it within [`LOAN_MS`]. Returns how much.
     ///
     /// ```
     /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
-    /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
-    /// assert_eq!(RetryBudget::new(limits).entry_count(), 1);
+    /// let limits = RetryLimits { ratio: 0.0, slack_retries: 1.0, window_s: 10.0 };
+    /// let mut budget = RetryBudget::new(limits);
+    /// let service = "s".into();
+    /// assert_eq!(budget.lend(&service, 700, 11_000), 700);
+    /// assert_eq!(budget.lend(&service, 700, 11_000), 250);
     /// ```
-    #[must_use]
-    pub fn entry_count(&self) -> usize {
-        self.entry_count
+    pub fn lend(&mut self, service: &Arc<str>, wanted_millis: u64, now_ms: u64) -> u64 {
+        let millis = wanted_millis.min(self.left_millis(service, now_ms));
+        if millis > 0 {
+            let until_ms = now_ms + LOAN_MS;
+            let loans = &mut self.counts(service, now_ms).loans;
+            loans.push_back(Loan { millis, until_ms });
+        }
+        millis
+    }
+
+    fn left_millis(&mut self, service: &Arc<str>, now_ms: u64) -> u64 {
+        let left = self.usage(service, now_ms).left;
+        // Rounded so that a fraction that is a hair too small makes no difference.
+        numbers::whole_u64((left * numbers::as_f64(RETRY_MILLIS)).round())
     }
 
     /// Returns the services with requests so far.
@@ -180,40 +373,44 @@
     /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
     /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
     /// let mut budget = RetryBudget::new(limits);
-    /// assert!(budget.try_take_retry(&"s".into(), 0));
-    /// assert_eq!(budget.usage(&"s".into(), 0).retries, 1.0);
+    /// budget.reserve(&"s".into(), 1_000, 10_000);
+    /// assert_eq!(budget.usage(&"s".into(), 10_000).unsent, 1.0);
     /// ```
     pub fn usage(&mut self, service: &Arc<str>, now_ms: u64) -> BudgetUsage {
-        let entry_count = u32::try_from(self.entry_count).unwrap_or(u32::MAX);
-        let slack_share = self.limits.slack_retries / f64::from(entry_count);
-        let ratio = self.limits.ratio;
+        let limits = self.limits;
+        let window_ms = numbers::whole_u64(limits.window_s * MS_PER_S);
+        // Before the first window is over, the number of entries is still unknown.
+        let largest_fleet = match now_ms.checked_sub(window_ms) {
+            Some(since_ms) => self.fleet.since(since_ms),
+            None => usize::MAX,
+        };
+        let entry_count = u32::try_from(largest_fleet).unwrap_or(u32::MAX);
+        let slack_share = limits.slack_retries / f64::from(entry_count);
         let counts = self.counts(service, now_ms);
-        let requests = counts.requests.sum(now_ms);
-        let retries = counts.retries.sum(now_ms);
+        counts.advance(now_ms);
+        let unsent = retries(counts.unsent_millis());
+        let lowest = counts.lowest_allowance(|requests| {
+            let earned = requests * limits.ratio / WINDOWS_PER_REQUEST;
+            (slack_share + earned) * USED_RATIO
+        });
+        let in_window = |parts: &PartCounts| parts.newest_first().take(WINDOW_PARTS).sum();
         BudgetUsage {
-            requests,
-            retries,
-            left: (requests * ratio + slack_share) * USED_RATIO - retries,
+            requests: numbers::as_f64(in_window(&counts.requests)),
+            retries: retries(in_window(&counts.retry_millis)),
+            unsent,
+            left: lowest - unsent,
             slack_share,
         }
     }
 
-    /// Takes a retry if so many are left.
-    fn take_if(&mut self, service: &Arc<str>, left: f64, now_ms: u64) -> bool {
-        if self.usage(service, now_ms).left < left {
-            return false;
-        }
-        self.counts(service, now_ms).retries.add(1.0, now_ms);
-        true
-    }
-
     fn counts(&mut self, service: &Arc<str>, now_ms: u64) -> &mut Counts {
         let window_ms = self.limits.window_s * MS_PER_S;
         self.counts
             .entry(Arc::clone(service))
-            .or_insert_with(|| Counts {
-                requests: SlidingWindow::new(window_ms, now_ms),
-                retries: SlidingWindow::new(window_ms, now_ms),
-            })
+            .or_insert_with(|| Counts::new(window_ms, now_ms))
     }
 }
+
+fn retries(millis: u64) -> f64 {
+    numbers::as_f64(millis) / numbers::as_f64(RETRY_MILLIS)
+}
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -105,8 +105,8 @@
     pub recent_charges: RefCell<RecentCharges>,
     /// Charges that the owners of quotas have not answered yet.
     pub pending_charges: PendingReplies<ChargeOutcome>,
-    /// Requests to peers for retries that they have not answered yet.
-    pub pending_loans: PendingReplies<bool>,
+    /// Requests to peers for parts of retries that they have not answered yet.
+    pub pending_loans: PendingReplies<u16>,
     /// Time until which no retry is borrowed, as peers have none to lend.
     pub no_loans_until_ms: Cell<u64>,
     /// Limits how many requests are retried at another upstream.
