retries: an entry that starts has a small part of its share of the slack

Each start has a tenth of the entry's even share at once (300 ms after it if there are peers, when their number is known), and the others leave that part for two starts of each entry in a window. The slack is used whole, as it follows no rate that slow links could compress; the share of what requests allow stays at .95.

Entries started twice in each window, at a fifth of the traffic, keep the budget (1 to 350 entries); more starts of every entry within one window add a tenth of the slack each, which the unused part of the ratio covers at usual traffic.

--- a/lib/src/direct/sharing/retry_budget.rs
+++ b/lib/src/direct/sharing/retry_budget.rs
@@ -17,11 +17,18 @@
 pub const RETRY_MILLIS: u64 = 1_000;
 /// Time within which a borrowed part of a retry has to be used. The lender counts it as unsent until then.
 pub const LOAN_MS: u64 = 1_000;
-/// Share of the allowed retries that is used. The rest covers retries that take longer from the entry
+/// Share of the retries allowed by requests that is used. The rest covers retries that take longer from the entry
 /// to the upstream than others.
 const USED_RATIO: f64 = 0.95;
 /// Windows in which a request allows retries: that of its arrival and the next one.
 const WINDOWS_PER_REQUEST: f64 = 2.0;
+/// Part of its even share of the slack that an entry has at once when it starts, for requests that fail
+/// before others have earned retries, and for how many starts of each entry within a window the others
+/// leave that part.
+const START_SLACK_RATIO: f64 = 0.1;
+const STARTS_PER_WINDOW: f64 = 2.0;
+/// Time after its start from which an entry with peers knows how many there are.
+const DISCOVERY_MS: u64 = 300;
 /// Parts of a window by which requests and retries are counted.
 const WINDOW_PARTS: usize = 32;
 const MS_PER_S: f64 = 1_000.0;
@@ -121,16 +128,18 @@
 /// How many entries there were at most in the last window.
 #[derive(Clone, Debug)]
 struct LargestFleet {
+    /// When this entry began to count.
+    began_ms: u64,
     /// Numbers of entries, the largest first, each with the time until which it was known; the last
-    /// one is the current number.
+    /// one is the current number. Empty until the first one is set.
     counts: VecDeque<(usize, u64)>,
 }
 
 impl LargestFleet {
-    /// The number of entries is unknown until now.
-    fn unknown_until(now_ms: u64) -> Self {
+    fn new(began_ms: u64) -> Self {
         Self {
-            counts: [(usize::MAX, now_ms), (1, u64::MAX)].into(),
+            began_ms,
+            counts: VecDeque::new(),
         }
     }
 
@@ -148,11 +157,24 @@
         self.counts.push_back((count, u64::MAX));
     }
 
-    fn since(&mut self, since_ms: u64) -> usize {
+    /// Returns this entry's share of the slack.
+    fn slack_share(&mut self, window_ms: u64, now_ms: u64) -> f64 {
+        let age_ms = now_ms.saturating_sub(self.began_ms);
+        let since_ms = now_ms.saturating_sub(window_ms);
         while self.counts.len() > 1 && self.counts[0].1 <= since_ms {
             self.counts.pop_front();
         }
-        self.counts[0].0
+        let Some((largest, _)) = self.counts.front().copied() else {
+            return 0.0;
+        };
+        let share = if age_ms >= window_ms {
+            1.0 - START_SLACK_RATIO * STARTS_PER_WINDOW
+        } else if age_ms >= DISCOVERY_MS || largest == 1 {
+            START_SLACK_RATIO
+        } else {
+            0.0
+        };
+        share / f64::from(u32::try_from(largest).unwrap_or(u32::MAX))
     }
 }
 
@@ -169,8 +191,8 @@
 /// window: the sum is within the limit, without any word from an entry that has ended.
 ///
 /// The slack is divided among the largest number of entries that were known in the last window, since
-/// those that have left may have spent theirs, and is not used until a window has passed since the
-/// start. Entries lend each other what they do not use.
+/// those that have left may have spent theirs. Until a window has passed since its start, an entry uses
+/// a small part of its share, which the others leave to it. Entries lend each other what they do not use.
 ///
 /// ```
 /// use sardinewood::direct::sharing::retry_budget::{RETRY_MILLIS, RetryBudget, RetryLimits};
@@ -179,7 +201,7 @@
 /// let mut budget = RetryBudget::new(limits);
 /// budget.set_entry_count(2, 0);
 /// let service = "s".into();
-/// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 9_000), 0, "the slack may have been spent");
+/// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 9_000), 200, "the slack may have been spent");
 /// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 11_000), RETRY_MILLIS);
 /// budget.record_sent(&service, RETRY_MILLIS, 11_300);
 /// ```
@@ -201,7 +223,7 @@
     pub fn new(limits: RetryLimits) -> Self {
         Self {
             limits,
-            fleet: LargestFleet::unknown_until(0),
+            fleet: LargestFleet::new(0),
             counts: IndexMap::new(),
         }
     }
@@ -218,7 +240,7 @@
     pub fn set_limits(&mut self, limits: RetryLimits, now_ms: u64) {
         if limits.window_s.total_cmp(&self.limits.window_s).is_ne() {
             let entry_count = self.entry_count();
-            self.fleet = LargestFleet::unknown_until(now_ms);
+            self.fleet = LargestFleet::new(now_ms);
             self.fleet.set(entry_count, now_ms);
             let window_ms = limits.window_s * MS_PER_S;
             for counts in self.counts.values_mut() {
@@ -243,7 +265,7 @@
     /// assert_eq!(budget.entry_count(), 4);
     /// ```
     pub fn set_entry_count(&mut self, entry_count: usize, now_ms: u64) {
-        if entry_count != self.entry_count() {
+        if entry_count != self.entry_count() || self.fleet.counts.is_empty() {
             self.fleet.set(entry_count.max(1), now_ms);
         }
     }
@@ -333,9 +355,10 @@
     /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
     /// let limits = RetryLimits { ratio: 0.0, slack_retries: 1.0, window_s: 10.0 };
     /// let mut budget = RetryBudget::new(limits);
+    /// budget.set_entry_count(1, 0);
     /// let service = "s".into();
     /// assert_eq!(budget.lend(&service, 700, 11_000), 700);
-    /// assert_eq!(budget.lend(&service, 700, 11_000), 250);
+    /// assert_eq!(budget.lend(&service, 700, 11_000), 100);
     /// ```
     pub fn lend(&mut self, service: &Arc<str>, wanted_millis: u64, now_ms: u64) -> u64 {
         let millis = wanted_millis.min(self.left_millis(service, now_ms));
@@ -373,25 +396,19 @@
     /// # use sardinewood::direct::sharing::retry_budget::{RetryBudget, RetryLimits};
     /// # let limits = RetryLimits { ratio: 0.2, slack_retries: 50.0, window_s: 10.0 };
     /// let mut budget = RetryBudget::new(limits);
+    /// budget.set_entry_count(1, 0);
     /// budget.reserve(&"s".into(), 1_000, 10_000);
     /// assert_eq!(budget.usage(&"s".into(), 10_000).unsent, 1.0);
     /// ```
     pub fn usage(&mut self, service: &Arc<str>, now_ms: u64) -> BudgetUsage {
         let limits = self.limits;
         let window_ms = numbers::whole_u64(limits.window_s * MS_PER_S);
-        // Before the first window is over, the number of entries is still unknown.
-        let largest_fleet = match now_ms.checked_sub(window_ms) {
-            Some(since_ms) => self.fleet.since(since_ms),
-            None => usize::MAX,
-        };
-        let entry_count = u32::try_from(largest_fleet).unwrap_or(u32::MAX);
-        let slack_share = limits.slack_retries / f64::from(entry_count);
+        let slack_share = limits.slack_retries * self.fleet.slack_share(window_ms, now_ms);
         let counts = self.counts(service, now_ms);
         counts.advance(now_ms);
         let unsent = retries(counts.unsent_millis());
         let lowest = counts.lowest_allowance(|requests| {
-            let earned = requests * limits.ratio / WINDOWS_PER_REQUEST;
-            (slack_share + earned) * USED_RATIO
+            slack_share + requests * limits.ratio / WINDOWS_PER_REQUEST * USED_RATIO
         });
         let in_window = |parts: &PartCounts| parts.newest_first().take(WINDOW_PARTS).sum();
         BudgetUsage {
--- a/lib/tests/test_direct_retry_budget.rs
+++ b/lib/tests/test_direct_retry_budget.rs
@@ -64,6 +64,25 @@
     }
 }
 
+/// Guards against entries that have a part of the slack at each start which the others use as well.
+#[test]
+fn retries_within_budget_entries_started_twice_in_each_window() {
+    for entries in FLEET_SIZES {
+        let mut load = calm(entries);
+        load.requests_per_s /= 5.0;
+        let mut fleet = RetryFleet::new(entries, load, 11);
+        fleet.run_for(CALM_MS);
+        fail(&mut fleet, 1.0);
+        for _ in 0..6 {
+            fleet.run_for(4_700);
+            for entry in 0..entries {
+                fleet.kill(entry, 300);
+            }
+        }
+        assert_within_budget(&fleet, &format!("{entries} entries"));
+    }
+}
+
 /// Guards against entries that take over the shares of the slack which others have used up before they
 /// left.
 #[test]
