entry: the retry budget of a tier begins with ten retries, not with 200

In the mode with agents each start of an entry had a full budget: 200 retries in each of five tiers beyond a fifth of the requests. Entries that restart in an overload would sustain it.

It begins with ten, some requests of one upstream that crashes, and still saves up to 200. Test: ten restarts with 100 failing requests each make at most a fifth of the requests and ten a start (1,000 before, all of them).

--- a/lib/src/entry/retry_budget.rs
+++ b/lib/src/entry/retry_budget.rs
@@ -7,9 +7,12 @@
 const EARNED_MILLIS: u64 = 200;
 /// What a retry costs, in thousandths of a retry.
 const SPENT_MILLIS: u64 = 1_000;
-/// The budget of a tier at the start and at most, in thousandths of a retry. A fleet with little
-/// traffic can move this many requests (200) off an upstream that crashes.
+/// The budget of a tier at most, in thousandths of a retry. A fleet with little traffic can move this
+/// many requests (200) off an upstream that crashes.
 const MAX_MILLIS: u64 = 200_000;
+/// The budget of a tier at the start: some requests of one upstream that crashes. Entries that restart
+/// again and again in an overload would otherwise add a full budget to it each time.
+const START_MILLIS: u64 = 10_000;
 
 /// The retries that each tier may still make.
 ///
@@ -32,7 +35,7 @@
 impl Default for RetryBudget {
     fn default() -> Self {
         Self {
-            millis: [MAX_MILLIS; TIER_COUNT],
+            millis: [START_MILLIS; TIER_COUNT],
         }
     }
 }
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -16,8 +16,10 @@
 use sardinewood::config::objects::Customer;
 use sardinewood::config::objects::Profile;
 use sardinewood::config::objects::Target;
+use sardinewood::config::objects::Tier;
 use sardinewood::config::objects::Upstream;
 use sardinewood::entry::admission::QueueLimits;
+use sardinewood::entry::retry_budget::RetryBudget;
 use sardinewood::entry::state::EntryCounts;
 use sardinewood::entry::state::EntryEvent;
 use sardinewood::entry::state::EntryRules;
@@ -1164,3 +1166,25 @@
     assert_eq!(dialled.len(), 8);
     assert!((1..=2).contains(&far.count()));
 }
+
+/// Guards against a full retry budget for each start of an entry: entries that restart in an overload would
+/// sustain it.
+#[test]
+fn retry_budget_restarted_entries_retry_little_more() {
+    const RESTARTS: u32 = 10;
+    let mut retries = 0;
+    let mut requests = 0;
+    for _ in 0..RESTARTS {
+        let mut budget = RetryBudget::default();
+        for _ in 0..100 {
+            requests += 1;
+            budget.earn(Tier(2));
+            if budget.allows(Tier(2)) {
+                budget.spend(Tier(2));
+                retries += 1;
+            }
+        }
+    }
+    assert!(retries <= requests / 5 + 10 * RESTARTS, "{retries}");
+    assert!(retries >= requests / 5, "{retries}");
+}
