retries: a request allows a quarter of its retries at once and the rest in the next window

With a quarter at once and three quarters in the next window a moment may use three quarters of a calm window, and the sum over a window is bounded by the same requests. An entry that starts makes do with a quarter for a window.

--- a/lib/src/direct/sharing/retry_budget.rs
+++ b/lib/src/direct/sharing/retry_budget.rs
@@ -20,15 +20,17 @@
 /// Share of the retries allowed by requests that is used. The rest covers retries that take longer from the entry
 /// to the upstream than others.
 const USED_RATIO: f64 = 0.95;
-/// Windows in which a request allows retries: that of its arrival and the next one.
-const WINDOWS_PER_REQUEST: f64 = 2.0;
+/// Part of the retries per request that a request allows at once. It allows the rest in the next window.
+/// An entry that starts has only this part for a window; one that goes on can spend all but this part of
+/// what calm requests have allowed in a moment.
+const EARNED_AT_ONCE: f64 = 0.25;
 /// Part of its even share of the slack that an entry has at once when it starts, for requests that fail
 /// before others have earned retries, and for how many starts of each entry within a window the others
 /// leave that part.
 const START_SLACK_RATIO: f64 = 0.1;
 const STARTS_PER_WINDOW: f64 = 2.0;
 /// Time after its start from which an entry with peers knows how many there are.
-const DISCOVERY_MS: u64 = 300;
+const DISCOVERY_MS: u64 = 100;
 /// Parts of a window by which requests and retries are counted.
 const WINDOW_PARTS: usize = 32;
 const MS_PER_S: f64 = 1_000.0;
@@ -105,26 +107,41 @@
         self.reserved_millis + lent
     }
 
-    /// Returns the lowest allowance over all moments of the last window: what the requests since one
-    /// window before that moment allow, less the retries since then. A moment may lie anywhere in its
-    /// part, so that one window before it covers all but one of the parts.
-    fn lowest_allowance(&self, allowed: impl Fn(f64) -> f64) -> f64 {
-        let requests = self.requests.newest_first();
-        let mut requests_since: u64 = requests.take(WINDOW_PARTS - 1).sum();
+    /// Returns the lowest allowance over all moments of the last window: what is allowed by the requests
+    /// in one window before that moment and by those since, less the retries since.
+    ///
+    /// A moment may lie anywhere in its part. So one window before it covers all but one of the parts, and
+    /// the part itself counts as since, when a request allows less.
+    fn lowest_allowance(&self, allowed: impl Fn(EarlierAndLater) -> f64) -> f64 {
+        let in_window = self.requests.newest_first().take(WINDOW_PARTS - 1);
+        let mut since_window_before: u64 = in_window.sum();
+        let mut since = 0;
         let mut millis_since = 0;
         let mut lowest = f64::INFINITY;
-        let earlier_requests = self.requests.newest_first().skip(WINDOW_PARTS - 1);
-        let moments = earlier_requests.zip(self.retry_millis.newest_first());
-        for (requests, millis) in moments.take(WINDOW_PARTS + 1) {
-            requests_since += requests;
+        let one_window_before = self.requests.newest_first().skip(WINDOW_PARTS - 1);
+        let requests = self.requests.newest_first().zip(one_window_before);
+        let moments = requests.zip(self.retry_millis.newest_first());
+        for ((requests, requests_before), millis) in moments.take(WINDOW_PARTS + 1) {
+            since_window_before += requests_before;
+            since += requests;
             millis_since += millis;
-            let left = allowed(numbers::as_f64(requests_since)) - retries(millis_since);
-            lowest = lowest.min(left);
+            let requests = EarlierAndLater {
+                earlier: numbers::as_f64(since_window_before - since),
+                later: numbers::as_f64(since),
+            };
+            lowest = lowest.min(allowed(requests) - retries(millis_since));
         }
         lowest
     }
 }
 
+/// Requests in one window before a moment, and since then.
+#[derive(Clone, Copy, Debug)]
+struct EarlierAndLater {
+    earlier: f64,
+    later: f64,
+}
+
 /// How many entries there were at most in the last window.
 #[derive(Clone, Debug)]
 struct LargestFleet {
@@ -183,12 +200,12 @@
 /// Without a budget, an overload that makes requests fail causes retries, which prolong the overload
 /// after its cause is gone.
 ///
-/// For each moment of the last window, the retries since then are at most this entry's share of the
-/// slack and half of the ratio for each request since one window before that moment. So in a window,
-/// an entry that lives through it makes no more retries than the requests of it and of the one before
-/// allow in the mean, one that ends has spent at most what both its own requests before and within the
-/// window allow, and one that starts in it makes do with half of the ratio until it has run for a
-/// window: the sum is within the limit, without any word from an entry that has ended.
+/// Each request allows a quarter of its retries at once and the rest in the next window: for each moment of
+/// the last window, the retries since then are at most this entry's share of the slack, three quarters of
+/// the ratio for each request in one window before that moment, and a quarter for each request since.
+/// Summed over the entries that lived at the beginning of a window, and those that start in it with nothing
+/// but their own requests, that is within the ratio for the requests of the window or of the one before,
+/// whichever are more, without any word from an entry that has ended.
 ///
 /// The slack is divided among the largest number of entries that were known in the last window, since
 /// those that have left may have spent theirs. Until a window has passed since its start, an entry uses
@@ -302,7 +319,7 @@
     /// # let service = "s".into();
     /// let mut budget = RetryBudget::new(limits);
     /// budget.record_request(&service, 0);
-    /// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 0), 475);
+    /// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 0), 238);
     /// assert_eq!(budget.reserve(&service, RETRY_MILLIS, 0), 0);
     /// ```
     pub fn reserve(&mut self, service: &Arc<str>, wanted_millis: u64, now_ms: u64) -> u64 {
@@ -319,7 +336,7 @@
     /// # let limits = RetryLimits { ratio: 1.0, slack_retries: 0.0, window_s: 10.0 };
     /// # let service = "s".into();
     /// let mut budget = RetryBudget::new(limits);
-    /// (0..4).for_each(|_| budget.record_request(&service, 0));
+    /// (0..5).for_each(|_| budget.record_request(&service, 0));
     /// let millis = budget.reserve(&service, RETRY_MILLIS, 0);
     /// budget.record_sent(&service, millis, 700);
     /// assert_eq!(budget.usage(&service, 700).retries, 1.0);
@@ -408,7 +425,9 @@
         counts.advance(now_ms);
         let unsent = retries(counts.unsent_millis());
         let lowest = counts.lowest_allowance(|requests| {
-            slack_share + requests * limits.ratio / WINDOWS_PER_REQUEST * USED_RATIO
+            let allowing =
+                requests.earlier * (1.0 - EARNED_AT_ONCE) + requests.later * EARNED_AT_ONCE;
+            slack_share + allowing * limits.ratio * USED_RATIO
         });
         let in_window = |parts: &PartCounts| parts.newest_first().take(WINDOW_PARTS).sum();
         BudgetUsage {
