soak: workers that all fail while entries end, and a check of retries in each window

Seeds from 120000 on: all workers fail for two to six seconds while entries are killed, one or all, stopped, suspended and told of settings. All seeds are held against the retries that the settings allow in any window of ten seconds, counted at the workers.

--- a/soak/src/checker.rs
+++ b/soak/src/checker.rs
@@ -2,6 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::collections::BTreeSet;
+use std::time::Instant;
+
+use testutils::retry_windows::Allowance;
+use testutils::retry_windows::worst_window;
 
 use crate::record::Ended;
 use crate::record::Kind;
@@ -21,6 +25,12 @@
 /// Part of the requests, in percent, and requests beyond it that a version may get that is bad.
 const EXPOSED_PERCENT: usize = 10;
 const EXPOSED_RUNS: usize = 50;
+/// Retries that the settings of the entries allow.
+const RETRIES: Allowance = Allowance {
+    ratio: 0.2,
+    slack_retries: 50.0,
+    window_ms: 10_000,
+};
 /// Name of the one customer.
 const CUSTOMER: &str = "rundu";
 
@@ -66,6 +76,8 @@
     MixedVersions(String),
     /// States of an order that do not follow each other, or none at its end.
     WrongStates(Vec<String>),
+    /// In one window, workers got more retries than the settings allow all entries together.
+    TooManyRetries(usize),
     /// After the last fault too few requests were served.
     NotRecovered {
         /// How many were.
@@ -108,6 +120,7 @@
     broken.extend(mixed.map(Broken::MixedVersions));
     check_recovery(records, &mut broken);
     check_deadly(records, &mut broken);
+    check_retries(records, &mut broken);
     check_rollout(records, &mut broken);
     if records.beyond_limit > 0 {
         broken.push(Broken::BeyondLimit(records.beyond_limit));
@@ -210,6 +223,32 @@
     broken.extend(too_many.map(Broken::DeadlyStillRuns));
 }
 
+fn check_retries(records: &Records, broken: &mut Vec<Broken>) {
+    let Some(began) = records.requests.iter().map(|request| request.sent).min() else {
+        return;
+    };
+    let since_start_ms = |at: Instant| {
+        let elapsed = at.saturating_duration_since(began);
+        u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+    };
+    let requests = records.requests.iter();
+    let requests_ms: Vec<u64> = requests
+        .map(|request| since_start_ms(request.sent))
+        .collect();
+    let mut runs: Vec<&Run> = records.runs.iter().collect();
+    runs.sort_by_key(|run| run.at);
+    let mut seen = BTreeSet::new();
+    let retries_ms: Vec<u64> = runs
+        .into_iter()
+        .filter(|run| !seen.insert(&run.id))
+        .map(|run| since_start_ms(run.at))
+        .collect();
+    let worst = worst_window(&requests_ms, &retries_ms, RETRIES);
+    if let Some(worst) = worst.filter(|worst| worst.excess() > 0.0) {
+        broken.push(Broken::TooManyRetries(worst.retries));
+    }
+}
+
 fn check_rollout(records: &Records, broken: &mut Vec<Broken>) {
     let Some(rollout) = &records.rollout else {
         return;
--- a/soak/src/plan.rs
+++ b/soak/src/plan.rs
@@ -27,6 +27,8 @@
     HangUp(usize),
     /// A worker behaves otherwise for a time.
     Worker(usize, Manner, Duration),
+    /// All workers behave otherwise for a time.
+    AllWorkers(Manner, Duration),
     /// The way to a worker changes for a time.
     WayToWorker(usize, Link, Duration),
     /// The way of an entry to the store changes for a time.
@@ -114,6 +116,13 @@
 /// From this seed on, workers send bytes without end in place of answers, with the faults of the seeds
 /// before those with notices.
 pub const FIRST_SEED_WITH_ENDLESS: u64 = 110_000;
+/// From this seed on, all workers fail for seconds while entries are killed, stopped, suspended and told of
+/// settings, and the retries that reach workers are held against what the settings allow.
+pub const FIRST_SEED_WITH_FAILURES: u64 = 120_000;
+/// How long all workers fail, and the time between two faults of these seeds: entries live long enough to
+/// save up retries.
+const FAILING_MS: std::ops::Range<u64> = 2_000..6_000;
+const PAUSE_WITH_FAILURES_MS: std::ops::Range<u64> = 300..2_500;
 /// How long such a cut lasts.
 const CUT_MS: std::ops::Range<u64> = 2_500..4_500;
 /// Time between two faults of these seeds: some workers leave within the time that a return takes.
@@ -146,6 +155,8 @@
     let has_cut_ways = (FIRST_SEED_WITH_CUT_WAYS..FIRST_SEED_WITH_ENDLESS).contains(&seed);
     let pause_ms = if has_cut_ways {
         PAUSE_WITH_CUT_WAYS_MS
+    } else if seed >= FIRST_SEED_WITH_FAILURES {
+        PAUSE_WITH_FAILURES_MS
     } else {
         PAUSE_MS
     };
@@ -159,10 +170,12 @@
         }
         let is_link = (FIRST_SEED_WITH_LINKS..FIRST_SEED_WITH_CUT_WAYS).contains(&seed)
             && random.random_range(0..KINDS_WITH_RESTARTS + LINK_KINDS) < LINK_KINDS;
-        let is_endless = seed >= FIRST_SEED_WITH_ENDLESS
+        let is_endless = (FIRST_SEED_WITH_ENDLESS..FIRST_SEED_WITH_FAILURES).contains(&seed)
             && random.random_range(0..KINDS_WITH_RESTARTS + ENDLESS_KINDS) < ENDLESS_KINDS;
         let fault = if is_endless {
             endless_fault(&mut random)
+        } else if seed >= FIRST_SEED_WITH_FAILURES {
+            failure_fault(&mut random)
         } else if has_cut_ways {
             cut_fault(&mut random)
         } else if is_link {
@@ -255,6 +268,23 @@
     }
 }
 
+/// A failure of all workers, or something that befalls entries.
+fn failure_fault(random: &mut StdRng) -> Fault {
+    let whom = random.random_range(0..100);
+    let lasting = Duration::from_millis(random.random_range(LASTING_MS));
+    let failing = Duration::from_millis(random.random_range(FAILING_MS));
+    match random.random_range(0..16) {
+        0..=3 => Fault::AllWorkers(Manner::Fail, failing),
+        4 | 5 => Fault::AllWorkers(Manner::CloseUnanswered, failing),
+        6 | 7 => Fault::Kill(whom, lasting / 4),
+        8..=10 => Fault::KillAll,
+        11 | 12 => Fault::Terminate(whom),
+        13 => Fault::Pause(whom, lasting),
+        14 => Fault::HangUp(whom),
+        _ => Fault::Worker(whom, manner(random), lasting),
+    }
+}
+
 fn manner(random: &mut StdRng) -> Manner {
     match random.random_range(0..6) {
         0 => Manner::AnswerTwice,
--- a/soak/src/world.rs
+++ b/soak/src/world.rs
@@ -496,6 +496,18 @@
         }
     }
 
+    /// Kills an entry, which starts again after a pause.
+    fn kill_for(&mut self, index: usize, pause: Duration) {
+        self.kill(index);
+        self.later(pause, Healing::Start(index));
+    }
+
+    /// Has a worker behave otherwise for a time.
+    fn set_manner(&mut self, index: usize, manner: Manner, lasting: Duration) {
+        self.workers[index].stand_in.set_manner(manner);
+        self.later(lasting, Healing::Worker(index));
+    }
+
     async fn strike(&mut self, fault: Fault) {
         println!("{fault:?}");
         self.last_fault = Instant::now();
@@ -505,15 +517,10 @@
             self.disturbances.record(part, lasting);
         }
         match fault {
-            Fault::Kill(whom, pause) => {
-                self.kill(whom % entries);
-                self.later(pause, Healing::Start(whom % entries));
-            }
+            Fault::Kill(whom, pause) => self.kill_for(whom % entries, pause),
             Fault::KillAll => {
-                for index in 0..entries {
-                    self.kill(index);
-                    self.later(Duration::from_millis(100), Healing::Start(index));
-                }
+                let pause = Duration::from_millis(100);
+                (0..entries).for_each(|index| self.kill_for(index, pause));
             }
             Fault::Pause(whom, lasting) => {
                 self.signal(whom % entries, "STOP");
@@ -526,8 +533,10 @@
             }
             Fault::HangUp(whom) => self.signal(whom % entries, "HUP"),
             Fault::Worker(whom, manner, lasting) => {
-                self.workers[whom % workers].stand_in.set_manner(manner);
-                self.later(lasting, Healing::Worker(whom % workers));
+                self.set_manner(whom % workers, manner, lasting);
+            }
+            Fault::AllWorkers(manner, lasting) => {
+                (0..workers).for_each(|index| self.set_manner(index, manner, lasting));
             }
             Fault::WayToWorker(whom, link, lasting) => {
                 self.workers[whom % workers].way.set_link(link);
@@ -560,8 +569,7 @@
             Fault::Rest(whom, lasting) => {
                 let stand_in = &self.workers[whom % workers].stand_in;
                 stand_in.say(&["Retry-After: 0.8"]);
-                stand_in.set_manner(Manner::Decline);
-                self.later(lasting, Healing::Worker(whom % workers));
+                self.set_manner(whom % workers, Manner::Decline, lasting);
                 self.later(lasting, Healing::Unsaid(whom % workers));
             }
             Fault::LeaveUnlisted(whom) if !self.workers[whom % workers].is_leaving => {
--- a/soak/tests/test_checker.rs
+++ b/soak/tests/test_checker.rs
@@ -208,3 +208,29 @@
         [Broken::MixedVersions(id())]
     );
 }
+
+#[test]
+fn check_more_retries_than_allowed() {
+    let retried = |number: usize| {
+        let id = format!("try-{number}");
+        let request = Request {
+            id: id.clone(),
+            ..request(Kind::Safe, 200, &format!("answer to {id}"))
+        };
+        let run = |worker| Run {
+            id: id.clone(),
+            ..run(worker)
+        };
+        (request, [run("i-1"), run("i-2")])
+    };
+    let records = |requests| {
+        let (requests, runs): (Vec<_>, Vec<_>) = (0..requests).map(retried).unzip();
+        Records {
+            requests,
+            runs: runs.concat(),
+            ..Records::default()
+        }
+    };
+    assert_eq!(check(&records(62)), []);
+    assert_eq!(check(&records(63)), [Broken::TooManyRetries(63)]);
+}
--- a/soak/tests/test_short_run.rs
+++ b/soak/tests/test_short_run.rs
@@ -27,6 +27,13 @@
     callers: 6,
 };
 
+/// Few callers, so that the slack is a large part of the retries that are allowed.
+const SIZE_WITH_FAILURES: Size = Size {
+    entries: 4,
+    workers: 5,
+    callers: 2,
+};
+
 async fn run(seed: u64) {
     run_of(SIZE, seed).await;
 }
@@ -111,6 +118,18 @@
     run(plan::FIRST_SEED_WITH_ENDLESS).await;
 }
 
+/// Guards against entries that retry as much again after they have ended as they did before.
+#[tokio::test(flavor = "multi_thread")]
+async fn seed_with_workers_that_all_fail() {
+    let length = Duration::from_secs(20);
+    run_for(
+        SIZE_WITH_FAILURES,
+        plan::FIRST_SEED_WITH_FAILURES + 8,
+        length,
+    )
+    .await;
+}
+
 #[test]
 fn plan_same_for_the_same_seed() {
     let length = Duration::from_secs(60);
