--- a/lib/src/direct/sharing/retry_budget.rs
+++ b/lib/src/direct/sharing/retry_budget.rs
@@ -17,8 +17,8 @@
 pub const RETRY_MILLIS: u64 = 1_000;
 /// Time within which a borrowed part of a retry has to be used. The lender counts it as unsent until then.
 pub const LOAN_MS: u64 = 1_000;
-/// Share of the retries allowed by requests that is used. The rest covers retries that take longer from the entry
-/// to the upstream than others.
+/// Share of the retries allowed by requests that is used. The rest covers retries that take longer than
+/// others from the entry to the upstream.
 const USED_RATIO: f64 = 0.95;
 /// Part of the retries per request that a request allows at once. It allows the rest in the next window.
 /// An entry that starts has only this part for a window; one that goes on can spend all but this part of
@@ -147,9 +147,16 @@
 struct LargestFleet {
     /// When this entry began to count.
     began_ms: u64,
-    /// Numbers of entries, the largest first, each with the time until which it was known; the last
-    /// one is the current number. Empty until the first one is set.
-    counts: VecDeque<(usize, u64)>,
+    /// Numbers of entries, the largest first; the last one is the current number. Empty until the first
+    /// one is set.
+    counts: VecDeque<EntryCount>,
+}
+
+/// A number of entries, and the time until which it was known.
+#[derive(Clone, Copy, Debug)]
+struct EntryCount {
+    entries: usize,
+    until_ms: u64,
 }
 
 impl LargestFleet {
@@ -161,27 +168,29 @@
     }
 
     fn current(&self) -> usize {
-        self.counts.back().map_or(1, |(count, _)| *count)
+        self.counts.back().map_or(1, |count| count.entries)
     }
 
-    fn set(&mut self, count: usize, now_ms: u64) {
-        if let Some((_, until_ms)) = self.counts.back_mut() {
-            *until_ms = now_ms;
+    fn set(&mut self, entries: usize, now_ms: u64) {
+        if let Some(current) = self.counts.back_mut() {
+            current.until_ms = now_ms;
         }
-        while self.counts.back().is_some_and(|(other, _)| *other <= count) {
+        let is_smaller = |count: &EntryCount| count.entries <= entries;
+        while self.counts.back().is_some_and(is_smaller) {
             self.counts.pop_back();
         }
-        self.counts.push_back((count, u64::MAX));
+        let until_ms = u64::MAX;
+        self.counts.push_back(EntryCount { entries, until_ms });
     }
 
-    /// Returns this entry's share of the slack.
+    /// Returns the part of the slack that this entry may use.
     fn slack_share(&mut self, window_ms: u64, now_ms: u64) -> f64 {
         let age_ms = now_ms.saturating_sub(self.began_ms);
         let since_ms = now_ms.saturating_sub(window_ms);
-        while self.counts.len() > 1 && self.counts[0].1 <= since_ms {
+        while self.counts.len() > 1 && self.counts[0].until_ms <= since_ms {
             self.counts.pop_front();
         }
-        let Some((largest, _)) = self.counts.front().copied() else {
+        let Some(largest) = self.counts.front().map(|count| count.entries) else {
             return 0.0;
         };
         let share = if age_ms >= window_ms {
@@ -261,12 +270,12 @@
             self.fleet.set(entry_count, now_ms);
             let window_ms = limits.window_s * MS_PER_S;
             for counts in self.counts.values_mut() {
-                let unsent = Counts {
+                let renewed = Counts {
                     reserved_millis: counts.reserved_millis,
                     loans: std::mem::take(&mut counts.loans),
                     ..Counts::new(window_ms, now_ms)
                 };
-                *counts = unsent;
+                *counts = renewed;
             }
         }
         self.limits = limits;
