--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -13,6 +13,8 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::fd::AsRawFd;
+use std::os::fd::FromRawFd;
 use std::panic::AssertUnwindSafe;
 use std::panic::catch_unwind;
 use std::path::Path;
@@ -37,6 +39,8 @@
 pub const NOT_RUN: i32 = 2;
 /// A case ends by itself before the limit of 120 s.
 const WATCHDOG: Duration = Duration::from_secs(110);
+/// `contactMs` of the settings.
+const CONTACT: Duration = Duration::from_secs(3);
 /// The host name of the routes.
 pub const HOST: &str = "returns.example";
 /// The key of the one tenant.
@@ -375,6 +379,53 @@
 
 unsafe extern "C" {
     fn kill(pid: i32, signal: i32) -> i32;
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn setsockopt(socket: i32, level: i32, name: i32, value: *const i32, length: u32) -> i32;
+    fn connect(socket: i32, address: *const SocketAddress, length: u32) -> i32;
+}
+
+/// `struct sockaddr_in`.
+#[repr(C)]
+struct SocketAddress {
+    family: u16,
+    port: [u8; 2],
+    ip: [u8; 4],
+    zero: [u8; 8],
+}
+
+/// Connects like a requester on a common network: with packets of Ethernet's size in place of the
+/// loopback's 64 KiB, and a receive buffer of this size in place of one that grows to megabytes.
+pub fn connect_with_small_window(to: SocketAddr, receive_bytes: i32) -> io::Result<TcpStream> {
+    const AF_INET: i32 = 2;
+    const SOCK_STREAM: i32 = 1;
+    const SOL_SOCKET: i32 = 1;
+    const SO_RCVBUF: i32 = 8;
+    const IPPROTO_TCP: i32 = 6;
+    const TCP_MAXSEG: i32 = 2;
+    const ETHERNET_SEGMENT_BYTES: i32 = 1_448;
+    let SocketAddr::V4(to) = to else {
+        return Err(io::ErrorKind::Unsupported.into());
+    };
+    let address = SocketAddress {
+        family: AF_INET as u16,
+        port: to.port().to_be_bytes(),
+        ip: to.ip().octets(),
+        zero: [0; 8],
+    };
+    let check = |result: i32| match result {
+        -1 => Err(io::Error::last_os_error()),
+        result => Ok(result),
+    };
+    // SAFETY: the socket is owned by the stream from its creation on; all pointers are to values that
+    // outlive the calls, with their sizes.
+    unsafe {
+        let stream = TcpStream::from_raw_fd(check(socket(AF_INET, SOCK_STREAM, 0))?);
+        let fd = stream.as_raw_fd();
+        check(setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, 4))?;
+        check(setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &ETHERNET_SEGMENT_BYTES, 4))?;
+        check(connect(fd, &address, size_of::<SocketAddress>() as u32))?;
+        Ok(stream)
+    }
 }
 
 /// Processes that were started here and have not been waited for.
@@ -466,15 +517,18 @@
         ask().is_ok_and(|status| status == 200)
     }
 
-    /// Waits until the entry is ready; false if that takes too long.
-    pub fn wait_ready(&self) -> bool {
-        (0..200).any(|_| {
+    /// Waits until the entry is ready, and then until its start is longer ago than `contactMs` of the
+    /// settings; false if that takes too long.
+    pub fn wait_in_touch(&self) -> bool {
+        let is_ready = (0..200).any(|_| {
             let is_ready = self.is_ready();
             if !is_ready {
                 thread::sleep(Duration::from_millis(50));
             }
             is_ready
-        })
+        });
+        thread::sleep(CONTACT + Duration::from_millis(500));
+        is_ready
     }
 
     /// Sends SIGTERM, as the platform does to stop a process.
