--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -431,6 +431,16 @@
 /// Processes that were started here and have not been waited for.
 static STARTED: Mutex<Vec<u32>> = Mutex::new(Vec::new());
 
+/// Notes a process that is to be ended with this one.
+pub fn note_started(pid: u32) {
+    STARTED.lock().expect("the processes").push(pid);
+}
+
+/// Notes that a process was waited for.
+pub fn note_ended(pid: u32) {
+    STARTED.lock().expect("the processes").retain(|started| *started != pid);
+}
+
 /// Sends a signal to a process that was started here.
 fn signal(pid: u32, number: i32) {
     // SAFETY: the call takes two numbers, and touches no memory of this process.
@@ -497,7 +507,7 @@
             .stderr(log.try_clone()?)
             .stdout(log)
             .spawn()?;
-        STARTED.lock().expect("the processes").push(child.id());
+        note_started(child.id());
         Ok(Self {
             child,
             callers,
@@ -547,8 +557,7 @@
     pub fn kill(&mut self) {
         let _ = self.child.kill();
         let _ = self.child.wait();
-        let pid = self.child.id();
-        STARTED.lock().expect("the processes").retain(|started| *started != pid);
+        note_ended(self.child.id());
     }
 }
 
