--- a/review/3/scene.rs
+++ b/review/3/scene.rs
@@ -91,7 +91,9 @@
         let path = format!("/checkin/{number}");
         stream.write_all(&common::request("POST", &path, &id, DEADLINE_MS, b"{}"))?;
         let answer = read_message(&mut BufReader::new(stream))?;
-        Ok(answer.filter(|answer| answer.is_whole).map(|answer| answer.status()))
+        Ok(answer
+            .filter(|answer| answer.is_whole)
+            .map(|answer| answer.status()))
     };
     let result = exchange();
     let status = *result.as_ref().unwrap_or(&None);
@@ -138,7 +140,10 @@
         while !entry.has_ended() && Instant::now() < until {
             thread::sleep(Duration::from_millis(10));
         }
-        record.line(&format!("the process has ended by itself: {}", entry.has_ended()));
+        record.line(&format!(
+            "the process has ended by itself: {}",
+            entry.has_ended()
+        ));
         entry.kill();
     }
     let outcomes: Vec<Outcome> = requesters
--- a/review/standins/common.rs
+++ b/review/standins/common.rs
@@ -83,7 +83,9 @@
 impl Net {
     /// A network that nobody else seems to use.
     pub fn free() -> Self {
-        let nanos = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock");
+        let nanos = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .expect("a clock");
         let mut seed = nanos.subsec_nanos() ^ std::process::id().wrapping_mul(2_654_435_761);
         loop {
             seed = seed.wrapping_mul(1_664_525).wrapping_add(1_013_904_223);
@@ -295,7 +297,10 @@
                 "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
                 body.len()
             );
-            if writer.write_all(&[head.as_bytes(), body.as_bytes()].concat()).is_err() {
+            if writer
+                .write_all(&[head.as_bytes(), body.as_bytes()].concat())
+                .is_err()
+            {
                 return;
             }
         }
@@ -339,7 +344,12 @@
                     state.revision
                 );
             }
-            state = self.state.1.wait_timeout(state, left).expect("the objects").0;
+            state = self
+                .state
+                .1
+                .wait_timeout(state, left)
+                .expect("the objects")
+                .0;
         }
     }
 }
@@ -422,7 +432,13 @@
         let stream = TcpStream::from_raw_fd(check(socket(AF_INET, SOCK_STREAM, 0))?);
         let fd = stream.as_raw_fd();
         check(setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &receive_bytes, 4))?;
-        check(setsockopt(fd, IPPROTO_TCP, TCP_MAXSEG, &ETHERNET_SEGMENT_BYTES, 4))?;
+        check(setsockopt(
+            fd,
+            IPPROTO_TCP,
+            TCP_MAXSEG,
+            &ETHERNET_SEGMENT_BYTES,
+            4,
+        ))?;
         check(connect(fd, &address, size_of::<SocketAddress>() as u32))?;
         Ok(stream)
     }
@@ -438,7 +454,10 @@
 
 /// Notes that a process was waited for.
 pub fn note_ended(pid: u32) {
-    STARTED.lock().expect("the processes").retain(|started| *started != pid);
+    STARTED
+        .lock()
+        .expect("the processes")
+        .retain(|started| *started != pid);
 }
 
 /// Sends a signal to a process that was started here.
