direct: log and count open requests by stage

`stopping` and `ended` gave one number of open requests, so that requests that wait for a slot, run at an upstream or are being relayed couldn't be told apart at the end of an entry. Both lines and the metric `requests_by_stage` tell the stages now. No decision depends on them.

--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -82,6 +82,8 @@
     pub first_ms: HistogramVec,
     /// Requests whose response has not ended yet.
     pub open_requests: IntGauge,
+    /// The same by how far they have come.
+    pub requests_by_stage: GaugeVec,
     /// Slot requests without a grant yet.
     pub open_asks: IntGauge,
     /// Other entries that have sent a heartbeat recently.
@@ -299,6 +301,13 @@
             wait_ms: Histogram::with_opts(histogram("wait_ms", "Wait for room."))?,
             first_ms: HistogramVec::new(histogram("first_ms", "To the first part."), &["tier"])?,
             open_requests: gauge("open_requests", "Requests without an answer.")?,
+            requests_by_stage: GaugeVec::new(
+                Opts::new(
+                    "sardinewood_requests_by_stage",
+                    "Requests without an answer, by how far they have come.",
+                ),
+                &["stage"],
+            )?,
             open_asks: gauge("open_asks", "Questions to doors without a grant.")?,
             peers: gauge("peers", "Other entries that are heard.")?,
             upstreams: gauge("upstreams", "Upstreams that take new work.")?,
@@ -398,7 +407,11 @@
         ] {
             self.registry.register(Box::new(gauge.clone()))?;
         }
-        for gauges in [&self.data_centres.leaving_share, &self.retries.budget] {
+        for gauges in [
+            &self.data_centres.leaving_share,
+            &self.retries.budget,
+            &self.requests_by_stage,
+        ] {
             self.registry.register(Box::new(gauges.clone()))?;
         }
         self.registry
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -14,6 +14,7 @@
 pub mod held_bytes;
 pub mod listeners;
 pub mod notices_page;
+pub mod open_requests;
 pub mod operator_page;
 pub mod outcome_recorder;
 pub mod pace;
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -35,6 +35,7 @@
 use crate::direct::quarantine_driver::Trial;
 use crate::direct::quota_driver;
 use crate::direct::request::headers::CallerHeaders;
+use crate::direct::request::open_requests::OpenRequest;
 use crate::direct::request::outcome_recorder::OutcomeLabels;
 use crate::direct::request::outcome_recorder::OutcomeRecorder;
 use crate::direct::request::refusal::Refusal;
@@ -142,6 +143,8 @@
     pub overlong_at: Option<Arc<str>>,
     /// Counts how the request ends.
     pub recorder: Rc<OutcomeRecorder>,
+    /// Counts the request as open.
+    pub open: Rc<OpenRequest>,
 }
 
 impl Call {
@@ -279,6 +282,7 @@
     traffic: &Rc<TrafficState>,
     request: Request<Incoming>,
     headers: CallerHeaders,
+    open: &Rc<OpenRequest>,
 ) -> Result<Call, Refusal> {
     let arrived_ms = traffic.now_ms();
     let id = headers.request_id.as_ref();
@@ -375,6 +379,7 @@
         waited_ms: 0,
         overlong_at: None,
         recorder,
+        open: Rc::clone(open),
         route,
     })
 }
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -33,6 +33,7 @@
 use crate::direct::request::failure_responses::unknown_outcome_response;
 use crate::direct::request::headers::ResponseHeaders;
 use crate::direct::request::headers::UpstreamHeaders;
+use crate::direct::request::open_requests::RequestStage;
 use crate::direct::request::relay::Relay;
 use crate::direct::request::response_body::ResponseBody;
 use crate::direct::request::whole_body::ReadBodyError;
@@ -108,12 +109,12 @@
     traffic: Rc<TrafficState>,
     request: Request<Incoming>,
 ) -> Result<Response<ResponseBody>, Infallible> {
-    let open = OpenRequest::new(&traffic);
+    let open = traffic.open_requests.open();
     traffic.metrics.requests.inc();
     let headers = (traffic.header_codec.read_request)(request.headers());
     let request_id = headers.request_id.clone();
-    let mut response = match read_call(&traffic, request, headers).await {
-        Ok(call) => serve(&traffic, call, open).await,
+    let mut response = match read_call(&traffic, request, headers, &open).await {
+        Ok(call) => serve(&traffic, call).await,
         Err(refusal) => refusal.response(&traffic),
     };
     if let Some(request_id) = request_id {
@@ -126,35 +127,9 @@
     Ok(response)
 }
 
-/// Counts a request as open until its response is sent or its caller disconnects.
-#[derive(Debug)]
-pub struct OpenRequest {
-    traffic: Rc<TrafficState>,
-}
-
-impl OpenRequest {
-    fn new(traffic: &Rc<TrafficState>) -> Self {
-        traffic.open_requests.set(traffic.open_requests.get() + 1);
-        Self {
-            traffic: Rc::clone(traffic),
-        }
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        let open = self.traffic.open_requests.get();
-        self.traffic.open_requests.set(open - 1);
-    }
-}
-
 /// Sends a request to upstreams until one responds or no retry is allowed, and returns the
 /// response.
-async fn serve(
-    traffic: &Rc<TrafficState>,
-    mut call: Call,
-    open: OpenRequest,
-) -> Response<ResponseBody> {
+async fn serve(traffic: &Rc<TrafficState>, mut call: Call) -> Response<ResponseBody> {
     // Error response of an upstream, kept while the request is retried. If no retry succeeds, it
     // describes the failure best.
     let mut error_response: Option<WholeResponse> = None;
@@ -170,7 +145,7 @@
             Ok(AttemptResult::Response(response)) => {
                 match read_response(traffic, &mut call, *response).await {
                     ReadResponse::Whole(response) => return response.deliver(traffic, &call),
-                    ReadResponse::Stream(relay) => return stream_response(relay, open),
+                    ReadResponse::Stream(relay) => return stream_response(relay),
                     ReadResponse::Failed(response) => {
                         error_response = Some(response);
                         NextStep::Retry
@@ -207,6 +182,7 @@
 /// Waits for a slot and sends the request to its upstream once. If there is no slot, the error is
 /// the caller's retry delay in milliseconds.
 async fn attempt(traffic: &Rc<TrafficState>, call: &mut Call) -> Result<AttemptResult, u64> {
+    call.open.set_stage(RequestStage::Waiting);
     let wait_started_ms = traffic.now_ms();
     let acquire = async {
         if call.tried_upstreams.is_empty() {
@@ -269,6 +245,9 @@
         keep_connection(traffic, &lease, connection, None);
         return AttemptResult::NotRun;
     }
+    if call.open.stage() == RequestStage::Waiting {
+        call.open.set_stage(RequestStage::Sent);
+    }
     call.list = traffic.list_mark();
     traffic.check_list_of_sent(call, &lease.upstream);
     let request = upstream_request(traffic, call, &lease, last_event_id);
@@ -660,12 +639,12 @@
 }
 
 /// Returns a response that streams the events of a relay.
-fn stream_response(relay: Box<Relay>, open: OpenRequest) -> Response<ResponseBody> {
+fn stream_response(relay: Box<Relay>) -> Response<ResponseBody> {
     let mut parts = relay.head();
     parts.headers = without_connection_headers(parts.headers);
-    let chunks = stream::unfold((relay, open), |(mut relay, open)| async move {
+    let chunks = stream::unfold(relay, |mut relay| async move {
         let chunk = relay.next().await?;
-        Some((chunk, (relay, open)))
+        Some((chunk, relay))
     });
     Response::from_parts(parts, ResponseBody::Stream(Box::pin(chunks)))
 }
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -37,6 +37,7 @@
 use crate::direct::request::exchange::record_invalid_answer;
 use crate::direct::request::exchange::send;
 use crate::direct::request::held_bytes::HeldShare;
+use crate::direct::request::open_requests::RequestStage;
 use crate::direct::request::pace::EventPace;
 use crate::direct::retry_driver::RetryStep;
 use crate::direct::store_view::directory::Upstream;
@@ -144,6 +145,7 @@
     /// Creates a relay of an upstream's response.
     #[must_use]
     pub fn new(traffic: &Rc<TrafficState>, call: Call, response: UpstreamResponse) -> Self {
+        call.open.set_stage(RequestStage::Relaying);
         Self {
             traffic: Rc::clone(traffic),
             call,
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -538,7 +538,8 @@
     let started_at = Instant::now();
     traffic.is_stopping.set(true);
     Line::new(Level::Info, "stopping")
-        .field("open_requests", traffic.open_requests.get())
+        .field("open_requests", traffic.open_requests.total())
+        .field("by_stage", traffic.open_requests.by_stage())
         .send();
     let max_wait = timeout.saturating_sub(SHUTDOWN_MARGIN);
     loop {
@@ -547,14 +548,16 @@
         if passed >= REFUSAL_DELAY && !traffic.is_closing.get() {
             traffic.close();
         }
-        let is_done = passed >= REFUSAL_DELAY + REFUSAL_PERIOD && traffic.open_requests.get() == 0;
+        let is_done =
+            passed >= REFUSAL_DELAY + REFUSAL_PERIOD && traffic.open_requests.total() == 0;
         if is_done || passed >= max_wait {
             break;
         }
     }
     HeartbeatTask::announce_exit(traffic);
     Line::new(Level::Info, "ended")
-        .field("open_requests", traffic.open_requests.get())
+        .field("open_requests", traffic.open_requests.total())
+        .field("by_stage", traffic.open_requests.by_stage())
         .field("after_ms", started_at.elapsed().as_millis())
         .send();
 }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -46,6 +46,7 @@
 use crate::direct::request::connection_pool::ConnectionPool;
 use crate::direct::request::headers::HeaderCodec;
 use crate::direct::request::held_bytes::HeldBytes;
+use crate::direct::request::open_requests::OpenRequests;
 use crate::direct::rollout::table::RolloutTable;
 use crate::direct::sharing::admission;
 use crate::direct::sharing::admission::AdmissionController;
@@ -76,6 +77,7 @@
 use crate::direct::streams::version_history::VersionHistory;
 use crate::logging::Level;
 use crate::logging::Line;
+use crate::numbers;
 
 /// How long a request waits for the first configuration. A working store responds well within
 /// this time.
@@ -153,8 +155,8 @@
     pub is_closing: Cell<bool>,
     /// Notified when [`Self::is_closing`] becomes true.
     pub closing: Notify,
-    /// Number of requests whose response has not ended yet.
-    pub open_requests: Cell<usize>,
+    /// Requests whose callers have no whole response yet.
+    pub open_requests: OpenRequests,
     /// Counters and histograms.
     pub metrics: DirectMetrics,
     /// Notified when the first configuration and the first list of upstreams have arrived.
@@ -411,7 +413,7 @@
             is_stopping: Cell::new(false),
             is_closing: Cell::new(false),
             closing: Notify::new(),
-            open_requests: Cell::new(0),
+            open_requests: OpenRequests::default(),
             metrics,
             configured: Notify::new(),
             prefix_popularity: RefCell::default(),
@@ -635,7 +637,11 @@
         let live_peers = peers.live_peers(self.now_ms()).len();
         metrics
             .open_requests
-            .set(gauge_value(self.open_requests.get()));
+            .set(gauge_value(self.open_requests.total()));
+        for (stage, count) in self.open_requests.by_stage() {
+            let gauge = metrics.requests_by_stage.with_label_values(&[stage]);
+            gauge.set(numbers::as_f64(count as u64));
+        }
         metrics
             .open_asks
             .set(gauge_value(self.pending_slot_requests.borrow().len()));
