entry: answer requests that wait again or still run when the grace period ends

A request whose attempt was never sent was queued again after the grace period had failed all waiting ones, and its caller's connection was closed without an answer at the exit. So were those of requests that still ran then.

--- a/lib/src/entry/events.rs
+++ b/lib/src/entry/events.rs
@@ -78,8 +78,10 @@
     /// The entry shuts down: it accepts no new requests; waiting ones stay queued until
     /// [`EntryEvent::GracePeriodEnded`].
     ShutDown,
-    /// The grace period is over: requests that still wait fail.
+    /// The grace period is over: requests that wait fail, also those that would wait again.
     GracePeriodEnded,
+    /// The entry exits now: all requests fail that have no whole answer.
+    ShutdownTimedOut,
     /// A timer may be due.
     Tick,
 }
--- a/lib/src/entry/server.rs
+++ b/lib/src/entry/server.rs
@@ -232,14 +232,17 @@
     /// The entry first reports that it is not ready, so that the load balancer sends no more
     /// requests. Running requests may finish. Waiting requests may finish in the first half of
     /// the grace period; in the second half they are returned to their callers as "not run".
-    /// After the grace period, remaining requests are cut off.
+    /// After the grace period, remaining requests get an answer that their outcome is unknown, and
+    /// streams are cut off.
     pub async fn shut_down(mut self) {
         // Fails only if the control thread has ended; then nothing is left to shut down.
         let _stopped = self.events.send(EntryEvent::ShutDown);
         let half_grace = self.grace / 2;
         if timeout(half_grace, self.drained()).await.is_err() {
             let _stopped = self.events.send(EntryEvent::GracePeriodEnded);
-            let _late = timeout(half_grace, self.drained()).await;
+            if timeout(half_grace, self.drained()).await.is_err() {
+                let _stopped = self.events.send(EntryEvent::ShutdownTimedOut);
+            }
         }
         self.stop_listening.cancel();
         if let Some(server) = self.server.take() {
--- a/lib/src/entry/state.rs
+++ b/lib/src/entry/state.rs
@@ -198,6 +198,8 @@
     /// Differs for each placement; breaks ties between agents with equal scores.
     nonce: u64,
     shutting_down: bool,
+    /// Whether requests that would wait fail instead, because the entry exits soon.
+    waits_ended: bool,
     revision: StorePosition,
     /// Whether the set of wanted links may have changed.
     links_changed: bool,
@@ -228,6 +230,7 @@
             now_ms: 0,
             nonce: seed,
             shutting_down: false,
+            waits_ended: false,
             revision: StorePosition::default(),
             links_changed: false,
             steps: Vec::new(),
@@ -273,6 +276,7 @@
             EntryEvent::CatalogChanged(catalog) => self.catalog_changed(now_ms, &catalog),
             EntryEvent::ShutDown => self.shutting_down = true,
             EntryEvent::GracePeriodEnded => self.fail_all_waiting(),
+            EntryEvent::ShutdownTimedOut => self.fail_all(now_ms),
             EntryEvent::Tick => self.tick(now_ms),
         }
         if self.links_changed {
--- a/lib/src/entry/state/attempts.rs
+++ b/lib/src/entry/state/attempts.rs
@@ -322,10 +322,8 @@
         let Some(run) = self.runs.get_mut(&request) else {
             return;
         };
-        run.phase = Phase::Waiting;
         run.unread_end = None;
-        self.queue.insert(run.place());
-        self.reserve(now_ms, request);
+        self.wait_again(now_ms, request);
     }
 
     /// Handles an agent's report on the state of an attempt. An end goes to the reader of the
--- a/lib/src/entry/state/followed.rs
+++ b/lib/src/entry/state/followed.rs
@@ -169,9 +169,7 @@
             grant: attempt.grant,
         });
         run.reads = false;
-        run.phase = Phase::Waiting;
-        self.queue.insert(run.place());
-        self.reserve(now_ms, request);
+        self.wait_again(now_ms, request);
     }
 
     /// Handles the end of a followed answer, as its reader reports it.
--- a/lib/src/entry/state/waiting.rs
+++ b/lib/src/entry/state/waiting.rs
@@ -337,17 +337,21 @@
     }
 
     pub(super) fn deadline_passed(&mut self, now_ms: u64, request: RequestId) {
+        self.end_unanswered(now_ms, request, FailureReason::DeadlinePassed);
+    }
+
+    /// Fails a request for which its caller can't wait any longer, whatever its phase.
+    fn end_unanswered(&mut self, now_ms: u64, request: RequestId, reason: FailureReason) {
         let Some(run) = self.runs.get(&request) else {
             return;
         };
         match run.phase.clone() {
-            Phase::Waiting => self.fail_waiting(request, FailureReason::DeadlinePassed),
+            Phase::Waiting => self.fail_waiting(request, reason),
             Phase::Running(attempt) | Phase::InDoubt(attempt) => {
-                let failure = Failure::unknown(FailureReason::DeadlinePassed);
-                self.report_failure(request, failure);
+                self.report_failure(request, Failure::unknown(reason));
                 self.abandon(now_ms, request, &attempt, false);
             }
-            Phase::Following(_) => self.fail(request, FailureReason::DeadlinePassed, None),
+            Phase::Following(_) => self.fail(request, reason, None),
             Phase::Abandoned(_) => {}
         }
     }
@@ -388,7 +392,30 @@
         }
     }
 
+    /// Puts a request back into the queue whose attempt has ended.
+    pub(super) fn wait_again(&mut self, now_ms: u64, request: RequestId) {
+        let Some(run) = self.runs.get_mut(&request) else {
+            return;
+        };
+        run.phase = Phase::Waiting;
+        self.queue.insert(run.place());
+        if self.waits_ended {
+            self.fail_waiting(request, FailureReason::ShuttingDown);
+        } else {
+            self.reserve(now_ms, request);
+        }
+    }
+
+    /// Fails all requests, so that their callers get answers before the entry exits.
+    pub(super) fn fail_all(&mut self, now_ms: u64) {
+        let requests: Vec<RequestId> = self.runs.keys().copied().collect();
+        for request in requests {
+            self.end_unanswered(now_ms, request, FailureReason::ShuttingDown);
+        }
+    }
+
     pub(super) fn fail_all_waiting(&mut self) {
+        self.waits_ended = true;
         let waiting: Vec<_> = self
             .runs
             .iter()
--- a/lib/tests/test_entry_state.rs
+++ b/lib/tests/test_entry_state.rs
@@ -742,6 +742,37 @@
     assert!(scene.entry.is_drained());
 }
 
+/// Guards against a request that waits again after the grace period and is dropped at the exit.
+#[test]
+fn never_sent_after_grace_period_fails_as_not_run() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    scene.handle(EntryEvent::ShutDown);
+    scene.handle(EntryEvent::GracePeriodEnded);
+    let steps = scene.end(1, 1, AnswerEnd::NotSent, false);
+    assert_failed(&steps, Outcome::NotRun, FailureReason::ShuttingDown);
+    assert!(scene.entry.is_drained());
+}
+
+/// Guards against requests in any phase whose callers get no answer when the entry exits.
+#[test]
+fn shutdown_timed_out_fails_all() {
+    let mut scene = Scene::new(&["a"], |_| {});
+    scene.submit(submission(1, 0));
+    scene.grant("a", 1);
+    scene.submit(submission(2, 0));
+    scene.handle(EntryEvent::ShutDown);
+    let steps = scene.handle(EntryEvent::ShutdownTimedOut);
+    let failures = failures(&steps);
+    let outcomes: Vec<Outcome> = failures
+        .iter()
+        .map(|(_, failure)| failure.outcome)
+        .collect();
+    assert_eq!(outcomes, [Outcome::Unknown, Outcome::NotRun], "{steps:?}");
+    assert!(scene.entry.is_drained());
+}
+
 /// Returns the claim holder for an attempt with the last grant of agent `a`.
 fn holder(scene: &Scene, request: u128, number: u32) -> Holder {
     Holder {
