streams: tell a peer's record of an origin from its claim of an only version

`known_by` and `taken_up_total` had one name for both, so that a stream that went on at a version which a peer claimed without a record couldn't be found in the log.

--- a/lib/src/direct/stream_origin_driver.rs
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -55,8 +55,10 @@
     OwnRecord,
     /// The service has had one version only for as long as a stream can last.
     OnlyVersion,
-    /// Another entry has told it.
-    Peer,
+    /// Another entry has its record.
+    PeerRecord,
+    /// Another entry knows the service's only version.
+    PeerOnlyVersion,
 }
 
 impl OriginSource {
@@ -64,7 +66,8 @@
         match self {
             Self::OwnRecord => "own_record",
             Self::OnlyVersion => "only_version",
-            Self::Peer => "peer",
+            Self::PeerRecord => "peer_record",
+            Self::PeerOnlyVersion => "peer_only_version",
         }
     }
 }
@@ -264,13 +267,16 @@
         if let Some(origin) = only_version {
             return Some((origin, OriginSource::OnlyVersion));
         }
-        let origin = self.ask_origin(key?, route).await?;
-        Some((origin, OriginSource::Peer))
+        self.ask_origin(key?, route).await
     }
 
     /// Asks the entries that keep a stream's record where it began, and then all others: the record may
     /// have been lost on its way, or have been told to entries that have ended since.
-    async fn ask_origin(&self, key: StreamKey, route: &Route) -> Option<StreamOrigin> {
+    async fn ask_origin(
+        &self,
+        key: StreamKey,
+        route: &Route,
+    ) -> Option<(StreamOrigin, OriginSource)> {
         let owners = self.record_owners(key);
         let found = self
             .ask_entries(&owners, key, route, REPLY_TIMEOUT_MS)
@@ -309,7 +315,7 @@
         key: StreamKey,
         route: &Route,
         timeout_ms: u64,
-    ) -> Option<StreamOrigin> {
+    ) -> Option<(StreamOrigin, OriginSource)> {
         let mut pending = self.pending_origins.open(rand::random());
         let request = OriginRequest {
             id: pending.id,
@@ -322,10 +328,11 @@
         let mut unknown = 0;
         while unknown < entries.len() {
             match pending.next_until(until).await? {
-                OriginReply::Recorded(origin) => return Some(origin),
+                OriginReply::Recorded(origin) => return Some((origin, OriginSource::PeerRecord)),
                 OriginReply::OnlyVersion(version) => {
                     let service = route.only_service().cloned()?;
-                    return Some(StreamOrigin { service, version });
+                    let origin = StreamOrigin { service, version };
+                    return Some((origin, OriginSource::PeerOnlyVersion));
                 }
                 OriginReply::Unknown => unknown += 1,
             }
