streams: claim an only version for as long as callers may wait, or not at all

Callers that took a stream up after all entries had been killed were answered 200 with the rest of it by another version, if the version that had begun it was replaced just before the kill. Nothing in the answer showed it.

Cause: absence of memory was taken for evidence. An entry without a record goes on at the only version that it has listed for as long as a stream can last, and took that span from the route's timeout and from deadlines that it had seen itself. The timeout bounds one answer and not the time until a stream is taken up, a configuration may lower it under streams that run, and deadlines are forgotten at a start. Peers that started in the same moment made the same claim. An entry that lost sight of the store also claimed the time in which it couldn't see versions come and go.

What can't be proved is refused as not run, with the reason in the log and in taken_up_total. As claims come later now, entries tell their records when they stop or lose their claims.

The tests of VersionHistory give the span by the setting, with the same bounds.

--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -111,6 +111,8 @@
     /// Time after an upstream's announcement that it leaves, or its removal, within which it may still
     /// get requests.
     pub drain_bound: Duration,
+    /// Longest time for which callers of resumable streams wait, over all their attempts.
+    pub longest_stream: Duration,
     /// The optional decisions under load.
     pub load_policy: LoadPolicy,
 }
@@ -128,6 +130,10 @@
         u64::try_from(self.drain_bound.as_millis()).unwrap_or(u64::MAX)
     }
 
+    fn longest_stream_ms(&self) -> u64 {
+        u64::try_from(self.longest_stream.as_millis()).unwrap_or(u64::MAX)
+    }
+
     /// Logs each bound that is shorter than the news may take.
     fn check_bounds(&self) {
         for (change, bound_ms) in [
@@ -361,6 +367,10 @@
         .set(settings.upstream_silence_ms());
     traffic.config_bound_ms.set(settings.config_bound_ms());
     traffic.drain_bound_ms.set(settings.drain_bound_ms());
+    traffic
+        .version_history
+        .borrow_mut()
+        .set_longest_stream_ms(settings.longest_stream_ms());
     traffic.set_load_policy(settings.load_policy);
     traffic.apply_data_centre_policy();
     let callers = listen(settings.caller_address, "callers").await?;
@@ -502,6 +512,7 @@
         traffic.maintain_quarantine();
         traffic.maintain_notices();
         traffic.stream_origins.borrow_mut().expire(traffic.now_ms());
+        traffic.check_version_history();
         let dispatcher = traffic.dispatcher.borrow();
         traffic
             .connection_pool
@@ -528,6 +539,7 @@
     let started_at = Instant::now();
     let schedule = ShutdownSchedule::new(timeout);
     traffic.begin_shutdown(started_at + schedule.answer_after());
+    traffic.send_all_origin_records();
     log_shutdown(traffic, "stopping", started_at);
     loop {
         sleep(SHUTDOWN_POLL_PERIOD).await;
--- a/lib/src/direct/stream_origin_driver.rs
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -29,6 +29,7 @@
 use crate::direct::streams::origin::StreamKey;
 use crate::direct::streams::origin::StreamOrigin;
 use crate::direct::streams::origin_records;
+use crate::direct::streams::version_history::NoOnlyVersion;
 use crate::direct::streams::version_history::ServiceVersion;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
@@ -41,9 +42,6 @@
 /// Records in one message. Each takes some 40 bytes with names of usual length.
 const MAX_RECORDS_PER_MESSAGE: usize = 12;
 
-/// Longest time that a stream is taken to last, whatever its caller says.
-const MAX_STREAM_MS: u64 = 120_000;
-
 /// Body of the response to a caller whose stream can't be resumed.
 const ORIGIN_UNKNOWN: &str = "version of the resumed stream is unknown";
 const VERSION_GONE: &str = "no upstream of the resumed stream's version";
@@ -72,11 +70,36 @@
     }
 }
 
+/// Why nobody knows the origin of a stream.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum UnknownOrigin {
+    /// Its caller does not name the attempt that began it.
+    NotNamed,
+    /// Nobody has its record, and its route leads to several services.
+    SeveralServices,
+    /// Its record names a service to which its route does not lead any more.
+    OtherService,
+    /// Nobody has its record, and this entry can't claim an only version either.
+    NoRecord(NoOnlyVersion),
+}
+
+impl UnknownOrigin {
+    fn name(self) -> &'static str {
+        match self {
+            Self::NotNamed => "not_named",
+            Self::SeveralServices => "several_services",
+            Self::OtherService => "other_service",
+            Self::NoRecord(because) => because.name(),
+        }
+    }
+}
+
 impl TrafficState {
     /// Applies the versions of all listed upstreams. Once a service has another version, the entries
     /// that keep records are told of the streams that began before.
     pub fn record_listed_versions(&self, listed: &IndexSet<ServiceVersion>) {
         let now_ms = self.now_ms();
+        self.check_version_history();
         let changed = self.version_history.borrow_mut().update(listed, now_ms);
         for service in changed {
             let records = self.stream_origins.borrow().of_service(&service, now_ms);
@@ -86,24 +109,36 @@
 
     /// Returns how long a stream of a route can last, over all tries of its caller.
     fn longest_stream_ms(&self, route: &Route) -> u64 {
-        self.longest_deadline_ms.get().max(route.timeout_ms)
+        let history = self.version_history.borrow();
+        history.longest_stream_ms().max(route.timeout_ms)
+    }
+
+    /// Returns the only version that a service has had for as long as a stream can last, which is at least
+    /// this long. An entry whose list may be old does not know.
+    fn only_version(&self, service: &str, least_ms: u64) -> Result<Arc<str>, NoOnlyVersion> {
+        if self.may_list_be_old() {
+            return Err(NoOnlyVersion::ListMayBeOld);
+        }
+        let history = self.version_history.borrow();
+        history.only_version(service, least_ms, self.now_ms())
     }
 
-    /// Notes how long the caller of a resumable stream waits over all its tries, which may be longer than
-    /// the time that a route allows for one of them.
-    fn note_deadline(&self, remaining_ms: u64) {
-        let longest_ms = self.longest_deadline_ms.get().max(remaining_ms);
-        self.longest_deadline_ms.set(longest_ms.min(MAX_STREAM_MS));
+    fn may_list_be_old(&self) -> bool {
+        let age_ms = self.list_mark().age_ms;
+        age_ms.is_none_or(|age_ms| age_ms > self.config_bound_ms.get())
     }
 
-    /// Returns the only version that a service has had for as long as a stream can last. An entry whose
-    /// list may be old does not know.
-    fn only_version(&self, service: &str, longest_ms: u64) -> Option<Arc<str>> {
+    /// Records a gap in the history of versions while the list may be old. Other entries are told of the
+    /// streams that began before, as this one can't claim their version any more.
+    pub fn check_version_history(&self) {
+        if !self.may_list_be_old() {
+            return;
+        }
         let now_ms = self.now_ms();
-        let age_ms = self.list_mark().age_ms?;
-        let history = self.version_history.borrow();
-        (age_ms <= self.config_bound_ms.get())
-            .then(|| history.only_version(service, longest_ms, now_ms))?
+        let has_lost_claims = self.version_history.borrow_mut().record_gap(now_ms);
+        if has_lost_claims {
+            self.send_all_origin_records();
+        }
     }
 
     /// Records where a stream began whose first event is relayed now, for callers that take it up.
@@ -113,10 +148,12 @@
         };
         let now_ms = self.now_ms();
         let until_ms = call.caller_deadline_at_ms;
-        self.note_deadline(until_ms.saturating_sub(call.arrived_ms));
+        let wait_ms = until_ms.saturating_sub(call.arrived_ms);
+        self.version_history.borrow_mut().note_caller_wait(wait_ms);
         let longest_ms = self.longest_stream_ms(&call.route);
-        let is_needed = call.route.only_service().is_none()
-            || self.only_version(&origin.service, longest_ms).is_none();
+        let is_needed = self.is_stopping.get()
+            || call.route.only_service().is_none()
+            || self.only_version(&origin.service, longest_ms).is_err();
         let mut records = self.stream_origins.borrow_mut();
         records.insert(key, origin.clone(), until_ms, now_ms);
         drop(records);
@@ -130,6 +167,12 @@
         }
     }
 
+    /// Tells all records to the entries that keep them, for example because this one ends.
+    pub fn send_all_origin_records(&self) {
+        let records = self.stream_origins.borrow().all(self.now_ms());
+        self.send_origin_records(records);
+    }
+
     /// Tells records to the entries that keep them.
     fn send_origin_records(&self, records: Vec<OriginRecord>) {
         let mut by_owner: IndexMap<SocketAddr, Vec<OriginRecord>> = IndexMap::new();
@@ -174,8 +217,7 @@
         let recorded = self.recorded_origin(request.key);
         let only_version = || {
             let service = request.service.as_ref()?;
-            let longest_ms = self.longest_deadline_ms.get();
-            self.only_version(service, longest_ms.max(request.longest_ms.into()))
+            self.only_version(service, request.longest_ms.into()).ok()
         };
         let reply = match (recorded, only_version()) {
             (Some(origin), _) => OriginReply::Recorded(origin),
@@ -211,21 +253,29 @@
         }
         let first_attempt = headers.resumes.as_ref();
         let found = self.find_origin(first_attempt, route, customer).await;
-        let found = found.filter(|(origin, _)| route.leads_to(&origin.service));
+        let found = found.and_then(|(origin, source)| {
+            let is_led_to = route.leads_to(&origin.service);
+            is_led_to
+                .then_some((origin, source))
+                .ok_or(UnknownOrigin::OtherService)
+        });
         let refusal = match &found {
-            None => Some(ORIGIN_UNKNOWN),
-            Some((origin, _)) if !self.has_upstream_of(origin) => Some(VERSION_GONE),
-            Some(_) => None,
+            Err(_) => Some(ORIGIN_UNKNOWN),
+            Ok((origin, _)) if !self.has_upstream_of(origin) => Some(VERSION_GONE),
+            Ok(_) => None,
         };
-        let result = found
-            .as_ref()
-            .map_or("unknown", |(_, source)| source.name());
-        let label = refusal.unwrap_or(result);
+        let (result, unknown_because) = match &found {
+            Ok((_, source)) => (source.name(), None),
+            Err(because) => ("unknown", Some(because.name())),
+        };
+        let label = unknown_because.or(refusal).unwrap_or(result);
         self.metrics.taken_up.with_label_values(&[label]).inc();
+        let found = found.ok();
         let inputs = json!({
             "resumes": request_id_text(first_attempt),
             "last_event": last_event_id,
             "known_by": result,
+            "unknown_because": unknown_because,
             "service": found.as_ref().map(|(origin, _)| &origin.service),
             "version": found.as_ref().map(|(origin, _)| &origin.version),
         });
@@ -251,23 +301,26 @@
         first_attempt: Option<&http::HeaderValue>,
         route: &Route,
         customer: Option<&Arc<Customer>>,
-    ) -> Option<(StreamOrigin, OriginSource)> {
+    ) -> Result<(StreamOrigin, OriginSource), UnknownOrigin> {
         let customer = customer.map(|customer| &*customer.name);
         let key =
             first_attempt.map(|attempt| StreamKey::new(customer, &route.name, attempt.as_bytes()));
         if let Some(origin) = key.and_then(|key| self.recorded_origin(key)) {
-            return Some((origin, OriginSource::OwnRecord));
-        }
-        let service = route.only_service();
-        let only_version = service.and_then(|service| {
-            let version = self.only_version(service, self.longest_stream_ms(route))?;
-            let service = Arc::clone(service);
-            Some(StreamOrigin { service, version })
-        });
-        if let Some(origin) = only_version {
-            return Some((origin, OriginSource::OnlyVersion));
+            return Ok((origin, OriginSource::OwnRecord));
         }
-        self.ask_origin(key?, route).await
+        let unknown = match route.only_service() {
+            None => UnknownOrigin::SeveralServices,
+            Some(service) => match self.only_version(service, self.longest_stream_ms(route)) {
+                Ok(version) => {
+                    let service = Arc::clone(service);
+                    let origin = StreamOrigin { service, version };
+                    return Ok((origin, OriginSource::OnlyVersion));
+                }
+                Err(because) => UnknownOrigin::NoRecord(because),
+            },
+        };
+        let key = key.ok_or(UnknownOrigin::NotNamed)?;
+        self.ask_origin(key, route).await.ok_or(unknown)
     }
 
     /// Asks the entries that keep a stream's record where it began, and then all others: the record may
--- a/lib/src/direct/streams/origin_records.rs
+++ b/lib/src/direct/streams/origin_records.rs
@@ -79,9 +79,22 @@
     /// ```
     #[must_use]
     pub fn of_service(&self, service: &str, now_ms: u64) -> Vec<OriginRecord> {
+        let mut records = self.all(now_ms);
+        records.retain(|record| *record.origin.service == *service);
+        records
+    }
+
+    /// Returns all records, as they are told to other entries.
+    ///
+    /// ```
+    /// # use sardinewood::direct::streams::origin_records::OriginRecords;
+    /// assert!(OriginRecords::default().all(0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn all(&self, now_ms: u64) -> Vec<OriginRecord> {
         let records = self.by_stream.iter();
         records
-            .filter(|(_, (origin, until_ms))| *origin.service == *service && now_ms < *until_ms)
+            .filter(|(_, (_, until_ms))| now_ms < *until_ms)
             .map(|(key, (origin, until_ms))| OriginRecord {
                 key: *key,
                 origin: origin.clone(),
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -207,8 +207,6 @@
     pub origins_asked_of_all: Cell<(u64, u32)>,
     /// Versions of each service's software that were listed.
     pub version_history: RefCell<VersionHistory>,
-    /// Longest time for which callers of resumable streams were ready to wait.
-    pub longest_deadline_ms: Cell<u64>,
     /// Rollouts that move services to other versions.
     pub rollouts: RefCell<RolloutTable>,
     /// Notified when a rollout has advanced beyond what this entry has acted on.
@@ -450,7 +448,6 @@
             pending_origins: PendingReplies::default(),
             origins_asked_of_all: Cell::default(),
             version_history: RefCell::default(),
-            longest_deadline_ms: Cell::default(),
             rollouts: RefCell::new(rollouts),
             rollouts_changed: Notify::new(),
             rate_wakeup_at_ms: Cell::default(),
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -52,6 +52,7 @@
 mod test_direct_slot_search;
 mod test_direct_spread;
 mod test_direct_store_follower;
+mod test_direct_stream_model;
 mod test_direct_streams;
 mod test_direct_suspects;
 mod test_entry_state;
--- a/lib/tests/test_direct_streams.rs
+++ b/lib/tests/test_direct_streams.rs
@@ -13,6 +13,7 @@
 use sardinewood::direct::streams::origin::StreamOrigin;
 use sardinewood::direct::streams::origin_records::OriginRecords;
 use sardinewood::direct::streams::origin_records::record_owners;
+use sardinewood::direct::streams::version_history::NoOnlyVersion;
 use sardinewood::direct::streams::version_history::ServiceVersion;
 use sardinewood::direct::streams::version_history::VersionHistory;
 
@@ -147,35 +148,91 @@
     }
 }
 
+/// Returns a history before callers who wait for [`LONGEST_MS`].
+fn history() -> VersionHistory {
+    let mut history = VersionHistory::default();
+    history.set_longest_stream_ms(LONGEST_MS);
+    history
+}
+
 /// Guards against an entry that takes its own start for the start of the service.
 #[test]
 fn only_version_unknown_just_after_the_start() {
-    let mut history = VersionHistory::default();
+    let mut history = history();
     history.update(&listed(&["v1"]), 400);
-    assert_eq!(history.only_version("pool", LONGEST_MS, 12_399), None);
-    assert!(history.only_version("pool", LONGEST_MS, 12_400).is_some());
+    let unknown = history.only_version("pool", 0, 12_399);
+    assert_eq!(unknown, Err(NoOnlyVersion::HistoryTooShort));
+    assert!(history.only_version("pool", 0, 12_400).is_ok());
+}
+
+/// Guards against a claim for less time than callers wait, as a route's timeout is shorter.
+#[test]
+fn only_version_of_a_short_route_needs_the_longest_stream() {
+    let mut history = history();
+    history.update(&listed(&["v1"]), 0);
+    assert!(history.only_version("pool", 4_000, 11_999).is_err());
+    assert!(history.only_version("pool", 20_000, 19_999).is_err());
+    assert!(history.only_version("pool", 20_000, 20_000).is_ok());
+}
+
+/// Guards against a caller that waits for longer than the setting says.
+#[test]
+fn only_version_after_a_longer_wait_was_noted() {
+    let mut history = history();
+    history.update(&listed(&["v1"]), 0);
+    history.note_caller_wait(30_000);
+    assert!(history.only_version("pool", 0, 29_999).is_err());
+    assert!(history.only_version("pool", 0, 30_000).is_ok());
+}
+
+/// Guards against a claim for longer than versions are remembered.
+#[test]
+fn only_version_for_longer_than_the_memory_unknown() {
+    let mut history = history();
+    history.update(&listed(&["v1", "v2"]), 0);
+    history.update(&listed(&["v2"]), 1);
+    history.note_caller_wait(u64::MAX);
+    let now_ms = 100_000_000;
+    history.update(&listed(&["v2"]), now_ms);
+    let unknown = history.only_version("pool", 0, now_ms);
+    assert_eq!(unknown, Err(NoOnlyVersion::HistoryTooShort));
 }
 
 /// Guards against streams of a version whose last upstream has just left.
 #[test]
 fn only_version_after_another_one_has_gone() {
-    let mut history = VersionHistory::default();
+    let mut history = history();
     history.update(&listed(&["v1", "v2"]), 0);
     history.update(&listed(&["v2"]), 50_000);
-    assert_eq!(history.only_version("pool", LONGEST_MS, 61_999), None);
-    let only = history.only_version("pool", LONGEST_MS, 62_000);
-    assert_eq!(only.as_deref(), Some("v2"));
+    let unknown = history.only_version("pool", 0, 61_999);
+    assert_eq!(unknown, Err(NoOnlyVersion::NotOne));
+    let only = history.only_version("pool", 0, 62_000);
+    assert_eq!(only.as_deref(), Ok("v2"));
+}
+
+/// Guards against versions that came and went while an entry was cut off from the store.
+#[test]
+fn only_version_after_a_gap_needs_a_new_history() {
+    let mut history = history();
+    history.update(&listed(&["v1"]), 0);
+    assert!(!history.record_gap(5_000), "no claim was lost");
+    history.update(&listed(&["v1"]), 5_100);
+    assert!(history.only_version("pool", 0, 16_999).is_err());
+    assert!(history.only_version("pool", 0, 17_000).is_ok());
+    assert!(history.record_gap(20_000), "a claim was lost");
 }
 
 #[test]
 fn only_version_while_several_are_listed() {
-    let mut history = VersionHistory::default();
+    let mut history = history();
     history.update(&listed(&["v1"]), 0);
     assert!(
         history
             .update(&listed(&["v1", "v2"]), 50_000)
             .contains("pool")
     );
-    assert_eq!(history.only_version("pool", LONGEST_MS, 90_000), None);
-    assert_eq!(history.only_version("other", LONGEST_MS, 90_000), None);
+    for service in ["pool", "other"] {
+        let unknown = history.only_version(service, 0, 90_000);
+        assert_eq!(unknown, Err(NoOnlyVersion::NotOne));
+    }
 }
