direct: let queues reply before a request gives up at the shutdown

A stream whose upstream broke while its entry refused new requests was cut at once, although another upstream had a free slot: the wait gave up before any queue could reply. So would a retry, and a request whose body was read late.

broken_stream_resumed_while_new_requests_are_refused failed before (cut at 3 s) and passes now, with 13 others of test_stopping.

--- a/lib/src/direct/slot_driver.rs
+++ b/lib/src/direct/slot_driver.rs
@@ -281,9 +281,6 @@
             return end;
         }
         while Instant::now() < until {
-            if self.gives_up_at_shutdown() {
-                return WaitEnd::ShuttingDown;
-            }
             let wait_until = (Instant::now() + Duration::from_millis(REPLY_TIMEOUT_MS)).min(until);
             let end = match timeout_at(wait_until, replies.recv()).await {
                 Ok(Some(AdmissionReply::Granted(lease))) => {
@@ -319,6 +316,10 @@
             if let Some(end) = end {
                 return end;
             }
+            // The queues have had time to grant a free slot.
+            if self.gives_up_at_shutdown() {
+                return WaitEnd::ShuttingDown;
+            }
         }
         WaitEnd::Refused
     }
