--- a/lib/src/direct.rs
+++ b/lib/src/direct.rs
@@ -7,8 +7,8 @@
 //!
 //! [`placement`], [`sharing`], [`membership`], [`store_view`], [`quarantine`], [`rollout`] and
 //! [`notices`] make decisions and do no I/O. The modules [`slot_driver`], [`quota_driver`],
-//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`], [`return_driver`], [`rollout_driver`]
-//! and [`data_centre_driver`] carry their decisions out.
+//! [`quarantine_driver`], [`notices_driver`], [`freshness_driver`], [`retry_driver`], [`return_driver`], [`rollout_driver`],
+//! [`shutdown_driver`] and [`data_centre_driver`] carry their decisions out.
 //! [`request`] and [`replication`] transfer data over the network, and [`traffic`] holds the state
 //! that all requests of an entry share.
 //!
@@ -37,6 +37,7 @@
 pub mod server;
 pub mod sharing;
 pub mod shutdown;
+pub mod shutdown_driver;
 pub mod slot_driver;
 pub mod store_view;
 pub mod stream_origin_driver;
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -119,7 +119,7 @@
     let read = tokio::select! {
         biased;
         read = read_call(&traffic, request, headers, open) => read,
-        () = traffic.answers_due() => Err(Refusal::about_to_end(&traffic, request_id.as_ref())),
+        () = traffic.wait_until_answers_due() => Err(Refusal::about_to_end(&traffic, request_id.as_ref())),
     };
     let mut response = match read {
         Ok(call) => serve(&traffic, call).await,
@@ -142,7 +142,7 @@
     tokio::select! {
         biased;
         response = send_until_answered(traffic, &mut call, &mut error_response) => response,
-        () = traffic.answers_due() => match error_response {
+        () = traffic.wait_until_answers_due() => match error_response {
             Some(response) => response.deliver(traffic, &call),
             None => shutdown_response(traffic, &call),
         },
--- a/lib/src/direct/request/open_requests.rs
+++ b/lib/src/direct/request/open_requests.rs
@@ -58,7 +58,7 @@
 /// let requests = OpenRequests::default();
 /// let request = requests.open();
 /// request.set_stage(RequestStage::Waiting);
-/// assert_eq!((requests.total(), requests.at(RequestStage::Waiting)), (1, 1));
+/// assert_eq!((requests.total(), requests.count_at(RequestStage::Waiting)), (1, 1));
 /// drop(request);
 /// assert_eq!(requests.total(), 0);
 /// ```
@@ -89,7 +89,7 @@
 
     /// Returns the number of requests at a stage. See [`OpenRequests`].
     #[must_use]
-    pub fn at(&self, stage: RequestStage) -> usize {
+    pub fn count_at(&self, stage: RequestStage) -> usize {
         self.0.borrow().get(&stage).copied().unwrap_or_default()
     }
 
@@ -102,7 +102,9 @@
     #[must_use]
     pub fn by_stage(&self) -> IndexMap<&'static str, usize> {
         let stages = RequestStage::ALL.into_iter();
-        stages.map(|stage| (stage.name(), self.at(stage))).collect()
+        stages
+            .map(|stage| (stage.name(), self.count_at(stage)))
+            .collect()
     }
 
     fn add(&self, stage: RequestStage) {
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -22,7 +22,6 @@
 use tokio::sync::watch;
 use tokio::task::LocalSet;
 use tokio::task::spawn_local;
-use tokio::time::Instant;
 use tokio::time::sleep;
 
 use crate::direct::load_policy::LoadPolicy;
@@ -55,8 +54,7 @@
 use crate::direct::rollout_driver::StatusWriter;
 use crate::direct::sharing::quota::Tolerance;
 use crate::direct::sharing::retry_budget::RetryLimits;
-use crate::direct::shutdown::ShutdownSchedule;
-use crate::direct::shutdown::ShutdownStep;
+use crate::direct::shutdown_driver;
 use crate::direct::store_view::replica::ObjectDecoders;
 use crate::direct::store_view::replica::ReplicaSnapshot;
 use crate::direct::traffic::TrafficState;
@@ -65,8 +63,6 @@
 use crate::logging::Line;
 use crate::stop_signal::StopSignal;
 
-/// How often the shutdown checks whether all requests have ended.
-const SHUTDOWN_POLL_PERIOD: Duration = Duration::from_millis(50);
 /// How often expired connections to upstreams are closed, and how often records of quarantined
 /// requests and upstream notices are expired or resent to a peer.
 const SWEEP_PERIOD: Duration = Duration::from_millis(gossip::RESEND_INTERVAL_MS);
@@ -403,7 +399,7 @@
         Rc::clone(&shutdown_timeout),
     ));
     stop.wait().await;
-    shut_down(&traffic, shutdown_timeout.get()).await;
+    shutdown_driver::shut_down(&traffic, shutdown_timeout.get()).await;
     Ok(())
 }
 
@@ -532,35 +528,3 @@
         }
     }
 }
-
-/// Stops the entry: reports it as not ready, refuses requests after a delay, waits for open requests, and
-/// answers those that are left shortly before the shutdown timeout.
-async fn shut_down(traffic: &TrafficState, timeout: Duration) {
-    let started_at = Instant::now();
-    let schedule = ShutdownSchedule::new(timeout);
-    traffic.begin_shutdown(started_at + schedule.answer_after());
-    traffic.send_all_origin_records();
-    log_shutdown(traffic, "stopping", started_at);
-    loop {
-        sleep(SHUTDOWN_POLL_PERIOD).await;
-        match schedule.step(started_at.elapsed(), traffic.open_requests.total()) {
-            ShutdownStep::Serve => {}
-            ShutdownStep::Refuse => traffic.close(),
-            ShutdownStep::AnswerAll => {
-                traffic.close();
-                traffic.answer_all();
-            }
-            ShutdownStep::Exit => break,
-        }
-    }
-    HeartbeatTask::announce_exit(traffic);
-    log_shutdown(traffic, "ended", started_at);
-}
-
-fn log_shutdown(traffic: &TrafficState, message: &'static str, started_at: Instant) {
-    Line::new(Level::Info, message)
-        .field("open_requests", traffic.open_requests.total())
-        .field("by_stage", traffic.open_requests.by_stage())
-        .field("after_ms", started_at.elapsed().as_millis())
-        .send();
-}
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -63,7 +63,6 @@
 use crate::direct::sharing::return_order::ReturnOrder;
 use crate::direct::sharing::size_fairness::SizeFairness;
 use crate::direct::sharing::size_stats::SizeStats;
-use crate::direct::shutdown::WaitAtShutdown;
 use crate::direct::slot_driver;
 use crate::direct::slot_driver::AdmissionReply;
 use crate::direct::slot_driver::PendingSlotRequest;
@@ -84,12 +83,6 @@
 /// this time.
 const CONFIGURATION_WAIT: Duration = Duration::from_millis(250);
 
-/// Retry delay for callers of a process that is about to stop. Other entries can serve them at
-/// once.
-const CLOSING_RETRY_AFTER_MS: u64 = 10;
-/// Retry delay if all entries are about to stop. New ones take about this long to start.
-const REPLACED_RETRY_AFTER_MS: u64 = 1_000;
-
 /// State of the traffic thread.
 #[derive(Debug)]
 pub struct TrafficState {
@@ -163,11 +156,11 @@
     /// Notified when [`Self::is_closing`] becomes true.
     pub closing: Notify,
     /// When all requests are answered that are not being relayed, if the process is stopping.
-    answers_at_ms: Cell<Option<u64>>,
+    pub answers_at_ms: Cell<Option<u64>>,
     /// Whether that time has come.
-    answers_all: Cell<bool>,
-    /// Notified when it comes.
-    answers_due: Notify,
+    pub must_answer: Cell<bool>,
+    /// Notified when [`Self::must_answer`] becomes true.
+    pub answers_due: Notify,
     /// Requests whose callers have no whole response yet.
     pub open_requests: OpenRequests,
     /// Counters and histograms.
@@ -427,7 +420,7 @@
             is_closing: Cell::new(false),
             closing: Notify::new(),
             answers_at_ms: Cell::new(None),
-            answers_all: Cell::new(false),
+            must_answer: Cell::new(false),
             answers_due: Notify::new(),
             open_requests: OpenRequests::default(),
             metrics,
@@ -571,68 +564,6 @@
         self.is_configured() && !self.is_stopping.get()
     }
 
-    /// Reports the entry as not ready. All requests that are not being relayed are answered at a time.
-    pub fn begin_shutdown(&self, answers_at: Instant) {
-        self.is_stopping.set(true);
-        self.answers_at_ms.set(Some(self.ms_at(answers_at)));
-    }
-
-    /// Refuses requests from now on and closes callers' idle connections.
-    pub fn close(&self) {
-        if !self.is_closing.replace(true) {
-            self.closing.notify_waiters();
-        }
-    }
-
-    /// Ends the waits of all requests that are not being relayed, so that their callers get answers.
-    pub fn answer_all(&self) {
-        self.answers_all.set(true);
-        self.answers_due.notify_waiters();
-    }
-
-    /// Waits until all requests have to be answered because the process ends.
-    pub async fn answers_due(&self) {
-        let due = self.answers_due.notified();
-        if !self.answers_all.get() {
-            due.await;
-        }
-    }
-
-    /// Returns until when a request that waits for a slot keeps waiting; none unless the entry refuses new
-    /// requests. The queues expect it to wait this long.
-    #[must_use]
-    pub fn waits_at_shutdown_until_ms(
-        &self,
-        service: &str,
-        expected_wait_ms: Option<u64>,
-    ) -> Option<u64> {
-        let answers_at_ms = self.answers_at_ms.get().filter(|_| self.is_closing.get())?;
-        let wait = WaitAtShutdown {
-            now_ms: self.now_ms(),
-            answers_at_ms,
-            expected_run_ms: self.dispatcher.borrow().typical_hold_ms(service),
-            expected_wait_ms,
-            has_other_entries: self.has_other_entries(),
-        };
-        Some(wait.until_ms())
-    }
-
-    /// Returns whether there are other entries that will not exit soon.
-    fn has_other_entries(&self) -> bool {
-        let peers = self.peers.borrow();
-        peers.owner_candidates(true, self.now_ms()).next().is_some()
-    }
-
-    /// Returns the retry delay for callers that are refused because the process will end.
-    #[must_use]
-    pub fn closing_retry_after_ms(&self) -> u64 {
-        if self.has_other_entries() {
-            CLOSING_RETRY_AFTER_MS
-        } else {
-            REPLACED_RETRY_AFTER_MS
-        }
-    }
-
     /// Sends a message to a peer. Later heartbeats and messages make up for a lost one.
     pub fn send_to_peer(&self, to: SocketAddr, message: &PeerMessage) {
         self.send_to_peers(&[to], message);
