streams: tell records to three entries besides the one that relays

The survivor of four entries didn't know streams that an entry killed in the same moment had relayed.

Cause: the entry that relays a stream may be one of the three owners by hash, and then only two others were told, although three others are meant to be. An entry that has just started also asked only the peers that it had heard, which are none at first, and took that for everybody's word.

Change: an entry leaves itself out of the choice when it tells and when it asks. The owners that others work out are among them, so that records are found as before. An entry asks seeds that it has not heard as well.

--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -320,11 +320,20 @@
     /// assert_eq!(table.heartbeat_targets().count(), 0);
     /// ```
     pub fn heartbeat_targets(&self) -> impl Iterator<Item = SocketAddr> {
-        let unheard = self
-            .seeds
-            .iter()
-            .filter(|seed| !self.peers.contains_key(*seed));
-        self.peers.keys().chain(unheard).copied()
+        self.peers.keys().copied().chain(self.unheard_seeds())
+    }
+
+    /// Returns the seeds that are no peers yet.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// let seed = "10.0.0.2:7".parse().unwrap();
+    /// let table = PeerTable::new("10.0.0.1:7".parse().unwrap(), &[seed]);
+    /// assert!(table.unheard_seeds().eq([seed]));
+    /// ```
+    pub fn unheard_seeds(&self) -> impl Iterator<Item = SocketAddr> {
+        let seeds = self.seeds.iter().copied();
+        seeds.filter(|seed| !self.peers.contains_key(seed))
     }
 
     /// Returns the addresses to send in a heartbeat, others each time: as many peers as fit, or one
--- a/lib/src/direct/stream_origin_driver.rs
+++ b/lib/src/direct/stream_origin_driver.rs
@@ -189,12 +189,12 @@
     }
 
     /// Returns the other entries that keep a stream's record.
+    ///
+    /// This one is left out of the choice, as if it were leaving: if it were one of the owners, the record
+    /// would be at fewer others.
     fn record_owners(&self, key: StreamKey) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        let entries = peers.record_candidates(self.is_stopping.get(), self.now_ms());
-        let mut owners = origin_records::record_owners(key, entries);
-        owners.retain(|owner| *owner != peers.own_address());
-        owners
+        origin_records::record_owners(key, peers.record_candidates(true, self.now_ms()))
     }
 
     /// Keeps records that a peer has told.
@@ -352,12 +352,13 @@
         count < MAX_ASKED_OF_ALL_PER_S
     }
 
-    /// Returns all other entries that may have records.
+    /// Returns all other entries that may have records, also those that an entry which has just started has
+    /// not heard yet.
     fn other_record_candidates(&self) -> Vec<SocketAddr> {
         let peers = self.peers.borrow();
-        // This entry is left out as if it were leaving.
         let candidates = peers.record_candidates(true, self.now_ms());
-        candidates.map(|(entry, _)| entry).collect()
+        let heard = candidates.map(|(entry, _)| entry);
+        heard.chain(peers.unheard_seeds()).collect()
     }
 
     /// Asks some entries, and returns the first origin that one of them knows. Each question has an id of its
