direct: one type for why a request got no slot, one holder of what lasts as long as a body

No behaviour is changed. `NotStarted` repeated what `SlotResult` says; `SlotRefusal` is the one type for both. `ResponseBody::holding` and `CallerBody` both kept values until a body was dropped; the stream's guard is a field of `CallerBody` now, without a pass over each chunk.

--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -38,7 +38,7 @@
 impl TrafficState {
     /// Sets the longest backoff that an upstream is granted, whatever it asks for.
     pub fn set_max_backoff(&self, longest: Duration) {
-        let longest_ms = u64::try_from(longest.as_millis()).unwrap_or(u64::MAX);
+        let longest_ms = numbers::whole_ms(longest);
         let mut notices = self.notices.borrow_mut();
         notices.set_max_backoff_ms(longest_ms);
     }
--- a/lib/src/direct/replication/store_follower.rs
+++ b/lib/src/direct/replication/store_follower.rs
@@ -44,6 +44,7 @@
 use crate::direct::store_view::replica::StoreReplica;
 use crate::logging::Level;
 use crate::logging::Line;
+use crate::numbers;
 use crate::store::ObjectList;
 use crate::store::ReadError;
 use crate::store::WatchBatch;
@@ -219,7 +220,7 @@
     }
 
     fn now_ms(&self) -> u64 {
-        as_ms(self.started_at.elapsed())
+        numbers::whole_ms(self.started_at.elapsed())
     }
 
     fn publish(&self) {
@@ -396,7 +397,7 @@
     fn update_lapses(&self) -> bool {
         let channels = &self.channels;
         let lapses = channels.last_response.lapses(channels.drain_bound_ms);
-        let lapses = lapses.map(|until| as_ms(until.duration_since(self.started_at)));
+        let lapses = lapses.map(|until| numbers::whole_ms(until.duration_since(self.started_at)));
         let mut replica = self.replica.borrow_mut();
         replica.set_lapses(lapses, self.now_ms())
     }
@@ -673,10 +674,6 @@
     }
 }
 
-fn as_ms(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
-
 /// Returns how long a watch waits, given the time within which a change has to be in force.
 fn watch_wait_ms(bound_ms: u64) -> u64 {
     (bound_ms * WATCH_WAIT_EIGHTHS / 8).min(MAX_WATCH_WAIT_MS)
@@ -694,7 +691,7 @@
 /// ```
 #[must_use]
 pub fn longest_delay_ms(bound_ms: u64) -> u64 {
-    as_ms(BATCH_PAUSE) + 2 * watch_wait_ms(bound_ms) + MIN_RETRY_PAUSE_MS
+    numbers::whole_ms(BATCH_PAUSE) + 2 * watch_wait_ms(bound_ms) + MIN_RETRY_PAUSE_MS
 }
 
 /// Returns the pause before the next watch, given the known position, the one that the store sent,
--- a/lib/src/direct/request/bounded_io.rs
+++ b/lib/src/direct/request/bounded_io.rs
@@ -15,6 +15,7 @@
 
 use crate::direct::request::answer_bounds::AnswerBounds;
 use crate::direct::request::answer_bounds::AnswerPart;
+use crate::numbers;
 
 /// Counts the bytes of the answers on one connection. The reader of the answers and the connection
 /// share it.
@@ -40,7 +41,7 @@
     }
 
     fn receive(&self, bytes: &[u8]) -> io::Result<()> {
-        let now_ms = u64::try_from(self.created_at.elapsed().as_millis()).unwrap_or(u64::MAX);
+        let now_ms = numbers::whole_ms(self.created_at.elapsed());
         let received = self.with(|bounds| bounds.receive(bytes, now_ms));
         received.map_err(error)
     }
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -44,6 +44,7 @@
 use crate::direct::rollout::table::RunOutcome;
 use crate::direct::sharing::size_stats::CallOutcome;
 use crate::direct::traffic::SlotLease;
+use crate::direct::traffic::SlotRefusal;
 use crate::direct::traffic::SlotResult;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
@@ -161,10 +162,10 @@
 ) -> Response<ResponseBody> {
     loop {
         let next = match attempt(traffic, call).await {
-            Err(not_started) => {
+            Err(refusal) => {
                 return match error_response.take() {
                     Some(response) => response.deliver(traffic, call),
-                    None => not_started.response(traffic, call),
+                    None => not_started_response(traffic, call, refusal),
                 };
             }
             Ok(AttemptResult::Response(response)) => {
@@ -204,29 +205,25 @@
     }
 }
 
-/// Why an attempt got no slot.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum NotStarted {
-    /// No slot was granted in time.
-    NoSlot {
-        /// When the caller should retry.
-        retry_after_ms: u64,
-    },
-    /// No slot is expected before the process ends.
-    ShuttingDown,
-}
-
-impl NotStarted {
-    fn response(self, traffic: &TrafficState, call: &Call) -> Response<ResponseBody> {
-        match self {
-            Self::NoSlot { retry_after_ms } => slot_refusal_response(traffic, call, retry_after_ms),
-            Self::ShuttingDown => shutdown_response(traffic, call),
+/// Responds to a request that got no slot.
+fn not_started_response(
+    traffic: &TrafficState,
+    call: &Call,
+    refusal: SlotRefusal,
+) -> Response<ResponseBody> {
+    match refusal {
+        SlotRefusal::NoSlot { retry_after_ms } => {
+            slot_refusal_response(traffic, call, retry_after_ms)
         }
+        SlotRefusal::ShuttingDown => shutdown_response(traffic, call),
     }
 }
 
 /// Waits for a slot and sends the request to its upstream once.
-async fn attempt(traffic: &Rc<TrafficState>, call: &mut Call) -> Result<AttemptResult, NotStarted> {
+async fn attempt(
+    traffic: &Rc<TrafficState>,
+    call: &mut Call,
+) -> Result<AttemptResult, SlotRefusal> {
     call.open.set_stage(RequestStage::Waiting);
     let wait_started_ms = traffic.now_ms();
     let acquire = async {
@@ -248,10 +245,7 @@
             call.recorder.set_started();
             lease
         }
-        SlotResult::Refused { retry_after_ms } => {
-            return Err(NotStarted::NoSlot { retry_after_ms });
-        }
-        SlotResult::ShuttingDown => return Err(NotStarted::ShuttingDown),
+        SlotResult::Refused(refusal) => return Err(refusal),
     };
     Ok(send(traffic, call, lease, call.last_event_id).await)
 }
--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -23,16 +23,15 @@
 use crate::direct::request::answer_bounds::READ_BUFFER_BYTES;
 use crate::direct::request::caller_io::CallerIo;
 use crate::direct::request::caller_io::ConnectionActivity;
-use crate::direct::request::caller_io::OpenStream;
 use crate::direct::request::exchange;
 use crate::direct::request::notices_page;
 use crate::direct::request::quarantine_page;
 use crate::direct::request::response_body::CallerBody;
-use crate::direct::request::response_body::ResponseBody;
 use crate::direct::request::rollout_page;
 use crate::direct::store_view::catalog::Catalog;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
+use crate::numbers;
 
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -81,11 +80,7 @@
         async move {
             let response = exchange::handle(Rc::clone(&traffic), request, &open).await?;
             activity.begin_response(traffic.now_ms());
-            let body = |body: ResponseBody| {
-                let body = body.holding(OpenStream::new(&activity));
-                CallerBody::new(body, open, &activity)
-            };
-            Ok::<_, Infallible>(response.map(body))
+            Ok::<_, Infallible>(response.map(|body| CallerBody::new(body, open, &activity)))
         }
     });
     let limits = ConnectionLimits::new(&traffic);
@@ -117,7 +112,7 @@
             });
             return;
         }
-        let idle_ms = u64::try_from(limits.idle_timeout.as_millis()).unwrap_or(u64::MAX);
+        let idle_ms = numbers::whole_ms(limits.idle_timeout);
         let is_idle = activity.open_requests.get() == 0
             && traffic.now_ms() >= activity.last_ms.get().saturating_add(idle_ms);
         if is_idle || traffic.is_closing.get() {
--- a/lib/src/direct/request/relay.rs
+++ b/lib/src/direct/request/relay.rs
@@ -43,9 +43,11 @@
 use crate::direct::store_view::directory::Upstream;
 use crate::direct::streams::origin::StreamOrigin;
 use crate::direct::traffic::SlotLease;
+use crate::direct::traffic::SlotRefusal;
 use crate::direct::traffic::SlotResult;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
+use crate::numbers;
 
 /// Silence of an upstream after which its stream is resumed elsewhere, if that is allowed. Callers
 /// give up after 2 s, and the new upstream has to read the prompt first.
@@ -501,7 +503,7 @@
     fn answered_for_ms(&self) -> Option<u64> {
         let (first, last) = (self.source_first_event?, self.last_event?);
         let passed = last.saturating_duration_since(first);
-        Some(u64::try_from(passed.as_millis()).unwrap_or(u64::MAX))
+        Some(numbers::whole_ms(passed))
     }
 
     /// Resumes the stream at another upstream if that is allowed and succeeds; otherwise returns
@@ -555,8 +557,8 @@
         loop {
             match self.traffic.acquire_slot(job.clone()).await {
                 SlotResult::Acquired(lease) => return Some(lease),
-                SlotResult::ShuttingDown => return None,
-                SlotResult::Refused { .. } => {}
+                SlotResult::Refused(SlotRefusal::ShuttingDown) => return None,
+                SlotResult::Refused(SlotRefusal::NoSlot { .. }) => {}
             }
             if self.traffic.now_ms() + RESUME_RETRY_PAUSE_MS >= job.waits_until_ms() {
                 return None;
--- a/lib/src/direct/request/response_body.rs
+++ b/lib/src/direct/request/response_body.rs
@@ -8,12 +8,12 @@
 
 use bytes::Bytes;
 use futures_util::Stream;
-use futures_util::StreamExt;
 use hyper::body::Body;
 use hyper::body::Frame;
 use hyper::body::SizeHint;
 
 use crate::direct::request::caller_io::ConnectionActivity;
+use crate::direct::request::caller_io::OpenStream;
 use crate::direct::request::open_requests::OpenRequest;
 use crate::direct::request::relay::StreamError;
 
@@ -28,19 +28,6 @@
     Stream(Events),
 }
 
-impl ResponseBody {
-    /// Keeps a value until the body is dropped, if it is a stream. A whole body drops it at once.
-    #[must_use]
-    pub fn holding(self, held: impl Sized + 'static) -> Self {
-        match self {
-            Self::Whole(bytes) => Self::Whole(bytes),
-            Self::Stream(events) => Self::Stream(Box::pin(events.inspect(move |_| {
-                let _held = &held;
-            }))),
-        }
-    }
-}
-
 impl fmt::Debug for ResponseBody {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -86,6 +73,8 @@
     body: ResponseBody,
     request: Option<Rc<OpenRequest>>,
     activity: Rc<ConnectionActivity>,
+    /// Counts the body as a stream, if it is one.
+    _stream: Option<OpenStream>,
 }
 
 impl CallerBody {
@@ -96,7 +85,9 @@
         request: Rc<OpenRequest>,
         activity: &Rc<ConnectionActivity>,
     ) -> Self {
+        let is_stream = matches!(body, ResponseBody::Stream(_));
         Self {
+            _stream: is_stream.then(|| OpenStream::new(activity)),
             body,
             request: Some(request),
             activity: Rc::clone(activity),
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -61,6 +61,7 @@
 use crate::findings::Findings;
 use crate::logging::Level;
 use crate::logging::Line;
+use crate::numbers;
 use crate::stop_signal::StopSignal;
 
 /// How often expired connections to upstreams are closed, and how often records of quarantined
@@ -115,19 +116,19 @@
 
 impl DirectSettings {
     fn upstream_silence_ms(&self) -> u64 {
-        u64::try_from(self.upstream_silence.as_millis()).unwrap_or(u64::MAX)
+        numbers::whole_ms(self.upstream_silence)
     }
 
     fn config_bound_ms(&self) -> u64 {
-        u64::try_from(self.config_bound.as_millis()).unwrap_or(u64::MAX)
+        numbers::whole_ms(self.config_bound)
     }
 
     fn drain_bound_ms(&self) -> u64 {
-        u64::try_from(self.drain_bound.as_millis()).unwrap_or(u64::MAX)
+        numbers::whole_ms(self.drain_bound)
     }
 
     fn longest_stream_ms(&self) -> u64 {
-        u64::try_from(self.longest_stream.as_millis()).unwrap_or(u64::MAX)
+        numbers::whole_ms(self.longest_stream)
     }
 
     /// Logs each bound that is shorter than the news may take.
--- a/lib/src/direct/slot_driver.rs
+++ b/lib/src/direct/slot_driver.rs
@@ -25,6 +25,7 @@
 use crate::direct::sharing::admission::SlotRequest;
 use crate::direct::sharing::late_start;
 use crate::direct::traffic::SlotLease;
+use crate::direct::traffic::SlotRefusal;
 use crate::direct::traffic::SlotResult;
 use crate::direct::traffic::TrafficState;
 use crate::logging::Level;
@@ -347,14 +348,14 @@
             waiting.record_start();
             SlotResult::Acquired(lease)
         }
-        WaitEnd::Refused => SlotResult::Refused {
+        WaitEnd::Refused => SlotResult::Refused(SlotRefusal::NoSlot {
             retry_after_ms: waiting.refuse(),
-        },
+        }),
         WaitEnd::ShuttingDown => {
             if let Some(call) = waiting.returning {
                 traffic.tell_expected_return(call, traffic.closing_retry_after_ms());
             }
-            SlotResult::ShuttingDown
+            SlotResult::Refused(SlotRefusal::ShuttingDown)
         }
     }
 }
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -364,8 +364,15 @@
 pub enum SlotResult {
     /// The request holds a slot.
     Acquired(SlotLease),
+    /// The request got no slot.
+    Refused(SlotRefusal),
+}
+
+/// Why a request got no slot.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum SlotRefusal {
     /// No slot was granted in time.
-    Refused {
+    NoSlot {
         /// When the caller should retry.
         retry_after_ms: u64,
     },
@@ -465,7 +472,7 @@
     /// Returns the time since the start of the process.
     #[must_use]
     pub fn now_ms(&self) -> u64 {
-        u64::try_from(self.started_at.elapsed().as_millis()).unwrap_or(u64::MAX)
+        numbers::whole_ms(self.started_at.elapsed())
     }
 
     /// Converts a time since the start of the process to an instant.
@@ -478,7 +485,7 @@
     #[must_use]
     pub fn ms_at(&self, at: Instant) -> u64 {
         let since_start = at.saturating_duration_since(self.started_at);
-        u64::try_from(since_start.as_millis()).unwrap_or(u64::MAX)
+        numbers::whole_ms(since_start)
     }
 
     /// Returns a number that is unique within this process.
--- a/lib/src/numbers.rs
+++ b/lib/src/numbers.rs
@@ -1,5 +1,7 @@
 //! Whole numbers to floating point and back, where the loss does not matter, and figures by tier.
 
+use std::time::Duration;
+
 /// A count or a time as a floating point number; exact below 2^53.
 ///
 /// ```
@@ -73,3 +75,15 @@
 pub fn of_tier<const COUNT: usize>(figures: &[f64; COUNT], tier: u8) -> f64 {
     figures[usize::from(tier).min(COUNT - 1)]
 }
+
+/// Returns the whole milliseconds of a duration, or the largest number if there are more.
+///
+/// ```
+/// use std::time::Duration;
+///
+/// assert_eq!(sardinewood::numbers::whole_ms(Duration::from_micros(1_900)), 1);
+/// ```
+#[must_use]
+pub fn whole_ms(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
