quarantine: repeat a trial that failed on an upstream that another suspect crashed

One popular request was held for ten minutes at all entries.

The crash counted as the failure of both trials.

Change: a feature whose latest crash another quarantined feature shares is tried again after one to three seconds, as before its first trial. Each feature has three such trials at most.

The new test failed before; the other is a bound that held before and holds now.

--- a/lib/src/direct/quarantine/suspect.rs
+++ b/lib/src/direct/quarantine/suspect.rs
@@ -296,6 +296,14 @@
         last.unwrap_or_default().saturating_add(1)
     }
 
+    /// Returns the crash with the most consecutive runs up to it. After a failed trial, that is the
+    /// trial's.
+    pub(super) fn latest_crash(&self) -> Option<&Crash> {
+        self.crashes
+            .iter()
+            .max_by_key(|crash| crash.consecutive_runs)
+    }
+
     /// Returns whether a trial with this claim runs.
     pub(super) fn is_in_trial(&self, claim: u32) -> bool {
         self.quarantine
--- a/lib/src/direct/quarantine/suspects.rs
+++ b/lib/src/direct/quarantine/suspects.rs
@@ -27,6 +27,8 @@
 /// Period over which the trials of such features are distributed, so that the one that causes
 /// crashes doesn't crash the upstream on which the other is tried.
 const EARLY_TRIAL_JITTER_MS: InstantMs = 2_000;
+/// Maximum number of early trials of one feature. Each that fails may cost an upstream.
+const MAX_EARLY_TRIALS: u8 = 3;
 /// Maximum number of tracked features. Each takes 300 bytes, and a caller can send any number of
 /// different ones.
 const MAX_SUSPECTS: usize = 1_024;
@@ -668,23 +670,24 @@
             .map(|(_, suspect)| suspect)
     }
 
-    /// Allows early trials of features in their first quarantine that share their crashes with other
-    /// quarantined ones, so that a trial soon tells which of them caused the crashes.
+    /// Allows early trials of features that may be quarantined for the crashes of others, so that a
+    /// trial soon tells which of them caused the crashes.
     ///
     /// A feature that runs beside one that crashes upstreams collects the crashes of the latter, and a
     /// popular one collects those of several, before any of them has three. If it were quarantined for
     /// a minute, its callers would lose more than by all these crashes.
     fn allow_early_trials(&mut self, change: &mut SuspectChanges, now_ms: InstantMs) {
-        let is_first = |suspect: &Suspect| {
+        let is_untried = |suspect: &Suspect| {
             suspect.quarantine.is_some_and(|quarantine| {
-                let is_untried = quarantine.trial_claim.is_none();
-                quarantine.times == 1 && is_untried && quarantine.early_trial_at_ms.is_none()
+                quarantine.times <= MAX_EARLY_TRIALS
+                    && quarantine.trial_claim.is_none()
+                    && quarantine.early_trial_at_ms.is_none()
             })
         };
         let sharing: Vec<Feature> = self
             .by_feature
             .iter()
-            .filter(|(_, suspect)| is_first(suspect))
+            .filter(|(_, suspect)| is_untried(suspect))
             .filter(|(feature, _)| self.shares_crashes(**feature))
             .map(|(feature, _)| *feature)
             .collect();
@@ -698,8 +701,9 @@
         }
     }
 
-    /// Returns whether too few of a feature's crashes are its own to quarantine it for them alone. Other
-    /// quarantined features share the rest, unless this one explains theirs.
+    /// Returns whether other features may have caused the crashes that a feature is quarantined for:
+    /// the crash of its latest trial, or all but a few of the crashes before the first one. A feature
+    /// whose crashes this one explains is not the cause.
     fn shares_crashes(&self, feature: Feature) -> bool {
         let Some(suspect) = self.by_feature.get(&feature) else {
             return false;
@@ -708,8 +712,13 @@
             .other_quarantined(feature)
             .filter(|other| !other.is_explained_by(suspect))
             .collect();
-        let is_own = |crash: &&Crash| !others.iter().any(|other| other.has_crashed(crash.upstream));
-        suspect.crashes.iter().filter(is_own).count() < CRASH_THRESHOLD
+        let is_shared =
+            |crash: &Crash| others.iter().any(|other| other.has_crashed(crash.upstream));
+        if suspect.failed_trials() > 0 {
+            return suspect.latest_crash().is_some_and(is_shared);
+        }
+        let own_crashes = suspect.crashes.iter().filter(|crash| !is_shared(crash));
+        own_crashes.count() < CRASH_THRESHOLD
     }
 
     fn update_has_quarantined_content(&mut self) {
--- a/lib/tests/test_direct_suspects.rs
+++ b/lib/tests/test_direct_suspects.rs
@@ -271,6 +271,58 @@
     }
 }
 
+/// Guards against a harmless request that is refused for ten minutes since its trial ran on an upstream
+/// that another request crashed.
+#[test]
+fn trial_beside_another_that_failed_repeated_soon() {
+    let mut suspects = Suspects::default();
+    // Request 9 runs beside three that crash upstreams.
+    for (upstream, deadly) in (1..=9).zip([1, 2, 3].into_iter().cycle()) {
+        let at_ms = u64::from(upstream) * 200;
+        let is_popular_allowed = !is_quarantined(&suspects, 9, at_ms);
+        let runs: &[u32] = if is_popular_allowed {
+            &[deadly, 9]
+        } else {
+            &[deadly]
+        };
+        crash(&mut suspects, upstream, at_ms, runs);
+    }
+    begin_trial(&mut suspects, 1, 5_000);
+    begin_trial(&mut suspects, 9, 5_000);
+    crash(&mut suspects, 10, 5_100, &[1, 9]);
+    assert!(is_quarantined(&suspects, 9, 5_300));
+    assert!(may_be_tried(&suspects, 9, 5_100 + 3_000));
+
+    // Its trial fails once more, in which no other request takes part.
+    begin_trial(&mut suspects, 9, 8_200);
+    crash(&mut suspects, 11, 8_300, &[9]);
+    assert!(is_quarantined(&suspects, 9, 8_300 + MINUTE_MS));
+}
+
+/// Guards against trials without end of requests that crash upstreams together.
+#[test]
+fn repeated_trials_of_requests_that_crash_together_limited() {
+    let mut suspects = Suspects::default();
+    let mut now_ms = 0;
+    let mut crashes = 0;
+    while now_ms < 9 * MINUTE_MS {
+        now_ms += 100;
+        let is_allowed = |number: u32| {
+            !is_quarantined(&suspects, number, now_ms) || may_be_tried(&suspects, number, now_ms)
+        };
+        if is_allowed(1) && is_allowed(2) {
+            for number in [1, 2] {
+                if may_be_tried(&suspects, number, now_ms) {
+                    begin_trial(&mut suspects, number, now_ms);
+                }
+            }
+            crashes += 1;
+            crash(&mut suspects, crashes, now_ms, &[1, 2]);
+        }
+    }
+    assert!(crashes <= 8, "{crashes} upstreams");
+}
+
 #[test]
 fn trial_at_one_entry_holds_back_the_others() {
     // The quarantine expires at all entries at once. Without coordination, each would run a trial and
