direct: a rejection that names another request doesn't count for the one that runs

Cause: classify_response took any response with Not-Executed for the answer to its request, before it compared the ids.

Change: a rejection counts unless it names another request. Those that name none, which a worker may send to a request without an id, count as before. The outcome of the request is unknown otherwise, as it is with an extra response of another kind; an unsafe request is answered 502.

--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -461,7 +461,10 @@
     let (parts, body) = response.into_parts();
     let headers = (traffic.header_codec.read_response)(parts.status, &parts.headers);
     traffic.record_notice(call, &lease.upstream, &headers);
-    if headers.is_not_run {
+    // A reused connection may hold an extra response to an earlier request, which carries the id of
+    // that request. As a response it would reach another caller, and as a rejection the request would
+    // run again.
+    if headers.is_not_run && !headers.names_other_request(call.request_id.as_ref()) {
         let (outcome, reason) = if headers.is_misdirected {
             (AttemptOutcome::Misdirected, MISDIRECTED)
         } else {
@@ -471,9 +474,6 @@
         log_failed_attempt(traffic, call, &lease, reason);
         return AttemptResult::NotRun;
     }
-    // A reused connection may hold an extra response to an earlier request. That response carries
-    // the id of its own request; if it were passed on, a caller would get another caller's
-    // response.
     if !headers.is_authentic || headers.request_id != call.request_id {
         lease.outcome = AttemptOutcome::Failed;
         log_failed_attempt(traffic, call, &lease, "answer belongs to no request");
--- a/lib/src/direct/request/headers.rs
+++ b/lib/src/direct/request/headers.rs
@@ -117,6 +117,25 @@
     pub notice: UpstreamNotice,
 }
 
+impl ResponseHeaders {
+    /// Returns whether the response names another request than this one. Some rejections name none.
+    ///
+    /// ```
+    /// use http::HeaderValue;
+    /// use sardinewood::direct::request::headers::ResponseHeaders;
+    ///
+    /// let request_id = Some(HeaderValue::from_static("try-1"));
+    /// let headers = ResponseHeaders { request_id, ..Default::default() };
+    /// assert!(!headers.names_other_request(Some(&HeaderValue::from_static("try-1"))));
+    /// assert!(headers.names_other_request(Some(&HeaderValue::from_static("try-2"))));
+    /// assert!(!ResponseHeaders::default().names_other_request(headers.request_id.as_ref()));
+    /// ```
+    #[must_use]
+    pub fn names_other_request(&self, request_id: Option<&HeaderValue>) -> bool {
+        self.request_id.is_some() && self.request_id.as_ref() != request_id
+    }
+}
+
 /// Functions that read and write headers. Each platform provides its own, since the entry knows no
 /// header names.
 #[derive(Clone, Copy, Debug)]
