notices: end a limit after several answers without it, not after one

Callers' requests overran workers that had named a limit: with every third answer a failure or a rejection without the header, a worker got 42 requests in 4 s of 11 allowed, and 62 of 13; with every fourth served answer without it, 114 of 13. An absent header of any answer was taken for the end of the limit, which dropped the bucket and granted all that waited; the next answer began an empty one.

Each answer of a limited upstream is now reported to the owner of its admission queue. The limit ends after four served answers in a row without it, from whichever entries, one second after it was last stated; more are needed from an upstream that was seen to leave it out at times. Failures and rejections alone end it after 30 s. Answers without a seal that are no rejections say nothing of it. While the end is probed, a second's starts and three more may be taken in advance and are paid back if the limit is stated again. After the end, the rate doubles every 200 ms for a second.

Weighed: that only served answers end it (a served one without it still lifts it), and that time alone does (few answers come at low limits).

Visibility: omitted_limits_total, stalled_upstreams, the lines "limit of upstream has ended" and "limited upstream answers again".

--- a/bench/src/direct/fleet/admission.rs
+++ b/bench/src/direct/fleet/admission.rs
@@ -217,6 +217,9 @@
             | PeerMessage::ListWord(_)
             | PeerMessage::RemovedUpstreams(_) => {}
             PeerMessage::UpstreamNotices(updates) => self.merge_notice_updates(entry, &updates),
+            PeerMessage::LimitReport { upstream, report } => {
+                self.handle_limit_report(entry, upstream, report);
+            }
             PeerMessage::Suspects(updates) => self.merge_suspect_updates(entry, &updates),
         }
     }
--- a/bench/src/direct/fleet/need.rs
+++ b/bench/src/direct/fleet/need.rs
@@ -4,10 +4,14 @@
 
 use indexmap::IndexSet;
 use sardinewood::direct::membership::peer_message::PeerMessage;
+use sardinewood::direct::notices::limit_end::LimitReport;
+use sardinewood::direct::notices::limit_end::LimitStep;
 use sardinewood::direct::notices::notice::NoticeField;
 use sardinewood::direct::notices::notice::UpstreamNotice;
 use sardinewood::direct::notices::upstream_state::NoticeUpdate;
+use sardinewood::direct::placement::dispatch::upstream_hash;
 use sardinewood::direct::placement::health::AttemptOutcome;
+use sardinewood::direct::sharing::admission::EntryRef;
 use sardinewood::direct::store_view::directory::Upstream;
 
 use super::End;
@@ -87,11 +91,50 @@
         let instance = Arc::clone(&self.upstreams[engine].instance);
         let notices = &mut self.entries[entry].notices;
         let changes = notices.record(&instance, &notice, self.now_ms);
-        if changes.is_empty() {
+        if !changes.is_empty() {
+            self.apply_notices(entry);
+            self.send_notices(entry, upstream_hash(&instance));
+        }
+        self.report_limit(entry, &instance, need);
+    }
+
+    /// Tells the owner of an engine's admission queue what an answer said of the limit in force.
+    fn report_limit(&mut self, entry: usize, instance: &str, need: Option<Need>) {
+        let upstream = upstream_hash(instance);
+        if !self.entries[entry].notices.is_limited(upstream) {
             return;
         }
-        let updates = notices.updates_for_instance(&instance, self.now_ms);
-        self.apply_notices(entry);
+        let report = match need {
+            Some(Need::Limit) => LimitReport::Stated,
+            Some(Need::Rest) => LimitReport::OmittedByFailure,
+            Some(Need::Leaving) | None => LimitReport::Omitted,
+        };
+        match self.owner(entry, upstream) {
+            EntryRef::Local => self.handle_limit_report(entry, upstream, report),
+            EntryRef::Peer(peer) => {
+                self.send(entry, peer, PeerMessage::LimitReport { upstream, report });
+            }
+        }
+    }
+
+    pub(super) fn handle_limit_report(&mut self, entry: usize, upstream: u32, report: LimitReport) {
+        let now_ms = self.now_ms;
+        let state = &mut self.entries[entry];
+        let step = state.notices.record_limit_report(upstream, report, now_ms);
+        let is_probed = step == LimitStep::Probe;
+        let _unanswered = state.admission.record_answer(upstream, is_probed);
+        if step == LimitStep::End {
+            self.apply_notices(entry);
+            self.send_notices(entry, upstream);
+        } else {
+            self.grant(entry);
+        }
+    }
+
+    fn send_notices(&mut self, entry: usize, upstream: u32) {
+        let updates = self.entries[entry]
+            .notices
+            .updates_for(&[upstream], self.now_ms);
         let peers: Vec<_> = self.entries[entry].peers.heartbeat_targets().collect();
         for peer in peers.into_iter().filter(|_| !updates.is_empty()) {
             self.send(entry, peer, PeerMessage::UpstreamNotices(updates.clone()));
--- a/bench/src/limits/play.rs
+++ b/bench/src/limits/play.rs
@@ -29,6 +29,8 @@
 const DEMAND: f64 = 4.0;
 /// How long one waits for it.
 const PATIENCE_MS: u64 = 500;
+/// How long the upstream needs for a request.
+const HOLD_MS: u32 = 80;
 /// Time of a message between two entries, and the part of them that is lost.
 const ROUND_TRIP_MS: u64 = 1;
 const LOST_PART: f64 = 0.01;
@@ -108,6 +110,8 @@
     entries: Vec<Entry>,
     /// When, to whom, from whom, what.
     messages: VecDeque<(u64, usize, usize, Sent)>,
+    /// Answers of the upstream: when, who keeps the queue, who gets it.
+    answers: VecDeque<(u64, usize, usize)>,
     next_request: u64,
     starts_ms: Vec<u64>,
 }
@@ -131,6 +135,7 @@
             random: StdRng::seed_from_u64(seed),
             entries: Vec::new(),
             messages: VecDeque::new(),
+            answers: VecDeque::new(),
             next_request: 0,
             starts_ms: Vec::new(),
         };
@@ -309,6 +314,15 @@
     }
 
     fn deliver(&mut self, now_ms: u64) {
+        while let Some((at_ms, keeper, entry)) = self.answers.front().copied()
+            && at_ms <= now_ms
+        {
+            self.answers.pop_front();
+            let release = SlotRelease::Answered { held_ms: HOLD_MS };
+            let asker = EntryRef::Peer(address(entry));
+            let admission = &mut self.entries[keeper].admission;
+            admission.release(asker, upstream_hash(UPSTREAM), release);
+        }
         while let Some((at_ms, ..)) = self.messages.front()
             && *at_ms <= now_ms
             && let Some((_, to, from, sent)) = self.messages.pop_front()
@@ -347,6 +361,8 @@
         waiting.retain(|(known, _)| *known != request);
         if waiting.len() < before {
             self.starts_ms.push(now_ms);
+            let answer_at_ms = now_ms + u64::from(HOLD_MS);
+            self.answers.push_back((answer_at_ms, keeper, entry));
         } else {
             self.send(now_ms, keeper, entry, Sent::Unused);
         }
--- a/lib/src/direct/membership/peer_message.rs
+++ b/lib/src/direct/membership/peer_message.rs
@@ -9,6 +9,7 @@
 use tokio::time::Instant;
 
 use crate::direct::membership::heartbeat_payload::LoadChunk;
+use crate::direct::notices::limit_end::LimitReport;
 use crate::direct::notices::upstream_state::NoticeUpdate;
 use crate::direct::quarantine::suspect::ContentUpdate;
 use crate::direct::quarantine::suspect::SuspectUpdate;
@@ -48,8 +49,10 @@
 pub const RETURNS_LEVEL: u8 = 7;
 /// Level of the builds that lend parts of a retry.
 pub const RETRY_PARTS_LEVEL: u8 = 8;
+/// Level of the builds that know [`PeerMessage::LimitReport`].
+pub const LIMIT_REPORTS_LEVEL: u8 = 9;
 /// Level of this build.
-pub const MESSAGE_LEVEL: u8 = RETRY_PARTS_LEVEL;
+pub const MESSAGE_LEVEL: u8 = LIMIT_REPORTS_LEVEL;
 /// Age beyond which an answer of the store is not told any more. Upstreams that an outage has concerned
 /// are back or removed by then.
 const MAX_ANSWER_AGE_MS: u32 = 60_000;
@@ -516,6 +519,14 @@
         /// Thousandths of a retry.
         millis: u16,
     },
+    /// The sender received an answer of a limited upstream whose admission queue the receiver owns. It is
+    /// sent only to peers that know [`LIMIT_REPORTS_LEVEL`].
+    LimitReport {
+        /// Hash of the upstream.
+        upstream: u32,
+        /// What the answer said of the limit.
+        report: LimitReport,
+    },
 }
 
 impl PeerMessage {
@@ -538,7 +549,9 @@
             Self::ChargeRequest(_) | Self::ChargeReply { .. } => "quotas",
             Self::SuspectRequests(_) | Self::Suspects(_) => "quarantine",
             Self::Rollout(_) => "rollouts",
-            Self::UpstreamNotices(_) | Self::RemovedUpstreams(_) => "notices",
+            Self::UpstreamNotices(_) | Self::RemovedUpstreams(_) | Self::LimitReport { .. } => {
+                "notices"
+            }
             Self::Spread(_) => "changes",
             Self::ListQuestion { .. } | Self::ListWord(_) => "confirmations",
             Self::BorrowRetry { .. }
--- a/lib/src/direct/membership/peer_table.rs
+++ b/lib/src/direct/membership/peer_table.rs
@@ -9,6 +9,7 @@
 use crate::direct::membership::peer_message::CustomerSpending;
 use crate::direct::membership::peer_message::EntryHost;
 use crate::direct::membership::peer_message::Heartbeat;
+use crate::direct::membership::peer_message::LIMIT_REPORTS_LEVEL;
 use crate::direct::membership::peer_message::REPLICA_AGES_LEVEL;
 use crate::direct::membership::peer_message::RETRY_PARTS_LEVEL;
 use crate::direct::membership::peer_message::RETURNS_LEVEL;
@@ -546,6 +547,20 @@
         peer.is_none_or(|peer| peer.message_level >= SUSPECTS_LEVEL)
     }
 
+    /// Returns whether a peer's build knows reports about limits.
+    ///
+    /// ```
+    /// # use sardinewood::direct::membership::peer_table::PeerTable;
+    /// let own_address = "10.0.0.1:7".parse().unwrap();
+    /// let other = "10.0.0.2:7".parse().unwrap();
+    /// assert!(!PeerTable::new(own_address, &[]).knows_limit_reports(other));
+    /// ```
+    #[must_use]
+    pub fn knows_limit_reports(&self, peer: SocketAddr) -> bool {
+        let peer = self.peers.get(&peer);
+        peer.is_some_and(|peer| peer.message_level >= LIMIT_REPORTS_LEVEL)
+    }
+
     /// Returns the age of this entry, as sent in heartbeats.
     ///
     /// ```
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -50,6 +50,8 @@
     pub upstream_ends: IntCounterVec,
     /// Changed notices of upstreams, by kind.
     pub notices: IntCounterVec,
+    /// Answers of upstreams in need that left their limit out, by result of the request.
+    pub omitted_limits: IntCounterVec,
     /// Canary requests sent to a new version, by service.
     pub trials: IntCounterVec,
     /// Rollouts that left a phase by this entry's decision, by service and reason.
@@ -92,6 +94,8 @@
     pub upstreams: IntGauge,
     /// Upstreams with a request rate limit.
     pub limited_upstreams: IntGauge,
+    /// Those of them whose admission queues here wait for an answer.
+    pub stalled_upstreams: IntGauge,
     /// Upstreams that have announced that they will leave.
     pub leaving_upstreams: IntGauge,
     /// Upstreams that are used though their entries have disappeared from the list.
@@ -225,6 +229,19 @@
     counter("sent_by_old_list_total", help)
 }
 
+fn list_questions_counter() -> prometheus::Result<IntCounterVec> {
+    let help = "Questions whether the list of upstreams is the newest.";
+    counters("list_questions_total", help, &["asked"])
+}
+
+fn omitted_limits_counter() -> prometheus::Result<IntCounterVec> {
+    counters(
+        "omitted_limits_total",
+        "Answers of limited upstreams that do not state the limit.",
+        &["answer"],
+    )
+}
+
 fn returns_counter() -> prometheus::Result<IntCounterVec> {
     let help = "Callers told to return, and their returns.";
     counters("returns_total", help, &["result"])
@@ -261,6 +278,7 @@
                 "Changes of what upstreams say of themselves.",
                 &["notice"],
             )?,
+            omitted_limits: omitted_limits_counter()?,
             trials: counters(
                 "trials_total",
                 "Requests that judged a new version.",
@@ -312,6 +330,7 @@
             peers: gauge("peers", "Other entries that are heard.")?,
             upstreams: gauge("upstreams", "Upstreams that take new work.")?,
             limited_upstreams: gauge("limited_upstreams", "Upstreams that limit their requests.")?,
+            stalled_upstreams: gauge("stalled_upstreams", "Those that answer nothing.")?,
             leaving_upstreams: gauge("leaving_upstreams", "Upstreams that said they will end.")?,
             missing_upstreams: gauge("missing_upstreams", "Upstreams used and not listed.")?,
             upstreams_at_rest: gauge("upstreams_at_rest", "Upstreams that asked for rest.")?,
@@ -335,11 +354,7 @@
                 "leaving_known_within_ms",
                 "Age of the list when upstreams became known to have left.",
             ))?,
-            list_questions: counters(
-                "list_questions_total",
-                "Questions whether the list of upstreams is the newest.",
-                &["asked"],
-            )?,
+            list_questions: list_questions_counter()?,
             sent_by_old_list: sent_by_old_list_counter()?,
             returns: returns_counter()?,
             refused_late: refused_late_counter()?,
@@ -367,6 +382,7 @@
             &self.cached_tokens,
             &self.upstream_ends,
             &self.notices,
+            &self.omitted_limits,
             &self.taken_up,
             &self.trials,
             &self.rollouts_decided,
@@ -391,6 +407,7 @@
             &self.peers,
             &self.upstreams,
             &self.limited_upstreams,
+            &self.stalled_upstreams,
             &self.leaving_upstreams,
             &self.missing_upstreams,
             &self.upstreams_at_rest,
--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -5,6 +5,8 @@
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
+use crate::direct::notices::limit_end::LimitReport;
+use crate::direct::notices::limit_end::LimitStep;
 use crate::direct::notices::notice::NoticeField;
 use crate::direct::notices::notice::UpstreamNotice;
 use crate::direct::notices::upstream_state::InstantMs;
@@ -38,8 +40,6 @@
 pub enum NoticeChange {
     /// The upstream limits its requests to this number in 1,000 seconds.
     Limited(u32),
-    /// The upstream no longer states a limit.
-    Unlimited,
     /// The upstream states an invalid limit. The previous limit stays in force.
     InvalidLimit(Arc<str>),
     /// The upstream is shutting down.
@@ -60,17 +60,20 @@
     /// ```
     #[must_use]
     pub fn is_shared(&self) -> bool {
-        matches!(self, Self::Limited(_) | Self::Unlimited | Self::Leaving)
+        matches!(self, Self::Limited(_) | Self::Leaving)
     }
 }
 
 /// What upstreams have stated about themselves, by incarnation.
 ///
-/// Entries merge updates in any order: the latest answer is in force.
+/// Entries merge updates in any order: the latest statement is in force. The owner of an upstream's
+/// admission queue decides when its limit has ended.
 ///
 /// ```
-/// use sardinewood::direct::notices::upstream_notices::{NoticeChange, UpstreamNotices};
+/// use sardinewood::direct::notices::limit_end::{LimitReport, LimitStep};
 /// use sardinewood::direct::notices::notice::{UpstreamNotice, NoticeField};
+/// use sardinewood::direct::notices::upstream_notices::{NoticeChange, UpstreamNotices};
+/// use sardinewood::direct::placement::dispatch::upstream_hash;
 ///
 /// let (mut one, mut other) = (UpstreamNotices::default(), UpstreamNotices::default());
 /// let limited = UpstreamNotice { limit_per_1000_s: NoticeField::Value(1_400), ..UpstreamNotice::default() };
@@ -79,8 +82,12 @@
 ///
 /// assert_eq!(other.merge(&one.updates_for_instance("i-1", 30), 30).len(), 1);
 /// assert_eq!(other.limited_count(), 1);
-/// assert_eq!(other.record("i-1", &UpstreamNotice::default(), 40), [NoticeChange::Unlimited]);
-/// assert_eq!(one.merge(&other.updates_for_instance("i-1", 50), 50).len(), 1);
+/// let upstream = upstream_hash("i-1");
+/// for _ in 0..3 {
+///     assert_eq!(other.record_limit_report(upstream, LimitReport::Omitted, 1_100), LimitStep::Probe);
+/// }
+/// assert_eq!(other.record_limit_report(upstream, LimitReport::Omitted, 1_100), LimitStep::End);
+/// assert_eq!(one.merge(&other.updates_for_instance("i-1", 1_200), 1_200).len(), 1);
 /// assert_eq!(one.limited_count(), 0);
 /// ```
 #[derive(Clone, Debug)]
@@ -152,9 +159,7 @@
         state.instance.get_or_insert_with(|| instance.into());
         let limit = match state.record_limit(&notice.limit_per_1000_s, signed(now_ms)) {
             LimitChange::Unchanged => None,
-            LimitChange::Changed(limit) => {
-                Some(limit.map_or(NoticeChange::Unlimited, NoticeChange::Limited))
-            }
+            LimitChange::Changed(limit) => Some(NoticeChange::Limited(limit)),
             LimitChange::Invalid(text) => Some(NoticeChange::InvalidLimit(text)),
         };
         let backoff = match &notice.backoff_ms {
@@ -177,6 +182,67 @@
             .collect()
     }
 
+    /// Records what an answer that this entry or a peer received said of an upstream's limit. Returns what
+    /// that means for the limit. See [`UpstreamNotices`].
+    pub fn record_limit_report(
+        &mut self,
+        upstream: u32,
+        report: LimitReport,
+        now_ms: u64,
+    ) -> LimitStep {
+        let state = self.by_upstream.get_mut(&upstream);
+        state.map_or(LimitStep::Keep, |state| {
+            state.record_limit_report(report, signed(now_ms))
+        })
+    }
+
+    /// Ends an upstream's limit if the answers so far show that it has ended.
+    ///
+    /// ```
+    /// # use sardinewood::direct::notices::{limit_end::LimitStep, upstream_notices::UpstreamNotices};
+    /// assert_eq!(UpstreamNotices::default().check_limit(7, 0), LimitStep::Keep);
+    /// ```
+    pub fn check_limit(&mut self, upstream: u32, now_ms: u64) -> LimitStep {
+        let state = self.by_upstream.get_mut(&upstream);
+        state.map_or(LimitStep::Keep, |state| state.check_limit(signed(now_ms)))
+    }
+
+    /// Returns the number of answers in a row that did not state an upstream's limit.
+    ///
+    /// ```
+    /// assert_eq!(sardinewood::direct::notices::upstream_notices::UpstreamNotices::default().limit_omissions(7), 0);
+    /// ```
+    #[must_use]
+    pub fn limit_omissions(&self, upstream: u32) -> u32 {
+        let state = self.by_upstream.get(&upstream);
+        state.map_or(0, UpstreamState::limit_omissions)
+    }
+
+    /// Returns whether an upstream has a limit in force.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::notices::upstream_notices::UpstreamNotices::default().is_limited(7));
+    /// ```
+    #[must_use]
+    pub fn is_limited(&self, upstream: u32) -> bool {
+        let state = self.by_upstream.get(&upstream);
+        state.is_some_and(|state| state.limit_per_1000_s().is_some())
+    }
+
+    /// Returns the rates of starts that admission queues keep to, by upstream hash, in requests in 1,000
+    /// seconds: the limits in force, and rates that rise after the end of a limit.
+    ///
+    /// ```
+    /// assert!(sardinewood::direct::notices::upstream_notices::UpstreamNotices::default().rates(0).is_empty());
+    /// ```
+    #[must_use]
+    pub fn rates(&self, now_ms: u64) -> IndexMap<u32, u32> {
+        self.by_upstream
+            .iter()
+            .filter_map(|(hash, state)| Some((*hash, state.rate_per_1000_s(signed(now_ms))?)))
+            .collect()
+    }
+
     /// Records the upstreams that the list shows to leave. Returns the hashes of those that it has begun
     /// to show as taking requests again, which the peers may take for true.
     ///
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -5,7 +5,11 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::direct::notices::limit_end::LimitEvidence;
+use crate::direct::notices::limit_end::LimitReport;
+use crate::direct::notices::limit_end::LimitStep;
 use crate::direct::notices::notice::NoticeField;
+use crate::numbers;
 use crate::numbers::signed;
 
 /// What an upstream has stated, as entries send it to each other.
@@ -63,18 +67,46 @@
 /// events from before the process started.
 pub(super) type InstantMs = i64;
 
-/// The latest limit that an upstream stated, and when.
+/// The latest limit that an upstream stated, or its end, and when.
 #[derive(Clone, Copy, Debug)]
 struct StatedLimit {
-    /// Requests in 1,000 seconds; none if the upstream no longer states a limit.
+    /// Requests in 1,000 seconds; none if the limit has ended.
     per_1000_s: Option<u32>,
     at_ms: InstantMs,
 }
 
+/// How long the rate still rises after a limit has ended.
+const RISE_MS: InstantMs = 1_000;
+/// Time in which it doubles.
+const DOUBLING_MS: f64 = 200.0;
+
+/// The rise of an upstream's rate after the end of its limit. If it turns out that the limit has not
+/// ended, the upstream has got little beyond it.
+#[derive(Clone, Copy, Debug)]
+struct RateRise {
+    /// The limit that has ended.
+    per_1000_s: u32,
+    since_ms: InstantMs,
+}
+
+impl RateRise {
+    fn per_1000_s(self, now_ms: InstantMs) -> Option<u32> {
+        let age_ms = now_ms.saturating_sub(self.since_ms).max(0);
+        let doublings = numbers::as_f64(age_ms.unsigned_abs()) / DOUBLING_MS;
+        let per_1000_s = f64::from(self.per_1000_s.max(MIN_RISING_PER_1000_S)) * doublings.exp2();
+        (age_ms < RISE_MS).then(|| numbers::whole_u32(per_1000_s))
+    }
+}
+
+/// Rate from which the rise begins, in requests in 1,000 seconds, if the limit was lower.
+const MIN_RISING_PER_1000_S: u32 = 1_000;
+
 /// The state of one upstream by its notices.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UpstreamState {
     limit: Option<StatedLimit>,
+    limit_evidence: LimitEvidence,
+    rate_rise: Option<RateRise>,
     /// The text of the latest invalid limit.
     invalid_limit: Option<Arc<str>>,
     pub(super) leaving: Option<LeavingSource>,
@@ -98,8 +130,8 @@
 pub(super) enum LimitChange {
     /// The limit is the same.
     Unchanged,
-    /// The limit is another one, or has been lifted.
-    Changed(Option<u32>),
+    /// The limit is another one.
+    Changed(u32),
     /// The stated text is not a valid limit.
     Invalid(Arc<str>),
 }
@@ -140,7 +172,60 @@
         is_longer
     }
 
-    /// Records the limit that an answer states, and returns how it differs from the known one.
+    /// Returns the rate of starts to keep to, in requests in 1,000 seconds: the limit in force, or more
+    /// for a while after its end.
+    pub(super) fn rate_per_1000_s(&self, now_ms: InstantMs) -> Option<u32> {
+        let rising = || self.rate_rise?.per_1000_s(now_ms);
+        self.limit_per_1000_s().or_else(rising)
+    }
+
+    /// Records what an answer that this entry or a peer received said of the limit in force, and returns
+    /// what that means for it.
+    pub(super) fn record_limit_report(
+        &mut self,
+        report: LimitReport,
+        now_ms: InstantMs,
+    ) -> LimitStep {
+        if self.limit_per_1000_s().is_none() {
+            return LimitStep::Keep;
+        }
+        let step = self.limit_evidence.record(report, now_ms);
+        self.apply_limit_step(step, now_ms)
+    }
+
+    /// Ends the limit if the answers so far show that it has ended.
+    pub(super) fn check_limit(&mut self, now_ms: InstantMs) -> LimitStep {
+        if self.limit_per_1000_s().is_none() {
+            return LimitStep::Keep;
+        }
+        self.apply_limit_step(self.limit_evidence.step(now_ms), now_ms)
+    }
+
+    fn apply_limit_step(&mut self, step: LimitStep, now_ms: InstantMs) -> LimitStep {
+        if step == LimitStep::End
+            && let Some(per_1000_s) = self.limit_per_1000_s()
+        {
+            self.rate_rise = Some(RateRise {
+                per_1000_s,
+                since_ms: now_ms,
+            });
+            self.limit = Some(StatedLimit {
+                per_1000_s: None,
+                at_ms: now_ms,
+            });
+            self.limit_evidence.record_end(now_ms);
+            self.updated_at_ms = now_ms;
+        }
+        step
+    }
+
+    /// Returns the number of answers in a row that did not state the limit.
+    pub(super) fn limit_omissions(&self) -> u32 {
+        self.limit_evidence.omissions()
+    }
+
+    /// Records the limit that an answer states, and returns how it differs from the known one. An answer
+    /// that states none changes nothing; see [`Self::record_limit_report`].
     pub(super) fn record_limit(
         &mut self,
         limit: &NoticeField<u32>,
@@ -148,8 +233,8 @@
     ) -> LimitChange {
         self.updated_at_ms = now_ms;
         let per_1000_s = match limit {
-            NoticeField::Absent => None,
-            NoticeField::Value(limit) => Some(*limit),
+            NoticeField::Absent => return LimitChange::Unchanged,
+            NoticeField::Value(limit) => *limit,
             NoticeField::Invalid(text) => {
                 let is_known = self.invalid_limit.replace(Arc::clone(text)).as_ref() == Some(text);
                 return if is_known {
@@ -160,13 +245,13 @@
             }
         };
         let before = self.limit_per_1000_s();
-        if self.limit.is_some() || per_1000_s.is_some() {
-            self.limit = Some(StatedLimit {
-                per_1000_s,
-                at_ms: now_ms,
-            });
-        }
-        if before == per_1000_s {
+        self.limit = Some(StatedLimit {
+            per_1000_s: Some(per_1000_s),
+            at_ms: now_ms,
+        });
+        self.limit_evidence.record_statement(now_ms);
+        self.rate_rise = None;
+        if before == Some(per_1000_s) {
             LimitChange::Unchanged
         } else {
             LimitChange::Changed(per_1000_s)
@@ -185,6 +270,10 @@
             per_1000_s: update.per_1000_s,
             at_ms,
         });
+        if update.per_1000_s.is_some() {
+            self.limit_evidence.record_statement(at_ms);
+            self.rate_rise = None;
+        }
         before != update.per_1000_s
     }
 
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -7,6 +7,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use http::StatusCode;
 use indexmap::IndexSet;
 use serde_json::Value;
 use serde_json::json;
@@ -15,6 +16,9 @@
 
 use crate::direct::membership::gossip;
 use crate::direct::membership::peer_message::PeerMessage;
+use crate::direct::notices::limit_end::LimitReport;
+use crate::direct::notices::limit_end::LimitStep;
+use crate::direct::notices::notice::NoticeField;
 use crate::direct::notices::notice::UpstreamNotice;
 use crate::direct::notices::upstream_notices::NoticeChange;
 use crate::direct::notices::upstream_state::NoticeUpdate;
@@ -32,6 +36,11 @@
 const REMOVALS_PER_DATAGRAM: usize = 16;
 const MAX_TOLD_REMOVALS: usize = 128;
 
+/// Time after an answer without a limit until the limit is checked, unless more answers come.
+const LIMIT_CHECK_AFTER: Duration = Duration::from_secs(1);
+/// Time between two steps of the rate that rises after the end of a limit.
+const RATE_STEP: Duration = Duration::from_millis(100);
+
 /// Number of seconds to which a limit refers.
 const LIMIT_PERIOD_S: f64 = 1_000.0;
 
@@ -48,16 +57,22 @@
         self: &Rc<Self>,
         call: &Call,
         upstream: &Upstream,
+        status: StatusCode,
         answer: &ResponseHeaders,
     ) {
         let is_empty = answer.notice == UpstreamNotice::default();
         if is_empty && self.notices.borrow().is_empty() || !is_from_upstream(call, answer) {
             return;
         }
+        let report = limit_report(status, answer);
+        let mut notice = answer.notice.clone();
+        if report.is_none() {
+            notice.limit_per_1000_s = NoticeField::Absent;
+        }
         let now_ms = self.now_ms();
         let instance = &upstream.instance;
         let mut notices = self.notices.borrow_mut();
-        let changes = notices.record(instance, &answer.notice, now_ms);
+        let changes = notices.record(instance, &notice, now_ms);
         let is_resend_due = notices.take_due_resend(instance, now_ms);
         drop(notices);
         if changes.iter().any(NoticeChange::is_shared) {
@@ -72,6 +87,102 @@
         for change in changes {
             self.log_notice(call, upstream, &change);
         }
+        if let Some(report) = report {
+            self.report_limit(instance, report);
+        }
+    }
+
+    /// Tells the owner of an upstream's admission queue what an answer said of the limit in force.
+    fn report_limit(self: &Rc<Self>, instance: &str, report: LimitReport) {
+        let upstream = upstream_hash(instance);
+        if !self.notices.borrow().is_limited(upstream) {
+            return;
+        }
+        if report != LimitReport::Stated {
+            let omitted = &self.metrics.omitted_limits;
+            omitted.with_label_values(&[report.name()]).inc();
+        }
+        match self.owner(upstream) {
+            EntryRef::Local => self.handle_limit_report(upstream, report),
+            EntryRef::Peer(owner) if self.peers.borrow().knows_limit_reports(owner) => {
+                self.send_to_peer(owner, &PeerMessage::LimitReport { upstream, report });
+            }
+            EntryRef::Peer(_) => {}
+        }
+    }
+
+    /// Handles what an answer said of the limit of an upstream whose admission queue this entry owns.
+    pub fn handle_limit_report(self: &Rc<Self>, upstream: u32, report: LimitReport) {
+        let mut notices = self.notices.borrow_mut();
+        let step = notices.record_limit_report(upstream, report, self.now_ms());
+        drop(notices);
+        let is_probed = step == LimitStep::Probe;
+        let mut admission = self.admission.borrow_mut();
+        let unanswered = admission.record_answer(upstream, is_probed);
+        drop(admission);
+        if let Some(unanswered) = unanswered {
+            self.log(Level::Info, "limited upstream answers again", |line| {
+                line.field("upstream", self.upstream_name(upstream))
+                    .field("unanswered_starts", unanswered)
+            });
+        }
+        match step {
+            LimitStep::Keep => {}
+            LimitStep::Probe => self.schedule_limit_check(upstream),
+            LimitStep::End => self.end_limit(upstream),
+        }
+        self.grant_slots();
+    }
+
+    /// Checks later whether a limit has ended, if no further answer shows it by then.
+    fn schedule_limit_check(self: &Rc<Self>, upstream: u32) {
+        let traffic = Rc::clone(self);
+        spawn_local(async move {
+            sleep(LIMIT_CHECK_AFTER).await;
+            let mut notices = traffic.notices.borrow_mut();
+            let step = notices.check_limit(upstream, traffic.now_ms());
+            drop(notices);
+            if step == LimitStep::End {
+                traffic.end_limit(upstream);
+            }
+        });
+    }
+
+    /// Tells the other entries that a limit has ended, and lets the rate of starts rise.
+    fn end_limit(self: &Rc<Self>, upstream: u32) {
+        const MESSAGE: &str = "limit of upstream has ended";
+        let notices = self.notices.borrow();
+        let omissions = notices.limit_omissions(upstream);
+        let updates = notices.updates_for(&[upstream], self.now_ms());
+        drop(notices);
+        self.metrics.notices.with_label_values(&[MESSAGE]).inc();
+        self.log(Level::Warn, MESSAGE, |line| {
+            line.field("upstream", self.upstream_name(upstream))
+                .field("answers_without_limit", omissions)
+        });
+        self.send_notice_updates(updates, usize::MAX);
+        self.update_eligible_upstreams();
+        let traffic = Rc::clone(self);
+        spawn_local(async move {
+            loop {
+                let has_ended = !traffic.apply_rates().contains(&upstream);
+                traffic.grant_slots();
+                if has_ended || traffic.notices.borrow().is_limited(upstream) {
+                    return;
+                }
+                sleep(RATE_STEP).await;
+            }
+        });
+    }
+
+    /// Applies limits, and rates that rise after the end of a limit, to the admission queues. Returns the
+    /// upstreams concerned.
+    fn apply_rates(&self) -> IndexSet<u32> {
+        let now_ms = self.now_ms();
+        let rates = self.notices.borrow().rates(now_ms);
+        let upstreams = rates.keys().copied().collect();
+        self.admission.borrow_mut().set_limits(rates, now_ms);
+        upstreams
     }
 
     /// Records the upstreams that the list shows to leave.
@@ -157,8 +268,8 @@
         dispatcher.set_limited(&limited);
         dispatcher.set_backoffs(&notices.backoffs(self.now_ms()));
         drop(dispatcher);
-        let mut admission = self.admission.borrow_mut();
-        admission.set_limits(limits, self.now_ms());
+        drop(notices);
+        self.apply_rates();
     }
 
     /// Returns the states of upstreams for operators, by the upstreams' names.
@@ -234,7 +345,6 @@
     fn log_notice(&self, call: &Call, upstream: &Upstream, change: &NoticeChange) {
         let message = match change {
             NoticeChange::Limited(_) => "upstream limits its requests",
-            NoticeChange::Unlimited => "upstream no longer limits its requests",
             NoticeChange::InvalidLimit(_) => "upstream's limit can't be read",
             NoticeChange::Leaving => "upstream says that it leaves",
             NoticeChange::BackingOff(_) => "upstream asks for rest",
@@ -252,7 +362,7 @@
                     "requests_per_s",
                     numbers::as_f64((*limit).into()) / LIMIT_PERIOD_S,
                 ),
-                NoticeChange::Unlimited | NoticeChange::Leaving => line,
+                NoticeChange::Leaving => line,
                 NoticeChange::BackingOff(backoff_ms) => line.field("rest_ms", backoff_ms),
                 NoticeChange::InvalidLimit(text) | NoticeChange::InvalidBackoff(text) => {
                     line.field("text", text)
@@ -262,6 +372,20 @@
     }
 }
 
+/// Returns what an answer says of its upstream's limit; nothing if it may come from anybody else.
+fn limit_report(status: StatusCode, answer: &ResponseHeaders) -> Option<LimitReport> {
+    if !answer.is_authentic && !answer.is_not_run {
+        return None;
+    }
+    match answer.notice.limit_per_1000_s {
+        NoticeField::Value(_) | NoticeField::Invalid(_) => Some(LimitReport::Stated),
+        NoticeField::Absent if answer.is_not_run || status.is_server_error() => {
+            Some(LimitReport::OmittedByFailure)
+        }
+        NoticeField::Absent => Some(LimitReport::Omitted),
+    }
+}
+
 /// Returns whether an answer comes from the intended upstream and belongs to the request. An answer
 /// that declines a request before reading it may lack the request ID.
 fn is_from_upstream(call: &Call, answer: &ResponseHeaders) -> bool {
--- a/lib/src/direct/replication/heartbeats.rs
+++ b/lib/src/direct/replication/heartbeats.rs
@@ -173,6 +173,9 @@
             Some(PeerMessage::UpstreamNotices(updates)) => {
                 traffic.merge_notice_updates(from, &updates);
             }
+            Some(PeerMessage::LimitReport { upstream, report }) => {
+                traffic.handle_limit_report(upstream, report);
+            }
             Some(PeerMessage::RemovedUpstreams(instances)) => {
                 // The control thread ends only with the process.
                 let _ = self.channels.told_removals.send((from, instances));
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -460,7 +460,7 @@
 ) -> AttemptResult {
     let (parts, body) = response.into_parts();
     let headers = (traffic.header_codec.read_response)(parts.status, &parts.headers);
-    traffic.record_notice(call, &lease.upstream, &headers);
+    traffic.record_notice(call, &lease.upstream, parts.status, &headers);
     // A reused connection may hold an extra response to an earlier request, which carries the id of
     // that request. As a response it would reach another caller, and as a rejection the request would
     // run again.
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -415,6 +415,39 @@
         }
     }
 
+    /// Records that a limited upstream has answered a request. `is_limit_probed` tells whether the end of
+    /// its limit is probed, so that starts may be taken in advance. Returns the number of unanswered
+    /// starts if the upstream seemed to stall.
+    ///
+    /// ```
+    /// use sardinewood::direct::sharing::admission::AdmissionController;
+    ///
+    /// assert_eq!(AdmissionController::default().record_answer(7, false), None);
+    /// ```
+    pub fn record_answer(&mut self, upstream: u32, is_limit_probed: bool) -> Option<u32> {
+        let queue = self.queues.get_mut(&upstream);
+        let rate = queue.and_then(|queue| queue.grant_rate.as_mut())?;
+        let unanswered = rate.seems_stalled().then(|| rate.unanswered());
+        rate.record_answer();
+        rate.set_overdrawable(is_limit_probed);
+        self.dirty_queues.push(upstream);
+        unanswered
+    }
+
+    /// Returns the number of limited upstreams that have answered none of the latest starts.
+    ///
+    /// ```
+    /// use sardinewood::direct::sharing::admission::AdmissionController;
+    ///
+    /// assert_eq!(AdmissionController::default().stalled_count(), 0);
+    /// ```
+    #[must_use]
+    pub fn stalled_count(&self) -> usize {
+        self.limited_queues()
+            .filter(|(_, queue)| queue.grant_rate.is_some_and(|rate| rate.seems_stalled()))
+            .count()
+    }
+
     /// Returns the time until the rate of a limited upstream allows a grant that a request waits
     /// for.
     ///
@@ -504,7 +537,13 @@
         }
         match release {
             SlotRelease::Unanswered => {}
-            SlotRelease::Answered { held_ms } => queue.average_hold_ms.observe(f64::from(held_ms)),
+            SlotRelease::Answered { held_ms } => {
+                queue.average_hold_ms.observe(f64::from(held_ms));
+                queue
+                    .grant_rate
+                    .iter_mut()
+                    .for_each(GrantRate::record_answer);
+            }
             SlotRelease::Unused => queue.grant_rate.iter_mut().for_each(GrantRate::put_back),
         }
         self.dirty_queues.push(upstream);
--- a/lib/src/direct/sharing/rate.rs
+++ b/lib/src/direct/sharing/rate.rs
@@ -8,6 +8,11 @@
 const MIN_PER_1000_S: u32 = 500;
 /// Time whose starts may accumulate while no request waits.
 const BURST_MS: f64 = 250.0;
+/// Time whose starts may be taken in advance while the end of the limit is probed, and further starts.
+const OVERDRAFT_MS: f64 = 1_000.0;
+const OVERDRAFT_STARTS: f64 = 3.0;
+/// Time whose starts may be without any answer, beside one more, until the upstream seems to stall.
+const UNANSWERED_MS: f64 = 1_000.0;
 /// Milliseconds in 1,000 seconds, the period that limits refer to.
 const MS_PER_1000_S: f64 = 1_000_000.0;
 
@@ -26,6 +31,10 @@
     per_ms: f64,
     tokens: f64,
     filled_at_ms: u64,
+    /// Whether tokens may be taken in advance.
+    is_overdrawable: bool,
+    /// Starts since the last answer.
+    unanswered: u32,
 }
 
 impl GrantRate {
@@ -37,9 +46,58 @@
             per_ms: per_ms(limit_per_1000_s, share),
             tokens: 0.0,
             filled_at_ms: now_ms,
+            is_overdrawable: false,
+            unanswered: 0,
         }
     }
 
+    /// Sets whether starts may be taken in advance, which the limit allows later.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::rate::GrantRate;
+    /// let mut rate = GrantRate::new(500, 1.0, 0);
+    /// rate.set_overdrawable(true);
+    /// assert!(rate.try_take(0));
+    /// ```
+    pub fn set_overdrawable(&mut self, is_overdrawable: bool) {
+        self.is_overdrawable = is_overdrawable;
+    }
+
+    /// Records that the upstream has answered a request.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::rate::GrantRate;
+    /// let mut rate = GrantRate::new(1_000, 1.0, 0);
+    /// assert!(rate.try_take(1_000) && rate.unanswered() == 1);
+    /// rate.record_answer();
+    /// assert_eq!(rate.unanswered(), 0);
+    /// ```
+    pub fn record_answer(&mut self) {
+        self.unanswered = 0;
+    }
+
+    /// Returns the number of starts since the last answer.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::rate::GrantRate;
+    /// assert_eq!(GrantRate::new(1_000, 1.0, 0).unanswered(), 0);
+    /// ```
+    #[must_use]
+    pub fn unanswered(&self) -> u32 {
+        self.unanswered
+    }
+
+    /// Returns whether the upstream has answered none of the latest starts.
+    ///
+    /// ```
+    /// # use sardinewood::direct::sharing::rate::GrantRate;
+    /// assert!(!GrantRate::new(1_000, 1.0, 0).seems_stalled());
+    /// ```
+    #[must_use]
+    pub fn seems_stalled(&self) -> bool {
+        f64::from(self.unanswered) >= (self.per_ms * UNANSWERED_MS).floor() + 1.0
+    }
+
     /// Applies another limit or share from now on.
     ///
     /// ```
@@ -56,11 +114,13 @@
     /// Takes a token if there is one, and returns whether there was.
     pub fn try_take(&mut self, now_ms: u64) -> bool {
         self.fill(now_ms);
-        let is_available = self.tokens >= 1.0;
-        if is_available {
-            self.tokens -= 1.0;
+        let is_available = self.tokens >= 1.0 - self.overdraft();
+        if !is_available {
+            return false;
         }
-        is_available
+        self.tokens -= 1.0;
+        self.unanswered = self.unanswered.saturating_add(1);
+        true
     }
 
     /// Returns a token that was not used.
@@ -74,6 +134,7 @@
     /// ```
     pub fn put_back(&mut self) {
         self.tokens += 1.0;
+        self.unanswered = self.unanswered.saturating_sub(1);
     }
 
     /// Returns the time until so many tokens are available.
@@ -86,7 +147,17 @@
     pub fn wait_ms(&self, starts: f64, now_ms: u64) -> u64 {
         let mut later = *self;
         later.fill(now_ms);
-        numbers::whole_u64(((starts - later.tokens) / later.per_ms).ceil())
+        let missing = starts - later.tokens - later.overdraft();
+        let filled_in_ms = numbers::whole_u64((missing / later.per_ms).ceil());
+        filled_in_ms
+    }
+
+    fn overdraft(&self) -> f64 {
+        if self.is_overdrawable {
+            self.per_ms * OVERDRAFT_MS + OVERDRAFT_STARTS
+        } else {
+            0.0
+        }
     }
 
     fn fill(&mut self, now_ms: u64) {
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -666,6 +666,8 @@
         metrics
             .limited_upstreams
             .set(gauge_value(notices.limited_count()));
+        let stalled = self.admission.borrow().stalled_count();
+        metrics.stalled_upstreams.set(gauge_value(stalled));
         metrics
             .leaving_upstreams
             .set(gauge_value(notices.leaving_count()));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -35,6 +35,7 @@
 mod test_direct_heartbeat_payload;
 mod test_direct_last_response;
 mod test_direct_late_start;
+mod test_direct_limit_end;
 mod test_direct_list_use;
 mod test_direct_notices;
 mod test_direct_pending_replies;
