rate: hold starts back while a limited upstream answers nothing

At most a second's starts and one more are now out without any answer. Then single starts follow, at intervals that double from 2 s to 32 s, until the upstream answers; so lost answers hold no slot for good. Weighed: counting all that is out against the limit, which would cap requests that legitimately take seconds.

--- a/lib/src/direct/sharing/rate.rs
+++ b/lib/src/direct/sharing/rate.rs
@@ -13,11 +13,18 @@
 const OVERDRAFT_STARTS: f64 = 3.0;
 /// Time whose starts may be without any answer, beside one more, until the upstream seems to stall.
 const UNANSWERED_MS: f64 = 1_000.0;
+/// Time until the first start at an upstream that seems to stall, and longest time between two of them.
+const MIN_RETRY_MS: u64 = 2_000;
+const MAX_RETRY_MS: u64 = 32_000;
 /// Milliseconds in 1,000 seconds, the period that limits refer to.
 const MS_PER_1000_S: f64 = 1_000_000.0;
 
 /// A token bucket that is empty at first; one token allows one start.
 ///
+/// While the upstream answers nothing, starts are held back after the first few. Whatever is sent to an
+/// upstream that stalls, or is disconnected, reaches it at once when it goes on, whether or not the
+/// request was given up. Single starts at growing intervals find out whether it goes on.
+///
 /// ```
 /// use sardinewood::direct::sharing::rate::GrantRate;
 ///
@@ -35,6 +42,9 @@
     is_overdrawable: bool,
     /// Starts since the last answer.
     unanswered: u32,
+    /// When the upstream may be tried again while it seems to stall.
+    retry_at_ms: u64,
+    retry_interval_ms: u64,
 }
 
 impl GrantRate {
@@ -48,6 +58,8 @@
             filled_at_ms: now_ms,
             is_overdrawable: false,
             unanswered: 0,
+            retry_at_ms: 0,
+            retry_interval_ms: MIN_RETRY_MS,
         }
     }
 
@@ -68,12 +80,13 @@
     /// ```
     /// # use sardinewood::direct::sharing::rate::GrantRate;
     /// let mut rate = GrantRate::new(1_000, 1.0, 0);
-    /// assert!(rate.try_take(1_000) && rate.unanswered() == 1);
+    /// assert!(rate.try_take(1_000) && rate.try_take(2_000) && !rate.try_take(3_000));
     /// rate.record_answer();
-    /// assert_eq!(rate.unanswered(), 0);
+    /// assert!(rate.try_take(3_000));
     /// ```
     pub fn record_answer(&mut self) {
         self.unanswered = 0;
+        self.retry_interval_ms = MIN_RETRY_MS;
     }
 
     /// Returns the number of starts since the last answer.
@@ -115,11 +128,16 @@
     pub fn try_take(&mut self, now_ms: u64) -> bool {
         self.fill(now_ms);
         let is_available = self.tokens >= 1.0 - self.overdraft();
-        if !is_available {
+        let is_held_back = self.seems_stalled() && now_ms < self.retry_at_ms;
+        if !is_available || is_held_back {
             return false;
         }
         self.tokens -= 1.0;
+        if self.seems_stalled() {
+            self.retry_interval_ms = (2 * self.retry_interval_ms).min(MAX_RETRY_MS);
+        }
         self.unanswered = self.unanswered.saturating_add(1);
+        self.retry_at_ms = now_ms + self.retry_interval_ms;
         true
     }
 
@@ -149,7 +167,12 @@
         later.fill(now_ms);
         let missing = starts - later.tokens - later.overdraft();
         let filled_in_ms = numbers::whole_u64((missing / later.per_ms).ceil());
-        filled_in_ms
+        let held_back_ms = self.retry_at_ms.saturating_sub(now_ms);
+        if self.seems_stalled() {
+            filled_in_ms.max(held_back_ms)
+        } else {
+            filled_in_ms
+        }
     }
 
     fn overdraft(&self) -> f64 {
