--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -79,6 +79,8 @@
 const RISE_MS: InstantMs = 1_000;
 /// Time in which it doubles.
 const DOUBLING_MS: f64 = 200.0;
+/// Rate from which the rise begins, in requests in 1,000 seconds, if the limit was lower.
+const MIN_RISING_PER_1000_S: u32 = 1_000;
 
 /// The rise of an upstream's rate after the end of its limit. If it turns out that the limit has not
 /// ended, the upstream has got little beyond it.
@@ -98,9 +100,6 @@
     }
 }
 
-/// Rate from which the rise begins, in requests in 1,000 seconds, if the limit was lower.
-const MIN_RISING_PER_1000_S: u32 = 1_000;
-
 /// The state of one upstream by its notices.
 #[derive(Clone, Debug, Default)]
 pub(super) struct UpstreamState {
--- a/lib/src/direct/sharing/rate.rs
+++ b/lib/src/direct/sharing/rate.rs
@@ -153,6 +153,9 @@
     pub fn put_back(&mut self) {
         self.tokens += 1.0;
         self.unanswered = self.unanswered.saturating_sub(1);
+        // The upstream was not tried.
+        self.retry_at_ms = 0;
+        self.retry_interval_ms = (self.retry_interval_ms / 2).max(MIN_RETRY_MS);
     }
 
     /// Returns the time until so many tokens are available.
--- a/lib/tests/test_direct_limit_end.rs
+++ b/lib/tests/test_direct_limit_end.rs
@@ -279,6 +279,28 @@
     assert_eq!(play.ends_ms.len(), 1, "{:?}", play.ends_ms);
 }
 
+#[test]
+fn unused_starts_at_a_stalled_upstream_are_no_tries() {
+    // Guards against an upstream that stays unused because the requests that were to try it had left.
+    let mut admission = AdmissionController::default();
+    admission.set_upstreams([("i-1".into(), 4)]);
+    admission.set_limits([(upstream(), 500)].into_iter().collect(), 0);
+    let slot_request = |id| SlotRequest {
+        id: PeerRequestId(id),
+        upstream: upstream(),
+        worth_micros: 1_000,
+        objective_in_ms: 500,
+        waited_ms: 0,
+    };
+    for id in 0..3 {
+        admission.enqueue(EntryRef::Local, slot_request(id), 0);
+    }
+    assert!(admission.next_grant(2_000).is_some());
+    assert!(admission.next_grant(4_000).is_some());
+    admission.release(EntryRef::Local, upstream(), SlotRelease::Unused);
+    assert!(admission.next_grant(4_010).is_some());
+}
+
 #[test]
 fn limit_used_while_answers_omit_it() {
     // Guards against a limit of which a part stays unused for want of an answer.
