--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -50,7 +50,7 @@
     pub upstream_ends: IntCounterVec,
     /// Changed notices of upstreams, by kind.
     pub notices: IntCounterVec,
-    /// Answers of upstreams in need that left their limit out, by result of the request.
+    /// Answers of limited upstreams that do not state the limit, by result of the request.
     pub omitted_limits: IntCounterVec,
     /// Canary requests sent to a new version, by service.
     pub trials: IntCounterVec,
@@ -330,7 +330,7 @@
             peers: gauge("peers", "Other entries that are heard.")?,
             upstreams: gauge("upstreams", "Upstreams that take new work.")?,
             limited_upstreams: gauge("limited_upstreams", "Upstreams that limit their requests.")?,
-            stalled_upstreams: gauge("stalled_upstreams", "Those that answer nothing.")?,
+            stalled_upstreams: gauge("stalled_upstreams", "Limited upstreams without answers.")?,
             leaving_upstreams: gauge("leaving_upstreams", "Upstreams that said they will end.")?,
             missing_upstreams: gauge("missing_upstreams", "Upstreams used and not listed.")?,
             upstreams_at_rest: gauge("upstreams_at_rest", "Upstreams that asked for rest.")?,
--- a/lib/src/direct/notices/limit_end.rs
+++ b/lib/src/direct/notices/limit_end.rs
@@ -15,7 +15,7 @@
 /// Maximum number that an upstream which omits its limit at times has to reach.
 const MAX_OMISSIONS: u32 = 12;
 /// Time since the limit was last stated after which successful answers may end it.
-pub(super) const QUIET_MS: InstantMs = 1_000;
+pub const QUIET_MS: InstantMs = 1_000;
 /// The same for an upstream that has answered with failures and rejections only.
 const FAILING_QUIET_MS: InstantMs = 30_000;
 /// Time after its end within which a restated limit shows that it had not ended.
@@ -90,10 +90,7 @@
     /// Records an answer, and returns what it means for the limit.
     pub fn record(&mut self, report: LimitReport, now_ms: InstantMs) -> LimitStep {
         match report {
-            LimitReport::Stated => {
-                self.record_statement(now_ms);
-                return LimitStep::Keep;
-            }
+            LimitReport::Stated => self.record_statement(now_ms),
             LimitReport::Omitted => self.omissions = self.omissions.saturating_add(1),
             LimitReport::OmittedByFailure => self.failures = self.failures.saturating_add(1),
         }
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -185,25 +185,19 @@
         report: LimitReport,
         now_ms: InstantMs,
     ) -> LimitStep {
-        if self.limit_per_1000_s().is_none() {
-            return LimitStep::Keep;
+        if self.limit_per_1000_s().is_some() {
+            self.limit_evidence.record(report, now_ms);
         }
-        let step = self.limit_evidence.record(report, now_ms);
-        self.apply_limit_step(step, now_ms)
+        self.check_limit(now_ms)
     }
 
     /// Ends the limit if the answers so far show that it has ended.
     pub(super) fn check_limit(&mut self, now_ms: InstantMs) -> LimitStep {
-        if self.limit_per_1000_s().is_none() {
+        let Some(per_1000_s) = self.limit_per_1000_s() else {
             return LimitStep::Keep;
-        }
-        self.apply_limit_step(self.limit_evidence.step(now_ms), now_ms)
-    }
-
-    fn apply_limit_step(&mut self, step: LimitStep, now_ms: InstantMs) -> LimitStep {
-        if step == LimitStep::End
-            && let Some(per_1000_s) = self.limit_per_1000_s()
-        {
+        };
+        let step = self.limit_evidence.step(now_ms);
+        if step == LimitStep::End {
             self.rate_rise = Some(RateRise {
                 per_1000_s,
                 since_ms: now_ms,
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -18,6 +18,7 @@
 use crate::direct::membership::peer_message::PeerMessage;
 use crate::direct::notices::limit_end::LimitReport;
 use crate::direct::notices::limit_end::LimitStep;
+use crate::direct::notices::limit_end::QUIET_MS;
 use crate::direct::notices::notice::NoticeField;
 use crate::direct::notices::notice::UpstreamNotice;
 use crate::direct::notices::upstream_notices::NoticeChange;
@@ -37,7 +38,7 @@
 const MAX_TOLD_REMOVALS: usize = 128;
 
 /// Time after an answer without a limit until the limit is checked, unless more answers come.
-const LIMIT_CHECK_AFTER: Duration = Duration::from_secs(1);
+const LIMIT_CHECK_AFTER: Duration = Duration::from_millis(QUIET_MS.unsigned_abs());
 /// Time between two steps of the rate that rises after the end of a limit.
 const RATE_STEP: Duration = Duration::from_millis(100);
 
--- a/lib/src/direct/sharing/rate.rs
+++ b/lib/src/direct/sharing/rate.rs
@@ -128,12 +128,12 @@
     pub fn try_take(&mut self, now_ms: u64) -> bool {
         self.fill(now_ms);
         let is_available = self.tokens >= 1.0 - self.overdraft();
-        let is_held_back = self.seems_stalled() && now_ms < self.retry_at_ms;
-        if !is_available || is_held_back {
+        let is_stalled = self.seems_stalled();
+        if !is_available || is_stalled && now_ms < self.retry_at_ms {
             return false;
         }
         self.tokens -= 1.0;
-        if self.seems_stalled() {
+        if is_stalled {
             self.retry_interval_ms = (2 * self.retry_interval_ms).min(MAX_RETRY_MS);
         }
         self.unanswered = self.unanswered.saturating_add(1);
--- a/lib/tests/test_direct_limit_end.rs
+++ b/lib/tests/test_direct_limit_end.rs
@@ -31,6 +31,16 @@
     }
 }
 
+fn slot_request(id: u64) -> SlotRequest {
+    SlotRequest {
+        id: PeerRequestId(id),
+        upstream: upstream(),
+        worth_micros: 1_000,
+        objective_in_ms: 500,
+        waited_ms: 0,
+    }
+}
+
 /// Whether and how answers state the limit.
 #[derive(Clone, Copy, Debug)]
 struct Upstream {
@@ -48,6 +58,17 @@
     ended_ms: u64,
 }
 
+/// An upstream that states its limit in all answers.
+const STEADY: Upstream = Upstream {
+    limit_per_1000_s: 1_000,
+    slots: 64,
+    answer_ms: 80,
+    omits_every: None,
+    omitted_part: 0.0,
+    omission: LimitReport::Omitted,
+    ended_ms: u64::MAX,
+};
+
 /// One entry before one upstream that could always be given more.
 struct Play {
     upstream: Upstream,
@@ -107,13 +128,7 @@
     }
 
     fn enqueue(&mut self, now_ms: u64) {
-        let slot_request = SlotRequest {
-            id: PeerRequestId(self.next_id),
-            upstream: upstream(),
-            worth_micros: 1_000,
-            objective_in_ms: 500,
-            waited_ms: 0,
-        };
+        let slot_request = slot_request(self.next_id);
         self.next_id += 1;
         self.admission
             .enqueue(EntryRef::Local, slot_request, now_ms);
@@ -185,10 +200,7 @@
         limit_per_1000_s: random.random_range(200..30_000),
         slots: random.random_range(1..=64),
         answer_ms: random.random_range(20..3_000),
-        omits_every: None,
-        omitted_part: 0.0,
-        omission: LimitReport::Omitted,
-        ended_ms: u64::MAX,
+        ..STEADY
     }
 }
 
@@ -245,10 +257,8 @@
             limit_per_1000_s,
             slots: 13,
             answer_ms: 40,
-            omits_every: None,
-            omitted_part: 0.0,
-            omission: LimitReport::Omitted,
             ended_ms: 20_000,
+            ..STEADY
         };
         let play = Play::new(upstream, 1).run(30_000);
         let interval_ms = 1_000_000 / u64::from(limit_per_1000_s.max(500));
@@ -270,10 +280,9 @@
         limit_per_1000_s: 1_000,
         slots: 4,
         answer_ms: 40,
-        omits_every: None,
-        omitted_part: 0.0,
         omission: LimitReport::OmittedByFailure,
         ended_ms: 5_000,
+        ..STEADY
     };
     let play = Play::new(upstream, 1).run(40_000);
     assert_eq!(play.ends_ms.len(), 1, "{:?}", play.ends_ms);
@@ -285,13 +294,6 @@
     let mut admission = AdmissionController::default();
     admission.set_upstreams([("i-1".into(), 4)]);
     admission.set_limits([(upstream(), 500)].into_iter().collect(), 0);
-    let slot_request = |id| SlotRequest {
-        id: PeerRequestId(id),
-        upstream: upstream(),
-        worth_micros: 1_000,
-        objective_in_ms: 500,
-        waited_ms: 0,
-    };
     for id in 0..3 {
         admission.enqueue(EntryRef::Local, slot_request(id), 0);
     }
@@ -310,9 +312,8 @@
             slots: 64,
             answer_ms,
             omits_every: Some(3),
-            omitted_part: 0.0,
             omission: LimitReport::OmittedByFailure,
-            ended_ms: u64::MAX,
+            ..STEADY
         };
         let play = Play::new(upstream, 1).run(100_000);
         let started = f64::from(u32::try_from(play.started_ms.len()).unwrap());
