notices: an old statement of a limit doesn't revoke the answers without it

Cause: entries resend the latest statement of a limit to the owner of the admission queue and to each other once a second. The owner recorded it as a statement made just now, whatever answers without the limit had been reported since, so their count began anew, and twice as many were asked for afterwards. By then the starts in advance were used up, and each further answer took 0.7 s.

A statement that is older than the latest answer without the limit no longer resets the count; it still counts for the time since the limit was stated. Weighed: to let resent statements count for nothing, now that each answer is reported by itself. Peers whose builds send no reports would not be heard then, and a lost report would be a lost statement.

The new tests play several entries in virtual time, with late, reordered and lost datagrams.

--- a/lib/src/direct/notices/limit_end.rs
+++ b/lib/src/direct/notices/limit_end.rs
@@ -77,9 +77,11 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct LimitEvidence {
     stated_at_ms: InstantMs,
-    /// Successful answers since then.
+    /// When the latest answer without the limit was reported.
+    omitted_at_ms: InstantMs,
+    /// Successful answers without it since it was last stated.
     omissions: u32,
-    /// Failures and rejections since then.
+    /// Failures and rejections without it since then.
     failures: u32,
     /// Most omissions in a row before the limit was stated again.
     longest_gap: u32,
@@ -91,8 +93,14 @@
     pub fn record(&mut self, report: LimitReport, now_ms: InstantMs) -> LimitStep {
         match report {
             LimitReport::Stated => self.record_statement(now_ms),
-            LimitReport::Omitted => self.omissions = self.omissions.saturating_add(1),
-            LimitReport::OmittedByFailure => self.failures = self.failures.saturating_add(1),
+            LimitReport::Omitted => {
+                self.omissions = self.omissions.saturating_add(1);
+                self.omitted_at_ms = now_ms;
+            }
+            LimitReport::OmittedByFailure => {
+                self.failures = self.failures.saturating_add(1);
+                self.omitted_at_ms = now_ms;
+            }
         }
         self.step(now_ms)
     }
@@ -130,8 +138,15 @@
         self.omissions.saturating_add(self.failures)
     }
 
-    /// Records that the limit was stated.
+    /// Records that the limit was stated at a time.
+    ///
+    /// Entries resend the latest statement that they know, so it may be older than answers that were
+    /// reported since. Those still count then.
     pub(super) fn record_statement(&mut self, at_ms: InstantMs) {
+        if self.omissions() > 0 && at_ms < self.omitted_at_ms {
+            self.stated_at_ms = self.stated_at_ms.max(at_ms);
+            return;
+        }
         let ended_ms_ago = self.ended_at_ms.take().map(|ended| at_ms - ended);
         if ended_ms_ago.is_none_or(|ago_ms| ago_ms < CONTRADICTION_MS) {
             let gap = self.omissions.min(MAX_OMISSIONS);
--- /dev/null
+++ b/lib/tests/test_direct_limit_fleet.rs
@@ -0,0 +1,84 @@
+//! Limits of an upstream that does not always state them, before several entries.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand::rngs::StdRng;
+use sardinewood::direct::notices::limit_end::LimitReport;
+
+use crate::limit_fleet::LimitFleet;
+use crate::limit_fleet::STEADY;
+use crate::limit_fleet::Setup;
+
+/// Returns an upstream and a network that are drawn.
+fn drawn(seed: u64) -> Setup {
+    let mut random = StdRng::seed_from_u64(seed);
+    Setup {
+        entries: random.random_range(1..=8),
+        limit_per_1000_s: random.random_range(200..30_000),
+        slots: random.random_range(1..=64),
+        answer_ms: random.random_range(20..1_500),
+        stream_ms: [0, 0, 800, 3_000][random.random_range(0..4)],
+        max_delay_ms: random.random_range(2..60),
+        lost_part: random.random_range(0.0..0.05),
+        ..STEADY
+    }
+}
+
+fn assert_limit_kept(setup: Setup, seed: u64) {
+    let fleet = LimitFleet::new(setup, seed).run(40_000);
+    let (most, allowed) = (fleet.most_started_in_span(), fleet.allowed_in_span());
+    assert!(
+        most <= allowed,
+        "seed {seed}: {most} of {allowed}, ends {:?}, {setup:?}",
+        fleet.ends
+    );
+}
+
+#[test]
+fn failures_that_omit_a_limit_keep_within_it() {
+    // Guards against a limit that entries lift for each other, although only failures do not state it.
+    for seed in 0..60 {
+        let setup = Setup {
+            omitted_part: 0.5,
+            omission: LimitReport::OmittedByFailure,
+            ..drawn(seed)
+        };
+        assert_limit_kept(setup, seed);
+    }
+}
+
+#[test]
+fn successes_that_omit_a_limit_at_random_keep_within_it() {
+    // Guards against starts beyond a limit that seems to end again and again, over all entries.
+    for seed in 0..120 {
+        let setup = Setup {
+            omitted_part: 0.33,
+            ..drawn(seed)
+        };
+        assert_limit_kept(setup, seed);
+    }
+}
+
+#[test]
+fn ended_limit_gone_soon_at_all_entries() {
+    // Guards against a limit that old statements, which entries resend to each other, keep in force.
+    const ENDED_MS: u64 = 10_000;
+    for seed in 0..200 {
+        let setup = Setup {
+            answer_ms: 80,
+            stream_ms: 0,
+            lost_part: 0.0,
+            ended_ms: ENDED_MS,
+            ..drawn(seed)
+        };
+        let interval_ms = 1_000_000 / u64::from(setup.limit_per_1000_s.max(500));
+        let within_ms = interval_ms.max(1_000) + 1_000;
+        let fleet = LimitFleet::new(setup, seed).run(ENDED_MS + within_ms);
+        assert_eq!(
+            fleet.limited_entries(),
+            0,
+            "seed {seed}: {:?}, {setup:?}",
+            fleet.ends
+        );
+    }
+}
--- a/lib/tests/test_direct_notices.rs
+++ b/lib/tests/test_direct_notices.rs
@@ -6,6 +6,7 @@
 use rand::seq::SliceRandom;
 use sardinewood::direct::membership::peer_message::PeerMessage;
 use sardinewood::direct::notices::limit_end::LimitReport;
+use sardinewood::direct::notices::limit_end::LimitStep;
 use sardinewood::direct::notices::notice::NoticeField;
 use sardinewood::direct::notices::notice::UpstreamNotice;
 use sardinewood::direct::notices::upstream_notices::NoticeChange;
@@ -92,6 +93,37 @@
     assert_eq!(notices.limited_count(), 0);
 }
 
+#[test]
+fn merge_statement_from_before_the_omissions_keeps_them() {
+    // Guards against a limit that stays in force because a peer resends a statement of it that is older than
+    // the answers without it.
+    let upstream = upstream_hash("i-1");
+    let mut notices = UpstreamNotices::default();
+    notices.record("i-1", &limited(1_400), 0);
+    for now_ms in [1_000, 1_010, 1_020] {
+        notices.record_limit_report(upstream, LimitReport::Omitted, now_ms);
+    }
+    for at_ms in [500, 980] {
+        notices.merge(&[update(upstream, Some(1_400), 1_030 - at_ms)], 1_030);
+    }
+    let step = notices.record_limit_report(upstream, LimitReport::Omitted, 2_000);
+    assert_eq!(step, LimitStep::End);
+}
+
+#[test]
+fn merge_statement_from_after_the_omissions_keeps_the_limit() {
+    // Guards against a limit that ends although a peer heard of it after the answers without it.
+    let upstream = upstream_hash("i-1");
+    let mut notices = UpstreamNotices::default();
+    notices.record("i-1", &limited(1_400), 0);
+    for now_ms in [1_000, 1_010, 1_020] {
+        notices.record_limit_report(upstream, LimitReport::Omitted, now_ms);
+    }
+    notices.merge(&[update(upstream, Some(1_400), 10)], 1_040);
+    let step = notices.record_limit_report(upstream, LimitReport::Omitted, 2_040);
+    assert_eq!(step, LimitStep::Probe);
+}
+
 #[test]
 fn merge_in_any_order_the_latest_answer_wins() {
     let name = upstream_hash("i-1");
