notices: tell an owner that has just started the limits it grants by

An upstream at a limit of 3 a second got 24 requests in 4 s (23 allowed), one at 1 a second 20 of 11, when the owner of its admission queue was replaced: the new process knows no limits, and granted all that waited up to the slots. Of its peers, four in all on average tell it the limits when they discover it; the others ask it for slots at once. With more than four entries some requests come first.

Each entry now tells the owner the limit ahead of its first request for a slot after the owner has started or was silent, and once a second then. Weighed: that all peers send all notices to an entry that starts, which costs a datagram for each pair of entries at every restart of all; and that a young owner grants nothing for some time, which delays all callers after a restart of all entries.

Class: absence taken for a statement, as in the limits that single answers lifted.

--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -322,9 +322,9 @@
         let Some(state) = self.by_upstream.get_mut(&upstream_hash(instance)) else {
             return false;
         };
-        let is_due = signed(now_ms) >= state.resent_at_ms + RESEND_INTERVAL_MS;
+        let is_due = signed(now_ms) >= state.resend_due_at_ms;
         if is_due {
-            state.resent_at_ms = signed(now_ms);
+            state.resend_due_at_ms = signed(now_ms) + RESEND_INTERVAL_MS;
         }
         is_due
     }
@@ -334,6 +334,23 @@
     pub fn updates_for_instance(&self, instance: &str, now_ms: u64) -> Vec<NoticeUpdate> {
         self.updates_for(&[upstream_hash(instance)], now_ms)
     }
+    /// Makes all states due to be resent, because a peer has started or was silent. It may own any of the
+    /// upstreams' admission queues, and know none of their limits.
+    ///
+    /// ```
+    /// # use sardinewood::direct::notices::{upstream_notices::UpstreamNotices, notice::{UpstreamNotice, NoticeField}};
+    /// let mut notices = UpstreamNotices::default();
+    /// let limited = UpstreamNotice { limit_per_1000_s: NoticeField::Value(1_400), ..UpstreamNotice::default() };
+    /// notices.record("i-1", &limited, 10);
+    /// assert!(notices.take_due_resend("i-1", 20) && !notices.take_due_resend("i-1", 30));
+    /// notices.make_resends_due();
+    /// assert!(notices.take_due_resend("i-1", 30));
+    /// ```
+    pub fn make_resends_due(&mut self) {
+        for state in self.by_upstream.values_mut() {
+            state.resend_due_at_ms = 0;
+        }
+    }
 
     /// Returns the updates of the next resend: as many as fit into a message, different ones each time.
     ///
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -120,8 +120,8 @@
     updated_at_ms: InstantMs,
     /// Whether the upstream was listed at the last expiry of states.
     pub(super) is_listed: bool,
-    /// When the state was last resent to the owner of the upstream's admission queue.
-    pub(super) resent_at_ms: InstantMs,
+    /// From when on the state may be resent to the owner of the upstream's admission queue.
+    pub(super) resend_due_at_ms: InstantMs,
 }
 
 /// How a stated limit differs from the known one.
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -74,7 +74,6 @@
         let instance = &upstream.instance;
         let mut notices = self.notices.borrow_mut();
         let changes = notices.record(instance, &notice, now_ms);
-        let is_resend_due = notices.take_due_resend(instance, now_ms);
         drop(notices);
         if changes.iter().any(NoticeChange::is_shared) {
             self.send_notice_updates(self.notice_updates_for(instance), usize::MAX);
@@ -82,7 +81,7 @@
             self.grant_slots();
         } else if !changes.is_empty() {
             self.apply_notices();
-        } else if !is_empty && is_resend_due {
+        } else if !is_empty {
             self.resend_notices_to_owner(instance);
         }
         for change in changes {
@@ -225,6 +224,7 @@
 
     /// Sends the known notices to a peer that has started or was silent.
     pub fn sync_notices_to(&self, peer: SocketAddr) {
+        self.notices.borrow_mut().make_resends_due();
         if self.notices.borrow().is_empty() || !self.should_sync_peer() {
             return;
         }
@@ -326,8 +326,21 @@
         }
     }
 
-    /// Resends an upstream's notices to the owner of its admission queue, which may have missed them.
+    /// Tells the owner of a limited upstream's admission queue the limit before a slot is requested there,
+    /// from time to time. An owner that has just started would grant all requests at once.
+    pub fn tell_limit_to_owner(&self, upstream: u32, instance: &str) {
+        if self.notices.borrow().is_limited(upstream) {
+            self.resend_notices_to_owner(instance);
+        }
+    }
+
+    /// Resends an upstream's notices to the owner of its admission queue, which may have missed them, unless
+    /// that was done a short time ago.
     fn resend_notices_to_owner(&self, instance: &str) {
+        let now_ms = self.now_ms();
+        if !self.notices.borrow_mut().take_due_resend(instance, now_ms) {
+            return;
+        }
         let updates = self.notice_updates_for(instance);
         if !updates.is_empty()
             && let EntryRef::Peer(owner) = self.owner(upstream_hash(instance))
--- a/lib/src/direct/slot_driver.rs
+++ b/lib/src/direct/slot_driver.rs
@@ -130,6 +130,7 @@
         match owner {
             EntryRef::Local => traffic.handle_slot_request(EntryRef::Local, slot_request),
             EntryRef::Peer(address) => {
+                traffic.tell_limit_to_owner(slot_request.upstream, instance);
                 traffic.send_to_peer(address, &PeerMessage::RequestSlot(slot_request));
             }
         }
--- a/lib/tests/limit_fleet.rs
+++ b/lib/tests/limit_fleet.rs
@@ -200,10 +200,18 @@
             told_ms: None,
             notices: UpstreamNotices::default(),
             admission,
-            alive: vec![true; self.setup.entries],
+            alive: self.live_entries(),
         }
     }
 
+    fn live_entries(&self) -> Vec<bool> {
+        let is_live = |entry| {
+            let entry: Option<&Entry> = self.entries.get(entry);
+            entry.is_none_or(|entry| entry.killed_ms.is_none())
+        };
+        (0..self.setup.entries).map(is_live).collect()
+    }
+
     pub fn run(mut self, for_ms: u64) -> Self {
         while self.now_ms < for_ms {
             self.replace_entries();
@@ -324,6 +332,9 @@
         let id = PeerRequestId(self.next_id);
         self.next_id += 1;
         let owner = self.owner(entry);
+        if self.entries[entry].notices.is_limited(upstream()) {
+            self.resend_to(owner, entry);
+        }
         self.waiting.push(Waiting { id, entry, owner });
         self.send(entry, owner, Event::SlotRequest { from: entry, id });
         let run = self.entries[entry].run;
@@ -372,6 +383,7 @@
             }
             Event::PeerUp(peer) => {
                 self.entries[entry].alive[peer] = true;
+                self.entries[entry].notices.make_resends_due();
                 let random = self.random.random_range(0..usize::MAX);
                 if gossip::should_sync(self.entries.len(), random) {
                     let updates = self.entries[entry].notices.next_updates(self.now_ms);
@@ -452,16 +464,20 @@
         self.entries[entry].told_ms.get_or_insert(now_ms);
         let notices = &mut self.entries[entry].notices;
         let changes = notices.record(UPSTREAM, &stated(self.setup.limit_per_1000_s), now_ms);
-        let is_resend_due = notices.take_due_resend(UPSTREAM, now_ms);
+        if changes.is_empty() {
+            self.resend_to(self.owner(entry), entry);
+            return;
+        }
         let updates = notices.updates_for_instance(UPSTREAM, now_ms);
-        if !changes.is_empty() {
-            self.send_updates(entry, &updates, usize::MAX);
-            self.apply(entry);
-        } else if is_resend_due {
-            let owner = self.owner(entry);
-            if owner != entry {
-                self.send(entry, owner, Event::Updates(updates));
-            }
+        self.send_updates(entry, &updates, usize::MAX);
+        self.apply(entry);
+    }
+
+    fn resend_to(&mut self, owner: usize, entry: usize) {
+        let notices = &mut self.entries[entry].notices;
+        if owner != entry && notices.take_due_resend(UPSTREAM, self.now_ms) {
+            let updates = notices.updates_for_instance(UPSTREAM, self.now_ms);
+            self.send(entry, owner, Event::Updates(updates));
         }
     }
 
--- a/lib/tests/test_direct_limit_fleet.rs
+++ b/lib/tests/test_direct_limit_fleet.rs
@@ -59,6 +59,19 @@
     }
 }
 
+#[test]
+fn limit_kept_while_entries_are_replaced() {
+    // Guards against an owner of the queue that starts without what the former one knew of the limit.
+    for seed in 0..40 {
+        let setup = Setup {
+            omitted_part: 0.25,
+            kill_every_ms: Some(1_500),
+            ..drawn(seed)
+        };
+        assert_limit_kept(setup, seed);
+    }
+}
+
 #[test]
 fn ended_limit_gone_soon_at_all_entries() {
     // Guards against a limit that old statements, which entries resend to each other, keep in force.
