notices: let the rate after a limit's end rise no faster than answers come

An upstream whose served answers leave the limit out at random can seem to have ended it.

- the rate doubled every 200 ms, four times before the first answer could tell that the limit was in force;
- an entry that had not heard of the end reported an answer that stated the limit, and the owner ignored that, as no limit was in force there;

The rate now doubles in the usual time of a request, 200 ms to 2 s; such a report puts the limit in force again, with a log line; three starts may be taken in advance. Weighed: to grant starts by answers alone after the end, which needs reports of answers for as long as no limit is in force.

At 350 entries a limit that ended is gone at all of them within 4 s (limits .4, 1.4 and 10).

--- a/bench/src/direct/fleet/need.rs
+++ b/bench/src/direct/fleet/need.rs
@@ -120,10 +120,12 @@
     pub(super) fn handle_limit_report(&mut self, entry: usize, upstream: u32, report: LimitReport) {
         let now_ms = self.now_ms;
         let state = &mut self.entries[entry];
-        let step = state.notices.record_limit_report(upstream, report, now_ms);
+        let answer_ms = state.admission.usual_hold_ms(upstream);
+        let notices = &mut state.notices;
+        let step = notices.record_limit_report(upstream, report, answer_ms, now_ms);
         let is_probed = step == LimitStep::Probe;
         let _unanswered = state.admission.record_answer(upstream, is_probed);
-        if step == LimitStep::End {
+        if matches!(step, LimitStep::End | LimitStep::Resume) {
             self.apply_notices(entry);
             self.send_notices(entry, upstream);
         } else {
--- a/lib/src/direct/notices/limit_end.rs
+++ b/lib/src/direct/notices/limit_end.rs
@@ -59,6 +59,8 @@
     Probe,
     /// The limit has ended.
     End,
+    /// The limit seemed to have ended, and is in force again.
+    Resume,
 }
 
 /// The reports about a limit since it was last stated.
--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -84,9 +84,9 @@
 /// assert_eq!(other.limited_count(), 1);
 /// let upstream = upstream_hash("i-1");
 /// for _ in 0..3 {
-///     assert_eq!(other.record_limit_report(upstream, LimitReport::Omitted, 1_100), LimitStep::Probe);
+///     assert_eq!(other.record_limit_report(upstream, LimitReport::Omitted, 80, 1_100), LimitStep::Probe);
 /// }
-/// assert_eq!(other.record_limit_report(upstream, LimitReport::Omitted, 1_100), LimitStep::End);
+/// assert_eq!(other.record_limit_report(upstream, LimitReport::Omitted, 80, 1_100), LimitStep::End);
 /// assert_eq!(one.merge(&other.updates_for_instance("i-1", 1_200), 1_200).len(), 1);
 /// assert_eq!(one.limited_count(), 0);
 /// ```
@@ -183,28 +183,33 @@
     }
 
     /// Records what an answer that this entry or a peer received said of an upstream's limit. Returns what
-    /// that means for the limit. See [`UpstreamNotices`].
+    /// that means for the limit. The upstream answers after `answer_ms`, which determines how fast the rate
+    /// rises after the end of the limit. See [`UpstreamNotices`].
     pub fn record_limit_report(
         &mut self,
         upstream: u32,
         report: LimitReport,
+        answer_ms: u64,
         now_ms: u64,
     ) -> LimitStep {
         let state = self.by_upstream.get_mut(&upstream);
         state.map_or(LimitStep::Keep, |state| {
-            state.record_limit_report(report, signed(now_ms))
+            state.record_limit_report(report, answer_ms, signed(now_ms))
         })
     }
 
-    /// Ends an upstream's limit if the answers so far show that it has ended.
+    /// Ends an upstream's limit if the answers so far show that it has ended. See
+    /// [`Self::record_limit_report`].
     ///
     /// ```
     /// # use sardinewood::direct::notices::{limit_end::LimitStep, upstream_notices::UpstreamNotices};
-    /// assert_eq!(UpstreamNotices::default().check_limit(7, 0), LimitStep::Keep);
+    /// assert_eq!(UpstreamNotices::default().check_limit(7, 80, 0), LimitStep::Keep);
     /// ```
-    pub fn check_limit(&mut self, upstream: u32, now_ms: u64) -> LimitStep {
+    pub fn check_limit(&mut self, upstream: u32, answer_ms: u64, now_ms: u64) -> LimitStep {
         let state = self.by_upstream.get_mut(&upstream);
-        state.map_or(LimitStep::Keep, |state| state.check_limit(signed(now_ms)))
+        state.map_or(LimitStep::Keep, |state| {
+            state.check_limit(answer_ms, signed(now_ms))
+        })
     }
 
     /// Returns the number of answers in a row that did not state an upstream's limit.
@@ -329,11 +334,6 @@
         is_due
     }
 
-    /// Returns the updates to send to peers for one upstream, at most one. See [`UpstreamNotices`].
-    #[must_use]
-    pub fn updates_for_instance(&self, instance: &str, now_ms: u64) -> Vec<NoticeUpdate> {
-        self.updates_for(&[upstream_hash(instance)], now_ms)
-    }
     /// Makes all states due to be resent, because a peer has started or was silent. It may own any of the
     /// upstreams' admission queues, and know none of their limits.
     ///
@@ -352,6 +352,11 @@
         }
     }
 
+    /// Returns the updates to send to peers for one upstream, at most one. See [`UpstreamNotices`].
+    #[must_use]
+    pub fn updates_for_instance(&self, instance: &str, now_ms: u64) -> Vec<NoticeUpdate> {
+        self.updates_for(&[upstream_hash(instance)], now_ms)
+    }
     /// Returns the updates of the next resend: as many as fit into a message, different ones each time.
     ///
     /// ```
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -75,10 +75,11 @@
     at_ms: InstantMs,
 }
 
-/// How long the rate still rises after a limit has ended.
-const RISE_MS: InstantMs = 1_000;
-/// Time in which it doubles.
-const DOUBLING_MS: f64 = 200.0;
+/// How many times the rate doubles after a limit has ended, before it is free.
+const DOUBLINGS: f64 = 5.0;
+/// Bounds of the time in which it doubles.
+const MIN_DOUBLING_MS: u64 = 200;
+const MAX_DOUBLING_MS: u64 = 2_000;
 /// Rate from which the rise begins, in requests in 1,000 seconds, if the limit was lower.
 const MIN_RISING_PER_1000_S: u32 = 1_000;
 
@@ -89,14 +90,25 @@
     /// The limit that has ended.
     per_1000_s: u32,
     since_ms: InstantMs,
+    /// Time in which the rate doubles. Only answers to the starts of this time tell whether the limit has
+    /// ended.
+    doubling_ms: u64,
 }
 
 impl RateRise {
+    fn new(per_1000_s: u32, answer_ms: u64, now_ms: InstantMs) -> Self {
+        Self {
+            per_1000_s,
+            since_ms: now_ms,
+            doubling_ms: answer_ms.clamp(MIN_DOUBLING_MS, MAX_DOUBLING_MS),
+        }
+    }
+
     fn per_1000_s(self, now_ms: InstantMs) -> Option<u32> {
-        let age_ms = now_ms.saturating_sub(self.since_ms).max(0);
-        let doublings = numbers::as_f64(age_ms.unsigned_abs()) / DOUBLING_MS;
+        let age_ms = now_ms.saturating_sub(self.since_ms).max(0).unsigned_abs();
+        let doublings = numbers::as_f64(age_ms) / numbers::as_f64(self.doubling_ms);
         let per_1000_s = f64::from(self.per_1000_s.max(MIN_RISING_PER_1000_S)) * doublings.exp2();
-        (age_ms < RISE_MS).then(|| numbers::whole_u32(per_1000_s))
+        (doublings < DOUBLINGS).then(|| numbers::whole_u32(per_1000_s))
     }
 }
 
@@ -179,29 +191,45 @@
     }
 
     /// Records what an answer that this entry or a peer received said of the limit in force, and returns
-    /// what that means for it.
+    /// what that means for it. The upstream answers after `answer_ms`.
     pub(super) fn record_limit_report(
         &mut self,
         report: LimitReport,
+        answer_ms: u64,
         now_ms: InstantMs,
     ) -> LimitStep {
         if self.limit_per_1000_s().is_some() {
             self.limit_evidence.record(report, now_ms);
+            return self.check_limit(answer_ms, now_ms);
+        }
+        match self.rate_rise {
+            // A peer that has not heard of the end received an answer that states the limit.
+            Some(ended) if report == LimitReport::Stated => {
+                self.set_limit(ended.per_1000_s, now_ms);
+                LimitStep::Resume
+            }
+            _ => LimitStep::Keep,
         }
-        self.check_limit(now_ms)
     }
 
-    /// Ends the limit if the answers so far show that it has ended.
-    pub(super) fn check_limit(&mut self, now_ms: InstantMs) -> LimitStep {
+    /// Sets the limit that the upstream states now.
+    fn set_limit(&mut self, per_1000_s: u32, now_ms: InstantMs) {
+        self.limit = Some(StatedLimit {
+            per_1000_s: Some(per_1000_s),
+            at_ms: now_ms,
+        });
+        self.limit_evidence.record_statement(now_ms);
+        self.rate_rise = None;
+    }
+
+    /// Ends the limit if the answers so far show that it has ended. The upstream answers after `answer_ms`.
+    pub(super) fn check_limit(&mut self, answer_ms: u64, now_ms: InstantMs) -> LimitStep {
         let Some(per_1000_s) = self.limit_per_1000_s() else {
             return LimitStep::Keep;
         };
         let step = self.limit_evidence.step(now_ms);
         if step == LimitStep::End {
-            self.rate_rise = Some(RateRise {
-                per_1000_s,
-                since_ms: now_ms,
-            });
+            self.rate_rise = Some(RateRise::new(per_1000_s, answer_ms, now_ms));
             self.limit = Some(StatedLimit {
                 per_1000_s: None,
                 at_ms: now_ms,
@@ -238,12 +266,7 @@
             }
         };
         let before = self.limit_per_1000_s();
-        self.limit = Some(StatedLimit {
-            per_1000_s: Some(per_1000_s),
-            at_ms: now_ms,
-        });
-        self.limit_evidence.record_statement(now_ms);
-        self.rate_rise = None;
+        self.set_limit(per_1000_s, now_ms);
         if before == Some(per_1000_s) {
             LimitChange::Unchanged
         } else {
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -113,8 +113,9 @@
 
     /// Handles what an answer said of the limit of an upstream whose admission queue this entry owns.
     pub fn handle_limit_report(self: &Rc<Self>, upstream: u32, report: LimitReport) {
+        let answer_ms = self.admission.borrow().usual_hold_ms(upstream);
         let mut notices = self.notices.borrow_mut();
-        let step = notices.record_limit_report(upstream, report, self.now_ms());
+        let step = notices.record_limit_report(upstream, report, answer_ms, self.now_ms());
         drop(notices);
         let is_probed = step == LimitStep::Probe;
         let mut admission = self.admission.borrow_mut();
@@ -130,6 +131,7 @@
             LimitStep::Keep => {}
             LimitStep::Probe => self.schedule_limit_check(upstream),
             LimitStep::End => self.end_limit(upstream),
+            LimitStep::Resume => self.resume_limit(upstream),
         }
         self.grant_slots();
     }
@@ -139,8 +141,9 @@
         let traffic = Rc::clone(self);
         spawn_local(async move {
             sleep(LIMIT_CHECK_AFTER).await;
+            let answer_ms = traffic.admission.borrow().usual_hold_ms(upstream);
             let mut notices = traffic.notices.borrow_mut();
-            let step = notices.check_limit(upstream, traffic.now_ms());
+            let step = notices.check_limit(upstream, answer_ms, traffic.now_ms());
             drop(notices);
             if step == LimitStep::End {
                 traffic.end_limit(upstream);
@@ -148,6 +151,21 @@
         });
     }
 
+    /// Tells the other entries that a limit is in force again.
+    fn resume_limit(&self, upstream: u32) {
+        const MESSAGE: &str = "limit of upstream has not ended";
+        self.metrics.notices.with_label_values(&[MESSAGE]).inc();
+        self.log(Level::Warn, MESSAGE, |line| {
+            line.field("upstream", self.upstream_name(upstream))
+        });
+        let updates = self
+            .notices
+            .borrow()
+            .updates_for(&[upstream], self.now_ms());
+        self.send_notice_updates(updates, usize::MAX);
+        self.update_eligible_upstreams();
+    }
+
     /// Tells the other entries that a limit has ended, and lets the rate of starts rise.
     fn end_limit(self: &Rc<Self>, upstream: u32) {
         const MESSAGE: &str = "limit of upstream has ended";
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -434,6 +434,20 @@
         unanswered
     }
 
+    /// Returns how long a request usually holds a slot of an upstream.
+    ///
+    /// ```
+    /// use sardinewood::direct::sharing::admission::AdmissionController;
+    ///
+    /// assert!(AdmissionController::default().usual_hold_ms(7) > 0);
+    /// ```
+    #[must_use]
+    pub fn usual_hold_ms(&self, upstream: u32) -> u64 {
+        let queue = self.queues.get(&upstream);
+        let average_ms = queue.and_then(|queue| queue.average_hold_ms.value());
+        numbers::whole_u64(average_ms.unwrap_or(DEFAULT_HOLD_MS))
+    }
+
     /// Returns the number of limited upstreams that have answered none of the latest starts.
     ///
     /// ```
--- a/lib/src/direct/sharing/rate.rs
+++ b/lib/src/direct/sharing/rate.rs
@@ -8,9 +8,8 @@
 const MIN_PER_1000_S: u32 = 500;
 /// Time whose starts may accumulate while no request waits.
 const BURST_MS: f64 = 250.0;
-/// Time whose starts may be taken in advance while the end of the limit is probed, and further starts.
-const OVERDRAFT_MS: f64 = 1_000.0;
-const OVERDRAFT_STARTS: f64 = 3.0;
+/// Starts that may be taken in advance while the end of the limit is probed.
+const MAX_OVERDRAFT: f64 = 3.0;
 /// Time whose starts may be without any answer, beside one more, until the upstream seems to stall.
 const UNANSWERED_MS: f64 = 1_000.0;
 /// Time until the first start at an upstream that seems to stall, and longest time between two of them.
@@ -180,7 +179,7 @@
 
     fn overdraft(&self) -> f64 {
         if self.is_overdrawable {
-            self.per_ms * OVERDRAFT_MS + OVERDRAFT_STARTS
+            MAX_OVERDRAFT
         } else {
             0.0
         }
--- a/lib/tests/limit_fleet.rs
+++ b/lib/tests/limit_fleet.rs
@@ -443,10 +443,12 @@
                 self.send(entry, owner, Event::Report(report));
             }
         }
+        let held_ms = u32::try_from(self.setup.answer_ms + self.setup.stream_ms);
+        let held_ms = held_ms.expect("a short time");
         let release = if report == LimitReport::OmittedByFailure {
             SlotRelease::Unanswered
         } else {
-            SlotRelease::Answered { held_ms: 80 }
+            SlotRelease::Answered { held_ms }
         };
         let delay_ms = self.setup.stream_ms + self.random.random_range(0..=self.setup.max_delay_ms);
         self.schedule(
@@ -483,14 +485,16 @@
 
     fn handle_report(&mut self, entry: usize, report: LimitReport) {
         let state = &mut self.entries[entry];
-        let step = state
-            .notices
-            .record_limit_report(upstream(), report, self.now_ms);
+        let answer_ms = state.admission.usual_hold_ms(upstream());
+        let notices = &mut state.notices;
+        let step = notices.record_limit_report(upstream(), report, answer_ms, self.now_ms);
         state
             .admission
             .record_answer(upstream(), step == LimitStep::Probe);
-        if step == LimitStep::End {
-            self.end_limit(entry);
+        match step {
+            LimitStep::Keep | LimitStep::Probe => {}
+            LimitStep::End => self.end_limit(entry),
+            LimitStep::Resume => self.announce(entry),
         }
     }
 
@@ -498,6 +502,11 @@
         let notices = &self.entries[entry].notices;
         self.ends
             .push((self.now_ms, notices.limit_omissions(upstream())));
+        self.announce(entry);
+    }
+
+    fn announce(&mut self, entry: usize) {
+        let notices = &self.entries[entry].notices;
         let updates = notices.updates_for(&[upstream()], self.now_ms);
         self.send_updates(entry, &updates, usize::MAX);
         self.apply(entry);
@@ -525,7 +534,9 @@
             if state.killed_ms.is_some() {
                 continue;
             }
-            if state.notices.check_limit(upstream(), self.now_ms) == LimitStep::End {
+            let answer_ms = state.admission.usual_hold_ms(upstream());
+            let notices = &mut state.notices;
+            if notices.check_limit(upstream(), answer_ms, self.now_ms) == LimitStep::End {
                 self.end_limit(entry);
             }
             self.apply(entry);
--- a/lib/tests/test_direct_limit_end.rs
+++ b/lib/tests/test_direct_limit_end.rs
@@ -115,7 +115,9 @@
             }
             self.running.retain(|at_ms| *at_ms > now_ms);
             if now_ms.is_multiple_of(CHECK_MS) {
-                let step = self.notices.check_limit(upstream(), now_ms);
+                let step = self
+                    .notices
+                    .check_limit(upstream(), self.upstream.answer_ms, now_ms);
                 self.apply(step, now_ms);
             }
             while self.admission.next_grant(now_ms).is_some() {
@@ -149,7 +151,9 @@
         } else {
             LimitReport::Stated
         };
-        let step = self.notices.record_limit_report(upstream(), report, now_ms);
+        let answer_ms = self.upstream.answer_ms;
+        let notices = &mut self.notices;
+        let step = notices.record_limit_report(upstream(), report, answer_ms, now_ms);
         let is_probed = step == LimitStep::Probe;
         self.admission.record_answer(upstream(), is_probed);
         self.apply(step, now_ms);
--- a/lib/tests/test_direct_limit_fleet.rs
+++ b/lib/tests/test_direct_limit_fleet.rs
@@ -9,6 +9,9 @@
 use crate::limit_fleet::STEADY;
 use crate::limit_fleet::Setup;
 
+/// When a limit ends, in plays in which it does.
+const ENDED_MS: u64 = 10_000;
+
 /// Returns an upstream and a network that are drawn.
 fn drawn(seed: u64) -> Setup {
     let mut random = StdRng::seed_from_u64(seed);
@@ -75,7 +78,6 @@
 #[test]
 fn ended_limit_gone_soon_at_all_entries() {
     // Guards against a limit that old statements, which entries resend to each other, keep in force.
-    const ENDED_MS: u64 = 10_000;
     for seed in 0..200 {
         let setup = Setup {
             answer_ms: 80,
@@ -95,3 +97,24 @@
         );
     }
 }
+
+#[test]
+fn ended_limit_gone_soon_before_many_entries() {
+    // Guards against a limit that stays in force because each of many entries sees few answers.
+    for limit_per_1000_s in [400, 1_400, 10_000] {
+        let setup = Setup {
+            entries: 350,
+            limit_per_1000_s,
+            ended_ms: ENDED_MS,
+            lost_part: 0.01,
+            ..STEADY
+        };
+        let fleet = LimitFleet::new(setup, 1).run(ENDED_MS + 4_000);
+        assert_eq!(
+            fleet.limited_entries(),
+            0,
+            "{limit_per_1000_s}: {:?}",
+            fleet.ends
+        );
+    }
+}
--- a/lib/tests/test_direct_notices.rs
+++ b/lib/tests/test_direct_notices.rs
@@ -85,7 +85,7 @@
     let mut notices = UpstreamNotices::default();
     notices.record("i-1", &limited(1_400), 1_000);
     for now_ms in 4_997..=5_000 {
-        notices.record_limit_report(upstream_hash("i-1"), LimitReport::Omitted, now_ms);
+        notices.record_limit_report(upstream_hash("i-1"), LimitReport::Omitted, 80, now_ms);
     }
     assert_eq!(notices.limited_count(), 0);
     let old = update(upstream_hash("i-1"), Some(1_400), 3_000);
@@ -101,12 +101,12 @@
     let mut notices = UpstreamNotices::default();
     notices.record("i-1", &limited(1_400), 0);
     for now_ms in [1_000, 1_010, 1_020] {
-        notices.record_limit_report(upstream, LimitReport::Omitted, now_ms);
+        notices.record_limit_report(upstream, LimitReport::Omitted, 80, now_ms);
     }
     for at_ms in [500, 980] {
         notices.merge(&[update(upstream, Some(1_400), 1_030 - at_ms)], 1_030);
     }
-    let step = notices.record_limit_report(upstream, LimitReport::Omitted, 2_000);
+    let step = notices.record_limit_report(upstream, LimitReport::Omitted, 80, 2_000);
     assert_eq!(step, LimitStep::End);
 }
 
@@ -117,13 +117,29 @@
     let mut notices = UpstreamNotices::default();
     notices.record("i-1", &limited(1_400), 0);
     for now_ms in [1_000, 1_010, 1_020] {
-        notices.record_limit_report(upstream, LimitReport::Omitted, now_ms);
+        notices.record_limit_report(upstream, LimitReport::Omitted, 80, now_ms);
     }
     notices.merge(&[update(upstream, Some(1_400), 10)], 1_040);
-    let step = notices.record_limit_report(upstream, LimitReport::Omitted, 2_040);
+    let step = notices.record_limit_report(upstream, LimitReport::Omitted, 80, 2_040);
     assert_eq!(step, LimitStep::Probe);
 }
 
+#[test]
+fn record_limit_report_after_the_end_resumes_the_limit() {
+    // Guards against a limit that seemed to have ended, and stays so although a peer that has not heard of
+    // the end still receives answers that state it.
+    let upstream = upstream_hash("i-1");
+    let mut notices = UpstreamNotices::default();
+    notices.record("i-1", &limited(1_400), 0);
+    for _ in 0..4 {
+        notices.record_limit_report(upstream, LimitReport::Omitted, 80, 2_000);
+    }
+    assert_eq!(notices.limited_count(), 0);
+    let step = notices.record_limit_report(upstream, LimitReport::Stated, 80, 2_100);
+    assert_eq!(step, LimitStep::Resume);
+    assert_eq!(notices.limits()[&upstream], 1_400);
+}
+
 #[test]
 fn merge_in_any_order_the_latest_answer_wins() {
     let name = upstream_hash("i-1");
