test_direct_limit_fleet: upstreams that stall, and the use of a limit

Weighed for the stall: to reset the connection of an attempt that is given up, in place of closing it.

--- a/lib/tests/limit_fleet.rs
+++ b/lib/tests/limit_fleet.rs
@@ -23,7 +23,7 @@
 use sardinewood::direct::sharing::admission::SlotRequest;
 
 const UPSTREAM: &str = "i-1";
-/// Period in which starts are counted against a limit.
+/// Period in which arrivals are counted against a limit.
 const SPAN_MS: u64 = 4_000;
 /// Requests that wait at any time.
 const WAITING: u64 = 70;
@@ -58,6 +58,10 @@
     pub lost_part: f64,
     /// Time between two kills.
     pub kill_every_ms: Option<u64>,
+    /// Time between two stalls, in which the upstream reads nothing, and how long they last.
+    pub stalls: Option<(u64, u64)>,
+    /// Time after which an entry gives up an unanswered request.
+    pub timeout_ms: u64,
 }
 
 /// An upstream that states its limit in all answers, and three entries that lose nothing.
@@ -73,6 +77,8 @@
     max_delay_ms: 5,
     lost_part: 0.0,
     kill_every_ms: None,
+    stalls: None,
+    timeout_ms: 5_000,
 };
 
 enum Event {
@@ -101,6 +107,10 @@
         owner: usize,
     },
     GaveUp(PeerRequestId),
+    /// A request that this owner of the queue has granted was not answered in time.
+    TimedOut {
+        owner: usize,
+    },
 }
 
 struct Waiting {
@@ -132,8 +142,8 @@
     next_event: u64,
     waiting: Vec<Waiting>,
     next_id: u64,
-    /// Starts by entries that the upstream has told its limit.
-    pub started_ms: Vec<u64>,
+    /// Arrivals at the upstream from entries that it has told its limit.
+    arrivals_ms: Vec<u64>,
     /// When and with how many answers without it an owner took the limit to have ended.
     pub ends: Vec<(u64, u32)>,
 }
@@ -172,7 +182,7 @@
             next_event: 0,
             waiting: Vec::new(),
             next_id: 0,
-            started_ms: Vec::new(),
+            arrivals_ms: Vec::new(),
             ends: Vec::new(),
         };
         for _ in 0..setup.entries {
@@ -240,16 +250,21 @@
             .count()
     }
 
-    pub fn most_started_in_span(&self) -> f64 {
-        let starts = &self.started_ms;
+    pub fn most_arrived_in_span(&self) -> f64 {
+        let mut arrivals = self.arrivals_ms.clone();
+        arrivals.sort_unstable();
         let within = |first: usize| {
-            let later = starts[first..].iter();
+            let later = arrivals[first..].iter();
             later
-                .take_while(|at_ms| **at_ms < starts[first] + SPAN_MS)
+                .take_while(|at_ms| **at_ms < arrivals[first] + SPAN_MS)
                 .count()
         };
-        let most = (0..starts.len()).map(within).max().unwrap_or_default();
-        f64::from(u32::try_from(most).expect("few starts"))
+        let most = (0..arrivals.len()).map(within).max().unwrap_or_default();
+        f64::from(u32::try_from(most).expect("few arrivals"))
+    }
+
+    pub fn arrivals(&self) -> f64 {
+        f64::from(u32::try_from(self.arrivals_ms.len()).expect("few arrivals"))
     }
 
     pub fn allowed_in_span(&self) -> f64 {
@@ -392,6 +407,17 @@
                     }
                 }
             }
+            Event::TimedOut { owner } => {
+                let release = SlotRelease::Unanswered;
+                self.send(
+                    entry,
+                    owner,
+                    Event::Release {
+                        from: entry,
+                        release,
+                    },
+                );
+            }
             Event::GaveUp(id) => {
                 if let Some(index) = self.waiting.iter().position(|waiting| waiting.id == id) {
                     let waiting = self.waiting.swap_remove(index);
@@ -418,12 +444,31 @@
         self.waiting.swap_remove(index);
         let told_ms = self.entries[entry].told_ms;
         if told_ms.is_some_and(|told_ms| self.now_ms >= told_ms + TOLD_AFTER_MS) {
-            self.started_ms.push(self.now_ms);
+            self.arrivals_ms.push(self.now_ms + self.stalled_for_ms());
+        }
+        let answered_in_ms = self.stalled_for_ms() + self.setup.answer_ms;
+        if answered_in_ms <= self.setup.timeout_ms {
+            self.schedule(answered_in_ms, entry, Event::Answer { owner });
+        } else {
+            self.schedule(self.setup.timeout_ms, entry, Event::TimedOut { owner });
         }
-        self.schedule(self.setup.answer_ms, entry, Event::Answer { owner });
         self.add_waiting();
     }
 
+    /// Returns for how long the upstream still reads nothing.
+    fn stalled_for_ms(&self) -> u64 {
+        let Some((every_ms, for_ms)) = self.setup.stalls else {
+            return 0;
+        };
+        let since_ms = self.now_ms % every_ms;
+        let has_begun = self.now_ms >= every_ms;
+        if has_begun {
+            for_ms.saturating_sub(since_ms)
+        } else {
+            0
+        }
+    }
+
     fn handle_answer(&mut self, entry: usize, owner: usize) {
         let is_omitted = self.now_ms >= self.setup.ended_ms
             || self.random.random::<f64>() < self.setup.omitted_part;
--- a/lib/tests/test_direct_limit_fleet.rs
+++ b/lib/tests/test_direct_limit_fleet.rs
@@ -29,7 +29,7 @@
 
 fn assert_limit_kept(setup: Setup, seed: u64) {
     let fleet = LimitFleet::new(setup, seed).run(40_000);
-    let (most, allowed) = (fleet.most_started_in_span(), fleet.allowed_in_span());
+    let (most, allowed) = (fleet.most_arrived_in_span(), fleet.allowed_in_span());
     assert!(
         most <= allowed,
         "seed {seed}: {most} of {allowed}, ends {:?}, {setup:?}",
@@ -62,6 +62,23 @@
     }
 }
 
+#[test]
+fn limit_kept_by_an_upstream_that_stalls() {
+    // Guards against requests that are sent while an upstream reads nothing, and reach it at once when it
+    // goes on.
+    for seed in 0..120 {
+        let mut random = StdRng::seed_from_u64(seed);
+        let stall_ms = random.random_range(500..8_000);
+        let setup = Setup {
+            stalls: Some((stall_ms + random.random_range(1_000..9_000), stall_ms)),
+            timeout_ms: random.random_range(300..6_000),
+            kill_every_ms: [None, None, Some(4_000)][random.random_range(0..3)],
+            ..drawn(seed)
+        };
+        assert_limit_kept(setup, seed);
+    }
+}
+
 #[test]
 fn limit_kept_while_entries_are_replaced() {
     // Guards against an owner of the queue that starts without what the former one knew of the limit.
@@ -118,3 +135,49 @@
         );
     }
 }
+
+#[test]
+fn limit_used_while_it_is_needed() {
+    // Guards against a limit of which a part stays unused because its queue waits for answers or messages.
+    for seed in 0..30 {
+        let setup = Setup {
+            limit_per_1000_s: drawn(seed).limit_per_1000_s.max(500),
+            slots: 64,
+            stream_ms: 0,
+            omitted_part: 0.2,
+            omission: LimitReport::OmittedByFailure,
+            // Slots of lost messages are found by heartbeats, which are not played.
+            lost_part: 0.0,
+            max_delay_ms: STEADY.max_delay_ms,
+            ..drawn(seed)
+        };
+        let fleet = LimitFleet::new(setup, seed).run(60_000);
+        let limit_per_s = f64::from(setup.limit_per_1000_s) / 1_000.0;
+        // An entry's starts count once it has received the limit.
+        let used = fleet.arrivals() / (limit_per_s * 57.0);
+        assert!(used >= 0.95, "seed {seed}: {used}, {setup:?}");
+    }
+}
+
+#[test]
+fn limit_used_again_after_a_stall() {
+    // Guards against an upstream that is kept unused long after it has answered again.
+    for seed in 0..30 {
+        let setup = Setup {
+            stalls: Some((20_000, 5_000)),
+            slots: 64,
+            answer_ms: 80,
+            lost_part: 0.0,
+            ..drawn(seed)
+        };
+        let fleet = LimitFleet::new(setup, seed).run(36_000);
+        let limit_per_s = f64::from(setup.limit_per_1000_s.max(500)) / 1_000.0;
+        // Over the start and the stall, the upstream gets nothing for 11 s at most.
+        let expected = limit_per_s * (36.0 - 11.0) - 2.0;
+        let arrivals = fleet.arrivals();
+        assert!(
+            arrivals >= expected,
+            "seed {seed}: {arrivals} of {expected}, {setup:?}"
+        );
+    }
+}
