notices: an end that peers still relay doesn't revoke a new statement

Its limit had seemed to end; 34 ms later an answer stated it again, and for 0.6 s the entries told each other the end and the statement by turns, as the trace shows: an update carries its age, so each relay makes it later by the time of its message, and the two overtook each other. The owner granted all that waited each time, as an end that a peer tells dropped the rate at once.

An end learnt from a peer lets the rate rise, as an own one does. Weighed: to count changes in updates in place of ages, which needs another message for builds in use.

Owners are told limits ahead of requests every ten seconds in place of each: 350 entries that all ask would send one owner 350 datagrams a second. limit_used_again_after_a_stall is played with the short delays of limit_used_while_it_is_needed now: at 38 ms, unused grants on their way cost a part of a small limit, which is what it had measured.

--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -29,8 +29,11 @@
 const MAX_UPDATES: usize = 50;
 /// Default for the longest backoff that an upstream is granted.
 pub const DEFAULT_MAX_BACKOFF_MS: u64 = 600_000;
-/// Minimum time between two resends of an upstream's state to the owner of its admission queue.
-const RESEND_INTERVAL_MS: InstantMs = 1_000;
+/// Minimum time between two resends of an upstream's state to the owner of its admission queue, when an
+/// answer arrives.
+pub const ANSWER_RESEND_MS: u64 = 1_000;
+/// The same when a slot is requested, which entries do that get no answers.
+pub const REQUEST_RESEND_MS: u64 = 10_000;
 /// How long it is remembered that a limit was lifted, until entries that were disconnected no longer
 /// send it as if it were in force.
 const LIFTED_RETENTION_MS: InstantMs = 60_000;
@@ -317,19 +320,21 @@
             .collect()
     }
 
-    /// Returns whether an upstream's state is due to be resent to the owner of its admission queue. If
-    /// so, counts it as resent.
+    /// Returns whether an upstream's state is due to be resent to the owner of its admission queue, since
+    /// that was not done within the interval. If so, counts it as resent.
     ///
     /// ```
-    /// assert!(!sardinewood::direct::notices::upstream_notices::UpstreamNotices::default().take_due_resend("i-1", 0));
+    /// assert!(!sardinewood::direct::notices::upstream_notices::UpstreamNotices::default().take_due_resend("i-1", 1_000, 0));
     /// ```
-    pub fn take_due_resend(&mut self, instance: &str, now_ms: u64) -> bool {
+    pub fn take_due_resend(&mut self, instance: &str, interval_ms: u64, now_ms: u64) -> bool {
         let Some(state) = self.by_upstream.get_mut(&upstream_hash(instance)) else {
             return false;
         };
-        let is_due = signed(now_ms) >= state.resend_due_at_ms;
+        let now_ms = signed(now_ms);
+        let is_recent = |resent_at_ms| now_ms < resent_at_ms + signed(interval_ms);
+        let is_due = !state.resent_at_ms.is_some_and(is_recent);
         if is_due {
-            state.resend_due_at_ms = signed(now_ms) + RESEND_INTERVAL_MS;
+            state.resent_at_ms = Some(now_ms);
         }
         is_due
     }
@@ -342,13 +347,13 @@
     /// let mut notices = UpstreamNotices::default();
     /// let limited = UpstreamNotice { limit_per_1000_s: NoticeField::Value(1_400), ..UpstreamNotice::default() };
     /// notices.record("i-1", &limited, 10);
-    /// assert!(notices.take_due_resend("i-1", 20) && !notices.take_due_resend("i-1", 30));
+    /// assert!(notices.take_due_resend("i-1", 1_000, 20) && !notices.take_due_resend("i-1", 1_000, 30));
     /// notices.make_resends_due();
-    /// assert!(notices.take_due_resend("i-1", 30));
+    /// assert!(notices.take_due_resend("i-1", 1_000, 30));
     /// ```
     pub fn make_resends_due(&mut self) {
         for state in self.by_upstream.values_mut() {
-            state.resend_due_at_ms = 0;
+            state.resent_at_ms = None;
         }
     }
 
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -77,6 +77,9 @@
 
 /// How many times the rate doubles after a limit has ended, before it is free.
 const DOUBLINGS: f64 = 5.0;
+/// Time by which an end must be later than a statement to revoke it. Times of relayed updates are late by
+/// the time of their messages, so an end that peers still relay could seem later than a new statement.
+const END_MARGIN_MS: InstantMs = 250;
 /// Bounds of the time in which it doubles.
 const MIN_DOUBLING_MS: u64 = 200;
 const MAX_DOUBLING_MS: u64 = 2_000;
@@ -132,8 +135,8 @@
     updated_at_ms: InstantMs,
     /// Whether the upstream was listed at the last expiry of states.
     pub(super) is_listed: bool,
-    /// From when on the state may be resent to the owner of the upstream's admission queue.
-    pub(super) resend_due_at_ms: InstantMs,
+    /// When the state was last resent to the owner of the upstream's admission queue, unless it is due.
+    pub(super) resent_at_ms: Option<InstantMs>,
 }
 
 /// How a stated limit differs from the known one.
@@ -277,10 +280,16 @@
     /// Adopts a peer's limit if it comes from a later answer. Returns whether the limit changed.
     pub(super) fn merge_limit(&mut self, update: LimitUpdate, now_ms: InstantMs) -> bool {
         let at_ms = now_ms.saturating_sub(update.ago_ms.max(0));
-        if self.limit.is_some_and(|limit| limit.at_ms >= at_ms) {
+        let before = self.limit_per_1000_s();
+        let margin_ms = if before.is_some() && update.per_1000_s.is_none() {
+            END_MARGIN_MS
+        } else {
+            0
+        };
+        let is_outdated = |limit: StatedLimit| at_ms <= limit.at_ms.saturating_add(margin_ms);
+        if self.limit.is_some_and(is_outdated) {
             return false;
         }
-        let before = self.limit_per_1000_s();
         self.updated_at_ms = now_ms;
         self.limit = Some(StatedLimit {
             per_1000_s: update.per_1000_s,
@@ -289,6 +298,8 @@
         if update.per_1000_s.is_some() {
             self.limit_evidence.record_statement(at_ms);
             self.rate_rise = None;
+        } else if let Some(per_1000_s) = before {
+            self.rate_rise = Some(RateRise::new(per_1000_s, MIN_DOUBLING_MS, now_ms));
         }
         before != update.per_1000_s
     }
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -21,7 +21,9 @@
 use crate::direct::notices::limit_end::QUIET_MS;
 use crate::direct::notices::notice::NoticeField;
 use crate::direct::notices::notice::UpstreamNotice;
+use crate::direct::notices::upstream_notices::ANSWER_RESEND_MS;
 use crate::direct::notices::upstream_notices::NoticeChange;
+use crate::direct::notices::upstream_notices::REQUEST_RESEND_MS;
 use crate::direct::notices::upstream_state::NoticeUpdate;
 use crate::direct::placement::dispatch::upstream_hash;
 use crate::direct::request::call::Call;
@@ -82,7 +84,7 @@
         } else if !changes.is_empty() {
             self.apply_notices();
         } else if !is_empty {
-            self.resend_notices_to_owner(instance);
+            self.resend_notices_to_owner(instance, ANSWER_RESEND_MS);
         }
         for change in changes {
             self.log_notice(call, upstream, &change);
@@ -180,6 +182,11 @@
         });
         self.send_notice_updates(updates, usize::MAX);
         self.update_eligible_upstreams();
+        self.follow_rate_rise(upstream);
+    }
+
+    /// Applies the rate that rises after the end of a limit until it is free.
+    fn follow_rate_rise(self: &Rc<Self>, upstream: u32) {
         let traffic = Rc::clone(self);
         spawn_local(async move {
             loop {
@@ -222,7 +229,15 @@
         let mut notices = self.notices.borrow_mut();
         let changed = notices.merge(updates, now_ms);
         let changed_updates = notices.updates_for(&changed, now_ms);
+        let ended: Vec<u32> = changed
+            .iter()
+            .copied()
+            .filter(|upstream| !notices.is_limited(*upstream))
+            .collect();
         drop(notices);
+        for upstream in ended {
+            self.follow_rate_rise(upstream);
+        }
         if changed_updates.is_empty() {
             return;
         }
@@ -348,15 +363,18 @@
     /// from time to time. An owner that has just started would grant all requests at once.
     pub fn tell_limit_to_owner(&self, upstream: u32, instance: &str) {
         if self.notices.borrow().is_limited(upstream) {
-            self.resend_notices_to_owner(instance);
+            self.resend_notices_to_owner(instance, REQUEST_RESEND_MS);
         }
     }
 
     /// Resends an upstream's notices to the owner of its admission queue, which may have missed them, unless
-    /// that was done a short time ago.
-    fn resend_notices_to_owner(&self, instance: &str) {
+    /// that was done within the interval.
+    fn resend_notices_to_owner(&self, instance: &str, interval_ms: u64) {
         let now_ms = self.now_ms();
-        if !self.notices.borrow_mut().take_due_resend(instance, now_ms) {
+        let mut notices = self.notices.borrow_mut();
+        let is_due = notices.take_due_resend(instance, interval_ms, now_ms);
+        drop(notices);
+        if !is_due {
             return;
         }
         let updates = self.notice_updates_for(instance);
--- a/lib/tests/limit_fleet.rs
+++ b/lib/tests/limit_fleet.rs
@@ -12,6 +12,8 @@
 use sardinewood::direct::notices::limit_end::LimitStep;
 use sardinewood::direct::notices::notice::NoticeField;
 use sardinewood::direct::notices::notice::UpstreamNotice;
+use sardinewood::direct::notices::upstream_notices::ANSWER_RESEND_MS;
+use sardinewood::direct::notices::upstream_notices::REQUEST_RESEND_MS;
 use sardinewood::direct::notices::upstream_notices::UpstreamNotices;
 use sardinewood::direct::notices::upstream_state::NoticeUpdate;
 use sardinewood::direct::placement::dispatch::upstream_hash;
@@ -348,7 +350,7 @@
         self.next_id += 1;
         let owner = self.owner(entry);
         if self.entries[entry].notices.is_limited(upstream()) {
-            self.resend_to(owner, entry);
+            self.resend_to(owner, entry, REQUEST_RESEND_MS);
         }
         self.waiting.push(Waiting { id, entry, owner });
         self.send(entry, owner, Event::SlotRequest { from: entry, id });
@@ -512,7 +514,7 @@
         let notices = &mut self.entries[entry].notices;
         let changes = notices.record(UPSTREAM, &stated(self.setup.limit_per_1000_s), now_ms);
         if changes.is_empty() {
-            self.resend_to(self.owner(entry), entry);
+            self.resend_to(self.owner(entry), entry, ANSWER_RESEND_MS);
             return;
         }
         let updates = notices.updates_for_instance(UPSTREAM, now_ms);
@@ -520,9 +522,9 @@
         self.apply(entry);
     }
 
-    fn resend_to(&mut self, owner: usize, entry: usize) {
+    fn resend_to(&mut self, owner: usize, entry: usize, interval_ms: u64) {
         let notices = &mut self.entries[entry].notices;
-        if owner != entry && notices.take_due_resend(UPSTREAM, self.now_ms) {
+        if owner != entry && notices.take_due_resend(UPSTREAM, interval_ms, self.now_ms) {
             let updates = notices.updates_for_instance(UPSTREAM, self.now_ms);
             self.send(entry, owner, Event::Updates(updates));
         }
--- a/lib/tests/test_direct_limit_fleet.rs
+++ b/lib/tests/test_direct_limit_fleet.rs
@@ -168,6 +168,7 @@
             slots: 64,
             answer_ms: 80,
             lost_part: 0.0,
+            max_delay_ms: STEADY.max_delay_ms,
             ..drawn(seed)
         };
         let fleet = LimitFleet::new(setup, seed).run(36_000);
--- a/lib/tests/test_direct_notices.rs
+++ b/lib/tests/test_direct_notices.rs
@@ -140,6 +140,38 @@
     assert_eq!(notices.limits()[&upstream], 1_400);
 }
 
+#[test]
+fn merge_relayed_end_does_not_revoke_a_new_statement() {
+    // Guards against entries that tell each other by turns that a limit has ended and that it has not, and
+    // grant all that waits each time.
+    let upstream = upstream_hash("i-1");
+    let mut notices = UpstreamNotices::default();
+    notices.record("i-1", &limited(1_400), 1_000);
+    // The end was decided before that, and was on its way for some time.
+    assert!(
+        notices
+            .merge(&[update(upstream, None, 0)], 1_100)
+            .is_empty()
+    );
+    assert_eq!(notices.limited_count(), 1);
+}
+
+#[test]
+fn merge_end_lets_the_rate_rise() {
+    // Guards against an owner of the queue that grants all that waits when a peer tells it the end of a
+    // limit.
+    let upstream = upstream_hash("i-1");
+    let mut notices = UpstreamNotices::default();
+    notices.record("i-1", &limited(1_400), 1_000);
+    assert_eq!(
+        notices.merge(&[update(upstream, None, 0)], 3_000),
+        [upstream]
+    );
+    assert_eq!(notices.limited_count(), 0);
+    assert_eq!(notices.rates(3_000)[&upstream], 1_400);
+    assert!(notices.rates(5_000).is_empty());
+}
+
 #[test]
 fn merge_in_any_order_the_latest_answer_wins() {
     let name = upstream_hash("i-1");
@@ -241,7 +273,7 @@
     // Guards against a resend to the owner of an admission queue with every answer.
     let mut notices = UpstreamNotices::default();
     notices.record("i-1", &limited(1_400), 5_000);
-    let due = (5_000..9_000).filter(|now_ms| notices.take_due_resend("i-1", *now_ms));
+    let due = (5_000..9_000).filter(|now_ms| notices.take_due_resend("i-1", 1_000, *now_ms));
     assert_eq!(due.count(), 4);
 }
 
