--- a/lib/src/direct/notices/limit_end.rs
+++ b/lib/src/direct/notices/limit_end.rs
@@ -95,14 +95,11 @@
     pub fn record(&mut self, report: LimitReport, now_ms: InstantMs) -> LimitStep {
         match report {
             LimitReport::Stated => self.record_statement(now_ms),
-            LimitReport::Omitted => {
-                self.omissions = self.omissions.saturating_add(1);
-                self.omitted_at_ms = now_ms;
-            }
-            LimitReport::OmittedByFailure => {
-                self.failures = self.failures.saturating_add(1);
-                self.omitted_at_ms = now_ms;
-            }
+            LimitReport::Omitted => self.omissions = self.omissions.saturating_add(1),
+            LimitReport::OmittedByFailure => self.failures = self.failures.saturating_add(1),
+        }
+        if report != LimitReport::Stated {
+            self.omitted_at_ms = now_ms;
         }
         self.step(now_ms)
     }
--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -362,6 +362,7 @@
     pub fn updates_for_instance(&self, instance: &str, now_ms: u64) -> Vec<NoticeUpdate> {
         self.updates_for(&[upstream_hash(instance)], now_ms)
     }
+
     /// Returns the updates of the next resend: as many as fit into a message, different ones each time.
     ///
     /// ```
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -75,11 +75,11 @@
     at_ms: InstantMs,
 }
 
-/// How many times the rate doubles after a limit has ended, before it is free.
-const DOUBLINGS: f64 = 5.0;
 /// Time by which an end must be later than a statement to revoke it. Times of relayed updates are late by
 /// the time of their messages, so an end that peers still relay could seem later than a new statement.
 const END_MARGIN_MS: InstantMs = 250;
+/// How many times the rate doubles after a limit has ended, before it is free.
+const DOUBLINGS: f64 = 5.0;
 /// Bounds of the time in which it doubles.
 const MIN_DOUBLING_MS: u64 = 200;
 const MAX_DOUBLING_MS: u64 = 2_000;
--- a/lib/src/direct/sharing/admission.rs
+++ b/lib/src/direct/sharing/admission.rs
@@ -160,6 +160,11 @@
         self.local_count + self.peers.values().map(PeerUsage::count).sum::<u32>()
     }
 
+    /// Returns how long a request usually holds a slot.
+    fn usual_hold_ms(&self) -> f64 {
+        self.average_hold_ms.value().unwrap_or(DEFAULT_HOLD_MS)
+    }
+
     /// Returns how many requests the upstream may be given at a time. An engine gets as many as it
     /// has slots. Calls to plain services are so short that the network takes a notable part of
     /// their time, so a service also gets as many as are in transit meanwhile. These wait at the
@@ -169,11 +174,7 @@
         if !self.is_plain_service {
             return self.slots;
         }
-        let hold_ms = self
-            .average_hold_ms
-            .value()
-            .unwrap_or(DEFAULT_HOLD_MS)
-            .max(1.0);
+        let hold_ms = self.usual_hold_ms().max(1.0);
         let in_transit = f64::from(self.slots) * numbers::as_f64(ROUND_TRIP_MS) / hold_ms;
         self.slots + numbers::whole_u32(in_transit.round()).min(self.slots / 2)
     }
@@ -444,8 +445,7 @@
     #[must_use]
     pub fn usual_hold_ms(&self, upstream: u32) -> u64 {
         let queue = self.queues.get(&upstream);
-        let average_ms = queue.and_then(|queue| queue.average_hold_ms.value());
-        numbers::whole_u64(average_ms.unwrap_or(DEFAULT_HOLD_MS))
+        numbers::whole_u64(queue.map_or(DEFAULT_HOLD_MS, AdmissionQueue::usual_hold_ms))
     }
 
     /// Returns the number of limited upstreams that have answered none of the latest starts.
@@ -721,7 +721,7 @@
             .filter(|other| other.start_worth >= own.start_worth)
             .count();
         let ahead = f64::from(u32::try_from(ahead).unwrap_or(u32::MAX));
-        let hold_ms = queue.average_hold_ms.value().unwrap_or(DEFAULT_HOLD_MS);
+        let hold_ms = queue.usual_hold_ms();
         // Most of the requests ahead will start at another upstream.
         let ahead = ahead / f64::from(MAX_QUEUES_PER_REQUEST);
         let wait_ms = numbers::whole_u32(ahead * hold_ms / f64::from(queue.slots.max(1)));
--- a/lib/tests/limit_fleet.rs
+++ b/lib/tests/limit_fleet.rs
@@ -409,17 +409,7 @@
                     }
                 }
             }
-            Event::TimedOut { owner } => {
-                let release = SlotRelease::Unanswered;
-                self.send(
-                    entry,
-                    owner,
-                    Event::Release {
-                        from: entry,
-                        release,
-                    },
-                );
-            }
+            Event::TimedOut { owner } => self.release(entry, owner, SlotRelease::Unanswered),
             Event::GaveUp(id) => {
                 if let Some(index) = self.waiting.iter().position(|waiting| waiting.id == id) {
                     let waiting = self.waiting.swap_remove(index);
@@ -432,15 +422,7 @@
 
     fn start_request(&mut self, entry: usize, owner: usize, id: PeerRequestId) {
         let Some(index) = self.waiting.iter().position(|waiting| waiting.id == id) else {
-            let release = SlotRelease::Unused;
-            self.send(
-                entry,
-                owner,
-                Event::Release {
-                    from: entry,
-                    release,
-                },
-            );
+            self.release(entry, owner, SlotRelease::Unused);
             return;
         };
         self.waiting.swap_remove(index);
@@ -471,6 +453,11 @@
         }
     }
 
+    fn release(&mut self, entry: usize, owner: usize, release: SlotRelease) {
+        let from = entry;
+        self.send(entry, owner, Event::Release { from, release });
+    }
+
     fn handle_answer(&mut self, entry: usize, owner: usize) {
         let is_omitted = self.now_ms >= self.setup.ended_ms
             || self.random.random::<f64>() < self.setup.omitted_part;
@@ -587,9 +574,8 @@
                 self.end_limit(entry);
             }
             self.apply(entry);
-            let is_resend_due =
-                usize::try_from(self.now_ms / STEP_MS).unwrap_or_default() % 10 == entry % 10;
-            if is_resend_due {
+            let offset_ms = STEP_MS * u64::try_from(entry).expect("few entries");
+            if (self.now_ms + offset_ms).is_multiple_of(gossip::RESEND_INTERVAL_MS) {
                 let updates = self.entries[entry].notices.next_updates(self.now_ms);
                 self.send_updates(entry, &updates, gossip::RESEND_PEERS);
             }
