--- a/lib/tests/test_direct_limit_fleet.rs
+++ b/lib/tests/test_direct_limit_fleet.rs
@@ -92,6 +92,24 @@
     }
 }
 
+#[test]
+fn new_owner_told_the_limit_before_it_grants() {
+    // Guards against an entry that starts, becomes the owner of the queue, and grants all that waits before
+    // it has heard of the limit.
+    for seed in 0..60 {
+        let setup = Setup {
+            entries: 6,
+            limit_per_1000_s: 1_000,
+            slots: 40,
+            max_delay_ms: STEADY.max_delay_ms,
+            lost_part: 0.01,
+            kill_every_ms: Some(1_500),
+            ..drawn(seed)
+        };
+        assert_limit_kept(setup, seed);
+    }
+}
+
 #[test]
 fn ended_limit_gone_soon_at_all_entries() {
     // Guards against a limit that old statements, which entries resend to each other, keep in force.
