notices: one place that sets and announces a limit

Found on reading the change once more; limits behave as before. merge_limit sets a limit by set_limit, the end and the resumption of a limit share what they send and apply, and a merged update starts the task that follows a rising rate only where a rate rises; it started one for each upstream that leaves too. The model in the tests schedules its events in one place.

--- a/lib/src/direct/notices/limit_end.rs
+++ b/lib/src/direct/notices/limit_end.rs
@@ -114,10 +114,9 @@
     #[must_use]
     pub fn step(&self, now_ms: InstantMs) -> LimitStep {
         let quiet_ms = now_ms.saturating_sub(self.stated_at_ms);
-        let answers = self.omissions.saturating_add(self.failures);
         let needed = (2 * self.longest_gap).clamp(MIN_OMISSIONS, MAX_OMISSIONS);
         if self.omissions >= needed && quiet_ms >= QUIET_MS
-            || answers >= needed && quiet_ms >= FAILING_QUIET_MS
+            || self.omissions() >= needed && quiet_ms >= FAILING_QUIET_MS
         {
             LimitStep::End
         } else if self.omissions > 0 {
--- a/lib/src/direct/notices/upstream_notices.rs
+++ b/lib/src/direct/notices/upstream_notices.rs
@@ -237,6 +237,18 @@
         state.is_some_and(|state| state.limit_per_1000_s().is_some())
     }
 
+    /// Returns whether the rate of an upstream rises after the end of its limit.
+    ///
+    /// ```
+    /// assert!(!sardinewood::direct::notices::upstream_notices::UpstreamNotices::default().is_rate_rising(7, 0));
+    /// ```
+    #[must_use]
+    pub fn is_rate_rising(&self, upstream: u32, now_ms: u64) -> bool {
+        let state = self.by_upstream.get(&upstream);
+        let has_rate = |state: &UpstreamState| state.rate_per_1000_s(signed(now_ms)).is_some();
+        !self.is_limited(upstream) && state.is_some_and(has_rate)
+    }
+
     /// Returns the rates of starts that admission queues keep to, by upstream hash, in requests in 1,000
     /// seconds: the limits in force, and rates that rise after the end of a limit.
     ///
--- a/lib/src/direct/notices/upstream_state.rs
+++ b/lib/src/direct/notices/upstream_state.rs
@@ -215,13 +215,13 @@
         }
     }
 
-    /// Sets the limit that the upstream states now.
-    fn set_limit(&mut self, per_1000_s: u32, now_ms: InstantMs) {
+    /// Sets the limit that the upstream stated at a time.
+    fn set_limit(&mut self, per_1000_s: u32, at_ms: InstantMs) {
         self.limit = Some(StatedLimit {
             per_1000_s: Some(per_1000_s),
-            at_ms: now_ms,
+            at_ms,
         });
-        self.limit_evidence.record_statement(now_ms);
+        self.limit_evidence.record_statement(at_ms);
         self.rate_rise = None;
     }
 
@@ -291,15 +291,15 @@
             return false;
         }
         self.updated_at_ms = now_ms;
-        self.limit = Some(StatedLimit {
-            per_1000_s: update.per_1000_s,
-            at_ms,
-        });
-        if update.per_1000_s.is_some() {
-            self.limit_evidence.record_statement(at_ms);
-            self.rate_rise = None;
-        } else if let Some(per_1000_s) = before {
-            self.rate_rise = Some(RateRise::new(per_1000_s, MIN_DOUBLING_MS, now_ms));
+        if let Some(per_1000_s) = update.per_1000_s {
+            self.set_limit(per_1000_s, at_ms);
+        } else {
+            self.limit = Some(StatedLimit {
+                per_1000_s: None,
+                at_ms,
+            });
+            let rise = |per_1000_s| RateRise::new(per_1000_s, MIN_DOUBLING_MS, now_ms);
+            self.rate_rise = before.map(rise).or(self.rate_rise);
         }
         before != update.per_1000_s
     }
--- a/lib/src/direct/notices_driver.rs
+++ b/lib/src/direct/notices_driver.rs
@@ -160,29 +160,30 @@
         self.log(Level::Warn, MESSAGE, |line| {
             line.field("upstream", self.upstream_name(upstream))
         });
-        let updates = self
-            .notices
-            .borrow()
-            .updates_for(&[upstream], self.now_ms());
-        self.send_notice_updates(updates, usize::MAX);
-        self.update_eligible_upstreams();
+        self.announce_limit(upstream);
     }
 
     /// Tells the other entries that a limit has ended, and lets the rate of starts rise.
     fn end_limit(self: &Rc<Self>, upstream: u32) {
         const MESSAGE: &str = "limit of upstream has ended";
-        let notices = self.notices.borrow();
-        let omissions = notices.limit_omissions(upstream);
-        let updates = notices.updates_for(&[upstream], self.now_ms());
-        drop(notices);
+        let omissions = self.notices.borrow().limit_omissions(upstream);
         self.metrics.notices.with_label_values(&[MESSAGE]).inc();
         self.log(Level::Warn, MESSAGE, |line| {
             line.field("upstream", self.upstream_name(upstream))
                 .field("answers_without_limit", omissions)
         });
+        self.announce_limit(upstream);
+        self.follow_rate_rise(upstream);
+    }
+
+    /// Sends a limit or its end to the other entries, and applies it here.
+    fn announce_limit(&self, upstream: u32) {
+        let updates = self
+            .notices
+            .borrow()
+            .updates_for(&[upstream], self.now_ms());
         self.send_notice_updates(updates, usize::MAX);
         self.update_eligible_upstreams();
-        self.follow_rate_rise(upstream);
     }
 
     /// Applies the rate that rises after the end of a limit until it is free.
@@ -229,15 +230,7 @@
         let mut notices = self.notices.borrow_mut();
         let changed = notices.merge(updates, now_ms);
         let changed_updates = notices.updates_for(&changed, now_ms);
-        let ended: Vec<u32> = changed
-            .iter()
-            .copied()
-            .filter(|upstream| !notices.is_limited(*upstream))
-            .collect();
         drop(notices);
-        for upstream in ended {
-            self.follow_rate_rise(upstream);
-        }
         if changed_updates.is_empty() {
             return;
         }
@@ -253,6 +246,11 @@
         self.send_notice_updates(changed_updates, gossip::FORWARD_PEERS);
         self.update_eligible_upstreams();
         self.grant_slots();
+        for upstream in changed {
+            if self.notices.borrow().is_rate_rising(upstream, now_ms) {
+                self.follow_rate_rise(upstream);
+            }
+        }
     }
 
     /// Sends the known notices to a peer that has started or was silent.
--- a/lib/tests/limit_fleet.rs
+++ b/lib/tests/limit_fleet.rs
@@ -354,11 +354,8 @@
         }
         self.waiting.push(Waiting { id, entry, owner });
         self.send(entry, owner, Event::SlotRequest { from: entry, id });
-        let run = self.entries[entry].run;
         let patience_ms = self.random.random_range(PATIENCE_MS / 2..PATIENCE_MS);
-        let key = (self.now_ms + patience_ms, self.next_event);
-        self.next_event += 1;
-        self.events.insert(key, (entry, run, Event::GaveUp(id)));
+        self.schedule(patience_ms, entry, Event::GaveUp(id));
     }
 
     fn handle(&mut self, entry: usize, event: Event) {
