misbehaving_callers: crowds that stop short, send too much or say nothing

Each test starts the real program on a host that is small by its settings (64 MB, or 400 descriptors), lets a crowd of 40 to 1,800 callers act, and checks that the process lives, that its peak memory and what lies unread for it stay within the host's memory, that its descriptors do, and that an ordinary request and a long body are answered. Ten more check the same of an entry with agents, and eight that a refusal reaches its caller.

--- a/entry/tests/programs.rs
+++ b/entry/tests/programs.rs
@@ -33,9 +33,10 @@
 
 impl Program {
     /// Starts a program and waits until it says where it is reached.
-    fn start(path: &Path, args: &[String]) -> Self {
+    fn start(path: &Path, args: &[String], variables: &[(&str, String)]) -> Self {
         let mut child = Command::new(path)
             .args(args)
+            .envs(variables.iter().map(|(name, value)| (name, value)))
             .stderr(Stdio::piped())
             .spawn()
             .unwrap_or_else(|error| panic!("{}: {error}; run the whole workspace", path.display()));
@@ -56,6 +57,11 @@
 
     /// An entry before a store.
     pub fn entry(name: &str, store: &StoreStandIn) -> Self {
+        Self::entry_with(name, store, &[])
+    }
+
+    /// An entry before a store, with environment variables of its own.
+    pub fn entry_with(name: &str, store: &StoreStandIn, variables: &[(&str, String)]) -> Self {
         let path = PathBuf::from(env!("CARGO_BIN_EXE_sardinewood-entry"));
         let args = [
             format!("--host={name}"),
@@ -64,7 +70,7 @@
             "--operator-listen=127.0.0.2:0".into(),
             format!("--store-url={}", store.url()),
         ];
-        Self::start(&path, &args)
+        Self::start(&path, &args, variables)
     }
 
     /// The agent beside an upstream. Its program lies beside the entry's.
@@ -78,7 +84,17 @@
             format!("--listen={listen}"),
             format!("--store-url={}", store.url()),
         ];
-        Self::start(&path, &args)
+        Self::start(&path, &args, &[])
+    }
+
+    /// The id of its process.
+    pub fn process_id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Whether the process has not ended.
+    pub fn is_running(&mut self) -> bool {
+        self.child.try_wait().expect("its state").is_none()
     }
 
     /// `kill -9`.
--- a/lib/testutils/src/lib.rs
+++ b/lib/testutils/src/lib.rs
@@ -5,6 +5,7 @@
 //! caller's runtime, and has switches that bring about the faults of the real system.
 //! Nothing in the decisions may depend on what a stand-in does beyond that page.
 
+pub mod caller_crowd;
 pub mod engine_core;
 mod engine_face;
 pub mod engine_run;
@@ -15,6 +16,7 @@
 pub mod host_list_stand_in;
 mod http_server;
 pub mod prefix_cache;
+pub mod process_usage;
 pub mod retry_windows;
 pub mod service_stand_in;
 mod store_face;
