frames: encode a message once, in a buffer of its length

A message was encoded into a buffer that grows by doubling, copied into a second one, and the rest of the first stayed with its link: up to 12 MiB while a body of 4 MiB is sent, and several MiB of each link afterwards. The length is now computed first, and the message is encoded into its frame.

--- a/lib/src/link/frames.rs
+++ b/lib/src/link/frames.rs
@@ -16,7 +16,6 @@
 use tokio::io::AsyncWrite;
 use tokio::io::AsyncWriteExt;
 use tokio::sync::mpsc;
-use tokio_util::codec::Encoder;
 use tokio_util::codec::FramedRead;
 use tokio_util::codec::LengthDelimitedCodec;
 
@@ -27,6 +26,8 @@
 /// this process allocate, and so the body of a call.
 pub const MAX_FRAME_BYTES: usize = 32 * 1024 * 1024;
 
+/// Bytes of a frame's length before its message.
+const LENGTH_BYTES: usize = 4;
 /// How many messages go into one write.
 const BATCH_MESSAGES: usize = 256;
 
@@ -83,7 +84,7 @@
         .new_codec()
 }
 
-/// Encodes messages into frames, reusing its buffers.
+/// Encodes messages into frames.
 ///
 /// ```
 /// use sardinewood::link::frames::{AgentEnd, FrameEncoder, decode_message};
@@ -103,8 +104,6 @@
 /// ```
 #[derive(Debug)]
 pub struct FrameEncoder<E> {
-    codec: LengthDelimitedCodec,
-    scratch: BytesMut,
     frames: BytesMut,
     end: PhantomData<E>,
 }
@@ -114,8 +113,6 @@
     #[must_use]
     pub fn new() -> Self {
         FrameEncoder {
-            codec: codec(),
-            scratch: BytesMut::new(),
             frames: BytesMut::new(),
             end: PhantomData,
         }
@@ -127,14 +124,16 @@
     ///
     /// The message is larger than a frame may be; nothing is appended.
     pub fn push(&mut self, message: &E::Sent) -> Result<(), FrameError> {
-        self.scratch.clear();
-        postcard::to_io(message, (&mut self.scratch).writer())?;
-        let length_bytes = self.scratch.len();
+        let length_bytes = postcard::experimental::serialized_size(message)?;
         if length_bytes > MAX_FRAME_BYTES {
             return Err(FrameError::TooLarge { length_bytes });
         }
-        let body = self.scratch.split().freeze();
-        self.codec.encode(body, &mut self.frames)?;
+        let length =
+            u32::try_from(length_bytes).map_err(|_| FrameError::TooLarge { length_bytes })?;
+        // One buffer of the right size: a message may be as long as the longest body.
+        self.frames.reserve(LENGTH_BYTES + length_bytes);
+        self.frames.put_u32(length);
+        postcard::to_io(message, (&mut self.frames).writer())?;
         Ok(())
     }
 
