body: read prompts without storing them

An entry with agents parsed each body into a document to count the characters of its prompt and to add the fields of the profile. A document takes 32 bytes for an element that takes two in the body, so a body of 4 MiB could take 64 MiB for a moment (worked out). The texts are now counted by a visitor that keeps the first 16 KiB for the fingerprints, and fields are spliced into the body: in place of a null, or in front.

Fingerprints of prompts whose objects have several texts change, as texts count in the order of the body.

--- a/lib/src/caller.rs
+++ b/lib/src/caller.rs
@@ -9,5 +9,6 @@
 pub mod headers;
 pub mod listener;
 pub mod openai_error;
+pub mod prompt_text;
 pub mod service_path;
 pub mod submission;
--- a/lib/src/caller/body.rs
+++ b/lib/src/caller/body.rs
@@ -1,14 +1,22 @@
 //! Bodies of the model API: which model, how much work, and which prompt.
 
 use std::hash::Hasher;
+use std::ops::Range;
 use std::sync::Arc;
 
 use bytes::Bytes;
 use serde::Deserialize;
+use serde::Deserializer;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
+use serde_json::json;
+use serde_json::value::RawValue;
 use twox_hash::XxHash64;
 
 use crate::caller::openai_error::ApiError;
+use crate::caller::prompt_text::MAX_BEGINNING_BYTES;
+use crate::caller::prompt_text::PromptKind;
+use crate::caller::prompt_text::PromptText;
 use crate::caller::submission::WorkEstimate;
 use crate::config::objects::Profile;
 
@@ -17,7 +25,7 @@
 /// Bytes of the prompt under one fingerprint.
 const BLOCK_BYTES: usize = 1_024;
 /// Blocks of the prompt that have a fingerprint.
-const MAX_BLOCKS: usize = 16;
+const MAX_BLOCKS: usize = MAX_BEGINNING_BYTES / BLOCK_BYTES;
 /// Taken where neither request nor profile bounds the output.
 const DEFAULT_OUTPUT_TOKENS: u32 = 1_024;
 /// Output that a request is expected to take when nothing was learned of its profile.
@@ -45,14 +53,36 @@
 
 /// The fields that matter here; all others go to the engine as they are.
 #[derive(Deserialize)]
-struct Fields {
-    model: Option<Arc<str>>,
-    max_tokens: Option<u32>,
+struct Fields<'a> {
+    #[serde(borrow, default, deserialize_with = "present")]
+    model: Option<&'a RawValue>,
+    #[serde(borrow, default, deserialize_with = "present")]
+    max_tokens: Option<&'a RawValue>,
     max_completion_tokens: Option<u32>,
     #[serde(default)]
-    messages: Option<Value>,
+    messages: Option<PromptText>,
     #[serde(default)]
-    prompt: Option<Value>,
+    prompt: Option<PromptText>,
+}
+
+/// Reads a field that is present, also if it is null.
+fn present<'de: 'a, 'a, D: Deserializer<'de>>(
+    deserializer: D,
+) -> Result<Option<&'a RawValue>, D::Error> {
+    <&RawValue>::deserialize(deserializer).map(Some)
+}
+
+/// Parses the value of a field; none if it is absent or null.
+fn parse<T: DeserializeOwned>(field: Option<&RawValue>) -> Result<Option<T>, ApiError> {
+    let parsed = field.map(|field| serde_json::from_str::<Option<T>>(field.get()));
+    parsed
+        .transpose()
+        .map(Option::flatten)
+        .map_err(|error| invalid_json(&error))
+}
+
+fn invalid_json(error: &serde_json::Error) -> ApiError {
+    ApiError::bad_request("invalid_json", format!("the body: {error}"))
 }
 
 /// Reads a body of the model API.
@@ -85,33 +115,47 @@
             "the body is a list, not an object",
         ));
     }
-    let fields: Fields = serde_json::from_slice(&body)
-        .map_err(|error| ApiError::bad_request("invalid_json", format!("the body: {error}")))?;
+    let fields: Fields<'_> = serde_json::from_slice(&body).map_err(|error| invalid_json(&error))?;
     let prompt = match call {
         ModelCall::Chat => required(fields.messages.as_ref(), "messages")?,
         ModelCall::Completion => required(fields.prompt.as_ref(), "prompt")?,
     };
-    let Some(model) = fields.model.clone().or_else(|| profile.model.clone()) else {
+    let own_model: Option<Arc<str>> = parse(fields.model)?;
+    let Some(model) = own_model.clone().or_else(|| profile.model.clone()) else {
         return Err(ApiError::bad_request(
             "model_missing",
             "the body names no `model`, and the profile has none",
         ));
     };
-    let asked = fields.max_completion_tokens.or(fields.max_tokens);
+    let max_tokens: Option<u32> = parse(fields.max_tokens)?;
+    let asked = fields.max_completion_tokens.or(max_tokens);
     let allowed = profile.limits.max_output_tokens;
     check_output(asked, allowed)?;
     let max_output_tokens = asked.or(allowed).unwrap_or(DEFAULT_OUTPUT_TOKENS);
-    let mut text = Vec::new();
-    collect_text(prompt, &mut text);
     let estimate = WorkEstimate {
-        prompt_tokens: u32::try_from(text.len() / BYTES_PER_TOKEN + 1).unwrap_or(u32::MAX),
+        prompt_tokens: u32::try_from(prompt.length_bytes / BYTES_PER_TOKEN + 1).unwrap_or(u32::MAX),
         expected_output_tokens: EXPECTED_OUTPUT_TOKENS.min(max_output_tokens),
         max_output_tokens,
-        prefix: prefix(&text),
+        prefix: prefix(&prompt.beginning),
     };
-    let added_limit = allowed.filter(|_| asked.is_none());
-    let added_model = fields.model.is_none().then(|| model.clone());
-    let body = completed(body, added_model, added_limit)?;
+    let mut changes = Vec::new();
+    if own_model.is_none() {
+        changes.push(FieldChange::new(
+            &body,
+            "model",
+            fields.model,
+            &json!(model),
+        ));
+    }
+    if let Some(allowed) = allowed.filter(|_| asked.is_none()) {
+        changes.push(FieldChange::new(
+            &body,
+            "max_tokens",
+            fields.max_tokens,
+            &json!(allowed),
+        ));
+    }
+    let body = completed(body, changes);
     Ok(ModelRequest {
         model,
         estimate,
@@ -119,9 +163,9 @@
     })
 }
 
-fn required<'a>(field: Option<&'a Value>, name: &str) -> Result<&'a Value, ApiError> {
+fn required<'a>(field: Option<&'a PromptText>, name: &str) -> Result<&'a PromptText, ApiError> {
     match field {
-        Some(value @ (Value::String(_) | Value::Array(_))) => Ok(value),
+        Some(prompt) if prompt.kind == PromptKind::Valid => Ok(prompt),
         Some(_) => Err(ApiError::bad_request(
             "invalid_field",
             format!("`{name}` is neither a text nor a list"),
@@ -143,19 +187,6 @@
     }
 }
 
-/// Collects the texts of a prompt in their order, with what keeps two of them apart.
-fn collect_text(value: &Value, text: &mut Vec<u8>) {
-    match value {
-        Value::String(part) => {
-            text.extend_from_slice(part.as_bytes());
-            text.push(0);
-        }
-        Value::Array(parts) => parts.iter().for_each(|part| collect_text(part, text)),
-        Value::Object(fields) => fields.values().for_each(|part| collect_text(part, text)),
-        Value::Null | Value::Bool(_) | Value::Number(_) => {}
-    }
-}
-
 /// Fingerprints of the prompt's leading whole blocks; each covers all blocks before it.
 fn prefix(text: &[u8]) -> Vec<u64> {
     let mut hasher = XxHash64::with_seed(0);
@@ -168,26 +199,46 @@
         .collect()
 }
 
-/// The body with what the profile adds. It is passed on byte for byte if nothing is added.
-fn completed(
-    body: Bytes,
-    model: Option<Arc<str>>,
-    max_tokens: Option<u32>,
-) -> Result<Bytes, ApiError> {
-    if model.is_none() && max_tokens.is_none() {
-        return Ok(body);
+/// A field of the body that is set to a value of the profile.
+struct FieldChange {
+    /// Which bytes of the body it replaces: those of a null, or none behind the opening brace.
+    replaced: Range<usize>,
+    text: String,
+}
+
+impl FieldChange {
+    fn new(body: &Bytes, name: &str, null: Option<&RawValue>, value: &Value) -> Self {
+        if let Some(null) = null {
+            let start = null.get().as_ptr().addr() - body.as_ptr().addr();
+            return Self {
+                replaced: start..start + null.get().len(),
+                text: value.to_string(),
+            };
+        }
+        let brace = body.iter().position(|byte| *byte == b'{');
+        let start = brace.map_or(0, |brace| brace + 1);
+        Self {
+            replaced: start..start,
+            text: format!("\"{name}\":{value},"),
+        }
     }
-    let invalid = |error: serde_json::Error| {
-        ApiError::bad_request("invalid_json", format!("the body: {error}"))
-    };
-    let mut fields: serde_json::Map<String, Value> =
-        serde_json::from_slice(&body).map_err(invalid)?;
-    if let Some(model) = model {
-        fields.insert("model".into(), Value::from(&*model));
+}
+
+/// The body with what the profile adds. It is passed on byte for byte if nothing is added. It has a field, the
+/// prompt, so that others may stand before it.
+fn completed(body: Bytes, mut changes: Vec<FieldChange>) -> Bytes {
+    if changes.is_empty() {
+        return body;
     }
-    if let Some(max_tokens) = max_tokens {
-        fields.insert("max_tokens".into(), max_tokens.into());
+    changes.sort_by_key(|change| change.replaced.start);
+    let added_bytes: usize = changes.iter().map(|change| change.text.len()).sum();
+    let mut completed = Vec::with_capacity(body.len() + added_bytes);
+    let mut copied = 0;
+    for change in changes {
+        completed.extend_from_slice(&body[copied..change.replaced.start]);
+        completed.extend_from_slice(change.text.as_bytes());
+        copied = change.replaced.end;
     }
-    let body = serde_json::to_vec(&fields).map_err(invalid)?;
-    Ok(body.into())
+    completed.extend_from_slice(&body[copied..]);
+    completed.into()
 }
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -66,6 +66,7 @@
 mod test_link_proof;
 mod test_logging;
 mod test_metrics;
+mod test_model_request;
 mod test_objects_check;
 mod test_operator_api;
 mod test_operator_change;
