held_bytes: bound short answers as well

Each answer could always hold 64 KiB, so callers that take none of their answers could hold that many times 64 KiB. Short answers now have 8 MiB beyond what all answers may hold.

The test holds 65,536,000 bytes without the bound by construction; it was not run on the code before.

--- a/lib/src/direct/request/held_bytes.rs
+++ b/lib/src/direct/request/held_bytes.rs
@@ -9,7 +9,9 @@
 /// Most bytes of answers that an entry holds. The smallest hosts have 160 MB, and an entry is to stay
 /// under 64 MB with everything else.
 pub const MAX_HELD_BYTES: u64 = 24 << 20;
-/// What each answer may hold regardless of the others. Nearly all answers are shorter, and they are not
+/// Bytes beyond that which are left for short answers.
+pub const MAX_SHORT_BYTES: u64 = 8 << 20;
+/// What each answer may hold regardless of the long ones. Nearly all answers are shorter, and they are not
 /// to fail because of a few long ones.
 pub const ALWAYS_HELD_BYTES: usize = 64 << 10;
 
@@ -74,7 +76,12 @@
         let new = bytes as u64;
         let others = self.held.total() - self.bytes;
         let is_growing = new > self.bytes;
-        if is_growing && bytes > ALWAYS_HELD_BYTES && others + new > MAX_HELD_BYTES {
+        let max_bytes = if bytes > ALWAYS_HELD_BYTES {
+            MAX_HELD_BYTES
+        } else {
+            MAX_HELD_BYTES + MAX_SHORT_BYTES
+        };
+        if is_growing && others + new > max_bytes {
             return false;
         }
         self.held.0.store(others + new, Ordering::Relaxed);
--- a/lib/tests/test_direct_answer_bounds.rs
+++ b/lib/tests/test_direct_answer_bounds.rs
@@ -15,6 +15,7 @@
 use sardinewood::direct::request::held_bytes::HeldBytes;
 use sardinewood::direct::request::held_bytes::HoldError;
 use sardinewood::direct::request::held_bytes::MAX_HELD_BYTES;
+use sardinewood::direct::request::held_bytes::MAX_SHORT_BYTES;
 
 const HEAD: &[u8] = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n";
 const INTERIM: &[u8] = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
@@ -185,6 +186,21 @@
     assert_eq!(held.total(), 0);
 }
 
+#[test]
+fn push_held_by_short_answers_together_bounded() {
+    // Guards against short answers that nobody takes, each of which may always be held.
+    let held = HeldBytes::default();
+    let piece = vec![0; ALWAYS_HELD_BYTES];
+    let mut buffers = Vec::new();
+    for _ in 0..1_000 {
+        let mut buffer = AnswerBuffer::new(&held, 4 << 20);
+        if buffer.push(&piece).is_ok() {
+            buffers.push(buffer);
+        }
+    }
+    assert_eq!(held.total(), MAX_HELD_BYTES + MAX_SHORT_BYTES);
+}
+
 #[test]
 fn push_counted_until_the_answer_is_dropped() {
     // Guards against answers that wait for slow callers and are counted no more.
