listeners: bound connections of pages, readiness and pulls

The connection that was used least recently is closed beyond 32 for readiness, 32 for pages and 64 pulls of peers; a pull's request has at most 1 KiB.

--- a/lib/src/direct/replication/peer_pull.rs
+++ b/lib/src/direct/replication/peer_pull.rs
@@ -29,6 +29,7 @@
 use crate::direct::replication::update_codec;
 use crate::direct::replication::update_codec::Encoding;
 use crate::direct::replication::update_codec::MAX_UPDATE_BYTES;
+use crate::direct::request::connection_set::ConnectionSet;
 use crate::logging::Level;
 use crate::logging::Line;
 
@@ -36,6 +37,10 @@
 const PULL_TIMEOUT: Duration = Duration::from_millis(800);
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Most pulls at a time.
+pub const MAX_PULLS: usize = 64;
+/// Longest request for a pull.
+const MAX_REQUEST_BYTES: usize = 1 << 10;
 /// Long updates that are sent at a time. On a link of 20 Mbit/s, four lists of 2,000 upstreams take
 /// half of [`PULL_TIMEOUT`].
 const MAX_LONG_SENDS: usize = 4;
@@ -65,9 +70,9 @@
 /// A connection to a peer that carries length-delimited messages.
 type Channel = Framed<TcpStream, LengthDelimitedCodec>;
 
-fn channel(stream: TcpStream) -> Channel {
+fn channel(stream: TcpStream, max_frame_bytes: usize) -> Channel {
     LengthDelimitedCodec::builder()
-        .max_frame_length(MAX_UPDATE_BYTES)
+        .max_frame_length(max_frame_bytes)
         .new_framed(stream)
 }
 
@@ -95,7 +100,7 @@
         .and_then(|request| postcard::to_extend(&own_revisions.eras(), request))
         .map_err(io::Error::other)?;
     let exchange = async {
-        let mut channel = channel(TcpStream::connect(peer).await?);
+        let mut channel = channel(TcpStream::connect(peer).await?, MAX_UPDATE_BYTES);
         channel.send(Bytes::from(request)).await?;
         receive(&mut channel).await
     };
@@ -123,11 +128,12 @@
         long_sends: Cell::new(0),
         served: RefCell::default(),
     });
+    let connections = ConnectionSet::new(MAX_PULLS);
     loop {
         match listener.accept().await {
             Ok((stream, peer)) => {
                 let server = Rc::clone(&server);
-                tokio::task::spawn_local(async move {
+                connections.spawn(|_member| async move {
                     let result = timeout(PULL_TIMEOUT, server.serve(stream)).await;
                     if let Err(error) = result.unwrap_or_else(|elapsed| Err(elapsed.into())) {
                         server.follower.count_served("failed");
@@ -170,8 +176,9 @@
 impl PullServer {
     /// Reads a peer's revisions, and sends it what it lacks.
     async fn serve(&self, stream: TcpStream) -> io::Result<()> {
-        let mut channel = channel(stream);
+        let mut channel = channel(stream, MAX_REQUEST_BYTES);
         let request = receive(&mut channel).await?;
+        channel.codec_mut().set_max_frame_length(MAX_UPDATE_BYTES);
         let (theirs, extension) =
             postcard::take_from_bytes::<Revisions>(&request).map_err(io::Error::other)?;
         let Ok((puller, eras)) = postcard::take_from_bytes::<Puller>(extension) else {
@@ -196,6 +203,7 @@
         channel.send(update).await?;
         // The peer closes the connection once it has read the update. Until then, the update may
         // wait in a buffer and share the link with others.
+        channel.codec_mut().set_max_frame_length(MAX_REQUEST_BYTES);
         let closed = channel.next().await;
         self.follower.count_served("sent");
         self.record_served(puller.address);
--- a/lib/src/direct/request.rs
+++ b/lib/src/direct/request.rs
@@ -8,6 +8,7 @@
 pub mod call;
 pub mod caller_io;
 pub mod connection_pool;
+pub mod connection_set;
 pub mod exchange;
 pub mod failure_responses;
 pub mod headers;
--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -23,6 +23,7 @@
 use crate::direct::request::answer_bounds::READ_BUFFER_BYTES;
 use crate::direct::request::caller_io::CallerIo;
 use crate::direct::request::caller_io::ConnectionActivity;
+use crate::direct::request::connection_set::ConnectionSet;
 use crate::direct::request::exchange;
 use crate::direct::request::notices_page;
 use crate::direct::request::quarantine_page;
@@ -35,6 +36,10 @@
 
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Most connections of each of the listeners for readiness and for pages.
+pub const MAX_PAGE_CONNECTIONS: usize = 32;
+/// Longest buffer of the HTTP library for requests of pages.
+pub const PAGE_BUFFER_BYTES: usize = 16 << 10;
 /// Path of the metrics.
 const METRICS_PATH: &str = "/metrics";
 /// Path of the page about requests that may have crashed upstreams.
@@ -189,6 +194,7 @@
     traffic: Rc<TrafficState>,
     page: fn(&TrafficState, &Request<Incoming>) -> Response<Full<Bytes>>,
 ) {
+    let connections = ConnectionSet::new(MAX_PAGE_CONNECTIONS);
     loop {
         let stream = match listener.accept().await {
             Ok((stream, _)) => stream,
@@ -201,14 +207,16 @@
             }
         };
         let traffic = Rc::clone(&traffic);
-        tokio::task::spawn_local(async move {
+        connections.spawn(|member| async move {
             let service = service_fn(|request: Request<Incoming>| {
+                member.touch();
                 let response = page(&traffic, &request);
                 async move { Ok::<_, Infallible>(response) }
             });
             // The client repeats its request if the connection broke.
             let _ = http1::Builder::new()
                 .auto_date_header(false)
+                .max_buf_size(PAGE_BUFFER_BYTES)
                 .serve_connection(TokioIo::new(stream), service)
                 .await;
         });
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -59,6 +59,7 @@
 use crate::direct::store_view::replica::ReplicaSnapshot;
 use crate::direct::traffic::TrafficState;
 use crate::findings::Findings;
+use crate::listener;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::numbers;
@@ -75,6 +76,13 @@
 /// them takes about 10 µs.
 const SETTINGS_POLL_PERIOD: Duration = Duration::from_secs(2);
 
+/// Callers' connections that may wait to be accepted.
+pub const CALLERS_BACKLOG: u32 = 256;
+/// Peers' connections that may wait to be accepted.
+pub const PEERS_BACKLOG: u32 = 128;
+/// The same for each of the listeners for readiness and for pages.
+pub const PAGES_BACKLOG: u32 = 32;
+
 /// Settings of an entry in direct mode.
 #[derive(Clone, Debug, PartialEq)]
 pub struct DirectSettings {
@@ -296,7 +304,7 @@
         UnboundedSender<ListCallOutcome>,
     ),
 ) {
-    match TcpListener::bind(peers.address).await {
+    match listener::listen(peers.address, PEERS_BACKLOG) {
         Ok(listener) => {
             spawn_local(peer_pull::serve(listener, follower.clone()));
         }
@@ -370,9 +378,9 @@
         .set_longest_stream_ms(settings.longest_stream_ms());
     traffic.set_load_policy(settings.load_policy);
     traffic.apply_data_centre_policy();
-    let callers = listen(settings.caller_address, "callers").await?;
-    let readiness = listen(settings.readiness_address, "readiness").await?;
-    let metrics = listen(settings.metrics_address, "metrics").await?;
+    let callers = listen(settings.caller_address, CALLERS_BACKLOG, "callers")?;
+    let readiness = listen(settings.readiness_address, PAGES_BACKLOG, "readiness")?;
+    let metrics = listen(settings.metrics_address, PAGES_BACKLOG, "metrics")?;
     spawn_local(listeners::serve_callers(callers, Rc::clone(&traffic)));
     spawn_local(listeners::serve_readiness(readiness, Rc::clone(&traffic)));
     spawn_local(listeners::serve_metrics(metrics, Rc::clone(&traffic)));
@@ -463,9 +471,8 @@
 }
 
 /// Binds a listener; `purpose` names it in the error.
-async fn listen(address: SocketAddr, purpose: &str) -> eyre::Result<TcpListener> {
-    TcpListener::bind(address)
-        .await
+fn listen(address: SocketAddr, backlog: u32, purpose: &str) -> eyre::Result<TcpListener> {
+    listener::listen(address, backlog)
         .wrap_err_with(|| format!("can't serve {purpose} on {address}"))
 }
 
--- a/lib/src/lib.rs
+++ b/lib/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod findings;
 pub mod ids;
 pub mod link;
+pub mod listener;
 pub mod logging;
 pub mod metrics;
 pub mod numbers;
