caller_memory: one account of what all callers hold

Callers that stay within each limit made an entry run out of memory: 40 bodies of 4 MiB that stop one byte short took 189 MB, 1,200 bodies of 64 KiB 237 MB, 1,800 heads 81 MB and 11 MB unread, on a host of 64 MB; 600 silent connections 514 descriptors of 400. Each request was bounded and their sum was not, a body's buffer doubled, and the system's receive buffers were not set.

One account now holds connections with what may lie unread, their HTTP state and bodies, from their first byte until the request has ended, within 40 % of the host's memory and three quarters of its descriptors. Nothing changes below the limits. At a limit, whoever holds most and moves least gives way: an unfinished body is answered 408 and a body without room 503, both not run and with Retry-After; a connection without a whole request is closed. Whole requests never give way. Long bodies leave a quarter to short requests, and half to other customers. Connections cost 36 KiB until their first byte arrives, as the HTTP library's buffers and the request's state are created then.

--- a/lib/src/caller.rs
+++ b/lib/src/caller.rs
@@ -4,10 +4,14 @@
 //! agents or of the order in which requests are served.
 
 pub mod body;
+pub mod body_buffer;
 pub mod connections;
 pub mod directory;
 pub mod headers;
 pub mod listener;
+pub mod memory;
+pub mod memory_account;
+pub mod memory_limits;
 pub mod openai_error;
 pub mod prompt_text;
 pub mod service_path;
--- a/lib/src/direct/metrics.rs
+++ b/lib/src/direct/metrics.rs
@@ -12,7 +12,9 @@
 use prometheus::Registry;
 use prometheus::TextEncoder;
 
+use crate::caller::memory::CallerMemory;
 use crate::direct::data_centre_driver::Destination;
+use crate::numbers;
 
 /// Upper bounds of the histogram buckets in milliseconds, from a local call to the longest request.
 const BUCKETS_MS: [f64; 12] = [
@@ -106,6 +108,8 @@
     pub excluded_upstreams: IntGauge,
     /// Bytes of upstreams' answers that requests hold.
     pub held_answer_bytes: IntGauge,
+    /// What callers hold.
+    pub callers: CallerMetrics,
     /// Requests that may have crashed upstreams, or were cleared of the suspicion recently.
     pub suspects: IntGauge,
     /// Quarantined features of requests.
@@ -133,6 +137,65 @@
     pub refused_late: IntCounterVec,
 }
 
+/// Metrics of what callers hold.
+#[derive(Clone, Debug)]
+pub struct CallerMetrics {
+    /// Open connections of callers.
+    pub connections: IntGauge,
+    /// Bytes that they may hold together.
+    pub max_bytes: IntGauge,
+    /// Bytes that they hold, by what holds them.
+    pub bytes: GaugeVec,
+    /// Connections and bodies that gave way to others, or found no room, since the start.
+    pub given_up: GaugeVec,
+}
+
+impl CallerMetrics {
+    fn new() -> prometheus::Result<Self> {
+        Ok(Self {
+            connections: gauge("caller_connections", "Open connections of callers.")?,
+            max_bytes: gauge("caller_bytes_limit", "Bytes that callers may hold.")?,
+            bytes: GaugeVec::new(
+                Opts::new("sardinewood_caller_bytes", "Bytes that callers hold."),
+                &["part"],
+            )?,
+            given_up: GaugeVec::new(
+                Opts::new(
+                    "sardinewood_caller_given_up",
+                    "Connections and bodies that gave way or found no room.",
+                ),
+                &["kind"],
+            )?,
+        })
+    }
+
+    /// Sets the metrics to what is held now.
+    pub fn update(&self, memory: &CallerMemory) {
+        let usage = memory.usage();
+        let max_bytes = i64::try_from(memory.limits().max_bytes).unwrap_or(i64::MAX);
+        self.max_bytes.set(max_bytes);
+        let connections = i64::try_from(usage.connections).unwrap_or(i64::MAX);
+        self.connections.set(connections);
+        for (part, bytes) in [
+            ("connections", usage.connection_bytes),
+            ("bodies", usage.body_bytes),
+        ] {
+            self.bytes
+                .with_label_values(&[part])
+                .set(numbers::as_f64(bytes));
+        }
+        for (kind, count) in [
+            ("connection", usage.evicted_connections),
+            ("body", usage.evicted_bodies),
+            ("rejected", usage.rejected),
+        ] {
+            self.given_up
+                .with_label_values(&[kind])
+                .set(numbers::as_f64(count));
+        }
+    }
+}
+
 /// Metrics of one entry by data centre.
 #[derive(Clone, Debug)]
 pub struct DataCentreMetrics {
@@ -336,6 +399,7 @@
             upstreams_at_rest: gauge("upstreams_at_rest", "Upstreams that asked for rest.")?,
             excluded_upstreams: gauge("excluded_upstreams", "Upstreams with invalid answers.")?,
             held_answer_bytes: gauge("held_answer_bytes", "Bytes of answers that are held.")?,
+            callers: CallerMetrics::new()?,
             suspects: gauge(
                 "suspects",
                 "Features of requests under which upstreams ended.",
@@ -413,6 +477,8 @@
             &self.upstreams_at_rest,
             &self.excluded_upstreams,
             &self.held_answer_bytes,
+            &self.callers.connections,
+            &self.callers.max_bytes,
             &self.suspects,
             &self.held_requests,
             &self.held_parts,
@@ -428,6 +494,8 @@
             &self.data_centres.leaving_share,
             &self.retries.budget,
             &self.requests_by_stage,
+            &self.callers.bytes,
+            &self.callers.given_up,
         ] {
             self.registry.register(Box::new(gauges.clone()))?;
         }
--- a/lib/src/direct/request/call.rs
+++ b/lib/src/direct/request/call.rs
@@ -6,7 +6,6 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::HeaderValue;
 use http::Method;
@@ -16,8 +15,7 @@
 use http::header;
 use http::uri::PathAndQuery;
 use http_body_util::BodyExt;
-use http_body_util::LengthLimitError;
-use http_body_util::Limited;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use serde_json::json;
 use tokio::time::Instant;
@@ -25,6 +23,9 @@
 
 use crate::caller::headers::HOP_BY_HOP;
 use crate::caller::headers::connection_names;
+use crate::caller::memory::MemoryShare;
+use crate::caller::memory_account::MemoryError;
+use crate::caller::memory_limits::NO_MEMORY_RETRY_AFTER_MS;
 use crate::direct::placement::job::Job;
 use crate::direct::placement::shared_prefix::SharedPrefix;
 use crate::direct::quarantine::fingerprint::Fingerprint;
@@ -282,6 +283,7 @@
     request: Request<Incoming>,
     headers: CallerHeaders,
     open: &Rc<OpenRequest>,
+    memory: &MemoryShare,
 ) -> Result<Call, Refusal> {
     let arrived_ms = traffic.now_ms();
     let id = headers.request_id.as_ref();
@@ -298,8 +300,11 @@
     let (route, customer) = look_up(&catalog, &request, &headers)?;
     let (parts, body) = request.into_parts();
     let remaining_ms = headers.remaining_ms.unwrap_or(DEFAULT_REMAINING_MS);
-    let body_until = traffic.instant_at(arrived_ms.saturating_add(remaining_ms));
-    let body = read_body(&catalog, body, body_until, id).await?;
+    let caller_deadline_at_ms = arrived_ms.saturating_add(remaining_ms);
+    let body_until = traffic.instant_at(caller_deadline_at_ms);
+    memory.set_customer(customer.as_ref().map(|customer| &customer.name));
+    let body = receive_body(&catalog, body, body_until, memory).await;
+    let body = body.map_err(|error| refuse_body(error, &route.name, memory, id))?;
     let read_at_ms = traffic.now_ms();
     let (service, stream_version) =
         choose_service(traffic, &headers, &route, customer.as_ref()).await?;
@@ -325,11 +330,7 @@
     if let Some(customer) = &customer {
         charge(traffic, customer, &route, &service, &headers, &recorder).await?;
     }
-    if headers.has_invalid_prompt_parts {
-        traffic.log(Level::Warn, "parts of the prompt are invalid", |line| {
-            line.field("request", request_id_text(id))
-        });
-    }
+    log_invalid_prompt_parts(traffic, &headers);
     let timeout_ms = remaining_ms
         .saturating_sub(RESPONSE_MARGIN_MS)
         .min(route.timeout_ms);
@@ -369,7 +370,7 @@
         stream_version,
         arrived_ms,
         read_at_ms,
-        caller_deadline_at_ms: arrived_ms.saturating_add(remaining_ms),
+        caller_deadline_at_ms,
         deadline_at_ms: arrived_ms + timeout_ms,
         tried_upstreams: Vec::new(),
         retry_permit: None,
@@ -383,6 +384,14 @@
     })
 }
 
+fn log_invalid_prompt_parts(traffic: &TrafficState, headers: &CallerHeaders) {
+    if headers.has_invalid_prompt_parts {
+        traffic.log(Level::Warn, "parts of the prompt are invalid", |line| {
+            line.field("request", request_id_text(headers.request_id.as_ref()))
+        });
+    }
+}
+
 /// Chooses the service of a request. Returns it with the version that is needed there, if the request
 /// resumes a stream.
 async fn choose_service(
@@ -492,41 +501,95 @@
     }
 }
 
-/// Reads the body of a request, whose parts have to arrive within the idle timeout, and the whole of it
-/// while its caller waits.
-async fn read_body(
+/// Why the body of a request could not be received.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum BodyError {
+    /// It is longer than the configuration allows.
+    TooLong,
+    /// The connection broke, or what arrived is not valid.
+    BrokenOff,
+    /// A part did not arrive in time.
+    TooSlow,
+    /// Bodies hold as much memory as they may.
+    NoRoom,
+    /// It came more slowly than others while memory was short.
+    GaveWay,
+}
+
+impl From<MemoryError> for BodyError {
+    fn from(error: MemoryError) -> Self {
+        match error {
+            MemoryError::TooLong => Self::TooLong,
+            MemoryError::NoRoom => Self::NoRoom,
+            MemoryError::Evicted => Self::GaveWay,
+        }
+    }
+}
+
+/// Receives the body of a request, whose parts have to arrive within the idle timeout, and the whole of it
+/// while its caller waits. One that declares too many bytes is not read.
+async fn receive_body(
     catalog: &Catalog,
-    body: Incoming,
+    mut body: Incoming,
     until: Instant,
-    id: Option<&HeaderValue>,
-) -> Result<Bytes, Refusal> {
+    memory: &MemoryShare,
+) -> Result<Bytes, BodyError> {
+    if body.is_end_stream() {
+        return Ok(Bytes::new());
+    }
+    if body.size_hint().lower() > catalog.max_body_bytes() {
+        return Err(BodyError::TooLong);
+    }
     let max_bytes = usize::try_from(catalog.max_body_bytes()).unwrap_or(usize::MAX);
     let idle_timeout = Duration::from_millis(catalog.idle_timeout_ms());
-    let mut body = Limited::new(body, max_bytes);
-    let mut bytes = BytesMut::new();
     loop {
         let frame_until = until.min(Instant::now() + idle_timeout);
-        let frame = match timeout_at(frame_until, body.frame()).await {
-            Ok(Some(Ok(frame))) => frame,
-            Ok(None) => return Ok(bytes.freeze()),
-            Ok(Some(Err(error))) if error.is::<LengthLimitError>() => {
-                let status = StatusCode::PAYLOAD_TOO_LARGE;
-                return Err(Refusal::new(status, "body is too large", id));
-            }
-            Ok(Some(Err(_))) => {
-                return Err(Refusal::new(StatusCode::BAD_REQUEST, "body broke off", id));
-            }
-            Err(_) => {
-                let status = StatusCode::REQUEST_TIMEOUT;
-                return Err(Refusal::new(status, "body came too slowly", id));
-            }
+        let frame = tokio::select! {
+            biased;
+            frame = timeout_at(frame_until, body.frame()) => frame,
+            () = memory.evicted().cancelled() => return Err(BodyError::GaveWay),
         };
-        if let Ok(data) = frame.into_data() {
-            bytes.extend_from_slice(&data);
+        match frame {
+            Ok(Some(Ok(frame))) => {
+                if let Ok(data) = frame.into_data() {
+                    memory.push_body(&data, max_bytes)?;
+                }
+            }
+            Ok(None) => return Ok(memory.finish_body()?),
+            Ok(Some(Err(_))) => return Err(BodyError::BrokenOff),
+            Err(_) => return Err(BodyError::TooSlow),
         }
     }
 }
 
+/// Refuses a request whose body could not be received. It has not run.
+fn refuse_body(
+    error: BodyError,
+    route: &str,
+    memory: &MemoryShare,
+    id: Option<&HeaderValue>,
+) -> Refusal {
+    let (status, reason) = match error {
+        BodyError::TooLong => (StatusCode::PAYLOAD_TOO_LARGE, "body is too large"),
+        BodyError::BrokenOff => (StatusCode::BAD_REQUEST, "body broke off"),
+        BodyError::TooSlow => (StatusCode::REQUEST_TIMEOUT, "body came too slowly"),
+        BodyError::NoRoom => (StatusCode::SERVICE_UNAVAILABLE, "no memory for the body"),
+        BodyError::GaveWay => (StatusCode::REQUEST_TIMEOUT, "body gave way to others"),
+    };
+    let refusal = Refusal::new(status, reason, id);
+    if !matches!(error, BodyError::NoRoom | BodyError::GaveWay) {
+        return refusal;
+    }
+    let customer = memory.customer();
+    refusal
+        .retry_after(NO_MEMORY_RETRY_AFTER_MS)
+        .with_inputs(json!({
+            "route": route,
+            "customer": customer.name,
+            "customer_bytes": customer.body_bytes,
+        }))
+}
+
 fn origin_form(uri: &Uri) -> Uri {
     let Some(path) = uri.path_and_query() else {
         return Uri::from_static("/");
--- a/lib/src/direct/request/caller_io.rs
+++ b/lib/src/direct/request/caller_io.rs
@@ -19,6 +19,8 @@
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
+use crate::caller::memory::MemoryShare;
+use crate::caller::memory_account::Stage;
 use crate::direct::request::open_requests::OpenRequest;
 use crate::direct::request::open_requests::RequestStage;
 
@@ -28,8 +30,10 @@
 const MAX_FRAMING_BYTES: u64 = 256 << 10;
 
 /// Activity of a caller's connection, to find out whether it is idle and whether a head is late.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ConnectionActivity {
+    /// The memory that the connection holds.
+    pub memory: MemoryShare,
     /// Requests whose response has not begun.
     pub open_requests: Cell<u32>,
     /// Streams that are being sent.
@@ -49,12 +53,39 @@
 }
 
 impl ConnectionActivity {
-    /// Records that the head of a request was read, whose body may have this many bytes.
+    /// Creates the activity of a new connection.
+    #[must_use]
+    pub fn new(memory: MemoryShare, now_ms: u64) -> Self {
+        Self {
+            memory,
+            open_requests: Cell::default(),
+            open_streams: Cell::default(),
+            last_ms: Cell::new(now_ms),
+            head_began: Cell::default(),
+            has_head_begun: Notify::new(),
+            request_bytes: Cell::default(),
+            max_request_bytes: Cell::default(),
+            unwritten: RefCell::default(),
+        }
+    }
+
+    /// Records that the head of a request was read, whose body may have this many bytes, and whether a body
+    /// follows.
     ///
     /// The HTTP library may read the body before it polls the request for the first time.
-    pub fn start_request(&self, max_body_bytes: u64) {
+    pub fn start_request(&self, max_body_bytes: u64, has_body: bool) {
+        self.memory.set_stage(if has_body {
+            Stage::Receiving
+        } else {
+            Stage::Serving
+        });
         self.open_requests.set(self.open_requests.get() + 1);
         self.head_began.set(None);
+        self.expect_request(max_body_bytes);
+    }
+
+    /// Sets the bounds of a request whose body may have this many bytes.
+    pub fn expect_request(&self, max_body_bytes: u64) {
         self.request_bytes.set(0);
         let max_bytes = max_body_bytes.saturating_mul(FRAMED_BODY_FACTOR);
         self.max_request_bytes
@@ -67,6 +98,23 @@
         self.last_ms.set(now_ms);
     }
 
+    /// Records that the request is refused. What has not arrived of it is to be discarded.
+    pub fn refuse(&self) {
+        if self.memory.stage() == Stage::Receiving {
+            self.memory.discard_body();
+            self.memory.set_stage(Stage::Refused);
+        }
+    }
+
+    /// Records that all responses so far are written.
+    fn finish_writing(&self) {
+        let written = std::mem::take(&mut *self.unwritten.borrow_mut());
+        let is_busy = self.open_requests.get() > 0 || self.open_streams.get() > 0;
+        if !written.is_empty() && !is_busy && self.memory.stage() == Stage::Serving {
+            self.memory.set_stage(Stage::Idle);
+        }
+    }
+
     /// Keeps a request open until all that the HTTP library has taken of its response is written.
     pub fn keep_until_written(&self, request: Rc<OpenRequest>) {
         request.set_stage(RequestStage::Writing);
@@ -82,6 +130,7 @@
             self.head_began.set(Some(Instant::now()));
             self.has_head_begun.notify_one();
         }
+        self.memory.receive(bytes as u64);
         let received = self.request_bytes.get() + bytes as u64;
         self.request_bytes.set(received);
         if self.open_requests.get() > 0 && received > self.max_request_bytes.get() {
@@ -177,7 +226,7 @@
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
         ready!(Pin::new(&mut self.io).poll_flush(context))?;
         // The HTTP library flushes the connection only after it has written its whole buffer.
-        self.activity.unwritten.borrow_mut().clear();
+        self.activity.finish_writing();
         Poll::Ready(Ok(()))
     }
 
--- a/lib/src/direct/request/exchange.rs
+++ b/lib/src/direct/request/exchange.rs
@@ -26,6 +26,7 @@
 use crate::direct::request::call::read_call;
 use crate::direct::request::call::refuse_quarantined;
 use crate::direct::request::call::without_connection_headers;
+use crate::direct::request::caller_io::ConnectionActivity;
 use crate::direct::request::connection_pool::ConnectError;
 use crate::direct::request::connection_pool::Connection;
 use crate::direct::request::connection_pool::SendError;
@@ -113,18 +114,22 @@
     traffic: Rc<TrafficState>,
     request: Request<Incoming>,
     open: &Rc<OpenRequest>,
+    activity: &ConnectionActivity,
 ) -> Result<Response<ResponseBody>, Infallible> {
     traffic.metrics.requests.inc();
     let headers = (traffic.header_codec.read_request)(request.headers());
     let request_id = headers.request_id.clone();
     let read = tokio::select! {
         biased;
-        read = read_call(&traffic, request, headers, open) => read,
+        read = read_call(&traffic, request, headers, open, &activity.memory) => read,
         () = traffic.wait_until_answers_due() => Err(Refusal::about_to_end(&traffic, request_id.as_ref())),
     };
     let mut response = match read {
         Ok(call) => serve(&traffic, call).await,
-        Err(refusal) => refusal.response(&traffic),
+        Err(refusal) => {
+            activity.refuse();
+            refusal.response(&traffic)
+        }
     };
     if let Some(request_id) = request_id {
         (traffic.header_codec.write_request_id)(response.headers_mut(), &request_id);
--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -1,7 +1,7 @@
 //! Accepts connections of callers, of the readiness check, and of operators.
 
 use std::convert::Infallible;
-use std::pin::pin;
+use std::pin::Pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -10,17 +10,22 @@
 use http::Response;
 use http::StatusCode;
 use http_body_util::Full;
+use hyper::body::Body;
 use hyper::body::Incoming;
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
+use serde_json::Value;
+use serde_json::json;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
+use tokio::task::yield_now;
 use tokio::time::Instant;
 use tokio::time::sleep;
 use tokio::time::sleep_until;
 
-use crate::direct::request::answer_bounds::READ_BUFFER_BYTES;
+use crate::caller::memory::MemoryShare;
+use crate::caller::memory_limits::HTTP_STATE_BYTES;
 use crate::direct::request::caller_io::CallerIo;
 use crate::direct::request::caller_io::ConnectionActivity;
 use crate::direct::request::connection_set::ConnectionSet;
@@ -36,6 +41,8 @@
 
 /// Pause after a connection could not be accepted, for example for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+/// Longest buffer of the HTTP library for what a caller sends, if heads may not be longer.
+const CALLER_BUFFER_BYTES: usize = 16 << 10;
 /// Most connections of each of the listeners for readiness and for pages.
 pub const MAX_PAGE_CONNECTIONS: usize = 32;
 /// Longest buffer of the HTTP library for requests of pages.
@@ -53,9 +60,7 @@
 pub async fn serve_callers(listener: TcpListener, traffic: Rc<TrafficState>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(serve_caller(stream, Rc::clone(&traffic)));
-            }
+            Ok((stream, _)) => accept_caller(stream, &traffic).await,
             Err(error) => {
                 traffic.log(Level::Error, "can't accept callers' connections", |line| {
                     line.field("error", error.to_string())
@@ -66,36 +71,75 @@
     }
 }
 
-/// Serves the requests of one caller's connection, and closes it after the idle timeout or when the
-/// entry stops.
-async fn serve_caller(stream: TcpStream, traffic: Rc<TrafficState>) {
+/// Serves a new connection, or closes it if there is no room for it.
+async fn accept_caller(stream: TcpStream, traffic: &Rc<TrafficState>) {
+    let evicted = traffic.caller_memory.usage().evicted_connections;
+    match traffic.caller_memory.open() {
+        Ok(memory) => {
+            tokio::task::spawn_local(serve_caller(stream, memory, Rc::clone(traffic)));
+        }
+        Err(_) => traffic.log(Level::Warn, "no memory for a caller's connection", |line| {
+            line.field("usage", usage_fields(traffic))
+        }),
+    }
+    if traffic.caller_memory.usage().evicted_connections > evicted {
+        traffic.log(Level::Warn, "callers' connections give way", |line| {
+            line.field("usage", usage_fields(traffic))
+        });
+        // Those that give way are closed before the next one is accepted.
+        yield_now().await;
+    }
+}
+
+/// Returns what callers hold, for logs.
+fn usage_fields(traffic: &TrafficState) -> Value {
+    let usage = traffic.caller_memory.usage();
+    json!({
+        "connections": usage.connections,
+        "connection_bytes": usage.connection_bytes,
+        "body_bytes": usage.body_bytes,
+        "evicted_connections": usage.evicted_connections,
+        "evicted_bodies": usage.evicted_bodies,
+        "rejected": usage.rejected,
+    })
+}
+
+/// Serves the requests of one caller's connection, and closes it after the idle timeout, when it has to give
+/// way or when the entry stops.
+async fn serve_caller(stream: TcpStream, memory: MemoryShare, traffic: Rc<TrafficState>) {
     if let Err(error) = stream.set_nodelay(true) {
         traffic.log(Level::Warn, "caller's connection is not usable", |line| {
             line.field("error", error.to_string())
         });
         return;
     }
-    let activity = Rc::new(ConnectionActivity::default());
-    activity.last_ms.set(traffic.now_ms());
-    let service = service_fn(|request| {
+    let activity = Rc::new(ConnectionActivity::new(memory, traffic.now_ms()));
+    activity.expect_request(ConnectionLimits::new(&traffic).max_body_bytes);
+    let first = wait_for_first_byte(&stream, &activity, &traffic).await;
+    if first == FirstByte::NeverCame || activity.memory.reserve(HTTP_STATE_BYTES).is_err() {
+        return;
+    }
+    let service = service_fn(|request: Request<Incoming>| {
         let traffic = Rc::clone(&traffic);
         let activity = Rc::clone(&activity);
-        activity.start_request(ConnectionLimits::new(&traffic).max_body_bytes);
+        let max_body_bytes = ConnectionLimits::new(&traffic).max_body_bytes;
+        activity.start_request(max_body_bytes, !request.body().is_end_stream());
         let open = traffic.open_requests.open();
-        async move {
-            let response = exchange::handle(Rc::clone(&traffic), request, &open).await?;
+        // Its state would otherwise be a part of each connection, also while it is idle.
+        Box::pin(async move {
+            let response = exchange::handle(Rc::clone(&traffic), request, &open, &activity).await?;
             activity.begin_response(traffic.now_ms());
             Ok::<_, Infallible>(response.map(|body| CallerBody::new(body, open, &activity)))
-        }
+        })
     });
     let limits = ConnectionLimits::new(&traffic);
     let stream = CallerIo::new(stream, Rc::clone(&activity), limits.idle_timeout);
-    let connection = http1::Builder::new()
+    let mut connection = http1::Builder::new()
         .auto_date_header(false)
         .max_header_size(limits.max_header_bytes)
-        .max_buf_size(READ_BUFFER_BYTES.max(limits.max_header_bytes))
+        .max_buf_size(CALLER_BUFFER_BYTES.max(limits.max_header_bytes))
         .serve_connection(TokioIo::new(stream), service);
-    let mut connection = pin!(connection);
+    let mut has_given_way = false;
     loop {
         let limits = ConnectionLimits::new(&traffic);
         let head_due_at = activity
@@ -105,9 +149,18 @@
         let idle_until = Instant::now() + limits.idle_timeout;
         tokio::select! {
             // The request being served sees an error as well.
-            _ = connection.as_mut() => return,
+            _ = &mut connection => return,
             () = traffic.closing.notified() => {}
             () = activity.has_head_begun.notified() => continue,
+            () = activity.memory.evicted().cancelled(), if !has_given_way => {
+                has_given_way = true;
+                if activity.open_requests.get() == 0 {
+                    return;
+                }
+                // Its request is refused or served, and the connection is closed then.
+                Pin::new(&mut connection).graceful_shutdown();
+                continue;
+            }
             () = sleep_until(head_due_at.unwrap_or(idle_until).min(idle_until)) => {}
         }
         let is_late = |began: Instant| began.elapsed() >= limits.header_timeout;
@@ -121,7 +174,40 @@
         let is_idle = activity.open_requests.get() == 0
             && traffic.now_ms() >= activity.last_ms.get().saturating_add(idle_ms);
         if is_idle || traffic.is_closing.get() {
-            connection.as_mut().graceful_shutdown();
+            Pin::new(&mut connection).graceful_shutdown();
+        }
+    }
+}
+
+/// Whether a new connection is used.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum FirstByte {
+    /// Its first byte has arrived, or its end.
+    Arrived,
+    /// It was idle for too long, had to give way, or the entry stops.
+    NeverCame,
+}
+
+/// Waits until a new connection is used, without the buffers that it needs from then on.
+async fn wait_for_first_byte(
+    stream: &TcpStream,
+    activity: &ConnectionActivity,
+    traffic: &TrafficState,
+) -> FirstByte {
+    let opened_at = Instant::now();
+    loop {
+        let idle_until = opened_at + ConnectionLimits::new(traffic).idle_timeout;
+        tokio::select! {
+            biased;
+            // An error shows when the connection is read.
+            _ = stream.readable() => return FirstByte::Arrived,
+            () = activity.memory.evicted().cancelled() => return FirstByte::NeverCame,
+            () = traffic.closing.notified() => return FirstByte::NeverCame,
+            () = sleep_until(idle_until) => {}
+        }
+        // The timeout may have been raised meanwhile.
+        if opened_at.elapsed() >= ConnectionLimits::new(traffic).idle_timeout {
+            return FirstByte::NeverCame;
         }
     }
 }
--- a/lib/src/direct/server.rs
+++ b/lib/src/direct/server.rs
@@ -24,6 +24,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use crate::caller::memory_limits::MemoryLimits;
 use crate::direct::load_policy::LoadPolicy;
 use crate::direct::membership::gossip;
 use crate::direct::membership::peer_message::EntryHost;
@@ -120,6 +121,8 @@
     pub longest_stream: Duration,
     /// The optional decisions under load.
     pub load_policy: LoadPolicy,
+    /// What all callers may hold together.
+    pub caller_memory: MemoryLimits,
 }
 
 impl DirectSettings {
@@ -377,6 +380,7 @@
         .borrow_mut()
         .set_longest_stream_ms(settings.longest_stream_ms());
     traffic.set_load_policy(settings.load_policy);
+    traffic.caller_memory.set_limits(settings.caller_memory);
     traffic.apply_data_centre_policy();
     let callers = listen(settings.caller_address, CALLERS_BACKLOG, "callers")?;
     let readiness = listen(settings.readiness_address, PAGES_BACKLOG, "readiness")?;
@@ -450,6 +454,7 @@
         .set_limits(new.retry_limits, traffic.now_ms());
     traffic.quotas.borrow_mut().set_tolerance(new.tolerance);
     traffic.set_max_backoff(new.max_backoff);
+    traffic.caller_memory.set_limits(new.caller_memory);
     traffic.upstream_silence_ms.set(new.upstream_silence_ms());
     traffic.config_bound_ms.set(new.config_bound_ms());
     traffic.drain_bound_ms.set(new.drain_bound_ms());
--- a/lib/src/direct/traffic.rs
+++ b/lib/src/direct/traffic.rs
@@ -18,6 +18,7 @@
 use tokio::sync::mpsc;
 use tokio::time::Instant;
 
+use crate::caller::memory::CallerMemory;
 use crate::direct::load_policy::LoadPolicy;
 use crate::direct::log_rate_limit;
 use crate::direct::log_rate_limit::LogCategory;
@@ -128,6 +129,8 @@
     pub load_policy: Cell<LoadPolicy>,
     /// What the answers of all requests hold.
     pub held_answers: HeldBytes,
+    /// What callers' connections and requests hold.
+    pub caller_memory: CallerMemory,
     /// When the list of upstreams was last known to be the newest one.
     pub list_freshness: Cell<Freshness>,
     /// Incarnations that are used until these times although the store does not list them, as their entries
@@ -420,6 +423,7 @@
             drain_bound_ms: Cell::new(DEFAULT_CONFIG_BOUND_MS),
             load_policy: Cell::default(),
             held_answers: HeldBytes::default(),
+            caller_memory: CallerMemory::default(),
             list_freshness: Cell::default(),
             revisions: Cell::default(),
             has_upstreams: Cell::new(false),
@@ -678,6 +682,7 @@
             .set(gauge_value(self.dispatcher.borrow().excluded_count()));
         let held_bytes = i64::try_from(self.held_answers.total()).unwrap_or(i64::MAX);
         metrics.held_answer_bytes.set(held_bytes);
+        metrics.callers.update(&self.caller_memory);
         let suspects = self.suspects.borrow().counts(self.now_ms());
         metrics.suspects.set(gauge_value(suspects.tracked));
         metrics.held_requests.set(gauge_value(suspects.quarantined));
--- a/lib/tests/runner.rs
+++ b/lib/tests/runner.rs
@@ -16,6 +16,7 @@
 mod test_answer_length;
 mod test_answer_reader;
 mod test_caller_api;
+mod test_caller_memory;
 mod test_claim_sweep;
 mod test_claims;
 mod test_config_follow;
