lingering_close: refusals that come before the end of a request reach their callers

A request that was refused before its body had been read, for its key, its path, its length or a head beyond the limit, was answered, and the connection closed with unread bytes.

--- a/lib/src/caller.rs
+++ b/lib/src/caller.rs
@@ -8,6 +8,7 @@
 pub mod connections;
 pub mod directory;
 pub mod headers;
+pub mod lingering_close;
 pub mod listener;
 pub mod memory;
 pub mod memory_account;
--- a/lib/src/direct/request/caller_io.rs
+++ b/lib/src/direct/request/caller_io.rs
@@ -19,6 +19,7 @@
 use tokio::time::Sleep;
 use tokio::time::sleep;
 
+use crate::caller::lingering_close::LingeringClose;
 use crate::caller::memory::MemoryShare;
 use crate::caller::memory_account::Stage;
 use crate::direct::request::open_requests::OpenRequest;
@@ -115,6 +116,14 @@
         }
     }
 
+    /// Returns how the connection is to be closed: if the rest of a refused request may still arrive, with how
+    /// many bytes of it to discard.
+    fn start_close(&self) -> Option<LingeringClose> {
+        let has_unread = self.head_began.get().is_some() || self.memory.stage() == Stage::Refused;
+        let lingers = has_unread && self.memory.start_discarding();
+        lingers.then(|| LingeringClose::new(self.max_request_bytes.get()))
+    }
+
     /// Keeps a request open until all that the HTTP library has taken of its response is written.
     pub fn keep_until_written(&self, request: Rc<OpenRequest>) {
         request.set_stage(RequestStage::Writing);
@@ -168,6 +177,15 @@
     write_timeout: Duration,
     /// Runs while the caller takes nothing.
     write_timer: Option<Pin<Box<Sleep>>>,
+    closing: Closing,
+}
+
+/// How far the closing of a connection has come.
+#[derive(Debug)]
+enum Closing {
+    Open,
+    AtOnce,
+    Lingering(LingeringClose),
 }
 
 impl<T> CallerIo<T> {
@@ -179,6 +197,7 @@
             activity,
             write_timeout,
             write_timer: None,
+            closing: Closing::Open,
         }
     }
 
@@ -213,7 +232,7 @@
     }
 }
 
-impl<T: AsyncWrite + Unpin> AsyncWrite for CallerIo<T> {
+impl<T: AsyncRead + AsyncWrite + Unpin> AsyncWrite for CallerIo<T> {
     fn poll_write(
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
@@ -230,8 +249,16 @@
         Poll::Ready(Ok(()))
     }
 
-    fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.io).poll_shutdown(context)
+    fn poll_shutdown(self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let this = self.get_mut();
+        if let Closing::Open = this.closing {
+            let lingering = this.activity.start_close();
+            this.closing = lingering.map_or(Closing::AtOnce, Closing::Lingering);
+        }
+        match &mut this.closing {
+            Closing::Lingering(lingering) => lingering.poll(&mut this.io, context),
+            Closing::Open | Closing::AtOnce => Pin::new(&mut this.io).poll_shutdown(context),
+        }
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -17,6 +17,7 @@
 use hyper_util::rt::TokioIo;
 use serde_json::Value;
 use serde_json::json;
+use tokio::io::AsyncWriteExt;
 use tokio::net::TcpListener;
 use tokio::net::TcpStream;
 use tokio::task::yield_now;
@@ -149,7 +150,14 @@
         let idle_until = Instant::now() + limits.idle_timeout;
         tokio::select! {
             // The request being served sees an error as well.
-            _ = &mut connection => return,
+            ended = &mut connection => {
+                if ended.is_err() {
+                    // The library has answered an invalid head, and leaves it to others to close.
+                    let mut io = connection.into_parts().io.into_inner();
+                    let _closed = io.shutdown().await;
+                }
+                return;
+            }
             () = traffic.closing.notified() => {}
             () = activity.has_head_begun.notified() => continue,
             () = activity.memory.evicted().cancelled(), if !has_given_way => {
