entry: bound what callers hold in the mode with agents

The mode with agents had the same faults: 40 bodies of 4 MiB that stop short took 217 MB, 300 heads of 300 KiB 114 MB and 35 MB unread, 600 silent connections 519 descriptors of 400, and the first caller of each test lost a refusal that came before the end of its body.

--- a/lib/src/entry/caller_api.rs
+++ b/lib/src/entry/caller_api.rs
@@ -1,14 +1,15 @@
 //! HTTP API for callers: the model API, plain services, and the load balancer's health checks.
 
+use std::pin::pin;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use futures_util::StreamExt;
 use poem::Body;
 use poem::Endpoint;
 use poem::Request;
 use poem::Response;
-use poem::error::ReadBodyError;
 use poem::http::Method;
 use poem::http::StatusCode;
 use poem::http::header;
@@ -16,17 +17,20 @@
 use tokio::sync::watch;
 use tokio::time::Instant;
 use tokio::time::timeout;
-use tokio_util::sync::CancellationToken;
 
 use crate::answer::event_skip::EventSkip;
 use crate::answer::meter::AnswerMeter;
 use crate::caller::body::ModelCall;
 use crate::caller::body::read_model_request;
+use crate::caller::connections::ActiveRequest;
 use crate::caller::connections::CallerConnections;
 use crate::caller::directory::CallerDirectory;
 use crate::caller::headers::CallerHeaders;
 use crate::caller::headers::forwarded;
 use crate::caller::headers::total_bytes;
+use crate::caller::memory::MemoryShare;
+use crate::caller::memory_account::MemoryError;
+use crate::caller::memory_limits::NO_MEMORY_RETRY_AFTER_MS;
 use crate::caller::openai_error::ApiError;
 use crate::caller::openai_error::name_request;
 use crate::caller::service_path::ServicePath;
@@ -120,7 +124,11 @@
 
     async fn call(&self, request: Request) -> poem::Result<Response> {
         let id = RequestId(rand::random());
-        let answered = self.answer(id, request).await;
+        let active = Arc::new(self.start_request(&request));
+        let answered = self.answer(id, request, &active).await;
+        if answered.is_err() {
+            active.refuse();
+        }
         let mut response = answered.unwrap_or_else(|error| error.to_response(id));
         name_request(&mut response, id);
         Ok(response)
@@ -128,16 +136,24 @@
 }
 
 impl CallerApi {
-    async fn answer(&self, id: RequestId, request: Request) -> Result<Response, ApiError> {
+    async fn answer(
+        &self,
+        id: RequestId,
+        request: Request,
+        active: &Arc<ActiveRequest>,
+    ) -> Result<Response, ApiError> {
         let path = request.uri().path().to_owned();
         match path.as_str() {
             "/healthz" => Ok(text_response(StatusCode::OK, "ok")),
             "/readyz" => Ok(self.readiness()),
             "/v1/models" => self.models(&request),
-            "/v1/chat/completions" => self.model_call(id, request, ModelCall::Chat).await,
-            "/v1/completions" => self.model_call(id, request, ModelCall::Completion).await,
+            "/v1/chat/completions" => self.model_call(id, request, ModelCall::Chat, active).await,
+            "/v1/completions" => {
+                self.model_call(id, request, ModelCall::Completion, active)
+                    .await
+            }
             _ => match ServicePath::split(&path) {
-                Some(path) => self.service_call(id, request, path).await,
+                Some(path) => self.service_call(id, request, path, active).await,
                 None => Err(ApiError::refused(
                     StatusCode::NOT_FOUND,
                     "unknown_path",
@@ -178,19 +194,25 @@
         id: RequestId,
         mut request: Request,
         call: ModelCall,
+        active: &Arc<ActiveRequest>,
     ) -> Result<Response, ApiError> {
         check_method(&request, &Method::POST)?;
         let caller = self.authenticate(&request)?;
-        let body = self.read_body(&mut request).await?;
-        let model_request = read_model_request(call, body, &caller.profile)?;
-        let gone = self.gone(&request);
+        let body = self.read_body(&mut request, &caller, active).await?;
+        let received = body.clone();
+        let mut model_request = read_model_request(call, body, &caller.profile)?;
+        if model_request.body.as_ptr() != received.as_ptr() {
+            let memory = &self.connections.memory;
+            model_request.body = memory.hold(model_request.body.into(), &caller.customer.name);
+        }
+        drop(received);
         let work = RequestedWork {
             skip_after: caller.headers.skip_after(),
             target: Target::Model(model_request.model),
             estimate: model_request.estimate,
             call: call_from_request(&request, request.uri().path().into(), model_request.body),
         };
-        self.run(id, caller, work, gone).await
+        self.run(id, caller, work, active).await
     }
 
     async fn service_call(
@@ -198,22 +220,22 @@
         id: RequestId,
         mut request: Request,
         service_path: ServicePath,
+        active: &Arc<ActiveRequest>,
     ) -> Result<Response, ApiError> {
         let caller = self.authenticate(&request)?;
         service_path.check()?;
-        let body = self.read_body(&mut request).await?;
+        let body = self.read_body(&mut request, &caller, active).await?;
         let path = match request.uri().query() {
             Some(query) => format!("{}?{query}", service_path.rest),
             None => service_path.rest,
         };
-        let gone = self.gone(&request);
         let work = RequestedWork {
             skip_after: None,
             target: Target::Service(service_path.service),
             estimate: WorkEstimate::default(),
             call: call_from_request(&request, path.into(), body),
         };
-        self.run(id, caller, work, gone).await
+        self.run(id, caller, work, active).await
     }
 
     fn authenticate(&self, request: &Request) -> Result<AuthenticatedCaller, ApiError> {
@@ -235,7 +257,13 @@
         })
     }
 
-    async fn read_body(&self, request: &mut Request) -> Result<Bytes, ApiError> {
+    /// Reads the body of a request, which counts as held until it is dropped.
+    async fn read_body(
+        &self,
+        request: &mut Request,
+        caller: &AuthenticatedCaller,
+        active: &ActiveRequest,
+    ) -> Result<Bytes, ApiError> {
         let limit = self.limits.max_body_bytes;
         let content_length = request
             .header(header::CONTENT_LENGTH)
@@ -243,21 +271,19 @@
         if content_length.is_some_and(|length| length > limit) {
             return Err(body_too_large(limit));
         }
-        let reading = request.take_body().into_bytes_limit(limit);
+        let memory = self.connections.memory.open_request();
+        memory.set_customer(Some(&caller.customer.name));
+        let receiving = receive_body(request.take_body(), limit, &memory);
         let body_timeout = Duration::from_millis(self.limits.body_patience_ms);
-        match timeout(body_timeout, reading).await {
-            Ok(Ok(body)) => Ok(body),
-            Ok(Err(ReadBodyError::PayloadTooLarge)) => Err(body_too_large(limit)),
-            Ok(Err(error)) => Err(ApiError::bad_request(
-                "body_unreadable",
-                format!("the body can't be read: {error}"),
-            )),
-            Err(_) => Err(ApiError::refused(
+        let body = timeout(body_timeout, receiving).await.map_err(|_| {
+            ApiError::refused(
                 StatusCode::REQUEST_TIMEOUT,
                 "body_too_slow",
                 "the body did not come in time",
-            )),
-        }
+            )
+        })??;
+        active.set_whole();
+        Ok(body)
     }
 
     async fn run(
@@ -265,8 +291,9 @@
         id: RequestId,
         caller: AuthenticatedCaller,
         work: RequestedWork,
-        gone: CancellationToken,
+        active: &Arc<ActiveRequest>,
     ) -> Result<Response, ApiError> {
+        let gone = active.gone();
         let skip_after = work.skip_after;
         let is_head = &*work.call.method == Method::HEAD.as_str();
         let submission = self.submission(id, caller, work)?;
@@ -296,6 +323,7 @@
                     answer,
                     meter,
                     gone,
+                    active: Arc::clone(active),
                     non_idempotent,
                     is_event_stream: head.is_event_stream(),
                     skip: EventSkip::after(skip_after),
@@ -309,11 +337,14 @@
         }
     }
 
-    /// Returns a token that is cancelled when the caller disconnects.
-    fn gone(&self, request: &Request) -> CancellationToken {
+    /// Counts a request of its caller's connection.
+    fn start_request(&self, request: &Request) -> ActiveRequest {
+        let length = request.header(header::CONTENT_LENGTH);
+        let is_chunked = request.headers().contains_key(header::TRANSFER_ENCODING);
+        let has_body = is_chunked || length.is_some_and(|length| length != "0");
         match request.remote_addr().as_socket_addr() {
-            Some(address) => self.connections.gone(*address),
-            None => CancellationToken::new(),
+            Some(address) => self.connections.start_request(*address, has_body),
+            None => ActiveRequest::detached(),
         }
     }
 
@@ -350,6 +381,55 @@
     }
 }
 
+/// Receives a body of at most `limit` bytes.
+async fn receive_body(body: Body, limit: usize, memory: &MemoryShare) -> Result<Bytes, ApiError> {
+    let mut parts = pin!(body.into_bytes_stream());
+    loop {
+        let part = tokio::select! {
+            biased;
+            part = parts.next() => part,
+            () = memory.evicted().cancelled() => return Err(memory_error(MemoryError::Evicted, limit)),
+        };
+        match part {
+            Some(Ok(part)) => memory
+                .push_body(&part, limit)
+                .map_err(|error| memory_error(error, limit))?,
+            Some(Err(error)) => {
+                return Err(ApiError::bad_request(
+                    "body_unreadable",
+                    format!("the body can't be read: {error}"),
+                ));
+            }
+            None => {
+                return memory
+                    .finish_body()
+                    .map_err(|error| memory_error(error, limit));
+            }
+        }
+    }
+}
+
+/// Refuses a request for whose body there is no memory. It has not run.
+fn memory_error(error: MemoryError, limit: usize) -> ApiError {
+    let refused = match error {
+        MemoryError::TooLong => return body_too_large(limit),
+        MemoryError::NoRoom => ApiError::refused(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "no_memory",
+            "bodies of requests hold as much memory as they may",
+        ),
+        MemoryError::Evicted => ApiError::refused(
+            StatusCode::REQUEST_TIMEOUT,
+            "body_gave_way",
+            "the body came more slowly than others while memory was short",
+        ),
+    };
+    ApiError {
+        retry_after_ms: Some(NO_MEMORY_RETRY_AFTER_MS),
+        ..refused
+    }
+}
+
 /// Returns the idempotency key and digest of a request.
 ///
 /// A request that has an order key but no idempotency key gets a unique one, because its
--- a/lib/src/entry/caller_response.rs
+++ b/lib/src/entry/caller_response.rs
@@ -1,6 +1,7 @@
 //! HTTP responses to callers, sent whole or streamed.
 
 use std::io;
+use std::sync::Arc;
 
 use bytes::Bytes;
 use futures_util::stream;
@@ -14,6 +15,7 @@
 
 use crate::answer::event_skip::EventSkip;
 use crate::answer::meter::AnswerMeter;
+use crate::caller::connections::ActiveRequest;
 use crate::caller::headers::is_hop_by_hop;
 use crate::caller::openai_error::ApiError;
 use crate::entry::caller_answer::AnswerHead;
@@ -42,6 +44,8 @@
     pub meter: AnswerMeter,
     /// Token that is cancelled when the caller disconnects.
     pub gone: CancellationToken,
+    /// The request, which is not answered until the last part is taken.
+    pub active: Arc<ActiveRequest>,
     /// Whether the request may run at most once.
     pub non_idempotent: bool,
     /// Whether the answer is an event stream.
--- a/lib/src/entry/control.rs
+++ b/lib/src/entry/control.rs
@@ -17,6 +17,7 @@
 use tokio_util::sync::CancellationToken;
 
 use crate::answer::routes::CallerNote;
+use crate::caller::memory::CallerMemory;
 use crate::config::catalog::Catalog;
 use crate::entry::candidates::Agent;
 use crate::entry::link::LinkContext;
@@ -129,6 +130,8 @@
     pub queries: mpsc::Receiver<EntryQuery>,
     /// The channel on which the status is published.
     pub status: watch::Sender<EntryStatus>,
+    /// What callers hold.
+    pub caller_memory: CallerMemory,
     /// The metrics client.
     pub metrics: Metrics,
     /// The number of heartbeat rounds so far.
@@ -424,9 +427,23 @@
         self.metrics.gauge("entry.waiting", counts.waiting as u64);
         self.metrics.gauge("entry.running", counts.running as u64);
         self.metrics.gauge("entry.links", counts.links as u64);
+        self.publish_caller_memory();
         self.status.send_replace(self.current_status());
     }
 
+    fn publish_caller_memory(&self) {
+        let usage = self.caller_memory.usage();
+        for (name, value) in [
+            ("entry.caller_connections", usage.connections as u64),
+            ("entry.caller_connection_bytes", usage.connection_bytes),
+            ("entry.caller_body_bytes", usage.body_bytes),
+            ("entry.caller_evicted", usage.evicted_connections),
+            ("entry.caller_rejected", usage.rejected),
+        ] {
+            self.metrics.gauge(name, value);
+        }
+    }
+
     fn current_status(&self) -> EntryStatus {
         let now_ms = elapsed_ms(self.started);
         let agents = self
--- a/lib/src/entry/server.rs
+++ b/lib/src/entry/server.rs
@@ -24,6 +24,7 @@
 use crate::caller::connections::CallerConnections;
 use crate::caller::directory::CallerDirectory;
 use crate::caller::listener::CallerListener;
+use crate::caller::listener::SendBounds;
 use crate::config::catalog::Catalog;
 use crate::entry::admission::QueueLimits;
 use crate::entry::caller_answer::CallerContext;
@@ -44,6 +45,7 @@
 use crate::link::pace::PaceRules;
 use crate::link::wire::Hello;
 use crate::link::wire::PROTOCOL_VERSION;
+use crate::listener;
 use crate::logging::Level;
 use crate::logging::Line;
 use crate::metrics::Metrics;
@@ -59,8 +61,12 @@
 /// The interval at which the status is published; a shutdown or a new catalog publishes it at
 /// once.
 const STATUS_EVERY: Duration = Duration::from_millis(200);
-/// The maximum number of simultaneous caller connections.
-const MAX_CONNECTIONS: usize = 20_000;
+/// Callers' connections that may wait to be accepted.
+const CALLERS_BACKLOG: u32 = 256;
+/// What a head may have beyond the limit of headers: the request line, and separators between headers.
+const HEAD_MARGIN_BYTES: u64 = 32 << 10;
+/// What the framing of a request that is discarded may have.
+const FRAMING_BYTES: u64 = 256 << 10;
 /// Added to the longer of the idle timeout and the maximum deadline before a connection is
 /// closed as idle.
 const IDLE_MARGIN_MS: u64 = 5_000;
@@ -104,7 +110,10 @@
     metrics: Metrics,
 ) -> io::Result<EntryHandle> {
     let traffic = traffic_runtime(settings)?;
-    let listener = open_listener(settings.listen)?;
+    let listener = {
+        let _traffic = traffic.enter();
+        listener::listen(settings.listen, CALLERS_BACKLOG)?
+    };
     let address = listener.local_addr()?;
     let incarnation = Incarnation(rand::random());
     let (link_sender, link_events) = mpsc::channel(LINK_EVENTS);
@@ -139,6 +148,7 @@
     let store = StoreClient::new(&settings.store_url).map_err(io::Error::other)?;
     let (record_sender, record_answers) = mpsc::unbounded_channel();
     let records = StoreRecords::new(store, traffic.handle().clone(), record_sender);
+    let connections = CallerConnections::new(settings.caller_memory());
     let control = EntryControl {
         state: EntryState::new(entry_rules(settings), rand::random()),
         link_events,
@@ -150,6 +160,7 @@
         link,
         traffic: traffic.handle().clone(),
         status: status_sender,
+        caller_memory: connections.memory.clone(),
         metrics,
         beats: 0,
         started,
@@ -160,7 +171,6 @@
     let control = spawn_control(control)?;
     let stop_listening = CancellationToken::new();
     let directory = spawn_directory(&traffic, catalog);
-    let connections = CallerConnections::default();
     let api = CallerApi {
         context,
         connections,
@@ -287,12 +297,6 @@
         .build()
 }
 
-fn open_listener(address: SocketAddr) -> io::Result<std::net::TcpListener> {
-    let listener = std::net::TcpListener::bind(address)?;
-    listener.set_nonblocking(true)?;
-    Ok(listener)
-}
-
 fn entry_rules(settings: &EntrySettings) -> EntryRules {
     let defaults = EntryRules::new(settings.host.clone(), settings.data_centre.clone());
     EntryRules {
@@ -317,6 +321,13 @@
     }
 }
 
+fn send_bounds(settings: &EntrySettings) -> SendBounds {
+    SendBounds {
+        max_head_bytes: settings.max_header_bytes as u64 + HEAD_MARGIN_BYTES,
+        max_discarded_bytes: 2 * settings.max_body_bytes as u64 + FRAMING_BYTES,
+    }
+}
+
 /// Starts the control loop on a dedicated thread, so that a burst of traffic doesn't delay
 /// decisions and the state needs no lock.
 fn spawn_control(control: EntryControl) -> io::Result<oneshot::Receiver<()>> {
@@ -355,18 +366,17 @@
 fn spawn_server(
     traffic: &Runtime,
     settings: &EntrySettings,
-    listener: std::net::TcpListener,
+    listener: TcpListener,
     api: CallerApi,
     stop: CancellationToken,
 ) -> io::Result<JoinHandle<()>> {
     let guard = traffic.enter();
-    let listener = TcpListener::from_std(listener)?;
     let tls = TlsFeed::open(&settings.tls).map_err(io::Error::other)?;
     drop(guard);
     // A connection is also silent while its caller waits for a slow answer; it must stay open.
     let longest_ms = settings.idle_timeout_ms.max(settings.max_deadline_ms);
     let idle = Duration::from_millis(longest_ms + IDLE_MARGIN_MS);
-    let acceptor = CallerListener::new(listener, MAX_CONNECTIONS, api.connections.clone());
+    let acceptor = CallerListener::new(listener, api.connections.clone(), send_bounds(settings));
     let acceptor = secured(acceptor, tls.as_ref());
     let server = Server::new_with_acceptor(acceptor).idle_timeout(idle);
     Ok(traffic.spawn(async move {
--- a/lib/src/entry/settings.rs
+++ b/lib/src/entry/settings.rs
@@ -4,6 +4,9 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use crate::caller::memory_limits::DEFAULT_DESCRIPTORS;
+use crate::caller::memory_limits::DEFAULT_MEMORY_BYTES;
+use crate::caller::memory_limits::MemoryLimits;
 use crate::config::process::PeerSettings;
 use crate::findings::Findings;
 use crate::logging::LEVEL_WORDS;
@@ -12,6 +15,9 @@
 use crate::settings::Setting;
 use crate::tls::TlsSettings;
 
+/// Bytes of a megabyte.
+const BYTES_PER_MB: u64 = 1_000_000;
+
 /// Settings of one entry; the defaults run it on loopback with ports chosen by the system.
 ///
 /// ```
@@ -48,6 +54,10 @@
     pub candidates: usize,
     /// The maximum number of waiting requests.
     pub queue_limit: usize,
+    /// Memory of the host that the process may use, in MB.
+    pub memory_mb: u64,
+    /// Descriptors that the process may open.
+    pub max_descriptors: u64,
     /// The maximum size of a request body.
     pub max_body_bytes: usize,
     /// The maximum total size of a request's headers.
@@ -84,6 +94,8 @@
             silent_ms: 2_000,
             candidates: 4,
             queue_limit: 10_000,
+            memory_mb: DEFAULT_MEMORY_BYTES / BYTES_PER_MB,
+            max_descriptors: DEFAULT_DESCRIPTORS,
             max_body_bytes: 4 << 20,
             max_header_bytes: 16 << 10,
             idle_timeout_ms: 60_000,
@@ -97,6 +109,20 @@
     }
 }
 
+impl EntrySettings {
+    /// Returns what all callers may hold together.
+    ///
+    /// ```
+    /// let settings = sardinewood::entry::settings::EntrySettings::default();
+    /// assert_eq!(settings.caller_memory().max_bytes, 64_000_000);
+    /// ```
+    #[must_use]
+    pub fn caller_memory(&self) -> MemoryLimits {
+        let memory_bytes = self.memory_mb.saturating_mul(BYTES_PER_MB);
+        MemoryLimits::for_host(memory_bytes, self.max_descriptors)
+    }
+}
+
 /// Returns the definitions of an entry's settings.
 ///
 /// ```
@@ -257,6 +283,18 @@
 
 fn caller_limits() -> Vec<Setting<EntrySettings>> {
     vec![
+        Setting::number(
+            "memory-mb",
+            16..=1_000_000_000,
+            "Memory of the process in MB; callers may take a part of it.",
+            |s: &mut EntrySettings| &mut s.memory_mb,
+        ),
+        Setting::number(
+            "max-descriptors",
+            64..=1 << 30,
+            "Descriptors of the process; callers may take a part of them.",
+            |s: &mut EntrySettings| &mut s.max_descriptors,
+        ),
         Setting::number(
             "max-body-bytes",
             1_024..=1 << 30,
