misbehaving_callers: one place for what the tests of both modes share

The limits of the hosts, scripts of unfinished requests, chunks and the ordinary caller that reads its refusal are in testutils. Crowds, bounds and checks are the same.

--- a/entry/tests/misbehaving_callers.rs
+++ b/entry/tests/misbehaving_callers.rs
@@ -12,18 +12,18 @@
 use serde_json::json;
 use testutils::caller_crowd::CallerCrowd;
 use testutils::caller_crowd::Script;
+use testutils::caller_crowd::chunk;
+use testutils::caller_crowd::filled;
+use testutils::caller_crowd::send_and_read;
 use testutils::engine_settings::EngineSettings;
 use testutils::engine_stand_in::EngineStandIn;
+use testutils::process_usage::HostLimits;
 use testutils::process_usage::UsageSampler;
 use testutils::store_stand_in::StoreStandIn;
-use tokio::io::AsyncReadExt;
-use tokio::io::AsyncWriteExt;
-use tokio::net::TcpStream;
 use tokio::sync::Mutex;
 use tokio::sync::MutexGuard;
 use tokio::time::Instant;
 use tokio::time::sleep;
-use tokio::time::timeout;
 
 use crate::programs::CAP;
 use crate::programs::KEY;
@@ -40,29 +40,13 @@
 /// Long bodies that don't fit into the smallest host together.
 const LONG_BODIES: usize = 40;
 
-/// What the entry's host has.
-#[derive(Clone, Copy, Debug)]
-struct Host {
-    memory_mb: u64,
-    descriptors: u64,
-}
-
-const SMALL_MEMORY: Host = Host {
-    memory_mb: 64,
-    descriptors: 4_100,
-};
-const FEW_DESCRIPTORS: Host = Host {
-    memory_mb: 160,
-    descriptors: 400,
-};
-
 static ALONE: Mutex<()> = Mutex::const_new(());
 
 /// An entry on a small host before an engine and its agent.
 struct Scene {
     entry: Program,
     engine: EngineStandIn,
-    host: Host,
+    host: HostLimits,
     sampler: UsageSampler,
     _agent: Program,
     _store: StoreStandIn,
@@ -70,7 +54,7 @@
 }
 
 impl Scene {
-    async fn start(host: Host) -> Self {
+    async fn start(host: HostLimits) -> Self {
         let alone = ALONE.lock().await;
         let store = store().await;
         let engine = EngineStandIn::spawn(EngineSettings::default()).await;
@@ -130,11 +114,7 @@
 
     fn check_usage(&mut self) {
         assert!(self.entry.is_running(), "the entry has ended");
-        let peak = self.sampler.peak();
-        println!("{peak:?}");
-        let max_bytes = self.host.memory_mb * 1_000_000;
-        assert!(peak.total_bytes() <= max_bytes, "{peak:?}");
-        assert!(peak.descriptors <= self.host.descriptors, "{peak:?}");
+        self.host.check(self.sampler.peak());
     }
 }
 
@@ -153,44 +133,29 @@
     format!("{}Transfer-Encoding: chunked\r\n\r\n", head())
 }
 
-fn filled(bytes: usize) -> Bytes {
-    Bytes::from(vec![b'x'; bytes])
-}
-
-fn chunk(bytes: usize) -> Bytes {
-    format!("{bytes:x}\r\n{}\r\n", "x".repeat(bytes)).into()
-}
-
 #[tokio::test]
 async fn long_bodies_that_stop_short() {
     // Guards against memory that grows with the number of unfinished bodies.
-    let mut scene = Scene::start(SMALL_MEMORY).await;
-    let script = Script {
-        begin: head_with_length(MAX_BODY_BYTES).into(),
-        piece: filled(MAX_BODY_BYTES - 1),
-        pieces: 1,
-        ..Script::default()
-    };
+    let mut scene = Scene::start(HostLimits::SMALL_MEMORY).await;
+    let script = Script::unfinished(head_with_length(MAX_BODY_BYTES), MAX_BODY_BYTES);
     scene.withstands(LONG_BODIES, &script).await;
 }
 
 #[tokio::test]
 async fn one_long_chunk_that_stops_short() {
     // Guards against the same without a declared length.
-    let mut scene = Scene::start(SMALL_MEMORY).await;
-    let script = Script {
-        begin: format!("{}{MAX_BODY_BYTES:x}\r\n", head_with_chunks()).into(),
-        piece: filled(MAX_BODY_BYTES - 1),
-        pieces: 1,
-        ..Script::default()
-    };
+    let mut scene = Scene::start(HostLimits::SMALL_MEMORY).await;
+    let script = Script::unfinished(
+        format!("{}{MAX_BODY_BYTES:x}\r\n", head_with_chunks()),
+        MAX_BODY_BYTES,
+    );
     scene.withstands(LONG_BODIES, &script).await;
 }
 
 #[tokio::test]
 async fn long_bodies_that_wait() {
     // Guards against memory that grows with the number of whole bodies that wait.
-    let mut scene = Scene::start(SMALL_MEMORY).await;
+    let mut scene = Scene::start(HostLimits::SMALL_MEMORY).await;
     scene.engine.set_stalled(true);
     let begin = r#"{"model":"small","max_tokens":4,"messages":[{"role":"user","content":""#;
     let end = r#""}]}"#;
@@ -208,7 +173,7 @@
 #[tokio::test]
 async fn chunks_far_over_the_limit() {
     // Guards against bodies that turn out to be too long.
-    let mut scene = Scene::start(SMALL_MEMORY).await;
+    let mut scene = Scene::start(HostLimits::SMALL_MEMORY).await;
     let script = Script {
         begin: head_with_chunks().into(),
         piece: chunk(256 << 10),
@@ -221,20 +186,15 @@
 #[tokio::test]
 async fn short_bodies_by_the_thousand_that_stop_short() {
     // Guards against what each unfinished request holds beside its body.
-    let mut scene = Scene::start(SMALL_MEMORY).await;
-    let script = Script {
-        begin: head_with_length(64 << 10).into(),
-        piece: filled((64 << 10) - 1),
-        pieces: 1,
-        ..Script::default()
-    };
+    let mut scene = Scene::start(HostLimits::SMALL_MEMORY).await;
+    let script = Script::unfinished(head_with_length(64 << 10), 64 << 10);
     scene.withstands(1_200, &script).await;
 }
 
 #[tokio::test]
 async fn long_heads_that_stop_short() {
     // Guards against what unfinished heads hold.
-    let mut scene = Scene::start(SMALL_MEMORY).await;
+    let mut scene = Scene::start(HostLimits::SMALL_MEMORY).await;
     let script = Script {
         begin: format!("{}Some: ", head()).into(),
         piece: filled(300 << 10),
@@ -247,30 +207,17 @@
 #[tokio::test]
 async fn silent_connections_beyond_the_descriptors() {
     // Guards against callers that take all descriptors and leave none for other callers and for agents.
-    let mut scene = Scene::start(FEW_DESCRIPTORS).await;
+    let mut scene = Scene::start(HostLimits::FEW_DESCRIPTORS).await;
     scene.withstands(600, &Script::default()).await;
 }
 
-/// Checks that callers, one after another, are told why they are refused. Like common clients, they report a
-/// connection that breaks while they send, whatever has arrived on it.
+/// Checks that callers, one after another, are told why they are refused.
 async fn refusal_seen(parts: &[Bytes], status: &str) {
     const CALLERS: usize = 10;
-    const PIECE_BYTES: usize = 64 << 10;
-    let scene = Scene::start(SMALL_MEMORY).await;
+    let scene = Scene::start(HostLimits::SMALL_MEMORY).await;
     for number in 0..CALLERS {
-        let mut stream = TcpStream::connect(scene.entry.address)
-            .await
-            .expect("a connection");
-        for piece in parts.iter().flat_map(|part| part.chunks(PIECE_BYTES)) {
-            // Over a network, the server's end arrives before all of a long request has been sent.
-            sleep(Duration::from_millis(1)).await;
-            let sent = stream.write_all(piece).await;
-            assert!(sent.is_ok(), "{number}: {sent:?}");
-        }
-        let mut answer = [0; 64];
-        let read = timeout(CAP, stream.read(&mut answer)).await;
-        let length = read.expect("an answer in time").unwrap_or_default();
-        let answer = String::from_utf8_lossy(&answer[..length]);
+        let answer = send_and_read(scene.entry.address, parts).await;
+        let answer = answer.unwrap_or_else(|error| panic!("{number}: {error}"));
         let expected = format!("HTTP/1.1 {status} ");
         assert!(answer.starts_with(&expected), "{number}: {answer:?}");
     }
--- a/lib/testutils/src/caller_crowd.rs
+++ b/lib/testutils/src/caller_crowd.rs
@@ -13,12 +13,18 @@
 use tokio::task::JoinSet;
 use tokio::time::Instant;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 /// Pause before a caller connects again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(20);
-/// The longest that the first round of all callers may take.
+/// The longest that the first round of all callers, or an answer, may take.
 const CAP: Duration = Duration::from_secs(60);
 
+/// Bytes that an ordinary caller sends at a time.
+const PIECE_BYTES: usize = 64 << 10;
+/// Pause before each of these pieces.
+const PIECE_PAUSE: Duration = Duration::from_millis(1);
+
 /// What a caller sends on each connection.
 #[derive(Clone, Debug, Default)]
 pub struct Script {
@@ -36,6 +42,57 @@
     pub is_deaf: bool,
 }
 
+impl Script {
+    /// A request whose body stops one byte short of its length.
+    #[must_use]
+    pub fn unfinished(head: String, body_bytes: usize) -> Self {
+        Self {
+            begin: head.into(),
+            piece: filled(body_bytes - 1),
+            pieces: 1,
+            ..Self::default()
+        }
+    }
+}
+
+/// So many bytes of a body.
+///
+/// ```
+/// assert_eq!(&testutils::caller_crowd::filled(2)[..], b"xx");
+/// ```
+#[must_use]
+pub fn filled(bytes: usize) -> Bytes {
+    vec![b'x'; bytes].into()
+}
+
+/// A whole chunk of a chunked body.
+///
+/// ```
+/// assert_eq!(&testutils::caller_crowd::chunk(2)[..], b"2\r\nxx\r\n");
+/// ```
+#[must_use]
+pub fn chunk(bytes: usize) -> Bytes {
+    format!("{bytes:x}\r\n{}\r\n", "x".repeat(bytes)).into()
+}
+
+/// Sends a request to its end and reads the answer, as common clients do: they report a connection that
+/// breaks while they send, whatever has arrived on it. Returns the beginning of the answer.
+///
+/// # Errors
+///
+/// Returns an error if the request can't be sent, or no answer comes.
+pub async fn send_and_read(address: SocketAddr, parts: &[Bytes]) -> std::io::Result<String> {
+    let mut stream = TcpStream::connect(address).await?;
+    for piece in parts.iter().flat_map(|part| part.chunks(PIECE_BYTES)) {
+        // Over a network, the server's end arrives before all of a long request has been sent.
+        sleep(PIECE_PAUSE).await;
+        stream.write_all(piece).await?;
+    }
+    let mut answer = [0; 64];
+    let length = timeout(CAP, stream.read(&mut answer)).await??;
+    Ok(String::from_utf8_lossy(&answer[..length]).into_owned())
+}
+
 /// Callers with one script; dropping it closes their connections.
 #[derive(Debug)]
 pub struct CallerCrowd {
--- a/lib/testutils/src/process_usage.rs
+++ b/lib/testutils/src/process_usage.rs
@@ -39,6 +39,39 @@
     }
 }
 
+/// What a host grants a process.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct HostLimits {
+    /// Memory in MB.
+    pub memory_mb: u64,
+    /// Descriptors that may be open.
+    pub descriptors: u64,
+}
+
+impl HostLimits {
+    /// A host with little memory.
+    pub const SMALL_MEMORY: Self = Self {
+        memory_mb: 64,
+        descriptors: 4_100,
+    };
+    /// A host with few descriptors.
+    pub const FEW_DESCRIPTORS: Self = Self {
+        memory_mb: 160,
+        descriptors: 400,
+    };
+
+    /// Checks that a process has stayed within the limits.
+    ///
+    /// # Panics
+    ///
+    /// When it has not.
+    pub fn check(&self, peak: PeakUsage) {
+        println!("{peak:?}");
+        assert!(peak.total_bytes() <= self.memory_mb * 1_000_000, "{peak:?}");
+        assert!(peak.descriptors <= self.descriptors, "{peak:?}");
+    }
+}
+
 #[derive(Debug, Default)]
 struct Samples {
     unread_bytes: AtomicU64,
