memory_account: a request on a kept connection doesn't count the idle time before it

Seen in a reading: a connection that began a request after a long idle time was the first to give way, as the time without progress included the idle time. `kept_connection_with_a_new_request_is_not_first` failed before. Which connections may give way is decided in one place now.

--- a/lib/src/caller/memory_account.rs
+++ b/lib/src/caller/memory_account.rs
@@ -118,6 +118,15 @@
         self.body.capacity() as u64
     }
 
+    /// Records received bytes.
+    fn receive(&mut self, bytes: u64, now_ms: u64) {
+        self.unmoved_bytes += bytes;
+        if self.unmoved_bytes >= PROGRESS_BYTES {
+            self.unmoved_bytes = 0;
+            self.moved_at_ms = now_ms;
+        }
+    }
+
     fn may_give_way(&self) -> bool {
         self.stage != Stage::Serving && self.held_bytes() > 0 && !self.evicted.is_cancelled()
     }
@@ -135,18 +144,31 @@
 }
 
 /// Which connections may give way to one that needs memory.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct Candidates<'a> {
     /// The one that needs it.
     except: Option<u64>,
+    /// How long they have stood still at least.
     min_still_ms: u64,
-    /// Only those of this customer, if the customer's share is spent.
-    customer: Option<&'a Arc<str>>,
-    /// Only those with a long body.
-    is_long: bool,
+    /// Only those with a body of this customer.
+    only_customer: Option<&'a Arc<str>>,
+    only_long_bodies: bool,
     only_connections: bool,
 }
 
+impl Candidates<'_> {
+    fn include(&self, id: u64, holder: &Holder, now_ms: u64) -> bool {
+        let still_ms = now_ms.saturating_sub(holder.moved_at_ms);
+        let is_of = |customer: &Arc<str>| *customer == holder.customer && holder.body_bytes() > 0;
+        self.except != Some(id)
+            && holder.may_give_way()
+            && still_ms >= self.min_still_ms
+            && self.only_customer.is_none_or(is_of)
+            && (!self.only_long_bodies || holder.body_bytes() > SHORT_BODY_BYTES)
+            && (!self.only_connections || holder.is_connection)
+    }
+}
+
 /// The memory that callers hold.
 ///
 /// ```
@@ -227,21 +249,14 @@
     ///
     /// Returns an error if there is no room and no other connection gives way.
     pub fn open(&mut self, now_ms: u64) -> Result<u64, MemoryError> {
-        let candidates = Candidates {
-            except: None,
-            min_still_ms: 0,
-            customer: None,
-            is_long: false,
-            only_connections: false,
-        };
         let connections = Candidates {
             only_connections: true,
-            ..candidates
+            ..Candidates::default()
         };
         while self.connections >= self.limits.max_connections {
             self.evict_or_reject(connections, now_ms)?;
         }
-        self.make_room(CONNECTION_BYTES, candidates, now_ms)?;
+        self.make_room(CONNECTION_BYTES, Candidates::default(), now_ms)?;
         self.connections += 1;
         self.connection_bytes += CONNECTION_BYTES;
         Ok(self.insert(Holder::new(true, now_ms)))
@@ -263,10 +278,8 @@
     /// Returns the token that is cancelled when a connection has to give way.
     #[must_use]
     pub fn evicted(&self, id: u64) -> CancellationToken {
-        let connection = self.holders.get(&id);
-        connection.map_or_else(CancellationToken::new, |connection| {
-            connection.evicted.clone()
-        })
+        let holder = self.holders.get(&id);
+        holder.map_or_else(CancellationToken::new, |holder| holder.evicted.clone())
     }
 
     /// Removes a connection or request.
@@ -294,16 +307,13 @@
         if self.is_evicted(id) {
             return Err(MemoryError::Evicted);
         }
-        let candidates = Candidates {
+        let others = Candidates {
             except: Some(id),
-            min_still_ms: 0,
-            customer: None,
-            is_long: false,
-            only_connections: false,
+            ..Candidates::default()
         };
-        self.make_room(bytes, candidates, now_ms)?;
-        if let Some(connection) = self.holders.get_mut(&id) {
-            connection.base_bytes += bytes;
+        self.make_room(bytes, others, now_ms)?;
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.base_bytes += bytes;
             self.connection_bytes += bytes;
         }
         Ok(())
@@ -311,33 +321,28 @@
 
     /// Records that bytes have arrived on a connection.
     pub fn receive(&mut self, id: u64, bytes: u64, now_ms: u64) {
-        let Some(connection) = self.holders.get_mut(&id) else {
-            return;
-        };
-        if connection.stage == Stage::Idle {
-            connection.stage = Stage::Receiving;
+        if self.stage(id) == Stage::Idle {
+            self.set_stage(id, Stage::Receiving, now_ms);
         }
-        connection.unmoved_bytes += bytes;
-        if connection.unmoved_bytes >= PROGRESS_BYTES {
-            connection.unmoved_bytes = 0;
-            connection.moved_at_ms = now_ms;
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.receive(bytes, now_ms);
         }
     }
 
     /// Records what a connection does.
     pub fn set_stage(&mut self, id: u64, stage: Stage, now_ms: u64) {
-        let Some(connection) = self.holders.get_mut(&id) else {
+        let Some(holder) = self.holders.get_mut(&id) else {
             return;
         };
-        if connection.stage == stage {
+        if holder.stage == stage {
             return;
         }
         self.discarding += usize::from(stage == Stage::Discarding);
-        self.discarding -= usize::from(connection.stage == Stage::Discarding);
-        connection.had_request |= stage == Stage::Serving;
-        connection.stage = stage;
-        connection.unmoved_bytes = 0;
-        connection.moved_at_ms = now_ms;
+        self.discarding -= usize::from(holder.stage == Stage::Discarding);
+        holder.had_request |= stage == Stage::Serving;
+        holder.stage = stage;
+        holder.unmoved_bytes = 0;
+        holder.moved_at_ms = now_ms;
     }
 
     /// Records that a connection discards the rest of a refused request. Returns false if it may not, as it
@@ -353,14 +358,14 @@
     /// Returns what a connection does.
     #[must_use]
     pub fn stage(&self, id: u64) -> Stage {
-        let connection = self.holders.get(&id);
-        connection.map_or(Stage::Idle, |connection| connection.stage)
+        let holder = self.holders.get(&id);
+        holder.map_or(Stage::Idle, |holder| holder.stage)
     }
 
     /// Sets the customer of the request on a connection, before its body is read.
     pub fn set_customer(&mut self, id: u64, customer: Option<&Arc<str>>) {
-        if let Some(connection) = self.holders.get_mut(&id) {
-            connection.customer = customer.map_or_else(|| "".into(), Arc::clone);
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.customer = customer.map_or_else(|| "".into(), Arc::clone);
         }
     }
 
@@ -376,21 +381,21 @@
         max_bytes: usize,
         now_ms: u64,
     ) -> Result<(), MemoryError> {
-        let Some(connection) = self.holders.get(&id) else {
+        let Some(holder) = self.holders.get(&id) else {
             return Err(MemoryError::Evicted);
         };
-        if connection.evicted.is_cancelled() {
+        if holder.evicted.is_cancelled() {
             return Err(MemoryError::Evicted);
         }
-        if connection.body.length() + part.len() > max_bytes {
+        if holder.body.length() + part.len() > max_bytes {
             return Err(MemoryError::TooLong);
         }
-        let capacity = connection.body.capacity_with(part.len());
-        if capacity > connection.body.capacity() {
+        let capacity = holder.body.capacity_with(part.len());
+        if capacity > holder.body.capacity() {
             self.reserve_body(id, capacity, now_ms)?;
         }
-        if let Some(connection) = self.holders.get_mut(&id) {
-            connection.body.push(part);
+        if let Some(holder) = self.holders.get_mut(&id) {
+            holder.body.push(part);
         }
         Ok(())
     }
@@ -410,10 +415,10 @@
             return Err(MemoryError::Evicted);
         }
         self.set_stage(id, Stage::Serving, now_ms);
-        let connection = self.holders.get_mut(&id);
-        let connection = connection.ok_or(MemoryError::Evicted)?;
-        let customer = Arc::clone(&connection.customer);
-        let buffer = std::mem::take(&mut connection.body);
+        let holder = self.holders.get_mut(&id);
+        let holder = holder.ok_or(MemoryError::Evicted)?;
+        let customer = Arc::clone(&holder.customer);
+        let buffer = std::mem::take(&mut holder.body);
         let old_bytes = buffer.capacity() as u64;
         let body = buffer.into_bytes();
         self.change_body(old_bytes, body.capacity() as u64, &customer);
@@ -432,20 +437,19 @@
 
     /// Drops the unfinished body of a connection.
     pub fn discard_body(&mut self, id: u64) {
-        let Some(connection) = self.holders.get_mut(&id) else {
+        let Some(holder) = self.holders.get_mut(&id) else {
             return;
         };
-        let body = std::mem::take(&mut connection.body);
-        let customer = connection.customer.clone();
+        let body = std::mem::take(&mut holder.body);
+        let customer = holder.customer.clone();
         self.free_body(body.capacity(), &customer);
     }
 
     /// Returns the customer of the request on a connection, and what the bodies of that customer hold.
     #[must_use]
     pub fn customer(&self, id: u64) -> CustomerUsage {
-        let connection = self.holders.get(&id);
-        let name =
-            connection.map_or_else(|| "".into(), |connection| Arc::clone(&connection.customer));
+        let holder = self.holders.get(&id);
+        let name = holder.map_or_else(|| "".into(), |holder| Arc::clone(&holder.customer));
         CustomerUsage {
             body_bytes: self.customer_bytes(&name),
             name,
@@ -456,55 +460,49 @@
         self.customers.get(customer).copied().unwrap_or_default()
     }
 
+    /// Reserves memory for a body that is to have this capacity.
     fn reserve_body(&mut self, id: u64, capacity: usize, now_ms: u64) -> Result<(), MemoryError> {
-        let Some(connection) = self.holders.get(&id) else {
+        let Some(holder) = self.holders.get(&id) else {
             return Err(MemoryError::Evicted);
         };
-        let old_bytes = connection.body_bytes();
+        let old_bytes = holder.body_bytes();
         let new_bytes = capacity as u64;
         let added_bytes = new_bytes - old_bytes;
-        let customer = connection.customer.clone();
+        let customer = Arc::clone(&holder.customer);
         let is_long = new_bytes > SHORT_BODY_BYTES;
-        let candidates = Candidates {
+        let others = Candidates {
             except: Some(id),
             min_still_ms: if is_long { STANDSTILL_MS } else { 0 },
-            customer: None,
-            is_long: false,
-            only_connections: false,
+            ..Candidates::default()
         };
         // The longest body of the configuration is accepted, if it is the only one.
         let is_only_body = self.body_bytes == old_bytes;
         if !is_only_body {
             let of_customer = Candidates {
-                customer: Some(&customer),
-                ..candidates
+                only_customer: Some(&customer),
+                ..others
             };
             while self.customer_bytes(&customer) + added_bytes > self.limits.customer_bytes() {
                 self.evict_or_reject(of_customer, now_ms)?;
             }
             let long = Candidates {
-                is_long: true,
-                ..candidates
-            };
-            let added_long_bytes = match old_bytes {
-                _ if !is_long => 0,
-                0..=SHORT_BODY_BYTES => new_bytes,
-                _ => added_bytes,
+                only_long_bodies: true,
+                ..others
             };
+            let added_long_bytes = long_bytes(new_bytes) - long_bytes(old_bytes);
             while added_long_bytes > 0
                 && self.long_body_bytes + added_long_bytes > self.limits.long_bodies_bytes()
             {
                 self.evict_or_reject(long, now_ms)?;
             }
         }
-        self.make_room(added_bytes, candidates, now_ms)?;
+        self.make_room(added_bytes, others, now_ms)?;
         self.change_body(old_bytes, new_bytes, &customer);
         Ok(())
     }
 
     /// Counts a body that held `old_bytes` and holds `new_bytes` now.
     fn change_body(&mut self, old_bytes: u64, new_bytes: u64, customer: &Arc<str>) {
-        let long_bytes = |bytes: u64| if bytes > SHORT_BODY_BYTES { bytes } else { 0 };
         self.body_bytes = self.body_bytes + new_bytes - old_bytes;
         self.long_body_bytes = self.long_body_bytes + long_bytes(new_bytes) - long_bytes(old_bytes);
         let held_bytes = self.customers.entry(Arc::clone(customer)).or_default();
@@ -545,22 +543,11 @@
 
     /// Lets the connection give way that holds most and moves least. Its memory counts as free from now on.
     fn evict_one(&mut self, candidates: Candidates<'_>, now_ms: u64) -> bool {
-        let is_candidate = |id: u64, connection: &Holder| {
-            connection.may_give_way()
-                && (!candidates.only_connections || connection.is_connection)
-                && candidates.except != Some(id)
-                && now_ms.saturating_sub(connection.moved_at_ms) >= candidates.min_still_ms
-                && candidates
-                    .customer
-                    .is_none_or(|customer| *customer == connection.customer)
-                && (candidates.customer.is_none() || connection.body.capacity() > 0)
-                && (!candidates.is_long || connection.body_bytes() > SHORT_BODY_BYTES)
-        };
         let worst = self
             .holders
             .iter()
-            .filter(|(id, connection)| is_candidate(**id, connection))
-            .max_by_key(|(_, connection)| connection.eviction_order(now_ms))
+            .filter(|(id, holder)| candidates.include(**id, holder, now_ms))
+            .max_by_key(|(_, holder)| holder.eviction_order(now_ms))
             .map(|(id, _)| *id);
         let Some(id) = worst else {
             return false;
@@ -576,7 +563,16 @@
     }
 
     fn is_evicted(&self, id: u64) -> bool {
-        let connection = self.holders.get(&id);
-        connection.is_none_or(|connection| connection.evicted.is_cancelled())
+        let holder = self.holders.get(&id);
+        holder.is_none_or(|holder| holder.evicted.is_cancelled())
+    }
+}
+
+/// Returns what a body holds of the part that long bodies may hold.
+fn long_bytes(body_bytes: u64) -> u64 {
+    if body_bytes > SHORT_BODY_BYTES {
+        body_bytes
+    } else {
+        0
     }
 }
--- a/lib/tests/test_caller_memory.rs
+++ b/lib/tests/test_caller_memory.rs
@@ -136,6 +136,23 @@
     assert!(others.iter().all(|id| !is_evicted(&account, *id)));
 }
 
+#[test]
+fn kept_connection_with_a_new_request_is_not_first() {
+    // Guards against a request that gives way because its connection was idle before it.
+    let limits = MemoryLimits {
+        max_connections: 2,
+        ..MemoryLimits::default()
+    };
+    let mut account = MemoryAccount::new(limits);
+    let kept = open(&mut account, "a", 0).unwrap();
+    account.set_stage(kept, Stage::Serving, 0);
+    account.set_stage(kept, Stage::Idle, 0);
+    let silent = account.open(LATER_MS - 100).unwrap();
+    account.receive(kept, 10, LATER_MS);
+    account.open(LATER_MS).unwrap();
+    assert!(is_evicted(&account, silent) && !is_evicted(&account, kept));
+}
+
 #[test]
 fn moving_bodies_do_not_push_each_other_out() {
     // Guards against bodies of which none becomes whole.
