memory_account: bodies apart from their connections record their progress

With agents, a body has an account apart from its connection, and nothing recorded what arrived of it: after half a second it counted as standing still, however fast it came, and gave way to other long bodies. `body_apart_from_its_connection_moves` failed before.

--- a/lib/src/caller/memory_account.rs
+++ b/lib/src/caller/memory_account.rs
@@ -396,6 +396,10 @@
         }
         if let Some(holder) = self.holders.get_mut(&id) {
             holder.body.push(part);
+            // What arrives on a connection has been recorded before.
+            if !holder.is_connection {
+                holder.receive(part.len() as u64, now_ms);
+            }
         }
         Ok(())
     }
--- a/lib/tests/test_caller_memory.rs
+++ b/lib/tests/test_caller_memory.rs
@@ -153,6 +153,32 @@
     assert!(is_evicted(&account, silent) && !is_evicted(&account, kept));
 }
 
+#[test]
+fn body_apart_from_its_connection_moves() {
+    // Guards against bodies that count as standing still since their beginning, however fast they arrive.
+    let mut account = account();
+    let bodies: Vec<u64> = (0..CUSTOMER_BODIES)
+        .map(|_| {
+            let request = account.open_request(0);
+            account.set_customer(request, Some(&"a".into()));
+            request
+        })
+        .collect();
+    for number in 0..(MAX_BODY_BYTES / PART.len() - 1) as u64 {
+        for body in &bodies {
+            account
+                .push_body(*body, &PART, MAX_BODY_BYTES, number * 10)
+                .unwrap();
+        }
+    }
+    let next = account.open_request(LATER_MS);
+    account.set_customer(next, Some(&"a".into()));
+    let now_ms = (MAX_BODY_BYTES / PART.len()) as u64 * 10;
+    let pushed = (0..256).try_for_each(|_| account.push_body(next, &PART, MAX_BODY_BYTES, now_ms));
+    assert_eq!(pushed, Err(MemoryError::NoRoom));
+    assert!(bodies.iter().all(|id| !is_evicted(&account, *id)));
+}
+
 #[test]
 fn moving_bodies_do_not_push_each_other_out() {
     // Guards against bodies of which none becomes whole.
