--- a/lib/src/caller/connections.rs
+++ b/lib/src/caller/connections.rs
@@ -126,7 +126,9 @@
     #[must_use]
     pub fn start_request(&self, address: SocketAddr, has_body: bool) -> ActiveRequest {
         let state = self.table.lock().get(&address).cloned();
-        ActiveRequest::start(state, has_body)
+        state.map_or_else(ActiveRequest::abandoned, |state| {
+            ActiveRequest::start(state, has_body)
+        })
     }
 
     /// How many connections are open.
@@ -145,41 +147,46 @@
 /// A request that has not been answered.
 #[derive(Debug)]
 pub struct ActiveRequest {
-    /// Its connection, unless that has ended before.
+    gone: CancellationToken,
+    /// Its connection, unless that is not known.
     state: Option<Arc<ConnectionState>>,
 }
 
 impl ActiveRequest {
-    /// Creates the request of a caller whose connection is not known.
+    /// Creates the request of a caller who can't go away.
     #[must_use]
     pub fn detached() -> Self {
-        Self { state: None }
-    }
-
-    fn start(state: Option<Arc<ConnectionState>>, has_body: bool) -> Self {
-        if let Some(state) = &state {
-            state.requests.fetch_add(1, Ordering::Relaxed);
-            state.head_bytes.store(0, Ordering::Relaxed);
-            state.memory.set_stage(if has_body {
-                Stage::Receiving
-            } else {
-                Stage::Serving
-            });
+        Self {
+            gone: CancellationToken::new(),
+            state: None,
+        }
+    }
+
+    /// Creates the request of a caller whose connection has ended.
+    fn abandoned() -> Self {
+        let request = Self::detached();
+        request.gone.cancel();
+        request
+    }
+
+    fn start(state: Arc<ConnectionState>, has_body: bool) -> Self {
+        state.requests.fetch_add(1, Ordering::Relaxed);
+        state.head_bytes.store(0, Ordering::Relaxed);
+        state.memory.set_stage(if has_body {
+            Stage::Receiving
+        } else {
+            Stage::Serving
+        });
+        Self {
+            gone: state.gone.clone(),
+            state: Some(state),
         }
-        Self { state }
     }
 
     /// Returns a token that is cancelled when the caller goes away.
     #[must_use]
     pub fn gone(&self) -> CancellationToken {
-        self.state.as_ref().map_or_else(
-            || {
-                let gone = CancellationToken::new();
-                gone.cancel();
-                gone
-            },
-            |state| state.gone.clone(),
-        )
+        self.gone.clone()
     }
 
     /// Records that the whole request has arrived.
