--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -190,9 +190,9 @@
 /// Whether a new connection is used.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum FirstByte {
-    /// Its first byte has arrived, or its end.
+    /// Its first byte has arrived.
     Arrived,
-    /// It was idle for too long, had to give way, or the entry stops.
+    /// It was closed or idle for too long, had to give way, or the entry stops.
     NeverCame,
 }
 
@@ -203,12 +203,18 @@
     traffic: &TrafficState,
 ) -> FirstByte {
     let opened_at = Instant::now();
+    let mut byte = [0; 1];
     loop {
         let idle_until = opened_at + ConnectionLimits::new(traffic).idle_timeout;
         tokio::select! {
             biased;
-            // An error shows when the connection is read.
-            _ = stream.readable() => return FirstByte::Arrived,
+            // Readiness alone may be reported without a byte to read.
+            received = stream.peek(&mut byte) => {
+                return match received {
+                    Ok(1..) => FirstByte::Arrived,
+                    Ok(0) | Err(_) => FirstByte::NeverCame,
+                };
+            }
             () = activity.memory.evicted().cancelled() => return FirstByte::NeverCame,
             () = traffic.closing.notified() => return FirstByte::NeverCame,
             () = sleep_until(idle_until) => {}
