listeners: a connection that lingers after an invalid head gives way; bounded wait before accepting

Seen in a reading. In the direct mode, a connection that discarded the rest of a head beyond the limit was not closed when it had to give way, for up to 5 s. With agents, accepting waited without end for connections that gave way to close; now 0.1 s at most.

--- a/lib/src/caller/listener.rs
+++ b/lib/src/caller/listener.rs
@@ -39,8 +39,9 @@
 const READ_BYTES: usize = 16 << 10;
 /// Connections that gave way and may still be open while the next one is accepted.
 const MAX_CLOSING: usize = 16;
-/// Time between two looks at whether they are closed.
+/// Time between two looks at whether they are closed, and how many looks there are.
 const CLOSING_PERIOD: Duration = Duration::from_millis(1);
+const MAX_CLOSING_LOOKS: usize = 100;
 /// Time between two log lines about connections that give way.
 const LOG_PERIOD: Duration = Duration::from_secs(1);
 
@@ -73,10 +74,13 @@
         }
     }
 
-    /// Waits until connections that gave way are closed. Until then they hold descriptors.
+    /// Waits a short time until connections that gave way are closed. Until then they hold descriptors.
     async fn wait_for_closed(&self) {
         let max_connections = self.connections.memory.limits().max_connections;
-        while self.connections.len() >= max_connections + MAX_CLOSING {
+        for _ in 0..MAX_CLOSING_LOOKS {
+            if self.connections.len() < max_connections + MAX_CLOSING {
+                return;
+            }
             sleep(CLOSING_PERIOD).await;
         }
     }
--- a/lib/src/direct/request/listeners.rs
+++ b/lib/src/direct/request/listeners.rs
@@ -154,7 +154,8 @@
                 if ended.is_err() {
                     // The library has answered an invalid head, and leaves it to others to close.
                     let mut io = connection.into_parts().io.into_inner();
-                    let _closed = io.shutdown().await;
+                    let evicted = activity.memory.evicted();
+                    let _closed = evicted.run_until_cancelled(io.shutdown()).await;
                 }
                 return;
             }
