--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -62,13 +62,20 @@
 #[derive(Clone)]
 pub struct Record {
     started_at: Instant,
+    path: PathBuf,
     lines: Arc<Mutex<fs::File>>,
 }
 
 impl Record {
     pub fn create(path: &str) -> Self {
         let file = fs::File::create(path).expect("record.txt can be written");
-        Self { started_at: Instant::now(), lines: Arc::new(Mutex::new(file)) }
+        let path = PathBuf::from(path);
+        Self { started_at: Instant::now(), path, lines: Arc::new(Mutex::new(file)) }
+    }
+
+    /// What was recorded so far.
+    pub fn text(&self) -> String {
+        fs::read_to_string(&self.path).expect("the record")
     }
 
     pub fn line(&self, text: &str) {
