review: stand-ins leave no folder behind and end all processes when an entry isn't ready

Cause: the temporary folders stayed, and an entry that never got ready ended the scene without its children. Change: the folder is removed at the end, and the scene unwinds, so that run.sh exits with 2.

--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -404,7 +405,6 @@
     pub child: Child,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
-    folder: PathBuf,
     command: EntryCommand,
 }
 
@@ -430,7 +430,7 @@
 }
 
 /// Starts entries that know each other.
-pub fn start_entries(count: usize, store: &Store, folder: &PathBuf) -> Vec<Entry> {
+pub fn start_entries(count: usize, store: &Store, folder: &Path) -> Vec<Entry> {
     let program = std::env::var("PROGRAM").unwrap_or("target/release/sardinewood-direct".to_owned());
     let mut taken = Vec::new();
     let ports: Vec<[u16; 4]> =
@@ -474,7 +474,6 @@
             child: command.start(),
             callers: SocketAddr::from(([127, 0, 0, 1], callers)),
             ready: SocketAddr::from(([127, 0, 0, 1], ready)),
-            folder: folder.clone(),
             command,
         });
     }
@@ -492,13 +491,13 @@
         get().is_ok_and(|status| status == 200)
     }
 
-    /// Waits until the readiness check succeeds; ends the case as one that couldn't run otherwise.
+    /// Waits until the readiness check succeeds.
     pub fn wait_until_ready(&self) {
         let until = Instant::now() + Duration::from_secs(20);
         while !self.is_ready() {
             if Instant::now() >= until {
-                eprintln!("an entry is not ready after 20 s");
-                std::process::exit(COULD_NOT_RUN);
+                // Unwinding ends all processes; run.sh exits with 2 then.
+                panic!("an entry is not ready after 20 s");
             }
             thread::sleep(Duration::from_millis(50));
         }
@@ -582,11 +581,22 @@
     }
 }
 
-/// A temporary folder of the case.
-pub fn temporary_folder(case: &str) -> PathBuf {
-    let folder = std::env::temp_dir().join(format!("sardinewood-review-{case}-{}", std::process::id()));
-    fs::create_dir_all(&folder).expect("a temporary folder");
-    folder
+/// A temporary folder of the case, which is removed at its end.
+pub struct TemporaryFolder(pub PathBuf);
+
+impl TemporaryFolder {
+    pub fn create(case: &str) -> Self {
+        let name = format!("sardinewood-review-{case}-{}", std::process::id());
+        let folder = std::env::temp_dir().join(name);
+        fs::create_dir_all(&folder).expect("a temporary folder");
+        Self(folder)
+    }
+}
+
+impl Drop for TemporaryFolder {
+    fn drop(&mut self) {
+        let _ = fs::remove_dir_all(&self.0);
+    }
 }
 
 /// A link to a worker that can be cut. While it is cut, nothing passes in either direction, neither bytes
