--- a/review/standins-2/platform.rs
+++ b/review/standins-2/platform.rs
@@ -14,6 +14,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::os::fd::AsRawFd;
 use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
@@ -46,6 +47,7 @@
 
 unsafe extern "C" {
     safe fn kill(process: i32, signal: i32) -> i32;
+    safe fn listen(socket: i32, backlog: i32) -> i32;
 }
 
 /// Sends a signal to a process that the case has started.
@@ -599,23 +601,39 @@
     }
 }
 
-/// A link to a worker that can be cut. While it is cut, nothing passes in either direction, neither bytes
-/// nor the ends of channels, and nothing is lost: what was held up passes when the cut has healed.
+/// What a link lets pass.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Cut {
+    /// It isn't cut.
+    #[default]
+    None,
+    /// Nothing passes in either direction.
+    BothWays,
+    /// Nothing passes to the worker, no new channels either; what the worker sends passes.
+    ToWorker,
+}
+
+/// A link to a worker that can be cut. What a cut holds up, bytes and the ends of channels, isn't lost: it
+/// passes when the cut has healed.
 #[derive(Clone)]
 pub struct Link {
     /// Where the worker is reached.
     pub address: SocketAddr,
-    is_cut: Arc<(Mutex<bool>, Condvar)>,
+    cut: Arc<(Mutex<Cut>, Condvar)>,
+    listener: Arc<TcpListener>,
+    /// Channels that keep the listener's queue full, so that the system drops the opening packets of others.
+    fillers: Arc<Mutex<Vec<TcpStream>>>,
 }
 
 impl Link {
     pub fn start(to: SocketAddr) -> Self {
-        let listener = TcpListener::bind("127.0.0.1:0").expect("a port for the link");
+        let listener = Arc::new(TcpListener::bind("127.0.0.1:0").expect("a port for the link"));
         let address = listener.local_addr().expect("its address");
-        let link = Self { address, is_cut: Arc::default() };
+        let link = Self { address, cut: Arc::default(), listener, fillers: Arc::default() };
         let accepting = link.clone();
         thread::spawn(move || {
-            for near in listener.incoming().flatten() {
+            for near in accepting.listener.incoming().flatten() {
+                accepting.wait_while(|cut| cut != Cut::None);
                 let link = accepting.clone();
                 thread::spawn(move || link.carry(near, to));
             }
@@ -623,34 +641,51 @@
         link
     }
 
-    pub fn set_cut(&self, is_cut: bool) {
-        *self.is_cut.0.lock().expect("the link") = is_cut;
-        self.is_cut.1.notify_all();
+    pub fn set_cut(&self, cut: Cut) {
+        *self.cut.0.lock().expect("the link") = cut;
+        self.cut.1.notify_all();
+        if cut == Cut::ToWorker {
+            self.drop_opening_packets();
+        } else {
+            self.fillers.lock().expect("the channels").clear();
+            listen(self.listener.as_raw_fd(), 128);
+        }
+    }
+
+    /// Fills the queue of channels that wait to be accepted.
+    fn drop_opening_packets(&self) {
+        listen(self.listener.as_raw_fd(), 0);
+        let connect = || TcpStream::connect_timeout(&self.address, Duration::from_millis(100));
+        // The thread that accepts takes one channel more from the queue, so it is filled twice.
+        for _ in 0..2 {
+            while let Ok(filler) = connect() {
+                self.fillers.lock().expect("the channels").push(filler);
+            }
+        }
     }
 
-    fn wait_until_whole(&self) {
-        let is_cut = self.is_cut.0.lock().expect("the link");
-        drop(self.is_cut.1.wait_while(is_cut, |is_cut| *is_cut).expect("the link"));
+    fn wait_while(&self, is_held: impl Fn(Cut) -> bool) {
+        let cut = self.cut.0.lock().expect("the link");
+        drop(self.cut.1.wait_while(cut, |cut| is_held(*cut)).expect("the link"));
     }
 
     fn carry(&self, near: TcpStream, to: SocketAddr) {
-        self.wait_until_whole();
         // A worker that refuses the channel: the link closes it at once.
         let Ok(far) = TcpStream::connect(to) else { return };
         let streams = (near.try_clone(), far.try_clone());
         let (Ok(near_reader), Ok(far_reader)) = streams else { return };
         let link = self.clone();
-        let back = thread::spawn(move || link.pass(far_reader, near));
-        self.pass(near_reader, far);
+        let back = thread::spawn(move || link.pass(far_reader, near, |cut| cut == Cut::BothWays));
+        self.pass(near_reader, far, |cut| cut != Cut::None);
         let _ = back.join();
     }
 
-    fn pass(&self, mut from: TcpStream, mut to: TcpStream) {
+    fn pass(&self, mut from: TcpStream, mut to: TcpStream, is_held: impl Fn(Cut) -> bool) {
         let _ = to.set_nodelay(true);
         let mut bytes = [0; 16_384];
         loop {
             let read = from.read(&mut bytes);
-            self.wait_until_whole();
+            self.wait_while(&is_held);
             match read {
                 Ok(count) if count > 0 && to.write_all(&bytes[..count]).is_ok() => {}
                 _ => {
